Skeleton: modules, build, formatter, linter and the types that the parts share

Cause: an empty repository; the parts can only be built side by side once they agree on types. Change: Maven modules of the starting design (plus foxtail-process for what the binaries share), Spotless with google-java-format AOSP, Checkstyle with Android prefixes, typed ids, settings records, the records of the log and the view of the folded state, the platform's HTTP interface. Conclusion: the skeleton stands; the parts follow.

--- /dev/null
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command. */
+package org.foxtailplank.cli;
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/id/package-info.java
@@ -0,0 +1,2 @@
+/** Typed names of the things the system manages. */
+package org.foxtailplank.id;
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/request/package-info.java
@@ -0,0 +1,2 @@
+/** Vocabulary of callers' requests and their outcomes. */
+package org.foxtailplank.request;
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of a deployment: types, merging, checking and their origin. */
+package org.foxtailplank.settings;
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/JobSubmitted.java
@@ -0,0 +1,19 @@
+package org.foxtailplank.state;
+
+import java.util.Set;
+import org.foxtailplank.id.JobId;
+
+/**
+ * A job is submitted.
+ *
+ * @param job the job
+ * @param spec what it asks for
+ * @param author who and why
+ */
+public record JobSubmitted(JobId job, JobSpec spec, Author author) implements Change {
+
+    @Override
+    public Set<ObjectKey> touches() {
+        return Set.of(ObjectKey.of(job));
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/LogRecord.java
@@ -0,0 +1,28 @@
+package org.foxtailplank.state;
+
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.RecordId;
+
+/**
+ * One record on the log.
+ *
+ * @param id id of the record; a later record with the same id is void
+ * @param writer node that wrote it
+ * @param epoch epoch under which a controller wrote it; empty for operators
+ * @param expects version (offset of the last change) that each named object must have; 0 for one
+ *     that must not exist
+ * @param change what it changes
+ */
+public record LogRecord(
+        RecordId id,
+        NodeId writer,
+        Optional<ActingEpoch> epoch,
+        Map<ObjectKey, Long> expects,
+        Change change) {
+
+    public LogRecord {
+        expects = Map.copyOf(expects);
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/PoolShape.java
@@ -0,0 +1,13 @@
+package org.foxtailplank.state;
+
+import java.util.Optional;
+import org.foxtailplank.id.ServiceId;
+
+/**
+ * A pool as the configuration states it.
+ *
+ * @param service service that its VMs run
+ * @param target VMs powered on for the declared jobs
+ * @param reserve VMs powered on beyond the target
+ */
+public record PoolShape(Optional<ServiceId> service, int target, int reserve) {}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmActionIntended.java
@@ -0,0 +1,25 @@
+package org.foxtailplank.state;
+
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.WaveId;
+
+/**
+ * An action on a VM is about to be asked of the platform; it counts against budgets from here.
+ *
+ * @param vm the VM
+ * @param action the action
+ * @param generation generation of the VM for which it is meant
+ * @param wave wave that it is a step of
+ * @param author who and why
+ */
+public record VmActionIntended(
+        VmId vm, VmAction action, long generation, Optional<WaveId> wave, Author author)
+        implements Change {
+
+    @Override
+    public Set<ObjectKey> touches() {
+        return Set.of(ObjectKey.of(vm));
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmJoined.java
@@ -0,0 +1,19 @@
+package org.foxtailplank.state;
+
+import java.util.Set;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.VmId;
+
+/**
+ * A drained VM leaves its pool and joins the other one in a single step.
+ *
+ * @param vm the VM
+ * @param to pool that it joins
+ */
+public record VmJoined(VmId vm, PoolId to) implements Change {
+
+    @Override
+    public Set<ObjectKey> touches() {
+        return Set.of(ObjectKey.of(vm));
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmReleased.java
@@ -0,0 +1,21 @@
+package org.foxtailplank.state;
+
+import java.util.Set;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.VmId;
+
+/**
+ * A VM begins to leave its pool; it still belongs to it.
+ *
+ * @param vm the VM
+ * @param from pool that it is in
+ * @param to pool that it is to join
+ * @param author who and why
+ */
+public record VmReleased(VmId vm, PoolId from, PoolId to, Author author) implements Change {
+
+    @Override
+    public Set<ObjectKey> touches() {
+        return Set.of(ObjectKey.of(vm));
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/WaveFinished.java
@@ -0,0 +1,19 @@
+package org.foxtailplank.state;
+
+import java.util.Set;
+import org.foxtailplank.id.WaveId;
+import org.foxtailplank.id.ZoneId;
+
+/**
+ * Every VM of a wave in one of its zones has been maintained.
+ *
+ * @param wave the wave
+ * @param zone zone that is finished
+ */
+public record WaveFinished(WaveId wave, ZoneId zone) implements Change {
+
+    @Override
+    public Set<ObjectKey> touches() {
+        return Set.of(ObjectKey.of(wave));
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/WavePhase.java
@@ -0,0 +1,13 @@
+package org.foxtailplank.state;
+
+/** Where a wave is. */
+public enum WavePhase {
+    /** Steps are started. */
+    RUNNING,
+    /** No step is started. */
+    PAUSED,
+    /** Ended before its end. */
+    CANCELLED,
+    /** Every VM was maintained. */
+    FINISHED
+}
--- /dev/null
+++ b/foxtail-demo/src/main/java/org/foxtailplank/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The whole system embedded in one process. */
+package org.foxtailplank.demo;
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Takes callers' requests and sends them to backend servers. */
+package org.foxtailplank.entry;
--- /dev/null
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/package-info.java
@@ -0,0 +1,2 @@
+/** Integration tests with real processes, and their tools. */
+package org.foxtailplank.it;
--- /dev/null
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load and experiments. */
+package org.foxtailplank.load;
--- /dev/null
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of the platform's HTTP interface, and the state followed from its log. */
+package org.foxtailplank.platform;
