--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about the fleet: waves, buffer and placement, and the reasons behind them. */
+package org.foxtailplank.fleet;
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/DemandBufferPlanner.java
@@ -0,0 +1,167 @@
+package org.foxtailplank.internal.buffer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.foxtailplank.fleet.BufferHistory;
+import org.foxtailplank.fleet.BufferPlan;
+import org.foxtailplank.fleet.BufferPlanner;
+import org.foxtailplank.fleet.Observation;
+import org.foxtailplank.fleet.PoolUse;
+import org.foxtailplank.fleet.PoolWant;
+import org.foxtailplank.fleet.VmMove;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.internal.wave.Budget;
+import org.foxtailplank.internal.wave.Budgets;
+import org.foxtailplank.settings.FleetSettings;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.PoolState;
+import org.foxtailplank.state.VmState;
+
+/** Wakes as much as demand can grow by during a wake, and sleeps what was not needed for long. */
+public final class DemandBufferPlanner implements BufferPlanner {
+
+    /** Reports older than so many wakes say nothing about now. */
+    private static final int STALE_WAKES = 10;
+
+    /** A surplus lasts at least so many wakes before it is put to sleep. */
+    private static final int SLEEP_HOLD_WAKES = 3;
+
+    private final FleetSettings mSettings;
+    private final long mWakeMs;
+
+    public DemandBufferPlanner(FleetSettings settings) {
+        mSettings = settings;
+        mWakeMs = settings.wakeTime().toMillis();
+    }
+
+    @Override
+    public BufferPlan plan(FleetView view, Observation seen, BufferHistory history, long nowMs) {
+        Budgets budgets = Budgets.of(view, seen);
+        WaveCover cover = WaveCover.of(view);
+        Map<PoolId, Integer> incoming = incoming(view);
+        Map<PoolId, PoolHistory> pools = new HashMap<>();
+        Map<PoolId, PoolWant> wants = new TreeMap<>();
+        Map<PoolId, PoolRacks> racksOf = new TreeMap<>();
+        List<VmId> wake = new ArrayList<>();
+        List<VmId> sleep = new ArrayList<>();
+        for (PoolState pool : view.pools()) {
+            PoolHistory before = history.pools().getOrDefault(pool.id(), PoolHistory.none());
+            PoolRacks racks = PoolRacks.of(view.vmsOf(pool.id()), seen);
+            DemandEstimate demand = estimate(before.demand(), pool, seen, nowMs);
+            double surge = cover.covers(pool.id()) ? mSettings.rolloutWeight() : -1;
+            WantedCount wanted = wanted(pool, demand, budgets.of(pool.id()), racks, surge, nowMs);
+            wants.put(pool.id(), wanted.want(racks));
+            int arriving = incoming.getOrDefault(pool.id(), 0);
+            PoolHistory after = remember(before, demand, wanted, racks, arriving, nowMs);
+            wake.addAll(wake(racks, wanted));
+            int lasting = after.surplus().lasting(nowMs, SLEEP_HOLD_WAKES * mWakeMs);
+            sleep.addAll(sleep(racks, wanted, budgets.of(pool.id()), lasting));
+            pools.put(pool.id(), lasting > 0 ? after.afterSleep() : after);
+            racksOf.put(pool.id(), racks);
+        }
+        Map<VmId, Long> moved = recent(history.moved(), nowMs);
+        List<VmMove> moves = new PoolMover(mSettings, pools, racksOf, moved).moves(nowMs);
+        for (VmMove move : moves) {
+            moved.put(move.vm(), nowMs);
+            pools.computeIfPresent(move.from(), (id, h) -> h.afterMove());
+            pools.computeIfPresent(move.to(), (id, h) -> h.afterMove());
+        }
+        return new BufferPlan(wake, sleep, moves, wants, new BufferHistory(pools, moved));
+    }
+
+    private DemandEstimate estimate(
+            DemandEstimate before, PoolState pool, Observation seen, long nowMs) {
+        PoolUse use = seen.use().get(pool.id());
+        if (use == null) {
+            return before;
+        }
+        long lag = Math.max(0, nowMs - use.atMs());
+        return before.seen(use, mWakeMs + Math.min(lag, STALE_WAKES * mWakeMs));
+    }
+
+    private WantedCount wanted(
+            PoolState pool,
+            DemandEstimate demand,
+            Budget budget,
+            PoolRacks racks,
+            double surge,
+            long nowMs) {
+        int othersServe = Math.max(0, budget.serving() - racks.on());
+        long stale = STALE_WAKES * mWakeMs;
+        return new WantedCount(
+                demand.now(pool.target(), nowMs, stale),
+                demand.growth(),
+                Math.max(0, budget.minAvailable() - othersServe),
+                pool.reserve(),
+                surge,
+                racks.available(),
+                demand.isFresh(nowMs, stale));
+    }
+
+    private static PoolHistory remember(
+            PoolHistory before,
+            DemandEstimate demand,
+            WantedCount wanted,
+            PoolRacks racks,
+            int arriving,
+            long nowMs) {
+        int largest = racks.largest();
+        int surplus = racks.on() - wanted.given(largest);
+        int shortage = wanted.unbounded(largest) - racks.available() - arriving;
+        int spare = -shortage;
+        return new PoolHistory(
+                demand,
+                before.surplus().seen(surplus, nowMs),
+                before.shortage().seen(shortage, nowMs),
+                before.spare().seen(spare, nowMs));
+    }
+
+    private static Map<PoolId, Integer> incoming(FleetView view) {
+        Map<PoolId, Integer> incoming = new HashMap<>();
+        view.vms().forEach(vm -> vm.joining().ifPresent(p -> incoming.merge(p, 1, Integer::sum)));
+        return incoming;
+    }
+
+    private static List<VmId> wake(PoolRacks racks, WantedCount wanted) {
+        List<VmId> wake = new ArrayList<>();
+        while (racks.on() < wanted.given(racks.largest())) {
+            Optional<VmState> vm = racks.wakeOne();
+            if (vm.isEmpty()) {
+                break;
+            }
+            wake.add(vm.get().id());
+        }
+        return wake;
+    }
+
+    /** Sleeps only what has been surplus all the time, and what budget and wants still allow. */
+    private static List<VmId> sleep(
+            PoolRacks racks, WantedCount wanted, Budget budget, int lasting) {
+        List<VmId> sleep = new ArrayList<>();
+        while (sleep.size() < lasting && racks.on() > wanted.given(racks.largest())) {
+            Optional<VmState> vm = racks.fullest();
+            if (vm.isEmpty()) {
+                break;
+            }
+            if (budget.canStop(vm.get().rack())) {
+                budget.stop(vm.get().rack());
+                racks.sleep(vm.get());
+                sleep.add(vm.get().id());
+            } else {
+                racks.keep(vm.get());
+            }
+        }
+        return sleep;
+    }
+
+    private Map<VmId, Long> recent(Map<VmId, Long> moved, long nowMs) {
+        Map<VmId, Long> recent = new HashMap<>(moved);
+        recent.values().removeIf(t -> nowMs - t >= mSettings.moveCooldown().toMillis());
+        return recent;
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Placement of tasks on workers. */
+package org.foxtailplank.internal.placement;
