--- /dev/null
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/result/package-info.java
@@ -0,0 +1,2 @@
+/** Results of runs: JSON, comparison and plots. */
+package org.foxtailplank.load.internal.result;
