--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/PlatformCall.java
@@ -0,0 +1,34 @@
+package org.foxtailplank.internal.control;
+
+import org.foxtailplank.state.VmState;
+
+/**
+ * A call to the platform on behalf of one intent.
+ *
+ * <p>Each intent owns three generations at the platform: one to drain before the action, one for
+ * the action, and one for the drain of a release that follows it. They grow with the generation of
+ * the VM, so the platform refuses a call that a paused controller makes late.
+ *
+ * @param id id of the call; the same call again has the same id
+ * @param generation generation that the platform compares
+ */
+public record PlatformCall(String id, long generation) {
+    private static final int CALLS_PER_GENERATION = 3;
+
+    static PlatformCall drainBeforeAction(VmState vm) {
+        return call(vm, 0, "drain");
+    }
+
+    static PlatformCall action(VmState vm) {
+        return call(vm, 1, "action");
+    }
+
+    static PlatformCall drainForRelease(VmState vm) {
+        return call(vm, 2, "release");
+    }
+
+    private static PlatformCall call(VmState vm, int step, String name) {
+        String id = vm.id() + "-" + vm.generation() + "-" + name;
+        return new PlatformCall(id, vm.generation() * CALLS_PER_GENERATION + step);
+    }
+}
