--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/TrackedMember.java
@@ -0,0 +1,60 @@
+package org.foxtailplank.internal.membership;
+
+import java.net.InetSocketAddress;
+import org.foxtailplank.membership.Member;
+import org.foxtailplank.membership.MemberState;
+import org.foxtailplank.membership.NodeStatus;
+import org.foxtailplank.membership.PeerIdentity;
+
+/** What is kept of one member. */
+final class TrackedMember {
+
+    final PeerIdentity mIdentity;
+    MemberState mState = MemberState.ALIVE;
+    /** Where it was last reached from here. */
+    InetSocketAddress mReachedAt;
+
+    NodeStatus mStatus = NodeStatus.none();
+    long mBeat;
+    long mHeardAt;
+
+    /** Another process was met at its address: only it itself can undo that. */
+    boolean mReplaced;
+
+    /** Its newest beat when it was last told on, and the turn in which that was. */
+    long mToldBeat;
+
+    long mToldTurn;
+
+    TrackedMember(PeerIdentity identity, long now) {
+        mIdentity = identity;
+        mReachedAt = identity.address();
+        mHeardAt = now;
+    }
+
+    boolean isAt(InetSocketAddress address) {
+        return mIdentity.address().equals(address);
+    }
+
+    boolean mayHoldItsAddress() {
+        return mState != MemberState.LEFT && !mReplaced;
+    }
+
+    Member view() {
+        return new Member(mIdentity, mState, mStatus);
+    }
+
+    boolean hasNews() {
+        return mState == MemberState.ALIVE && mBeat > mToldBeat;
+    }
+
+    MemberState stateAfter(long silence, SilenceLimits limits) {
+        if (mState == MemberState.LEFT || mReplaced) {
+            return mState;
+        }
+        if (silence >= limits.awayNanos()) {
+            return MemberState.AWAY;
+        }
+        return silence >= limits.suspectNanos() ? MemberState.SUSPECT : MemberState.ALIVE;
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which of the system's own processes are there, and what each says of itself. */
+package org.foxtailplank.membership;
