--- a/foxtail-core/src/main/java/org/foxtailplank/internal/membership/TrackedMember.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/TrackedMember.java
@@ -11,6 +11,7 @@
 
     final PeerIdentity mIdentity;
     MemberState mState = MemberState.ALIVE;
+
     /** Where it was last reached from here. */
     InetSocketAddress mReachedAt;
 
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/KeyedRequests.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/KeyedRequests.java
@@ -18,5 +18,6 @@
      * may be attempted anew. The returned stage must complete by the request's deadline, with
      * {@code not-run} only where the key certainly did not run; it may complete on any thread.
      */
-    CompletionStage<Answer> answer(CallerRequest request, Supplier<CompletionStage<Answer>> attempt);
+    CompletionStage<Answer> answer(
+            CallerRequest request, Supplier<CompletionStage<Answer>> attempt);
 }
