--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/fleet/TaskId.java
@@ -0,0 +1,11 @@
+package org.foxtailplank.fleet;
+
+import org.foxtailplank.id.JobId;
+
+/**
+ * Names one task of a job.
+ *
+ * @param job the job
+ * @param index index of the task in the job
+ */
+public record TaskId(JobId job, int index) {}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TeamShare.java
@@ -0,0 +1,49 @@
+package org.foxtailplank.internal.placement;
+
+/** What a team takes of the fleet, against its quota. */
+final class TeamShare {
+
+    private static final double RATIO_STEP = 0.1;
+
+    private double mQuota;
+    private long mUsedMilli;
+    private double mRatio = 1;
+
+    TeamShare(double quota) {
+        mQuota = quota;
+    }
+
+    void quota(double quota) {
+        mQuota = quota;
+    }
+
+    double quota() {
+        return mQuota;
+    }
+
+    void used(long milliProcessors) {
+        mUsedMilli += milliProcessors;
+    }
+
+    /** Use for each unit of quota; the team with the least goes first. */
+    double pressure() {
+        return mQuota <= 0 ? Double.MAX_VALUE : mUsedMilli / mQuota;
+    }
+
+    boolean isWithin(long totalMilli, long moreMilli) {
+        return mUsedMilli + moreMilli <= mQuota * totalMilli;
+    }
+
+    boolean isOver(long totalMilli) {
+        return mUsedMilli > mQuota * totalMilli;
+    }
+
+    /** Measured use for each declared unit over the team's jobs. */
+    double ratio() {
+        return mRatio;
+    }
+
+    void learn(double ratio) {
+        mRatio += RATIO_STEP * (ratio - mRatio);
+    }
+}
