--- a/foxtail-core/src/main/java/org/foxtailplank/settings/Settings.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/Settings.java
@@ -13,7 +13,7 @@
 /**
  * The checked settings of one deployment, as seen from one site.
  *
- * <p>Every reference in it names something that exists, and each VM stands in at most one pool.
+ * <p>Every reference in it names something that exists, and each VM stands in exactly one pool.
  *
  * @param deployment name of the deployment, for example {@code stabilis}
  * @param fleet weights and times of fleet decisions
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsReader.java
@@ -0,0 +1,63 @@
+package org.foxtailplank.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.internal.settings.Node;
+import org.foxtailplank.internal.settings.NodeMerge;
+import org.foxtailplank.internal.settings.NodeParser;
+import org.foxtailplank.internal.settings.OriginLister;
+import org.foxtailplank.internal.settings.OverlayCheck;
+import org.foxtailplank.internal.settings.Problems;
+import org.foxtailplank.internal.settings.SettingsBuilder;
+
+/** Reads a base file with the overlays of sites, and finds every problem at once. */
+public final class SettingsReader {
+    private final List<File> mFiles;
+
+    /** A file by name and text. */
+    private record File(String name, String text) {}
+
+    private SettingsReader(List<File> files) {
+        mFiles = List.copyOf(files);
+    }
+
+    /** Starts with the text of a base file. */
+    public static SettingsReader base(String fileName, String text) {
+        return new SettingsReader(List.of(new File(fileName, text)));
+    }
+
+    /** Lays an overlay over what was given so far. */
+    public SettingsReader withOverlay(String fileName, String text) {
+        List<File> files = new ArrayList<>(mFiles);
+        files.add(new File(fileName, text));
+        return new SettingsReader(files);
+    }
+
+    /** Reads and checks the merged files. */
+    public SettingsResult read() {
+        Problems problems = new Problems();
+        Optional<Node.Members> base = parse(mFiles.get(0), problems);
+        List<Node.Members> overlays = new ArrayList<>();
+        for (File file : mFiles.subList(1, mFiles.size())) {
+            parse(file, problems).ifPresent(overlays::add);
+        }
+        if (base.isEmpty()) {
+            return new SettingsResult.Invalid(problems.list());
+        }
+        OverlayCheck.checkBase(base.get(), problems);
+        Node.Members merged = base.get();
+        for (Node.Members overlay : overlays) {
+            OverlayCheck.check(base.get(), overlay, problems);
+            merged = NodeMerge.merge(merged, overlay);
+        }
+        Settings settings = SettingsBuilder.build(merged, problems);
+        return problems.isEmpty()
+                ? new SettingsResult.Valid(settings, OriginLister.list(merged))
+                : new SettingsResult.Invalid(problems.list());
+    }
+
+    private static Optional<Node.Members> parse(File file, Problems problems) {
+        return NodeParser.parse(file.name(), file.text(), problems);
+    }
+}
