--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ConfigurationChecker.java
@@ -0,0 +1,32 @@
+package org.foxtailplank.controller;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.state.FleetShape;
+
+/** Checks a configuration as a whole before it is published. */
+@FunctionalInterface
+public interface ConfigurationChecker {
+    /** Checks a base file with its overlays, JSON with comments. */
+    Checked check(String base, Map<ZoneId, String> overlays);
+
+    /**
+     * What the check found.
+     *
+     * @param shape what the fold needs to know; empty where there are errors
+     * @param errors every error, each in a line of its own
+     */
+    record Checked(Optional<FleetShape> shape, List<String> errors) {
+        /** Without an error. */
+        public static Checked good(FleetShape shape) {
+            return new Checked(Optional.of(shape), List.of());
+        }
+
+        /** With errors. */
+        public static Checked bad(List<String> errors) {
+            return new Checked(Optional.empty(), List.copyOf(errors));
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/HttpBackendHealth.java
@@ -0,0 +1,62 @@
+package org.foxtailplank.controller.internal.act;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.actor.ClassicActorSystemProvider;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.foxtailplank.internal.control.BackendReport;
+
+/** Asks for {@code GET /health} over HTTP. */
+public final class HttpBackendHealth implements BackendHealth {
+    private static final ObjectMapper sJson = new ObjectMapper();
+    private static final int MAX_ANSWER_BYTES = 4096;
+
+    private final ClassicActorSystemProvider mSystem;
+    private final Duration mTimeout;
+
+    /** A client whose calls count as unanswered after a timeout. */
+    public HttpBackendHealth(ClassicActorSystemProvider system, Duration timeout) {
+        mSystem = system;
+        mTimeout = timeout;
+    }
+
+    @Override
+    public CompletionStage<Optional<BackendReport>> ask(InetSocketAddress address) {
+        String uri =
+                "http://" + address.getHostString() + ":" + address.getPort() + "/health";
+        return Http.get(mSystem)
+                .singleRequest(HttpRequest.GET(uri))
+                .thenCompose(this::read)
+                .toCompletableFuture()
+                .orTimeout(mTimeout.toMillis(), TimeUnit.MILLISECONDS)
+                .exceptionally(e -> Optional.empty());
+    }
+
+    private CompletionStage<Optional<BackendReport>> read(HttpResponse response) {
+        return response.entity()
+                .withSizeLimit(MAX_ANSWER_BYTES)
+                .toStrict(mTimeout.toMillis(), mSystem)
+                .thenApply(body -> parse(body.getData().utf8String()));
+    }
+
+    private static Optional<BackendReport> parse(String text) {
+        try {
+            JsonNode json = sJson.readTree(text);
+            if (!json.path("inFlight").isIntegralNumber()) {
+                return Optional.empty();
+            }
+            boolean leaving = "leaving".equals(json.path("state").asText());
+            return Optional.of(new BackendReport(leaving, json.path("inFlight").asInt()));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
@@ -0,0 +1,148 @@
+package org.foxtailplank.controller.internal.act;
+
+import static java.util.concurrent.CompletableFuture.completedFuture;
+
+import java.lang.System.Logger.Level;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.internal.control.BackendReport;
+import org.foxtailplank.internal.control.PlatformCall;
+import org.foxtailplank.internal.control.VmProcedure;
+import org.foxtailplank.internal.control.VmStep;
+import org.foxtailplank.platform.ActionReply;
+import org.foxtailplank.platform.ActionRequest;
+import org.foxtailplank.platform.InstanceReport;
+import org.foxtailplank.platform.PlatformAction;
+import org.foxtailplank.platform.VmActions;
+import org.foxtailplank.platform.VmDirectory;
+import org.foxtailplank.platform.VmReport;
+import org.foxtailplank.state.ActingEpoch;
+import org.foxtailplank.state.Change;
+import org.foxtailplank.state.ObjectKey;
+import org.foxtailplank.state.Verdict;
+import org.foxtailplank.state.VmAction;
+import org.foxtailplank.state.VmActionConfirmed;
+import org.foxtailplank.state.VmJoined;
+
+/** Takes one step at a time for a VM whose intent is pending: looks, decides, does. */
+public final class VmRunner {
+    private static final System.Logger sLog = System.getLogger("control");
+
+    private final VmDirectory mDirectory;
+    private final VmActions mActions;
+    private final BackendHealth mHealth;
+    private final VmProcedure mProcedure;
+    private final RecordWriter mWriter;
+    private final InstantSource mClock;
+    private final VmWatch mWatch = new VmWatch();
+
+    /** A runner over the platform and the log. */
+    public VmRunner(
+            VmDirectory directory,
+            VmActions actions,
+            BackendHealth health,
+            VmProcedure procedure,
+            RecordWriter writer,
+            InstantSource clock) {
+        mDirectory = directory;
+        mActions = actions;
+        mHealth = health;
+        mProcedure = procedure;
+        mWriter = writer;
+        mClock = clock;
+    }
+
+    /** Takes the next step of a VM; the stage holds the step that was taken. */
+    CompletionStage<VmStep> step(PendingVm pending, ActingEpoch epoch) {
+        return mDirectory
+                .find(pending.vm().id())
+                .thenCompose(
+                        report ->
+                                report.map(r -> lookCloser(pending, r, epoch))
+                                        .orElseGet(VmRunner::unknownVm));
+    }
+
+    void keepOnly(Set<VmId> vms) {
+        mWatch.keepOnly(vms);
+    }
+
+    private static CompletionStage<VmStep> unknownVm() {
+        return completedFuture(new VmStep.Wait("the platform to know the VM"));
+    }
+
+    private CompletionStage<VmStep> lookCloser(
+            PendingVm pending, VmReport report, ActingEpoch epoch) {
+        CompletionStage<Optional<BackendReport>> health =
+                report.instance()
+                        .map(InstanceReport::address)
+                        .map(mHealth::ask)
+                        .orElseGet(() -> completedFuture(Optional.empty()));
+        return health.thenCompose(
+                word -> {
+                    boolean expected = pending.hasService();
+                    VmStep step =
+                            mProcedure.next(
+                                    pending.vm(),
+                                    mWatch.observe(report, word, expected, mClock.instant()));
+                    return take(step, pending, epoch).thenApply(done -> step);
+                });
+    }
+
+    private CompletionStage<?> take(VmStep step, PendingVm pending, ActingEpoch epoch) {
+        VmId vm = pending.vm().id();
+        if (step instanceof VmStep.AskDrain ask) {
+            return ask(pending, ask.call(), PlatformAction.DRAIN, "it is to stop");
+        }
+        if (step instanceof VmStep.AskAction ask) {
+            return ask(pending, ask.call(), toPlatform(ask.action()), ask.note());
+        }
+        if (step instanceof VmStep.Confirm confirm) {
+            long generation = pending.vm().generation();
+            Change change = new VmActionConfirmed(vm, generation, confirm.outcome());
+            return record(pending, change, epoch, confirm.outcome() + ", " + confirm.note());
+        }
+        if (step instanceof VmStep.Join join) {
+            Change change = new VmJoined(vm, join.to());
+            return record(pending, change, epoch, "joins " + join.to() + ", " + join.note());
+        }
+        return completedFuture(null);
+    }
+
+    private CompletionStage<ActionReply> ask(
+            PendingVm pending, PlatformCall call, PlatformAction action, String note) {
+        VmId vm = pending.vm().id();
+        sLog.log(Level.INFO, "control: asks to {0} {1}: {2}", action, vm, note);
+        return mActions.act(
+                vm,
+                new ActionRequest(
+                        call.id(),
+                        action,
+                        call.generation(),
+                        pending.vm().pool(),
+                        pending.vm().poolGeneration()));
+    }
+
+    private CompletionStage<Verdict> record(
+            PendingVm pending, Change change, ActingEpoch epoch, String note) {
+        VmId vm = pending.vm().id();
+        sLog.log(Level.INFO, "control: records of {0}: {1}", vm, note);
+        return mWriter.write(
+                mWriter.nextId(),
+                Optional.of(epoch),
+                Map.of(ObjectKey.of(vm), pending.vm().version()),
+                change);
+    }
+
+    private static PlatformAction toPlatform(VmAction action) {
+        return switch (action) {
+            case WAKE -> PlatformAction.WAKE;
+            case SLEEP -> PlatformAction.SLEEP;
+            case REBOOT -> PlatformAction.REBOOT;
+            case REASSIGN -> PlatformAction.REASSIGN;
+        };
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
@@ -0,0 +1,75 @@
+package org.foxtailplank.controller.internal.act;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.internal.control.BackendReport;
+import org.foxtailplank.internal.control.VmAtPlatform;
+import org.foxtailplank.internal.control.VmObservation;
+import org.foxtailplank.platform.ActionReport;
+import org.foxtailplank.platform.VmReport;
+
+/**
+ * Remembers since when this controller has seen VMs leaving and actions ended.
+ *
+ * <p>A controller that takes over starts these waits again; nothing is agreed by them.
+ */
+final class VmWatch {
+    private final Map<VmId, Instant> mLeavingSince = new HashMap<>();
+    private final Map<VmId, Instant> mEndedSince = new HashMap<>();
+
+    /** Takes in what was seen of a VM, and adds since when. */
+    synchronized VmObservation observe(
+            VmReport report, Optional<BackendReport> backend, boolean expected, Instant now) {
+        boolean ended =
+                report.lastAction()
+                        .filter(a -> a.progress() != ActionReport.Progress.RUNNING)
+                        .isPresent();
+        return new VmObservation(
+                atPlatform(report),
+                expected,
+                backend,
+                since(mLeavingSince, report.id(), report.leaving(), now),
+                since(mEndedSince, report.id(), ended && !report.leaving(), now));
+    }
+
+    /** Forgets VMs that have nothing pending any more. */
+    synchronized void keepOnly(Set<VmId> vms) {
+        mLeavingSince.keySet().retainAll(vms);
+        mEndedSince.keySet().retainAll(vms);
+    }
+
+    private static Duration since(
+            Map<VmId, Instant> times, VmId vm, boolean holds, Instant now) {
+        if (!holds) {
+            times.remove(vm);
+            return Duration.ZERO;
+        }
+        return Duration.between(times.computeIfAbsent(vm, v -> now), now);
+    }
+
+    private static VmAtPlatform atPlatform(VmReport report) {
+        VmAtPlatform.Power power =
+                switch (report.power()) {
+                    case OFF, FAILED -> VmAtPlatform.Power.DOWN;
+                    case WAKING, REBOOTING -> VmAtPlatform.Power.CHANGING;
+                    case ON, DRAINING -> VmAtPlatform.Power.UP;
+                };
+        Optional<VmAtPlatform.ReportedAction> action =
+                report.lastAction()
+                        .map(a -> new VmAtPlatform.ReportedAction(a.id(), progress(a)));
+        return new VmAtPlatform(power, report.leaving(), report.generation(), action);
+    }
+
+    private static VmAtPlatform.Progress progress(ActionReport action) {
+        return switch (action.progress()) {
+            case RUNNING -> VmAtPlatform.Progress.RUNNING;
+            case DONE -> VmAtPlatform.Progress.DONE;
+            case FAILED -> VmAtPlatform.Progress.FAILED;
+        };
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Call.java
@@ -0,0 +1,61 @@
+package org.foxtailplank.controller.internal.admin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.ValueInstantiationException;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A call to the administration API, after its token was accepted.
+ *
+ * @param caller who calls
+ * @param names values of the path's placeholders, in order
+ * @param query query parameters
+ * @param body the body as text
+ */
+record Call(Caller caller, List<String> names, Map<String, String> query, String body) {
+    static final ObjectMapper JSON =
+            new ObjectMapper()
+                    .registerModule(new Jdk8Module())
+                    .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+    String name() {
+        return names.get(0);
+    }
+
+    /** Reads the body into a typed record. */
+    <T> T read(Class<T> type) throws BadBodyException {
+        if (body.isBlank()) {
+            throw new BadBodyException("The body is empty.");
+        }
+        try {
+            T read = JSON.readValue(body, type);
+            if (read == null) {
+                throw new BadBodyException("The body is null.");
+            }
+            return read;
+        } catch (ValueInstantiationException e) {
+            throw new BadBodyException(e.getCause().getMessage());
+        } catch (JsonProcessingException e) {
+            throw new BadBodyException(e.getOriginalMessage() + at(e));
+        }
+    }
+
+    private static String at(JsonProcessingException e) {
+        return e.getLocation() == null
+                ? ""
+                : " (line %d, column %d)"
+                        .formatted(e.getLocation().getLineNr(), e.getLocation().getColumnNr());
+    }
+
+    /** The body could not be read. */
+    static final class BadBodyException extends Exception {
+        BadBodyException(String message) {
+            super(message);
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Reads.java
@@ -0,0 +1,228 @@
+package org.foxtailplank.controller.internal.admin;
+
+import static java.util.concurrent.CompletableFuture.completedFuture;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.foxtailplank.id.JobId;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.WaveId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.internal.control.Liveness;
+import org.foxtailplank.platform.FleetLog;
+import org.foxtailplank.settings.NodeSettings;
+import org.foxtailplank.settings.Role;
+import org.foxtailplank.settings.Settings;
+import org.foxtailplank.settings.TeamSettings;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.ObjectKey;
+
+/** The calls that only read. */
+final class Reads {
+    private static final int DEFAULT_LIMIT = 100;
+    private static final int MAX_LIMIT = 1000;
+
+    private final FleetLog mLog;
+    private final Settings mSettings;
+    private final Liveness mLiveness;
+
+    Reads(FleetLog log, Settings settings, Liveness liveness) {
+        mLog = log;
+        mSettings = settings;
+        mLiveness = liveness;
+    }
+
+    List<Endpoint> endpoints() {
+        return List.of(
+                get("/v1/config", this::config),
+                get("/v1/pools", call -> list(call, FleetView::pools, this::poolId, this::pool)),
+                get("/v1/pools/*", this::onePool),
+                get("/v1/vms", this::vms),
+                get("/v1/vms/*", this::oneVm),
+                get(
+                        "/v1/waves",
+                        call ->
+                                list(
+                                        call,
+                                        FleetView::waves,
+                                        w -> w.id().value(),
+                                        Views.WaveView::of)),
+                get("/v1/waves/*", this::oneWave),
+                get(
+                        "/v1/jobs",
+                        call ->
+                                list(
+                                        call,
+                                        FleetView::jobs,
+                                        j -> j.id().value(),
+                                        (view, j) -> Views.JobView.of(j))),
+                get("/v1/jobs/*", this::oneJob),
+                get("/v1/teams", this::teams),
+                get("/v1/nodes", this::nodes));
+    }
+
+    private static Endpoint get(String path, Endpoint.Handler handler) {
+        return Endpoint.of("GET", path, Role.READER, handler);
+    }
+
+    private CompletionStage<Answer> config(Call call) {
+        return mLog.read(
+                view ->
+                        view.configuration()
+                                .map(c -> Answer.ok(Views.ConfigView.of(c)))
+                                .orElseGet(() -> Answer.problem(Problem.noConfiguration())));
+    }
+
+    private String poolId(org.foxtailplank.state.PoolState pool) {
+        return pool.id().value();
+    }
+
+    private Views.PoolView pool(FleetView view, org.foxtailplank.state.PoolState pool) {
+        return Views.PoolView.of(view, pool);
+    }
+
+    private CompletionStage<Answer> onePool(Call call) {
+        PoolId id = PoolId.of(call.name());
+        return one(ObjectKey.of(id), v -> v.pool(id).map(p -> Views.PoolView.of(v, p)));
+    }
+
+    private CompletionStage<Answer> vms(Call call) {
+        String pool = call.query().get("pool");
+        String zone = call.query().get("zone");
+        return list(
+                call,
+                view ->
+                        view.vms().stream()
+                                .filter(vm -> pool == null || vm.pool().value().equals(pool))
+                                .filter(vm -> zone == null || vm.zone().value().equals(zone))
+                                .toList(),
+                vm -> vm.id().value(),
+                (view, vm) -> Views.VmView.of(vm));
+    }
+
+    private CompletionStage<Answer> oneVm(Call call) {
+        VmId id = VmId.of(call.name());
+        return one(ObjectKey.of(id), v -> v.vm(id).map(Views.VmView::of));
+    }
+
+    private CompletionStage<Answer> oneWave(Call call) {
+        WaveId id = WaveId.of(call.name());
+        return one(ObjectKey.of(id), v -> v.wave(id).map(w -> Views.WaveView.of(v, w)));
+    }
+
+    private CompletionStage<Answer> oneJob(Call call) {
+        JobId id = JobId.of(call.name());
+        return one(ObjectKey.of(id), v -> v.job(id).map(Views.JobView::of));
+    }
+
+    private CompletionStage<Answer> teams(Call call) {
+        return list(
+                call,
+                view -> mSettings.teams().entrySet(),
+                e -> e.getKey().value(),
+                (view, e) -> team(view, e));
+    }
+
+    private static Views.TeamView team(
+            FleetView view, Map.Entry<org.foxtailplank.id.TeamId, TeamSettings> team) {
+        return new Views.TeamView(
+                team.getKey().value(),
+                team.getValue().quota(),
+                team.getValue().role().name().toLowerCase(java.util.Locale.ROOT),
+                view.version(ObjectKey.of(team.getKey())));
+    }
+
+    private CompletionStage<Answer> nodes(Call call) {
+        return list(
+                call,
+                view -> mSettings.nodes().entrySet(),
+                e -> e.getKey().value(),
+                this::node);
+    }
+
+    private Views.NodeView node(FleetView view, Map.Entry<NodeId, NodeSettings> node) {
+        List<Views.ShardView> shards = new ArrayList<>();
+        for (ZoneId zone : mSettings.zones().keySet()) {
+            if (view.epoch(zone).holder().filter(node.getKey()::equals).isPresent()) {
+                shards.add(Views.ShardView.of(view, zone));
+            }
+        }
+        shards.sort(Comparator.comparing(Views.ShardView::zone));
+        return new Views.NodeView(
+                node.getKey().value(),
+                node.getValue().zone().value(),
+                node.getValue().admin().getHostString() + ":" + node.getValue().admin().getPort(),
+                mLiveness.silence(node.getKey()).toMillis(),
+                shards);
+    }
+
+    private CompletionStage<Answer> one(
+            ObjectKey key, Function<FleetView, Optional<?>> finder) {
+        return mLog.read(
+                view ->
+                        finder.apply(view)
+                                .<Answer>map(Answer::ok)
+                                .orElseGet(() -> Answer.problem(Problem.unknown(key))));
+    }
+
+    private interface Shown<T> {
+        Object show(FleetView view, T item);
+    }
+
+    private <T> CompletionStage<Answer> list(
+            Call call,
+            Function<FleetView, Collection<T>> items,
+            Function<T, String> name,
+            Shown<T> shown) {
+        Optional<Integer> limit = limit(call.query());
+        if (limit.isEmpty()) {
+            String detail = "limit is '" + call.query().get("limit") + "'.";
+            return completedFuture(Answer.problem(Problem.badQuery(detail)));
+        }
+        String after = call.query().getOrDefault("after", "");
+        return mLog.read(view -> page(view, items.apply(view), name, shown, limit.get(), after));
+    }
+
+    private static <T> Answer page(
+            FleetView view,
+            Collection<T> all,
+            Function<T, String> name,
+            Shown<T> shown,
+            int limit,
+            String after) {
+        List<T> rest =
+                all.stream()
+                        .filter(t -> name.apply(t).compareTo(after) > 0)
+                        .sorted(Comparator.comparing(name))
+                        .limit(limit + 1L)
+                        .toList();
+        List<T> page = rest.subList(0, Math.min(limit, rest.size()));
+        Optional<String> next =
+                rest.size() > limit
+                        ? Optional.of(name.apply(page.get(page.size() - 1)))
+                        : Optional.empty();
+        List<Object> shownPage = page.stream().map(t -> shown.show(view, t)).toList();
+        return Answer.ok(new Views.Page<>(view.nextOffset(), shownPage, next));
+    }
+
+    private static Optional<Integer> limit(Map<String, String> query) {
+        String text = query.get("limit");
+        if (text == null) {
+            return Optional.of(DEFAULT_LIMIT);
+        }
+        try {
+            int limit = Integer.parseInt(text);
+            return limit >= 1 && limit <= MAX_LIMIT ? Optional.of(limit) : Optional.empty();
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Submitter.java
@@ -0,0 +1,66 @@
+package org.foxtailplank.controller.internal.admin;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.foxtailplank.controller.internal.act.RecordWriter;
+import org.foxtailplank.id.RecordId;
+import org.foxtailplank.platform.FleetLog;
+import org.foxtailplank.platform.PlatformException;
+import org.foxtailplank.state.Change;
+import org.foxtailplank.state.ObjectKey;
+import org.foxtailplank.state.Verdict;
+
+/** Writes an operator's change and answers with the verdict. */
+final class Submitter {
+    private final FleetLog mLog;
+    private final RecordWriter mWriter;
+
+    Submitter(FleetLog log, RecordWriter writer) {
+        mLog = log;
+        mWriter = writer;
+    }
+
+    /**
+     * Answer to a change that took effect.
+     *
+     * @param verdict always {@code applied}
+     * @param record id of the record
+     * @param version version of the object from now on
+     */
+    record AppliedBody(String verdict, String record, long version) {}
+
+    CompletionStage<Answer> submit(Change change, ObjectKey key, long version) {
+        RecordId id = mWriter.nextId();
+        return mWriter.write(id, Optional.empty(), Map.of(key, version), change)
+                .handle(
+                        (verdict, error) ->
+                                error == null ? answer(id, key, verdict) : failed(error))
+                .thenCompose(Function.identity());
+    }
+
+    private CompletionStage<Answer> answer(RecordId id, ObjectKey key, Verdict verdict) {
+        return mLog.read(
+                view -> {
+                    if (verdict instanceof Verdict.Void v) {
+                        return Answer.conflict(Problem.refused(v), Views.current(view, key));
+                    }
+                    return Answer.ok(new AppliedBody("applied", id.value(), view.version(key)));
+                });
+    }
+
+    private static CompletionStage<Answer> failed(Throwable error) {
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        if (!(cause instanceof PlatformException)) {
+            return java.util.concurrent.CompletableFuture.failedFuture(cause);
+        }
+        PlatformException failure = (PlatformException) cause;
+        Problem problem =
+                failure.effect() == PlatformException.Effect.NONE
+                        ? Problem.platformAway(failure.getMessage())
+                        : Problem.platformSilent(failure.getMessage());
+        return java.util.concurrent.CompletableFuture.completedFuture(Answer.problem(problem));
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Tokens.java
@@ -0,0 +1,41 @@
+package org.foxtailplank.controller.internal.admin;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailplank.id.TeamId;
+import org.foxtailplank.settings.TeamSettings;
+
+/** Finds the team that a token belongs to. */
+final class Tokens {
+    private static final String SCHEME = "Bearer ";
+
+    private final Map<TeamId, TeamSettings> mTeams;
+
+    Tokens(Map<TeamId, TeamSettings> teams) {
+        mTeams = teams;
+    }
+
+    /** The caller behind an {@code Authorization} header. */
+    Optional<Caller> find(Optional<String> authorization) {
+        return authorization
+                .filter(text -> text.regionMatches(true, 0, SCHEME, 0, SCHEME.length()))
+                .map(text -> text.substring(SCHEME.length()).trim())
+                .filter(token -> !token.isEmpty())
+                .flatMap(this::callerOf);
+    }
+
+    private Optional<Caller> callerOf(String token) {
+        byte[] given = token.getBytes(StandardCharsets.UTF_8);
+        Optional<Caller> found = Optional.empty();
+        // Every token is compared, in constant time: the time of the answer tells nothing of them.
+        for (Map.Entry<TeamId, TeamSettings> team : mTeams.entrySet()) {
+            byte[] known = team.getValue().token().getBytes(StandardCharsets.UTF_8);
+            if (MessageDigest.isEqual(known, given)) {
+                found = Optional.of(new Caller(team.getKey(), team.getValue().role()));
+            }
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The administration API. */
+package org.foxtailplank.controller.internal.admin;
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmReport.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmAtPlatform.java
@@ -10,7 +10,7 @@
  * @param generation highest generation of an action that the platform has taken
  * @param lastAction the last action that the platform has taken
  */
-public record VmReport(
+public record VmAtPlatform(
         Power power, boolean leaving, long generation, Optional<ReportedAction> lastAction) {
     /** Whether a VM is powered, as far as a stop has to know. */
     public enum Power {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmObservation.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmObservation.java
@@ -13,7 +13,7 @@
  * @param ended time for which this controller has seen the action ended at the platform
  */
 public record VmObservation(
-        VmReport report,
+        VmAtPlatform report,
         boolean hasInstance,
         Optional<BackendReport> backend,
         Duration draining,
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmProcedure.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmProcedure.java
@@ -1,8 +1,8 @@
 package org.foxtailplank.internal.control;
 
 import java.util.Optional;
-import org.foxtailplank.internal.control.VmReport.Power;
-import org.foxtailplank.internal.control.VmReport.ReportedAction;
+import org.foxtailplank.internal.control.VmAtPlatform.Power;
+import org.foxtailplank.internal.control.VmAtPlatform.ReportedAction;
 import org.foxtailplank.state.ActionOutcome;
 import org.foxtailplank.state.VmAction;
 import org.foxtailplank.state.VmPhase;
@@ -35,7 +35,7 @@
     }
 
     private VmStep nextOfAction(VmState vm, VmAction action, VmObservation seen) {
-        VmReport report = seen.report();
+        VmAtPlatform report = seen.report();
         PlatformCall call = PlatformCall.action(vm);
         Optional<ReportedAction> own = report.lastAction().filter(a -> a.id().equals(call.id()));
         if (own.isPresent()) {
@@ -79,7 +79,7 @@
     }
 
     private Drain drain(PlatformCall call, VmObservation seen) {
-        VmReport report = seen.report();
+        VmAtPlatform report = seen.report();
         if (report.power() == Power.DOWN) {
             return Drain.done("nothing runs on it");
         }
