--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
@@ -14,9 +14,9 @@
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.DispatcherSelector;
+import org.apache.pekko.actor.typed.javadsl.Adapter;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
-import org.apache.pekko.actor.typed.javadsl.Adapter;
 import org.foxtailplank.controller.internal.act.BackendHealth;
 import org.foxtailplank.controller.internal.act.HttpBackendHealth;
 import org.foxtailplank.controller.internal.act.RecordWriter;
@@ -70,8 +70,7 @@
                 .newServerAt(parts.admin().getHostString(), parts.admin().getPort())
                 .bind(api::handle)
                 .thenApply(
-                        binding ->
-                                new Controller(system, shards(system, parts, writer), binding));
+                        binding -> new Controller(system, shards(system, parts, writer), binding));
     }
 
     /** Where the administration API answers. */
@@ -85,8 +84,7 @@
             Adapter.toClassic(mSystem).stop(Adapter.toClassic(shard));
         }
         sLog.log(Level.INFO, "control: stopped");
-        return mBinding
-                .terminate(Duration.ofSeconds(STOP_TIMEOUT_SECONDS))
+        return mBinding.terminate(Duration.ofSeconds(STOP_TIMEOUT_SECONDS))
                 .thenApply(terminated -> Done.getInstance());
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/HttpBackendHealth.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/HttpBackendHealth.java
@@ -30,8 +30,7 @@
 
     @Override
     public CompletionStage<Optional<BackendReport>> ask(InetSocketAddress address) {
-        String uri =
-                "http://" + address.getHostString() + ":" + address.getPort() + "/health";
+        String uri = "http://" + address.getHostString() + ":" + address.getPort() + "/health";
         return Http.get(mSystem)
                 .singleRequest(HttpRequest.GET(uri))
                 .thenCompose(this::read)
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardController.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardController.java
@@ -116,8 +116,7 @@
         OptionalLong held = mHeld;
         CompletionStage<ShardLook> look =
                 mParts.log().read(view -> ShardLook.of(view, mZone, held, mParts.planner()));
-        getContext()
-                .pipeToSelf(look, (l, e) -> e == null ? new Looked(l) : LookFailed.SILENTLY);
+        getContext().pipeToSelf(look, (l, e) -> e == null ? new Looked(l) : LookFailed.SILENTLY);
         return this;
     }
 
@@ -168,8 +167,7 @@
                                 Optional.empty(),
                                 Map.of(),
                                 new EpochTaken(mZone, take.replaces(), mParts.self()));
-        getContext()
-                .pipeToSelf(verdict, (v, e) -> new EpochTried(number, Optional.ofNullable(v)));
+        getContext().pipeToSelf(verdict, (v, e) -> new EpochTried(number, Optional.ofNullable(v)));
     }
 
     private Behavior<Command> onEpochTried(EpochTried tried) {
@@ -225,8 +223,7 @@
                                     Optional.of(epoch),
                                     change.expects(),
                                     change.change());
-            getContext()
-                    .pipeToSelf(verdict, (v, e) -> new Written(change, Optional.ofNullable(v)));
+            getContext().pipeToSelf(verdict, (v, e) -> new Written(change, Optional.ofNullable(v)));
         }
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
@@ -87,8 +87,7 @@
             }
         }
         return completedFuture(
-                Answer.problem(
-                        pathKnown ? Problem.noMethod(method, path) : Problem.noPath(path)));
+                Answer.problem(pathKnown ? Problem.noMethod(method, path) : Problem.noPath(path)));
     }
 
     private static CompletionStage<Answer> call(Endpoint endpoint, Call call) {
