--- /dev/null
+++ b/foxtail-standin/src/main/java/org/foxtailplank/standin/internal/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Insides of the backend server stand-in. */
+package org.foxtailplank.standin.internal.backend;
--- /dev/null
+++ b/foxtail-standin/src/main/java/org/foxtailplank/standin/internal/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults that are switched on over HTTP. */
+package org.foxtailplank.standin.internal.fault;
--- /dev/null
+++ b/foxtail-standin/src/main/java/org/foxtailplank/standin/internal/worker/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's workers and their tasks. */
+package org.foxtailplank.standin.internal.worker;
