--- a/foxtail-core/src/main/java/org/foxtailplank/state/Change.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/Change.java
@@ -4,23 +4,19 @@
 
 /** What one record on the log changes. */
 public sealed interface Change
-        permits ConfigurationPublished,
-                ConfigurationChanged,
+        permits ConfigurationChange,
                 EpochTaken,
-                VmReleased,
-                VmJoined,
-                VmActionIntended,
-                VmActionConfirmed,
+                VmChange,
                 PoolTargetChanged,
                 TeamQuotaChanged,
-                WaveStarted,
-                WaveControlled,
-                WaveFinished,
-                JobSubmitted,
-                JobCancelled,
-                TaskIntended,
-                TaskConfirmed {
-
-    /** The objects that it changes, in the order in which their versions are checked. */
+                WaveChange,
+                JobChange,
+                NotUnderstood {
+    /** The objects that it changes. */
     Set<ObjectKey> touches();
+
+    /** Objects besides those that decide whether it may take effect. */
+    default Set<ObjectKey> reads() {
+        return Set.of();
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/state/ConfigurationChanged.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/ConfigurationChanged.java
@@ -14,7 +14,7 @@
  */
 public record ConfigurationChanged(
         String basePatch, Map<ZoneId, String> overlayPatches, FleetShape shapePatch, Author author)
-        implements Change {
+        implements ConfigurationChange {
 
     @Override
     public Set<ObjectKey> touches() {
--- a/foxtail-core/src/main/java/org/foxtailplank/state/ConfigurationPublished.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/ConfigurationPublished.java
@@ -14,7 +14,7 @@
  */
 public record ConfigurationPublished(
         String base, Map<ZoneId, String> overlays, FleetShape shape, Author author)
-        implements Change {
+        implements ConfigurationChange {
 
     @Override
     public Set<ObjectKey> touches() {
--- a/foxtail-core/src/main/java/org/foxtailplank/state/FleetView.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/FleetView.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.foxtailplank.id.JobId;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.id.TeamId;
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.WaveId;
 import org.foxtailplank.id.ZoneId;
@@ -48,6 +50,18 @@
     /** Who may act for a shard. */
     EpochState epoch(ZoneId shard);
 
+    /** Quota of a team, where one was set through the log. */
+    default OptionalDouble teamQuota(TeamId team) {
+        return OptionalDouble.empty();
+    }
+
+    /**
+     * Whether a change that this program does not understand touched an object; don't act on it.
+     */
+    default boolean isFrozen(ObjectKey key) {
+        return false;
+    }
+
     /** Instances of a service that must be serving; 0 for an unknown service. */
     int minAvailable(ServiceId service);
 
--- a/foxtail-core/src/main/java/org/foxtailplank/state/JobCancelled.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/JobCancelled.java
@@ -9,7 +9,7 @@
  * @param job the job
  * @param author who and why
  */
-public record JobCancelled(JobId job, Author author) implements Change {
+public record JobCancelled(JobId job, Author author) implements JobChange {
 
     @Override
     public Set<ObjectKey> touches() {
--- a/foxtail-core/src/main/java/org/foxtailplank/state/JobSubmitted.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/JobSubmitted.java
@@ -10,10 +10,15 @@
  * @param spec what it asks for
  * @param author who and why
  */
-public record JobSubmitted(JobId job, JobSpec spec, Author author) implements Change {
+public record JobSubmitted(JobId job, JobSpec spec, Author author) implements JobChange {
 
     @Override
     public Set<ObjectKey> touches() {
         return Set.of(ObjectKey.of(job));
     }
+
+    @Override
+    public Set<ObjectKey> reads() {
+        return Set.of(ObjectKey.of(spec.pool()));
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/state/LogRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/LogRecord.java
@@ -14,15 +14,33 @@
  * @param expects version (offset of the last change) that each named object must have; 0 for one
  *     that must not exist
  * @param change what it changes
+ * @param basis offset up to which its writer had folded the log when it made the record; ids are
+ *     remembered long enough only for records that are not much older
  */
 public record LogRecord(
         RecordId id,
         NodeId writer,
         Optional<ActingEpoch> epoch,
         Map<ObjectKey, Long> expects,
-        Change change) {
+        Change change,
+        long basis) {
 
     public LogRecord {
         expects = Map.copyOf(expects);
     }
+
+    /** Names a change whose basis is yet to be set. */
+    public LogRecord(
+            RecordId id,
+            NodeId writer,
+            Optional<ActingEpoch> epoch,
+            Map<ObjectKey, Long> expects,
+            Change change) {
+        this(id, writer, epoch, expects, change, 0);
+    }
+
+    /** The same record, made by a writer that had folded the log up to an offset. */
+    public LogRecord basedOn(long offset) {
+        return new LogRecord(id, writer, epoch, expects, change, offset);
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/state/ObjectKey.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/ObjectKey.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.state;
 
+import java.util.Comparator;
 import org.foxtailplank.id.JobId;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.TeamId;
@@ -14,6 +15,9 @@
  * @param name name within the kind
  */
 public record ObjectKey(ObjectKind kind, String name) {
+    /** By kind, then by name. */
+    public static final Comparator<ObjectKey> ORDER =
+            Comparator.comparing(ObjectKey::kind).thenComparing(ObjectKey::name);
 
     /** The one configuration. */
     public static ObjectKey configuration() {
--- a/foxtail-core/src/main/java/org/foxtailplank/state/TaskConfirmed.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/TaskConfirmed.java
@@ -14,7 +14,7 @@
  * @param outcome what became of it
  */
 public record TaskConfirmed(JobId job, int task, VmId worker, long attempt, TaskOutcome outcome)
-        implements Change {
+        implements JobChange {
 
     @Override
     public Set<ObjectKey> touches() {
--- a/foxtail-core/src/main/java/org/foxtailplank/state/TaskIntended.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/TaskIntended.java
@@ -14,10 +14,15 @@
  * @param attempt attempt number of the task; fences earlier ones
  */
 public record TaskIntended(JobId job, int task, VmId worker, TaskAction action, long attempt)
-        implements Change {
+        implements JobChange {
 
     @Override
     public Set<ObjectKey> touches() {
         return Set.of(ObjectKey.of(job));
     }
+
+    @Override
+    public Set<ObjectKey> reads() {
+        return Set.of(ObjectKey.of(worker));
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/state/TaskOutcome.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/TaskOutcome.java
@@ -11,5 +11,10 @@
     /** Its lease lapsed. */
     LOST,
     /** It was stopped or checkpointed. */
-    STOPPED
+    STOPPED;
+
+    /** Whether the attempt is over. */
+    public boolean isEnded() {
+        return this != RUNNING;
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/state/Verdict.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/Verdict.java
@@ -2,6 +2,18 @@
 
 /** What the fold made of one record. */
 public sealed interface Verdict {
+    /** The one verdict of records that took effect. */
+    Verdict APPLIED = new Applied();
+
+    /** The verdict of a record that changed nothing. */
+    static Verdict refused(VoidReason reason, String detail) {
+        return new Void(reason, detail);
+    }
+
+    /** Whether the record took effect. */
+    default boolean isApplied() {
+        return this instanceof Applied;
+    }
 
     /** The record changed the state. */
     record Applied() implements Verdict {}
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmActionConfirmed.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmActionConfirmed.java
@@ -7,10 +7,11 @@
  * The platform has confirmed how an intended action ended.
  *
  * @param vm the VM
- * @param generation generation for which it was meant
+ * @param generation number of the action, as in its intent
  * @param outcome how it ended
  */
-public record VmActionConfirmed(VmId vm, long generation, ActionOutcome outcome) implements Change {
+public record VmActionConfirmed(VmId vm, long generation, ActionOutcome outcome)
+        implements VmChange {
 
     @Override
     public Set<ObjectKey> touches() {
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmActionIntended.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmActionIntended.java
@@ -10,16 +10,22 @@
  *
  * @param vm the VM
  * @param action the action
- * @param generation generation of the VM for which it is meant
+ * @param generation number of this action: one more than the generation that the VM has; the
+ *     platform call and the confirmation carry the same number
  * @param wave wave that it is a step of
  * @param author who and why
  */
 public record VmActionIntended(
         VmId vm, VmAction action, long generation, Optional<WaveId> wave, Author author)
-        implements Change {
+        implements VmChange {
 
     @Override
     public Set<ObjectKey> touches() {
         return Set.of(ObjectKey.of(vm));
     }
+
+    @Override
+    public Set<ObjectKey> reads() {
+        return wave.map(w -> Set.of(ObjectKey.of(w))).orElse(Set.of());
+    }
 }
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmChange.java
@@ -0,0 +1,10 @@
+package org.foxtailplank.state;
+
+import org.foxtailplank.id.VmId;
+
+/** A change of one VM. */
+public sealed interface VmChange extends Change
+        permits VmReleased, VmJoined, VmActionIntended, VmActionConfirmed, VmObserved {
+    /** The VM. */
+    VmId vm();
+}
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmJoined.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmJoined.java
@@ -10,10 +10,15 @@
  * @param vm the VM
  * @param to pool that it joins
  */
-public record VmJoined(VmId vm, PoolId to) implements Change {
+public record VmJoined(VmId vm, PoolId to) implements VmChange {
 
     @Override
     public Set<ObjectKey> touches() {
         return Set.of(ObjectKey.of(vm));
     }
+
+    @Override
+    public Set<ObjectKey> reads() {
+        return Set.of(ObjectKey.of(to));
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmPhase.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmPhase.java
@@ -6,12 +6,23 @@
     OFF,
     /** Asked to power on. */
     WAKING,
-    /** Powered on and in service. */
+    /** Powered on and in service; the only phase that counts towards an availability budget. */
     SERVING,
     /** Drained, then powered off or rebooted. */
     STOPPING,
     /** Drained to join another pool. */
     RELEASING,
-    /** An action failed; it needs attention. */
-    BROKEN
+    /** Drained and reassigned; joins the other pool next. */
+    RELEASED,
+    /** An action failed or it was seen down; it needs attention. */
+    BROKEN;
+
+    /** Phase after a pending action was withdrawn. */
+    public VmPhase withdrawn() {
+        return switch (this) {
+            case WAKING -> OFF;
+            case STOPPING -> SERVING;
+            default -> this;
+        };
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmState.java
@@ -35,4 +35,99 @@
         Optional<WaveId> wave,
         Optional<PoolId> joining,
         long lastMaintained,
-        long version) {}
+        long version) {
+    /** A VM that the configuration names for the first time. */
+    public static VmState of(VmId id, VmPlace place, long version) {
+        return new VmState(
+                id,
+                place.zone(),
+                place.rack(),
+                place.pool(),
+                1,
+                VmPhase.OFF,
+                0,
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                version);
+    }
+
+    /** The VM moved to another place by the configuration. */
+    public VmState standingAt(VmPlace place, long at) {
+        return new VmState(
+                id,
+                place.zone(),
+                place.rack(),
+                pool,
+                poolGeneration,
+                phase,
+                generation,
+                pending,
+                wave,
+                joining,
+                lastMaintained,
+                at);
+    }
+
+    /** The VM in another phase, with nothing pending. */
+    public VmState in(VmPhase next, long at) {
+        return with(
+                next, generation, Optional.empty(), Optional.empty(), joining, lastMaintained, at);
+    }
+
+    /** The VM on its way to another pool, or no longer on its way. */
+    public VmState movingTo(Optional<PoolId> to, VmPhase next, long at) {
+        return with(next, generation, pending, wave, to, lastMaintained, at);
+    }
+
+    /** The VM with an action pending. */
+    public VmState intending(VmAction action, Optional<WaveId> step, VmPhase next, long at) {
+        return with(next, generation + 1, Optional.of(action), step, joining, lastMaintained, at);
+    }
+
+    /** The VM after a reboot. */
+    public VmState maintained(long at) {
+        return with(phase, generation, pending, wave, joining, at, at);
+    }
+
+    /** The VM in the pool that it was released to. */
+    public VmState joined(VmPhase next, long at) {
+        return new VmState(
+                id,
+                zone,
+                rack,
+                joining.orElseThrow(),
+                poolGeneration + 1,
+                next,
+                generation,
+                pending,
+                wave,
+                Optional.empty(),
+                lastMaintained,
+                at);
+    }
+
+    private VmState with(
+            VmPhase nextPhase,
+            long nextGeneration,
+            Optional<VmAction> nextPending,
+            Optional<WaveId> nextWave,
+            Optional<PoolId> nextJoining,
+            long maintained,
+            long at) {
+        return new VmState(
+                id,
+                zone,
+                rack,
+                pool,
+                poolGeneration,
+                nextPhase,
+                nextGeneration,
+                nextPending,
+                nextWave,
+                nextJoining,
+                maintained,
+                at);
+    }
+}
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VoidReason.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VoidReason.java
@@ -4,6 +4,8 @@
 public enum VoidReason {
     /** Its id stands earlier in the log. */
     DUPLICATE_ID,
+    /** It was made so long ago that its id can't be checked any more; make it anew. */
+    TOO_LATE,
     /** An object that it names has changed since. */
     STALE_VERSION,
     /** Another controller has taken its shard. */
@@ -12,6 +14,8 @@
     UNKNOWN_OBJECT,
     /** The object is in a phase that does not allow it. */
     WRONG_PHASE,
+    /** It contradicts itself or leaves out what it must name. */
+    MALFORMED,
     /** It would break the availability budget of a service. */
     OVER_BUDGET,
     /** Its kind is newer than this reader; the objects it names are frozen. */
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/WaveChange.java
@@ -0,0 +1,10 @@
+package org.foxtailplank.state;
+
+import org.foxtailplank.id.WaveId;
+
+/** A change of one maintenance wave. */
+public sealed interface WaveChange extends Change
+        permits WaveStarted, WaveControlled, WaveFinished {
+    /** The wave. */
+    WaveId wave();
+}
--- a/foxtail-core/src/main/java/org/foxtailplank/state/WaveControlled.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/WaveControlled.java
@@ -10,7 +10,7 @@
  * @param order what is ordered
  * @param author who and why
  */
-public record WaveControlled(WaveId wave, WaveOrder order, Author author) implements Change {
+public record WaveControlled(WaveId wave, WaveOrder order, Author author) implements WaveChange {
 
     @Override
     public Set<ObjectKey> touches() {
--- a/foxtail-core/src/main/java/org/foxtailplank/state/WaveFinished.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/WaveFinished.java
@@ -10,7 +10,7 @@
  * @param wave the wave
  * @param zone zone that is finished
  */
-public record WaveFinished(WaveId wave, ZoneId zone) implements Change {
+public record WaveFinished(WaveId wave, ZoneId zone) implements WaveChange {
 
     @Override
     public Set<ObjectKey> touches() {
--- a/foxtail-core/src/main/java/org/foxtailplank/state/WavePhase.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/WavePhase.java
@@ -9,5 +9,10 @@
     /** Ended before its end. */
     CANCELLED,
     /** Every VM was maintained. */
-    FINISHED
+    FINISHED;
+
+    /** Whether nothing changes the wave any more. */
+    public boolean isEnded() {
+        return this == CANCELLED || this == FINISHED;
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/state/WaveStarted.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/WaveStarted.java
@@ -14,7 +14,7 @@
  * @param author who and why
  */
 public record WaveStarted(WaveId wave, Set<ZoneId> zones, Set<PoolId> pools, Author author)
-        implements Change {
+        implements WaveChange {
 
     @Override
     public Set<ObjectKey> touches() {
