entry: the data path of one request over real HTTP

Cause: the thin whole path needs callers' requests served from one end to the other. Change: Router (near zone first, power of two choices on own in-flight, spill-over by cost, ejection and trial of failing instances), connection shares, admission queues by class, team quota and deadline, retry budget; one flow per backend connection, so that not-run is said only where nothing went out; bounded whole bodies; probes of the instances' own health answers; the roles Directory (with PlatformDirectory over the platform's list) and KeyedRequests; EntryServer to embed. Conclusion: keyed requests are refused as not-run until an implementation of KeyedRequests is given.

--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the backend server that a request is sent to. */
+package org.foxtailplank.internal.routing;
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/RequestParser.java
@@ -0,0 +1,228 @@
+package org.foxtailplank.entry.internal.caller;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.foxtailplank.entry.CallerRequest;
+import org.foxtailplank.entry.Header;
+import org.foxtailplank.entry.internal.flow.Answers;
+import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.id.TeamId;
+import org.foxtailplank.request.RequestClass;
+import org.foxtailplank.settings.ServiceSettings;
+import org.foxtailplank.settings.Settings;
+
+/** Reads what a caller asks for from path and headers. */
+final class RequestParser {
+
+    private static final String PREFIX = "/s/";
+    private static final String TEAM = "Foxtail-Team";
+    private static final String DEADLINE = "Foxtail-Deadline";
+    private static final String REPEATABLE = "Foxtail-Repeatable";
+    private static final Duration LONGEST_DEADLINE = Duration.ofMinutes(10);
+    private static final int LONGEST_KEY = 200;
+    private static final int BAD = 400;
+    private static final int FORBIDDEN = 403;
+    private static final int HEADERS_TOO_LARGE = 431;
+
+    /** Headers that speak of the connection to the caller, or that the entry itself speaks for. */
+    private static final Set<String> NOT_PASSED_ON =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "proxy-connection",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "expect",
+                    "host",
+                    "content-length",
+                    "content-type",
+                    "user-agent",
+                    "timeout-access",
+                    "remote-address",
+                    "foxtail-request-id",
+                    "foxtail-outcome");
+
+    private RequestParser() {}
+
+    /** What was read from the head; the body is still to come. */
+    record Head(
+            String id,
+            ServiceId service,
+            String target,
+            RequestClass requestClass,
+            Optional<TeamId> team,
+            Duration deadline,
+            boolean repeatable,
+            Optional<String> key,
+            List<Header> headers) {
+
+        CallerRequest withBody(HttpRequest http, HttpEntity.Strict body, long arrived) {
+            return new CallerRequest(
+                    id,
+                    service,
+                    http.method().value(),
+                    target,
+                    requestClass,
+                    team,
+                    arrived,
+                    arrived + deadline.toNanos(),
+                    repeatable,
+                    key,
+                    body.getContentType().toString(),
+                    headers,
+                    body.getData().toArray());
+        }
+    }
+
+    static Head parse(HttpRequest http, Settings settings) throws BadRequestException {
+        checkSize(http, settings);
+        String path = http.getUri().getPathString();
+        ServiceId service = service(path);
+        ServiceSettings s = settings.services().get(service);
+        if (s == null) {
+            throw new BadRequestException(Answers.unknownService(service.toString()));
+        }
+        Optional<String> key = key(http);
+        return new Head(
+                UUID.randomUUID().toString(),
+                service,
+                target(http, path, service),
+                requestClass(http, s),
+                team(http, settings),
+                deadline(http, s),
+                repeatable(http, s, key),
+                key,
+                passedOn(http));
+    }
+
+    private static void checkSize(HttpRequest http, Settings settings) throws BadRequestException {
+        int max = settings.limits().maxHeaderBytes();
+        int size = http.getUri().toString().length();
+        for (HttpHeader h : http.getHeaders()) {
+            size += h.name().length() + h.value().length();
+        }
+        if (size > max) {
+            throw bad(HEADERS_TOO_LARGE, "the headers are larger than " + max + " bytes");
+        }
+    }
+
+    private static ServiceId service(String path) throws BadRequestException {
+        String rest = path.startsWith(PREFIX) ? path.substring(PREFIX.length()) : "";
+        String name = rest.contains("/") ? rest.substring(0, rest.indexOf('/')) : rest;
+        try {
+            return ServiceId.of(name);
+        } catch (IllegalArgumentException e) {
+            throw bad(BAD, "the path \"" + path + "\" is not /s/{service}/{path}");
+        }
+    }
+
+    private static String target(HttpRequest http, String path, ServiceId service) {
+        String rest = path.substring(PREFIX.length() + service.value().length());
+        String query = http.getUri().rawQueryString().map(q -> "?" + q).orElse("");
+        return (rest.isEmpty() ? "/" : rest) + query;
+    }
+
+    private static RequestClass requestClass(HttpRequest http, ServiceSettings s)
+            throws BadRequestException {
+        Optional<String> text = header(http, RequestClass.HEADER);
+        if (text.isEmpty()) {
+            return s.requestClass();
+        }
+        return RequestClass.parse(text.get().toLowerCase(Locale.ROOT))
+                .orElseThrow(
+                        () -> wrong(RequestClass.HEADER, text.get(), "urgent, interactive, batch"));
+    }
+
+    private static Optional<TeamId> team(HttpRequest http, Settings settings)
+            throws BadRequestException {
+        Optional<String> text = header(http, TEAM).filter(t -> !t.isBlank());
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<TeamId> known =
+                settings.teams().keySet().stream()
+                        .filter(t -> t.toString().equals(text.get()))
+                        .findFirst();
+        if (known.isEmpty()) {
+            throw bad(FORBIDDEN, "there is no team \"" + text.get() + "\" in the configuration");
+        }
+        return known;
+    }
+
+    private static Duration deadline(HttpRequest http, ServiceSettings s)
+            throws BadRequestException {
+        Optional<String> text = header(http, DEADLINE);
+        if (text.isEmpty()) {
+            return s.deadline();
+        }
+        return Durations.parse(text.get())
+                .filter(d -> !d.isZero() && d.compareTo(LONGEST_DEADLINE) <= 0)
+                .orElseThrow(() -> wrong(DEADLINE, text.get(), "1ms to 10m, for example 800ms"));
+    }
+
+    private static boolean repeatable(HttpRequest http, ServiceSettings s, Optional<String> key)
+            throws BadRequestException {
+        Optional<String> text = header(http, REPEATABLE);
+        if (text.isEmpty()) {
+            return s.repeatable() && key.isEmpty();
+        }
+        return switch (text.get()) {
+            case "yes" -> true;
+            case "no" -> false;
+            default -> throw wrong(REPEATABLE, text.get(), "yes, no");
+        };
+    }
+
+    private static Optional<String> key(HttpRequest http) throws BadRequestException {
+        Optional<String> key = header(http, CallerRequest.KEY_HEADER);
+        if (key.isPresent() && (key.get().isBlank() || key.get().length() > LONGEST_KEY)) {
+            throw bad(BAD, "an idempotency key has 1 to " + LONGEST_KEY + " characters");
+        }
+        return key;
+    }
+
+    /** One value; a header that must be single and is not could mean either to the next reader. */
+    private static Optional<String> header(HttpRequest http, String name)
+            throws BadRequestException {
+        Optional<String> found = Optional.empty();
+        for (HttpHeader h : http.getHeaders()) {
+            if (h.is(name.toLowerCase(Locale.ROOT))) {
+                if (found.isPresent()) {
+                    throw bad(BAD, "the header " + name + " stands there twice");
+                }
+                found = Optional.of(h.value().strip());
+            }
+        }
+        return found;
+    }
+
+    private static List<Header> passedOn(HttpRequest http) {
+        List<Header> headers = new ArrayList<>();
+        for (HttpHeader h : http.getHeaders()) {
+            if (!NOT_PASSED_ON.contains(h.lowercaseName())) {
+                headers.add(new Header(h.name(), h.value()));
+            }
+        }
+        return headers;
+    }
+
+    private static BadRequestException wrong(String header, String found, String allowed) {
+        return bad(BAD, header + " is \"" + found + "\"; allowed: " + allowed);
+    }
+
+    private static BadRequestException bad(int status, String why) {
+        return new BadRequestException(Answers.bad(status, "Not run: " + why + "."));
+    }
+}
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP side towards callers: connections, parsing, answers. */
+package org.foxtailplank.entry.internal.caller;
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/RequestFlow.java
@@ -0,0 +1,76 @@
+package org.foxtailplank.entry.internal.flow;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+import org.apache.pekko.actor.ClassicActorSystemProvider;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Props;
+import org.apache.pekko.actor.typed.javadsl.Adapter;
+import org.foxtailplank.entry.Answer;
+import org.foxtailplank.entry.CallerRequest;
+import org.foxtailplank.entry.Directory;
+import org.foxtailplank.entry.KeyedRequests;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.settings.Settings;
+
+/** Takes parsed requests and answers each of them once. */
+public final class RequestFlow {
+
+    private final ActorRef<Command> mBroker;
+    private final KeyedRequests mKeyed;
+
+    private RequestFlow(ActorRef<Command> broker, KeyedRequests keyed) {
+        mBroker = broker;
+        mKeyed = keyed;
+    }
+
+    /** Starts with the instances that a directory lists. */
+    public static RequestFlow start(
+            ClassicActorSystemProvider system,
+            String name,
+            Directory directory,
+            KeyedRequests keyed,
+            ZoneId zone,
+            Settings settings) {
+        ActorRef<Command> broker =
+                Adapter.toTyped(system.classicSystem())
+                        .systemActorOf(
+                                Broker.create(
+                                        directory, zone, settings, RandomGenerator.getDefault()),
+                                "broker-" + name,
+                                Props.empty());
+        return new RequestFlow(broker, keyed);
+    }
+
+    /** Answers a request; never completes exceptionally. */
+    public CompletionStage<Answer> answer(CallerRequest request) {
+        Exchange x = new Exchange(request);
+        if (request.repeatable() || request.key().isEmpty()) {
+            return queue(x);
+        }
+        // A key costs a claim; one that would be refused anyway is refused before it.
+        CompletableFuture<Optional<Answer>> refusal = new CompletableFuture<>();
+        mBroker.tell(new Command.Check(x, refusal));
+        return refusal.thenCompose(
+                r ->
+                        r.<CompletionStage<Answer>>map(CompletableFuture::completedFuture)
+                                .orElseGet(() -> mKeyed.answer(request, () -> queue(x))));
+    }
+
+    /** Takes over another configuration. */
+    public void configure(Settings settings) {
+        mBroker.tell(new Command.Configure(settings));
+    }
+
+    /** Closes the connections to backend servers. */
+    public void stop() {
+        mBroker.tell(Command.Stop.STOP);
+    }
+
+    private CompletionStage<Answer> queue(Exchange x) {
+        mBroker.tell(new Command.Queue(x));
+        return x.answer();
+    }
+}
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/package-info.java
@@ -0,0 +1,2 @@
+/** The way of one request through the entry: admission, key, routing, attempts, answer. */
+package org.foxtailplank.entry.internal.flow;
