--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
@@ -14,9 +14,9 @@
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.DispatcherSelector;
+import org.apache.pekko.actor.typed.javadsl.Adapter;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
-import org.apache.pekko.actor.typed.javadsl.Adapter;
 import org.foxtailplank.controller.internal.act.BackendHealth;
 import org.foxtailplank.controller.internal.act.HttpBackendHealth;
 import org.foxtailplank.controller.internal.act.RecordWriter;
@@ -35,7 +35,7 @@
 
 /** The control role of one process: a shard for each availability zone, and the admin API. */
 public final class Controller {
-    private static final System.Logger sLog = System.getLogger("control");
+    private static final System.Logger LOG = System.getLogger("control");
     private static final String DISPATCHER = "foxtail.control-dispatcher";
     private static final int STOP_TIMEOUT_SECONDS = 5;
     private static final Duration HEALTH_TIMEOUT = Duration.ofSeconds(1);
@@ -70,8 +70,7 @@
                 .newServerAt(parts.admin().getHostString(), parts.admin().getPort())
                 .bind(api::handle)
                 .thenApply(
-                        binding ->
-                                new Controller(system, shards(system, parts, writer), binding));
+                        binding -> new Controller(system, shards(system, parts, writer), binding));
     }
 
     /** Where the administration API answers. */
@@ -84,9 +83,8 @@
         for (ActorRef<ShardController.Command> shard : mShards) {
             Adapter.toClassic(mSystem).stop(Adapter.toClassic(shard));
         }
-        sLog.log(Level.INFO, "control: stopped");
-        return mBinding
-                .terminate(Duration.ofSeconds(STOP_TIMEOUT_SECONDS))
+        LOG.log(Level.INFO, "control: stopped");
+        return mBinding.terminate(Duration.ofSeconds(STOP_TIMEOUT_SECONDS))
                 .thenApply(terminated -> Done.getInstance());
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/HttpBackendHealth.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/HttpBackendHealth.java
@@ -16,7 +16,7 @@
 
 /** Asks for {@code GET /health} over HTTP. */
 public final class HttpBackendHealth implements BackendHealth {
-    private static final ObjectMapper sJson = new ObjectMapper();
+    private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MAX_ANSWER_BYTES = 4096;
 
     private final ClassicActorSystemProvider mSystem;
@@ -30,8 +30,7 @@
 
     @Override
     public CompletionStage<Optional<BackendReport>> ask(InetSocketAddress address) {
-        String uri =
-                "http://" + address.getHostString() + ":" + address.getPort() + "/health";
+        String uri = "http://" + address.getHostString() + ":" + address.getPort() + "/health";
         return Http.get(mSystem)
                 .singleRequest(HttpRequest.GET(uri))
                 .thenCompose(this::read)
@@ -49,7 +48,7 @@
 
     private static Optional<BackendReport> parse(String text) {
         try {
-            JsonNode json = sJson.readTree(text);
+            JsonNode json = JSON.readTree(text);
             if (!json.path("inFlight").isIntegralNumber()) {
                 return Optional.empty();
             }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/RecordWriter.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/RecordWriter.java
@@ -40,10 +40,7 @@
 
     /** Writes a change under an id. */
     public CompletionStage<Verdict> write(
-            RecordId id,
-            Optional<ActingEpoch> epoch,
-            Map<ObjectKey, Long> expects,
-            Change change) {
+            RecordId id, Optional<ActingEpoch> epoch, Map<ObjectKey, Long> expects, Change change) {
         return mLog.submit(new LogRecord(id, mSelf, epoch, expects, change));
     }
 }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardController.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardController.java
@@ -35,7 +35,7 @@
  * it doesn't matter which controller wrote an intent.
  */
 public final class ShardController extends AbstractBehavior<ShardController.Command> {
-    private static final System.Logger sLog = System.getLogger("control");
+    private static final System.Logger LOG = System.getLogger("control");
     private static final Duration LOOK_EVERY = Duration.ofMillis(250);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final int MAX_STEPS_AT_ONCE = 16;
@@ -116,8 +116,7 @@
         OptionalLong held = mHeld;
         CompletionStage<ShardLook> look =
                 mParts.log().read(view -> ShardLook.of(view, mZone, held, mParts.planner()));
-        getContext()
-                .pipeToSelf(look, (l, e) -> e == null ? new Looked(l) : LookFailed.SILENTLY);
+        getContext().pipeToSelf(look, (l, e) -> e == null ? new Looked(l) : LookFailed.SILENTLY);
         return this;
     }
 
@@ -152,7 +151,7 @@
 
     private void lose(long taken) {
         if (mHeld.isPresent() && mHeld.getAsLong() < taken) {
-            sLog.log(Level.WARNING, "control {0}: lost epoch {1}", mZone, mHeld.getAsLong());
+            LOG.log(Level.WARNING, "control {0}: lost epoch {1}", mZone, mHeld.getAsLong());
             mHeld = OptionalLong.empty();
         }
     }
@@ -160,7 +159,7 @@
     private void tryEpoch(EpochDecision.Take take) {
         mTrying = true;
         long number = take.replaces() + 1;
-        sLog.log(Level.INFO, "control {0}: tries epoch {1}: {2}", mZone, number, take.why());
+        LOG.log(Level.INFO, "control {0}: tries epoch {1}: {2}", mZone, number, take.why());
         CompletionStage<Verdict> verdict =
                 mParts.writer()
                         .write(
@@ -168,15 +167,14 @@
                                 Optional.empty(),
                                 Map.of(),
                                 new EpochTaken(mZone, take.replaces(), mParts.self()));
-        getContext()
-                .pipeToSelf(verdict, (v, e) -> new EpochTried(number, Optional.ofNullable(v)));
+        getContext().pipeToSelf(verdict, (v, e) -> new EpochTried(number, Optional.ofNullable(v)));
     }
 
     private Behavior<Command> onEpochTried(EpochTried tried) {
         mTrying = false;
         mNextTry = mParts.clock().instant().plus(RETRY_AFTER);
         if (tried.verdict().filter(Verdict.Applied.class::isInstance).isPresent()) {
-            sLog.log(Level.INFO, "control {0}: holds epoch {1}", mZone, tried.number());
+            LOG.log(Level.INFO, "control {0}: holds epoch {1}", mZone, tried.number());
             mHeld = OptionalLong.of(tried.number());
         }
         return onLook();
@@ -225,8 +223,7 @@
                                     Optional.of(epoch),
                                     change.expects(),
                                     change.change());
-            getContext()
-                    .pipeToSelf(verdict, (v, e) -> new Written(change, Optional.ofNullable(v)));
+            getContext().pipeToSelf(verdict, (v, e) -> new Written(change, Optional.ofNullable(v)));
         }
     }
 
@@ -237,7 +234,7 @@
         }
         if (written.verdict().orElse(null) instanceof Verdict.Void v) {
             // Whatever stood against it is in the state that the next look reads.
-            sLog.log(Level.INFO, "control {0}: {1} void: {2}", mZone, names(written), v.reason());
+            LOG.log(Level.INFO, "control {0}: {1} void: {2}", mZone, names(written), v.reason());
             mNextWrite = mParts.clock().instant().plus(LOOK_EVERY);
         }
         return this;
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
@@ -30,7 +30,7 @@
 
 /** Takes one step at a time for a VM whose intent is pending: looks, decides, does. */
 public final class VmRunner {
-    private static final System.Logger sLog = System.getLogger("control");
+    private static final System.Logger LOG = System.getLogger("control");
 
     private final VmDirectory mDirectory;
     private final VmActions mActions;
@@ -115,7 +115,7 @@
     private CompletionStage<ActionReply> ask(
             PendingVm pending, PlatformCall call, PlatformAction action, String note) {
         VmId vm = pending.vm().id();
-        sLog.log(Level.INFO, "control: asks to {0} {1}: {2}", action, vm, note);
+        LOG.log(Level.INFO, "control: asks to {0} {1}: {2}", action, vm, note);
         return mActions.act(
                 vm,
                 new ActionRequest(
@@ -129,7 +129,7 @@
     private CompletionStage<Verdict> record(
             PendingVm pending, Change change, ActingEpoch epoch, String note) {
         VmId vm = pending.vm().id();
-        sLog.log(Level.INFO, "control: records of {0}: {1}", vm, note);
+        LOG.log(Level.INFO, "control: records of {0}: {1}", vm, note);
         return mWriter.write(
                 mWriter.nextId(),
                 Optional.of(epoch),
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
@@ -43,8 +43,7 @@
         mEndedSince.keySet().retainAll(vms);
     }
 
-    private static Duration since(
-            Map<VmId, Instant> times, VmId vm, boolean holds, Instant now) {
+    private static Duration since(Map<VmId, Instant> times, VmId vm, boolean holds, Instant now) {
         if (!holds) {
             times.remove(vm);
             return Duration.ZERO;
@@ -60,8 +59,7 @@
                     case ON, DRAINING -> VmAtPlatform.Power.UP;
                 };
         Optional<VmAtPlatform.ReportedAction> action =
-                report.lastAction()
-                        .map(a -> new VmAtPlatform.ReportedAction(a.id(), progress(a)));
+                report.lastAction().map(a -> new VmAtPlatform.ReportedAction(a.id(), progress(a)));
         return new VmAtPlatform(power, report.leaving(), report.generation(), action);
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
@@ -24,7 +24,7 @@
 
 /** Answers the HTTP calls of operators and teams. */
 public final class AdminApi {
-    private static final System.Logger sLog = System.getLogger("admin");
+    private static final System.Logger LOG = System.getLogger("admin");
     private static final long MAX_BODY_BYTES = 4L << 20;
     private static final long BODY_TIMEOUT_MS = 10_000;
 
@@ -87,8 +87,7 @@
             }
         }
         return completedFuture(
-                Answer.problem(
-                        pathKnown ? Problem.noMethod(method, path) : Problem.noPath(path)));
+                Answer.problem(pathKnown ? Problem.noMethod(method, path) : Problem.noPath(path)));
     }
 
     private static CompletionStage<Answer> call(Endpoint endpoint, Call call) {
@@ -111,7 +110,7 @@
     }
 
     private static Answer failed(Throwable error) {
-        sLog.log(Level.ERROR, "admin: a call failed", error);
+        LOG.log(Level.ERROR, "admin: a call failed", error);
         return Answer.problem(Problem.internal());
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Changes.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Changes.java
@@ -43,11 +43,7 @@
     private final Settings mSettings;
     private final ConfigurationChecker mChecker;
 
-    Changes(
-            FleetLog log,
-            Submitter submitter,
-            Settings settings,
-            ConfigurationChecker checker) {
+    Changes(FleetLog log, Submitter submitter, Settings settings, ConfigurationChecker checker) {
         mLog = log;
         mSubmitter = submitter;
         mSettings = settings;
@@ -127,8 +123,7 @@
         return write(body, ObjectKey.of(wave), change);
     }
 
-    private CompletionStage<Answer> order(Call call, WaveOrder order)
-            throws Call.BadBodyException {
+    private CompletionStage<Answer> order(Call call, WaveOrder order) throws Call.BadBodyException {
         Bodies.OrderBody body = call.read(Bodies.OrderBody.class);
         WaveId wave = WaveId.of(call.name());
         Change change = new WaveControlled(wave, order, author(call, body));
@@ -173,8 +168,7 @@
                                 return unknown(ObjectKey.of(job));
                             }
                             if (!call.caller().mayActFor(team.get())) {
-                                return completedFuture(
-                                        Answer.problem(otherTeam(call, team.get())));
+                                return completedFuture(Answer.problem(otherTeam(call, team.get())));
                             }
                             return write(body, ObjectKey.of(job), change);
                         });
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
@@ -149,9 +149,9 @@
             case DUPLICATE_ID -> "The same change stands in the log already.";
             case STALE_EPOCH -> "Another controller acts for this zone: " + verdict.detail() + ".";
             case UNKNOWN_OBJECT -> "There is no " + verdict.detail() + ".";
-            case WRONG_PHASE -> "It is not possible in its present phase: " + verdict.detail() + ".";
-            case OVER_BUDGET ->
-                    "It would break the availability budget: " + verdict.detail() + ".";
+            case WRONG_PHASE ->
+                    "It is not possible in its present phase: " + verdict.detail() + ".";
+            case OVER_BUDGET -> "It would break the availability budget: " + verdict.detail() + ".";
             case NOT_UNDERSTOOD ->
                     "A newer process wrote to it what this one doesn't understand: "
                             + verdict.detail()
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Reads.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Reads.java
@@ -142,10 +142,7 @@
 
     private CompletionStage<Answer> nodes(Call call) {
         return list(
-                call,
-                view -> mSettings.nodes().entrySet(),
-                e -> e.getKey().value(),
-                this::node);
+                call, view -> mSettings.nodes().entrySet(), e -> e.getKey().value(), this::node);
     }
 
     private Views.NodeView node(FleetView view, Map.Entry<NodeId, NodeSettings> node) {
@@ -164,8 +161,7 @@
                 shards);
     }
 
-    private CompletionStage<Answer> one(
-            ObjectKey key, Function<FleetView, Optional<?>> finder) {
+    private CompletionStage<Answer> one(ObjectKey key, Function<FleetView, Optional<?>> finder) {
         return mLog.read(
                 view ->
                         finder.apply(view)
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Views.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Views.java
@@ -27,8 +27,7 @@
             Map<String, String> overlays =
                     c.overlays().entrySet().stream()
                             .collect(
-                                    Collectors.toMap(
-                                            e -> e.getKey().value(), Map.Entry::getValue));
+                                    Collectors.toMap(e -> e.getKey().value(), Map.Entry::getValue));
             return new ConfigView(
                     c.version(), c.base(), overlays, c.author().who(), c.author().why());
         }
@@ -173,8 +172,7 @@
     record ShardView(String zone, long epoch, Optional<String> holder) {
         static ShardView of(FleetView view, ZoneId zone) {
             var epoch = view.epoch(zone);
-            return new ShardView(
-                    zone.value(), epoch.number(), epoch.holder().map(n -> n.value()));
+            return new ShardView(zone.value(), epoch.number(), epoch.holder().map(n -> n.value()));
         }
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/OneVmPlanner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/OneVmPlanner.java
@@ -54,9 +54,7 @@
     }
 
     private static boolean isJoined(VmState vm) {
-        return vm.phase() == VmPhase.RELEASING
-                && vm.joining().isEmpty()
-                && vm.pending().isEmpty();
+        return vm.phase() == VmPhase.RELEASING && vm.joining().isEmpty() && vm.pending().isEmpty();
     }
 
     private static boolean isUnderWay(VmState vm) {
@@ -172,11 +170,7 @@
     private PlannedChange intend(VmState vm, VmAction action, Optional<WaveId> wave, String why) {
         Change change =
                 new VmActionIntended(
-                        vm.id(),
-                        action,
-                        vm.generation() + 1,
-                        wave,
-                        new Author(mAuthor.who(), why));
+                        vm.id(), action, vm.generation() + 1, wave, new Author(mAuthor.who(), why));
         return new PlannedChange(change, Map.of(ObjectKey.of(vm.id()), vm.version()));
     }
 }
