Controller plans waves, buffer and moves with the fleet planners

Cause: OneVmPlanner was a stopgap until the planners of core were there. Change: FleetPlanner turns WavePlanner's and BufferPlanner's decisions into changes of one zone; FleetWatch tells from the platform's lagging list which VMs do not serve; SettingsChecker checks a configuration with every overlay before it is published.

--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/ConfigurationChecker.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ConfigurationChecker.java
@@ -3,12 +3,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.foxtailplank.controller.internal.SettingsChecker;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.state.FleetShape;
 
 /** Checks a configuration as a whole before it is published. */
 @FunctionalInterface
 public interface ConfigurationChecker {
+    /** A checker that reads it as every node will. */
+    static ConfigurationChecker bySettings() {
+        return new SettingsChecker();
+    }
+
     /** Checks a base file with its overlays, JSON with comments. */
     Checked check(String base, Map<ZoneId, String> overlays);
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
@@ -18,20 +18,22 @@
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.foxtailplank.controller.internal.act.BackendHealth;
+import org.foxtailplank.controller.internal.act.FleetWatch;
 import org.foxtailplank.controller.internal.act.HttpBackendHealth;
 import org.foxtailplank.controller.internal.act.RecordWriter;
 import org.foxtailplank.controller.internal.act.ShardController;
 import org.foxtailplank.controller.internal.act.ShardParts;
 import org.foxtailplank.controller.internal.act.VmRunner;
 import org.foxtailplank.controller.internal.admin.AdminApi;
-import org.foxtailplank.controller.internal.plan.OneVmPlanner;
+import org.foxtailplank.controller.internal.plan.FleetPlanner;
+import org.foxtailplank.fleet.BufferPlanner;
+import org.foxtailplank.fleet.WavePlanner;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.internal.control.EpochPolicy;
 import org.foxtailplank.internal.control.VmProcedure;
 import org.foxtailplank.internal.control.VmWaits;
 import org.foxtailplank.settings.Settings;
-import org.foxtailplank.state.Author;
 
 /** The control role of one process: a shard for each availability zone, and the admin API. */
 public final class Controller {
@@ -91,11 +93,12 @@
     private static List<ActorRef<ShardController.Command>> shards(
             ActorSystem<?> system, ControllerParts parts, RecordWriter writer) {
         BackendHealth health = new HttpBackendHealth(system, HEALTH_TIMEOUT);
+        FleetWatch watch = new FleetWatch(InstantSource.system());
         List<ActorRef<ShardController.Command>> shards = new ArrayList<>();
         for (ZoneId zone : parts.settings().zones().keySet()) {
             ActorRef<ShardController.Command> shard =
                     system.systemActorOf(
-                            ShardController.of(zone, shardParts(parts, writer, health)),
+                            ShardController.of(zone, shardParts(parts, writer, health, watch)),
                             "control-" + zone,
                             DispatcherSelector.fromConfig(DISPATCHER));
             parts.log().onChange(() -> shard.tell(ShardController.Look.NOW));
@@ -105,7 +108,7 @@
     }
 
     private static ShardParts shardParts(
-            ControllerParts parts, RecordWriter writer, BackendHealth health) {
+            ControllerParts parts, RecordWriter writer, BackendHealth health, FleetWatch watch) {
         Settings settings = parts.settings();
         InstantSource clock = InstantSource.system();
         Map<NodeId, ZoneId> nodes =
@@ -131,7 +134,12 @@
                 writer,
                 epochs,
                 parts.liveness(),
-                new OneVmPlanner(new Author(parts.self().value(), "plan")),
+                new FleetPlanner(
+                        parts.self().value(),
+                        WavePlanner.byRack(),
+                        BufferPlanner.byDemand(settings.fleet())),
+                watch,
+                parts.directory(),
                 runner,
                 clock);
     }
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/FleetWatch.java
@@ -0,0 +1,86 @@
+package org.foxtailplank.controller.internal.act;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.foxtailplank.fleet.Observation;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.internal.control.PlatformCall;
+import org.foxtailplank.platform.VmList;
+import org.foxtailplank.platform.VmPower;
+import org.foxtailplank.platform.VmReport;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.VmPhase;
+import org.foxtailplank.state.VmState;
+
+/** Keeps the platform's lagging list, and says from it which VMs do not serve. */
+public final class FleetWatch {
+    /** The list is some seconds old, so a VM that was just woken may not be in it yet. */
+    private static final Duration LIST_LAG = Duration.ofSeconds(10);
+
+    private static final Duration ASK_EVERY = Duration.ofSeconds(5);
+
+    private final InstantSource mClock;
+    private final Map<VmId, Instant> mAbsentSince = new HashMap<>();
+    private Instant mNextAsk = Instant.MIN;
+    private Optional<Map<VmId, VmReport>> mReports = Optional.empty();
+
+    /** A watch that has seen nothing. */
+    public FleetWatch(InstantSource clock) {
+        mClock = clock;
+    }
+
+    /** Whether the list is to be asked for; true once in a while. */
+    public synchronized boolean isDue(Instant now) {
+        if (now.isBefore(mNextAsk)) {
+            return false;
+        }
+        mNextAsk = now.plus(ASK_EVERY);
+        return true;
+    }
+
+    /** Takes in the newest list. */
+    public synchronized void saw(VmList list) {
+        mReports =
+                Optional.of(
+                        list.vms().stream()
+                                .collect(
+                                        Collectors.toMap(
+                                                VmReport::id, r -> r, (first, second) -> second)));
+    }
+
+    /** VMs that should serve and do not; none before a list was seen. */
+    public synchronized Observation observe(FleetView view) {
+        if (mReports.isEmpty()) {
+            return Observation.none();
+        }
+        Instant now = mClock.instant();
+        Set<VmId> silent = new HashSet<>();
+        for (VmState vm : view.vms()) {
+            if (vm.phase() == VmPhase.SERVING && isSilent(vm, now)) {
+                silent.add(vm.id());
+            }
+        }
+        return new Observation(silent, Map.of());
+    }
+
+    private boolean isSilent(VmState vm, Instant now) {
+        VmReport report = mReports.orElseThrow().get(vm.id());
+        if (report == null) {
+            Instant since = mAbsentSince.computeIfAbsent(vm.id(), id -> now);
+            return !now.isBefore(since.plus(LIST_LAG));
+        }
+        mAbsentSince.remove(vm.id());
+        // The list may still show the reboot that was confirmed a moment ago; taken as a failure,
+        // a few of those would pause a healthy wave. The generation tells that it is older.
+        boolean isOld = PlatformCall.isBefore(report.generation(), vm);
+        boolean isDown = report.power() == VmPower.FAILED || report.power() == VmPower.OFF;
+        return isDown && !isOld;
+    }
+}
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardController.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardController.java
@@ -19,12 +19,14 @@
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.foxtailplank.controller.internal.plan.PlannedChange;
+import org.foxtailplank.fleet.Observation;
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.internal.control.EpochDecision;
 import org.foxtailplank.internal.control.VmStep;
 import org.foxtailplank.state.ActingEpoch;
 import org.foxtailplank.state.EpochTaken;
+import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.ObjectKey;
 import org.foxtailplank.state.Verdict;
 
@@ -38,6 +40,10 @@
     private static final System.Logger LOG = System.getLogger("control");
     private static final Duration LOOK_EVERY = Duration.ofMillis(250);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    /** A plan of a large fleet takes long; the pause keeps planning under 4% of a core. */
+    private static final int PLAN_PAUSE_FACTOR = 25;
+
     private static final int MAX_STEPS_AT_ONCE = 16;
 
     /** What the shard is told. */
@@ -68,7 +74,7 @@
     private final Set<VmId> mStepping = new HashSet<>();
     private OptionalLong mHeld = OptionalLong.empty();
     private Instant mNextTry = Instant.MIN;
-    private Instant mNextWrite = Instant.MIN;
+    private Instant mNextPlan = Instant.MIN;
     private boolean mTrying;
     private boolean mLooking;
     private boolean mLookAgain;
@@ -113,13 +119,24 @@
             return this;
         }
         mLooking = true;
-        OptionalLong held = mHeld;
-        CompletionStage<ShardLook> look =
-                mParts.log().read(view -> ShardLook.of(view, mZone, held, mParts.planner()));
+        Instant now = mParts.clock().instant();
+        boolean plans = mHeld.isPresent() && mWriting == 0 && !now.isBefore(mNextPlan);
+        CompletionStage<ShardLook> look = mParts.log().read(view -> look(view, plans, now));
         getContext().pipeToSelf(look, (l, e) -> e == null ? new Looked(l) : LookFailed.SILENTLY);
         return this;
     }
 
+    private ShardLook look(FleetView view, boolean plans, Instant now) {
+        ShardLook look = ShardLook.of(view, mZone);
+        if (!plans || view.configuration().isEmpty()) {
+            return look;
+        }
+        Observation seen = mParts.watch().observe(view);
+        long begin = System.nanoTime();
+        List<PlannedChange> changes = mParts.planner().plan(view, mZone, seen, now.toEpochMilli());
+        return look.with(changes, Duration.ofNanos(System.nanoTime() - begin));
+    }
+
     private Behavior<Command> onLooked(ShardLook look) {
         mLooking = false;
         Instant now = mParts.clock().instant();
@@ -189,8 +206,12 @@
         for (PendingVm vm : look.pending()) {
             step(vm, epoch, now);
         }
-        if (mWriting == 0 && !now.isBefore(mNextWrite)) {
-            write(look.planned(), epoch);
+        if (mWriting == 0 && look.planned().isPresent()) {
+            mNextPlan = now.plus(look.planning().multipliedBy(PLAN_PAUSE_FACTOR));
+            write(look.planned().get(), epoch);
+        }
+        if (mParts.watch().isDue(now)) {
+            mParts.directory().list(Optional.empty()).thenAccept(mParts.watch()::saw);
         }
     }
 
@@ -230,12 +251,12 @@
     private Behavior<Command> onWritten(Written written) {
         mWriting--;
         if (written.verdict().isEmpty()) {
-            mNextWrite = mParts.clock().instant().plus(RETRY_AFTER);
+            mNextPlan = mParts.clock().instant().plus(RETRY_AFTER);
         }
         if (written.verdict().orElse(null) instanceof Verdict.Void v) {
             // Whatever stood against it is in the state that the next look reads.
             LOG.log(Level.INFO, "control {0}: {1} void: {2}", mZone, names(written), v.reason());
-            mNextWrite = mParts.clock().instant().plus(LOOK_EVERY);
+            mNextPlan = mParts.clock().instant().plus(LOOK_EVERY);
         }
         return this;
     }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLook.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLook.java
@@ -1,9 +1,9 @@
 package org.foxtailplank.controller.internal.act;
 
+import java.time.Duration;
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 import org.foxtailplank.controller.internal.plan.PlannedChange;
-import org.foxtailplank.controller.internal.plan.ShardPlanner;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.state.EpochState;
 import org.foxtailplank.state.FleetView;
@@ -16,21 +16,27 @@
  *
  * @param epoch who may act
  * @param pending VMs whose next step is due
- * @param planned changes to be written; empty where another node holds the epoch
+ * @param planned changes to be written; empty where none were asked for
+ * @param planning time that the plan took
  */
-record ShardLook(EpochState epoch, List<PendingVm> pending, List<PlannedChange> planned) {
-    static ShardLook of(FleetView view, ZoneId zone, OptionalLong held, ShardPlanner planner) {
-        EpochState epoch = view.epoch(zone);
-        boolean acts = held.isPresent() && held.getAsLong() == epoch.number();
-        if (!acts || view.configuration().isEmpty()) {
-            return new ShardLook(epoch, List.of(), List.of());
-        }
+record ShardLook(
+        EpochState epoch,
+        List<PendingVm> pending,
+        Optional<List<PlannedChange>> planned,
+        Duration planning) {
+    /** Reads without planning. */
+    static ShardLook of(FleetView view, ZoneId zone) {
         List<PendingVm> pending =
                 view.vms().stream()
                         .filter(vm -> vm.zone().equals(zone) && isPending(vm))
                         .map(vm -> new PendingVm(vm, hasService(view, vm)))
                         .toList();
-        return new ShardLook(epoch, pending, planner.plan(view, zone));
+        return new ShardLook(view.epoch(zone), pending, Optional.empty(), Duration.ZERO);
+    }
+
+    /** Adds what was planned from the same state. */
+    ShardLook with(List<PlannedChange> changes, Duration planning) {
+        return new ShardLook(epoch, pending, Optional.of(changes), planning);
     }
 
     private static boolean isPending(VmState vm) {
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/package-info.java
@@ -0,0 +1,2 @@
+/** What the parts of the controller share. */
+package org.foxtailplank.controller.internal;
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
@@ -0,0 +1,176 @@
+package org.foxtailplank.controller.internal.plan;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.fleet.BufferHistory;
+import org.foxtailplank.fleet.BufferPlan;
+import org.foxtailplank.fleet.BufferPlanner;
+import org.foxtailplank.fleet.Observation;
+import org.foxtailplank.fleet.VmMove;
+import org.foxtailplank.fleet.WaveDecision;
+import org.foxtailplank.fleet.WavePlanner;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.WaveId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.state.Author;
+import org.foxtailplank.state.Change;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.ObjectKey;
+import org.foxtailplank.state.VmAction;
+import org.foxtailplank.state.VmActionIntended;
+import org.foxtailplank.state.VmPhase;
+import org.foxtailplank.state.VmReleased;
+import org.foxtailplank.state.VmState;
+import org.foxtailplank.state.WaveControlled;
+import org.foxtailplank.state.WaveFinished;
+import org.foxtailplank.state.WaveOrder;
+import org.foxtailplank.state.WavePhase;
+import org.foxtailplank.state.WaveState;
+
+/**
+ * Turns the decisions about waves, buffer and moves into changes of one zone.
+ *
+ * <p>Every zone decides from the whole state and writes only what concerns its own VMs.
+ */
+public final class FleetPlanner implements ShardPlanner {
+    private static final String REASSIGN_REASON = "it has joined its pool";
+
+    private final String mWho;
+    private final WavePlanner mWaves;
+    private final BufferPlanner mBuffer;
+    private BufferHistory mHistory = BufferHistory.none();
+
+    /**
+     * A planner of one shard.
+     *
+     * @param who author of its intents
+     * @param waves decides the steps of waves
+     * @param buffer decides which VMs are powered on
+     */
+    public FleetPlanner(String who, WavePlanner waves, BufferPlanner buffer) {
+        mWho = who;
+        mWaves = waves;
+        mBuffer = buffer;
+    }
+
+    @Override
+    public List<PlannedChange> plan(FleetView view, ZoneId zone, Observation seen, long nowMs) {
+        Batch batch = new Batch(view, zone);
+        view.vms().stream()
+                .filter(vm -> vm.zone().equals(zone) && isJoined(vm))
+                .forEach(vm -> batch.intend(vm, VmAction.REASSIGN, REASSIGN_REASON));
+        for (WaveState wave : view.waves()) {
+            if (wave.phase() == WavePhase.RUNNING) {
+                wave(batch, wave, mWaves.next(view, wave, zone, seen));
+            }
+        }
+        BufferPlan plan = mBuffer.plan(view, seen, mHistory, nowMs);
+        mHistory = plan.history();
+        plan.wake().forEach(vm -> batch.intend(vm, VmAction.WAKE, want(plan, view, vm)));
+        plan.sleep().forEach(vm -> batch.intend(vm, VmAction.SLEEP, want(plan, view, vm)));
+        plan.moves().forEach(batch::move);
+        return batch.changes();
+    }
+
+    /** It has joined its new pool, and nothing of that pool runs on it yet. */
+    private static boolean isJoined(VmState vm) {
+        return vm.phase() == VmPhase.RELEASING && vm.joining().isEmpty() && vm.pending().isEmpty();
+    }
+
+    private void wave(Batch batch, WaveState wave, WaveDecision decision) {
+        if (decision instanceof WaveDecision.Go go) {
+            go.step().vms().forEach(vm -> batch.reboot(vm, wave));
+        } else if (decision instanceof WaveDecision.Pause pause) {
+            Author author = new Author(mWho, pause.reason());
+            batch.order(wave, new WaveControlled(wave.id(), WaveOrder.PAUSE, author));
+        } else if (decision instanceof WaveDecision.Finished) {
+            batch.order(wave, new WaveFinished(wave.id(), batch.mZone));
+        }
+    }
+
+    private static String want(BufferPlan plan, FleetView view, VmId id) {
+        return view.vm(id)
+                .map(vm -> plan.wants().get(vm.pool()))
+                .map(want -> want.text())
+                .orElse("buffer");
+    }
+
+    /** The changes of one plan; each VM has at most one. */
+    private final class Batch {
+        private final FleetView mView;
+        private final ZoneId mZone;
+        private final Set<VmId> mTaken = new HashSet<>();
+        private final List<PlannedChange> mChanges = new ArrayList<>();
+
+        Batch(FleetView view, ZoneId zone) {
+            mView = view;
+            mZone = zone;
+        }
+
+        List<PlannedChange> changes() {
+            return mChanges;
+        }
+
+        void reboot(VmId id, WaveState wave) {
+            own(id).ifPresent(
+                            vm ->
+                                    add(
+                                            vm,
+                                            intent(
+                                                    vm,
+                                                    VmAction.REBOOT,
+                                                    Optional.of(wave.id()),
+                                                    "wave " + wave.id()),
+                                            Map.of(
+                                                    ObjectKey.of(id), vm.version(),
+                                                    ObjectKey.of(wave.id()), wave.version())));
+        }
+
+        void intend(VmId id, VmAction action, String why) {
+            own(id).ifPresent(vm -> intend(vm, action, why));
+        }
+
+        void intend(VmState vm, VmAction action, String why) {
+            add(vm, intent(vm, action, Optional.empty(), why), expects(vm));
+        }
+
+        void move(VmMove move) {
+            Author author = new Author(mWho, move.reason());
+            own(move.vm())
+                    .ifPresent(
+                            vm ->
+                                    add(
+                                            vm,
+                                            new VmReleased(vm.id(), move.from(), move.to(), author),
+                                            expects(vm)));
+        }
+
+        void order(WaveState wave, Change change) {
+            mChanges.add(
+                    new PlannedChange(change, Map.of(ObjectKey.of(wave.id()), wave.version())));
+        }
+
+        private Optional<VmState> own(VmId id) {
+            return mView.vm(id).filter(vm -> vm.zone().equals(mZone));
+        }
+
+        private void add(VmState vm, Change change, Map<ObjectKey, Long> expects) {
+            if (mTaken.add(vm.id())) {
+                mChanges.add(new PlannedChange(change, expects));
+            }
+        }
+
+        private Map<ObjectKey, Long> expects(VmState vm) {
+            return Map.of(ObjectKey.of(vm.id()), vm.version());
+        }
+
+        private Change intent(VmState vm, VmAction action, Optional<WaveId> wave, String why) {
+            Author author = new Author(mWho, why);
+            return new VmActionIntended(vm.id(), action, vm.generation() + 1, wave, author);
+        }
+    }
+}
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/ShardPlanner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/ShardPlanner.java
@@ -1,12 +1,19 @@
 package org.foxtailplank.controller.internal.plan;
 
 import java.util.List;
+import org.foxtailplank.fleet.Observation;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.state.FleetView;
 
 /** Decides what a shard does next; called on the thread that owns the state. */
-@FunctionalInterface
 public interface ShardPlanner {
-    /** Changes to be written now; empty when there is nothing to do. */
-    List<PlannedChange> plan(FleetView view, ZoneId zone);
+    /**
+     * Changes to be written now; empty when there is nothing to do.
+     *
+     * @param view the agreed state
+     * @param zone zone of the shard
+     * @param seen what is seen beside the log
+     * @param nowMs time, for what has to last before it counts
+     */
+    List<PlannedChange> plan(FleetView view, ZoneId zone, Observation seen, long nowMs);
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/PlatformCall.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/PlatformCall.java
@@ -27,6 +27,11 @@
         return call(vm, 2, "release");
     }
 
+    /** Whether a report's generation is from before the last intended action of a VM. */
+    public static boolean isBefore(long generation, VmState vm) {
+        return vm.generation() > 0 && generation < action(vm).generation();
+    }
+
     private static PlatformCall call(VmState vm, int step, String name) {
         String id = vm.id() + "-" + vm.generation() + "-" + name;
         return new PlatformCall(id, vm.generation() * CALLS_PER_GENERATION + step);
