--- a/foxtail-core/src/main/java/org/foxtailplank/fleet/PoolWant.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/fleet/PoolWant.java
@@ -6,6 +6,7 @@
  * @param on VMs that serve or are on their way
  * @param wanted VMs that should
  * @param available VMs that could: all but the broken and silent ones
+ * @param missing VMs wanted beyond those that could be on
  * @param demand estimated demand in VMs now
  * @param growth VMs by which demand can grow during a wake
  * @param reserve VMs kept for the loss of the largest rack
@@ -16,6 +17,7 @@
         int on,
         int wanted,
         int available,
+        int missing,
         double demand,
         double growth,
         int reserve,
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/WantedCount.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/WantedCount.java
@@ -61,6 +61,7 @@
                 racks.on(),
                 given(largest),
                 available,
+                Math.max(0, unbounded(largest) - available),
                 demand,
                 growth,
                 minAvailable > 0 ? largest : configuredReserve,
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/wave/WaveScope.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/wave/WaveScope.java
@@ -75,7 +75,8 @@
      */
     private void countFailures(VmState vm, boolean silent) {
         boolean inWave = vm.wave().filter(mWave.id()::equals).isPresent();
-        boolean broke = vm.phase() == VmPhase.BROKEN && inWave && vm.version() > mWave.version();
+        boolean touched = inWave || vm.lastMaintained() > mWave.started();
+        boolean broke = vm.phase() == VmPhase.BROKEN && touched && vm.version() > mWave.version();
         boolean maintained = vm.lastMaintained() > mWave.version();
         if (maintained || broke) {
             mTouchedSinceOrder++;
