--- /dev/null
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of foxtail-load and their options. */
+package org.foxtailplank.load.internal.command;
