Load commands run and compare; a stand-in test waits until its connection was taken

Ruled out: the stand-in's refusal, which answers each connection it has taken. Conclusion: the order of accepts decides.

--- a/foxtail-load/src/main/java/org/foxtailplank/load/Main.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/Main.java
@@ -13,8 +13,7 @@
     public static void main(String[] args) {
         String name = args.length == 0 ? "--help" : args[0];
         String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
-        LoadCommand.named(name)
-                .ifPresentOrElse(command -> command.main(rest), () -> usage(name));
+        LoadCommand.named(name).ifPresentOrElse(command -> command.main(rest), () -> usage(name));
     }
 
     private static void usage(String name) {
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/command/RunProgram.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/command/RunProgram.java
@@ -68,8 +68,7 @@
             StepResult result =
                     loop.run(
                             load,
-                            arrivals.plan(
-                                    load * profile.capacityPerSecond(), options.stepLength()),
+                            arrivals.plan(load * profile.capacityPerSecond(), options.stepLength()),
                             options.stepLength());
             System.out.println(line(seed, result));
             results.add(result);
--- a/foxtail-standin/src/test/java/org/foxtailplank/standin/BackendStandinTest.java
+++ b/foxtail-standin/src/test/java/org/foxtailplank/standin/BackendStandinTest.java
@@ -74,6 +74,8 @@
         assertTrue(exchange(post("r1", "x")).startsWith("HTTP/1.1 200"));
         assertTrue(mBackend.executions().get(0).leavingMs() >= 0);
         try (Socket open = connect()) {
+            // Connections are taken in order: once a later one is answered, this one was taken too.
+            exchange("GET /health HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n");
             mBackend.finish().toCompletableFuture().join();
             open.getOutputStream().write(post("r2", "x").getBytes(StandardCharsets.UTF_8));
             String answer = text(readAll(open));
