--- a/foxtail-core/src/main/java/org/foxtailplank/internal/settings/OriginLister.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/settings/OriginLister.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.internal.settings;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import org.foxtailplank.settings.SettingsOrigins;
 
@@ -10,10 +11,12 @@
 
     private OriginLister() {}
 
-    /** All values below a root. */
-    public static SettingsOrigins list(Node.Members root) {
+    /** All values below a root, and the defaults that were taken. */
+    public static SettingsOrigins list(
+            Node.Members root, Collection<SettingsOrigins.Value> defaults) {
         OriginLister lister = new OriginLister();
         lister.add("", root);
+        lister.mValues.addAll(defaults);
         return new SettingsOrigins(lister.mValues);
     }
 
@@ -21,8 +24,7 @@
         if (node instanceof Node.Members members) {
             members.members().forEach((key, value) -> add(Paths.join(path, key), value));
         } else {
-            Place place = node.place();
-            mValues.add(new SettingsOrigins.Value(path, text(node), place.file(), place.line()));
+            mValues.add(new SettingsOrigins.Value(path, text(node), node.place().toString()));
         }
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/settings/Section.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/settings/Section.java
@@ -34,12 +34,14 @@
     private final Node.Members mNode;
     private final String mPath;
     private final Problems mProblems;
+    private final Defaults mDefaults;
     private final TreeSet<String> mKnown = new TreeSet<>();
 
-    Section(Node.Members node, String path, Problems problems) {
+    Section(Node.Members node, String path, Problems problems, Defaults defaults) {
         mNode = node;
         mPath = path;
         mProblems = problems;
+        mDefaults = defaults;
     }
 
     String path() {
@@ -67,7 +69,7 @@
     Section section(String key) {
         Node.Members none = new Node.Members(place(key), Map.of());
         Node.Members members = find(key).map(n -> members(n, path(key)).orElse(none)).orElse(none);
-        return new Section(members, path(key), mProblems);
+        return new Section(members, path(key), mProblems, mDefaults);
     }
 
     /** Objects by name below this one; a key may be a range of names. */
@@ -81,7 +83,7 @@
                 continue;
             }
             for (String name : names(entry.getKey(), entry.getValue().place(), path)) {
-                Section section = new Section(members.get(), path, mProblems);
+                Section section = new Section(members.get(), path, mProblems, mDefaults);
                 if (sections.put(name, section) != null) {
                     mProblems.sameName(entry.getValue().place(), path, name, "the name");
                 }
@@ -260,6 +262,9 @@
         if (otherwise == null) {
             return required(key, allowed, value).orElse(placeholder);
         }
+        if (!has(key)) {
+            mDefaults.add(path(key), otherwise);
+        }
         return value.orElse(otherwise);
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/settings/SettingsBuilder.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/settings/SettingsBuilder.java
@@ -47,14 +47,14 @@
     private final Map<TeamId, TeamSettings> mTeams = new LinkedHashMap<>();
     private final Map<NodeId, NodeSettings> mNodes = new LinkedHashMap<>();
 
-    private SettingsBuilder(Node.Members root, Problems problems) {
+    private SettingsBuilder(Node.Members root, Problems problems, Defaults defaults) {
         mProblems = problems;
-        mRoot = new Section(root, "", problems);
+        mRoot = new Section(root, "", problems, defaults);
     }
 
     /** Builds settings; they may be used only when no problem was reported. */
-    public static Settings build(Node.Members root, Problems problems) {
-        return new SettingsBuilder(root, problems).settings();
+    public static Settings build(Node.Members root, Problems problems, Defaults defaults) {
+        return new SettingsBuilder(root, problems, defaults).settings();
     }
 
     private Settings settings() {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/settings/Units.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/settings/Units.java
@@ -54,4 +54,23 @@
         }
         return Optional.of(amount.setScale(0, RoundingMode.HALF_UP).longValueExact());
     }
+
+    /** A duration in its largest whole unit. */
+    public static String text(Duration duration) {
+        return text(duration.toNanos(), NANOS);
+    }
+
+    /** A size in its largest whole unit. */
+    public static String text(long bytes) {
+        return text(bytes, BYTES);
+    }
+
+    private static String text(long amount, Map<String, Long> units) {
+        Map.Entry<String, Long> largest =
+                units.entrySet().stream()
+                        .filter(u -> amount % u.getValue() == 0)
+                        .max(Map.Entry.comparingByValue())
+                        .orElseThrow();
+        return amount / largest.getValue() + largest.getKey();
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsOrigins.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsOrigins.java
@@ -8,6 +8,9 @@
  * @param values the values, in the order in which they are written
  */
 public record SettingsOrigins(List<Value> values) {
+    /** Origin of a value that no file states. */
+    public static final String DEFAULT = "default";
+
     public SettingsOrigins {
         values = List.copyOf(values);
     }
@@ -17,8 +20,7 @@
      *
      * @param path its path, for example {@code fleet.wakeTime}
      * @param text the value as JSON
-     * @param file file that states it
-     * @param line line in that file
+     * @param origin where it is stated, for example {@code base.jsonc:12}, or {@link #DEFAULT}
      */
-    public record Value(String path, String text, String file, int line) {}
+    public record Value(String path, String text, String origin) {}
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsReader.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsReader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.foxtailplank.internal.settings.Defaults;
 import org.foxtailplank.internal.settings.Node;
 import org.foxtailplank.internal.settings.NodeMerge;
 import org.foxtailplank.internal.settings.NodeParser;
@@ -34,6 +35,11 @@
         return new SettingsReader(files);
     }
 
+    /** The site that the last overlay names. */
+    Optional<String> site() {
+        return parse(mFiles.get(mFiles.size() - 1), new Problems()).flatMap(OverlayCheck::siteOf);
+    }
+
     /** Reads and checks the merged files. */
     public SettingsResult read() {
         Problems problems = new Problems();
@@ -51,9 +57,10 @@
             OverlayCheck.check(base.get(), overlay, problems);
             merged = NodeMerge.merge(merged, overlay);
         }
-        Settings settings = SettingsBuilder.build(merged, problems);
+        Defaults defaults = new Defaults();
+        Settings settings = SettingsBuilder.build(merged, problems, defaults);
         return problems.isEmpty()
-                ? new SettingsResult.Valid(settings, OriginLister.list(merged))
+                ? new SettingsResult.Valid(settings, OriginLister.list(merged, defaults.values()))
                 : new SettingsResult.Invalid(problems.list());
     }
 
--- a/foxtail-core/src/test/java/org/foxtailplank/settings/SettingsReaderTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/settings/SettingsReaderTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.RackId;
 import org.foxtailplank.id.ServiceId;
@@ -127,13 +128,48 @@
                         .values()
                         .contains(
                                 new SettingsOrigins.Value(
-                                        "fleet.wakeTime", "\"2m\"", "a.jsonc", 2)));
+                                        "fleet.wakeTime", "\"2m\"", "a.jsonc:2")));
         assertTrue(
                 merged.origins()
                         .values()
                         .contains(
                                 new SettingsOrigins.Value(
-                                        "services.quote.slots", "8", "base.jsonc", 13)));
+                                        "services.quote.slots", "8", "base.jsonc:13")));
+    }
+
+    @Test
+    void aValueThatNoFileStatesComesFromTheDefault() {
+        List<SettingsOrigins.Value> values = valid(good()).origins().values();
+        assertTrue(
+                values.contains(new SettingsOrigins.Value("limits.maxBody", "\"4MiB\"", "default")),
+                values.toString());
+        assertTrue(
+                values.contains(new SettingsOrigins.Value("fleet.wakeTime", "\"90s\"", "default")));
+    }
+
+    @Test
+    void aConfigurationIsCheckedWithTheOverlayOfEachSite() {
+        ConfigurationCheck good =
+                ConfigurationCheck.of(
+                        GOOD,
+                        Map.of(
+                                ZoneId.of("a"),
+                                "{\"site\": \"a\"}",
+                                ZoneId.of("b"),
+                                "{\"site\": \"b\"}"));
+        assertEquals(good.problems(), List.of());
+        assertEquals(good.shape().orElseThrow().vms().size(), 4);
+        ConfigurationCheck bad =
+                ConfigurationCheck.of(
+                        GOOD,
+                        Map.of(
+                                ZoneId.of("a"),
+                                "{\"site\": \"b\"}",
+                                ZoneId.of("b"),
+                                "{\"sit\": 1}"));
+        assertTrue(bad.shape().isEmpty());
+        List<String> files = bad.problems().stream().map(SettingsProblem::file).distinct().toList();
+        assertEquals(files, List.of("overlay a", "overlay b"));
     }
 
     @Test
