--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/HttpBackendHealth.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/HttpBackendHealth.java
@@ -16,7 +16,7 @@
 
 /** Asks for {@code GET /health} over HTTP. */
 public final class HttpBackendHealth implements BackendHealth {
-    private static final ObjectMapper sJson = new ObjectMapper();
+    private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MAX_ANSWER_BYTES = 4096;
 
     private final ClassicActorSystemProvider mSystem;
@@ -48,7 +48,7 @@
 
     private static Optional<BackendReport> parse(String text) {
         try {
-            JsonNode json = sJson.readTree(text);
+            JsonNode json = JSON.readTree(text);
             if (!json.path("inFlight").isIntegralNumber()) {
                 return Optional.empty();
             }
