--- /dev/null
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/package-info.java
@@ -0,0 +1,2 @@
+/** How commands call the administration API. */
+package org.foxtailplank.cli.internal.admin;
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
@@ -1,5 +1,8 @@
 package org.foxtailplank.cli.internal.command;
 
+import java.net.URI;
+import java.util.Collection;
+
 /** The one place where the operators' program words its errors. */
 public final class CliMessages {
     private CliMessages() {}
@@ -7,4 +10,113 @@
     static String unknownCommand(String words) {
         return "there is no command \"" + words + "\"; these are known:";
     }
+
+    /** No address of the administration API is known. */
+    public static String noAdmin() {
+        return "no node was named to ask; give --admin ADDRESS, set FOXTAIL_ADMIN, or give"
+                + " --settings FILE whose nodes state their ports";
+    }
+
+    /** An address can't be read. */
+    public static String badAddress(String text) {
+        return "\"" + text + "\" is no address; give it as 127.0.0.1:7003";
+    }
+
+    /** No token is known. */
+    public static String noToken() {
+        return "no token was given; set FOXTAIL_TOKEN, or give --token-file FILE";
+    }
+
+    /** No node answers. */
+    public static String noNode(String last) {
+        return "no node answers, so nothing was changed: "
+                + last
+                + "; check the addresses, or name another node with --admin";
+    }
+
+    /** An answer got lost. */
+    public static String answerLost(String why) {
+        return "the answer got lost, so it is not known whether the change was made: "
+                + why
+                + "; read the object before you try again with the same version";
+    }
+
+    /** The administration API refuses. */
+    public static String refused(String what, String why, String todo) {
+        return String.join("\n  ", what, why, todo);
+    }
+
+    /** The platform's log can't be read. */
+    public static String platformAway(URI address, String why) {
+        return "the platform at "
+                + address
+                + " does not answer: "
+                + why
+                + "; check platform.address in the settings, or try later";
+    }
+
+    /** The platform's address is not known. */
+    public static String noPlatform() {
+        return "history is read from the platform's log; give --settings FILE, which states"
+                + " platform.address";
+    }
+
+    /** Another operator published first. */
+    public static String overtaken(long from, long now, String who, String why) {
+        return "nothing was published, and your files are as they were: they were made from version "
+                + from
+                + ", but "
+                + who
+                + " has published version "
+                + now
+                + " ("
+                + why
+                + ")";
+    }
+
+    /** How to go on after another operator published first. */
+    public static String overtakenHint(long now) {
+        return "to put your change on top of version "
+                + now
+                + ", run the same command with --rebase";
+    }
+
+    /** Both operators changed the same values. */
+    public static String clash(Collection<String> paths) {
+        return "both changes touch the same values, so nothing was published: "
+                + String.join(", ", paths)
+                + "; decide on each, and publish again from the version in force";
+    }
+
+    /** The version that a change was made from can't be had. */
+    public static String versionGone(long version) {
+        return "version "
+                + version
+                + " is not in the platform's log any more, so changes can't be put on top of each"
+                + " other; merge by hand and publish from the version in force";
+    }
+
+    /** Nodes don't have a version in time. */
+    public static String behind(long version, Collection<String> nodes) {
+        return "version "
+                + version
+                + " is accepted and stays, but is not known to be in force at: "
+                + String.join(", ", nodes)
+                + "; foxtail config status shows when it is";
+    }
+
+    /** An overlay does not name its site. */
+    public static String noSite(String file) {
+        return file + " names no site; an overlay starts with \"site\": \"ZONE\"";
+    }
+
+    /** Two overlays are for one site. */
+    public static String sameSite(String site) {
+        return "two overlays are for site " + site + "; give one";
+    }
+
+    /** A file holds no JSON object. */
+    public static String notAnObject(String file) {
+        return file + " holds no JSON object; foxtail settings check names the cause";
+    }
 }
--- /dev/null
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that publish and compare configurations. */
+package org.foxtailplank.cli.internal.config;
