--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/ConfigurationTest.java
@@ -0,0 +1,127 @@
+package org.foxtailplank.state;
+
+import static org.foxtailplank.state.FoldDriver.AUTHOR;
+import static org.foxtailplank.state.FoldDriver.assertRefused;
+import static org.foxtailplank.state.FoldDriver.configuration;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.ZoneId;
+import org.testng.annotations.Test;
+
+/** What the fold makes of configurations that are published. */
+public class ConfigurationTest {
+    private static final ZoneId SITE = ZoneId.of("sofia-2");
+    private static final FleetShape NOTHING = new FleetShape(Map.of(), Map.of(), Map.of());
+
+    /**
+     * Two operators edit the same version and publish. The second one must not undo the first one's
+     * change without having seen it.
+     */
+    @Test
+    public void letsOneOfTwoOperatorsWin() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        long from = version(d);
+        d.applied(change("{\"a\":1}"), configuration(from));
+        long won = version(d);
+        assertRefused(
+                VoidReason.STALE_VERSION,
+                d.write(d.record(change("{\"a\":2}"), configuration(from))));
+        d.refused(VoidReason.MALFORMED, change("{\"a\":2}"));
+        assertEquals(version(d), won);
+        assertEquals(d.state().configuration().orElseThrow().base(), "{\n  \"a\" : 1\n}");
+    }
+
+    @Test
+    public void mergesPatchesAsRfc7396Says() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        patch(d, "{\"a\":{\"b\":1,\"c\":[1]},\"x\":1}");
+        patch(d, "{\"a\":{\"b\":null,\"c\":[2]},\"x\":{\"y\":null,\"z\":2}}");
+        patch(d, "{\"a\":{\"d\":3}}");
+        String text = d.state().configuration().orElseThrow().base().replaceAll("\\s", "");
+        assertEquals(text, "{\"a\":{\"c\":[2],\"d\":3},\"x\":{\"z\":2}}");
+    }
+
+    @Test
+    public void patchesTheOverlayOfASite() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        Map<ZoneId, String> overlay = Map.of(SITE, "{\"a\":1}");
+        d.applied(
+                new ConfigurationChanged("{}", overlay, NOTHING, AUTHOR),
+                configuration(version(d)));
+        String text = d.state().configuration().orElseThrow().overlays().get(SITE);
+        assertEquals(text.replaceAll("\\s", ""), "{\"a\":1}");
+    }
+
+    @Test
+    public void refusesAPatchThatIsNoObject() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        for (String bad : new String[] {"", "[1]", "{\"a\":", "{} {}"}) {
+            LogRecord r = d.record(change(bad), configuration(version(d)));
+            assertRefused(VoidReason.MALFORMED, d.write(r));
+        }
+    }
+
+    @Test
+    public void refusesToRemoveAVmThatServes() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        FleetShape shape = FoldDriver.shape(4, 2);
+        Map<VmId, VmPlace> fewer = new HashMap<>(shape.vms());
+        fewer.remove(VmId.of("claims1"));
+        ConfigurationPublished without =
+                published(new FleetShape(fewer, shape.pools(), shape.minAvailable()));
+        LogRecord early = d.record(without, configuration(version(d)));
+        assertRefused(VoidReason.WRONG_PHASE, d.write(early));
+        d.applied(d.intent("claims1", VmAction.SLEEP));
+        d.applied(d.outcome("claims1", ActionOutcome.DONE));
+        d.applied(without, configuration(version(d)));
+        assertFalse(d.state().vm(VmId.of("claims1")).isPresent());
+    }
+
+    @Test
+    public void refusesANewServiceForAPoolThatServes() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        FleetShape shape = FoldDriver.shape(4, 2);
+        Map<PoolId, PoolShape> pools = new HashMap<>(shape.pools());
+        Optional<ServiceId> other = Optional.of(ServiceId.of("letters"));
+        pools.put(PoolId.of("claims"), new PoolShape(other, 4, 0));
+        LogRecord r =
+                d.record(
+                        published(new FleetShape(shape.vms(), pools, shape.minAvailable())),
+                        configuration(version(d)));
+        assertRefused(VoidReason.WRONG_PHASE, d.write(r));
+    }
+
+    @Test
+    public void keepsATargetThatTheConfigurationDoesNotChange() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        PoolId pool = PoolId.of("claims");
+        d.applied(new PoolTargetChanged(pool, 3, 1, AUTHOR));
+        d.applied(published(FoldDriver.shape(4, 1)), configuration(version(d)));
+        assertEquals(d.state().pool(pool).orElseThrow().target(), 3);
+        assertEquals(d.state().minAvailable(ServiceId.of("claims")), 1);
+        assertEquals(d.vm("claims1").phase(), VmPhase.SERVING);
+    }
+
+    private static void patch(FoldDriver d, String patch) {
+        d.applied(change(patch), configuration(version(d)));
+    }
+
+    private static ConfigurationPublished published(FleetShape shape) {
+        return new ConfigurationPublished("{}", Map.of(), shape, AUTHOR);
+    }
+
+    private static ConfigurationChanged change(String patch) {
+        return new ConfigurationChanged(patch, Map.of(), NOTHING, AUTHOR);
+    }
+
+    private static long version(FoldDriver d) {
+        return d.state().version(ObjectKey.configuration());
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/FleetStateTest.java
@@ -0,0 +1,208 @@
+package org.foxtailplank.state;
+
+import static org.foxtailplank.state.FoldDriver.AUTHOR;
+import static org.foxtailplank.state.FoldDriver.NODE;
+import static org.foxtailplank.state.FoldDriver.ZONE;
+import static org.foxtailplank.state.FoldDriver.assertRefused;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.id.JobId;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.RecordId;
+import org.foxtailplank.id.TeamId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.WaveId;
+import org.foxtailplank.request.RequestClass;
+import org.testng.annotations.Test;
+
+/** What the fold makes of moves, actions, waves, jobs and epochs. */
+public class FleetStateTest {
+    private static final WaveId WAVE = WaveId.of("december");
+    private static final JobId JOB = JobId.of("night-run");
+
+    @Test
+    public void keepsAVmInItsPoolUntilItIsDrainedAndJoinsTheOther() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        d.applied(d.release("claims1", "claims", "photos"));
+        assertEquals(d.vm("claims1").pool(), PoolId.of("claims"));
+        d.refused(VoidReason.WRONG_PHASE, d.join("claims1", "photos"));
+        d.applied(d.intent("claims1", VmAction.REASSIGN));
+        d.refused(VoidReason.WRONG_PHASE, d.join("claims1", "photos"));
+        d.applied(d.outcome("claims1", ActionOutcome.DONE));
+        assertEquals(d.vm("claims1").pool(), PoolId.of("claims"));
+        d.refused(VoidReason.WRONG_PHASE, d.join("claims1", "claims"));
+        d.applied(d.join("claims1", "photos"));
+        assertEquals(d.vm("claims1").pool(), PoolId.of("photos"));
+        assertEquals(d.vm("claims1").poolGeneration(), 2);
+        assertEquals(d.vm("claims1").phase(), VmPhase.SERVING);
+        assertEquals(d.state().vmsOf(PoolId.of("claims")).size(), 3);
+        assertEquals(d.state().vmsOf(PoolId.of("photos")).size(), 5);
+    }
+
+    @Test
+    public void takesAnAbandonedMoveBack() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        d.applied(d.release("claims1", "claims", "photos"));
+        d.applied(d.release("claims1", "claims", "claims"));
+        assertEquals(d.vm("claims1").phase(), VmPhase.SERVING);
+        d.refused(VoidReason.WRONG_PHASE, d.join("claims1", "photos"));
+    }
+
+    /**
+     * Two controllers each see one VM that may be stopped, and each intends to stop another one.
+     * Both intents reach the log. Without a check at the offset the service would fall under its
+     * budget as soon as a rack is lost.
+     */
+    @Test
+    public void letsOnlyAsManyStopsThroughAsOneMoreRackMayBeLost() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        VmActionIntended first = d.intent("claims1", VmAction.REBOOT);
+        VmActionIntended second = d.intent("claims2", VmAction.SLEEP);
+        d.applied(first);
+        d.refused(VoidReason.OVER_BUDGET, second);
+        d.refused(VoidReason.OVER_BUDGET, d.release("claims2", "claims", "photos"));
+        d.applied(d.intent("photos1", VmAction.REBOOT));
+        d.applied(d.outcome("claims1", ActionOutcome.DONE));
+        d.applied(second);
+    }
+
+    @Test
+    public void countsAStopUntilItsOutcomeIsConfirmed() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        d.applied(d.intent("claims1", VmAction.SLEEP));
+        d.applied(d.outcome("claims1", ActionOutcome.FAILED));
+        d.refused(VoidReason.OVER_BUDGET, d.intent("claims2", VmAction.SLEEP));
+        d.applied(d.intent("claims1", VmAction.WAKE));
+        d.refused(VoidReason.OVER_BUDGET, d.intent("claims2", VmAction.SLEEP));
+        d.applied(d.outcome("claims1", ActionOutcome.DONE));
+        d.applied(d.intent("claims2", VmAction.SLEEP));
+        d.applied(d.outcome("claims2", ActionOutcome.WITHDRAWN));
+        d.applied(d.intent("claims3", VmAction.SLEEP));
+    }
+
+    @Test
+    public void countsAFailureThatNobodyPlanned() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        VmState vm = d.vm("claims1");
+        d.applied(new VmObserved(vm.id(), vm.generation(), VmHealth.DOWN, AUTHOR));
+        d.refused(VoidReason.OVER_BUDGET, d.intent("claims2", VmAction.REBOOT));
+        d.applied(new VmObserved(vm.id(), vm.generation(), VmHealth.UP, AUTHOR));
+        d.applied(d.intent("claims2", VmAction.REBOOT));
+    }
+
+    @Test
+    public void refusesAnActionForAnOlderGeneration() {
+        FoldDriver d = FoldDriver.serving(6, 2);
+        VmActionIntended late = d.intent("claims1", VmAction.REBOOT);
+        d.applied(late);
+        VmActionConfirmed done = d.outcome("claims1", ActionOutcome.DONE);
+        d.applied(done);
+        d.refused(VoidReason.STALE_VERSION, late);
+        d.applied(d.intent("claims1", VmAction.SLEEP));
+        d.refused(VoidReason.STALE_VERSION, done);
+    }
+
+    @Test
+    public void startsNoStepOfAPausedWave() {
+        FoldDriver d = FoldDriver.serving(6, 2);
+        d.applied(new WaveStarted(WAVE, Set.of(ZONE), Set.of(PoolId.of("claims")), AUTHOR));
+        d.applied(new WaveControlled(WAVE, WaveOrder.PAUSE, AUTHOR));
+        d.refused(VoidReason.WRONG_PHASE, step(d, "claims1"));
+        d.applied(new WaveControlled(WAVE, WaveOrder.RESUME, AUTHOR));
+        d.applied(step(d, "claims1"));
+        d.refused(VoidReason.MALFORMED, step(d, "photos1"));
+        d.applied(d.outcome("claims1", ActionOutcome.DONE));
+        assertTrue(d.vm("claims1").lastMaintained() > 0);
+        d.applied(new WaveFinished(WAVE, ZONE));
+        assertEquals(d.state().wave(WAVE).orElseThrow().phase(), WavePhase.FINISHED);
+        d.refused(VoidReason.WRONG_PHASE, new WaveControlled(WAVE, WaveOrder.CANCEL, AUTHOR));
+    }
+
+    /**
+     * A controller is paused, another one takes its shard and stops a VM. The first one goes on and
+     * its record reaches the log. Both would act on the same shard at once.
+     */
+    @Test
+    public void voidsTheRecordsOfAControllerWhoseShardWasTaken() {
+        FoldDriver d = FoldDriver.serving(6, 2);
+        NodeId other = NodeId.of("entry-2");
+        d.applied(new EpochTaken(ZONE, 0, NODE));
+        LogRecord late = under(1, NODE, d.record(d.intent("claims1", VmAction.REBOOT)));
+        d.applied(new EpochTaken(ZONE, 1, other));
+        d.refused(VoidReason.STALE_EPOCH, new EpochTaken(ZONE, 1, NODE));
+        assertRefused(VoidReason.STALE_EPOCH, d.write(late));
+        LogRecord forged = under(2, NODE, d.record(d.intent("claims1", VmAction.REBOOT)));
+        assertRefused(VoidReason.STALE_EPOCH, d.write(forged));
+        LogRecord now = under(2, other, d.record(d.intent("claims1", VmAction.REBOOT)));
+        assertTrue(d.write(now).isApplied());
+        assertEquals(d.state().epoch(ZONE).holder(), Optional.of(other));
+    }
+
+    @Test
+    public void voidsADuplicateAlsoWhenItsFirstCopyWasVoid() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        TeamQuotaChanged change = new TeamQuotaChanged(TeamId.of("desk"), 0.5, AUTHOR);
+        LogRecord conflict = d.record(change, Map.of(ObjectKey.of(TeamId.of("desk")), 7L));
+        assertRefused(VoidReason.STALE_VERSION, d.write(conflict));
+        assertRefused(VoidReason.DUPLICATE_ID, d.write(conflict));
+        LogRecord good = d.record(change);
+        assertTrue(d.write(good).isApplied());
+        assertRefused(VoidReason.DUPLICATE_ID, d.write(good));
+    }
+
+    @Test
+    public void voidsARecordMadeOnALongerLog() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        LogRecord r = d.record(d.intent("claims1", VmAction.REBOOT));
+        assertRefused(VoidReason.MALFORMED, d.write(r.basedOn(d.state().nextOffset() + 1)));
+    }
+
+    @Test
+    public void refusesToLeaveAnOffsetOut() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        LogRecord r = d.record(d.intent("claims1", VmAction.REBOOT));
+        long next = d.state().nextOffset();
+        assertThrows(IllegalStateException.class, () -> d.state().apply(next + 1, r));
+    }
+
+    @Test
+    public void holdsATaskOnOneWorkerAtATime() {
+        FoldDriver d = FoldDriver.serving(4, 2);
+        PoolId pool = PoolId.of("claims");
+        JobSpec spec = new JobSpec(TeamId.of("desk"), pool, RequestClass.BATCH, 4, 1 << 20, 0, 1);
+        d.applied(new JobSubmitted(JOB, spec, AUTHOR));
+        VmId a = VmId.of("claims1");
+        VmId b = VmId.of("claims2");
+        d.applied(new TaskIntended(JOB, 0, a, TaskAction.START, 1));
+        d.refused(VoidReason.WRONG_PHASE, new TaskIntended(JOB, 0, b, TaskAction.START, 2));
+        d.applied(new TaskConfirmed(JOB, 0, a, 1, TaskOutcome.LOST));
+        d.applied(new TaskIntended(JOB, 0, b, TaskAction.START, 2));
+        d.refused(VoidReason.STALE_VERSION, new TaskConfirmed(JOB, 0, a, 1, TaskOutcome.RUNNING));
+        d.applied(new JobCancelled(JOB, AUTHOR));
+        d.refused(VoidReason.WRONG_PHASE, new JobCancelled(JOB, AUTHOR));
+        d.applied(new TaskIntended(JOB, 0, b, TaskAction.STOP, 2));
+        d.applied(new TaskConfirmed(JOB, 0, b, 2, TaskOutcome.STOPPED));
+        d.refused(VoidReason.WRONG_PHASE, new TaskIntended(JOB, 0, b, TaskAction.START, 3));
+    }
+
+    private static VmActionIntended step(FoldDriver d, String vm) {
+        VmActionIntended i = d.intent(vm, VmAction.REBOOT);
+        return new VmActionIntended(i.vm(), i.action(), i.generation(), Optional.of(WAVE), AUTHOR);
+    }
+
+    private static LogRecord under(long epoch, NodeId writer, LogRecord r) {
+        return new LogRecord(
+                RecordId.of(r.id() + "-" + writer),
+                writer,
+                Optional.of(new ActingEpoch(ZONE, epoch)),
+                r.expects(),
+                r.change(),
+                r.basis());
+    }
+}
