entry: parts of an entry in one record, and how requests end is counted by service

Cause: the burn report needs what became of each request, and callers of EntryServer.start should not change with each new part.

--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryServer.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryServer.java
@@ -9,9 +9,11 @@
 import org.apache.pekko.actor.ClassicActorSystemProvider;
 import org.foxtailplank.entry.internal.caller.CallerEndpoint;
 import org.foxtailplank.entry.internal.caller.CallerHandler;
+import org.foxtailplank.entry.internal.caller.EntryState;
 import org.foxtailplank.entry.internal.flow.Answers;
 import org.foxtailplank.entry.internal.flow.RequestFlow;
-import org.foxtailplank.id.NodeId;
+import org.foxtailplank.entry.internal.metrics.RequestCounters;
+import org.foxtailplank.platform.burn.BurnCounters;
 import org.foxtailplank.settings.NodeSettings;
 import org.foxtailplank.settings.Settings;
 
@@ -19,37 +21,26 @@
 public final class EntryServer {
 
     private final RequestFlow mFlow;
+    private final RequestCounters mCounters;
     private volatile Settings mSettings;
     private volatile boolean mLeaving;
     private CallerEndpoint mEndpoint;
 
-    private EntryServer(Settings settings, RequestFlow flow) {
+    private EntryServer(Settings settings, RequestFlow flow, RequestCounters counters) {
         mSettings = settings;
         mFlow = flow;
+        mCounters = counters;
     }
 
-    /**
-     * Starts to listen on the callers' address of a node.
-     *
-     * @param system runs it
-     * @param node the node, which the settings name
-     * @param settings the configuration in force
-     * @param directory knows the backend servers
-     * @param keyed protects idempotency keys
-     */
+    /** Starts to listen on the callers' address of its node. */
     public static CompletionStage<EntryServer> start(
-            ClassicActorSystemProvider system,
-            NodeId node,
-            Settings settings,
-            Directory directory,
-            KeyedRequests keyed) {
-        NodeSettings n = settings.nodes().get(node);
-        RequestFlow flow =
-                RequestFlow.start(system, node.toString(), directory, keyed, n.zone(), settings);
-        EntryServer entry = new EntryServer(settings, flow);
-        CallerHandler handler =
-                new CallerHandler(system, () -> entry.mSettings, flow, () -> entry.mLeaving);
-        return CallerEndpoint.bind(system, n.callers(), () -> entry.mSettings, handler)
+            ClassicActorSystemProvider system, EntryParts parts) {
+        NodeSettings node = parts.settings().nodes().get(parts.node());
+        RequestFlow flow = RequestFlow.start(system, parts, node.zone());
+        RequestCounters counters = new RequestCounters(parts.metrics(), parts.inWave());
+        EntryServer entry = new EntryServer(parts.settings(), flow, counters);
+        CallerHandler handler = new CallerHandler(system, entry.view(), flow, counters);
+        return CallerEndpoint.bind(system, node.callers(), entry.view(), handler)
                 .thenApply(entry::listening);
     }
 
@@ -63,6 +54,11 @@
         return mEndpoint.address();
     }
 
+    /** How many requests of each service ended in which way. */
+    public BurnCounters counters() {
+        return mCounters;
+    }
+
     /** Takes over another configuration. */
     public void configure(Settings settings) {
         mSettings = settings;
@@ -82,6 +78,20 @@
         return noticed.thenCompose(done -> mEndpoint.leave()).thenApply(this::stopped);
     }
 
+    private EntryState view() {
+        return new EntryState() {
+            @Override
+            public Settings settings() {
+                return mSettings;
+            }
+
+            @Override
+            public boolean leaving() {
+                return mLeaving;
+            }
+        };
+    }
+
     private EntryServer listening(CallerEndpoint endpoint) {
         mEndpoint = endpoint;
         return this;
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerEndpoint.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerEndpoint.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Supplier;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
@@ -23,7 +22,6 @@
 import org.apache.pekko.stream.SharedKillSwitch;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Sink;
-import org.foxtailplank.settings.Settings;
 
 /** Listens for callers, bounds what each of them may hold, and closes without losing a request. */
 public final class CallerEndpoint {
@@ -40,7 +38,7 @@
 
     private final ClassicActorSystemProvider mSystem;
     private final Materializer mMaterializer;
-    private final Supplier<Settings> mSettings;
+    private final EntryState mState;
     private final CallerHandler mHandler;
     private final Set<CallerConnection> mConnections = ConcurrentHashMap.newKeySet();
     private final CompletableFuture<Done> mEmpty = new CompletableFuture<>();
@@ -49,10 +47,10 @@
     private volatile boolean mLeaving;
 
     private CallerEndpoint(
-            ClassicActorSystemProvider system, Supplier<Settings> settings, CallerHandler handler) {
+            ClassicActorSystemProvider system, EntryState state, CallerHandler handler) {
         mSystem = system;
         mMaterializer = Materializer.matFromSystem(system);
-        mSettings = settings;
+        mState = state;
         mHandler = handler;
     }
 
@@ -60,12 +58,12 @@
     public static CompletionStage<CallerEndpoint> bind(
             ClassicActorSystemProvider system,
             InetSocketAddress address,
-            Supplier<Settings> settings,
+            EntryState state,
             CallerHandler handler) {
-        CallerEndpoint e = new CallerEndpoint(system, settings, handler);
+        CallerEndpoint e = new CallerEndpoint(system, state, handler);
         return Http.get(system)
                 .newServerAt(address.getHostString(), address.getPort())
-                .withSettings(ServerLimits.of(system, settings.get().limits()))
+                .withSettings(ServerLimits.of(system, state.settings().limits()))
                 .connectionSource()
                 .to(Sink.foreach(e::accept))
                 .run(e.mMaterializer)
@@ -100,7 +98,7 @@
         SharedKillSwitch killSwitch = KillSwitches.shared("caller");
         InetAddress caller = incoming.remoteAddress().getAddress();
         CallerConnection c = new CallerConnection(caller, killSwitch, System.nanoTime());
-        boolean over = countOf(caller) >= mSettings.get().limits().connectionsPerCaller();
+        boolean over = countOf(caller) >= mState.settings().limits().connectionsPerCaller();
         mConnections.add(c);
         Flow<HttpRequest, HttpResponse, ?> flow =
                 Flow.of(HttpRequest.class)
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerHandler.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerHandler.java
@@ -8,17 +8,17 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 import org.foxtailplank.entry.Answer;
+import org.foxtailplank.entry.CallerRequest;
 import org.foxtailplank.entry.internal.flow.Answers;
 import org.foxtailplank.entry.internal.flow.RequestFlow;
+import org.foxtailplank.entry.internal.metrics.RequestCounters;
 import org.foxtailplank.request.Outcome;
-import org.foxtailplank.settings.Settings;
 
 /** Turns one HTTP request into one answer. */
 public final class CallerHandler {
@@ -31,24 +31,20 @@
     private static final int TOO_LARGE = 413;
 
     private final ClassicActorSystemProvider mSystem;
-    private final Supplier<Settings> mSettings;
+    private final EntryState mState;
     private final RequestFlow mFlow;
-    private final BooleanSupplier mLeaving;
+    private final RequestCounters mCounters;
 
-    /**
-     * Answers requests by a flow.
-     *
-     * @param leaving whether the health answer is to send the balancer away
-     */
+    /** Answers requests by a flow and counts how they end. */
     public CallerHandler(
             ClassicActorSystemProvider system,
-            Supplier<Settings> settings,
+            EntryState state,
             RequestFlow flow,
-            BooleanSupplier leaving) {
+            RequestCounters counters) {
         mSystem = system;
-        mSettings = settings;
+        mState = state;
         mFlow = flow;
-        mLeaving = leaving;
+        mCounters = counters;
     }
 
     CompletionStage<HttpResponse> answer(HttpRequest http, Supplier<String> keepAlive) {
@@ -60,7 +56,7 @@
         long arrived = System.nanoTime();
         RequestParser.Head head;
         try {
-            head = RequestParser.parse(http, mSettings.get());
+            head = RequestParser.parse(http, mState.settings());
         } catch (BadRequestException e) {
             // The connection is closed as well: its unread body may be of any size.
             http.discardEntityBytes(mSystem);
@@ -70,24 +66,29 @@
         return http.entity()
                 .toStrict(
                         head.deadline().toMillis(),
-                        mSettings.get().limits().maxBodyBytes(),
+                        mState.settings().limits().maxBodyBytes(),
                         mSystem)
                 .thenApply(body -> head.withBody(http, body, arrived))
-                .thenCompose(mFlow::answer)
-                .thenApply(a -> logged(a, id, head, keepAlive.get()))
+                .thenCompose(this::counted)
+                .thenApply(a -> Responses.of(a, id, keepAlive.get()))
                 .exceptionally(e -> Responses.of(unread(e), id, ""));
     }
 
-    private HttpResponse logged(Answer a, String id, RequestParser.Head head, String keepAlive) {
-        Level level = a.outcome() == Outcome.OK ? Level.DEBUG : Level.INFO;
-        LOG.log(
-                level,
-                "entry: {0} for {1} ends {2} {3}",
-                id,
-                head.service(),
-                a.status(),
-                a.outcome());
-        return Responses.of(a, id, keepAlive);
+    private CompletionStage<Answer> counted(CallerRequest r) {
+        return mFlow.answer(r)
+                .thenApply(
+                        a -> {
+                            mCounters.ended(r, a, System.nanoTime());
+                            Level level = a.outcome() == Outcome.OK ? Level.DEBUG : Level.INFO;
+                            LOG.log(
+                                    level,
+                                    "entry: {0} for {1} ends {2} {3}",
+                                    r.id(),
+                                    r.service(),
+                                    a.status(),
+                                    a.outcome());
+                            return a;
+                        });
     }
 
     private static Answer unread(Throwable e) {
@@ -99,7 +100,7 @@
     }
 
     private Answer health() {
-        boolean leaving = mLeaving.getAsBoolean();
+        boolean leaving = mState.leaving();
         String json = "{\"state\":\"" + (leaving ? "leaving" : "serving") + "\"}";
         return new Answer(
                 leaving ? UNAVAILABLE : OK,
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/RequestFlow.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/RequestFlow.java
@@ -6,11 +6,12 @@
 import java.util.random.RandomGenerator;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
 import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.Props;
 import org.apache.pekko.actor.typed.javadsl.Adapter;
 import org.foxtailplank.entry.Answer;
 import org.foxtailplank.entry.CallerRequest;
-import org.foxtailplank.entry.Directory;
+import org.foxtailplank.entry.EntryParts;
 import org.foxtailplank.entry.KeyedRequests;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.settings.Settings;
@@ -28,20 +29,14 @@
 
     /** Starts with the instances that a directory lists. */
     public static RequestFlow start(
-            ClassicActorSystemProvider system,
-            String name,
-            Directory directory,
-            KeyedRequests keyed,
-            ZoneId zone,
-            Settings settings) {
-        ActorRef<Command> broker =
+            ClassicActorSystemProvider system, EntryParts parts, ZoneId zone) {
+        Behavior<Command> broker =
+                Broker.create(
+                        parts.directory(), zone, parts.settings(), RandomGenerator.getDefault());
+        ActorRef<Command> ref =
                 Adapter.toTyped(system.classicSystem())
-                        .systemActorOf(
-                                Broker.create(
-                                        directory, zone, settings, RandomGenerator.getDefault()),
-                                "broker-" + name,
-                                Props.empty());
-        return new RequestFlow(broker, keyed);
+                        .systemActorOf(broker, "broker-" + parts.node(), Props.empty());
+        return new RequestFlow(ref, parts.keyed());
     }
 
     /** Answers a request; never completes exceptionally. */
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** What the entry counts. */
+package org.foxtailplank.entry.internal.metrics;
--- a/foxtail-entry/src/test/java/org/foxtailplank/entry/EntryFixture.java
+++ b/foxtail-entry/src/test/java/org/foxtailplank/entry/EntryFixture.java
@@ -25,12 +25,7 @@
     EntryFixture(Settings settings, BackendServer... live) {
         mLive = List.of(live);
         mEntry =
-                EntryServer.start(
-                                mSystem,
-                                TestSettings.NODE,
-                                settings,
-                                () -> mLive,
-                                EntryServer.refusingKeys())
+                EntryServer.start(mSystem, EntryParts.of(TestSettings.NODE, settings, () -> mLive))
                         .toCompletableFuture()
                         .join();
     }
