Idempotency: explore all orders of steps on the real decisions, and mend what that found

Cause: exploring a stream that comes back shortened found two ways to run a key twice: an append under way at the loss landed where a lost claim of the same key had stood and counted before peers' positions were compared; and a peer that had noticed the loss first no longer showed it. Change: an own claim counts only after the stream was compared with what peers have read; positions tell of losses. Taking one guard away makes the exploration object, for each of four.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/idempotency/KeyCoordinator.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/idempotency/KeyCoordinator.java
@@ -2,7 +2,9 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.foxtailplank.id.RecordId;
 
@@ -26,6 +28,7 @@
     private final ClaimTable mTable;
     private final PendingClaims mPending = new PendingClaims();
     private final StreamContinuity mStream = new StreamContinuity();
+    private final Map<RequestKey, ClaimTable.Owned> mUnverified = new LinkedHashMap<>();
     private final List<Action> mOut = new ArrayList<>();
     private Optional<RecordId> mOpening = Optional.empty();
     private Instant mLastRecord = Instant.MIN;
@@ -64,7 +67,7 @@
             refuse(waiter, Refusal.OWNER_GONE);
         } else if (request.issued().isPresent()) {
             useIssued(waiter, now);
-        } else if (mPending.holds(request.key())) {
+        } else if (waitsForClaim(request.key())) {
             // The peer has read this entry's claim before this entry has.
             mPending.add(waiter, mOut);
         } else {
@@ -122,7 +125,7 @@
 
     /** How far this entry has read. */
     public Position position() {
-        return mStream.position(mTable.era());
+        return mStream.position(mTable.era(), mLostEra);
     }
 
     /** A read failed. */
@@ -210,11 +213,13 @@
             useIssued(waiter, now);
             return;
         }
+        if (waitsForClaim(request.key())) {
+            mPending.add(waiter, mOut);
+            return;
+        }
         Optional<ClaimTable.Owned> owned = mTable.owner(request.key(), now);
         if (owned.isPresent()) {
             settle(waiter, owned.get(), now);
-        } else if (mPending.holds(request.key())) {
-            mPending.add(waiter, mOut);
         } else {
             // A reader that was ready waits for one failed call to be made good.
             Optional<Refusal> refusal =
@@ -297,9 +302,31 @@
 
     private void owned(RequestKey key, ClaimTable.Owned owned, Instant now) {
         if (owned.claimant().equals(mSelf)) {
-            mOwned.take(key, owned.fingerprint());
+            mUnverified.put(key, owned);
+        } else {
+            mPending.resolve(key).forEach(w -> settle(w, owned, now));
         }
-        mPending.resolve(key).forEach(w -> settle(w, owned, now));
+    }
+
+    /**
+     * Takes the keys that this entry has claimed first.
+     *
+     * <p>Against an append that was under way when the stream lost records: it lands where a lost
+     * claim of the same key stood, and looks like the first. So a claim counts only when all that
+     * peers have read was found in the stream as well.
+     */
+    private void takeVerified(Instant now) {
+        Map<RequestKey, ClaimTable.Owned> verified = new LinkedHashMap<>(mUnverified);
+        mUnverified.clear();
+        verified.forEach(
+                (key, owned) -> {
+                    mOwned.take(key, owned.fingerprint());
+                    mPending.resolve(key).forEach(w -> settle(w, owned, now));
+                });
+    }
+
+    private boolean waitsForClaim(RequestKey key) {
+        return mPending.holds(key) || mUnverified.containsKey(key);
     }
 
     private void caughtUp(ClaimsPage page, Instant now) {
@@ -307,9 +334,10 @@
                 .ifPresent(
                         id -> mPending.tryAgain(id).forEach(w -> refuse(w, Refusal.PLATFORM_AWAY)));
         if (mStream.isBehindPeers(mTable.era())) {
-            cut(Math.max(mTable.era().number(), mStream.furthestEra().number()), page.oldest());
+            cut(Math.max(mTable.era().number(), mStream.furthestEra()), page.oldest());
             return;
         }
+        takeVerified(now);
         mOnceReady = mTable.era().number() > mLostEra;
         if (!mOnceReady && mOpening.isEmpty()) {
             boolean first = mNewDeployment && mLostEra == 0 && page.end() == 1;
@@ -335,6 +363,7 @@
     private void restart(long oldest) {
         mStream.restartAt(oldest);
         mOnceReady = false;
+        mUnverified.clear();
         giveUp(Refusal.STARTING);
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/idempotency/StreamContinuity.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/idempotency/StreamContinuity.java
@@ -31,6 +31,7 @@
     private boolean mCaughtUp;
     private Position mFurthest = Position.START;
     private Optional<RecordId> mPassed = Optional.empty();
+    private long mLostEra;
 
     /** Offset to read from. */
     long from() {
@@ -54,7 +55,9 @@
         mPositionsNeeded = false;
         mPassed = Optional.empty();
         mFurthest = Position.START;
+        mLostEra = 0;
         for (Position p : peers) {
+            mLostEra = Math.max(mLostEra, p.lostEra());
             long eras = Long.compare(p.era().number(), mFurthest.era().number());
             if (eras > 0 || eras == 0 && p.next() > mFurthest.next()) {
                 mFurthest = p;
@@ -84,6 +87,7 @@
         mVerify = false;
         mCaughtUp = false;
         mFurthest = Position.START;
+        mLostEra = 0;
         mPassed = Optional.empty();
     }
 
@@ -114,6 +118,9 @@
 
     /** Whether a peer has read what this caught-up reader can't find. */
     boolean isBehindPeers(Era era) {
+        if (mLostEra >= era.number() && mLostEra > 0) {
+            return true;
+        }
         if (mFurthest.era().number() != era.number()) {
             return mFurthest.era().number() > era.number();
         }
@@ -121,18 +128,26 @@
         return mNext < mFurthest.next() || other;
     }
 
-    /** The furthest era that a peer told of. */
-    Era furthestEra() {
-        return mFurthest.era();
+    /** Number of the furthest era that a peer told of. */
+    long furthestEra() {
+        return Math.max(mFurthest.era().number(), mLostEra);
     }
 
-    Position position(Era era) {
-        return new Position(era, mNext, mLast);
+    Position position(Era era, long lostEra) {
+        return new Position(era, mNext, mLast, lostEra);
     }
 
     /** The state in words, for an exploration of all states. */
     String describe() {
-        return mNext + "," + mLast + mVerify + mPositionsNeeded + mCaughtUp + mFurthest + mPassed;
+        return mNext
+                + ","
+                + mLast
+                + mVerify
+                + mPositionsNeeded
+                + mCaughtUp
+                + mFurthest
+                + mPassed
+                + mLostEra;
     }
 
     private boolean startsWithLast(ClaimsPage page) {
