Peer link: authenticated connections, heartbeats, membership and asks between processes

Cause: entries have to know each other, exchange load and versions, and ask each other for answers. Heartbeats go round within a budget of bytes and tell on what was heard of others.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/membership/MemberTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/MemberTable.java
@@ -101,6 +101,14 @@
         alive(member, now);
     }
 
+    /** A member has confirmed a heartbeat of this node. */
+    public void confirmed(Incarnation from, long now) {
+        TrackedMember member = mMembers.get(from);
+        if (member != null) {
+            alive(member, now);
+        }
+    }
+
     /**
      * Another member tells of a heartbeat; it counts only when it is newer than the newest known.
      *
@@ -164,6 +172,17 @@
         return told.stream().map(m -> new HeardBeat(m.mIdentity.incarnation(), m.mBeat)).toList();
     }
 
+    /** Members that have left, each told on a few times. */
+    public List<Incarnation> farewells(int limit) {
+        List<TrackedMember> told =
+                mMembers.values().stream()
+                        .filter(m -> m.mState == MemberState.LEFT && m.mFarewells > 0)
+                        .limit(limit)
+                        .toList();
+        told.forEach(m -> m.mFarewells--);
+        return told.stream().map(m -> m.mIdentity.incarnation()).toList();
+    }
+
     /** Incarnations that others speak of and this node does not know; empties the list. */
     public List<Incarnation> takeStrangers() {
         List<Incarnation> strangers = List.copyOf(mStrangers);
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/membership/TrackedMember.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/TrackedMember.java
@@ -9,8 +9,11 @@
 /** What is kept of one member. */
 final class TrackedMember {
 
+    private static final int FAREWELLS = 8;
+
     final PeerIdentity mIdentity;
     MemberState mState = MemberState.ALIVE;
+
     /** Where it was last reached from here. */
     InetSocketAddress mReachedAt;
 
@@ -26,6 +29,9 @@
 
     long mToldTurn;
 
+    /** How often its leaving is still to be told on. */
+    int mFarewells = FAREWELLS;
+
     TrackedMember(PeerIdentity identity, long now) {
         mIdentity = identity;
         mReachedAt = identity.address();
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/membership/BackoffTest.java
@@ -0,0 +1,41 @@
+package org.foxtailplank.internal.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Random;
+import org.testng.annotations.Test;
+
+public class BackoffTest {
+
+    @Test
+    public void waitsGrowUpToTheLimitAndStartAgainAfterASuccess() {
+        Backoff backoff = new Backoff(100, 400, new Random(1));
+        assertBetween(backoff.next(), 50, 100);
+        assertBetween(backoff.next(), 100, 200);
+        assertBetween(backoff.next(), 200, 400);
+        assertBetween(backoff.next(), 200, 400);
+        backoff.reset();
+        assertBetween(backoff.next(), 50, 100);
+    }
+
+    @Test
+    public void triesAreLimitedOverAllPeersTogether() {
+        TryBudget budget = new TryBudget(10, 3, 0);
+        assertEquals(taken(budget, 0), 3);
+        assertEquals(taken(budget, 200_000_000L), 2);
+        assertEquals(taken(budget, 3_600_000_000_000L), 3);
+    }
+
+    private static int taken(TryBudget budget, long now) {
+        int taken = 0;
+        while (budget.take(now)) {
+            taken++;
+        }
+        return taken;
+    }
+
+    private static void assertBetween(long value, long low, long high) {
+        assertTrue(value >= low && value <= high, value + " in " + low + ".." + high);
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/membership/MemberTableTest.java
@@ -0,0 +1,164 @@
+package org.foxtailplank.internal.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.membership.Member;
+import org.foxtailplank.membership.MemberState;
+import org.foxtailplank.membership.NodeRole;
+import org.foxtailplank.membership.NodeStatus;
+import org.foxtailplank.membership.PeerIdentity;
+import org.foxtailplank.membership.Seed;
+import org.foxtailplank.membership.SeedSource;
+import org.testng.annotations.Test;
+
+public class MemberTableTest {
+
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+    private static final Duration AWAY = Duration.ofSeconds(2);
+
+    private final PeerIdentity mSelf = peer("self", 1, 1000);
+    private final PeerIdentity mOther = peer("other", 2, 2000);
+
+    @Test
+    public void aSilentMemberIsSuspectedThenAwayThenForgotten() {
+        MemberTable table = table();
+        table.met(mOther, 0);
+        assertEquals(stateAt(table, SECOND - 1), MemberState.ALIVE);
+        assertEquals(stateAt(table, SECOND), MemberState.SUSPECT);
+        assertEquals(stateAt(table, 2 * SECOND), MemberState.AWAY);
+        table.tick(20 * SECOND);
+        assertTrue(table.members().isEmpty());
+    }
+
+    @Test
+    public void aHeartbeatBringsASilentMemberBack() {
+        MemberTable table = table();
+        table.met(mOther, 0);
+        table.tick(3 * SECOND);
+        table.heartbeat(mOther.incarnation(), 7, NodeStatus.none(), 3 * SECOND);
+        assertEquals(stateAt(table, 3 * SECOND), MemberState.ALIVE);
+    }
+
+    @Test
+    public void eachChangeOfStateIsToldOnce() {
+        MemberTable table = table();
+        table.met(mOther, 0);
+        table.tick(2 * SECOND);
+        table.tick(3 * SECOND);
+        List<MemberState> told = table.takeChanges().stream().map(Member::state).toList();
+        assertEquals(told, List.of(MemberState.ALIVE, MemberState.AWAY));
+        assertTrue(table.takeChanges().isEmpty());
+    }
+
+    /**
+     * Two nodes would show a dead node as alive for ever. Each had heard its last heartbeat, and
+     * each goes on telling the other of it. Cause: old news counted as a sign of life.
+     */
+    @Test
+    public void newsThatIsAlreadyKnownKeepsNobodyAlive() {
+        MemberTable table = table();
+        table.met(mOther, 0);
+        table.heartbeat(mOther.incarnation(), 7, NodeStatus.none(), 0);
+        table.told(new HeardBeat(mOther.incarnation(), 7), SECOND);
+        assertEquals(stateAt(table, 2 * SECOND), MemberState.AWAY);
+    }
+
+    @Test
+    public void newerNewsKeepsAMemberAliveThatIsNotHeardItself() {
+        MemberTable table = table();
+        table.met(mOther, 0);
+        table.told(new HeardBeat(mOther.incarnation(), 1), SECOND);
+        assertEquals(stateAt(table, 2 * SECOND - 1), MemberState.ALIVE);
+    }
+
+    /**
+     * An ask would go to a VM that no longer exists. The VM was replaced, and its successor has the
+     * same name and address; late news of the old one still goes round.
+     */
+    @Test
+    public void aReplacedVmWithTheSameAddressIsANewMember() {
+        MemberTable table = table();
+        PeerIdentity successor = peer("other", 3, 2000);
+        table.reached(mOther, mOther.address(), 0);
+        table.reached(successor, successor.address(), 1);
+        table.told(new HeardBeat(mOther.incarnation(), 99), 2);
+        assertEquals(table.find(mOther.node()).orElseThrow().incarnation().value(), 3);
+        assertEquals(table.find(mOther.incarnation()).orElseThrow().state(), MemberState.AWAY);
+    }
+
+    @Test
+    public void aMemberThatSaidItLeavesDoesNotComeBackByLateHeartbeats() {
+        MemberTable table = table();
+        table.met(mOther, 0);
+        table.left(mOther.incarnation());
+        table.heartbeat(mOther.incarnation(), 9, NodeStatus.none(), 1);
+        assertEquals(stateAt(table, 1), MemberState.LEFT);
+        assertEquals(table.farewells(4), List.of(mOther.incarnation()));
+        assertFalse(table.addresses().contains(mOther.address()));
+    }
+
+    @Test
+    public void newsIsToldOnOnceAndTheLongestUntoldFirst() {
+        MemberTable table = table();
+        PeerIdentity third = peer("third", 3, 3000);
+        table.met(mOther, 0);
+        table.met(third, 0);
+        table.heartbeat(mOther.incarnation(), 1, NodeStatus.none(), 0);
+        table.heartbeat(third.incarnation(), 1, NodeStatus.none(), 0);
+        assertEquals(table.news(1), List.of(new HeardBeat(mOther.incarnation(), 1)));
+        table.heartbeat(mOther.incarnation(), 2, NodeStatus.none(), 0);
+        assertEquals(table.news(1), List.of(new HeardBeat(third.incarnation(), 1)));
+        assertEquals(table.news(9), List.of(new HeardBeat(mOther.incarnation(), 2)));
+        assertTrue(table.news(9).isEmpty());
+    }
+
+    @Test
+    public void asksWhoAStrangerIsAndTakesTheIntroduction() {
+        MemberTable table = table();
+        table.told(new HeardBeat(mOther.incarnation(), 5), 0);
+        assertEquals(table.takeStrangers(), List.of(mOther.incarnation()));
+        table.introduced(mOther, 0);
+        assertEquals(table.introduce(List.of(mOther.incarnation())), List.of(mOther));
+        assertTrue(table.takeStrangers().isEmpty());
+    }
+
+    @Test
+    public void theSettingsSayWhereANodeIsReached() {
+        MemberTable table = table();
+        InetSocketAddress proxy = new InetSocketAddress("127.0.0.1", 9000);
+        table.learn(
+                SeedSource.SETTINGS,
+                List.of(new Seed(mOther.node(), proxy), new Seed(mSelf.node(), mSelf.address())));
+        table.met(mOther, 0);
+        PeerIdentity third = peer("third", 3, 3000);
+        table.met(third, 0);
+        assertEquals(table.addresses(), Set.of(proxy, third.address()));
+    }
+
+    private MemberTable table() {
+        return new MemberTable(mSelf, SilenceLimits.of(AWAY));
+    }
+
+    private MemberState stateAt(MemberTable table, long now) {
+        table.tick(now);
+        return table.find(mOther.incarnation()).orElseThrow().state();
+    }
+
+    private static PeerIdentity peer(String node, long incarnation, int port) {
+        return new PeerIdentity(
+                NodeId.of(node),
+                new Incarnation(incarnation),
+                ZoneId.of("a"),
+                new InetSocketAddress("127.0.0.1", port),
+                Set.of(NodeRole.ENTRY));
+    }
+}
--- /dev/null
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/PeerNodes.java
@@ -0,0 +1,93 @@
+package org.foxtailplank.wire.internal.peer;
+
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.membership.MemberState;
+import org.foxtailplank.membership.NodeRole;
+import org.foxtailplank.membership.Seed;
+import org.foxtailplank.membership.SeedSource;
+import org.foxtailplank.settings.PeerSettings;
+import org.foxtailplank.wire.PeerLink;
+import org.foxtailplank.wire.PeerLinkException;
+import org.foxtailplank.wire.PeerLinkLimits;
+import org.foxtailplank.wire.PeerLinkOptions;
+
+/** Starts links on loopback and waits for what they come to see. */
+final class PeerNodes implements AutoCloseable {
+
+    static final String KEY = "a key that all nodes of the test share";
+    static final Duration HEARTBEAT = Duration.ofMillis(50);
+    static final Duration SILENCE = Duration.ofMillis(1_000);
+
+    private static final long PATIENCE_NANOS = Duration.ofSeconds(20).toNanos();
+    private static final long POLL_NANOS = 5_000_000;
+
+    private final Random mRandom = new Random(17);
+    private final List<PeerLink> mLinks = new ArrayList<>();
+
+    PeerLink start(String node) throws PeerLinkException {
+        return start(node, KEY, new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    PeerLink start(String node, String key, InetSocketAddress bind) throws PeerLinkException {
+        PeerSettings settings = new PeerSettings(key, HEARTBEAT, SILENCE);
+        PeerLinkOptions options =
+                new PeerLinkOptions(
+                        NodeId.of(node),
+                        ZoneId.of("a"),
+                        Incarnation.draw(mRandom),
+                        Set.of(NodeRole.ENTRY),
+                        bind,
+                        settings,
+                        PeerLinkLimits.usual());
+        PeerLink link = PeerLink.start(options);
+        mLinks.add(link);
+        return link;
+    }
+
+    static void join(PeerLink link, PeerLink... others) {
+        List<Seed> seeds = new ArrayList<>();
+        for (PeerLink other : others) {
+            seeds.add(new Seed(other.self().node(), other.self().address()));
+        }
+        link.learn(SeedSource.SETTINGS, seeds);
+    }
+
+    static boolean sees(PeerLink link, PeerLink other, MemberState state) {
+        return link.members().stream()
+                .anyMatch(
+                        m ->
+                                m.incarnation().equals(other.self().incarnation())
+                                        && m.state() == state);
+    }
+
+    static void awaitSees(PeerLink link, PeerLink other, MemberState state) {
+        await(
+                link.self().node() + " sees " + other.self().node() + " " + state,
+                () -> sees(link, other, state));
+    }
+
+    static void await(String what, BooleanSupplier condition) {
+        long deadline = System.nanoTime() + PATIENCE_NANOS;
+        while (!condition.getAsBoolean() && System.nanoTime() < deadline) {
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+        assertTrue(condition.getAsBoolean(), "never came: " + what);
+    }
+
+    @Override
+    public void close() {
+        mLinks.forEach(PeerLink::close);
+    }
+}
