--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLook.java
@@ -0,0 +1,50 @@
+package org.foxtailplank.controller.internal.act;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.controller.internal.plan.PlannedChange;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.state.EpochState;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.PoolState;
+import org.foxtailplank.state.VmPhase;
+import org.foxtailplank.state.VmState;
+
+/**
+ * What a shard needs of the state, read in one go.
+ *
+ * @param epoch who may act
+ * @param pending VMs whose next step is due
+ * @param planned changes to be written; empty where none were asked for
+ * @param planning time that the plan took
+ */
+record ShardLook(
+        EpochState epoch,
+        List<PendingVm> pending,
+        Optional<List<PlannedChange>> planned,
+        Duration planning) {
+    /** Reads without planning. */
+    static ShardLook of(FleetView view, ZoneId zone) {
+        List<PendingVm> pending =
+                view.vms().stream()
+                        .filter(vm -> vm.zone().equals(zone) && isPending(vm))
+                        .map(vm -> new PendingVm(vm, hasService(view, vm)))
+                        .toList();
+        return new ShardLook(view.epoch(zone), pending, Optional.empty(), Duration.ZERO);
+    }
+
+    /** Adds what was planned from the same state. */
+    ShardLook with(List<PlannedChange> changes, Duration planning) {
+        return new ShardLook(epoch, pending, Optional.of(changes), planning);
+    }
+
+    private static boolean isPending(VmState vm) {
+        return vm.pending().isPresent()
+                || vm.phase() == VmPhase.RELEASING && vm.joining().isPresent();
+    }
+
+    private static boolean hasService(FleetView view, VmState vm) {
+        return view.pool(vm.pool()).flatMap(PoolState::service).isPresent();
+    }
+}
