--- a/foxtail-core/src/main/java/org/foxtailplank/internal/membership/TrackedMember.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/TrackedMember.java
@@ -9,6 +9,8 @@
 /** What is kept of one member. */
 final class TrackedMember {
 
+    private static final int FAREWELLS = 8;
+
     final PeerIdentity mIdentity;
     MemberState mState = MemberState.ALIVE;
 
@@ -27,6 +29,9 @@
 
     long mToldTurn;
 
+    /** How often its leaving is still to be told on. */
+    int mFarewells = FAREWELLS;
+
     TrackedMember(PeerIdentity identity, long now) {
         mIdentity = identity;
         mReachedAt = identity.address();
