--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
@@ -0,0 +1,209 @@
+package org.foxtailplank.controller.internal.act;
+
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.stream.Collectors;
+import org.foxtailplank.controller.internal.plan.PlannedChange;
+import org.foxtailplank.fleet.Observation;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.internal.control.EpochDecision;
+import org.foxtailplank.internal.control.VmStep;
+import org.foxtailplank.state.ActingEpoch;
+import org.foxtailplank.state.EpochTaken;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.Verdict;
+
+/**
+ * Acts for one availability zone while it holds the zone's epoch.
+ *
+ * <p>It keeps no plan of its own: each look reads the agreed state again and does what is next, so
+ * it doesn't matter which controller wrote an intent. Not thread-safe.
+ */
+final class ShardLoop {
+    static final Duration LOOK_EVERY = Duration.ofMillis(250);
+    private static final System.Logger LOG = System.getLogger("control");
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    /** A plan of a large fleet takes long; the pause keeps planning under 4% of a core. */
+    private static final int PLAN_PAUSE_FACTOR = 25;
+
+    private static final int MAX_STEPS_AT_ONCE = 16;
+
+    private final ZoneId mZone;
+    private final ShardParts mParts;
+    private final Mailbox mMailbox;
+    private final Instant mStarted;
+    private final Map<VmId, Instant> mNextStep = new HashMap<>();
+    private final Set<VmId> mStepping = new HashSet<>();
+    private OptionalLong mHeld = OptionalLong.empty();
+    private Instant mNextTry = Instant.MIN;
+    private Instant mNextPlan = Instant.MIN;
+    private boolean mTrying;
+    private boolean mLooking;
+    private boolean mLookAgain;
+    private int mWriting;
+
+    ShardLoop(ZoneId zone, ShardParts parts, Mailbox mailbox) {
+        mZone = zone;
+        mParts = parts;
+        mMailbox = mailbox;
+        mStarted = parts.clock().instant();
+    }
+
+    /** Looks at the state and does what is next; at most one look is under way. */
+    void look() {
+        mLookAgain = mLooking;
+        if (mLooking) {
+            return;
+        }
+        mLooking = true;
+        Instant now = mParts.clock().instant();
+        boolean plans = mHeld.isPresent() && mWriting == 0 && !now.isBefore(mNextPlan);
+        mMailbox.deliver(mParts.log().read(view -> look(view, plans, now)), this::looked);
+    }
+
+    private ShardLook look(FleetView view, boolean plans, Instant now) {
+        ShardLook look = ShardLook.of(view, mZone);
+        if (!plans || view.configuration().isEmpty()) {
+            return look;
+        }
+        Observation seen = mParts.watch().observe(view);
+        long begin = System.nanoTime();
+        List<PlannedChange> changes = mParts.planner().plan(view, mZone, seen, now.toEpochMilli());
+        return look.with(changes, Duration.ofNanos(System.nanoTime() - begin));
+    }
+
+    private void looked(Optional<ShardLook> read) {
+        mLooking = false;
+        read.ifPresent(this::decide);
+        if (mLookAgain) {
+            look();
+        }
+    }
+
+    private void decide(ShardLook look) {
+        Instant now = mParts.clock().instant();
+        Duration waited = Duration.between(mStarted, now);
+        EpochDecision decision =
+                mParts.epochs().decide(look.epoch(), mHeld, waited, mParts.liveness());
+        if (decision instanceof EpochDecision.Held) {
+            act(look, now);
+        } else {
+            lose(look.epoch().number());
+        }
+        if (decision instanceof EpochDecision.Take take && !mTrying && !now.isBefore(mNextTry)) {
+            tryEpoch(take);
+        }
+    }
+
+    private void lose(long taken) {
+        if (mHeld.isPresent() && mHeld.getAsLong() < taken) {
+            LOG.log(Level.WARNING, "control {0}: lost epoch {1}", mZone, mHeld.getAsLong());
+            mHeld = OptionalLong.empty();
+        }
+    }
+
+    private void tryEpoch(EpochDecision.Take take) {
+        mTrying = true;
+        long number = take.replaces() + 1;
+        LOG.log(Level.INFO, "control {0}: tries epoch {1}: {2}", mZone, number, take.why());
+        CompletionStage<Verdict> verdict =
+                mParts.writer()
+                        .write(
+                                mParts.writer().nextId(),
+                                Optional.empty(),
+                                Map.of(),
+                                new EpochTaken(mZone, take.replaces(), mParts.self()));
+        mMailbox.deliver(verdict, v -> epochTried(number, v));
+    }
+
+    private void epochTried(long number, Optional<Verdict> verdict) {
+        mTrying = false;
+        mNextTry = mParts.clock().instant().plus(RETRY_AFTER);
+        if (verdict.filter(Verdict.Applied.class::isInstance).isPresent()) {
+            LOG.log(Level.INFO, "control {0}: holds epoch {1}", mZone, number);
+            mHeld = OptionalLong.of(number);
+        }
+        look();
+    }
+
+    private void act(ShardLook look, Instant now) {
+        ActingEpoch epoch = new ActingEpoch(mZone, mHeld.getAsLong());
+        Set<VmId> pending =
+                look.pending().stream().map(p -> p.vm().id()).collect(Collectors.toSet());
+        mParts.runner().keepOnly(pending);
+        mNextStep.keySet().retainAll(pending);
+        for (PendingVm vm : look.pending()) {
+            step(vm, epoch, now);
+        }
+        if (mWriting == 0 && look.planned().isPresent()) {
+            mNextPlan = now.plus(look.planning().multipliedBy(PLAN_PAUSE_FACTOR));
+            write(look.planned().get(), epoch);
+        }
+        if (mParts.watch().isDue(now)) {
+            mMailbox.deliver(
+                    mParts.directory().list(Optional.empty()),
+                    list -> list.ifPresent(mParts.watch()::saw));
+        }
+    }
+
+    private void step(PendingVm pending, ActingEpoch epoch, Instant now) {
+        VmId vm = pending.vm().id();
+        boolean due = !now.isBefore(mNextStep.getOrDefault(vm, Instant.MIN));
+        if (!due || mStepping.size() >= MAX_STEPS_AT_ONCE || !mStepping.add(vm)) {
+            return;
+        }
+        mMailbox.deliver(mParts.runner().step(pending, epoch), step -> stepped(vm, step));
+    }
+
+    private void stepped(VmId vm, Optional<VmStep> step) {
+        mStepping.remove(vm);
+        Duration pause = step.isPresent() ? LOOK_EVERY : RETRY_AFTER;
+        mNextStep.put(vm, mParts.clock().instant().plus(pause));
+    }
+
+    private void write(List<PlannedChange> planned, ActingEpoch epoch) {
+        mWriting = planned.size();
+        for (PlannedChange change : planned) {
+            CompletionStage<Verdict> verdict =
+                    mParts.writer()
+                            .write(
+                                    mParts.writer().nextId(),
+                                    Optional.of(epoch),
+                                    change.expects(),
+                                    change.change());
+            mMailbox.deliver(verdict, v -> written(change, v));
+        }
+    }
+
+    private void written(PlannedChange planned, Optional<Verdict> verdict) {
+        mWriting--;
+        if (verdict.isEmpty()) {
+            mNextPlan = mParts.clock().instant().plus(RETRY_AFTER);
+        }
+        if (verdict.orElse(null) instanceof Verdict.Void v) {
+            // Whatever stood against it is in the state that the next look reads.
+            LOG.log(
+                    Level.INFO,
+                    "control {0}: {1} is void: {2}, {3}",
+                    mZone,
+                    planned.change().getClass().getSimpleName(),
+                    v.reason(),
+                    v.detail());
+            mNextPlan = mParts.clock().instant().plus(LOOK_EVERY);
+        }
+        if (mWriting == 0) {
+            look();
+        }
+    }
+}
