Control follows the fold: a move is drained by its reassignment, and sights are recorded

Change: VmProcedure joins RELEASED and OFF VMs; FleetPlanner intends REASSIGN and writes VmObserved for VMs that the platform's list shows against the log; frozen objects are left alone.

--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/FleetWatch.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/FleetWatch.java
@@ -9,13 +9,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.foxtailplank.controller.internal.plan.Sight;
 import org.foxtailplank.fleet.Observation;
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.internal.control.PlatformCall;
 import org.foxtailplank.platform.VmList;
-import org.foxtailplank.platform.VmPower;
 import org.foxtailplank.platform.VmReport;
 import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.VmHealth;
 import org.foxtailplank.state.VmPhase;
 import org.foxtailplank.state.VmState;
 
@@ -55,32 +56,43 @@
                                                 VmReport::id, r -> r, (first, second) -> second)));
     }
 
-    /** VMs that should serve and do not; none before a list was seen. */
-    public synchronized Observation observe(FleetView view) {
+    /** What the list shows; nothing before there was one. */
+    public synchronized Sight observe(FleetView view) {
         if (mReports.isEmpty()) {
-            return Observation.none();
+            return Sight.none();
         }
         Instant now = mClock.instant();
         Set<VmId> silent = new HashSet<>();
+        Map<VmId, VmHealth> surprises = new HashMap<>();
         for (VmState vm : view.vms()) {
-            if (vm.phase() == VmPhase.SERVING && isSilent(vm, now)) {
+            Optional<VmHealth> health = health(vm, now);
+            if (vm.phase() == VmPhase.SERVING && health.equals(Optional.of(VmHealth.DOWN))) {
                 silent.add(vm.id());
             }
+            boolean settled = vm.pending().isEmpty() && vm.joining().isEmpty();
+            health.filter(h -> settled && h.observedIn(vm.phase()).isPresent())
+                    .ifPresent(h -> surprises.put(vm.id(), h));
         }
-        return new Observation(silent, Map.of());
+        return new Sight(new Observation(silent, Map.of()), surprises);
     }
 
-    private boolean isSilent(VmState vm, Instant now) {
+    private Optional<VmHealth> health(VmState vm, Instant now) {
         VmReport report = mReports.orElseThrow().get(vm.id());
         if (report == null) {
             Instant since = mAbsentSince.computeIfAbsent(vm.id(), id -> now);
-            return !now.isBefore(since.plus(LIST_LAG));
+            boolean isGone = !now.isBefore(since.plus(LIST_LAG));
+            return isGone ? Optional.of(VmHealth.DOWN) : Optional.empty();
         }
         mAbsentSince.remove(vm.id());
         // The list may still show the reboot that was confirmed a moment ago; taken as a failure,
         // a few of those would pause a healthy wave. The generation tells that it is older.
-        boolean isOld = PlatformCall.isBefore(report.generation(), vm);
-        boolean isDown = report.power() == VmPower.FAILED || report.power() == VmPower.OFF;
-        return isDown && !isOld;
+        if (PlatformCall.isBefore(report.generation(), vm)) {
+            return Optional.empty();
+        }
+        return switch (report.power()) {
+            case FAILED, OFF -> Optional.of(VmHealth.DOWN);
+            case ON -> report.leaving() ? Optional.empty() : Optional.of(VmHealth.UP);
+            case WAKING, DRAINING, REBOOTING -> Optional.empty();
+        };
     }
 }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLook.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLook.java
@@ -7,9 +7,6 @@
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.state.EpochState;
 import org.foxtailplank.state.FleetView;
-import org.foxtailplank.state.PoolState;
-import org.foxtailplank.state.VmPhase;
-import org.foxtailplank.state.VmState;
 
 /**
  * What a shard needs of the state, read in one go.
@@ -28,8 +25,8 @@
     static ShardLook of(FleetView view, ZoneId zone) {
         List<PendingVm> pending =
                 view.vms().stream()
-                        .filter(vm -> vm.zone().equals(zone) && isPending(vm))
-                        .map(vm -> new PendingVm(vm, hasService(view, vm)))
+                        .filter(vm -> vm.zone().equals(zone) && PendingVm.isDue(view, vm))
+                        .map(vm -> PendingVm.of(view, vm))
                         .toList();
         return new ShardLook(view.epoch(zone), pending, Optional.empty(), Duration.ZERO);
     }
@@ -38,13 +35,4 @@
     ShardLook with(List<PlannedChange> changes, Duration planning) {
         return new ShardLook(epoch, pending, Optional.of(changes), planning);
     }
-
-    private static boolean isPending(VmState vm) {
-        return vm.pending().isPresent()
-                || vm.phase() == VmPhase.RELEASING && vm.joining().isPresent();
-    }
-
-    private static boolean hasService(FleetView view, VmState vm) {
-        return view.pool(vm.pool()).flatMap(PoolState::service).isPresent();
-    }
 }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
 import org.foxtailplank.controller.internal.plan.PlannedChange;
-import org.foxtailplank.fleet.Observation;
+import org.foxtailplank.controller.internal.plan.Sight;
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.internal.control.EpochDecision;
@@ -77,9 +77,9 @@
         if (!plans || view.configuration().isEmpty()) {
             return look;
         }
-        Observation seen = mParts.watch().observe(view);
+        Sight sight = mParts.watch().observe(view);
         long begin = System.nanoTime();
-        List<PlannedChange> changes = mParts.planner().plan(view, mZone, seen, now.toEpochMilli());
+        List<PlannedChange> changes = mParts.planner().plan(view, mZone, sight, now.toEpochMilli());
         return look.with(changes, Duration.ofNanos(System.nanoTime() - begin));
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
@@ -27,6 +27,7 @@
 import org.foxtailplank.state.VmAction;
 import org.foxtailplank.state.VmActionConfirmed;
 import org.foxtailplank.state.VmJoined;
+import org.foxtailplank.state.VmState;
 
 /** Takes one step at a time for a VM whose intent is pending: looks, decides, does. */
 public final class VmRunner {
@@ -83,11 +84,10 @@
                         .orElseGet(() -> completedFuture(Optional.empty()));
         return health.thenCompose(
                 word -> {
-                    boolean expected = pending.hasService();
                     VmStep step =
                             mProcedure.next(
                                     pending.vm(),
-                                    mWatch.observe(report, word, expected, mClock.instant()));
+                                    mWatch.observe(pending, report, word, mClock.instant()));
                     return take(step, pending, epoch).thenApply(done -> step);
                 });
     }
@@ -107,23 +107,25 @@
         }
         if (step instanceof VmStep.Join join) {
             Change change = new VmJoined(vm, join.to());
-            return record(pending, change, epoch, "joins " + join.to() + ", " + join.note());
+            return record(pending, change, epoch, "joins " + join.to());
         }
         return completedFuture(null);
     }
 
     private CompletionStage<ActionReply> ask(
             PendingVm pending, PlatformCall call, PlatformAction action, String note) {
-        VmId vm = pending.vm().id();
+        VmState state = pending.vm();
+        VmId vm = state.id();
         LOG.log(Level.INFO, "control: asks to {0} {1}: {2}", action, vm, note);
+        boolean reassigns = action == PlatformAction.REASSIGN;
         return mActions.act(
                 vm,
                 new ActionRequest(
                         call.id(),
                         action,
                         call.generation(),
-                        pending.vm().pool(),
-                        pending.vm().poolGeneration()));
+                        reassigns ? state.joining().orElseThrow() : state.pool(),
+                        state.poolGeneration() + (reassigns ? 1 : 0)));
     }
 
     private CompletionStage<Verdict> record(
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
@@ -24,14 +24,15 @@
 
     /** Takes in what was seen of a VM, and adds since when. */
     synchronized VmObservation observe(
-            VmReport report, Optional<BackendReport> backend, boolean expected, Instant now) {
+            PendingVm pending, VmReport report, Optional<BackendReport> backend, Instant now) {
         boolean ended =
                 report.lastAction()
                         .filter(a -> a.progress() != ActionReport.Progress.RUNNING)
                         .isPresent();
         return new VmObservation(
                 atPlatform(report),
-                expected,
+                pending.hasInstance(),
+                pending.willServe(),
                 backend,
                 since(mLeavingSince, report.id(), report.leaving(), now),
                 since(mEndedSince, report.id(), ended && !report.leaving(), now));
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
@@ -145,10 +145,12 @@
 
     private static String why(Verdict.Void verdict) {
         return switch (verdict.reason()) {
-            case STALE_VERSION -> verdict.detail() + " has changed since the version given.";
+            case STALE_VERSION -> sentence(verdict.detail());
+            case TOO_LATE -> "The log had gone on too far before it took the change.";
+            case MALFORMED -> sentence(verdict.detail());
             case DUPLICATE_ID -> "The same change stands in the log already.";
             case STALE_EPOCH -> "Another controller acts for this zone: " + verdict.detail() + ".";
-            case UNKNOWN_OBJECT -> "There is no " + verdict.detail() + ".";
+            case UNKNOWN_OBJECT -> sentence(verdict.detail());
             case WRONG_PHASE ->
                     "It is not possible in its present phase: " + verdict.detail() + ".";
             case OVER_BUDGET -> "It would break the availability budget: " + verdict.detail() + ".";
@@ -159,11 +161,17 @@
         };
     }
 
+    private static String sentence(String detail) {
+        return Character.toUpperCase(detail.charAt(0)) + detail.substring(1) + ".";
+    }
+
     private static String todo(Verdict.Void verdict) {
         return switch (verdict.reason()) {
             case STALE_VERSION -> "Look at 'current', decide again, and send its version.";
-            case DUPLICATE_ID, STALE_EPOCH -> "Read the object, and send the change again.";
+            case DUPLICATE_ID, STALE_EPOCH, TOO_LATE ->
+                    "Read the object, and send the change again.";
             case UNKNOWN_OBJECT -> "List what there is with GET, and check the name.";
+            case MALFORMED -> "Correct the change; nothing of it took effect.";
             case WRONG_PHASE -> "Wait until what is under way has ended, or cancel it.";
             case OVER_BUDGET -> "Wait for VMs to come back, wake some, or lower the budget.";
             case NOT_UNDERSTOOD -> "Send the call to an upgraded node, or finish the upgrade.";
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Reads.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Reads.java
@@ -135,7 +135,7 @@
             FleetView view, Map.Entry<org.foxtailplank.id.TeamId, TeamSettings> team) {
         return new Views.TeamView(
                 team.getKey().value(),
-                team.getValue().quota(),
+                view.teamQuota(team.getKey()).orElse(team.getValue().quota()),
                 team.getValue().role().name().toLowerCase(java.util.Locale.ROOT),
                 view.version(ObjectKey.of(team.getKey())));
     }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
@@ -22,6 +22,8 @@
 import org.foxtailplank.state.ObjectKey;
 import org.foxtailplank.state.VmAction;
 import org.foxtailplank.state.VmActionIntended;
+import org.foxtailplank.state.VmHealth;
+import org.foxtailplank.state.VmObserved;
 import org.foxtailplank.state.VmPhase;
 import org.foxtailplank.state.VmReleased;
 import org.foxtailplank.state.VmState;
@@ -37,7 +39,7 @@
  * <p>Every zone decides from the whole state and writes only what concerns its own VMs.
  */
 public final class FleetPlanner implements ShardPlanner {
-    private static final String REASSIGN_REASON = "it has joined its pool";
+    private static final String REASSIGN_REASON = "it is released to another pool";
 
     private final String mWho;
     private final WavePlanner mWaves;
@@ -58,11 +60,13 @@
     }
 
     @Override
-    public List<PlannedChange> plan(FleetView view, ZoneId zone, Observation seen, long nowMs) {
+    public List<PlannedChange> plan(FleetView view, ZoneId zone, Sight sight, long nowMs) {
         Batch batch = new Batch(view, zone);
+        sight.surprises().forEach(batch::observe);
         view.vms().stream()
-                .filter(vm -> vm.zone().equals(zone) && isJoined(vm))
+                .filter(vm -> vm.zone().equals(zone) && isReleased(vm))
                 .forEach(vm -> batch.intend(vm, VmAction.REASSIGN, REASSIGN_REASON));
+        Observation seen = sight.seen();
         for (WaveState wave : view.waves()) {
             if (wave.phase() == WavePhase.RUNNING) {
                 wave(batch, wave, mWaves.next(view, wave, zone, seen));
@@ -76,9 +80,9 @@
         return batch.changes();
     }
 
-    /** It has joined its new pool, and nothing of that pool runs on it yet. */
-    private static boolean isJoined(VmState vm) {
-        return vm.phase() == VmPhase.RELEASING && vm.joining().isEmpty() && vm.pending().isEmpty();
+    /** It leaves its pool, and nobody has begun to drain it yet. */
+    private static boolean isReleased(VmState vm) {
+        return vm.phase() == VmPhase.RELEASING && vm.pending().isEmpty();
     }
 
     private void wave(Batch batch, WaveState wave, WaveDecision decision) {
@@ -130,6 +134,16 @@
                                                     ObjectKey.of(wave.id()), wave.version())));
         }
 
+        void observe(VmId id, VmHealth health) {
+            Author author = new Author(mWho, "the platform's list");
+            own(id).ifPresent(
+                            vm ->
+                                    add(
+                                            vm,
+                                            new VmObserved(id, vm.generation(), health, author),
+                                            expects(vm)));
+        }
+
         void intend(VmId id, VmAction action, String why) {
             own(id).ifPresent(vm -> intend(vm, action, why));
         }
@@ -155,7 +169,9 @@
         }
 
         private Optional<VmState> own(VmId id) {
-            return mView.vm(id).filter(vm -> vm.zone().equals(mZone));
+            return mView.vm(id)
+                    .filter(vm -> vm.zone().equals(mZone))
+                    .filter(vm -> !mView.isFrozen(ObjectKey.of(id)));
         }
 
         private void add(VmState vm, Change change, Map<ObjectKey, Long> expects) {
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/ShardPlanner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/ShardPlanner.java
@@ -1,7 +1,6 @@
 package org.foxtailplank.controller.internal.plan;
 
 import java.util.List;
-import org.foxtailplank.fleet.Observation;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.state.FleetView;
 
@@ -12,8 +11,8 @@
      *
      * @param view the agreed state
      * @param zone zone of the shard
-     * @param seen what is seen beside the log
+     * @param sight what is seen beside the log
      * @param nowMs time, for what has to last before it counts
      */
-    List<PlannedChange> plan(FleetView view, ZoneId zone, Observation seen, long nowMs);
+    List<PlannedChange> plan(FleetView view, ZoneId zone, Sight sight, long nowMs);
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/PlatformCall.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/PlatformCall.java
@@ -5,17 +5,17 @@
 /**
  * A call to the platform on behalf of one intent.
  *
- * <p>Each intent owns three generations at the platform: one to drain before the action, one for
- * the action, and one for the drain of a release that follows it. They grow with the generation of
- * the VM, so the platform refuses a call that a paused controller makes late.
+ * <p>Each intent owns two generations at the platform: one to drain the VM and one for the action
+ * itself. They grow with the generation of the VM, so the platform refuses a call that a paused
+ * controller makes late.
  *
  * @param id id of the call; the same call again has the same id
  * @param generation generation that the platform compares
  */
 public record PlatformCall(String id, long generation) {
-    private static final int CALLS_PER_GENERATION = 3;
+    private static final int CALLS_PER_GENERATION = 2;
 
-    static PlatformCall drainBeforeAction(VmState vm) {
+    static PlatformCall drain(VmState vm) {
         return call(vm, 0, "drain");
     }
 
@@ -23,10 +23,6 @@
         return call(vm, 1, "action");
     }
 
-    static PlatformCall drainForRelease(VmState vm) {
-        return call(vm, 2, "release");
-    }
-
     /** Whether a report's generation is from before the last intended action of a VM. */
     public static boolean isBefore(long generation, VmState vm) {
         return vm.generation() > 0 && generation < action(vm).generation();
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmObservation.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmObservation.java
@@ -7,7 +7,8 @@
  * What a controller sees of one VM now.
  *
  * @param report the platform's word
- * @param hasInstance whether a backend server is expected on it
+ * @param hasInstance whether a backend server is expected on it before the action
+ * @param willServe whether a backend server is expected on it after the action
  * @param backend the backend server's own word; empty when it does not answer
  * @param draining time for which this controller has seen it leaving
  * @param ended time for which this controller has seen the action ended at the platform
@@ -15,6 +16,7 @@
 public record VmObservation(
         VmAtPlatform report,
         boolean hasInstance,
+        boolean willServe,
         Optional<BackendReport> backend,
         Duration draining,
         Duration ended) {}
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmProcedure.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmProcedure.java
@@ -27,11 +27,10 @@
         if (vm.pending().isPresent()) {
             return nextOfAction(vm, vm.pending().get(), seen);
         }
-        if (vm.phase() == VmPhase.RELEASING && vm.joining().isPresent()) {
-            Drain drain = drain(PlatformCall.drainForRelease(vm), seen);
-            return drain.step().orElseGet(() -> new VmStep.Join(vm.joining().get(), drain.note()));
-        }
-        return new VmStep.Nothing();
+        boolean joins = vm.phase() == VmPhase.RELEASED || vm.phase() == VmPhase.OFF;
+        return joins
+                ? vm.joining().<VmStep>map(VmStep.Join::new).orElseGet(VmStep.Nothing::new)
+                : new VmStep.Nothing();
     }
 
     private VmStep nextOfAction(VmState vm, VmAction action, VmObservation seen) {
@@ -50,7 +49,7 @@
         if (action == VmAction.WAKE) {
             return new VmStep.AskAction(call, action, "nothing runs on it");
         }
-        Drain drain = drain(PlatformCall.drainBeforeAction(vm), seen);
+        Drain drain = drain(PlatformCall.drain(vm), seen);
         return drain.step().orElseGet(() -> new VmStep.AskAction(call, action, drain.note()));
     }
 
@@ -65,7 +64,7 @@
     // A VM that is powered on serves nobody until its backend server does. Confirmed earlier, it
     // would count as available, and the next step of a wave would take the budget away.
     private VmStep afterDone(VmAction action, VmObservation seen) {
-        if (action == VmAction.SLEEP || !seen.hasInstance()) {
+        if (action == VmAction.SLEEP || !seen.willServe()) {
             return new VmStep.Confirm(ActionOutcome.DONE, "the platform says so");
         }
         if (seen.backend().filter(b -> !b.leaving()).isPresent()) {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmStep.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmStep.java
@@ -37,10 +37,9 @@
     record Confirm(ActionOutcome outcome, String note) implements VmStep {}
 
     /**
-     * It records that the drained VM joins its new pool.
+     * It records that the VM, on which nothing of its old pool runs, joins the new one.
      *
      * @param to the pool
-     * @param note why the VM counts as drained, for the log
      */
-    record Join(PoolId to, String note) implements VmStep {}
+    record Join(PoolId to) implements VmStep {}
 }
