Keep the wave of a VM whose action failed, so that its wave sees what it broke

Cause: the fold forgot the wave when it confirmed a failed action, so a controller that started anew could not tell a VM broken by the wave from one that failed by itself, and the wave went on.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/state/VmFold.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/state/VmFold.java
@@ -82,8 +82,7 @@
         VmState next =
                 switch (c.outcome()) {
                     case DONE -> vm.in(action.done(), at);
-                    case FAILED ->
-                            vm.movingTo(Optional.empty(), vm.phase(), at).in(VmPhase.BROKEN, at);
+                    case FAILED -> vm.failed(at);
                     case WITHDRAWN -> vm.in(vm.phase().withdrawn(), at);
                 };
         boolean maintained = c.outcome() == ActionOutcome.DONE && action == VmAction.REBOOT;
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmState.java
@@ -76,6 +76,18 @@
                 next, generation, Optional.empty(), Optional.empty(), joining, lastMaintained, at);
     }
 
+    /** The VM after its action failed; the wave stays named, so that it can see what it broke. */
+    public VmState failed(long at) {
+        return with(
+                VmPhase.BROKEN,
+                generation,
+                Optional.empty(),
+                wave,
+                Optional.empty(),
+                lastMaintained,
+                at);
+    }
+
     /** The VM on its way to another pool, or no longer on its way. */
     public VmState movingTo(Optional<PoolId> to, VmPhase next, long at) {
         return with(next, generation, pending, wave, to, lastMaintained, at);
