--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/UsageEstimate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/UsageEstimate.java
@@ -32,6 +32,20 @@
         mMeasured = true;
     }
 
+    /** A task failed before anything was measured; it may have lacked memory. */
+    void failed() {
+        if (!mMeasured) {
+            mMemoryBytes = MOST_WRONG * mDeclared.memoryBytes();
+        }
+    }
+
+    /** The failure was the worker's. */
+    void forgive() {
+        if (!mMeasured) {
+            mMemoryBytes = mDeclared.memoryBytes();
+        }
+    }
+
     private double follow(double known, double seen) {
         boolean rises = seen > known;
         return rises ? seen : known + FALL * (seen - known);
