--- a/foxtail-core/src/main/java/org/foxtailplank/internal/idempotency/KeyCoordinator.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/idempotency/KeyCoordinator.java
@@ -103,6 +103,7 @@
 
     /** An append may have taken effect; the stream will tell. */
     public void appendLost(RecordId id) {
+        mFailures++;
         mOpening = mOpening.filter(o -> !o.equals(id));
         mPending.lost(id);
         mStream.failed();
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/KeyedRequests.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/KeyedRequests.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.entry;
 
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 
@@ -20,4 +21,9 @@
      */
     CompletionStage<Answer> answer(
             CallerRequest request, Supplier<CompletionStage<Answer>> attempt);
+
+    /** Issues a key that needs no log; empty where keys are not protected. */
+    default Optional<String> issueKey() {
+        return Optional.empty();
+    }
 }
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/KeyGauges.java
@@ -0,0 +1,49 @@
+package org.foxtailplank.entry.internal.idempotency;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import org.foxtailplank.internal.idempotency.KeyCoordinator;
+import org.foxtailplank.internal.idempotency.KeyedAnswer;
+import org.foxtailplank.request.Outcome;
+
+/** What operators see of the keys. */
+final class KeyGauges {
+
+    private final Meter mAppends;
+    private final Counter mOk;
+    private final Counter mNotRun;
+    private final Counter mUnknown;
+    private volatile int mProtected;
+    private volatile int mPending;
+    private volatile int mAnswers;
+    private volatile long mAnswerBytes;
+
+    KeyGauges(MetricRegistry metrics) {
+        mAppends = metrics.meter("keys.appends");
+        mOk = metrics.counter("keys.answers.ok");
+        mNotRun = metrics.counter("keys.answers.not-run");
+        mUnknown = metrics.counter("keys.answers.unknown");
+        metrics.registerGauge("keys.protected", (Gauge<Integer>) () -> mProtected);
+        metrics.registerGauge("keys.pending", (Gauge<Integer>) () -> mPending);
+        metrics.registerGauge("keys.remembered", (Gauge<Integer>) () -> mAnswers);
+        metrics.registerGauge("keys.remembered-bytes", (Gauge<Long>) () -> mAnswerBytes);
+    }
+
+    Meter appends() {
+        return mAppends;
+    }
+
+    void count(KeyedAnswer answer) {
+        Outcome outcome = answer.outcome();
+        (outcome == Outcome.OK ? mOk : outcome == Outcome.NOT_RUN ? mNotRun : mUnknown).inc();
+    }
+
+    void update(KeyCoordinator core) {
+        mProtected = core.protectedKeys();
+        mPending = core.pendingClaims();
+        mAnswers = core.rememberedAnswers();
+        mAnswerBytes = core.rememberedBytes();
+    }
+}
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/PeerLinkClaims.java
@@ -0,0 +1,167 @@
+package org.foxtailplank.entry.internal.idempotency;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.foxtailplank.entry.Answer;
+import org.foxtailplank.entry.CallerRequest;
+import org.foxtailplank.entry.Header;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.TeamId;
+import org.foxtailplank.internal.idempotency.Claimant;
+import org.foxtailplank.internal.idempotency.Position;
+import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.membership.Member;
+import org.foxtailplank.membership.NodeRole;
+import org.foxtailplank.request.RequestClass;
+import org.foxtailplank.wire.CallerAnswer;
+import org.foxtailplank.wire.ClaimsPosition;
+import org.foxtailplank.wire.ClaimsPositionRequest;
+import org.foxtailplank.wire.HeaderField;
+import org.foxtailplank.wire.PeerLink;
+import org.foxtailplank.wire.RequestHandover;
+import org.foxtailplank.wire.RequestHandoverResult;
+
+/** The other entries over the peer link. */
+public final class PeerLinkClaims implements ClaimPeers {
+
+    private static final Duration POSITION_TIMEOUT = Duration.ofMillis(500);
+    private static final String OWNER = "Foxtail-Key-Owner";
+    private static final String TEAM = "Foxtail-Team";
+    private static final String CONTENT_TYPE = "Content-Type";
+    private static final String RETRY_AFTER = "Retry-After";
+
+    private final PeerLink mLink;
+
+    /** The peers of a link. */
+    public PeerLinkClaims(PeerLink link) {
+        mLink = link;
+    }
+
+    /** Who this process is to those whose keys it takes. */
+    public Claimant self() {
+        return new Claimant(mLink.self().node(), mLink.self().incarnation().value());
+    }
+
+    /** Answers peers from now on; {@code attempt} runs what they hand over. */
+    public void serve(
+            ProtectedKeys keys, Function<CallerRequest, CompletionStage<Answer>> attempt) {
+        mLink.handle(
+                ClaimsPositionRequest.class,
+                (from, m) -> keys.position().thenApply(ClaimsPosition::new));
+        mLink.handle(
+                RequestHandover.class,
+                (from, m) ->
+                        keys.handedOver(request(m), owner(m), attempt)
+                                .thenApply(a -> new RequestHandoverResult(encode(a))));
+    }
+
+    @Override
+    public CompletionStage<Answer> handOver(CallerRequest request, Claimant owner) {
+        Incarnation incarnation = new Incarnation(owner.incarnation());
+        Optional<Member> member =
+                mLink.member(owner.node()).filter(m -> m.incarnation().equals(incarnation));
+        if (member.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new CompletionException("the owner " + owner + " is gone", null));
+        }
+        Duration left = Duration.ofNanos(request.deadline() - System.nanoTime());
+        return mLink.ask(owner.node(), encode(request, owner, left), left)
+                .thenApply(m -> decode(((RequestHandoverResult) m).answer()));
+    }
+
+    @Override
+    public CompletionStage<List<Position>> positions() {
+        List<CompletableFuture<Optional<Position>>> asked = new ArrayList<>();
+        for (Member member : mLink.members()) {
+            if (member.state().isReachable()
+                    && member.identity().roles().contains(NodeRole.ENTRY)) {
+                asked.add(ask(member).toCompletableFuture());
+            }
+        }
+        return CompletableFuture.allOf(asked.toArray(CompletableFuture[]::new))
+                .thenApply(
+                        done ->
+                                asked.stream()
+                                        .flatMap(a -> a.join().stream())
+                                        .toList());
+    }
+
+    private CompletionStage<Optional<Position>> ask(Member member) {
+        return mLink.ask(member.node(), new ClaimsPositionRequest(), POSITION_TIMEOUT)
+                .thenApply(m -> Optional.of(((ClaimsPosition) m).position()))
+                .exceptionally(e -> Optional.empty());
+    }
+
+    private static RequestHandover encode(CallerRequest r, Claimant owner, Duration left) {
+        List<HeaderField> fields = new ArrayList<>();
+        fields.add(new HeaderField(OWNER, owner.node() + " " + owner.incarnation()));
+        fields.add(new HeaderField(CallerRequest.KEY_HEADER, r.key().orElseThrow()));
+        fields.add(new HeaderField(TEAM, r.team().map(TeamId::value).orElse("")));
+        fields.add(new HeaderField(RequestClass.HEADER, r.requestClass().text()));
+        fields.add(new HeaderField(CONTENT_TYPE, r.contentType()));
+        r.headers().forEach(h -> fields.add(new HeaderField(h.name(), h.value())));
+        return new RequestHandover(
+                r.id(),
+                r.service(),
+                r.method(),
+                r.target(),
+                fields,
+                ByteString.copyFrom(r.body()),
+                left);
+    }
+
+    private static CallerRequest request(RequestHandover m) {
+        List<HeaderField> fields = m.headers();
+        String team = fields.get(2).value();
+        long now = System.nanoTime();
+        return new CallerRequest(
+                m.requestId(),
+                m.service(),
+                m.method(),
+                m.path(),
+                RequestClass.parse(fields.get(3).value()).orElse(RequestClass.INTERACTIVE),
+                team.isEmpty() ? Optional.empty() : Optional.of(TeamId.of(team)),
+                now,
+                now + m.deadline().toNanos(),
+                false,
+                Optional.of(fields.get(1).value()),
+                fields.get(4).value(),
+                fields.stream().skip(5).map(f -> new Header(f.name(), f.value())).toList(),
+                m.body().toByteArray());
+    }
+
+    private static Claimant owner(RequestHandover m) {
+        String text = m.headers().get(0).value();
+        int space = text.lastIndexOf(' ');
+        return new Claimant(
+                NodeId.of(text.substring(0, space)),
+                Long.parseLong(text.substring(space + 1)));
+    }
+
+    private static CallerAnswer encode(Answer a) {
+        List<HeaderField> fields = new ArrayList<>();
+        fields.add(new HeaderField(CONTENT_TYPE, a.contentType()));
+        fields.add(
+                new HeaderField(RETRY_AFTER, a.retryAfter().map(Duration::toString).orElse("")));
+        a.headers().forEach(h -> fields.add(new HeaderField(h.name(), h.value())));
+        return new CallerAnswer(a.outcome(), a.status(), fields, ByteString.copyFrom(a.body()));
+    }
+
+    private static Answer decode(CallerAnswer a) {
+        String after = a.headers().get(1).value();
+        return new Answer(
+                a.status(),
+                a.outcome(),
+                after.isEmpty() ? Optional.empty() : Optional.of(Duration.parse(after)),
+                a.headers().get(0).value(),
+                a.headers().stream().skip(2).map(f -> new Header(f.name(), f.value())).toList(),
+                a.body().toByteArray());
+    }
+}
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerMessage.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerMessage.java
@@ -7,4 +7,6 @@
                 AnswerLookup,
                 AnswerLookupResult,
                 RequestHandover,
-                RequestHandoverResult {}
+                RequestHandoverResult,
+                ClaimsPositionRequest,
+                ClaimsPosition {}
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Messages.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Messages.java
@@ -6,10 +6,14 @@
 import java.util.Optional;
 import org.foxtailplank.id.RecordId;
 import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.internal.idempotency.Era;
+import org.foxtailplank.internal.idempotency.Position;
 import org.foxtailplank.request.Outcome;
 import org.foxtailplank.wire.AnswerLookup;
 import org.foxtailplank.wire.AnswerLookupResult;
 import org.foxtailplank.wire.CallerAnswer;
+import org.foxtailplank.wire.ClaimsPosition;
+import org.foxtailplank.wire.ClaimsPositionRequest;
 import org.foxtailplank.wire.ConfigurationAnswer;
 import org.foxtailplank.wire.ConfigurationRequest;
 import org.foxtailplank.wire.HeaderField;
@@ -20,6 +24,8 @@
 import org.foxtailplank.wire.generated.peer.AnswerLookupProto;
 import org.foxtailplank.wire.generated.peer.AnswerLookupResultProto;
 import org.foxtailplank.wire.generated.peer.CallerAnswerProto;
+import org.foxtailplank.wire.generated.peer.ClaimsPositionProto;
+import org.foxtailplank.wire.generated.peer.ClaimsPositionRequestProto;
 import org.foxtailplank.wire.generated.peer.ConfigurationAnswerProto;
 import org.foxtailplank.wire.generated.peer.ConfigurationRequestProto;
 import org.foxtailplank.wire.generated.peer.EnvelopeProto;
@@ -59,6 +65,11 @@
         } else if (message instanceof RequestHandoverResult m) {
             return envelope.setRequestHandoverResult(
                     RequestHandoverResultProto.newBuilder().setAnswer(encode(m.answer())));
+        } else if (message instanceof ClaimsPositionRequest) {
+            return envelope.setClaimsPositionRequest(
+                    ClaimsPositionRequestProto.getDefaultInstance());
+        } else if (message instanceof ClaimsPosition m) {
+            return envelope.setClaimsPosition(encode(m.position()));
         }
         throw new IllegalStateException("no protobuf form of " + message.getClass());
     }
@@ -76,6 +87,8 @@
                 case REQUEST_HANDOVER_RESULT ->
                         decode(envelope.getRequestHandoverResult().getAnswer())
                                 .map(RequestHandoverResult::new);
+                case CLAIMS_POSITION_REQUEST -> Optional.of(new ClaimsPositionRequest());
+                case CLAIMS_POSITION -> Optional.of(decode(envelope.getClaimsPosition()));
                 default -> Optional.empty();
             };
         } catch (IllegalArgumentException e) {
@@ -174,6 +187,26 @@
                 Duration.ofMillis(proto.getDeadlineMillis()));
     }
 
+    private static ClaimsPositionProto encode(Position position) {
+        return ClaimsPositionProto.newBuilder()
+                .setEraNumber(position.era().number())
+                .setEraId(position.era().id())
+                .setNextOffset(position.next())
+                .setLastRecord(position.last().map(RecordId::value).orElse(""))
+                .setLostEra(position.lostEra())
+                .build();
+    }
+
+    private static ClaimsPosition decode(ClaimsPositionProto proto) {
+        String last = proto.getLastRecord();
+        return new ClaimsPosition(
+                new Position(
+                        new Era(proto.getEraNumber(), proto.getEraId()),
+                        proto.getNextOffset(),
+                        last.isEmpty() ? Optional.empty() : Optional.of(RecordId.of(last)),
+                        proto.getLostEra()));
+    }
+
     private static CallerAnswerProto encode(CallerAnswer answer) {
         return CallerAnswerProto.newBuilder()
                 .setOutcome(answer.outcome().text())
