--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryProgram.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryProgram.java
@@ -5,7 +5,12 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
+import org.foxtailplank.entry.internal.idempotency.KeyOptions;
+import org.foxtailplank.entry.internal.idempotency.PeerLinkClaims;
+import org.foxtailplank.entry.internal.idempotency.ProtectedKeys;
 import org.foxtailplank.id.NodeId;
+import org.foxtailplank.membership.Seed;
+import org.foxtailplank.membership.SeedSource;
 import org.foxtailplank.platform.HttpPlatform;
 import org.foxtailplank.process.ExitCode;
 import org.foxtailplank.process.Health;
@@ -15,12 +20,13 @@
 import org.foxtailplank.process.PekkoRuntime;
 import org.foxtailplank.process.ProcessException;
 import org.foxtailplank.process.Program;
-import org.foxtailplank.process.ProgramOptions;
 import org.foxtailplank.process.StopSignal;
 import org.foxtailplank.settings.Settings;
+import org.foxtailplank.wire.PeerLink;
+import org.foxtailplank.wire.PeerLinkException;
 
 /** The entry role as a process of its own. */
-final class EntryProgram implements Program<ProgramOptions> {
+final class EntryProgram implements Program<EntryOptions> {
 
     private static final Log LOG = Log.of("entry");
     private static final int THREADS = 4;
@@ -30,12 +36,13 @@
     private static final Duration NOTICE_TIME = Duration.ofSeconds(2);
 
     @Override
-    public ExitCode run(ProgramOptions options, StopSignal stop)
+    public ExitCode run(EntryOptions options, StopSignal stop)
             throws ProcessException, InterruptedException {
         Settings settings = options.settings();
         NodeId node = options.node(settings);
         MetricRegistry metrics = new MetricRegistry();
-        try (PekkoRuntime runtime = PekkoRuntime.start("entry", THREADS)) {
+        try (PekkoRuntime runtime = PekkoRuntime.start("entry", THREADS);
+                PeerLink link = meetPeers(node, settings)) {
             var platform =
                     HttpPlatform.at(
                             settings.platform().address(),
@@ -43,8 +50,22 @@
                             runtime.system());
             PlatformDirectory directory =
                     PlatformDirectory.polling(platform.vms(), LIST_INTERVAL, runtime.system());
+            PeerLinkClaims peers = PeerLinkClaims.of(link, settings);
+            ProtectedKeys keys =
+                    ProtectedKeys.start(
+                            runtime.system(),
+                            peers.self(),
+                            KeyOptions.of(settings, options.newDeployment()),
+                            platform.log(),
+                            peers,
+                            metrics);
             EntryServer entry =
-                    listen(runtime, EntryParts.of(node, settings, directory).withMetrics(metrics));
+                    listen(
+                            runtime,
+                            EntryParts.of(node, settings, directory)
+                                    .withMetrics(metrics)
+                                    .withKeys(keys));
+            peers.serve(keys, entry::attempt);
             HttpListener admin =
                     HttpListener.bind(
                             runtime,
@@ -60,6 +81,16 @@
         return ExitCode.DONE;
     }
 
+    private static PeerLink meetPeers(NodeId node, Settings settings) throws ProcessException {
+        try {
+            PeerLink link = PeerLink.start(PeerLinkClaims.options(node, settings));
+            link.learn(SeedSource.SETTINGS, Seed.from(settings));
+            return link;
+        } catch (PeerLinkException e) {
+            throw ProcessException.failed(e.getMessage(), e);
+        }
+    }
+
     private static EntryServer listen(PekkoRuntime runtime, EntryParts parts)
             throws ProcessException {
         InetSocketAddress address = parts.settings().nodes().get(parts.node()).callers();
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryServer.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryServer.java
@@ -49,6 +49,11 @@
         return (request, attempt) -> CompletableFuture.completedFuture(Answers.keysNotServed());
     }
 
+    /** Runs a request for a peer; its key is protected by the one who asks for this. */
+    public CompletionStage<Answer> attempt(CallerRequest request) {
+        return mFlow.attempt(request);
+    }
+
     /** Address on which callers are answered. */
     public InetSocketAddress address() {
         return mEndpoint.address();
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerHandler.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerHandler.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
+import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
@@ -24,6 +25,7 @@
 
     private static final Log LOG = Log.of("entry");
     private static final String HEALTH = "/health";
+    private static final String KEYS = "/keys";
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int TOO_SLOW = 408;
@@ -52,6 +54,11 @@
             return CompletableFuture.completedFuture(
                     Responses.of(health(), "health", keepAlive.get()));
         }
+        if (http.getUri().getPathString().equals(KEYS) && http.method().equals(HttpMethods.POST)) {
+            http.discardEntityBytes(mSystem);
+            Answer key = mFlow.issueKey().map(Answers::issuedKey).orElseGet(Answers::keysNotServed);
+            return CompletableFuture.completedFuture(Responses.of(key, "keys", keepAlive.get()));
+        }
         long arrived = System.nanoTime();
         RequestParser.Head head;
         try {
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Answers.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Answers.java
@@ -72,6 +72,12 @@
         return refused(429, SOON, "this address holds more connections than one caller may");
     }
 
+    /** A key was issued. */
+    public static Answer issuedKey(String key) {
+        byte[] body = ("{\"key\":\"" + key + "\"}\n").getBytes(StandardCharsets.UTF_8);
+        return new Answer(201, Outcome.OK, Optional.empty(), "application/json", List.of(), body);
+    }
+
     /** Nobody here can protect an idempotency key. */
     public static Answer keysNotServed() {
         return refused(503, SOON, "this entry can't protect idempotency keys at the moment");
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/RequestFlow.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/RequestFlow.java
@@ -54,6 +54,16 @@
                                 .orElseGet(() -> mKeyed.answer(request, () -> queue(x))));
     }
 
+    /** Runs a request whose key is already protected; never completes exceptionally. */
+    public CompletionStage<Answer> attempt(CallerRequest request) {
+        return queue(new Exchange(request));
+    }
+
+    /** Issues an idempotency key; empty where keys are not protected. */
+    public Optional<String> issueKey() {
+        return mKeyed.issueKey();
+    }
+
     /** Takes over another configuration. */
     public void configure(Settings settings) {
         mBroker.tell(new Command.Configure(settings));
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/ClaimPeers.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/ClaimPeers.java
@@ -10,7 +10,9 @@
 /** The other entries, as far as keys go. */
 public interface ClaimPeers {
 
-    /** Hands a request to the owner of its key; fails when no answer came from that very process. */
+    /**
+     * Hands a request to the owner of its key; fails when no answer came from that very process.
+     */
     CompletionStage<Answer> handOver(CallerRequest request, Claimant owner);
 
     /** How far the others have read the claims stream, of those that answer soon; never fails. */
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/ClaimsStream.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/ClaimsStream.java
@@ -37,8 +37,7 @@
     /** Whether a failed call has certainly had no effect. */
     static boolean hadNoEffect(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        return cause instanceof PlatformException e
-                && e.effect() == PlatformException.Effect.NONE;
+        return cause instanceof PlatformException e && e.effect() == PlatformException.Effect.NONE;
     }
 
     private static ClaimsPage page(ReadResult result) {
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/KeyAnswers.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/KeyAnswers.java
@@ -25,9 +25,7 @@
                 a.status(),
                 a.retryAfter(),
                 a.contentType(),
-                a.headers().stream()
-                        .map(h -> new KeyedAnswer.Field(h.name(), h.value()))
-                        .toList(),
+                a.headers().stream().map(h -> new KeyedAnswer.Field(h.name(), h.value())).toList(),
                 a.body());
     }
 }
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/KeyKeeper.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/KeyKeeper.java
@@ -1,7 +1,5 @@
 package org.foxtailplank.entry.internal.idempotency;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -27,11 +25,12 @@
 import org.foxtailplank.internal.idempotency.KeyedRequest;
 import org.foxtailplank.internal.idempotency.Refusal;
 import org.foxtailplank.internal.idempotency.RequestKey;
+import org.foxtailplank.process.Log;
 
 /** Owns the decisions about keys on one thread and carries them out. */
 final class KeyKeeper extends AbstractBehavior<KeyMessage> {
 
-    private static final Logger LOG = System.getLogger("keys");
+    private static final Log LOG = Log.of("keys");
     private static final Duration TICK = Duration.ofMillis(20);
     private static final Duration LONG_POLL = Duration.ofSeconds(1);
     private static final Duration FIRST_PAUSE = Duration.ofMillis(20);
@@ -59,9 +58,7 @@
         super(context);
         mCore =
                 new KeyCoordinator(
-                        parts.self(),
-                        parts.options().limits(),
-                        parts.options().newDeployment());
+                        parts.self(), parts.options().limits(), parts.options().newDeployment());
         mIssuer = parts.issuer();
         mStream = new ClaimsStream(parts.log());
         mPeers = parts.peers();
@@ -77,8 +74,7 @@
 
     static Behavior<KeyMessage> create(KeyParts parts) {
         return Behaviors.setup(
-                context ->
-                        Behaviors.withTimers(timers -> new KeyKeeper(context, timers, parts)));
+                context -> Behaviors.withTimers(timers -> new KeyKeeper(context, timers, parts)));
     }
 
     @Override
@@ -139,10 +135,8 @@
             }
         }
         RequestKey key =
-                issued.map(RequestKey::of)
-                        .orElseGet(() -> RequestKey.of(team, r.service(), text));
-        Fingerprint print =
-                Fingerprint.of(team, r.service(), r.method(), r.target(), r.body());
+                issued.map(RequestKey::of).orElseGet(() -> RequestKey.of(team, r.service(), text));
+        Fingerprint print = Fingerprint.of(team, r.service(), r.method(), r.target(), r.body());
         Instant deadline = mClock.at(r.deadline());
         return Optional.of(new KeyedRequest(mTokens++, key, print, issued, deadline));
     }
@@ -188,14 +182,14 @@
         perform(mCore.read(m.page(), mClock.now()));
         long newEra = mCore.position().era().number();
         if (newEra != era) {
-            LOG.log(Level.INFO, "keys: the claims stream is in era {0}", Long.toString(newEra));
+            LOG.info("The claims stream is in era {0}.", Long.toString(newEra));
         }
         tellReadiness();
         mSelf.tell(KeyMessage.ReadDue.INSTANCE);
     }
 
     private void readFailed(KeyMessage.ReadFailed m) {
-        LOG.log(Level.DEBUG, "keys: reading claims failed: {0}", m.why());
+        LOG.debug("Reading claims failed: {0}.", m.why());
         perform(mCore.readFailed(mClock.now()));
         tellReadiness();
         long jitter = mRandom.nextLong(mPause.toNanos() / 2);
@@ -217,9 +211,9 @@
         }
         mLastRefusal = refusal;
         if (refusal.isEmpty()) {
-            LOG.log(Level.INFO, "keys: new keys are taken");
+            LOG.info("New keys are taken.");
         } else {
-            LOG.log(Level.WARNING, "keys: new keys are refused: {0}", refusal.get());
+            LOG.warn("New keys are refused: {0}.", refusal.get());
         }
     }
 
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/PeerLinkClaims.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/PeerLinkClaims.java
@@ -1,13 +1,16 @@
 package org.foxtailplank.entry.internal.idempotency;
 
 import com.google.protobuf.ByteString;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.foxtailplank.entry.Answer;
 import org.foxtailplank.entry.CallerRequest;
@@ -20,11 +23,14 @@
 import org.foxtailplank.membership.Member;
 import org.foxtailplank.membership.NodeRole;
 import org.foxtailplank.request.RequestClass;
+import org.foxtailplank.settings.Settings;
 import org.foxtailplank.wire.CallerAnswer;
 import org.foxtailplank.wire.ClaimsPosition;
 import org.foxtailplank.wire.ClaimsPositionRequest;
 import org.foxtailplank.wire.HeaderField;
 import org.foxtailplank.wire.PeerLink;
+import org.foxtailplank.wire.PeerLinkLimits;
+import org.foxtailplank.wire.PeerLinkOptions;
 import org.foxtailplank.wire.RequestHandover;
 import org.foxtailplank.wire.RequestHandoverResult;
 
@@ -32,16 +38,57 @@
 public final class PeerLinkClaims implements ClaimPeers {
 
     private static final Duration POSITION_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration MEET_PAUSE = Duration.ofMillis(20);
+    private static final int MESSAGE_OVERHEAD = 16 << 10;
     private static final String OWNER = "Foxtail-Key-Owner";
     private static final String TEAM = "Foxtail-Team";
     private static final String CONTENT_TYPE = "Content-Type";
     private static final String RETRY_AFTER = "Retry-After";
 
     private final PeerLink mLink;
+    private final int mOthers;
+    private final long mMeetUntil;
 
-    /** The peers of a link. */
-    public PeerLinkClaims(PeerLink link) {
+    private PeerLinkClaims(PeerLink link, int others, Duration meetTime) {
         mLink = link;
+        mOthers = others;
+        mMeetUntil = System.nanoTime() + meetTime.toNanos();
+    }
+
+    /** The peers of a link that has just started. */
+    public static PeerLinkClaims of(PeerLink link, Settings settings) {
+        return new PeerLinkClaims(link, settings.nodes().size() - 1, settings.peers().silence());
+    }
+
+    /** Options of a link that can hand over the largest request and its answer. */
+    public static PeerLinkOptions options(NodeId node, Settings settings) {
+        PeerLinkOptions usual =
+                PeerLinkOptions.of(
+                        node,
+                        settings.nodes().get(node),
+                        settings.peers(),
+                        Incarnation.draw(new SecureRandom()),
+                        Set.of(NodeRole.ENTRY));
+        PeerLinkLimits l = usual.limits();
+        long largest =
+                settings.limits().maxBodyBytes()
+                        + settings.limits().maxHeaderBytes()
+                        + MESSAGE_OVERHEAD;
+        return new PeerLinkOptions(
+                usual.node(),
+                usual.zone(),
+                usual.incarnation(),
+                usual.roles(),
+                usual.bind(),
+                usual.peers(),
+                new PeerLinkLimits(
+                        l.heartbeatBytesPerSecond(),
+                        l.newsPerHeartbeat(),
+                        (int) Math.max(l.maxMessageBytes(), largest),
+                        l.maxUnproved(),
+                        l.handshake(),
+                        l.asksPerPeer(),
+                        l.connectsPerSecond()));
     }
 
     /** Who this process is to those whose keys it takes. */
@@ -78,6 +125,15 @@
 
     @Override
     public CompletionStage<List<Position>> positions() {
+        // A link that has just started has met nobody yet, and would hear of no lost record.
+        boolean met = mLink.members().size() >= mOthers;
+        if (!met && System.nanoTime() - mMeetUntil < 0) {
+            return CompletableFuture.supplyAsync(
+                            () -> null,
+                            CompletableFuture.delayedExecutor(
+                                    MEET_PAUSE.toMillis(), TimeUnit.MILLISECONDS))
+                    .thenCompose(none -> positions());
+        }
         List<CompletableFuture<Optional<Position>>> asked = new ArrayList<>();
         for (Member member : mLink.members()) {
             if (member.state().isReachable()
@@ -86,11 +142,7 @@
             }
         }
         return CompletableFuture.allOf(asked.toArray(CompletableFuture[]::new))
-                .thenApply(
-                        done ->
-                                asked.stream()
-                                        .flatMap(a -> a.join().stream())
-                                        .toList());
+                .thenApply(done -> asked.stream().flatMap(a -> a.join().stream()).toList());
     }
 
     private CompletionStage<Optional<Position>> ask(Member member) {
@@ -141,15 +193,13 @@
         String text = m.headers().get(0).value();
         int space = text.lastIndexOf(' ');
         return new Claimant(
-                NodeId.of(text.substring(0, space)),
-                Long.parseLong(text.substring(space + 1)));
+                NodeId.of(text.substring(0, space)), Long.parseLong(text.substring(space + 1)));
     }
 
     private static CallerAnswer encode(Answer a) {
         List<HeaderField> fields = new ArrayList<>();
         fields.add(new HeaderField(CONTENT_TYPE, a.contentType()));
-        fields.add(
-                new HeaderField(RETRY_AFTER, a.retryAfter().map(Duration::toString).orElse("")));
+        fields.add(new HeaderField(RETRY_AFTER, a.retryAfter().map(Duration::toString).orElse("")));
         a.headers().forEach(h -> fields.add(new HeaderField(h.name(), h.value())));
         return new CallerAnswer(a.outcome(), a.status(), fields, ByteString.copyFrom(a.body()));
     }
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/ProtectedKeys.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/ProtectedKeys.java
@@ -58,8 +58,7 @@
     public CompletionStage<Answer> answer(
             CallerRequest request, Supplier<CompletionStage<Answer>> attempt) {
         CompletableFuture<Answer> answer = new CompletableFuture<>();
-        mKeeper.tell(
-                new KeyMessage.Submitted(new KeyMessage.Call(request, attempt, answer)));
+        mKeeper.tell(new KeyMessage.Submitted(new KeyMessage.Call(request, attempt, answer)));
         return answer;
     }
 
@@ -76,8 +75,7 @@
             Function<CallerRequest, CompletionStage<Answer>> attempt) {
         CompletableFuture<Answer> answer = new CompletableFuture<>();
         Supplier<CompletionStage<Answer>> run = () -> attempt.apply(request);
-        mKeeper.tell(
-                new KeyMessage.HandedOver(new KeyMessage.Call(request, run, answer), owner));
+        mKeeper.tell(new KeyMessage.HandedOver(new KeyMessage.Call(request, run, answer), owner));
         return answer;
     }
 
