--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/KeyGauges.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/KeyGauges.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
+import java.time.Instant;
 import org.foxtailplank.internal.idempotency.KeyCoordinator;
 import org.foxtailplank.internal.idempotency.KeyedAnswer;
 import org.foxtailplank.request.Outcome;
@@ -16,6 +17,7 @@
     private final Counter mNotRun;
     private final Counter mUnknown;
     private volatile int mProtected;
+    private volatile int mTaken;
     private volatile int mPending;
     private volatile int mAnswers;
     private volatile long mAnswerBytes;
@@ -26,6 +28,7 @@
         mNotRun = metrics.counter("keys.answers.not-run");
         mUnknown = metrics.counter("keys.answers.unknown");
         metrics.registerGauge("keys.protected", (Gauge<Integer>) () -> mProtected);
+        metrics.registerGauge("keys.taken", (Gauge<Integer>) () -> mTaken);
         metrics.registerGauge("keys.pending", (Gauge<Integer>) () -> mPending);
         metrics.registerGauge("keys.remembered", (Gauge<Integer>) () -> mAnswers);
         metrics.registerGauge("keys.remembered-bytes", (Gauge<Long>) () -> mAnswerBytes);
@@ -40,7 +43,8 @@
         (outcome == Outcome.OK ? mOk : outcome == Outcome.NOT_RUN ? mNotRun : mUnknown).inc();
     }
 
-    void update(KeyCoordinator core) {
+    void update(KeyCoordinator core, Instant now) {
+        mTaken = core.notReady(now).isEmpty() ? 1 : 0;
         mProtected = core.protectedKeys();
         mPending = core.pendingClaims();
         mAnswers = core.rememberedAnswers();
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/KeyKeeper.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/KeyKeeper.java
@@ -209,7 +209,7 @@
     private void tick() {
         perform(mCore.tick(mClock.now()));
         tellReadiness();
-        mGauges.update(mCore);
+        mGauges.update(mCore, mClock.now());
     }
 
     private void tellReadiness() {
--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/CallerLog.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/CallerLog.java
@@ -23,7 +23,7 @@
 final class CallerLog {
 
     private static final String ID = "Foxtail-Request-Id";
-    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration TIMEOUT = Duration.ofSeconds(8);
 
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
--- /dev/null
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/EntryProcesses.java
@@ -0,0 +1,153 @@
+package org.foxtailplank.it.history;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.apache.pekko.actor.ActorSystem;
+import org.foxtailplank.process.SettingsFiles;
+import org.foxtailplank.settings.Settings;
+import org.foxtailplank.standin.PlatformOptions;
+import org.foxtailplank.standin.PlatformStandin;
+
+/** The binary foxtail-entry as processes of their own, which a test kills, pauses and replaces. */
+final class EntryProcesses implements AutoCloseable {
+
+    private static final String NODE =
+            "\"e%d\":{\"zone\":\"z\",\"callers\":\"127.0.0.1:%d\",\"peers\":\"127.0.0.1:%d\","
+                    + "\"admin\":\"127.0.0.1:0\"}";
+
+    private static final String SETTINGS =
+            """
+            {"deployment": "small",
+             "fleet": {"rolloutWeight": 0.5, "wakeTime": "1s", "drainTimeout": "5s",
+               "rebootTime": "1s", "moveCooldown": "10s"},
+             "zones": {"z": {"oneWayDelay": "500us", "callerDelay": "1ms"}},
+             "vmTypes": {"standard": {"processors": 8, "memory": "16GiB"}},
+             "racks": {"z-r[1-2]": {"zone": "z", "vms": 2, "type": "standard"}},
+             "services": {"claims": {"instances": 4, "minAvailable": 1, "slots": 8,
+               "connections": 64, "objective": 0.999, "deadline": "2s",
+               "requestClass": "interactive", "repeatable": false}},
+             "pools": {"claims": {"service": "claims", "vms": ["z-r[1-2]-[1-2]"], "target": 3,
+               "reserve": 1}},
+             "teams": {"survey": {"quota": 0.5, "role": "operator", "token": "survey-token"}},
+             "nodes": {%s},
+             "platform": {"address": "%s", "timeout": "500ms", "appendsPerSecond": 400,
+               "retention": "1h"},
+             "peers": {"key": "a key that tests share", "heartbeat": "100ms", "silence": "500ms"},
+             "limits": {"maxHeader": "8KiB", "maxBody": "1MiB", "connectionsPerCaller": 256,
+               "retryRatio": 0.1, "idempotencyWindow": "10m"}}
+            """;
+
+    private final ActorSystem mSystem = ActorSystem.create("platform");
+    private final Path mDirectory = Files.createTempDirectory("foxtail-entries");
+    private final PlatformStandin mPlatform;
+    private final Path mSettings = mDirectory.resolve("settings.jsonc");
+    private final List<Integer> mPorts = new ArrayList<>();
+    private final List<Process> mProcesses = new ArrayList<>();
+
+    EntryProcesses(int entries) throws Exception {
+        List<Integer> ports = freePorts(2 * entries + 1);
+        int platformPort = ports.get(2 * entries);
+        String nodes =
+                IntStream.range(0, entries)
+                        .mapToObj(i -> NODE.formatted(i, ports.get(i), ports.get(entries + i)))
+                        .collect(Collectors.joining(","));
+        String address = "http://127.0.0.1:" + platformPort;
+        Files.writeString(mSettings, SETTINGS.formatted(nodes, address));
+        Settings settings = SettingsFiles.load(mSettings, Optional.empty());
+        mPlatform =
+                PlatformStandin.start(
+                        settings,
+                        PlatformOptions.quick()
+                                .at(new InetSocketAddress("127.0.0.1", platformPort)),
+                        mSystem);
+        mPorts.addAll(ports.subList(0, entries));
+        for (int i = 0; i < entries; i++) {
+            mProcesses.add(start(i));
+        }
+    }
+
+    PlatformStandin platform() {
+        return mPlatform;
+    }
+
+    URI entry(int entry) {
+        return URI.create("http://127.0.0.1:" + mPorts.get(entry));
+    }
+
+    /** Kills an entry with SIGKILL and starts its replacement, of the same name and addresses. */
+    void replace(int entry) throws IOException, InterruptedException {
+        kill(entry);
+        mProcesses.set(entry, start(entry));
+    }
+
+    void kill(int entry) throws InterruptedException {
+        mProcesses.get(entry).destroyForcibly().waitFor();
+    }
+
+    void pause(int entry) throws IOException, InterruptedException {
+        signal("-STOP", entry);
+    }
+
+    void goOn(int entry) throws IOException, InterruptedException {
+        signal("-CONT", entry);
+    }
+
+    @Override
+    public void close() throws IOException {
+        mProcesses.forEach(Process::destroyForcibly);
+        mPlatform.close();
+        mSystem.terminate();
+    }
+
+    private void signal(String signal, int entry) throws IOException, InterruptedException {
+        String pid = Long.toString(mProcesses.get(entry).pid());
+        new ProcessBuilder("kill", signal, pid).inheritIO().start().waitFor();
+    }
+
+    private Process start(int entry) throws IOException {
+        String classPath =
+                System.getProperty(
+                        "surefire.test.class.path", System.getProperty("java.class.path"));
+        return new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx96m",
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        classPath,
+                        "org.foxtailplank.entry.Main",
+                        "--settings",
+                        mSettings.toString(),
+                        "--node",
+                        "e" + entry,
+                        "--new-deployment")
+                .redirectErrorStream(true)
+                .redirectOutput(
+                        ProcessBuilder.Redirect.appendTo(
+                                mDirectory.resolve("e" + entry + ".log").toFile()))
+                .start();
+    }
+
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ServerSocket socket = new ServerSocket(0);
+            sockets.add(socket);
+            ports.add(socket.getLocalPort());
+        }
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
+    }
+}
--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
@@ -10,11 +10,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.pekko.actor.ActorSystem;
+import org.foxtailplank.entry.Answer;
+import org.foxtailplank.entry.CallerRequest;
 import org.foxtailplank.entry.EntryParts;
 import org.foxtailplank.entry.EntryServer;
+import org.foxtailplank.entry.KeyedRequests;
 import org.foxtailplank.entry.internal.idempotency.KeyOptions;
 import org.foxtailplank.entry.internal.idempotency.PeerLinkClaims;
 import org.foxtailplank.entry.internal.idempotency.ProtectedKeys;
@@ -23,6 +29,7 @@
 import org.foxtailplank.id.ServiceId;
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.internal.idempotency.Claimant;
 import org.foxtailplank.membership.PeerIdentity;
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
@@ -54,15 +61,15 @@
     private final Settings mSettings;
     private final List<Entry> mEntries = new ArrayList<>();
     private final CallerLog mCallers = new CallerLog();
-    private final boolean mNewDeployment;
+    private final Tampering mTampering;
     private volatile List<BackendServer> mLive;
 
     KeyedEntries(int entries) throws Exception {
-        this(entries, true);
+        this(entries, Tampering.NONE);
     }
 
-    KeyedEntries(int entries, boolean newDeployment) throws Exception {
-        mNewDeployment = newDeployment;
+    KeyedEntries(int entries, Tampering tampering) throws Exception {
+        mTampering = tampering;
         URI nowhere = URI.create("http://127.0.0.1:1");
         mPlatform =
                 PlatformStandin.start(
@@ -124,8 +131,11 @@
 
     /** Keys that an entry protects, whoever owns them. */
     long protectedKeys(int entry) {
-        MetricRegistry metrics = mEntries.get(entry).metrics();
-        return (Integer) metrics.getGauges().get("keys.protected").getValue();
+        return gauge(entry, "keys.protected");
+    }
+
+    private int gauge(int entry, String name) {
+        return (Integer) mEntries.get(entry).metrics().getGauges().get(name).getValue();
     }
 
     int executions() {
@@ -139,15 +149,14 @@
         return HistoryChecker.check(mCallers.withExecutions(byName));
     }
 
+    /** Waits until an entry takes new keys. */
+    void awaitTaken(int entry) {
+        await(() -> gauge(entry, "keys.taken") == 1);
+    }
+
     /** Waits until a fresh key runs through an entry. */
     void awaitReady(int entry) {
-        long[] tries = {0};
-        await(
-                () ->
-                        post(entry, "probe-" + entry + "-" + tries[0]++ + "-" + System.nanoTime())
-                                        .join()
-                                        .status()
-                                == 200);
+        await(() -> post(entry, "probe-" + System.nanoTime()).join().status() == 200);
     }
 
     /** Waits for a condition; the limit only ends a test that would hang. */
@@ -180,18 +189,35 @@
         PeerLink link = PeerLink.start(PeerLinkClaims.options(node, mSettings));
         PeerLinkClaims peers = PeerLinkClaims.of(link, mSettings);
         MetricRegistry metrics = new MetricRegistry();
+        AtomicReference<EntryServer> server = new AtomicReference<>();
+        Claimant self = mTampering.self(peers.self());
         ProtectedKeys keys =
                 ProtectedKeys.start(
                         system,
-                        peers.self(),
-                        KeyOptions.of(mSettings, mNewDeployment),
-                        platform.log(),
-                        peers,
+                        self,
+                        KeyOptions.of(mSettings, true),
+                        mTampering.log(self, platform.log()),
+                        mTampering.peers(peers, r -> server.get().attempt(r)),
                         metrics);
-        EntryParts parts = EntryParts.of(node, mSettings, this::live).withKeys(keys);
-        EntryServer server = EntryServer.start(system, parts).toCompletableFuture().join();
-        peers.serve(keys, server::attempt);
-        return new Entry(system, link, keys, server, metrics);
+        EntryParts parts = EntryParts.of(node, mSettings, this::live).withKeys(tampered(keys));
+        server.set(EntryServer.start(system, parts).toCompletableFuture().join());
+        peers.serve(keys, server.get()::attempt);
+        return new Entry(system, link, keys, server.get(), metrics);
+    }
+
+    private KeyedRequests tampered(ProtectedKeys keys) {
+        return new KeyedRequests() {
+            @Override
+            public CompletionStage<Answer> answer(
+                    CallerRequest request, Supplier<CompletionStage<Answer>> attempt) {
+                return keys.answer(request, mTampering.attempt(attempt));
+            }
+
+            @Override
+            public Optional<String> issueKey() {
+                return keys.issueKey();
+            }
+        };
     }
 
     private void meet() {
