--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/idempotency/ClaimTableMeasurement.java
@@ -0,0 +1,67 @@
+package org.foxtailplank.internal.idempotency;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailplank.id.NodeId;
+import org.testng.annotations.Test;
+
+/**
+ * Heap and fold time of protected keys. Not part of the suite: run it with {@code mvn -o -pl
+ * foxtail-core test -Dtest=ClaimTableMeasurement}.
+ */
+public class ClaimTableMeasurement {
+
+    private static final int BATCH = 100;
+    private static final Instant NOW = Instant.parse("2026-12-02T08:00:00Z");
+
+    @Test
+    public void measureHeapAndFoldTime() {
+        fill(50_000);
+        for (int keys : new int[] {25_000, 50_000, 100_000, 200_000}) {
+            long before = usedHeap();
+            ClaimTable held = fill(keys);
+            double bytes = (usedHeap() - before) / (double) keys;
+            assertEquals(held.size(), keys);
+            List<ClaimBatch> batches = batches(keys);
+            ClaimTable table = new ClaimTable(Duration.ofHours(1), k -> {});
+            long start = System.nanoTime();
+            batches.forEach(b -> table.apply(b, NOW));
+            double seconds = (System.nanoTime() - start) / 1e9;
+            System.out.printf(
+                    "measured %d keys: %.0f bytes a key, %.0f claims/s folded%n",
+                    keys, bytes, keys / seconds);
+        }
+    }
+
+    private static ClaimTable fill(int keys) {
+        ClaimTable table = new ClaimTable(Duration.ofHours(1), k -> {});
+        batches(keys).forEach(b -> table.apply(b, NOW));
+        return table;
+    }
+
+    private static List<ClaimBatch> batches(int keys) {
+        Claimant writer = new Claimant(NodeId.of("entry-1"), 1);
+        List<ClaimBatch> batches = new ArrayList<>();
+        for (int from = 0; from < keys; from += BATCH) {
+            List<Claim> claims = new ArrayList<>();
+            for (int i = from; i < from + BATCH; i++) {
+                Digest digest = Digest.ofTexts("k" + i);
+                claims.add(new Claim(new RequestKey(digest), new Fingerprint(digest)));
+            }
+            batches.add(
+                    new ClaimBatch(
+                            writer, new Era(7, 1), ClaimBatch.Opening.NONE, NOW, claims));
+        }
+        return batches;
+    }
+
+    private static long usedHeap() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/CallerLog.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/CallerLog.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -35,21 +36,21 @@
     /** What a caller got: an outcome, a status, and the id of the request that was run for it. */
     record Result(Outcome outcome, int status, Optional<String> answers, String text) {}
 
-    /** Posts a keyed request; a broken connection counts as unknown. */
+    /** Posts a request, keyed unless its key is empty; a broken connection counts as unknown. */
     CompletableFuture<Result> post(URI entry, String key, String body, Duration deadline) {
         String own = "q" + mNext.getAndIncrement();
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         String sum = EchoedAnswer.checksum(bytes);
-        mHistory.add(new HistoryEvent.Sent(own, Optional.of(key), false, entry.toString(), sum));
-        HttpRequest request =
+        Optional<String> named = Optional.of(key).filter(k -> !k.isEmpty());
+        mHistory.add(new HistoryEvent.Sent(own, named, false, entry.toString(), sum));
+        HttpRequest.Builder request =
                 HttpRequest.newBuilder(entry.resolve("/s/claims/settle"))
                         .timeout(TIMEOUT)
-                        .header("Idempotency-Key", key)
                         .header("Foxtail-Repeatable", "no")
                         .header("Foxtail-Deadline", deadline.toMillis() + "ms")
-                        .POST(HttpRequest.BodyPublishers.ofByteArray(bytes))
-                        .build();
-        return mClient.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+                        .POST(HttpRequest.BodyPublishers.ofByteArray(bytes));
+        named.ifPresent(k -> request.header("Idempotency-Key", k));
+        return mClient.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray())
                 .handle((r, e) -> r == null ? broken(own, key) : answered(own, r));
     }
 
@@ -79,17 +80,20 @@
 
     /** The history with what the backend servers ran, under the callers' own ids. */
     synchronized History withExecutions(Map<String, List<Execution>> executions) {
-        History whole = new History();
-        for (HistoryEvent event : mHistory.events()) {
-            whole.add(event instanceof HistoryEvent.Answered a ? translated(a) : event);
-        }
+        // Executions first: they tell whose ids those are that no caller has learned.
+        List<HistoryEvent> runs = new ArrayList<>();
         executions.forEach(
-                (instance, runs) ->
-                        runs.forEach(
+                (instance, list) ->
+                        list.forEach(
                                 e ->
-                                        whole.add(
+                                        runs.add(
                                                 new HistoryEvent.Executed(
                                                         own(e), instance, e.checksum()))));
+        History whole = new History();
+        for (HistoryEvent event : mHistory.events()) {
+            whole.add(event instanceof HistoryEvent.Answered a ? translated(a) : event);
+        }
+        runs.forEach(whole::add);
         return whole;
     }
 
--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -46,6 +47,7 @@
 final class KeyedEntries implements AutoCloseable {
 
     private static final Duration DEADLINE = Duration.ofSeconds(2);
+    private static final long POLL_NANOS = 10_000_000;
     private static final ServiceId SERVICE = ServiceId.of("claims");
 
     /** One entry; it ends when its actor system is terminated. */
@@ -129,6 +131,11 @@
         meet();
     }
 
+    /** Appends of claims by all entries. */
+    long appends() {
+        return mEntries.stream().mapToLong(e -> e.metrics().meter("keys.appends").getCount()).sum();
+    }
+
     /** Keys that an entry protects, whoever owns them. */
     long protectedKeys(int entry) {
         return gauge(entry, "keys.protected");
@@ -166,7 +173,7 @@
             if (System.nanoTime() - end > 0) {
                 throw new AssertionError("the condition did not come true");
             }
-            Thread.onSpinWait();
+            LockSupport.parkNanos(POLL_NANOS);
         }
     }
 
