--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/AdminClient.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/AdminClient.java
@@ -84,8 +84,7 @@
         HttpCallException last = null;
         for (URI node : mNodes) {
             try {
-                return reply(
-                        JsonHttpClient.await(method.apply(mClient, node.resolve(path))));
+                return reply(JsonHttpClient.await(method.apply(mClient, node.resolve(path))));
             } catch (HttpCallException e) {
                 // Another node is asked only where this one certainly did nothing.
                 if (e.kind().mayHaveHappened()) {
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
@@ -63,7 +63,8 @@
 
     /** Another operator published first. */
     public static String overtaken(long from, long now, String who, String why) {
-        return "nothing was published, and your files are as they were: they were made from version "
+        return "nothing was published, and your files are as they were: they were made from version"
+                + " "
                 + from
                 + ", but "
                 + who
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
@@ -25,6 +25,7 @@
 import org.foxtailplank.controller.internal.act.ShardParts;
 import org.foxtailplank.controller.internal.act.VmRunner;
 import org.foxtailplank.controller.internal.admin.AdminApi;
+import org.foxtailplank.controller.internal.admin.ProcessPages;
 import org.foxtailplank.controller.internal.plan.FleetPlanner;
 import org.foxtailplank.fleet.BufferPlanner;
 import org.foxtailplank.fleet.WavePlanner;
@@ -57,6 +58,12 @@
 
     /** Starts the control role inside an actor system; done once the admin address is bound. */
     public static CompletionStage<Controller> start(ActorSystem<?> system, ControllerParts parts) {
+        return start(system, parts, NodePages.plain());
+    }
+
+    /** Starts the control role; the admin address answers for the whole process as well. */
+    public static CompletionStage<Controller> start(
+            ActorSystem<?> system, ControllerParts parts, NodePages pages) {
         // The id of a record must never come again, whatever earlier process had this node's name.
         String incarnation = UUID.randomUUID().toString();
         RecordWriter writer = new RecordWriter(parts.self(), incarnation, parts.log());
@@ -68,9 +75,11 @@
                         parts.settings(),
                         parts.liveness(),
                         parts.checker());
+        pages.burn().ifPresent(burn -> api.withBurn(burn, parts.settings()));
+        ProcessPages processPages = new ProcessPages(pages, api);
         return Http.get(system)
                 .newServerAt(parts.admin().getHostString(), parts.admin().getPort())
-                .bind(api::handle)
+                .bind(processPages::handle)
                 .thenApply(
                         binding -> new Controller(system, shards(system, parts, writer), binding));
     }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.lang.System.Logger.Level;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,7 @@
 import org.foxtailplank.controller.internal.act.RecordWriter;
 import org.foxtailplank.internal.control.Liveness;
 import org.foxtailplank.platform.FleetLog;
+import org.foxtailplank.platform.burn.BurnLog;
 import org.foxtailplank.settings.Settings;
 
 /** Answers the HTTP calls of operators and teams. */
@@ -47,6 +49,12 @@
         mEndpoints.addAll(new Changes(log, submitter, settings, checker).endpoints());
     }
 
+    /** Serves service-level burn as well. */
+    public AdminApi withBurn(BurnLog burn, Settings settings) {
+        mEndpoints.addAll(new BurnReads(burn, settings, InstantSource.system()).endpoints());
+        return this;
+    }
+
     /** Answers one call; the stage never fails. */
     public CompletionStage<HttpResponse> handle(HttpRequest request) {
         return request.entity()
--- a/foxtail-core/src/main/java/org/foxtailplank/settings/Settings.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/Settings.java
@@ -59,4 +59,21 @@
                 .map(Map.Entry::getKey)
                 .findFirst();
     }
+
+    /** The same with addresses of nodes, platform and peers taken from other settings. */
+    public Settings withProcessPartsOf(Settings other) {
+        return new Settings(
+                deployment,
+                fleet,
+                zones,
+                racks,
+                vms,
+                services,
+                pools,
+                teams,
+                other.nodes,
+                other.platform,
+                other.peers,
+                limits);
+    }
 }
--- /dev/null
+++ b/foxtail-demo/src/main/java/org/foxtailplank/demo/internal/package-info.java
@@ -0,0 +1,2 @@
+/** What the demo embeds, does and checks. */
+package org.foxtailplank.demo.internal;
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -0,0 +1,263 @@
+package org.foxtailplank.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.Cancellable;
+import org.foxtailplank.controller.ConfigurationChecker;
+import org.foxtailplank.controller.Controller;
+import org.foxtailplank.controller.ControllerParts;
+import org.foxtailplank.controller.NodePages;
+import org.foxtailplank.entry.internal.node.ConfigurationFollower;
+import org.foxtailplank.entry.internal.node.PeerLiveness;
+import org.foxtailplank.entry.internal.node.WaveWatch;
+import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.membership.NodeRole;
+import org.foxtailplank.membership.Seed;
+import org.foxtailplank.membership.SeedSource;
+import org.foxtailplank.platform.HttpPlatform;
+import org.foxtailplank.platform.burn.BurnLog;
+import org.foxtailplank.platform.internal.fleet.FollowedFleetLog;
+import org.foxtailplank.process.Health;
+import org.foxtailplank.process.HealthRoutes;
+import org.foxtailplank.process.HttpListener;
+import org.foxtailplank.process.PekkoRuntime;
+import org.foxtailplank.process.ProcessException;
+import org.foxtailplank.settings.NodeSettings;
+import org.foxtailplank.settings.Settings;
+import org.foxtailplank.wire.PeerLink;
+import org.foxtailplank.wire.PeerLinkException;
+import org.foxtailplank.wire.PeerLinkOptions;
+
+/**
+ * One process of the system: an entry, a controller, or both.
+ *
+ * <p>It follows the platform's log, talks to its peers, and does what its roles say:
+ *
+ * <pre>{@code
+ * try (PekkoRuntime runtime = PekkoRuntime.start("entry", 4);
+ *         FoxtailNode node = FoxtailNode.start(runtime, options)) {
+ *     stop.await();
+ *     node.leave(Duration.ofSeconds(2)).toCompletableFuture().join();
+ * }
+ * }</pre>
+ */
+public final class FoxtailNode implements AutoCloseable {
+
+    private static final Duration LIST_INTERVAL = Duration.ofMillis(500);
+    private static final Duration BURN_INTERVAL = Duration.ofSeconds(5);
+    private static final Duration BURN_KEPT = Duration.ofHours(24);
+
+    private final PekkoRuntime mRuntime;
+    private final NodeOptions mOptions;
+    private final HttpPlatform mPlatform;
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final FollowedFleetLog mFleet;
+    private final PeerLink mPeers;
+    private final ConfigurationFollower mConfiguration;
+
+    private final BurnLog mBurn;
+
+    private Optional<EntryServer> mEntry = Optional.empty();
+    private Optional<PlatformDirectory> mDirectory = Optional.empty();
+    private Optional<Controller> mController = Optional.empty();
+    private Optional<HttpListener> mListener = Optional.empty();
+    private Optional<Cancellable> mBurnTimer = Optional.empty();
+
+    private FoxtailNode(
+            PekkoRuntime runtime, NodeOptions options, Incarnation incarnation, PeerLink peers) {
+        mRuntime = runtime;
+        mOptions = options;
+        mPeers = peers;
+        Settings settings = options.settings();
+        mPlatform =
+                HttpPlatform.at(
+                        settings.platform().address(),
+                        settings.platform().timeout(),
+                        runtime.system());
+        mFleet = FollowedFleetLog.follow(mPlatform.log(), settings.platform().timeout());
+        mConfiguration = new ConfigurationFollower(settings, options.node(), mFleet, peers);
+        mBurn =
+                BurnLog.of(
+                        mPlatform.log(),
+                        options.node(),
+                        incarnation.value(),
+                        () -> mEntry.map(e -> e.counters().read()).orElse(Map.of()),
+                        BURN_KEPT);
+    }
+
+    /** Starts a process; it serves when this returns. */
+    public static FoxtailNode start(PekkoRuntime runtime, NodeOptions options)
+            throws ProcessException {
+        Incarnation incarnation = Incarnation.draw(new SecureRandom());
+        FoxtailNode node =
+                new FoxtailNode(runtime, options, incarnation, peers(options, incarnation));
+        try {
+            node.meet(Seed.from(options.settings()));
+            node.startEntry();
+            node.startBurn();
+            node.startAdmin();
+            return node;
+        } catch (ProcessException e) {
+            node.close();
+            throw e;
+        }
+    }
+
+    /** Address for callers; empty without the entry role. */
+    public Optional<InetSocketAddress> callers() {
+        return mEntry.map(EntryServer::address);
+    }
+
+    /** Address of the administration API, health and metrics. */
+    public InetSocketAddress admin() {
+        return mController
+                .map(Controller::adminAddress)
+                .orElseGet(() -> mListener.orElseThrow().address());
+    }
+
+    /** Where it may be met by its peers. */
+    public Seed seed() {
+        return new Seed(mOptions.node(), mPeers.self().address());
+    }
+
+    /** Takes a new list of places to meet peers. */
+    public void meet(Collection<Seed> seeds) {
+        mPeers.learn(
+                SeedSource.SETTINGS,
+                seeds.stream().filter(s -> !s.node().equals(mOptions.node())).toList());
+    }
+
+    /** Version of the configuration that is in force here; 0 for that of the start. */
+    public long configurationVersion() {
+        return mConfiguration.version();
+    }
+
+    /**
+     * Leaves without cutting anything off: fails the health answer, gives the balancer time to see
+     * it, and answers what is in flight.
+     */
+    public CompletionStage<Done> leave(Duration noticeTime) {
+        return mEntry.map(entry -> entry.leave(noticeTime))
+                .orElseGet(() -> CompletableFuture.completedFuture(Done.getInstance()));
+    }
+
+    /** Writes what was counted since the last interval; a planned stop loses no counts. */
+    private CompletionStage<Done> endBurnInterval() {
+        return mBurn.endInterval(Instant.now()).thenApply(v -> Done.getInstance());
+    }
+
+    @Override
+    public void close() {
+        mBurnTimer.ifPresent(Cancellable::cancel);
+        mController.ifPresent(c -> c.stop().toCompletableFuture().join());
+        mListener.ifPresent(HttpListener::unbind);
+        mDirectory.ifPresent(PlatformDirectory::stop);
+        mPeers.close();
+        mFleet.close();
+    }
+
+    private static PeerLink peers(NodeOptions options, Incarnation incarnation)
+            throws ProcessException {
+        Settings settings = options.settings();
+        NodeSettings node = settings.nodes().get(options.node());
+        try {
+            return PeerLink.start(
+                    PeerLinkOptions.of(
+                            options.node(), node, settings.peers(), incarnation, options.roles()));
+        } catch (PeerLinkException e) {
+            throw ProcessException.failed(
+                    "Peers can't be met on " + node.peers() + ": " + e.getMessage(), e);
+        }
+    }
+
+    private void startEntry() throws ProcessException {
+        if (!mOptions.roles().contains(NodeRole.ENTRY)) {
+            return;
+        }
+        PlatformDirectory directory =
+                PlatformDirectory.polling(mPlatform.vms(), LIST_INTERVAL, mRuntime.system());
+        mDirectory = Optional.of(directory);
+        EntryParts parts =
+                EntryParts.of(mOptions.node(), mOptions.settings(), directory)
+                        .withMetrics(mMetrics)
+                        .withWaves(WaveWatch.of(mFleet));
+        EntryServer entry = listening(EntryServer.start(mRuntime.system(), parts));
+        mEntry = Optional.of(entry);
+        mConfiguration.onChange(entry::configure);
+    }
+
+    private void startBurn() {
+        if (mEntry.isEmpty()) {
+            return;
+        }
+        mBurnTimer =
+                Optional.of(
+                        mRuntime.system()
+                                .scheduler()
+                                .scheduleWithFixedDelay(
+                                        BURN_INTERVAL,
+                                        BURN_INTERVAL,
+                                        () -> mBurn.endInterval(Instant.now()),
+                                        mRuntime.system().executionContext()));
+    }
+
+    private void startAdmin() throws ProcessException {
+        InetSocketAddress admin = mOptions.settings().nodes().get(mOptions.node()).admin();
+        if (!mOptions.roles().contains(NodeRole.CONTROL)) {
+            mListener =
+                    Optional.of(
+                            HttpListener.bind(
+                                    mRuntime, admin, HealthRoutes.of(this::health, mMetrics)));
+            return;
+        }
+        ControllerParts parts =
+                new ControllerParts(
+                        mOptions.node(),
+                        admin,
+                        mOptions.settings(),
+                        mFleet,
+                        mPlatform.vms(),
+                        mPlatform.vmActions(),
+                        mPlatform.workers(),
+                        PeerLiveness.of(mPeers),
+                        ConfigurationChecker.bySettings());
+        NodePages pages = new NodePages(this::health, mMetrics, Optional.of(mBurn));
+        mController = Optional.of(listening(Controller.start(mRuntime.system(), parts, pages)));
+    }
+
+    private Health health() {
+        boolean leaving = mEntry.map(EntryServer::leaving).orElse(false);
+        return new Health(
+                leaving ? "leaving" : Health.SERVING,
+                Map.of("configurationVersion", mConfiguration.version()));
+    }
+
+    private <T> T listening(CompletionStage<T> start) throws ProcessException {
+        try {
+            return start.toCompletableFuture().join();
+        } catch (CompletionException e) {
+            NodeSettings node = mOptions.settings().nodes().get(mOptions.node());
+            throw ProcessException.failed(
+                    "Node "
+                            + mOptions.node()
+                            + " can't listen on "
+                            + node.callers()
+                            + " or "
+                            + node.admin()
+                            + ": "
+                            + e.getCause().getMessage()
+                            + ". Stop what uses the address, or change it in the settings.",
+                    e);
+        }
+    }
+}
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/Main.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/Main.java
@@ -1,7 +1,6 @@
 package org.foxtailplank.entry;
 
 import org.foxtailplank.process.Launcher;
-import org.foxtailplank.process.ProgramOptions;
 
 /** Starts the binary {@code foxtail-entry}. */
 public final class Main {
@@ -9,6 +8,6 @@
 
     /** Runs an entry until it is asked to stop. */
     public static void main(String[] args) {
-        Launcher.named("foxtail-entry").main(args, new ProgramOptions(), new EntryProgram());
+        Launcher.named("foxtail-entry").main(args, new EntryOptions(), new EntryProgram());
     }
 }
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/http/HttpSender.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/http/HttpSender.java
@@ -71,7 +71,8 @@
     private HttpRequest httpRequest(PlannedRequest request, String body) {
         Traffic traffic = request.traffic();
         String target = mTargets.get(Math.floorMod(mNext.getAndIncrement(), mTargets.size()));
-        String path = mDirect ? "/load" : "/s/" + traffic.service() + "/load";
+        // The id is in the path, so that a backend server's record of what it ran can be matched.
+        String path = (mDirect ? "/load/" : "/s/" + traffic.service() + "/load/") + request.id();
         HttpRequest http =
                 HttpRequest.POST(target + path)
                         .withEntity(ContentTypes.TEXT_PLAIN_UTF8, body)
--- a/foxtail-process/src/main/java/org/foxtailplank/process/HealthRoutes.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/HealthRoutes.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.function.Supplier;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.http.javadsl.server.Directives;
 import org.apache.pekko.http.javadsl.server.Route;
@@ -13,17 +14,25 @@
     /** Routes that answer with what is so at the time of each call. */
     public static Route of(Supplier<Health> health, MetricRegistry metrics) {
         return Directives.concat(
-                Directives.path("health", () -> Directives.get(() -> health(health.get()))),
+                Directives.path(
+                        "health",
+                        () -> Directives.get(() -> Directives.complete(health(health.get())))),
                 Directives.path(
                         "metrics",
-                        () -> Directives.get(() -> JsonRoutes.ok(MetricsJson.of(metrics)))));
+                        () -> Directives.get(() -> Directives.complete(metrics(metrics)))));
     }
 
-    private static Route health(Health health) {
+    /** The health answer; its status tells a balancer whether to send work. */
+    public static HttpResponse health(Health health) {
         int status =
                 health.isServing()
                         ? StatusCodes.OK.intValue()
                         : StatusCodes.SERVICE_UNAVAILABLE.intValue();
-        return Directives.complete(JsonRoutes.answer(status, health));
+        return JsonRoutes.answer(status, health);
+    }
+
+    /** The metrics answer. */
+    public static HttpResponse metrics(MetricRegistry metrics) {
+        return JsonRoutes.answer(StatusCodes.OK.intValue(), MetricsJson.of(metrics));
     }
 }
