CLI: config publish, diff, show, history and status

Cause: operators publish on condition of the version their files were made from, and race each other. An answer that got lost is resolved by sending the same change again, which the condition lets take effect at most once. History follows the chain of versions on the log, since a version is its record's offset and the record names the one it was made from.

--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
@@ -7,6 +7,7 @@
 import org.foxtailplank.cli.internal.command.Command;
 import org.foxtailplank.cli.internal.command.CommandTable;
 import org.foxtailplank.cli.internal.command.Console;
+import org.foxtailplank.cli.internal.config.ConfigCommands;
 import org.foxtailplank.cli.internal.settings.SettingsCommands;
 import org.foxtailplank.process.ExitCode;
 
@@ -39,6 +40,7 @@
     private static List<Command> commands() {
         List<Command> commands = new ArrayList<>();
         commands.addAll(SettingsCommands.all());
+        commands.addAll(ConfigCommands.all());
         return commands;
     }
 }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/AdminClient.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/AdminClient.java
@@ -5,6 +5,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
 import org.foxtailplank.cli.internal.command.CliMessages;
@@ -19,8 +20,8 @@
 /** Calls the administration API of the first node that answers. */
 public final class AdminClient implements AutoCloseable {
     private static final int BAD_REQUEST = 400;
-    private static final int CONFLICT = 409;
     private static final String CODE_UNKNOWN = "unknown";
+    private static final String CODE_STALE = "stale-version";
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(10);
 
     private final PekkoRuntime mRuntime;
@@ -54,13 +55,17 @@
         return call(path, JsonHttpClient::get);
     }
 
-    /** Reads from one node only. */
-    public Reply getFrom(URI node, String path) throws InterruptedException {
-        try {
-            return reply(JsonHttpClient.await(mClient.get(node.resolve(path))));
-        } catch (HttpCallException e) {
-            return new Reply.Refused(false, e.getMessage());
-        }
+    /** Reads from one node only; the stage never fails. */
+    public CompletionStage<Reply> getFrom(URI node, String path) {
+        return mClient.get(node.resolve(path))
+                .handle(
+                        (answer, error) ->
+                                error == null ? reply(answer) : new Reply.Unknown(words(error)));
+    }
+
+    private static String words(Throwable error) {
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        return cause.getMessage();
     }
 
     /** Changes what a path names. */
@@ -84,8 +89,7 @@
         HttpCallException last = null;
         for (URI node : mNodes) {
             try {
-                return reply(
-                        JsonHttpClient.await(method.apply(mClient, node.resolve(path))));
+                return reply(JsonHttpClient.await(method.apply(mClient, node.resolve(path))));
             } catch (HttpCallException e) {
                 // Another node is asked only where this one certainly did nothing.
                 if (e.kind().mayHaveHappened()) {
@@ -97,18 +101,23 @@
         throw ProcessException.failed(CliMessages.noNode(last.getMessage()), last);
     }
 
-    private static Reply reply(HttpAnswer answer) throws HttpCallException {
-        if (answer.isOk()) {
-            return new Reply.Ok(answer.tree());
-        }
-        ApiError error;
+    private static Reply reply(HttpAnswer answer) {
         try {
-            error = Json.read(answer.body(), ApiError.class);
+            return answer.isOk()
+                    ? new Reply.Ok(Json.parse(answer.body()))
+                    : refusal(answer, Json.read(answer.body(), ApiError.class));
         } catch (JsonProcessingException e) {
-            return new Reply.Refused(false, answer.from() + " answered: " + answer.error());
+            return other(answer);
         }
+    }
+
+    private static Reply other(HttpAnswer answer) {
+        return new Reply.Refused(false, answer.from() + " answered: " + answer.error());
+    }
+
+    private static Reply refusal(HttpAnswer answer, ApiError error) {
         if (error == null || error.error() == null) {
-            return new Reply.Refused(false, answer.from() + " answered: " + answer.error());
+            return other(answer);
         }
         ApiError.Detail detail = error.error();
         String message = CliMessages.refused(detail.what(), detail.why(), detail.todo());
@@ -116,7 +125,8 @@
             return new Reply.Unknown(message);
         }
         JsonNode current = error.current();
-        if (answer.status() == CONFLICT && current != null && !current.isNull()) {
+        boolean stale = CODE_STALE.equals(detail.code());
+        if (stale && current != null && !current.isNull()) {
             return new Reply.Conflict(current, message);
         }
         return new Reply.Refused(answer.status() == BAD_REQUEST, message);
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/AdminOptions.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/AdminOptions.java
@@ -99,7 +99,7 @@
     }
 
     /** The base address of an administration API at an address such as {@code 127.0.0.1:7003}. */
-    static URI uri(String address) throws ProcessException {
+    public static URI uri(String address) throws ProcessException {
         try {
             URI uri = URI.create(address.startsWith("http://") ? address : "http://" + address);
             if (uri.getHost() != null && uri.getPort() > 0) {
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.cli.internal.command;
 
 import java.net.URI;
+import java.nio.file.Path;
 import java.util.Collection;
 
 /** The one place where the operators' program words its errors. */
@@ -63,7 +64,8 @@
 
     /** Another operator published first. */
     public static String overtaken(long from, long now, String who, String why) {
-        return "nothing was published, and your files are as they were: they were made from version "
+        return "nothing was published, and your files are as they were: they were made from version"
+                + " "
                 + from
                 + ", but "
                 + who
@@ -89,11 +91,47 @@
     }
 
     /** The version that a change was made from can't be had. */
-    public static String versionGone(long version) {
-        return "version "
-                + version
-                + " is not in the platform's log any more, so changes can't be put on top of each"
-                + " other; merge by hand and publish from the version in force";
+    public static String originUnknown() {
+        return "the version that your files were made from can't be read, so the changes can't be"
+                + " put on top of each other; give --settings FILE, or, where the platform's log"
+                + " has dropped it, merge by hand and publish from the version in force";
+    }
+
+    /** Heads the changes that another operator made. */
+    public static String changedMeanwhile() {
+        return "changed meanwhile:";
+    }
+
+    /** Heads the differences, where the version that files were made from is not known. */
+    public static String differsNow() {
+        return "your files and the version in force differ in (give --settings FILE to see only"
+                + " what the other operator changed):";
+    }
+
+    /** Heads a comparison. */
+    public static String differences(int count, long version) {
+        return count == 0
+                ? "the files are the same as version " + version
+                : count + " values differ between version " + version + " and the files:";
+    }
+
+    /** Older versions can't be listed. */
+    public static String olderExpired() {
+        return "older versions are not in the platform's log any more";
+    }
+
+    /** Files can't be written. */
+    public static String unwritable(Path directory, String why) {
+        return "can't write to "
+                + directory
+                + ": "
+                + why
+                + "; name a directory that may be written";
+    }
+
+    /** How far a version is. */
+    public static String inForce(long version, int nodes, int all) {
+        return "version " + version + " is in force at " + nodes + " of " + all + " nodes";
     }
 
     /** Nodes don't have a version in time. */
@@ -110,6 +148,12 @@
         return file + " names no site; an overlay starts with \"site\": \"ZONE\"";
     }
 
+    /** What is to be published is wrong. */
+    public static String wrongDraft(Collection<String> problems) {
+        return "nothing was published, since the configuration is wrong:\n"
+                + String.join("\n", problems);
+    }
+
     /** Two overlays are for one site. */
     public static String sameSite(String site) {
         return "two overlays are for site " + site + "; give one";
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/JsonDiff.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/JsonDiff.java
@@ -1,11 +1,10 @@
 package org.foxtailplank.cli.internal.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.NullNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -30,11 +29,14 @@
             return node == null ? "nothing" : node.toString();
         }
 
-        /** Whether another difference changes the same value, or one inside or around it. */
-        boolean overlaps(Difference other) {
-            return path.equals(other.path)
-                    || path.startsWith(other.path + ".")
-                    || other.path.startsWith(path + ".");
+        /** Whether another difference makes something else of the same value. */
+        boolean clashes(Difference other) {
+            boolean same = path.equals(other.path) && Objects.equals(after, other.after);
+            boolean overlaps =
+                    path.equals(other.path)
+                            || path.startsWith(other.path + ".")
+                            || other.path.startsWith(path + ".");
+            return overlaps && !same;
         }
     }
 
@@ -58,24 +60,41 @@
         }
     }
 
-    /** The merge patch (RFC 7396) that makes one object of the other. */
-    static ObjectNode mergePatch(ObjectNode before, ObjectNode after) {
-        ObjectNode patch = JsonNodeFactory.instance.objectNode();
+    /** Makes in a target what was changed between two other objects; a null counts as a value. */
+    static void replay(ObjectNode before, ObjectNode after, ObjectNode target) {
         for (String name : names(before, after)) {
             JsonNode old = before.get(name);
             JsonNode now = after.get(name);
-            if (old instanceof ObjectNode o && now instanceof ObjectNode n) {
-                ObjectNode inner = mergePatch(o, n);
-                if (!inner.isEmpty()) {
-                    patch.set(name, inner);
-                }
+            if (old instanceof ObjectNode o
+                    && now instanceof ObjectNode n
+                    && target.get(name) instanceof ObjectNode t) {
+                replay(o, n, t);
             } else if (now == null) {
-                patch.set(name, NullNode.getInstance());
+                target.remove(name);
             } else if (!now.equals(old)) {
-                patch.set(name, now);
+                target.set(name, now);
             }
         }
-        return patch;
+    }
+
+    /** An object with a merge patch applied. */
+    static ObjectNode patched(ObjectNode target, ObjectNode patch) {
+        ObjectNode result = target.deepCopy();
+        patch.properties()
+                .forEach(
+                        e -> {
+                            JsonNode value = e.getValue();
+                            JsonNode old = result.get(e.getKey());
+                            if (value.isNull()) {
+                                result.remove(e.getKey());
+                            } else if (value instanceof ObjectNode p
+                                    && old instanceof ObjectNode o) {
+                                result.set(e.getKey(), patched(o, p));
+                            } else {
+                                result.set(e.getKey(), value);
+                            }
+                        });
+        return result;
     }
 
     private static Set<String> names(ObjectNode a, ObjectNode b) {
--- a/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsProblem.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsProblem.java
@@ -10,6 +10,11 @@
  * @param allowed what is allowed there
  */
 public record SettingsProblem(String file, int line, String path, String found, String allowed) {
+    /** The same problem, with another name of its file. */
+    public SettingsProblem inFile(String name) {
+        return new SettingsProblem(name, line, path, found, allowed);
+    }
+
     @Override
     public String toString() {
         String where = file + ":" + line + ": " + (path.isEmpty() ? "" : path + ": ");
