--- a/foxtail-standin/src/main/java/org/foxtailplank/standin/PlatformStandin.java
+++ b/foxtail-standin/src/main/java/org/foxtailplank/standin/PlatformStandin.java
@@ -39,7 +39,7 @@
     private PlatformStandin(
             Settings settings, PlatformOptions options, ClassicActorSystemProvider system) {
         mFaults = new Faults(options.seed());
-        mLog = new StandinLog(options.retention(), settings.platform().appendsPerSecond());
+        mLog = new StandinLog(settings.platform());
         mVms = new StandinVms(settings, options, system);
         mWorkers = new StandinWorkers(settings, options, mFaults);
         mVms.onPowerLost(mWorkers::lose);
--- a/foxtail-standin/src/main/java/org/foxtailplank/standin/internal/log/StandinLog.java
+++ b/foxtail-standin/src/main/java/org/foxtailplank/standin/internal/log/StandinLog.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.foxtailplank.settings.PlatformSettings;
 import org.foxtailplank.standin.internal.fault.Fault;
 import org.foxtailplank.standin.internal.fault.FaultKind;
 import org.foxtailplank.standin.internal.http.Json;
@@ -31,10 +32,10 @@
     private long mRefilledNs = System.nanoTime();
 
     /** An empty log. */
-    public StandinLog(Duration retention, int appendsPerSecond) {
-        mRetention = retention;
-        mAppendsPerSecond = appendsPerSecond;
-        mAllowance = appendsPerSecond;
+    public StandinLog(PlatformSettings settings) {
+        mRetention = settings.retention();
+        mAppendsPerSecond = settings.appendsPerSecond();
+        mAllowance = mAppendsPerSecond;
     }
 
     /** Answers a call under {@code /v1/streams}. */
--- a/foxtail-standin/src/main/java/org/foxtailplank/standin/internal/vm/VmSteps.java
+++ b/foxtail-standin/src/main/java/org/foxtailplank/standin/internal/vm/VmSteps.java
@@ -84,7 +84,7 @@
                 if (vm.mPower == Power.ON) {
                     vm.end("done");
                 } else {
-                    bootAfter(vm, Power.WAKING, mOptions.wakeTime().toMillis());
+                    bootAfter(vm, Power.WAKING, mOptions.vmTimes().wake().toMillis());
                 }
             }
             case SLEEP -> {
@@ -92,7 +92,7 @@
                 vm.mPower = Power.OFF;
                 vm.end("done");
             }
-            case REBOOT -> bootAfter(vm, Power.REBOOTING, mOptions.rebootTime().toMillis());
+            case REBOOT -> bootAfter(vm, Power.REBOOTING, mOptions.vmTimes().reboot().toMillis());
             case REASSIGN -> {
                 boolean off = vm.mPower == Power.OFF;
                 vm.mPool = Optional.of(PoolId.of(act.pool()));
@@ -100,7 +100,7 @@
                 if (off) {
                     vm.end("done");
                 } else {
-                    bootAfter(vm, Power.REBOOTING, mOptions.reassignTime().toMillis());
+                    bootAfter(vm, Power.REBOOTING, mOptions.vmTimes().reassign().toMillis());
                 }
             }
             case DRAIN -> vm.end("done");
@@ -116,12 +116,15 @@
         }
         BackendStandin backend = vm.mRunning.get().backend();
         backend.leave();
-        return Timers.after(mOptions.leaveTime().toMillis())
+        return Timers.after(mOptions.vmTimes().leave().toMillis())
                 .thenCompose(v -> backend.finish())
                 .toCompletableFuture()
                 .completeOnTimeout(
                         null,
-                        mOptions.leaveTime().plus(mOptions.drainTimeout()).toMillis(),
+                        mOptions.vmTimes()
+                                .leave()
+                                .plus(mOptions.vmTimes().drainTimeout())
+                                .toMillis(),
                         TimeUnit.MILLISECONDS);
     }
 
@@ -167,7 +170,7 @@
             BackendOptions options =
                     BackendOptions.named(vm.mId.value())
                             .withLimits(settings.slots(), settings.connections())
-                            .withServiceTime(mOptions.serviceTime());
+                            .withServiceTime(mOptions.work().service());
             BackendStandin backend = BackendStandin.start(options, mSystem);
             vm.mRunning = Optional.of(new StandinVm.Running(service.get(), backend));
         }
--- a/foxtail-standin/src/main/java/org/foxtailplank/standin/internal/worker/StandinWorkers.java
+++ b/foxtail-standin/src/main/java/org/foxtailplank/standin/internal/worker/StandinWorkers.java
@@ -83,7 +83,8 @@
             boolean same = known.mStart.attempt() == start.attempt();
             return Reply.json(same ? ACCEPTED : CONFLICT, known.document(now));
         }
-        StandinTask task = new StandinTask(start, now, mOptions.taskTime().toMillis(), useFactor());
+        StandinTask task =
+                new StandinTask(start, now, mOptions.work().task().toMillis(), useFactor());
         tasks(vm).remove(start.task());
         tasks(vm).put(start.task(), task);
         boolean fails =
@@ -93,7 +94,7 @@
                                         f.kind() == FaultKind.FAIL
                                                 && f.vm().map(vm.value()::equals).orElse(true))
                         .isPresent();
-        Timers.after(mOptions.taskStartTime().toMillis()).thenRun(() -> started(task, fails));
+        Timers.after(mOptions.work().taskStart().toMillis()).thenRun(() -> started(task, fails));
         return Reply.json(ACCEPTED, task.document(now));
     }
 
@@ -156,7 +157,7 @@
     }
 
     private double useFactor() {
-        if (mRandom.nextDouble() >= mOptions.misdeclared()) {
+        if (mRandom.nextDouble() >= mOptions.work().misdeclared()) {
             return 1;
         }
         return mRandom.nextBoolean() ? WRONG_FACTOR : 1 / WRONG_FACTOR;
