Moves as the control role drives them; FleetFollower starts a followed log

Cause: a VM joins once it is drained, and the new pool's service starts after that (the control role's order); a move that is called off must not count the drained VM as serving. Change: VmJoined from RELEASING, then REASSIGN; a release under way may be given another pool; the phase RELEASED goes. The admin API words the new void reasons. FleetFollower is the public way in.

--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
@@ -147,6 +147,9 @@
         return switch (verdict.reason()) {
             case STALE_VERSION -> verdict.detail() + " has changed since the version given.";
             case DUPLICATE_ID -> "The same change stands in the log already.";
+            case TOO_LATE, OTHER_HISTORY ->
+                    "It reached the log too late to be checked: " + verdict.detail() + ".";
+            case MALFORMED -> "It contradicts itself: " + verdict.detail() + ".";
             case STALE_EPOCH -> "Another controller acts for this zone: " + verdict.detail() + ".";
             case UNKNOWN_OBJECT -> "There is no " + verdict.detail() + ".";
             case WRONG_PHASE ->
@@ -162,7 +165,9 @@
     private static String todo(Verdict.Void verdict) {
         return switch (verdict.reason()) {
             case STALE_VERSION -> "Look at 'current', decide again, and send its version.";
-            case DUPLICATE_ID, STALE_EPOCH -> "Read the object, and send the change again.";
+            case DUPLICATE_ID, STALE_EPOCH, TOO_LATE, OTHER_HISTORY ->
+                    "Read the object, and send the change again.";
+            case MALFORMED -> "Correct the change, and send it again.";
             case UNKNOWN_OBJECT -> "List what there is with GET, and check the name.";
             case WRONG_PHASE -> "Wait until what is under way has ended, or cancel it.";
             case OVER_BUDGET -> "Wait for VMs to come back, wake some, or lower the budget.";
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/state/VmFold.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/state/VmFold.java
@@ -54,9 +54,8 @@
         if (c.generation() != vm.generation() + 1) {
             return staleGeneration(vm, c.generation(), vm.generation() + 1);
         }
-        boolean leaving = vm.joining().isPresent() && c.action() != VmAction.REASSIGN;
         Optional<VmPhase> next = c.action().intendedIn(vm.phase());
-        if (vm.pending().isPresent() || leaving || next.isEmpty()) {
+        if (vm.pending().isPresent() || vm.joining().isPresent() || next.isEmpty()) {
             return Verdicts.wrongPhase(vm, c.action().toString());
         }
         Optional<Verdict> held = c.wave().flatMap(w -> heldByWave(vm, w));
@@ -99,40 +98,26 @@
         if (to.isEmpty()) {
             return Verdicts.unknown(ObjectKey.of(c.to()));
         }
-        if (c.to().equals(c.from())) {
-            return abandoned(at, vm);
+        boolean first =
+                (vm.phase() == VmPhase.SERVING || vm.phase() == VmPhase.OFF)
+                        && !c.to().equals(c.from());
+        boolean again = vm.joining().isPresent() && !vm.joining().equals(to);
+        if (vm.pending().isPresent() || !(first || again)) {
+            return Verdicts.wrongPhase(vm, "release to pool " + c.to());
         }
-        boolean movable = vm.phase() == VmPhase.SERVING || vm.phase() == VmPhase.OFF;
-        if (!movable || vm.pending().isPresent() || vm.joining().isPresent()) {
-            return Verdicts.wrongPhase(vm, "release");
-        }
-        VmPhase next = vm.phase() == VmPhase.SERVING ? VmPhase.RELEASING : VmPhase.OFF;
-        Optional<Verdict> over = overBudget(vm, next);
+        Optional<Verdict> over = overBudget(vm, VmPhase.RELEASING);
         if (over.isPresent()) {
             return over.get();
         }
-        mTable.put(vm.movingTo(to, next, at));
-        return Verdict.APPLIED;
-    }
-
-    private Verdict abandoned(long at, VmState vm) {
-        boolean possible = vm.phase() == VmPhase.RELEASING || vm.phase() == VmPhase.OFF;
-        if (!possible || vm.joining().isEmpty() || vm.pending().isPresent()) {
-            return Verdicts.wrongPhase(vm, "abandoning a move");
-        }
-        VmPhase next = vm.phase() == VmPhase.OFF ? VmPhase.OFF : VmPhase.SERVING;
-        mTable.put(vm.movingTo(Optional.empty(), next, at));
+        mTable.put(vm.movingTo(to, VmPhase.RELEASING, at));
         return Verdict.APPLIED;
     }
 
     private Verdict joined(long at, VmState vm, VmJoined c) {
-        boolean drained = vm.phase() == VmPhase.RELEASED || vm.phase() == VmPhase.OFF;
-        Optional<PoolId> to = vm.joining();
-        if (!drained || !to.equals(Optional.of(c.to()))) {
+        if (!vm.joining().equals(Optional.of(c.to()))) {
             return Verdicts.wrongPhase(vm, "joining pool " + c.to());
         }
-        VmPhase next = vm.phase() == VmPhase.OFF ? VmPhase.OFF : VmPhase.SERVING;
-        mTable.put(vm.joined(next, at));
+        mTable.put(vm.joined(at));
         return Verdict.APPLIED;
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmAction.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmAction.java
@@ -42,17 +42,12 @@
             };
         }
     },
-    /** Drain it, then start the service of the pool that it is released to. */
+    /** Start the service of the pool that it has joined. */
     REASSIGN {
         @Override
         public Optional<VmPhase> intendedIn(VmPhase phase) {
             return phase == VmPhase.RELEASING ? Optional.of(phase) : Optional.empty();
         }
-
-        @Override
-        public VmPhase done() {
-            return VmPhase.RELEASED;
-        }
     };
 
     /** Phase of a VM while this is pending; empty where it may not be intended. */
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmPhase.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmPhase.java
@@ -10,10 +10,8 @@
     SERVING,
     /** Drained, then powered off or rebooted. */
     STOPPING,
-    /** Drained to join another pool. */
+    /** Drained to join another pool, or joined and waiting for that pool's service to start. */
     RELEASING,
-    /** Drained and reassigned; joins the other pool next. */
-    RELEASED,
     /** An action failed or it was seen down; it needs attention. */
     BROKEN;
 
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmReleased.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmReleased.java
@@ -7,8 +7,8 @@
 /**
  * A VM begins to leave its pool; it still belongs to it.
  *
- * <p>A serving VM is then drained by {@link VmAction#REASSIGN}; one that is off joins at once. The
- * same pool twice abandons a move that was not yet reassigned.
+ * <p>A move under way may be given another pool, also the one that the VM is in, which calls it
+ * off: the VM still joins, since it may be drained already, and its service is started again.
  *
  * @param vm the VM
  * @param from pool that it is in
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VmState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VmState.java
@@ -76,7 +76,7 @@
                 next, generation, Optional.empty(), Optional.empty(), joining, lastMaintained, at);
     }
 
-    /** The VM on its way to another pool, or no longer on its way. */
+    /** The VM on its way to another pool. */
     public VmState movingTo(Optional<PoolId> to, VmPhase next, long at) {
         return with(next, generation, pending, wave, to, lastMaintained, at);
     }
@@ -92,14 +92,14 @@
     }
 
     /** The VM in the pool that it was released to. */
-    public VmState joined(VmPhase next, long at) {
+    public VmState joined(long at) {
         return new VmState(
                 id,
                 zone,
                 rack,
                 joining.orElseThrow(),
                 poolGeneration + 1,
-                next,
+                phase,
                 generation,
                 pending,
                 wave,
--- a/foxtail-core/src/main/java/org/foxtailplank/state/VoidReason.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/VoidReason.java
@@ -14,6 +14,8 @@
     UNKNOWN_OBJECT,
     /** The object is in a phase that does not allow it. */
     WRONG_PHASE,
+    /** It was made on a log whose records are not those of this one. */
+    OTHER_HISTORY,
     /** It contradicts itself or leaves out what it must name. */
     MALFORMED,
     /** It would break the availability budget of a service. */
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.foxtailplank.platform.FleetLog;
+import org.foxtailplank.platform.FleetFollower;
 import org.foxtailplank.platform.LogEntry;
 import org.foxtailplank.platform.PlatformException;
 import org.foxtailplank.platform.PlatformException.Effect;
@@ -31,7 +31,7 @@
 import org.foxtailplank.wire.RecordFormatException;
 
 /** Follows the stream of the fleet by long polls; one thread of its own owns the state. */
-public final class FollowedFleetLog implements FleetLog, AutoCloseable {
+public final class FollowedFleetLog implements FleetFollower {
     /** Stream that holds everything that must be ordered against each other. */
     public static final String STREAM = "fleet";
 
