Control: a wave goes on whatever step its controller died at

Cause: nothing showed that a controller that takes over carries pending intents on. Ruled out: planning before the platform's list was seen. The first run of the test showed it: a fleet that runs already counts as OFF until it is observed, and the plan woke all of it. Change: no plan before a list was seen, nor in the same go as sights that contradict the log; fakes of log and platform stepped by a fake clock. Conclusion: killed before or after the effect of every call of a wave over 12 VMs, each VM is rebooted once and no request in flight is cut off (WaveActingTest).

--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/FleetWatch.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/FleetWatch.java
@@ -56,10 +56,10 @@
                                                 VmReport::id, r -> r, (first, second) -> second)));
     }
 
-    /** What the list shows; nothing before there was one. */
-    public synchronized Sight observe(FleetView view) {
+    /** What the list shows; empty before there was one. */
+    public synchronized Optional<Sight> observe(FleetView view) {
         if (mReports.isEmpty()) {
-            return Sight.none();
+            return Optional.empty();
         }
         Instant now = mClock.instant();
         Set<VmId> silent = new HashSet<>();
@@ -73,7 +73,7 @@
             health.filter(h -> settled && h.observedIn(vm.phase()).isPresent())
                     .ifPresent(h -> surprises.put(vm.id(), h));
         }
-        return new Sight(new Observation(silent, Map.of()), surprises);
+        return Optional.of(new Sight(new Observation(silent, Map.of()), surprises));
     }
 
     private Optional<VmHealth> health(VmState vm, Instant now) {
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
@@ -74,12 +74,15 @@
 
     private ShardLook look(FleetView view, boolean plans, Instant now) {
         ShardLook look = ShardLook.of(view, mZone);
-        if (!plans || view.configuration().isEmpty()) {
+        Optional<Sight> sight = mParts.watch().observe(view);
+        // Before the platform's list was seen, a fleet that runs already counts as powered off, and
+        // a plan would wake all of it.
+        if (!plans || view.configuration().isEmpty() || sight.isEmpty()) {
             return look;
         }
-        Sight sight = mParts.watch().observe(view);
         long begin = System.nanoTime();
-        List<PlannedChange> changes = mParts.planner().plan(view, mZone, sight, now.toEpochMilli());
+        List<PlannedChange> changes =
+                mParts.planner().plan(view, mZone, sight.get(), now.toEpochMilli());
         return look.with(changes, Duration.ofNanos(System.nanoTime() - begin));
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
@@ -63,6 +63,11 @@
     public List<PlannedChange> plan(FleetView view, ZoneId zone, Sight sight, long nowMs) {
         Batch batch = new Batch(view, zone);
         sight.surprises().forEach(batch::observe);
+        if (!batch.changes().isEmpty()) {
+            // The state is about to change: a wave planned now would end over VMs that count as
+            // off.
+            return batch.changes();
+        }
         view.vms().stream()
                 .filter(vm -> vm.zone().equals(zone) && isReleased(vm))
                 .forEach(vm -> batch.intend(vm, VmAction.REASSIGN, REASSIGN_REASON));
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/Sight.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/Sight.java
@@ -15,9 +15,4 @@
     public Sight {
         surprises = Map.copyOf(surprises);
     }
-
-    /** Nothing is seen, so every VM is as the log says. */
-    public static Sight none() {
-        return new Sight(Observation.none(), Map.of());
-    }
 }
--- /dev/null
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/FakeLog.java
@@ -0,0 +1,96 @@
+package org.foxtailplank.controller.internal.act;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.foxtailplank.platform.FleetLog;
+import org.foxtailplank.platform.PlatformException;
+import org.foxtailplank.platform.PlatformException.Effect;
+import org.foxtailplank.state.FleetState;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.LogRecord;
+import org.foxtailplank.state.Verdict;
+
+/** One log in memory; every follower folds it for itself. */
+final class FakeLog {
+    private final List<LogRecord> mRecords = new ArrayList<>();
+    private boolean mAway;
+    private int mLostAnswers;
+
+    /** Refuses appends without effect until it is back. */
+    void setAway(boolean away) {
+        mAway = away;
+    }
+
+    void loseAnswers(int times) {
+        mLostAnswers = times;
+    }
+
+    List<LogRecord> records() {
+        return mRecords;
+    }
+
+    Follower follow(Interruption interruption) {
+        return new Follower(interruption);
+    }
+
+    /** The log as one process follows it. */
+    final class Follower implements FleetLog {
+        private final FleetState mState = new FleetState();
+        private final List<Verdict> mVerdicts = new ArrayList<>();
+        private final Interruption mInterruption;
+
+        private Follower(Interruption interruption) {
+            mInterruption = interruption;
+        }
+
+        @Override
+        public CompletionStage<Verdict> submit(LogRecord record) {
+            mInterruption.beforeCall();
+            if (mAway) {
+                return CompletableFuture.failedFuture(
+                        new PlatformException("the platform is away", Effect.NONE));
+            }
+            mRecords.add(record.basedOn(mState.nextOffset()));
+            int at = mRecords.size() - 1;
+            mInterruption.afterCall();
+            if (mLostAnswers > 0) {
+                mLostAnswers--;
+                return CompletableFuture.failedFuture(
+                        new PlatformException("the answer was lost", Effect.UNKNOWN));
+            }
+            catchUp();
+            return CompletableFuture.completedFuture(mVerdicts.get(at));
+        }
+
+        @Override
+        public <T> CompletionStage<T> read(Function<FleetView, T> reader) {
+            catchUp();
+            return CompletableFuture.completedFuture(reader.apply(mState));
+        }
+
+        @Override
+        public void onChange(Runnable listener) {
+            throw new UnsupportedOperationException("the tests look by themselves");
+        }
+
+        FleetView view() {
+            catchUp();
+            return mState;
+        }
+
+        List<Verdict> verdicts() {
+            catchUp();
+            return mVerdicts;
+        }
+
+        private void catchUp() {
+            while (mVerdicts.size() < mRecords.size()) {
+                int next = mVerdicts.size();
+                mVerdicts.add(mState.apply(next + 1L, mRecords.get(next)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestFleet.java
@@ -0,0 +1,161 @@
+package org.foxtailplank.controller.internal.act;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.RackId;
+import org.foxtailplank.id.RecordId;
+import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.WaveId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.settings.FleetSettings;
+import org.foxtailplank.state.Author;
+import org.foxtailplank.state.Change;
+import org.foxtailplank.state.ConfigurationPublished;
+import org.foxtailplank.state.FleetShape;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.LogRecord;
+import org.foxtailplank.state.ObjectKey;
+import org.foxtailplank.state.PoolShape;
+import org.foxtailplank.state.Verdict;
+import org.foxtailplank.state.VmPlace;
+import org.foxtailplank.state.WaveStarted;
+
+/** A zone with two services on three racks, its log and its platform. */
+final class TestFleet {
+    static final ZoneId ZONE = ZoneId.of("a");
+    static final Author OPERATOR = new Author("operators", "test");
+    static final FleetSettings SETTINGS =
+            new FleetSettings(
+                    0.5,
+                    Duration.ofSeconds(5),
+                    Duration.ofSeconds(30),
+                    Duration.ofSeconds(2),
+                    Duration.ofMinutes(10));
+    static final Map<NodeId, ZoneId> NODES =
+            Map.of(NodeId.of("a-1"), ZONE, NodeId.of("a-2"), ZONE, NodeId.of("a-3"), ZONE);
+    static final int MIN_AVAILABLE = 2;
+    private static final Duration TICK = Duration.ofMillis(250);
+    private static final int MAX_TICKS = 2_000;
+    private static final String[] SERVICES = {"claims", "quotes"};
+    private static final int RACKS = 3;
+    private static final int VMS_PER_RACK = 2;
+
+    private final FakeClock mClock = new FakeClock();
+    private final FakeLog mLog = new FakeLog();
+    private final FakePlatform mPlatform = new FakePlatform(mClock);
+    private final Set<NodeId> mSilent = new HashSet<>();
+    private final FakeLog.Follower mObserver = mLog.follow(Interruption.none());
+    private int mRecords;
+    private int mLost;
+
+    TestFleet() {
+        Map<VmId, VmPlace> places = new HashMap<>();
+        Map<PoolId, PoolShape> pools = new HashMap<>();
+        Map<ServiceId, Integer> budgets = new HashMap<>();
+        for (String service : SERVICES) {
+            int all = RACKS * VMS_PER_RACK;
+            pools.put(
+                    PoolId.of(service), new PoolShape(Optional.of(ServiceId.of(service)), all, 0));
+            budgets.put(ServiceId.of(service), MIN_AVAILABLE);
+            for (int i = 0; i < all; i++) {
+                String vm = service + "-" + i;
+                String rack = "r" + i / VMS_PER_RACK;
+                mPlatform.add(vm, ZONE.value(), rack, service);
+                places.put(VmId.of(vm), new VmPlace(ZONE, RackId.of(rack), PoolId.of(service)));
+            }
+        }
+        FleetShape shape = new FleetShape(places, pools, budgets);
+        Change change = new ConfigurationPublished("{}", Map.of(), shape, OPERATOR);
+        order(change, ObjectKey.configuration(), 0);
+    }
+
+    FakeClock clock() {
+        return mClock;
+    }
+
+    FakeLog log() {
+        return mLog;
+    }
+
+    FakePlatform platform() {
+        return mPlatform;
+    }
+
+    FleetView view() {
+        return mObserver.view();
+    }
+
+    /** Nodes that the others no longer hear. */
+    Set<NodeId> silent() {
+        return mSilent;
+    }
+
+    /** A rack is lost: its VMs no longer count against the promise. */
+    void lose(int perService) {
+        mLost = perService;
+    }
+
+    TestNode start(String name, Interruption interruption) {
+        return new TestNode(name, "life" + mRecords++, this, interruption);
+    }
+
+    Verdict order(Change change, ObjectKey key, long version) {
+        FakeLog.Follower operator = mLog.follow(Interruption.none());
+        return operator.submit(
+                        new LogRecord(
+                                RecordId.of("operator-" + mRecords++),
+                                NodeId.of("cli"),
+                                Optional.empty(),
+                                Map.of(key, version),
+                                change))
+                .toCompletableFuture()
+                .join();
+    }
+
+    void startWave(String id) {
+        WaveId wave = WaveId.of(id);
+        Change change = new WaveStarted(wave, Set.of(ZONE), Set.of(), OPERATOR);
+        assertTrue(order(change, ObjectKey.of(wave), 0).isApplied());
+    }
+
+    /** Lets controllers look, and time go on, until something holds. */
+    void runUntil(Predicate<FleetView> goal, TestNode... nodes) {
+        for (int i = 0; i < MAX_TICKS && !goal.test(view()); i++) {
+            tick(nodes);
+        }
+        assertTrue(goal.test(view()), "the fleet did not come to it: " + view().vms());
+    }
+
+    void run(Duration time, TestNode... nodes) {
+        for (long i = 0; i < time.dividedBy(TICK); i++) {
+            tick(nodes);
+        }
+    }
+
+    private void tick(TestNode... nodes) {
+        for (TestNode node : nodes) {
+            node.look();
+            assertBudgetsHold();
+        }
+        mClock.advance(TICK);
+    }
+
+    /** No service falls below its budget by what controllers do. */
+    void assertBudgetsHold() {
+        for (String service : SERVICES) {
+            long serving = mPlatform.serving(service);
+            assertTrue(
+                    serving + mLost >= MIN_AVAILABLE, service + " has " + serving + " instances");
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestNode.java
@@ -0,0 +1,89 @@
+package org.foxtailplank.controller.internal.act;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.foxtailplank.controller.internal.plan.FleetPlanner;
+import org.foxtailplank.fleet.BufferPlanner;
+import org.foxtailplank.fleet.WavePlanner;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.internal.control.EpochPolicy;
+import org.foxtailplank.internal.control.VmProcedure;
+import org.foxtailplank.internal.control.VmWaits;
+
+/** One controller process of a test: the loop of a zone over the fakes, stepped by hand. */
+final class TestNode implements Mailbox {
+    private static final Duration SILENCE = Duration.ofSeconds(2);
+    private static final Duration STAGGER = Duration.ofMillis(200);
+
+    private final Deque<Runnable> mQueue = new ArrayDeque<>();
+    private final FakeLog.Follower mLog;
+    private final ShardLoop mLoop;
+    private final Interruption mInterruption;
+
+    /**
+     * Starts a process.
+     *
+     * @param name its name
+     * @param life name of this life of it
+     * @param fleet what it works with
+     * @param interruption where it is interrupted
+     */
+    TestNode(String name, String life, TestFleet fleet, Interruption interruption) {
+        mInterruption = interruption;
+        mLog = fleet.log().follow(interruption);
+        NodeId self = NodeId.of(name);
+        RecordWriter writer = new RecordWriter(self, life, mLog);
+        Set<NodeId> silent = fleet.silent();
+        VmRunner runner =
+                new VmRunner(
+                        fleet.platform().directory(interruption),
+                        fleet.platform().actions(interruption),
+                        fleet.platform().health(),
+                        new VmProcedure(VmWaits.of(TestFleet.SETTINGS)),
+                        writer,
+                        fleet.clock());
+        ShardParts parts =
+                new ShardParts(
+                        self,
+                        mLog,
+                        writer,
+                        new EpochPolicy(self, TestFleet.NODES, SILENCE, STAGGER),
+                        node -> silent.contains(node) ? Duration.ofHours(1) : Duration.ZERO,
+                        new FleetPlanner(
+                                name,
+                                WavePlanner.byRack(),
+                                BufferPlanner.byDemand(TestFleet.SETTINGS)),
+                        new FleetWatch(fleet.clock()),
+                        fleet.platform().directory(Interruption.none()),
+                        runner,
+                        fleet.clock());
+        mLoop = new ShardLoop(TestFleet.ZONE, parts, this);
+    }
+
+    @Override
+    public <T> void deliver(CompletionStage<T> stage, Consumer<Optional<T>> handler) {
+        stage.whenComplete(
+                (value, error) -> mQueue.add(() -> handler.accept(Optional.ofNullable(value))));
+    }
+
+    FakeLog.Follower log() {
+        return mLog;
+    }
+
+    /** Looks once and does all that follows from it, unless it is killed meanwhile. */
+    void look() {
+        try {
+            mLoop.look();
+            while (!mQueue.isEmpty() && !mInterruption.isDead()) {
+                mQueue.poll().run();
+            }
+        } catch (Interruption.KilledError e) {
+            mQueue.clear();
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/WaveActingTest.java
@@ -0,0 +1,80 @@
+package org.foxtailplank.controller.internal.act;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.function.Predicate;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.WaveId;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.VmPhase;
+import org.foxtailplank.state.WavePhase;
+import org.testng.annotations.Test;
+
+/** Waves are carried out once and within the budgets, whatever becomes of controllers. */
+public class WaveActingTest {
+    private static final WaveId WAVE = WaveId.of("w");
+    private static final Predicate<FleetView> ALL_SERVE =
+            view -> view.vms().stream().allMatch(vm -> vm.phase() == VmPhase.SERVING);
+    private static final Predicate<FleetView> WAVE_FINISHED =
+            view -> view.wave(WAVE).filter(w -> w.phase() == WavePhase.FINISHED).isPresent();
+
+    @Test
+    public void takesAFleetThatRunsAlreadyIntoTheState() {
+        TestFleet fleet = new TestFleet();
+        fleet.runUntil(ALL_SERVE, fleet.start("a-1", Interruption.none()));
+        assertEquals(fleet.platform().effects(), List.of());
+    }
+
+    @Test
+    public void rebootsEveryVmOnceAndCutsOffNothing() {
+        TestFleet fleet = new TestFleet();
+        TestNode node = fleet.start("a-1", Interruption.none());
+        fleet.runUntil(ALL_SERVE, node);
+        fleet.startWave("w");
+        fleet.runUntil(WAVE_FINISHED, node);
+        assertMaintainedOnce(fleet);
+    }
+
+    /**
+     * The controller dies between two of its steps, at every place there is, before a call takes
+     * effect or after it did and before the answer. Another one carries the wave on from the state.
+     * A reboot would come twice, or a VM stay drained for ever, if either relied on memory.
+     */
+    @Test
+    public void goesOnAfterAControllerDiedAtAnyStep() {
+        int steps = 0;
+        for (boolean afterEffect : new boolean[] {false, true}) {
+            for (int call = 0; killedAt(call, afterEffect); call++) {
+                steps++;
+            }
+        }
+        assertTrue(steps > 100, "only " + steps + " steps");
+    }
+
+    private static boolean killedAt(int call, boolean afterEffect) {
+        TestFleet fleet = new TestFleet();
+        Interruption kill = Interruption.killAt(call, afterEffect);
+        TestNode first = fleet.start("a-1", kill);
+        fleet.startWave("w");
+        fleet.runUntil(view -> kill.isDead() || WAVE_FINISHED.test(view), first);
+        if (!kill.isDead()) {
+            return false;
+        }
+        fleet.silent().add(NodeId.of("a-1"));
+        fleet.runUntil(WAVE_FINISHED, fleet.start("a-2", Interruption.none()));
+        assertMaintainedOnce(fleet);
+        return true;
+    }
+
+    private static void assertMaintainedOnce(TestFleet fleet) {
+        List<String> reboots =
+                fleet.platform().effects().stream().filter(e -> e.startsWith("REBOOT")).toList();
+        assertEquals(reboots.size(), fleet.view().vms().size(), reboots.toString());
+        assertEquals(new HashSet<>(reboots).size(), reboots.size(), reboots.toString());
+        assertEquals(fleet.platform().cutOff(), List.of());
+        assertTrue(ALL_SERVE.test(fleet.view()));
+    }
+}
