--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
@@ -107,7 +107,7 @@
         }
         if (step instanceof VmStep.Join join) {
             Change change = new VmJoined(vm, join.to());
-            return record(pending, change, epoch, "joins " + join.to());
+            return record(pending, change, epoch, "joins " + join.to() + ", " + join.note());
         }
         return completedFuture(null);
     }
@@ -117,15 +117,14 @@
         VmState state = pending.vm();
         VmId vm = state.id();
         LOG.log(Level.INFO, "control: asks to {0} {1}: {2}", action, vm, note);
-        boolean reassigns = action == PlatformAction.REASSIGN;
         return mActions.act(
                 vm,
                 new ActionRequest(
                         call.id(),
                         action,
                         call.generation(),
-                        reassigns ? state.joining().orElseThrow() : state.pool(),
-                        state.poolGeneration() + (reassigns ? 1 : 0)));
+                        state.pool(),
+                        state.poolGeneration()));
     }
 
     private CompletionStage<Verdict> record(
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
@@ -39,7 +39,7 @@
  * <p>Every zone decides from the whole state and writes only what concerns its own VMs.
  */
 public final class FleetPlanner implements ShardPlanner {
-    private static final String REASSIGN_REASON = "it is released to another pool";
+    private static final String REASSIGN_REASON = "it has joined its pool";
 
     private final String mWho;
     private final WavePlanner mWaves;
@@ -69,7 +69,7 @@
             return batch.changes();
         }
         view.vms().stream()
-                .filter(vm -> vm.zone().equals(zone) && isReleased(vm))
+                .filter(vm -> vm.zone().equals(zone) && isJoined(vm))
                 .forEach(vm -> batch.intend(vm, VmAction.REASSIGN, REASSIGN_REASON));
         Observation seen = sight.seen();
         for (WaveState wave : view.waves()) {
@@ -85,9 +85,9 @@
         return batch.changes();
     }
 
-    /** It leaves its pool, and nobody has begun to drain it yet. */
-    private static boolean isReleased(VmState vm) {
-        return vm.phase() == VmPhase.RELEASING && vm.pending().isEmpty();
+    /** It has joined its new pool, and nothing of that pool runs on it yet. */
+    private static boolean isJoined(VmState vm) {
+        return vm.phase() == VmPhase.RELEASING && vm.joining().isEmpty() && vm.pending().isEmpty();
     }
 
     private void wave(Batch batch, WaveState wave, WaveDecision decision) {
