--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
@@ -1,22 +1,18 @@
 package org.foxtailplank.controller;
 
-import java.lang.System.Logger.Level;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
-import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
-import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.Adapter;
-import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.server.Directives;
+import org.apache.pekko.http.javadsl.server.Route;
 import org.foxtailplank.controller.internal.act.BackendHealth;
 import org.foxtailplank.controller.internal.act.FleetWatch;
 import org.foxtailplank.controller.internal.act.HttpBackendHealth;
@@ -33,114 +29,103 @@
 import org.foxtailplank.internal.control.EpochPolicy;
 import org.foxtailplank.internal.control.VmProcedure;
 import org.foxtailplank.internal.control.VmWaits;
+import org.foxtailplank.process.Log;
+import org.foxtailplank.process.PekkoRuntime;
+import org.foxtailplank.settings.PeerSettings;
 import org.foxtailplank.settings.Settings;
 
 /** The control role of one process: a shard for each availability zone, and the admin API. */
 public final class Controller {
-    private static final System.Logger LOG = System.getLogger("control");
+    private static final Log LOG = Log.of("control");
     private static final String DISPATCHER = "foxtail.control-dispatcher";
-    private static final int STOP_TIMEOUT_SECONDS = 5;
     private static final Duration HEALTH_TIMEOUT = Duration.ofSeconds(1);
 
     private final ActorSystem<?> mSystem;
-    private final List<ActorRef<ShardController.Command>> mShards;
-    private final ServerBinding mBinding;
+    private final ControllerParts mParts;
+    private final RecordWriter mWriter;
+    private final InstantSource mClock = InstantSource.system();
+    private final FleetWatch mWatch = new FleetWatch(mClock);
+    private final BackendHealth mHealth;
+    private final AdminApi mApi;
+    private final List<ActorRef<ShardController.Command>> mShards = new ArrayList<>();
 
-    private Controller(
-            ActorSystem<?> system,
-            List<ActorRef<ShardController.Command>> shards,
-            ServerBinding binding) {
+    private Controller(ActorSystem<?> system, ControllerParts parts) {
         mSystem = system;
-        mShards = shards;
-        mBinding = binding;
-    }
-
-    /** Starts the control role inside an actor system; done once the admin address is bound. */
-    public static CompletionStage<Controller> start(ActorSystem<?> system, ControllerParts parts) {
+        mParts = parts;
         // The id of a record must never come again, whatever earlier process had this node's name.
         String incarnation = UUID.randomUUID().toString();
-        RecordWriter writer = new RecordWriter(parts.self(), incarnation, parts.log());
-        AdminApi api =
+        mWriter = new RecordWriter(parts.self(), incarnation, parts.log());
+        mHealth = new HttpBackendHealth(system, HEALTH_TIMEOUT);
+        mApi =
                 new AdminApi(
                         system,
                         parts.log(),
-                        writer,
+                        mWriter,
                         parts.settings(),
                         parts.liveness(),
-                        parts.checker());
-        return Http.get(system)
-                .newServerAt(parts.admin().getHostString(), parts.admin().getPort())
-                .bind(api::handle)
-                .thenApply(
-                        binding -> new Controller(system, shards(system, parts, writer), binding));
+                        ConfigurationChecker.bySettings());
     }
 
-    /** Where the administration API answers. */
-    public InetSocketAddress adminAddress() {
-        return mBinding.localAddress();
+    /** Starts to act, and to answer on {@link #route()}. */
+    public static Controller start(PekkoRuntime runtime, ControllerParts parts) {
+        Controller controller = new Controller(runtime.system(), parts);
+        parts.settings().zones().keySet().forEach(controller::startShard);
+        LOG.info("Control of {0} has started.", parts.self());
+        return controller;
     }
 
-    /** Stops acting and answers no further call; what is pending is left to the next controller. */
-    public CompletionStage<Done> stop() {
+    /** The administration API, to be served on the admin address. */
+    public Route route() {
+        return Directives.pathPrefix("v1", () -> Directives.handle(mApi::handle));
+    }
+
+    /** Stops to act; what is pending is left to the next controller. */
+    public void stop() {
         for (ActorRef<ShardController.Command> shard : mShards) {
             Adapter.toClassic(mSystem).stop(Adapter.toClassic(shard));
         }
-        LOG.log(Level.INFO, "control: stopped");
-        return mBinding.terminate(Duration.ofSeconds(STOP_TIMEOUT_SECONDS))
-                .thenApply(terminated -> Done.getInstance());
+        LOG.info("Control of {0} has stopped.", mParts.self());
     }
 
-    private static List<ActorRef<ShardController.Command>> shards(
-            ActorSystem<?> system, ControllerParts parts, RecordWriter writer) {
-        BackendHealth health = new HttpBackendHealth(system, HEALTH_TIMEOUT);
-        FleetWatch watch = new FleetWatch(InstantSource.system());
-        List<ActorRef<ShardController.Command>> shards = new ArrayList<>();
-        for (ZoneId zone : parts.settings().zones().keySet()) {
-            ActorRef<ShardController.Command> shard =
-                    system.systemActorOf(
-                            ShardController.of(zone, shardParts(parts, writer, health, watch)),
-                            "control-" + zone,
-                            DispatcherSelector.fromConfig(DISPATCHER));
-            parts.log().onChange(() -> shard.tell(ShardController.Look.NOW));
-            shards.add(shard);
-        }
-        return shards;
+    private void startShard(ZoneId zone) {
+        ActorRef<ShardController.Command> shard =
+                mSystem.systemActorOf(
+                        ShardController.of(zone, shardParts()),
+                        "control-" + mParts.self() + "-" + zone,
+                        DispatcherSelector.fromConfig(DISPATCHER));
+        mParts.log().onChange(() -> shard.tell(ShardController.Look.NOW));
+        mShards.add(shard);
     }
 
-    private static ShardParts shardParts(
-            ControllerParts parts, RecordWriter writer, BackendHealth health, FleetWatch watch) {
-        Settings settings = parts.settings();
-        InstantSource clock = InstantSource.system();
-        Map<NodeId, ZoneId> nodes =
-                settings.nodes().entrySet().stream()
-                        .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().zone()));
-        EpochPolicy epochs =
-                new EpochPolicy(
-                        parts.self(),
-                        nodes,
-                        settings.peers().silence(),
-                        settings.peers().heartbeat());
-        VmRunner runner =
-                new VmRunner(
-                        parts.directory(),
-                        parts.actions(),
-                        health,
-                        new VmProcedure(VmWaits.of(settings.fleet())),
-                        writer,
-                        clock);
+    private ShardParts shardParts() {
+        Settings settings = mParts.settings();
         return new ShardParts(
-                parts.self(),
-                parts.log(),
-                writer,
-                epochs,
-                parts.liveness(),
+                mParts.self(),
+                mParts.log(),
+                mWriter,
+                epochs(settings),
+                mParts.liveness(),
                 new FleetPlanner(
-                        parts.self().value(),
+                        mParts.self().value(),
                         WavePlanner.byRack(),
                         BufferPlanner.byDemand(settings.fleet())),
-                watch,
-                parts.directory(),
-                runner,
-                clock);
+                mWatch,
+                mParts.directory(),
+                new VmRunner(
+                        mParts.directory(),
+                        mParts.actions(),
+                        mHealth,
+                        new VmProcedure(VmWaits.of(settings.fleet())),
+                        mWriter,
+                        mClock),
+                mClock);
+    }
+
+    private EpochPolicy epochs(Settings settings) {
+        Map<NodeId, ZoneId> nodes =
+                settings.nodes().entrySet().stream()
+                        .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().zone()));
+        PeerSettings peers = settings.peers();
+        return new EpochPolicy(mParts.self(), nodes, peers.silence(), peers.heartbeat());
     }
 }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerParts.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerParts.java
@@ -1,34 +1,64 @@
 package org.foxtailplank.controller;
 
-import java.net.InetSocketAddress;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.time.InstantSource;
+import org.foxtailplank.controller.internal.PeerLiveness;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.internal.control.Liveness;
 import org.foxtailplank.platform.FleetLog;
+import org.foxtailplank.platform.HttpPlatform;
 import org.foxtailplank.platform.VmActions;
 import org.foxtailplank.platform.VmDirectory;
 import org.foxtailplank.platform.Workers;
 import org.foxtailplank.settings.Settings;
+import org.foxtailplank.wire.PeerLink;
 
 /**
  * What a controller works with.
  *
  * @param self this node
- * @param admin address of the administration API; port 0 lets the system choose
- * @param settings the settings
+ * @param settings the settings that it starts with
  * @param log the agreed state
  * @param directory the platform's knowledge of VMs
  * @param actions actions on VMs
  * @param workers the workers
  * @param liveness how long other nodes have been silent
- * @param checker checks configurations before they are published
+ * @param metrics takes the controller's counters
  */
 public record ControllerParts(
         NodeId self,
-        InetSocketAddress admin,
         Settings settings,
         FleetLog log,
         VmDirectory directory,
         VmActions actions,
         Workers workers,
         Liveness liveness,
-        ConfigurationChecker checker) {}
+        MetricRegistry metrics) {
+    /** A controller that hears of no other node, so that only the log decides who acts. */
+    public static ControllerParts of(
+            NodeId self, Settings settings, FleetLog log, HttpPlatform platform) {
+        return new ControllerParts(
+                self,
+                settings,
+                log,
+                platform.vms(),
+                platform.vmActions(),
+                platform.workers(),
+                node -> Duration.ZERO,
+                new MetricRegistry());
+    }
+
+    /** The same, hearing of other nodes by a link to them. */
+    public ControllerParts withPeers(PeerLink link) {
+        Liveness heard = new PeerLiveness(link, settings.peers().silence(), InstantSource.system());
+        return new ControllerParts(
+                self, settings, log, directory, actions, workers, heard, metrics);
+    }
+
+    /** The same with counters taken by a registry. */
+    public ControllerParts withMetrics(MetricRegistry registry) {
+        return new ControllerParts(
+                self, settings, log, directory, actions, workers, liveness, registry);
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/PeerLiveness.java
@@ -0,0 +1,64 @@
+package org.foxtailplank.controller.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.internal.control.Liveness;
+import org.foxtailplank.membership.Member;
+import org.foxtailplank.membership.MemberState;
+import org.foxtailplank.wire.PeerLink;
+
+/** Tells from the peer link since when a node has been away. */
+public final class PeerLiveness implements Liveness {
+    /** Longer than any wait: a node that has said that it leaves is not waited for. */
+    private static final Duration LEFT = Duration.ofDays(1);
+
+    private final PeerLink mLink;
+    private final NodeId mSelf;
+    private final Duration mSilence;
+    private final InstantSource mClock;
+    private final Instant mStarted;
+    private final Map<NodeId, Instant> mAwaySince = new ConcurrentHashMap<>();
+
+    /**
+     * The liveness that a link sees.
+     *
+     * @param link the link
+     * @param silence silence after which the link calls a member away
+     * @param clock tells how long a member has been away
+     */
+    public PeerLiveness(PeerLink link, Duration silence, InstantSource clock) {
+        mLink = link;
+        mSelf = link.self().node();
+        mSilence = silence;
+        mClock = clock;
+        mStarted = clock.instant();
+        link.onChange(this::changed);
+    }
+
+    @Override
+    public Duration silence(NodeId node) {
+        if (node.equals(mSelf)) {
+            return Duration.ZERO;
+        }
+        MemberState state = mLink.member(node).map(Member::state).orElse(MemberState.AWAY);
+        return switch (state) {
+            case ALIVE, SUSPECT -> Duration.ZERO;
+            case LEFT -> LEFT;
+            case AWAY -> silenceSince(mAwaySince.getOrDefault(node, mStarted));
+        };
+    }
+
+    private Duration silenceSince(Instant away) {
+        return mSilence.plus(Duration.between(away, mClock.instant()));
+    }
+
+    private void changed(Member member) {
+        if (member.state() == MemberState.AWAY) {
+            mAwaySince.put(member.node(), mClock.instant());
+        }
+    }
+}
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
@@ -1,6 +1,5 @@
 package org.foxtailplank.controller.internal.act;
 
-import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -18,6 +17,7 @@
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.internal.control.EpochDecision;
 import org.foxtailplank.internal.control.VmStep;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.state.ActingEpoch;
 import org.foxtailplank.state.EpochTaken;
 import org.foxtailplank.state.FleetView;
@@ -31,7 +31,7 @@
  */
 final class ShardLoop {
     static final Duration LOOK_EVERY = Duration.ofMillis(250);
-    private static final System.Logger LOG = System.getLogger("control");
+    private static final Log LOG = Log.of("control");
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
     /** A plan of a large fleet takes long; the pause keeps planning under 4% of a core. */
@@ -111,7 +111,7 @@
 
     private void lose(long taken) {
         if (mHeld.isPresent() && mHeld.getAsLong() < taken) {
-            LOG.log(Level.WARNING, "control {0}: lost epoch {1}", mZone, mHeld.getAsLong());
+            LOG.warn("Lost epoch {1} of {0} to another controller.", mZone, mHeld.getAsLong());
             mHeld = OptionalLong.empty();
         }
     }
@@ -119,7 +119,7 @@
     private void tryEpoch(EpochDecision.Take take) {
         mTrying = true;
         long number = take.replaces() + 1;
-        LOG.log(Level.INFO, "control {0}: tries epoch {1}: {2}", mZone, number, take.why());
+        LOG.info("Tries for epoch {1} of {0}: {2}.", mZone, number, take.why());
         CompletionStage<Verdict> verdict =
                 mParts.writer()
                         .write(
@@ -134,7 +134,7 @@
         mTrying = false;
         mNextTry = mParts.clock().instant().plus(RETRY_AFTER);
         if (verdict.filter(Verdict.Applied.class::isInstance).isPresent()) {
-            LOG.log(Level.INFO, "control {0}: holds epoch {1}", mZone, number);
+            LOG.info("Holds epoch {1} of {0}.", mZone, number);
             mHeld = OptionalLong.of(number);
         }
         look();
@@ -196,13 +196,9 @@
         }
         if (verdict.orElse(null) instanceof Verdict.Void v) {
             // Whatever stood against it is in the state that the next look reads.
-            LOG.log(
-                    Level.INFO,
-                    "control {0}: {1} is void: {2}, {3}",
-                    mZone,
-                    planned.change().getClass().getSimpleName(),
-                    v.reason(),
-                    v.detail());
+            LOG.info(
+                    "In {0} a {1} is void: {2}, {3}.",
+                    mZone, planned.change().getClass().getSimpleName(), v.reason(), v.detail());
             mNextPlan = mParts.clock().instant().plus(LOOK_EVERY);
         }
         if (mWriting == 0) {
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
@@ -2,7 +2,6 @@
 
 import static java.util.concurrent.CompletableFuture.completedFuture;
 
-import java.lang.System.Logger.Level;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +19,7 @@
 import org.foxtailplank.platform.VmActions;
 import org.foxtailplank.platform.VmDirectory;
 import org.foxtailplank.platform.VmReport;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.state.ActingEpoch;
 import org.foxtailplank.state.Change;
 import org.foxtailplank.state.ObjectKey;
@@ -31,7 +31,7 @@
 
 /** Takes one step at a time for a VM whose intent is pending: looks, decides, does. */
 public final class VmRunner {
-    private static final System.Logger LOG = System.getLogger("control");
+    private static final Log LOG = Log.of("control");
 
     private final VmDirectory mDirectory;
     private final VmActions mActions;
@@ -116,7 +116,7 @@
             PendingVm pending, PlatformCall call, PlatformAction action, String note) {
         VmState state = pending.vm();
         VmId vm = state.id();
-        LOG.log(Level.INFO, "control: asks to {0} {1}: {2}", action, vm, note);
+        LOG.info("Asks the platform to {0} {1}: {2}.", action, vm, note);
         return mActions.act(
                 vm,
                 new ActionRequest(
@@ -130,7 +130,7 @@
     private CompletionStage<Verdict> record(
             PendingVm pending, Change change, ActingEpoch epoch, String note) {
         VmId vm = pending.vm().id();
-        LOG.log(Level.INFO, "control: records of {0}: {1}", vm, note);
+        LOG.info("Records of {0}: {1}.", vm, note);
         return mWriter.write(
                 mWriter.nextId(),
                 Optional.of(epoch),
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
@@ -2,8 +2,6 @@
 
 import static java.util.concurrent.CompletableFuture.completedFuture;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -11,20 +9,20 @@
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
-import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.japi.Pair;
 import org.foxtailplank.controller.ConfigurationChecker;
 import org.foxtailplank.controller.internal.act.RecordWriter;
 import org.foxtailplank.internal.control.Liveness;
 import org.foxtailplank.platform.FleetLog;
+import org.foxtailplank.process.JsonRoutes;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.settings.Settings;
 
 /** Answers the HTTP calls of operators and teams. */
 public final class AdminApi {
-    private static final System.Logger LOG = System.getLogger("admin");
+    private static final Log LOG = Log.of("admin");
     private static final long MAX_BODY_BYTES = 4L << 20;
     private static final long BODY_TIMEOUT_MS = 10_000;
 
@@ -55,7 +53,7 @@
                 .handle((body, error) -> error == null ? body.getData().utf8String() : null)
                 .thenCompose(body -> answer(request, body))
                 .exceptionally(AdminApi::failed)
-                .thenApply(AdminApi::toHttp);
+                .thenApply(a -> JsonRoutes.answer(a.status(), a.body()));
     }
 
     private CompletionStage<Answer> answer(HttpRequest request, String body) {
@@ -110,19 +108,7 @@
     }
 
     private static Answer failed(Throwable error) {
-        LOG.log(Level.ERROR, "admin: a call failed", error);
+        LOG.error("A call failed: {0}.", error);
         return Answer.problem(Problem.internal());
     }
-
-    private static HttpResponse toHttp(Answer answer) {
-        try {
-            return HttpResponse.create()
-                    .withStatus(StatusCodes.get(answer.status()))
-                    .withEntity(
-                            ContentTypes.APPLICATION_JSON,
-                            Call.JSON.writeValueAsString(answer.body()));
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a view can't be written as JSON", e);
-        }
-    }
 }
