--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -13,20 +13,19 @@
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.Cancellable;
-import org.foxtailplank.controller.ConfigurationChecker;
+import org.apache.pekko.http.javadsl.server.Directives;
+import org.apache.pekko.http.javadsl.server.Route;
 import org.foxtailplank.controller.Controller;
 import org.foxtailplank.controller.ControllerParts;
-import org.foxtailplank.controller.NodePages;
 import org.foxtailplank.entry.internal.node.ConfigurationFollower;
-import org.foxtailplank.entry.internal.node.PeerLiveness;
 import org.foxtailplank.entry.internal.node.WaveWatch;
 import org.foxtailplank.membership.Incarnation;
 import org.foxtailplank.membership.NodeRole;
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
+import org.foxtailplank.platform.FleetFollower;
 import org.foxtailplank.platform.HttpPlatform;
 import org.foxtailplank.platform.burn.BurnLog;
-import org.foxtailplank.platform.internal.fleet.FollowedFleetLog;
 import org.foxtailplank.process.Health;
 import org.foxtailplank.process.HealthRoutes;
 import org.foxtailplank.process.HttpListener;
@@ -55,13 +54,14 @@
 
     private static final Duration LIST_INTERVAL = Duration.ofMillis(500);
     private static final Duration BURN_INTERVAL = Duration.ofSeconds(5);
+    private static final int ANSWER_TIMEOUTS = 5;
     private static final Duration BURN_KEPT = Duration.ofHours(24);
 
     private final PekkoRuntime mRuntime;
     private final NodeOptions mOptions;
     private final HttpPlatform mPlatform;
     private final MetricRegistry mMetrics = new MetricRegistry();
-    private final FollowedFleetLog mFleet;
+    private final FleetFollower mFleet;
     private final PeerLink mPeers;
     private final ConfigurationFollower mConfiguration;
 
@@ -84,7 +84,10 @@
                         settings.platform().address(),
                         settings.platform().timeout(),
                         runtime.system());
-        mFleet = FollowedFleetLog.follow(mPlatform.log(), settings.platform().timeout());
+        mFleet =
+                FleetFollower.start(
+                        mPlatform.log(),
+                        settings.platform().timeout().multipliedBy(ANSWER_TIMEOUTS));
         mConfiguration = new ConfigurationFollower(settings, options.node(), mFleet, peers);
         mBurn =
                 BurnLog.of(
@@ -120,9 +123,7 @@
 
     /** Address of the administration API, health and metrics. */
     public InetSocketAddress admin() {
-        return mController
-                .map(Controller::adminAddress)
-                .orElseGet(() -> mListener.orElseThrow().address());
+        return mListener.orElseThrow().address();
     }
 
     /** Where it may be met by its peers. */
@@ -159,7 +160,7 @@
     @Override
     public void close() {
         mBurnTimer.ifPresent(Cancellable::cancel);
-        mController.ifPresent(c -> c.stop().toCompletableFuture().join());
+        mController.ifPresent(Controller::stop);
         mListener.ifPresent(HttpListener::unbind);
         mDirectory.ifPresent(PlatformDirectory::stop);
         mPeers.close();
@@ -212,27 +213,21 @@
     }
 
     private void startAdmin() throws ProcessException {
-        InetSocketAddress admin = mOptions.settings().nodes().get(mOptions.node()).admin();
-        if (!mOptions.roles().contains(NodeRole.CONTROL)) {
-            mListener =
-                    Optional.of(
-                            HttpListener.bind(
-                                    mRuntime, admin, HealthRoutes.of(this::health, mMetrics)));
-            return;
+        Route routes = HealthRoutes.of(this::health, mMetrics);
+        if (mOptions.roles().contains(NodeRole.CONTROL)) {
+            Controller controller = Controller.start(mRuntime, controllerParts());
+            mController = Optional.of(controller);
+            routes = Directives.concat(routes, controller.route());
         }
-        ControllerParts parts =
-                new ControllerParts(
-                        mOptions.node(),
-                        admin,
-                        mOptions.settings(),
-                        mFleet,
-                        mPlatform.vms(),
-                        mPlatform.vmActions(),
-                        mPlatform.workers(),
-                        PeerLiveness.of(mPeers),
-                        ConfigurationChecker.bySettings());
-        NodePages pages = new NodePages(this::health, mMetrics, Optional.of(mBurn));
-        mController = Optional.of(listening(Controller.start(mRuntime.system(), parts, pages)));
+        InetSocketAddress address = mOptions.settings().nodes().get(mOptions.node()).admin();
+        mListener = Optional.of(HttpListener.bind(mRuntime, address, routes));
+    }
+
+    private ControllerParts controllerParts() {
+        return ControllerParts.of(mOptions.node(), mOptions.settings(), mFleet, mPlatform)
+                .withPeers(mPeers)
+                .withMetrics(mMetrics)
+                .withBurn(mBurn);
     }
 
     private Health health() {
