CLI: pools, VMs, jobs, teams, nodes and waves

Cause: operators list, show and change the fleet's objects through the administration API. Change: each change is conditional on a version (named, or the object's own), carries who and why, and prints the object's new version; one that comes second shows what is there now. Lists are paged. A watched wave shows its progress, and ends with 1 when it was cancelled. Another node is asked only where the first one certainly did nothing.

--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
@@ -8,6 +8,8 @@
 import org.foxtailplank.cli.internal.command.CommandTable;
 import org.foxtailplank.cli.internal.command.Console;
 import org.foxtailplank.cli.internal.config.ConfigCommands;
+import org.foxtailplank.cli.internal.fleet.FleetCommands;
+import org.foxtailplank.cli.internal.fleet.WaveCommands;
 import org.foxtailplank.cli.internal.settings.SettingsCommands;
 import org.foxtailplank.process.ExitCode;
 
@@ -41,6 +43,8 @@
         List<Command> commands = new ArrayList<>();
         commands.addAll(SettingsCommands.all());
         commands.addAll(ConfigCommands.all());
+        commands.addAll(FleetCommands.all());
+        commands.addAll(WaveCommands.all());
         return commands;
     }
 }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/Reply.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/Reply.java
@@ -70,8 +70,7 @@
         try {
             return Json.read(body, type);
         } catch (JsonProcessingException e) {
-            throw ProcessException.failed(
-                    "the node's answer can't be read: " + e.getOriginalMessage(), e);
+            throw ProcessException.failed(CliMessages.unreadable(e.getOriginalMessage()), e);
         }
     }
 }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
@@ -163,4 +163,21 @@
     public static String notAnObject(String file) {
         return file + " holds no JSON object; foxtail settings check names the cause";
     }
+
+    /** A list goes on. */
+    public static String moreAfter(String id) {
+        return "there are more; go on with --after " + id;
+    }
+
+    /** An answer has another form than expected. */
+    public static String unreadable(String why) {
+        return "the node's answer can't be read: "
+                + why
+                + "; this program and the node may be of different versions";
+    }
+
+    /** Who ordered the last change of a wave. */
+    public static String lastOrder(String who, String why) {
+        return "last order by " + who + ": " + why;
+    }
 }
