entry: what a request does next is decided in the core; a lone silent instance is still asked

Cause: queue, retries and timeouts were decided inside an actor, out of reach of tests with a fake clock. Change: Lane, RunRule and PendingRequest in core's dispatch package; a connection that timed out is told from one that was refused; where every instance looks silent or ejected, one is asked anyway.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/routing/AttemptEnd.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/AttemptEnd.java
@@ -10,7 +10,9 @@
     BUSY(true, false),
     /** The connection broke, or the answer did not come in time. */
     BROKEN(false, false),
-    /** Nobody listens at the instance's address. */
+    /** No connection could be had in time; nothing was sent. */
+    NOT_CONNECTED(false, false),
+    /** Nobody listens at the instance's address; nothing was sent. */
     REFUSED(false, true);
 
     private final boolean mHealthy;
@@ -26,6 +28,11 @@
         return mHealthy;
     }
 
+    /** Whether it is certain that nothing was sent. */
+    public boolean nothingSent() {
+        return this == NOT_CONNECTED || this == REFUSED;
+    }
+
     /** Whether the instance is to get nothing until its health answer says that it serves. */
     boolean gone() {
         return mGone;
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Router.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Router.java
@@ -67,17 +67,37 @@
         }
         Target near = s.mNear.draw(tried, mRandom);
         Target far = s.mFar.draw(tried, mRandom);
+        if (near == null && far == null) {
+            return lastResort(s, tried);
+        }
         if (near == null || far == null) {
-            return Optional.ofNullable(near == null ? far : near);
+            return Optional.of(near == null ? far : near);
         }
         boolean spills = near.cost() > SPILL_FACTOR * (far.cost() + mFarPenalty);
         return Optional.of(spills ? far : near);
     }
 
-    /** Whether any instance of a service is listed and serving. */
+    /**
+     * Where every instance looks silent or ejected, the fault may be this entry's own (it was
+     * paused, or its probes came too late), so requests go on to one that doesn't say it leaves.
+     */
+    private Optional<Target> lastResort(Service s, Set<VmId> tried) {
+        if (s.mTargets.stream().anyMatch(Target::healthy)) {
+            return Optional.empty();
+        }
+        List<Target> left =
+                s.mTargets.stream()
+                        .filter(t -> t.mayBeAsked() && !tried.contains(t.server().vm()))
+                        .toList();
+        return left.isEmpty()
+                ? Optional.empty()
+                : Optional.of(left.get(mRandom.nextInt(left.size())));
+    }
+
+    /** Whether any instance of a service is listed and doesn't say that it leaves. */
     public boolean serves(ServiceId service) {
         Service s = mServices.get(service);
-        return s != null && s.mTargets.stream().anyMatch(t -> !t.gone());
+        return s != null && s.mTargets.stream().anyMatch(t -> !t.leaving());
     }
 
     /** The instances that are listed, with those that still finish something. */
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
@@ -58,9 +58,19 @@
         return mLatency;
     }
 
-    /** Whether nothing new may be sent to it, whatever the load. */
-    public boolean gone() {
-        return !mListed || mHealth != Health.SERVING;
+    /** Whether nothing new may be sent to it, whatever happens to the others. */
+    boolean leaving() {
+        return !mListed || mHealth == Health.LEAVING;
+    }
+
+    /** Whether it takes requests as far as this entry knows, though perhaps it is full now. */
+    boolean healthy() {
+        return mListed && mHealth == Health.SERVING && !ejected();
+    }
+
+    /** Whether it may be asked although it does not look healthy. */
+    boolean mayBeAsked() {
+        return !leaving() && mInFlight < mLimit;
     }
 
     /** Whether it gets nothing until its next trial because it failed too often. */
@@ -116,7 +126,7 @@
     }
 
     boolean open() {
-        return !gone() && mEjectedUntil == 0 && mInFlight < (mOnTrial ? 1 : mLimit);
+        return healthy() && mInFlight < (mOnTrial ? 1 : mLimit);
     }
 
     /** Expected time of one more attempt; failures make an instance dear, not cheap. */
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/backend/AttemptResult.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/backend/AttemptResult.java
@@ -17,8 +17,13 @@
     record Answered(int status, String contentType, List<Header> headers, byte[] body)
             implements AttemptResult {}
 
-    /** No byte of the request went out, because no connection could be had. */
-    record NotSent(String why) implements AttemptResult {}
+    /**
+     * No byte of the request went out, because no connection could be had.
+     *
+     * @param why what went wrong
+     * @param refused whether nobody listens at the address
+     */
+    record NotSent(String why, boolean refused) implements AttemptResult {}
 
     /** The backend server's own word that it did not run the request. */
     record Declined() implements AttemptResult {}
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/backend/BackendConnection.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/backend/BackendConnection.java
@@ -107,7 +107,8 @@
         if (!reusable() || mQueue.offer(request) != QueueOfferResult.enqueued()) {
             mReusable = false;
             return CompletableFuture.completedFuture(
-                    new AttemptResult.NotSent("the connection was closed before it was used"));
+                    new AttemptResult.NotSent(
+                            "the connection was closed before it was used", false));
         }
         return answer.thenCompose(response -> read(response, timeout))
                 .toCompletableFuture()
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/backend/ConnectionPool.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/backend/ConnectionPool.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.entry.internal.backend;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.concurrent.CompletableFuture;
@@ -68,7 +69,7 @@
                                 e == null
                                         ? exchange(c, request, end)
                                         : CompletableFuture.<AttemptResult>completedFuture(
-                                                new AttemptResult.NotSent(reason(e))))
+                                                notConnected(e)))
                 .thenCompose(r -> r);
     }
 
@@ -97,7 +98,8 @@
         if (left <= 0) {
             release(c);
             return CompletableFuture.completedFuture(
-                    new AttemptResult.NotSent("no time was left once there was a connection"));
+                    new AttemptResult.NotSent(
+                            "no time was left once there was a connection", false));
         }
         return c.send(request, Duration.ofNanos(left))
                 .thenApply(
@@ -172,10 +174,16 @@
         }
     }
 
-    private static String reason(Throwable e) {
-        Throwable cause = e.getCause() == null ? e : e.getCause();
-        boolean late = cause instanceof TimeoutException;
-        return late ? "no connection became free in time" : "no connection: " + cause.getMessage();
+    private static AttemptResult notConnected(Throwable e) {
+        Throwable cause = e;
+        while (cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        if (cause instanceof TimeoutException) {
+            return new AttemptResult.NotSent("no connection became free in time", false);
+        }
+        boolean refused = cause instanceof ConnectException;
+        return new AttemptResult.NotSent("no connection: " + cause.getMessage(), refused);
     }
 
     /** A kept connection and since when it is idle. */
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Broker.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Broker.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.PostStop;
@@ -16,14 +15,15 @@
 import org.foxtailplank.entry.CallerRequest;
 import org.foxtailplank.entry.Directory;
 import org.foxtailplank.entry.internal.backend.AttemptResult;
-import org.foxtailplank.entry.internal.backend.ConnectionPool;
 import org.foxtailplank.id.ServiceId;
 import org.foxtailplank.id.TeamId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.internal.admission.Admission;
-import org.foxtailplank.internal.admission.Ticket;
+import org.foxtailplank.internal.dispatch.Attempt;
+import org.foxtailplank.internal.dispatch.Lane;
+import org.foxtailplank.internal.dispatch.PendingRequest;
+import org.foxtailplank.internal.dispatch.RunRule;
 import org.foxtailplank.internal.routing.AttemptEnd;
-import org.foxtailplank.internal.routing.Target;
 import org.foxtailplank.process.Log;
 import org.foxtailplank.settings.Settings;
 import org.foxtailplank.settings.TeamSettings;
@@ -34,16 +34,12 @@
     private static final Log LOG = Log.of("entry");
     private static final Duration TICK = Duration.ofMillis(10);
     private static final double QUOTA_OF_NO_TEAM = 0.01;
-    private static final int MAX_ATTEMPTS = 3;
     private static final int SERVER_ERROR = 500;
 
-    /** An attempt that may be repeated is cut short only where this many usual times are left. */
-    private static final int TIMES_WORTH_SPLITTING = 4;
-
     private final Directory mDirectory;
     private final Fleet mFleet;
     private final Prober mProber;
-    private final Map<ServiceId, Lane> mLanes = new HashMap<>();
+    private final Map<ServiceId, Lane<Exchange>> mLanes = new HashMap<>();
     private Settings mSettings;
 
     private Broker(
@@ -85,29 +81,32 @@
     }
 
     private Behavior<Command> check(Command.Check c) {
-        c.refusal().complete(refusal(c.exchange(), lane(c.exchange())));
+        Exchange x = c.exchange();
+        c.refusal().complete(refusal(x, x.pending(), lane(x)));
         return this;
     }
 
     private Behavior<Command> queue(Exchange x) {
-        Lane lane = lane(x);
-        Optional<Answer> refusal = refusal(x, lane);
+        Lane<Exchange> lane = lane(x);
+        PendingRequest<Exchange> pending = x.pending();
+        Optional<Answer> refusal = refusal(x, pending, lane);
         if (refusal.isPresent()) {
             x.complete(refusal.get());
             return this;
         }
-        lane.queue().add(Lane.ticket(x));
-        pump(x.request().service(), lane);
+        lane.add(pending);
+        pump(lane);
         return this;
     }
 
-    private Optional<Answer> refusal(Exchange x, Lane lane) {
-        if (!mFleet.router().serves(x.request().service())) {
+    private Optional<Answer> refusal(
+            Exchange x, PendingRequest<Exchange> pending, Lane<Exchange> lane) {
+        if (!lane.serves()) {
             return Optional.of(Answers.noBackendServer());
         }
-        Admission v = lane.queue().check(Lane.ticket(x), lane.usualTime(), System.nanoTime());
-        Duration wait = Duration.ofNanos(v.waitNanos());
-        return switch (v.reason()) {
+        Admission a = lane.check(pending, System.nanoTime());
+        Duration wait = Duration.ofNanos(a.waitNanos());
+        return switch (a.reason()) {
             case ADMITTED -> Optional.empty();
             case TOO_LATE -> Optional.of(Answers.tooLate(wait));
             case OVER_QUOTA -> Optional.of(Answers.overQuota(x.team(), wait));
@@ -116,83 +115,40 @@
     }
 
     /** Sends waiting requests as long as an instance has room. */
-    private void pump(ServiceId service, Lane lane) {
-        while (lane.queue().size() > 0) {
-            Optional<Target> target = mFleet.router().choose(service, Set.of());
-            if (target.isEmpty()) {
-                lane.queue().backlog(System.nanoTime());
-                return;
-            }
-            lane.queue().take(System.nanoTime()).ifPresent(t -> start(t.item(), target.get()));
+    private void pump(Lane<Exchange> lane) {
+        Optional<Attempt<Exchange>> next = lane.next(System.nanoTime());
+        while (next.isPresent()) {
+            send(next.get());
+            next = lane.next(System.nanoTime());
         }
     }
 
-    private void start(Exchange x, Target target) {
-        CallerRequest r = x.request();
-        Optional<ConnectionPool> pool = mFleet.pool(target);
-        long now = System.nanoTime();
-        long left = r.deadline() - now;
-        if (left <= 0 || pool.isEmpty()) {
-            x.complete(Answers.tooLate(Duration.ofNanos(lane(x).usualTime())));
-            return;
-        }
-        if (!x.sent()) {
-            lane(x).retries().earn();
-        }
-        x.tried().add(target.server().vm());
-        target.begin();
-        LOG.with("request", r.id()).debug("Sent to {0}.", target);
+    private void send(Attempt<Exchange> attempt) {
+        CallerRequest r = attempt.request().item().request();
+        boolean fresh = attempt.request().rule() != RunRule.REPEATABLE;
+        LOG.with("request", r.id()).debug("Sent to {0}.", attempt.target());
         var self = getContext().getSelf();
-        pool.get()
-                .send(BackendRequests.of(r), timeout(x, left), !r.repeatable())
-                .whenComplete((res, e) -> self.tell(new Command.Ended(x, target, res, now)));
-    }
-
-    private Duration timeout(Exchange x, long left) {
-        boolean splits =
-                x.request().repeatable()
-                        && x.tried().size() < MAX_ATTEMPTS
-                        && left > TIMES_WORTH_SPLITTING * lane(x).usualTime();
-        return Duration.ofNanos(splits ? left / 2 : left);
+        mFleet.pool(attempt.target())
+                .send(BackendRequests.of(r), Duration.ofNanos(attempt.timeout()), fresh)
+                .whenComplete((result, e) -> self.tell(new Command.Ended(attempt, result)));
     }
 
     private Behavior<Command> ended(Command.Ended e) {
-        Exchange x = e.exchange();
-        long now = System.nanoTime();
-        Lane lane = lane(x);
-        AttemptEnd end = endOf(e.result());
-        e.target().end(end, now - e.started(), now);
-        if (end == AttemptEnd.GOOD) {
-            lane.took(now - e.started());
-        }
-        if (!(e.result() instanceof AttemptResult.NotSent)) {
-            x.markSent();
-        }
-        if (!retried(x, e.result(), lane)) {
-            x.complete(finalAnswer(x, e.result()));
-        }
-        pump(x.request().service(), lane);
+        Exchange x = e.attempt().request().item();
+        Lane<Exchange> lane = lane(x);
+        Optional<Attempt<Exchange>> another =
+                lane.ended(e.attempt(), endOf(e.result()), System.nanoTime());
+        if (another.isPresent()) {
+            LOG.with("request", x.request().id()).info("Tried again after {0}.", e.result());
+            send(another.get());
+        } else {
+            x.complete(finalAnswer(e.result()));
+        }
+        pump(lane);
         return this;
     }
 
-    private boolean retried(Exchange x, AttemptResult result, Lane lane) {
-        RetryRule rule = RetryRule.after(x.request(), result);
-        if (rule == RetryRule.FINAL || x.tried().size() >= MAX_ATTEMPTS) {
-            return false;
-        }
-        if (x.request().deadline() - System.nanoTime() <= lane.usualTime()) {
-            return false;
-        }
-        Optional<Target> next = mFleet.router().choose(x.request().service(), x.tried());
-        if (next.isEmpty() || rule == RetryRule.RETRY && !lane.retries().spend()) {
-            return false;
-        }
-        LOG.with("request", x.request().id()).info("Tried again after {0}.", result);
-        start(x, next.get());
-        return true;
-    }
-
-    private static Answer finalAnswer(Exchange x, AttemptResult result) {
+    private static Answer finalAnswer(AttemptResult result) {
         if (result instanceof AttemptResult.Answered a) {
             return Answers.of(a);
         }
@@ -210,15 +166,17 @@
         if (result instanceof AttemptResult.Declined) {
             return AttemptEnd.BUSY;
         }
-        return result instanceof AttemptResult.NotSent ? AttemptEnd.REFUSED : AttemptEnd.BROKEN;
+        if (result instanceof AttemptResult.NotSent n) {
+            return n.refused() ? AttemptEnd.REFUSED : AttemptEnd.NOT_CONNECTED;
+        }
+        return AttemptEnd.BROKEN;
     }
 
     private Behavior<Command> probed(Command.Probed p) {
         mProber.seen(p.target(), p.result());
-        ServiceId service = p.target().server().service();
-        Lane lane = mLanes.get(service);
+        Lane<Exchange> lane = mLanes.get(p.target().server().service());
         if (lane != null) {
-            pump(service, lane);
+            pump(lane);
         }
         return this;
     }
@@ -235,17 +193,16 @@
         mFleet.router().wake(now);
         mFleet.trim();
         mProber.tick(mFleet, now);
-        mLanes.forEach((service, lane) -> tick(service, lane, now));
+        mLanes.values().forEach(lane -> tick(lane, now));
         return this;
     }
 
-    private void tick(ServiceId service, Lane lane, long now) {
-        boolean serves = mFleet.router().serves(service);
-        for (Ticket<Exchange> t : lane.queue().giveUp(lane.usualTime(), now)) {
-            Duration wait = Duration.ofNanos(lane.usualTime());
-            t.item().complete(serves ? Answers.tooLate(wait) : Answers.noBackendServer());
+    private void tick(Lane<Exchange> lane, long now) {
+        Duration wait = Duration.ofNanos(lane.usualTime());
+        for (Exchange x : lane.giveUp(now)) {
+            x.complete(lane.serves() ? Answers.tooLate(wait) : Answers.noBackendServer());
         }
-        pump(service, lane);
+        pump(lane);
     }
 
     private Behavior<Command> stop() {
@@ -253,9 +210,10 @@
         return this;
     }
 
-    private Lane lane(Exchange x) {
+    private Lane<Exchange> lane(Exchange x) {
         return mLanes.computeIfAbsent(
-                x.request().service(), s -> new Lane(this::quota, mSettings.limits().retryRatio()));
+                x.request().service(),
+                s -> new Lane<>(s, mFleet.router(), this::quota, mSettings.limits().retryRatio()));
     }
 
     private double quota(String team) {
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Command.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Command.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.foxtailplank.entry.Answer;
 import org.foxtailplank.entry.internal.backend.AttemptResult;
+import org.foxtailplank.internal.dispatch.Attempt;
 import org.foxtailplank.internal.routing.Target;
 import org.foxtailplank.settings.Settings;
 
@@ -18,8 +19,7 @@
     record Queue(Exchange exchange) implements Command {}
 
     /** An attempt ended. */
-    record Ended(Exchange exchange, Target target, AttemptResult result, long started)
-            implements Command {}
+    record Ended(Attempt<Exchange> attempt, AttemptResult result) implements Command {}
 
     /** An instance answered, or did not answer, how it is. */
     record Probed(Target target, AttemptResult result) implements Command {}
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Exchange.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Exchange.java
@@ -1,20 +1,20 @@
 package org.foxtailplank.entry.internal.flow;
 
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.foxtailplank.entry.Answer;
 import org.foxtailplank.entry.CallerRequest;
-import org.foxtailplank.id.VmId;
+import org.foxtailplank.internal.admission.Ticket;
+import org.foxtailplank.internal.dispatch.PendingRequest;
+import org.foxtailplank.internal.dispatch.RunRule;
 
-/** One request on its way, from its arrival until its answer. */
+/** A caller's request with the answer that it waits for. */
 final class Exchange {
 
+    private static final long BYTES_BESIDE_BODY = 2048;
+
     private final CallerRequest mRequest;
     private final CompletableFuture<Answer> mAnswer = new CompletableFuture<>();
-    private final Set<VmId> mTried = new HashSet<>();
-    private boolean mSent;
 
     Exchange(CallerRequest request) {
         mRequest = request;
@@ -24,20 +24,6 @@
         return mRequest;
     }
 
-    /** Instances that were tried; a retry goes to another one. */
-    Set<VmId> tried() {
-        return mTried;
-    }
-
-    /** Whether a byte of it may have reached a backend server. */
-    boolean sent() {
-        return mSent;
-    }
-
-    void markSent() {
-        mSent = true;
-    }
-
     CompletionStage<Answer> answer() {
         return mAnswer;
     }
@@ -49,4 +35,22 @@
     String team() {
         return mRequest.team().map(Object::toString).orElse("");
     }
+
+    PendingRequest<Exchange> pending() {
+        Ticket<Exchange> ticket =
+                new Ticket<>(
+                        this,
+                        mRequest.requestClass(),
+                        team(),
+                        mRequest.deadline(),
+                        mRequest.body().length + BYTES_BESIDE_BODY);
+        return PendingRequest.of(ticket, rule());
+    }
+
+    private RunRule rule() {
+        if (mRequest.repeatable()) {
+            return RunRule.REPEATABLE;
+        }
+        return mRequest.key().isPresent() ? RunRule.ONCE_BY_KEY : RunRule.ONCE;
+    }
 }
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Fleet.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Fleet.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
@@ -59,8 +58,13 @@
         apply();
     }
 
-    Optional<ConnectionPool> pool(Target target) {
-        return Optional.ofNullable(mPools.get(target.server().vm()));
+    /** The connections to an instance. */
+    ConnectionPool pool(Target target) {
+        ConnectionPool pool = mPools.get(target.server().vm());
+        if (pool == null) {
+            throw new IllegalStateException("no connections for " + target);
+        }
+        return pool;
     }
 
     /** Closes connections that have been idle for long. */
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Prober.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Prober.java
@@ -42,7 +42,7 @@
             Probe probe = mProbes.computeIfAbsent(t, key -> new Probe(now));
             boolean due = !probe.mUnderWay && now - probe.mNext >= 0;
             if (due && t.inFlight() < t.limit()) {
-                fleet.pool(t).ifPresent(pool -> ask(t, probe, pool, now));
+                ask(t, probe, fleet.pool(t), now);
             }
         }
     }
@@ -61,7 +61,8 @@
             return;
         }
         probe.mMisses++;
-        if (result instanceof AttemptResult.NotSent || probe.mMisses >= MISSES_UNTIL_SILENT) {
+        boolean refused = result instanceof AttemptResult.NotSent n && n.refused();
+        if (refused || probe.mMisses >= MISSES_UNTIL_SILENT) {
             target.saw(Health.SILENT);
         }
     }
