entry: experiment that weighs the ways of sharing out an instance's slots

Change: RoutingExperiment drives the real lanes and routers of nine entries with a fake clock; run by hand, seeds as arguments. Target takes what it heard of others' load, for the ways weighed.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
@@ -17,6 +17,7 @@
     private final Candidates mCandidates;
     private int mLimit;
     private int mInFlight;
+    private int mOthers;
     private double mLatency;
     private double mFailures;
     private Health mHealth = Health.SERVING;
@@ -110,6 +111,11 @@
         mCandidates.place(this);
     }
 
+    /** How many requests of other entries it had when it was last heard of. */
+    public void heardOfOthers(int inFlight) {
+        mOthers = inFlight;
+    }
+
     /** Ends the time without requests when it is over; the next request is a trial. */
     void wake(long now) {
         if (mEjectedUntil != 0 && now - mEjectedUntil >= 0) {
@@ -132,7 +138,7 @@
     /** Expected time of one more attempt; failures make an instance dear, not cheap. */
     double cost() {
         double good = 1 - mFailures;
-        return (mInFlight + 1) * (mLatency + 1) / (good * good + 1e-3);
+        return (mInFlight + mOthers + 1) * (mLatency + 1) / (good * good + 1e-3);
     }
 
     int place() {
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/dispatch/RoutingExperiment.java
@@ -0,0 +1,370 @@
+package org.foxtailplank.internal.dispatch;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.internal.admission.Ticket;
+import org.foxtailplank.internal.routing.AttemptEnd;
+import org.foxtailplank.internal.routing.ConnectionShare;
+import org.foxtailplank.internal.routing.Health;
+import org.foxtailplank.internal.routing.Router;
+import org.foxtailplank.internal.routing.Target;
+import org.foxtailplank.request.BackendServer;
+import org.foxtailplank.request.RequestClass;
+
+/**
+ * Drives the real routing and admission of nine entries with a fake clock, to weigh the ways of
+ * sharing out the slots of eight instances. A measurement, not a test: run its main by hand.
+ */
+public final class RoutingExperiment {
+
+    private static final long MS = 1_000_000L;
+    private static final ServiceId SERVICE = ServiceId.of("claims");
+    private static final int ZONES = 3;
+    private static final int ENTRIES = 9;
+    private static final int INSTANCES = 8;
+    private static final int SLOTS = 8;
+    private static final long SERVICE_TIME = 20 * MS;
+    private static final long DEADLINE = 300 * MS;
+    private static final long WARM_UP = 2000 * MS;
+    private static final long END = 12_000 * MS;
+
+    /** Requests that arrive after this are load, but are not counted: they may not have ended. */
+    private static final long COUNTED_TO = END - 1000 * MS;
+
+    private static final long CUT_FROM = 5000 * MS;
+    private static final long CUT_TO = 8000 * MS;
+    private static final long NEAR_DELAY = MS / 10;
+    private static final long FAR_DELAY = MS / 2;
+    private static final long CONNECT_TIMEOUT = 500 * MS;
+    private static final long PROBE = 500 * MS;
+
+    enum Way {
+        OWN,
+        PEERS,
+        PROBES,
+        HOME
+    }
+
+    enum Fault {
+        NONE,
+        SLOW,
+        FAILS_FAST,
+        CUT
+    }
+
+    private record Event(long time, long seq, Runnable action) {}
+
+    private record Req(long arrived, RequestClass requestClass) {}
+
+    private final Way mWay;
+    private final Fault mFault;
+    private final SplittableRandom mRandom;
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(Comparator.comparingLong(Event::time).thenComparing(Event::seq));
+    private final List<Instance> mInstances = new ArrayList<>();
+    private final List<Entry> mEntries = new ArrayList<>();
+    private final List<Long> mTimes = new ArrayList<>();
+    private final List<Long> mUrgentTimes = new ArrayList<>();
+    private long mNow;
+    private long mSeq;
+    private int mOffered;
+    private int mRefused;
+    private int mLost;
+    private int mDrawnByFaulty;
+    private int mPeakAfterHealing;
+    private int mLateAfterHealing;
+
+    private RoutingExperiment(Way way, Fault fault, long seed) {
+        mWay = way;
+        mFault = fault;
+        mRandom = new SplittableRandom(seed);
+        for (int i = 0; i < INSTANCES; i++) {
+            mInstances.add(new Instance(i));
+        }
+        for (int e = 0; e < ENTRIES; e++) {
+            mEntries.add(new Entry(e));
+        }
+    }
+
+    /** Prints a table; the arguments are seeds. */
+    public static void main(String[] args) {
+        long[] seeds =
+                args.length == 0
+                        ? new long[] {1, 2, 3}
+                        : Arrays.stream(args).mapToLong(Long::parseLong).toArray();
+        System.out.println(
+                "fault      load way    goodput/offered goodput/capacity p50ms p99ms urgentP99"
+                        + " refused% lost faulty% peakAfterHeal lateAfterHeal");
+        for (Fault fault : Fault.values()) {
+            for (double load : new double[] {0.5, 0.8, 0.95, 1.2, 2.0}) {
+                for (Way way : Way.values()) {
+                    for (long seed : seeds) {
+                        new RoutingExperiment(way, fault, seed).run(load);
+                    }
+                }
+            }
+        }
+    }
+
+    private void run(double load) {
+        double rate = load * INSTANCES * SLOTS / SERVICE_TIME;
+        arrive(rate);
+        mEntries.forEach(Entry::tick);
+        while (!mEvents.isEmpty() && mEvents.peek().time() < END) {
+            Event e = mEvents.poll();
+            mNow = e.time();
+            e.action().run();
+        }
+        double capacity = (COUNTED_TO - WARM_UP) * (double) INSTANCES * SLOTS / SERVICE_TIME;
+        System.out.printf(
+                Locale.ROOT,
+                "%-10s %.2f %-6s %.4f %.4f %.1f %.1f %.1f %.2f %d %.1f %d %d%n",
+                mFault,
+                load,
+                mWay,
+                mTimes.size() / (double) mOffered,
+                mTimes.size() / capacity,
+                percentile(mTimes, 0.5),
+                percentile(mTimes, 0.99),
+                percentile(mUrgentTimes, 0.99),
+                100.0 * mRefused / mOffered,
+                mLost,
+                100.0 * mDrawnByFaulty / mOffered,
+                mPeakAfterHealing,
+                mLateAfterHealing);
+    }
+
+    private static double percentile(List<Long> times, double p) {
+        if (times.isEmpty()) {
+            return 0;
+        }
+        times.sort(null);
+        return times.get((int) (p * (times.size() - 1))) / (double) MS;
+    }
+
+    private void at(long time, Runnable action) {
+        mEvents.add(new Event(time, mSeq++, action));
+    }
+
+    private void arrive(double rate) {
+        at(
+                mNow + (long) (-Math.log(1 - mRandom.nextDouble()) / rate),
+                () -> {
+                    double c = mRandom.nextDouble();
+                    RequestClass k =
+                            c < 0.2
+                                    ? RequestClass.URGENT
+                                    : c < 0.7 ? RequestClass.INTERACTIVE : RequestClass.BATCH;
+                    mOffered += counted(mNow) ? 1 : 0;
+                    mEntries.get(mRandom.nextInt(ENTRIES)).take(new Req(mNow, k));
+                    arrive(rate);
+                });
+    }
+
+    private boolean cut(int zoneA, int zoneB) {
+        boolean crosses = zoneA != zoneB && (zoneA == ZONES - 1 || zoneB == ZONES - 1);
+        return mFault == Fault.CUT && crosses && mNow >= CUT_FROM && mNow < CUT_TO;
+    }
+
+    private static boolean counted(long time) {
+        return time >= WARM_UP && time < COUNTED_TO;
+    }
+
+    private boolean justHealed(long time) {
+        return mFault == Fault.CUT && time >= CUT_TO + 1000 * MS;
+    }
+
+    /** One entry: the real lane and router, with what its broker would do round them. */
+    private final class Entry {
+        private final int mZone;
+        private final Router mRouter;
+        private final Lane<Req> mLane;
+        private final int[] mMisses = new int[INSTANCES];
+
+        Entry(int index) {
+            mZone = index % ZONES;
+            mRouter = new Router(ZoneId.of("z" + mZone), 2 * FAR_DELAY, mRandom.split());
+            ConnectionShare share =
+                    mWay == Way.HOME
+                            ? new ConnectionShare(SLOTS, SLOTS)
+                            : ConnectionShare.of(64, 3, 6);
+            mRouter.list(mInstances.stream().map(i -> i.mServer).toList(), s -> share);
+            mLane = new Lane<>(SERVICE, mRouter, t -> 1, 0.1);
+        }
+
+        void take(Req r) {
+            PendingRequest<Req> p =
+                    PendingRequest.of(
+                            new Ticket<>(r, r.requestClass(), "t", mNow + DEADLINE, 100),
+                            RunRule.REPEATABLE);
+            if (!mLane.check(p, mNow).admitted()) {
+                refused(r);
+                return;
+            }
+            mLane.add(p);
+            pump();
+        }
+
+        void tick() {
+            mLane.giveUp(mNow).forEach(RoutingExperiment.this::refused);
+            mRouter.wake(mNow);
+            pump();
+            if (mNow % PROBE == 0) {
+                mRouter.targets().forEach(this::probe);
+            }
+            at(mNow + 10 * MS, this::tick);
+        }
+
+        private void probe(Target t) {
+            Instance i = mInstances.get(Integer.parseInt(t.server().vm().value()));
+            if (cut(mZone, i.mZone)) {
+                if (++mMisses[i.mIndex] >= 2) {
+                    t.saw(Health.SILENT);
+                }
+                return;
+            }
+            mMisses[i.mIndex] = 0;
+            t.saw(Health.SERVING);
+            if (mWay == Way.PROBES || mWay == Way.PEERS) {
+                // Peers' reports are as old as a heartbeat on top of the way; probes only the way.
+                int others = Math.max(0, i.inFlight() - t.inFlight());
+                long age = mWay == Way.PEERS ? PROBE / 2 : FAR_DELAY;
+                at(mNow + age, () -> t.heardOfOthers(others));
+            }
+        }
+
+        void pump() {
+            for (Optional<Attempt<Req>> a = mLane.next(mNow); a.isPresent(); ) {
+                send(a.get());
+                a = mLane.next(mNow);
+            }
+        }
+
+        private void send(Attempt<Req> a) {
+            Instance i = mInstances.get(Integer.parseInt(a.target().server().vm().value()));
+            boolean[] done = new boolean[1];
+            if (cut(mZone, i.mZone)) {
+                long wait = Math.min(CONNECT_TIMEOUT, a.timeout());
+                at(mNow + wait, () -> ended(a, AttemptEnd.NOT_CONNECTED, done));
+                return;
+            }
+            long hop = mWay == Way.HOME && i.mIndex != mZone ? NEAR_DELAY : 0;
+            long way = hop + (mZone == i.mZone ? NEAR_DELAY : FAR_DELAY);
+            at(mNow + a.timeout(), () -> ended(a, AttemptEnd.BROKEN, done));
+            at(
+                    mNow + way,
+                    () ->
+                            i.arrive(
+                                    a.request().left(mNow),
+                                    end -> at(mNow + way, () -> ended(a, end, done))));
+        }
+
+        private void ended(Attempt<Req> a, AttemptEnd end, boolean[] done) {
+            if (done[0]) {
+                return;
+            }
+            done[0] = true;
+            Optional<Attempt<Req>> another = mLane.ended(a, end, mNow);
+            if (another.isPresent()) {
+                send(another.get());
+            } else {
+                finished(a.request().item(), end);
+            }
+            pump();
+        }
+    }
+
+    private void refused(Req r) {
+        mRefused += counted(r.arrived()) ? 1 : 0;
+        mLateAfterHealing += justHealed(r.arrived()) ? 1 : 0;
+    }
+
+    private void finished(Req r, AttemptEnd end) {
+        if (!counted(r.arrived())) {
+            return;
+        }
+        long took = mNow - r.arrived();
+        if (end != AttemptEnd.GOOD || took > DEADLINE) {
+            mLost += end == AttemptEnd.BUSY || end.nothingSent() ? 0 : 1;
+            mRefused += end == AttemptEnd.BUSY || end.nothingSent() ? 1 : 0;
+            mLateAfterHealing += justHealed(r.arrived()) ? 1 : 0;
+            return;
+        }
+        mTimes.add(took);
+        if (r.requestClass() == RequestClass.URGENT) {
+            mUrgentTimes.add(took);
+        }
+    }
+
+    /** One backend server: slots, and a queue before them. */
+    private final class Instance {
+        private final int mIndex;
+        private final int mZone;
+        private final BackendServer mServer;
+        private final ArrayDeque<Runnable> mQueue = new ArrayDeque<>();
+        private int mBusy;
+
+        Instance(int index) {
+            mIndex = index;
+            mZone = index % ZONES;
+            mServer =
+                    new BackendServer(
+                            VmId.of("" + index),
+                            SERVICE,
+                            ZoneId.of("z" + mZone),
+                            new InetSocketAddress("127.0.0.1", 1));
+        }
+
+        int inFlight() {
+            return mBusy + mQueue.size();
+        }
+
+        void arrive(long left, java.util.function.Consumer<AttemptEnd> answer) {
+            boolean faulty = mIndex == 0 && mFault != Fault.NONE && mFault != Fault.CUT;
+            mDrawnByFaulty += faulty && counted(mNow) ? 1 : 0;
+            if (faulty && mFault == Fault.FAILS_FAST) {
+                at(mNow + MS / 2, () -> answer.accept(AttemptEnd.SERVER_ERROR));
+                return;
+            }
+            long wait = (long) (mQueue.size() / (double) SLOTS * SERVICE_TIME) + SERVICE_TIME;
+            if (mWay == Way.HOME && wait > left) {
+                answer.accept(AttemptEnd.BUSY);
+                return;
+            }
+            mQueue.add(() -> serve(faulty, answer));
+            if (justHealed(mNow + 1000 * MS)) {
+                mPeakAfterHealing = Math.max(mPeakAfterHealing, inFlight());
+            }
+            startNext();
+        }
+
+        private void startNext() {
+            while (mBusy < SLOTS && !mQueue.isEmpty()) {
+                mBusy++;
+                mQueue.poll().run();
+            }
+        }
+
+        private void serve(boolean slow, java.util.function.Consumer<AttemptEnd> answer) {
+            long time = (long) (SERVICE_TIME * (0.5 + mRandom.nextDouble()) * (slow ? 10 : 1));
+            at(
+                    mNow + time,
+                    () -> {
+                        mBusy--;
+                        answer.accept(AttemptEnd.GOOD);
+                        startNext();
+                    });
+        }
+    }
+}
