--- a/foxtail-demo/src/main/java/org/foxtailplank/demo/internal/DemoSystem.java
+++ b/foxtail-demo/src/main/java/org/foxtailplank/demo/internal/DemoSystem.java
@@ -100,7 +100,7 @@
 
     private FoxtailNode start(PekkoRuntime runtime, NodeId node, NodeRole role)
             throws ProcessException {
-        return FoxtailNode.start(runtime, new NodeOptions(node, mSettings, Set.of(role)));
+        return FoxtailNode.start(runtime, new NodeOptions(node, mSettings, Set.of(role), true));
     }
 
     private List<NodeId> oneOfEachZoneFirst() {
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryOptions.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryOptions.java
@@ -15,6 +15,18 @@
     @Option(name = "--roles", metaVar = "entry,control", usage = "what this process does")
     private String mRoles = "entry,control";
 
+    @Option(
+            name = "--new-deployment",
+            usage =
+                    "the claims stream was never written: take new idempotency keys at once instead"
+                            + " of after one window")
+    private boolean mNewDeployment;
+
+    /** Whether an empty claims stream was never written, rather than lost. */
+    boolean newDeployment() {
+        return mNewDeployment;
+    }
+
     Set<NodeRole> roles() throws ProcessException {
         Set<NodeRole> roles = EnumSet.noneOf(NodeRole.class);
         for (String name : mRoles.split(",")) {
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryProgram.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryProgram.java
@@ -23,7 +23,11 @@
             throws ProcessException, InterruptedException {
         Settings settings = options.settings();
         NodeOptions nodeOptions =
-                new NodeOptions(options.node(settings), settings, options.roles());
+                new NodeOptions(
+                        options.node(settings),
+                        settings,
+                        options.roles(),
+                        options.newDeployment());
         try (PekkoRuntime runtime = PekkoRuntime.start("entry", THREADS);
                 FoxtailNode node = FoxtailNode.start(runtime, nodeOptions)) {
             LOG.info(
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -17,6 +17,9 @@
 import org.apache.pekko.http.javadsl.server.Route;
 import org.foxtailplank.controller.Controller;
 import org.foxtailplank.controller.ControllerParts;
+import org.foxtailplank.entry.internal.idempotency.KeyOptions;
+import org.foxtailplank.entry.internal.idempotency.PeerLinkClaims;
+import org.foxtailplank.entry.internal.idempotency.ProtectedKeys;
 import org.foxtailplank.entry.internal.node.ConfigurationFollower;
 import org.foxtailplank.entry.internal.node.WaveWatch;
 import org.foxtailplank.membership.Incarnation;
@@ -69,6 +72,7 @@
 
     private Optional<EntryServer> mEntry = Optional.empty();
     private Optional<PlatformDirectory> mDirectory = Optional.empty();
+    private Optional<ProtectedKeys> mKeys = Optional.empty();
     private Optional<Controller> mController = Optional.empty();
     private Optional<HttpListener> mListener = Optional.empty();
     private Optional<Cancellable> mBurnTimer = Optional.empty();
@@ -163,6 +167,7 @@
         mController.ifPresent(Controller::stop);
         mListener.ifPresent(HttpListener::unbind);
         mDirectory.ifPresent(PlatformDirectory::stop);
+        mKeys.ifPresent(ProtectedKeys::close);
         mPeers.close();
         mFleet.close();
     }
@@ -188,11 +193,23 @@
         PlatformDirectory directory =
                 PlatformDirectory.polling(mPlatform.vms(), LIST_INTERVAL, mRuntime.system());
         mDirectory = Optional.of(directory);
+        PeerLinkClaims peers = PeerLinkClaims.of(mPeers, mOptions.settings());
+        ProtectedKeys keys =
+                ProtectedKeys.start(
+                        mRuntime.system(),
+                        peers.self(),
+                        KeyOptions.of(mOptions.settings(), mOptions.newDeployment()),
+                        mPlatform.log(),
+                        peers,
+                        mMetrics);
+        mKeys = Optional.of(keys);
         EntryParts parts =
                 EntryParts.of(mOptions.node(), mOptions.settings(), directory)
                         .withMetrics(mMetrics)
-                        .withWaves(WaveWatch.of(mFleet));
+                        .withWaves(WaveWatch.of(mFleet))
+                        .withKeys(keys);
         EntryServer entry = listening(EntryServer.start(mRuntime.system(), parts));
+        peers.serve(keys, entry::attempt);
         mEntry = Optional.of(entry);
         mConfiguration.onChange(entry::configure);
     }
