--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
@@ -10,6 +10,7 @@
 import org.foxtailplank.cli.internal.config.ConfigCommands;
 import org.foxtailplank.cli.internal.fleet.FleetCommands;
 import org.foxtailplank.cli.internal.fleet.WaveCommands;
+import org.foxtailplank.cli.internal.report.ReportCommands;
 import org.foxtailplank.cli.internal.settings.SettingsCommands;
 import org.foxtailplank.process.ExitCode;
 
@@ -45,6 +46,7 @@
         commands.addAll(ConfigCommands.all());
         commands.addAll(FleetCommands.all());
         commands.addAll(WaveCommands.all());
+        commands.addAll(ReportCommands.all());
         return commands;
     }
 }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
@@ -120,13 +120,9 @@
         return "older versions are not in the platform's log any more";
     }
 
-    /** Files can't be written. */
-    public static String unwritable(Path directory, String why) {
-        return "can't write to "
-                + directory
-                + ": "
-                + why
-                + "; name a directory that may be written";
+    /** A file can't be written. */
+    public static String unwritable(Path path, String why) {
+        return "can't write to " + path + ": " + why + "; name a place that may be written";
     }
 
     /** How far a version is. */
@@ -180,4 +176,9 @@
     public static String lastOrder(String who, String why) {
         return "last order by " + who + ": " + why;
     }
+
+    /** The settings have no such service. */
+    public static String noService(String id) {
+        return "the settings have no service \"" + id + "\"; foxtail settings show lists them";
+    }
 }
--- /dev/null
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/report/package-info.java
@@ -0,0 +1,2 @@
+/** Reports for operators. */
+package org.foxtailplank.cli.internal.report;
