Peers: gossip within a byte budget, hostile peers cut, sockets closed with their thread

Change: members are told on by a 4 byte tag and 2 bytes of beat; the plan reaches all peers while 2.5 KB/s allow it (9 nodes), beyond that peers take turns and each heartbeat tells of all members; the limits of silence allow for the spread. Confirmations bring evidence back. Tests for forged, replayed, reordered and oversized frames, garbage, a wrong key, floods, and a peer that doesn't read.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/membership/MemberTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/MemberTable.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.membership.Incarnation;
 import org.foxtailplank.membership.Member;
@@ -33,11 +34,11 @@
     private static final int MAX_STRANGERS = 64;
 
     private final PeerIdentity mSelf;
-    private final SilenceLimits mLimits;
     private final Map<Incarnation, TrackedMember> mMembers = new LinkedHashMap<>();
     private final Map<SeedSource, List<Seed>> mSeeds = new EnumMap<>(SeedSource.class);
-    private final Set<Incarnation> mStrangers = new LinkedHashSet<>();
+    private final Set<Integer> mStrangers = new LinkedHashSet<>();
     private final List<Member> mChanged = new ArrayList<>();
+    private SilenceLimits mLimits;
     private long mTurn;
 
     public MemberTable(PeerIdentity self, SilenceLimits limits) {
@@ -45,6 +46,11 @@
         mLimits = limits;
     }
 
+    /** From now on members may be silent for so long. */
+    public void allow(SilenceLimits limits) {
+        mLimits = limits;
+    }
+
     /** Takes a new list of places to meet peers in place of the last one from its source. */
     public void learn(SeedSource source, Collection<Seed> seeds) {
         mSeeds.put(source, List.copyOf(seeds));
@@ -82,30 +88,30 @@
         }
     }
 
-    /** Another member knows this one to be alive. */
+    /** Another member knows this one; it counts as alive only when there is news of it. */
     public void introduced(PeerIdentity peer, long now) {
         if (!isSelf(peer.incarnation())) {
-            track(peer, now);
+            TrackedMember member = track(peer, now - mLimits.suspectNanos());
+            if (member != null) {
+                change(member, member.stateAfter(now - member.mHeardAt, mLimits));
+            }
         }
     }
 
-    /** A member's own heartbeat has arrived from it. */
-    public void heartbeat(Incarnation from, long beat, NodeStatus status, long now) {
+    /** A member's own heartbeat, or its answer to one, has arrived from it. */
+    public void heard(Incarnation from, long beat, long now) {
         TrackedMember member = mMembers.get(from);
-        if (member == null) {
-            mayBeStranger(from);
-            return;
+        if (member != null) {
+            member.mBeat = newest(member.mBeat, (short) beat);
+            alive(member, now);
         }
-        member.mBeat = Math.max(member.mBeat, beat);
-        member.mStatus = status;
-        alive(member, now);
     }
 
-    /** A member has confirmed a heartbeat of this node. */
-    public void confirmed(Incarnation from, long now) {
+    /** A member says how it is. */
+    public void status(Incarnation from, NodeStatus status) {
         TrackedMember member = mMembers.get(from);
         if (member != null) {
-            alive(member, now);
+            member.mStatus = status;
         }
     }
 
@@ -115,25 +121,30 @@
      * <p>Guards against old news that goes round: two nodes that tell each other of a dead one
      * would keep it alive for ever if a beat that is already known counted again.
      */
-    public void told(HeardBeat news, long now) {
-        if (isSelf(news.incarnation())) {
-            return;
+    public void told(BeatNews news, long now) {
+        boolean known = news.tag() == mSelf.incarnation().tag();
+        for (TrackedMember member : mMembers.values()) {
+            if (member.mIdentity.incarnation().tag() == news.tag()) {
+                known = true;
+                if (BeatNews.isNewer(news.beat(), member.mBeat) && !member.mReplaced) {
+                    member.mBeat = news.beat();
+                    alive(member, now);
+                }
+            }
         }
-        TrackedMember member = mMembers.get(news.incarnation());
-        if (member == null) {
-            mayBeStranger(news.incarnation());
-        } else if (news.beat() > member.mBeat && !member.mReplaced) {
-            member.mBeat = news.beat();
-            alive(member, now);
+        if (!known && mStrangers.size() < MAX_STRANGERS) {
+            mStrangers.add(news.tag());
         }
     }
 
-    /** A member has said, itself or through others, that it leaves. */
+    /** A member has said that it leaves. */
     public void left(Incarnation incarnation) {
-        TrackedMember member = mMembers.get(incarnation);
-        if (member != null) {
-            change(member, MemberState.LEFT);
-        }
+        leftByTag(incarnation.tag());
+    }
+
+    /** Another member tells that one has left. */
+    public void leftByTag(int tag) {
+        tracked(tag).forEach(member -> change(member, MemberState.LEFT));
     }
 
     /** Lets silence take its effect and forgets members that are long gone. */
@@ -156,45 +167,44 @@
         return changes;
     }
 
-    /** Heartbeats worth telling on, longest untold first. */
-    public List<HeardBeat> news(int limit) {
+    /** Heartbeats to tell on, longest untold first. */
+    public List<BeatNews> news(int limit) {
         mTurn++;
         List<TrackedMember> told =
                 mMembers.values().stream()
-                        .filter(TrackedMember::hasNews)
+                        .filter(m -> m.mState == MemberState.ALIVE)
                         .sorted(Comparator.comparingLong(m -> m.mToldTurn))
                         .limit(limit)
                         .toList();
-        for (TrackedMember member : told) {
-            member.mToldBeat = member.mBeat;
-            member.mToldTurn = mTurn;
-        }
-        return told.stream().map(m -> new HeardBeat(m.mIdentity.incarnation(), m.mBeat)).toList();
+        told.forEach(member -> member.mToldTurn = mTurn);
+        return told.stream()
+                .map(m -> new BeatNews(m.mIdentity.incarnation().tag(), m.mBeat))
+                .toList();
     }
 
-    /** Members that have left, each told on a few times. */
-    public List<Incarnation> farewells(int limit) {
+    /** Tags of members that have left, each told on a few times. */
+    public List<Integer> farewells(int limit) {
         List<TrackedMember> told =
                 mMembers.values().stream()
                         .filter(m -> m.mState == MemberState.LEFT && m.mFarewells > 0)
                         .limit(limit)
                         .toList();
         told.forEach(m -> m.mFarewells--);
-        return told.stream().map(m -> m.mIdentity.incarnation()).toList();
+        return told.stream().map(m -> m.mIdentity.incarnation().tag()).toList();
     }
 
-    /** Incarnations that others speak of and this node does not know; empties the list. */
-    public List<Incarnation> takeStrangers() {
-        List<Incarnation> strangers = List.copyOf(mStrangers);
+    /** Tags that others speak of and this node does not know; empties the list. */
+    public List<Integer> takeStrangers() {
+        List<Integer> strangers = List.copyOf(mStrangers);
         mStrangers.clear();
         return strangers;
     }
 
     /** Who these are, as far as they are known and alive. */
-    public List<PeerIdentity> introduce(Collection<Incarnation> wanted) {
-        return wanted.stream()
-                .map(mMembers::get)
-                .filter(m -> m != null && m.mState == MemberState.ALIVE)
+    public List<PeerIdentity> introduce(Collection<Integer> tags) {
+        return tags.stream()
+                .flatMap(this::tracked)
+                .filter(m -> m.mState == MemberState.ALIVE)
                 .map(m -> m.mIdentity)
                 .toList();
     }
@@ -271,10 +281,12 @@
         }
     }
 
-    private void mayBeStranger(Incarnation incarnation) {
-        if (mStrangers.size() < MAX_STRANGERS) {
-            mStrangers.add(incarnation);
-        }
+    private Stream<TrackedMember> tracked(int tag) {
+        return mMembers.values().stream().filter(m -> m.mIdentity.incarnation().tag() == tag);
+    }
+
+    private static short newest(short a, short b) {
+        return BeatNews.isNewer(b, a) ? b : a;
     }
 
     private boolean isSelf(Incarnation incarnation) {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/membership/SilenceLimits.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/SilenceLimits.java
@@ -18,4 +18,9 @@
         long nanos = away.toNanos();
         return new SilenceLimits(nanos / 2, nanos, nanos * FORGET_FACTOR);
     }
+
+    /** Limits that allow for the time that news takes from node to node. */
+    public SilenceLimits allowing(Duration spread) {
+        return of(Duration.ofNanos(awayNanos).plus(spread));
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/membership/TrackedMember.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/TrackedMember.java
@@ -18,15 +18,13 @@
     InetSocketAddress mReachedAt;
 
     NodeStatus mStatus = NodeStatus.none();
-    long mBeat;
+    short mBeat;
     long mHeardAt;
 
     /** Another process was met at its address: only it itself can undo that. */
     boolean mReplaced;
 
-    /** Its newest beat when it was last told on, and the turn in which that was. */
-    long mToldBeat;
-
+    /** Turn in which it was last told on. */
     long mToldTurn;
 
     /** How often its leaving is still to be told on. */
@@ -50,10 +48,6 @@
         return new Member(mIdentity, mState, mStatus);
     }
 
-    boolean hasNews() {
-        return mState == MemberState.ALIVE && mBeat > mToldBeat;
-    }
-
     MemberState stateAfter(long silence, SilenceLimits limits) {
         if (mState == MemberState.LEFT || mReplaced) {
             return mState;
--- a/foxtail-core/src/main/java/org/foxtailplank/membership/Incarnation.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/membership/Incarnation.java
@@ -21,6 +21,16 @@
         return new Incarnation(value == 0 ? 1 : value);
     }
 
+    /**
+     * A short form for heartbeats.
+     *
+     * <p>Two members with the same tag would share each other's signs of life until both are gone;
+     * among 99 members that is once in a million starts.
+     */
+    public int tag() {
+        return Long.hashCode(value);
+    }
+
     @Override
     public String toString() {
         return Long.toHexString(value);
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLinkLimits.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLinkLimits.java
@@ -6,7 +6,6 @@
  * Bounds of what a link sends and takes.
  *
  * @param heartbeatBytesPerSecond bytes of heartbeats sent a second, to all peers together
- * @param newsPerHeartbeat other members that a heartbeat tells of
  * @param maxMessageBytes largest message of a peer that has proved its identity
  * @param maxUnproved connections at once that have not proved their identity
  * @param handshake time for a connection to prove its identity
@@ -15,7 +14,6 @@
  */
 public record PeerLinkLimits(
         int heartbeatBytesPerSecond,
-        int newsPerHeartbeat,
         int maxMessageBytes,
         int maxUnproved,
         Duration handshake,
@@ -23,7 +21,7 @@
         int connectsPerSecond) {
 
     private static final PeerLinkLimits USUAL =
-            new PeerLinkLimits(2_500, 10, 256 * 1024, 32, Duration.ofSeconds(2), 64, 20);
+            new PeerLinkLimits(2_500, 256 * 1024, 32, Duration.ofSeconds(2), 64, 20);
 
     /** The limits that the measurements of docs/design/peers.md chose. */
     public static PeerLinkLimits usual() {
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Heartbeats.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Heartbeats.java
@@ -1,11 +1,12 @@
 package org.foxtailplank.wire.internal.peer;
 
+import com.google.protobuf.ByteString;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.foxtailplank.internal.membership.HeardBeat;
-import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.internal.membership.BeatNews;
 import org.foxtailplank.membership.LoadSummary;
 import org.foxtailplank.membership.NodeStatus;
 import org.foxtailplank.wire.generated.peer.HeartbeatProto;
@@ -16,22 +17,24 @@
     private Heartbeats() {}
 
     static HeartbeatProto encode(
-            long beat, NodeStatus status, List<HeardBeat> news, List<Incarnation> left) {
+            long beat, NodeStatus status, List<BeatNews> news, List<Integer> left) {
         HeartbeatProto.Builder proto =
                 HeartbeatProto.newBuilder()
                         .setBeat(beat)
                         .setConfigurationVersion(status.configurationVersion())
-                        .setFoldOffset(status.nextOffset());
+                        .setFoldOffset(status.nextOffset())
+                        .addAllLeftTag(left);
         status.load()
                 .inFlight()
                 .forEach(
                         (instance, count) ->
                                 proto.addLoadInstance(instance).addLoadInFlight(count));
-        for (HeardBeat heard : news) {
-            proto.addHeardIncarnation(heard.incarnation().value()).addHeardBeat(heard.beat());
+        ByteBuffer beats = ByteBuffer.allocate(news.size() * Short.BYTES);
+        for (BeatNews heard : news) {
+            proto.addHeardTag(heard.tag());
+            beats.putShort(heard.beat());
         }
-        left.forEach(incarnation -> proto.addLeft(incarnation.value()));
-        return proto.build();
+        return proto.setHeardBeat(ByteString.copyFrom(beats.flip())).build();
     }
 
     static NodeStatus status(HeartbeatProto proto) {
@@ -44,23 +47,13 @@
                 proto.getConfigurationVersion(), proto.getFoldOffset(), new LoadSummary(load));
     }
 
-    static List<HeardBeat> news(HeartbeatProto proto) {
-        int count = Math.min(proto.getHeardIncarnationCount(), proto.getHeardBeatCount());
-        List<HeardBeat> news = new ArrayList<>(count);
+    static List<BeatNews> news(HeartbeatProto proto) {
+        ByteBuffer beats = proto.getHeardBeat().asReadOnlyByteBuffer();
+        int count = Math.min(proto.getHeardTagCount(), beats.remaining() / Short.BYTES);
+        List<BeatNews> news = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            if (proto.getHeardIncarnation(i) != 0) {
-                Incarnation incarnation = new Incarnation(proto.getHeardIncarnation(i));
-                news.add(new HeardBeat(incarnation, proto.getHeardBeat(i)));
-            }
+            news.add(new BeatNews(proto.getHeardTag(i), beats.getShort()));
         }
         return news;
     }
-
-    static List<Incarnation> left(HeartbeatProto proto) {
-        return incarnations(proto.getLeftList());
-    }
-
-    static List<Incarnation> incarnations(List<Long> values) {
-        return values.stream().filter(v -> v != 0).map(Incarnation::new).toList();
-    }
 }
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Inbox.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Inbox.java
@@ -7,11 +7,13 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
-import org.foxtailplank.internal.membership.HeardBeat;
+import java.util.function.LongSupplier;
+import org.foxtailplank.internal.membership.BeatNews;
 import org.foxtailplank.internal.membership.MemberTable;
 import org.foxtailplank.membership.Incarnation;
 import org.foxtailplank.membership.Member;
 import org.foxtailplank.wire.PeerMessage;
+import org.foxtailplank.wire.generated.peer.ConfirmationProto;
 import org.foxtailplank.wire.generated.peer.EnvelopeProto;
 import org.foxtailplank.wire.generated.peer.HeartbeatProto;
 import org.foxtailplank.wire.generated.peer.IntroductionAnswerProto;
@@ -28,6 +30,7 @@
     private final Handlers mHandlers;
     private final Counters mCounters;
     private final int mMaxAsksPerPeer;
+    private final LongSupplier mOwnBeat;
     private final Consumer<Member> mOnHeartbeat;
 
     Inbox(
@@ -36,12 +39,14 @@
             Handlers handlers,
             Counters counters,
             int maxAsksPerPeer,
+            LongSupplier ownBeat,
             Consumer<Member> onHeartbeat) {
         mLoop = loop;
         mTable = table;
         mHandlers = handlers;
         mCounters = counters;
         mMaxAsksPerPeer = maxAsksPerPeer;
+        mOwnBeat = ownBeat;
         mOnHeartbeat = onHeartbeat;
     }
 
@@ -60,31 +65,37 @@
     private void heartbeat(Session from, EnvelopeProto envelope, long now) {
         HeartbeatProto beat = envelope.getHeartbeat();
         Incarnation sender = from.peer().incarnation();
-        mTable.heartbeat(sender, beat.getBeat(), Heartbeats.status(beat), now);
-        for (HeardBeat news : Heartbeats.news(beat)) {
+        mTable.heard(sender, beat.getBeat(), now);
+        mTable.status(sender, Heartbeats.status(beat));
+        for (BeatNews news : Heartbeats.news(beat)) {
             mTable.told(news, now);
         }
-        Heartbeats.left(beat).forEach(mTable::left);
+        beat.getLeftTagList().forEach(mTable::leftByTag);
         if (envelope.getAsk() != 0) {
-            from.write(EnvelopeProto.newBuilder().setAnswerTo(envelope.getAsk()).build());
+            confirm(from, envelope.getAsk());
         }
         askForStrangers(from);
         mTable.find(sender).ifPresent(mOnHeartbeat);
     }
 
+    private void confirm(Session from, long ask) {
+        ConfirmationProto own =
+                ConfirmationProto.newBuilder().setBeat(mOwnBeat.getAsLong()).build();
+        from.write(EnvelopeProto.newBuilder().setAnswerTo(ask).setConfirmation(own).build());
+    }
+
     private void askForStrangers(Session from) {
-        List<Incarnation> strangers = mTable.takeStrangers();
-        if (strangers.isEmpty()) {
-            return;
+        List<Integer> strangers = mTable.takeStrangers();
+        if (!strangers.isEmpty()) {
+            IntroductionRequestProto request =
+                    IntroductionRequestProto.newBuilder().addAllTag(strangers).build();
+            from.write(EnvelopeProto.newBuilder().setIntroductionRequest(request).build());
         }
-        IntroductionRequestProto.Builder request = IntroductionRequestProto.newBuilder();
-        strangers.forEach(stranger -> request.addIncarnation(stranger.value()));
-        from.write(EnvelopeProto.newBuilder().setIntroductionRequest(request).build());
     }
 
     private void introduce(Session from, IntroductionRequestProto request) {
         IntroductionAnswerProto.Builder answer = IntroductionAnswerProto.newBuilder();
-        mTable.introduce(Heartbeats.incarnations(request.getIncarnationList()))
+        mTable.introduce(request.getTagList())
                 .forEach(peer -> answer.addIdentity(Identities.encode(peer)));
         from.write(EnvelopeProto.newBuilder().setIntroductionAnswer(answer).build());
     }
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Link.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Link.java
@@ -16,6 +16,7 @@
     private long mTryAt;
     private long mAwaitedAsk;
     private long mAwaitedSince;
+    private long mConfirmedAt;
 
     Link(InetSocketAddress address, Backoff backoff, long tryAt) {
         mAddress = address;
@@ -47,10 +48,11 @@
         mConnecting = true;
     }
 
-    void opened(Session session) {
+    void opened(Session session, long now) {
         mSession = Optional.of(session);
         mLastPeer = Optional.of(session.peer().incarnation());
         mAwaitedAsk = 0;
+        mConfirmedAt = now;
         mBackoff.reset();
     }
 
@@ -68,8 +70,9 @@
         }
     }
 
-    boolean awaitsConfirmation() {
-        return mAwaitedAsk != 0;
+    /** Whether the next heartbeat is to be confirmed. */
+    boolean wantsConfirmation(long afterNanos, long now) {
+        return mAwaitedAsk == 0 && now - mConfirmedAt > afterNanos;
     }
 
     void await(long ask, long now) {
@@ -77,11 +80,12 @@
         mAwaitedSince = now;
     }
 
-    boolean confirmed(long ask) {
+    boolean confirmed(long ask, long now) {
         if (ask != mAwaitedAsk) {
             return false;
         }
         mAwaitedAsk = 0;
+        mConfirmedAt = now;
         return true;
     }
 
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Links.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Links.java
@@ -68,13 +68,13 @@
     }
 
     /** A connection of this node has been proved; false when its address is wanted no more. */
-    boolean opened(Session session) {
+    boolean opened(Session session, long now) {
         Link link = mLinks.get(session.remote());
         if (link == null) {
             session.close();
             return false;
         }
-        link.opened(session);
+        link.opened(session, now);
         return true;
     }
 
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/PeerNode.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/PeerNode.java
@@ -48,11 +48,7 @@
 
     private static final Duration MAINTAIN_EVERY = Duration.ofMillis(100);
     private static final int MAX_INCOMING = 1_024;
-    private static final int MIN_FAN_OUT = 2;
-    private static final int FIRST_HEARTBEAT_BYTES = 200;
-    private static final int FAREWELLS_PER_HEARTBEAT = 4;
     private static final long LEAVE_MILLIS = 200;
-    private static final long MIN_BEAT_GAP_NANOS = 20_000_000L;
 
     private final PeerLinkOptions mOptions;
     private final PeerKey mKey;
@@ -70,14 +66,9 @@
     private final Links mLinks;
     private final Asks mAsks;
     private final Inbox mInbox;
-    private final HeartbeatPlan<Link> mPlan;
+    private final HeartbeatSender mSender;
     private volatile List<Member> mMembers = List.of();
-    private NodeStatus mStatus = NodeStatus.none();
     private int mUnproved;
-    private int mHeartbeatBytes = FIRST_HEARTBEAT_BYTES;
-    private long mBeat;
-    private long mBeatAt;
-    private boolean mExtraBeat;
 
     private PeerNode(PeerLinkOptions options) throws PeerLinkException {
         mOptions = options;
@@ -102,6 +93,10 @@
                         new TryBudget(tries, tries, System.nanoTime()),
                         random);
         mAsks = new Asks(mLoop);
+        HeartbeatPlan<Link> plan =
+                new HeartbeatPlan<>(
+                        options.peers().heartbeat(), limits.heartbeatBytesPerSecond(), random);
+        mSender = new HeartbeatSender(mLoop, mTable, mLinks, mAsks, mCounters, plan, mSilence);
         mInbox =
                 new Inbox(
                         mLoop,
@@ -109,10 +104,8 @@
                         mHandlers,
                         mCounters,
                         limits.asksPerPeer(),
+                        mSender::beat,
                         member -> mBeatListeners.forEach(l -> l.accept(member)));
-        long perTick =
-                limits.heartbeatBytesPerSecond() * options.peers().heartbeat().toMillis() / 1_000;
-        mPlan = new HeartbeatPlan<>((int) perTick, MIN_FAN_OUT, random);
     }
 
     /** Starts a link. */
@@ -141,14 +134,7 @@
 
     @Override
     public void report(NodeStatus status) {
-        run(
-                () -> {
-                    boolean newer = status.configurationVersion() > mStatus.configurationVersion();
-                    mStatus = status;
-                    if (newer) {
-                        beatSoon();
-                    }
-                });
+        run(() -> mSender.report(status));
     }
 
     @Override
@@ -265,7 +251,7 @@
         long now = System.nanoTime();
         PeerIdentity peer = session.peer();
         if (session.isOutgoing()) {
-            if (mLinks.opened(session)) {
+            if (mLinks.opened(session, now)) {
                 mTable.reached(peer, session.remote(), now);
             }
         } else if (mIncoming.size() >= MAX_INCOMING) {
@@ -288,8 +274,8 @@
             mInbox.take(session, envelope, now);
         } else if (!mAsks.answered(session, envelope)) {
             mLinks.of(session)
-                    .filter(link -> link.confirmed(envelope.getAnswerTo()))
-                    .ifPresent(l -> mTable.confirmed(session.peer().incarnation(), now));
+                    .filter(link -> link.confirmed(envelope.getAnswerTo(), now))
+                    .ifPresent(link -> heardFrom(session, envelope, now));
         }
         publish();
     }
@@ -305,47 +291,14 @@
         mLoop.scheduleAtFixedRate(work, nanos, nanos, TimeUnit.NANOSECONDS);
     }
 
-    /** Tells a newer version at once, but not more often than a heartbeat can bear. */
-    private void beatSoon() {
-        if (mExtraBeat) {
-            return;
-        }
-        mExtraBeat = true;
-        long wait = Math.max(0, mBeatAt + MIN_BEAT_GAP_NANOS - System.nanoTime());
-        mLoop.schedule(this::beat, wait, TimeUnit.NANOSECONDS);
-    }
-
     private void beat() {
-        mExtraBeat = false;
-        long now = System.nanoTime();
-        mBeatAt = now;
-        mBeat++;
-        mTable.tick(now);
-        for (Link link : mPlan.next(mLinks.open(), mHeartbeatBytes)) {
-            link.session().ifPresent(session -> beatTo(link, session, now));
-        }
+        mSender.send();
         publish();
     }
 
-    private void beatTo(Link link, Session session, long now) {
-        if (!session.isWritable()) {
-            mCounters.mHeartbeatsDropped.increment();
-            return;
-        }
-        EnvelopeProto.Builder envelope =
-                EnvelopeProto.newBuilder()
-                        .setHeartbeat(
-                                Heartbeats.encode(
-                                        mBeat,
-                                        mStatus,
-                                        mTable.news(limits().newsPerHeartbeat()),
-                                        mTable.farewells(FAREWELLS_PER_HEARTBEAT)));
-        if (!link.awaitsConfirmation()) {
-            long ask = mAsks.nextNumber();
-            link.await(ask, now);
-            envelope.setAsk(ask);
-        }
-        mHeartbeatBytes = session.write(envelope.build());
+    private void heardFrom(Session session, EnvelopeProto envelope, long now) {
+        long beat = envelope.getConfirmation().getBeat();
+        mTable.heard(session.peer().incarnation(), beat, now);
     }
 
     private void maintain() {
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Transport.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Transport.java
@@ -13,10 +13,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -38,6 +41,8 @@
             new MultiThreadIoEventLoopGroup(
                     1, new DefaultThreadFactory("foxtail-peer", true), NioIoHandler.newFactory());
     private final EventLoop mLoop = mGroup.next();
+    private final ChannelGroup mChannels =
+            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final Counters mCounters;
 
     Transport(Counters counters) {
@@ -78,6 +83,7 @@
                             + " node's peers address in the settings.",
                     bound.cause());
         }
+        mChannels.add(bound.channel());
         return bound.channel();
     }
 
@@ -94,7 +100,15 @@
                 .connect(address);
     }
 
+    /**
+     * Closes all channels, then ends the thread.
+     *
+     * <p>Guards against a socket that outlives its thread: when the loop was shut down while a
+     * connection was being accepted, it ended with the listening socket still open, and the
+     * successor on the same address could not bind it.
+     */
     void stop() {
+        mChannels.close().awaitUninterruptibly(SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS);
         mGroup.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly(SHUTDOWN_MILLIS * 2, TimeUnit.MILLISECONDS);
     }
@@ -103,6 +117,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
+                mChannels.add(channel);
                 channel.pipeline()
                         .addLast(new ByteCounter(mCounters))
                         .addLast(new FrameDecoder(Handshake.MAX_FRAME_BYTES))
--- /dev/null
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/RawPeer.java
@@ -0,0 +1,115 @@
+package org.foxtailplank.wire.internal.peer;
+
+import com.google.protobuf.ByteString;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Random;
+import java.util.Set;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.membership.NodeRole;
+import org.foxtailplank.membership.PeerIdentity;
+import org.foxtailplank.wire.generated.peer.ChallengeProto;
+import org.foxtailplank.wire.generated.peer.EnvelopeProto;
+import org.foxtailplank.wire.generated.peer.HelloProto;
+import org.foxtailplank.wire.generated.peer.ProofProto;
+
+/** A peer under the test's control, which can send anything. */
+final class RawPeer implements AutoCloseable {
+
+    private static final int NONCE_BYTES = 16;
+    private static final int READ_TIMEOUT_MILLIS = 20_000;
+
+    private final Socket mSocket = new Socket();
+    private final DataInputStream mIn;
+    private final DataOutputStream mOut;
+    private FrameSeal mSeal;
+
+    RawPeer(InetSocketAddress address) throws IOException {
+        mSocket.setReceiveBufferSize(4_096);
+        mSocket.connect(address);
+        mSocket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        mIn = new DataInputStream(mSocket.getInputStream());
+        mOut = new DataOutputStream(mSocket.getOutputStream());
+    }
+
+    /** Proves a key as a node of that name. */
+    RawPeer prove(String node, String key) throws IOException {
+        byte[] hello = hello(node);
+        send(hello);
+        ChallengeProto challenge = ChallengeProto.parseFrom(receive());
+        byte[] transcript = PeerKey.transcript(hello, challenge.getHello().toByteArray());
+        PeerKey peerKey = PeerKey.of(key);
+        ByteString proof = ByteString.copyFrom(peerKey.connectorProof(transcript));
+        send(ProofProto.newBuilder().setProof(proof).build().toByteArray());
+        mSeal = peerKey.connectorSeal(transcript);
+        return this;
+    }
+
+    static byte[] hello(String node) {
+        PeerIdentity identity =
+                new PeerIdentity(
+                        NodeId.of(node),
+                        Incarnation.draw(new Random()),
+                        ZoneId.of("a"),
+                        new InetSocketAddress("127.0.0.1", 1),
+                        Set.of(NodeRole.ENTRY));
+        return HelloProto.newBuilder()
+                .setProtocol(Handshake.PROTOCOL)
+                .setIdentity(Identities.encode(identity))
+                .setNonce(ByteString.copyFrom(new byte[NONCE_BYTES]))
+                .build()
+                .toByteArray();
+    }
+
+    byte[] seal(EnvelopeProto envelope) {
+        return sealBytes(envelope.toByteArray());
+    }
+
+    byte[] sealBytes(byte[] message) {
+        return mSeal.seal(message);
+    }
+
+    RawPeer send(byte[] frame) throws IOException {
+        mOut.writeInt(frame.length);
+        mOut.write(frame);
+        mOut.flush();
+        return this;
+    }
+
+    RawPeer sendLength(int length) throws IOException {
+        mOut.writeInt(length);
+        mOut.flush();
+        return this;
+    }
+
+    byte[] receive() throws IOException {
+        byte[] frame = new byte[mIn.readInt()];
+        mIn.readFully(frame);
+        return frame;
+    }
+
+    /** Reads up to the end of the connection; true when the other side cut it. */
+    boolean isCut() {
+        try {
+            while (mIn.read() >= 0) {
+                // What is still on the way does not matter.
+            }
+            return true;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        mSocket.close();
+    }
+}
