--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryProgram.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/EntryProgram.java
@@ -24,10 +24,7 @@
         Settings settings = options.settings();
         NodeOptions nodeOptions =
                 new NodeOptions(
-                        options.node(settings),
-                        settings,
-                        options.roles(),
-                        options.newDeployment());
+                        options.node(settings), settings, options.roles(), options.newDeployment());
         try (PekkoRuntime runtime = PekkoRuntime.start("entry", THREADS);
                 FoxtailNode node = FoxtailNode.start(runtime, nodeOptions)) {
             LOG.info(
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/NodeOptions.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/NodeOptions.java
@@ -13,7 +13,8 @@
  * @param roles what it does
  * @param newDeployment whether an empty stream of claims was never written, rather than lost
  */
-public record NodeOptions(NodeId node, Settings settings, Set<NodeRole> roles, boolean newDeployment) {
+public record NodeOptions(
+        NodeId node, Settings settings, Set<NodeRole> roles, boolean newDeployment) {
 
     public NodeOptions {
         roles = Set.copyOf(roles);
