Keys protected in the embedded node; one link carries heartbeats and handed-over requests

Cause: the demo refused every keyed request; the node's link took messages of 256 KiB at most, less than a caller's body, so a handed-over request could not have been carried. Change: FoxtailNode starts ProtectedKeys on its link, whose messages are as large as a caller's request; PeerLinkOptions.withMessagesOf in place of a copied list of limits.

--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -38,7 +38,6 @@
 import org.foxtailplank.settings.Settings;
 import org.foxtailplank.wire.PeerLink;
 import org.foxtailplank.wire.PeerLinkException;
-import org.foxtailplank.wire.PeerLinkOptions;
 
 /**
  * One process of the system: an entry, a controller, or both.
@@ -178,8 +177,7 @@
         NodeSettings node = settings.nodes().get(options.node());
         try {
             return PeerLink.start(
-                    PeerLinkOptions.of(
-                            options.node(), node, settings.peers(), incarnation, options.roles()));
+                    PeerLinkClaims.options(options.node(), settings, incarnation, options.roles()));
         } catch (PeerLinkException e) {
             throw ProcessException.failed(
                     "Peers can't be met on " + node.peers() + ": " + e.getMessage(), e);
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/PeerLinkClaims.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/idempotency/PeerLinkClaims.java
@@ -1,7 +1,6 @@
 package org.foxtailplank.entry.internal.idempotency;
 
 import com.google.protobuf.ByteString;
-import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,7 +28,6 @@
 import org.foxtailplank.wire.ClaimsPositionRequest;
 import org.foxtailplank.wire.HeaderField;
 import org.foxtailplank.wire.PeerLink;
-import org.foxtailplank.wire.PeerLinkLimits;
 import org.foxtailplank.wire.PeerLinkOptions;
 import org.foxtailplank.wire.RequestHandover;
 import org.foxtailplank.wire.RequestHandoverResult;
@@ -60,35 +58,16 @@
         return new PeerLinkClaims(link, settings.nodes().size() - 1, settings.peers().silence());
     }
 
-    /** Options of a link that can hand over the largest request and its answer. */
-    public static PeerLinkOptions options(NodeId node, Settings settings) {
-        PeerLinkOptions usual =
-                PeerLinkOptions.of(
-                        node,
-                        settings.nodes().get(node),
-                        settings.peers(),
-                        Incarnation.draw(new SecureRandom()),
-                        Set.of(NodeRole.ENTRY));
-        PeerLinkLimits l = usual.limits();
+    /** Options of a link that carries requests and answers as large as callers may send. */
+    public static PeerLinkOptions options(
+            NodeId node, Settings settings, Incarnation incarnation, Set<NodeRole> roles) {
         long largest =
                 settings.limits().maxBodyBytes()
                         + settings.limits().maxHeaderBytes()
                         + MESSAGE_OVERHEAD;
-        return new PeerLinkOptions(
-                usual.node(),
-                usual.zone(),
-                usual.incarnation(),
-                usual.roles(),
-                usual.bind(),
-                usual.peers(),
-                new PeerLinkLimits(
-                        l.heartbeatBytesPerSecond(),
-                        l.newsPerHeartbeat(),
-                        (int) Math.max(l.maxMessageBytes(), largest),
-                        l.maxUnproved(),
-                        l.handshake(),
-                        l.asksPerPeer(),
-                        l.connectsPerSecond()));
+        return PeerLinkOptions.of(
+                        node, settings.nodes().get(node), settings.peers(), incarnation, roles)
+                .withMessagesOf((int) largest);
     }
 
     /** Who this process is to those whose keys it takes. */
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/node/ConfigurationFollower.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/node/ConfigurationFollower.java
@@ -5,8 +5,6 @@
 import java.util.function.Consumer;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.ZoneId;
-import org.foxtailplank.membership.LoadSummary;
-import org.foxtailplank.membership.NodeStatus;
 import org.foxtailplank.platform.FleetLog;
 import org.foxtailplank.process.Log;
 import org.foxtailplank.settings.Settings;
@@ -15,6 +13,7 @@
 import org.foxtailplank.state.Configuration;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.wire.PeerLink;
+import org.foxtailplank.wire.StatePosition;
 
 /**
  * Puts each newer configuration of the log in force in this process, with the overlay of its zone.
@@ -59,7 +58,7 @@
 
     private Void take(FleetView view) {
         view.configuration().filter(c -> c.version() > mVersion).ifPresent(this::putInForce);
-        mPeers.report(new NodeStatus(mVersion, view.nextOffset(), LoadSummary.none()));
+        mPeers.report(new StatePosition(mVersion, view.nextOffset()));
         return null;
     }
 
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLinkLimits.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLinkLimits.java
@@ -27,4 +27,15 @@
     public static PeerLinkLimits usual() {
         return USUAL;
     }
+
+    /** The same with messages of at least this size allowed. */
+    public PeerLinkLimits withMessagesOf(int bytes) {
+        return new PeerLinkLimits(
+                heartbeatBytesPerSecond,
+                Math.max(maxMessageBytes, bytes),
+                maxUnproved,
+                handshake,
+                asksPerPeer,
+                connectsPerSecond);
+    }
 }
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLinkOptions.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLinkOptions.java
@@ -49,4 +49,10 @@
                 peers,
                 PeerLinkLimits.usual());
     }
+
+    /** The same for messages of at least this size. */
+    public PeerLinkOptions withMessagesOf(int bytes) {
+        return new PeerLinkOptions(
+                node, zone, incarnation, roles, bind, peers, limits.withMessagesOf(bytes));
+    }
 }
