--- a/foxtail-demo/src/main/java/org/foxtailplank/demo/internal/Scenario.java
+++ b/foxtail-demo/src/main/java/org/foxtailplank/demo/internal/Scenario.java
@@ -77,11 +77,11 @@
         return all;
     }
 
-    /** Moves one VM from the pool with most VMs to the one with fewest. */
+    /** Moves one VM from the pool with most VMs beyond its target to another one. */
     public void moveVm() throws ProcessException, InterruptedException {
         JsonNode pools = mAdmin.get("/v1/pools").path("items");
-        String from = extreme(pools, 1);
-        String to = extreme(pools, -1);
+        String from = poolWithMostSpare(pools);
+        String to = anotherPool(pools, from);
         JsonNode vm = firstVmOf(from);
         String id = vm.path("id").asText();
         mAdmin.post(
@@ -148,17 +148,25 @@
         throw ProcessException.failed("Pool " + pool + " has no VM that serves.", null);
     }
 
-    /** The pool with most VMs (sign 1) or fewest (sign -1). */
-    private static String extreme(JsonNode pools, int sign) {
+    private static String poolWithMostSpare(JsonNode pools) {
         String best = "";
         long most = Long.MIN_VALUE;
         for (JsonNode pool : pools) {
-            long vms = sign * pool.path("vms").asLong();
-            if (vms > most) {
-                most = vms;
+            long spare = pool.path("serving").asLong() - pool.path("target").asLong();
+            if (spare > most) {
+                most = spare;
                 best = pool.path("id").asText();
             }
         }
         return best;
     }
+
+    private static String anotherPool(JsonNode pools, String from) throws ProcessException {
+        for (JsonNode pool : pools) {
+            if (!pool.path("id").asText().equals(from)) {
+                return pool.path("id").asText();
+            }
+        }
+        throw ProcessException.failed("There is no second pool to move a VM to.", null);
+    }
 }
--- a/foxtail-process/src/main/java/org/foxtailplank/process/PekkoRuntime.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/PekkoRuntime.java
@@ -20,7 +20,7 @@
     private static final String CONFIG =
             """
             pekko.loglevel = WARNING
-            pekko.stdout-loglevel = WARNING
+            pekko.stdout-loglevel = OFF
             pekko.log-dead-letters = off
             pekko.log-dead-letters-during-shutdown = off
             pekko.jvm-shutdown-hooks = off
