entry: send no request that could hardly end in time, and let requests wait at the entry

Cause: at twice the capacity 7.6% of capacity went into answers that came too late: the admission counted with the mean time of an attempt, so half of the last ones were thrown away after they had taken a slot. And with the connection share as the only bound, 22 requests waited at each instance, where an urgent one stands behind batch ones. Change: needed time = mean + 3 mean deviations in check, give-up and retry; each instance's health answer (inFlight, slots) sets a window under the share; an instance that was never asked is taken to be as quick as its service, as it drew requests to other zones.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/dispatch/Lane.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/dispatch/Lane.java
@@ -23,6 +23,7 @@
 public final class Lane<T> {
 
     private static final double TIME_WEIGHT = 0.05;
+    private static final double DEVIATIONS = 3;
     private static final long MAX_WAITING_BYTES = 32L << 20;
     private static final int MAX_ATTEMPTS = 3;
 
@@ -34,6 +35,7 @@
     private final AdmissionQueue<PendingRequest<T>> mQueue;
     private final RetryBudget mRetries;
     private double mUsualTime;
+    private double mDeviation;
 
     /**
      * Starts empty.
@@ -61,6 +63,20 @@
         return (long) mUsualTime;
     }
 
+    /**
+     * Time in which nearly all good attempts end. A request that is sent with less time left would
+     * take a slot and be thrown away, which under overload costs the others their turn.
+     */
+    private long neededTime() {
+        return (long) (mUsualTime + DEVIATIONS * mDeviation);
+    }
+
+    private void learn(long took) {
+        boolean first = mUsualTime == 0;
+        mDeviation += (Math.abs(took - mUsualTime) - mDeviation) * (first ? 0 : TIME_WEIGHT);
+        mUsualTime += (took - mUsualTime) * (first ? 1 : TIME_WEIGHT);
+    }
+
     /** Requests that wait. */
     public int waiting() {
         return mQueue.size();
@@ -68,7 +84,7 @@
 
     /** Says whether a request would get its turn in time. */
     public Admission check(PendingRequest<T> request, long now) {
-        return mQueue.check(queued(request), usualTime(), now);
+        return mQueue.check(queued(request), neededTime(), now);
     }
 
     /** Lets a request wait for its turn. */
@@ -99,10 +115,10 @@
         long took = now - attempt.started();
         attempt.target().end(end, took, now);
         if (end == AttemptEnd.GOOD) {
-            mUsualTime += (took - mUsualTime) * (mUsualTime == 0 ? 1 : TIME_WEIGHT);
+            learn(took);
         }
         PendingRequest<T> r = attempt.request();
-        boolean worthwhile = r.tried().size() < MAX_ATTEMPTS && r.left(now) > usualTime();
+        boolean worthwhile = r.tried().size() < MAX_ATTEMPTS && r.left(now) > neededTime();
         if (!worthwhile || !r.rule().allowsAnother(end)) {
             return Optional.empty();
         }
@@ -116,7 +132,7 @@
 
     /** Removes the requests that can no longer be answered in time. */
     public List<T> giveUp(long now) {
-        return mQueue.giveUp(usualTime(), now).stream().map(t -> t.item().item()).toList();
+        return mQueue.giveUp(neededTime(), now).stream().map(t -> t.item().item()).toList();
     }
 
     private Attempt<T> begin(PendingRequest<T> r, Target target, long now) {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Router.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Router.java
@@ -112,7 +112,7 @@
 
     private Target add(BackendServer server, boolean near, int limit) {
         Service s = mServices.computeIfAbsent(server.service(), id -> new Service());
-        Target t = new Target(server, near, limit, near ? s.mNear : s.mFar);
+        Target t = new Target(server, near, limit, near ? s.mNear : s.mFar, s.mLatency);
         s.mTargets.add(t);
         return t;
     }
@@ -130,6 +130,7 @@
     private static final class Service {
         private final Candidates mNear = new Candidates();
         private final Candidates mFar = new Candidates();
+        private final MeanLatency mLatency = new MeanLatency();
         private final List<Target> mTargets = new ArrayList<>();
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
@@ -5,10 +5,15 @@
 /** One instance with what this entry knows of its load and health. */
 public final class Target {
 
-    private static final double NANOS_PER_SECOND = 1e9;
-    private static final double LATENCY_WEIGHT = 0.1;
+    private static final double NANOS_PER_MILLI = 1e6;
     private static final double FAILURE_WEIGHT = 0.2;
     private static final double EJECTED_ABOVE = 0.5;
+
+    /** In relation to its slots, what an instance may have so that no slot ever waits for us. */
+    private static final double BUSY_FACTOR = 1.25;
+
+    private static final double MAX_GROWTH = 2;
+    private static final double MAX_SHRINKING = 0.5;
     private static final long FIRST_EJECTION = 500_000_000L;
     private static final long LONGEST_EJECTION = 8_000_000_000L;
 
@@ -17,8 +22,9 @@
     private final Candidates mCandidates;
     private int mLimit;
     private int mInFlight;
-    private int mOthers;
-    private double mLatency;
+    private double mWindow;
+    private final MeanLatency mLatency = new MeanLatency();
+    private final MeanLatency mOfService;
     private double mFailures;
     private Health mHealth = Health.SERVING;
     private boolean mListed = true;
@@ -27,11 +33,18 @@
     private long mEjection = FIRST_EJECTION;
     private int mPlace = Candidates.NOWHERE;
 
-    Target(BackendServer server, boolean near, int limit, Candidates candidates) {
+    Target(
+            BackendServer server,
+            boolean near,
+            int limit,
+            Candidates candidates,
+            MeanLatency ofService) {
         mServer = server;
         mNear = near;
         mLimit = limit;
+        mWindow = limit;
         mCandidates = candidates;
+        mOfService = ofService;
     }
 
     /** The instance. */
@@ -54,11 +67,6 @@
         return mLimit;
     }
 
-    /** Usual time of an attempt, in nanoseconds. */
-    public double latency() {
-        return mLatency;
-    }
-
     /** Whether nothing new may be sent to it, whatever happens to the others. */
     boolean leaving() {
         return !mListed || mHealth == Health.LEAVING;
@@ -93,7 +101,8 @@
         }
         // An instance that fails fast would look quick; only good answers count as its speed.
         if (end == AttemptEnd.GOOD || end == AttemptEnd.BROKEN) {
-            mLatency += (nanos - mLatency) * (mLatency == 0 ? 1 : LATENCY_WEIGHT);
+            mLatency.add(nanos);
+            mOfService.add(nanos);
         }
         judge(end.healthy(), now);
         mCandidates.place(this);
@@ -111,9 +120,21 @@
         mCandidates.place(this);
     }
 
-    /** How many requests of other entries it had when it was last heard of. */
-    public void heardOfOthers(int inFlight) {
-        mOthers = inFlight;
+    /**
+     * What it says of the requests of all entries together.
+     *
+     * <p>Where more wait at it than keep its slots busy, each entry sends it less, so that requests
+     * wait at the entries instead: there urgent ones go first, and a refused one has run nowhere.
+     *
+     * @param inFlight requests that run or wait there
+     * @param slots requests that it runs at once
+     */
+    public void heard(int inFlight, int slots) {
+        double factor = slots * BUSY_FACTOR / Math.max(1, inFlight);
+        boolean spare = inFlight < slots;
+        double change = spare ? Math.min(MAX_GROWTH, factor) : Math.min(1, factor);
+        mWindow = Math.min(mLimit, Math.max(1, mWindow * Math.max(MAX_SHRINKING, change)));
+        mCandidates.place(this);
     }
 
     /** Ends the time without requests when it is over; the next request is a trial. */
@@ -132,13 +153,15 @@
     }
 
     boolean open() {
-        return healthy() && mInFlight < (mOnTrial ? 1 : mLimit);
+        return healthy() && mInFlight < (mOnTrial ? 1 : Math.min(mLimit, (int) mWindow));
     }
 
     /** Expected time of one more attempt; failures make an instance dear, not cheap. */
     double cost() {
         double good = 1 - mFailures;
-        return (mInFlight + mOthers + 1) * (mLatency + 1) / (good * good + 1e-3);
+        // One that was never asked would look free, and draw requests out of the entry's zone.
+        MeanLatency latency = mLatency.known() ? mLatency : mOfService;
+        return (mInFlight + 1) * (latency.nanos() + 1) / (good * good + 1e-3);
     }
 
     int place() {
@@ -170,7 +193,7 @@
                         mServer.vm(),
                         mInFlight,
                         mLimit,
-                        mLatency * 1000 / NANOS_PER_SECOND,
+                        mLatency.nanos() / NANOS_PER_MILLI,
                         ejected() ? "ejected" : mHealth);
     }
 }
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/admission/AdmissionQueueTest.java
@@ -0,0 +1,145 @@
+package org.foxtailplank.internal.admission;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.foxtailplank.request.RequestClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class AdmissionQueueTest {
+
+    private static final long MS = 1_000_000L;
+    private static final long FAR = 1_000_000 * MS;
+    private static final long MAX_BYTES = 10_000;
+
+    private AdmissionQueue<String> mQueue;
+
+    @BeforeMethod
+    public void start() {
+        mQueue = new AdmissionQueue<>(t -> t.equals("big") ? 0.75 : 0.25, MAX_BYTES);
+    }
+
+    @Test
+    public void servesUrgentRequestsFirst() {
+        mQueue.add(ticket("batch", RequestClass.BATCH, "big", FAR));
+        mQueue.add(ticket("interactive", RequestClass.INTERACTIVE, "big", FAR));
+        mQueue.add(ticket("urgent", RequestClass.URGENT, "big", FAR));
+        assertEquals(take(), "urgent");
+        assertEquals(take(), "interactive");
+        assertEquals(take(), "batch");
+    }
+
+    @Test
+    public void sharesAmongTeamsByQuotaHoweverManyOneOfThemSends() {
+        for (int i = 0; i < 8; i++) {
+            mQueue.add(ticket("small", RequestClass.BATCH, "small", FAR));
+        }
+        for (int i = 0; i < 8; i++) {
+            mQueue.add(ticket("big", RequestClass.BATCH, "big", FAR));
+        }
+        int big = 0;
+        for (int i = 0; i < 8; i++) {
+            big += take().equals("big") ? 1 : 0;
+        }
+        assertEquals(big, 6);
+    }
+
+    @Test
+    public void givesATeamNoCreditForTheTimeItWasAway() {
+        for (int i = 0; i < 12; i++) {
+            mQueue.add(ticket("small", RequestClass.BATCH, "small", FAR));
+        }
+        for (int i = 0; i < 4; i++) {
+            take();
+        }
+        for (int i = 0; i < 12; i++) {
+            mQueue.add(ticket("big", RequestClass.BATCH, "big", FAR));
+        }
+        int small = 0;
+        for (int i = 0; i < 8; i++) {
+            small += take().equals("small") ? 1 : 0;
+        }
+        assertTrue(small == 1 || small == 2, "of 8: " + small);
+    }
+
+    /**
+     * A phone agent's quote must come within 500 ms, and 100 requests that take 10 ms each are
+     * ahead. Letting it wait only to refuse it after 500 ms would waste the agent's time.
+     */
+    @Test
+    public void refusesAtOnceARequestWhoseTurnWouldComeTooLate() {
+        backlog(100, 10 * MS);
+        Admission a =
+                mQueue.check(
+                        ticket("x", RequestClass.BATCH, "big", 1000 * MS + 500 * MS), 0, 1000 * MS);
+        assertEquals(a.reason(), Admission.Reason.TOO_LATE);
+        assertTrue(a.waitNanos() >= 500 * MS, "comes back after " + a.waitNanos());
+    }
+
+    @Test
+    public void admitsAnUrgentRequestPastTheSameBacklog() {
+        backlog(100, 10 * MS);
+        Ticket<String> urgent = ticket("x", RequestClass.URGENT, "big", 1000 * MS + 500 * MS);
+        assertTrue(mQueue.check(urgent, 0, 1000 * MS).admitted());
+    }
+
+    @Test
+    public void namesTheQuotaWhenATeamIsOverIt() {
+        backlog(100, 10 * MS);
+        mQueue.add(ticket("other", RequestClass.BATCH, "small", FAR));
+        Ticket<String> t = ticket("x", RequestClass.BATCH, "big", 1100 * MS);
+        assertEquals(mQueue.check(t, 0, 1000 * MS).reason(), Admission.Reason.OVER_QUOTA);
+    }
+
+    @Test
+    public void givesUpARequestThatCanNoLongerBeAnsweredInTime() {
+        mQueue.add(ticket("soon", RequestClass.BATCH, "big", 100 * MS));
+        mQueue.add(ticket("later", RequestClass.BATCH, "big", 300 * MS));
+        List<Ticket<String>> late = mQueue.giveUp(20 * MS, 90 * MS);
+        assertEquals(late.stream().map(Ticket::item).toList(), List.of("soon"));
+        assertEquals(mQueue.size(), 1);
+    }
+
+    @Test
+    public void holdsNoMoreThanItsMemory() {
+        Ticket<String> large = new Ticket<>("x", RequestClass.URGENT, "big", FAR, 6000);
+        assertTrue(mQueue.check(large, 0, 0).admitted());
+        mQueue.add(large);
+        assertEquals(mQueue.check(large, 0, 0).reason(), Admission.Reason.FULL);
+        take();
+        assertTrue(mQueue.check(large, 0, 0).admitted());
+    }
+
+    @Test
+    public void admitsEverythingWhileNothingWaits() {
+        assertFalse(mQueue.take(0).isPresent());
+        assertTrue(
+                mQueue.check(ticket("x", RequestClass.BATCH, "big", 10 * MS), 5 * MS, 0)
+                        .admitted());
+    }
+
+    /** So many batch requests of one team wait, served at a pace, until 1000 ms. */
+    private void backlog(int size, long pace) {
+        for (int i = 0; i < size + 10; i++) {
+            mQueue.add(ticket("b", RequestClass.BATCH, "big", FAR));
+        }
+        long now = 1000 * MS - 10 * pace;
+        mQueue.backlog(now);
+        for (int i = 0; i < 10; i++) {
+            now += pace;
+            mQueue.take(now);
+            mQueue.backlog(now);
+        }
+    }
+
+    private String take() {
+        return mQueue.take(0).orElseThrow().item();
+    }
+
+    private static Ticket<String> ticket(String item, RequestClass c, String team, long deadline) {
+        return new Ticket<>(item, c, team, deadline, 10);
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/dispatch/LaneTest.java
@@ -0,0 +1,149 @@
+package org.foxtailplank.internal.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.internal.admission.Ticket;
+import org.foxtailplank.internal.routing.AttemptEnd;
+import org.foxtailplank.internal.routing.ConnectionShare;
+import org.foxtailplank.internal.routing.Router;
+import org.foxtailplank.request.BackendServer;
+import org.foxtailplank.request.RequestClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class LaneTest {
+
+    private static final long MS = 1_000_000L;
+    private static final long DEADLINE = 1000 * MS;
+    private static final ServiceId SERVICE = ServiceId.of("claims");
+
+    private Lane<String> mLane;
+    private long mNow;
+
+    @BeforeMethod
+    public void start() {
+        ZoneId zone = ZoneId.of("z1");
+        Router router = new Router(zone, MS, new SplittableRandom(3));
+        List<BackendServer> servers =
+                IntStream.range(0, 4)
+                        .mapToObj(
+                                i ->
+                                        new BackendServer(
+                                                VmId.of("vm" + i),
+                                                SERVICE,
+                                                zone,
+                                                new InetSocketAddress("127.0.0.1", 1 + i)))
+                        .toList();
+        router.list(servers, s -> new ConnectionShare(2, 1));
+        mLane = new Lane<>(SERVICE, router, t -> 1, 0.1);
+        mNow = 1;
+    }
+
+    @DataProvider
+    public Object[][] safeRetries() {
+        return new Object[][] {
+            {RunRule.REPEATABLE, AttemptEnd.BROKEN, true},
+            {RunRule.REPEATABLE, AttemptEnd.SERVER_ERROR, true},
+            {RunRule.REPEATABLE, AttemptEnd.BUSY, true},
+            {RunRule.ONCE_BY_KEY, AttemptEnd.BROKEN, false},
+            {RunRule.ONCE_BY_KEY, AttemptEnd.SERVER_ERROR, false},
+            {RunRule.ONCE_BY_KEY, AttemptEnd.BUSY, true},
+            {RunRule.ONCE, AttemptEnd.BROKEN, false},
+            {RunRule.ONCE, AttemptEnd.SERVER_ERROR, false},
+            {RunRule.ONCE, AttemptEnd.BUSY, false},
+            {RunRule.ONCE, AttemptEnd.REFUSED, true},
+            {RunRule.ONCE, AttemptEnd.NOT_CONNECTED, true},
+            {RunRule.REPEATABLE, AttemptEnd.GOOD, false},
+        };
+    }
+
+    @Test(dataProvider = "safeRetries")
+    public void repeatsAnAttemptOnlyWhereThatIsSafe(RunRule rule, AttemptEnd end, boolean again) {
+        Attempt<String> first = send(rule);
+        assertEquals(mLane.ended(first, end, mNow).isPresent(), again);
+    }
+
+    @Test
+    public void retriesOnAnotherInstance() {
+        Attempt<String> first = send(RunRule.REPEATABLE);
+        Attempt<String> second = mLane.ended(first, AttemptEnd.BROKEN, mNow).orElseThrow();
+        assertNotEquals(second.target().server(), first.target().server());
+    }
+
+    /**
+     * All instances fail. If each request were tried three times, a service at its limit would get
+     * three times the load just when it can't bear it.
+     */
+    @Test
+    public void spendsNoMoreRetriesThanTheBudgetWhenEverythingFails() {
+        int attempts = 0;
+        for (int i = 0; i < 1000; i++) {
+            Optional<Attempt<String>> a = Optional.of(send(RunRule.REPEATABLE));
+            while (a.isPresent()) {
+                attempts++;
+                a = mLane.ended(a.get(), AttemptEnd.BROKEN, mNow);
+            }
+        }
+        assertTrue(attempts <= 1000 + 100 + 10, "attempts for 1000 requests: " + attempts);
+    }
+
+    @Test
+    public void retriesNothingAfterTheDeadline() {
+        Attempt<String> first = send(RunRule.REPEATABLE);
+        mNow += DEADLINE;
+        assertFalse(mLane.ended(first, AttemptEnd.BROKEN, mNow).isPresent());
+    }
+
+    @Test
+    public void leavesTimeForARetryOnlyWhereOneIsAllowed() {
+        assertTrue(send(RunRule.REPEATABLE).timeout() < DEADLINE);
+        assertEquals(send(RunRule.ONCE).timeout(), DEADLINE);
+    }
+
+    @Test
+    public void letsARequestWaitUntilAnInstanceHasRoom() {
+        List<Attempt<String>> running =
+                IntStream.range(0, 8).mapToObj(i -> send(RunRule.ONCE)).toList();
+        mLane.add(request(RunRule.ONCE));
+        assertFalse(mLane.next(mNow).isPresent());
+        mLane.ended(running.get(0), AttemptEnd.GOOD, mNow + MS);
+        assertTrue(mLane.next(mNow + MS).isPresent());
+    }
+
+    @Test
+    public void sendsNothingThatCouldHardlyBeAnsweredInTime() {
+        for (int i = 0; i < 50; i++) {
+            Attempt<String> a = send(RunRule.REPEATABLE);
+            mNow += (i % 2 == 0 ? 10 : 30) * MS;
+            mLane.ended(a, AttemptEnd.GOOD, mNow);
+        }
+        PendingRequest<String> hasty =
+                PendingRequest.of(
+                        new Ticket<>("r", RequestClass.URGENT, "t", mNow + 25 * MS, 1),
+                        RunRule.REPEATABLE);
+        assertFalse(mLane.check(hasty, mNow).admitted());
+        assertTrue(mLane.check(request(RunRule.ONCE), mNow).admitted());
+    }
+
+    private Attempt<String> send(RunRule rule) {
+        mLane.add(request(rule));
+        return mLane.next(mNow).orElseThrow();
+    }
+
+    private PendingRequest<String> request(RunRule rule) {
+        return PendingRequest.of(
+                new Ticket<>("r", RequestClass.INTERACTIVE, "t", mNow + DEADLINE, 1), rule);
+    }
+}
--- a/foxtail-core/src/test/java/org/foxtailplank/internal/dispatch/RoutingExperiment.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/dispatch/RoutingExperiment.java
@@ -51,8 +51,7 @@
 
     enum Way {
         OWN,
-        PEERS,
-        PROBES,
+        OWN_AND_WINDOW,
         HOME
     }
 
@@ -236,11 +235,8 @@
             }
             mMisses[i.mIndex] = 0;
             t.saw(Health.SERVING);
-            if (mWay == Way.PROBES || mWay == Way.PEERS) {
-                // Peers' reports are as old as a heartbeat on top of the way; probes only the way.
-                int others = Math.max(0, i.inFlight() - t.inFlight());
-                long age = mWay == Way.PEERS ? PROBE / 2 : FAR_DELAY;
-                at(mNow + age, () -> t.heardOfOthers(others));
+            if (mWay == Way.OWN_AND_WINDOW) {
+                t.heard(i.inFlight(), SLOTS);
             }
         }
 
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/routing/RouterTest.java
@@ -0,0 +1,195 @@
+package org.foxtailplank.internal.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.request.BackendServer;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class RouterTest {
+
+    private static final long MS = 1_000_000L;
+    private static final ServiceId SERVICE = ServiceId.of("claims");
+    private static final ConnectionShare SHARE = new ConnectionShare(6, 2);
+
+    private Router mRouter;
+    private long mNow;
+
+    @BeforeMethod
+    public void start() {
+        mRouter = new Router(ZoneId.of("z1"), MS, new SplittableRandom(7));
+        mNow = 1;
+    }
+
+    @Test
+    public void prefersTheZoneOfTheEntry() {
+        list(server("near", "z1"), server("far", "z2"));
+        for (int i = 0; i < 5; i++) {
+            assertEquals(serve(AttemptEnd.GOOD, 20 * MS), "near");
+        }
+    }
+
+    @Test
+    public void spillsOverWhenTheZoneIsFull() {
+        list(server("near", "z1"), server("far", "z2"));
+        for (int i = 0; i < SHARE.near(); i++) {
+            choose().begin();
+        }
+        assertEquals(name(choose()), "far");
+    }
+
+    @Test
+    public void choosesNoInstanceBeyondItsShare() {
+        list(server("near", "z1"));
+        for (int i = 0; i < SHARE.near(); i++) {
+            choose().begin();
+        }
+        assertFalse(mRouter.choose(SERVICE, Set.of()).isPresent());
+    }
+
+    @Test
+    public void neverChoosesAnInstanceThatWasTried() {
+        list(server("a", "z1"), server("b", "z1"));
+        for (int i = 0; i < 20; i++) {
+            Optional<Target> t = mRouter.choose(SERVICE, Set.of(VmId.of("a")));
+            assertEquals(t.map(RouterTest::name), Optional.of("b"));
+        }
+    }
+
+    /**
+     * One instance answers each request with an error within a moment. It always looks idle, so
+     * choosing the least loaded would send it ever more, and most callers would get errors.
+     */
+    @Test
+    public void drawsNoTrafficToAnInstanceThatFailsFast() {
+        list(server("bad", "z1"), server("good", "z1"));
+        int bad = 0;
+        for (int i = 0; i < 1000; i++) {
+            Target t = choose();
+            t.begin();
+            boolean isBad = name(t).equals("bad");
+            bad += isBad ? 1 : 0;
+            mNow += isBad ? MS / 10 : 20 * MS;
+            t.end(
+                    isBad ? AttemptEnd.SERVER_ERROR : AttemptEnd.GOOD,
+                    isBad ? MS / 10 : 20 * MS,
+                    mNow);
+            mRouter.wake(mNow);
+        }
+        assertTrue(bad < 50, "requests sent to it: " + bad);
+    }
+
+    @Test
+    public void triesAnEjectedInstanceWithOneRequestBeforeItTrustsItAgain() {
+        list(server("a", "z1"), server("b", "z1"));
+        Target a = target("a");
+        fail(a);
+        assertTrue(a.ejected());
+        assertEquals(name(choose()), "b");
+        mNow += 1000 * MS;
+        mRouter.wake(mNow);
+        assertFalse(a.ejected());
+        a.begin();
+        assertFalse(a.open(), "a second request during the trial");
+        a.end(AttemptEnd.GOOD, 20 * MS, mNow);
+        a.begin();
+        assertTrue(a.open());
+    }
+
+    @Test
+    public void sendsNothingToAnInstanceThatSaysItLeavesWhateverTheListSays() {
+        list(server("a", "z1"));
+        target("a").saw(Health.LEAVING);
+        list(server("a", "z1"));
+        assertFalse(mRouter.choose(SERVICE, Set.of()).isPresent());
+        assertFalse(mRouter.serves(SERVICE));
+    }
+
+    /**
+     * An entry was paused, or its zone was cut off, and every instance looks silent to it. Refusing
+     * everything would make its own fault the callers' outage.
+     */
+    @Test
+    public void asksASilentInstanceWhenAllLookSilent() {
+        list(server("a", "z1"), server("b", "z1"));
+        target("a").saw(Health.SILENT);
+        assertEquals(name(choose()), "b");
+        target("b").saw(Health.SILENT);
+        assertTrue(mRouter.choose(SERVICE, Set.of()).isPresent());
+    }
+
+    @Test
+    public void sendsLessWhereRequestsWaitAndMoreWhereSlotsAreFree() {
+        list(server("a", "z1"));
+        Target a = target("a");
+        for (int i = 0; i < 6; i++) {
+            a.heard(40, 8);
+        }
+        a.begin();
+        assertFalse(a.open(), "a second request at a time");
+        a.heard(2, 8);
+        assertTrue(a.open());
+    }
+
+    @Test
+    public void treatsAnInstanceOnAnotherAddressAsNew() {
+        list(server("a", "z1"));
+        fail(target("a"));
+        list(new BackendServer(VmId.of("a"), SERVICE, ZoneId.of("z1"), address(2)));
+        assertFalse(target("a").ejected());
+        assertEquals(name(choose()), "a");
+    }
+
+    private void fail(Target t) {
+        for (int i = 0; i < 5; i++) {
+            t.begin();
+        }
+        for (int i = 0; i < 5; i++) {
+            t.end(AttemptEnd.SERVER_ERROR, MS, mNow);
+        }
+    }
+
+    private String serve(AttemptEnd end, long nanos) {
+        Target t = choose();
+        t.begin();
+        mNow += nanos;
+        t.end(end, nanos, mNow);
+        return name(t);
+    }
+
+    private Target choose() {
+        return mRouter.choose(SERVICE, Set.of()).orElseThrow();
+    }
+
+    private Target target(String vm) {
+        return mRouter.targets().stream().filter(t -> name(t).equals(vm)).findAny().orElseThrow();
+    }
+
+    private void list(BackendServer... servers) {
+        List<BackendServer> list = new ArrayList<>(List.of(servers));
+        mRouter.list(list, s -> SHARE);
+    }
+
+    private static BackendServer server(String vm, String zone) {
+        return new BackendServer(VmId.of(vm), SERVICE, ZoneId.of(zone), address(1));
+    }
+
+    private static InetSocketAddress address(int port) {
+        return new InetSocketAddress("127.0.0.1", port);
+    }
+
+    private static String name(Target t) {
+        return t.server().vm().value();
+    }
+}
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Prober.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Prober.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.entry.internal.flow;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.time.Duration;
@@ -57,7 +58,7 @@
         probe.mUnderWay = false;
         if (result instanceof AttemptResult.Answered a && a.status() == OK) {
             probe.mMisses = 0;
-            target.saw(read(a.body()));
+            read(target, a.body());
             return;
         }
         probe.mMisses++;
@@ -75,12 +76,16 @@
                 .whenComplete((result, e) -> mSeen.accept(t, result));
     }
 
-    private Health read(byte[] body) {
+    private void read(Target target, byte[] body) {
         try {
-            String state = mJson.readTree(body).path("state").asText();
-            return state.equals("leaving") ? Health.LEAVING : Health.SERVING;
+            JsonNode json = mJson.readTree(body);
+            boolean leaving = json.path("state").asText().equals("leaving");
+            target.saw(leaving ? Health.LEAVING : Health.SERVING);
+            if (json.path("slots").asInt() > 0) {
+                target.heard(json.path("inFlight").asInt(), json.path("slots").asInt());
+            }
         } catch (IOException e) {
-            return Health.SILENT;
+            target.saw(Health.SILENT);
         }
     }
 
