entry: hostile callers bounded, leaving instances asked under full load, no false not-run

Cause: (1) any fault after a request had been sent was answered as not-run, since one handler stood round reading the body and the whole flow; (2) under steady load every connection was busy at each probe's turn, so a leaving instance was never asked; (3) bodies were bounded one by one, not together; (4) the header Connection: close was written raw and ignored by the server; (5) bytes that are no HTTP request got an answer without an outcome.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
@@ -29,6 +29,7 @@
     private Health mHealth = Health.SERVING;
     private boolean mListed = true;
     private boolean mOnTrial;
+    private boolean mHeld;
     private long mEjectedUntil;
     private long mEjection = FIRST_EJECTION;
     private int mPlace = Candidates.NOWHERE;
@@ -114,6 +115,17 @@
         mCandidates.place(this);
     }
 
+    /**
+     * Keeps the next connection that becomes free for a probe.
+     *
+     * <p>Under steady load each free connection is taken at once; without this the entry would
+     * never ask, and send requests to an instance that left long ago.
+     */
+    public void hold(boolean held) {
+        mHeld = held;
+        mCandidates.place(this);
+    }
+
     /** What it says of itself. */
     public void saw(Health health) {
         mHealth = health;
@@ -153,7 +165,7 @@
     }
 
     boolean open() {
-        return healthy() && mInFlight < (mOnTrial ? 1 : Math.min(mLimit, (int) mWindow));
+        return healthy() && !mHeld && mInFlight < (mOnTrial ? 1 : Math.min(mLimit, (int) mWindow));
     }
 
     /** Expected time of one more attempt; failures make an instance dear, not cheap. */
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerEndpoint.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerEndpoint.java
@@ -33,6 +33,7 @@
     /** Later than announced, so that a request sent at the last moment still finds us reading. */
     private static final Duration IDLE = Duration.ofSeconds(7);
 
+    private static final int MAX_CONNECTIONS = 4096;
     private static final Duration SWEEP = Duration.ofMillis(100);
 
     private final ClassicActorSystemProvider mSystem;
@@ -97,12 +98,14 @@
         SharedKillSwitch killSwitch = KillSwitches.shared("caller");
         InetAddress caller = incoming.remoteAddress().getAddress();
         CallerConnection c = new CallerConnection(caller, killSwitch, System.nanoTime());
-        boolean over = countOf(caller) >= mState.settings().limits().connectionsPerCaller();
+        boolean over =
+                mConnections.size() >= MAX_CONNECTIONS
+                        || countOf(caller) >= mState.settings().limits().connectionsPerCaller();
         mConnections.add(c);
         Flow<HttpRequest, HttpResponse, ?> flow =
                 Flow.of(HttpRequest.class)
                         .via(killSwitch.flow())
-                        .mapAsync(1, r -> answer(c, r, over))
+                        .mapAsync(1, r -> answer(c, r))
                         .watchTermination(
                                 (mat, done) -> done.whenComplete((d, e) -> mConnections.remove(c)));
         incoming.handleWith(flow, mMaterializer);
@@ -116,15 +119,14 @@
         return mConnections.stream().filter(c -> c.caller().equals(caller)).count();
     }
 
-    private CompletionStage<HttpResponse> answer(
-            CallerConnection c, HttpRequest request, boolean over) {
+    private CompletionStage<HttpResponse> answer(CallerConnection c, HttpRequest request) {
         c.begin();
         return mHandler.answer(request, this::keepAlive)
                 .whenComplete((r, e) -> c.end(System.nanoTime()));
     }
 
     private String keepAlive() {
-        return mLeaving ? "" : "timeout=" + ANNOUNCED_IDLE.toSeconds();
+        return mLeaving || mState.leaving() ? "" : "timeout=" + ANNOUNCED_IDLE.toSeconds();
     }
 
     private void sweep() {
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerHandler.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/CallerHandler.java
@@ -4,13 +4,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 import org.foxtailplank.entry.Answer;
 import org.foxtailplank.entry.CallerRequest;
 import org.foxtailplank.entry.internal.flow.Answers;
@@ -26,11 +24,10 @@
     private static final String HEALTH = "/health";
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
-    private static final int TOO_SLOW = 408;
-    private static final int TOO_LARGE = 413;
 
     private final ClassicActorSystemProvider mSystem;
     private final EntryState mState;
+    private final BodyReader mBodies;
     private final RequestFlow mFlow;
     private final RequestCounters mCounters;
 
@@ -42,6 +39,7 @@
             RequestCounters counters) {
         mSystem = system;
         mState = state;
+        mBodies = new BodyReader(system);
         mFlow = flow;
         mCounters = counters;
     }
@@ -61,16 +59,24 @@
             http.discardEntityBytes(mSystem);
             return CompletableFuture.completedFuture(Responses.of(e.answer(), "none", ""));
         }
-        String id = head.id();
-        return http.entity()
-                .toStrict(
-                        head.deadline().toMillis(),
+        return mBodies.with(
+                        http,
+                        head.deadline(),
                         mState.settings().limits().maxBodyBytes(),
-                        mSystem)
-                .thenApply(body -> head.withBody(http, body, arrived))
-                .thenCompose(this::counted)
-                .thenApply(a -> Responses.of(a, id, keepAlive.get()))
-                .exceptionally(e -> Responses.of(unread(e), id, ""));
+                        body -> counted(head.withBody(http, body, arrived)))
+                .thenApply(a -> Responses.of(a, head.id(), closes(a) ? "" : keepAlive.get()))
+                .exceptionally(e -> failed(head.id(), e));
+    }
+
+    /** An answer to a body that was not read leaves the rest of it on the connection. */
+    private static boolean closes(Answer a) {
+        return a.outcome() == Outcome.NOT_RUN && a.retryAfter().isEmpty();
+    }
+
+    /** A fault of ours, at a point where the request may have been sent. */
+    private static HttpResponse failed(String id, Throwable e) {
+        LOG.with("request", id).error("The request failed inside the entry: {0}.", e);
+        return Responses.of(Answers.failedInside(), id, "");
     }
 
     private CompletionStage<Answer> counted(CallerRequest r) {
@@ -92,14 +98,6 @@
         }
     }
 
-    private static Answer unread(Throwable e) {
-        Throwable cause = e instanceof CompletionException ? e.getCause() : e;
-        if (cause instanceof EntityStreamSizeException) {
-            return Answers.bad(TOO_LARGE, "Not run: the body is larger than allowed.");
-        }
-        return Answers.bad(TOO_SLOW, "Not run: the body did not come whole and in time.");
-    }
-
     private Answer health() {
         boolean leaving = mState.leaving();
         String json = "{\"state\":\"" + (leaving ? "leaving" : "serving") + "\"}";
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/RequestParser.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/RequestParser.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
-import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.foxtailplank.entry.CallerRequest;
@@ -26,7 +25,7 @@
     private static final String TEAM = "Foxtail-Team";
     private static final String DEADLINE = "Foxtail-Deadline";
     private static final String REPEATABLE = "Foxtail-Repeatable";
-    private static final Duration LONGEST_DEADLINE = Duration.ofMinutes(10);
+    private static final Duration LONGEST_DEADLINE = Duration.ofMinutes(1);
     private static final int LONGEST_KEY = 200;
     private static final int BAD = 400;
     private static final int FORBIDDEN = 403;
@@ -68,7 +67,7 @@
             Optional<String> key,
             List<Header> headers) {
 
-        CallerRequest withBody(HttpRequest http, HttpEntity.Strict body, long arrived) {
+        CallerRequest withBody(HttpRequest http, byte[] body, long arrived) {
             return new CallerRequest(
                     id,
                     service,
@@ -80,9 +79,9 @@
                     arrived + deadline.toNanos(),
                     repeatable,
                     key,
-                    body.getContentType().toString(),
+                    http.entity().getContentType().toString(),
                     headers,
-                    body.getData().toArray());
+                    body);
         }
     }
 
@@ -169,7 +168,7 @@
         }
         return Durations.parse(text.get())
                 .filter(d -> !d.isZero() && d.compareTo(LONGEST_DEADLINE) <= 0)
-                .orElseThrow(() -> wrong(DEADLINE, text.get(), "1ms to 10m, for example 800ms"));
+                .orElseThrow(() -> wrong(DEADLINE, text.get(), "1ms to 1m, for example 800ms"));
     }
 
     private static boolean repeatable(HttpRequest http, ServiceSettings s, Optional<String> key)
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/Responses.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/Responses.java
@@ -9,7 +9,9 @@
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCode;
 import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.foxtailplank.entry.Answer;
 import org.foxtailplank.entry.CallerRequest;
@@ -33,6 +35,8 @@
                     "foxtail-outcome",
                     "foxtail-request-id");
 
+    private static final int ERRORS_FROM = 400;
+
     private Responses() {}
 
     static HttpResponse of(Answer answer, String id, String keepAlive) {
@@ -47,14 +51,19 @@
             }
         }
         headers.add(
-                RawHeader.create(
-                        keepAlive.isEmpty() ? "Connection" : "Keep-Alive",
-                        keepAlive.isEmpty() ? "close" : keepAlive));
+                keepAlive.isEmpty()
+                        ? Connection.create("close")
+                        : RawHeader.create("Keep-Alive", keepAlive));
         ContentType parsed = ContentTypes.parse(answer.contentType());
         ContentType type = parsed == null ? ContentTypes.APPLICATION_OCTET_STREAM : parsed;
         return HttpResponse.create()
-                .withStatus(StatusCodes.get(answer.status()))
+                .withStatus(status(answer.status()))
                 .withHeaders(headers)
                 .withEntity(HttpEntities.create(type, answer.body()));
     }
+
+    private static StatusCode status(int code) {
+        return StatusCodes.lookup(code)
+                .orElseGet(() -> StatusCodes.custom(code, "", "", code < ERRORS_FROM, true));
+    }
 }
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/ServerLimits.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/caller/ServerLimits.java
@@ -10,21 +10,20 @@
  */
 final class ServerLimits {
 
-    private static final int MAX_CONNECTIONS = 4096;
     private static final int MAX_HEADERS = 64;
 
     private ServerLimits() {}
 
     static ServerSettings of(ClassicActorSystemProvider system, LimitSettings limits) {
-        // Our own deadlines bound the time of a request, so the server's time-out is off; the idle
-        // time-out only catches a peer that has vanished.
+        // Our own deadlines bound the time of a request, so the server's time-out is off. The idle
+        // time-out, longer than any deadline, catches a peer that vanished or doesn't read its
+        // answer.
         String text =
                 """
                 pekko.http.server {
                   request-timeout = infinite
-                  idle-timeout = 11 m
+                  idle-timeout = 75 s
                   pipelining-limit = 1
-                  max-connections = %d
                   backlog = 512
                   parsing {
                     max-uri-length = %d
@@ -33,15 +32,16 @@
                     max-content-length = %d
                     illegal-header-warnings = off
                     error-logging-verbosity = off
+                    error-handler = "%s"
                   }
                 }
                 """
                         .formatted(
-                                MAX_CONNECTIONS,
                                 Math.min(limits.maxHeaderBytes(), 8192),
                                 limits.maxHeaderBytes(),
                                 MAX_HEADERS,
-                                limits.maxBodyBytes());
+                                limits.maxBodyBytes(),
+                                ParsingErrors.class.getName());
         return ServerSettings.create(
                 ConfigFactory.parseString(text)
                         .withFallback(system.classicSystem().settings().config()));
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Answers.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Answers.java
@@ -88,6 +88,14 @@
         return words(status, Outcome.UNKNOWN, Optional.empty(), why);
     }
 
+    /** The entry itself failed, at a point where the request may have been sent. */
+    public static Answer failedInside() {
+        String why =
+                "Unknown: the entry failed while it handled the request, which may have run. Ask"
+                        + " again only if it may be repeated, or with the same idempotency key.";
+        return words(500, Outcome.UNKNOWN, Optional.empty(), why);
+    }
+
     private static Answer refused(int status, Duration wait, String why) {
         long seconds = Math.max(1, wait.plusMillis(999).toSeconds());
         String text = "Not run: " + why + ". Ask again after " + seconds + " s.";
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Prober.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Prober.java
@@ -42,7 +42,10 @@
         for (Target t : fleet.router().targets()) {
             Probe probe = mProbes.computeIfAbsent(t, key -> new Probe(now));
             boolean due = !probe.mUnderWay && now - probe.mNext >= 0;
-            if (due && t.inFlight() < t.limit()) {
+            if (due && t.inFlight() >= t.limit()) {
+                t.hold(true);
+            } else if (due) {
+                t.hold(false);
                 ask(t, probe, fleet.pool(t), now);
             }
         }
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/RequestFlow.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/RequestFlow.java
@@ -14,11 +14,14 @@
 import org.foxtailplank.entry.EntryParts;
 import org.foxtailplank.entry.KeyedRequests;
 import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.settings.Settings;
 
 /** Takes parsed requests and answers each of them once. */
 public final class RequestFlow {
 
+    private static final Log LOG = Log.of("entry");
+
     private final ActorRef<Command> mBroker;
     private final KeyedRequests mKeyed;
 
@@ -49,9 +52,15 @@
         CompletableFuture<Optional<Answer>> refusal = new CompletableFuture<>();
         mBroker.tell(new Command.Check(x, refusal));
         return refusal.thenCompose(
-                r ->
-                        r.<CompletionStage<Answer>>map(CompletableFuture::completedFuture)
-                                .orElseGet(() -> mKeyed.answer(request, () -> queue(x))));
+                        r ->
+                                r.<CompletionStage<Answer>>map(CompletableFuture::completedFuture)
+                                        .orElseGet(() -> mKeyed.answer(request, () -> queue(x))))
+                .exceptionally(e -> keyedFailed(request, e));
+    }
+
+    private static Answer keyedFailed(CallerRequest request, Throwable e) {
+        LOG.with("request", request.id()).error("The key can't be protected: {0}.", e);
+        return Answers.failedInside();
     }
 
     /** Takes over another configuration. */
--- /dev/null
+++ b/foxtail-entry/src/test/java/org/foxtailplank/entry/InstanceFailureTest.java
@@ -0,0 +1,204 @@
+package org.foxtailplank.entry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.foxtailplank.request.BackendServer;
+import org.foxtailplank.request.Outcome;
+import org.testng.annotations.Test;
+
+/** Backend servers that fail, leave or answer wrongly, seen from a caller. */
+public class InstanceFailureTest {
+
+    private static final String ONCE = "Foxtail-Repeatable";
+
+    /**
+     * The first answer comes after its caller was told unknown. If it were taken for the answer to
+     * the next request on that connection, an adjuster would read somebody else's verdict.
+     */
+    @Test
+    public void neverMistakesALateAnswerForTheNextOne() throws Exception {
+        CountDownLatch late = new CountDownLatch(1);
+        RawBackend.Script script =
+                (head, body, socket) -> {
+                    if (body.equals("first")) {
+                        await(late);
+                    }
+                    return RawBackend.write(socket, RawBackend.response(200, "", body));
+                };
+        try (RawBackend b = RawBackend.running(script);
+                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+            HttpResponse<String> first = f.post("first", "Foxtail-Deadline", "300ms", ONCE, "no");
+            assertEquals(EntryFixture.outcome(first), Outcome.UNKNOWN);
+            assertEquals(first.statusCode(), 504);
+            late.countDown();
+            for (int i = 0; i < 10; i++) {
+                assertEquals(f.post("next" + i).body(), "next" + i);
+            }
+        }
+    }
+
+    @Test
+    public void takesAnAnswerThatEndsWithTheConnectionForUnknown() throws Exception {
+        String open = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nperhaps half";
+        try (RawBackend b = RawBackend.running((h, body, s) -> !RawBackend.write(s, open));
+                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+            assertEquals(EntryFixture.outcome(f.post("x", ONCE, "no")), Outcome.UNKNOWN);
+        }
+    }
+
+    @Test
+    public void takesChunksWithoutAnEndForUnknown() throws Exception {
+        String cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+        try (RawBackend b = RawBackend.running((h, body, s) -> !RawBackend.write(s, cut));
+                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+            assertEquals(EntryFixture.outcome(f.post("x", ONCE, "no")), Outcome.UNKNOWN);
+        }
+    }
+
+    @Test
+    public void passesOnABackendServersWordThatItDidNotRun() throws Exception {
+        String no = RawBackend.response(503, "Foxtail-Outcome: not-run\r\n", "busy");
+        try (RawBackend b = RawBackend.running((h, body, s) -> RawBackend.write(s, no));
+                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+            HttpResponse<String> r = f.post("x", ONCE, "no");
+            assertEquals(EntryFixture.outcome(r), Outcome.NOT_RUN);
+            assertTrue(r.headers().firstValue("Retry-After").isPresent());
+            assertEquals(b.ran().size(), 1, "sent once without a key");
+        }
+    }
+
+    /** Any other 503 may have run: it is the whole answer, and no word of not-run. */
+    @Test
+    public void takesNoOtherErrorForNotRun() throws Exception {
+        String error = RawBackend.response(503, "", "half done");
+        try (RawBackend b = RawBackend.running((h, body, s) -> RawBackend.write(s, error));
+                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+            HttpResponse<String> r = f.post("x", ONCE, "no");
+            assertNotEquals(EntryFixture.outcome(r), Outcome.NOT_RUN);
+            assertEquals(r.statusCode(), 503);
+        }
+    }
+
+    /**
+     * An instance closes kept connections without a word, at the moment at which the entry would
+     * use one again. A claim sent on such a connection would end unknown; so it goes on a new one.
+     */
+    @Test
+    public void losesNoRequestToTheCloseOfAnIdleConnection() throws Exception {
+        RawBackend.Script closing =
+                (head, body, s) -> !RawBackend.write(s, RawBackend.response(200, "", body));
+        try (RawBackend b = RawBackend.running(closing);
+                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+            for (int i = 0; i < 20; i++) {
+                assertEquals(EntryFixture.outcome(f.post("claim" + i, ONCE, "no")), Outcome.OK);
+            }
+            assertEquals(b.ran().size(), 20);
+        }
+    }
+
+    @Test
+    public void goesToAnotherInstanceWhenNobodyListens() throws Exception {
+        RawBackend gone = RawBackend.echoing();
+        BackendServer listed = near(gone, "vm-1");
+        gone.close();
+        try (RawBackend b = RawBackend.echoing();
+                EntryFixture f =
+                        new EntryFixture(TestSettings.standard(), listed, near(b, "vm-2"))) {
+            for (int i = 0; i < 10; i++) {
+                assertEquals(EntryFixture.outcome(f.post("claim", ONCE, "no")), Outcome.OK);
+            }
+        }
+    }
+
+    /**
+     * An instance says that it leaves while the platform still lists it, and the entry keeps all
+     * its connections to it busy. The entry must still come to ask it, and send nothing more.
+     */
+    @Test
+    public void sendsNothingMoreToAnInstanceThatLeavesUnderFullLoad() throws Exception {
+        try (RawBackend leaving = RawBackend.echoing();
+                RawBackend staying = RawBackend.echoing();
+                EntryFixture f =
+                        new EntryFixture(
+                                TestSettings.standard(),
+                                near(leaving, "vm-1"),
+                                near(staying, "vm-2"))) {
+            AtomicInteger stop = new AtomicInteger();
+            List<CompletableFuture<Void>> callers = new ArrayList<>();
+            for (int i = 0; i < 16; i++) {
+                callers.add(
+                        CompletableFuture.runAsync(
+                                () -> postUntil(f, stop), r -> new Thread(r).start()));
+            }
+            EntryFixture.await(() -> leaving.ran().size() > 100);
+            leaving.health("leaving");
+            int[] seen = {-1};
+            EntryFixture.await(
+                    () -> {
+                        int before = seen[0];
+                        int others = staying.ran().size();
+                        EntryFixture.await(() -> staying.ran().size() > others + 200);
+                        seen[0] = leaving.ran().size();
+                        return before == seen[0];
+                    });
+            stop.set(1);
+            callers.forEach(CompletableFuture::join);
+            assertEquals(leaving.ran().size(), seen[0]);
+        }
+    }
+
+    @Test
+    public void holdsNoMoreConnectionsThanItsShare() throws Exception {
+        AtomicInteger peak = new AtomicInteger();
+        try (RawBackend b = RawBackend.echoing();
+                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+            b.script(
+                    (head, body, s) -> {
+                        peak.accumulateAndGet((int) b.open(), Math::max);
+                        return RawBackend.write(s, RawBackend.response(200, "", body));
+                    });
+            AtomicInteger stop = new AtomicInteger();
+            List<CompletableFuture<Void>> callers = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                callers.add(
+                        CompletableFuture.runAsync(
+                                () -> postUntil(f, stop), r -> new Thread(r).start()));
+            }
+            EntryFixture.await(() -> b.ran().size() > 1000);
+            stop.set(1);
+            callers.forEach(CompletableFuture::join);
+            assertTrue(peak.get() <= 6, "connections at once: " + peak);
+        }
+    }
+
+    private static void postUntil(EntryFixture f, AtomicInteger stop) {
+        try {
+            while (stop.get() == 0) {
+                assertFalse(f.post("q").body().isEmpty());
+            }
+        } catch (java.io.IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static BackendServer near(RawBackend b, String vm) {
+        return b.as(vm, TestSettings.SERVICE, TestSettings.NEAR);
+    }
+}
