--- a/foxtail-core/src/test/java/org/foxtailplank/internal/control/VmProcedureTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/control/VmProcedureTest.java
@@ -31,7 +31,7 @@
     public void drainsAVmBeforeItIsRebooted() {
         assertEquals(
                 next(rebooting(), up(false, 0, "old"), SERVING, Duration.ZERO),
-                new VmStep.AskDrain(new PlatformCall("vm-4-drain", 8)));
+                new VmStep.AskDrain(new PlatformCall("vm-4-drain", 16)));
     }
 
     /**
@@ -43,13 +43,13 @@
     public void doesNotTrustZeroInFlightBeforeEntriesHaveLearned() {
         Duration early = SETTLE.minusMillis(1);
         assertEquals(
-                next(rebooting(), up(true, 8, "vm-4-drain"), IDLE, early),
+                next(rebooting(), up(true, 16, "vm-4-drain"), IDLE, early),
                 new VmStep.Wait("entries to learn that it leaves"));
     }
 
     @Test
     public void waitsForWorkInFlightAndForTheBackendServersOwnWord() {
-        VmAtPlatform draining = up(true, 8, "vm-4-drain");
+        VmAtPlatform draining = up(true, 16, "vm-4-drain");
         assertEquals(
                 next(rebooting(), draining, BUSY, SETTLE), new VmStep.Wait("1 requests in flight"));
         assertEquals(
@@ -63,17 +63,17 @@
     @Test
     public void rebootsOnceNothingIsInFlightByItsOwnWord() {
         assertEquals(
-                next(rebooting(), up(true, 8, "vm-4-drain"), IDLE, SETTLE),
+                next(rebooting(), up(true, 16, "vm-4-drain"), IDLE, SETTLE),
                 new VmStep.AskAction(
-                        new PlatformCall("vm-4-action", 9),
+                        new PlatformCall("vm-4-action", 17),
                         VmAction.REBOOT,
                         "nothing in flight by its own word"));
     }
 
     @Test
     public void givesUpWaitingAfterTheTimeoutAndSaysWhatWasLeft() {
-        VmAtPlatform draining = up(true, 8, "vm-4-drain");
-        PlatformCall call = new PlatformCall("vm-4-action", 9);
+        VmAtPlatform draining = up(true, 16, "vm-4-drain");
+        PlatformCall call = new PlatformCall("vm-4-action", 17);
         assertEquals(
                 next(rebooting(), draining, BUSY, TIMEOUT),
                 new VmStep.AskAction(
@@ -90,11 +90,13 @@
         assertEquals(
                 next(rebooting(), off, Optional.empty(), Duration.ZERO),
                 new VmStep.AskAction(
-                        new PlatformCall("vm-4-action", 9), VmAction.REBOOT, "nothing runs on it"));
+                        new PlatformCall("vm-4-action", 17),
+                        VmAction.REBOOT,
+                        "nothing runs on it"));
         assertEquals(
                 next(waking(), off, Optional.empty(), Duration.ZERO),
                 new VmStep.AskAction(
-                        new PlatformCall("vm-4-action", 9), VmAction.WAKE, "nothing runs on it"));
+                        new PlatformCall("vm-4-action", 17), VmAction.WAKE, "nothing runs on it"));
     }
 
     /**
@@ -132,27 +134,47 @@
     @Test
     public void withdrawsAnActionThatThePlatformCanNoLongerTake() {
         assertEquals(
-                next(rebooting(), up(false, 9, "by-hand"), SERVING, Duration.ZERO),
+                next(rebooting(), up(false, 17, "by-hand"), SERVING, Duration.ZERO),
                 new VmStep.Confirm(ActionOutcome.WITHDRAWN, "another hand acted on it"));
     }
 
     @Test
-    public void joinsTheOtherPoolOnceReassigned() {
-        VmStep join = new VmStep.Join(QUOTES);
-        VmState released = vm(VmPhase.RELEASED, Optional.empty(), Optional.of(QUOTES));
-        VmState off = vm(VmPhase.OFF, Optional.empty(), Optional.of(QUOTES));
-        VmState releasing = vm(VmPhase.RELEASING, Optional.empty(), Optional.of(QUOTES));
-        VmAtPlatform report = up(false, 9, "vm-4-action");
-        assertEquals(next(released, report, SERVING, Duration.ZERO), join);
-        assertEquals(next(off, report, SERVING, Duration.ZERO), join);
-        assertEquals(next(releasing, report, SERVING, Duration.ZERO), new VmStep.Nothing());
+    public void joinsTheOtherPoolOnceDrained() {
+        VmState vm = vm(VmPhase.RELEASING, Optional.empty(), Optional.of(QUOTES));
+        assertEquals(
+                next(vm, up(false, 17, "vm-4-action"), SERVING, Duration.ZERO),
+                new VmStep.AskDrain(new PlatformCall("vm-4-release", 19)));
+        assertEquals(
+                next(vm, up(true, 19, "vm-4-release"), BUSY, SETTLE),
+                new VmStep.Wait("1 requests in flight"));
+        assertEquals(
+                next(vm, up(true, 19, "vm-4-release"), IDLE, SETTLE),
+                new VmStep.Join(QUOTES, "nothing in flight by its own word"));
+    }
+
+    @Test
+    public void wakesAVmThatWasReassignedWhileItWasOff() {
+        VmState vm = vm(VmPhase.RELEASING, Optional.of(VmAction.REASSIGN), Optional.empty());
+        ReportedAction done = new ReportedAction("vm-4-action", Progress.DONE);
+        VmAtPlatform off = new VmAtPlatform(Power.DOWN, false, 17, Optional.of(done));
+        assertEquals(
+                next(vm, off, Optional.empty(), Duration.ZERO),
+                new VmStep.AskAction(
+                        new PlatformCall("vm-4-wake", 18),
+                        VmAction.WAKE,
+                        "it was reassigned while off"));
+        ReportedAction woken = new ReportedAction("vm-4-wake", Progress.DONE);
+        VmAtPlatform up = new VmAtPlatform(Power.UP, false, 18, Optional.of(woken));
+        assertEquals(
+                next(vm, up, SERVING, Duration.ZERO),
+                new VmStep.Confirm(ActionOutcome.DONE, "its backend server serves"));
     }
 
     @Test
     public void doesNothingForAVmWithNothingPending() {
         VmState vm = vm(VmPhase.SERVING, Optional.empty(), Optional.empty());
         assertEquals(
-                next(vm, up(false, 9, "vm-4-action"), SERVING, Duration.ZERO),
+                next(vm, up(false, 17, "vm-4-action"), SERVING, Duration.ZERO),
                 new VmStep.Nothing());
     }
 
@@ -169,7 +191,7 @@
 
     private static VmAtPlatform ended(Progress progress) {
         ReportedAction own = new ReportedAction("vm-4-action", progress);
-        return new VmAtPlatform(Power.UP, false, 9, Optional.of(own));
+        return new VmAtPlatform(Power.UP, false, 17, Optional.of(own));
     }
 
     private static VmState rebooting() {
--- /dev/null
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -0,0 +1,273 @@
+package org.foxtailplank.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.Cancellable;
+import org.apache.pekko.http.javadsl.server.Directives;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.foxtailplank.controller.Controller;
+import org.foxtailplank.controller.ControllerParts;
+import org.foxtailplank.entry.internal.idempotency.KeyOptions;
+import org.foxtailplank.entry.internal.idempotency.PeerLinkClaims;
+import org.foxtailplank.entry.internal.idempotency.ProtectedKeys;
+import org.foxtailplank.entry.internal.node.ConfigurationFollower;
+import org.foxtailplank.entry.internal.node.WaveWatch;
+import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.membership.NodeRole;
+import org.foxtailplank.membership.Seed;
+import org.foxtailplank.membership.SeedSource;
+import org.foxtailplank.platform.FleetFollower;
+import org.foxtailplank.platform.HttpPlatform;
+import org.foxtailplank.platform.burn.BurnLog;
+import org.foxtailplank.process.Health;
+import org.foxtailplank.process.HealthRoutes;
+import org.foxtailplank.process.HttpListener;
+import org.foxtailplank.process.PekkoRuntime;
+import org.foxtailplank.process.ProcessException;
+import org.foxtailplank.settings.NodeSettings;
+import org.foxtailplank.settings.Settings;
+import org.foxtailplank.wire.PeerLink;
+import org.foxtailplank.wire.PeerLinkException;
+
+/**
+ * One process of the system: an entry, a controller, or both.
+ *
+ * <p>It follows the platform's log, talks to its peers, and does what its roles say:
+ *
+ * <pre>{@code
+ * try (PekkoRuntime runtime = PekkoRuntime.start("entry", 4);
+ *         FoxtailNode node = FoxtailNode.start(runtime, options)) {
+ *     stop.await();
+ *     node.leave(Duration.ofSeconds(2)).toCompletableFuture().join();
+ * }
+ * }</pre>
+ */
+public final class FoxtailNode implements AutoCloseable {
+
+    private static final Duration LIST_INTERVAL = Duration.ofMillis(500);
+    private static final Duration BURN_INTERVAL = Duration.ofSeconds(5);
+    private static final int ANSWER_TIMEOUTS = 5;
+    private static final Duration BURN_KEPT = Duration.ofHours(24);
+
+    private final PekkoRuntime mRuntime;
+    private final NodeOptions mOptions;
+    private final HttpPlatform mPlatform;
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final FleetFollower mFleet;
+    private final PeerLink mPeers;
+    private final ConfigurationFollower mConfiguration;
+
+    private final BurnLog mBurn;
+
+    private Optional<EntryServer> mEntry = Optional.empty();
+    private Optional<PlatformDirectory> mDirectory = Optional.empty();
+    private Optional<ProtectedKeys> mKeys = Optional.empty();
+    private Optional<Controller> mController = Optional.empty();
+    private Optional<HttpListener> mListener = Optional.empty();
+    private Optional<Cancellable> mBurnTimer = Optional.empty();
+
+    private FoxtailNode(
+            PekkoRuntime runtime, NodeOptions options, Incarnation incarnation, PeerLink peers) {
+        mRuntime = runtime;
+        mOptions = options;
+        mPeers = peers;
+        Settings settings = options.settings();
+        mPlatform =
+                HttpPlatform.at(
+                        settings.platform().address(),
+                        settings.platform().timeout(),
+                        runtime.system());
+        mFleet =
+                FleetFollower.start(
+                        mPlatform.log(),
+                        settings.platform().timeout().multipliedBy(ANSWER_TIMEOUTS));
+        mConfiguration = new ConfigurationFollower(settings, options.node(), mFleet, peers);
+        mBurn =
+                BurnLog.of(
+                        mPlatform.log(),
+                        options.node(),
+                        incarnation.value(),
+                        () -> mEntry.map(e -> e.counters().read()).orElse(Map.of()),
+                        BURN_KEPT);
+    }
+
+    /** Starts a process; it serves when this returns. */
+    public static FoxtailNode start(PekkoRuntime runtime, NodeOptions options)
+            throws ProcessException {
+        Incarnation incarnation = Incarnation.draw(new SecureRandom());
+        FoxtailNode node =
+                new FoxtailNode(runtime, options, incarnation, peers(options, incarnation));
+        try {
+            node.meet(Seed.from(options.settings()));
+            node.startEntry();
+            node.startBurn();
+            node.startAdmin();
+            return node;
+        } catch (ProcessException e) {
+            node.close();
+            throw e;
+        }
+    }
+
+    /** Address for callers; empty without the entry role. */
+    public Optional<InetSocketAddress> callers() {
+        return mEntry.map(EntryServer::address);
+    }
+
+    /** Address of the administration API, health and metrics. */
+    public InetSocketAddress admin() {
+        return mListener.orElseThrow().address();
+    }
+
+    /** Where it may be met by its peers. */
+    public Seed seed() {
+        return new Seed(mOptions.node(), mPeers.self().address());
+    }
+
+    /** Takes a new list of places to meet peers. */
+    public void meet(Collection<Seed> seeds) {
+        mPeers.learn(
+                SeedSource.SETTINGS,
+                seeds.stream().filter(s -> !s.node().equals(mOptions.node())).toList());
+    }
+
+    /** Version of the configuration that is in force here; 0 for that of the start. */
+    public long configurationVersion() {
+        return mConfiguration.version();
+    }
+
+    /**
+     * Leaves without cutting anything off: fails the health answer, gives the balancer time to see
+     * it, and answers what is in flight.
+     */
+    public CompletionStage<Done> leave(Duration noticeTime) {
+        return mEntry.map(entry -> entry.leave(noticeTime))
+                .orElseGet(() -> CompletableFuture.completedFuture(Done.getInstance()));
+    }
+
+    /** Writes what was counted since the last interval; a planned stop loses no counts. */
+    private CompletionStage<Done> endBurnInterval() {
+        return mBurn.endInterval(Instant.now()).thenApply(v -> Done.getInstance());
+    }
+
+    @Override
+    public void close() {
+        mBurnTimer.ifPresent(Cancellable::cancel);
+        mController.ifPresent(Controller::stop);
+        mListener.ifPresent(HttpListener::unbind);
+        mDirectory.ifPresent(PlatformDirectory::stop);
+        mKeys.ifPresent(ProtectedKeys::close);
+        mPeers.close();
+        mFleet.close();
+    }
+
+    private static PeerLink peers(NodeOptions options, Incarnation incarnation)
+            throws ProcessException {
+        Settings settings = options.settings();
+        NodeSettings node = settings.nodes().get(options.node());
+        try {
+            return PeerLink.start(
+                    PeerLinkClaims.options(options.node(), settings, incarnation, options.roles()));
+        } catch (PeerLinkException e) {
+            throw ProcessException.failed(
+                    "Peers can't be met on " + node.peers() + ": " + e.getMessage(), e);
+        }
+    }
+
+    private void startEntry() throws ProcessException {
+        if (!mOptions.roles().contains(NodeRole.ENTRY)) {
+            return;
+        }
+        PlatformDirectory directory =
+                PlatformDirectory.polling(mPlatform.vms(), LIST_INTERVAL, mRuntime.system());
+        mDirectory = Optional.of(directory);
+        PeerLinkClaims peers = PeerLinkClaims.of(mPeers, mOptions.settings());
+        ProtectedKeys keys =
+                ProtectedKeys.start(
+                        mRuntime.system(),
+                        peers.self(),
+                        KeyOptions.of(mOptions.settings(), mOptions.newDeployment()),
+                        mPlatform.log(),
+                        peers,
+                        mMetrics);
+        mKeys = Optional.of(keys);
+        EntryParts parts =
+                EntryParts.of(mOptions.node(), mOptions.settings(), directory)
+                        .withMetrics(mMetrics)
+                        .withWaves(WaveWatch.of(mFleet))
+                        .withKeys(keys);
+        EntryServer entry = listening(EntryServer.start(mRuntime.system(), parts));
+        peers.serve(keys, entry::attempt);
+        mEntry = Optional.of(entry);
+        mConfiguration.onChange(entry::configure);
+    }
+
+    private void startBurn() {
+        if (mEntry.isEmpty()) {
+            return;
+        }
+        mBurnTimer =
+                Optional.of(
+                        mRuntime.system()
+                                .scheduler()
+                                .scheduleWithFixedDelay(
+                                        BURN_INTERVAL,
+                                        BURN_INTERVAL,
+                                        () -> mBurn.endInterval(Instant.now()),
+                                        mRuntime.system().executionContext()));
+    }
+
+    private void startAdmin() throws ProcessException {
+        Route routes = HealthRoutes.of(this::health, mMetrics);
+        if (mOptions.roles().contains(NodeRole.CONTROL)) {
+            Controller controller = Controller.start(mRuntime, controllerParts());
+            mController = Optional.of(controller);
+            routes = Directives.concat(routes, controller.route());
+        }
+        InetSocketAddress address = mOptions.settings().nodes().get(mOptions.node()).admin();
+        mListener = Optional.of(HttpListener.bind(mRuntime, address, routes));
+    }
+
+    private ControllerParts controllerParts() {
+        return ControllerParts.of(mOptions.node(), mOptions.settings(), mFleet, mPlatform)
+                .withPeers(mPeers)
+                .withMetrics(mMetrics)
+                .withBurn(mBurn);
+    }
+
+    private Health health() {
+        boolean leaving = mEntry.map(EntryServer::leaving).orElse(false);
+        return new Health(
+                leaving ? "leaving" : Health.SERVING,
+                Map.of("configurationVersion", mConfiguration.version()));
+    }
+
+    private <T> T listening(CompletionStage<T> start) throws ProcessException {
+        try {
+            return start.toCompletableFuture().join();
+        } catch (CompletionException e) {
+            NodeSettings node = mOptions.settings().nodes().get(mOptions.node());
+            throw ProcessException.failed(
+                    "Node "
+                            + mOptions.node()
+                            + " can't listen on "
+                            + node.callers()
+                            + " or "
+                            + node.admin()
+                            + ": "
+                            + e.getCause().getMessage()
+                            + ". Stop what uses the address, or change it in the settings.",
+                    e);
+        }
+    }
+}
