--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Prober.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/flow/Prober.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.entry.internal.flow;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.time.Duration;
@@ -41,7 +42,10 @@
         for (Target t : fleet.router().targets()) {
             Probe probe = mProbes.computeIfAbsent(t, key -> new Probe(now));
             boolean due = !probe.mUnderWay && now - probe.mNext >= 0;
-            if (due && t.inFlight() < t.limit()) {
+            if (due && t.inFlight() >= t.limit()) {
+                t.hold(true);
+            } else if (due) {
+                t.hold(false);
                 ask(t, probe, fleet.pool(t), now);
             }
         }
@@ -57,7 +61,7 @@
         probe.mUnderWay = false;
         if (result instanceof AttemptResult.Answered a && a.status() == OK) {
             probe.mMisses = 0;
-            target.saw(read(a.body()));
+            read(target, a.body());
             return;
         }
         probe.mMisses++;
@@ -75,12 +79,16 @@
                 .whenComplete((result, e) -> mSeen.accept(t, result));
     }
 
-    private Health read(byte[] body) {
+    private void read(Target target, byte[] body) {
         try {
-            String state = mJson.readTree(body).path("state").asText();
-            return state.equals("leaving") ? Health.LEAVING : Health.SERVING;
+            JsonNode json = mJson.readTree(body);
+            boolean leaving = json.path("state").asText().equals("leaving");
+            target.saw(leaving ? Health.LEAVING : Health.SERVING);
+            if (json.path("slots").asInt() > 0) {
+                target.heard(json.path("inFlight").asInt(), json.path("slots").asInt());
+            }
         } catch (IOException e) {
-            return Health.SILENT;
+            target.saw(Health.SILENT);
         }
     }
 
