--- a/foxtail-process/src/main/java/org/foxtailplank/process/Launcher.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/Launcher.java
@@ -42,6 +42,9 @@
         Runtime.getRuntime().addShutdownHook(hook);
         try {
             code[0] = run(args, options, program, stop);
+        } catch (RuntimeException | Error e) {
+            // A broken invariant stops the process; threads of its own would keep it up otherwise.
+            Log.of("process").fatal("An invariant is broken; the process stops.", e);
         } finally {
             ended.countDown();
         }
@@ -64,7 +67,9 @@
     public <O extends ProgramOptions> ExitCode run(
             String[] args, O options, Program<O> program, StopSignal stop) {
         CmdLineParser parser =
-                new CmdLineParser(options, ParserProperties.defaults().withUsageWidth(WIDTH));
+                new CmdLineParser(
+                        options,
+                        ParserProperties.defaults().withUsageWidth(WIDTH).withShowDefaults(false));
         try {
             parser.parseArgument(args);
             if (options.help()) {
--- a/foxtail-process/src/main/java/org/foxtailplank/process/Log.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/Log.java
@@ -1,5 +1,7 @@
 package org.foxtailplank.process;
 
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.util.ResourceBundle;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -51,6 +53,13 @@
         log(System.Logger.Level.ERROR, sentence, arguments);
     }
 
+    /** Logs an error that ends the process, with its stack. */
+    void fatal(String sentence, Throwable cause) {
+        StringWriter stack = new StringWriter();
+        cause.printStackTrace(new PrintWriter(stack));
+        with("stack", stack).error(sentence);
+    }
+
     private void log(System.Logger.Level level, String sentence, Object... arguments) {
         if (!mLogger.isLoggable(level)) {
             return;
