--- a/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsReader.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsReader.java
@@ -16,8 +16,18 @@
 public final class SettingsReader {
     private final List<File> mFiles;
 
+    /** What a file is laid over. */
+    private enum Layer {
+        /** The first file. */
+        BASE,
+        /** Goes over the base, for one site. */
+        OVERLAY,
+        /** Changes the file that comes before it. */
+        PATCH
+    }
+
     /** A file by name and text. */
-    private record File(String name, String text) {}
+    private record File(Layer layer, String name, String text) {}
 
     private SettingsReader(List<File> files) {
         mFiles = List.copyOf(files);
@@ -25,17 +35,26 @@
 
     /** Starts with the text of a base file. */
     public static SettingsReader base(String fileName, String text) {
-        return new SettingsReader(List.of(new File(fileName, text)));
+        return new SettingsReader(List.of(new File(Layer.BASE, fileName, text)));
     }
 
     /** Lays an overlay over what was given so far. */
     public SettingsReader withOverlay(String fileName, String text) {
+        return with(new File(Layer.OVERLAY, fileName, text));
+    }
+
+    /** Applies a JSON merge patch to the file that was given last. */
+    public SettingsReader withPatch(String fileName, String text) {
+        return with(new File(Layer.PATCH, fileName, text));
+    }
+
+    private SettingsReader with(File file) {
         List<File> files = new ArrayList<>(mFiles);
-        files.add(new File(fileName, text));
+        files.add(file);
         return new SettingsReader(files);
     }
 
-    /** The site that the last overlay names. */
+    /** The site that the last file names. */
     Optional<String> site() {
         return parse(mFiles.get(mFiles.size() - 1), new Problems()).flatMap(OverlayCheck::siteOf);
     }
@@ -43,18 +62,32 @@
     /** Reads and checks the merged files. */
     public SettingsResult read() {
         Problems problems = new Problems();
-        Optional<Node.Members> base = parse(mFiles.get(0), problems);
-        List<Node.Members> overlays = new ArrayList<>();
-        for (File file : mFiles.subList(1, mFiles.size())) {
-            parse(file, problems).ifPresent(overlays::add);
+        List<Node.Members> layers = new ArrayList<>();
+        for (File file : mFiles) {
+            Optional<Node.Members> members = parse(file, problems);
+            if (members.isEmpty() && file.layer() == Layer.BASE) {
+                return new SettingsResult.Invalid(problems.list());
+            }
+            members.ifPresent(m -> add(file.layer(), m, layers));
         }
-        if (base.isEmpty()) {
-            return new SettingsResult.Invalid(problems.list());
+        return check(layers, problems);
+    }
+
+    private static void add(Layer layer, Node.Members members, List<Node.Members> layers) {
+        int last = layers.size() - 1;
+        if (layer == Layer.PATCH) {
+            layers.set(last, NodeMerge.merge(layers.get(last), members));
+        } else {
+            layers.add(members);
         }
-        OverlayCheck.checkBase(base.get(), problems);
-        Node.Members merged = base.get();
-        for (Node.Members overlay : overlays) {
-            OverlayCheck.check(base.get(), overlay, problems);
+    }
+
+    private static SettingsResult check(List<Node.Members> layers, Problems problems) {
+        Node.Members base = layers.get(0);
+        OverlayCheck.checkBase(base, problems);
+        Node.Members merged = base;
+        for (Node.Members overlay : layers.subList(1, layers.size())) {
+            OverlayCheck.check(base, overlay, problems);
             merged = NodeMerge.merge(merged, overlay);
         }
         Defaults defaults = new Defaults();
--- a/foxtail-core/src/test/java/org/foxtailplank/settings/SettingsReaderTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/settings/SettingsReaderTest.java
@@ -9,7 +9,6 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.RackId;
 import org.foxtailplank.id.ServiceId;
@@ -22,7 +21,7 @@
 /** Reads good settings, and names everything that is wrong with bad ones. */
 public final class SettingsReaderTest {
     private static final Path EXAMPLES = Path.of("../examples");
-    private static final String GOOD =
+    static final String GOOD =
             """
             {
               "deployment": "small",
@@ -147,31 +146,6 @@
                 values.contains(new SettingsOrigins.Value("fleet.wakeTime", "\"90s\"", "default")));
     }
 
-    @Test
-    void aConfigurationIsCheckedWithTheOverlayOfEachSite() {
-        ConfigurationCheck good =
-                ConfigurationCheck.of(
-                        GOOD,
-                        Map.of(
-                                ZoneId.of("a"),
-                                "{\"site\": \"a\"}",
-                                ZoneId.of("b"),
-                                "{\"site\": \"b\"}"));
-        assertEquals(good.problems(), List.of());
-        assertEquals(good.shape().orElseThrow().vms().size(), 4);
-        ConfigurationCheck bad =
-                ConfigurationCheck.of(
-                        GOOD,
-                        Map.of(
-                                ZoneId.of("a"),
-                                "{\"site\": \"b\"}",
-                                ZoneId.of("b"),
-                                "{\"sit\": 1}"));
-        assertTrue(bad.shape().isEmpty());
-        List<String> files = bad.problems().stream().map(SettingsProblem::file).distinct().toList();
-        assertEquals(files, List.of("overlay a", "overlay b"));
-    }
-
     @Test
     void aNullInAnOverlayTakesTheDefaultBack() {
         String base =
