--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/Draft.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/Draft.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.foxtailplank.cli.internal.command.CliMessages;
@@ -33,6 +34,14 @@
                     .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
                     .build();
 
+    /**
+     * Merge patches of a base and of overlays.
+     *
+     * @param base patch of the base
+     * @param overlays patch of each overlay that changes
+     */
+    record Patches(String base, Map<String, String> overlays) {}
+
     Draft {
         overlays = Map.copyOf(overlays);
     }
@@ -95,6 +104,25 @@
         return all;
     }
 
+    /** The patches that make another draft of this one; empty where patches can't. */
+    Optional<Patches> patchesTo(Draft other) throws ProcessException {
+        if (!other.overlays.keySet().containsAll(overlays.keySet())) {
+            return Optional.empty();
+        }
+        Map<String, String> patches = new TreeMap<>();
+        for (String name : names(other)) {
+            Optional<ObjectNode> patch = JsonDiff.mergePatch(tree(name), other.tree(name));
+            if (patch.isEmpty()) {
+                return Optional.empty();
+            }
+            if (!patch.get().isEmpty() || name.equals(BASE)) {
+                patches.put(name, patch.get().toString());
+            }
+        }
+        String basePatch = patches.remove(BASE);
+        return Optional.of(new Patches(basePatch, patches));
+    }
+
     /** This with the changes that lead from one draft to another put on top. */
     Draft withChange(Draft from, Draft to) throws ProcessException {
         Map<String, String> merged = new TreeMap<>();
--- a/foxtail-cli/src/test/java/org/foxtailplank/cli/ConfigCommandsTest.java
+++ b/foxtail-cli/src/test/java/org/foxtailplank/cli/ConfigCommandsTest.java
@@ -141,6 +141,25 @@
         assertEquals(mFleet.inForce().orElseThrow().version(), 1);
     }
 
+    @Test
+    void aPatchSendsOnlyWhatDiffersAndStandsInTheHistory() throws Exception {
+        publish(0, "first", mBase.toString(), OVERLAY);
+        edit("\"wakeTime\": \"90s\"", "\"wakeTime\": \"60s\"");
+        CliRun run = publish(1, "wake", mBase.toString(), OVERLAY, "--patch");
+        assertEquals(run.out(), "version 2 is accepted\n", run.err());
+        assertEquals(mFleet.patched(), 1);
+        CliRun diff = run("config", "diff", mBase.toString(), OVERLAY);
+        assertTrue(diff.out().contains("the files are the same as version 2"), diff.out());
+        CliRun history = run("config", "history", "--settings", mBase.toString());
+        assertTrue(history.out().startsWith("2 from 1 by rada: wake (patch)\n"), history.out());
+
+        petkoPublishes(Files.readString(mBase).replace("\"90s\"", "\"50s\""));
+        edit("\"rolloutWeight\": 0.1", "\"rolloutWeight\": 0.3");
+        CliRun late = publish(2, "late", mBase.toString(), OVERLAY, "--patch", "--rebase");
+        assertEquals(late.code(), ExitCode.DONE, late.err());
+        assertEquals(mFleet.inForce().orElseThrow().version(), 5);
+    }
+
     /** A node is down: the change is accepted, and the operator is told who doesn't have it. */
     @Test
     void waitNamesTheNodesThatAreBehind() throws Exception {
--- a/foxtail-cli/src/test/java/org/foxtailplank/cli/FakeFleet.java
+++ b/foxtail-cli/src/test/java/org/foxtailplank/cli/FakeFleet.java
@@ -20,8 +20,11 @@
 import org.foxtailplank.process.ProcessException;
 import org.foxtailplank.settings.ConfigurationCheck;
 import org.foxtailplank.state.Author;
+import org.foxtailplank.state.Change;
 import org.foxtailplank.state.Configuration;
+import org.foxtailplank.state.ConfigurationChanged;
 import org.foxtailplank.state.ConfigurationPublished;
+import org.foxtailplank.state.FleetShape;
 import org.foxtailplank.state.FleetState;
 import org.foxtailplank.state.LogRecord;
 import org.foxtailplank.state.ObjectKey;
@@ -38,12 +41,20 @@
     private final List<byte[]> mLog = new ArrayList<>();
     private final HttpListener mListener;
     private boolean mLoseNext;
+    private int mPatched;
     private Runnable mBeforePublish = () -> {};
     private Optional<NodeRow> mOtherNode = Optional.empty();
 
     record Publication(
             long version, String base, Map<String, String> overlays, String who, String why) {}
 
+    record Patch(
+            long version,
+            String basePatch,
+            Map<String, String> overlayPatches,
+            String who,
+            String why) {}
+
     record NodeRow(String id, String zone, String admin) {}
 
     record Items(List<NodeRow> items) {}
@@ -87,33 +98,57 @@
         return mLog.size();
     }
 
+    /** Number of publications that came as patches. */
+    int patched() {
+        return mPatched;
+    }
+
     synchronized Verdict publish(Publication p) {
-        Map<ZoneId, String> overlays = new HashMap<>();
-        p.overlays().forEach((site, text) -> overlays.put(ZoneId.of(site), text));
-        ConfigurationCheck check = ConfigurationCheck.of(p.base(), overlays);
+        Map<ZoneId, String> overlays = byZone(p.overlays());
+        FleetShape shape = ConfigurationCheck.of(p.base(), overlays).shape().orElseThrow();
+        Author author = new Author(p.who(), p.why());
+        return append(p.version(), new ConfigurationPublished(p.base(), overlays, shape, author));
+    }
+
+    private synchronized Verdict publish(Patch p) {
+        Map<ZoneId, String> overlays = byZone(p.overlayPatches());
+        ConfigurationCheck check =
+                ConfigurationCheck.ofPatch(inForce().orElseThrow(), p.basePatch(), overlays);
+        Author author = new Author(p.who(), p.why());
+        return append(
+                p.version(),
+                new ConfigurationChanged(
+                        p.basePatch(), overlays, check.shape().orElseThrow(), author));
+    }
+
+    private Verdict append(long from, Change change) {
         LogRecord record =
                 new LogRecord(
                         RecordId.of("r" + mLog.size()),
                         NodeId.of("n"),
                         Optional.empty(),
-                        Map.of(ObjectKey.configuration(), p.version()),
-                        new ConfigurationPublished(
-                                p.base(),
-                                overlays,
-                                check.shape().orElseThrow(),
-                                new Author(p.who(), p.why())),
+                        Map.of(ObjectKey.configuration(), from),
+                        change,
                         mState.nextOffset());
         mLog.add(RecordCodec.encode(record));
         return mState.apply(mLog.size(), record);
     }
 
+    private static Map<ZoneId, String> byZone(Map<String, String> texts) {
+        Map<ZoneId, String> zones = new HashMap<>();
+        texts.forEach((site, text) -> zones.put(ZoneId.of(site), text));
+        return zones;
+    }
+
     private Route routes() {
         return Directives.concat(
                 Directives.path(
                         PathMatchers.segment("v1").slash("config"),
                         () ->
                                 Directives.concat(
-                                        Directives.get(this::get), Directives.put(this::put))),
+                                        Directives.get(this::get),
+                                        Directives.put(this::put),
+                                        Directives.patch(this::patch))),
                 Directives.path(
                         PathMatchers.segment("v1").slash("nodes"),
                         () -> JsonRoutes.ok(new Items(nodes()))),
@@ -143,6 +178,19 @@
                 });
     }
 
+    private Route patch() {
+        return JsonRoutes.body(
+                Patch.class,
+                p -> {
+                    mPatched++;
+                    Verdict verdict = publish(p);
+                    return Directives.complete(
+                            verdict instanceof Verdict.Void
+                                    ? JsonRoutes.answer(409, refusal("stale-version"))
+                                    : JsonRoutes.answer(200, view(inForce().orElseThrow())));
+                });
+    }
+
     private Refusal refusal(String code) {
         Detail detail = new Detail(code, "It happened.", "For a reason.", "Do something.");
         return new Refusal(detail, view(inForce().orElseThrow()));
--- a/foxtail-process/src/main/java/org/foxtailplank/process/PekkoRuntime.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/PekkoRuntime.java
@@ -12,6 +12,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.Http;
 
 /** The one actor system of a process, kept small: few threads and quiet logs. */
 public final class PekkoRuntime implements AutoCloseable {
@@ -66,10 +67,19 @@
         return mSystem.dispatchers().lookup(DispatcherSelector.fromConfig(CONTROL));
     }
 
-    /** Stops the actor system. */
+    /**
+     * Stops the actor system, its HTTP connections first: one that is open when the system goes is
+     * logged as an error.
+     */
     public CompletionStage<Done> stop() {
-        mSystem.terminate();
-        return mSystem.getWhenTerminated();
+        return Http.get(mSystem)
+                .shutdownAllConnectionPools()
+                .handle((done, error) -> Done.getInstance())
+                .thenCompose(
+                        done -> {
+                            mSystem.terminate();
+                            return mSystem.getWhenTerminated();
+                        });
     }
 
     /** Stops the actor system and waits for its end, for a few seconds at most. */
