--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Kind.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Kind.java
@@ -63,13 +63,18 @@
     /** The commands that list and show this kind. */
     List<Command> reads() {
         return List.of(
-                Command.of(name + " list", "lists each " + name, ListOptions::new, this::list),
-                Command.of(name + " show", "shows one " + name, OneOptions::new, this::show));
+                Command.of(
+                        name + " list", "lists them, page by page", ListOptions::new, this::list),
+                Command.of(
+                        name + " show",
+                        "shows one with all its values",
+                        OneOptions::new,
+                        this::show));
     }
 
     /** The command that only lists this kind. */
     Command listOnly() {
-        return Command.of(name + " list", "lists each " + name, ListOptions::new, this::list);
+        return Command.of(name + " list", "lists them, page by page", ListOptions::new, this::list);
     }
 
     String pathOf(String id) {
