--- a/foxtail-core/src/main/java/org/foxtailplank/internal/state/JobFold.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/state/JobFold.java
@@ -77,8 +77,8 @@
     }
 
     private Verdict cancelled(long at, JobState job) {
-        if (job.cancelled()) {
-            return Verdicts.wrongPhase("job " + job.id() + " is cancelled");
+        if (job.cancelled() || mEnded.contains(job.id())) {
+            return Verdicts.wrongPhase("job " + job.id() + " has ended");
         }
         put(new JobState(job.id(), job.spec(), true, job.tasks(), at));
         return Verdict.APPLIED;
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/FleetSnapshot.java
@@ -0,0 +1,47 @@
+package org.foxtailplank.state;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.id.TeamId;
+
+/**
+ * The whole state at one offset.
+ *
+ * @param nextOffset offset of the next record
+ * @param window newest ids and digests, so that duplicates are still found
+ * @param configuration configuration in force
+ * @param shapes pools as the configuration states them
+ * @param minAvailable availability budget of each service
+ * @param pools pools
+ * @param vms VMs
+ * @param waves waves, those that ended first in front
+ * @param jobs jobs, those that ended first in front
+ * @param epochs epochs of the shards
+ * @param quotas quotas set through the log
+ */
+public record FleetSnapshot(
+        long nextOffset,
+        WindowContents window,
+        Optional<Configuration> configuration,
+        Map<PoolId, PoolShape> shapes,
+        Map<ServiceId, Integer> minAvailable,
+        List<PoolState> pools,
+        List<VmState> vms,
+        List<WaveState> waves,
+        List<JobState> jobs,
+        List<EpochState> epochs,
+        Map<TeamId, TeamQuota> quotas) {
+    public FleetSnapshot {
+        shapes = Map.copyOf(shapes);
+        minAvailable = Map.copyOf(minAvailable);
+        pools = List.copyOf(pools);
+        vms = List.copyOf(vms);
+        waves = List.copyOf(waves);
+        jobs = List.copyOf(jobs);
+        epochs = List.copyOf(epochs);
+        quotas = Map.copyOf(quotas);
+    }
+}
--- a/foxtail-core/src/main/java/org/foxtailplank/state/FleetState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/FleetState.java
@@ -1,12 +1,16 @@
 package org.foxtailplank.state;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.function.ToLongFunction;
 import org.foxtailplank.id.JobId;
 import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.RecordId;
 import org.foxtailplank.id.ServiceId;
 import org.foxtailplank.id.TeamId;
 import org.foxtailplank.id.VmId;
@@ -14,9 +18,8 @@
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.internal.state.ConfigurationFold;
 import org.foxtailplank.internal.state.FrozenObjects;
-import org.foxtailplank.internal.state.IdWindow;
 import org.foxtailplank.internal.state.JobFold;
-import org.foxtailplank.internal.state.TeamQuota;
+import org.foxtailplank.internal.state.RecordWindow;
 import org.foxtailplank.internal.state.Verdicts;
 import org.foxtailplank.internal.state.VmFold;
 import org.foxtailplank.internal.state.VmTable;
@@ -32,9 +35,60 @@
     private final FrozenObjects mFrozen = new FrozenObjects(mTable);
     private final Map<ZoneId, EpochState> mEpochs = new HashMap<>();
     private final Map<TeamId, TeamQuota> mQuotas = new HashMap<>();
-    private final IdWindow mIds = IdWindow.empty();
+    private RecordWindow mWindow = RecordWindow.empty();
     private long mNext = 1;
 
+    /** The state at a snapshot. */
+    public static FleetState of(FleetSnapshot s) {
+        FleetState state = new FleetState();
+        state.mNext = s.nextOffset();
+        state.mWindow = RecordWindow.of(s.window());
+        s.configuration().ifPresent(state.mConfiguration::restore);
+        s.shapes().forEach(state.mConfiguration::restore);
+        s.minAvailable().forEach(state.mTable::setMinAvailable);
+        s.pools().forEach(state.mTable::put);
+        s.vms().forEach(state.mTable::put);
+        s.waves().forEach(state.mWaves::put);
+        s.jobs().forEach(state.mJobs::restore);
+        s.epochs().forEach(e -> state.mEpochs.put(e.shard(), e));
+        state.mQuotas.putAll(s.quotas());
+        return state;
+    }
+
+    /** A snapshot of the state; empty while anything is frozen, since others know it better. */
+    public Optional<FleetSnapshot> snapshot() {
+        if (!mFrozen.keys().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new FleetSnapshot(
+                        mNext,
+                        mWindow.contents(),
+                        configuration(),
+                        mConfiguration.shapes(),
+                        mTable.minAvailable(),
+                        List.copyOf(mTable.pools()),
+                        List.copyOf(mTable.vms()),
+                        sorted(mWaves.waves(), WaveState::version),
+                        sorted(mJobs.jobs(), JobState::version),
+                        List.copyOf(mEpochs.values()),
+                        mQuotas));
+    }
+
+    private static <T> List<T> sorted(Collection<T> values, ToLongFunction<T> version) {
+        return values.stream().sorted(Comparator.comparingLong(version)).toList();
+    }
+
+    /** What a record made now is based on. */
+    public Basis basis() {
+        return new Basis(mNext, mWindow.digest(mNext));
+    }
+
+    /** Whether the last record folded may be the one of this id. */
+    public boolean endsWith(RecordId id) {
+        return mNext > 1 && mWindow.mayHold(id, mNext - 1);
+    }
+
     /**
      * Folds the next record.
      *
@@ -42,10 +96,19 @@
      */
     public Verdict apply(long offset, LogRecord record) {
         expectNext(offset);
-        if (!mIds.add(record.id(), offset)) {
+        boolean sameHistory = isOfThisHistory(record.basis());
+        boolean isNew = mWindow.add(record.id(), offset);
+        mNext++;
+        if (!isNew) {
             return Verdict.refused(VoidReason.DUPLICATE_ID, record.id().value());
         }
-        Optional<Verdict> stale = stale(offset, record);
+        if (!RecordWindow.covers(record.basis(), offset)) {
+            return Verdict.refused(VoidReason.TOO_LATE, "made at " + record.basis().offset());
+        }
+        if (!sameHistory) {
+            return Verdict.refused(VoidReason.OTHER_HISTORY, "made at " + record.basis().offset());
+        }
+        Optional<Verdict> stale = stale(record);
         if (stale.isPresent()) {
             return stale.get();
         }
@@ -60,9 +123,10 @@
     }
 
     /** Passes over an entry of the log that is no record; it is void for every reader alike. */
-    public Verdict skip(long offset) {
+    public Verdict skip(long offset, RecordId id) {
         expectNext(offset);
-        mIds.forget(offset);
+        mWindow.add(id, offset);
+        mNext++;
         return Verdicts.malformed("the entry is no record");
     }
 
@@ -70,16 +134,15 @@
         if (offset != mNext) {
             throw new IllegalStateException("offset " + offset + " follows on " + (mNext - 1));
         }
-        mNext++;
     }
 
-    private Optional<Verdict> stale(long offset, LogRecord r) {
-        if (r.basis() > offset) {
-            return Optional.of(Verdicts.malformed("made on a longer log than this one"));
-        }
-        if (!IdWindow.covers(r.basis(), offset)) {
-            return Optional.of(Verdict.refused(VoidReason.TOO_LATE, "made at offset " + r.basis()));
-        }
+    /** Whether a basis that is not too old stands for the records folded here. */
+    public boolean isOfThisHistory(Basis basis) {
+        boolean known = basis.offset() <= mNext && RecordWindow.covers(basis, mNext);
+        return known && mWindow.digest(basis.offset()) == basis.digest();
+    }
+
+    private Optional<Verdict> stale(LogRecord r) {
         Optional<Verdict> epoch = r.epoch().flatMap(e -> staleEpoch(r, e));
         return epoch.isPresent() ? epoch : staleVersion(r);
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/state/LogRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/LogRecord.java
@@ -14,8 +14,8 @@
  * @param expects version (offset of the last change) that each named object must have; 0 for one
  *     that must not exist
  * @param change what it changes
- * @param basis offset up to which its writer had folded the log when it made the record; ids are
- *     remembered long enough only for records that are not much older
+ * @param basis what its writer had folded when it made the record; ids are remembered long enough
+ *     only for records that are not much older
  */
 public record LogRecord(
         RecordId id,
@@ -23,7 +23,7 @@
         Optional<ActingEpoch> epoch,
         Map<ObjectKey, Long> expects,
         Change change,
-        long basis) {
+        Basis basis) {
 
     public LogRecord {
         expects = Map.copyOf(expects);
@@ -36,11 +36,11 @@
             Optional<ActingEpoch> epoch,
             Map<ObjectKey, Long> expects,
             Change change) {
-        this(id, writer, epoch, expects, change, 0);
+        this(id, writer, epoch, expects, change, Basis.NONE);
     }
 
-    /** The same record, made by a writer that had folded the log up to an offset. */
-    public LogRecord basedOn(long offset) {
-        return new LogRecord(id, writer, epoch, expects, change, offset);
+    /** The same record, made by a writer that had folded some other part of the log. */
+    public LogRecord basedOn(Basis other) {
+        return new LogRecord(id, writer, epoch, expects, change, other);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/state/TeamQuota.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/TeamQuota.java
@@ -1,4 +1,4 @@
-package org.foxtailplank.internal.state;
+package org.foxtailplank.state;
 
 /**
  * Quota of a team that was set through the log.
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/WindowContents.java
@@ -0,0 +1,23 @@
+package org.foxtailplank.state;
+
+import java.util.Arrays;
+
+/**
+ * What is remembered of the newest records.
+ *
+ * @param ids hash of the id at each offset modulo the window's size; 0 for none
+ * @param digests digest of all records before each offset, modulo the window's size
+ */
+public record WindowContents(long[] ids, long[] digests) {
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof WindowContents w
+                && Arrays.equals(ids, w.ids)
+                && Arrays.equals(digests, w.digests);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Arrays.hashCode(ids) + Arrays.hashCode(digests);
+    }
+}
--- a/foxtail-core/src/test/java/org/foxtailplank/internal/state/IdWindowTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/state/RecordWindowTest.java
@@ -8,21 +8,22 @@
 import java.util.Map;
 import java.util.Random;
 import org.foxtailplank.id.RecordId;
+import org.foxtailplank.state.Basis;
 import org.testng.annotations.Test;
 
 /** How long the ids of records are remembered. */
-public class IdWindowTest {
+public class RecordWindowTest {
     private static final long SEED = 20261202;
 
     @Test
     public void remembersExactlyTheNewestIds() {
-        IdWindow w = IdWindow.empty();
+        RecordWindow w = RecordWindow.empty();
         Random random = new Random(SEED);
         Map<String, Long> firstAt = new HashMap<>();
-        for (long offset = 1; offset < 5L * IdWindow.SIZE; offset++) {
-            String id = "id-" + random.nextInt(2 * IdWindow.SIZE);
+        for (long offset = 1; offset < 5L * RecordWindow.SIZE; offset++) {
+            String id = "id-" + random.nextInt(2 * RecordWindow.SIZE);
             Long first = firstAt.get(id);
-            boolean known = first != null && first > offset - IdWindow.SIZE;
+            boolean known = first != null && first > offset - RecordWindow.SIZE;
             assertEquals(w.add(RecordId.of(id), offset), !known, "at " + offset);
             if (!known) {
                 firstAt.put(id, offset);
@@ -36,27 +37,27 @@
      */
     @Test
     public void refusesARecordWhoseFirstCopyMayBeForgotten() {
-        long basis = 10;
-        IdWindow w = IdWindow.empty();
-        assertTrue(w.add(RecordId.of("a"), basis));
-        long last = basis + IdWindow.SIZE - 1;
-        for (long offset = basis + 1; offset < last; offset++) {
-            w.forget(offset);
+        Basis basis = new Basis(10, 0);
+        RecordWindow w = RecordWindow.empty();
+        assertTrue(w.add(RecordId.of("a"), basis.offset()));
+        long last = basis.offset() + RecordWindow.SIZE - 1;
+        for (long offset = basis.offset() + 1; offset < last; offset++) {
+            w.add(RecordId.of("other-" + offset), offset);
         }
-        assertTrue(IdWindow.covers(basis, last));
+        assertTrue(RecordWindow.covers(basis, last));
         assertFalse(w.add(RecordId.of("a"), last));
-        assertFalse(IdWindow.covers(basis, last + 1));
+        assertFalse(RecordWindow.covers(basis, last + 1));
     }
 
     @Test
-    public void isTheSameAfterItsHashesWereStored() {
-        IdWindow w = IdWindow.empty();
-        for (long offset = 1; offset < 3L * IdWindow.SIZE / 2; offset++) {
+    public void isTheSameAfterItsContentsWereStored() {
+        RecordWindow w = RecordWindow.empty();
+        for (long offset = 1; offset < 3L * RecordWindow.SIZE / 2; offset++) {
             w.add(RecordId.of("id-" + offset), offset);
         }
-        IdWindow copy = IdWindow.of(w.hashes());
-        long next = 3L * IdWindow.SIZE / 2;
-        assertFalse(copy.add(RecordId.of("id-" + (next - IdWindow.SIZE + 1)), next));
+        RecordWindow copy = RecordWindow.of(w.contents());
+        long next = 3L * RecordWindow.SIZE / 2;
+        assertFalse(copy.add(RecordId.of("id-" + (next - RecordWindow.SIZE + 1)), next));
         assertTrue(copy.add(RecordId.of("id-1"), next + 1));
     }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/state/FleetStateTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/FleetStateTest.java
@@ -175,11 +175,21 @@
         assertRefused(VoidReason.DUPLICATE_ID, d.write(good));
     }
 
+    /**
+     * The platform comes back without its newest records. A node that does not know them goes on
+     * writing; for a node that knows them the offsets fit, but the state was another one.
+     */
     @Test
-    public void voidsARecordMadeOnALongerLog() {
+    public void voidsARecordMadeOnOtherRecords() {
         FoldDriver d = FoldDriver.serving(4, 2);
-        LogRecord r = d.record(d.intent("claims1", VmAction.REBOOT));
-        assertRefused(VoidReason.MALFORMED, d.write(r.basedOn(d.state().nextOffset() + 1)));
+        FoldDriver other = FoldDriver.serving(4, 2);
+        TeamQuotaChanged quota = new TeamQuotaChanged(TeamId.of("desk"), 0.5, AUTHOR);
+        d.applied(quota);
+        LogRecord longer = d.record(d.intent("claims1", VmAction.REBOOT));
+        assertRefused(VoidReason.OTHER_HISTORY, other.write(longer));
+        other.write(other.record(quota));
+        LogRecord strange = other.record(other.intent("claims1", VmAction.REBOOT));
+        assertRefused(VoidReason.OTHER_HISTORY, d.write(strange));
     }
 
     @Test
--- a/foxtail-core/src/test/java/org/foxtailplank/state/FoldDriver.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/FoldDriver.java
@@ -70,7 +70,7 @@
 
     public LogRecord record(Change change, Map<ObjectKey, Long> expects) {
         RecordId id = RecordId.of("record-" + ++mIds);
-        return new LogRecord(id, NODE, Optional.empty(), expects, change, mState.nextOffset());
+        return new LogRecord(id, NODE, Optional.empty(), expects, change, mState.basis());
     }
 
     /** Writes a change that must take effect. */
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/FoldExplorationTest.java
@@ -0,0 +1,124 @@
+package org.foxtailplank.state;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.foxtailplank.id.VmId;
+import org.testng.annotations.Test;
+
+/**
+ * Two controllers take turns, are paused and go on, two operators race them, answers are lost and
+ * records come twice. In any order, a VM could end in two pools, a service below its budget, or a
+ * configuration undone. Every order is tried on the real fold to a depth, and longer ones at
+ * random.
+ */
+public class FoldExplorationTest {
+    private static final int DEPTH = Integer.getInteger("foxtail.exploration.depth", 6);
+    private static final long SEED = 20261202;
+    private static final int WALKS = 300;
+    private static final int WALK_LENGTH = 60;
+
+    @Test
+    public void holdsInEveryOrderToADepth() {
+        Set<String> seen = new HashSet<>();
+        List<ExploredWorld> frontier = List.of(start());
+        long steps = 0;
+        for (int depth = 0; depth <= DEPTH; depth++) {
+            List<ExploredWorld> next = new ArrayList<>();
+            for (ExploredWorld w : frontier) {
+                steps++;
+                if (seen.add(w.key())) {
+                    FoldInvariants.check(w);
+                    if (depth < DEPTH) {
+                        next.addAll(w.successors());
+                    }
+                }
+            }
+            frontier = next;
+        }
+        System.out.println(
+                "fold exploration: depth "
+                        + DEPTH
+                        + ", "
+                        + seen.size()
+                        + " states, "
+                        + steps
+                        + " steps");
+        assertTrue(seen.size() > 10_000, "the exploration is too small: " + seen.size());
+    }
+
+    @Test
+    public void holdsInLongRandomOrders() {
+        Random random = new Random(SEED);
+        int longest = 0;
+        for (int walk = 0; walk < WALKS; walk++) {
+            ExploredWorld w = start();
+            for (int i = 0; i < WALK_LENGTH; i++) {
+                List<ExploredWorld> next = w.successors();
+                w = next.get(random.nextInt(next.size()));
+                FoldInvariants.check(w);
+            }
+            longest = Math.max(longest, w.logLength());
+            checkSnapshots(w.folded().records());
+        }
+        System.out.println(
+                "fold exploration: "
+                        + WALKS
+                        + " random walks of "
+                        + WALK_LENGTH
+                        + " steps, seed "
+                        + SEED
+                        + ", longest log "
+                        + longest);
+    }
+
+    /** A fold that starts from a snapshot anywhere ends in the same state. */
+    private static void checkSnapshots(List<LogRecord> log) {
+        FleetState whole = new FleetState();
+        List<FleetSnapshot> snapshots = new ArrayList<>();
+        for (LogRecord r : log) {
+            snapshots.add(whole.snapshot().orElseThrow());
+            whole.apply(whole.nextOffset(), r);
+        }
+        for (int from = 0; from < log.size(); from += 5) {
+            FleetState part = FleetState.of(snapshots.get(from));
+            log.subList(from, log.size()).forEach(r -> part.apply(part.nextOffset(), r));
+            assertEquals(contents(part), contents(whole));
+        }
+    }
+
+    private static Object contents(FleetState state) {
+        FleetSnapshot s = state.snapshot().orElseThrow();
+        return List.of(
+                s.nextOffset(),
+                s.window(),
+                s.configuration(),
+                s.shapes(),
+                s.minAvailable(),
+                Set.copyOf(s.pools()),
+                Set.copyOf(s.vms()),
+                Set.copyOf(s.epochs()));
+    }
+
+    private static ExploredWorld start() {
+        List<LogRecord> log = new ArrayList<>();
+        FoldDriver d = new FoldDriver();
+        FleetShape shape = FoldDriver.shape(4, 2);
+        Change first = new ConfigurationPublished("{}", Map.of(), shape, FoldDriver.AUTHOR);
+        log.add(d.record(first, FoldDriver.configuration(0)));
+        d.write(log.get(0));
+        for (VmId vm : shape.vms().keySet().stream().sorted().toList()) {
+            LogRecord r = d.record(new VmObserved(vm, 0, VmHealth.UP, FoldDriver.AUTHOR));
+            log.add(r);
+            d.write(r);
+        }
+        log.add(d.record(new EpochTaken(FoldDriver.ZONE, 0, ExploredWorld.node(0))));
+        return ExploredWorld.start(log);
+    }
+}
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
@@ -107,7 +107,7 @@
             return CompletableFuture.completedFuture(known.get());
         }
         CompletableFuture<Verdict> verdict = mPending.await(record.id());
-        byte[] data = RecordCodec.encode(record.basedOn(mState.nextOffset()));
+        byte[] data = RecordCodec.encode(record.basedOn(mState.basis()));
         mLog.append(STREAM, List.of(new LogEntry(record.id(), data)))
                 .whenComplete((r, e) -> execute(() -> appended(record, e)));
         mOwner.schedule(
@@ -180,7 +180,7 @@
             record = RecordCodec.decode(entry.data());
         } catch (RecordFormatException e) {
             LOG.log(Level.WARNING, "fleet-log: offset {0}: {1}", entry.offset(), e.getMessage());
-            return mState.skip(entry.offset());
+            return mState.skip(entry.offset(), entry.id());
         }
         return mState.apply(entry.offset(), record);
     }
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/RecordCodec.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/RecordCodec.java
@@ -10,6 +10,7 @@
 import org.foxtailplank.id.RecordId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.state.ActingEpoch;
+import org.foxtailplank.state.Basis;
 import org.foxtailplank.state.Change;
 import org.foxtailplank.state.LogRecord;
 import org.foxtailplank.state.NotUnderstood;
@@ -36,7 +37,8 @@
                         .setId(record.id().value())
                         .setWriter(record.writer().value())
                         .setReaderVersion(READER_VERSION)
-                        .setBasis(record.basis());
+                        .setBasis(record.basis().offset())
+                        .setBasisDigest(record.basis().digest());
         record.epoch()
                 .ifPresent(
                         e ->
@@ -94,7 +96,7 @@
                 epoch,
                 expects,
                 change.orElseGet(() -> new NotUnderstood(touches(p))),
-                p.getBasis());
+                new Basis(p.getBasis(), p.getBasisDigest()));
     }
 
     private static Set<ObjectKey> touches(RecordProto p) {
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/RecordCodecTest.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/RecordCodecTest.java
@@ -22,6 +22,7 @@
 import org.foxtailplank.state.ActingEpoch;
 import org.foxtailplank.state.ActionOutcome;
 import org.foxtailplank.state.Author;
+import org.foxtailplank.state.Basis;
 import org.foxtailplank.state.Change;
 import org.foxtailplank.state.ConfigurationChanged;
 import org.foxtailplank.state.ConfigurationPublished;
@@ -171,6 +172,6 @@
                 Optional.of(new ActingEpoch(ZONE, 3)),
                 Map.of(ObjectKey.of(VM), 12L, ObjectKey.configuration(), 0L),
                 change,
-                40);
+                new Basis(40, 0x8000_0000_0000_0001L));
     }
 }
