--- a/foxtail-core/src/main/java/org/foxtailplank/state/Change.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/Change.java
@@ -11,6 +11,7 @@
                 TeamQuotaChanged,
                 WaveChange,
                 JobChange,
+                StateRestored,
                 NotUnderstood {
     /** The objects that it changes. */
     Set<ObjectKey> touches();
--- a/foxtail-core/src/main/java/org/foxtailplank/state/FleetState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/state/FleetState.java
@@ -86,7 +86,20 @@
 
     /** Whether the last record folded may be the one of this id. */
     public boolean endsWith(RecordId id) {
-        return mNext > 1 && mWindow.mayHold(id, mNext - 1);
+        return mayHold(id, mNext - 1);
+    }
+
+    /** Whether a record with this id may stand at an offset; false for one that is too old. */
+    public boolean mayHold(RecordId id, long offset) {
+        boolean known = offset >= 1 && offset < mNext && mNext < offset + RecordWindow.SIZE;
+        return known && mWindow.mayHold(id, offset);
+    }
+
+    /** Whether a state that goes further leads on from this one, as far as can be told. */
+    public boolean leadsTo(FleetSnapshot further) {
+        RecordWindow w = RecordWindow.of(further.window());
+        boolean known = further.nextOffset() < mNext + RecordWindow.SIZE;
+        return !known || w.digest(mNext) == mWindow.digest(mNext);
     }
 
     /**
@@ -142,6 +155,11 @@
         return known && mWindow.digest(basis.offset()) == basis.digest();
     }
 
+    /** Whether a basis that is not too old stands for other records than those folded here. */
+    public boolean contradicts(Basis basis) {
+        return RecordWindow.covers(basis, mNext) && !isOfThisHistory(basis);
+    }
+
     private Optional<Verdict> stale(LogRecord r) {
         Optional<Verdict> epoch = r.epoch().flatMap(e -> staleEpoch(r, e));
         return epoch.isPresent() ? epoch : staleVersion(r);
@@ -219,7 +237,7 @@
                     ? mConfiguration.apply(at, c)
                     : Verdicts.malformed("it does not name the version it was made from");
         }
-        throw new IllegalStateException("no fold for " + change);
+        return Verdicts.malformed(change + " is not to be folded");
     }
 
     private Verdict taken(long at, EpochTaken c) {
--- a/foxtail-core/src/test/java/org/foxtailplank/state/ExploredWorld.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/ExploredWorld.java
@@ -169,6 +169,8 @@
         VmState vm = view.vm(VMS.get(0)).orElseThrow();
         Change release = new VmReleased(vm.id(), vm.pool(), PoolId.of("photos"), FoldDriver.AUTHOR);
         all.add(made(p, view, Optional.empty(), Map.of(), release));
+        Change target = new PoolTargetChanged(PoolId.of("claims"), p, 0, FoldDriver.AUTHOR);
+        all.add(made(p, view, Optional.empty(), Map.of(), target));
     }
 
     /** The platform takes an action that is above the VM's generation, late or not. */
--- a/foxtail-core/src/test/java/org/foxtailplank/state/FoldInvariants.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/FoldInvariants.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.RackId;
 import org.foxtailplank.id.RecordId;
@@ -23,6 +24,7 @@
         checkPools(folded.state());
         checkNothingTwice(folded);
         checkConfigurationChain(folded);
+        checkEpochs(folded);
         checkStopsArePaidFor(world, folded.state());
         for (String service : new String[] {"claims", "photos"}) {
             checkBudget(folded.state(), ServiceId.of(service));
@@ -65,6 +67,23 @@
         }
     }
 
+    /** What a controller wrote took effect only while it held the epoch that it wrote under. */
+    private static void checkEpochs(FoldCache.Folded folded) {
+        long number = 0;
+        Optional<NodeId> holder = Optional.empty();
+        for (int i = 0; i < folded.verdicts().size(); i++) {
+            LogRecord r = folded.records().get(i);
+            if (folded.verdicts().get(i).isApplied() && r.change() instanceof EpochTaken taken) {
+                assertEquals(taken.replaces(), number);
+                number++;
+                holder = Optional.of(taken.holder());
+            } else if (folded.verdicts().get(i).isApplied() && r.epoch().isPresent()) {
+                assertEquals(r.epoch().get().number(), number, r.id() + " is under an old epoch");
+                assertEquals(Optional.of(r.writer()), holder);
+            }
+        }
+    }
+
     /** Each configuration that took effect was made from the one before it. */
     private static void checkConfigurationChain(FoldCache.Folded folded) {
         long version = 0;
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
@@ -2,90 +2,72 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.time.Duration;
+import java.time.Clock;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
+import org.foxtailplank.id.RecordId;
 import org.foxtailplank.platform.FleetFollower;
+import org.foxtailplank.platform.FollowMode;
+import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.LogEntry;
 import org.foxtailplank.platform.PlatformException;
 import org.foxtailplank.platform.PlatformException.Effect;
 import org.foxtailplank.platform.PlatformLog;
-import org.foxtailplank.platform.ReadResult;
 import org.foxtailplank.platform.StoredEntry;
-import org.foxtailplank.state.FleetState;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.LogRecord;
+import org.foxtailplank.state.NotUnderstood;
 import org.foxtailplank.state.ObjectKey;
+import org.foxtailplank.state.StatePosition;
 import org.foxtailplank.state.Verdict;
 import org.foxtailplank.state.VoidReason;
 import org.foxtailplank.wire.RecordCodec;
 import org.foxtailplank.wire.RecordFormatException;
+import org.foxtailplank.wire.SnapshotCodec;
+import org.foxtailplank.wire.StoredState;
 
-/** Follows the stream of the fleet by long polls; one thread of its own owns the state. */
-public final class FollowedFleetLog implements FleetFollower {
-    /** Stream that holds everything that must be ordered against each other. */
-    public static final String STREAM = "fleet";
-
+/** The fleet log of one process: one thread of its own owns the state. */
+public final class FollowedFleetLog implements FleetFollower, FollowListener {
     private static final Logger LOG = System.getLogger(FollowedFleetLog.class.getName());
-    private static final int READ_LIMIT = 500;
-    private static final Duration READ_WAIT = Duration.ofSeconds(1);
-    private static final long FIRST_BACKOFF_MILLIS = 50;
-    private static final long MAX_BACKOFF_MILLIS = 2_000;
 
     private final PlatformLog mLog;
-    private final Duration mAnswerTimeout;
-    private final ScheduledExecutorService mOwner;
-    private final FleetState mState = new FleetState();
+    private final FollowOptions mOptions;
+    private final OwnerThread mOwner = new OwnerThread();
     private final PendingRecords mPending = new PendingRecords();
     private final List<Runnable> mListeners = new CopyOnWriteArrayList<>();
-    private long mBackoffMillis = FIRST_BACKOFF_MILLIS;
-    private volatile boolean mClosed;
+    private final List<LogRecord> mWaiting = new ArrayList<>();
+    private final LogFollower mFollower;
+    private volatile FollowMode mMode = FollowMode.STARTING;
+    private volatile StatePosition mPosition = StatePosition.NOTHING;
 
-    private FollowedFleetLog(PlatformLog log, Duration answerTimeout) {
+    private FollowedFleetLog(PlatformLog log, FollowOptions options) {
         mLog = log;
-        mAnswerTimeout = answerTimeout;
-        mOwner =
-                Executors.newSingleThreadScheduledExecutor(
-                        r -> {
-                            Thread t = new Thread(r, "fleet-log");
-                            t.setDaemon(true);
-                            return t;
-                        });
-    }
-
-    /**
-     * Starts to follow the stream from its first record.
-     *
-     * @param answerTimeout time after which a record whose append was not answered, and which was
-     *     not read back, is reported as unknown
-     */
-    public static FollowedFleetLog follow(PlatformLog log, Duration answerTimeout) {
-        FollowedFleetLog f = new FollowedFleetLog(log, answerTimeout);
-        f.mOwner.execute(f::poll);
-        return f;
+        mOptions = options;
+        SnapshotStore store = new SnapshotStore(log);
+        mFollower = new LogFollower(log, store, options, mOwner, this);
+        new SnapshotSchedule(store, options, mOwner, this::storable, Clock.systemUTC()).start();
+        mOwner.execute(mFollower::start);
+    }
+
+    /** Starts to follow the stream. */
+    public static FollowedFleetLog start(PlatformLog log, FollowOptions options) {
+        return new FollowedFleetLog(log, options);
     }
 
     @Override
     public CompletionStage<Verdict> submit(LogRecord record) {
-        CompletableFuture<Verdict> result = new CompletableFuture<>();
-        onOwner(() -> append(record).whenComplete((v, e) -> settle(result, v, e)), result);
-        return result;
+        return onOwner(() -> append(record)).thenCompose(Function.identity());
     }
 
     @Override
     public <T> CompletionStage<T> read(Function<FleetView, T> reader) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        onOwner(() -> result.complete(reader.apply(mState)), result);
-        return result;
+        return onOwner(() -> reader.apply(mFollower.state().fleet()));
     }
 
     @Override
@@ -93,126 +75,173 @@
         mListeners.add(listener);
     }
 
+    @Override
+    public FollowMode mode() {
+        return mMode;
+    }
+
+    @Override
+    public StatePosition position() {
+        return mPosition;
+    }
+
+    @Override
+    public CompletionStage<Optional<byte[]>> encodedState() {
+        return onOwner(() -> mFollower.state().stored())
+                .thenApplyAsync(s -> s.map(SnapshotCodec::encode));
+    }
+
+    @Override
+    public CompletionStage<Boolean> offerState(byte[] encoded) {
+        return CompletableFuture.supplyAsync(() -> decode(encoded))
+                .thenCompose(s -> onOwner(() -> s.filter(this::isBetter).map(this::take)))
+                .thenApply(Optional::isPresent);
+    }
+
+    @Override
+    public CompletionStage<List<StoredEntry>> entriesAfter(StatePosition position, int maxBytes) {
+        return onOwner(() -> mFollower.state().recent().after(position, maxBytes));
+    }
+
+    @Override
+    public CompletionStage<Boolean> offerEntries(
+            StatePosition position, List<StoredEntry> entries) {
+        return onOwner(
+                () -> {
+                    boolean fits = position.equals(mFollower.state().position());
+                    if (fits) {
+                        mFollower.takeEntries(entries);
+                    }
+                    return fits;
+                });
+    }
+
     @Override
     public void close() {
-        mClosed = true;
         mOwner.execute(
                 () -> mPending.failAll(new PlatformException("the log is closed", Effect.UNKNOWN)));
-        mOwner.shutdown();
+        mOwner.stop();
     }
 
-    private CompletionStage<Verdict> append(LogRecord record) {
-        Optional<Verdict> known = mPending.verdict(record.id()).or(() -> frozen(record));
-        if (known.isPresent()) {
-            return CompletableFuture.completedFuture(known.get());
-        }
-        CompletableFuture<Verdict> verdict = mPending.await(record.id());
-        byte[] data = RecordCodec.encode(record.basedOn(mState.basis()));
-        mLog.append(STREAM, List.of(new LogEntry(record.id(), data)))
-                .whenComplete((r, e) -> execute(() -> appended(record, e)));
-        mOwner.schedule(
-                () -> mPending.fail(record.id(), unanswered()),
-                mAnswerTimeout.toMillis(),
-                TimeUnit.MILLISECONDS);
-        return verdict;
+    @Override
+    public void folded(RecordId id, Verdict verdict) {
+        mPending.resolve(id, verdict);
     }
 
-    /** Does not write about objects whose state this program can't know. */
-    private Optional<Verdict> frozen(LogRecord record) {
-        return record.change().touches().stream()
-                .filter(mState::isFrozen)
-                .min(ObjectKey.ORDER)
-                .map(k -> Verdict.refused(VoidReason.NOT_UNDERSTOOD, k.name() + " is frozen"));
+    @Override
+    public void changed() {
+        mPosition = mFollower.state().position();
+        mListeners.forEach(Runnable::run);
     }
 
-    /** Fails a record that was certainly not appended; any other is still to be read back. */
-    private void appended(LogRecord record, Throwable error) {
-        if (cause(error) instanceof PlatformException e && e.effect() == Effect.NONE) {
-            mPending.fail(record.id(), e);
+    @Override
+    public void mode(FollowMode mode) {
+        mMode = mode;
+        mPosition = mFollower.state().position();
+        if (mode == FollowMode.FOLLOWING) {
+            List<LogRecord> waiting = List.copyOf(mWaiting);
+            mWaiting.clear();
+            waiting.stream().filter(r -> mPending.isAwaited(r.id())).forEach(this::send);
         }
     }
 
-    private static PlatformException unanswered() {
-        return new PlatformException(
-                "the platform has not answered an append and the record was not read back",
-                Effect.UNKNOWN);
-    }
-
-    private void poll() {
-        if (mClosed) {
-            return;
-        }
-        mLog.read(STREAM, mState.nextOffset(), READ_LIMIT, READ_WAIT)
-                .whenComplete((r, e) -> execute(() -> received(r, e)));
-    }
-
-    private void received(ReadResult result, Throwable error) {
-        if (error != null) {
-            long pause = mBackoffMillis / 2 + ThreadLocalRandom.current().nextLong(mBackoffMillis);
-            mBackoffMillis = Math.min(MAX_BACKOFF_MILLIS, mBackoffMillis * 2);
-            LOG.log(
-                    Level.WARNING,
-                    "fleet-log: reading failed, next try in {0} ms: {1}",
-                    pause,
-                    cause(error).getMessage());
-            mOwner.schedule(this::poll, pause, TimeUnit.MILLISECONDS);
-            return;
-        }
-        mBackoffMillis = FIRST_BACKOFF_MILLIS;
-        result.entries().forEach(this::fold);
-        if (!result.entries().isEmpty()) {
-            mListeners.forEach(Runnable::run);
+    @Override
+    public void missing(List<LogRecord> records) {
+        for (LogRecord r : records) {
+            if (!(r.change() instanceof NotUnderstood)) {
+                LOG.log(Level.WARNING, "fleet-log: writes {0} again after a restoration", r.id());
+                mPending.await(r.id())
+                        .whenComplete((v, e) -> LOG.log(Level.WARNING, "{0}: {1}", r.id(), v));
+                send(r);
+            }
         }
-        poll();
     }
 
-    private void fold(StoredEntry entry) {
-        if (entry.offset() < mState.nextOffset()) {
-            return;
-        }
-        Verdict verdict = foldBytes(entry);
-        mPending.resolve(entry.id(), verdict);
+    private Optional<StoredState> storable() {
+        return mMode == FollowMode.FOLLOWING ? mFollower.state().stored() : Optional.empty();
     }
 
-    private Verdict foldBytes(StoredEntry entry) {
-        LogRecord record;
+    private static Optional<StoredState> decode(byte[] encoded) {
         try {
-            record = RecordCodec.decode(entry.data());
+            return Optional.of(SnapshotCodec.decode(encoded));
         } catch (RecordFormatException e) {
-            LOG.log(Level.WARNING, "fleet-log: offset {0}: {1}", entry.offset(), e.getMessage());
-            return mState.skip(entry.offset(), entry.id());
+            LOG.log(Level.WARNING, "fleet-log: a peer's state is not taken: {0}", e.getMessage());
+            return Optional.empty();
         }
-        return mState.apply(entry.offset(), record);
     }
 
-    private void execute(Runnable task) {
-        if (!mClosed) {
-            mOwner.execute(task);
+    /** Whether a peer's state goes further on the same past, or through a restoration. */
+    private boolean isBetter(StoredState s) {
+        StatePosition here = mFollower.state().position();
+        boolean same = s.restorations() == here.restorations();
+        boolean leads = !same || mFollower.state().fleet().leadsTo(s.state());
+        if (!leads) {
+            LOG.log(Level.WARNING, "fleet-log: a peer's state has another past; it is not taken");
         }
+        return leads && s.position().compareTo(here) > 0;
+    }
+
+    private StoredState take(StoredState s) {
+        mFollower.take(s);
+        return s;
     }
 
-    private void onOwner(Runnable task, CompletableFuture<?> result) {
+    private CompletionStage<Verdict> append(LogRecord record) {
+        Optional<Verdict> known = mPending.verdict(record.id()).or(() -> frozen(record));
+        if (known.isPresent()) {
+            return CompletableFuture.completedFuture(known.get());
+        }
+        CompletableFuture<Verdict> verdict = mPending.await(record.id());
+        mOwner.later(() -> unanswered(record), mOptions.answerTimeout().toMillis());
+        if (mMode == FollowMode.FOLLOWING) {
+            send(record);
+        } else {
+            mWaiting.add(record);
+        }
+        return verdict;
+    }
+
+    private void send(LogRecord record) {
+        byte[] data = RecordCodec.encode(record.basedOn(mFollower.state().fleet().basis()));
+        mOwner.handle(
+                mLog.append(LogFollower.STREAM, List.of(new LogEntry(record.id(), data))),
+                (done, error) -> {
+                    // Any other failure may have taken effect; the record is still to be read back.
+                    if (error instanceof PlatformException e && e.effect() == Effect.NONE) {
+                        mPending.fail(record.id(), e);
+                    }
+                });
+    }
+
+    private void unanswered(LogRecord record) {
+        boolean unsent = mWaiting.remove(record);
+        mPending.fail(
+                record.id(),
+                unsent
+                        ? new PlatformException(mMode.text(), Effect.NONE)
+                        : new PlatformException(
+                                "the record was appended or not, and was not read back in time",
+                                Effect.UNKNOWN));
+    }
+
+    /** Does not write about objects whose state this program can't know. */
+    private Optional<Verdict> frozen(LogRecord record) {
+        return record.change().touches().stream()
+                .filter(mFollower.state().fleet()::isFrozen)
+                .min(ObjectKey.ORDER)
+                .map(k -> Verdict.refused(VoidReason.NOT_UNDERSTOOD, k.name() + " is frozen"));
+    }
+
+    private <T> CompletionStage<T> onOwner(Supplier<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
         mOwner.execute(
                 () -> {
                     try {
-                        task.run();
+                        result.complete(task.get());
                     } catch (RuntimeException e) {
                         result.completeExceptionally(e);
                     }
                 });
-    }
-
-    private static <T> void settle(CompletableFuture<T> result, T value, Throwable error) {
-        if (error == null) {
-            result.complete(value);
-        } else {
-            result.completeExceptionally(cause(error));
-        }
-    }
-
-    private static Throwable cause(Throwable error) {
-        return error instanceof CompletionException && error.getCause() != null
-                ? error.getCause()
-                : error;
+        return result;
     }
 }
--- a/foxtail-platform/src/test/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLogTest.java
+++ b/foxtail-platform/src/test/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLogTest.java
@@ -13,6 +13,7 @@
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.RecordId;
 import org.foxtailplank.id.TeamId;
+import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.PlatformException;
 import org.foxtailplank.platform.PlatformException.Effect;
 import org.foxtailplank.state.Author;
@@ -29,14 +30,15 @@
 /** How one process follows and writes the stream of the fleet. */
 public class FollowedFleetLogTest {
     private static final TeamId TEAM = TeamId.of("adjusters");
-    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(20);
+    private static final FollowOptions OPTIONS =
+            FollowOptions.of("entry-1", Duration.ofSeconds(20), Duration.ofDays(7));
     private MemoryPlatformLog mLog;
     private FollowedFleetLog mFleet;
 
     @BeforeMethod
     public void start() {
         mLog = new MemoryPlatformLog();
-        mFleet = FollowedFleetLog.follow(mLog, ANSWER_TIMEOUT);
+        mFleet = FollowedFleetLog.start(mLog, OPTIONS);
     }
 
     @AfterMethod
@@ -52,7 +54,7 @@
 
     @Test
     public void givesOneOfTwoRacingOperatorsTheConflict() throws Exception {
-        try (FollowedFleetLog other = FollowedFleetLog.follow(mLog, ANSWER_TIMEOUT)) {
+        try (FollowedFleetLog other = FollowedFleetLog.start(mLog, OPTIONS)) {
             CompletionStage<Verdict> a = mFleet.submit(quotaFrom(0, "a", 0.2));
             CompletionStage<Verdict> b = other.submit(quotaFrom(0, "b", 0.3));
             boolean first = get(a).isApplied();
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/records/ChangeDecoder.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/records/ChangeDecoder.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.state.JobSpec;
 import org.foxtailplank.state.JobSubmitted;
 import org.foxtailplank.state.PoolTargetChanged;
+import org.foxtailplank.state.StateRestored;
 import org.foxtailplank.state.TaskConfirmed;
 import org.foxtailplank.state.TaskIntended;
 import org.foxtailplank.state.TeamQuotaChanged;
@@ -41,6 +42,7 @@
 import org.foxtailplank.wire.generated.records.JobSubmittedProto;
 import org.foxtailplank.wire.generated.records.PoolTargetChangedProto;
 import org.foxtailplank.wire.generated.records.RecordProto;
+import org.foxtailplank.wire.generated.records.StateRestoredProto;
 import org.foxtailplank.wire.generated.records.TaskConfirmedProto;
 import org.foxtailplank.wire.generated.records.TaskIntendedProto;
 import org.foxtailplank.wire.generated.records.TeamQuotaChangedProto;
@@ -77,6 +79,7 @@
             case JOB_CANCELLED -> Optional.of(decode(p.getJobCancelled()));
             case TASK_INTENDED -> decode(p.getTaskIntended());
             case TASK_CONFIRMED -> decode(p.getTaskConfirmed());
+            case STATE_RESTORED -> Optional.of(decode(p.getStateRestored()));
             case CHANGE_NOT_SET -> Optional.empty();
         };
     }
@@ -208,6 +211,11 @@
                                         o));
     }
 
+    private static StateRestored decode(StateRestoredProto p) {
+        return new StateRestored(
+                p.getReplaces(), p.getNextOffset(), p.getDigest(), p.getSnapshot());
+    }
+
     /** Decodes what a job asks for; empty for a class that is newer than this program. */
     public static Optional<JobSpec> spec(JobSpecProto p) {
         return Enums.REQUEST_CLASS
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/records/ChangeEncoder.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/records/ChangeEncoder.java
@@ -12,6 +12,7 @@
 import org.foxtailplank.state.JobSpec;
 import org.foxtailplank.state.JobSubmitted;
 import org.foxtailplank.state.PoolTargetChanged;
+import org.foxtailplank.state.StateRestored;
 import org.foxtailplank.state.TaskConfirmed;
 import org.foxtailplank.state.TaskIntended;
 import org.foxtailplank.state.TeamQuotaChanged;
@@ -34,6 +35,7 @@
 import org.foxtailplank.wire.generated.records.JobSubmittedProto;
 import org.foxtailplank.wire.generated.records.PoolTargetChangedProto;
 import org.foxtailplank.wire.generated.records.RecordProto;
+import org.foxtailplank.wire.generated.records.StateRestoredProto;
 import org.foxtailplank.wire.generated.records.TaskConfirmedProto;
 import org.foxtailplank.wire.generated.records.TaskIntendedProto;
 import org.foxtailplank.wire.generated.records.TeamQuotaChangedProto;
@@ -79,6 +81,13 @@
                             .setTeam(c.team().value())
                             .setQuota(c.quota())
                             .setAuthor(author(c.author())));
+        } else if (change instanceof StateRestored c) {
+            to.setStateRestored(
+                    StateRestoredProto.newBuilder()
+                            .setReplaces(c.replaces())
+                            .setNextOffset(c.nextOffset())
+                            .setDigest(c.digest())
+                            .setSnapshot(c.snapshot()));
         } else {
             throw new IllegalArgumentException("a change that is not understood can't be written");
         }
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/records/Enums.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/records/Enums.java
@@ -6,7 +6,9 @@
 import org.foxtailplank.state.TaskOutcome;
 import org.foxtailplank.state.VmAction;
 import org.foxtailplank.state.VmHealth;
+import org.foxtailplank.state.VmPhase;
 import org.foxtailplank.state.WaveOrder;
+import org.foxtailplank.state.WavePhase;
 import org.foxtailplank.wire.generated.records.ActionOutcomeProto;
 import org.foxtailplank.wire.generated.records.RequestClassProto;
 import org.foxtailplank.wire.generated.records.TaskActionProto;
@@ -14,6 +16,8 @@
 import org.foxtailplank.wire.generated.records.VmActionProto;
 import org.foxtailplank.wire.generated.records.VmHealthProto;
 import org.foxtailplank.wire.generated.records.WaveOrderProto;
+import org.foxtailplank.wire.generated.snapshot.VmPhaseProto;
+import org.foxtailplank.wire.generated.snapshot.WavePhaseProto;
 
 /** The enums that records hold. */
 final class Enums {
@@ -21,6 +25,10 @@
             EnumCodec.between(VmAction.class, VmActionProto.class, "VM_ACTION_");
     static final EnumCodec<ActionOutcome, ActionOutcomeProto> ACTION_OUTCOME =
             EnumCodec.between(ActionOutcome.class, ActionOutcomeProto.class, "ACTION_OUTCOME_");
+    static final EnumCodec<VmPhase, VmPhaseProto> VM_PHASE =
+            EnumCodec.between(VmPhase.class, VmPhaseProto.class, "VM_PHASE_");
+    static final EnumCodec<WavePhase, WavePhaseProto> WAVE_PHASE =
+            EnumCodec.between(WavePhase.class, WavePhaseProto.class, "WAVE_PHASE_");
     static final EnumCodec<VmHealth, VmHealthProto> VM_HEALTH =
             EnumCodec.between(VmHealth.class, VmHealthProto.class, "VM_HEALTH_");
     static final EnumCodec<WaveOrder, WaveOrderProto> WAVE_ORDER =
--- /dev/null
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/records/SnapshotDecoder.java
@@ -0,0 +1,194 @@
+package org.foxtailplank.wire.internal.records;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.foxtailplank.id.JobId;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.RackId;
+import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.id.TeamId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.WaveId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.state.Configuration;
+import org.foxtailplank.state.EpochState;
+import org.foxtailplank.state.FleetSnapshot;
+import org.foxtailplank.state.JobState;
+import org.foxtailplank.state.PoolShape;
+import org.foxtailplank.state.PoolState;
+import org.foxtailplank.state.TaskOutcome;
+import org.foxtailplank.state.TaskState;
+import org.foxtailplank.state.TeamQuota;
+import org.foxtailplank.state.VmAction;
+import org.foxtailplank.state.VmState;
+import org.foxtailplank.state.WaveState;
+import org.foxtailplank.state.WindowContents;
+import org.foxtailplank.wire.StoredState;
+import org.foxtailplank.wire.generated.snapshot.ConfigurationProto;
+import org.foxtailplank.wire.generated.snapshot.EpochStateProto;
+import org.foxtailplank.wire.generated.snapshot.JobProto;
+import org.foxtailplank.wire.generated.snapshot.PoolProto;
+import org.foxtailplank.wire.generated.snapshot.SnapshotProto;
+import org.foxtailplank.wire.generated.snapshot.TaskProto;
+import org.foxtailplank.wire.generated.snapshot.VmProto;
+import org.foxtailplank.wire.generated.snapshot.WaveProto;
+
+/** Reads a state from protobuf; throws {@link RuntimeException} where a part is not understood. */
+public final class SnapshotDecoder {
+    private final Map<Integer, ZoneId> mZones = new HashMap<>();
+    private final Map<Integer, RackId> mRacks = new HashMap<>();
+    private final Map<Integer, PoolId> mPools = new HashMap<>();
+    private final Map<Integer, WaveId> mWaves = new HashMap<>();
+    private final SnapshotProto mFrom;
+
+    private SnapshotDecoder(SnapshotProto from) {
+        mFrom = from;
+    }
+
+    /** Decodes a state. */
+    public static StoredState decode(SnapshotProto p) {
+        SnapshotDecoder d = new SnapshotDecoder(p);
+        Map<PoolId, PoolShape> shapes = new HashMap<>();
+        p.getShapesMap().forEach((id, s) -> shapes.put(PoolId.of(id), ShapeCodec.decode(s)));
+        Map<ServiceId, Integer> min = new HashMap<>();
+        p.getMinAvailableMap().forEach((id, n) -> min.put(ServiceId.of(id), n));
+        Map<TeamId, TeamQuota> quotas = new HashMap<>();
+        p.getQuotasList()
+                .forEach(
+                        q ->
+                                quotas.put(
+                                        TeamId.of(q.getTeam()),
+                                        new TeamQuota(q.getQuota(), q.getVersion())));
+        FleetSnapshot state =
+                new FleetSnapshot(
+                        p.getNextOffset(),
+                        new WindowContents(longs(p.getIdsList()), longs(p.getDigestsList())),
+                        p.hasConfiguration()
+                                ? Optional.of(configuration(p.getConfiguration()))
+                                : Optional.empty(),
+                        shapes,
+                        min,
+                        list(p.getPoolsList(), SnapshotDecoder::pool),
+                        list(p.getVmsList(), d::vm),
+                        list(p.getWavesList(), SnapshotDecoder::wave),
+                        list(p.getJobsList(), SnapshotDecoder::job),
+                        list(p.getEpochsList(), SnapshotDecoder::epoch),
+                        quotas);
+        return new StoredState(p.getRestorations(), p.getLogOffset(), state);
+    }
+
+    private static long[] longs(List<Long> values) {
+        if (Integer.bitCount(values.size()) != 1) {
+            throw new IllegalArgumentException("a window of " + values.size() + " records");
+        }
+        return values.stream().mapToLong(Long::longValue).toArray();
+    }
+
+    private static <P, T> List<T> list(List<P> from, Function<P, T> decode) {
+        List<T> result = new ArrayList<>(from.size());
+        from.forEach(p -> result.add(decode.apply(p)));
+        return result;
+    }
+
+    private static Configuration configuration(ConfigurationProto p) {
+        return new Configuration(
+                p.getVersion(),
+                p.getBase(),
+                ChangeDecoder.byZone(p.getOverlaysMap()),
+                ChangeDecoder.author(p.getAuthor()));
+    }
+
+    private static PoolState pool(PoolProto p) {
+        return new PoolState(
+                PoolId.of(p.getId()),
+                p.hasService() ? Optional.of(ServiceId.of(p.getService())) : Optional.empty(),
+                p.getTarget(),
+                p.getReserve(),
+                p.getVersion());
+    }
+
+    private VmState vm(VmProto p) {
+        Optional<VmAction> pending =
+                p.hasPending()
+                        ? Optional.of(Enums.VM_ACTION.decode(p.getPending()).orElseThrow())
+                        : Optional.empty();
+        return new VmState(
+                VmId.of(p.getId()),
+                named(mZones, p.getZone(), ZoneId::of),
+                named(mRacks, p.getRack(), RackId::of),
+                named(mPools, p.getPool(), PoolId::of),
+                p.getPoolGeneration(),
+                Enums.VM_PHASE.decode(p.getPhase()).orElseThrow(),
+                p.getGeneration(),
+                pending,
+                p.hasWave()
+                        ? Optional.of(named(mWaves, p.getWave(), WaveId::of))
+                        : Optional.empty(),
+                p.hasJoining()
+                        ? Optional.of(named(mPools, p.getJoining(), PoolId::of))
+                        : Optional.empty(),
+                p.getLastMaintained(),
+                p.getVersion());
+    }
+
+    /** Names that come often are held once. */
+    private <T> T named(Map<Integer, T> known, int index, Function<String, T> make) {
+        return known.computeIfAbsent(index, i -> make.apply(mFrom.getNames(i)));
+    }
+
+    private static WaveState wave(WaveProto p) {
+        return new WaveState(
+                WaveId.of(p.getId()),
+                zones(p.getZonesList()),
+                Set.copyOf(list(p.getPoolsList(), PoolId::of)),
+                zones(p.getFinishedList()),
+                Enums.WAVE_PHASE.decode(p.getPhase()).orElseThrow(),
+                ChangeDecoder.author(p.getLastOrder()),
+                p.getStarted(),
+                p.getVersion());
+    }
+
+    private static Set<ZoneId> zones(List<String> names) {
+        Set<ZoneId> zones = new HashSet<>();
+        names.forEach(z -> zones.add(ZoneId.of(z)));
+        return Set.copyOf(zones);
+    }
+
+    private static JobState job(JobProto p) {
+        Map<Integer, TaskState> tasks = new HashMap<>();
+        p.getTasksMap().forEach((i, t) -> tasks.put(i, task(t)));
+        return new JobState(
+                JobId.of(p.getId()),
+                ChangeDecoder.spec(p.getSpec()).orElseThrow(),
+                p.getCancelled(),
+                tasks,
+                p.getVersion());
+    }
+
+    private static TaskState task(TaskProto p) {
+        Optional<TaskOutcome> outcome =
+                p.hasOutcome()
+                        ? Optional.of(Enums.TASK_OUTCOME.decode(p.getOutcome()).orElseThrow())
+                        : Optional.empty();
+        return new TaskState(
+                VmId.of(p.getWorker()),
+                p.getAttempt(),
+                Enums.TASK_ACTION.decode(p.getAction()).orElseThrow(),
+                outcome);
+    }
+
+    private static EpochState epoch(EpochStateProto p) {
+        return new EpochState(
+                ZoneId.of(p.getShard()),
+                p.getNumber(),
+                p.hasHolder() ? Optional.of(NodeId.of(p.getHolder())) : Optional.empty(),
+                p.getVersion());
+    }
+}
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/RecordCodecTest.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/RecordCodecTest.java
@@ -36,6 +36,7 @@
 import org.foxtailplank.state.ObjectKey;
 import org.foxtailplank.state.PoolShape;
 import org.foxtailplank.state.PoolTargetChanged;
+import org.foxtailplank.state.StateRestored;
 import org.foxtailplank.state.TaskAction;
 import org.foxtailplank.state.TaskConfirmed;
 import org.foxtailplank.state.TaskIntended;
@@ -99,6 +100,7 @@
             new JobCancelled(JOB, AUTHOR),
             new TaskIntended(JOB, 3, VM, TaskAction.CHECKPOINT, 2),
             new TaskConfirmed(JOB, 3, VM, 2, TaskOutcome.LOST),
+            new StateRestored(2, 900, -5, "entry-1-900"),
         };
     }
 
