Controller over real HTTP: a wave and a move from the administration API to the platform stand-in

Cause: the parts had only met fakes. Change: ControllerTest runs the controller between the platform stand-in and an operator's client. Conclusion: a wave over a zone and a move between pools end, and the stand-in counts no request that a planned stop cut off.

--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/PendingVm.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/PendingVm.java
@@ -3,6 +3,7 @@
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.ObjectKey;
 import org.foxtailplank.state.PoolState;
+import org.foxtailplank.state.VmPhase;
 import org.foxtailplank.state.VmState;
 
 /**
@@ -19,7 +20,7 @@
 
     /** Whether a controller has to go on with a VM. */
     static boolean isDue(FleetView view, VmState vm) {
-        boolean due = vm.pending().isPresent() || vm.joining().isPresent();
+        boolean due = vm.pending().isPresent() || vm.phase() == VmPhase.RELEASING;
         return due && !view.isFrozen(ObjectKey.of(vm.id()));
     }
 }
--- /dev/null
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/ControllerTest.java
@@ -0,0 +1,211 @@
+package org.foxtailplank.controller;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.RecordId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.id.WaveId;
+import org.foxtailplank.platform.FleetFollower;
+import org.foxtailplank.platform.HttpPlatform;
+import org.foxtailplank.process.HttpAnswer;
+import org.foxtailplank.process.HttpListener;
+import org.foxtailplank.process.Json;
+import org.foxtailplank.process.JsonHttpClient;
+import org.foxtailplank.process.PekkoRuntime;
+import org.foxtailplank.settings.FleetShapes;
+import org.foxtailplank.settings.Settings;
+import org.foxtailplank.standin.PlatformOptions;
+import org.foxtailplank.standin.PlatformStandin;
+import org.foxtailplank.standin.SmallDeployment;
+import org.foxtailplank.state.Author;
+import org.foxtailplank.state.ConfigurationPublished;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.LogRecord;
+import org.foxtailplank.state.ObjectKey;
+import org.foxtailplank.state.VmPhase;
+import org.foxtailplank.state.WavePhase;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** A controller over real HTTP: the platform stand-in on one side, operators on the other. */
+public class ControllerTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final Predicate<FleetView> TARGETS_MET =
+            view ->
+                    view.pools().stream()
+                            .allMatch(p -> serving(view, p.id()) >= p.target() + p.reserve());
+
+    private PekkoRuntime mRuntime;
+    private PlatformStandin mPlatform;
+    private FleetFollower mLog;
+    private Controller mController;
+    private JsonHttpClient mOperator;
+    private JsonHttpClient mStranger;
+    private URI mAdmin;
+
+    @BeforeClass
+    public void start() throws Exception {
+        mRuntime = PekkoRuntime.start("controller-test", 2);
+        URI nowhere = URI.create("http://127.0.0.1:1");
+        mPlatform =
+                PlatformStandin.start(
+                        SmallDeployment.settings(2, nowhere),
+                        PlatformOptions.quick(),
+                        mRuntime.system());
+        Settings settings = SmallDeployment.settings(2, mPlatform.address());
+        HttpPlatform platform = HttpPlatform.at(mPlatform.address(), TIMEOUT, mRuntime.system());
+        mLog = FleetFollower.start(platform.log(), TIMEOUT.multipliedBy(5));
+        publish(settings);
+        NodeId node = NodeId.of("node1");
+        mController =
+                Controller.start(mRuntime, ControllerParts.of(node, settings, mLog, platform));
+        InetSocketAddress address =
+                HttpListener.bind(
+                                mRuntime,
+                                new InetSocketAddress("127.0.0.1", 0),
+                                mController.route())
+                        .address();
+        mAdmin = URI.create("http://127.0.0.1:" + address.getPort());
+        mStranger = JsonHttpClient.withTimeout(mRuntime, Duration.ofSeconds(20));
+        mOperator = mStranger.withHeader("Authorization", "Bearer survey-token");
+        until(TARGETS_MET);
+    }
+
+    @AfterClass
+    public void stop() {
+        mController.stop();
+        mLog.close();
+        mPlatform.close();
+        mRuntime.close();
+    }
+
+    @Test
+    public void refusesACallWithoutAToken() throws Exception {
+        HttpAnswer answer = JsonHttpClient.await(mStranger.get(mAdmin.resolve("/v1/pools")));
+        assertEquals(answer.status(), 401);
+        assertEquals(answer.tree().path("error").path("code").asText(), "no-token");
+        assertTrue(answer.tree().path("error").path("todo").asText().contains("Bearer"));
+    }
+
+    @Test
+    public void listsPagesOfVms() throws Exception {
+        JsonNode first = get("/v1/vms?zone=z1&limit=3");
+        assertEquals(first.path("items").size(), 3);
+        JsonNode rest = get("/v1/vms?zone=z1&limit=3&after=" + first.path("next").asText());
+        assertEquals(rest.path("items").size(), 1);
+        assertTrue(rest.path("next").isNull());
+    }
+
+    @Test
+    public void givesOneOfTwoRacingOperatorsTheConflictAndTheObjectAsItIs() throws Exception {
+        long version = get("/v1/pools/claims").path("version").asLong();
+        ObjectNode change = Json.object().put("version", version).put("target", 2);
+        change.put("reserve", 2).put("why", "first");
+        assertEquals(put("/v1/pools/claims/target", change).status(), 200);
+        change.put("reserve", 1).put("why", "second");
+        HttpAnswer second = put("/v1/pools/claims/target", change);
+        assertEquals(second.status(), 409);
+        assertEquals(second.tree().path("error").path("code").asText(), "stale-version");
+        assertEquals(second.tree().path("current").path("reserve").asInt(), 2);
+    }
+
+    @Test
+    public void namesTheFieldThatIsMissing() throws Exception {
+        HttpAnswer answer = put("/v1/pools/claims/target", Json.object().put("target", 1));
+        assertEquals(answer.status(), 400);
+        String why = answer.tree().path("error").path("why").asText();
+        assertEquals(why, "The field 'version' is missing.");
+    }
+
+    @Test(dependsOnMethods = "givesOneOfTwoRacingOperatorsTheConflictAndTheObjectAsItIs")
+    public void carriesOutAWaveAndCutsOffNothing() throws Exception {
+        ObjectNode wave = Json.object().put("id", "march").put("why", "firmware");
+        wave.putArray("zones").add("z1");
+        HttpAnswer started = post("/v1/waves", wave);
+        assertEquals(started.status(), 200, started.body());
+        WaveId id = WaveId.of("march");
+        until(v -> v.wave(id).filter(w -> w.phase() == WavePhase.FINISHED).isPresent());
+        long maintained = get("/v1/waves/march").path("maintained").asLong();
+        assertEquals(maintained, 4);
+        assertEquals(mPlatform.cutOff(), 0);
+    }
+
+    @Test(dependsOnMethods = "carriesOutAWaveAndCutsOffNothing")
+    public void movesAVmToAnotherPool() throws Exception {
+        VmId vm = VmId.of("z1-r1-vm1");
+        long version = get("/v1/vms/" + vm).path("version").asLong();
+        ObjectNode move = Json.object().put("version", version).put("to", "quotes");
+        HttpAnswer answer = post("/v1/vms/" + vm + "/move", move.put("why", "busy phones"));
+        assertEquals(answer.status(), 200, answer.body());
+        until(
+                v ->
+                        v.vm(vm)
+                                .filter(s -> s.pool().equals(PoolId.of("quotes")))
+                                .filter(s -> s.phase() == VmPhase.SERVING)
+                                .isPresent());
+        assertEquals(mPlatform.cutOff(), 0);
+    }
+
+    private static long serving(FleetView view, PoolId pool) {
+        return view.vmsOf(pool).stream().filter(v -> v.phase() == VmPhase.SERVING).count();
+    }
+
+    private void publish(Settings settings) throws Exception {
+        LogRecord record =
+                new LogRecord(
+                        RecordId.of("first"),
+                        NodeId.of("test"),
+                        Optional.empty(),
+                        Map.of(ObjectKey.configuration(), 0L),
+                        new ConfigurationPublished(
+                                "{}",
+                                Map.of(),
+                                FleetShapes.of(settings),
+                                new Author("test", "first")));
+        assertTrue(mLog.submit(record).toCompletableFuture().get(10, TimeUnit.SECONDS).isApplied());
+    }
+
+    private void until(Predicate<FleetView> condition) throws Exception {
+        CompletableFuture<Void> held = new CompletableFuture<>();
+        Runnable check =
+                () ->
+                        mLog.read(condition::test)
+                                .thenAccept(
+                                        holds -> {
+                                            if (holds) {
+                                                held.complete(null);
+                                            }
+                                        });
+        mLog.onChange(check);
+        check.run();
+        held.get(60, TimeUnit.SECONDS);
+    }
+
+    private JsonNode get(String path) throws Exception {
+        HttpAnswer answer = JsonHttpClient.await(mOperator.get(mAdmin.resolve(path)));
+        assertEquals(answer.status(), 200, answer.body());
+        return answer.tree();
+    }
+
+    private HttpAnswer put(String path, Object body) throws Exception {
+        return JsonHttpClient.await(mOperator.put(mAdmin.resolve(path), body));
+    }
+
+    private HttpAnswer post(String path, Object body) throws Exception {
+        return JsonHttpClient.await(mOperator.post(mAdmin.resolve(path), body));
+    }
+}
