--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/MoveAndWakeActingTest.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/MoveAndWakeActingTest.java
@@ -51,7 +51,7 @@
     private static final Scenario MOVE_OF_A_VM_THAT_IS_OFF =
             new Scenario(
                     "move of a VM that is off",
-                    fleet -> fleet.platform().power("claims-0", VmPower.OFF),
+                    MoveAndWakeActingTest::powerOff,
                     MoveAndWakeActingTest::release,
                     view -> serves(view, QUOTES),
                     List.of("REASSIGN claims-0", "WAKE claims-0"));
@@ -59,10 +59,7 @@
     private static final Scenario WAKE =
             new Scenario(
                     "wake",
-                    fleet -> {
-                        fleet.platform().power("claims-0", VmPower.OFF);
-                        target(fleet, 5);
-                    },
+                    MoveAndWakeActingTest::powerOff,
                     fleet -> target(fleet, 6),
                     view -> serves(view, PoolId.of("claims")),
                     List.of("WAKE claims-0"));
@@ -190,6 +187,11 @@
         assertTrue(fleet.order(change, ObjectKey.of(VM), vm.version()).isApplied());
     }
 
+    private static void powerOff(TestFleet fleet) {
+        fleet.platform().power("claims-0", VmPower.OFF);
+        target(fleet, 5);
+    }
+
     private static void target(TestFleet fleet, int target) {
         PoolId pool = PoolId.of("claims");
         ObjectKey key = ObjectKey.of(pool);
