--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/FollowOptions.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/FollowOptions.java
@@ -1,6 +1,8 @@
 package org.foxtailplank.platform;
 
 import java.time.Duration;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.settings.PlatformSettings;
 
 /**
  * How a process follows the log.
@@ -20,6 +22,16 @@
     private static final long SNAPSHOT_RECORDS = 10_000;
     private static final Duration RESTORE_DELAY = Duration.ofSeconds(2);
 
+    private static final int ANSWER_TIMEOUTS = 5;
+
+    /** Options of a process from the settings. */
+    public static FollowOptions of(NodeId node, PlatformSettings platform) {
+        return of(
+                node.value(),
+                platform.timeout().multipliedBy(ANSWER_TIMEOUTS),
+                platform.retention());
+    }
+
     /** The usual options of a process. */
     public static FollowOptions of(String node, Duration answerTimeout, Duration retention) {
         return new FollowOptions(node, answerTimeout, retention, SNAPSHOT_RECORDS, RESTORE_DELAY);
