Peers: a node that is behind fetches newer state from its peers

Cause: a zone cut off from the platform hears of a new configuration only from its peers, and a node that starts while the platform is down has nobody else to start from.

--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/membership/CatchUpTest.java
@@ -0,0 +1,100 @@
+package org.foxtailplank.internal.membership;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.membership.LoadSummary;
+import org.foxtailplank.membership.Member;
+import org.foxtailplank.membership.MemberState;
+import org.foxtailplank.membership.NodeStatus;
+import org.foxtailplank.membership.PeerIdentity;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class CatchUpTest {
+
+    private static final long GRACE = 250;
+    private static final long AVOID = 1_000;
+
+    private CatchUp mCatchUp;
+
+    @BeforeMethod
+    public void begin() {
+        mCatchUp = new CatchUp(ZoneId.of("a"), GRACE, AVOID, new Random(1));
+    }
+
+    @Test
+    public void asksNobodyWhileNobodyIsAhead() {
+        assertEquals(mCatchUp.peerToAsk(9, List.of(member("x", "a", 9)), 0), Optional.empty());
+        assertEquals(mCatchUp.peerToAsk(9, List.of(member("x", "a", 8)), GRACE), Optional.empty());
+    }
+
+    @Test
+    public void leavesThePlatformTimeToBringTheNews() {
+        List<Member> members = List.of(member("x", "a", 10));
+        assertEquals(mCatchUp.peerToAsk(9, members, 0), Optional.empty());
+        assertEquals(mCatchUp.peerToAsk(9, members, GRACE - 1), Optional.empty());
+        assertEquals(mCatchUp.peerToAsk(9, members, GRACE), Optional.of(NodeId.of("x")));
+    }
+
+    @Test
+    public void progressByThePlatformStartsTheGraceAnew() {
+        List<Member> members = List.of(member("x", "a", 20));
+        mCatchUp.peerToAsk(9, members, 0);
+        assertEquals(mCatchUp.peerToAsk(10, members, GRACE), Optional.empty());
+        assertEquals(mCatchUp.peerToAsk(10, members, 2 * GRACE), Optional.of(NodeId.of("x")));
+    }
+
+    @Test
+    public void aPeerThatHelpedIsAskedForMoreAtOnce() {
+        List<Member> members = List.of(member("x", "a", 20));
+        mCatchUp.peerToAsk(9, members, 0);
+        mCatchUp.helped(12);
+        assertEquals(mCatchUp.peerToAsk(12, members, GRACE), Optional.of(NodeId.of("x")));
+    }
+
+    @Test
+    public void prefersPeersOfItsOwnZone() {
+        List<Member> members = List.of(member("far", "b", 30), member("near", "a", 10));
+        mCatchUp.peerToAsk(9, members, 0);
+        assertEquals(mCatchUp.peerToAsk(9, members, GRACE), Optional.of(NodeId.of("near")));
+    }
+
+    @Test
+    public void asksAnotherPeerAfterOneFailed() {
+        List<Member> members = List.of(member("near", "a", 10), member("far", "b", 10));
+        mCatchUp.peerToAsk(9, members, 0);
+        mCatchUp.failed(NodeId.of("near"), GRACE);
+        assertEquals(mCatchUp.peerToAsk(9, members, GRACE), Optional.of(NodeId.of("far")));
+        assertEquals(mCatchUp.peerToAsk(9, members, GRACE + AVOID), Optional.of(NodeId.of("near")));
+    }
+
+    @Test
+    public void asksNoPeerThatIsAway() {
+        Member away = new Member(member("x", "a", 10).identity(), MemberState.AWAY, status(10));
+        mCatchUp.peerToAsk(9, List.of(away), 0);
+        assertEquals(mCatchUp.peerToAsk(9, List.of(away), GRACE), Optional.empty());
+    }
+
+    private static Member member(String node, String zone, long nextOffset) {
+        PeerIdentity identity =
+                new PeerIdentity(
+                        NodeId.of(node),
+                        new Incarnation(node.hashCode()),
+                        ZoneId.of(zone),
+                        new InetSocketAddress("127.0.0.1", 1),
+                        Set.of());
+        return new Member(identity, MemberState.ALIVE, status(nextOffset));
+    }
+
+    private static NodeStatus status(long nextOffset) {
+        return new NodeStatus(0, nextOffset, LoadSummary.none());
+    }
+}
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLink.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLink.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.foxtailplank.id.NodeId;
+import org.foxtailplank.membership.LoadSummary;
 import org.foxtailplank.membership.Member;
 import org.foxtailplank.membership.NodeStatus;
 import org.foxtailplank.membership.PeerIdentity;
@@ -28,8 +29,17 @@
     /** Takes a new list of places to meet peers in place of the last one from its source. */
     void learn(SeedSource source, Collection<Seed> seeds);
 
-    /** What heartbeats say of this node from now on; a newer version is told at once. */
-    void report(NodeStatus status);
+    /** How far this node is, for its heartbeats; a newer version is told at once. */
+    void report(StatePosition position);
+
+    /** What this node has in flight, for its heartbeats. */
+    void report(LoadSummary load);
+
+    /** Both of these at once. */
+    default void report(NodeStatus status) {
+        report(new StatePosition(status.configurationVersion(), status.nextOffset()));
+        report(status.load());
+    }
 
     /** Sends a message without an answer; false when it certainly did not leave. */
     CompletionStage<Boolean> send(NodeId to, PeerMessage message);
@@ -52,6 +62,12 @@
     /** Calls back on the link's thread after each heartbeat of a member. */
     void onHeartbeat(Consumer<Member> listener);
 
+    /** Runs work on the link's thread; after the link is closed it is dropped. */
+    void execute(Runnable work);
+
+    /** Runs work on the link's thread again and again. */
+    void every(Duration time, Runnable work);
+
     /** What was counted since the start. */
     PeerCounts counts();
 
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/HeartbeatSender.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/HeartbeatSender.java
@@ -7,7 +7,9 @@
 import org.foxtailplank.internal.membership.HeartbeatPlan;
 import org.foxtailplank.internal.membership.MemberTable;
 import org.foxtailplank.internal.membership.SilenceLimits;
+import org.foxtailplank.membership.LoadSummary;
 import org.foxtailplank.membership.NodeStatus;
+import org.foxtailplank.wire.StatePosition;
 import org.foxtailplank.wire.generated.peer.EnvelopeProto;
 
 /** Sends this node's heartbeats. */
@@ -53,10 +55,16 @@
         return mBeat;
     }
 
-    /** What heartbeats say from now on; a newer version is told at once. */
-    void report(NodeStatus status) {
-        boolean newer = status.configurationVersion() > mStatus.configurationVersion();
-        mStatus = status;
+    void report(LoadSummary load) {
+        mStatus = new NodeStatus(mStatus.configurationVersion(), mStatus.nextOffset(), load);
+    }
+
+    /** How far this node is; a newer configuration is told at once. */
+    void report(StatePosition position) {
+        boolean newer = position.configurationVersion() > mStatus.configurationVersion();
+        mStatus =
+                new NodeStatus(
+                        position.configurationVersion(), position.nextOffset(), mStatus.load());
         if (newer && !mDueAtOnce) {
             mDueAtOnce = true;
             long wait = Math.max(0, mSentAt + MIN_GAP_NANOS - System.nanoTime());
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/PeerNode.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/PeerNode.java
@@ -24,9 +24,9 @@
 import org.foxtailplank.internal.membership.SilenceLimits;
 import org.foxtailplank.internal.membership.TryBudget;
 import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.membership.LoadSummary;
 import org.foxtailplank.membership.Member;
 import org.foxtailplank.membership.MemberState;
-import org.foxtailplank.membership.NodeStatus;
 import org.foxtailplank.membership.PeerIdentity;
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
@@ -40,6 +40,7 @@
 import org.foxtailplank.wire.PeerLinkLimits;
 import org.foxtailplank.wire.PeerLinkOptions;
 import org.foxtailplank.wire.PeerMessage;
+import org.foxtailplank.wire.StatePosition;
 import org.foxtailplank.wire.generated.peer.EnvelopeProto;
 import org.foxtailplank.wire.generated.peer.LeavingProto;
 
@@ -133,8 +134,18 @@
     }
 
     @Override
-    public void report(NodeStatus status) {
-        run(() -> mSender.report(status));
+    public void report(StatePosition position) {
+        run(() -> mSender.report(position));
+    }
+
+    @Override
+    public void report(LoadSummary load) {
+        run(() -> mSender.report(load));
+    }
+
+    @Override
+    public void execute(Runnable work) {
+        run(work);
     }
 
     @Override
@@ -286,7 +297,8 @@
         mAsks.closed(session);
     }
 
-    private void every(Duration time, Runnable work) {
+    @Override
+    public void every(Duration time, Runnable work) {
         long nanos = time.toNanos();
         mLoop.scheduleAtFixedRate(work, nanos, nanos, TimeUnit.NANOSECONDS);
     }
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/PeerNodes.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/PeerNodes.java
@@ -1,4 +1,4 @@
-package org.foxtailplank.wire.internal.peer;
+package org.foxtailplank.wire;
 
 import static org.testng.Assert.assertTrue;
 
@@ -18,17 +18,13 @@
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
 import org.foxtailplank.settings.PeerSettings;
-import org.foxtailplank.wire.PeerLink;
-import org.foxtailplank.wire.PeerLinkException;
-import org.foxtailplank.wire.PeerLinkLimits;
-import org.foxtailplank.wire.PeerLinkOptions;
 
 /** Starts links on loopback and waits for what they come to see. */
-final class PeerNodes implements AutoCloseable {
+public final class PeerNodes implements AutoCloseable {
 
-    static final String KEY = "a key that all nodes of the test share";
-    static final Duration HEARTBEAT = Duration.ofMillis(50);
-    static final Duration SILENCE = Duration.ofMillis(1_000);
+    public static final String KEY = "a key that all nodes of the test share";
+    public static final Duration HEARTBEAT = Duration.ofMillis(50);
+    public static final Duration SILENCE = Duration.ofMillis(1_000);
 
     private static final long PATIENCE_NANOS = Duration.ofSeconds(20).toNanos();
     private static final long POLL_NANOS = 5_000_000;
@@ -36,16 +32,21 @@
     private final Random mRandom = new Random(17);
     private final List<PeerLink> mLinks = new ArrayList<>();
 
-    PeerLink start(String node) throws PeerLinkException {
-        return start(node, KEY, new InetSocketAddress("127.0.0.1", 0));
+    public PeerLink start(String node) throws PeerLinkException {
+        return start(node, "a");
     }
 
-    PeerLink start(String node, String key, InetSocketAddress bind) throws PeerLinkException {
+    public PeerLink start(String node, String zone) throws PeerLinkException {
+        return start(node, zone, KEY, new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    public PeerLink start(String node, String zone, String key, InetSocketAddress bind)
+            throws PeerLinkException {
         PeerSettings settings = new PeerSettings(key, HEARTBEAT, SILENCE);
         PeerLinkOptions options =
                 new PeerLinkOptions(
                         NodeId.of(node),
-                        ZoneId.of("a"),
+                        ZoneId.of(zone),
                         Incarnation.draw(mRandom),
                         Set.of(NodeRole.ENTRY),
                         bind,
@@ -56,7 +57,14 @@
         return link;
     }
 
-    static void join(PeerLink link, PeerLink... others) {
+    /** Lets each node know all others. */
+    public static void joinAll(PeerLink... links) {
+        for (PeerLink link : links) {
+            join(link, links);
+        }
+    }
+
+    public static void join(PeerLink link, PeerLink... others) {
         List<Seed> seeds = new ArrayList<>();
         for (PeerLink other : others) {
             seeds.add(new Seed(other.self().node(), other.self().address()));
@@ -64,7 +72,7 @@
         link.learn(SeedSource.SETTINGS, seeds);
     }
 
-    static boolean sees(PeerLink link, PeerLink other, MemberState state) {
+    public static boolean sees(PeerLink link, PeerLink other, MemberState state) {
         return link.members().stream()
                 .anyMatch(
                         m ->
@@ -72,13 +80,13 @@
                                         && m.state() == state);
     }
 
-    static void awaitSees(PeerLink link, PeerLink other, MemberState state) {
+    public static void awaitSees(PeerLink link, PeerLink other, MemberState state) {
         await(
                 link.self().node() + " sees " + other.self().node() + " " + state,
                 () -> sees(link, other, state));
     }
 
-    static void await(String what, BooleanSupplier condition) {
+    public static void await(String what, BooleanSupplier condition) {
         long deadline = System.nanoTime() + PATIENCE_NANOS;
         while (!condition.getAsBoolean() && System.nanoTime() < deadline) {
             LockSupport.parkNanos(POLL_NANOS);
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/HostilePeerTest.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/HostilePeerTest.java
@@ -1,9 +1,9 @@
 package org.foxtailplank.wire.internal.peer;
 
-import static org.foxtailplank.wire.internal.peer.PeerNodes.KEY;
-import static org.foxtailplank.wire.internal.peer.PeerNodes.await;
-import static org.foxtailplank.wire.internal.peer.PeerNodes.awaitSees;
-import static org.foxtailplank.wire.internal.peer.PeerNodes.join;
+import static org.foxtailplank.wire.PeerNodes.KEY;
+import static org.foxtailplank.wire.PeerNodes.await;
+import static org.foxtailplank.wire.PeerNodes.awaitSees;
+import static org.foxtailplank.wire.PeerNodes.join;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -23,6 +23,7 @@
 import org.foxtailplank.wire.PeerLink;
 import org.foxtailplank.wire.PeerLinkException;
 import org.foxtailplank.wire.PeerLinkLimits;
+import org.foxtailplank.wire.PeerNodes;
 import org.foxtailplank.wire.generated.peer.EnvelopeProto;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/PeerLinkTest.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/PeerLinkTest.java
@@ -1,8 +1,8 @@
 package org.foxtailplank.wire.internal.peer;
 
-import static org.foxtailplank.wire.internal.peer.PeerNodes.await;
-import static org.foxtailplank.wire.internal.peer.PeerNodes.awaitSees;
-import static org.foxtailplank.wire.internal.peer.PeerNodes.join;
+import static org.foxtailplank.wire.PeerNodes.await;
+import static org.foxtailplank.wire.PeerNodes.awaitSees;
+import static org.foxtailplank.wire.PeerNodes.join;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
@@ -31,6 +31,8 @@
 import org.foxtailplank.wire.PeerLink;
 import org.foxtailplank.wire.PeerLinkException;
 import org.foxtailplank.wire.PeerMessage;
+import org.foxtailplank.wire.PeerNodes;
+import org.foxtailplank.wire.StatePosition;
 import org.testng.Assert.ThrowingRunnable;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -71,7 +73,8 @@
         PeerLink a = mNodes.start("a");
         PeerLink b = mNodes.start("b");
         join(a, b);
-        b.report(new NodeStatus(41, 43, LoadSummary.of(Map.of("vm-7", 5, "vm-8", 0))));
+        b.report(new StatePosition(41, 43));
+        b.report(LoadSummary.of(Map.of("vm-7", 5, "vm-8", 0)));
         join(b, a);
         await(
                 "the status of b",
@@ -160,7 +163,7 @@
         join(a, old);
         awaitSees(a, old, MemberState.ALIVE);
         old.close();
-        PeerLink successor = mNodes.start("b", PeerNodes.KEY, old.self().address());
+        PeerLink successor = mNodes.start("b", "a", PeerNodes.KEY, old.self().address());
         awaitSees(a, successor, MemberState.ALIVE);
         assertEquals(
                 a.member(NodeId.of("b")).orElseThrow().incarnation(),
@@ -170,7 +173,7 @@
     @Test
     public void aNodeWithAnotherKeyIsCutAndNeverAMember() throws Exception {
         PeerLink a = mNodes.start("a");
-        PeerLink b = mNodes.start("b", "another key of the same length", anyPort());
+        PeerLink b = mNodes.start("b", "a", "another key of the same length", anyPort());
         join(a, b);
         await("a cuts b", () -> a.counts().cuts(CutReason.BAD_KEY) > 0);
         assertEquals(a.members(), List.of());
@@ -182,7 +185,7 @@
         PeerLink a = mNodes.start("a");
         assertThrows(
                 PeerLinkException.class,
-                () -> mNodes.start("b", PeerNodes.KEY, a.self().address()));
+                () -> mNodes.start("b", "a", PeerNodes.KEY, a.self().address()));
     }
 
     private static InetSocketAddress anyPort() {
