--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Transport.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Transport.java
@@ -88,6 +88,7 @@
     }
 
     ChannelFuture connect(InetSocketAddress address, Supplier<ChannelHandler> handshake) {
+        mCounters.mConnects.increment();
         return new Bootstrap()
                 .group(mLoop)
                 .channel(NioSocketChannel.class)
