Peers: the byte budget counts the headers of packets; idle connections are kept

Cause: at 27 nodes the plan reached all peers with 78 messages/s a node, whose headers alone were over the limit; at 99 nodes 8,544 connections were made anew in 30 s, since a connection was taken for idle after 20 s and a node gets round to a peer only every 25 s.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/membership/HeartbeatPlan.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/HeartbeatPlan.java
@@ -21,6 +21,9 @@
     /** Bytes that a heartbeat grows by for each member it tells of. */
     public static final int BYTES_PER_NEWS = 6;
 
+    /** Headers of IP and TCP for a message and for the acknowledgement that TCP sends. */
+    private static final int PACKET_BYTES = 104;
+
     /** Enough for a path that is cut in one direction, where each peer is heard by itself. */
     private static final int FEW_NEWS = 2;
 
@@ -41,7 +44,7 @@
 
     /** The peers of a regular heartbeat, where one without news has so many bytes. */
     public List<T> next(Set<T> peers, int bytesEach) {
-        int bytes = bytesEach + BYTES_PER_NEWS * newsLimit(peers.size(), bytesEach);
+        int bytes = bytes(bytesEach, newsLimit(peers.size(), bytesEach));
         mCredit = Math.min(mCredit + mBytesPerTick, 2 * mBytesPerTick);
         int fanOut = reachesAll(peers.size(), bytesEach) ? peers.size() : (int) (mCredit / bytes);
         List<T> chosen = choose(peers, Math.max(1, fanOut));
@@ -52,7 +55,7 @@
     /** Peers to tell something at once; later heartbeats make up for the bytes. */
     public List<T> atOnce(Set<T> peers, int count, int bytesEach) {
         List<T> chosen = choose(peers, count);
-        spend(chosen.size() * bytesEach);
+        spend(chosen.size() * bytes(bytesEach, 0));
         return chosen;
     }
 
@@ -71,14 +74,18 @@
         if (peers == 0 || reachesAll(peers, bytesEach)) {
             return Duration.ZERO;
         }
-        int bytes = bytesEach + BYTES_PER_NEWS * newsLimit(peers, bytesEach);
+        int bytes = bytes(bytesEach, newsLimit(peers, bytesEach));
         double messagesPerSecond = Math.max(1, mBytesPerTick / bytes) / seconds(mHeartbeat);
         double spread = SPREAD_FACTOR * Math.log(peers) / messagesPerSecond;
         return Duration.ofMillis((long) (spread * 1_000));
     }
 
     private boolean reachesAll(int peers, int bytesEach) {
-        return peers * (bytesEach + BYTES_PER_NEWS * FEW_NEWS) <= mBytesPerTick;
+        return peers * bytes(bytesEach, FEW_NEWS) <= mBytesPerTick;
+    }
+
+    private static int bytes(int bytesEach, int news) {
+        return PACKET_BYTES + bytesEach + BYTES_PER_NEWS * news;
     }
 
     private void spend(int bytes) {
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/HeartbeatSender.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/HeartbeatSender.java
@@ -15,7 +15,7 @@
 /** Sends this node's heartbeats. */
 final class HeartbeatSender {
 
-    private static final int FIRST_BYTES = 80;
+    private static final int FIRST_BYTES = 40;
     private static final int FAREWELLS = 4;
     private static final int PEERS_AT_ONCE = 8;
     private static final long MIN_GAP_NANOS = 20_000_000L;
@@ -114,7 +114,7 @@
                         .setHeartbeat(
                                 Heartbeats.encode(
                                         mBeat, mStatus, news, mTable.farewells(FAREWELLS)));
-        if (link.wantsConfirmation(mSilence.suspectNanos() / 2, now)) {
+        if (link.wantsConfirmation(mSilence.suspectNanos(), now)) {
             long ask = mAsks.nextNumber();
             link.await(ask, now);
             envelope.setAsk(ask);
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/PeerNode.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/PeerNode.java
@@ -49,6 +49,10 @@
 
     private static final Duration MAINTAIN_EVERY = Duration.ofMillis(100);
     private static final int MAX_INCOMING = 1_024;
+
+    /** Far above the time in which a node of a large system gets round to each of its peers. */
+    private static final long IDLE_NANOS = Duration.ofMinutes(5).toNanos();
+
     private static final long LEAVE_MILLIS = 200;
 
     private final PeerLinkOptions mOptions;
@@ -318,7 +322,7 @@
         mLinks.keep(mTable.addresses(), now);
         mLinks.maintain(now);
         for (Session session : List.copyOf(mIncoming.values())) {
-            if (session.isSilentFor(mSilence.forgetNanos(), now)) {
+            if (session.isSilentFor(IDLE_NANOS, now)) {
                 session.cut(CutReason.SILENT);
             } else if (session.isBlockedFor(mSilence.awayNanos(), now)) {
                 session.cut(CutReason.SLOW_READER);
