--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmStep.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmStep.java
@@ -37,9 +37,10 @@
     record Confirm(ActionOutcome outcome, String note) implements VmStep {}
 
     /**
-     * It records that the VM, on which nothing of its old pool runs, joins the new one.
+     * It records that the drained VM joins its new pool.
      *
      * @param to the pool
+     * @param note why the VM counts as drained, for the log
      */
-    record Join(PoolId to) implements VmStep {}
+    record Join(PoolId to, String note) implements VmStep {}
 }
