--- a/foxtail-core/src/main/java/org/foxtailplank/fleet/FleetExplainer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/fleet/FleetExplainer.java
@@ -69,7 +69,7 @@
             case OFF -> new Reason(ReasonKind.NOT_WANTED, "it is off; its pool has " + want, "");
             case STOPPING ->
                     new Reason(ReasonKind.ORDERED, "it is drained" + ofWave(vm), "work in flight");
-            case RELEASING, RELEASED ->
+            case RELEASING ->
                     new Reason(ReasonKind.MOVING, "it is released from its pool", "its new pool");
             case BROKEN ->
                     new Reason(
