--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -14,15 +15,21 @@
 import org.apache.pekko.http.javadsl.server.Directives;
 import org.apache.pekko.http.javadsl.server.Route;
 import org.foxtailplank.controller.internal.act.BackendHealth;
+import org.foxtailplank.controller.internal.act.EpochParts;
 import org.foxtailplank.controller.internal.act.FleetWatch;
 import org.foxtailplank.controller.internal.act.HttpBackendHealth;
+import org.foxtailplank.controller.internal.act.LoopActor;
+import org.foxtailplank.controller.internal.act.Mailbox;
 import org.foxtailplank.controller.internal.act.RecordWriter;
-import org.foxtailplank.controller.internal.act.ShardController;
+import org.foxtailplank.controller.internal.act.ShardLoop;
 import org.foxtailplank.controller.internal.act.ShardParts;
 import org.foxtailplank.controller.internal.act.VmRunner;
 import org.foxtailplank.controller.internal.admin.AdminApi;
+import org.foxtailplank.controller.internal.place.PlacementLoop;
+import org.foxtailplank.controller.internal.place.PlacementParts;
 import org.foxtailplank.controller.internal.plan.FleetPlanner;
 import org.foxtailplank.fleet.BufferPlanner;
+import org.foxtailplank.fleet.PlacementSettings;
 import org.foxtailplank.fleet.WavePlanner;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.ZoneId;
@@ -47,7 +54,7 @@
     private final FleetWatch mWatch = new FleetWatch(mClock);
     private final BackendHealth mHealth;
     private final AdminApi mApi;
-    private final List<ActorRef<ShardController.Command>> mShards = new ArrayList<>();
+    private final List<ActorRef<LoopActor.Command>> mShards = new ArrayList<>();
 
     private Controller(ActorSystem<?> system, ControllerParts parts) {
         mSystem = system;
@@ -70,6 +77,7 @@
     public static Controller start(PekkoRuntime runtime, ControllerParts parts) {
         Controller controller = new Controller(runtime.system(), parts);
         parts.settings().zones().keySet().forEach(controller::startShard);
+        controller.startPlacement();
         LOG.info("Control of {0} has started.", parts.self());
         return controller;
     }
@@ -81,30 +89,49 @@
 
     /** Stops to act; what is pending is left to the next controller. */
     public void stop() {
-        for (ActorRef<ShardController.Command> shard : mShards) {
+        for (ActorRef<LoopActor.Command> shard : mShards) {
             Adapter.toClassic(mSystem).stop(Adapter.toClassic(shard));
         }
         LOG.info("Control of {0} has stopped.", mParts.self());
     }
 
     private void startShard(ZoneId zone) {
-        ActorRef<ShardController.Command> shard =
+        ShardParts parts = shardParts();
+        start(zone, mailbox -> new ShardLoop(zone, parts, mailbox)::look, ShardLoop.LOOK_EVERY);
+    }
+
+    private void startPlacement() {
+        PlacementParts parts =
+                new PlacementParts(
+                        mParts.settings(),
+                        PlacementSettings.standard(),
+                        mParts.log(),
+                        mWriter,
+                        mParts.workers(),
+                        epochs(mParts.settings()),
+                        mClock);
+        start(
+                PlacementLoop.SHARD,
+                mailbox -> new PlacementLoop(parts, mailbox)::look,
+                PlacementLoop.LOOK_EVERY);
+    }
+
+    private void start(ZoneId shard, Function<Mailbox, Runnable> loop, Duration lookEvery) {
+        ActorRef<LoopActor.Command> actor =
                 mSystem.systemActorOf(
-                        ShardController.of(zone, shardParts()),
-                        "control-" + mParts.self() + "-" + zone,
+                        LoopActor.of(loop, lookEvery),
+                        "control-" + mParts.self() + "-" + shard,
                         DispatcherSelector.fromConfig(DISPATCHER));
-        mParts.log().onChange(() -> shard.tell(ShardController.Look.NOW));
-        mShards.add(shard);
+        mParts.log().onChange(() -> actor.tell(LoopActor.Look.NOW));
+        mShards.add(actor);
     }
 
     private ShardParts shardParts() {
         Settings settings = mParts.settings();
         return new ShardParts(
-                mParts.self(),
                 mParts.log(),
                 mWriter,
                 epochs(settings),
-                mParts.liveness(),
                 new FleetPlanner(
                         mParts.self().value(),
                         WavePlanner.byRack(),
@@ -121,11 +148,13 @@
                 mClock);
     }
 
-    private EpochPolicy epochs(Settings settings) {
+    private EpochParts epochs(Settings settings) {
         Map<NodeId, ZoneId> nodes =
                 settings.nodes().entrySet().stream()
                         .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().zone()));
         PeerSettings peers = settings.peers();
-        return new EpochPolicy(mParts.self(), nodes, peers.silence(), peers.heartbeat());
+        EpochPolicy policy =
+                new EpochPolicy(mParts.self(), nodes, peers.silence(), peers.heartbeat());
+        return new EpochParts(mParts.self(), mWriter, policy, mParts.liveness(), mClock);
     }
 }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardController.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/LoopActor.java
@@ -1,19 +1,20 @@
 package org.foxtailplank.controller.internal.act;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
-import org.foxtailplank.id.ZoneId;
 
-/** Runs the loop of a shard as an actor, so that it never runs on two threads at once. */
-public final class ShardController extends AbstractBehavior<ShardController.Command> {
-    /** What the shard is told. */
+/** Runs a loop as an actor, so that it never runs on two threads at once. */
+public final class LoopActor extends AbstractBehavior<LoopActor.Command> {
+    /** What the loop is told. */
     public sealed interface Command {}
 
     /** It is time to look, or the state has changed. */
@@ -23,24 +24,29 @@
 
     private record Deliver(Runnable handler) implements Command {}
 
-    private final ShardLoop mLoop;
+    private final Runnable mLook;
 
-    /** The behavior of the shard of a zone. */
-    public static Behavior<Command> of(ZoneId zone, ShardParts parts) {
+    /**
+     * The behavior of a loop.
+     *
+     * @param loop makes the loop's look from the mailbox that brings back its results
+     * @param lookEvery time between looks where nothing changes
+     */
+    public static Behavior<Command> of(Function<Mailbox, Runnable> loop, Duration lookEvery) {
         return Behaviors.setup(
                 context ->
                         Behaviors.withTimers(
-                                timers -> new ShardController(context, timers, zone, parts)));
+                                timers -> new LoopActor(context, timers, loop, lookEvery)));
     }
 
-    private ShardController(
+    private LoopActor(
             ActorContext<Command> context,
             TimerScheduler<Command> timers,
-            ZoneId zone,
-            ShardParts parts) {
+            Function<Mailbox, Runnable> loop,
+            Duration lookEvery) {
         super(context);
-        mLoop = new ShardLoop(zone, parts, new PipeToSelf(context));
-        timers.startTimerWithFixedDelay(Look.NOW, ShardLoop.LOOK_EVERY);
+        mLook = loop.apply(new PipeToSelf(context));
+        timers.startTimerWithFixedDelay(Look.NOW, lookEvery);
         context.getSelf().tell(Look.NOW);
     }
 
@@ -53,7 +59,7 @@
     }
 
     private Behavior<Command> onLook(Look look) {
-        mLoop.look();
+        mLook.run();
         return this;
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLook.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLook.java
@@ -2,11 +2,15 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.foxtailplank.controller.internal.plan.LiveTasks;
 import org.foxtailplank.controller.internal.plan.PlannedChange;
+import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.state.EpochState;
 import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.VmState;
 
 /**
  * What a shard needs of the state, read in one go.
@@ -23,10 +27,14 @@
         Duration planning) {
     /** Reads without planning. */
     static ShardLook of(FleetView view, ZoneId zone) {
-        List<PendingVm> pending =
+        List<VmState> due =
                 view.vms().stream()
                         .filter(vm -> vm.zone().equals(zone) && PendingVm.isDue(view, vm))
-                        .map(vm -> PendingVm.of(view, vm))
+                        .toList();
+        Map<VmId, Integer> tasks = due.isEmpty() ? Map.of() : LiveTasks.byWorker(view);
+        List<PendingVm> pending =
+                due.stream()
+                        .map(vm -> PendingVm.of(view, vm, tasks.getOrDefault(vm.id(), 0)))
                         .toList();
         return new ShardLook(view.epoch(zone), pending, Optional.empty(), Duration.ZERO);
     }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
@@ -15,11 +14,9 @@
 import org.foxtailplank.controller.internal.plan.Sight;
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.ZoneId;
-import org.foxtailplank.internal.control.EpochDecision;
 import org.foxtailplank.internal.control.VmStep;
 import org.foxtailplank.process.Log;
 import org.foxtailplank.state.ActingEpoch;
-import org.foxtailplank.state.EpochTaken;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.Verdict;
 
@@ -29,8 +26,8 @@
  * <p>It keeps no plan of its own: each look reads the agreed state again and does what is next, so
  * it doesn't matter which controller wrote an intent. Not thread-safe.
  */
-final class ShardLoop {
-    static final Duration LOOK_EVERY = Duration.ofMillis(250);
+public final class ShardLoop {
+    public static final Duration LOOK_EVERY = Duration.ofMillis(250);
     private static final Log LOG = Log.of("control");
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -42,33 +39,31 @@
     private final ZoneId mZone;
     private final ShardParts mParts;
     private final Mailbox mMailbox;
-    private final Instant mStarted;
+    private final EpochKeeper mEpoch;
     private final Map<VmId, Instant> mNextStep = new HashMap<>();
     private final Set<VmId> mStepping = new HashSet<>();
-    private OptionalLong mHeld = OptionalLong.empty();
-    private Instant mNextTry = Instant.MIN;
     private Instant mNextPlan = Instant.MIN;
-    private boolean mTrying;
     private boolean mLooking;
     private boolean mLookAgain;
     private int mWriting;
 
-    ShardLoop(ZoneId zone, ShardParts parts, Mailbox mailbox) {
+    /** A loop that has done nothing yet. */
+    public ShardLoop(ZoneId zone, ShardParts parts, Mailbox mailbox) {
         mZone = zone;
         mParts = parts;
         mMailbox = mailbox;
-        mStarted = parts.clock().instant();
+        mEpoch = new EpochKeeper(zone, parts.epochs(), mailbox);
     }
 
     /** Looks at the state and does what is next; at most one look is under way. */
-    void look() {
+    public void look() {
         mLookAgain = mLooking;
         if (mLooking) {
             return;
         }
         mLooking = true;
         Instant now = mParts.clock().instant();
-        boolean plans = mHeld.isPresent() && mWriting == 0 && !now.isBefore(mNextPlan);
+        boolean plans = mEpoch.mayHold() && mWriting == 0 && !now.isBefore(mNextPlan);
         mMailbox.deliver(mParts.log().read(view -> look(view, plans, now)), this::looked);
     }
 
@@ -95,53 +90,11 @@
     }
 
     private void decide(ShardLook look) {
-        Instant now = mParts.clock().instant();
-        Duration waited = Duration.between(mStarted, now);
-        EpochDecision decision =
-                mParts.epochs().decide(look.epoch(), mHeld, waited, mParts.liveness());
-        if (decision instanceof EpochDecision.Held) {
-            act(look, now);
-        } else {
-            lose(look.epoch().number());
-        }
-        if (decision instanceof EpochDecision.Take take && !mTrying && !now.isBefore(mNextTry)) {
-            tryEpoch(take);
-        }
-    }
-
-    private void lose(long taken) {
-        if (mHeld.isPresent() && mHeld.getAsLong() < taken) {
-            LOG.warn("Lost epoch {1} of {0} to another controller.", mZone, mHeld.getAsLong());
-            mHeld = OptionalLong.empty();
-        }
+        mEpoch.check(look.epoch(), this::look).ifPresent(epoch -> act(look, epoch));
     }
 
-    private void tryEpoch(EpochDecision.Take take) {
-        mTrying = true;
-        long number = take.replaces() + 1;
-        LOG.info("Tries for epoch {1} of {0}: {2}.", mZone, number, take.why());
-        CompletionStage<Verdict> verdict =
-                mParts.writer()
-                        .write(
-                                mParts.writer().nextId(),
-                                Optional.empty(),
-                                Map.of(),
-                                new EpochTaken(mZone, take.replaces(), mParts.self()));
-        mMailbox.deliver(verdict, v -> epochTried(number, v));
-    }
-
-    private void epochTried(long number, Optional<Verdict> verdict) {
-        mTrying = false;
-        mNextTry = mParts.clock().instant().plus(RETRY_AFTER);
-        if (verdict.filter(Verdict.Applied.class::isInstance).isPresent()) {
-            LOG.info("Holds epoch {1} of {0}.", mZone, number);
-            mHeld = OptionalLong.of(number);
-        }
-        look();
-    }
-
-    private void act(ShardLook look, Instant now) {
-        ActingEpoch epoch = new ActingEpoch(mZone, mHeld.getAsLong());
+    private void act(ShardLook look, ActingEpoch epoch) {
+        Instant now = mParts.clock().instant();
         Set<VmId> pending =
                 look.pending().stream().map(p -> p.vm().id()).collect(Collectors.toSet());
         mParts.runner().keepOnly(pending);
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
@@ -33,6 +33,7 @@
                 atPlatform(report),
                 report.instance().isPresent(),
                 pending.willServe(),
+                pending.tasks(),
                 backend,
                 since(mLeavingSince, report.id(), report.leaving(), now),
                 since(mEndedSince, report.id(), ended && !report.leaving(), now));
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/place/PlacementMind.java
@@ -0,0 +1,279 @@
+package org.foxtailplank.controller.internal.place;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.controller.internal.plan.LiveTasks;
+import org.foxtailplank.fleet.Explanation;
+import org.foxtailplank.fleet.PlacementAction;
+import org.foxtailplank.fleet.PlacementDecision;
+import org.foxtailplank.fleet.PlacementSettings;
+import org.foxtailplank.fleet.Placer;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.fleet.TaskId;
+import org.foxtailplank.fleet.Worker;
+import org.foxtailplank.id.JobId;
+import org.foxtailplank.id.TeamId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.platform.TaskReport;
+import org.foxtailplank.platform.WorkerList;
+import org.foxtailplank.platform.WorkerReport;
+import org.foxtailplank.settings.Settings;
+import org.foxtailplank.settings.VmSettings;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.JobState;
+import org.foxtailplank.state.TaskAction;
+import org.foxtailplank.state.TaskConfirmed;
+import org.foxtailplank.state.TaskOutcome;
+import org.foxtailplank.state.TaskState;
+import org.foxtailplank.state.VmPhase;
+import org.foxtailplank.state.VmState;
+
+/**
+ * Keeps a placer in step with the state and the workers' reports, and asks it what to do.
+ *
+ * <p>It lives as long as one epoch and is used only on the thread that owns the state. What it
+ * knows can be told anew from the log and the workers.
+ */
+final class PlacementMind {
+    private static final int RENEWALS_PER_LEASE = 3;
+
+    private final Settings mSettings;
+    private final long mRenewMs;
+    private final Placer mPlacer;
+    private final Map<VmId, Worker> mWorkers = new HashMap<>();
+    private final Map<JobId, Long> mJobs = new HashMap<>();
+    private final Map<TeamId, Double> mQuotas = new HashMap<>();
+    private final Map<TaskId, Long> mRenewedAt = new HashMap<>();
+    private final Set<TaskId> mCheckpointed = new HashSet<>();
+
+    PlacementMind(Settings settings, PlacementSettings times) {
+        mSettings = settings;
+        mRenewMs = times.lease().dividedBy(RENEWALS_PER_LEASE).toMillis();
+        mPlacer = Placer.indexed(times);
+    }
+
+    /** Takes in the state and the newest reports, and decides. */
+    PlacementLook.Plan plan(FleetView view, Optional<WorkerList> reports, long nowMs) {
+        follow(view, nowMs);
+        reports.ifPresent(list -> list.workers().forEach(w -> report(w, list, nowMs)));
+        PlacementDecision decision = mPlacer.decide(nowMs);
+        List<TaskCall> calls = new ArrayList<>();
+        for (PlacementAction action : decision.actions()) {
+            view.job(action.task().job()).ifPresent(job -> calls.add(call(action, job)));
+        }
+        calls.addAll(checkpoints(view));
+        List<TaskConfirmed> ended = reports.map(list -> news(view, list)).orElseGet(ArrayList::new);
+        for (PlacementDecision.LapsedTask l : decision.lapsed()) {
+            ended.add(confirmed(l.task(), l.worker(), l.attempt(), TaskOutcome.LOST));
+        }
+        return new PlacementLook.Plan(decision, calls, ended, renewals(view, nowMs));
+    }
+
+    /** A worker has renewed a lease. */
+    void renewed(TaskId task, long nowMs) {
+        mPlacer.renewed(task, nowMs);
+    }
+
+    /** Brings the placer to the state without deciding. */
+    void follow(FleetView view, long nowMs) {
+        Map<TeamId, Double> quotas = new HashMap<>();
+        mSettings.teams().forEach((id, t) -> quotas.put(id, view.teamQuota(id).orElse(t.quota())));
+        if (!quotas.equals(mQuotas)) {
+            mQuotas.putAll(quotas);
+            mPlacer.quotas(quotas);
+        }
+        view.vms().forEach(vm -> follow(vm, nowMs));
+        mWorkers.keySet().removeIf(id -> isGone(view, id, nowMs));
+        for (JobState job : view.jobs()) {
+            Long known = mJobs.put(job.id(), job.version());
+            if (known == null || known != job.version()) {
+                mPlacer.job(job, nowMs);
+            }
+        }
+        mJobs.keySet().removeIf(id -> view.job(id).isEmpty());
+    }
+
+    Optional<Explanation> explain(JobId job, long nowMs) {
+        return mPlacer.explain(job, nowMs);
+    }
+
+    private void follow(VmState vm, long nowMs) {
+        VmSettings size = mSettings.vms().get(vm.id());
+        if (size == null) {
+            return;
+        }
+        boolean open =
+                vm.phase() == VmPhase.SERVING && vm.pending().isEmpty() && vm.joining().isEmpty();
+        Resources capacity =
+                Resources.of(size.processors(), size.memoryBytes(), size.accelerators());
+        Worker worker = new Worker(vm.id(), vm.pool(), vm.rack(), capacity, open);
+        if (!worker.equals(mWorkers.put(vm.id(), worker))) {
+            mPlacer.worker(worker, nowMs);
+        }
+    }
+
+    private boolean isGone(FleetView view, VmId id, long nowMs) {
+        boolean gone = view.vm(id).isEmpty();
+        if (gone) {
+            mPlacer.workerGone(id, nowMs);
+        }
+        return gone;
+    }
+
+    private void report(WorkerReport worker, WorkerList list, long nowMs) {
+        List<org.foxtailplank.fleet.WorkerReport.Running> running = new ArrayList<>();
+        for (TaskReport task : worker.tasks()) {
+            if (isLive(task)) {
+                running.add(
+                        new org.foxtailplank.fleet.WorkerReport.Running(
+                                id(task), task.attempt(), used(task)));
+            }
+        }
+        mPlacer.report(
+                new org.foxtailplank.fleet.WorkerReport(
+                        worker.id(), list.asOf().toEpochMilli(), running),
+                nowMs);
+    }
+
+    private static boolean isLive(TaskReport task) {
+        return task.status() == TaskReport.Status.STARTING
+                || task.status() == TaskReport.Status.RUNNING;
+    }
+
+    private static TaskId id(TaskReport report) {
+        return new TaskId(report.task().job(), report.task().index());
+    }
+
+    private static Resources used(TaskReport task) {
+        return new Resources(
+                Math.round(task.processors() * Duration.ofSeconds(1).toMillis()),
+                task.memoryBytes(),
+                0);
+    }
+
+    /** What workers say became of their tasks, where the log does not say so yet. */
+    private static List<TaskConfirmed> news(FleetView view, WorkerList list) {
+        List<TaskConfirmed> news = new ArrayList<>();
+        for (WorkerReport worker : list.workers()) {
+            for (TaskReport report : worker.tasks()) {
+                TaskId id = id(report);
+                outcome(report)
+                        .filter(o -> isNews(view, worker.id(), report, o))
+                        .map(o -> confirmed(id, worker.id(), report.attempt(), o))
+                        .ifPresent(news::add);
+            }
+        }
+        return news;
+    }
+
+    private static boolean isNews(
+            FleetView view, VmId worker, TaskReport report, TaskOutcome outcome) {
+        return task(view, id(report))
+                .filter(t -> t.worker().equals(worker) && t.attempt() == report.attempt())
+                .filter(t -> t.outcome().map(o -> !o.isEnded() && o != outcome).orElse(true))
+                .isPresent();
+    }
+
+    private static Optional<TaskOutcome> outcome(TaskReport report) {
+        return switch (report.status()) {
+            case STARTING -> Optional.empty();
+            case RUNNING -> Optional.of(TaskOutcome.RUNNING);
+            case SUCCEEDED -> Optional.of(TaskOutcome.SUCCEEDED);
+            case FAILED -> Optional.of(TaskOutcome.FAILED);
+            case STOPPED -> Optional.of(TaskOutcome.STOPPED);
+            case LOST -> Optional.of(TaskOutcome.LOST);
+        };
+    }
+
+    private static TaskConfirmed confirmed(
+            TaskId task, VmId worker, long attempt, TaskOutcome outcome) {
+        return new TaskConfirmed(task.job(), task.index(), worker, attempt, outcome);
+    }
+
+    private static Optional<TaskState> task(FleetView view, TaskId id) {
+        return view.job(id.job()).map(job -> job.tasks().get(id.index()));
+    }
+
+    /** Tasks on VMs that are to stop write a checkpoint, and go on elsewhere. */
+    private List<TaskCall> checkpoints(FleetView view) {
+        List<TaskCall> calls = new ArrayList<>();
+        Set<TaskId> still = new HashSet<>();
+        for (JobState job : view.jobs()) {
+            job.tasks()
+                    .forEach(
+                            (index, task) -> {
+                                TaskId id = new TaskId(job.id(), index);
+                                if (!mustLeave(view, task)) {
+                                    return;
+                                }
+                                still.add(id);
+                                if (mCheckpointed.add(id)) {
+                                    calls.add(checkpoint(id, task, job));
+                                }
+                            });
+        }
+        mCheckpointed.retainAll(still);
+        return calls;
+    }
+
+    private static boolean mustLeave(FleetView view, TaskState task) {
+        return LiveTasks.isLive(task)
+                && view.vm(task.worker())
+                        .filter(
+                                vm ->
+                                        vm.phase() == VmPhase.STOPPING
+                                                || vm.phase() == VmPhase.RELEASING)
+                        .isPresent();
+    }
+
+    private static TaskCall checkpoint(TaskId id, TaskState task, JobState job) {
+        return call(
+                new PlacementAction(
+                        id,
+                        task.worker(),
+                        TaskAction.CHECKPOINT,
+                        task.attempt(),
+                        task.action() == TaskAction.CHECKPOINT,
+                        "its worker is to stop"),
+                job);
+    }
+
+    private static TaskCall call(PlacementAction action, JobState job) {
+        boolean ran =
+                Optional.ofNullable(job.tasks().get(action.task().index()))
+                        .filter(t -> t.attempt() == action.attempt())
+                        .flatMap(TaskState::outcome)
+                        .filter(o -> o == TaskOutcome.RUNNING)
+                        .isPresent();
+        return new TaskCall(action, job.spec(), ran);
+    }
+
+    private List<Renewal> renewals(FleetView view, long nowMs) {
+        List<Renewal> due = new ArrayList<>();
+        Set<TaskId> live = new HashSet<>();
+        for (JobState job : view.jobs()) {
+            job.tasks()
+                    .forEach(
+                            (index, task) -> {
+                                TaskId id = new TaskId(job.id(), index);
+                                if (!LiveTasks.isLive(task)) {
+                                    return;
+                                }
+                                live.add(id);
+                                long last = mRenewedAt.computeIfAbsent(id, t -> nowMs);
+                                if (nowMs - last >= mRenewMs) {
+                                    mRenewedAt.put(id, nowMs);
+                                    due.add(new Renewal(id, task.worker(), task.attempt()));
+                                }
+                            });
+        }
+        mRenewedAt.keySet().retainAll(live);
+        return due;
+    }
+}
--- /dev/null
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/place/PlacementParts.java
@@ -0,0 +1,29 @@
+package org.foxtailplank.controller.internal.place;
+
+import java.time.InstantSource;
+import org.foxtailplank.controller.internal.act.EpochParts;
+import org.foxtailplank.controller.internal.act.RecordWriter;
+import org.foxtailplank.fleet.PlacementSettings;
+import org.foxtailplank.platform.FleetLog;
+import org.foxtailplank.platform.Workers;
+import org.foxtailplank.settings.Settings;
+
+/**
+ * What placement works with.
+ *
+ * @param settings sizes of VMs and quotas of teams
+ * @param times times and bounds of placement
+ * @param log the agreed state
+ * @param writer writes records
+ * @param workers the workers
+ * @param epochs what it takes to hold the shard's epoch
+ * @param clock time of leases and reports
+ */
+public record PlacementParts(
+        Settings settings,
+        PlacementSettings times,
+        FleetLog log,
+        RecordWriter writer,
+        Workers workers,
+        EpochParts epochs,
+        InstantSource clock) {}
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestNode.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestNode.java
@@ -49,11 +49,14 @@
                         fleet.clock());
         ShardParts parts =
                 new ShardParts(
-                        self,
                         mLog,
                         writer,
-                        new EpochPolicy(self, TestFleet.NODES, SILENCE, STAGGER),
-                        node -> silent.contains(node) ? Duration.ofHours(1) : Duration.ZERO,
+                        new EpochParts(
+                                self,
+                                writer,
+                                new EpochPolicy(self, TestFleet.NODES, SILENCE, STAGGER),
+                                node -> silent.contains(node) ? Duration.ofHours(1) : Duration.ZERO,
+                                fleet.clock()),
                         new FleetPlanner(
                                 name,
                                 WavePlanner.byRack(),
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmProcedure.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmProcedure.java
@@ -97,7 +97,8 @@
             String left =
                     seen.backend().map(b -> b.inFlight() + " in flight").orElse("no health answer");
             return Drain.done(
-                    "drain timed out after " + mWaits.drainTimeout().toMillis() + " ms, " + left);
+                    "drain timed out after %d ms, %s, %d tasks"
+                            .formatted(mWaits.drainTimeout().toMillis(), left, seen.tasks()));
         }
         // A request may be on its way from an entry that has not seen the VM leave yet: in flight
         // is 0 for a moment, then it arrives and the stop cuts it off. Entries send nothing new
@@ -105,6 +106,9 @@
         if (seen.draining().compareTo(mWaits.settle()) < 0) {
             return Drain.next(new VmStep.Wait("entries to learn that it leaves"));
         }
+        if (seen.tasks() > 0) {
+            return Drain.next(new VmStep.Wait(seen.tasks() + " tasks to write checkpoints"));
+        }
         if (!seen.hasInstance()) {
             return Drain.done("no backend server on it");
         }
--- a/foxtail-core/src/test/java/org/foxtailplank/internal/control/VmProcedureTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/control/VmProcedureTest.java
@@ -77,11 +77,15 @@
         assertEquals(
                 next(rebooting(), draining, BUSY, TIMEOUT),
                 new VmStep.AskAction(
-                        call, VmAction.REBOOT, "drain timed out after 60000 ms, 1 in flight"));
+                        call,
+                        VmAction.REBOOT,
+                        "drain timed out after 60000 ms, 1 in flight, 0 tasks"));
         assertEquals(
                 next(rebooting(), draining, Optional.empty(), TIMEOUT),
                 new VmStep.AskAction(
-                        call, VmAction.REBOOT, "drain timed out after 60000 ms, no health answer"));
+                        call,
+                        VmAction.REBOOT,
+                        "drain timed out after 60000 ms, no health answer, 0 tasks"));
     }
 
     @Test
@@ -118,7 +122,13 @@
     public void countsAVmThatNeverServesAgainAsFailed() {
         VmObservation seen =
                 new VmObservation(
-                        ended(Progress.DONE), true, true, Optional.empty(), Duration.ZERO, TIMEOUT);
+                        ended(Progress.DONE),
+                        true,
+                        true,
+                        0,
+                        Optional.empty(),
+                        Duration.ZERO,
+                        TIMEOUT);
         assertEquals(
                 mProcedure.next(rebooting(), seen),
                 new VmStep.Confirm(ActionOutcome.FAILED, "no service 60000 ms after it"));
@@ -170,6 +180,22 @@
                 new VmStep.Confirm(ActionOutcome.DONE, "its backend server serves"));
     }
 
+    @Test
+    public void waitsForTheCheckpointsOfItsTasks() {
+        VmObservation seen =
+                new VmObservation(
+                        up(true, 16, "vm-4-drain"),
+                        false,
+                        false,
+                        2,
+                        Optional.empty(),
+                        SETTLE,
+                        Duration.ZERO);
+        assertEquals(
+                mProcedure.next(rebooting(), seen),
+                new VmStep.Wait("2 tasks to write checkpoints"));
+    }
+
     @Test
     public void doesNothingForAVmWithNothingPending() {
         VmState vm = vm(VmPhase.SERVING, Optional.empty(), Optional.empty());
@@ -181,7 +207,7 @@
     private VmStep next(
             VmState vm, VmAtPlatform report, Optional<BackendReport> backend, Duration draining) {
         return mProcedure.next(
-                vm, new VmObservation(report, true, true, backend, draining, Duration.ZERO));
+                vm, new VmObservation(report, true, true, 0, backend, draining, Duration.ZERO));
     }
 
     private static VmAtPlatform up(boolean leaving, long generation, String lastAction) {
