Placement is carried out: leases, renewals, checkpoints before a stop

Cause: the placer decided and nobody asked the workers. Ruled out: taking 'unknown task' as stopped for an attempt that never ran. A start that is still on its way would run beside the next attempt; such an attempt ends with its lease. Conclusion: PlacementActingTest kills and pauses a controller at each call; no task runs in two places at once.

--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/FakePlatform.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/FakePlatform.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.RackId;
 import org.foxtailplank.id.ServiceId;
@@ -49,6 +50,7 @@
     private final List<String> mCutOff = new ArrayList<>();
     private boolean mAway;
     private int mLostAnswers;
+    private Consumer<String> mOnStop = vm -> {};
 
     private static final class Vm {
         private VmId mId;
@@ -109,6 +111,11 @@
         mVms.get(VmId.of(id)).mStuck = true;
     }
 
+    /** Is called with a VM at the moment at which it is stopped. */
+    void onStop(Consumer<String> onStop) {
+        mOnStop = onStop;
+    }
+
     /** Actions that took effect, in order, as {@code action vm}. */
     List<String> effects() {
         return mEffects;
@@ -196,6 +203,9 @@
         if (inFlight(vm) > 0) {
             mCutOff.add(request.action() + " " + vm.mId);
         }
+        if (request.action() != PlatformAction.WAKE) {
+            mOnStop.accept(vm.mId.value());
+        }
         vm.mDrained = Optional.empty();
         vm.mPoolGeneration = request.poolGeneration();
         vm.mPool = request.pool();
--- /dev/null
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/PlacementActingTest.java
@@ -0,0 +1,210 @@
+package org.foxtailplank.controller.internal.act;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Predicate;
+import org.foxtailplank.id.JobId;
+import org.foxtailplank.id.NodeId;
+import org.foxtailplank.id.PoolId;
+import org.foxtailplank.id.TeamId;
+import org.foxtailplank.id.VmId;
+import org.foxtailplank.request.RequestClass;
+import org.foxtailplank.state.Change;
+import org.foxtailplank.state.FleetView;
+import org.foxtailplank.state.JobCancelled;
+import org.foxtailplank.state.JobSpec;
+import org.foxtailplank.state.JobState;
+import org.foxtailplank.state.JobSubmitted;
+import org.foxtailplank.state.ObjectKey;
+import org.foxtailplank.state.TaskOutcome;
+import org.foxtailplank.state.TaskState;
+import org.testng.annotations.Test;
+
+/** Tasks run to their end, and no task runs in two places at once. */
+public class PlacementActingTest {
+    private static final JobId JOB = JobId.of("assess");
+    private static final int TASKS = 6;
+    private static final long MEMORY = 1L << 30;
+    private static final Predicate<FleetView> DONE = view -> ended(view) == TASKS;
+
+    @Test
+    public void runsEveryTaskOnce() {
+        TestFleet fleet = new TestFleet();
+        submit(fleet);
+        fleet.runUntil(DONE, fleet.start("a-1", Interruption.none()));
+        assertEquals(fleet.workers().starts(), TASKS);
+    }
+
+    /** Workers start tasks, and their answers are lost. Asked again they must not start anew. */
+    @Test
+    public void runsEveryTaskOnceThoughAnswersAreLost() {
+        TestFleet fleet = new TestFleet();
+        submit(fleet);
+        fleet.workers().loseAnswers(TASKS);
+        fleet.runUntil(DONE, fleet.start("a-1", Interruption.none()));
+        assertEquals(fleet.workers().starts(), TASKS);
+    }
+
+    /** Tasks run longer than a lease: it is renewed in time. */
+    @Test
+    public void keepsLeasesOfLongTasks() {
+        TestFleet fleet = new TestFleet();
+        fleet.workers().setTaskTime(Duration.ofMinutes(3));
+        submit(fleet);
+        fleet.runUntil(DONE, fleet.start("a-1", Interruption.none()));
+        assertEquals(fleet.workers().starts(), TASKS);
+    }
+
+    /**
+     * The platform is gone for longer than a lease. Workers stop the tasks, and only after that are
+     * they started again elsewhere.
+     */
+    @Test
+    public void startsTasksAgainOnlyAfterTheirLeasesHaveLapsed() {
+        TestFleet fleet = new TestFleet();
+        fleet.workers().setTaskTime(Duration.ofMinutes(1));
+        TestNode node = fleet.start("a-1", Interruption.none());
+        submit(fleet);
+        fleet.runUntil(view -> running(view) == TASKS, node);
+        fleet.workers().setAway(true);
+        fleet.run(Duration.ofMinutes(2), node);
+        fleet.workers().setAway(false);
+        fleet.runUntil(DONE, node);
+        assertEquals(fleet.workers().doubleRuns(), List.of());
+        assertTrue(fleet.workers().starts() > TASKS, "no lease lapsed");
+    }
+
+    /**
+     * The controller dies before or after any of its calls. A start whose intent is in the log is
+     * asked for again under the same attempt; the worker that has it answers alike.
+     */
+    @Test
+    public void runsNothingTwiceAfterAControllerDiedAtAnyStep() {
+        int steps = 0;
+        for (boolean afterEffect : new boolean[] {false, true}) {
+            for (int call = 0; killedAt(call, afterEffect); call++) {
+                steps++;
+            }
+        }
+        assertTrue(steps > 20, "only " + steps + " steps");
+    }
+
+    private static boolean killedAt(int call, boolean afterEffect) {
+        TestFleet fleet = new TestFleet();
+        submit(fleet);
+        Interruption kill = Interruption.killAt(call, afterEffect);
+        TestNode first = fleet.start("a-1", kill);
+        fleet.runUntil(view -> kill.isDead() || DONE.test(view), first);
+        if (!kill.isDead()) {
+            return false;
+        }
+        fleet.silent().add(NodeId.of("a-1"));
+        fleet.runUntil(DONE, fleet.start("a-2", Interruption.none()));
+        assertEquals(fleet.workers().doubleRuns(), List.of());
+        return true;
+    }
+
+    /**
+     * The controller is paused before or after any of its calls, until another one has finished the
+     * job. Then it makes its call: a worker would run a finished task again.
+     */
+    @Test
+    public void runsNothingTwiceForAControllerThatWasPausedAtAnyStep() {
+        int steps = 0;
+        for (boolean afterEffect : new boolean[] {false, true}) {
+            for (int call = 0; pausedAt(call, afterEffect); call++) {
+                steps++;
+            }
+        }
+        assertTrue(steps > 20, "only " + steps + " steps");
+    }
+
+    private static boolean pausedAt(int call, boolean afterEffect) {
+        TestFleet fleet = new TestFleet();
+        submit(fleet);
+        TestNode[] second = new TestNode[1];
+        Runnable whilePaused =
+                () -> {
+                    fleet.silent().add(NodeId.of("a-1"));
+                    second[0] = fleet.start("a-2", Interruption.none());
+                    fleet.runUntil(DONE, second[0]);
+                    fleet.silent().clear();
+                };
+        TestNode first = fleet.start("a-1", Interruption.at(call, afterEffect, whilePaused));
+        fleet.runUntil(DONE, first);
+        if (second[0] == null) {
+            return false;
+        }
+        fleet.run(TestFleet.A_WHILE, first, second[0]);
+        assertEquals(fleet.workers().doubleRuns(), List.of());
+        return true;
+    }
+
+    /** A VM that runs tasks is maintained: they write a checkpoint first and go on elsewhere. */
+    @Test
+    public void movesTasksAwayBeforeTheirWorkerIsRebooted() {
+        TestFleet fleet = new TestFleet();
+        fleet.workers().setTaskTime(Duration.ofMinutes(5));
+        TestNode node = fleet.start("a-1", Interruption.none());
+        submit(fleet);
+        fleet.runUntil(view -> running(view) == TASKS, node);
+        fleet.platform()
+                .onStop(
+                        vm ->
+                                assertEquals(
+                                        fleet.workers().running(VmId.of(vm)),
+                                        0,
+                                        vm + " has tasks"));
+        fleet.startWave("w");
+        fleet.runUntil(view -> view.vms().stream().allMatch(vm -> vm.lastMaintained() > 0), node);
+        fleet.runUntil(DONE, node);
+        assertEquals(fleet.workers().doubleRuns(), List.of());
+    }
+
+    @Test
+    public void stopsTheTasksOfACancelledJob() {
+        TestFleet fleet = new TestFleet();
+        fleet.workers().setTaskTime(Duration.ofHours(1));
+        TestNode node = fleet.start("a-1", Interruption.none());
+        submit(fleet);
+        fleet.runUntil(view -> running(view) == TASKS, node);
+        ObjectKey key = ObjectKey.of(JOB);
+        Change cancel = new JobCancelled(JOB, TestFleet.OPERATOR);
+        assertTrue(fleet.order(cancel, key, fleet.view().version(key)).isApplied());
+        fleet.runUntil(view -> running(view) == 0, node);
+        fleet.run(TestFleet.A_WHILE, node);
+        assertEquals(fleet.workers().starts(), TASKS);
+    }
+
+    private static void submit(TestFleet fleet) {
+        JobSpec spec =
+                new JobSpec(
+                        TeamId.of("survey"),
+                        PoolId.of("claims"),
+                        RequestClass.BATCH,
+                        1,
+                        MEMORY,
+                        0,
+                        TASKS);
+        Change change = new JobSubmitted(JOB, spec, TestFleet.OPERATOR);
+        assertTrue(fleet.order(change, ObjectKey.of(JOB), 0).isApplied());
+    }
+
+    private static long ended(FleetView view) {
+        return count(view, TaskOutcome.SUCCEEDED);
+    }
+
+    private static long running(FleetView view) {
+        return count(view, TaskOutcome.RUNNING);
+    }
+
+    private static long count(FleetView view, TaskOutcome outcome) {
+        return view.job(JOB).map(JobState::tasks).orElseThrow().values().stream()
+                .map(TaskState::outcome)
+                .filter(o -> o.filter(outcome::equals).isPresent())
+                .count();
+    }
+}
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestFleet.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestFleet.java
@@ -2,9 +2,11 @@
 
 import static org.testng.Assert.assertTrue;
 
+import java.net.URI;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -18,6 +20,9 @@
 import org.foxtailplank.id.WaveId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.settings.FleetSettings;
+import org.foxtailplank.settings.Settings;
+import org.foxtailplank.settings.VmSettings;
+import org.foxtailplank.standin.SmallDeployment;
 import org.foxtailplank.state.Author;
 import org.foxtailplank.state.Change;
 import org.foxtailplank.state.ConfigurationPublished;
@@ -48,12 +53,16 @@
     private static final Duration TICK = Duration.ofMillis(250);
     private static final int MAX_TICKS = 2_000;
     private static final String[] SERVICES = {"claims", "quotes"};
+    private static final int PROCESSORS = 8;
+    private static final long MEMORY = 32L << 30;
     private static final int RACKS = 3;
     private static final int VMS_PER_RACK = 2;
 
     private final FakeClock mClock = new FakeClock();
     private final FakeLog mLog = new FakeLog();
     private final FakePlatform mPlatform = new FakePlatform(mClock);
+    private final Map<VmId, VmSettings> mSizes = new HashMap<>();
+    private final FakeWorkers mWorkers;
     private final Set<NodeId> mSilent = new HashSet<>();
     private final FakeLog.Follower mObserver = mLog.follow(Interruption.none());
     private int mRecords;
@@ -71,9 +80,12 @@
                 String vm = service + "-" + i;
                 String rack = "r" + i / VMS_PER_RACK;
                 mPlatform.add(vm, ZONE.value(), rack, service);
+                mSizes.put(
+                        VmId.of(vm), new VmSettings(RackId.of(rack), ZONE, PROCESSORS, MEMORY, 0));
                 places.put(VmId.of(vm), new VmPlace(ZONE, RackId.of(rack), PoolId.of(service)));
             }
         }
+        mWorkers = new FakeWorkers(mClock, List.copyOf(mSizes.keySet()));
         FleetShape shape = new FleetShape(places, pools, budgets);
         Change change = new ConfigurationPublished("{}", Map.of(), shape, OPERATOR);
         order(change, ObjectKey.configuration(), 0);
@@ -91,6 +103,28 @@
         return mPlatform;
     }
 
+    FakeWorkers workers() {
+        return mWorkers;
+    }
+
+    /** Settings that hold what placement reads: sizes of VMs and quotas of teams. */
+    Settings settings() {
+        Settings small = SmallDeployment.settings(1, URI.create("http://127.0.0.1:1"));
+        return new Settings(
+                small.deployment(),
+                SETTINGS,
+                small.zones(),
+                small.racks(),
+                mSizes,
+                small.services(),
+                small.pools(),
+                small.teams(),
+                small.nodes(),
+                small.platform(),
+                small.peers(),
+                small.limits());
+    }
+
     FleetView view() {
         return mObserver.view();
     }
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestNode.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestNode.java
@@ -7,8 +7,11 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import org.foxtailplank.controller.internal.place.PlacementLoop;
+import org.foxtailplank.controller.internal.place.PlacementParts;
 import org.foxtailplank.controller.internal.plan.FleetPlanner;
 import org.foxtailplank.fleet.BufferPlanner;
+import org.foxtailplank.fleet.PlacementSettings;
 import org.foxtailplank.fleet.WavePlanner;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.internal.control.EpochPolicy;
@@ -23,6 +26,7 @@
     private final Deque<Runnable> mQueue = new ArrayDeque<>();
     private final FakeLog.Follower mLog;
     private final ShardLoop mLoop;
+    private final PlacementLoop mPlacement;
     private final Interruption mInterruption;
 
     /**
@@ -47,16 +51,18 @@
                         new VmProcedure(VmWaits.of(TestFleet.SETTINGS)),
                         writer,
                         fleet.clock());
+        EpochParts epochs =
+                new EpochParts(
+                        self,
+                        writer,
+                        new EpochPolicy(self, TestFleet.NODES, SILENCE, STAGGER),
+                        node -> silent.contains(node) ? Duration.ofHours(1) : Duration.ZERO,
+                        fleet.clock());
         ShardParts parts =
                 new ShardParts(
                         mLog,
                         writer,
-                        new EpochParts(
-                                self,
-                                writer,
-                                new EpochPolicy(self, TestFleet.NODES, SILENCE, STAGGER),
-                                node -> silent.contains(node) ? Duration.ofHours(1) : Duration.ZERO,
-                                fleet.clock()),
+                        epochs,
                         new FleetPlanner(
                                 name,
                                 WavePlanner.byRack(),
@@ -66,6 +72,17 @@
                         runner,
                         fleet.clock());
         mLoop = new ShardLoop(TestFleet.ZONE, parts, this);
+        mPlacement =
+                new PlacementLoop(
+                        new PlacementParts(
+                                fleet.settings(),
+                                PlacementSettings.standard(),
+                                mLog,
+                                writer,
+                                fleet.workers().interruptedBy(interruption),
+                                epochs,
+                                fleet.clock()),
+                        this);
     }
 
     @Override
@@ -81,12 +98,19 @@
     /** Looks once and does all that follows from it, unless it is killed meanwhile. */
     void look() {
         try {
-            mLoop.look();
-            while (!mQueue.isEmpty() && !mInterruption.isDead()) {
-                mQueue.poll().run();
-            }
+            look(mLoop::look);
+            look(mPlacement::look);
         } catch (Interruption.KilledError e) {
             mQueue.clear();
         }
     }
+
+    private void look(Runnable loop) {
+        if (!mInterruption.isDead()) {
+            loop.run();
+        }
+        while (!mQueue.isEmpty() && !mInterruption.isDead()) {
+            mQueue.poll().run();
+        }
+    }
 }
