Log client: batched appends in a budget, lost answers looked up by id

Cause: a lost answer was left to a timeout, and each record cost a call. Ruled out: appending again at once, since a late call lands too.

--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/log/AppendQueueTest.java
@@ -0,0 +1,358 @@
+package org.foxtailplank.internal.log;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.foxtailplank.id.RecordId;
+import org.foxtailplank.internal.membership.Backoff;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Appends through outages, with a clock of the test's own. */
+public final class AppendQueueTest {
+
+    private static final long MILLI = 1_000_000;
+    private static final long LATE = 1000 * MILLI;
+    private static final long HOUR = 3_600_000 * MILLI;
+    private static final int MAX_GROUPS = 100;
+
+    private AppendQueue mQueue;
+    private long mNow;
+
+    @BeforeMethod
+    public void startQueue() {
+        mNow = 0;
+        mQueue = queue(1);
+    }
+
+    @Test
+    public void groupsThatWaitGoOutInOneCall() {
+        offer(1, HOUR);
+        offer(2, HOUR);
+        findEnd(5);
+        assertEquals(appendStep(), List.of(1L, 2L));
+        List<SettledGroup> settled = mQueue.appended(5, 7);
+        assertEquals(settled.get(0).outcome(), new AppendOutcome.Appended(5, 7));
+        assertEquals(settled.get(1).outcome(), new AppendOutcome.Appended(6, 7));
+        assertTrue(mQueue.isEmpty());
+    }
+
+    @Test
+    public void batchIsBounded() {
+        for (long i = 1; i <= 5; i++) {
+            offer(i, HOUR);
+        }
+        findEnd(1);
+        assertEquals(appendStep(), List.of(1L, 2L, 3L));
+    }
+
+    @Test
+    public void queueIsBounded() {
+        for (long i = 1; i <= MAX_GROUPS; i++) {
+            assertTrue(mQueue.offer(group(i, HOUR)));
+        }
+        assertFalse(mQueue.offer(group(MAX_GROUPS + 1, HOUR)));
+    }
+
+    @Test
+    public void refusedBatchGoesOutAgainLater() {
+        offer(1, HOUR);
+        findEnd(1);
+        appendStep();
+        mQueue.refused(mNow);
+        AppendStep.Wait wait = (AppendStep.Wait) mQueue.next(mNow);
+        assertTrue(wait.until() > mNow);
+        mNow = wait.until();
+        assertEquals(appendStep(), List.of(1L));
+    }
+
+    /**
+     * An operator publishes, the platform takes the record, and its answer is lost. The writer
+     * finds the record behind where the stream ended before, and the operator is told that it was
+     * accepted. An append sent again blindly would stand there twice.
+     */
+    @Test
+    public void lostAnswerIsResolvedByReadingBack() {
+        offer(1, HOUR);
+        findEnd(5);
+        appendStep();
+        mQueue.answerLost(mNow);
+        assertEquals(readBackStep(), 5);
+        List<SettledGroup> settled = mQueue.readBack(page(1, 8, item(5, 9), item(6, 1)), mNow);
+        assertEquals(settled.get(0).outcome(), new AppendOutcome.Appended(6, 8));
+        assertTrue(mQueue.isEmpty());
+    }
+
+    /**
+     * The answer is lost, and the first look finds nothing since the call is still on its way. The
+     * writer must not append again before a late call can't come any more: it looks again, and
+     * finds it.
+     */
+    @Test
+    public void appendThatComesLateIsNotRepeated() {
+        offer(1, HOUR);
+        findEnd(5);
+        appendStep();
+        mQueue.answerLost(mNow);
+        readBackStep();
+        assertTrue(mQueue.readBack(page(1, 5), mNow).isEmpty());
+        assertEquals(readBackStep(), 5);
+        List<SettledGroup> settled = mQueue.readBack(page(1, 6, item(5, 1)), mNow);
+        assertEquals(settled.get(0).outcome(), new AppendOutcome.Appended(5, 6));
+    }
+
+    @Test
+    public void batchThatIsNotThereGoesOutAgainOnceItCannotComeLate() {
+        offer(1, HOUR);
+        findEnd(5);
+        appendStep();
+        mQueue.answerLost(mNow);
+        long lost = mNow;
+        while (mNow < lost + LATE) {
+            assertEquals(readBackStep(), 5);
+            mQueue.readBack(page(1, 5), mNow);
+        }
+        assertEquals(appendStep(), List.of(1L));
+    }
+
+    /**
+     * The platform is down for five hours right after it took an append. Nobody is told anything
+     * false: whoever gives up meanwhile is told that it is not known, and the others when it is
+     * back. Tries stay rare, so that the platform is not stormed when it returns.
+     */
+    @Test
+    public void outageOfHoursIsWaitedOut() {
+        offer(1, 10 * HOUR);
+        findEnd(5);
+        appendStep();
+        mQueue.answerLost(mNow);
+        int tries = 0;
+        while (mNow < 5 * HOUR) {
+            readBackStep();
+            mQueue.readFailed(mNow);
+            tries++;
+        }
+        assertTrue(tries < 5 * 3600, "tries: " + tries);
+        readBackStep();
+        List<SettledGroup> settled = mQueue.readBack(page(1, 6, item(5, 1)), mNow);
+        assertEquals(settled.get(0).outcome(), new AppendOutcome.Appended(5, 6));
+    }
+
+    @Test
+    public void whoeverGivesUpIsToldWhatIsKnown() {
+        offer(1, 100 * MILLI);
+        findEnd(5);
+        appendStep();
+        offer(2, 100 * MILLI);
+        mQueue.answerLost(mNow);
+        assertTrue(mQueue.giveUp(99 * MILLI).isEmpty());
+        Map<Long, AppendOutcome> outcomes = byNumber(mQueue.giveUp(100 * MILLI));
+        assertTrue(outcomes.get(1L) instanceof AppendOutcome.Unresolved);
+        assertTrue(outcomes.get(2L) instanceof AppendOutcome.NotAppended);
+        assertTrue(mQueue.isEmpty());
+    }
+
+    /** An outage longer than the retention: the record may have come and gone meanwhile. */
+    @Test
+    public void recordsThatExpiredMeanwhileLeaveItUnresolved() {
+        offer(1, HOUR);
+        findEnd(5);
+        appendStep();
+        mQueue.answerLost(mNow);
+        readBackStep();
+        List<SettledGroup> settled = mQueue.readBack(page(9, 12), mNow);
+        assertTrue(settled.get(0).outcome() instanceof AppendOutcome.Unresolved);
+    }
+
+    @Test
+    public void logThatCameBackShorterLeavesItUnresolved() {
+        offer(1, HOUR);
+        findEnd(5);
+        appendStep();
+        mQueue.answerLost(mNow);
+        readBackStep();
+        List<SettledGroup> settled = mQueue.readBack(page(1, 1), mNow);
+        assertTrue(settled.get(0).outcome() instanceof AppendOutcome.Unresolved);
+        offer(2, HOUR);
+        assertEquals(appendStep(), List.of(2L));
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        Object[][] seeds = new Object[20][];
+        for (int i = 0; i < seeds.length; i++) {
+            seeds[i] = new Object[] {(long) i};
+        }
+        return seeds;
+    }
+
+    /**
+     * Calls are refused, lost before or after they take effect, or take effect late, in random
+     * order. Whatever a caller was told must be what the log says: once where it was appended, not
+     * at all where it was not.
+     */
+    @Test(dataProvider = "seeds")
+    public void callersAreToldWhatTheLogSays(long seed) {
+        Random random = new Random(seed);
+        mQueue = queue(seed);
+        List<Long> log = new ArrayList<>();
+        List<Late> late = new ArrayList<>();
+        Map<Long, AppendOutcome> told = new HashMap<>();
+        long offered = 0;
+        for (int round = 0; round < 2000 || !mQueue.isEmpty(); round++) {
+            if (round < 1000 && random.nextInt(3) == 0) {
+                AppendGroup group = group(offered + 1, mNow + random.nextInt(3000) * MILLI);
+                offered += mQueue.offer(group) ? 1 : 0;
+            }
+            land(late, log);
+            told.putAll(byNumber(step(random, log, late)));
+            told.putAll(byNumber(mQueue.giveUp(mNow)));
+        }
+        mNow += HOUR;
+        land(late, log);
+        assertEquals(told.size(), offered);
+        check(told, log);
+    }
+
+    /** A call that takes effect later than its answer was given up. */
+    private record Late(long at, List<Long> numbers) {}
+
+    private void land(List<Late> late, List<Long> log) {
+        late.removeIf(
+                l -> {
+                    boolean due = l.at() <= mNow;
+                    if (due) {
+                        log.addAll(l.numbers());
+                    }
+                    return due;
+                });
+    }
+
+    private List<SettledGroup> step(Random random, List<Long> log, List<Late> late) {
+        AppendStep step = mQueue.next(mNow);
+        boolean answered = random.nextInt(3) > 0;
+        if (step instanceof AppendStep.Wait wait) {
+            mNow = Math.max(wait.until(), mNow + 1);
+        } else if (step instanceof AppendStep.Idle) {
+            mNow += MILLI;
+        } else if (!answered && !(step instanceof AppendStep.Append)) {
+            mQueue.readFailed(mNow);
+        } else if (step instanceof AppendStep.FindEnd) {
+            mQueue.endFound(log.size() + 1);
+        } else if (step instanceof AppendStep.ReadBack back) {
+            return mQueue.readBack(pageOf(log, back.from(), random.nextInt(3) + 1), mNow);
+        } else if (step instanceof AppendStep.Append append) {
+            return append(random, append, log, late);
+        }
+        return List.of();
+    }
+
+    private List<SettledGroup> append(
+            Random random, AppendStep.Append append, List<Long> log, List<Late> late) {
+        List<Long> numbers = append.groups().stream().map(AppendGroup::number).toList();
+        long first = log.size() + 1;
+        switch (random.nextInt(5)) {
+            case 0 -> mQueue.refused(mNow);
+            case 1 -> mQueue.answerLost(mNow);
+            case 2 -> {
+                log.addAll(numbers);
+                mQueue.answerLost(mNow);
+            }
+            case 3 -> {
+                late.add(new Late(mNow + random.nextInt((int) LATE), numbers));
+                mQueue.answerLost(mNow);
+            }
+            default -> {
+                log.addAll(numbers);
+                return mQueue.appended(first, log.size() + 1);
+            }
+        }
+        return List.of();
+    }
+
+    private static void check(Map<Long, AppendOutcome> told, List<Long> log) {
+        Set<Long> once = new HashSet<>(log);
+        assertEquals(log.size(), once.size(), "a record stands on the log twice");
+        told.forEach(
+                (number, outcome) -> {
+                    if (outcome instanceof AppendOutcome.Appended a) {
+                        assertEquals(log.indexOf(number) + 1, a.first());
+                    } else if (outcome instanceof AppendOutcome.NotAppended) {
+                        assertFalse(once.contains(number), number + " stands on the log");
+                    }
+                });
+    }
+
+    private static AppendQueue queue(long seed) {
+        AppendLimits limits = new AppendLimits(MAX_GROUPS, 3, 1000, LATE);
+        AppendShare share = new AppendShare(1e6, 1, 1, 0, 0);
+        return new AppendQueue(
+                limits, share, new Backoff(10 * MILLI, 2000 * MILLI, new Random(seed)));
+    }
+
+    private void offer(long number, long giveUpAt) {
+        assertTrue(mQueue.offer(group(number, giveUpAt)));
+    }
+
+    private static AppendGroup group(long number, long giveUpAt) {
+        return new AppendGroup(number, List.of(id(number)), 10, giveUpAt);
+    }
+
+    private void findEnd(long end) {
+        assertEquals(nextStep(), new AppendStep.FindEnd());
+        mQueue.endFound(end);
+    }
+
+    private List<Long> appendStep() {
+        AppendStep.Append append = (AppendStep.Append) nextStep();
+        return append.groups().stream().map(AppendGroup::number).toList();
+    }
+
+    private long readBackStep() {
+        return ((AppendStep.ReadBack) nextStep()).from();
+    }
+
+    private AppendStep nextStep() {
+        AppendStep step = mQueue.next(mNow);
+        while (step instanceof AppendStep.Wait wait) {
+            mNow = wait.until();
+            step = mQueue.next(mNow);
+        }
+        return step;
+    }
+
+    private static Map<Long, AppendOutcome> byNumber(List<SettledGroup> settled) {
+        Map<Long, AppendOutcome> outcomes = new HashMap<>();
+        settled.forEach(s -> outcomes.put(s.group().number(), s.outcome()));
+        return outcomes;
+    }
+
+    private static LogPage pageOf(List<Long> log, long from, int limit) {
+        List<LogItem> items = new ArrayList<>();
+        for (long offset = from; offset <= log.size() && items.size() < limit; offset++) {
+            items.add(item(offset, log.get((int) offset - 1)));
+        }
+        return new LogPage(1, log.size() + 1, items);
+    }
+
+    private static LogPage page(long oldest, long end, LogItem... items) {
+        return new LogPage(oldest, end, List.of(items));
+    }
+
+    private static LogItem item(long offset, long number) {
+        return new LogItem(offset, id(number));
+    }
+
+    private static RecordId id(long number) {
+        return RecordId.of("r" + number);
+    }
+}
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/http/PlatformCalls.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/http/PlatformCalls.java
@@ -34,8 +34,8 @@
     private static final long MAX_BODY_BYTES = 16L << 20;
     private static final int MAX_CONNECTIONS = 32;
     private static final int MAX_WAITING = 128;
-    private static final Duration CONNECTION_BACKOFF = Duration.ofMillis(50);
-    private static final Duration MAX_CONNECTION_BACKOFF = Duration.ofMillis(500);
+    private static final Duration CONNECTION_BACKOFF = Duration.ofMillis(10);
+    private static final Duration MAX_CONNECTION_BACKOFF = Duration.ofMillis(200);
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private final URI mAddress;
