--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
@@ -7,6 +7,10 @@
 import org.foxtailplank.cli.internal.command.Command;
 import org.foxtailplank.cli.internal.command.CommandTable;
 import org.foxtailplank.cli.internal.command.Console;
+import org.foxtailplank.cli.internal.config.ConfigCommands;
+import org.foxtailplank.cli.internal.fleet.FleetCommands;
+import org.foxtailplank.cli.internal.fleet.WaveCommands;
+import org.foxtailplank.cli.internal.report.ReportCommands;
 import org.foxtailplank.cli.internal.settings.SettingsCommands;
 import org.foxtailplank.process.ExitCode;
 
@@ -39,6 +43,10 @@
     private static List<Command> commands() {
         List<Command> commands = new ArrayList<>();
         commands.addAll(SettingsCommands.all());
+        commands.addAll(ConfigCommands.all());
+        commands.addAll(FleetCommands.all());
+        commands.addAll(WaveCommands.all());
+        commands.addAll(ReportCommands.all());
         return commands;
     }
 }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
@@ -31,7 +31,7 @@
                         .isPresent();
         return new VmObservation(
                 atPlatform(report),
-                pending.hasInstance(),
+                report.instance().isPresent(),
                 pending.willServe(),
                 backend,
                 since(mLeavingSince, report.id(), report.leaving(), now),
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmObservation.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmObservation.java
@@ -7,7 +7,7 @@
  * What a controller sees of one VM now.
  *
  * @param report the platform's word
- * @param hasInstance whether a backend server is expected on it before the action
+ * @param hasInstance whether the platform says that a backend server runs on it
  * @param willServe whether a backend server is expected on it after the action
  * @param backend the backend server's own word; empty when it does not answer
  * @param draining time for which this controller has seen it leaving
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Target.java
@@ -17,6 +17,7 @@
     private final Candidates mCandidates;
     private int mLimit;
     private int mInFlight;
+    private int mOthers;
     private double mLatency;
     private double mFailures;
     private Health mHealth = Health.SERVING;
@@ -58,9 +59,19 @@
         return mLatency;
     }
 
-    /** Whether nothing new may be sent to it, whatever the load. */
-    public boolean gone() {
-        return !mListed || mHealth != Health.SERVING;
+    /** Whether nothing new may be sent to it, whatever happens to the others. */
+    boolean leaving() {
+        return !mListed || mHealth == Health.LEAVING;
+    }
+
+    /** Whether it takes requests as far as this entry knows, though perhaps it is full now. */
+    boolean healthy() {
+        return mListed && mHealth == Health.SERVING && !ejected();
+    }
+
+    /** Whether it may be asked although it does not look healthy. */
+    boolean mayBeAsked() {
+        return !leaving() && mInFlight < mLimit;
     }
 
     /** Whether it gets nothing until its next trial because it failed too often. */
@@ -100,6 +111,11 @@
         mCandidates.place(this);
     }
 
+    /** How many requests of other entries it had when it was last heard of. */
+    public void heardOfOthers(int inFlight) {
+        mOthers = inFlight;
+    }
+
     /** Ends the time without requests when it is over; the next request is a trial. */
     void wake(long now) {
         if (mEjectedUntil != 0 && now - mEjectedUntil >= 0) {
@@ -116,13 +132,13 @@
     }
 
     boolean open() {
-        return !gone() && mEjectedUntil == 0 && mInFlight < (mOnTrial ? 1 : mLimit);
+        return healthy() && mInFlight < (mOnTrial ? 1 : mLimit);
     }
 
     /** Expected time of one more attempt; failures make an instance dear, not cheap. */
     double cost() {
         double good = 1 - mFailures;
-        return (mInFlight + 1) * (mLatency + 1) / (good * good + 1e-3);
+        return (mInFlight + mOthers + 1) * (mLatency + 1) / (good * good + 1e-3);
     }
 
     int place() {
