--- a/foxtail-cli/src/test/java/org/foxtailplank/cli/FakeFleet.java
+++ b/foxtail-cli/src/test/java/org/foxtailplank/cli/FakeFleet.java
@@ -129,7 +129,7 @@
                         Optional.empty(),
                         Map.of(ObjectKey.configuration(), from),
                         change,
-                        mState.nextOffset());
+                        mState.basis());
         mLog.add(RecordCodec.encode(record));
         return mState.apply(mLog.size(), record);
     }
