--- a/bin/foxtail-run.sh
+++ b/bin/foxtail-run.sh
@@ -1,6 +1,24 @@
 # Starts one Java process from the distribution; the scripts beside this one read it.
 # It builds what isn't built, then replaces the shell, so that signals reach the program itself.
 
+# Flags that the archive of classes and each program share.
+FOXTAIL_FLAGS="-Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xlog:disable -Xlog:all=error:stderr"
+
+# Writes the classes that every program loads into an archive, from which a start is several times
+# faster. The archive is moved into place whole, since several programs may start at once; without
+# one, or with one of other jars, a program starts as well, only slower.
+foxtail_archive() {
+    if [ -f "$archive" ] && [ -z "$(find "$target/dist/lib" "$jar" -newer "$archive" | head -1)" ]; then
+        return
+    fi
+    # shellcheck disable=SC2086
+    if java $FOXTAIL_FLAGS -XX:ArchiveClassesAtExit="$archive.$$" -cp "$class_path" \
+        org.foxtailplank.process.WarmUp >/dev/null 2>&1; then
+        mv -f "$archive.$$" "$archive" 2>/dev/null || true
+    fi
+    rm -f "$archive.$$"
+}
+
 foxtail_exec() {
     main_class="$1"
     shift
@@ -13,7 +31,12 @@
     for jar in "$target"/foxtail-demo-*.jar; do
         class_path="$jar:$target/dist/lib/*"
     done
+    archive="$target/dist/foxtail.jsa"
+    foxtail_archive
+    if [ -f "$archive" ]; then
+        FOXTAIL_FLAGS="$FOXTAIL_FLAGS -XX:SharedArchiveFile=$archive"
+    fi
     # shellcheck disable=SC2086
-    exec java -Xms16m -Xmx"${FOXTAIL_HEAP:-64m}" -Xss512k -XX:+UseSerialGC \
-        -XX:TieredStopAtLevel=1 ${FOXTAIL_JAVA_OPTS:-} -cp "$class_path" "$main_class" "$@"
+    exec java -Xms16m -Xmx"${FOXTAIL_HEAP:-64m}" $FOXTAIL_FLAGS \
+        ${FOXTAIL_JAVA_OPTS:-} -cp "$class_path" "$main_class" "$@"
 }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/command/CliMessages.java
@@ -181,4 +181,9 @@
     public static String noService(String id) {
         return "the settings have no service \"" + id + "\"; foxtail settings show lists them";
     }
+
+    /** An object is not listed. */
+    public static String noSuch(String kind, String id) {
+        return "there is no " + kind + " \"" + id + "\"; foxtail " + kind + " list lists them";
+    }
 }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/ChangeOptions.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/ChangeOptions.java
@@ -22,10 +22,16 @@
         return mWhy;
     }
 
+    /** Reads the object. */
+    @FunctionalInterface
+    interface Reader {
+        Rows.Versioned read(AdminClient client, String id)
+                throws ProcessException, InterruptedException;
+    }
+
     /** The version that was named, or the object's own. */
-    long from(AdminClient client, Kind<? extends Rows.Versioned> kind)
-            throws ProcessException, InterruptedException {
-        return mFrom == null ? kind.read(client, id()).version() : mFrom;
+    long from(AdminClient client, Reader reader) throws ProcessException, InterruptedException {
+        return mFrom == null ? reader.read(client, id()).version() : mFrom;
     }
 
     /** What a change does with the API. */
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/FleetCommands.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/FleetCommands.java
@@ -186,7 +186,7 @@
                         client.put(
                                 POOLS.pathOf(o.id()) + "/target",
                                 new Bodies.Target(
-                                        o.from(client, POOLS),
+                                        o.from(client, POOLS::read),
                                         o.mTarget,
                                         o.mReserve,
                                         o.who(),
@@ -200,7 +200,8 @@
                 client ->
                         client.post(
                                 VMS.pathOf(o.id()) + "/move",
-                                new Bodies.Move(o.from(client, VMS), o.mTo, o.who(), o.why())));
+                                new Bodies.Move(
+                                        o.from(client, VMS::read), o.mTo, o.who(), o.why())));
     }
 
     private static ExitCode submit(SubmitOptions o, Console console)
@@ -215,7 +216,7 @@
                 client ->
                         client.post(
                                 JOBS.pathOf(o.id()) + "/cancel",
-                                new Bodies.Order(o.from(client, JOBS), o.who(), o.why())));
+                                new Bodies.Order(o.from(client, JOBS::read), o.who(), o.why())));
     }
 
     private static ExitCode quota(QuotaOptions o, Console console)
@@ -226,6 +227,9 @@
                         client.put(
                                 TEAMS.pathOf(o.id()) + "/quota",
                                 new Bodies.Quota(
-                                        o.from(client, TEAMS), o.mQuota, o.who(), o.why())));
+                                        o.from(client, TEAMS::readFromList),
+                                        o.mQuota,
+                                        o.who(),
+                                        o.why())));
     }
 }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Kind.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Kind.java
@@ -26,6 +26,8 @@
  * @param <T> type of its rows
  */
 record Kind<T>(String name, String path, Class<T> type, Table<T> table) {
+    private static final int MAX_LIMIT = 1000;
+
     /** Options of a list. */
     static final class ListOptions extends AdminOptions {
         @Option(name = "--limit", metaVar = "N", usage = "longest list, 1 to 1000")
@@ -85,6 +87,17 @@
         return client.get(pathOf(id)).orEnd().as(type);
     }
 
+    /** Reads one of a kind of which the API serves the list only. */
+    T readFromList(AdminClient client, String id) throws ProcessException, InterruptedException {
+        JsonNode page = client.get(path + "?limit=" + MAX_LIMIT).orEnd().body();
+        for (JsonNode item : page.path("items")) {
+            if (item.path("id").asText().equals(id)) {
+                return new Reply.Ok(item).as(type);
+            }
+        }
+        throw ProcessException.failed(CliMessages.noSuch(name, id));
+    }
+
     private ExitCode list(ListOptions options, Console console)
             throws ProcessException, InterruptedException {
         try (AdminClient client = AdminClient.of(options, console)) {
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/WaveCommands.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/WaveCommands.java
@@ -83,7 +83,9 @@
                                         client.post(
                                                 WAVES.pathOf(o.id()) + "/" + word,
                                                 new Bodies.Order(
-                                                        o.from(client, WAVES), o.who(), o.why()))));
+                                                        o.from(client, WAVES::read),
+                                                        o.who(),
+                                                        o.why()))));
     }
 
     private static ExitCode start(StartOptions o, Console console)
--- a/foxtail-cli/src/test/java/org/foxtailplank/cli/FleetCommandsTest.java
+++ b/foxtail-cli/src/test/java/org/foxtailplank/cli/FleetCommandsTest.java
@@ -114,6 +114,24 @@
         assertTrue(wrong.err().contains("a size with a unit"), wrong.err());
     }
 
+    @Test
+    void aQuotaIsChangedFromTheTeamsVersion() throws Exception {
+        mApi.answers(
+                "GET /v1/teams",
+                200,
+                "{\"items\":[{\"id\":\"claims\",\"quota\":0.4,\"role\":\"operator\","
+                        + "\"version\":8}]}");
+        mApi.answers("PUT /v1/teams/claims/quota", 200, APPLIED);
+        CliRun run = run("team", "quota", "claims", "--quota", "0.5", "--why", "rush");
+        assertEquals(run.code(), ExitCode.DONE, run.err());
+        JsonNode body = Json.parse(mApi.asked().get(1).body());
+        assertEquals(body.path("version").asLong(), 8);
+        assertEquals(body.path("quota").asDouble(), 0.5);
+        run = run("team", "quota", "clams", "--quota", "0.5", "--why", "rush");
+        assertEquals(run.code(), ExitCode.FAILED);
+        assertTrue(run.err().contains("there is no team \"clams\""), run.err());
+    }
+
     @Test
     void aWatchedWaveShowsEachStepOnce() throws Exception {
         mApi.answers("POST /v1/waves", 200, APPLIED);
--- a/foxtail-process/src/main/java/org/foxtailplank/process/PekkoRuntime.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/PekkoRuntime.java
@@ -13,6 +13,7 @@
 import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.http.javadsl.Http;
+import org.slf4j.LoggerFactory;
 
 /** The one actor system of a process, kept small: few threads and quiet logs. */
 public final class PekkoRuntime implements AutoCloseable {
@@ -51,6 +52,8 @@
 
     /** Starts an actor system whose default dispatcher has this many threads. */
     public static PekkoRuntime start(String name, int threads) {
+        // Loggers asked for by several threads while SLF4J sets itself up make it print warnings.
+        LoggerFactory.getILoggerFactory();
         Config config = ConfigFactory.parseString(CONFIG.formatted(threads));
         return new PekkoRuntime(
                 ActorSystem.create(
--- /dev/null
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/WarmUp.java
@@ -0,0 +1,38 @@
+package org.foxtailplank.process;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+
+/**
+ * Serves and makes one HTTP call and ends.
+ *
+ * <p>The start scripts run it once after a build, to write the classes that it loads into a
+ * class-data archive, from which each program then starts faster.
+ */
+public final class WarmUp {
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+    private WarmUp() {}
+
+    /** Runs it. */
+    public static void main(String[] args) throws Exception {
+        Logs.configure(LogFormat.TEXT, System.err);
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try (PekkoRuntime runtime = PekkoRuntime.start("warm-up", 2)) {
+            HttpListener listener =
+                    HttpListener.bind(
+                            runtime,
+                            any,
+                            HealthRoutes.of(
+                                    () -> new Health(Health.SERVING, Map.of()),
+                                    new MetricRegistry()));
+            URI uri = URI.create("http://127.0.0.1:" + listener.address().getPort() + "/health");
+            JsonHttpClient.await(JsonHttpClient.withTimeout(runtime, TIMEOUT).get(uri))
+                    .as(Health.class);
+        }
+    }
+}
