--- a/foxtail-it/src/test/java/org/foxtailplank/it/ArchitectureTest.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/ArchitectureTest.java
@@ -52,12 +52,15 @@
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
-                        "org.apache.pekko..", "io.netty..", "java.nio.file..", "java.nio.channels..")
+                        "org.apache.pekko..",
+                        "io.netty..",
+                        "java.nio.file..",
+                        "java.nio.channels..")
                 .orShould()
                 .dependOnClassesThat()
                 .haveNameMatching(
                         "java\\.lang\\.(Thread|Process.*)|java\\.io\\.File.*|java\\.net\\.(Server)?Socket"
-                                + "|java\\.util\\.concurrent\\.Executor.*|java\\.time\\.Clock")
+                            + "|java\\.util\\.concurrent\\.Executor.*|java\\.time\\.Clock")
                 .check(mClasses);
     }
 
