--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
@@ -147,6 +147,7 @@
         return switch (verdict.reason()) {
             case STALE_VERSION -> sentence(verdict.detail());
             case TOO_LATE -> "The log had gone on too far before it took the change.";
+            case OTHER_HISTORY -> "The log lost records that the change was made on.";
             case MALFORMED -> sentence(verdict.detail());
             case DUPLICATE_ID -> "The same change stands in the log already.";
             case STALE_EPOCH -> "Another controller acts for this zone: " + verdict.detail() + ".";
@@ -168,7 +169,7 @@
     private static String todo(Verdict.Void verdict) {
         return switch (verdict.reason()) {
             case STALE_VERSION -> "Look at 'current', decide again, and send its version.";
-            case DUPLICATE_ID, STALE_EPOCH, TOO_LATE ->
+            case DUPLICATE_ID, STALE_EPOCH, TOO_LATE, OTHER_HISTORY ->
                     "Read the object, and send the change again.";
             case UNKNOWN_OBJECT -> "List what there is with GET, and check the name.";
             case MALFORMED -> "Correct the change; nothing of it took effect.";
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmProcedure.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/control/VmProcedure.java
@@ -2,10 +2,10 @@
 
 import java.util.Optional;
 import org.foxtailplank.internal.control.VmAtPlatform.Power;
+import org.foxtailplank.internal.control.VmAtPlatform.Progress;
 import org.foxtailplank.internal.control.VmAtPlatform.ReportedAction;
 import org.foxtailplank.state.ActionOutcome;
 import org.foxtailplank.state.VmAction;
-import org.foxtailplank.state.VmPhase;
 import org.foxtailplank.state.VmState;
 
 /**
@@ -27,18 +27,26 @@
         if (vm.pending().isPresent()) {
             return nextOfAction(vm, vm.pending().get(), seen);
         }
-        boolean joins = vm.phase() == VmPhase.RELEASED || vm.phase() == VmPhase.OFF;
-        return joins
-                ? vm.joining().<VmStep>map(VmStep.Join::new).orElseGet(VmStep.Nothing::new)
-                : new VmStep.Nothing();
+        if (vm.joining().isPresent()) {
+            Drain drain = drain(PlatformCall.drainForRelease(vm), seen);
+            return drain.step().orElseGet(() -> new VmStep.Join(vm.joining().get(), drain.note()));
+        }
+        return new VmStep.Nothing();
     }
 
     private VmStep nextOfAction(VmState vm, VmAction action, VmObservation seen) {
         VmAtPlatform report = seen.report();
         PlatformCall call = PlatformCall.action(vm);
-        Optional<ReportedAction> own = report.lastAction().filter(a -> a.id().equals(call.id()));
-        if (own.isPresent()) {
-            return afterAction(own.get(), action, seen);
+        PlatformCall wake = PlatformCall.wakeAfterAction(vm);
+        Optional<ReportedAction> last = report.lastAction();
+        if (last.filter(a -> a.id().equals(wake.id())).isPresent()) {
+            return afterAction(last.get(), action, seen);
+        }
+        if (last.filter(a -> a.id().equals(call.id())).isPresent()) {
+            boolean sleeps = last.get().progress() == Progress.DONE && report.power() == Power.DOWN;
+            return action == VmAction.REASSIGN && sleeps
+                    ? new VmStep.AskAction(wake, VmAction.WAKE, "it was reassigned while off")
+                    : afterAction(last.get(), action, seen);
         }
         // The platform has taken a later generation, so this action can never take effect any
         // more. Only another hand on the platform leads here: a later intent needs this one's
@@ -49,7 +57,7 @@
         if (action == VmAction.WAKE) {
             return new VmStep.AskAction(call, action, "nothing runs on it");
         }
-        Drain drain = drain(PlatformCall.drain(vm), seen);
+        Drain drain = drain(PlatformCall.drainBeforeAction(vm), seen);
         return drain.step().orElseGet(() -> new VmStep.AskAction(call, action, drain.note()));
     }
 
@@ -89,7 +97,8 @@
             String left =
                     seen.backend().map(b -> b.inFlight() + " in flight").orElse("no health answer");
             return Drain.done(
-                    "drain timed out after " + mWaits.drainTimeout().toMillis() + " ms, " + left);
+                    "drain timed out after %d ms, %s, %d tasks"
+                            .formatted(mWaits.drainTimeout().toMillis(), left, seen.tasks()));
         }
         // A request may be on its way from an entry that has not seen the VM leave yet: in flight
         // is 0 for a moment, then it arrives and the stop cuts it off. Entries send nothing new
@@ -97,6 +106,9 @@
         if (seen.draining().compareTo(mWaits.settle()) < 0) {
             return Drain.next(new VmStep.Wait("entries to learn that it leaves"));
         }
+        if (seen.tasks() > 0) {
+            return Drain.next(new VmStep.Wait(seen.tasks() + " tasks to write checkpoints"));
+        }
         if (!seen.hasInstance()) {
             return Drain.done("no backend server on it");
         }
