Start scripts: rebuild what is stale and keep an archive of classes; follow options from settings

Cause: a merge left both sides of bin/foxtail-run.sh and an old call in FoxtailNode. Change: both functions kept; FollowOptions.of.

--- a/bin/foxtail-run.sh
+++ b/bin/foxtail-run.sh
@@ -1,7 +1,6 @@
 # Starts one Java process from the distribution; the scripts beside this one read it.
 # It builds what isn't built, then replaces the shell, so that signals reach the program itself.
 
-<<<<<<< HEAD
 # Built means: the jar that starts the demo is there and no source is newer. A build that was broken
 # off, or sources that were updated after it, would otherwise start programs that lack classes.
 foxtail_is_built() {
@@ -11,7 +10,8 @@
         newer=$(find "$root" -path '*/src/main/*' -name '*.java' -newer "$jar" -print -quit)
         [ -z "$newer" ] || return 1
     done
-=======
+}
+
 # Flags that the archive of classes and each program share.
 FOXTAIL_FLAGS="-Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xlog:disable -Xlog:all=error:stderr"
 
@@ -28,7 +28,6 @@
         mv -f "$archive.$$" "$archive" 2>/dev/null || true
     fi
     rm -f "$archive.$$"
->>>>>>> settings
 }
 
 foxtail_exec() {
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -27,6 +27,7 @@
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
 import org.foxtailplank.platform.FleetFollower;
+import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
 import org.foxtailplank.platform.burn.BurnLog;
 import org.foxtailplank.process.Health;
@@ -56,7 +57,6 @@
 
     private static final Duration LIST_INTERVAL = Duration.ofMillis(500);
     private static final Duration BURN_INTERVAL = Duration.ofSeconds(5);
-    private static final int ANSWER_TIMEOUTS = 5;
     private static final Duration BURN_KEPT = Duration.ofHours(24);
 
     private final PekkoRuntime mRuntime;
@@ -89,8 +89,7 @@
                         runtime.system());
         mFleet =
                 FleetFollower.start(
-                        mPlatform.log(),
-                        settings.platform().timeout().multipliedBy(ANSWER_TIMEOUTS));
+                        mPlatform.log(), FollowOptions.of(options.node(), settings.platform()));
         mConfiguration = new ConfigurationFollower(settings, options.node(), mFleet, peers);
         mBurn =
                 BurnLog.of(
