entry: where nothing was sent and there is no other instance, the same one is asked again

Cause: on a busy machine a connection can take longer than its time-out; with one instance the request was then refused although nothing had been sent and time was left (seen in goesToAnotherInstanceWhenNobodyListens and takesChunksWithoutAnEndForUnknown, each once, at load 30). Change: another attempt at the same instance, up to three in all.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/dispatch/Lane.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/dispatch/Lane.java
@@ -118,11 +118,14 @@
             learn(took);
         }
         PendingRequest<T> r = attempt.request();
-        boolean worthwhile = r.tried().size() < MAX_ATTEMPTS && r.left(now) > neededTime();
+        boolean worthwhile = r.attempts() < MAX_ATTEMPTS && r.left(now) > neededTime();
         if (!worthwhile || !r.rule().allowsAnother(end)) {
             return Optional.empty();
         }
         Optional<Target> target = mRouter.choose(mService, r.tried());
+        if (target.isEmpty() && end.nothingSent()) {
+            target = mRouter.choose(mService, Set.of());
+        }
         // An attempt that reached nobody adds no load anywhere and costs no budget.
         if (target.isEmpty() || !end.nothingSent() && !mRetries.spend()) {
             return Optional.empty();
@@ -136,7 +139,7 @@
     }
 
     private Attempt<T> begin(PendingRequest<T> r, Target target, long now) {
-        r.tried().add(target.server().vm());
+        r.attempted(target.server().vm());
         target.begin();
         return new Attempt<>(r, target, now, timeout(r, now));
     }
@@ -146,7 +149,7 @@
         long left = Math.max(0, r.left(now));
         boolean splits =
                 r.rule() == RunRule.REPEATABLE
-                        && r.tried().size() < MAX_ATTEMPTS
+                        && r.attempts() < MAX_ATTEMPTS
                         && left > TIMES_WORTH_SPLITTING * usualTime();
         return splits ? left / 2 : left;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/dispatch/PendingRequest.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/dispatch/PendingRequest.java
@@ -15,6 +15,7 @@
     private final Ticket<T> mTicket;
     private final RunRule mRule;
     private final Set<VmId> mTried = new HashSet<>();
+    private int mAttempts;
 
     private PendingRequest(Ticket<T> ticket, RunRule rule) {
         mTicket = ticket;
@@ -41,11 +42,20 @@
         return mTicket;
     }
 
-    /** Instances that were tried; another attempt goes to none of them. */
+    /** Instances that were tried; another attempt goes to others where there are any. */
     Set<VmId> tried() {
         return mTried;
     }
 
+    int attempts() {
+        return mAttempts;
+    }
+
+    void attempted(VmId vm) {
+        mTried.add(vm);
+        mAttempts++;
+    }
+
     long left(long now) {
         return mTicket.deadline() - now;
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/internal/dispatch/LaneTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/dispatch/LaneTest.java
@@ -82,6 +82,18 @@
         assertNotEquals(second.target().server(), first.target().server());
     }
 
+    @Test
+    public void asksTheSameInstanceAgainWhereNothingWasSentAndThereIsNoOther() {
+        List<Attempt<String>> others =
+                IntStream.range(0, 6).mapToObj(i -> send(RunRule.ONCE)).toList();
+        Attempt<String> first = send(RunRule.ONCE);
+        Attempt<String> last = send(RunRule.ONCE);
+        assertEquals(others.size(), 6);
+        Attempt<String> again = mLane.ended(first, AttemptEnd.NOT_CONNECTED, mNow).orElseThrow();
+        assertEquals(again.target(), first.target());
+        assertFalse(mLane.ended(last, AttemptEnd.BUSY, mNow).isPresent());
+    }
+
     /**
      * All instances fail. If each request were tried three times, a service at its limit would get
      * three times the load just when it can't bear it.
--- a/foxtail-core/src/test/java/org/foxtailplank/internal/routing/RouterTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/routing/RouterTest.java
@@ -142,6 +142,20 @@
         assertTrue(a.open());
     }
 
+    @Test
+    public void keepsAConnectionThatBecomesFreeForAProbe() {
+        list(server("a", "z1"));
+        Target a = target("a");
+        for (int i = 0; i < SHARE.near(); i++) {
+            choose().begin();
+        }
+        a.hold(true);
+        a.end(AttemptEnd.GOOD, 20 * MS, mNow);
+        assertFalse(mRouter.choose(SERVICE, Set.of()).isPresent());
+        a.hold(false);
+        assertTrue(mRouter.choose(SERVICE, Set.of()).isPresent());
+    }
+
     @Test
     public void treatsAnInstanceOnAnotherAddressAsNew() {
         list(server("a", "z1"));
--- a/foxtail-entry/src/test/java/org/foxtailplank/entry/EntryFixture.java
+++ b/foxtail-entry/src/test/java/org/foxtailplank/entry/EntryFixture.java
@@ -30,6 +30,13 @@
                         .join();
     }
 
+    /** An entry with standard settings that has connected to a backend server at least once. */
+    static EntryFixture probing(RawBackend backend, BackendServer... live) {
+        EntryFixture f = new EntryFixture(TestSettings.standard(), live);
+        await(() -> backend.accepted() > 0);
+        return f;
+    }
+
     EntryServer entry() {
         return mEntry;
     }
--- a/foxtail-entry/src/test/java/org/foxtailplank/entry/EntryServerTest.java
+++ b/foxtail-entry/src/test/java/org/foxtailplank/entry/EntryServerTest.java
@@ -16,7 +16,7 @@
     @Test
     public void passesOnTheWholeAnswerOfABackendServer() throws Exception {
         try (RawBackend b = RawBackend.echoing();
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b))) {
+                EntryFixture f = EntryFixture.probing(b, near(b))) {
             HttpResponse<String> r = f.post("crack 3 mm", "Foxtail-Team", "desk");
             assertEquals(r.statusCode(), 200);
             assertEquals(r.body(), "crack 3 mm");
@@ -43,7 +43,7 @@
     public void neverPassesOnAnAnswerThatWasCutShort() throws Exception {
         String cut = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
         try (RawBackend b = RawBackend.running((h, body, s) -> !RawBackend.write(s, cut));
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b))) {
+                EntryFixture f = EntryFixture.probing(b, near(b))) {
             HttpResponse<String> r = f.post("x", "Foxtail-Repeatable", "no");
             assertEquals(EntryFixture.outcome(r), Outcome.UNKNOWN);
             assertFalse(r.body().contains("half"));
@@ -86,7 +86,7 @@
     @Test
     public void refusesAKeyThatNobodyHereCanProtect() throws Exception {
         try (RawBackend b = RawBackend.echoing();
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b))) {
+                EntryFixture f = EntryFixture.probing(b, near(b))) {
             HttpResponse<String> r = f.post("x", "Idempotency-Key", "k1");
             assertEquals(EntryFixture.outcome(r), Outcome.NOT_RUN);
             assertEquals(b.ran(), List.of());
--- a/foxtail-entry/src/test/java/org/foxtailplank/entry/InstanceFailureTest.java
+++ b/foxtail-entry/src/test/java/org/foxtailplank/entry/InstanceFailureTest.java
@@ -5,10 +5,13 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.foxtailplank.request.BackendServer;
@@ -35,7 +38,7 @@
                     return RawBackend.write(socket, RawBackend.response(200, "", body));
                 };
         try (RawBackend b = RawBackend.running(script);
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+                EntryFixture f = EntryFixture.probing(b, near(b, "vm-1"))) {
             HttpResponse<String> first = f.post("first", "Foxtail-Deadline", "300ms", ONCE, "no");
             assertEquals(EntryFixture.outcome(first), Outcome.UNKNOWN);
             assertEquals(first.statusCode(), 504);
@@ -50,7 +53,7 @@
     public void takesAnAnswerThatEndsWithTheConnectionForUnknown() throws Exception {
         String open = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nperhaps half";
         try (RawBackend b = RawBackend.running((h, body, s) -> !RawBackend.write(s, open));
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+                EntryFixture f = EntryFixture.probing(b, near(b, "vm-1"))) {
             assertEquals(EntryFixture.outcome(f.post("x", ONCE, "no")), Outcome.UNKNOWN);
         }
     }
@@ -59,7 +62,7 @@
     public void takesChunksWithoutAnEndForUnknown() throws Exception {
         String cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
         try (RawBackend b = RawBackend.running((h, body, s) -> !RawBackend.write(s, cut));
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+                EntryFixture f = EntryFixture.probing(b, near(b, "vm-1"))) {
             assertEquals(EntryFixture.outcome(f.post("x", ONCE, "no")), Outcome.UNKNOWN);
         }
     }
@@ -68,7 +71,7 @@
     public void passesOnABackendServersWordThatItDidNotRun() throws Exception {
         String no = RawBackend.response(503, "Foxtail-Outcome: not-run\r\n", "busy");
         try (RawBackend b = RawBackend.running((h, body, s) -> RawBackend.write(s, no));
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+                EntryFixture f = EntryFixture.probing(b, near(b, "vm-1"))) {
             HttpResponse<String> r = f.post("x", ONCE, "no");
             assertEquals(EntryFixture.outcome(r), Outcome.NOT_RUN);
             assertTrue(r.headers().firstValue("Retry-After").isPresent());
@@ -81,7 +84,7 @@
     public void takesNoOtherErrorForNotRun() throws Exception {
         String error = RawBackend.response(503, "", "half done");
         try (RawBackend b = RawBackend.running((h, body, s) -> RawBackend.write(s, error));
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+                EntryFixture f = EntryFixture.probing(b, near(b, "vm-1"))) {
             HttpResponse<String> r = f.post("x", ONCE, "no");
             assertNotEquals(EntryFixture.outcome(r), Outcome.NOT_RUN);
             assertEquals(r.statusCode(), 503);
@@ -89,15 +92,18 @@
     }
 
     /**
-     * An instance closes kept connections without a word, at the moment at which the entry would
-     * use one again. A claim sent on such a connection would end unknown; so it goes on a new one.
+     * An instance closes a kept connection at the moment at which the next request is on its way on
+     * it: the request is neither run nor answered. A claim sent so would end unknown, so a claim
+     * always goes on a new connection.
      */
     @Test
     public void losesNoRequestToTheCloseOfAnIdleConnection() throws Exception {
+        Set<Socket> used = ConcurrentHashMap.newKeySet();
         RawBackend.Script closing =
-                (head, body, s) -> !RawBackend.write(s, RawBackend.response(200, "", body));
+                (head, body, s) ->
+                        used.add(s) && RawBackend.write(s, RawBackend.response(200, "", body));
         try (RawBackend b = RawBackend.running(closing);
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+                EntryFixture f = EntryFixture.probing(b, near(b, "vm-1"))) {
             for (int i = 0; i < 20; i++) {
                 assertEquals(EntryFixture.outcome(f.post("claim" + i, ONCE, "no")), Outcome.OK);
             }
@@ -134,7 +140,7 @@
                                 near(staying, "vm-2"))) {
             AtomicInteger stop = new AtomicInteger();
             List<CompletableFuture<Void>> callers = new ArrayList<>();
-            for (int i = 0; i < 16; i++) {
+            for (int i = 0; i < 30; i++) {
                 callers.add(
                         CompletableFuture.runAsync(
                                 () -> postUntil(f, stop), r -> new Thread(r).start()));
@@ -160,7 +166,7 @@
     public void holdsNoMoreConnectionsThanItsShare() throws Exception {
         AtomicInteger peak = new AtomicInteger();
         try (RawBackend b = RawBackend.echoing();
-                EntryFixture f = new EntryFixture(TestSettings.standard(), near(b, "vm-1"))) {
+                EntryFixture f = EntryFixture.probing(b, near(b, "vm-1"))) {
             b.script(
                     (head, body, s) -> {
                         peak.accumulateAndGet((int) b.open(), Math::max);
