--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/ConfigurationRequest.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/ConfigurationRequest.java
@@ -1,11 +1,13 @@
 package org.foxtailplank.wire;
 
+import org.foxtailplank.state.StatePosition;
+
 /**
  * Asks for what is newer than the asker's state.
  *
- * @param nextOffset next offset that the asker would fold; 0 when it has folded nothing
- * @param snapshotOffset snapshot that is being fetched in chunks; 0 for the newest one
- * @param position first byte wanted of that snapshot
+ * @param position how far the asker is
+ * @param stateNumber rolled-up state that is being fetched in chunks; 0 for the newest one
+ * @param from first byte wanted of it
  */
-public record ConfigurationRequest(long nextOffset, long snapshotOffset, long position)
+public record ConfigurationRequest(StatePosition position, long stateNumber, long from)
         implements PeerMessage {}
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/exchange/PeerStateExchange.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/exchange/PeerStateExchange.java
@@ -3,22 +3,22 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.LongAdder;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.internal.membership.CatchUp;
+import org.foxtailplank.state.StatePosition;
 import org.foxtailplank.wire.ConfigurationAnswer;
 import org.foxtailplank.wire.ConfigurationRequest;
 import org.foxtailplank.wire.PeerLink;
 import org.foxtailplank.wire.PeerMessage;
-import org.foxtailplank.wire.RolledUpState;
 import org.foxtailplank.wire.SharedState;
 import org.foxtailplank.wire.StateExchange;
 import org.foxtailplank.wire.StateExchangeCounts;
 import org.foxtailplank.wire.StateExchangeLimits;
-import org.foxtailplank.wire.StatePosition;
 import org.foxtailplank.wire.TailRecord;
 
 /** The exchange over a peer link; its own state belongs to the link's thread. */
@@ -37,7 +37,6 @@
     private final LongAdder mStatesTaken = new LongAdder();
     private final LongAdder mBytesTaken = new LongAdder();
     private final LongAdder mFailures = new LongAdder();
-    private long mNextOffset;
     private boolean mFetching;
 
     private PeerStateExchange(PeerLink link, SharedState state, StateExchangeLimits limits) {
@@ -77,17 +76,12 @@
     }
 
     private void report() {
-        mState.position().thenAccept(this::moved);
-    }
-
-    private void moved(StatePosition position) {
-        mLink.report(position);
-        mLink.execute(() -> mNextOffset = Math.max(mNextOffset, position.nextOffset()));
+        mLink.report(mState.position());
     }
 
     private void check() {
         if (!mFetching) {
-            mCatchUp.peerToAsk(mNextOffset, mLink.members(), System.nanoTime())
+            mCatchUp.peerToAsk(mState.position(), mLink.members(), System.nanoTime())
                     .ifPresent(peer -> fetch(peer, new ChunkedFetch(mLimits.maxStateBytes())));
         }
     }
@@ -95,34 +89,38 @@
     private void fetch(NodeId peer, ChunkedFetch chunks) {
         mFetching = true;
         ConfigurationRequest request =
-                new ConfigurationRequest(mNextOffset, chunks.offset(), chunks.position());
+                new ConfigurationRequest(mState.position(), chunks.number(), chunks.from());
         mLink.ask(peer, request, mLimits.timeout())
                 .whenComplete(
                         (answer, error) ->
-                                mLink.execute(() -> answered(peer, chunks, answer, error)));
+                                mLink.execute(
+                                        () -> answered(peer, request, chunks, answer, error)));
     }
 
-    private void answered(NodeId peer, ChunkedFetch chunks, PeerMessage message, Throwable error) {
+    private void answered(
+            NodeId peer,
+            ConfigurationRequest request,
+            ChunkedFetch chunks,
+            PeerMessage message,
+            Throwable error) {
         mFetching = false;
         if (error != null) {
             failed(peer, error.getMessage());
         } else if (!(message instanceof ConfigurationAnswer answer)) {
             failed(peer, "its answer is of another kind");
         } else if (!answer.tail().isEmpty()) {
-            takeTail(peer, answer);
-        } else if (answer.snapshotOffset() > mNextOffset) {
+            takeTail(peer, request.position(), answer.tail());
+        } else if (answer.stateNumber() != 0) {
             takeChunk(peer, chunks, answer);
         } else {
-            failed(peer, "it has nothing newer");
+            failed(peer, "it has nothing to hand out");
         }
     }
 
-    private void takeTail(NodeId peer, ConfigurationAnswer answer) {
-        long bytes = answer.tail().stream().mapToLong(r -> r.data().size()).sum();
-        mTailTaken.add(answer.tail().size());
-        mBytesTaken.add(bytes);
-        TailRecord last = answer.tail().get(answer.tail().size() - 1);
-        taken(peer, mState.offerTail(answer.tail()), last.offset() + 1);
+    private void takeTail(NodeId peer, StatePosition position, List<TailRecord> tail) {
+        mTailTaken.add(tail.size());
+        mBytesTaken.add(tail.stream().mapToLong(r -> r.data().size()).sum());
+        offered(peer, mState.offerTail(position, tail));
     }
 
     private void takeChunk(NodeId peer, ChunkedFetch chunks, ConfigurationAnswer answer) {
@@ -131,37 +129,30 @@
             return;
         }
         mBytesTaken.add(answer.chunk().size());
-        Optional<RolledUpState> whole = chunks.whole(answer);
+        Optional<byte[]> whole = chunks.whole(answer);
         if (whole.isEmpty()) {
             fetch(peer, chunks);
             return;
         }
         mStatesTaken.increment();
-        taken(peer, mState.offerRollUp(whole.get()), whole.get().nextOffset());
+        offered(peer, mState.offerRollUp(whole.get()));
     }
 
-    private void taken(NodeId peer, CompletionStage<StatePosition> offered, long wanted) {
+    private void offered(NodeId peer, CompletionStage<Boolean> taken) {
         mFetching = true;
-        offered.whenComplete(
-                (position, error) ->
-                        mLink.execute(
-                                () -> {
-                                    mFetching = false;
-                                    if (error != null) {
-                                        failed(peer, error.getMessage());
-                                    } else if (position.nextOffset() < wanted) {
-                                        failed(peer, "what it has could not be folded");
-                                    } else {
-                                        caughtUp(position);
-                                    }
-                                }));
+        taken.whenComplete(
+                (good, error) -> mLink.execute(() -> offered(peer, error == null && good)));
     }
 
-    private void caughtUp(StatePosition position) {
-        moved(position);
-        mNextOffset = Math.max(mNextOffset, position.nextOffset());
-        mCatchUp.helped(mNextOffset);
-        check();
+    private void offered(NodeId peer, boolean taken) {
+        mFetching = false;
+        if (taken) {
+            report();
+            mCatchUp.helped(mState.position());
+            check();
+        } else {
+            failed(peer, "what it has is not newer or does not fit");
+        }
     }
 
     private void failed(NodeId peer, String why) {
