--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -29,6 +29,7 @@
 import org.foxtailplank.platform.FleetFollower;
 import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
+import org.foxtailplank.platform.SharedFleetState;
 import org.foxtailplank.platform.burn.BurnLog;
 import org.foxtailplank.process.Health;
 import org.foxtailplank.process.HealthRoutes;
@@ -39,6 +40,8 @@
 import org.foxtailplank.settings.Settings;
 import org.foxtailplank.wire.PeerLink;
 import org.foxtailplank.wire.PeerLinkException;
+import org.foxtailplank.wire.StateExchange;
+import org.foxtailplank.wire.StateExchangeLimits;
 
 /**
  * One process of the system: an entry, a controller, or both.
@@ -91,6 +94,7 @@
                 FleetFollower.start(
                         mPlatform.log(), FollowOptions.of(options.node(), settings.platform()));
         mConfiguration = new ConfigurationFollower(settings, options.node(), mFleet, peers);
+        StateExchange.start(peers, SharedFleetState.of(mFleet), StateExchangeLimits.usual());
         mBurn =
                 BurnLog.of(
                         mPlatform.log(),
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/exchange/StateServer.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/exchange/StateServer.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.atomic.LongAdder;
 import org.foxtailplank.wire.ConfigurationAnswer;
 import org.foxtailplank.wire.ConfigurationRequest;
-import org.foxtailplank.wire.RolledUpState;
 import org.foxtailplank.wire.SharedState;
 import org.foxtailplank.wire.StateExchangeLimits;
 import org.foxtailplank.wire.TailRecord;
@@ -19,8 +18,9 @@
     private final SharedState mState;
     private final StateExchangeLimits mLimits;
     private final LongAdder mBytesGiven = new LongAdder();
-    private Optional<RolledUpState> mKept = Optional.empty();
+    private Optional<ByteString> mKept = Optional.empty();
     private long mKeptAt;
+    private long mNumber;
 
     StateServer(SharedState state, StateExchangeLimits limits) {
         mState = state;
@@ -33,45 +33,35 @@
 
     /** Answers by the tail where this node still has it, and by the rolled-up state otherwise. */
     CompletionStage<ConfigurationAnswer> answer(ConfigurationRequest request) {
-        if (request.snapshotOffset() != 0) {
+        if (request.stateNumber() != 0 || mLimits.tailBytes() == 0) {
             return chunk(request);
         }
-        return mState.tail(request.nextOffset(), mLimits.tailBytes())
-                .thenCompose(tail -> tail.isPresent() ? tail(tail.get()) : chunk(request));
+        return mState.tailAfter(request.position(), mLimits.tailBytes())
+                .thenCompose(tail -> tail.isEmpty() ? chunk(request) : tail(tail));
     }
 
     private CompletionStage<ConfigurationAnswer> tail(List<TailRecord> tail) {
         tail.forEach(record -> mBytesGiven.add(record.data().size()));
-        return mState.position()
-                .thenApply(
-                        position ->
-                                new ConfigurationAnswer(
-                                        position.nextOffset(), tail, 0, 0, 0, ByteString.EMPTY));
+        return CompletableFuture.completedFuture(ConfigurationAnswer.of(tail));
     }
 
     private CompletionStage<ConfigurationAnswer> chunk(ConfigurationRequest request) {
-        return rollUp().thenApply(state -> chunkOf(state, request));
+        return rollUp().thenApply(kept -> chunkOf(kept, request));
     }
 
     /** A fetch whose state is no longer kept starts again with the one that is. */
-    private ConfigurationAnswer chunkOf(
-            Optional<RolledUpState> rolledUp, ConfigurationRequest request) {
-        if (rolledUp.isEmpty()) {
-            return new ConfigurationAnswer(0, List.of(), 0, 0, 0, ByteString.EMPTY);
+    private synchronized ConfigurationAnswer chunkOf(
+            Optional<ByteString> kept, ConfigurationRequest request) {
+        if (kept.isEmpty()) {
+            return ConfigurationAnswer.nothing();
         }
-        RolledUpState state = rolledUp.get();
-        ByteString bytes = state.bytes();
-        boolean same = request.snapshotOffset() == state.nextOffset();
-        long from = same ? Math.max(0, Math.min(request.position(), bytes.size())) : 0;
-        int to = (int) Math.min(bytes.size(), from + mLimits.chunkBytes());
+        ByteString bytes = kept.get();
+        boolean same = request.stateNumber() == mNumber;
+        int from = same ? (int) Math.max(0, Math.min(request.from(), bytes.size())) : 0;
+        int to = Math.min(bytes.size(), from + mLimits.chunkBytes());
         mBytesGiven.add(to - from);
         return new ConfigurationAnswer(
-                state.nextOffset(),
-                List.of(),
-                state.nextOffset(),
-                from,
-                bytes.size(),
-                bytes.substring((int) from, to));
+                List.of(), mNumber, from, bytes.size(), bytes.substring(from, to));
     }
 
     /**
@@ -80,7 +70,7 @@
      * <p>Guards against a crowd of nodes that start together: each of their chunks would roll up
      * the state again, and none would belong to the one before.
      */
-    private synchronized CompletionStage<Optional<RolledUpState>> rollUp() {
+    private synchronized CompletionStage<Optional<ByteString>> rollUp() {
         long now = System.nanoTime();
         if (mKept.isPresent() && now - mKeptAt < mLimits.keepRollUp().toNanos()) {
             return CompletableFuture.completedFuture(mKept);
@@ -88,9 +78,10 @@
         return mState.rollUp().thenApply(this::keep);
     }
 
-    private synchronized Optional<RolledUpState> keep(Optional<RolledUpState> state) {
-        mKept = state;
+    private synchronized Optional<ByteString> keep(Optional<byte[]> state) {
+        mKept = state.map(ByteString::copyFrom);
         mKeptAt = System.nanoTime();
-        return state;
+        mNumber++;
+        return mKept;
     }
 }
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Heartbeats.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Heartbeats.java
@@ -22,7 +22,7 @@
                 HeartbeatProto.newBuilder()
                         .setBeat(beat)
                         .setConfigurationVersion(status.configurationVersion())
-                        .setFoldOffset(status.nextOffset())
+                        .setPosition(Positions.encode(status.position()))
                         .addAllLeftTag(left);
         status.load()
                 .inFlight()
@@ -44,7 +44,9 @@
             load.put(proto.getLoadInstance(i), Math.max(0, proto.getLoadInFlight(i)));
         }
         return new NodeStatus(
-                proto.getConfigurationVersion(), proto.getFoldOffset(), new LoadSummary(load));
+                proto.getConfigurationVersion(),
+                Positions.decode(proto.getPosition()),
+                new LoadSummary(load));
     }
 
     static List<BeatNews> news(HeartbeatProto proto) {
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Messages.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Messages.java
@@ -44,9 +44,9 @@
         if (message instanceof ConfigurationRequest m) {
             return envelope.setConfigurationRequest(
                     ConfigurationRequestProto.newBuilder()
-                            .setNextOffset(m.nextOffset())
-                            .setSnapshotOffset(m.snapshotOffset())
-                            .setPosition(m.position()));
+                            .setPosition(Positions.encode(m.position()))
+                            .setStateNumber(m.stateNumber())
+                            .setFrom(m.from()));
         } else if (message instanceof ConfigurationAnswer m) {
             return envelope.setConfigurationAnswer(encode(m));
         } else if (message instanceof AnswerLookup m) {
@@ -98,15 +98,14 @@
 
     private static ConfigurationRequest decode(ConfigurationRequestProto proto) {
         return new ConfigurationRequest(
-                proto.getNextOffset(), proto.getSnapshotOffset(), proto.getPosition());
+                Positions.decode(proto.getPosition()), proto.getStateNumber(), proto.getFrom());
     }
 
     private static ConfigurationAnswerProto encode(ConfigurationAnswer m) {
         ConfigurationAnswerProto.Builder proto =
                 ConfigurationAnswerProto.newBuilder()
-                        .setNextOffset(m.nextOffset())
-                        .setSnapshotOffset(m.snapshotOffset())
-                        .setPosition(m.position())
+                        .setStateNumber(m.stateNumber())
+                        .setFrom(m.from())
                         .setSize(m.size())
                         .setChunk(m.chunk());
         for (TailRecord r : m.tail()) {
@@ -128,12 +127,7 @@
                                                 r.getOffset(), RecordId.of(r.getId()), r.getData()))
                         .toList();
         return new ConfigurationAnswer(
-                proto.getNextOffset(),
-                tail,
-                proto.getSnapshotOffset(),
-                proto.getPosition(),
-                proto.getSize(),
-                proto.getChunk());
+                tail, proto.getStateNumber(), proto.getFrom(), proto.getSize(), proto.getChunk());
     }
 
     private static AnswerLookup decode(AnswerLookupProto proto) {
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/exchange/MemorySharedState.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/exchange/MemorySharedState.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.wire.internal.exchange;
 
 import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -8,12 +9,11 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.foxtailplank.id.RecordId;
-import org.foxtailplank.wire.RolledUpState;
+import org.foxtailplank.state.StatePosition;
 import org.foxtailplank.wire.SharedState;
-import org.foxtailplank.wire.StatePosition;
 import org.foxtailplank.wire.TailRecord;
 
-/** A state that is the text of its records, one character each; each is a configuration. */
+/** A state that is the text of its records, one character each. */
 final class MemorySharedState implements SharedState {
 
     private final StringBuilder mFolded = new StringBuilder();
@@ -21,7 +21,7 @@
     private final int mTailRecords;
     private int mAdopted;
 
-    /** Keeps the newest records of the tail. */
+    /** Keeps so many of the newest records of the tail. */
     MemorySharedState(int tailRecords) {
         mTailRecords = tailRecords;
     }
@@ -41,51 +41,49 @@
     }
 
     @Override
-    public synchronized CompletionStage<StatePosition> position() {
-        long next = mFolded.isEmpty() ? 0 : mFolded.length() + 1;
-        return CompletableFuture.completedFuture(new StatePosition(mFolded.length(), next));
+    public synchronized StatePosition position() {
+        return new StatePosition(0, mFolded.length() + 1, mFolded.toString().hashCode());
     }
 
     @Override
-    public synchronized CompletionStage<Optional<List<TailRecord>>> tail(long from, int maxBytes) {
-        long first = Math.max(1, from);
-        if (first <= mFolded.length() - mTailRecords) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
+    public synchronized CompletionStage<List<TailRecord>> tailAfter(
+            StatePosition position, int maxBytes) {
         List<TailRecord> tail = new ArrayList<>();
-        for (long offset = first; offset <= mFolded.length(); offset++) {
+        long oldest = mFolded.length() - mTailRecords;
+        for (long offset = position.nextOffset();
+                position.nextOffset() > oldest && offset <= mFolded.length();
+                offset++) {
             ByteString data = ByteString.copyFromUtf8("" + mFolded.charAt((int) offset - 1));
             tail.add(new TailRecord(offset, RecordId.of("r" + offset), data));
         }
-        return CompletableFuture.completedFuture(Optional.of(tail));
+        return CompletableFuture.completedFuture(tail);
     }
 
     @Override
-    public synchronized CompletionStage<Optional<RolledUpState>> rollUp() {
-        ByteString bytes = ByteString.copyFromUtf8(mFolded.toString());
-        return CompletableFuture.completedFuture(
-                Optional.of(new RolledUpState(mFolded.length() + 1, bytes))
-                        .filter(s -> !s.bytes().isEmpty()));
+    public synchronized CompletionStage<Optional<byte[]>> rollUp() {
+        byte[] bytes = mFolded.toString().getBytes(StandardCharsets.UTF_8);
+        return CompletableFuture.completedFuture(Optional.of(bytes).filter(b -> b.length > 0));
     }
 
     @Override
-    public synchronized CompletionStage<StatePosition> offerTail(List<TailRecord> tail) {
-        for (TailRecord record : tail) {
-            if (record.offset() == mFolded.length() + 1) {
-                fold(record.data().toStringUtf8());
-            }
+    public synchronized CompletionStage<Boolean> offerTail(
+            StatePosition position, List<TailRecord> tail) {
+        boolean fits = position.equals(position());
+        if (fits) {
+            tail.forEach(record -> fold(record.data().toStringUtf8()));
         }
-        return position();
+        return CompletableFuture.completedFuture(fits);
     }
 
     @Override
-    public synchronized CompletionStage<StatePosition> offerRollUp(RolledUpState state) {
-        if (state.nextOffset() > mFolded.length() + 1) {
+    public synchronized CompletionStage<Boolean> offerRollUp(byte[] state) {
+        boolean newer = state.length > mFolded.length();
+        if (newer) {
             mFolded.setLength(0);
             mAdopted++;
-            fold(state.bytes().toStringUtf8());
+            fold(new String(state, StandardCharsets.UTF_8));
         }
-        return position();
+        return CompletableFuture.completedFuture(newer);
     }
 
     @Override
