--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
@@ -125,6 +125,7 @@
 
     @Override
     public void folded(RecordId id, Verdict verdict) {
+        mPosition = mFollower.state().position();
         mPending.resolve(id, verdict);
     }
 
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/LogFollower.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/LogFollower.java
@@ -127,8 +127,10 @@
         long next = mState.logOffset();
         boolean verify = mVerify && next > 1;
         int asked = mTakeovers;
+        // Before the first answer a wait would only delay the start of whoever needs the state.
+        Duration wait = mMode == FollowMode.FOLLOWING && !verify ? READ_WAIT : Duration.ZERO;
         mOwner.handle(
-                mLog.read(STREAM, verify ? next - 1 : next, READ_LIMIT, READ_WAIT),
+                mLog.read(STREAM, verify ? next - 1 : next, READ_LIMIT, wait),
                 (result, error) -> {
                     if (asked != mTakeovers) {
                         return;
--- a/foxtail-platform/src/test/java/org/foxtailplank/platform/internal/fleet/MemoryPlatformLog.java
+++ b/foxtail-platform/src/test/java/org/foxtailplank/platform/internal/fleet/MemoryPlatformLog.java
@@ -21,6 +21,8 @@
     private final Map<String, List<StoredEntry>> mStreams = new HashMap<>();
     private final Map<String, Long> mOldest = new HashMap<>();
     private final List<Runnable> mWaiting = new ArrayList<>();
+    private long mShownEnd = Long.MAX_VALUE;
+    private boolean mAway;
     private int mRefused;
     private int mLostAnswers;
     private int mAppends;
@@ -40,6 +42,21 @@
         mOldest.put(stream, oldest);
     }
 
+    /** Answers no call until it is back. */
+    synchronized void away(boolean away) {
+        mAway = away;
+    }
+
+    /** Answers reads as if the stream of the fleet ended earlier, as a stale copy of it would. */
+    synchronized void showEnd(long end) {
+        mShownEnd = end;
+        wake();
+    }
+
+    synchronized long end(String stream) {
+        return entries(stream).size() + 1L;
+    }
+
     /** Comes back without the records from an offset on. */
     synchronized void cutOff(String stream, long end) {
         entries(stream).removeIf(e -> e.offset() >= end);
@@ -53,6 +70,10 @@
     @Override
     public synchronized CompletionStage<AppendResult> append(
             String stream, List<LogEntry> entries) {
+        return mAway ? failed("the platform is away", Effect.NONE) : appendAnyway(stream, entries);
+    }
+
+    synchronized CompletionStage<AppendResult> appendAnyway(String stream, List<LogEntry> entries) {
         if (mRefused > 0) {
             mRefused--;
             return failed("refused", Effect.NONE);
@@ -72,8 +93,22 @@
     @Override
     public synchronized CompletionStage<ReadResult> read(
             String stream, long from, int limit, Duration wait) {
+        return read(stream, from, limit, wait, false);
+    }
+
+    synchronized CompletionStage<ReadResult> readAnyway(
+            String stream, long from, int limit, Duration wait) {
+        return read(stream, from, limit, wait, true);
+    }
+
+    private synchronized CompletionStage<ReadResult> read(
+            String stream, long from, int limit, Duration wait, boolean anyway) {
+        if (mAway && !anyway) {
+            return failed("the platform is away", Effect.NONE);
+        }
         List<StoredEntry> stored = entries(stream);
-        long end = stored.size() + 1L;
+        long shown = stream.equals(LogFollower.STREAM) ? mShownEnd : Long.MAX_VALUE;
+        long end = Math.min(shown, stored.size() + 1L);
         long oldest = mOldest.getOrDefault(stream, 1L);
         if (from != end || wait.isZero()) {
             List<StoredEntry> found =
@@ -86,7 +121,7 @@
         CompletableFuture<Void> arrival = new CompletableFuture<>();
         mWaiting.add(() -> arrival.complete(null));
         return arrival.completeOnTimeout(null, wait.toMillis(), TimeUnit.MILLISECONDS)
-                .thenCompose(x -> read(stream, from, limit, Duration.ZERO));
+                .thenCompose(x -> read(stream, from, limit, Duration.ZERO, anyway));
     }
 
     private List<StoredEntry> entries(String stream) {
