--- a/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/DemandBufferPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/DemandBufferPlanner.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.internal.buffer;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,7 +50,9 @@
         Map<PoolId, PoolRacks> racksOf = new TreeMap<>();
         List<VmId> wake = new ArrayList<>();
         List<VmId> sleep = new ArrayList<>();
-        for (PoolState pool : view.pools()) {
+        List<PoolState> inOrder =
+                view.pools().stream().sorted(Comparator.comparing(PoolState::id)).toList();
+        for (PoolState pool : inOrder) {
             PoolHistory before = history.pools().getOrDefault(pool.id(), PoolHistory.none());
             PoolRacks racks = PoolRacks.of(view.vmsOf(pool.id()), seen);
             DemandEstimate demand = estimate(before.demand(), pool, seen, nowMs);
@@ -94,7 +97,7 @@
         int othersServe = Math.max(0, budget.serving() - racks.on());
         long stale = STALE_WAKES * mWakeMs;
         return new WantedCount(
-                demand.now(pool.target(), nowMs, stale),
+                demand.now(pool.target(), nowMs, stale) * demand.unseen(racks.serving()),
                 demand.growth(),
                 Math.max(0, budget.minAvailable() - othersServe),
                 pool.reserve(),
@@ -112,8 +115,8 @@
             long nowMs) {
         int largest = racks.largest();
         int surplus = racks.on() - wanted.given(largest);
-        int shortage = wanted.unbounded(largest) - racks.available() - arriving;
-        int spare = -shortage;
+        int shortage = wanted.firm(largest) - racks.available() - arriving;
+        int spare = racks.available() - wanted.unbounded(largest);
         return new PoolHistory(
                 demand,
                 before.surplus().seen(surplus, nowMs),
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/DemandEstimate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/DemandEstimate.java
@@ -18,6 +18,8 @@
     /** Declared sizes are taken to be wrong by at most this factor, both ways. */
     static final double MOST_WRONG = 4;
 
+    private static final double FULL = 0.95;
+    private static final double UNSEEN = 1.25;
     private static final int MOST_SAMPLES = 24;
     private static final double RATIO_STEP = 0.2;
     private static final double DAY_MS = 24 * 3_600_000.0;
@@ -85,6 +87,17 @@
         return Math.max(0, use.vms() + ratio * (declared - use.declared()));
     }
 
+    /**
+     * Factor by which demand may be above what is measured.
+     *
+     * <p>Guards against a pool that is full: use can't be measured beyond what serves, so a pool
+     * that is too small would look as if it were just large enough, for ever.
+     */
+    double unseen(int serving) {
+        boolean full = last().filter(u -> u.vms() >= FULL * serving).isPresent();
+        return full && serving > 0 ? UNSEEN : 1;
+    }
+
     boolean isFresh(long nowMs, long staleMs) {
         return last().filter(u -> nowMs - u.atMs() <= staleMs).isPresent();
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/PoolRacks.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/PoolRacks.java
@@ -22,6 +22,7 @@
     private final List<VmState> mOff = new ArrayList<>();
     private final List<VmState> mServing = new ArrayList<>();
     private int mOnCount;
+    private int mServingCount;
 
     static PoolRacks of(Iterable<VmState> vms, Observation seen) {
         PoolRacks racks = new PoolRacks();
@@ -37,6 +38,7 @@
         boolean idle = vm.pending().isEmpty() && vm.joining().isEmpty();
         if (Budgets.serves(vm, seen)) {
             turnOn(vm);
+            mServingCount++;
             if (idle) {
                 mServing.add(vm);
             }
@@ -62,6 +64,10 @@
         return mOnCount;
     }
 
+    int serving() {
+        return mServingCount;
+    }
+
     int available() {
         return mOnCount + mOff.size();
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/WantedCount.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/buffer/WantedCount.java
@@ -32,6 +32,16 @@
         return Math.min(available, base(largestRack) + surgeVms(largestRack));
     }
 
+    /**
+     * VMs without which demand or budget would not be met, however many there are.
+     *
+     * <p>Growth is left out: a move takes longer than what it would cover.
+     */
+    int firm(int largestRack) {
+        int forBudget = minAvailable > 0 ? minAvailable + largestRack : 0;
+        return Math.max((int) Math.ceil(demand), forBudget);
+    }
+
     /** VMs wanted without regard to how many there are. */
     int unbounded(int largestRack) {
         return base(largestRack);
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/wave/RackWavePlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/wave/RackWavePlanner.java
@@ -64,7 +64,7 @@
     }
 
     private static boolean isCorrelated(WaveScope scope) {
-        int failed = scope.failed().size();
+        int failed = scope.failures();
         return failed >= FEWEST_FAILURES && failed >= FAILED_SHARE * scope.touchedSinceOrder();
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/wave/WaveScope.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/wave/WaveScope.java
@@ -1,6 +1,9 @@
 package org.foxtailplank.internal.wave;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,6 +24,8 @@
     private final Observation mSeen;
     private final Map<RackId, List<VmState>> mWaiting = new TreeMap<>();
     private final List<VmId> mFailed = new ArrayList<>();
+    private final Map<RackId, Integer> mFailedByRack = new HashMap<>();
+    private final Set<RackId> mUp = new HashSet<>();
     private final List<VmId> mLeftOut = new ArrayList<>();
     private int mSize;
     private int mMaintained;
@@ -41,6 +46,7 @@
                 scope.sort(vm);
             }
         }
+        scope.mWaiting.values().forEach(vms -> vms.sort(Comparator.comparing(VmState::id)));
         return scope;
     }
 
@@ -75,6 +81,9 @@
      */
     private void countFailures(VmState vm, boolean silent) {
         boolean inWave = vm.wave().filter(mWave.id()::equals).isPresent();
+        if (vm.phase() == VmPhase.SERVING && !silent) {
+            mUp.add(vm.rack());
+        }
         boolean touched = inWave || vm.lastMaintained() > mWave.started();
         boolean broke = vm.phase() == VmPhase.BROKEN && touched && vm.version() > mWave.version();
         boolean maintained = vm.lastMaintained() > mWave.version();
@@ -83,7 +92,24 @@
         }
         if (broke || maintained && silent && vm.pending().isEmpty()) {
             mFailed.add(vm.id());
+            mFailedByRack.merge(vm.rack(), 1, Integer::sum);
+        }
+    }
+
+    /**
+     * Failures that may be the wave's doing.
+     *
+     * <p>Guards against a rack that is lost beside the wave: it shows as VMs that fail together,
+     * with nothing left up in their rack, after others came back well. That counts as one failure;
+     * a bad image goes on to break the next rack, which makes two.
+     */
+    int failures() {
+        int failures = 0;
+        for (Map.Entry<RackId, Integer> rack : mFailedByRack.entrySet()) {
+            boolean rackLost = !mUp.contains(rack.getKey()) && mMaintained > 0;
+            failures += rackLost ? 1 : rack.getValue();
         }
+        return failures;
     }
 
     /** VMs that still have to be maintained and could be stopped, by rack. */
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/command/LoadCommand.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/command/LoadCommand.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.foxtailplank.load.internal.fleet.FleetOptions;
+import org.foxtailplank.load.internal.fleet.FleetProgram;
 import org.foxtailplank.process.Launcher;
 
 /** The commands of foxtail-load. */
@@ -11,7 +13,9 @@
     /** Sends load and writes results. */
     RUN("run", "send load, step by step, and write results", LoadCommand::run),
     /** Compares two results. */
-    COMPARE("compare", "compare two results: compare A.json B.json", LoadCommand::compare);
+    COMPARE("compare", "compare two results: compare A.json B.json", LoadCommand::compare),
+    /** Measures the fleet decisions. */
+    FLEET("fleet", "measure fleet decisions against a naive baseline", LoadCommand::fleet);
 
     private final String mName;
     private final String mSummary;
@@ -49,4 +53,9 @@
         Launcher.named("foxtail-load compare")
                 .main(args, new CompareOptions(), new CompareProgram(System.out));
     }
+
+    private static void fleet(String[] args) {
+        Launcher.named("foxtail-load fleet")
+                .main(args, new FleetOptions(), new FleetProgram(System.out));
+    }
 }
