--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/PlacementPass.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/PlacementPass.java
@@ -14,6 +14,9 @@
     /** Jobs of a team that are tried before the team counts as blocked for this pass. */
     private static final int JOBS_TRIED = 8;
 
+    /** Searches for room that others could leave, for other than urgent work in one pass. */
+    private static final int RECLAIMS_TRIED = 4;
+
     /** Places that other than urgent work may be waiting for in one pool. */
     private static final int MOST_RECLAIMS = 8;
 
@@ -24,6 +27,7 @@
     private final long mNowMs;
     private final Set<TeamShare> mBlocked = new HashSet<>();
     private final Set<JobEntry> mBlockedJobs = new HashSet<>();
+    private int mReclaimsTried;
 
     PlacementPass(
             PlacementState state,
@@ -71,9 +75,12 @@
             start(job, room.get(), TaskPhase.PROPOSED, "room on it");
             return true;
         }
-        boolean mayReclaim = mUrgency == RequestClass.URGENT || reclaimsOfPool() < MOST_RECLAIMS;
-        if (!mayReclaim) {
-            return false;
+        if (mUrgency != RequestClass.URGENT) {
+            mReclaimsTried++;
+            boolean tooMany = mReclaimsTried > RECLAIMS_TRIED || reclaimsOfPool() >= MOST_RECLAIMS;
+            if (tooMany) {
+                return false;
+            }
         }
         Optional<Reclaim> way = new Reclaimer(mPool, mState.totalMilli(), mNowMs).find(job);
         way.ifPresent(r -> reclaim(job, r));
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/Reclaimer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/Reclaimer.java
@@ -18,6 +18,7 @@
 final class Reclaimer {
 
     private static final int CANDIDATES = 16;
+    private static final long SHORTEST_RUN_MS = 300_000;
 
     /** Teams that have the most for their quota give way first; then the largest tasks. */
     private static final Comparator<PlacedTask> ORDER =
@@ -37,17 +38,19 @@
     /** The cheapest way to make room, if the job's team is within its quota. */
     Optional<Reclaim> find(JobEntry job) {
         Resources declared = Resources.declaredBy(job.spec());
-        if (!job.team().isWithin(mTotalMilli, declared.milliProcessors())) {
+        boolean urgent = job.spec().urgency() == RequestClass.URGENT;
+        boolean within = job.team().isWithin(mTotalMilli, declared.milliProcessors());
+        if (!within && !urgent) {
             return Optional.empty();
         }
-        boolean urgent = job.spec().urgency() == RequestClass.URGENT;
+        Predicate<PlacedTask> mayTake = within ? t -> mayTake(t, job, urgent) : t -> isOwn(t, job);
         Reclaim best = null;
         int seen = 0;
         for (WorkerEntry w : mPool.workers()) {
             if (!w.accepts(urgent, mNowMs) || !declared.fitsIn(w.capacity())) {
                 continue;
             }
-            Optional<Reclaim> way = on(w, job, urgent);
+            Optional<Reclaim> way = on(w, job, mayTake);
             if (way.isPresent() && (best == null || way.get().cost() < best.cost())) {
                 best = way.get();
             }
@@ -58,10 +61,27 @@
         return Optional.ofNullable(best);
     }
 
-    private Optional<Reclaim> on(WorkerEntry w, JobEntry job, boolean urgent) {
+    /** A team that is over its quota may still put its urgent work before its own batch work. */
+    private static boolean isOwn(PlacedTask t, JobEntry job) {
+        return t.canGiveWay() && t.job().team() == job.team();
+    }
+
+    /**
+     * Batch work gives way to other than urgent work only where its team is well over its quota,
+     * and not before it has run a while; else tasks that do not divide a quota evenly would put
+     * each other out in turns.
+     */
+    private boolean mayTake(PlacedTask t, JobEntry job, boolean urgent) {
+        if (!t.canGiveWay() || urgent) {
+            return t.canGiveWay();
+        }
+        boolean isOver = t.job().team().isOver(mTotalMilli);
+        return isOver && t.job().team() != job.team() && mNowMs - t.sinceMs() >= SHORTEST_RUN_MS;
+    }
+
+    private Optional<Reclaim> on(WorkerEntry w, JobEntry job, Predicate<PlacedTask> mayTake) {
+        boolean urgent = job.spec().urgency() == RequestClass.URGENT;
         Resources missing = job.estimate().reserve(w.capacity()).minus(w.free());
-        Predicate<PlacedTask> mayTake =
-                t -> t.canGiveWay() && (urgent || isOverQuota(t) && t.job().team() != job.team());
         List<PlacedTask> batch = w.tasks().stream().filter(mayTake).sorted(ORDER).toList();
         if (urgent && missing.memoryBytes() <= 0 && missing.accelerators() <= 0) {
             Optional<Reclaim> slower = byThrottling(w, batch, missing.milliProcessors());
@@ -72,10 +92,6 @@
         return byCheckpoint(w, batch, missing);
     }
 
-    private boolean isOverQuota(PlacedTask t) {
-        return t.job().team().isOver(mTotalMilli);
-    }
-
     private static Optional<Reclaim> byThrottling(
             WorkerEntry w, List<PlacedTask> batch, long missingMilli) {
         List<PlacedTask> victims = new ArrayList<>();
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TaskEvents.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TaskEvents.java
@@ -124,6 +124,7 @@
                 return;
             }
         }
+        job.estimate().failed();
         boolean everywhere = job.failedOn(state.worker()) && !job.runsSomewhere();
         if (everywhere || job.attempt(index) >= MOST_ATTEMPTS) {
             mState.refuse(
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TaskWatch.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TaskWatch.java
@@ -85,7 +85,12 @@
             giveBack(task);
             return;
         }
-        boolean room = Resources.NONE.fitsIn(task.worker().free());
+        boolean urgent = task.job().spec().urgency() == RequestClass.URGENT;
+        Resources free = task.worker().free();
+        // Tasks that stay may have grown meanwhile. Processors are shared, so urgent work goes in
+        // beside them; memory is not.
+        boolean room =
+                urgent ? Resources.NONE.fitsButProcessors(free) : Resources.NONE.fitsIn(free);
         if (room) {
             mState.awaitingRoom().remove(task);
             task.enter(TaskPhase.PROPOSED, TaskAction.START, nowMs);
@@ -93,11 +98,18 @@
             mState.timers().at(nowMs + PROPOSAL_MS, task);
             return;
         }
-        boolean urgent = task.job().spec().urgency() == RequestClass.URGENT;
         long waited = nowMs - task.sinceMs();
         if (urgent && waited >= mState.settings().checkpointPatience().toMillis()) {
             stopCheckpointing(task, nowMs);
         }
+        // The tasks that stay have grown into the place: another worker may do better.
+        if (waited >= 2 * mState.settings().checkpointPatience().toMillis() && !isLeft(task)) {
+            giveBack(task);
+        }
+    }
+
+    private static boolean isLeft(PlacedTask task) {
+        return task.worker().tasks().stream().anyMatch(t -> t.phase() == TaskPhase.LEAVING);
     }
 
     private void stopCheckpointing(PlacedTask task, long nowMs) {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TeamShare.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TeamShare.java
@@ -4,6 +4,7 @@
 final class TeamShare {
 
     private static final double RATIO_STEP = 0.1;
+    private static final double OVER = 1.1;
 
     private double mQuota;
     private long mUsedMilli;
@@ -34,8 +35,9 @@
         return mUsedMilli + moreMilli <= mQuota * totalMilli;
     }
 
+    /** Whether it is over its quota by more than a task or two. */
     boolean isOver(long totalMilli) {
-        return mUsedMilli > mQuota * totalMilli;
+        return mUsedMilli > OVER * mQuota * totalMilli;
     }
 
     /** Measured use for each declared unit over the team's jobs. */
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/UsageEstimate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/UsageEstimate.java
@@ -32,6 +32,13 @@
         mMeasured = true;
     }
 
+    /** A task failed before anything was measured; it may have lacked memory. */
+    void failed() {
+        if (!mMeasured) {
+            mMemoryBytes = MOST_WRONG * mDeclared.memoryBytes();
+        }
+    }
+
     private double follow(double known, double seen) {
         boolean rises = seen > known;
         return rises ? seen : known + FALL * (seen - known);
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/CapacityMeter.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/CapacityMeter.java
@@ -30,6 +30,7 @@
     private long mWaveMs;
     private double mWaveDone;
     private boolean mWaveEnded;
+    private long mRebooted;
     private int mMoves;
     private int mViolations;
     private int mRefused;
@@ -80,7 +81,8 @@
         mBufferNanos.recordValue(bufferNanos);
     }
 
-    void wave(long tookMs, double done, boolean ended) {
+    void wave(long tookMs, double done, long rebooted, boolean ended) {
+        mRebooted = rebooted;
         mWaveMs = tookMs;
         mWaveDone = done;
         mWaveEnded = ended;
@@ -113,6 +115,7 @@
                 serialMinutes,
                 (double) mWaveMs / FaultTimes.MINUTE_MS,
                 mWaveDone,
+                mRebooted,
                 mMoves,
                 mViolations,
                 mRefused,
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/CapacityResult.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/CapacityResult.java
@@ -13,6 +13,7 @@
  * @param serialMinutes time of the wave one VM at a time, if that never had to wait
  * @param waveMinutes time from the wave's start to its end; of the part done where it did not end
  * @param waveDone share of the wave's VMs that were maintained
+ * @param rebooted VMs that the wave rebooted; those that are off start anew when they wake
  * @param moves VMs that were moved between pools
  * @param violations times a service was seen below its budget, counted each tick
  * @param refused decisions that the fold refused
@@ -30,6 +31,7 @@
         double serialMinutes,
         double waveMinutes,
         double waveDone,
+        long rebooted,
         int moves,
         int violations,
         int refused,
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/CapacityRun.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/CapacityRun.java
@@ -47,6 +47,7 @@
 
     private final FleetScenario mScenario;
     private final CapacityPolicy mPolicy;
+    private final long mWaveMs;
     private final long mStepMs;
     private final DemandModel mDemand;
     private final FakePlatform mPlatform;
@@ -56,7 +57,9 @@
     private boolean mRackLost;
     private long mPausedMs = Long.MAX_VALUE;
 
-    CapacityRun(FleetScenario scenario, CapacityPolicy policy, long stepMs, long seed) {
+    CapacityRun(
+            FleetScenario scenario, CapacityPolicy policy, long waveMs, long stepMs, long seed) {
+        mWaveMs = waveMs;
         mScenario = scenario;
         mPolicy = policy;
         mStepMs = stepMs;
@@ -159,7 +162,7 @@
             int honest = mDemand.declared(pool.id(), now);
             declare(pool, now / FaultTimes.MINUTE_MS % 2 == 0 ? 2 * honest : honest / 2);
         }
-        if (now == FaultTimes.WAVE_MS) {
+        if (now == mWaveMs) {
             Set<ZoneId> zones = new HashSet<>();
             mState.vms().forEach(vm -> zones.add(vm.zone()));
             apply(new WaveStarted(WAVE, zones, Set.of(), Changes.AUTHOR));
@@ -207,13 +210,17 @@
         return on == 0 ? 0 : (double) done / on;
     }
 
+    private long rebooted(WaveState wave) {
+        return mState.vms().stream().filter(vm -> vm.lastMaintained() > wave.started()).count();
+    }
+
     private void measureWave(long now) {
         Optional<WaveState> wave = mState.wave(WAVE);
         if (wave.isEmpty() || mMeter.waveEnded()) {
             return;
         }
         boolean ended = wave.get().phase() == WavePhase.FINISHED;
-        mMeter.wave(now - FaultTimes.WAVE_MS, ended ? 1 : maintained(wave.get()), ended);
+        mMeter.wave(now - mWaveMs, ended ? 1 : maintained(wave.get()), rebooted(wave.get()), ended);
     }
 
     /** Use can't be seen above what serves, and is reported a minute later. */
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FaultTimes.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FaultTimes.java
@@ -7,9 +7,6 @@
     static final long MINUTE_MS = 60_000;
     static final long DAY_MS = 24 * HOUR_MS;
 
-    /** The wave starts in working hours. */
-    static final long WAVE_MS = 9 * HOUR_MS;
-
     /** Time for which a lost rack is away. */
     static final long RACK_AWAY_MS = 30 * MINUTE_MS;
 
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetOptions.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetOptions.java
@@ -20,6 +20,12 @@
     @Option(name = "--weights", metaVar = "W,W", usage = "weights of the curve")
     private String mWeights = "0,0.1,0.25,0.5,0.75,0.9,1";
 
+    @Option(name = "--wave-hour", metaVar = "H", usage = "hour at which the wave starts")
+    private int mWaveHour = 9;
+
+    @Option(name = "--curve-hour", metaVar = "H", usage = "the same for the curve")
+    private int mCurveHour = 2;
+
     @Option(name = "--minutes", metaVar = "N", usage = "length of a placement run")
     private int mMinutes = 240;
 
@@ -53,6 +59,14 @@
         }
     }
 
+    long waveMs() {
+        return mWaveHour * FaultTimes.HOUR_MS;
+    }
+
+    long curveWaveMs() {
+        return mCurveHour * FaultTimes.HOUR_MS;
+    }
+
     long placementMs() {
         return mMinutes * FaultTimes.MINUTE_MS;
     }
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetProgram.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetProgram.java
@@ -51,14 +51,14 @@
 
     private static List<CapacityResult> capacity(FleetScenario scenario, FleetOptions options) {
         return List.of(
-                day(scenario, new PlannedCapacity(scenario.settings()), options),
-                day(scenario, new NaiveCapacity(), options));
+                day(scenario, new PlannedCapacity(scenario.settings()), options.waveMs(), options),
+                day(scenario, new NaiveCapacity(), options.waveMs(), options));
     }
 
     private static CapacityResult day(
-            FleetScenario scenario, CapacityPolicy policy, FleetOptions options) {
+            FleetScenario scenario, CapacityPolicy policy, long waveMs, FleetOptions options) {
         long step = options.isLarge() ? LARGE_STEP_MS : STEP_MS;
-        return new CapacityRun(scenario, policy, step, options.seed()).run();
+        return new CapacityRun(scenario, policy, waveMs, step, options.seed()).run();
     }
 
     private static List<CapacityResult> curve(FleetScenario scenario, FleetOptions options)
@@ -66,7 +66,12 @@
         List<CapacityResult> curve = new ArrayList<>();
         for (double weight : options.weights()) {
             FleetScenario weighed = scenario.weighing(weight);
-            curve.add(day(weighed, new PlannedCapacity(weighed.settings()), options));
+            curve.add(
+                    day(
+                            weighed,
+                            new PlannedCapacity(weighed.settings()),
+                            options.curveWaveMs(),
+                            options));
         }
         return curve;
     }
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetReport.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetReport.java
@@ -28,9 +28,9 @@
 
     private static String line(CapacityResult c) {
         return format(
-                "%s w=%.2f: buffer mean %.2f peak %.1f (with reserves %.2f), short %.3f, wave"
-                        + " %.1f min (%.0f%% done), moves %d, violations %d, refused %d, pauses %d,"
-                        + " decisions p99 wave %.2f ms buffer %.2f ms",
+                "%s w=%.2f: buffer mean %.2f peak %.1f (with reserves %.2f), short %.3f, wave %.1f"
+                    + " min (%.0f%% done, %d rebooted), moves %d, violations %d, refused %d, pauses"
+                    + " %d, decisions p99 wave %.2f ms buffer %.2f ms",
                 c.policy(),
                 c.rolloutWeight(),
                 c.bufferMean(),
@@ -39,6 +39,7 @@
                 c.shortMean(),
                 c.waveMinutes(),
                 100 * c.waveDone(),
+                c.rebooted(),
                 c.moves(),
                 c.violations(),
                 c.refused(),
@@ -64,12 +65,14 @@
     private static List<String> lines(PlacementResult p) {
         return List.of(
                 format(
-                        "%s: urgent start p50 %.0f p99 %.0f max %.0f ms, %d of %d late (%d while"
-                                + " the platform was in trouble)",
+                        "%s: urgent start p50 %.0f p99 %.0f max %.0f ms (platform well: p99 %.0f"
+                            + " max %.0f), %d of %d late (%d while the platform was in trouble)",
                         p.policy(),
                         p.urgentP50Ms(),
                         p.urgentP99Ms(),
                         p.urgentMaxMs(),
+                        p.calmP99Ms(),
+                        p.calmMaxMs(),
                         p.urgentLate(),
                         p.urgent(),
                         p.urgentLateInTrouble()),
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/PlacementMeter.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/PlacementMeter.java
@@ -13,6 +13,7 @@
     private static final double NANOS_OF_MS = 1e6;
 
     private final Histogram mUrgent = new Histogram(3);
+    private final Histogram mCalm = new Histogram(3);
     private final Histogram mDecision = new Histogram(3);
     private final Map<TaskId, Boolean> mAwaited = new HashMap<>();
     private final Map<TaskId, Long> mSubmitted = new HashMap<>();
@@ -58,6 +59,9 @@
         if (inTrouble != null) {
             long took = nowMs - mSubmitted.remove(task);
             mUrgent.recordValue(took);
+            if (!inTrouble) {
+                mCalm.recordValue(took);
+            }
             late(took > URGENT_MS, inTrouble);
         }
     }
@@ -89,6 +93,8 @@
                 mUrgent.getValueAtPercentile(50),
                 mUrgent.getValueAtPercentile(99),
                 mUrgent.getMaxValue(),
+                mCalm.getValueAtPercentile(99),
+                mCalm.getMaxValue(),
                 mLate,
                 mLateInTrouble,
                 of(Count.STARTS),
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/PlacementResult.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/PlacementResult.java
@@ -8,9 +8,11 @@
  * @param urgentP50Ms time from submission in the log to the confirmed start, median
  * @param urgentP99Ms the same, 99th percentile
  * @param urgentMaxMs the same, largest
+ * @param calmP99Ms 99th percentile of those submitted while the platform was well
+ * @param calmMaxMs the largest of those
  * @param urgentLate urgent tasks that took longer than 4.4 s, or never started
- * @param urgentLateInTrouble those of them submitted while the platform was slow or within a minute
- *     of its return
+ * @param urgentLateInTrouble those of them submitted while the platform was slow, just before it
+ *     was gone, or while the backlog of its outage lasted
  * @param starts starts asked for
  * @param blackHoleStarts starts on workers that fail everything
  * @param outOfMemory tasks that ended because their worker ran out of memory
@@ -32,6 +34,8 @@
         double urgentP50Ms,
         double urgentP99Ms,
         double urgentMaxMs,
+        double calmP99Ms,
+        double calmMaxMs,
         int urgentLate,
         int urgentLateInTrouble,
         long starts,
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/PlacementTimes.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/PlacementTimes.java
@@ -18,6 +18,10 @@
     private static final long SHORTEST_CHECKPOINT_MS = 500;
     private static final double CHECKPOINT_SPREAD = 40;
     private static final long SLOW_MS = 10 * FaultTimes.MINUTE_MS;
+
+    /** An hour of urgent work comes at once when the platform is back. */
+    private static final long BACKLOG_MS = 5 * FaultTimes.MINUTE_MS;
+
     private static final long GONE_MS = 60 * FaultTimes.MINUTE_MS;
 
     /** From its intent to its place in the folded log. */
@@ -57,10 +61,11 @@
         return atMs >= goneFromMs() && atMs < goneFromMs() + GONE_MS;
     }
 
-    /** Slow, or just back. */
+    /** Slow, or back for less than the backlog of an outage takes. */
     boolean isTrouble(long atMs) {
         long back = goneFromMs() + GONE_MS;
-        return isSlow(atMs) || atMs >= back && atMs < back + FaultTimes.MINUTE_MS;
+        boolean isCut = isGone(atMs + PlacementMeter.URGENT_MS);
+        return isSlow(atMs) || isCut || atMs >= back && atMs < back + BACKLOG_MS;
     }
 
     /** The time itself, or that of the platform's return. */
