Control: tests that fail without the settle time, the generation or the epoch

Change: the fake counts a VM that is stopped while entries still send to it; a drain that comes late; a controller paused just past its epoch at each of its calls of a wave.

--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/FakePlatform.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/FakePlatform.java
@@ -35,8 +35,9 @@
 /**
  * The platform's VMs with a backend server on each, after docs/PLATFORM.md.
  *
- * <p>An action takes a second. A VM has one request in flight when it is drained, and an entry that
- * has not heard of it sends another one a second later, which takes three.
+ * <p>An action takes a second. A VM has one request in flight until it is drained. An entry that
+ * has not heard of it sends another one a second later, which takes three, and so meets a VM that
+ * is stopped before that.
  */
 final class FakePlatform {
     private static final Duration ACTION_TIME = Duration.ofSeconds(1);
@@ -133,6 +134,11 @@
                 .count();
     }
 
+    boolean isServing(String id) {
+        Vm vm = mVms.get(VmId.of(id));
+        return power(vm) == VmPower.ON && vm.mDrained.isEmpty();
+    }
+
     VmDirectory directory(Interruption interruption) {
         return new VmDirectory() {
             @Override
@@ -158,6 +164,7 @@
 
     VmActions actions(Interruption interruption) {
         return (id, request) -> {
+            interruption.beforeAsk(id.value());
             interruption.beforeCall();
             if (mAway) {
                 return away();
@@ -200,7 +207,7 @@
             vm.mDrained = Optional.of(mClock.instant());
             return;
         }
-        if (inFlight(vm) > 0) {
+        if (inFlight(vm) > 0 || isStillSentTo(vm)) {
             mCutOff.add(request.action() + " " + vm.mId);
         }
         if (request.action() != PlatformAction.WAKE) {
@@ -245,6 +252,12 @@
         return late ? 1 : 0;
     }
 
+    private boolean isStillSentTo(Vm vm) {
+        Instant now = mClock.instant();
+        return vm.mPower == VmPower.ON
+                && vm.mDrained.filter(t -> now.isBefore(t.plus(LATE_REQUEST_AFTER))).isPresent();
+    }
+
     private VmReport report(Vm vm) {
         Optional<ActionReport> last =
                 vm.mLast.map(a -> new ActionReport(a.id(), a.action(), progress(vm)));
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/Interruption.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/Interruption.java
@@ -1,10 +1,13 @@
 package org.foxtailplank.controller.internal.act;
 
+import java.util.Optional;
+
 /** Interrupts a controller at one of its calls to the log or the platform. */
 final class Interruption {
     private final int mAtCall;
     private final boolean mAfterEffect;
     private final Runnable mWhat;
+    private Optional<String> mAsked = Optional.empty();
     private int mCalls;
     private boolean mDead;
 
@@ -23,6 +26,21 @@
         return new Interruption(call, afterEffect, what);
     }
 
+    /** Does something before the first action that is asked of a VM. */
+    static Interruption atFirstAsk(String vm, Runnable what) {
+        Interruption interruption = new Interruption(-1, false, what);
+        interruption.mAsked = Optional.of(vm);
+        return interruption;
+    }
+
+    /** An action is about to be asked of a VM. */
+    void beforeAsk(String vm) {
+        if (mAsked.filter(vm::equals).isPresent()) {
+            mAsked = Optional.empty();
+            mWhat.run();
+        }
+    }
+
     /** Ends the controller at a call. */
     static Interruption killAt(int call, boolean afterEffect) {
         return new Interruption(call, afterEffect, null);
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestFleet.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestFleet.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.controller.internal.act;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.net.URI;
@@ -23,9 +24,11 @@
 import org.foxtailplank.settings.Settings;
 import org.foxtailplank.settings.VmSettings;
 import org.foxtailplank.standin.SmallDeployment;
+import org.foxtailplank.state.ActingEpoch;
 import org.foxtailplank.state.Author;
 import org.foxtailplank.state.Change;
 import org.foxtailplank.state.ConfigurationPublished;
+import org.foxtailplank.state.EpochTaken;
 import org.foxtailplank.state.FleetShape;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.LogRecord;
@@ -179,6 +182,23 @@
         mClock.advance(TICK);
     }
 
+    /** A node's records count for nothing once another one has taken its epoch. */
+    void assertNothingAppliedAfterItsEpoch() {
+        Map<ZoneId, Long> epochs = new HashMap<>();
+        for (int i = 0; i < mLog.records().size(); i++) {
+            LogRecord record = mLog.records().get(i);
+            boolean applied = mObserver.verdicts().get(i).isApplied();
+            if (record.change() instanceof EpochTaken taken && applied) {
+                epochs.put(taken.shard(), taken.replaces() + 1);
+            }
+            boolean controllers = record.writer().value().startsWith(ZONE.value());
+            if (applied && controllers && !(record.change() instanceof EpochTaken)) {
+                ActingEpoch epoch = record.epoch().orElseThrow();
+                assertEquals(epochs.get(epoch.shard()), (Long) epoch.number(), record.toString());
+            }
+        }
+    }
+
     /** No service falls below its budget by what controllers do. */
     void assertBudgetsHold() {
         for (String service : SERVICES) {
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/WaveActingTest.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/WaveActingTest.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.controller.internal.act;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.HashSet;
@@ -8,6 +9,7 @@
 import java.util.function.Predicate;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.WaveId;
+import org.foxtailplank.platform.VmPower;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.VmPhase;
 import org.foxtailplank.state.WavePhase;
@@ -69,6 +71,66 @@
         return true;
     }
 
+    /**
+     * A controller is paused at any of its calls, for just as long as another one needs to take its
+     * epoch. Nothing else has changed when it goes on, so only the epoch tells that its intents are
+     * void; both would stop VMs side by side.
+     */
+    @Test
+    public void ignoresAControllerThatWasPausedPastItsEpochAtAnyStep() {
+        int steps = 0;
+        for (boolean afterEffect : new boolean[] {false, true}) {
+            for (int call = 0; pausedAt(call, afterEffect); call++) {
+                steps++;
+            }
+        }
+        assertTrue(steps > 100, "only " + steps + " steps");
+    }
+
+    private static boolean pausedAt(int call, boolean afterEffect) {
+        TestFleet fleet = new TestFleet();
+        TestNode second = fleet.start("a-2", Interruption.none());
+        boolean[] paused = {false};
+        Runnable whilePaused =
+                () -> {
+                    paused[0] = true;
+                    fleet.silent().add(NodeId.of("a-1"));
+                    long epoch = fleet.view().epoch(TestFleet.ZONE).number();
+                    fleet.runUntil(v -> v.epoch(TestFleet.ZONE).number() > epoch, second);
+                };
+        TestNode first = fleet.start("a-1", Interruption.at(call, afterEffect, whilePaused));
+        fleet.startWave("w");
+        fleet.runUntil(WAVE_FINISHED, first, second);
+        fleet.assertNothingAppliedAfterItsEpoch();
+        assertMaintainedOnce(fleet);
+        return paused[0];
+    }
+
+    /**
+     * A controller is paused before it asks to drain a VM. The VM fails meanwhile; another
+     * controller reboots it, and it serves again. The late drain would take it out of service with
+     * nobody to bring it back. Its generation is no longer above the VM's, so it is refused.
+     */
+    @Test
+    public void refusesADrainThatComesLate() {
+        TestFleet fleet = new TestFleet();
+        TestNode second = fleet.start("a-2", Interruption.none());
+        Runnable whilePaused =
+                () -> {
+                    fleet.silent().add(NodeId.of("a-1"));
+                    fleet.platform().power("claims-0", VmPower.FAILED);
+                    fleet.runUntil(WAVE_FINISHED, second);
+                };
+        TestNode first = fleet.start("a-1", Interruption.atFirstAsk("claims-0", whilePaused));
+        fleet.startWave("w");
+        fleet.runUntil(WAVE_FINISHED, first);
+        fleet.run(TestFleet.A_WHILE, first, second);
+        List<String> effects = fleet.platform().effects();
+        assertTrue(effects.contains("REBOOT claims-0"), effects.toString());
+        assertFalse(effects.contains("DRAIN claims-0"), effects.toString());
+        assertTrue(fleet.platform().isServing("claims-0"));
+    }
+
     private static void assertMaintainedOnce(TestFleet fleet) {
         List<String> reboots =
                 fleet.platform().effects().stream().filter(e -> e.startsWith("REBOOT")).toList();
