--- a/bin/foxtail-run.sh
+++ b/bin/foxtail-run.sh
@@ -1,19 +1,54 @@
 # Starts one Java process from the distribution; the scripts beside this one read it.
 # It builds what isn't built, then replaces the shell, so that signals reach the program itself.
 
+<<<<<<< HEAD
+# Built means: the jar that starts the demo is there and no source is newer. A build that was broken
+# off, or sources that were updated after it, would otherwise start programs that lack classes.
+foxtail_is_built() {
+    [ -d "$target/dist/lib" ] || return 1
+    for jar in "$target"/foxtail-demo-*.jar; do
+        [ -f "$jar" ] || return 1
+        newer=$(find "$root" -path '*/src/main/*' -name '*.java' -newer "$jar" -print -quit)
+        [ -z "$newer" ] || return 1
+    done
+=======
+# Flags that the archive of classes and each program share.
+FOXTAIL_FLAGS="-Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xlog:disable -Xlog:all=error:stderr"
+
+# Writes the classes that every program loads into an archive, from which a start is several times
+# faster. The archive is moved into place whole, since several programs may start at once; without
+# one, or with one of other jars, a program starts as well, only slower.
+foxtail_archive() {
+    if [ -f "$archive" ] && [ -z "$(find "$target/dist/lib" "$jar" -newer "$archive" | head -1)" ]; then
+        return
+    fi
+    # shellcheck disable=SC2086
+    if java $FOXTAIL_FLAGS -XX:ArchiveClassesAtExit="$archive.$$" -cp "$class_path" \
+        org.foxtailplank.process.WarmUp >/dev/null 2>&1; then
+        mv -f "$archive.$$" "$archive" 2>/dev/null || true
+    fi
+    rm -f "$archive.$$"
+>>>>>>> settings
+}
+
 foxtail_exec() {
     main_class="$1"
     shift
     root=$(CDPATH='' cd -- "$(dirname -- "$0")/.." && pwd)
     target="$root/foxtail-demo/target"
-    if [ ! -d "$target/dist/lib" ]; then
+    if ! foxtail_is_built; then
         echo "building foxtailplank" >&2
         (cd "$root" && mvn -q -B -DskipTests package) >&2 || exit 1
     fi
     for jar in "$target"/foxtail-demo-*.jar; do
         class_path="$jar:$target/dist/lib/*"
     done
+    archive="$target/dist/foxtail.jsa"
+    foxtail_archive
+    if [ -f "$archive" ]; then
+        FOXTAIL_FLAGS="$FOXTAIL_FLAGS -XX:SharedArchiveFile=$archive"
+    fi
     # shellcheck disable=SC2086
-    exec java -Xms16m -Xmx"${FOXTAIL_HEAP:-64m}" -Xss512k -XX:+UseSerialGC \
-        -XX:TieredStopAtLevel=1 ${FOXTAIL_JAVA_OPTS:-} -cp "$class_path" "$main_class" "$@"
+    exec java -Xms16m -Xmx"${FOXTAIL_HEAP:-64m}" $FOXTAIL_FLAGS \
+        ${FOXTAIL_JAVA_OPTS:-} -cp "$class_path" "$main_class" "$@"
 }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
@@ -71,6 +71,7 @@
                         parts.settings(),
                         parts.liveness(),
                         ConfigurationChecker.bySettings());
+        parts.burn().ifPresent(burn -> mApi.serveBurn(burn, parts.settings()));
     }
 
     /** Starts to act, and to answer on {@link #route()}. */
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
@@ -146,10 +146,10 @@
     private static String why(Verdict.Void verdict) {
         return switch (verdict.reason()) {
             case STALE_VERSION -> sentence(verdict.detail());
+            case TOO_LATE -> "The log had gone on too far before it took the change.";
+            case OTHER_HISTORY -> "The log lost records that the change was made on.";
+            case MALFORMED -> sentence(verdict.detail());
             case DUPLICATE_ID -> "The same change stands in the log already.";
-            case TOO_LATE, OTHER_HISTORY ->
-                    "It reached the log too late to be checked: " + verdict.detail() + ".";
-            case MALFORMED -> "It contradicts itself: " + verdict.detail() + ".";
             case STALE_EPOCH -> "Another controller acts for this zone: " + verdict.detail() + ".";
             case UNKNOWN_OBJECT -> sentence(verdict.detail());
             case WRONG_PHASE ->
@@ -171,8 +171,8 @@
             case STALE_VERSION -> "Look at 'current', decide again, and send its version.";
             case DUPLICATE_ID, STALE_EPOCH, TOO_LATE, OTHER_HISTORY ->
                     "Read the object, and send the change again.";
-            case MALFORMED -> "Correct the change, and send it again.";
             case UNKNOWN_OBJECT -> "List what there is with GET, and check the name.";
+            case MALFORMED -> "Correct the change; nothing of it took effect.";
             case WRONG_PHASE -> "Wait until what is under way has ended, or cancel it.";
             case OVER_BUDGET -> "Wait for VMs to come back, wake some, or lower the budget.";
             case NOT_UNDERSTOOD -> "Send the call to an upgraded node, or finish the upgrade.";
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/ControllerTest.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/ControllerTest.java
@@ -19,6 +19,7 @@
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.WaveId;
 import org.foxtailplank.platform.FleetFollower;
+import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
 import org.foxtailplank.process.HttpAnswer;
 import org.foxtailplank.process.HttpListener;
@@ -68,9 +69,11 @@
                         mRuntime.system());
         Settings settings = SmallDeployment.settings(2, mPlatform.address());
         HttpPlatform platform = HttpPlatform.at(mPlatform.address(), TIMEOUT, mRuntime.system());
-        mLog = FleetFollower.start(platform.log(), TIMEOUT.multipliedBy(5));
-        publish(settings);
         NodeId node = NodeId.of("node1");
+        FollowOptions options =
+                FollowOptions.of("node1", TIMEOUT.multipliedBy(5), Duration.ofDays(7));
+        mLog = FleetFollower.start(platform.log(), options);
+        publish(settings);
         mController =
                 Controller.start(mRuntime, ControllerParts.of(node, settings, mLog, platform));
         InetSocketAddress address =
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/FakeLog.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/FakeLog.java
@@ -53,7 +53,7 @@
                 return CompletableFuture.failedFuture(
                         new PlatformException("the platform is away", Effect.NONE));
             }
-            mRecords.add(record.basedOn(mState.nextOffset()));
+            mRecords.add(record.basedOn(mState.basis()));
             int at = mRecords.size() - 1;
             mInterruption.afterCall();
             if (mLostAnswers > 0) {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Router.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/routing/Router.java
@@ -67,17 +67,37 @@
         }
         Target near = s.mNear.draw(tried, mRandom);
         Target far = s.mFar.draw(tried, mRandom);
+        if (near == null && far == null) {
+            return lastResort(s, tried);
+        }
         if (near == null || far == null) {
-            return Optional.ofNullable(near == null ? far : near);
+            return Optional.of(near == null ? far : near);
         }
         boolean spills = near.cost() > SPILL_FACTOR * (far.cost() + mFarPenalty);
         return Optional.of(spills ? far : near);
     }
 
-    /** Whether any instance of a service is listed and serving. */
+    /**
+     * Where every instance looks silent or ejected, the fault may be this entry's own (it was
+     * paused, or its probes came too late), so requests go on to one that doesn't say it leaves.
+     */
+    private Optional<Target> lastResort(Service s, Set<VmId> tried) {
+        if (s.mTargets.stream().anyMatch(Target::healthy)) {
+            return Optional.empty();
+        }
+        List<Target> left =
+                s.mTargets.stream()
+                        .filter(t -> t.mayBeAsked() && !tried.contains(t.server().vm()))
+                        .toList();
+        return left.isEmpty()
+                ? Optional.empty()
+                : Optional.of(left.get(mRandom.nextInt(left.size())));
+    }
+
+    /** Whether any instance of a service is listed and doesn't say that it leaves. */
     public boolean serves(ServiceId service) {
         Service s = mServices.get(service);
-        return s != null && s.mTargets.stream().anyMatch(t -> !t.gone());
+        return s != null && s.mTargets.stream().anyMatch(t -> !t.leaving());
     }
 
     /** The instances that are listed, with those that still finish something. */
@@ -92,7 +112,7 @@
 
     private Target add(BackendServer server, boolean near, int limit) {
         Service s = mServices.computeIfAbsent(server.service(), id -> new Service());
-        Target t = new Target(server, near, limit, near ? s.mNear : s.mFar);
+        Target t = new Target(server, near, limit, near ? s.mNear : s.mFar, s.mLatency);
         s.mTargets.add(t);
         return t;
     }
@@ -110,6 +130,7 @@
     private static final class Service {
         private final Candidates mNear = new Candidates();
         private final Candidates mFar = new Candidates();
+        private final MeanLatency mLatency = new MeanLatency();
         private final List<Target> mTargets = new ArrayList<>();
     }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/internal/wave/WaveOnTheFoldTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/wave/WaveOnTheFoldTest.java
@@ -75,7 +75,10 @@
         LogRecord record =
                 new LogRecord(
                         RecordId.of("r" + at), NodeId.of("n"), Optional.empty(), expects, change);
-        assertEquals(mState.apply(at, record.basedOn(at - 1)), Verdict.APPLIED, change.toString());
+        assertEquals(
+                mState.apply(at, record.basedOn(mState.basis())),
+                Verdict.APPLIED,
+                change.toString());
     }
 
     private WaveDecision next() {
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/RecordCodecTest.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/RecordCodecTest.java
@@ -22,6 +22,7 @@
 import org.foxtailplank.state.ActingEpoch;
 import org.foxtailplank.state.ActionOutcome;
 import org.foxtailplank.state.Author;
+import org.foxtailplank.state.Basis;
 import org.foxtailplank.state.Change;
 import org.foxtailplank.state.ConfigurationChanged;
 import org.foxtailplank.state.ConfigurationPublished;
@@ -35,6 +36,7 @@
 import org.foxtailplank.state.ObjectKey;
 import org.foxtailplank.state.PoolShape;
 import org.foxtailplank.state.PoolTargetChanged;
+import org.foxtailplank.state.StateRestored;
 import org.foxtailplank.state.TaskAction;
 import org.foxtailplank.state.TaskConfirmed;
 import org.foxtailplank.state.TaskIntended;
@@ -98,6 +100,7 @@
             new JobCancelled(JOB, AUTHOR),
             new TaskIntended(JOB, 3, VM, TaskAction.CHECKPOINT, 2),
             new TaskConfirmed(JOB, 3, VM, 2, TaskOutcome.LOST),
+            new StateRestored(2, 900, -5, "entry-1-900"),
         };
     }
 
@@ -171,6 +174,6 @@
                 Optional.of(new ActingEpoch(ZONE, 3)),
                 Map.of(ObjectKey.of(VM), 12L, ObjectKey.configuration(), 0L),
                 change,
-                40);
+                new Basis(40, 0x8000_0000_0000_0001L));
     }
 }
