--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -27,7 +27,9 @@
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
 import org.foxtailplank.platform.FleetFollower;
+import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
+import org.foxtailplank.platform.SharedFleetState;
 import org.foxtailplank.platform.burn.BurnLog;
 import org.foxtailplank.process.Health;
 import org.foxtailplank.process.HealthRoutes;
@@ -38,6 +40,8 @@
 import org.foxtailplank.settings.Settings;
 import org.foxtailplank.wire.PeerLink;
 import org.foxtailplank.wire.PeerLinkException;
+import org.foxtailplank.wire.StateExchange;
+import org.foxtailplank.wire.StateExchangeLimits;
 
 /**
  * One process of the system: an entry, a controller, or both.
@@ -56,7 +60,6 @@
 
     private static final Duration LIST_INTERVAL = Duration.ofMillis(500);
     private static final Duration BURN_INTERVAL = Duration.ofSeconds(5);
-    private static final int ANSWER_TIMEOUTS = 5;
     private static final Duration BURN_KEPT = Duration.ofHours(24);
 
     private final PekkoRuntime mRuntime;
@@ -89,9 +92,9 @@
                         runtime.system());
         mFleet =
                 FleetFollower.start(
-                        mPlatform.log(),
-                        settings.platform().timeout().multipliedBy(ANSWER_TIMEOUTS));
+                        mPlatform.log(), FollowOptions.of(options.node(), settings.platform()));
         mConfiguration = new ConfigurationFollower(settings, options.node(), mFleet, peers);
+        StateExchange.start(peers, SharedFleetState.of(mFleet), StateExchangeLimits.usual());
         mBurn =
                 BurnLog.of(
                         mPlatform.log(),
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/node/ConfigurationFollower.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/node/ConfigurationFollower.java
@@ -13,7 +13,6 @@
 import org.foxtailplank.state.Configuration;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.wire.PeerLink;
-import org.foxtailplank.wire.StatePosition;
 
 /**
  * Puts each newer configuration of the log in force in this process, with the overlay of its zone.
@@ -58,7 +57,7 @@
 
     private Void take(FleetView view) {
         view.configuration().filter(c -> c.version() > mVersion).ifPresent(this::putInForce);
-        mPeers.report(new StatePosition(mVersion, view.nextOffset()));
+        mPeers.reportConfiguration(mVersion);
         return null;
     }
 
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/HeartbeatSender.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/HeartbeatSender.java
@@ -9,7 +9,7 @@
 import org.foxtailplank.internal.membership.SilenceLimits;
 import org.foxtailplank.membership.LoadSummary;
 import org.foxtailplank.membership.NodeStatus;
-import org.foxtailplank.wire.StatePosition;
+import org.foxtailplank.state.StatePosition;
 import org.foxtailplank.wire.generated.peer.EnvelopeProto;
 
 /** Sends this node's heartbeats. */
@@ -56,15 +56,17 @@
     }
 
     void report(LoadSummary load) {
-        mStatus = new NodeStatus(mStatus.configurationVersion(), mStatus.nextOffset(), load);
+        mStatus = new NodeStatus(mStatus.configurationVersion(), mStatus.position(), load);
     }
 
-    /** How far this node is; a newer configuration is told at once. */
     void report(StatePosition position) {
-        boolean newer = position.configurationVersion() > mStatus.configurationVersion();
-        mStatus =
-                new NodeStatus(
-                        position.configurationVersion(), position.nextOffset(), mStatus.load());
+        mStatus = new NodeStatus(mStatus.configurationVersion(), position, mStatus.load());
+    }
+
+    /** The version in force here; a newer one is told at once. */
+    void reportConfiguration(long version) {
+        boolean newer = version > mStatus.configurationVersion();
+        mStatus = new NodeStatus(version, mStatus.position(), mStatus.load());
         if (newer && !mDueAtOnce) {
             mDueAtOnce = true;
             long wait = Math.max(0, mSentAt + MIN_GAP_NANOS - System.nanoTime());
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/PeerNode.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/PeerNode.java
@@ -30,6 +30,7 @@
 import org.foxtailplank.membership.PeerIdentity;
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
+import org.foxtailplank.state.StatePosition;
 import org.foxtailplank.wire.CutReason;
 import org.foxtailplank.wire.PeerCounts;
 import org.foxtailplank.wire.PeerException;
@@ -40,7 +41,6 @@
 import org.foxtailplank.wire.PeerLinkLimits;
 import org.foxtailplank.wire.PeerLinkOptions;
 import org.foxtailplank.wire.PeerMessage;
-import org.foxtailplank.wire.StatePosition;
 import org.foxtailplank.wire.generated.peer.EnvelopeProto;
 import org.foxtailplank.wire.generated.peer.LeavingProto;
 
@@ -142,6 +142,11 @@
         run(() -> mSender.report(position));
     }
 
+    @Override
+    public void reportConfiguration(long version) {
+        run(() -> mSender.reportConfiguration(version));
+    }
+
     @Override
     public void report(LoadSummary load) {
         run(() -> mSender.report(load));
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/PeerLinkTest.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/PeerLinkTest.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.membership.MemberState;
 import org.foxtailplank.membership.NodeStatus;
 import org.foxtailplank.request.Outcome;
+import org.foxtailplank.state.StatePosition;
 import org.foxtailplank.wire.AnswerLookup;
 import org.foxtailplank.wire.AnswerLookupResult;
 import org.foxtailplank.wire.CallerAnswer;
@@ -32,7 +33,6 @@
 import org.foxtailplank.wire.PeerLinkException;
 import org.foxtailplank.wire.PeerMessage;
 import org.foxtailplank.wire.PeerNodes;
-import org.foxtailplank.wire.StatePosition;
 import org.testng.Assert.ThrowingRunnable;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -73,17 +73,18 @@
         PeerLink a = mNodes.start("a");
         PeerLink b = mNodes.start("b");
         join(a, b);
-        b.report(new StatePosition(41, 43));
+        b.report(new StatePosition(1, 43, 7));
+        b.reportConfiguration(41);
         b.report(LoadSummary.of(Map.of("vm-7", 5, "vm-8", 0)));
         join(b, a);
         await(
                 "the status of b",
                 () ->
                         a.member(NodeId.of("b"))
-                                .filter(m -> m.status().nextOffset() == 43)
+                                .filter(m -> m.status().configurationVersion() == 41)
                                 .isPresent());
         NodeStatus status = a.member(NodeId.of("b")).orElseThrow().status();
-        assertEquals(status.configurationVersion(), 41);
+        assertEquals(status.position(), new StatePosition(1, 43, 7));
         assertEquals(status.load().at("vm-7"), 5);
         assertEquals(status.load().at("vm-8"), 0);
     }
