--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/PlacementRun.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/PlacementRun.java
@@ -120,7 +120,7 @@
                         Optional.empty(),
                         expects,
                         change);
-        boolean applied = mState.apply(at, record.basedOn(at - 1)).equals(Verdict.APPLIED);
+        boolean applied = mState.apply(at, record.basedOn(mState.basis())).equals(Verdict.APPLIED);
         if (!applied) {
             mMeter.count(Count.VOIDED);
         }
