Administration API: merge patches, wave plans, explanations, the version in force at each node

Cause: a small change of the configuration was a whole publication, and nothing said why. Change: PATCH /v1/config merges, checks the whole and appends a patch on condition of a version (or the whole where it removes something); POST /v1/waves/plan; GET /v1/explain/{kind}/{id}; /v1/nodes shows the version of the peers' heartbeats; Controller.configure puts settings in force. PatchedText (core's state) is public, with merge(text, patch).

--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/Controller.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -14,6 +16,7 @@
 import org.apache.pekko.actor.typed.javadsl.Adapter;
 import org.apache.pekko.http.javadsl.server.Directives;
 import org.apache.pekko.http.javadsl.server.Route;
+import org.foxtailplank.controller.internal.Derived;
 import org.foxtailplank.controller.internal.act.BackendHealth;
 import org.foxtailplank.controller.internal.act.EpochParts;
 import org.foxtailplank.controller.internal.act.FleetWatch;
@@ -25,6 +28,7 @@
 import org.foxtailplank.controller.internal.act.ShardParts;
 import org.foxtailplank.controller.internal.act.VmRunner;
 import org.foxtailplank.controller.internal.admin.AdminApi;
+import org.foxtailplank.controller.internal.admin.AdminParts;
 import org.foxtailplank.controller.internal.place.PlacementLoop;
 import org.foxtailplank.controller.internal.place.PlacementParts;
 import org.foxtailplank.controller.internal.plan.FleetPlanner;
@@ -55,6 +59,8 @@
     private final BackendHealth mHealth;
     private final AdminApi mApi;
     private final List<ActorRef<LoopActor.Command>> mShards = new ArrayList<>();
+    private final Set<ZoneId> mZones = new HashSet<>();
+    private volatile Settings mSettings;
 
     private Controller(ActorSystem<?> system, ControllerParts parts) {
         mSystem = system;
@@ -63,21 +69,26 @@
         String incarnation = UUID.randomUUID().toString();
         mWriter = new RecordWriter(parts.self(), incarnation, parts.log());
         mHealth = new HttpBackendHealth(system, HEALTH_TIMEOUT);
+        mSettings = parts.settings();
         mApi =
                 new AdminApi(
                         system,
-                        parts.log(),
-                        mWriter,
-                        parts.settings(),
-                        parts.liveness(),
-                        ConfigurationChecker.bySettings());
+                        new AdminParts(
+                                parts.self(),
+                                parts.log(),
+                                mWriter,
+                                this::settings,
+                                parts.peers(),
+                                mWatch,
+                                ConfigurationChecker.bySettings(),
+                                mClock));
         parts.burn().ifPresent(burn -> mApi.serveBurn(burn, parts.settings()));
     }
 
     /** Starts to act, and to answer on {@link #route()}. */
     public static Controller start(PekkoRuntime runtime, ControllerParts parts) {
         Controller controller = new Controller(runtime.system(), parts);
-        parts.settings().zones().keySet().forEach(controller::startShard);
+        controller.configure(parts.settings());
         controller.startPlacement();
         LOG.info("Control of {0} has started.", parts.self());
         return controller;
@@ -88,8 +99,14 @@
         return Directives.pathPrefix("v1", () -> Directives.handle(mApi::handle));
     }
 
+    /** Takes over another configuration. */
+    public synchronized void configure(Settings settings) {
+        mSettings = settings;
+        settings.zones().keySet().stream().filter(mZones::add).forEach(this::startShard);
+    }
+
     /** Stops to act; what is pending is left to the next controller. */
-    public void stop() {
+    public synchronized void stop() {
         for (ActorRef<LoopActor.Command> shard : mShards) {
             Adapter.toClassic(mSystem).stop(Adapter.toClassic(shard));
         }
@@ -104,12 +121,12 @@
     private void startPlacement() {
         PlacementParts parts =
                 new PlacementParts(
-                        mParts.settings(),
+                        this::settings,
                         PlacementSettings.standard(),
                         mParts.log(),
                         mWriter,
                         mParts.workers(),
-                        epochs(mParts.settings()),
+                        epochs(),
                         mClock);
         start(
                 PlacementLoop.SHARD,
@@ -128,34 +145,40 @@
     }
 
     private ShardParts shardParts() {
-        Settings settings = mParts.settings();
+        Derived<BufferPlanner> buffer =
+                new Derived<>(this::settings, s -> BufferPlanner.byDemand(s.fleet()));
+        Derived<VmProcedure> procedure =
+                new Derived<>(this::settings, s -> new VmProcedure(VmWaits.of(s.fleet())));
         return new ShardParts(
                 mParts.log(),
                 mWriter,
-                epochs(settings),
-                new FleetPlanner(
-                        mParts.self().value(),
-                        WavePlanner.byRack(),
-                        BufferPlanner.byDemand(settings.fleet())),
+                epochs(),
+                new FleetPlanner(mParts.self().value(), WavePlanner.byRack(), buffer),
                 mWatch,
                 mParts.directory(),
                 new VmRunner(
-                        mParts.directory(),
-                        mParts.actions(),
-                        mHealth,
-                        new VmProcedure(VmWaits.of(settings.fleet())),
-                        mWriter,
-                        mClock),
+                        mParts.directory(), mParts.actions(), mHealth, procedure, mWriter, mClock),
+                mClock);
+    }
+
+    private EpochParts epochs() {
+        return new EpochParts(
+                mParts.self(),
+                mWriter,
+                new Derived<>(this::settings, this::epochPolicy),
+                mParts.peers(),
                 mClock);
     }
 
-    private EpochParts epochs(Settings settings) {
+    private EpochPolicy epochPolicy(Settings settings) {
         Map<NodeId, ZoneId> nodes =
                 settings.nodes().entrySet().stream()
                         .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().zone()));
         PeerSettings peers = settings.peers();
-        EpochPolicy policy =
-                new EpochPolicy(mParts.self(), nodes, peers.silence(), peers.heartbeat());
-        return new EpochParts(mParts.self(), mWriter, policy, mParts.liveness(), mClock);
+        return new EpochPolicy(mParts.self(), nodes, peers.silence(), peers.heartbeat());
+    }
+
+    private Settings settings() {
+        return mSettings;
     }
 }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerParts.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerParts.java
@@ -1,12 +1,11 @@
 package org.foxtailplank.controller;
 
 import com.codahale.metrics.MetricRegistry;
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Optional;
 import org.foxtailplank.controller.internal.PeerLiveness;
+import org.foxtailplank.controller.internal.PeerView;
 import org.foxtailplank.id.NodeId;
-import org.foxtailplank.internal.control.Liveness;
 import org.foxtailplank.platform.FleetLog;
 import org.foxtailplank.platform.HttpPlatform;
 import org.foxtailplank.platform.VmActions;
@@ -25,7 +24,7 @@
  * @param directory the platform's knowledge of VMs
  * @param actions actions on VMs
  * @param workers the workers
- * @param liveness how long other nodes have been silent
+ * @param peers what is heard of the other nodes
  * @param metrics takes the controller's counters
  * @param burn service-level burn over all nodes, where this process follows it
  */
@@ -36,7 +35,7 @@
         VmDirectory directory,
         VmActions actions,
         Workers workers,
-        Liveness liveness,
+        PeerView peers,
         MetricRegistry metrics,
         Optional<BurnLog> burn) {
     /** A controller that hears of no other node, so that only the log decides who acts. */
@@ -49,14 +48,14 @@
                 platform.vms(),
                 platform.vmActions(),
                 platform.workers(),
-                node -> Duration.ZERO,
+                PeerView.none(),
                 new MetricRegistry(),
                 Optional.empty());
     }
 
     /** The same, hearing of other nodes by a link to them. */
     public ControllerParts withPeers(PeerLink link) {
-        Liveness heard = new PeerLiveness(link, settings.peers().silence(), InstantSource.system());
+        PeerView heard = new PeerLiveness(link, settings.peers().silence(), InstantSource.system());
         return new ControllerParts(
                 self, settings, log, directory, actions, workers, heard, metrics, burn);
     }
@@ -64,7 +63,7 @@
     /** The same with counters taken by a registry. */
     public ControllerParts withMetrics(MetricRegistry registry) {
         return new ControllerParts(
-                self, settings, log, directory, actions, workers, liveness, registry, burn);
+                self, settings, log, directory, actions, workers, peers, registry, burn);
     }
 
     /** The same, answering for service-level burn. */
@@ -76,7 +75,7 @@
                 directory,
                 actions,
                 workers,
-                liveness,
+                peers,
                 metrics,
                 Optional.of(burnLog));
     }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/PeerLiveness.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/PeerLiveness.java
@@ -4,15 +4,16 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.foxtailplank.id.NodeId;
-import org.foxtailplank.internal.control.Liveness;
 import org.foxtailplank.membership.Member;
 import org.foxtailplank.membership.MemberState;
+import org.foxtailplank.membership.NodeStatus;
 import org.foxtailplank.wire.PeerLink;
 
 /** Tells from the peer link since when a node has been away. */
-public final class PeerLiveness implements Liveness {
+public final class PeerLiveness implements PeerView {
     /** Longer than any wait: a node that has said that it leaves is not waited for. */
     private static final Duration LEFT = Duration.ofDays(1);
 
@@ -52,6 +53,13 @@
         };
     }
 
+    @Override
+    public Optional<NodeStatus> status(NodeId node) {
+        return mLink.member(node)
+                .filter(member -> member.state().isReachable())
+                .map(Member::status);
+    }
+
     private Duration silenceSince(Instant away) {
         return mSilence.plus(Duration.between(away, mClock.instant()));
     }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/EpochKeeper.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/EpochKeeper.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.internal.control.EpochDecision;
@@ -24,7 +25,7 @@
 
     private final ZoneId mShard;
     private final NodeId mSelf;
-    private final EpochPolicy mPolicy;
+    private final Supplier<EpochPolicy> mPolicy;
     private final Liveness mLiveness;
     private final RecordWriter mWriter;
     private final InstantSource mClock;
@@ -55,7 +56,7 @@
     public Optional<ActingEpoch> check(EpochState read, Runnable taken) {
         Instant now = mClock.instant();
         Duration waited = Duration.between(mStarted, now);
-        EpochDecision decision = mPolicy.decide(read, mHeld, waited, mLiveness);
+        EpochDecision decision = mPolicy.get().decide(read, mHeld, waited, mLiveness);
         if (decision instanceof EpochDecision.Held) {
             return Optional.of(new ActingEpoch(mShard, read.number()));
         }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/EpochParts.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/EpochParts.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.controller.internal.act;
 
 import java.time.InstantSource;
+import java.util.function.Supplier;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.internal.control.EpochPolicy;
 import org.foxtailplank.internal.control.Liveness;
@@ -17,6 +18,6 @@
 public record EpochParts(
         NodeId self,
         RecordWriter writer,
-        EpochPolicy policy,
+        Supplier<EpochPolicy> policy,
         Liveness liveness,
         InstantSource clock) {}
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmRunner.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.internal.control.BackendReport;
 import org.foxtailplank.internal.control.PlatformCall;
@@ -36,7 +37,7 @@
     private final VmDirectory mDirectory;
     private final VmActions mActions;
     private final BackendHealth mHealth;
-    private final VmProcedure mProcedure;
+    private final Supplier<VmProcedure> mProcedure;
     private final RecordWriter mWriter;
     private final InstantSource mClock;
     private final VmWatch mWatch = new VmWatch();
@@ -46,7 +47,7 @@
             VmDirectory directory,
             VmActions actions,
             BackendHealth health,
-            VmProcedure procedure,
+            Supplier<VmProcedure> procedure,
             RecordWriter writer,
             InstantSource clock) {
         mDirectory = directory;
@@ -85,9 +86,12 @@
         return health.thenCompose(
                 word -> {
                     VmStep step =
-                            mProcedure.next(
-                                    pending.vm(),
-                                    mWatch.observe(pending, report, word, mClock.instant()));
+                            mProcedure
+                                    .get()
+                                    .next(
+                                            pending.vm(),
+                                            mWatch.observe(
+                                                    pending, report, word, mClock.instant()));
                     return take(step, pending, epoch).thenApply(done -> step);
                 });
     }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
@@ -8,14 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.japi.Pair;
-import org.foxtailplank.controller.ConfigurationChecker;
-import org.foxtailplank.controller.internal.act.RecordWriter;
-import org.foxtailplank.internal.control.Liveness;
 import org.foxtailplank.platform.FleetLog;
 import org.foxtailplank.platform.burn.BurnLog;
 import org.foxtailplank.process.JsonRoutes;
@@ -33,18 +31,16 @@
     private final List<Endpoint> mEndpoints = new ArrayList<>();
 
     /** An API over the agreed state. */
-    public AdminApi(
-            ClassicActorSystemProvider system,
-            FleetLog log,
-            RecordWriter writer,
-            Settings settings,
-            Liveness liveness,
-            ConfigurationChecker checker) {
+    public AdminApi(ClassicActorSystemProvider system, AdminParts parts) {
         mSystem = system;
-        mTokens = new Tokens(settings.teams());
-        mEndpoints.addAll(new Reads(log, settings, liveness).endpoints());
-        Submitter submitter = new Submitter(log, writer);
-        mEndpoints.addAll(new Changes(log, submitter, settings, checker).endpoints());
+        FleetLog log = parts.log();
+        Supplier<Settings> settings = parts.settings();
+        Submitter submitter = new Submitter(log, parts.writer());
+        mTokens = new Tokens(() -> settings.get().teams());
+        mEndpoints.addAll(new Explains(log, settings, parts.watch(), parts.clock()).endpoints());
+        mEndpoints.addAll(new Reads(log, settings, parts.self(), parts.peers()).endpoints());
+        mEndpoints.addAll(new Publications(log, submitter, parts.checker()).endpoints());
+        mEndpoints.addAll(new Changes(log, submitter, settings).endpoints());
     }
 
     /** Answers for service-level burn as well. */
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Bodies.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Bodies.java
@@ -57,6 +57,16 @@
         }
     }
 
+    record PlanBody(Set<String> zones, Set<String> pools) {
+        public PlanBody {
+            require(zones, "zones");
+            if (zones.isEmpty()) {
+                throw new IllegalArgumentException("The field 'zones' names no zone.");
+            }
+            pools = pools == null ? Set.of() : Set.copyOf(pools);
+        }
+    }
+
     record OrderBody(Long version, String who, String why) implements ChangeBody {
         public OrderBody {
             require(version, "version");
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Call.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Call.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.util.List;
 import java.util.Map;
+import org.foxtailplank.state.Author;
 
 /**
  * A call to the administration API, after its token was accepted.
@@ -27,6 +28,13 @@
         return names.get(0);
     }
 
+    /** Who asks for a change and why, as the log keeps it. */
+    Author author(Bodies.ChangeBody body) {
+        String team = caller.team().value();
+        String who = body.who() == null || body.who().isBlank() ? team : team + "/" + body.who();
+        return new Author(who, body.why());
+    }
+
     /** Reads the body into a typed record. */
     <T> T read(Class<T> type) throws BadBodyException {
         if (body.isBlank()) {
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Changes.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Changes.java
@@ -3,13 +3,12 @@
 import static java.util.concurrent.CompletableFuture.completedFuture;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import org.foxtailplank.controller.ConfigurationChecker;
 import org.foxtailplank.controller.internal.admin.Bodies.ChangeBody;
 import org.foxtailplank.id.JobId;
 import org.foxtailplank.id.PoolId;
@@ -23,7 +22,6 @@
 import org.foxtailplank.settings.Settings;
 import org.foxtailplank.state.Author;
 import org.foxtailplank.state.Change;
-import org.foxtailplank.state.ConfigurationPublished;
 import org.foxtailplank.state.JobCancelled;
 import org.foxtailplank.state.JobSpec;
 import org.foxtailplank.state.JobState;
@@ -40,19 +38,16 @@
 final class Changes {
     private final FleetLog mLog;
     private final Submitter mSubmitter;
-    private final Settings mSettings;
-    private final ConfigurationChecker mChecker;
+    private final Supplier<Settings> mSettings;
 
-    Changes(FleetLog log, Submitter submitter, Settings settings, ConfigurationChecker checker) {
+    Changes(FleetLog log, Submitter submitter, Supplier<Settings> settings) {
         mLog = log;
         mSubmitter = submitter;
         mSettings = settings;
-        mChecker = checker;
     }
 
     List<Endpoint> endpoints() {
         return List.of(
-                operator("PUT", "/v1/config", this::publish),
                 operator("PUT", "/v1/pools/*/target", this::target),
                 operator("POST", "/v1/vms/*/move", this::move),
                 operator("POST", "/v1/waves", this::startWave),
@@ -68,27 +63,11 @@
         return Endpoint.of(method, path, Role.OPERATOR, handler);
     }
 
-    private CompletionStage<Answer> publish(Call call) throws Call.BadBodyException {
-        Bodies.ConfigBody body = call.read(Bodies.ConfigBody.class);
-        Map<ZoneId, String> overlays =
-                body.overlays().entrySet().stream()
-                        .collect(Collectors.toMap(e -> ZoneId.of(e.getKey()), Map.Entry::getValue));
-        ConfigurationChecker.Checked checked = mChecker.check(body.base(), overlays);
-        if (checked.shape().isEmpty()) {
-            String errors = String.join("\n", checked.errors());
-            return completedFuture(Answer.problem(Problem.badConfiguration(errors)));
-        }
-        Change change =
-                new ConfigurationPublished(
-                        body.base(), overlays, checked.shape().get(), author(call, body));
-        return write(body, ObjectKey.configuration(), change);
-    }
-
     private CompletionStage<Answer> target(Call call) throws Call.BadBodyException {
         Bodies.TargetBody body = call.read(Bodies.TargetBody.class);
         PoolId pool = PoolId.of(call.name());
         Change change =
-                new PoolTargetChanged(pool, body.target(), body.reserve(), author(call, body));
+                new PoolTargetChanged(pool, body.target(), body.reserve(), call.author(body));
         return write(body, ObjectKey.of(pool), change);
     }
 
@@ -96,7 +75,7 @@
         Bodies.MoveBody body = call.read(Bodies.MoveBody.class);
         VmId vm = VmId.of(call.name());
         PoolId to = PoolId.of(body.to());
-        Author author = author(call, body);
+        Author author = call.author(body);
         return mLog.read(view -> view.vm(vm).map(state -> state.pool()))
                 .thenCompose(
                         from ->
@@ -114,19 +93,19 @@
         WaveId wave = WaveId.of(body.id());
         Set<ZoneId> zones = ids(body.zones(), ZoneId::of);
         Optional<ZoneId> strange =
-                zones.stream().filter(z -> !mSettings.zones().containsKey(z)).findFirst();
+                zones.stream().filter(z -> !mSettings.get().zones().containsKey(z)).findFirst();
         if (strange.isPresent()) {
-            throw new Call.BadBodyException("There is no zone " + strange.get() + ".");
+            return completedFuture(Answer.problem(Problem.unknownZone(strange.get())));
         }
         Change change =
-                new WaveStarted(wave, zones, ids(body.pools(), PoolId::of), author(call, body));
+                new WaveStarted(wave, zones, ids(body.pools(), PoolId::of), call.author(body));
         return write(body, ObjectKey.of(wave), change);
     }
 
     private CompletionStage<Answer> order(Call call, WaveOrder order) throws Call.BadBodyException {
         Bodies.OrderBody body = call.read(Bodies.OrderBody.class);
         WaveId wave = WaveId.of(call.name());
-        Change change = new WaveControlled(wave, order, author(call, body));
+        Change change = new WaveControlled(wave, order, call.author(body));
         return write(body, ObjectKey.of(wave), change);
     }
 
@@ -153,14 +132,14 @@
                         body.memoryBytes(),
                         body.accelerators(),
                         body.tasks());
-        Change change = new JobSubmitted(job, spec, author(call, body));
+        Change change = new JobSubmitted(job, spec, call.author(body));
         return write(body, ObjectKey.of(job), change);
     }
 
     private CompletionStage<Answer> cancelJob(Call call) throws Call.BadBodyException {
         Bodies.OrderBody body = call.read(Bodies.OrderBody.class);
         JobId job = JobId.of(call.name());
-        Change change = new JobCancelled(job, author(call, body));
+        Change change = new JobCancelled(job, call.author(body));
         return mLog.read(view -> view.job(job).map(JobState::spec).map(JobSpec::team))
                 .thenCompose(
                         team -> {
@@ -177,10 +156,10 @@
     private CompletionStage<Answer> quota(Call call) throws Call.BadBodyException {
         Bodies.QuotaBody body = call.read(Bodies.QuotaBody.class);
         TeamId team = TeamId.of(call.name());
-        if (!mSettings.teams().containsKey(team)) {
+        if (!mSettings.get().teams().containsKey(team)) {
             return unknown(ObjectKey.of(team));
         }
-        Change change = new TeamQuotaChanged(team, body.quota(), author(call, body));
+        Change change = new TeamQuotaChanged(team, body.quota(), call.author(body));
         return write(body, ObjectKey.of(team), change);
     }
 
@@ -196,12 +175,6 @@
         return Problem.otherTeam(call.caller().team().value(), team.value());
     }
 
-    private static Author author(Call call, ChangeBody body) {
-        String team = call.caller().team().value();
-        String who = body.who() == null || body.who().isBlank() ? team : team + "/" + body.who();
-        return new Author(who, body.why());
-    }
-
     private static <T> Set<T> ids(Set<String> names, Function<String, T> id) {
         return names.stream().map(id).collect(Collectors.toUnmodifiableSet());
     }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.controller.internal.admin;
 
+import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.request.Outcome;
 import org.foxtailplank.settings.Role;
 import org.foxtailplank.state.ObjectKey;
@@ -70,6 +71,20 @@
                 "List what there is with GET, and check the name.");
     }
 
+    static Problem unexplained(String kind, String name) {
+        return new Problem(
+                404,
+                "unknown-object",
+                "There is no " + kind + " " + name + " to explain.",
+                "The log holds no record of it, or the kind is none of vm, pool, wave, job,"
+                        + " worker.",
+                "List what there is with GET, and check kind and name.");
+    }
+
+    static Problem unknownZone(ZoneId zone) {
+        return badBody("There is no zone " + zone + ".");
+    }
+
     static Problem badBody(String detail) {
         return new Problem(
                 400,
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Reads.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Reads.java
@@ -10,13 +10,15 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import java.util.function.Supplier;
+import org.foxtailplank.controller.internal.PeerView;
 import org.foxtailplank.id.JobId;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.WaveId;
 import org.foxtailplank.id.ZoneId;
-import org.foxtailplank.internal.control.Liveness;
+import org.foxtailplank.membership.NodeStatus;
 import org.foxtailplank.platform.FleetLog;
 import org.foxtailplank.settings.NodeSettings;
 import org.foxtailplank.settings.Role;
@@ -31,13 +33,15 @@
     private static final int MAX_LIMIT = 1000;
 
     private final FleetLog mLog;
-    private final Settings mSettings;
-    private final Liveness mLiveness;
+    private final Supplier<Settings> mSettings;
+    private final NodeId mSelf;
+    private final PeerView mPeers;
 
-    Reads(FleetLog log, Settings settings, Liveness liveness) {
+    Reads(FleetLog log, Supplier<Settings> settings, NodeId self, PeerView peers) {
         mLog = log;
         mSettings = settings;
-        mLiveness = liveness;
+        mSelf = self;
+        mPeers = peers;
     }
 
     List<Endpoint> endpoints() {
@@ -126,7 +130,7 @@
     private CompletionStage<Answer> teams(Call call) {
         return list(
                 call,
-                view -> mSettings.teams().entrySet(),
+                view -> mSettings.get().teams().entrySet(),
                 e -> e.getKey().value(),
                 (view, e) -> team(view, e));
     }
@@ -142,22 +146,31 @@
 
     private CompletionStage<Answer> nodes(Call call) {
         return list(
-                call, view -> mSettings.nodes().entrySet(), e -> e.getKey().value(), this::node);
+                call,
+                view -> mSettings.get().nodes().entrySet(),
+                e -> e.getKey().value(),
+                this::node);
     }
 
     private Views.NodeView node(FleetView view, Map.Entry<NodeId, NodeSettings> node) {
         List<Views.ShardView> shards = new ArrayList<>();
-        for (ZoneId zone : mSettings.zones().keySet()) {
+        for (ZoneId zone : mSettings.get().zones().keySet()) {
             if (view.epoch(zone).holder().filter(node.getKey()::equals).isPresent()) {
                 shards.add(Views.ShardView.of(view, zone));
             }
         }
         shards.sort(Comparator.comparing(Views.ShardView::zone));
+        boolean own = node.getKey().equals(mSelf);
+        Optional<NodeStatus> heard = mPeers.status(node.getKey());
         return new Views.NodeView(
                 node.getKey().value(),
                 node.getValue().zone().value(),
                 node.getValue().admin().getHostString() + ":" + node.getValue().admin().getPort(),
-                mLiveness.silence(node.getKey()).toMillis(),
+                mPeers.silence(node.getKey()).toMillis(),
+                own
+                        ? Optional.of(view.version(ObjectKey.configuration()))
+                        : heard.map(NodeStatus::configurationVersion),
+                own ? Optional.of(view.nextOffset()) : heard.map(s -> s.position().nextOffset()),
                 shards);
     }
 
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Tokens.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Tokens.java
@@ -4,6 +4,7 @@
 import java.security.MessageDigest;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.foxtailplank.id.TeamId;
 import org.foxtailplank.settings.TeamSettings;
 
@@ -11,9 +12,9 @@
 final class Tokens {
     private static final String SCHEME = "Bearer ";
 
-    private final Map<TeamId, TeamSettings> mTeams;
+    private final Supplier<Map<TeamId, TeamSettings>> mTeams;
 
-    Tokens(Map<TeamId, TeamSettings> teams) {
+    Tokens(Supplier<Map<TeamId, TeamSettings>> teams) {
         mTeams = teams;
     }
 
@@ -30,7 +31,7 @@
         byte[] given = token.getBytes(StandardCharsets.UTF_8);
         Optional<Caller> found = Optional.empty();
         // Every token is compared, in constant time: the time of the answer tells nothing of them.
-        for (Map.Entry<TeamId, TeamSettings> team : mTeams.entrySet()) {
+        for (Map.Entry<TeamId, TeamSettings> team : mTeams.get().entrySet()) {
             byte[] known = team.getValue().token().getBytes(StandardCharsets.UTF_8);
             if (MessageDigest.isEqual(known, given)) {
                 found = Optional.of(new Caller(team.getKey(), team.getValue().role()));
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Views.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Views.java
@@ -167,7 +167,14 @@
 
     record TeamView(String id, double quota, String role, long version) {}
 
-    record NodeView(String id, String zone, String admin, long silenceMs, List<ShardView> shards) {}
+    record NodeView(
+            String id,
+            String zone,
+            String admin,
+            long silenceMs,
+            Optional<Long> configVersion,
+            Optional<Long> nextOffset,
+            List<ShardView> shards) {}
 
     record ShardView(String zone, long epoch, Optional<String> holder) {
         static ShardView of(FleetView view, ZoneId zone) {
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/place/PlacementMind.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/place/PlacementMind.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.foxtailplank.controller.internal.plan.LiveTasks;
 import org.foxtailplank.fleet.Explanation;
 import org.foxtailplank.fleet.PlacementAction;
@@ -43,7 +44,7 @@
 final class PlacementMind {
     private static final int RENEWALS_PER_LEASE = 3;
 
-    private final Settings mSettings;
+    private final Supplier<Settings> mSettings;
     private final long mRenewMs;
     private final Placer mPlacer;
     private final Map<VmId, Worker> mWorkers = new HashMap<>();
@@ -52,7 +53,7 @@
     private final Map<TaskId, Long> mRenewedAt = new HashMap<>();
     private final Set<TaskId> mCheckpointed = new HashSet<>();
 
-    PlacementMind(Settings settings, PlacementSettings times) {
+    PlacementMind(Supplier<Settings> settings, PlacementSettings times) {
         mSettings = settings;
         mRenewMs = times.lease().dividedBy(RENEWALS_PER_LEASE).toMillis();
         mPlacer = Placer.indexed(times);
@@ -83,7 +84,10 @@
     /** Brings the placer to the state without deciding. */
     void follow(FleetView view, long nowMs) {
         Map<TeamId, Double> quotas = new HashMap<>();
-        mSettings.teams().forEach((id, t) -> quotas.put(id, view.teamQuota(id).orElse(t.quota())));
+        mSettings
+                .get()
+                .teams()
+                .forEach((id, t) -> quotas.put(id, view.teamQuota(id).orElse(t.quota())));
         if (!quotas.equals(mQuotas)) {
             mQuotas.putAll(quotas);
             mPlacer.quotas(quotas);
@@ -103,8 +107,12 @@
         return mPlacer.explain(job, nowMs);
     }
 
+    Optional<Explanation> explain(VmId worker, long nowMs) {
+        return mPlacer.explain(worker, nowMs);
+    }
+
     private void follow(VmState vm, long nowMs) {
-        VmSettings size = mSettings.vms().get(vm.id());
+        VmSettings size = mSettings.get().vms().get(vm.id());
         if (size == null) {
             return;
         }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/place/PlacementParts.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/place/PlacementParts.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.controller.internal.place;
 
 import java.time.InstantSource;
+import java.util.function.Supplier;
 import org.foxtailplank.controller.internal.act.EpochParts;
 import org.foxtailplank.controller.internal.act.RecordWriter;
 import org.foxtailplank.fleet.PlacementSettings;
@@ -20,7 +21,7 @@
  * @param clock time of leases and reports
  */
 public record PlacementParts(
-        Settings settings,
+        Supplier<Settings> settings,
         PlacementSettings times,
         FleetLog log,
         RecordWriter writer,
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.foxtailplank.fleet.BufferHistory;
 import org.foxtailplank.fleet.BufferPlan;
 import org.foxtailplank.fleet.BufferPlanner;
@@ -43,7 +44,7 @@
 
     private final String mWho;
     private final WavePlanner mWaves;
-    private final BufferPlanner mBuffer;
+    private final Supplier<BufferPlanner> mBuffer;
     private BufferHistory mHistory = BufferHistory.none();
 
     /**
@@ -53,7 +54,7 @@
      * @param waves decides the steps of waves
      * @param buffer decides which VMs are powered on
      */
-    public FleetPlanner(String who, WavePlanner waves, BufferPlanner buffer) {
+    public FleetPlanner(String who, WavePlanner waves, Supplier<BufferPlanner> buffer) {
         mWho = who;
         mWaves = waves;
         mBuffer = buffer;
@@ -77,7 +78,7 @@
                 wave(batch, wave, mWaves.next(view, wave, zone, seen));
             }
         }
-        BufferPlan plan = mBuffer.plan(view, seen, mHistory, nowMs);
+        BufferPlan plan = mBuffer.get().plan(view, seen, mHistory, nowMs);
         mHistory = plan.history();
         plan.wake().forEach(vm -> batch.intend(vm, VmAction.WAKE, want(plan, view, vm)));
         plan.sleep().forEach(vm -> batch.intend(vm, VmAction.SLEEP, want(plan, view, vm)));
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/ControllerTest.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/ControllerTest.java
@@ -5,7 +5,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
 import java.util.Map;
@@ -13,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.foxtailplank.id.JobId;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.RecordId;
@@ -22,9 +22,7 @@
 import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
 import org.foxtailplank.process.HttpAnswer;
-import org.foxtailplank.process.HttpListener;
 import org.foxtailplank.process.Json;
-import org.foxtailplank.process.JsonHttpClient;
 import org.foxtailplank.process.PekkoRuntime;
 import org.foxtailplank.settings.FleetShapes;
 import org.foxtailplank.settings.Settings;
@@ -36,6 +34,7 @@
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.LogRecord;
 import org.foxtailplank.state.ObjectKey;
+import org.foxtailplank.state.TaskOutcome;
 import org.foxtailplank.state.VmPhase;
 import org.foxtailplank.state.WavePhase;
 import org.testng.annotations.AfterClass;
@@ -50,13 +49,14 @@
                     view.pools().stream()
                             .allMatch(p -> serving(view, p.id()) >= p.target() + p.reserve());
 
+    private static final Optional<TaskOutcome> SUCCEEDED = Optional.of(TaskOutcome.SUCCEEDED);
+
     private PekkoRuntime mRuntime;
     private PlatformStandin mPlatform;
     private FleetFollower mLog;
     private Controller mController;
-    private JsonHttpClient mOperator;
-    private JsonHttpClient mStranger;
-    private URI mAdmin;
+    private AdminClient mOperator;
+    private AdminClient mStranger;
 
     @BeforeClass
     public void start() throws Exception {
@@ -76,15 +76,8 @@
         publish(settings);
         mController =
                 Controller.start(mRuntime, ControllerParts.of(node, settings, mLog, platform));
-        InetSocketAddress address =
-                HttpListener.bind(
-                                mRuntime,
-                                new InetSocketAddress("127.0.0.1", 0),
-                                mController.route())
-                        .address();
-        mAdmin = URI.create("http://127.0.0.1:" + address.getPort());
-        mStranger = JsonHttpClient.withTimeout(mRuntime, Duration.ofSeconds(20));
-        mOperator = mStranger.withHeader("Authorization", "Bearer survey-token");
+        mStranger = AdminClient.serving(mRuntime, mController.route());
+        mOperator = mStranger.withToken("survey-token");
         until(TARGETS_MET);
     }
 
@@ -98,37 +91,39 @@
 
     @Test
     public void refusesACallWithoutAToken() throws Exception {
-        HttpAnswer answer = JsonHttpClient.await(mStranger.get(mAdmin.resolve("/v1/pools")));
+        HttpAnswer answer = mStranger.get("/v1/pools");
         assertEquals(answer.status(), 401);
-        assertEquals(answer.tree().path("error").path("code").asText(), "no-token");
+        assertEquals(AdminClient.code(answer), "no-token");
         assertTrue(answer.tree().path("error").path("todo").asText().contains("Bearer"));
     }
 
     @Test
     public void listsPagesOfVms() throws Exception {
-        JsonNode first = get("/v1/vms?zone=z1&limit=3");
+        JsonNode first = mOperator.read("/v1/vms?zone=z1&limit=3");
         assertEquals(first.path("items").size(), 3);
-        JsonNode rest = get("/v1/vms?zone=z1&limit=3&after=" + first.path("next").asText());
+        JsonNode rest =
+                mOperator.read("/v1/vms?zone=z1&limit=3&after=" + first.path("next").asText());
         assertEquals(rest.path("items").size(), 1);
         assertTrue(rest.path("next").isNull());
     }
 
     @Test
     public void givesOneOfTwoRacingOperatorsTheConflictAndTheObjectAsItIs() throws Exception {
-        long version = get("/v1/pools/claims").path("version").asLong();
+        long version = mOperator.read("/v1/pools/claims").path("version").asLong();
         ObjectNode change = Json.object().put("version", version).put("target", 2);
         change.put("reserve", 2).put("why", "first");
-        assertEquals(put("/v1/pools/claims/target", change).status(), 200);
+        assertEquals(mOperator.put("/v1/pools/claims/target", change).status(), 200);
         change.put("reserve", 1).put("why", "second");
-        HttpAnswer second = put("/v1/pools/claims/target", change);
+        HttpAnswer second = mOperator.put("/v1/pools/claims/target", change);
         assertEquals(second.status(), 409);
-        assertEquals(second.tree().path("error").path("code").asText(), "stale-version");
+        assertEquals(AdminClient.code(second), "stale-version");
         assertEquals(second.tree().path("current").path("reserve").asInt(), 2);
     }
 
     @Test
     public void namesTheFieldThatIsMissing() throws Exception {
-        HttpAnswer answer = put("/v1/pools/claims/target", Json.object().put("target", 1));
+        HttpAnswer answer =
+                mOperator.put("/v1/pools/claims/target", Json.object().put("target", 1));
         assertEquals(answer.status(), 400);
         String why = answer.tree().path("error").path("why").asText();
         assertEquals(why, "The field 'version' is missing.");
@@ -138,21 +133,65 @@
     public void carriesOutAWaveAndCutsOffNothing() throws Exception {
         ObjectNode wave = Json.object().put("id", "march").put("why", "firmware");
         wave.putArray("zones").add("z1");
-        HttpAnswer started = post("/v1/waves", wave);
+        HttpAnswer started = mOperator.post("/v1/waves", wave);
         assertEquals(started.status(), 200, started.body());
         WaveId id = WaveId.of("march");
         until(v -> v.wave(id).filter(w -> w.phase() == WavePhase.FINISHED).isPresent());
-        long maintained = get("/v1/waves/march").path("maintained").asLong();
+        long maintained = mOperator.read("/v1/waves/march").path("maintained").asLong();
         assertEquals(maintained, 4);
         assertEquals(mPlatform.cutOff(), 0);
     }
 
+    @Test
+    public void saysWhatAWaveWouldDoAndWhatLimitsIt() throws Exception {
+        ObjectNode body = Json.object();
+        body.putArray("zones").add("z1").add("z2");
+        HttpAnswer answer = mOperator.post("/v1/waves/plan", body);
+        assertEquals(answer.status(), 200, answer.body());
+        JsonNode plan = answer.tree();
+        assertEquals(plan.path("vms").asInt(), 8);
+        assertTrue(plan.path("steps").path(0).path("limits").size() > 0, answer.body());
+    }
+
+    @Test
+    public void explainsWhyAVmIsWhereItIs() throws Exception {
+        JsonNode vm = mOperator.read("/v1/explain/vm/z1-r1-vm2");
+        assertEquals(vm.path("subject").asText(), "vm z1-r1-vm2");
+        assertTrue(vm.path("reasons").size() > 0);
+        assertTrue(mOperator.read("/v1/explain/pool/claims").path("reasons").size() > 0);
+        assertEquals(mOperator.get("/v1/explain/vm/nobody").status(), 404);
+    }
+
+    @Test
+    public void saysAtOnceThatAJobCanNeverRun() throws Exception {
+        ObjectNode job = Json.object().put("id", "huge").put("pool", "claims").put("why", "test");
+        job.put("processors", 1000).put("memoryBytes", 1);
+        HttpAnswer answer = mOperator.post("/v1/jobs", job);
+        assertEquals(answer.status(), 200, answer.body());
+        JsonNode reasons = mOperator.read("/v1/explain/job/huge").path("reasons");
+        assertEquals(reasons.path(0).path("kind").asText(), "NEVER", reasons.toString());
+    }
+
+    @Test
+    public void runsAJobToItsEnd() throws Exception {
+        ObjectNode job = Json.object().put("id", "batch").put("pool", "claims").put("why", "test");
+        job.put("processors", 1).put("memoryBytes", 1 << 20).put("tasks", 4);
+        assertEquals(mOperator.post("/v1/jobs", job).status(), 200);
+        until(
+                view ->
+                        view.job(JobId.of("batch")).orElseThrow().tasks().values().stream()
+                                        .filter(t -> t.outcome().equals(SUCCEEDED))
+                                        .count()
+                                == 4);
+    }
+
     @Test(dependsOnMethods = "carriesOutAWaveAndCutsOffNothing")
     public void movesAVmToAnotherPool() throws Exception {
         VmId vm = VmId.of("z1-r1-vm1");
-        long version = get("/v1/vms/" + vm).path("version").asLong();
+        long version = mOperator.read("/v1/vms/" + vm).path("version").asLong();
         ObjectNode move = Json.object().put("version", version).put("to", "quotes");
-        HttpAnswer answer = post("/v1/vms/" + vm + "/move", move.put("why", "busy phones"));
+        HttpAnswer answer =
+                mOperator.post("/v1/vms/" + vm + "/move", move.put("why", "busy phones"));
         assertEquals(answer.status(), 200, answer.body());
         until(
                 v ->
@@ -197,18 +236,4 @@
         check.run();
         held.get(60, TimeUnit.SECONDS);
     }
-
-    private JsonNode get(String path) throws Exception {
-        HttpAnswer answer = JsonHttpClient.await(mOperator.get(mAdmin.resolve(path)));
-        assertEquals(answer.status(), 200, answer.body());
-        return answer.tree();
-    }
-
-    private HttpAnswer put(String path, Object body) throws Exception {
-        return JsonHttpClient.await(mOperator.put(mAdmin.resolve(path), body));
-    }
-
-    private HttpAnswer post(String path, Object body) throws Exception {
-        return JsonHttpClient.await(mOperator.post(mAdmin.resolve(path), body));
-    }
 }
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestNode.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestNode.java
@@ -43,19 +43,22 @@
         NodeId self = NodeId.of(name);
         RecordWriter writer = new RecordWriter(self, life, mLog);
         Set<NodeId> silent = fleet.silent();
+        VmProcedure procedure = new VmProcedure(VmWaits.of(TestFleet.SETTINGS));
+        BufferPlanner buffer = BufferPlanner.byDemand(TestFleet.SETTINGS);
         VmRunner runner =
                 new VmRunner(
                         fleet.platform().directory(interruption),
                         fleet.platform().actions(interruption),
                         fleet.platform().health(),
-                        new VmProcedure(VmWaits.of(TestFleet.SETTINGS)),
+                        () -> procedure,
                         writer,
                         fleet.clock());
+        EpochPolicy policy = new EpochPolicy(self, TestFleet.NODES, SILENCE, STAGGER);
         EpochParts epochs =
                 new EpochParts(
                         self,
                         writer,
-                        new EpochPolicy(self, TestFleet.NODES, SILENCE, STAGGER),
+                        () -> policy,
                         node -> silent.contains(node) ? Duration.ofHours(1) : Duration.ZERO,
                         fleet.clock());
         ShardParts parts =
@@ -63,10 +66,7 @@
                         mLog,
                         writer,
                         epochs,
-                        new FleetPlanner(
-                                name,
-                                WavePlanner.byRack(),
-                                BufferPlanner.byDemand(TestFleet.SETTINGS)),
+                        new FleetPlanner(name, WavePlanner.byRack(), () -> buffer),
                         new FleetWatch(fleet.clock()),
                         fleet.platform().directory(Interruption.none()),
                         runner,
@@ -75,7 +75,7 @@
         mPlacement =
                 new PlacementLoop(
                         new PlacementParts(
-                                fleet.settings(),
+                                fleet::settings,
                                 PlacementSettings.standard(),
                                 mLog,
                                 writer,
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/state/PatchedText.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/state/PatchedText.java
@@ -18,7 +18,7 @@
  * <p>Patches are merged when the text is asked for, or when they have grown to a share of the text;
  * so a change costs the fold its own size, not the size of the configuration.
  */
-final class PatchedText {
+public final class PatchedText {
     private static final JsonMapper JSON =
             JsonMapper.builder()
                     .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
@@ -47,6 +47,12 @@
         }
     }
 
+    /** A text with a merge patch applied; empty where one of them is not a JSON object. */
+    public static Optional<String> merge(String text, String patch) {
+        return parse(text)
+                .flatMap(t -> parse(patch).map(p -> merge((JsonNode) t, p).toPrettyString()));
+    }
+
     /** Adds a patch that was parsed before. */
     void patch(String patch) {
         mPatches.add(patch);
--- a/foxtail-core/src/test/java/org/foxtailplank/internal/idempotency/ClaimTableMeasurement.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/idempotency/ClaimTableMeasurement.java
@@ -53,8 +53,7 @@
                 claims.add(new Claim(new RequestKey(digest), new Fingerprint(digest)));
             }
             batches.add(
-                    new ClaimBatch(
-                            writer, new Era(7, 1), ClaimBatch.Opening.NONE, NOW, claims));
+                    new ClaimBatch(writer, new Era(7, 1), ClaimBatch.Opening.NONE, NOW, claims));
         }
         return batches;
     }
