--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Changes.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Changes.java
@@ -23,13 +23,13 @@
 import org.foxtailplank.settings.Settings;
 import org.foxtailplank.state.Author;
 import org.foxtailplank.state.Change;
-import org.foxtailplank.state.ConfigurationPublished;
 import org.foxtailplank.state.JobCancelled;
 import org.foxtailplank.state.JobSpec;
 import org.foxtailplank.state.JobState;
 import org.foxtailplank.state.JobSubmitted;
 import org.foxtailplank.state.ObjectKey;
 import org.foxtailplank.state.PoolTargetChanged;
+import org.foxtailplank.state.Publication;
 import org.foxtailplank.state.TeamQuotaChanged;
 import org.foxtailplank.state.VmReleased;
 import org.foxtailplank.state.WaveControlled;
@@ -78,10 +78,10 @@
             String errors = String.join("\n", checked.errors());
             return completedFuture(Answer.problem(Problem.badConfiguration(errors)));
         }
-        Change change =
-                new ConfigurationPublished(
-                        body.base(), overlays, checked.shape().get(), author(call, body));
-        return write(body, ObjectKey.configuration(), change);
+        Publication publication =
+                new Publication(body.base(), overlays, checked.shape().get(), author(call, body));
+        return mLog.read(view -> publication.on(view, body.version()))
+                .thenCompose(change -> write(body, ObjectKey.configuration(), change));
     }
 
     private CompletionStage<Answer> target(Call call) throws Call.BadBodyException {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/state/ConfigurationFold.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/state/ConfigurationFold.java
@@ -84,9 +84,9 @@
         if (mCurrent.isEmpty()) {
             return Verdicts.unknown(ObjectKey.configuration());
         }
-        boolean readable = PatchedText.parse(c.basePatch()).isPresent();
+        boolean readable = MergePatch.parse(c.basePatch()).isPresent();
         for (String p : c.overlayPatches().values()) {
-            readable &= PatchedText.parse(p).isPresent();
+            readable &= MergePatch.parse(p).isPresent();
         }
         if (!readable) {
             return Verdicts.malformed("a merge patch is not a JSON object");
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/state/MergePatch.java
@@ -0,0 +1,83 @@
+package org.foxtailplank.internal.state;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.Optional;
+
+/** JSON merge patches (RFC 7396). */
+public final class MergePatch {
+    private static final JsonMapper JSON =
+            JsonMapper.builder()
+                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+                    .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    private MergePatch() {}
+
+    /** Reads a JSON object, which may hold comments; empty for any other text. */
+    public static Optional<ObjectNode> parse(String text) {
+        try {
+            JsonNode node = JSON.readTree(text);
+            return node instanceof ObjectNode o ? Optional.of(o) : Optional.empty();
+        } catch (JsonProcessingException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** An object without members. */
+    public static ObjectNode emptyObject() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+
+    /** Merges a patch into a value, which may change. */
+    public static JsonNode merge(JsonNode target, JsonNode patch) {
+        if (!(patch instanceof ObjectNode)) {
+            return patch;
+        }
+        ObjectNode result = target instanceof ObjectNode o ? o : emptyObject();
+        for (Map.Entry<String, JsonNode> e : patch.properties()) {
+            if (e.getValue().isNull()) {
+                result.remove(e.getKey());
+            } else {
+                result.set(e.getKey(), merge(result.path(e.getKey()), e.getValue()));
+            }
+        }
+        return result;
+    }
+
+    /** The patch that leads from one object to another; empty where no patch can. */
+    public static Optional<ObjectNode> between(ObjectNode from, ObjectNode to) {
+        ObjectNode patch = emptyObject();
+        for (Map.Entry<String, JsonNode> e : from.properties()) {
+            if (!to.has(e.getKey())) {
+                patch.putNull(e.getKey());
+            }
+        }
+        for (Map.Entry<String, JsonNode> e : to.properties()) {
+            JsonNode old = from.path(e.getKey());
+            if (!old.equals(e.getValue()) && !put(patch, e.getKey(), old, e.getValue())) {
+                return Optional.empty();
+            }
+        }
+        return Optional.of(patch);
+    }
+
+    private static boolean put(ObjectNode patch, String key, JsonNode from, JsonNode to) {
+        if (to instanceof ObjectNode t) {
+            ObjectNode old = from instanceof ObjectNode f ? f : emptyObject();
+            Optional<ObjectNode> inner = between(old, t);
+            inner.ifPresent(p -> patch.set(key, p));
+            return inner.isPresent();
+        }
+        patch.set(key, to);
+        // In a patch null means removal, so a null that is a value can't be said.
+        return !to.isNull();
+    }
+}
--- a/foxtail-core/src/test/java/org/foxtailplank/state/ExploredWorld.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/ExploredWorld.java
@@ -62,6 +62,20 @@
         return new ExploredWorld(records);
     }
 
+    /** The same with a stop of the first VM done and two confirmations of it under way. */
+    ExploredWorld confirmingAStop() {
+        ExploredWorld w = this;
+        VmId vm = VMS.get(0);
+        w = w.made(0, w.view(0), w.epoch(0), Map.of(), intent(w.view(0), vm, VmAction.SLEEP));
+        w = w.delivered(0);
+        w.mInFlight.clear();
+        w = w.read(0);
+        w = w.acted(w.view(0).vm(vm).orElseThrow());
+        Change done = new VmActionConfirmed(vm, 1, ActionOutcome.DONE);
+        w = w.made(0, w.view(0), w.epoch(0), Map.of(), done);
+        return w.made(0, w.view(0), w.epoch(0), Map.of(), done);
+    }
+
     /** The log as it stands, folded. */
     FoldCache.Folded folded() {
         return mFolds.fold(mLog);
@@ -79,7 +93,7 @@
     /** Two worlds with the same key have the same future. */
     String key() {
         StringBuilder b = new StringBuilder();
-        mLog.forEach(r -> b.append(r.id()).append(' '));
+        mLog.forEach(r -> b.append(r.id().value()).append(' '));
         List<String> flying = new ArrayList<>();
         mInFlight.forEach(f -> flying.add(f.copies() + "*" + f.record().id()));
         Collections.sort(flying);
@@ -96,20 +110,34 @@
         }
         for (int p = 0; p < PROCESSES; p++) {
             if (mRead[p] < mLog.size()) {
-                ExploredWorld w = new ExploredWorld(this);
-                w.mRead[p] = mLog.size();
-                all.add(w);
+                all.add(read(p));
             }
-            FleetState view = mFolds.fold(mLog.subList(0, mRead[p])).state();
             if (p < CONTROLLERS) {
-                controllerSteps(p, view, all);
+                controllerSteps(p, view(p), all);
             } else {
-                operatorSteps(p, view, all);
+                operatorSteps(p, view(p), all);
             }
         }
         return all;
     }
 
+    private FleetState view(int p) {
+        return mFolds.fold(mLog.subList(0, mRead[p])).state();
+    }
+
+    private ExploredWorld read(int p) {
+        ExploredWorld w = new ExploredWorld(this);
+        w.mRead[p] = mLog.size();
+        return w;
+    }
+
+    private Optional<ActingEpoch> epoch(int p) {
+        EpochState epoch = view(p).epoch(FoldDriver.ZONE);
+        return epoch.holder()
+                .filter(node(p)::equals)
+                .map(h -> new ActingEpoch(FoldDriver.ZONE, epoch.number()));
+    }
+
     /** A record that is never delivered again is lost; so being lost needs no step of its own. */
     private ExploredWorld delivered(int index) {
         ExploredWorld w = new ExploredWorld(this);
@@ -122,41 +150,46 @@
     }
 
     private void controllerSteps(int p, FleetState view, List<ExploredWorld> all) {
-        EpochState epoch = view.epoch(FoldDriver.ZONE);
-        NodeId self = node(p);
-        if (!epoch.holder().equals(Optional.of(self))) {
-            EpochTaken taken = new EpochTaken(FoldDriver.ZONE, epoch.number(), self);
+        Optional<ActingEpoch> epoch = epoch(p);
+        if (epoch.isEmpty()) {
+            long number = view.epoch(FoldDriver.ZONE).number();
+            EpochTaken taken = new EpochTaken(FoldDriver.ZONE, number, node(p));
             all.add(made(p, view, Optional.empty(), Map.of(), taken));
             return;
         }
-        Optional<ActingEpoch> acting =
-                Optional.of(new ActingEpoch(FoldDriver.ZONE, epoch.number()));
         for (VmId id : VMS) {
             VmState vm = view.vm(id).orElseThrow();
-            if (vm.pending().isEmpty()) {
-                VmAction action = vm.phase() == VmPhase.OFF ? VmAction.WAKE : VmAction.SLEEP;
-                VmActionIntended intent =
-                        new VmActionIntended(
-                                id,
-                                action,
-                                vm.generation() + 1,
-                                Optional.empty(),
-                                FoldDriver.AUTHOR);
-                all.add(made(p, view, acting, Map.of(), intent));
-            } else if (mGenerations.getOrDefault(id, 0L) < vm.generation()) {
+            long atPlatform = mGenerations.getOrDefault(id, 0L);
+            if (vm.joining().isPresent()) {
+                if (atPlatform <= vm.generation()) {
+                    Change joined = new VmJoined(id, vm.joining().get());
+                    all.add(drained(id).made(p, view, epoch, Map.of(), joined));
+                }
+            } else if (vm.pending().isEmpty()) {
+                Change intent = intent(view, id, nextAction(vm.phase()));
+                all.add(made(p, view, epoch, Map.of(), intent));
+            } else if (atPlatform < vm.generation()) {
                 all.add(acted(vm));
             } else {
-                VmActionConfirmed done =
-                        new VmActionConfirmed(id, vm.generation(), ActionOutcome.DONE);
-                all.add(made(p, view, acting, Map.of(), done));
-            }
-            if (vm.joining().isPresent()) {
-                Change joined = new VmJoined(id, vm.joining().get());
-                all.add(made(p, view, acting, Map.of(), joined));
+                Change done = new VmActionConfirmed(id, vm.generation(), ActionOutcome.DONE);
+                all.add(made(p, view, epoch, Map.of(), done));
             }
         }
     }
 
+    private static VmAction nextAction(VmPhase phase) {
+        return switch (phase) {
+            case OFF -> VmAction.WAKE;
+            case RELEASING -> VmAction.REASSIGN;
+            default -> VmAction.SLEEP;
+        };
+    }
+
+    private static VmActionIntended intent(FleetState view, VmId id, VmAction action) {
+        long generation = view.vm(id).orElseThrow().generation() + 1;
+        return new VmActionIntended(id, action, generation, Optional.empty(), FoldDriver.AUTHOR);
+    }
+
     private void operatorSteps(int p, FleetState view, List<ExploredWorld> all) {
         long version = view.version(ObjectKey.configuration());
         Change publish =
@@ -173,6 +206,12 @@
         all.add(made(p, view, Optional.empty(), Map.of(), target));
     }
 
+    private ExploredWorld drained(VmId id) {
+        ExploredWorld w = new ExploredWorld(this);
+        w.mStopped.put(id, true);
+        return w;
+    }
+
     /** The platform takes an action that is above the VM's generation, late or not. */
     private ExploredWorld acted(VmState vm) {
         ExploredWorld w = new ExploredWorld(this);
--- a/foxtail-core/src/test/java/org/foxtailplank/state/FleetStateTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/FleetStateTest.java
@@ -127,6 +127,18 @@
         d.refused(VoidReason.STALE_VERSION, done);
     }
 
+    @Test
+    public void refusesASecondActionWhileOneIsPending() {
+        FoldDriver d = FoldDriver.serving(6, 2);
+        VmState vm = d.vm("claims1");
+        d.applied(new VmObserved(vm.id(), vm.generation(), VmHealth.DOWN, AUTHOR));
+        d.applied(d.intent("claims1", VmAction.WAKE));
+        d.refused(VoidReason.WRONG_PHASE, d.intent("claims1", VmAction.REBOOT));
+        d.refused(
+                VoidReason.WRONG_PHASE,
+                new VmObserved(vm.id(), vm.generation() + 1, VmHealth.UP, AUTHOR));
+    }
+
     @Test
     public void startsNoStepOfAPausedWave() {
         FoldDriver d = FoldDriver.serving(6, 2);
--- a/foxtail-core/src/test/java/org/foxtailplank/state/FoldExplorationTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/state/FoldExplorationTest.java
@@ -26,31 +26,45 @@
 
     @Test
     public void holdsInEveryOrderToADepth() {
+        long states = explore("a fleet that serves", start(), DEPTH);
+        assertTrue(states > 10_000, "the exploration is too small: " + states);
+    }
+
+    /** The second confirmation may arrive when the VM has been asked to wake again. */
+    @Test
+    public void holdsInEveryOrderAfterAStop() {
+        long states = explore("a stop confirmed twice", start().confirmingAStop(), DEPTH - 1);
+        assertTrue(states > 10_000, "the exploration is too small: " + states);
+    }
+
+    private static long explore(String from, ExploredWorld start, int depth) {
         Set<String> seen = new HashSet<>();
-        List<ExploredWorld> frontier = List.of(start());
+        List<ExploredWorld> frontier = List.of(start);
         long steps = 0;
-        for (int depth = 0; depth <= DEPTH; depth++) {
+        for (int d = 1; d <= depth; d++) {
             List<ExploredWorld> next = new ArrayList<>();
             for (ExploredWorld w : frontier) {
-                steps++;
-                if (seen.add(w.key())) {
-                    FoldInvariants.check(w);
-                    if (depth < DEPTH) {
-                        next.addAll(w.successors());
+                for (ExploredWorld s : w.successors()) {
+                    steps++;
+                    if (seen.add(s.key())) {
+                        FoldInvariants.check(s);
+                        next.add(s);
                     }
                 }
             }
-            frontier = next;
+            frontier = d < depth ? next : List.of();
         }
         System.out.println(
-                "fold exploration: depth "
-                        + DEPTH
+                "fold exploration: from "
+                        + from
+                        + ", depth "
+                        + depth
                         + ", "
                         + seen.size()
                         + " states, "
                         + steps
                         + " steps");
-        assertTrue(seen.size() > 10_000, "the exploration is too small: " + seen.size());
+        return seen.size();
     }
 
     @Test
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/FollowMode.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/FollowMode.java
@@ -3,13 +3,13 @@
 /** What a process that follows the log is doing. */
 public enum FollowMode {
     /** Looks for a state to start from; knows nothing yet. */
-    STARTING("the state is not loaded yet"),
+    STARTING("The state is not loaded yet"),
     /** Follows the log. */
-    FOLLOWING("the log is followed"),
+    FOLLOWING("The log is followed"),
     /** The records that it needs next have expired, and no snapshot covers them yet. */
-    BEHIND("records that were needed have expired and no snapshot is found yet"),
+    BEHIND("Records that were needed have expired and no snapshot is found yet"),
     /** The log is shorter than what is known; the state is kept and will be restored to it. */
-    RESTORING("the log has lost records; they are being restored");
+    RESTORING("The log has lost records; they are being restored");
 
     private final String mText;
 
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/FollowedFleetLog.java
@@ -1,7 +1,5 @@
 package org.foxtailplank.platform.internal.fleet;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,6 +18,7 @@
 import org.foxtailplank.platform.PlatformException.Effect;
 import org.foxtailplank.platform.PlatformLog;
 import org.foxtailplank.platform.StoredEntry;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.LogRecord;
 import org.foxtailplank.state.NotUnderstood;
@@ -34,7 +33,7 @@
 
 /** The fleet log of one process: one thread of its own owns the state. */
 public final class FollowedFleetLog implements FleetFollower, FollowListener {
-    private static final Logger LOG = System.getLogger(FollowedFleetLog.class.getName());
+    private static final Log LOG = Log.of("fleet-log");
 
     private final PlatformLog mLog;
     private final FollowOptions mOptions;
@@ -150,9 +149,8 @@
     public void missing(List<LogRecord> records) {
         for (LogRecord r : records) {
             if (!(r.change() instanceof NotUnderstood)) {
-                LOG.log(Level.WARNING, "fleet-log: writes {0} again after a restoration", r.id());
-                mPending.await(r.id())
-                        .whenComplete((v, e) -> LOG.log(Level.WARNING, "{0}: {1}", r.id(), v));
+                LOG.warn("Writes {0} again after a restoration", r.id());
+                mPending.await(r.id()).whenComplete((v, e) -> LOG.warn("{0}: {1}", r.id(), v));
                 send(r);
             }
         }
@@ -166,7 +164,7 @@
         try {
             return Optional.of(SnapshotCodec.decode(encoded));
         } catch (RecordFormatException e) {
-            LOG.log(Level.WARNING, "fleet-log: a peer's state is not taken: {0}", e.getMessage());
+            LOG.warn("A peer's state is not taken: {0}", e.getMessage());
             return Optional.empty();
         }
     }
@@ -177,7 +175,7 @@
         boolean same = s.restorations() == here.restorations();
         boolean leads = !same || mFollower.state().fleet().leadsTo(s.state());
         if (!leads) {
-            LOG.log(Level.WARNING, "fleet-log: a peer's state has another past; it is not taken");
+            LOG.warn("A peer's state has another past; it is not taken");
         }
         return leads && s.position().compareTo(here) > 0;
     }
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/LogFollower.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/LogFollower.java
@@ -1,7 +1,5 @@
 package org.foxtailplank.platform.internal.fleet;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +8,7 @@
 import org.foxtailplank.platform.PlatformLog;
 import org.foxtailplank.platform.ReadResult;
 import org.foxtailplank.platform.StoredEntry;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.state.Basis;
 import org.foxtailplank.state.LogRecord;
 import org.foxtailplank.state.StateRestored;
@@ -26,7 +25,7 @@
     static final String STREAM = "fleet";
     static final int READ_LIMIT = 500;
 
-    private static final Logger LOG = System.getLogger(LogFollower.class.getName());
+    private static final Log LOG = Log.of("fleet-log");
     private static final Duration READ_WAIT = Duration.ofSeconds(1);
 
     private final PlatformLog mLog;
@@ -80,7 +79,7 @@
                         return;
                     }
                     if (error != null) {
-                        retry("loading a snapshot failed", error, this::start);
+                        retry("Loading a snapshot failed", error, this::start);
                     } else if (found.isPresent()) {
                         take(found.get());
                     } else {
@@ -93,10 +92,7 @@
     void take(StoredState stored) {
         mState.adopt(stored);
         mTakeovers++;
-        LOG.log(
-                Level.INFO,
-                "fleet-log: goes on from a snapshot at version {0}",
-                stored.state().nextOffset());
+        LOG.info("Goes on from a snapshot at version {0}", stored.state().nextOffset());
         if (mMode != FollowMode.RESTORING) {
             setMode(FollowMode.FOLLOWING);
         }
@@ -137,7 +133,7 @@
                     }
                     if (error != null) {
                         mVerify = true;
-                        retry("reading failed", error, this::poll);
+                        retry("Reading failed", error, this::poll);
                     } else if (mState.logOffset() != next) {
                         // A peer's entries came meanwhile; the answer is older than they are.
                         poll();
@@ -208,7 +204,7 @@
 
     private void fold(StoredEntry e, Optional<LogRecord> record) {
         if (record.isEmpty()) {
-            LOG.log(Level.WARNING, "fleet-log: the entry at {0} is no record", e.offset());
+            LOG.warn("The entry at {0} is no record", e.offset());
         }
         mListener.folded(e.id(), mState.fold(e, record));
     }
@@ -245,7 +241,7 @@
                     if (error == null && found.isPresent()) {
                         restoreFrom(found.get(), entry);
                     } else {
-                        retry("a restored state is not found", error, () -> restore(r, entry));
+                        retry("A restored state is not found", error, () -> restore(r, entry));
                     }
                 });
         return false;
@@ -262,9 +258,8 @@
 
     private void restored() {
         mVerify = false;
-        LOG.log(
-                Level.WARNING,
-                "fleet-log: the log goes on from the restored state at version {0}",
+        LOG.warn(
+                "The log goes on from the restored state at version {0}",
                 mState.fleet().nextOffset());
         setMode(FollowMode.FOLLOWING);
     }
@@ -286,7 +281,7 @@
                     if (newer.isPresent()) {
                         take(newer.get());
                     } else {
-                        retry("records expired that no snapshot covers", error, this::poll);
+                        retry("Records expired that no snapshot covers", error, this::poll);
                     }
                 });
     }
@@ -299,7 +294,7 @@
     void retry(String what, Throwable error, Runnable again) {
         long pause = mBackoff.next();
         String cause = error == null ? "" : ": " + error.getMessage();
-        LOG.log(Level.WARNING, "fleet-log: {0}, next try in {1} ms{2}", what, pause, cause);
+        LOG.warn("{0}; next try in {1} ms{2}", what, pause, cause);
         int asked = mTakeovers;
         mOwner.later(
                 () -> {
@@ -313,7 +308,7 @@
     private void setMode(FollowMode mode) {
         if (mode != mMode) {
             mMode = mode;
-            LOG.log(Level.INFO, "fleet-log: {0}", mode.text());
+            LOG.info("{0}", mode.text());
             mListener.mode(mode);
         }
     }
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/LogRepair.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/LogRepair.java
@@ -1,7 +1,5 @@
 package org.foxtailplank.platform.internal.fleet;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +15,7 @@
 import org.foxtailplank.platform.PlatformLog;
 import org.foxtailplank.platform.ReadResult;
 import org.foxtailplank.platform.StoredEntry;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.state.LogRecord;
 import org.foxtailplank.state.StatePosition;
 import org.foxtailplank.state.StateRestored;
@@ -32,7 +31,7 @@
  * The first one counts for every reader, so two nodes that restore at once do no harm.
  */
 final class LogRepair {
-    private static final Logger LOG = System.getLogger(LogRepair.class.getName());
+    private static final Log LOG = Log.of("fleet-log");
     private static final int FIRST_STEP = 500;
     private static final int GROWTH = 4;
     private static final int POLLS = 4;
@@ -63,11 +62,9 @@
 
     /** Starts with the log as it was seen. */
     void begin(long oldest, long end) {
-        LOG.log(
-                Level.ERROR,
-                "fleet-log: the log ends at {0}, but it was read up to {1}; the state is kept",
-                end,
-                mState.logOffset());
+        LOG.error(
+                "The log ends at {0}, but it was read up to {1}; the state is kept",
+                end, mState.logOffset());
         long delay = mOptions.restoreDelay().toNanos();
         mDueNanos = System.nanoTime() + delay + ThreadLocalRandom.current().nextLong(delay + 1);
         mProposing = false;
@@ -118,7 +115,7 @@
         for (StoredEntry e : entries) {
             next = e.offset() + 1;
             if (next == mState.logOffset() && mState.isLast(e)) {
-                LOG.log(Level.WARNING, "fleet-log: the log is whole again");
+                LOG.warn("The log is whole again");
                 mFollower.resume();
                 return;
             }
@@ -146,10 +143,7 @@
         mProposing = true;
         StoredState s = stored.get();
         String name = mOptions.node() + "-restore-" + System.nanoTime();
-        LOG.log(
-                Level.WARNING,
-                "fleet-log: restores the state at version {0}",
-                s.state().nextOffset());
+        LOG.warn("Restores the state at version {0}", s.state().nextOffset());
         CompletionStage<Void> written =
                 CompletableFuture.completedFuture(null)
                         .thenCompose(x -> mStore.write(name, s, System.currentTimeMillis()));
@@ -157,10 +151,7 @@
                 written.thenCompose(x -> mLog.append(LogFollower.STREAM, List.of(entry(name, s)))),
                 (done, error) -> {
                     if (error != null) {
-                        LOG.log(
-                                Level.WARNING,
-                                "fleet-log: restoring failed: {0}",
-                                error.getMessage());
+                        LOG.warn("Restoring failed: {0}", error.getMessage());
                         mProposing = false;
                     }
                 });
@@ -189,7 +180,7 @@
                     }
                     if (error != null) {
                         mFollower.retry(
-                                "reading a log that lost records failed",
+                                "Reading a log that lost records failed",
                                 error,
                                 () -> read(from, limit, wait, then));
                     } else {
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/OwnerThread.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/OwnerThread.java
@@ -1,7 +1,5 @@
 package org.foxtailplank.platform.internal.fleet;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executors;
@@ -9,10 +7,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import org.foxtailplank.process.Log;
 
 /** The one thread that owns the followed state. */
 final class OwnerThread {
-    private static final Logger LOG = System.getLogger(OwnerThread.class.getName());
+    private static final Log LOG = Log.of("fleet-log");
 
     private final ScheduledExecutorService mExecutor =
             Executors.newSingleThreadScheduledExecutor(
@@ -31,7 +30,7 @@
         try {
             mExecutor.schedule(() -> guarded(task), millis, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
-            LOG.log(Level.DEBUG, "fleet-log: a task came after the end");
+            LOG.debug("A task came after the end");
         }
     }
 
@@ -56,7 +55,7 @@
         try {
             task.run();
         } catch (IllegalStateException e) {
-            LOG.log(Level.ERROR, "fleet-log: a broken invariant, the state is not trusted", e);
+            LOG.error("A broken invariant, the state is not trusted: {0}", e);
             Thread t = Thread.currentThread();
             t.getUncaughtExceptionHandler().uncaughtException(t, e);
             throw e;
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/SnapshotSchedule.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/SnapshotSchedule.java
@@ -1,7 +1,5 @@
 package org.foxtailplank.platform.internal.fleet;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.Optional;
@@ -9,6 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.foxtailplank.platform.FollowOptions;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.wire.SnapshotChunk;
 import org.foxtailplank.wire.StoredState;
 
@@ -20,7 +19,7 @@
  * done.
  */
 final class SnapshotSchedule {
-    private static final Logger LOG = System.getLogger(SnapshotSchedule.class.getName());
+    private static final Log LOG = Log.of("fleet-log");
 
     /** Snapshots within the time that the platform keeps a record. */
     private static final int SNAPSHOTS_PER_RETENTION = 8;
@@ -87,7 +86,7 @@
                         .thenComposeAsync(s -> mStore.write(name, s, mClock.millis())),
                 (done, error) -> {
                     String end = error == null ? "is stored" : "failed: " + error.getMessage();
-                    LOG.log(Level.INFO, "fleet-log: snapshot {0} {1}", name, end);
+                    LOG.info("Snapshot {0} {1}", name, end);
                 });
     }
 
