--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerParts.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerParts.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Optional;
 import org.foxtailplank.controller.internal.PeerLiveness;
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.internal.control.Liveness;
@@ -11,6 +12,7 @@
 import org.foxtailplank.platform.VmActions;
 import org.foxtailplank.platform.VmDirectory;
 import org.foxtailplank.platform.Workers;
+import org.foxtailplank.platform.burn.BurnLog;
 import org.foxtailplank.settings.Settings;
 import org.foxtailplank.wire.PeerLink;
 
@@ -25,6 +27,7 @@
  * @param workers the workers
  * @param liveness how long other nodes have been silent
  * @param metrics takes the controller's counters
+ * @param burn service-level burn over all nodes, where this process follows it
  */
 public record ControllerParts(
         NodeId self,
@@ -34,7 +37,8 @@
         VmActions actions,
         Workers workers,
         Liveness liveness,
-        MetricRegistry metrics) {
+        MetricRegistry metrics,
+        Optional<BurnLog> burn) {
     /** A controller that hears of no other node, so that only the log decides who acts. */
     public static ControllerParts of(
             NodeId self, Settings settings, FleetLog log, HttpPlatform platform) {
@@ -46,19 +50,34 @@
                 platform.vmActions(),
                 platform.workers(),
                 node -> Duration.ZERO,
-                new MetricRegistry());
+                new MetricRegistry(),
+                Optional.empty());
     }
 
     /** The same, hearing of other nodes by a link to them. */
     public ControllerParts withPeers(PeerLink link) {
         Liveness heard = new PeerLiveness(link, settings.peers().silence(), InstantSource.system());
         return new ControllerParts(
-                self, settings, log, directory, actions, workers, heard, metrics);
+                self, settings, log, directory, actions, workers, heard, metrics, burn);
     }
 
     /** The same with counters taken by a registry. */
     public ControllerParts withMetrics(MetricRegistry registry) {
         return new ControllerParts(
-                self, settings, log, directory, actions, workers, liveness, registry);
+                self, settings, log, directory, actions, workers, liveness, registry, burn);
+    }
+
+    /** The same, answering for service-level burn. */
+    public ControllerParts withBurn(BurnLog burnLog) {
+        return new ControllerParts(
+                self,
+                settings,
+                log,
+                directory,
+                actions,
+                workers,
+                liveness,
+                metrics,
+                Optional.of(burnLog));
     }
 }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
@@ -13,6 +13,7 @@
 import org.foxtailplank.platform.FleetFollower;
 import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
+import org.foxtailplank.platform.SharedFleetState;
 import org.foxtailplank.process.ExitCode;
 import org.foxtailplank.process.Health;
 import org.foxtailplank.process.HealthRoutes;
@@ -28,6 +29,8 @@
 import org.foxtailplank.wire.PeerLink;
 import org.foxtailplank.wire.PeerLinkException;
 import org.foxtailplank.wire.PeerLinkOptions;
+import org.foxtailplank.wire.StateExchange;
+import org.foxtailplank.wire.StateExchangeLimits;
 
 /** The control role as a process of its own. */
 final class ControllerProgram implements Program<ProgramOptions> {
@@ -49,6 +52,7 @@
             try (FleetFollower log =
                     FleetFollower.start(
                             platform.log(), FollowOptions.of(node, settings.platform()))) {
+                StateExchange.start(link, SharedFleetState.of(log), StateExchangeLimits.usual());
                 run(
                         runtime,
                         ControllerParts.of(node, settings, log, platform).withPeers(link),
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/AdminApi.java
@@ -2,6 +2,7 @@
 
 import static java.util.concurrent.CompletableFuture.completedFuture;
 
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,7 @@
 import org.foxtailplank.controller.internal.act.RecordWriter;
 import org.foxtailplank.internal.control.Liveness;
 import org.foxtailplank.platform.FleetLog;
+import org.foxtailplank.platform.burn.BurnLog;
 import org.foxtailplank.process.JsonRoutes;
 import org.foxtailplank.process.Log;
 import org.foxtailplank.settings.Settings;
@@ -45,6 +47,11 @@
         mEndpoints.addAll(new Changes(log, submitter, settings, checker).endpoints());
     }
 
+    /** Answers for service-level burn as well. */
+    public void serveBurn(BurnLog burn, Settings settings) {
+        mEndpoints.addAll(new BurnReads(burn, settings, InstantSource.system()).endpoints());
+    }
+
     /** Answers one call; the stage never fails. */
     public CompletionStage<HttpResponse> handle(HttpRequest request) {
         return request.entity()
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/FakePlatform.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/FakePlatform.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.RackId;
 import org.foxtailplank.id.ServiceId;
@@ -34,8 +35,9 @@
 /**
  * The platform's VMs with a backend server on each, after docs/PLATFORM.md.
  *
- * <p>An action takes a second. A VM has one request in flight when it is drained, and an entry that
- * has not heard of it sends another one a second later, which takes three.
+ * <p>An action takes a second. A VM has one request in flight until it is drained. An entry that
+ * has not heard of it sends another one a second later, which takes three, and so meets a VM that
+ * is stopped before that.
  */
 final class FakePlatform {
     private static final Duration ACTION_TIME = Duration.ofSeconds(1);
@@ -49,6 +51,7 @@
     private final List<String> mCutOff = new ArrayList<>();
     private boolean mAway;
     private int mLostAnswers;
+    private Consumer<String> mOnStop = vm -> {};
 
     private static final class Vm {
         private VmId mId;
@@ -109,6 +112,11 @@
         mVms.get(VmId.of(id)).mStuck = true;
     }
 
+    /** Is called with a VM at the moment at which it is stopped. */
+    void onStop(Consumer<String> onStop) {
+        mOnStop = onStop;
+    }
+
     /** Actions that took effect, in order, as {@code action vm}. */
     List<String> effects() {
         return mEffects;
@@ -126,6 +134,11 @@
                 .count();
     }
 
+    boolean isServing(String id) {
+        Vm vm = mVms.get(VmId.of(id));
+        return power(vm) == VmPower.ON && vm.mDrained.isEmpty();
+    }
+
     VmDirectory directory(Interruption interruption) {
         return new VmDirectory() {
             @Override
@@ -151,6 +164,7 @@
 
     VmActions actions(Interruption interruption) {
         return (id, request) -> {
+            interruption.beforeAsk(id.value());
             interruption.beforeCall();
             if (mAway) {
                 return away();
@@ -193,9 +207,12 @@
             vm.mDrained = Optional.of(mClock.instant());
             return;
         }
-        if (inFlight(vm) > 0) {
+        if (inFlight(vm) > 0 || isStillSentTo(vm)) {
             mCutOff.add(request.action() + " " + vm.mId);
         }
+        if (request.action() != PlatformAction.WAKE) {
+            mOnStop.accept(vm.mId.value());
+        }
         vm.mDrained = Optional.empty();
         vm.mPoolGeneration = request.poolGeneration();
         vm.mPool = request.pool();
@@ -235,6 +252,12 @@
         return late ? 1 : 0;
     }
 
+    private boolean isStillSentTo(Vm vm) {
+        Instant now = mClock.instant();
+        return vm.mPower == VmPower.ON
+                && vm.mDrained.filter(t -> now.isBefore(t.plus(LATE_REQUEST_AFTER))).isPresent();
+    }
+
     private VmReport report(Vm vm) {
         Optional<ActionReport> last =
                 vm.mLast.map(a -> new ActionReport(a.id(), a.action(), progress(vm)));
