--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Publications.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Publications.java
@@ -10,17 +10,14 @@
 import java.util.stream.Collectors;
 import org.foxtailplank.controller.ConfigurationChecker;
 import org.foxtailplank.id.ZoneId;
-import org.foxtailplank.internal.state.PatchedText;
+import org.foxtailplank.internal.state.MergePatch;
 import org.foxtailplank.platform.FleetLog;
 import org.foxtailplank.settings.Role;
 import org.foxtailplank.state.Author;
-import org.foxtailplank.state.Change;
 import org.foxtailplank.state.Configuration;
-import org.foxtailplank.state.ConfigurationChanged;
-import org.foxtailplank.state.ConfigurationPublished;
-import org.foxtailplank.state.FleetShape;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.ObjectKey;
+import org.foxtailplank.state.Publication;
 import org.foxtailplank.state.Verdict;
 import org.foxtailplank.state.VoidReason;
 
@@ -52,10 +49,16 @@
         if (checked.shape().isEmpty()) {
             return bad(checked);
         }
-        Change change =
-                new ConfigurationPublished(
-                        body.base(), overlays, checked.shape().get(), call.author(body));
-        return mSubmitter.submit(change, KEY, body.version());
+        return append(
+                new Publication(
+                        body.base(), overlays, checked.shape().get(), call.author(body)),
+                body.version());
+    }
+
+    /** Appends the smallest change that leads to the publication. */
+    private CompletionStage<Answer> append(Publication publication, long version) {
+        return mLog.read(view -> publication.on(view, version))
+                .thenCompose(change -> mSubmitter.submit(change, KEY, version));
     }
 
     private CompletionStage<Answer> patch(Call call) throws Call.BadBodyException {
@@ -93,8 +96,10 @@
         if (checked.shape().isEmpty()) {
             return bad(checked);
         }
-        Change change = change(now, merged.get(), checked.shape().get(), body, author);
-        return mSubmitter.submit(change, KEY, body.version());
+        Merged m = merged.get();
+        return append(
+                new Publication(m.base(), m.overlays(), checked.shape().get(), author),
+                body.version());
     }
 
     /** The texts that a patch leads to. */
@@ -102,11 +107,11 @@
 
     private static Optional<Merged> merge(
             Configuration now, String basePatch, Map<ZoneId, String> patches) {
-        Optional<String> base = PatchedText.merge(now.base(), basePatch);
+        Optional<String> base = MergePatch.mergeTexts(now.base(), basePatch);
         Map<ZoneId, String> overlays = new HashMap<>(now.overlays());
         for (Map.Entry<ZoneId, String> p : patches.entrySet()) {
             String old = overlays.getOrDefault(p.getKey(), EMPTY);
-            Optional<String> text = PatchedText.merge(old, p.getValue());
+            Optional<String> text = MergePatch.mergeTexts(old, p.getValue());
             if (text.isEmpty()) {
                 return Optional.empty();
             }
@@ -115,39 +120,6 @@
         return base.map(b -> new Merged(b, overlays));
     }
 
-    /** A patch that removes VMs or pools is written as the whole it leads to. */
-    private Change change(
-            Configuration now,
-            Merged merged,
-            FleetShape shape,
-            Bodies.ConfigPatchBody body,
-            Author author) {
-        Optional<FleetShape> old = mChecker.check(now.base(), now.overlays()).shape();
-        boolean whole = old.map(o -> !keeps(o, shape)).orElse(true);
-        if (whole) {
-            return new ConfigurationPublished(merged.base(), merged.overlays(), shape, author);
-        }
-        FleetShape added =
-                new FleetShape(
-                        newIn(old.get().vms(), shape.vms()),
-                        newIn(old.get().pools(), shape.pools()),
-                        newIn(old.get().minAvailable(), shape.minAvailable()));
-        return new ConfigurationChanged(
-                body.basePatch(), byZone(body.overlayPatches()), added, author);
-    }
-
-    private static boolean keeps(FleetShape old, FleetShape next) {
-        return next.vms().keySet().containsAll(old.vms().keySet())
-                && next.pools().keySet().containsAll(old.pools().keySet())
-                && next.minAvailable().keySet().containsAll(old.minAvailable().keySet());
-    }
-
-    private static <K, V> Map<K, V> newIn(Map<K, V> old, Map<K, V> next) {
-        Map<K, V> added = new HashMap<>(next);
-        added.entrySet().removeAll(old.entrySet());
-        return added;
-    }
-
     private static CompletionStage<Answer> bad(ConfigurationChecker.Checked checked) {
         String errors = String.join("\n", checked.errors());
         return completedFuture(Answer.problem(Problem.badConfiguration(errors)));
