Nodes write fleet and burn records through the log client

Cause: the client was written and used by nobody. Change: FoxtailNode and ControllerProgram put it before the platform's log; the position of a reader is left out, since the fleet's follower has its own. Open: whether the client makes the demo's callers late.

--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
@@ -13,6 +13,7 @@
 import org.foxtailplank.platform.FleetFollower;
 import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
+import org.foxtailplank.platform.LogClient;
 import org.foxtailplank.process.ExitCode;
 import org.foxtailplank.process.Health;
 import org.foxtailplank.process.HealthRoutes;
@@ -46,9 +47,10 @@
                             settings.platform().address(),
                             settings.platform().timeout(),
                             runtime.system());
-            try (FleetFollower log =
-                    FleetFollower.start(
-                            platform.log(), FollowOptions.of(node, settings.platform()))) {
+            try (LogClient writes = LogClient.of(platform.log(), settings);
+                    FleetFollower log =
+                            FleetFollower.start(
+                                    writes, FollowOptions.of(node, settings.platform()))) {
                 run(
                         runtime,
                         ControllerParts.of(node, settings, log, platform).withPeers(link),
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -27,7 +27,9 @@
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
 import org.foxtailplank.platform.FleetFollower;
+import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
+import org.foxtailplank.platform.LogClient;
 import org.foxtailplank.platform.burn.BurnLog;
 import org.foxtailplank.process.Health;
 import org.foxtailplank.process.HealthRoutes;
@@ -56,12 +58,12 @@
 
     private static final Duration LIST_INTERVAL = Duration.ofMillis(500);
     private static final Duration BURN_INTERVAL = Duration.ofSeconds(5);
-    private static final int ANSWER_TIMEOUTS = 5;
     private static final Duration BURN_KEPT = Duration.ofHours(24);
 
     private final PekkoRuntime mRuntime;
     private final NodeOptions mOptions;
     private final HttpPlatform mPlatform;
+    private final LogClient mLog;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final FleetFollower mFleet;
     private final PeerLink mPeers;
@@ -87,14 +89,12 @@
                         settings.platform().address(),
                         settings.platform().timeout(),
                         runtime.system());
-        mFleet =
-                FleetFollower.start(
-                        mPlatform.log(),
-                        settings.platform().timeout().multipliedBy(ANSWER_TIMEOUTS));
+        mLog = LogClient.of(mPlatform.log(), settings);
+        mFleet = FleetFollower.start(mLog, FollowOptions.of(options.node(), settings.platform()));
         mConfiguration = new ConfigurationFollower(settings, options.node(), mFleet, peers);
         mBurn =
                 BurnLog.of(
-                        mPlatform.log(),
+                        mLog,
                         options.node(),
                         incarnation.value(),
                         () -> mEntry.map(e -> e.counters().read()).orElse(Map.of()),
@@ -169,6 +169,7 @@
         mKeys.ifPresent(ProtectedKeys::close);
         mPeers.close();
         mFleet.close();
+        mLog.close();
     }
 
     private static PeerLink peers(NodeOptions options, Incarnation incarnation)
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/LogClient.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/LogClient.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.platform;
 
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.foxtailplank.internal.log.AppendShare;
 import org.foxtailplank.platform.PlatformException.Effect;
 import org.foxtailplank.platform.internal.append.StreamAppender;
+import org.foxtailplank.settings.Settings;
 
 /**
  * A log that carries this node's appends through outages and lost answers.
@@ -57,6 +59,11 @@
         return new LogClient(log, options);
     }
 
+    /** A client for a node of a deployment. */
+    public static LogClient of(PlatformLog log, Settings settings) {
+        return over(log, LogClientOptions.of(settings, new SecureRandom().nextLong()));
+    }
+
     @Override
     public CompletionStage<AppendResult> append(String stream, List<LogEntry> entries) {
         if (entries.isEmpty()) {
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/LogClientOptions.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/LogClientOptions.java
@@ -23,12 +23,15 @@
 
     private static final int GIVE_UP_TIMEOUTS = 5;
 
+    /** Claims of idempotency keys space their appends themselves, within the other half. */
+    private static final int PARTS = 2;
+
     /** Options for a node of a deployment. */
     public static LogClientOptions of(Settings settings, long seed) {
         Duration timeout = settings.platform().timeout();
         return new LogClientOptions(
                 settings.nodes().size(),
-                settings.platform().appendsPerSecond(),
+                Math.max(1, settings.platform().appendsPerSecond() / PARTS),
                 timeout,
                 timeout.multipliedBy(GIVE_UP_TIMEOUTS),
                 settings.peers().silence(),
