--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
@@ -13,7 +13,11 @@
 import org.foxtailplank.platform.FleetFollower;
 import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
+<<<<<<< HEAD
 import org.foxtailplank.platform.LogClient;
+=======
+import org.foxtailplank.platform.SharedFleetState;
+>>>>>>> main
 import org.foxtailplank.process.ExitCode;
 import org.foxtailplank.process.Health;
 import org.foxtailplank.process.HealthRoutes;
@@ -29,6 +33,8 @@
 import org.foxtailplank.wire.PeerLink;
 import org.foxtailplank.wire.PeerLinkException;
 import org.foxtailplank.wire.PeerLinkOptions;
+import org.foxtailplank.wire.StateExchange;
+import org.foxtailplank.wire.StateExchangeLimits;
 
 /** The control role as a process of its own. */
 final class ControllerProgram implements Program<ProgramOptions> {
@@ -47,10 +53,17 @@
                             settings.platform().address(),
                             settings.platform().timeout(),
                             runtime.system());
+<<<<<<< HEAD
             try (LogClient writes = LogClient.of(platform.log(), settings);
                     FleetFollower log =
                             FleetFollower.start(
                                     writes, FollowOptions.of(node, settings.platform()))) {
+=======
+            try (FleetFollower log =
+                    FleetFollower.start(
+                            platform.log(), FollowOptions.of(node, settings.platform()))) {
+                StateExchange.start(link, SharedFleetState.of(log), StateExchangeLimits.usual());
+>>>>>>> main
                 run(
                         runtime,
                         ControllerParts.of(node, settings, log, platform).withPeers(link),
--- a/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestFleet.java
+++ b/foxtail-controller/src/test/java/org/foxtailplank/controller/internal/act/TestFleet.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.controller.internal.act;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.net.URI;
@@ -26,6 +27,7 @@
 import org.foxtailplank.state.Author;
 import org.foxtailplank.state.Change;
 import org.foxtailplank.state.ConfigurationPublished;
+import org.foxtailplank.state.EpochTaken;
 import org.foxtailplank.state.FleetShape;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.LogRecord;
@@ -179,6 +181,20 @@
         mClock.advance(TICK);
     }
 
+    /** Only the node that has last taken the zone's epoch changes VMs and waves. */
+    void assertNothingAppliedAfterItsEpoch() {
+        Optional<NodeId> holder = Optional.empty();
+        for (int i = 0; i < mLog.records().size(); i++) {
+            LogRecord record = mLog.records().get(i);
+            boolean applied = mObserver.verdicts().get(i).isApplied();
+            if (applied && record.change() instanceof EpochTaken taken) {
+                holder = taken.shard().equals(ZONE) ? Optional.of(taken.holder()) : holder;
+            } else if (applied && NODES.containsKey(record.writer())) {
+                assertEquals(holder, Optional.of(record.writer()), record.toString());
+            }
+        }
+    }
+
     /** No service falls below its budget by what controllers do. */
     void assertBudgetsHold() {
         for (String service : SERVICES) {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/membership/CatchUp.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/membership/CatchUp.java
@@ -9,6 +9,7 @@
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.membership.Member;
+import org.foxtailplank.state.StatePosition;
 
 /**
  * Decides when a node that is behind asks a peer for what is newer, and which peer.
@@ -23,7 +24,7 @@
     private final Random mRandom;
     private final Map<NodeId, Long> mAvoidUntil = new HashMap<>();
     private Optional<Long> mBehindSince = Optional.empty();
-    private long mBehindAt;
+    private StatePosition mBehindAt = StatePosition.NOTHING;
 
     /**
      * Prepares to catch up.
@@ -46,20 +47,20 @@
      * <p>The grace guards against every node asking its peers for each record while the platform is
      * up and brings it to all of them anyway.
      */
-    public Optional<NodeId> peerToAsk(long nextOffset, Collection<Member> members, long now) {
+    public Optional<NodeId> peerToAsk(StatePosition own, Collection<Member> members, long now) {
         List<Member> ahead =
                 members.stream()
                         .filter(m -> m.state().isReachable())
-                        .filter(m -> m.status().nextOffset() > nextOffset)
+                        .filter(m -> m.status().position().compareTo(own) > 0)
                         .toList();
         if (ahead.isEmpty()) {
             mBehindSince = Optional.empty();
             return Optional.empty();
         }
         // Progress by the platform starts the grace anew: it works, if slowly.
-        if (mBehindSince.isEmpty() || mBehindAt != nextOffset) {
+        if (mBehindSince.isEmpty() || !mBehindAt.equals(own)) {
             mBehindSince = Optional.of(now);
-            mBehindAt = nextOffset;
+            mBehindAt = own;
         }
         if (now - mBehindSince.get() < mGraceNanos) {
             return Optional.empty();
@@ -78,8 +79,8 @@
     }
 
     /** A peer helped: it may be asked for more at once. */
-    public void helped(long nextOffset) {
-        mBehindAt = nextOffset;
+    public void helped(StatePosition own) {
+        mBehindAt = own;
     }
 
     private Optional<NodeId> anyOf(List<Member> members) {
--- a/foxtail-core/src/test/java/org/foxtailplank/internal/membership/CatchUpTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/membership/CatchUpTest.java
@@ -15,6 +15,7 @@
 import org.foxtailplank.membership.MemberState;
 import org.foxtailplank.membership.NodeStatus;
 import org.foxtailplank.membership.PeerIdentity;
+import org.foxtailplank.state.StatePosition;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -32,55 +33,66 @@
 
     @Test
     public void asksNobodyWhileNobodyIsAhead() {
-        assertEquals(mCatchUp.peerToAsk(9, List.of(member("x", "a", 9)), 0), Optional.empty());
-        assertEquals(mCatchUp.peerToAsk(9, List.of(member("x", "a", 8)), GRACE), Optional.empty());
+        assertEquals(mCatchUp.peerToAsk(at(9), List.of(member("x", "a", 9)), 0), Optional.empty());
+        assertEquals(
+                mCatchUp.peerToAsk(at(9), List.of(member("x", "a", 8)), GRACE), Optional.empty());
     }
 
     @Test
     public void leavesThePlatformTimeToBringTheNews() {
         List<Member> members = List.of(member("x", "a", 10));
-        assertEquals(mCatchUp.peerToAsk(9, members, 0), Optional.empty());
-        assertEquals(mCatchUp.peerToAsk(9, members, GRACE - 1), Optional.empty());
-        assertEquals(mCatchUp.peerToAsk(9, members, GRACE), Optional.of(NodeId.of("x")));
+        assertEquals(mCatchUp.peerToAsk(at(9), members, 0), Optional.empty());
+        assertEquals(mCatchUp.peerToAsk(at(9), members, GRACE - 1), Optional.empty());
+        assertEquals(mCatchUp.peerToAsk(at(9), members, GRACE), Optional.of(NodeId.of("x")));
     }
 
     @Test
     public void progressByThePlatformStartsTheGraceAnew() {
         List<Member> members = List.of(member("x", "a", 20));
-        mCatchUp.peerToAsk(9, members, 0);
-        assertEquals(mCatchUp.peerToAsk(10, members, GRACE), Optional.empty());
-        assertEquals(mCatchUp.peerToAsk(10, members, 2 * GRACE), Optional.of(NodeId.of("x")));
+        mCatchUp.peerToAsk(at(9), members, 0);
+        assertEquals(mCatchUp.peerToAsk(at(10), members, GRACE), Optional.empty());
+        assertEquals(mCatchUp.peerToAsk(at(10), members, 2 * GRACE), Optional.of(NodeId.of("x")));
     }
 
     @Test
     public void aPeerThatHelpedIsAskedForMoreAtOnce() {
         List<Member> members = List.of(member("x", "a", 20));
-        mCatchUp.peerToAsk(9, members, 0);
-        mCatchUp.helped(12);
-        assertEquals(mCatchUp.peerToAsk(12, members, GRACE), Optional.of(NodeId.of("x")));
+        mCatchUp.peerToAsk(at(9), members, 0);
+        mCatchUp.helped(at(12));
+        assertEquals(mCatchUp.peerToAsk(at(12), members, GRACE), Optional.of(NodeId.of("x")));
     }
 
     @Test
     public void prefersPeersOfItsOwnZone() {
         List<Member> members = List.of(member("far", "b", 30), member("near", "a", 10));
-        mCatchUp.peerToAsk(9, members, 0);
-        assertEquals(mCatchUp.peerToAsk(9, members, GRACE), Optional.of(NodeId.of("near")));
+        mCatchUp.peerToAsk(at(9), members, 0);
+        assertEquals(mCatchUp.peerToAsk(at(9), members, GRACE), Optional.of(NodeId.of("near")));
     }
 
     @Test
     public void asksAnotherPeerAfterOneFailed() {
         List<Member> members = List.of(member("near", "a", 10), member("far", "b", 10));
-        mCatchUp.peerToAsk(9, members, 0);
+        mCatchUp.peerToAsk(at(9), members, 0);
         mCatchUp.failed(NodeId.of("near"), GRACE);
-        assertEquals(mCatchUp.peerToAsk(9, members, GRACE), Optional.of(NodeId.of("far")));
-        assertEquals(mCatchUp.peerToAsk(9, members, GRACE + AVOID), Optional.of(NodeId.of("near")));
+        assertEquals(mCatchUp.peerToAsk(at(9), members, GRACE), Optional.of(NodeId.of("far")));
+        assertEquals(
+                mCatchUp.peerToAsk(at(9), members, GRACE + AVOID), Optional.of(NodeId.of("near")));
+    }
+
+    @Test
+    public void aRestoredLogCountsAsNewerThanALongerOneBeforeIt() {
+        StatePosition restored = new StatePosition(1, 5, 5);
+        NodeStatus status = new NodeStatus(0, restored, LoadSummary.none());
+        Member peer = new Member(member("x", "a", 5).identity(), MemberState.ALIVE, status);
+        mCatchUp.peerToAsk(at(9), List.of(peer), 0);
+        assertEquals(mCatchUp.peerToAsk(at(9), List.of(peer), GRACE), Optional.of(NodeId.of("x")));
     }
 
     @Test
     public void asksNoPeerThatIsAway() {
         Member away = new Member(member("x", "a", 10).identity(), MemberState.AWAY, status(10));
-        mCatchUp.peerToAsk(9, List.of(away), 0);
-        assertEquals(mCatchUp.peerToAsk(9, List.of(away), GRACE), Optional.empty());
+        mCatchUp.peerToAsk(at(9), List.of(away), 0);
+        assertEquals(mCatchUp.peerToAsk(at(9), List.of(away), GRACE), Optional.empty());
     }
 
     private static Member member(String node, String zone, long nextOffset) {
@@ -95,6 +107,10 @@
     }
 
     private static NodeStatus status(long nextOffset) {
-        return new NodeStatus(0, nextOffset, LoadSummary.none());
+        return new NodeStatus(0, at(nextOffset), LoadSummary.none());
+    }
+
+    private static StatePosition at(long nextOffset) {
+        return new StatePosition(0, nextOffset, nextOffset);
     }
 }
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/ConfigurationAnswer.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/ConfigurationAnswer.java
@@ -6,23 +6,27 @@
 /**
  * What a peer has that is newer: records of the log's tail, or a chunk of its rolled-up state.
  *
- * @param nextOffset next offset that the answering node would fold
- * @param tail records from the asker's next offset on, without a gap
- * @param snapshotOffset offset of the rolled-up state that the chunk belongs to; 0 for none
- * @param position first byte of the chunk
+ * @param tail records that follow on the asker's position, without a gap
+ * @param stateNumber number of the rolled-up state at the answering node; 0 for none
+ * @param from first byte of the chunk
  * @param size bytes of the whole rolled-up state
  * @param chunk bytes of it
  */
 public record ConfigurationAnswer(
-        long nextOffset,
-        List<TailRecord> tail,
-        long snapshotOffset,
-        long position,
-        long size,
-        ByteString chunk)
+        List<TailRecord> tail, long stateNumber, long from, long size, ByteString chunk)
         implements PeerMessage {
 
     public ConfigurationAnswer {
         tail = List.copyOf(tail);
     }
+
+    /** Records of the log's tail. */
+    public static ConfigurationAnswer of(List<TailRecord> tail) {
+        return new ConfigurationAnswer(tail, 0, 0, 0, ByteString.EMPTY);
+    }
+
+    /** There is nothing to hand out. */
+    public static ConfigurationAnswer nothing() {
+        return of(List.of());
+    }
 }
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLink.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/PeerLink.java
@@ -9,10 +9,10 @@
 import org.foxtailplank.id.NodeId;
 import org.foxtailplank.membership.LoadSummary;
 import org.foxtailplank.membership.Member;
-import org.foxtailplank.membership.NodeStatus;
 import org.foxtailplank.membership.PeerIdentity;
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
+import org.foxtailplank.state.StatePosition;
 import org.foxtailplank.wire.internal.peer.PeerNode;
 
 /** A node's link to the other processes of the system: membership and messages. */
@@ -29,18 +29,15 @@
     /** Takes a new list of places to meet peers in place of the last one from its source. */
     void learn(SeedSource source, Collection<Seed> seeds);
 
-    /** How far this node is, for its heartbeats; a newer version is told at once. */
+    /** How far this node has followed the log, for its heartbeats. */
     void report(StatePosition position);
 
+    /** The configuration in force here, for its heartbeats; a newer version is told at once. */
+    void reportConfiguration(long version);
+
     /** What this node has in flight, for its heartbeats. */
     void report(LoadSummary load);
 
-    /** Both of these at once. */
-    default void report(NodeStatus status) {
-        report(new StatePosition(status.configurationVersion(), status.nextOffset()));
-        report(status.load());
-    }
-
     /** Sends a message without an answer; false when it certainly did not leave. */
     CompletionStage<Boolean> send(NodeId to, PeerMessage message);
 
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/exchange/ChunkedFetch.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/exchange/ChunkedFetch.java
@@ -3,24 +3,23 @@
 import com.google.protobuf.ByteString;
 import java.util.Optional;
 import org.foxtailplank.wire.ConfigurationAnswer;
-import org.foxtailplank.wire.RolledUpState;
 
 /** A rolled-up state on its way here, chunk by chunk from one peer. */
 final class ChunkedFetch {
 
     private final int mMaxBytes;
-    private long mOffset;
+    private long mNumber;
     private ByteString mBytes = ByteString.EMPTY;
 
     ChunkedFetch(int maxBytes) {
         mMaxBytes = maxBytes;
     }
 
-    long offset() {
-        return mOffset;
+    long number() {
+        return mNumber;
     }
 
-    long position() {
+    long from() {
         return mBytes.size();
     }
 
@@ -29,11 +28,11 @@
         if (chunk.size() <= 0 || chunk.size() > mMaxBytes || chunk.chunk().isEmpty()) {
             return false;
         }
-        if (chunk.snapshotOffset() != mOffset) {
-            mOffset = chunk.snapshotOffset();
+        if (chunk.stateNumber() != mNumber) {
+            mNumber = chunk.stateNumber();
             mBytes = ByteString.EMPTY;
         }
-        boolean fits = chunk.position() == mBytes.size();
+        boolean fits = chunk.from() == mBytes.size();
         if (!fits || mBytes.size() + chunk.chunk().size() > chunk.size()) {
             return false;
         }
@@ -42,9 +41,7 @@
     }
 
     /** The whole state once the last chunk is there. */
-    Optional<RolledUpState> whole(ConfigurationAnswer last) {
-        return mBytes.size() == last.size()
-                ? Optional.of(new RolledUpState(mOffset, mBytes))
-                : Optional.empty();
+    Optional<byte[]> whole(ConfigurationAnswer last) {
+        return mBytes.size() == last.size() ? Optional.of(mBytes.toByteArray()) : Optional.empty();
     }
 }
