--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
@@ -13,11 +13,8 @@
 import org.foxtailplank.platform.FleetFollower;
 import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
-<<<<<<< HEAD
 import org.foxtailplank.platform.LogClient;
-=======
 import org.foxtailplank.platform.SharedFleetState;
->>>>>>> main
 import org.foxtailplank.process.ExitCode;
 import org.foxtailplank.process.Health;
 import org.foxtailplank.process.HealthRoutes;
@@ -53,17 +50,11 @@
                             settings.platform().address(),
                             settings.platform().timeout(),
                             runtime.system());
-<<<<<<< HEAD
             try (LogClient writes = LogClient.of(platform.log(), settings);
                     FleetFollower log =
                             FleetFollower.start(
                                     writes, FollowOptions.of(node, settings.platform()))) {
-=======
-            try (FleetFollower log =
-                    FleetFollower.start(
-                            platform.log(), FollowOptions.of(node, settings.platform()))) {
                 StateExchange.start(link, SharedFleetState.of(log), StateExchangeLimits.usual());
->>>>>>> main
                 run(
                         runtime,
                         ControllerParts.of(node, settings, log, platform).withPeers(link),
