--- /dev/null
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/process/package-info.java
@@ -0,0 +1,2 @@
+/** Real processes of the system, started and disturbed by tests. */
+package org.foxtailplank.it.process;
--- /dev/null
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/proxy/Pipe.java
@@ -0,0 +1,78 @@
+package org.foxtailplank.it.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+
+/** Carries the bytes of one connection one way; runs on the connection's event loop. */
+final class Pipe {
+
+    private final FaultState mFaults;
+    private final Direction mDirection;
+    private final Channel mSink;
+    private final Queue<ByteBuf> mHeld = new ArrayDeque<>();
+    private long mSent;
+    private long mDueNanos;
+    private boolean mEnded;
+
+    Pipe(FaultState faults, Direction direction, Channel sink) {
+        mFaults = faults;
+        mDirection = direction;
+        mSink = sink;
+    }
+
+    void take(ByteBuf bytes) {
+        mHeld.add(bytes);
+        pump();
+    }
+
+    /** The source closed; the sink closes once everything is through. */
+    void end() {
+        mEnded = true;
+        pump();
+    }
+
+    /** Sends what may go now; what is held goes when the direction opens again. */
+    void pump() {
+        while (!mHeld.isEmpty() && !mFaults.isHeld(mDirection)) {
+            send(mHeld.remove());
+        }
+        if (mEnded && mHeld.isEmpty()) {
+            later(() -> mSink.close());
+        }
+    }
+
+    void release() {
+        mHeld.forEach(ByteBuf::release);
+        mHeld.clear();
+    }
+
+    private void send(ByteBuf bytes) {
+        long left = mFaults.truncateAfter(mDirection) - mSent;
+        boolean cutShort = bytes.readableBytes() > left;
+        ByteBuf sent = cutShort ? bytes.readSlice((int) Math.max(0, left)) : bytes;
+        mSent += sent.readableBytes();
+        later(
+                () -> {
+                    if (cutShort) {
+                        mSink.writeAndFlush(sent).addListener(ChannelFutureListener.CLOSE);
+                    } else {
+                        mSink.writeAndFlush(sent);
+                    }
+                });
+    }
+
+    /** Runs after the delay that holds now, and never before what was sent earlier. */
+    private void later(Runnable task) {
+        long now = System.nanoTime();
+        mDueNanos = Math.max(mDueNanos, now + mFaults.delayNanos());
+        if (mDueNanos <= now) {
+            task.run();
+        } else {
+            mSink.eventLoop().schedule(task, mDueNanos - now, TimeUnit.NANOSECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** A TCP proxy that injects faults. */
+package org.foxtailplank.it.proxy;
--- /dev/null
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/system/SmallSite.java
@@ -0,0 +1,133 @@
+package org.foxtailplank.it.system;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Text of the settings of a deployment with three availability zones and a node in each. */
+final class SmallSite {
+
+    static final List<String> ZONES = List.of("z1", "z2", "z3");
+
+    private static final String BASE =
+            """
+            {
+              "deployment": "it",
+              "fleet": {"rolloutWeight": 0.5, "wakeTime": "1s", "drainTimeout": "5s",
+                        "rebootTime": "1s", "moveCooldown": "1s"},
+              "zones": {
+                "z1": {"oneWayDelay": "1ms", "callerDelay": "1ms"},
+                "z2": {"oneWayDelay": "1ms", "callerDelay": "1ms"},
+                "z3": {"oneWayDelay": "1ms", "callerDelay": "1ms"}
+              },
+              "vmTypes": {"small": {"processors": 8, "memory": "16GiB"}},
+              "racks": {
+                "z1-r[1-2]": {"zone": "z1", "vms": 2, "type": "small"},
+                "z2-r[1-2]": {"zone": "z2", "vms": 2, "type": "small"},
+                "z3-r[1-2]": {"zone": "z3", "vms": 2, "type": "small"}
+              },
+              "services": {
+                "claims": {"instances": 6, "minAvailable": 3, "slots": 8, "connections": 64,
+                  "objective": 0.99, "deadline": "2s", "requestClass": "urgent",
+                  "repeatable": false},
+                "survey": {"instances": 6, "minAvailable": 3, "slots": 8, "connections": 64,
+                  "objective": 0.99, "deadline": "2s", "requestClass": "interactive",
+                  "repeatable": true}
+              },
+              "pools": {
+                "claims": {"service": "claims", "vms": ["z[1-3]-r[1-2]-1"], "target": 5,
+                  "reserve": 1},
+                "survey": {"service": "survey", "vms": ["z[1-3]-r[1-2]-2"], "target": 5,
+                  "reserve": 1}
+              },
+              "teams": {"ops": {"quota": 1.0, "role": "operator", "token": "it-token"}},
+              "nodes": {%s},
+              "platform": {"address": "http://127.0.0.1:1", "timeout": "500ms",
+                "appendsPerSecond": 200, "retention": "1d"},
+              "peers": {"key": "it-peer-key", "heartbeat": "200ms", "silence": "1s"},
+              "limits": {"maxHeader": "16KiB", "maxBody": "1MiB", "connectionsPerCaller": 256,
+                "retryRatio": 0.2, "idempotencyWindow": "10m"}
+            }
+            """;
+
+    private final Map<String, List<InetSocketAddress>> mPorts = new LinkedHashMap<>();
+
+    SmallSite() throws IOException {
+        for (String zone : ZONES) {
+            mPorts.put(zone, freeAddresses());
+        }
+    }
+
+    static String node(String zone) {
+        return zone + "-e1";
+    }
+
+    InetSocketAddress callers(String zone) {
+        return mPorts.get(zone).get(0);
+    }
+
+    InetSocketAddress peers(String zone) {
+        return mPorts.get(zone).get(1);
+    }
+
+    InetSocketAddress admin(String zone) {
+        return mPorts.get(zone).get(2);
+    }
+
+    String base() {
+        List<String> nodes = new ArrayList<>();
+        for (String zone : ZONES) {
+            nodes.add(
+                    "\"%s\": {\"zone\": \"%s\", \"callers\": \"%s\", \"peers\": \"%s\", \"admin\": \"%s\"}"
+                            .formatted(
+                                    node(zone),
+                                    zone,
+                                    text(callers(zone)),
+                                    text(peers(zone)),
+                                    text(admin(zone))));
+        }
+        return BASE.formatted(String.join(",\n", nodes));
+    }
+
+    /** What one zone states differently: its ways to the platform and to the other nodes. */
+    static String overlay(
+            String zone, InetSocketAddress platform, Map<String, InetSocketAddress> peers) {
+        List<String> nodes = new ArrayList<>();
+        peers.forEach(
+                (other, address) ->
+                        nodes.add(
+                                "\"%s\": {\"peers\": \"%s\"}"
+                                        .formatted(node(other), text(address))));
+        return "{\"site\": \"%s\", \"platform\": {\"address\": \"http://%s\"}, \"nodes\": {%s}}"
+                .formatted(zone, text(platform), String.join(", ", nodes));
+    }
+
+    static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    private static List<InetSocketAddress> freeAddresses() throws IOException {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        List<ServerSocket> sockets = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            ServerSocket socket = new ServerSocket(0);
+            sockets.add(socket);
+            addresses.add(new InetSocketAddress("127.0.0.1", socket.getLocalPort()));
+        }
+        sockets.forEach(SmallSite::close);
+        return addresses;
+    }
+
+    private static void close(ServerSocket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
