--- a/foxtail-it/src/main/java/org/foxtailplank/it/system/SmallSite.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/system/SmallSite.java
@@ -80,20 +80,22 @@
     }
 
     String base() {
-        List<String> nodes = new ArrayList<>();
-        for (String zone : ZONES) {
-            nodes.add(
-                    "\"%s\": {\"zone\": \"%s\", \"callers\": \"%s\", \"peers\": \"%s\", \"admin\": \"%s\"}"
-                            .formatted(
-                                    node(zone),
-                                    zone,
-                                    text(callers(zone)),
-                                    text(peers(zone)),
-                                    text(admin(zone))));
-        }
+        List<String> nodes = ZONES.stream().map(this::nodeText).toList();
         return BASE.formatted(String.join(",\n", nodes));
     }
 
+    private String nodeText(String zone) {
+        return """
+        "%s": {"zone": "%s", "callers": "%s", "peers": "%s", "admin": "%s"}\
+        """
+                .formatted(
+                        node(zone),
+                        zone,
+                        text(callers(zone)),
+                        text(peers(zone)),
+                        text(admin(zone)));
+    }
+
     /** What one zone states differently: its ways to the platform and to the other nodes. */
     static String overlay(
             String zone, InetSocketAddress platform, Map<String, InetSocketAddress> peers) {
