--- a/foxtail-it/src/test/java/org/foxtailplank/it/ArchitectureTest.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/ArchitectureTest.java
@@ -59,8 +59,9 @@
                 .orShould()
                 .dependOnClassesThat()
                 .haveNameMatching(
-                        "java\\.lang\\.(Thread|Process.*)|java\\.io\\.File.*|java\\.net\\.(Server)?Socket"
-                            + "|java\\.util\\.concurrent\\.Executor.*|java\\.time\\.Clock")
+                        "java\\.lang\\.(Thread|Process.*)|java\\.io\\.File.*"
+                                + "|java\\.net\\.(Server)?Socket"
+                                + "|java\\.util\\.concurrent\\.Executor.*|java\\.time\\.Clock")
                 .check(mClasses);
     }
 
