--- a/foxtail-process/src/main/java/org/foxtailplank/process/Launcher.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/Launcher.java
@@ -10,6 +10,14 @@
 public final class Launcher {
     private static final int WIDTH = 100;
 
+    private static final String LOG_MANAGER = "java.util.logging.manager";
+
+    static {
+        // Set here and not in a method of the log manager: calling one would start the usual log
+        // manager first, which reads this property only once.
+        System.setProperty(LOG_MANAGER, LastingLogManager.class.getName());
+    }
+
     private final String mName;
     private final PrintStream mOut;
     private final PrintStream mErr;
@@ -80,7 +88,7 @@
                 mOut.println(mName + " " + Version.text());
                 return ExitCode.DONE;
             }
-            Logs.configure(options.logFormat(), mErr);
+            Logs.configure(options.logFormat(), options.logLevel(), mErr);
             return program.run(options, stop);
         } catch (CmdLineException e) {
             mErr.println(Messages.usage(mName, e.getMessage()));
--- a/foxtail-process/src/main/java/org/foxtailplank/process/Logs.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/Logs.java
@@ -16,14 +16,22 @@
     private Logs() {}
 
     /** Writes all logs of the process to one stream. */
-    public static void configure(LogFormat format, PrintStream stream) {
-        LogManager.getLogManager().reset();
+    public static void configure(LogFormat format, LogLevel level, PrintStream stream) {
+        clear(LogManager.getLogManager());
         Logger root = Logger.getLogger("");
-        root.setLevel(Level.INFO);
+        root.setLevel(level.level());
         PEKKO.setLevel(Level.WARNING);
         root.addHandler(new FlushingHandler(stream, format));
     }
 
+    private static void clear(LogManager manager) {
+        if (manager instanceof LastingLogManager lasting) {
+            lasting.clear();
+        } else {
+            manager.reset();
+        }
+    }
+
     /** Writes each line at once, so that a killed process loses none. */
     private static final class FlushingHandler extends StreamHandler {
         FlushingHandler(OutputStream out, LogFormat format) {
--- a/foxtail-process/src/main/java/org/foxtailplank/process/ProgramOptions.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/ProgramOptions.java
@@ -28,6 +28,17 @@
     @Option(name = "--log-format", metaVar = "text|json", usage = "lines, or a JSON object a line")
     private LogFormat mLogFormat = LogFormat.TEXT;
 
+    @Option(
+            name = "--log-level",
+            metaVar = "warning|info|debug",
+            usage = "how much is logged; debug follows each request by its id")
+    private LogLevel mLogLevel = LogLevel.INFO;
+
+    /** How much is logged. */
+    public final LogLevel logLevel() {
+        return mLogLevel;
+    }
+
     /** Whether the options are asked for. */
     public final boolean help() {
         return mHelp;
--- a/foxtail-process/src/main/java/org/foxtailplank/process/WarmUp.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/WarmUp.java
@@ -20,7 +20,7 @@
 
     /** Runs it. */
     public static void main(String[] args) throws Exception {
-        Logs.configure(LogFormat.TEXT, System.err);
+        Logs.configure(LogFormat.TEXT, LogLevel.INFO, System.err);
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         try (PekkoRuntime runtime = PekkoRuntime.start("warm-up", 2)) {
             HttpListener listener =
--- a/foxtail-process/src/test/java/org/foxtailplank/process/LogTest.java
+++ b/foxtail-process/src/test/java/org/foxtailplank/process/LogTest.java
@@ -40,7 +40,7 @@
 
     private static String logged(LogFormat format, String sentence, Object... arguments) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        Logs.configure(format, new PrintStream(out));
+        Logs.configure(format, LogLevel.INFO, new PrintStream(out));
         Log.of("route").with("request", "r-1").info(sentence, arguments);
         return out.toString(StandardCharsets.UTF_8);
     }
--- a/foxtail-process/src/test/java/org/foxtailplank/process/StopTest.java
+++ b/foxtail-process/src/test/java/org/foxtailplank/process/StopTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.LogManager;
 import org.testng.annotations.Test;
 
 /** Ends real processes in each way. */
@@ -41,6 +42,9 @@
             }
             System.out.println("waiting");
             stop.await();
+            // What the hook of java.util.logging does at an unknown moment of the stop.
+            LogManager.getLogManager().reset();
+            Log.of("process").info("Nothing is left in flight.");
             System.out.println("finished what was in flight");
             return ExitCode.DONE;
         }
@@ -61,6 +65,22 @@
         }
     }
 
+    /**
+     * An operator who stops an entry sees nothing of how it left. The log manager's own shutdown
+     * hook took the handlers away before the entry had finished what was in flight.
+     */
+    @Test
+    void whatIsLoggedDuringTheStopIsStillWritten() throws Exception {
+        Process process = start();
+        try (BufferedReader out = process.inputReader();
+                BufferedReader err = process.errorReader()) {
+            assertEquals(out.readLine(), "waiting");
+            process.toHandle().destroy();
+            assertEquals(exitOf(process), 0);
+            assertTrue(err.lines().anyMatch(l -> l.contains("Nothing is left in flight.")));
+        }
+    }
+
     /** A broken invariant must end the process, whatever other threads it has. */
     @Test
     void aBrokenInvariantEndsTheProcessWithStatusOne() throws Exception {
