--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/IndexedPlacer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/IndexedPlacer.java
@@ -27,12 +27,16 @@
 /** Places tasks by indexes that are told each change. */
 public final class IndexedPlacer implements Placer {
 
+    /** Time after which everything that waits is looked at again, whatever has changed. */
+    private static final long SWEEP_MS = 30_000;
+
     /** Time that a task has to run for its worker to count as sound. */
     private static final long SOUND_MS = 10_000;
 
     private final PlacementState mState;
     private final TaskEvents mEvents;
     private final TaskWatch mWatch;
+    private long mNextSweepMs;
 
     public IndexedPlacer(PlacementSettings settings) {
         mState = new PlacementState(settings);
@@ -231,6 +235,10 @@
     public PlacementDecision decide(long nowMs) {
         mState.wakeRested(nowMs);
         mWatch.run(nowMs);
+        if (nowMs >= mNextSweepMs) {
+            mNextSweepMs = nowMs + SWEEP_MS;
+            mState.pools().forEach(PoolEntry::roomChanged);
+        }
         for (RequestClass urgency : RequestClass.values()) {
             for (PoolEntry pool : mState.pools()) {
                 if (pool.takeChanged(urgency)) {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/JobEntry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/JobEntry.java
@@ -10,6 +10,7 @@
 import org.foxtailplank.id.JobId;
 import org.foxtailplank.id.RackId;
 import org.foxtailplank.id.VmId;
+import org.foxtailplank.request.RequestClass;
 import org.foxtailplank.state.JobSpec;
 
 /** A job, its tasks that wait and its tasks that are placed. */
@@ -105,14 +106,19 @@
         mPlaced.put(task.id().index(), task);
         mRacks.merge(task.worker().worker().rack(), 1, Integer::sum);
         task.worker().add(task);
-        mTeam.used(task.reserved().milliProcessors());
+        used(task.reserved().milliProcessors());
     }
 
     void displace(PlacedTask task) {
         mPlaced.remove(task.id().index());
         mRacks.merge(task.worker().worker().rack(), -1, Integer::sum);
         task.worker().remove(task);
-        mTeam.used(-task.reserved().milliProcessors());
+        used(-task.reserved().milliProcessors());
+    }
+
+    /** Its tasks take more or less than before. */
+    void used(long milliProcessors) {
+        mTeam.used(milliProcessors, mSpec.urgency() == RequestClass.URGENT);
     }
 
     int tasksIn(RackId rack) {
@@ -132,12 +138,17 @@
     /** A task failed on a worker; whether the job has now failed on too many to be tried again. */
     boolean failedOn(VmId worker) {
         mFailedOn.add(worker);
+        // One failure is as likely the worker's; two workers hardly fail the same job by chance.
+        if (mFailedOn.size() > 1) {
+            mEstimate.failed();
+        }
         return mFailedOn.size() >= WORKERS_TO_GIVE_UP;
     }
 
     /** The worker was at fault, not the job. */
     void forgive(VmId worker) {
         mFailedOn.remove(worker);
+        mEstimate.forgive();
     }
 
     Set<VmId> failedOn() {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/PlacementPass.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/PlacementPass.java
@@ -1,9 +1,10 @@
 package org.foxtailplank.internal.placement;
 
-import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import org.foxtailplank.request.RequestClass;
 import org.foxtailplank.state.TaskAction;
@@ -25,7 +26,6 @@
     private final RequestClass mUrgency;
     private final RoomFinder mFinder;
     private final long mNowMs;
-    private final Set<TeamShare> mBlocked = new HashSet<>();
     private final Set<JobEntry> mBlockedJobs = new HashSet<>();
     private int mReclaimsTried;
 
@@ -44,29 +44,45 @@
 
     void run() {
         Map<TeamShare, Set<JobEntry>> waiting = mPool.waiting(mUrgency);
+        PriorityQueue<Ranked> teams = new PriorityQueue<>();
+        waiting.keySet().forEach(t -> teams.add(new Ranked(t, t.pressure())));
         while (mState.outbox().actions() < mState.settings().mostActions()) {
-            Optional<TeamShare> team = nextTeam(waiting);
-            if (team.isEmpty()) {
+            Ranked next = teams.poll();
+            if (next == null) {
                 return;
             }
-            Optional<JobEntry> job = nextJob(waiting.get(team.get()));
-            if (job.isEmpty()) {
-                mBlocked.add(team.get());
-            } else if (!place(job.get())) {
-                mBlockedJobs.add(job.get());
+            boolean more = placeOneOf(firstJobs(waiting, next.team()));
+            if (more && waiting.containsKey(next.team())) {
+                teams.add(new Ranked(next.team(), next.team().pressure()));
             }
         }
         mPool.changed(mUrgency);
     }
 
-    private Optional<TeamShare> nextTeam(Map<TeamShare, Set<JobEntry>> waiting) {
-        return waiting.keySet().stream()
-                .filter(t -> !mBlocked.contains(t))
-                .min(Comparator.comparingDouble(TeamShare::pressure));
+    private static List<JobEntry> firstJobs(Map<TeamShare, Set<JobEntry>> waiting, TeamShare team) {
+        return waiting.get(team).stream().limit(JOBS_TRIED).toList();
     }
 
-    private Optional<JobEntry> nextJob(Set<JobEntry> jobs) {
-        return jobs.stream().limit(JOBS_TRIED).filter(j -> !mBlockedJobs.contains(j)).findFirst();
+    /** Places a task of the first job that finds room; whether there was one. */
+    private boolean placeOneOf(List<JobEntry> jobs) {
+        for (JobEntry job : jobs) {
+            if (mBlockedJobs.contains(job)) {
+                continue;
+            }
+            if (place(job)) {
+                return true;
+            }
+            mBlockedJobs.add(job);
+        }
+        return false;
+    }
+
+    /** A team by what it had for its quota when it was put in line. */
+    private record Ranked(TeamShare team, double pressure) implements Comparable<Ranked> {
+        @Override
+        public int compareTo(Ranked other) {
+            return Double.compare(pressure, other.pressure);
+        }
     }
 
     private boolean place(JobEntry job) {
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/PlacementState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/PlacementState.java
@@ -144,7 +144,7 @@
     void reserve(PlacedTask task, Resources amount) {
         long before = task.reserved().milliProcessors();
         task.worker().adjust(task, amount);
-        task.job().team().used(amount.milliProcessors() - before);
+        task.job().used(amount.milliProcessors() - before);
         if (amount.milliProcessors() < before) {
             pool(task.worker().worker().pool()).roomChanged();
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/Reclaimer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/Reclaimer.java
@@ -39,7 +39,11 @@
     Optional<Reclaim> find(JobEntry job) {
         Resources declared = Resources.declaredBy(job.spec());
         boolean urgent = job.spec().urgency() == RequestClass.URGENT;
-        boolean within = job.team().isWithin(mTotalMilli, declared.milliProcessors());
+        long more = declared.milliProcessors();
+        boolean within =
+                urgent
+                        ? job.team().isUrgentWithin(mTotalMilli, more)
+                        : job.team().isWithin(mTotalMilli, more);
         if (!within && !urgent) {
             return Optional.empty();
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TaskEvents.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TaskEvents.java
@@ -124,7 +124,6 @@
                 return;
             }
         }
-        job.estimate().failed();
         boolean everywhere = job.failedOn(state.worker()) && !job.runsSomewhere();
         if (everywhere || job.attempt(index) >= MOST_ATTEMPTS) {
             mState.refuse(
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TeamShare.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/TeamShare.java
@@ -8,6 +8,7 @@
 
     private double mQuota;
     private long mUsedMilli;
+    private long mUrgentMilli;
     private double mRatio = 1;
 
     TeamShare(double quota) {
@@ -22,8 +23,9 @@
         return mQuota;
     }
 
-    void used(long milliProcessors) {
+    void used(long milliProcessors, boolean urgent) {
         mUsedMilli += milliProcessors;
+        mUrgentMilli += urgent ? milliProcessors : 0;
     }
 
     /** Use for each unit of quota; the team with the least goes first. */
@@ -31,6 +33,16 @@
         return mQuota <= 0 ? Double.MAX_VALUE : mUsedMilli / mQuota;
     }
 
+    /**
+     * Whether the team's urgent work is within its quota.
+     *
+     * <p>Its batch work does not count: it took what nobody else wanted, and would else stand in
+     * the way of the team's own urgent work.
+     */
+    boolean isUrgentWithin(long totalMilli, long moreMilli) {
+        return mUrgentMilli + moreMilli <= mQuota * totalMilli;
+    }
+
     boolean isWithin(long totalMilli, long moreMilli) {
         return mUsedMilli + moreMilli <= mQuota * totalMilli;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/internal/placement/UsageEstimate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/placement/UsageEstimate.java
@@ -39,6 +39,13 @@
         }
     }
 
+    /** The failure was the worker's. */
+    void forgive() {
+        if (!mMeasured) {
+            mMemoryBytes = mDeclared.memoryBytes();
+        }
+    }
+
     private double follow(double known, double seen) {
         boolean rises = seen > known;
         return rises ? seen : known + FALL * (seen - known);
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/CapacityRun.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/CapacityRun.java
@@ -81,6 +81,19 @@
         return (double) one * mScenario.shape().vms().size() / FaultTimes.MINUTE_MS;
     }
 
+    /** The fleet as published, with a wave just started. */
+    FleetState stateInWave() {
+        publish();
+        startWave();
+        return mState;
+    }
+
+    private void startWave() {
+        Set<ZoneId> zones = new HashSet<>();
+        mState.vms().forEach(vm -> zones.add(vm.zone()));
+        apply(new WaveStarted(WAVE, zones, Set.of(), Changes.AUTHOR));
+    }
+
     private void publish() {
         apply(
                 new ConfigurationPublished("{}", Map.of(), mScenario.shape(), Changes.AUTHOR),
@@ -163,9 +176,7 @@
             declare(pool, now / FaultTimes.MINUTE_MS % 2 == 0 ? 2 * honest : honest / 2);
         }
         if (now == mWaveMs) {
-            Set<ZoneId> zones = new HashSet<>();
-            mState.vms().forEach(vm -> zones.add(vm.zone()));
-            apply(new WaveStarted(WAVE, zones, Set.of(), Changes.AUTHOR));
+            startWave();
         }
         if (now - mPausedMs >= FaultTimes.RESUME_MS) {
             mPausedMs = Long.MAX_VALUE;
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetOptions.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetOptions.java
@@ -14,7 +14,7 @@
     @Option(name = "--large", usage = "15,000 workers in 83 pools instead of the settings' fleet")
     private boolean mLarge;
 
-    @Option(name = "--only", metaVar = "capacity|curve|placement", usage = "one part alone")
+    @Option(name = "--only", metaVar = "capacity|curve|cost|placement", usage = "one part alone")
     private String mOnly;
 
     @Option(name = "--weights", metaVar = "W,W", usage = "weights of the curve")
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetProgram.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetProgram.java
@@ -38,6 +38,9 @@
                         machine(),
                         options.runs("capacity") ? capacity(scenario, options) : List.of(),
                         options.runs("curve") ? curve(scenario, options) : List.of(),
+                        options.runs("cost")
+                                ? Optional.of(new CostRun(scenario).run())
+                                : Optional.empty(),
                         options.runs("placement") ? placement(scenario, options) : List.of());
         FleetReport.lines(result).forEach(mOut::println);
         if (options.json().isPresent()) {
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetReport.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetReport.java
@@ -22,6 +22,7 @@
             lines.add(ratios(result.capacity().get(0), result.capacity().get(1)));
         }
         result.curve().forEach(c -> lines.add(line(c)));
+        result.cost().ifPresent(c -> lines.add(line(c)));
         result.placement().forEach(p -> lines.addAll(lines(p)));
         return lines;
     }
@@ -48,6 +49,20 @@
                 c.bufferDecisionMs());
     }
 
+    private static String line(CostResult c) {
+        return format(
+                "cost: wave in a zone p50 %.2f p99 %.2f ms, plan of %d steps %.1f ms, buffer p50"
+                        + " %.2f p99 %.2f ms, state %.1f MiB, history %.1f MiB",
+                c.waveP50Ms(),
+                c.waveP99Ms(),
+                c.planSteps(),
+                c.planMs(),
+                c.bufferP50Ms(),
+                c.bufferP99Ms(),
+                c.stateHeapMiB(),
+                c.historyHeapMiB());
+    }
+
     private static String ratios(CapacityResult ours, CapacityResult naive) {
         return format(
                 "ratios: buffer mean %.2f, peak %.2f (with reserves %.2f), whole wave %.3f"
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetResult.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetResult.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.load.internal.fleet;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * What a measurement of the fleet decisions came to.
@@ -11,6 +12,7 @@
  * @param machine machine that it ran on
  * @param capacity a day of waves and buffer, by policy; the last one is the baseline
  * @param curve the same day by weight of roll-out time
+ * @param cost cost of single decisions, if they were timed
  * @param placement a run of placement, by policy; the last one is the baseline
  */
 public record FleetResult(
@@ -20,4 +22,5 @@
         String machine,
         List<CapacityResult> capacity,
         List<CapacityResult> curve,
+        Optional<CostResult> cost,
         List<PlacementResult> placement) {}
