--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/SnapshotSchedule.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/SnapshotSchedule.java
@@ -27,7 +27,7 @@
     /** Looks between two snapshots. */
     private static final int LOOKS_PER_SNAPSHOT = 8;
 
-    private static final Duration MAX_PAUSE = Duration.ofMinutes(1);
+    private static final Duration MAX_PAUSE = Duration.ofMinutes(5);
 
     private final SnapshotStore mStore;
     private final FollowOptions mOptions;
--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/SnapshotStore.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/fleet/SnapshotStore.java
@@ -21,6 +21,9 @@
 final class SnapshotStore {
     static final String STREAM = "fleet-snapshots";
 
+    /** The log answers with its bounds and no entry, which costs next to nothing. */
+    private static final long BEYOND_THE_END = 1L << 52;
+
     private static final int PAGE = 32;
     private static final int GROWTH = 4;
 
@@ -68,7 +71,7 @@
     }
 
     private CompletionStage<ReadResult> bounds() {
-        return mLog.read(STREAM, 1, 1, Duration.ZERO);
+        return mLog.read(STREAM, BEYOND_THE_END, 1, Duration.ZERO);
     }
 
     /** Looks through the newest entries, and through more of them while nothing is found. */
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/SnapshotChunk.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/SnapshotChunk.java
@@ -32,14 +32,17 @@
     /** Bytes of one part. */
     public static final int SIZE = 48 * 1024;
 
-    /** Splits the bytes of a snapshot. */
+    /**
+     * Splits the bytes of a snapshot. The last part holds none of them: whoever only wants to know
+     * how old the newest snapshot is reads just that part.
+     */
     public static List<SnapshotChunk> split(
             String name, StoredState state, byte[] bytes, long writtenMillis) {
-        int count = (bytes.length + SIZE - 1) / SIZE;
+        int count = (bytes.length + SIZE - 1) / SIZE + 1;
         ByteString checksum = checksum(bytes);
         List<SnapshotChunk> chunks = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            int from = i * SIZE;
+            int from = Math.min(i * SIZE, bytes.length);
             int length = Math.min(SIZE, bytes.length - from);
             chunks.add(
                     new SnapshotChunk(
