--- a/foxtail-core/src/main/java/org/foxtailplank/internal/state/MergePatch.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/state/MergePatch.java
@@ -36,6 +36,12 @@
         return JsonNodeFactory.instance.objectNode();
     }
 
+    /** Merges a patch into a text; empty where one of them is not a JSON object. */
+    public static Optional<String> mergeTexts(String text, String patch) {
+        return parse(text)
+                .flatMap(t -> parse(patch).map(p -> merge((JsonNode) t, p).toPrettyString()));
+    }
+
     /** Merges a patch into a value, which may change. */
     public static JsonNode merge(JsonNode target, JsonNode patch) {
         if (!(patch instanceof ObjectNode)) {
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -29,6 +29,7 @@
 import org.foxtailplank.platform.FleetFollower;
 import org.foxtailplank.platform.FollowOptions;
 import org.foxtailplank.platform.HttpPlatform;
+import org.foxtailplank.platform.LogClient;
 import org.foxtailplank.platform.SharedFleetState;
 import org.foxtailplank.platform.burn.BurnLog;
 import org.foxtailplank.process.Health;
@@ -65,6 +66,7 @@
     private final PekkoRuntime mRuntime;
     private final NodeOptions mOptions;
     private final HttpPlatform mPlatform;
+    private final LogClient mLog;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final FleetFollower mFleet;
     private final PeerLink mPeers;
@@ -90,14 +92,13 @@
                         settings.platform().address(),
                         settings.platform().timeout(),
                         runtime.system());
-        mFleet =
-                FleetFollower.start(
-                        mPlatform.log(), FollowOptions.of(options.node(), settings.platform()));
+        mLog = LogClient.of(mPlatform.log(), settings);
+        mFleet = FleetFollower.start(mLog, FollowOptions.of(options.node(), settings.platform()));
         mConfiguration = new ConfigurationFollower(settings, options.node(), mFleet, peers);
         StateExchange.start(peers, SharedFleetState.of(mFleet), StateExchangeLimits.usual());
         mBurn =
                 BurnLog.of(
-                        mPlatform.log(),
+                        mLog,
                         options.node(),
                         incarnation.value(),
                         () -> mEntry.map(e -> e.counters().read()).orElse(Map.of()),
@@ -172,6 +173,7 @@
         mKeys.ifPresent(ProtectedKeys::close);
         mPeers.close();
         mFleet.close();
+        mLog.close();
     }
 
     private static PeerLink peers(NodeOptions options, Incarnation incarnation)
