Configuration published is in force in the control role too, also in its own binary

Cause: the controller kept the settings of its start, and a listener that came after the first configuration never heard of it.

--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/internal/node/ConfigurationFollower.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ConfigurationFollower.java
@@ -1,6 +1,7 @@
-package org.foxtailplank.entry.internal.node;
+package org.foxtailplank.controller;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.foxtailplank.id.NodeId;
@@ -29,6 +30,7 @@
     private final FleetLog mFleet;
     private final PeerLink mPeers;
     private final List<Consumer<Settings>> mListeners = new CopyOnWriteArrayList<>();
+    private Optional<Settings> mInForce = Optional.empty();
     private volatile long mVersion;
 
     /** Follows the configuration for a node. */
@@ -40,10 +42,14 @@
         fleet.onChange(this::look);
     }
 
-    /** Calls back with each configuration that comes in force. */
+    /** Calls back with the configuration that is in force, if any, and each that comes in force. */
     public void onChange(Consumer<Settings> listener) {
-        mListeners.add(listener);
-        look();
+        mFleet.read(
+                view -> {
+                    mInForce.ifPresent(listener);
+                    mListeners.add(listener);
+                    return take(view);
+                });
     }
 
     /** Version in force; 0 for the settings of the start. */
@@ -76,6 +82,7 @@
         Settings settings = ((SettingsResult.Valid) result).settings();
         mVersion = c.version();
         Settings effective = settings.withProcessPartsOf(mStart);
+        mInForce = Optional.of(effective);
         mListeners.forEach(l -> l.accept(effective));
         LOG.info("Configuration {0} is in force.", c.version());
     }
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/ControllerProgram.java
@@ -53,19 +53,26 @@
                     FleetFollower.start(
                             platform.log(), FollowOptions.of(node, settings.platform()))) {
                 StateExchange.start(link, SharedFleetState.of(log), StateExchangeLimits.usual());
+                StateExchange.start(link, SharedFleetState.of(log), StateExchangeLimits.usual());
                 run(
                         runtime,
                         ControllerParts.of(node, settings, log, platform).withPeers(link),
+                        new ConfigurationFollower(settings, node, log, link),
                         stop);
             }
         }
         return ExitCode.DONE;
     }
 
-    private static void run(PekkoRuntime runtime, ControllerParts parts, StopSignal stop)
+    private static void run(
+            PekkoRuntime runtime,
+            ControllerParts parts,
+            ConfigurationFollower configuration,
+            StopSignal stop)
             throws ProcessException, InterruptedException {
         MetricRegistry metrics = new MetricRegistry();
         Controller controller = Controller.start(runtime, parts.withMetrics(metrics));
+        configuration.onChange(controller::configure);
         NodeSettings node = parts.settings().nodes().get(parts.self());
         HttpListener admin =
                 HttpListener.bind(
--- a/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
+++ b/foxtail-entry/src/main/java/org/foxtailplank/entry/FoxtailNode.java
@@ -15,12 +15,12 @@
 import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.http.javadsl.server.Directives;
 import org.apache.pekko.http.javadsl.server.Route;
+import org.foxtailplank.controller.ConfigurationFollower;
 import org.foxtailplank.controller.Controller;
 import org.foxtailplank.controller.ControllerParts;
 import org.foxtailplank.entry.internal.idempotency.KeyOptions;
 import org.foxtailplank.entry.internal.idempotency.PeerLinkClaims;
 import org.foxtailplank.entry.internal.idempotency.ProtectedKeys;
-import org.foxtailplank.entry.internal.node.ConfigurationFollower;
 import org.foxtailplank.entry.internal.node.WaveWatch;
 import org.foxtailplank.membership.Incarnation;
 import org.foxtailplank.membership.NodeRole;
@@ -235,6 +235,7 @@
         if (mOptions.roles().contains(NodeRole.CONTROL)) {
             Controller controller = Controller.start(mRuntime, controllerParts());
             mController = Optional.of(controller);
+            mConfiguration.onChange(controller::configure);
             routes = Directives.concat(routes, controller.route());
         }
         InetSocketAddress address = mOptions.settings().nodes().get(mOptions.node()).admin();
