--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/Cli.java
@@ -8,6 +8,7 @@
 import org.foxtailplank.cli.internal.command.CommandTable;
 import org.foxtailplank.cli.internal.command.Console;
 import org.foxtailplank.cli.internal.config.ConfigCommands;
+import org.foxtailplank.cli.internal.fleet.ExplainCommand;
 import org.foxtailplank.cli.internal.fleet.FleetCommands;
 import org.foxtailplank.cli.internal.fleet.WaveCommands;
 import org.foxtailplank.cli.internal.report.ReportCommands;
@@ -46,6 +47,7 @@
         commands.addAll(ConfigCommands.all());
         commands.addAll(FleetCommands.all());
         commands.addAll(WaveCommands.all());
+        commands.add(ExplainCommand.command());
         commands.addAll(ReportCommands.all());
         return commands;
     }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Bodies.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Bodies.java
@@ -16,6 +16,8 @@
 
     record WaveStart(String id, Set<String> zones, Set<String> pools, String who, String why) {}
 
+    record WavePlan(Set<String> zones, Set<String> pools) {}
+
     record JobSubmission(
             String id,
             String team,
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Kind.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Kind.java
@@ -141,7 +141,8 @@
         return node.isTextual() ? node.asText() : node.toString();
     }
 
-    private static String encoded(String text) {
+    /** A name as a part of a path. */
+    static String encoded(String text) {
         return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
     }
 }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Rows.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/Rows.java
@@ -58,6 +58,10 @@
         }
     }
 
+    record Plan(int vms, List<Step> steps, List<String> blocked) {}
+
+    record Step(int width, List<String> vms, List<String> racks, List<String> limits) {}
+
     record Job(
             String id,
             String team,
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/WaveCommands.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/fleet/WaveCommands.java
@@ -5,6 +5,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.foxtailplank.cli.internal.admin.AdminClient;
+import org.foxtailplank.cli.internal.admin.AdminOptions;
+import org.foxtailplank.cli.internal.admin.Reply;
 import org.foxtailplank.cli.internal.command.CliMessages;
 import org.foxtailplank.cli.internal.command.Command;
 import org.foxtailplank.cli.internal.command.Console;
@@ -30,6 +32,13 @@
                             .with("UNDER WAY", Rows.Wave::underWay)
                             .with("VERSION", Rows.Wave::version));
 
+    private static final Table<Rows.Step> STEPS =
+            new Table<Rows.Step>()
+                    .with("WIDTH", Rows.Step::width)
+                    .with("RACKS", Rows.Step::racks)
+                    .with("VMS", Rows.Step::vms)
+                    .with("LIMITED BY", s -> String.join("; ", s.limits()));
+
     private WaveCommands() {}
 
     /** Options of {@code wave start}. */
@@ -44,6 +53,15 @@
         private boolean mWatch;
     }
 
+    /** Options of {@code wave plan}. */
+    static final class PlanOptions extends AdminOptions {
+        @Option(name = "--zone", required = true, metaVar = "ID", usage = "zone; may be repeated")
+        private List<String> mZones = new ArrayList<>();
+
+        @Option(name = "--pool", metaVar = "ID", usage = "pool, else all; may be repeated")
+        private List<String> mPools = new ArrayList<>();
+    }
+
     /** Options of {@code wave status}. */
     static final class StatusOptions extends Kind.OneOptions {
         @Option(name = "--watch", usage = "show its progress until it ends")
@@ -53,6 +71,12 @@
     /** All commands on waves. */
     public static List<Command> all() {
         List<Command> all = new ArrayList<>(WAVES.reads());
+        all.add(
+                Command.of(
+                        "wave plan",
+                        "shows the steps of a wave, their width and what limits each",
+                        PlanOptions::new,
+                        WaveCommands::plan));
         all.add(
                 Command.of(
                         "wave start",
@@ -88,6 +112,23 @@
                                                         o.why()))));
     }
 
+    private static ExitCode plan(PlanOptions o, Console console)
+            throws ProcessException, InterruptedException {
+        try (AdminClient client = AdminClient.of(o, console)) {
+            Bodies.WavePlan body = new Bodies.WavePlan(Set.copyOf(o.mZones), Set.copyOf(o.mPools));
+            Reply.Ok reply = client.post(WAVES.path() + "/plan", body).orEnd();
+            if (o.json()) {
+                console.line(reply.body().toString());
+                return ExitCode.DONE;
+            }
+            Rows.Plan plan = reply.as(Rows.Plan.class);
+            console.line(plan.vms() + " VMs in " + plan.steps().size() + " steps");
+            STEPS.lines(plan.steps()).forEach(console::line);
+            plan.blocked().forEach(b -> console.line("blocked: " + b));
+            return plan.blocked().isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
+        }
+    }
+
     private static ExitCode start(StartOptions o, Console console)
             throws ProcessException, InterruptedException {
         Bodies.WaveStart body =
--- a/foxtail-cli/src/test/java/org/foxtailplank/cli/FleetCommandsTest.java
+++ b/foxtail-cli/src/test/java/org/foxtailplank/cli/FleetCommandsTest.java
@@ -154,6 +154,33 @@
         assertEquals(run("wave", "status", "w1", "--watch").code(), ExitCode.FAILED);
     }
 
+    @Test
+    void aPlanShowsTheWidthOfEachStepAndWhatLimitsIt() throws Exception {
+        mApi.answers(
+                "POST /v1/waves/plan",
+                200,
+                "{\"vms\":3,\"steps\":[{\"width\":2,\"vms\":[\"a\",\"b\"],\"racks\":[\"r1\"],"
+                        + "\"limits\":[\"budget of photo\"]}],\"blocked\":[\"c has no spare\"]}");
+        CliRun run = run("wave", "plan", "--zone", "sofia-1");
+        assertEquals(run.code(), ExitCode.FAILED, "a VM would never be stopped");
+        assertEquals(
+                run.out(),
+                "3 VMs in 1 steps\nWIDTH  RACKS  VMS  LIMITED BY\n"
+                        + "2      r1     a,b  budget of photo\nblocked: c has no spare\n");
+    }
+
+    @Test
+    void explainGivesTheReasons() throws Exception {
+        mApi.answers(
+                "GET /v1/explain/vm/sofia-1-r1-1",
+                200,
+                "{\"subject\":\"vm sofia-1-r1-1\",\"reasons\":[{\"text\":\"it drains\","
+                        + "\"waitsFor\":\"3 requests\"}]}");
+        CliRun run = run("explain", "vm", "sofia-1-r1-1");
+        assertEquals(run.code(), ExitCode.DONE, run.err());
+        assertEquals(run.out(), "vm sofia-1-r1-1\n  it drains; waits for 3 requests\n");
+    }
+
     @Test
     void aRefusalIsPassedOnInTheNodesWords() throws Exception {
         mApi.answers(
