--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/AdminClient.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/admin/AdminClient.java
@@ -73,11 +73,6 @@
         return call(path, (client, uri) -> client.put(uri, body));
     }
 
-    /** Changes parts of what a path names. */
-    public Reply patch(String path, Object body) throws ProcessException, InterruptedException {
-        return call(path, (client, uri) -> client.patch(uri, body));
-    }
-
     /** Adds to what a path names. */
     public Reply post(String path, Object body) throws ProcessException, InterruptedException {
         return call(path, (client, uri) -> client.post(uri, body));
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/ConfigCommands.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/ConfigCommands.java
@@ -50,11 +50,6 @@
                 usage = "where another version was published meanwhile, put this change on top")
         private boolean mRebase;
 
-        @Option(
-                name = "--patch",
-                usage = "send only what differs from that version; comments are not kept")
-        private boolean mPatch;
-
         @Option(name = "--wait", usage = "wait until it is in force at every node")
         private boolean mWait;
 
@@ -70,10 +65,6 @@
             return mRebase;
         }
 
-        boolean patch() {
-            return mPatch;
-        }
-
         boolean waits() {
             return mWait;
         }
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/Draft.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/Draft.java
@@ -1,20 +1,16 @@
 package org.foxtailplank.cli.internal.config;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.json.JsonReadFeature;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.foxtailplank.cli.internal.command.CliMessages;
 import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.internal.state.MergePatch;
 import org.foxtailplank.process.ProcessException;
 import org.foxtailplank.process.SettingsFiles;
 import org.foxtailplank.settings.ConfigurationCheck;
@@ -28,19 +24,6 @@
  */
 record Draft(String base, Map<String, String> overlays) {
     private static final String BASE = "base";
-    private static final JsonMapper JSON =
-            JsonMapper.builder()
-                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
-                    .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
-                    .build();
-
-    /**
-     * Merge patches of a base and of overlays.
-     *
-     * @param base patch of the base
-     * @param overlays patch of each overlay that changes
-     */
-    record Patches(String base, Map<String, String> overlays) {}
 
     Draft {
         overlays = Map.copyOf(overlays);
@@ -82,15 +65,8 @@
 
     /** A text, JSON with comments, as an object. */
     static ObjectNode object(String text, String name) throws ProcessException {
-        try {
-            JsonNode node = JSON.readTree(text);
-            if (node instanceof ObjectNode object) {
-                return object;
-            }
-        } catch (JsonProcessingException e) {
-            throw ProcessException.usage(CliMessages.notAnObject(name));
-        }
-        throw ProcessException.usage(CliMessages.notAnObject(name));
+        return MergePatch.parse(text)
+                .orElseThrow(() -> ProcessException.usage(CliMessages.notAnObject(name)));
     }
 
     /** All values that differ from this to another one; paths start with the file's role. */
@@ -104,25 +80,6 @@
         return all;
     }
 
-    /** The patches that make another draft of this one; empty where patches can't. */
-    Optional<Patches> patchesTo(Draft other) throws ProcessException {
-        if (!other.overlays.keySet().containsAll(overlays.keySet())) {
-            return Optional.empty();
-        }
-        Map<String, String> patches = new TreeMap<>();
-        for (String name : names(other)) {
-            Optional<ObjectNode> patch = JsonDiff.mergePatch(tree(name), other.tree(name));
-            if (patch.isEmpty()) {
-                return Optional.empty();
-            }
-            if (!patch.get().isEmpty() || name.equals(BASE)) {
-                patches.put(name, patch.get().toString());
-            }
-        }
-        String basePatch = patches.remove(BASE);
-        return Optional.of(new Patches(basePatch, patches));
-    }
-
     /** This with the changes that lead from one draft to another put on top. */
     Draft withChange(Draft from, Draft to) throws ProcessException {
         Map<String, String> merged = new TreeMap<>();
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/JsonDiff.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/JsonDiff.java
@@ -1,13 +1,10 @@
 package org.foxtailplank.cli.internal.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.NullNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -80,55 +77,6 @@
         }
     }
 
-    /**
-     * The merge patch (RFC 7396) that makes one object of the other; empty where there is none,
-     * since a null that counts as a value can't be said in one.
-     */
-    static Optional<ObjectNode> mergePatch(ObjectNode before, ObjectNode after) {
-        ObjectNode patch = JsonNodeFactory.instance.objectNode();
-        for (String name : names(before, after)) {
-            JsonNode old = before.get(name);
-            JsonNode now = after.get(name);
-            if (now == null) {
-                patch.set(name, NullNode.getInstance());
-            } else if (!now.equals(old) && now instanceof ObjectNode n) {
-                boolean merges = old instanceof ObjectNode;
-                ObjectNode from = merges ? (ObjectNode) old : JsonNodeFactory.instance.objectNode();
-                Optional<ObjectNode> inner = mergePatch(from, n);
-                if (inner.isEmpty()) {
-                    return Optional.empty();
-                }
-                patch.set(name, inner.get());
-            } else if (!now.equals(old)) {
-                if (now.isNull()) {
-                    return Optional.empty();
-                }
-                patch.set(name, now);
-            }
-        }
-        return Optional.of(patch);
-    }
-
-    /** An object with a merge patch applied. */
-    static ObjectNode patched(ObjectNode target, ObjectNode patch) {
-        ObjectNode result = target.deepCopy();
-        patch.properties()
-                .forEach(
-                        e -> {
-                            JsonNode value = e.getValue();
-                            JsonNode old = result.get(e.getKey());
-                            if (value.isNull()) {
-                                result.remove(e.getKey());
-                            } else if (value instanceof ObjectNode p
-                                    && old instanceof ObjectNode o) {
-                                result.set(e.getKey(), patched(o, p));
-                            } else {
-                                result.set(e.getKey(), value);
-                            }
-                        });
-        return result;
-    }
-
     private static Set<String> names(ObjectNode a, ObjectNode b) {
         Set<String> names = new TreeSet<>();
         a.fieldNames().forEachRemaining(names::add);
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/LogHistory.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/LogHistory.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import org.foxtailplank.cli.internal.command.CliMessages;
 import org.foxtailplank.id.ZoneId;
+import org.foxtailplank.internal.state.MergePatch;
 import org.foxtailplank.platform.HttpPlatform;
 import org.foxtailplank.platform.PlatformLog;
 import org.foxtailplank.platform.ReadResult;
@@ -123,8 +124,8 @@
     }
 
     private static String patched(String text, String patch) throws ProcessException {
-        return JsonDiff.patched(Draft.object(text, STREAM), Draft.object(patch, STREAM))
-                .toPrettyString();
+        return MergePatch.mergeTexts(text, patch)
+                .orElseThrow(() -> ProcessException.failed(CliMessages.notAnObject(STREAM)));
     }
 
     private Optional<Step> step(long version) throws ProcessException, InterruptedException {
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/Publisher.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/Publisher.java
@@ -64,13 +64,15 @@
 
     private Reply put(AdminClient client, Draft draft, long from)
             throws ProcessException, InterruptedException {
-        Reply reply = send(client, draft, from);
+        Views.Publication publication =
+                Views.Publication.of(draft, from, mOptions.who(), mOptions.why());
+        Reply reply = client.put(PATH, publication);
         if (!(reply instanceof Reply.Unknown)) {
             return reply;
         }
         // The answer got lost. The same condition lets the change take effect at most once, so it
         // can be sent again; a conflict with the very values that were sent means that it did.
-        Reply again = send(client, draft, from);
+        Reply again = client.put(PATH, publication);
         if (again instanceof Reply.Conflict conflict) {
             Views.Config now = conflict.as(Views.Config.class);
             boolean same = now.draft().differencesTo(draft).isEmpty();
@@ -81,34 +83,6 @@
         return again;
     }
 
-    private Reply send(AdminClient client, Draft draft, long from)
-            throws ProcessException, InterruptedException {
-        Optional<Draft.Patches> patches =
-                mOptions.patch() ? patches(client, draft, from) : Optional.empty();
-        if (patches.isEmpty()) {
-            return client.put(
-                    PATH, Views.Publication.of(draft, from, mOptions.who(), mOptions.why()));
-        }
-        return client.patch(
-                PATH,
-                new Views.PatchPublication(
-                        from,
-                        patches.get().base(),
-                        patches.get().overlays(),
-                        mOptions.who(),
-                        mOptions.why()));
-    }
-
-    /** Patches of the version in force, where that is the one which the draft was made from. */
-    private static Optional<Draft.Patches> patches(AdminClient client, Draft draft, long from)
-            throws ProcessException, InterruptedException {
-        if (client.get(PATH) instanceof Reply.Ok ok) {
-            Views.Config now = ok.as(Views.Config.class);
-            return now.version() == from ? now.draft().patchesTo(draft) : Optional.empty();
-        }
-        return Optional.empty();
-    }
-
     private Optional<Draft> origin(AdminClient client)
             throws ProcessException, InterruptedException {
         return mOptions.settingsFile().isEmpty()
--- a/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/Views.java
+++ b/foxtail-cli/src/main/java/org/foxtailplank/cli/internal/config/Views.java
@@ -22,14 +22,6 @@
         }
     }
 
-    /** The same as merge patches of that version. */
-    record PatchPublication(
-            long version,
-            String basePatch,
-            Map<String, String> overlayPatches,
-            String who,
-            String why) {}
-
     /** A change that took effect. */
     record Applied(long version) {}
 
--- a/foxtail-core/src/main/java/org/foxtailplank/settings/FleetShapes.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/FleetShapes.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import org.foxtailplank.id.PoolId;
 import org.foxtailplank.id.ServiceId;
 import org.foxtailplank.id.VmId;
@@ -31,32 +30,6 @@
         return new FleetShape(places, pools, budgets);
     }
 
-    /**
-     * What is new or different from one shape to another; empty where something is gone, which a
-     * patch of a shape can't say.
-     */
-    public static Optional<FleetShape> difference(FleetShape before, FleetShape after) {
-        boolean gone =
-                !after.vms().keySet().containsAll(before.vms().keySet())
-                        || !after.pools().keySet().containsAll(before.pools().keySet())
-                        || !after.minAvailable()
-                                .keySet()
-                                .containsAll(before.minAvailable().keySet());
-        return gone
-                ? Optional.empty()
-                : Optional.of(
-                        new FleetShape(
-                                changed(before.vms(), after.vms()),
-                                changed(before.pools(), after.pools()),
-                                changed(before.minAvailable(), after.minAvailable())));
-    }
-
-    private static <K, V> Map<K, V> changed(Map<K, V> before, Map<K, V> after) {
-        Map<K, V> changed = new HashMap<>(after);
-        changed.entrySet().removeIf(e -> e.getValue().equals(before.get(e.getKey())));
-        return changed;
-    }
-
     private static VmPlace place(Settings settings, VmId vm, PoolId pool) {
         VmSettings v = settings.vms().get(vm);
         return new VmPlace(v.zone(), v.rack(), pool);
--- a/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsReader.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsReader.java
@@ -16,18 +16,8 @@
 public final class SettingsReader {
     private final List<File> mFiles;
 
-    /** What a file is laid over. */
-    private enum Layer {
-        /** The first file. */
-        BASE,
-        /** Goes over the base, for one site. */
-        OVERLAY,
-        /** Changes the file that comes before it. */
-        PATCH
-    }
-
     /** A file by name and text. */
-    private record File(Layer layer, String name, String text) {}
+    private record File(String name, String text) {}
 
     private SettingsReader(List<File> files) {
         mFiles = List.copyOf(files);
@@ -35,22 +25,13 @@
 
     /** Starts with the text of a base file. */
     public static SettingsReader base(String fileName, String text) {
-        return new SettingsReader(List.of(new File(Layer.BASE, fileName, text)));
+        return new SettingsReader(List.of(new File(fileName, text)));
     }
 
     /** Lays an overlay over what was given so far. */
     public SettingsReader withOverlay(String fileName, String text) {
-        return with(new File(Layer.OVERLAY, fileName, text));
-    }
-
-    /** Applies a JSON merge patch to the file that was given last. */
-    public SettingsReader withPatch(String fileName, String text) {
-        return with(new File(Layer.PATCH, fileName, text));
-    }
-
-    private SettingsReader with(File file) {
         List<File> files = new ArrayList<>(mFiles);
-        files.add(file);
+        files.add(new File(fileName, text));
         return new SettingsReader(files);
     }
 
@@ -62,24 +43,15 @@
     /** Reads and checks the merged files. */
     public SettingsResult read() {
         Problems problems = new Problems();
+        Optional<Node.Members> base = parse(mFiles.get(0), problems);
         List<Node.Members> layers = new ArrayList<>();
-        for (File file : mFiles) {
-            Optional<Node.Members> members = parse(file, problems);
-            if (members.isEmpty() && file.layer() == Layer.BASE) {
-                return new SettingsResult.Invalid(problems.list());
-            }
-            members.ifPresent(m -> add(file.layer(), m, layers));
-        }
-        return check(layers, problems);
-    }
-
-    private static void add(Layer layer, Node.Members members, List<Node.Members> layers) {
-        int last = layers.size() - 1;
-        if (layer == Layer.PATCH) {
-            layers.set(last, NodeMerge.merge(layers.get(last), members));
-        } else {
-            layers.add(members);
+        base.ifPresent(layers::add);
+        for (File overlay : mFiles.subList(1, mFiles.size())) {
+            parse(overlay, problems).ifPresent(layers::add);
         }
+        return base.isPresent()
+                ? check(layers, problems)
+                : new SettingsResult.Invalid(problems.list());
     }
 
     private static SettingsResult check(List<Node.Members> layers, Problems problems) {
