--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/HostilePeerTest.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/HostilePeerTest.java
@@ -8,6 +8,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.UnknownFieldSet;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,6 +26,7 @@
 import org.foxtailplank.wire.PeerLinkLimits;
 import org.foxtailplank.wire.PeerNodes;
 import org.foxtailplank.wire.generated.peer.EnvelopeProto;
+import org.foxtailplank.wire.generated.peer.RefusalProto;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -39,6 +41,8 @@
     private static final AnswerLookup LOOKUP =
             new AnswerLookup(ServiceId.of("claims"), "k1", ByteString.EMPTY);
 
+    private static final int NEWER_KIND = 999;
+
     private PeerNodes mNodes;
     private PeerLink mVictim;
     private PeerLink mHonest;
@@ -212,6 +216,31 @@
         }
     }
 
+    /**
+     * An upgrade of node after node would cut the old nodes off. A newer node sends a kind of
+     * message that an older one does not know; it is refused, and the connection goes on.
+     */
+    @Test
+    public void aMessageOfANewerKindIsRefusedAndItsConnectionKept() throws IOException {
+        UnknownFieldSet.Field text =
+                UnknownFieldSet.Field.newBuilder()
+                        .addLengthDelimited(ByteString.copyFromUtf8("new"))
+                        .build();
+        EnvelopeProto newer =
+                EnvelopeProto.newBuilder()
+                        .setAsk(7)
+                        .setUnknownFields(
+                                UnknownFieldSet.newBuilder().addField(NEWER_KIND, text).build())
+                        .build();
+        try (RawPeer peer = new RawPeer(mVictim.self().address()).prove("x", KEY)) {
+            EnvelopeProto refusal = peer.send(peer.seal(newer)).answer();
+            assertEquals(refusal.getAnswerTo(), 7);
+            assertEquals(refusal.getRefusal().getReason(), RefusalProto.Reason.NOT_UNDERSTOOD);
+            assertEquals(mVictim.counts().notUnderstood(), 1);
+            assertTrue(peer.send(peer.seal(lookup())).answer().hasAnswerLookupResult());
+        }
+    }
+
     private void assertCutOnce(CutReason reason) {
         assertEquals(mVictim.counts().cuts(reason), 1);
     }
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/RawPeer.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/peer/RawPeer.java
@@ -88,6 +88,11 @@
         return this;
     }
 
+    /** The next message of the other side. */
+    EnvelopeProto answer() throws IOException {
+        return EnvelopeProto.parseFrom(mSeal.open(receive()).orElseThrow());
+    }
+
     byte[] receive() throws IOException {
         byte[] frame = new byte[mIn.readInt()];
         mIn.readFully(frame);
