Peers: a tail too large for a message is handed out as a state; a fetch keeps its state

Each chunk of a state could come from a new roll-up, so that a fetch of many chunks never ended when roll-ups aren't kept. Change: a tail over the limit becomes a state; a fetch goes on with the state it began with.

--- a/foxtail-platform/src/test/java/org/foxtailplank/platform/internal/fleet/ConfigurationPropagationMeasurement.java
+++ b/foxtail-platform/src/test/java/org/foxtailplank/platform/internal/fleet/ConfigurationPropagationMeasurement.java
@@ -34,7 +34,7 @@
                     0,
                     TAIL.chunkBytes(),
                     TAIL.maxStateBytes(),
-                    Duration.ZERO);
+                    Duration.ofMillis(200));
 
     /** Way, VMs, pools, changes. */
     @DataProvider
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/exchange/StateServer.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/exchange/StateServer.java
@@ -37,7 +37,18 @@
             return chunk(request);
         }
         return mState.tailAfter(request.position(), mLimits.tailBytes())
-                .thenCompose(tail -> tail.isEmpty() ? chunk(request) : tail(tail));
+                .thenCompose(tail -> fits(tail) ? tail(tail) : chunk(request));
+    }
+
+    /**
+     * Whether there is a tail that a message can hold.
+     *
+     * <p>Guards against one large record, such as a whole configuration: the asker would cut the
+     * connection for an oversized frame, again and again.
+     */
+    private boolean fits(List<TailRecord> tail) {
+        long bytes = tail.stream().mapToLong(record -> record.data().size()).sum();
+        return !tail.isEmpty() && bytes <= mLimits.tailBytes();
     }
 
     private CompletionStage<ConfigurationAnswer> tail(List<TailRecord> tail) {
@@ -46,7 +57,7 @@
     }
 
     private CompletionStage<ConfigurationAnswer> chunk(ConfigurationRequest request) {
-        return rollUp().thenApply(kept -> chunkOf(kept, request));
+        return rollUp(request.stateNumber()).thenApply(kept -> chunkOf(kept, request));
     }
 
     /** A fetch whose state is no longer kept starts again with the one that is. */
@@ -68,11 +79,12 @@
      * The rolled-up state, made anew only now and then.
      *
      * <p>Guards against a crowd of nodes that start together: each of their chunks would roll up
-     * the state again, and none would belong to the one before.
+     * the state again, and none would belong to the one before. A fetch that has begun goes on with
+     * its state for as long as that is kept.
      */
-    private synchronized CompletionStage<Optional<ByteString>> rollUp() {
-        long now = System.nanoTime();
-        if (mKept.isPresent() && now - mKeptAt < mLimits.keepRollUp().toNanos()) {
+    private synchronized CompletionStage<Optional<ByteString>> rollUp(long wanted) {
+        boolean fresh = System.nanoTime() - mKeptAt < mLimits.keepRollUp().toNanos();
+        if (mKept.isPresent() && (fresh || wanted == mNumber)) {
             return CompletableFuture.completedFuture(mKept);
         }
         return mState.rollUp().thenApply(this::keep);
--- a/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/exchange/StateExchangeTest.java
+++ b/foxtail-wire/src/test/java/org/foxtailplank/wire/internal/exchange/StateExchangeTest.java
@@ -28,7 +28,7 @@
             new StateExchangeLimits(
                     Duration.ofMillis(100),
                     Duration.ofSeconds(5),
-                    1_024,
+                    900,
                     7,
                     1_000,
                     Duration.ofSeconds(5));
@@ -99,6 +99,20 @@
         assertEquals(newest.adopted(), 0);
     }
 
+    /**
+     * A node would never catch up. One record is larger than a message may be, and the asker cuts
+     * the connection of each peer that sends it.
+     */
+    @Test
+    public void aTailTooLargeForOneMessageIsHandedOutAsAState() throws Exception {
+        MemorySharedState running = new MemorySharedState(WHOLE_TAIL);
+        MemorySharedState starting = new MemorySharedState(WHOLE_TAIL);
+        running.fold("x".repeat(LIMITS.tailBytes() + 1));
+        start(running, starting);
+        await("the state", () -> starting.folded().equals(running.folded()));
+        assertEquals(starting.adopted(), 1);
+    }
+
     @Test
     public void newsGoesOnThroughNodesThatWereBehindThemselves() throws Exception {
         MemorySharedState first = new MemorySharedState(WHOLE_TAIL);
