--- a/foxtail-it/src/main/java/org/foxtailplank/it/proxy/FaultProxy.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/proxy/FaultProxy.java
@@ -155,7 +155,16 @@
         }
 
         private void reset() {
-            for (Channel channel : new Channel[] {mClient, mTargetChannel}) {
+            mClient.eventLoop()
+                    .execute(
+                            () -> {
+                                reset(mClient);
+                                reset(mTargetChannel);
+                            });
+        }
+
+        private void reset(Channel channel) {
+            if (channel.isActive()) {
                 channel.config().setOption(ChannelOption.SO_LINGER, 0);
                 channel.close();
             }
--- a/foxtail-it/src/main/java/org/foxtailplank/it/system/SmallSite.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/system/SmallSite.java
@@ -49,7 +49,7 @@
               "nodes": {%s},
               "platform": {"address": "http://127.0.0.1:1", "timeout": "500ms",
                 "appendsPerSecond": 200, "retention": "1d"},
-              "peers": {"key": "it-peer-key", "heartbeat": "200ms", "silence": "1s"},
+              "peers": {"key": "key-of-the-peers-in-tests", "heartbeat": "200ms", "silence": "1s"},
               "limits": {"maxHeader": "16KiB", "maxBody": "1MiB", "connectionsPerCaller": 256,
                 "retryRatio": 0.2, "idempotencyWindow": "10m"}
             }
@@ -79,34 +79,29 @@
         return mPorts.get(zone).get(2);
     }
 
+    /** The base file as it is published. */
     String base() {
-        List<String> nodes = ZONES.stream().map(this::nodeText).toList();
+        return base(Map.of());
+    }
+
+    /** The base file of one process, whose way to some peers leads elsewhere. */
+    String base(Map<String, InetSocketAddress> peers) {
+        List<String> nodes =
+                ZONES.stream().map(z -> nodeText(z, peers.getOrDefault(z, peers(z)))).toList();
         return BASE.formatted(String.join(",\n", nodes));
     }
 
-    private String nodeText(String zone) {
+    private String nodeText(String zone, InetSocketAddress peers) {
         return """
         "%s": {"zone": "%s", "callers": "%s", "peers": "%s", "admin": "%s"}\
         """
-                .formatted(
-                        node(zone),
-                        zone,
-                        text(callers(zone)),
-                        text(peers(zone)),
-                        text(admin(zone)));
+                .formatted(node(zone), zone, text(callers(zone)), text(peers), text(admin(zone)));
     }
 
-    /** What one zone states differently: its ways to the platform and to the other nodes. */
-    static String overlay(
-            String zone, InetSocketAddress platform, Map<String, InetSocketAddress> peers) {
-        List<String> nodes = new ArrayList<>();
-        peers.forEach(
-                (other, address) ->
-                        nodes.add(
-                                "\"%s\": {\"peers\": \"%s\"}"
-                                        .formatted(node(other), text(address))));
-        return "{\"site\": \"%s\", \"platform\": {\"address\": \"http://%s\"}, \"nodes\": {%s}}"
-                .formatted(zone, text(platform), String.join(", ", nodes));
+    /** What one zone states differently: its way to the platform. */
+    static String overlay(String zone, InetSocketAddress platform) {
+        return "{\"site\": \"%s\", \"platform\": {\"address\": \"http://%s\"}}"
+                .formatted(zone, text(platform));
     }
 
     static String text(InetSocketAddress address) {
--- a/foxtail-it/src/main/java/org/foxtailplank/it/system/TestCallers.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/system/TestCallers.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +17,7 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.javadsl.settings.ConnectionPoolSettings;
 import org.foxtailplank.it.history.History;
 import org.foxtailplank.it.history.HistoryEvent;
 import org.foxtailplank.it.process.Await;
@@ -33,10 +35,17 @@
     private static final long PAUSE_MS = 250;
     private static final long TIMEOUT_MS = 4000;
     private static final long BODY_BYTES = 1 << 20;
+    private static final int CONNECTIONS = 128;
+    private static final int WAITING = 4096;
+    private static final Duration MAX_BACKOFF = Duration.ofMillis(200);
 
+    private static final AtomicInteger STARTED = new AtomicInteger();
+
+    private final String mName = "callers" + STARTED.incrementAndGet();
     private final TestSystem mSystem;
     private final List<InetSocketAddress> mEntries;
     private final History mHistory;
+    private final ConnectionPoolSettings mPool;
     private final ScheduledExecutorService mTimer = Executors.newSingleThreadScheduledExecutor();
     private final AtomicLong mNumber = new AtomicLong();
     private final AtomicInteger mOpen = new AtomicInteger();
@@ -47,6 +56,12 @@
         mSystem = system;
         mEntries = entries;
         mHistory = system.history();
+        mPool =
+                ConnectionPoolSettings.create(system.runtime().system().classicSystem())
+                        .withMaxRetries(0)
+                        .withMaxConnections(CONNECTIONS)
+                        .withMaxOpenRequests(WAITING)
+                        .withMaxConnectionBackoff(MAX_BACKOFF);
     }
 
     /** Callers that turn to the entries of these zones one after the other. */
@@ -77,12 +92,12 @@
         long number = mNumber.incrementAndGet();
         mOpen.addAndGet(2);
         survey(number, 1);
-        once("claims", "c" + number, false, entry(number))
+        once("claims", mName + "-c" + number, false, entry(number))
                 .whenComplete((o, e) -> mOpen.decrementAndGet());
     }
 
     private void survey(long number, int attempt) {
-        once("survey", "s" + number + "-" + attempt, true, entry(number + attempt))
+        once("survey", mName + "-s" + number + "-" + attempt, true, entry(number + attempt))
                 .thenAccept(
                         outcome -> {
                             if (outcome == Outcome.OK) {
@@ -119,7 +134,11 @@
                                 RawHeader.create("Foxtail-Repeatable", repeatable ? "yes" : "no"))
                         .withEntity(body);
         return Http.get(mSystem.runtime().system())
-                .singleRequest(request)
+                .singleRequest(
+                        request,
+                        Http.get(mSystem.runtime().system()).defaultClientHttpsContext(),
+                        mPool,
+                        mSystem.runtime().system().classicSystem().log())
                 .thenCompose(r -> answered(id, r))
                 .toCompletableFuture()
                 .orTimeout(TIMEOUT_MS, TimeUnit.MILLISECONDS)
--- a/foxtail-it/src/main/java/org/foxtailplank/it/system/TestSystem.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/system/TestSystem.java
@@ -120,7 +120,7 @@
 
     /** Starts a process in a zone, in place of the one before. */
     public void startNode(String zone) throws IOException {
-        Path base = write("base.jsonc", mSite.base());
+        Path base = write(zone + "-base.jsonc", baseOf(zone));
         Path overlay = write(zone + ".jsonc", overlay(zone));
         List<String> arguments =
                 List.of(
@@ -189,7 +189,7 @@
 
     /** Version of the configuration in force at a node. */
     public long configuration(String zone) throws Exception {
-        return health(zone).path("configurationVersion").asLong();
+        return health(zone).path("details").path("configurationVersion").asLong();
     }
 
     /** Adds what the backend servers ran to the history. */
@@ -252,9 +252,13 @@
     }
 
     private String overlay(String zone) {
+        return SmallSite.overlay(zone, toPlatform(zone).address());
+    }
+
+    private String baseOf(String zone) {
         Map<String, InetSocketAddress> peers = new TreeMap<>();
         mPeerProxies.get(zone).forEach((z, p) -> peers.put(z, p.address()));
-        return SmallSite.overlay(zone, toPlatform(zone).address(), peers);
+        return mSite.base(peers);
     }
 
     private Path write(String name, String text) throws IOException {
--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
@@ -4,11 +4,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
@@ -31,6 +33,8 @@
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.internal.idempotency.Claimant;
+import org.foxtailplank.membership.Incarnation;
+import org.foxtailplank.membership.NodeRole;
 import org.foxtailplank.membership.PeerIdentity;
 import org.foxtailplank.membership.Seed;
 import org.foxtailplank.membership.SeedSource;
@@ -193,7 +197,11 @@
         ActorSystem system = ActorSystem.create("entry");
         HttpPlatform platform =
                 HttpPlatform.at(mPlatform.address(), mSettings.platform().timeout(), system);
-        PeerLink link = PeerLink.start(PeerLinkClaims.options(node, mSettings));
+        Incarnation incarnation = Incarnation.draw(new SecureRandom());
+        PeerLink link =
+                PeerLink.start(
+                        PeerLinkClaims.options(
+                                node, mSettings, incarnation, Set.of(NodeRole.ENTRY)));
         PeerLinkClaims peers = PeerLinkClaims.of(link, mSettings);
         MetricRegistry metrics = new MetricRegistry();
         AtomicReference<EntryServer> server = new AtomicReference<>();
--- a/foxtail-it/src/test/java/org/foxtailplank/it/suite/PlatformOutageSuite.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/suite/PlatformOutageTest.java
@@ -10,7 +10,7 @@
 import org.testng.annotations.Test;
 
 /** The platform is gone for a while, and an entry is replaced meanwhile. */
-public final class PlatformOutageSuite {
+public final class PlatformOutageTest {
 
     /**
      * Every way to the platform is cut. The entry VM of one zone is lost and its successor starts
@@ -39,7 +39,7 @@
             assertTrue(after > before);
             system.recordExecutions();
             assertEquals(HistoryChecker.check(system.history()), java.util.List.of());
-            assertEquals(callers.lost(), 0, system.outputs());
+            assertEquals(callers.lost(), 0, callers.lost() + " lost\n" + system.outputs());
         }
     }
 }
--- a/foxtail-it/src/test/java/org/foxtailplank/it/suite/RackLossSuite.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/suite/RackLossTest.java
@@ -10,7 +10,7 @@
 import org.testng.annotations.Test;
 
 /** A rack is lost while configuration is published. */
-public final class RackLossSuite {
+public final class RackLossTest {
 
     private record RackFault(String target, String kind, String rack) {}
 
@@ -38,7 +38,7 @@
             }
             system.recordExecutions();
             assertEquals(HistoryChecker.check(system.history()), List.of());
-            assertEquals(callers.lost(), 0, system.outputs());
+            assertEquals(callers.lost(), 0, callers.lost() + " lost\n" + system.outputs());
         }
     }
 }
--- a/foxtail-it/src/test/java/org/foxtailplank/it/suite/ZoneCutSuite.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/suite/ZoneCutTest.java
@@ -12,7 +12,7 @@
 import org.testng.annotations.Test;
 
 /** An availability zone is cut off in the middle of a maintenance wave. */
-public final class ZoneCutSuite {
+public final class ZoneCutTest {
 
     private record Wave(String id, Set<String> zones, String who, String why) {}
 
@@ -44,7 +44,7 @@
             assertEquals(system.platform().cutOff(), 0);
             system.recordExecutions();
             assertEquals(HistoryChecker.check(system.history()), List.of());
-            assertEquals(callers.lost(), 0, system.outputs());
+            assertEquals(callers.lost(), 0, callers.lost() + " lost\n" + system.outputs());
         }
     }
 
--- a/foxtail-process/src/main/java/org/foxtailplank/process/JsonHttpClient.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/JsonHttpClient.java
@@ -29,6 +29,8 @@
     /** A body larger than this is refused, so that no callee can fill the memory. */
     public static final long DEFAULT_MAX_BODY = 16L << 20;
 
+    private static final Duration MAX_CONNECTION_BACKOFF = Duration.ofMillis(500);
+
     private static final int MAX_CONNECTIONS = 16;
 
     /** A power of two, as the pool wants it. */
@@ -63,6 +65,9 @@
         // A call is never retried here: whether it may be repeated is for whoever calls to decide.
         ConnectionPoolSettings pool =
                 ConnectionPoolSettings.create(system.classicSystem())
+                        // Two minutes by default: a server that was away for a moment would stay
+                        // unreachable for as long.
+                        .withMaxConnectionBackoff(MAX_CONNECTION_BACKOFF)
                         .withMaxRetries(0)
                         .withMaxConnections(MAX_CONNECTIONS)
                         .withMaxOpenRequests(MAX_OPEN_REQUESTS)
