--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
@@ -197,11 +197,13 @@
         ActorSystem system = ActorSystem.create("entry");
         HttpPlatform platform =
                 HttpPlatform.at(mPlatform.address(), mSettings.platform().timeout(), system);
-        Incarnation incarnation = Incarnation.draw(new SecureRandom());
         PeerLink link =
                 PeerLink.start(
                         PeerLinkClaims.options(
-                                node, mSettings, incarnation, Set.of(NodeRole.ENTRY)));
+                                node,
+                                mSettings,
+                                Incarnation.draw(new SecureRandom()),
+                                Set.of(NodeRole.ENTRY)));
         PeerLinkClaims peers = PeerLinkClaims.of(link, mSettings);
         MetricRegistry metrics = new MetricRegistry();
         AtomicReference<EntryServer> server = new AtomicReference<>();
