--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/ShardLoop.java
@@ -1,6 +1,5 @@
 package org.foxtailplank.controller.internal.act;
 
-import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -8,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
@@ -16,10 +14,9 @@
 import org.foxtailplank.controller.internal.plan.Sight;
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.ZoneId;
-import org.foxtailplank.internal.control.EpochDecision;
 import org.foxtailplank.internal.control.VmStep;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.state.ActingEpoch;
-import org.foxtailplank.state.EpochTaken;
 import org.foxtailplank.state.FleetView;
 import org.foxtailplank.state.Verdict;
 
@@ -29,9 +26,9 @@
  * <p>It keeps no plan of its own: each look reads the agreed state again and does what is next, so
  * it doesn't matter which controller wrote an intent. Not thread-safe.
  */
-final class ShardLoop {
-    static final Duration LOOK_EVERY = Duration.ofMillis(250);
-    private static final System.Logger LOG = System.getLogger("control");
+public final class ShardLoop {
+    public static final Duration LOOK_EVERY = Duration.ofMillis(250);
+    private static final Log LOG = Log.of("control");
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
     /** A plan of a large fleet takes long; the pause keeps planning under 4% of a core. */
@@ -42,44 +39,45 @@
     private final ZoneId mZone;
     private final ShardParts mParts;
     private final Mailbox mMailbox;
-    private final Instant mStarted;
+    private final EpochKeeper mEpoch;
     private final Map<VmId, Instant> mNextStep = new HashMap<>();
     private final Set<VmId> mStepping = new HashSet<>();
-    private OptionalLong mHeld = OptionalLong.empty();
-    private Instant mNextTry = Instant.MIN;
     private Instant mNextPlan = Instant.MIN;
-    private boolean mTrying;
     private boolean mLooking;
     private boolean mLookAgain;
     private int mWriting;
 
-    ShardLoop(ZoneId zone, ShardParts parts, Mailbox mailbox) {
+    /** A loop that has done nothing yet. */
+    public ShardLoop(ZoneId zone, ShardParts parts, Mailbox mailbox) {
         mZone = zone;
         mParts = parts;
         mMailbox = mailbox;
-        mStarted = parts.clock().instant();
+        mEpoch = new EpochKeeper(zone, parts.epochs(), mailbox);
     }
 
     /** Looks at the state and does what is next; at most one look is under way. */
-    void look() {
+    public void look() {
         mLookAgain = mLooking;
         if (mLooking) {
             return;
         }
         mLooking = true;
         Instant now = mParts.clock().instant();
-        boolean plans = mHeld.isPresent() && mWriting == 0 && !now.isBefore(mNextPlan);
+        boolean plans = mEpoch.mayHold() && mWriting == 0 && !now.isBefore(mNextPlan);
         mMailbox.deliver(mParts.log().read(view -> look(view, plans, now)), this::looked);
     }
 
     private ShardLook look(FleetView view, boolean plans, Instant now) {
         ShardLook look = ShardLook.of(view, mZone);
-        if (!plans || view.configuration().isEmpty()) {
+        Optional<Sight> sight = mParts.watch().observe(view);
+        // Before the platform's list was seen, a fleet that runs already counts as powered off, and
+        // a plan would wake all of it.
+        if (!plans || view.configuration().isEmpty() || sight.isEmpty()) {
             return look;
         }
-        Sight sight = mParts.watch().observe(view);
         long begin = System.nanoTime();
-        List<PlannedChange> changes = mParts.planner().plan(view, mZone, sight, now.toEpochMilli());
+        List<PlannedChange> changes =
+                mParts.planner().plan(view, mZone, sight.get(), now.toEpochMilli());
         return look.with(changes, Duration.ofNanos(System.nanoTime() - begin));
     }
 
@@ -92,53 +90,11 @@
     }
 
     private void decide(ShardLook look) {
-        Instant now = mParts.clock().instant();
-        Duration waited = Duration.between(mStarted, now);
-        EpochDecision decision =
-                mParts.epochs().decide(look.epoch(), mHeld, waited, mParts.liveness());
-        if (decision instanceof EpochDecision.Held) {
-            act(look, now);
-        } else {
-            lose(look.epoch().number());
-        }
-        if (decision instanceof EpochDecision.Take take && !mTrying && !now.isBefore(mNextTry)) {
-            tryEpoch(take);
-        }
-    }
-
-    private void lose(long taken) {
-        if (mHeld.isPresent() && mHeld.getAsLong() < taken) {
-            LOG.log(Level.WARNING, "control {0}: lost epoch {1}", mZone, mHeld.getAsLong());
-            mHeld = OptionalLong.empty();
-        }
+        mEpoch.check(look.epoch(), this::look).ifPresent(epoch -> act(look, epoch));
     }
 
-    private void tryEpoch(EpochDecision.Take take) {
-        mTrying = true;
-        long number = take.replaces() + 1;
-        LOG.log(Level.INFO, "control {0}: tries epoch {1}: {2}", mZone, number, take.why());
-        CompletionStage<Verdict> verdict =
-                mParts.writer()
-                        .write(
-                                mParts.writer().nextId(),
-                                Optional.empty(),
-                                Map.of(),
-                                new EpochTaken(mZone, take.replaces(), mParts.self()));
-        mMailbox.deliver(verdict, v -> epochTried(number, v));
-    }
-
-    private void epochTried(long number, Optional<Verdict> verdict) {
-        mTrying = false;
-        mNextTry = mParts.clock().instant().plus(RETRY_AFTER);
-        if (verdict.filter(Verdict.Applied.class::isInstance).isPresent()) {
-            LOG.log(Level.INFO, "control {0}: holds epoch {1}", mZone, number);
-            mHeld = OptionalLong.of(number);
-        }
-        look();
-    }
-
-    private void act(ShardLook look, Instant now) {
-        ActingEpoch epoch = new ActingEpoch(mZone, mHeld.getAsLong());
+    private void act(ShardLook look, ActingEpoch epoch) {
+        Instant now = mParts.clock().instant();
         Set<VmId> pending =
                 look.pending().stream().map(p -> p.vm().id()).collect(Collectors.toSet());
         mParts.runner().keepOnly(pending);
@@ -193,13 +149,9 @@
         }
         if (verdict.orElse(null) instanceof Verdict.Void v) {
             // Whatever stood against it is in the state that the next look reads.
-            LOG.log(
-                    Level.INFO,
-                    "control {0}: {1} is void: {2}, {3}",
-                    mZone,
-                    planned.change().getClass().getSimpleName(),
-                    v.reason(),
-                    v.detail());
+            LOG.info(
+                    "In {0} a {1} is void: {2}, {3}.",
+                    mZone, planned.change().getClass().getSimpleName(), v.reason(), v.detail());
             mNextPlan = mParts.clock().instant().plus(LOOK_EVERY);
         }
         if (mWriting == 0) {
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/act/VmWatch.java
@@ -31,8 +31,9 @@
                         .isPresent();
         return new VmObservation(
                 atPlatform(report),
-                pending.hasInstance(),
+                report.instance().isPresent(),
                 pending.willServe(),
+                pending.tasks(),
                 backend,
                 since(mLeavingSince, report.id(), report.leaving(), now),
                 since(mEndedSince, report.id(), ended && !report.leaving(), now));
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Problem.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.controller.internal.admin;
 
+import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.request.Outcome;
 import org.foxtailplank.settings.Role;
 import org.foxtailplank.state.ObjectKey;
@@ -70,6 +71,20 @@
                 "List what there is with GET, and check the name.");
     }
 
+    static Problem unexplained(String kind, String name) {
+        return new Problem(
+                404,
+                "unknown-object",
+                "There is no " + kind + " " + name + " to explain.",
+                "The log holds no record of it, or the kind is none of vm, pool, wave, job,"
+                        + " worker.",
+                "List what there is with GET, and check kind and name.");
+    }
+
+    static Problem unknownZone(ZoneId zone) {
+        return badBody("There is no zone " + zone + ".");
+    }
+
     static Problem badBody(String detail) {
         return new Problem(
                 400,
@@ -147,6 +162,7 @@
         return switch (verdict.reason()) {
             case STALE_VERSION -> sentence(verdict.detail());
             case TOO_LATE -> "The log had gone on too far before it took the change.";
+            case OTHER_HISTORY -> "The log lost records that the change was made on.";
             case MALFORMED -> sentence(verdict.detail());
             case DUPLICATE_ID -> "The same change stands in the log already.";
             case STALE_EPOCH -> "Another controller acts for this zone: " + verdict.detail() + ".";
@@ -168,7 +184,7 @@
     private static String todo(Verdict.Void verdict) {
         return switch (verdict.reason()) {
             case STALE_VERSION -> "Look at 'current', decide again, and send its version.";
-            case DUPLICATE_ID, STALE_EPOCH, TOO_LATE ->
+            case DUPLICATE_ID, STALE_EPOCH, TOO_LATE, OTHER_HISTORY ->
                     "Read the object, and send the change again.";
             case UNKNOWN_OBJECT -> "List what there is with GET, and check the name.";
             case MALFORMED -> "Correct the change; nothing of it took effect.";
--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/plan/FleetPlanner.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.foxtailplank.fleet.BufferHistory;
 import org.foxtailplank.fleet.BufferPlan;
 import org.foxtailplank.fleet.BufferPlanner;
@@ -39,11 +40,11 @@
  * <p>Every zone decides from the whole state and writes only what concerns its own VMs.
  */
 public final class FleetPlanner implements ShardPlanner {
-    private static final String REASSIGN_REASON = "it is released to another pool";
+    private static final String REASSIGN_REASON = "it has joined its pool";
 
     private final String mWho;
     private final WavePlanner mWaves;
-    private final BufferPlanner mBuffer;
+    private final Supplier<BufferPlanner> mBuffer;
     private BufferHistory mHistory = BufferHistory.none();
 
     /**
@@ -53,7 +54,7 @@
      * @param waves decides the steps of waves
      * @param buffer decides which VMs are powered on
      */
-    public FleetPlanner(String who, WavePlanner waves, BufferPlanner buffer) {
+    public FleetPlanner(String who, WavePlanner waves, Supplier<BufferPlanner> buffer) {
         mWho = who;
         mWaves = waves;
         mBuffer = buffer;
@@ -63,8 +64,13 @@
     public List<PlannedChange> plan(FleetView view, ZoneId zone, Sight sight, long nowMs) {
         Batch batch = new Batch(view, zone);
         sight.surprises().forEach(batch::observe);
+        if (!batch.changes().isEmpty()) {
+            // The state is about to change: a wave planned now would end over VMs that count as
+            // off.
+            return batch.changes();
+        }
         view.vms().stream()
-                .filter(vm -> vm.zone().equals(zone) && isReleased(vm))
+                .filter(vm -> vm.zone().equals(zone) && isJoined(vm))
                 .forEach(vm -> batch.intend(vm, VmAction.REASSIGN, REASSIGN_REASON));
         Observation seen = sight.seen();
         for (WaveState wave : view.waves()) {
@@ -72,7 +78,7 @@
                 wave(batch, wave, mWaves.next(view, wave, zone, seen));
             }
         }
-        BufferPlan plan = mBuffer.plan(view, seen, mHistory, nowMs);
+        BufferPlan plan = mBuffer.get().plan(view, seen, mHistory, nowMs);
         mHistory = plan.history();
         plan.wake().forEach(vm -> batch.intend(vm, VmAction.WAKE, want(plan, view, vm)));
         plan.sleep().forEach(vm -> batch.intend(vm, VmAction.SLEEP, want(plan, view, vm)));
@@ -80,9 +86,9 @@
         return batch.changes();
     }
 
-    /** It leaves its pool, and nobody has begun to drain it yet. */
-    private static boolean isReleased(VmState vm) {
-        return vm.phase() == VmPhase.RELEASING && vm.pending().isEmpty();
+    /** It has joined its new pool, and nothing of that pool runs on it yet. */
+    private static boolean isJoined(VmState vm) {
+        return vm.phase() == VmPhase.RELEASING && vm.joining().isEmpty() && vm.pending().isEmpty();
     }
 
     private void wave(Batch batch, WaveState wave, WaveDecision decision) {
--- a/foxtail-core/src/main/java/org/foxtailplank/settings/ConfigurationCheck.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/ConfigurationCheck.java
@@ -13,7 +13,7 @@
 /**
  * A base with all its overlays, checked as a whole before it is published.
  *
- * @param shape what the fold needs to know; empty where there are problems
+ * @param shape what the fold needs to know of it; empty where there are problems
  * @param problems all that is wrong
  */
 public record ConfigurationCheck(Optional<FleetShape> shape, List<SettingsProblem> problems) {
@@ -30,16 +30,14 @@
         SettingsReader reader = SettingsReader.base(BASE, base);
         SettingsResult alone = reader.read();
         collect(alone, problems);
-        new TreeMap<>(overlays)
-                .forEach(
-                        (zone, text) -> {
-                            String file = "overlay " + zone;
-                            SettingsReader site = reader.withOverlay(file, text);
-                            collect(site.read(), problems);
-                            site.site()
-                                    .filter(z -> !z.equals(zone.value()))
-                                    .ifPresent(z -> problems.add(otherSite(file, z, zone)));
-                        });
+        for (Map.Entry<ZoneId, String> overlay : new TreeMap<>(overlays).entrySet()) {
+            String file = "overlay " + overlay.getKey();
+            SettingsReader site = reader.withOverlay(file, overlay.getValue());
+            collect(site.read(), problems);
+            site.site()
+                    .filter(z -> !z.equals(overlay.getKey().value()))
+                    .ifPresent(z -> problems.add(otherSite(file, z, overlay.getKey())));
+        }
         return problems.isEmpty() && alone instanceof SettingsResult.Valid valid
                 ? new ConfigurationCheck(Optional.of(FleetShapes.of(valid.settings())), List.of())
                 : new ConfigurationCheck(Optional.empty(), new ArrayList<>(problems));
--- a/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsReader.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/settings/SettingsReader.java
@@ -35,7 +35,7 @@
         return new SettingsReader(files);
     }
 
-    /** The site that the last overlay names. */
+    /** The site that the last file names. */
     Optional<String> site() {
         return parse(mFiles.get(mFiles.size() - 1), new Problems()).flatMap(OverlayCheck::siteOf);
     }
@@ -44,17 +44,22 @@
     public SettingsResult read() {
         Problems problems = new Problems();
         Optional<Node.Members> base = parse(mFiles.get(0), problems);
-        List<Node.Members> overlays = new ArrayList<>();
-        for (File file : mFiles.subList(1, mFiles.size())) {
-            parse(file, problems).ifPresent(overlays::add);
+        List<Node.Members> layers = new ArrayList<>();
+        base.ifPresent(layers::add);
+        for (File overlay : mFiles.subList(1, mFiles.size())) {
+            parse(overlay, problems).ifPresent(layers::add);
         }
-        if (base.isEmpty()) {
-            return new SettingsResult.Invalid(problems.list());
-        }
-        OverlayCheck.checkBase(base.get(), problems);
-        Node.Members merged = base.get();
-        for (Node.Members overlay : overlays) {
-            OverlayCheck.check(base.get(), overlay, problems);
+        return base.isPresent()
+                ? check(layers, problems)
+                : new SettingsResult.Invalid(problems.list());
+    }
+
+    private static SettingsResult check(List<Node.Members> layers, Problems problems) {
+        Node.Members base = layers.get(0);
+        OverlayCheck.checkBase(base, problems);
+        Node.Members merged = base;
+        for (Node.Members overlay : layers.subList(1, layers.size())) {
+            OverlayCheck.check(base, overlay, problems);
             merged = NodeMerge.merge(merged, overlay);
         }
         Defaults defaults = new Defaults();
--- a/foxtail-process/src/main/java/org/foxtailplank/process/PekkoRuntime.java
+++ b/foxtail-process/src/main/java/org/foxtailplank/process/PekkoRuntime.java
@@ -12,6 +12,8 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.Http;
+import org.slf4j.LoggerFactory;
 
 /** The one actor system of a process, kept small: few threads and quiet logs. */
 public final class PekkoRuntime implements AutoCloseable {
@@ -20,7 +22,7 @@
     private static final String CONFIG =
             """
             pekko.loglevel = WARNING
-            pekko.stdout-loglevel = WARNING
+            pekko.stdout-loglevel = OFF
             pekko.log-dead-letters = off
             pekko.log-dead-letters-during-shutdown = off
             pekko.jvm-shutdown-hooks = off
@@ -50,6 +52,8 @@
 
     /** Starts an actor system whose default dispatcher has this many threads. */
     public static PekkoRuntime start(String name, int threads) {
+        // Loggers asked for by several threads while SLF4J sets itself up make it print warnings.
+        LoggerFactory.getILoggerFactory();
         Config config = ConfigFactory.parseString(CONFIG.formatted(threads));
         return new PekkoRuntime(
                 ActorSystem.create(
@@ -66,10 +70,19 @@
         return mSystem.dispatchers().lookup(DispatcherSelector.fromConfig(CONTROL));
     }
 
-    /** Stops the actor system. */
+    /**
+     * Stops the actor system, its HTTP connections first: one that is open when the system goes is
+     * logged as an error.
+     */
     public CompletionStage<Done> stop() {
-        mSystem.terminate();
-        return mSystem.getWhenTerminated();
+        return Http.get(mSystem)
+                .shutdownAllConnectionPools()
+                .handle((done, error) -> Done.getInstance())
+                .thenCompose(
+                        done -> {
+                            mSystem.terminate();
+                            return mSystem.getWhenTerminated();
+                        });
     }
 
     /** Stops the actor system and waits for its end, for a few seconds at most. */
--- a/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Messages.java
+++ b/foxtail-wire/src/main/java/org/foxtailplank/wire/internal/peer/Messages.java
@@ -6,10 +6,14 @@
 import java.util.Optional;
 import org.foxtailplank.id.RecordId;
 import org.foxtailplank.id.ServiceId;
+import org.foxtailplank.internal.idempotency.Era;
+import org.foxtailplank.internal.idempotency.Position;
 import org.foxtailplank.request.Outcome;
 import org.foxtailplank.wire.AnswerLookup;
 import org.foxtailplank.wire.AnswerLookupResult;
 import org.foxtailplank.wire.CallerAnswer;
+import org.foxtailplank.wire.ClaimsPosition;
+import org.foxtailplank.wire.ClaimsPositionRequest;
 import org.foxtailplank.wire.ConfigurationAnswer;
 import org.foxtailplank.wire.ConfigurationRequest;
 import org.foxtailplank.wire.HeaderField;
@@ -20,6 +24,8 @@
 import org.foxtailplank.wire.generated.peer.AnswerLookupProto;
 import org.foxtailplank.wire.generated.peer.AnswerLookupResultProto;
 import org.foxtailplank.wire.generated.peer.CallerAnswerProto;
+import org.foxtailplank.wire.generated.peer.ClaimsPositionProto;
+import org.foxtailplank.wire.generated.peer.ClaimsPositionRequestProto;
 import org.foxtailplank.wire.generated.peer.ConfigurationAnswerProto;
 import org.foxtailplank.wire.generated.peer.ConfigurationRequestProto;
 import org.foxtailplank.wire.generated.peer.EnvelopeProto;
@@ -38,9 +44,9 @@
         if (message instanceof ConfigurationRequest m) {
             return envelope.setConfigurationRequest(
                     ConfigurationRequestProto.newBuilder()
-                            .setNextOffset(m.nextOffset())
-                            .setSnapshotOffset(m.snapshotOffset())
-                            .setPosition(m.position()));
+                            .setPosition(Positions.encode(m.position()))
+                            .setStateNumber(m.stateNumber())
+                            .setFrom(m.from()));
         } else if (message instanceof ConfigurationAnswer m) {
             return envelope.setConfigurationAnswer(encode(m));
         } else if (message instanceof AnswerLookup m) {
@@ -59,6 +65,11 @@
         } else if (message instanceof RequestHandoverResult m) {
             return envelope.setRequestHandoverResult(
                     RequestHandoverResultProto.newBuilder().setAnswer(encode(m.answer())));
+        } else if (message instanceof ClaimsPositionRequest) {
+            return envelope.setClaimsPositionRequest(
+                    ClaimsPositionRequestProto.getDefaultInstance());
+        } else if (message instanceof ClaimsPosition m) {
+            return envelope.setClaimsPosition(encode(m.position()));
         }
         throw new IllegalStateException("no protobuf form of " + message.getClass());
     }
@@ -76,6 +87,8 @@
                 case REQUEST_HANDOVER_RESULT ->
                         decode(envelope.getRequestHandoverResult().getAnswer())
                                 .map(RequestHandoverResult::new);
+                case CLAIMS_POSITION_REQUEST -> Optional.of(new ClaimsPositionRequest());
+                case CLAIMS_POSITION -> Optional.of(decode(envelope.getClaimsPosition()));
                 default -> Optional.empty();
             };
         } catch (IllegalArgumentException e) {
@@ -85,15 +98,14 @@
 
     private static ConfigurationRequest decode(ConfigurationRequestProto proto) {
         return new ConfigurationRequest(
-                proto.getNextOffset(), proto.getSnapshotOffset(), proto.getPosition());
+                Positions.decode(proto.getPosition()), proto.getStateNumber(), proto.getFrom());
     }
 
     private static ConfigurationAnswerProto encode(ConfigurationAnswer m) {
         ConfigurationAnswerProto.Builder proto =
                 ConfigurationAnswerProto.newBuilder()
-                        .setNextOffset(m.nextOffset())
-                        .setSnapshotOffset(m.snapshotOffset())
-                        .setPosition(m.position())
+                        .setStateNumber(m.stateNumber())
+                        .setFrom(m.from())
                         .setSize(m.size())
                         .setChunk(m.chunk());
         for (TailRecord r : m.tail()) {
@@ -115,12 +127,7 @@
                                                 r.getOffset(), RecordId.of(r.getId()), r.getData()))
                         .toList();
         return new ConfigurationAnswer(
-                proto.getNextOffset(),
-                tail,
-                proto.getSnapshotOffset(),
-                proto.getPosition(),
-                proto.getSize(),
-                proto.getChunk());
+                tail, proto.getStateNumber(), proto.getFrom(), proto.getSize(), proto.getChunk());
     }
 
     private static AnswerLookup decode(AnswerLookupProto proto) {
@@ -174,6 +181,26 @@
                 Duration.ofMillis(proto.getDeadlineMillis()));
     }
 
+    private static ClaimsPositionProto encode(Position position) {
+        return ClaimsPositionProto.newBuilder()
+                .setEraNumber(position.era().number())
+                .setEraId(position.era().id())
+                .setNextOffset(position.next())
+                .setLastRecord(position.last().map(RecordId::value).orElse(""))
+                .setLostEra(position.lostEra())
+                .build();
+    }
+
+    private static ClaimsPosition decode(ClaimsPositionProto proto) {
+        String last = proto.getLastRecord();
+        return new ClaimsPosition(
+                new Position(
+                        new Era(proto.getEraNumber(), proto.getEraId()),
+                        proto.getNextOffset(),
+                        last.isEmpty() ? Optional.empty() : Optional.of(RecordId.of(last)),
+                        proto.getLostEra()));
+    }
+
     private static CallerAnswerProto encode(CallerAnswer answer) {
         return CallerAnswerProto.newBuilder()
                 .setOutcome(answer.outcome().text())
