--- a/foxtail-core/src/test/java/org/foxtailplank/internal/idempotency/ClaimTableMeasurement.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/idempotency/ClaimTableMeasurement.java
@@ -8,8 +8,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Fold time of protected keys. Not part of the suite: run it with {@code mvn -o -pl
- * foxtail-core test -Dtest=ClaimTableMeasurement}.
+ * Fold time of protected keys. Not part of the suite: run it with {@code mvn -o -pl foxtail-core
+ * test -Dtest=ClaimTableMeasurement}.
  */
 public class ClaimTableMeasurement {
 
--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/EntryProcesses.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/EntryProcesses.java
@@ -47,7 +47,7 @@
             """;
 
     private final ActorSystem mSystem = ActorSystem.create("platform");
-    private final Path mDirectory = Files.createTempDirectory("foxtail-entries");
+    private final Path mDirectory = Files.createTempDirectory(Path.of("target"), "entries");
     private final PlatformStandin mPlatform;
     private final Path mSettings = mDirectory.resolve("settings.jsonc");
     private final List<Integer> mPorts = new ArrayList<>();
