Start scripts: a build is not repeated at every start

Cause: the scripts took the demo's jar for the time of the last build; Maven leaves a jar whose content is the same, so with one newer source in another module each start built again. Change: a build by the scripts leaves a stamp.

--- a/bin/foxtail-run.sh
+++ b/bin/foxtail-run.sh
@@ -1,13 +1,20 @@
 # Starts one Java process from the distribution; the scripts beside this one read it.
 # It builds what isn't built, then replaces the shell, so that signals reach the program itself.
 
-# Built means: the jar that starts the demo is there and no source is newer. A build that was broken
-# off, or sources that were updated after it, would otherwise start programs that lack classes.
+# Built means: the jar that starts the demo is there and no source is newer than the last build. A
+# build that was broken off, or sources that were updated after it, would otherwise start programs
+# that lack classes. The jar alone can't tell, since Maven leaves a jar whose content is the same as
+# it is, and every start would build again; so a build by these scripts leaves a stamp.
 foxtail_is_built() {
+    stamp="$target/dist/built"
     [ -d "$target/dist/lib" ] || return 1
     for jar in "$target"/foxtail-demo-*.jar; do
         [ -f "$jar" ] || return 1
-        newer=$(find "$root" -path '*/src/main/*' -name '*.java' -newer "$jar" -print -quit)
+        last="$jar"
+        if [ "$stamp" -nt "$jar" ]; then
+            last="$stamp"
+        fi
+        newer=$(find "$root" -path '*/src/main/*' -name '*.java' -newer "$last" -print -quit)
         [ -z "$newer" ] || return 1
     done
 }
@@ -42,6 +49,7 @@
     if ! foxtail_is_built; then
         echo "building foxtailplank" >&2
         (cd "$root" && mvn -q -B -DskipTests package) >&2 || exit 1
+        : >"$stamp"
     fi
     for jar in "$target"/foxtail-demo-*.jar; do
         class_path="$jar:$target/dist/lib/*"
