--- a/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Publications.java
+++ b/foxtail-controller/src/main/java/org/foxtailplank/controller/internal/admin/Publications.java
@@ -50,8 +50,7 @@
             return bad(checked);
         }
         return append(
-                new Publication(
-                        body.base(), overlays, checked.shape().get(), call.author(body)),
+                new Publication(body.base(), overlays, checked.shape().get(), call.author(body)),
                 body.version());
     }
 
