--- a/foxtail-it/src/main/java/org/foxtailplank/it/system/SmallSite.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/system/SmallSite.java
@@ -1,19 +1,24 @@
 package org.foxtailplank.it.system;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Text of the settings of a deployment with three availability zones and a node in each. */
 final class SmallSite {
 
     static final List<String> ZONES = List.of("z1", "z2", "z3");
 
+    private static final int PORTS_OF_NODE = 3;
+    private static final int LOWEST_PORT = 15_000;
+    private static final int HIGHEST_PORT = 32_000;
+
     private static final String BASE =
             """
             {
@@ -108,23 +113,23 @@
         return address.getHostString() + ":" + address.getPort();
     }
 
+    /**
+     * Addresses that are free, below the ports that the system hands out by itself.
+     *
+     * <p>Guards against a proxy, a stand-in or an outgoing connection that gets the port of a
+     * process which has not bound it yet: the settings then name one port twice, or the process
+     * can't listen.
+     */
     private static List<InetSocketAddress> freeAddresses() throws IOException {
         List<InetSocketAddress> addresses = new ArrayList<>();
-        List<ServerSocket> sockets = new ArrayList<>();
-        for (int i = 0; i < 3; i++) {
-            ServerSocket socket = new ServerSocket(0);
-            sockets.add(socket);
-            addresses.add(new InetSocketAddress("127.0.0.1", socket.getLocalPort()));
+        while (addresses.size() < PORTS_OF_NODE) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            try (ServerSocket socket = new ServerSocket(port)) {
+                addresses.add(new InetSocketAddress("127.0.0.1", socket.getLocalPort()));
+            } catch (BindException ignored) {
+                // Somebody has it; try another.
+            }
         }
-        sockets.forEach(SmallSite::close);
         return addresses;
     }
-
-    private static void close(ServerSocket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/foxtail-it/src/main/java/org/foxtailplank/it/system/TestSystem.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/system/TestSystem.java
@@ -137,7 +137,14 @@
 
     /** Waits until a zone's node says that it serves. */
     public void awaitServing(String zone) {
-        Await.until(zone + " serves", () -> health(zone).path("state").asText().equals("serving"));
+        Await.until(zone + " serves", () -> isServing(zone));
+    }
+
+    private boolean isServing(String zone) throws Exception {
+        if (!node(zone).isAlive()) {
+            throw new AssertionError(zone + " ended: " + node(zone).output());
+        }
+        return health(zone).path("state").asText().equals("serving");
     }
 
     /** A node's health answer. */
