Admission forgets a service time that nothing confirms any more

The needed time is learned from good attempts only; once it lies above all deadlines, as after a cold start, nothing is sent, so nothing is learned. Change: what was learned counts in full for a second and then half as much with each further second without a good attempt. Ruled out: the pace of turns, which counts only while requests wait. Figures: LaneTest.letsRequestsInAgainAfterASlowStart fails without the change, passes with it. Conclusion: a lane that refuses lets requests in again after some seconds, and learns anew.

--- a/foxtail-core/src/main/java/org/foxtailplank/internal/dispatch/Lane.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/internal/dispatch/Lane.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 import org.foxtailplank.id.ServiceId;
 import org.foxtailplank.internal.admission.Admission;
@@ -24,6 +25,7 @@
 
     private static final double TIME_WEIGHT = 0.05;
     private static final double DEVIATIONS = 3;
+    private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long MAX_WAITING_BYTES = 32L << 20;
     private static final int MAX_ATTEMPTS = 3;
 
@@ -36,6 +38,7 @@
     private final RetryBudget mRetries;
     private double mUsualTime;
     private double mDeviation;
+    private long mLearnedAt;
 
     /**
      * Starts empty.
@@ -67,11 +70,28 @@
      * Time in which nearly all good attempts end. A request that is sent with less time left would
      * take a slot and be thrown away, which under overload costs the others their turn.
      */
-    private long neededTime() {
-        return (long) (mUsualTime + DEVIATIONS * mDeviation);
+    private long neededTime(long now) {
+        return (long) ((mUsualTime + DEVIATIONS * mDeviation) * trust(now));
     }
 
-    private void learn(long took) {
+    /**
+     * How far what was learned still counts: all of it for a second, then half as much with each
+     * further second without a good attempt.
+     *
+     * <p>Guards against a lane that refuses for ever: after a slow start or a pause the usual time
+     * lies above every caller's deadline, each request is refused as too late, and so no attempt
+     * shows that the instances are fast again. Requests are let in once the old time has faded.
+     */
+    private double trust(long now) {
+        long stale = now - mLearnedAt - STALE_NANOS;
+        return stale <= 0 ? 1 : Math.pow(0.5, (double) stale / STALE_NANOS);
+    }
+
+    private void learn(long took, long now) {
+        double trust = trust(now);
+        mUsualTime *= trust;
+        mDeviation *= trust;
+        mLearnedAt = now;
         boolean first = mUsualTime == 0;
         mDeviation += (Math.abs(took - mUsualTime) - mDeviation) * (first ? 0 : TIME_WEIGHT);
         mUsualTime += (took - mUsualTime) * (first ? 1 : TIME_WEIGHT);
@@ -84,7 +104,7 @@
 
     /** Says whether a request would get its turn in time. */
     public Admission check(PendingRequest<T> request, long now) {
-        return mQueue.check(queued(request), neededTime(), now);
+        return mQueue.check(queued(request), neededTime(now), now);
     }
 
     /** Lets a request wait for its turn. */
@@ -115,10 +135,10 @@
         long took = now - attempt.started();
         attempt.target().end(end, took, now);
         if (end == AttemptEnd.GOOD) {
-            learn(took);
+            learn(took, now);
         }
         PendingRequest<T> r = attempt.request();
-        boolean worthwhile = r.attempts() < MAX_ATTEMPTS && r.left(now) > neededTime();
+        boolean worthwhile = r.attempts() < MAX_ATTEMPTS && r.left(now) > neededTime(now);
         if (!worthwhile || !r.rule().allowsAnother(end)) {
             return Optional.empty();
         }
@@ -135,7 +155,7 @@
 
     /** Removes the requests that can no longer be answered in time. */
     public List<T> giveUp(long now) {
-        return mQueue.giveUp(neededTime(), now).stream().map(t -> t.item().item()).toList();
+        return mQueue.giveUp(neededTime(now), now).stream().map(t -> t.item().item()).toList();
     }
 
     private Attempt<T> begin(PendingRequest<T> r, Target target, long now) {
--- a/foxtail-core/src/test/java/org/foxtailplank/internal/dispatch/LaneTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/internal/dispatch/LaneTest.java
@@ -149,6 +149,23 @@
         assertTrue(mLane.check(request(RunRule.ONCE), mNow).admitted());
     }
 
+    /**
+     * Callers of one entry are refused for ever though all instances are fast. The first answers
+     * after a cold start took longer than any caller's deadline; since then each request is refused
+     * as too late, and no attempt is made that could show anything else.
+     */
+    @Test
+    public void letsRequestsInAgainAfterASlowStart() {
+        Attempt<String> slow = send(RunRule.ONCE);
+        mNow += 2 * DEADLINE;
+        mLane.ended(slow, AttemptEnd.GOOD, mNow);
+        assertFalse(mLane.check(request(RunRule.ONCE), mNow).admitted());
+
+        mNow += 3 * DEADLINE;
+
+        assertTrue(mLane.check(request(RunRule.ONCE), mNow).admitted());
+    }
+
     private Attempt<String> send(RunRule rule) {
         mLane.add(request(rule));
         return mLane.next(mNow).orElseThrow();
