Demo within 30 s; the load tool stays below an entry's connections for one caller

Change: 200 connections; the tool logs what broke a request; 12 s of load, drained VMs refuse after 0.7 s instead of 1 s.

--- a/foxtail-demo/src/main/java/org/foxtailplank/demo/DemoProgram.java
+++ b/foxtail-demo/src/main/java/org/foxtailplank/demo/DemoProgram.java
@@ -34,7 +34,7 @@
 final class DemoProgram implements Program<DemoOptions> {
 
     private static final int THREADS = 8;
-    private static final Duration LOAD_TIME = Duration.ofSeconds(14);
+    private static final Duration LOAD_TIME = Duration.ofSeconds(12);
     private static final Duration NOTICE_TIME = Duration.ofMillis(200);
 
     private static final Logger ROOT = Logger.getLogger("");
--- a/foxtail-demo/src/main/java/org/foxtailplank/demo/internal/DemoSystem.java
+++ b/foxtail-demo/src/main/java/org/foxtailplank/demo/internal/DemoSystem.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,6 +27,13 @@
 public final class DemoSystem implements AutoCloseable {
 
     private static final int ENTRIES = 3;
+    private static final Duration WAKE = Duration.ofMillis(300);
+    private static final Duration REBOOT = Duration.ofMillis(300);
+    private static final Duration REASSIGN = Duration.ofMillis(200);
+
+    /** Longer than an entry's probes are apart, so that they see it before work is refused. */
+    private static final Duration LEAVE = Duration.ofMillis(700);
+
     private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
 
     private final PlatformStandin mPlatform;
@@ -121,7 +129,7 @@
     private static PlatformStandin platform(PekkoRuntime runtime, Settings settings)
             throws ProcessException {
         try {
-            return PlatformStandin.start(settings, PlatformOptions.quick(), runtime.system());
+            return PlatformStandin.start(settings, platformOptions(), runtime.system());
         } catch (IOException e) {
             throw ProcessException.failed(
                     "The platform stand-in can't listen on this machine: " + e.getMessage() + ".",
@@ -129,6 +137,10 @@
         }
     }
 
+    private static PlatformOptions platformOptions() {
+        return PlatformOptions.quick().withVmTimes(WAKE, REBOOT, REASSIGN, LEAVE);
+    }
+
     private static Settings embedded(Settings s, PlatformStandin platform) {
         Map<NodeId, NodeSettings> nodes = new HashMap<>();
         s.nodes().forEach((id, n) -> nodes.put(id, new NodeSettings(n.zone(), ANY, ANY, ANY)));
--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/http/HttpSender.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/http/HttpSender.java
@@ -16,13 +16,18 @@
 import org.foxtailplank.load.internal.profile.Traffic;
 import org.foxtailplank.load.internal.run.Ending;
 import org.foxtailplank.load.internal.run.Sender;
+import org.foxtailplank.process.Log;
 import org.foxtailplank.request.Outcome;
 import org.foxtailplank.request.RequestClass;
 
 /** Sends requests to entries in turn, as the platform's balancer would, or to backend servers. */
 public final class HttpSender implements Sender {
 
-    private static final int CONNECTIONS = 512;
+    private static final Log LOG = Log.of("load");
+
+    /** Below the connections that an entry lets one caller address hold, 256 in the examples. */
+    private static final int CONNECTIONS = 200;
+
     private static final int WAITING = 16384;
     private static final Duration PATIENCE = Duration.ofSeconds(20);
 
@@ -65,7 +70,12 @@
                         mPool,
                         mSystem.classicSystem().log())
                 .thenCompose(response -> ending(response, body))
-                .exceptionally(e -> Ending.ERROR);
+                .exceptionally(e -> broken(request, e));
+    }
+
+    private static Ending broken(PlannedRequest request, Throwable e) {
+        LOG.with("request", request.id()).error("A request got no answer: {0}", e);
+        return Ending.ERROR;
     }
 
     private HttpRequest httpRequest(PlannedRequest request, String body) {
