--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetProgram.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/fleet/FleetProgram.java
@@ -97,7 +97,7 @@
     private static String machine() {
         Runtime r = Runtime.getRuntime();
         return String.format(
-                "%d cores, shared and busy, JVM %s, heap at most %d MiB",
+                "%d cores, JVM %s, heap at most %d MiB",
                 r.availableProcessors(), Runtime.version(), r.maxMemory() >> 20);
     }
 
