--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
@@ -0,0 +1,87 @@
+package org.foxtailplank.job;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.JobAccepted;
+import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobsBegun;
+import org.foxtailplank.job.JournalRecord.OwnerAlive;
+import org.foxtailplank.job.JournalRecord.OwnerLeft;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
+
+/** All jobs that the journal tells of; each node keeps one and answers callers from it. */
+public final class JobBook {
+    private final Map<String, JobEntry> mJobs = new LinkedHashMap<>();
+    private final long mKeepEndedMs;
+
+    /**
+     * An empty book.
+     *
+     * @param keepEndedMs how long an ended job can be asked for, in milliseconds
+     */
+    public JobBook(long keepEndedMs) {
+        mKeepEndedMs = keepEndedMs;
+    }
+
+    /** Takes one record in; returns the job that it newly tells of. */
+    public Optional<JobEntry> apply(JournalRecord record) {
+        if (record instanceof JobAccepted r) {
+            JobEntry entry = new JobEntry(r.order());
+            return mJobs.putIfAbsent(r.order().id(), entry) == null
+                    ? Optional.of(entry)
+                    : Optional.empty();
+        }
+        if (record instanceof JobCancelled r) {
+            job(r.job()).ifPresent(j -> j.cancel(r.atMs()));
+        } else if (record instanceof RunsEnded r) {
+            for (EndedRun run : r.runs()) {
+                job(run.task().job()).ifPresent(j -> j.ended(run));
+            }
+        } else if (record instanceof JobsBegun r) {
+            r.jobs().forEach(id -> job(id).ifPresent(JobEntry::begin));
+        } else if (!(record instanceof OwnerAlive || record instanceof OwnerLeft)) {
+            throw new IllegalStateException("no rule for " + record.getClass());
+        }
+        return Optional.empty();
+    }
+
+    public Optional<JobEntry> job(String id) {
+        return Optional.ofNullable(mJobs.get(id));
+    }
+
+    public Collection<JobEntry> jobs() {
+        return mJobs.values();
+    }
+
+    /** Accepted jobs of a queue for which no task has started. */
+    public int pending(String route) {
+        int count = 0;
+        for (JobEntry j : mJobs.values()) {
+            if (j.phase() == JobPhase.QUEUED && j.order().route().equals(route)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Number of jobs that have not ended, by service. */
+    public Map<String, Integer> openByService() {
+        Map<String, Integer> open = new HashMap<>();
+        for (JobEntry j : mJobs.values()) {
+            if (!j.phase().isFinal()) {
+                open.merge(j.order().service(), 1, Integer::sum);
+            }
+        }
+        return open;
+    }
+
+    /** Forgets jobs that ended so long ago that nobody may ask for them any more. */
+    public void forgetEnded(long nowMs) {
+        mJobs.values()
+                .removeIf(j -> j.endedMs() > 0 && j.endedMs() + mKeepEndedMs < nowMs);
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobEntry.java
@@ -0,0 +1,113 @@
+package org.foxtailplank.job;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** What the journal tells of one job. */
+public final class JobEntry {
+    private final JobOrder mOrder;
+    private final BitSet mDone = new BitSet();
+    private final Map<Integer, Set<Integer>> mFailedAttempts = new HashMap<>();
+    private final int mTasks;
+
+    private boolean mCancelled;
+    private boolean mBegun;
+    private boolean mFailed;
+    private long mEndedMs;
+
+    JobEntry(JobOrder order) {
+        mOrder = order;
+        mTasks = order.tasksPerRun() * order.timetable().runs();
+    }
+
+    public JobOrder order() {
+        return mOrder;
+    }
+
+    /** Where the job stands. */
+    public JobPhase phase() {
+        if (mCancelled) {
+            return JobPhase.CANCELLED;
+        }
+        if (mFailed) {
+            return JobPhase.FAILED;
+        }
+        if (!mOrder.isStanding() && mDone.cardinality() == mTasks) {
+            return JobPhase.COMPLETED;
+        }
+        return mBegun ? JobPhase.RUNNING : JobPhase.QUEUED;
+    }
+
+    /** Whether a task is known to have ended done. */
+    public boolean isDone(TaskName task) {
+        return mDone.get(mOrder.position(task));
+    }
+
+    /** Numbers of the runs of a task that have failed. */
+    public Set<Integer> failedAttempts(TaskName task) {
+        return Set.copyOf(mFailedAttempts.getOrDefault(mOrder.position(task), Set.of()));
+    }
+
+    /** When the job reached its last phase, in milliseconds since 1970; 0 while it has not. */
+    public long endedMs() {
+        return mEndedMs;
+    }
+
+    void cancel(long atMs) {
+        if (!phase().isFinal()) {
+            mCancelled = true;
+            mEndedMs = atMs;
+        }
+    }
+
+    void begin() {
+        mBegun = true;
+    }
+
+    void ended(JournalRecord.EndedRun run) {
+        if (!mOrder.has(run.task()) || phase().isFinal()) {
+            return;
+        }
+        mBegun = true;
+        TaskStep step = mOrder.steps().get(run.task().step());
+        if (step.mode().standing()) {
+            return;
+        }
+        if (run.outcome() == RunOutcome.DONE) {
+            done(run.task(), step);
+        } else if (run.outcome() == RunOutcome.FAILED) {
+            failed(run);
+        }
+        if (phase().isFinal()) {
+            mEndedMs = run.atMs();
+        }
+    }
+
+    private void done(TaskName task, TaskStep step) {
+        if (!step.placement().gang()) {
+            mDone.set(mOrder.position(task));
+            return;
+        }
+        // The members of a gang end together: one end that is done stands for all of them.
+        int first = mOrder.position(new TaskName(task.job(), task.run(), task.step(), 0));
+        mDone.set(first, first + step.tasks());
+    }
+
+    private void failed(JournalRecord.EndedRun run) {
+        // A gang fails as a whole, so its failures are counted on its first task.
+        TaskName task = counted(run.task());
+        Set<Integer> attempts =
+                mFailedAttempts.computeIfAbsent(mOrder.position(task), p -> new HashSet<>());
+        attempts.add(run.attempt());
+        mFailed |= attempts.size() >= mOrder.terms().maxAttempts();
+    }
+
+    /** The task on which failures are counted. */
+    public TaskName counted(TaskName task) {
+        boolean gang = mOrder.steps().get(task.step()).placement().gang();
+        return gang ? new TaskName(task.job(), task.run(), task.step(), 0) : task;
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -0,0 +1,46 @@
+package org.foxtailplank.job;
+
+import java.util.List;
+
+/** A record of the journal, from which each node knows all jobs. */
+public sealed interface JournalRecord {
+
+    /** A job was accepted; a second record of the same ID changes nothing. */
+    record JobAccepted(JobOrder order) implements JournalRecord {}
+
+    /** A caller has cancelled a job. */
+    record JobCancelled(String job, long atMs) implements JournalRecord {}
+
+    /**
+     * Runs have ended. Ends are facts that their workers list, so that it doesn't matter which
+     * owner wrote them down, or how often.
+     */
+    record RunsEnded(List<EndedRun> runs) implements JournalRecord {
+        public RunsEnded {
+            runs = List.copyOf(runs);
+        }
+    }
+
+    /** The first task of each of these jobs has been started. */
+    record JobsBegun(List<String> jobs) implements JournalRecord {
+        public JobsBegun {
+            jobs = List.copyOf(jobs);
+        }
+    }
+
+    /** The owner with this fencing token is alive. */
+    record OwnerAlive(long token, String node) implements JournalRecord {}
+
+    /** The owner with this fencing token gives its place up. */
+    record OwnerLeft(long token, String node) implements JournalRecord {}
+
+    /**
+     * One ended run.
+     *
+     * @param task the task
+     * @param attempt number of the run
+     * @param outcome how it ended
+     * @param atMs when the owner learned of it, in milliseconds since 1970
+     */
+    record EndedRun(TaskName task, int attempt, RunOutcome outcome, long atMs) {}
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
@@ -0,0 +1,53 @@
+package org.foxtailplank.port;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The log that all nodes share; what must last lies there. */
+public interface SharedLog {
+
+    /** Appends records, all or none. */
+    void append(LogPartition partition, List<byte[]> records, Consumer<AppendResult> then);
+
+    /** Appends one record if the partition ends where the caller thinks it does. */
+    void appendAt(
+            LogPartition partition, long expectedEnd, byte[] record, Consumer<AppendResult> then);
+
+    /**
+     * Reads records from an offset on, and waits for the first one for so long; 0 doesn't wait.
+     */
+    void read(LogPartition partition, long from, long waitMs, Consumer<ReadResult> then);
+
+    /** What came of an append. */
+    sealed interface AppendResult {}
+
+    /** The records are stored. */
+    record Stored(long firstOffset, long end) implements AppendResult {}
+
+    /** The partition ends elsewhere; nothing was stored. */
+    record EndMoved(long end) implements AppendResult {}
+
+    /** Nothing was stored. */
+    record NotStored(String reason) implements AppendResult {}
+
+    /** The records may be stored, now or some seconds later. */
+    record MaybeStored(String reason) implements AppendResult {}
+
+    /** What came of a read. */
+    sealed interface ReadResult {}
+
+    /**
+     * Records from the offset that was asked for.
+     *
+     * @param from offset of the first of them
+     * @param end offset after the last record of the partition
+     * @param records the records
+     */
+    record Records(long from, long end, List<byte[]> records) implements ReadResult {}
+
+    /** The records asked for are gone; the first one left has this offset. */
+    record RecordsGone(long firstOffset) implements ReadResult {}
+
+    /** No answer, or a refusal. */
+    record ReadFailed(String reason) implements ReadResult {}
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/VmActions.java
@@ -0,0 +1,56 @@
+package org.foxtailplank.port;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** What the platform lets us do with VMs. */
+public interface VmActions {
+
+    /** Lists all VMs. */
+    void list(Consumer<Optional<List<VmInfo>>> then);
+
+    /** Moves a VM to another pool; all that runs on it ends at once. */
+    void move(String vm, String pool, Holder holder, Consumer<VmOutcome> then);
+
+    /** Reboots a VM for a wave; all that runs on it ends at once. */
+    void reboot(String vm, long wave, Holder holder, Consumer<VmOutcome> then);
+
+    /** Who gives an order, with its fencing token. */
+    record Holder(String node, long token) {}
+
+    /**
+     * A VM.
+     *
+     * @param id its name, which stays over moves and reboots
+     * @param pool pool that it belongs to
+     * @param phase what it is doing
+     * @param worker life of its worker; empty while it has none
+     */
+    record VmInfo(String id, String pool, VmPhase phase, String worker) {}
+
+    /** What a VM is doing. */
+    enum VmPhase {
+        UP,
+        MOVING,
+        REBOOTING,
+        DOWN
+    }
+
+    /** What came of an action. */
+    enum VmOutcome {
+        DONE,
+        /** A higher fencing token was used on this VM. */
+        FENCED,
+        /** The VM is not up, or is leaving. */
+        BUSY,
+        /** The VM is not part of the wave. */
+        NOT_OF_WAVE,
+        /** There is no such VM or pool. */
+        INVALID,
+        /** Nothing was done; it may be tried again. */
+        NOT_DONE,
+        /** It may have been done. */
+        UNANSWERED
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveRun.java
@@ -0,0 +1,100 @@
+package org.foxtailplank.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JobOrder;
+import org.foxtailplank.job.TaskName;
+import org.foxtailplank.job.TaskStep;
+
+/** One run of an active job's steps; a job without times has just one. */
+final class ActiveRun {
+    private final ActiveJob mJob;
+    private final int mNumber;
+    private final long mDueWallMs;
+    private final List<ActiveStep> mSteps = new ArrayList<>();
+
+    ActiveRun(ActiveJob job, int number) {
+        mJob = job;
+        mNumber = number;
+        JobEntry entry = job.entry();
+        JobOrder order = entry.order();
+        mDueWallMs = order.timetable().dueMs(number);
+        for (int s = 0; s < order.steps().size(); s++) {
+            mSteps.add(step(entry, s));
+        }
+    }
+
+    private ActiveStep step(JobEntry entry, int number) {
+        TaskStep spec = entry.order().steps().get(number);
+        ActiveStep step = new ActiveStep(this, number, spec);
+        List<TaskSlot> slots = new ArrayList<>(spec.tasks());
+        for (int i = 0; i < spec.tasks(); i++) {
+            TaskName name = new TaskName(entry.order().id(), mNumber, number, i);
+            slots.add(new TaskSlot(name, step, entry.isDone(name)));
+        }
+        step.slots(slots);
+        return step;
+    }
+
+    ActiveJob job() {
+        return mJob;
+    }
+
+    int number() {
+        return mNumber;
+    }
+
+    List<ActiveStep> steps() {
+        return mSteps;
+    }
+
+    /** When it may start, in milliseconds since 1970; 0 for at once. */
+    long dueWallMs() {
+        return mDueWallMs;
+    }
+
+    boolean isDone() {
+        for (ActiveStep s : mSteps) {
+            if (s.left() > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Whether all steps that a step waits for are done. */
+    boolean isTurnOf(ActiveStep step) {
+        for (int d : step.spec().dependsOn()) {
+            if (mSteps.get(d).left() > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Longest chain of estimated work that is still to be done, in milliseconds. */
+    long remainingMs() {
+        long[] ends = new long[mSteps.size()];
+        long longest = 0;
+        for (int i = 0; i < ends.length; i++) {
+            ActiveStep step = mSteps.get(i);
+            long start = 0;
+            for (int d : step.spec().dependsOn()) {
+                start = Math.max(start, ends[d]);
+            }
+            ends[i] = start + (step.left() > 0 ? step.spec().estimateMs() : 0);
+            longest = Math.max(longest, ends[i]);
+        }
+        return longest;
+    }
+
+    /** Estimated work that is still to be done, in milliseconds of a thousandth of a core. */
+    long remainingWork() {
+        long sum = 0;
+        for (ActiveStep s : mSteps) {
+            sum += s.left() * s.spec().estimateMs() * s.spec().demand().milliProcessors();
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Decisions.java
@@ -0,0 +1,49 @@
+package org.foxtailplank.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the owner is to do now. */
+public final class Decisions {
+    private final List<Start> mStarts = new ArrayList<>();
+    private final List<TaskRun> mStops = new ArrayList<>();
+    private final List<Pace> mPaces = new ArrayList<>();
+    private final List<Ask> mAsks = new ArrayList<>();
+
+    /** A run to start, or to order again where the answer stayed away. */
+    public record Start(TaskRun run, String ticket) {}
+
+    /** A run that is to work at a share of its speed. */
+    public record Pace(TaskRun run, int percent) {}
+
+    /** A step for which the queue's advice is needed. */
+    public record Ask(ActiveStep step, List<String> workers) {
+        public Ask {
+            workers = List.copyOf(workers);
+        }
+
+        public String job() {
+            return step.job().id();
+        }
+
+        public int runNumber() {
+            return step.run().number();
+        }
+    }
+
+    public List<Start> starts() {
+        return mStarts;
+    }
+
+    public List<TaskRun> stops() {
+        return mStops;
+    }
+
+    public List<Pace> paces() {
+        return mPaces;
+    }
+
+    public List<Ask> asks() {
+        return mAsks;
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -0,0 +1,379 @@
+package org.foxtailplank.schedule;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.TaskName;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.OrderOutcome;
+import org.foxtailplank.port.PlacementAdvice.Advice;
+import org.foxtailplank.port.WorkerInfo;
+import org.foxtailplank.port.WorkerOrders.LookAnswer;
+
+/**
+ * The owner's view of all jobs and workers, and what it decides.
+ *
+ * <p>It is told of jobs, workers and answers as they come, and {@link #decide} says what to do. It
+ * holds nothing that the journal and the workers could not tell a new owner. Times are those of a
+ * steady clock in milliseconds, but for those called wall time.
+ */
+public final class Scheduler {
+    /** An order that went unanswered is sent again after this time. */
+    private static final long REPEAT_MS = 250;
+
+    /** A worker without room is asked again after this time, unless a run ends there before. */
+    private static final long NO_ROOM_MS = 150;
+
+    private final ScheduleLimits mLimits;
+    private final RunTable mRuns;
+    private final Settling mSettling;
+    private final Map<String, WorkerState> mWorkers = new LinkedHashMap<>();
+    private final List<String> mNewlyBegun = new ArrayList<>();
+
+    /**
+     * The view of a new owner.
+     *
+     * @param limits times that the platform bounds
+     * @param token fencing token of the owner
+     * @param nowMs when it took over
+     */
+    public Scheduler(ScheduleLimits limits, long token, long nowMs) {
+        mLimits = limits;
+        mRuns = new RunTable(token);
+        mSettling = new Settling(nowMs, limits);
+    }
+
+    /** A worker is new or says something new of itself. */
+    public void worker(WorkerInfo info, long nowMs) {
+        WorkerState known = mWorkers.get(info.id());
+        if (known == null) {
+            mWorkers.put(info.id(), new WorkerState(info, nowMs));
+        } else {
+            known.info(info);
+        }
+    }
+
+    /** A worker that may run tasks of an earlier owner. */
+    public void mustSee(String service, String worker) {
+        mSettling.mustSee(service, worker);
+    }
+
+    /** The directory names a worker no more; what runs there goes on until its lease is over. */
+    public void workerUnlisted(String id) {
+        worker(id).ifPresent(WorkerState::unlisted);
+    }
+
+    /** A life of a worker is surely over, and all that ran there. */
+    public List<TaskRun> workerOver(String id) {
+        mSettling.seen(id);
+        WorkerState worker = mWorkers.remove(id);
+        if (worker == null) {
+            return List.of();
+        }
+        List<TaskRun> ended = List.copyOf(worker.runs());
+        ended.forEach(mRuns::remove);
+        return ended;
+    }
+
+    public Optional<WorkerState> worker(String id) {
+        return Optional.ofNullable(mWorkers.get(id));
+    }
+
+    public Collection<WorkerState> workers() {
+        return mWorkers.values();
+    }
+
+    RunTable runs() {
+        return mRuns;
+    }
+
+    public ScheduleLimits limits() {
+        return mLimits;
+    }
+
+    /** A job was accepted, or is told to a new owner. */
+    public void job(JobEntry entry) {
+        mRuns.add(entry);
+    }
+
+    /** The journal says that a job will not go on. */
+    public void jobEnded(String id, long nowMs) {
+        mRuns.job(id).ifPresent(j -> mRuns.endJob(j, "job " + j.entry().phase(), nowMs));
+    }
+
+    /** A look was answered. */
+    public LookEffects looked(WorkerState worker, LookAnswer answer, long sentMs, long nowMs) {
+        worker.contact(answer.clockMs(), nowMs);
+        worker.looked();
+        LookEffects effects = mRuns.looked(worker, answer, sentMs, nowMs);
+        if (effects.toStore().isEmpty()) {
+            worker.storedEnds(worker.seenEnds());
+        }
+        return effects;
+    }
+
+    /**
+     * The journal was read to its end after the first look at a worker. From that look on the
+     * worker has refused the earlier owner's acknowledgements, so that no end is unknown any more.
+     */
+    public void settled(String worker) {
+        mSettling.seen(worker);
+    }
+
+    /** The journal tells of the end of a run. */
+    public void recorded(TaskName task, RunOutcome outcome, long nowMs) {
+        mRuns.recorded(task, outcome, nowMs);
+    }
+
+    /** A look went unanswered. */
+    public void lookFailed(WorkerState worker) {
+        worker.silent();
+    }
+
+    /** What a worker said to a start. */
+    public void startAnswered(TaskRun run, OrderOutcome outcome, long nowMs) {
+        WorkerState worker = run.worker();
+        switch (outcome) {
+            case DONE -> started(run, nowMs);
+            case NO_ROOM -> {
+                worker.fullUntil(nowMs + NO_ROOM_MS);
+                giveUp(run, nowMs);
+            }
+            case UNHEALTHY -> {
+                worker.health().refused(nowMs);
+                giveUp(run, nowMs);
+            }
+            case NO_TICKET -> {
+                run.slot().step().ticketRefused(worker.id());
+                giveUp(run, nowMs);
+            }
+            case NOT_SENT -> {
+                worker.silent();
+                giveUp(run, nowMs);
+            }
+            case UNANSWERED -> {
+                run.uncertain();
+                run.orderDue(true);
+            }
+            case OUTDATED, LEASE_OVER, INVALID -> giveUp(run, nowMs);
+            case FENCED, OTHER_LIFE -> {
+                // The runtime handles both: the owner is no longer it, or the worker is over.
+            }
+            default -> throw new IllegalStateException("no rule for " + outcome);
+        }
+    }
+
+    private void started(TaskRun run, long nowMs) {
+        run.confirmed(nowMs);
+        ActiveJob job = run.slot().step().job();
+        if (!job.hasBegun()) {
+            job.begun();
+            mNewlyBegun.add(job.id());
+        }
+    }
+
+    /**
+     * Gives a run up that its worker refused. Where an earlier order for it went unanswered it may
+     * begin later, so that it is stopped first: a stop keeps it from ever beginning.
+     */
+    private void giveUp(TaskRun run, long nowMs) {
+        if (run.phase() != RunPhase.STARTING) {
+            return;
+        }
+        if (run.isUncertain()) {
+            run.stopping("start refused", nowMs);
+        } else {
+            mRuns.remove(run);
+        }
+    }
+
+    /** What a worker said to a stop. */
+    public void stopAnswered(TaskRun run, OrderOutcome outcome, long nowMs) {
+        if (outcome == OrderOutcome.DONE) {
+            run.stopTaken(nowMs);
+        } else {
+            run.orderDue(true);
+        }
+    }
+
+    /** The advice that was asked for has come, or hasn't. */
+    public void advised(Decisions.Ask ask, Advice advice, long nowMs) {
+        if (advice.answered()) {
+            ask.step().advised(ask.workers(), advice.tickets(), nowMs + advice.validMs());
+        } else {
+            ask.step().notAdvised();
+        }
+    }
+
+    /** Jobs of which the first task has started since the last call. */
+    public List<String> takeNewlyBegun() {
+        List<String> begun = List.copyOf(mNewlyBegun);
+        mNewlyBegun.clear();
+        return begun;
+    }
+
+    /** Runs whose worker fell silent and whose lease is surely over. */
+    public List<TaskRun> takeLapsed(long nowMs) {
+        List<TaskRun> lapsed = new ArrayList<>();
+        for (WorkerState w : mWorkers.values()) {
+            boolean over = nowMs > w.grantedMs() + mLimits.surelyLapsedMs();
+            if (w.isSilent() && over) {
+                lapsed.addAll(w.runs());
+            }
+        }
+        lapsed.forEach(mRuns::remove);
+        mWorkers.values()
+                .removeIf(w -> !w.isListed() && w.isSilent() && w.runs().isEmpty());
+        return lapsed;
+    }
+
+    /** What to do now. */
+    public Decisions decide(FleetConfig config, long nowMs, long nowWallMs) {
+        Decisions out = new Decisions();
+        mRuns.forgetEnded();
+        repeatOrders(out, nowMs);
+        for (Map.Entry<String, List<ActiveRun>> e : runsByService(nowWallMs).entrySet()) {
+            if (mSettling.isSettled(e.getKey(), nowMs)) {
+                place(e.getKey(), Urgency.sort(e.getValue(), nowWallMs), out, nowMs);
+            }
+        }
+        return out;
+    }
+
+    private void repeatOrders(Decisions out, long nowMs) {
+        for (WorkerState w : mWorkers.values()) {
+            for (TaskRun r : w.runs()) {
+                boolean firstStop = r.phase() == RunPhase.STOPPING && r.orderedMs() == nowMs;
+                boolean due = r.isOrderDue() && nowMs - r.orderedMs() >= REPEAT_MS;
+                if (firstStop || due) {
+                    send(r, out, nowMs);
+                }
+            }
+        }
+    }
+
+    private static void send(TaskRun run, Decisions out, long nowMs) {
+        if (run.phase() == RunPhase.STOPPING) {
+            out.stops().add(run);
+        } else if (run.phase() == RunPhase.STARTING) {
+            out.starts().add(new Decisions.Start(run, ticket(run, nowMs)));
+        }
+        run.orderDue(false);
+        run.ordered(nowMs);
+    }
+
+    private static String ticket(TaskRun run, long nowMs) {
+        return run.slot().step().ticket(run.worker().id(), nowMs).orElse("");
+    }
+
+    private Map<String, List<ActiveRun>> runsByService(long nowWallMs) {
+        Map<String, List<ActiveRun>> found = new LinkedHashMap<>();
+        for (ActiveJob job : mRuns.jobs()) {
+            if (job.isEnding()) {
+                continue;
+            }
+            for (ActiveRun run : job.runs()) {
+                boolean due = run.dueWallMs() <= nowWallMs + mLimits.earlyMs() / 2;
+                if (due && !run.isDone()) {
+                    found.computeIfAbsent(job.order().service(), s -> new ArrayList<>()).add(run);
+                }
+            }
+        }
+        return found;
+    }
+
+    private void place(String service, List<ActiveRun> runs, Decisions out, long nowMs) {
+        List<WorkerState> workers = workersOf(service);
+        for (ActiveRun run : runs) {
+            for (ActiveStep step : run.steps()) {
+                if (step.left() > 0 && run.isTurnOf(step)) {
+                    placeStep(step, workers, out, nowMs);
+                }
+            }
+        }
+    }
+
+    List<WorkerState> workersOf(String service) {
+        List<WorkerState> found = new ArrayList<>();
+        for (WorkerState w : mWorkers.values()) {
+            if (w.info().service().equals(service)) {
+                found.add(w);
+            }
+        }
+        return found;
+    }
+
+    private void placeStep(
+            ActiveStep step, List<WorkerState> workers, Decisions out, long nowMs) {
+        if (step.job().order().terms().advice().isPresent()) {
+            askIfNeeded(step, workers, out, nowMs);
+        }
+        if (step.spec().placement().gang()) {
+            startGang(step, GangPlacement.place(step, workers, nowMs), out, nowMs);
+            return;
+        }
+        for (TaskSlot slot : step.slots()) {
+            if (!slot.isWaiting()) {
+                continue;
+            }
+            Optional<WorkerState> worker = WorkerChooser.choose(slot, workers, nowMs);
+            if (worker.isEmpty()) {
+                return;
+            }
+            start(slot, worker.get(), mRuns.nextAttempt(slot), out, nowMs);
+        }
+    }
+
+    /** All members carry the same number and the same checkpoint. */
+    private void startGang(
+            ActiveStep step, Map<TaskSlot, WorkerState> placed, Decisions out, long nowMs) {
+        if (placed.isEmpty()) {
+            return;
+        }
+        int attempt = mRuns.nextAttempt(step);
+        String checkpoint = "";
+        for (TaskSlot s : step.slots()) {
+            checkpoint = s.checkpoint().isEmpty() ? checkpoint : s.checkpoint();
+        }
+        for (Map.Entry<TaskSlot, WorkerState> e : placed.entrySet()) {
+            e.getKey().checkpoint(checkpoint);
+            start(e.getKey(), e.getValue(), attempt, out, nowMs);
+        }
+    }
+
+    private void start(
+            TaskSlot slot, WorkerState worker, int attempt, Decisions out, long nowMs) {
+        TaskRun run = new TaskRun(slot, worker, attempt, nowMs);
+        mRuns.start(run);
+        send(run, out, nowMs);
+    }
+
+    private static void askIfNeeded(
+            ActiveStep step, List<WorkerState> workers, Decisions out, long nowMs) {
+        boolean waits = step.slots().stream().anyMatch(TaskSlot::isWaiting);
+        if (!waits || step.isAsking()) {
+            return;
+        }
+        List<String> unknown = new ArrayList<>();
+        for (WorkerState w : workers) {
+            if (w.isUsable(nowMs) && step.mayAsk(w.id())) {
+                unknown.add(w.id());
+            }
+        }
+        boolean canGoOn =
+                workers.stream()
+                        .anyMatch(
+                                w ->
+                                        w.isUsable(nowMs)
+                                                && step.ticket(w.id(), nowMs).isPresent());
+        if (!canGoOn && !unknown.isEmpty()) {
+            step.asking();
+            out.asks().add(new Decisions.Ask(step, unknown));
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -0,0 +1,196 @@
+package org.foxtailplank.schedule;
+
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.TaskName;
+import org.foxtailplank.port.WorkerInfo;
+import org.foxtailplank.port.WorkerOrders.WorkerAddress;
+
+/** One life of a worker, as the owner knows it. */
+public final class WorkerState {
+    private final String mId;
+    private final Set<TaskRun> mRuns = new LinkedHashSet<>();
+    private final WorkerHealthRecord mHealth = new WorkerHealthRecord();
+
+    private WorkerInfo mInfo;
+    private Resources mUsed = Resources.NONE;
+    private boolean mLooked;
+    private boolean mListed = true;
+    private boolean mVacating;
+    private boolean mHasClock;
+    private long mClockAheadMs;
+    private long mContactMs;
+    private long mGrantedMs;
+    private long mSeenEnds;
+    private long mStoredEnds;
+    private long mFullUntilMs;
+    private boolean mSilent;
+
+    WorkerState(WorkerInfo info, long nowMs) {
+        mId = info.id();
+        mInfo = info;
+        mContactMs = nowMs;
+        mGrantedMs = nowMs;
+    }
+
+    public String id() {
+        return mId;
+    }
+
+    public WorkerInfo info() {
+        return mInfo;
+    }
+
+    void info(WorkerInfo info) {
+        mInfo = info;
+        mListed = true;
+    }
+
+    public WorkerAddress address() {
+        return new WorkerAddress(mId, mInfo.address());
+    }
+
+    public Set<TaskRun> runs() {
+        return mRuns;
+    }
+
+    WorkerHealthRecord health() {
+        return mHealth;
+    }
+
+    void add(TaskRun run) {
+        mRuns.add(run);
+        mUsed = mUsed.plus(run.slot().spec().reserved());
+    }
+
+    void remove(TaskRun run) {
+        if (mRuns.remove(run)) {
+            mUsed = mUsed.minus(run.slot().spec().reserved());
+        }
+    }
+
+    Resources free() {
+        return mInfo.capacity().minus(mUsed);
+    }
+
+    Resources used() {
+        return mUsed;
+    }
+
+    Optional<TaskRun> run(TaskName task, int attempt) {
+        for (TaskRun r : mRuns) {
+            if (r.attempt() == attempt && r.slot().name().equals(task)) {
+                return Optional.of(r);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Whether this owner has seen what runs there. */
+    public boolean isLooked() {
+        return mLooked;
+    }
+
+    /** Whether the directory still names it. */
+    public boolean isListed() {
+        return mListed;
+    }
+
+    void unlisted() {
+        mListed = false;
+    }
+
+    /** Whether it is being emptied for a move or a reboot. */
+    public boolean isVacating() {
+        return mVacating;
+    }
+
+    void vacating(boolean vacating) {
+        mVacating = vacating;
+    }
+
+    /** Whether its last look went unanswered. */
+    public boolean isSilent() {
+        return mSilent;
+    }
+
+    void silent() {
+        mSilent = true;
+    }
+
+    void contact(long clockMs, long nowMs) {
+        mSilent = false;
+        mContactMs = nowMs;
+        if (clockMs >= 0) {
+            mHasClock = true;
+            mClockAheadMs = clockMs - nowMs;
+        }
+    }
+
+    void looked() {
+        mLooked = true;
+    }
+
+    long contactMs() {
+        return mContactMs;
+    }
+
+    /** End of a lease that begins now, on the worker's clock; 0 while its clock is unknown. */
+    public long leaseUntilMs(long nowMs, long leaseMs) {
+        return mHasClock ? nowMs + mClockAheadMs + leaseMs : 0;
+    }
+
+    boolean hasClock() {
+        return mHasClock;
+    }
+
+    /** A lease was sent at this time. */
+    public void granted(long nowMs) {
+        mGrantedMs = Math.max(mGrantedMs, nowMs);
+    }
+
+    long grantedMs() {
+        return mGrantedMs;
+    }
+
+    long seenEnds() {
+        return mSeenEnds;
+    }
+
+    void seenEnds(long sequence) {
+        mSeenEnds = Math.max(mSeenEnds, sequence);
+    }
+
+    /** Ends up to this number are stored. */
+    public long storedEnds() {
+        return mStoredEnds;
+    }
+
+    /** Ends up to this number are stored and may be acknowledged. */
+    public void storedEnds(long sequence) {
+        mStoredEnds = Math.max(mStoredEnds, sequence);
+    }
+
+    /** Whether it lists ends that are not stored yet. */
+    public boolean hasUnstoredEnds() {
+        return mSeenEnds > mStoredEnds;
+    }
+
+    void fullUntil(long untilMs) {
+        mFullUntilMs = untilMs;
+    }
+
+    /** Whether it may be given tasks. */
+    boolean isUsable(long nowMs) {
+        return mLooked
+                && mHasClock
+                && mListed
+                && !mSilent
+                && !mVacating
+                && !mInfo.draining()
+                && nowMs >= mFullUntilMs
+                && mHealth.isTrusted(nowMs);
+    }
+}
--- /dev/null
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ClientConnection.java
@@ -0,0 +1,93 @@
+package org.foxtailplank.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+/** One connection to a server, with one call at a time. */
+final class ClientConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final TargetPool mPool;
+    private ChannelHandlerContext mContext;
+    private PendingCall mCurrent;
+    private boolean mClosed;
+
+    ClientConnection(TargetPool pool) {
+        mPool = pool;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        mContext = context;
+    }
+
+    void send(PendingCall pending) {
+        mCurrent = pending;
+        pending.mConnection = this;
+        HttpCall call = pending.mCall;
+        ByteBuf body = Unpooled.wrappedBuffer(call.body());
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method()), call.path(), body);
+        request.headers().set(HttpHeaderNames.HOST, mPool.hostHeader());
+        if (call.body().length > 0 || !call.contentType().isEmpty()) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, call.contentType());
+        }
+        call.headers().forEach((name, value) -> request.headers().set(name, value));
+        mContext.writeAndFlush(request);
+    }
+
+    void close() {
+        mContext.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+        PendingCall call = mCurrent;
+        mCurrent = null;
+        byte[] body = ByteBufUtil.getBytes(response.content());
+        boolean keep = HttpUtil.isKeepAlive(response);
+        if (keep) {
+            mPool.idle(this);
+        } else {
+            context.close();
+        }
+        if (call != null) {
+            call.finish(new HttpResult.Answered(response.status().code(), body));
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        mPool.closed(this);
+        end("connection closed");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Broken.report(cause);
+        end(String.valueOf(cause));
+        context.close();
+    }
+
+    private void end(String reason) {
+        PendingCall call = mCurrent;
+        mCurrent = null;
+        if (call != null) {
+            call.finish(new HttpResult.Unanswered(reason));
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -0,0 +1,107 @@
+package org.foxtailplank.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+
+/** One connection of a caller; requests on it are answered in their order. */
+final class ServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final HttpServer mServer;
+    private final HttpHandler mHandler;
+    private final Deque<ReadRequest> mWaiting = new ArrayDeque<>();
+    private boolean mBusy;
+
+    private record ReadRequest(HttpRequest request, boolean keepAlive) {}
+
+    ServerConnection(HttpServer server, HttpHandler handler) {
+        mServer = server;
+        mHandler = handler;
+    }
+
+    boolean isBusy() {
+        return mBusy;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest read) {
+        ReadRequest request = new ReadRequest(decode(read), HttpUtil.isKeepAlive(read));
+        mWaiting.add(request);
+        if (!mBusy) {
+            next(context);
+        }
+    }
+
+    private static HttpRequest decode(FullHttpRequest read) {
+        String uri = read.uri();
+        int query = uri.indexOf('?');
+        String path = query < 0 ? uri : uri.substring(0, query);
+        HttpHeaders headers = read.headers();
+        String host = Optional.ofNullable(headers.get(HttpHeaderNames.HOST)).orElse("");
+        int port = host.lastIndexOf(':');
+        return new HttpRequest(
+                read.method().name(),
+                path,
+                port < 0 ? host : host.substring(0, port),
+                name -> Optional.ofNullable(headers.get(name)),
+                ByteBufUtil.getBytes(read.content()));
+    }
+
+    private void next(ChannelHandlerContext context) {
+        ReadRequest request = mWaiting.poll();
+        if (request == null) {
+            return;
+        }
+        mBusy = true;
+        mHandler.handle(
+                request.request(), reply -> answer(context, reply, request.keepAlive()));
+    }
+
+    private void answer(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(reply.status()),
+                        Unpooled.wrappedBuffer(reply.body()));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+        if (!reply.contentType().isEmpty()) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+        }
+        reply.headers().forEach((name, value) -> response.headers().set(name, value));
+        boolean keep = keepAlive && !(mServer.isStopping() && mWaiting.isEmpty());
+        if (!keep) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        var written = context.writeAndFlush(response);
+        mBusy = false;
+        if (keep) {
+            next(context);
+        } else {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mServer.closed(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Broken.report(cause);
+        context.close();
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Clock.java
@@ -0,0 +1,28 @@
+package org.foxtailplank.node;
+
+/** The times that a node goes by. */
+public interface Clock {
+
+    /** The clock of this process. */
+    static Clock system() {
+        return new Clock() {
+            private static final long NANOS_PER_MS = 1_000_000;
+
+            @Override
+            public long nowMs() {
+                return System.nanoTime() / NANOS_PER_MS;
+            }
+
+            @Override
+            public long wallMs() {
+                return System.currentTimeMillis();
+            }
+        };
+    }
+
+    /** Milliseconds of a steady clock. */
+    long nowMs();
+
+    /** Milliseconds since 1970. */
+    long wallMs();
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -0,0 +1,195 @@
+package org.foxtailplank.node;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailplank.adapter.AdapterLimits;
+import org.foxtailplank.adapter.UsersPlatform;
+import org.foxtailplank.http.HttpClient;
+import org.foxtailplank.http.HttpReply;
+import org.foxtailplank.http.HttpRequest;
+import org.foxtailplank.http.HttpServer;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.node.caller.CallerService;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.journal.JournalWriter;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.owner.OwnerParts;
+import org.foxtailplank.node.owner.OwnerWork;
+import org.foxtailplank.node.owner.Ownership;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
+
+/** One node, put together; all of it runs on one event loop's thread. */
+public final class Node {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    /** Largest body of a caller's request, in bytes: the text, and steps by the hundred. */
+    private static final int MAX_BODY_BYTES = 256 << 10;
+
+    /** How long a connection may take to open, in milliseconds: some round trips. */
+    private static final int CONNECT_MS = 400;
+
+    /** Most connections to the store: waiting reads, appends and refreshes at a time. */
+    private static final int STORE_CONNECTIONS = 12;
+
+    /** Most connections to one worker: a waiting look and starts side by side. */
+    private static final int WORKER_CONNECTIONS = 6;
+
+    /** A node that could not read the journal for so long sends callers elsewhere. */
+    private static final long STALE_MS = 2500;
+
+    /** How often a stopping node looks whether it has answered everything, in milliseconds. */
+    private static final long DRAIN_CHECK_MS = 20;
+
+    /** Kept of the grace time for the end of the process, in milliseconds. */
+    private static final long EXIT_MS = 700;
+
+    /** How long a stopping node goes on listening: callers are sent elsewhere by then. */
+    private static final long LISTEN_ON_MS = 2500;
+
+    private static final LogPartition JOURNAL = new LogPartition("foxtail-journal", 0);
+
+    private final NodeSettings mSettings;
+    private final Clock mClock;
+    private final Timers mTimers;
+    private final NodeLog mLog;
+    private final NodeMetrics mMetrics = new NodeMetrics();
+    private final EventLoop mLoop;
+    private final UsersPlatform mPlatform;
+    private final OperatorFollower mOperator;
+    private final JournalReader mReader;
+    private final JournalWriter mWriter;
+    private final Ownership mOwnership;
+
+    private Optional<OwnerWork> mOwner = Optional.empty();
+    private HttpServer mCallers;
+    private boolean mStopping;
+
+    public Node(NodeSettings settings, EventLoop loop, Clock clock, Timers timers, NodeLog log) {
+        mSettings = settings;
+        mLoop = loop;
+        mClock = clock;
+        mTimers = timers;
+        mLog = log;
+        mPlatform =
+                new UsersPlatform(
+                        new HttpClient(loop, CONNECT_MS, STORE_CONNECTIONS),
+                        new HttpClient(loop, CONNECT_MS, WORKER_CONNECTIONS),
+                        settings.platform(),
+                        AdapterLimits.DEFAULTS);
+        SharedLog shared = mPlatform.log();
+        JobBook book = new JobBook(settings.journal().statusMs());
+        mOperator = new OperatorFollower(mPlatform.operatorOrders(), clock, timers, log);
+        mReader = new JournalReader(shared, JOURNAL, clock, timers, log, book, this::recorded);
+        mWriter = new JournalWriter(shared, JOURNAL, clock, timers, log);
+        mOwnership =
+                new Ownership(shared, mReader, clock, timers, log, settings.name(), this::own);
+    }
+
+    /** Listens; called on any thread but the event loop's, which would wait for itself. */
+    public void listen() throws IOException {
+        CallerService service =
+                new CallerService(
+                        mOperator,
+                        mReader,
+                        mWriter,
+                        mPlatform.callerBodies(),
+                        mClock,
+                        mLog,
+                        mMetrics);
+        mCallers = HttpServer.bind(mLoop, mSettings.callers(), MAX_BODY_BYTES, service);
+        HttpServer.bind(mLoop, mSettings.readiness(), MAX_BODY_BYTES, this::readiness);
+        HttpServer.bind(mLoop, mSettings.metrics(), MAX_BODY_BYTES, this::metrics);
+    }
+
+    /** Begins to work; called on the event loop's thread. */
+    public void start() {
+        mLog.line("start")
+                .with("node", mSettings.name())
+                .with("zone", mSettings.zone())
+                .with("callers", mCallers.address())
+                .write();
+        mOperator.follow();
+        mReader.follow();
+        mOwnership.watch();
+    }
+
+    private void recorded(JournalRecord record, Optional<JobEntry> job) {
+        mOwnership.seen(record);
+        mOwner.ifPresent(o -> o.recorded(record, job));
+    }
+
+    private void own(long token) {
+        OwnerParts parts =
+                new OwnerParts(
+                        mSettings,
+                        mClock,
+                        mTimers,
+                        mLog,
+                        mMetrics,
+                        mOperator,
+                        mReader,
+                        mWriter,
+                        new OwnerParts.Platform(
+                                mPlatform.workers(),
+                                mPlatform.workerOrders(),
+                                mPlatform.vmActions(),
+                                mPlatform.advice(),
+                                mPlatform.waveBoard()));
+        OwnerWork work = new OwnerWork(parts, token, this::fenced);
+        mOwner = Optional.of(work);
+        work.start();
+    }
+
+    private void fenced() {
+        mOwner = Optional.empty();
+        mOwnership.lost();
+    }
+
+    private boolean isReady() {
+        boolean current = mClock.nowMs() - mReader.lastReadMs() < STALE_MS;
+        return !mStopping && current && mReader.isCaughtUp() && mOperator.config().isPresent();
+    }
+
+    private void readiness(HttpRequest request, Consumer<HttpReply> reply) {
+        reply.accept(HttpReply.empty(isReady() ? OK : UNAVAILABLE));
+    }
+
+    private void metrics(HttpRequest request, Consumer<HttpReply> reply) {
+        reply.accept(HttpReply.text(OK, mMetrics.text()));
+    }
+
+    /**
+     * A planned stop. New callers are sent elsewhere, those that are connected are answered to the
+     * last request, and another node may own the jobs at once.
+     */
+    public void stop(Runnable ended) {
+        mStopping = true;
+        mLog.line("stop").with("node", mSettings.name()).write();
+        mOwnership.stop();
+        mOwner.ifPresent(OwnerWork::leave);
+        mOwner = Optional.empty();
+        mCallers.stopKeepingOpen();
+        long now = mClock.nowMs();
+        drain(now + LISTEN_ON_MS, now + mSettings.graceMs() - EXIT_MS, ended);
+    }
+
+    private void drain(long listenUntilMs, long endMs, Runnable ended) {
+        long now = mClock.nowMs();
+        if (now >= listenUntilMs) {
+            mCallers.stopListening();
+        }
+        boolean drained = now >= listenUntilMs && mCallers.inFlight() == 0;
+        if (drained || now >= endMs) {
+            mLog.line("stopped").with("inFlight", mCallers.inFlight()).write();
+            ended.run();
+            return;
+        }
+        mTimers.after(DRAIN_CHECK_MS, () -> drain(listenUntilMs, endMs, ended));
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeMain.java
@@ -0,0 +1,108 @@
+package org.foxtailplank.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.foxtailplank.node.log.NodeLog;
+
+/** Starts a node: {@code foxtail-node [SETTINGS]}. */
+public final class NodeMain {
+    /** Names the settings file where the command line doesn't. */
+    private static final String SETTINGS_VARIABLE = "FOXTAILPLANK_CONFIG";
+
+    private static final int USAGE = 2;
+    private static final int FAILED = 1;
+
+    private NodeMain() {}
+
+    public static void main(String[] args) throws InterruptedException {
+        String file = args.length > 0 ? args[0] : System.getenv(SETTINGS_VARIABLE);
+        if (file == null || args.length > 1) {
+            System.err.println("usage: foxtail-node [SETTINGS], or set " + SETTINGS_VARIABLE);
+            System.exit(USAGE);
+        }
+        NodeSettings settings = null;
+        try {
+            settings = NodeSettingsReader.read(Path.of(file));
+        } catch (SettingsException | IOException e) {
+            System.err.println("foxtail-node: settings " + file + ": " + e.getMessage());
+            System.exit(USAGE);
+        }
+        run(settings);
+    }
+
+    private static void run(NodeSettings settings) {
+        quietNetty();
+        Clock clock = Clock.system();
+        NodeLog log = NodeLog.to(System.out, clock);
+        Thread.setDefaultUncaughtExceptionHandler((thread, error) -> broken(log, error));
+        EventLoop loop =
+                (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Timers timers =
+                (delay, action) ->
+                        loop.schedule(guarded(log, action), delay, TimeUnit.MILLISECONDS);
+        Node node = new Node(settings, loop, clock, timers, log);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Thread hook =
+                new Thread(
+                        () -> {
+                            loop.execute(() -> node.stop(stopped::countDown));
+                            await(stopped, settings.graceMs());
+                            log.flush(System.out);
+                            Runtime.getRuntime().halt(0);
+                        },
+                        "stop");
+        Runtime.getRuntime().addShutdownHook(hook);
+        start(node, loop, log);
+    }
+
+    private static void start(Node node, EventLoop loop, NodeLog log) {
+        try {
+            node.listen();
+            loop.execute(guarded(log, node::start));
+        } catch (IOException e) {
+            log.line("start-failed").with("error", e.getMessage()).write();
+            log.flush(System.out);
+            Runtime.getRuntime().halt(FAILED);
+        }
+    }
+
+    /** A broken invariant ends the process: another node goes on from what is stored. */
+    private static Runnable guarded(NodeLog log, Runnable action) {
+        return () -> {
+            try {
+                action.run();
+            } catch (RuntimeException | Error e) {
+                broken(log, e);
+            }
+        };
+    }
+
+    private static void broken(NodeLog log, Throwable error) {
+        error.printStackTrace();
+        log.line("broken").with("error", error).write();
+        log.flush(System.out);
+        Runtime.getRuntime().halt(FAILED);
+    }
+
+    /** Spares Netty the search for a logging library and for a network card's address. */
+    private static void quietNetty() {
+        System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
+        System.setProperty("io.netty.processId", "1");
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
+
+    private static void await(CountDownLatch latch, long waitMs) {
+        try {
+            latch.await(waitMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -0,0 +1,39 @@
+package org.foxtailplank.node;
+
+import java.net.InetSocketAddress;
+import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.schedule.ScheduleLimits;
+
+/**
+ * Settings of a node.
+ *
+ * @param name its name
+ * @param zone its availability zone
+ * @param callers where callers' requests arrive
+ * @param readiness where the platform asks whether callers may be sent here
+ * @param metrics where metrics are read
+ * @param platform addresses of the platform's services
+ * @param journal bounds for what is kept on the platform
+ * @param schedule bounds for the scheduler
+ * @param graceMs time between the signal to stop and the end of the process, in milliseconds
+ */
+public record NodeSettings(
+        String name,
+        String zone,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        InetSocketAddress metrics,
+        PlatformAddresses platform,
+        JournalBounds journal,
+        ScheduleLimits schedule,
+        long graceMs) {
+
+    /**
+     * Bounds for the journal, in milliseconds.
+     *
+     * @param keepMs how long the platform keeps a record
+     * @param statusMs how long an ended job can be asked for
+     * @param ownerLeaseMs within this time orders of two owners must not take turns
+     */
+    public record JournalBounds(long keepMs, long statusMs, long ownerLeaseMs) {}
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -0,0 +1,119 @@
+package org.foxtailplank.node;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.port.Feed;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.OperatorOrder;
+import org.foxtailplank.port.WaveOrder;
+
+/** Follows what the operator writes: the configuration in force and the waves. */
+public final class OperatorFollower {
+    /** How long a read waits for news, in milliseconds; a dead connection shows soon after. */
+    private static final long WAIT_MS = 800;
+
+    /** Pause after a failed read, in milliseconds. */
+    private static final long RETRY_MS = 150;
+
+    private final Feed<OperatorOrder> mFeed;
+    private final Clock mClock;
+    private final Timers mTimers;
+    private final NodeLog mLog;
+    private final Map<Long, WaveOrder> mWaves = new LinkedHashMap<>();
+
+    private Optional<FleetConfig> mConfig = Optional.empty();
+    private long mPosition = -1;
+    private long mLastReadMs = Long.MIN_VALUE / 2;
+
+    public OperatorFollower(
+            Feed<OperatorOrder> feed, Clock clock, Timers timers, NodeLog log) {
+        mFeed = feed;
+        mClock = clock;
+        mTimers = timers;
+        mLog = log;
+    }
+
+    /** The newest configuration. */
+    public Optional<FleetConfig> config() {
+        return mConfig;
+    }
+
+    /** All waves by their numbers. */
+    public Map<Long, WaveOrder> waves() {
+        return mWaves;
+    }
+
+    /** When the store last answered. */
+    public long lastReadMs() {
+        return mLastReadMs;
+    }
+
+    /** Begins to follow; goes on for ever. */
+    public void follow() {
+        if (mPosition < 0) {
+            mFeed.newest(this::followed);
+        } else {
+            mFeed.changes(mPosition, WAIT_MS, this::followed);
+        }
+    }
+
+    private void followed(Feed.Result<OperatorOrder> result) {
+        take(result);
+        if (result instanceof Feed.Page) {
+            follow();
+        } else {
+            mTimers.after(RETRY_MS, this::follow);
+        }
+    }
+
+    /** Reads what there is now, then says whether that worked. */
+    public void refresh(Consumer<Boolean> then) {
+        Consumer<Feed.Result<OperatorOrder>> taken =
+                r -> {
+                    take(r);
+                    then.accept(r instanceof Feed.Page);
+                };
+        if (mPosition < 0) {
+            mFeed.newest(taken);
+        } else {
+            mFeed.changes(mPosition, 0, taken);
+        }
+    }
+
+    private void take(Feed.Result<OperatorOrder> result) {
+        if (result instanceof Feed.Gap) {
+            // The history was dropped: the newest values tell all that counts.
+            mPosition = -1;
+        } else if (result instanceof Feed.Page<OperatorOrder> page) {
+            mLastReadMs = mClock.nowMs();
+            mPosition = Math.max(mPosition, page.next());
+            page.items().forEach(i -> i.value().ifPresent(this::take));
+        }
+    }
+
+    private void take(OperatorOrder order) {
+        if (order instanceof OperatorOrder.NewWave w) {
+            if (mWaves.put(w.wave().number(), w.wave()) == null) {
+                mLog.line("wave-ordered")
+                        .with("wave", w.wave().number())
+                        .with("vms", w.wave().vms().size())
+                        .with("atOnce", w.wave().atOnce())
+                        .with("durationMs", w.wave().durationMs())
+                        .write();
+            }
+            return;
+        }
+        FleetConfig config = ((OperatorOrder.NewConfig) order).config();
+        // Versions rise; an older one may still arrive from a read that was on its way.
+        if (mConfig.isEmpty() || config.version() > mConfig.get().version()) {
+            mConfig = Optional.of(config);
+            mLog.line("config")
+                    .with("version", config.version())
+                    .with("routes", config.routes().size())
+                    .write();
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -0,0 +1,254 @@
+package org.foxtailplank.node.caller;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
+import org.foxtailplank.http.HttpHandler;
+import org.foxtailplank.http.HttpReply;
+import org.foxtailplank.http.HttpRequest;
+import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JobOrder;
+import org.foxtailplank.job.JournalRecord.JobAccepted;
+import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.NodeMetrics;
+import org.foxtailplank.node.OperatorFollower;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.journal.JournalWriter;
+import org.foxtailplank.node.journal.StoreOutcome;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.port.CallerBodies;
+import org.foxtailplank.port.CallerBodies.BadBodyException;
+import org.foxtailplank.port.CallerBodies.Submission;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.RouteSettings;
+
+/** The requests of callers, from any node: what they need stands in the journal. */
+public final class CallerService implements HttpHandler {
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int BAD_METHOD = 405;
+    private static final int GONE = 410;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
+
+    /** The caller's header that says how long it waits for an answer, in milliseconds. */
+    private static final String DEADLINE = "Deadline-Ms";
+
+    /** How long to wait for the store where a caller doesn't say, in milliseconds. */
+    private static final long DEFAULT_DEADLINE_MS = 3000;
+
+    /** Kept of a caller's time for the way of the answer, in milliseconds. */
+    private static final long ANSWER_MS = 150;
+
+    /** When to ask again while the store takes nothing, in seconds: outages last a few seconds. */
+    private static final String RETRY_AFTER_S = "1";
+
+    private final OperatorFollower mOperator;
+    private final JournalReader mReader;
+    private final JournalWriter mWriter;
+    private final CallerBodies mBodies;
+    private final Clock mClock;
+    private final NodeLog mLog;
+    private final NodeMetrics mMetrics;
+    private final Map<String, List<Consumer<HttpReply>>> mInFlight = new HashMap<>();
+
+    public CallerService(
+            OperatorFollower operator,
+            JournalReader reader,
+            JournalWriter writer,
+            CallerBodies bodies,
+            Clock clock,
+            NodeLog log,
+            NodeMetrics metrics) {
+        mOperator = operator;
+        mReader = reader;
+        mWriter = writer;
+        mBodies = bodies;
+        mClock = clock;
+        mLog = log;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public void handle(HttpRequest request, Consumer<HttpReply> reply) {
+        long startMs = mClock.nowMs();
+        Consumer<HttpReply> timed =
+                answer -> {
+                    mMetrics.counter("answers_" + answer.status()).inc();
+                    mMetrics.latency("answer").update(mClock.nowMs() - startMs);
+                    reply.accept(answer);
+                };
+        Optional<FleetConfig> config = mOperator.config();
+        if (config.isEmpty()) {
+            timed.accept(unavailable());
+            return;
+        }
+        Optional<RouteSettings> route = config.get().route(request.host(), request.path());
+        if (route.isPresent()) {
+            routed(request, route.get(), timed);
+        } else {
+            askOperatorAgain(request, timed);
+        }
+    }
+
+    /**
+     * No queue is known for the path. Guards against telling a caller that a queue doesn't exist
+     * that was added a moment ago: the newest configuration is read before that is said.
+     */
+    private void askOperatorAgain(HttpRequest request, Consumer<HttpReply> reply) {
+        mOperator.refresh(
+                read -> {
+                    Optional<RouteSettings> route =
+                            mOperator
+                                    .config()
+                                    .flatMap(c -> c.route(request.host(), request.path()));
+                    if (route.isPresent()) {
+                        routed(request, route.get(), reply);
+                    } else {
+                        long age = mClock.nowMs() - mOperator.lastReadMs();
+                        mLog.line("no-queue")
+                                .with("path", request.path())
+                                .with("configAgeMs", age)
+                                .write();
+                        reply.accept(read ? HttpReply.empty(NOT_FOUND) : unavailable());
+                    }
+                });
+    }
+
+    private void routed(HttpRequest request, RouteSettings route, Consumer<HttpReply> reply) {
+        String id = request.path().substring(route.pathPrefix().length());
+        if (id.isEmpty() && request.method().equals("GET")) {
+            reply.accept(HttpReply.json(OK, mBodies.pending(mReader.book().pending(route.name()))));
+            return;
+        }
+        if (!JOB_ID.matcher(id).matches()) {
+            reply.accept(HttpReply.text(BAD_REQUEST, "the ID of a job has 16 hexadecimal digits"));
+            return;
+        }
+        switch (request.method()) {
+            case "POST" -> submit(request, route, id, reply);
+            case "GET" -> tell(id, reply);
+            case "DELETE" -> cancel(request, id, reply);
+            default -> reply.accept(HttpReply.empty(BAD_METHOD));
+        }
+    }
+
+    private void submit(
+            HttpRequest request, RouteSettings route, String id, Consumer<HttpReply> reply) {
+        if (mReader.book().job(id).isPresent()) {
+            reply.accept(HttpReply.empty(OK));
+            return;
+        }
+        List<Consumer<HttpReply>> waiting = mInFlight.get(id);
+        if (waiting != null) {
+            waiting.add(reply);
+            return;
+        }
+        Submission submission;
+        try {
+            submission = mBodies.read(request.body());
+        } catch (BadBodyException e) {
+            mLog.line("bad-submission").with("job", id).with("why", e.getMessage()).write();
+            reply.accept(HttpReply.text(BAD_REQUEST, e.getMessage()));
+            return;
+        }
+        JobOrder order =
+                new JobOrder(
+                        id,
+                        route.name(),
+                        route.service(),
+                        submission.text(),
+                        submission.steps(),
+                        submission.timetable(),
+                        route.terms(),
+                        mClock.wallMs());
+        List<Consumer<HttpReply>> replies = new ArrayList<>(List.of(reply));
+        mInFlight.put(id, replies);
+        long deadline = deadlineMs(request);
+        mWriter.store(new JobAccepted(order), deadline, o -> submitted(order, replies, o));
+    }
+
+    private void submitted(
+            JobOrder order, List<Consumer<HttpReply>> replies, StoreOutcome outcome) {
+        mInFlight.remove(order.id());
+        mLog.line("job-submitted")
+                .with("job", order.id())
+                .with("queue", order.route())
+                .with("service", order.service())
+                .with("tasks", order.tasksPerRun())
+                .with("outcome", outcome)
+                .write();
+        replies.forEach(r -> r.accept(stored(outcome)));
+    }
+
+    private void tell(String id, Consumer<HttpReply> reply) {
+        Optional<JobEntry> known = mReader.book().job(id);
+        if (known.isPresent() && known.get().phase().isFinal()) {
+            reply.accept(HttpReply.json(OK, mBodies.phase(known.get().phase())));
+            return;
+        }
+        mReader.refresh(
+                read -> {
+                    Optional<JobEntry> job = mReader.book().job(id);
+                    if (job.isPresent()) {
+                        reply.accept(HttpReply.json(OK, mBodies.phase(job.get().phase())));
+                    } else {
+                        reply.accept(read ? HttpReply.empty(GONE) : unavailable());
+                    }
+                });
+    }
+
+    private void cancel(HttpRequest request, String id, Consumer<HttpReply> reply) {
+        mReader.refresh(
+                read -> {
+                    Optional<JobEntry> job = mReader.book().job(id);
+                    if (job.isEmpty()) {
+                        reply.accept(read ? HttpReply.empty(GONE) : unavailable());
+                    } else if (job.get().phase().isFinal()) {
+                        reply.accept(HttpReply.empty(OK));
+                    } else {
+                        storeCancel(request, id, reply);
+                    }
+                });
+    }
+
+    private void storeCancel(HttpRequest request, String id, Consumer<HttpReply> reply) {
+        mWriter.store(
+                new JobCancelled(id, mClock.wallMs()),
+                deadlineMs(request),
+                o -> {
+                    mLog.line("job-cancelled").with("job", id).with("outcome", o).write();
+                    reply.accept(stored(o));
+                });
+    }
+
+    private long deadlineMs(HttpRequest request) {
+        long wait = request.number(DEADLINE).orElse(DEFAULT_DEADLINE_MS);
+        return mClock.nowMs() + Math.max(ANSWER_MS, wait - ANSWER_MS);
+    }
+
+    /**
+     * What a caller is told of a record that its request needs. Only a record that surely isn't
+     * stored is refused, since a refused job must never run; where that isn't known the caller
+     * learns so, and asks again.
+     */
+    private static HttpReply stored(StoreOutcome outcome) {
+        return switch (outcome) {
+            case STORED -> HttpReply.empty(OK);
+            case NOT_STORED -> unavailable();
+            case UNKNOWN -> HttpReply.empty(GATEWAY_TIMEOUT);
+        };
+    }
+
+    private static HttpReply unavailable() {
+        return HttpReply.empty(UNAVAILABLE).with(Map.of("Retry-After", RETRY_AFTER_S));
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobOrderCodec.java
@@ -0,0 +1,146 @@
+package org.foxtailplank.node.journal;
+
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.AdviceTerms;
+import org.foxtailplank.job.JobOrder;
+import org.foxtailplank.job.PlacementRule;
+import org.foxtailplank.job.QueueTerms;
+import org.foxtailplank.job.RunMode;
+import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.job.Timetable;
+
+/** Jobs as protobuf fields. */
+final class JobOrderCodec {
+    private static final int STEP = 5;
+
+    private JobOrderCodec() {}
+
+    static void write(CodedOutputStream out, JobOrder order) throws IOException {
+        out.writeString(1, order.id());
+        out.writeString(2, order.route());
+        out.writeString(3, order.service());
+        out.writeString(4, order.text());
+        for (TaskStep s : order.steps()) {
+            JournalCodec.part(out, STEP, o -> writeStep(o, s));
+        }
+        out.writeInt64(6, order.timetable().startMs());
+        out.writeInt64(7, order.timetable().periodMs());
+        out.writeInt32(8, order.timetable().runs());
+        QueueTerms terms = order.terms();
+        out.writeInt32(9, terms.priority());
+        out.writeInt32(10, terms.maxAttempts());
+        out.writeDouble(11, terms.stretch());
+        out.writeInt64(12, terms.sloMs());
+        out.writeInt64(13, order.acceptedMs());
+        if (terms.advice().isPresent()) {
+            out.writeInt64(14, terms.advice().get().baseMs());
+            out.writeInt64(15, terms.advice().get().perWorkerMs());
+            out.writeInt64(16, terms.advice().get().validMs());
+        }
+    }
+
+    static JobOrder read(CodedInputStream in) throws IOException {
+        String[] texts = new String[5];
+        long[] numbers = new long[17];
+        List<TaskStep> steps = new ArrayList<>();
+        double stretch = 1;
+        boolean advice = false;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            int field = WireFormat.getTagFieldNumber(tag);
+            if (field < STEP) {
+                texts[field] = in.readString();
+            } else if (field == STEP) {
+                steps.add(readStep(in.readBytes().newCodedInput()));
+            } else if (field == 11) {
+                stretch = in.readDouble();
+            } else if (field < numbers.length) {
+                numbers[field] = in.readInt64();
+                advice |= field == 14;
+            } else {
+                in.skipField(tag);
+            }
+        }
+        Optional<AdviceTerms> adviceTerms =
+                advice
+                        ? Optional.of(new AdviceTerms(numbers[14], numbers[15], numbers[16]))
+                        : Optional.empty();
+        return new JobOrder(
+                texts[1],
+                texts[2],
+                texts[3],
+                texts[4],
+                steps,
+                new Timetable(numbers[6], numbers[7], (int) numbers[8]),
+                new QueueTerms(
+                        (int) numbers[9], (int) numbers[10], stretch, numbers[12], adviceTerms),
+                numbers[13]);
+    }
+
+    private static void writeStep(CodedOutputStream out, TaskStep step) throws IOException {
+        out.writeInt32(1, step.tasks());
+        out.writeInt64(2, step.demand().milliProcessors());
+        out.writeInt64(3, step.demand().memoryBytes());
+        out.writeInt32(4, step.demand().accelerators());
+        out.writeInt64(5, step.estimateMs());
+        for (int d : step.dependsOn()) {
+            out.writeInt32(6, d);
+        }
+        PlacementRule placement = step.placement();
+        out.writeBool(7, placement.gang());
+        out.writeBool(8, placement.sameRack());
+        out.writeString(9, placement.requiredLabel());
+        out.writeString(10, placement.dataRack());
+        out.writeInt32(11, placement.maxPerWorker());
+        RunMode mode = step.mode();
+        out.writeBool(12, mode.speculative());
+        out.writeBool(13, mode.standing());
+        out.writeBool(14, mode.checkpoints());
+        out.writeBool(15, mode.fills());
+        out.writeInt64(16, mode.targetMs());
+        out.writeInt32(17, mode.mayMiss());
+    }
+
+    private static TaskStep readStep(CodedInputStream in) throws IOException {
+        long[] numbers = new long[18];
+        String requiredLabel = "";
+        String dataRack = "";
+        List<Integer> dependsOn = new ArrayList<>();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            int field = WireFormat.getTagFieldNumber(tag);
+            switch (field) {
+                case 6 -> dependsOn.add(in.readInt32());
+                case 9 -> requiredLabel = in.readString();
+                case 10 -> dataRack = in.readString();
+                default -> {
+                    if (field < numbers.length) {
+                        numbers[field] = in.readInt64();
+                    } else {
+                        in.skipField(tag);
+                    }
+                }
+            }
+        }
+        return new TaskStep(
+                (int) numbers[1],
+                new Resources(numbers[2], numbers[3], (int) numbers[4]),
+                numbers[5],
+                dependsOn,
+                new PlacementRule(
+                        numbers[7] != 0, numbers[8] != 0, requiredLabel, dataRack,
+                        (int) numbers[11]),
+                new RunMode(
+                        numbers[12] != 0,
+                        numbers[13] != 0,
+                        numbers[14] != 0,
+                        numbers[15] != 0,
+                        numbers[16],
+                        (int) numbers[17]));
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -0,0 +1,197 @@
+package org.foxtailplank.node.journal;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.job.JobOrder;
+import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.JobAccepted;
+import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobsBegun;
+import org.foxtailplank.job.JournalRecord.OwnerAlive;
+import org.foxtailplank.job.JournalRecord.OwnerLeft;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.TaskName;
+
+/**
+ * Records of the journal as protobuf fields: a record holds one field, whose number is its kind.
+ *
+ * <p>Fields of an unknown number are passed over, so that a node reads what a newer one wrote. The
+ * fields are written by hand: generated classes for these few messages would be larger than the
+ * rest of the module and would lengthen the start of a node.
+ */
+public final class JournalCodec {
+    private static final int ACCEPTED = 1;
+    private static final int CANCELLED = 2;
+    private static final int ENDED = 3;
+    private static final int BEGUN = 4;
+    private static final int ALIVE = 5;
+    private static final int LEFT = 6;
+
+    private JournalCodec() {}
+
+    /** A record as bytes. */
+    public static byte[] encode(JournalRecord record) {
+        if (record instanceof JobAccepted r) {
+            return message(out -> part(out, ACCEPTED, o -> JobOrderCodec.write(o, r.order())));
+        }
+        if (record instanceof JobCancelled r) {
+            return message(out -> part(out, CANCELLED, o -> named(o, r.atMs(), r.job())));
+        }
+        if (record instanceof RunsEnded r) {
+            return message(out -> part(out, ENDED, o -> runs(o, r.runs())));
+        }
+        if (record instanceof JobsBegun r) {
+            return message(out -> part(out, BEGUN, o -> texts(o, r.jobs())));
+        }
+        if (record instanceof OwnerAlive r) {
+            return message(out -> part(out, ALIVE, o -> named(o, r.token(), r.node())));
+        }
+        OwnerLeft r = (OwnerLeft) record;
+        return message(out -> part(out, LEFT, o -> named(o, r.token(), r.node())));
+    }
+
+    /** Reads a record; empty for a kind that this version does not know. */
+    public static Optional<JournalRecord> decode(byte[] bytes) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(bytes);
+        int tag = in.readTag();
+        int kind = WireFormat.getTagFieldNumber(tag);
+        if (kind < ACCEPTED || kind > LEFT) {
+            return Optional.empty();
+        }
+        CodedInputStream body = in.readBytes().newCodedInput();
+        return Optional.of(
+                switch (kind) {
+                    case ACCEPTED -> new JobAccepted(JobOrderCodec.read(body));
+                    case ENDED -> new RunsEnded(readRuns(body));
+                    case BEGUN -> new JobsBegun(readTexts(body));
+                    default -> readNamed(kind, body);
+                });
+    }
+
+    private static JournalRecord readNamed(int kind, CodedInputStream in) throws IOException {
+        Named named = readNamed(in);
+        return switch (kind) {
+            case CANCELLED -> new JobCancelled(named.name(), named.number());
+            case ALIVE -> new OwnerAlive(named.number(), named.name());
+            default -> new OwnerLeft(named.number(), named.name());
+        };
+    }
+
+    private record Named(long number, String name) {}
+
+    private static void named(CodedOutputStream out, long number, String name)
+            throws IOException {
+        out.writeInt64(1, number);
+        out.writeString(2, name);
+    }
+
+    private static Named readNamed(CodedInputStream in) throws IOException {
+        long number = 0;
+        String name = "";
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case 1 -> number = in.readInt64();
+                case 2 -> name = in.readString();
+                default -> in.skipField(tag);
+            }
+        }
+        return new Named(number, name);
+    }
+
+    private static void texts(CodedOutputStream out, List<String> texts) throws IOException {
+        for (String t : texts) {
+            out.writeString(1, t);
+        }
+    }
+
+    private static List<String> readTexts(CodedInputStream in) throws IOException {
+        List<String> texts = new ArrayList<>();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            if (WireFormat.getTagFieldNumber(tag) == 1) {
+                texts.add(in.readString());
+            } else {
+                in.skipField(tag);
+            }
+        }
+        return texts;
+    }
+
+    private static void runs(CodedOutputStream out, List<EndedRun> runs) throws IOException {
+        for (EndedRun r : runs) {
+            part(out, 1, o -> run(o, r));
+        }
+    }
+
+    private static void run(CodedOutputStream out, EndedRun run) throws IOException {
+        out.writeString(1, run.task().job());
+        out.writeInt32(2, run.task().run());
+        out.writeInt32(3, run.task().step());
+        out.writeInt32(4, run.task().index());
+        out.writeInt32(5, run.attempt());
+        out.writeInt32(6, run.outcome().ordinal());
+        out.writeInt64(7, run.atMs());
+    }
+
+    private static List<EndedRun> readRuns(CodedInputStream in) throws IOException {
+        List<EndedRun> runs = new ArrayList<>();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            if (WireFormat.getTagFieldNumber(tag) == 1) {
+                runs.add(readRun(in.readBytes().newCodedInput()));
+            } else {
+                in.skipField(tag);
+            }
+        }
+        return runs;
+    }
+
+    private static EndedRun readRun(CodedInputStream in) throws IOException {
+        String job = "";
+        int[] numbers = new int[7];
+        long atMs = 0;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            int field = WireFormat.getTagFieldNumber(tag);
+            if (field == 1) {
+                job = in.readString();
+            } else if (field < numbers.length) {
+                numbers[field] = in.readInt32();
+            } else if (field == numbers.length) {
+                atMs = in.readInt64();
+            } else {
+                in.skipField(tag);
+            }
+        }
+        TaskName task = new TaskName(job, numbers[2], numbers[3], numbers[4]);
+        return new EndedRun(task, numbers[5], RunOutcome.values()[numbers[6]], atMs);
+    }
+
+    /** Writes the fields of a message. */
+    @FunctionalInterface
+    interface Fields {
+        void write(CodedOutputStream out) throws IOException;
+    }
+
+    static void part(CodedOutputStream out, int field, Fields fields) throws IOException {
+        out.writeBytes(field, ByteString.copyFrom(message(fields)));
+    }
+
+    private static byte[] message(Fields fields) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        try {
+            fields.write(out);
+            out.flush();
+        } catch (IOException e) {
+            throw new IllegalStateException("memory that cannot be written", e);
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -0,0 +1,176 @@
+package org.foxtailplank.node.journal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.Timers;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
+import org.foxtailplank.port.SharedLog.ReadResult;
+
+/** Follows the journal and keeps the book of jobs that it tells of. */
+public final class JournalReader {
+    /** Pause after a failed read, in milliseconds. */
+    private static final long RETRY_MS = 200;
+
+    /** How long a follower waits between two reads, in milliseconds. */
+    private static final long FOLLOW_MS = 500;
+
+    /** How long the owner's read waits for a record, in milliseconds. */
+    private static final long OWNER_WAIT_MS = 1000;
+
+    private final SharedLog mLog;
+    private final LogPartition mPartition;
+    private final Clock mClock;
+    private final Timers mTimers;
+    private final NodeLog mOut;
+    private final JobBook mBook;
+    private final BiConsumer<JournalRecord, Optional<JobEntry>> mListener;
+    private final List<Consumer<Boolean>> mWaiting = new ArrayList<>();
+
+    private long mPosition;
+    private boolean mCaughtUp;
+    private boolean mRefreshing;
+    private boolean mEager;
+    private long mLastReadMs = Long.MIN_VALUE / 2;
+
+    public JournalReader(
+            SharedLog log,
+            LogPartition partition,
+            Clock clock,
+            Timers timers,
+            NodeLog out,
+            JobBook book,
+            BiConsumer<JournalRecord, Optional<JobEntry>> listener) {
+        mLog = log;
+        mPartition = partition;
+        mClock = clock;
+        mTimers = timers;
+        mOut = out;
+        mBook = book;
+        mListener = listener;
+    }
+
+    public JobBook book() {
+        return mBook;
+    }
+
+    /** Offset of the next record to be read. */
+    public long position() {
+        return mPosition;
+    }
+
+    /** Whether the journal was read to its end once. */
+    public boolean isCaughtUp() {
+        return mCaughtUp;
+    }
+
+    /** When the store last answered a read. */
+    public long lastReadMs() {
+        return mLastReadMs;
+    }
+
+    /** The owner learns of each record at once; others look twice a second and when asked. */
+    public void eager(boolean eager) {
+        mEager = eager;
+    }
+
+    /** Begins to follow; goes on for ever. */
+    public void follow() {
+        long wait = mEager && mCaughtUp ? OWNER_WAIT_MS : 0;
+        mLog.read(mPartition, mPosition, wait, this::followed);
+    }
+
+    private void followed(ReadResult result) {
+        boolean atEnd = take(result);
+        if (!(result instanceof SharedLog.Records)) {
+            mTimers.after(RETRY_MS, this::follow);
+        } else if (!atEnd || mEager) {
+            follow();
+        } else {
+            mTimers.after(FOLLOW_MS, this::follow);
+        }
+    }
+
+    /** Reads to the end as it is now or later, then says whether that worked. */
+    public void refresh(Consumer<Boolean> then) {
+        mWaiting.add(then);
+        if (!mRefreshing) {
+            startRefresh();
+        }
+    }
+
+    private void startRefresh() {
+        mRefreshing = true;
+        List<Consumer<Boolean>> served = List.copyOf(mWaiting);
+        mWaiting.clear();
+        readToEnd(served);
+    }
+
+    private void readToEnd(List<Consumer<Boolean>> served) {
+        mLog.read(
+                mPartition,
+                mPosition,
+                0,
+                r -> {
+                    boolean atEnd = take(r);
+                    boolean failed = !(r instanceof SharedLog.Records);
+                    if (!failed && !atEnd) {
+                        readToEnd(served);
+                        return;
+                    }
+                    served.forEach(s -> s.accept(!failed));
+                    mRefreshing = false;
+                    if (!mWaiting.isEmpty()) {
+                        startRefresh();
+                    }
+                });
+    }
+
+    /** Takes a page in; whether it reaches the end. */
+    private boolean take(ReadResult result) {
+        if (result instanceof SharedLog.RecordsGone gone) {
+            mOut.line("journal-gap")
+                    .with("from", mPosition)
+                    .with("to", gone.firstOffset())
+                    .write();
+            mPosition = Math.max(mPosition, gone.firstOffset());
+            return false;
+        }
+        if (!(result instanceof SharedLog.Records page)) {
+            return false;
+        }
+        mLastReadMs = mClock.nowMs();
+        return apply(page);
+    }
+
+    private boolean apply(SharedLog.Records page) {
+        long first = page.from();
+        for (int i = 0; i < page.records().size(); i++) {
+            // Two reads may be on their way at a time; what was read already is passed over.
+            if (first + i == mPosition) {
+                mPosition++;
+                apply(page.records().get(i), first + i);
+            }
+        }
+        boolean atEnd = mPosition >= page.end();
+        mCaughtUp |= atEnd;
+        return atEnd;
+    }
+
+    private void apply(byte[] bytes, long offset) {
+        try {
+            JournalCodec.decode(bytes).ifPresent(r -> mListener.accept(r, mBook.apply(r)));
+        } catch (IOException e) {
+            mOut.line("journal-record").with("offset", offset).with("error", e).write();
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
@@ -0,0 +1,133 @@
+package org.foxtailplank.node.journal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.Timers;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
+import org.foxtailplank.port.SharedLog.AppendResult;
+
+/**
+ * Writes records to the journal, those that come while an append is on its way together.
+ *
+ * <p>An append whose answer was lost is sent again: every record of the journal may stand there
+ * twice without harm, since a job's ID or a run's number decides. A record whose first append may
+ * have been carried out is never reported as not stored.
+ */
+public final class JournalWriter {
+    /** Appends on their way at a time: one is in the store while the next is on the network. */
+    private static final int MAX_IN_FLIGHT = 2;
+
+    /** Pause before a refused append is sent again, in milliseconds. */
+    private static final long RETRY_MS = 100;
+
+    /** Largest batch, in bytes: a fraction of what one call may hold. */
+    private static final int MAX_BATCH_BYTES = 256 << 10;
+
+    private final SharedLog mLog;
+    private final LogPartition mPartition;
+    private final Clock mClock;
+    private final Timers mTimers;
+    private final NodeLog mOut;
+    private final Deque<Item> mQueue = new ArrayDeque<>();
+    private int mInFlight;
+    private long mLastStoredMs;
+
+    private static final class Item {
+        final byte[] mBytes;
+        final long mDeadlineMs;
+        final boolean mPersistent;
+        final Consumer<StoreOutcome> mThen;
+        boolean mMaybe;
+
+        Item(byte[] bytes, long deadlineMs, boolean persistent, Consumer<StoreOutcome> then) {
+            mBytes = bytes;
+            mDeadlineMs = deadlineMs;
+            mPersistent = persistent;
+            mThen = then;
+        }
+    }
+
+    public JournalWriter(
+            SharedLog log, LogPartition partition, Clock clock, Timers timers, NodeLog out) {
+        mLog = log;
+        mPartition = partition;
+        mClock = clock;
+        mTimers = timers;
+        mOut = out;
+    }
+
+    /** Stores a record; a refusal of the store ends the try at once, the deadline at the latest. */
+    public void store(JournalRecord record, long deadlineMs, Consumer<StoreOutcome> then) {
+        add(new Item(JournalCodec.encode(record), deadlineMs, false, then));
+    }
+
+    /** Stores a record, however often the store refuses, until the deadline. */
+    public void storePersistently(
+            JournalRecord record, long deadlineMs, Consumer<StoreOutcome> then) {
+        add(new Item(JournalCodec.encode(record), deadlineMs, true, then));
+    }
+
+    /** When the store last took a record. */
+    public long lastStoredMs() {
+        return mLastStoredMs;
+    }
+
+    private void add(Item item) {
+        mQueue.add(item);
+        pump();
+    }
+
+    private void pump() {
+        while (mInFlight < MAX_IN_FLIGHT && !mQueue.isEmpty()) {
+            List<Item> batch = takeBatch();
+            List<byte[]> records = new ArrayList<>(batch.size());
+            batch.forEach(i -> records.add(i.mBytes));
+            mInFlight++;
+            mLog.append(mPartition, records, r -> answered(batch, r));
+        }
+    }
+
+    private List<Item> takeBatch() {
+        List<Item> batch = new ArrayList<>();
+        int bytes = 0;
+        while (!mQueue.isEmpty() && bytes < MAX_BATCH_BYTES) {
+            Item next = mQueue.poll();
+            bytes += next.mBytes.length;
+            batch.add(next);
+        }
+        return batch;
+    }
+
+    private void answered(List<Item> batch, AppendResult result) {
+        mInFlight--;
+        if (result instanceof SharedLog.Stored) {
+            mLastStoredMs = mClock.nowMs();
+            batch.forEach(i -> i.mThen.accept(StoreOutcome.STORED));
+            pump();
+            return;
+        }
+        mOut.line("append").with("outcome", result).with("records", batch.size()).write();
+        boolean maybe = !(result instanceof SharedLog.NotStored);
+        for (Item i : batch) {
+            i.mMaybe |= maybe;
+            retryOrEnd(i);
+        }
+        pump();
+    }
+
+    private void retryOrEnd(Item item) {
+        boolean over = mClock.nowMs() >= item.mDeadlineMs;
+        if (!over && (item.mPersistent || item.mMaybe)) {
+            mTimers.after(RETRY_MS, () -> add(item));
+            return;
+        }
+        item.mThen.accept(item.mMaybe ? StoreOutcome.UNKNOWN : StoreOutcome.NOT_STORED);
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines on standard output. */
+package org.foxtailplank.node.log;
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
@@ -0,0 +1,200 @@
+package org.foxtailplank.node.owner;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.RunEnd;
+import org.foxtailplank.job.RunView;
+import org.foxtailplank.port.OrderOutcome;
+import org.foxtailplank.port.WorkerOrders.LookAnswer;
+import org.foxtailplank.port.WorkerOrders.LookOrder;
+import org.foxtailplank.port.WorkerOrders.RunOrder;
+import org.foxtailplank.schedule.LookEffects;
+import org.foxtailplank.schedule.TaskRun;
+import org.foxtailplank.schedule.WorkerState;
+
+/** Looks at one worker again and again: renews its lease, learns of ends, acknowledges them. */
+final class Looker {
+    /** How long a look waits for an end, in milliseconds; a third of a short lease. */
+    private static final long WAIT_MS = 1000;
+
+    /** How long a look at an idle worker waits, in milliseconds: the longest that there is. */
+    private static final long IDLE_WAIT_MS = 2000;
+
+    /** Pause after a look that went unanswered, in milliseconds. */
+    private static final long RETRY_MS = 300;
+
+    /** Pause between looks while ends can't be stored: they would return at once. */
+    private static final long UNSTORED_MS = 400;
+
+    private final OwnerWork mOwner;
+    private final OwnerParts mParts;
+    private final WorkerState mWorker;
+    private final long mToken;
+    private boolean mSettled;
+    private boolean mStopped;
+    private int mTurn;
+
+    Looker(OwnerWork owner, OwnerParts parts, WorkerState worker, long token) {
+        mOwner = owner;
+        mParts = parts;
+        mWorker = worker;
+        mToken = token;
+    }
+
+    void look() {
+        mTurn++;
+        if (mOwner.isOver() || mStopped) {
+            return;
+        }
+        if (!mWorker.isListed() && mWorker.isSilent() && mWorker.runs().isEmpty()) {
+            mStopped = true;
+            mOwner.lookerDone(mWorker);
+            return;
+        }
+        long now = mParts.clock().nowMs();
+        long lease = mParts.settings().schedule().leaseMs();
+        long until = mWorker.leaseUntilMs(now, lease);
+        boolean waits = until > 0 && !mWorker.isSilent() && !mWorker.hasUnstoredEnds();
+        long idle = mWorker.runs().isEmpty() ? IDLE_WAIT_MS : WAIT_MS;
+        LookOrder order =
+                new LookOrder(mToken, mWorker.storedEnds(), until, waits ? idle : 0);
+        if (until > 0) {
+            mWorker.granted(now);
+        }
+        mParts.metrics().counter("looks").inc();
+        mParts.platform().orders().look(mWorker.address(), order, a -> answered(a, now));
+    }
+
+    private void answered(LookAnswer answer, long sentMs) {
+        if (mOwner.isOver()) {
+            return;
+        }
+        switch (answer.outcome()) {
+            case DONE -> seen(answer, sentMs);
+            case FENCED -> mOwner.fenced(mWorker.id());
+            case OTHER_LIFE -> {
+                mStopped = true;
+                mOwner.workerOver(mWorker, "another life answers");
+            }
+            default -> failed(answer.outcome());
+        }
+    }
+
+    private void failed(OrderOutcome outcome) {
+        if (!mWorker.isSilent()) {
+            mParts.log()
+                    .line("worker-silent")
+                    .with("worker", mWorker.id())
+                    .with("outcome", outcome)
+                    .with("runs", mWorker.runs().size())
+                    .write();
+        }
+        mOwner.scheduler().lookFailed(mWorker);
+        again(RETRY_MS);
+    }
+
+    private void seen(LookAnswer answer, long sentMs) {
+        long now = mParts.clock().nowMs();
+        if (mWorker.isSilent()) {
+            mParts.log().line("worker-back").with("worker", mWorker.id()).write();
+        }
+        LookEffects effects = mOwner.scheduler().looked(mWorker, answer, sentMs, now);
+        log(effects);
+        effects.orphans().forEach(this::stopOrphan);
+        settle();
+        mOwner.decisionDue();
+        if (effects.toStore().isEmpty()) {
+            again(mWorker.hasUnstoredEnds() ? UNSTORED_MS : 0);
+            return;
+        }
+        int turn = mTurn;
+        List<EndedRun> ends = new ArrayList<>();
+        for (RunEnd e : effects.toStore()) {
+            ends.add(new EndedRun(e.task(), e.attempt(), e.outcome(), mParts.clock().wallMs()));
+        }
+        mOwner.storeEnds(
+                mWorker,
+                ends,
+                effects.lastSequence(),
+                () -> {
+                    if (turn == mTurn) {
+                        look();
+                    }
+                });
+        // While the store is away the lease has to be renewed all the same.
+        mParts.timers()
+                .after(
+                        UNSTORED_MS,
+                        () -> {
+                            if (turn == mTurn) {
+                                look();
+                            }
+                        });
+    }
+
+    private void again(long delayMs) {
+        int turn = mTurn;
+        mParts.timers()
+                .after(
+                        delayMs,
+                        () -> {
+                            if (turn == mTurn) {
+                                look();
+                            }
+                        });
+    }
+
+    /** From its first look on the worker refuses the earlier owner; then the journal is whole. */
+    private void settle() {
+        if (mSettled) {
+            return;
+        }
+        mSettled = true;
+        settleAfterRead();
+    }
+
+    private void settleAfterRead() {
+        mParts.reader()
+                .refresh(
+                        read -> {
+                            if (read) {
+                                mOwner.scheduler().settled(mWorker.id());
+                                mOwner.decisionDue();
+                            } else if (!mOwner.isOver()) {
+                                mParts.timers().after(RETRY_MS, this::settleAfterRead);
+                            }
+                        });
+    }
+
+    private void stopOrphan(RunView view) {
+        mParts.log()
+                .line("run-unwanted")
+                .with("task", view.task())
+                .with("worker", mWorker.id())
+                .write();
+        RunOrder order = new RunOrder(view.task(), view.attempt(), mToken);
+        mParts.platform().orders().stop(mWorker.address(), order, a -> {});
+    }
+
+    private void log(LookEffects effects) {
+        for (RunEnd e : effects.toStore()) {
+            mParts.log()
+                    .line("run-ended")
+                    .with("task", e.task())
+                    .with("attempt", e.attempt())
+                    .with("worker", mWorker.id())
+                    .with("outcome", e.outcome())
+                    .write();
+        }
+        for (TaskRun r : effects.lost()) {
+            mParts.log()
+                    .line("run-gone")
+                    .with("task", r.slot().name())
+                    .with("attempt", r.attempt())
+                    .with("worker", mWorker.id())
+                    .with("phase", r.phase())
+                    .write();
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -0,0 +1,301 @@
+package org.foxtailplank.node.owner;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobsBegun;
+import org.foxtailplank.job.JournalRecord.OwnerAlive;
+import org.foxtailplank.job.JournalRecord.OwnerLeft;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.port.Feed;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.WorkerInfo;
+import org.foxtailplank.schedule.Decisions;
+import org.foxtailplank.schedule.Scheduler;
+import org.foxtailplank.schedule.TaskRun;
+import org.foxtailplank.schedule.WorkerState;
+
+/** The work of the owner of all jobs, from its take-over until it is fenced or stops. */
+public final class OwnerWork {
+    /** How often time alone is looked at, in milliseconds. */
+    private static final long TICK_MS = 40;
+
+    /** Events within this time are decided on together, in milliseconds. */
+    private static final long GATHER_MS = 4;
+
+    /** How often the owner shows in the journal that it is alive, in milliseconds. */
+    private static final long ALIVE_MS = 700;
+
+    /** How often the directory of workers is read, in milliseconds. */
+    private static final long DIRECTORY_MS = 300;
+
+    /** How long a record of the owner's is tried before a newer state replaces it. */
+    private static final long STORE_MS = 60_000;
+
+    private final OwnerParts mParts;
+    private final Clock mClock;
+    private final long mToken;
+    private final Runnable mFenced;
+    private final Scheduler mScheduler;
+    private final OrderSender mSender;
+    private final Map<String, Looker> mLookers = new HashMap<>();
+
+    private long mDirectoryPosition = -1;
+    private boolean mLoaded;
+    private boolean mOver;
+    private boolean mDecisionDue;
+
+    /** The owner with this fencing token; {@code fenced} runs when a later owner has taken over. */
+    public OwnerWork(OwnerParts parts, long token, Runnable fenced) {
+        mParts = parts;
+        mClock = parts.clock();
+        mToken = token;
+        mFenced = fenced;
+        mScheduler = new Scheduler(parts.settings().schedule(), token, mClock.nowMs());
+        mSender = new OrderSender(this, parts, token);
+    }
+
+    /** Takes over: reads the journal and the directory, then looks at every worker. */
+    public void start() {
+        mParts.log().line("owner-start").with("token", mToken).write();
+        mParts.reader().eager(true);
+        sayAlive();
+        load();
+    }
+
+    private void load() {
+        if (mOver) {
+            return;
+        }
+        mParts.reader()
+                .refresh(
+                        read -> {
+                            if (read) {
+                                mParts.platform().directory().newest(this::loaded);
+                            } else {
+                                mParts.timers().after(DIRECTORY_MS, this::load);
+                            }
+                        });
+    }
+
+    private void loaded(Feed.Result<WorkerInfo> result) {
+        if (!(result instanceof Feed.Page<WorkerInfo> page)) {
+            mParts.timers().after(DIRECTORY_MS, this::load);
+            return;
+        }
+        for (Feed.Item<WorkerInfo> item : page.items()) {
+            item.value().ifPresent(w -> mScheduler.mustSee(w.service(), w.id()));
+        }
+        for (JobEntry job : mParts.reader().book().jobs()) {
+            mScheduler.job(job);
+        }
+        mLoaded = true;
+        takeDirectory(page);
+        mParts.log()
+                .line("owner-loaded")
+                .with("token", mToken)
+                .with("workers", mScheduler.workers().size())
+                .with("journal", mParts.reader().position())
+                .write();
+        mParts.timers().after(DIRECTORY_MS, this::followDirectory);
+        tick();
+    }
+
+    private void followDirectory() {
+        if (mOver) {
+            return;
+        }
+        if (mDirectoryPosition < 0) {
+            mParts.platform().directory().newest(this::directoryRead);
+        } else {
+            mParts.platform().directory().changes(mDirectoryPosition, 0, this::directoryRead);
+        }
+    }
+
+    private void directoryRead(Feed.Result<WorkerInfo> result) {
+        if (result instanceof Feed.Page<WorkerInfo> page) {
+            takeDirectory(page);
+        } else if (result instanceof Feed.Gap) {
+            mDirectoryPosition = -1;
+        }
+        mParts.timers().after(DIRECTORY_MS, this::followDirectory);
+    }
+
+    private void takeDirectory(Feed.Page<WorkerInfo> page) {
+        mDirectoryPosition = page.next();
+        for (Feed.Item<WorkerInfo> item : page.items()) {
+            if (item.value().isPresent()) {
+                listed(item.value().get());
+            } else {
+                mParts.log().line("worker-unlisted").with("worker", item.key()).write();
+                mScheduler.workerUnlisted(item.key());
+            }
+        }
+        decisionDue();
+    }
+
+    private void listed(WorkerInfo info) {
+        Optional<WorkerState> known = mScheduler.worker(info.id());
+        boolean drains = known.map(w -> !w.info().draining()).orElse(true) && info.draining();
+        mScheduler.worker(info, mClock.nowMs());
+        if (known.isEmpty() || drains) {
+            mParts.log()
+                    .line("worker")
+                    .with("worker", info.id())
+                    .with("service", info.service())
+                    .with("rack", info.rack())
+                    .with("draining", info.draining())
+                    .write();
+        }
+        mLookers.computeIfAbsent(info.id(), id -> startLooker(mScheduler.worker(id).get()));
+    }
+
+    private Looker startLooker(WorkerState worker) {
+        Looker looker = new Looker(this, mParts, worker, mToken);
+        mParts.timers().after(0, looker::look);
+        return looker;
+    }
+
+    Scheduler scheduler() {
+        return mScheduler;
+    }
+
+    boolean isOver() {
+        return mOver;
+    }
+
+    /** Ends the looks at a worker whose life is over, and frees its tasks. */
+    void workerOver(WorkerState worker, String why) {
+        mLookers.remove(worker.id());
+        List<TaskRun> ended = mScheduler.workerOver(worker.id());
+        mParts.log()
+                .line("worker-over")
+                .with("worker", worker.id())
+                .with("why", why)
+                .with("runs", ended.size())
+                .write();
+        decisionDue();
+    }
+
+    /** Forgets a worker that neither the directory names nor a run ties. */
+    void lookerDone(WorkerState worker) {
+        mLookers.remove(worker.id());
+    }
+
+    /** A worker has refused this owner: a later one gives orders. */
+    void fenced(String worker) {
+        if (mOver) {
+            return;
+        }
+        mParts.log().line("owner-fenced").with("token", mToken).with("by", worker).write();
+        end();
+        mFenced.run();
+    }
+
+    /** Stops giving orders. */
+    public void end() {
+        mOver = true;
+        mParts.reader().eager(false);
+    }
+
+    /** Gives the place up for another node, on the way to a planned stop. */
+    public void leave() {
+        end();
+        String node = mParts.settings().name();
+        mParts.log().line("owner-leaves").with("token", mToken).write();
+        mParts.writer()
+                .store(new OwnerLeft(mToken, node), mClock.nowMs() + ALIVE_MS, o -> {});
+    }
+
+    /** The journal tells of something. */
+    public void recorded(JournalRecord record, Optional<JobEntry> job) {
+        if (!mLoaded || mOver) {
+            return;
+        }
+        job.ifPresent(mScheduler::job);
+        long now = mClock.nowMs();
+        if (record instanceof JobCancelled cancelled) {
+            mScheduler.jobEnded(cancelled.job(), now);
+        } else if (record instanceof RunsEnded ended) {
+            for (EndedRun r : ended.runs()) {
+                mScheduler.recorded(r.task(), r.outcome(), now);
+            }
+        }
+        decisionDue();
+    }
+
+    /** Stores ends and then lets the worker forget them. */
+    void storeEnds(WorkerState worker, List<EndedRun> ends, long upTo, Runnable then) {
+        mParts.writer()
+                .storePersistently(
+                        new RunsEnded(ends),
+                        mClock.nowMs() + STORE_MS,
+                        o -> {
+                            worker.storedEnds(upTo);
+                            then.run();
+                        });
+    }
+
+    /** Something happened that may change what to do. */
+    void decisionDue() {
+        if (!mDecisionDue && mLoaded && !mOver) {
+            mDecisionDue = true;
+            mParts.timers().after(GATHER_MS, this::decide);
+        }
+    }
+
+    private void tick() {
+        if (mOver) {
+            return;
+        }
+        mParts.timers().after(TICK_MS, this::tick);
+        decisionDue();
+    }
+
+    private void decide() {
+        mDecisionDue = false;
+        if (mOver) {
+            return;
+        }
+        long now = mClock.nowMs();
+        for (TaskRun r : mScheduler.takeLapsed(now)) {
+            mParts.log()
+                    .line("run-lapsed")
+                    .with("task", r.slot().name())
+                    .with("attempt", r.attempt())
+                    .with("worker", r.worker().id())
+                    .write();
+        }
+        Optional<FleetConfig> config = mParts.operator().config();
+        if (config.isPresent()) {
+            Decisions decisions = mScheduler.decide(config.get(), now, mClock.wallMs());
+            mSender.send(decisions);
+        }
+        storeBegun();
+    }
+
+    private void storeBegun() {
+        List<String> begun = new ArrayList<>(mScheduler.takeNewlyBegun());
+        if (!begun.isEmpty()) {
+            mParts.writer()
+                    .storePersistently(
+                            new JobsBegun(begun), mClock.nowMs() + STORE_MS, o -> {});
+        }
+    }
+
+    private void sayAlive() {
+        if (mOver) {
+            return;
+        }
+        String node = mParts.settings().name();
+        mParts.writer().store(new OwnerAlive(mToken, node), mClock.nowMs() + ALIVE_MS, o -> {});
+        mParts.timers().after(ALIVE_MS, this::sayAlive);
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -0,0 +1,177 @@
+package org.foxtailplank.node.owner;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.LongConsumer;
+import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.OwnerAlive;
+import org.foxtailplank.job.JournalRecord.OwnerLeft;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.Timers;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
+import org.foxtailplank.port.SharedLog.AppendResult;
+
+/**
+ * Decides when this node tries to become the owner, and takes ownership by a conditional append.
+ *
+ * <p>An owner that falls silent in the journal is replaced. Time decides only when to try: who owns
+ * is decided by the append, of which only one succeeds at an offset, and workers obey the highest
+ * offset that they have seen.
+ */
+public final class Ownership {
+    /** Silence after which an owner is replaced, in milliseconds: some of its own signs. */
+    private static final long SILENT_MS = 2200;
+
+    /** Spread of the tries of several nodes, in milliseconds: an append takes about 10. */
+    private static final long SPREAD_MS = 400;
+
+    /** How often to look whether the owner is silent, in milliseconds. */
+    private static final long CHECK_MS = 100;
+
+    /** Reads further apart than this tell nothing of the owner's silence, in milliseconds. */
+    private static final long READ_GAP_MS = 1500;
+
+    private static final LogPartition OWNERS = new LogPartition("foxtail-owners", 0);
+
+    private final SharedLog mLog;
+    private final JournalReader mReader;
+    private final Clock mClock;
+    private final Timers mTimers;
+    private final NodeLog mOut;
+    private final OwnerRecord mSelf;
+    private final LongConsumer mTaken;
+
+    private long mSpreadMs;
+    private long mSignMs;
+    private long mLastReadMs;
+    private long mToken;
+    private boolean mTrying;
+    private boolean mOwner;
+    private boolean mStopped;
+
+    /** Ownership for a node; {@code taken} is told the token when it becomes the owner. */
+    public Ownership(
+            SharedLog log,
+            JournalReader reader,
+            Clock clock,
+            Timers timers,
+            NodeLog out,
+            String node,
+            LongConsumer taken) {
+        mLog = log;
+        mReader = reader;
+        mClock = clock;
+        mTimers = timers;
+        mOut = out;
+        mSelf = new OwnerRecord(node, Long.toHexString(ThreadLocalRandom.current().nextLong()));
+        mTaken = taken;
+        mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
+        mSignMs = clock.nowMs() - SILENT_MS;
+    }
+
+    /** Begins to watch the owner. */
+    public void watch() {
+        mTimers.after(CHECK_MS, this::check);
+    }
+
+    /** A record of the journal was read. */
+    public void seen(JournalRecord record) {
+        if (record instanceof OwnerAlive alive && alive.token() >= mToken) {
+            mToken = alive.token();
+            mSignMs = mClock.nowMs();
+        } else if (record instanceof OwnerLeft left && left.token() >= mToken) {
+            mToken = left.token();
+            mSignMs = mClock.nowMs() - SILENT_MS;
+        }
+    }
+
+    /** This node does not own any more; another one gave orders with a higher token. */
+    public void lost() {
+        mOwner = false;
+        mSignMs = mClock.nowMs();
+    }
+
+    /** This node stops; it takes ownership no more. */
+    public void stop() {
+        mStopped = true;
+        mOwner = false;
+    }
+
+    private void check() {
+        mTimers.after(CHECK_MS, this::check);
+        long now = mClock.nowMs();
+        long read = mReader.lastReadMs();
+        if (read - mLastReadMs > READ_GAP_MS) {
+            // While nothing could be read, the owner's signs could not be seen either.
+            mSignMs = Math.max(mSignMs, read);
+        }
+        mLastReadMs = Math.max(mLastReadMs, read);
+        boolean fresh = now - read < READ_GAP_MS;
+        boolean silent = now - mSignMs >= SILENT_MS + mSpreadMs;
+        if (mReader.isCaughtUp() && fresh && silent && !mOwner && !mTrying && !mStopped) {
+            tryToTake();
+        }
+    }
+
+    private void tryToTake() {
+        mTrying = true;
+        mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
+        mLog.appendAt(OWNERS, mToken, mSelf.encode(), this::answered);
+    }
+
+    private void answered(AppendResult result) {
+        mOut.line("owner-try")
+                .with("node", mSelf.node())
+                .with("expectedToken", mToken)
+                .with("outcome", result)
+                .write();
+        if (result instanceof SharedLog.Stored stored) {
+            take(stored.firstOffset() + 1);
+        } else if (result instanceof SharedLog.EndMoved moved) {
+            checkLast(moved.end());
+        } else if (result instanceof SharedLog.MaybeStored) {
+            checkLast(mToken + 1);
+        } else {
+            mTrying = false;
+        }
+    }
+
+    /** Somebody took ownership, perhaps this node by an append whose answer was lost. */
+    private void checkLast(long end) {
+        if (end <= mToken) {
+            mTrying = false;
+            return;
+        }
+        mLog.read(
+                OWNERS,
+                end - 1,
+                0,
+                r -> {
+                    boolean found =
+                            r instanceof SharedLog.Records page
+                                    && page.records().size() == 1
+                                    && OwnerRecord.decode(page.records().get(0)).equals(mSelf);
+                    if (found) {
+                        take(end);
+                        return;
+                    }
+                    mTrying = false;
+                    if (r instanceof SharedLog.Records page && page.end() > mToken) {
+                        mToken = page.end();
+                        mSignMs = mClock.nowMs();
+                    }
+                });
+    }
+
+    private void take(long token) {
+        mTrying = false;
+        if (mStopped) {
+            return;
+        }
+        mToken = token;
+        mOwner = true;
+        mTaken.accept(token);
+    }
+}
