--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
@@ -12,10 +14,14 @@
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.VmRebooted;
+import org.foxtailplank.job.JournalRecord.WaveCompleted;
 
 /** All jobs that the journal tells of; each node keeps one and answers callers from it. */
 public final class JobBook {
     private final Map<String, JobEntry> mJobs = new LinkedHashMap<>();
+    private final Map<Long, Set<String>> mRebooted = new HashMap<>();
+    private final Set<Long> mCompletedWaves = new HashSet<>();
     private final long mKeepEndedMs;
 
     /**
@@ -43,6 +49,10 @@
             }
         } else if (record instanceof JobsBegun r) {
             r.jobs().forEach(id -> job(id).ifPresent(JobEntry::begin));
+        } else if (record instanceof VmRebooted r) {
+            mRebooted.computeIfAbsent(r.wave(), w -> new HashSet<>()).add(r.vm());
+        } else if (record instanceof WaveCompleted r) {
+            mCompletedWaves.add(r.wave());
         } else if (!(record instanceof OwnerAlive || record instanceof OwnerLeft)) {
             throw new IllegalStateException("no rule for " + record.getClass());
         }
@@ -57,6 +67,16 @@
         return mJobs.values();
     }
 
+    /** VMs that have begun their reboot for a wave. */
+    public Set<String> rebooted(long wave) {
+        return mRebooted.getOrDefault(wave, Set.of());
+    }
+
+    /** Whether every VM of a wave has begun its reboot. */
+    public boolean isCompleted(long wave) {
+        return mCompletedWaves.contains(wave);
+    }
+
     /** Accepted jobs of a queue for which no task has started. */
     public int pending(String route) {
         int count = 0;
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -34,6 +34,12 @@
     /** The owner with this fencing token gives its place up. */
     record OwnerLeft(long token, String node) implements JournalRecord {}
 
+    /** A VM has begun its reboot for a wave. */
+    record VmRebooted(long wave, String vm) implements JournalRecord {}
+
+    /** Every VM of a wave has begun its reboot. */
+    record WaveCompleted(long wave) implements JournalRecord {}
+
     /**
      * One ended run.
      *
--- a/foxtail-core/src/main/java/org/foxtailplank/port/VmActions.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/VmActions.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.foxtailplank.fleet.Resources;
 
 /** What the platform lets us do with VMs. */
 public interface VmActions {
@@ -26,8 +27,9 @@
      * @param pool pool that it belongs to
      * @param phase what it is doing
      * @param worker life of its worker; empty while it has none
+     * @param capacity what its worker offers
      */
-    record VmInfo(String id, String pool, VmPhase phase, String worker) {}
+    record VmInfo(String id, String pool, VmPhase phase, String worker, Resources capacity) {}
 
     /** What a VM is doing. */
     enum VmPhase {
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -0,0 +1,199 @@
+package org.foxtailplank.schedule;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.PoolService;
+import org.foxtailplank.port.VmActions.VmPhase;
+
+/**
+ * Moves VMs to the pools whose queues are long, and idle ones to the standby pool.
+ *
+ * <p>Answers queues whose demand rises by turns: each asks for some seconds several times what its
+ * pool holds while the others are nearly idle. A VM takes one to two seconds to move, a job may
+ * take three to five, so that VMs that come in the first second still serve it in time. Only VMs on
+ * which nothing runs are moved.
+ */
+final class PoolBalance {
+    /** Work that waits should be done within this time, in milliseconds. */
+    private static final long CLEAR_MS = 1500;
+
+    /** A VM that was moved stays at least this long, in milliseconds: a move has its price. */
+    private static final long STAY_MS = 2500;
+
+    /** An idle VM goes to the standby pool after this time, in milliseconds. */
+    private static final long IDLE_MS = 2000;
+
+    /** Idle VMs that a serving pool keeps for what comes at once. */
+    private static final int KEEP_IDLE = 1;
+
+    private final Scheduler mScheduler;
+    private final VmTable mVms;
+
+    PoolBalance(Scheduler scheduler, VmTable vms) {
+        mScheduler = scheduler;
+        mVms = vms;
+    }
+
+    private static final class Pool {
+        final String mName;
+        final List<VmState> mIdle = new ArrayList<>();
+        double mLack;
+        long mSize = 1;
+
+        Pool(String name) {
+            mName = name;
+        }
+
+        /** VMs that the pool lacks; negative for those it can do without. */
+        double lackedVms() {
+            return mLack / mSize;
+        }
+    }
+
+    void plan(FleetConfig config, long nowMs, long nowWallMs) {
+        Map<String, Pool> pools = new LinkedHashMap<>();
+        for (PoolService s : config.services()) {
+            if (!s.standby()) {
+                pools.put(s.name(), new Pool(s.name()));
+            }
+        }
+        List<VmState> standby = new ArrayList<>();
+        for (VmState vm : mVms.all()) {
+            Pool pool = pools.get(vm.info().pool());
+            if (pool != null) {
+                addVm(pool, vm, nowMs);
+            } else if (config.isStandby(vm.info().pool()) && vm.isFree()) {
+                standby.add(vm);
+            }
+        }
+        pools.values().forEach(p -> p.mLack += backlog(p.mName, nowWallMs) / CLEAR_MS);
+        fill(pools, standby, nowMs);
+        park(config, pools, nowMs);
+    }
+
+    /** Counts the VM's room for tasks that end, and whether it could go. */
+    private void addVm(Pool pool, VmState vm, long nowMs) {
+        long size = vm.info().capacity().milliProcessors();
+        pool.mSize = Math.max(pool.mSize, size);
+        Optional<WorkerState> worker = mScheduler.worker(vm.info().worker());
+        boolean moving = vm.info().phase() == VmPhase.MOVING;
+        boolean joining = worker.isEmpty() && vm.info().phase() == VmPhase.UP && vm.isFree();
+        if (moving || joining) {
+            pool.mLack -= size;
+            return;
+        }
+        boolean serves = vm.isFree() && worker.isPresent() && worker.get().isUsable(nowMs);
+        vm.idle(serves && worker.get().runs().isEmpty(), nowMs);
+        if (!serves) {
+            return;
+        }
+        long standing = 0;
+        for (TaskRun r : worker.get().runs()) {
+            if (r.slot().spec().mode().standing()) {
+                standing += r.slot().spec().reserved().milliProcessors();
+            }
+        }
+        pool.mLack -= size - standing;
+        if (vm.idleSinceMs() >= 0) {
+            pool.mIdle.add(vm);
+        }
+    }
+
+    /** Work that is waiting or running in a service, in milliseconds of thousandths of a core. */
+    private double backlog(String service, long nowWallMs) {
+        double sum = 0;
+        for (ActiveJob job : mScheduler.runs().jobs()) {
+            if (job.isEnding() || !job.order().service().equals(service)) {
+                continue;
+            }
+            for (ActiveRun run : job.runs()) {
+                boolean due = run.dueWallMs() <= nowWallMs;
+                if (due && !run.isDone() && !job.order().isStanding()) {
+                    sum += run.remainingWork();
+                }
+            }
+        }
+        return sum;
+    }
+
+    private void fill(Map<String, Pool> pools, List<VmState> standby, long nowMs) {
+        List<Pool> lacking = new ArrayList<>(pools.values());
+        lacking.sort(Comparator.comparingDouble(Pool::lackedVms).reversed());
+        for (Pool pool : lacking) {
+            while (pool.lackedVms() > 0.5) {
+                Optional<VmState> vm =
+                        standby.isEmpty()
+                                ? lend(pools, pool, nowMs)
+                                : Optional.of(standby.remove(0));
+                if (vm.isEmpty()) {
+                    break;
+                }
+                vm.get().plan(new VmAction.Move(pool.mName, "queue is long"), nowMs);
+                pool.mLack -= vm.get().info().capacity().milliProcessors();
+            }
+        }
+    }
+
+    /** An idle VM of the pool that can best do without. */
+    private static Optional<VmState> lend(Map<String, Pool> pools, Pool to, long nowMs) {
+        Pool from = null;
+        for (Pool p : pools.values()) {
+            boolean spare = p != to && p.lackedVms() <= -1 - KEEP_IDLE && hasMovable(p, nowMs);
+            if (spare && (from == null || p.lackedVms() < from.lackedVms())) {
+                from = p;
+            }
+        }
+        if (from == null) {
+            return Optional.empty();
+        }
+        return Optional.of(take(from, nowMs));
+    }
+
+    private static boolean hasMovable(Pool pool, long nowMs) {
+        return pool.mIdle.stream().anyMatch(v -> isMovable(v, nowMs));
+    }
+
+    private static boolean isMovable(VmState vm, long nowMs) {
+        return vm.movedMs() < 0 || nowMs - vm.movedMs() > STAY_MS;
+    }
+
+    private static VmState take(Pool pool, long nowMs) {
+        for (VmState v : pool.mIdle) {
+            if (isMovable(v, nowMs)) {
+                pool.mIdle.remove(v);
+                pool.mLack += v.info().capacity().milliProcessors();
+                return v;
+            }
+        }
+        throw new IllegalStateException("no VM of " + pool.mName + " can be taken");
+    }
+
+    private static void park(FleetConfig config, Map<String, Pool> pools, long nowMs) {
+        Optional<PoolService> standby =
+                config.services().stream().filter(PoolService::standby).findFirst();
+        if (standby.isEmpty()) {
+            return;
+        }
+        for (Pool pool : pools.values()) {
+            List<VmState> idle = new ArrayList<>(pool.mIdle);
+            int kept = 0;
+            for (VmState vm : idle) {
+                if (kept < KEEP_IDLE) {
+                    kept++;
+                    continue;
+                }
+                boolean longIdle = nowMs - vm.idleSinceMs() > IDLE_MS && isMovable(vm, nowMs);
+                if (longIdle && pool.lackedVms() <= -1 - KEEP_IDLE) {
+                    pool.mLack += vm.info().capacity().milliProcessors();
+                    String name = standby.get().name();
+                    vm.plan(new VmAction.Move(name, "nothing runs there"), nowMs);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -0,0 +1,110 @@
+package org.foxtailplank.schedule;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.VmActions.VmInfo;
+import org.foxtailplank.port.VmActions.VmOutcome;
+import org.foxtailplank.port.WaveOrder;
+
+/** Decides which VMs are rebooted and moved, and empties their workers first. */
+public final class VmPlanner {
+    private final Scheduler mScheduler;
+    private final VmTable mVms = new VmTable();
+    private final WaveKeeper mWaves = new WaveKeeper();
+    private final PoolBalance mBalance;
+    private final Map<String, Long> mActedMs = new HashMap<>();
+    private final Set<Long> mReported = new HashSet<>();
+
+    /** A planner for the VMs whose workers a scheduler knows. */
+    public VmPlanner(Scheduler scheduler) {
+        mScheduler = scheduler;
+        mBalance = new PoolBalance(scheduler, mVms);
+    }
+
+    /**
+     * What is to be done about VMs now.
+     *
+     * @param actions calls to the platform
+     * @param completed waves that are completed and not yet reported so
+     */
+    public record VmDecisions(List<Call> actions, List<Long> completed) {
+        public VmDecisions {
+            actions = List.copyOf(actions);
+            completed = List.copyOf(completed);
+        }
+    }
+
+    /** A call to the platform. */
+    public record Call(VmState vm, VmAction action) {}
+
+    /** A list of all VMs, asked for at {@code askedMs}. */
+    public void listed(List<VmInfo> vms, long askedMs) {
+        mVms.listed(vms, askedMs, mActedMs);
+    }
+
+    /** What the platform said to a call. */
+    public void answered(Call call, VmOutcome outcome, long nowMs) {
+        mActedMs.put(call.vm().id(), nowMs);
+        VmTable.answered(call.vm(), call.action(), outcome, nowMs);
+        if (call.vm().planned().isEmpty()) {
+            worker(call.vm()).ifPresent(w -> w.vacating(false));
+        }
+    }
+
+    /** What to do now. */
+    public VmDecisions decide(
+            FleetConfig config, Collection<WaveOrder> waves, JobBook book, long nowMs,
+            long nowWallMs) {
+        List<Long> completed = new ArrayList<>();
+        for (WaveOrder wave : waves) {
+            if (mVms.all().isEmpty() || book.isCompleted(wave.number())) {
+                continue;
+            }
+            boolean done = mWaves.advance(wave, book, mVms, mScheduler, config, nowMs);
+            if (done && mReported.add(wave.number())) {
+                completed.add(wave.number());
+            }
+        }
+        mBalance.plan(config, nowMs, nowWallMs);
+        return new VmDecisions(carryOut(nowMs), completed);
+    }
+
+    /** A report of a completed wave was not stored; it is due again. */
+    public void notReported(long wave) {
+        mReported.remove(wave);
+    }
+
+    private List<Call> carryOut(long nowMs) {
+        List<Call> calls = new ArrayList<>();
+        for (VmState vm : mVms.all()) {
+            if (vm.planned().isEmpty() || vm.isCalling()) {
+                continue;
+            }
+            Optional<WorkerState> worker = worker(vm);
+            worker.ifPresent(w -> vacate(vm, w, nowMs));
+            if (worker.isEmpty() || worker.get().runs().isEmpty()) {
+                vm.calling(true);
+                calls.add(new Call(vm, vm.planned().get()));
+            }
+        }
+        return calls;
+    }
+
+    private void vacate(VmState vm, WorkerState worker, long nowMs) {
+        worker.vacating(true);
+        List<WorkerState> others = mScheduler.workersOf(worker.info().service());
+        Vacating.step(worker, others, vm.plannedMs(), nowMs);
+    }
+
+    private Optional<WorkerState> worker(VmState vm) {
+        return mScheduler.worker(vm.info().worker());
+    }
+}
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
@@ -0,0 +1,89 @@
+package org.foxtailplank.schedule;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.VmActions.VmPhase;
+import org.foxtailplank.port.WaveOrder;
+
+/**
+ * Chooses the VMs of maintenance waves that are rebooted next.
+ *
+ * <p>VMs that are off go first, then idle ones, then those with the fewest standing tasks: each
+ * reboot costs as little running work as there is a choice. No more are chosen at a time than the
+ * wave allows to be down, so that a VM is never emptied long before its turn.
+ */
+final class WaveKeeper {
+    private final Map<Long, Long> mFirstSeenMs = new HashMap<>();
+
+    /** Plans reboots of a wave; returns whether all of its VMs have begun theirs. */
+    boolean advance(
+            WaveOrder wave, JobBook book, VmTable vms, Scheduler scheduler, FleetConfig config,
+            long nowMs) {
+        mFirstSeenMs.putIfAbsent(wave.number(), nowMs);
+        Set<String> rebooted = book.rebooted(wave.number());
+        List<VmState> left = new ArrayList<>();
+        int down = 0;
+        int planned = 0;
+        for (String id : wave.vms()) {
+            Optional<VmState> vm = vms.vm(id);
+            if (vm.isEmpty()) {
+                continue;
+            }
+            VmState v = vm.get();
+            if (rebooted.contains(id)) {
+                down += v.info().phase() == VmPhase.UP ? 0 : 1;
+                continue;
+            }
+            left.add(v);
+            down += v.info().phase() == VmPhase.REBOOTING ? 1 : 0;
+            planned += v.planned().isPresent() ? 1 : 0;
+        }
+        int room = wave.atOnce() - down - planned;
+        left.stream()
+                .filter(VmState::isFree)
+                .filter(v -> !isMissed(v, vms, scheduler))
+                .sorted(Comparator.comparingDouble(v -> cost(v, scheduler, config, nowMs)))
+                .limit(Math.max(0, room))
+                .forEach(v -> v.plan(new VmAction.Reboot(wave.number()), nowMs));
+        return left.isEmpty();
+    }
+
+    /** Whether half of the VMs of its pool are already on their way out. */
+    private static boolean isMissed(VmState vm, VmTable vms, Scheduler scheduler) {
+        int all = 0;
+        int out = 0;
+        for (VmState v : vms.all()) {
+            if (v.info().pool().equals(vm.info().pool())) {
+                all++;
+                out += v.isFree() ? 0 : 1;
+            }
+        }
+        boolean hasWorker = scheduler.worker(vm.info().worker()).isPresent();
+        return hasWorker && 2 * out >= all;
+    }
+
+    private static double cost(
+            VmState vm, Scheduler scheduler, FleetConfig config, long nowMs) {
+        if (config.isStandby(vm.info().pool())) {
+            return -1;
+        }
+        Optional<WorkerState> worker = scheduler.worker(vm.info().worker());
+        if (worker.isEmpty()) {
+            return 0;
+        }
+        int standing = 0;
+        for (TaskRun r : worker.get().runs()) {
+            standing += r.slot().spec().mode().standing() ? 1 : 0;
+        }
+        long used = worker.get().used().milliProcessors();
+        long all = Math.max(1, worker.get().info().capacity().milliProcessors());
+        return standing + (double) used / all;
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -18,6 +18,8 @@
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.VmRebooted;
+import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskName;
 
@@ -35,6 +37,8 @@
     private static final int BEGUN = 4;
     private static final int ALIVE = 5;
     private static final int LEFT = 6;
+    private static final int REBOOTED = 7;
+    private static final int COMPLETED = 8;
 
     private JournalCodec() {}
 
@@ -55,6 +59,12 @@
         if (record instanceof OwnerAlive r) {
             return message(out -> part(out, ALIVE, o -> named(o, r.token(), r.node())));
         }
+        if (record instanceof VmRebooted r) {
+            return message(out -> part(out, REBOOTED, o -> named(o, r.wave(), r.vm())));
+        }
+        if (record instanceof WaveCompleted r) {
+            return message(out -> part(out, COMPLETED, o -> named(o, r.wave(), "")));
+        }
         OwnerLeft r = (OwnerLeft) record;
         return message(out -> part(out, LEFT, o -> named(o, r.token(), r.node())));
     }
@@ -64,7 +74,7 @@
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         int tag = in.readTag();
         int kind = WireFormat.getTagFieldNumber(tag);
-        if (kind < ACCEPTED || kind > LEFT) {
+        if (kind < ACCEPTED || kind > COMPLETED) {
             return Optional.empty();
         }
         CodedInputStream body = in.readBytes().newCodedInput();
@@ -82,6 +92,8 @@
         return switch (kind) {
             case CANCELLED -> new JobCancelled(named.name(), named.number());
             case ALIVE -> new OwnerAlive(named.number(), named.name());
+            case REBOOTED -> new VmRebooted(named.number(), named.name());
+            case COMPLETED -> new WaveCompleted(named.number());
             default -> new OwnerLeft(named.number(), named.name());
         };
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -45,6 +45,7 @@
     private final Runnable mFenced;
     private final Scheduler mScheduler;
     private final OrderSender mSender;
+    private final VmWork mVms;
     private final Map<String, Looker> mLookers = new HashMap<>();
 
     private long mDirectoryPosition = -1;
@@ -60,6 +61,7 @@
         mFenced = fenced;
         mScheduler = new Scheduler(parts.settings().schedule(), token, mClock.nowMs());
         mSender = new OrderSender(this, parts, token);
+        mVms = new VmWork(this, parts, token);
     }
 
     /** Takes over: reads the journal and the directory, then looks at every worker. */
@@ -105,6 +107,7 @@
                 .with("journal", mParts.reader().position())
                 .write();
         mParts.timers().after(DIRECTORY_MS, this::followDirectory);
+        mVms.start();
         tick();
     }
 
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -0,0 +1,160 @@
+package org.foxtailplank.node.owner;
+
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.job.JournalRecord.VmRebooted;
+import org.foxtailplank.job.JournalRecord.WaveCompleted;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.journal.StoreOutcome;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.SharedLog;
+import org.foxtailplank.port.VmActions.Holder;
+import org.foxtailplank.port.VmActions.VmInfo;
+import org.foxtailplank.port.VmActions.VmOutcome;
+import org.foxtailplank.port.WaveOrder;
+import org.foxtailplank.schedule.VmAction;
+import org.foxtailplank.schedule.VmPlanner;
+import org.foxtailplank.schedule.VmPlanner.Call;
+
+/** Carries out what is decided about VMs: lists, moves, reboots, and says how waves go. */
+final class VmWork {
+    /** How often VMs are listed, in milliseconds; an action takes about two seconds. */
+    private static final long LIST_MS = 400;
+
+    /** How often to decide, in milliseconds. */
+    private static final long DECIDE_MS = 100;
+
+    /** How long a record about a wave is tried, in milliseconds. */
+    private static final long STORE_MS = 60_000;
+
+    private final OwnerWork mOwner;
+    private final OwnerParts mParts;
+    private final Clock mClock;
+    private final Holder mHolder;
+    private final VmPlanner mPlanner;
+    private boolean mListed;
+
+    VmWork(OwnerWork owner, OwnerParts parts, long token) {
+        mOwner = owner;
+        mParts = parts;
+        mClock = parts.clock();
+        mHolder = new Holder(parts.settings().name(), token);
+        mPlanner = new VmPlanner(owner.scheduler());
+    }
+
+    void start() {
+        list();
+        decide();
+    }
+
+    private void list() {
+        if (mOwner.isOver()) {
+            return;
+        }
+        long asked = mClock.nowMs();
+        mParts.platform()
+                .vms()
+                .list(
+                        vms -> {
+                            vms.ifPresent(v -> listed(v, asked));
+                            mParts.timers().after(LIST_MS, this::list);
+                        });
+    }
+
+    private void listed(List<VmInfo> vms, long askedMs) {
+        mListed = true;
+        mPlanner.listed(vms, askedMs);
+    }
+
+    private void decide() {
+        if (mOwner.isOver()) {
+            return;
+        }
+        mParts.timers().after(DECIDE_MS, this::decide);
+        Optional<FleetConfig> config = mParts.operator().config();
+        if (!mListed || config.isEmpty()) {
+            return;
+        }
+        VmPlanner.VmDecisions decisions =
+                mPlanner.decide(
+                        config.get(),
+                        mParts.operator().waves().values(),
+                        mParts.reader().book(),
+                        mClock.nowMs(),
+                        mClock.wallMs());
+        decisions.actions().forEach(this::call);
+        decisions.completed().forEach(this::completed);
+        mOwner.decisionDue();
+    }
+
+    private void call(Call call) {
+        String vm = call.vm().id();
+        if (call.action() instanceof VmAction.Move move) {
+            mParts.platform().vms().move(vm, move.pool(), mHolder, o -> answered(call, o));
+        } else {
+            long wave = ((VmAction.Reboot) call.action()).wave();
+            mParts.platform().vms().reboot(vm, wave, mHolder, o -> answered(call, o));
+        }
+    }
+
+    private void answered(Call call, VmOutcome outcome) {
+        mParts.log()
+                .line("vm-action")
+                .with("vm", call.vm().id())
+                .with("action", call.action())
+                .with("from", call.vm().info().pool())
+                .with("outcome", outcome)
+                .write();
+        if (mOwner.isOver()) {
+            return;
+        }
+        if (outcome == VmOutcome.FENCED) {
+            mOwner.fenced(call.vm().id());
+            return;
+        }
+        String worker = call.vm().info().worker();
+        mPlanner.answered(call, outcome, mClock.nowMs());
+        if (outcome == VmOutcome.DONE) {
+            mOwner.scheduler()
+                    .worker(worker)
+                    .ifPresent(w -> mOwner.workerOver(w, "its VM was moved or rebooted"));
+            rebooted(call);
+        }
+    }
+
+    private void rebooted(Call call) {
+        if (call.action() instanceof VmAction.Reboot reboot) {
+            mParts.writer()
+                    .storePersistently(
+                            new VmRebooted(reboot.wave(), call.vm().id()),
+                            mClock.nowMs() + STORE_MS,
+                            o -> {});
+        }
+    }
+
+    private void completed(long wave) {
+        mParts.log().line("wave-completed").with("wave", wave).write();
+        mParts.platform().waves().write(wave, true, r -> reported(wave, r));
+    }
+
+    private void reported(long wave, SharedLog.AppendResult result) {
+        if (!(result instanceof SharedLog.Stored)) {
+            mPlanner.notReported(wave);
+            return;
+        }
+        mParts.writer()
+                .storePersistently(
+                        new WaveCompleted(wave),
+                        mClock.nowMs() + STORE_MS,
+                        o -> {
+                            if (o != StoreOutcome.STORED) {
+                                mPlanner.notReported(wave);
+                            }
+                        });
+    }
+
+    /** Says that a wave is being worked on. */
+    void running(WaveOrder wave) {
+        mParts.platform().waves().write(wave.number(), false, r -> {});
+    }
+}
