Starts are written down before they are sent, by a writer that the store fences

Ruled out: double ownership (one holder in the log). Change: the owner's records go through one fenced writer, starts before their orders; a new owner inherits the starts it reads; a complete list of VMs ends lives at once.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
@@ -10,10 +10,11 @@
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
-import org.foxtailplank.job.JournalRecord.JobsBegun;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 
@@ -47,8 +48,10 @@
             for (EndedRun run : r.runs()) {
                 job(run.task().job()).ifPresent(j -> j.ended(run));
             }
-        } else if (record instanceof JobsBegun r) {
-            r.jobs().forEach(id -> job(id).ifPresent(JobEntry::begin));
+        } else if (record instanceof RunsStarted r) {
+            for (StartedRun run : r.runs()) {
+                job(run.task().job()).ifPresent(j -> j.started(run));
+            }
         } else if (record instanceof VmRebooted r) {
             mRebooted.computeIfAbsent(r.wave(), w -> new HashSet<>()).add(r.vm());
         } else if (record instanceof WaveCompleted r) {
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobEntry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobEntry.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.job;
 
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -11,6 +12,8 @@
     private final JobOrder mOrder;
     private final BitSet mDone = new BitSet();
     private final Map<Integer, Set<Integer>> mFailedAttempts = new HashMap<>();
+    private final Map<Integer, JournalRecord.StartedRun> mLastStarts = new HashMap<>();
+    private final Set<Long> mEndedAttempts = new HashSet<>();
     private final int mTasks;
 
     private boolean mCancelled;
@@ -63,8 +66,28 @@
         }
     }
 
-    void begin() {
+    void started(JournalRecord.StartedRun run) {
         mBegun = true;
+        if (mOrder.has(run.task())) {
+            mLastStarts.merge(
+                    mOrder.position(run.task()),
+                    run,
+                    (a, b) -> a.attempt() > b.attempt() ? a : b);
+        }
+    }
+
+    /** The last start of each task that was started; its run may have ended since. */
+    public Collection<JournalRecord.StartedRun> lastStarts() {
+        return mLastStarts.values();
+    }
+
+    /** Whether the journal tells that a run has ended done or failed. */
+    public boolean hasEnded(JournalRecord.StartedRun run) {
+        return isDone(run.task()) || mEndedAttempts.contains(endKey(run.task(), run.attempt()));
+    }
+
+    private long endKey(TaskName task, int attempt) {
+        return ((long) mOrder.position(task) << Integer.SIZE) + attempt;
     }
 
     void ended(JournalRecord.EndedRun run) {
@@ -72,6 +95,7 @@
             return;
         }
         mBegun = true;
+        mEndedAttempts.add(endKey(run.task(), run.attempt()));
         TaskStep step = mOrder.steps().get(run.task().step());
         if (step.mode().standing()) {
             return;
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -21,13 +21,25 @@
         }
     }
 
-    /** The first task of each of these jobs has been started. */
-    record JobsBegun(List<String> jobs) implements JournalRecord {
-        public JobsBegun {
-            jobs = List.copyOf(jobs);
+    /**
+     * Runs are about to be started. They are written down before the orders are sent, so that a new
+     * owner knows on which worker a task may be running.
+     */
+    record RunsStarted(List<StartedRun> runs) implements JournalRecord {
+        public RunsStarted {
+            runs = List.copyOf(runs);
         }
     }
 
+    /**
+     * One run that is about to be started.
+     *
+     * @param task the task
+     * @param attempt number of the run
+     * @param worker life of the worker
+     */
+    record StartedRun(TaskName task, int attempt, String worker) {}
+
     /** The owner with this fencing token is alive. */
     record OwnerAlive(long token, String node) implements JournalRecord {}
 
--- a/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
@@ -13,6 +13,26 @@
     void appendAt(
             LogPartition partition, long expectedEnd, byte[] record, Consumer<AppendResult> then);
 
+    /**
+     * Appends records of a writer with an epoch, all or none. The log refuses an epoch below the
+     * highest one of that writer, and repeats the answer to a sequence number that it has seen. No
+     * records only raise the epoch.
+     */
+    void appendAs(
+            LogPartition partition,
+            WriterEpoch writer,
+            List<byte[]> records,
+            Consumer<AppendResult> then);
+
+    /**
+     * Who writes, so that an earlier holder of the same name can be kept out.
+     *
+     * @param name name of the writer
+     * @param epoch rises with each holder of the name
+     * @param sequence number of the append within the epoch
+     */
+    record WriterEpoch(String name, long epoch, long sequence) {}
+
     /**
      * Reads records from an offset on, and waits for the first one for so long; 0 doesn't wait.
      */
@@ -27,6 +47,12 @@
     /** The partition ends elsewhere; nothing was stored. */
     record EndMoved(long end) implements AppendResult {}
 
+    /** A higher epoch has written; nothing was stored. */
+    record Fenced() implements AppendResult {}
+
+    /** Another sequence number is due; nothing was stored. */
+    record OutOfSequence(long expected) implements AppendResult {}
+
     /** Nothing was stored. */
     record NotStored(String reason) implements AppendResult {}
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
@@ -12,7 +12,6 @@
     private final JobEntry mEntry;
     private final List<ActiveRun> mRuns = new ArrayList<>();
     private boolean mEnding;
-    private boolean mBegun;
 
     ActiveJob(JobEntry entry) {
         mEntry = entry;
@@ -53,13 +52,4 @@
     void ending() {
         mEnding = true;
     }
-
-    /** Whether it was told that a first task started. */
-    boolean hasBegun() {
-        return mBegun;
-    }
-
-    void begun() {
-        mBegun = true;
-    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Decisions.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Decisions.java
@@ -5,6 +5,7 @@
 
 /** What the owner is to do now. */
 public final class Decisions {
+    private final List<TaskRun> mPlanned = new ArrayList<>();
     private final List<Start> mStarts = new ArrayList<>();
     private final List<TaskRun> mStops = new ArrayList<>();
     private final List<Pace> mPaces = new ArrayList<>();
@@ -31,6 +32,11 @@
         }
     }
 
+    /** New runs, to be written to the journal before they are started. */
+    public List<TaskRun> planned() {
+        return mPlanned;
+    }
+
     public List<Start> starts() {
         return mStarts;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.RunEnd;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.RunView;
@@ -18,20 +19,11 @@
 
 /** All active jobs and where their tasks run; takes in what workers list. */
 final class RunTable {
-    /** Attempts of one owner for one task; the next owner's numbers begin beyond them. */
-    private static final int ATTEMPTS_PER_OWNER = 1000;
-
     /** A worker lists this many ends at a time; a run may be missing because its end is beyond. */
     private static final int ENDS_A_LOOK = 500;
 
     private final Map<String, ActiveJob> mJobs = new LinkedHashMap<>();
     private final Map<TaskName, Set<Integer>> mFailures = new HashMap<>();
-    private final int mFirstAttempt;
-
-    /** A table of the owner with this fencing token; later owners number attempts higher. */
-    RunTable(long token) {
-        mFirstAttempt = (int) ((token - 1) * ATTEMPTS_PER_OWNER);
-    }
 
     Optional<ActiveJob> job(String id) {
         return Optional.ofNullable(mJobs.get(id));
@@ -41,22 +33,35 @@
         return mJobs.values();
     }
 
-    void add(JobEntry entry) {
-        if (!entry.phase().isFinal()) {
-            mJobs.putIfAbsent(entry.order().id(), new ActiveJob(entry));
+    /** Takes a job on; returns whether it is new. */
+    boolean add(JobEntry entry) {
+        boolean isNew = !entry.phase().isFinal() && !mJobs.containsKey(entry.order().id());
+        if (isNew) {
+            mJobs.put(entry.order().id(), new ActiveJob(entry));
+        }
+        return isNew;
+    }
+
+    /** A run that an earlier owner wrote down and that may still be there. */
+    void inherit(StartedRun start, WorkerState worker, long nowMs) {
+        Optional<TaskSlot> slot = job(start.task().job()).flatMap(j -> j.slot(start.task()));
+        if (slot.isPresent() && worker.run(start.task(), start.attempt()).isEmpty()) {
+            TaskRun run = new TaskRun(slot.get(), worker, start.attempt(), nowMs);
+            run.inherited(nowMs);
+            start(run);
         }
     }
 
     /** The number of the next run of a task; it rises over owners too. */
     int nextAttempt(TaskSlot slot) {
-        int attempt = Math.max(slot.lastAttempt(), mFirstAttempt) + 1;
+        int attempt = slot.lastAttempt() + 1;
         slot.attempt(attempt);
         return attempt;
     }
 
     /** The number of the next run of a gang, the same for all members. */
     int nextAttempt(ActiveStep gang) {
-        int last = mFirstAttempt;
+        int last = 0;
         for (TaskSlot s : gang.slots()) {
             last = Math.max(last, s.lastAttempt());
         }
@@ -98,7 +103,8 @@
 
     static void stopRuns(TaskSlot slot, String reason, long nowMs) {
         for (TaskRun r : slot.runs()) {
-            if (r.phase() != RunPhase.STOPPING) {
+            boolean sent = r.phase() == RunPhase.STARTING || r.phase() == RunPhase.RUNNING;
+            if (sent) {
                 r.stopping(reason, nowMs);
             }
         }
@@ -145,7 +151,7 @@
         boolean allEnds = answer.ended().size() < ENDS_A_LOOK;
         List<TaskRun> lost = allEnds ? unlisted(worker, listed, sentMs) : List.of();
         lost.forEach(this::remove);
-        return new LookEffects(toStore, last, lost, orphans);
+        return new LookEffects(toStore, lost, orphans);
     }
 
     private Optional<TaskRun> running(WorkerState worker, RunView view, long nowMs) {
@@ -168,7 +174,6 @@
         slot.attempt(view.attempt());
         start(run);
         run.seen(view, nowMs);
-        slot.step().job().begun();
         if (!wanted) {
             run.stopping("not needed", nowMs);
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.port.FleetConfig;
@@ -31,21 +33,16 @@
 
     private final ScheduleLimits mLimits;
     private final RunTable mRuns;
-    private final Settling mSettling;
     private final Map<String, WorkerState> mWorkers = new LinkedHashMap<>();
-    private final List<String> mNewlyBegun = new ArrayList<>();
 
     /**
      * The view of a new owner.
      *
      * @param limits times that the platform bounds
-     * @param token fencing token of the owner
-     * @param nowMs when it took over
      */
-    public Scheduler(ScheduleLimits limits, long token, long nowMs) {
+    public Scheduler(ScheduleLimits limits) {
         mLimits = limits;
-        mRuns = new RunTable(token);
-        mSettling = new Settling(nowMs, limits);
+        mRuns = new RunTable();
     }
 
     /** A worker is new or says something new of itself. */
@@ -58,11 +55,6 @@
         }
     }
 
-    /** A worker that may run tasks of an earlier owner. */
-    public void mustSee(String service, String worker) {
-        mSettling.mustSee(service, worker);
-    }
-
     /** The directory names a worker no more; what runs there goes on until its lease is over. */
     public void workerUnlisted(String id) {
         worker(id).ifPresent(WorkerState::unlisted);
@@ -70,7 +62,6 @@
 
     /** A life of a worker is surely over, and all that ran there. */
     public List<TaskRun> workerOver(String id) {
-        mSettling.seen(id);
         WorkerState worker = mWorkers.remove(id);
         if (worker == null) {
             return List.of();
@@ -96,11 +87,34 @@
         return mLimits;
     }
 
-    /** A job was accepted, or is told to a new owner. */
+    /** A job was accepted. */
     public void job(JobEntry entry) {
         mRuns.add(entry);
     }
 
+    /**
+     * A job that an earlier owner has worked on. Each start that it wrote down and of which no end
+     * is known counts as running until its worker has been looked at, is over, or can't have a
+     * lease any more: the task is not started a second time before that.
+     */
+    public void inherit(JobEntry entry, Predicate<String> isOver, long nowMs) {
+        if (!mRuns.add(entry)) {
+            return;
+        }
+        for (StartedRun start : entry.lastStarts()) {
+            mRuns.job(entry.order().id())
+                    .flatMap(j -> j.slot(start.task()))
+                    .ifPresent(s -> s.attempt(start.attempt()));
+            if (!entry.hasEnded(start) && !isOver.test(start.worker())) {
+                WorkerState worker =
+                        mWorkers.computeIfAbsent(
+                                start.worker(),
+                                id -> WorkerState.unknown(id, entry.order().service(), nowMs));
+                mRuns.inherit(start, worker, nowMs);
+            }
+        }
+    }
+
     /** The journal says that a job will not go on. */
     public void jobEnded(String id, long nowMs) {
         mRuns.job(id).ifPresent(j -> mRuns.endJob(j, "job " + j.entry().phase(), nowMs));
@@ -112,17 +126,25 @@
         worker.looked();
         LookEffects effects = mRuns.looked(worker, answer, sentMs, nowMs);
         if (effects.toStore().isEmpty()) {
-            worker.storedEnds(worker.seenEnds());
+            worker.noteStored();
+        } else {
+            worker.storing();
         }
         return effects;
     }
 
-    /**
-     * The journal was read to its end after the first look at a worker. From that look on the
-     * worker has refused the earlier owner's acknowledgements, so that no end is unknown any more.
-     */
-    public void settled(String worker) {
-        mSettling.seen(worker);
+    /** Starts stand in the journal; those that are still wanted may be sent. */
+    public void recorded(List<TaskRun> starts) {
+        for (TaskRun r : starts) {
+            if (r.phase() != RunPhase.PLANNED || !r.slot().runs().contains(r)) {
+                continue;
+            }
+            if (r.slot().isDone() || r.slot().step().job().isEnding()) {
+                mRuns.remove(r);
+            } else {
+                r.recorded();
+            }
+        }
     }
 
     /** The journal tells of the end of a run. */
@@ -139,7 +161,7 @@
     public void startAnswered(TaskRun run, OrderOutcome outcome, long nowMs) {
         WorkerState worker = run.worker();
         switch (outcome) {
-            case DONE -> started(run, nowMs);
+            case DONE -> run.confirmed(nowMs);
             case NO_ROOM -> {
                 worker.fullUntil(nowMs + NO_ROOM_MS);
                 giveUp(run, nowMs);
@@ -168,15 +190,6 @@
         }
     }
 
-    private void started(TaskRun run, long nowMs) {
-        run.confirmed(nowMs);
-        ActiveJob job = run.slot().step().job();
-        if (!job.hasBegun()) {
-            job.begun();
-            mNewlyBegun.add(job.id());
-        }
-    }
-
     /**
      * Gives a run up that its worker refused. Where an earlier order for it went unanswered it may
      * begin later, so that it is stopped first: a stop keeps it from ever beginning.
@@ -210,13 +223,6 @@
         }
     }
 
-    /** Jobs of which the first task has started since the last call. */
-    public List<String> takeNewlyBegun() {
-        List<String> begun = List.copyOf(mNewlyBegun);
-        mNewlyBegun.clear();
-        return begun;
-    }
-
     /** Runs whose worker fell silent and whose lease is surely over. */
     public List<TaskRun> takeLapsed(long nowMs) {
         List<TaskRun> lapsed = new ArrayList<>();
@@ -238,9 +244,7 @@
         mRuns.forgetEnded();
         repeatOrders(out, nowMs);
         for (Map.Entry<String, List<ActiveRun>> e : runsByService(nowWallMs).entrySet()) {
-            if (mSettling.isSettled(e.getKey(), nowMs)) {
-                place(e.getKey(), Urgency.sort(e.getValue(), nowWallMs), out, nowMs);
-            }
+            place(e.getKey(), Urgency.sort(e.getValue(), nowWallMs), out, nowMs);
         }
         return out;
     }
@@ -248,9 +252,7 @@
     private void repeatOrders(Decisions out, long nowMs) {
         for (WorkerState w : mWorkers.values()) {
             for (TaskRun r : w.runs()) {
-                boolean firstStop = r.phase() == RunPhase.STOPPING && r.orderedMs() == nowMs;
-                boolean due = r.isOrderDue() && nowMs - r.orderedMs() >= REPEAT_MS;
-                if (firstStop || due) {
+                if (r.isOrderDue() && nowMs - r.orderedMs() >= REPEAT_MS) {
                     send(r, out, nowMs);
                 }
             }
@@ -350,7 +352,7 @@
             TaskSlot slot, WorkerState worker, int attempt, Decisions out, long nowMs) {
         TaskRun run = new TaskRun(slot, worker, attempt, nowMs);
         mRuns.start(run);
-        send(run, out, nowMs);
+        out.planned().add(run);
     }
 
     private static void askIfNeeded(
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -11,7 +11,7 @@
     private final int mAttempt;
     private final long mStartedMs;
 
-    private RunPhase mPhase = RunPhase.STARTING;
+    private RunPhase mPhase = RunPhase.PLANNED;
     private String mReason = "";
     private double mPercent;
     private long mPercentMs;
@@ -30,7 +30,19 @@
         mStartedMs = nowMs;
         mOrderedMs = nowMs;
         mPercentMs = nowMs;
+    }
+
+    /** The start stands in the journal and may be sent. */
+    void recorded() {
+        mPhase = RunPhase.STARTING;
         mOrderDue = true;
+        mOrderedMs = Long.MIN_VALUE / 2;
+    }
+
+    /** A run that an earlier owner may have started. */
+    void inherited(long nowMs) {
+        mPhase = RunPhase.RUNNING;
+        mConfirmedMs = nowMs;
     }
 
     public TaskSlot slot() {
@@ -134,7 +146,7 @@
         if (mConfirmedMs < 0) {
             mConfirmedMs = nowMs;
         }
-        if (mPhase == RunPhase.STARTING) {
+        if (mPhase == RunPhase.STARTING || mPhase == RunPhase.PLANNED) {
             mPhase = RunPhase.RUNNING;
         }
     }
@@ -143,7 +155,7 @@
         mPhase = RunPhase.STOPPING;
         mReason = reason;
         mOrderDue = true;
-        mOrderedMs = nowMs;
+        mOrderedMs = Long.MIN_VALUE / 2;
     }
 
     void seen(RunView view, long nowMs) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -16,12 +16,16 @@
 
 /** Decides which VMs are rebooted and moved, and empties their workers first. */
 public final class VmPlanner {
+    /** A worker may be in the directory this much before its VM is listed with it. */
+    private static final long JOINING_MS = 2000;
+
     private final Scheduler mScheduler;
     private final VmTable mVms = new VmTable();
     private final WaveKeeper mWaves = new WaveKeeper();
     private final PoolBalance mBalance;
     private final Map<String, Long> mActedMs = new HashMap<>();
     private final Set<Long> mReported = new HashSet<>();
+    private final Set<String> mSeenLives = new HashSet<>();
 
     /** A planner for the VMs whose workers a scheduler knows. */
     public VmPlanner(Scheduler scheduler) {
@@ -45,6 +49,26 @@
     /** A call to the platform. */
     public record Call(VmState vm, VmAction action) {}
 
+    /**
+     * Lives of workers that are over: a complete list of VMs that was asked for well after a worker
+     * was first seen names each VM's life. A worker that crashed shows so here at once, while its
+     * lease would have to be waited for.
+     */
+    public List<WorkerState> overLives(List<VmInfo> vms, long askedMs) {
+        Set<String> lives = new HashSet<>();
+        vms.forEach(v -> lives.add(v.worker()));
+        List<WorkerState> over = new ArrayList<>();
+        for (WorkerState w : mScheduler.workers()) {
+            boolean old = mSeenLives.contains(w.id()) || w.firstSeenMs() + JOINING_MS < askedMs;
+            if (old && !lives.contains(w.id())) {
+                over.add(w);
+            }
+        }
+        mSeenLives.clear();
+        mSeenLives.addAll(lives);
+        return over;
+    }
+
     /** A list of all VMs, asked for at {@code askedMs}. */
     public void listed(List<VmInfo> vms, long askedMs) {
         mVms.listed(vms, askedMs, mActedMs);
@@ -74,7 +98,7 @@
             }
         }
         mBalance.plan(config, nowMs, nowWallMs);
-        return new VmDecisions(carryOut(nowMs), completed);
+        return new VmDecisions(carryOut(config, nowMs), completed);
     }
 
     /** A report of a completed wave was not stored; it is due again. */
@@ -82,7 +106,7 @@
         mReported.remove(wave);
     }
 
-    private List<Call> carryOut(long nowMs) {
+    private List<Call> carryOut(FleetConfig config, long nowMs) {
         List<Call> calls = new ArrayList<>();
         for (VmState vm : mVms.all()) {
             if (vm.planned().isEmpty() || vm.isCalling()) {
@@ -90,7 +114,9 @@
             }
             Optional<WorkerState> worker = worker(vm);
             worker.ifPresent(w -> vacate(vm, w, nowMs));
-            if (worker.isEmpty() || worker.get().runs().isEmpty()) {
+            boolean standby = config.isStandby(vm.info().pool());
+            boolean empty = worker.isPresent() && worker.get().isEmpty();
+            if (empty || standby && worker.isEmpty()) {
                 vm.calling(true);
                 calls.add(new Call(vm, vm.planned().get()));
             }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -11,6 +11,7 @@
 /** One life of a worker, as the owner knows it. */
 public final class WorkerState {
     private final String mId;
+    private final long mFirstSeenMs;
     private final Set<TaskRun> mRuns = new LinkedHashSet<>();
     private final WorkerHealthRecord mHealth = new WorkerHealthRecord();
 
@@ -25,6 +26,7 @@
     private long mGrantedMs;
     private long mSeenEnds;
     private long mStoredEnds;
+    private int mStores;
     private long mFullUntilMs;
     private boolean mSilent;
 
@@ -33,6 +35,17 @@
         mInfo = info;
         mContactMs = nowMs;
         mGrantedMs = nowMs;
+        mFirstSeenMs = nowMs;
+    }
+
+    /** A worker of which only its life is known, from an earlier owner's starts. */
+    static WorkerState unknown(String id, String service, long nowMs) {
+        WorkerInfo info =
+                new WorkerInfo(id, service, "", "", Resources.NONE, Set.of(), "", false);
+        WorkerState worker = new WorkerState(info, nowMs);
+        worker.mListed = false;
+        worker.mSilent = true;
+        return worker;
     }
 
     public String id() {
@@ -88,6 +101,16 @@
         return Optional.empty();
     }
 
+    /** When this owner first heard of it. */
+    long firstSeenMs() {
+        return mFirstSeenMs;
+    }
+
+    /** Whether this owner has seen that nothing runs there. */
+    boolean isEmpty() {
+        return mLooked && mRuns.isEmpty();
+    }
+
     /** Whether this owner has seen what runs there. */
     public boolean isLooked() {
         return mLooked;
@@ -168,9 +191,26 @@
         return mStoredEnds;
     }
 
-    /** Ends up to this number are stored and may be acknowledged. */
-    public void storedEnds(long sequence) {
-        mStoredEnds = Math.max(mStoredEnds, sequence);
+    /** A store of ends has begun; until it is over nothing newer may be acknowledged. */
+    public void storing() {
+        mStores++;
+    }
+
+    /** A store of ends has succeeded. */
+    public void stored() {
+        mStores--;
+        noteStored();
+    }
+
+    /**
+     * Moves the acknowledged position on where no store is under way. Guards against losing an end:
+     * a look that is repeated while the store is away lists the same ends again, and nothing in
+     * them is new; to acknowledge them then would let the worker forget what the journal lacks.
+     */
+    void noteStored() {
+        if (mStores == 0) {
+            mStoredEnds = mSeenEnds;
+        }
     }
 
     /** Whether it lists ends that are not stored yet. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -14,13 +14,13 @@
 import org.foxtailplank.job.JobEntry;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.node.caller.CallerService;
+import org.foxtailplank.node.journal.JournalPartition;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.node.owner.OwnerParts;
 import org.foxtailplank.node.owner.OwnerWork;
 import org.foxtailplank.node.owner.Ownership;
-import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
 
 /** One node, put together; all of it runs on one event loop's thread. */
@@ -52,8 +52,6 @@
     /** How long a stopping node goes on listening: callers are sent elsewhere by then. */
     private static final long LISTEN_ON_MS = 2500;
 
-    private static final LogPartition JOURNAL = new LogPartition("foxtail-journal", 0);
-
     private final NodeSettings mSettings;
     private final Clock mClock;
     private final Timers mTimers;
@@ -85,8 +83,8 @@
         SharedLog shared = mPlatform.log();
         JobBook book = new JobBook(settings.journal().statusMs());
         mOperator = new OperatorFollower(mPlatform.operatorOrders(), clock, timers, log);
-        mReader = new JournalReader(shared, JOURNAL, clock, timers, log, book, this::recorded);
-        mWriter = new JournalWriter(shared, JOURNAL, clock, timers, log);
+        mReader = new JournalReader(shared, JournalPartition.JOURNAL, clock, timers, log, book, this::recorded);
+        mWriter = new JournalWriter(shared, JournalPartition.JOURNAL, clock, timers, log);
         mOwnership =
                 new Ownership(shared, mReader, clock, timers, log, settings.name(), this::own);
     }
@@ -134,7 +132,7 @@
                         mMetrics,
                         mOperator,
                         mReader,
-                        mWriter,
+                        mPlatform.log(),
                         new OwnerParts.Platform(
                                 mPlatform.workers(),
                                 mPlatform.workerOrders(),
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -14,10 +14,11 @@
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
-import org.foxtailplank.job.JournalRecord.JobsBegun;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.job.RunOutcome;
@@ -34,7 +35,7 @@
     private static final int ACCEPTED = 1;
     private static final int CANCELLED = 2;
     private static final int ENDED = 3;
-    private static final int BEGUN = 4;
+    private static final int STARTED = 4;
     private static final int ALIVE = 5;
     private static final int LEFT = 6;
     private static final int REBOOTED = 7;
@@ -53,8 +54,8 @@
         if (record instanceof RunsEnded r) {
             return message(out -> part(out, ENDED, o -> runs(o, r.runs())));
         }
-        if (record instanceof JobsBegun r) {
-            return message(out -> part(out, BEGUN, o -> texts(o, r.jobs())));
+        if (record instanceof RunsStarted r) {
+            return message(out -> part(out, STARTED, o -> starts(o, r.runs())));
         }
         if (record instanceof OwnerAlive r) {
             return message(out -> part(out, ALIVE, o -> named(o, r.token(), r.node())));
@@ -82,7 +83,7 @@
                 switch (kind) {
                     case ACCEPTED -> new JobAccepted(JobOrderCodec.read(body));
                     case ENDED -> new RunsEnded(readRuns(body));
-                    case BEGUN -> new JobsBegun(readTexts(body));
+                    case STARTED -> new RunsStarted(readStarts(body));
                     default -> readNamed(kind, body);
                 });
     }
@@ -119,22 +120,52 @@
         return new Named(number, name);
     }
 
-    private static void texts(CodedOutputStream out, List<String> texts) throws IOException {
-        for (String t : texts) {
-            out.writeString(1, t);
+    private static void starts(CodedOutputStream out, List<StartedRun> runs)
+            throws IOException {
+        for (StartedRun r : runs) {
+            part(out, 1, o -> start(o, r));
         }
     }
 
-    private static List<String> readTexts(CodedInputStream in) throws IOException {
-        List<String> texts = new ArrayList<>();
+    private static void start(CodedOutputStream out, StartedRun run) throws IOException {
+        out.writeString(1, run.task().job());
+        out.writeInt32(2, run.task().run());
+        out.writeInt32(3, run.task().step());
+        out.writeInt32(4, run.task().index());
+        out.writeInt32(5, run.attempt());
+        out.writeString(6, run.worker());
+    }
+
+    private static List<StartedRun> readStarts(CodedInputStream in) throws IOException {
+        List<StartedRun> runs = new ArrayList<>();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             if (WireFormat.getTagFieldNumber(tag) == 1) {
-                texts.add(in.readString());
+                runs.add(readStart(in.readBytes().newCodedInput()));
+            } else {
+                in.skipField(tag);
+            }
+        }
+        return runs;
+    }
+
+    private static StartedRun readStart(CodedInputStream in) throws IOException {
+        String job = "";
+        String worker = "";
+        int[] numbers = new int[6];
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            int field = WireFormat.getTagFieldNumber(tag);
+            if (field == 1) {
+                job = in.readString();
+            } else if (field < numbers.length) {
+                numbers[field] = in.readInt32();
+            } else if (field == numbers.length) {
+                worker = in.readString();
             } else {
                 in.skipField(tag);
             }
         }
-        return texts;
+        TaskName task = new TaskName(job, numbers[2], numbers[3], numbers[4]);
+        return new StartedRun(task, numbers[5], worker);
     }
 
     private static void runs(CodedOutputStream out, List<EndedRun> runs) throws IOException {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.RunEnd;
 import org.foxtailplank.job.RunView;
 import org.foxtailplank.port.OrderOutcome;
@@ -31,7 +32,6 @@
     private final OwnerParts mParts;
     private final WorkerState mWorker;
     private final long mToken;
-    private boolean mSettled;
     private boolean mStopped;
     private int mTurn;
 
@@ -67,7 +67,7 @@
     }
 
     private void answered(LookAnswer answer, long sentMs) {
-        if (mOwner.isOver()) {
+        if (mOwner.isOver() || mStopped) {
             return;
         }
         switch (answer.outcome()) {
@@ -102,35 +102,31 @@
         LookEffects effects = mOwner.scheduler().looked(mWorker, answer, sentMs, now);
         log(effects);
         effects.orphans().forEach(this::stopOrphan);
-        settle();
         mOwner.decisionDue();
         if (effects.toStore().isEmpty()) {
             again(mWorker.hasUnstoredEnds() ? UNSTORED_MS : 0);
             return;
         }
-        int turn = mTurn;
         List<EndedRun> ends = new ArrayList<>();
         for (RunEnd e : effects.toStore()) {
             ends.add(new EndedRun(e.task(), e.attempt(), e.outcome(), mParts.clock().wallMs()));
         }
-        mOwner.storeEnds(
-                mWorker,
-                ends,
-                effects.lastSequence(),
-                () -> {
-                    if (turn == mTurn) {
-                        look();
-                    }
-                });
+        int turn = mTurn;
+        mOwner.journal().store(new RunsEnded(ends), () -> stored(turn));
         // While the store is away the lease has to be renewed all the same.
-        mParts.timers()
-                .after(
-                        UNSTORED_MS,
-                        () -> {
-                            if (turn == mTurn) {
-                                look();
-                            }
-                        });
+        again(UNSTORED_MS);
+    }
+
+    private void stored(int turn) {
+        mWorker.stored();
+        if (turn == mTurn) {
+            look();
+        }
+    }
+
+    /** The worker's life is over. */
+    void stop() {
+        mStopped = true;
     }
 
     private void again(long delayMs) {
@@ -145,28 +141,6 @@
                         });
     }
 
-    /** From its first look on the worker refuses the earlier owner; then the journal is whole. */
-    private void settle() {
-        if (mSettled) {
-            return;
-        }
-        mSettled = true;
-        settleAfterRead();
-    }
-
-    private void settleAfterRead() {
-        mParts.reader()
-                .refresh(
-                        read -> {
-                            if (read) {
-                                mOwner.scheduler().settled(mWorker.id());
-                                mOwner.decisionDue();
-                            } else if (!mOwner.isOver()) {
-                                mParts.timers().after(RETRY_MS, this::settleAfterRead);
-                            }
-                        });
-    }
-
     private void stopOrphan(RunView view) {
         mParts.log()
                 .line("run-unwanted")
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
@@ -1,5 +1,9 @@
 package org.foxtailplank.node.owner;
 
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.port.OrderOutcome;
 import org.foxtailplank.port.WorkerOrders.OrderAnswer;
 import org.foxtailplank.port.WorkerOrders.RunOrder;
@@ -21,12 +25,31 @@
     }
 
     void send(Decisions decisions) {
+        record(decisions.planned());
         decisions.starts().forEach(this::start);
         decisions.stops().forEach(this::stop);
         decisions.paces().forEach(this::pace);
         decisions.asks().forEach(this::ask);
     }
 
+    /** A start is written down first, so that a new owner knows where the task may run. */
+    private void record(List<TaskRun> planned) {
+        if (planned.isEmpty()) {
+            return;
+        }
+        List<StartedRun> starts = new ArrayList<>();
+        for (TaskRun r : planned) {
+            starts.add(new StartedRun(r.slot().name(), r.attempt(), r.worker().id()));
+        }
+        mOwner.journal()
+                .store(
+                        new RunsStarted(starts),
+                        () -> {
+                            mOwner.scheduler().recorded(planned);
+                            mOwner.decideNow();
+                        });
+    }
+
     private void start(Decisions.Start start) {
         TaskRun run = start.run();
         WorkerState worker = run.worker();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerParts.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerParts.java
@@ -6,10 +6,10 @@
 import org.foxtailplank.node.OperatorFollower;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
-import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.Feed;
 import org.foxtailplank.port.PlacementAdvice;
+import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.VmActions;
 import org.foxtailplank.port.WaveBoard;
 import org.foxtailplank.port.WorkerInfo;
@@ -24,7 +24,7 @@
         NodeMetrics metrics,
         OperatorFollower operator,
         JournalReader reader,
-        JournalWriter writer,
+        SharedLog sharedLog,
         Platform platform) {
 
     /** The ports that only an owner needs. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -1,21 +1,22 @@
 package org.foxtailplank.node.owner;
 
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.foxtailplank.job.JobEntry;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
-import org.foxtailplank.job.JournalRecord.JobsBegun;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.port.Feed;
 import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.VmActions.VmInfo;
 import org.foxtailplank.port.WorkerInfo;
 import org.foxtailplank.schedule.Decisions;
 import org.foxtailplank.schedule.Scheduler;
@@ -31,19 +32,17 @@
     private static final long GATHER_MS = 4;
 
     /** How often the owner shows in the journal that it is alive, in milliseconds. */
-    private static final long ALIVE_MS = 700;
+    private static final long ALIVE_MS = 500;
 
     /** How often the directory of workers is read, in milliseconds. */
     private static final long DIRECTORY_MS = 300;
 
-    /** How long a record of the owner's is tried before a newer state replaces it. */
-    private static final long STORE_MS = 60_000;
-
     private final OwnerParts mParts;
     private final Clock mClock;
     private final long mToken;
     private final Runnable mFenced;
     private final Scheduler mScheduler;
+    private final OwnerJournal mJournal;
     private final OrderSender mSender;
     private final VmWork mVms;
     private final Map<String, Looker> mLookers = new HashMap<>();
@@ -59,7 +58,8 @@
         mClock = parts.clock();
         mToken = token;
         mFenced = fenced;
-        mScheduler = new Scheduler(parts.settings().schedule(), token, mClock.nowMs());
+        mScheduler = new Scheduler(parts.settings().schedule());
+        mJournal = new OwnerJournal(parts, token, () -> fenced("the journal"));
         mSender = new OrderSender(this, parts, token);
         mVms = new VmWork(this, parts, token);
     }
@@ -68,8 +68,7 @@
     public void start() {
         mParts.log().line("owner-start").with("token", mToken).write();
         mParts.reader().eager(true);
-        sayAlive();
-        load();
+        mJournal.raiseEpoch(this::load);
     }
 
     private void load() {
@@ -92,14 +91,22 @@
             mParts.timers().after(DIRECTORY_MS, this::load);
             return;
         }
-        for (Feed.Item<WorkerInfo> item : page.items()) {
-            item.value().ifPresent(w -> mScheduler.mustSee(w.service(), w.id()));
-        }
-        for (JobEntry job : mParts.reader().book().jobs()) {
-            mScheduler.job(job);
+        mParts.platform().vms().list(vms -> takeOver(page, vms));
+    }
+
+    private void takeOver(Feed.Page<WorkerInfo> page, Optional<List<VmInfo>> vms) {
+        if (mOver) {
+            return;
         }
         mLoaded = true;
         takeDirectory(page);
+        // Without the list of VMs a worker that is not in the directory may still run tasks.
+        Set<String> lives = new HashSet<>();
+        vms.ifPresent(list -> list.forEach(v -> lives.add(v.worker())));
+        long now = mClock.nowMs();
+        for (JobEntry job : mParts.reader().book().jobs()) {
+            mScheduler.inherit(job, w -> vms.isPresent() && !lives.contains(w), now);
+        }
         mParts.log()
                 .line("owner-loaded")
                 .with("token", mToken)
@@ -107,6 +114,7 @@
                 .with("journal", mParts.reader().position())
                 .write();
         mParts.timers().after(DIRECTORY_MS, this::followDirectory);
+        sayAlive();
         mVms.start();
         tick();
     }
@@ -176,7 +184,10 @@
 
     /** Ends the looks at a worker whose life is over, and frees its tasks. */
     void workerOver(WorkerState worker, String why) {
-        mLookers.remove(worker.id());
+        Looker looker = mLookers.remove(worker.id());
+        if (looker != null) {
+            looker.stop();
+        }
         List<TaskRun> ended = mScheduler.workerOver(worker.id());
         mParts.log()
                 .line("worker-over")
@@ -213,8 +224,7 @@
         end();
         String node = mParts.settings().name();
         mParts.log().line("owner-leaves").with("token", mToken).write();
-        mParts.writer()
-                .store(new OwnerLeft(mToken, node), mClock.nowMs() + ALIVE_MS, o -> {});
+        mJournal.leave(new OwnerLeft(mToken, node));
     }
 
     /** The journal tells of something. */
@@ -234,16 +244,9 @@
         decisionDue();
     }
 
-    /** Stores ends and then lets the worker forget them. */
-    void storeEnds(WorkerState worker, List<EndedRun> ends, long upTo, Runnable then) {
-        mParts.writer()
-                .storePersistently(
-                        new RunsEnded(ends),
-                        mClock.nowMs() + STORE_MS,
-                        o -> {
-                            worker.storedEnds(upTo);
-                            then.run();
-                        });
+    /** The journal as this owner writes it. */
+    OwnerJournal journal() {
+        return mJournal;
     }
 
     /** Something happened that may change what to do. */
@@ -262,6 +265,11 @@
         decisionDue();
     }
 
+    /** Decides without waiting for further events. */
+    void decideNow() {
+        decide();
+    }
+
     private void decide() {
         mDecisionDue = false;
         if (mOver) {
@@ -281,16 +289,6 @@
             Decisions decisions = mScheduler.decide(config.get(), now, mClock.wallMs());
             mSender.send(decisions);
         }
-        storeBegun();
-    }
-
-    private void storeBegun() {
-        List<String> begun = new ArrayList<>(mScheduler.takeNewlyBegun());
-        if (!begun.isEmpty()) {
-            mParts.writer()
-                    .storePersistently(
-                            new JobsBegun(begun), mClock.nowMs() + STORE_MS, o -> {});
-        }
     }
 
     private void sayAlive() {
@@ -298,7 +296,7 @@
             return;
         }
         String node = mParts.settings().name();
-        mParts.writer().store(new OwnerAlive(mToken, node), mClock.nowMs() + ALIVE_MS, o -> {});
+        mJournal.store(new OwnerAlive(mToken, node), () -> {});
         mParts.timers().after(ALIVE_MS, this::sayAlive);
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -5,6 +5,8 @@
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
@@ -22,10 +24,10 @@
  */
 public final class Ownership {
     /** Silence after which an owner is replaced, in milliseconds: some of its own signs. */
-    private static final long SILENT_MS = 2200;
+    private static final long SILENT_MS = 1700;
 
     /** Spread of the tries of several nodes, in milliseconds: an append takes about 10. */
-    private static final long SPREAD_MS = 400;
+    private static final long SPREAD_MS = 300;
 
     /** How often to look whether the owner is silent, in milliseconds. */
     private static final long CHECK_MS = 100;
@@ -84,6 +86,8 @@
         } else if (record instanceof OwnerLeft left && left.token() >= mToken) {
             mToken = left.token();
             mSignMs = mClock.nowMs() - SILENT_MS;
+        } else if (record instanceof RunsStarted || record instanceof RunsEnded) {
+            mSignMs = mClock.nowMs();
         }
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -1,11 +1,12 @@
 package org.foxtailplank.node.owner;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.node.Clock;
-import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.VmActions.Holder;
@@ -15,6 +16,7 @@
 import org.foxtailplank.schedule.VmAction;
 import org.foxtailplank.schedule.VmPlanner;
 import org.foxtailplank.schedule.VmPlanner.Call;
+import org.foxtailplank.schedule.WorkerState;
 
 /** Carries out what is decided about VMs: lists, moves, reboots, and says how waves go. */
 final class VmWork {
@@ -24,14 +26,12 @@
     /** How often to decide, in milliseconds. */
     private static final long DECIDE_MS = 100;
 
-    /** How long a record about a wave is tried, in milliseconds. */
-    private static final long STORE_MS = 60_000;
-
     private final OwnerWork mOwner;
     private final OwnerParts mParts;
     private final Clock mClock;
     private final Holder mHolder;
     private final VmPlanner mPlanner;
+    private final Map<String, VmInfo> mLast = new HashMap<>();
     private boolean mListed;
 
     VmWork(OwnerWork owner, OwnerParts parts, long token) {
@@ -63,9 +63,27 @@
 
     private void listed(List<VmInfo> vms, long askedMs) {
         mListed = true;
+        vms.forEach(this::logChange);
+        for (WorkerState w : mPlanner.overLives(vms, askedMs)) {
+            mOwner.workerOver(w, "its VM has no such life");
+        }
         mPlanner.listed(vms, askedMs);
     }
 
+    private void logChange(VmInfo vm) {
+        VmInfo before = mLast.put(vm.id(), vm);
+        if (before != null && !before.equals(vm)) {
+            mParts.log()
+                    .line("vm")
+                    .with("vm", vm.id())
+                    .with("pool", vm.pool())
+                    .with("phase", vm.phase())
+                    .with("worker", vm.worker())
+                    .with("workerBefore", before.worker())
+                    .write();
+        }
+    }
+
     private void decide() {
         if (mOwner.isOver()) {
             return;
@@ -124,11 +142,8 @@
 
     private void rebooted(Call call) {
         if (call.action() instanceof VmAction.Reboot reboot) {
-            mParts.writer()
-                    .storePersistently(
-                            new VmRebooted(reboot.wave(), call.vm().id()),
-                            mClock.nowMs() + STORE_MS,
-                            o -> {});
+            VmRebooted record = new VmRebooted(reboot.wave(), call.vm().id());
+            mOwner.journal().store(record, () -> {});
         }
     }
 
@@ -142,15 +157,7 @@
             mPlanner.notReported(wave);
             return;
         }
-        mParts.writer()
-                .storePersistently(
-                        new WaveCompleted(wave),
-                        mClock.nowMs() + STORE_MS,
-                        o -> {
-                            if (o != StoreOutcome.STORED) {
-                                mPlanner.notReported(wave);
-                            }
-                        });
+        mOwner.journal().store(new WaveCompleted(wave), () -> {});
     }
 
     /** Says that a wave is being worked on. */
