Pace of filling tasks, runs that stand still or crawl, preemption

Cause: a serving task's tail, a worker that does nothing and a standing task without room had no answer. Change: PaceControl, SlowWorkers, Preemption.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -34,6 +34,7 @@
     private final ScheduleLimits mLimits;
     private final RunTable mRuns;
     private final Map<String, WorkerState> mWorkers = new LinkedHashMap<>();
+    private final List<Decisions.Pace> mPaces = new ArrayList<>();
 
     /**
      * The view of a new owner.
@@ -130,6 +131,12 @@
         } else {
             worker.storing();
         }
+        mPaces.addAll(PaceControl.adjust(worker, nowMs));
+        for (TaskRun r : SlowWorkers.find(worker, nowMs)) {
+            if (hasBetterPlace(r, nowMs)) {
+                r.stopping("it stands still or crawls", nowMs);
+            }
+        }
         return effects;
     }
 
@@ -152,6 +159,17 @@
         mRuns.recorded(task, outcome, nowMs);
     }
 
+    /** Whether a sound worker has room for the run's task now. */
+    private boolean hasBetterPlace(TaskRun run, long nowMs) {
+        for (WorkerState w : workersOf(run.worker().info().service())) {
+            boolean sound = w != run.worker() && !w.isSlow(nowMs);
+            if (sound && WorkerChooser.isAllowed(run.slot(), w, nowMs)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** A look went unanswered. */
     public void lookFailed(WorkerState worker) {
         worker.silent();
@@ -242,6 +260,8 @@
     public Decisions decide(FleetConfig config, long nowMs, long nowWallMs) {
         Decisions out = new Decisions();
         mRuns.forgetEnded();
+        out.paces().addAll(mPaces);
+        mPaces.clear();
         repeatOrders(out, nowMs);
         for (Map.Entry<String, List<ActiveRun>> e : runsByService(nowWallMs).entrySet()) {
             place(e.getKey(), Urgency.sort(e.getValue(), nowWallMs), out, nowMs);
@@ -325,12 +345,21 @@
             }
             Optional<WorkerState> worker = WorkerChooser.choose(slot, workers, nowMs);
             if (worker.isEmpty()) {
+                makeRoom(slot, workers, nowMs);
                 return;
             }
+            slot.hasRoom();
             start(slot, worker.get(), mRuns.nextAttempt(slot), out, nowMs);
         }
     }
 
+    private void makeRoom(TaskSlot slot, List<WorkerState> workers, long nowMs) {
+        long waited = slot.noRoom(nowMs);
+        for (TaskRun r : Preemption.forTask(slot, workers, waited, nowMs)) {
+            r.stopping("makes room for " + slot.name(), nowMs);
+        }
+    }
+
     /** All members carry the same number and the same checkpoint. */
     private void startGang(
             ActiveStep step, Map<TaskSlot, WorkerState> placed, Decisions out, long nowMs) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -75,6 +75,11 @@
         return mPhase == RunPhase.RUNNING && mPercent >= RunView.AT_WORK;
     }
 
+    /** When it was first known to be there. */
+    long firstSeenMs() {
+        return mConfirmedMs < 0 ? mStartedMs : mConfirmedMs;
+    }
+
     /** Progress as the worker last said it. */
     public double percent() {
         return mPercent;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskSlot.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskSlot.java
@@ -16,6 +16,7 @@
 
     private boolean mDone;
     private int mLastAttempt;
+    private long mNoRoomMs = -1;
     private String mCheckpoint = "";
 
     TaskSlot(TaskName name, ActiveStep step, boolean done) {
@@ -67,6 +68,18 @@
         }
     }
 
+    /** Notes that it finds no room; returns for how long it has found none. */
+    long noRoom(long nowMs) {
+        if (mNoRoomMs < 0) {
+            mNoRoomMs = nowMs;
+        }
+        return nowMs - mNoRoomMs;
+    }
+
+    void hasRoom() {
+        mNoRoomMs = -1;
+    }
+
     /** Workers on which it has failed. */
     Set<String> avoid() {
         return mAvoid;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -14,6 +14,7 @@
 final class WorkerChooser {
     private static final double AVOID_COST = 1000;
     private static final double FAR_COST = 100;
+    private static final double SLOW_COST = 300;
 
     private WorkerChooser() {}
 
@@ -25,7 +26,7 @@
             if (!isAllowed(slot, w, nowMs)) {
                 continue;
             }
-            double cost = cost(slot, w);
+            double cost = cost(slot, w, nowMs);
             if (cost < bestCost) {
                 best = w;
                 bestCost = cost;
@@ -57,7 +58,7 @@
                 || slot.step().ticket(worker.id(), nowMs).isPresent();
     }
 
-    private static double cost(TaskSlot slot, WorkerState worker) {
+    private static double cost(TaskSlot slot, WorkerState worker, long nowMs) {
         double cost = 0;
         if (slot.avoid().contains(worker.id())) {
             cost += AVOID_COST;
@@ -65,11 +66,14 @@
         if (isFar(slot, worker)) {
             cost += FAR_COST;
         }
+        if (worker.isSlow(nowMs)) {
+            cost += SLOW_COST;
+        }
         double free = worker.free().milliProcessors();
         return cost + free / Math.max(1, worker.info().capacity().milliProcessors());
     }
 
-    private static boolean isFar(TaskSlot slot, WorkerState worker) {
+    static boolean isFar(TaskSlot slot, WorkerState worker) {
         PlacementRule rule = slot.spec().placement();
         if (!rule.dataRack().isEmpty()) {
             return !rule.dataRack().equals(worker.info().rack());
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -29,6 +29,9 @@
     private int mStores;
     private long mFullUntilMs;
     private boolean mSilent;
+    private int mFillPace = 100;
+    private long mFillPaceMs = Long.MIN_VALUE / 2;
+    private long mSlowUntilMs = Long.MIN_VALUE / 2;
 
     WorkerState(WorkerInfo info, long nowMs) {
         mId = info.id();
@@ -222,6 +225,37 @@
         mFullUntilMs = untilMs;
     }
 
+    /** Share of their speed at which tasks that fill it work, in percent. */
+    int fillPace() {
+        return mFillPace;
+    }
+
+    /** When that share was last set. */
+    long fillPaceMs() {
+        return mFillPaceMs;
+    }
+
+    void fillPace(int percent, long nowMs) {
+        if (percent != mFillPace) {
+            mFillPace = percent;
+            mFillPaceMs = nowMs;
+        }
+    }
+
+    void slowUntil(long untilMs) {
+        mSlowUntilMs = untilMs;
+    }
+
+    /** Whether its runs stand still or crawl. */
+    boolean isSlow(long nowMs) {
+        return nowMs < mSlowUntilMs;
+    }
+
+    /** Whether serving tasks there have to be watched more closely. */
+    public boolean isMixed() {
+        return PaceControl.isMixed(this);
+    }
+
     /** Whether it may be given tasks. */
     boolean isUsable(long nowMs) {
         return mLooked
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
@@ -19,6 +19,9 @@
     /** How long a look waits for an end, in milliseconds; a third of a short lease. */
     private static final long WAIT_MS = 1000;
 
+    /** The same where serving tasks may be disturbed: their tails cover half a second. */
+    private static final long MIXED_WAIT_MS = 500;
+
     /** How long a look at an idle worker waits, in milliseconds: the longest that there is. */
     private static final long IDLE_WAIT_MS = 2000;
 
@@ -56,9 +59,10 @@
         long lease = mParts.settings().schedule().leaseMs();
         long until = mWorker.leaseUntilMs(now, lease);
         boolean waits = until > 0 && !mWorker.isSilent() && !mWorker.hasUnstoredEnds();
-        long idle = mWorker.runs().isEmpty() ? IDLE_WAIT_MS : WAIT_MS;
+        long wait = mWorker.runs().isEmpty() ? IDLE_WAIT_MS : WAIT_MS;
+        wait = mWorker.isMixed() ? MIXED_WAIT_MS : wait;
         LookOrder order =
-                new LookOrder(mToken, mWorker.storedEnds(), until, waits ? idle : 0);
+                new LookOrder(mToken, mWorker.storedEnds(), until, waits ? wait : 0);
         if (until > 0) {
             mWorker.granted(now);
         }
