VMs are moved for the work that will have come, and jobs that can all be in time go first

Cause: a hot queue reached its VMs five seconds after its turn began, and every job of an overload waited behind all before it. Ruled out: lack of VMs as a whole (25 of 35 stood idle or in other pools). Change: ArrivalRate in PoolBalance; Urgency finds the jobs that fit together.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobOrder.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobOrder.java
@@ -65,6 +65,15 @@
         return steps.stream().anyMatch(s -> s.mode().standing());
     }
 
+    /** Estimated work of one run, in milliseconds of a thousandth of a core. */
+    public double work() {
+        double sum = 0;
+        for (TaskStep s : steps) {
+            sum += (double) s.tasks() * s.estimateMs() * s.demand().milliProcessors();
+        }
+        return sum;
+    }
+
     /** Longest chain of estimated work through the steps, in milliseconds. */
     public long chainMs() {
         long[] ends = new long[steps.size()];
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -22,6 +22,9 @@
     /** Work that waits should be done within this time, in milliseconds. */
     private static final long CLEAR_MS = 1500;
 
+    /** Time from the decision to move a VM until it works, in milliseconds. */
+    private static final long JOIN_MS = 2000;
+
     /** A VM that was moved stays at least this long, in milliseconds: a move has its price. */
     private static final long STAY_MS = 2500;
 
@@ -71,7 +74,7 @@
                 standby.add(vm);
             }
         }
-        pools.values().forEach(p -> p.mLack += backlog(p.mName, nowWallMs) / CLEAR_MS);
+        pools.values().forEach(p -> p.mLack += wanted(p.mName, nowMs, nowWallMs));
         fill(pools, standby, nowMs);
         park(config, pools, nowMs);
     }
@@ -92,18 +95,21 @@
         if (!serves) {
             return;
         }
-        long standing = 0;
-        for (TaskRun r : worker.get().runs()) {
-            if (r.slot().spec().mode().standing()) {
-                standing += r.slot().spec().reserved().milliProcessors();
-            }
-        }
-        pool.mLack -= size - standing;
+        pool.mLack -= size - worker.get().standingUsed();
         if (vm.idleSinceMs() >= 0) {
             pool.mIdle.add(vm);
         }
     }
 
+    /**
+     * Thousandths of a core that a service wants: for the work that there is, and for what will
+     * have come when a VM that begins to move now can work.
+     */
+    private double wanted(String service, long nowMs, long nowWallMs) {
+        double coming = mScheduler.arrivals().perMs(service, nowMs) * JOIN_MS;
+        return (backlog(service, nowWallMs) + coming) / CLEAR_MS;
+    }
+
     /** Work that is waiting or running in a service, in milliseconds of thousandths of a core. */
     private double backlog(String service, long nowWallMs) {
         double sum = 0;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -8,11 +8,13 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JobOrder;
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.OrderOutcome;
+import org.foxtailplank.port.PoolService;
 import org.foxtailplank.port.PlacementAdvice.Advice;
 import org.foxtailplank.port.WorkerInfo;
 import org.foxtailplank.port.WorkerOrders.LookAnswer;
@@ -31,10 +33,13 @@
     /** A worker without room is asked again after this time, unless a run ends there before. */
     private static final long NO_ROOM_MS = 150;
 
+    private static final long MILLI = 1000;
+
     private final ScheduleLimits mLimits;
     private final RunTable mRuns;
     private final Map<String, WorkerState> mWorkers = new LinkedHashMap<>();
     private final List<Decisions.Pace> mPaces = new ArrayList<>();
+    private final ArrivalRate mArrivals = new ArrivalRate();
 
     /**
      * The view of a new owner.
@@ -89,8 +94,16 @@
     }
 
     /** A job was accepted. */
-    public void job(JobEntry entry) {
-        mRuns.add(entry);
+    public void job(JobEntry entry, long nowMs) {
+        JobOrder order = entry.order();
+        boolean isNew = mRuns.add(entry);
+        if (isNew && !order.isStanding() && !order.timetable().isTimed()) {
+            mArrivals.arrived(order.service(), order.work(), nowMs);
+        }
+    }
+
+    ArrivalRate arrivals() {
+        return mArrivals;
     }
 
     /**
@@ -256,6 +269,50 @@
         return lapsed;
     }
 
+    /** How busy each service is, for the log. */
+    public List<PoolLoad> loads(FleetConfig config, long nowMs, long nowWallMs) {
+        Map<String, List<ActiveRun>> due = runsByService(nowWallMs);
+        List<PoolLoad> loads = new ArrayList<>();
+        for (PoolService s : config.services()) {
+            List<ActiveRun> runs = due.getOrDefault(s.name(), List.of());
+            loads.add(load(s.name(), runs, nowMs));
+        }
+        return loads;
+    }
+
+    private PoolLoad load(String service, List<ActiveRun> due, long nowMs) {
+        int usable = 0;
+        long cores = 0;
+        long standing = 0;
+        long batch = 0;
+        for (WorkerState w : workersOf(service)) {
+            usable += w.isUsable(nowMs) ? 1 : 0;
+            cores += w.info().capacity().milliProcessors();
+            standing += w.standingUsed();
+            batch += w.used().milliProcessors() - w.standingUsed();
+        }
+        int waiting = 0;
+        int waitingStanding = 0;
+        for (ActiveRun run : due) {
+            for (ActiveStep step : run.steps()) {
+                if (step.left() > 0 && run.isTurnOf(step)) {
+                    int tasks = (int) step.slots().stream().filter(TaskSlot::isWaiting).count();
+                    waiting += tasks;
+                    waitingStanding += step.spec().mode().standing() ? tasks : 0;
+                }
+            }
+        }
+        return new PoolLoad(
+                service,
+                usable,
+                cores / MILLI,
+                standing / MILLI,
+                batch / MILLI,
+                due.size(),
+                waiting,
+                waitingStanding);
+    }
+
     /** What to do now. */
     public Decisions decide(FleetConfig config, long nowMs, long nowWallMs) {
         Decisions out = new Decisions();
@@ -264,11 +321,24 @@
         mPaces.clear();
         repeatOrders(out, nowMs);
         for (Map.Entry<String, List<ActiveRun>> e : runsByService(nowWallMs).entrySet()) {
-            place(e.getKey(), Urgency.sort(e.getValue(), nowWallMs), out, nowMs);
+            List<ActiveRun> sorted =
+                    Urgency.sort(e.getValue(), batchCores(e.getKey(), nowMs), nowWallMs);
+            place(e.getKey(), sorted, out, nowMs);
         }
         return out;
     }
 
+    /** What a service's workers offer besides standing tasks, in thousandths of a core. */
+    private long batchCores(String service, long nowMs) {
+        long sum = 0;
+        for (WorkerState w : workersOf(service)) {
+            if (w.isUsable(nowMs)) {
+                sum += w.info().capacity().milliProcessors() - w.standingUsed();
+            }
+        }
+        return sum;
+    }
+
     private void repeatOrders(Decisions out, long nowMs) {
         for (WorkerState w : mWorkers.values()) {
             for (TaskRun r : w.runs()) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -95,6 +95,17 @@
         return mUsed;
     }
 
+    /** What standing tasks have taken, in thousandths of a core. */
+    long standingUsed() {
+        long sum = 0;
+        for (TaskRun r : mRuns) {
+            if (r.slot().spec().mode().standing()) {
+                sum += r.slot().spec().reserved().milliProcessors();
+            }
+        }
+        return sum;
+    }
+
     Optional<TaskRun> run(TaskName task, int attempt) {
         for (TaskRun r : mRuns) {
             if (r.attempt() == attempt && r.slot().name().equals(task)) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -19,6 +19,7 @@
 import org.foxtailplank.port.VmActions.VmInfo;
 import org.foxtailplank.port.WorkerInfo;
 import org.foxtailplank.schedule.Decisions;
+import org.foxtailplank.schedule.PoolLoad;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.TaskRun;
 import org.foxtailplank.schedule.WorkerState;
@@ -34,6 +35,9 @@
     /** How often the owner shows in the journal that it is alive, in milliseconds. */
     private static final long ALIVE_MS = 500;
 
+    /** How often the load of services is logged, in milliseconds. */
+    private static final long LOAD_MS = 2000;
+
     /** How often the directory of workers is read, in milliseconds. */
     private static final long DIRECTORY_MS = 300;
 
@@ -115,6 +119,7 @@
                 .write();
         mParts.timers().after(DIRECTORY_MS, this::followDirectory);
         sayAlive();
+        sayLoad();
         mVms.start();
         tick();
     }
@@ -232,8 +237,8 @@
         if (!mLoaded || mOver) {
             return;
         }
-        job.ifPresent(mScheduler::job);
         long now = mClock.nowMs();
+        job.ifPresent(j -> mScheduler.job(j, now));
         if (record instanceof JobCancelled cancelled) {
             mScheduler.jobEnded(cancelled.job(), now);
         } else if (record instanceof RunsEnded ended) {
@@ -291,6 +296,36 @@
         }
     }
 
+    /** A line a service every two seconds: with the decisions it explains why tasks wait. */
+    private void sayLoad() {
+        if (mOver) {
+            return;
+        }
+        mParts.timers().after(LOAD_MS, this::sayLoad);
+        long now = mClock.nowMs();
+        mParts.operator()
+                .config()
+                .ifPresent(
+                        c ->
+                                mScheduler
+                                        .loads(c, now, mClock.wallMs())
+                                        .forEach(this::sayLoad));
+    }
+
+    private void sayLoad(PoolLoad load) {
+        mParts.log()
+                .line("load")
+                .with("service", load.service())
+                .with("workers", load.workers())
+                .with("cores", load.cores())
+                .with("standingCores", load.standingCores())
+                .with("batchCores", load.batchCores())
+                .with("jobs", load.jobs())
+                .with("waitingTasks", load.waitingTasks())
+                .with("waitingStanding", load.waitingStanding())
+                .write();
+    }
+
     private void sayAlive() {
         if (mOver) {
             return;
