An archive of classes for the start; VMs for standing tasks that find no place

Cause: standing tasks waited in pools of one worker (their steps allow few on one), and a start costs mostly the loading of classes. Ruled out: lack of cores. Change: PoolBalance counts VMs for standing steps; the build archives classes with a short run of the node.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -47,6 +47,8 @@
         final List<VmState> mIdle = new ArrayList<>();
         double mLack;
         long mSize = 1;
+        int mComing;
+        int mExtra;
 
         Pool(String name) {
             mName = name;
@@ -54,7 +56,14 @@
 
         /** VMs that the pool lacks; negative for those it can do without. */
         double lackedVms() {
-            return mLack / mSize;
+            double forWork = mLack / mSize;
+            return mExtra > mComing ? Math.max(forWork, mExtra - mComing) : forWork;
+        }
+
+        /** A VM is on its way. */
+        void coming(long size) {
+            mLack -= size;
+            mComing++;
         }
     }
 
@@ -74,7 +83,10 @@
                 standby.add(vm);
             }
         }
-        pools.values().forEach(p -> p.mLack += wanted(p.mName, nowMs, nowWallMs));
+        for (Pool p : pools.values()) {
+            p.mLack += wanted(p.mName, nowMs, nowWallMs);
+            p.mExtra = vmsForStanding(p.mName);
+        }
         fill(pools, standby, nowMs);
         park(config, pools, nowMs);
     }
@@ -87,7 +99,7 @@
         boolean moving = vm.info().phase() == VmPhase.MOVING;
         boolean joining = worker.isEmpty() && vm.info().phase() == VmPhase.UP && vm.isFree();
         if (moving || joining) {
-            pool.mLack -= size;
+            pool.coming(size);
             return;
         }
         boolean serves = vm.isFree() && worker.isPresent() && worker.get().isUsable(nowMs);
@@ -110,6 +122,33 @@
         return (backlog(service, nowWallMs) + coming) / CLEAR_MS;
     }
 
+    /**
+     * VMs that standing tasks wait for: their steps allow only so many on one worker, so that they
+     * may find no place although there is room.
+     */
+    private int vmsForStanding(String service) {
+        int most = 0;
+        for (ActiveJob job : mScheduler.runs().jobs()) {
+            boolean counts = job.order().isStanding() && job.order().service().equals(service);
+            if (!counts || job.isEnding()) {
+                continue;
+            }
+            for (ActiveStep step : job.runs().get(0).steps()) {
+                most = Math.max(most, vmsFor(step));
+            }
+        }
+        return most;
+    }
+
+    private static int vmsFor(ActiveStep step) {
+        int waiting = 0;
+        for (TaskSlot s : step.slots()) {
+            waiting += s.isWaiting() && s.lacksRoom() ? 1 : 0;
+        }
+        int each = Math.max(1, step.spec().placement().maxPerWorker());
+        return (waiting + each - 1) / each;
+    }
+
     /** Work that is waiting or running in a service, in milliseconds of thousandths of a core. */
     private double backlog(String service, long nowWallMs) {
         double sum = 0;
@@ -140,7 +179,7 @@
                     break;
                 }
                 vm.get().plan(new VmAction.Move(pool.mName, "queue is long"), nowMs);
-                pool.mLack -= vm.get().info().capacity().milliProcessors();
+                pool.coming(vm.get().info().capacity().milliProcessors());
             }
         }
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -416,6 +416,7 @@
             Optional<WorkerState> worker = WorkerChooser.choose(slot, workers, nowMs);
             if (worker.isEmpty()) {
                 makeRoom(slot, workers, nowMs);
+                step.slots().stream().filter(TaskSlot::isWaiting).forEach(s -> s.noRoom(nowMs));
                 return;
             }
             slot.hasRoom();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskSlot.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskSlot.java
@@ -76,6 +76,11 @@
         return nowMs - mNoRoomMs;
     }
 
+    /** Whether it found no room when it was last tried. */
+    boolean lacksRoom() {
+        return mNoRoomMs >= 0;
+    }
+
     void hasRoom() {
         mNoRoomMs = -1;
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.foxtailplank.adapter.AdapterLimits;
@@ -105,6 +106,11 @@
         HttpServer.bind(mLoop, mSettings.metrics(), MAX_BODY_BYTES, this::metrics);
     }
 
+    /** Where callers' requests arrive. */
+    public InetSocketAddress callers() {
+        return mCallers.address();
+    }
+
     /** Begins to work; called on the event loop's thread. */
     public void start() {
         mLog.line("start")
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeMain.java
@@ -92,7 +92,7 @@
     }
 
     /** Spares Netty the search for a logging library and for a network card's address. */
-    private static void quietNetty() {
+    public static void quietNetty() {
         System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
         System.setProperty("io.netty.processId", "1");
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/package-info.java
@@ -0,0 +1,2 @@
+/** Runs a node for a moment, so that the JVM can archive the classes that a start needs. */
+package org.foxtailplank.node.warmup;
