--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -40,8 +40,8 @@
      */
     record StartedRun(TaskName task, int attempt, String worker) {}
 
-    /** The owner with this fencing token is alive. */
-    record OwnerAlive(long token, String node) implements JournalRecord {}
+    /** The owner with this fencing token is alive; other nodes reach it at this address. */
+    record OwnerAlive(long token, String address) implements JournalRecord {}
 
     /** The owner with this fencing token gives its place up. */
     record OwnerLeft(long token, String node) implements JournalRecord {}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -22,6 +22,8 @@
 import org.foxtailplank.node.owner.OwnerParts;
 import org.foxtailplank.node.owner.OwnerWork;
 import org.foxtailplank.node.owner.Ownership;
+import org.foxtailplank.node.peer.JournalStream;
+import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.SharedLog;
 
 /** One node, put together; all of it runs on one event loop's thread. */
@@ -53,7 +55,6 @@
     /** How long a stopping node goes on listening: callers are sent elsewhere by then. */
     private static final long LISTEN_ON_MS = 2500;
 
-    private final NodeSettings mSettings;
     private final Clock mClock;
     private final Timers mTimers;
     private final NodeLog mLog;
@@ -63,11 +64,14 @@
     private final OperatorFollower mOperator;
     private final JournalReader mReader;
     private final JournalWriter mWriter;
+    private final OwnerLink mLink;
     private final Ownership mOwnership;
 
     private Optional<OwnerWork> mOwner = Optional.empty();
     private HttpServer mCallers;
+    private JournalStream mStream;
     private boolean mStopping;
+    private NodeSettings mSettings;
 
     public Node(NodeSettings settings, EventLoop loop, Clock clock, Timers timers, NodeLog log) {
         mSettings = settings;
@@ -86,8 +90,11 @@
         mOperator = new OperatorFollower(mPlatform.operatorOrders(), clock, timers, log);
         mReader = new JournalReader(shared, JournalPartition.JOURNAL, clock, timers, log, book, this::recorded);
         mWriter = new JournalWriter(shared, JournalPartition.JOURNAL, clock, timers, log);
+        mLink = new OwnerLink(loop, clock, timers, log, mReader);
+        mReader.streaming(mLink::isAlive);
         mOwnership =
-                new Ownership(shared, mReader, clock, timers, log, settings.name(), this::own);
+                new Ownership(
+                        shared, mReader, clock, timers, log, settings.name(), mLink, this::own);
     }
 
     /** Listens; called on any thread but the event loop's, which would wait for itself. */
@@ -96,16 +103,27 @@
                 new CallerService(
                         mOperator,
                         mReader,
+                        mLink,
                         mWriter,
                         mPlatform.callerBodies(),
                         mClock,
                         mLog,
                         mMetrics);
         mCallers = HttpServer.bind(mLoop, mSettings.callers(), MAX_BODY_BYTES, service);
+        mStream = JournalStream.listen(mLoop, mSettings.peers(), mTimers);
+        mReader.tap(mStream::read);
         HttpServer.bind(mLoop, mSettings.readiness(), MAX_BODY_BYTES, this::readiness);
         HttpServer.bind(mLoop, mSettings.metrics(), MAX_BODY_BYTES, this::metrics);
     }
 
+    /**
+     * Settings have changed. Bounds hold from now on, for the owner from its next take-over;
+     * addresses that this node listens on stay until it is started again.
+     */
+    public void settings(NodeSettings settings) {
+        mSettings = settings;
+    }
+
     /** Where callers' requests arrive. */
     public InetSocketAddress callers() {
         return mCallers.address();
@@ -147,11 +165,14 @@
                                 mPlatform.waveBoard()));
         OwnerWork work = new OwnerWork(parts, token, this::fenced);
         mOwner = Optional.of(work);
+        mLink.owner(Optional.empty());
+        mStream.own(token, mReader.position());
         work.start();
     }
 
     private void fenced() {
         mOwner = Optional.empty();
+        mStream.disown();
         mOwnership.lost();
     }
 
@@ -178,6 +199,7 @@
         mOwnership.stop();
         mOwner.ifPresent(OwnerWork::leave);
         mOwner = Optional.empty();
+        mStream.disown();
         mCallers.stopKeepingOpen();
         long now = mClock.nowMs();
         drain(now + LISTEN_ON_MS, now + mSettings.graceMs() - EXIT_MS, ended);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeMain.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.foxtailplank.node.log.NodeLog;
+import sun.misc.Signal;
 
 /** Starts a node: {@code foxtail-node [SETTINGS]}. */
 public final class NodeMain {
@@ -34,10 +35,10 @@
             System.err.println("foxtail-node: settings " + file + ": " + e.getMessage());
             System.exit(USAGE);
         }
-        run(settings);
+        run(Path.of(file), settings);
     }
 
-    private static void run(NodeSettings settings) {
+    private static void run(Path file, NodeSettings settings) {
         quietNetty();
         Clock clock = Clock.system();
         NodeLog log = NodeLog.to(System.out, clock);
@@ -60,6 +61,10 @@
                         "stop");
         Runtime.getRuntime().addShutdownHook(hook);
         start(node, loop, log);
+        SettingsWatch watch = new SettingsWatch(file, settings, timers, log, node::settings);
+        loop.execute(watch::watch);
+        // Without a handler of its own this signal would end the process.
+        Signal.handle(new Signal("HUP"), s -> loop.execute(() -> watch.reload("signal")));
     }
 
     private static void start(Node node, EventLoop loop, NodeLog log) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -12,6 +12,7 @@
  * @param callers where callers' requests arrive
  * @param readiness where the platform asks whether callers may be sent here
  * @param metrics where metrics are read
+ * @param peers where other nodes connect to this one
  * @param platform addresses of the platform's services
  * @param journal bounds for what is kept on the platform
  * @param schedule bounds for the scheduler
@@ -23,6 +24,7 @@
         InetSocketAddress callers,
         InetSocketAddress readiness,
         InetSocketAddress metrics,
+        InetSocketAddress peers,
         PlatformAddresses platform,
         JournalBounds journal,
         ScheduleLimits schedule,
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -72,6 +72,7 @@
                 address("/listen/callers"),
                 address("/listen/readiness"),
                 address("/listen/metrics"),
+                address("/listen/peers"),
                 platform,
                 journal,
                 schedule,
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.CallerBodies;
 import org.foxtailplank.port.CallerBodies.BadBodyException;
 import org.foxtailplank.port.CallerBodies.Submission;
@@ -45,6 +46,9 @@
     /** How long to wait for the store where a caller doesn't say, in milliseconds. */
     private static final long DEFAULT_DEADLINE_MS = 3000;
 
+    /** What the owner has handed on this lately is told without a read of the journal. */
+    private static final long CURRENT_MS = 400;
+
     /** Kept of a caller's time for the way of the answer, in milliseconds. */
     private static final long ANSWER_MS = 150;
 
@@ -53,6 +57,7 @@
 
     private final OperatorFollower mOperator;
     private final JournalReader mReader;
+    private final OwnerLink mLink;
     private final JournalWriter mWriter;
     private final CallerBodies mBodies;
     private final Clock mClock;
@@ -63,6 +68,7 @@
     public CallerService(
             OperatorFollower operator,
             JournalReader reader,
+            OwnerLink link,
             JournalWriter writer,
             CallerBodies bodies,
             Clock clock,
@@ -70,6 +76,7 @@
             NodeMetrics metrics) {
         mOperator = operator;
         mReader = reader;
+        mLink = link;
         mWriter = writer;
         mBodies = bodies;
         mClock = clock;
@@ -191,7 +198,8 @@
 
     private void tell(String id, Consumer<HttpReply> reply) {
         Optional<JobEntry> known = mReader.book().job(id);
-        if (known.isPresent() && known.get().phase().isFinal()) {
+        boolean current = mClock.nowMs() - mLink.currentMs() < CURRENT_MS;
+        if (known.isPresent() && (current || known.get().phase().isFinal())) {
             reply.accept(HttpReply.json(OK, mBodies.phase(known.get().phase())));
             return;
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -58,7 +58,7 @@
             return message(out -> part(out, STARTED, o -> starts(o, r.runs())));
         }
         if (record instanceof OwnerAlive r) {
-            return message(out -> part(out, ALIVE, o -> named(o, r.token(), r.node())));
+            return message(out -> part(out, ALIVE, o -> named(o, r.token(), r.address())));
         }
         if (record instanceof VmRebooted r) {
             return message(out -> part(out, REBOOTED, o -> named(o, r.wave(), r.vm())));
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JobBook;
 import org.foxtailplank.job.JobEntry;
@@ -22,7 +23,10 @@
     private static final long RETRY_MS = 200;
 
     /** How long a follower waits between two reads, in milliseconds. */
-    private static final long FOLLOW_MS = 500;
+    private static final long FOLLOW_MS = 400;
+
+    /** The same while the owner hands the records on. */
+    private static final long STREAMED_MS = 1200;
 
     /** How long the owner's read waits for a record, in milliseconds. */
     private static final long OWNER_WAIT_MS = 1000;
@@ -40,6 +44,8 @@
     private boolean mCaughtUp;
     private boolean mRefreshing;
     private boolean mEager;
+    private BooleanSupplier mStreaming = () -> false;
+    private RecordTap mTap = (offset, record) -> {};
     private long mLastReadMs = Long.MIN_VALUE / 2;
 
     public JournalReader(
@@ -96,10 +102,37 @@
         } else if (!atEnd || mEager) {
             follow();
         } else {
-            mTimers.after(FOLLOW_MS, this::follow);
+            long pause = mStreaming.getAsBoolean() ? STREAMED_MS : FOLLOW_MS;
+            mTimers.after(pause, this::follow);
         }
     }
 
+    /** A record that the owner has read and handed on; one beyond a gap is read later. */
+    public void fromOwner(long offset, byte[] record) {
+        if (offset == mPosition) {
+            mPosition++;
+            apply(record, offset);
+        } else if (offset > mPosition && !mRefreshing) {
+            refresh(read -> {});
+        }
+    }
+
+    /** While the owner hands records on, the store is only read to see that it is there. */
+    public void streaming(BooleanSupplier streaming) {
+        mStreaming = streaming;
+    }
+
+    /** Tells of each record as it is read, in order. */
+    public void tap(RecordTap tap) {
+        mTap = tap;
+    }
+
+    /** Is told of records. */
+    @FunctionalInterface
+    public interface RecordTap {
+        void read(long offset, byte[] record);
+    }
+
     /** Reads to the end as it is now or later, then says whether that worked. */
     public void refresh(Consumer<Boolean> then) {
         mWaiting.add(then);
@@ -167,6 +200,7 @@
     }
 
     private void apply(byte[] bytes, long offset) {
+        mTap.read(offset, bytes);
         try {
             JournalCodec.decode(bytes).ifPresent(r -> mListener.accept(r, mBook.apply(r)));
         } catch (IOException e) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.node.owner;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -33,7 +34,7 @@
     private static final long GATHER_MS = 4;
 
     /** How often the owner shows in the journal that it is alive, in milliseconds. */
-    private static final long ALIVE_MS = 500;
+    private static final long ALIVE_MS = 400;
 
     /** How often the load of services is logged, in milliseconds. */
     private static final long LOAD_MS = 2000;
@@ -330,8 +331,9 @@
         if (mOver) {
             return;
         }
-        String node = mParts.settings().name();
-        mJournal.store(new OwnerAlive(mToken, node), () -> {});
+        InetSocketAddress self = mParts.settings().peers();
+        String address = self.getAddress().getHostAddress() + ':' + self.getPort();
+        mJournal.store(new OwnerAlive(mToken, address), () -> {});
         mParts.timers().after(ALIVE_MS, this::sayAlive);
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -1,5 +1,7 @@
 package org.foxtailplank.node.owner;
 
+import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongConsumer;
 import org.foxtailplank.job.JournalRecord;
@@ -11,6 +13,7 @@
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.SharedLog.AppendResult;
@@ -26,6 +29,12 @@
     /** Silence after which an owner is replaced, in milliseconds: some of its own signs. */
     private static final long SILENT_MS = 1700;
 
+    /**
+     * The same where the owner's stream has ended or is silent too, in milliseconds: two of its
+     * signs in the journal.
+     */
+    private static final long GONE_MS = 900;
+
     /** Spread of the tries of several nodes, in milliseconds: an append takes about 10. */
     private static final long SPREAD_MS = 300;
 
@@ -43,6 +52,7 @@
     private final Timers mTimers;
     private final NodeLog mOut;
     private final OwnerRecord mSelf;
+    private final OwnerLink mLink;
     private final LongConsumer mTaken;
 
     private long mSpreadMs;
@@ -61,6 +71,7 @@
             Timers timers,
             NodeLog out,
             String node,
+            OwnerLink link,
             LongConsumer taken) {
         mLog = log;
         mReader = reader;
@@ -68,6 +79,7 @@
         mTimers = timers;
         mOut = out;
         mSelf = new OwnerRecord(node, Long.toHexString(ThreadLocalRandom.current().nextLong()));
+        mLink = link;
         mTaken = taken;
         mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
         mSignMs = clock.nowMs() - SILENT_MS;
@@ -83,6 +95,7 @@
         if (record instanceof OwnerAlive alive && alive.token() >= mToken) {
             mToken = alive.token();
             mSignMs = mClock.nowMs();
+            mLink.owner(mOwner ? Optional.empty() : Optional.of(address(alive.address())));
         } else if (record instanceof OwnerLeft left && left.token() >= mToken) {
             mToken = left.token();
             mSignMs = mClock.nowMs() - SILENT_MS;
@@ -91,6 +104,12 @@
         }
     }
 
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        int port = Integer.parseInt(text.substring(colon + 1));
+        return new InetSocketAddress(text.substring(0, colon), port);
+    }
+
     /** This node does not own any more; another one gave orders with a higher token. */
     public void lost() {
         mOwner = false;
@@ -105,6 +124,7 @@
 
     private void check() {
         mTimers.after(CHECK_MS, this::check);
+        mLink.check();
         long now = mClock.nowMs();
         long read = mReader.lastReadMs();
         if (read - mLastReadMs > READ_GAP_MS) {
@@ -113,7 +133,8 @@
         }
         mLastReadMs = Math.max(mLastReadMs, read);
         boolean fresh = now - read < READ_GAP_MS;
-        boolean silent = now - mSignMs >= SILENT_MS + mSpreadMs;
+        long patience = mLink.isAlive() ? SILENT_MS : GONE_MS;
+        boolean silent = now - mSignMs >= patience + mSpreadMs;
         if (mReader.isCaughtUp() && fresh && silent && !mOwner && !mTrying && !mStopped) {
             tryToTake();
         }
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -0,0 +1,112 @@
+package org.foxtailplank.node.peer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.node.Timers;
+
+/** The owner's end: sends the journal and heartbeats to the nodes that are connected. */
+public final class JournalStream {
+    /** How often a heartbeat is sent, in milliseconds. */
+    private static final long HEARTBEAT_MS = 200;
+
+    private final Timers mTimers;
+    private final Set<Channel> mFollowers = new HashSet<>();
+    private long mToken;
+    private long mPosition;
+
+    private JournalStream(Timers timers) {
+        mTimers = timers;
+    }
+
+    /** Listens for followers; they hear nothing until this node owns. */
+    public static JournalStream listen(EventLoop loop, InetSocketAddress address, Timers timers)
+            throws IOException {
+        JournalStream stream = new JournalStream(timers);
+        var bound =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(PeerChannels.with(() -> stream.new Follower()))
+                        .bind(address)
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address, bound.cause());
+        }
+        return stream;
+    }
+
+    private final class Follower extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            mFollowers.add(context.channel());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            mFollowers.remove(context.channel());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    /** This node owns from now on. */
+    public void own(long token, long position) {
+        mToken = token;
+        mPosition = position;
+        heartbeat(token);
+    }
+
+    /** This node does not own any more; who follows it looks for the owner elsewhere. */
+    public void disown() {
+        mToken = 0;
+        Set.copyOf(mFollowers).forEach(Channel::close);
+    }
+
+    /** The owner has read a record of the journal. */
+    public void read(long offset, byte[] record) {
+        mPosition = offset + 1;
+        if (mToken > 0) {
+            send(new PeerFrame(mToken, offset, Optional.of(record)));
+        }
+    }
+
+    private void heartbeat(long token) {
+        if (mToken != token) {
+            return;
+        }
+        send(new PeerFrame(token, mPosition, Optional.empty()));
+        mTimers.after(HEARTBEAT_MS, () -> heartbeat(token));
+    }
+
+    /** A follower that doesn't read is passed over: it would pile frames up in memory. */
+    private void send(PeerFrame frame) {
+        for (Channel c : mFollowers) {
+            if (c.isWritable()) {
+                c.writeAndFlush(encode(frame));
+            }
+        }
+    }
+
+    private static Object encode(PeerFrame frame) {
+        try {
+            return frame.encode();
+        } catch (IOException e) {
+            throw new IllegalStateException("memory that cannot be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerChannels.java
@@ -0,0 +1,30 @@
+package org.foxtailplank.node.peer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.util.function.Supplier;
+
+/** Frames on a connection between two nodes: four bytes of length, then the frame. */
+final class PeerChannels {
+    /** Largest frame, in bytes: the largest record of the journal and some more. */
+    private static final int MAX_FRAME_BYTES = 1 << 20;
+
+    private PeerChannels() {}
+
+    static ChannelInitializer<Channel> with(Supplier<ChannelHandler> handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(
+                                new LengthFieldBasedFrameDecoder(
+                                        MAX_FRAME_BYTES, 0, Integer.BYTES, 0, Integer.BYTES))
+                        .addLast(new LengthFieldPrepender(Integer.BYTES))
+                        .addLast(handler.get());
+            }
+        };
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -0,0 +1,53 @@
+package org.foxtailplank.node.peer;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Optional;
+
+/**
+ * What an owner sends to a follower: a record of the journal, or a heartbeat without one.
+ *
+ * @param token fencing token of the owner
+ * @param offset offset of the record; for a heartbeat the offset that the owner reads next
+ * @param record the record; empty for a heartbeat
+ */
+record PeerFrame(long token, long offset, Optional<byte[]> record) {
+    private static final int TOKEN = 1;
+    private static final int OFFSET = 2;
+    private static final int RECORD = 3;
+
+    ByteBuf encode() throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        out.writeInt64(TOKEN, token);
+        out.writeInt64(OFFSET, offset);
+        if (record.isPresent()) {
+            out.writeBytes(RECORD, ByteString.copyFrom(record.get()));
+        }
+        out.flush();
+        return Unpooled.wrappedBuffer(bytes.toByteArray());
+    }
+
+    static PeerFrame decode(ByteBuf bytes) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(ByteBufUtil.getBytes(bytes));
+        long token = 0;
+        long offset = 0;
+        Optional<byte[]> record = Optional.empty();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case TOKEN -> token = in.readInt64();
+                case OFFSET -> offset = in.readInt64();
+                case RECORD -> record = Optional.of(in.readByteArray());
+                default -> in.skipField(tag);
+            }
+        }
+        return new PeerFrame(token, offset, record);
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -64,6 +64,7 @@
                         any,
                         any,
                         any,
+                        any,
                         new PlatformAddresses(address, address, address),
                         new NodeSettings.JournalBounds(RUN_MS, RUN_MS, RUN_MS),
                         new ScheduleLimits(RUN_MS, RUN_MS, RUN_MS, RUN_MS, 1),
