--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
@@ -1,15 +1,18 @@
 package org.foxtailplank.job;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobRestated;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
@@ -42,6 +45,9 @@
                     ? Optional.of(entry)
                     : Optional.empty();
         }
+        if (record instanceof JobRestated r) {
+            return restated(r);
+        }
         if (record instanceof JobCancelled r) {
             job(r.job()).ifPresent(j -> j.cancel(r.atMs()));
         } else if (record instanceof RunsEnded r) {
@@ -62,6 +68,33 @@
         return Optional.empty();
     }
 
+    private Optional<JobEntry> restated(JobRestated record) {
+        if (mJobs.containsKey(record.order().id())) {
+            return Optional.empty();
+        }
+        JobEntry entry = new JobEntry(record.order());
+        record.starts().forEach(entry::started);
+        record.ends().forEach(entry::ended);
+        if (record.cancelledMs() > 0) {
+            entry.cancel(record.cancelledMs());
+        }
+        mJobs.put(record.order().id(), entry);
+        return Optional.of(entry);
+    }
+
+    /** What the journal tells of waves, to be written again. */
+    public List<JournalRecord> restateWaves() {
+        List<JournalRecord> records = new ArrayList<>();
+        mCompletedWaves.forEach(w -> records.add(new WaveCompleted(w)));
+        mRebooted.forEach(
+                (wave, vms) -> {
+                    if (!mCompletedWaves.contains(wave)) {
+                        vms.forEach(v -> records.add(new VmRebooted(wave, v)));
+                    }
+                });
+        return records;
+    }
+
     public Optional<JobEntry> job(String id) {
         return Optional.ofNullable(mJobs.get(id));
     }
@@ -91,17 +124,6 @@
         return count;
     }
 
-    /** Number of jobs that have not ended, by service. */
-    public Map<String, Integer> openByService() {
-        Map<String, Integer> open = new HashMap<>();
-        for (JobEntry j : mJobs.values()) {
-            if (!j.phase().isFinal()) {
-                open.merge(j.order().service(), 1, Integer::sum);
-            }
-        }
-        return open;
-    }
-
     /** Forgets jobs that ended so long ago that nobody may ask for them any more. */
     public void forgetEnded(long nowMs) {
         mJobs.values()
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobEntry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobEntry.java
@@ -1,9 +1,11 @@
 package org.foxtailplank.job;
 
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -16,13 +18,15 @@
     private final Set<Long> mEndedAttempts = new HashSet<>();
     private final int mTasks;
 
-    private boolean mCancelled;
+    private long mCancelledMs;
+    private long mStatedMs;
     private boolean mBegun;
     private boolean mFailed;
     private long mEndedMs;
 
     JobEntry(JobOrder order) {
         mOrder = order;
+        mStatedMs = order.acceptedMs();
         mTasks = order.tasksPerRun() * order.timetable().runs();
     }
 
@@ -30,9 +34,32 @@
         return mOrder;
     }
 
+    /** When a record last told all of it, in milliseconds since 1970. */
+    public long statedMs() {
+        return mStatedMs;
+    }
+
+    /** All that is known of it, as one record; it counts as told from now on. */
+    public JournalRecord.JobRestated restate(long nowMs) {
+        mStatedMs = nowMs;
+        List<JournalRecord.EndedRun> ends = new ArrayList<>();
+        mDone.stream()
+                .forEach(p -> ends.add(end(mOrder.task(p), 0, RunOutcome.DONE)));
+        mFailedAttempts.forEach(
+                (p, attempts) ->
+                        attempts.forEach(
+                                a -> ends.add(end(mOrder.task(p), a, RunOutcome.FAILED))));
+        return new JournalRecord.JobRestated(
+                mOrder, List.copyOf(mLastStarts.values()), ends, mCancelledMs);
+    }
+
+    private JournalRecord.EndedRun end(TaskName task, int attempt, RunOutcome outcome) {
+        return new JournalRecord.EndedRun(task, attempt, outcome, mEndedMs);
+    }
+
     /** Where the job stands. */
     public JobPhase phase() {
-        if (mCancelled) {
+        if (mCancelledMs > 0) {
             return JobPhase.CANCELLED;
         }
         if (mFailed) {
@@ -61,7 +88,7 @@
 
     void cancel(long atMs) {
         if (!phase().isFinal()) {
-            mCancelled = true;
+            mCancelledMs = Math.max(1, atMs);
             mEndedMs = atMs;
         }
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobOrder.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobOrder.java
@@ -50,6 +50,18 @@
         return task.run() * tasksPerRun() + firstTask(task.step()) + task.index();
     }
 
+    /** The task at a position among all tasks of the job. */
+    public TaskName task(int position) {
+        int run = position / tasksPerRun();
+        int rest = position % tasksPerRun();
+        int step = 0;
+        while (rest >= steps.get(step).tasks()) {
+            rest -= steps.get(step).tasks();
+            step++;
+        }
+        return new TaskName(id, run, step, rest);
+    }
+
     /** Whether a task of this name exists in the job. */
     public boolean has(TaskName task) {
         return task.step() >= 0
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -8,6 +8,24 @@
     /** A job was accepted; a second record of the same ID changes nothing. */
     record JobAccepted(JobOrder order) implements JournalRecord {}
 
+    /**
+     * All that the journal tells of a job, written again before the platform drops the records that
+     * told it first.
+     *
+     * @param order the job
+     * @param starts the last start of each task that was started
+     * @param ends its ends that count
+     * @param cancelledMs when it was cancelled, in milliseconds since 1970; 0 if it was not
+     */
+    record JobRestated(
+            JobOrder order, List<StartedRun> starts, List<EndedRun> ends, long cancelledMs)
+            implements JournalRecord {
+        public JobRestated {
+            starts = List.copyOf(starts);
+            ends = List.copyOf(ends);
+        }
+    }
+
     /** A caller has cancelled a job. */
     record JobCancelled(String job, long atMs) implements JournalRecord {}
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -26,10 +26,10 @@
     private static final long JOIN_MS = 2000;
 
     /** A VM that was moved stays at least this long, in milliseconds: a move has its price. */
-    private static final long STAY_MS = 2500;
+    private static final long STAY_MS = 2000;
 
     /** An idle VM goes to the standby pool after this time, in milliseconds. */
-    private static final long IDLE_MS = 2000;
+    private static final long IDLE_MS = 1000;
 
     /** Idle VMs that a serving pool keeps for what comes at once. */
     private static final int KEEP_IDLE = 1;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -46,6 +46,9 @@
     /** A node that could not read the journal for so long sends callers elsewhere. */
     private static final long STALE_MS = 2500;
 
+    /** How often ended jobs are looked through, in milliseconds. */
+    private static final long FORGET_MS = 5000;
+
     /** How often a stopping node looks whether it has answered everything, in milliseconds. */
     private static final long DRAIN_CHECK_MS = 20;
 
@@ -139,6 +142,12 @@
         mOperator.follow();
         mReader.follow();
         mOwnership.watch();
+        forgetEnded();
+    }
+
+    private void forgetEnded() {
+        mReader.book().forgetEnded(mClock.wallMs());
+        mTimers.after(FORGET_MS, this::forgetEnded);
     }
 
     private void recorded(JournalRecord record, Optional<JobEntry> job) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobRestated;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
@@ -40,6 +41,7 @@
     private static final int LEFT = 6;
     private static final int REBOOTED = 7;
     private static final int COMPLETED = 8;
+    private static final int RESTATED = 9;
 
     private JournalCodec() {}
 
@@ -48,6 +50,9 @@
         if (record instanceof JobAccepted r) {
             return message(out -> part(out, ACCEPTED, o -> JobOrderCodec.write(o, r.order())));
         }
+        if (record instanceof JobRestated r) {
+            return message(out -> part(out, RESTATED, o -> restated(o, r)));
+        }
         if (record instanceof JobCancelled r) {
             return message(out -> part(out, CANCELLED, o -> named(o, r.atMs(), r.job())));
         }
@@ -75,7 +80,7 @@
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         int tag = in.readTag();
         int kind = WireFormat.getTagFieldNumber(tag);
-        if (kind < ACCEPTED || kind > COMPLETED) {
+        if (kind < ACCEPTED || kind > RESTATED) {
             return Optional.empty();
         }
         CodedInputStream body = in.readBytes().newCodedInput();
@@ -83,6 +88,7 @@
                 switch (kind) {
                     case ACCEPTED -> new JobAccepted(JobOrderCodec.read(body));
                     case ENDED -> new RunsEnded(readRuns(body));
+                    case RESTATED -> readRestated(body);
                     case STARTED -> new RunsStarted(readStarts(body));
                     default -> readNamed(kind, body);
                 });
@@ -99,6 +105,34 @@
         };
     }
 
+    private static void restated(CodedOutputStream out, JobRestated record)
+            throws IOException {
+        part(out, 1, o -> JobOrderCodec.write(o, record.order()));
+        part(out, 2, o -> starts(o, record.starts()));
+        part(out, 3, o -> runs(o, record.ends()));
+        out.writeInt64(4, record.cancelledMs());
+    }
+
+    private static JobRestated readRestated(CodedInputStream in) throws IOException {
+        JobOrder order = null;
+        List<StartedRun> starts = List.of();
+        List<EndedRun> ends = List.of();
+        long cancelledMs = 0;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case 1 -> order = JobOrderCodec.read(in.readBytes().newCodedInput());
+                case 2 -> starts = readStarts(in.readBytes().newCodedInput());
+                case 3 -> ends = readRuns(in.readBytes().newCodedInput());
+                case 4 -> cancelledMs = in.readInt64();
+                default -> in.skipField(tag);
+            }
+        }
+        if (order == null) {
+            throw new IOException("a job that is told again lacks its order");
+        }
+        return new JobRestated(order, starts, ends, cancelledMs);
+    }
+
     private record Named(long number, String name) {}
 
     private static void named(CodedOutputStream out, long number, String name)
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -122,6 +122,7 @@
         sayAlive();
         sayLoad();
         mVms.start();
+        new Restating(this, mParts).start();
         tick();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -1,9 +1,11 @@
 package org.foxtailplank.node.owner;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.node.Clock;
@@ -32,6 +34,7 @@
     private final Holder mHolder;
     private final VmPlanner mPlanner;
     private final Map<String, VmInfo> mLast = new HashMap<>();
+    private final Set<Long> mRunning = new HashSet<>();
     private boolean mListed;
 
     VmWork(OwnerWork owner, OwnerParts parts, long token) {
@@ -93,6 +96,7 @@
         if (!mListed || config.isEmpty()) {
             return;
         }
+        mParts.operator().waves().values().forEach(this::running);
         VmPlanner.VmDecisions decisions =
                 mPlanner.decide(
                         config.get(),
@@ -161,7 +165,10 @@
     }
 
     /** Says that a wave is being worked on. */
-    void running(WaveOrder wave) {
-        mParts.platform().waves().write(wave.number(), false, r -> {});
+    private void running(WaveOrder wave) {
+        boolean completed = mParts.reader().book().isCompleted(wave.number());
+        if (!completed && mRunning.add(wave.number())) {
+            mParts.platform().waves().write(wave.number(), false, r -> {});
+        }
     }
 }
