VMs are emptied for other pools, waves wait for quiet moments, slow is judged against what is usual

Change: PoolBalance lends the least used VM, WaveKeeper takes costless VMs while there is time, SlowWorkers compares with UsualTimes.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,8 +16,9 @@
  *
  * <p>Answers queues whose demand rises by turns: each asks for some seconds several times what its
  * pool holds while the others are nearly idle. A VM takes one to two seconds to move, a job may
- * take three to five, so that VMs that come in the first second still serve it in time. Only VMs on
- * which nothing runs are moved.
+ * take three to five, so that VMs that come in the first second still serve it in time. A VM that is
+ * to go gets no more tasks and is moved when those that it has are done; VMs with standing tasks
+ * stay.
  */
 final class PoolBalance {
     /** Work that waits should be done within this time, in milliseconds. */
@@ -28,14 +30,15 @@
     /** A VM that was moved stays at least this long, in milliseconds: a move has its price. */
     private static final long STAY_MS = 2000;
 
-    /** An idle VM goes to the standby pool after this time, in milliseconds. */
+    /** A pool with spare VMs gives them to the standby pool after this time, in milliseconds. */
     private static final long IDLE_MS = 1000;
 
-    /** Idle VMs that a serving pool keeps for what comes at once. */
+    /** Spare VMs that a serving pool keeps for what comes at once. */
     private static final int KEEP_IDLE = 1;
 
     private final Scheduler mScheduler;
     private final VmTable mVms;
+    private final Map<String, Long> mSpareSinceMs = new HashMap<>();
 
     PoolBalance(Scheduler scheduler, VmTable vms) {
         mScheduler = scheduler;
@@ -44,7 +47,7 @@
 
     private static final class Pool {
         final String mName;
-        final List<VmState> mIdle = new ArrayList<>();
+        final List<VmState> mMovable = new ArrayList<>();
         double mLack;
         long mSize = 1;
         int mComing;
@@ -85,8 +88,9 @@
         }
         for (Pool p : pools.values()) {
             p.mLack += wanted(p.mName, nowMs, nowWallMs);
-            p.mExtra = vmsForStanding(p.mName);
+            p.mExtra = vmsForStanding(p.mName, nowMs);
         }
+        pools.values().forEach(p -> p.mMovable.sort(Comparator.comparingLong(this::used)));
         fill(pools, standby, nowMs);
         park(config, pools, nowMs);
     }
@@ -103,13 +107,14 @@
             return;
         }
         boolean serves = vm.isFree() && worker.isPresent() && worker.get().isUsable(nowMs);
-        vm.idle(serves && worker.get().runs().isEmpty(), nowMs);
         if (!serves) {
             return;
         }
-        pool.mLack -= size - worker.get().standingUsed();
-        if (vm.idleSinceMs() >= 0) {
-            pool.mIdle.add(vm);
+        long standing = worker.get().standingUsed();
+        pool.mLack -= size - standing;
+        boolean stays = standing > 0 || worker.get().hasStanding();
+        if (!stays && nowMs - vm.movedMs() > STAY_MS) {
+            pool.mMovable.add(vm);
         }
     }
 
@@ -126,7 +131,7 @@
      * VMs that standing tasks wait for: their steps allow only so many on one worker, so that they
      * may find no place although there is room.
      */
-    private int vmsForStanding(String service) {
+    private int vmsForStanding(String service, long nowMs) {
         int most = 0;
         for (ActiveJob job : mScheduler.runs().jobs()) {
             boolean counts = job.order().isStanding() && job.order().service().equals(service);
@@ -134,21 +139,29 @@
                 continue;
             }
             for (ActiveStep step : job.runs().get(0).steps()) {
-                most = Math.max(most, vmsFor(step));
+                most = Math.max(most, vmsFor(step, nowMs));
             }
         }
         return most;
     }
 
-    private static int vmsFor(ActiveStep step) {
+    private int vmsFor(ActiveStep step, long nowMs) {
         int waiting = 0;
         for (TaskSlot s : step.slots()) {
-            waiting += s.isWaiting() && s.lacksRoom() ? 1 : 0;
+            waiting += s.isWaiting() && s.lacksRoom() || isStuck(s, nowMs) ? 1 : 0;
         }
         int each = Math.max(1, step.spec().placement().maxPerWorker());
         return (waiting + each - 1) / each;
     }
 
+    /** Whether the task holds up the emptying of its worker, since it has no other place. */
+    private boolean isStuck(TaskSlot slot, long nowMs) {
+        boolean leaves = slot.runs().stream().anyMatch(r -> r.worker().isVacating());
+        return leaves
+                && mScheduler.workersOf(slot.step().job().order().service()).stream()
+                        .noneMatch(w -> WorkerChooser.isAllowed(slot, w, nowMs));
+    }
+
     /** Work that is waiting or running in a service, in milliseconds of thousandths of a core. */
     private double backlog(String service, long nowWallMs) {
         double sum = 0;
@@ -173,7 +186,7 @@
             while (pool.lackedVms() > 0.5) {
                 Optional<VmState> vm =
                         standby.isEmpty()
-                                ? lend(pools, pool, nowMs)
+                                ? lend(pools, pool)
                                 : Optional.of(standby.remove(0));
                 if (vm.isEmpty()) {
                     break;
@@ -184,60 +197,49 @@
         }
     }
 
-    /** An idle VM of the pool that can best do without. */
-    private static Optional<VmState> lend(Map<String, Pool> pools, Pool to, long nowMs) {
+    /** What tasks have taken of a VM, in thousandths of a core. */
+    private long used(VmState vm) {
+        return mScheduler
+                .worker(vm.info().worker())
+                .map(w -> w.used().milliProcessors())
+                .orElse(0L);
+    }
+
+    /** The least used VM of the pool that can best do without. */
+    private static Optional<VmState> lend(Map<String, Pool> pools, Pool to) {
         Pool from = null;
         for (Pool p : pools.values()) {
-            boolean spare = p != to && p.lackedVms() <= -1 - KEEP_IDLE && hasMovable(p, nowMs);
+            boolean spare = p != to && p.lackedVms() <= -1 - KEEP_IDLE && !p.mMovable.isEmpty();
             if (spare && (from == null || p.lackedVms() < from.lackedVms())) {
                 from = p;
             }
         }
-        if (from == null) {
-            return Optional.empty();
-        }
-        return Optional.of(take(from, nowMs));
-    }
-
-    private static boolean hasMovable(Pool pool, long nowMs) {
-        return pool.mIdle.stream().anyMatch(v -> isMovable(v, nowMs));
+        return Optional.ofNullable(from).map(PoolBalance::take);
     }
 
-    private static boolean isMovable(VmState vm, long nowMs) {
-        return vm.movedMs() < 0 || nowMs - vm.movedMs() > STAY_MS;
+    private static VmState take(Pool pool) {
+        VmState vm = pool.mMovable.remove(0);
+        pool.mLack += vm.info().capacity().milliProcessors();
+        return vm;
     }
 
-    private static VmState take(Pool pool, long nowMs) {
-        for (VmState v : pool.mIdle) {
-            if (isMovable(v, nowMs)) {
-                pool.mIdle.remove(v);
-                pool.mLack += v.info().capacity().milliProcessors();
-                return v;
-            }
-        }
-        throw new IllegalStateException("no VM of " + pool.mName + " can be taken");
-    }
-
-    private static void park(FleetConfig config, Map<String, Pool> pools, long nowMs) {
+    private void park(FleetConfig config, Map<String, Pool> pools, long nowMs) {
         Optional<PoolService> standby =
                 config.services().stream().filter(PoolService::standby).findFirst();
         if (standby.isEmpty()) {
             return;
         }
         for (Pool pool : pools.values()) {
-            List<VmState> idle = new ArrayList<>(pool.mIdle);
-            int kept = 0;
-            for (VmState vm : idle) {
-                if (kept < KEEP_IDLE) {
-                    kept++;
-                    continue;
-                }
-                boolean longIdle = nowMs - vm.idleSinceMs() > IDLE_MS && isMovable(vm, nowMs);
-                if (longIdle && pool.lackedVms() <= -1 - KEEP_IDLE) {
-                    pool.mLack += vm.info().capacity().milliProcessors();
-                    String name = standby.get().name();
-                    vm.plan(new VmAction.Move(name, "nothing runs there"), nowMs);
-                }
+            if (pool.lackedVms() > -1 - KEEP_IDLE) {
+                mSpareSinceMs.remove(pool.mName);
+                continue;
+            }
+            long since = mSpareSinceMs.computeIfAbsent(pool.mName, n -> nowMs);
+            while (nowMs - since > IDLE_MS
+                    && pool.lackedVms() <= -1 - KEEP_IDLE
+                    && !pool.mMovable.isEmpty()) {
+                VmState vm = take(pool);
+                vm.plan(new VmAction.Move(standby.get().name(), "the pool has spare VMs"), nowMs);
             }
         }
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -22,6 +22,7 @@
     /** A worker lists this many ends at a time; a run may be missing because its end is beyond. */
     private static final int ENDS_A_LOOK = 500;
 
+    private final UsualTimes mUsual = new UsualTimes();
     private final Map<String, ActiveJob> mJobs = new LinkedHashMap<>();
     private final Map<TaskName, Set<Integer>> mFailures = new HashMap<>();
 
@@ -204,7 +205,11 @@
         }
         TaskSlot slot = found.get();
         slot.attempt(end.attempt());
-        worker.run(end.task(), end.attempt()).ifPresent(this::remove);
+        Optional<TaskRun> run = worker.run(end.task(), end.attempt());
+        run.ifPresent(this::remove);
+        if (end.outcome() == RunOutcome.DONE) {
+            run.ifPresent(r -> learn(r, nowMs));
+        }
         if (!end.checkpoint().isEmpty()) {
             slot.checkpoint(end.checkpoint());
         }
@@ -215,6 +220,17 @@
         }
     }
 
+    private void learn(TaskRun run, long nowMs) {
+        double took = nowMs - run.firstSeenMs();
+        double ratio = took / Math.max(1, run.slot().spec().estimateMs());
+        mUsual.done(run.slot().step().job().order().service(), ratio);
+    }
+
+    /** How long runs of a service usually take, against their estimates. */
+    double usual(String service) {
+        return mUsual.ratio(service);
+    }
+
     private void done(TaskSlot slot, WorkerState worker, long nowMs) {
         worker.health().done();
         markAllDone(slot, nowMs);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -145,9 +145,9 @@
             worker.storing();
         }
         mPaces.addAll(PaceControl.adjust(worker, nowMs));
-        for (TaskRun r : SlowWorkers.find(worker, nowMs)) {
+        for (TaskRun r : SlowWorkers.find(worker, mRuns.usual(worker.info().service()), nowMs)) {
             if (hasBetterPlace(r, nowMs)) {
-                r.stopping("it stands still or crawls", nowMs);
+                r.stopping(SlowWorkers.describe(r, nowMs), nowMs);
             }
         }
         return effects;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/SlowWorkers.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/SlowWorkers.java
@@ -18,11 +18,15 @@
     /** A standing task should be at work after this time, in milliseconds. */
     private static final long STARTUP_MS = 6000;
 
-    /** Runs that take so many times their estimates, on average, make a worker slow. */
-    private static final double SLOW_RATIO = 2.6;
+    /**
+     * Runs that take so many times as long as others of their service, against their estimates,
+     * make a worker slow: slowed workers take four times as long or more, and estimates are off by
+     * half, so that the mean of a few runs of a sound worker stays below.
+     */
+    private static final double SLOW_RATIO = 3;
 
     /** Runs that are needed to judge a worker. */
-    private static final int RUNS_TO_JUDGE = 2;
+    private static final int RUNS_TO_JUDGE = 3;
 
     /** A run must be this old to tell anything, in milliseconds. */
     private static final long YOUNG_MS = 500;
@@ -33,12 +37,19 @@
     /** A slow or still worker is left alone for so long, in milliseconds. */
     private static final long AVOID_MS = 2500;
 
+    /** A run is only taken elsewhere if it would take so many times as long where it is. */
+    private static final double GAIN = 1.5;
+
     private static final double WHOLE = 100;
 
     private SlowWorkers() {}
 
-    /** Runs that should be stopped and started elsewhere. */
-    static List<TaskRun> find(WorkerState worker, long nowMs) {
+    /**
+     * Runs that should be stopped and started elsewhere.
+     *
+     * @param usual how long runs of the service usually take, against their estimates
+     */
+    static List<TaskRun> find(WorkerState worker, double usual, long nowMs) {
         List<TaskRun> found = new ArrayList<>();
         double ratios = 0;
         int judged = 0;
@@ -56,27 +67,39 @@
         if (!found.isEmpty()) {
             worker.slowUntil(nowMs + AVOID_MS);
         }
-        if (judged >= RUNS_TO_JUDGE && ratios / judged > SLOW_RATIO) {
+        if (judged >= RUNS_TO_JUDGE && ratios / judged > SLOW_RATIO * usual) {
             worker.slowUntil(nowMs + AVOID_MS);
-            addCrawling(worker, nowMs, found);
+            addCrawling(worker, usual, nowMs, found);
         }
         return found;
     }
 
-    private static void addCrawling(WorkerState worker, long nowMs, List<TaskRun> found) {
+    /** Why a run is stopped, for the log. */
+    static String describe(TaskRun run, long nowMs) {
+        return String.format(
+                "%s at %.0f%% after %d ms, estimate %d ms",
+                isStill(run, nowMs) ? "stands still" : "crawls",
+                run.percent(),
+                nowMs - run.firstSeenMs(),
+                run.slot().spec().estimateMs());
+    }
+
+    private static void addCrawling(
+            WorkerState worker, double usual, long nowMs, List<TaskRun> found) {
         for (TaskRun r : worker.runs()) {
             boolean batch = !r.slot().spec().mode().standing();
-            if (batch && r.phase() == RunPhase.RUNNING && !found.contains(r) && gains(r, nowMs)) {
+            if (batch && r.phase() == RunPhase.RUNNING && !found.contains(r) && gains(r, usual, nowMs)) {
                 found.add(r);
             }
         }
     }
 
     /** Whether the run would end sooner if it began anew elsewhere. */
-    private static boolean gains(TaskRun run, long nowMs) {
+    private static boolean gains(TaskRun run, double usual, long nowMs) {
         double age = nowMs - run.firstSeenMs();
         double left = age / Math.max(1, run.percent()) * (WHOLE - run.percent());
-        return left > SLOW_RATIO / 2 * run.slot().spec().estimateMs();
+        double anew = usual * run.slot().spec().estimateMs();
+        return age > YOUNG_MS && left > GAIN * anew;
     }
 
     private static boolean isStill(TaskRun run, long nowMs) {
@@ -96,7 +119,7 @@
     }
 
     /** Expected run time against the estimate. */
-    private static double ratio(TaskRun run, long nowMs) {
+    static double ratio(TaskRun run, long nowMs) {
         double expected = (nowMs - run.firstSeenMs()) * WHOLE / run.percent();
         return expected / Math.max(1, run.slot().spec().estimateMs());
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
@@ -3,10 +3,10 @@
 import java.util.List;
 
 /**
- * Empties a worker before its VM is moved or rebooted.
+ * Empties a worker before its VM is rebooted.
  *
- * <p>A move or reboot ends at once all that runs there. Tasks that will end by themselves are
- * waited for; what can go on from a checkpoint is stopped; standing tasks are stopped one of a step
+ * <p>A reboot ends at once all that runs there. Tasks that will end by themselves are
+ * waited for; what can go on from a checkpoint is stopped sooner; standing tasks are stopped one of a step
  * at a time, and only while no more of the step are away than it may miss: more at a time would
  * break the service's availability budget.
  */
@@ -14,9 +14,6 @@
     /** How long to wait for tasks that lose their work when stopped, in milliseconds. */
     private static final long PATIENCE_MS = 6000;
 
-    /** Progress from which on a task with checkpoints is left to end by itself. */
-    private static final double NEARLY_DONE_PERCENT = 60;
-
     private Vacating() {}
 
     /** Stops what should be stopped now. */
@@ -35,10 +32,8 @@
         if (slot.spec().mode().standing()) {
             return isWithinBudget(slot) && hasPlace(slot, others, nowMs);
         }
-        if (slot.spec().mode().checkpoints()) {
-            return run.percent() < NEARLY_DONE_PERCENT;
-        }
-        return nowMs - sinceMs > PATIENCE_MS;
+        long patience = slot.spec().mode().checkpoints() ? PATIENCE_MS / 2 : PATIENCE_MS;
+        return nowMs - sinceMs > patience;
     }
 
     /** Whether the step can miss this task now. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -85,14 +85,15 @@
 
     /** What to do now. */
     public VmDecisions decide(
-            FleetConfig config, Collection<WaveOrder> waves, JobBook book, long nowMs,
+            FleetConfig config, Collection<DueWave> waves, JobBook book, long nowMs,
             long nowWallMs) {
         List<Long> completed = new ArrayList<>();
-        for (WaveOrder wave : waves) {
+        for (DueWave due : waves) {
+            WaveOrder wave = due.order();
             if (mVms.all().isEmpty() || book.isCompleted(wave.number())) {
                 continue;
             }
-            boolean done = mWaves.advance(wave, book, mVms, mScheduler, config, nowMs);
+            boolean done = mWaves.advance(due, book, mVms, mScheduler, config, nowMs);
             if (done && mReported.add(wave.number())) {
                 completed.add(wave.number());
             }
@@ -127,7 +128,10 @@
     private void vacate(VmState vm, WorkerState worker, long nowMs) {
         worker.vacating(true);
         List<WorkerState> others = mScheduler.workersOf(worker.info().service());
-        Vacating.step(worker, others, vm.plannedMs(), nowMs);
+        boolean stops = vm.planned().get() instanceof VmAction.Reboot;
+        if (stops) {
+            Vacating.step(worker, others, vm.plannedMs(), nowMs);
+        }
     }
 
     private Optional<WorkerState> worker(VmState vm) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmState.java
@@ -11,8 +11,7 @@
     private boolean mCalling;
     private long mPlannedMs;
     private String mWorkerBefore = "";
-    private long mIdleSinceMs = -1;
-    private long mArrivedMs = -1;
+    private long mMovedMs = Long.MIN_VALUE / 2;
 
     VmState(VmInfo info) {
         mInfo = info;
@@ -75,25 +74,12 @@
         return mWorkerBefore;
     }
 
-    /** Since when nothing runs there; -1 while something does. */
-    long idleSinceMs() {
-        return mIdleSinceMs;
-    }
-
-    void idle(boolean idle, long nowMs) {
-        if (!idle) {
-            mIdleSinceMs = -1;
-        } else if (mIdleSinceMs < 0) {
-            mIdleSinceMs = nowMs;
-        }
-    }
-
-    /** When it last began to move to its pool; -1 for never. */
+    /** When it last began to move to its pool. */
     long movedMs() {
-        return mArrivedMs;
+        return mMovedMs;
     }
 
     void moved(long nowMs) {
-        mArrivedMs = nowMs;
+        mMovedMs = nowMs;
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.job.JobBook;
@@ -16,17 +14,25 @@
  * Chooses the VMs of maintenance waves that are rebooted next.
  *
  * <p>VMs that are off go first, then idle ones, then those with the fewest standing tasks: each
- * reboot costs as little running work as there is a choice. No more are chosen at a time than the
+ * reboot costs as little running work as there is a choice; while there is time to spare, VMs with
+ * work wait for a quiet moment. No more are chosen at a time than the
  * wave allows to be down, so that a VM is never emptied long before its turn.
  */
 final class WaveKeeper {
-    private final Map<Long, Long> mFirstSeenMs = new HashMap<>();
+    /** Time that one round of a wave takes, in milliseconds: to empty VMs and to reboot them. */
+    private static final long ROUND_MS = 5000;
+
+    /** With this much time to spare only VMs on which nothing runs are taken, in milliseconds. */
+    private static final long AMPLE_MS = 7000;
+
+    /** Cost of a VM that is off or idle. */
+    private static final double NO_COST = 0.02;
 
     /** Plans reboots of a wave; returns whether all of its VMs have begun theirs. */
     boolean advance(
-            WaveOrder wave, JobBook book, VmTable vms, Scheduler scheduler, FleetConfig config,
+            DueWave due, JobBook book, VmTable vms, Scheduler scheduler, FleetConfig config,
             long nowMs) {
-        mFirstSeenMs.putIfAbsent(wave.number(), nowMs);
+        WaveOrder wave = due.order();
         Set<String> rebooted = book.rebooted(wave.number());
         List<VmState> left = new ArrayList<>();
         int down = 0;
@@ -46,10 +52,13 @@
             planned += v.planned().isPresent() ? 1 : 0;
         }
         int room = wave.atOnce() - down - planned;
+        long rounds = (left.size() + wave.atOnce() - 1) / wave.atOnce();
+        boolean ample = due.dueMs() - nowMs - rounds * ROUND_MS > AMPLE_MS;
         left.stream()
                 .filter(VmState::isFree)
                 .filter(v -> !isMissed(v, vms, scheduler))
-                .sorted(Comparator.comparingDouble(v -> cost(v, scheduler, config, nowMs)))
+                .filter(v -> !ample || cost(v, scheduler, config) < NO_COST)
+                .sorted(Comparator.comparingDouble(v -> cost(v, scheduler, config)))
                 .limit(Math.max(0, room))
                 .forEach(v -> v.plan(new VmAction.Reboot(wave.number()), nowMs));
         return left.isEmpty();
@@ -70,7 +79,7 @@
     }
 
     private static double cost(
-            VmState vm, Scheduler scheduler, FleetConfig config, long nowMs) {
+            VmState vm, Scheduler scheduler, FleetConfig config) {
         if (config.isStandby(vm.info().pool())) {
             return -1;
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -106,6 +106,10 @@
         return sum;
     }
 
+    boolean hasStanding() {
+        return mRuns.stream().anyMatch(r -> r.slot().spec().mode().standing());
+    }
+
     Optional<TaskRun> run(TaskName task, int attempt) {
         for (TaskRun r : mRuns) {
             if (r.attempt() == attempt && r.slot().name().equals(task)) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -9,6 +9,7 @@
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.OperatorOrder;
 import org.foxtailplank.port.WaveOrder;
+import org.foxtailplank.schedule.DueWave;
 
 /** Follows what the operator writes: the configuration in force and the waves. */
 public final class OperatorFollower {
@@ -22,9 +23,10 @@
     private final Clock mClock;
     private final Timers mTimers;
     private final NodeLog mLog;
-    private final Map<Long, WaveOrder> mWaves = new LinkedHashMap<>();
+    private final Map<Long, DueWave> mWaves = new LinkedHashMap<>();
 
     private Optional<FleetConfig> mConfig = Optional.empty();
+    private boolean mFollowing;
     private long mPosition = -1;
     private long mLastReadMs = Long.MIN_VALUE / 2;
 
@@ -42,7 +44,7 @@
     }
 
     /** All waves by their numbers. */
-    public Map<Long, WaveOrder> waves() {
+    public Map<Long, DueWave> waves() {
         return mWaves;
     }
 
@@ -91,12 +93,20 @@
             mLastReadMs = mClock.nowMs();
             mPosition = Math.max(mPosition, page.next());
             page.items().forEach(i -> i.value().ifPresent(this::take));
+            mFollowing = true;
         }
     }
 
+    /** A wave that was ordered before this node started may be half over already. */
+    private DueWave due(WaveOrder wave) {
+        long left = mFollowing ? wave.durationMs() : wave.durationMs() / 2;
+        return new DueWave(wave, mClock.nowMs() + left);
+    }
+
     private void take(OperatorOrder order) {
         if (order instanceof OperatorOrder.NewWave w) {
-            if (mWaves.put(w.wave().number(), w.wave()) == null) {
+            if (!mWaves.containsKey(w.wave().number())) {
+                mWaves.put(w.wave().number(), due(w.wave()));
                 mLog.line("wave-ordered")
                         .with("wave", w.wave().number())
                         .with("vms", w.wave().vms().size())
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -96,7 +96,7 @@
         if (!mListed || config.isEmpty()) {
             return;
         }
-        mParts.operator().waves().values().forEach(this::running);
+        mParts.operator().waves().values().forEach(w -> running(w.order()));
         VmPlanner.VmDecisions decisions =
                 mPlanner.decide(
                         config.get(),
