Tests of the decisions and of the adapter; a new owner's first sign before its reads

Ruled out: a dead stream alone. Change: the owner says it is alive before it reads, and reads side by side.

--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/Owner.java
@@ -0,0 +1,167 @@
+package org.foxtailplank.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JobOrder;
+import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.JobAccepted;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.PlacementRule;
+import org.foxtailplank.job.QueueTerms;
+import org.foxtailplank.job.RunEnd;
+import org.foxtailplank.job.RunMode;
+import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.RunView;
+import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.job.Timetable;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.OrderOutcome;
+import org.foxtailplank.port.PoolService;
+import org.foxtailplank.port.WorkerInfo;
+import org.foxtailplank.port.WorkerOrders.LookAnswer;
+
+/** An owner for tests: the real decisions, with a clock and workers that the test moves. */
+final class Owner {
+    static final ScheduleLimits LIMITS = new ScheduleLimits(6000, 200, 250, 4500, 3);
+    static final long CORE = 1000;
+    static final long WALL_MS = 1_000_000;
+
+    final JobBook mBook;
+    final Scheduler mScheduler = new Scheduler(LIMITS);
+    final FleetConfig mConfig =
+            new FleetConfig(
+                    1,
+                    List.of(),
+                    List.of(
+                            new PoolService("surveys", true, false),
+                            new PoolService("reports", true, false),
+                            new PoolService("off", true, true)),
+                    1000);
+    long mNowMs = 10_000;
+
+    Owner() {
+        this(new JobBook(120_000));
+    }
+
+    /** An owner that takes over with what the journal tells. */
+    Owner(JobBook book) {
+        mBook = book;
+    }
+
+    static WorkerInfo info(String id, String service, int cores) {
+        Resources room = Resources.of(cores, 1L << 40, 0);
+        return new WorkerInfo(
+                id, service, "10.0.0.1:1", "zone", room, Set.of("a", "r1"), "r1", false);
+    }
+
+    /** A worker that answers looks and runs nothing. */
+    WorkerState worker(String id, String service, int cores) {
+        mScheduler.worker(info(id, service, cores), mNowMs);
+        WorkerState worker = mScheduler.worker(id).get();
+        look(worker);
+        return worker;
+    }
+
+    static TaskStep step(int tasks, int cores, long estimateMs, List<Integer> after) {
+        return new TaskStep(
+                tasks,
+                Resources.of(cores, 1, 0),
+                estimateMs,
+                after,
+                PlacementRule.ANYWHERE,
+                RunMode.PLAIN);
+    }
+
+    static TaskStep standing(int tasks, int cores, int mayMiss) {
+        return new TaskStep(
+                tasks,
+                Resources.of(cores, 1, 0),
+                500,
+                List.of(),
+                PlacementRule.ANYWHERE,
+                new RunMode(false, true, false, false, 0, mayMiss));
+    }
+
+    static JobOrder order(String id, String service, int priority, TaskStep... steps) {
+        QueueTerms terms = new QueueTerms(priority, 2, 1.6, 600, Optional.empty());
+        return new JobOrder(
+                id, "queue", service, "text", List.of(steps), Timetable.AT_ONCE, terms, WALL_MS);
+    }
+
+    JobEntry accept(JobOrder order) {
+        JobEntry entry = mBook.apply(new JobAccepted(order)).orElseThrow();
+        mScheduler.job(entry, mNowMs);
+        return entry;
+    }
+
+    Decisions decide() {
+        return mScheduler.decide(mConfig, mNowMs, WALL_MS + mNowMs - 10_000);
+    }
+
+    /** Decides, writes the starts down and carries them out. */
+    List<TaskRun> place() {
+        List<TaskRun> planned = decide().planned();
+        record(planned);
+        for (Decisions.Start s : decide().starts()) {
+            mScheduler.startAnswered(s.run(), OrderOutcome.DONE, mNowMs);
+        }
+        return planned;
+    }
+
+    void record(List<TaskRun> planned) {
+        List<StartedRun> starts = new ArrayList<>();
+        for (TaskRun r : planned) {
+            starts.add(new StartedRun(r.slot().name(), r.attempt(), r.worker().id()));
+        }
+        mBook.apply(new RunsStarted(starts));
+        mScheduler.recorded(planned);
+    }
+
+    /** A look at which all the worker's runs are listed, with these ends. */
+    LookEffects look(WorkerState worker, RunEnd... ends) {
+        List<RunView> views = new ArrayList<>();
+        for (TaskRun r : worker.runs()) {
+            boolean ended =
+                    List.of(ends).stream().anyMatch(e -> e.task().equals(r.slot().name()));
+            if (!ended) {
+                views.add(new RunView(r.slot().name(), r.attempt(), "", 100, 0));
+            }
+        }
+        return lookAt(worker, views, List.of(ends));
+    }
+
+    LookEffects lookAt(WorkerState worker, List<RunView> running, List<RunEnd> ends) {
+        LookAnswer answer = new LookAnswer(OrderOutcome.DONE, 5000 + mNowMs, running, ends);
+        worker.granted(mNowMs);
+        long sent = mNowMs;
+        mNowMs++;
+        return mScheduler.looked(worker, answer, sent, mNowMs);
+    }
+
+    /** The run ends, and its end is stored. */
+    void end(TaskRun run, RunOutcome outcome, long sequence) {
+        RunEnd end =
+                new RunEnd(sequence, run.slot().name(), run.attempt(), outcome, "");
+        LookEffects effects = look(run.worker(), end);
+        if (!effects.toStore().isEmpty()) {
+            store(effects.toStore());
+            run.worker().stored();
+        }
+    }
+
+    void store(List<RunEnd> ends) {
+        List<EndedRun> ended = new ArrayList<>();
+        for (RunEnd e : ends) {
+            ended.add(new EndedRun(e.task(), e.attempt(), e.outcome(), WALL_MS));
+        }
+        mBook.apply(new RunsEnded(ended));
+        ended.forEach(e -> mScheduler.recorded(e.task(), e.outcome(), mNowMs));
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -39,6 +39,9 @@
     /** How often the load of services is logged, in milliseconds. */
     private static final long LOAD_MS = 2000;
 
+    /** Pause before a read of the take-over is repeated, in milliseconds. */
+    private static final long RETRY_MS = 150;
+
     /** How often the directory of workers is read, in milliseconds. */
     private static final long DIRECTORY_MS = 300;
 
@@ -52,6 +55,9 @@
     private final VmWork mVms;
     private final Map<String, Looker> mLookers = new HashMap<>();
 
+    private Optional<Feed.Page<WorkerInfo>> mFirstDirectory = Optional.empty();
+    private Optional<List<VmInfo>> mFirstVms = Optional.empty();
+    private boolean mJournalRead;
     private long mDirectoryPosition = -1;
     private boolean mLoaded;
     private boolean mOver;
@@ -69,48 +75,78 @@
         mVms = new VmWork(this, parts, token);
     }
 
-    /** Takes over: reads the journal and the directory, then looks at every worker. */
+    /**
+     * Takes over: reads the journal, the directory and the list of VMs side by side, then looks at
+     * every worker. The first sign of life is written before the reads: with a slow store they take
+     * longer than other nodes are patient, and one owner after the other would be replaced before
+     * its first order.
+     */
     public void start() {
         mParts.log().line("owner-start").with("token", mToken).write();
         mParts.reader().eager(true);
-        mJournal.raiseEpoch(this::load);
+        mJournal.raiseEpoch(
+                () -> {
+                    sayAlive();
+                    readJournal();
+                    listVms();
+                });
+        readDirectory();
     }
 
-    private void load() {
-        if (mOver) {
-            return;
-        }
+    /** Listed only once the earlier owner can't write down starts on newer lives any more. */
+    private void listVms() {
+        mParts.platform()
+                .vms()
+                .list(
+                        vms -> {
+                            mFirstVms = Optional.of(vms.orElse(List.of()));
+                            takeOverIfRead();
+                        });
+    }
+
+    private void readJournal() {
         mParts.reader()
                 .refresh(
                         read -> {
+                            mJournalRead = read;
                             if (read) {
-                                mParts.platform().directory().newest(this::loaded);
-                            } else {
-                                mParts.timers().after(DIRECTORY_MS, this::load);
+                                takeOverIfRead();
+                            } else if (!mOver) {
+                                mParts.timers().after(RETRY_MS, this::readJournal);
                             }
                         });
     }
 
-    private void loaded(Feed.Result<WorkerInfo> result) {
-        if (!(result instanceof Feed.Page<WorkerInfo> page)) {
-            mParts.timers().after(DIRECTORY_MS, this::load);
-            return;
-        }
-        mParts.platform().vms().list(vms -> takeOver(page, vms));
+    private void readDirectory() {
+        mParts.platform()
+                .directory()
+                .newest(
+                        result -> {
+                            if (result instanceof Feed.Page<WorkerInfo> page) {
+                                mFirstDirectory = Optional.of(page);
+                                takeOverIfRead();
+                            } else if (!mOver) {
+                                mParts.timers().after(RETRY_MS, this::readDirectory);
+                            }
+                        });
     }
 
-    private void takeOver(Feed.Page<WorkerInfo> page, Optional<List<VmInfo>> vms) {
-        if (mOver) {
-            return;
+    private void takeOverIfRead() {
+        boolean read = mJournalRead && mFirstDirectory.isPresent() && mFirstVms.isPresent();
+        if (read && !mLoaded && !mOver) {
+            takeOver(mFirstDirectory.get(), mFirstVms.get());
         }
+    }
+
+    private void takeOver(Feed.Page<WorkerInfo> directory, List<VmInfo> vms) {
         mLoaded = true;
-        takeDirectory(page);
+        takeDirectory(directory);
         // Without the list of VMs a worker that is not in the directory may still run tasks.
         Set<String> lives = new HashSet<>();
-        vms.ifPresent(list -> list.forEach(v -> lives.add(v.worker())));
+        vms.forEach(v -> lives.add(v.worker()));
         long now = mClock.nowMs();
         for (JobEntry job : mParts.reader().book().jobs()) {
-            mScheduler.inherit(job, w -> vms.isPresent() && !lives.contains(w), now);
+            mScheduler.inherit(job, w -> !lives.isEmpty() && !lives.contains(w), now);
         }
         mParts.log()
                 .line("owner-loaded")
@@ -119,7 +155,6 @@
                 .with("journal", mParts.reader().position())
                 .write();
         mParts.timers().after(DIRECTORY_MS, this::followDirectory);
-        sayAlive();
         sayLoad();
         mVms.start();
         new Restating(this, mParts).start();
