Waves: only reboots hold reboots back, VMs with standing tasks begin earlier; no waiting for a dead store

Ruled out: the store's outage (reboots go to another service). Change: WaveKeeper counts reboots only and allows time for standing tasks; workers with a standing task to come are looked at more often; while the store fails one record at a time is tried.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
@@ -126,7 +126,6 @@
 
     /** Forgets jobs that ended so long ago that nobody may ask for them any more. */
     public void forgetEnded(long nowMs) {
-        mJobs.values()
-                .removeIf(j -> j.endedMs() > 0 && j.endedMs() + mKeepEndedMs < nowMs);
+        mJobs.values().removeIf(j -> j.endedMs() > 0 && j.endedMs() + mKeepEndedMs < nowMs);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobEntry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobEntry.java
@@ -43,12 +43,10 @@
     public JournalRecord.JobRestated restate(long nowMs) {
         mStatedMs = nowMs;
         List<JournalRecord.EndedRun> ends = new ArrayList<>();
-        mDone.stream()
-                .forEach(p -> ends.add(end(mOrder.task(p), 0, RunOutcome.DONE)));
+        mDone.stream().forEach(p -> ends.add(end(mOrder.task(p), 0, RunOutcome.DONE)));
         mFailedAttempts.forEach(
                 (p, attempts) ->
-                        attempts.forEach(
-                                a -> ends.add(end(mOrder.task(p), a, RunOutcome.FAILED))));
+                        attempts.forEach(a -> ends.add(end(mOrder.task(p), a, RunOutcome.FAILED))));
         return new JournalRecord.JobRestated(
                 mOrder, List.copyOf(mLastStarts.values()), ends, mCancelledMs);
     }
@@ -97,9 +95,7 @@
         mBegun = true;
         if (mOrder.has(run.task())) {
             mLastStarts.merge(
-                    mOrder.position(run.task()),
-                    run,
-                    (a, b) -> a.attempt() > b.attempt() ? a : b);
+                    mOrder.position(run.task()), run, (a, b) -> a.attempt() > b.attempt() ? a : b);
         }
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/job/QueueTerms.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/QueueTerms.java
@@ -12,8 +12,4 @@
  * @param advice the queue's placement advice, if it has one
  */
 public record QueueTerms(
-        int priority,
-        int maxAttempts,
-        double stretch,
-        long sloMs,
-        Optional<AdviceTerms> advice) {}
+        int priority, int maxAttempts, double stretch, long sloMs, Optional<AdviceTerms> advice) {}
--- a/foxtail-core/src/main/java/org/foxtailplank/job/RunView.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/RunView.java
@@ -10,8 +10,7 @@
  * @param gauge tail latency of a serving task in milliseconds, else processor use in thousandths of
  *     a core; over the last half second
  */
-public record RunView(
-        TaskName task, int attempt, String checkpoint, double percent, long gauge) {
+public record RunView(TaskName task, int attempt, String checkpoint, double percent, long gauge) {
     /** Progress at which a standing task counts as at work. */
     public static final double AT_WORK = 100;
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/port/CallerBodies.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/CallerBodies.java
@@ -11,6 +11,9 @@
     /** Reads a submission. */
     Submission read(byte[] body) throws BadBodyException;
 
+    /** Name of the header that says how many milliseconds a caller waits for an answer. */
+    String deadlineHeader();
+
     /** The answer to a question about a job. */
     String phase(JobPhase phase);
 
--- a/foxtail-core/src/main/java/org/foxtailplank/port/FleetConfig.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/FleetConfig.java
@@ -23,8 +23,7 @@
         RouteSettings best = null;
         for (RouteSettings r : routes) {
             boolean matches = r.host().equalsIgnoreCase(host) && path.startsWith(r.pathPrefix());
-            boolean longer =
-                    best == null || r.pathPrefix().length() > best.pathPrefix().length();
+            boolean longer = best == null || r.pathPrefix().length() > best.pathPrefix().length();
             if (matches && longer) {
                 best = r;
             }
--- a/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
@@ -33,9 +33,7 @@
      */
     record WriterEpoch(String name, long epoch, long sequence) {}
 
-    /**
-     * Reads records from an offset on, and waits for the first one for so long; 0 doesn't wait.
-     */
+    /** Reads records from an offset on, and waits for the first one for so long; 0 doesn't wait. */
     void read(LogPartition partition, long from, long waitMs, Consumer<ReadResult> then);
 
     /** What came of an append. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/LookEffects.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/LookEffects.java
@@ -11,8 +11,7 @@
  * @param lost runs that the worker should have and doesn't list
  * @param orphans runs of jobs that have ended or are not known; they must be stopped
  */
-public record LookEffects(
-        List<RunEnd> toStore, List<TaskRun> lost, List<RunView> orphans) {
+public record LookEffects(List<RunEnd> toStore, List<TaskRun> lost, List<RunView> orphans) {
     public LookEffects {
         toStore = List.copyOf(toStore);
         lost = List.copyOf(lost);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -16,8 +16,8 @@
  *
  * <p>Answers queues whose demand rises by turns: each asks for some seconds several times what its
  * pool holds while the others are nearly idle. A VM takes one to two seconds to move, a job may
- * take three to five, so that VMs that come in the first second still serve it in time. A VM that is
- * to go gets no more tasks and is moved when those that it has are done; VMs with standing tasks
+ * take three to five, so that VMs that come in the first second still serve it in time. A VM that
+ * is to go gets no more tasks and is moved when those that it has are done; VMs with standing tasks
  * stay.
  */
 final class PoolBalance {
@@ -185,9 +185,7 @@
         for (Pool pool : lacking) {
             while (pool.lackedVms() > 0.5) {
                 Optional<VmState> vm =
-                        standby.isEmpty()
-                                ? lend(pools, pool)
-                                : Optional.of(standby.remove(0));
+                        standby.isEmpty() ? lend(pools, pool) : Optional.of(standby.remove(0));
                 if (vm.isEmpty()) {
                     break;
                 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -113,8 +113,7 @@
 
     /** Forgets jobs of which nothing is left to do. */
     void forgetEnded() {
-        mJobs.values()
-                .removeIf(j -> (j.isEnding() || j.entry().phase().isFinal()) && hasNoRuns(j));
+        mJobs.values().removeIf(j -> (j.isEnding() || j.entry().phase().isFinal()) && hasNoRuns(j));
     }
 
     private static boolean hasNoRuns(ActiveJob job) {
@@ -185,8 +184,7 @@
      * Runs that the worker had confirmed, or been told to stop, before the look was sent and that
      * it lists neither as running nor as ended: they are not there.
      */
-    private static List<TaskRun> unlisted(
-            WorkerState worker, Set<TaskRun> listed, long sentMs) {
+    private static List<TaskRun> unlisted(WorkerState worker, Set<TaskRun> listed, long sentMs) {
         List<TaskRun> lost = new ArrayList<>();
         for (TaskRun run : worker.runs()) {
             boolean known = run.confirmedMs() >= 0 && run.confirmedMs() < sentMs;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -14,8 +14,8 @@
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.OrderOutcome;
-import org.foxtailplank.port.PoolService;
 import org.foxtailplank.port.PlacementAdvice.Advice;
+import org.foxtailplank.port.PoolService;
 import org.foxtailplank.port.WorkerInfo;
 import org.foxtailplank.port.WorkerOrders.LookAnswer;
 
@@ -264,8 +264,7 @@
             }
         }
         lapsed.forEach(mRuns::remove);
-        mWorkers.values()
-                .removeIf(w -> !w.isListed() && w.isSilent() && w.runs().isEmpty());
+        mWorkers.values().removeIf(w -> !w.isListed() && w.isSilent() && w.runs().isEmpty());
         return lapsed;
     }
 
@@ -400,8 +399,7 @@
         return found;
     }
 
-    private void placeStep(
-            ActiveStep step, List<WorkerState> workers, Decisions out, long nowMs) {
+    private void placeStep(ActiveStep step, List<WorkerState> workers, Decisions out, long nowMs) {
         if (step.job().order().terms().advice().isPresent()) {
             askIfNeeded(step, workers, out, nowMs);
         }
@@ -448,8 +446,7 @@
         }
     }
 
-    private void start(
-            TaskSlot slot, WorkerState worker, int attempt, Decisions out, long nowMs) {
+    private void start(TaskSlot slot, WorkerState worker, int attempt, Decisions out, long nowMs) {
         TaskRun run = new TaskRun(slot, worker, attempt, nowMs);
         mRuns.start(run);
         out.planned().add(run);
@@ -469,10 +466,7 @@
         }
         boolean canGoOn =
                 workers.stream()
-                        .anyMatch(
-                                w ->
-                                        w.isUsable(nowMs)
-                                                && step.ticket(w.id(), nowMs).isPresent());
+                        .anyMatch(w -> w.isUsable(nowMs) && step.ticket(w.id(), nowMs).isPresent());
         if (!canGoOn && !unknown.isEmpty()) {
             step.asking();
             out.asks().add(new Decisions.Ask(step, unknown));
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/SlowWorkers.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/SlowWorkers.java
@@ -15,7 +15,7 @@
     /** A run whose progress stays the same for so long stands still, in milliseconds. */
     private static final long STILL_MS = 1800;
 
-    /** A standing task should be at work after this time, in milliseconds. */
+    /** A standing task that is not at work makes progress within this time, in milliseconds. */
     private static final long STARTUP_MS = 6000;
 
     /**
@@ -88,7 +88,10 @@
             WorkerState worker, double usual, long nowMs, List<TaskRun> found) {
         for (TaskRun r : worker.runs()) {
             boolean batch = !r.slot().spec().mode().standing();
-            if (batch && r.phase() == RunPhase.RUNNING && !found.contains(r) && gains(r, usual, nowMs)) {
+            if (batch
+                    && r.phase() == RunPhase.RUNNING
+                    && !found.contains(r)
+                    && gains(r, usual, nowMs)) {
                 found.add(r);
             }
         }
@@ -104,7 +107,7 @@
 
     private static boolean isStill(TaskRun run, long nowMs) {
         if (run.slot().spec().mode().standing()) {
-            return run.percent() < WHOLE && nowMs - run.startedMs() > STARTUP_MS;
+            return run.percent() < WHOLE && nowMs - run.percentMs() > STARTUP_MS;
         }
         boolean gang = run.slot().spec().placement().gang();
         return !gang && run.percent() < WHOLE && nowMs - run.percentMs() > STILL_MS;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Urgency.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Urgency.java
@@ -72,8 +72,7 @@
     }
 
     /** The runs that can meet their objectives together. */
-    private static Set<ActiveRun> inTime(
-            List<ActiveRun> runs, long milliCores, long nowWallMs) {
+    private static Set<ActiveRun> inTime(List<ActiveRun> runs, long milliCores, long nowWallMs) {
         List<ActiveRun> candidates = new ArrayList<>();
         Map<ActiveRun, Long> works = new HashMap<>();
         for (ActiveRun r : runs) {
@@ -98,7 +97,9 @@
         return new HashSet<>(largest);
     }
 
-    /** Time until the run must go on without a pause to meet its objective; negative if it can't. */
+    /**
+     * Time until the run must go on without a pause to meet its objective; negative if it can't.
+     */
     static long slackMs(ActiveRun run, long nowWallMs) {
         return objectiveMs(run) - nowWallMs - run.remainingMs();
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
@@ -5,10 +5,10 @@
 /**
  * Empties a worker before its VM is rebooted.
  *
- * <p>A reboot ends at once all that runs there. Tasks that will end by themselves are
- * waited for; what can go on from a checkpoint is stopped sooner; standing tasks are stopped one of a step
- * at a time, and only while no more of the step are away than it may miss: more at a time would
- * break the service's availability budget.
+ * <p>A reboot ends at once all that runs there. Tasks that will end by themselves are waited for;
+ * what can go on from a checkpoint is stopped sooner; standing tasks are stopped one of a step at a
+ * time, and only while no more of the step are away than it may miss: more at a time would break
+ * the service's availability budget.
  */
 final class Vacating {
     /** How long to wait for tasks that lose their work when stopped, in milliseconds. */
@@ -17,8 +17,7 @@
     private Vacating() {}
 
     /** Stops what should be stopped now. */
-    static void step(
-            WorkerState worker, List<WorkerState> others, long sinceMs, long nowMs) {
+    static void step(WorkerState worker, List<WorkerState> others, long sinceMs, long nowMs) {
         for (TaskRun run : worker.runs()) {
             if (run.phase() == RunPhase.RUNNING && mayStop(run, others, sinceMs, nowMs)) {
                 run.stopping("its worker is vacated", nowMs);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -24,6 +24,7 @@
     private final WaveKeeper mWaves = new WaveKeeper();
     private final PoolBalance mBalance;
     private final Map<String, Long> mActedMs = new HashMap<>();
+    private final Map<Long, Set<String>> mRebooted = new HashMap<>();
     private final Set<Long> mReported = new HashSet<>();
     private final Set<String> mSeenLives = new HashSet<>();
 
@@ -78,6 +79,9 @@
     public void answered(Call call, VmOutcome outcome, long nowMs) {
         mActedMs.put(call.vm().id(), nowMs);
         VmTable.answered(call.vm(), call.action(), outcome, nowMs);
+        if (outcome == VmOutcome.DONE && call.action() instanceof VmAction.Reboot reboot) {
+            mRebooted.computeIfAbsent(reboot.wave(), w -> new HashSet<>()).add(call.vm().id());
+        }
         if (call.vm().planned().isEmpty()) {
             worker(call.vm()).ifPresent(w -> w.vacating(false));
         }
@@ -85,7 +89,10 @@
 
     /** What to do now. */
     public VmDecisions decide(
-            FleetConfig config, Collection<DueWave> waves, JobBook book, long nowMs,
+            FleetConfig config,
+            Collection<DueWave> waves,
+            JobBook book,
+            long nowMs,
             long nowWallMs) {
         List<Long> completed = new ArrayList<>();
         for (DueWave due : waves) {
@@ -93,7 +100,8 @@
             if (mVms.all().isEmpty() || book.isCompleted(wave.number())) {
                 continue;
             }
-            boolean done = mWaves.advance(due, book, mVms, mScheduler, config, nowMs);
+            boolean done =
+                    mWaves.advance(due, rebooted(wave, book), mVms, mScheduler, config, nowMs);
             if (done && mReported.add(wave.number())) {
                 completed.add(wave.number());
             }
@@ -102,6 +110,32 @@
         return new VmDecisions(carryOut(config, nowMs), completed);
     }
 
+    /** VMs of a wave that have not begun their reboot, and what keeps each, for the log. */
+    public List<String> left(WaveOrder wave, JobBook book) {
+        Set<String> rebooted = rebooted(wave, book);
+        List<String> left = new ArrayList<>();
+        for (String id : wave.vms()) {
+            Optional<VmState> vm = mVms.vm(id);
+            if (vm.isPresent() && !rebooted.contains(id)) {
+                left.add(describe(vm.get()));
+            }
+        }
+        return left;
+    }
+
+    private String describe(VmState vm) {
+        String runs = worker(vm).map(w -> w.runs().size() + " runs").orElse("no worker");
+        String plan = vm.planned().map(Object::toString).orElse("not chosen");
+        return vm.id() + ' ' + vm.info().phase() + ", " + runs + ", " + plan;
+    }
+
+    /** VMs of a wave that have begun their reboot, whether the journal has it already or not. */
+    private Set<String> rebooted(WaveOrder wave, JobBook book) {
+        Set<String> all = new HashSet<>(book.rebooted(wave.number()));
+        all.addAll(mRebooted.getOrDefault(wave.number(), Set.of()));
+        return all;
+    }
+
     /** A report of a completed wave was not stored; it is due again. */
     public void notReported(long wave) {
         mReported.remove(wave);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmState.java
@@ -34,6 +34,12 @@
         return mPlanned.isEmpty() && mInfo.phase() == VmPhase.UP;
     }
 
+    /** Whether it is down for a reboot, or is to be. */
+    boolean isRebooting() {
+        boolean chosen = mPlanned.isPresent() && mPlanned.get() instanceof VmAction.Reboot;
+        return chosen || mInfo.phase() == VmPhase.REBOOTING;
+    }
+
     Optional<VmAction> planned() {
         return mPlanned;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmTable.java
@@ -52,9 +52,7 @@
             vm.taken(new VmInfo(info.id(), move.pool(), VmPhase.MOVING, "", info.capacity()));
             vm.moved(nowMs);
         } else if (outcome == VmOutcome.DONE) {
-            vm.taken(
-                    new VmInfo(
-                            info.id(), info.pool(), VmPhase.REBOOTING, "", info.capacity()));
+            vm.taken(new VmInfo(info.id(), info.pool(), VmPhase.REBOOTING, "", info.capacity()));
         } else if (outcome != VmOutcome.UNANSWERED && outcome != VmOutcome.NOT_DONE) {
             vm.unplan();
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.foxtailplank.job.JobBook;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.VmActions.VmPhase;
 import org.foxtailplank.port.WaveOrder;
@@ -15,8 +14,8 @@
  *
  * <p>VMs that are off go first, then idle ones, then those with the fewest standing tasks: each
  * reboot costs as little running work as there is a choice; while there is time to spare, VMs with
- * work wait for a quiet moment. No more are chosen at a time than the
- * wave allows to be down, so that a VM is never emptied long before its turn.
+ * work wait for a quiet moment. No more are chosen at a time than the wave allows to be down, so
+ * that a VM is never emptied long before its turn.
  */
 final class WaveKeeper {
     /** Time that one round of a wave takes, in milliseconds: to empty VMs and to reboot them. */
@@ -25,15 +24,21 @@
     /** With this much time to spare only VMs on which nothing runs are taken, in milliseconds. */
     private static final long AMPLE_MS = 7000;
 
+    /** Time until a standing task that was taken away is at work elsewhere, in milliseconds. */
+    private static final long STANDING_MS = 2000;
+
     /** Cost of a VM that is off or idle. */
     private static final double NO_COST = 0.02;
 
     /** Plans reboots of a wave; returns whether all of its VMs have begun theirs. */
     boolean advance(
-            DueWave due, JobBook book, VmTable vms, Scheduler scheduler, FleetConfig config,
+            DueWave due,
+            Set<String> rebooted,
+            VmTable vms,
+            Scheduler scheduler,
+            FleetConfig config,
             long nowMs) {
         WaveOrder wave = due.order();
-        Set<String> rebooted = book.rebooted(wave.number());
         List<VmState> left = new ArrayList<>();
         int down = 0;
         int planned = 0;
@@ -43,17 +48,18 @@
                 continue;
             }
             VmState v = vm.get();
+            // Only reboots count: a VM that has had its own may be moving or down for other causes.
+            down += v.info().phase() == VmPhase.REBOOTING ? 1 : 0;
             if (rebooted.contains(id)) {
-                down += v.info().phase() == VmPhase.UP ? 0 : 1;
                 continue;
             }
             left.add(v);
-            down += v.info().phase() == VmPhase.REBOOTING ? 1 : 0;
             planned += v.planned().isPresent() ? 1 : 0;
         }
         int room = wave.atOnce() - down - planned;
         long rounds = (left.size() + wave.atOnce() - 1) / wave.atOnce();
-        boolean ample = due.dueMs() - nowMs - rounds * ROUND_MS > AMPLE_MS;
+        long needed = rounds * ROUND_MS + mostStanding(left, scheduler) * STANDING_MS;
+        boolean ample = due.dueMs() - nowMs - needed > AMPLE_MS;
         left.stream()
                 .filter(VmState::isFree)
                 .filter(v -> !isMissed(v, vms, scheduler))
@@ -64,22 +70,36 @@
         return left.isEmpty();
     }
 
-    /** Whether half of the VMs of its pool are already on their way out. */
+    /** Most standing tasks on one of the VMs: they are taken away one after the other. */
+    private static int mostStanding(List<VmState> vms, Scheduler scheduler) {
+        int most = 0;
+        for (VmState v : vms) {
+            most =
+                    Math.max(
+                            most,
+                            scheduler
+                                    .worker(v.info().worker())
+                                    .map(WorkerState::standingRuns)
+                                    .orElse(0));
+        }
+        return most;
+    }
+
+    /** Whether half of the VMs of its pool are already being rebooted or emptied for it. */
     private static boolean isMissed(VmState vm, VmTable vms, Scheduler scheduler) {
         int all = 0;
         int out = 0;
         for (VmState v : vms.all()) {
             if (v.info().pool().equals(vm.info().pool())) {
                 all++;
-                out += v.isFree() ? 0 : 1;
+                out += v.isRebooting() ? 1 : 0;
             }
         }
         boolean hasWorker = scheduler.worker(vm.info().worker()).isPresent();
         return hasWorker && 2 * out >= all;
     }
 
-    private static double cost(
-            VmState vm, Scheduler scheduler, FleetConfig config) {
+    private static double cost(VmState vm, Scheduler scheduler, FleetConfig config) {
         if (config.isStandby(vm.info().pool())) {
             return -1;
         }
@@ -87,10 +107,7 @@
         if (worker.isEmpty()) {
             return 0;
         }
-        int standing = 0;
-        for (TaskRun r : worker.get().runs()) {
-            standing += r.slot().spec().mode().standing() ? 1 : 0;
-        }
+        int standing = worker.get().standingRuns();
         long used = worker.get().used().milliProcessors();
         long all = Math.max(1, worker.get().info().capacity().milliProcessors());
         return standing + (double) used / all;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -43,8 +43,7 @@
 
     /** A worker of which only its life is known, from an earlier owner's starts. */
     static WorkerState unknown(String id, String service, long nowMs) {
-        WorkerInfo info =
-                new WorkerInfo(id, service, "", "", Resources.NONE, Set.of(), "", false);
+        WorkerInfo info = new WorkerInfo(id, service, "", "", Resources.NONE, Set.of(), "", false);
         WorkerState worker = new WorkerState(info, nowMs);
         worker.mListed = false;
         worker.mSilent = true;
@@ -107,7 +106,26 @@
     }
 
     boolean hasStanding() {
-        return mRuns.stream().anyMatch(r -> r.slot().spec().mode().standing());
+        return standingRuns() > 0;
+    }
+
+    /** Runs of standing tasks. */
+    int standingRuns() {
+        int count = 0;
+        for (TaskRun r : mRuns) {
+            count += r.slot().spec().mode().standing() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Whether a standing task is on its way to work there; others may wait for it. */
+    public boolean hasStandingToCome() {
+        for (TaskRun r : mRuns) {
+            if (r.slot().spec().mode().standing() && !r.isAtWork()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     Optional<TaskRun> run(TaskName task, int attempt) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/Owner.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/Owner.java
@@ -128,8 +128,7 @@
     LookEffects look(WorkerState worker, RunEnd... ends) {
         List<RunView> views = new ArrayList<>();
         for (TaskRun r : worker.runs()) {
-            boolean ended =
-                    List.of(ends).stream().anyMatch(e -> e.task().equals(r.slot().name()));
+            boolean ended = List.of(ends).stream().anyMatch(e -> e.task().equals(r.slot().name()));
             if (!ended) {
                 views.add(new RunView(r.slot().name(), r.attempt(), "", 100, 0));
             }
@@ -147,8 +146,7 @@
 
     /** The run ends, and its end is stored. */
     void end(TaskRun run, RunOutcome outcome, long sequence) {
-        RunEnd end =
-                new RunEnd(sequence, run.slot().name(), run.attempt(), outcome, "");
+        RunEnd end = new RunEnd(sequence, run.slot().name(), run.attempt(), outcome, "");
         LookEffects effects = look(run.worker(), end);
         if (!effects.toStore().isEmpty()) {
             store(effects.toStore());
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
@@ -281,7 +281,13 @@
         WorkerInfo i = worker.info();
         owner.mScheduler.worker(
                 new WorkerInfo(
-                        i.id(), i.service(), i.address(), i.zone(), i.capacity(), Set.of(), "r1",
+                        i.id(),
+                        i.service(),
+                        i.address(),
+                        i.zone(),
+                        i.capacity(),
+                        Set.of(),
+                        "r1",
                         true),
                 owner.mNowMs);
         owner.accept(Owner.order(JOB, "surveys", 0, Owner.step(1, 1, 1000, List.of())));
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
@@ -27,19 +27,18 @@
     public void moreJobsMeetTheirObjectivesThanInTheOrderOfTheirComing() {
         // A queue asks five times what its pool can do for four seconds. In the order of their
         // coming every job waits for all before it and misses its objective by a little.
-        int byUrgency =
-                inTime((runs, now) -> Urgency.sort(runs, CORES * Owner.CORE, now));
+        int byUrgency = inTime((runs, now) -> Urgency.sort(runs, CORES * Owner.CORE, now));
         int asTheyCame =
                 inTime(
                         (runs, now) -> {
                             List<ActiveRun> sorted = new ArrayList<>(runs);
                             sorted.sort(
-                                    Comparator.comparingLong(
-                                            r -> r.job().order().acceptedMs()));
+                                    Comparator.comparingLong(r -> r.job().order().acceptedMs()));
                             return sorted;
                         });
 
-        System.out.println("in time of " + JOBS + ": " + byUrgency + ", as they came: " + asTheyCame);
+        System.out.println(
+                "in time of " + JOBS + ": " + byUrgency + ", as they came: " + asTheyCame);
         assertTrue(byUrgency >= 2 * asTheyCame, byUrgency + " against " + asTheyCame);
     }
 
@@ -71,8 +70,7 @@
             int tasks = 1 + random.nextInt(12);
             long estimate = 400 + random.nextInt(1200);
             JobOrder order =
-                    Owner.order(
-                            "job" + i, "surveys", 0, Owner.step(tasks, 3, estimate, List.of()));
+                    Owner.order("job" + i, "surveys", 0, Owner.step(tasks, 3, estimate, List.of()));
             JobOrder timed =
                     new JobOrder(
                             order.id(),
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
@@ -75,6 +75,32 @@
         assertTrue(second.isEmpty(), "the first one is not back yet");
     }
 
+    @Test
+    public void aVmThatMovesAfterItsRebootDoesNotHoldUpTheWave() {
+        // Operators see a wave late although VMs stood idle: VMs that had had their reboot and
+        // moved to another pool were taken for being down, and used up what may be down at a time.
+        serving("1", "surveys");
+        vm("vm2", "surveys", VmPhase.MOVING, "");
+        mOwner.mBook.apply(new VmRebooted(1, "vm2"));
+
+        List<Call> calls = decide(wave(1, 5_000, "vm1", "vm2")).actions();
+
+        assertEquals(calls.size(), 1);
+    }
+
+    @Test
+    public void aVmIsNotRebootedTwiceWhileTheJournalIsAway() {
+        // The store is down while a wave goes on. The journal tells nothing of the reboots, and a
+        // VM that is back would be emptied and rebooted again.
+        serving("1", "surveys");
+        Call call = decide(wave(1, 5_000, "vm1")).actions().get(0);
+        mPlanner.answered(call, VmOutcome.DONE, mOwner.mNowMs);
+        mVms.clear();
+        serving("1", "surveys");
+
+        assertTrue(decide(wave(1, 5_000, "vm1")).actions().isEmpty());
+    }
+
     @Test
     public void vmsThatAreOffAreRebootedFirst() {
         serving("1", "surveys");
@@ -164,9 +190,7 @@
         List<Call> calls = decide().actions();
 
         assertEquals(calls.size(), 3);
-        assertTrue(
-                calls.stream()
-                        .allMatch(c -> ((VmAction.Move) c.action()).pool().equals("off")));
+        assertTrue(calls.stream().allMatch(c -> ((VmAction.Move) c.action()).pool().equals("off")));
     }
 
     @Test
@@ -203,9 +227,7 @@
         WorkerState worker = serving("1", "surveys");
         mPlanner.overLives(mVms, mOwner.mNowMs);
         List<VmInfo> down = new ArrayList<>();
-        down.add(
-                new VmInfo(
-                        "vm1", "surveys", VmPhase.DOWN, "", Resources.of(CORES, 1L << 40, 0)));
+        down.add(new VmInfo("vm1", "surveys", VmPhase.DOWN, "", Resources.of(CORES, 1L << 40, 0)));
 
         assertEquals(mPlanner.overLives(down, mOwner.mNowMs), List.of(worker));
     }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpClient.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpClient.java
@@ -1,8 +1,8 @@
 package org.foxtailplank.http;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.EventLoop;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpReply.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpReply.java
@@ -28,8 +28,7 @@
     }
 
     public static HttpReply text(int status, String text) {
-        return new HttpReply(
-                status, Map.of(), "text/plain", text.getBytes(StandardCharsets.UTF_8));
+        return new HttpReply(status, Map.of(), "text/plain", text.getBytes(StandardCharsets.UTF_8));
     }
 
     /** The same answer with further headers. */
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -66,8 +66,7 @@
             return;
         }
         mBusy = true;
-        mHandler.handle(
-                request.request(), reply -> answer(context, reply, request.keepAlive()));
+        mHandler.handle(request.request(), reply -> answer(context, reply, request.keepAlive()));
     }
 
     private void answer(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
--- a/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
@@ -36,8 +36,7 @@
 
     void call(HttpCall call, long timeoutMs, Consumer<HttpResult> then) {
         PendingCall pending = new PendingCall(call, then);
-        pending.mTimer =
-                mLoop.schedule(() -> timedOut(pending), timeoutMs, TimeUnit.MILLISECONDS);
+        pending.mTimer = mLoop.schedule(() -> timedOut(pending), timeoutMs, TimeUnit.MILLISECONDS);
         mWaiting.add(pending);
         dispatch();
     }
@@ -71,8 +70,7 @@
                                     protected void initChannel(Channel channel) {
                                         channel.pipeline()
                                                 .addLast(new HttpClientCodec())
-                                                .addLast(
-                                                        new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                                                .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
                                                 .addLast(connection);
                                     }
                                 })
--- a/foxtail-it/src/test/java/org/foxtailplank/it/ArchitectureTest.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/ArchitectureTest.java
@@ -22,6 +22,9 @@
         ROOT + "fleet..",
         ROOT + "membership..",
         ROOT + "idempotency..",
+        ROOT + "job..",
+        ROOT + "port..",
+        ROOT + "schedule..",
         ROOT + "internal.."
     };
     private static final String[] BINARIES = {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -91,7 +91,9 @@
         SharedLog shared = mPlatform.log();
         JobBook book = new JobBook(settings.journal().statusMs());
         mOperator = new OperatorFollower(mPlatform.operatorOrders(), clock, timers, log);
-        mReader = new JournalReader(shared, JournalPartition.JOURNAL, clock, timers, log, book, this::recorded);
+        mReader =
+                new JournalReader(
+                        shared, JournalPartition.JOURNAL, clock, timers, log, book, this::recorded);
         mWriter = new JournalWriter(shared, JournalPartition.JOURNAL, clock, timers, log);
         mLink = new OwnerLink(loop, clock, timers, log, mReader);
         mReader.streaming(mLink::isAlive);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -32,9 +32,7 @@
     /** Reads text. */
     public static NodeSettings parse(String text) throws SettingsException {
         JsonMapper mapper =
-                JsonMapper.builder()
-                        .configure(JsonParser.Feature.ALLOW_COMMENTS, true)
-                        .build();
+                JsonMapper.builder().configure(JsonParser.Feature.ALLOW_COMMENTS, true).build();
         try {
             JsonNode tree = mapper.readTree(text);
             NodeSettingsReader reader = new NodeSettingsReader(tree);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -30,8 +30,7 @@
     private long mPosition = -1;
     private long mLastReadMs = Long.MIN_VALUE / 2;
 
-    public OperatorFollower(
-            Feed<OperatorOrder> feed, Clock clock, Timers timers, NodeLog log) {
+    public OperatorFollower(Feed<OperatorOrder> feed, Clock clock, Timers timers, NodeLog log) {
         mFeed = feed;
         mClock = clock;
         mTimers = timers;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -40,15 +40,18 @@
 
     private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
 
-    /** The caller's header that says how long it waits for an answer, in milliseconds. */
-    private static final String DEADLINE = "Deadline-Ms";
-
     /** How long to wait for the store where a caller doesn't say, in milliseconds. */
     private static final long DEFAULT_DEADLINE_MS = 3000;
 
     /** What the owner has handed on this lately is told without a read of the journal. */
     private static final long CURRENT_MS = 400;
 
+    /**
+     * How long a store that doesn't answer is tried for one request, in milliseconds: two tries. A
+     * caller that learns of it by then has time to ask another node.
+     */
+    private static final long TRY_MS = 1300;
+
     /** Kept of a caller's time for the way of the answer, in milliseconds. */
     private static final long ANSWER_MS = 150;
 
@@ -239,8 +242,8 @@
     }
 
     private long deadlineMs(HttpRequest request) {
-        long wait = request.number(DEADLINE).orElse(DEFAULT_DEADLINE_MS);
-        return mClock.nowMs() + Math.max(ANSWER_MS, wait - ANSWER_MS);
+        long wait = request.number(mBodies.deadlineHeader()).orElse(DEFAULT_DEADLINE_MS);
+        return mClock.nowMs() + Math.min(TRY_MS, Math.max(ANSWER_MS, wait - ANSWER_MS));
     }
 
     /**
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobOrderCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobOrderCodec.java
@@ -133,7 +133,10 @@
                 numbers[5],
                 dependsOn,
                 new PlacementRule(
-                        numbers[7] != 0, numbers[8] != 0, requiredLabel, dataRack,
+                        numbers[7] != 0,
+                        numbers[8] != 0,
+                        requiredLabel,
+                        dataRack,
                         (int) numbers[11]),
                 new RunMode(
                         numbers[12] != 0,
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -105,8 +105,7 @@
         };
     }
 
-    private static void restated(CodedOutputStream out, JobRestated record)
-            throws IOException {
+    private static void restated(CodedOutputStream out, JobRestated record) throws IOException {
         part(out, 1, o -> JobOrderCodec.write(o, record.order()));
         part(out, 2, o -> starts(o, record.starts()));
         part(out, 3, o -> runs(o, record.ends()));
@@ -135,8 +134,7 @@
 
     private record Named(long number, String name) {}
 
-    private static void named(CodedOutputStream out, long number, String name)
-            throws IOException {
+    private static void named(CodedOutputStream out, long number, String name) throws IOException {
         out.writeInt64(1, number);
         out.writeString(2, name);
     }
@@ -154,8 +152,7 @@
         return new Named(number, name);
     }
 
-    private static void starts(CodedOutputStream out, List<StartedRun> runs)
-            throws IOException {
+    private static void starts(CodedOutputStream out, List<StartedRun> runs) throws IOException {
         for (StartedRun r : runs) {
             part(out, 1, o -> start(o, r));
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -171,10 +171,7 @@
     /** Takes a page in; whether it reaches the end. */
     private boolean take(ReadResult result) {
         if (result instanceof SharedLog.RecordsGone gone) {
-            mOut.line("journal-gap")
-                    .with("from", mPosition)
-                    .with("to", gone.firstOffset())
-                    .write();
+            mOut.line("journal-gap").with("from", mPosition).with("to", gone.firstOffset()).write();
             mPosition = Math.max(mPosition, gone.firstOffset());
             return false;
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
@@ -37,19 +37,18 @@
     private final NodeLog mOut;
     private final Deque<Item> mQueue = new ArrayDeque<>();
     private int mInFlight;
-    private long mLastStoredMs;
+    private int mRetrying;
+    private boolean mFailing;
 
     private static final class Item {
         final byte[] mBytes;
         final long mDeadlineMs;
-        final boolean mPersistent;
         final Consumer<StoreOutcome> mThen;
         boolean mMaybe;
 
-        Item(byte[] bytes, long deadlineMs, boolean persistent, Consumer<StoreOutcome> then) {
+        Item(byte[] bytes, long deadlineMs, Consumer<StoreOutcome> then) {
             mBytes = bytes;
             mDeadlineMs = deadlineMs;
-            mPersistent = persistent;
             mThen = then;
         }
     }
@@ -63,20 +62,17 @@
         mOut = out;
     }
 
-    /** Stores a record; a refusal of the store ends the try at once, the deadline at the latest. */
+    /**
+     * Stores a record; a refusal of the store ends the try at once, the deadline at the latest.
+     * While the store fails, one record at a time is tried and all others are refused at once: they
+     * would wait for their deadlines only to learn that nothing was stored.
+     */
     public void store(JournalRecord record, long deadlineMs, Consumer<StoreOutcome> then) {
-        add(new Item(JournalCodec.encode(record), deadlineMs, false, then));
-    }
-
-    /** Stores a record, however often the store refuses, until the deadline. */
-    public void storePersistently(
-            JournalRecord record, long deadlineMs, Consumer<StoreOutcome> then) {
-        add(new Item(JournalCodec.encode(record), deadlineMs, true, then));
-    }
-
-    /** When the store last took a record. */
-    public long lastStoredMs() {
-        return mLastStoredMs;
+        if (mFailing && mInFlight + mRetrying > 0) {
+            then.accept(StoreOutcome.NOT_STORED);
+            return;
+        }
+        add(new Item(JournalCodec.encode(record), deadlineMs, then));
     }
 
     private void add(Item item) {
@@ -108,12 +104,13 @@
     private void answered(List<Item> batch, AppendResult result) {
         mInFlight--;
         if (result instanceof SharedLog.Stored) {
-            mLastStoredMs = mClock.nowMs();
+            mFailing = false;
             batch.forEach(i -> i.mThen.accept(StoreOutcome.STORED));
             pump();
             return;
         }
         mOut.line("append").with("outcome", result).with("records", batch.size()).write();
+        mFailing = true;
         boolean maybe = !(result instanceof SharedLog.NotStored);
         for (Item i : batch) {
             i.mMaybe |= maybe;
@@ -124,8 +121,14 @@
 
     private void retryOrEnd(Item item) {
         boolean over = mClock.nowMs() >= item.mDeadlineMs;
-        if (!over && (item.mPersistent || item.mMaybe)) {
-            mTimers.after(RETRY_MS, () -> add(item));
+        if (!over && item.mMaybe) {
+            mRetrying++;
+            mTimers.after(
+                    RETRY_MS,
+                    () -> {
+                        mRetrying--;
+                        add(item);
+                    });
             return;
         }
         item.mThen.accept(item.mMaybe ? StoreOutcome.UNKNOWN : StoreOutcome.NOT_STORED);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
@@ -22,6 +22,9 @@
     /** The same where serving tasks may be disturbed: their tails cover half a second. */
     private static final long MIXED_WAIT_MS = 500;
 
+    /** The same while a standing task is on its way to work: a wave may wait for it. */
+    private static final long COMING_WAIT_MS = 300;
+
     /** How long a look at an idle worker waits, in milliseconds: the longest that there is. */
     private static final long IDLE_WAIT_MS = 2000;
 
@@ -61,8 +64,8 @@
         boolean waits = until > 0 && !mWorker.isSilent() && !mWorker.hasUnstoredEnds();
         long wait = mWorker.runs().isEmpty() ? IDLE_WAIT_MS : WAIT_MS;
         wait = mWorker.isMixed() ? MIXED_WAIT_MS : wait;
-        LookOrder order =
-                new LookOrder(mToken, mWorker.storedEnds(), until, waits ? wait : 0);
+        wait = mWorker.hasStandingToCome() ? COMING_WAIT_MS : wait;
+        LookOrder order = new LookOrder(mToken, mWorker.storedEnds(), until, waits ? wait : 0);
         if (until > 0) {
             mWorker.granted(now);
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
@@ -63,9 +63,7 @@
                         start.ticket(),
                         worker.leaseUntilMs(now, mParts.settings().schedule().leaseMs()));
         mParts.metrics().counter("starts").inc();
-        mParts.platform()
-                .orders()
-                .start(worker.address(), order, a -> started(run, a, now));
+        mParts.platform().orders().start(worker.address(), order, a -> started(run, a, now));
     }
 
     private void started(TaskRun run, OrderAnswer answer, long sentMs) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -342,11 +342,7 @@
         long now = mClock.nowMs();
         mParts.operator()
                 .config()
-                .ifPresent(
-                        c ->
-                                mScheduler
-                                        .loads(c, now, mClock.wallMs())
-                                        .forEach(this::sayLoad));
+                .ifPresent(c -> mScheduler.loads(c, now, mClock.wallMs()).forEach(this::sayLoad));
     }
 
     private void sayLoad(PoolLoad load) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -15,6 +15,7 @@
 import org.foxtailplank.port.VmActions.VmInfo;
 import org.foxtailplank.port.VmActions.VmOutcome;
 import org.foxtailplank.port.WaveOrder;
+import org.foxtailplank.schedule.DueWave;
 import org.foxtailplank.schedule.VmAction;
 import org.foxtailplank.schedule.VmPlanner;
 import org.foxtailplank.schedule.VmPlanner.Call;
@@ -25,6 +26,9 @@
     /** How often VMs are listed, in milliseconds; an action takes about two seconds. */
     private static final long LIST_MS = 400;
 
+    /** How often the state of waves is logged, in milliseconds. */
+    private static final long WAVE_LINE_MS = 2000;
+
     /** How often to decide, in milliseconds. */
     private static final long DECIDE_MS = 100;
 
@@ -46,10 +50,29 @@
     }
 
     void start() {
+        sayWaves();
         list();
         decide();
     }
 
+    /** A line a wave every two seconds: what keeps its VMs from their reboots. */
+    private void sayWaves() {
+        if (mOwner.isOver()) {
+            return;
+        }
+        mParts.timers().after(WAVE_LINE_MS, this::sayWaves);
+        for (DueWave wave : mParts.operator().waves().values()) {
+            if (!mParts.reader().book().isCompleted(wave.order().number())) {
+                mParts.log()
+                        .line("wave")
+                        .with("wave", wave.order().number())
+                        .with("dueInMs", wave.dueMs() - mClock.nowMs())
+                        .with("left", mPlanner.left(wave.order(), mParts.reader().book()))
+                        .write();
+            }
+        }
+    }
+
     private void list() {
         if (mOwner.isOver()) {
             return;
