--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeLog.java
@@ -0,0 +1,130 @@
+package org.foxtailplank.node;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
+
+/**
+ * A shared log in memory. Answers are held until a test lets them go, and the next appends can be
+ * told to fail; it refuses what the platform's store refuses.
+ */
+public final class FakeLog implements SharedLog {
+    /** What happens to an append. */
+    public enum Fate {
+        /** It is stored and answered. */
+        STORED,
+        /** Nothing is stored, and that is answered. */
+        REFUSED,
+        /** It is stored, and the answer is lost. */
+        ANSWER_LOST,
+        /** Nothing is stored, and nobody says so. */
+        LOST
+    }
+
+    private final Map<LogPartition, List<byte[]>> mRecords = new HashMap<>();
+    private final Deque<Fate> mFates = new ArrayDeque<>();
+    private final Deque<Runnable> mAnswers = new ArrayDeque<>();
+    private long mEpoch;
+    private long mSequence = -1;
+    private AppendResult mLast = new Stored(0, 0);
+
+    /** What happens to the next appends, in order; all others are stored. */
+    public void next(Fate... fates) {
+        mFates.addAll(List.of(fates));
+    }
+
+    /** Answers what waits, and what that leads to. */
+    public void answer() {
+        while (!mAnswers.isEmpty()) {
+            mAnswers.poll().run();
+        }
+    }
+
+    public List<byte[]> records(LogPartition partition) {
+        return mRecords.computeIfAbsent(partition, p -> new ArrayList<>());
+    }
+
+    @Override
+    public void append(LogPartition at, List<byte[]> records, Consumer<AppendResult> then) {
+        answerLater(then, () -> store(at, records));
+    }
+
+    @Override
+    public void appendAt(
+            LogPartition at, long expectedEnd, byte[] record, Consumer<AppendResult> then) {
+        answerLater(
+                then,
+                () ->
+                        records(at).size() == expectedEnd
+                                ? store(at, List.of(record))
+                                : new EndMoved(records(at).size()));
+    }
+
+    @Override
+    public void appendAs(
+            LogPartition at,
+            WriterEpoch writer,
+            List<byte[]> records,
+            Consumer<AppendResult> then) {
+        answerLater(then, () -> storeAs(at, writer, records));
+    }
+
+    private AppendResult storeAs(LogPartition at, WriterEpoch writer, List<byte[]> records) {
+        if (writer.epoch() < mEpoch) {
+            return new Fenced();
+        }
+        if (writer.epoch() > mEpoch) {
+            mEpoch = writer.epoch();
+            mSequence = -1;
+        }
+        if (records.isEmpty()) {
+            return new Stored(records(at).size(), records(at).size());
+        }
+        if (writer.sequence() == mSequence) {
+            return mLast;
+        }
+        mSequence = writer.sequence();
+        mLast = store(at, records);
+        return mLast;
+    }
+
+    private AppendResult store(LogPartition at, List<byte[]> records) {
+        List<byte[]> all = records(at);
+        long first = all.size();
+        all.addAll(records);
+        return new Stored(first, all.size());
+    }
+
+    private interface Attempt {
+        AppendResult run();
+    }
+
+    private void answerLater(Consumer<AppendResult> then, Attempt attempt) {
+        Fate fate = mFates.isEmpty() ? Fate.STORED : mFates.poll();
+        AppendResult result =
+                switch (fate) {
+                    case STORED -> attempt.run();
+                    case REFUSED -> new NotStored("refused");
+                    case LOST -> new MaybeStored("lost");
+                    case ANSWER_LOST -> {
+                        attempt.run();
+                        yield new MaybeStored("answer lost");
+                    }
+                };
+        mAnswers.add(() -> then.accept(result));
+    }
+
+    @Override
+    public void read(LogPartition at, long from, long waitMs, Consumer<ReadResult> then) {
+        List<byte[]> all = records(at);
+        List<byte[]> page = List.copyOf(all.subList((int) Math.min(from, all.size()), all.size()));
+        long end = all.size();
+        mAnswers.add(() -> then.accept(new Records(from, end, page)));
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeNode.java
@@ -0,0 +1,49 @@
+package org.foxtailplank.node;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** A clock that tests move, with the timers that go by it. */
+public final class FakeNode implements Clock, Timers {
+    private static final long WALL_MS = 1_700_000_000_000L;
+
+    private final List<Due> mDue = new ArrayList<>();
+    private long mNowMs = 1000;
+
+    private record Due(long atMs, Runnable action) {}
+
+    @Override
+    public long nowMs() {
+        return mNowMs;
+    }
+
+    @Override
+    public long wallMs() {
+        return WALL_MS + mNowMs;
+    }
+
+    @Override
+    public void after(long delayMs, Runnable action) {
+        mDue.add(new Due(mNowMs + delayMs, action));
+    }
+
+    /** Lets time pass and runs what falls due, in order. */
+    public void pass(long ms) {
+        long end = mNowMs + ms;
+        while (true) {
+            Due next =
+                    mDue.stream()
+                            .filter(d -> d.atMs() <= end)
+                            .min(Comparator.comparingLong(Due::atMs))
+                            .orElse(null);
+            if (next == null) {
+                mNowMs = end;
+                return;
+            }
+            mDue.remove(next);
+            mNowMs = Math.max(mNowMs, next.atMs());
+            next.action().run();
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -0,0 +1,45 @@
+package org.foxtailplank.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import org.testng.annotations.Test;
+
+/** Settings of a node. */
+public class NodeSettingsReaderTest {
+    private static final String GOOD =
+            "// a comment\n{\"node\":{\"name\":\"n\",\"zone\":\"z\",\"graceS\":6},\"listen\":{"
+                    + "\"callers\":\"10.0.0.1:1\",\"readiness\":\"10.0.0.1:2\","
+                    + "\"metrics\":\"10.0.0.1:3\",\"peers\":\"10.0.0.1:4\"},\"platform\":{"
+                    + "\"store\":\"10.0.0.2:1\",\"vms\":\"10.0.0.3:1\",\"advice\":\"\","
+                    + "\"keepS\":300,\"ownerLeaseMs\":3000,\"new\":1},\"worker\":{"
+                    + "\"leaseMs\":6000,\"stopMs\":200},\"jobs\":{\"statusS\":120,"
+                    + "\"earlyMs\":250,\"noticeMs\":4500,\"farFactor\":3}}";
+
+    @Test
+    public void settingsWithCommentsAndUnknownFieldsAreRead() throws SettingsException {
+        NodeSettings settings = NodeSettingsReader.parse(GOOD);
+
+        assertEquals(settings.name(), "n");
+        assertEquals(settings.graceMs(), 6000);
+        assertEquals(settings.schedule().leaseMs(), 6000);
+        assertEquals(settings.journal().keepMs(), 300_000);
+        assertEquals(settings.peers().getPort(), 4);
+    }
+
+    @Test
+    public void allThatIsWrongIsNamedAtOnce() {
+        String bad =
+                GOOD.replace("10.0.0.1:2", "nowhere")
+                        .replace("\"leaseMs\":6000", "\"leaseMs\":\"long\"")
+                        .replace("\"name\":\"n\",", "");
+
+        SettingsException e =
+                expectThrows(SettingsException.class, () -> NodeSettingsReader.parse(bad));
+
+        assertTrue(e.getMessage().contains("/listen/readiness"), e.getMessage());
+        assertTrue(e.getMessage().contains("/worker/leaseMs"), e.getMessage());
+        assertTrue(e.getMessage().contains("/node/name"), e.getMessage());
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -0,0 +1,80 @@
+package org.foxtailplank.node.journal;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.AdviceTerms;
+import org.foxtailplank.job.JobOrder;
+import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.JobAccepted;
+import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobRestated;
+import org.foxtailplank.job.JournalRecord.OwnerAlive;
+import org.foxtailplank.job.JournalRecord.OwnerLeft;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.JournalRecord.VmRebooted;
+import org.foxtailplank.job.JournalRecord.WaveCompleted;
+import org.foxtailplank.job.PlacementRule;
+import org.foxtailplank.job.QueueTerms;
+import org.foxtailplank.job.RunMode;
+import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.TaskName;
+import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.job.Timetable;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Records of the journal as bytes. */
+public class JournalCodecTest {
+    private static final TaskName TASK = new TaskName("aa", 1, 2, 3);
+    private static final EndedRun END = new EndedRun(TASK, 4, RunOutcome.FAILED, 5);
+    private static final StartedRun START = new StartedRun(TASK, 4, "w1");
+
+    private static JobOrder order() {
+        TaskStep step =
+                new TaskStep(
+                        2,
+                        new Resources(500, 1L << 33, 1),
+                        700,
+                        List.of(0, 1),
+                        new PlacementRule(true, true, "b", "r1", 3),
+                        new RunMode(true, true, true, true, 90, 2));
+        QueueTerms terms = new QueueTerms(1, 3, 1.6, 600, Optional.of(new AdviceTerms(5, 2, 3000)));
+        return new JobOrder(
+                "aa", "q", "s", "text", List.of(step), new Timetable(7, 8, 9), terms, 99);
+    }
+
+    @DataProvider
+    public Object[][] records() {
+        return new Object[][] {
+            {new JobAccepted(order())},
+            {new JobRestated(order(), List.of(START), List.of(END), 77)},
+            {new JobCancelled("aa", 5)},
+            {new RunsStarted(List.of(START, START))},
+            {new RunsEnded(List.of(END))},
+            {new OwnerAlive(3, "10.0.0.1:9")},
+            {new OwnerLeft(3, "n")},
+            {new VmRebooted(1, "vm")},
+            {new WaveCompleted(1)},
+        };
+    }
+
+    @Test(dataProvider = "records")
+    public void aRecordIsReadAsItWasWritten(JournalRecord record) throws IOException {
+        assertEquals(JournalCodec.decode(JournalCodec.encode(record)), Optional.of(record));
+    }
+
+    @Test
+    public void aRecordOfANewerKindIsPassedOver() throws IOException {
+        byte[] kind99 = {(byte) 0x9a, 0x06, 0x01, 0x00};
+
+        assertTrue(JournalCodec.decode(kind99).isEmpty());
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
@@ -0,0 +1,114 @@
+package org.foxtailplank.node.owner;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.job.JournalRecord.OwnerAlive;
+import org.foxtailplank.node.FakeLog;
+import org.foxtailplank.node.FakeLog.Fate;
+import org.foxtailplank.node.FakeNode;
+import org.foxtailplank.node.NodeMetrics;
+import org.foxtailplank.node.NodeSettings;
+import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.schedule.ScheduleLimits;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The journal of owners that follow each other. */
+public class OwnerJournalTest {
+    private FakeNode mTime;
+    private FakeLog mLog;
+    private OwnerParts mParts;
+
+    @BeforeMethod
+    public void setUp() {
+        mTime = new FakeNode();
+        mLog = new FakeLog();
+        InetSocketAddress any = new InetSocketAddress(0);
+        NodeSettings settings =
+                new NodeSettings(
+                        "n",
+                        "z",
+                        any,
+                        any,
+                        any,
+                        any,
+                        new PlatformAddresses("", "", ""),
+                        new NodeSettings.JournalBounds(1, 1, 1),
+                        new ScheduleLimits(1, 1, 1, 1, 1),
+                        1);
+        mParts =
+                new OwnerParts(
+                        settings,
+                        mTime,
+                        mTime,
+                        NodeLog.silent(mTime),
+                        new NodeMetrics(),
+                        null,
+                        null,
+                        mLog,
+                        null);
+    }
+
+    private int stored() {
+        return mLog.records(JournalPartition.JOURNAL).size();
+    }
+
+    @Test
+    public void anEarlierOwnerCanWriteNothingOnceTheNextOneReads() {
+        // An owner is paused and goes on after another one has taken over. It would acknowledge an
+        // end, or start a task, that the new owner does not find in the journal.
+        AtomicInteger fenced = new AtomicInteger();
+        OwnerJournal first = new OwnerJournal(mParts, 1, fenced::incrementAndGet);
+        OwnerJournal second = new OwnerJournal(mParts, 2, () -> {});
+        first.raiseEpoch(() -> {});
+        mLog.answer();
+        second.raiseEpoch(() -> {});
+        mLog.answer();
+
+        boolean[] wasStored = {false};
+        first.store(new OwnerAlive(1, "a"), () -> wasStored[0] = true);
+        mLog.answer();
+
+        assertFalse(wasStored[0]);
+        assertEquals(fenced.get(), 1);
+        assertEquals(stored(), 0);
+    }
+
+    @Test
+    public void aRecordWhoseAnswerIsLostIsStoredOnce() {
+        OwnerJournal journal = new OwnerJournal(mParts, 1, () -> {});
+        journal.raiseEpoch(() -> {});
+        mLog.answer();
+        mLog.next(Fate.ANSWER_LOST, Fate.REFUSED, Fate.STORED);
+        boolean[] wasStored = {false};
+        journal.store(new OwnerAlive(1, "a"), () -> wasStored[0] = true);
+        for (int i = 0; i < 4; i++) {
+            mLog.answer();
+            mTime.pass(100);
+        }
+
+        assertTrue(wasStored[0]);
+        assertEquals(stored(), 1);
+    }
+
+    @Test
+    public void recordsThatComeWhileAnAppendIsOnItsWayGoTogether() {
+        OwnerJournal journal = new OwnerJournal(mParts, 1, () -> {});
+        journal.raiseEpoch(() -> {});
+        for (int i = 0; i < 5; i++) {
+            journal.store(new OwnerAlive(1, "a" + i), () -> {});
+        }
+        assertEquals(stored(), 0);
+        assertTrue(journal.isBehind());
+        mLog.answer();
+
+        assertEquals(stored(), 5);
+        assertFalse(journal.isBehind());
+    }
+}
