An owner that is cut off gives its place up; its stream says whether it can store

Cause: an owner whose zone is cut off but for the store kept its place for the whole cut; with a slow store owners followed each other although each could still write. Change: Reach; a node that does not reach the VM service lets others go ahead; heartbeats of the stream carry the age of the last stored record.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -33,8 +33,6 @@
     /** A worker without room is asked again after this time, unless a run ends there before. */
     private static final long NO_ROOM_MS = 150;
 
-    private static final long MILLI = 1000;
-
     private final ScheduleLimits mLimits;
     private final RunTable mRuns;
     private final Map<String, WorkerState> mWorkers = new LinkedHashMap<>();
@@ -274,44 +272,11 @@
         List<PoolLoad> loads = new ArrayList<>();
         for (PoolService s : config.services()) {
             List<ActiveRun> runs = due.getOrDefault(s.name(), List.of());
-            loads.add(load(s.name(), runs, nowMs));
+            loads.add(PoolLoads.of(s.name(), workersOf(s.name()), runs, nowMs));
         }
         return loads;
     }
 
-    private PoolLoad load(String service, List<ActiveRun> due, long nowMs) {
-        int usable = 0;
-        long cores = 0;
-        long standing = 0;
-        long batch = 0;
-        for (WorkerState w : workersOf(service)) {
-            usable += w.isUsable(nowMs) ? 1 : 0;
-            cores += w.info().capacity().milliProcessors();
-            standing += w.standingUsed();
-            batch += w.used().milliProcessors() - w.standingUsed();
-        }
-        int waiting = 0;
-        int waitingStanding = 0;
-        for (ActiveRun run : due) {
-            for (ActiveStep step : run.steps()) {
-                if (step.left() > 0 && run.isTurnOf(step)) {
-                    int tasks = (int) step.slots().stream().filter(TaskSlot::isWaiting).count();
-                    waiting += tasks;
-                    waitingStanding += step.spec().mode().standing() ? tasks : 0;
-                }
-            }
-        }
-        return new PoolLoad(
-                service,
-                usable,
-                cores / MILLI,
-                standing / MILLI,
-                batch / MILLI,
-                due.size(),
-                waiting,
-                waitingStanding);
-    }
-
     /** What to do now. */
     public Decisions decide(FleetConfig config, long nowMs, long nowWallMs) {
         Decisions out = new Decisions();
@@ -401,7 +366,7 @@
 
     private void placeStep(ActiveStep step, List<WorkerState> workers, Decisions out, long nowMs) {
         if (step.job().order().terms().advice().isPresent()) {
-            askIfNeeded(step, workers, out, nowMs);
+            AdviceNeed.ask(step, workers, out, nowMs);
         }
         if (step.spec().placement().gang()) {
             startGang(step, GangPlacement.place(step, workers, nowMs), out, nowMs);
@@ -451,25 +416,4 @@
         mRuns.start(run);
         out.planned().add(run);
     }
-
-    private static void askIfNeeded(
-            ActiveStep step, List<WorkerState> workers, Decisions out, long nowMs) {
-        boolean waits = step.slots().stream().anyMatch(TaskSlot::isWaiting);
-        if (!waits || step.isAsking()) {
-            return;
-        }
-        List<String> unknown = new ArrayList<>();
-        for (WorkerState w : workers) {
-            if (w.isUsable(nowMs) && step.mayAsk(w.id())) {
-                unknown.add(w.id());
-            }
-        }
-        boolean canGoOn =
-                workers.stream()
-                        .anyMatch(w -> w.isUsable(nowMs) && step.ticket(w.id(), nowMs).isPresent());
-        if (!canGoOn && !unknown.isEmpty()) {
-            step.asking();
-            out.asks().add(new Decisions.Ask(step, unknown));
-        }
-    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -99,7 +99,15 @@
         mReader.streaming(mLink::isAlive);
         mOwnership =
                 new Ownership(
-                        shared, mReader, clock, timers, log, settings.name(), mLink, this::own);
+                        shared,
+                        mReader,
+                        clock,
+                        timers,
+                        log,
+                        settings.name(),
+                        mLink,
+                        mPlatform.vmActions(),
+                        this::own);
     }
 
     /** Listens; called on any thread but the event loop's, which would wait for itself. */
@@ -177,7 +185,7 @@
         OwnerWork work = new OwnerWork(parts, token, this::fenced);
         mOwner = Optional.of(work);
         mLink.owner(Optional.empty());
-        mStream.own(token, mReader.position());
+        mStream.own(token, mReader.position(), work::storedMsAgo);
         work.start();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -32,6 +32,7 @@
     private final Deque<Item> mQueue = new ArrayDeque<>();
     private long mSequence;
     private boolean mInFlight;
+    private long mStoredMs;
     private boolean mOver;
 
     private record Item(byte[] bytes, Runnable stored) {}
@@ -40,6 +41,7 @@
         mParts = parts;
         mToken = token;
         mFenced = fenced;
+        mStoredMs = parts.clock().nowMs();
     }
 
     /** Keeps all earlier owners from writing, then goes on. */
@@ -58,6 +60,11 @@
         store(record, () -> mOver = true);
     }
 
+    /** How long ago the store last took a record. */
+    long storedMsAgo() {
+        return mParts.clock().nowMs() - mStoredMs;
+    }
+
     /** Whether records wait that the store has not taken. */
     boolean isBehind() {
         return !mQueue.isEmpty();
@@ -91,6 +98,7 @@
         }
         if (result instanceof SharedLog.Stored) {
             mInFlight = false;
+            mStoredMs = mParts.clock().nowMs();
             mSequence += records.isEmpty() ? 0 : 1;
             stored.run();
             pump();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.port.WorkerInfo;
 import org.foxtailplank.schedule.Decisions;
 import org.foxtailplank.schedule.PoolLoad;
+import org.foxtailplank.schedule.Reach;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.TaskRun;
 import org.foxtailplank.schedule.WorkerState;
@@ -261,6 +262,11 @@
         mParts.reader().eager(false);
     }
 
+    /** How long ago the store last took a record of this owner's. */
+    public long storedMsAgo() {
+        return mJournal.storedMsAgo();
+    }
+
     /** Gives the place up for another node, on the way to a planned stop. */
     public void leave() {
         end();
@@ -304,6 +310,12 @@
             return;
         }
         mParts.timers().after(TICK_MS, this::tick);
+        if (Reach.isCutOff(mScheduler.workers(), mVms.answeredMs(), mClock.nowMs())) {
+            mParts.log().line("owner-cut-off").with("token", mToken).write();
+            leave();
+            mFenced.run();
+            return;
+        }
         decisionDue();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -17,6 +17,7 @@
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.SharedLog.AppendResult;
+import org.foxtailplank.port.VmActions;
 
 /**
  * Decides when this node tries to become the owner, and takes ownership by a conditional append.
@@ -35,6 +36,9 @@
      */
     private static final long GONE_MS = 900;
 
+    /** How long a node that does not reach the VM service lets others go ahead. Milliseconds. */
+    private static final long YIELD_MS = 3000;
+
     /** Spread of the tries of several nodes, in milliseconds: an append takes about 10. */
     private static final long SPREAD_MS = 300;
 
@@ -53,12 +57,14 @@
     private final NodeLog mOut;
     private final OwnerRecord mSelf;
     private final OwnerLink mLink;
+    private final VmActions mVms;
     private final LongConsumer mTaken;
 
     private long mSpreadMs;
     private long mSignMs;
     private long mLastReadMs;
     private long mToken;
+    private boolean mLeft;
     private boolean mTrying;
     private boolean mOwner;
     private boolean mStopped;
@@ -72,6 +78,7 @@
             NodeLog out,
             String node,
             OwnerLink link,
+            VmActions vms,
             LongConsumer taken) {
         mLog = log;
         mReader = reader;
@@ -80,6 +87,7 @@
         mOut = out;
         mSelf = new OwnerRecord(node, Long.toHexString(ThreadLocalRandom.current().nextLong()));
         mLink = link;
+        mVms = vms;
         mTaken = taken;
         mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
         mSignMs = clock.nowMs() - SILENT_MS;
@@ -94,10 +102,12 @@
     public void seen(JournalRecord record) {
         if (record instanceof OwnerAlive alive && alive.token() >= mToken) {
             mToken = alive.token();
+            mLeft = false;
             mSignMs = mClock.nowMs();
             mLink.owner(mOwner ? Optional.empty() : Optional.of(address(alive.address())));
         } else if (record instanceof OwnerLeft left && left.token() >= mToken) {
             mToken = left.token();
+            mLeft = true;
             mSignMs = mClock.nowMs() - SILENT_MS;
         } else if (record instanceof RunsStarted || record instanceof RunsEnded) {
             mSignMs = mClock.nowMs();
@@ -125,28 +135,45 @@
     private void check() {
         mTimers.after(CHECK_MS, this::check);
         mLink.check();
-        long now = mClock.nowMs();
         long read = mReader.lastReadMs();
         if (read - mLastReadMs > READ_GAP_MS) {
             // While nothing could be read, the owner's signs could not be seen either.
             mSignMs = Math.max(mSignMs, read);
         }
         mLastReadMs = Math.max(mLastReadMs, read);
-        boolean fresh = now - read < READ_GAP_MS;
-        long patience = mLink.isAlive() ? SILENT_MS : GONE_MS;
-        boolean silent = now - mSignMs >= patience + mSpreadMs;
-        if (mReader.isCaughtUp() && fresh && silent && !mOwner && !mTrying && !mStopped) {
+        boolean fresh = mClock.nowMs() - read < READ_GAP_MS;
+        if (mReader.isCaughtUp() && fresh && isSilent() && !mOwner && !mTrying && !mStopped) {
             tryToTake();
         }
     }
 
+    private boolean isSilent() {
+        long patience = mLink.isAlive() ? SILENT_MS : GONE_MS;
+        // With a slow store the owner's signs come late in the journal, and early on its stream.
+        long sign = mLeft ? mSignMs : Math.max(mSignMs, mLink.storingMs());
+        return mClock.nowMs() - sign >= patience + mSpreadMs;
+    }
+
+    /**
+     * Asks the VM service first: a node that does not reach it, perhaps because its zone is cut
+     * off, lets others go ahead, and tries only if none does.
+     */
     private void tryToTake() {
         mTrying = true;
-        mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
-        mLog.appendAt(OWNERS, mToken, mSelf.encode(), this::answered);
+        mVms.list(
+                vms -> {
+                    // An owner may have shown itself meanwhile.
+                    boolean patient = mClock.nowMs() - mSignMs < SILENT_MS + YIELD_MS;
+                    if (vms.isEmpty() && patient || mStopped || !isSilent()) {
+                        mTrying = false;
+                        return;
+                    }
+                    mLog.appendAt(OWNERS, mToken, mSelf.encode(), this::answered);
+                });
     }
 
     private void answered(AppendResult result) {
+        mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
         mOut.line("owner-try")
                 .with("node", mSelf.node())
                 .with("expectedToken", mToken)
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -39,6 +39,7 @@
     private final VmPlanner mPlanner;
     private final Map<String, VmInfo> mLast = new HashMap<>();
     private final Set<Long> mRunning = new HashSet<>();
+    private long mAnsweredMs;
     private boolean mListed;
 
     VmWork(OwnerWork owner, OwnerParts parts, long token) {
@@ -47,6 +48,12 @@
         mClock = parts.clock();
         mHolder = new Holder(parts.settings().name(), token);
         mPlanner = new VmPlanner(owner.scheduler());
+        mAnsweredMs = mClock.nowMs();
+    }
+
+    /** When the VM service last answered. */
+    long answeredMs() {
+        return mAnsweredMs;
     }
 
     void start() {
@@ -82,6 +89,9 @@
                 .vms()
                 .list(
                         vms -> {
+                            if (vms.isPresent()) {
+                                mAnsweredMs = mClock.nowMs();
+                            }
                             vms.ifPresent(v -> listed(v, asked));
                             mParts.timers().after(LIST_MS, this::list);
                         });
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.foxtailplank.node.Timers;
 
 /** The owner's end: sends the journal and heartbeats to the nodes that are connected. */
@@ -23,6 +24,7 @@
     private final Set<Channel> mFollowers = new HashSet<>();
     private long mToken;
     private long mPosition;
+    private LongSupplier mStoredMsAgo = () -> 0;
 
     private JournalStream(Timers timers) {
         mTimers = timers;
@@ -64,8 +66,9 @@
         }
     }
 
-    /** This node owns from now on. */
-    public void own(long token, long position) {
+    /** This node owns from now on; heartbeats say how long ago the store took a record of it. */
+    public void own(long token, long position, LongSupplier storedMsAgo) {
+        mStoredMsAgo = storedMsAgo;
         mToken = token;
         mPosition = position;
         heartbeat(token);
@@ -81,7 +84,7 @@
     public void read(long offset, byte[] record) {
         mPosition = offset + 1;
         if (mToken > 0) {
-            send(new PeerFrame(mToken, offset, Optional.of(record)));
+            send(new PeerFrame(mToken, offset, 0, Optional.of(record)));
         }
     }
 
@@ -89,7 +92,7 @@
         if (mToken != token) {
             return;
         }
-        send(new PeerFrame(token, mPosition, Optional.empty()));
+        send(new PeerFrame(token, mPosition, mStoredMsAgo.getAsLong(), Optional.empty()));
         mTimers.after(HEARTBEAT_MS, () -> heartbeat(token));
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -24,6 +24,9 @@
     /** Pause before the owner is connected to again, in milliseconds. */
     private static final long RETRY_MS = 300;
 
+    /** An owner whose last record was stored this lately can still write, in milliseconds. */
+    private static final long STORING_MS = 1200;
+
     private static final int CONNECT_MS = 400;
 
     private final EventLoop mLoop;
@@ -36,6 +39,7 @@
     private boolean mOpening;
     private long mHeardMs = Long.MIN_VALUE / 2;
     private long mCurrentMs = Long.MIN_VALUE / 2;
+    private long mStoringMs = Long.MIN_VALUE / 2;
 
     public OwnerLink(
             EventLoop loop, Clock clock, Timers timers, NodeLog log, JournalReader reader) {
@@ -61,6 +65,11 @@
         return mClock.nowMs() - mHeardMs < SILENT_MS;
     }
 
+    /** When the owner last said that the store takes its records. */
+    public long storingMs() {
+        return mStoringMs;
+    }
+
     /** When the book last had all that the owner had read. */
     public long currentMs() {
         return mCurrentMs;
@@ -126,6 +135,7 @@
                 mLog.line("owner-disconnected").with("owner", mOwner).write();
                 mChannel = Optional.empty();
                 mHeardMs = Long.MIN_VALUE / 2;
+                mStoringMs = Long.MIN_VALUE / 2;
                 mTimers.after(RETRY_MS, OwnerLink.this::open);
             }
         }
@@ -140,7 +150,10 @@
         mHeardMs = mClock.nowMs();
         if (frame.record().isPresent()) {
             mReader.fromOwner(frame.offset(), frame.record().get());
-        } else if (frame.offset() > mReader.position()) {
+        } else if (frame.storedMsAgo() < STORING_MS) {
+            mStoringMs = mClock.nowMs();
+        }
+        if (frame.record().isEmpty() && frame.offset() > mReader.position()) {
             // Records were sent before this node was connected.
             mReader.refresh(read -> {});
         }
