--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -0,0 +1,236 @@
+package org.foxtailplank.node.caller;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailplank.adapter.AdapterLimits;
+import org.foxtailplank.adapter.UsersPlatform;
+import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.http.HttpReply;
+import org.foxtailplank.http.HttpRequest;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.QueueTerms;
+import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.TaskName;
+import org.foxtailplank.node.FakeLog;
+import org.foxtailplank.node.FakeLog.Fate;
+import org.foxtailplank.node.FakeNode;
+import org.foxtailplank.node.NodeMetrics;
+import org.foxtailplank.node.OperatorFollower;
+import org.foxtailplank.node.journal.JournalCodec;
+import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.journal.JournalWriter;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.OwnerLink;
+import org.foxtailplank.port.Feed;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.OperatorOrder;
+import org.foxtailplank.port.RouteSettings;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What callers are answered. */
+public class CallerServiceTest {
+    private static final String JOB = "00000000000000aa";
+    private static final String BODY = "{\"spec\":\"a\",\"phases\":[{\"count\":1}]}";
+
+    private FakeNode mTime;
+    private FakeLog mLog;
+    private FakeOperator mOperator;
+    private JournalReader mReader;
+    private CallerService mService;
+
+    /** The operator's writings, of which each read brings the newest. */
+    private static final class FakeOperator implements Feed<OperatorOrder> {
+        private final List<String> mPrefixes = new ArrayList<>();
+        private boolean mAway;
+
+        @Override
+        public void newest(Consumer<Result<OperatorOrder>> then) {
+            changes(0, 0, then);
+        }
+
+        @Override
+        public void changes(long position, long waitMs, Consumer<Result<OperatorOrder>> then) {
+            if (mAway) {
+                then.accept(new Failed<>("away"));
+                return;
+            }
+            List<RouteSettings> routes = new ArrayList<>();
+            QueueTerms terms = new QueueTerms(0, 2, 1.6, 600, Optional.empty());
+            mPrefixes.forEach(p -> routes.add(new RouteSettings(p, "h", p, "s", terms)));
+            FleetConfig config = new FleetConfig(mPrefixes.size(), routes, List.of(), 1000);
+            OperatorOrder order = new OperatorOrder.NewConfig(config);
+            then.accept(new Page<>(List.of(new Item<>("config", Optional.of(order))), 1));
+        }
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        mTime = new FakeNode();
+        mLog = new FakeLog();
+        mOperator = new FakeOperator();
+        NodeLog out = NodeLog.silent(mTime);
+        OperatorFollower operator = new OperatorFollower(mOperator, mTime, mTime, out);
+        mOperator.mPrefixes.add("/q/");
+        mReader =
+                new JournalReader(
+                        mLog,
+                        JournalPartition.JOURNAL,
+                        mTime,
+                        mTime,
+                        out,
+                        new JobBook(120_000),
+                        (record, job) -> {});
+        mService =
+                new CallerService(
+                        operator,
+                        mReader,
+                        new OwnerLink(null, mTime, mTime, out, mReader),
+                        new JournalWriter(mLog, JournalPartition.JOURNAL, mTime, mTime, out),
+                        new UsersPlatform(
+                                        null,
+                                        null,
+                                        new PlatformAddresses("", "", ""),
+                                        AdapterLimits.DEFAULTS)
+                                .callerBodies(),
+                        mTime,
+                        out,
+                        new NodeMetrics());
+        operator.refresh(read -> {});
+    }
+
+    private List<HttpReply> ask(String method, String path, String body) {
+        List<HttpReply> replies = new ArrayList<>();
+        HttpRequest request =
+                new HttpRequest(
+                        method,
+                        path,
+                        "h",
+                        name -> Optional.empty(),
+                        body.getBytes(StandardCharsets.UTF_8));
+        mService.handle(request, replies::add);
+        return replies;
+    }
+
+    private HttpReply answer(String method, String path, String body) {
+        List<HttpReply> replies = ask(method, path, body);
+        for (int i = 0; i < 30 && replies.isEmpty(); i++) {
+            mLog.answer();
+            mTime.pass(100);
+        }
+        assertEquals(replies.size(), 1);
+        return replies.get(0);
+    }
+
+    private static String text(HttpReply reply) {
+        return new String(reply.body(), StandardCharsets.UTF_8);
+    }
+
+    private int stored() {
+        return mLog.records(JournalPartition.JOURNAL).size();
+    }
+
+    @Test
+    public void anAcceptedJobIsStoredBeforeItsCallerIsTold() {
+        List<HttpReply> replies = ask("POST", "/q/" + JOB, BODY);
+        assertTrue(replies.isEmpty());
+        mLog.answer();
+
+        assertEquals(replies.get(0).status(), 200);
+        assertEquals(stored(), 1);
+    }
+
+    @Test
+    public void aJobThatIsHandedInTwiceAtATimeIsStoredOnce() {
+        List<HttpReply> first = ask("POST", "/q/" + JOB, BODY);
+        List<HttpReply> second = ask("POST", "/q/" + JOB, BODY);
+        mLog.answer();
+
+        assertEquals(first.get(0).status(), 200);
+        assertEquals(second.get(0).status(), 200);
+        assertEquals(stored(), 1);
+    }
+
+    @Test
+    public void aRefusedJobIsNotStoredAndTheCallerLearnsWhenToComeBack() {
+        mLog.next(Fate.REFUSED);
+
+        HttpReply reply = answer("POST", "/q/" + JOB, BODY);
+
+        assertEquals(reply.status(), 503);
+        assertEquals(reply.headers().get("Retry-After"), "1");
+        assertEquals(stored(), 0);
+    }
+
+    @Test
+    public void aJobThatMayBeStoredIsNotRefused() {
+        // A caller gives a refused job to somebody else. It must never run here.
+        mLog.next(Fate.ANSWER_LOST);
+        for (int i = 0; i < 40; i++) {
+            mLog.next(Fate.REFUSED);
+        }
+
+        assertEquals(answer("POST", "/q/" + JOB, BODY).status(), 504);
+    }
+
+    @Test
+    public void aQueueIsOnlySaidToBeMissingAfterTheNewestConfigurationWasRead() {
+        // A queue was added a moment ago. A caller that is told 404 would give its job up.
+        mOperator.mPrefixes.add("/new/");
+        assertEquals(answer("POST", "/new/" + JOB, BODY).status(), 200);
+        assertEquals(answer("POST", "/none/" + JOB, BODY).status(), 404);
+        mOperator.mAway = true;
+        assertEquals(answer("POST", "/none/" + JOB, BODY).status(), 503);
+    }
+
+    @Test
+    public void aJobOfAnotherNodeIsFoundInTheJournal() {
+        answer("POST", "/q/" + JOB, BODY);
+
+        assertEquals(text(answer("GET", "/q/" + JOB, "")), "{\"state\":\"queued\"}");
+        assertEquals(text(answer("GET", "/q/", "")), "{\"pending\":1}");
+        assertEquals(answer("GET", "/q/00000000000000bb", "").status(), 410);
+    }
+
+    @Test
+    public void aJobIsShownAsCompletedWhenItsEndIsStored() {
+        answer("POST", "/q/" + JOB, BODY);
+        EndedRun end = new EndedRun(new TaskName(JOB, 0, 0, 0), 1, RunOutcome.DONE, 5);
+        mLog.records(JournalPartition.JOURNAL)
+                .add(JournalCodec.encode(new RunsEnded(List.of(end))));
+
+        assertEquals(text(answer("GET", "/q/" + JOB, "")), "{\"state\":\"completed\"}");
+    }
+
+    @Test
+    public void aJobIsCancelledOnceItsCancellingIsStored() {
+        answer("POST", "/q/" + JOB, BODY);
+
+        assertEquals(answer("DELETE", "/q/" + JOB, "").status(), 200);
+        assertEquals(stored(), 2);
+        assertEquals(text(answer("GET", "/q/" + JOB, "")), "{\"state\":\"cancelled\"}");
+        assertEquals(answer("DELETE", "/q/00000000000000bb", "").status(), 410);
+    }
+
+    @Test
+    public void badRequestsGetAReason() {
+        HttpReply badId = answer("POST", "/q/short", BODY);
+        HttpReply badBody = answer("POST", "/q/" + JOB, "{");
+
+        assertEquals(badId.status(), 400);
+        assertTrue(text(badId).contains("16 hexadecimal"));
+        assertEquals(badBody.status(), 400);
+        assertTrue(text(badBody).contains("no JSON"));
+        assertEquals(answer("PUT", "/q/" + JOB, BODY).status(), 405);
+        assertEquals(stored(), 0);
+    }
+}
