A pool is given what its jobs need to be in time, not what clears its queue in 1.5 s

Cause: a queue in its turn was given VMs to do all work that waits or runs within 1.5 s, and that much again for what arrives, whatever the jobs' objectives.

Change: a job needs its remaining work spread over the time until its objective; the forecast of arrivals counts the same need (CoreDemand, ArrivalRate).

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
@@ -5,21 +5,24 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** How much work a second arrives at each service, over the last moments. */
+/** How fast the demand of each service grows by jobs that arrive, over the last moments. */
 final class ArrivalRate {
     /** Time looked back, in milliseconds: short against a queue's turn of some seconds. */
     private static final long WINDOW_MS = 600;
 
     private final Map<String, Deque<Arrival>> mArrivals = new HashMap<>();
 
-    private record Arrival(long atMs, double work) {}
+    private record Arrival(long atMs, double milliCores) {}
 
-    void arrived(String service, double work, long nowMs) {
-        mArrivals.computeIfAbsent(service, s -> new ArrayDeque<>()).add(new Arrival(nowMs, work));
+    /** A job has come that needs so many thousandths of a core. */
+    void arrived(String service, double milliCores, long nowMs) {
+        mArrivals
+                .computeIfAbsent(service, s -> new ArrayDeque<>())
+                .add(new Arrival(nowMs, milliCores));
     }
 
-    /** Work a millisecond, in the unit of what arrived. */
-    double perMs(String service, long nowMs) {
+    /** Thousandths of a core that are needed more each millisecond. */
+    double growthPerMs(String service, long nowMs) {
         Deque<Arrival> arrivals = mArrivals.get(service);
         if (arrivals == null) {
             return 0;
@@ -29,7 +32,7 @@
         }
         double sum = 0;
         for (Arrival a : arrivals) {
-            sum += a.work();
+            sum += a.milliCores();
         }
         return sum / WINDOW_MS;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -21,8 +21,8 @@
  * stay.
  */
 final class PoolBalance {
-    /** Work that waits should be done within this time, in milliseconds. */
-    private static final long CLEAR_MS = 1500;
+    /** What a pool has beyond what its jobs need: tasks don't fill workers to the brim. */
+    private static final double HEADROOM = 1.2;
 
     /** Time from the decision to move a VM until it works, in milliseconds. */
     private static final long JOIN_MS = 2000;
@@ -119,12 +119,12 @@
     }
 
     /**
-     * Thousandths of a core that a service wants: for the work that there is, and for what will
-     * have come when a VM that begins to move now can work.
+     * Thousandths of a core that a service wants: for the jobs that there are, and for those that
+     * will have come when a VM that begins to move now can work.
      */
     private double wanted(String service, long nowMs, long nowWallMs) {
-        double coming = mScheduler.arrivals().perMs(service, nowMs) * JOIN_MS;
-        return (backlog(service, nowWallMs) + coming) / CLEAR_MS;
+        double coming = mScheduler.arrivals().growthPerMs(service, nowMs) * JOIN_MS;
+        return HEADROOM * (needed(service, nowWallMs) + coming);
     }
 
     /**
@@ -162,17 +162,18 @@
                         .noneMatch(w -> WorkerChooser.isAllowed(slot, w, nowMs));
     }
 
-    /** Work that is waiting or running in a service, in milliseconds of thousandths of a core. */
-    private double backlog(String service, long nowWallMs) {
+    /** Thousandths of a core that the jobs of a service need now. */
+    private double needed(String service, long nowWallMs) {
         double sum = 0;
         for (ActiveJob job : mScheduler.runs().jobs()) {
-            if (job.isEnding() || !job.order().service().equals(service)) {
+            boolean counts = !job.order().isStanding() && job.order().service().equals(service);
+            if (!counts || job.isEnding()) {
                 continue;
             }
             for (ActiveRun run : job.runs()) {
                 boolean due = run.dueWallMs() <= nowWallMs;
-                if (due && !run.isDone() && !job.order().isStanding()) {
-                    sum += run.remainingWork();
+                if (due && !run.isDone()) {
+                    sum += CoreDemand.of(run, nowWallMs);
                 }
             }
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -96,7 +96,7 @@
         JobOrder order = entry.order();
         boolean isNew = mRuns.add(entry);
         if (isNew && !order.isStanding() && !order.timetable().isTimed()) {
-            mArrivals.arrived(order.service(), order.work(), nowMs);
+            mArrivals.arrived(order.service(), CoreDemand.of(order), nowMs);
         }
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Urgency.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Urgency.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import org.foxtailplank.job.JobOrder;
 
 /**
  * In which order jobs get workers when there is too little room for all.
@@ -106,8 +107,13 @@
 
     /** When the run's objective ends, in milliseconds since 1970. */
     static long objectiveMs(ActiveRun run) {
-        var order = run.job().order();
+        JobOrder order = run.job().order();
         long begin = run.dueWallMs() > 0 ? run.dueWallMs() : order.acceptedMs();
-        return begin + (long) (order.terms().stretch() * order.chainMs()) + order.terms().sloMs();
+        return begin + objectiveLengthMs(order);
+    }
+
+    /** How long a run of the job's steps may take, in milliseconds. */
+    static long objectiveLengthMs(JobOrder order) {
+        return (long) (order.terms().stretch() * order.chainMs()) + order.terms().sloMs();
     }
 }
