Answers of the store are waited for as long as they lately took

Cause: an append was given up after 700 ms.

Change: AdaptiveTimeout (RFC 6298's rule) for appends and for reads, 300 ms to 2.5 s. A caller's record is waited for as long as the caller waits; it was given up after 1.3 s although it was on its way.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -87,7 +87,8 @@
                         new HttpClient(loop, CONNECT_MS, STORE_CONNECTIONS),
                         new HttpClient(loop, CONNECT_MS, WORKER_CONNECTIONS),
                         settings.platform(),
-                        AdapterLimits.DEFAULTS);
+                        AdapterLimits.DEFAULTS,
+                        clock::nowMs);
         SharedLog shared = mPlatform.log();
         JobBook book = new JobBook(settings.journal().statusMs());
         mOperator = new OperatorFollower(mPlatform.operatorOrders(), clock, timers, log);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -46,12 +46,6 @@
     /** What the owner has handed on this lately is told without a read of the journal. */
     private static final long CURRENT_MS = 400;
 
-    /**
-     * How long a store that doesn't answer is tried for one request, in milliseconds: two tries. A
-     * caller that learns of it by then has time to ask another node.
-     */
-    private static final long TRY_MS = 1300;
-
     /** Kept of a caller's time for the way of the answer, in milliseconds. */
     private static final long ANSWER_MS = 150;
 
@@ -241,9 +235,13 @@
                 });
     }
 
+    /**
+     * A slow store is waited for as long as the caller waits: the record is on its way, and a
+     * caller that were told so sooner could only send it once more.
+     */
     private long deadlineMs(HttpRequest request) {
         long wait = request.number(mBodies.deadlineHeader()).orElse(DEFAULT_DEADLINE_MS);
-        return mClock.nowMs() + Math.min(TRY_MS, Math.max(ANSWER_MS, wait - ANSWER_MS));
+        return mClock.nowMs() + Math.max(ANSWER_MS, wait - ANSWER_MS);
     }
 
     /**
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -99,8 +99,9 @@
                         new UsersPlatform(
                                         null,
                                         null,
-                                        new PlatformAddresses("", "", ""),
-                                        AdapterLimits.DEFAULTS)
+                                        new PlatformAddresses("127.0.0.1:1", "", ""),
+                                        AdapterLimits.DEFAULTS,
+                                        mTime::nowMs)
                                 .callerBodies(),
                         mTime,
                         out,
