An owner that has gone is replaced at once, one without the store sooner

Change: each connection begins with the other end's word on whether it owns, so that a process that left or was started again shows at once (OwnerState.GONE). A refused connection alone is not believed: a cut may refuse, and both sides would take turns. The owner's last stored record counts by its own time. The owners' record names the owner's address. The directory of workers is read by waiting reads: a moved VM is seen when it joins, 150 ms sooner on average.

Ruled out: a shorter silence alone; with the store's answers lost it would replace owners whose records do arrive (test).

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -49,6 +49,9 @@
     /** How often ended jobs are looked through, in milliseconds. */
     private static final long FORGET_MS = 5000;
 
+    /** How long a leaving owner waits for the store, in milliseconds: some of its answers. */
+    private static final long LEAVE_MS = 150;
+
     /** How often a stopping node looks whether it has answered everything, in milliseconds. */
     private static final long DRAIN_CHECK_MS = 20;
 
@@ -106,6 +109,7 @@
                         timers,
                         log,
                         settings.name(),
+                        settings.peerAddress(),
                         mLink,
                         mPlatform.vmActions(),
                         this::own);
@@ -217,14 +221,22 @@
         mStopping = true;
         mLog.line("stop").with("node", mSettings.name()).write();
         mOwnership.stop();
-        mOwner.ifPresent(OwnerWork::leave);
+        mOwner.ifPresent(this::leave);
         mOwner = Optional.empty();
-        mStream.disown();
         mCallers.stopKeepingOpen();
         long now = mClock.nowMs();
         drain(now + LISTEN_ON_MS, now + mSettings.graceMs() - EXIT_MS, ended);
     }
 
+    /**
+     * Followers are told that nobody owns once the journal says so: the next owner then finds its
+     * predecessor gone and takes over at once. A store that doesn't answer is not waited for.
+     */
+    private void leave(OwnerWork owner) {
+        owner.leave(mStream::disown);
+        mTimers.after(LEAVE_MS, mStream::disown);
+    }
+
     private void drain(long listenUntilMs, long endMs, Runnable ended) {
         long now = mClock.nowMs();
         if (now >= listenUntilMs) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -38,4 +38,9 @@
      * @param ownerLeaseMs within this time orders of two owners must not take turns
      */
     public record JournalBounds(long keepMs, long statusMs, long ownerLeaseMs) {}
+
+    /** Where other nodes reach this one, as {@code ip:port}. */
+    public String peerAddress() {
+        return peers.getAddress().getHostAddress() + ':' + peers.getPort();
+    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -28,6 +28,9 @@
     /** The same while the owner hands the records on. */
     private static final long STREAMED_MS = 1200;
 
+    /** Weight of the newest answer in the mean time that the store takes. */
+    private static final double NEWEST = 0.25;
+
     /** How long the owner's read waits for a record, in milliseconds. */
     private static final long OWNER_WAIT_MS = 1000;
 
@@ -47,6 +50,7 @@
     private BooleanSupplier mStreaming = () -> false;
     private RecordTap mTap = (offset, record) -> {};
     private long mLastReadMs = Long.MIN_VALUE / 2;
+    private double mAnswerMs;
 
     public JournalReader(
             SharedLog log,
@@ -84,6 +88,11 @@
         return mLastReadMs;
     }
 
+    /** How long the store lately took for an answer, on average. */
+    public long answerMs() {
+        return (long) mAnswerMs;
+    }
+
     /** The owner learns of each record at once; others look twice a second and when asked. */
     public void eager(boolean eager) {
         mEager = eager;
@@ -91,8 +100,19 @@
 
     /** Begins to follow; goes on for ever. */
     public void follow() {
-        long wait = mEager && mCaughtUp ? OWNER_WAIT_MS : 0;
-        mLog.read(mPartition, mPosition, wait, this::followed);
+        if (mEager && mCaughtUp) {
+            mLog.read(mPartition, mPosition, OWNER_WAIT_MS, this::followed);
+            return;
+        }
+        long asked = mClock.nowMs();
+        mLog.read(
+                mPartition,
+                mPosition,
+                0,
+                r -> {
+                    mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
+                    followed(r);
+                });
     }
 
     private void followed(ReadResult result) {
@@ -149,11 +169,13 @@
     }
 
     private void readToEnd(List<Consumer<Boolean>> served) {
+        long asked = mClock.nowMs();
         mLog.read(
                 mPartition,
                 mPosition,
                 0,
                 r -> {
+                    mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
                     boolean atEnd = take(r);
                     boolean failed = !(r instanceof SharedLog.Records);
                     if (!failed && !atEnd) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -55,9 +55,14 @@
         pump();
     }
 
-    /** Stores a last record; nothing is repeated after it. */
-    void leave(JournalRecord record) {
-        store(record, () -> mOver = true);
+    /** Stores a last record, then runs {@code stored}; nothing is repeated after it. */
+    void leave(JournalRecord record, Runnable stored) {
+        store(
+                record,
+                () -> {
+                    mOver = true;
+                    stored.run();
+                });
     }
 
     /** How long ago the store last took a record. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -1,6 +1,5 @@
 package org.foxtailplank.node.owner;
 
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -43,8 +42,14 @@
     /** Pause before a read of the take-over is repeated, in milliseconds. */
     private static final long RETRY_MS = 150;
 
-    /** How often the directory of workers is read, in milliseconds. */
-    private static final long DIRECTORY_MS = 300;
+    /** How long a read of the directory of workers waits for a change, in milliseconds. */
+    private static final long DIRECTORY_WAIT_MS = 1000;
+
+    /** Pause after a read of the directory, in milliseconds: VMs that move join side by side. */
+    private static final long DIRECTORY_PAUSE_MS = 30;
+
+    /** The same after a read that failed. */
+    private static final long DIRECTORY_RETRY_MS = 300;
 
     private final OwnerParts mParts;
     private final Clock mClock;
@@ -155,7 +160,7 @@
                 .with("workers", mScheduler.workers().size())
                 .with("journal", mParts.reader().position())
                 .write();
-        mParts.timers().after(DIRECTORY_MS, this::followDirectory);
+        followDirectory();
         sayLoad();
         mVms.start();
         new Restating(this, mParts).start();
@@ -169,17 +174,23 @@
         if (mDirectoryPosition < 0) {
             mParts.platform().directory().newest(this::directoryRead);
         } else {
-            mParts.platform().directory().changes(mDirectoryPosition, 0, this::directoryRead);
+            mParts.platform()
+                    .directory()
+                    .changes(mDirectoryPosition, DIRECTORY_WAIT_MS, this::directoryRead);
         }
     }
 
     private void directoryRead(Feed.Result<WorkerInfo> result) {
+        if (mOver) {
+            return;
+        }
         if (result instanceof Feed.Page<WorkerInfo> page) {
             takeDirectory(page);
         } else if (result instanceof Feed.Gap) {
             mDirectoryPosition = -1;
         }
-        mParts.timers().after(DIRECTORY_MS, this::followDirectory);
+        long pause = result instanceof Feed.Page ? DIRECTORY_PAUSE_MS : DIRECTORY_RETRY_MS;
+        mParts.timers().after(pause, this::followDirectory);
     }
 
     private void takeDirectory(Feed.Page<WorkerInfo> page) {
@@ -267,12 +278,12 @@
         return mJournal.storedMsAgo();
     }
 
-    /** Gives the place up for another node, on the way to a planned stop. */
-    public void leave() {
+    /** Gives the place up for another node; {@code left} runs when the journal says so. */
+    public void leave(Runnable left) {
         end();
         String node = mParts.settings().name();
         mParts.log().line("owner-leaves").with("token", mToken).write();
-        mJournal.leave(new OwnerLeft(mToken, node));
+        mJournal.leave(new OwnerLeft(mToken, node), left);
     }
 
     /** The journal tells of something. */
@@ -312,7 +323,7 @@
         mParts.timers().after(TICK_MS, this::tick);
         if (Reach.isCutOff(mScheduler.workers(), mVms.answeredMs(), mClock.nowMs())) {
             mParts.log().line("owner-cut-off").with("token", mToken).write();
-            leave();
+            leave(() -> {});
             mFenced.run();
             return;
         }
@@ -375,8 +386,7 @@
         if (mOver) {
             return;
         }
-        InetSocketAddress self = mParts.settings().peers();
-        String address = self.getAddress().getHostAddress() + ':' + self.getPort();
+        String address = mParts.settings().peerAddress();
         mJournal.store(new OwnerAlive(mToken, address), () -> {});
         mParts.timers().after(ALIVE_MS, this::sayAlive);
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -13,7 +13,9 @@
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
-import org.foxtailplank.node.peer.OwnerLink;
+import org.foxtailplank.node.peer.OwnerSigns;
+import org.foxtailplank.node.peer.OwnerSigns.KnownOwner;
+import org.foxtailplank.node.peer.OwnerState;
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.SharedLog.AppendResult;
@@ -27,17 +29,17 @@
  * offset that they have seen.
  */
 public final class Ownership {
-    /** Silence after which an owner is replaced, in milliseconds: some of its own signs. */
-    private static final long SILENT_MS = 1700;
+    /** How old a sign counts that was read at the start, in milliseconds: one interval of signs. */
+    private static final long PAST_MS = 400;
+
+    /** Answers of the store that an owner is given on top of that: so many for a sign to arrive. */
+    private static final int STORE_ANSWERS = 4;
 
     /**
-     * The same where the owner's stream has ended or is silent too, in milliseconds: two of its
-     * signs in the journal.
+     * How long a node that does not reach the VM service lets others go ahead, in milliseconds:
+     * time for the others to ask it and to append.
      */
-    private static final long GONE_MS = 900;
-
-    /** How long a node that does not reach the VM service lets others go ahead. Milliseconds. */
-    private static final long YIELD_MS = 3000;
+    private static final long YIELD_MS = 1200;
 
     /** Spread of the tries of several nodes, in milliseconds: an append takes about 10. */
     private static final long SPREAD_MS = 300;
@@ -56,7 +58,7 @@
     private final Timers mTimers;
     private final NodeLog mOut;
     private final OwnerRecord mSelf;
-    private final OwnerLink mLink;
+    private final OwnerSigns mSigns;
     private final VmActions mVms;
     private final LongConsumer mTaken;
 
@@ -77,7 +79,8 @@
             Timers timers,
             NodeLog out,
             String node,
-            OwnerLink link,
+            String address,
+            OwnerSigns signs,
             VmActions vms,
             LongConsumer taken) {
         mLog = log;
@@ -85,16 +88,18 @@
         mClock = clock;
         mTimers = timers;
         mOut = out;
-        mSelf = new OwnerRecord(node, Long.toHexString(ThreadLocalRandom.current().nextLong()));
-        mLink = link;
+        String life = Long.toHexString(ThreadLocalRandom.current().nextLong());
+        mSelf = new OwnerRecord(node, address, life);
+        mSigns = signs;
         mVms = vms;
         mTaken = taken;
         mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
-        mSignMs = clock.nowMs() - SILENT_MS;
+        mSignMs = clock.nowMs() - OwnerState.SILENT.patienceMs();
     }
 
     /** Begins to watch the owner. */
     public void watch() {
+        mSigns.whenDoubtful(this::replaceIfDue);
         mTimers.after(CHECK_MS, this::check);
     }
 
@@ -103,21 +108,26 @@
         if (record instanceof OwnerAlive alive && alive.token() >= mToken) {
             mToken = alive.token();
             mLeft = false;
-            mSignMs = mClock.nowMs();
-            mLink.owner(mOwner ? Optional.empty() : Optional.of(address(alive.address())));
+            sign();
+            mSigns.owner(
+                    mOwner ? Optional.empty() : Optional.of(known(alive.token(), alive.address())));
         } else if (record instanceof OwnerLeft left && left.token() >= mToken) {
             mToken = left.token();
             mLeft = true;
-            mSignMs = mClock.nowMs() - SILENT_MS;
         } else if (record instanceof RunsStarted || record instanceof RunsEnded) {
-            mSignMs = mClock.nowMs();
+            sign();
         }
     }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        int port = Integer.parseInt(text.substring(colon + 1));
-        return new InetSocketAddress(text.substring(0, colon), port);
+    /** A sign of the owner's; one of the past, read at the start, says little of now. */
+    private void sign() {
+        mSignMs = mClock.nowMs() - (mReader.isCaughtUp() ? 0 : PAST_MS);
+    }
+
+    private static KnownOwner known(long token, String address) {
+        int colon = address.lastIndexOf(':');
+        int port = Integer.parseInt(address.substring(colon + 1));
+        return new KnownOwner(token, new InetSocketAddress(address.substring(0, colon), port));
     }
 
     /** This node does not own any more; another one gave orders with a higher token. */
@@ -134,24 +144,53 @@
 
     private void check() {
         mTimers.after(CHECK_MS, this::check);
-        mLink.check();
+        mSigns.check();
         long read = mReader.lastReadMs();
         if (read - mLastReadMs > READ_GAP_MS) {
             // While nothing could be read, the owner's signs could not be seen either.
             mSignMs = Math.max(mSignMs, read);
         }
         mLastReadMs = Math.max(mLastReadMs, read);
-        boolean fresh = mClock.nowMs() - read < READ_GAP_MS;
-        if (mReader.isCaughtUp() && fresh && isSilent() && !mOwner && !mTrying && !mStopped) {
-            tryToTake();
+        replaceIfDue();
+    }
+
+    private void replaceIfDue() {
+        boolean fresh = mClock.nowMs() - mReader.lastReadMs() < READ_GAP_MS;
+        boolean may = !mOwner && !mTrying && !mStopped;
+        if (may && mReader.isCaughtUp() && fresh && isReplaceable()) {
+            readOnce();
         }
     }
 
-    private boolean isSilent() {
-        long patience = mLink.isAlive() ? SILENT_MS : GONE_MS;
-        // With a slow store the owner's signs come late in the journal, and early on its stream.
-        long sign = mLeft ? mSignMs : Math.max(mSignMs, mLink.storingMs());
-        return mClock.nowMs() - sign >= patience + mSpreadMs;
+    private boolean isReplaceable() {
+        return mLeft || mClock.nowMs() - signMs() >= patienceMs() + mSpreadMs;
+    }
+
+    /** With a slow store the owner's signs come late in the journal, and early on its stream. */
+    private long signMs() {
+        return Math.max(mSignMs, mSigns.storingMs());
+    }
+
+    private long patienceMs() {
+        OwnerState state = mSigns.state(mToken);
+        long late = state == OwnerState.GONE ? 0 : STORE_ANSWERS * mReader.answerMs();
+        return state.patienceMs() + late;
+    }
+
+    /**
+     * Reads the journal once more before anything is tried. Guards against replacing an owner whose
+     * answers from the store are lost: it can't know that its records are stored, but they are.
+     */
+    private void readOnce() {
+        mTrying = true;
+        mReader.refresh(
+                read -> {
+                    if (read && isReplaceable() && !mStopped) {
+                        tryToTake();
+                    } else {
+                        mTrying = false;
+                    }
+                });
     }
 
     /**
@@ -159,12 +198,11 @@
      * off, lets others go ahead, and tries only if none does.
      */
     private void tryToTake() {
-        mTrying = true;
         mVms.list(
                 vms -> {
                     // An owner may have shown itself meanwhile.
-                    boolean patient = mClock.nowMs() - mSignMs < SILENT_MS + YIELD_MS;
-                    if (vms.isEmpty() && patient || mStopped || !isSilent()) {
+                    boolean yields = mClock.nowMs() - signMs() < patienceMs() + YIELD_MS;
+                    if (vms.isEmpty() && yields || mStopped || !isReplaceable()) {
                         mTrying = false;
                         return;
                     }
@@ -201,22 +239,28 @@
                 end - 1,
                 0,
                 r -> {
-                    boolean found =
-                            r instanceof SharedLog.Records page
-                                    && page.records().size() == 1
-                                    && OwnerRecord.decode(page.records().get(0)).equals(mSelf);
-                    if (found) {
-                        take(end);
-                        return;
-                    }
                     mTrying = false;
-                    if (r instanceof SharedLog.Records page && page.end() > mToken) {
-                        mToken = page.end();
-                        mSignMs = mClock.nowMs();
+                    if (r instanceof SharedLog.Records page && !page.records().isEmpty()) {
+                        int count = page.records().size();
+                        OwnerRecord.decode(page.records().get(count - 1))
+                                .ifPresent(o -> last(o, page.from() + count));
                     }
                 });
     }
 
+    /** The last record of the owners. */
+    private void last(OwnerRecord owner, long token) {
+        if (owner.equals(mSelf)) {
+            take(token);
+        } else if (token > mToken) {
+            // Its first sign in the journal may take long with a slow store; its stream tells now.
+            mToken = token;
+            mLeft = false;
+            mSignMs = mClock.nowMs();
+            mSigns.owner(Optional.of(known(token, owner.address())));
+        }
+    }
+
     private void take(long token) {
         mTrying = false;
         if (mStopped) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -22,7 +22,7 @@
 
     private final Timers mTimers;
     private final Set<Channel> mFollowers = new HashSet<>();
-    private long mToken;
+    private long mToken = PeerFrame.NO_OWNER;
     private long mPosition;
     private LongSupplier mStoredMsAgo = () -> 0;
 
@@ -30,7 +30,7 @@
         mTimers = timers;
     }
 
-    /** Listens for followers; they hear nothing until this node owns. */
+    /** Listens for followers; until this node owns they hear that it doesn't. */
     public static JournalStream listen(EventLoop loop, InetSocketAddress address, Timers timers)
             throws IOException {
         JournalStream stream = new JournalStream(timers);
@@ -53,6 +53,8 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             mFollowers.add(context.channel());
+            // The first frame tells who looks for the owner whether this node is it.
+            context.writeAndFlush(encode(heartbeat()));
         }
 
         @Override
@@ -76,14 +78,14 @@
 
     /** This node does not own any more; who follows it looks for the owner elsewhere. */
     public void disown() {
-        mToken = 0;
+        mToken = PeerFrame.NO_OWNER;
         Set.copyOf(mFollowers).forEach(Channel::close);
     }
 
     /** The owner has read a record of the journal. */
     public void read(long offset, byte[] record) {
         mPosition = offset + 1;
-        if (mToken > 0) {
+        if (mToken != PeerFrame.NO_OWNER) {
             send(new PeerFrame(mToken, offset, 0, Optional.of(record)));
         }
     }
@@ -92,10 +94,14 @@
         if (mToken != token) {
             return;
         }
-        send(new PeerFrame(token, mPosition, mStoredMsAgo.getAsLong(), Optional.empty()));
+        send(heartbeat());
         mTimers.after(HEARTBEAT_MS, () -> heartbeat(token));
     }
 
+    private PeerFrame heartbeat() {
+        return new PeerFrame(mToken, mPosition, mStoredMsAgo.getAsLong(), Optional.empty());
+    }
+
     /** A follower that doesn't read is passed over: it would pile frames up in memory. */
     private void send(PeerFrame frame) {
         for (Channel c : mFollowers) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -5,28 +5,33 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.net.ConnectException;
 import java.util.Optional;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
 
-/** A follower's end: a connection to the owner, over which the journal comes. */
-public final class OwnerLink {
+/**
+ * A follower's end: a connection to the owner, over which the journal comes.
+ *
+ * <p>Each connection begins with the other end's word on whether it owns. An owner whose process
+ * was killed, or that has left, shows so within milliseconds: its address refuses connections, or a
+ * process answers there that doesn't own. Silence alone would have to be waited out.
+ */
+public final class OwnerLink implements OwnerSigns {
     /** An owner that is silent for so long may be gone, in milliseconds: three heartbeats. */
     private static final long SILENT_MS = 700;
 
     /** Pause before the owner is connected to again, in milliseconds. */
     private static final long RETRY_MS = 300;
 
-    /** An owner whose last record was stored this lately can still write, in milliseconds. */
-    private static final long STORING_MS = 1200;
-
     private static final int CONNECT_MS = 400;
 
     private final EventLoop mLoop;
@@ -34,9 +39,12 @@
     private final Timers mTimers;
     private final NodeLog mLog;
     private final JournalReader mReader;
-    private Optional<InetSocketAddress> mOwner = Optional.empty();
+    private Optional<KnownOwner> mOwner = Optional.empty();
     private Optional<Channel> mChannel = Optional.empty();
+    private Runnable mWhenDoubtful = () -> {};
     private boolean mOpening;
+    private OwnerState mDoubt = OwnerState.SILENT;
+    private long mDoubtToken = -1;
     private long mHeardMs = Long.MIN_VALUE / 2;
     private long mCurrentMs = Long.MIN_VALUE / 2;
     private long mStoringMs = Long.MIN_VALUE / 2;
@@ -50,14 +58,27 @@
         mReader = reader;
     }
 
-    /** The owner is at this address; this node itself has none to follow. */
-    public void owner(Optional<InetSocketAddress> address) {
-        if (address.equals(mOwner)) {
-            return;
+    @Override
+    public void owner(Optional<KnownOwner> owner) {
+        boolean moved = !owner.map(KnownOwner::address).equals(mOwner.map(KnownOwner::address));
+        mOwner = owner;
+        if (moved) {
+            close();
+            open();
         }
-        mOwner = address;
-        close();
-        open();
+    }
+
+    @Override
+    public void whenDoubtful(Runnable listener) {
+        mWhenDoubtful = listener;
+    }
+
+    @Override
+    public OwnerState state(long token) {
+        if (token == mDoubtToken) {
+            return mDoubt;
+        }
+        return isAlive() ? OwnerState.STREAMING : OwnerState.SILENT;
     }
 
     /** Whether the owner was heard of a moment ago. */
@@ -65,7 +86,7 @@
         return mClock.nowMs() - mHeardMs < SILENT_MS;
     }
 
-    /** When the owner last said that the store takes its records. */
+    @Override
     public long storingMs() {
         return mStoringMs;
     }
@@ -80,21 +101,43 @@
             return;
         }
         mOpening = true;
-        InetSocketAddress target = mOwner.get();
+        KnownOwner target = mOwner.get();
         new Bootstrap()
                 .group(mLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(PeerChannels.with(Handler::new))
-                .connect(target)
-                .addListener(
-                        f -> {
-                            mOpening = false;
-                            if (!f.isSuccess() || !mOwner.equals(Optional.of(target))) {
-                                mTimers.after(RETRY_MS, this::open);
-                            }
-                        });
+                .connect(target.address())
+                .addListener(f -> opened(target, f));
+    }
+
+    private void opened(KnownOwner target, Future<?> connected) {
+        mOpening = false;
+        boolean current = mOwner.map(KnownOwner::address).equals(Optional.of(target.address()));
+        if (!connected.isSuccess() || !current) {
+            mTimers.after(RETRY_MS, this::open);
+        }
+        // A refusal comes from a machine that runs without the owner's process; a connection that
+        // takes too long says nothing, since the path may be cut.
+        boolean refused =
+                connected.cause() instanceof ConnectException
+                        && !(connected.cause() instanceof ConnectTimeoutException);
+        if (refused && current) {
+            doubt(OwnerState.REFUSED);
+        }
+    }
+
+    /** The owner is not to be heard of any more, and perhaps doesn't own. */
+    private void doubt(OwnerState state) {
+        mHeardMs = Long.MIN_VALUE / 2;
+        if (mOwner.isEmpty() || state(mOwner.get().token()) == state) {
+            return;
+        }
+        mDoubt = state;
+        mDoubtToken = mOwner.get().token();
+        mLog.line("owner-doubtful").with("owner", mOwner.get()).with("state", state).write();
+        mWhenDoubtful.run();
     }
 
     private void close() {
@@ -102,7 +145,8 @@
         mChannel = Optional.empty();
     }
 
-    /** Closes a connection that has gone silent; checked from time to time. */
+    /** Closes a connection that has gone silent. */
+    @Override
     public void check() {
         if (mChannel.isPresent() && !isAlive()) {
             mLog.line("owner-silent")
@@ -115,6 +159,8 @@
     }
 
     private final class Handler extends SimpleChannelInboundHandler<ByteBuf> {
+        private boolean mHeard;
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             mChannel = Optional.of(context.channel());
@@ -125,6 +171,7 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes)
                 throws IOException {
             if (mChannel.equals(Optional.of(context.channel()))) {
+                mHeard = true;
                 take(PeerFrame.decode(bytes));
             }
         }
@@ -136,7 +183,8 @@
                 mChannel = Optional.empty();
                 mHeardMs = Long.MIN_VALUE / 2;
                 mStoringMs = Long.MIN_VALUE / 2;
-                mTimers.after(RETRY_MS, OwnerLink.this::open);
+                // A new connection tells at once whether the owner is gone or only this one was.
+                mTimers.after(mHeard ? 0 : RETRY_MS, OwnerLink.this::open);
             }
         }
 
@@ -147,11 +195,18 @@
     }
 
     private void take(PeerFrame frame) {
+        if (frame.token() == PeerFrame.NO_OWNER) {
+            doubt(OwnerState.GONE);
+            close();
+            mTimers.after(RETRY_MS, this::open);
+            return;
+        }
         mHeardMs = mClock.nowMs();
+        mDoubtToken = -1;
         if (frame.record().isPresent()) {
             mReader.fromOwner(frame.offset(), frame.record().get());
-        } else if (frame.storedMsAgo() < STORING_MS) {
-            mStoringMs = mClock.nowMs();
+        } else {
+            mStoringMs = mClock.nowMs() - frame.storedMsAgo();
         }
         if (frame.record().isEmpty() && frame.offset() > mReader.position()) {
             // Records were sent before this node was connected.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -14,12 +14,15 @@
 /**
  * What an owner sends to a follower: a record of the journal, or a heartbeat without one.
  *
- * @param token fencing token of the owner
+ * @param token fencing token of the owner; {@link #NO_OWNER} from a node that doesn't own
  * @param offset offset of the record; for a heartbeat the offset that the owner reads next
  * @param storedMsAgo for a heartbeat: how long ago the store last took a record of the owner's
  * @param record the record; empty for a heartbeat
  */
 record PeerFrame(long token, long offset, long storedMsAgo, Optional<byte[]> record) {
+    /** The token that a node sends which doesn't own; those of owners begin at 1. */
+    static final long NO_OWNER = 0;
+
     private static final int TOKEN = 1;
     private static final int OFFSET = 2;
     private static final int RECORD = 3;
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
@@ -0,0 +1,270 @@
+package org.foxtailplank.node.owner;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.OwnerAlive;
+import org.foxtailplank.job.JournalRecord.OwnerLeft;
+import org.foxtailplank.node.FakeLog;
+import org.foxtailplank.node.FakeNode;
+import org.foxtailplank.node.journal.JournalCodec;
+import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.OwnerSigns;
+import org.foxtailplank.node.peer.OwnerState;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.VmActions;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** When a node takes the place of an owner. */
+public class OwnershipTest {
+    private static final LogPartition OWNERS = new LogPartition("foxtail-owners", 0);
+    private static final String ELSEWHERE = "10.0.0.9:1";
+
+    /** Longest spread of the tries, and the time that a try takes in these tests. */
+    private static final long TRY_MS = 450;
+
+    private FakeNode mTime;
+    private FakeLog mLog;
+    private Signs mSigns;
+    private Optional<List<VmActions.VmInfo>> mVms;
+    private List<Long> mTaken;
+    private Ownership mOwnership;
+
+    @BeforeMethod
+    public void setUp() {
+        mTime = new FakeNode();
+        mLog = new FakeLog();
+        mSigns = new Signs();
+        mVms = Optional.of(List.of());
+        mTaken = new ArrayList<>();
+    }
+
+    /** What the owner's connection would tell; the test sets it. */
+    private static final class Signs implements OwnerSigns {
+        private OwnerState mState = OwnerState.STREAMING;
+        private Optional<KnownOwner> mOwner = Optional.empty();
+        private long mStoringMs = Long.MIN_VALUE / 2;
+        private Runnable mWhenDoubtful = () -> {};
+
+        @Override
+        public void owner(Optional<KnownOwner> owner) {
+            mOwner = owner;
+        }
+
+        @Override
+        public OwnerState state(long token) {
+            return mState;
+        }
+
+        @Override
+        public long storingMs() {
+            return mStoringMs;
+        }
+
+        @Override
+        public void whenDoubtful(Runnable listener) {
+            mWhenDoubtful = listener;
+        }
+
+        @Override
+        public void check() {}
+    }
+
+    private final class Vms implements VmActions {
+        @Override
+        public void list(Consumer<Optional<List<VmInfo>>> then) {
+            then.accept(mVms);
+        }
+
+        @Override
+        public void move(String vm, String pool, Holder holder, Consumer<VmOutcome> then) {
+            throw new AssertionError("not an owner yet");
+        }
+
+        @Override
+        public void reboot(String vm, long wave, Holder holder, Consumer<VmOutcome> then) {
+            throw new AssertionError("not an owner yet");
+        }
+    }
+
+    /** A node that starts now and reads what the journal holds. */
+    private void startNode() {
+        NodeLog out = NodeLog.silent(mTime);
+        JournalReader reader =
+                new JournalReader(
+                        mLog,
+                        JournalPartition.JOURNAL,
+                        mTime,
+                        mTime,
+                        out,
+                        new JobBook(120_000),
+                        (record, job) -> mOwnership.seen(record));
+        mOwnership =
+                new Ownership(
+                        mLog,
+                        reader,
+                        mTime,
+                        mTime,
+                        out,
+                        "node",
+                        "10.0.0.1:1",
+                        mSigns,
+                        new Vms(),
+                        mTaken::add);
+        reader.follow();
+        mOwnership.watch();
+    }
+
+    private void write(JournalRecord record) {
+        mLog.records(JournalPartition.JOURNAL).add(JournalCodec.encode(record));
+    }
+
+    private void anotherOwns() {
+        mLog.records(OWNERS).add(new OwnerRecord("other", ELSEWHERE, "life").encode());
+        write(new OwnerAlive(1, ELSEWHERE));
+    }
+
+    private void pass(long ms) {
+        for (long t = 0; t < ms; t += 10) {
+            mTime.pass(10);
+            mLog.answer();
+        }
+    }
+
+    /** The owner goes on showing itself in the journal. */
+    private void passWithSigns(long ms) {
+        for (long t = 0; t < ms; t += 400) {
+            write(new OwnerAlive(1, ELSEWHERE));
+            pass(400);
+        }
+    }
+
+    @Test
+    public void anOwnerThatShowsItselfIsLeftAlone() {
+        anotherOwns();
+        startNode();
+        passWithSigns(4000);
+
+        assertTrue(mTaken.isEmpty());
+        assertEquals(mSigns.mOwner.get().token(), 1);
+    }
+
+    @Test
+    public void anOwnerThatHasLeftIsReplacedAtOnce() {
+        // Callers' jobs wait at each planned stop of an owner: the others learn that it has left
+        // only by the next of their reads, and then wait as for one that is silent.
+        anotherOwns();
+        startNode();
+        passWithSigns(800);
+        write(new OwnerLeft(1, "other"));
+        mSigns.mState = OwnerState.GONE;
+        mSigns.mWhenDoubtful.run();
+        pass(TRY_MS);
+
+        assertEquals(mTaken, List.of(2L));
+    }
+
+    @Test
+    public void anOwnerOfBeforeAPowerLossIsReplacedAtOnce() {
+        // All VMs lose power. The journal's last sign of the owner is young when the nodes are
+        // back, and they would wait for an owner that none of them is.
+        anotherOwns();
+        startNode();
+        mSigns.mState = OwnerState.GONE;
+        pass(TRY_MS);
+
+        assertEquals(mTaken, List.of(2L));
+    }
+
+    @Test
+    public void anOwnerBehindACutThatRefusesConnectionsStays() {
+        // A zone is cut off by a firewall that refuses connections; both sides reach the store. Had
+        // a refusal been taken for the end of the owner, both sides would take its place in turns,
+        // and none would get anything done.
+        anotherOwns();
+        startNode();
+        mSigns.mState = OwnerState.REFUSED;
+        passWithSigns(4000);
+
+        assertTrue(mTaken.isEmpty());
+    }
+
+    @Test
+    public void anOwnerWhoseProcessWasKilledIsReplacedWithinASecond() {
+        anotherOwns();
+        startNode();
+        passWithSigns(800);
+        mSigns.mState = OwnerState.REFUSED;
+        pass(OwnerState.REFUSED.patienceMs() + TRY_MS);
+
+        assertEquals(mTaken, List.of(2L));
+    }
+
+    @Test
+    public void anOwnerThatLosesTheStoreIsReplaced() {
+        // An owner is cut off from the store alone: it can't start anything more, while the others
+        // go on hearing its heartbeats, and jobs wait for the whole time of the cut.
+        anotherOwns();
+        startNode();
+        passWithSigns(800);
+        mSigns.mStoringMs = mTime.nowMs();
+        pass(OwnerState.STREAMING.patienceMs() + TRY_MS);
+
+        assertEquals(mTaken, List.of(2L));
+    }
+
+    @Test
+    public void anOwnerThatGetsNoAnswersOfTheStoreStaysWhileItsRecordsArrive() {
+        // The store loses answers. The owner says that nothing of it was stored for a while, but
+        // its records stand in the journal; replacing it would make jobs wait for nothing.
+        anotherOwns();
+        startNode();
+        mSigns.mStoringMs = mTime.nowMs();
+        passWithSigns(4000);
+
+        assertTrue(mTaken.isEmpty());
+    }
+
+    @Test
+    public void theNextOwnerIsKnownBeforeItsFirstSignInTheJournal() {
+        // Two nodes try at a time while the store is slow. The one that loses would take the other
+        // one's place before that could write its first sign, and so on.
+        anotherOwns();
+        startNode();
+        passWithSigns(400);
+        mLog.records(OWNERS).add(new OwnerRecord("third", "10.0.0.3:1", "life").encode());
+        mSigns.mState = OwnerState.SILENT;
+        for (int i = 0; i < 300 && mSigns.mOwner.get().token() == 1; i++) {
+            pass(10);
+        }
+
+        assertTrue(mTaken.isEmpty());
+        assertEquals(mSigns.mOwner.get().token(), 2);
+        assertEquals(mSigns.mOwner.get().address(), new InetSocketAddress("10.0.0.3", 1));
+    }
+
+    @Test
+    public void aNodeThatDoesNotReachTheVmServiceLetsOthersGoAhead() {
+        anotherOwns();
+        startNode();
+        mSigns.mState = OwnerState.GONE;
+        mVms = Optional.empty();
+        pass(TRY_MS);
+        boolean early = !mTaken.isEmpty();
+        pass(2000);
+
+        assertFalse(early);
+        assertEquals(mTaken, List.of(2L), "nobody else has tried");
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -0,0 +1,138 @@
+package org.foxtailplank.node.peer;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.FakeLog;
+import org.foxtailplank.node.Timers;
+import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.OwnerSigns.KnownOwner;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What a follower learns of the owner over its connection, on the loopback interface. */
+public class OwnerLinkTest {
+    private static final long TOKEN = 7;
+
+    private final Clock mClock = Clock.system();
+    private MultiThreadIoEventLoopGroup mGroup;
+    private EventLoop mLoop;
+    private Timers mTimers;
+    private OwnerLink mLink;
+    private InetSocketAddress mAddress;
+
+    @BeforeMethod
+    public void setUp() throws IOException {
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mLoop = (EventLoop) mGroup.next();
+        mTimers = (ms, action) -> mLoop.schedule(action, ms, TimeUnit.MILLISECONDS);
+        NodeLog out = NodeLog.silent(mClock);
+        JournalReader reader =
+                new JournalReader(
+                        new FakeLog(),
+                        JournalPartition.JOURNAL,
+                        mClock,
+                        mTimers,
+                        out,
+                        new JobBook(120_000),
+                        (record, job) -> {});
+        mLink = new OwnerLink(mLoop, mClock, mTimers, out, reader);
+        try (ServerSocket free = new ServerSocket(0)) {
+            mAddress = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+    }
+
+    @AfterMethod
+    public void tearDown() throws Exception {
+        onLoop(
+                () -> {
+                    mLink.owner(Optional.empty());
+                    return null;
+                });
+        mGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private <T> T onLoop(Callable<T> action) throws Exception {
+        return mLoop.submit(action).get();
+    }
+
+    private void follow() throws Exception {
+        onLoop(
+                () -> {
+                    mLink.owner(Optional.of(new KnownOwner(TOKEN, mAddress)));
+                    return null;
+                });
+    }
+
+    private void await(OwnerState state) throws Exception {
+        while (onLoop(() -> mLink.state(TOKEN)) != state) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test(timeOut = 60_000)
+    public void anOwnerIsHeard() throws Exception {
+        JournalStream stream = JournalStream.listen(mLoop, mAddress, mTimers);
+        onLoop(
+                () -> {
+                    stream.own(TOKEN, 0, () -> 0);
+                    return null;
+                });
+        follow();
+
+        await(OwnerState.STREAMING);
+    }
+
+    @Test(timeOut = 60_000)
+    public void aProcessThatDoesNotOwnSaysSo() throws Exception {
+        // After a power loss a new process listens where the owner did: it takes connections, and a
+        // follower that only waits for heartbeats learns nothing from that.
+        JournalStream.listen(mLoop, mAddress, mTimers);
+        follow();
+
+        await(OwnerState.GONE);
+        assertEquals(
+                onLoop(() -> mLink.state(TOKEN + 1)),
+                OwnerState.SILENT,
+                "of a later owner it says nothing");
+    }
+
+    @Test(timeOut = 60_000)
+    public void anOwnerThatLeavesSaysSo() throws Exception {
+        JournalStream stream = JournalStream.listen(mLoop, mAddress, mTimers);
+        onLoop(
+                () -> {
+                    stream.own(TOKEN, 0, () -> 0);
+                    return null;
+                });
+        follow();
+        await(OwnerState.STREAMING);
+        onLoop(
+                () -> {
+                    stream.disown();
+                    return null;
+                });
+
+        await(OwnerState.GONE);
+    }
+
+    @Test(timeOut = 60_000)
+    public void anAddressWithoutAProcessRefuses() throws Exception {
+        follow();
+
+        await(OwnerState.REFUSED);
+    }
+}
