Less code: unused generated messages, settings that nobody used, placing apart

The settings stopMs, noticeMs, farFactor and ownerLeaseMs were read and not used; they go from the template, the records and the test's example. TaskPlacer takes placing out of Scheduler (419 to 357 lines). The log kinds run-start, run-stop and run-pace were the platform's names of its calls; they are start-order, stop-order and pace-order now.

Reach: an owner leaves when 0.45 of the workers are silent; a fifth was less than a zone, so that a cut of another zone than its own, if the VM service stood there, made it leave for an owner that could reach no more.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Reach.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Reach.java
@@ -14,8 +14,12 @@
     /** Time without an answer of the VM service, in milliseconds: some lists in a row. */
     private static final long UNANSWERED_MS = 1800;
 
-    /** Share of the workers that must be silent: half of a zone of three. */
-    private static final double SILENT_SHARE = 0.2;
+    /**
+     * Share of the workers that must be silent. Behind a cut of the owner's own zone all others
+     * are: two thirds with three zones, more with more. Where another zone is cut off, perhaps the
+     * one in which the VM service stands, it is a third, and no other node would reach more.
+     */
+    private static final double SILENT_SHARE = 0.45;
 
     private Reach() {}
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
@@ -4,13 +4,9 @@
  * Times that the platform promises or bounds, in milliseconds.
  *
  * @param leaseMs longest lease that a worker takes
- * @param stopMs how long a stop takes at most
  * @param earlyMs how much before its time a timed run may start
- * @param noticeMs how long a standing task may be away before it counts as missing
- * @param farFactor how much longer a task takes away from its data
  */
-public record ScheduleLimits(
-        long leaseMs, long stopMs, long earlyMs, long noticeMs, double farFactor) {
+public record ScheduleLimits(long leaseMs, long earlyMs) {
     /** A worker's clock may be this much slower than ours. */
     private static final double CLOCK_DRIFT = 0.02;
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -35,6 +35,7 @@
 
     private final ScheduleLimits mLimits;
     private final RunTable mRuns;
+    private final TaskPlacer mPlacer;
     private final Map<String, WorkerState> mWorkers = new LinkedHashMap<>();
     private final List<Decisions.Pace> mPaces = new ArrayList<>();
     private final ArrivalRate mArrivals = new ArrivalRate();
@@ -47,6 +48,7 @@
     public Scheduler(ScheduleLimits limits) {
         mLimits = limits;
         mRuns = new RunTable();
+        mPlacer = new TaskPlacer(mRuns);
     }
 
     /** A worker is new or says something new of itself. */
@@ -287,7 +289,7 @@
         for (Map.Entry<String, List<ActiveRun>> e : runsByService(nowWallMs).entrySet()) {
             List<ActiveRun> sorted =
                     Urgency.sort(e.getValue(), batchCores(e.getKey(), nowMs), nowWallMs);
-            place(e.getKey(), sorted, out, nowMs);
+            mPlacer.place(sorted, workersOf(e.getKey()), out, nowMs);
         }
         return out;
     }
@@ -343,17 +345,6 @@
         return found;
     }
 
-    private void place(String service, List<ActiveRun> runs, Decisions out, long nowMs) {
-        List<WorkerState> workers = workersOf(service);
-        for (ActiveRun run : runs) {
-            for (ActiveStep step : run.steps()) {
-                if (step.left() > 0 && run.isTurnOf(step)) {
-                    placeStep(step, workers, out, nowMs);
-                }
-            }
-        }
-    }
-
     List<WorkerState> workersOf(String service) {
         List<WorkerState> found = new ArrayList<>();
         for (WorkerState w : mWorkers.values()) {
@@ -363,57 +354,4 @@
         }
         return found;
     }
-
-    private void placeStep(ActiveStep step, List<WorkerState> workers, Decisions out, long nowMs) {
-        if (step.job().order().terms().advice().isPresent()) {
-            AdviceNeed.ask(step, workers, out, nowMs);
-        }
-        if (step.spec().placement().gang()) {
-            startGang(step, GangPlacement.place(step, workers, nowMs), out, nowMs);
-            return;
-        }
-        for (TaskSlot slot : step.slots()) {
-            if (!slot.isWaiting()) {
-                continue;
-            }
-            Optional<WorkerState> worker = WorkerChooser.choose(slot, workers, nowMs);
-            if (worker.isEmpty()) {
-                makeRoom(slot, workers, nowMs);
-                step.slots().stream().filter(TaskSlot::isWaiting).forEach(s -> s.noRoom(nowMs));
-                return;
-            }
-            slot.hasRoom();
-            start(slot, worker.get(), mRuns.nextAttempt(slot), out, nowMs);
-        }
-    }
-
-    private void makeRoom(TaskSlot slot, List<WorkerState> workers, long nowMs) {
-        long waited = slot.noRoom(nowMs);
-        for (TaskRun r : Preemption.forTask(slot, workers, waited, nowMs)) {
-            r.stopping("makes room for " + slot.name(), nowMs);
-        }
-    }
-
-    /** All members carry the same number and the same checkpoint. */
-    private void startGang(
-            ActiveStep step, Map<TaskSlot, WorkerState> placed, Decisions out, long nowMs) {
-        if (placed.isEmpty()) {
-            return;
-        }
-        int attempt = mRuns.nextAttempt(step);
-        String checkpoint = "";
-        for (TaskSlot s : step.slots()) {
-            checkpoint = s.checkpoint().isEmpty() ? checkpoint : s.checkpoint();
-        }
-        for (Map.Entry<TaskSlot, WorkerState> e : placed.entrySet()) {
-            e.getKey().checkpoint(checkpoint);
-            start(e.getKey(), e.getValue(), attempt, out, nowMs);
-        }
-    }
-
-    private void start(TaskSlot slot, WorkerState worker, int attempt, Decisions out, long nowMs) {
-        TaskRun run = new TaskRun(slot, worker, attempt, nowMs);
-        mRuns.start(run);
-        out.planned().add(run);
-    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -35,9 +35,8 @@
      *
      * @param keepMs how long the platform keeps a record
      * @param statusMs how long an ended job can be asked for
-     * @param ownerLeaseMs within this time orders of two owners must not take turns
      */
-    public record JournalBounds(long keepMs, long statusMs, long ownerLeaseMs) {}
+    public record JournalBounds(long keepMs, long statusMs) {}
 
     /** Where other nodes reach this one, as {@code ip:port}. */
     public String peerAddress() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -54,16 +54,10 @@
                         mTree.at("/platform/advice").asText(""));
         ScheduleLimits schedule =
                 new ScheduleLimits(
-                        (long) number("/worker/leaseMs"),
-                        (long) number("/worker/stopMs"),
-                        (long) number("/jobs/earlyMs"),
-                        (long) number("/jobs/noticeMs"),
-                        number("/jobs/farFactor"));
+                        (long) number("/worker/leaseMs"), (long) number("/jobs/earlyMs"));
         NodeSettings.JournalBounds journal =
                 new NodeSettings.JournalBounds(
-                        seconds("/platform/keepS"),
-                        seconds("/jobs/statusS"),
-                        (long) number("/platform/ownerLeaseMs"));
+                        seconds("/platform/keepS"), seconds("/jobs/statusS"));
         return new NodeSettings(
                 text("/node/name"),
                 text("/node/zone"),
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
@@ -73,7 +73,7 @@
         long now = mParts.clock().nowMs();
         mParts.metrics().latency("start").update(now - sentMs);
         mParts.log()
-                .line("run-start")
+                .line("start-order")
                 .with("task", run.slot().name())
                 .with("attempt", run.attempt())
                 .with("worker", run.worker().id())
@@ -114,7 +114,7 @@
                                 return;
                             }
                             mParts.log()
-                                    .line("run-stop")
+                                    .line("stop-order")
                                     .with("task", run.slot().name())
                                     .with("attempt", run.attempt())
                                     .with("worker", run.worker().id())
@@ -132,7 +132,7 @@
         TaskRun run = pace.run();
         mParts.metrics().counter("paces").inc();
         mParts.log()
-                .line("run-pace")
+                .line("pace-order")
                 .with("task", run.slot().name())
                 .with("percent", pace.percent())
                 .write();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -66,8 +66,8 @@
                         any,
                         any,
                         new PlatformAddresses(address, address, address),
-                        new NodeSettings.JournalBounds(RUN_MS, RUN_MS, RUN_MS),
-                        new ScheduleLimits(RUN_MS, RUN_MS, RUN_MS, RUN_MS, 1),
+                        new NodeSettings.JournalBounds(RUN_MS, RUN_MS),
+                        new ScheduleLimits(RUN_MS, RUN_MS),
                         RUN_MS);
         Node node = new Node(settings, loop, clock, timers, log);
         node.listen();
