--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerRecord.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerRecord.java
@@ -11,16 +11,21 @@
  * @param life the life of its process, so that it knows its own record from one of an earlier life
  */
 record OwnerRecord(String node, String address, String life) {
-    private static final int FIELDS = 3;
-
     byte[] encode() {
         return String.join(" ", node, address, life).getBytes(StandardCharsets.UTF_8);
     }
 
+    /** The record in these bytes; a node's name may hold spaces, the other fields don't. */
     static Optional<OwnerRecord> decode(byte[] bytes) {
-        String[] fields = new String(bytes, StandardCharsets.UTF_8).split(" ");
-        return fields.length == FIELDS
-                ? Optional.of(new OwnerRecord(fields[0], fields[1], fields[2]))
-                : Optional.empty();
+        String text = new String(bytes, StandardCharsets.UTF_8);
+        int life = text.lastIndexOf(' ');
+        int address = text.lastIndexOf(' ', life - 1);
+        return address < 0
+                ? Optional.empty()
+                : Optional.of(
+                        new OwnerRecord(
+                                text.substring(0, address),
+                                text.substring(address + 1, life),
+                                text.substring(life + 1)));
     }
 }
