--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -174,16 +174,20 @@
             mSequence = expected.expected();
             send(batch, stored);
         } else {
-            batch.mMaybeStored |= !(result instanceof SharedLog.NotStored);
-            refuseHandedOver(batch);
+            if (result instanceof SharedLog.NotStored) {
+                refuseHandedOver(batch);
+            } else {
+                batch.mMaybeStored = true;
+            }
             mParts.timers().after(RETRY_MS, () -> again(batch, stored));
         }
     }
 
     /**
-     * The store takes nothing now: records of other nodes' callers are given back, unless they may
-     * be stored already. A batch that may be stored stays as it is, since the store knows it by its
-     * number alone.
+     * The store refuses: records of other nodes' callers are given back, unless they may be stored
+     * already. An answer that is only late says nothing: the nodes would all append by themselves,
+     * and make a slow store slower. A batch that may be stored stays as it is, since the store
+     * knows it by its number alone.
      */
     private void refuseHandedOver(Batch batch) {
         List<Item> refused = new ArrayList<>();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
@@ -143,6 +143,26 @@
         assertEquals(stored(), 1);
     }
 
+    @Test
+    public void recordsOfOthersWaitWhileAnAnswerIsOnlyLate() {
+        // The store is slow. Given back at the first late answer, the records of all nodes came to
+        // the store side by side, and none of them got through for seconds.
+        OwnerJournal journal = new OwnerJournal(mParts, 1, () -> {});
+        journal.raiseEpoch(() -> {});
+        mLog.answer();
+        List<StoreOutcome> outcomes = new ArrayList<>();
+        mLog.next(Fate.ANSWER_LOST);
+        journal.store(new OwnerAlive(1, "a"), () -> {});
+        journal.storeHandedOver(new byte[] {1}, outcomes::add);
+        mLog.answer();
+        List<StoreOutcome> told = List.copyOf(outcomes);
+        mTime.pass(100);
+        mLog.answer();
+
+        assertTrue(told.isEmpty());
+        assertEquals(outcomes, List.of(StoreOutcome.STORED));
+    }
+
     @Test
     public void aRecordOfAnotherNodeThatMayBeStoredIsNotGivenBack() {
         // The answer of the first append is lost, the second try is refused: the caller's job
