The owner's append is sent once more while no answer comes

Cause: everything waits for the owner's append. While the store loses a third of its answers each loss cost the timeout and a pause, 0.4 s, and the longer the timeout got the more; while it is slow a short timeout gave the append up that would have been answered.

Change: after 120 ms and four answers of the store as they lately were the batch is sent a second time beside the first; the store knows it by its number, and the first answer counts. The new test failed before the change (it has a log that never answers).

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -30,6 +30,15 @@
 final class OwnerJournal {
     private static final String WRITER = "owner";
 
+    /**
+     * How long an append goes unanswered before it is sent a second time, in milliseconds, beyond
+     * what the store lately took: a pause of this process, some appends of other writers.
+     */
+    private static final long REPEAT_MS = 120;
+
+    /** Answers of the store, as they lately were, that are waited for on top of that. */
+    private static final int REPEAT_ANSWERS = 4;
+
     /** Pause before an append that the store did not take is repeated, in milliseconds. */
     private static final long RETRY_MS = 100;
 
@@ -50,6 +59,7 @@
     private static final class Batch {
         final List<Item> mItems;
         boolean mMaybeStored;
+        int mUnanswered;
 
         Batch(List<Item> items) {
             mItems = new ArrayList<>(items);
@@ -137,8 +147,26 @@
         send(batch, () -> batch.mItems.forEach(i -> i.then().accept(StoreOutcome.STORED)));
     }
 
+    /**
+     * Sends a batch, and once more if no answer comes soon. Answers a store that loses answers:
+     * everything waits for the owner's append, and the store knows the second one by its number.
+     */
     private void send(Batch batch, Runnable stored) {
         mSent = Optional.of(batch);
+        sendOnce(batch, stored);
+        long late = REPEAT_MS + REPEAT_ANSWERS * mParts.reader().answerMs();
+        mParts.timers()
+                .after(
+                        late,
+                        () -> {
+                            if (isAwaited(batch) && batch.mUnanswered == 1) {
+                                sendOnce(batch, stored);
+                            }
+                        });
+    }
+
+    private void sendOnce(Batch batch, Runnable stored) {
+        batch.mUnanswered++;
         WriterEpoch writer = new WriterEpoch(WRITER, mToken, mSequence);
         mParts.sharedLog()
                 .appendAs(
@@ -148,8 +176,19 @@
                         r -> answered(batch, stored, r));
     }
 
+    private boolean isAwaited(Batch batch) {
+        return !mOver && mSent.isPresent() && mSent.get() == batch;
+    }
+
     private void answered(Batch batch, Runnable stored, AppendResult result) {
-        if (mOver) {
+        if (!isAwaited(batch)) {
+            return;
+        }
+        batch.mUnanswered--;
+        boolean last = result instanceof SharedLog.Stored || result instanceof SharedLog.Fenced;
+        if (!last && batch.mUnanswered > 0) {
+            // The other one may still be stored.
+            batch.mMaybeStored = true;
             return;
         }
         if (result instanceof SharedLog.Stored) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeLog.java
@@ -24,7 +24,9 @@
         /** It is stored, and the answer is lost. */
         ANSWER_LOST,
         /** Nothing is stored, and nobody says so. */
-        LOST
+        LOST,
+        /** It is stored, and there is no answer at all. */
+        SILENT
     }
 
     private final Map<LogPartition, List<byte[]>> mRecords = new HashMap<>();
@@ -107,11 +109,16 @@
 
     private void answerLater(Consumer<AppendResult> then, Attempt attempt) {
         Fate fate = mFates.isEmpty() ? Fate.STORED : mFates.poll();
+        if (fate == Fate.SILENT) {
+            attempt.run();
+            return;
+        }
         AppendResult result =
                 switch (fate) {
                     case STORED -> attempt.run();
                     case REFUSED -> new NotStored("refused");
                     case LOST -> new MaybeStored("lost");
+                    case SILENT -> throw new IllegalStateException("handled above");
                     case ANSWER_LOST -> {
                         attempt.run();
                         yield new MaybeStored("answer lost");
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.job.JobBook;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.node.FakeLog;
 import org.foxtailplank.node.FakeLog.Fate;
@@ -16,6 +17,7 @@
 import org.foxtailplank.node.NodeMetrics;
 import org.foxtailplank.node.NodeSettings;
 import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.schedule.ScheduleLimits;
@@ -53,7 +55,14 @@
                         NodeLog.silent(mTime),
                         new NodeMetrics(),
                         null,
-                        null,
+                        new JournalReader(
+                                mLog,
+                                JournalPartition.JOURNAL,
+                                mTime,
+                                mTime,
+                                NodeLog.silent(mTime),
+                                new JobBook(1),
+                                (record, job) -> {}),
                         mLog,
                         null);
     }
@@ -143,6 +152,26 @@
         assertEquals(stored(), 1);
     }
 
+    @Test
+    public void anAppendWithoutAnAnswerIsSentOnceMoreAndStoredOnce() {
+        // The store loses a third of its answers. All starts and ends wait for the owner's append,
+        // and each loss cost them the whole timeout.
+        OwnerJournal journal = new OwnerJournal(mParts, 1, () -> {});
+        journal.raiseEpoch(() -> {});
+        mLog.answer();
+        mLog.next(Fate.SILENT);
+        boolean[] wasStored = {false};
+        journal.store(new OwnerAlive(1, "a"), () -> wasStored[0] = true);
+        mLog.answer();
+        boolean before = wasStored[0];
+        mTime.pass(150);
+        mLog.answer();
+
+        assertFalse(before);
+        assertTrue(wasStored[0]);
+        assertEquals(stored(), 1);
+    }
+
     @Test
     public void recordsOfOthersWaitWhileAnAnswerIsOnlyLate() {
         // The store is slow. Given back at the first late answer, the records of all nodes came to
