--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeLog.java
@@ -26,12 +26,15 @@
         /** Nothing is stored, and nobody says so. */
         LOST,
         /** It is stored, and there is no answer at all. */
-        SILENT
+        SILENT,
+        /** Nobody says anything, and it is carried out when the test lets late ones go. */
+        LATE
     }
 
     private final Map<LogPartition, List<byte[]>> mRecords = new HashMap<>();
     private final Deque<Fate> mFates = new ArrayDeque<>();
     private final Deque<Runnable> mAnswers = new ArrayDeque<>();
+    private final Deque<Attempt> mLate = new ArrayDeque<>();
     private long mEpoch;
     private long mSequence = -1;
     private AppendResult mLast = new Stored(0, 0);
@@ -41,6 +44,13 @@
         mFates.addAll(List.of(fates));
     }
 
+    /** Carries out the appends that were late. */
+    public void carryOutLate() {
+        while (!mLate.isEmpty()) {
+            mLate.poll().run();
+        }
+    }
+
     /** Answers what waits, and what that leads to. */
     public void answer() {
         while (!mAnswers.isEmpty()) {
@@ -118,6 +128,10 @@
                     case STORED -> attempt.run();
                     case REFUSED -> new NotStored("refused");
                     case LOST -> new MaybeStored("lost");
+                    case LATE -> {
+                        mLate.add(attempt);
+                        yield new MaybeStored("late");
+                    }
                     case SILENT -> throw new IllegalStateException("handled above");
                     case ANSWER_LOST -> {
                         attempt.run();
