--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/AcceptExplorationTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/AcceptExplorationTest.java
@@ -3,7 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.EnumMap;
@@ -11,22 +10,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
-import org.foxtailplank.job.JobBook;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.node.FakeLog;
 import org.foxtailplank.node.FakeLog.Fate;
 import org.foxtailplank.node.FakeNode;
-import org.foxtailplank.node.NodeMetrics;
-import org.foxtailplank.node.NodeSettings;
 import org.foxtailplank.node.journal.Handover;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPartition;
-import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
-import org.foxtailplank.schedule.ScheduleLimits;
 import org.testng.annotations.Test;
 
 /**
@@ -100,7 +93,7 @@
         }
 
         private void nextOwner() {
-            mOwner = new OwnerJournal(parts(), ++mToken, () -> {});
+            mOwner = new OwnerJournal(FakeOwnerParts.of(mTime, mLog), ++mToken, () -> {});
             mOwner.raiseEpoch(() -> {});
         }
 
@@ -140,34 +133,6 @@
                         }
                     });
         }
-
-        private OwnerParts parts() {
-            InetSocketAddress any = new InetSocketAddress(0);
-            NodeSettings settings =
-                    new NodeSettings(
-                            "n",
-                            "z",
-                            any,
-                            any,
-                            any,
-                            any,
-                            new PlatformAddresses("", "", ""),
-                            new NodeSettings.JournalBounds(1, 1),
-                            new ScheduleLimits(1, 1),
-                            1);
-            NodeLog out = NodeLog.silent(mTime);
-            JournalReader reader =
-                    new JournalReader(
-                            mLog,
-                            JournalPartition.JOURNAL,
-                            mTime,
-                            mTime,
-                            out,
-                            new JobBook(1),
-                            (record, job) -> {});
-            return new OwnerParts(
-                    settings, mTime, mTime, out, new NodeMetrics(), null, reader, mLog, null);
-        }
     }
 
     @Test
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerParts.java
@@ -0,0 +1,46 @@
+package org.foxtailplank.node.owner;
+
+import java.net.InetSocketAddress;
+import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.node.FakeLog;
+import org.foxtailplank.node.FakeNode;
+import org.foxtailplank.node.NodeMetrics;
+import org.foxtailplank.node.NodeSettings;
+import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.schedule.ScheduleLimits;
+
+/** What an owner's journal needs, on a log in memory and a clock that the test moves. */
+final class FakeOwnerParts {
+    private FakeOwnerParts() {}
+
+    static OwnerParts of(FakeNode time, FakeLog log) {
+        InetSocketAddress any = new InetSocketAddress(0);
+        NodeSettings settings =
+                new NodeSettings(
+                        "n",
+                        "z",
+                        any,
+                        any,
+                        any,
+                        any,
+                        new PlatformAddresses("", "", ""),
+                        new NodeSettings.JournalBounds(1, 1),
+                        new ScheduleLimits(1, 1),
+                        1);
+        NodeLog out = NodeLog.silent(time);
+        JournalReader reader =
+                new JournalReader(
+                        log,
+                        JournalPartition.JOURNAL,
+                        time,
+                        time,
+                        out,
+                        new JobBook(1),
+                        (record, job) -> {});
+        return new OwnerParts(
+                settings, time, time, out, new NodeMetrics(), null, reader, log, null);
+    }
+}
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
@@ -4,23 +4,15 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
-import org.foxtailplank.job.JobBook;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.node.FakeLog;
 import org.foxtailplank.node.FakeLog.Fate;
 import org.foxtailplank.node.FakeNode;
-import org.foxtailplank.node.NodeMetrics;
-import org.foxtailplank.node.NodeSettings;
 import org.foxtailplank.node.journal.JournalPartition;
-import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.StoreOutcome;
-import org.foxtailplank.node.log.NodeLog;
-import org.foxtailplank.schedule.ScheduleLimits;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -34,37 +26,7 @@
     public void setUp() {
         mTime = new FakeNode();
         mLog = new FakeLog();
-        InetSocketAddress any = new InetSocketAddress(0);
-        NodeSettings settings =
-                new NodeSettings(
-                        "n",
-                        "z",
-                        any,
-                        any,
-                        any,
-                        any,
-                        new PlatformAddresses("", "", ""),
-                        new NodeSettings.JournalBounds(1, 1),
-                        new ScheduleLimits(1, 1),
-                        1);
-        mParts =
-                new OwnerParts(
-                        settings,
-                        mTime,
-                        mTime,
-                        NodeLog.silent(mTime),
-                        new NodeMetrics(),
-                        null,
-                        new JournalReader(
-                                mLog,
-                                JournalPartition.JOURNAL,
-                                mTime,
-                                mTime,
-                                NodeLog.silent(mTime),
-                                new JobBook(1),
-                                (record, job) -> {}),
-                        mLog,
-                        null);
+        mParts = FakeOwnerParts.of(mTime, mLog);
     }
 
     private int stored() {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -98,6 +98,18 @@
                 });
     }
 
+    /** An owner, and this node following it. */
+    private JournalStream followOwner() throws Exception {
+        JournalStream stream = JournalStream.listen(mLoop, mAddress, mTimers, mStore);
+        onLoop(
+                () -> {
+                    stream.own(TOKEN, 0, () -> 0);
+                    return null;
+                });
+        follow();
+        return stream;
+    }
+
     private void await(OwnerState state) throws Exception {
         while (onLoop(() -> mLink.state(TOKEN)) != state) {
             Thread.onSpinWait();
@@ -106,13 +118,7 @@
 
     @Test(timeOut = 60_000)
     public void anOwnerIsHeard() throws Exception {
-        JournalStream stream = JournalStream.listen(mLoop, mAddress, mTimers, mStore);
-        onLoop(
-                () -> {
-                    stream.own(TOKEN, 0, () -> 0);
-                    return null;
-                });
-        follow();
+        followOwner();
 
         await(OwnerState.STREAMING);
     }
@@ -133,13 +139,7 @@
 
     @Test(timeOut = 60_000)
     public void anOwnerThatLeavesSaysSo() throws Exception {
-        JournalStream stream = JournalStream.listen(mLoop, mAddress, mTimers, mStore);
-        onLoop(
-                () -> {
-                    stream.own(TOKEN, 0, () -> 0);
-                    return null;
-                });
-        follow();
+        JournalStream stream = followOwner();
         await(OwnerState.STREAMING);
         onLoop(
                 () -> {
@@ -152,13 +152,7 @@
 
     @Test(timeOut = 60_000)
     public void handoversAreAnsweredOrLostWithTheConnection() throws Exception {
-        JournalStream stream = JournalStream.listen(mLoop, mAddress, mTimers, mStore);
-        onLoop(
-                () -> {
-                    stream.own(TOKEN, 0, () -> 0);
-                    return null;
-                });
-        follow();
+        JournalStream stream = followOwner();
         while (!onLoop(mLink::isOpen)) {
             Thread.onSpinWait();
         }
