Calls to the VM service under a lease where nobody checks tokens

Cause: an owner that was cut off with its zone and replaced goes on ordering VMs with its lower token.

Ruled out: a delay of the successor alone, since the former owner goes on for as long as it is cut off; the steady clock alone, which stands still while a VM is suspended; counting a proof from its answer, which may be seconds late.

Where the platform checks tokens nothing waits. Settings say whether it does; an unknown way of giving workers orders is refused.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -61,8 +61,15 @@
     /** The owner with this fencing token is alive; other nodes reach it at this address. */
     record OwnerAlive(long token, String address) implements JournalRecord {}
 
-    /** The owner with this fencing token gives its place up. */
-    record OwnerLeft(long token, String node) implements JournalRecord {}
+    /**
+     * An owner gives its place up.
+     *
+     * @param token its fencing token
+     * @param node its node
+     * @param callsOver whether no call of it or of an earlier owner to the VM service can be under
+     *     way
+     */
+    record OwnerLeft(long token, String node, boolean callsOver) implements JournalRecord {}
 
     /** A VM has begun its reboot for a wave. */
     record VmRebooted(long wave, String vm) implements JournalRecord {}
--- a/foxtail-core/src/main/java/org/foxtailplank/port/VmActions.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/VmActions.java
@@ -11,14 +11,33 @@
     /** Lists all VMs. */
     void list(Consumer<Optional<List<VmInfo>>> then);
 
-    /** Moves a VM to another pool; all that runs on it ends at once. */
+    /**
+     * Moves a VM to another pool; all that runs on it ends at once. The call is not sent without
+     * its holder's permit, and broken off when that ends.
+     */
     void move(String vm, String pool, Holder holder, Consumer<VmOutcome> then);
 
-    /** Reboots a VM for a wave; all that runs on it ends at once. */
+    /** Reboots a VM for a wave; all that runs on it ends at once. The permit holds as for moves. */
     void reboot(String vm, long wave, Holder holder, Consumer<VmOutcome> then);
 
-    /** Who gives an order, with its fencing token. */
-    record Holder(String node, long token) {}
+    /**
+     * Who gives an order.
+     *
+     * @param node name of the node
+     * @param token its fencing token
+     * @param permit how long its calls may be under way
+     */
+    record Holder(String node, long token, CallPermit permit) {}
+
+    /** How long calls may be under way; asked just before a call is sent. */
+    @FunctionalInterface
+    interface CallPermit {
+        /** For calls that anybody may make at any time. */
+        CallPermit UNLIMITED = () -> Long.MAX_VALUE;
+
+        /** Milliseconds from now until a call must be broken off; 0 for no call. */
+        long leftMs();
+    }
 
     /**
      * A VM.
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -87,11 +87,16 @@
         }
     }
 
-    /** What to do now. */
+    /**
+     * What to do now.
+     *
+     * @param mayCall whether the platform may be called; if not, VMs are chosen and emptied only
+     */
     public VmDecisions decide(
             FleetConfig config,
             Collection<DueWave> waves,
             JobBook book,
+            boolean mayCall,
             long nowMs,
             long nowWallMs) {
         List<Long> completed = new ArrayList<>();
@@ -107,7 +112,7 @@
             }
         }
         mBalance.plan(config, nowMs, nowWallMs);
-        return new VmDecisions(carryOut(config, nowMs), completed);
+        return new VmDecisions(carryOut(config, mayCall, nowMs), completed);
     }
 
     /** VMs of a wave that have not begun their reboot, and what keeps each, for the log. */
@@ -141,7 +146,7 @@
         mReported.remove(wave);
     }
 
-    private List<Call> carryOut(FleetConfig config, long nowMs) {
+    private List<Call> carryOut(FleetConfig config, boolean mayCall, long nowMs) {
         List<Call> calls = new ArrayList<>();
         for (VmState vm : mVms.all()) {
             if (vm.planned().isEmpty() || vm.isCalling()) {
@@ -151,7 +156,7 @@
             worker.ifPresent(w -> vacate(vm, w, nowMs));
             boolean standby = config.isStandby(vm.info().pool());
             boolean empty = worker.isPresent() && worker.get().isEmpty();
-            if (empty || standby && worker.isEmpty()) {
+            if (mayCall && (empty || standby && worker.isEmpty())) {
                 vm.calling(true);
                 calls.add(new Call(vm, vm.planned().get()));
             }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
@@ -48,7 +48,7 @@
         mOwner.mNowMs += 10;
         mPlanner.listed(mVms, mOwner.mNowMs);
         return mPlanner.decide(
-                mOwner.mConfig, List.of(waves), mOwner.mBook, mOwner.mNowMs, Owner.WALL_MS);
+                mOwner.mConfig, List.of(waves), mOwner.mBook, true, mOwner.mNowMs, Owner.WALL_MS);
     }
 
     private DueWave wave(int atOnce, long leftMs, String... vms) {
--- a/foxtail-http/src/main/java/org/foxtailplank/http/PendingCall.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/PendingCall.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.http;
 
 import java.util.concurrent.Future;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** A call on its way. */
@@ -9,14 +10,20 @@
     Future<?> mTimer;
     ClientConnection mConnection;
 
+    private final BooleanSupplier mMaySend;
     private final Consumer<HttpResult> mThen;
     private boolean mFinished;
 
-    PendingCall(HttpCall call, Consumer<HttpResult> then) {
+    PendingCall(HttpCall call, BooleanSupplier maySend, Consumer<HttpResult> then) {
         mCall = call;
+        mMaySend = maySend;
         mThen = then;
     }
 
+    boolean maySend() {
+        return mMaySend.getAsBoolean();
+    }
+
     boolean isFinished() {
         return mFinished;
     }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
@@ -12,7 +12,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /** The connections to one address. */
 final class TargetPool {
@@ -34,8 +33,7 @@
         mMax = max;
     }
 
-    void call(HttpCall call, long timeoutMs, Consumer<HttpResult> then) {
-        PendingCall pending = new PendingCall(call, then);
+    void call(PendingCall pending, long timeoutMs) {
         pending.mTimer = mLoop.schedule(() -> timedOut(pending), timeoutMs, TimeUnit.MILLISECONDS);
         mWaiting.add(pending);
         dispatch();
@@ -49,7 +47,7 @@
         while (!mWaiting.isEmpty()) {
             ClientConnection idle = mIdle.pollLast();
             if (idle != null) {
-                idle.send(mWaiting.poll());
+                send(idle, mWaiting.poll());
             } else if (mOpen < mMax) {
                 open(mWaiting.poll());
             } else {
@@ -84,11 +82,20 @@
                     } else if (call.isFinished()) {
                         idle(connection);
                     } else {
-                        connection.send(call);
+                        send(connection, call);
                     }
                 });
     }
 
+    private void send(ClientConnection connection, PendingCall call) {
+        if (call.maySend()) {
+            connection.send(call);
+        } else {
+            call.finish(new HttpResult.NotSent("not allowed any more"));
+            idle(connection);
+        }
+    }
+
     /**
      * A call took too long. Its connection may have gone silent without a reset, and so may those
      * that are idle: they are closed too, or each would cost another call its timeout.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Clock.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Clock.java
@@ -1,5 +1,7 @@
 package org.foxtailplank.node;
 
+import org.foxtailplank.lease.Moment;
+
 /** The times that a node goes by. */
 public interface Clock {
 
@@ -25,4 +27,9 @@
 
     /** Milliseconds since 1970. */
     long wallMs();
+
+    /** Both times of now. */
+    default Moment moment() {
+        return new Moment(nowMs(), wallMs());
+    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -24,6 +24,7 @@
 import org.foxtailplank.node.owner.OwnerParts;
 import org.foxtailplank.node.owner.OwnerWork;
 import org.foxtailplank.node.owner.Ownership;
+import org.foxtailplank.node.owner.TakeOver;
 import org.foxtailplank.node.peer.JournalStream;
 import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.SharedLog;
@@ -39,7 +40,7 @@
     /** How long a connection may take to open, in milliseconds: some round trips. */
     private static final int CONNECT_MS = 400;
 
-    /** Most connections to the store: waiting reads, appends and refreshes at a time. */
+    /** Most connections to the store: waiting reads, appends and refreshes at a time; VMs alike. */
     private static final int STORE_CONNECTIONS = 12;
 
     /** Most connections to one worker: a waiting look and starts side by side. */
@@ -91,6 +92,7 @@
                 new UsersPlatform(
                         new HttpClient(loop, CONNECT_MS, STORE_CONNECTIONS),
                         new HttpClient(loop, CONNECT_MS, WORKER_CONNECTIONS),
+                        HttpClient.resetting(loop, CONNECT_MS, STORE_CONNECTIONS),
                         settings.platform(),
                         AdapterLimits.DEFAULTS,
                         clock::nowMs);
@@ -208,7 +210,7 @@
         mOwner.ifPresent(o -> o.recorded(record, job));
     }
 
-    private void own(long token) {
+    private void own(TakeOver taken) {
         OwnerParts parts =
                 new OwnerParts(
                         mSettings,
@@ -225,10 +227,10 @@
                                 mPlatform.vmActions(),
                                 mPlatform.advice(),
                                 mPlatform.waveBoard()));
-        OwnerWork work = new OwnerWork(parts, token, this::fenced);
+        OwnerWork work = new OwnerWork(parts, taken, this::fenced);
         mOwner = Optional.of(work);
         mLink.owner(Optional.empty());
-        mStream.own(token, mReader.position(), work::storedMsAgo);
+        mStream.own(taken.token(), mReader.position(), work::storedMsAgo);
         work.start();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -16,6 +16,8 @@
  * @param platform addresses of the platform's services
  * @param journal bounds for what is kept on the platform
  * @param schedule bounds for the scheduler
+ * @param vmTokensChecked whether the VM service itself refuses an owner's token that is lower than
+ *     one that it has seen
  * @param graceMs time between the signal to stop and the end of the process, in milliseconds
  */
 public record NodeSettings(
@@ -28,6 +30,7 @@
         PlatformAddresses platform,
         JournalBounds journal,
         ScheduleLimits schedule,
+        boolean vmTokensChecked,
         long graceMs) {
 
     /**
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -16,6 +16,7 @@
 public final class NodeSettingsReader {
     private static final double MS_PER_S = 1000;
     private static final int MAX_PORT = 65_535;
+    private static final String ORDERS_BY_CALL = "call";
 
     private final JsonNode mTree;
     private final List<String> mProblems = new ArrayList<>();
@@ -47,6 +48,7 @@
     }
 
     private NodeSettings settings() {
+        checkOrders("/worker/orders");
         PlatformAddresses platform =
                 new PlatformAddresses(
                         text("/platform/store"),
@@ -68,6 +70,7 @@
                 platform,
                 journal,
                 schedule,
+                flag("/platform/vmTokensChecked"),
                 seconds("/node/graceS"));
     }
 
@@ -79,6 +82,22 @@
         return value;
     }
 
+    private boolean flag(String path) {
+        JsonNode value = mTree.at(path);
+        if (!value.isBoolean()) {
+            mProblems.add(path + " is neither true nor false");
+        }
+        return value.asBoolean(false);
+    }
+
+    /** Workers are called; another way of giving them orders than this default isn't known. */
+    private void checkOrders(String path) {
+        String value = mTree.at(path).asText("");
+        if (!value.isEmpty() && !value.equals(ORDERS_BY_CALL)) {
+            mProblems.add(path + " is '" + value + "'; only '" + ORDERS_BY_CALL + "' is supported");
+        }
+    }
+
     private double number(String path) {
         JsonNode value = mTree.at(path);
         if (!value.isNumber() || value.asDouble() < 0) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -72,7 +72,7 @@
             return message(out -> part(out, COMPLETED, o -> named(o, r.wave(), "")));
         }
         OwnerLeft r = (OwnerLeft) record;
-        return message(out -> part(out, LEFT, o -> named(o, r.token(), r.node())));
+        return message(out -> part(out, LEFT, o -> left(o, r)));
     }
 
     /** Reads a record; empty for a kind that this version does not know. */
@@ -90,6 +90,7 @@
                     case ENDED -> new RunsEnded(readRuns(body));
                     case RESTATED -> readRestated(body);
                     case STARTED -> new RunsStarted(readStarts(body));
+                    case LEFT -> readLeft(body);
                     default -> readNamed(kind, body);
                 });
     }
@@ -100,8 +101,7 @@
             case CANCELLED -> new JobCancelled(named.name(), named.number());
             case ALIVE -> new OwnerAlive(named.number(), named.name());
             case REBOOTED -> new VmRebooted(named.number(), named.name());
-            case COMPLETED -> new WaveCompleted(named.number());
-            default -> new OwnerLeft(named.number(), named.name());
+            default -> new WaveCompleted(named.number());
         };
     }
 
@@ -132,6 +132,26 @@
         return new JobRestated(order, starts, ends, cancelledMs);
     }
 
+    private static void left(CodedOutputStream out, OwnerLeft record) throws IOException {
+        named(out, record.token(), record.node());
+        out.writeBool(3, record.callsOver());
+    }
+
+    private static OwnerLeft readLeft(CodedInputStream in) throws IOException {
+        long token = 0;
+        String node = "";
+        boolean callsOver = false;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case 1 -> token = in.readInt64();
+                case 2 -> node = in.readString();
+                case 3 -> callsOver = in.readBool();
+                default -> in.skipField(tag);
+            }
+        }
+        return new OwnerLeft(token, node, callsOver);
+    }
+
     private record Named(long number, String name) {}
 
     private static void named(CodedOutputStream out, long number, String name) throws IOException {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.lease.Moment;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPartition;
 import org.foxtailplank.node.journal.StoreOutcome;
@@ -51,6 +52,7 @@
     private long mStoredMs;
     private boolean mEpochRaised;
     private boolean mOver;
+    private Consumer<Moment> mWhenStored = sent -> {};
 
     /** A record, and who waits for what comes of it. */
     private record Item(byte[] bytes, boolean handedOver, Consumer<StoreOutcome> then) {}
@@ -58,6 +60,7 @@
     /** Records of one append. */
     private static final class Batch {
         final List<Item> mItems;
+        Optional<Moment> mFirstSent = Optional.empty();
         boolean mMaybeStored;
         int mUnanswered;
 
@@ -77,6 +80,15 @@
         mStoredMs = parts.clock().nowMs();
     }
 
+    /**
+     * Tells of each append that is stored under this owner's epoch when it was first sent. The
+     * store may answer a repeated append with the answer of its first sending, so that a later
+     * sending proves nothing.
+     */
+    void whenStored(Consumer<Moment> listener) {
+        mWhenStored = listener;
+    }
+
     /** Keeps all earlier owners from writing, then goes on. */
     void raiseEpoch(Runnable then) {
         send(new Batch(List.of()), then);
@@ -167,6 +179,7 @@
 
     private void sendOnce(Batch batch, Runnable stored) {
         batch.mUnanswered++;
+        batch.mFirstSent = batch.mFirstSent.or(() -> Optional.of(mParts.clock().moment()));
         WriterEpoch writer = new WriterEpoch(WRITER, mToken, mSequence);
         mParts.sharedLog()
                 .appendAs(
@@ -196,6 +209,7 @@
             mStoredMs = mParts.clock().nowMs();
             mEpochRaised = true;
             mSequence += batch.mItems.isEmpty() ? 0 : 1;
+            batch.mFirstSent.ifPresent(mWhenStored);
             stored.run();
             pump();
             return;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -18,6 +18,7 @@
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.port.Feed;
 import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.VmActions.Holder;
 import org.foxtailplank.port.VmActions.VmInfo;
 import org.foxtailplank.port.WorkerInfo;
 import org.foxtailplank.schedule.Decisions;
@@ -56,6 +57,8 @@
     private final OwnerParts mParts;
     private final Clock mClock;
     private final long mToken;
+    private final boolean mPredecessorOver;
+    private final OwnerLease mLease;
     private final Runnable mFenced;
     private final Scheduler mScheduler;
     private final OwnerJournal mJournal;
@@ -71,16 +74,18 @@
     private boolean mOver;
     private boolean mDecisionDue;
 
-    /** The owner with this fencing token; {@code fenced} runs when a later owner has taken over. */
-    public OwnerWork(OwnerParts parts, long token, Runnable fenced) {
+    /** A new owner; {@code fenced} runs when a later owner has taken over. */
+    public OwnerWork(OwnerParts parts, TakeOver taken, Runnable fenced) {
         mParts = parts;
         mClock = parts.clock();
-        mToken = token;
+        mToken = taken.token();
+        mPredecessorOver = taken.predecessorOver();
         mFenced = fenced;
+        mLease = new OwnerLease(mClock, parts.settings().vmTokensChecked());
         mScheduler = new Scheduler(parts.settings().schedule());
-        mJournal = new OwnerJournal(parts, token, () -> fenced("the journal"));
-        mSender = new OrderSender(this, parts, token);
-        mVms = new VmWork(this, parts, token);
+        mJournal = new OwnerJournal(parts, mToken, () -> fenced("the journal"));
+        mSender = new OrderSender(this, parts, mToken);
+        mVms = new VmWork(this, parts, new Holder(parts.settings().name(), mToken, mLease));
     }
 
     /**
@@ -90,10 +95,16 @@
      * its first order.
      */
     public void start() {
-        mParts.log().line("owner-start").with("token", mToken).write();
+        mParts.log()
+                .line("owner-start")
+                .with("token", mToken)
+                .with("predecessorOver", mPredecessorOver)
+                .write();
         mParts.reader().eager(true);
+        mJournal.whenStored(mLease::proved);
         mJournal.raiseEpoch(
                 () -> {
+                    mLease.tookOver(mPredecessorOver);
                     sayAlive();
                     readJournal();
                     listVms();
@@ -291,7 +302,8 @@
         end();
         String node = mParts.settings().name();
         mParts.log().line("owner-leaves").with("token", mToken).write();
-        mJournal.leave(new OwnerLeft(mToken, node), left);
+        boolean callsOver = mLease.isOpen() && !mVms.isCalling();
+        mJournal.leave(new OwnerLeft(mToken, node, callsOver), left);
     }
 
     /** The journal tells of something. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.LongConsumer;
+import java.util.function.Consumer;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
@@ -60,18 +60,19 @@
     private final OwnerRecord mSelf;
     private final OwnerSigns mSigns;
     private final VmActions mVms;
-    private final LongConsumer mTaken;
+    private final Consumer<TakeOver> mTaken;
 
     private long mSpreadMs;
     private long mSignMs;
     private long mLastReadMs;
     private long mToken;
     private boolean mLeft;
+    private Optional<OwnerLeft> mLastLeft = Optional.empty();
     private boolean mTrying;
     private boolean mOwner;
     private boolean mStopped;
 
-    /** Ownership for a node; {@code taken} is told the token when it becomes the owner. */
+    /** Ownership for a node; {@code taken} is told when it becomes the owner. */
     public Ownership(
             SharedLog log,
             JournalReader reader,
@@ -82,7 +83,7 @@
             String address,
             OwnerSigns signs,
             VmActions vms,
-            LongConsumer taken) {
+            Consumer<TakeOver> taken) {
         mLog = log;
         mReader = reader;
         mClock = clock;
@@ -114,6 +115,7 @@
         } else if (record instanceof OwnerLeft left && left.token() >= mToken) {
             mToken = left.token();
             mLeft = true;
+            mLastLeft = Optional.of(left);
         } else if (record instanceof RunsStarted || record instanceof RunsEnded) {
             sign();
         }
@@ -268,6 +270,15 @@
         }
         mToken = token;
         mOwner = true;
-        mTaken.accept(token);
+        mTaken.accept(new TakeOver(token, isPredecessorOver(token)));
+    }
+
+    /** A node in between may have owned for a moment and left no sign in the journal. */
+    private boolean isPredecessorOver(long token) {
+        boolean isFirst = token == 1;
+        return isFirst
+                || mLastLeft.isPresent()
+                        && mLastLeft.get().token() == token - 1
+                        && mLastLeft.get().callsOver();
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -41,16 +41,23 @@
     private final Set<Long> mRunning = new HashSet<>();
     private long mAnsweredMs;
     private boolean mListed;
+    private int mCalls;
+    private boolean mMayCall = true;
 
-    VmWork(OwnerWork owner, OwnerParts parts, long token) {
+    VmWork(OwnerWork owner, OwnerParts parts, Holder holder) {
         mOwner = owner;
         mParts = parts;
         mClock = parts.clock();
-        mHolder = new Holder(parts.settings().name(), token);
+        mHolder = holder;
         mPlanner = new VmPlanner(owner.scheduler());
         mAnsweredMs = mClock.nowMs();
     }
 
+    /** Whether a call of this owner's is under way. */
+    boolean isCalling() {
+        return mCalls > 0;
+    }
+
     /** When the VM service last answered. */
     long answeredMs() {
         return mAnsweredMs;
@@ -135,6 +142,7 @@
                         config.get(),
                         mParts.operator().waves().values(),
                         mParts.reader().book(),
+                        mayCall(),
                         mClock.nowMs(),
                         mClock.wallMs());
         decisions.actions().forEach(this::call);
@@ -142,7 +150,19 @@
         mOwner.decisionDue();
     }
 
+    /** Whether calls may be begun; while the lease allows none, VMs are chosen and emptied only. */
+    private boolean mayCall() {
+        long left = mHolder.permit().leftMs();
+        boolean may = left > 0;
+        if (may != mMayCall) {
+            mMayCall = may;
+            mParts.log().line("vm-calls").with("token", mHolder.token()).with("open", may).write();
+        }
+        return may;
+    }
+
     private void call(Call call) {
+        mCalls++;
         String vm = call.vm().id();
         if (call.action() instanceof VmAction.Move move) {
             mParts.platform().vms().move(vm, move.pool(), mHolder, o -> answered(call, o));
@@ -153,6 +173,7 @@
     }
 
     private void answered(Call call, VmOutcome outcome) {
+        mCalls--;
         mParts.log()
                 .line("vm-action")
                 .with("vm", call.vm().id())
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -68,6 +68,7 @@
                         new PlatformAddresses(address, address, address),
                         new NodeSettings.JournalBounds(RUN_MS, RUN_MS),
                         new ScheduleLimits(RUN_MS, RUN_MS),
+                        true,
                         RUN_MS);
         Node node = new Node(settings, loop, clock, timers, log);
         node.listen();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -13,8 +14,8 @@
                     + "\"callers\":\"10.0.0.1:1\",\"readiness\":\"10.0.0.1:2\","
                     + "\"metrics\":\"10.0.0.1:3\",\"peers\":\"10.0.0.1:4\"},\"platform\":{"
                     + "\"store\":\"10.0.0.2:1\",\"vms\":\"10.0.0.3:1\",\"advice\":\"\","
-                    + "\"keepS\":300,\"new\":1},\"worker\":{"
-                    + "\"leaseMs\":6000},\"jobs\":{\"statusS\":120,"
+                    + "\"keepS\":300,\"vmTokensChecked\":false,\"new\":1},\"worker\":{"
+                    + "\"orders\":\"call\",\"leaseMs\":6000},\"jobs\":{\"statusS\":120,"
                     + "\"earlyMs\":250}}";
 
     @Test
@@ -26,6 +27,22 @@
         assertEquals(settings.schedule().leaseMs(), 6000);
         assertEquals(settings.journal().keepMs(), 300_000);
         assertEquals(settings.peers().getPort(), 4);
+        assertFalse(settings.vmTokensChecked());
+    }
+
+    @Test
+    public void aWayOfGivingOrdersThatIsNotKnownIsRefused() {
+        // The platform is set up so that workers fetch their orders. A node that took no notice
+        // would call workers that never answer, and every job would wait.
+        String bad =
+                GOOD.replace("\"orders\":\"call\"", "\"orders\":\"heartbeat\"")
+                        .replace("\"vmTokensChecked\":false", "\"vmTokensChecked\":7");
+
+        SettingsException e =
+                expectThrows(SettingsException.class, () -> NodeSettingsReader.parse(bad));
+
+        assertTrue(e.getMessage().contains("'heartbeat'"), e.getMessage());
+        assertTrue(e.getMessage().contains("/platform/vmTokensChecked"), e.getMessage());
     }
 
     @Test
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -98,6 +98,7 @@
                         link,
                         new JournalWriter(mLog, JournalPartition.JOURNAL, link, mTime, mTime, out),
                         new UsersPlatform(
+                                        null,
                                         null,
                                         null,
                                         new PlatformAddresses("127.0.0.1:1", "", ""),
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -60,7 +60,8 @@
             {new RunsStarted(List.of(START, START))},
             {new RunsEnded(List.of(END))},
             {new OwnerAlive(3, "10.0.0.1:9")},
-            {new OwnerLeft(3, "n")},
+            {new OwnerLeft(3, "n", false)},
+            {new OwnerLeft(4, "n", true)},
             {new VmRebooted(1, "vm")},
             {new WaveCompleted(1)},
         };
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
@@ -121,7 +121,7 @@
                         "10.0.0.1:1",
                         mSigns,
                         new Vms(),
-                        mTaken::add);
+                        t -> mTaken.add(t.token()));
         reader.follow();
         mOwnership.watch();
     }
@@ -167,7 +167,7 @@
         anotherOwns();
         startNode();
         passWithSigns(800);
-        write(new OwnerLeft(1, "other"));
+        write(new OwnerLeft(1, "other", true));
         mSigns.mState = OwnerState.GONE;
         mSigns.mWhenDoubtful.run();
         pass(TRY_MS);
