--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -48,13 +48,19 @@
     private static final class Pool {
         final String mName;
         final List<VmState> mMovable = new ArrayList<>();
+        final long mSize;
         double mLack;
-        long mSize = 1;
         int mComing;
         int mExtra;
 
-        Pool(String name) {
+        /**
+         * A pool.
+         *
+         * @param size thousandths of a core that a VM offers
+         */
+        Pool(String name, long size) {
             mName = name;
+            mSize = size;
         }
 
         /** VMs that the pool lacks; negative for those it can do without. */
@@ -74,11 +80,12 @@
         Map<String, Pool> pools = new LinkedHashMap<>();
         for (PoolService s : config.services()) {
             if (!s.standby()) {
-                pools.put(s.name(), new Pool(s.name()));
+                pools.put(s.name(), new Pool(s.name(), largestVm()));
             }
         }
         List<VmState> standby = new ArrayList<>();
         for (VmState vm : mVms.all()) {
+            countPlanned(pools, vm);
             Pool pool = pools.get(vm.info().pool());
             if (pool != null) {
                 addVm(pool, vm, nowMs);
@@ -95,10 +102,32 @@
         park(config, pools, nowMs);
     }
 
+    /** Thousandths of a core of the largest VM. */
+    private long largestVm() {
+        long largest = 1;
+        for (VmState vm : mVms.all()) {
+            largest = Math.max(largest, vm.info().capacity().milliProcessors());
+        }
+        return largest;
+    }
+
+    /**
+     * Counts a VM that is to move for the pool that it goes to, also while its last tasks run.
+     * Without this each pass finds the pool as short of VMs as before, and chooses further ones
+     * until the first has moved.
+     */
+    private static void countPlanned(Map<String, Pool> pools, VmState vm) {
+        if (vm.planned().isPresent() && vm.planned().get() instanceof VmAction.Move move) {
+            Pool pool = pools.get(move.pool());
+            if (pool != null) {
+                pool.coming(vm.info().capacity().milliProcessors());
+            }
+        }
+    }
+
     /** Counts the VM's room for tasks that end, and whether it could go. */
     private void addVm(Pool pool, VmState vm, long nowMs) {
         long size = vm.info().capacity().milliProcessors();
-        pool.mSize = Math.max(pool.mSize, size);
         Optional<WorkerState> worker = mScheduler.worker(vm.info().worker());
         boolean moving = vm.info().phase() == VmPhase.MOVING;
         boolean joining = worker.isEmpty() && vm.info().phase() == VmPhase.UP && vm.isFree();
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
@@ -222,6 +222,42 @@
         assertEquals(second.get(0).vm().info().worker(), run.worker().id());
     }
 
+    /** A task on each VM, which the first job keeps at work. */
+    private List<TaskRun> busy(int vms) {
+        for (int i = 0; i < vms; i++) {
+            serving("s" + i, "surveys");
+        }
+        TaskStep spread =
+                new TaskStep(
+                        vms,
+                        Resources.of(1, 1, 0),
+                        1000,
+                        List.of(),
+                        new PlacementRule(false, false, "", "", 1),
+                        RunMode.PLAIN);
+        mOwner.accept(Owner.order("aa", "surveys", 0, spread));
+        return mOwner.place();
+    }
+
+    @Test
+    public void aVmThatIsStillBeingEmptiedCountsForThePoolItGoesTo() {
+        // Users see a queue wait although VMs stand idle elsewhere: one pool lacks two VMs, and
+        // while those that were chosen finish their tasks, each pass chose two more, until a pool
+        // that had none to spare had lent them all.
+        List<TaskRun> runs = busy(10);
+        mOwner.accept(Owner.order("bb", "reports", 0, Owner.step(40, 1, 1000, List.of())));
+        mOwner.mNowMs += 1000;
+        decide();
+        long first = runs.stream().filter(r -> r.worker().isVacating()).count();
+        for (int i = 0; i < 10; i++) {
+            decide();
+        }
+        long last = runs.stream().filter(r -> r.worker().isVacating()).count();
+
+        assertTrue(first > 0 && first < 5, "chosen at once: " + first);
+        assertEquals(last, first);
+    }
+
     @Test
     public void aVmThatIsListedWithAnotherLifeEndsTheOldOne() {
         WorkerState worker = serving("1", "surveys");
