--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -58,8 +58,14 @@
      */
     record StartedRun(TaskName task, int attempt, String worker) {}
 
-    /** The owner with this fencing token is alive; other nodes reach it at this address. */
-    record OwnerAlive(long token, String address) implements JournalRecord {}
+    /**
+     * An owner is alive.
+     *
+     * @param token its fencing token
+     * @param address where other nodes reach it, as {@code ip:port}
+     * @param ownedMs how long ago it took over, on its own steady clock
+     */
+    record OwnerAlive(long token, String address, long ownedMs) implements JournalRecord {}
 
     /**
      * An owner gives its place up.
--- a/foxtail-core/src/main/java/org/foxtailplank/lease/CallLease.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/lease/CallLease.java
@@ -35,6 +35,9 @@
      */
     public static final long MARGIN_MS = 200;
 
+    /** Time after which no call of an earlier owner can be under way, in milliseconds. */
+    public static final long WAIT_MS = LENGTH_MS + MARGIN_MS;
+
     /** With less time left no call is begun, in milliseconds: some round trips to the service. */
     public static final long LEAST_CALL_MS = 200;
 
@@ -56,7 +59,7 @@
      * @param predecessorOver whether the predecessor surely has no call under way, nor begins one
      */
     public CallLease tookOver(long nowMs, boolean predecessorOver) {
-        long wait = predecessorOver ? 0 : LENGTH_MS + MARGIN_MS;
+        long wait = predecessorOver ? 0 : WAIT_MS;
         return new CallLease(checked, proof, nowMs + wait);
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -230,7 +230,7 @@
         OwnerWork work = new OwnerWork(parts, taken, this::fenced);
         mOwner = Optional.of(work);
         mLink.owner(Optional.empty());
-        mStream.own(taken.token(), mReader.position(), work::storedMsAgo);
+        mStream.own(taken.token(), mReader.position(), work::storedMsAgo, work::areCallsOver);
         work.start();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -63,7 +63,7 @@
             return message(out -> part(out, STARTED, o -> starts(o, r.runs())));
         }
         if (record instanceof OwnerAlive r) {
-            return message(out -> part(out, ALIVE, o -> named(o, r.token(), r.address())));
+            return message(out -> part(out, ALIVE, o -> alive(o, r)));
         }
         if (record instanceof VmRebooted r) {
             return message(out -> part(out, REBOOTED, o -> named(o, r.wave(), r.vm())));
@@ -91,6 +91,7 @@
                     case RESTATED -> readRestated(body);
                     case STARTED -> new RunsStarted(readStarts(body));
                     case LEFT -> readLeft(body);
+                    case ALIVE -> readAlive(body);
                     default -> readNamed(kind, body);
                 });
     }
@@ -99,7 +100,6 @@
         Named named = readNamed(in);
         return switch (kind) {
             case CANCELLED -> new JobCancelled(named.name(), named.number());
-            case ALIVE -> new OwnerAlive(named.number(), named.name());
             case REBOOTED -> new VmRebooted(named.number(), named.name());
             default -> new WaveCompleted(named.number());
         };
@@ -132,6 +132,26 @@
         return new JobRestated(order, starts, ends, cancelledMs);
     }
 
+    private static void alive(CodedOutputStream out, OwnerAlive record) throws IOException {
+        named(out, record.token(), record.address());
+        out.writeInt64(3, record.ownedMs());
+    }
+
+    private static OwnerAlive readAlive(CodedInputStream in) throws IOException {
+        long token = 0;
+        String address = "";
+        long ownedMs = 0;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case 1 -> token = in.readInt64();
+                case 2 -> address = in.readString();
+                case 3 -> ownedMs = in.readInt64();
+                default -> in.skipField(tag);
+            }
+        }
+        return new OwnerAlive(token, address, ownedMs);
+    }
+
     private static void left(CodedOutputStream out, OwnerLeft record) throws IOException {
         named(out, record.token(), record.node());
         out.writeBool(3, record.callsOver());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerLease.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerLease.java
@@ -9,6 +9,7 @@
 final class OwnerLease implements CallPermit {
     private final Clock mClock;
     private CallLease mLease;
+    private long mTookOverMs;
 
     /**
      * The lease of an owner that has just taken its place.
@@ -27,7 +28,13 @@
 
     /** Earlier owners can store nothing more. */
     void tookOver(boolean predecessorOver) {
-        mLease = mLease.tookOver(mClock.nowMs(), predecessorOver);
+        mTookOverMs = mClock.nowMs();
+        mLease = mLease.tookOver(mTookOverMs, predecessorOver);
+    }
+
+    /** How long ago it took over, in milliseconds. */
+    long ownedMs() {
+        return mClock.nowMs() - mTookOverMs;
     }
 
     /** Whether no earlier owner's call can be under way any more. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -281,6 +281,11 @@
         mFenced.run();
     }
 
+    /** Whether it gives no more orders, and none to the VM service is under way. */
+    public boolean areCallsOver() {
+        return mOver && !mVms.isCalling();
+    }
+
     /** Stops giving orders. */
     public void end() {
         mOver = true;
@@ -407,7 +412,7 @@
             return;
         }
         String address = mParts.settings().peerAddress();
-        mJournal.store(new OwnerAlive(mToken, address), () -> {});
+        mJournal.store(new OwnerAlive(mToken, address, mLease.ownedMs()), () -> {});
         mParts.timers().after(ALIVE_MS, this::sayAlive);
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -9,6 +9,7 @@
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.lease.CallLease;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
@@ -68,6 +69,7 @@
     private long mToken;
     private boolean mLeft;
     private Optional<OwnerLeft> mLastLeft = Optional.empty();
+    private Optional<OwnerAlive> mLastAlive = Optional.empty();
     private boolean mTrying;
     private boolean mOwner;
     private boolean mStopped;
@@ -108,6 +110,7 @@
     public void seen(JournalRecord record) {
         if (record instanceof OwnerAlive alive && alive.token() >= mToken) {
             mToken = alive.token();
+            mLastAlive = Optional.of(alive);
             mLeft = false;
             sign();
             mSigns.owner(
@@ -273,12 +276,22 @@
         mTaken.accept(new TakeOver(token, isPredecessorOver(token)));
     }
 
-    /** A node in between may have owned for a moment and left no sign in the journal. */
+    /**
+     * Whether no earlier owner's call to the VM service can be under way. What is known of the
+     * owner just before this one tells: one that has left says it itself, and one whose process has
+     * ended or that was replaced says so where it was reached. The latter speaks for itself alone,
+     * so that it must have owned longer than a lease of its own predecessor could last. A node in
+     * between may have owned for a moment and left no sign in the journal, so that the token
+     * counts.
+     */
     private boolean isPredecessorOver(long token) {
-        boolean isFirst = token == 1;
-        return isFirst
-                || mLastLeft.isPresent()
-                        && mLastLeft.get().token() == token - 1
-                        && mLastLeft.get().callsOver();
+        long before = token - 1;
+        boolean isFirst = before == 0;
+        boolean hasLeft = mLastLeft.map(l -> l.token() == before && l.callsOver()).orElse(false);
+        boolean ownedLong =
+                mLastAlive
+                        .map(a -> a.token() == before && a.ownedMs() >= CallLease.WAIT_MS)
+                        .orElse(false);
+        return isFirst || hasLeft || ownedLong && mSigns.areCallsOver(before);
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -13,6 +13,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.Handover;
@@ -28,6 +29,7 @@
     private long mToken = PeerFrame.NO_OWNER;
     private long mPosition;
     private LongSupplier mStoredMsAgo = () -> 0;
+    private BooleanSupplier mCallsOver = () -> true;
 
     private JournalStream(Timers timers, Handover handover) {
         mTimers = timers;
@@ -90,9 +92,16 @@
         }
     }
 
-    /** This node owns from now on; heartbeats say how long ago the store took a record of it. */
-    public void own(long token, long position, LongSupplier storedMsAgo) {
+    /**
+     * This node owns from now on.
+     *
+     * @param storedMsAgo how long ago the store took a record of it; heartbeats say so
+     * @param callsOver whether its calls to the VM service are over; said once it owns no more
+     */
+    public void own(
+            long token, long position, LongSupplier storedMsAgo, BooleanSupplier callsOver) {
         mStoredMsAgo = storedMsAgo;
+        mCallsOver = callsOver;
         mToken = token;
         mPosition = position;
         heartbeat(token);
@@ -108,7 +117,7 @@
     public void read(long offset, byte[] record) {
         mPosition = offset + 1;
         if (mToken != PeerFrame.NO_OWNER) {
-            send(new PeerFrame.Journal(mToken, offset, 0, Optional.of(record)));
+            send(new PeerFrame.Journal(mToken, offset, 0, false, Optional.of(record)));
         }
     }
 
@@ -121,7 +130,9 @@
     }
 
     private PeerFrame heartbeat() {
-        return new PeerFrame.Journal(mToken, mPosition, mStoredMsAgo.getAsLong(), Optional.empty());
+        boolean callsOver = mToken == PeerFrame.NO_OWNER && mCallsOver.getAsBoolean();
+        return new PeerFrame.Journal(
+                mToken, mPosition, mStoredMsAgo.getAsLong(), callsOver, Optional.empty());
     }
 
     /** A follower that doesn't read is passed over: it would pile frames up in memory. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -53,6 +53,7 @@
     private boolean mOpening;
     private OwnerState mDoubt = OwnerState.SILENT;
     private long mDoubtToken = -1;
+    private long mCallsOverToken = -1;
     private long mHeardMs = Long.MIN_VALUE / 2;
     private long mCurrentMs = Long.MIN_VALUE / 2;
     private long mStoringMs = Long.MIN_VALUE / 2;
@@ -88,6 +89,11 @@
         return isAlive() ? OwnerState.STREAMING : OwnerState.SILENT;
     }
 
+    @Override
+    public boolean areCallsOver(long token) {
+        return token == mCallsOverToken && token == mDoubtToken;
+    }
+
     /** Whether the owner was heard of a moment ago. */
     public boolean isAlive() {
         return mClock.nowMs() - mHeardMs < SILENT_MS;
@@ -255,6 +261,7 @@
 
     private void take(PeerFrame.Journal frame) {
         if (frame.token() == PeerFrame.NO_OWNER) {
+            mCallsOverToken = frame.callsOver() ? mOwner.map(KnownOwner::token).orElse(-1L) : -1;
             doubt(OwnerState.GONE);
             close();
             mTimers.after(RETRY_MS, this::open);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerSigns.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerSigns.java
@@ -19,6 +19,13 @@
     /** What is known of the owner with this token. */
     OwnerState state(long token);
 
+    /**
+     * Whether the process at the address of the owner with this token says that it doesn't own, and
+     * that no call of its own to the VM service is under way. It is that owner, or has taken its
+     * process's place: calls of a process that has ended are reset with its connections.
+     */
+    boolean areCallsOver(long token);
+
     /** When the store last took a record of the owner's, as the owner says. */
     long storingMs();
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -23,15 +23,19 @@
      * @param token fencing token of the owner; {@link #NO_OWNER} from a node that doesn't own
      * @param offset offset of the record; for a heartbeat the offset that the owner reads next
      * @param storedMsAgo for a heartbeat: how long ago the store last took a record of the owner's
+     * @param callsOver from a node that doesn't own: whether no call of its process to the VM
+     *     service can be under way
      * @param record the record; empty for a heartbeat
      */
-    record Journal(long token, long offset, long storedMsAgo, Optional<byte[]> record)
+    record Journal(
+            long token, long offset, long storedMsAgo, boolean callsOver, Optional<byte[]> record)
             implements PeerFrame {
         @Override
         public void write(CodedOutputStream out) throws IOException {
             out.writeInt64(Field.TOKEN, token);
             out.writeInt64(Field.OFFSET, offset);
             out.writeInt64(Field.STORED, storedMsAgo);
+            out.writeBool(Field.CALLS_OVER, callsOver);
             if (record.isPresent()) {
                 out.writeBytes(Field.RECORD, ByteString.copyFrom(record.get()));
             }
@@ -69,6 +73,7 @@
         static final int STORED = 4;
         static final int HANDOVER = 5;
         static final int OUTCOME = 6;
+        static final int CALLS_OVER = 7;
 
         private Field() {}
     }
@@ -94,6 +99,7 @@
         long token = NO_OWNER;
         long offset = 0;
         long storedMsAgo = 0;
+        boolean callsOver = false;
         Optional<byte[]> record = Optional.empty();
         Optional<Long> handover = Optional.empty();
         Optional<StoreOutcome> outcome = Optional.empty();
@@ -102,6 +108,7 @@
                 case Field.TOKEN -> token = in.readInt64();
                 case Field.OFFSET -> offset = in.readInt64();
                 case Field.STORED -> storedMsAgo = in.readInt64();
+                case Field.CALLS_OVER -> callsOver = in.readBool();
                 case Field.RECORD -> record = Optional.of(in.readByteArray());
                 case Field.HANDOVER -> handover = Optional.of(in.readInt64());
                 case Field.OUTCOME -> outcome = Optional.of(outcome(in.readInt32()));
@@ -109,7 +116,7 @@
             }
         }
         if (handover.isEmpty()) {
-            return new Journal(token, offset, storedMsAgo, record);
+            return new Journal(token, offset, storedMsAgo, callsOver, record);
         }
         if (outcome.isPresent()) {
             return new HandoverAnswer(handover.get(), outcome.get());
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -59,7 +59,7 @@
             {new JobCancelled("aa", 5)},
             {new RunsStarted(List.of(START, START))},
             {new RunsEnded(List.of(END))},
-            {new OwnerAlive(3, "10.0.0.1:9")},
+            {new OwnerAlive(3, "10.0.0.1:9", 400)},
             {new OwnerLeft(3, "n", false)},
             {new OwnerLeft(4, "n", true)},
             {new VmRebooted(1, "vm")},
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
@@ -46,7 +46,7 @@
         mLog.answer();
 
         boolean[] wasStored = {false};
-        first.store(new OwnerAlive(1, "a"), () -> wasStored[0] = true);
+        first.store(new OwnerAlive(1, "a", 0), () -> wasStored[0] = true);
         mLog.answer();
 
         assertFalse(wasStored[0]);
@@ -61,7 +61,7 @@
         mLog.answer();
         mLog.next(Fate.ANSWER_LOST, Fate.REFUSED, Fate.STORED);
         boolean[] wasStored = {false};
-        journal.store(new OwnerAlive(1, "a"), () -> wasStored[0] = true);
+        journal.store(new OwnerAlive(1, "a", 0), () -> wasStored[0] = true);
         for (int i = 0; i < 4; i++) {
             mLog.answer();
             mTime.pass(100);
@@ -102,7 +102,7 @@
         boolean[] own = {false};
         mLog.next(Fate.REFUSED);
         journal.storeHandedOver(new byte[] {1}, outcomes::add);
-        journal.store(new OwnerAlive(1, "a"), () -> own[0] = true);
+        journal.store(new OwnerAlive(1, "a", 0), () -> own[0] = true);
         journal.storeHandedOver(new byte[] {2}, outcomes::add);
         mLog.answer();
         List<StoreOutcome> told = List.copyOf(outcomes);
@@ -123,7 +123,7 @@
         mLog.answer();
         mLog.next(Fate.SILENT);
         boolean[] wasStored = {false};
-        journal.store(new OwnerAlive(1, "a"), () -> wasStored[0] = true);
+        journal.store(new OwnerAlive(1, "a", 0), () -> wasStored[0] = true);
         mLog.answer();
         boolean before = wasStored[0];
         mTime.pass(150);
@@ -143,7 +143,7 @@
         mLog.answer();
         List<StoreOutcome> outcomes = new ArrayList<>();
         mLog.next(Fate.ANSWER_LOST);
-        journal.store(new OwnerAlive(1, "a"), () -> {});
+        journal.store(new OwnerAlive(1, "a", 0), () -> {});
         journal.storeHandedOver(new byte[] {1}, outcomes::add);
         mLog.answer();
         List<StoreOutcome> told = List.copyOf(outcomes);
@@ -178,7 +178,7 @@
         OwnerJournal journal = new OwnerJournal(mParts, 1, () -> {});
         journal.raiseEpoch(() -> {});
         for (int i = 0; i < 5; i++) {
-            journal.store(new OwnerAlive(1, "a" + i), () -> {});
+            journal.store(new OwnerAlive(1, "a" + i, 0), () -> {});
         }
         assertEquals(stored(), 0);
         assertTrue(journal.isBehind());
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
@@ -13,6 +13,7 @@
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
+import org.foxtailplank.lease.CallLease;
 import org.foxtailplank.node.FakeLog;
 import org.foxtailplank.node.FakeNode;
 import org.foxtailplank.node.journal.JournalCodec;
@@ -24,6 +25,7 @@
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.VmActions;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** When a node takes the place of an owner. */
@@ -39,6 +41,7 @@
     private Signs mSigns;
     private Optional<List<VmActions.VmInfo>> mVms;
     private List<Long> mTaken;
+    private List<Boolean> mPredecessorsOver;
     private Ownership mOwnership;
 
     @BeforeMethod
@@ -48,6 +51,7 @@
         mSigns = new Signs();
         mVms = Optional.of(List.of());
         mTaken = new ArrayList<>();
+        mPredecessorsOver = new ArrayList<>();
     }
 
     /** What the owner's connection would tell; the test sets it. */
@@ -56,6 +60,7 @@
         private Optional<KnownOwner> mOwner = Optional.empty();
         private long mStoringMs = Long.MIN_VALUE / 2;
         private Runnable mWhenDoubtful = () -> {};
+        private boolean mCallsOver;
 
         @Override
         public void owner(Optional<KnownOwner> owner) {
@@ -67,6 +72,11 @@
             return mState;
         }
 
+        @Override
+        public boolean areCallsOver(long token) {
+            return mCallsOver && mState == OwnerState.GONE;
+        }
+
         @Override
         public long storingMs() {
             return mStoringMs;
@@ -121,18 +131,23 @@
                         "10.0.0.1:1",
                         mSigns,
                         new Vms(),
-                        t -> mTaken.add(t.token()));
+                        this::taken);
         reader.follow();
         mOwnership.watch();
     }
 
+    private void taken(TakeOver taken) {
+        mTaken.add(taken.token());
+        mPredecessorsOver.add(taken.predecessorOver());
+    }
+
     private void write(JournalRecord record) {
         mLog.records(JournalPartition.JOURNAL).add(JournalCodec.encode(record));
     }
 
     private void anotherOwns() {
         mLog.records(OWNERS).add(new OwnerRecord("other", ELSEWHERE, "life").encode());
-        write(new OwnerAlive(1, ELSEWHERE));
+        write(new OwnerAlive(1, ELSEWHERE, 0));
     }
 
     private void pass(long ms) {
@@ -145,7 +160,7 @@
     /** The owner goes on showing itself in the journal. */
     private void passWithSigns(long ms) {
         for (long t = 0; t < ms; t += 400) {
-            write(new OwnerAlive(1, ELSEWHERE));
+            write(new OwnerAlive(1, ELSEWHERE, 0));
             pass(400);
         }
     }
@@ -254,6 +269,61 @@
         assertEquals(mSigns.mOwner.get().address(), new InetSocketAddress("10.0.0.3", 1));
     }
 
+    @Test(dataProvider = "yesAndNo")
+    public void callsOfAnOwnerThatHasLeftAreOverIfItSaysSo(boolean callsOver) {
+        anotherOwns();
+        write(new OwnerLeft(1, "other", callsOver));
+        startNode();
+        pass(TRY_MS);
+
+        assertEquals(mPredecessorsOver, List.of(callsOver));
+    }
+
+    @DataProvider
+    public Object[][] yesAndNo() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    @Test
+    public void callsOfAnOwnerWhoseProcessHasEndedAreOver() {
+        // All VMs lose power. The next owner would hold back every move of a VM for the length of a
+        // lease, while the queue whose turn it is waits for them.
+        anotherOwns();
+        write(new OwnerAlive(1, ELSEWHERE, CallLease.WAIT_MS));
+        startNode();
+        mSigns.mState = OwnerState.GONE;
+        mSigns.mCallsOver = true;
+        pass(TRY_MS);
+
+        assertEquals(mPredecessorsOver, List.of(true));
+    }
+
+    @Test
+    public void anOwnerOfAMomentDoesNotSpeakForTheOneBeforeIt() {
+        // The owner had just taken over from one that was cut off, and was killed. Its process is
+        // over, but calls of the one before may still be under way.
+        anotherOwns();
+        write(new OwnerAlive(1, ELSEWHERE, CallLease.WAIT_MS - 1));
+        startNode();
+        mSigns.mState = OwnerState.GONE;
+        mSigns.mCallsOver = true;
+        pass(TRY_MS);
+
+        assertEquals(mPredecessorsOver, List.of(false));
+    }
+
+    @Test
+    public void anOwnerThatIsOnlySilentMayStillCall() {
+        anotherOwns();
+        write(new OwnerAlive(1, ELSEWHERE, CallLease.WAIT_MS));
+        startNode();
+        mSigns.mState = OwnerState.SILENT;
+        mSigns.mCallsOver = true;
+        pass(OwnerState.SILENT.patienceMs() + TRY_MS);
+
+        assertEquals(mPredecessorsOver, List.of(false));
+    }
+
     @Test
     public void aNodeThatDoesNotReachTheVmServiceLetsOthersGoAhead() {
         anotherOwns();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -103,7 +103,7 @@
         JournalStream stream = JournalStream.listen(mLoop, mAddress, mTimers, mStore);
         onLoop(
                 () -> {
-                    stream.own(TOKEN, 0, () -> 0);
+                    stream.own(TOKEN, 0, () -> 0, () -> false);
                     return null;
                 });
         follow();
