--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
@@ -21,11 +21,24 @@
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 
-/** All jobs that the journal tells of; each node keeps one and answers callers from it. */
+/**
+ * All jobs that the journal tells of; each node keeps one and answers callers from it.
+ *
+ * <p>Records of a job may come before the one that tells of the job, since the journal has two
+ * partitions, each with an order of its own. They are kept until the job is known: without that a
+ * new owner would not know of a start, and start the task a second time.
+ */
 public final class JobBook {
+    /**
+     * Jobs at most of which records are kept that came before them. Records of jobs that were
+     * forgotten are never taken up; the oldest are dropped.
+     */
+    private static final int MOST_EARLY = 1000;
+
     private final Map<String, JobEntry> mJobs = new LinkedHashMap<>();
     private final Map<Long, Set<String>> mRebooted = new HashMap<>();
     private final Set<Long> mCompletedWaves = new HashSet<>();
+    private final Map<String, List<JournalRecord>> mEarly = new LinkedHashMap<>();
     private final long mKeepEndedMs;
 
     /**
@@ -40,23 +53,24 @@
     /** Takes one record in; returns the job that it newly tells of. */
     public Optional<JobEntry> apply(JournalRecord record) {
         if (record instanceof JobAccepted r) {
-            JobEntry entry = new JobEntry(r.order());
-            return mJobs.putIfAbsent(r.order().id(), entry) == null
-                    ? Optional.of(entry)
-                    : Optional.empty();
+            return accepted(r.order());
         }
         if (record instanceof JobRestated r) {
             return restated(r);
         }
         if (record instanceof JobCancelled r) {
-            job(r.job()).ifPresent(j -> j.cancel(r.atMs()));
+            job(r.job()).ifPresentOrElse(j -> j.cancel(r.atMs()), () -> keep(r.job(), r));
         } else if (record instanceof RunsEnded r) {
             for (EndedRun run : r.runs()) {
-                job(run.task().job()).ifPresent(j -> j.ended(run));
+                String id = run.task().job();
+                job(id).ifPresentOrElse(
+                                j -> j.ended(run), () -> keep(id, new RunsEnded(List.of(run))));
             }
         } else if (record instanceof RunsStarted r) {
             for (StartedRun run : r.runs()) {
-                job(run.task().job()).ifPresent(j -> j.started(run));
+                String id = run.task().job();
+                job(id).ifPresentOrElse(
+                                j -> j.started(run), () -> keep(id, new RunsStarted(List.of(run))));
             }
         } else if (record instanceof VmRebooted r) {
             mRebooted.computeIfAbsent(r.wave(), w -> new HashSet<>()).add(r.vm());
@@ -68,6 +82,31 @@
         return Optional.empty();
     }
 
+    private Optional<JobEntry> accepted(JobOrder order) {
+        if (mJobs.containsKey(order.id())) {
+            return Optional.empty();
+        }
+        return Optional.of(add(new JobEntry(order)));
+    }
+
+    private JobEntry add(JobEntry entry) {
+        String id = entry.order().id();
+        mJobs.put(id, entry);
+        List<JournalRecord> early = mEarly.remove(id);
+        if (early != null) {
+            early.forEach(this::apply);
+        }
+        return entry;
+    }
+
+    /** Keeps a record for a job that isn't known yet. */
+    private void keep(String id, JournalRecord record) {
+        mEarly.computeIfAbsent(id, i -> new ArrayList<>()).add(record);
+        if (mEarly.size() > MOST_EARLY) {
+            mEarly.remove(mEarly.keySet().iterator().next());
+        }
+    }
+
     private Optional<JobEntry> restated(JobRestated record) {
         if (mJobs.containsKey(record.order().id())) {
             return Optional.empty();
@@ -78,8 +117,7 @@
         if (record.cancelledMs() > 0) {
             entry.cancel(record.cancelledMs());
         }
-        mJobs.put(record.order().id(), entry);
-        return Optional.of(entry);
+        return Optional.of(add(entry));
     }
 
     /** What the journal tells of waves, to be written again. */
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JobBookTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JobBookTest.java
@@ -52,6 +52,21 @@
         mBook.apply(new RunsEnded(List.of(new EndedRun(task, attempt, outcome, NOW_MS))));
     }
 
+    @Test
+    public void recordsThatComeBeforeTheirJobAreKeptForIt() {
+        // A job was accepted in one partition of the journal and started in the other. A new owner
+        // that reads the second one first would know nothing of the start, and start the task on
+        // another worker while it runs.
+        TaskName task = new TaskName("aa", 0, 0, 0);
+        StartedRun start = new StartedRun(task, 3, "w1");
+        mBook.apply(new RunsStarted(List.of(start)));
+        end(0, 2, RunOutcome.FAILED);
+        JobEntry entry = accept(1);
+
+        assertEquals(List.copyOf(entry.lastStarts()), List.of(start));
+        assertEquals(entry.failedAttempts(task), Set.of(2));
+    }
+
     @Test
     public void aJobThatIsHandedInTwiceIsOneJob() {
         accept(1);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -101,7 +101,13 @@
         mOperator = new OperatorFollower(mPlatform.operatorOrders(), clock, timers, log);
         mReader =
                 new JournalReader(
-                        shared, JournalPartition.JOURNAL, clock, timers, log, book, this::recorded);
+                        shared,
+                        settings.journal().partitions(),
+                        clock,
+                        timers,
+                        log,
+                        book,
+                        this::recorded);
         mLink = new OwnerLink(loop, clock, timers, log, mReader);
         mReader.streaming(mLink::isAlive);
         mWriter =
@@ -230,7 +236,7 @@
         OwnerWork work = new OwnerWork(parts, taken, this::fenced);
         mOwner = Optional.of(work);
         mLink.owner(Optional.empty());
-        mStream.own(taken.token(), mReader.position(), work::storedMsAgo, work::areCallsOver);
+        mStream.own(taken.token(), mReader::position, work::storedMsAgo, work::areCallsOver);
         work.start();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -1,7 +1,10 @@
 package org.foxtailplank.node;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.schedule.ScheduleLimits;
 
 /**
@@ -34,12 +37,19 @@
         long graceMs) {
 
     /**
-     * Bounds for the journal, in milliseconds.
+     * Bounds for the journal; times in milliseconds.
      *
      * @param keepMs how long the platform keeps a record
      * @param statusMs how long an ended job can be asked for
+     * @param parts partitions of a topic of the shared log
      */
-    public record JournalBounds(long keepMs, long statusMs) {}
+    public record JournalBounds(long keepMs, long statusMs, int parts) {
+
+        /** The journal's partitions, the first one first. */
+        public List<LogPartition> partitions() {
+            return JournalPartition.all(parts);
+        }
+    }
 
     /** Where other nodes reach this one, as {@code ip:port}. */
     public String peerAddress() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -59,7 +59,9 @@
                         (long) number("/worker/leaseMs"), (long) number("/jobs/earlyMs"));
         NodeSettings.JournalBounds journal =
                 new NodeSettings.JournalBounds(
-                        seconds("/platform/keepS"), seconds("/jobs/statusS"));
+                        seconds("/platform/keepS"),
+                        seconds("/jobs/statusS"),
+                        atLeastOne("/platform/parts"));
         return new NodeSettings(
                 text("/node/name"),
                 text("/node/zone"),
@@ -107,6 +109,14 @@
         return value.asDouble();
     }
 
+    private int atLeastOne(String path) {
+        int value = (int) number(path);
+        if (value < 1) {
+            mProblems.add(path + " is less than 1");
+        }
+        return Math.max(1, value);
+    }
+
     private long seconds(String path) {
         return (long) (number(path) * MS_PER_S);
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -15,134 +16,105 @@
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
-import org.foxtailplank.port.SharedLog.ReadResult;
 
 /** Follows the journal and keeps the book of jobs that it tells of. */
 public final class JournalReader {
-    /** Pause after a failed read, in milliseconds. */
-    private static final long RETRY_MS = 200;
-
-    /** How long a follower waits between two reads, in milliseconds. */
-    private static final long FOLLOW_MS = 400;
-
-    /** The same while the owner hands the records on. */
-    private static final long STREAMED_MS = 1200;
-
-    /** Weight of the newest answer in the mean time that the store takes. */
-    private static final double NEWEST = 0.25;
-
-    /** How long the owner's read waits for a record, in milliseconds. */
-    private static final long OWNER_WAIT_MS = 250;
-
-    private final SharedLog mLog;
-    private final LogPartition mPartition;
-    private final Clock mClock;
-    private final Timers mTimers;
     private final NodeLog mOut;
     private final JobBook mBook;
     private final BiConsumer<JournalRecord, Optional<JobEntry>> mListener;
-    private final List<Consumer<Boolean>> mWaiting = new ArrayList<>();
-
-    private long mPosition;
-    private boolean mCaughtUp;
-    private boolean mRefreshing;
-    private boolean mEager;
-    private BooleanSupplier mStreaming = () -> false;
-    private RecordTap mTap = (offset, record) -> {};
-    private long mLastReadMs = Long.MIN_VALUE / 2;
-    private double mAnswerMs;
-
+    private final List<PartitionReader> mParts = new ArrayList<>();
+    private RecordTap mTap = (partition, offset, record) -> {};
+
+    /**
+     * A reader.
+     *
+     * @param partitions the journal's partitions, the first one first
+     * @param listener is told of each record, with the job that it newly tells of
+     */
     public JournalReader(
             SharedLog log,
-            LogPartition partition,
+            List<LogPartition> partitions,
             Clock clock,
             Timers timers,
             NodeLog out,
             JobBook book,
             BiConsumer<JournalRecord, Optional<JobEntry>> listener) {
-        mLog = log;
-        mPartition = partition;
-        mClock = clock;
-        mTimers = timers;
         mOut = out;
         mBook = book;
         mListener = listener;
+        for (int p = 0; p < partitions.size(); p++) {
+            int number = p;
+            mParts.add(
+                    new PartitionReader(
+                            log,
+                            partitions.get(p),
+                            p == 0 ? PartitionReader.Pace.FIRST : PartitionReader.Pace.SPARE,
+                            clock,
+                            timers,
+                            out,
+                            (offset, record) -> apply(number, offset, record)));
+        }
     }
 
     public JobBook book() {
         return mBook;
     }
 
-    /** Offset of the next record to be read. */
-    public long position() {
-        return mPosition;
+    /** Up to where it was read. */
+    public JournalPosition position() {
+        return new JournalPosition(mParts.stream().map(PartitionReader::position).toList());
     }
 
     /** Whether the journal was read to its end once. */
     public boolean isCaughtUp() {
-        return mCaughtUp;
+        return mParts.stream().allMatch(PartitionReader::isCaughtUp);
     }
 
     /** When the store last answered a read. */
     public long lastReadMs() {
-        return mLastReadMs;
+        return lastAnswered().lastReadMs();
     }
 
     /** How long the store lately took for an answer, on average. */
     public long answerMs() {
-        return (long) mAnswerMs;
+        return (long) lastAnswered().answerMs();
+    }
+
+    /** While a partition is away, what the other one shows is what counts. */
+    private PartitionReader lastAnswered() {
+        return mParts.stream()
+                .max(Comparator.comparingLong(PartitionReader::lastReadMs))
+                .orElseThrow();
     }
 
     /** The owner learns of each record at once; others look twice a second and when asked. */
     public void eager(boolean eager) {
-        mEager = eager;
+        mParts.forEach(p -> p.eager(eager));
     }
 
     /** Begins to follow; goes on for ever. */
     public void follow() {
-        if (mEager && mCaughtUp) {
-            mLog.read(mPartition, mPosition, OWNER_WAIT_MS, this::followed);
-            return;
-        }
-        long asked = mClock.nowMs();
-        mLog.read(
-                mPartition,
-                mPosition,
-                0,
-                r -> {
-                    mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
-                    followed(r);
-                });
-    }
-
-    private void followed(ReadResult result) {
-        boolean atEnd = take(result);
-        if (!(result instanceof SharedLog.Records)) {
-            mTimers.after(RETRY_MS, this::follow);
-        } else if (!atEnd || mEager) {
-            follow();
-        } else {
-            long pause = mStreaming.getAsBoolean() ? STREAMED_MS : FOLLOW_MS;
-            mTimers.after(pause, this::follow);
-        }
+        mParts.forEach(PartitionReader::follow);
     }
 
     /** A record that the owner has read and handed on; one beyond a gap is read later. */
-    public void fromOwner(long offset, byte[] record) {
-        if (offset == mPosition) {
-            mPosition++;
-            apply(record, offset);
-        } else if (offset > mPosition && !mRefreshing) {
-            refresh(read -> {});
+    public void fromOwner(int partition, long offset, byte[] record) {
+        if (partition < mParts.size()) {
+            mParts.get(partition).fromOwner(offset, record);
         }
     }
 
+    /** Whether a record of a partition was read. */
+    public boolean hasRead(int partition, long offset) {
+        return partition < mParts.size() && mParts.get(partition).position() > offset;
+    }
+
     /** While the owner hands records on, the store is only read to see that it is there. */
     public void streaming(BooleanSupplier streaming) {
-        mStreaming = streaming;
+        mParts.forEach(p -> p.streaming(streaming));
     }
 
-    /** Tells of each record as it is read, in order. */
+    /** Tells of each record as it is read, in the order of its partition. */
     public void tap(RecordTap tap) {
         mTap = tap;
     }
@@ -150,80 +122,45 @@
     /** Is told of records. */
     @FunctionalInterface
     public interface RecordTap {
-        void read(long offset, byte[] record);
+        void read(int partition, long offset, byte[] record);
     }
 
     /** Reads to the end as it is now or later, then says whether that worked. */
     public void refresh(Consumer<Boolean> then) {
-        mWaiting.add(then);
-        if (!mRefreshing) {
-            startRefresh();
-        }
+        Gathered gathered = new Gathered(mParts.size(), then);
+        mParts.forEach(p -> p.refresh(gathered::read));
     }
 
-    private void startRefresh() {
-        mRefreshing = true;
-        List<Consumer<Boolean>> served = List.copyOf(mWaiting);
-        mWaiting.clear();
-        readToEnd(served);
-    }
-
-    private void readToEnd(List<Consumer<Boolean>> served) {
-        long asked = mClock.nowMs();
-        mLog.read(
-                mPartition,
-                mPosition,
-                0,
-                r -> {
-                    mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
-                    boolean atEnd = take(r);
-                    boolean failed = !(r instanceof SharedLog.Records);
-                    if (!failed && !atEnd) {
-                        readToEnd(served);
-                        return;
-                    }
-                    served.forEach(s -> s.accept(!failed));
-                    mRefreshing = false;
-                    if (!mWaiting.isEmpty()) {
-                        startRefresh();
-                    }
-                });
-    }
-
-    /** Takes a page in; whether it reaches the end. */
-    private boolean take(ReadResult result) {
-        if (result instanceof SharedLog.RecordsGone gone) {
-            mOut.line("journal-gap").with("from", mPosition).with("to", gone.firstOffset()).write();
-            mPosition = Math.max(mPosition, gone.firstOffset());
-            return false;
-        }
-        if (!(result instanceof SharedLog.Records page)) {
-            return false;
+    /** Waits for all partitions. */
+    private static final class Gathered {
+        private final Consumer<Boolean> mThen;
+        private int mLeft;
+        private boolean mRead = true;
+
+        Gathered(int parts, Consumer<Boolean> then) {
+            mLeft = parts;
+            mThen = then;
         }
-        mLastReadMs = mClock.nowMs();
-        return apply(page);
-    }
 
-    private boolean apply(SharedLog.Records page) {
-        long first = page.from();
-        for (int i = 0; i < page.records().size(); i++) {
-            // Two reads may be on their way at a time; what was read already is passed over.
-            if (first + i == mPosition) {
-                mPosition++;
-                apply(page.records().get(i), first + i);
+        void read(boolean read) {
+            mRead &= read;
+            mLeft--;
+            if (mLeft == 0) {
+                mThen.accept(mRead);
             }
         }
-        boolean atEnd = mPosition >= page.end();
-        mCaughtUp |= atEnd;
-        return atEnd;
     }
 
-    private void apply(byte[] bytes, long offset) {
-        mTap.read(offset, bytes);
+    private void apply(int partition, long offset, byte[] bytes) {
+        mTap.read(partition, offset, bytes);
         try {
             JournalCodec.decode(bytes).ifPresent(r -> mListener.accept(r, mBook.apply(r)));
         } catch (IOException e) {
-            mOut.line("journal-record").with("offset", offset).with("error", e).write();
+            mOut.line("journal-record")
+                    .with("partition", partition)
+                    .with("offset", offset)
+                    .with("error", e)
+                    .write();
         }
     }
 }
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -0,0 +1,212 @@
+package org.foxtailplank.node.journal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.Timers;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
+import org.foxtailplank.port.SharedLog.ReadResult;
+
+/** Follows one partition of the journal. */
+final class PartitionReader {
+    /** Pause after a failed read, in milliseconds. */
+    private static final long RETRY_MS = 200;
+
+    /** Weight of the newest answer in the mean time that the store takes. */
+    private static final double NEWEST = 0.25;
+
+    private final SharedLog mLog;
+    private final LogPartition mPartition;
+    private final Pace mPace;
+    private final Clock mClock;
+    private final Timers mTimers;
+    private final NodeLog mOut;
+    private final RecordSink mSink;
+    private final List<Consumer<Boolean>> mWaiting = new ArrayList<>();
+
+    private long mPosition;
+    private boolean mCaughtUp;
+    private boolean mRefreshing;
+    private boolean mEager;
+    private BooleanSupplier mStreaming = () -> false;
+    private long mLastReadMs = Long.MIN_VALUE / 2;
+    private double mAnswerMs;
+
+    /**
+     * How often a partition is read, in milliseconds.
+     *
+     * @param followMs pause of a follower between two reads
+     * @param streamedMs the same while the owner hands the records on
+     * @param ownerWaitMs how long the owner's read waits for a record
+     */
+    record Pace(long followMs, long streamedMs, long ownerWaitMs) {
+        /** For the partition that as a rule has all records. */
+        static final Pace FIRST = new Pace(400, 1200, 250);
+
+        /** For the one that is empty as a rule; what comes there comes over the stream too. */
+        static final Pace SPARE = new Pace(800, 3000, 1000);
+    }
+
+    /** Takes the records in as they are read, in order. */
+    @FunctionalInterface
+    interface RecordSink {
+        void read(long offset, byte[] record);
+    }
+
+    PartitionReader(
+            SharedLog log,
+            LogPartition partition,
+            Pace pace,
+            Clock clock,
+            Timers timers,
+            NodeLog out,
+            RecordSink sink) {
+        mLog = log;
+        mPartition = partition;
+        mPace = pace;
+        mClock = clock;
+        mTimers = timers;
+        mOut = out;
+        mSink = sink;
+    }
+
+    /** Offset of the next record to be read. */
+    long position() {
+        return mPosition;
+    }
+
+    /** Whether it was read to its end once. */
+    boolean isCaughtUp() {
+        return mCaughtUp;
+    }
+
+    /** When the store last answered a read. */
+    long lastReadMs() {
+        return mLastReadMs;
+    }
+
+    /** How long the store lately took for an answer, on average. */
+    double answerMs() {
+        return mAnswerMs;
+    }
+
+    void eager(boolean eager) {
+        mEager = eager;
+    }
+
+    void streaming(BooleanSupplier streaming) {
+        mStreaming = streaming;
+    }
+
+    /** Begins to follow; goes on for ever. */
+    void follow() {
+        if (mEager && mCaughtUp) {
+            mLog.read(mPartition, mPosition, mPace.ownerWaitMs(), this::followed);
+            return;
+        }
+        long asked = mClock.nowMs();
+        mLog.read(
+                mPartition,
+                mPosition,
+                0,
+                r -> {
+                    mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
+                    followed(r);
+                });
+    }
+
+    private void followed(ReadResult result) {
+        boolean atEnd = take(result);
+        if (!(result instanceof SharedLog.Records)) {
+            mTimers.after(RETRY_MS, this::follow);
+        } else if (!atEnd || mEager) {
+            follow();
+        } else {
+            long pause = mStreaming.getAsBoolean() ? mPace.streamedMs() : mPace.followMs();
+            mTimers.after(pause, this::follow);
+        }
+    }
+
+    /** A record that the owner has read and handed on; one beyond a gap is read later. */
+    void fromOwner(long offset, byte[] record) {
+        if (offset == mPosition) {
+            mPosition++;
+            mSink.read(offset, record);
+        } else if (offset > mPosition && !mRefreshing) {
+            refresh(read -> {});
+        }
+    }
+
+    /** Reads to the end as it is now or later, then says whether that worked. */
+    void refresh(Consumer<Boolean> then) {
+        mWaiting.add(then);
+        if (!mRefreshing) {
+            startRefresh();
+        }
+    }
+
+    private void startRefresh() {
+        mRefreshing = true;
+        List<Consumer<Boolean>> served = List.copyOf(mWaiting);
+        mWaiting.clear();
+        readToEnd(served);
+    }
+
+    private void readToEnd(List<Consumer<Boolean>> served) {
+        long asked = mClock.nowMs();
+        mLog.read(
+                mPartition,
+                mPosition,
+                0,
+                r -> {
+                    mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
+                    boolean atEnd = take(r);
+                    boolean failed = !(r instanceof SharedLog.Records);
+                    if (!failed && !atEnd) {
+                        readToEnd(served);
+                        return;
+                    }
+                    served.forEach(s -> s.accept(!failed));
+                    mRefreshing = false;
+                    if (!mWaiting.isEmpty()) {
+                        startRefresh();
+                    }
+                });
+    }
+
+    /** Takes a page in; whether it reaches the end. */
+    private boolean take(ReadResult result) {
+        if (result instanceof SharedLog.RecordsGone gone) {
+            mOut.line("journal-gap")
+                    .with("partition", mPartition.number())
+                    .with("from", mPosition)
+                    .with("to", gone.firstOffset())
+                    .write();
+            mPosition = Math.max(mPosition, gone.firstOffset());
+            return false;
+        }
+        if (!(result instanceof SharedLog.Records page)) {
+            return false;
+        }
+        mLastReadMs = mClock.nowMs();
+        return apply(page);
+    }
+
+    private boolean apply(SharedLog.Records page) {
+        long first = page.from();
+        for (int i = 0; i < page.records().size(); i++) {
+            // Two reads may be on their way at a time; what was read already is passed over.
+            if (first + i == mPosition) {
+                mPosition++;
+                mSink.read(first + i, page.records().get(i));
+            }
+        }
+        boolean atEnd = mPosition >= page.end();
+        mCaughtUp |= atEnd;
+        return atEnd;
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -10,74 +9,47 @@
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.lease.Moment;
 import org.foxtailplank.node.journal.JournalCodec;
-import org.foxtailplank.node.journal.JournalPartition;
 import org.foxtailplank.node.journal.StoreOutcome;
-import org.foxtailplank.port.SharedLog;
-import org.foxtailplank.port.SharedLog.AppendResult;
-import org.foxtailplank.port.SharedLog.WriterEpoch;
+import org.foxtailplank.node.owner.OwnerRecords.Item;
+import org.foxtailplank.port.LogPartition;
 
 /**
  * Writes the owner's records to the journal.
  *
  * <p>Guards against an owner that was paused and goes on writing after another one has taken over:
  * the new owner would not know of a start or an acknowledged end that comes after it has read the
- * journal. A new owner raises the epoch of the owners' writer to its token before it reads; from
- * then on the store itself refuses what an earlier owner writes. One append is on its way at a
- * time; it is repeated with its number until the store has answered, so that none is stored twice.
+ * journal. A new owner raises the epoch of the owners' writer to its token, in all partitions,
+ * before it reads; from then on the store itself refuses what an earlier owner writes.
+ *
+ * <p>Answers a store that loses single partitions: records go to a spare one while the first takes
+ * nothing. What may be stored in one is written to another as well: records are facts, and one that
+ * stands in two changes nothing.
  *
  * <p>The owner's own records wait for as long as the store is away. Records that other nodes have
  * handed over do not: callers wait for them, and are told at once that the store takes nothing.
  */
 final class OwnerJournal {
-    private static final String WRITER = "owner";
-
-    /**
-     * How long an append goes unanswered before it is sent a second time, in milliseconds, beyond
-     * what the store lately took: a pause of this process, some appends of other writers.
-     */
-    private static final long REPEAT_MS = 120;
-
-    /** Answers of the store, as they lately were, that are waited for on top of that. */
-    private static final int REPEAT_ANSWERS = 4;
-
-    /** Pause before an append that the store did not take is repeated, in milliseconds. */
+    /** Pause before records that the store refused are sent again, in milliseconds. */
     private static final long RETRY_MS = 100;
 
     private final OwnerParts mParts;
-    private final long mToken;
     private final Runnable mFenced;
     private final Deque<Item> mQueue = new ArrayDeque<>();
-    private long mSequence;
-    private Optional<Batch> mSent = Optional.empty();
+    private final List<OwnerLane> mLanes = new ArrayList<>();
+
     private long mStoredMs;
-    private boolean mEpochRaised;
+    private boolean mPausing;
     private boolean mOver;
     private Consumer<Moment> mWhenStored = sent -> {};
 
-    /** A record, and who waits for what comes of it. */
-    private record Item(byte[] bytes, boolean handedOver, Consumer<StoreOutcome> then) {}
-
-    /** Records of one append. */
-    private static final class Batch {
-        final List<Item> mItems;
-        Optional<Moment> mFirstSent = Optional.empty();
-        boolean mMaybeStored;
-        int mUnanswered;
-
-        Batch(List<Item> items) {
-            mItems = new ArrayList<>(items);
-        }
-
-        List<byte[]> records() {
-            return mItems.stream().map(Item::bytes).toList();
-        }
-    }
-
     OwnerJournal(OwnerParts parts, long token, Runnable fenced) {
         mParts = parts;
-        mToken = token;
         mFenced = fenced;
         mStoredMs = parts.clock().nowMs();
+        Events events = new Events();
+        for (LogPartition p : parts.settings().journal().partitions()) {
+            mLanes.add(new OwnerLane(parts, p, token, events));
+        }
     }
 
     /**
@@ -91,7 +63,13 @@
 
     /** Keeps all earlier owners from writing, then goes on. */
     void raiseEpoch(Runnable then) {
-        send(new Batch(List.of()), then);
+        mLanes.forEach(l -> l.raiseEpoch(() -> raisedOne(then)));
+    }
+
+    private void raisedOne(Runnable then) {
+        if (mLanes.stream().allMatch(OwnerLane::isRaised)) {
+            then.run();
+        }
     }
 
     /** Stores a record of the owner's own, however long it takes. */
@@ -112,7 +90,7 @@
 
     private void add(Item item) {
         if (mOver) {
-            item.then().accept(StoreOutcome.NOT_STORED);
+            item.tell(StoreOutcome.NOT_STORED);
             return;
         }
         mQueue.add(item);
@@ -122,12 +100,12 @@
     /** Writes nothing more; of what was sent nobody knows whether it is stored. */
     void end() {
         mOver = true;
-        List<Item> sent = mSent.map(b -> b.mItems).orElse(List.of());
+        List<Item> sent = new ArrayList<>();
+        mLanes.forEach(l -> sent.addAll(l.end()));
         List<Item> waiting = List.copyOf(mQueue);
-        mSent = Optional.empty();
         mQueue.clear();
-        sent.forEach(i -> i.then().accept(StoreOutcome.UNKNOWN));
-        waiting.forEach(i -> i.then().accept(StoreOutcome.NOT_STORED));
+        sent.forEach(i -> i.tell(StoreOutcome.UNKNOWN));
+        waiting.forEach(i -> i.tell(StoreOutcome.NOT_STORED));
     }
 
     /** Stores a last record, then runs {@code stored}; nothing is repeated after it. */
@@ -150,122 +128,98 @@
         return !mQueue.isEmpty();
     }
 
-    private void pump() {
-        if (mSent.isPresent() || mOver || mQueue.isEmpty()) {
-            return;
-        }
-        Batch batch = new Batch(List.copyOf(mQueue));
-        mQueue.clear();
-        send(batch, () -> batch.mItems.forEach(i -> i.then().accept(StoreOutcome.STORED)));
-    }
-
     /**
-     * Sends a batch, and once more if no answer comes soon. Answers a store that loses answers:
-     * everything waits for the owner's append, and the store knows the second one by its number.
+     * The lane that takes the next records: the first one that does not fail, also if it must be
+     * waited for; where all fail, any that is free.
      */
-    private void send(Batch batch, Runnable stored) {
-        mSent = Optional.of(batch);
-        sendOnce(batch, stored);
-        long late = REPEAT_MS + REPEAT_ANSWERS * mParts.reader().answerMs();
-        mParts.timers()
-                .after(
-                        late,
-                        () -> {
-                            if (isAwaited(batch) && batch.mUnanswered == 1) {
-                                sendOnce(batch, stored);
-                            }
-                        });
-    }
-
-    private void sendOnce(Batch batch, Runnable stored) {
-        batch.mUnanswered++;
-        batch.mFirstSent = batch.mFirstSent.or(() -> Optional.of(mParts.clock().moment()));
-        WriterEpoch writer = new WriterEpoch(WRITER, mToken, mSequence);
-        mParts.sharedLog()
-                .appendAs(
-                        JournalPartition.JOURNAL,
-                        writer,
-                        batch.records(),
-                        r -> answered(batch, stored, r));
+    private Optional<OwnerLane> lane() {
+        Optional<OwnerLane> sound = mLanes.stream().filter(l -> !l.isFailing()).findFirst();
+        return sound.isPresent()
+                ? sound.filter(OwnerLane::isIdle)
+                : mLanes.stream().filter(OwnerLane::isIdle).findFirst();
     }
 
-    private boolean isAwaited(Batch batch) {
-        return !mOver && mSent.isPresent() && mSent.get() == batch;
+    private boolean areAllFailing() {
+        return mLanes.stream().allMatch(OwnerLane::isFailing);
     }
 
-    private void answered(Batch batch, Runnable stored, AppendResult result) {
-        if (!isAwaited(batch)) {
+    private void pump() {
+        mQueue.removeIf(Item::isTold);
+        if (mOver || mPausing || mQueue.isEmpty()) {
             return;
         }
-        batch.mUnanswered--;
-        boolean last = result instanceof SharedLog.Stored || result instanceof SharedLog.Fenced;
-        if (!last && batch.mUnanswered > 0) {
-            // The other one may still be stored.
-            batch.mMaybeStored = true;
-            return;
+        Optional<OwnerLane> lane = lane();
+        if (lane.isPresent()) {
+            List<Item> items = List.copyOf(mQueue);
+            mQueue.clear();
+            lane.get().send(items);
         }
-        if (result instanceof SharedLog.Stored) {
-            mSent = Optional.empty();
+    }
+
+    private final class Events implements OwnerLane.Events {
+        @Override
+        public void stored(List<Item> items, Moment firstSent) {
             mStoredMs = mParts.clock().nowMs();
-            mEpochRaised = true;
-            mSequence += batch.mItems.isEmpty() ? 0 : 1;
-            batch.mFirstSent.ifPresent(mWhenStored);
-            stored.run();
+            mWhenStored.accept(firstSent);
+            items.forEach(i -> i.tell(StoreOutcome.STORED));
             pump();
-            return;
         }
-        mParts.log()
-                .line("owner-append")
-                .with("token", mToken)
-                .with("sequence", mSequence)
-                .with("outcome", result)
-                .write();
-        if (result instanceof SharedLog.Fenced) {
+
+        @Override
+        public void refused(List<Item> items) {
+            takeBack(items);
+            if (areAllFailing()) {
+                refuseHandedOver();
+                pause();
+            }
+            pump();
+        }
+
+        @Override
+        public void doubtful(List<Item> items) {
+            if (!areAllFailing()) {
+                takeBack(items);
+                pump();
+            }
+        }
+
+        @Override
+        public void fenced() {
             end();
             mFenced.run();
-        } else if (result instanceof SharedLog.OutOfSequence expected) {
-            mSequence = expected.expected();
-            send(batch, stored);
-        } else {
-            if (result instanceof SharedLog.NotStored) {
-                refuseHandedOver(batch);
-            } else {
-                batch.mMaybeStored = true;
-            }
-            mParts.timers().after(RETRY_MS, () -> again(batch, stored));
         }
     }
 
-    /**
-     * The store refuses: records of other nodes' callers are given back, unless they may be stored
-     * already. An answer that is only late says nothing: the nodes would all append by themselves,
-     * and make a slow store slower. A batch that may be stored stays as it is, since the store
-     * knows it by its number alone.
-     */
-    private void refuseHandedOver(Batch batch) {
-        List<Item> refused = new ArrayList<>();
-        takeHandedOver(mQueue, refused);
-        if (!batch.mMaybeStored) {
-            takeHandedOver(batch.mItems, refused);
+    /** Queues records again, in their order and before later ones, that nobody was told of. */
+    private void takeBack(List<Item> items) {
+        for (int i = items.size() - 1; i >= 0; i--) {
+            Item item = items.get(i);
+            if (!item.isTold() && !mQueue.contains(item)) {
+                mQueue.addFirst(item);
+            }
         }
-        refused.forEach(i -> i.then().accept(StoreOutcome.NOT_STORED));
     }
 
-    private static void takeHandedOver(Collection<Item> from, List<Item> to) {
-        from.stream().filter(Item::handedOver).forEach(to::add);
-        from.removeIf(Item::handedOver);
+    /**
+     * All partitions refuse: records of other nodes' callers are given back, unless they may be
+     * stored already. An answer that is only late says nothing: the nodes would all append by
+     * themselves, and make a slow store slower.
+     */
+    private void refuseHandedOver() {
+        List<Item> refused = mQueue.stream().filter(i -> i.isHandedOver() && !i.isSent()).toList();
+        mQueue.removeAll(refused);
+        refused.forEach(i -> i.tell(StoreOutcome.NOT_STORED));
     }
 
-    private void again(Batch batch, Runnable stored) {
-        if (mOver) {
-            return;
-        }
-        boolean emptied = batch.mItems.isEmpty() && mEpochRaised;
-        if (emptied) {
-            mSent = Optional.empty();
-            pump();
-        } else {
-            send(batch, stored);
-        }
+    /** Waits a moment before the store is asked again that has just refused. */
+    private void pause() {
+        mPausing = true;
+        mParts.timers()
+                .after(
+                        RETRY_MS,
+                        () -> {
+                            mPausing = false;
+                            pump();
+                        });
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -11,12 +11,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.Handover;
+import org.foxtailplank.node.journal.JournalPosition;
 
 /** The owner's end: sends the journal and heartbeats to the nodes that are connected. */
 public final class JournalStream {
@@ -27,7 +28,7 @@
     private final Handover mHandover;
     private final Set<Channel> mFollowers = new HashSet<>();
     private long mToken = PeerFrame.NO_OWNER;
-    private long mPosition;
+    private Supplier<JournalPosition> mPosition = () -> JournalPosition.START;
     private LongSupplier mStoredMsAgo = () -> 0;
     private BooleanSupplier mCallsOver = () -> true;
 
@@ -95,11 +96,15 @@
     /**
      * This node owns from now on.
      *
-     * @param storedMsAgo how long ago the store took a record of it; heartbeats say so
+     * @param position up to where it has read the journal; heartbeats say so
+     * @param storedMsAgo how long ago the store took a record of it; they say this too
      * @param callsOver whether its calls to the VM service are over; said once it owns no more
      */
     public void own(
-            long token, long position, LongSupplier storedMsAgo, BooleanSupplier callsOver) {
+            long token,
+            Supplier<JournalPosition> position,
+            LongSupplier storedMsAgo,
+            BooleanSupplier callsOver) {
         mStoredMsAgo = storedMsAgo;
         mCallsOver = callsOver;
         mToken = token;
@@ -114,10 +119,9 @@
     }
 
     /** The owner has read a record of the journal. */
-    public void read(long offset, byte[] record) {
-        mPosition = offset + 1;
+    public void read(int partition, long offset, byte[] record) {
         if (mToken != PeerFrame.NO_OWNER) {
-            send(new PeerFrame.Journal(mToken, offset, 0, false, Optional.of(record)));
+            send(new PeerFrame.Journal(mToken, partition, offset, record));
         }
     }
 
@@ -131,8 +135,8 @@
 
     private PeerFrame heartbeat() {
         boolean callsOver = mToken == PeerFrame.NO_OWNER && mCallsOver.getAsBoolean();
-        return new PeerFrame.Journal(
-                mToken, mPosition, mStoredMsAgo.getAsLong(), callsOver, Optional.empty());
+        return new PeerFrame.Heartbeat(
+                mToken, mPosition.get(), mStoredMsAgo.getAsLong(), callsOver);
     }
 
     /** A follower that doesn't read is passed over: it would pile frames up in memory. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -251,6 +251,8 @@
     private void take(PeerFrame frame) {
         if (frame instanceof PeerFrame.Journal journal) {
             take(journal);
+        } else if (frame instanceof PeerFrame.Heartbeat heartbeat) {
+            take(heartbeat);
         } else if (frame instanceof PeerFrame.HandoverAnswer answer) {
             Consumer<StoreOutcome> then = mHandedOver.remove(answer.number());
             if (then != null) {
@@ -260,6 +262,14 @@
     }
 
     private void take(PeerFrame.Journal frame) {
+        heard();
+        mReader.fromOwner(frame.partition(), frame.offset(), frame.record());
+        if (mReader.hasRead(frame.partition(), frame.offset())) {
+            mCurrentMs = mClock.nowMs();
+        }
+    }
+
+    private void take(PeerFrame.Heartbeat frame) {
         if (frame.token() == PeerFrame.NO_OWNER) {
             mCallsOverToken = frame.callsOver() ? mOwner.map(KnownOwner::token).orElse(-1L) : -1;
             doubt(OwnerState.GONE);
@@ -267,23 +277,18 @@
             mTimers.after(RETRY_MS, this::open);
             return;
         }
-        mHeardMs = mClock.nowMs();
-        mDoubtToken = -1;
-        if (frame.record().isPresent()) {
-            mReader.fromOwner(frame.offset(), frame.record().get());
+        heard();
+        mStoringMs = mClock.nowMs() - frame.storedMsAgo();
+        if (mReader.position().covers(frame.position())) {
+            mCurrentMs = mClock.nowMs();
         } else {
-            mStoringMs = mClock.nowMs() - frame.storedMsAgo();
-        }
-        if (frame.record().isEmpty() && frame.offset() > mReader.position()) {
             // Records were sent before this node was connected.
             mReader.refresh(read -> {});
         }
-        boolean current =
-                frame.record().isPresent()
-                        ? mReader.position() > frame.offset()
-                        : mReader.position() >= frame.offset();
-        if (current) {
-            mCurrentMs = mClock.nowMs();
-        }
+    }
+
+    private void heard() {
+        mHeardMs = mClock.nowMs();
+        mDoubtToken = -1;
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -9,7 +9,10 @@
 import io.netty.buffer.Unpooled;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import org.foxtailplank.node.journal.JournalPosition;
 import org.foxtailplank.node.journal.StoreOutcome;
 
 /** What two nodes send each other. */
@@ -18,26 +21,41 @@
     long NO_OWNER = 0;
 
     /**
-     * From an owner to a follower: a record of the journal, or a heartbeat without one.
+     * From an owner to a follower: a record of the journal.
+     *
+     * @param token fencing token of the owner
+     * @param partition number of the partition, in the journal's order
+     * @param offset offset of the record
+     * @param record the record
+     */
+    record Journal(long token, int partition, long offset, byte[] record) implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeInt64(Field.TOKEN, token);
+            out.writeInt64(Field.OFFSET, offset);
+            out.writeByteArray(Field.RECORD, record);
+            out.writeInt32(Field.PARTITION, partition);
+        }
+    }
+
+    /**
+     * From an owner to a follower, and the first word of any node.
      *
      * @param token fencing token of the owner; {@link #NO_OWNER} from a node that doesn't own
-     * @param offset offset of the record; for a heartbeat the offset that the owner reads next
-     * @param storedMsAgo for a heartbeat: how long ago the store last took a record of the owner's
+     * @param position up to where the owner has read the journal
+     * @param storedMsAgo how long ago the store last took a record of the owner's
      * @param callsOver from a node that doesn't own: whether no call of its process to the VM
      *     service can be under way
-     * @param record the record; empty for a heartbeat
      */
-    record Journal(
-            long token, long offset, long storedMsAgo, boolean callsOver, Optional<byte[]> record)
+    record Heartbeat(long token, JournalPosition position, long storedMsAgo, boolean callsOver)
             implements PeerFrame {
         @Override
         public void write(CodedOutputStream out) throws IOException {
             out.writeInt64(Field.TOKEN, token);
-            out.writeInt64(Field.OFFSET, offset);
             out.writeInt64(Field.STORED, storedMsAgo);
             out.writeBool(Field.CALLS_OVER, callsOver);
-            if (record.isPresent()) {
-                out.writeBytes(Field.RECORD, ByteString.copyFrom(record.get()));
+            for (long offset : position.offsets()) {
+                out.writeInt64(Field.POSITION, offset);
             }
         }
     }
@@ -74,6 +92,8 @@
         static final int HANDOVER = 5;
         static final int OUTCOME = 6;
         static final int CALLS_OVER = 7;
+        static final int PARTITION = 8;
+        static final int POSITION = 9;
 
         private Field() {}
     }
@@ -100,6 +120,8 @@
         long offset = 0;
         long storedMsAgo = 0;
         boolean callsOver = false;
+        int partition = 0;
+        List<Long> position = new ArrayList<>();
         Optional<byte[]> record = Optional.empty();
         Optional<Long> handover = Optional.empty();
         Optional<StoreOutcome> outcome = Optional.empty();
@@ -109,14 +131,19 @@
                 case Field.OFFSET -> offset = in.readInt64();
                 case Field.STORED -> storedMsAgo = in.readInt64();
                 case Field.CALLS_OVER -> callsOver = in.readBool();
+                case Field.PARTITION -> partition = partition(in.readInt32());
+                case Field.POSITION -> position.add(in.readInt64());
                 case Field.RECORD -> record = Optional.of(in.readByteArray());
                 case Field.HANDOVER -> handover = Optional.of(in.readInt64());
                 case Field.OUTCOME -> outcome = Optional.of(outcome(in.readInt32()));
                 default -> in.skipField(tag);
             }
         }
+        if (handover.isEmpty() && record.isPresent()) {
+            return new Journal(token, partition, offset, record.get());
+        }
         if (handover.isEmpty()) {
-            return new Journal(token, offset, storedMsAgo, callsOver, record);
+            return new Heartbeat(token, new JournalPosition(position), storedMsAgo, callsOver);
         }
         if (outcome.isPresent()) {
             return new HandoverAnswer(handover.get(), outcome.get());
@@ -126,6 +153,13 @@
                 record.orElseThrow(() -> new IOException("a handover without a record")));
     }
 
+    private static int partition(int number) throws IOException {
+        if (number < 0) {
+            throw new IOException("the journal has no partition " + number);
+        }
+        return number;
+    }
+
     private static StoreOutcome outcome(int number) throws IOException {
         StoreOutcome[] all = StoreOutcome.values();
         if (number < 0 || number >= all.length) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -66,7 +66,7 @@
                         any,
                         any,
                         new PlatformAddresses(address, address, address),
-                        new NodeSettings.JournalBounds(RUN_MS, RUN_MS),
+                        new NodeSettings.JournalBounds(RUN_MS, RUN_MS, 1),
                         new ScheduleLimits(RUN_MS, RUN_MS),
                         true,
                         RUN_MS);
