--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -63,7 +63,7 @@
             return message(out -> part(out, STARTED, o -> starts(o, r.runs())));
         }
         if (record instanceof OwnerAlive r) {
-            return message(out -> part(out, ALIVE, o -> alive(o, r)));
+            return message(out -> part(out, ALIVE, o -> OwnerSignCodec.write(o, r)));
         }
         if (record instanceof VmRebooted r) {
             return message(out -> part(out, REBOOTED, o -> named(o, r.wave(), r.vm())));
@@ -72,7 +72,7 @@
             return message(out -> part(out, COMPLETED, o -> named(o, r.wave(), "")));
         }
         OwnerLeft r = (OwnerLeft) record;
-        return message(out -> part(out, LEFT, o -> left(o, r)));
+        return message(out -> part(out, LEFT, o -> OwnerSignCodec.write(o, r)));
     }
 
     /** Reads a record; empty for a kind that this version does not know. */
@@ -90,8 +90,8 @@
                     case ENDED -> new RunsEnded(readRuns(body));
                     case RESTATED -> readRestated(body);
                     case STARTED -> new RunsStarted(readStarts(body));
-                    case LEFT -> readLeft(body);
-                    case ALIVE -> readAlive(body);
+                    case LEFT -> OwnerSignCodec.readLeft(body);
+                    case ALIVE -> OwnerSignCodec.readAlive(body);
                     default -> readNamed(kind, body);
                 });
     }
@@ -132,46 +132,6 @@
         return new JobRestated(order, starts, ends, cancelledMs);
     }
 
-    private static void alive(CodedOutputStream out, OwnerAlive record) throws IOException {
-        named(out, record.token(), record.address());
-        out.writeInt64(3, record.ownedMs());
-    }
-
-    private static OwnerAlive readAlive(CodedInputStream in) throws IOException {
-        long token = 0;
-        String address = "";
-        long ownedMs = 0;
-        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
-            switch (WireFormat.getTagFieldNumber(tag)) {
-                case 1 -> token = in.readInt64();
-                case 2 -> address = in.readString();
-                case 3 -> ownedMs = in.readInt64();
-                default -> in.skipField(tag);
-            }
-        }
-        return new OwnerAlive(token, address, ownedMs);
-    }
-
-    private static void left(CodedOutputStream out, OwnerLeft record) throws IOException {
-        named(out, record.token(), record.node());
-        out.writeBool(3, record.callsOver());
-    }
-
-    private static OwnerLeft readLeft(CodedInputStream in) throws IOException {
-        long token = 0;
-        String node = "";
-        boolean callsOver = false;
-        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
-            switch (WireFormat.getTagFieldNumber(tag)) {
-                case 1 -> token = in.readInt64();
-                case 2 -> node = in.readString();
-                case 3 -> callsOver = in.readBool();
-                default -> in.skipField(tag);
-            }
-        }
-        return new OwnerLeft(token, node, callsOver);
-    }
-
     private record Named(long number, String name) {}
 
     private static void named(CodedOutputStream out, long number, String name) throws IOException {
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/OwnerSignCodec.java
@@ -0,0 +1,55 @@
+package org.foxtailplank.node.journal;
+
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import java.io.IOException;
+import org.foxtailplank.job.JournalRecord.OwnerAlive;
+import org.foxtailplank.job.JournalRecord.OwnerLeft;
+
+/** Writes and reads the signs by which owners show in the journal that they are there, or leave. */
+final class OwnerSignCodec {
+    private OwnerSignCodec() {}
+
+    static void write(CodedOutputStream out, OwnerAlive record) throws IOException {
+        out.writeInt64(1, record.token());
+        out.writeString(2, record.address());
+        out.writeInt64(3, record.ownedMs());
+    }
+
+    static OwnerAlive readAlive(CodedInputStream in) throws IOException {
+        long token = 0;
+        String address = "";
+        long ownedMs = 0;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case 1 -> token = in.readInt64();
+                case 2 -> address = in.readString();
+                case 3 -> ownedMs = in.readInt64();
+                default -> in.skipField(tag);
+            }
+        }
+        return new OwnerAlive(token, address, ownedMs);
+    }
+
+    static void write(CodedOutputStream out, OwnerLeft record) throws IOException {
+        out.writeInt64(1, record.token());
+        out.writeString(2, record.node());
+        out.writeBool(3, record.callsOver());
+    }
+
+    static OwnerLeft readLeft(CodedInputStream in) throws IOException {
+        long token = 0;
+        String node = "";
+        boolean callsOver = false;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case 1 -> token = in.readInt64();
+                case 2 -> node = in.readString();
+                case 3 -> callsOver = in.readBool();
+                default -> in.skipField(tag);
+            }
+        }
+        return new OwnerLeft(token, node, callsOver);
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -1,9 +1,7 @@
 package org.foxtailplank.node.owner;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -16,13 +14,10 @@
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.journal.StoreOutcome;
-import org.foxtailplank.port.Feed;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.VmActions.Holder;
 import org.foxtailplank.port.VmActions.VmInfo;
-import org.foxtailplank.port.WorkerInfo;
 import org.foxtailplank.schedule.Decisions;
-import org.foxtailplank.schedule.PoolLoad;
 import org.foxtailplank.schedule.Reach;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.TaskRun;
@@ -39,21 +34,9 @@
     /** How often the owner shows in the journal that it is alive, in milliseconds. */
     private static final long ALIVE_MS = 400;
 
-    /** How often the load of services is logged, in milliseconds. */
-    private static final long LOAD_MS = 2000;
-
     /** Pause before a read of the take-over is repeated, in milliseconds. */
     private static final long RETRY_MS = 150;
 
-    /** How long a read of the directory of workers waits for a change, in milliseconds. */
-    private static final long DIRECTORY_WAIT_MS = 300;
-
-    /** Pause after a read of the directory, in milliseconds: VMs that move join side by side. */
-    private static final long DIRECTORY_PAUSE_MS = 30;
-
-    /** The same after a read that failed. */
-    private static final long DIRECTORY_RETRY_MS = 300;
-
     private final OwnerParts mParts;
     private final Clock mClock;
     private final long mToken;
@@ -64,12 +47,10 @@
     private final OwnerJournal mJournal;
     private final OrderSender mSender;
     private final VmWork mVms;
-    private final Map<String, Looker> mLookers = new HashMap<>();
+    private final WorkerDirectory mDirectory;
 
-    private Optional<Feed.Page<WorkerInfo>> mFirstDirectory = Optional.empty();
     private Optional<List<VmInfo>> mFirstVms = Optional.empty();
     private boolean mJournalRead;
-    private long mDirectoryPosition = -1;
     private boolean mLoaded;
     private boolean mOver;
     private boolean mDecisionDue;
@@ -85,6 +66,7 @@
         mScheduler = new Scheduler(parts.settings().schedule());
         mJournal = new OwnerJournal(parts, mToken, () -> fenced("the journal"));
         mSender = new OrderSender(this, parts, mToken);
+        mDirectory = new WorkerDirectory(this, parts, mToken);
         mVms = new VmWork(this, parts, new Holder(parts.settings().name(), mToken, mLease));
     }
 
@@ -109,7 +91,7 @@
                     readJournal();
                     listVms();
                 });
-        readDirectory();
+        mDirectory.read(this::takeOverIfRead);
     }
 
     /** Listed only once the earlier owner can't write down starts on newer lives any more. */
@@ -136,30 +118,16 @@
                         });
     }
 
-    private void readDirectory() {
-        mParts.platform()
-                .directory()
-                .newest(
-                        result -> {
-                            if (result instanceof Feed.Page<WorkerInfo> page) {
-                                mFirstDirectory = Optional.of(page);
-                                takeOverIfRead();
-                            } else if (!mOver) {
-                                mParts.timers().after(RETRY_MS, this::readDirectory);
-                            }
-                        });
-    }
-
     private void takeOverIfRead() {
-        boolean read = mJournalRead && mFirstDirectory.isPresent() && mFirstVms.isPresent();
+        boolean read = mJournalRead && mDirectory.isRead() && mFirstVms.isPresent();
         if (read && !mLoaded && !mOver) {
-            takeOver(mFirstDirectory.get(), mFirstVms.get());
+            takeOver(mFirstVms.get());
         }
     }
 
-    private void takeOver(Feed.Page<WorkerInfo> directory, List<VmInfo> vms) {
+    private void takeOver(List<VmInfo> vms) {
         mLoaded = true;
-        takeDirectory(directory);
+        mDirectory.takeFirst();
         // Without the list of VMs a worker that is not in the directory may still run tasks.
         Set<String> lives = new HashSet<>();
         vms.forEach(v -> lives.add(v.worker()));
@@ -173,74 +141,13 @@
                 .with("workers", mScheduler.workers().size())
                 .with("journal", mParts.reader().position())
                 .write();
-        followDirectory();
-        sayLoad();
+        mDirectory.follow();
+        new LoadLog(this, mParts).start();
         mVms.start();
         new Restating(this, mParts).start();
         tick();
     }
 
-    private void followDirectory() {
-        if (mOver) {
-            return;
-        }
-        if (mDirectoryPosition < 0) {
-            mParts.platform().directory().newest(this::directoryRead);
-        } else {
-            mParts.platform()
-                    .directory()
-                    .changes(mDirectoryPosition, DIRECTORY_WAIT_MS, this::directoryRead);
-        }
-    }
-
-    private void directoryRead(Feed.Result<WorkerInfo> result) {
-        if (mOver) {
-            return;
-        }
-        if (result instanceof Feed.Page<WorkerInfo> page) {
-            takeDirectory(page);
-        } else if (result instanceof Feed.Gap) {
-            mDirectoryPosition = -1;
-        }
-        long pause = result instanceof Feed.Page ? DIRECTORY_PAUSE_MS : DIRECTORY_RETRY_MS;
-        mParts.timers().after(pause, this::followDirectory);
-    }
-
-    private void takeDirectory(Feed.Page<WorkerInfo> page) {
-        mDirectoryPosition = page.next();
-        for (Feed.Item<WorkerInfo> item : page.items()) {
-            if (item.value().isPresent()) {
-                listed(item.value().get());
-            } else {
-                mParts.log().line("worker-unlisted").with("worker", item.key()).write();
-                mScheduler.workerUnlisted(item.key());
-            }
-        }
-        decisionDue();
-    }
-
-    private void listed(WorkerInfo info) {
-        Optional<WorkerState> known = mScheduler.worker(info.id());
-        boolean drains = known.map(w -> !w.info().draining()).orElse(true) && info.draining();
-        mScheduler.worker(info, mClock.nowMs());
-        if (known.isEmpty() || drains) {
-            mParts.log()
-                    .line("worker")
-                    .with("worker", info.id())
-                    .with("service", info.service())
-                    .with("rack", info.rack())
-                    .with("draining", info.draining())
-                    .write();
-        }
-        mLookers.computeIfAbsent(info.id(), id -> startLooker(mScheduler.worker(id).get()));
-    }
-
-    private Looker startLooker(WorkerState worker) {
-        Looker looker = new Looker(this, mParts, worker, mToken);
-        mParts.timers().after(0, looker::look);
-        return looker;
-    }
-
     Scheduler scheduler() {
         return mScheduler;
     }
@@ -251,10 +158,7 @@
 
     /** Ends the looks at a worker whose life is over, and frees its tasks. */
     void workerOver(WorkerState worker, String why) {
-        Looker looker = mLookers.remove(worker.id());
-        if (looker != null) {
-            looker.stop();
-        }
+        mDirectory.over(worker.id());
         List<TaskRun> ended = mScheduler.workerOver(worker.id());
         mParts.log()
                 .line("worker-over")
@@ -267,7 +171,7 @@
 
     /** Forgets a worker that neither the directory names nor a run ties. */
     void lookerDone(WorkerState worker) {
-        mLookers.remove(worker.id());
+        mDirectory.over(worker.id());
     }
 
     /** A worker has refused this owner: a later one gives orders. */
@@ -381,32 +285,6 @@
         }
     }
 
-    /** A line a service every two seconds: with the decisions it explains why tasks wait. */
-    private void sayLoad() {
-        if (mOver) {
-            return;
-        }
-        mParts.timers().after(LOAD_MS, this::sayLoad);
-        long now = mClock.nowMs();
-        mParts.operator()
-                .config()
-                .ifPresent(c -> mScheduler.loads(c, now, mClock.wallMs()).forEach(this::sayLoad));
-    }
-
-    private void sayLoad(PoolLoad load) {
-        mParts.log()
-                .line("load")
-                .with("service", load.service())
-                .with("workers", load.workers())
-                .with("cores", load.cores())
-                .with("standingCores", load.standingCores())
-                .with("batchCores", load.batchCores())
-                .with("jobs", load.jobs())
-                .with("waitingTasks", load.waitingTasks())
-                .with("waitingStanding", load.waitingStanding())
-                .write();
-    }
-
     private void sayAlive() {
         if (mOver) {
             return;
