--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
@@ -3,19 +3,48 @@
 import java.util.List;
 
 /**
- * Empties a worker before its VM is rebooted.
+ * Empties a worker before its VM is rebooted, or moved to another pool.
  *
  * <p>A reboot ends at once all that runs there. Tasks that will end by themselves are waited for;
  * what can go on from a checkpoint is stopped sooner; standing tasks are stopped one of a step at a
  * time, and only while no more of the step are away than it may miss: more at a time would break
  * the service's availability budget.
+ *
+ * <p>A move waits for tasks, but for those of late jobs where the VM is lent to a queue whose jobs
+ * can still be in time: a backlog after an outage would keep it for as long as its tasks take. In
+ * {@code TurnReplayTest} 0.86 of the jobs of a turn beside a backlog are in time, 0.74 without.
  */
 final class Vacating {
     /** How long to wait for tasks that lose their work when stopped, in milliseconds. */
     private static final long PATIENCE_MS = 6000;
 
+    /**
+     * A late job's run that ends within this time is waited for, in milliseconds: half of what the
+     * move takes. In the turns of {@code TurnReplayTest} without a backlog stopping all of them
+     * costs 0.04 of the large jobs in time; this limit costs none.
+     */
+    private static final long LATE_PATIENCE_MS = 800;
+
     private Vacating() {}
 
+    /** Stops late jobs' runs on a worker whose VM is lent to jobs that can be in time. */
+    static void lend(WorkerState worker, long nowMs, long nowWallMs) {
+        for (TaskRun run : worker.runs()) {
+            if (run.phase() == RunPhase.RUNNING && isLate(run, nowWallMs)) {
+                long left = run.slot().spec().estimateMs() - (nowMs - run.startedMs());
+                if (left > LATE_PATIENCE_MS) {
+                    run.stopping("its job is late, and its VM is lent", nowMs);
+                }
+            }
+        }
+    }
+
+    private static boolean isLate(TaskRun run, long nowWallMs) {
+        TaskSlot slot = run.slot();
+        boolean waits = slot.spec().mode().standing() || slot.spec().placement().gang();
+        return !waits && CoreDemand.isLate(slot.step().run(), nowWallMs);
+    }
+
     /** Stops what should be stopped now. */
     static void step(WorkerState worker, List<WorkerState> others, long sinceMs, long nowMs) {
         for (TaskRun run : worker.runs()) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -112,7 +112,7 @@
             }
         }
         mBalance.plan(config, nowMs, nowWallMs);
-        return new VmDecisions(carryOut(config, mayCall, nowMs), completed);
+        return new VmDecisions(carryOut(config, mayCall, nowMs, nowWallMs), completed);
     }
 
     /** VMs of a wave that have not begun their reboot, and what keeps each, for the log. */
@@ -146,14 +146,14 @@
         mReported.remove(wave);
     }
 
-    private List<Call> carryOut(FleetConfig config, boolean mayCall, long nowMs) {
+    private List<Call> carryOut(FleetConfig config, boolean mayCall, long nowMs, long nowWallMs) {
         List<Call> calls = new ArrayList<>();
         for (VmState vm : mVms.all()) {
             if (vm.planned().isEmpty() || vm.isCalling()) {
                 continue;
             }
             Optional<WorkerState> worker = worker(vm);
-            worker.ifPresent(w -> vacate(vm, w, nowMs));
+            worker.ifPresent(w -> vacate(vm, w, config, nowMs, nowWallMs));
             boolean standby = config.isStandby(vm.info().pool());
             boolean empty = worker.isPresent() && worker.get().isEmpty();
             if (mayCall && (empty || standby && worker.isEmpty())) {
@@ -164,12 +164,14 @@
         return calls;
     }
 
-    private void vacate(VmState vm, WorkerState worker, long nowMs) {
+    private void vacate(
+            VmState vm, WorkerState worker, FleetConfig config, long nowMs, long nowWallMs) {
         worker.vacating(true);
         List<WorkerState> others = mScheduler.workersOf(worker.info().service());
-        boolean stops = vm.planned().get() instanceof VmAction.Reboot;
-        if (stops) {
+        if (vm.planned().get() instanceof VmAction.Reboot) {
             Vacating.step(worker, others, vm.plannedMs(), nowMs);
+        } else if (!config.isStandby(((VmAction.Move) vm.planned().get()).pool())) {
+            Vacating.lend(worker, nowMs, nowWallMs);
         }
     }
 
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/Replay.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/Replay.java
@@ -139,6 +139,11 @@
             for (TaskRun run : List.copyOf(worker.runs())) {
                 double takes =
                         run.slot().spec().estimateMs() * mSlower.get(run.slot().name().job());
+                if (run.phase() == RunPhase.STOPPING) {
+                    mEnds++;
+                    mOwner.end(run, RunOutcome.STOPPED, mEnds);
+                    continue;
+                }
                 if (run.phase() == RunPhase.RUNNING && mClockMs - run.startedMs() >= takes) {
                     mEnds++;
                     mOwner.end(run, RunOutcome.DONE, mEnds);
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnReplayTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnReplayTest.java
@@ -109,7 +109,8 @@
     public void aQueueWithLateJobsLeavesItsVmsToOneWhoseJobsCanBeInTime() {
         // After an outage a queue has 90 jobs that are late whatever is done, and all VMs work for
         // them. Another queue's turn begins; its jobs were late too, since the backlog asked for
-        // more VMs than they did: 0.235 of them in time.
+        // more VMs than they did: 0.235 of them in time, and 0.742 while each VM was lent only when
+        // its tasks had ended.
         double inTime = 0;
         double jobs = 0;
         for (int seed = 0; seed < SEEDS; seed++) {
@@ -126,6 +127,6 @@
             jobs += replay.jobs() - 90;
         }
 
-        assertTrue(inTime / jobs > 0.7, "in time: " + inTime / jobs);
+        assertTrue(inTime / jobs > 0.84, "in time: " + inTime / jobs);
     }
 }
