--- a/foxtail-load/src/main/java/org/foxtailplank/load/internal/command/LoadCommand.java
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/command/LoadCommand.java
@@ -6,6 +6,8 @@
 import java.util.stream.Collectors;
 import org.foxtailplank.load.internal.fleet.FleetOptions;
 import org.foxtailplank.load.internal.fleet.FleetProgram;
+import org.foxtailplank.load.internal.waits.WaitsOptions;
+import org.foxtailplank.load.internal.waits.WaitsProgram;
 import org.foxtailplank.process.Launcher;
 
 /** The commands of foxtail-load. */
@@ -15,7 +17,9 @@
     /** Compares two results. */
     COMPARE("compare", "compare two results: compare A.json B.json", LoadCommand::compare),
     /** Measures the fleet decisions. */
-    FLEET("fleet", "measure fleet decisions against a naive baseline", LoadCommand::fleet);
+    FLEET("fleet", "measure fleet decisions against a naive baseline", LoadCommand::fleet),
+    /** Tells for what jobs waited. */
+    WAITS("waits", "tell from nodes' logs for what jobs waited: waits LOG", LoadCommand::waits);
 
     private final String mName;
     private final String mSummary;
@@ -58,4 +62,9 @@
         Launcher.named("foxtail-load fleet")
                 .main(args, new FleetOptions(), new FleetProgram(System.out));
     }
+
+    private static void waits(String[] args) {
+        Launcher.named("foxtail-load waits")
+                .main(args, new WaitsOptions(), new WaitsProgram(System.out));
+    }
 }
--- /dev/null
+++ b/foxtail-load/src/main/java/org/foxtailplank/load/internal/waits/package-info.java
@@ -0,0 +1,2 @@
+/** Why jobs waited for their first task, read from the log lines of nodes. */
+package org.foxtailplank.load.internal.waits;
