--- a/foxtail-core/src/main/java/org/foxtailplank/lease/CallLease.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/lease/CallLease.java
@@ -23,17 +23,17 @@
  */
 public record CallLease(boolean checked, Optional<Moment> proof, long openFromMs) {
     /**
-     * How long a proof holds, in milliseconds. An owner writes every 400 ms, and an append may take
-     * a second while the store is slow: with less, its calls would stop each time. With more, VMs
-     * wait longer at each change of owner.
+     * How long a proof holds, in milliseconds. An owner writes every 400 ms, and an append takes
+     * half a second while the store is 60 times as slow: with less, its calls would stop each time.
+     * With more, VMs wait longer at each change of owner.
      */
-    public static final long LENGTH_MS = 1500;
+    public static final long LENGTH_MS = 1000;
 
     /**
      * What a successor waits beyond that, in milliseconds: two clocks that drift apart by 2% each,
      * and a timer that fires late on a busy VM.
      */
-    public static final long MARGIN_MS = 200;
+    public static final long MARGIN_MS = 150;
 
     /** Time after which no call of an earlier owner can be under way, in milliseconds. */
     public static final long WAIT_MS = LENGTH_MS + MARGIN_MS;
--- a/foxtail-core/src/test/java/org/foxtailplank/lease/CallLeaseTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/lease/CallLeaseTest.java
@@ -64,7 +64,7 @@
         long wait = CallLease.LENGTH_MS + CallLease.MARGIN_MS;
 
         assertFalse(taken.isOpen(10_000 + wait - 1));
-        assertEquals(taken.proved(at(11_500)).leftMs(at(10_000 + wait - 1)), 0);
-        assertTrue(taken.proved(at(11_500)).leftMs(at(10_000 + wait)) > 0);
+        assertEquals(taken.proved(at(11_000)).leftMs(at(10_000 + wait - 1)), 0);
+        assertTrue(taken.proved(at(11_000)).leftMs(at(10_000 + wait)) > 0);
     }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/lease/LeaseWorld.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/lease/LeaseWorld.java
@@ -29,7 +29,7 @@
         boolean broken,
         List<Owner> owners) {
     /** Length of a step, in milliseconds. */
-    static final long STEP_MS = 850;
+    static final long STEP_MS = 600;
 
     /** What the time of day of a VM is set forward or back by, in milliseconds. */
     private static final long JUMP_MS = 3000;
