Names: a partition's writer and the batch that it sends

OwnerRecords stood beside OwnerRecord, which is about something else, and lane is no word of ours. What the replay's test did not use is gone.

--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/Replay.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/Replay.java
@@ -42,8 +42,6 @@
     private final long mStartMs = mOwner.mNowMs;
     private long mClockMs = mStartMs;
     private long mEnds;
-    private int mMoves;
-    private long mVmMs;
 
     /** A VM of the fleet. */
     private static final class Vm {
@@ -117,7 +115,6 @@
         mClockMs += STEP_MS;
         mOwner.mNowMs = mClockMs;
         for (Vm vm : mVms) {
-            mVmMs += mOwner.mConfig.isStandby(vm.mPool) ? 0 : STEP_MS;
             if (!vm.mJoined && mClockMs >= vm.mUpMs + JOIN_MS) {
                 join(vm);
             }
@@ -186,28 +183,24 @@
         vm.mLife++;
         vm.mUpMs = mClockMs + MOVE_MS;
         vm.mJoined = false;
-        mMoves++;
     }
 
     /** Jobs that were done by their objectives. */
     long inTime() {
-        long count = 0;
-        for (JobOrder order : mJobs.values()) {
-            long objective = order.acceptedMs() + Urgency.objectiveLengthMs(order);
-            count += mDoneMs.getOrDefault(order.id(), Long.MAX_VALUE) <= objective ? 1 : 0;
-        }
-        return count;
+        return mJobs.values().stream().filter(this::isInTime).count();
     }
 
     /** Jobs of a service that were done by their objectives. */
     long inTime(String service) {
-        long count = 0;
-        for (JobOrder order : mJobs.values()) {
-            long objective = order.acceptedMs() + Urgency.objectiveLengthMs(order);
-            boolean done = mDoneMs.getOrDefault(order.id(), Long.MAX_VALUE) <= objective;
-            count += done && order.service().equals(service) ? 1 : 0;
-        }
-        return count;
+        return mJobs.values().stream()
+                .filter(o -> o.service().equals(service))
+                .filter(this::isInTime)
+                .count();
+    }
+
+    private boolean isInTime(JobOrder order) {
+        long objective = order.acceptedMs() + Urgency.objectiveLengthMs(order);
+        return mDoneMs.getOrDefault(order.id(), Long.MAX_VALUE) <= objective;
     }
 
     int done() {
@@ -217,18 +210,4 @@
     int jobs() {
         return mJobs.size();
     }
-
-    int moves() {
-        return mMoves;
-    }
-
-    /** Seconds of VMs in pools that serve. */
-    long vmSeconds() {
-        return mVmMs / 1000;
-    }
-
-    /** VMs in a pool now, those that are on their way to it too. */
-    long vmsIn(String pool) {
-        return mVms.stream().filter(v -> v.mPool.equals(pool)).count();
-    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerRecords.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalBatch.java
@@ -9,7 +9,7 @@
 import org.foxtailplank.node.journal.StoreOutcome;
 
 /** Records of one append, with who waits for each. */
-final class OwnerRecords {
+final class JournalBatch {
     private final List<Item> mItems;
 
     private Optional<Moment> mFirstSent = Optional.empty();
@@ -17,7 +17,7 @@
     private int mUnanswered;
     private boolean mGivenOn;
 
-    OwnerRecords(Collection<Item> items) {
+    JournalBatch(Collection<Item> items) {
         mItems = new ArrayList<>(items);
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -10,7 +10,7 @@
 import org.foxtailplank.lease.Moment;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.StoreOutcome;
-import org.foxtailplank.node.owner.OwnerRecords.Item;
+import org.foxtailplank.node.owner.JournalBatch.Item;
 import org.foxtailplank.port.LogPartition;
 
 /**
@@ -35,7 +35,7 @@
     private final OwnerParts mParts;
     private final Runnable mFenced;
     private final Deque<Item> mQueue = new ArrayDeque<>();
-    private final List<OwnerLane> mLanes = new ArrayList<>();
+    private final List<PartitionWriter> mWriters = new ArrayList<>();
 
     private long mStoredMs;
     private boolean mPausing;
@@ -48,7 +48,7 @@
         mStoredMs = parts.clock().nowMs();
         Events events = new Events();
         for (LogPartition p : parts.settings().journal().partitions()) {
-            mLanes.add(new OwnerLane(parts, p, token, events));
+            mWriters.add(new PartitionWriter(parts, p, token, events));
         }
     }
 
@@ -63,11 +63,11 @@
 
     /** Keeps all earlier owners from writing, then goes on. */
     void raiseEpoch(Runnable then) {
-        mLanes.forEach(l -> l.raiseEpoch(() -> raisedOne(then)));
+        mWriters.forEach(w -> w.raiseEpoch(() -> raisedOne(then)));
     }
 
     private void raisedOne(Runnable then) {
-        if (mLanes.stream().allMatch(OwnerLane::isRaised)) {
+        if (mWriters.stream().allMatch(PartitionWriter::isRaised)) {
             then.run();
         }
     }
@@ -101,7 +101,7 @@
     void end() {
         mOver = true;
         List<Item> sent = new ArrayList<>();
-        mLanes.forEach(l -> sent.addAll(l.end()));
+        mWriters.forEach(w -> sent.addAll(w.end()));
         List<Item> waiting = List.copyOf(mQueue);
         mQueue.clear();
         sent.forEach(i -> i.tell(StoreOutcome.UNKNOWN));
@@ -129,18 +129,18 @@
     }
 
     /**
-     * The lane that takes the next records: the first one that does not fail, also if it must be
-     * waited for; where all fail, any that is free.
+     * Who takes the next records: the first writer that does not fail, also if it must be waited
+     * for; where all fail, any that is free.
      */
-    private Optional<OwnerLane> lane() {
-        Optional<OwnerLane> sound = mLanes.stream().filter(l -> !l.isFailing()).findFirst();
+    private Optional<PartitionWriter> next() {
+        Optional<PartitionWriter> sound = mWriters.stream().filter(w -> !w.isFailing()).findFirst();
         return sound.isPresent()
-                ? sound.filter(OwnerLane::isIdle)
-                : mLanes.stream().filter(OwnerLane::isIdle).findFirst();
+                ? sound.filter(PartitionWriter::isIdle)
+                : mWriters.stream().filter(PartitionWriter::isIdle).findFirst();
     }
 
     private boolean areAllFailing() {
-        return mLanes.stream().allMatch(OwnerLane::isFailing);
+        return mWriters.stream().allMatch(PartitionWriter::isFailing);
     }
 
     private void pump() {
@@ -148,15 +148,15 @@
         if (mOver || mPausing || mQueue.isEmpty()) {
             return;
         }
-        Optional<OwnerLane> lane = lane();
-        if (lane.isPresent()) {
+        Optional<PartitionWriter> writer = next();
+        if (writer.isPresent()) {
             List<Item> items = List.copyOf(mQueue);
             mQueue.clear();
-            lane.get().send(items);
+            writer.get().send(items);
         }
     }
 
-    private final class Events implements OwnerLane.Events {
+    private final class Events implements PartitionWriter.Events {
         @Override
         public void stored(List<Item> items, Moment firstSent) {
             mStoredMs = mParts.clock().nowMs();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerLane.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.foxtailplank.lease.Moment;
-import org.foxtailplank.node.owner.OwnerRecords.Item;
+import org.foxtailplank.node.owner.JournalBatch.Item;
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.SharedLog.AppendResult;
@@ -16,7 +16,7 @@
  * number, until the store has answered, so that none is stored twice in this partition; one that
  * was refused is given back.
  */
-final class OwnerLane {
+final class PartitionWriter {
     private static final String WRITER = "owner";
 
     /**
@@ -41,7 +41,7 @@
     private final Events mEvents;
 
     private long mSequence;
-    private Optional<OwnerRecords> mSent = Optional.empty();
+    private Optional<JournalBatch> mSent = Optional.empty();
     private boolean mFailing;
     private boolean mOver;
     private Optional<Runnable> mWhenRaised = Optional.empty();
@@ -49,20 +49,20 @@
 
     /** Is told what becomes of appends. */
     interface Events {
-        /** An append is stored; the lane is free. */
+        /** An append is stored; the writer is free. */
         void stored(List<Item> items, Moment firstSent);
 
-        /** The store refuses, and will not store these; the lane is free. */
+        /** The store refuses, and will not store these; the writer is free. */
         void refused(List<Item> items);
 
-        /** These may be stored, now or later; the lane goes on with them. */
+        /** These may be stored, now or later; the writer goes on with them. */
         void doubtful(List<Item> items);
 
         /** A later owner writes. */
         void fenced();
     }
 
-    OwnerLane(OwnerParts parts, LogPartition partition, long token, Events events) {
+    PartitionWriter(OwnerParts parts, LogPartition partition, long token, Events events) {
         mParts = parts;
         mPartition = partition;
         mToken = token;
@@ -89,68 +89,68 @@
         return mFailing;
     }
 
-    /** Sends an append; the lane must be idle. */
+    /** Sends an append; the writer must be idle. */
     void send(List<Item> items) {
-        OwnerRecords records = new OwnerRecords(items);
-        mSent = Optional.of(records);
-        sendFirst(records);
+        JournalBatch batch = new JournalBatch(items);
+        mSent = Optional.of(batch);
+        sendFirst(batch);
     }
 
     /** Sends nothing more; returns what is on its way. */
     List<Item> end() {
         mOver = true;
-        List<Item> sent = mSent.map(OwnerRecords::items).orElse(List.of());
+        List<Item> sent = mSent.map(JournalBatch::items).orElse(List.of());
         mSent = Optional.empty();
         return sent;
     }
 
-    private void sendFirst(OwnerRecords records) {
-        sendOnce(records);
+    private void sendFirst(JournalBatch batch) {
+        sendOnce(batch);
         long late = REPEAT_MS + REPEAT_ANSWERS * mParts.reader().answerMs();
-        mParts.timers().after(late, () -> repeat(records));
-        mParts.timers().after(2 * late, () -> doubt(records));
+        mParts.timers().after(late, () -> repeat(batch));
+        mParts.timers().after(2 * late, () -> doubt(batch));
     }
 
     /**
      * Sends an append once more while no answer comes. Answers a store that loses answers:
      * everything waits for the owner's append, and the store knows the second one by its number.
      */
-    private void repeat(OwnerRecords records) {
-        if (isAwaited(records) && records.unanswered() == 1) {
-            sendOnce(records);
+    private void repeat(JournalBatch batch) {
+        if (isAwaited(batch) && batch.unanswered() == 1) {
+            sendOnce(batch);
         }
     }
 
     /** No answer comes to the second sending either. */
-    private void doubt(OwnerRecords records) {
-        if (isAwaited(records) && records.unanswered() > 0) {
-            doubtful(records);
+    private void doubt(JournalBatch batch) {
+        if (isAwaited(batch) && batch.unanswered() > 0) {
+            doubtful(batch);
         }
     }
 
-    private void sendOnce(OwnerRecords records) {
-        records.sent(mParts.clock().moment());
+    private void sendOnce(JournalBatch batch) {
+        batch.sent(mParts.clock().moment());
         WriterEpoch writer = new WriterEpoch(WRITER, mToken, mSequence);
-        mParts.sharedLog().appendAs(mPartition, writer, records.bytes(), r -> answered(records, r));
+        mParts.sharedLog().appendAs(mPartition, writer, batch.bytes(), r -> answered(batch, r));
     }
 
-    private boolean isAwaited(OwnerRecords records) {
-        return !mOver && mSent.isPresent() && mSent.get() == records;
+    private boolean isAwaited(JournalBatch batch) {
+        return !mOver && mSent.isPresent() && mSent.get() == batch;
     }
 
-    private void answered(OwnerRecords records, AppendResult result) {
-        if (!isAwaited(records)) {
+    private void answered(JournalBatch batch, AppendResult result) {
+        if (!isAwaited(batch)) {
             return;
         }
-        int awaited = records.answered();
+        int awaited = batch.answered();
         boolean last = result instanceof SharedLog.Stored || result instanceof SharedLog.Fenced;
         if (!last && awaited > 0) {
             // The other one may still be stored.
-            records.maybeStored();
+            batch.maybeStored();
             return;
         }
         if (result instanceof SharedLog.Stored) {
-            stored(records);
+            stored(batch);
             return;
         }
         mParts.log()
@@ -164,49 +164,49 @@
             mEvents.fenced();
         } else if (result instanceof SharedLog.OutOfSequence expected) {
             mSequence = expected.expected();
-            sendFirst(records);
-        } else if (result instanceof SharedLog.NotStored && !records.isMaybeStored()) {
-            refused(records);
+            sendFirst(batch);
+        } else if (result instanceof SharedLog.NotStored && !batch.isMaybeStored()) {
+            refused(batch);
         } else {
-            doubtful(records);
-            mParts.timers().after(RETRY_MS, () -> again(records));
+            doubtful(batch);
+            mParts.timers().after(RETRY_MS, () -> again(batch));
         }
     }
 
-    private void stored(OwnerRecords records) {
+    private void stored(JournalBatch batch) {
         mSent = Optional.empty();
         failing(false);
-        mSequence += records.isEmpty() ? 0 : 1;
-        records.over();
+        mSequence += batch.isEmpty() ? 0 : 1;
+        batch.over();
         Optional<Runnable> raised = mWhenRaised;
         mWhenRaised = Optional.empty();
         mRaised = true;
-        mEvents.stored(records.items(), records.firstSent());
+        mEvents.stored(batch.items(), batch.firstSent());
         raised.ifPresent(Runnable::run);
     }
 
-    private void refused(OwnerRecords records) {
+    private void refused(JournalBatch batch) {
         failing(true);
         if (mWhenRaised.isPresent()) {
-            mParts.timers().after(RETRY_MS, () -> again(records));
+            mParts.timers().after(RETRY_MS, () -> again(batch));
             return;
         }
         mSent = Optional.empty();
-        records.over();
-        mEvents.refused(records.items());
+        batch.over();
+        mEvents.refused(batch.items());
     }
 
-    private void doubtful(OwnerRecords records) {
-        records.maybeStored();
+    private void doubtful(JournalBatch batch) {
+        batch.maybeStored();
         failing(true);
-        if (records.giveOn()) {
-            mEvents.doubtful(records.items());
+        if (batch.giveOn()) {
+            mEvents.doubtful(batch.items());
         }
     }
 
-    private void again(OwnerRecords records) {
-        if (isAwaited(records) && records.unanswered() == 0) {
-            sendFirst(records);
+    private void again(JournalBatch batch) {
+        if (isAwaited(batch) && batch.unanswered() == 0) {
+            sendFirst(batch);
         }
     }
 
