--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -39,6 +39,9 @@
     /** A pool with spare VMs gives them to the standby pool after this time, in milliseconds. */
     private static final long IDLE_MS = 1000;
 
+    /** A pool that lacks more than this share of a VM gets one. */
+    private static final double WORTH_A_VM = 0.5;
+
     /** Spare VMs that a serving pool keeps for what comes at once. */
     private static final int KEEP_IDLE = 1;
 
@@ -180,7 +183,7 @@
         List<Pool> lacking = new ArrayList<>(pools.values());
         lacking.sort(Comparator.comparingDouble(Pool::lackedVms).reversed());
         for (Pool pool : lacking) {
-            while (pool.lackedVms() > 0.5) {
+            while (pool.lackedVms() > WORTH_A_VM) {
                 Optional<VmState> vm =
                         standby.isEmpty() ? lend(pools, pool) : Optional.of(standby.remove(0));
                 if (vm.isEmpty()) {
@@ -195,7 +198,7 @@
     /** Late jobs get VMs that are off, and none of another pool's. */
     private void fillForLate(Collection<Pool> pools, List<VmState> standby, long nowMs) {
         for (Pool pool : pools) {
-            while (!standby.isEmpty() && pool.lackedWithLate() > 0.5) {
+            while (!standby.isEmpty() && pool.lackedWithLate() > WORTH_A_VM) {
                 VmState vm = standby.remove(0);
                 vm.plan(new VmAction.Move(pool.mName, "late jobs wait"), nowMs);
                 pool.coming(vm.info().capacity().milliProcessors());
