--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
@@ -12,7 +12,7 @@
  *
  * <p>A move waits for tasks, but for those of late jobs where the VM is lent to a queue whose jobs
  * can still be in time: a backlog after an outage would keep it for as long as its tasks take. In
- * {@code TurnReplayTest} that brings 0.12 more of the jobs of a turn beside a backlog in time.
+ * {@code TurnReplayTest} 0.84 of the jobs of a turn beside a backlog are in time, 0.74 without.
  */
 final class Vacating {
     /** How long to wait for tasks that lose their work when stopped, in milliseconds. */
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
@@ -254,7 +254,7 @@
         }
         long last = runs.stream().filter(r -> r.worker().isVacating()).count();
 
-        assertTrue(first > 0 && first < 8, "chosen at once: " + first);
+        assertTrue(first > 0 && first <= 5, "chosen at once: " + first);
         assertEquals(last, first);
     }
 
