Sight: a lapsed run tells when its lease was last renewed, a dropped worker is logged

A line run-lapsed could not tell a lease that this owner had renewed itself from one that it had never reached and counted from its take-over; and no line told that a worker was dropped. No decision changes: dropping workers is a step of its own now, at the same moment as before.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -264,10 +264,21 @@
             }
         }
         lapsed.forEach(mRuns::remove);
-        mWorkers.values().removeIf(w -> !w.isListed() && w.isSilent() && w.runs().isEmpty());
         return lapsed;
     }
 
+    /** Drops the workers that neither the directory names nor a run ties, and returns them. */
+    public List<WorkerState> takeForgotten() {
+        List<WorkerState> forgotten = new ArrayList<>();
+        for (WorkerState w : mWorkers.values()) {
+            if (!w.isListed() && w.isSilent() && w.runs().isEmpty()) {
+                forgotten.add(w);
+            }
+        }
+        mWorkers.values().removeAll(forgotten);
+        return forgotten;
+    }
+
     /** How busy each service is, for the log. */
     public List<PoolLoad> loads(FleetConfig config, long nowMs, long nowWallMs) {
         Map<String, List<ActiveRun>> due = runsByService(nowWallMs);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -210,7 +210,8 @@
         mGrantedMs = Math.max(mGrantedMs, nowMs);
     }
 
-    long grantedMs() {
+    /** When its lease was last renewed, or else when this owner first heard of it. */
+    public long grantedMs() {
         return mGrantedMs;
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -139,6 +139,9 @@
                 .line("owner-loaded")
                 .with("token", mToken)
                 .with("workers", mScheduler.workers().size())
+                .with(
+                        "inheritedRuns",
+                        mScheduler.workers().stream().mapToInt(w -> w.runs().size()).sum())
                 .with("journal", mParts.reader().position())
                 .write();
         mDirectory.follow();
@@ -276,8 +279,14 @@
                     .with("task", r.slot().name())
                     .with("attempt", r.attempt())
                     .with("worker", r.worker().id())
+                    .with("listed", r.worker().isListed())
+                    .with("renewedMsAgo", now - r.worker().grantedMs())
+                    .with("ownedMs", mLease.ownedMs())
                     .write();
         }
+        for (WorkerState w : mScheduler.takeForgotten()) {
+            mParts.log().line("worker-forgotten").with("worker", w.id()).write();
+        }
         Optional<FleetConfig> config = mParts.operator().config();
         if (config.isPresent()) {
             Decisions decisions = mScheduler.decide(config.get(), now, mClock.wallMs());
