--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
@@ -0,0 +1,46 @@
+package org.foxtailplank.node.owner;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.port.Feed;
+import org.foxtailplank.port.WorkerInfo;
+
+/** A directory of workers that tests change. */
+final class FakeDirectory implements Feed<WorkerInfo> {
+    private final List<Item<WorkerInfo>> mItems = new ArrayList<>();
+
+    /** Names a worker of eight cores. */
+    void list(String id, String service) {
+        WorkerInfo info =
+                new WorkerInfo(
+                        id,
+                        service,
+                        "10.0.0.1:1",
+                        "zone",
+                        Resources.of(8, 1L << 40, 0),
+                        Set.of("a", "r1"),
+                        "r1",
+                        false);
+        mItems.add(new Item<>(id, Optional.of(info)));
+    }
+
+    /** Names a worker no more, as when its heartbeats don't arrive. */
+    void drop(String id) {
+        mItems.add(new Item<>(id, Optional.empty()));
+    }
+
+    @Override
+    public void newest(Consumer<Result<WorkerInfo>> then) {
+        then.accept(new Page<>(List.copyOf(mItems), mItems.size()));
+    }
+
+    @Override
+    public void changes(long position, long waitMs, Consumer<Result<WorkerInfo>> then) {
+        List<Item<WorkerInfo>> news = mItems.subList((int) position, mItems.size());
+        then.accept(new Page<>(List.copyOf(news), mItems.size()));
+    }
+}
