The looks at a worker end in the step in which the worker is dropped

Cause: the scheduler dropped a worker that no list named, that was silent and without runs; its looks noticed that only before the next one. A look on its way that was answered in between went on for the dropped state for as long as the owner lived: it renewed the lease, adopted the runs, and the stops that this asked for were sent for no worker that the scheduler knew. A worker that was named again got no looks either, and so no tasks. Change: one step drops the worker and ends its looks.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
@@ -53,11 +53,6 @@
         if (mOwner.isOver() || mStopped) {
             return;
         }
-        if (!mWorker.isListed() && mWorker.isSilent() && mWorker.runs().isEmpty()) {
-            mStopped = true;
-            mOwner.lookerDone(mWorker);
-            return;
-        }
         long now = mParts.clock().nowMs();
         long lease = mParts.settings().schedule().leaseMs();
         long until = mWorker.leaseUntilMs(now, lease);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -172,9 +172,13 @@
         decisionDue();
     }
 
-    /** Forgets a worker that neither the directory names nor a run ties. */
-    void lookerDone(WorkerState worker) {
+    /**
+     * A worker was dropped. Its looks end in the same step: if one under way were answered later,
+     * they would go on, renew its lease, and adopt runs whose stops nobody sends.
+     */
+    private void forget(WorkerState worker) {
         mDirectory.over(worker.id());
+        mParts.log().line("worker-forgotten").with("worker", worker.id()).write();
     }
 
     /** A worker has refused this owner: a later one gives orders. */
@@ -284,9 +288,7 @@
                     .with("ownedMs", mLease.ownedMs())
                     .write();
         }
-        for (WorkerState w : mScheduler.takeForgotten()) {
-            mParts.log().line("worker-forgotten").with("worker", w.id()).write();
-        }
+        mScheduler.takeForgotten().forEach(this::forget);
         Optional<FleetConfig> config = mParts.operator().config();
         if (config.isPresent()) {
             Decisions decisions = mScheduler.decide(config.get(), now, mClock.wallMs());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectory.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectory.java
@@ -123,7 +123,7 @@
         return looker;
     }
 
-    /** A worker's life is over; it is looked at no more. */
+    /** A worker's life is over, or it is dropped; it is looked at no more. */
     void over(String worker) {
         Looker looker = mLookers.remove(worker);
         if (looker != null) {
