Leases of workers are renewed only while an owner can prove that it owns

Cause: a successor took the lease of a worker that it had not reached as over one lease after its take-over. A former owner that is cut off together with the worker doesn't know that it was replaced and renews the lease until it gives its place up by itself, so that the task ran on two workers. Change: an owner gives leases that end at most 3 s and the length of a lease after the sending of its newest stored append (RenewalWindow). A successor, whose raised epoch makes all those appends older, waits 3.15 s more for workers that it has not reached, unless the owner before it has left or its process has ended, and it had owned for longer than that. The lines owner-start and renewals tell which holds. Conclusion: the class is a right that one side takes as over by its own clock while another side can prolong it without proof; CallLease was the same for calls to the VM service.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -39,6 +39,7 @@
     private final Map<String, WorkerState> mWorkers = new LinkedHashMap<>();
     private final List<Decisions.Pace> mPaces = new ArrayList<>();
     private final ArrivalRate mArrivals = new ArrivalRate();
+    private long mOthersUntilMs = Long.MIN_VALUE / 2;
 
     /**
      * The view of a new owner.
@@ -254,11 +255,17 @@
         }
     }
 
+    /** An earlier owner that knows of no successor may have renewed leases until this time. */
+    public void renewedByOthersUntil(long untilMs) {
+        mOthersUntilMs = untilMs;
+    }
+
     /** Runs whose worker fell silent and whose lease is surely over. */
     public List<TaskRun> takeLapsed(long nowMs) {
         List<TaskRun> lapsed = new ArrayList<>();
         for (WorkerState w : mWorkers.values()) {
-            boolean over = nowMs > w.grantedMs() + mLimits.surelyLapsedMs();
+            long renewed = Math.max(w.grantedMs(), mOthersUntilMs);
+            boolean over = nowMs > renewed + mLimits.surelyLapsedMs();
             if (w.isSilent() && over) {
                 lapsed.addAll(w.runs());
             }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
@@ -54,8 +54,8 @@
             return;
         }
         long now = mParts.clock().nowMs();
-        long lease = mParts.settings().schedule().leaseMs();
-        long until = mWorker.leaseUntilMs(now, lease);
+        long lease = mOwner.workerLeaseMs();
+        long until = lease > 0 ? mWorker.leaseUntilMs(now, lease) : 0;
         boolean waits = until > 0 && !mWorker.isSilent() && !mWorker.hasUnstoredEnds();
         long wait = mWorker.runs().isEmpty() ? IDLE_WAIT_MS : WAIT_MS;
         wait = mWorker.isMixed() ? MIXED_WAIT_MS : wait;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
@@ -61,7 +61,7 @@
                         run.slot().step().job().order().text(),
                         run.slot().checkpoint(),
                         start.ticket(),
-                        worker.leaseUntilMs(now, mParts.settings().schedule().leaseMs()));
+                        worker.leaseUntilMs(now, mOwner.workerLeaseMs()));
         mParts.metrics().counter("starts").inc();
         mParts.platform().orders().start(worker.address(), order, a -> started(run, a, now));
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerLease.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerLease.java
@@ -2,13 +2,15 @@
 
 import org.foxtailplank.lease.CallLease;
 import org.foxtailplank.lease.Moment;
+import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.port.VmActions.CallPermit;
 
-/** The lease under which an owner calls the VM service, kept up to date. */
+/** For how long an owner may call the VM service and renew leases, kept up to date. */
 final class OwnerLease implements CallPermit {
     private final Clock mClock;
     private CallLease mLease;
+    private RenewalWindow mWindow = RenewalWindow.closed();
     private long mTookOverMs;
 
     /**
@@ -24,6 +26,7 @@
     /** An append of this owner's is stored that was first sent then. */
     void proved(Moment sent) {
         mLease = mLease.proved(sent);
+        mWindow = mWindow.proved(sent);
     }
 
     /** Earlier owners can store nothing more. */
@@ -42,6 +45,11 @@
         return mLease.isOpen(mClock.nowMs());
     }
 
+    /** Length of a worker's lease that is given now, in milliseconds; 0 for none. */
+    long workerLeaseMs(long longestMs) {
+        return mWindow.leaseMs(mClock.moment(), longestMs);
+    }
+
     @Override
     public long leftMs() {
         return mLease.leftMs(mClock.moment());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -12,6 +12,7 @@
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.port.FleetConfig;
@@ -40,7 +41,7 @@
     private final OwnerParts mParts;
     private final Clock mClock;
     private final long mToken;
-    private final boolean mPredecessorOver;
+    private final TakeOver mTaken;
     private final OwnerLease mLease;
     private final Runnable mFenced;
     private final Scheduler mScheduler;
@@ -54,13 +55,14 @@
     private boolean mLoaded;
     private boolean mOver;
     private boolean mDecisionDue;
+    private boolean mMayRenew = true;
 
     /** A new owner; {@code fenced} runs when a later owner has taken over. */
     public OwnerWork(OwnerParts parts, TakeOver taken, Runnable fenced) {
         mParts = parts;
         mClock = parts.clock();
         mToken = taken.token();
-        mPredecessorOver = taken.predecessorOver();
+        mTaken = taken;
         mFenced = fenced;
         mLease = new OwnerLease(mClock, parts.settings().vmTokensChecked());
         mScheduler = new Scheduler(parts.settings().schedule());
@@ -80,13 +82,14 @@
         mParts.log()
                 .line("owner-start")
                 .with("token", mToken)
-                .with("predecessorOver", mPredecessorOver)
+                .with("predecessorOver", mTaken.predecessorOver())
+                .with("renewalsOver", mTaken.renewalsOver())
                 .write();
         mParts.reader().eager(true);
         mJournal.whenStored(mLease::proved);
         mJournal.raiseEpoch(
                 () -> {
-                    mLease.tookOver(mPredecessorOver);
+                    mLease.tookOver(mTaken.predecessorOver());
                     sayAlive();
                     readJournal();
                     listVms();
@@ -132,6 +135,9 @@
         Set<String> lives = new HashSet<>();
         vms.forEach(v -> lives.add(v.worker()));
         long now = mClock.nowMs();
+        if (!mTaken.renewalsOver()) {
+            mScheduler.renewedByOthersUntil(now + RenewalWindow.WAIT_MS);
+        }
         for (JobEntry job : mParts.reader().book().jobs()) {
             mScheduler.inherit(job, w -> !lives.isEmpty() && !lives.contains(w), now);
         }
@@ -159,6 +165,17 @@
         return mOver;
     }
 
+    /** Length of a worker's lease that this owner may give now, in milliseconds; 0 for none. */
+    long workerLeaseMs() {
+        long left = mLease.workerLeaseMs(mParts.settings().schedule().leaseMs());
+        boolean may = left > 0;
+        if (may != mMayRenew) {
+            mMayRenew = may;
+            mParts.log().line("renewals").with("token", mToken).with("open", may).write();
+        }
+        return left;
+    }
+
     /** Ends the looks at a worker whose life is over, and frees its tasks. */
     void workerOver(WorkerState worker, String why) {
         mDirectory.over(worker.id());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -10,6 +10,7 @@
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.lease.CallLease;
+import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
@@ -273,7 +274,7 @@
         }
         mToken = token;
         mOwner = true;
-        mTaken.accept(new TakeOver(token, isPredecessorOver(token)));
+        mTaken.accept(new TakeOver(token, isPredecessorOver(token), areRenewalsOver(token)));
     }
 
     /**
@@ -288,10 +289,25 @@
         long before = token - 1;
         boolean isFirst = before == 0;
         boolean hasLeft = mLastLeft.map(l -> l.token() == before && l.callsOver()).orElse(false);
-        boolean ownedLong =
-                mLastAlive
-                        .map(a -> a.token() == before && a.ownedMs() >= CallLease.WAIT_MS)
-                        .orElse(false);
+        boolean ownedLong = hasOwned(before, CallLease.WAIT_MS);
         return isFirst || hasLeft || ownedLong && mSigns.areCallsOver(before);
     }
+
+    /**
+     * Whether no earlier owner renews leases of workers any more. One that has left, or whose
+     * process has ended, renews none; it must have owned for longer than its own predecessor may
+     * have gone on renewing, of which it says nothing.
+     */
+    private boolean areRenewalsOver(long token) {
+        long before = token - 1;
+        boolean isFirst = before == 0;
+        boolean hasLeft = mLastLeft.map(l -> l.token() == before).orElse(false);
+        boolean isOver = hasLeft || mSigns.areCallsOver(before);
+        return isFirst || isOver && hasOwned(before, RenewalWindow.WAIT_MS);
+    }
+
+    /** Whether the owner with a token has owned for so long. */
+    private boolean hasOwned(long token, long ms) {
+        return mLastAlive.map(a -> a.token() == token && a.ownedMs() >= ms).orElse(false);
+    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -144,7 +144,7 @@
         mDirectory.list("w1", SERVICE);
         mDirectory.list("w2", SERVICE);
         way.cut("w2");
-        OwnerWork first = owner(path, way, new TakeOver(1, true));
+        OwnerWork first = owner(path, way, new TakeOver(1, true, true));
         first.handedOver(standingJob(), outcome -> {});
         pass(2000);
         assertEquals(mWorkers.running(TASK), List.of("w1"));
@@ -166,7 +166,7 @@
         pass(600);
         FakeWorkers.Way way = mWorkers.way();
         way.cut("w1");
-        owner(new LogPath(mLog), way, new TakeOver(2, false));
+        owner(new LogPath(mLog), way, new TakeOver(2, false, false));
         passWithOneRunAtMost(30_000);
 
         assertEquals(mWorkers.running(TASK), List.of("w2"), "it serves again at last");
@@ -183,7 +183,7 @@
         mWorkers.holdLease("w1");
         FakeWorkers.Way way = mWorkers.way();
         way.cut("w1");
-        owner(new LogPath(mLog), way, new TakeOver(2, false));
+        owner(new LogPath(mLog), way, new TakeOver(2, false, false));
         pass(100);
         mDirectory.drop("w1");
         for (int i = 0; i < 2000 && mWorkers.running(TASK).size() < 2; i++) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FormerOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FormerOwnerTest.java
@@ -101,11 +101,11 @@
     @Test
     public void anOwnerThatIsCutOffStopsCallingBeforeItsSuccessorBegins() {
         LogPath first = new LogPath(mLog);
-        owner(first, new TakeOver(1, true), false);
+        owner(first, new TakeOver(1, true, true), false);
         pass(1000);
         int before = mCallers.size();
         first.cut();
-        owner(new LogPath(mLog), new TakeOver(2, false), false);
+        owner(new LogPath(mLog), new TakeOver(2, false, false), false);
         pass(4000);
 
         assertTrue(before > 0, "the first owner has called");
@@ -116,7 +116,7 @@
 
     @Test
     public void anOwnerThatReachesTheStoreGoesOnCalling() {
-        owner(new LogPath(mLog), new TakeOver(1, true), false);
+        owner(new LogPath(mLog), new TakeOver(1, true, true), false);
         pass(1000);
         int before = mCallers.size();
         pass(4000);
@@ -126,11 +126,11 @@
 
     @Test
     public void theSuccessorOfAnOwnerThatHasLeftDoesNotWait() {
-        OwnerWork first = owner(new LogPath(mLog), new TakeOver(1, true), false);
+        OwnerWork first = owner(new LogPath(mLog), new TakeOver(1, true, true), false);
         pass(1000);
         first.leave(() -> {});
         pass(100);
-        owner(new LogPath(mLog), new TakeOver(2, true), false);
+        owner(new LogPath(mLog), new TakeOver(2, true, true), false);
         pass(300);
 
         assertTrue(mCallers.contains(2L));
@@ -139,10 +139,10 @@
     @Test
     public void whereTheServiceChecksTokensNobodyWaits() {
         LogPath first = new LogPath(mLog);
-        owner(first, new TakeOver(1, true), true);
+        owner(first, new TakeOver(1, true, true), true);
         pass(1000);
         first.cut();
-        owner(new LogPath(mLog), new TakeOver(2, false), true);
+        owner(new LogPath(mLog), new TakeOver(2, false, false), true);
         pass(300);
 
         assertTrue(mCallers.contains(2L));
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.lease.CallLease;
+import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.FakeLog;
 import org.foxtailplank.node.FakeNode;
 import org.foxtailplank.node.journal.JournalCodec;
@@ -42,6 +43,7 @@
     private Optional<List<VmActions.VmInfo>> mVms;
     private List<Long> mTaken;
     private List<Boolean> mPredecessorsOver;
+    private List<Boolean> mRenewalsOver;
     private Ownership mOwnership;
 
     @BeforeMethod
@@ -52,6 +54,7 @@
         mVms = Optional.of(List.of());
         mTaken = new ArrayList<>();
         mPredecessorsOver = new ArrayList<>();
+        mRenewalsOver = new ArrayList<>();
     }
 
     /** What the owner's connection would tell; the test sets it. */
@@ -139,6 +142,7 @@
     private void taken(TakeOver taken) {
         mTaken.add(taken.token());
         mPredecessorsOver.add(taken.predecessorOver());
+        mRenewalsOver.add(taken.renewalsOver());
     }
 
     private void write(JournalRecord record) {
@@ -312,6 +316,42 @@
         assertEquals(mPredecessorsOver, List.of(false));
     }
 
+    @DataProvider
+    public Object[][] predecessors() {
+        long longEnough = RenewalWindow.WAIT_MS;
+        return new Object[][] {
+            {"killed", longEnough, OwnerState.GONE, true, true},
+            {"killed soon after it had taken over", longEnough - 1, OwnerState.GONE, true, false},
+            {"cut off", longEnough, OwnerState.REFUSED, false, false},
+            {"silent", longEnough, OwnerState.SILENT, false, false},
+        };
+    }
+
+    @Test(dataProvider = "predecessors")
+    public void leasesAreRenewedNoMoreOnlyByOwnersWhoseProcessHasEnded(
+            String what, long ownedMs, OwnerState state, boolean saysSo, boolean over) {
+        // A successor that takes the leases of a cut-off owner as over starts tasks a second time.
+        anotherOwns();
+        write(new OwnerAlive(1, ELSEWHERE, ownedMs));
+        startNode();
+        mSigns.mState = state;
+        mSigns.mCallsOver = saysSo;
+        pass(OwnerState.SILENT.patienceMs() + TRY_MS);
+
+        assertEquals(mRenewalsOver, List.of(over), what);
+    }
+
+    @Test
+    public void anOwnerThatHasLeftRenewsNoLeasesIfItOwnedForLongEnough() {
+        anotherOwns();
+        write(new OwnerAlive(1, ELSEWHERE, RenewalWindow.WAIT_MS));
+        write(new OwnerLeft(1, "other", false));
+        startNode();
+        pass(TRY_MS);
+
+        assertEquals(mRenewalsOver, List.of(true));
+    }
+
     @Test
     public void anOwnerThatIsOnlySilentMayStillCall() {
         anotherOwns();
