A lease is counted from the age of the worker's clock reading too

Found while the cause of a doubled run was looked for elsewhere: the end of a lease is a time of the worker's clock as it was last read. Where a worker takes orders and its answers are lost, that reading grows old, and a clock that is 2% slow stretches each lease by 2% of its age, beyond what is waited for. The lease is now shorter by twice the drift of that age.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
@@ -8,7 +8,7 @@
  */
 public record ScheduleLimits(long leaseMs, long earlyMs) {
     /** A worker's clock may be this much slower than ours. */
-    private static final double CLOCK_DRIFT = 0.02;
+    static final double CLOCK_DRIFT = 0.02;
 
     /** Slack for the age of the clock reading on which a lease was computed. */
     private static final long CLOCK_READING_MS = 200;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -198,7 +198,13 @@
 
     /** End of a lease that begins now, on the worker's clock; 0 while its clock is unknown. */
     public long leaseUntilMs(long nowMs, long leaseMs) {
-        return mHasClock ? nowMs + mClockAheadMs + leaseMs : 0;
+        if (!mHasClock) {
+            return 0;
+        }
+        // A worker that takes orders while its answers are lost runs behind the clock that was read
+        // from it: by seconds after minutes, and its lease would last longer than is waited for.
+        long behind = (long) ((nowMs - mContactMs) * 2 * ScheduleLimits.CLOCK_DRIFT);
+        return nowMs + mClockAheadMs + leaseMs - behind;
     }
 
     boolean hasClock() {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
@@ -155,6 +155,24 @@
         assertEquals(again.get(0).attempt(), 2);
     }
 
+    @Test
+    public void aLeaseDoesNotGrowWithTheAgeOfTheClockReadingThatItIsCountedBy() {
+        // The answers of a worker are lost for a minute while orders reach it. Its clock is 2%
+        // slow:
+        // by now it is 1.2 s behind what was read from it, and a lease that ends at a time of that
+        // clock lasts so much longer than its owner, or a successor, waits for.
+        Owner owner = new Owner();
+        WorkerState worker = owner.worker("w1", "surveys", 8);
+        long lease = Owner.LIMITS.leaseMs();
+        long atContact = worker.leaseUntilMs(owner.mNowMs, lease);
+
+        owner.mNowMs += 60_000;
+        double elapsedThere = 60_000 * 0.98;
+        double left = worker.leaseUntilMs(owner.mNowMs, lease) - (atContact - lease) - elapsedThere;
+
+        assertTrue(left / 0.98 <= Owner.LIMITS.surelyLapsedMs(), "lasts " + left / 0.98 + " ms");
+    }
+
     @Test
     public void aStartWithoutAnswerIsRepeatedAndNotMovedElsewhere() {
         // A start may be carried out seconds after its answer was lost. Given to another worker
