The lease of a silent worker is not renewed, so that it can be known to be over

Cause: an owner went on sending looks, each with a renewal, to a worker that was cut off; each might have arrived, so that the lease was never surely over and the worker's tasks started nowhere until the cut ended. The guard against doubled runs worked only for workers that a new owner had never reached. Change: orders to a silent worker repeat the lease that it has. Before: the test's task runs nowhere 8 s after the cut; after: elsewhere, and at most once at each moment.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -196,14 +196,32 @@
         return mContactMs;
     }
 
-    /** End of a lease that begins now, on the worker's clock; 0 while its clock is unknown. */
-    public long leaseUntilMs(long nowMs, long leaseMs) {
+    /**
+     * Renews its lease with an order that is about to be sent. A silent worker's lease stays as it
+     * was: each order that may still arrive would put off the time at which the lease is surely
+     * over, and its tasks would start nowhere for as long as the worker is cut off.
+     *
+     * @return the end of the lease on the worker's clock; 0 for none
+     */
+    public long renew(long nowMs, long leaseMs) {
+        if (leaseMs <= 0) {
+            return 0;
+        }
+        if (!mSilent && mHasClock) {
+            granted(nowMs);
+        }
+        return leaseUntilMs(mSilent ? mGrantedMs : nowMs, leaseMs);
+    }
+
+    /** End of a lease that begins then, on the worker's clock; 0 while its clock is unknown. */
+    long leaseUntilMs(long nowMs, long leaseMs) {
         if (!mHasClock) {
             return 0;
         }
         // A worker that takes orders while its answers are lost runs behind the clock that was read
         // from it: by seconds after minutes, and its lease would last longer than is waited for.
-        long behind = (long) ((nowMs - mContactMs) * 2 * ScheduleLimits.CLOCK_DRIFT);
+        long readAgo = Math.max(0, nowMs - mContactMs);
+        long behind = (long) (readAgo * 2 * ScheduleLimits.CLOCK_DRIFT);
         return nowMs + mClockAheadMs + leaseMs - behind;
     }
 
@@ -212,7 +230,7 @@
     }
 
     /** A lease was sent at this time. */
-    public void granted(long nowMs) {
+    void granted(long nowMs) {
         mGrantedMs = Math.max(mGrantedMs, nowMs);
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
@@ -54,16 +54,12 @@
             return;
         }
         long now = mParts.clock().nowMs();
-        long lease = mOwner.workerLeaseMs();
-        long until = lease > 0 ? mWorker.leaseUntilMs(now, lease) : 0;
+        long until = mWorker.renew(now, mOwner.workerLeaseMs());
         boolean waits = until > 0 && !mWorker.isSilent() && !mWorker.hasUnstoredEnds();
         long wait = mWorker.runs().isEmpty() ? IDLE_WAIT_MS : WAIT_MS;
         wait = mWorker.isMixed() ? MIXED_WAIT_MS : wait;
         wait = mWorker.hasStandingToCome() ? COMING_WAIT_MS : wait;
         LookOrder order = new LookOrder(mToken, mWorker.storedEnds(), until, waits ? wait : 0);
-        if (until > 0) {
-            mWorker.granted(now);
-        }
         mParts.metrics().counter("looks").inc();
         mParts.platform().orders().look(mWorker.address(), order, a -> answered(a, now));
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
@@ -54,14 +54,13 @@
         TaskRun run = start.run();
         WorkerState worker = run.worker();
         long now = mParts.clock().nowMs();
-        worker.granted(now);
         StartOrder order =
                 new StartOrder(
                         order(run),
                         run.slot().step().job().order().text(),
                         run.slot().checkpoint(),
                         start.ticket(),
-                        worker.leaseUntilMs(now, mOwner.workerLeaseMs()));
+                        worker.renew(now, mOwner.workerLeaseMs()));
         mParts.metrics().counter("starts").inc();
         mParts.platform().orders().start(worker.address(), order, a -> started(run, a, now));
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -199,6 +199,21 @@
         assertEquals(mWorkers.running(TASK), List.of("w2"));
     }
 
+    @Test
+    public void aTaskOfAWorkerThatStaysCutOffStartsElsewhereOnceItsLeaseIsOver() {
+        // A zone without the owner is cut off for long. Its workers kill their tasks when their
+        // leases end, but the owner goes on asking each of them for a sign, and each look that may
+        // still arrive would renew the lease: it can never tell that the lease is over, and the
+        // tasks run nowhere until the cut ends.
+        FakeWorkers.Way way = mWorkers.way();
+        ownerOfFirstWorker(new LogPath(mLog), way);
+        way.heal("w2");
+        way.cut("w1");
+        passWithOneRunAtMost(8000);
+
+        assertEquals(mWorkers.running(TASK), List.of("w2"));
+    }
+
     @Test
     public void anOwnerThatLosesTheStoreForSecondsKeepsStandingTasksAtWork() {
         // The store is down for everybody, so that nobody can replace the owner. Users see no gap
