Failing tests of a review: runs taken as over too early, leases without a proof

No code and no older test changes, but that the VMs which CutOffOwnerTest lists can be set by a test.

--- a/foxtail-core/src/test/java/org/foxtailplank/job/JobBookTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JobBookTest.java
@@ -167,4 +167,39 @@
         assertEquals(later.rebooted(1), Set.of("vm1"));
         assertTrue(later.isCompleted(2));
     }
+
+    @Test
+    public void aJobThatIsToldAgainMakesUpForRecordsThatWereMissed() {
+        // A node lags behind until records have expired, and reads on after a gap. It knows the job
+        // and so passes over the record that tells all of it again: as the owner it would start
+        // what has ended done.
+        JobBook whole = new JobBook(KEEP_MS);
+        JobEntry known = whole.apply(new JobAccepted(order("aa", 2, false))).orElseThrow();
+        TaskName task = new TaskName("aa", 0, 0, 0);
+        EndedRun end = new EndedRun(task, 1, RunOutcome.DONE, NOW_MS);
+        StartedRun start = new StartedRun(new TaskName("aa", 0, 0, 1), 1, "w1");
+        whole.apply(new RunsEnded(List.of(end)));
+        whole.apply(new RunsStarted(List.of(start)));
+
+        JobEntry entry = accept(2);
+        mBook.apply(known.restate(NOW_MS + 100_000));
+
+        assertTrue(entry.isDone(task));
+        assertEquals(List.copyOf(entry.lastStarts()), List.of(start));
+    }
+
+    @Test
+    public void noStartIsDroppedBeforeItsJobIsKnown() {
+        // While a partition of the journal was away, starts of more than a thousand jobs went to
+        // another one, which a node that starts then reads first.
+        TaskName task = new TaskName("aa", 0, 0, 0);
+        StartedRun start = new StartedRun(task, 1, "w1");
+        mBook.apply(new RunsStarted(List.of(start)));
+        for (int i = 0; i < 1000; i++) {
+            TaskName other = new TaskName("b" + i, 0, 0, 0);
+            mBook.apply(new RunsStarted(List.of(new StartedRun(other, 1, "w1"))));
+        }
+
+        assertEquals(List.copyOf(accept(1).lastStarts()), List.of(start));
+    }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/lease/RenewalWindowTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/lease/RenewalWindowTest.java
@@ -54,4 +54,12 @@
 
         assertEquals(leaseMs(later), 0);
     }
+
+    @Test
+    public void anOlderProofThatComesLateDoesNotShortenTheWindow() {
+        // An append to a partition that was away is stored at last; it was first sent long ago.
+        RenewalWindow window = RenewalWindow.closed().proved(at(20_000)).proved(START);
+
+        assertEquals(window.leaseMs(at(20_000), LEASE_MS), LEASE_MS);
+    }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
@@ -267,4 +267,20 @@
 
         assertEquals(mPlanner.overLives(down, mOwner.mNowMs), List.of(worker));
     }
+
+    @Test
+    public void aWorkerThatHasAnsweredSinceIsNotOverForOneListThatLacksIt() {
+        // The list of VMs comes in pages that are read one after the other. A VM that one list
+        // lacks, while its worker answers looks that were sent after the list was asked for, is
+        // alive: its tasks would be started a second time while they run.
+        WorkerState worker = serving("1", "surveys");
+        serving("2", "surveys");
+        mPlanner.overLives(mVms, mOwner.mNowMs);
+        long asked = mOwner.mNowMs;
+        mVms.removeIf(v -> v.id().equals("vm1"));
+        mOwner.mNowMs += 10;
+        mOwner.look(worker);
+
+        assertEquals(mPlanner.overLives(mVms, asked), List.of());
+    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.JobOrder;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
@@ -23,6 +24,7 @@
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.Feed;
 import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.OperatorOrder;
 import org.foxtailplank.port.PoolService;
 import org.foxtailplank.port.SharedLog;
@@ -45,6 +47,7 @@
     private FakeWorkers mWorkers;
     private FakeDirectory mDirectory;
     private List<OwnerParts> mParts;
+    private List<VmActions.VmInfo> mVms;
 
     @BeforeMethod
     public void setUp() {
@@ -53,13 +56,14 @@
         mWorkers = new FakeWorkers(mTime);
         mDirectory = new FakeDirectory();
         mParts = new ArrayList<>();
+        mVms = List.of(Vms.vm("vm1", "w1"), Vms.vm("vm2", "w2"));
     }
 
-    /** Lists two VMs that stay as they are. */
-    private static final class Vms implements VmActions {
+    /** Lists VMs that stay as they are. */
+    private final class Vms implements VmActions {
         @Override
         public void list(Consumer<Optional<List<VmInfo>>> then) {
-            then.accept(Optional.of(List.of(vm("vm1", "w1"), vm("vm2", "w2"))));
+            then.accept(Optional.of(mVms));
         }
 
         private static VmInfo vm(String id, String worker) {
@@ -211,4 +215,111 @@
 
         assertEquals(mWorkers.running(TASK), List.of("w1"));
     }
+
+    @Test
+    public void anOwnerWithoutLeasesToGiveDoesNotAskWorkersAllTheTime() {
+        // A look that renews nothing asks the worker not to wait, and is followed by the next one
+        // at once: an owner that can prove nothing any more calls each worker some hundred times a
+        // second, for as long as the store is away.
+        LogPath path = new LogPath(mLog);
+        ownerOfFirstWorker(path, mWorkers.way());
+
+        path.cut();
+        pass(10_000);
+        long before = looks();
+        pass(1000);
+
+        long perSecond = looks() - before;
+        assertTrue(perSecond <= 10, perSecond + " looks in a second, two workers");
+    }
+
+    private long looks() {
+        return mParts.get(0).metrics().counter("looks").getCount();
+    }
+
+    @Test
+    public void aPartitionThatTakesAnOldAppendDoesNotEndLeases() {
+        // One partition of the journal is away for ten seconds with an append on its way; the
+        // records go to another one meanwhile, and prove all the time that the owner owns. Then the
+        // old append is stored. It was first sent ten seconds ago: no lease was given until the
+        // next sign of life was stored, starts were refused, and workers were asked all the time.
+        boolean[] late = new boolean[1];
+        SharedLog log = lateIn(p -> late[0] && p.number() == 0);
+        OwnerWork first = ownerOfFirstWorker(log, mWorkers.way());
+
+        late[0] = true;
+        pass(10_000);
+        assertEquals(first.workerLeaseMs(), LIMITS.leaseMs(), "another partition takes records");
+        late[0] = false;
+        for (int i = 0; i < 200; i++) {
+            pass(STEP_MS);
+            assertEquals(first.workerLeaseMs(), LIMITS.leaseMs(), i * STEP_MS + " ms after it");
+        }
+    }
+
+    /** A log of which some partitions don't answer appends and don't carry them out. */
+    private SharedLog lateIn(Predicate<LogPartition> late) {
+        SharedLog whole = mLog;
+        return new SharedLog() {
+            @Override
+            public void append(LogPartition at, List<byte[]> records, Consumer<AppendResult> then) {
+                whole.append(at, records, then);
+            }
+
+            @Override
+            public void appendAt(
+                    LogPartition at, long end, byte[] record, Consumer<AppendResult> then) {
+                whole.appendAt(at, end, record, then);
+            }
+
+            @Override
+            public void appendAs(
+                    LogPartition at,
+                    WriterEpoch writer,
+                    List<byte[]> records,
+                    Consumer<AppendResult> then) {
+                if (late.test(at)) {
+                    mTime.after(600, () -> then.accept(new MaybeStored("no answer in time")));
+                } else {
+                    whole.appendAs(at, writer, records, then);
+                }
+            }
+
+            @Override
+            public void read(LogPartition at, long from, long waitMs, Consumer<ReadResult> then) {
+                whole.read(at, from, waitMs, then);
+            }
+        };
+    }
+
+    @Test
+    public void aWorkerThatHasJustJoinedIsNotTakenAsOverByASuccessor() {
+        // VMs are listed with a new life up to two seconds after that life has joined the
+        // directory. A task is started there, the owner is killed, and the successor reaches
+        // neither it nor the worker: it must not take the run as over since one list of VMs lacks
+        // the life that the directory names.
+        mVms = List.of(Vms.vm("vm1", ""), Vms.vm("vm2", "w2"));
+        ownerOfFirstWorker(new LogPath(mLog), mWorkers.way()).end();
+
+        FakeWorkers.Way way = mWorkers.way();
+        way.cut("w1");
+        owner(new LogPath(mLog), way, new TakeOver(2, true, true));
+        passWithOneRunAtMost(1500);
+    }
+
+    @Test
+    public void aStandingTaskServesAgainElsewhereWhenItsWorkerIsCutOffForLong() {
+        // The owner stays, and loses sight of one worker that it has looked at. Each look that
+        // goes unanswered counts as a renewal, so that the lease never counts as over: the task
+        // has lapsed on its worker and is started nowhere, for as long as the cut lasts.
+        FakeWorkers.Way way = mWorkers.way();
+        ownerOfFirstWorker(mLog, way);
+        way.heal("w2");
+        pass(1000);
+
+        way.cut("w1");
+        passWithOneRunAtMost(15_000);
+
+        assertEquals(mWorkers.running(TASK), List.of("w2"));
+    }
 }
