--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
@@ -31,9 +31,11 @@
 public final class JobBook {
     /**
      * Jobs at most of which records are kept that came before them. Records of jobs that were
-     * forgotten are never taken up; the oldest are dropped.
+     * forgotten are never taken up; the oldest are dropped. A busy journal tells of some 50 jobs a
+     * second, and what is told of them in a partition while another one is away for two minutes
+     * must not be lost: a start that is dropped is one that a new owner repeats.
      */
-    private static final int MOST_EARLY = 1000;
+    private static final int MOST_EARLY = 10_000;
 
     private final Map<String, JobEntry> mJobs = new LinkedHashMap<>();
     private final Map<Long, Set<String>> mRebooted = new HashMap<>();
@@ -108,16 +110,15 @@
     }
 
     private Optional<JobEntry> restated(JobRestated record) {
-        if (mJobs.containsKey(record.order().id())) {
-            return Optional.empty();
-        }
-        JobEntry entry = new JobEntry(record.order());
+        Optional<JobEntry> known = job(record.order().id());
+        // A node that read on after a gap knows the job and lacks what the gap told of it.
+        JobEntry entry = known.orElseGet(() -> new JobEntry(record.order()));
         record.starts().forEach(entry::started);
         record.ends().forEach(entry::ended);
         if (record.cancelledMs() > 0) {
             entry.cancel(record.cancelledMs());
         }
-        return Optional.of(add(entry));
+        return known.isPresent() ? Optional.empty() : Optional.of(add(entry));
     }
 
     /** What the journal tells of waves, to be written again. */
--- a/foxtail-core/src/main/java/org/foxtailplank/lease/CallLease.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/lease/CallLease.java
@@ -48,9 +48,13 @@
         return new CallLease(checked, Optional.empty(), NOT_OPEN);
     }
 
-    /** An append under the owner's epoch is stored; {@code sent} is when it was first sent. */
+    /**
+     * An append under the owner's epoch is stored; {@code sent} is when it was first sent. One that
+     * comes late, from a part of the log that was away, says less than what is known.
+     */
     public CallLease proved(Moment sent) {
-        return new CallLease(checked, Optional.of(sent), openFromMs);
+        boolean newer = proof.map(p -> sent.steadyMs() >= p.steadyMs()).orElse(true);
+        return newer ? new CallLease(checked, Optional.of(sent), openFromMs) : this;
     }
 
     /**
--- a/foxtail-core/src/main/java/org/foxtailplank/lease/RenewalWindow.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/lease/RenewalWindow.java
@@ -34,9 +34,13 @@
         return new RenewalWindow(Optional.empty());
     }
 
-    /** An append under the owner's epoch is stored; {@code sent} is when it was first sent. */
+    /**
+     * An append under the owner's epoch is stored; {@code sent} is when it was first sent. One that
+     * comes late, from a part of the log that was away, says less than what is known.
+     */
     public RenewalWindow proved(Moment sent) {
-        return new RenewalWindow(Optional.of(sent));
+        boolean newer = proof.map(p -> sent.steadyMs() >= p.steadyMs()).orElse(true);
+        return newer ? new RenewalWindow(Optional.of(sent)) : this;
     }
 
     /** Length of a lease that is given now, in milliseconds; 0 for none. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -53,7 +53,8 @@
     /**
      * Lives of workers that are over: a complete list of VMs that was asked for well after a worker
      * was first seen names each VM's life. A worker that crashed shows so here at once, while its
-     * lease would have to be waited for.
+     * lease would have to be waited for. One that has answered since the list was asked for is
+     * alive: the list is read in pages, between which a VM may have gone from one to the other.
      */
     public List<WorkerState> overLives(List<VmInfo> vms, long askedMs) {
         Set<String> lives = new HashSet<>();
@@ -61,7 +62,7 @@
         List<WorkerState> over = new ArrayList<>();
         for (WorkerState w : mScheduler.workers()) {
             boolean old = mSeenLives.contains(w.id()) || w.firstSeenMs() + JOINING_MS < askedMs;
-            if (old && !lives.contains(w.id())) {
+            if (old && !lives.contains(w.id()) && !w.hasAnsweredSince(askedMs)) {
                 over.add(w);
             }
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -192,6 +192,11 @@
         mLooked = true;
     }
 
+    /** Whether an answer of it has come after this time. */
+    boolean hasAnsweredSince(long ms) {
+        return mLooked && mContactMs > ms;
+    }
+
     long contactMs() {
         return mContactMs;
     }
@@ -225,7 +230,8 @@
         return nowMs + mClockAheadMs + leaseMs - behind;
     }
 
-    boolean hasClock() {
+    /** Whether its clock was read. */
+    public boolean hasClock() {
         return mHasClock;
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Looker.java
@@ -55,7 +55,7 @@
         }
         long now = mParts.clock().nowMs();
         long until = mWorker.renew(now, mOwner.workerLeaseMs());
-        boolean waits = until > 0 && !mWorker.isSilent() && !mWorker.hasUnstoredEnds();
+        boolean waits = mWorker.hasClock() && !mWorker.isSilent() && !mWorker.hasUnstoredEnds();
         long wait = mWorker.runs().isEmpty() ? IDLE_WAIT_MS : WAIT_MS;
         wait = mWorker.isMixed() ? MIXED_WAIT_MS : wait;
         wait = mWorker.hasStandingToCome() ? COMING_WAIT_MS : wait;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -139,7 +139,7 @@
             mScheduler.renewedByOthersUntil(now + RenewalWindow.WAIT_MS);
         }
         for (JobEntry job : mParts.reader().book().jobs()) {
-            mScheduler.inherit(job, w -> !lives.isEmpty() && !lives.contains(w), now);
+            mScheduler.inherit(job, w -> isOver(w, lives), now);
         }
         mParts.log()
                 .line("owner-loaded")
@@ -157,6 +157,15 @@
         tick();
     }
 
+    /**
+     * Whether a life is surely over as this owner takes over. One that the directory names may have
+     * joined a moment ago, before its VM is listed with it: it is left to later lists.
+     */
+    private boolean isOver(String worker, Set<String> listedLives) {
+        boolean named = mScheduler.worker(worker).map(WorkerState::isListed).orElse(false);
+        return !named && !listedLives.isEmpty() && !listedLives.contains(worker);
+    }
+
     Scheduler scheduler() {
         return mScheduler;
     }
