--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -11,6 +13,7 @@
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.JobOrder;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.PlacementRule;
 import org.foxtailplank.job.QueueTerms;
 import org.foxtailplank.job.RunMode;
@@ -48,6 +51,7 @@
     private FakeDirectory mDirectory;
     private List<OwnerParts> mParts;
     private List<VmActions.VmInfo> mVms;
+    private boolean[] mLateFromStart;
 
     @BeforeMethod
     public void setUp() {
@@ -56,6 +60,7 @@
         mWorkers = new FakeWorkers(mTime);
         mDirectory = new FakeDirectory();
         mParts = new ArrayList<>();
+        mLateFromStart = new boolean[0];
         mVms = List.of(Vms.vm("vm1", "w1"), Vms.vm("vm2", "w2"));
     }
 
@@ -111,14 +116,13 @@
 
     /** A job whose one task runs until it is cancelled. */
     private static byte[] standingJob() {
+        return job(new RunMode(false, true, false, false, 0, 0));
+    }
+
+    private static byte[] job(RunMode mode) {
         TaskStep step =
                 new TaskStep(
-                        1,
-                        Resources.of(1, 1, 0),
-                        500,
-                        List.of(),
-                        PlacementRule.ANYWHERE,
-                        new RunMode(false, true, false, false, 0, 0));
+                        1, Resources.of(1, 1, 0), 500, List.of(), PlacementRule.ANYWHERE, mode);
         QueueTerms terms = new QueueTerms(0, 2, 1.6, 600, Optional.empty());
         JobOrder order =
                 new JobOrder(
@@ -257,6 +261,19 @@
         }
     }
 
+    private static boolean hasStart(List<byte[]> records) {
+        try {
+            for (byte[] r : records) {
+                if (JournalCodec.decode(r).orElseThrow() instanceof RunsStarted) {
+                    return true;
+                }
+            }
+            return false;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** A log of which some partitions don't answer appends and don't carry them out. */
     private SharedLog lateIn(Predicate<LogPartition> late) {
         SharedLog whole = mLog;
@@ -278,6 +295,10 @@
                     WriterEpoch writer,
                     List<byte[]> records,
                     Consumer<AppendResult> then) {
+                if (mLateFromStart.length > 0 && hasStart(records)) {
+                    mLateFromStart[0] = true;
+                    mLateFromStart = new boolean[0];
+                }
                 if (late.test(at)) {
                     mTime.after(600, () -> then.accept(new MaybeStored("no answer in time")));
                 } else {
@@ -322,4 +343,33 @@
 
         assertEquals(mWorkers.running(TASK), List.of("w2"));
     }
+
+    @Test
+    public void aStartThatWaitedForTheStoreDoesNotLapseRightAfterIt() {
+        // A start is on its way to the journal as the store goes away for almost nine seconds. Its
+        // append
+        // proves the owner at the moment of its first sending only, and is followed at once by the
+        // order, which carries what is left of the lease: less than the worker's look, which has
+        // just begun, waits. The run begins, and lapses before its lease is renewed.
+        boolean[] late = new boolean[1];
+        mDirectory.list("w1", SERVICE);
+        OwnerWork owner = owner(lateIn(p -> late[0]), mWorkers.way(), new TakeOver(1, true, true));
+        pass(1000);
+        owner.handedOver(job(RunMode.PLAIN), outcome -> {});
+        mLateFromStart = late;
+        pass(8600);
+        assertEquals(mWorkers.running(TASK), List.of());
+        late[0] = false;
+
+        int begun = 0;
+        int gone = 0;
+        for (int t = 0; t < 5000; t += STEP_MS) {
+            pass(STEP_MS);
+            boolean runs = !mWorkers.running(TASK).isEmpty();
+            begun += runs ? 1 : 0;
+            gone += begun > 0 && !runs ? 1 : 0;
+        }
+        assertTrue(begun > 0);
+        assertEquals(gone, 0, "steps without the task after it had begun");
+    }
 }
