A start waits for a full lease

Cause: a start that was written down while the store was away is stored by an append that was first sent as the store went; its proof is that old, and so the run got what was left of a lease, none after nine seconds: it was refused, or lapsed right after it had begun. Change: the start is due again until the next stored sign of life, some ms later.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -189,6 +189,11 @@
         worker.silent();
     }
 
+    /** A start could not be sent yet; it is due again. */
+    public void startDelayed(TaskRun run) {
+        run.orderDue(true);
+    }
+
     /** What a worker said to a start. */
     public void startAnswered(TaskRun run, OrderOutcome outcome, long nowMs) {
         WorkerState worker = run.worker();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
@@ -50,8 +50,17 @@
                         });
     }
 
+    /**
+     * A start waits for a full lease. One that was written down while the store was away is stored
+     * by an append that was first sent as the store went; with what that leaves of a lease the run
+     * would lapse at once. The next sign of life in the journal brings a full one.
+     */
     private void start(Decisions.Start start) {
         TaskRun run = start.run();
+        if (!mOwner.givesFullLeases()) {
+            mOwner.scheduler().startDelayed(run);
+            return;
+        }
         WorkerState worker = run.worker();
         long now = mParts.clock().nowMs();
         StartOrder order =
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -174,6 +174,11 @@
         return mOver;
     }
 
+    /** Whether a lease that is given now has its whole length. */
+    boolean givesFullLeases() {
+        return workerLeaseMs() == mParts.settings().schedule().leaseMs();
+    }
+
     /** Length of a worker's lease that this owner may give now, in milliseconds; 0 for none. */
     long workerLeaseMs() {
         long left = mLease.workerLeaseMs(mParts.settings().schedule().leaseMs());
