Failing test: a small VM owns while larger ones stand by

The first owner was a VM with a link of 7 Mbit/s, one of 33 such beside 6 with 140. In the first queue's turn its appends and connections to the store timed out (2.3 to 6.5 s), looks went unanswered and 1,287 tasks waited; a VM with 140 Mbit/s took over at 6.03 s, and 16 waited at 10.07 s.

The settings now tell each node the rate of its link; nothing uses it yet. OwnershipTest.aNodeWithANarrowLinkLetsAnotherOneTakeThePlace fails.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -122,6 +122,7 @@
                         log,
                         settings.name(),
                         settings.peerAddress(),
+                        settings.link(),
                         mLink,
                         mPlatform.vmActions(),
                         this::own);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -21,6 +21,7 @@
  * @param schedule bounds for the scheduler
  * @param vmTokensChecked whether the VM service itself refuses an owner's token that is lower than
  *     one that it has seen
+ * @param link what its network link carries
  * @param graceMs time between the signal to stop and the end of the process, in milliseconds
  */
 public record NodeSettings(
@@ -34,6 +35,7 @@
         JournalBounds journal,
         ScheduleLimits schedule,
         boolean vmTokensChecked,
+        LinkRate link,
         long graceMs) {
 
     /**
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -73,6 +73,7 @@
                 journal,
                 schedule,
                 flag("/platform/vmTokensChecked"),
+                link("/node/linkMbps"),
                 seconds("/node/graceS"));
     }
 
@@ -109,6 +110,11 @@
         return value.asDouble();
     }
 
+    /** The rate of the node's link; it isn't known on every platform. */
+    private LinkRate link(String path) {
+        return mTree.at(path).isMissingNode() ? LinkRate.UNKNOWN : new LinkRate(number(path));
+    }
+
     private int atLeastOne(String path) {
         int value = (int) number(path);
         if (value < 1) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -11,6 +11,7 @@
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.lease.CallLease;
 import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.LinkRate;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
@@ -83,6 +84,7 @@
             NodeLog out,
             String node,
             String address,
+            LinkRate link,
             OwnerSigns signs,
             VmActions vms,
             Consumer<TakeOver> taken) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpServer;
 import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.LinkRate;
 import org.foxtailplank.node.Node;
 import org.foxtailplank.node.NodeMain;
 import org.foxtailplank.node.NodeSettings;
@@ -69,6 +70,7 @@
                         new NodeSettings.JournalBounds(RUN_MS, RUN_MS, 1),
                         new ScheduleLimits(RUN_MS, RUN_MS),
                         true,
+                        LinkRate.UNKNOWN,
                         RUN_MS);
         Node node = new Node(settings, loop, clock, timers, log);
         node.listen();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -30,6 +30,14 @@
         assertFalse(settings.vmTokensChecked());
     }
 
+    @Test
+    public void theRateOfTheLinkIsReadWhereItIsKnown() throws SettingsException {
+        String known = GOOD.replace("\"graceS\":6", "\"graceS\":6,\"linkMbps\":7.5");
+
+        assertEquals(NodeSettingsReader.parse(known).link(), new LinkRate(7.5));
+        assertEquals(NodeSettingsReader.parse(GOOD).link(), LinkRate.UNKNOWN);
+    }
+
     @Test
     public void aWayOfGivingOrdersThatIsNotKnownIsRefused() {
         // The platform is set up so that workers fetch their orders. A node that took no notice
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerParts.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerParts.java
@@ -4,6 +4,7 @@
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
 import org.foxtailplank.job.JobBook;
 import org.foxtailplank.node.FakeNode;
+import org.foxtailplank.node.LinkRate;
 import org.foxtailplank.node.NodeMetrics;
 import org.foxtailplank.node.NodeSettings;
 import org.foxtailplank.node.OperatorFollower;
@@ -40,6 +41,7 @@
                         new NodeSettings.JournalBounds(1, 1, 3),
                         new ScheduleLimits(1, 1),
                         vmTokensChecked,
+                        LinkRate.UNKNOWN,
                         1);
         NodeLog out = NodeLog.silent(time);
         JournalReader reader =
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
@@ -16,6 +16,7 @@
 import org.foxtailplank.lease.CallLease;
 import org.foxtailplank.node.FakeLog;
 import org.foxtailplank.node.FakeNode;
+import org.foxtailplank.node.LinkRate;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPartition;
 import org.foxtailplank.node.journal.JournalReader;
@@ -36,6 +37,12 @@
     /** Longest spread of the tries, and the time that a try takes in these tests. */
     private static final long TRY_MS = 450;
 
+    private static final LinkRate WIDE = new LinkRate(1000);
+    private static final LinkRate NARROW = new LinkRate(1);
+
+    /** Within this time a node takes the place that no other one takes. */
+    private static final long LAST_TRY_MS = 1200;
+
     private FakeNode mTime;
     private FakeLog mLog;
     private Signs mSigns;
@@ -110,6 +117,10 @@
 
     /** A node that starts now and reads what the journal holds. */
     private void startNode() {
+        startNode(WIDE);
+    }
+
+    private void startNode(LinkRate link) {
         NodeLog out = NodeLog.silent(mTime);
         JournalReader reader =
                 new JournalReader(
@@ -129,6 +140,7 @@
                         out,
                         "node",
                         "10.0.0.1:1",
+                        link,
                         mSigns,
                         new Vms(),
                         this::taken);
@@ -269,6 +281,47 @@
         assertEquals(mSigns.mOwner.get().address(), new InetSocketAddress("10.0.0.3", 1));
     }
 
+    @Test(dataProvider = "narrowStarts")
+    public void aNodeWithANarrowLinkLetsAnotherOneTakeThePlace(Runnable lost) {
+        // A queue's turn comes and its jobs wait for seconds. A small VM had taken the place of the
+        // owner: what an owner sends to all nodes and workers filled its link, so that its appends
+        // and looks went unanswered, while larger VMs stood by.
+        lost.run();
+        startNode(NARROW);
+        mSigns.mState = OwnerState.GONE;
+        pass(TRY_MS);
+        assertTrue(mTaken.isEmpty(), "taken before others could try");
+        mLog.records(OWNERS).add(new OwnerRecord("third", "10.0.0.3:1", "life").encode());
+        write(new OwnerAlive(mLog.records(OWNERS).size(), "10.0.0.3:1", 0));
+        mSigns.mState = OwnerState.STREAMING;
+        pass(TRY_MS);
+
+        assertTrue(mTaken.isEmpty());
+        assertEquals(mSigns.mOwner.get().address(), new InetSocketAddress("10.0.0.3", 1));
+    }
+
+    @DataProvider
+    public Object[][] narrowStarts() {
+        Runnable first = () -> {};
+        Runnable left =
+                () -> {
+                    anotherOwns();
+                    write(new OwnerLeft(1, "other", true));
+                };
+        Runnable gone = this::anotherOwns;
+        return new Object[][] {{first}, {left}, {gone}};
+    }
+
+    @Test
+    public void aNodeWithANarrowLinkTakesThePlaceThatNobodyElseTakes() {
+        anotherOwns();
+        startNode(NARROW);
+        mSigns.mState = OwnerState.GONE;
+        pass(LAST_TRY_MS);
+
+        assertEquals(mTaken, List.of(2L));
+    }
+
     @Test(dataProvider = "yesAndNo")
     public void callsOfAnOwnerThatHasLeftAreOverIfItSaysSo(boolean callsOver) {
         anotherOwns();
