Nodes with narrow links let others own first

Change: a node whose link is not ample waits up to 600 ms longer once the place is free, so that nodes with wider links try before it. Where nobody else tries it takes the place all the same. Nodes whose settings say nothing, and those with 100 Mbit/s or more, wait no longer than before.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/LinkRate.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/LinkRate.java
@@ -9,9 +9,33 @@
     /** A link of which nothing is known. */
     public static final LinkRate UNKNOWN = new LinkRate(0);
 
+    /** On a link of this rate an owner has room for all that it sends, in megabits a second. */
+    private static final double AMPLE = 100;
+
+    /**
+     * Longest time that a node lets others go ahead, in milliseconds: their tries spread over 300,
+     * and a try is two calls.
+     */
+    private static final long LONGEST_YIELD_MS = 600;
+
     public LinkRate {
         if (!(megabitsPerS >= 0)) {
             throw new IllegalArgumentException("no rate: " + megabitsPerS);
         }
     }
+
+    /**
+     * How long a node with this link lets others take an owner's place first, in milliseconds.
+     *
+     * <p>Guards against an owner whose link is full: it sends the journal to all other nodes and
+     * each task's text to a worker, and in a queue's turn its appends, looks and orders time out
+     * while jobs wait. A node whose link is not ample tries after those that have one, and at last
+     * all the same.
+     */
+    public long yieldMs() {
+        if (equals(UNKNOWN)) {
+            return 0;
+        }
+        return (long) (LONGEST_YIELD_MS * Math.max(0, 1 - megabitsPerS / AMPLE));
+    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -63,12 +63,14 @@
     private final OwnerSigns mSigns;
     private final VmActions mVms;
     private final Consumer<TakeOver> mTaken;
+    private final long mYieldMs;
 
     private long mSpreadMs;
     private long mSignMs;
     private long mLastReadMs;
     private long mToken;
     private boolean mLeft;
+    private long mFreeSinceMs = Long.MAX_VALUE;
     private Optional<OwnerLeft> mLastLeft = Optional.empty();
     private Optional<OwnerAlive> mLastAlive = Optional.empty();
     private boolean mTrying;
@@ -98,6 +100,7 @@
         mSigns = signs;
         mVms = vms;
         mTaken = taken;
+        mYieldMs = link.yieldMs();
         mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
         mSignMs = clock.nowMs() - OwnerState.SILENT.patienceMs();
     }
@@ -169,8 +172,12 @@
         }
     }
 
+    /** Whether the place is free, and others with wider links have had time to take it. */
     private boolean isReplaceable() {
-        return mLeft || mClock.nowMs() - signMs() >= patienceMs() + mSpreadMs;
+        long now = mClock.nowMs();
+        boolean free = mLeft || now - signMs() >= patienceMs() + mSpreadMs;
+        mFreeSinceMs = free ? Math.min(mFreeSinceMs, now) : Long.MAX_VALUE;
+        return free && now - mFreeSinceMs >= mYieldMs;
     }
 
     /** With a slow store the owner's signs come late in the journal, and early on its stream. */
@@ -275,6 +282,7 @@
         }
         mToken = token;
         mOwner = true;
+        mFreeSinceMs = Long.MAX_VALUE;
         mTaken.accept(new TakeOver(token, isPredecessorOver(token)));
     }
 
