--- a/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
@@ -33,8 +33,28 @@
      */
     record WriterEpoch(String name, long epoch, long sequence) {}
 
-    /** Reads records from an offset on, and waits for the first one for so long; 0 doesn't wait. */
-    void read(LogPartition partition, long from, long waitMs, Consumer<ReadResult> then);
+    /** The most that one answer to a read carries, in bytes. */
+    int LARGEST_PAGE_BYTES = 1 << 20;
+
+    /**
+     * Reads records from an offset on.
+     *
+     * @param page how long to wait for the first record, and how much to answer with
+     */
+    void read(LogPartition partition, long from, PageRequest page, Consumer<ReadResult> then);
+
+    /**
+     * What an answer to a read is to be like.
+     *
+     * @param waitMs how long to wait for the first record, in milliseconds; 0 doesn't wait
+     * @param maxBytes how much to answer with
+     */
+    record PageRequest(long waitMs, int maxBytes) {
+        /** As much at a time as the log gives. */
+        public static PageRequest largest(long waitMs) {
+            return new PageRequest(waitMs, LARGEST_PAGE_BYTES);
+        }
+    }
 
     /** What came of an append. */
     sealed interface AppendResult {}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -9,6 +9,7 @@
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
+import org.foxtailplank.port.SharedLog.PageRequest;
 import org.foxtailplank.port.SharedLog.ReadResult;
 
 /** Follows one partition of the journal. */
@@ -105,20 +106,24 @@
     /** Begins to follow; goes on for ever. */
     void follow() {
         if (mEager && mCaughtUp) {
-            mLog.read(mPartition, mPosition, mPace.ownerWaitMs(), this::followed);
+            mLog.read(mPartition, mPosition, page(mPace.ownerWaitMs()), this::followed);
             return;
         }
         long asked = mClock.nowMs();
         mLog.read(
                 mPartition,
                 mPosition,
-                0,
+                page(0),
                 r -> {
                     mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
                     followed(r);
                 });
     }
 
+    private static PageRequest page(long waitMs) {
+        return PageRequest.largest(waitMs);
+    }
+
     private void followed(ReadResult result) {
         boolean atEnd = take(result);
         if (!(result instanceof SharedLog.Records)) {
@@ -161,7 +166,7 @@
         mLog.read(
                 mPartition,
                 mPosition,
-                0,
+                page(0),
                 r -> {
                     mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
                     boolean atEnd = take(r);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.SharedLog.AppendResult;
+import org.foxtailplank.port.SharedLog.PageRequest;
 import org.foxtailplank.port.VmActions;
 
 /**
@@ -251,7 +252,7 @@
         mLog.read(
                 OWNERS,
                 end - 1,
-                0,
+                PageRequest.largest(0),
                 r -> {
                     mTrying = false;
                     if (r instanceof SharedLog.Records page && !page.records().isEmpty()) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeLog.java
@@ -39,6 +39,7 @@
     private final Deque<Attempt> mLate = new ArrayDeque<>();
     private final Map<LogPartition, Writer> mWriters = new HashMap<>();
     private final Set<LogPartition> mDown = new HashSet<>();
+    private int mLinkBytes = Integer.MAX_VALUE;
 
     /** The fenced writer of a partition, as the store remembers it. */
     private static final class Writer {
@@ -61,6 +62,11 @@
         }
     }
 
+    /** Answers that are larger than this don't come before a read is given up. */
+    public void linkCarries(int bytes) {
+        mLinkBytes = bytes;
+    }
+
     /** Carries out the appends that were late. */
     public void carryOutLate() {
         while (!mLate.isEmpty()) {
@@ -165,14 +171,25 @@
     }
 
     @Override
-    public void read(LogPartition at, long from, long waitMs, Consumer<ReadResult> then) {
+    public void read(LogPartition at, long from, PageRequest request, Consumer<ReadResult> then) {
         if (mDown.contains(at)) {
             mAnswers.add(() -> then.accept(new ReadFailed("down")));
             return;
         }
         List<byte[]> all = records(at);
-        List<byte[]> page = List.copyOf(all.subList((int) Math.min(from, all.size()), all.size()));
+        List<byte[]> page = new ArrayList<>();
+        int bytes = 0;
+        for (int i = (int) Math.min(from, all.size()); i < all.size(); i++) {
+            bytes += all.get(i).length;
+            if (bytes > request.maxBytes()) {
+                break;
+            }
+            page.add(all.get(i));
+        }
+        int sent = page.stream().mapToInt(r -> r.length).sum();
         long end = all.size();
-        mAnswers.add(() -> then.accept(new Records(from, end, page)));
+        ReadResult result =
+                sent > mLinkBytes ? new ReadFailed("timeout") : new Records(from, end, page);
+        mAnswers.add(() -> then.accept(result));
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FormerOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FormerOwnerTest.java
@@ -78,9 +78,9 @@
         }
 
         @Override
-        public void read(LogPartition at, long from, long waitMs, Consumer<ReadResult> then) {
+        public void read(LogPartition at, long from, PageRequest page, Consumer<ReadResult> then) {
             if (!mCut) {
-                mLog.read(at, from, waitMs, r -> answer(then, r));
+                mLog.read(at, from, page, r -> answer(then, r));
             }
         }
 
