--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -23,6 +23,7 @@
     private final SharedLog mLog;
     private final LogPartition mPartition;
     private final Pace mPace;
+    private final PageSize mPageSize = new PageSize();
     private final Clock mClock;
     private final Timers mTimers;
     private final NodeLog mOut;
@@ -120,8 +121,8 @@
                 });
     }
 
-    private static PageRequest page(long waitMs) {
-        return PageRequest.largest(waitMs);
+    private PageRequest page(long waitMs) {
+        return new PageRequest(waitMs, mPageSize.bytes());
     }
 
     private void followed(ReadResult result) {
@@ -195,6 +196,7 @@
             return false;
         }
         if (!(result instanceof SharedLog.Records page)) {
+            mPageSize.failed();
             return false;
         }
         mLastReadMs = mClock.nowMs();
@@ -202,6 +204,11 @@
     }
 
     private boolean apply(SharedLog.Records page) {
+        if (page.records().isEmpty() && page.from() < page.end()) {
+            mPageSize.tooSmall();
+        } else {
+            mPageSize.answered();
+        }
         long first = page.from();
         for (int i = 0; i < page.records().size(); i++) {
             // Two reads may be on their way at a time; what was read already is passed over.
