--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -9,6 +9,7 @@
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
+import org.foxtailplank.port.SharedLog.PageRequest;
 import org.foxtailplank.port.SharedLog.ReadResult;
 
 /** Follows one partition of the journal. */
@@ -22,6 +23,7 @@
     private final SharedLog mLog;
     private final LogPartition mPartition;
     private final Pace mPace;
+    private final PageSize mPageSize = new PageSize();
     private final Clock mClock;
     private final Timers mTimers;
     private final NodeLog mOut;
@@ -105,20 +107,24 @@
     /** Begins to follow; goes on for ever. */
     void follow() {
         if (mEager && mCaughtUp) {
-            mLog.read(mPartition, mPosition, mPace.ownerWaitMs(), this::followed);
+            mLog.read(mPartition, mPosition, page(mPace.ownerWaitMs()), this::followed);
             return;
         }
         long asked = mClock.nowMs();
         mLog.read(
                 mPartition,
                 mPosition,
-                0,
+                page(0),
                 r -> {
                     mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
                     followed(r);
                 });
     }
 
+    private PageRequest page(long waitMs) {
+        return new PageRequest(waitMs, mPageSize.bytes());
+    }
+
     private void followed(ReadResult result) {
         boolean atEnd = take(result);
         if (!(result instanceof SharedLog.Records)) {
@@ -161,7 +167,7 @@
         mLog.read(
                 mPartition,
                 mPosition,
-                0,
+                page(0),
                 r -> {
                     mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
                     boolean atEnd = take(r);
@@ -190,6 +196,7 @@
             return false;
         }
         if (!(result instanceof SharedLog.Records page)) {
+            mPageSize.failed();
             return false;
         }
         mLastReadMs = mClock.nowMs();
@@ -197,6 +204,11 @@
     }
 
     private boolean apply(SharedLog.Records page) {
+        if (page.records().isEmpty() && page.from() < page.end()) {
+            mPageSize.tooSmall();
+        } else {
+            mPageSize.answered();
+        }
         long first = page.from();
         for (int i = 0; i < page.records().size(); i++) {
             // Two reads may be on their way at a time; what was read already is passed over.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -12,6 +12,7 @@
 import org.foxtailplank.lease.CallLease;
 import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.LinkRate;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
@@ -21,6 +22,7 @@
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.SharedLog.AppendResult;
+import org.foxtailplank.port.SharedLog.PageRequest;
 import org.foxtailplank.port.VmActions;
 
 /**
@@ -63,12 +65,14 @@
     private final OwnerSigns mSigns;
     private final VmActions mVms;
     private final Consumer<TakeOver> mTaken;
+    private final long mYieldMs;
 
     private long mSpreadMs;
     private long mSignMs;
     private long mLastReadMs;
     private long mToken;
     private boolean mLeft;
+    private long mFreeSinceMs = Long.MAX_VALUE;
     private Optional<OwnerLeft> mLastLeft = Optional.empty();
     private Optional<OwnerAlive> mLastAlive = Optional.empty();
     private boolean mTrying;
@@ -84,6 +88,7 @@
             NodeLog out,
             String node,
             String address,
+            LinkRate link,
             OwnerSigns signs,
             VmActions vms,
             Consumer<TakeOver> taken) {
@@ -97,6 +102,7 @@
         mSigns = signs;
         mVms = vms;
         mTaken = taken;
+        mYieldMs = link.yieldMs();
         mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
         mSignMs = clock.nowMs() - OwnerState.SILENT.patienceMs();
     }
@@ -168,8 +174,12 @@
         }
     }
 
+    /** Whether the place is free, and others with wider links have had time to take it. */
     private boolean isReplaceable() {
-        return mLeft || mClock.nowMs() - signMs() >= patienceMs() + mSpreadMs;
+        long now = mClock.nowMs();
+        boolean free = mLeft || now - signMs() >= patienceMs() + mSpreadMs;
+        mFreeSinceMs = free ? Math.min(mFreeSinceMs, now) : Long.MAX_VALUE;
+        return free && now - mFreeSinceMs >= mYieldMs;
     }
 
     /** With a slow store the owner's signs come late in the journal, and early on its stream. */
@@ -243,7 +253,7 @@
         mLog.read(
                 OWNERS,
                 end - 1,
-                0,
+                PageRequest.largest(0),
                 r -> {
                     mTrying = false;
                     if (r instanceof SharedLog.Records page && !page.records().isEmpty()) {
@@ -274,6 +284,7 @@
         }
         mToken = token;
         mOwner = true;
+        mFreeSinceMs = Long.MAX_VALUE;
         mTaken.accept(new TakeOver(token, isPredecessorOver(token), areRenewalsOver(token)));
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -322,8 +322,8 @@
             }
 
             @Override
-            public void read(LogPartition at, long from, long waitMs, Consumer<ReadResult> then) {
-                whole.read(at, from, waitMs, then);
+            public void read(LogPartition at, long from, PageRequest page, Consumer<ReadResult> then) {
+                whole.read(at, from, page, then);
             }
         };
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerParts.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerParts.java
@@ -8,6 +8,7 @@
 import org.foxtailplank.job.JobEntry;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.node.FakeNode;
+import org.foxtailplank.node.LinkRate;
 import org.foxtailplank.node.NodeMetrics;
 import org.foxtailplank.node.NodeSettings;
 import org.foxtailplank.node.OperatorFollower;
@@ -57,6 +58,7 @@
                         new NodeSettings.JournalBounds(1, 1, 3),
                         limits,
                         vmTokensChecked,
+                        LinkRate.UNKNOWN,
                         1);
         NodeLog out = NodeLog.silent(time);
         JournalReader reader =
