--- a/foxtail-core/src/main/java/org/foxtailplank/port/Feed.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/Feed.java
@@ -30,6 +30,29 @@
     /** No answer, or a refusal. */
     record Failed<T>(String reason) implements Result<T> {}
 
-    /** A value, or that there is none any more. */
-    record Item<T>(String key, Optional<T> value) {}
+    /**
+     * A value, or that there is none any more.
+     *
+     * @param key the key; empty where not even that could be read
+     * @param value the value; empty if there is none any more or it can't be read
+     * @param readable whether the record could be read; if not, what the key stood for before holds
+     *     no more, or is kept: that is for the follower to decide
+     */
+    record Item<T>(String key, Optional<T> value, boolean readable) {
+        public Item {
+            if (!readable && value.isPresent()) {
+                throw new IllegalArgumentException("a value from a record that can't be read");
+            }
+        }
+
+        /** A value that was read, or that there is none any more. */
+        public Item(String key, Optional<T> value) {
+            this(key, value, true);
+        }
+
+        /** A record that can't be read: another writer's. */
+        public static <T> Item<T> unreadable(String key) {
+            return new Item<>(key, Optional.empty(), false);
+        }
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/port/VmActions.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/VmActions.java
@@ -48,14 +48,27 @@
      * @param worker life of its worker; empty while it has none
      * @param capacity what its worker offers
      */
-    record VmInfo(String id, String pool, VmPhase phase, String worker, Resources capacity) {}
+    record VmInfo(String id, String pool, VmPhase phase, String worker, Resources capacity) {
+
+        /** An entry of the list that can't be read; its VM's name may be known, or empty. */
+        public static VmInfo unreadable(String id) {
+            return new VmInfo(id, "", VmPhase.UNREADABLE, "", Resources.NONE);
+        }
+
+        /** Whether the entry tells what its VM does; if not, the VM may be up with any life. */
+        public boolean isReadable() {
+            return phase != VmPhase.UNREADABLE;
+        }
+    }
 
     /** What a VM is doing. */
     enum VmPhase {
         UP,
         MOVING,
         REBOOTING,
-        DOWN
+        DOWN,
+        /** The list's entry can't be read: another writer's, or of a state that isn't known. */
+        UNREADABLE
     }
 
     /** What came of an action. */
