Entries of another writer name no worker, and all others hold

Cause: entries were taken to be well formed. Missing fields and fields of another type became zero or an empty text, unknown states became DOWN or "not draining", and empty or cut records, bad base64 and bad enum numbers threw on the event loop, which ended the reads.

Change: - The adapter reads an entry as a whole or not at all (Fields) and tells the port that it can't be read; a page or list that is none counts as no answer. - Directory: an unreadable entry unlists the worker known under its key until its next good entry. A worker of a service that the configuration doesn't name is set aside until it is named. - Operator: the last good configuration stays; one bad route makes it all another writer's, since the store takes only valid ones from the operator. - VM list: an unreadable entry makes no life look over (neither at the take-over nor later), unless the life's own VM is listed with another one; no VM is dropped, and no wave completed, by it.

JournalCodecTest's job was impossible, a first step that waits for itself and for one that doesn't exist; such a job is refused now. It got the two earlier steps that its step waits for, and all else stands.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -53,20 +53,23 @@
     /**
      * Lives of workers that are over: a complete list of VMs that was asked for well after a worker
      * was first seen names each VM's life. A worker that crashed shows so here at once, while its
-     * lease would have to be waited for.
+     * lease would have to be waited for. Where an entry of the list can't be read, a life is over
+     * only if the VM that had it is listed with another one.
      */
     public List<WorkerState> overLives(List<VmInfo> vms, long askedMs) {
-        Set<String> lives = new HashSet<>();
-        vms.forEach(v -> lives.add(v.worker()));
+        ListedLives listed = new ListedLives(vms);
+        Set<String> replaced = mVms.replacedLives(vms);
         List<WorkerState> over = new ArrayList<>();
         for (WorkerState w : mScheduler.workers()) {
             boolean old = mSeenLives.contains(w.id()) || w.firstSeenMs() + JOINING_MS < askedMs;
-            if (old && !lives.contains(w.id())) {
+            if (old && (listed.isOver(w.id()) || replaced.contains(w.id()))) {
                 over.add(w);
             }
         }
-        mSeenLives.clear();
-        mSeenLives.addAll(lives);
+        if (listed.isComplete()) {
+            mSeenLives.clear();
+        }
+        mSeenLives.addAll(listed.lives());
         return over;
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
@@ -42,9 +42,12 @@
         List<VmState> left = new ArrayList<>();
         int down = 0;
         int planned = 0;
+        boolean unseen = false;
         for (String id : wave.vms()) {
             Optional<VmState> vm = vms.vm(id);
             if (vm.isEmpty()) {
+                // Its entry may be the one that can't be read; it may still lack its reboot.
+                unseen |= !vms.isComplete() && !rebooted.contains(id);
                 continue;
             }
             VmState v = vm.get();
@@ -67,7 +70,7 @@
                 .sorted(Comparator.comparingDouble(v -> cost(v, scheduler, config)))
                 .limit(Math.max(0, room))
                 .forEach(v -> v.plan(new VmAction.Reboot(wave.number()), nowMs));
-        return left.isEmpty();
+        return left.isEmpty() && !unseen;
     }
 
     /** Most standing tasks on one of the VMs: they are taken away one after the other. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -91,11 +91,19 @@
         } else if (result instanceof Feed.Page<OperatorOrder> page) {
             mLastReadMs = mClock.nowMs();
             mPosition = Math.max(mPosition, page.next());
-            page.items().forEach(i -> i.value().ifPresent(this::take));
+            page.items().forEach(this::take);
             mFollowing = true;
         }
     }
 
+    /** An order that can't be read is another writer's; what the operator said last stays. */
+    private void take(Feed.Item<OperatorOrder> item) {
+        if (!item.readable()) {
+            mLog.line("order-unreadable").with("key", item.key()).write();
+        }
+        item.value().ifPresent(this::take);
+    }
+
     /** A wave that was ordered before this node started may be half over already. */
     private DueWave due(WaveOrder wave) {
         long left = mFollowing ? wave.durationMs() : wave.durationMs() / 2;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobOrderCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobOrderCodec.java
@@ -71,6 +71,11 @@
                 advice
                         ? Optional.of(new AdviceTerms(numbers[14], numbers[15], numbers[16]))
                         : Optional.empty();
+        for (int t = 1; t < texts.length; t++) {
+            check(texts[t] != null, "its text " + t);
+        }
+        check(!texts[1].isEmpty(), "its ID");
+        checkSteps(steps, numbers[8]);
         return new JobOrder(
                 texts[1],
                 texts[2],
@@ -83,6 +88,26 @@
                 numbers[13]);
     }
 
+    /** Tasks are counted and found by their positions, which have to fit. */
+    private static void checkSteps(List<TaskStep> steps, long runs) throws IOException {
+        long tasks = 0;
+        for (int s = 0; s < steps.size(); s++) {
+            check(steps.get(s).tasks() > 0, "the tasks of step " + s);
+            tasks += steps.get(s).tasks();
+            for (int d : steps.get(s).dependsOn()) {
+                check(d >= 0 && d < s, "the steps before step " + s);
+            }
+        }
+        check(tasks > 0 && tasks <= Integer.MAX_VALUE, "its steps");
+        check(runs > 0 && runs <= Integer.MAX_VALUE / tasks, "its runs");
+    }
+
+    private static void check(boolean holds, String what) throws IOException {
+        if (!holds) {
+            throw new IOException("a job lacks " + what);
+        }
+    }
+
     private static void writeStep(CodedOutputStream out, TaskStep step) throws IOException {
         out.writeInt32(1, step.tasks());
         out.writeInt64(2, step.demand().milliProcessors());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -75,7 +75,12 @@
         return message(out -> part(out, LEFT, o -> OwnerSignCodec.write(o, r)));
     }
 
-    /** Reads a record; empty for a kind that this version does not know. */
+    /**
+     * Reads a record; empty for a kind that this version does not know.
+     *
+     * @throws IOException if the record is another writer's: an unchecked exception, here or where
+     *     its job is kept, would end the reads of the journal on every node
+     */
     public static Optional<JournalRecord> decode(byte[] bytes) throws IOException {
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         int tag = in.readTag();
@@ -244,7 +249,15 @@
             }
         }
         TaskName task = new TaskName(job, numbers[2], numbers[3], numbers[4]);
-        return new EndedRun(task, numbers[5], RunOutcome.values()[numbers[6]], atMs);
+        return new EndedRun(task, numbers[5], outcome(numbers[6]), atMs);
+    }
+
+    private static RunOutcome outcome(int number) throws IOException {
+        RunOutcome[] all = RunOutcome.values();
+        if (number < 0 || number >= all.length) {
+            throw new IOException("no outcome has the number " + number);
+        }
+        return all[number];
     }
 
     /** Writes the fields of a message. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -1,9 +1,7 @@
 package org.foxtailplank.node.owner;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JobEntry;
 import org.foxtailplank.job.JournalRecord;
@@ -18,6 +16,7 @@
 import org.foxtailplank.port.VmActions.Holder;
 import org.foxtailplank.port.VmActions.VmInfo;
 import org.foxtailplank.schedule.Decisions;
+import org.foxtailplank.schedule.ListedLives;
 import org.foxtailplank.schedule.Reach;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.TaskRun;
@@ -128,12 +127,11 @@
     private void takeOver(List<VmInfo> vms) {
         mLoaded = true;
         mDirectory.takeFirst();
-        // Without the list of VMs a worker that is not in the directory may still run tasks.
-        Set<String> lives = new HashSet<>();
-        vms.forEach(v -> lives.add(v.worker()));
+        // Without the whole list of VMs a worker that is not in the directory may still run tasks.
+        ListedLives lives = new ListedLives(vms);
         long now = mClock.nowMs();
         for (JobEntry job : mParts.reader().book().jobs()) {
-            mScheduler.inherit(job, w -> !lives.isEmpty() && !lives.contains(w), now);
+            mScheduler.inherit(job, lives::isOver, now);
         }
         mParts.log()
                 .line("owner-loaded")
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -1,9 +1,9 @@
 package org.foxtailplank.node.owner;
 
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
+import org.foxtailplank.http.IpPort;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
@@ -67,6 +67,10 @@
     private long mSignMs;
     private long mLastReadMs;
     private long mToken;
+
+    /** End of the owners' records behind one that no node has written; it makes nobody an owner. */
+    private long mForeignEnd;
+
     private boolean mLeft;
     private Optional<OwnerLeft> mLastLeft = Optional.empty();
     private Optional<OwnerAlive> mLastAlive = Optional.empty();
@@ -109,12 +113,7 @@
     /** A record of the journal was read. */
     public void seen(JournalRecord record) {
         if (record instanceof OwnerAlive alive && alive.token() >= mToken) {
-            mToken = alive.token();
-            mLastAlive = Optional.of(alive);
-            mLeft = false;
-            sign();
-            mSigns.owner(
-                    mOwner ? Optional.empty() : Optional.of(known(alive.token(), alive.address())));
+            alive(alive);
         } else if (record instanceof OwnerLeft left && left.token() >= mToken) {
             mToken = left.token();
             mLeft = true;
@@ -124,15 +123,27 @@
         }
     }
 
+    /** One with an address that is none is another writer's: it would hide the owner there is. */
+    private void alive(OwnerAlive alive) {
+        Optional<KnownOwner> owner = known(alive.token(), alive.address());
+        if (!mOwner && owner.isEmpty()) {
+            mOut.line("owner-sign-unreadable").with("token", alive.token()).write();
+            return;
+        }
+        mToken = alive.token();
+        mLastAlive = Optional.of(alive);
+        mLeft = false;
+        sign();
+        mSigns.owner(mOwner ? Optional.empty() : owner);
+    }
+
     /** A sign of the owner's; one of the past, read at the start, says little of now. */
     private void sign() {
         mSignMs = mClock.nowMs() - (mReader.isCaughtUp() ? 0 : PAST_MS);
     }
 
-    private static KnownOwner known(long token, String address) {
-        int colon = address.lastIndexOf(':');
-        int port = Integer.parseInt(address.substring(colon + 1));
-        return new KnownOwner(token, new InetSocketAddress(address.substring(0, colon), port));
+    private static Optional<KnownOwner> known(long token, String address) {
+        return IpPort.parse(address).map(a -> new KnownOwner(token, a));
     }
 
     /** This node does not own any more; another one gave orders with a higher token. */
@@ -211,7 +222,7 @@
                         mTrying = false;
                         return;
                     }
-                    mLog.appendAt(OWNERS, mToken, mSelf.encode(), this::answered);
+                    mLog.appendAt(OWNERS, expectedEnd(), mSelf.encode(), this::answered);
                 });
     }
 
@@ -219,7 +230,7 @@
         mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
         mOut.line("owner-try")
                 .with("node", mSelf.node())
-                .with("expectedToken", mToken)
+                .with("expectedToken", expectedEnd())
                 .with("outcome", result)
                 .write();
         if (result instanceof SharedLog.Stored stored) {
@@ -227,15 +238,23 @@
         } else if (result instanceof SharedLog.EndMoved moved) {
             checkLast(moved.end());
         } else if (result instanceof SharedLog.MaybeStored) {
-            checkLast(mToken + 1);
+            checkLast(expectedEnd() + 1);
         } else {
             mTrying = false;
         }
     }
 
+    /**
+     * Where the owners' records end if nobody has taken ownership. Another writer's record counts:
+     * expected at the last owner's, the end would never be there and nobody could own any more.
+     */
+    private long expectedEnd() {
+        return Math.max(mToken, mForeignEnd);
+    }
+
     /** Somebody took ownership, perhaps this node by an append whose answer was lost. */
     private void checkLast(long end) {
-        if (end <= mToken) {
+        if (end <= expectedEnd()) {
             mTrying = false;
             return;
         }
@@ -247,22 +266,26 @@
                     mTrying = false;
                     if (r instanceof SharedLog.Records page && !page.records().isEmpty()) {
                         int count = page.records().size();
-                        OwnerRecord.decode(page.records().get(count - 1))
-                                .ifPresent(o -> last(o, page.from() + count));
+                        last(page.records().get(count - 1), page.from() + count);
                     }
                 });
     }
 
     /** The last record of the owners. */
-    private void last(OwnerRecord owner, long token) {
-        if (owner.equals(mSelf)) {
+    private void last(byte[] record, long token) {
+        Optional<OwnerRecord> written = OwnerRecord.decode(record);
+        Optional<KnownOwner> owner = written.flatMap(o -> known(token, o.address()));
+        if (written.equals(Optional.of(mSelf))) {
             take(token);
+        } else if (owner.isEmpty()) {
+            mForeignEnd = Math.max(mForeignEnd, token);
+            mOut.line("owner-record-unreadable").with("offset", token - 1).write();
         } else if (token > mToken) {
             // Its first sign in the journal may take long with a slow store; its stream tells now.
             mToken = token;
             mLeft = false;
             mSignMs = mClock.nowMs();
-            mSigns.owner(Optional.of(known(token, owner.address())));
+            mSigns.owner(owner);
         }
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -115,6 +115,10 @@
 
     private void logChange(VmInfo vm) {
         VmInfo before = mLast.put(vm.id(), vm);
+        if (!vm.isReadable() && !vm.equals(before)) {
+            mParts.log().line("vm-unreadable").with("vm", vm.id()).write();
+            return;
+        }
         if (before != null && !before.equals(vm)) {
             mParts.log()
                     .line("vm")
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectory.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectory.java
@@ -1,9 +1,13 @@
 package org.foxtailplank.node.owner;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.foxtailplank.port.Feed;
+import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.WorkerInfo;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.WorkerState;
@@ -28,6 +32,12 @@
     private final long mToken;
     private final Map<String, Looker> mLookers = new HashMap<>();
 
+    /** Entries of services that the configuration doesn't name, or not yet. */
+    private final Map<String, WorkerInfo> mUnnamed = new HashMap<>();
+
+    /** Keys whose last entry couldn't be read: one line in the log for each, however often. */
+    private final Set<String> mUnreadable = new HashSet<>();
+
     private Optional<Feed.Page<WorkerInfo>> mFirst = Optional.empty();
     private long mPosition = -1;
 
@@ -90,17 +100,56 @@
 
     private void take(Feed.Page<WorkerInfo> page) {
         mPosition = page.next();
-        for (Feed.Item<WorkerInfo> item : page.items()) {
-            if (item.value().isPresent()) {
-                listed(item.value().get());
-            } else {
-                mParts.log().line("worker-unlisted").with("worker", item.key()).write();
-                mScheduler.workerUnlisted(item.key());
-            }
-        }
+        page.items().forEach(this::take);
+        takeNewlyNamed();
         mOwner.decisionDue();
     }
 
+    /**
+     * Another writer's entry names no worker to use. What an earlier entry under its key said holds
+     * no more, since nobody knows whether the worker drains; its own next entry brings it back.
+     */
+    private void take(Feed.Item<WorkerInfo> item) {
+        String worker = item.key();
+        boolean wasUnreadable = mUnreadable.remove(worker);
+        boolean wasUnnamed = mUnnamed.remove(worker) != null;
+        if (!item.readable()) {
+            mUnreadable.add(worker);
+            unlisted("worker-unreadable", worker, !wasUnreadable);
+        } else if (item.value().isEmpty()) {
+            unlisted("worker-unlisted", worker, true);
+        } else if (isNamed(item.value().get())) {
+            listed(item.value().get());
+        } else {
+            mUnnamed.put(worker, item.value().get());
+            unlisted("worker-unnamed", worker, !wasUnnamed);
+        }
+    }
+
+    private void unlisted(String kind, String worker, boolean isNew) {
+        if (isNew) {
+            mParts.log().line(kind).with("worker", worker).write();
+        }
+        mScheduler.workerUnlisted(worker);
+    }
+
+    /**
+     * Whether the configuration names the worker's service. Without a configuration every service
+     * counts as named: leases of what runs have to be renewed all the same.
+     */
+    private boolean isNamed(WorkerInfo worker) {
+        Optional<FleetConfig> config = mParts.operator().config();
+        return config.isEmpty() || config.get().service(worker.service()).isPresent();
+    }
+
+    private void takeNewlyNamed() {
+        List<WorkerInfo> named = mUnnamed.values().stream().filter(this::isNamed).toList();
+        for (WorkerInfo worker : named) {
+            mUnnamed.remove(worker.id());
+            listed(worker);
+        }
+    }
+
     private void listed(WorkerInfo info) {
         Optional<WorkerState> known = mScheduler.worker(info.id());
         boolean drains = known.map(w -> !w.info().draining()).orElse(true) && info.draining();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -46,9 +46,17 @@
                         List.of(0, 1),
                         new PlacementRule(true, true, "b", "r1", 3),
                         new RunMode(true, true, true, true, 90, 2));
+        TaskStep earlier =
+                new TaskStep(
+                        1,
+                        new Resources(100, 1, 0),
+                        5,
+                        List.of(),
+                        PlacementRule.ANYWHERE,
+                        RunMode.PLAIN);
+        List<TaskStep> steps = List.of(earlier, earlier, step);
         QueueTerms terms = new QueueTerms(1, 3, 1.6, 600, Optional.of(new AdviceTerms(5, 2, 3000)));
-        return new JobOrder(
-                "aa", "q", "s", "text", List.of(step), new Timetable(7, 8, 9), terms, 99);
+        return new JobOrder("aa", "q", "s", "text", steps, new Timetable(7, 8, 9), terms, 99);
     }
 
     @DataProvider
