--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/ForeignRecordsTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/ForeignRecordsTest.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -51,6 +52,7 @@
     private static final EndedRun END = new EndedRun(TASK, 4, RunOutcome.FAILED, 5);
     private static final StartedRun START = new StartedRun(TASK, 4, "w1");
     private static final int MANY = Integer.MAX_VALUE;
+    private static final int DEEP = 60_000;
     private static final int MUTATIONS = 200_000;
     private static final long SEED = 20;
 
@@ -102,6 +104,7 @@
         byte[] jobWithAnIdOnly = part(1, o -> o.writeString(1, JOB));
         byte[] jobOfNumbers = part(1, o -> o.writeInt64(1, 7));
         byte[] restatedWithoutOrder = part(9, o -> o.writeInt64(4, 7));
+        byte[] deepGroups = part(1, ForeignRecordsTest::writeDeepGroups);
         byte[] cutShort = {0x0a, 0x7f, 1};
         byte[] numberInPlaceOfAPart = {0x08, 0x05};
         return new Object[][] {
@@ -111,6 +114,7 @@
             {"a job with an ID only", jobWithAnIdOnly},
             {"a job of numbers", jobOfNumbers},
             {"a job told again without its order", restatedWithoutOrder},
+            {"groups in groups without end", deepGroups},
             {"a record cut short", cutShort},
             {"a number in place of a part", numberInPlaceOfAPart},
             {"no step", accepted(order(Timetable.AT_ONCE))},
@@ -126,6 +130,12 @@
         };
     }
 
+    private static void writeDeepGroups(CodedOutputStream out) throws IOException {
+        for (int i = 0; i < DEEP; i++) {
+            out.writeTag(20, WireFormat.WIRETYPE_START_GROUP);
+        }
+    }
+
     private static ByteString end(int outcome) {
         return ByteString.copyFrom(
                 message(
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
@@ -398,4 +398,29 @@
         assertEquals(mSigns.mOwner.get().address(), new InetSocketAddress("10.0.0.9", 1));
         assertEquals(mTaken, List.of(2L));
     }
+
+    @DataProvider
+    public Object[][] foreignSigns() {
+        return new Object[][] {
+            {new OwnerAlive(1L << 40, "10.0.0.3:1", 0)}, {new OwnerLeft(1L << 40, "third", true)},
+        };
+    }
+
+    @Test(dataProvider = "foreignSigns")
+    public void aSignWithATokenThatNobodyWasGivenKeepsNobodyFromOwning(JournalRecord foreign) {
+        // A record in the journal names a token far beyond the owners' topic. Every node expected
+        // the topic to end there, so that none could take ownership any more, and the owner's own
+        // signs counted for nothing.
+        anotherOwns();
+        startNode();
+        passWithSigns(400);
+        write(foreign);
+        passWithSigns(8000);
+        boolean replaced = !mTaken.isEmpty();
+        mSigns.mState = OwnerState.GONE;
+        pass(4 * TRY_MS);
+
+        assertFalse(replaced, "the owner showed itself all the time");
+        assertEquals(mTaken, List.of(2L));
+    }
 }
