--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -222,19 +222,23 @@
                         mTrying = false;
                         return;
                     }
-                    mLog.appendAt(OWNERS, expectedEnd(), mSelf.encode(), this::answered);
+                    long expected = expectedEnd();
+                    mLog.appendAt(OWNERS, expected, mSelf.encode(), r -> answered(r, expected));
                 });
     }
 
-    private void answered(AppendResult result) {
+    private void answered(AppendResult result, long expectedEnd) {
         mSpreadMs = ThreadLocalRandom.current().nextLong(SPREAD_MS);
         mOut.line("owner-try")
                 .with("node", mSelf.node())
-                .with("expectedToken", expectedEnd())
+                .with("expectedToken", expectedEnd)
                 .with("outcome", result)
                 .write();
         if (result instanceof SharedLog.Stored stored) {
             take(stored.firstOffset() + 1);
+        } else if (result instanceof SharedLog.EndMoved moved && moved.end() < expectedEnd) {
+            mTrying = false;
+            neverGiven(expectedEnd, moved.end());
         } else if (result instanceof SharedLog.EndMoved moved) {
             checkLast(moved.end());
         } else if (result instanceof SharedLog.MaybeStored) {
@@ -252,6 +256,21 @@
         return Math.max(mToken, mForeignEnd);
     }
 
+    /**
+     * A sign in the journal named a token beyond the last record of the owners: it was another
+     * writer's. Believed on, nobody could own any more, and the owner's own signs would count for
+     * nothing; it gets the time to show itself again.
+     */
+    private void neverGiven(long token, long end) {
+        if (expectedEnd() == token) {
+            mOut.line("owner-sign-unreadable").with("token", token).write();
+            mToken = end;
+            mForeignEnd = end;
+            mLeft = false;
+            mSignMs = mClock.nowMs();
+        }
+    }
+
     /** Somebody took ownership, perhaps this node by an append whose answer was lost. */
     private void checkLast(long end) {
         if (end <= expectedEnd()) {
