--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -1,9 +1,7 @@
 package org.foxtailplank.node.owner;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JobEntry;
 import org.foxtailplank.job.JournalRecord;
@@ -19,6 +17,7 @@
 import org.foxtailplank.port.VmActions.Holder;
 import org.foxtailplank.port.VmActions.VmInfo;
 import org.foxtailplank.schedule.Decisions;
+import org.foxtailplank.schedule.ListedLives;
 import org.foxtailplank.schedule.Reach;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.TaskRun;
@@ -131,9 +130,8 @@
     private void takeOver(List<VmInfo> vms) {
         mLoaded = true;
         mDirectory.takeFirst();
-        // Without the list of VMs a worker that is not in the directory may still run tasks.
-        Set<String> lives = new HashSet<>();
-        vms.forEach(v -> lives.add(v.worker()));
+        // Without the whole list of VMs a worker that is not in the directory may still run tasks.
+        ListedLives lives = new ListedLives(vms);
         long now = mClock.nowMs();
         if (!mTaken.renewalsOver()) {
             mScheduler.renewedByOthersUntil(now + RenewalWindow.WAIT_MS);
@@ -161,9 +159,9 @@
      * Whether a life is surely over as this owner takes over. One that the directory names may have
      * joined a moment ago, before its VM is listed with it: it is left to later lists.
      */
-    private boolean isOver(String worker, Set<String> listedLives) {
+    private boolean isOver(String worker, ListedLives lives) {
         boolean named = mScheduler.worker(worker).map(WorkerState::isListed).orElse(false);
-        return !named && !listedLives.isEmpty() && !listedLives.contains(worker);
+        return !named && lives.isOver(worker);
     }
 
     Scheduler scheduler() {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -322,7 +322,8 @@
             }
 
             @Override
-            public void read(LogPartition at, long from, PageRequest page, Consumer<ReadResult> then) {
+            public void read(
+                    LogPartition at, long from, PageRequest page, Consumer<ReadResult> then) {
                 whole.read(at, from, page, then);
             }
         };
