--- a/foxtail-node/src/main/java/org/foxtailplank/node/LinkRate.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/LinkRate.java
@@ -9,12 +9,15 @@
     /** A link of which nothing is known. */
     public static final LinkRate UNKNOWN = new LinkRate(0);
 
-    /** On a link of this rate an owner has room for all that it sends, in megabits a second. */
+    /**
+     * On a link of this rate an owner has room for what it sends, in megabits a second: about as
+     * much as it sends to forty nodes in a queue's turn, by the number and size of the records.
+     */
     private static final double AMPLE = 100;
 
     /**
-     * Longest time that a node lets others go ahead, in milliseconds: their tries spread over 300,
-     * and a try is two calls.
+     * Longest time that a node lets others go ahead, in milliseconds: twice the time over which the
+     * tries of nodes spread.
      */
     private static final long LONGEST_YIELD_MS = 600;
 
