Tests: nodes with narrow links let others own; they fail

A queue's turn fills the link of an owner whose VM carries 7 Mbit/s: workers, store and VM service all seem silent to it, and the queue's jobs are late. The tests show that such a node takes the place as soon as any other. With them comes what the mend needs and that has no effect yet: the width of the link among the settings, and its class.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.owner.LinkWidth;
 import org.foxtailplank.node.owner.OwnerParts;
 import org.foxtailplank.node.owner.OwnerWork;
 import org.foxtailplank.node.owner.Ownership;
@@ -122,6 +123,7 @@
                         log,
                         settings.name(),
                         settings.peerAddress(),
+                        LinkWidth.of(settings.linkMbps()),
                         mLink,
                         mPlatform.vmActions(),
                         this::own);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -22,6 +22,8 @@
  * @param vmTokensChecked whether the VM service itself refuses an owner's token that is lower than
  *     one that it has seen
  * @param graceMs time between the signal to stop and the end of the process, in milliseconds
+ * @param linkMbps what its link to all others carries, in megabits a second; infinite where nothing
+ *     is said
  */
 public record NodeSettings(
         String name,
@@ -34,7 +36,8 @@
         JournalBounds journal,
         ScheduleLimits schedule,
         boolean vmTokensChecked,
-        long graceMs) {
+        long graceMs,
+        double linkMbps) {
 
     /**
      * Bounds for the journal; times in milliseconds.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -73,7 +73,8 @@
                 journal,
                 schedule,
                 flag("/platform/vmTokensChecked"),
-                seconds("/node/graceS"));
+                seconds("/node/graceS"),
+                numberOr("/node/linkMbps", Double.POSITIVE_INFINITY));
     }
 
     private String text(String path) {
@@ -109,6 +110,10 @@
         return value.asDouble();
     }
 
+    private double numberOr(String path, double missing) {
+        return mTree.at(path).isMissingNode() ? missing : number(path);
+    }
+
     private int atLeastOne(String path) {
         int value = (int) number(path);
         if (value < 1) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -83,6 +83,7 @@
             NodeLog out,
             String node,
             String address,
+            LinkWidth link,
             OwnerSigns signs,
             VmActions vms,
             Consumer<TakeOver> taken) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -69,7 +69,8 @@
                         new NodeSettings.JournalBounds(RUN_MS, RUN_MS, 1),
                         new ScheduleLimits(RUN_MS, RUN_MS),
                         true,
-                        RUN_MS);
+                        RUN_MS,
+                        Double.POSITIVE_INFINITY);
         Node node = new Node(settings, loop, clock, timers, log);
         node.listen();
         loop.execute(node::start);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -28,6 +28,14 @@
         assertEquals(settings.journal().keepMs(), 300_000);
         assertEquals(settings.peers().getPort(), 4);
         assertFalse(settings.vmTokensChecked());
+        assertEquals(settings.linkMbps(), Double.POSITIVE_INFINITY);
+    }
+
+    @Test
+    public void theWidthOfTheLinkIsReadWhereItIsSaid() throws SettingsException {
+        String narrow = GOOD.replace("\"graceS\":6", "\"graceS\":6,\"linkMbps\":7.5");
+
+        assertEquals(NodeSettingsReader.parse(narrow).linkMbps(), 7.5);
     }
 
     @Test
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerParts.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerParts.java
@@ -40,7 +40,8 @@
                         new NodeSettings.JournalBounds(1, 1, 3),
                         new ScheduleLimits(1, 1),
                         vmTokensChecked,
-                        1);
+                        1,
+                        Double.POSITIVE_INFINITY);
         NodeLog out = NodeLog.silent(time);
         JournalReader reader =
                 new JournalReader(
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnershipTest.java
@@ -110,6 +110,10 @@
 
     /** A node that starts now and reads what the journal holds. */
     private void startNode() {
+        startNode(LinkWidth.WIDE);
+    }
+
+    private void startNode(LinkWidth link) {
         NodeLog out = NodeLog.silent(mTime);
         JournalReader reader =
                 new JournalReader(
@@ -129,6 +133,7 @@
                         out,
                         "node",
                         "10.0.0.1:1",
+                        link,
                         mSigns,
                         new Vms(),
                         this::taken);
@@ -165,6 +170,12 @@
         }
     }
 
+    /** The owner shows itself in the journal, and the node reads it. */
+    private void showOwner() {
+        write(new OwnerAlive(1, ELSEWHERE, 0));
+        mOwnership.seen(new OwnerAlive(1, ELSEWHERE, 0));
+    }
+
     @Test
     public void anOwnerThatShowsItselfIsLeftAlone() {
         anotherOwns();
@@ -337,4 +348,87 @@
         assertFalse(early);
         assertEquals(mTaken, List.of(2L), "nobody else has tried");
     }
+
+    @Test
+    public void aNodeWithANarrowLinkLetsOthersTakeTheFirstPlace() {
+        // Nodes of two sizes start together, and chance makes one with a narrow link the owner. As
+        // soon as a queue asks for its share its link is full: workers, the store and the VM
+        // service all seem silent to it, nothing starts, and the jobs of that queue are late. The
+        // same link is full again on the next narrow node that replaces it.
+        for (int i = 0; i < 10; i++) {
+            long wide = msUntilTaken(LinkWidth.WIDE);
+            long narrow = msUntilTaken(LinkWidth.NARROW);
+
+            assertTrue(narrow > wide, wide + " ms where it is wide, " + narrow + " ms if narrow");
+        }
+    }
+
+    /** How long a node that starts alone with no owner waits before it owns, in milliseconds. */
+    private long msUntilTaken(LinkWidth link) {
+        setUp();
+        startNode(link);
+        long begin = mTime.nowMs();
+        while (mTaken.isEmpty() && mTime.nowMs() < begin + 5000) {
+            pass(10);
+        }
+        assertEquals(mTaken, List.of(1L), "nobody else has tried");
+        return mTime.nowMs() - begin;
+    }
+
+    @Test(dataProvider = "lostOwners")
+    public void aNodeWithANarrowLinkLetsOthersReplaceAnOwner(OwnerState state) {
+        // An owner is lost in the middle of a queue's turn. The nodes with wide links would bear
+        // the turn, but the one that happens to try first has a narrow one.
+        anotherOwns();
+        startNode(LinkWidth.NARROW);
+        passWithSigns(800);
+        showOwner();
+        mSigns.mState = state;
+        mSigns.mWhenDoubtful.run();
+        pass(state.patienceMs() + TRY_MS);
+        boolean early = !mTaken.isEmpty();
+        pass(LinkWidth.NARROW.headStartMs() + TRY_MS);
+
+        assertFalse(early);
+        assertEquals(mTaken, List.of(2L), "nobody else has tried");
+    }
+
+    @DataProvider
+    public Object[][] lostOwners() {
+        return new Object[][] {{OwnerState.SILENT}, {OwnerState.REFUSED}, {OwnerState.GONE}};
+    }
+
+    @Test
+    public void aNodeWithANarrowLinkLetsOthersFollowAnOwnerThatHasLeft() {
+        // An owner is stopped as planned. All others learn of it in the same moment and try at
+        // once, those with narrow links too, and the quickest append decides.
+        anotherOwns();
+        startNode(LinkWidth.NARROW);
+        passWithSigns(800);
+        write(new OwnerLeft(1, "other", true));
+        mSigns.mState = OwnerState.GONE;
+        mSigns.mWhenDoubtful.run();
+        pass(TRY_MS);
+        boolean early = !mTaken.isEmpty();
+        pass(LinkWidth.NARROW.headStartMs() + TRY_MS);
+
+        assertFalse(early);
+        assertEquals(mTaken, List.of(2L), "nobody else has tried");
+    }
+
+    @Test
+    public void aNodeWithANarrowLinkKeepsOffOnceAnotherHasTakenThePlace() {
+        anotherOwns();
+        startNode(LinkWidth.NARROW);
+        passWithSigns(800);
+        write(new OwnerLeft(1, "other", true));
+        pass(TRY_MS);
+        mLog.records(OWNERS).add(new OwnerRecord("third", ELSEWHERE, "life").encode());
+        for (int i = 0; i < 10; i++) {
+            write(new OwnerAlive(2, ELSEWHERE, 0));
+            pass(400);
+        }
+
+        assertTrue(mTaken.isEmpty());
+    }
 }
