Nodes with narrow links let others own

Cause: whichever node appends first owns, and two thirds of the nodes of a large deployment may be small ones. The owner then gets no answers of workers, store and VM service (connection timed out), gives its place up or loses it, and the next one may be as narrow. Each queue has one long turn, so that the queue whose turn it was gets too little.

Change: the settings say what a node's link carries.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Ownership.java
@@ -59,6 +59,7 @@
     private final Timers mTimers;
     private final NodeLog mOut;
     private final OwnerRecord mSelf;
+    private final LinkWidth mLink;
     private final OwnerSigns mSigns;
     private final VmActions mVms;
     private final Consumer<TakeOver> mTaken;
@@ -68,6 +69,7 @@
     private long mLastReadMs;
     private long mToken;
     private boolean mLeft;
+    private Optional<Long> mFreeSinceMs = Optional.empty();
     private Optional<OwnerLeft> mLastLeft = Optional.empty();
     private Optional<OwnerAlive> mLastAlive = Optional.empty();
     private boolean mTrying;
@@ -94,6 +96,7 @@
         mOut = out;
         String life = Long.toHexString(ThreadLocalRandom.current().nextLong());
         mSelf = new OwnerRecord(node, address, life);
+        mLink = link;
         mSigns = signs;
         mVms = vms;
         mTaken = taken;
@@ -168,8 +171,20 @@
         }
     }
 
+    /**
+     * Whether nobody owns, as far as this node can see, and those that shall go first have had
+     * their time. That time counts from when this node has seen it, not from the owner's last sign:
+     * a node that has just started has seen none for longer than any head start.
+     */
     private boolean isReplaceable() {
-        return mLeft || mClock.nowMs() - signMs() >= patienceMs() + mSpreadMs;
+        long now = mClock.nowMs();
+        if (!mLeft && now - signMs() < patienceMs() + mSpreadMs) {
+            mFreeSinceMs = Optional.empty();
+            return false;
+        }
+        long freeSince = mFreeSinceMs.orElse(now);
+        mFreeSinceMs = Optional.of(freeSince);
+        return now - freeSince >= mLink.headStartMs();
     }
 
     /** With a slow store the owner's signs come late in the journal, and early on its stream. */
