--- a/foxtail-core/src/test/java/org/foxtailplank/lease/RenewalWindowTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/lease/RenewalWindowTest.java
@@ -3,11 +3,14 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import org.foxtailplank.schedule.ScheduleLimits;
 import org.testng.annotations.Test;
 
 /** For how long an owner may still renew the leases of workers. */
 public class RenewalWindowTest {
     private static final long LEASE_MS = 6000;
+    private static final ScheduleLimits LIMITS = new ScheduleLimits(LEASE_MS, 250);
+    private static final double DRIFT = 0.02;
     private static final Moment START = at(10_000);
 
     private static Moment at(long ms) {
@@ -41,6 +44,19 @@
         assertTrue(RenewalWindow.WAIT_MS > RenewalWindow.LENGTH_MS);
     }
 
+    @Test
+    public void theSuccessorsWaitIsLongEnoughForClocksThatDriftApart() {
+        // A former owner's clock and a worker's are 2% slow, and the successor's is 2% fast. The
+        // former owner gives leases as late and as long as it may, and the worker holds each to its
+        // end; the successor must not take the worker's runs as over before that.
+        double waited = (RenewalWindow.WAIT_MS + LIMITS.surelyLapsedMs()) / (1 + DRIFT);
+        for (long ms = 0; ms < 20_000; ms += 50) {
+            double over = (ms + leaseMs(at(10_000 + ms))) / (1 - DRIFT);
+            boolean given = leaseMs(at(10_000 + ms)) > 0;
+            assertTrue(!given || over < waited, over + " ms, waited for " + waited);
+        }
+    }
+
     @Test
     public void aSuspensionCountsAlthoughTheSteadyClockStoodStill() {
         Moment awake = new Moment(10_050, START.wallMs() + 30_000);
