A job is pending until a worker has said that a first task of it has started

Cause: a job counted as begun as soon as a start of it was written down. After a zone's cut and the loss of its owner, such starts never arrive, and the next owner waits some seconds for leases of workers that it doesn't reach: callers were told that these jobs run and that hardly any of their queue waits.

Change: the owner writes JobsBegun when a worker confirms a start, or lists a run or an end.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
@@ -13,6 +13,7 @@
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.JobRestated;
+import org.foxtailplank.job.JournalRecord.JobsBegun;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
@@ -74,6 +75,11 @@
                 job(id).ifPresentOrElse(
                                 j -> j.started(run), () -> keep(id, new RunsStarted(List.of(run))));
             }
+        } else if (record instanceof JobsBegun r) {
+            for (String id : r.jobs()) {
+                job(id).ifPresentOrElse(
+                                JobEntry::begun, () -> keep(id, new JobsBegun(List.of(id))));
+            }
         } else if (record instanceof VmRebooted r) {
             mRebooted.computeIfAbsent(r.wave(), w -> new HashSet<>()).add(r.vm());
         } else if (record instanceof WaveCompleted r) {
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobEntry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobEntry.java
@@ -91,14 +91,27 @@
         }
     }
 
+    /**
+     * A start was written down. The job has not begun by that: the order may never arrive, and a
+     * caller that were told so would think it at work while it waits.
+     */
     void started(JournalRecord.StartedRun run) {
-        mBegun = true;
         if (mOrder.has(run.task())) {
             mLastStarts.merge(
                     mOrder.position(run.task()), run, (a, b) -> a.attempt() > b.attempt() ? a : b);
         }
     }
 
+    /** A worker has said that a first task has started. */
+    void begun() {
+        mBegun = true;
+    }
+
+    /** Whether a first task is known to have started. */
+    public boolean hasBegun() {
+        return mBegun;
+    }
+
     /** The last start of each task that was started; its run may have ended since. */
     public Collection<JournalRecord.StartedRun> lastStarts() {
         return mLastStarts.values();
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -49,6 +49,13 @@
         }
     }
 
+    /** First tasks of these jobs have started: their workers have said so. */
+    record JobsBegun(List<String> jobs) implements JournalRecord {
+        public JobsBegun {
+            jobs = List.copyOf(jobs);
+        }
+    }
+
     /**
      * One run that is about to be started.
      *
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
@@ -12,6 +12,7 @@
     private final JobEntry mEntry;
     private final List<ActiveRun> mRuns = new ArrayList<>();
     private boolean mEnding;
+    private boolean mBegun;
 
     ActiveJob(JobEntry entry) {
         mEntry = entry;
@@ -44,6 +45,13 @@
         return Optional.of(step.slots().get(task.index()));
     }
 
+    /** A task of it has started; returns whether the journal has yet to tell so. */
+    boolean begin() {
+        boolean isNews = !mBegun && !mEntry.hasBegun();
+        mBegun = true;
+        return isNews;
+    }
+
     /** Whether nothing of it is started any more: it was cancelled, or a task failed for good. */
     boolean isEnding() {
         return mEnding;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -25,6 +25,7 @@
     private final UsualTimes mUsual = new UsualTimes();
     private final Map<String, ActiveJob> mJobs = new LinkedHashMap<>();
     private final Map<TaskName, Set<Integer>> mFailures = new HashMap<>();
+    private final List<String> mBegun = new ArrayList<>();
 
     Optional<ActiveJob> job(String id) {
         return Optional.ofNullable(mJobs.get(id));
@@ -154,10 +155,25 @@
         return new LookEffects(toStore, lost, orphans);
     }
 
+    /** A worker has said that a run of the job has started. */
+    void begun(ActiveJob job) {
+        if (job.begin()) {
+            mBegun.add(job.id());
+        }
+    }
+
+    /** Jobs that have begun since this was last asked. */
+    List<String> takeBegun() {
+        List<String> begun = List.copyOf(mBegun);
+        mBegun.clear();
+        return begun;
+    }
+
     private Optional<TaskRun> running(WorkerState worker, RunView view, long nowMs) {
         Optional<TaskRun> known = worker.run(view.task(), view.attempt());
         if (known.isPresent()) {
             known.get().seen(view, nowMs);
+            begun(known.get().slot().step().job());
             return known;
         }
         Optional<TaskSlot> slot = job(view.task().job()).flatMap(j -> j.slot(view.task()));
@@ -174,6 +190,7 @@
         slot.attempt(view.attempt());
         start(run);
         run.seen(view, nowMs);
+        begun(slot.step().job());
         if (!wanted) {
             run.stopping("not needed", nowMs);
         }
@@ -203,6 +220,7 @@
         }
         TaskSlot slot = found.get();
         slot.attempt(end.attempt());
+        begun(slot.step().job());
         Optional<TaskRun> run = worker.run(end.task(), end.attempt());
         run.ifPresent(this::remove);
         if (end.outcome() == RunOutcome.DONE) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -168,6 +168,11 @@
         }
     }
 
+    /** Jobs of which a first task has started since this was last asked. */
+    public List<String> takeBegun() {
+        return mRuns.takeBegun();
+    }
+
     /** The journal tells of the end of a run. */
     public void recorded(TaskName task, RunOutcome outcome, long nowMs) {
         mRuns.recorded(task, outcome, nowMs);
@@ -198,7 +203,10 @@
     public void startAnswered(TaskRun run, OrderOutcome outcome, long nowMs) {
         WorkerState worker = run.worker();
         switch (outcome) {
-            case DONE -> run.confirmed(nowMs);
+            case DONE -> {
+                run.confirmed(nowMs);
+                mRuns.begun(run.slot().step().job());
+            }
             case NO_ROOM -> {
                 worker.fullUntil(nowMs + NO_ROOM_MS);
                 giveUp(run, nowMs);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -15,6 +15,7 @@
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.JobRestated;
+import org.foxtailplank.job.JournalRecord.JobsBegun;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
@@ -33,6 +34,13 @@
  * rest of the module and would lengthen the start of a node.
  */
 public final class JournalCodec {
+    /**
+     * Size of the buffer in which a message is put together, in bytes: most are the dozen fields of
+     * a start or an end, of which an owner writes and nodes hand on hundreds a second. Larger ones
+     * take several turns.
+     */
+    public static final int BUFFER_BYTES = 128;
+
     private static final int ACCEPTED = 1;
     private static final int CANCELLED = 2;
     private static final int ENDED = 3;
@@ -42,6 +50,7 @@
     private static final int REBOOTED = 7;
     private static final int COMPLETED = 8;
     private static final int RESTATED = 9;
+    private static final int BEGUN = 10;
 
     private JournalCodec() {}
 
@@ -62,6 +71,9 @@
         if (record instanceof RunsStarted r) {
             return message(out -> part(out, STARTED, o -> starts(o, r.runs())));
         }
+        if (record instanceof JobsBegun r) {
+            return message(out -> part(out, BEGUN, o -> jobs(o, r.jobs())));
+        }
         if (record instanceof OwnerAlive r) {
             return message(out -> part(out, ALIVE, o -> OwnerSignCodec.write(o, r)));
         }
@@ -85,7 +97,7 @@
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         int tag = in.readTag();
         int kind = WireFormat.getTagFieldNumber(tag);
-        if (kind < ACCEPTED || kind > RESTATED) {
+        if (kind < ACCEPTED || kind > BEGUN) {
             return Optional.empty();
         }
         CodedInputStream body = in.readBytes().newCodedInput();
@@ -95,6 +107,7 @@
                     case ENDED -> new RunsEnded(readRuns(body));
                     case RESTATED -> readRestated(body);
                     case STARTED -> new RunsStarted(readStarts(body));
+                    case BEGUN -> new JobsBegun(readJobs(body));
                     case LEFT -> OwnerSignCodec.readLeft(body);
                     case ALIVE -> OwnerSignCodec.readAlive(body);
                     default -> readNamed(kind, body);
@@ -137,6 +150,24 @@
         return new JobRestated(order, starts, ends, cancelledMs);
     }
 
+    private static void jobs(CodedOutputStream out, List<String> jobs) throws IOException {
+        for (String id : jobs) {
+            out.writeString(1, id);
+        }
+    }
+
+    private static List<String> readJobs(CodedInputStream in) throws IOException {
+        List<String> jobs = new ArrayList<>();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            if (WireFormat.getTagFieldNumber(tag) == 1) {
+                jobs.add(in.readString());
+            } else {
+                in.skipField(tag);
+            }
+        }
+        return jobs;
+    }
+
     private record Named(long number, String name) {}
 
     private static void named(CodedOutputStream out, long number, String name) throws IOException {
@@ -272,7 +303,7 @@
 
     private static byte[] message(Fields fields) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes, BUFFER_BYTES);
         try {
             fields.write(out);
             out.flush();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -7,6 +7,7 @@
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobsBegun;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
@@ -323,6 +324,10 @@
             Decisions decisions = mScheduler.decide(config.get(), now, mClock.wallMs());
             mSender.send(decisions);
         }
+        List<String> begun = mScheduler.takeBegun();
+        if (!begun.isEmpty()) {
+            mJournal.store(new JobsBegun(begun), () -> {});
+        }
     }
 
     private void sayAlive() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/Restating.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/Restating.java
@@ -1,7 +1,9 @@
 package org.foxtailplank.node.owner;
 
+import java.util.List;
 import org.foxtailplank.job.JobEntry;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.JobsBegun;
 import org.foxtailplank.node.Clock;
 
 /**
@@ -56,6 +58,9 @@
         for (JobEntry job : mParts.reader().book().jobs()) {
             if (told < JOBS_AT_ONCE && now - job.statedMs() > ageMs) {
                 store(job.restate(now));
+                if (job.hasBegun()) {
+                    store(new JobsBegun(List.of(job.order().id())));
+                }
                 told++;
             }
         }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.JobRestated;
+import org.foxtailplank.job.JournalRecord.JobsBegun;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.JournalRecord.OwnerLeft;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
@@ -67,6 +68,7 @@
             {new JobCancelled("aa", 5)},
             {new RunsStarted(List.of(START, START))},
             {new RunsEnded(List.of(END))},
+            {new JobsBegun(List.of("aa", "bb"))},
             {new OwnerAlive(3, "10.0.0.1:9", 400)},
             {new OwnerLeft(3, "n", false)},
             {new OwnerLeft(4, "n", true)},
