--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -46,6 +46,9 @@
     /** What the owner has handed on this lately is told without a read of the journal. */
     private static final long CURRENT_MS = 400;
 
+    /** The same for the number of a queue's pending jobs, which may be two seconds old. */
+    private static final long PENDING_CURRENT_MS = 1500;
+
     /** Kept of a caller's time for the way of the answer, in milliseconds. */
     private static final long ANSWER_MS = 150;
 
@@ -130,7 +133,7 @@
     private void routed(HttpRequest request, RouteSettings route, Consumer<HttpReply> reply) {
         String id = request.path().substring(route.pathPrefix().length());
         if (id.isEmpty() && request.method().equals("GET")) {
-            reply.accept(HttpReply.json(OK, mBodies.pending(mReader.book().pending(route.name()))));
+            tellPending(route, reply);
             return;
         }
         if (!JOB_ID.matcher(id).matches()) {
@@ -193,6 +196,23 @@
         replies.forEach(r -> r.accept(stored(outcome)));
     }
 
+    /**
+     * Guards against a node that lags behind the journal, since it has just started or was cut off:
+     * it would tell callers that nothing of a queue waits. What is older than they may be told is
+     * read up first, and a node that can't do that doesn't say a number.
+     */
+    private void tellPending(RouteSettings route, Consumer<HttpReply> reply) {
+        if (mClock.nowMs() - mLink.currentMs() < PENDING_CURRENT_MS) {
+            reply.accept(pending(route));
+            return;
+        }
+        mReader.refresh(read -> reply.accept(read ? pending(route) : unavailable()));
+    }
+
+    private HttpReply pending(RouteSettings route) {
+        return HttpReply.json(OK, mBodies.pending(mReader.book().pending(route.name())));
+    }
+
     private void tell(String id, Consumer<HttpReply> reply) {
         Optional<JobEntry> known = mReader.book().job(id);
         boolean current = mClock.nowMs() - mLink.currentMs() < CURRENT_MS;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -11,14 +11,21 @@
 import org.foxtailplank.adapter.AdapterLimits;
 import org.foxtailplank.adapter.UsersPlatform;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.job.JobBook;
+import org.foxtailplank.job.JobOrder;
 import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.PlacementRule;
 import org.foxtailplank.job.QueueTerms;
+import org.foxtailplank.job.RunMode;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskName;
+import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.job.Timetable;
 import org.foxtailplank.node.FakeLog;
 import org.foxtailplank.node.FakeLog.Fate;
 import org.foxtailplank.node.FakeNode;
@@ -204,6 +211,40 @@
         assertEquals(answer("GET", "/q/00000000000000bb", "").status(), 410);
     }
 
+    /** Another node has stored a job, and nothing of the journal was read since. */
+    private void acceptElsewhere() {
+        QueueTerms terms = new QueueTerms(0, 2, 1.6, 600, Optional.empty());
+        TaskStep step =
+                new TaskStep(
+                        1,
+                        Resources.of(1, 1, 0),
+                        500,
+                        List.of(),
+                        PlacementRule.ANYWHERE,
+                        RunMode.PLAIN);
+        List<TaskStep> steps = List.of(step);
+        JobOrder order =
+                new JobOrder(JOB, "/q/", "s", "a", steps, Timetable.AT_ONCE, terms, mTime.wallMs());
+        mLog.records(JournalPartition.JOURNAL).add(JournalCodec.encode(new JobAccepted(order)));
+    }
+
+    @Test
+    public void jobsThatOtherNodesHaveStoredArePending() {
+        // A node has been started, or was cut off, and lags behind the journal. It told its callers
+        // that nothing of a queue waits while jobs had waited for five seconds.
+        acceptElsewhere();
+
+        assertEquals(text(answer("GET", "/q/", "")), "{\"pending\":1}");
+    }
+
+    @Test
+    public void aNodeThatCannotReadTheJournalDoesNotSayHowManyJobsArePending() {
+        acceptElsewhere();
+        JournalPartition.all(3).forEach(p -> mLog.down(p, true));
+
+        assertEquals(answer("GET", "/q/", "").status(), 503);
+    }
+
     @Test
     public void aJobIsShownAsCompletedWhenItsEndIsStored() {
         answer("POST", "/q/" + JOB, BODY);
