--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -28,8 +28,8 @@
     private static final long HEARTBEAT_MS = 200;
 
     /**
-     * How long records are gathered before they are sent on, in milliseconds: a tenth of the time
-     * between two of a caller's questions about its job.
+     * How long records are gathered before they are sent on, in milliseconds: little beside the
+     * second and more that a caller's shortest job takes.
      */
     private static final long GATHER_MS = 20;
 
@@ -208,6 +208,7 @@
                 mToken, mPosition.get(), mStoredMsAgo.getAsLong(), callsOver);
     }
 
+    /** Sends what was gathered, or leaves it out where the link has no room for it. */
     private void sendRecords() {
         mSendDue = false;
         if (!mGathered.isReadable()) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/StreamBudget.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/StreamBudget.java
@@ -24,8 +24,8 @@
     private static final long BURST_MS = 500;
 
     /**
-     * How long no records are sent once the share is used up, in milliseconds: nodes that read the
-     * store meanwhile do so some times, and not again after each gap of a moment.
+     * How long no records are sent once the share is used up, in milliseconds. Nodes read the store
+     * at each heartbeat meanwhile; without a pause each record after a gap would send them there.
      */
     private static final long PAUSE_MS = 1000;
 
