--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -52,6 +52,9 @@
     /** Kept of a caller's time for the way of the answer, in milliseconds. */
     private static final long ANSWER_MS = 150;
 
+    /** Answers that take longer are written down, in milliseconds: many of the store's. */
+    private static final long SLOW_MS = 500;
+
     /** When to ask again while the store takes nothing, in seconds: outages last a few seconds. */
     private static final String RETRY_AFTER_S = "1";
 
@@ -91,6 +94,7 @@
                 answer -> {
                     mMetrics.counter("answers_" + answer.status()).inc();
                     mMetrics.latency("answer").update(mClock.nowMs() - startMs);
+                    noteIfSlow(request, answer, mClock.nowMs() - startMs);
                     reply.accept(answer);
                 };
         Optional<FleetConfig> config = mOperator.config();
@@ -106,6 +110,19 @@
         }
     }
 
+    private void noteIfSlow(HttpRequest request, HttpReply answer, long tookMs) {
+        if (tookMs >= SLOW_MS) {
+            mLog.line("answer-slow")
+                    .with("method", request.method())
+                    .with("path", request.path())
+                    .with("status", answer.status())
+                    .with("tookMs", tookMs)
+                    .with("caughtUp", mReader.isCaughtUp())
+                    .with("currentMsAgo", mClock.nowMs() - mLink.currentMs())
+                    .write();
+        }
+    }
+
     /**
      * No queue is known for the path. Guards against telling a caller that a queue doesn't exist
      * that was added a moment ago: the newest configuration is read before that is said.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -27,6 +27,7 @@
     private final Clock mClock;
     private final Timers mTimers;
     private final NodeLog mOut;
+    private final CatchUpLog mProgress;
     private final RecordSink mSink;
     private final List<Consumer<Boolean>> mWaiting = new ArrayList<>();
 
@@ -73,6 +74,7 @@
         mClock = clock;
         mTimers = timers;
         mOut = out;
+        mProgress = new CatchUpLog(out, clock, partition);
         mSink = sink;
     }
 
@@ -111,6 +113,7 @@
             return;
         }
         long asked = mClock.nowMs();
+        mProgress.asked();
         mLog.read(
                 mPartition,
                 mPosition,
@@ -164,6 +167,7 @@
 
     private void readToEnd(List<Consumer<Boolean>> served) {
         long asked = mClock.nowMs();
+        mProgress.asked();
         mLog.read(
                 mPartition,
                 mPosition,
@@ -195,10 +199,12 @@
             mPosition = Math.max(mPosition, gone.firstOffset());
             return false;
         }
-        if (!(result instanceof SharedLog.Records page)) {
+        if (result instanceof SharedLog.ReadFailed failed) {
+            mProgress.failed(mPosition, mPageSize.bytes(), failed);
             mPageSize.failed();
             return false;
         }
+        SharedLog.Records page = (SharedLog.Records) result;
         mLastReadMs = mClock.nowMs();
         return apply(page);
     }
@@ -210,6 +216,7 @@
             mPageSize.answered();
         }
         long first = page.from();
+        long before = mPosition;
         for (int i = 0; i < page.records().size(); i++) {
             // Two reads may be on their way at a time; what was read already is passed over.
             if (first + i == mPosition) {
@@ -217,8 +224,16 @@
                 mSink.read(first + i, page.records().get(i));
             }
         }
+        mProgress.page(bytes(page), mPosition - before);
         boolean atEnd = mPosition >= page.end();
+        if (atEnd) {
+            mProgress.atEnd(mPosition);
+        }
         mCaughtUp |= atEnd;
         return atEnd;
     }
+
+    private static long bytes(SharedLog.Records page) {
+        return page.records().stream().mapToLong(r -> r.length).sum();
+    }
 }
