--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NarrowLink.java
@@ -0,0 +1,79 @@
+package org.foxtailplank.node;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
+
+/**
+ * A shared log behind a link that carries so many bytes a second. Pages come one after the other;
+ * one that isn't there in time is given up, and what it was to carry is not sent any more.
+ */
+public final class NarrowLink implements SharedLog {
+    private static final long READ_MS = 1000;
+    private static final double MS_PER_S = 1000;
+
+    private final FakeLog mLog;
+    private final FakeNode mTime;
+    private final double mBytesPerMs;
+    private long mFreeMs;
+    private long mCarriedBytes;
+
+    /** A link of this rate to a log, whose appends cost nothing. */
+    public NarrowLink(FakeLog log, FakeNode time, double bytesPerS) {
+        mLog = log;
+        mTime = time;
+        mBytesPerMs = bytesPerS / MS_PER_S;
+    }
+
+    /** Bytes of records that it has carried. */
+    public long carriedBytes() {
+        return mCarriedBytes;
+    }
+
+    @Override
+    public void read(LogPartition at, long from, PageRequest page, Consumer<ReadResult> then) {
+        mLog.read(at, from, page, r -> carry(r, then));
+        mLog.answer();
+    }
+
+    private void carry(ReadResult result, Consumer<ReadResult> then) {
+        long now = mTime.nowMs();
+        long bytes = result instanceof Records r ? bytes(r) : 0;
+        long arrivesMs = Math.max(now, mFreeMs) + 1 + (long) (bytes / mBytesPerMs);
+        if (arrivesMs - now > READ_MS) {
+            mTime.after(READ_MS, () -> then.accept(new ReadFailed("timeout")));
+            return;
+        }
+        mFreeMs = arrivesMs;
+        mCarriedBytes += bytes;
+        mTime.after(arrivesMs - now, () -> then.accept(result));
+    }
+
+    private static long bytes(Records page) {
+        return page.records().stream().mapToLong(r -> r.length).sum();
+    }
+
+    @Override
+    public void append(LogPartition at, List<byte[]> records, Consumer<AppendResult> then) {
+        mLog.append(at, records, then);
+        mLog.answer();
+    }
+
+    @Override
+    public void appendAt(
+            LogPartition at, long expectedEnd, byte[] record, Consumer<AppendResult> then) {
+        mLog.appendAt(at, expectedEnd, record, then);
+        mLog.answer();
+    }
+
+    @Override
+    public void appendAs(
+            LogPartition at,
+            WriterEpoch writer,
+            List<byte[]> records,
+            Consumer<AppendResult> then) {
+        mLog.appendAs(at, writer, records, then);
+        mLog.answer();
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
@@ -0,0 +1,157 @@
+package org.foxtailplank.node.caller;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.adapter.AdapterLimits;
+import org.foxtailplank.adapter.UsersPlatform;
+import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.http.HttpReply;
+import org.foxtailplank.http.HttpRequest;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.job.JournalRecord.OwnerAlive;
+import org.foxtailplank.job.QueueTerms;
+import org.foxtailplank.node.FakeFeed;
+import org.foxtailplank.node.FakeLog;
+import org.foxtailplank.node.FakeNode;
+import org.foxtailplank.node.NarrowLink;
+import org.foxtailplank.node.NodeMetrics;
+import org.foxtailplank.node.OperatorFollower;
+import org.foxtailplank.node.journal.JournalCodec;
+import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.journal.JournalWriter;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.OwnerLink;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.OperatorOrder;
+import org.foxtailplank.port.RouteSettings;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Callers of a node that is far behind the journal, on a link of 7 Mbit/s. */
+public class LaggingNodeTest {
+    private static final String JOB = "00000000000000aa";
+    private static final double LINK_BYTES_PER_S = 875_000;
+    private static final int RECORDS = 20_000;
+    private static final int RECORD_BYTES = 500;
+    private static final long CALLER_MS = 3000;
+    private static final long STEP_MS = 10;
+
+    private FakeNode mTime;
+    private FakeLog mLog;
+    private NarrowLink mLink;
+    private JournalReader mReader;
+    private CallerService mService;
+
+    @BeforeMethod
+    public void setUp() {
+        mTime = new FakeNode();
+        mLog = new FakeLog();
+        mLink = new NarrowLink(mLog, mTime, LINK_BYTES_PER_S);
+        NodeLog out = NodeLog.silent(mTime);
+        QueueTerms terms = new QueueTerms(0, 2, 1.6, 600, Optional.empty());
+        RouteSettings queue = new RouteSettings("/q/", "h", "/q/", "s", terms);
+        FakeFeed<OperatorOrder> orders = new FakeFeed<>();
+        FleetConfig config = new FleetConfig(1, List.of(queue), List.of(), 1000);
+        orders.put("config", new OperatorOrder.NewConfig(config));
+        OperatorFollower operator = new OperatorFollower(orders, mTime, mTime, out);
+        operator.refresh(read -> {});
+        mReader =
+                new JournalReader(
+                        mLink,
+                        JournalPartition.all(3),
+                        mTime,
+                        mTime,
+                        out,
+                        new JobBook(120_000),
+                        (record, job) -> {});
+        OwnerLink link = new OwnerLink(null, mTime, mTime, out, mReader);
+        mService =
+                new CallerService(
+                        operator,
+                        mReader,
+                        link,
+                        new JournalWriter(mLink, JournalPartition.JOURNAL, link, mTime, mTime, out),
+                        new UsersPlatform(
+                                        null,
+                                        null,
+                                        null,
+                                        new PlatformAddresses("127.0.0.1:1", "", ""),
+                                        AdapterLimits.DEFAULTS,
+                                        mTime::nowMs)
+                                .callerBodies(),
+                        mTime,
+                        out,
+                        new NodeMetrics());
+    }
+
+    private void writeJournal() {
+        byte[] record = JournalCodec.encode(new OwnerAlive(1, "a".repeat(RECORD_BYTES), 0));
+        for (int i = 0; i < RECORDS; i++) {
+            mLog.records(JournalPartition.JOURNAL).add(record);
+        }
+    }
+
+    private long journalBytes() {
+        return mLog.records(JournalPartition.JOURNAL).stream().mapToLong(r -> r.length).sum();
+    }
+
+    private List<HttpReply> ask(String method, String path) {
+        List<HttpReply> replies = new ArrayList<>();
+        HttpRequest request =
+                new HttpRequest(
+                        method,
+                        path,
+                        "h",
+                        name -> Optional.of(Long.toString(CALLER_MS)),
+                        new byte[0]);
+        mService.handle(request, replies::add);
+        return replies;
+    }
+
+    private void pass(long ms) {
+        for (long t = 0; t < ms; t += STEP_MS) {
+            mTime.pass(STEP_MS);
+        }
+    }
+
+    @Test
+    public void callersOfANodeThatIsFarBehindAreAnsweredWithinTheirTime() {
+        // All nodes were lost at the end of a day and started again. Callers asked for accepted
+        // jobs, and two of them got no answer at all: 26 nodes on links of 7 Mbit/s read the
+        // journal for 8 to 10 s, and a question for a job waited for the end of that read, however
+        // short its caller's time was.
+        writeJournal();
+        mReader.follow();
+        pass(500);
+        List<HttpReply> job = ask("GET", "/q/" + JOB);
+        List<HttpReply> pending = ask("GET", "/q/");
+        List<HttpReply> cancelled = ask("DELETE", "/q/" + JOB);
+        pass(CALLER_MS);
+
+        assertEquals(job.size(), 1);
+        assertEquals(job.get(0).status(), 503);
+        assertEquals(pending.size(), 1);
+        assertEquals(cancelled.size(), 1);
+    }
+
+    @Test
+    public void aNodeThatHasStartedReadsTheJournalOverItsLinkOnce() {
+        // After the loss of all nodes one with a narrow link received 7.3 MB before it answered,
+        // twice what the journal held: its own reads and those for callers and for the owner's
+        // heartbeats each asked for the same pages. It answered for no job for twice as long.
+        writeJournal();
+        mReader.follow();
+        for (int i = 0; i < 100; i++) {
+            mReader.refresh(read -> {});
+            pass(200);
+        }
+
+        assertTrue(mReader.isCaughtUp());
+        assertTrue(mLink.carriedBytes() <= 1.02 * journalBytes(), mLink.carriedBytes() + " bytes");
+    }
+}
