--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -172,6 +172,7 @@
                         mWriter,
                         mPlatform.callerBodies(),
                         mClock,
+                        mTimers,
                         mLog,
                         mMetrics);
         mCallers = HttpServer.bind(mLoop, mSettings.callers(), MAX_BODY_BYTES, service);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -17,6 +17,7 @@
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.NodeMetrics;
 import org.foxtailplank.node.OperatorFollower;
+import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.journal.StoreOutcome;
@@ -64,6 +65,7 @@
     private final JournalWriter mWriter;
     private final CallerBodies mBodies;
     private final Clock mClock;
+    private final Timers mTimers;
     private final NodeLog mLog;
     private final NodeMetrics mMetrics;
     private final Map<String, List<Consumer<HttpReply>>> mInFlight = new HashMap<>();
@@ -75,6 +77,7 @@
             JournalWriter writer,
             CallerBodies bodies,
             Clock clock,
+            Timers timers,
             NodeLog log,
             NodeMetrics metrics) {
         mOperator = operator;
@@ -83,6 +86,7 @@
         mWriter = writer;
         mBodies = bodies;
         mClock = clock;
+        mTimers = timers;
         mLog = log;
         mMetrics = metrics;
     }
@@ -110,6 +114,35 @@
         }
     }
 
+    /**
+     * Reads the journal to its end and says whether that worked, or that it didn't as the caller's
+     * time is nearly over. Guards against callers that get no answer: a node that has just started
+     * reads for longer than they wait, if its link is narrow.
+     */
+    private void readInTime(HttpRequest request, Consumer<Boolean> then) {
+        Once once = new Once(then);
+        mReader.refresh(once);
+        mTimers.after(deadlineMs(request) - mClock.nowMs(), () -> once.accept(false));
+    }
+
+    /** Hands the first outcome on. */
+    private static final class Once implements Consumer<Boolean> {
+        private final Consumer<Boolean> mThen;
+        private boolean mDone;
+
+        Once(Consumer<Boolean> then) {
+            mThen = then;
+        }
+
+        @Override
+        public void accept(Boolean outcome) {
+            if (!mDone) {
+                mDone = true;
+                mThen.accept(outcome);
+            }
+        }
+    }
+
     private void noteIfSlow(HttpRequest request, HttpReply answer, long tookMs) {
         if (tookMs >= SLOW_MS) {
             mLog.line("answer-slow")
@@ -150,7 +183,7 @@
     private void routed(HttpRequest request, RouteSettings route, Consumer<HttpReply> reply) {
         String id = request.path().substring(route.pathPrefix().length());
         if (id.isEmpty() && request.method().equals("GET")) {
-            tellPending(route, reply);
+            tellPending(request, route, reply);
             return;
         }
         if (!JOB_ID.matcher(id).matches()) {
@@ -159,7 +192,7 @@
         }
         switch (request.method()) {
             case "POST" -> submit(request, route, id, reply);
-            case "GET" -> tell(id, reply);
+            case "GET" -> tell(request, id, reply);
             case "DELETE" -> cancel(request, id, reply);
             default -> reply.accept(HttpReply.empty(BAD_METHOD));
         }
@@ -218,26 +251,27 @@
      * it would tell callers that nothing of a queue waits. What is older than they may be told is
      * read up first, and a node that can't do that doesn't say a number.
      */
-    private void tellPending(RouteSettings route, Consumer<HttpReply> reply) {
+    private void tellPending(HttpRequest request, RouteSettings route, Consumer<HttpReply> reply) {
         if (mClock.nowMs() - mLink.currentMs() < PENDING_CURRENT_MS) {
             reply.accept(pending(route));
             return;
         }
-        mReader.refresh(read -> reply.accept(read ? pending(route) : unavailable()));
+        readInTime(request, read -> reply.accept(read ? pending(route) : unavailable()));
     }
 
     private HttpReply pending(RouteSettings route) {
         return HttpReply.json(OK, mBodies.pending(mReader.book().pending(route.name())));
     }
 
-    private void tell(String id, Consumer<HttpReply> reply) {
+    private void tell(HttpRequest request, String id, Consumer<HttpReply> reply) {
         Optional<JobEntry> known = mReader.book().job(id);
         boolean current = mClock.nowMs() - mLink.currentMs() < CURRENT_MS;
         if (known.isPresent() && (current || known.get().phase().isFinal())) {
             reply.accept(HttpReply.json(OK, mBodies.phase(known.get().phase())));
             return;
         }
-        mReader.refresh(
+        readInTime(
+                request,
                 read -> {
                     Optional<JobEntry> job = mReader.book().job(id);
                     if (job.isPresent()) {
@@ -254,7 +288,8 @@
             cancelKnown(request, known.get(), reply);
             return;
         }
-        mReader.refresh(
+        readInTime(
+                request,
                 read -> {
                     Optional<JobEntry> job = mReader.book().job(id);
                     if (job.isPresent()) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -113,6 +113,7 @@
                                         mTime::nowMs)
                                 .callerBodies(),
                         mTime,
+                        mTime,
                         out,
                         new NodeMetrics());
         operator.refresh(read -> {});
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
@@ -85,6 +85,7 @@
                                         mTime::nowMs)
                                 .callerBodies(),
                         mTime,
+                        mTime,
                         out,
                         new NodeMetrics());
     }
@@ -123,8 +124,8 @@
     public void callersOfANodeThatIsFarBehindAreAnsweredWithinTheirTime() {
         // All nodes were lost at the end of a day and started again. Callers asked for accepted
         // jobs, and two of them got no answer at all: 26 nodes on links of 7 Mbit/s read the
-        // journal for 8 to 10 s, and a question for a job waited for the end of that read, however
-        // short its caller's time was.
+        // journal for 8 to 10 s. Cause: a question for a job waited for the end of that read without
+        // regard to its caller's time.
         writeJournal();
         mReader.follow();
         pass(500);
@@ -143,7 +144,8 @@
     public void aNodeThatHasStartedReadsTheJournalOverItsLinkOnce() {
         // After the loss of all nodes one with a narrow link received 7.3 MB before it answered,
         // twice what the journal held: its own reads and those for callers and for the owner's
-        // heartbeats each asked for the same pages. It answered for no job for twice as long. Cause:
+        // heartbeats each asked for the same pages. It answered for no job for twice as long.
+        // Cause:
         // a reader had two loops over the same partition, which knew nothing of each other.
         writeJournal();
         mReader.follow();
