--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -13,6 +13,7 @@
 import org.foxtailplank.http.HttpServer;
 import org.foxtailplank.job.JobBook;
 import org.foxtailplank.job.JobEntry;
+import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.node.caller.CallerService;
 import org.foxtailplank.node.journal.Handover;
@@ -26,6 +27,7 @@
 import org.foxtailplank.node.owner.Ownership;
 import org.foxtailplank.node.owner.TakeOver;
 import org.foxtailplank.node.peer.JournalStream;
+import org.foxtailplank.node.peer.OwnerBook;
 import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.SharedLog;
 
@@ -162,6 +164,19 @@
         }
     }
 
+    /** The owner's book, wherever it is; no owner is asked yet. */
+    private static final class OwnBookOrLink implements OwnerBook {
+        @Override
+        public void phase(String job, Consumer<Optional<JobPhase>> then) {
+            then.accept(Optional.empty());
+        }
+
+        @Override
+        public void pending(String queue, Consumer<Optional<Integer>> then) {
+            then.accept(Optional.empty());
+        }
+    }
+
     /** Listens; called on any thread but the event loop's, which would wait for itself. */
     public void listen() throws IOException {
         CallerService service =
@@ -169,6 +184,7 @@
                         mOperator,
                         mReader,
                         mLink,
+                        new OwnBookOrLink(),
                         mWriter,
                         mPlatform.callerBodies(),
                         mClock,
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -22,6 +22,7 @@
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.OwnerBook;
 import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.CallerBodies;
 import org.foxtailplank.port.CallerBodies.BadBodyException;
@@ -62,6 +63,7 @@
     private final OperatorFollower mOperator;
     private final JournalReader mReader;
     private final OwnerLink mLink;
+    private final OwnerBook mOwnerBook;
     private final JournalWriter mWriter;
     private final CallerBodies mBodies;
     private final Clock mClock;
@@ -74,6 +76,7 @@
             OperatorFollower operator,
             JournalReader reader,
             OwnerLink link,
+            OwnerBook ownerBook,
             JournalWriter writer,
             CallerBodies bodies,
             Clock clock,
@@ -83,6 +86,7 @@
         mOperator = operator;
         mReader = reader;
         mLink = link;
+        mOwnerBook = ownerBook;
         mWriter = writer;
         mBodies = bodies;
         mClock = clock;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -103,6 +103,7 @@
                         operator,
                         mReader,
                         link,
+                        new FakeOwnerBook(),
                         new JournalWriter(mLog, JournalPartition.JOURNAL, link, mTime, mTime, out),
                         new UsersPlatform(
                                         null,
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/FakeOwnerBook.java
@@ -0,0 +1,24 @@
+package org.foxtailplank.node.caller;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailplank.job.JobPhase;
+import org.foxtailplank.node.peer.OwnerBook;
+
+/** An owner that knows what the test has told it, and answers at once. */
+final class FakeOwnerBook implements OwnerBook {
+    final Map<String, JobPhase> mPhases = new HashMap<>();
+    final Map<String, Integer> mPending = new HashMap<>();
+
+    @Override
+    public void phase(String job, Consumer<Optional<JobPhase>> then) {
+        then.accept(Optional.ofNullable(mPhases.get(job)));
+    }
+
+    @Override
+    public void pending(String queue, Consumer<Optional<Integer>> then) {
+        then.accept(Optional.ofNullable(mPending.get(queue)));
+    }
+}
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.job.JobBook;
+import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.QueueTerms;
 import org.foxtailplank.node.FakeFeed;
@@ -45,12 +47,14 @@
     private FakeLog mLog;
     private NarrowLink mLink;
     private JournalReader mReader;
+    private FakeOwnerBook mOwner;
     private CallerService mService;
 
     @BeforeMethod
     public void setUp() {
         mTime = new FakeNode();
         mLog = new FakeLog();
+        mOwner = new FakeOwnerBook();
         mLink = new NarrowLink(mLog, mTime, LINK_BYTES_PER_S);
         NodeLog out = NodeLog.silent(mTime);
         QueueTerms terms = new QueueTerms(0, 2, 1.6, 600, Optional.empty());
@@ -75,6 +79,7 @@
                         operator,
                         mReader,
                         link,
+                        mOwner,
                         new JournalWriter(mLink, JournalPartition.JOURNAL, link, mTime, mTime, out),
                         new UsersPlatform(
                                         null,
@@ -124,7 +129,8 @@
     public void callersOfANodeThatIsFarBehindAreAnsweredWithinTheirTime() {
         // All nodes were lost at the end of a day and started again. Callers asked for accepted
         // jobs, and two of them got no answer at all: 26 nodes on links of 7 Mbit/s read the
-        // journal for 8 to 10 s. Cause: a question for a job waited for the end of that read without
+        // journal for 8 to 10 s. Cause: a question for a job waited for the end of that read
+        // without
         // regard to its caller's time.
         writeJournal();
         mReader.follow();
@@ -157,4 +163,42 @@
         assertTrue(mReader.isCaughtUp());
         assertTrue(mLink.carriedBytes() <= 1.02 * journalBytes(), mLink.carriedBytes() + " bytes");
     }
+
+    @Test
+    public void aNodeThatIsFarBehindTellsWhatTheOwnerKnows() {
+        // Nodes that had just started refused questions about jobs, cancellings and queues for as
+        // long as they read the journal, 8 to 10 s over a link of 7 Mbit/s, while the owner had
+        // read it within a second. After the loss of all nodes 66 of 173 requests were late.
+        writeJournal();
+        mReader.follow();
+        mOwner.mPhases.put(JOB, JobPhase.COMPLETED);
+        mOwner.mPending.put("/q/", 7);
+        pass(500);
+        List<HttpReply> job = ask("GET", "/q/" + JOB);
+        List<HttpReply> pending = ask("GET", "/q/");
+        List<HttpReply> cancelled = ask("DELETE", "/q/" + JOB);
+        pass(STEP_MS);
+
+        assertEquals(text(job), "{\"state\":\"completed\"}");
+        assertEquals(text(pending), "{\"pending\":7}");
+        assertEquals(cancelled.size(), 1);
+        assertEquals(cancelled.get(0).status(), 200);
+    }
+
+    @Test
+    public void aJobThatTheOwnerDoesNotKnowIsLookedForInTheJournal() {
+        // The owner may not have read yet what another node has just stored by itself.
+        mReader.follow();
+        pass(500);
+        List<HttpReply> job = ask("GET", "/q/" + JOB);
+        pass(500);
+
+        assertEquals(job.size(), 1);
+        assertEquals(job.get(0).status(), 410);
+    }
+
+    private static String text(List<HttpReply> replies) {
+        assertEquals(replies.size(), 1);
+        return new String(replies.get(0).body(), StandardCharsets.UTF_8);
+    }
 }
