A wave counts the standing tasks of one step that are on many of its VMs

Cause: time to spare was reckoned as if each VM could be emptied for itself; of one step only so many tasks may be away at a time, so that 23 of them move two by two however many VMs they are on. Change: the wave's need counts, for the step with the most, its tasks on the wave's VMs over what it may miss.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.port.FleetConfig;
@@ -61,7 +63,7 @@
         }
         int room = wave.atOnce() - down - planned;
         long rounds = (left.size() + wave.atOnce() - 1) / wave.atOnce();
-        long needed = rounds * ROUND_MS + mostStanding(left, scheduler) * STANDING_MS;
+        long needed = rounds * ROUND_MS + standingMoves(left, scheduler) * STANDING_MS;
         boolean ample = due.dueMs() - nowMs - needed > AMPLE_MS;
         left.stream()
                 .filter(VmState::isFree)
@@ -73,17 +75,23 @@
         return left.isEmpty() && !unseen;
     }
 
-    /** Most standing tasks on one of the VMs: they are taken away one after the other. */
-    private static int mostStanding(List<VmState> vms, Scheduler scheduler) {
+    /**
+     * How many times the wave has to wait for standing tasks that were taken away: those of one VM
+     * go one after the other, and of each step no more at a time than it may miss. Guards against a
+     * wave that waits for quiet moments as if each VM could be emptied for itself, and is late
+     * where the tasks of one step are on many of its VMs.
+     */
+    private static int standingMoves(List<VmState> vms, Scheduler scheduler) {
         int most = 0;
+        Map<ActiveStep, Integer> tasks = new HashMap<>();
         for (VmState v : vms) {
-            most =
-                    Math.max(
-                            most,
-                            scheduler
-                                    .worker(v.info().worker())
-                                    .map(WorkerState::standingRuns)
-                                    .orElse(0));
+            Optional<WorkerState> worker = scheduler.worker(v.info().worker());
+            most = Math.max(most, worker.map(WorkerState::standingRuns).orElse(0));
+            worker.ifPresent(w -> w.countStanding(tasks));
+        }
+        for (Map.Entry<ActiveStep, Integer> e : tasks.entrySet()) {
+            int atOnce = Math.max(1, e.getKey().spec().mode().mayMiss());
+            most = Math.max(most, (e.getValue() + atOnce - 1) / atOnce);
         }
         return most;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.schedule;
 
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.fleet.Resources;
@@ -118,6 +119,15 @@
         return count;
     }
 
+    /** Adds the standing tasks that run there to the number of each step's. */
+    void countStanding(Map<ActiveStep, Integer> tasks) {
+        for (TaskRun r : mRuns) {
+            if (r.slot().spec().mode().standing()) {
+                tasks.merge(r.slot().step(), 1, Integer::sum);
+            }
+        }
+    }
+
     /** Whether a standing task is on its way to work there; others may wait for it. */
     public boolean hasStandingToCome() {
         for (TaskRun r : mRuns) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/WaveStandingTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/WaveStandingTest.java
@@ -13,9 +13,9 @@
 /**
  * A wave over VMs on each of which one standing task of the same step runs.
  *
- * <p>Operators see the wave late. Only two of the tasks may be away at a time, so that they move
- * two by two however many VMs they are on; the wave waits for quiet moments as if each VM could be
- * emptied for itself, and is not done with them when its time is over.
+ * <p>Operators saw the wave late: 6 of 105 VMs were left at its end. Only two of the tasks may be
+ * away at a time, so that they move two by two however many VMs they are on. Cause: the wave waited
+ * for quiet moments as if each VM could be emptied for itself.
  */
 public class WaveStandingTest {
     private static final int CORES = 8;
