--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -51,9 +51,11 @@
         checkOrders("/worker/orders");
         PlatformAddresses platform =
                 new PlatformAddresses(
-                        text("/platform/store"),
-                        text("/platform/vms"),
-                        mTree.at("/platform/advice").asText(""));
+                        addressText("/platform/store"),
+                        addressText("/platform/vms"),
+                        mTree.at("/platform/advice").asText("").isEmpty()
+                                ? ""
+                                : addressText("/platform/advice"));
         ScheduleLimits schedule =
                 new ScheduleLimits(
                         (long) number("/worker/leaseMs"), (long) number("/jobs/earlyMs"));
@@ -127,6 +129,12 @@
         return (long) (number(path) * MS_PER_S);
     }
 
+    /** The text of an address that can be read as one. */
+    private String addressText(String path) {
+        address(path);
+        return mTree.at(path).asText("");
+    }
+
     private InetSocketAddress address(String path) {
         String value = text(path);
         int colon = value.lastIndexOf(':');
--- a/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -67,4 +67,19 @@
         assertTrue(e.getMessage().contains("/worker/leaseMs"), e.getMessage());
         assertTrue(e.getMessage().contains("/node/name"), e.getMessage());
     }
+
+    @Test
+    public void addressesOfThePlatformThatAreNoneAreNamed() {
+        // A node ended with an index out of bounds as it was put together, or as it became the
+        // owner.
+        String bad =
+                GOOD.replace("\"store\":\"10.0.0.2:1\"", "\"store\":\"10.0.0.2\"")
+                        .replace("\"advice\":\"\"", "\"advice\":\"there\"");
+
+        SettingsException e =
+                expectThrows(SettingsException.class, () -> NodeSettingsReader.parse(bad));
+
+        assertTrue(e.getMessage().contains("/platform/store"), e.getMessage());
+        assertTrue(e.getMessage().contains("/platform/advice"), e.getMessage());
+    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -127,6 +127,7 @@
                 new HttpRequest(
                         method,
                         path,
+                        "",
                         "h",
                         name -> Optional.empty(),
                         body.getBytes(StandardCharsets.UTF_8));
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
@@ -113,6 +113,7 @@
                 new HttpRequest(
                         method,
                         path,
+                        "",
                         "h",
                         name -> Optional.of(Long.toString(CALLER_MS)),
                         new byte[0]);
