--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpRequest.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpRequest.java
@@ -7,12 +7,13 @@
  *
  * @param method its method
  * @param path path without the query
+ * @param query the query, without its question mark; empty for none
  * @param host host that it names, without a port
  * @param headers its headers
  * @param body its body
  */
 public record HttpRequest(
-        String method, String path, String host, HeaderLookup headers, byte[] body) {
+        String method, String path, String query, String host, HeaderLookup headers, byte[] body) {
 
     /** Finds a header by its name. */
     public interface HeaderLookup {
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -55,6 +55,7 @@
         return new HttpRequest(
                 read.method().name(),
                 path,
+                query < 0 ? "" : uri.substring(query + 1),
                 port < 0 ? host : host.substring(0, port),
                 name -> Optional.ofNullable(headers.get(name)),
                 ByteBufUtil.getBytes(read.content()));
--- a/foxtail-it/src/main/java/org/foxtailplank/it/process/RunningProcess.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/process/RunningProcess.java
@@ -63,6 +63,11 @@
         signal("-CONT");
     }
 
+    /** Tells it that its settings have changed (SIGHUP). */
+    public void reload() throws IOException, InterruptedException {
+        signal("-HUP");
+    }
+
     /** Whether it runs. */
     public boolean isAlive() {
         return mProcess.isAlive();
--- a/foxtail-it/src/main/java/org/foxtailplank/it/proxy/FaultProxy.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/proxy/FaultProxy.java
@@ -81,6 +81,11 @@
         mFaults.delay(delay);
     }
 
+    /** Carries so many bytes a second each way, over all connections together. */
+    public void rate(double bytesPerS) {
+        mFaults.rate(bytesPerS);
+    }
+
     /** Closes each connection once so many bytes went one way. */
     public void truncate(Direction direction, long bytes) {
         mFaults.truncate(direction, bytes);
--- a/foxtail-it/src/main/java/org/foxtailplank/it/proxy/FaultState.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/proxy/FaultState.java
@@ -10,6 +10,8 @@
     private final Map<Direction, Boolean> mHeld = new EnumMap<>(Direction.class);
     private final Map<Direction, Long> mTruncateAfter = new EnumMap<>(Direction.class);
     private Duration mDelay = Duration.ZERO;
+    private double mBytesPerNano = Double.POSITIVE_INFINITY;
+    private final Map<Direction, Long> mFreeNanos = new EnumMap<>(Direction.class);
 
     synchronized boolean isHeld(Direction direction) {
         return mHeld.getOrDefault(direction, false);
@@ -27,15 +29,24 @@
         mTruncateAfter.put(direction, bytes);
     }
 
-    synchronized long delayNanos() {
-        return mDelay.toNanos();
-    }
-
     synchronized void delay(Duration delay) {
         mDelay = delay;
     }
 
+    /** When so many bytes have arrived that are sent now; all connections share the rate. */
+    synchronized long arrivalNanos(Direction direction, long nowNanos, long bytes) {
+        long free = Math.max(nowNanos, mFreeNanos.getOrDefault(direction, nowNanos));
+        long sent = free + (long) (bytes / mBytesPerNano);
+        mFreeNanos.put(direction, sent);
+        return sent + mDelay.toNanos();
+    }
+
+    synchronized void rate(double bytesPerS) {
+        mBytesPerNano = bytesPerS / Duration.ofSeconds(1).toNanos();
+    }
+
     synchronized void heal() {
+        mBytesPerNano = Double.POSITIVE_INFINITY;
         mHeld.clear();
         mTruncateAfter.clear();
         mDelay = Duration.ZERO;
--- a/foxtail-it/src/main/java/org/foxtailplank/it/proxy/Pipe.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/proxy/Pipe.java
@@ -41,7 +41,7 @@
             send(mHeld.remove());
         }
         if (mEnded && mHeld.isEmpty()) {
-            later(() -> mSink.close());
+            later(0, () -> mSink.close());
         }
     }
 
@@ -56,6 +56,7 @@
         ByteBuf sent = cutShort ? bytes.readSlice((int) Math.max(0, left)) : bytes;
         mSent += sent.readableBytes();
         later(
+                sent.readableBytes(),
                 () -> {
                     if (cutShort) {
                         mSink.writeAndFlush(sent).addListener(ChannelFutureListener.CLOSE);
@@ -65,10 +66,12 @@
                 });
     }
 
-    /** Runs after the delay that holds now, and never before what was sent earlier. */
-    private void later(Runnable task) {
+    /**
+     * Runs after the delay and at the rate that hold now, and never before what was sent earlier.
+     */
+    private void later(long bytes, Runnable task) {
         long now = System.nanoTime();
-        mDueNanos = Math.max(mDueNanos, now + mFaults.delayNanos());
+        mDueNanos = Math.max(mDueNanos, mFaults.arrivalNanos(mDirection, now, bytes));
         if (mDueNanos <= now) {
             task.run();
         } else {
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
@@ -0,0 +1,94 @@
+package org.foxtailplank.soak;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** What can strike a run from outside, and what it strikes. */
+public enum FaultKind {
+    NODE_KILL(Target.NODE),
+    NODE_TERM(Target.NODE),
+    NODE_PAUSE(Target.NODE),
+    NODE_RELOAD(Target.NODE),
+    NODE_ELSEWHERE(Target.NODE),
+    NODE_CUT(Target.NODE),
+    NODE_CUT_ONE_WAY(Target.NODE),
+    NODE_RESET(Target.NODE),
+    NODE_DELAY(Target.NODE),
+    NODE_NARROW(Target.NODE),
+    OWNER_KILL(Target.NOTHING),
+    OWNER_PAUSE(Target.NOTHING),
+    OWNER_CUT(Target.NOTHING),
+    OWNER_TERM(Target.NOTHING),
+    NODES_KILL(Target.NOTHING),
+    ZONE_CUT(Target.ZONE),
+    STORE_SILENT(Target.NOTHING),
+    STORE_BUSY(Target.NOTHING),
+    STORE_SLOW(Target.NOTHING),
+    STORE_ANSWERS_LOST(Target.NOTHING),
+    PARTITION_AWAY(Target.PARTITION),
+    HISTORY_DROPPED(Target.NOTHING),
+    VMS_SILENT(Target.NOTHING),
+    WORKER_CRASH(Target.WORKER),
+    WORKER_DRAIN(Target.WORKER),
+    WORKERS_CUT(Target.ZONE),
+    LATE_ORDERS(Target.WORKER),
+    WAVE(Target.WORKER);
+
+    /** What a fault strikes. */
+    enum Target {
+        NOTHING,
+        NODE,
+        ZONE,
+        WORKER,
+        PARTITION;
+
+        private static final int PARTITIONS = 3;
+
+        int draw(SoakSize size, RandomGenerator random) {
+            return switch (this) {
+                case NOTHING -> 0;
+                case NODE -> random.nextInt(size.nodes());
+                case ZONE -> random.nextInt(size.zones());
+                case WORKER -> random.nextInt(size.workers());
+                case PARTITION -> random.nextInt(PARTITIONS);
+            };
+        }
+
+        boolean has(SoakSize size, int target) {
+            int most =
+                    switch (this) {
+                        case NOTHING -> 1;
+                        case NODE -> size.nodes();
+                        case ZONE -> size.zones();
+                        case WORKER -> size.workers();
+                        case PARTITION -> PARTITIONS;
+                    };
+            return target >= 0 && target < most;
+        }
+    }
+
+    private final Target mTarget;
+
+    FaultKind(Target target) {
+        mTarget = target;
+    }
+
+    Target target() {
+        return mTarget;
+    }
+
+    /** The name in a schedule's text. */
+    String word() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    static Optional<FaultKind> of(String word) {
+        for (FaultKind k : values()) {
+            if (k.word().equals(word)) {
+                return Optional.of(k);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -0,0 +1,255 @@
+package org.foxtailplank.soak;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.foxtailplank.adapter.standin.StoreFault;
+import org.foxtailplank.it.process.RunningProcess;
+import org.foxtailplank.it.proxy.Direction;
+import org.foxtailplank.it.proxy.FaultProxy;
+import org.foxtailplank.soak.Schedule.Fault;
+
+/** Lets a schedule's faults strike and end; they may overlap. */
+final class FaultPlayer implements AutoCloseable {
+    /** A link of 1.4 Mbit/s, in bytes a second. */
+    private static final double NARROW_BYTES_PER_S = 175_000;
+
+    private static final Duration DELAY = Duration.ofMillis(150);
+    private static final long WORKER_DRAIN_MS = 4000;
+    private static final int LATE_ORDERS = 3;
+    private static final int WAVE_VMS = 4;
+    private static final long WAVE_S = 20;
+    private static final double MS_PER_S = 1000;
+
+    private final SoakSystem mSystem;
+    private final Consumer<String> mProgress;
+    private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(4);
+    private final List<Strike> mActive = new ArrayList<>();
+    private final Map<SoakNode, Integer> mDown = new HashMap<>();
+    private long mWaves;
+
+    /** A fault that has struck, with the nodes that it struck. */
+    private record Strike(Fault fault, List<SoakNode> nodes) {
+        boolean is(FaultKind... kinds) {
+            return List.of(kinds).contains(fault.kind());
+        }
+    }
+
+    /** An action on a node that may fail with it. */
+    private interface NodeAction {
+        void run(RunningProcess process) throws IOException, InterruptedException;
+    }
+
+    FaultPlayer(SoakSystem system, Consumer<String> progress) {
+        mSystem = system;
+        mProgress = progress;
+    }
+
+    /** Begins to play; returns at once. */
+    void play(List<Fault> faults) {
+        for (Fault f : faults) {
+            mTimer.schedule(() -> guarded(() -> strike(f)), (long) (f.atS() * MS_PER_S), unit());
+        }
+    }
+
+    private static TimeUnit unit() {
+        return TimeUnit.MILLISECONDS;
+    }
+
+    private interface Step {
+        void run() throws IOException, InterruptedException;
+    }
+
+    /** A step that fails is told of: a fault that didn't strike proves nothing. */
+    private void guarded(Step step) {
+        try {
+            step.run();
+        } catch (IOException | RuntimeException | AssertionError e) {
+            mProgress.accept("a fault could not be played: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void strike(Fault fault) throws IOException, InterruptedException {
+        Strike strike = new Strike(fault, nodesOf(fault));
+        mProgress.accept(fault + " " + strike.nodes().stream().map(SoakNode::name).toList());
+        synchronized (this) {
+            mActive.add(strike);
+            applyLinks();
+            if (goesDown(strike)) {
+                strike.nodes().forEach(n -> mDown.merge(n, 1, Integer::sum));
+            }
+        }
+        begin(strike);
+        mTimer.schedule(() -> guarded(() -> end(strike)), (long) (fault.forS() * MS_PER_S), unit());
+    }
+
+    private List<SoakNode> nodesOf(Fault fault) throws IOException {
+        List<SoakNode> nodes = mSystem.nodes();
+        return switch (fault.kind()) {
+            case OWNER_KILL, OWNER_PAUSE, OWNER_CUT, OWNER_TERM ->
+                    mSystem.owner().map(List::of).orElse(List.of());
+            case NODES_KILL -> nodes;
+            case ZONE_CUT -> inZone(mSystem.zone(fault.target()));
+            default ->
+                    fault.kind().target() == FaultKind.Target.NODE
+                            ? List.of(nodes.get(fault.target()))
+                            : List.of();
+        };
+    }
+
+    private List<SoakNode> inZone(String zone) {
+        return mSystem.nodes().stream().filter(n -> n.zone().equals(zone)).toList();
+    }
+
+    private static boolean goesDown(Strike strike) {
+        return strike.is(
+                FaultKind.NODE_KILL,
+                FaultKind.NODE_TERM,
+                FaultKind.NODE_ELSEWHERE,
+                FaultKind.OWNER_KILL,
+                FaultKind.OWNER_TERM,
+                FaultKind.NODES_KILL);
+    }
+
+    private void begin(Strike strike) throws IOException, InterruptedException {
+        Fault f = strike.fault();
+        switch (f.kind()) {
+            case NODE_KILL, OWNER_KILL, NODES_KILL, NODE_ELSEWHERE ->
+                    each(strike, RunningProcess::kill);
+            case NODE_TERM, OWNER_TERM -> each(strike, RunningProcess::stop);
+            case NODE_PAUSE, OWNER_PAUSE -> each(strike, RunningProcess::pause);
+            case NODE_RELOAD -> strike.nodes().get(0).reload();
+            case NODE_RESET -> strike.nodes().get(0).store().reset();
+            case HISTORY_DROPPED -> mSystem.platform().dropHistory();
+            case VMS_SILENT -> mSystem.platform().vmServiceSilent(true);
+            case WORKER_CRASH ->
+                    mSystem.platform().crashWorker(f.target(), (long) (f.forS() * MS_PER_S));
+            case WORKER_DRAIN -> mSystem.platform().drainWorker(f.target(), WORKER_DRAIN_MS);
+            case WORKERS_CUT, ZONE_CUT ->
+                    mSystem.platform().cutWorkers(mSystem.zone(f.target()), true);
+            case LATE_ORDERS -> mSystem.platform().lateOrders(f.target(), LATE_ORDERS);
+            case WAVE -> wave(f.target());
+            default -> {}
+        }
+    }
+
+    private void wave(int first) {
+        List<Integer> vms =
+                IntStream.range(first, first + WAVE_VMS).map(this::worker).boxed().toList();
+        mSystem.platform().wave(++mWaves, vms, 2, WAVE_S);
+    }
+
+    private int worker(int number) {
+        return number % mSystem.workers();
+    }
+
+    private void each(Strike strike, NodeAction action) throws IOException, InterruptedException {
+        for (SoakNode n : strike.nodes()) {
+            Optional<RunningProcess> process = n.process();
+            if (process.isPresent() && n.isRunning()) {
+                action.run(process.get());
+            }
+        }
+    }
+
+    private void end(Strike strike) throws IOException, InterruptedException {
+        synchronized (this) {
+            if (!mActive.remove(strike)) {
+                return;
+            }
+            applyLinks();
+        }
+        Fault f = strike.fault();
+        switch (f.kind()) {
+            case NODE_PAUSE, OWNER_PAUSE -> each(strike, RunningProcess::resume);
+            case NODE_ELSEWHERE -> strike.nodes().get(0).moveElsewhere();
+            case VMS_SILENT -> mSystem.platform().vmServiceSilent(false);
+            case WORKERS_CUT, ZONE_CUT ->
+                    mSystem.platform().cutWorkers(mSystem.zone(f.target()), false);
+            default -> {}
+        }
+        if (goesDown(strike)) {
+            up(strike.nodes());
+        }
+    }
+
+    /** Nodes that nothing keeps down any more start again. */
+    private void up(List<SoakNode> nodes) throws IOException {
+        for (SoakNode n : nodes) {
+            boolean up;
+            synchronized (this) {
+                up = mDown.merge(n, -1, Integer::sum) == 0;
+            }
+            if (up) {
+                n.start();
+            }
+        }
+    }
+
+    /** Brings store and links to what all faults that last now make of them. */
+    private void applyLinks() {
+        StoreFault store = StoreFault.NONE;
+        Optional<String> away = Optional.empty();
+        for (SoakNode n : mSystem.nodes()) {
+            n.store().heal();
+            n.vms().heal();
+        }
+        for (Strike s : mActive) {
+            store = storeFault(s.fault().kind()).orElse(store);
+            if (s.is(FaultKind.PARTITION_AWAY)) {
+                away = Optional.of("foxtail-journal/" + s.fault().target());
+            }
+            for (SoakNode n : s.nodes()) {
+                applyLink(s, n.store());
+                applyLink(s, n.vms());
+            }
+        }
+        mSystem.platform().storeFault(store);
+        mSystem.platform().partitionAway(away);
+    }
+
+    private static Optional<StoreFault> storeFault(FaultKind kind) {
+        return switch (kind) {
+            case STORE_SILENT -> Optional.of(StoreFault.SILENT);
+            case STORE_BUSY -> Optional.of(StoreFault.BUSY);
+            case STORE_SLOW -> Optional.of(StoreFault.SLOW);
+            case STORE_ANSWERS_LOST -> Optional.of(StoreFault.ANSWERS_LOST);
+            default -> Optional.empty();
+        };
+    }
+
+    private static void applyLink(Strike strike, FaultProxy link) {
+        switch (strike.fault().kind()) {
+            case NODE_CUT, OWNER_CUT, ZONE_CUT -> link.cut();
+            case NODE_CUT_ONE_WAY -> link.cut(Direction.TO_CLIENT);
+            case NODE_DELAY -> link.delay(DELAY);
+            case NODE_NARROW -> link.rate(NARROW_BYTES_PER_S);
+            default -> {}
+        }
+    }
+
+    /** Ends all faults that last, and starts all nodes that are down. */
+    void endAll() throws IOException {
+        List<Strike> active;
+        synchronized (this) {
+            active = List.copyOf(mActive);
+        }
+        active.forEach(s -> guarded(() -> end(s)));
+    }
+
+    @Override
+    public void close() {
+        mTimer.shutdownNow();
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -0,0 +1,338 @@
+package org.foxtailplank.soak;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.soak.SoakEvent.Acknowledged;
+import org.foxtailplank.soak.SoakEvent.AskedAtEnd;
+import org.foxtailplank.soak.SoakEvent.CancelSent;
+import org.foxtailplank.soak.SoakEvent.Cancelled;
+import org.foxtailplank.soak.SoakEvent.Ended;
+import org.foxtailplank.soak.SoakEvent.Started;
+import org.foxtailplank.soak.SoakEvent.SubmitAnswer;
+import org.foxtailplank.soak.SoakEvent.Submitted;
+import org.foxtailplank.soak.SoakEvent.Told;
+import org.foxtailplank.soak.SoakEvent.VmCalled;
+
+/** A promise to the users, and what breaks it in a history that others than the nodes saw. */
+enum Promise {
+    /** No task runs twice at a time, or again after an owner took note that it is done. */
+    TWICE {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof Started e) {
+                Set<String> others = new HashSet<>(scan.runs().workers(e.task()));
+                others.remove(e.worker());
+                if (!others.isEmpty()) {
+                    scan.broken(e, e.task() + " starts on " + e.worker() + ", runs on " + others);
+                }
+                if (scan.runs().isNoted(e.task())) {
+                    scan.broken(e, e.task() + " starts again, its end was taken note of");
+                }
+                if (scan.runs().isDone(e.task())) {
+                    scan.note(e.task());
+                }
+            } else if (event instanceof Acknowledged e
+                    && e.how().equals("done")
+                    && scan.isNoted(e.task())) {
+                scan.broken(e, e.task() + " had started again before its end was taken note of");
+            }
+        }
+    },
+
+    /** An accepted job is known at every node, told truly, and done in the end. */
+    LOST {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof SubmitAnswer e && e.isAccepted()) {
+                scan.since(e.job(), e.atMs());
+            } else if (event instanceof CancelSent e) {
+                scan.note(e.job());
+            } else if (event instanceof Told e) {
+                told(e, scan);
+            } else if (event instanceof AskedAtEnd e) {
+                askedAtEnd(e, scan);
+            }
+        }
+
+        private void told(Told e, Scan scan) {
+            long acceptedMs = scan.since(e.job()).orElse(e.atMs());
+            if (e.state().equals("410") && e.atMs() - acceptedMs > VISIBLE_MS) {
+                scan.broken(e, e.job() + " is accepted, and node " + e.node() + " says 410");
+            } else if (e.state().equals("failed")
+                    || e.state().equals("cancelled") && !scan.isNoted(e.job())) {
+                scan.broken(e, e.job() + " is told to be " + e.state() + " without a cause");
+            }
+        }
+
+        private void askedAtEnd(AskedAtEnd e, Scan scan) {
+            if (e.status() != OK) {
+                String answer = e.status() == 0 ? "no answer" : "status " + e.status();
+                scan.broken(
+                        e, "at the end node " + e.node() + " gives " + answer + " on " + e.job());
+                return;
+            }
+            SoakJob job = scan.runs().job(e.job());
+            boolean ends = !job.standing() && !scan.isNoted(e.job());
+            if (ends && !e.state().equals("completed")) {
+                scan.broken(e, "at the end " + e.job() + " is " + e.state());
+            } else if (job.standing() && !scan.isNoted(e.job()) && !isAtWork(job, scan)) {
+                scan.broken(e, "at the end a task of the standing job " + e.job() + " is away");
+            }
+        }
+
+        private boolean isAtWork(SoakJob job, Scan scan) {
+            for (int i = 0; i < job.tasks(); i++) {
+                if (scan.runs().workers(RunsSeen.task(job, 0, i)).isEmpty()) {
+                    return false;
+                }
+            }
+            return true;
+        }
+    },
+
+    /** Nothing starts that nobody handed in, with another text, or long after its cancelling. */
+    UNASKED {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof Cancelled e) {
+                scan.since(e.job(), e.atMs());
+            } else if (event instanceof Started e) {
+                String id = SoakEvent.jobOf(e.task());
+                SoakJob job = scan.runs().job(id);
+                if (job == null || !job.text().equals(e.text())) {
+                    scan.broken(e, e.task() + " starts, and nobody has handed that in");
+                } else if (scan.since(id).map(t -> e.atMs() - t > CANCEL_MS).orElse(false)) {
+                    scan.broken(e, e.task() + " starts long after its job was cancelled");
+                }
+            }
+        }
+    },
+
+    /** What callers were told will never run doesn't run. */
+    REFUSED {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof Submitted e) {
+                scan.count(e.job().id(), 1);
+            } else if (event instanceof SubmitAnswer e && e.isRefused()) {
+                scan.count(e.job(), -1);
+            } else if (event instanceof Started e) {
+                scan.note(SoakEvent.jobOf(e.task()));
+            }
+        }
+
+        @Override
+        void end(Scan scan) {
+            for (String job : scan.noted()) {
+                if (scan.runs().job(job) != null && scan.count(job, 0) == 0) {
+                    scan.broken(0, job + " has run, and each try to hand it in was refused");
+                }
+            }
+        }
+    },
+
+    /** No step starts before the one that it waits for is done. */
+    ORDER {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof Started e) {
+                SoakJob job = scan.runs().job(SoakEvent.jobOf(e.task()));
+                int step = Integer.parseInt(e.task().split("\\.")[2]);
+                if (job != null && step > 0 && !scan.runs().isStepDone(job, step - 1)) {
+                    scan.broken(e, e.task() + " starts before the step before it is done");
+                }
+            }
+        }
+    },
+
+    /** A job is told to be completed only once all of it is. */
+    MIXED {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof Told e && e.state().equals("completed")) {
+                SoakJob job = scan.runs().job(e.job());
+                for (int s = 0; s < job.steps().size(); s++) {
+                    if (!scan.runs().isStepDone(job, s)) {
+                        scan.broken(e, e.job() + " is told to be completed, step " + s + " isn't");
+                    }
+                }
+            }
+        }
+    },
+
+    /** Orders for a VM come from the newest owner. */
+    ONE {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof VmCalled e) {
+                long highest = scan.since(e.vm()).orElse(0L);
+                if (e.token() < highest) {
+                    scan.broken(
+                            e,
+                            e.action()
+                                    + " of "
+                                    + e.vm()
+                                    + " by token "
+                                    + e.token()
+                                    + " after "
+                                    + highest);
+                }
+                scan.since(e.vm(), Math.max(highest, e.token()));
+            }
+        }
+    },
+
+    /** Of a standing job no more tasks are taken away at a time than it may miss. */
+    AVAIL {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof CancelSent e) {
+                scan.note(e.job());
+            } else if (event instanceof SoakEvent.Draining e) {
+                scan.note(e.worker());
+            } else if (event instanceof Ended e && e.how().equals("stopped")) {
+                stopped(e, scan);
+            }
+        }
+
+        private void stopped(Ended e, Scan scan) {
+            String id = SoakEvent.jobOf(e.task());
+            SoakJob job = scan.runs().job(id);
+            boolean counts = job != null && job.standing() && !scan.isNoted(id);
+            if (!counts || scan.isNoted(e.worker())) {
+                return;
+            }
+            long away = 0;
+            for (int i = 0; i < job.tasks(); i++) {
+                String other = RunsSeen.task(job, 0, i);
+                boolean working = scan.runs().hasRunFor(other, STARTUP_MS, e.atMs());
+                boolean ordered = scan.since(other).isPresent();
+                away += !other.equals(e.task()) && ordered && !working ? 1 : 0;
+            }
+            if (away >= 1) {
+                scan.broken(e, e.task() + " is taken away while " + away + " others are");
+            }
+            scan.since(e.task(), e.atMs());
+        }
+    },
+
+    /** After all were lost the system serves again. */
+    RECOVER {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof SoakEvent.Calm e) {
+                scan.since("calm", e.atMs());
+            } else if (event instanceof Submitted e && isLate(e, scan)) {
+                scan.count("sent", 1);
+            } else if (event instanceof SubmitAnswer e && isLate(e, scan) && e.isAccepted()) {
+                scan.count("served", 1);
+            }
+        }
+
+        private boolean isLate(SoakEvent e, Scan scan) {
+            return scan.since("calm").map(t -> e.atMs() - t > RECOVERY_MS).orElse(false);
+        }
+
+        @Override
+        void end(Scan scan) {
+            long sent = scan.count("sent", 0);
+            if (sent > 0 && scan.count("served", 0) * SERVED_PART < sent) {
+                scan.broken(
+                        0,
+                        "of "
+                                + sent
+                                + " jobs handed in after the end "
+                                + scan.count("served", 0)
+                                + " were accepted");
+            }
+        }
+    };
+
+    private static final int OK = 200;
+
+    /** From when on an accepted job is known everywhere, in milliseconds. */
+    private static final long VISIBLE_MS = 3000;
+
+    /** Until when tasks of a cancelled job may start: 4 s, and 3 s that an order may be late. */
+    private static final long CANCEL_MS = 7000;
+
+    /** Time until a standing task that was started is at work, in milliseconds. */
+    private static final long STARTUP_MS = 200;
+
+    /** From when on after the loss of all nodes jobs are to be accepted, in milliseconds. */
+    private static final long RECOVERY_MS = 12_000;
+
+    /** One of so many at least is accepted then. */
+    private static final long SERVED_PART = 4;
+
+    /** Looks at one event, before {@link Scan#runs()} knows it. */
+    abstract void see(SoakEvent event, Scan scan);
+
+    /** Looks at the whole. */
+    void end(Scan scan) {}
+
+    /** What breaks it in a history. */
+    List<Violation> check(List<SoakEvent> events) {
+        Scan scan = new Scan();
+        for (SoakEvent e : events) {
+            see(e, scan);
+            scan.runs().take(e);
+        }
+        end(scan);
+        return scan.violations();
+    }
+
+    /** What one promise has noted while it goes through a history. */
+    static final class Scan {
+        private final RunsSeen mRuns = new RunsSeen();
+        private final Set<String> mNoted = new HashSet<>();
+        private final Map<String, Long> mSince = new HashMap<>();
+        private final Map<String, Long> mCounts = new HashMap<>();
+        private final List<Violation> mViolations = new ArrayList<>();
+
+        RunsSeen runs() {
+            return mRuns;
+        }
+
+        void note(String name) {
+            mNoted.add(name);
+        }
+
+        boolean isNoted(String name) {
+            return mNoted.contains(name);
+        }
+
+        Set<String> noted() {
+            return mNoted;
+        }
+
+        void since(String name, long value) {
+            mSince.put(name, value);
+        }
+
+        Optional<Long> since(String name) {
+            return Optional.ofNullable(mSince.get(name));
+        }
+
+        long count(String name, long more) {
+            return mCounts.merge(name, more, Long::sum);
+        }
+
+        void broken(SoakEvent event, String text) {
+            broken(event.atMs(), text);
+        }
+
+        void broken(long atMs, String text) {
+            mViolations.add(new Violation(atMs, text));
+        }
+
+        List<Violation> violations() {
+            return mViolations;
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
@@ -0,0 +1,81 @@
+package org.foxtailplank.soak;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.foxtailplank.soak.SoakEvent.Acknowledged;
+import org.foxtailplank.soak.SoakEvent.Ended;
+import org.foxtailplank.soak.SoakEvent.Started;
+import org.foxtailplank.soak.SoakEvent.Submitted;
+
+/** What is known of jobs and runs up to a moment of a history. */
+final class RunsSeen {
+    private static final String DONE = "done";
+
+    private final Map<String, SoakJob> mJobs = new HashMap<>();
+    private final Map<String, Set<String>> mRunning = new HashMap<>();
+    private final Map<String, Long> mSinceMs = new HashMap<>();
+    private final Set<String> mDone = new HashSet<>();
+    private final Set<String> mNoted = new HashSet<>();
+
+    /** Takes an event in. */
+    void take(SoakEvent event) {
+        if (event instanceof Submitted e) {
+            mJobs.put(e.job().id(), e.job());
+        } else if (event instanceof Started e) {
+            running(e.task()).add(e.worker());
+            mSinceMs.put(e.task(), e.atMs());
+        } else if (event instanceof Ended e) {
+            running(e.task()).remove(e.worker());
+            if (e.how().equals(DONE)) {
+                mDone.add(e.task());
+            }
+        } else if (event instanceof Acknowledged e && e.how().equals(DONE)) {
+            mNoted.add(e.task());
+        }
+    }
+
+    private Set<String> running(String task) {
+        return mRunning.computeIfAbsent(task, t -> new HashSet<>());
+    }
+
+    /** A job; null if nobody has handed it in. */
+    SoakJob job(String id) {
+        return mJobs.get(id);
+    }
+
+    /** Workers on which a task runs. */
+    Set<String> workers(String task) {
+        return mRunning.getOrDefault(task, Set.of());
+    }
+
+    /** Whether a task has run for so long; so that it is at work. */
+    boolean hasRunFor(String task, long ms, long nowMs) {
+        return !workers(task).isEmpty() && nowMs - mSinceMs.getOrDefault(task, nowMs) >= ms;
+    }
+
+    /** Whether a run of a task has ended done. */
+    boolean isDone(String task) {
+        return mDone.contains(task);
+    }
+
+    /** Whether an owner has taken note of that. */
+    boolean isNoted(String task) {
+        return mNoted.contains(task);
+    }
+
+    /** Whether all tasks of a step have ended done. */
+    boolean isStepDone(SoakJob job, int step) {
+        for (int i = 0; i < job.steps().get(step); i++) {
+            if (!isDone(task(job, step, i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    static String task(SoakJob job, int step, int index) {
+        return job.id() + ".0." + step + '.' + index;
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -0,0 +1,176 @@
+package org.foxtailplank.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+
+/**
+ * What strikes a run, and when. Its text can be edited and played again:
+ *
+ * <pre>
+ * run SEED SECONDS ZONES NODES WORKERS
+ * at 12.300 node-kill 2 for 4.000
+ * end all-killed
+ * </pre>
+ *
+ * @param seed seed of the callers' jobs
+ * @param size how large the run is
+ * @param faults what strikes, by time
+ * @param ending what strikes at the end
+ */
+public record Schedule(long seed, SoakSize size, List<Fault> faults, RunEnding ending) {
+    /** Faults begin no sooner, so that a first owner is there. */
+    private static final double FIRST_S = 1;
+
+    /** Mean time between two faults, in seconds: with their lengths two overlap as a rule. */
+    private static final double GAP_S = 2;
+
+    private static final double SHORTEST_S = 0.5;
+    private static final double LONGEST_S = 6;
+    private static final int RUN_WORDS = 6;
+    private static final int FAULT_WORDS = 6;
+
+    public Schedule {
+        faults = faults.stream().sorted(Comparator.comparingDouble(Fault::atS)).toList();
+    }
+
+    /**
+     * A fault.
+     *
+     * @param atS when it strikes, in seconds from the first caller
+     * @param kind what it is
+     * @param target number of what it strikes
+     * @param forS how long it lasts, in seconds
+     */
+    public record Fault(double atS, FaultKind kind, int target, double forS) {
+        @Override
+        public String toString() {
+            return String.format(
+                    Locale.ROOT, "at %.3f %s %d for %.3f", atS, kind.word(), target, forS);
+        }
+    }
+
+    /** Draws a schedule from its seed. */
+    public static Schedule draw(long seed, SoakSize size) {
+        RandomGenerator random = new Random(seed);
+        List<Fault> faults = new ArrayList<>();
+        FaultKind[] kinds = FaultKind.values();
+        double at = FIRST_S + random.nextDouble() * GAP_S;
+        while (at < size.seconds()) {
+            FaultKind kind = kinds[random.nextInt(kinds.length)];
+            double length = SHORTEST_S + random.nextDouble() * (LONGEST_S - SHORTEST_S);
+            faults.add(new Fault(at, kind, kind.target().draw(size, random), length));
+            at += random.nextDouble() * 2 * GAP_S;
+        }
+        RunEnding[] endings = RunEnding.values();
+        return new Schedule(seed, size, faults, endings[random.nextInt(endings.length)]);
+    }
+
+    /** The same without one of its faults. */
+    Schedule without(int fault) {
+        List<Fault> left = new ArrayList<>(faults);
+        left.remove(fault);
+        return new Schedule(seed, size, left, ending);
+    }
+
+    /** Its text, which {@link #parse} reads. */
+    public String text() {
+        StringBuilder text = new StringBuilder();
+        text.append(
+                String.format(
+                        Locale.ROOT,
+                        "run %d %d %d %d %d%n",
+                        seed,
+                        size.seconds(),
+                        size.zones(),
+                        size.nodes(),
+                        size.workers()));
+        faults.forEach(f -> text.append(f).append(System.lineSeparator()));
+        return text.append("end ").append(ending.word()).append(System.lineSeparator()).toString();
+    }
+
+    /** Reads a text; empty lines and those that begin with {@code #} are passed over. */
+    public static Schedule parse(String text) throws ScheduleException {
+        Parser parser = new Parser();
+        int number = 0;
+        for (String line : text.lines().toList()) {
+            number++;
+            if (!line.isBlank() && !line.startsWith("#")) {
+                parser.line(number, line.trim().split("\\s+"));
+            }
+        }
+        return parser.schedule(number);
+    }
+
+    /** Reads one line after the other. */
+    private static final class Parser {
+        private final List<Fault> mFaults = new ArrayList<>();
+        private long mSeed;
+        private SoakSize mSize;
+        private RunEnding mEnding;
+
+        void line(int number, String[] words) throws ScheduleException {
+            try {
+                switch (words[0]) {
+                    case "run" -> run(number, words);
+                    case "at" -> fault(number, words);
+                    case "end" ->
+                            mEnding =
+                                    RunEnding.of(words.length == 2 ? words[1] : "")
+                                            .orElseThrow(() -> problem(number, "no such ending"));
+                    default -> throw problem(number, "'" + words[0] + "' is no run, at or end");
+                }
+            } catch (NumberFormatException e) {
+                throw problem(number, "a number is expected: " + e.getMessage());
+            } catch (IllegalArgumentException e) {
+                throw problem(number, e.getMessage());
+            }
+        }
+
+        private static ScheduleException problem(int number, String text) {
+            return new ScheduleException(number, text);
+        }
+
+        private void run(int number, String[] words) throws ScheduleException {
+            if (words.length != RUN_WORDS) {
+                throw problem(number, "run SEED SECONDS ZONES NODES WORKERS is expected");
+            }
+            mSeed = Long.parseLong(words[1]);
+            mSize =
+                    new SoakSize(
+                            Integer.parseInt(words[2]),
+                            Integer.parseInt(words[3]),
+                            Integer.parseInt(words[4]),
+                            Integer.parseInt(words[5]));
+        }
+
+        private void fault(int number, String[] words) throws ScheduleException {
+            if (words.length != FAULT_WORDS || !words[4].equals("for") || mSize == null) {
+                throw problem(number, "after run, at SECONDS KIND TARGET for SECONDS is expected");
+            }
+            FaultKind kind =
+                    FaultKind.of(words[2])
+                            .orElseThrow(() -> problem(number, "no fault " + words[2]));
+            int target = Integer.parseInt(words[3]);
+            if (!kind.target().has(mSize, target)) {
+                throw problem(number, "the run has no target " + target);
+            }
+            double at = Double.parseDouble(words[1]);
+            double length = Double.parseDouble(words[5]);
+            if (!(at >= 0 && length >= 0)) {
+                throw problem(number, "times are not negative");
+            }
+            mFaults.add(new Fault(at, kind, target, length));
+        }
+
+        Schedule schedule(int lines) throws ScheduleException {
+            if (mSize == null || mEnding == null) {
+                throw problem(lines, "a line with run and one with end are expected");
+            }
+            return new Schedule(mSeed, mSize, mFaults, mEnding);
+        }
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
@@ -0,0 +1,284 @@
+package org.foxtailplank.soak;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.foxtailplank.http.HttpCall;
+import org.foxtailplank.http.HttpClient;
+import org.foxtailplank.http.HttpResult;
+import org.foxtailplank.soak.SoakEvent.AskedAtEnd;
+import org.foxtailplank.soak.SoakEvent.CancelSent;
+import org.foxtailplank.soak.SoakEvent.Cancelled;
+import org.foxtailplank.soak.SoakEvent.SubmitAnswer;
+import org.foxtailplank.soak.SoakEvent.Submitted;
+import org.foxtailplank.soak.SoakEvent.Told;
+
+/**
+ * Callers: they hand jobs in, come back with the same ID at another node, cancel, and ask where
+ * jobs stand, over connections that they keep open.
+ */
+final class SoakCallers implements AutoCloseable {
+    /** How long a caller waits for an answer, in milliseconds. */
+    private static final long DEADLINE_MS = 3000;
+
+    private static final int CONNECT_MS = 500;
+    private static final int CONNECTIONS = 64;
+    private static final int TRIES = 5;
+    private static final long RETRY_MS = 300;
+    private static final long REFUSED_RETRY_MS = 1000;
+    private static final long POLL_MS = 600;
+    private static final long CANCEL_AFTER_MS = 1000;
+    private static final long AGAIN_AFTER_MS = 2000;
+    private static final double CANCELLED = 0.08;
+    private static final double HANDED_IN_AGAIN = 0.05;
+    private static final double HEAVY = 0.25;
+    private static final double STANDING = 0.06;
+    private static final int MOST_STANDING = 3;
+    private static final long EACH_MS = 160;
+    private static final Pattern STATE = Pattern.compile("\"state\":\"([a-z]+)\"");
+
+    private final MultiThreadIoEventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = (EventLoop) mGroup.next();
+    private final HttpClient mClient = new HttpClient(mLoop, CONNECT_MS, CONNECTIONS);
+    private final SoakSystem mSystem;
+    private final SoakHistory mHistory;
+    private final Random mRandom;
+    private final Map<String, SoakJob> mAccepted = new HashMap<>();
+    private boolean mComing;
+    private boolean mOver;
+    private int mStanding;
+    private Runnable mWhenAccepted = () -> {};
+
+    SoakCallers(SoakSystem system, SoakHistory history, long seed) {
+        mSystem = system;
+        mHistory = history;
+        mRandom = new Random(seed);
+    }
+
+    /** Jobs come from now on. */
+    void come() {
+        mLoop.execute(
+                () -> {
+                    mComing = true;
+                    next();
+                });
+    }
+
+    /** No new jobs come; those that were accepted are asked for on. */
+    void leave() {
+        mLoop.execute(() -> mComing = false);
+    }
+
+    /** Runs once when the next job is accepted. */
+    void whenAccepted(Runnable action) {
+        mLoop.execute(() -> mWhenAccepted = action);
+    }
+
+    private void next() {
+        if (mComing) {
+            submit(draw(), TRIES);
+            later(EACH_MS / 2 + mRandom.nextInt((int) EACH_MS), this::next);
+        }
+    }
+
+    private void later(long ms, Runnable action) {
+        mLoop.schedule(
+                () -> {
+                    if (!mOver) {
+                        action.run();
+                    }
+                },
+                ms,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private SoakJob draw() {
+        String id = String.format("%016x", mRandom.nextLong());
+        if (mStanding < MOST_STANDING && mRandom.nextDouble() < STANDING) {
+            mStanding++;
+            return new SoakJob(id, "quick", List.of(4), 0, 1000, true);
+        }
+        return mRandom.nextDouble() < HEAVY
+                ? new SoakJob(id, "heavy", List.of(4, 4), 700, 2000, false)
+                : new SoakJob(id, "quick", List.of(3, 2), 250, 1000, false);
+    }
+
+    private int anyNode() {
+        return mRandom.nextInt(mSystem.nodes().size());
+    }
+
+    private void submit(SoakJob job, int tries) {
+        int node = anyNode();
+        mHistory.add(t -> new Submitted(t, job, node));
+        byte[] body = job.body().getBytes(StandardCharsets.UTF_8);
+        send(
+                node,
+                HttpCall.postJson(job.path(), body),
+                result -> {
+                    int status = status(result);
+                    SubmitAnswer answer =
+                            new SubmitAnswer(mHistory.nowMs(), job.id(), node, status);
+                    mHistory.add(t -> answer);
+                    answered(job, answer, tries - 1);
+                });
+    }
+
+    private void answered(SoakJob job, SubmitAnswer answer, int tries) {
+        if (answer.isAccepted()) {
+            accepted(job);
+        } else if (tries > 0) {
+            long pause = answer.isRefused() ? REFUSED_RETRY_MS : RETRY_MS;
+            later(pause, () -> submit(job, tries));
+        }
+    }
+
+    private void accepted(SoakJob job) {
+        if (mAccepted.putIfAbsent(job.id(), job) != null) {
+            return;
+        }
+        mWhenAccepted.run();
+        mWhenAccepted = () -> {};
+        later(POLL_MS, () -> poll(job));
+        if (mRandom.nextDouble() < CANCELLED) {
+            later(CANCEL_AFTER_MS, () -> cancel(job));
+        } else if (mRandom.nextDouble() < HANDED_IN_AGAIN) {
+            later(AGAIN_AFTER_MS, () -> submit(job, 1));
+        }
+    }
+
+    private void poll(SoakJob job) {
+        int node = anyNode();
+        ask(
+                job,
+                node,
+                (status, state) -> {
+                    if (!state.isEmpty()) {
+                        mHistory.add(t -> new Told(t, job.id(), node, state));
+                    }
+                    boolean ended = List.of("completed", "failed", "cancelled").contains(state);
+                    if (!ended) {
+                        later(POLL_MS, () -> poll(job));
+                    }
+                });
+    }
+
+    /** Takes the status of an answer, 0 for none, and the state that it tells. */
+    private interface Asked {
+        void told(int status, String state);
+    }
+
+    private void ask(SoakJob job, int node, Asked then) {
+        send(
+                node,
+                HttpCall.get(job.path()),
+                result -> {
+                    int status = status(result);
+                    then.told(status, status == 410 ? "410" : state(result));
+                });
+    }
+
+    private void cancel(SoakJob job) {
+        mHistory.add(t -> new CancelSent(t, job.id()));
+        cancelUntilTold(job);
+    }
+
+    private void cancelUntilTold(SoakJob job) {
+        HttpCall call = new HttpCall("DELETE", job.path(), Map.of(), new byte[0], "");
+        send(
+                anyNode(),
+                call,
+                result -> {
+                    if (status(result) / 100 == 2) {
+                        mHistory.add(t -> new Cancelled(t, job.id()));
+                    } else {
+                        later(RETRY_MS, () -> cancelUntilTold(job));
+                    }
+                });
+    }
+
+    private void send(int node, HttpCall call, Consumer<HttpResult> then) {
+        Map<String, String> headers =
+                Map.of("Host", SoakSystem.HOST, "Deadline-Ms", Long.toString(DEADLINE_MS));
+        mClient.call(mSystem.nodes().get(node).callers(), call.with(headers), DEADLINE_MS, then);
+    }
+
+    private static int status(HttpResult result) {
+        return result instanceof HttpResult.Answered a ? a.status() : 0;
+    }
+
+    private static String state(HttpResult result) {
+        if (!(result instanceof HttpResult.Answered a)) {
+            return "";
+        }
+        Matcher state = STATE.matcher(new String(a.body(), StandardCharsets.UTF_8));
+        return state.find() ? state.group(1) : "";
+    }
+
+    /** Asks every node that runs for every accepted job; completes when all are answered. */
+    CompletableFuture<Integer> askAll() {
+        CompletableFuture<Integer> done = new CompletableFuture<>();
+        mLoop.execute(
+                () -> {
+                    List<Integer> nodes = new ArrayList<>();
+                    for (int n = 0; n < mSystem.nodes().size(); n++) {
+                        if (mSystem.nodes().get(n).isRunning()) {
+                            nodes.add(n);
+                        }
+                    }
+                    askInTurn(nodes, List.copyOf(mAccepted.values()), done);
+                });
+        return done;
+    }
+
+    /** A burst of all questions at once would measure the burst. */
+    private void askInTurn(
+            List<Integer> nodes, List<SoakJob> jobs, CompletableFuture<Integer> done) {
+        int[] left = {nodes.size() * jobs.size()};
+        if (left[0] == 0) {
+            done.complete(0);
+            return;
+        }
+        IntConsumer answered =
+                count -> {
+                    left[0] -= count;
+                    if (left[0] == 0) {
+                        done.complete(nodes.size() * jobs.size());
+                    }
+                };
+        for (int n : nodes) {
+            for (int j = 0; j < jobs.size(); j++) {
+                SoakJob job = jobs.get(j);
+                later(5L * j, () -> askAtEnd(job, n, answered));
+            }
+        }
+    }
+
+    private void askAtEnd(SoakJob job, int node, IntConsumer answered) {
+        ask(
+                job,
+                node,
+                (status, state) -> {
+                    mHistory.add(t -> new AskedAtEnd(t, job.id(), node, status, state));
+                    answered.accept(1);
+                });
+    }
+
+    @Override
+    public void close() {
+        mOver = true;
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
@@ -0,0 +1,60 @@
+package org.foxtailplank.soak;
+
+/** What callers, workers and the VM service saw; times are milliseconds from the first caller. */
+sealed interface SoakEvent {
+    long atMs();
+
+    /** A job was handed in at a node. */
+    record Submitted(long atMs, SoakJob job, int node) implements SoakEvent {}
+
+    /** What came of it: the status, or 0 for no answer. */
+    record SubmitAnswer(long atMs, String job, int node, int status) implements SoakEvent {
+        boolean isAccepted() {
+            return status / 100 == 2;
+        }
+
+        /** Whether the caller was told that the job will never run. */
+        boolean isRefused() {
+            return status == 503 || status == 429;
+        }
+    }
+
+    /** A caller begins to cancel a job. */
+    record CancelSent(long atMs, String job) implements SoakEvent {}
+
+    /** A job was cancelled; a caller has that in writing. */
+    record Cancelled(long atMs, String job) implements SoakEvent {}
+
+    /** A caller was told where a job stands. */
+    record Told(long atMs, String job, int node, String state) implements SoakEvent {}
+
+    /** At the end a node was asked for a job: the status, or 0 for no answer. */
+    record AskedAtEnd(long atMs, String job, int node, int status, String state)
+            implements SoakEvent {}
+
+    /** A worker has begun a run. */
+    record Started(long atMs, String task, int attempt, String worker, long token, String text)
+            implements SoakEvent {}
+
+    /** A run is over. */
+    record Ended(long atMs, String task, int attempt, String worker, String how)
+            implements SoakEvent {}
+
+    /** An owner has taken note of a run's end. */
+    record Acknowledged(long atMs, String task, int attempt, String worker, String how)
+            implements SoakEvent {}
+
+    /** A worker has announced that it leaves. */
+    record Draining(long atMs, String worker) implements SoakEvent {}
+
+    /** The VM service has carried a call out. */
+    record VmCalled(long atMs, String vm, String action, long token) implements SoakEvent {}
+
+    /** All faults are over, and all nodes that come back are back. */
+    record Calm(long atMs) implements SoakEvent {}
+
+    /** The job that a task belongs to. */
+    static String jobOf(String task) {
+        return task.substring(0, task.indexOf('.'));
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakHistory.java
@@ -0,0 +1,51 @@
+package org.foxtailplank.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+import org.foxtailplank.adapter.standin.StandinEvents;
+
+/** All events of a run in their order; written to from several threads. */
+final class SoakHistory implements StandinEvents {
+    private final List<SoakEvent> mEvents = new ArrayList<>();
+    private final long mBeginNs = System.nanoTime();
+
+    long nowMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mBeginNs);
+    }
+
+    /** Adds an event that happens now. */
+    synchronized void add(LongFunction<SoakEvent> event) {
+        mEvents.add(event.apply(nowMs()));
+    }
+
+    synchronized List<SoakEvent> events() {
+        return List.copyOf(mEvents);
+    }
+
+    @Override
+    public void started(RunStart r) {
+        add(t -> new SoakEvent.Started(t, r.task(), r.attempt(), r.worker(), r.token(), r.text()));
+    }
+
+    @Override
+    public void ended(String task, int attempt, String worker, String how) {
+        add(t -> new SoakEvent.Ended(t, task, attempt, worker, how));
+    }
+
+    @Override
+    public void acknowledged(String task, int attempt, String worker, String how) {
+        add(t -> new SoakEvent.Acknowledged(t, task, attempt, worker, how));
+    }
+
+    @Override
+    public void draining(String worker) {
+        add(t -> new SoakEvent.Draining(t, worker));
+    }
+
+    @Override
+    public void called(String vm, String action, long token) {
+        add(t -> new SoakEvent.VmCalled(t, vm, action, token));
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakJob.java
@@ -0,0 +1,57 @@
+package org.foxtailplank.soak;
+
+import java.util.List;
+
+/**
+ * A job of a caller.
+ *
+ * @param id its ID
+ * @param pool the pool whose queue it goes to
+ * @param steps tasks of each step; each step waits for the one before it
+ * @param taskMs how long a task works, in milliseconds
+ * @param processors processors of a task, in thousandths
+ * @param standing whether its tasks run until it is cancelled
+ */
+record SoakJob(
+        String id,
+        String pool,
+        List<Integer> steps,
+        long taskMs,
+        long processors,
+        boolean standing) {
+    SoakJob {
+        steps = List.copyOf(steps);
+    }
+
+    int tasks() {
+        return steps.stream().mapToInt(Integer::intValue).sum();
+    }
+
+    String path() {
+        return '/' + pool + '/' + id;
+    }
+
+    /** The text that each of its tasks is started with. */
+    String text() {
+        return (standing ? "standing" : Long.toString(taskMs)) + ' ' + processors;
+    }
+
+    /** What is handed in. */
+    String body() {
+        StringBuilder body = new StringBuilder("{\"spec\":\"").append(text()).append('"');
+        body.append(",\"phases\":[");
+        for (int s = 0; s < steps.size(); s++) {
+            body.append(s == 0 ? "{" : ",{").append("\"count\":").append(steps.get(s));
+            body.append(",\"cpu\":").append(processors).append(",\"memMb\":64");
+            body.append(",\"estimateMs\":").append(taskMs);
+            if (s > 0) {
+                body.append(",\"dependsOn\":[").append(s - 1).append(']');
+            }
+            if (standing) {
+                body.append(",\"longRunning\":true,\"mayMiss\":1");
+            }
+            body.append('}');
+        }
+        return body.append("]}").toString();
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -0,0 +1,167 @@
+package org.foxtailplank.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.adapter.standin.UsersStandin;
+import org.foxtailplank.it.process.RunningProcess;
+import org.foxtailplank.it.proxy.FaultProxy;
+import org.foxtailplank.node.NodeMain;
+
+/** A real node's process, with a proxy of its own before the store and the VM service. */
+final class SoakNode implements AutoCloseable {
+    private static final int PORTS = 4;
+    private static final int LEASE_MS = 6000;
+
+    private final String mName;
+    private final String mZone;
+    private final Path mFolder;
+    private final boolean mTokensChecked;
+    private final FaultProxy mStore;
+    private final FaultProxy mVms;
+    private List<Integer> mPorts;
+    private Optional<RunningProcess> mProcess = Optional.empty();
+    private boolean mGone;
+    private int mGrace = 6;
+
+    SoakNode(String name, String zone, Path folder, UsersStandin platform, boolean tokensChecked)
+            throws IOException {
+        mName = name;
+        mZone = zone;
+        mFolder = folder;
+        mTokensChecked = tokensChecked;
+        mStore = FaultProxy.before(platform.store());
+        mVms = FaultProxy.before(platform.vms());
+        mPorts = freePorts();
+    }
+
+    /** All are held open until the last is found, so that they differ. */
+    private static List<Integer> freePorts() throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < PORTS; i++) {
+            ServerSocket socket = new ServerSocket(0);
+            sockets.add(socket);
+            ports.add(socket.getLocalPort());
+        }
+        for (ServerSocket s : sockets) {
+            s.close();
+        }
+        return ports;
+    }
+
+    String name() {
+        return mName;
+    }
+
+    String zone() {
+        return mZone;
+    }
+
+    InetSocketAddress callers() {
+        return new InetSocketAddress("127.0.0.1", mPorts.get(0));
+    }
+
+    InetSocketAddress readiness() {
+        return new InetSocketAddress("127.0.0.1", mPorts.get(1));
+    }
+
+    Path output() {
+        return mFolder.resolve(mName + ".log");
+    }
+
+    /** Starts it, unless it runs or never comes back. */
+    synchronized void start() throws IOException {
+        if (mGone || isRunning()) {
+            return;
+        }
+        Path settings = mFolder.resolve(mName + ".json");
+        Files.writeString(settings, settings());
+        mProcess =
+                Optional.of(
+                        RunningProcess.start(
+                                output(), NodeMain.class, List.of(settings.toString())));
+    }
+
+    /** Changes its settings file and tells it so. */
+    synchronized void reload() throws IOException, InterruptedException {
+        mGrace = mGrace == 6 ? 7 : 6;
+        Files.writeString(mFolder.resolve(mName + ".json"), settings());
+        if (isRunning()) {
+            mProcess.get().reload();
+        }
+    }
+
+    /** Its next start is at other ports. */
+    synchronized void moveElsewhere() throws IOException {
+        mPorts = freePorts();
+    }
+
+    private String settings() {
+        return String.format(
+                "{\"node\":{\"name\":\"%s\",\"zone\":\"%s\",\"linkMbps\":1000,\"graceS\":%d},"
+                        + "\"listen\":{\"callers\":\"%s\",\"readiness\":\"%s\","
+                        + "\"metrics\":\"%s\",\"peers\":\"%s\"},"
+                        + "\"platform\":{\"store\":\"%s\",\"vms\":\"%s\",\"advice\":\"\","
+                        + "\"keepS\":300,\"parts\":8,\"vmTokensChecked\":%b},"
+                        + "\"worker\":{\"orders\":\"call\",\"leaseMs\":%d},"
+                        + "\"jobs\":{\"statusS\":120,\"earlyMs\":250}}",
+                mName,
+                mZone,
+                mGrace,
+                port(0),
+                port(1),
+                port(2),
+                port(3),
+                address(mStore.address()),
+                address(mVms.address()),
+                mTokensChecked,
+                LEASE_MS);
+    }
+
+    private String port(int number) {
+        return "127.0.0.1:" + mPorts.get(number);
+    }
+
+    private static String address(InetSocketAddress address) {
+        return "127.0.0.1:" + address.getPort();
+    }
+
+    synchronized boolean isRunning() {
+        return mProcess.map(RunningProcess::isAlive).orElse(false);
+    }
+
+    boolean isGone() {
+        return mGone;
+    }
+
+    /** It never comes back. */
+    void gone() {
+        mGone = true;
+    }
+
+    /** Its process; empty before its first start. */
+    Optional<RunningProcess> process() {
+        return mProcess;
+    }
+
+    FaultProxy store() {
+        return mStore;
+    }
+
+    FaultProxy vms() {
+        return mVms;
+    }
+
+    @Override
+    public void close() {
+        mProcess.ifPresent(RunningProcess::close);
+        mStore.close();
+        mVms.close();
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
@@ -0,0 +1,111 @@
+package org.foxtailplank.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.foxtailplank.adapter.standin.UsersStandin;
+
+/** The platform's stand-in and the nodes of a run. */
+final class SoakSystem implements AutoCloseable {
+    static final String HOST = "soak.example";
+    static final List<String> POOLS = List.of("quick", "heavy", "spare");
+
+    /** Processors of a worker, in thousandths: eight tasks of a quick job. */
+    private static final long PROCESSORS = 8000;
+
+    private static final long LEASE_MS = 6000;
+    private static final Pattern OWNS = Pattern.compile("\"ms\":(\\d+),\"kind\":\"owner-start\"");
+
+    private final UsersStandin mPlatform;
+    private final List<SoakNode> mNodes = new ArrayList<>();
+    private final int mZones;
+    private final int mWorkers;
+
+    /** A run that is interrupted would leave its nodes behind. */
+    private final Thread mAtExit = new Thread(this::closeNodes, "soak-exit");
+
+    SoakSystem(Schedule schedule, Path folder, SoakHistory history) throws IOException {
+        SoakSize size = schedule.size();
+        mZones = size.zones();
+        mWorkers = size.workers();
+        boolean tokensChecked = schedule.seed() % 2 == 0;
+        List<String> zones = new ArrayList<>();
+        for (int z = 0; z < size.zones(); z++) {
+            zones.add(zone(z));
+        }
+        mPlatform =
+                new UsersStandin(
+                        new UsersStandin.Size(
+                                zones, POOLS, size.workers(), PROCESSORS, LEASE_MS, tokensChecked),
+                        history);
+        mPlatform.configure(HOST, POOLS);
+        for (int n = 0; n < size.nodes(); n++) {
+            String name = "node-" + n;
+            String zone = zones.get(n % size.zones());
+            mNodes.add(new SoakNode(name, zone, folder, mPlatform, tokensChecked));
+        }
+        Runtime.getRuntime().addShutdownHook(mAtExit);
+    }
+
+    String zone(int number) {
+        return "zone-" + number % mZones;
+    }
+
+    int workers() {
+        return mWorkers;
+    }
+
+    UsersStandin platform() {
+        return mPlatform;
+    }
+
+    List<SoakNode> nodes() {
+        return mNodes;
+    }
+
+    /** Starts all nodes that come back. */
+    void startAll() throws IOException {
+        for (SoakNode n : mNodes) {
+            n.start();
+        }
+    }
+
+    /** The node that took ownership last, as the nodes' logs tell. */
+    Optional<SoakNode> owner() throws IOException {
+        Optional<SoakNode> owner = Optional.empty();
+        long latest = 0;
+        for (SoakNode n : mNodes) {
+            long since = Files.exists(n.output()) ? ownsSince(Files.readString(n.output())) : 0;
+            if (since > latest) {
+                latest = since;
+                owner = Optional.of(n);
+            }
+        }
+        return owner;
+    }
+
+    private static long ownsSince(String log) {
+        long since = 0;
+        Matcher lines = OWNS.matcher(log);
+        while (lines.find()) {
+            since = Long.parseLong(lines.group(1));
+        }
+        return since;
+    }
+
+    private void closeNodes() {
+        mNodes.forEach(SoakNode::close);
+    }
+
+    @Override
+    public void close() {
+        closeNodes();
+        mPlatform.close();
+        Runtime.getRuntime().removeShutdownHook(mAtExit);
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -0,0 +1,221 @@
+package org.foxtailplank.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailplank.soak.SoakEvent.Acknowledged;
+import org.foxtailplank.soak.SoakEvent.AskedAtEnd;
+import org.foxtailplank.soak.SoakEvent.Calm;
+import org.foxtailplank.soak.SoakEvent.Cancelled;
+import org.foxtailplank.soak.SoakEvent.Ended;
+import org.foxtailplank.soak.SoakEvent.Started;
+import org.foxtailplank.soak.SoakEvent.SubmitAnswer;
+import org.foxtailplank.soak.SoakEvent.Submitted;
+import org.foxtailplank.soak.SoakEvent.Told;
+import org.foxtailplank.soak.SoakEvent.VmCalled;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Each check objects to a history that breaks its promise, and to no other. */
+public class PromiseTest {
+    private static final SoakJob JOB =
+            new SoakJob("00000000000000aa", "quick", List.of(1, 1), 250, 1000, false);
+    private static final SoakJob STANDING =
+            new SoakJob("00000000000000bb", "quick", List.of(3), 0, 1000, true);
+    private static final String FIRST = RunsSeen.task(JOB, 0, 0);
+    private static final String SECOND = RunsSeen.task(JOB, 1, 0);
+
+    private List<SoakEvent> mEvents;
+
+    @BeforeMethod
+    public void setUp() {
+        mEvents = new ArrayList<>();
+        accepted(JOB);
+    }
+
+    private void accepted(SoakJob job) {
+        mEvents.add(new Submitted(1, job, 0));
+        mEvents.add(new SubmitAnswer(2, job.id(), 0, 200));
+    }
+
+    private void started(long at, String task, int attempt, String worker) {
+        String text = task.startsWith(JOB.id()) ? JOB.text() : STANDING.text();
+        mEvents.add(new Started(at, task, attempt, worker, 1, text));
+    }
+
+    private void ended(long at, String task, int attempt, String worker, String how) {
+        mEvents.add(new Ended(at, task, attempt, worker, how));
+    }
+
+    private void ran(long at, String task, String worker) {
+        started(at, task, 1, worker);
+        ended(at + 250, task, 1, worker, "done");
+        mEvents.add(new Acknowledged(at + 260, task, 1, worker, "done"));
+    }
+
+    private void onlyBroken(Promise... broken) {
+        for (Promise p : Promise.values()) {
+            boolean expected = List.of(broken).contains(p);
+            assertEquals(!p.check(mEvents).isEmpty(), expected, p + " " + p.check(mEvents));
+        }
+    }
+
+    private void whole() {
+        ran(10, FIRST, "a");
+        ran(300, SECOND, "b");
+    }
+
+    @Test
+    public void aJobThatRunsAsItShouldBreaksNothing() {
+        whole();
+        mEvents.add(new Told(600, JOB.id(), 1, "completed"));
+        mEvents.add(new AskedAtEnd(9000, JOB.id(), 1, 200, "completed"));
+        onlyBroken();
+    }
+
+    @Test
+    public void aTaskThatRunsOnTwoWorkersIsTwice() {
+        started(10, FIRST, 1, "a");
+        started(20, FIRST, 2, "b");
+        onlyBroken(Promise.TWICE);
+    }
+
+    @Test
+    public void aTaskThatStartsAfterItsEndWasNotedIsTwice() {
+        ran(10, FIRST, "a");
+        started(400, FIRST, 2, "b");
+        onlyBroken(Promise.TWICE);
+    }
+
+    @Test
+    public void anEndThatIsNotedAfterTheTaskStartedAgainIsTwice() {
+        started(10, FIRST, 1, "a");
+        ended(260, FIRST, 1, "a", "done");
+        started(300, FIRST, 2, "b");
+        mEvents.add(new Acknowledged(400, FIRST, 1, "a", "done"));
+        onlyBroken(Promise.TWICE);
+    }
+
+    @Test
+    public void aTaskWhoseWorkerIsGoneMayStartAgain() {
+        started(10, FIRST, 1, "a");
+        ended(100, FIRST, 1, "a", "gone");
+        started(200, FIRST, 2, "b");
+        onlyBroken();
+    }
+
+    @Test
+    public void anAcceptedJobThatANodeDoesNotAnswerForAtTheEndIsLost() {
+        whole();
+        mEvents.add(new AskedAtEnd(9000, JOB.id(), 1, 0, ""));
+        onlyBroken(Promise.LOST);
+    }
+
+    @Test
+    public void anAcceptedJobThatIsSaidNotToExistIsLost() {
+        whole();
+        mEvents.add(new Told(9000, JOB.id(), 1, "410"));
+        onlyBroken(Promise.LOST);
+    }
+
+    @Test
+    public void aJobThatIsNotDoneAtTheEndIsLost() {
+        mEvents.add(new AskedAtEnd(9000, JOB.id(), 1, 200, "queued"));
+        onlyBroken(Promise.LOST);
+    }
+
+    @Test
+    public void aStandingTaskThatIsAwayAtTheEndIsLost() {
+        accepted(STANDING);
+        started(10, RunsSeen.task(STANDING, 0, 0), 1, "a");
+        mEvents.add(new AskedAtEnd(9000, STANDING.id(), 1, 200, "running"));
+        onlyBroken(Promise.LOST);
+    }
+
+    @Test
+    public void aStartOfWhatNobodyHandedInIsUnasked() {
+        mEvents.add(new Started(10, "00000000000000cc.0.0.0", 1, "a", 1, "250 1000"));
+        onlyBroken(Promise.UNASKED);
+    }
+
+    @Test
+    public void aStartLongAfterTheCancellingIsUnasked() {
+        mEvents.add(new Cancelled(10, JOB.id()));
+        started(9000, FIRST, 1, "a");
+        onlyBroken(Promise.UNASKED);
+    }
+
+    @Test
+    public void aRefusedJobThatRunsIsBroken() {
+        mEvents.clear();
+        mEvents.add(new Submitted(1, JOB, 0));
+        mEvents.add(new SubmitAnswer(2, JOB.id(), 0, 503));
+        started(10, FIRST, 1, "a");
+        onlyBroken(Promise.REFUSED);
+    }
+
+    @Test
+    public void aJobWithATryWithoutAnAnswerMayRun() {
+        mEvents.clear();
+        mEvents.add(new Submitted(1, JOB, 0));
+        mEvents.add(new SubmitAnswer(2, JOB.id(), 0, 0));
+        mEvents.add(new Submitted(3, JOB, 1));
+        mEvents.add(new SubmitAnswer(4, JOB.id(), 1, 503));
+        started(10, FIRST, 1, "a");
+        onlyBroken();
+    }
+
+    @Test
+    public void aStepThatStartsTooSoonIsOutOfOrder() {
+        started(10, FIRST, 1, "a");
+        started(20, SECOND, 1, "b");
+        onlyBroken(Promise.ORDER);
+    }
+
+    @Test
+    public void aJobThatIsToldToBeCompletedTooSoonIsMixed() {
+        ran(10, FIRST, "a");
+        mEvents.add(new Told(400, JOB.id(), 1, "completed"));
+        onlyBroken(Promise.MIXED);
+    }
+
+    @Test
+    public void anEarlierOwnersCallAfterALaterOnesIsOne() {
+        mEvents.add(new VmCalled(10, "vm", "move", 3));
+        mEvents.add(new VmCalled(20, "vm", "move", 2));
+        onlyBroken(Promise.ONE);
+    }
+
+    @Test
+    public void twoStandingTasksThatAreTakenAwayTogetherAreTooMany() {
+        accepted(STANDING);
+        for (int i = 0; i < STANDING.tasks(); i++) {
+            started(10, RunsSeen.task(STANDING, 0, i), 1, "w" + i);
+        }
+        ended(1000, RunsSeen.task(STANDING, 0, 0), 1, "w0", "stopped");
+        ended(1100, RunsSeen.task(STANDING, 0, 1), 1, "w1", "stopped");
+        onlyBroken(Promise.AVAIL);
+    }
+
+    @Test
+    public void standingTasksMayBeTakenAwayOneAfterTheOther() {
+        accepted(STANDING);
+        for (int i = 0; i < STANDING.tasks(); i++) {
+            started(10, RunsSeen.task(STANDING, 0, i), 1, "w" + i);
+        }
+        ended(1000, RunsSeen.task(STANDING, 0, 0), 1, "w0", "stopped");
+        started(1100, RunsSeen.task(STANDING, 0, 0), 2, "w1");
+        ended(2000, RunsSeen.task(STANDING, 0, 1), 1, "w1", "stopped");
+        onlyBroken();
+    }
+
+    @Test
+    public void aSystemThatAcceptsNothingAfterTheEndHasNotRecovered() {
+        mEvents.add(new Calm(1000));
+        mEvents.add(new Submitted(20_000, JOB, 0));
+        mEvents.add(new SubmitAnswer(20_100, JOB.id(), 0, 503));
+        assertFalse(Promise.RECOVER.check(mEvents).isEmpty());
+    }
+}
--- /dev/null
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/ScheduleTest.java
@@ -0,0 +1,49 @@
+package org.foxtailplank.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import org.testng.annotations.Test;
+
+/** Schedules and their text. */
+public class ScheduleTest {
+    private static final SoakSize SIZE = new SoakSize(20, 3, 6, 15);
+
+    @Test
+    public void aScheduleIsTheSameForTheSameSeed() {
+        assertEquals(Schedule.draw(5, SIZE).text(), Schedule.draw(5, SIZE).text());
+        assertTrue(Schedule.draw(5, SIZE).faults().size() > 3);
+    }
+
+    @Test
+    public void aScheduleThatWasPrintedIsReadAgain() throws ScheduleException {
+        String text = Schedule.draw(7, SIZE).text();
+
+        assertEquals(Schedule.parse(text).text(), text);
+    }
+
+    @Test
+    public void aBadLineIsNamedByItsNumber() {
+        String[][] bad = {
+            {"run 1 20 3 6 15\nat x node-kill 1 for 2\nend calm", "line 2: a number"},
+            {"run 1 20 3 6 15\nat 1 node-fire 1 for 2\nend calm", "line 2: no fault node-fire"},
+            {"run 1 20 3 6 15\n# why\nat 1 node-kill 6 for 2\nend calm", "line 3: the run has no"},
+            {"run 1 20 3 2 15\nend calm", "line 1: a run takes"},
+            {"run 1 20 3 6 15\nend soon", "line 2: no such ending"},
+            {"begin", "line 1: 'begin' is no"},
+            {"run 1 20 3 6 15\n", "line 1: a line with run and one with end"}
+        };
+        for (String[] b : bad) {
+            ScheduleException e = expectThrows(ScheduleException.class, () -> Schedule.parse(b[0]));
+            assertTrue(e.getMessage().startsWith(b[1]), e.getMessage());
+        }
+    }
+
+    @Test
+    public void aFaultCanBeLeftOut() {
+        Schedule drawn = Schedule.draw(9, SIZE);
+
+        assertEquals(drawn.without(0).faults(), drawn.faults().subList(1, drawn.faults().size()));
+    }
+}
