--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobBook.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
+import org.foxtailplank.job.JournalRecord.WaveDue;
 
 /**
  * All jobs that the journal tells of; each node keeps one and answers callers from it.
@@ -40,6 +41,7 @@
 
     private final Map<String, JobEntry> mJobs = new LinkedHashMap<>();
     private final Map<Long, Set<String>> mRebooted = new HashMap<>();
+    private final Map<Long, Long> mWavesDue = new HashMap<>();
     private final Set<Long> mCompletedWaves = new HashSet<>();
     private final Map<String, List<JournalRecord>> mEarly = new LinkedHashMap<>();
     private final long mKeepEndedMs;
@@ -82,6 +84,8 @@
             }
         } else if (record instanceof VmRebooted r) {
             mRebooted.computeIfAbsent(r.wave(), w -> new HashSet<>()).add(r.vm());
+        } else if (record instanceof WaveDue r) {
+            mWavesDue.merge(r.wave(), r.dueMs(), Math::min);
         } else if (record instanceof WaveCompleted r) {
             mCompletedWaves.add(r.wave());
         } else if (!(record instanceof OwnerAlive || record instanceof OwnerLeft)) {
@@ -137,9 +141,20 @@
                         vms.forEach(v -> records.add(new VmRebooted(wave, v)));
                     }
                 });
+        mWavesDue.forEach(
+                (wave, due) -> {
+                    if (!mCompletedWaves.contains(wave)) {
+                        records.add(new WaveDue(wave, due));
+                    }
+                });
         return records;
     }
 
+    /** When a wave's time is over, in milliseconds since 1970; empty if no owner has said so. */
+    public Optional<Long> waveDueMs(long wave) {
+        return Optional.ofNullable(mWavesDue.get(wave));
+    }
+
     public Optional<JobEntry> job(String id) {
         return Optional.ofNullable(mJobs.get(id));
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -87,6 +87,13 @@
     /** A VM has begun its reboot for a wave. */
     record VmRebooted(long wave, String vm) implements JournalRecord {}
 
+    /**
+     * When a wave's time is over, as an owner first saw it.
+     *
+     * @param dueMs in milliseconds since 1970
+     */
+    record WaveDue(long wave, long dueMs) implements JournalRecord {}
+
     /** Every VM of a wave has begun its reboot. */
     record WaveCompleted(long wave) implements JournalRecord {}
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -23,6 +23,7 @@
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
+import org.foxtailplank.job.JournalRecord.WaveDue;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskName;
 
@@ -51,6 +52,7 @@
     private static final int COMPLETED = 8;
     private static final int RESTATED = 9;
     private static final int BEGUN = 10;
+    private static final int WAVE_DUE = 11;
 
     private JournalCodec() {}
 
@@ -77,6 +79,9 @@
         if (record instanceof OwnerAlive r) {
             return message(out -> part(out, ALIVE, o -> OwnerSignCodec.write(o, r)));
         }
+        if (record instanceof WaveDue r) {
+            return message(out -> part(out, WAVE_DUE, o -> waveDue(o, r)));
+        }
         if (record instanceof VmRebooted r) {
             return message(out -> part(out, REBOOTED, o -> named(o, r.wave(), r.vm())));
         }
@@ -97,7 +102,7 @@
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         int tag = in.readTag();
         int kind = WireFormat.getTagFieldNumber(tag);
-        if (kind < ACCEPTED || kind > BEGUN) {
+        if (kind < ACCEPTED || kind > WAVE_DUE) {
             return Optional.empty();
         }
         CodedInputStream body = in.readBytes().newCodedInput();
@@ -108,6 +113,7 @@
                     case RESTATED -> readRestated(body);
                     case STARTED -> new RunsStarted(readStarts(body));
                     case BEGUN -> new JobsBegun(readJobs(body));
+                    case WAVE_DUE -> readWaveDue(body);
                     case LEFT -> OwnerSignCodec.readLeft(body);
                     case ALIVE -> OwnerSignCodec.readAlive(body);
                     default -> readNamed(kind, body);
@@ -168,6 +174,24 @@
         return jobs;
     }
 
+    private static void waveDue(CodedOutputStream out, WaveDue record) throws IOException {
+        out.writeInt64(1, record.wave());
+        out.writeInt64(2, record.dueMs());
+    }
+
+    private static WaveDue readWaveDue(CodedInputStream in) throws IOException {
+        long[] numbers = new long[3];
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            int field = WireFormat.getTagFieldNumber(tag);
+            if (field < numbers.length) {
+                numbers[field] = in.readInt64();
+            } else {
+                in.skipField(tag);
+            }
+        }
+        return new WaveDue(numbers[1], numbers[2]);
+    }
+
     private record Named(long number, String name) {}
 
     private static void named(CodedOutputStream out, long number, String name) throws IOException {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -22,6 +22,7 @@
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
+import org.foxtailplank.job.JournalRecord.WaveDue;
 import org.foxtailplank.job.PlacementRule;
 import org.foxtailplank.job.QueueTerms;
 import org.foxtailplank.job.RunMode;
@@ -73,6 +74,7 @@
             {new OwnerLeft(3, "n", false)},
             {new OwnerLeft(4, "n", true)},
             {new VmRebooted(1, "vm")},
+            {new WaveDue(1, 2)},
             {new WaveCompleted(1)},
         };
     }
