The first owner that sees a wave writes down when it is due

Operators saw: a wave late after a change of owner, 10 of 119 VMs left, one part of it an end believed 10 s too late. Cause: a wave's order says how long it may take, not since when; the second owner had been turned away by the store and read the order 10 s late. What else kept those 10 VMs (standing tasks without a place elsewhere in their pool) is not mended by this.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
+import org.foxtailplank.job.JournalRecord.WaveDue;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.SharedLog;
@@ -39,6 +40,8 @@
     private final VmPlanner mPlanner;
     private final Map<String, VmInfo> mLast = new HashMap<>();
     private final Set<Long> mRunning = new HashSet<>();
+    private final Set<Long> mWritten = new HashSet<>();
+    private final WaveTimes mTimes;
     private long mAnsweredMs;
     private boolean mListed;
     private int mCalls;
@@ -49,6 +52,7 @@
         mParts = parts;
         mClock = parts.clock();
         mHolder = holder;
+        mTimes = new WaveTimes(parts.reader().book());
         mPlanner = new VmPlanner(owner.scheduler());
         mAnsweredMs = mClock.nowMs();
     }
@@ -75,7 +79,7 @@
             return;
         }
         mParts.timers().after(WAVE_LINE_MS, this::sayWaves);
-        for (DueWave wave : mParts.operator().waves().values()) {
+        for (DueWave wave : dueWaves()) {
             if (!mParts.reader().book().isCompleted(wave.order().number())) {
                 mParts.log()
                         .line("wave")
@@ -140,11 +144,13 @@
         if (!mListed || config.isEmpty()) {
             return;
         }
-        mParts.operator().waves().values().forEach(w -> running(w.order()));
+        List<DueWave> waves = dueWaves();
+        waves.forEach(w -> running(w.order()));
+        writeDown(waves);
         VmPlanner.VmDecisions decisions =
                 mPlanner.decide(
                         config.get(),
-                        mParts.operator().waves().values(),
+                        waves,
                         mParts.reader().book(),
                         mayCall(),
                         mClock.nowMs(),
@@ -154,6 +160,18 @@
         mOwner.decisionDue();
     }
 
+    private List<DueWave> dueWaves() {
+        return mTimes.due(mParts.operator().waves().values(), mClock.nowMs(), mClock.wallMs());
+    }
+
+    private void writeDown(List<DueWave> waves) {
+        for (WaveDue due : mTimes.unwritten(waves, mClock.nowMs(), mClock.wallMs())) {
+            if (mWritten.add(due.wave())) {
+                mOwner.journal().store(due, () -> {});
+            }
+        }
+    }
+
     /** Whether calls may be begun; while the lease allows none, VMs are chosen and emptied only. */
     private boolean mayCall() {
         long left = mHolder.permit().leftMs();
