--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Main.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Main.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.foxtailplank.process.Version;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -27,6 +28,12 @@
     @Argument(index = 1, metaVar = "SCHEDULE", usage = "with play: the file to play")
     private String mFile = "";
 
+    @Option(name = "--help", aliases = "-h", help = true, usage = "print the options and exit")
+    private boolean mHelp;
+
+    @Option(name = "--version", help = true, usage = "print the version and exit")
+    private boolean mVersion;
+
     @Option(name = "--seed", usage = "the first seed")
     private long mSeed = 1;
 
@@ -61,6 +68,10 @@
         CmdLineParser parser = new CmdLineParser(this);
         try {
             parser.parseArgument(args);
+            if (mHelp || mVersion) {
+                about(parser);
+                return KEPT;
+            }
             return switch (mVerb) {
                 case "run" -> runSeeds();
                 case "play" -> play(Schedule.parse(Files.readString(Path.of(mFile))));
@@ -77,6 +88,16 @@
         }
     }
 
+    private void about(CmdLineParser parser) {
+        if (mVersion) {
+            System.out.println("foxtail-soak " + Version.text());
+            return;
+        }
+        System.out.println("usage: foxtail-soak run|play|shrink [SCHEDULE] [options]");
+        parser.printUsage(System.out);
+        System.out.println("exit status: 0 all kept, 1 a promise is broken, 2 usage is wrong");
+    }
+
     private SoakSize size() {
         return new SoakSize(mSeconds, mZones, mNodes, mWorkers);
     }
