--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -10,7 +10,6 @@
 import org.foxtailplank.http.HttpHandler;
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
-import org.foxtailplank.job.JobEntry;
 import org.foxtailplank.job.JobOrder;
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
@@ -64,11 +63,10 @@
     private final OperatorFollower mOperator;
     private final JournalReader mReader;
     private final OwnerLink mLink;
-    private final OwnerBook mOwnerBook;
+    private final JobFinder mFinder;
     private final JournalWriter mWriter;
     private final CallerBodies mBodies;
     private final Clock mClock;
-    private final Timers mTimers;
     private final NodeLog mLog;
     private final NodeMetrics mMetrics;
     private final Map<String, List<Consumer<HttpReply>>> mInFlight = new HashMap<>();
@@ -87,11 +85,10 @@
         mOperator = operator;
         mReader = reader;
         mLink = link;
-        mOwnerBook = ownerBook;
+        mFinder = new JobFinder(reader, ownerBook, clock, timers);
         mWriter = writer;
         mBodies = bodies;
         mClock = clock;
-        mTimers = timers;
         mLog = log;
         mMetrics = metrics;
     }
@@ -119,35 +116,6 @@
         }
     }
 
-    /**
-     * Reads the journal to its end and says whether that worked, or that it didn't as the caller's
-     * time is nearly over. Guards against callers that get no answer: a node that has just started
-     * reads for longer than they wait, if its link is narrow.
-     */
-    private void readInTime(HttpRequest request, Consumer<Boolean> then) {
-        Once once = new Once(then);
-        mReader.refresh(once);
-        mTimers.after(deadlineMs(request) - mClock.nowMs(), () -> once.accept(false));
-    }
-
-    /** Hands the first outcome on. */
-    private static final class Once implements Consumer<Boolean> {
-        private final Consumer<Boolean> mThen;
-        private boolean mDone;
-
-        Once(Consumer<Boolean> then) {
-            mThen = then;
-        }
-
-        @Override
-        public void accept(Boolean outcome) {
-            if (!mDone) {
-                mDone = true;
-                mThen.accept(outcome);
-            }
-        }
-    }
-
     private void noteIfSlow(HttpRequest request, HttpReply answer, long tookMs) {
         if (tookMs >= SLOW_MS) {
             mLog.line("answer-slow")
@@ -258,23 +226,13 @@
      */
     private void tellPending(HttpRequest request, RouteSettings route, Consumer<HttpReply> reply) {
         if (mClock.nowMs() - mLink.currentMs() < PENDING_CURRENT_MS) {
-            reply.accept(pending(route));
+            reply.accept(pending(mFinder.knownPending(route.name())));
             return;
         }
-        mOwnerBook.pending(
+        mFinder.pending(
                 route.name(),
-                told ->
-                        told.ifPresentOrElse(
-                                p -> reply.accept(pending(p)),
-                                () -> readPending(request, route, reply)));
-    }
-
-    private void readPending(HttpRequest request, RouteSettings route, Consumer<HttpReply> reply) {
-        readInTime(request, read -> reply.accept(read ? pending(route) : unavailable()));
-    }
-
-    private HttpReply pending(RouteSettings route) {
-        return pending(mReader.book().pending(route.name()));
+                deadlineMs(request),
+                found -> reply.accept(found.map(this::pending).orElseGet(() -> unavailable())));
     }
 
     private HttpReply pending(int jobs) {
@@ -282,23 +240,19 @@
     }
 
     private void tell(HttpRequest request, String id, Consumer<HttpReply> reply) {
-        Optional<JobPhase> known = knownPhase(id);
+        Optional<JobPhase> known = mFinder.known(id);
         boolean current = mClock.nowMs() - mLink.currentMs() < CURRENT_MS;
         if (known.isPresent() && (current || known.get().isFinal())) {
             reply.accept(phase(known.get()));
             return;
         }
-        find(
-                request,
+        mFinder.find(
                 id,
+                deadlineMs(request),
                 (read, phase) ->
                         reply.accept(phase.map(this::phase).orElseGet(() -> notFound(read))));
     }
 
-    private Optional<JobPhase> knownPhase(String id) {
-        return mReader.book().job(id).map(JobEntry::phase);
-    }
-
     private HttpReply phase(JobPhase phase) {
         return HttpReply.json(OK, mBodies.phase(phase));
     }
@@ -308,37 +262,15 @@
         return read ? HttpReply.empty(GONE) : unavailable();
     }
 
-    /** Is told where a job stands, and whether all of the journal was read for that. */
-    private interface Found {
-        void phase(boolean read, Optional<JobPhase> phase);
-    }
-
-    /**
-     * Finds out where a job stands: from the owner, which has read all of the journal, else from
-     * the journal itself. The owner may not have read yet what another node has stored by itself,
-     * so that a job that it doesn't know is looked for.
-     */
-    private void find(HttpRequest request, String id, Found then) {
-        mOwnerBook.phase(
-                id,
-                told -> {
-                    if (told.isPresent()) {
-                        then.phase(false, told);
-                    } else {
-                        readInTime(request, read -> then.phase(read, knownPhase(id)));
-                    }
-                });
-    }
-
     private void cancel(HttpRequest request, String id, Consumer<HttpReply> reply) {
-        Optional<JobPhase> known = knownPhase(id);
+        Optional<JobPhase> known = mFinder.known(id);
         if (known.isPresent()) {
             cancelKnown(request, id, known.get(), reply);
             return;
         }
-        find(
-                request,
+        mFinder.find(
                 id,
+                deadlineMs(request),
                 (read, phase) ->
                         phase.ifPresentOrElse(
                                 p -> cancelKnown(request, id, p, reply),
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/CatchUpLog.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/CatchUpLog.java
@@ -28,7 +28,7 @@
         mPartition = partition;
     }
 
-    /** A read is on its way; until one reaches the end the node is behind. */
+    /** A read that doesn't wait is on its way; until one reaches the end the node is behind. */
     void asked() {
         if (!mBehind) {
             mBehind = true;
@@ -57,7 +57,7 @@
                 .with("partition", mPartition.number())
                 .with("from", from)
                 .with("pageBytes", pageBytes)
-                .with("behindMs", mClock.nowMs() - mBehindSinceMs)
+                .with("behindMs", mBehind ? mClock.nowMs() - mBehindSinceMs : 0)
                 .with("why", result.reason())
                 .write();
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -110,7 +110,6 @@
     /** Begins to follow; goes on for ever. */
     void follow() {
         if (mEager && mCaughtUp) {
-            mProgress.asked();
             mLog.read(mPartition, mPosition, page(mPace.ownerWaitMs()), this::awaited);
         } else {
             refresh(this::followed);
