The soak checks the number of waiting jobs that callers are told

Cause: a wrong number was found by users before; the soak didn't ask. Change: callers ask queues for it; MIXED objects to under half of the jobs that were accepted 5 s before and haven't begun. Figures: PromiseTest: objects to 0 of 1, not to 1 of 1, nor to 0 after 4 s.

--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -16,6 +16,7 @@
 import org.foxtailplank.soak.SoakEvent.SubmitAnswer;
 import org.foxtailplank.soak.SoakEvent.Submitted;
 import org.foxtailplank.soak.SoakEvent.Told;
+import org.foxtailplank.soak.SoakEvent.ToldPending;
 import org.foxtailplank.soak.SoakEvent.VmCalled;
 
 /** A promise to the users, and what breaks it in a history that others than the nodes saw. */
@@ -150,11 +151,19 @@
         }
     },
 
-    /** A job is told to be completed only once all of it is. */
+    /** A job is told to be completed only once all of it is, and waiting jobs are told of. */
     MIXED {
         @Override
         void see(SoakEvent event, Scan scan) {
-            if (event instanceof Told e && e.state().equals("completed")) {
+            if (event instanceof SubmitAnswer e && e.isAccepted()) {
+                scan.since(e.job(), Math.min(scan.since(e.job()).orElse(e.atMs()), e.atMs()));
+            } else if (event instanceof Started e) {
+                scan.note(SoakEvent.jobOf(e.task()));
+            } else if (event instanceof CancelSent e) {
+                scan.note(e.job());
+            } else if (event instanceof ToldPending e) {
+                toldPending(e, scan);
+            } else if (event instanceof Told e && e.state().equals("completed")) {
                 SoakJob job = scan.runs().job(e.job());
                 for (int s = 0; s < job.steps().size(); s++) {
                     if (!scan.runs().isStepDone(job, s)) {
@@ -163,6 +172,28 @@
                 }
             }
         }
+
+        private void toldPending(ToldPending e, Scan scan) {
+            long waiting =
+                    scan.sinceAll().entrySet().stream()
+                            .filter(j -> e.atMs() - j.getValue() > WAITING_MS)
+                            .filter(j -> !scan.isNoted(j.getKey()))
+                            .filter(j -> scan.runs().job(j.getKey()).pool().equals(e.pool()))
+                            .count();
+            if (2L * e.count() < waiting) {
+                scan.broken(
+                        e,
+                        "node "
+                                + e.node()
+                                + " tells of "
+                                + e.count()
+                                + " waiting jobs of "
+                                + e.pool()
+                                + ", "
+                                + waiting
+                                + " wait");
+            }
+        }
     },
 
     /** Orders for a VM come from the newest owner. */
@@ -258,6 +289,9 @@
     /** From when on an accepted job is known everywhere, in milliseconds. */
     private static final long VISIBLE_MS = 3000;
 
+    /** From when on an accepted job that hasn't begun counts as waiting, in milliseconds. */
+    private static final long WAITING_MS = 5000;
+
     /** Until when tasks of a cancelled job may start: 4 s, and 3 s that an order may be late. */
     private static final long CANCEL_MS = 7000;
 
@@ -315,6 +349,10 @@
             mSince.put(name, value);
         }
 
+        Map<String, Long> sinceAll() {
+            return mSince;
+        }
+
         Optional<Long> since(String name) {
             return Optional.ofNullable(mSince.get(name));
         }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
@@ -24,6 +24,7 @@
 import org.foxtailplank.soak.SoakEvent.SubmitAnswer;
 import org.foxtailplank.soak.SoakEvent.Submitted;
 import org.foxtailplank.soak.SoakEvent.Told;
+import org.foxtailplank.soak.SoakEvent.ToldPending;
 
 /**
  * Callers: they hand jobs in, come back with the same ID at another node, cancel, and ask where
@@ -47,6 +48,8 @@
     private static final double STANDING = 0.06;
     private static final int MOST_STANDING = 3;
     private static final long EACH_MS = 160;
+    private static final long PENDING_MS = 300;
+    private static final Pattern PENDING = Pattern.compile("\"pending\":(\\d+)");
     private static final Pattern STATE = Pattern.compile("\"state\":\"([a-z]+)\"");
 
     private final MultiThreadIoEventLoopGroup mGroup =
@@ -74,6 +77,7 @@
                 () -> {
                     mComing = true;
                     next();
+                    askPending();
                 });
     }
 
@@ -94,6 +98,23 @@
         }
     }
 
+    /** Asks a node how many jobs of a queue wait, again and again. */
+    private void askPending() {
+        int node = anyNode();
+        String pool = SoakSystem.POOLS.get(mRandom.nextInt(2));
+        send(
+                node,
+                HttpCall.get('/' + pool + '/'),
+                result -> {
+                    Matcher pending = PENDING.matcher(body(result));
+                    if (pending.find()) {
+                        int count = Integer.parseInt(pending.group(1));
+                        mHistory.add(t -> new ToldPending(t, pool, node, count));
+                    }
+                });
+        later(PENDING_MS, this::askPending);
+    }
+
     private void later(long ms, Runnable action) {
         mLoop.schedule(
                 () -> {
@@ -219,11 +240,15 @@
         return result instanceof HttpResult.Answered a ? a.status() : 0;
     }
 
+    /** The text of an answer; empty if there is none. */
+    private static String body(HttpResult result) {
+        return result instanceof HttpResult.Answered a
+                ? new String(a.body(), StandardCharsets.UTF_8)
+                : "";
+    }
+
     private static String state(HttpResult result) {
-        if (!(result instanceof HttpResult.Answered a)) {
-            return "";
-        }
-        Matcher state = STATE.matcher(new String(a.body(), StandardCharsets.UTF_8));
+        Matcher state = STATE.matcher(body(result));
         return state.find() ? state.group(1) : "";
     }
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
@@ -28,6 +28,9 @@
     /** A caller was told where a job stands. */
     record Told(long atMs, String job, int node, String state) implements SoakEvent {}
 
+    /** A caller was told how many jobs of a queue wait. */
+    record ToldPending(long atMs, String pool, int node, int count) implements SoakEvent {}
+
     /** At the end a node was asked for a job: the status, or 0 for no answer. */
     record AskedAtEnd(long atMs, String job, int node, int status, String state)
             implements SoakEvent {}
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -67,10 +67,6 @@
         return new InetSocketAddress("127.0.0.1", mPorts.get(0));
     }
 
-    InetSocketAddress readiness() {
-        return new InetSocketAddress("127.0.0.1", mPorts.get(1));
-    }
-
     Path output() {
         return mFolder.resolve(mName + ".log");
     }
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.soak.SoakEvent.SubmitAnswer;
 import org.foxtailplank.soak.SoakEvent.Submitted;
 import org.foxtailplank.soak.SoakEvent.Told;
+import org.foxtailplank.soak.SoakEvent.ToldPending;
 import org.foxtailplank.soak.SoakEvent.VmCalled;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -181,6 +182,17 @@
         onlyBroken(Promise.MIXED);
     }
 
+    @Test
+    public void aNumberOfWaitingJobsThatIsFarTooSmallIsMixed() {
+        mEvents.add(new ToldPending(4000, "quick", 1, 0));
+        onlyBroken();
+        mEvents.add(new ToldPending(9000, "heavy", 1, 0));
+        mEvents.add(new ToldPending(9000, "quick", 1, 1));
+        onlyBroken();
+        mEvents.add(new ToldPending(9000, "quick", 1, 0));
+        onlyBroken(Promise.MIXED);
+    }
+
     @Test
     public void anEarlierOwnersCallAfterALaterOnesIsOne() {
         mEvents.add(new VmCalled(10, "vm", "move", 3));
