The soak's runs have loopback addresses of their own, and an end counts by its run

Change: each run has addresses 127.x.y.n; a node that doesn't start breaks the run off; TWICE looks at the run whose end was noted, as the users' rule says.

--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -34,15 +34,17 @@
                 if (scan.runs().isNoted(e.task())) {
                     scan.broken(e, e.task() + " starts again, its end was taken note of");
                 }
-                if (scan.runs().isDone(e.task())) {
-                    scan.note(e.task());
-                }
+                scan.runs().doneAttempts(e.task()).forEach(a -> scan.note(run(e.task(), a)));
             } else if (event instanceof Acknowledged e
                     && e.how().equals("done")
-                    && scan.isNoted(e.task())) {
+                    && scan.isNoted(run(e.task(), e.attempt()))) {
                 scan.broken(e, e.task() + " had started again before its end was taken note of");
             }
         }
+
+        private String run(String task, int attempt) {
+            return task + '#' + attempt;
+        }
     },
 
     /** An accepted job is known at every node, told truly, and done in the end. */
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
@@ -16,7 +16,7 @@
     private final Map<String, SoakJob> mJobs = new HashMap<>();
     private final Map<String, Set<String>> mRunning = new HashMap<>();
     private final Map<String, Long> mSinceMs = new HashMap<>();
-    private final Set<String> mDone = new HashSet<>();
+    private final Map<String, Set<Integer>> mDone = new HashMap<>();
     private final Set<String> mNoted = new HashSet<>();
 
     /** Takes an event in. */
@@ -29,7 +29,7 @@
         } else if (event instanceof Ended e) {
             running(e.task()).remove(e.worker());
             if (e.how().equals(DONE)) {
-                mDone.add(e.task());
+                mDone.computeIfAbsent(e.task(), t -> new HashSet<>()).add(e.attempt());
             }
         } else if (event instanceof Acknowledged e && e.how().equals(DONE)) {
             mNoted.add(e.task());
@@ -57,7 +57,12 @@
 
     /** Whether a run of a task has ended done. */
     boolean isDone(String task) {
-        return mDone.contains(task);
+        return mDone.containsKey(task);
+    }
+
+    /** Numbers of the runs of a task that have ended done. */
+    Set<Integer> doneAttempts(String task) {
+        return mDone.getOrDefault(task, Set.of());
     }
 
     /** Whether an owner has taken note of that. */
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.soak;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -20,6 +21,7 @@
 
     private final String mName;
     private final String mZone;
+    private final String mIp;
     private final Path mFolder;
     private final boolean mTokensChecked;
     private final FaultProxy mStore;
@@ -29,8 +31,15 @@
     private boolean mGone;
     private int mGrace = 6;
 
-    SoakNode(String name, String zone, Path folder, UsersStandin platform, boolean tokensChecked)
+    SoakNode(
+            String name,
+            String zone,
+            String ip,
+            Path folder,
+            UsersStandin platform,
+            boolean tokensChecked)
             throws IOException {
+        mIp = ip;
         mName = name;
         mZone = zone;
         mFolder = folder;
@@ -41,11 +50,11 @@
     }
 
     /** All are held open until the last is found, so that they differ. */
-    private static List<Integer> freePorts() throws IOException {
+    private List<Integer> freePorts() throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < PORTS; i++) {
-            ServerSocket socket = new ServerSocket(0);
+            ServerSocket socket = new ServerSocket(0, 0, InetAddress.getByName(mIp));
             sockets.add(socket);
             ports.add(socket.getLocalPort());
         }
@@ -64,7 +73,7 @@
     }
 
     InetSocketAddress callers() {
-        return new InetSocketAddress("127.0.0.1", mPorts.get(0));
+        return new InetSocketAddress(mIp, mPorts.get(0));
     }
 
     Path output() {
@@ -121,7 +130,7 @@
     }
 
     private String port(int number) {
-        return "127.0.0.1:" + mPorts.get(number);
+        return mIp + ':' + mPorts.get(number);
     }
 
     private static String address(InetSocketAddress address) {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakRun.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakRun.java
@@ -95,6 +95,7 @@
             throws IOException, InterruptedException {
         system.startAll();
         pause(READY_MS);
+        checkStarted(system);
         callers.come();
         player.play(mSchedule.faults());
         pause((long) (mSchedule.size().seconds() * MS_PER_S));
@@ -111,6 +112,14 @@
         tell("asked " + asked + " times for all accepted jobs");
     }
 
+    private static void checkStarted(SoakSystem system) throws IOException {
+        for (SoakNode n : system.nodes()) {
+            if (!n.isRunning()) {
+                throw new IOException(n.name() + " has not started, see " + n.output());
+            }
+        }
+    }
+
     private void ending(SoakSystem system, SoakCallers callers)
             throws IOException, InterruptedException {
         switch (mSchedule.ending()) {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.foxtailplank.adapter.standin.UsersStandin;
@@ -19,6 +20,8 @@
     private static final long PROCESSORS = 8000;
 
     private static final long LEASE_MS = 6000;
+    private static final int NETWORKS = 250;
+    private static final AtomicInteger RUNS = new AtomicInteger();
     private static final Pattern OWNS = Pattern.compile("\"ms\":(\\d+),\"kind\":\"owner-start\"");
 
     private final UsersStandin mPlatform;
@@ -44,14 +47,26 @@
                                 zones, POOLS, size.workers(), PROCESSORS, LEASE_MS, tokensChecked),
                         history);
         mPlatform.configure(HOST, POOLS);
+        String network = network();
         for (int n = 0; n < size.nodes(); n++) {
             String name = "node-" + n;
             String zone = zones.get(n % size.zones());
-            mNodes.add(new SoakNode(name, zone, folder, mPlatform, tokensChecked));
+            String ip = network + '.' + (n + 1);
+            mNodes.add(new SoakNode(name, zone, ip, folder, mPlatform, tokensChecked));
         }
         Runtime.getRuntime().addShutdownHook(mAtExit);
     }
 
+    /**
+     * The first three numbers of a run's loopback addresses. Guards against a node whose port was
+     * taken by another run's node between the moment it was found free and its start: callers would
+     * ask the other run's node, which knows none of their jobs.
+     */
+    private static String network() {
+        long process = ProcessHandle.current().pid() % NETWORKS + 1;
+        return "127." + process + '.' + RUNS.getAndIncrement() % NETWORKS;
+    }
+
     String zone(int number) {
         return "zone-" + number % mZones;
     }
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -99,6 +99,18 @@
         onlyBroken(Promise.TWICE);
     }
 
+    @Test
+    public void anEndThatNobodyNotedLeavesTheTaskToItsNextRun() {
+        // Seed 306: a task ended done, its VM was moved before an owner had read that, and the
+        // next run's own end was noted. The end that was lost counts for nothing.
+        started(10, FIRST, 1, "a");
+        ended(260, FIRST, 1, "a", "done");
+        started(300, FIRST, 2, "b");
+        ended(550, FIRST, 2, "b", "done");
+        mEvents.add(new Acknowledged(600, FIRST, 2, "b", "done"));
+        onlyBroken();
+    }
+
     @Test
     public void aTaskWhoseWorkerIsGoneMayStartAgain() {
         started(10, FIRST, 1, "a");
