--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
@@ -42,12 +42,20 @@
     private static final long POLL_MS = 600;
     private static final long CANCEL_AFTER_MS = 1000;
     private static final long AGAIN_AFTER_MS = 2000;
+
+    /** Share of the callers that give a job to somebody else once it is refused. */
+    private static final double ONE_TRY = 0.3;
+
     private static final double CANCELLED = 0.08;
     private static final double HANDED_IN_AGAIN = 0.05;
     private static final double HEAVY = 0.25;
     private static final double STANDING = 0.06;
     private static final int MOST_STANDING = 3;
     private static final long EACH_MS = 160;
+
+    /** Time between two questions at the end, in milliseconds: a burst would measure itself. */
+    private static final long ASK_EACH_MS = 2;
+
     private static final long PENDING_MS = 300;
     private static final Pattern PENDING = Pattern.compile("\"pending\":(\\d+)");
     private static final Pattern STATE = Pattern.compile("\"state\":\"([a-z]+)\"");
@@ -93,7 +101,7 @@
 
     private void next() {
         if (mComing) {
-            submit(draw(), TRIES);
+            submit(draw(), mRandom.nextDouble() < ONE_TRY ? 1 : TRIES);
             later(EACH_MS / 2 + mRandom.nextInt((int) EACH_MS), this::next);
         }
     }
@@ -268,7 +276,6 @@
         return done;
     }
 
-    /** A burst of all questions at once would measure the burst. */
     private void askInTurn(
             List<Integer> nodes, List<SoakJob> jobs, CompletableFuture<Integer> done) {
         int[] left = {nodes.size() * jobs.size()};
@@ -283,10 +290,10 @@
                         done.complete(nodes.size() * jobs.size());
                     }
                 };
-        for (int n : nodes) {
-            for (int j = 0; j < jobs.size(); j++) {
-                SoakJob job = jobs.get(j);
-                later(5L * j, () -> askAtEnd(job, n, answered));
+        long asked = 0;
+        for (SoakJob job : jobs) {
+            for (int n : nodes) {
+                later(asked++ * ASK_EACH_MS, () -> askAtEnd(job, n, answered));
             }
         }
     }
