One set-up of a node's answering part for the tests of callers

Cause: LaggingNodeTest and CallerServiceTest put the same parts together, twenty lines each. Change: TestedNode; no assertion changed.

--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -8,13 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.foxtailplank.adapter.AdapterLimits;
-import org.foxtailplank.adapter.UsersPlatform;
-import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.http.HttpReply;
-import org.foxtailplank.http.HttpRequest;
-import org.foxtailplank.job.JobBook;
 import org.foxtailplank.job.JobOrder;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
@@ -30,14 +25,8 @@
 import org.foxtailplank.node.FakeLog.Fate;
 import org.foxtailplank.node.FakeNode;
 import org.foxtailplank.node.FakeOwnerBook;
-import org.foxtailplank.node.NodeMetrics;
-import org.foxtailplank.node.OperatorFollower;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPartition;
-import org.foxtailplank.node.journal.JournalReader;
-import org.foxtailplank.node.journal.JournalWriter;
-import org.foxtailplank.node.log.NodeLog;
-import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.Feed;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.OperatorOrder;
@@ -53,8 +42,7 @@
     private FakeNode mTime;
     private FakeLog mLog;
     private FakeOperator mOperator;
-    private JournalReader mReader;
-    private CallerService mService;
+    private TestedNode mNode;
 
     /** The operator's writings, of which each read brings the newest. */
     private static final class FakeOperator implements Feed<OperatorOrder> {
@@ -86,53 +74,14 @@
         mTime = new FakeNode();
         mLog = new FakeLog();
         mOperator = new FakeOperator();
-        NodeLog out = NodeLog.silent(mTime);
-        OperatorFollower operator = new OperatorFollower(mOperator, mTime, mTime, out);
         mOperator.mPrefixes.add("/q/");
-        mReader =
-                new JournalReader(
-                        mLog,
-                        JournalPartition.all(3),
-                        mTime,
-                        mTime,
-                        out,
-                        new JobBook(120_000),
-                        (record, job) -> {});
-        OwnerLink link = new OwnerLink(null, mTime, mTime, out, mReader);
-        mService =
-                new CallerService(
-                        operator,
-                        mReader,
-                        link,
-                        new FakeOwnerBook(),
-                        new JournalWriter(mLog, JournalPartition.JOURNAL, link, mTime, mTime, out),
-                        new UsersPlatform(
-                                        null,
-                                        null,
-                                        null,
-                                        new PlatformAddresses("127.0.0.1:1", "", ""),
-                                        AdapterLimits.DEFAULTS,
-                                        mTime::nowMs)
-                                .callerBodies(),
-                        mTime,
-                        mTime,
-                        out,
-                        new NodeMetrics());
-        operator.refresh(read -> {});
+        mNode = new TestedNode(mTime, mLog, mOperator, new FakeOwnerBook());
+        mNode.readOrders();
     }
 
     private List<HttpReply> ask(String method, String path, String body) {
-        List<HttpReply> replies = new ArrayList<>();
-        HttpRequest request =
-                new HttpRequest(
-                        method,
-                        path,
-                        "",
-                        "h",
-                        name -> Optional.empty(),
-                        body.getBytes(StandardCharsets.UTF_8));
-        mService.handle(request, replies::add);
-        return replies;
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return mNode.ask(method, path, bytes, Optional.empty());
     }
 
     private HttpReply answer(String method, String path, String body) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
@@ -4,15 +4,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.foxtailplank.adapter.AdapterLimits;
-import org.foxtailplank.adapter.UsersPlatform;
-import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
 import org.foxtailplank.http.HttpReply;
-import org.foxtailplank.http.HttpRequest;
-import org.foxtailplank.job.JobBook;
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JournalRecord.OwnerAlive;
 import org.foxtailplank.job.QueueTerms;
@@ -21,14 +15,9 @@
 import org.foxtailplank.node.FakeNode;
 import org.foxtailplank.node.FakeOwnerBook;
 import org.foxtailplank.node.NarrowLink;
-import org.foxtailplank.node.NodeMetrics;
-import org.foxtailplank.node.OperatorFollower;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPartition;
 import org.foxtailplank.node.journal.JournalReader;
-import org.foxtailplank.node.journal.JournalWriter;
-import org.foxtailplank.node.log.NodeLog;
-import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.OperatorOrder;
 import org.foxtailplank.port.RouteSettings;
@@ -49,7 +38,7 @@
     private NarrowLink mLink;
     private JournalReader mReader;
     private FakeOwnerBook mOwner;
-    private CallerService mService;
+    private TestedNode mNode;
 
     @BeforeMethod
     public void setUp() {
@@ -57,43 +46,14 @@
         mLog = new FakeLog();
         mOwner = new FakeOwnerBook();
         mLink = new NarrowLink(mLog, mTime, LINK_BYTES_PER_S);
-        NodeLog out = NodeLog.silent(mTime);
         QueueTerms terms = new QueueTerms(0, 2, 1.6, 600, Optional.empty());
         RouteSettings queue = new RouteSettings("/q/", "h", "/q/", "s", terms);
         FakeFeed<OperatorOrder> orders = new FakeFeed<>();
         FleetConfig config = new FleetConfig(1, List.of(queue), List.of(), 1000);
         orders.put("config", new OperatorOrder.NewConfig(config));
-        OperatorFollower operator = new OperatorFollower(orders, mTime, mTime, out);
-        operator.refresh(read -> {});
-        mReader =
-                new JournalReader(
-                        mLink,
-                        JournalPartition.all(3),
-                        mTime,
-                        mTime,
-                        out,
-                        new JobBook(120_000),
-                        (record, job) -> {});
-        OwnerLink link = new OwnerLink(null, mTime, mTime, out, mReader);
-        mService =
-                new CallerService(
-                        operator,
-                        mReader,
-                        link,
-                        mOwner,
-                        new JournalWriter(mLink, JournalPartition.JOURNAL, link, mTime, mTime, out),
-                        new UsersPlatform(
-                                        null,
-                                        null,
-                                        null,
-                                        new PlatformAddresses("127.0.0.1:1", "", ""),
-                                        AdapterLimits.DEFAULTS,
-                                        mTime::nowMs)
-                                .callerBodies(),
-                        mTime,
-                        mTime,
-                        out,
-                        new NodeMetrics());
+        mNode = new TestedNode(mTime, mLink, orders, mOwner);
+        mNode.readOrders();
+        mReader = mNode.reader();
     }
 
     private void writeJournal() {
@@ -108,17 +68,8 @@
     }
 
     private List<HttpReply> ask(String method, String path) {
-        List<HttpReply> replies = new ArrayList<>();
-        HttpRequest request =
-                new HttpRequest(
-                        method,
-                        path,
-                        "",
-                        "h",
-                        name -> Optional.of(Long.toString(CALLER_MS)),
-                        new byte[0]);
-        mService.handle(request, replies::add);
-        return replies;
+        Optional<String> deadline = Optional.of(Long.toString(CALLER_MS));
+        return mNode.ask(method, path, new byte[0], deadline);
     }
 
     private void pass(long ms) {
@@ -131,9 +82,8 @@
     public void callersOfANodeThatIsFarBehindAreAnsweredWithinTheirTime() {
         // All nodes were lost at the end of a day and started again. Callers asked for accepted
         // jobs, and two of them got no answer at all: 26 nodes on links of 7 Mbit/s read the
-        // journal for 8 to 10 s. Cause: a question for a job waited for the end of that read
-        // without
-        // regard to its caller's time.
+        // journal for 8 to 10 s. Cause: a question for a job waited for the end of that read,
+        // however short its caller's time was.
         writeJournal();
         mReader.follow();
         pass(500);
