A test that stops a task gives it work that outlasts the calls before

Cause: the stand-in's tasks work 100 ms; the test makes three calls before the stop, and on a busy machine the task had ended by itself, so that the stop, accepted, changed nothing. The test was wrong, not the client. Change: that test alone has a stand-in whose tasks work for an hour; no assertion changed, no other test's timing. Conclusion: as strict as before, and it no longer depends on the machine's speed.

--- a/foxtail-platform/src/test/java/org/foxtailplank/platform/HttpPlatformTest.java
+++ b/foxtail-platform/src/test/java/org/foxtailplank/platform/HttpPlatformTest.java
@@ -60,6 +60,11 @@
 
     @BeforeMethod
     public void startStandin() throws Exception {
+        startStandin(Duration.ofMillis(100));
+    }
+
+    /** A stand-in whose tasks work for so long. */
+    private void startStandin(Duration work) throws Exception {
         PlatformOptions options =
                 PlatformOptions.quick()
                         .withVmTimes(
@@ -67,11 +72,7 @@
                                 Duration.ofMillis(20),
                                 Duration.ofMillis(20),
                                 Duration.ofMillis(20))
-                        .withWork(
-                                Duration.ofMillis(1),
-                                Duration.ofMillis(5),
-                                Duration.ofMillis(100),
-                                0);
+                        .withWork(Duration.ofMillis(1), Duration.ofMillis(5), work, 0);
         mStandin =
                 PlatformStandin.start(
                         SmallDeployment.settings(2, URI.create("http://127.0.0.1:1")),
@@ -242,6 +243,10 @@
 
     @Test
     public void attemptIsFencedByALaterOne() throws Exception {
+        // It failed once on a busy machine: "the task never became STOPPED". The stand-in's task
+        // worked for 100 ms and had ended by itself before the fourth call stopped it.
+        stopStandin();
+        startStandin(Duration.ofHours(1));
         get(mPlatform.workers().start(VM, task(2, Duration.ofSeconds(30))));
         assertEquals(
                 get(mPlatform.workers().start(VM, task(1, Duration.ofSeconds(30)))),
