The number of pending jobs is told only from a book that is proved to be complete

Callers saw: a queue's number of pending jobs that was too low, 0 while 4 jobs had waited for five seconds. Cause: a follower took its book for complete as long as it heard an owner whose position it had reached. An owner that the store turns away is still heard, with a position that stands still, while other nodes append by themselves. A record of a spare partition made the book count as complete although records of the first were missing, and a former owner that had not noticed its successor told the number from its own book. Evidence: StaleBookTest on the code before: 0 of 1 job with an owner that reads no more, 1 of 2 with a missing record of the first partition.

Fix: each partition's reader keeps the time until when it was read completely, heartbeats carry the owner's, and a node answers from memory only where one of them is under 1.5 s old. The time is moved to the follower's clock by the shortest delay of a frame, so that a heartbeat that waited in a full link proves nothing more. The owner's own answers obey the same bound. Tests: StaleBookTest (both failed before), OwnBookTest, OwnerLinkTest#theTimeThatAHeartbeatWaitsInAFullLinkProvesNothing.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -16,8 +16,10 @@
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.node.caller.CallerService;
+import org.foxtailplank.node.caller.OwnBook;
 import org.foxtailplank.node.journal.Handover;
 import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.journal.JournalPosition;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.journal.StoreOutcome;
@@ -27,6 +29,7 @@
 import org.foxtailplank.node.owner.Ownership;
 import org.foxtailplank.node.owner.TakeOver;
 import org.foxtailplank.node.peer.JournalStream;
+import org.foxtailplank.node.peer.OwnedJournal;
 import org.foxtailplank.node.peer.OwnerBook;
 import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.SharedLog;
@@ -164,27 +167,37 @@
         }
     }
 
-    /** The book of this node, while it owns and has read all of the journal. */
-    private final class OwnBook implements OwnerBook {
-        private boolean isWhole() {
-            return mOwner.map(OwnerWork::isLoaded).orElse(false);
+    /** What followers of this node are told of the journal while it owns. */
+    private final class JournalOf implements OwnedJournal {
+        private final OwnerWork mWork;
+
+        JournalOf(OwnerWork work) {
+            mWork = work;
         }
 
         @Override
-        public void phase(String job, Consumer<Optional<JobPhase>> then) {
-            Optional<JobEntry> known = isWhole() ? mReader.book().job(job) : Optional.empty();
-            then.accept(known.map(JobEntry::phase));
+        public JournalPosition position() {
+            return mReader.position();
         }
 
         @Override
-        public void pending(String queue, Consumer<Optional<Integer>> then) {
-            then.accept(isWhole() ? Optional.of(mReader.book().pending(queue)) : Optional.empty());
+        public long completeMs() {
+            return mReader.completeMs();
+        }
+
+        @Override
+        public long storedMsAgo() {
+            return mWork.storedMsAgo();
         }
     }
 
+    private OwnerBook ownBook() {
+        return new OwnBook(mReader, mClock, () -> mOwner.map(OwnerWork::isLoaded).orElse(false));
+    }
+
     /** The owner's book, wherever it is. */
     private final class OwnBookOrLink implements OwnerBook {
-        private final OwnerBook mHere = new OwnBook();
+        private final OwnerBook mHere = ownBook();
 
         private OwnerBook way() {
             return mOwner.isPresent() ? mHere : mLink;
@@ -224,7 +237,7 @@
                         mTimers,
                         mSettings.link(),
                         new OwnerOnly(),
-                        new OwnBook());
+                        ownBook());
         mReader.tap(mStream::read);
         HttpServer.bind(mLoop, mSettings.readiness(), MAX_BODY_BYTES, this::readiness);
         HttpServer.bind(mLoop, mSettings.metrics(), MAX_BODY_BYTES, this::metrics);
@@ -286,7 +299,7 @@
         OwnerWork work = new OwnerWork(parts, taken, this::fenced);
         mOwner = Optional.of(work);
         mLink.owner(Optional.empty());
-        mStream.own(taken.token(), mReader::position, work::storedMsAgo, work::areCallsOver);
+        mStream.own(taken.token(), new JournalOf(work), work::areCallsOver);
         work.start();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -48,8 +48,11 @@
     /** What the owner has handed on this lately is told without a read of the journal. */
     private static final long CURRENT_MS = 400;
 
-    /** The same for the number of a queue's pending jobs, which may be two seconds old. */
-    private static final long PENDING_CURRENT_MS = 1500;
+    /**
+     * A book that was complete so long ago tells how many jobs of a queue are pending, in
+     * milliseconds: the number may be two seconds old when the caller has it.
+     */
+    static final long PENDING_COMPLETE_MS = 1500;
 
     /** Kept of a caller's time for the way of the answer, in milliseconds. */
     private static final long ANSWER_MS = 150;
@@ -220,19 +223,29 @@
     }
 
     /**
-     * Guards against a node that lags behind the journal, since it has just started or was cut off:
-     * it would tell callers that nothing of a queue waits. What is older than they may be told is
-     * read up first, and a node that can't do that doesn't say a number.
+     * Guards against a node that lacks records of the journal, since it has just started or was cut
+     * off, or since its owner lacks them: it would tell callers that nothing of a queue waits. A
+     * node that can't read what it lacks doesn't say a number.
      */
     private void tellPending(HttpRequest request, RouteSettings route, Consumer<HttpReply> reply) {
-        if (mClock.nowMs() - mLink.currentMs() < PENDING_CURRENT_MS) {
+        long completeMs = Math.max(mLink.completeMs(), mReader.completeMs());
+        if (mClock.nowMs() - completeMs < PENDING_COMPLETE_MS) {
             reply.accept(pending(mFinder.knownPending(route.name())));
             return;
         }
         mFinder.pending(
                 route.name(),
                 deadlineMs(request),
-                found -> reply.accept(found.map(this::pending).orElseGet(() -> unavailable())));
+                found -> {
+                    mLog.line("pending-asked")
+                            .with("queue", route.name())
+                            .with("jobs", found)
+                            .with("ownerCompleteMsAgo", mClock.nowMs() - mLink.completeMs())
+                            .with("readCompleteMsAgo", mClock.nowMs() - mReader.completeMs())
+                            .with("journal", mReader.position())
+                            .write();
+                    reply.accept(found.map(this::pending).orElseGet(() -> unavailable()));
+                });
     }
 
     private HttpReply pending(int jobs) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -75,6 +75,14 @@
         return lastAnswered().lastReadMs();
     }
 
+    /**
+     * Until when the journal was read completely: the book has every record that the store had
+     * taken by then, in any partition.
+     */
+    public long completeMs() {
+        return mParts.stream().mapToLong(PartitionReader::completeMs).min().orElseThrow();
+    }
+
     /** How long the store lately took for an answer, on average. */
     public long answerMs() {
         return (long) lastAnswered().answerMs();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -38,6 +38,7 @@
     private boolean mEager;
     private BooleanSupplier mStreaming = () -> false;
     private long mLastReadMs = Long.MIN_VALUE / 2;
+    private long mCompleteMs = Long.MIN_VALUE / 2;
     private double mAnswerMs;
 
     /**
@@ -94,6 +95,13 @@
         return mLastReadMs;
     }
 
+    /**
+     * Until when it was read completely: every record that the store had taken by then was read.
+     */
+    long completeMs() {
+        return mCompleteMs;
+    }
+
     /** How long the store lately took for an answer, on average. */
     double answerMs() {
         return mAnswerMs;
@@ -110,7 +118,9 @@
     /** Begins to follow; goes on for ever. */
     void follow() {
         if (mEager && mCaughtUp) {
-            mLog.read(mPartition, mPosition, page(mPace.ownerWaitMs()), this::awaited);
+            long asked = mClock.nowMs();
+            PageRequest page = page(mPace.ownerWaitMs());
+            mLog.read(mPartition, mPosition, page, r -> awaited(r, asked));
         } else {
             refresh(this::followed);
         }
@@ -120,8 +130,11 @@
         return new PageRequest(waitMs, mPageSize.bytes());
     }
 
-    private void awaited(ReadResult result) {
-        take(result);
+    private void awaited(ReadResult result, long askedMs) {
+        boolean atEnd = take(result);
+        if (atEnd) {
+            completeAt(askedMs + waitedMs(result));
+        }
         if (result instanceof SharedLog.Records) {
             follow();
         } else {
@@ -129,6 +142,16 @@
         }
     }
 
+    /** How long the store has surely held an answer back: it does so until records come. */
+    private long waitedMs(ReadResult result) {
+        boolean none = result instanceof SharedLog.Records page && page.records().isEmpty();
+        return none ? mPace.ownerWaitMs() : 0;
+    }
+
+    private void completeAt(long ms) {
+        mCompleteMs = Math.max(mCompleteMs, Math.min(ms, mClock.nowMs()));
+    }
+
     private void followed(boolean read) {
         if (!read) {
             mTimers.after(RETRY_MS, this::follow);
@@ -177,13 +200,16 @@
                 page(0),
                 r -> {
                     mAnswerMs += NEWEST * (mClock.nowMs() - asked - mAnswerMs);
-                    readOne(r);
+                    readOne(r, asked);
                 });
     }
 
-    private void readOne(ReadResult result) {
+    private void readOne(ReadResult result, long askedMs) {
         long before = mPosition;
         boolean atEnd = take(result);
+        if (atEnd) {
+            completeAt(askedMs);
+        }
         boolean records = result instanceof SharedLog.Records;
         boolean goesOn = records || mPosition > before;
         if (goesOn && !atEnd) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -16,13 +16,10 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.LinkRate;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.Handover;
-import org.foxtailplank.node.journal.JournalPosition;
 
 /** The owner's end: sends the journal and heartbeats to the nodes that are connected. */
 public final class JournalStream {
@@ -50,8 +47,7 @@
     private long mSentBytes;
     private InetSocketAddress mAddress;
     private long mToken = PeerFrame.NO_OWNER;
-    private Supplier<JournalPosition> mPosition = () -> JournalPosition.START;
-    private LongSupplier mStoredMsAgo = () -> 0;
+    private OwnedJournal mJournal = OwnedJournal.NONE;
     private BooleanSupplier mCallsOver = () -> true;
 
     private JournalStream(
@@ -97,7 +93,7 @@
     }
 
     /** The address, with the port that the system chose. */
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return mAddress;
     }
 
@@ -159,19 +155,13 @@
     /**
      * This node owns from now on.
      *
-     * @param position up to where it has read the journal; heartbeats say so
-     * @param storedMsAgo how long ago the store took a record of it; they say this too
+     * @param journal what heartbeats say of the journal
      * @param callsOver whether its calls to the VM service are over; said once it owns no more
      */
-    public void own(
-            long token,
-            Supplier<JournalPosition> position,
-            LongSupplier storedMsAgo,
-            BooleanSupplier callsOver) {
-        mStoredMsAgo = storedMsAgo;
+    public void own(long token, OwnedJournal journal, BooleanSupplier callsOver) {
         mCallsOver = callsOver;
         mToken = token;
-        mPosition = position;
+        mJournal = journal;
         heartbeat(token);
     }
 
@@ -225,7 +215,12 @@
     private PeerFrame heartbeat() {
         boolean callsOver = mToken == PeerFrame.NO_OWNER && mCallsOver.getAsBoolean();
         return new PeerFrame.Heartbeat(
-                mToken, mPosition.get(), mStoredMsAgo.getAsLong(), callsOver);
+                mToken,
+                mJournal.position(),
+                mClock.nowMs(),
+                mJournal.completeMs(),
+                mJournal.storedMsAgo(),
+                callsOver);
     }
 
     /** Sends what was gathered, or leaves it out where the link has no room for it. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -58,6 +58,11 @@
     private long mCallsOverToken = -1;
     private long mHeardMs = Long.MIN_VALUE / 2;
     private long mCurrentMs = Long.MIN_VALUE / 2;
+    private long mCompleteMs = Long.MIN_VALUE / 2;
+
+    /** This clock's time less the owner's, plus the shortest delay of this connection's frames. */
+    private long mClockOffsetMs = Long.MAX_VALUE;
+
     private long mStoringMs = Long.MIN_VALUE / 2;
 
     public OwnerLink(
@@ -112,6 +117,15 @@
         return mCurrentMs;
     }
 
+    /**
+     * Until when the book is known to have every record of the journal, by what the owner has read.
+     * Hearing the owner proves nothing: one that the store turns away is still heard, and other
+     * nodes then append by themselves.
+     */
+    public long completeMs() {
+        return mCompleteMs;
+    }
+
     private void open() {
         if (mOwner.isEmpty() || mOpening || mChannel.isPresent()) {
             return;
@@ -244,6 +258,7 @@
                 return;
             }
             mChannel = Optional.of(context.channel());
+            mClockOffsetMs = Long.MAX_VALUE;
             mHeardMs = mClock.nowMs();
         }
 
@@ -307,9 +322,13 @@
             return;
         }
         heard();
-        mStoringMs = mClock.nowMs() - frame.storedMsAgo();
+        long now = mClock.nowMs();
+        mStoringMs = now - frame.storedMsAgo();
+        // A frame may wait in a full link for seconds; the shortest delay leaves that time out.
+        mClockOffsetMs = Math.min(mClockOffsetMs, now - frame.nowMs());
         if (mReader.position().covers(frame.position())) {
-            mCurrentMs = mClock.nowMs();
+            mCurrentMs = now;
+            mCompleteMs = Math.max(mCompleteMs, frame.completeMs() + mClockOffsetMs);
         } else {
             // Records were sent before this node was connected.
             mReader.refresh(read -> {});
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -44,16 +44,26 @@
      *
      * @param token fencing token of the owner; {@link #NO_OWNER} from a node that doesn't own
      * @param position up to where the owner has read the journal
+     * @param nowMs when it was sent, on the sender's steady clock
+     * @param completeMs until when the owner has read the journal completely, on the same clock
      * @param storedMsAgo how long ago the store last took a record of the owner's
      * @param callsOver from a node that doesn't own: whether no call of its process to the VM
      *     service can be under way
      */
-    record Heartbeat(long token, JournalPosition position, long storedMsAgo, boolean callsOver)
+    record Heartbeat(
+            long token,
+            JournalPosition position,
+            long nowMs,
+            long completeMs,
+            long storedMsAgo,
+            boolean callsOver)
             implements PeerFrame {
         @Override
         public void write(CodedOutputStream out) throws IOException {
             out.writeInt64(Field.TOKEN, token);
             out.writeInt64(Field.STORED, storedMsAgo);
+            out.writeInt64(Field.NOW, nowMs);
+            out.writeInt64(Field.COMPLETE, completeMs);
             out.writeBool(Field.CALLS_OVER, callsOver);
             for (long offset : position.offsets()) {
                 out.writeInt64(Field.POSITION, offset);
@@ -139,6 +149,8 @@
         static final int JOB = 11;
         static final int QUEUE = 12;
         static final int VALUE = 13;
+        static final int NOW = 14;
+        static final int COMPLETE = 15;
 
         private Field() {}
     }
@@ -166,10 +178,8 @@
         CodedInputStream in = CodedInputStream.newInstance(ByteBufUtil.getBytes(bytes));
         long token = NO_OWNER;
         long offset = 0;
-        long storedMsAgo = 0;
-        boolean callsOver = false;
         int partition = 0;
-        List<Long> position = new ArrayList<>();
+        HeartbeatFields heartbeat = new HeartbeatFields();
         Optional<byte[]> record = Optional.empty();
         Optional<Long> handover = Optional.empty();
         Optional<StoreOutcome> outcome = Optional.empty();
@@ -180,10 +190,7 @@
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case Field.TOKEN -> token = in.readInt64();
                 case Field.OFFSET -> offset = in.readInt64();
-                case Field.STORED -> storedMsAgo = in.readInt64();
-                case Field.CALLS_OVER -> callsOver = in.readBool();
                 case Field.PARTITION -> partition = partition(in.readInt32());
-                case Field.POSITION -> position.add(in.readInt64());
                 case Field.RECORD -> record = Optional.of(in.readByteArray());
                 case Field.HANDOVER -> handover = Optional.of(in.readInt64());
                 case Field.OUTCOME -> outcome = Optional.of(outcome(in.readInt32()));
@@ -193,7 +200,7 @@
                 case Field.QUEUE ->
                         asked = Optional.of(new Question(0, Subject.QUEUE, in.readString()));
                 case Field.VALUE -> value = Optional.of(in.readInt32());
-                default -> in.skipField(tag);
+                default -> heartbeat.read(tag, in);
             }
         }
         if (question.isPresent()) {
@@ -206,7 +213,7 @@
             return new Journal(token, partition, offset, record.get());
         }
         if (handover.isEmpty()) {
-            return new Heartbeat(token, new JournalPosition(position), storedMsAgo, callsOver);
+            return heartbeat.of(token);
         }
         if (outcome.isPresent()) {
             return new HandoverAnswer(handover.get(), outcome.get());
@@ -216,6 +223,33 @@
                 record.orElseThrow(() -> new IOException("a handover without a record")));
     }
 
+    /** Fields that only heartbeats have, as they are read. */
+    final class HeartbeatFields {
+        private final List<Long> mPosition = new ArrayList<>();
+        private long mNowMs;
+        private long mCompleteMs = OwnedJournal.NEVER_MS;
+        private long mStoredMsAgo;
+        private boolean mCallsOver;
+
+        private HeartbeatFields() {}
+
+        private void read(int tag, CodedInputStream in) throws IOException {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case Field.POSITION -> mPosition.add(in.readInt64());
+                case Field.NOW -> mNowMs = in.readInt64();
+                case Field.COMPLETE -> mCompleteMs = in.readInt64();
+                case Field.STORED -> mStoredMsAgo = in.readInt64();
+                case Field.CALLS_OVER -> mCallsOver = in.readBool();
+                default -> in.skipField(tag);
+            }
+        }
+
+        private Heartbeat of(long token) {
+            JournalPosition position = new JournalPosition(mPosition);
+            return new Heartbeat(token, position, mNowMs, mCompleteMs, mStoredMsAgo, mCallsOver);
+        }
+    }
+
     private static int partition(int number) throws IOException {
         if (number < 0) {
             throw new IOException("the journal has no partition " + number);
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/OwnBookTest.java
@@ -0,0 +1,84 @@
+package org.foxtailplank.node.caller;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.job.JobBook;
+import org.foxtailplank.node.FakeLog;
+import org.foxtailplank.node.FakeNode;
+import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.log.NodeLog;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What a node that believes that it owns tells from its book. */
+public class OwnBookTest {
+    private final List<Optional<Integer>> mTold = new ArrayList<>();
+    private FakeNode mTime;
+    private FakeLog mLog;
+    private JournalReader mReader;
+    private OwnBook mBook;
+
+    @BeforeMethod
+    public void setUp() {
+        mTold.clear();
+        mTime = new FakeNode();
+        mLog = new FakeLog();
+        mReader =
+                new JournalReader(
+                        mLog,
+                        JournalPartition.all(3),
+                        mTime,
+                        mTime,
+                        NodeLog.silent(mTime),
+                        new JobBook(120_000),
+                        (record, job) -> {});
+        mBook = new OwnBook(mReader, mTime, () -> true);
+    }
+
+    private void read() {
+        mReader.refresh(read -> {});
+        mLog.answer();
+    }
+
+    private Optional<Integer> pending() {
+        mBook.pending("q", mTold::add);
+        return mTold.remove(0);
+    }
+
+    @Test
+    public void anOwnerThatHasJustReadTheJournalTellsHowManyJobsArePending() {
+        read();
+
+        assertEquals(pending(), Optional.of(0));
+    }
+
+    /** Guards against a number of a former owner that has not noticed its successor. */
+    @Test
+    public void anOwnerThatTheStoreTurnsAwayTellsNoNumber() {
+        read();
+        JournalPartition.all(3).forEach(p -> mLog.down(p, true));
+        for (int i = 0; i < 20; i++) {
+            mTime.pass(100);
+            read();
+        }
+
+        assertEquals(pending(), Optional.empty());
+    }
+
+    /** Guards against a number that lacks the jobs in a spare partition. */
+    @Test
+    public void anOwnerThatReadsOnlySomePartitionsTellsNoNumber() {
+        read();
+        mLog.down(JournalPartition.all(3).get(1), true);
+        for (int i = 0; i < 20; i++) {
+            mTime.pass(100);
+            read();
+        }
+
+        assertEquals(pending(), Optional.empty());
+    }
+}
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/StaleBookTest.java
@@ -0,0 +1,180 @@
+package org.foxtailplank.node.caller;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.http.HttpReply;
+import org.foxtailplank.job.JobOrder;
+import org.foxtailplank.job.JournalRecord.JobAccepted;
+import org.foxtailplank.job.PlacementRule;
+import org.foxtailplank.job.QueueTerms;
+import org.foxtailplank.job.RunMode;
+import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.job.Timetable;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.FakeFeed;
+import org.foxtailplank.node.FakeLog;
+import org.foxtailplank.node.FakeOwnerBook;
+import org.foxtailplank.node.LinkRate;
+import org.foxtailplank.node.Timers;
+import org.foxtailplank.node.journal.Handover;
+import org.foxtailplank.node.journal.JournalCodec;
+import org.foxtailplank.node.journal.JournalPartition;
+import org.foxtailplank.node.journal.JournalPosition;
+import org.foxtailplank.node.journal.StoreOutcome;
+import org.foxtailplank.node.peer.JournalStream;
+import org.foxtailplank.node.peer.OwnerSigns.KnownOwner;
+import org.foxtailplank.node.peer.StillJournal;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.OperatorOrder;
+import org.foxtailplank.port.RouteSettings;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** How many jobs a node says are pending while its owner lacks records of the journal. */
+public class StaleBookTest {
+    private static final long TOKEN = 7;
+    private static final String QUEUE = "/q/";
+    private static final LogPartition SPARE = JournalPartition.all(3).get(1);
+    private static final JournalPosition NOTHING_READ = new JournalPosition(List.of(0L, 0L, 0L));
+
+    private final Clock mClock = Clock.system();
+    private MultiThreadIoEventLoopGroup mGroup;
+    private EventLoop mLoop;
+    private FakeLog mLog;
+    private JournalStream mOwner;
+    private TestedNode mNode;
+
+    @BeforeMethod
+    public void setUp() throws Exception {
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mLoop = (EventLoop) mGroup.next();
+        Timers timers = (ms, action) -> mLoop.schedule(action, ms, TimeUnit.MILLISECONDS);
+        mLog = new FakeLog();
+        FakeFeed<OperatorOrder> orders = new FakeFeed<>();
+        RouteSettings queue = new RouteSettings(QUEUE, "h", QUEUE, "s", terms());
+        FleetConfig config = new FleetConfig(1, List.of(queue), List.of(), 1000);
+        orders.put("config", new OperatorOrder.NewConfig(config));
+        mNode = new TestedNode(mLoop, mClock, timers, mLog, orders);
+        mOwner =
+                JournalStream.listen(
+                        mLoop,
+                        new InetSocketAddress("127.0.0.1", 0),
+                        mClock,
+                        timers,
+                        LinkRate.UNKNOWN,
+                        new NoHandover(),
+                        new FakeOwnerBook());
+        run(mNode::readOrders);
+    }
+
+    @AfterMethod
+    public void tearDown() throws Exception {
+        run(() -> mNode.link().owner(Optional.empty()));
+        mGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private static final class NoHandover implements Handover {
+        @Override
+        public boolean isOpen() {
+            return false;
+        }
+
+        @Override
+        public void handOver(byte[] record, Consumer<StoreOutcome> then) {
+            then.accept(StoreOutcome.NOT_STORED);
+        }
+    }
+
+    private static QueueTerms terms() {
+        return new QueueTerms(0, 2, 1.6, 600, Optional.empty());
+    }
+
+    private void run(Runnable action) throws Exception {
+        mLoop.submit(action).get();
+    }
+
+    private <T> T call(Callable<T> action) throws Exception {
+        return mLoop.submit(action).get();
+    }
+
+    /** The node follows an owner whose heartbeats say this. */
+    private void followOwnerAt(JournalPosition position) throws Exception {
+        InetSocketAddress address = call(mOwner::address);
+        run(
+                () -> {
+                    long longAgo = mClock.nowMs() - 10_000;
+                    mOwner.own(TOKEN, new StillJournal(position, longAgo, 0), () -> false);
+                    mNode.link().owner(Optional.of(new KnownOwner(TOKEN, address)));
+                });
+        while (!call(mNode.link()::isOpen)) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private byte[] accepted(String id) {
+        TaskStep step =
+                new TaskStep(
+                        1,
+                        Resources.of(1, 1, 0),
+                        500,
+                        List.of(),
+                        PlacementRule.ANYWHERE,
+                        RunMode.PLAIN);
+        JobOrder order =
+                new JobOrder(
+                        id,
+                        QUEUE,
+                        "s",
+                        "a",
+                        List.of(step),
+                        Timetable.AT_ONCE,
+                        terms(),
+                        mClock.wallMs());
+        return JournalCodec.encode(new JobAccepted(order));
+    }
+
+    private String pending() throws Exception {
+        List<HttpReply> replies =
+                call(() -> mNode.ask("GET", QUEUE, new byte[0], Optional.empty()));
+        while (call(replies::isEmpty)) {
+            run(mLog::answer);
+        }
+        return new String(replies.get(0).body(), StandardCharsets.UTF_8);
+    }
+
+    /** Guards against a number that is as old as the last read of an owner the store turns away. */
+    @Test(timeOut = 60_000)
+    public void anOwnerThatReadsNoMoreDoesNotMakeItsFollowersCurrent() throws Exception {
+        mLog.records(JournalPartition.JOURNAL).add(accepted("00000000000000aa"));
+        followOwnerAt(NOTHING_READ);
+
+        assertEquals(pending(), "{\"pending\":1}");
+    }
+
+    /** Guards against a record of the spare partition that hides missing ones of the first. */
+    @Test(timeOut = 60_000)
+    public void aRecordOfOnePartitionDoesNotMakeTheBookCurrent() throws Exception {
+        mLog.records(JournalPartition.JOURNAL).add(accepted("00000000000000aa"));
+        mLog.records(SPARE).add(accepted("00000000000000bb"));
+        followOwnerAt(new JournalPosition(List.of(1L, 1L, 0L)));
+        run(() -> mOwner.read(1, 0, accepted("00000000000000bb")));
+        while (!call(() -> mNode.reader().hasRead(1, 0))) {
+            Thread.onSpinWait();
+        }
+
+        assertEquals(pending(), "{\"pending\":2}");
+    }
+}
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/TestedNode.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/TestedNode.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.node.caller;
 
+import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -9,51 +10,77 @@
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.job.JobBook;
+import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.FakeNode;
 import org.foxtailplank.node.FakeOwnerBook;
 import org.foxtailplank.node.NodeMetrics;
 import org.foxtailplank.node.OperatorFollower;
+import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalPartition;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.OwnerBook;
 import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.Feed;
 import org.foxtailplank.port.OperatorOrder;
 import org.foxtailplank.port.SharedLog;
 
-/** The part of a node that answers callers, with no connection to an owner. */
+/** The part of a node that answers callers. */
 final class TestedNode {
     private final JournalReader mReader;
+    private final OwnerLink mLink;
     private final OperatorFollower mOperator;
     private final CallerService mService;
 
+    /** A node without a connection to an owner. */
     TestedNode(FakeNode time, SharedLog log, Feed<OperatorOrder> orders, FakeOwnerBook owner) {
-        NodeLog out = NodeLog.silent(time);
-        mOperator = new OperatorFollower(orders, time, time, out);
+        this(null, time, time, log, orders, Optional.of(owner));
+    }
+
+    /** A node that can follow an owner on the loopback interface, and asks it. */
+    TestedNode(
+            EventLoop loop, Clock clock, Timers timers, SharedLog log, Feed<OperatorOrder> orders) {
+        this(loop, clock, timers, log, orders, Optional.empty());
+    }
+
+    private TestedNode(
+            EventLoop loop,
+            Clock clock,
+            Timers timers,
+            SharedLog log,
+            Feed<OperatorOrder> orders,
+            Optional<OwnerBook> owner) {
+        NodeLog out = NodeLog.silent(clock);
+        mOperator = new OperatorFollower(orders, clock, timers, out);
         mReader =
                 new JournalReader(
                         log,
                         JournalPartition.all(3),
-                        time,
-                        time,
+                        clock,
+                        timers,
                         out,
                         new JobBook(120_000),
                         (record, job) -> {});
-        OwnerLink link = new OwnerLink(null, time, time, out, mReader);
+        mLink = new OwnerLink(loop, clock, timers, out, mReader);
         PlatformAddresses none = new PlatformAddresses("127.0.0.1:1", "", "");
         mService =
                 new CallerService(
                         mOperator,
                         mReader,
-                        link,
-                        owner,
-                        new JournalWriter(log, JournalPartition.JOURNAL, link, time, time, out),
+                        mLink,
+                        owner.orElse(mLink),
+                        new JournalWriter(log, JournalPartition.JOURNAL, mLink, clock, timers, out),
                         new UsersPlatform(
-                                        null, null, null, none, AdapterLimits.DEFAULTS, time::nowMs)
+                                        null,
+                                        null,
+                                        null,
+                                        none,
+                                        AdapterLimits.DEFAULTS,
+                                        clock::nowMs)
                                 .callerBodies(),
-                        time,
-                        time,
+                        clock,
+                        timers,
                         out,
                         new NodeMetrics());
     }
@@ -62,6 +89,10 @@
         return mReader;
     }
 
+    OwnerLink link() {
+        return mLink;
+    }
+
     /** Reads what the operator has written. */
     void readOrders() {
         mOperator.refresh(read -> {});
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/JournalStreamTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/JournalStreamTest.java
@@ -112,8 +112,24 @@
     }
 
     private void own() {
-        mStream.own(
-                TOKEN, () -> new JournalPosition(List.of(mPosition.get())), () -> 0, () -> true);
+        OwnedJournal journal =
+                new OwnedJournal() {
+                    @Override
+                    public JournalPosition position() {
+                        return new JournalPosition(List.of(mPosition.get()));
+                    }
+
+                    @Override
+                    public long completeMs() {
+                        return 0;
+                    }
+
+                    @Override
+                    public long storedMsAgo() {
+                        return 0;
+                    }
+                };
+        mStream.own(TOKEN, journal, () -> true);
     }
 
     private void readAll() {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -115,7 +116,9 @@
         JournalStream stream = listen();
         onLoop(
                 () -> {
-                    stream.own(TOKEN, () -> JournalPosition.START, () -> 0, () -> false);
+                    long now = mClock.nowMs();
+                    OwnedJournal journal = new StillJournal(JournalPosition.START, now, 0);
+                    stream.own(TOKEN, journal, () -> false);
                     return null;
                 });
         follow();
@@ -207,6 +210,37 @@
         }
     }
 
+    private static void sendHeartbeat(Socket follower, long nowMs) throws IOException {
+        PeerFrame frame =
+                new PeerFrame.Heartbeat(TOKEN, JournalPosition.START, nowMs, nowMs, 0, false);
+        frame.encode().readBytes(follower.getOutputStream(), frame.encode().readableBytes());
+    }
+
+    /** Guards against a book that counts as complete because its heartbeats arrive late. */
+    @Test(timeOut = 60_000)
+    public void theTimeThatAHeartbeatWaitsInAFullLinkProvesNothing() throws Exception {
+        long delayMs = 300;
+        long betweenMs = 100;
+        try (ServerSocket owner = new ServerSocket(0, 1, mAddress.getAddress())) {
+            mAddress = (InetSocketAddress) owner.getLocalSocketAddress();
+            follow();
+            try (Socket follower = owner.accept()) {
+                sendHeartbeat(follower, 0);
+                while (onLoop(mLink::completeMs) < 0) {
+                    Thread.onSpinWait();
+                }
+                long first = onLoop(mLink::completeMs);
+                Thread.sleep(delayMs + betweenMs);
+                sendHeartbeat(follower, betweenMs);
+                while (onLoop(mLink::completeMs) == first) {
+                    Thread.onSpinWait();
+                }
+
+                assertEquals((long) onLoop(mLink::completeMs), first + betweenMs);
+            }
+        }
+    }
+
     @Test(timeOut = 60_000)
     public void anAddressWithoutAProcessRefuses() throws Exception {
         follow();
