The log says what each VM of a wave waits for

Cause: a wave's line named the VMs that were left and how many runs each had, not whether a standing task waited for its step's budget or for a place. Change: WaveReport: since when the VM is chosen, and for its standing tasks how many of the step are away, how many may be, how many workers admit the task and how many have room; the line also says how many VMs may be down at a time.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -122,24 +122,19 @@
     }
 
     /** VMs of a wave that have not begun their reboot, and what keeps each, for the log. */
-    public List<String> left(WaveOrder wave, JobBook book) {
+    public List<String> left(WaveOrder wave, JobBook book, long nowMs) {
+        WaveReport report = new WaveReport(mScheduler, nowMs);
         Set<String> rebooted = rebooted(wave, book);
         List<String> left = new ArrayList<>();
         for (String id : wave.vms()) {
             Optional<VmState> vm = mVms.vm(id);
             if (vm.isPresent() && !rebooted.contains(id)) {
-                left.add(describe(vm.get()));
+                left.add(report.describe(vm.get()));
             }
         }
         return left;
     }
 
-    private String describe(VmState vm) {
-        String runs = worker(vm).map(w -> w.runs().size() + " runs").orElse("no worker");
-        String plan = vm.planned().map(Object::toString).orElse("not chosen");
-        return vm.id() + ' ' + vm.info().phase() + ", " + runs + ", " + plan;
-    }
-
     /** VMs of a wave that have begun their reboot, whether the journal has it already or not. */
     private Set<String> rebooted(WaveOrder wave, JobBook book) {
         Set<String> all = new HashSet<>(book.rebooted(wave.number()));
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmWork.java
@@ -79,13 +79,15 @@
             return;
         }
         mParts.timers().after(WAVE_LINE_MS, this::sayWaves);
+        long now = mClock.nowMs();
         for (DueWave wave : dueWaves()) {
             if (!mParts.reader().book().isCompleted(wave.order().number())) {
                 mParts.log()
                         .line("wave")
                         .with("wave", wave.order().number())
-                        .with("dueInMs", wave.dueMs() - mClock.nowMs())
-                        .with("left", mPlanner.left(wave.order(), mParts.reader().book()))
+                        .with("dueInMs", wave.dueMs() - now)
+                        .with("atOnce", wave.order().atOnce())
+                        .with("left", mPlanner.left(wave.order(), mParts.reader().book(), now))
                         .write();
             }
         }
