A test that waits in vain says what its processes are doing

Change: ProcessReport: the stacks of the test's own threads and of each process that it has started, and the last lines of their output, in the failure of Await and of KeyedEntries; limits unchanged.

--- a/foxtail-it/src/main/java/org/foxtailplank/it/process/Await.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/process/Await.java
@@ -27,6 +27,6 @@
             }
             LockSupport.parkNanos(PAUSE_NANOS);
         }
-        throw new AssertionError("never came about: " + what, last);
+        throw new AssertionError("never came about: " + what + '\n' + ProcessReport.text(), last);
     }
 }
--- a/foxtail-it/src/main/java/org/foxtailplank/it/process/RunningProcess.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/process/RunningProcess.java
@@ -35,6 +35,7 @@
                         .redirectErrorStream(true)
                         .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
                         .start();
+        ProcessReport.started(process, output);
         return new RunningProcess(process, output);
     }
 
--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/EntryProcesses.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/EntryProcesses.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.apache.pekko.actor.ActorSystem;
+import org.foxtailplank.it.process.ProcessReport;
 import org.foxtailplank.process.SettingsFiles;
 import org.foxtailplank.settings.Settings;
 import org.foxtailplank.standin.PlatformOptions;
@@ -117,24 +118,26 @@
         String classPath =
                 System.getProperty(
                         "surefire.test.class.path", System.getProperty("java.class.path"));
-        return new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-Xmx96m",
-                        "-XX:+UseSerialGC",
-                        "-XX:TieredStopAtLevel=1",
-                        "-cp",
-                        classPath,
-                        "org.foxtailplank.entry.Main",
-                        "--settings",
-                        mSettings.toString(),
-                        "--node",
-                        "e" + entry,
-                        "--new-deployment")
-                .redirectErrorStream(true)
-                .redirectOutput(
-                        ProcessBuilder.Redirect.appendTo(
-                                mDirectory.resolve("e" + entry + ".log").toFile()))
-                .start();
+        Path output = mDirectory.resolve("e" + entry + ".log");
+        Process process =
+                new ProcessBuilder(
+                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "-Xmx96m",
+                                "-XX:+UseSerialGC",
+                                "-XX:TieredStopAtLevel=1",
+                                "-cp",
+                                classPath,
+                                "org.foxtailplank.entry.Main",
+                                "--settings",
+                                mSettings.toString(),
+                                "--node",
+                                "e" + entry,
+                                "--new-deployment")
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
+                        .start();
+        ProcessReport.started(process, output);
+        return process;
     }
 
     private static List<Integer> freePorts(int count) throws IOException {
--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/KeyedEntries.java
@@ -33,6 +33,7 @@
 import org.foxtailplank.id.VmId;
 import org.foxtailplank.id.ZoneId;
 import org.foxtailplank.internal.idempotency.Claimant;
+import org.foxtailplank.it.process.ProcessReport;
 import org.foxtailplank.membership.Incarnation;
 import org.foxtailplank.membership.NodeRole;
 import org.foxtailplank.membership.PeerIdentity;
@@ -175,7 +176,8 @@
         long end = System.nanoTime() + Duration.ofSeconds(30).toNanos();
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() - end > 0) {
-                throw new AssertionError("the condition did not come true");
+                throw new AssertionError(
+                        "the condition did not come true\n" + ProcessReport.text());
             }
             LockSupport.parkNanos(POLL_NANOS);
         }
