A wave begins with the VMs whose standing tasks have to move one after the other

Operators saw: a wave late, 3 to 9 of 105 VMs left when its time was over, and duties missed. Cause: VMs were chosen by their own cost, those with standing tasks last. Evidence: the wave's log lines (VMs left, chosen, tasks away of those that may be), and WaveStandingTest#standingTasksThatMoveOneByOneAreBegunWithBeforeOtherWork: 0 of 1 task on its way before. Fix: StandingMoves counts the moves by step. A step whose moves take about all the time that is left is pressing: its VMs are chosen first, as many at a time as keep its moves going; the others of its VMs take no room meanwhile.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.port.FleetConfig;
@@ -16,8 +14,9 @@
  *
  * <p>VMs that are off go first, then idle ones, then those with the fewest standing tasks: each
  * reboot costs as little running work as there is a choice; while there is time to spare, VMs with
- * work wait for a quiet moment. No more are chosen at a time than the wave allows to be down, so
- * that a VM is never emptied long before its turn.
+ * work wait for a quiet moment. VMs whose standing tasks can only move one after the other, for
+ * about all the time that is left, go before all others. No more are chosen at a time than the wave
+ * allows to be down, so that a VM is never emptied long before its turn.
  */
 final class WaveKeeper {
     /** Time that one round of a wave takes, in milliseconds: to empty VMs and to reboot them. */
@@ -26,8 +25,8 @@
     /** With this much time to spare only VMs on which nothing runs are taken, in milliseconds. */
     private static final long AMPLE_MS = 7000;
 
-    /** Time until a standing task that was taken away is at work elsewhere, in milliseconds. */
-    private static final long STANDING_MS = 2000;
+    /** VMs fewer that are chosen while others wait for standing tasks that move before theirs. */
+    private static final int KEPT_ROOM = 1;
 
     /** Cost of a VM that is off or idle. */
     private static final double NO_COST = 0.02;
@@ -62,40 +61,35 @@
             planned += v.planned().isPresent() ? 1 : 0;
         }
         int room = wave.atOnce() - down - planned;
+        List<VmState> free = new ArrayList<>(left);
+        free.removeIf(v -> !v.isFree() || isMissed(v, vms, scheduler));
+        free.sort(Comparator.comparingDouble(v -> cost(v, scheduler, config)));
         long rounds = (left.size() + wave.atOnce() - 1) / wave.atOnce();
-        long needed = rounds * ROUND_MS + standingMoves(left, scheduler) * STANDING_MS;
-        boolean ample = due.dueMs() - nowMs - needed > AMPLE_MS;
-        left.stream()
-                .filter(VmState::isFree)
-                .filter(v -> !isMissed(v, vms, scheduler))
+        StandingMoves moves = new StandingMoves(left, scheduler);
+        long needed = rounds * ROUND_MS + moves.neededMs();
+        long timeMs = due.dueMs() - nowMs;
+        boolean ample = timeMs - needed > AMPLE_MS;
+        VmAction reboot = new VmAction.Reboot(wave.number());
+        long pressingMs = timeMs - ROUND_MS - AMPLE_MS;
+        for (VmState v : free) {
+            if (room > 0 && moves.isWanted(v, pressingMs)) {
+                v.plan(reboot, nowMs);
+                moves.chosen(v);
+                room--;
+            }
+        }
+        free.removeIf(v -> !v.isFree());
+        // The rest of the pressing ones follows as tasks before them have moved.
+        if (free.removeIf(v -> moves.isPressing(v, pressingMs))) {
+            room -= KEPT_ROOM;
+        }
+        free.stream()
                 .filter(v -> !ample || cost(v, scheduler, config) < NO_COST)
-                .sorted(Comparator.comparingDouble(v -> cost(v, scheduler, config)))
                 .limit(Math.max(0, room))
-                .forEach(v -> v.plan(new VmAction.Reboot(wave.number()), nowMs));
+                .forEach(v -> v.plan(reboot, nowMs));
         return left.isEmpty() && !unseen;
     }
 
-    /**
-     * How many times the wave has to wait for standing tasks that were taken away: those of one VM
-     * go one after the other, and of each step no more at a time than it may miss. Guards against a
-     * wave that waits for quiet moments as if each VM could be emptied for itself, and is late
-     * where the tasks of one step are on many of its VMs.
-     */
-    private static int standingMoves(List<VmState> vms, Scheduler scheduler) {
-        int most = 0;
-        Map<ActiveStep, Integer> tasks = new HashMap<>();
-        for (VmState v : vms) {
-            Optional<WorkerState> worker = scheduler.worker(v.info().worker());
-            most = Math.max(most, worker.map(WorkerState::standingRuns).orElse(0));
-            worker.ifPresent(w -> w.countStanding(tasks));
-        }
-        for (Map.Entry<ActiveStep, Integer> e : tasks.entrySet()) {
-            int atOnce = Math.max(1, e.getKey().spec().mode().mayMiss());
-            most = Math.max(most, (e.getValue() + atOnce - 1) / atOnce);
-        }
-        return most;
-    }
-
     /** Whether half of the VMs of its pool are already being rebooted or emptied for it. */
     private static boolean isMissed(VmState vm, VmTable vms, Scheduler scheduler) {
         int all = 0;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/WaveStandingTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/WaveStandingTest.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.schedule;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -29,6 +30,9 @@
     /** Time until a task that was taken away is at work elsewhere, in milliseconds. */
     private static final long MOVE_MS = 2000;
 
+    /** Time for the reboot of the last VM, in milliseconds. */
+    private static final long LEFT_OVER_MS = 5000;
+
     /** One second more than the tasks need, two by two. */
     private static final long LEFT_MS = TASKS / MAY_MISS * MOVE_MS + 1000;
 
@@ -60,6 +64,43 @@
                 "tasks that are on their way elsewhere");
     }
 
+    /** Guards against a wave that empties all other VMs before it begins with standing tasks. */
+    @Test
+    public void standingTasksThatMoveOneByOneAreBegunWithBeforeOtherWork() {
+        int tasks = 6;
+        int atOnce = 4;
+        Owner owner = new Owner();
+        List<VmInfo> vms = new ArrayList<>();
+        List<String> wave = new ArrayList<>();
+        for (int i = 0; i < tasks; i++) {
+            wave.add(serving(owner, vms, i));
+        }
+        owner.accept(Owner.order("aa", "surveys", 0, Owner.standing(tasks, TASK_CORES, 1)));
+        List<TaskRun> standing = owner.place();
+        for (int i = tasks; i < 2 * tasks; i++) {
+            wave.add(serving(owner, vms, i));
+        }
+        owner.accept(Owner.order("bb", "surveys", 0, Owner.step(tasks, CORES, 60_000, List.of())));
+        List<TaskRun> others = owner.place();
+        serving(owner, vms, 2 * tasks);
+        List.copyOf(owner.mScheduler.workers()).forEach(owner::look);
+
+        VmPlanner planner = new VmPlanner(owner.mScheduler);
+        planner.listed(vms, owner.mNowMs);
+        WaveOrder order = new WaveOrder(1, wave, tasks * MOVE_MS + LEFT_OVER_MS, atOnce);
+        DueWave due = new DueWave(order, owner.mNowMs + order.durationMs());
+        planner.decide(owner.mConfig, List.of(due), owner.mBook, true, owner.mNowMs, Owner.WALL_MS);
+
+        assertEquals(others.size(), tasks);
+        assertEquals(stopping(standing), 1, "standing tasks on their way elsewhere");
+        long emptied = owner.mScheduler.workers().stream().filter(WorkerState::isVacating).count();
+        assertTrue(emptied > 1 && emptied <= atOnce, emptied + " workers are emptied");
+    }
+
+    private static long stopping(List<TaskRun> runs) {
+        return runs.stream().filter(r -> r.phase() == RunPhase.STOPPING).count();
+    }
+
     /** A VM that serves; returns its ID. */
     private static String serving(Owner owner, List<VmInfo> vms, int number) {
         String vm = "vm" + number;
