Workers are kept free for the standing tasks that a wave moves

Operators saw: a wave late, with VMs left on each of which one standing task ran. Cause: a standing task is only stopped when another worker has room for it. In a queue's turn its waiting jobs take any room as soon as it is free, so that the task finds none for as long as they wait. Fix: StandingPlaces keeps workers that admit such a task, for this move and the next: they get no other new tasks until it has moved. Nothing is stopped for that.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -23,6 +23,7 @@
     private final VmTable mVms = new VmTable();
     private final WaveKeeper mWaves = new WaveKeeper();
     private final PoolBalance mBalance;
+    private final StandingPlaces mPlaces;
     private final Map<String, Long> mActedMs = new HashMap<>();
     private final Map<Long, Set<String>> mRebooted = new HashMap<>();
     private final Set<Long> mReported = new HashSet<>();
@@ -32,6 +33,7 @@
     public VmPlanner(Scheduler scheduler) {
         mScheduler = scheduler;
         mBalance = new PoolBalance(scheduler, mVms);
+        mPlaces = new StandingPlaces(scheduler);
     }
 
     /**
@@ -117,6 +119,7 @@
                 completed.add(wave.number());
             }
         }
+        mPlaces.keep(mVms.all(), nowMs);
         mBalance.plan(config, nowMs, nowWallMs);
         return new VmDecisions(carryOut(config, mayCall, nowMs, nowWallMs), completed);
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -43,8 +43,19 @@
                 && hasTicket(slot, worker, nowMs);
     }
 
+    /** Whether the worker could run a standing task once all that ends there has ended. */
+    static boolean couldRun(TaskSlot slot, WorkerState worker, long nowMs) {
+        return worker.isUsable(nowMs)
+                && mayRun(slot, worker)
+                && slot.spec().reserved().fitsIn(worker.freeBesideStanding())
+                && hasTicket(slot, worker, nowMs);
+    }
+
     /** Whether the step's rules admit the worker, whatever its room. */
     static boolean mayRun(TaskSlot slot, WorkerState worker) {
+        if (worker.isKept() && !slot.spec().mode().standing()) {
+            return false;
+        }
         PlacementRule rule = slot.spec().placement();
         if (!rule.requiredLabel().isEmpty()
                 && !worker.info().labels().contains(rule.requiredLabel())) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -21,6 +21,7 @@
     private boolean mLooked;
     private boolean mListed = true;
     private boolean mVacating;
+    private boolean mKept;
     private boolean mHasClock;
     private long mClockAheadMs;
     private long mContactMs;
@@ -106,6 +107,17 @@
         return sum;
     }
 
+    /** What is left when only standing tasks run there. */
+    Resources freeBesideStanding() {
+        Resources free = mInfo.capacity();
+        for (TaskRun r : mRuns) {
+            if (r.slot().spec().mode().standing()) {
+                free = free.minus(r.slot().spec().reserved());
+            }
+        }
+        return free;
+    }
+
     boolean hasStanding() {
         return standingRuns() > 0;
     }
@@ -180,6 +192,15 @@
         mVacating = vacating;
     }
 
+    /** Whether its room is kept for standing tasks that have to move. */
+    boolean isKept() {
+        return mKept;
+    }
+
+    void kept(boolean kept) {
+        mKept = kept;
+    }
+
     /** Whether its last look went unanswered. */
     public boolean isSilent() {
         return mSilent;
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/WavePlacesTest.java
@@ -0,0 +1,74 @@
+package org.foxtailplank.schedule;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.port.VmActions.VmInfo;
+import org.foxtailplank.port.VmActions.VmPhase;
+import org.foxtailplank.port.WaveOrder;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Where the standing tasks go whose VMs a wave empties. */
+public class WavePlacesTest {
+    private static final int CORES = 8;
+    private static final int TASK_CORES = 5;
+    private static final long LEFT_MS = 10_000;
+
+    private Owner mOwner;
+    private VmPlanner mPlanner;
+    private List<VmInfo> mVms;
+
+    @BeforeMethod
+    public void setUp() {
+        mOwner = new Owner();
+        mPlanner = new VmPlanner(mOwner.mScheduler);
+        mVms = new ArrayList<>();
+    }
+
+    private WorkerState serving(String number, String pool) {
+        Resources room = Resources.of(CORES, 1L << 40, 0);
+        mVms.add(new VmInfo("vm" + number, pool, VmPhase.UP, "w" + number, room));
+        return mOwner.worker("w" + number, pool, CORES);
+    }
+
+    private void lookAtAll() {
+        List.copyOf(mOwner.mScheduler.workers()).forEach(mOwner::look);
+    }
+
+    private void decide(String vm) {
+        mOwner.mNowMs += 100;
+        mPlanner.listed(mVms, mOwner.mNowMs);
+        WaveOrder order = new WaveOrder(1, List.of(vm), LEFT_MS, 1);
+        DueWave due = new DueWave(order, mOwner.mNowMs + LEFT_MS);
+        mPlanner.decide(
+                mOwner.mConfig, List.of(due), mOwner.mBook, true, mOwner.mNowMs, Owner.WALL_MS);
+    }
+
+    /** Guards against a wave that waits for room which waiting jobs take as soon as it is free. */
+    @Test
+    public void aStandingTaskOfAWaveGetsTheRoomThatTasksLeaveOnAFullWorker() {
+        serving("0", "surveys");
+        mOwner.accept(Owner.order("aa", "surveys", 0, Owner.standing(1, TASK_CORES, 1)));
+        TaskRun standing = mOwner.place().get(0);
+        lookAtAll();
+        WorkerState full = serving("1", "surveys");
+        mOwner.accept(Owner.order("bb", "surveys", 0, Owner.step(60, 1, 1000, List.of())));
+        mOwner.place();
+        lookAtAll();
+        assertEquals(full.free().milliProcessors(), 0);
+
+        decide("vm0");
+        for (int i = 1; i <= TASK_CORES; i++) {
+            TaskRun first = full.runs().iterator().next();
+            mOwner.end(first, RunOutcome.DONE, i);
+            mOwner.place();
+            decide("vm0");
+        }
+
+        assertEquals(standing.phase(), RunPhase.STOPPING);
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -239,7 +239,7 @@
                 found -> {
                     mLog.line("pending-asked")
                             .with("queue", route.name())
-                            .with("jobs", found)
+                            .with("jobs", found.map(String::valueOf).orElse("unknown"))
                             .with("ownerCompleteMsAgo", mClock.nowMs() - mLink.completeMs())
                             .with("readCompleteMsAgo", mClock.nowMs() - mReader.completeMs())
                             .with("journal", mReader.position())
