Standing tasks of a wave that no worker admits get VMs before other work

Operators saw: a wave late, with VMs left on each of which one standing task ran. Cause: a step may allow one task on a worker, so that its tasks can only move to VMs that have none. The pool asked for such VMs like for any other work: behind queues that lacked more, and never from a pool that had no spare VM. It also asked for as many as there were stuck tasks, where each VM that comes back from its reboot is a place for the next one. Fix: pools whose standing tasks wait for a VM are served first, by the pool with most VMs that can go where none is spare; at most three VMs are asked for each task that the step may miss. A task that some worker admits waits for room there.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -42,6 +42,9 @@
     /** A pool that lacks more than this share of a VM gets one. */
     private static final double WORTH_A_VM = 0.5;
 
+    /** VMs without standing tasks that a pool with work keeps at least. */
+    private static final int KEEP_BUSY = 3;
+
     /** Spare VMs that a serving pool keeps for what comes at once. */
     private static final int KEEP_IDLE = 1;
 
@@ -85,7 +88,12 @@
         /** VMs that jobs lack that can be in time; negative for those they can do without. */
         double lackedVms() {
             double forWork = mLack / mSize;
-            return mExtra > mComing ? Math.max(forWork, mExtra - mComing) : forWork;
+            return lacksPlaces() ? Math.max(forWork, mExtra - mComing) : forWork;
+        }
+
+        /** Whether standing tasks wait for a VM, since none of the pool's admits them. */
+        boolean lacksPlaces() {
+            return mExtra > mComing;
         }
 
         /** A VM is on its way. */
@@ -181,11 +189,17 @@
 
     private void fill(Map<String, Pool> pools, List<VmState> standby, long nowMs) {
         List<Pool> lacking = new ArrayList<>(pools.values());
-        lacking.sort(Comparator.comparingDouble(Pool::lackedVms).reversed());
+        lacking.sort(
+                Comparator.comparing(Pool::lacksPlaces)
+                        .thenComparingDouble(Pool::lackedVms)
+                        .reversed());
         for (Pool pool : lacking) {
             while (pool.lackedVms() > WORTH_A_VM) {
                 Optional<VmState> vm =
                         standby.isEmpty() ? lend(pools, pool) : Optional.of(standby.remove(0));
+                if (vm.isEmpty() && pool.lacksPlaces()) {
+                    vm = lendBusy(pools, pool);
+                }
                 if (vm.isEmpty()) {
                     break;
                 }
@@ -226,6 +240,21 @@
         return Optional.ofNullable(from).map(PoolBalance::take);
     }
 
+    /**
+     * The least used VM of the pool that has most. Standing tasks go before other work: without
+     * this they wait for as long as all pools have work, and hold a wave up.
+     */
+    private static Optional<VmState> lendBusy(Map<String, Pool> pools, Pool to) {
+        Pool from = null;
+        for (Pool p : pools.values()) {
+            boolean may = p != to && !p.lacksPlaces() && p.mMovable.size() > KEEP_BUSY;
+            if (may && (from == null || p.mMovable.size() > from.mMovable.size())) {
+                from = p;
+            }
+        }
+        return Optional.ofNullable(from).map(PoolBalance::take);
+    }
+
     private static VmState take(Pool pool) {
         VmState vm = pool.mMovable.remove(0);
         pool.mLack += vm.info().capacity().milliProcessors();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
@@ -4,6 +4,12 @@
 
 /** What the jobs of a service ask of its pool. */
 final class PoolDemand {
+    /**
+     * VMs that are asked for each task that a step may miss: a VM is back from its reboot when two
+     * more tasks have moved, and is the place of the next one.
+     */
+    private static final int PLACES_FOR_EACH = 3;
+
     private final Scheduler mScheduler;
 
     PoolDemand(Scheduler scheduler) {
@@ -57,18 +63,21 @@
 
     private int vmsFor(ActiveStep step, long nowMs) {
         int waiting = 0;
+        int stuck = 0;
         for (TaskSlot s : step.slots()) {
-            waiting += s.isWaiting() && s.lacksRoom() || isStuck(s, nowMs) ? 1 : 0;
+            waiting += s.isWaiting() && s.lacksRoom() ? 1 : 0;
+            stuck += isStuck(s, nowMs) ? 1 : 0;
         }
+        int atOnce = Math.max(1, step.spec().mode().mayMiss());
         int each = Math.max(1, step.spec().placement().maxPerWorker());
-        return (waiting + each - 1) / each;
+        return (waiting + Math.min(stuck, PLACES_FOR_EACH * atOnce) + each - 1) / each;
     }
 
-    /** Whether the task holds up the emptying of its worker, since it has no other place. */
+    /** Whether the task holds up the emptying of its worker, since no other worker admits it. */
     private boolean isStuck(TaskSlot slot, long nowMs) {
         boolean leaves = slot.runs().stream().anyMatch(r -> r.worker().isVacating());
         return leaves
                 && mScheduler.workersOf(slot.step().job().order().service()).stream()
-                        .noneMatch(w -> WorkerChooser.isAllowed(slot, w, nowMs));
+                        .noneMatch(w -> WorkerChooser.couldRun(slot, w, nowMs));
     }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/WavePlacesTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/WavePlacesTest.java
@@ -1,11 +1,15 @@
 package org.foxtailplank.schedule;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.PlacementRule;
+import org.foxtailplank.job.RunMode;
 import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.port.VmActions.VmInfo;
 import org.foxtailplank.port.VmActions.VmPhase;
 import org.foxtailplank.port.WaveOrder;
@@ -35,6 +39,16 @@
         return mOwner.worker("w" + number, pool, CORES);
     }
 
+    private static TaskStep oneOnEachWorker(int tasks) {
+        return new TaskStep(
+                tasks,
+                Resources.of(TASK_CORES, 1, 0),
+                500,
+                List.of(),
+                new PlacementRule(false, false, "", "", 1),
+                new RunMode(false, true, false, false, 0, 1));
+    }
+
     private void lookAtAll() {
         List.copyOf(mOwner.mScheduler.workers()).forEach(mOwner::look);
     }
@@ -71,4 +85,30 @@
 
         assertEquals(standing.phase(), RunPhase.STOPPING);
     }
+
+    /** Guards against a wave that waits for a VM which pools with long queues never give. */
+    @Test
+    public void aStandingTaskThatNoWorkerAdmitsGetsAVmOfABusyPool() {
+        serving("0", "surveys");
+        serving("1", "surveys");
+        mOwner.accept(Owner.order("aa", "surveys", 0, oneOnEachWorker(2)));
+        assertEquals(mOwner.place().size(), 2);
+        for (int i = 2; i < 8; i++) {
+            serving(Integer.toString(i), "reports");
+        }
+        mOwner.accept(Owner.order("bb", "reports", 0, Owner.step(200, 1, 1000, List.of())));
+        mOwner.place();
+        lookAtAll();
+        mOwner.mNowMs += 5000;
+        lookAtAll();
+
+        decide("vm0");
+        decide("vm0");
+
+        long lent =
+                mOwner.mScheduler.workersOf("reports").stream()
+                        .filter(WorkerState::isVacating)
+                        .count();
+        assertTrue(lent >= 1, lent + " VMs are lent");
+    }
 }
