A VM that is kept for a standing task is not lent

Operators would see: a wave that prepares a place for a standing task, and loses it to another pool. Cause: the worker that is kept free is the least used one of its pool, which is the one that is lent first. Evidence: WavePlacesTest#aVmThatIsKeptForAStandingTaskIsNotLent failed before. Fix: it doesn't count among the VMs that can go.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -171,7 +171,8 @@
         }
         long standing = worker.get().standingUsed();
         pool.mLack -= size - standing;
-        boolean stays = standing > 0 || worker.get().hasStanding();
+        WorkerState at = worker.get();
+        boolean stays = standing > 0 || at.hasStanding() || at.isKept();
         boolean known = worker.get().isUsable(nowMs);
         if (known && !stays && nowMs - vm.movedMs() > STAY_MS) {
             pool.mMovable.add(vm);
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/WavePlacesTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/WavePlacesTest.java
@@ -86,6 +86,30 @@
         assertEquals(standing.phase(), RunPhase.STOPPING);
     }
 
+    /** Guards against a place that goes to another pool before the task has moved there. */
+    @Test
+    public void aVmThatIsKeptForAStandingTaskIsNotLent() {
+        serving("0", "surveys");
+        mOwner.accept(Owner.order("aa", "surveys", 0, Owner.standing(1, TASK_CORES, 1)));
+        mOwner.place();
+        for (int i = 1; i < 4; i++) {
+            serving(Integer.toString(i), "surveys");
+        }
+        serving("4", "reports");
+        mOwner.accept(Owner.order("bb", "reports", 0, Owner.step(200, 1, 1000, List.of())));
+        mOwner.place();
+        lookAtAll();
+        mOwner.mNowMs += 5000;
+        lookAtAll();
+
+        decide("vm0");
+
+        List<WorkerState> lent = new ArrayList<>(mOwner.mScheduler.workersOf("surveys"));
+        lent.removeIf(w -> !w.isVacating() || w.hasStanding());
+        assertEquals(lent.size(), 2);
+        assertTrue(lent.stream().noneMatch(WorkerState::isKept));
+    }
+
     /** Guards against a wave that waits for a VM which pools with long queues never give. */
     @Test
     public void aStandingTaskThatNoWorkerAdmitsGetsAVmOfABusyPool() {
