A place counts for one of the standing tasks that wait for it

Operators saw: a wave late; a standing task that was stopped found no place for up to 4 s, and its step could miss no other. Cause: each task that had to move was stopped as soon as some worker had room for it. Tasks of two steps were stopped for the same room, one got it, and the other waited for a VM. Fix: tasks that were stopped and haven't ended take their places off those that are counted.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Vacating.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.schedule;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -74,12 +75,27 @@
         return away < budget;
     }
 
+    /** Whether there is a place beside those of the standing tasks that were stopped just now. */
     private static boolean hasPlace(TaskSlot slot, List<WorkerState> others, long nowMs) {
+        List<WorkerState> places = new ArrayList<>(others);
+        places.removeIf(w -> !WorkerChooser.isAllowed(slot, w, nowMs));
         for (WorkerState w : others) {
-            if (WorkerChooser.isAllowed(slot, w, nowMs)) {
-                return true;
+            for (TaskRun r : w.runs()) {
+                boolean stopped = r.phase() == RunPhase.STOPPING && w.isVacating();
+                if (stopped && r.slot().spec().mode().standing()) {
+                    takePlace(r.slot(), places, nowMs);
+                }
+            }
+        }
+        return !places.isEmpty();
+    }
+
+    private static void takePlace(TaskSlot slot, List<WorkerState> places, long nowMs) {
+        for (int i = 0; i < places.size(); i++) {
+            if (WorkerChooser.isAllowed(slot, places.get(i), nowMs)) {
+                places.remove(i);
+                return;
             }
         }
-        return false;
     }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/WavePlacesTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/WavePlacesTest.java
@@ -53,10 +53,10 @@
         List.copyOf(mOwner.mScheduler.workers()).forEach(mOwner::look);
     }
 
-    private void decide(String vm) {
+    private void decide(String... vms) {
         mOwner.mNowMs += 100;
         mPlanner.listed(mVms, mOwner.mNowMs);
-        WaveOrder order = new WaveOrder(1, List.of(vm), LEFT_MS, 1);
+        WaveOrder order = new WaveOrder(1, List.of(vms), LEFT_MS, vms.length);
         DueWave due = new DueWave(order, mOwner.mNowMs + LEFT_MS);
         mPlanner.decide(
                 mOwner.mConfig, List.of(due), mOwner.mBook, true, mOwner.mNowMs, Owner.WALL_MS);
@@ -135,4 +135,22 @@
                         .count();
         assertTrue(lent >= 1, lent + " VMs are lent");
     }
+
+    /** Guards against two tasks that are stopped for the same place, of which one stays away. */
+    @Test
+    public void aPlaceIsTakenByOneOfTheTasksThatWaitForIt() {
+        serving("0", "surveys");
+        serving("1", "surveys");
+        mOwner.accept(Owner.order("aa", "surveys", 0, Owner.standing(1, TASK_CORES, 1)));
+        mOwner.accept(Owner.order("bb", "surveys", 0, Owner.standing(1, TASK_CORES, 1)));
+        List<TaskRun> standing = mOwner.place();
+        lookAtAll();
+        serving("2", "surveys");
+        assertEquals(standing.size(), 2);
+
+        decide("vm0", "vm1");
+        decide("vm0", "vm1");
+
+        assertEquals(standing.stream().filter(r -> r.phase() == RunPhase.STOPPING).count(), 1);
+    }
 }
