VMs for the standing tasks of a pressing step are asked for in advance

Operators saw: a wave late, with VMs left on each of which one standing task ran. Cause: a pool asked for a VM for a standing task when the task's VM was already being emptied. Each move of a step that may miss one then waited for the move of a VM, 2 to 3 s, before its own 1.7 s. Two steps that lacked a place each asked for one VM together. Fix: a step that holds a wave up has three places for each task that it may miss, counted with the workers that admit its tasks already; a VM that is back from its reboot is one. Steps' needs add up where they don't fit on one VM.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalance.java
@@ -103,7 +103,12 @@
         }
     }
 
-    void plan(FleetConfig config, long nowMs, long nowWallMs) {
+    /**
+     * Plans moves of VMs.
+     *
+     * @param toMove how many tasks have to move of steps that hold up a wave
+     */
+    void plan(FleetConfig config, Map<ActiveStep, Integer> toMove, long nowMs, long nowWallMs) {
         Map<String, Pool> pools = new LinkedHashMap<>();
         for (PoolService s : config.services()) {
             if (!s.standby()) {
@@ -123,7 +128,7 @@
         for (Pool p : pools.values()) {
             p.mLack += wanted(p.mName, nowMs, nowWallMs);
             p.mLate = mDemand.late(p.mName, nowWallMs);
-            p.mExtra = mDemand.vmsForStanding(p.mName, nowMs);
+            p.mExtra = mDemand.vmsForStanding(p.mName, toMove, p.mSize, nowMs);
         }
         pools.values().forEach(p -> p.mMovable.sort(Comparator.comparingLong(this::used)));
         fill(pools, standby, nowMs);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
@@ -1,12 +1,13 @@
 package org.foxtailplank.schedule;
 
+import java.util.Map;
 import java.util.function.Predicate;
 
 /** What the jobs of a service ask of its pool. */
 final class PoolDemand {
     /**
-     * VMs that are asked for each task that a step may miss: a VM is back from its reboot when two
-     * more tasks have moved, and is the place of the next one.
+     * Places for each task that a step may miss: a VM is back from its reboot when two more tasks
+     * have moved, and is the place of the next one.
      */
     private static final int PLACES_FOR_EACH = 3;
 
@@ -46,38 +47,61 @@
     /**
      * VMs that standing tasks wait for: their steps allow only so many on one worker, so that they
      * may find no place although there is room.
+     *
+     * @param toMove how many tasks have to move of steps that hold up a wave
+     * @param vmSize thousandths of a core of a VM
      */
-    int vmsForStanding(String service, long nowMs) {
+    int vmsForStanding(String service, Map<ActiveStep, Integer> toMove, long vmSize, long nowMs) {
         int most = 0;
+        long room = 0;
         for (ActiveJob job : mScheduler.runs().jobs()) {
             boolean counts = job.order().isStanding() && job.order().service().equals(service);
             if (!counts || job.isEnding()) {
                 continue;
             }
             for (ActiveStep step : job.runs().get(0).steps()) {
-                most = Math.max(most, vmsFor(step, nowMs));
+                int vms = vmsFor(step, toMove.getOrDefault(step, 0), nowMs);
+                most = Math.max(most, vms);
+                room +=
+                        Math.min(vmSize, onEach(step) * step.spec().reserved().milliProcessors())
+                                * vms;
             }
         }
-        return most;
+        return (int) Math.max(most, (room + vmSize - 1) / vmSize);
     }
 
-    private int vmsFor(ActiveStep step, long nowMs) {
+    /** Tasks of a step that a worker may run, at least one. */
+    private static int onEach(ActiveStep step) {
+        return Math.max(1, step.spec().placement().maxPerWorker());
+    }
+
+    private int vmsFor(ActiveStep step, int toMove, long nowMs) {
         int waiting = 0;
-        int stuck = 0;
+        int leaving = 0;
         for (TaskSlot s : step.slots()) {
             waiting += s.isWaiting() && s.lacksRoom() ? 1 : 0;
-            stuck += isStuck(s, nowMs) ? 1 : 0;
+            leaving += leaves(s) ? 1 : 0;
         }
-        int atOnce = Math.max(1, step.spec().mode().mayMiss());
-        int each = Math.max(1, step.spec().placement().maxPerWorker());
-        return (waiting + Math.min(stuck, PLACES_FOR_EACH * atOnce) + each - 1) / each;
+        int each = onEach(step);
+        return (waiting + each - 1) / each + places(step, Math.max(leaving, toMove), nowMs);
+    }
+
+    private static boolean leaves(TaskSlot slot) {
+        return slot.runs().stream().anyMatch(r -> r.worker().isVacating());
     }
 
-    /** Whether the task holds up the emptying of its worker, since no other worker admits it. */
-    private boolean isStuck(TaskSlot slot, long nowMs) {
-        boolean leaves = slot.runs().stream().anyMatch(r -> r.worker().isVacating());
-        return leaves
-                && mScheduler.workersOf(slot.step().job().order().service()).stream()
-                        .noneMatch(w -> WorkerChooser.couldRun(slot, w, nowMs));
+    /** VMs that tasks need which have to move, beyond the workers that admit them. */
+    private int places(ActiveStep step, int toMove, long nowMs) {
+        if (toMove == 0) {
+            return 0;
+        }
+        int atOnce = Math.max(1, step.spec().mode().mayMiss());
+        int needed = (Math.min(toMove, PLACES_FOR_EACH * atOnce) + onEach(step) - 1) / onEach(step);
+        TaskSlot slot = step.slots().get(0);
+        int admitting = 0;
+        for (WorkerState w : mScheduler.workersOf(step.job().order().service())) {
+            admitting += WorkerChooser.couldRun(slot, w, nowMs) ? 1 : 0;
+        }
+        return Math.max(0, needed - admitting);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/StandingMoves.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/StandingMoves.java
@@ -1,6 +1,6 @@
 package org.foxtailplank.schedule;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +17,7 @@
     private static final long MOVE_MS = 2000;
 
     private final Scheduler mScheduler;
-    private final Map<ActiveStep, Step> mSteps = new HashMap<>();
+    private final Map<ActiveStep, Step> mSteps = new LinkedHashMap<>();
     private int mMostOnOneVm;
 
     /** What the wave's VMs have of one step. */
@@ -58,7 +58,7 @@
     }
 
     private Map<ActiveStep, Integer> tasks(VmState vm) {
-        Map<ActiveStep, Integer> tasks = new HashMap<>();
+        Map<ActiveStep, Integer> tasks = new LinkedHashMap<>();
         worker(vm).ifPresent(w -> w.countStanding(tasks));
         return tasks;
     }
@@ -87,6 +87,18 @@
         return Math.max(slowest, mMostOnOneVm * MOVE_MS);
     }
 
+    /** How many tasks have to move of each step whose moves take more than a time. */
+    Map<ActiveStep, Integer> pressing(long timeMs) {
+        Map<ActiveStep, Integer> pressing = new LinkedHashMap<>();
+        mSteps.forEach(
+                (step, s) -> {
+                    if (isPressing(s, timeMs)) {
+                        pressing.put(step, s.mTasks);
+                    }
+                });
+        return pressing;
+    }
+
     /** Whether a VM has a task of a step whose moves take more than a time, in milliseconds. */
     boolean isPressing(VmState vm, long timeMs) {
         return tasks(vm).keySet().stream().anyMatch(s -> isPressing(step(s), timeMs));
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -108,6 +108,7 @@
             long nowMs,
             long nowWallMs) {
         List<Long> completed = new ArrayList<>();
+        mWaves.begin();
         for (DueWave due : waves) {
             WaveOrder wave = due.order();
             if (mVms.all().isEmpty() || book.isCompleted(wave.number())) {
@@ -120,7 +121,7 @@
             }
         }
         mPlaces.keep(mVms.all(), nowMs);
-        mBalance.plan(config, nowMs, nowWallMs);
+        mBalance.plan(config, mWaves.toMove(), nowMs, nowWallMs);
         return new VmDecisions(carryOut(config, mayCall, nowMs, nowWallMs), completed);
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveKeeper.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.port.FleetConfig;
@@ -31,6 +33,18 @@
     /** Cost of a VM that is off or idle. */
     private static final double NO_COST = 0.02;
 
+    private final Map<ActiveStep, Integer> mToMove = new LinkedHashMap<>();
+
+    /** Begins a decision on all waves. */
+    void begin() {
+        mToMove.clear();
+    }
+
+    /** How many tasks have to move of each step that holds a wave up. */
+    Map<ActiveStep, Integer> toMove() {
+        return mToMove;
+    }
+
     /** Plans reboots of a wave; returns whether all of its VMs have begun theirs. */
     boolean advance(
             DueWave due,
@@ -71,6 +85,7 @@
         boolean ample = timeMs - needed > AMPLE_MS;
         VmAction reboot = new VmAction.Reboot(wave.number());
         long pressingMs = timeMs - ROUND_MS - AMPLE_MS;
+        moves.pressing(pressingMs).forEach((s, n) -> mToMove.merge(s, n, Integer::sum));
         for (VmState v : free) {
             if (room > 0 && moves.isWanted(v, pressingMs)) {
                 v.plan(reboot, nowMs);
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/WavePlacesTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/WavePlacesTest.java
@@ -153,4 +153,29 @@
 
         assertEquals(standing.stream().filter(r -> r.phase() == RunPhase.STOPPING).count(), 1);
     }
+
+    /** Guards against moves that each wait for a VM which is only asked for when it is needed. */
+    @Test
+    public void vmsForTheNextMovesAreAskedForInAdvance() {
+        int tasks = 5;
+        for (int i = 0; i < tasks; i++) {
+            serving(Integer.toString(i), "surveys");
+        }
+        mOwner.accept(Owner.order("aa", "surveys", 0, oneOnEachWorker(tasks)));
+        assertEquals(mOwner.place().size(), tasks);
+        for (int i = tasks; i < tasks + 8; i++) {
+            serving(Integer.toString(i), "reports");
+        }
+        lookAtAll();
+        mOwner.mNowMs += 5000;
+        lookAtAll();
+
+        decide("vm0", "vm1", "vm2", "vm3", "vm4");
+
+        long lent =
+                mOwner.mScheduler.workersOf("reports").stream()
+                        .filter(WorkerState::isVacating)
+                        .count();
+        assertEquals(lent, 3);
+    }
 }
