An owner on a narrow link gives its place up for a follower on an ample one

Cause: after the owner's zone was cut off a node on a link of 10 Mbit/s and 0.36 of a core tried 50 ms before the ones that have 200 Mbit/s: how long a node waits depends on when it last read a sign of the owner, which differs by up to 1.2 s, and narrow nodes wait 0.54 s longer only. It kept the place with a backlog that it couldn't carry. Fix: heartbeats of an owner on a narrow link say so; followers that could own and have an ample link answer.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/LinkRate.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/LinkRate.java
@@ -27,6 +27,11 @@
         }
     }
 
+    /** Whether an owner with this link has room for what it sends, as far as is known. */
+    public boolean isAmple() {
+        return yieldMs() == 0;
+    }
+
     /**
      * How long a node with this link lets others take an owner's place first, in milliseconds.
      *
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -24,6 +24,7 @@
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.owner.NarrowOwner;
 import org.foxtailplank.node.owner.OwnerParts;
 import org.foxtailplank.node.owner.OwnerWork;
 import org.foxtailplank.node.owner.Ownership;
@@ -63,6 +64,9 @@
     /** How often a stopping node looks whether it has answered everything, in milliseconds. */
     private static final long DRAIN_CHECK_MS = 20;
 
+    /** How often an owner looks whether it gives its place up for its link's sake. */
+    private static final long NARROW_CHECK_MS = 200;
+
     /** Kept of the grace time for the end of the process, in milliseconds. */
     private static final long EXIT_MS = 700;
 
@@ -80,6 +84,7 @@
     private final JournalWriter mWriter;
     private final OwnerLink mLink;
     private final Ownership mOwnership;
+    private final NarrowOwner mNarrow;
 
     private Optional<OwnerWork> mOwner = Optional.empty();
     private HttpServer mCallers;
@@ -115,6 +120,8 @@
                         this::recorded);
         mLink = new OwnerLink(loop, clock, timers, log, mReader);
         mReader.streaming(mLink::isAlive);
+        mLink.standsBy(this::couldOwn);
+        mNarrow = new NarrowOwner(settings.link());
         mWriter =
                 new JournalWriter(
                         shared, JournalPartition.JOURNAL, new OwnerOrLink(), clock, timers, log);
@@ -267,6 +274,7 @@
         mReader.follow();
         mOwnership.watch();
         forgetEnded();
+        giveUpIfNarrow();
     }
 
     private void forgetEnded() {
@@ -279,7 +287,25 @@
         mOwner.ifPresent(o -> o.recorded(record, job));
     }
 
+    /** Whether this node would be a better owner than one with a narrow link. */
+    private boolean couldOwn() {
+        boolean reads = mReader.isCaughtUp() && mClock.nowMs() - mReader.lastReadMs() < STALE_MS;
+        return mSettings.link().isAmple() && reads && !mStopping;
+    }
+
+    private void giveUpIfNarrow() {
+        mTimers.after(NARROW_CHECK_MS, this::giveUpIfNarrow);
+        if (mOwner.isPresent() && mNarrow.givesUp(mStream.standbyMs(), mClock.nowMs())) {
+            mLog.line("owner-narrow").with("node", mSettings.name()).write();
+            OwnerWork owner = mOwner.get();
+            mOwner = Optional.empty();
+            leave(owner);
+            mOwnership.lost();
+        }
+    }
+
     private void own(TakeOver taken) {
+        mNarrow.owns(mClock.nowMs());
         OwnerParts parts =
                 new OwnerParts(
                         mSettings,
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -35,6 +35,7 @@
     /** Records beyond this number of bytes are sent at once: half of what may wait to be sent. */
     private static final int GATHER_BYTES = 32 << 10;
 
+    private final boolean mNarrow;
     private final Clock mClock;
     private final Timers mTimers;
     private final StreamBudget mBudget;
@@ -48,10 +49,12 @@
     private InetSocketAddress mAddress;
     private long mToken = PeerFrame.NO_OWNER;
     private OwnedJournal mJournal = OwnedJournal.NONE;
+    private long mStandbyMs = Long.MIN_VALUE / 2;
     private BooleanSupplier mCallsOver = () -> true;
 
     private JournalStream(
             Clock clock, Timers timers, LinkRate link, Handover handover, OwnerBook book) {
+        mNarrow = !link.isAmple();
         mClock = clock;
         mTimers = timers;
         mBudget = new StreamBudget(link, clock.nowMs());
@@ -97,6 +100,11 @@
         return mAddress;
     }
 
+    /** When a follower last said that it could own and has an ample link. */
+    public long standbyMs() {
+        return mStandbyMs;
+    }
+
     /** How often gathered frames were sent. */
     long sendings() {
         return mSendings;
@@ -128,6 +136,8 @@
                         });
             } else if (frame instanceof PeerFrame.Question question) {
                 answer(question, context);
+            } else if (frame instanceof PeerFrame.Standby) {
+                mStandbyMs = mClock.nowMs();
             }
         }
 
@@ -220,7 +230,8 @@
                 mClock.nowMs(),
                 mJournal.completeMs(),
                 mJournal.storedMsAgo(),
-                callsOver);
+                callsOver,
+                mNarrow);
     }
 
     /** Sends what was gathered, or leaves it out where the link has no room for it. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.node.Clock;
@@ -52,6 +53,7 @@
     private final OpenQuestions mQuestions;
     private long mLastHandover;
     private Runnable mWhenDoubtful = () -> {};
+    private BooleanSupplier mStandsBy = () -> false;
     private boolean mOpening;
     private OwnerState mDoubt = OwnerState.SILENT;
     private long mDoubtToken = -1;
@@ -89,6 +91,11 @@
         mWhenDoubtful = listener;
     }
 
+    /** Whether the owner is to be told that this node could own, and has an ample link. */
+    public void standsBy(BooleanSupplier standsBy) {
+        mStandsBy = standsBy;
+    }
+
     @Override
     public OwnerState state(long token) {
         if (token == mDoubtToken) {
@@ -327,6 +334,9 @@
         // A frame may wait in a full link for seconds; the shortest delay leaves that time out.
         mClockOffsetMs = Math.min(mClockOffsetMs, now - frame.nowMs());
         if (mReader.position().covers(frame.position())) {
+            if (frame.narrow()) {
+                sayStandby();
+            }
             mCurrentMs = now;
             mCompleteMs = Math.max(mCompleteMs, frame.completeMs() + mClockOffsetMs);
         } else {
@@ -335,6 +345,13 @@
         }
     }
 
+    private void sayStandby() {
+        if (mStandsBy.getAsBoolean()) {
+            mChannel.filter(Channel::isWritable)
+                    .ifPresent(c -> c.writeAndFlush(new PeerFrame.Standby().encode()));
+        }
+    }
+
     private void heard() {
         mHeardMs = mClock.nowMs();
         mDoubtToken = -1;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -49,6 +49,7 @@
      * @param storedMsAgo how long ago the store last took a record of the owner's
      * @param callsOver from a node that doesn't own: whether no call of its process to the VM
      *     service can be under way
+     * @param narrow from an owner: whether its link is narrow, so that it asks who else could own
      */
     record Heartbeat(
             long token,
@@ -56,7 +57,8 @@
             long nowMs,
             long completeMs,
             long storedMsAgo,
-            boolean callsOver)
+            boolean callsOver,
+            boolean narrow)
             implements PeerFrame {
         @Override
         public void write(CodedOutputStream out) throws IOException {
@@ -65,6 +67,7 @@
             out.writeInt64(Field.NOW, nowMs);
             out.writeInt64(Field.COMPLETE, completeMs);
             out.writeBool(Field.CALLS_OVER, callsOver);
+            out.writeBool(Field.NARROW, narrow);
             for (long offset : position.offsets()) {
                 out.writeInt64(Field.POSITION, offset);
             }
@@ -94,6 +97,14 @@
         }
     }
 
+    /** From a follower to the owner: its link is ample, and it could own now. */
+    record Standby() implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeBool(Field.STANDBY, true);
+        }
+    }
+
     /** What a question to the owner is about. */
     enum Subject {
         /** Where a job stands. */
@@ -151,6 +162,8 @@
         static final int VALUE = 13;
         static final int NOW = 14;
         static final int COMPLETE = 15;
+        static final int STANDBY = 16;
+        static final int NARROW = 17;
 
         private Field() {}
     }
@@ -186,6 +199,7 @@
         Optional<Long> question = Optional.empty();
         Optional<Question> asked = Optional.empty();
         Optional<Integer> value = Optional.empty();
+        boolean standby = false;
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case Field.TOKEN -> token = in.readInt64();
@@ -200,6 +214,7 @@
                 case Field.QUEUE ->
                         asked = Optional.of(new Question(0, Subject.QUEUE, in.readString()));
                 case Field.VALUE -> value = Optional.of(in.readInt32());
+                case Field.STANDBY -> standby = in.readBool();
                 default -> heartbeat.read(tag, in);
             }
         }
@@ -209,6 +224,9 @@
                     ? new Question(number, asked.get().subject(), asked.get().name())
                     : new Answer(number, value);
         }
+        if (standby) {
+            return new Standby();
+        }
         if (handover.isEmpty() && record.isPresent()) {
             return new Journal(token, partition, offset, record.get());
         }
@@ -230,6 +248,7 @@
         private long mCompleteMs = OwnedJournal.NEVER_MS;
         private long mStoredMsAgo;
         private boolean mCallsOver;
+        private boolean mNarrow;
 
         private HeartbeatFields() {}
 
@@ -240,13 +259,15 @@
                 case Field.COMPLETE -> mCompleteMs = in.readInt64();
                 case Field.STORED -> mStoredMsAgo = in.readInt64();
                 case Field.CALLS_OVER -> mCallsOver = in.readBool();
+                case Field.NARROW -> mNarrow = in.readBool();
                 default -> in.skipField(tag);
             }
         }
 
         private Heartbeat of(long token) {
             JournalPosition position = new JournalPosition(mPosition);
-            return new Heartbeat(token, position, mNowMs, mCompleteMs, mStoredMsAgo, mCallsOver);
+            return new Heartbeat(
+                    token, position, mNowMs, mCompleteMs, mStoredMsAgo, mCallsOver, mNarrow);
         }
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -99,8 +99,11 @@
     }
 
     private JournalStream listen() throws IOException {
-        return JournalStream.listen(
-                mLoop, mAddress, mClock, mTimers, LinkRate.UNKNOWN, mStore, mBook);
+        return listen(LinkRate.UNKNOWN);
+    }
+
+    private JournalStream listen(LinkRate link) throws IOException {
+        return JournalStream.listen(mLoop, mAddress, mClock, mTimers, link, mStore, mBook);
     }
 
     private void follow() throws Exception {
@@ -113,7 +116,10 @@
 
     /** An owner, and this node following it. */
     private JournalStream followOwner() throws Exception {
-        JournalStream stream = listen();
+        return followOwner(listen());
+    }
+
+    private JournalStream followOwner(JournalStream stream) throws Exception {
         onLoop(
                 () -> {
                     long now = mClock.nowMs();
@@ -138,6 +144,20 @@
         await(OwnerState.STREAMING);
     }
 
+    @Test(timeOut = 60_000)
+    public void aFollowerThatCouldOwnTellsAnOwnerOnANarrowLink() throws Exception {
+        onLoop(
+                () -> {
+                    mLink.standsBy(() -> true);
+                    return null;
+                });
+        JournalStream stream = followOwner(listen(new LinkRate(10)));
+
+        while (onLoop(stream::standbyMs) < 0) {
+            Thread.onSpinWait();
+        }
+    }
+
     @Test(timeOut = 60_000)
     public void aProcessThatDoesNotOwnSaysSo() throws Exception {
         // After a power loss a new process listens where the owner did: it takes connections, and a
@@ -212,7 +232,8 @@
 
     private static void sendHeartbeat(Socket follower, long nowMs) throws IOException {
         PeerFrame frame =
-                new PeerFrame.Heartbeat(TOKEN, JournalPosition.START, nowMs, nowMs, 0, false);
+                new PeerFrame.Heartbeat(
+                        TOKEN, JournalPosition.START, nowMs, nowMs, 0, false, false);
         frame.encode().readBytes(follower.getOutputStream(), frame.encode().readableBytes());
     }
 
