A start goes over any link, however narrow

Callers would see: under an owner on a link below about 0.4 Mbit/s no task with a long text ever starts. Cause: the bound on starts allowed no more at once than its share of a quarter of a second, which may be less than one start. Evidence: LinkBudgetTest#theLeastBurstGoesOverAnyLink; the bucket had no least size before. Fix: a bucket has a least burst, and a start that is larger counts as that. Links of 1.4 Mbit/s and more have the same bound as before.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/LinkBudget.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/LinkBudget.java
@@ -16,13 +16,14 @@
      *
      * @param share part of the link, 0 to 1
      * @param burstMs time whose share may be used at once, in milliseconds
+     * @param leastBurst bytes that may be used at once on any link
      */
-    public LinkBudget(LinkRate link, double share, long burstMs, long nowMs) {
+    public LinkBudget(LinkRate link, double share, long burstMs, int leastBurst, long nowMs) {
         boolean unknown = link.equals(LinkRate.UNKNOWN);
         double bitsPerS = link.megabitsPerS() * BITS_PER_MEGABIT;
         mBytesPerMs =
                 unknown ? Double.POSITIVE_INFINITY : share * bitsPerS / BITS_A_BYTE / MS_PER_S;
-        mMost = mBytesPerMs * burstMs;
+        mMost = Math.max(leastBurst, mBytesPerMs * burstMs);
         mLeft = mMost;
         mFilledMs = nowMs;
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OrderSender.java
@@ -24,6 +24,9 @@
     /** Time whose share starts may use at once, in milliseconds. */
     private static final long START_BURST_MS = 250;
 
+    /** A start that is larger counts as so many bytes: on a very narrow link it must go too. */
+    private static final int LARGEST_START_BYTES = 16 << 10;
+
     /** What a start takes beside its task's text, in bytes: head, other fields, packets. */
     private static final int START_BYTES = 600;
 
@@ -41,6 +44,7 @@
                         parts.settings().link(),
                         START_SHARE,
                         START_BURST_MS,
+                        LARGEST_START_BYTES,
                         parts.clock().nowMs());
     }
 
@@ -83,7 +87,8 @@
         TaskRun run = start.run();
         long now = mParts.clock().nowMs();
         String text = run.slot().step().job().order().text();
-        if (!mOwner.givesFullLeases() || !mStartBudget.take(START_BYTES + text.length(), now)) {
+        int bytes = Math.min(START_BYTES + text.length(), LARGEST_START_BYTES);
+        if (!mOwner.givesFullLeases() || !mStartBudget.take(bytes, now)) {
             mOwner.scheduler().startDelayed(run);
             return;
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/StreamBudget.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/StreamBudget.java
@@ -34,7 +34,7 @@
     private long mPausedUntilMs = Long.MIN_VALUE / 2;
 
     StreamBudget(LinkRate link, long nowMs) {
-        mBudget = new LinkBudget(link, SHARE, BURST_MS, nowMs);
+        mBudget = new LinkBudget(link, SHARE, BURST_MS, 0, nowMs);
     }
 
     /** Whether records of this size, to all nodes together, may be sent now. */
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/LinkBudgetTest.java
@@ -0,0 +1,46 @@
+package org.foxtailplank.node;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** What may be sent over a share of a link. */
+public class LinkBudgetTest {
+    /** 12,500 bytes a second, of which half may be used. */
+    private static final LinkRate VERY_NARROW = new LinkRate(0.1);
+
+    private static final double SHARE = 0.5;
+    private static final long BURST_MS = 250;
+    private static final int LARGE = 4000;
+
+    @Test
+    public void aShareOfTheLinkIsLeftFree() {
+        LinkBudget budget = new LinkBudget(new LinkRate(10), SHARE, BURST_MS, 0, 0);
+        long sent = 0;
+        for (long now = 0; now < 10_000; now++) {
+            sent += budget.take(LARGE, now) ? LARGE : 0;
+        }
+
+        assertTrue(sent <= 10 * 625_000 + 625_000 * BURST_MS / 1000, sent + " bytes");
+        assertTrue(sent >= 9 * 625_000, sent + " bytes");
+    }
+
+    /** Guards against an order that is larger than the burst and waits for ever. */
+    @Test
+    public void theLeastBurstGoesOverAnyLink() {
+        LinkBudget budget = new LinkBudget(VERY_NARROW, SHARE, BURST_MS, LARGE, 0);
+
+        assertTrue(budget.take(LARGE, 0));
+        assertFalse(budget.take(LARGE, 300));
+        assertTrue(budget.take(LARGE, 700));
+    }
+
+    @Test
+    public void aLinkOfWhichNothingIsKnownHasNoBound() {
+        LinkBudget budget = new LinkBudget(LinkRate.UNKNOWN, SHARE, BURST_MS, 0, 0);
+
+        assertTrue(budget.take(Integer.MAX_VALUE, 0));
+        assertTrue(budget.take(Integer.MAX_VALUE, 0));
+    }
+}
