A late answer of the store doesn't disown a node that owns again

Callers would see: an owner whose followers are told that it doesn't own, and that is replaced though it works. Cause: an owner that leaves tells its followers once the store has its last record. Until now only a node that stops left; one that gives its place up goes on, and may own again before a slow store answers. Evidence: read in the code; not seen in a play, and without a test: nothing drives a whole node against a slow store here. Fix: it tells them only if it doesn't own at that moment.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -372,11 +372,18 @@
 
     /**
      * Followers are told that nobody owns once the journal says so: the next owner then finds its
-     * predecessor gone and takes over at once. A store that doesn't answer is not waited for.
+     * predecessor gone and takes over at once. A store that doesn't answer is not waited for; if it
+     * answers late, this node may own again.
      */
     private void leave(OwnerWork owner) {
-        owner.leave(mStream::disown);
-        mTimers.after(LEAVE_MS, mStream::disown);
+        Runnable disown =
+                () -> {
+                    if (mOwner.isEmpty()) {
+                        mStream.disown();
+                    }
+                };
+        owner.leave(disown);
+        mTimers.after(LEAVE_MS, disown);
     }
 
     private void drain(long listenUntilMs, long endMs, Runnable ended) {
