--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -19,7 +19,6 @@
 import org.foxtailplank.node.caller.OwnBook;
 import org.foxtailplank.node.journal.Handover;
 import org.foxtailplank.node.journal.JournalPartition;
-import org.foxtailplank.node.journal.JournalPosition;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.JournalWriter;
 import org.foxtailplank.node.journal.StoreOutcome;
@@ -30,7 +29,6 @@
 import org.foxtailplank.node.owner.Ownership;
 import org.foxtailplank.node.owner.TakeOver;
 import org.foxtailplank.node.peer.JournalStream;
-import org.foxtailplank.node.peer.OwnedJournal;
 import org.foxtailplank.node.peer.OwnerBook;
 import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.port.SharedLog;
@@ -174,30 +172,6 @@
         }
     }
 
-    /** What followers of this node are told of the journal while it owns. */
-    private final class JournalOf implements OwnedJournal {
-        private final OwnerWork mWork;
-
-        JournalOf(OwnerWork work) {
-            mWork = work;
-        }
-
-        @Override
-        public JournalPosition position() {
-            return mReader.position();
-        }
-
-        @Override
-        public long completeMs() {
-            return mReader.completeMs();
-        }
-
-        @Override
-        public long storedMsAgo() {
-            return mWork.storedMsAgo();
-        }
-    }
-
     private OwnerBook ownBook() {
         return new OwnBook(mReader, mClock, () -> mOwner.map(OwnerWork::isLoaded).orElse(false));
     }
@@ -325,7 +299,7 @@
         OwnerWork work = new OwnerWork(parts, taken, this::fenced);
         mOwner = Optional.of(work);
         mLink.owner(Optional.empty());
-        mStream.own(taken.token(), new JournalOf(work), work::areCallsOver);
+        mStream.own(taken.token(), work, work::areCallsOver);
         work.start();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/OwnBook.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/OwnBook.java
@@ -34,8 +34,9 @@
     }
 
     /**
-     * Tells a number only from a book that was complete a moment ago. An owner that the store turns
-     * away may have been replaced without knowing it, and its number may be 0 while jobs wait.
+     * Tells a number only from a book that was complete a moment ago. An owner whose requests the
+     * store rejects may have been replaced without knowing it, and its number may be 0 while jobs
+     * wait.
      */
     @Override
     public void pending(String queue, Consumer<Optional<Integer>> then) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerWork.java
@@ -13,7 +13,9 @@
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.journal.JournalPosition;
 import org.foxtailplank.node.journal.StoreOutcome;
+import org.foxtailplank.node.peer.OwnedJournal;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.VmActions.Holder;
 import org.foxtailplank.port.VmActions.VmInfo;
@@ -25,7 +27,7 @@
 import org.foxtailplank.schedule.WorkerState;
 
 /** The work of the owner of all jobs, from its take-over until it is fenced or stops. */
-public final class OwnerWork {
+public final class OwnerWork implements OwnedJournal {
     /** How often time alone is looked at, in milliseconds. */
     private static final long TICK_MS = 40;
 
@@ -243,7 +245,17 @@
         mJournal.storeHandedOver(record, then);
     }
 
-    /** How long ago the store last took a record of this owner's. */
+    @Override
+    public JournalPosition position() {
+        return mParts.reader().position();
+    }
+
+    @Override
+    public long completeMs() {
+        return mParts.reader().completeMs();
+    }
+
+    @Override
     public long storedMsAgo() {
         return mJournal.storedMsAgo();
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -126,8 +126,8 @@
 
     /**
      * Until when the book is known to have every record of the journal, by what the owner has read.
-     * Hearing the owner proves nothing: one that the store turns away is still heard, and other
-     * nodes then append by themselves.
+     * Heartbeats alone prove nothing: an owner whose requests the store rejects still sends them,
+     * and other nodes then append by themselves.
      */
     public long completeMs() {
         return mCompleteMs;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/OwnBookTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/OwnBookTest.java
@@ -58,7 +58,7 @@
 
     /** Guards against a number of a former owner that has not noticed its successor. */
     @Test
-    public void anOwnerThatTheStoreTurnsAwayTellsNoNumber() {
+    public void anOwnerWhoseReadsFailTellsNoNumber() {
         read();
         JournalPartition.all(3).forEach(p -> mLog.down(p, true));
         for (int i = 0; i < 20; i++) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/StaleBookTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/StaleBookTest.java
@@ -155,7 +155,7 @@
         return new String(replies.get(0).body(), StandardCharsets.UTF_8);
     }
 
-    /** Guards against a number that is as old as the last read of an owner the store turns away. */
+    /** Guards against a number that is as old as the last read of an owner whose reads fail. */
     @Test(timeOut = 60_000)
     public void anOwnerThatReadsNoMoreDoesNotMakeItsFollowersCurrent() throws Exception {
         mLog.records(JournalPartition.JOURNAL).add(accepted("00000000000000aa"));
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -54,7 +54,22 @@
             };
 
     private final FakeOwnerBook mBook = new FakeOwnerBook();
-    private final Clock mClock = Clock.system();
+    private volatile long mPassedMs;
+
+    /** The system's clock, which tests can move on. */
+    private final Clock mClock =
+            new Clock() {
+                @Override
+                public long nowMs() {
+                    return Clock.system().nowMs() + mPassedMs;
+                }
+
+                @Override
+                public long wallMs() {
+                    return Clock.system().wallMs() + mPassedMs;
+                }
+            };
+
     private MultiThreadIoEventLoopGroup mGroup;
     private EventLoop mLoop;
     private Timers mTimers;
@@ -63,6 +78,7 @@
 
     @BeforeMethod
     public void setUp() throws IOException {
+        mPassedMs = 0;
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         mLoop = (EventLoop) mGroup.next();
         mTimers = (ms, action) -> mLoop.schedule(action, ms, TimeUnit.MILLISECONDS);
@@ -251,7 +267,7 @@
                     Thread.onSpinWait();
                 }
                 long first = onLoop(mLink::completeMs);
-                Thread.sleep(delayMs + betweenMs);
+                mPassedMs = delayMs + betweenMs;
                 sendHeartbeat(follower, betweenMs);
                 while (onLoop(mLink::completeMs) == first) {
                     Thread.onSpinWait();
