A process that can't report its error ends all the same

Callers saw: a node that is up and doesn't serve, as nothing restarts a process that runs.

Cause: failFast printed and logged the error before it ended the process. Where a class of the report could not be loaded, that call threw in turn, the thread ended, and the event loop's thread kept the process alive.

Fix: FailFast ends the process in a finally block, and is installed before the settings are read.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeMain.java
@@ -28,6 +28,13 @@
             System.err.println("usage: foxtail-node [SETTINGS], or set " + SETTINGS_VARIABLE);
             System.exit(EXIT_USAGE);
         }
+        Clock clock = Clock.system();
+        NodeLog log = NodeLog.to(System.out, clock);
+        FailFast failFast =
+                new FailFast(
+                        error -> reportFailure(log, error),
+                        () -> Runtime.getRuntime().halt(EXIT_FAILURE));
+        Thread.setDefaultUncaughtExceptionHandler(failFast);
         NodeSettings settings = null;
         try {
             settings = NodeSettingsReader.read(Path.of(file));
@@ -36,19 +43,17 @@
                     "foxtail-node: cannot read settings " + file + ": " + e.getMessage());
             System.exit(EXIT_USAGE);
         }
-        run(Path.of(file), settings);
+        run(Path.of(file), settings, clock, log, failFast);
     }
 
-    private static void run(Path file, NodeSettings settings) {
+    private static void run(
+            Path file, NodeSettings settings, Clock clock, NodeLog log, FailFast failFast) {
         configureNetty();
-        Clock clock = Clock.system();
-        NodeLog log = NodeLog.to(System.out, clock);
-        Thread.setDefaultUncaughtExceptionHandler((thread, error) -> failFast(log, error));
         EventLoop loop =
                 (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Timers timers =
                 (delay, action) ->
-                        loop.schedule(failingFast(log, action), delay, TimeUnit.MILLISECONDS);
+                        loop.schedule(failFast.guard(action), delay, TimeUnit.MILLISECONDS);
         Node node = new Node(settings, loop, clock, timers, log);
         CountDownLatch stopped = new CountDownLatch(1);
         Thread hook =
@@ -61,17 +66,17 @@
                         },
                         "stop");
         Runtime.getRuntime().addShutdownHook(hook);
-        start(node, loop, log);
+        start(node, loop, log, failFast);
         SettingsWatch watch = new SettingsWatch(file, settings, timers, log, node::updateSettings);
         loop.execute(watch::watch);
         // The default action of SIGHUP would end the process.
         Signal.handle(new Signal("HUP"), s -> loop.execute(() -> watch.reload("signal")));
     }
 
-    private static void start(Node node, EventLoop loop, NodeLog log) {
+    private static void start(Node node, EventLoop loop, NodeLog log, FailFast failFast) {
         try {
             node.listen();
-            loop.execute(failingFast(log, node::start));
+            loop.execute(failFast.guard(node::start));
         } catch (IOException e) {
             log.line("start-failed").with("error", e.getMessage()).write();
             log.flush(System.out);
@@ -79,22 +84,10 @@
         }
     }
 
-    /** Ends the process on an unchecked exception; another node recovers from the journal. */
-    private static Runnable failingFast(NodeLog log, Runnable action) {
-        return () -> {
-            try {
-                action.run();
-            } catch (RuntimeException | Error e) {
-                failFast(log, e);
-            }
-        };
-    }
-
-    private static void failFast(NodeLog log, Throwable error) {
+    private static void reportFailure(NodeLog log, Throwable error) {
         error.printStackTrace();
         log.line("broken").with("error", error).write();
         log.flush(System.out);
-        Runtime.getRuntime().halt(EXIT_FAILURE);
     }
 
     /** Presets Netty's logging and machine ID to save its start-up detection. */
