A standing task counts as available only if that is certain

Cause: a task counted as available when its run was ready at the last poll. Two ways to be wrong: - A new owner polls a worker 0.1 to 0.2 s after its predecessor told it to stop a run. The worker lists the run as ready until the stop has completed. The owner counts it as available and stops another one.

Fix: a run that an earlier owner started counts once it is listed by a poll that was sent after the longest stop had passed since the worker's first answer, from which on it rejects the earlier owner's commands. A run on an unresponsive worker doesn't count. The longest stop is a setting, worker.stopMs.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
@@ -62,11 +62,11 @@
         mRemainingTasks--;
     }
 
-    /** Tasks that have no ready run. */
+    /** Tasks without a run that certainly serves. */
     int unavailableTasks() {
         int unavailable = 0;
         for (ActiveTask s : mTasks) {
-            unavailable += s.isReady() ? 0 : 1;
+            unavailable += s.isAvailable() ? 0 : 1;
         }
         return unavailable;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
@@ -95,8 +95,8 @@
         return !mDone && mRuns.isEmpty();
     }
 
-    /** Whether one of its runs is ready to serve. */
-    boolean isReady() {
-        return mRuns.stream().anyMatch(TaskRun::isReady);
+    /** Whether one of its runs certainly serves. */
+    boolean isAvailable() {
+        return mRuns.stream().anyMatch(TaskRun::isAvailable);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
@@ -5,8 +5,9 @@
  *
  * @param leaseMs longest lease of a worker
  * @param earlyMs how long before its due time a run may start
+ * @param stopMs longest time that a worker takes to stop a run
  */
-public record ScheduleLimits(long leaseMs, long earlyMs) {
+public record ScheduleLimits(long leaseMs, long earlyMs, long stopMs) {
     /** Maximum relative drift of a worker's clock against ours. */
     static final double CLOCK_DRIFT = 0.02;
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -143,7 +143,7 @@
     /** Applies a worker's answer to a poll. */
     public PollResult pollAnswered(
             WorkerState worker, PollResponse response, long sentMs, long nowMs) {
-        worker.recordAnswer(response.clockMs(), nowMs);
+        worker.recordAnswer(response.clockMs(), nowMs, mLimits.stopMs());
         worker.markPolled();
         PollResult result = mRuns.applyPoll(worker, response, sentMs, nowMs);
         if (result.toStore().isEmpty()) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -20,6 +20,8 @@
     private long mLastCommandMs;
     private int mPace = FULL_PACE;
     private long mReadyMs = -1;
+    private boolean mInherited;
+    private long mListedMs = Long.MIN_VALUE / 2;
     private boolean mUncertain;
     private boolean mCommandDue;
 
@@ -43,6 +45,7 @@
     void markInherited(long nowMs) {
         mPhase = RunPhase.RUNNING;
         mConfirmedMs = nowMs;
+        mInherited = true;
     }
 
     public ActiveTask task() {
@@ -75,6 +78,15 @@
         return mPhase == RunPhase.RUNNING && mProgress >= RunStatus.READY_PERCENT;
     }
 
+    /**
+     * Whether the run is ready, its worker answers, and no earlier owner is stopping it: a worker
+     * goes on listing a run as ready until a stop has completed.
+     */
+    boolean isAvailable() {
+        boolean mayBeStopping = mInherited && mListedMs < mWorker.earlierStopsEndMs();
+        return isReady() && !mWorker.isUnresponsive() && !mayBeStopping;
+    }
+
     /** Time of the worker's first confirmation, or else of the start. */
     long firstSeenMs() {
         return mConfirmedMs < 0 ? mStartedMs : mConfirmedMs;
@@ -166,8 +178,10 @@
         mLastCommandMs = Long.MIN_VALUE / 2;
     }
 
-    void update(RunStatus status, long nowMs) {
+    /** Applies the worker's report in an answer to a poll that was sent at {@code sentMs}. */
+    void update(RunStatus status, long sentMs, long nowMs) {
         confirm(nowMs);
+        mListedMs = Math.max(mListedMs, sentMs);
         if (status.percent() != mProgress) {
             mProgress = status.percent();
             mProgressChangedMs = nowMs;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerEvacuation.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerEvacuation.java
@@ -65,7 +65,7 @@
         int budget = Math.max(1, task.spec().mode().maxUnavailable());
         int unavailable = 0;
         for (ActiveTask other : task.step().tasks()) {
-            unavailable += other != task && !other.isReady() ? 1 : 0;
+            unavailable += other != task && !other.isAvailable() ? 1 : 0;
         }
         return unavailable < budget;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -25,6 +25,7 @@
     private boolean mHasClock;
     private long mClockOffsetMs;
     private long mLastAnswerMs;
+    private long mEarlierStopsEndMs = Long.MAX_VALUE;
     private long mGrantedMs;
     private long mSeenEnds;
     private long mStoredEnds;
@@ -212,15 +213,24 @@
         mUnresponsive = true;
     }
 
-    void recordAnswer(long clockMs, long nowMs) {
+    void recordAnswer(long clockMs, long nowMs, long stopMs) {
         mUnresponsive = false;
         mLastAnswerMs = nowMs;
+        mEarlierStopsEndMs = Math.min(mEarlierStopsEndMs, nowMs + stopMs);
         if (clockMs >= 0) {
             mHasClock = true;
             mClockOffsetMs = clockMs - nowMs;
         }
     }
 
+    /**
+     * Time by which all stops that an earlier owner requested have completed: the worker rejects
+     * that owner's commands once it has answered this one.
+     */
+    long earlierStopsEndMs() {
+        return mEarlierStopsEndMs;
+    }
+
     void markPolled() {
         mPolled = true;
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/lease/RenewalWindowTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/lease/RenewalWindowTest.java
@@ -8,7 +8,7 @@
 
 public class RenewalWindowTest {
     private static final long LEASE_MS = 6000;
-    private static final ScheduleLimits LIMITS = new ScheduleLimits(LEASE_MS, 250);
+    private static final ScheduleLimits LIMITS = new ScheduleLimits(LEASE_MS, 250, 200);
     private static final double DRIFT = 0.02;
     private static final ClockReading START = at(10_000);
 
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -29,7 +29,7 @@
 
 /** Runs the real scheduler for tests, with a clock and workers controlled by the test. */
 final class OwnerHarness {
-    static final ScheduleLimits LIMITS = new ScheduleLimits(6000, 250);
+    static final ScheduleLimits LIMITS = new ScheduleLimits(6000, 250, 200);
     static final long CORE = 1000;
     static final long WALL_MS = 1_000_000;
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -58,7 +58,9 @@
                                 : addressText("/platform/advice"));
         ScheduleLimits schedule =
                 new ScheduleLimits(
-                        (long) number("/worker/leaseMs"), (long) number("/jobs/earlyMs"));
+                        (long) number("/worker/leaseMs"),
+                        (long) number("/jobs/earlyMs"),
+                        (long) number("/worker/stopMs"));
         NodeSettings.JournalLimits journal =
                 new NodeSettings.JournalLimits(
                         secondsAsMs("/platform/keepS"),
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -67,7 +67,7 @@
                         ephemeral,
                         new PlatformAddresses(address, address, address),
                         new NodeSettings.JournalLimits(RUN_MS, RUN_MS, 1),
-                        new ScheduleLimits(RUN_MS, RUN_MS),
+                        new ScheduleLimits(RUN_MS, RUN_MS, RUN_MS),
                         true,
                         LinkRate.UNKNOWN,
                         RUN_MS);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -9,13 +9,14 @@
 
 public class NodeSettingsReaderTest {
     private static final String GOOD =
-            "// a comment\n{\"node\":{\"name\":\"n\",\"zone\":\"z\",\"graceS\":6},\"listen\":{"
-                    + "\"callers\":\"10.0.0.1:1\",\"readiness\":\"10.0.0.1:2\","
-                    + "\"metrics\":\"10.0.0.1:3\",\"peers\":\"10.0.0.1:4\"},\"platform\":{"
-                    + "\"store\":\"10.0.0.2:1\",\"vms\":\"10.0.0.3:1\",\"advice\":\"\","
-                    + "\"keepS\":300,\"parts\":8,\"vmTokensChecked\":false,\"new\":1},\"worker\":{"
-                    + "\"orders\":\"call\",\"leaseMs\":6000},\"jobs\":{\"statusS\":120,"
-                    + "\"earlyMs\":250}}";
+            "// a comment\n"
+                + "{\"node\":{\"name\":\"n\",\"zone\":\"z\",\"graceS\":6},\"listen\":{"
+                + "\"callers\":\"10.0.0.1:1\",\"readiness\":\"10.0.0.1:2\","
+                + "\"metrics\":\"10.0.0.1:3\",\"peers\":\"10.0.0.1:4\"},\"platform\":{"
+                + "\"store\":\"10.0.0.2:1\",\"vms\":\"10.0.0.3:1\",\"advice\":\"\","
+                + "\"keepS\":300,\"parts\":8,\"vmTokensChecked\":false,\"new\":1},\"worker\":{"
+                + "\"orders\":\"call\",\"leaseMs\":6000,\"stopMs\":200},\"jobs\":{\"statusS\":120,"
+                + "\"earlyMs\":250}}";
 
     @Test
     public void settingsWithCommentsAndUnknownFieldsAreRead() throws SettingsException {
@@ -24,6 +25,7 @@
         assertEquals(settings.name(), "n");
         assertEquals(settings.graceMs(), 6000);
         assertEquals(settings.schedule().leaseMs(), 6000);
+        assertEquals(settings.schedule().stopMs(), 200);
         assertEquals(settings.journal().retentionMs(), 300_000);
         assertEquals(settings.peers().getPort(), 4);
         assertFalse(settings.vmTokensChecked());
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -42,7 +42,7 @@
     private static final String SERVICE = "reconciliation";
     private static final String JOB = "00000000000000aa";
     private static final TaskName TASK = new TaskName(JOB, 0, 0, 0);
-    private static final ScheduleLimits LIMITS = new ScheduleLimits(6000, 250);
+    private static final ScheduleLimits LIMITS = new ScheduleLimits(6000, 250, 200);
     private static final long STEP_MS = 10;
 
     private FakeTime mTime;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -32,7 +32,7 @@
             boolean vmTokensChecked,
             OperatorFollower operator,
             OwnerContext.Platform platform) {
-        ScheduleLimits limits = new ScheduleLimits(1, 1);
+        ScheduleLimits limits = new ScheduleLimits(1, 1, 1);
         return of(time, log, vmTokensChecked, limits, operator, platform, (record, job) -> {});
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/NarrowOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/NarrowOwnerTest.java
@@ -146,7 +146,7 @@
                 mTime,
                 mLog,
                 true,
-                new ScheduleLimits(6000, 250),
+                new ScheduleLimits(6000, 250, 200),
                 LINK,
                 operator,
                 new OwnerContext.Platform(
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -19,6 +19,9 @@
     private static final int PORTS = 4;
     private static final int LEASE_MS = 6000;
 
+    /** Longest time that a worker takes to stop a run, in milliseconds. */
+    private static final int STOP_MS = 200;
+
     private final String mName;
     private final String mZone;
     private final String mIp;
@@ -114,7 +117,8 @@
                         + "\"metrics\":\"%s\",\"peers\":\"%s\"},"
                         + "\"platform\":{\"store\":\"%s\",\"vms\":\"%s\",\"advice\":\"\","
                         + "\"keepS\":300,\"parts\":8,\"vmTokensChecked\":%b},"
-                        + "\"worker\":{\"orders\":\"call\",\"leaseMs\":%d},"
+                        + "\"worker\":{\"orders\":\"call\",\"leaseMs\":%d,"
+                        + "\"stopMs\":%d},"
                         + "\"jobs\":{\"statusS\":120,\"earlyMs\":250}}",
                 mName,
                 mZone,
@@ -126,7 +130,8 @@
                 address(mStore.address()),
                 address(mVms.address()),
                 mTokensChecked,
-                LEASE_MS);
+                LEASE_MS,
+                STOP_MS);
     }
 
     private String port(int number) {
