An owner on a busy link starts tasks through other nodes

Cause: a start carries its job's text, some 2.5 KB. 0.4 of 10 Mbit/s is 200 of them a second: the log shows 160 to 240 starts a second from 6 to 32 s, answered in 8 to 93 ms on average, while up to 4,946 tasks of a service wait. So neither workers nor the link's latency bind, but the budget. An owner with such a backlog also spends its processor on deciding again.

Fix: while half of the budget's burst is used up, a start goes to a follower as a command without the text (250 bytes), and the follower adds the text from its replica. To the worker it is a direct start that was delayed: the owner's token, and a lease computed when the owner sent it. Only followers that offer it are sent such frames, as older ones would misread them.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/LinkBudget.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/LinkBudget.java
@@ -30,13 +30,22 @@
 
     /** Takes bytes from the bucket and returns true, or returns false if it holds too few. */
     public boolean tryConsume(long bytes, long nowMs) {
+        return tryConsume(bytes, 0, nowMs);
+    }
+
+    /**
+     * The same, but leaves a share of a full bucket for other traffic.
+     *
+     * @param reservedShare share that must be left, 0 to 1
+     */
+    public boolean tryConsume(long bytes, double reservedShare, long nowMs) {
         if (mBytesPerMs == Double.POSITIVE_INFINITY) {
             return true;
         }
         mAvailableBytes =
                 Math.min(mCapacityBytes, mAvailableBytes + mBytesPerMs * (nowMs - mLastRefillMs));
         mLastRefillMs = nowMs;
-        if (bytes > mAvailableBytes) {
+        if (bytes > mAvailableBytes - reservedShare * mCapacityBytes) {
             return false;
         }
         mAvailableBytes -= bytes;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -31,6 +31,7 @@
 import org.foxtailplank.node.peer.JobQueries;
 import org.foxtailplank.node.peer.JournalStream;
 import org.foxtailplank.node.peer.OwnerLink;
+import org.foxtailplank.node.peer.RelayedStartHandler;
 import org.foxtailplank.port.SharedLog;
 
 /** Assembles the components of one node; all of them run on one event loop thread. */
@@ -117,6 +118,7 @@
         mLink = new OwnerLink(loop, clock, timers, log, mReader);
         mReader.setStreaming(mLink::isAlive);
         mLink.setStandbyCondition(this::isStandby);
+        mLink.setRelayedStartHandler(new RelayedStartHandler(mReader, mPlatform.workerClient()));
         mResignationPolicy = new ResignationPolicy(settings.link());
         mWriter =
                 new JournalWriter(
@@ -302,7 +304,8 @@
                                 mPlatform.workerClient(),
                                 mPlatform.vmActions(),
                                 mPlatform.placementAdvice(),
-                                mPlatform.wavePublisher()));
+                                mPlatform.wavePublisher()),
+                        mStream.startRelay());
         OwnerSession session = new OwnerSession(context, taken, this::fenced);
         mOwner = Optional.of(session);
         mLink.setOwner(Optional.empty());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
@@ -1,15 +1,18 @@
 package org.foxtailplank.node.owner;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Set;
+import java.util.WeakHashMap;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.node.LinkBudget;
 import org.foxtailplank.port.CommandOutcome;
-import org.foxtailplank.port.WorkerClient.CommandResponse;
 import org.foxtailplank.port.WorkerClient.RunCommand;
 import org.foxtailplank.port.WorkerClient.StartCommand;
 import org.foxtailplank.schedule.Decisions;
+import org.foxtailplank.schedule.RunPhase;
 import org.foxtailplank.schedule.TaskRun;
 import org.foxtailplank.schedule.WorkerState;
 
@@ -32,11 +35,20 @@
      */
     private static final int START_OVERHEAD_BYTES = 600;
 
+    /** Estimated size of a relayed start, in bytes. */
+    private static final int RELAYED_START_BYTES = 250;
+
+    /** Share of the starts' burst that is left to relayed starts while there is a relay. */
+    private static final double RELAY_RESERVE = 0.5;
+
     private final OwnerSession mOwner;
     private final OwnerContext mContext;
     private final long mToken;
     private final LinkBudget mStartBudget;
 
+    /** Runs whose start the relay couldn't send, which are sent directly. */
+    private final Set<TaskRun> mNotRelayed = Collections.newSetFromMap(new WeakHashMap<>());
+
     CommandSender(OwnerSession owner, OwnerContext context, long token) {
         mOwner = owner;
         mContext = context;
@@ -80,7 +92,8 @@
     }
 
     /**
-     * Sends a start if a full lease can be granted and the link has capacity, else delays it.
+     * Sends a start if a full lease can be granted and the link has capacity, else delays it. While
+     * the link is busy, starts go through other nodes, which need not be sent the task's text.
      *
      * <p>A start recorded during a store outage is stored by an append that was first sent when the
      * outage began. The rest of a lease counted from that time is too short and the run would
@@ -94,25 +107,62 @@
         long now = mContext.clock().nowMs();
         String text = run.task().step().job().definition().text();
         int bytes = Math.min(START_OVERHEAD_BYTES + text.length(), MAX_START_BYTES);
-        if (!mOwner.canGrantFullLease() || !mStartBudget.tryConsume(bytes, now)) {
+        boolean relayable = mContext.startRelay().isAvailable() && !mNotRelayed.contains(run);
+        if (!mOwner.canGrantFullLease()) {
+            mOwner.scheduler().retryStart(run);
+        } else if (mStartBudget.tryConsume(bytes, relayable ? RELAY_RESERVE : 0, now)) {
+            sendDirectly(start, text, now);
+        } else if (relayable && mStartBudget.tryConsume(RELAYED_START_BYTES, now)) {
+            relay(start, now);
+        } else {
             mOwner.scheduler().retryStart(run);
-            return;
         }
-        WorkerState worker = run.worker();
-        StartCommand command =
-                new StartCommand(
-                        runCommand(run),
-                        text,
-                        run.task().checkpoint(),
-                        start.ticket(),
-                        worker.renewLease(now, mOwner.workerLeaseMs()));
+    }
+
+    private void sendDirectly(Decisions.Start start, String text, long now) {
+        TaskRun run = start.run();
+        mNotRelayed.remove(run);
         mContext.metrics().counter("starts").inc();
         mContext.platform()
                 .workerClient()
-                .start(worker.address(), command, a -> handleStartAnswer(run, a, now));
+                .start(
+                        run.worker().address(),
+                        command(start, text, now),
+                        a -> handleStartAnswer(run, a.outcome(), now, false));
+    }
+
+    private void relay(Decisions.Start start, long now) {
+        TaskRun run = start.run();
+        mContext.metrics().counter("relayedStarts").inc();
+        mContext.startRelay()
+                .start(
+                        run.worker().address(),
+                        command(start, "", now),
+                        outcome ->
+                                outcome.ifPresentOrElse(
+                                        o -> handleStartAnswer(run, o, now, true),
+                                        () -> handleNotRelayed(run)));
+    }
+
+    private void handleNotRelayed(TaskRun run) {
+        if (!mOwner.hasEnded() && run.phase() == RunPhase.STARTING) {
+            mNotRelayed.add(run);
+            mOwner.scheduler().retryStart(run);
+        }
+    }
+
+    private StartCommand command(Decisions.Start start, String text, long now) {
+        TaskRun run = start.run();
+        return new StartCommand(
+                runCommand(run),
+                text,
+                run.task().checkpoint(),
+                start.ticket(),
+                run.worker().renewLease(now, mOwner.workerLeaseMs()));
     }
 
-    private void handleStartAnswer(TaskRun run, CommandResponse response, long sentMs) {
+    private void handleStartAnswer(
+            TaskRun run, CommandOutcome outcome, long sentMs, boolean relayed) {
         if (mOwner.hasEnded()) {
             return;
         }
@@ -123,14 +173,15 @@
                 .with("task", run.task().name())
                 .with("attempt", run.attempt())
                 .with("worker", run.worker().id())
-                .with("outcome", response.outcome())
+                .with("outcome", outcome)
                 .with("tookMs", now - sentMs)
+                .with("relayed", relayed)
                 .write();
-        if (handleTerminalAnswer(run.worker(), response)) {
+        if (handleTerminalAnswer(run.worker(), outcome)) {
             return;
         }
-        mOwner.scheduler().startAnswered(run, response.outcome(), now);
-        if (response.outcome() != CommandOutcome.DONE) {
+        mOwner.scheduler().startAnswered(run, outcome, now);
+        if (outcome != CommandOutcome.DONE) {
             mOwner.scheduleDecision();
         }
     }
@@ -139,12 +190,12 @@
      * Handles an answer that ends the owner's work or the worker's incarnation; returns whether it
      * did.
      */
-    private boolean handleTerminalAnswer(WorkerState worker, CommandResponse response) {
-        if (response.outcome() == CommandOutcome.FENCED) {
+    private boolean handleTerminalAnswer(WorkerState worker, CommandOutcome outcome) {
+        if (outcome == CommandOutcome.FENCED) {
             mOwner.handleFenced(worker.id());
             return true;
         }
-        if (response.outcome() == CommandOutcome.OTHER_LIFE) {
+        if (outcome == CommandOutcome.OTHER_LIFE) {
             mOwner.handleWorkerEnded(worker, "another incarnation answered");
             return true;
         }
@@ -170,7 +221,7 @@
                                     .with("why", run.stopReason())
                                     .with("outcome", a.outcome())
                                     .write();
-                            if (!handleTerminalAnswer(run.worker(), a)) {
+                            if (!handleTerminalAnswer(run.worker(), a.outcome())) {
                                 long now = mContext.clock().nowMs();
                                 mOwner.scheduler().stopAnswered(run, a.outcome(), now);
                             }
@@ -191,7 +242,7 @@
                         run.worker().address(),
                         runCommand(run),
                         pace.percent(),
-                        a -> handleTerminalAnswer(run.worker(), a));
+                        a -> handleTerminalAnswer(run.worker(), a.outcome()));
     }
 
     private void ask(Decisions.AdviceRequest request) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerContext.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerContext.java
@@ -7,6 +7,7 @@
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.StartRelay;
 import org.foxtailplank.port.ChangeFeed;
 import org.foxtailplank.port.PlacementAdvisor;
 import org.foxtailplank.port.SharedLog;
@@ -25,7 +26,8 @@
         OperatorFollower operator,
         JournalReader reader,
         SharedLog sharedLog,
-        Platform platform) {
+        Platform platform,
+        StartRelay startRelay) {
 
     /** Platform ports that only an owner uses. */
     public record Platform(
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/FollowerRelay.java
@@ -0,0 +1,98 @@
+package org.foxtailplank.node.peer;
+
+import io.netty.channel.Channel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailplank.node.Timers;
+import org.foxtailplank.port.CommandOutcome;
+import org.foxtailplank.port.WorkerClient.StartCommand;
+import org.foxtailplank.port.WorkerClient.WorkerAddress;
+
+/** Relays an owner's starts through the followers that offered it, in turn. */
+final class FollowerRelay implements StartRelay {
+    /**
+     * How long to wait for a follower's response, in milliseconds: a read of the journal and a call
+     * to the worker, each of which has a shorter timeout.
+     */
+    private static final long RESPONSE_TIMEOUT_MS = 1800;
+
+    private final Timers mTimers;
+    private final Deque<Channel> mFollowers = new ArrayDeque<>();
+    private final Map<Long, Pending> mPending = new LinkedHashMap<>();
+    private long mLastNumber;
+
+    private record Pending(Channel follower, Consumer<Optional<CommandOutcome>> callback) {}
+
+    FollowerRelay(Timers timers) {
+        mTimers = timers;
+    }
+
+    void addFollower(Channel follower) {
+        if (!mFollowers.contains(follower)) {
+            mFollowers.add(follower);
+        }
+    }
+
+    /** Removes a follower; the starts that it may have sent count as unanswered. */
+    void removeFollower(Channel follower) {
+        mFollowers.remove(follower);
+        List<Long> lost = new ArrayList<>();
+        mPending.forEach(
+                (number, pending) -> {
+                    if (pending.follower().equals(follower)) {
+                        lost.add(number);
+                    }
+                });
+        lost.forEach(n -> complete(n, Optional.of(CommandOutcome.UNANSWERED)));
+    }
+
+    @Override
+    public boolean isAvailable() {
+        return mFollowers.stream().anyMatch(Channel::isWritable);
+    }
+
+    @Override
+    public void start(
+            WorkerAddress worker,
+            StartCommand command,
+            Consumer<Optional<CommandOutcome>> callback) {
+        Optional<Channel> follower = nextFollower();
+        if (follower.isEmpty()) {
+            callback.accept(Optional.empty());
+            return;
+        }
+        long number = ++mLastNumber;
+        mPending.put(number, new Pending(follower.get(), callback));
+        mTimers.after(
+                RESPONSE_TIMEOUT_MS,
+                () -> complete(number, Optional.of(CommandOutcome.UNANSWERED)));
+        PeerFrame frame = new PeerFrame.RelayedStart(number, worker, command);
+        follower.get().writeAndFlush(frame.encode());
+    }
+
+    /** Returns the writable follower that was used the longest time ago. */
+    private Optional<Channel> nextFollower() {
+        for (int i = 0; i < mFollowers.size(); i++) {
+            Channel follower = mFollowers.poll();
+            mFollowers.add(follower);
+            if (follower.isWritable()) {
+                return Optional.of(follower);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Completes a relayed start; a response after its timeout is ignored. */
+    void complete(long number, Optional<CommandOutcome> outcome) {
+        Pending pending = mPending.remove(number);
+        if (pending != null) {
+            pending.callback().accept(outcome);
+        }
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -37,6 +37,7 @@
     private final StreamBudget mBudget;
     private final Handover mHandover;
     private final JobQueries mJobQueries;
+    private final FollowerRelay mRelay;
     private final Set<Channel> mFollowers = new HashSet<>();
     private final ByteBuf mBatch = Unpooled.buffer();
     private boolean mFlushScheduled;
@@ -56,6 +57,7 @@
         mBudget = new StreamBudget(link, clock.nowMs());
         mHandover = handover;
         mJobQueries = jobQueries;
+        mRelay = new FollowerRelay(timers);
     }
 
     /**
@@ -101,6 +103,11 @@
         return mLastStandbyMs;
     }
 
+    /** Returns the relay of an owner's starts through its followers. */
+    public StartRelay startRelay() {
+        return mRelay;
+    }
+
     /** Returns how many batches were sent. */
     long flushCount() {
         return mFlushCount;
@@ -135,6 +142,10 @@
                 respond(query, context);
             } else if (frame instanceof PeerFrame.Standby) {
                 mLastStandbyMs = mClock.nowMs();
+            } else if (frame instanceof PeerFrame.RelayOffer) {
+                mRelay.addFollower(context.channel());
+            } else if (frame instanceof PeerFrame.RelayResponse response) {
+                mRelay.complete(response.number(), response.outcome());
             }
         }
 
@@ -157,6 +168,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             mFollowers.remove(context.channel());
+            mRelay.removeFollower(context.channel());
         }
 
         @Override
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -54,6 +54,8 @@
     private long mLastHandover;
     private Runnable mUnavailableListener = () -> {};
     private BooleanSupplier mStandbyCondition = () -> false;
+    private Optional<RelayedStartHandler> mRelayedStarts = Optional.empty();
+    private boolean mRelayOffered;
     private boolean mConnecting;
     private OwnerState mUnavailableState = OwnerState.SILENT;
     private long mUnavailableToken = -1;
@@ -96,6 +98,11 @@
         mStandbyCondition = condition;
     }
 
+    /** Offers the owner to relay its starts, and sets the handler that sends them. */
+    public void setRelayedStartHandler(RelayedStartHandler handler) {
+        mRelayedStarts = Optional.of(handler);
+    }
+
     @Override
     public OwnerState state(long token) {
         if (token == mUnavailableToken) {
@@ -269,6 +276,7 @@
             }
             mChannel = Optional.of(context.channel());
             mClockOffsetMs = Long.MAX_VALUE;
+            mRelayOffered = false;
             mLastFrameMs = mClock.nowMs();
         }
 
@@ -312,6 +320,32 @@
             }
         } else if (frame instanceof PeerFrame.QueryResponse response) {
             mPendingQueries.complete(response.number(), response.value());
+        } else if (frame instanceof PeerFrame.RelayedStart start) {
+            relay(start);
+        }
+    }
+
+    /** Sends a relayed start and returns its outcome on the connection that it came from. */
+    private void relay(PeerFrame.RelayedStart start) {
+        Optional<Channel> origin = mChannel;
+        mRelayedStarts.ifPresent(
+                handler ->
+                        handler.handle(
+                                start,
+                                outcome ->
+                                        origin.ifPresent(
+                                                c ->
+                                                        c.writeAndFlush(
+                                                                new PeerFrame.RelayResponse(
+                                                                                start.number(),
+                                                                                outcome)
+                                                                        .encode()))));
+    }
+
+    private void offerRelay() {
+        if (!mRelayOffered && mRelayedStarts.isPresent()) {
+            mRelayOffered = true;
+            mChannel.ifPresent(c -> c.writeAndFlush(new PeerFrame.RelayOffer().encode()));
         }
     }
 
@@ -333,6 +367,7 @@
             return;
         }
         frameReceived();
+        offerRelay();
         long now = mClock.nowMs();
         mLastStoredMs = now - frame.storedMsAgo();
         // The smallest delay excludes the time that later frames spend queued on a full link.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -15,6 +15,9 @@
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPosition;
 import org.foxtailplank.node.journal.StoreOutcome;
+import org.foxtailplank.port.CommandOutcome;
+import org.foxtailplank.port.WorkerClient.StartCommand;
+import org.foxtailplank.port.WorkerClient.WorkerAddress;
 
 /** A message of the peer protocol between two nodes. */
 sealed interface PeerFrame {
@@ -146,6 +149,53 @@
         }
     }
 
+    /** From a follower to an owner: it relays starts. Peers without this frame aren't sent any. */
+    record RelayOffer() implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeBool(Field.RELAY_OFFER, true);
+        }
+    }
+
+    /**
+     * From the owner to a follower that offered it: a start to send to a worker.
+     *
+     * @param number number of the relayed start on this owner
+     * @param worker the worker
+     * @param command the command; its text is not sent, since the follower's replica has it
+     */
+    record RelayedStart(long number, WorkerAddress worker, StartCommand command)
+            implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeInt64(Field.RELAYED_START, number);
+            out.writeString(Field.WORKER, worker.id());
+            out.writeString(Field.ADDRESS, worker.address());
+            out.writeString(Field.TASK, command.run().task().toString());
+            out.writeInt32(Field.ATTEMPT, command.run().attempt());
+            out.writeInt64(Field.TOKEN, command.run().token());
+            out.writeInt64(Field.LEASE_UNTIL_MS, command.leaseUntilMs());
+            out.writeString(Field.CHECKPOINT, command.checkpoint());
+            out.writeString(Field.TICKET, command.ticket());
+        }
+    }
+
+    /**
+     * From a follower to the owner: the outcome of a relayed start.
+     *
+     * @param number number of the relayed start
+     * @param outcome the worker's answer; empty if the follower did not send the command
+     */
+    record RelayResponse(long number, Optional<CommandOutcome> outcome) implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeInt64(Field.RELAYED_START, number);
+            if (outcome.isPresent()) {
+                out.writeInt32(Field.COMMAND_OUTCOME, outcome.get().ordinal());
+            }
+        }
+    }
+
     /** Field numbers on the wire. */
     final class Field {
         static final int TOKEN = 1;
@@ -165,6 +215,16 @@
         static final int COMPLETE_MS = 15;
         static final int STANDBY = 16;
         static final int NARROW = 17;
+        static final int RELAY_OFFER = 18;
+        static final int RELAYED_START = 19;
+        static final int WORKER = 20;
+        static final int ADDRESS = 21;
+        static final int TASK = 22;
+        static final int ATTEMPT = 23;
+        static final int LEASE_UNTIL_MS = 24;
+        static final int CHECKPOINT = 25;
+        static final int TICKET = 26;
+        static final int COMMAND_OUTCOME = 27;
 
         private Field() {}
     }
@@ -194,6 +254,7 @@
         long offset = 0;
         int partition = 0;
         HeartbeatFields heartbeat = new HeartbeatFields();
+        RelayFields relay = new RelayFields();
         Optional<byte[]> record = Optional.empty();
         Optional<Long> handover = Optional.empty();
         Optional<StoreOutcome> outcome = Optional.empty();
@@ -215,14 +276,19 @@
                         content = Optional.of(new Query(0, Subject.QUEUE, in.readString()));
                 case Field.VALUE -> value = Optional.of(in.readInt32());
                 case Field.STANDBY -> standby = in.readBool();
-                default -> heartbeat.read(tag, in);
+                default -> {
+                    if (!relay.read(tag, in)) {
+                        heartbeat.read(tag, in);
+                    }
+                }
             }
         }
+        Optional<PeerFrame> relayFrame = relay.toFrame(token);
+        if (relayFrame.isPresent()) {
+            return relayFrame.get();
+        }
         if (query.isPresent()) {
-            long number = query.get();
-            return content.isPresent()
-                    ? new Query(number, content.get().subject(), content.get().name())
-                    : new QueryResponse(number, value);
+            return queryFrame(query.get(), content, value);
         }
         if (standby) {
             return new Standby();
@@ -241,6 +307,13 @@
                 record.orElseThrow(() -> new IOException("handover frame without a record")));
     }
 
+    private static PeerFrame queryFrame(
+            long number, Optional<Query> content, Optional<Integer> value) {
+        return content.isPresent()
+                ? new Query(number, content.get().subject(), content.get().name())
+                : new QueryResponse(number, value);
+    }
+
     /** Collects the fields of a heartbeat while a frame is decoded. */
     final class HeartbeatFields {
         private final List<Long> mPosition = new ArrayList<>();
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/RelayedStartHandler.java
@@ -0,0 +1,65 @@
+package org.foxtailplank.node.peer;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailplank.job.JobRegistry;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.port.CommandOutcome;
+import org.foxtailplank.port.WorkerClient;
+import org.foxtailplank.port.WorkerClient.StartCommand;
+
+/** Sends the starts that an owner relays through this node, with the jobs' texts. */
+public final class RelayedStartHandler {
+    private final JournalReader mReader;
+    private final WorkerClient mWorkers;
+
+    public RelayedStartHandler(JournalReader reader, WorkerClient workers) {
+        mReader = reader;
+        mWorkers = workers;
+    }
+
+    /**
+     * Sends a start. A job that this node doesn't know yet is looked up once more after a read of
+     * the journal.
+     *
+     * @param callback receives the worker's answer, or empty if the command was not sent
+     */
+    void handle(PeerFrame.RelayedStart start, Consumer<Optional<CommandOutcome>> callback) {
+        if (text(start).isPresent()) {
+            send(start, callback);
+        } else {
+            mReader.refresh(read -> send(start, callback));
+        }
+    }
+
+    private Optional<String> text(PeerFrame.RelayedStart start) {
+        JobRegistry registry = mReader.registry();
+        return registry.job(start.command().run().task().job())
+                .filter(j -> !j.phase().isFinal())
+                .map(j -> j.definition().text());
+    }
+
+    private void send(PeerFrame.RelayedStart start, Consumer<Optional<CommandOutcome>> callback) {
+        Optional<String> text = text(start);
+        if (text.isEmpty()) {
+            callback.accept(Optional.empty());
+            return;
+        }
+        StartCommand command = start.command();
+        StartCommand complete =
+                new StartCommand(
+                        command.run(),
+                        text.get(),
+                        command.checkpoint(),
+                        command.ticket(),
+                        command.leaseUntilMs());
+        // The owner may reach a worker that this node can't connect to.
+        mWorkers.start(
+                start.worker(),
+                complete,
+                a ->
+                        callback.accept(
+                                Optional.of(a.outcome())
+                                        .filter(o -> o != CommandOutcome.NOT_SENT)));
+    }
+}
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.node.OperatorFollower;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.node.peer.StartRelay;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.schedule.ScheduleLimits;
 
@@ -85,6 +86,30 @@
                         new JobRegistry(1),
                         listener);
         return new OwnerContext(
-                settings, time, time, out, new NodeMetrics(), operator, reader, log, platform);
+                settings,
+                time,
+                time,
+                out,
+                new NodeMetrics(),
+                operator,
+                reader,
+                log,
+                platform,
+                StartRelay.NONE);
+    }
+
+    /** The same context with a relay for starts. */
+    static OwnerContext withRelay(OwnerContext context, StartRelay relay) {
+        return new OwnerContext(
+                context.settings(),
+                context.clock(),
+                context.timers(),
+                context.log(),
+                context.metrics(),
+                context.operator(),
+                context.reader(),
+                context.sharedLog(),
+                context.platform(),
+                relay);
     }
 }
