A wave moves standing tasks to VMs that it need not reboot

Callers saw: waves that are late by a few VMs, each with a standing task of a step whose tasks move one after the other.

Cause, one of several: a task that moves was placed on the fullest worker with room, which may be one of the same wave. It has to move again then, and takes another turn in its step's queue.

Fix: a worker whose VM a wave will still reboot is chosen for a standing task only if no other one has room, and reserved last.

Test: tasksMoveToVmsThatNeedNoReboot; without the fix the task is placed on w0 instead of w2.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/StandingTaskReservations.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/StandingTaskReservations.java
@@ -74,7 +74,8 @@
             }
         }
         places.sort(
-                Comparator.comparing((WorkerState w) -> !reservedBefore.contains(w))
+                Comparator.comparing(WorkerState::isRebootDue)
+                        .thenComparing(w -> !reservedBefore.contains(w))
                         .thenComparing(w -> -w.free().milliProcessors())
                         .thenComparing(WorkerState::id));
         places.stream().limit(needed).forEach(w -> w.setReservedForStanding(true));
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -111,7 +111,7 @@
             long nowMs,
             long nowWallMs) {
         List<Long> completed = new ArrayList<>();
-        mWaveSelector.reset();
+        mWaveSelector.reset(mScheduler);
         for (DueWave due : waves) {
             MaintenanceWave wave = due.wave();
             if (mVms.all().isEmpty() || registry.isCompleted(wave.number())) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveRebootSelector.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveRebootSelector.java
@@ -36,8 +36,9 @@
     private final Map<ActiveStep, Integer> mCriticalMoves = new LinkedHashMap<>();
 
     /** Starts a new decision on all waves. */
-    void reset() {
+    void reset(Scheduler scheduler) {
         mCriticalMoves.clear();
+        scheduler.workers().forEach(w -> w.setRebootDue(false));
     }
 
     /** Number of tasks that have to move, for each time-critical step. */
@@ -72,6 +73,7 @@
                 continue;
             }
             remaining.add(v);
+            scheduler.worker(v.info().worker()).ifPresent(w -> w.setRebootDue(true));
             planned += v.planned().isPresent() ? 1 : 0;
         }
         int budget = wave.maxConcurrent() - down - planned;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -7,15 +7,19 @@
 /**
  * Selects a worker for a task.
  *
- * <p>Prefers workers on which the task has not failed, then workers that are not slow, then those
- * in the rack of the data or, if the step should keep together, of its other tasks. Among equals it
- * selects the fullest worker that fits, which leaves room for large tasks and frees whole VMs.
+ * <p>Prefers workers on which the task has not failed, then workers that are not slow, for a
+ * standing task those whose VM need not be rebooted, then those in the rack of the data or, if the
+ * step should keep together, of its other tasks. Among equals it selects the fullest worker that
+ * fits, which leaves room for large tasks and frees whole VMs.
  */
 final class WorkerChooser {
     private static final double FAILED_BEFORE_COST = 1000;
     private static final double REMOTE_COST = 100;
     private static final double SLOW_COST = 300;
 
+    /** A standing task would have to move once more, while its step allows few moves at a time. */
+    private static final double REBOOT_DUE_COST = 200;
+
     private WorkerChooser() {}
 
     static Optional<WorkerState> choose(
@@ -81,6 +85,9 @@
         if (worker.isSlow(nowMs)) {
             cost += SLOW_COST;
         }
+        if (worker.isRebootDue() && task.spec().mode().standing()) {
+            cost += REBOOT_DUE_COST;
+        }
         double free = worker.free().milliProcessors();
         return cost + free / Math.max(1, worker.info().capacity().milliProcessors());
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -22,6 +22,7 @@
     private boolean mListed = true;
     private boolean mEvacuating;
     private boolean mReservedForStanding;
+    private boolean mRebootDue;
     private boolean mHasClock;
     private long mClockOffsetMs;
     private long mLastAnswerMs;
@@ -204,6 +205,15 @@
         mReservedForStanding = reserved;
     }
 
+    /** Whether a wave will reboot the worker's VM. */
+    boolean isRebootDue() {
+        return mRebootDue;
+    }
+
+    void setRebootDue(boolean due) {
+        mRebootDue = due;
+    }
+
     /** Whether the last poll went unanswered. */
     public boolean isUnresponsive() {
         return mUnresponsive;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/StandingTaskWaveTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/StandingTaskWaveTest.java
@@ -123,6 +123,39 @@
                 evacuating + " workers are being evacuated");
     }
 
+    /** Guards against a wave that moves a task onto a VM from which it has to move again. */
+    @Test
+    public void tasksMoveToVmsThatNeedNoReboot() {
+        OwnerHarness owner = new OwnerHarness();
+        List<VmInfo> vms = new ArrayList<>();
+        List<String> wave = new ArrayList<>();
+        wave.add(addServingVm(owner, vms, 0));
+        owner.accept(
+                OwnerHarness.definition(
+                        "aa", "surveys", 0, OwnerHarness.standing(1, TASK_CORES, 1)));
+        TaskRun first = owner.placeTasks().get(0);
+        wave.add(addServingVm(owner, vms, 1));
+        addServingVm(owner, vms, 2);
+        owner.poll(first.worker());
+
+        VmPlanner planner = new VmPlanner(owner.mScheduler);
+        planner.applyList(vms, owner.mNowMs);
+        MaintenanceWave maintenance = new MaintenanceWave(1, wave, LEFT_MS, 1);
+        DueWave due = new DueWave(maintenance, owner.mNowMs);
+        planner.decide(
+                owner.mConfig,
+                List.of(due),
+                owner.mRegistry,
+                true,
+                owner.mNowMs,
+                OwnerHarness.WALL_MS);
+        owner.mScheduler.runs().removeRun(first);
+        List<TaskRun> again = owner.placeTasks();
+
+        assertEquals(again.size(), 1);
+        assertEquals(again.get(0).worker().id(), "w2");
+    }
+
     private static long countStopping(List<TaskRun> runs) {
         return runs.stream().filter(r -> r.phase() == RunPhase.STOPPING).count();
     }
