Runs of an earlier owner count as available one poll sooner

Cause: a new owner's second poll is sent as the first one is answered, waits at the worker for up to a second, and did not count, since it was sent before the longest stop had passed. So a wave stood still for two seconds after each takeover.

Change: the time of a list is taken from the worker's clock in the answer and not from when the poll was sent.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -149,7 +149,7 @@
         Set<TaskRun> listed = new HashSet<>();
         List<RunStatus> orphans = new ArrayList<>();
         for (RunStatus status : response.running()) {
-            updateRun(worker, status, sentMs, nowMs)
+            updateRun(worker, status, response.clockMs(), nowMs)
                     .ifPresentOrElse(listed::add, () -> orphans.add(status));
         }
         boolean allEnds = response.ended().size() < MAX_ENDS_PER_POLL;
@@ -173,10 +173,10 @@
     }
 
     private Optional<TaskRun> updateRun(
-            WorkerState worker, RunStatus status, long sentMs, long nowMs) {
+            WorkerState worker, RunStatus status, long clockMs, long nowMs) {
         Optional<TaskRun> known = worker.run(status.task(), status.attempt());
         if (known.isPresent()) {
-            known.get().update(status, sentMs, nowMs);
+            known.get().update(status, clockMs, nowMs);
             recordJobStarted(known.get().task().step().job());
             return known;
         }
@@ -184,18 +184,18 @@
         if (task.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(adopt(task.get(), worker, status, sentMs, nowMs));
+        return Optional.of(adopt(task.get(), worker, status, clockMs, nowMs));
     }
 
     /** Adds a run started by a previous owner; stops it if the task doesn't need it. */
     private TaskRun adopt(
-            ActiveTask task, WorkerState worker, RunStatus status, long sentMs, long nowMs) {
+            ActiveTask task, WorkerState worker, RunStatus status, long clockMs, long nowMs) {
         boolean needed = task.isWaiting() && !task.step().job().isEnding();
         TaskRun run = new TaskRun(task, worker, status.attempt(), nowMs);
         task.recordAttempt(status.attempt());
         addRun(run);
         run.markInherited(nowMs);
-        run.update(status, sentMs, nowMs);
+        run.update(status, clockMs, nowMs);
         recordJobStarted(task.step().job());
         if (!needed) {
             run.requestStop("the task needs no further run", nowMs);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -178,10 +178,10 @@
         mLastCommandMs = Long.MIN_VALUE / 2;
     }
 
-    /** Applies the worker's report in an answer to a poll that was sent at {@code sentMs}. */
-    void update(RunStatus status, long sentMs, long nowMs) {
+    /** Applies a report that the worker made at {@code clockMs} on its clock. */
+    void update(RunStatus status, long clockMs, long nowMs) {
         confirm(nowMs);
-        mListedMs = Math.max(mListedMs, sentMs);
+        mListedMs = Math.max(mListedMs, clockMs);
         if (status.percent() != mProgress) {
             mProgress = status.percent();
             mProgressChangedMs = nowMs;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -226,16 +226,16 @@
     void recordAnswer(long clockMs, long nowMs, long stopMs) {
         mUnresponsive = false;
         mLastAnswerMs = nowMs;
-        mEarlierStopsEndMs = Math.min(mEarlierStopsEndMs, nowMs + stopMs);
         if (clockMs >= 0) {
+            mEarlierStopsEndMs = Math.min(mEarlierStopsEndMs, clockMs + stopMs);
             mHasClock = true;
             mClockOffsetMs = clockMs - nowMs;
         }
     }
 
     /**
-     * Time by which all stops that an earlier owner requested have completed: the worker rejects
-     * that owner's commands once it has answered this one.
+     * Time on the worker's clock by which all stops that an earlier owner requested have completed:
+     * the worker rejects that owner's commands once it has answered this one.
      */
     long earlierStopsEndMs() {
         return mEarlierStopsEndMs;
