A new owner starts a task again after the first answer that doesn't list it

The first poll is sent in the same millisecond; the second one waits at the worker for a second.

Test: aNewOwnerStartsATaskThatTheFirstAnswerDoesNotList; without the fix 0 tasks are started instead of 1.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -205,14 +205,15 @@
 
     /**
      * Finds runs that were confirmed, or told to stop, before the poll was sent and that the worker
-     * lists neither as running nor as ended.
+     * lists neither as running nor as ended. A run of an earlier owner counts as confirmed: the
+     * worker rejects a start of that owner once it has answered a poll of this one.
      */
     private static List<TaskRun> findLostRuns(
             WorkerState worker, Set<TaskRun> listed, long sentMs) {
         List<TaskRun> lost = new ArrayList<>();
         for (TaskRun run : worker.runs()) {
-            boolean confirmedBefore = run.confirmedMs() >= 0 && run.confirmedMs() < sentMs;
-            if (confirmedBefore && !listed.contains(run)) {
+            boolean confirmed = run.confirmedMs() >= 0 && run.confirmedMs() < sentMs;
+            if ((confirmed || run.isInherited()) && !listed.contains(run)) {
                 lost.add(run);
             }
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -78,6 +78,11 @@
         return mPhase == RunPhase.RUNNING && mProgress >= RunStatus.READY_PERCENT;
     }
 
+    /** Whether an earlier owner started the run. */
+    boolean isInherited() {
+        return mInherited;
+    }
+
     /**
      * Whether the run is ready, its worker answers, and no earlier owner is stopping it: a worker
      * goes on listing a run as ready until a stop has completed.
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
@@ -41,6 +41,26 @@
         assertEquals(again.get(0).attempt(), 2);
     }
 
+    /** Guards against tasks that wait for a second poll after their owner died before sending. */
+    @Test
+    public void aNewOwnerStartsATaskThatTheFirstAnswerDoesNotList() {
+        OwnerHarness first = new OwnerHarness();
+        first.addWorker("w1", "surveys", 8);
+        JobProgress job =
+                first.accept(
+                        OwnerHarness.definition(
+                                JOB, "surveys", 0, OwnerHarness.step(1, 1, 1000, List.of())));
+        first.recordStarts(first.decide().planned());
+
+        OwnerHarness second = new OwnerHarness(first.mRegistry);
+        second.mScheduler.updateWorker(OwnerHarness.info("w1", "surveys", 8), second.mNowMs);
+        second.mScheduler.addInheritedJob(job, w -> false, second.mNowMs);
+        assertTrue(second.placeTasks().isEmpty());
+        second.pollListing(second.mScheduler.worker("w1").get(), List.of(), List.of());
+
+        assertEquals(second.placeTasks().size(), 1);
+    }
+
     @Test
     public void aNewOwnerRestartsTasksOfAnEndedIncarnationAtOnce() {
         // If the list of VMs shows that the incarnation has ended, there is no lease to wait for.
