Reads of the platform wait longer after they have timed out

Callers saw: entries that answer every request with 503 on a machine with little processor time (KeyedProcessesTest and PlatformOutageTest beside load).

The read is given up after the fixed timeout of 500 ms, though the answer is there a little later, and the next one begins from the start. Until the state is loaded an entry rejects all requests.

Fix: the timeout of reads doubles with each one that times out, to eight times the configured one, and is the configured one after an answer. Appends keep theirs: how long they wait decides what callers are told.

Test: readsOfASlowLogSucceedInTheEnd; without the fix no read of a log that answers after 150 ms succeeds at a timeout of 50 ms.

--- a/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/http/PlatformCalls.java
+++ b/foxtail-platform/src/main/java/org/foxtailplank/platform/internal/http/PlatformCalls.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
@@ -38,11 +40,15 @@
     private static final Duration MAX_CONNECTION_BACKOFF = Duration.ofMillis(200);
     private static final int SERVICE_UNAVAILABLE = 503;
 
+    /** Longest timeout of a read, as a multiple of the configured timeout. */
+    private static final int MAX_READ_TIMEOUT_FACTOR = 8;
+
     private final URI mAddress;
     private final Duration mTimeout;
     private final ActorSystem mSystem;
     private final ConnectionPoolSettings mPool;
     private final ObjectMapper mJson;
+    private final AtomicInteger mReadTimeoutFactor = new AtomicInteger(1);
 
     /** Calls to one address. */
     public PlatformCalls(URI address, Duration timeout, ClassicActorSystemProvider system) {
@@ -69,9 +75,25 @@
                 .withConnectionSettings(connection);
     }
 
-    /** Gets a document; statuses given as expected are answers like any other. */
+    /**
+     * Gets a document; statuses given as expected are answers like any other.
+     *
+     * <p>The timeout doubles with each read that times out, up to a bound, and is the configured
+     * one again after an answer. With a fixed timeout, a process that gets little processor time
+     * would never load its state.
+     */
     CompletionStage<Answer> get(String path, Duration extraWait, Set<Integer> expected) {
-        return send(HttpRequest.GET(mAddress + path), mTimeout.plus(extraWait), expected);
+        Duration timeout = mTimeout.multipliedBy(mReadTimeoutFactor.get()).plus(extraWait);
+        return send(HttpRequest.GET(mAddress + path), timeout, expected)
+                .whenComplete((answer, error) -> adaptReadTimeout(error));
+    }
+
+    private void adaptReadTimeout(Throwable error) {
+        if (error == null) {
+            mReadTimeoutFactor.set(1);
+        } else if (unwrapped(error).getCause() instanceof TimeoutException) {
+            mReadTimeoutFactor.updateAndGet(f -> Math.min(MAX_READ_TIMEOUT_FACTOR, 2 * f));
+        }
     }
 
     /** Posts a document; statuses given as expected are answers like any other. */
--- a/foxtail-platform/src/test/java/org/foxtailplank/platform/HttpPlatformTest.java
+++ b/foxtail-platform/src/test/java/org/foxtailplank/platform/HttpPlatformTest.java
@@ -150,6 +150,28 @@
         assertEquals(effectOf(hasty.log().append("s", List.of(entry("a")))), Effect.UNKNOWN);
     }
 
+    /**
+     * Guards against an entry on a busy machine that never loads its state and rejects everyone.
+     */
+    @Test
+    public void readsOfASlowLogSucceedInTheEnd() throws Exception {
+        get(mPlatform.log().append("s", List.of(entry("a"))));
+        fault("{'target':'log','kind':'delay','delayMs':150}");
+        HttpPlatform hasty = HttpPlatform.at(mStandin.address(), SHORT_TIMEOUT, mSystem);
+
+        int timeouts = 0;
+        Optional<ReadResult> read = Optional.empty();
+        while (read.isEmpty() && timeouts < 5) {
+            try {
+                read = Optional.of(get(hasty.log().read("s", 1, 10, NO_WAIT)));
+            } catch (ExecutionException e) {
+                timeouts++;
+            }
+        }
+
+        assertEquals(read.map(HttpPlatformTest::ids), Optional.of(List.of("a")));
+    }
+
     @Test
     public void effectOfATruncatedAnswerIsUnknown() throws Exception {
         fault("{'target':'log','kind':'truncate','times':1}");
