A follower that doesn't respond is sent few starts to relay

Cause: found by reading.

Fix: a follower has 16 starts in flight at most, and gets none after a timeout until it responds again.

Test: followerThatDoesNotRespondIsSentFewStarts (16 of 40; the code before sent all). The clock of a list is named in the fields that hold it.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -21,7 +21,7 @@
     private int mPace = FULL_PACE;
     private long mReadyMs = -1;
     private boolean mInherited;
-    private long mListedMs = Long.MIN_VALUE / 2;
+    private long mListedClockMs = Long.MIN_VALUE / 2;
     private boolean mUncertain;
     private boolean mCommandDue;
 
@@ -88,7 +88,7 @@
      * goes on listing a run as ready until a stop has completed.
      */
     boolean isAvailable() {
-        boolean mayBeStopping = mInherited && mListedMs < mWorker.earlierStopsEndMs();
+        boolean mayBeStopping = mInherited && mListedClockMs < mWorker.earlierStopsEndClockMs();
         return isReady() && !mWorker.isUnresponsive() && !mayBeStopping;
     }
 
@@ -186,7 +186,7 @@
     /** Applies a report that the worker made at {@code clockMs} on its clock. */
     void update(RunStatus status, long clockMs, long nowMs) {
         confirm(nowMs);
-        mListedMs = Math.max(mListedMs, clockMs);
+        mListedClockMs = Math.max(mListedClockMs, clockMs);
         if (status.percent() != mProgress) {
             mProgress = status.percent();
             mProgressChangedMs = nowMs;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -26,7 +26,7 @@
     private boolean mHasClock;
     private long mClockOffsetMs;
     private long mLastAnswerMs;
-    private long mEarlierStopsEndMs = Long.MAX_VALUE;
+    private long mEarlierStopsEndClockMs = Long.MAX_VALUE;
     private long mGrantedMs;
     private long mSeenEnds;
     private long mStoredEnds;
@@ -227,7 +227,7 @@
         mUnresponsive = false;
         mLastAnswerMs = nowMs;
         if (clockMs >= 0) {
-            mEarlierStopsEndMs = Math.min(mEarlierStopsEndMs, clockMs + stopMs);
+            mEarlierStopsEndClockMs = Math.min(mEarlierStopsEndClockMs, clockMs + stopMs);
             mHasClock = true;
             mClockOffsetMs = clockMs - nowMs;
         }
@@ -237,8 +237,8 @@
      * Time on the worker's clock by which all stops that an earlier owner requested have completed:
      * the worker rejects that owner's commands once it has answered this one.
      */
-    long earlierStopsEndMs() {
-        return mEarlierStopsEndMs;
+    long earlierStopsEndClockMs() {
+        return mEarlierStopsEndClockMs;
     }
 
     void markPolled() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -145,7 +145,7 @@
             } else if (frame instanceof PeerFrame.RelayOffer) {
                 mRelay.addFollower(context.channel());
             } else if (frame instanceof PeerFrame.RelayResponse response) {
-                mRelay.complete(response.number(), response.outcome());
+                mRelay.responded(context.channel(), response.number(), response.outcome());
             }
         }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/StartRelayTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/StartRelayTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -240,4 +241,22 @@
         assertEquals(outcome.get(), Optional.of(CommandOutcome.UNANSWERED));
         assertFalse(mLoop.submit(mStream.startRelay()::isAvailable).get());
     }
+
+    /** Guards against starts that wait for a follower behind a partition. */
+    @Test(timeOut = 60_000)
+    public void followerThatDoesNotRespondIsSentFewStarts() throws Exception {
+        acceptJob();
+        mWorkerAnswer = Optional.empty();
+        List<CompletableFuture<Optional<CommandOutcome>>> outcomes = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            outcomes.add(relay());
+        }
+        mLoop.submit(() -> {}).get();
+
+        long sent = outcomes.stream().filter(o -> !o.isDone()).count();
+        assertEquals(sent, 16);
+        assertFalse(mLoop.submit(mStream.startRelay()::isAvailable).get());
+        assertEquals(outcomes.get(0).get(), Optional.of(CommandOutcome.UNANSWERED));
+        assertFalse(mLoop.submit(mStream.startRelay()::isAvailable).get());
+    }
 }
