--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/StandingTaskBudgetTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/StandingTaskBudgetTest.java
@@ -67,14 +67,7 @@
         List<TaskRun> runs = startTwoTasks(first);
         TaskRun stopping = runs.get(1);
 
-        OwnerHarness second = new OwnerHarness(first.mRegistry);
-        for (String id : List.of("w0", "w1", "w2")) {
-            second.mScheduler.updateWorker(OwnerHarness.info(id, "surveys", CORES), second.mNowMs);
-        }
-        JobProgress job = first.mRegistry.job(JOB).orElseThrow();
-        second.mScheduler.addInheritedJob(job, w -> false, second.mNowMs);
-        second.mNowMs++;
-        List.copyOf(second.mScheduler.workers()).forEach(second::poll);
+        OwnerHarness second = takeOver(first);
         WorkerState serving = second.mScheduler.worker(runs.get(0).worker().id()).orElseThrow();
         decideWave(second, serving);
         assertEquals(stoppingRuns(second), 0, "runs stopped before the first stop has completed");
@@ -95,14 +88,7 @@
     public void newOwnerStopsATaskOnceTheOthersAreKnownToServe() {
         OwnerHarness first = new OwnerHarness();
         List<TaskRun> runs = startTwoTasks(first);
-        OwnerHarness second = new OwnerHarness(first.mRegistry);
-        for (String id : List.of("w0", "w1", "w2")) {
-            second.mScheduler.updateWorker(OwnerHarness.info(id, "surveys", CORES), second.mNowMs);
-        }
-        JobProgress job = first.mRegistry.job(JOB).orElseThrow();
-        second.mScheduler.addInheritedJob(job, w -> false, second.mNowMs);
-        second.mNowMs++;
-        List.copyOf(second.mScheduler.workers()).forEach(second::poll);
+        OwnerHarness second = takeOver(first);
         second.mNowMs += OwnerHarness.LIMITS.stopMs();
         List.copyOf(second.mScheduler.workers()).forEach(second::poll);
 
@@ -124,6 +110,19 @@
         return runs;
     }
 
+    /** Creates the next owner, which has polled each worker once. */
+    private static OwnerHarness takeOver(OwnerHarness first) {
+        OwnerHarness second = new OwnerHarness(first.mRegistry);
+        for (String id : List.of("w0", "w1", "w2")) {
+            second.mScheduler.updateWorker(OwnerHarness.info(id, "surveys", CORES), second.mNowMs);
+        }
+        JobProgress job = first.mRegistry.job(JOB).orElseThrow();
+        second.mScheduler.addInheritedJob(job, w -> false, second.mNowMs);
+        second.mNowMs++;
+        List.copyOf(second.mScheduler.workers()).forEach(second::poll);
+        return second;
+    }
+
     /** Decides on a wave over the VM of one worker. */
     private static void decideWave(OwnerHarness owner, WorkerState worker) {
         List<VmInfo> vms = new ArrayList<>();
