The soak plays nodes whose owner relays most starts

Cause: the soak's nodes had ample links, so that no start was relayed and none of its checks covered relays that are killed, paused, cut off or reset.

Change: runs whose seed is a multiple of three name a link of 0.2 Mbit/s in the nodes' settings; seed 3 joins the short runs of the build.

--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -27,6 +27,7 @@
     private final String mIp;
     private final Path mFolder;
     private final boolean mTokensChecked;
+    private final String mLinkMbps;
     private final FaultProxy mStore;
     private final FaultProxy mVms;
     private List<Integer> mPorts;
@@ -40,13 +41,15 @@
             String ip,
             Path folder,
             UsersStandin platform,
-            boolean tokensChecked)
+            boolean tokensChecked,
+            String linkMbps)
             throws IOException {
         mIp = ip;
         mName = name;
         mZone = zone;
         mFolder = folder;
         mTokensChecked = tokensChecked;
+        mLinkMbps = linkMbps;
         mStore = FaultProxy.before(platform.storeAddress());
         mVms = FaultProxy.before(platform.vmServiceAddress());
         mPorts = freePorts();
@@ -112,7 +115,7 @@
 
     private String settings() {
         return String.format(
-                "{\"node\":{\"name\":\"%s\",\"zone\":\"%s\",\"linkMbps\":1000,\"graceS\":%d},"
+                "{\"node\":{\"name\":\"%s\",\"zone\":\"%s\",\"linkMbps\":%s,\"graceS\":%d},"
                         + "\"listen\":{\"callers\":\"%s\",\"readiness\":\"%s\","
                         + "\"metrics\":\"%s\",\"peers\":\"%s\"},"
                         + "\"platform\":{\"store\":\"%s\",\"vms\":\"%s\",\"advice\":\"\","
@@ -122,6 +125,7 @@
                         + "\"jobs\":{\"statusS\":120,\"earlyMs\":250}}",
                 mName,
                 mZone,
+                mLinkMbps,
                 mGrace,
                 port(0),
                 port(1),
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
@@ -20,6 +20,13 @@
     private static final long PROCESSORS = 8000;
 
     private static final long LEASE_MS = 6000;
+
+    /** Link rate in the settings of nodes whose starts fit the link, in Mbit/s. */
+    private static final String AMPLE_LINK = "1000";
+
+    /** The same of nodes whose owner relays most starts. */
+    private static final String NARROW_LINK = "0.2";
+
     private static final int NETWORKS = 250;
     private static final AtomicInteger RUNS = new AtomicInteger();
     private static final Pattern OWNS = Pattern.compile("\"ms\":(\\d+),\"kind\":\"owner-start\"");
@@ -37,6 +44,7 @@
         mZones = size.zones();
         mWorkers = size.workers();
         boolean tokensChecked = schedule.seed() % 2 == 0;
+        String link = schedule.seed() % 3 == 0 ? NARROW_LINK : AMPLE_LINK;
         List<String> zones = new ArrayList<>();
         for (int z = 0; z < size.zones(); z++) {
             zones.add(zone(z));
@@ -52,7 +60,7 @@
             String name = "node-" + n;
             String zone = zones.get(n % size.zones());
             String ip = network + '.' + (n + 1);
-            mNodes.add(new SoakNode(name, zone, ip, folder, mPlatform, tokensChecked));
+            mNodes.add(new SoakNode(name, zone, ip, folder, mPlatform, tokensChecked, link));
         }
         Runtime.getRuntime().addShutdownHook(mAtExit);
     }
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/ShortSoakTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/ShortSoakTest.java
@@ -13,7 +13,7 @@
 
     @DataProvider
     public Object[][] seeds() {
-        return new Object[][] {{1L}, {2L}};
+        return new Object[][] {{1L}, {2L}, {3L}};
     }
 
     @Test(dataProvider = "seeds", timeOut = 240_000)
