Log which runs end with a worker, how old they were and whether they were listed

The log of a crashed worker gave a number of runs only, so that it couldn't tell which task had been starting, nor a crash from a worker that was draining or being evacuated. worker-over now says whether it was, and how long the worker had been silent; run-ended-with-worker names each run with its age when the worker was noticed to be gone.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -197,8 +197,8 @@
     }
 
     /** Marks a worker that didn't answer a poll as unresponsive. */
-    public void pollFailed(WorkerState worker) {
-        worker.markUnresponsive();
+    public void pollFailed(WorkerState worker, long nowMs) {
+        worker.markUnresponsive(nowMs);
     }
 
     /** Queues a start again that could not be sent yet. */
@@ -227,7 +227,7 @@
                 dropRefusedRun(run, nowMs);
             }
             case NOT_SENT -> {
-                worker.markUnresponsive();
+                worker.markUnresponsive(nowMs);
                 dropRefusedRun(run, nowMs);
             }
             case UNANSWERED -> {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -18,6 +18,8 @@
     private long mTailLatencyMs;
     private long mConfirmedMs = -1;
     private long mLastCommandMs;
+    private long mFirstSentMs = -1;
+    private boolean mListed;
     private int mPace = FULL_PACE;
     private long mReadyMs = -1;
     private boolean mInherited;
@@ -134,6 +136,23 @@
         mLastCommandMs = nowMs;
     }
 
+    /** Time at which this owner first sent the start command; -1 before, or if it never did. */
+    public long firstSentMs() {
+        return mFirstSentMs;
+    }
+
+    /** Records that the start command is being sent. */
+    public void recordStartSent(long nowMs) {
+        if (mFirstSentMs < 0) {
+            mFirstSentMs = nowMs;
+        }
+    }
+
+    /** Whether a poll has listed the run as running. */
+    public boolean isListed() {
+        return mListed;
+    }
+
     /** Whether a start command went unanswered, so that the run may still begin. */
     boolean isUncertain() {
         return mUncertain;
@@ -186,6 +205,7 @@
     /** Applies a report that the worker made at {@code clockMs} on its clock. */
     void update(RunStatus status, long clockMs, long nowMs) {
         confirm(nowMs);
+        mListed = true;
         mListedClockMs = Math.max(mListedClockMs, clockMs);
         if (status.percent() != mProgress) {
             mProgress = status.percent();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -33,6 +33,7 @@
     private int mPendingStores;
     private long mFullUntilMs;
     private boolean mUnresponsive;
+    private long mUnresponsiveSinceMs;
     private int mFillPace = 100;
     private long mFillPaceMs = Long.MIN_VALUE / 2;
     private long mSlowUntilMs = Long.MIN_VALUE / 2;
@@ -52,7 +53,7 @@
         WorkerInfo info = new WorkerInfo(id, service, "", "", Resources.NONE, Set.of(), "", false);
         WorkerState worker = new WorkerState(info, nowMs);
         worker.mListed = false;
-        worker.mUnresponsive = true;
+        worker.markUnresponsive(nowMs);
         return worker;
     }
 
@@ -219,10 +220,21 @@
         return mUnresponsive;
     }
 
-    void markUnresponsive() {
+    void markUnresponsive(long nowMs) {
+        if (!mUnresponsive) {
+            mUnresponsiveSinceMs = nowMs;
+        }
         mUnresponsive = true;
     }
 
+    /**
+     * Time at which the worker was first noticed to be gone: when it stopped answering, or now if
+     * it has answered so far.
+     */
+    public long noticedGoneMs(long nowMs) {
+        return mUnresponsive ? mUnresponsiveSinceMs : nowMs;
+    }
+
     void recordAnswer(long clockMs, long nowMs, long stopMs) {
         mUnresponsive = false;
         mLastAnswerMs = nowMs;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerReachabilityTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerReachabilityTest.java
@@ -17,7 +17,7 @@
         for (int i = 0; i < unresponsive + responsive; i++) {
             WorkerState w = new WorkerState(OwnerHarness.info("w" + i, "surveys", 1), NOW_MS);
             if (i < unresponsive) {
-                w.markUnresponsive();
+                w.markUnresponsive(NOW_MS);
             }
             workers.add(w);
         }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
@@ -80,7 +80,7 @@
         owner.placeTasks();
         owner.addWorker("w2", "surveys", 8);
 
-        owner.mScheduler.pollFailed(unresponsive);
+        owner.mScheduler.pollFailed(unresponsive, owner.mNowMs);
         owner.mNowMs += OwnerHarness.LIMITS.leaseMs();
         assertTrue(owner.mScheduler.removeExpiredRuns(owner.mNowMs).isEmpty());
         assertTrue(owner.placeTasks().isEmpty());
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/StandingTaskBudgetTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/StandingTaskBudgetTest.java
@@ -28,7 +28,7 @@
     public void taskStaysWhileAnotherOnesWorkerDoesNotAnswer() {
         OwnerHarness owner = new OwnerHarness();
         List<TaskRun> runs = startTwoTasks(owner);
-        owner.mScheduler.pollFailed(runs.get(1).worker());
+        owner.mScheduler.pollFailed(runs.get(1).worker(), owner.mNowMs);
 
         decideWave(owner, runs.get(0).worker());
         assertEquals(runs.get(0).phase(), RunPhase.RUNNING);
@@ -44,7 +44,7 @@
         OwnerHarness owner = new OwnerHarness();
         List<TaskRun> runs = startTwoTasks(owner);
         WorkerState lost = runs.get(1).worker();
-        owner.mScheduler.pollFailed(lost);
+        owner.mScheduler.pollFailed(lost, owner.mNowMs);
         owner.mNowMs += OwnerHarness.LIMITS.leaseExpiryMs() + 10;
         assertEquals(owner.mScheduler.removeExpiredRuns(owner.mNowMs).size(), 1);
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.schedule.Decisions;
 import org.foxtailplank.schedule.RunPhase;
 import org.foxtailplank.schedule.TaskRun;
+import org.foxtailplank.schedule.WorkerEndReason;
 import org.foxtailplank.schedule.WorkerState;
 
 /** Sends the scheduler's decisions about runs to workers. */
@@ -122,6 +123,7 @@
     private void sendDirectly(Decisions.Start start, String text, long now) {
         TaskRun run = start.run();
         mNotRelayed.remove(run);
+        run.recordStartSent(now);
         mContext.metrics().counter("starts").inc();
         mContext.platform()
                 .workerClient()
@@ -133,6 +135,7 @@
 
     private void relay(Decisions.Start start, long now) {
         TaskRun run = start.run();
+        run.recordStartSent(now);
         mContext.metrics().counter("relayedStarts").inc();
         mContext.startRelay()
                 .start(
@@ -196,7 +199,7 @@
             return true;
         }
         if (outcome == CommandOutcome.OTHER_LIFE) {
-            mOwner.handleWorkerEnded(worker, "another incarnation answered");
+            mOwner.handleWorkerEnded(worker, WorkerEndReason.OTHER_INCARNATION);
             return true;
         }
         return false;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -24,6 +24,7 @@
 import org.foxtailplank.schedule.OwnerReachability;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.TaskRun;
+import org.foxtailplank.schedule.WorkerEndReason;
 import org.foxtailplank.schedule.WorkerState;
 
 /** Work of the owner of all jobs, from its takeover until it is fenced or stops. */
@@ -203,7 +204,8 @@
     }
 
     /** Stops polling a worker whose incarnation has ended, and releases its tasks. */
-    void handleWorkerEnded(WorkerState worker, String reason) {
+    void handleWorkerEnded(WorkerState worker, WorkerEndReason reason) {
+        long now = mClock.nowMs();
         mDirectory.stopPolling(worker.id());
         List<TaskRun> ended = mScheduler.removeWorker(worker.id());
         mContext.log()
@@ -211,10 +213,28 @@
                 .with("worker", worker.id())
                 .with("why", reason)
                 .with("runs", ended.size())
+                .with("draining", worker.info().draining())
+                .with("evacuating", worker.isEvacuating())
+                .with("silentMs", now - worker.noticedGoneMs(now))
                 .write();
+        ended.forEach(r -> logEndedWithWorker(r, worker.noticedGoneMs(now)));
         scheduleDecision();
     }
 
+    /** Logs a run that ended with its worker; {@code ageMs} is -1 if this owner didn't start it. */
+    private void logEndedWithWorker(TaskRun run, long noticedMs) {
+        long ageMs = run.firstSentMs() < 0 ? -1 : noticedMs - run.firstSentMs();
+        mContext.log()
+                .line("run-ended-with-worker")
+                .with("task", run.task().name())
+                .with("attempt", run.attempt())
+                .with("worker", run.worker().id())
+                .with("phase", run.phase())
+                .with("ageMs", ageMs)
+                .with("listed", run.isListed())
+                .write();
+    }
+
     /**
      * Stops polling a dropped worker in the same step. A poll still in flight would continue the
      * polling, renew the lease, and adopt runs to which no stop is ever sent.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
@@ -20,6 +20,7 @@
 import org.foxtailplank.schedule.PlannedVmAction;
 import org.foxtailplank.schedule.VmPlanner;
 import org.foxtailplank.schedule.VmPlanner.Call;
+import org.foxtailplank.schedule.WorkerEndReason;
 import org.foxtailplank.schedule.WorkerState;
 
 /** Lists VMs, moves and reboots them as planned, and reports the progress of waves. */
@@ -117,7 +118,7 @@
         mListed = true;
         vms.forEach(this::logChange);
         for (WorkerState w : mPlanner.endedIncarnations(vms, askedMs)) {
-            mOwner.handleWorkerEnded(w, "the VM list does not contain its incarnation");
+            mOwner.handleWorkerEnded(w, WorkerEndReason.NOT_LISTED);
         }
         mPlanner.applyList(vms, askedMs);
     }
@@ -228,7 +229,7 @@
         if (outcome == VmOutcome.DONE) {
             mOwner.scheduler()
                     .worker(worker)
-                    .ifPresent(w -> mOwner.handleWorkerEnded(w, "its VM was moved or rebooted"));
+                    .ifPresent(w -> mOwner.handleWorkerEnded(w, WorkerEndReason.MOVED_OR_REBOOTED));
             recordReboot(call);
         }
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -12,6 +12,7 @@
 import org.foxtailplank.port.WorkerClient.RunCommand;
 import org.foxtailplank.schedule.PollResult;
 import org.foxtailplank.schedule.TaskRun;
+import org.foxtailplank.schedule.WorkerEndReason;
 import org.foxtailplank.schedule.WorkerState;
 
 /** Polls one worker: renews its lease, learns which runs have ended and acknowledges their ends. */
@@ -83,7 +84,7 @@
             case FENCED -> mOwner.handleFenced(mWorker.id());
             case OTHER_LIFE -> {
                 mStopped = true;
-                mOwner.handleWorkerEnded(mWorker, "another incarnation answered");
+                mOwner.handleWorkerEnded(mWorker, WorkerEndReason.OTHER_INCARNATION);
             }
             default -> handleFailure(response.outcome());
         }
@@ -98,7 +99,7 @@
                     .with("runs", mWorker.runs().size())
                     .write();
         }
-        mOwner.scheduler().pollFailed(mWorker);
+        mOwner.scheduler().pollFailed(mWorker, mContext.clock().nowMs());
         scheduleNextPoll(RETRY_DELAY_MS);
     }
 
