Give up jobs whose tasks crash each worker that starts them

Cause: a run that ends because its worker does is listed by no worker. The scheduler removed it and made its task eligible at once. Ends were counted and stored only if a worker listed them as failed, so that neither an owner nor its successors could tell a task that crashes its workers from one that waits. The class of fault: an end that nobody reports is counted by nobody.

Fix: crashes are attributed to runs that had just been started, and counted as evidence only where a single task can be to blame, against the rate at which workers crash anyway. Suspects are spread over workers, after two crashes isolated and delayed, then given up.

Nodes of an earlier version skip the two new kinds of records: a job that was given up shows as running there.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
@@ -15,6 +15,7 @@
     private final BitSet mDoneTasks = new BitSet();
     private final Map<Integer, Set<Integer>> mFailedAttempts = new HashMap<>();
     private final Map<Integer, JournalRecord.StartedRun> mLastStarts = new HashMap<>();
+    private final Map<Integer, JournalRecord.StartedRun> mEndedWithWorker = new HashMap<>();
     private final Set<Long> mEndedAttempts = new HashSet<>();
     private final int mTaskCount;
 
@@ -22,6 +23,7 @@
     private long mSnapshotMs;
     private boolean mStarted;
     private boolean mFailed;
+    private long mGivenUpMs;
     private long mEndedMs;
 
     JobProgress(JobDefinition definition) {
@@ -55,7 +57,7 @@
                                                         a,
                                                         RunOutcome.FAILED))));
         return new JournalRecord.JobSnapshot(
-                mDefinition, List.copyOf(mLastStarts.values()), ends, mCancelledMs);
+                mDefinition, List.copyOf(mLastStarts.values()), ends, mCancelledMs, mGivenUpMs);
     }
 
     private JournalRecord.EndedRun endedRun(TaskName task, int attempt, RunOutcome outcome) {
@@ -98,6 +100,15 @@
         }
     }
 
+    /** Marks the job as failed because a task of it crashes its workers. */
+    void giveUp(long atMs) {
+        if (!phase().isFinal()) {
+            mFailed = true;
+            mGivenUpMs = Math.max(1, atMs);
+            mEndedMs = atMs;
+        }
+    }
+
     /**
      * Records a start. The job stays queued until a worker reports that the task has started, since
      * the start command may never arrive.
@@ -121,6 +132,32 @@
         return mStarted;
     }
 
+    /** Records that a run has ended because its worker's incarnation did. */
+    void recordEndWithWorker(JournalRecord.StartedRun run) {
+        if (mDefinition.contains(run.task())) {
+            mEndedAttempts.add(attemptKey(run.task(), run.attempt()));
+            mEndedWithWorker.merge(
+                    mDefinition.position(run.task()),
+                    run,
+                    (a, b) -> a.attempt() > b.attempt() ? a : b);
+        }
+    }
+
+    /** The last run of each task that ended with its worker. */
+    public Collection<JournalRecord.StartedRun> endedWithWorker() {
+        return mEndedWithWorker.values();
+    }
+
+    /** Crashes of workers that a task may have caused, as recorded up to its last start. */
+    public CrashHistory crashes(JournalRecord.StartedRun lastStart) {
+        JournalRecord.StartedRun ended =
+                mEndedWithWorker.get(mDefinition.position(lastStart.task()));
+        if (ended != null && ended.attempt() >= lastStart.attempt()) {
+            return ended.crashes();
+        }
+        return hasEnded(lastStart) ? CrashHistory.NONE : lastStart.crashes();
+    }
+
     /** The last recorded start of each started task; that run may have ended since. */
     public Collection<JournalRecord.StartedRun> lastStarts() {
         return mLastStarts.values();
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
@@ -12,11 +12,13 @@
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobGivenUp;
 import org.foxtailplank.job.JournalRecord.JobSnapshot;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
 import org.foxtailplank.job.JournalRecord.OwnerResigned;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
@@ -64,6 +66,8 @@
         }
         if (record instanceof JobCancelled r) {
             job(r.job()).ifPresentOrElse(j -> j.cancel(r.atMs()), () -> buffer(r.job(), r));
+        } else if (record instanceof JobGivenUp r) {
+            job(r.job()).ifPresentOrElse(j -> j.giveUp(r.atMs()), () -> buffer(r.job(), r));
         } else if (record instanceof RunsEnded r) {
             for (EndedRun run : r.runs()) {
                 String id = run.task().job();
@@ -78,6 +82,13 @@
                                 j -> j.recordStart(run),
                                 () -> buffer(id, new RunsStarted(List.of(run))));
             }
+        } else if (record instanceof RunsEndedWithWorker r) {
+            for (StartedRun run : r.runs()) {
+                String id = run.task().job();
+                job(id).ifPresentOrElse(
+                                j -> j.recordEndWithWorker(run),
+                                () -> buffer(id, new RunsEndedWithWorker(List.of(run))));
+            }
         } else if (record instanceof JobsStarted r) {
             for (String id : r.jobs()) {
                 job(id).ifPresentOrElse(
@@ -130,6 +141,9 @@
         if (record.cancelledMs() > 0) {
             progress.cancel(record.cancelledMs());
         }
+        if (record.givenUpMs() > 0) {
+            progress.giveUp(record.givenUpMs());
+        }
         return known.isPresent() ? Optional.empty() : Optional.of(add(progress));
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -16,12 +16,14 @@
      * @param starts the last start of each started task
      * @param ends ends of tasks that are done and of failed attempts
      * @param cancelledMs when it was cancelled, in milliseconds since the epoch; 0 if it was not
+     * @param givenUpMs when it was given up, in milliseconds since the epoch; 0 if it was not
      */
     record JobSnapshot(
             JobDefinition definition,
             List<StartedRun> starts,
             List<EndedRun> ends,
-            long cancelledMs)
+            long cancelledMs,
+            long givenUpMs)
             implements JournalRecord {
         public JobSnapshot {
             starts = List.copyOf(starts);
@@ -32,6 +34,9 @@
     /** A caller cancelled a job. */
     record JobCancelled(String job, long atMs) implements JournalRecord {}
 
+    /** An owner gave up a job of which a task crashes each worker that starts it. */
+    record JobGivenUp(String job, long atMs) implements JournalRecord {}
+
     /**
      * Runs have ended. Applying an end is idempotent, so any owner may write it, and more than
      * once.
@@ -52,6 +57,16 @@
         }
     }
 
+    /**
+     * Runs have ended because the incarnations of their workers did, with the crashes that their
+     * tasks may have caused, these ends included.
+     */
+    record RunsEndedWithWorker(List<StartedRun> runs) implements JournalRecord {
+        public RunsEndedWithWorker {
+            runs = List.copyOf(runs);
+        }
+    }
+
     /** Workers have reported the start of a task of each of these jobs. */
     record JobsStarted(List<String> jobs) implements JournalRecord {
         public JobsStarted {
@@ -60,13 +75,20 @@
     }
 
     /**
-     * A run that is about to be started.
+     * A run that is about to be started, or was.
      *
      * @param task the task
      * @param attempt number of the attempt
      * @param worker ID of the worker
+     * @param crashes crashes of workers that the task may have caused before. They are written with
+     *     the start, so that no task starts again before its crashes are stored
      */
-    record StartedRun(TaskName task, int attempt, String worker) {}
+    record StartedRun(TaskName task, int attempt, String worker, CrashHistory crashes) {
+        /** Creates a start of a task that has crashed no worker. */
+        public StartedRun(TaskName task, int attempt, String worker) {
+            this(task, attempt, worker, CrashHistory.NONE);
+        }
+    }
 
     /**
      * Heartbeat of an owner.
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.foxtailplank.job.CrashHistory;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.TaskStep;
 
@@ -18,6 +19,9 @@
     private int mLastAttempt;
     private long mNoRoomSinceMs = -1;
     private String mCheckpoint = "";
+    private CrashHistory mCrashes = CrashHistory.NONE;
+    private int mCrashesSeen;
+    private long mNotBeforeMs = Long.MIN_VALUE / 2;
 
     ActiveTask(TaskName name, ActiveStep step, boolean done) {
         mName = name;
@@ -57,6 +61,49 @@
         mLastAttempt = Math.max(mLastAttempt, attempt);
     }
 
+    /** The task for which crashes are counted: the first one of its gang, or itself. */
+    ActiveTask accountable() {
+        return spec().placement().gang() ? mStep.tasks().get(0) : this;
+    }
+
+    /** Crashes of workers that the task may have caused; kept by {@link #accountable}. */
+    public CrashHistory crashes() {
+        return mCrashes;
+    }
+
+    /** Sets the crashes after one more, and delays the next start. */
+    void setCrashes(CrashHistory crashes, long nowMs) {
+        mCrashes = crashes;
+        mNotBeforeMs = nowMs + crashes.backoffMs();
+    }
+
+    /** Those of the crashes that this owner has seen itself. */
+    int crashesSeen() {
+        return mCrashesSeen;
+    }
+
+    void countCrashSeen() {
+        mCrashesSeen++;
+    }
+
+    /** Takes over the crashes that earlier owners have counted. */
+    void inheritCrashes(CrashHistory crashes) {
+        if (crashes.crashes() > mCrashes.crashes()) {
+            mCrashes = crashes;
+        }
+    }
+
+    /** Clears the task of earlier crashes, since it ran without one. */
+    void clearCrashes() {
+        mCrashes = CrashHistory.NONE;
+        mCrashesSeen = 0;
+    }
+
+    /** Whether the next start is delayed after crashes. */
+    boolean isBackingOff(long nowMs) {
+        return nowMs < mNotBeforeMs;
+    }
+
     /** Checkpoint from which the next run resumes; empty to start from the beginning. */
     public String checkpoint() {
         return mCheckpoint;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -238,8 +238,10 @@
             task.setCheckpoint(end.checkpoint());
         }
         if (end.outcome() == RunOutcome.DONE) {
+            task.accountable().clearCrashes();
             handleDone(task, worker, nowMs);
         } else if (end.outcome() == RunOutcome.FAILED) {
+            task.accountable().clearCrashes();
             handleFailure(task, worker, end, nowMs);
         }
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JobProgress;
@@ -36,6 +38,7 @@
     private final ScheduleLimits mLimits;
     private final RunTable mRuns;
     private final TaskPlacer mPlacer;
+    private final CrashTracker mCrashes;
     private final Map<String, WorkerState> mWorkers = new LinkedHashMap<>();
     private final List<Decisions.Pace> mPaceChanges = new ArrayList<>();
     private final ArrivalRate mArrivals = new ArrivalRate();
@@ -50,6 +53,7 @@
         mLimits = limits;
         mRuns = new RunTable();
         mPlacer = new TaskPlacer(mRuns);
+        mCrashes = new CrashTracker(mRuns);
     }
 
     /** Adds a worker or updates what is known of it. */
@@ -70,15 +74,20 @@
         worker(id).ifPresent(WorkerState::markUnlisted);
     }
 
-    /** Removes a worker whose incarnation has ended and returns the runs that ended with it. */
-    public List<TaskRun> removeWorker(String id) {
+    /** Removes a worker whose incarnation has ended, with its runs. */
+    public WorkerEnd removeWorker(String id, WorkerEndReason reason, long nowMs) {
         WorkerState worker = mWorkers.remove(id);
         if (worker == null) {
-            return List.of();
+            return WorkerEnd.NONE;
         }
         List<TaskRun> ended = List.copyOf(worker.runs());
+        List<WorkerState> others = workersOf(worker.info().service());
+        boolean crashed =
+                !reason.isOrdered() && !worker.info().draining() && !worker.isEvacuating();
+        List<WorkerEnd.Suspect> suspects =
+                crashed ? mCrashes.workerCrashed(worker, others, nowMs) : List.of();
         ended.forEach(mRuns::removeRun);
-        return ended;
+        return new WorkerEnd(crashed, ended, suspects);
     }
 
     public Optional<WorkerState> worker(String id) {
@@ -119,20 +128,37 @@
         if (!mRuns.add(progress)) {
             return;
         }
+        Set<ActiveTask> crashed = new LinkedHashSet<>();
         for (StartedRun start : progress.lastStarts()) {
-            mRuns.job(progress.definition().id())
-                    .flatMap(j -> j.task(start.task()))
-                    .ifPresent(s -> s.recordAttempt(start.attempt()));
-            if (!progress.hasEnded(start) && !isOver.test(start.worker())) {
-                WorkerState worker =
-                        mWorkers.computeIfAbsent(
-                                start.worker(),
-                                id ->
-                                        WorkerState.withoutInfo(
-                                                id, progress.definition().service(), nowMs));
-                mRuns.inherit(start, worker, nowMs);
+            Optional<ActiveTask> task =
+                    mRuns.job(progress.definition().id()).flatMap(j -> j.task(start.task()));
+            task.ifPresent(t -> t.recordAttempt(start.attempt()));
+            task.ifPresent(t -> t.accountable().inheritCrashes(progress.crashes(start)));
+            if (progress.hasEnded(start)) {
+                continue;
+            }
+            if (isOver.test(start.worker())) {
+                task.ifPresent(t -> crashed.add(t.accountable()));
+            } else {
+                inheritRun(start, progress.definition().service(), nowMs);
             }
         }
+        if (!crashed.isEmpty()) {
+            List<WorkerState> workers = workersOf(progress.definition().service());
+            crashed.forEach(t -> mCrashes.inheritedRunEnded(t, workers, nowMs));
+        }
+    }
+
+    private void inheritRun(StartedRun start, String service, long nowMs) {
+        WorkerState worker =
+                mWorkers.computeIfAbsent(
+                        start.worker(), id -> WorkerState.withoutInfo(id, service, nowMs));
+        mRuns.inherit(start, worker, nowMs);
+    }
+
+    /** Returns the tasks that crash their workers and whose jobs were given up since last asked. */
+    public List<ActiveTask> takeGivenUp() {
+        return mCrashes.takeGivenUp();
     }
 
     /** Stops the runs of a job that the journal reports as final. */
@@ -235,8 +261,14 @@
                 run.setCommandDue(true);
             }
             case OUTDATED, LEASE_OVER, INVALID -> dropRefusedRun(run, nowMs);
-            case FENCED, OTHER_LIFE -> {
-                // The caller handles both: it stops owning, or removes the worker.
+            case OTHER_LIFE -> {
+                // The caller removes the worker, whose incarnation never got this command.
+                if (!run.isUncertain()) {
+                    mRuns.removeRun(run);
+                }
+            }
+            case FENCED -> {
+                // The caller stops owning.
             }
             default -> throw new IllegalStateException("no rule for " + outcome);
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
@@ -28,14 +28,20 @@
             AdviceRequests.request(step, workers, out, nowMs);
         }
         if (step.spec().placement().gang()) {
+            if (step.tasks().get(0).isBackingOff(nowMs)) {
+                return;
+            }
             startGang(step, GangPlacement.place(step, workers, nowMs), out, nowMs);
             return;
         }
         for (ActiveTask task : step.tasks()) {
-            if (!task.isWaiting()) {
+            if (!task.isWaiting() || task.isBackingOff(nowMs)) {
                 continue;
             }
             Optional<WorkerState> worker = WorkerChooser.choose(task, workers, nowMs);
+            if (worker.isEmpty() && task.crashes().needsIsolation()) {
+                continue;
+            }
             if (worker.isEmpty()) {
                 preempt(task, workers, nowMs);
                 step.tasks().stream()
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -1,15 +1,24 @@
 package org.foxtailplank.schedule;
 
+import org.foxtailplank.job.CrashHistory;
+import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.RunStatus;
 
 /** One run of a task on a worker. */
 public final class TaskRun {
     private static final int FULL_PACE = 100;
 
+    /**
+     * Time that a confirmed run has to be listed before it is cleared of crashing its worker, in
+     * milliseconds.
+     */
+    static final long PROBATION_MS = 2000;
+
     private final ActiveTask mTask;
     private final WorkerState mWorker;
     private final int mAttempt;
     private final long mStartedMs;
+    private final CrashHistory mEarlierCrashes;
 
     private RunPhase mPhase = RunPhase.PLANNED;
     private String mStopReason = "";
@@ -20,6 +29,7 @@
     private long mLastCommandMs;
     private long mFirstSentMs = -1;
     private boolean mListed;
+    private boolean mOnProbation = true;
     private int mPace = FULL_PACE;
     private long mReadyMs = -1;
     private boolean mInherited;
@@ -32,6 +42,7 @@
         mWorker = worker;
         mAttempt = attempt;
         mStartedMs = nowMs;
+        mEarlierCrashes = task.accountable().crashes();
         mLastCommandMs = nowMs;
         mProgressChangedMs = nowMs;
     }
@@ -148,6 +159,37 @@
         }
     }
 
+    /** Whether a start command was sent before a time. */
+    boolean wasSentBefore(long ms) {
+        return mFirstSentMs >= 0 && mFirstSentMs < ms;
+    }
+
+    /** The start as it is recorded in the journal. */
+    public StartedRun startRecord() {
+        return new StartedRun(mTask.name(), mAttempt, mWorker.id(), mEarlierCrashes);
+    }
+
+    /** The end with its worker's incarnation as it is recorded in the journal. */
+    public StartedRun endRecord() {
+        CrashHistory crashes = mTask.accountable().crashes();
+        return new StartedRun(mTask.name(), mAttempt, mWorker.id(), crashes);
+    }
+
+    /** Whether the run has not been observed for long enough to rule out that it crashes. */
+    boolean isOnProbation() {
+        return mOnProbation;
+    }
+
+    /** Whether the run may crash its worker, as earlier ones of its task may have. */
+    boolean isSuspect() {
+        return mOnProbation && mEarlierCrashes.isSuspect();
+    }
+
+    /** Whether no other task is started on the worker for now. */
+    boolean isIsolated() {
+        return mOnProbation && mEarlierCrashes.needsIsolation();
+    }
+
     /** Whether a poll has listed the run as running. */
     public boolean isListed() {
         return mListed;
@@ -206,6 +248,11 @@
     void update(RunStatus status, long clockMs, long nowMs) {
         confirm(nowMs);
         mListed = true;
+        if (mOnProbation && nowMs - mConfirmedMs >= PROBATION_MS) {
+            mWorker.endProbation(this);
+            mOnProbation = false;
+            mTask.accountable().clearCrashes();
+        }
         mListedClockMs = Math.max(mListedClockMs, clockMs);
         if (status.percent() != mProgress) {
             mProgress = status.percent();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import org.foxtailplank.job.CrashHistory;
 import org.foxtailplank.job.PlacementConstraints;
 
 /**
@@ -11,6 +12,10 @@
  * standing task those whose VM need not be rebooted, then those in the rack of the data or, if the
  * step should keep together, of its other tasks. Among equals it selects the fullest worker that
  * fits, which leaves room for large tasks and frees whole VMs.
+ *
+ * <p>Tasks that may crash their worker are spread over workers, so that a further crash tells which
+ * of them it was. After two crashes such a task gets a worker without another suspect, where little
+ * is lost, and no other task is started beside it until it is cleared.
  */
 final class WorkerChooser {
     private static final double FAILED_BEFORE_COST = 1000;
@@ -20,6 +25,15 @@
     /** A standing task would have to move once more, while its step allows few moves at a time. */
     private static final double REBOOT_DUE_COST = 200;
 
+    /** Keeps suspects apart. */
+    private static final double SUSPECT_COST = 50;
+
+    /** A crash ends the standing tasks of the worker. */
+    private static final double STANDING_LOSS_COST = 20;
+
+    /** A crash ends the other tasks of the worker. */
+    private static final double RUN_LOSS_COST = 1;
+
     private WorkerChooser() {}
 
     static Optional<WorkerState> choose(
@@ -60,6 +74,10 @@
         if (worker.isReservedForStanding() && !task.spec().mode().standing()) {
             return false;
         }
+        boolean isolated = task.accountable().crashes().needsIsolation();
+        if (worker.isIsolating() || isolated && worker.suspects() > 0) {
+            return false;
+        }
         PlacementConstraints constraints = task.spec().placement();
         if (!constraints.requiredLabel().isEmpty()
                 && !worker.info().labels().contains(constraints.requiredLabel())) {
@@ -88,6 +106,14 @@
         if (worker.isRebootDue() && task.spec().mode().standing()) {
             cost += REBOOT_DUE_COST;
         }
+        CrashHistory crashes = task.accountable().crashes();
+        if (crashes.isSuspect()) {
+            cost += SUSPECT_COST * worker.suspects();
+        }
+        if (crashes.needsIsolation()) {
+            cost += STANDING_LOSS_COST * worker.standingRuns();
+            cost += RUN_LOSS_COST * worker.runs().size();
+        }
         double free = worker.free().milliProcessors();
         return cost + free / Math.max(1, worker.info().capacity().milliProcessors());
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -18,6 +18,8 @@
 
     private WorkerInfo mInfo;
     private Resources mUsed = Resources.NONE;
+    private int mSuspects;
+    private int mIsolatedRuns;
     private boolean mPolled;
     private boolean mListed = true;
     private boolean mEvacuating;
@@ -85,14 +87,33 @@
     void add(TaskRun run) {
         mRuns.add(run);
         mUsed = mUsed.plus(run.task().spec().reserved());
+        mSuspects += run.isSuspect() ? 1 : 0;
+        mIsolatedRuns += run.isIsolated() ? 1 : 0;
     }
 
     void remove(TaskRun run) {
         if (mRuns.remove(run)) {
             mUsed = mUsed.minus(run.task().spec().reserved());
+            endProbation(run);
         }
     }
 
+    /** Stops counting a run as a suspect; called before its probation is over. */
+    void endProbation(TaskRun run) {
+        mSuspects -= run.isSuspect() ? 1 : 0;
+        mIsolatedRuns -= run.isIsolated() ? 1 : 0;
+    }
+
+    /** Number of runs here that may crash the worker, as earlier runs of their tasks may have. */
+    int suspects() {
+        return mSuspects;
+    }
+
+    /** Whether no other task is started here, because a run is likely to crash the worker. */
+    boolean isIsolating() {
+        return mIsolatedRuns > 0;
+    }
+
     Resources free() {
         return mInfo.capacity().minus(mUsed);
     }
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/CrashHistoryTest.java
@@ -0,0 +1,57 @@
+package org.foxtailplank.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Tests when crashes of workers prove a fault of a task. */
+public class CrashHistoryTest {
+    private static final int OVERWHELMING = 10_000;
+
+    @Test
+    public void aSingleCrashProvesNothing() {
+        CrashHistory once = CrashHistory.NONE.plus(OVERWHELMING);
+
+        assertTrue(once.isSuspect());
+        assertFalse(once.provesFault());
+    }
+
+    @Test
+    public void twoCrashesWithEnoughEvidenceProveAFault() {
+        assertFalse(new CrashHistory(2, 399).provesFault());
+        assertTrue(new CrashHistory(2, 400).provesFault());
+    }
+
+    @Test
+    public void fiveCrashesNeedLessEvidence() {
+        assertFalse(new CrashHistory(4, 300).provesFault());
+        assertTrue(new CrashHistory(5, 300).provesFault());
+    }
+
+    @Test
+    public void manyCrashesByChanceProveNothing() {
+        assertFalse(new CrashHistory(50, 299).provesFault());
+    }
+
+    /** Guards against an overflow that a malformed journal record would cause in every owner. */
+    @Test
+    public void aProvenFaultIsNotCountedFurther() {
+        CrashHistory proven = new CrashHistory(Integer.MAX_VALUE, 400);
+
+        assertEquals(proven.plus(1), proven);
+    }
+
+    @Test
+    public void theBackoffBeginsWithTheSecondCrashAndIsBounded() {
+        assertEquals(new CrashHistory(1, 0).backoffMs(), 0);
+        assertEquals(new CrashHistory(2, 0).backoffMs(), 1000);
+        assertEquals(new CrashHistory(Integer.MAX_VALUE, 0).backoffMs(), 2000);
+    }
+
+    @Test(expectedExceptions = IllegalArgumentException.class)
+    public void aNegativeNumberOfCrashesIsRejected() {
+        new CrashHistory(-1, 0);
+    }
+}
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
@@ -10,8 +10,10 @@
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobGivenUp;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
@@ -212,6 +214,67 @@
         assertEquals(List.copyOf(progress.lastStarts()), List.of(start));
     }
 
+    /** Guards against a job that shows as running again once its original records have expired. */
+    @Test
+    public void aSnapshotKeepsThatAJobWasGivenUp() {
+        JobProgress givenUp = accept(1);
+        mRegistry.apply(new JobGivenUp("aa", NOW_MS));
+        JobRegistry later = new JobRegistry(RETENTION_MS);
+        JobProgress restored = later.apply(givenUp.snapshot(NOW_MS + 10)).orElseThrow();
+
+        assertEquals(givenUp.phase(), JobPhase.FAILED);
+        assertEquals(restored.phase(), JobPhase.FAILED);
+        assertEquals(restored.endedMs(), NOW_MS);
+    }
+
+    @Test
+    public void aCancelledJobStaysCancelledWhenItIsGivenUp() {
+        JobProgress job = accept(1);
+        mRegistry.apply(new JobCancelled("aa", NOW_MS));
+        mRegistry.apply(new JobGivenUp("aa", NOW_MS + 10));
+
+        assertEquals(job.phase(), JobPhase.CANCELLED);
+    }
+
+    /** Guards against a new owner that counts a crash again which its predecessor has counted. */
+    @Test
+    public void aRunThatEndedWithItsWorkerIsNotTakenForRunning() {
+        StartedRun start = new StartedRun(new TaskName("aa", 0, 0, 0), 1, "w1");
+        CrashHistory crashes = new CrashHistory(1, 80);
+        JobProgress job = accept(1);
+        mRegistry.apply(new RunsStarted(List.of(start)));
+        mRegistry.apply(
+                new RunsEndedWithWorker(List.of(new StartedRun(start.task(), 1, "w1", crashes))));
+
+        assertTrue(job.hasEnded(start));
+        assertEquals(job.crashes(start), crashes);
+    }
+
+    /** Guards against a count of crashes that is older than the last start. */
+    @Test
+    public void crashesRecordedWithALaterStartCount() {
+        CrashHistory once = new CrashHistory(1, 0);
+        CrashHistory twice = new CrashHistory(2, 0);
+        TaskName task = new TaskName("aa", 0, 0, 0);
+        StartedRun third = new StartedRun(task, 3, "w3", twice);
+        JobProgress job = accept(1);
+        mRegistry.apply(new RunsStarted(List.of(third)));
+        mRegistry.apply(new RunsEndedWithWorker(List.of(new StartedRun(task, 1, "w1", once))));
+
+        assertEquals(job.crashes(third), twice);
+    }
+
+    @Test
+    public void aTaskThatRanWithoutACrashIsCleared() {
+        StartedRun start =
+                new StartedRun(new TaskName("aa", 0, 0, 0), 3, "w1", new CrashHistory(2, 0));
+        JobProgress job = accept(2);
+        mRegistry.apply(new RunsStarted(List.of(start)));
+        end(0, 3, RunOutcome.FAILED);
+
+        assertEquals(job.crashes(start), CrashHistory.NONE);
+    }
+
     @Test
     public void startsOfManyUnknownJobsAreBuffered() {
         // Guards against evicting the starts of jobs whose acceptance is still unread because its
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -9,16 +9,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.foxtailplank.job.CrashHistory;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobGivenUp;
 import org.foxtailplank.job.JournalRecord.JobSnapshot;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
 import org.foxtailplank.job.JournalRecord.OwnerResigned;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
@@ -51,6 +54,8 @@
     private static final int SNAPSHOT = 9;
     private static final int BEGUN = 10;
     private static final int WAVE_DUE = 11;
+    private static final int GIVEN_UP = 12;
+    private static final int ENDED_WITH_WORKER = 13;
 
     private JournalCodec() {}
 
@@ -73,12 +78,22 @@
                             writeMessage(
                                     out, CANCELLED, o -> writeNumberAndName(o, r.atMs(), r.job())));
         }
+        if (record instanceof JobGivenUp r) {
+            return encodeMessage(
+                    out ->
+                            writeMessage(
+                                    out, GIVEN_UP, o -> writeNumberAndName(o, r.atMs(), r.job())));
+        }
         if (record instanceof RunsEnded r) {
             return encodeMessage(out -> writeMessage(out, ENDED, o -> writeEnds(o, r.runs())));
         }
         if (record instanceof RunsStarted r) {
             return encodeMessage(out -> writeMessage(out, STARTED, o -> writeStarts(o, r.runs())));
         }
+        if (record instanceof RunsEndedWithWorker r) {
+            return encodeMessage(
+                    out -> writeMessage(out, ENDED_WITH_WORKER, o -> writeStarts(o, r.runs())));
+        }
         if (record instanceof JobsStarted r) {
             return encodeMessage(out -> writeMessage(out, BEGUN, o -> writeJobs(o, r.jobs())));
         }
@@ -114,7 +129,7 @@
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         int tag = in.readTag();
         int kind = WireFormat.getTagFieldNumber(tag);
-        if (kind < ACCEPTED || kind > WAVE_DUE) {
+        if (kind < ACCEPTED || kind > ENDED_WITH_WORKER) {
             return Optional.empty();
         }
         CodedInputStream body = in.readBytes().newCodedInput();
@@ -124,6 +139,7 @@
                     case ENDED -> new RunsEnded(readEnds(body));
                     case SNAPSHOT -> readSnapshot(body);
                     case STARTED -> new RunsStarted(readStarts(body));
+                    case ENDED_WITH_WORKER -> new RunsEndedWithWorker(readStarts(body));
                     case BEGUN -> new JobsStarted(readJobs(body));
                     case WAVE_DUE -> readWaveDue(body);
                     case LEFT -> OwnerRecordCodec.readOwnerResigned(body);
@@ -137,6 +153,7 @@
         NumberAndName named = readNumberAndName(in);
         return switch (kind) {
             case CANCELLED -> new JobCancelled(named.name(), named.number());
+            case GIVEN_UP -> new JobGivenUp(named.name(), named.number());
             case REBOOTED -> new VmRebooted(named.number(), named.name());
             default -> new WaveCompleted(named.number());
         };
@@ -148,6 +165,7 @@
         writeMessage(out, 2, o -> writeStarts(o, record.starts()));
         writeMessage(out, 3, o -> writeEnds(o, record.ends()));
         out.writeInt64(4, record.cancelledMs());
+        out.writeInt64(5, record.givenUpMs());
     }
 
     private static JobSnapshot readSnapshot(CodedInputStream in) throws IOException {
@@ -155,19 +173,21 @@
         List<StartedRun> starts = List.of();
         List<EndedRun> ends = List.of();
         long cancelledMs = 0;
+        long givenUpMs = 0;
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case 1 -> definition = JobDefinitionCodec.read(in.readBytes().newCodedInput());
                 case 2 -> starts = readStarts(in.readBytes().newCodedInput());
                 case 3 -> ends = readEnds(in.readBytes().newCodedInput());
                 case 4 -> cancelledMs = in.readInt64();
+                case 5 -> givenUpMs = in.readInt64();
                 default -> in.skipField(tag);
             }
         }
         if (definition == null) {
             throw new IOException("job snapshot has no job definition");
         }
-        return new JobSnapshot(definition, starts, ends, cancelledMs);
+        return new JobSnapshot(definition, starts, ends, cancelledMs, givenUpMs);
     }
 
     private static void writeJobs(CodedOutputStream out, List<String> jobs) throws IOException {
@@ -241,6 +261,10 @@
         out.writeInt32(4, run.task().index());
         out.writeInt32(5, run.attempt());
         out.writeString(6, run.worker());
+        if (run.crashes().isSuspect()) {
+            out.writeInt32(7, run.crashes().crashes());
+            out.writeInt32(8, run.crashes().evidence());
+        }
     }
 
     private static List<StartedRun> readStarts(CodedInputStream in) throws IOException {
@@ -258,21 +282,29 @@
     private static StartedRun readStart(CodedInputStream in) throws IOException {
         String job = "";
         String worker = "";
-        int[] numbers = new int[6];
+        int[] numbers = new int[9];
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             int field = WireFormat.getTagFieldNumber(tag);
             if (field == 1) {
                 job = in.readString();
+            } else if (field == 6) {
+                worker = in.readString();
             } else if (field < numbers.length) {
                 numbers[field] = in.readInt32();
-            } else if (field == numbers.length) {
-                worker = in.readString();
             } else {
                 in.skipField(tag);
             }
         }
         TaskName task = new TaskName(job, numbers[2], numbers[3], numbers[4]);
-        return new StartedRun(task, numbers[5], worker);
+        return new StartedRun(task, numbers[5], worker, toCrashHistory(numbers[7], numbers[8]));
+    }
+
+    private static CrashHistory toCrashHistory(int crashes, int evidence) throws IOException {
+        try {
+            return new CrashHistory(crashes, evidence);
+        } catch (IllegalArgumentException e) {
+            throw new IOException(e.getMessage(), e);
+        }
     }
 
     private static void writeEnds(CodedOutputStream out, List<EndedRun> runs) throws IOException {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
@@ -1,6 +1,5 @@
 package org.foxtailplank.node.owner;
 
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Set;
@@ -79,10 +78,7 @@
         if (planned.isEmpty()) {
             return;
         }
-        List<StartedRun> starts = new ArrayList<>();
-        for (TaskRun r : planned) {
-            starts.add(new StartedRun(r.task().name(), r.attempt(), r.worker().id()));
-        }
+        List<StartedRun> starts = planned.stream().map(TaskRun::startRecord).toList();
         mOwner.journal()
                 .store(
                         new RunsStarted(starts),
@@ -180,10 +176,10 @@
                 .with("tookMs", now - sentMs)
                 .with("relayed", relayed)
                 .write();
+        mOwner.scheduler().startAnswered(run, outcome, now);
         if (handleTerminalAnswer(run.worker(), outcome)) {
             return;
         }
-        mOwner.scheduler().startAnswered(run, outcome, now);
         if (outcome != CommandOutcome.DONE) {
             mOwner.scheduleDecision();
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalRefresher.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalRefresher.java
@@ -4,6 +4,7 @@
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
+import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.node.Clock;
 
 /**
@@ -60,6 +61,9 @@
                 if (job.hasStarted()) {
                     store(new JobsStarted(List.of(job.definition().id())));
                 }
+                if (!job.endedWithWorker().isEmpty()) {
+                    store(new RunsEndedWithWorker(List.copyOf(job.endedWithWorker())));
+                }
                 rewritten++;
             }
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -7,10 +7,13 @@
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.JobGivenUp;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
 import org.foxtailplank.job.JournalRecord.OwnerResigned;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
+import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.journal.JournalPosition;
@@ -19,11 +22,13 @@
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.VmClient.Holder;
 import org.foxtailplank.port.VmClient.VmInfo;
+import org.foxtailplank.schedule.ActiveTask;
 import org.foxtailplank.schedule.Decisions;
 import org.foxtailplank.schedule.ListedIncarnations;
 import org.foxtailplank.schedule.OwnerReachability;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.TaskRun;
+import org.foxtailplank.schedule.WorkerEnd;
 import org.foxtailplank.schedule.WorkerEndReason;
 import org.foxtailplank.schedule.WorkerState;
 
@@ -207,17 +212,25 @@
     void handleWorkerEnded(WorkerState worker, WorkerEndReason reason) {
         long now = mClock.nowMs();
         mDirectory.stopPolling(worker.id());
-        List<TaskRun> ended = mScheduler.removeWorker(worker.id());
+        WorkerEnd end = mScheduler.removeWorker(worker.id(), reason, now);
         mContext.log()
                 .line("worker-over")
                 .with("worker", worker.id())
                 .with("why", reason)
-                .with("runs", ended.size())
+                .with("runs", end.runs().size())
                 .with("draining", worker.info().draining())
                 .with("evacuating", worker.isEvacuating())
                 .with("silentMs", now - worker.noticedGoneMs(now))
                 .write();
-        ended.forEach(r -> logEndedWithWorker(r, worker.noticedGoneMs(now)));
+        end.runs().forEach(r -> logEndedWithWorker(r, worker.noticedGoneMs(now)));
+        if (end.crashed()) {
+            mContext.metrics().counter("workerCrashes").inc();
+        }
+        end.suspects().forEach(this::logSuspect);
+        if (!end.runs().isEmpty()) {
+            List<StartedRun> runs = end.runs().stream().map(TaskRun::endRecord).toList();
+            mJournal.store(new RunsEndedWithWorker(runs), () -> {});
+        }
         scheduleDecision();
     }
 
@@ -235,6 +248,33 @@
                 .write();
     }
 
+    private void logSuspect(WorkerEnd.Suspect suspect) {
+        mContext.metrics().counter("crashSuspects").inc();
+        mContext.log()
+                .line("crash-suspect")
+                .with("task", suspect.run().task().name())
+                .with("attempt", suspect.run().attempt())
+                .with("worker", suspect.run().worker().id())
+                .with("crashes", suspect.crashes().crashes())
+                .with("evidence", suspect.crashes().evidence())
+                .write();
+    }
+
+    /** Stores that jobs failed because a task of theirs crashes its workers. */
+    private void storeGivenUpJobs() {
+        for (ActiveTask t : mScheduler.takeGivenUp()) {
+            mContext.metrics().counter("jobsGivenUp").inc();
+            mContext.log()
+                    .line("job-given-up")
+                    .with("job", t.name().job())
+                    .with("task", t.name())
+                    .with("crashes", t.crashes().crashes())
+                    .with("evidence", t.crashes().evidence())
+                    .write();
+            mJournal.store(new JobGivenUp(t.name().job(), mClock.wallMs()), () -> {});
+        }
+    }
+
     /**
      * Stops polling a dropped worker in the same step. A poll still in flight would continue the
      * polling, renew the lease, and adopt runs to which no stop is ever sent.
@@ -305,6 +345,8 @@
         job.ifPresent(j -> mScheduler.addJob(j, now));
         if (record instanceof JobCancelled cancelled) {
             mScheduler.jobEnded(cancelled.job(), now);
+        } else if (record instanceof JobGivenUp givenUp) {
+            mScheduler.jobEnded(givenUp.job(), now);
         } else if (record instanceof RunsEnded ended) {
             for (EndedRun r : ended.runs()) {
                 mScheduler.runEndRecorded(r.task(), r.outcome(), now);
@@ -368,6 +410,7 @@
             Decisions decisions = mScheduler.decide(config.get(), now, mClock.wallMs());
             mSender.send(decisions);
         }
+        storeGivenUpJobs();
         List<String> begun = mScheduler.takeStartedJobs();
         if (!begun.isEmpty()) {
             mJournal.store(new JobsStarted(begun), () -> {});
