Withdraw recorded starts that no longer fit a worker whose capacity has shrunk

A worker's capacity may change while it runs. It was checked when a start was planned, not when it was sent, which may be seconds later while the store or the link is slow, and an unanswered start was repeated whatever the capacity was by then. A worker that doesn't check its capacity would be brought over it; one that does rejects the start.

Starts are now withdrawn when due; unanswered ones are stopped, since they may begin, and count until they have ended.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -29,9 +29,6 @@
  * milliseconds of a monotonic clock unless named wall time.
  */
 public final class Scheduler {
-    /** Delay before an unanswered command is sent again, in milliseconds. */
-    private static final long RESEND_MS = 250;
-
     /** Pause for a worker that refused a start for lack of capacity, in milliseconds. */
     private static final long NO_ROOM_PAUSE_MS = 150;
 
@@ -359,7 +356,7 @@
         mRuns.removeEndedJobs();
         out.paces().addAll(mPaceChanges);
         mPaceChanges.clear();
-        resendCommands(out, nowMs);
+        DueCommands.collect(mWorkers.values(), mRuns, out, nowMs);
         for (Map.Entry<String, List<ActiveRun>> e : dueRunsByService(nowWallMs).entrySet()) {
             List<ActiveRun> sorted =
                     UrgencyOrder.sort(e.getValue(), batchCores(e.getKey(), nowMs), nowWallMs);
@@ -379,30 +376,6 @@
         return sum;
     }
 
-    private void resendCommands(Decisions out, long nowMs) {
-        for (WorkerState w : mWorkers.values()) {
-            for (TaskRun r : w.runs()) {
-                if (r.isCommandDue() && nowMs - r.lastCommandMs() >= RESEND_MS) {
-                    send(r, out, nowMs);
-                }
-            }
-        }
-    }
-
-    private static void send(TaskRun run, Decisions out, long nowMs) {
-        if (run.phase() == RunPhase.STOPPING) {
-            out.stops().add(run);
-        } else if (run.phase() == RunPhase.STARTING) {
-            out.starts().add(new Decisions.Start(run, ticket(run, nowMs)));
-        }
-        run.setCommandDue(false);
-        run.recordCommandSent(nowMs);
-    }
-
-    private static String ticket(TaskRun run, long nowMs) {
-        return run.task().step().ticket(run.worker().id(), nowMs).orElse("");
-    }
-
     private Map<String, List<ActiveRun>> dueRunsByService(long nowWallMs) {
         Map<String, List<ActiveRun>> found = new LinkedHashMap<>();
         for (ActiveJob job : mRuns.jobs()) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -118,6 +118,22 @@
         return mInfo.capacity().minus(mUsed);
     }
 
+    /** Whether the runs here exceed the capacity, which may shrink while they run. */
+    boolean isOverCapacity() {
+        return !Resources.NONE.fitsIn(free());
+    }
+
+    /** The same once the runs that are being stopped have ended. */
+    boolean isOverCapacityAfterStops() {
+        Resources free = free();
+        for (TaskRun r : mRuns) {
+            if (r.phase() == RunPhase.STOPPING) {
+                free = free.plus(r.task().spec().reserved());
+            }
+        }
+        return !Resources.NONE.fitsIn(free);
+    }
+
     Resources used() {
         return mUsed;
     }
