The soak plays tasks that crash their workers and workers that shrink

The soak didn't check BUDGET and LIMIT. One job in fifty now crashes each worker that starts its first task, workers shrink to half of their capacity for 15 s, and the workers of one pool start what exceeds it. BUDGET objects to a third start after three crashes, LOST to a job that failed without two crashes under one of its tasks, or that crashes workers and hasn't failed at the end, LIMIT to a start beyond the highest capacity of the last 10 s; PromiseTest has eight cases. New draws are made apart, so that older seeds keep their other jobs and faults.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
@@ -5,9 +5,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -22,6 +25,7 @@
     private final HttpHandler mHandler;
     private final int mMaxBodyBytes;
     private final Set<ServerConnection> mConnections = new HashSet<>();
+    private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel mListener;
     private boolean mStopping;
 
@@ -66,6 +70,7 @@
     private void accept(Channel channel) {
         ServerConnection connection = new ServerConnection(this, mHandler);
         mConnections.add(connection);
+        mChannels.add(channel);
         channel.pipeline()
                 .addLast(new HttpServerCodec())
                 .addLast(new HttpObjectAggregator(mMaxBodyBytes, true))
@@ -87,6 +92,11 @@
         mListener.close();
     }
 
+    /** Closes all connections at once, as the end of the process would. */
+    public void closeConnections() {
+        mChannels.close();
+    }
+
     /** Returns the number of requests that have not been answered yet. */
     public int inFlight() {
         int count = 0;
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
@@ -33,7 +33,8 @@
     WORKER_DRAIN(Target.WORKER),
     WORKERS_CUT(Target.ZONE),
     LATE_ORDERS(Target.WORKER),
-    WAVE(Target.WORKER);
+    WAVE(Target.WORKER),
+    WORKER_SHRINK(Target.WORKER);
 
     /** What a fault strikes. */
     enum Target {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -26,6 +26,7 @@
     private static final Duration DELAY = Duration.ofMillis(150);
     private static final long WORKER_DRAIN_MS = 4000;
     private static final int LATE_ORDERS = 3;
+    private static final double SHRUNK_SHARE = 0.5;
     private static final int WAVE_VMS = 4;
     private static final long WAVE_S = 20;
     private static final double MS_PER_S = 1000;
@@ -138,6 +139,9 @@
             case WORKER_DRAIN -> mSystem.platform().drainWorker(f.target(), WORKER_DRAIN_MS);
             case WORKERS_CUT, ZONE_CUT ->
                     mSystem.platform().setWorkersUnreachable(mSystem.zone(f.target()), true);
+            case WORKER_SHRINK ->
+                    mSystem.platform()
+                            .shrinkWorker(f.target(), SHRUNK_SHARE, (long) (f.forS() * MS_PER_S));
             case LATE_ORDERS -> mSystem.platform().delayStartOrders(f.target(), LATE_ORDERS);
             case WAVE -> wave(f.target());
             default -> {}
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -66,12 +66,19 @@
             long acceptedMs = scan.since(e.job()).orElse(e.atMs());
             if (e.state().equals("410") && e.atMs() - acceptedMs > VISIBLE_MS) {
                 scan.broken(e, e.job() + " is accepted, and node " + e.node() + " says 410");
-            } else if (e.state().equals("failed")
+            } else if (e.state().equals("failed") && !mayFail(e.job(), scan)
                     || e.state().equals("cancelled") && !scan.isNoted(e.job())) {
                 scan.broken(e, e.job() + " is told to be " + e.state() + " without a cause");
             }
         }
 
+        /** Whether a task of the job has crashed as many workers as allow to give it up. */
+        private boolean mayFail(String id, Scan scan) {
+            SoakJob job = scan.runs().job(id);
+            String first = RunsSeen.task(job, 0, 0);
+            return job.isCrashing(first) && scan.runs().crashes(first) >= CRASHES_TO_GIVE_UP;
+        }
+
         private void askedAtEnd(AskedAtEnd e, Scan scan) {
             if (e.status() != OK) {
                 String answer = e.status() == 0 ? "no answer" : "status " + e.status();
@@ -81,7 +88,8 @@
             }
             SoakJob job = scan.runs().job(e.job());
             boolean ends = !job.standing() && !scan.isNoted(e.job());
-            if (ends && !e.state().equals("completed")) {
+            String end = job.crashDelayMs().isPresent() ? "failed" : "completed";
+            if (ends && !e.state().equals(end)) {
                 scan.broken(e, "at the end " + e.job() + " is " + e.state());
             } else if (job.standing() && !scan.isNoted(e.job()) && !isAtWork(job, scan)) {
                 scan.broken(e, "at the end a task of the standing job " + e.job() + " is away");
@@ -139,6 +147,39 @@
         }
     },
 
+    /** A task that crashes the workers that start it is soon started no more. */
+    BUDGET {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (!(event instanceof Started e)) {
+                return;
+            }
+            SoakJob job = scan.runs().job(SoakEvent.jobOf(e.task()));
+            boolean counts = job != null && job.isCrashing(e.task());
+            if (counts && scan.runs().crashes(e.task()) >= CRASHES_BEFORE_LAST_STARTS) {
+                if (scan.count(e.task(), 1) > LAST_STARTS) {
+                    scan.broken(e, e.task() + " starts again, three workers crashed under it");
+                }
+            }
+        }
+    },
+
+    /** No start brings a worker over its capacity, as it was in the last seconds. */
+    LIMIT {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof SoakEvent.CapacityChanged e) {
+                scan.runs().note(e);
+            } else if (event instanceof Started e) {
+                long used = scan.runs().processors(e.worker()) + processors(e.text());
+                long room = scan.runs().capacity(e.worker(), e.atMs() - CAPACITY_KNOWN_MS);
+                if (used > room) {
+                    scan.broken(e, e.task() + " brings " + e.worker() + " to " + used);
+                }
+            }
+        }
+    },
+
     /** No step starts before the one that it waits for is done. */
     ORDER {
         @Override
@@ -308,6 +349,22 @@
     /** One of so many at least is accepted then. */
     private static final long SERVED_PART = 4;
 
+    /** Crashes of workers under a task from which on its job may be shown as failed. */
+    private static final int CRASHES_TO_GIVE_UP = 2;
+
+    /** Crashes of workers under a task after which few starts more are allowed. */
+    private static final int CRASHES_BEFORE_LAST_STARTS = 3;
+
+    private static final int LAST_STARTS = 2;
+
+    /** Within this time an owner knows that a worker's capacity has shrunk, in milliseconds. */
+    private static final long CAPACITY_KNOWN_MS = 10_000;
+
+    /** Processors of a task, from the text that it is started with. */
+    static long processors(String text) {
+        return Long.parseLong(text.split(" ")[1]);
+    }
+
     /** Looks at one event, before {@link Scan#runs()} knows it. */
     abstract void see(SoakEvent event, Scan scan);
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
@@ -1,7 +1,9 @@
 package org.foxtailplank.soak;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.foxtailplank.soak.SoakEvent.Acknowledged;
@@ -12,12 +14,16 @@
 /** What is known of jobs and runs up to a moment of a history. */
 final class RunsSeen {
     private static final String DONE = "done";
+    private static final String GONE = "gone";
 
     private final Map<String, SoakJob> mJobs = new HashMap<>();
     private final Map<String, Set<String>> mRunning = new HashMap<>();
     private final Map<String, Long> mSinceMs = new HashMap<>();
     private final Map<String, Set<Integer>> mDone = new HashMap<>();
     private final Set<String> mNoted = new HashSet<>();
+    private final Map<String, Integer> mCrashes = new HashMap<>();
+    private final Map<String, Map<String, Long>> mProcessors = new HashMap<>();
+    private final Map<String, List<SoakEvent.CapacityChanged>> mCapacities = new HashMap<>();
 
     /** Takes an event in. */
     void take(SoakEvent event) {
@@ -25,9 +31,14 @@
             mJobs.put(e.job().id(), e.job());
         } else if (event instanceof Started e) {
             running(e.task()).add(e.worker());
+            processorsOn(e.worker()).put(e.task(), Promise.processors(e.text()));
             mSinceMs.put(e.task(), e.atMs());
         } else if (event instanceof Ended e) {
             running(e.task()).remove(e.worker());
+            processorsOn(e.worker()).remove(e.task());
+            if (e.how().equals(GONE)) {
+                mCrashes.merge(e.task(), 1, Integer::sum);
+            }
             if (e.how().equals(DONE)) {
                 mDone.computeIfAbsent(e.task(), t -> new HashSet<>()).add(e.attempt());
             }
@@ -40,6 +51,38 @@
         return mRunning.computeIfAbsent(task, t -> new HashSet<>());
     }
 
+    private Map<String, Long> processorsOn(String worker) {
+        return mProcessors.computeIfAbsent(worker, w -> new HashMap<>());
+    }
+
+    /** Number of runs of a task that ended with their workers. */
+    int crashes(String task) {
+        return mCrashes.getOrDefault(task, 0);
+    }
+
+    /** Processors that the runs on a worker use, in thousandths. */
+    long processors(String worker) {
+        return processorsOn(worker).values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    void note(SoakEvent.CapacityChanged change) {
+        mCapacities.computeIfAbsent(change.worker(), w -> new ArrayList<>()).add(change);
+    }
+
+    /** The highest capacity that a worker has had since a time, in thousandths. */
+    long capacity(String worker, long sinceMs) {
+        long before = SoakSystem.PROCESSORS;
+        long highest = 0;
+        for (SoakEvent.CapacityChanged c : mCapacities.getOrDefault(worker, List.of())) {
+            if (c.atMs() < sinceMs) {
+                before = c.processors();
+            } else {
+                highest = Math.max(highest, c.processors());
+            }
+        }
+        return Math.max(before, highest);
+    }
+
     /** A job; null if nobody has handed it in. */
     SoakJob job(String id) {
         return mJobs.get(id);
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.soak;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
@@ -30,6 +31,16 @@
 
     private static final double SHORTEST_S = 0.5;
     private static final double LONGEST_S = 6;
+
+    /** Mean time between two workers that shrink, in seconds. */
+    private static final double SHRINK_GAP_S = 4;
+
+    /** How long a worker stays shrunk, in seconds; long enough for owners to learn of it. */
+    private static final double SHRUNK_S = 15;
+
+    /** Sets the draw of shrinking workers apart, so that older seeds keep their other faults. */
+    private static final long SHRINK_SEED = 0x5eed;
+
     private static final int RUN_WORDS = 6;
     private static final int FAULT_WORDS = 6;
 
@@ -57,7 +68,10 @@
     public static Schedule draw(long seed, SoakSize size) {
         RandomGenerator random = new Random(seed);
         List<Fault> faults = new ArrayList<>();
-        FaultKind[] kinds = FaultKind.values();
+        FaultKind[] kinds =
+                Arrays.stream(FaultKind.values())
+                        .filter(k -> k != FaultKind.WORKER_SHRINK)
+                        .toArray(FaultKind[]::new);
         double at = FIRST_S + random.nextDouble() * GAP_S;
         while (at < size.seconds()) {
             FaultKind kind = kinds[random.nextInt(kinds.length)];
@@ -65,10 +79,21 @@
             faults.add(new Fault(at, kind, kind.target().draw(size, random), length));
             at += random.nextDouble() * 2 * GAP_S;
         }
+        addShrinkingWorkers(seed, size, faults);
         RunEnding[] endings = RunEnding.values();
         return new Schedule(seed, size, faults, endings[random.nextInt(endings.length)]);
     }
 
+    private static void addShrinkingWorkers(long seed, SoakSize size, List<Fault> faults) {
+        RandomGenerator random = new Random(seed ^ SHRINK_SEED);
+        FaultKind kind = FaultKind.WORKER_SHRINK;
+        for (double at = FIRST_S;
+                at < size.seconds();
+                at += random.nextDouble() * 2 * SHRINK_GAP_S) {
+            faults.add(new Fault(at, kind, kind.target().draw(size, random), SHRUNK_S));
+        }
+    }
+
     /** The same without one of its faults. */
     Schedule without(int fault) {
         List<Fault> left = new ArrayList<>(faults);
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -53,6 +54,17 @@
     private static final int MOST_STANDING = 3;
     private static final long EACH_MS = 160;
 
+    /** Share of the jobs of which a task crashes each worker that starts it. */
+    private static final double CRASHING = 0.02;
+
+    private static final long CRASHING_TASK_MS = 800;
+
+    /** How long after the start, in milliseconds; negative: before it is answered. */
+    private static final List<Long> CRASH_DELAYS_MS = List.of(-1L, 0L, 50L, 500L);
+
+    /** Sets the draw of crashing jobs apart, so that older seeds keep their other jobs. */
+    private static final long CRASH_SEED = 0xc4a5;
+
     /** Time between two questions at the end, in milliseconds: a burst would measure itself. */
     private static final long ASK_EACH_MS = 2;
 
@@ -67,6 +79,7 @@
     private final SoakSystem mSystem;
     private final SoakHistory mHistory;
     private final Random mRandom;
+    private final Random mCrashRandom;
     private final Map<String, SoakJob> mAccepted = new HashMap<>();
     private boolean mComing;
     private boolean mOver;
@@ -77,6 +90,7 @@
         mSystem = system;
         mHistory = history;
         mRandom = new Random(seed);
+        mCrashRandom = new Random(seed ^ CRASH_SEED);
     }
 
     /** Jobs come from now on. */
@@ -135,6 +149,9 @@
     }
 
     private SoakJob draw() {
+        if (mCrashRandom.nextDouble() < CRASHING) {
+            return crashingJob();
+        }
         String id = String.format("%016x", mRandom.nextLong());
         if (mStanding < MOST_STANDING && mRandom.nextDouble() < STANDING) {
             mStanding++;
@@ -145,6 +162,18 @@
                 : new SoakJob(id, "quick", List.of(3, 2), 250, 1000, false);
     }
 
+    private SoakJob crashingJob() {
+        long delayMs = CRASH_DELAYS_MS.get(mCrashRandom.nextInt(CRASH_DELAYS_MS.size()));
+        return new SoakJob(
+                String.format("%016x", mCrashRandom.nextLong()),
+                "quick",
+                List.of(3),
+                CRASHING_TASK_MS,
+                1000,
+                false,
+                Optional.of(delayMs));
+    }
+
     private int anyNode() {
         return mRandom.nextInt(mSystem.nodes().size());
     }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
@@ -50,6 +50,9 @@
     /** A worker has announced that it leaves. */
     record Draining(long atMs, String worker) implements SoakEvent {}
 
+    /** A running worker's capacity has changed; {@code processors} are thousandths. */
+    record CapacityChanged(long atMs, String worker, long processors) implements SoakEvent {}
+
     /** The VM service has carried a call out. */
     record VmCalled(long atMs, String vm, String action, long token) implements SoakEvent {}
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakHistory.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakHistory.java
@@ -47,6 +47,11 @@
         add(t -> new SoakEvent.Draining(t, worker));
     }
 
+    @Override
+    public void capacityChanged(String worker, long processors) {
+        add(t -> new SoakEvent.CapacityChanged(t, worker, processors));
+    }
+
     @Override
     public void vmActionExecuted(String vm, String action, long token) {
         add(t -> new SoakEvent.VmCalled(t, vm, action, token));
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakJob.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakJob.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.soak;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A job of a caller.
@@ -11,6 +12,8 @@
  * @param taskMs how long a task works, in milliseconds
  * @param processors processors of a task, in thousandths
  * @param standing whether its tasks run until it is cancelled
+ * @param crashDelayMs how long after its start its first task crashes the worker, in milliseconds;
+ *     negative: before the start is answered; empty if it crashes none
  */
 record SoakJob(
         String id,
@@ -18,11 +21,28 @@
         List<Integer> steps,
         long taskMs,
         long processors,
-        boolean standing) {
+        boolean standing,
+        Optional<Long> crashDelayMs) {
     SoakJob {
         steps = List.copyOf(steps);
     }
 
+    /** Creates a job that crashes no worker. */
+    SoakJob(
+            String id,
+            String pool,
+            List<Integer> steps,
+            long taskMs,
+            long processors,
+            boolean standing) {
+        this(id, pool, steps, taskMs, processors, standing, Optional.empty());
+    }
+
+    /** Whether a task crashes each worker that starts it. */
+    boolean isCrashing(String task) {
+        return crashDelayMs.isPresent() && task.equals(RunsSeen.task(this, 0, 0));
+    }
+
     int tasks() {
         return steps.stream().mapToInt(Integer::intValue).sum();
     }
@@ -33,7 +53,8 @@
 
     /** The text that each of its tasks is started with. */
     String text() {
-        return (standing ? "standing" : Long.toString(taskMs)) + ' ' + processors;
+        String text = (standing ? "standing" : Long.toString(taskMs)) + ' ' + processors;
+        return crashDelayMs.map(ms -> text + " crash " + ms).orElse(text);
     }
 
     /** What is handed in. */
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -17,7 +18,10 @@
     static final List<String> POOLS = List.of("quick", "heavy", "spare");
 
     /** Processors of a worker, in thousandths: eight tasks of a quick job. */
-    private static final long PROCESSORS = 8000;
+    static final long PROCESSORS = 8000;
+
+    /** Pools whose workers start what exceeds their capacity. */
+    private static final Set<String> UNCHECKED_POOLS = Set.of("heavy");
 
     private static final long LEASE_MS = 6000;
 
@@ -52,7 +56,13 @@
         mPlatform =
                 new UsersStandin(
                         new UsersStandin.Topology(
-                                zones, POOLS, size.workers(), PROCESSORS, LEASE_MS, tokensChecked),
+                                zones,
+                                POOLS,
+                                size.workers(),
+                                PROCESSORS,
+                                LEASE_MS,
+                                tokensChecked,
+                                UNCHECKED_POOLS),
                         history);
         mPlatform.configure(HOST, POOLS);
         String network = network();
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -5,10 +5,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.foxtailplank.soak.SoakEvent.Acknowledged;
 import org.foxtailplank.soak.SoakEvent.AskedAtEnd;
 import org.foxtailplank.soak.SoakEvent.Calm;
 import org.foxtailplank.soak.SoakEvent.Cancelled;
+import org.foxtailplank.soak.SoakEvent.CapacityChanged;
 import org.foxtailplank.soak.SoakEvent.Ended;
 import org.foxtailplank.soak.SoakEvent.Started;
 import org.foxtailplank.soak.SoakEvent.SubmitAnswer;
@@ -25,6 +27,9 @@
             new SoakJob("00000000000000aa", "quick", List.of(1, 1), 250, 1000, false);
     private static final SoakJob STANDING =
             new SoakJob("00000000000000bb", "quick", List.of(3), 0, 1000, true);
+    private static final SoakJob CRASHING =
+            new SoakJob("00000000000000cc", "quick", List.of(1), 800, 1000, false, Optional.of(0L));
+    private static final String CRASHING_TASK = RunsSeen.task(CRASHING, 0, 0);
     private static final String FIRST = RunsSeen.task(JOB, 0, 0);
     private static final String SECOND = RunsSeen.task(JOB, 1, 0);
 
@@ -42,7 +47,10 @@
     }
 
     private void started(long at, String task, int attempt, String worker) {
-        String text = task.startsWith(JOB.id()) ? JOB.text() : STANDING.text();
+        String text = STANDING.text();
+        for (SoakJob job : List.of(JOB, CRASHING)) {
+            text = task.startsWith(job.id()) ? job.text() : text;
+        }
         mEvents.add(new Started(at, task, attempt, worker, 1, text));
     }
 
@@ -149,7 +157,7 @@
 
     @Test
     public void aStartOfWhatNobodyHandedInIsUnasked() {
-        mEvents.add(new Started(10, "00000000000000cc.0.0.0", 1, "a", 1, "250 1000"));
+        mEvents.add(new Started(10, "00000000000000dd.0.0.0", 1, "a", 1, "250 1000"));
         onlyBroken(Promise.UNASKED);
     }
 
@@ -235,6 +243,78 @@
         onlyBroken();
     }
 
+    private void crashes(int times) {
+        accepted(CRASHING);
+        for (int i = 1; i <= times; i++) {
+            started(i * 100, CRASHING_TASK, i, "w" + i);
+            ended(i * 100 + 10, CRASHING_TASK, i, "w" + i, "gone");
+        }
+    }
+
+    @Test
+    public void aTaskThatCrashesWorkersMayStartTwiceAfterThreeCrashes() {
+        crashes(5);
+        onlyBroken();
+    }
+
+    @Test
+    public void aTaskThatCrashesWorkersMayNotStartThreeTimesMore() {
+        crashes(6);
+        onlyBroken(Promise.BUDGET);
+    }
+
+    @Test
+    public void aJobMayFailOnceTwoWorkersCrashedUnderATask() {
+        crashes(2);
+        mEvents.add(new Told(900, CRASHING.id(), 1, "failed"));
+        mEvents.add(new AskedAtEnd(9000, CRASHING.id(), 1, 200, "failed"));
+        onlyBroken();
+    }
+
+    @Test
+    public void aJobThatFailsAfterOneCrashIsLost() {
+        crashes(1);
+        mEvents.add(new Told(900, CRASHING.id(), 1, "failed"));
+        onlyBroken(Promise.LOST);
+    }
+
+    @Test
+    public void aJobThatFailsAlthoughItCrashedNoWorkerIsLost() {
+        for (int i = 1; i <= 3; i++) {
+            started(i * 100, FIRST, i, "w" + i);
+            ended(i * 100 + 10, FIRST, i, "w" + i, "gone");
+        }
+        mEvents.add(new Told(900, JOB.id(), 1, "failed"));
+        onlyBroken(Promise.LOST);
+    }
+
+    @Test
+    public void aCrashingJobThatStillRunsAtTheEndIsLost() {
+        crashes(2);
+        mEvents.add(new AskedAtEnd(9000, CRASHING.id(), 1, 200, "running"));
+        onlyBroken(Promise.LOST);
+    }
+
+    @Test
+    public void aStartThatExceedsTheCapacityOfAWorkerIsOverItsLimit() {
+        accepted(STANDING);
+        mEvents.add(new CapacityChanged(10, "w", 2000));
+        for (int i = 0; i < STANDING.tasks(); i++) {
+            started(20_000, RunsSeen.task(STANDING, 0, i), 1, "w");
+        }
+        onlyBroken(Promise.LIMIT);
+    }
+
+    @Test
+    public void aStartMayRelyOnACapacityThatHasJustShrunk() {
+        accepted(STANDING);
+        mEvents.add(new CapacityChanged(19_000, "w", 2000));
+        for (int i = 0; i < STANDING.tasks(); i++) {
+            started(20_000, RunsSeen.task(STANDING, 0, i), 1, "w");
+        }
+        onlyBroken();
+    }
+
     @Test
     public void aSystemThatAcceptsNothingAfterTheEndHasNotRecovered() {
         mEvents.add(new Calm(1000));
