--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
@@ -35,8 +35,8 @@
 public final class JobRegistry {
     /**
      * Maximum number of unknown jobs with buffered records; the oldest are evicted. Large enough
-     * for all jobs of a partition outage of two minutes, since a new owner would repeat a lost
-     * start.
+     * for all jobs of a partition outage of two minutes, at 50 jobs a second, since a new owner
+     * would repeat a lost start.
      */
     private static final int MAX_BUFFERED_JOBS = 10_000;
 
--- a/foxtail-core/src/main/java/org/foxtailplank/lease/CallLease.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/lease/CallLease.java
@@ -25,8 +25,8 @@
         boolean tokensChecked, Optional<ClockReading> lastAppendSentAt, long waitUntilMs) {
     /**
      * Lease duration, in milliseconds. It exceeds the 400 ms append interval plus the latency of an
-     * append to a slow store, so that the lease doesn't lapse there. A longer lease would delay VM
-     * operations after each change of owner.
+     * append to a slow store, half a second at 60 times its usual latency, so that the lease
+     * doesn't lapse there. A longer lease would delay VM operations after each change of owner.
      */
     public static final long DURATION_MS = 1000;
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/CoreDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/CoreDemand.java
@@ -11,7 +11,10 @@
  * until its objective, so that a steady queue holds no idle VMs.
  */
 final class CoreDemand {
-    /** Minimum period over which the work of a late job is spread, in milliseconds. */
+    /**
+     * Minimum period over which the work of a late job is spread, in milliseconds: it should end
+     * soon, but has too little value left to get workers of its own.
+     */
     private static final long LATE_MS = 3000;
 
     private CoreDemand() {}
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -21,7 +21,8 @@
  * VMs with standing tasks stay.
  *
  * <p>Late jobs, as in the backlog after an outage, only get VMs that no other pool needs, and lose
- * them as soon as another queue's jobs can meet their objectives with them.
+ * them as soon as another queue's jobs can meet their objectives with them. Counted like others,
+ * late jobs, which have little value left, would make most jobs of a burst beside them late too.
  */
 final class PoolBalancer {
     /** Factor on the demand, since tasks don't fill workers completely. */
@@ -30,7 +31,7 @@
     /** Time from the decision to move a VM until it can work, in milliseconds. */
     private static final long JOIN_MS = 2000;
 
-    /** Minimum time between two moves of a VM, in milliseconds. */
+    /** Minimum time between two moves of a VM, in milliseconds, since each move has its cost. */
     private static final long MIN_STAY_MS = 2000;
 
     /** Delay before a pool's spare VMs move to the standby pool, in milliseconds. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/SlowWorkerDetector.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/SlowWorkerDetector.java
@@ -23,7 +23,8 @@
 
     /**
      * A worker is slow if its runs take this many times as long as usual in their service, relative
-     * to their estimates. Errors of the estimates stay below it.
+     * to their estimates. Slowed workers take four times as long or more; estimates are off by
+     * half, so that the mean of a few runs of a sound worker stays below.
      */
     private static final double SLOW_RATIO = 3;
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerEvacuation.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerEvacuation.java
@@ -18,7 +18,10 @@
     /** Longest wait for runs that lose their work when stopped, in milliseconds. */
     private static final long MAX_WAIT_MS = 6000;
 
-    /** A late job's run that should end within this time is not stopped, in milliseconds. */
+    /**
+     * A late job's run that should end within this time is not stopped, in milliseconds: half of
+     * the time that the move takes. Stopping all of them makes some large jobs late.
+     */
     private static final long MAX_LATE_WAIT_MS = 800;
 
     private WorkerEvacuation() {}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalPartitions.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalPartitions.java
@@ -14,8 +14,9 @@
     private static final String TOPIC = "foxtail-journal";
 
     /**
-     * Maximum number of partitions. More of them improve availability, but every new owner must
-     * read and fence all of them before it can start.
+     * Maximum number of partitions. If a third of the platform's partitions are lost at a time, all
+     * three are lost in one of 27 cases. Every new owner must read and fence all of them before it
+     * can start.
      */
     private static final int MAX_PARTITIONS = 3;
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/StreamBudget.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/StreamBudget.java
@@ -11,7 +11,10 @@
  * read them from the store over their own links.
  */
 final class StreamBudget {
-    /** Share of the link for records; the rest is for calls to workers and appends. */
+    /**
+     * Share of the link for records. Calls to workers and appends need about half of the link in a
+     * burst; the rest takes their peaks.
+     */
     private static final double LINK_SHARE = 0.25;
 
     /** Time whose share may be used at once, in milliseconds: about the length of a burst. */
