--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -87,7 +87,7 @@
                 return;
             }
             SoakJob job = scan.runs().job(e.job());
-            boolean ends = !job.standing() && !scan.isNoted(e.job());
+            boolean ends = !job.standing() && !scan.isNoted(e.job()) && !mayStartOn(job, scan);
             String end = job.crashDelayMs().isPresent() ? "failed" : "completed";
             if (ends && !e.state().equals(end)) {
                 scan.broken(e, "at the end " + e.job() + " is " + e.state());
@@ -96,6 +96,13 @@
             }
         }
 
+        /** Whether a task of the job crashes its workers and has starts left. */
+        private boolean mayStartOn(SoakJob job, Scan scan) {
+            int crashes = scan.runs().crashes(RunsSeen.task(job, 0, 0));
+            return job.crashDelayMs().isPresent()
+                    && crashes < CRASHES_BEFORE_LAST_STARTS + LAST_STARTS;
+        }
+
         private boolean isAtWork(SoakJob job, Scan scan) {
             for (int i = 0; i < job.tasks(); i++) {
                 if (scan.runs().workers(RunsSeen.task(job, 0, i)).isEmpty()) {
