Logging of ended workers moves out of OwnerSession

CrashLogger has the log lines and counters of ended workers, suspects and jobs given up. The lines and the decisions are the same; the tests on crashing tasks, cut-off owners and shrunk workers pass.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -259,9 +259,7 @@
                     mRuns.removeRun(run);
                 }
             }
-            case FENCED -> {
-                // The caller stops owning.
-            }
+            case FENCED -> {} // The caller stops owning.
             default -> throw new IllegalStateException("no rule for " + outcome);
         }
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -55,6 +55,7 @@
     private final Scheduler mScheduler;
     private final OwnerJournal mJournal;
     private final CommandSender mSender;
+    private final CrashLogger mCrashLogger;
     private final VmCoordinator mVmCoordinator;
     private final WorkerDirectoryFollower mDirectory;
 
@@ -76,6 +77,7 @@
         mScheduler = new Scheduler(context.settings().schedule());
         mJournal = new OwnerJournal(context, mToken, () -> handleFenced("the journal"));
         mSender = new CommandSender(this, context, mToken);
+        mCrashLogger = new CrashLogger(context);
         mDirectory = new WorkerDirectoryFollower(this, context, mToken);
         mVmCoordinator =
                 new VmCoordinator(
@@ -213,20 +215,7 @@
         long now = mClock.nowMs();
         mDirectory.stopPolling(worker.id());
         WorkerEnd end = mScheduler.removeWorker(worker.id(), reason, now);
-        mContext.log()
-                .line("worker-over")
-                .with("worker", worker.id())
-                .with("why", reason)
-                .with("runs", end.runs().size())
-                .with("draining", worker.info().draining())
-                .with("evacuating", worker.isEvacuating())
-                .with("silentMs", now - worker.noticedGoneMs(now))
-                .write();
-        end.runs().forEach(r -> logEndedWithWorker(r, worker.noticedGoneMs(now)));
-        if (end.crashed()) {
-            mContext.metrics().counter("workerCrashes").inc();
-        }
-        end.suspects().forEach(this::logSuspect);
+        mCrashLogger.logWorkerEnd(worker, reason, end, now);
         if (!end.runs().isEmpty()) {
             List<StartedRun> runs = end.runs().stream().map(TaskRun::endRecord).toList();
             mJournal.store(new RunsEndedWithWorker(runs), () -> {});
@@ -234,43 +223,10 @@
         scheduleDecision();
     }
 
-    /** Logs a run that ended with its worker; {@code ageMs} is -1 if this owner didn't start it. */
-    private void logEndedWithWorker(TaskRun run, long noticedMs) {
-        long ageMs = run.firstSentMs() < 0 ? -1 : noticedMs - run.firstSentMs();
-        mContext.log()
-                .line("run-ended-with-worker")
-                .with("task", run.task().name())
-                .with("attempt", run.attempt())
-                .with("worker", run.worker().id())
-                .with("phase", run.phase())
-                .with("ageMs", ageMs)
-                .with("listed", run.isListed())
-                .write();
-    }
-
-    private void logSuspect(WorkerEnd.Suspect suspect) {
-        mContext.metrics().counter("crashSuspects").inc();
-        mContext.log()
-                .line("crash-suspect")
-                .with("task", suspect.run().task().name())
-                .with("attempt", suspect.run().attempt())
-                .with("worker", suspect.run().worker().id())
-                .with("crashes", suspect.crashes().crashes())
-                .with("evidence", suspect.crashes().evidence())
-                .write();
-    }
-
     /** Stores that jobs failed because a task of theirs crashes its workers. */
     private void storeGivenUpJobs() {
         for (ActiveTask t : mScheduler.takeGivenUp()) {
-            mContext.metrics().counter("jobsGivenUp").inc();
-            mContext.log()
-                    .line("job-given-up")
-                    .with("job", t.name().job())
-                    .with("task", t.name())
-                    .with("crashes", t.crashes().crashes())
-                    .with("evidence", t.crashes().evidence())
-                    .write();
+            mCrashLogger.logGivenUp(t);
             mJournal.store(new JobGivenUp(t.name().job(), mClock.wallMs()), () -> {});
         }
     }
