Apply answers to polls that arrive after their timeout

Cause: an owner on a narrow link that is full of starts waits 500 ms for the answer to a poll, closes the connection and discards the answer that is on its way. The worker has listed its ends in it. The owner learns nothing, counts the worker as unresponsive, stops renewing its lease and takes the runs as lapsed 6.44 s after the last grant; then it starts the tasks again. By the users' rules an end counts as taken note of 100 ms after a worker has listed it while no impairment is near, whether the owner reads the answer or not: that is why the lease, which is over on the worker, didn't matter. A new owner that never reads an answer in time doesn't know the worker's clock and renews nothing at all, so that standing tasks lapse.

Fix: a poll's connection stays open for 6 s after the timeout, and an answer that arrives then is applied: its ends and runs count, and the next poll renews the lease. The worker stays unresponsive, since it may have gone silent meanwhile: it gets no tasks, and an answer that is seconds old isn't used to judge the speed of its runs. Answers may overtake each other, so that one older than the last, by the worker's clock, is ignored. A late answer doesn't lower the known difference of the clocks, which would shorten leases. Polls have connections of their own, so that overdue ones don't take those of starts.

--- a/foxtail-core/src/main/java/org/foxtailplank/port/WorkerClient.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/WorkerClient.java
@@ -22,7 +22,12 @@
             int percent,
             Consumer<CommandResponse> callback);
 
-    /** Acknowledges ends, renews the lease of all runs, and lists running and ended runs. */
+    /**
+     * Acknowledges ends, renews the lease of all runs, and lists running and ended runs.
+     *
+     * @param callback runs once, or twice if the answer arrives after the timeout: first with
+     *     {@link CommandOutcome#UNANSWERED}, then with the answer
+     */
     void poll(WorkerAddress worker, PollCommand command, Consumer<PollResponse> callback);
 
     /**
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PollResult.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PollResult.java
@@ -12,6 +12,9 @@
  * @param orphans runs that must be stopped since their jobs are unknown or have ended
  */
 public record PollResult(List<RunEnd> toStore, List<TaskRun> lost, List<RunStatus> orphans) {
+    /** Result of an answer that is ignored. */
+    static final PollResult NONE = new PollResult(List.of(), List.of(), List.of());
+
     public PollResult {
         toStore = List.copyOf(toStore);
         lost = List.copyOf(lost);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -161,14 +161,11 @@
     /** Applies a worker's answer to a poll. */
     public PollResult pollAnswered(
             WorkerState worker, PollResponse response, long sentMs, long nowMs) {
-        worker.recordAnswer(response.clockMs(), nowMs, mLimits.stopMs());
-        worker.markPolled();
-        PollResult result = mRuns.applyPoll(worker, response, sentMs, nowMs);
-        if (result.toStore().isEmpty()) {
-            worker.updateStoredEnds();
-        } else {
-            worker.beginStore();
+        if (worker.isOutdated(response.clockMs())) {
+            return PollResult.NONE;
         }
+        worker.recordAnswer(response.clockMs(), nowMs, mLimits.stopMs());
+        PollResult result = applyLists(worker, response, sentMs, nowMs);
         mPaceChanges.addAll(PaceControl.adjust(worker, nowMs));
         for (TaskRun r :
                 SlowWorkerDetector.find(worker, mRuns.usualRatio(worker.info().service()), nowMs)) {
@@ -179,6 +176,31 @@
         return result;
     }
 
+    /**
+     * Applies an answer that arrived after its poll had timed out. It may be seconds old, so it
+     * tells nothing about the speed of the runs; an answer older than the last one is ignored.
+     */
+    public PollResult pollAnsweredLate(
+            WorkerState worker, PollResponse response, long sentMs, long nowMs) {
+        if (worker.isOutdated(response.clockMs())) {
+            return PollResult.NONE;
+        }
+        worker.recordLateAnswer(response.clockMs(), nowMs, mLimits.stopMs());
+        return applyLists(worker, response, sentMs, nowMs);
+    }
+
+    private PollResult applyLists(
+            WorkerState worker, PollResponse response, long sentMs, long nowMs) {
+        worker.markPolled();
+        PollResult result = mRuns.applyPoll(worker, response, sentMs, nowMs);
+        if (result.toStore().isEmpty()) {
+            worker.updateStoredEnds();
+        } else {
+            worker.beginStore();
+        }
+        return result;
+    }
+
     /** Releases starts for sending once the journal has them; drops those no longer needed. */
     public void startsRecorded(List<TaskRun> starts) {
         for (TaskRun r : starts) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -27,6 +27,8 @@
     private boolean mRebootDue;
     private boolean mHasClock;
     private long mClockOffsetMs;
+    private long mClockReadMs;
+    private long mLastAnswerClockMs = -1;
     private long mLastAnswerMs;
     private long mEarlierStopsEndClockMs = Long.MAX_VALUE;
     private long mGrantedMs;
@@ -36,6 +38,7 @@
     private long mFullUntilMs;
     private boolean mUnresponsive;
     private long mUnresponsiveSinceMs;
+    private boolean mAnsweredLate;
     private int mFillPace = 100;
     private long mFillPaceMs = Long.MIN_VALUE / 2;
     private long mSlowUntilMs = Long.MIN_VALUE / 2;
@@ -276,12 +279,48 @@
         mUnresponsive = false;
         mLastAnswerMs = nowMs;
         if (clockMs >= 0) {
-            mEarlierStopsEndClockMs = Math.min(mEarlierStopsEndClockMs, clockMs + stopMs);
-            mHasClock = true;
+            recordAnswerClock(clockMs, stopMs);
             mClockOffsetMs = clockMs - nowMs;
+            mClockReadMs = nowMs;
+            mHasClock = true;
         }
     }
 
+    /**
+     * Records an answer to a poll that had timed out. The worker may have stopped answering since,
+     * so it stays unresponsive, but its lease can be renewed.
+     */
+    void recordLateAnswer(long clockMs, long nowMs, long stopMs) {
+        mAnsweredLate = true;
+        if (clockMs >= 0) {
+            recordAnswerClock(clockMs, stopMs);
+            // The delay makes the reading too low. An earlier one is still a lower bound.
+            long reading = clockMs - nowMs;
+            mClockOffsetMs = mHasClock ? Math.max(reading, minClockOffsetMs(nowMs)) : reading;
+            mClockReadMs = nowMs;
+            mHasClock = true;
+        }
+    }
+
+    private void recordAnswerClock(long clockMs, long stopMs) {
+        mLastAnswerClockMs = clockMs;
+        mEarlierStopsEndClockMs = Math.min(mEarlierStopsEndClockMs, clockMs + stopMs);
+    }
+
+    /**
+     * Lower bound of the difference between the worker's clock, which may be slow, and ours. With a
+     * higher value leases would outlast the time that owners wait for.
+     */
+    private long minClockOffsetMs(long nowMs) {
+        long readingAgeMs = Math.max(0, nowMs - mClockReadMs);
+        return mClockOffsetMs - (long) (readingAgeMs * 2 * ScheduleLimits.CLOCK_DRIFT);
+    }
+
+    /** Whether the worker gave an answer before the last one that was applied, by its clock. */
+    boolean isOutdated(long clockMs) {
+        return clockMs >= 0 && clockMs < mLastAnswerClockMs;
+    }
+
     /**
      * Time on the worker's clock by which all stops that an earlier owner requested have completed:
      * the worker rejects that owner's commands once it has answered this one.
@@ -305,8 +344,9 @@
 
     /**
      * Renews the lease with a command that is about to be sent. The lease of an unresponsive worker
-     * is not extended: any such command may still arrive, so extending it would postpone the time
-     * at which the lease has certainly expired and at which its tasks may start elsewhere.
+     * is not extended, unless it has answered late since the last poll: any such command may still
+     * arrive, so extending it would postpone the time at which the lease has certainly expired and
+     * at which its tasks may start elsewhere.
      *
      * @return end of the lease on the worker's clock; 0 for none
      */
@@ -314,10 +354,16 @@
         if (leaseMs <= 0) {
             return 0;
         }
-        if (!mUnresponsive && mHasClock) {
+        boolean renewable = !mUnresponsive || mAnsweredLate;
+        if (renewable && mHasClock) {
             recordLeaseGrant(nowMs);
         }
-        return leaseUntilMs(mUnresponsive ? mGrantedMs : nowMs, leaseMs);
+        return leaseUntilMs(renewable ? nowMs : mGrantedMs, leaseMs);
+    }
+
+    /** Records that a poll is sent. */
+    public void recordPoll() {
+        mAnsweredLate = false;
     }
 
     /** End of a lease that starts at {@code nowMs}, on the worker's clock; 0 if that is unknown. */
@@ -325,11 +371,7 @@
         if (!mHasClock) {
             return 0;
         }
-        // A worker whose answers are lost may run on a slower clock than the last reading suggests.
-        // Without this correction its lease would outlast the time that owners wait for.
-        long readingAgeMs = Math.max(0, nowMs - mLastAnswerMs);
-        long maxLagMs = (long) (readingAgeMs * 2 * ScheduleLimits.CLOCK_DRIFT);
-        return nowMs + mClockOffsetMs + leaseMs - maxLagMs;
+        return nowMs + minClockOffsetMs(nowMs) + leaseMs;
     }
 
     /** Whether the worker's clock has been read. */
--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpClient.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpClient.java
@@ -64,10 +64,26 @@
             long timeoutMs,
             BooleanSupplier maySend,
             Consumer<HttpResult> callback) {
-        TargetPool pool =
-                mPools.computeIfAbsent(
-                        target, t -> new TargetPool(mBootstrap, mLoop, t, mMaxPerTarget));
-        pool.call(new PendingCall(call, maySend, callback), timeoutMs);
+        pool(target).call(new PendingCall(call, maySend, 0, callback), timeoutMs);
+    }
+
+    /**
+     * Sends a request whose response is of use even after the timeout. A response that arrives up
+     * to {@code lateMs} after it is reported by a second call of the callback, which follows the
+     * one with {@link HttpResult.Unanswered}.
+     */
+    public void callAcceptingLate(
+            InetSocketAddress target,
+            HttpCall call,
+            long timeoutMs,
+            long lateMs,
+            Consumer<HttpResult> callback) {
+        pool(target).call(new PendingCall(call, () -> true, lateMs, callback), timeoutMs);
+    }
+
+    private TargetPool pool(InetSocketAddress target) {
+        return mPools.computeIfAbsent(
+                target, t -> new TargetPool(mBootstrap, mLoop, t, mMaxPerTarget));
     }
 
     /** Closes the idle connections to an address and removes its pool. */
--- a/foxtail-http/src/main/java/org/foxtailplank/http/PendingCall.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/PendingCall.java
@@ -11,12 +11,16 @@
     ClientConnection mConnection;
 
     private final BooleanSupplier mMaySend;
+    private final long mLateMs;
     private final Consumer<HttpResult> mCallback;
     private boolean mFinished;
+    private boolean mOverdue;
 
-    PendingCall(HttpCall call, BooleanSupplier maySend, Consumer<HttpResult> callback) {
+    PendingCall(
+            HttpCall call, BooleanSupplier maySend, long lateMs, Consumer<HttpResult> callback) {
         mCall = call;
         mMaySend = maySend;
+        mLateMs = lateMs;
         mCallback = callback;
     }
 
@@ -28,11 +32,26 @@
         return mFinished;
     }
 
+    /** How long after the timeout a response is still accepted, in milliseconds. */
+    long lateMs() {
+        return mLateMs;
+    }
+
+    /** Reports that the call has timed out; a response that arrives later is reported too. */
+    void expire(HttpResult timeout) {
+        mFinished = true;
+        mOverdue = true;
+        mCallback.accept(timeout);
+    }
+
+    /** Reports the result of the call, or the response to an expired one. */
     void finish(HttpResult result) {
-        if (mFinished) {
+        boolean lateResponse = mOverdue && result instanceof HttpResult.Answered;
+        if (mFinished && !lateResponse) {
             return;
         }
         mFinished = true;
+        mOverdue = false;
         mTimer.cancel(false);
         mCallback.accept(result);
     }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
@@ -24,6 +24,10 @@
     private final int mMaxConnections;
     private final Deque<ClientConnection> mIdle = new ArrayDeque<>();
     private final Deque<PendingCall> mWaiting = new ArrayDeque<>();
+
+    /** Connections of calls that have timed out and whose response is still accepted. */
+    private final Deque<ClientConnection> mOverdue = new ArrayDeque<>();
+
     private int mOpenConnections;
 
     TargetPool(Bootstrap bootstrap, EventLoop loop, InetSocketAddress target, int maxConnections) {
@@ -51,11 +55,20 @@
             } else if (mOpenConnections < mMaxConnections) {
                 open(mWaiting.poll());
             } else {
+                closeOldestOverdue();
                 return;
             }
         }
     }
 
+    /** Makes room for a waiting call; the call is dispatched once the connection is closed. */
+    private void closeOldestOverdue() {
+        ClientConnection oldest = mOverdue.poll();
+        if (oldest != null) {
+            oldest.close();
+        }
+    }
+
     private void open(PendingCall call) {
         mOpenConnections++;
         ClientConnection connection = new ClientConnection(this);
@@ -112,12 +125,20 @@
             return;
         }
         ClientConnection connection = call.mConnection;
-        call.finish(new HttpResult.Unanswered("timeout"));
-        connection.close();
+        HttpResult timeout = new HttpResult.Unanswered("timeout");
+        if (call.lateMs() > 0) {
+            mOverdue.add(connection);
+            call.mTimer = mLoop.schedule(connection::close, call.lateMs(), TimeUnit.MILLISECONDS);
+            call.expire(timeout);
+        } else {
+            call.finish(timeout);
+            connection.close();
+        }
         close();
     }
 
     void release(ClientConnection connection) {
+        mOverdue.remove(connection);
         mIdle.addLast(connection);
         dispatch();
     }
@@ -125,6 +146,7 @@
     void onClosed(ClientConnection connection) {
         mOpenConnections--;
         mIdle.remove(connection);
+        mOverdue.remove(connection);
         dispatch();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -47,9 +47,15 @@
     /** Connections to the store: long polls, appends and refreshes; the same to the VM service. */
     private static final int STORE_CONNECTIONS = 12;
 
-    /** Connections to one worker: a long poll and concurrent starts. */
+    /** Connections to one worker for starts, stops and other commands. */
     private static final int WORKER_CONNECTIONS = 6;
 
+    /**
+     * Connections to one worker for polls: one for the current poll, the others for overdue ones
+     * whose answers may still arrive.
+     */
+    private static final int POLL_CONNECTIONS = 8;
+
     /** A node whose last read is older than this, in milliseconds, isn't ready for callers. */
     private static final long MAX_READ_AGE_MS = 2500;
 
@@ -99,6 +105,7 @@
                 new UsersPlatform(
                         new HttpClient(loop, CONNECT_TIMEOUT_MS, STORE_CONNECTIONS),
                         new HttpClient(loop, CONNECT_TIMEOUT_MS, WORKER_CONNECTIONS),
+                        new HttpClient(loop, CONNECT_TIMEOUT_MS, POLL_CONNECTIONS),
                         HttpClient.resetting(loop, CONNECT_TIMEOUT_MS, STORE_CONNECTIONS),
                         settings.platform(),
                         PlatformTimeouts.DEFAULTS,
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -47,6 +47,7 @@
     private final long mToken;
     private boolean mStopped;
     private int mPollNumber;
+    private int mLastReportedPoll;
 
     WorkerPoller(OwnerSession owner, OwnerContext context, WorkerState worker, long token) {
         mOwner = owner;
@@ -62,6 +63,7 @@
         }
         long now = mContext.clock().nowMs();
         long leaseUntil = mWorker.renewLease(now, mOwner.workerLeaseMs());
+        mWorker.recordPoll();
         boolean canWait =
                 mWorker.hasClock() && !mWorker.isUnresponsive() && !mWorker.hasUnstoredEnds();
         long waitMs = mWorker.runs().isEmpty() ? IDLE_POLL_WAIT_MS : POLL_WAIT_MS;
@@ -70,23 +72,40 @@
         PollCommand command =
                 new PollCommand(mToken, mWorker.storedEnds(), leaseUntil, canWait ? waitMs : 0);
         mContext.metrics().counter("looks").inc();
+        int number = mPollNumber;
         mContext.platform()
                 .workerClient()
-                .poll(mWorker.address(), command, a -> handleAnswer(a, now));
+                .poll(mWorker.address(), command, a -> handleAnswer(a, number, now));
     }
 
-    private void handleAnswer(PollResponse response, long sentMs) {
+    /**
+     * Handles the answer to a poll, its timeout, or the answer that arrives after its timeout. The
+     * polls that follow a timeout go on independently of a late answer.
+     */
+    private void handleAnswer(PollResponse response, int number, long sentMs) {
         if (mOwner.hasEnded() || mStopped) {
             return;
         }
+        boolean late = number <= mLastReportedPoll;
+        mLastReportedPoll = Math.max(mLastReportedPoll, number);
         switch (response.outcome()) {
-            case DONE -> applyAnswer(response, sentMs);
+            case DONE -> {
+                if (late) {
+                    applyLateAnswer(response, sentMs);
+                } else {
+                    applyAnswer(response, sentMs);
+                }
+            }
             case FENCED -> mOwner.handleFenced(mWorker.id());
             case OTHER_LIFE -> {
                 mStopped = true;
                 mOwner.handleWorkerEnded(mWorker, WorkerEndReason.OTHER_INCARNATION);
             }
-            default -> handleFailure(response.outcome());
+            default -> {
+                if (!late) {
+                    handleFailure(response.outcome());
+                }
+            }
         }
     }
 
@@ -104,28 +123,52 @@
     }
 
     private void applyAnswer(PollResponse response, long sentMs) {
-        long now = mContext.clock().nowMs();
         if (mWorker.isUnresponsive()) {
             mContext.log().line("worker-back").with("worker", mWorker.id()).write();
         }
+        long now = mContext.clock().nowMs();
         PollResult result = mOwner.scheduler().pollAnswered(mWorker, response, sentMs, now);
-        logEffects(result);
-        result.orphans().forEach(this::stopOrphan);
-        mOwner.scheduleDecision();
+        handleEffects(result);
         if (result.toStore().isEmpty()) {
             scheduleNextPoll(mWorker.hasUnstoredEnds() ? UNSTORED_POLL_DELAY_MS : 0);
             return;
         }
-        List<EndedRun> ends = new ArrayList<>();
-        for (RunEnd e : result.toStore()) {
-            ends.add(new EndedRun(e.task(), e.attempt(), e.outcome(), mContext.clock().wallMs()));
-        }
         int pollNumber = mPollNumber;
-        mOwner.journal().store(new RunsEnded(ends), () -> handleEndsStored(pollNumber));
+        store(result.toStore(), () -> handleEndsStored(pollNumber));
         // The lease must be renewed even while the store is unavailable.
         scheduleNextPoll(UNSTORED_POLL_DELAY_MS);
     }
 
+    private void applyLateAnswer(PollResponse response, long sentMs) {
+        long now = mContext.clock().nowMs();
+        PollResult result = mOwner.scheduler().pollAnsweredLate(mWorker, response, sentMs, now);
+        mContext.metrics().latency("latePoll").update(now - sentMs);
+        mContext.log()
+                .line("poll-late")
+                .with("worker", mWorker.id())
+                .with("tookMs", now - sentMs)
+                .with("ended", result.toStore().size())
+                .write();
+        handleEffects(result);
+        if (!result.toStore().isEmpty()) {
+            store(result.toStore(), mWorker::endStore);
+        }
+    }
+
+    private void handleEffects(PollResult result) {
+        logEffects(result);
+        result.orphans().forEach(this::stopOrphan);
+        mOwner.scheduleDecision();
+    }
+
+    private void store(List<RunEnd> toStore, Runnable onStored) {
+        List<EndedRun> ends = new ArrayList<>();
+        for (RunEnd e : toStore) {
+            ends.add(new EndedRun(e.task(), e.attempt(), e.outcome(), mContext.clock().wallMs()));
+        }
+        mOwner.journal().store(new RunsEnded(ends), onStored);
+    }
+
     private void handleEndsStored(int pollNumber) {
         mWorker.endStore();
         if (pollNumber == mPollNumber) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
@@ -84,6 +84,7 @@
                                         null,
                                         null,
                                         null,
+                                        null,
                                         none,
                                         PlatformTimeouts.DEFAULTS,
                                         clock::nowMs)
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
@@ -15,11 +15,16 @@
 
     /** Adds a worker with eight cores. */
     void add(String id, String service) {
+        add(id, service, "10.0.0.1:1");
+    }
+
+    /** The same with the address that the worker listens on, as {@code ip:port}. */
+    void add(String id, String service, String address) {
         WorkerInfo info =
                 new WorkerInfo(
                         id,
                         service,
-                        "10.0.0.1:1",
+                        address,
                         "zone",
                         Resources.of(8, 1L << 40, 0),
                         Set.of("a", "r1"),
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/NarrowOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/NarrowOwnerTest.java
@@ -32,7 +32,6 @@
 import org.foxtailplank.port.OperatorChange;
 import org.foxtailplank.port.ServiceConfig;
 import org.foxtailplank.port.SharedLog;
-import org.foxtailplank.port.VmClient;
 import org.foxtailplank.port.WavePublisher;
 import org.foxtailplank.port.WorkerClient;
 import org.foxtailplank.schedule.ScheduleLimits;
@@ -95,24 +94,6 @@
         }
     }
 
-    /** A VM service without VMs. */
-    private static final class NoVms implements VmClient {
-        @Override
-        public void list(Consumer<Optional<List<VmInfo>>> callback) {
-            callback.accept(Optional.of(List.of()));
-        }
-
-        @Override
-        public void move(String vm, String pool, Holder holder, Consumer<VmOutcome> callback) {
-            callback.accept(VmOutcome.NOT_DONE);
-        }
-
-        @Override
-        public void reboot(String vm, long wave, Holder holder, Consumer<VmOutcome> callback) {
-            callback.accept(VmOutcome.NOT_DONE);
-        }
-    }
-
     private static byte[] backlog() {
         TaskStep step =
                 new TaskStep(
