Store ends that a worker lists to an owner that has ended

If the next owner doesn't reach the worker until its lease is over, it starts the task again.

Fix: such ends are stored the way each node stores its records: handed over to the current owner, or appended where there is none. Ends are facts, so that storing one twice, or in any order, is harmless.

Tests: anEndListedToAResignedOwnerIsKept and anEndThatAFencedOwnerCouldNotStoreIsKept. Without forwarding both fail: "after 6450 ms" and "after 8610 ms: lists don't have the same size expected [0] but found [1]".

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -389,7 +389,8 @@
         return mGrantedMs;
     }
 
-    long seenEnds() {
+    /** Highest sequence number of the ends that have been applied. */
+    public long seenEnds() {
         return mSeenEnds;
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.JournalWriter;
+import org.foxtailplank.node.journal.RecordForwarder;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.node.owner.OwnerContext;
@@ -312,7 +313,8 @@
                                 mPlatform.vmActions(),
                                 mPlatform.placementAdvice(),
                                 mPlatform.wavePublisher()),
-                        mStream.startRelay());
+                        mStream.startRelay(),
+                        new RecordForwarder(mWriter, mClock, mTimers)::forward);
         OwnerSession session = new OwnerSession(context, taken, this::fenced);
         mOwner = Optional.of(session);
         mLink.setOwner(Optional.empty());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerContext.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerContext.java
@@ -1,5 +1,7 @@
 package org.foxtailplank.node.owner;
 
+import java.util.function.Consumer;
+import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.NodeMetrics;
 import org.foxtailplank.node.NodeSettings;
@@ -16,7 +18,11 @@
 import org.foxtailplank.port.WorkerClient;
 import org.foxtailplank.port.WorkerInfo;
 
-/** Dependencies of an owner. */
+/**
+ * Dependencies of an owner.
+ *
+ * @param recordForwarder stores records of an owner that has ended
+ */
 public record OwnerContext(
         NodeSettings settings,
         Clock clock,
@@ -27,7 +33,8 @@
         JournalReader reader,
         SharedLog sharedLog,
         Platform platform,
-        StartRelay startRelay) {
+        StartRelay startRelay,
+        Consumer<JournalRecord> recordForwarder) {
 
     /** Platform ports that only an owner uses. */
     public record Platform(
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -76,12 +76,12 @@
 
     /** Stores a record of the owner itself, retrying until it succeeds or the journal is closed. */
     void store(JournalRecord record, Runnable stored) {
-        Consumer<StoreOutcome> callback =
-                o -> {
-                    if (o == StoreOutcome.STORED) {
-                        stored.run();
-                    }
-                };
+        store(record, stored, () -> {});
+    }
+
+    /** The same; {@code closed} runs if the journal is closed before the record is stored. */
+    void store(JournalRecord record, Runnable stored, Runnable closed) {
+        Consumer<StoreOutcome> callback = o -> (o == StoreOutcome.STORED ? stored : closed).run();
         enqueue(new PendingRecord(JournalCodec.encode(record), false, callback));
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.node.owner;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -14,6 +15,7 @@
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.RunEnd;
 import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.journal.JournalPosition;
@@ -231,6 +233,23 @@
         }
     }
 
+    /**
+     * Stores ends that a worker has listed. Once this owner has ended, they are forwarded: the next
+     * owner may not reach the worker, and would start the tasks again.
+     */
+    void storeEnds(List<RunEnd> ends, Runnable stored) {
+        List<EndedRun> runs = new ArrayList<>();
+        for (RunEnd e : ends) {
+            runs.add(new EndedRun(e.task(), e.attempt(), e.outcome(), mClock.wallMs()));
+        }
+        RunsEnded record = new RunsEnded(runs);
+        if (mEnded) {
+            mContext.recordForwarder().accept(record);
+        } else {
+            mJournal.store(record, stored, () -> mContext.recordForwarder().accept(record));
+        }
+    }
+
     /**
      * Stops polling a dropped worker in the same step. A poll still in flight would continue the
      * polling, renew the lease, and adopt runs to which no stop is ever sent.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.foxtailplank.job.JournalRecord.EndedRun;
-import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.RunEnd;
 import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.port.CommandOutcome;
@@ -83,7 +81,8 @@
      * polls that follow a timeout go on independently of a late answer.
      */
     private void handleAnswer(PollResponse response, int number, long sentMs) {
-        if (mOwner.hasEnded() || mStopped) {
+        if (mStopped || mOwner.hasEnded()) {
+            storeUnseenEnds(response);
             return;
         }
         boolean late = number <= mLastReportedPoll;
@@ -109,6 +108,19 @@
         }
     }
 
+    /** Stores the ends in an answer that arrives after the polling has ended. */
+    private void storeUnseenEnds(PollResponse response) {
+        List<RunEnd> unseen = new ArrayList<>();
+        for (RunEnd e : response.ended()) {
+            if (e.sequence() > mWorker.seenEnds() && e.outcome().counts()) {
+                unseen.add(e);
+            }
+        }
+        if (!unseen.isEmpty()) {
+            mOwner.storeEnds(unseen, () -> {});
+        }
+    }
+
     private void handleFailure(CommandOutcome outcome) {
         if (!mWorker.isUnresponsive()) {
             mContext.log()
@@ -134,7 +146,7 @@
             return;
         }
         int pollNumber = mPollNumber;
-        store(result.toStore(), () -> handleEndsStored(pollNumber));
+        mOwner.storeEnds(result.toStore(), () -> handleEndsStored(pollNumber));
         // The lease must be renewed even while the store is unavailable.
         scheduleNextPoll(UNSTORED_POLL_DELAY_MS);
     }
@@ -151,7 +163,7 @@
                 .write();
         handleEffects(result);
         if (!result.toStore().isEmpty()) {
-            store(result.toStore(), mWorker::endStore);
+            mOwner.storeEnds(result.toStore(), mWorker::endStore);
         }
     }
 
@@ -161,14 +173,6 @@
         mOwner.scheduleDecision();
     }
 
-    private void store(List<RunEnd> toStore, Runnable onStored) {
-        List<EndedRun> ends = new ArrayList<>();
-        for (RunEnd e : toStore) {
-            ends.add(new EndedRun(e.task(), e.attempt(), e.outcome(), mContext.clock().wallMs()));
-        }
-        mOwner.journal().store(new RunsEnded(ends), onStored);
-    }
-
     private void handleEndsStored(int pollNumber) {
         mWorker.endStore();
         if (pollNumber == mPollNumber) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -238,6 +238,49 @@
                 "the lease has expired, so the earlier end cannot be accepted");
     }
 
+    /** Guards against a second start of a task whose end only a resigned owner was told. */
+    @Test
+    public void anEndListedToAResignedOwnerIsKept() {
+        OwnerSession first =
+                startOwnerWithFirstWorker(
+                        new DisconnectableLog(mLog), mWorkers.connect(), job(RunMode.PLAIN));
+        mWorkers.finish("w1", TASK);
+        long polls = pollCount();
+        while (pollCount() == polls) {
+            pass(STEP_MS);
+        }
+
+        first.resign(() -> {});
+        FakeWorkers.Connection connection = mWorkers.connect();
+        connection.disconnect("w1");
+        startOwner(new DisconnectableLog(mLog), connection, new Takeover(2, false, true));
+        for (int i = 0; i < 2000; i++) {
+            pass(STEP_MS);
+            assertEquals(mWorkers.running(TASK), List.of(), "after " + i * STEP_MS + " ms");
+        }
+    }
+
+    /** Guards against a second start of a task whose end a fenced owner could not store. */
+    @Test
+    public void anEndThatAFencedOwnerCouldNotStoreIsKept() {
+        DisconnectableLog log = new DisconnectableLog(mLog);
+        OwnerSession first = startOwnerWithFirstWorker(log, mWorkers.connect(), job(RunMode.PLAIN));
+        log.disconnect();
+        mWorkers.finish("w1", TASK);
+        pass(1500);
+
+        FakeWorkers.Connection connection = mWorkers.connect();
+        connection.disconnect("w1");
+        startOwner(new DisconnectableLog(mLog), connection, new Takeover(2, false, false));
+        pass(1000);
+        log.reconnect();
+        first.handleFenced("another worker");
+        for (int i = 0; i < 2000; i++) {
+            pass(STEP_MS);
+            assertEquals(mWorkers.running(TASK), List.of(), "after " + i * STEP_MS + " ms");
+        }
+    }
+
     @Test
     public void standingTasksKeepRunningDuringShortStoreOutage() {
         // During a store outage no node can replace the owner, so leases must be renewed for long
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/DisconnectableLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/DisconnectableLog.java
@@ -18,6 +18,10 @@
         mDisconnected = true;
     }
 
+    void reconnect() {
+        mDisconnected = false;
+    }
+
     @Override
     public void append(LogPartition at, List<byte[]> records, Consumer<AppendResult> callback) {
         if (!mDisconnected) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.node.owner;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
@@ -12,6 +13,7 @@
 import org.foxtailplank.node.NodeMetrics;
 import org.foxtailplank.node.NodeSettings;
 import org.foxtailplank.node.OperatorFollower;
+import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.node.peer.StartRelay;
@@ -95,7 +97,12 @@
                 reader,
                 log,
                 platform,
-                StartRelay.NONE);
+                StartRelay.NONE,
+                r ->
+                        log.append(
+                                settings.journal().partitions().get(0),
+                                List.of(JournalCodec.encode(r)),
+                                result -> {}));
     }
 
     /** The same context with a relay for starts. */
@@ -110,6 +117,7 @@
                 context.reader(),
                 context.sharedLog(),
                 context.platform(),
-                relay);
+                relay,
+                context.recordForwarder());
     }
 }
