Apply ends at once that arrive after their worker was removed

Callers would see: a task runs a second time although it has ended done. The end arrives after the owner has removed the worker, which was dropped as unlisted and unresponsive, or whose incarnation is over.

Cause: such an end is only stored, and counts once the owner has read its own record back. An owner whose link is full reads late. Until then it sends starts that it has planned and plans others. An end in a late answer of a worker that is still known counts at once.

Before: CutOffOwnerTest.anEndThatArrivesAfterItsWorkerWasRemovedCountsBeforeItIsReadBack failed with "lists don't have the same size expected [0] but found [1]": the task ran on the other worker 3 s after its end had arrived.

Fix: the end is applied to the scheduler in the same step, as if it had been read back, so that starts not yet sent are dropped.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -108,7 +108,10 @@
         }
     }
 
-    /** Stores the ends in an answer that arrives after the polling has ended. */
+    /**
+     * Stores the ends in an answer that arrives after the polling has ended. They count at once: an
+     * owner whose link is full reads its own records late, and would start the tasks again.
+     */
     private void storeUnseenEnds(PollResponse response) {
         List<RunEnd> unseen = new ArrayList<>();
         for (RunEnd e : response.ended()) {
@@ -116,9 +119,14 @@
                 unseen.add(e);
             }
         }
-        if (!unseen.isEmpty()) {
-            mOwner.storeEnds(unseen, () -> {});
+        if (unseen.isEmpty()) {
+            return;
+        }
+        long now = mContext.clock().nowMs();
+        for (RunEnd e : unseen) {
+            mOwner.scheduler().runEndRecorded(e.task(), e.outcome(), now);
         }
+        mOwner.storeEnds(unseen, () -> {});
     }
 
     private void handleFailure(CommandOutcome outcome) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -34,6 +34,7 @@
 import org.foxtailplank.port.VmClient;
 import org.foxtailplank.port.WavePublisher;
 import org.foxtailplank.schedule.ScheduleLimits;
+import org.foxtailplank.schedule.WorkerEndReason;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -45,6 +46,9 @@
     private static final ScheduleLimits LIMITS = new ScheduleLimits(6000, 250, 200);
     private static final long STEP_MS = 10;
 
+    /** Time in which a worker of {@link FakeWorkers} answers a poll. */
+    private static final long POLL_MS = 510;
+
     private FakeTime mTime;
     private FakeSharedLog mLog;
     private FakeWorkers mWorkers;
@@ -145,6 +149,14 @@
         }
     }
 
+    /** Lets time pass in which owners read nothing from the journal. */
+    private void passWithoutReads(long ms) {
+        for (long t = 0; t < ms; t += STEP_MS) {
+            mTime.advance(STEP_MS);
+            mLog.deliverAnswers();
+        }
+    }
+
     /** Lets time pass and asserts at each step that the task runs at most once. */
     private void passAssertingAtMostOneRun(long ms) {
         for (long t = 0; t < ms; t += STEP_MS) {
@@ -281,6 +293,23 @@
         }
     }
 
+    /** Guards against a second start of a task whose end arrives after its worker was removed. */
+    @Test
+    public void anEndThatArrivesAfterItsWorkerWasRemovedCountsBeforeItIsReadBack() {
+        FakeWorkers.Connection connection = mWorkers.connect();
+        OwnerSession owner = startOwnerWithFirstWorker(mLog, connection, job(RunMode.PLAIN));
+        mWorkers.finish("w1", TASK);
+        pass(POLL_MS);
+        owner.handleWorkerEnded(
+                owner.scheduler().worker("w1").orElseThrow(), WorkerEndReason.MOVED_OR_REBOOTED);
+        passWithoutReads(POLL_MS);
+
+        connection.reconnect("w2");
+        passWithoutReads(3000);
+
+        assertEquals(mWorkers.running(TASK), List.of());
+    }
+
     @Test
     public void standingTasksKeepRunningDuringShortStoreOutage() {
         // During a store outage no node can replace the owner, so leases must be renewed for long
