Notice executed moves and reboots of VMs whose answers are lost

Callers would see: jobs that wait although their pool has got a VM. An owner whose link is full moves a VM to a pool and has no answer after a second. Once the VM's next worker has joined and was polled, the owner calls again, is told that the move is done, and takes the new worker as the one that the move has ended. The worker is polled no more and gets no tasks until its entry in the directory changes, and the pool goes on counting its VM as joining. Reboots are affected if no answer arrives until the VM is up again. Meanwhile the list of VMs had made the end of the old worker look like a crash.

Cause: the action that an unanswered call has begun is known only from a second call, and the worker that it ended was taken from the VM's entry at the time of the answer.

Fix: a list that shows the VM in its target pool, or being rebooted, counts as the answer, before workers that it lacks are taken as crashed. A call keeps the worker that was on the VM when the action was first called for, and only that one ends with it. An answer that arrives after such a list is ignored.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVm.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVm.java
@@ -9,6 +9,7 @@
     private VmInfo mInfo;
     private Optional<PlannedVmAction> mPlanned = Optional.empty();
     private boolean mCallPending;
+    private Optional<String> mCalledWorker = Optional.empty();
     private long mPlannedMs;
     private String mPreviousWorker = "";
     private long mLastMoveMs = Long.MIN_VALUE / 2;
@@ -48,6 +49,7 @@
         mPlanned = Optional.of(action);
         mPlannedMs = nowMs;
         mCallPending = false;
+        mCalledWorker = Optional.empty();
     }
 
     long plannedMs() {
@@ -55,17 +57,39 @@
     }
 
     /** Whether the platform was called and has not answered. */
-    boolean isCallPending() {
+    public boolean isCallPending() {
         return mCallPending;
     }
 
-    void setCallPending(boolean calling) {
-        mCallPending = calling;
+    /**
+     * Records that the platform is called, perhaps again; returns the worker on the VM when it was
+     * first called, which is empty for none. Once the action is executed, there is another one.
+     */
+    String beginCall() {
+        mCallPending = true;
+        mCalledWorker = mCalledWorker.or(() -> Optional.of(mInfo.worker()));
+        return mCalledWorker.get();
+    }
+
+    void endCall() {
+        mCallPending = false;
+    }
+
+    /**
+     * Returns the call for the planned action if an entry of a list shows that the platform has
+     * executed it.
+     */
+    Optional<VmPlanner.Call> executedCall(VmInfo listed) {
+        if (mPlanned.isEmpty() || mCalledWorker.isEmpty() || !mPlanned.get().isShownBy(listed)) {
+            return Optional.empty();
+        }
+        return Optional.of(new VmPlanner.Call(this, mPlanned.get(), mCalledWorker.get()));
     }
 
     void cancelPlan() {
         mPlanned = Optional.empty();
         mCallPending = false;
+        mCalledWorker = Optional.empty();
     }
 
     /**
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVms.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVms.java
@@ -75,7 +75,7 @@
 
     /** Applies the platform's answer to an action. */
     static void applyOutcome(ManagedVm vm, PlannedVmAction action, VmOutcome outcome, long nowMs) {
-        vm.setCallPending(false);
+        vm.endCall();
         VmInfo info = vm.info();
         if (outcome == VmOutcome.DONE && action instanceof PlannedVmAction.Move move) {
             vm.applyAction(new VmInfo(info.id(), move.pool(), VmPhase.MOVING, "", info.capacity()));
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -49,8 +49,13 @@
         }
     }
 
-    /** A call to the platform. */
-    public record Call(ManagedVm vm, PlannedVmAction action) {}
+    /**
+     * A call to the platform.
+     *
+     * @param worker the worker on the VM when the platform was first called for the action, which
+     *     the action ends; empty for none
+     */
+    public record Call(ManagedVm vm, PlannedVmAction action, String worker) {}
 
     /**
      * Returns the incarnations of workers that have ended according to a list of VMs: a complete
@@ -80,6 +85,21 @@
         return ended;
     }
 
+    /**
+     * Returns the calls that the platform has executed without an answer so far, according to a
+     * list of VMs. Calling again would end the plan only once the VM has its next worker.
+     */
+    public List<Call> executedCalls(List<VmInfo> vms, long askedMs) {
+        List<Call> executed = new ArrayList<>();
+        for (VmInfo info : vms) {
+            mVms.vm(info.id())
+                    .filter(v -> v.plannedMs() <= askedMs)
+                    .flatMap(v -> v.executedCall(info))
+                    .ifPresent(executed::add);
+        }
+        return executed;
+    }
+
     /** Applies a list of all VMs that was requested at {@code askedMs}. */
     public void applyList(List<VmInfo> vms, long askedMs) {
         mVms.update(vms, askedMs, mLastActionMs);
@@ -88,12 +108,13 @@
     /** Applies the platform's answer to a call. */
     public void callAnswered(Call call, VmOutcome outcome, long nowMs) {
         mLastActionMs.put(call.vm().id(), nowMs);
+        Optional<WorkerState> worker = worker(call.vm());
         ManagedVms.applyOutcome(call.vm(), call.action(), outcome, nowMs);
         if (outcome == VmOutcome.DONE && call.action() instanceof PlannedVmAction.Reboot reboot) {
             mRebooted.computeIfAbsent(reboot.wave(), w -> new HashSet<>()).add(call.vm().id());
         }
         if (call.vm().planned().isEmpty()) {
-            worker(call.vm()).ifPresent(w -> w.setEvacuating(false));
+            worker.ifPresent(w -> w.setEvacuating(false));
         }
     }
 
@@ -169,8 +190,7 @@
             boolean standby = config.isStandby(vm.info().pool());
             boolean empty = worker.isPresent() && worker.get().isEmpty();
             if (mayCall && (empty || standby && worker.isEmpty())) {
-                vm.setCallPending(true);
-                calls.add(new Call(vm, vm.planned().get()));
+                calls.add(new Call(vm, vm.planned().get(), vm.beginCall()));
             }
         }
         return calls;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
@@ -117,6 +117,7 @@
     private void handleList(List<VmInfo> vms, long askedMs) {
         mListed = true;
         vms.forEach(this::logChange);
+        mPlanner.executedCalls(vms, askedMs).forEach(c -> applyOutcome(c, VmOutcome.DONE));
         for (WorkerState w : mPlanner.endedIncarnations(vms, askedMs)) {
             mOwner.handleWorkerEnded(w, WorkerEndReason.NOT_LISTED);
         }
@@ -224,11 +225,21 @@
             mOwner.handleFenced(call.vm().id());
             return;
         }
-        String worker = call.vm().info().worker();
+        // Nothing is pending if a list has shown before that the call was executed.
+        if (call.vm().isCallPending()) {
+            applyOutcome(call, outcome);
+        }
+    }
+
+    /**
+     * Applies the outcome of a call. The worker that it ended is the one at the first call: a
+     * repeated call is answered in the same way while the next worker runs.
+     */
+    private void applyOutcome(Call call, VmOutcome outcome) {
         mPlanner.callAnswered(call, outcome, mClock.nowMs());
         if (outcome == VmOutcome.DONE) {
             mOwner.scheduler()
-                    .worker(worker)
+                    .worker(call.worker())
                     .ifPresent(w -> mOwner.handleWorkerEnded(w, WorkerEndReason.MOVED_OR_REBOOTED));
             recordReboot(call);
         }
