--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -39,6 +39,7 @@
     private boolean mUnresponsive;
     private long mUnresponsiveSinceMs;
     private boolean mAnsweredLate;
+    private long mLateAnswerMs = Long.MIN_VALUE / 2;
     private int mFillPace = 100;
     private long mFillPaceMs = Long.MIN_VALUE / 2;
     private long mSlowUntilMs = Long.MIN_VALUE / 2;
@@ -292,6 +293,7 @@
      */
     void recordLateAnswer(long clockMs, long nowMs, long stopMs) {
         mAnsweredLate = true;
+        mLateAnswerMs = nowMs;
         if (clockMs >= 0) {
             recordAnswerClock(clockMs, stopMs);
             // The delay makes the reading too low. An earlier one is still a lower bound.
@@ -338,6 +340,11 @@
         return mPolled && mLastAnswerMs > ms;
     }
 
+    /** Whether an answer to a poll that had timed out arrived after this time. */
+    boolean hasAnsweredLateSince(long ms) {
+        return mLateAnswerMs > ms;
+    }
+
     long lastAnswerMs() {
         return mLastAnswerMs;
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerReachabilityTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerReachabilityTest.java
@@ -30,6 +30,24 @@
         assertTrue(OwnerReachability.isCutOff(workers(20, 10), LONG_AGO_MS, NOW_MS));
     }
 
+    /** Guards against an owner on a full link that resigns although all its workers answer late. */
+    @Test
+    public void anOwnerWhoseWorkersAnswerLateIsNotCutOff() {
+        List<WorkerState> workers = workers(30, 0);
+        workers.forEach(w -> w.recordLateAnswer(NOW_MS, NOW_MS - 1000, 0));
+
+        assertFalse(OwnerReachability.isCutOff(workers, LONG_AGO_MS, NOW_MS));
+    }
+
+    /** Guards against an owner that is cut off and stays because it once received late answers. */
+    @Test
+    public void anOwnerWhoseLateAnswersHaveEndedIsCutOff() {
+        List<WorkerState> workers = workers(30, 0);
+        workers.forEach(w -> w.recordLateAnswer(NOW_MS, NOW_MS - 1800, 0));
+
+        assertTrue(OwnerReachability.isCutOff(workers, LONG_AGO_MS, NOW_MS));
+    }
+
     @Test
     public void anOwnerThatMissesAnotherZoneIsNotCutOff() {
         // The zone of the VM service is cut off; no other node would reach more.
