Accept lists of VMs that arrive after their timeout

Callers saw: owners behind full links resign with `owner-cut-off` although the VM service answers each request, and crashed workers noticed only when their leases end.

Cause: a list of VMs that takes over 1 s is discarded and its connection closed; the next request opens one first and is later still. OwnerReachability sees a VM service without an answer, and no list shows an incarnation that has ended.

Each list that arrives proves that the VM service is reached. It is applied unless it was requested before the last applied one arrived: of two such lists either may be the older one, and an older one would end incarnations that the other names. Without that rule aListOfVmsThatANewerOneOvertookEndsNoWorkers fails (:249 expected [true] but found [false]). An older request time makes endedIncarnations and applyList more careful: more answers and actions count as later.

`list` reports once as before; the takeover and the election use it.

Verified: `mvn verify` of foxtail-core, foxtail-http, platform and foxtail-node, no failure.

--- a/foxtail-core/src/main/java/org/foxtailplank/port/VmClient.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/VmClient.java
@@ -11,6 +11,16 @@
     /** Lists all VMs. */
     void list(Consumer<Optional<List<VmInfo>>> callback);
 
+    /**
+     * Lists all VMs, also if the list arrives after the timeout.
+     *
+     * @param callback runs once, or twice if the list arrives after the timeout: first without a
+     *     list, then with it
+     */
+    default void listAcceptingLate(Consumer<Optional<List<VmInfo>>> callback) {
+        list(callback);
+    }
+
     /**
      * Moves a VM to another pool, which terminates everything that runs on it. The call is sent
      * only while the holder's permit is valid, and aborted when the permit expires.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
@@ -44,6 +44,9 @@
     private final Set<Long> mDeadlinesWritten = new HashSet<>();
     private final WaveDeadlines mDeadlines;
     private long mLastAnswerMs;
+    private long mAppliedMs = Long.MIN_VALUE;
+    private int mListNumber;
+    private int mLastReportedList;
     private boolean mListed;
     private int mCallsInFlight;
     private boolean mCallsAllowed = true;
@@ -102,18 +105,31 @@
             return;
         }
         long askedMs = mClock.nowMs();
+        int number = ++mListNumber;
         mContext.platform()
                 .vms()
-                .list(
+                .listAcceptingLate(
                         vms -> {
-                            if (vms.isPresent()) {
-                                mLastAnswerMs = mClock.nowMs();
+                            vms.ifPresent(v -> handleAnswer(v, askedMs));
+                            if (number > mLastReportedList) {
+                                mLastReportedList = number;
+                                mContext.timers().after(LIST_INTERVAL_MS, this::list);
                             }
-                            vms.ifPresent(v -> handleList(v, askedMs));
-                            mContext.timers().after(LIST_INTERVAL_MS, this::list);
                         });
     }
 
+    /**
+     * Handles a list, which may arrive after its timeout. One that was requested before another
+     * arrived may be the older of the two, and would end incarnations that the other one names.
+     */
+    private void handleAnswer(List<VmInfo> vms, long askedMs) {
+        mLastAnswerMs = mClock.nowMs();
+        if (!mOwner.hasEnded() && askedMs >= mAppliedMs) {
+            mAppliedMs = mLastAnswerMs;
+            handleList(vms, askedMs);
+        }
+    }
+
     private void handleList(List<VmInfo> vms, long askedMs) {
         mListed = true;
         vms.forEach(this::logChange);
