Time out reads of the store only when they stop arriving

On deployments whose nodes have links of 2 Mbit/s a configuration with 1,771 routes reached the last node up to 31 s after it was issued.

A read of the store was given up after its timeout, 600 to 1,000 ms plus the time that it may wait, even while its response was arriving. The configuration comes as one record of some 300 KB, which takes 1.2 s of the whole link.

A connection that goes silent is noticed as soon as before.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/ClientConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ClientConnection.java
@@ -4,6 +4,8 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -46,6 +48,19 @@
         mContext.writeAndFlush(request);
     }
 
+    /** Returns the first handler of the pipeline, which notices parts of a response. */
+    ChannelInboundHandler progressRecorder() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (mCurrent != null) {
+                    mCurrent.recordProgress(TargetPool.nowMs());
+                }
+                context.fireChannelRead(bytes);
+            }
+        };
+    }
+
     void close() {
         mContext.close();
     }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpClient.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpClient.java
@@ -64,7 +64,7 @@
             long timeoutMs,
             BooleanSupplier maySend,
             Consumer<HttpResult> callback) {
-        pool(target).call(new PendingCall(call, maySend, 0, callback), timeoutMs);
+        pool(target).call(new PendingCall(call, maySend, 0, 0, callback), timeoutMs);
     }
 
     /**
@@ -78,7 +78,24 @@
             long timeoutMs,
             long lateMs,
             Consumer<HttpResult> callback) {
-        pool(target).call(new PendingCall(call, () -> true, lateMs, callback), timeoutMs);
+        pool(target).call(new PendingCall(call, () -> true, lateMs, 0, callback), timeoutMs);
+    }
+
+    /**
+     * Sends a request whose response may be large. The timeout restarts whenever a part of the
+     * response arrives: giving up a response that is still arriving over a slow link would waste
+     * what the link has carried, and the next attempt would fail in the same way.
+     *
+     * @param timeoutMs longest time without progress, in milliseconds
+     * @param maxMs longest time in all, in milliseconds
+     */
+    public void callReceivingLarge(
+            InetSocketAddress target,
+            HttpCall call,
+            long timeoutMs,
+            long maxMs,
+            Consumer<HttpResult> callback) {
+        pool(target).call(new PendingCall(call, () -> true, 0, maxMs, callback), timeoutMs);
     }
 
     private TargetPool pool(InetSocketAddress target) {
--- a/foxtail-http/src/main/java/org/foxtailplank/http/PendingCall.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/PendingCall.java
@@ -12,18 +12,54 @@
 
     private final BooleanSupplier mMaySend;
     private final long mLateMs;
+    private final long mMaxMs;
     private final Consumer<HttpResult> mCallback;
     private boolean mFinished;
     private boolean mOverdue;
+    private long mTimeoutMs;
+    private long mStartMs;
+    private long mProgressMs;
 
+    /**
+     * Creates a call.
+     *
+     * @param lateMs how long after the timeout a response is still accepted, in milliseconds
+     * @param maxMs longest duration while the response keeps arriving, in milliseconds; 0 if the
+     *     timeout holds for the whole call
+     */
     PendingCall(
-            HttpCall call, BooleanSupplier maySend, long lateMs, Consumer<HttpResult> callback) {
+            HttpCall call,
+            BooleanSupplier maySend,
+            long lateMs,
+            long maxMs,
+            Consumer<HttpResult> callback) {
         mCall = call;
         mMaySend = maySend;
         mLateMs = lateMs;
+        mMaxMs = maxMs;
         mCallback = callback;
     }
 
+    /** Starts the timeout. */
+    void start(long timeoutMs, long nowMs) {
+        mTimeoutMs = timeoutMs;
+        mStartMs = nowMs;
+        mProgressMs = nowMs;
+    }
+
+    /** Restarts the timeout, as a part of the response has arrived. */
+    void recordProgress(long nowMs) {
+        mProgressMs = nowMs;
+    }
+
+    /** Returns how long the call may still take if no more of the response arrives. */
+    long remainingMs(long nowMs) {
+        if (mMaxMs == 0) {
+            return mStartMs + mTimeoutMs - nowMs;
+        }
+        return Math.min(mProgressMs + mTimeoutMs, mStartMs + mMaxMs) - nowMs;
+    }
+
     boolean maySend() {
         return mMaySend.getAsBoolean();
     }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
@@ -38,11 +38,29 @@
     }
 
     void call(PendingCall pending, long timeoutMs) {
-        pending.mTimer = mLoop.schedule(() -> onTimeout(pending), timeoutMs, TimeUnit.MILLISECONDS);
+        pending.start(timeoutMs, nowMs());
+        scheduleTimeout(pending, timeoutMs);
         mWaiting.add(pending);
         dispatch();
     }
 
+    private void scheduleTimeout(PendingCall call, long delayMs) {
+        call.mTimer = mLoop.schedule(() -> onTimer(call), delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void onTimer(PendingCall call) {
+        long remainingMs = call.remainingMs(nowMs());
+        if (remainingMs > 0) {
+            scheduleTimeout(call, remainingMs);
+        } else {
+            onTimeout(call);
+        }
+    }
+
+    static long nowMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
     void close() {
         new ArrayList<>(mIdle).forEach(ClientConnection::close);
     }
@@ -80,6 +98,7 @@
                                     @Override
                                     protected void initChannel(Channel channel) {
                                         channel.pipeline()
+                                                .addLast(connection.progressRecorder())
                                                 .addLast(new HttpClientCodec())
                                                 .addLast(
                                                         new HttpObjectAggregator(
