Crashes of a task are compared with all earlier ones

What callers saw: a task that crashes each worker that starts it was started a sixth time; the platform allows two starts more after three crashes. Each start costs a worker and all that runs there.

Cause: evidence stayed below the 300 that five crashes need. A crash was compared with the last one only, so that one that was noticed late (412 ms rather than 56) hid that the next came at the same time as those before it. The ages of crashes with several suspects were dropped.

Change: the history of a task keeps the ages of its last five crashes, also of those with several suspects, which are no evidence by themselves. A crash is compared with each of them alike. Half of the repeated crashes are assumed within 5% of the earlier age (at least 5 ms), half within 25% as before. A crash that a worker didn't live to confirm the start for may have come at any time up to 100 ms: its evidence is the mean over these, since narrow intervals around one assumed age would count each such crash as repeated. An unknown age is not compared with.

Why it works: for ages 56, 56 (both shared), 56, 412 and 56 ms CrashTrackerTest#aCrashThatIsNoticedLateDoesNotHideThatTheOthersRepeat failed before ("lists don't have the same size expected [1] but found [0]": not given up after five crashes) and passes now. The density still doesn't gain on the whole by any earlier ages, so that healthy tasks are as safe as before (CrashEvidenceTest, 500 draws of ages).

CrashTrackerTest#severalSuspectsAreNoEvidenceAgainstOne expects the age of 10 ms now, and no evidence as before.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/CrashTracker.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/CrashTracker.java
@@ -21,9 +21,15 @@
  * was a suspect before is evidence against it, whatever else had just been started.
  */
 final class CrashTracker {
-    /** Shortest time to a crash of a run that its worker hasn't confirmed, in milliseconds. */
+    /**
+     * A worker that hasn't confirmed a run may have crashed at any time up to this one after the
+     * start, in milliseconds.
+     */
     private static final long UNCONFIRMED_AGE_MS = 100;
 
+    /** Assumed time of such a crash, in milliseconds. */
+    private static final long MEAN_UNCONFIRMED_AGE_MS = UNCONFIRMED_AGE_MS / 2;
+
     private final RunTable mRuns;
     private final Map<String, CrashRate> mRates = new HashMap<>();
     private final List<ActiveTask> mGivenUp = new ArrayList<>();
@@ -50,10 +56,11 @@
         List<TaskRun> blamed = suspects.isEmpty() ? started : suspects;
         Set<ActiveTask> blamedTasks = tasks(blamed);
         for (ActiveTask t : tasks(started)) {
+            Age age = age(t, started, noticedMs);
             if (blamedTasks.equals(Set.of(t))) {
-                addEvidence(t, ageMs(blamed, worker, noticedMs), rate, nowMs);
+                addEvidence(t, age, rate, nowMs);
             } else {
-                setCrashes(t, t.crashes().plusCrash(), nowMs);
+                setCrashes(t, t.crashes().plusCrash(0, age.ms()), nowMs);
             }
         }
         if (worker.suspects() == 0) {
@@ -77,13 +84,13 @@
      */
     void inheritedRunEnded(ActiveTask task, long nowMs) {
         CrashRate rate = rate(task.step().job().definition().service());
-        addEvidence(task, TaskRun.PROBATION_MS, rate, nowMs);
+        addEvidence(task, Age.UNKNOWN, rate, nowMs);
     }
 
-    private void addEvidence(ActiveTask task, long ageMs, CrashRate rate, long nowMs) {
+    private void addEvidence(ActiveTask task, Age age, CrashRate rate, long nowMs) {
         CrashHistory crashes = task.crashes();
-        int evidence = CrashEvidence.of(ageMs, crashes.lastAgeMs(), rate.perSecond());
-        setCrashes(task, crashes.plusCrash(evidence, ageMs), nowMs);
+        int evidence = age.evidence(crashes.agesMs(), rate.perSecond());
+        setCrashes(task, crashes.plusCrash(evidence, age.ms()), nowMs);
     }
 
     private void setCrashes(ActiveTask task, CrashHistory crashes, long nowMs) {
@@ -105,22 +112,42 @@
         return started;
     }
 
-    /**
-     * Time for which the first of these runs ran, in milliseconds. A worker that has confirmed none
-     * may have been gone a little earlier.
-     */
-    private static long ageMs(List<TaskRun> runs, WorkerState worker, long noticedMs) {
+    /** Time for which the first of a task's runs ran; unknown if an earlier owner started one. */
+    private static Age age(ActiveTask task, List<TaskRun> runs, long noticedMs) {
         long firstSentMs = Long.MAX_VALUE;
         boolean confirmed = false;
         for (TaskRun r : runs) {
+            if (r.task().accountable() != task) {
+                continue;
+            }
             if (r.isInherited()) {
-                return TaskRun.PROBATION_MS;
+                return Age.UNKNOWN;
             }
             firstSentMs = Math.min(firstSentMs, r.firstSentMs());
             confirmed |= r.confirmedMs() >= 0;
         }
-        long ageMs = noticedMs - firstSentMs;
-        return confirmed ? ageMs : Math.max(ageMs, UNCONFIRMED_AGE_MS);
+        long ageMs = Math.max(1, noticedMs - firstSentMs);
+        return confirmed || ageMs > UNCONFIRMED_AGE_MS ? new Age(ageMs, true) : Age.UNCONFIRMED;
+    }
+
+    /**
+     * Time from the start of a run to the crash of its worker.
+     *
+     * @param ms in milliseconds; 0 if unknown
+     * @param exact whether the crash is known to have come then
+     */
+    private record Age(long ms, boolean exact) {
+        static final Age UNKNOWN = new Age(0, false);
+        static final Age UNCONFIRMED = new Age(MEAN_UNCONFIRMED_AGE_MS, false);
+
+        int evidence(List<Long> earlierAgesMs, double crashesPerSecond) {
+            if (exact) {
+                return CrashEvidence.of(ms, earlierAgesMs, crashesPerSecond);
+            }
+            return ms > 0
+                    ? CrashEvidence.ofAgeUpTo(UNCONFIRMED_AGE_MS, earlierAgesMs, crashesPerSecond)
+                    : CrashEvidence.of(TaskRun.PROBATION_MS, earlierAgesMs, crashesPerSecond);
+        }
     }
 
     /** Returns the tasks whose jobs were given up since the last call. */
--- a/foxtail-core/src/test/java/org/foxtailplank/job/CrashHistoryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/CrashHistoryTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import org.testng.annotations.Test;
 
 /** Tests when crashes of workers prove a fault of a task. */
@@ -50,6 +51,29 @@
         assertEquals(new CrashHistory(Integer.MAX_VALUE, 0, 0).backoffMs(), 2000);
     }
 
+    @Test
+    public void theAgesOfTheLastCrashesAreKept() {
+        CrashHistory crashes = CrashHistory.NONE;
+        for (long ageMs = 1; ageMs <= 7; ageMs++) {
+            crashes = crashes.plusCrash(0, ageMs);
+        }
+
+        assertEquals(crashes.agesMs(), List.of(3L, 4L, 5L, 6L, 7L));
+    }
+
+    /** Guards against a crash of unknown age that is compared with later ones. */
+    @Test
+    public void anUnknownAgeIsNotKept() {
+        CrashHistory crashes = CrashHistory.NONE.plusCrash(0, 56).plusCrash(0, 0);
+
+        assertEquals(crashes, new CrashHistory(2, 0, List.of(56L)));
+    }
+
+    @Test(expectedExceptions = IllegalArgumentException.class)
+    public void anAgeThatIsNotPositiveIsRejected() {
+        new CrashHistory(1, 0, List.of(-1L));
+    }
+
     @Test(expectedExceptions = IllegalArgumentException.class)
     public void aNegativeNumberOfCrashesIsRejected() {
         new CrashHistory(-1, 0, 0);
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/CrashTrackerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/CrashTrackerTest.java
@@ -26,6 +26,8 @@
     private static final String JOB = "00000000000000aa";
     private static final String OTHER = "00000000000000bb";
 
+    private static final long MAX_BACKOFF_MS = 2000;
+
     private OwnerHarness mOwner;
 
     @BeforeMethod
@@ -50,6 +52,12 @@
         return mOwner.placeTasks().get(0);
     }
 
+    /** Starts what can start, and returns the run of a job. */
+    private TaskRun startOf(String job) {
+        List<TaskRun> started = mOwner.placeTasks();
+        return started.stream().filter(r -> r.task().name().job().equals(job)).findFirst().get();
+    }
+
     private void crashAfter(long ms, String worker) {
         mOwner.mNowMs += ms;
         mOwner.crash(worker);
@@ -85,7 +93,7 @@
         start(job(JOB, 2, 1));
 
         for (WorkerEnd.Suspect s : mOwner.crash("w1").suspects()) {
-            assertEquals(s.crashes(), new CrashHistory(1, 0, 0));
+            assertEquals(s.crashes(), new CrashHistory(1, 0, 10));
         }
     }
 
@@ -229,6 +237,30 @@
         assertFalse(progress.phase().isFinal(), "the journal decides on the phase");
     }
 
+    /** Guards against a sixth start of a task because its crashes aren't seen to repeat. */
+    @Test
+    public void aCrashThatIsNoticedLateDoesNotHideThatTheOthersRepeat() {
+        mOwner.accept(job(JOB, 1, 1));
+        mOwner.accept(job(OTHER, 1, 1));
+        for (String worker : List.of("w1", "w2")) {
+            mOwner.addWorker(worker, "surveys", 8);
+            assertEquals(mOwner.placeTasks().size(), 2, "both are suspects");
+            crashAfter(46, worker);
+        }
+        mOwner.addWorker("w3", "surveys", 8);
+        ActiveTask task = null;
+        for (long ms : List.of(46L, 402L, 46L)) {
+            mOwner.addWorker("w-" + mOwner.mNowMs, "surveys", 8);
+            mOwner.mNowMs += MAX_BACKOFF_MS;
+            TaskRun run = startOf(JOB);
+            task = run.task();
+            crashAfter(ms, run.worker().id());
+        }
+
+        assertEquals(task.crashes().crashes(), 5);
+        assertEquals(mOwner.mScheduler.takeGivenUp(), List.of(task));
+    }
+
     @Test
     public void aTaskThatRanWithoutACrashIsNoSuspectAnyMore() {
         mOwner.addWorker("w1", "surveys", 8);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -264,7 +264,10 @@
         if (run.crashes().isSuspect()) {
             out.writeInt32(7, run.crashes().crashes());
             out.writeInt32(8, run.crashes().evidence());
-            out.writeInt32(9, (int) run.crashes().lastAgeMs());
+            // Earlier versions keep the last value of a field, which is the newest age.
+            for (long ageMs : run.crashes().agesMs()) {
+                out.writeInt32(9, (int) ageMs);
+            }
         }
     }
 
@@ -283,7 +286,8 @@
     private static StartedRun readStart(CodedInputStream in) throws IOException {
         String job = "";
         String worker = "";
-        int[] numbers = new int[10];
+        int[] numbers = new int[9];
+        List<Long> agesMs = new ArrayList<>();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             int field = WireFormat.getTagFieldNumber(tag);
             if (field == 1) {
@@ -292,19 +296,22 @@
                 worker = in.readString();
             } else if (field < numbers.length) {
                 numbers[field] = in.readInt32();
+            } else if (field == 9) {
+                agesMs.add((long) in.readInt32());
             } else {
                 in.skipField(tag);
             }
         }
+        agesMs.removeIf(ms -> ms <= 0);
         TaskName task = new TaskName(job, numbers[2], numbers[3], numbers[4]);
         return new StartedRun(
-                task, numbers[5], worker, toCrashHistory(numbers[7], numbers[8], numbers[9]));
+                task, numbers[5], worker, toCrashHistory(numbers[7], numbers[8], agesMs));
     }
 
-    private static CrashHistory toCrashHistory(int crashes, int evidence, int lastAgeMs)
+    private static CrashHistory toCrashHistory(int crashes, int evidence, List<Long> agesMs)
             throws IOException {
         try {
-            return new CrashHistory(crashes, evidence, lastAgeMs);
+            return new CrashHistory(crashes, evidence, agesMs);
         } catch (IllegalArgumentException e) {
             throw new IOException(e.getMessage(), e);
         }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.protobuf.CodedOutputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
@@ -43,6 +45,8 @@
     private static final StartedRun START = new StartedRun(TASK, 4, "w1");
     private static final StartedRun SUSPECT =
             new StartedRun(TASK, 4, "w1", new CrashHistory(2, -30, 510));
+    private static final StartedRun REPEATED =
+            new StartedRun(TASK, 4, "w1", new CrashHistory(4, 170, List.of(56L, 412L, 56L)));
 
     private static JobDefinition definition() {
         TaskStep step =
@@ -76,6 +80,7 @@
             {new JobCancelled("aa", 5)},
             {new JobGivenUp("aa", 5)},
             {new RunsStarted(List.of(SUSPECT))},
+            {new RunsStarted(List.of(REPEATED))},
             {new RunsEndedWithWorker(List.of(START, SUSPECT))},
             {new RunsStarted(List.of(START, START))},
             {new RunsEnded(List.of(END))},
@@ -94,6 +99,47 @@
         assertEquals(JournalCodec.decode(JournalCodec.encode(record)), Optional.of(record));
     }
 
+    /** A start as an earlier version wrote it, which knew the age of one crash at most. */
+    private static byte[] earlierStart(int lastAgeMs) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        JournalCodec.writeMessage(
+                out,
+                4,
+                runs ->
+                        JournalCodec.writeMessage(
+                                runs,
+                                1,
+                                o -> {
+                                    o.writeString(1, TASK.job());
+                                    o.writeInt32(2, TASK.run());
+                                    o.writeInt32(3, TASK.step());
+                                    o.writeInt32(4, TASK.index());
+                                    o.writeInt32(5, 4);
+                                    o.writeString(6, "w1");
+                                    o.writeInt32(7, 2);
+                                    o.writeInt32(8, -30);
+                                    o.writeInt32(9, lastAgeMs);
+                                }));
+        out.flush();
+        return bytes.toByteArray();
+    }
+
+    /** Guards against starts of earlier versions that are lost with an upgrade. */
+    @Test
+    public void aStartOfAnEarlierVersionIsRead() throws IOException {
+        StartedRun unknown = new StartedRun(TASK, 4, "w1", new CrashHistory(2, -30, List.of()));
+
+        assertEquals(
+                JournalCodec.decode(earlierStart(510)),
+                Optional.of(new RunsStarted(List.of(SUSPECT))));
+        for (int ageMs : new int[] {0, -1}) {
+            assertEquals(
+                    JournalCodec.decode(earlierStart(ageMs)),
+                    Optional.of(new RunsStarted(List.of(unknown))));
+        }
+    }
+
     @Test
     public void aRecordOfAnUnknownKindIsSkipped() throws IOException {
         byte[] kind99 = {(byte) 0x9a, 0x06, 0x01, 0x00};
