Bound an owner's appends by what its link carries

Callers saw: tasks started again after they had ended done, standing tasks ended and jobs lost on fleets of narrow links, without any other trouble.

Cause: all records that wait for an append go into the next one, whatever its size, and an append without an answer is sent again after 120 ms and four times the store's latency, then to the next partition in the same way. On a full link the answer is missing because the append is still on its way. The copies fill the link, more records wait meanwhile, and the next append is larger. Ends that the owner has read from its workers aren't stored, so that its successor starts the tasks again once their worker is gone, and the owner is replaced as its last stored record is old.

Fix: an append holds what the whole link carries in 100 ms, or 16 KB, and is sent again only after four times the time that the link takes for it, in addition. Links of unknown rate aren't bounded.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/LinkRate.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/LinkRate.java
@@ -21,6 +21,9 @@
      */
     private static final long MAX_TAKE_OVER_DELAY_MS = 600;
 
+    /** Bytes that a link of one megabit per second carries in a millisecond. */
+    private static final double BYTES_PER_MEGABIT_MS = 125;
+
     public LinkRate {
         if (!(megabitsPerS >= 0)) {
             throw new IllegalArgumentException("invalid link rate in Mbit/s: " + megabitsPerS);
@@ -46,4 +49,14 @@
         return (long)
                 (MAX_TAKE_OVER_DELAY_MS * Math.max(0, 1 - megabitsPerS / AMPLE_MEGABITS_PER_S));
     }
+
+    /** Returns the number of bytes that the whole link carries in a time given in milliseconds. */
+    public long bytesIn(long ms) {
+        return equals(UNKNOWN) ? Long.MAX_VALUE : (long) (megabitsPerS * BYTES_PER_MEGABIT_MS * ms);
+    }
+
+    /** Returns how long the whole link takes for these bytes, in milliseconds; 0 if unknown. */
+    public long transferMs(long bytes) {
+        return equals(UNKNOWN) ? 0 : (long) (bytes / (megabitsPerS * BYTES_PER_MEGABIT_MS));
+    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalBatch.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalBatch.java
@@ -41,6 +41,10 @@
             mCallback = callback;
         }
 
+        int byteCount() {
+            return mBytes.length;
+        }
+
         boolean isHandedOver() {
             return mHandedOver;
         }
@@ -75,6 +79,10 @@
         return mRecords.stream().map(r -> r.mBytes).toList();
     }
 
+    long byteCount() {
+        return mRecords.stream().mapToLong(PendingRecord::byteCount).sum();
+    }
+
     /** Counts a send of this append. */
     void recordSend(ClockReading now) {
         if (mFirstSent.isEmpty()) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -31,8 +31,19 @@
     /** Delay before rejected records are sent again, in milliseconds. */
     private static final long RETRY_DELAY_MS = 100;
 
+    /**
+     * Longest time that an append may take on the owner's whole link, in milliseconds. A larger one
+     * would not be stored before its timeout on a link that is full, and never if records that wait
+     * for it join it.
+     */
+    private static final long MAX_TRANSFER_MS = 100;
+
+    /** Bytes that an append may have on any link. */
+    private static final long MIN_BATCH_BYTES = 16 << 10;
+
     private final OwnerContext mContext;
     private final Runnable mOnFenced;
+    private final long mMaxBatchBytes;
     private final Deque<PendingRecord> mQueue = new ArrayDeque<>();
     private final List<PartitionWriter> mWriters = new ArrayList<>();
 
@@ -44,6 +55,8 @@
     OwnerJournal(OwnerContext context, long token, Runnable onFenced) {
         mContext = context;
         mOnFenced = onFenced;
+        mMaxBatchBytes =
+                Math.max(MIN_BATCH_BYTES, context.settings().link().bytesIn(MAX_TRANSFER_MS));
         mLastStoredMs = context.clock().nowMs();
         WriterListener listener = new WriterListener();
         for (LogPartition p : context.settings().journal().partitions()) {
@@ -156,10 +169,21 @@
         }
         Optional<PartitionWriter> writer = selectWriter();
         if (writer.isPresent()) {
-            List<PendingRecord> records = List.copyOf(mQueue);
-            mQueue.clear();
-            writer.get().send(records);
+            writer.get().send(takeBatch());
+        }
+    }
+
+    private List<PendingRecord> takeBatch() {
+        List<PendingRecord> batch = new ArrayList<>();
+        long bytes = 0;
+        while (!mQueue.isEmpty()) {
+            bytes += mQueue.peek().byteCount();
+            if (bytes > mMaxBatchBytes && !batch.isEmpty()) {
+                break;
+            }
+            batch.add(mQueue.poll());
         }
+        return batch;
     }
 
     private final class WriterListener implements PartitionWriter.Listener {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
@@ -21,14 +21,21 @@
 
     /**
      * How long to wait for an answer before an append is sent again, in milliseconds, in addition
-     * to the store's current latency. Covers a pause of this process and some appends of other
-     * writers. After twice the total the partition is considered failing.
+     * to the store's current latency and the time that the link takes. Covers a pause of this
+     * process and some appends of other writers. After twice the total the partition is considered
+     * failing.
      */
     private static final long RESEND_DELAY_MS = 120;
 
     /** Multiple of the store's current latency that is added to the resend delay. */
     private static final int RESEND_LATENCY_FACTOR = 4;
 
+    /**
+     * Multiple of the time that the whole link takes for an append, which shares it with other
+     * traffic. Sending an append again while it is on its way would only delay it further.
+     */
+    private static final int RESEND_TRANSFER_FACTOR = 4;
+
     /** Delay before an append that was not stored is repeated, in milliseconds. */
     private static final long RETRY_DELAY_MS = 100;
 
@@ -106,7 +113,11 @@
 
     private void sendWithTimeout(JournalBatch batch) {
         sendOnce(batch);
-        long delayMs = RESEND_DELAY_MS + RESEND_LATENCY_FACTOR * mContext.reader().latencyMs();
+        long transferMs = mContext.settings().link().transferMs(batch.byteCount());
+        long delayMs =
+                RESEND_DELAY_MS
+                        + RESEND_LATENCY_FACTOR * mContext.reader().latencyMs()
+                        + RESEND_TRANSFER_FACTOR * transferMs;
         mContext.timers().after(delayMs, () -> resendIfUnanswered(batch));
         mContext.timers().after(2 * delayMs, () -> handleTimeout(batch));
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
@@ -39,6 +39,7 @@
     private final Deque<Attempt> mLateAppends = new ArrayDeque<>();
     private final Map<LogPartition, Writer> mWriters = new HashMap<>();
     private final Set<LogPartition> mUnavailable = new HashSet<>();
+    private final List<Integer> mOwnerAppendBytes = new ArrayList<>();
     private int mMaxAnswerBytes = Integer.MAX_VALUE;
 
     /** The store's state of a partition's fenced writer. */
@@ -81,6 +82,11 @@
         }
     }
 
+    /** Bytes of each append with records that an owner's writer has sent, in order. */
+    public List<Integer> ownerAppendBytes() {
+        return mOwnerAppendBytes;
+    }
+
     public List<byte[]> records(LogPartition partition) {
         return mRecords.computeIfAbsent(partition, p -> new ArrayList<>());
     }
@@ -108,6 +114,9 @@
             WriterEpoch writer,
             List<byte[]> records,
             Consumer<AppendResult> callback) {
+        if (!records.isEmpty()) {
+            mOwnerAppendBytes.add(records.stream().mapToInt(r -> r.length).sum());
+        }
         answerLater(at, callback, () -> storeAs(at, writer, records));
     }
 
