--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -39,7 +39,7 @@
     private static final long MAX_TRANSFER_MS = 100;
 
     /** Bytes that an append may have on any link. */
-    private static final long MIN_BATCH_BYTES = 16 << 10;
+    private static final long MIN_BATCH_BYTES = 4 << 10;
 
     private final OwnerContext mContext;
     private final Runnable mOnFenced;
