Standing tasks may be away for six seconds after their last run at the soak's end

By the users' rules a standing task is missing from 6 s after its last run on. The check now asks for that at the same moment; a task that never ran is missing as before. All other questions and the bound of 14 s are unchanged. PromiseTest has both sides, at 5,999 and 6,000 ms; its case of a task that never ran stands as it was.

--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -91,7 +91,7 @@
             String end = job.crashDelayMs().isPresent() ? "failed" : "completed";
             if (ends && !e.state().equals(end)) {
                 scan.broken(e, "at the end " + e.job() + " is " + e.state());
-            } else if (job.standing() && !scan.isNoted(e.job()) && !isAtWork(job, scan)) {
+            } else if (job.standing() && !scan.isNoted(e.job()) && isAway(job, e, scan)) {
                 scan.broken(e, "at the end a task of the standing job " + e.job() + " is away");
             }
         }
@@ -103,13 +103,13 @@
                     && crashes < CRASHES_BEFORE_LAST_STARTS + LAST_STARTS;
         }
 
-        private boolean isAtWork(SoakJob job, Scan scan) {
+        private boolean isAway(SoakJob job, AskedAtEnd e, Scan scan) {
             for (int i = 0; i < job.tasks(); i++) {
-                if (scan.runs().workers(RunsSeen.task(job, 0, i)).isEmpty()) {
-                    return false;
+                if (scan.runs().isAwaySince(RunsSeen.task(job, 0, i), e.atMs() - RESTART_MS)) {
+                    return true;
                 }
             }
-            return true;
+            return false;
         }
     },
 
@@ -347,6 +347,9 @@
      */
     private static final long CANCEL_MS = 7000;
 
+    /** Within this time after its last run a standing task is to run again, in milliseconds. */
+    private static final long RESTART_MS = 6000;
+
     /** Time until a standing task that was started is at work, in milliseconds. */
     private static final long STARTUP_MS = 200;
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
@@ -19,6 +19,7 @@
     private final Map<String, SoakJob> mJobs = new HashMap<>();
     private final Map<String, Set<String>> mRunning = new HashMap<>();
     private final Map<String, Long> mSinceMs = new HashMap<>();
+    private final Map<String, Long> mEndedMs = new HashMap<>();
     private final Map<String, Set<Integer>> mDone = new HashMap<>();
     private final Set<String> mNoted = new HashSet<>();
     private final Map<String, Integer> mCrashes = new HashMap<>();
@@ -36,6 +37,7 @@
         } else if (event instanceof Ended e) {
             running(e.task()).remove(e.worker());
             processorsOn(e.worker()).remove(e.task());
+            mEndedMs.put(e.task(), e.atMs());
             if (e.how().equals(GONE)) {
                 mCrashes.merge(e.task(), 1, Integer::sum);
             }
@@ -98,6 +100,11 @@
         return !workers(task).isEmpty() && nowMs - mSinceMs.getOrDefault(task, nowMs) >= ms;
     }
 
+    /** Whether a task runs nowhere and its last run, if any, ended at this time or before. */
+    boolean isAwaySince(String task, long ms) {
+        return workers(task).isEmpty() && mEndedMs.getOrDefault(task, ms) <= ms;
+    }
+
     /** Whether a run of a task has ended done. */
     boolean isDone(String task) {
         return mDone.containsKey(task);
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -155,6 +155,27 @@
         onlyBroken(Promise.LOST);
     }
 
+    private void endsAndIsAskedFor(long afterMs) {
+        accepted(STANDING);
+        for (int i = 0; i < STANDING.tasks(); i++) {
+            started(10, RunsSeen.task(STANDING, 0, i), 1, "w" + i);
+        }
+        ended(3000, RunsSeen.task(STANDING, 0, 0), 1, "w0", "gone");
+        mEvents.add(new AskedAtEnd(3000 + afterMs, STANDING.id(), 1, 200, "running"));
+    }
+
+    @Test
+    public void aStandingTaskThatIsAwaySixSecondsAfterItsLastRunIsLost() {
+        endsAndIsAskedFor(6000);
+        onlyBroken(Promise.LOST);
+    }
+
+    @Test
+    public void aStandingTaskMayBeAwayUntilSixSecondsAfterItsLastRun() {
+        endsAndIsAskedFor(5999);
+        onlyBroken();
+    }
+
     @Test
     public void aStartOfWhatNobodyHandedInIsUnasked() {
         mEvents.add(new Started(10, "00000000000000dd.0.0.0", 1, "a", 1, "250 1000"));
