--- a/foxtail-http/src/test/java/org/foxtailplank/http/SlowResponseTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/SlowResponseTest.java
@@ -81,9 +81,9 @@
         }
     }
 
+    /** Guards against large responses that never arrive over a slow link. */
     @Test
     public void aResponseIsReceivedAsLongAsItKeepsArriving() throws Exception {
-        // Given up after the timeout, a large response never arrives over a slow link.
         try (Socket socket = call(LONG_MS)) {
             sendHead(socket, PARTS);
             sendParts(socket, PARTS);
@@ -93,9 +93,9 @@
         }
     }
 
+    /** Guards against waiting for a connection that goes silent within a response. */
     @Test
     public void aResponseThatStopsArrivingTimesOut() throws Exception {
-        // Otherwise a connection that went silent within a response would be waited for.
         try (Socket socket = call(LONG_MS)) {
             sendHead(socket, PARTS);
             sendParts(socket, 1);
@@ -104,9 +104,9 @@
         }
     }
 
+    /** Guards against waiting for a response that trickles without end. */
     @Test
     public void aResponseThatKeepsArrivingTimesOutAtTheMaximum() throws Exception {
-        // Otherwise a response that trickles would be waited for without end.
         try (Socket socket = call(2 * TIMEOUT_MS)) {
             sendHead(socket, ENDLESS);
 
