--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OwnerReachability.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OwnerReachability.java
@@ -14,7 +14,7 @@
  * owner would fill its own with the same work.
  */
 public final class OwnerReachability {
-    /** Time without an answer, in milliseconds; spans several lists and polls. */
+    /** Time without an answer, in milliseconds: a list that times out, and pauses around it. */
     private static final long UNANSWERED_MS = 1800;
 
     /**
