Log the configuration's version by which requests are handled

Without it the hypotheses about nodes that go back to an older configuration can't be told apart: job-submitted named no version, and the answer to a repeated submission had no line. config tells what changed and how long the node had not read the topic, and config-old names requests that are routed by a configuration that was last confirmed over a second ago.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -1,8 +1,11 @@
 package org.foxtailplank.node;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.ChangeFeed;
@@ -29,6 +32,7 @@
     private boolean mFirstPageRead;
     private long mPosition = -1;
     private long mLastReadMs = Long.MIN_VALUE / 2;
+    private long mPreviousReadMs = Long.MIN_VALUE / 2;
 
     public OperatorFollower(
             ChangeFeed<OperatorChange> feed, Clock clock, Timers timers, NodeLog log) {
@@ -90,6 +94,7 @@
             // The changes are no longer available: the next read fetches the newest values.
             mPosition = -1;
         } else if (result instanceof ChangeFeed.Page<OperatorChange> page) {
+            mPreviousReadMs = mLastReadMs;
             mLastReadMs = mClock.nowMs();
             mPosition = Math.max(mPosition, page.next());
             page.items().forEach(this::apply);
@@ -127,11 +132,35 @@
         FleetConfig config = ((OperatorChange.NewConfig) change).config();
         // Concurrent reads may deliver an older version late.
         if (mConfig.isEmpty() || config.version() > mConfig.get().version()) {
+            logNewConfig(config);
             mConfig = Optional.of(config);
-            mLog.line("config")
-                    .with("version", config.version())
-                    .with("routes", config.routes().size())
-                    .write();
         }
     }
+
+    private void logNewConfig(FleetConfig config) {
+        Map<String, String> servicesBefore =
+                mConfig.map(OperatorFollower::servicesByRoute).orElse(Map.of());
+        Map<String, String> services = servicesByRoute(config);
+        Set<String> kept = new HashSet<>(services.keySet());
+        kept.retainAll(servicesBefore.keySet());
+        mLog.line("config")
+                .with("version", config.version())
+                .with("routes", services.size())
+                .with("added", services.size() - kept.size())
+                .with("dropped", servicesBefore.size() - kept.size())
+                .with(
+                        "moved",
+                        kept.stream()
+                                .filter(r -> !services.get(r).equals(servicesBefore.get(r)))
+                                .count())
+                .with("sinceReadMs", mClock.nowMs() - mPreviousReadMs)
+                .write();
+    }
+
+    /** Returns the service of each route, by the route's name and prefix. */
+    private static Map<String, String> servicesByRoute(FleetConfig config) {
+        Map<String, String> services = new HashMap<>();
+        config.routes().forEach(r -> services.put(r.name() + r.pathPrefix(), r.service()));
+        return services;
+    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -12,6 +12,7 @@
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JobPhase;
+import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.node.Clock;
@@ -60,6 +61,12 @@
     /** Replies that take this long are logged, in milliseconds. */
     private static final long SLOW_REPLY_MS = 500;
 
+    /**
+     * Requests routed by a configuration that was last confirmed longer ago are logged, in
+     * milliseconds; more than the wait of a long poll.
+     */
+    private static final long OLD_CONFIG_MS = 1000;
+
     /** Value of the Retry-After header while the store is unavailable, in seconds. */
     private static final String RETRY_AFTER_S = "1";
 
@@ -113,6 +120,7 @@
         }
         Optional<RouteSettings> route = config.get().route(request.host(), request.path());
         if (route.isPresent()) {
+            logIfConfigOld(request);
             handleRouted(request, route.get(), timed);
         } else {
             refreshAndRoute(request, timed);
@@ -132,6 +140,22 @@
         }
     }
 
+    private void logIfConfigOld(HttpRequest request) {
+        long ageMs = mClock.nowMs() - mOperator.lastReadMs();
+        if (ageMs >= OLD_CONFIG_MS) {
+            mLog.line("config-old")
+                    .with("method", request.method())
+                    .with("path", request.path())
+                    .with("version", configVersion())
+                    .with("configAgeMs", ageMs)
+                    .write();
+        }
+    }
+
+    private long configVersion() {
+        return mOperator.config().map(FleetConfig::version).orElse(-1L);
+    }
+
     /**
      * Reads the newest configuration before a path counts as unknown, so that requests for a queue
      * that was just added aren't answered with 404.
@@ -149,6 +173,7 @@
                         long ageMs = mClock.nowMs() - mOperator.lastReadMs();
                         mLog.line("no-queue")
                                 .with("path", request.path())
+                                .with("version", configVersion())
                                 .with("configAgeMs", ageMs)
                                 .write();
                         reply.accept(read ? HttpReply.empty(NOT_FOUND) : unavailableReply());
@@ -176,12 +201,15 @@
 
     private void submit(
             HttpRequest request, RouteSettings route, String id, Consumer<HttpReply> reply) {
-        if (mReader.registry().job(id).isPresent()) {
+        Optional<JobProgress> known = mReader.registry().job(id);
+        if (known.isPresent()) {
+            logRepeated(id, known.get().definition().service());
             reply.accept(HttpReply.empty(OK));
             return;
         }
         List<Consumer<HttpReply>> concurrent = mInFlight.get(id);
         if (concurrent != null) {
+            logRepeated(id, route.service());
             concurrent.add(reply);
             return;
         }
@@ -206,19 +234,32 @@
         List<Consumer<HttpReply>> replies = new ArrayList<>(List.of(reply));
         mInFlight.put(id, replies);
         long deadline = deadlineMs(request);
+        long version = configVersion();
         mWriter.store(
                 new JobAccepted(definition),
                 deadline,
-                o -> submissionCompleted(definition, replies, o));
+                o -> submissionCompleted(definition, version, replies, o));
+    }
+
+    private void logRepeated(String job, String service) {
+        mLog.line("job-resubmitted")
+                .with("job", job)
+                .with("service", service)
+                .with("version", configVersion())
+                .write();
     }
 
     private void submissionCompleted(
-            JobDefinition definition, List<Consumer<HttpReply>> replies, StoreOutcome outcome) {
+            JobDefinition definition,
+            long configVersion,
+            List<Consumer<HttpReply>> replies,
+            StoreOutcome outcome) {
         mInFlight.remove(definition.id());
         mLog.line("job-submitted")
                 .with("job", definition.id())
                 .with("queue", definition.route())
                 .with("service", definition.service())
+                .with("version", configVersion)
                 .with("tasks", definition.tasksPerRun())
                 .with("outcome", outcome)
                 .write();
