Count moved routes by host and path prefix in the log

A route's callers know its host and prefix. By name a route that is replaced by one of another name and service counted as dropped and added.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -157,10 +157,10 @@
                 .write();
     }
 
-    /** Returns the service of each route, by the route's name and prefix. */
+    /** Returns the service of each route, by the route's host and prefix. */
     private static Map<String, String> servicesByRoute(FleetConfig config) {
         Map<String, String> services = new HashMap<>();
-        config.routes().forEach(r -> services.put(r.name() + r.pathPrefix(), r.service()));
+        config.routes().forEach(r -> services.put(r.host() + r.pathPrefix(), r.service()));
         return services;
     }
 }
