Reject requests while the node has jobs of a newer configuration than its own

Callers saw that a node went back from a newer configuration to an older one.

Cause: the version of the configuration didn't travel with what was accepted by it. A node whose reads of the operator's topic fail or hang keeps its configuration without limit.

Each accepted job names the version now, and a request waits up to 150 ms for the newest version that the node's jobs name, then gets 503, so that its caller goes to another node. A node can't act on a version without having a job of it, so that it can't go back. The wait reads the topic once on another connection, as the long poll's may have failed silently. Records without a version are read as before.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
@@ -13,6 +13,7 @@
  * @param timetable when the steps run
  * @param policy settings of the queue when the job was accepted
  * @param acceptedMs when the job was accepted, in milliseconds since the epoch
+ * @param configVersion version of the configuration by which it was accepted; 0 if unknown
  */
 public record JobDefinition(
         String id,
@@ -22,7 +23,8 @@
         List<TaskStep> steps,
         Timetable timetable,
         QueuePolicy policy,
-        long acceptedMs) {
+        long acceptedMs,
+        long configVersion) {
     public JobDefinition {
         steps = List.copyOf(steps);
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
@@ -46,6 +46,7 @@
     private final Set<Long> mCompletedWaves = new HashSet<>();
     private final Map<String, List<JournalRecord>> mBufferedRecords = new LinkedHashMap<>();
     private final long mEndedRetentionMs;
+    private long mConfigVersion;
 
     /**
      * Creates an empty registry.
@@ -115,6 +116,7 @@
     }
 
     private JobProgress add(JobProgress progress) {
+        mConfigVersion = Math.max(mConfigVersion, progress.definition().configVersion());
         String id = progress.definition().id();
         mJobs.put(id, progress);
         List<JournalRecord> buffered = mBufferedRecords.remove(id);
@@ -171,6 +173,11 @@
         return Optional.ofNullable(mWaveDueMs.get(wave));
     }
 
+    /** Newest version of the configuration by which a job was accepted; 0 if unknown. */
+    public long configVersion() {
+        return mConfigVersion;
+    }
+
     public Optional<JobProgress> job(String id) {
         return Optional.ofNullable(mJobs.get(id));
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -95,7 +95,8 @@
                         List.of(steps),
                         Timetable.AT_ONCE,
                         policy,
-                        wallMs());
+                        wallMs(),
+                        0);
         mJobs.put(id, definition);
         mSlowdowns.put(id, slowdown);
         mOwner.accept(definition);
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -92,7 +92,15 @@
     static JobDefinition definition(String id, String service, int priority, TaskStep... steps) {
         QueuePolicy policy = new QueuePolicy(priority, 2, 1.6, 600, Optional.empty());
         return new JobDefinition(
-                id, "queue", service, "text", List.of(steps), Timetable.AT_ONCE, policy, WALL_MS);
+                id,
+                "queue",
+                service,
+                "text",
+                List.of(steps),
+                Timetable.AT_ONCE,
+                policy,
+                WALL_MS,
+                0);
     }
 
     JobProgress accept(JobDefinition definition) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -1,8 +1,10 @@
 package org.foxtailplank.node;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -22,14 +24,25 @@
     /** Delay after a failed read, in milliseconds. */
     private static final long RETRY_MS = 150;
 
+    /** How long a request waits for a version that is known to exist, in milliseconds. */
+    private static final long VERSION_WAIT_MS = 150;
+
+    /**
+     * Time after which a version that is waited for is read on another connection, in milliseconds:
+     * the long poll's connection may have failed silently.
+     */
+    private static final long EXTRA_READ_DELAY_MS = 50;
+
     private final ChangeFeed<OperatorChange> mFeed;
     private final Clock mClock;
     private final Timers mTimers;
     private final NodeLog mLog;
     private final Map<Long, DueWave> mWaves = new LinkedHashMap<>();
+    private final List<VersionWaiter> mWaiters = new ArrayList<>();
 
     private Optional<FleetConfig> mConfig = Optional.empty();
     private boolean mFirstPageRead;
+    private boolean mExtraReadPending;
     private long mPosition = -1;
     private long mLastReadMs = Long.MIN_VALUE / 2;
     private long mPreviousReadMs = Long.MIN_VALUE / 2;
@@ -47,6 +60,45 @@
         return mConfig;
     }
 
+    /** Returns the version of the newest configuration read; -1 without one. */
+    public long version() {
+        return mConfig.map(FleetConfig::version).orElse(-1L);
+    }
+
+    private record VersionWaiter(long version, Consumer<Boolean> callback) {}
+
+    /**
+     * Waits a short time until a configuration of at least this version was read, and reports
+     * whether it was.
+     */
+    public void awaitVersion(long version, Consumer<Boolean> callback) {
+        if (version() >= version) {
+            callback.accept(true);
+            return;
+        }
+        VersionWaiter waiter = new VersionWaiter(version, callback);
+        mWaiters.add(waiter);
+        if (!mExtraReadPending) {
+            mExtraReadPending = true;
+            mTimers.after(EXTRA_READ_DELAY_MS, this::readAgain);
+        }
+        mTimers.after(
+                VERSION_WAIT_MS,
+                () -> {
+                    if (mWaiters.remove(waiter)) {
+                        callback.accept(false);
+                    }
+                });
+    }
+
+    private void readAgain() {
+        if (mWaiters.isEmpty()) {
+            mExtraReadPending = false;
+        } else {
+            refresh(read -> mExtraReadPending = false);
+        }
+    }
+
     /** Returns all waves by number. */
     public Map<Long, DueWave> waves() {
         return mWaves;
@@ -134,9 +186,17 @@
         if (mConfig.isEmpty() || config.version() > mConfig.get().version()) {
             logNewConfig(config);
             mConfig = Optional.of(config);
+            notifyWaiters();
         }
     }
 
+    private void notifyWaiters() {
+        List<VersionWaiter> served =
+                mWaiters.stream().filter(w -> w.version() <= version()).toList();
+        mWaiters.removeAll(served);
+        served.forEach(w -> w.callback().accept(true));
+    }
+
     private void logNewConfig(FleetConfig config) {
         Map<String, String> servicesBefore =
                 mConfig.map(OperatorFollower::servicesByRoute).orElse(Map.of());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -28,7 +28,6 @@
 import org.foxtailplank.port.CallerCodec;
 import org.foxtailplank.port.CallerCodec.InvalidBodyException;
 import org.foxtailplank.port.CallerCodec.Submission;
-import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.RouteSettings;
 
 /** Handles the HTTP requests of callers on any node, using the state read from the journal. */
@@ -113,17 +112,37 @@
                     logIfSlow(request, response, mClock.nowMs() - startMs);
                     reply.accept(response);
                 };
-        Optional<FleetConfig> config = mOperator.config();
-        if (config.isEmpty()) {
+        if (mOperator.config().isEmpty()) {
             timed.accept(unavailableReply());
             return;
         }
-        Optional<RouteSettings> route = config.get().route(request.host(), request.path());
+        mOperator.awaitVersion(
+                mReader.registry().configVersion(), current -> route(request, current, timed));
+    }
+
+    /**
+     * Routes a request. A node that has jobs of a newer configuration than its own may have started
+     * them, or confirmed them to callers. Routing by its own would make that change disappear
+     * again, so it rejects requests until it has the newer one.
+     */
+    private void route(HttpRequest request, boolean current, Consumer<HttpReply> reply) {
+        if (!current) {
+            mLog.line("config-behind")
+                    .with("method", request.method())
+                    .with("path", request.path())
+                    .with("version", mOperator.version())
+                    .with("newest", mReader.registry().configVersion())
+                    .write();
+            reply.accept(unavailableReply());
+            return;
+        }
+        Optional<RouteSettings> route =
+                mOperator.config().flatMap(c -> c.route(request.host(), request.path()));
         if (route.isPresent()) {
             logIfConfigOld(request);
-            handleRouted(request, route.get(), timed);
+            handleRouted(request, route.get(), reply);
         } else {
-            refreshAndRoute(request, timed);
+            refreshAndRoute(request, reply);
         }
     }
 
@@ -146,16 +165,12 @@
             mLog.line("config-old")
                     .with("method", request.method())
                     .with("path", request.path())
-                    .with("version", configVersion())
+                    .with("version", mOperator.version())
                     .with("configAgeMs", ageMs)
                     .write();
         }
     }
 
-    private long configVersion() {
-        return mOperator.config().map(FleetConfig::version).orElse(-1L);
-    }
-
     /**
      * Reads the newest configuration before a path counts as unknown, so that requests for a queue
      * that was just added aren't answered with 404.
@@ -173,7 +188,7 @@
                         long ageMs = mClock.nowMs() - mOperator.lastReadMs();
                         mLog.line("no-queue")
                                 .with("path", request.path())
-                                .with("version", configVersion())
+                                .with("version", mOperator.version())
                                 .with("configAgeMs", ageMs)
                                 .write();
                         reply.accept(read ? HttpReply.empty(NOT_FOUND) : unavailableReply());
@@ -230,36 +245,33 @@
                         submission.steps(),
                         submission.timetable(),
                         route.policy(),
-                        mClock.wallMs());
+                        mClock.wallMs(),
+                        mOperator.version());
         List<Consumer<HttpReply>> replies = new ArrayList<>(List.of(reply));
         mInFlight.put(id, replies);
         long deadline = deadlineMs(request);
-        long version = configVersion();
         mWriter.store(
                 new JobAccepted(definition),
                 deadline,
-                o -> submissionCompleted(definition, version, replies, o));
+                o -> submissionCompleted(definition, replies, o));
     }
 
     private void logRepeated(String job, String service) {
         mLog.line("job-resubmitted")
                 .with("job", job)
                 .with("service", service)
-                .with("version", configVersion())
+                .with("version", mOperator.version())
                 .write();
     }
 
     private void submissionCompleted(
-            JobDefinition definition,
-            long configVersion,
-            List<Consumer<HttpReply>> replies,
-            StoreOutcome outcome) {
+            JobDefinition definition, List<Consumer<HttpReply>> replies, StoreOutcome outcome) {
         mInFlight.remove(definition.id());
         mLog.line("job-submitted")
                 .with("job", definition.id())
                 .with("queue", definition.route())
                 .with("service", definition.service())
-                .with("version", configVersion)
+                .with("version", definition.configVersion())
                 .with("tasks", definition.tasksPerRun())
                 .with("outcome", outcome)
                 .write();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobDefinitionCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobDefinitionCodec.java
@@ -44,11 +44,12 @@
             out.writeInt64(15, policy.advice().get().perWorkerMs());
             out.writeInt64(16, policy.advice().get().validMs());
         }
+        out.writeInt64(17, definition.configVersion());
     }
 
     static JobDefinition read(CodedInputStream in) throws IOException {
         String[] texts = new String[5];
-        long[] numbers = new long[17];
+        long[] numbers = new long[18];
         List<TaskStep> steps = new ArrayList<>();
         double stretch = 1;
         boolean hasAdvice = false;
@@ -85,7 +86,8 @@
                 new Timetable(numbers[6], numbers[7], (int) numbers[8]),
                 new QueuePolicy(
                         (int) numbers[9], (int) numbers[10], stretch, numbers[12], adviceTiming),
-                numbers[13]);
+                numbers[13],
+                numbers[17]);
     }
 
     /** Rejects invalid dependencies, and task counts whose positions would overflow an int. */
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -178,7 +178,7 @@
         List<TaskStep> steps = List.of(step);
         JobDefinition definition =
                 new JobDefinition(
-                        JOB, "/q/", "s", "a", steps, Timetable.AT_ONCE, policy, mClock.wallMs());
+                        JOB, "/q/", "s", "a", steps, Timetable.AT_ONCE, policy, mClock.wallMs(), 0);
         mLog.records(JournalPartitions.PRIMARY)
                 .add(JournalCodec.encode(new JobAccepted(definition)));
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/StalePendingCountTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/StalePendingCountTest.java
@@ -143,7 +143,8 @@
                         List.of(step),
                         Timetable.AT_ONCE,
                         policy(),
-                        mClock.wallMs());
+                        mClock.wallMs(),
+                        0);
         return JournalCodec.encode(new JobAccepted(definition));
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -68,7 +68,8 @@
         List<TaskStep> steps = List.of(earlier, earlier, step);
         QueuePolicy policy =
                 new QueuePolicy(1, 3, 1.6, 600, Optional.of(new AdviceTiming(5, 2, 3000)));
-        return new JobDefinition("aa", "q", "s", "text", steps, new Timetable(7, 8, 9), policy, 99);
+        return new JobDefinition(
+                "aa", "q", "s", "text", steps, new Timetable(7, 8, 9), policy, 99, 12);
     }
 
     @DataProvider
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingTaskTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingTaskTest.java
@@ -113,7 +113,8 @@
                         List.of(step),
                         Timetable.AT_ONCE,
                         policy,
-                        mTime.wallMs());
+                        mTime.wallMs(),
+                        0);
         mOwner.storeHandedOver(JournalCodec.encode(new JobAccepted(definition)), outcome -> {});
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -137,7 +137,15 @@
         QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
         JobDefinition definition =
                 new JobDefinition(
-                        JOB, "queue", SERVICE, "text", List.of(step), Timetable.AT_ONCE, policy, 1);
+                        JOB,
+                        "queue",
+                        SERVICE,
+                        "text",
+                        List.of(step),
+                        Timetable.AT_ONCE,
+                        policy,
+                        1,
+                        0);
         return JournalCodec.encode(new JobAccepted(definition));
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/LateAnswerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/LateAnswerTest.java
@@ -181,7 +181,8 @@
                         List.of(step),
                         Timetable.AT_ONCE,
                         new QueuePolicy(0, 2, 1.6, 600, Optional.empty()),
-                        1);
+                        1,
+                        0);
         return JournalCodec.encode(new JobAccepted(definition));
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/NarrowOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/NarrowOwnerTest.java
@@ -112,7 +112,8 @@
                         List.of(step),
                         Timetable.AT_ONCE,
                         new QueuePolicy(0, 2, 1.6, 600, Optional.empty()),
-                        1);
+                        1,
+                        0);
         return JournalCodec.encode(new JobAccepted(definition));
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/UnansweredVmCallTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/UnansweredVmCallTest.java
@@ -172,7 +172,8 @@
                                 List.of(step),
                                 Timetable.AT_ONCE,
                                 policy,
-                                1)));
+                                1,
+                                0)));
     }
 
     private void pass(long ms) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/StartRelayTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/StartRelayTest.java
@@ -176,7 +176,8 @@
                         List.of(step),
                         Timetable.AT_ONCE,
                         policy,
-                        1);
+                        1,
+                        0);
         mLoop.submit(() -> mRegistry.apply(new JobAccepted(definition))).get();
     }
 
