Exchange configurations between the owner and its followers

The owner announces its version with its heartbeats. A follower that lacks it for 0.3 s requests it, 3 s on a narrow link, where a large configuration may still be arriving from the store. Followers with a newer version announce it in return, so that an owner gets it too. One configuration is sent at a time.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -29,6 +29,7 @@
 import org.foxtailplank.node.owner.OwnerSession;
 import org.foxtailplank.node.owner.ResignationPolicy;
 import org.foxtailplank.node.owner.Takeover;
+import org.foxtailplank.node.peer.ConfigExchange;
 import org.foxtailplank.node.peer.JobQueries;
 import org.foxtailplank.node.peer.JournalStream;
 import org.foxtailplank.node.peer.OwnerLink;
@@ -87,6 +88,7 @@
     private final JournalReader mReader;
     private final JournalWriter mWriter;
     private final OwnerLink mLink;
+    private final ConfigExchange mConfigExchange;
     private final OwnerElection mElection;
     private final ResignationPolicy mResignationPolicy;
 
@@ -125,6 +127,8 @@
                         this::recordApplied);
         mLink = new OwnerLink(loop, clock, timers, log, mReader);
         mReader.setStreaming(mLink::isAlive);
+        mConfigExchange = new ConfigExchange(mOperator, clock, settings.link().isAmple());
+        mLink.setConfigExchange(mConfigExchange);
         mLink.setStandbyCondition(this::isStandby);
         mLink.setRelayedStartHandler(new RelayedStartHandler(mReader, mPlatform.workerClient()));
         mResignationPolicy = new ResignationPolicy(settings.link());
@@ -234,6 +238,7 @@
                         mSettings.link(),
                         new LocalHandover(),
                         localJobQueries());
+        mStream.setConfigExchange(mConfigExchange);
         mReader.setRawListener(mStream::recordRead);
         HttpServer.bind(mLoop, mSettings.readiness(), MAX_BODY_BYTES, this::readiness);
         HttpServer.bind(mLoop, mSettings.metrics(), MAX_BODY_BYTES, this::metrics);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -109,6 +109,14 @@
         return mLastReadMs;
     }
 
+    /** Applies a configuration that another node has read, if it is newer. */
+    public void offer(FleetConfig config) {
+        if (config.version() > version()) {
+            mLog.line("config-from-peer").with("version", config.version()).write();
+            apply(new OperatorChange.NewConfig(config));
+        }
+    }
+
     /** Starts polling, which never ends. */
     public void follow() {
         if (mPosition < 0) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -375,7 +375,7 @@
 
     /** Writes the fields of a message to a stream. */
     @FunctionalInterface
-    interface FieldWriter {
+    public interface FieldWriter {
         void write(CodedOutputStream out) throws IOException;
     }
 
@@ -385,7 +385,8 @@
         out.writeBytes(field, ByteString.copyFrom(encodeMessage(fields)));
     }
 
-    private static byte[] encodeMessage(FieldWriter fields) {
+    /** Encodes a message. */
+    public static byte[] encodeMessage(FieldWriter fields) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         CodedOutputStream out = CodedOutputStream.newInstance(bytes, BUFFER_BYTES);
         try {
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/ConfigExchange.java
@@ -0,0 +1,95 @@
+package org.foxtailplank.node.peer;
+
+import io.netty.channel.Channel;
+import java.io.IOException;
+import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.OperatorFollower;
+
+/**
+ * Exchanges configurations between the owner and its followers, so that a node that the store
+ * rejects, or whose reads of the operator's topic fail, has the newest one that a peer has.
+ *
+ * <p>The owner announces its version with its heartbeats, and followers with a newer one announce
+ * theirs in return. A node requests the content only if the store hasn't delivered it for a while.
+ */
+public final class ConfigExchange {
+    /**
+     * How long a node waits for the store to deliver a newer version before it asks a peer, and the
+     * least time between two requests, in milliseconds.
+     */
+    private static final long REQUEST_DELAY_MS = 300;
+
+    /**
+     * The same on a narrow link, in milliseconds: a large configuration that is still arriving must
+     * not be transferred twice.
+     */
+    private static final long NARROW_REQUEST_DELAY_MS = 3000;
+
+    /** Larger configurations aren't exchanged, in bytes; a margin to the largest frame. */
+    private static final int MAX_CONTENT_BYTES = 1000 << 10;
+
+    private final OperatorFollower mOperator;
+    private final Clock mClock;
+    private final long mRequestDelayMs;
+    private long mBehindVersion = Long.MIN_VALUE;
+    private long mNextRequestMs;
+    private boolean mSending;
+
+    public ConfigExchange(OperatorFollower operator, Clock clock, boolean ampleLink) {
+        mOperator = operator;
+        mClock = clock;
+        mRequestDelayMs = ampleLink ? REQUEST_DELAY_MS : NARROW_REQUEST_DELAY_MS;
+    }
+
+    /** Returns the announcement of this node's version. */
+    PeerFrame announcement() {
+        return new PeerFrame.ConfigVersion(mOperator.version());
+    }
+
+    /** Handles a frame; returns whether it belongs to this exchange. */
+    boolean handle(PeerFrame frame, Channel channel) throws IOException {
+        if (frame instanceof PeerFrame.ConfigVersion announced) {
+            handleAnnouncement(announced.version(), channel);
+        } else if (frame instanceof PeerFrame.ConfigRequest) {
+            sendConfig(channel);
+        } else if (frame instanceof PeerFrame.ConfigContent content) {
+            mOperator.offer(FleetConfigCodec.decode(content.bytes()));
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void handleAnnouncement(long version, Channel channel) {
+        long own = mOperator.version();
+        if (version < own) {
+            channel.writeAndFlush(announcement().encode());
+        } else if (version > own) {
+            requestIfDue(own, channel);
+        }
+    }
+
+    private void requestIfDue(long ownVersion, Channel channel) {
+        long now = mClock.nowMs();
+        if (mBehindVersion != ownVersion) {
+            mBehindVersion = ownVersion;
+            mNextRequestMs = now + mRequestDelayMs;
+        } else if (now >= mNextRequestMs) {
+            mNextRequestMs = now + mRequestDelayMs;
+            channel.writeAndFlush(new PeerFrame.ConfigRequest().encode());
+        }
+    }
+
+    /** Sends the configuration, to one peer at a time so that a large one can't fill the link. */
+    private void sendConfig(Channel channel) {
+        if (mSending || mOperator.config().isEmpty()) {
+            return;
+        }
+        byte[] bytes = FleetConfigCodec.encode(mOperator.config().get());
+        if (bytes.length <= MAX_CONTENT_BYTES) {
+            mSending = true;
+            channel.writeAndFlush(new PeerFrame.ConfigContent(bytes).encode())
+                    .addListener(sent -> mSending = false);
+        }
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -48,6 +48,7 @@
     private JournalStatus mJournal = JournalStatus.NONE;
     private long mLastStandbyMs = Long.MIN_VALUE / 2;
     private BooleanSupplier mVmCallsFinished = () -> true;
+    private Optional<ConfigExchange> mConfigExchange = Optional.empty();
 
     private JournalStream(
             Clock clock, Timers timers, LinkRate link, Handover handover, JobQueries jobQueries) {
@@ -103,6 +104,11 @@
         return mLastStandbyMs;
     }
 
+    /** Exchanges configurations with followers. */
+    public void setConfigExchange(ConfigExchange exchange) {
+        mConfigExchange = Optional.of(exchange);
+    }
+
     /** Returns the relay of an owner's starts through its followers. */
     public StartRelay startRelay() {
         return mRelay;
@@ -130,6 +136,10 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes)
                 throws IOException {
             PeerFrame frame = PeerFrame.decode(bytes);
+            if (mConfigExchange.isPresent()
+                    && mConfigExchange.get().handle(frame, context.channel())) {
+                return;
+            }
             if (frame instanceof PeerFrame.Handover handover) {
                 mHandover.handOver(
                         handover.record(),
@@ -234,6 +244,7 @@
         // the store.
         flushOrDrop();
         addToBatch(newHeartbeat());
+        mConfigExchange.ifPresent(e -> addToBatch(e.announcement()));
         flush();
         mTimers.after(HEARTBEAT_INTERVAL_MS, () -> sendHeartbeat(token));
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -55,6 +55,7 @@
     private Runnable mUnavailableListener = () -> {};
     private BooleanSupplier mStandbyCondition = () -> false;
     private Optional<RelayedStartHandler> mRelayedStarts = Optional.empty();
+    private Optional<ConfigExchange> mConfigExchange = Optional.empty();
     private boolean mRelayOffered;
     private boolean mConnecting;
     private OwnerState mUnavailableState = OwnerState.SILENT;
@@ -103,6 +104,11 @@
         mRelayedStarts = Optional.of(handler);
     }
 
+    /** Exchanges configurations with the owner. */
+    public void setConfigExchange(ConfigExchange exchange) {
+        mConfigExchange = Optional.of(exchange);
+    }
+
     @Override
     public OwnerState state(long token) {
         if (token == mUnavailableToken) {
@@ -285,7 +291,11 @@
                 throws IOException {
             if (mChannel.equals(Optional.of(context.channel()))) {
                 mFrameReceived = true;
-                handle(PeerFrame.decode(bytes));
+                PeerFrame frame = PeerFrame.decode(bytes);
+                if (mConfigExchange.isEmpty()
+                        || !mConfigExchange.get().handle(frame, context.channel())) {
+                    handle(frame);
+                }
             }
         }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -196,6 +196,30 @@
         }
     }
 
+    /** From an owner, or in response to its announcement: the sender's configuration version. */
+    record ConfigVersion(long version) implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeInt64(Field.CONFIG_VERSION, version);
+        }
+    }
+
+    /** To a peer that announced a newer version: asks for its configuration. */
+    record ConfigRequest() implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeBool(Field.CONFIG_REQUEST, true);
+        }
+    }
+
+    /** In response to a request: the encoded configuration. */
+    record ConfigContent(byte[] bytes) implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeByteArray(Field.CONFIG_CONTENT, bytes);
+        }
+    }
+
     /** Field numbers on the wire. */
     final class Field {
         static final int TOKEN = 1;
@@ -225,6 +249,9 @@
         static final int CHECKPOINT = 25;
         static final int TICKET = 26;
         static final int COMMAND_OUTCOME = 27;
+        static final int CONFIG_VERSION = 28;
+        static final int CONFIG_REQUEST = 29;
+        static final int CONFIG_CONTENT = 30;
 
         private Field() {}
     }
@@ -262,6 +289,7 @@
         Optional<Query> content = Optional.empty();
         Optional<Integer> value = Optional.empty();
         boolean standby = false;
+        ConfigFields config = new ConfigFields();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case Field.TOKEN -> token = in.readInt64();
@@ -277,15 +305,16 @@
                 case Field.VALUE -> value = Optional.of(in.readInt32());
                 case Field.STANDBY -> standby = in.readBool();
                 default -> {
-                    if (!relay.read(tag, in)) {
+                    if (!relay.read(tag, in) && !config.read(tag, in)) {
                         heartbeat.read(tag, in);
                     }
                 }
             }
         }
-        Optional<PeerFrame> relayFrame = relay.toFrame(token);
-        if (relayFrame.isPresent()) {
-            return relayFrame.get();
+        Optional<PeerFrame> grouped =
+                config.toFrame().isPresent() ? config.toFrame() : relay.toFrame(token);
+        if (grouped.isPresent()) {
+            return grouped.get();
         }
         if (query.isPresent()) {
             return queryFrame(query.get(), content, value);
@@ -314,6 +343,35 @@
                 : new QueryResponse(number, value);
     }
 
+    /** Collects the fields of a frame about configurations while it is decoded. */
+    final class ConfigFields {
+        private Optional<PeerFrame> mFrame = Optional.empty();
+
+        private ConfigFields() {}
+
+        /** Reads a field; returns false if it belongs to another kind of frame. */
+        private boolean read(int tag, CodedInputStream in) throws IOException {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case Field.CONFIG_VERSION ->
+                        mFrame = Optional.of(new ConfigVersion(in.readInt64()));
+                case Field.CONFIG_CONTENT ->
+                        mFrame = Optional.of(new ConfigContent(in.readByteArray()));
+                case Field.CONFIG_REQUEST -> {
+                    in.skipField(tag);
+                    mFrame = Optional.of(new ConfigRequest());
+                }
+                default -> {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private Optional<PeerFrame> toFrame() {
+            return mFrame;
+        }
+    }
+
     /** Collects the fields of a heartbeat while a frame is decoded. */
     final class HeartbeatFields {
         private final List<Long> mPosition = new ArrayList<>();
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/ConfigExchangeTest.java
@@ -0,0 +1,137 @@
+package org.foxtailplank.node.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailplank.job.AdviceTiming;
+import org.foxtailplank.job.QueuePolicy;
+import org.foxtailplank.node.FakeFeed;
+import org.foxtailplank.node.FakeTime;
+import org.foxtailplank.node.OperatorFollower;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.RouteSettings;
+import org.foxtailplank.port.ServiceConfig;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests the exchange of configurations between an owner and a follower. */
+public class ConfigExchangeTest {
+    private static final long REQUEST_DELAY_MS = 300;
+
+    private FakeTime mClock;
+    private OperatorFollower mOwner;
+    private OperatorFollower mFollower;
+    private ConfigExchange mOwnerExchange;
+    private ConfigExchange mFollowerExchange;
+    private EmbeddedChannel mToFollower;
+    private EmbeddedChannel mToOwner;
+
+    @BeforeMethod
+    public void setUp() {
+        mClock = new FakeTime();
+        mOwner = newOperator();
+        mFollower = newOperator();
+        mOwnerExchange = new ConfigExchange(mOwner, mClock, true);
+        mFollowerExchange = new ConfigExchange(mFollower, mClock, true);
+        mToFollower = new EmbeddedChannel();
+        mToOwner = new EmbeddedChannel();
+    }
+
+    private OperatorFollower newOperator() {
+        return new OperatorFollower(new FakeFeed<>(), mClock, mClock, NodeLog.silent(mClock));
+    }
+
+    private static FleetConfig config(long version) {
+        QueuePolicy plain = new QueuePolicy(1, 3, 1.6, 600, Optional.empty());
+        QueuePolicy advised =
+                new QueuePolicy(0, 2, 2.2, 900, Optional.of(new AdviceTiming(5, 6, 7)));
+        return new FleetConfig(
+                version,
+                List.of(
+                        new RouteSettings("r1", "h", "/a/", "s", plain),
+                        new RouteSettings("r2", "h", "/b/", "t", advised)),
+                List.of(new ServiceConfig("s", true, false), new ServiceConfig("t", false, true)),
+                4096);
+    }
+
+    /** Delivers the frames that the exchanges have sent, until there are none. */
+    private void deliver() throws IOException {
+        boolean delivered = true;
+        while (delivered) {
+            delivered = deliver(mToFollower, mFollowerExchange, mToOwner);
+            delivered |= deliver(mToOwner, mOwnerExchange, mToFollower);
+        }
+    }
+
+    private static boolean deliver(
+            EmbeddedChannel from, ConfigExchange receiver, EmbeddedChannel reply)
+            throws IOException {
+        ByteBuf bytes = from.readOutbound();
+        if (bytes == null) {
+            return false;
+        }
+        bytes.skipBytes(Integer.BYTES);
+        assertTrue(receiver.handle(PeerFrame.decode(bytes), reply));
+        bytes.release();
+        return true;
+    }
+
+    private void announce() throws IOException {
+        mToFollower.writeAndFlush(mOwnerExchange.announcement().encode());
+        deliver();
+    }
+
+    /**
+     * Guards against a node that keeps an old configuration for as long as the store rejects it.
+     */
+    @Test
+    public void aFollowerThatTheStoreRejectsGetsTheConfigurationOfTheOwner() throws IOException {
+        mOwner.offer(config(7));
+        announce();
+        assertEquals(mFollower.version(), -1, "the store may still deliver it");
+        mClock.advance(REQUEST_DELAY_MS);
+        announce();
+
+        assertEquals(mFollower.config(), Optional.of(config(7)));
+    }
+
+    /** Guards against an owner that can't read the operator's topic while its followers can. */
+    @Test
+    public void anOwnerGetsTheNewerConfigurationOfAFollower() throws IOException {
+        mOwner.offer(config(7));
+        mFollower.offer(config(9));
+        announce();
+        mClock.advance(REQUEST_DELAY_MS);
+        announce();
+
+        assertEquals(mOwner.config(), Optional.of(config(9)));
+    }
+
+    @Test
+    public void anOlderConfigurationOfAPeerIsIgnored() throws IOException {
+        mFollower.offer(config(9));
+        mFollowerExchange.handle(
+                new PeerFrame.ConfigContent(FleetConfigCodec.encode(config(8))), mToOwner);
+
+        assertEquals(mFollower.version(), 9);
+    }
+
+    /** Guards against a large configuration that fills a link, requested with each heartbeat. */
+    @Test
+    public void theContentIsRequestedOnceInTheRequestDelay() throws IOException {
+        mOwner.offer(config(7));
+        mFollowerExchange.handle(mOwnerExchange.announcement(), mToOwner);
+        mClock.advance(REQUEST_DELAY_MS);
+        for (int i = 0; i < 3; i++) {
+            mFollowerExchange.handle(mOwnerExchange.announcement(), mToOwner);
+        }
+
+        assertEquals(mToOwner.outboundMessages().size(), 1);
+    }
+}
