Report the configuration's version in heartbeats instead of a frame of its own

Peers of an earlier version decode a frame with unknown fields only as a heartbeat without a token, that is of a node that doesn't own.

The version is a field of the heartbeat, which they skip. Frames of the exchange go only to peers that have reported a version (aPeerThatReportsNoVersionIsSentNoFrame).

--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/ConfigExchange.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/ConfigExchange.java
@@ -9,8 +9,8 @@
  * Exchanges configurations between the owner and its followers, so that a node that the store
  * rejects, or whose reads of the operator's topic fail, has the newest one that a peer has.
  *
- * <p>The owner announces its version with its heartbeats, and followers with a newer one announce
- * theirs in return. A node requests the content only if the store hasn't delivered it for a while.
+ * <p>The owner's heartbeats report its version, and followers with a newer one report theirs in
+ * return. A node requests the content only if the store hasn't delivered it for a while.
  */
 public final class ConfigExchange {
     /**
@@ -41,15 +41,15 @@
         mRequestDelayMs = ampleLink ? REQUEST_DELAY_MS : NARROW_REQUEST_DELAY_MS;
     }
 
-    /** Returns the announcement of this node's version. */
-    PeerFrame announcement() {
-        return new PeerFrame.ConfigVersion(mOperator.version());
+    /** Returns the version of this node's configuration, which heartbeats report. */
+    long version() {
+        return mOperator.version();
     }
 
     /** Handles a frame; returns whether it belongs to this exchange. */
     boolean handle(PeerFrame frame, Channel channel) throws IOException {
         if (frame instanceof PeerFrame.ConfigVersion announced) {
-            handleAnnouncement(announced.version(), channel);
+            peerHasVersion(announced.version(), channel);
         } else if (frame instanceof PeerFrame.ConfigRequest) {
             sendConfig(channel);
         } else if (frame instanceof PeerFrame.ConfigContent content) {
@@ -60,10 +60,14 @@
         return true;
     }
 
-    private void handleAnnouncement(long version, Channel channel) {
-        long own = mOperator.version();
+    /** Handles the version that a peer has; -1 if it has none or doesn't take part. */
+    void peerHasVersion(long version, Channel channel) {
+        long own = version();
+        if (version < 0) {
+            return;
+        }
         if (version < own) {
-            channel.writeAndFlush(announcement().encode());
+            channel.writeAndFlush(new PeerFrame.ConfigVersion(own).encode());
         } else if (version > own) {
             requestIfDue(own, channel);
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -244,7 +244,6 @@
         // the store.
         flushOrDrop();
         addToBatch(newHeartbeat());
-        mConfigExchange.ifPresent(e -> addToBatch(e.announcement()));
         flush();
         mTimers.after(HEARTBEAT_INTERVAL_MS, () -> sendHeartbeat(token));
     }
@@ -258,7 +257,8 @@
                 mJournal.completeMs(),
                 mJournal.storedMsAgo(),
                 vmCallsFinished,
-                mNarrow);
+                mNarrow,
+                mConfigExchange.map(ConfigExchange::version).orElse(-1L));
     }
 
     /** Sends the batch, or drops it if the link's budget is used up. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -378,6 +378,8 @@
         }
         frameReceived();
         offerRelay();
+        mConfigExchange.ifPresent(
+                e -> mChannel.ifPresent(c -> e.peerHasVersion(frame.configVersion(), c)));
         long now = mClock.nowMs();
         mLastStoredMs = now - frame.storedMsAgo();
         // The smallest delay excludes the time that later frames spend queued on a full link.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -55,6 +55,7 @@
      *     VM service in flight
      * @param narrow from an owner: whether its link is narrow, so that followers able to take over
      *     report it
+     * @param configVersion version of the sender's configuration; -1 without one
      */
     record Heartbeat(
             long token,
@@ -63,7 +64,8 @@
             long completeMs,
             long storedMsAgo,
             boolean vmCallsFinished,
-            boolean narrow)
+            boolean narrow,
+            long configVersion)
             implements PeerFrame {
         @Override
         public void write(CodedOutputStream out) throws IOException {
@@ -73,6 +75,7 @@
             out.writeInt64(Field.COMPLETE_MS, completeMs);
             out.writeBool(Field.CALLS_OVER, vmCallsFinished);
             out.writeBool(Field.NARROW, narrow);
+            out.writeInt64(Field.HEARTBEAT_CONFIG, configVersion);
             for (long offset : position.offsets()) {
                 out.writeInt64(Field.POSITION, offset);
             }
@@ -196,7 +199,7 @@
         }
     }
 
-    /** From an owner, or in response to its announcement: the sender's configuration version. */
+    /** From a follower to an owner with an older configuration: the follower's version. */
     record ConfigVersion(long version) implements PeerFrame {
         @Override
         public void write(CodedOutputStream out) throws IOException {
@@ -252,6 +255,7 @@
         static final int CONFIG_VERSION = 28;
         static final int CONFIG_REQUEST = 29;
         static final int CONFIG_CONTENT = 30;
+        static final int HEARTBEAT_CONFIG = 31;
 
         private Field() {}
     }
@@ -380,6 +384,7 @@
         private long mStoredMsAgo;
         private boolean mVmCallsFinished;
         private boolean mNarrow;
+        private long mConfigVersion = -1;
 
         private HeartbeatFields() {}
 
@@ -391,6 +396,7 @@
                 case Field.STORED_MS_AGO -> mStoredMsAgo = in.readInt64();
                 case Field.CALLS_OVER -> mVmCallsFinished = in.readBool();
                 case Field.NARROW -> mNarrow = in.readBool();
+                case Field.HEARTBEAT_CONFIG -> mConfigVersion = in.readInt64();
                 default -> in.skipField(tag);
             }
         }
@@ -398,7 +404,14 @@
         private Heartbeat toHeartbeat(long token) {
             JournalPosition position = new JournalPosition(mPosition);
             return new Heartbeat(
-                    token, position, mNowMs, mCompleteMs, mStoredMsAgo, mVmCallsFinished, mNarrow);
+                    token,
+                    position,
+                    mNowMs,
+                    mCompleteMs,
+                    mStoredMsAgo,
+                    mVmCallsFinished,
+                    mNarrow,
+                    mConfigVersion);
         }
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/ConfigExchangeTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/ConfigExchangeTest.java
@@ -82,8 +82,8 @@
         return true;
     }
 
-    private void announce() throws IOException {
-        mToFollower.writeAndFlush(mOwnerExchange.announcement().encode());
+    private void sendHeartbeat() throws IOException {
+        mFollowerExchange.peerHasVersion(mOwnerExchange.version(), mToOwner);
         deliver();
     }
 
@@ -93,10 +93,10 @@
     @Test
     public void aFollowerThatTheStoreRejectsGetsTheConfigurationOfTheOwner() throws IOException {
         mOwner.offer(config(7));
-        announce();
+        sendHeartbeat();
         assertEquals(mFollower.version(), -1, "the store may still deliver it");
         mClock.advance(REQUEST_DELAY_MS);
-        announce();
+        sendHeartbeat();
 
         assertEquals(mFollower.config(), Optional.of(config(7)));
     }
@@ -106,13 +106,22 @@
     public void anOwnerGetsTheNewerConfigurationOfAFollower() throws IOException {
         mOwner.offer(config(7));
         mFollower.offer(config(9));
-        announce();
+        sendHeartbeat();
         mClock.advance(REQUEST_DELAY_MS);
-        announce();
+        sendHeartbeat();
 
         assertEquals(mOwner.config(), Optional.of(config(9)));
     }
 
+    /** Guards against peers of an earlier version that take a frame of the exchange for another. */
+    @Test
+    public void aPeerThatReportsNoVersionIsSentNoFrame() {
+        mFollower.offer(config(9));
+        mFollowerExchange.peerHasVersion(-1, mToOwner);
+
+        assertEquals(mToOwner.outboundMessages().size(), 0);
+    }
+
     @Test
     public void anOlderConfigurationOfAPeerIsIgnored() throws IOException {
         mFollower.offer(config(9));
@@ -126,10 +135,10 @@
     @Test
     public void theContentIsRequestedOnceInTheRequestDelay() throws IOException {
         mOwner.offer(config(7));
-        mFollowerExchange.handle(mOwnerExchange.announcement(), mToOwner);
+        mFollowerExchange.peerHasVersion(7, mToOwner);
         mClock.advance(REQUEST_DELAY_MS);
         for (int i = 0; i < 3; i++) {
-            mFollowerExchange.handle(mOwnerExchange.announcement(), mToOwner);
+            mFollowerExchange.peerHasVersion(7, mToOwner);
         }
 
         assertEquals(mToOwner.outboundMessages().size(), 1);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -247,7 +247,7 @@
     private static void sendHeartbeat(Socket follower, long nowMs) throws IOException {
         PeerFrame frame =
                 new PeerFrame.Heartbeat(
-                        TOKEN, JournalPosition.START, nowMs, nowMs, 0, false, false);
+                        TOKEN, JournalPosition.START, nowMs, nowMs, 0, false, false, -1);
         frame.encode().readBytes(follower.getOutputStream(), frame.encode().readableBytes());
     }
 
