Log discarded answers of workers, questions without a result, and readiness

The three hypotheses about jobs without an answer at the end can't be told apart without them: whether an owner discards the answers of a worker, why a question got 410 or 503, and when a node became ready.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -319,7 +319,7 @@
     }
 
     /** Whether the worker gave an answer before the last one that was applied, by its clock. */
-    boolean isOutdated(long clockMs) {
+    public boolean isOutdated(long clockMs) {
         return clockMs >= 0 && clockMs < mLastAnswerClockMs;
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -96,6 +96,7 @@
     private HttpServer mCallerServer;
     private JournalStream mStream;
     private boolean mStopping;
+    private boolean mReportedReady;
     private NodeSettings mSettings;
 
     public Node(NodeSettings settings, EventLoop loop, Clock clock, Timers timers, NodeLog log) {
@@ -346,7 +347,16 @@
     }
 
     private void readiness(HttpRequest request, Consumer<HttpReply> reply) {
-        reply.accept(HttpReply.empty(isReady() ? OK : SERVICE_UNAVAILABLE));
+        boolean ready = isReady();
+        if (ready != mReportedReady) {
+            mReportedReady = ready;
+            mLog.line("ready")
+                    .with("ready", ready)
+                    .with("caughtUp", mReader.isCaughtUp())
+                    .with("ownerAvailable", mLink.isAvailable())
+                    .write();
+        }
+        reply.accept(HttpReply.empty(ready ? OK : SERVICE_UNAVAILABLE));
     }
 
     private void metrics(HttpRequest request, Consumer<HttpReply> reply) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -319,9 +319,22 @@
         mFinder.findPhase(
                 id,
                 deadlineMs(request),
-                (read, phase) ->
-                        reply.accept(
-                                phase.map(this::phaseReply).orElseGet(() -> notFoundReply(read))));
+                (read, phase) -> {
+                    if (phase.isEmpty()) {
+                        logUnknownJob(id, read);
+                    }
+                    reply.accept(phase.map(this::phaseReply).orElseGet(() -> notFoundReply(read)));
+                });
+    }
+
+    private void logUnknownJob(String id, boolean read) {
+        mLog.line("job-unknown")
+                .with("job", id)
+                .with("journalRead", read)
+                .with("caughtUp", mReader.isCaughtUp())
+                .with("ownerAlive", mLink.isAlive())
+                .with("journal", mReader.position())
+                .write();
     }
 
     private HttpReply phaseReply(JobPhase phase) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -142,7 +142,19 @@
         scheduleNextPoll(RETRY_DELAY_MS);
     }
 
+    private void logIfOutdated(PollResponse response) {
+        if (mWorker.isOutdated(response.clockMs())) {
+            mContext.log()
+                    .line("poll-outdated")
+                    .with("worker", mWorker.id())
+                    .with("clockMs", response.clockMs())
+                    .with("runs", mWorker.runs().size())
+                    .write();
+        }
+    }
+
     private void applyAnswer(PollResponse response, long sentMs) {
+        logIfOutdated(response);
         if (mWorker.isUnresponsive()) {
             mContext.log().line("worker-back").with("worker", mWorker.id()).write();
         }
@@ -160,6 +172,7 @@
     }
 
     private void applyLateAnswer(PollResponse response, long sentMs) {
+        logIfOutdated(response);
         long now = mContext.clock().nowMs();
         PollResult result = mOwner.scheduler().pollAnsweredLate(mWorker, response, sentMs, now);
         mContext.metrics().latency("latePoll").update(now - sentMs);
