Read when a worker started, and record it with the starts of its runs

A worker may start again under its ID, so that the ID alone no longer names an incarnation. The directory's entries and the answers to polls carry the start time, and so do the records of starts; records and platforms without it are read as of unknown start. An entry or a list in which it isn't a whole number from 0 is ignored like any other unreadable one. Nothing decides by it yet.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -79,13 +79,13 @@
      *
      * @param task the task
      * @param attempt number of the attempt
-     * @param worker ID of the worker
+     * @param worker the worker's incarnation
      * @param crashes crashes of workers that the task may have caused before. They are written with
      *     the start, so that no task starts again before its crashes are stored
      */
-    record StartedRun(TaskName task, int attempt, String worker, CrashHistory crashes) {
+    record StartedRun(TaskName task, int attempt, WorkerIncarnation worker, CrashHistory crashes) {
         /** Creates a start of a task that has crashed no worker. */
-        public StartedRun(TaskName task, int attempt, String worker) {
+        public StartedRun(TaskName task, int attempt, WorkerIncarnation worker) {
             this(task, attempt, worker, CrashHistory.NONE);
         }
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/port/WorkerClient.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/WorkerClient.java
@@ -33,7 +33,7 @@
     /**
      * Address of a worker.
      *
-     * @param id worker ID, which changes with each restart
+     * @param id worker ID
      * @param address address that it listens on, as {@code ip:port}
      */
     record WorkerAddress(String id, String address) {}
@@ -72,9 +72,20 @@
     /** Result of a command, with the worker's clock in milliseconds, or -1 if it is unknown. */
     record CommandResponse(CommandOutcome outcome, long clockMs) {}
 
-    /** Result of {@link #poll}. */
+    /**
+     * Result of {@link #poll}.
+     *
+     * @param startMs when the answering incarnation started, in milliseconds since the epoch; 0 if
+     *     unknown
+     * @param clockMs the worker's clock in milliseconds, which starts anew with each incarnation;
+     *     -1 if unknown
+     */
     record PollResponse(
-            CommandOutcome outcome, long clockMs, List<RunStatus> running, List<RunEnd> ended) {
+            CommandOutcome outcome,
+            long startMs,
+            long clockMs,
+            List<RunStatus> running,
+            List<RunEnd> ended) {
         public PollResponse {
             running = List.copyOf(running);
             ended = List.copyOf(ended);
--- a/foxtail-core/src/main/java/org/foxtailplank/port/WorkerInfo.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/WorkerInfo.java
@@ -2,11 +2,12 @@
 
 import java.util.Set;
 import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.WorkerIncarnation;
 
 /**
  * Description of a worker, as registered by the worker.
  *
- * @param id worker ID, which changes with each restart
+ * @param incarnation the incarnation that registered it
  * @param service service that it belongs to
  * @param address address that it listens on, as {@code ip:port}
  * @param zone its availability zone
@@ -16,7 +17,7 @@
  * @param draining whether it is about to shut down
  */
 public record WorkerInfo(
-        String id,
+        WorkerIncarnation incarnation,
         String service,
         String address,
         String zone,
@@ -27,4 +28,9 @@
     public WorkerInfo {
         labels = Set.copyOf(labels);
     }
+
+    /** ID of the worker. */
+    public String id() {
+        return incarnation.id();
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskName;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.PlacementAdvisor.Advice;
@@ -119,7 +120,8 @@
      * end counts as running until its worker has been polled, its incarnation has ended or its
      * lease has expired, so that no task is started twice.
      */
-    public void addInheritedJob(JobProgress progress, Predicate<String> isOver, long nowMs) {
+    public void addInheritedJob(
+            JobProgress progress, Predicate<WorkerIncarnation> isOver, long nowMs) {
         if (!mRuns.add(progress)) {
             return;
         }
@@ -144,7 +146,8 @@
     private void inheritRun(StartedRun start, String service, long nowMs) {
         WorkerState worker =
                 mWorkers.computeIfAbsent(
-                        start.worker(), id -> WorkerState.withoutInfo(id, service, nowMs));
+                        start.worker().id(),
+                        id -> WorkerState.withoutInfo(start.worker(), service, nowMs));
         mRuns.inherit(start, worker, nowMs);
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -166,13 +166,13 @@
 
     /** The start as it is recorded in the journal. */
     public StartedRun startRecord() {
-        return new StartedRun(mTask.name(), mAttempt, mWorker.id(), mEarlierCrashes);
+        return new StartedRun(mTask.name(), mAttempt, mWorker.incarnation(), mEarlierCrashes);
     }
 
     /** The end with its worker's incarnation as it is recorded in the journal. */
     public StartedRun endRecord() {
         CrashHistory crashes = mTask.accountable().crashes();
-        return new StartedRun(mTask.name(), mAttempt, mWorker.id(), crashes);
+        return new StartedRun(mTask.name(), mAttempt, mWorker.incarnation(), crashes);
     }
 
     /** Whether the run has not been observed for long enough to rule out that it crashes. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -6,12 +6,12 @@
 import java.util.Set;
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.TaskName;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.WorkerClient.WorkerAddress;
 import org.foxtailplank.port.WorkerInfo;
 
 /** One incarnation of a worker, as known to the owner. */
 public final class WorkerState {
-    private final String mId;
     private final long mFirstSeenMs;
     private final Set<TaskRun> mRuns = new LinkedHashSet<>();
     private final WorkerHealthRecord mHealth = new WorkerHealthRecord();
@@ -45,7 +45,6 @@
     private long mSlowUntilMs = Long.MIN_VALUE / 2;
 
     WorkerState(WorkerInfo info, long nowMs) {
-        mId = info.id();
         mInfo = info;
         mLastAnswerMs = nowMs;
         mGrantedMs = nowMs;
@@ -55,8 +54,9 @@
     /**
      * Creates a worker of which only the incarnation is known, from the starts of a previous owner.
      */
-    static WorkerState withoutInfo(String id, String service, long nowMs) {
-        WorkerInfo info = new WorkerInfo(id, service, "", "", Resources.NONE, Set.of(), "", false);
+    static WorkerState withoutInfo(WorkerIncarnation incarnation, String service, long nowMs) {
+        WorkerInfo info =
+                new WorkerInfo(incarnation, service, "", "", Resources.NONE, Set.of(), "", false);
         WorkerState worker = new WorkerState(info, nowMs);
         worker.mListed = false;
         worker.markUnresponsive(nowMs);
@@ -64,7 +64,11 @@
     }
 
     public String id() {
-        return mId;
+        return mInfo.id();
+    }
+
+    public WorkerIncarnation incarnation() {
+        return mInfo.incarnation();
     }
 
     public WorkerInfo info() {
@@ -77,7 +81,7 @@
     }
 
     public WorkerAddress address() {
-        return new WorkerAddress(mId, mInfo.address());
+        return new WorkerAddress(mInfo.id(), mInfo.address());
     }
 
     public Set<TaskRun> runs() {
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
@@ -61,7 +61,7 @@
         // A start in one partition may be read before the job's acceptance in another one. A new
         // owner that dropped it would start the running task on a second worker.
         TaskName task = new TaskName("aa", 0, 0, 0);
-        StartedRun start = new StartedRun(task, 3, "w1");
+        StartedRun start = new StartedRun(task, 3, WorkerIncarnation.ofUnknownStart("w1"));
         mRegistry.apply(new RunsStarted(List.of(start)));
         end(0, 2, RunOutcome.FAILED);
         JobProgress progress = accept(1);
@@ -83,7 +83,12 @@
         JobProgress job = accept(2);
         assertEquals(job.phase(), JobPhase.QUEUED);
         mRegistry.apply(
-                new RunsStarted(List.of(new StartedRun(new TaskName("aa", 0, 0, 0), 1, "w"))));
+                new RunsStarted(
+                        List.of(
+                                new StartedRun(
+                                        new TaskName("aa", 0, 0, 0),
+                                        1,
+                                        WorkerIncarnation.ofUnknownStart("w")))));
         assertEquals(job.phase(), JobPhase.QUEUED);
         mRegistry.apply(new JobsStarted(List.of("aa")));
         assertEquals(job.phase(), JobPhase.RUNNING);
@@ -129,7 +134,12 @@
         // know a standing job.
         JobProgress job = accept(3);
         mRegistry.apply(
-                new RunsStarted(List.of(new StartedRun(new TaskName("aa", 0, 0, 1), 7, "w"))));
+                new RunsStarted(
+                        List.of(
+                                new StartedRun(
+                                        new TaskName("aa", 0, 0, 1),
+                                        7,
+                                        WorkerIncarnation.ofUnknownStart("w")))));
         end(0, 1, RunOutcome.DONE);
         end(1, 2, RunOutcome.FAILED);
         JobRegistry replica = new JobRegistry(RETENTION_MS);
@@ -169,7 +179,12 @@
         // command
         // never reached the worker, as in a network partition of its zone.
         mRegistry.apply(
-                new RunsStarted(List.of(new StartedRun(new TaskName("aa", 0, 0, 0), 1, "w"))));
+                new RunsStarted(
+                        List.of(
+                                new StartedRun(
+                                        new TaskName("aa", 0, 0, 0),
+                                        1,
+                                        WorkerIncarnation.ofUnknownStart("w")))));
         accept(1);
 
         assertEquals(mRegistry.pending("q"), 1);
@@ -203,7 +218,9 @@
                 complete.apply(new JobAccepted(definition("aa", 2, false))).orElseThrow();
         TaskName task = new TaskName("aa", 0, 0, 0);
         EndedRun end = new EndedRun(task, 1, RunOutcome.DONE, NOW_MS);
-        StartedRun start = new StartedRun(new TaskName("aa", 0, 0, 1), 1, "w1");
+        StartedRun start =
+                new StartedRun(
+                        new TaskName("aa", 0, 0, 1), 1, WorkerIncarnation.ofUnknownStart("w1"));
         complete.apply(new RunsEnded(List.of(end)));
         complete.apply(new RunsStarted(List.of(start)));
 
@@ -239,12 +256,20 @@
     /** Guards against a new owner that counts a crash again which its predecessor has counted. */
     @Test
     public void aRunThatEndedWithItsWorkerIsNotTakenForRunning() {
-        StartedRun start = new StartedRun(new TaskName("aa", 0, 0, 0), 1, "w1");
+        StartedRun start =
+                new StartedRun(
+                        new TaskName("aa", 0, 0, 0), 1, WorkerIncarnation.ofUnknownStart("w1"));
         CrashHistory crashes = new CrashHistory(1, 80, 0);
         JobProgress job = accept(1);
         mRegistry.apply(new RunsStarted(List.of(start)));
         mRegistry.apply(
-                new RunsEndedWithWorker(List.of(new StartedRun(start.task(), 1, "w1", crashes))));
+                new RunsEndedWithWorker(
+                        List.of(
+                                new StartedRun(
+                                        start.task(),
+                                        1,
+                                        WorkerIncarnation.ofUnknownStart("w1"),
+                                        crashes))));
 
         assertTrue(job.hasEnded(start));
         assertEquals(job.crashes(start), crashes);
@@ -256,10 +281,14 @@
         CrashHistory once = new CrashHistory(1, 0, 0);
         CrashHistory twice = new CrashHistory(2, 0, 0);
         TaskName task = new TaskName("aa", 0, 0, 0);
-        StartedRun third = new StartedRun(task, 3, "w3", twice);
+        StartedRun third = new StartedRun(task, 3, WorkerIncarnation.ofUnknownStart("w3"), twice);
         JobProgress job = accept(1);
         mRegistry.apply(new RunsStarted(List.of(third)));
-        mRegistry.apply(new RunsEndedWithWorker(List.of(new StartedRun(task, 1, "w1", once))));
+        mRegistry.apply(
+                new RunsEndedWithWorker(
+                        List.of(
+                                new StartedRun(
+                                        task, 1, WorkerIncarnation.ofUnknownStart("w1"), once))));
 
         assertEquals(job.crashes(third), twice);
     }
@@ -267,7 +296,11 @@
     @Test
     public void aTaskThatRanWithoutACrashIsCleared() {
         StartedRun start =
-                new StartedRun(new TaskName("aa", 0, 0, 0), 3, "w1", new CrashHistory(2, 0, 0));
+                new StartedRun(
+                        new TaskName("aa", 0, 0, 0),
+                        3,
+                        WorkerIncarnation.ofUnknownStart("w1"),
+                        new CrashHistory(2, 0, 0));
         JobProgress job = accept(2);
         mRegistry.apply(new RunsStarted(List.of(start)));
         end(0, 3, RunOutcome.FAILED);
@@ -280,11 +313,15 @@
         // Guards against evicting the starts of jobs whose acceptance is still unread because its
         // partition is unavailable.
         TaskName task = new TaskName("aa", 0, 0, 0);
-        StartedRun start = new StartedRun(task, 1, "w1");
+        StartedRun start = new StartedRun(task, 1, WorkerIncarnation.ofUnknownStart("w1"));
         mRegistry.apply(new RunsStarted(List.of(start)));
         for (int i = 0; i < 1000; i++) {
             TaskName other = new TaskName("b" + i, 0, 0, 0);
-            mRegistry.apply(new RunsStarted(List.of(new StartedRun(other, 1, "w1"))));
+            mRegistry.apply(
+                    new RunsStarted(
+                            List.of(
+                                    new StartedRun(
+                                            other, 1, WorkerIncarnation.ofUnknownStart("w1")))));
         }
 
         assertEquals(List.copyOf(accept(1).lastStarts()), List.of(start));
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/CrashTrackerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/CrashTrackerTest.java
@@ -16,6 +16,7 @@
 import org.foxtailplank.job.RunMode;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.WorkerInfo;
 import org.testng.annotations.BeforeMethod;
@@ -117,7 +118,7 @@
         WorkerInfo info = OwnerHarness.info("w1", "surveys", 8);
         mOwner.mScheduler.updateWorker(
                 new WorkerInfo(
-                        info.id(),
+                        WorkerIncarnation.ofUnknownStart(info.id()),
                         info.service(),
                         info.address(),
                         info.zone(),
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/DelayedAnswerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/DelayedAnswerTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import org.foxtailplank.job.RunStatus;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.WorkerClient.PollResponse;
 import org.testng.annotations.Test;
@@ -16,7 +17,12 @@
     private static final long CLOCK_AHEAD_MS = 5000;
 
     private static PollResponse response(long clockMs, RunStatus... running) {
-        return new PollResponse(CommandOutcome.DONE, clockMs, List.of(running), List.of());
+        return new PollResponse(
+                CommandOutcome.DONE,
+                WorkerIncarnation.UNKNOWN_START_MS,
+                clockMs,
+                List.of(running),
+                List.of());
     }
 
     private static TaskRun startRun(OwnerHarness owner) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
@@ -74,7 +74,7 @@
 
         OwnerHarness second = new OwnerHarness(first.mRegistry);
         second.addWorker("w2", "surveys", 8);
-        second.mScheduler.addInheritedJob(job, w -> w.equals("w1"), second.mNowMs);
+        second.mScheduler.addInheritedJob(job, w -> w.id().equals("w1"), second.mNowMs);
 
         assertEquals(second.placeTasks().size(), 1);
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.ServiceConfig;
@@ -58,7 +59,14 @@
     static WorkerInfo info(String id, String service, int cores) {
         Resources room = Resources.of(cores, 1L << 40, 0);
         return new WorkerInfo(
-                id, service, "10.0.0.1:1", "zone", room, Set.of("a", "r1"), "r1", false);
+                WorkerIncarnation.ofUnknownStart(id),
+                service,
+                "10.0.0.1:1",
+                "zone",
+                room,
+                Set.of("a", "r1"),
+                "r1",
+                false);
     }
 
     /** Adds a worker that answers polls and has no runs. */
@@ -152,7 +160,13 @@
     }
 
     PollResult pollListing(WorkerState worker, List<RunStatus> running, List<RunEnd> ends) {
-        PollResponse response = new PollResponse(CommandOutcome.DONE, 5000 + mNowMs, running, ends);
+        PollResponse response =
+                new PollResponse(
+                        CommandOutcome.DONE,
+                        WorkerIncarnation.UNKNOWN_START_MS,
+                        5000 + mNowMs,
+                        running,
+                        ends);
         worker.recordLeaseGrant(mNowMs);
         long sentMs = mNowMs;
         mNowMs++;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
@@ -17,6 +17,7 @@
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.WorkerInfo;
 import org.testng.annotations.Test;
@@ -222,7 +223,7 @@
         WorkerInfo i = worker.info();
         owner.mScheduler.updateWorker(
                 new WorkerInfo(
-                        i.id(),
+                        WorkerIncarnation.ofUnknownStart(i.id()),
                         i.service(),
                         i.address(),
                         i.zone(),
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -29,6 +29,7 @@
 import org.foxtailplank.job.JournalRecord.WaveDue;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskName;
+import org.foxtailplank.job.WorkerIncarnation;
 
 /**
  * Encodes and decodes journal records as protobuf messages. A record is a message with one field,
@@ -260,7 +261,8 @@
         out.writeInt32(3, run.task().step());
         out.writeInt32(4, run.task().index());
         out.writeInt32(5, run.attempt());
-        out.writeString(6, run.worker());
+        out.writeString(6, run.worker().id());
+        out.writeInt64(10, run.worker().startMs());
         if (run.crashes().isSuspect()) {
             out.writeInt32(7, run.crashes().crashes());
             out.writeInt32(8, run.crashes().evidence());
@@ -286,6 +288,7 @@
     private static StartedRun readStart(CodedInputStream in) throws IOException {
         String job = "";
         String worker = "";
+        long workerStartMs = WorkerIncarnation.UNKNOWN_START_MS;
         int[] numbers = new int[9];
         List<Long> agesMs = new ArrayList<>();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -298,14 +301,22 @@
                 numbers[field] = in.readInt32();
             } else if (field == 9) {
                 agesMs.add((long) in.readInt32());
+            } else if (field == 10) {
+                workerStartMs = in.readInt64();
             } else {
                 in.skipField(tag);
             }
         }
         agesMs.removeIf(ms -> ms <= 0);
         TaskName task = new TaskName(job, numbers[2], numbers[3], numbers[4]);
+        if (workerStartMs < 0) {
+            throw new IOException("negative start time of a worker: " + workerStartMs);
+        }
         return new StartedRun(
-                task, numbers[5], worker, toCrashHistory(numbers[7], numbers[8], agesMs));
+                task,
+                numbers[5],
+                new WorkerIncarnation(worker, workerStartMs),
+                toCrashHistory(numbers[7], numbers[8], agesMs));
     }
 
     private static CrashHistory toCrashHistory(int crashes, int evidence, List<Long> agesMs)
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -16,6 +16,7 @@
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.RunEnd;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.journal.JournalPosition;
@@ -178,9 +179,9 @@
      * Whether a worker's incarnation has certainly ended at the takeover. One that is in the
      * directory may have joined before its VM is listed with it, so it is left to later lists.
      */
-    private boolean hasIncarnationEnded(String worker, ListedIncarnations incarnations) {
-        boolean listed = mScheduler.worker(worker).map(WorkerState::isListed).orElse(false);
-        return !listed && incarnations.hasEnded(worker);
+    private boolean hasIncarnationEnded(WorkerIncarnation worker, ListedIncarnations incarnations) {
+        boolean listed = mScheduler.worker(worker.id()).map(WorkerState::isListed).orElse(false);
+        return !listed && incarnations.hasEnded(worker.id());
     }
 
     /** Whether this is still the owner and has applied the journal as of its takeover. */
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -35,6 +35,7 @@
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -42,11 +43,17 @@
 public class JournalCodecTest {
     private static final TaskName TASK = new TaskName("aa", 1, 2, 3);
     private static final EndedRun END = new EndedRun(TASK, 4, RunOutcome.FAILED, 5);
-    private static final StartedRun START = new StartedRun(TASK, 4, "w1");
+    private static final StartedRun START =
+            new StartedRun(TASK, 4, WorkerIncarnation.ofUnknownStart("w1"));
     private static final StartedRun SUSPECT =
-            new StartedRun(TASK, 4, "w1", new CrashHistory(2, -30, 510));
+            new StartedRun(
+                    TASK, 4, WorkerIncarnation.ofUnknownStart("w1"), new CrashHistory(2, -30, 510));
     private static final StartedRun REPEATED =
-            new StartedRun(TASK, 4, "w1", new CrashHistory(4, 170, List.of(56L, 412L, 56L)));
+            new StartedRun(
+                    TASK,
+                    4,
+                    WorkerIncarnation.ofUnknownStart("w1"),
+                    new CrashHistory(4, 170, List.of(56L, 412L, 56L)));
 
     private static JobDefinition definition() {
         TaskStep step =
@@ -129,7 +136,12 @@
     /** Guards against starts of earlier versions that are lost with an upgrade. */
     @Test
     public void aStartOfAnEarlierVersionIsRead() throws IOException {
-        StartedRun unknown = new StartedRun(TASK, 4, "w1", new CrashHistory(2, -30, List.of()));
+        StartedRun unknown =
+                new StartedRun(
+                        TASK,
+                        4,
+                        WorkerIncarnation.ofUnknownStart("w1"),
+                        new CrashHistory(2, -30, List.of()));
 
         assertEquals(
                 JournalCodec.decode(earlierStart(510)),
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
@@ -36,6 +36,7 @@
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.node.FakeSharedLog;
 import org.foxtailplank.node.FakeTime;
 import org.foxtailplank.node.log.NodeLog;
@@ -50,9 +51,11 @@
     private static final String JOB = "00000000000000aa";
     private static final TaskName TASK = new TaskName(JOB, 0, 0, 1);
     private static final EndedRun END = new EndedRun(TASK, 4, RunOutcome.FAILED, 5);
-    private static final StartedRun START = new StartedRun(TASK, 4, "w1");
+    private static final StartedRun START =
+            new StartedRun(TASK, 4, WorkerIncarnation.ofUnknownStart("w1"));
     private static final StartedRun SUSPECT =
-            new StartedRun(TASK, 4, "w1", new CrashHistory(2, 30, 0));
+            new StartedRun(
+                    TASK, 4, WorkerIncarnation.ofUnknownStart("w1"), new CrashHistory(2, 30, 0));
     private static final int HUGE_COUNT = Integer.MAX_VALUE;
     private static final int NESTED_GROUPS = 60_000;
     private static final int MUTATIONS = 200_000;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingFleet.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingFleet.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.TaskName;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.node.FakeTime;
 import org.foxtailplank.port.ChangeFeed;
 import org.foxtailplank.port.CommandOutcome;
@@ -109,7 +110,14 @@
             mLastEnd = 0;
             WorkerInfo info =
                     new WorkerInfo(
-                            mWorker, SERVICE, mId, "zone", CAPACITY, Set.of("r1"), "r1", false);
+                            WorkerIncarnation.ofUnknownStart(mWorker),
+                            SERVICE,
+                            mId,
+                            "zone",
+                            CAPACITY,
+                            Set.of("r1"),
+                            "r1",
+                            false);
             mEntries.add(new ChangeFeed.Item<>(mWorker, Optional.of(info)));
         }
 
@@ -242,7 +250,13 @@
         call(
                 to,
                 command.token(),
-                o -> new PollResponse(o, mTime.nowMs(), List.of(), List.of()),
+                o ->
+                        new PollResponse(
+                                o,
+                                WorkerIncarnation.UNKNOWN_START_MS,
+                                mTime.nowMs(),
+                                List.of(),
+                                List.of()),
                 callback,
                 vm -> holdPoll(vm, command, callback));
     }
@@ -269,13 +283,23 @@
 
     private PollResponse lists(Vm vm, String worker) {
         if (!vm.mWorker.equals(worker)) {
-            return new PollResponse(CommandOutcome.UNANSWERED, -1, List.of(), List.of());
+            return new PollResponse(
+                    CommandOutcome.UNANSWERED,
+                    WorkerIncarnation.UNKNOWN_START_MS,
+                    -1,
+                    List.of(),
+                    List.of());
         }
         List<RunStatus> running = new ArrayList<>();
         vm.mRuns
                 .values()
                 .forEach(r -> running.add(new RunStatus(r.task(), r.attempt(), "", 50, 0)));
-        return new PollResponse(CommandOutcome.DONE, mTime.nowMs(), running, vm.mEnds);
+        return new PollResponse(
+                CommandOutcome.DONE,
+                WorkerIncarnation.UNKNOWN_START_MS,
+                mTime.nowMs(),
+                running,
+                vm.mEnds);
     }
 
     @Override
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.ChangeFeed;
 import org.foxtailplank.port.WorkerInfo;
 
@@ -22,7 +23,7 @@
     void add(String id, String service, String address) {
         WorkerInfo info =
                 new WorkerInfo(
-                        id,
+                        WorkerIncarnation.ofUnknownStart(id),
                         service,
                         address,
                         "zone",
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeWorkers.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeWorkers.java
@@ -12,6 +12,7 @@
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.TaskName;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.node.FakeTime;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.WorkerClient;
@@ -36,6 +37,7 @@
     private record Run(TaskName task, int attempt) {}
 
     private final class Worker {
+        private final long mStartMs;
         private final Set<Run> mRunning = new HashSet<>();
         private final List<RunEnd> mUnacknowledged = new ArrayList<>();
         private long mToken;
@@ -43,6 +45,10 @@
         private long mLastEnd;
         private boolean mLeaseHeld;
 
+        Worker(long startMs) {
+            mStartMs = startMs;
+        }
+
         void endRunsIfLeaseExpired() {
             if (!mLeaseHeld && clockMs() > mLeaseUntilMs) {
                 Set.copyOf(mRunning).forEach(r -> end(r, RunOutcome.LAPSED));
@@ -68,7 +74,7 @@
     }
 
     private Worker worker(String id) {
-        return mWorkers.computeIfAbsent(id, i -> new Worker());
+        return mWorkers.computeIfAbsent(id, i -> new Worker(WorkerIncarnation.UNKNOWN_START_MS));
     }
 
     /** Returns the workers on which a task is running. */
@@ -148,7 +154,12 @@
         @Override
         public void poll(WorkerAddress to, PollCommand command, Consumer<PollResponse> callback) {
             PollResponse unanswered =
-                    new PollResponse(CommandOutcome.UNANSWERED, -1, List.of(), List.of());
+                    new PollResponse(
+                            CommandOutcome.UNANSWERED,
+                            WorkerIncarnation.UNKNOWN_START_MS,
+                            -1,
+                            List.of(),
+                            List.of());
             long wait = command.waitMs() / 2;
             call(to.id(), wait, unanswered, callback, () -> handlePoll(worker(to.id()), command));
         }
@@ -223,7 +234,7 @@
     private WorkerClient.PollResponse handlePoll(Worker worker, WorkerClient.PollCommand command) {
         if (!worker.accepts(command.token())) {
             return new WorkerClient.PollResponse(
-                    CommandOutcome.FENCED, clockMs(), List.of(), List.of());
+                    CommandOutcome.FENCED, worker.mStartMs, clockMs(), List.of(), List.of());
         }
         worker.mLeaseUntilMs = Math.max(worker.mLeaseUntilMs, command.leaseUntilMs());
         worker.mUnacknowledged.removeIf(e -> e.sequence() <= command.acknowledged());
@@ -234,6 +245,6 @@
                                 new RunStatus(
                                         r.task(), r.attempt(), "", FULL_PROGRESS_PERCENT, 0)));
         return new WorkerClient.PollResponse(
-                CommandOutcome.DONE, clockMs(), running, worker.mUnacknowledged);
+                CommandOutcome.DONE, worker.mStartMs, clockMs(), running, worker.mUnacknowledged);
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/ForeignWorkersTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/ForeignWorkersTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.node.FakeFeed;
 import org.foxtailplank.node.FakeSharedLog;
 import org.foxtailplank.node.FakeTime;
@@ -84,7 +85,12 @@
                 WorkerAddress worker, PollCommand command, Consumer<PollResponse> callback) {
             mPolled.add(worker.id());
             PollResponse response =
-                    new PollResponse(CommandOutcome.DONE, mTime.nowMs(), List.of(), List.of());
+                    new PollResponse(
+                            CommandOutcome.DONE,
+                            WorkerIncarnation.UNKNOWN_START_MS,
+                            mTime.nowMs(),
+                            List.of(),
+                            List.of());
             mTime.after(Math.max(1, command.waitMs()), () -> callback.accept(response));
         }
     }
@@ -117,7 +123,14 @@
     private static WorkerInfo worker(String id, String service) {
         Resources room = Resources.of(8, 1L << 40, 0);
         return new WorkerInfo(
-                id, service, "10.0.0.1:1", "zone", room, Set.of("a", "r1"), "r1", false);
+                WorkerIncarnation.ofUnknownStart(id),
+                service,
+                "10.0.0.1:1",
+                "zone",
+                room,
+                Set.of("a", "r1"),
+                "r1",
+                false);
     }
 
     private void startOwner() {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/SlowLinkOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/SlowLinkOwnerTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.node.FakeSharedLog;
 import org.foxtailplank.node.FakeTime;
 import org.foxtailplank.node.OperatorFollower;
@@ -123,7 +124,12 @@
         }
 
         private PollResponse response(CommandOutcome outcome) {
-            return new PollResponse(outcome, mTime.nowMs(), List.of(), List.of());
+            return new PollResponse(
+                    outcome,
+                    WorkerIncarnation.UNKNOWN_START_MS,
+                    mTime.nowMs(),
+                    List.of(),
+                    List.of());
         }
     }
 
