--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -5,156 +5,28 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.foxtailplank.fleet.Resources;
-import org.foxtailplank.job.JobDefinition;
-import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
-import org.foxtailplank.job.PlacementConstraints;
-import org.foxtailplank.job.QueuePolicy;
 import org.foxtailplank.job.RunMode;
-import org.foxtailplank.job.TaskName;
-import org.foxtailplank.job.TaskStep;
-import org.foxtailplank.job.Timetable;
-import org.foxtailplank.node.FakeSharedLog;
-import org.foxtailplank.node.FakeTime;
-import org.foxtailplank.node.OperatorFollower;
 import org.foxtailplank.node.journal.JournalCodec;
-import org.foxtailplank.node.log.NodeLog;
-import org.foxtailplank.port.ChangeFeed;
-import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.LogPartition;
-import org.foxtailplank.port.OperatorChange;
-import org.foxtailplank.port.ServiceConfig;
 import org.foxtailplank.port.SharedLog;
-import org.foxtailplank.port.VmClient;
-import org.foxtailplank.port.WavePublisher;
-import org.foxtailplank.schedule.ScheduleLimits;
 import org.foxtailplank.schedule.WorkerEndReason;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests that a task runs at most once at a time when successive owners reach different workers. */
-public class CutOffOwnerTest {
-    private static final String SERVICE = "reconciliation";
-    private static final String JOB = "00000000000000aa";
-    private static final TaskName TASK = new TaskName(JOB, 0, 0, 0);
-    private static final ScheduleLimits LIMITS = new ScheduleLimits(6000, 250, 200);
-    private static final long STEP_MS = 10;
-
+public class CutOffOwnerTest extends OwnerFleetTestBase {
     /** Time in which a worker of {@link FakeWorkers} answers a poll. */
     private static final long POLL_MS = 510;
 
-    private FakeTime mTime;
-    private FakeSharedLog mLog;
-    private FakeWorkers mWorkers;
-    private FakeDirectory mDirectory;
-    private List<OwnerContext> mContexts;
-    private List<VmClient.VmInfo> mVms;
     private boolean[] mLateFromFirstStart;
 
     @BeforeMethod
     public void setUp() {
-        mTime = new FakeTime();
-        mLog = new FakeSharedLog();
-        mWorkers = new FakeWorkers(mTime);
-        mDirectory = new FakeDirectory();
-        mContexts = new ArrayList<>();
         mLateFromFirstStart = new boolean[0];
-        mVms = List.of(Vms.vm("vm1", "w1"), Vms.vm("vm2", "w2"));
-    }
-
-    /** Returns the same VMs in every list. */
-    private final class Vms implements VmClient {
-        @Override
-        public void list(Consumer<Optional<List<VmInfo>>> callback) {
-            callback.accept(Optional.of(mVms));
-        }
-
-        private static VmInfo vm(String id, String worker) {
-            return new VmInfo(id, SERVICE, VmPhase.UP, worker, Resources.of(8, 1L << 40, 0));
-        }
-
-        @Override
-        public void move(String vm, String pool, Holder holder, Consumer<VmOutcome> callback) {
-            callback.accept(VmOutcome.NOT_DONE);
-        }
-
-        @Override
-        public void reboot(String vm, long wave, Holder holder, Consumer<VmOutcome> callback) {
-            callback.accept(VmOutcome.NOT_DONE);
-        }
-    }
-
-    private OwnerSession startOwner(
-            SharedLog log, FakeWorkers.Connection connection, Takeover takeover) {
-        ServiceConfig service = new ServiceConfig(SERVICE, true, false);
-        OperatorChange config =
-                new OperatorChange.NewConfig(new FleetConfig(1, List.of(), List.of(service), 1000));
-        ChangeFeed<OperatorChange> operatorChanges =
-                new FixedFeed<>(List.of(new ChangeFeed.Item<>("config", Optional.of(config))));
-        OperatorFollower operator =
-                new OperatorFollower(operatorChanges, mTime, mTime, NodeLog.silent(mTime));
-        operator.refresh(read -> {});
-        WavePublisher wavePublisher =
-                (number, completed, callback) -> callback.accept(new SharedLog.Stored(0, 1));
-        OwnerContext.Platform platform =
-                new OwnerContext.Platform(mDirectory, connection, new Vms(), null, wavePublisher);
-        OwnerSession[] session = new OwnerSession[1];
-        OwnerContext context =
-                FakeOwnerContext.of(
-                        mTime,
-                        log,
-                        true,
-                        LIMITS,
-                        operator,
-                        platform,
-                        (record, job) -> session[0].applyRecord(record, job));
-        session[0] = new OwnerSession(context, takeover, () -> {});
-        mContexts.add(context);
-        session[0].start();
-        return session[0];
-    }
-
-    /** A job with one task that runs until it is cancelled. */
-    private static byte[] standingJob() {
-        return job(new RunMode(false, true, false, false, 0, 0));
-    }
-
-    private static byte[] job(RunMode mode) {
-        TaskStep step =
-                new TaskStep(
-                        1,
-                        Resources.of(1, 1, 0),
-                        500,
-                        List.of(),
-                        PlacementConstraints.ANYWHERE,
-                        mode);
-        QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
-        JobDefinition definition =
-                new JobDefinition(
-                        JOB,
-                        "queue",
-                        SERVICE,
-                        "text",
-                        List.of(step),
-                        Timetable.AT_ONCE,
-                        policy,
-                        1,
-                        0);
-        return JournalCodec.encode(new JobAccepted(definition));
-    }
-
-    private void pass(long ms) {
-        for (long t = 0; t < ms; t += STEP_MS) {
-            mTime.advance(STEP_MS);
-            mContexts.forEach(p -> p.reader().refresh(read -> {}));
-            mLog.deliverAnswers();
-        }
     }
 
     /** Lets time pass in which owners read nothing from the journal. */
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
@@ -19,11 +19,20 @@
         add(id, service, "10.0.0.1:1");
     }
 
+    /** The same for an incarnation whose start time is known, in milliseconds since the epoch. */
+    void add(String id, long startMs, String service) {
+        add(new WorkerIncarnation(id, startMs), service, "10.0.0.1:1");
+    }
+
     /** The same with the address that the worker listens on, as {@code ip:port}. */
     void add(String id, String service, String address) {
+        add(WorkerIncarnation.ofUnknownStart(id), service, address);
+    }
+
+    private void add(WorkerIncarnation incarnation, String service, String address) {
         WorkerInfo info =
                 new WorkerInfo(
-                        WorkerIncarnation.ofUnknownStart(id),
+                        incarnation,
                         service,
                         address,
                         "zone",
@@ -31,7 +40,7 @@
                         Set.of("a", "r1"),
                         "r1",
                         false);
-        mItems.add(new Item<>(id, Optional.of(info)));
+        mItems.add(new Item<>(incarnation.id(), Optional.of(info)));
     }
 
     /** Removes a worker, as when its heartbeats stop. */
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeWorkers.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeWorkers.java
@@ -38,6 +38,7 @@
 
     private final class Worker {
         private final long mStartMs;
+        private final long mClockZeroMs;
         private final Set<Run> mRunning = new HashSet<>();
         private final List<RunEnd> mUnacknowledged = new ArrayList<>();
         private long mToken;
@@ -45,8 +46,13 @@
         private long mLastEnd;
         private boolean mLeaseHeld;
 
-        Worker(long startMs) {
+        Worker(long startMs, long clockZeroMs) {
             mStartMs = startMs;
+            mClockZeroMs = clockZeroMs;
+        }
+
+        long clockMs() {
+            return mTime.nowMs() - mClockZeroMs;
         }
 
         void endRunsIfLeaseExpired() {
@@ -69,12 +75,14 @@
         }
     }
 
-    private long clockMs() {
-        return mTime.nowMs() + CLOCK_AHEAD_MS;
+    private Worker worker(String id) {
+        return mWorkers.computeIfAbsent(
+                id, i -> new Worker(WorkerIncarnation.UNKNOWN_START_MS, -CLOCK_AHEAD_MS));
     }
 
-    private Worker worker(String id) {
-        return mWorkers.computeIfAbsent(id, i -> new Worker(WorkerIncarnation.UNKNOWN_START_MS));
+    /** Starts a worker, or starts it again under its ID: its clock and its numbers start anew. */
+    void startAt(String id, long startMs) {
+        mWorkers.put(id, new Worker(startMs, mTime.nowMs()));
     }
 
     /** Returns the workers on which a task is running. */
@@ -101,7 +109,7 @@
     }
 
     boolean hasLeaseExpired(String id) {
-        return clockMs() > worker(id).mLeaseUntilMs;
+        return worker(id).clockMs() > worker(id).mLeaseUntilMs;
     }
 
     /** Keeps a worker's lease from expiring, as if another owner renewed it. */
@@ -148,7 +156,12 @@
                 RunCommand command,
                 int percent,
                 Consumer<CommandResponse> callback) {
-            call(to.id(), 0, unanswered(), callback, () -> answer(CommandOutcome.DONE));
+            call(
+                    to.id(),
+                    0,
+                    unanswered(),
+                    callback,
+                    () -> answer(worker(to.id()), CommandOutcome.DONE));
         }
 
         @Override
@@ -205,36 +218,36 @@
         return new WorkerClient.CommandResponse(CommandOutcome.UNANSWERED, -1);
     }
 
-    private WorkerClient.CommandResponse answer(CommandOutcome outcome) {
-        return new WorkerClient.CommandResponse(outcome, clockMs());
+    private static WorkerClient.CommandResponse answer(Worker worker, CommandOutcome outcome) {
+        return new WorkerClient.CommandResponse(outcome, worker.clockMs());
     }
 
     private WorkerClient.CommandResponse handleStart(
             Worker worker, WorkerClient.StartCommand command) {
         if (!worker.accepts(command.run().token())) {
-            return answer(CommandOutcome.FENCED);
+            return answer(worker, CommandOutcome.FENCED);
         }
-        if (command.leaseUntilMs() <= clockMs()) {
-            return answer(CommandOutcome.LEASE_OVER);
+        if (command.leaseUntilMs() <= worker.clockMs()) {
+            return answer(worker, CommandOutcome.LEASE_OVER);
         }
         worker.mLeaseUntilMs = Math.max(worker.mLeaseUntilMs, command.leaseUntilMs());
         worker.mRunning.add(new Run(command.run().task(), command.run().attempt()));
-        return answer(CommandOutcome.DONE);
+        return answer(worker, CommandOutcome.DONE);
     }
 
     private WorkerClient.CommandResponse handleStop(
             Worker worker, WorkerClient.RunCommand command) {
         if (!worker.accepts(command.token())) {
-            return answer(CommandOutcome.FENCED);
+            return answer(worker, CommandOutcome.FENCED);
         }
         worker.end(new Run(command.task(), command.attempt()), RunOutcome.STOPPED);
-        return answer(CommandOutcome.DONE);
+        return answer(worker, CommandOutcome.DONE);
     }
 
     private WorkerClient.PollResponse handlePoll(Worker worker, WorkerClient.PollCommand command) {
         if (!worker.accepts(command.token())) {
             return new WorkerClient.PollResponse(
-                    CommandOutcome.FENCED, worker.mStartMs, clockMs(), List.of(), List.of());
+                    CommandOutcome.FENCED, worker.mStartMs, worker.clockMs(), List.of(), List.of());
         }
         worker.mLeaseUntilMs = Math.max(worker.mLeaseUntilMs, command.leaseUntilMs());
         worker.mUnacknowledged.removeIf(e -> e.sequence() <= command.acknowledged());
@@ -245,6 +258,10 @@
                                 new RunStatus(
                                         r.task(), r.attempt(), "", FULL_PROGRESS_PERCENT, 0)));
         return new WorkerClient.PollResponse(
-                CommandOutcome.DONE, worker.mStartMs, clockMs(), running, worker.mUnacknowledged);
+                CommandOutcome.DONE,
+                worker.mStartMs,
+                worker.clockMs(),
+                running,
+                worker.mUnacknowledged);
     }
 }
