Tell incarnations of a worker apart by their start times

A worker that started again under its ID got no task, and the tasks that ran there were neither ended nor started again.

Cause: the owner identified an incarnation by the worker's ID.

The owner keeps one state for each incarnation, and replaces it when another one answers a poll: the one that answers a poll sent after the former was last heard is the later one, whatever their start times are, as clocks may be set back. An entry of the directory with another start time only causes a poll at once; one of an earlier start time is ignored. Ends are acknowledged only to an incarnation that has answered the last poll. Runs of the former incarnation end with it and count as those of a crashed worker. Commands name the ID only, so that starts to the former incarnation may be executed by the next one: where one was unanswered or not listed, the run is stopped there before its task starts again. A new owner takes starts on a former incarnation for ended once the next one has answered it. Placement tickets, failed workers and calls to the VM service refer to an incarnation.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
@@ -7,14 +7,15 @@
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.job.WorkerIncarnation;
 
 /** A step in one run of an active job. */
 public final class ActiveStep {
     private final ActiveRun mRun;
     private final int mNumber;
     private final TaskStep mSpec;
-    private final Map<String, Ticket> mTickets = new HashMap<>();
-    private final Set<String> mAskedWorkers = new HashSet<>();
+    private final Map<WorkerIncarnation, Ticket> mTickets = new HashMap<>();
+    private final Set<WorkerIncarnation> mAskedWorkers = new HashSet<>();
 
     private List<ActiveTask> mTasks = List.of();
     private int mRemainingTasks;
@@ -80,14 +81,14 @@
         return count;
     }
 
-    Optional<String> ticket(String worker, long nowMs) {
+    Optional<String> ticket(WorkerIncarnation worker, long nowMs) {
         return Optional.ofNullable(mTickets.get(worker))
                 .filter(t -> t.untilMs() > nowMs)
                 .map(Ticket::text);
     }
 
     /** Whether the advice service has not been asked about the worker or has allowed it. */
-    boolean mayRequestAdvice(String worker) {
+    boolean mayRequestAdvice(WorkerIncarnation worker) {
         return !mAskedWorkers.contains(worker) || mTickets.containsKey(worker);
     }
 
@@ -99,11 +100,20 @@
         mAdvicePending = true;
     }
 
-    /** Records the advice on these workers; it stays valid for a worker's incarnation. */
-    void recordAdvice(List<String> asked, Map<String, String> tickets, long untilMs) {
+    /**
+     * Records the advice on these workers; it stays valid for a worker's incarnation.
+     *
+     * @param tickets tickets by worker ID
+     */
+    void recordAdvice(List<WorkerIncarnation> asked, Map<String, String> tickets, long untilMs) {
         mAdvicePending = false;
         mAskedWorkers.addAll(asked);
-        tickets.forEach((worker, text) -> mTickets.put(worker, new Ticket(text, untilMs)));
+        for (WorkerIncarnation worker : asked) {
+            String text = tickets.get(worker.id());
+            if (text != null) {
+                mTickets.put(worker, new Ticket(text, untilMs));
+            }
+        }
     }
 
     /** Allows the request to be repeated after it went unanswered. */
@@ -111,7 +121,7 @@
         mAdvicePending = false;
     }
 
-    void removeTicket(String worker) {
+    void removeTicket(WorkerIncarnation worker) {
         mTickets.remove(worker);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
@@ -7,13 +7,14 @@
 import org.foxtailplank.job.CrashHistory;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.job.WorkerIncarnation;
 
 /** A task of an active job, with its runs. */
 public final class ActiveTask {
     private final TaskName mName;
     private final ActiveStep mStep;
     private final List<TaskRun> mRuns = new ArrayList<>(1);
-    private final Set<String> mFailedWorkers = new HashSet<>();
+    private final Set<WorkerIncarnation> mFailedWorkers = new HashSet<>();
 
     private boolean mDone;
     private int mLastAttempt;
@@ -122,7 +123,7 @@
     }
 
     /** Workers on which the task has failed. */
-    Set<String> failedWorkers() {
+    Set<WorkerIncarnation> failedWorkers() {
         return mFailedWorkers;
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/AdviceRequests.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/AdviceRequests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.foxtailplank.job.WorkerIncarnation;
 
 /**
  * Requests placement advice for steps that wait without a worker holding a valid ticket.
@@ -18,15 +19,18 @@
         if (!waits || step.isAdvicePending()) {
             return;
         }
-        List<String> unknown = new ArrayList<>();
+        List<WorkerIncarnation> unknown = new ArrayList<>();
         for (WorkerState w : workers) {
-            if (w.isUsable(nowMs) && step.mayRequestAdvice(w.id())) {
-                unknown.add(w.id());
+            if (w.isUsable(nowMs) && step.mayRequestAdvice(w.incarnation())) {
+                unknown.add(w.incarnation());
             }
         }
         boolean canGoOn =
                 workers.stream()
-                        .anyMatch(w -> w.isUsable(nowMs) && step.ticket(w.id(), nowMs).isPresent());
+                        .anyMatch(
+                                w ->
+                                        w.isUsable(nowMs)
+                                                && step.ticket(w.incarnation(), nowMs).isPresent());
         if (!canGoOn && !unknown.isEmpty()) {
             step.markAdvicePending();
             out.adviceRequests().add(new Decisions.AdviceRequest(step, unknown));
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Decisions.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Decisions.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.foxtailplank.job.WorkerIncarnation;
 
 /** Actions for the owner to take now. */
 public final class Decisions {
@@ -18,7 +19,7 @@
     public record Pace(TaskRun run, int percent) {}
 
     /** A request for placement advice on a step. */
-    public record AdviceRequest(ActiveStep step, List<String> workers) {
+    public record AdviceRequest(ActiveStep step, List<WorkerIncarnation> workers) {
         public AdviceRequest {
             workers = List.copyOf(workers);
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
@@ -47,7 +47,7 @@
         if (run.phase() == RunPhase.STOPPING) {
             out.stops().add(run);
         } else if (run.phase() == RunPhase.STARTING) {
-            String ticket = run.task().step().ticket(run.worker().id(), nowMs).orElse("");
+            String ticket = run.task().step().ticket(run.worker().incarnation(), nowMs).orElse("");
             out.starts().add(new Decisions.Start(run, ticket));
         }
         run.setCommandDue(false);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVm.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVm.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.schedule;
 
 import java.util.Optional;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.VmClient.VmInfo;
 import org.foxtailplank.port.VmClient.VmPhase;
 
@@ -9,7 +10,7 @@
     private VmInfo mInfo;
     private Optional<PlannedVmAction> mPlanned = Optional.empty();
     private boolean mCallPending;
-    private Optional<String> mCalledWorker = Optional.empty();
+    private Optional<WorkerIncarnation> mCalledWorker = Optional.empty();
     private long mPlannedMs;
     private String mPreviousWorker = "";
     private long mLastMoveMs = Long.MIN_VALUE / 2;
@@ -63,11 +64,13 @@
 
     /**
      * Records that the platform is called, perhaps again; returns the worker on the VM when it was
-     * first called, which is empty for none. Once the action is executed, there is another one.
+     * first called. Once the action is executed, there is another one.
+     *
+     * @param worker the worker on the VM now
      */
-    String beginCall() {
+    WorkerIncarnation beginCall(WorkerIncarnation worker) {
         mCallPending = true;
-        mCalledWorker = mCalledWorker.or(() -> Optional.of(mInfo.worker()));
+        mCalledWorker = mCalledWorker.or(() -> Optional.of(worker));
         return mCalledWorker.get();
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -82,6 +82,13 @@
         }
     }
 
+    /** Adds a run that may start on a worker although it isn't wanted there, and stops it. */
+    void addStoppingRun(ActiveTask task, WorkerState worker, int attempt, long nowMs) {
+        TaskRun run = new TaskRun(task, worker, attempt, nowMs);
+        run.stopOnNextIncarnation(nowMs);
+        addRun(run);
+    }
+
     void addRun(TaskRun run) {
         run.task().runs().add(run);
         run.worker().add(run);
@@ -288,7 +295,7 @@
     private void handleFailure(ActiveTask task, WorkerState worker, RunEnd end, long nowMs) {
         ActiveJob job = task.step().job();
         worker.health().recordFailure(job.id(), nowMs);
-        task.failedWorkers().add(worker.id());
+        task.failedWorkers().add(worker.incarnation());
         if (task.spec().mode().standing()) {
             return;
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -13,6 +13,7 @@
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.CommandOutcome;
@@ -37,7 +38,8 @@
     private final RunTable mRuns;
     private final TaskPlacer mPlacer;
     private final CrashTracker mCrashes;
-    private final Map<String, WorkerState> mWorkers = new LinkedHashMap<>();
+    private final RestartedWorkers mRestarted;
+    private final WorkerTable mWorkers = new WorkerTable();
     private final List<Decisions.Pace> mPaceChanges = new ArrayList<>();
     private final ArrivalRate mArrivals = new ArrivalRate();
     private long mOthersRenewedUntilMs = Long.MIN_VALUE / 2;
@@ -52,16 +54,16 @@
         mRuns = new RunTable();
         mPlacer = new TaskPlacer(mRuns);
         mCrashes = new CrashTracker(mRuns);
+        mRestarted = new RestartedWorkers(mRuns);
     }
 
-    /** Adds a worker or updates what is known of it. */
-    public void updateWorker(WorkerInfo info, long nowMs) {
-        WorkerState known = mWorkers.get(info.id());
-        if (known == null) {
-            mWorkers.put(info.id(), new WorkerState(info, nowMs));
-        } else {
-            known.updateInfo(info);
-        }
+    /**
+     * Adds a worker or updates what is known of it.
+     *
+     * @return whether the worker may have started again, so that it should be polled at once
+     */
+    public boolean updateWorker(WorkerInfo info, long nowMs) {
+        return mWorkers.update(info, nowMs);
     }
 
     /**
@@ -73,9 +75,8 @@
     }
 
     /** Removes a worker whose incarnation has ended, with its runs. */
-    public WorkerEnd removeWorker(String id, WorkerEndReason reason, long nowMs) {
-        WorkerState worker = mWorkers.remove(id);
-        if (worker == null) {
+    public WorkerEnd removeWorker(WorkerState worker, WorkerEndReason reason, long nowMs) {
+        if (!mWorkers.remove(worker)) {
             return WorkerEnd.NONE;
         }
         List<TaskRun> ended = List.copyOf(worker.runs());
@@ -86,12 +87,47 @@
         return new WorkerEnd(crashed, ended, suspects);
     }
 
+    /**
+     * Determines which incarnation of a worker has answered a poll, and learns the start time of
+     * one that has never answered before.
+     */
+    public AnswerSource identify(WorkerState worker, PollResponse response, long sentMs) {
+        mWorkers.learnStart(worker, response.startMs());
+        return AnswerSource.of(worker, response.startMs(), sentMs);
+    }
+
+    /**
+     * Replaces the incarnation of a worker by its next one, which has the same entry in the
+     * directory until it registers.
+     *
+     * @param startMs start time of the next incarnation
+     */
+    public WorkerState addNextIncarnation(WorkerState former, long startMs, long nowMs) {
+        return mWorkers.addNext(former, startMs, nowMs);
+    }
+
+    /**
+     * Stops what commands to the former incarnation may still start on the next one; called after
+     * its first answer was applied.
+     *
+     * @return starts that must be stopped without being tracked
+     */
+    public List<RunStatus> stopFormerRuns(
+            WorkerState former,
+            WorkerState next,
+            List<TaskRun> endedRuns,
+            PollResponse response,
+            long nowMs) {
+        return mRestarted.stopFormerRuns(former, next, endedRuns, response, nowMs);
+    }
+
+    /** Returns the current incarnation of a worker. */
     public Optional<WorkerState> worker(String id) {
-        return Optional.ofNullable(mWorkers.get(id));
+        return mWorkers.current(id);
     }
 
     public Collection<WorkerState> workers() {
-        return mWorkers.values();
+        return mWorkers.all();
     }
 
     RunTable runs() {
@@ -134,20 +170,36 @@
             if (progress.hasEnded(start)) {
                 continue;
             }
-            if (isOver.test(start.worker())) {
+            boolean isFormer = isFormerIncarnation(start.worker());
+            if (isFormer || isOver.test(start.worker())) {
                 task.ifPresent(t -> crashed.add(t.accountable()));
-            } else {
+            }
+            // The next incarnation may still execute a start that an earlier owner sent to the
+            // former one, until it has answered this owner.
+            if (isFormer || !isOver.test(start.worker())) {
                 inheritRun(start, progress.definition().service(), nowMs);
             }
         }
         crashed.forEach(t -> mCrashes.inheritedRunEnded(t, nowMs));
     }
 
+    /** Whether a later incarnation of the worker is known. */
+    private boolean isFormerIncarnation(WorkerIncarnation incarnation) {
+        return incarnation.hasKnownStart()
+                && mWorkers.current(incarnation.id())
+                        .filter(w -> w.incarnation().startMs() > incarnation.startMs())
+                        .isPresent();
+    }
+
     private void inheritRun(StartedRun start, String service, long nowMs) {
+        WorkerIncarnation recorded = start.worker();
         WorkerState worker =
-                mWorkers.computeIfAbsent(
-                        start.worker().id(),
-                        id -> WorkerState.withoutInfo(start.worker(), service, nowMs));
+                mWorkers.current(recorded.id())
+                        .orElseGet(() -> mWorkers.addWithoutInfo(recorded, service, nowMs));
+        if (recorded.startMs() > worker.incarnation().startMs()) {
+            // The directory's entry is of a former incarnation.
+            mWorkers.setStart(worker, recorded.startMs());
+        }
         mRuns.inherit(start, worker, nowMs);
     }
 
@@ -266,7 +318,7 @@
                 dropRefusedRun(run, nowMs);
             }
             case NO_TICKET -> {
-                run.task().step().removeTicket(worker.id());
+                run.task().step().removeTicket(worker.incarnation());
                 dropRefusedRun(run, nowMs);
             }
             case NOT_SENT -> {
@@ -275,6 +327,7 @@
             }
             case UNANSWERED -> {
                 run.markUncertain();
+                mRestarted.startUnanswered(run, nowMs);
                 run.setCommandDue(true);
             }
             case OUTDATED, LEASE_OVER, INVALID -> dropRefusedRun(run, nowMs);
@@ -334,7 +387,7 @@
     /** Removes and returns the runs of unresponsive workers whose leases have certainly expired. */
     public List<TaskRun> removeExpiredRuns(long nowMs) {
         List<TaskRun> expiredRuns = new ArrayList<>();
-        for (WorkerState w : mWorkers.values()) {
+        for (WorkerState w : mWorkers.all()) {
             long renewedMs = Math.max(w.leaseRenewedMs(), mOthersRenewedUntilMs);
             boolean expired = nowMs > renewedMs + mLimits.leaseExpiryMs();
             if (w.isUnresponsive() && expired) {
@@ -348,12 +401,12 @@
     /** Removes and returns unresponsive workers that are unlisted and have no runs. */
     public List<WorkerState> removeStaleWorkers() {
         List<WorkerState> stale = new ArrayList<>();
-        for (WorkerState w : mWorkers.values()) {
+        for (WorkerState w : mWorkers.all()) {
             if (!w.isListed() && w.isUnresponsive() && w.runs().isEmpty()) {
                 stale.add(w);
             }
         }
-        mWorkers.values().removeAll(stale);
+        stale.forEach(mWorkers::remove);
         return stale;
     }
 
@@ -374,7 +427,7 @@
         mRuns.removeEndedJobs();
         out.paces().addAll(mPaceChanges);
         mPaceChanges.clear();
-        DueCommands.collect(mWorkers.values(), mRuns, out, nowMs);
+        DueCommands.collect(mWorkers.all(), mRuns, out, nowMs);
         config.services().forEach(s -> mCrashes.observe(s.name(), workersOf(s.name()), nowMs));
         for (Map.Entry<String, List<ActiveRun>> e : dueRunsByService(nowWallMs).entrySet()) {
             List<ActiveRun> sorted =
@@ -414,7 +467,7 @@
 
     List<WorkerState> workersOf(String service) {
         List<WorkerState> found = new ArrayList<>();
-        for (WorkerState w : mWorkers.values()) {
+        for (WorkerState w : mWorkers.all()) {
             if (w.info().service().equals(service)) {
                 found.add(w);
             }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -61,6 +61,12 @@
         mInherited = true;
     }
 
+    /** Stops a run that a worker's former incarnation had, and the next one may still start. */
+    void stopOnNextIncarnation(long nowMs) {
+        mOnProbation = false;
+        requestStop("its worker has started again", nowMs);
+    }
+
     public ActiveTask task() {
         return mTask;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.job.JobRegistry;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.MaintenanceWave;
 import org.foxtailplank.port.VmClient.VmInfo;
@@ -53,9 +54,9 @@
      * A call to the platform.
      *
      * @param worker the worker on the VM when the platform was first called for the action, which
-     *     the action ends; empty for none
+     *     the action ends; with an empty ID for none
      */
-    public record Call(ManagedVm vm, PlannedVmAction action, String worker) {}
+    public record Call(ManagedVm vm, PlannedVmAction action, WorkerIncarnation worker) {}
 
     /**
      * Returns the incarnations of workers that have ended according to a list of VMs: a complete
@@ -190,7 +191,10 @@
             boolean standby = config.isStandby(vm.info().pool());
             boolean empty = worker.isPresent() && worker.get().isEmpty();
             if (mayCall && (empty || standby && worker.isEmpty())) {
-                calls.add(new Call(vm, vm.planned().get(), vm.beginCall()));
+                WorkerIncarnation current =
+                        worker.map(WorkerState::incarnation)
+                                .orElse(WorkerIncarnation.ofUnknownStart(vm.info().worker()));
+                calls.add(new Call(vm, vm.planned().get(), vm.beginCall(current)));
             }
         }
         return calls;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -89,12 +89,12 @@
 
     private static boolean hasTicket(ActiveTask task, WorkerState worker, long nowMs) {
         return task.step().job().definition().policy().advice().isEmpty()
-                || task.step().ticket(worker.id(), nowMs).isPresent();
+                || task.step().ticket(worker.incarnation(), nowMs).isPresent();
     }
 
     private static double cost(ActiveTask task, WorkerState worker, long nowMs) {
         double cost = 0;
-        if (task.failedWorkers().contains(worker.id())) {
+        if (task.failedWorkers().contains(worker.incarnation())) {
             cost += FAILED_BEFORE_COST;
         }
         if (isRemote(task, worker)) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerEndReason.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerEndReason.java
@@ -3,6 +3,7 @@
 /** How the owner learned that an incarnation of a worker has ended. */
 public enum WorkerEndReason {
     OTHER_INCARNATION("another incarnation answered", false),
+    STARTED_AGAIN("it has started again under its ID", false),
     NOT_LISTED("the VM list does not contain its incarnation", false),
     MOVED_OR_REBOOTED("its VM was moved or rebooted", true);
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -51,18 +51,6 @@
         mFirstSeenMs = nowMs;
     }
 
-    /**
-     * Creates a worker of which only the incarnation is known, from the starts of a previous owner.
-     */
-    static WorkerState withoutInfo(WorkerIncarnation incarnation, String service, long nowMs) {
-        WorkerInfo info =
-                new WorkerInfo(incarnation, service, "", "", Resources.NONE, Set.of(), "", false);
-        WorkerState worker = new WorkerState(info, nowMs);
-        worker.mListed = false;
-        worker.markUnresponsive(nowMs);
-        return worker;
-    }
-
     public String id() {
         return mInfo.id();
     }
@@ -75,6 +63,10 @@
         return mInfo;
     }
 
+    void setIncarnation(WorkerIncarnation incarnation) {
+        mInfo = mInfo.withIncarnation(incarnation);
+    }
+
     void updateInfo(WorkerInfo info) {
         mInfo = info;
         mListed = true;
@@ -335,6 +327,11 @@
         return mEarlierStopsEndClockMs;
     }
 
+    /** Marks the worker as not polled: its incarnation may have ended since the last answer. */
+    void markUnverified() {
+        mPolled = false;
+    }
+
     void markPolled() {
         mPolled = true;
     }
@@ -365,13 +362,18 @@
         if (leaseMs <= 0) {
             return 0;
         }
-        boolean renewable = !mUnresponsive || mAnsweredLate;
+        boolean renewable = hasAnsweredLastPoll();
         if (renewable && mHasClock) {
             recordLeaseGrant(nowMs);
         }
         return leaseUntilMs(renewable ? nowMs : mGrantedMs, leaseMs);
     }
 
+    /** Whether the last poll was answered, or an earlier one since, after its timeout. */
+    public boolean hasAnsweredLastPoll() {
+        return !mUnresponsive || mAnsweredLate;
+    }
+
     /** Records that a poll is sent. */
     public void recordPoll() {
         mAnsweredLate = false;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/CrashTrackerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/CrashTrackerTest.java
@@ -83,7 +83,10 @@
         mOwner.addWorker("w1", "surveys", 8);
         start(job(JOB, 1, 1));
         WorkerEnd end =
-                mOwner.mScheduler.removeWorker("w1", WorkerEndReason.NOT_LISTED, mOwner.mNowMs);
+                mOwner.mScheduler.removeWorker(
+                        mOwner.mScheduler.worker("w1").get(),
+                        WorkerEndReason.NOT_LISTED,
+                        mOwner.mNowMs);
 
         assertEquals(end.suspects().size(), 1);
     }
@@ -147,7 +150,9 @@
         start(job(JOB, 1, 1));
         WorkerEnd end =
                 mOwner.mScheduler.removeWorker(
-                        "w1", WorkerEndReason.MOVED_OR_REBOOTED, mOwner.mNowMs);
+                        mOwner.mScheduler.worker("w1").get(),
+                        WorkerEndReason.MOVED_OR_REBOOTED,
+                        mOwner.mNowMs);
 
         assertTrue(end.suspects().isEmpty());
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -180,8 +180,12 @@
     private void carryOut(VmPlanner.Call call) {
         Vm vm = mVms.stream().filter(v -> v.mId.equals(call.vm().id())).findAny().orElseThrow();
         mPlanner.callAnswered(call, VmOutcome.DONE, mClockMs);
-        mOwner.mScheduler.removeWorker(
-                vm.worker(), WorkerEndReason.MOVED_OR_REBOOTED, mOwner.mNowMs);
+        mOwner.mScheduler
+                .worker(vm.worker())
+                .ifPresent(
+                        w ->
+                                mOwner.mScheduler.removeWorker(
+                                        w, WorkerEndReason.MOVED_OR_REBOOTED, mOwner.mNowMs));
         vm.mPool = ((PlannedVmAction.Move) call.action()).pool();
         vm.mIncarnation++;
         vm.mUpMs = mClockMs + MOVE_MS;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -144,7 +144,8 @@
     /** Ends a worker's incarnation as a crash does that another incarnation reveals. */
     WorkerEnd crash(String worker) {
         mNowMs += 10;
-        return mScheduler.removeWorker(worker, WorkerEndReason.OTHER_INCARNATION, mNowMs);
+        return mScheduler.removeWorker(
+                mScheduler.worker(worker).get(), WorkerEndReason.OTHER_INCARNATION, mNowMs);
     }
 
     /** Polls a worker that lists all of its runs and these ends. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
@@ -6,6 +6,7 @@
 import java.util.WeakHashMap;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.node.LinkBudget;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.WorkerClient.RunCommand;
@@ -252,7 +253,7 @@
                         request.job(),
                         request.runNumber(),
                         request.step().number(),
-                        request.workers(),
+                        request.workers().stream().map(WorkerIncarnation::id).toList(),
                         a -> {
                             mContext.log()
                                     .line("advice")
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -25,6 +25,7 @@
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.VmClient.Holder;
 import org.foxtailplank.port.VmClient.VmInfo;
+import org.foxtailplank.port.WorkerClient.PollResponse;
 import org.foxtailplank.schedule.ActiveTask;
 import org.foxtailplank.schedule.Decisions;
 import org.foxtailplank.schedule.ListedIncarnations;
@@ -216,13 +217,31 @@
     /** Stops polling a worker whose incarnation has ended, and releases its tasks. */
     void handleWorkerEnded(WorkerState worker, WorkerEndReason reason) {
         long now = mClock.nowMs();
-        mDirectory.stopPolling(worker.id());
-        WorkerEnd end = mScheduler.removeWorker(worker.id(), reason, now);
+        endWorker(worker, reason, now);
+        scheduleDecision();
+    }
+
+    private WorkerEnd endWorker(WorkerState worker, WorkerEndReason reason, long now) {
+        mDirectory.stopPolling(worker);
+        WorkerEnd end = mScheduler.removeWorker(worker, reason, now);
         mCrashLogger.logWorkerEnd(worker, reason, end, now);
         if (!end.runs().isEmpty()) {
             List<StartedRun> runs = end.runs().stream().map(TaskRun::endRecord).toList();
             mJournal.store(new RunsEndedWithWorker(runs), () -> {});
         }
+        return end;
+    }
+
+    /** Replaces a worker's incarnation by the next one, whose first answer this is. */
+    void handleWorkerStartedAgain(WorkerState former, PollResponse response, long sentMs) {
+        long now = mClock.nowMs();
+        WorkerEnd end = endWorker(former, WorkerEndReason.STARTED_AGAIN, now);
+        WorkerState next = mScheduler.addNextIncarnation(former, response.startMs(), now);
+        WorkerPoller poller = mDirectory.addPoller(next);
+        poller.applyAnswer(response, sentMs);
+        mScheduler
+                .stopFormerRuns(former, next, end.runs(), response, now)
+                .forEach(poller::stopOrphan);
         scheduleDecision();
     }
 
@@ -256,7 +275,7 @@
      * polling, renew the lease, and adopt runs to which no stop is ever sent.
      */
     private void handleWorkerDropped(WorkerState worker) {
-        mDirectory.stopPolling(worker.id());
+        mDirectory.stopPolling(worker);
         mContext.log().line("worker-forgotten").with("worker", worker.id()).write();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
@@ -255,7 +255,8 @@
         mPlanner.callAnswered(call, outcome, mClock.nowMs());
         if (outcome == VmOutcome.DONE) {
             mOwner.scheduler()
-                    .worker(call.worker())
+                    .worker(call.worker().id())
+                    .filter(w -> w.incarnation().equals(call.worker()))
                     .ifPresent(w -> mOwner.handleWorkerEnded(w, WorkerEndReason.MOVED_OR_REBOOTED));
             recordReboot(call);
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
@@ -30,7 +30,7 @@
     private final OwnerContext mContext;
     private final Scheduler mScheduler;
     private final long mToken;
-    private final Map<String, WorkerPoller> mPollers = new HashMap<>();
+    private final Map<WorkerState, WorkerPoller> mPollers = new HashMap<>();
 
     /** Entries of services that the configuration does not contain, or not yet. */
     private final Map<String, WorkerInfo> mUnconfigured = new HashMap<>();
@@ -158,27 +158,35 @@
         Optional<WorkerState> known = mScheduler.worker(info.id());
         boolean startsDraining =
                 known.map(w -> !w.info().draining()).orElse(true) && info.draining();
-        mScheduler.updateWorker(info, mContext.clock().nowMs());
+        boolean pollNow = mScheduler.updateWorker(info, mContext.clock().nowMs());
         if (known.isEmpty() || startsDraining) {
             mContext.log()
                     .line("worker")
                     .with("worker", info.id())
+                    .with("startMs", info.incarnation().startMs())
                     .with("service", info.service())
                     .with("rack", info.rack())
                     .with("draining", info.draining())
                     .write();
         }
-        mPollers.computeIfAbsent(info.id(), id -> startPoller(mScheduler.worker(id).get()));
+        WorkerState worker = mScheduler.worker(info.id()).orElseThrow();
+        WorkerPoller poller = mPollers.get(worker);
+        if (poller == null) {
+            mContext.timers().after(0, addPoller(worker)::poll);
+        } else if (pollNow) {
+            mContext.timers().after(0, poller::poll);
+        }
     }
 
-    private WorkerPoller startPoller(WorkerState worker) {
+    /** Adds the poller of a worker's incarnation; the caller starts it. */
+    WorkerPoller addPoller(WorkerState worker) {
         WorkerPoller poller = new WorkerPoller(mOwner, mContext, worker, mToken);
-        mContext.timers().after(0, poller::poll);
+        mPollers.put(worker, poller);
         return poller;
     }
 
     /** Stops polling a worker whose incarnation has ended or that was dropped. */
-    void stopPolling(String worker) {
+    void stopPolling(WorkerState worker) {
         WorkerPoller poller = mPollers.remove(worker);
         if (poller != null) {
             poller.stop();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -61,6 +61,7 @@
         }
         long now = mContext.clock().nowMs();
         long leaseUntil = mWorker.renewLease(now, mOwner.workerLeaseMs());
+        long acknowledged = acknowledgedEnds();
         mWorker.recordPoll();
         boolean canWait =
                 mWorker.hasClock() && !mWorker.isUnresponsive() && !mWorker.hasUnstoredEnds();
@@ -68,7 +69,7 @@
         waitMs = mWorker.isMixed() ? MIXED_POLL_WAIT_MS : waitMs;
         waitMs = mWorker.hasStartingStandingRun() ? STARTING_POLL_WAIT_MS : waitMs;
         PollCommand command =
-                new PollCommand(mToken, mWorker.storedEnds(), leaseUntil, canWait ? waitMs : 0);
+                new PollCommand(mToken, acknowledged, leaseUntil, canWait ? waitMs : 0);
         mContext.metrics().counter("looks").inc();
         int number = mPollNumber;
         mContext.platform()
@@ -76,6 +77,15 @@
                 .poll(mWorker.address(), command, a -> handleAnswer(a, number, now));
     }
 
+    /**
+     * Returns the number up to which ends are acknowledged: none while the worker may have started
+     * again, since its numbers start anew and it would discard ends that nobody has read.
+     */
+    private long acknowledgedEnds() {
+        boolean verified = mWorker.isPolled() && mWorker.hasAnsweredLastPoll();
+        return verified ? mWorker.storedEnds() : 0;
+    }
+
     /**
      * Handles the answer to a poll, its timeout, or the answer that arrives after its timeout. The
      * polls that follow a timeout go on independently of a late answer.
@@ -88,13 +98,7 @@
         boolean late = number <= mLastReportedPoll;
         mLastReportedPoll = Math.max(mLastReportedPoll, number);
         switch (response.outcome()) {
-            case DONE -> {
-                if (late) {
-                    applyLateAnswer(response, sentMs);
-                } else {
-                    applyAnswer(response, sentMs);
-                }
-            }
+            case DONE -> applyAnswer(response, sentMs, late);
             case FENCED -> mOwner.handleFenced(mWorker.id());
             case OTHER_LIFE -> {
                 mStopped = true;
@@ -113,9 +117,11 @@
      * owner whose link is full reads its own records late, and would start the tasks again.
      */
     private void storeUnseenEnds(PollResponse response) {
+        boolean sameNumbers = response.startMs() == mWorker.incarnation().startMs();
+        long seen = sameNumbers ? mWorker.seenEnds() : 0;
         List<RunEnd> unseen = new ArrayList<>();
         for (RunEnd e : response.ended()) {
-            if (e.sequence() > mWorker.seenEnds() && e.outcome().counts()) {
+            if (e.sequence() > seen && e.outcome().counts()) {
                 unseen.add(e);
             }
         }
@@ -142,6 +148,25 @@
         scheduleNextPoll(RETRY_DELAY_MS);
     }
 
+    private void applyAnswer(PollResponse response, long sentMs, boolean late) {
+        switch (mOwner.scheduler().identify(mWorker, response, sentMs)) {
+            case NEXT -> mOwner.handleWorkerStartedAgain(mWorker, response, sentMs);
+            case CURRENT -> {
+                if (late) {
+                    applyLateAnswer(response, sentMs);
+                } else {
+                    applyAnswer(response, sentMs);
+                }
+            }
+            case FORMER, UNKNOWN -> {
+                if (!late) {
+                    handleFailure(CommandOutcome.UNANSWERED);
+                }
+            }
+            default -> throw new IllegalStateException("unexpected source of an answer");
+        }
+    }
+
     private void logIfOutdated(PollResponse response) {
         if (mWorker.isOutdated(response.clockMs())) {
             mContext.log()
@@ -153,7 +178,8 @@
         }
     }
 
-    private void applyAnswer(PollResponse response, long sentMs) {
+    /** Applies an answer of the worker's incarnation. */
+    void applyAnswer(PollResponse response, long sentMs) {
         logIfOutdated(response);
         if (mWorker.isUnresponsive()) {
             mContext.log().line("worker-back").with("worker", mWorker.id()).write();
@@ -218,7 +244,7 @@
                         });
     }
 
-    private void stopOrphan(RunStatus status) {
+    void stopOrphan(RunStatus status) {
         mContext.log()
                 .line("run-unwanted")
                 .with("task", status.task())
