Stand-in workers and the soak start workers again under their IDs

The soak draws such restarts apart, every 3 s on average, so that older seeds keep their other faults.

--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -44,7 +44,7 @@
     private static final TaskName TASK = new TaskName("aa", 1, 2, 3);
     private static final EndedRun END = new EndedRun(TASK, 4, RunOutcome.FAILED, 5);
     private static final StartedRun START =
-            new StartedRun(TASK, 4, WorkerIncarnation.ofUnknownStart("w1"));
+            new StartedRun(TASK, 4, new WorkerIncarnation("w1", 1_733_270_000_000L));
     private static final StartedRun SUSPECT =
             new StartedRun(
                     TASK, 4, WorkerIncarnation.ofUnknownStart("w1"), new CrashHistory(2, -30, 510));
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
@@ -34,7 +34,8 @@
     WORKERS_CUT(Target.ZONE),
     LATE_ORDERS(Target.WORKER),
     WAVE(Target.WORKER),
-    WORKER_SHRINK(Target.WORKER);
+    WORKER_SHRINK(Target.WORKER),
+    WORKER_RESTART(Target.WORKER);
 
     /** What a fault strikes. */
     enum Target {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -136,6 +136,8 @@
             case VMS_SILENT -> mSystem.platform().setVmServiceUnresponsive(true);
             case WORKER_CRASH ->
                     mSystem.platform().crashWorker(f.target(), (long) (f.forS() * MS_PER_S));
+            case WORKER_RESTART ->
+                    mSystem.platform().restartWorker(f.target(), (long) (f.forS() * MS_PER_S));
             case WORKER_DRAIN -> mSystem.platform().drainWorker(f.target(), WORKER_DRAIN_MS);
             case WORKERS_CUT, ZONE_CUT ->
                     mSystem.platform().setWorkersUnreachable(mSystem.zone(f.target()), true);
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -41,6 +41,15 @@
     /** Sets the draw of shrinking workers apart, so that older seeds keep their other faults. */
     private static final long SHRINK_SEED = 0x5eed;
 
+    /** Mean time between two workers that start again under their IDs, in seconds. */
+    private static final double RESTART_GAP_S = 3;
+
+    /** Longest time for which such a worker is down, in seconds. */
+    private static final double LONGEST_RESTART_S = 1;
+
+    /** Sets the draw of these workers apart in the same way. */
+    private static final long RESTART_SEED = 0xb02;
+
     private static final int RUN_WORDS = 6;
     private static final int FAULT_WORDS = 6;
 
@@ -71,6 +80,7 @@
         FaultKind[] kinds =
                 Arrays.stream(FaultKind.values())
                         .filter(k -> k != FaultKind.WORKER_SHRINK)
+                        .filter(k -> k != FaultKind.WORKER_RESTART)
                         .toArray(FaultKind[]::new);
         double at = FIRST_S + random.nextDouble() * GAP_S;
         while (at < size.seconds()) {
@@ -80,6 +90,7 @@
             at += random.nextDouble() * 2 * GAP_S;
         }
         addShrinkingWorkers(seed, size, faults);
+        addRestartingWorkers(seed, size, faults);
         RunEnding[] endings = RunEnding.values();
         return new Schedule(seed, size, faults, endings[random.nextInt(endings.length)]);
     }
@@ -94,6 +105,17 @@
         }
     }
 
+    private static void addRestartingWorkers(long seed, SoakSize size, List<Fault> faults) {
+        RandomGenerator random = new Random(seed ^ RESTART_SEED);
+        FaultKind kind = FaultKind.WORKER_RESTART;
+        double at = FIRST_S + random.nextDouble() * RESTART_GAP_S;
+        while (at < size.seconds()) {
+            double downS = random.nextDouble() * LONGEST_RESTART_S;
+            faults.add(new Fault(at, kind, kind.target().draw(size, random), downS));
+            at += random.nextDouble() * 2 * RESTART_GAP_S;
+        }
+    }
+
     /** The same without one of its faults. */
     Schedule without(int fault) {
         List<Fault> left = new ArrayList<>(faults);
