Stop unanswered starts on an incarnation that registers after the former one ended

An incarnation is also found to have ended by a list of VMs that lacks it, and its worker may then start again under its ID. A start without an answer, which the platform may execute up to seconds later, was stopped on the next incarnation only if that one had been noticed by its answer to a poll, so that its task could run there and elsewhere.

Recent unanswered starts are remembered by the worker's ID and stopped on each new incarnation of it, when it registers or first answers.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RestartedWorkers.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RestartedWorkers.java
@@ -38,29 +38,30 @@
      *
      * @param endedRuns runs that ended with the former incarnation
      * @param response the first answer of the next one, which was applied before
-     * @return starts of tasks that have ended since, which must be stopped as well
      */
-    List<RunStatus> stopFormerRuns(
-            WorkerState former,
-            WorkerState next,
-            List<TaskRun> endedRuns,
-            PollResponse response,
-            long nowMs) {
+    void stopFormerRuns(
+            WorkerState next, List<TaskRun> endedRuns, PollResponse response, long nowMs) {
         for (TaskRun r : endedRuns) {
             if (mayStart(r) && !isReported(r.task().name(), r.attempt(), next, response)) {
                 mRuns.addStoppingRun(r.task(), next, r.attempt(), nowMs);
             }
         }
-        List<RunStatus> orphans = new ArrayList<>();
+    }
+
+    /**
+     * Returns recent unanswered starts on former incarnations of a worker, other than those that
+     * are being stopped on this one already.
+     */
+    List<RunStatus> lateStarts(WorkerState worker, long nowMs) {
+        List<RunStatus> late = new ArrayList<>();
         for (UnansweredStart s : mUnanswered) {
-            boolean recent = nowMs - s.atMs() <= MAX_START_DELAY_MS;
-            boolean tracked = next.run(s.task(), s.attempt()).isPresent();
-            if (s.worker() == former && recent && !tracked) {
-                orphans.add(new RunStatus(s.task(), s.attempt(), "", 0, 0));
+            boolean former = s.worker() != worker && s.worker().id().equals(worker.id());
+            boolean tracked = worker.run(s.task(), s.attempt()).isPresent();
+            if (former && !tracked && nowMs - s.atMs() <= MAX_START_DELAY_MS) {
+                late.add(new RunStatus(s.task(), s.attempt(), "", 0, 0));
             }
         }
-        mUnanswered.removeIf(s -> s.worker() == former);
-        return orphans;
+        return late;
     }
 
     /** Whether a start command may have reached the next incarnation, or may still do so. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -109,16 +109,15 @@
     /**
      * Stops what commands to the former incarnation may still start on the next one; called after
      * its first answer was applied.
-     *
-     * @return starts that must be stopped without being tracked
      */
-    public List<RunStatus> stopFormerRuns(
-            WorkerState former,
-            WorkerState next,
-            List<TaskRun> endedRuns,
-            PollResponse response,
-            long nowMs) {
-        return mRestarted.stopFormerRuns(former, next, endedRuns, response, nowMs);
+    public void stopFormerRuns(
+            WorkerState next, List<TaskRun> endedRuns, PollResponse response, long nowMs) {
+        mRestarted.stopFormerRuns(next, endedRuns, response, nowMs);
+    }
+
+    /** Returns unanswered starts on former incarnations that a worker must be told to stop. */
+    public List<RunStatus> lateStarts(WorkerState worker, long nowMs) {
+        return mRestarted.lateStarts(worker, nowMs);
     }
 
     /** Returns the current incarnation of a worker. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -239,9 +239,8 @@
         WorkerState next = mScheduler.addNextIncarnation(former, response.startMs(), now);
         WorkerPoller poller = mDirectory.addPoller(next);
         poller.applyAnswer(response, sentMs);
-        mScheduler
-                .stopFormerRuns(former, next, end.runs(), response, now)
-                .forEach(poller::stopOrphan);
+        mScheduler.stopFormerRuns(next, end.runs(), response, now);
+        mScheduler.lateStarts(next, now).forEach(poller::stopOrphan);
         scheduleDecision();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
@@ -172,7 +172,9 @@
         WorkerState worker = mScheduler.worker(info.id()).orElseThrow();
         WorkerPoller poller = mPollers.get(worker);
         if (poller == null) {
-            mContext.timers().after(0, addPoller(worker)::poll);
+            poller = addPoller(worker);
+            mScheduler.lateStarts(worker, mContext.clock().nowMs()).forEach(poller::stopOrphan);
+            mContext.timers().after(0, poller::poll);
         } else if (pollNow) {
             mContext.timers().after(0, poller::poll);
         }
