--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/AnswerSource.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/AnswerSource.java
@@ -1,5 +1,7 @@
 package org.foxtailplank.schedule;
 
+import org.foxtailplank.job.WorkerIncarnation;
+
 /** The incarnation of a worker that has answered a poll. */
 public enum AnswerSource {
     /** The one that is known. */
@@ -25,7 +27,7 @@
         if (startMs == knownStartMs) {
             return CURRENT;
         }
-        if (startMs == 0) {
+        if (startMs == WorkerIncarnation.UNKNOWN_START_MS) {
             return UNKNOWN;
         }
         boolean later = sentMs >= worker.lastAnswerMs() || startMs > knownStartMs;
