--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
@@ -14,6 +14,7 @@
  * @param policy settings of the queue when the job was accepted
  * @param acceptedMs when the job was accepted, in milliseconds since the epoch
  * @param configVersion version of the configuration by which it was accepted; 0 if unknown
+ * @param organisation name of the organisation that it belongs to; empty for none
  */
 public record JobDefinition(
         String id,
@@ -24,7 +25,8 @@
         Timetable timetable,
         QueuePolicy policy,
         long acceptedMs,
-        long configVersion) {
+        long configVersion,
+        String organisation) {
     public JobDefinition {
         steps = List.copyOf(steps);
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/lease/ClockReading.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/lease/ClockReading.java
@@ -16,4 +16,9 @@
     public long elapsedSince(ClockReading earlier) {
         return Math.max(steadyMs - earlier.steadyMs, wallMs - earlier.wallMs);
     }
+
+    /** Returns the reading of both clocks some time earlier. */
+    public ClockReading minusMs(long ms) {
+        return new ClockReading(steadyMs - ms, wallMs - ms);
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/port/CallerCodec.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/CallerCodec.java
@@ -14,6 +14,9 @@
     /** Name of the request header with the caller's timeout in milliseconds. */
     String deadlineHeader();
 
+    /** Name of the request header with the caller's API key. */
+    String keyHeader();
+
     /** Response body for a query of a job's phase. */
     String phase(JobPhase phase);
 
--- a/foxtail-core/src/main/java/org/foxtailplank/port/ChangeFeed.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/ChangeFeed.java
@@ -25,8 +25,9 @@
      *
      * @param items the values
      * @param next position of the next page
+     * @param last whether there were no further values when the page was read
      */
-    record Page<T>(List<Item<T>> items, long next) implements Result<T> {}
+    record Page<T>(List<Item<T>> items, long next, boolean last) implements Result<T> {}
 
     /** The requested changes have expired; the latest values must be read again. */
     record Gap<T>() implements Result<T> {}
--- a/foxtail-core/src/main/java/org/foxtailplank/port/FleetConfig.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/FleetConfig.java
@@ -2,22 +2,37 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.foxtailplank.organisation.Organisations;
 
 /**
- * Configuration of queues and services, as written by the operator.
+ * Configuration of queues, services and organisations, as written by the operator.
  *
  * @param version version number, which increases with each change
  * @param routes the queues
  * @param services the services
  * @param maxBodyBytes maximum size of a caller's request body, in bytes
+ * @param organisations the organisations
  */
 public record FleetConfig(
-        long version, List<RouteSettings> routes, List<ServiceConfig> services, int maxBodyBytes) {
+        long version,
+        List<RouteSettings> routes,
+        List<ServiceConfig> services,
+        int maxBodyBytes,
+        Organisations organisations) {
     public FleetConfig {
         routes = List.copyOf(routes);
         services = List.copyOf(services);
     }
 
+    /** Creates a configuration without organisations. */
+    public FleetConfig(
+            long version,
+            List<RouteSettings> routes,
+            List<ServiceConfig> services,
+            int maxBodyBytes) {
+        this(version, routes, services, maxBodyBytes, Organisations.NONE);
+    }
+
     /** The queue for a host and path: the one with the longest matching path prefix. */
     public Optional<RouteSettings> route(String host, String path) {
         RouteSettings match = null;
--- a/foxtail-core/src/main/java/org/foxtailplank/port/RouteSettings.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/RouteSettings.java
@@ -10,6 +10,12 @@
  * @param pathPrefix path prefix of its requests
  * @param service service whose workers run the tasks
  * @param policy scheduling settings of the queue
+ * @param requiresKey whether its requests must carry the API key of an organisation
  */
 public record RouteSettings(
-        String name, String host, String pathPrefix, String service, QueuePolicy policy) {}
+        String name,
+        String host,
+        String pathPrefix,
+        String service,
+        QueuePolicy policy,
+        boolean requiresKey) {}
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
@@ -44,7 +44,7 @@
                         RunMode.PLAIN);
         QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
         return new JobDefinition(
-                id, "q", "s", "t", List.of(step), Timetable.AT_ONCE, policy, NOW_MS, 0);
+                id, "q", "s", "t", List.of(step), Timetable.AT_ONCE, policy, NOW_MS, 0, "");
     }
 
     private JobProgress accept(int tasks) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -96,7 +96,8 @@
                         Timetable.AT_ONCE,
                         policy,
                         wallMs(),
-                        0);
+                        0,
+                        "");
         mJobs.put(id, definition);
         mSlowdowns.put(id, slowdown);
         mOwner.accept(definition);
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -108,7 +108,8 @@
                 Timetable.AT_ONCE,
                 policy,
                 WALL_MS,
-                0);
+                0,
+                "");
     }
 
     JobProgress accept(JobDefinition definition) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
@@ -86,7 +86,8 @@
                             definition.timetable(),
                             definition.policy(),
                             OwnerHarness.WALL_MS + i * TURN_MS / JOBS,
-                            0);
+                            0,
+                            "");
             JobRegistry registry = new JobRegistry(1000);
             runs.add(new ActiveJob(registry.apply(new JobAccepted(timed)).get()).runs().get(0));
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -11,9 +11,9 @@
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.http.HttpServer;
-import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
+import org.foxtailplank.job.JobSummary;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.node.caller.CallerService;
 import org.foxtailplank.node.caller.LocalJobQueries;
@@ -205,8 +205,8 @@
         }
 
         @Override
-        public void phase(String job, Consumer<Optional<JobPhase>> callback) {
-            target().phase(job, callback);
+        public void job(String id, Consumer<Optional<JobSummary>> callback) {
+            target().job(id, callback);
         }
 
         @Override
@@ -225,6 +225,7 @@
                         new RoutedJobQueries(),
                         mWriter,
                         mPlatform.callerCodec(),
+                        mSettings.keyLifetime(),
                         mClock,
                         mTimers,
                         mLog,
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
 import org.foxtailplank.node.journal.JournalPartitions;
+import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.schedule.ScheduleLimits;
 
@@ -23,6 +24,7 @@
  *     highest one that it has seen
  * @param link bandwidth of the node's network link
  * @param graceMs time from the stop signal to the end of the process, in milliseconds
+ * @param keyLifetime how long callers' API keys are accepted without confirmation
  */
 public record NodeSettings(
         String name,
@@ -36,7 +38,8 @@
         ScheduleLimits schedule,
         boolean vmTokensChecked,
         LinkRate link,
-        long graceMs) {
+        long graceMs,
+        KeyLifetime keyLifetime) {
 
     /**
      * Limits for the journal; times in milliseconds.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -9,7 +9,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.schedule.ScheduleLimits;
 
 /** Parses a node's settings: JSON with comments. Unknown fields are ignored. */
@@ -78,7 +80,8 @@
                 schedule,
                 flag("/platform/vmTokensChecked"),
                 link("/node/linkMbps"),
-                secondsAsMs("/node/graceS"));
+                secondsAsMs("/node/graceS"),
+                keyLifetime("/callers/keyRevocationMs"));
     }
 
     private String text(String path) {
@@ -119,6 +122,13 @@
         return mTree.at(path).isMissingNode() ? LinkRate.UNKNOWN : new LinkRate(number(path));
     }
 
+    /** Reads the revocation time of keys, which is optional. */
+    private KeyLifetime keyLifetime(String path) {
+        return mTree.at(path).isMissingNode()
+                ? KeyLifetime.UNLIMITED
+                : new KeyLifetime(OptionalLong.of((long) number(path)));
+    }
+
     private int positiveInt(String path) {
         int value = (int) number(path);
         if (value < 1) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.foxtailplank.lease.ClockReading;
+import org.foxtailplank.lease.Confirmation;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.ChangeFeed;
 import org.foxtailplank.port.FleetConfig;
@@ -24,12 +27,12 @@
     /** Delay after a failed read, in milliseconds. */
     private static final long RETRY_MS = 150;
 
-    /** How long a request waits for a version that is known to exist, in milliseconds. */
-    private static final long VERSION_WAIT_MS = 150;
+    /** How long a request waits for a version or a confirmation, in milliseconds. */
+    private static final long MAX_WAIT_MS = 150;
 
     /**
-     * Time after which a version that is waited for is read on another connection, in milliseconds:
-     * the long poll's connection may have failed silently.
+     * Time after which what is waited for is read on another connection, in milliseconds: the long
+     * poll's connection may have failed silently.
      */
     private static final long EXTRA_READ_DELAY_MS = 50;
 
@@ -38,12 +41,15 @@
     private final Timers mTimers;
     private final NodeLog mLog;
     private final Map<Long, DueWave> mWaves = new LinkedHashMap<>();
-    private final List<VersionWaiter> mWaiters = new ArrayList<>();
+    private final List<Waiter> mWaiters = new ArrayList<>();
 
     private Optional<FleetConfig> mConfig = Optional.empty();
     private boolean mFirstPageRead;
     private boolean mExtraReadPending;
     private long mPosition = -1;
+    private Confirmation mConfirmation = Confirmation.NONE;
+    private ClockReading mLastFailedAt = new ClockReading(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
+    private boolean mFailing;
     private long mLastReadMs = Long.MIN_VALUE / 2;
     private long mPreviousReadMs = Long.MIN_VALUE / 2;
 
@@ -65,25 +71,69 @@
         return mConfig.map(FleetConfig::version).orElse(-1L);
     }
 
-    private record VersionWaiter(long version, Consumer<Boolean> callback) {}
+    /**
+     * Returns how long ago the configuration was last known to be the newest, in milliseconds.
+     *
+     * <p>The time counts from the request that confirmed it. A long poll that isn't answered, or a
+     * page that is followed by others, confirms nothing.
+     */
+    public long confirmedAgeMs() {
+        return mConfirmation.ageMs(mClock.moment());
+    }
+
+    /** Returns whether the last read failed. */
+    public boolean isFailing() {
+        return mFailing;
+    }
+
+    /**
+     * Applies the confirmation of a peer that a version was the newest.
+     *
+     * @param confirmedAt when it was, on this node's clocks
+     */
+    public void confirm(long version, ClockReading confirmedAt) {
+        if (version() >= version) {
+            mConfirmation = mConfirmation.extendedBy(confirmedAt);
+            notifyWaiters();
+        }
+    }
+
+    private record Waiter(BooleanSupplier condition, Consumer<Boolean> callback) {}
 
     /**
      * Waits a short time until a configuration of at least this version was read, and reports
      * whether it was.
      */
     public void awaitVersion(long version, Consumer<Boolean> callback) {
-        if (version() >= version) {
+        await(() -> version() >= version, callback);
+    }
+
+    /**
+     * Waits a short time until the configuration was the newest at most this long ago, and reports
+     * whether it was. Reports at once that it wasn't if a read has failed since.
+     */
+    public void awaitConfirmation(long maxAgeMs, Consumer<Boolean> callback) {
+        boolean failed = mConfirmation.ageMs(mLastFailedAt) > maxAgeMs;
+        if (failed && confirmedAgeMs() > maxAgeMs) {
+            callback.accept(false);
+        } else {
+            await(() -> confirmedAgeMs() <= maxAgeMs, callback);
+        }
+    }
+
+    private void await(BooleanSupplier condition, Consumer<Boolean> callback) {
+        if (condition.getAsBoolean()) {
             callback.accept(true);
             return;
         }
-        VersionWaiter waiter = new VersionWaiter(version, callback);
+        Waiter waiter = new Waiter(condition, callback);
         mWaiters.add(waiter);
         if (!mExtraReadPending) {
             mExtraReadPending = true;
             mTimers.after(EXTRA_READ_DELAY_MS, this::readAgain);
         }
         mTimers.after(
-                VERSION_WAIT_MS,
+                MAX_WAIT_MS,
                 () -> {
                     if (mWaiters.remove(waiter)) {
                         callback.accept(false);
@@ -119,15 +169,16 @@
 
     /** Starts polling, which never ends. */
     public void follow() {
+        ClockReading sentAt = mClock.moment();
         if (mPosition < 0) {
-            mFeed.latest(this::pollCompleted);
+            mFeed.latest(r -> pollCompleted(r, sentAt));
         } else {
-            mFeed.changes(mPosition, POLL_WAIT_MS, this::pollCompleted);
+            mFeed.changes(mPosition, POLL_WAIT_MS, r -> pollCompleted(r, sentAt));
         }
     }
 
-    private void pollCompleted(ChangeFeed.Result<OperatorChange> result) {
-        apply(result);
+    private void pollCompleted(ChangeFeed.Result<OperatorChange> result, ClockReading sentAt) {
+        apply(result, sentAt);
         if (result instanceof ChangeFeed.Page) {
             follow();
         } else {
@@ -137,9 +188,10 @@
 
     /** Reads all changes written so far, then reports whether that succeeded. */
     public void refresh(Consumer<Boolean> callback) {
+        ClockReading sentAt = mClock.moment();
         Consumer<ChangeFeed.Result<OperatorChange>> listener =
                 r -> {
-                    apply(r);
+                    apply(r, sentAt);
                     callback.accept(r instanceof ChangeFeed.Page);
                 };
         if (mPosition < 0) {
@@ -149,7 +201,8 @@
         }
     }
 
-    private void apply(ChangeFeed.Result<OperatorChange> result) {
+    private void apply(ChangeFeed.Result<OperatorChange> result, ClockReading sentAt) {
+        mFailing = result instanceof ChangeFeed.Failed;
         if (result instanceof ChangeFeed.Gap) {
             // The changes are no longer available: the next read fetches the newest values.
             mPosition = -1;
@@ -159,6 +212,12 @@
             mPosition = Math.max(mPosition, page.next());
             page.items().forEach(this::apply);
             mFirstPageRead = true;
+            if (page.last()) {
+                mConfirmation = mConfirmation.extendedBy(sentAt);
+            }
+            notifyWaiters();
+        } else {
+            mLastFailedAt = sentAt;
         }
     }
 
@@ -199,8 +258,7 @@
     }
 
     private void notifyWaiters() {
-        List<VersionWaiter> served =
-                mWaiters.stream().filter(w -> w.version() <= version()).toList();
+        List<Waiter> served = mWaiters.stream().filter(w -> w.condition().getAsBoolean()).toList();
         mWaiters.removeAll(served);
         served.forEach(w -> w.callback().accept(true));
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -11,8 +11,7 @@
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.job.JobDefinition;
-import org.foxtailplank.job.JobPhase;
-import org.foxtailplank.job.JobProgress;
+import org.foxtailplank.job.JobSummary;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.node.Clock;
@@ -25,6 +24,7 @@
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.node.peer.JobQueries;
 import org.foxtailplank.node.peer.OwnerLink;
+import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.port.CallerCodec;
 import org.foxtailplank.port.CallerCodec.InvalidBodyException;
 import org.foxtailplank.port.CallerCodec.Submission;
@@ -34,10 +34,9 @@
 public final class CallerService implements HttpHandler {
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
-    private static final int NOT_FOUND = 404;
+    private static final int FORBIDDEN = 403;
     private static final int METHOD_NOT_ALLOWED = 405;
     private static final int GONE = 410;
-    private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
     private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
@@ -60,15 +59,6 @@
     /** Replies that take this long are logged, in milliseconds. */
     private static final long SLOW_REPLY_MS = 500;
 
-    /**
-     * Requests routed by a configuration that was last confirmed longer ago are logged, in
-     * milliseconds; more than the wait of a long poll.
-     */
-    private static final long OLD_CONFIG_MS = 1000;
-
-    /** Value of the Retry-After header while the store is unavailable, in seconds. */
-    private static final String RETRY_AFTER_S = "1";
-
     private final OperatorFollower mOperator;
     private final JournalReader mReader;
     private final OwnerLink mLink;
@@ -78,7 +68,11 @@
     private final Clock mClock;
     private final NodeLog mLog;
     private final NodeMetrics mMetrics;
-    private final Map<String, List<Consumer<HttpReply>>> mInFlight = new HashMap<>();
+    private final RequestRouter mRouter;
+    private final Map<String, InFlight> mInFlight = new HashMap<>();
+
+    /** A submission that is being stored, with the replies to all requests that contain it. */
+    private record InFlight(String organisation, List<Consumer<HttpReply>> replies) {}
 
     public CallerService(
             OperatorFollower operator,
@@ -87,6 +81,7 @@
             JobQueries ownerQueries,
             JournalWriter writer,
             CallerCodec codec,
+            KeyLifetime keyLifetime,
             Clock clock,
             Timers timers,
             NodeLog log,
@@ -100,6 +95,7 @@
         mClock = clock;
         mLog = log;
         mMetrics = metrics;
+        mRouter = new RequestRouter(operator, reader, keyLifetime, codec.keyHeader(), log);
     }
 
     @Override
@@ -112,38 +108,19 @@
                     logIfSlow(request, response, mClock.nowMs() - startMs);
                     reply.accept(response);
                 };
-        if (mOperator.config().isEmpty()) {
-            timed.accept(unavailableReply());
-            return;
-        }
-        mOperator.awaitVersion(
-                mReader.registry().configVersion(), current -> route(request, current, timed));
-    }
+        mRouter.route(
+                request,
+                new RequestRouter.Callback() {
+                    @Override
+                    public void routed(RoutedRequest routed) {
+                        handleRouted(request, routed, timed);
+                    }
 
-    /**
-     * Routes a request. A node that has jobs of a newer configuration than its own may have started
-     * them, or confirmed them to callers. Routing by its own would make that change disappear
-     * again, so it rejects requests until it has the newer one.
-     */
-    private void route(HttpRequest request, boolean current, Consumer<HttpReply> reply) {
-        if (!current) {
-            mLog.line("config-behind")
-                    .with("method", request.method())
-                    .with("path", request.path())
-                    .with("version", mOperator.version())
-                    .with("newest", mReader.registry().configVersion())
-                    .write();
-            reply.accept(unavailableReply());
-            return;
-        }
-        Optional<RouteSettings> route =
-                mOperator.config().flatMap(c -> c.route(request.host(), request.path()));
-        if (route.isPresent()) {
-            logIfConfigOld(request);
-            handleRouted(request, route.get(), reply);
-        } else {
-            refreshAndRoute(request, reply);
-        }
+                    @Override
+                    public void rejected(HttpReply response) {
+                        timed.accept(response);
+                    }
+                });
     }
 
     private void logIfSlow(HttpRequest request, HttpReply response, long tookMs) {
@@ -159,44 +136,9 @@
         }
     }
 
-    private void logIfConfigOld(HttpRequest request) {
-        long ageMs = mClock.nowMs() - mOperator.lastReadMs();
-        if (ageMs >= OLD_CONFIG_MS) {
-            mLog.line("config-old")
-                    .with("method", request.method())
-                    .with("path", request.path())
-                    .with("version", mOperator.version())
-                    .with("configAgeMs", ageMs)
-                    .write();
-        }
-    }
-
-    /**
-     * Reads the newest configuration before a path counts as unknown, so that requests for a queue
-     * that was just added aren't answered with 404.
-     */
-    private void refreshAndRoute(HttpRequest request, Consumer<HttpReply> reply) {
-        mOperator.refresh(
-                read -> {
-                    Optional<RouteSettings> route =
-                            mOperator
-                                    .config()
-                                    .flatMap(c -> c.route(request.host(), request.path()));
-                    if (route.isPresent()) {
-                        handleRouted(request, route.get(), reply);
-                    } else {
-                        long ageMs = mClock.nowMs() - mOperator.lastReadMs();
-                        mLog.line("no-queue")
-                                .with("path", request.path())
-                                .with("version", mOperator.version())
-                                .with("configAgeMs", ageMs)
-                                .write();
-                        reply.accept(read ? HttpReply.empty(NOT_FOUND) : unavailableReply());
-                    }
-                });
-    }
-
-    private void handleRouted(HttpRequest request, RouteSettings route, Consumer<HttpReply> reply) {
+    private void handleRouted(
+            HttpRequest request, RoutedRequest routed, Consumer<HttpReply> reply) {
+        RouteSettings route = routed.route();
         String id = request.path().substring(route.pathPrefix().length());
         if (id.isEmpty() && request.method().equals("GET")) {
             replyPending(request, route, reply);
@@ -207,25 +149,30 @@
             return;
         }
         switch (request.method()) {
-            case "POST" -> submit(request, route, id, reply);
-            case "GET" -> replyPhase(request, id, reply);
-            case "DELETE" -> cancel(request, id, reply);
+            case "POST" -> submit(request, routed, id, reply);
+            case "GET" -> replyPhase(request, routed, id, reply);
+            case "DELETE" -> cancel(request, routed, id, reply);
             default -> reply.accept(HttpReply.empty(METHOD_NOT_ALLOWED));
         }
     }
 
     private void submit(
-            HttpRequest request, RouteSettings route, String id, Consumer<HttpReply> reply) {
-        Optional<JobProgress> known = mReader.registry().job(id);
+            HttpRequest request, RoutedRequest routed, String id, Consumer<HttpReply> reply) {
+        RouteSettings route = routed.route();
+        Optional<JobSummary> known = mFinder.localJob(id);
         if (known.isPresent()) {
-            logRepeated(id, known.get().definition().service());
-            reply.accept(HttpReply.empty(OK));
+            logRepeated(id, route);
+            reply.accept(routed.mayAccess(known.get()) ? HttpReply.empty(OK) : forbiddenReply(id));
             return;
         }
-        List<Consumer<HttpReply>> concurrent = mInFlight.get(id);
+        InFlight concurrent = mInFlight.get(id);
         if (concurrent != null) {
-            logRepeated(id, route.service());
-            concurrent.add(reply);
+            logRepeated(id, route);
+            if (concurrent.organisation().equals(routed.organisation())) {
+                concurrent.replies().add(reply);
+            } else {
+                reply.accept(forbiddenReply(id));
+            }
             return;
         }
         Submission submission;
@@ -246,9 +193,10 @@
                         submission.timetable(),
                         route.policy(),
                         mClock.wallMs(),
-                        mOperator.version());
+                        mOperator.version(),
+                        routed.organisation());
         List<Consumer<HttpReply>> replies = new ArrayList<>(List.of(reply));
-        mInFlight.put(id, replies);
+        mInFlight.put(id, new InFlight(routed.organisation(), replies));
         long deadline = deadlineMs(request);
         mWriter.store(
                 new JobAccepted(definition),
@@ -256,10 +204,10 @@
                 o -> submissionCompleted(definition, replies, o));
     }
 
-    private void logRepeated(String job, String service) {
+    private void logRepeated(String job, RouteSettings route) {
         mLog.line("job-resubmitted")
                 .with("job", job)
-                .with("service", service)
+                .with("service", route.service())
                 .with("version", mOperator.version())
                 .write();
     }
@@ -271,6 +219,7 @@
                 .with("job", definition.id())
                 .with("queue", definition.route())
                 .with("service", definition.service())
+                .with("organisation", definition.organisation())
                 .with("version", definition.configVersion())
                 .with("tasks", definition.tasksPerRun())
                 .with("outcome", outcome)
@@ -301,7 +250,8 @@
                             .with("journal", mReader.position())
                             .write();
                     reply.accept(
-                            pending.map(this::pendingReply).orElseGet(() -> unavailableReply()));
+                            pending.map(this::pendingReply)
+                                    .orElseGet(() -> RequestRouter.unavailableReply()));
                 });
     }
 
@@ -309,21 +259,24 @@
         return HttpReply.json(OK, mCodec.pending(jobs));
     }
 
-    private void replyPhase(HttpRequest request, String id, Consumer<HttpReply> reply) {
-        Optional<JobPhase> known = mFinder.localPhase(id);
+    private void replyPhase(
+            HttpRequest request, RoutedRequest routed, String id, Consumer<HttpReply> reply) {
+        Optional<JobSummary> known = mFinder.localJob(id);
         boolean current = mClock.nowMs() - mLink.upToDateMs() < MAX_PHASE_AGE_MS;
-        if (known.isPresent() && (current || known.get().isFinal())) {
-            reply.accept(phaseReply(known.get()));
+        if (known.isPresent() && (current || known.get().phase().isFinal())) {
+            reply.accept(phaseReply(routed, id, known.get()));
             return;
         }
-        mFinder.findPhase(
+        mFinder.findJob(
                 id,
                 deadlineMs(request),
-                (read, phase) -> {
-                    if (phase.isEmpty()) {
+                (read, job) -> {
+                    if (job.isEmpty()) {
                         logUnknownJob(id, read);
                     }
-                    reply.accept(phase.map(this::phaseReply).orElseGet(() -> notFoundReply(read)));
+                    reply.accept(
+                            job.map(j -> phaseReply(routed, id, j))
+                                    .orElseGet(() -> notFoundReply(read)));
                 });
     }
 
@@ -337,33 +290,47 @@
                 .write();
     }
 
-    private HttpReply phaseReply(JobPhase phase) {
-        return HttpReply.json(OK, mCodec.phase(phase));
+    private HttpReply phaseReply(RoutedRequest routed, String id, JobSummary job) {
+        return routed.mayAccess(job)
+                ? HttpReply.json(OK, mCodec.phase(job.phase()))
+                : forbiddenReply(id);
+    }
+
+    private HttpReply forbiddenReply(String id) {
+        mLog.line("job-of-another-organisation").with("job", id).write();
+        return HttpReply.text(FORBIDDEN, "the job belongs to another organisation");
     }
 
     /** Reports a job as unknown only if the journal was read to its end. */
     private static HttpReply notFoundReply(boolean read) {
-        return read ? HttpReply.empty(GONE) : unavailableReply();
+        return read ? HttpReply.empty(GONE) : RequestRouter.unavailableReply();
     }
 
-    private void cancel(HttpRequest request, String id, Consumer<HttpReply> reply) {
-        Optional<JobPhase> known = mFinder.localPhase(id);
+    private void cancel(
+            HttpRequest request, RoutedRequest routed, String id, Consumer<HttpReply> reply) {
+        Optional<JobSummary> known = mFinder.localJob(id);
         if (known.isPresent()) {
-            cancelKnown(request, id, known.get(), reply);
+            cancelKnown(request, routed, id, known.get(), reply);
             return;
         }
-        mFinder.findPhase(
+        mFinder.findJob(
                 id,
                 deadlineMs(request),
-                (read, phase) ->
-                        phase.ifPresentOrElse(
-                                p -> cancelKnown(request, id, p, reply),
+                (read, job) ->
+                        job.ifPresentOrElse(
+                                j -> cancelKnown(request, routed, id, j, reply),
                                 () -> reply.accept(notFoundReply(read))));
     }
 
     private void cancelKnown(
-            HttpRequest request, String id, JobPhase phase, Consumer<HttpReply> reply) {
-        if (phase.isFinal()) {
+            HttpRequest request,
+            RoutedRequest routed,
+            String id,
+            JobSummary job,
+            Consumer<HttpReply> reply) {
+        if (!routed.mayAccess(job)) {
+            reply.accept(forbiddenReply(id));
+        } else if (job.phase().isFinal()) {
             reply.accept(HttpReply.empty(OK));
         } else {
             storeCancellation(request, id, reply);
@@ -397,12 +364,8 @@
     private static HttpReply outcomeReply(StoreOutcome outcome) {
         return switch (outcome) {
             case STORED -> HttpReply.empty(OK);
-            case NOT_STORED -> unavailableReply();
+            case NOT_STORED -> RequestRouter.unavailableReply();
             case UNKNOWN -> HttpReply.empty(GATEWAY_TIMEOUT);
         };
     }
-
-    private static HttpReply unavailableReply() {
-        return HttpReply.empty(SERVICE_UNAVAILABLE).with(Map.of("Retry-After", RETRY_AFTER_S));
-    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/JobFinder.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/JobFinder.java
@@ -2,8 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.foxtailplank.job.JobPhase;
-import org.foxtailplank.job.JobProgress;
+import org.foxtailplank.job.JobSummary;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.JournalReader;
@@ -29,14 +28,14 @@
         mTimers = timers;
     }
 
-    /** Receives the phase of a job, and whether the journal was read to its end for it. */
-    interface PhaseCallback {
-        void accept(boolean read, Optional<JobPhase> phase);
+    /** Receives a job, and whether the journal was read to its end for it. */
+    interface JobCallback {
+        void accept(boolean read, Optional<JobSummary> job);
     }
 
-    /** Returns the phase of a job according to this node's own state. */
-    Optional<JobPhase> localPhase(String id) {
-        return mReader.registry().job(id).map(JobProgress::phase);
+    /** Returns a job according to this node's own state. */
+    Optional<JobSummary> localJob(String id) {
+        return mReader.registry().job(id).map(JobSummary::of);
     }
 
     /** Returns the number of pending jobs of a queue according to this node's own state. */
@@ -45,17 +44,17 @@
     }
 
     /**
-     * Looks up the phase of a job. A job that the owner doesn't know is looked up in the journal,
-     * since the owner may not have read yet what another node has appended itself.
+     * Looks up a job. One that the owner doesn't know is looked up in the journal, since the owner
+     * may not have read yet what another node has appended itself.
      */
-    void findPhase(String id, long deadlineMs, PhaseCallback callback) {
-        mOwnerQueries.phase(
+    void findJob(String id, long deadlineMs, JobCallback callback) {
+        mOwnerQueries.job(
                 id,
                 result -> {
                     if (result.isPresent()) {
                         callback.accept(false, result);
                     } else {
-                        readJournal(deadlineMs, read -> callback.accept(read, localPhase(id)));
+                        readJournal(deadlineMs, read -> callback.accept(read, localJob(id)));
                     }
                 });
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/LocalJobQueries.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/LocalJobQueries.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobProgress;
+import org.foxtailplank.job.JobSummary;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.peer.JobQueries;
@@ -27,10 +27,10 @@
     }
 
     @Override
-    public void phase(String job, Consumer<Optional<JobPhase>> callback) {
+    public void job(String id, Consumer<Optional<JobSummary>> callback) {
         Optional<JobProgress> progress =
-                mIsOwner.getAsBoolean() ? mReader.registry().job(job) : Optional.empty();
-        callback.accept(progress.map(JobProgress::phase));
+                mIsOwner.getAsBoolean() ? mReader.registry().job(id) : Optional.empty();
+        callback.accept(progress.map(JobSummary::of));
     }
 
     /**
--- /dev/null
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/RequestRouter.java
@@ -0,0 +1,203 @@
+package org.foxtailplank.node.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailplank.http.HttpReply;
+import org.foxtailplank.http.HttpRequest;
+import org.foxtailplank.node.OperatorFollower;
+import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.log.LogLine;
+import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.organisation.KeyFingerprint;
+import org.foxtailplank.organisation.KeyLifetime;
+import org.foxtailplank.organisation.Organisation;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.RouteSettings;
+
+/**
+ * Determines the queue and the organisation of a request by the configuration.
+ *
+ * <p>A queue or key that the node's configuration lacks may have just been added, so the newest
+ * configuration is read before the request is rejected. A key that it contains may have been
+ * revoked, so keys are only accepted while the configuration is known to be recent.
+ */
+final class RequestRouter {
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    /** Value of the Retry-After header of a node that can't serve now, in seconds. */
+    private static final String RETRY_AFTER_S = "1";
+
+    /**
+     * Requests routed by a configuration that was last confirmed longer ago are logged, in
+     * milliseconds; more than the wait of a long poll.
+     */
+    private static final long OLD_CONFIG_MS = 2000;
+
+    private final OperatorFollower mOperator;
+    private final JournalReader mReader;
+    private final KeyLifetime mKeyLifetime;
+    private final String mKeyHeader;
+    private final NodeLog mLog;
+    private final List<Consumer<Boolean>> mAwaitingRefresh = new ArrayList<>();
+
+    /** Receives a routed request, or the reply to a rejected one. */
+    interface Callback {
+        void routed(RoutedRequest request);
+
+        void rejected(HttpReply reply);
+    }
+
+    private enum Finding {
+        ROUTED(0),
+        NO_QUEUE(NOT_FOUND),
+        UNKNOWN_KEY(UNAUTHORIZED),
+        /** The key is known, but may have been revoked. */
+        UNCONFIRMED_KEY(SERVICE_UNAVAILABLE);
+
+        private final int mStatus;
+
+        Finding(int status) {
+            mStatus = status;
+        }
+    }
+
+    private record Result(Finding finding, Optional<RoutedRequest> request) {
+        static Result rejected(Finding finding) {
+            return new Result(finding, Optional.empty());
+        }
+    }
+
+    /**
+     * Creates a router.
+     *
+     * @param keyHeader name of the header with the caller's API key
+     */
+    RequestRouter(
+            OperatorFollower operator,
+            JournalReader reader,
+            KeyLifetime keyLifetime,
+            String keyHeader,
+            NodeLog log) {
+        mOperator = operator;
+        mReader = reader;
+        mKeyLifetime = keyLifetime;
+        mKeyHeader = keyHeader;
+        mLog = log;
+    }
+
+    /**
+     * Routes a request. A node that has jobs of a newer configuration than its own may have started
+     * them, or confirmed them to callers. Routing by its own would make that change disappear
+     * again, so it rejects requests until it has the newer one.
+     */
+    void route(HttpRequest request, Callback callback) {
+        if (mOperator.config().isEmpty()) {
+            callback.rejected(unavailableReply());
+            return;
+        }
+        mOperator.awaitVersion(
+                mReader.registry().configVersion(),
+                current -> {
+                    if (current) {
+                        routeByOwnConfig(request, callback);
+                    } else {
+                        logRejected("config-behind", request)
+                                .with("newest", mReader.registry().configVersion())
+                                .write();
+                        callback.rejected(unavailableReply());
+                    }
+                });
+    }
+
+    private void routeByOwnConfig(HttpRequest request, Callback callback) {
+        Result result = find(request);
+        switch (result.finding()) {
+            case ROUTED -> accept(request, result, callback);
+            case UNCONFIRMED_KEY ->
+                    mOperator.awaitConfirmation(
+                            mKeyLifetime.maxAgeMs(), c -> complete(request, c, callback));
+            default -> refresh(read -> complete(request, read, callback));
+        }
+    }
+
+    /**
+     * Routes a request by the configuration after it was to be read again.
+     *
+     * @param read whether that succeeded
+     */
+    private void complete(HttpRequest request, boolean read, Callback callback) {
+        Result result = find(request);
+        if (result.finding() == Finding.ROUTED) {
+            accept(request, result, callback);
+            return;
+        }
+        logRejected("not-routed", request)
+                .with("why", result.finding())
+                .with("configRead", read)
+                .write();
+        boolean certain = read && result.finding() != Finding.UNCONFIRMED_KEY;
+        callback.rejected(certain ? HttpReply.empty(result.finding().mStatus) : unavailableReply());
+    }
+
+    private Result find(HttpRequest request) {
+        FleetConfig config = mOperator.config().orElseThrow();
+        Optional<RouteSettings> route = config.route(request.host(), request.path());
+        if (route.isEmpty()) {
+            return Result.rejected(Finding.NO_QUEUE);
+        }
+        if (!route.get().requiresKey()) {
+            return routed(route.get(), Organisation.NONE);
+        }
+        Optional<Organisation> organisation =
+                request.headers().get(mKeyHeader).flatMap(config.organisations()::byKey);
+        if (organisation.isEmpty()) {
+            return Result.rejected(Finding.UNKNOWN_KEY);
+        }
+        return mOperator.confirmedAgeMs() <= mKeyLifetime.maxAgeMs()
+                ? routed(route.get(), organisation.get().name())
+                : Result.rejected(Finding.UNCONFIRMED_KEY);
+    }
+
+    private static Result routed(RouteSettings route, String organisation) {
+        return new Result(Finding.ROUTED, Optional.of(new RoutedRequest(route, organisation)));
+    }
+
+    private void accept(HttpRequest request, Result result, Callback callback) {
+        if (mOperator.confirmedAgeMs() >= OLD_CONFIG_MS) {
+            logRejected("config-old", request).write();
+        }
+        callback.routed(result.request().orElseThrow());
+    }
+
+    /** Reads the newest configuration; requests that arrive meanwhile share the read. */
+    private void refresh(Consumer<Boolean> callback) {
+        mAwaitingRefresh.add(callback);
+        if (mAwaitingRefresh.size() == 1) {
+            mOperator.refresh(
+                    read -> {
+                        List<Consumer<Boolean>> waiting = List.copyOf(mAwaitingRefresh);
+                        mAwaitingRefresh.clear();
+                        waiting.forEach(w -> w.accept(read));
+                    });
+        }
+    }
+
+    private LogLine logRejected(String kind, HttpRequest request) {
+        String key = request.headers().get(mKeyHeader).map(KeyFingerprint::of).orElse("none");
+        return mLog.line(kind)
+                .with("method", request.method())
+                .with("path", request.path())
+                .with("key", key)
+                .with("version", mOperator.version())
+                .with("configAgeMs", mOperator.confirmedAgeMs());
+    }
+
+    static HttpReply unavailableReply() {
+        return HttpReply.empty(SERVICE_UNAVAILABLE).with(Map.of("Retry-After", RETRY_AFTER_S));
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobDefinitionCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobDefinitionCodec.java
@@ -15,10 +15,12 @@
 import org.foxtailplank.job.RunMode;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
+import org.foxtailplank.organisation.Organisation;
 
 /** Encodes and decodes job definitions as protobuf fields. */
 final class JobDefinitionCodec {
     private static final int STEP_FIELD = 5;
+    private static final int ORGANISATION_FIELD = 18;
 
     private JobDefinitionCodec() {}
 
@@ -45,12 +47,16 @@
             out.writeInt64(16, policy.advice().get().validMs());
         }
         out.writeInt64(17, definition.configVersion());
+        if (!definition.organisation().isEmpty()) {
+            out.writeString(ORGANISATION_FIELD, definition.organisation());
+        }
     }
 
     static JobDefinition read(CodedInputStream in) throws IOException {
         String[] texts = new String[5];
         long[] numbers = new long[18];
         List<TaskStep> steps = new ArrayList<>();
+        String organisation = Organisation.NONE;
         double stretch = 1;
         boolean hasAdvice = false;
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -61,6 +67,8 @@
                 steps.add(readStep(in.readBytes().newCodedInput()));
             } else if (field == 11) {
                 stretch = in.readDouble();
+            } else if (field == ORGANISATION_FIELD) {
+                organisation = in.readString();
             } else if (field < numbers.length) {
                 numbers[field] = in.readInt64();
                 hasAdvice |= field == 14;
@@ -87,7 +95,8 @@
                 new QueuePolicy(
                         (int) numbers[9], (int) numbers[10], stretch, numbers[12], adviceTiming),
                 numbers[13],
-                numbers[17]);
+                numbers[17],
+                organisation);
     }
 
     /** Rejects invalid dependencies, and task counts whose positions would overflow an int. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/ConfigExchange.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/ConfigExchange.java
@@ -7,7 +7,8 @@
 
 /**
  * Exchanges configurations between the owner and its followers, so that a node that the store
- * rejects, or whose reads of the operator's topic fail, has the newest one that a peer has.
+ * rejects, or whose reads of the operator's topic fail, has the newest one that a peer has and
+ * knows how long ago it was confirmed to be the newest.
  *
  * <p>The owner's heartbeats report its version, and followers with a newer one report theirs in
  * return. A node requests the content only if the store hasn't delivered it for a while.
@@ -25,6 +26,18 @@
      */
     private static final long NARROW_REQUEST_DELAY_MS = 3000;
 
+    /**
+     * Age of a node's own confirmation from which it asks the owner for one, in milliseconds; above
+     * the age that a long poll reaches.
+     */
+    private static final long CONFIRMATION_REQUEST_AGE_MS = 2000;
+
+    /** Least time between two such requests, in milliseconds. */
+    private static final long CONFIRMATION_REQUEST_INTERVAL_MS = 400;
+
+    /** Older confirmations are of no use to a peer, in milliseconds. */
+    private static final long MAX_CONFIRMATION_AGE_MS = 60_000;
+
     /** Larger configurations aren't exchanged, in bytes; a margin to the largest frame. */
     private static final int MAX_CONTENT_BYTES = 1000 << 10;
 
@@ -32,7 +45,9 @@
     private final Clock mClock;
     private final long mRequestDelayMs;
     private long mBehindVersion = Long.MIN_VALUE;
-    private long mNextRequestMs;
+    private long mBehindSinceMs;
+    private long mLastRequestMs = Long.MIN_VALUE / 2;
+    private long mNextConfirmationRequestMs = Long.MIN_VALUE;
     private boolean mSending;
 
     public ConfigExchange(OperatorFollower operator, Clock clock, boolean ampleLink) {
@@ -52,14 +67,42 @@
             peerHasVersion(announced.version(), channel);
         } else if (frame instanceof PeerFrame.ConfigRequest) {
             sendConfig(channel);
+        } else if (frame instanceof PeerFrame.ConfirmationRequest request) {
+            peerHasVersion(request.version(), channel);
+            sendConfirmation(request, channel);
+        } else if (frame instanceof PeerFrame.ConfirmationResponse response) {
+            peerHasVersion(response.version(), channel);
+            mOperator.confirm(
+                    response.version(), response.requestSentAt().minusMs(response.ageMs()));
         } else if (frame instanceof PeerFrame.ConfigContent content) {
-            mOperator.offer(FleetConfigCodec.decode(content.bytes()));
+            FleetConfigCodec.decode(content.bytes()).ifPresent(mOperator::offer);
         } else {
             return false;
         }
         return true;
     }
 
+    /** Handles the version in a heartbeat of the owner. */
+    void heartbeatReceived(long version, Channel channel) {
+        peerHasVersion(version, channel);
+        long now = mClock.nowMs();
+        boolean due = now >= mNextConfirmationRequestMs;
+        if (version >= 0 && due && mOperator.confirmedAgeMs() > CONFIRMATION_REQUEST_AGE_MS) {
+            mNextConfirmationRequestMs = now + CONFIRMATION_REQUEST_INTERVAL_MS;
+            channel.writeAndFlush(
+                    new PeerFrame.ConfirmationRequest(version(), mClock.moment()).encode());
+        }
+    }
+
+    private void sendConfirmation(PeerFrame.ConfirmationRequest request, Channel channel) {
+        long ageMs = mOperator.confirmedAgeMs();
+        if (ageMs <= MAX_CONFIRMATION_AGE_MS) {
+            channel.writeAndFlush(
+                    new PeerFrame.ConfirmationResponse(version(), request.sentAt(), ageMs)
+                            .encode());
+        }
+    }
+
     /** Handles the version that a peer has; -1 if it has none or doesn't take part. */
     void peerHasVersion(long version, Channel channel) {
         long own = version();
@@ -75,11 +118,14 @@
 
     private void requestIfDue(long ownVersion, Channel channel) {
         long now = mClock.nowMs();
+        // While reads fail, none is still delivering the configuration.
+        long delayMs = mOperator.isFailing() ? REQUEST_DELAY_MS : mRequestDelayMs;
         if (mBehindVersion != ownVersion) {
             mBehindVersion = ownVersion;
-            mNextRequestMs = now + mRequestDelayMs;
-        } else if (now >= mNextRequestMs) {
-            mNextRequestMs = now + mRequestDelayMs;
+            mBehindSinceMs = now;
+        }
+        if (now >= Math.max(mBehindSinceMs, mLastRequestMs) + delayMs) {
+            mLastRequestMs = now;
             channel.writeAndFlush(new PeerFrame.ConfigRequest().encode());
         }
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -160,15 +160,17 @@
         }
 
         private void respond(PeerFrame.Query query, ChannelHandlerContext context) {
-            Consumer<Optional<Integer>> reply =
-                    v ->
-                            context.writeAndFlush(
-                                    new PeerFrame.QueryResponse(query.number(), v).encode());
+            Consumer<PeerFrame.QueryResponse> reply = r -> context.writeAndFlush(r.encode());
+            long number = query.number();
             switch (query.subject()) {
                 case JOB ->
-                        mJobQueries.phase(
-                                query.name(), phase -> reply.accept(phase.map(Enum::ordinal)));
-                case QUEUE -> mJobQueries.pending(query.name(), reply);
+                        mJobQueries.job(
+                                query.name(),
+                                j -> reply.accept(PeerFrame.QueryResponse.ofJob(number, j)));
+                case QUEUE ->
+                        mJobQueries.pending(
+                                query.name(),
+                                p -> reply.accept(PeerFrame.QueryResponse.ofCount(number, p)));
                 default ->
                         throw new IllegalStateException(
                                 "unexpected query subject: " + query.subject());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -18,7 +18,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.foxtailplank.job.JobPhase;
+import org.foxtailplank.job.JobSummary;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.journal.Handover;
@@ -222,23 +222,26 @@
     }
 
     @Override
-    public void phase(String job, Consumer<Optional<JobPhase>> callback) {
-        JobPhase[] phases = JobPhase.values();
+    public void job(String id, Consumer<Optional<JobSummary>> callback) {
         sendQuery(
                 PeerFrame.Subject.JOB,
-                job,
-                v ->
-                        callback.accept(
-                                v.filter(p -> p >= 0 && p < phases.length).map(p -> phases[p])));
+                id,
+                response ->
+                        callback.accept(response.flatMap(PeerFrame.QueryResponse::toJobSummary)));
     }
 
     @Override
     public void pending(String queue, Consumer<Optional<Integer>> callback) {
-        sendQuery(PeerFrame.Subject.QUEUE, queue, callback);
+        sendQuery(
+                PeerFrame.Subject.QUEUE,
+                queue,
+                response -> callback.accept(response.flatMap(PeerFrame.QueryResponse::value)));
     }
 
     private void sendQuery(
-            PeerFrame.Subject subject, String name, Consumer<Optional<Integer>> callback) {
+            PeerFrame.Subject subject,
+            String name,
+            Consumer<Optional<PeerFrame.QueryResponse>> callback) {
         if (!isAlive() || !mChannel.map(Channel::isWritable).orElse(false)) {
             callback.accept(Optional.empty());
             return;
@@ -329,7 +332,7 @@
                 callback.accept(response.outcome());
             }
         } else if (frame instanceof PeerFrame.QueryResponse response) {
-            mPendingQueries.complete(response.number(), response.value());
+            mPendingQueries.complete(response.number(), Optional.of(response));
         } else if (frame instanceof PeerFrame.RelayedStart start) {
             relay(start);
         }
@@ -379,7 +382,7 @@
         frameReceived();
         offerRelay();
         mConfigExchange.ifPresent(
-                e -> mChannel.ifPresent(c -> e.peerHasVersion(frame.configVersion(), c)));
+                e -> mChannel.ifPresent(c -> e.heartbeatReceived(frame.configVersion(), c)));
         long now = mClock.nowMs();
         mLastStoredMs = now - frame.storedMsAgo();
         // The smallest delay excludes the time that later frames spend queued on a full link.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -12,6 +12,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.foxtailplank.job.JobPhase;
+import org.foxtailplank.job.JobSummary;
+import org.foxtailplank.lease.ClockReading;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPosition;
 import org.foxtailplank.node.journal.StoreOutcome;
@@ -141,14 +144,39 @@
      *
      * @param number number of the query
      * @param value ordinal of the job's phase, or a count; empty if the owner doesn't know it
+     * @param queue name of the job's queue; empty for a count
+     * @param organisation name of the organisation that the job belongs to; empty for none
      */
-    record QueryResponse(long number, Optional<Integer> value) implements PeerFrame {
+    record QueryResponse(long number, Optional<Integer> value, String queue, String organisation)
+            implements PeerFrame {
+        static QueryResponse ofJob(long number, Optional<JobSummary> job) {
+            return new QueryResponse(
+                    number,
+                    job.map(j -> j.phase().ordinal()),
+                    job.map(JobSummary::route).orElse(""),
+                    job.map(JobSummary::organisation).orElse(""));
+        }
+
+        static QueryResponse ofCount(long number, Optional<Integer> count) {
+            return new QueryResponse(number, count, "", "");
+        }
+
+        Optional<JobSummary> toJobSummary() {
+            JobPhase[] phases = JobPhase.values();
+            return value.filter(p -> p >= 0 && p < phases.length)
+                    .map(p -> new JobSummary(phases[p], queue, organisation));
+        }
+
         @Override
         public void write(CodedOutputStream out) throws IOException {
             out.writeInt64(Field.QUERY, number);
             if (value.isPresent()) {
                 out.writeInt32(Field.VALUE, value.get());
             }
+            if (!organisation.isEmpty()) {
+                out.writeString(Field.JOB_QUEUE, queue);
+                out.writeString(Field.ORGANISATION, organisation);
+            }
         }
     }
 
@@ -207,6 +235,40 @@
         }
     }
 
+    /**
+     * To a peer: asks since when it knows its configuration to be the newest. Peers of earlier
+     * versions take it for a {@link ConfigVersion}.
+     *
+     * @param version the sender's version
+     * @param sentAt when it was sent, on the sender's clocks
+     */
+    record ConfirmationRequest(long version, ClockReading sentAt) implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeInt64(Field.CONFIG_VERSION, version);
+            out.writeInt64(Field.REQUEST_STEADY_MS, sentAt.steadyMs());
+            out.writeInt64(Field.REQUEST_WALL_MS, sentAt.wallMs());
+        }
+    }
+
+    /**
+     * In response to a {@link ConfirmationRequest}.
+     *
+     * @param version the sender's version
+     * @param requestSentAt when the request was sent, on the receiver's clocks
+     * @param ageMs how long ago the sender's configuration was known to be the newest
+     */
+    record ConfirmationResponse(long version, ClockReading requestSentAt, long ageMs)
+            implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeInt64(Field.CONFIG_VERSION, version);
+            out.writeInt64(Field.REQUEST_STEADY_MS, requestSentAt.steadyMs());
+            out.writeInt64(Field.REQUEST_WALL_MS, requestSentAt.wallMs());
+            out.writeInt64(Field.CONFIRMATION_AGE_MS, ageMs);
+        }
+    }
+
     /** To a peer that announced a newer version: asks for its configuration. */
     record ConfigRequest() implements PeerFrame {
         @Override
@@ -256,6 +318,11 @@
         static final int CONFIG_REQUEST = 29;
         static final int CONFIG_CONTENT = 30;
         static final int HEARTBEAT_CONFIG = 31;
+        static final int REQUEST_STEADY_MS = 32;
+        static final int REQUEST_WALL_MS = 33;
+        static final int CONFIRMATION_AGE_MS = 34;
+        static final int JOB_QUEUE = 35;
+        static final int ORGANISATION = 36;
 
         private Field() {}
     }
@@ -289,9 +356,7 @@
         Optional<byte[]> record = Optional.empty();
         Optional<Long> handover = Optional.empty();
         Optional<StoreOutcome> outcome = Optional.empty();
-        Optional<Long> query = Optional.empty();
-        Optional<Query> content = Optional.empty();
-        Optional<Integer> value = Optional.empty();
+        QueryFields query = new QueryFields();
         boolean standby = false;
         ConfigFields config = new ConfigFields();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -302,27 +367,23 @@
                 case Field.RECORD -> record = Optional.of(in.readByteArray());
                 case Field.HANDOVER -> handover = Optional.of(in.readInt64());
                 case Field.OUTCOME -> outcome = Optional.of(storeOutcome(in.readInt32()));
-                case Field.QUERY -> query = Optional.of(in.readInt64());
-                case Field.JOB -> content = Optional.of(new Query(0, Subject.JOB, in.readString()));
-                case Field.QUEUE ->
-                        content = Optional.of(new Query(0, Subject.QUEUE, in.readString()));
-                case Field.VALUE -> value = Optional.of(in.readInt32());
                 case Field.STANDBY -> standby = in.readBool();
                 default -> {
-                    if (!relay.read(tag, in) && !config.read(tag, in)) {
+                    boolean read =
+                            relay.read(tag, in) || config.read(tag, in) || query.read(tag, in);
+                    if (!read) {
                         heartbeat.read(tag, in);
                     }
                 }
             }
         }
-        Optional<PeerFrame> grouped =
-                config.toFrame().isPresent() ? config.toFrame() : relay.toFrame(token);
+        Optional<PeerFrame> grouped = config.toFrame().or(query::toFrame);
+        if (grouped.isEmpty()) {
+            grouped = relay.toFrame(token);
+        }
         if (grouped.isPresent()) {
             return grouped.get();
         }
-        if (query.isPresent()) {
-            return queryFrame(query.get(), content, value);
-        }
         if (standby) {
             return new Standby();
         }
@@ -340,42 +401,6 @@
                 record.orElseThrow(() -> new IOException("handover frame without a record")));
     }
 
-    private static PeerFrame queryFrame(
-            long number, Optional<Query> content, Optional<Integer> value) {
-        return content.isPresent()
-                ? new Query(number, content.get().subject(), content.get().name())
-                : new QueryResponse(number, value);
-    }
-
-    /** Collects the fields of a frame about configurations while it is decoded. */
-    final class ConfigFields {
-        private Optional<PeerFrame> mFrame = Optional.empty();
-
-        private ConfigFields() {}
-
-        /** Reads a field; returns false if it belongs to another kind of frame. */
-        private boolean read(int tag, CodedInputStream in) throws IOException {
-            switch (WireFormat.getTagFieldNumber(tag)) {
-                case Field.CONFIG_VERSION ->
-                        mFrame = Optional.of(new ConfigVersion(in.readInt64()));
-                case Field.CONFIG_CONTENT ->
-                        mFrame = Optional.of(new ConfigContent(in.readByteArray()));
-                case Field.CONFIG_REQUEST -> {
-                    in.skipField(tag);
-                    mFrame = Optional.of(new ConfigRequest());
-                }
-                default -> {
-                    return false;
-                }
-            }
-            return true;
-        }
-
-        private Optional<PeerFrame> toFrame() {
-            return mFrame;
-        }
-    }
-
     /** Collects the fields of a heartbeat while a frame is decoded. */
     final class HeartbeatFields {
         private final List<Long> mPosition = new ArrayList<>();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PendingQueries.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PendingQueries.java
@@ -16,7 +16,8 @@
     private static final long RESPONSE_TIMEOUT_MS = 400;
 
     private final Timers mTimers;
-    private final Map<Long, Consumer<Optional<Integer>>> mPending = new LinkedHashMap<>();
+    private final Map<Long, Consumer<Optional<PeerFrame.QueryResponse>>> mPending =
+            new LinkedHashMap<>();
     private long mLastNumber;
 
     PendingQueries(Timers timers) {
@@ -24,7 +25,7 @@
     }
 
     /** Registers a query that is about to be sent and returns its number. */
-    long add(Consumer<Optional<Integer>> callback) {
+    long add(Consumer<Optional<PeerFrame.QueryResponse>> callback) {
         long number = ++mLastNumber;
         mPending.put(number, callback);
         mTimers.after(RESPONSE_TIMEOUT_MS, () -> complete(number, Optional.empty()));
@@ -32,16 +33,16 @@
     }
 
     /** Completes a query; a response to a query that is no longer pending is ignored. */
-    void complete(long number, Optional<Integer> value) {
-        Consumer<Optional<Integer>> callback = mPending.remove(number);
+    void complete(long number, Optional<PeerFrame.QueryResponse> response) {
+        Consumer<Optional<PeerFrame.QueryResponse>> callback = mPending.remove(number);
         if (callback != null) {
-            callback.accept(value);
+            callback.accept(response);
         }
     }
 
     /** Completes all pending queries without a result after the connection was lost. */
     void failAll() {
-        List<Consumer<Optional<Integer>>> failed = List.copyOf(mPending.values());
+        List<Consumer<Optional<PeerFrame.QueryResponse>>> failed = List.copyOf(mPending.values());
         mPending.clear();
         failed.forEach(c -> c.accept(Optional.empty()));
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -20,6 +20,7 @@
 import org.foxtailplank.node.NodeSettings;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.schedule.ScheduleLimits;
 
 /**
@@ -70,7 +71,8 @@
                         new ScheduleLimits(RUN_MS, RUN_MS, RUN_MS),
                         true,
                         LinkRate.UNKNOWN,
-                        RUN_MS);
+                        RUN_MS,
+                        KeyLifetime.UNLIMITED);
         Node node = new Node(settings, loop, clock, timers, log);
         node.listen();
         loop.execute(node::start);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeFeed.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeFeed.java
@@ -38,7 +38,7 @@
 
     private Page<T> page() {
         mNext += mItems.size();
-        Page<T> page = new Page<>(List.copyOf(mItems), mNext);
+        Page<T> page = new Page<>(List.copyOf(mItems), mNext, true);
         mItems.clear();
         return page;
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeJobQueries.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeJobQueries.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JobPhase;
+import org.foxtailplank.job.JobSummary;
 import org.foxtailplank.node.peer.JobQueries;
 
 /** Answers queries at once with values that a test has set. */
@@ -13,8 +14,8 @@
     public final Map<String, Integer> mPending = new HashMap<>();
 
     @Override
-    public void phase(String job, Consumer<Optional<JobPhase>> callback) {
-        callback.accept(Optional.ofNullable(mPhases.get(job)));
+    public void job(String id, Consumer<Optional<JobSummary>> callback) {
+        callback.accept(Optional.ofNullable(mPhases.get(id)).map(p -> new JobSummary(p, "", "")));
     }
 
     @Override
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeTime.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeTime.java
@@ -10,6 +10,7 @@
 
     private final List<Due> mDue = new ArrayList<>();
     private long mNowMs = 1000;
+    private long mWallOffsetMs;
 
     private record Due(long atMs, Runnable action) {}
 
@@ -20,7 +21,7 @@
 
     @Override
     public long wallMs() {
-        return WALL_MS + mNowMs;
+        return WALL_MS + mNowMs + mWallOffsetMs;
     }
 
     @Override
@@ -28,6 +29,11 @@
         mDue.add(new Due(mNowMs + delayMs, action));
     }
 
+    /** Sets the wall clock forward or back; a suspension of the VM sets it forward. */
+    public void stepWallClock(long ms) {
+        mWallOffsetMs += ms;
+    }
+
     /** Advances the clock and runs the actions that become due, in order. */
     public void advance(long ms) {
         long end = mNowMs + ms;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import org.foxtailplank.organisation.KeyLifetime;
 import org.testng.annotations.Test;
 
 public class NodeSettingsReaderTest {
@@ -39,6 +40,15 @@
         assertEquals(NodeSettingsReader.parse(GOOD).link(), LinkRate.UNKNOWN);
     }
 
+    @Test
+    public void theRevocationTimeOfKeysIsOptional() throws SettingsException {
+        String strict =
+                GOOD.replace("\"jobs\":{", "\"callers\":{\"keyRevocationMs\":5000},\"jobs\":{");
+
+        assertEquals(NodeSettingsReader.parse(strict).keyLifetime().maxAgeMs(), 4500);
+        assertEquals(NodeSettingsReader.parse(GOOD).keyLifetime(), KeyLifetime.UNLIMITED);
+    }
+
     @Test
     public void anUnsupportedOrderModeIsRejected() {
         // On a platform where workers fetch their orders, calls to workers would never be answered.
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
@@ -22,6 +22,7 @@
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.node.peer.JobQueries;
 import org.foxtailplank.node.peer.OwnerLink;
+import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.port.ChangeFeed;
 import org.foxtailplank.port.OperatorChange;
 import org.foxtailplank.port.SharedLog;
@@ -39,7 +40,17 @@
             SharedLog log,
             ChangeFeed<OperatorChange> operatorChanges,
             FakeJobQueries ownerQueries) {
-        this(null, clock, clock, log, operatorChanges, Optional.of(ownerQueries));
+        this(clock, log, operatorChanges, ownerQueries, KeyLifetime.UNLIMITED);
+    }
+
+    /** Creates a service that accepts keys only for a limited time without confirmation. */
+    CallerServiceFixture(
+            FakeTime clock,
+            SharedLog log,
+            ChangeFeed<OperatorChange> operatorChanges,
+            FakeJobQueries ownerQueries,
+            KeyLifetime keyLifetime) {
+        this(null, clock, clock, log, operatorChanges, Optional.of(ownerQueries), keyLifetime);
     }
 
     /** Creates a service that can connect to an owner on the loopback interface and query it. */
@@ -49,7 +60,7 @@
             Timers timers,
             SharedLog log,
             ChangeFeed<OperatorChange> operatorChanges) {
-        this(loop, clock, timers, log, operatorChanges, Optional.empty());
+        this(loop, clock, timers, log, operatorChanges, Optional.empty(), KeyLifetime.UNLIMITED);
     }
 
     private CallerServiceFixture(
@@ -58,7 +69,8 @@
             Timers timers,
             SharedLog log,
             ChangeFeed<OperatorChange> operatorChanges,
-            Optional<JobQueries> ownerQueries) {
+            Optional<JobQueries> ownerQueries,
+            KeyLifetime keyLifetime) {
         NodeLog out = NodeLog.silent(clock);
         mOperator = new OperatorFollower(operatorChanges, clock, timers, out);
         mReader =
@@ -89,6 +101,7 @@
                                         PlatformTimeouts.DEFAULTS,
                                         clock::nowMs)
                                 .callerCodec(),
+                        keyLifetime,
                         clock,
                         timers,
                         out,
@@ -108,11 +121,32 @@
         mOperator.refresh(read -> {});
     }
 
+    OperatorFollower operator() {
+        return mOperator;
+    }
+
     /** Sends a request; the returned list receives the reply. */
     List<HttpReply> send(String method, String path, byte[] body, Optional<String> deadlineMs) {
+        return send(
+                method,
+                path,
+                body,
+                name -> name.equals("Deadline-Ms") ? deadlineMs : Optional.empty());
+    }
+
+    /** Sends a request with an API key; the returned list receives the reply. */
+    List<HttpReply> sendWithKey(String method, String path, byte[] body, String key) {
+        return send(
+                method,
+                path,
+                body,
+                name -> name.equals("Key") ? Optional.of(key) : Optional.empty());
+    }
+
+    private List<HttpReply> send(
+            String method, String path, byte[] body, HttpRequest.HeaderLookup headers) {
         List<HttpReply> replies = new ArrayList<>();
-        HttpRequest request = new HttpRequest(method, path, "", "h", name -> deadlineMs, body);
-        mService.handle(request, replies::add);
+        mService.handle(new HttpRequest(method, path, "", "h", headers, body), replies::add);
         return replies;
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -62,10 +62,11 @@
             }
             List<RouteSettings> routes = new ArrayList<>();
             QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
-            mPrefixes.forEach(p -> routes.add(new RouteSettings(p, "h", p, "s", policy)));
+            mPrefixes.forEach(p -> routes.add(new RouteSettings(p, "h", p, "s", policy, false)));
             FleetConfig config = new FleetConfig(mPrefixes.size(), routes, List.of(), 1000);
             OperatorChange change = new OperatorChange.NewConfig(config);
-            callback.accept(new Page<>(List.of(new Item<>("config", Optional.of(change))), 1));
+            callback.accept(
+                    new Page<>(List.of(new Item<>("config", Optional.of(change))), 1, true));
         }
     }
 
@@ -178,7 +179,16 @@
         List<TaskStep> steps = List.of(step);
         JobDefinition definition =
                 new JobDefinition(
-                        JOB, "/q/", "s", "a", steps, Timetable.AT_ONCE, policy, mClock.wallMs(), 0);
+                        JOB,
+                        "/q/",
+                        "s",
+                        "a",
+                        steps,
+                        Timetable.AT_ONCE,
+                        policy,
+                        mClock.wallMs(),
+                        0,
+                        "");
         mLog.records(JournalPartitions.PRIMARY)
                 .add(JournalCodec.encode(new JobAccepted(definition)));
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/LaggingNodeTest.java
@@ -47,7 +47,7 @@
         mOwnerQueries = new FakeJobQueries();
         mLink = new BandwidthLimitedLog(mLog, mClock, LINK_BYTES_PER_S);
         QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
-        RouteSettings queue = new RouteSettings("/q/", "h", "/q/", "s", policy);
+        RouteSettings queue = new RouteSettings("/q/", "h", "/q/", "s", policy, false);
         FakeFeed<OperatorChange> operatorChanges = new FakeFeed<>();
         FleetConfig config = new FleetConfig(1, List.of(queue), List.of(), 1000);
         operatorChanges.put("config", new OperatorChange.NewConfig(config));
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/StaleConfigurationTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/StaleConfigurationTest.java
@@ -73,7 +73,7 @@
         QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
         List<RouteSettings> routes = new ArrayList<>();
         for (String p : prefixes) {
-            routes.add(new RouteSettings(p, "h", p, "s", policy));
+            routes.add(new RouteSettings(p, "h", p, "s", policy, false));
         }
         FleetConfig config = new FleetConfig(version, routes, List.of(), 1000);
         mCurrentFeed.mFeed.put("config", new OperatorChange.NewConfig(config));
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/StalePendingCountTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/StalePendingCountTest.java
@@ -64,7 +64,7 @@
         Timers timers = (ms, action) -> mLoop.schedule(action, ms, TimeUnit.MILLISECONDS);
         mLog = new FakeSharedLog();
         FakeFeed<OperatorChange> operatorChanges = new FakeFeed<>();
-        RouteSettings queue = new RouteSettings(QUEUE, "h", QUEUE, "s", policy());
+        RouteSettings queue = new RouteSettings(QUEUE, "h", QUEUE, "s", policy(), false);
         FleetConfig config = new FleetConfig(1, List.of(queue), List.of(), 1000);
         operatorChanges.put("config", new OperatorChange.NewConfig(config));
         mService = new CallerServiceFixture(mLoop, mClock, timers, mLog, operatorChanges);
@@ -144,7 +144,8 @@
                         Timetable.AT_ONCE,
                         policy(),
                         mClock.wallMs(),
-                        0);
+                        0,
+                        "");
         return JournalCodec.encode(new JobAccepted(definition));
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -56,6 +56,10 @@
                     new CrashHistory(4, 170, List.of(56L, 412L, 56L)));
 
     private static JobDefinition definition() {
+        return definition("");
+    }
+
+    private static JobDefinition definition(String organisation) {
         TaskStep step =
                 new TaskStep(
                         2,
@@ -76,13 +80,23 @@
         QueuePolicy policy =
                 new QueuePolicy(1, 3, 1.6, 600, Optional.of(new AdviceTiming(5, 2, 3000)));
         return new JobDefinition(
-                "aa", "q", "s", "text", steps, new Timetable(7, 8, 9), policy, 99, 12);
+                "aa",
+                "q",
+                "s",
+                "text",
+                steps,
+                new Timetable(7, 8, 9),
+                policy,
+                99,
+                12,
+                organisation);
     }
 
     @DataProvider
     public Object[][] records() {
         return new Object[][] {
             {new JobAccepted(definition())},
+            {new JobAccepted(definition("org"))},
             {new JobSnapshot(definition(), List.of(START), List.of(END), 77, 0)},
             {new JobSnapshot(definition(), List.of(SUSPECT), List.of(END), 0, 88)},
             {new JobCancelled("aa", 5)},
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
@@ -84,7 +84,8 @@
 
     private static JobDefinition definition(Timetable timetable, TaskStep... steps) {
         QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
-        return new JobDefinition(JOB, "q", "s", "text", List.of(steps), timetable, policy, 99, 12);
+        return new JobDefinition(
+                JOB, "q", "s", "text", List.of(steps), timetable, policy, 99, 12, "");
     }
 
     private static TaskStep step(int tasks, Integer... dependsOn) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingFleet.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingFleet.java
@@ -76,13 +76,13 @@
         return new ChangeFeed<>() {
             @Override
             public void latest(Consumer<Result<WorkerInfo>> callback) {
-                callback.accept(new Page<>(List.copyOf(mEntries), mEntries.size()));
+                callback.accept(new Page<>(List.copyOf(mEntries), mEntries.size(), true));
             }
 
             @Override
             public void changes(long position, long waitMs, Consumer<Result<WorkerInfo>> callback) {
                 List<Item<WorkerInfo>> news = mEntries.subList((int) position, mEntries.size());
-                callback.accept(new Page<>(List.copyOf(news), mEntries.size()));
+                callback.accept(new Page<>(List.copyOf(news), mEntries.size(), true));
             }
         };
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingTaskTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingTaskTest.java
@@ -114,7 +114,8 @@
                         Timetable.AT_ONCE,
                         policy,
                         mTime.wallMs(),
-                        0);
+                        0,
+                        "");
         mOwner.storeHandedOver(JournalCodec.encode(new JobAccepted(definition)), outcome -> {});
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
@@ -50,12 +50,12 @@
 
     @Override
     public void latest(Consumer<Result<WorkerInfo>> callback) {
-        callback.accept(new Page<>(List.copyOf(mItems), mItems.size()));
+        callback.accept(new Page<>(List.copyOf(mItems), mItems.size(), true));
     }
 
     @Override
     public void changes(long position, long waitMs, Consumer<Result<WorkerInfo>> callback) {
         List<Item<WorkerInfo>> news = mItems.subList((int) position, mItems.size());
-        callback.accept(new Page<>(List.copyOf(news), mItems.size()));
+        callback.accept(new Page<>(List.copyOf(news), mItems.size(), true));
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -17,6 +17,7 @@
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.node.peer.StartRelay;
+import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.schedule.ScheduleLimits;
 
@@ -76,7 +77,8 @@
                         limits,
                         vmTokensChecked,
                         link,
-                        1);
+                        1,
+                        KeyLifetime.UNLIMITED);
         NodeLog out = NodeLog.silent(time);
         JournalReader reader =
                 new JournalReader(
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/LateAnswerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/LateAnswerTest.java
@@ -182,7 +182,8 @@
                         Timetable.AT_ONCE,
                         new QueuePolicy(0, 2, 1.6, 600, Optional.empty()),
                         1,
-                        0);
+                        0,
+                        "");
         return JournalCodec.encode(new JobAccepted(definition));
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/NarrowOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/NarrowOwnerTest.java
@@ -113,7 +113,8 @@
                         Timetable.AT_ONCE,
                         new QueuePolicy(0, 2, 1.6, 600, Optional.empty()),
                         1,
-                        0);
+                        0,
+                        "");
         return JournalCodec.encode(new JobAccepted(definition));
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
@@ -133,7 +133,8 @@
                         Timetable.AT_ONCE,
                         policy,
                         1,
-                        0);
+                        0,
+                        "");
         return JournalCodec.encode(new JobAccepted(definition));
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/UnansweredVmCallTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/UnansweredVmCallTest.java
@@ -173,7 +173,8 @@
                                 Timetable.AT_ONCE,
                                 policy,
                                 1,
-                                0)));
+                                0,
+                                "")));
     }
 
     private void pass(long ms) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobRegistry;
+import org.foxtailplank.job.JobSummary;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.FakeJobQueries;
 import org.foxtailplank.node.FakeSharedLog;
@@ -295,20 +296,20 @@
         await(OwnerState.STREAMING);
 
         assertEquals(
-                query((Consumer<Optional<JobPhase>> callback) -> mLink.phase("known", callback)),
-                Optional.of(JobPhase.RUNNING));
+                query((Consumer<Optional<JobSummary>> callback) -> mLink.job("known", callback)),
+                Optional.of(new JobSummary(JobPhase.RUNNING, "", "")));
         assertEquals(
                 query((Consumer<Optional<Integer>> callback) -> mLink.pending("known", callback)),
                 Optional.of(0));
         assertEquals(
-                query((Consumer<Optional<JobPhase>> callback) -> mLink.phase("unknown", callback)),
+                query((Consumer<Optional<JobSummary>> callback) -> mLink.job("unknown", callback)),
                 Optional.empty());
     }
 
     @Test(timeOut = 60_000)
     public void aQueryWithoutAnOwnerHasNoResult() throws Exception {
         assertEquals(
-                query((Consumer<Optional<JobPhase>> callback) -> mLink.phase("known", callback)),
+                query((Consumer<Optional<JobSummary>> callback) -> mLink.job("known", callback)),
                 Optional.empty());
     }
 
@@ -317,10 +318,10 @@
         // Otherwise a caller would wait for a response that never arrives.
         JournalStream stream = followOwner();
         await(OwnerState.STREAMING);
-        CompletableFuture<Optional<JobPhase>> result = new CompletableFuture<>();
+        CompletableFuture<Optional<JobSummary>> result = new CompletableFuture<>();
         onLoop(
                 () -> {
-                    mLink.phase("known", result::complete);
+                    mLink.job("known", result::complete);
                     stream.ownershipLost();
                     mLink.setOwner(Optional.empty());
                     return null;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/StartRelayTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/StartRelayTest.java
@@ -177,7 +177,8 @@
                         Timetable.AT_ONCE,
                         policy,
                         1,
-                        0);
+                        0,
+                        "");
         mLoop.submit(() -> mRegistry.apply(new JobAccepted(definition))).get();
     }
 
