Keep the tasks of each organisation within its cap

An organisation has a cap on the cores, memory and accelerators that its tasks hold, over all services; nothing enforced it. Runs count from the decision to start them until they have certainly ended, so that starts without an answer, stops in progress and runs of earlier owners are included. A task over the cap waits and holds up no task of another organisation; a cap that is reduced ends nothing. The demand for VMs counts no more than the cap lets run.

--- a/foxtail-core/src/main/java/org/foxtailplank/fleet/Resources.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/fleet/Resources.java
@@ -39,6 +39,10 @@
                 accelerators - other.accelerators);
     }
 
+    public Resources times(int factor) {
+        return new Resources(milliProcessors * factor, memoryBytes * factor, accelerators * factor);
+    }
+
     /** Returns whether this amount is within the other one. */
     public boolean fitsIn(Resources room) {
         return milliProcessors <= room.milliProcessors && fitsButProcessors(room);
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OrganisationCaps.java
@@ -0,0 +1,53 @@
+package org.foxtailplank.schedule;
+
+import java.util.Optional;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.organisation.Organisation;
+import org.foxtailplank.organisation.Organisations;
+import org.foxtailplank.organisation.ResourceCap;
+
+/**
+ * Caps on what the tasks of each organisation may hold at a time.
+ *
+ * <p>A task that would exceed its organisation's cap isn't started and waits without holding up
+ * those of others. If a cap is reduced below what runs, nothing is stopped.
+ */
+final class OrganisationCaps {
+    private final Organisations mOrganisations;
+    private final OrganisationUsage mUsage;
+
+    OrganisationCaps(Organisations organisations, OrganisationUsage usage) {
+        mOrganisations = organisations;
+        mUsage = usage;
+    }
+
+    /** Whether a number of a step's tasks may start in addition to what runs. */
+    boolean admits(ActiveStep step, int tasks) {
+        String organisation = step.job().definition().organisation();
+        if (organisation.equals(Organisation.NONE)) {
+            return true;
+        }
+        Resources used = mUsage.used(organisation);
+        return cap(organisation).admits(used.plus(step.spec().demand().times(tasks)));
+    }
+
+    private ResourceCap cap(String organisation) {
+        return mOrganisations
+                .byName(organisation)
+                .map(Organisation::cap)
+                .orElse(ResourceCap.UNLIMITED);
+    }
+
+    /**
+     * Thousandths of a core that an organisation may use on a service beside what it uses on the
+     * others; empty without a limit.
+     */
+    Optional<Long> milliCoresFor(String organisation, String service) {
+        long limit = cap(organisation).limits().milliProcessors();
+        if (limit == 0) {
+            return Optional.empty();
+        }
+        long others = mUsage.usedExcept(organisation, service).milliProcessors();
+        return Optional.of(Math.max(0, limit - others));
+    }
+}
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -129,9 +129,10 @@
                 standby.add(vm);
             }
         }
+        OrganisationCaps caps = mScheduler.caps(config);
         for (Pool p : pools.values()) {
-            p.mMissingMilliCores += forecastMilliCores(p.mName, nowMs, nowWallMs);
-            p.mLateMilliCores = mDemand.lateMilliCores(p.mName, nowWallMs);
+            p.mMissingMilliCores += forecastMilliCores(p.mName, caps, nowMs, nowWallMs);
+            p.mLateMilliCores = mDemand.lateMilliCores(p.mName, caps, nowWallMs);
             p.mVmsForStanding =
                     mDemand.vmsForStanding(p.mName, criticalMoves, p.mVmMilliCores, nowMs);
         }
@@ -190,9 +191,10 @@
     }
 
     /** Capacity that a service needs for its jobs and for those expected before a VM could join. */
-    private double forecastMilliCores(String service, long nowMs, long nowWallMs) {
+    private double forecastMilliCores(
+            String service, OrganisationCaps caps, long nowMs, long nowWallMs) {
         double arriving = mScheduler.arrivals().growthPerMs(service, nowMs) * JOIN_MS;
-        return HEADROOM * (mDemand.onTimeMilliCores(service, nowWallMs) + arriving);
+        return HEADROOM * (mDemand.onTimeMilliCores(service, caps, nowWallMs) + arriving);
     }
 
     private void assignVms(Map<String, Pool> pools, List<ManagedVm> standby, long nowMs) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
@@ -1,6 +1,8 @@
 package org.foxtailplank.schedule;
 
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 
 /** Computes what the jobs of a service require of its pool. */
@@ -18,17 +20,19 @@
     }
 
     /** Capacity for jobs that can still meet their objectives, in thousandths of a core. */
-    double onTimeMilliCores(String service, long nowWallMs) {
-        return sum(service, r -> !CoreDemand.isLate(r, nowWallMs), nowWallMs);
+    double onTimeMilliCores(String service, OrganisationCaps caps, long nowWallMs) {
+        return sum(service, r -> !CoreDemand.isLate(r, nowWallMs), caps, nowWallMs);
     }
 
     /** Capacity for late jobs, in thousandths of a core. */
-    double lateMilliCores(String service, long nowWallMs) {
-        return sum(service, r -> CoreDemand.isLate(r, nowWallMs), nowWallMs);
+    double lateMilliCores(String service, OrganisationCaps caps, long nowWallMs) {
+        return sum(service, r -> CoreDemand.isLate(r, nowWallMs), caps, nowWallMs);
     }
 
-    private double sum(String service, Predicate<ActiveRun> filter, long nowWallMs) {
-        double sum = 0;
+    /** Sums up the demand of the organisations, each of which its cap limits. */
+    private double sum(
+            String service, Predicate<ActiveRun> filter, OrganisationCaps caps, long nowWallMs) {
+        Map<String, Double> demands = new HashMap<>();
         for (ActiveJob job : mScheduler.runs().jobs()) {
             boolean matches =
                     !job.definition().isStanding() && job.definition().service().equals(service);
@@ -38,10 +42,16 @@
             for (ActiveRun run : job.runs()) {
                 boolean due = run.dueWallMs() <= nowWallMs;
                 if (due && !run.isDone() && filter.test(run)) {
-                    sum += CoreDemand.of(run, nowWallMs);
+                    double demand = CoreDemand.of(run, nowWallMs);
+                    demands.merge(job.definition().organisation(), demand, Double::sum);
                 }
             }
         }
+        double sum = 0;
+        for (Map.Entry<String, Double> e : demands.entrySet()) {
+            Optional<Long> limit = caps.milliCoresFor(e.getKey(), service);
+            sum += limit.isPresent() ? Math.min(e.getValue(), limit.get()) : e.getValue();
+        }
         return sum;
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -24,6 +24,7 @@
 
     private final RunTimeRatios mRunTimeRatios = new RunTimeRatios();
     private final Map<String, ActiveJob> mJobs = new LinkedHashMap<>();
+    private final OrganisationUsage mUsage = new OrganisationUsage();
     private final Map<TaskName, Set<Integer>> mFailures = new HashMap<>();
     private final List<String> mStartedJobs = new ArrayList<>();
 
@@ -92,13 +93,20 @@
     void addRun(TaskRun run) {
         run.task().runs().add(run);
         run.worker().add(run);
+        mUsage.add(run);
     }
 
     void removeRun(TaskRun run) {
-        run.task().runs().remove(run);
+        if (run.task().runs().remove(run)) {
+            mUsage.remove(run);
+        }
         run.worker().remove(run);
     }
 
+    OrganisationUsage usage() {
+        return mUsage;
+    }
+
     /** Stops all runs of a job and prevents further starts. */
     void endJob(ActiveJob job, String reason, long nowMs) {
         job.markEnding();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -427,15 +427,20 @@
         out.paces().addAll(mPaceChanges);
         mPaceChanges.clear();
         DueCommands.collect(mWorkers.all(), mRuns, out, nowMs);
+        OrganisationCaps caps = caps(config);
         config.services().forEach(s -> mCrashes.observe(s.name(), workersOf(s.name()), nowMs));
         for (Map.Entry<String, List<ActiveRun>> e : dueRunsByService(nowWallMs).entrySet()) {
             List<ActiveRun> sorted =
                     UrgencyOrder.sort(e.getValue(), batchCores(e.getKey(), nowMs), nowWallMs);
-            mPlacer.place(sorted, workersOf(e.getKey()), out, nowMs);
+            mPlacer.place(sorted, workersOf(e.getKey()), caps, out, nowMs);
         }
         return out;
     }
 
+    OrganisationCaps caps(FleetConfig config) {
+        return new OrganisationCaps(config.organisations(), mRuns.usage());
+    }
+
     /** Capacity that a service's workers have for batch tasks, in thousandths of a core. */
     private long batchCores(String service, long nowMs) {
         long sum = 0;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
@@ -13,22 +13,33 @@
     }
 
     /** Plans starts of the tasks whose dependencies are done, in the order of the given runs. */
-    void place(List<ActiveRun> runs, List<WorkerState> workers, Decisions out, long nowMs) {
+    void place(
+            List<ActiveRun> runs,
+            List<WorkerState> workers,
+            OrganisationCaps caps,
+            Decisions out,
+            long nowMs) {
         for (ActiveRun run : runs) {
             for (ActiveStep step : run.steps()) {
                 if (step.remainingTasks() > 0 && run.areDependenciesDone(step)) {
-                    placeStep(step, workers, out, nowMs);
+                    placeStep(step, workers, caps, out, nowMs);
                 }
             }
         }
     }
 
-    private void placeStep(ActiveStep step, List<WorkerState> workers, Decisions out, long nowMs) {
+    private void placeStep(
+            ActiveStep step,
+            List<WorkerState> workers,
+            OrganisationCaps caps,
+            Decisions out,
+            long nowMs) {
         if (step.job().definition().policy().advice().isPresent()) {
             AdviceRequests.request(step, workers, out, nowMs);
         }
         if (step.spec().placement().gang()) {
-            if (step.tasks().get(0).isBackingOff(nowMs)) {
+            boolean admitted = caps.admits(step, step.tasks().size());
+            if (step.tasks().get(0).isBackingOff(nowMs) || !admitted) {
                 return;
             }
             startGang(step, GangPlacement.place(step, workers, nowMs), out, nowMs);
@@ -38,6 +49,9 @@
             if (!task.isWaiting() || task.isBackingOff(nowMs)) {
                 continue;
             }
+            if (!caps.admits(step, 1)) {
+                return;
+            }
             Optional<WorkerState> worker = WorkerChooser.choose(task, workers, nowMs);
             if (worker.isEmpty() && task.crashes().needsIsolation()) {
                 continue;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -22,6 +22,9 @@
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
 import org.foxtailplank.job.WorkerIncarnation;
+import org.foxtailplank.organisation.Organisation;
+import org.foxtailplank.organisation.Organisations;
+import org.foxtailplank.organisation.ResourceCap;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.ServiceConfig;
@@ -36,7 +39,7 @@
 
     final JobRegistry mRegistry;
     final Scheduler mScheduler = new Scheduler(LIMITS);
-    final FleetConfig mConfig =
+    FleetConfig mConfig =
             new FleetConfig(
                     1,
                     List.of(),
@@ -56,6 +59,27 @@
         mRegistry = registry;
     }
 
+    /** Replaces the organisations of the configuration. */
+    void setOrganisations(Organisation... organisations) {
+        try {
+            mConfig =
+                    new FleetConfig(
+                            mConfig.version() + 1,
+                            mConfig.routes(),
+                            mConfig.services(),
+                            mConfig.maxBodyBytes(),
+                            Organisations.of(List.of(organisations)));
+        } catch (Organisations.DuplicateException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    /** An organisation that may use this many cores at a time; 0 for no limit. */
+    static Organisation organisation(String name, double weight, int cores) {
+        ResourceCap cap = new ResourceCap(Resources.of(cores, 0, 0));
+        return new Organisation(name, Set.of("key-" + name), weight, cap);
+    }
+
     static WorkerInfo info(String id, String service, int cores) {
         Resources room = Resources.of(cores, 1L << 40, 0);
         return new WorkerInfo(
@@ -98,6 +122,11 @@
     }
 
     static JobDefinition definition(String id, String service, int priority, TaskStep... steps) {
+        return definition(id, service, priority, Organisation.NONE, steps);
+    }
+
+    static JobDefinition definition(
+            String id, String service, int priority, String organisation, TaskStep... steps) {
         QueuePolicy policy = new QueuePolicy(priority, 2, 1.6, 600, Optional.empty());
         return new JobDefinition(
                 id,
@@ -109,7 +138,7 @@
                 policy,
                 WALL_MS,
                 0,
-                "");
+                organisation);
     }
 
     JobProgress accept(JobDefinition definition) {
