Order jobs beyond an organisation's rate after all others

One organisation that sends several times its usual number of jobs took the capacity of all others, as jobs were ordered without regard to whose they are. Jobs that find it empty come after all others, are not part of the set that is to be in time, preempt nothing and get only VMs that no other pool needs.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
@@ -11,11 +11,13 @@
 public final class ActiveJob {
     private final JobProgress mProgress;
     private final List<ActiveRun> mRuns = new ArrayList<>();
+    private final boolean mEntitled;
     private boolean mEnding;
     private boolean mStarted;
 
-    ActiveJob(JobProgress progress) {
+    ActiveJob(JobProgress progress, boolean entitled) {
         mProgress = progress;
+        mEntitled = entitled;
         for (int r = 0; r < progress.definition().timetable().runs(); r++) {
             mRuns.add(new ActiveRun(this, r));
         }
@@ -45,6 +47,11 @@
         return Optional.of(step.tasks().get(name.index()));
     }
 
+    /** Whether the job is within the rate that its organisation is entitled to. */
+    boolean isEntitled() {
+        return mEntitled;
+    }
+
     /** Marks the job as started; returns whether the journal doesn't say so yet. */
     boolean markStarted() {
         boolean isNew = !mStarted && !mProgress.hasStarted();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
@@ -21,12 +21,16 @@
 
     /** Capacity for jobs that can still meet their objectives, in thousandths of a core. */
     double onTimeMilliCores(String service, OrganisationCaps caps, long nowWallMs) {
-        return sum(service, r -> !CoreDemand.isLate(r, nowWallMs), caps, nowWallMs);
+        return sum(service, r -> isOnTime(r, nowWallMs), caps, nowWallMs);
     }
 
-    /** Capacity for late jobs, in thousandths of a core. */
+    /** Capacity for late jobs and those beyond entitlements, in thousandths of a core. */
     double lateMilliCores(String service, OrganisationCaps caps, long nowWallMs) {
-        return sum(service, r -> CoreDemand.isLate(r, nowWallMs), caps, nowWallMs);
+        return sum(service, r -> !isOnTime(r, nowWallMs), caps, nowWallMs);
+    }
+
+    private static boolean isOnTime(ActiveRun run, long nowWallMs) {
+        return run.job().isEntitled() && !CoreDemand.isLate(run, nowWallMs);
     }
 
     /** Sums up the demand of the organisations, each of which its cap limits. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -36,12 +36,16 @@
         return mJobs.values();
     }
 
-    /** Adds a job unless it is known or final; returns whether it was added. */
-    boolean add(JobProgress progress) {
+    /**
+     * Adds a job unless it is known or final; returns whether it was added.
+     *
+     * @param entitled whether it is within the rate that its organisation is entitled to
+     */
+    boolean add(JobProgress progress, boolean entitled) {
         boolean isNew =
                 !progress.phase().isFinal() && !mJobs.containsKey(progress.definition().id());
         if (isNew) {
-            mJobs.put(progress.definition().id(), new ActiveJob(progress));
+            mJobs.put(progress.definition().id(), new ActiveJob(progress, entitled));
         }
         return isNew;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -16,6 +16,7 @@
 import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.WorkerIncarnation;
+import org.foxtailplank.organisation.Organisations;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.PlacementAdvisor.Advice;
@@ -42,6 +43,7 @@
     private final WorkerTable mWorkers = new WorkerTable();
     private final List<Decisions.Pace> mPaceChanges = new ArrayList<>();
     private final ArrivalRate mArrivals = new ArrivalRate();
+    private final JobEntitlements mEntitlements = new JobEntitlements();
     private long mOthersRenewedUntilMs = Long.MIN_VALUE / 2;
 
     /**
@@ -137,11 +139,18 @@
         return mLimits;
     }
 
+    /** Sets the organisations by whose weights jobs are added from now on. */
+    public void setOrganisations(Organisations organisations) {
+        mEntitlements.setOrganisations(organisations);
+    }
+
     /** Adds an accepted job, unless it is known or final. */
     public void addJob(JobProgress progress, long nowMs) {
         JobDefinition definition = progress.definition();
-        boolean isNew = mRuns.add(progress);
-        if (isNew && !definition.isStanding() && !definition.timetable().isTimed()) {
+        boolean entitled = mEntitlements.take(definition);
+        boolean isNew = mRuns.add(progress, entitled);
+        boolean isBatch = !definition.isStanding() && !definition.timetable().isTimed();
+        if (isNew && isBatch && entitled) {
             mArrivals.recordArrival(definition.service(), CoreDemand.of(definition), nowMs);
         }
     }
@@ -157,7 +166,7 @@
      */
     public void addInheritedJob(
             JobProgress progress, Predicate<WorkerIncarnation> isOver, long nowMs) {
-        if (!mRuns.add(progress)) {
+        if (!mRuns.add(progress, mEntitlements.take(progress.definition()))) {
             return;
         }
         Set<ActiveTask> crashed = new LinkedHashSet<>();
@@ -424,6 +433,7 @@
     public Decisions decide(FleetConfig config, long nowMs, long nowWallMs) {
         Decisions out = new Decisions();
         mRuns.removeEndedJobs();
+        mEntitlements.setOrganisations(config.organisations());
         out.paces().addAll(mPaceChanges);
         mPaceChanges.clear();
         DueCommands.collect(mWorkers.all(), mRuns, out, nowMs);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
@@ -57,7 +57,9 @@
                 continue;
             }
             if (worker.isEmpty()) {
-                preempt(task, workers, nowMs);
+                if (step.job().isEntitled()) {
+                    preempt(task, workers, nowMs);
+                }
                 step.tasks().stream()
                         .filter(ActiveTask::isWaiting)
                         .forEach(s -> s.recordNoRoom(nowMs));
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
@@ -20,10 +20,14 @@
  * number of objectives met on a single machine of the pool's size, while plain earliest-deadline
  * order makes all jobs of an overloaded queue slightly late. Deferred jobs follow, the shortest
  * first, and then late jobs, which have little value left.
+ *
+ * <p>Jobs beyond the rate that their organisation is entitled to come after all others, the
+ * shortest first, so that they delay no other organisation.
  */
 final class UrgencyOrder {
     private static final Comparator<Ranked> ORDER =
-            Comparator.comparingInt((Ranked r) -> r.priority())
+            Comparator.comparing((Ranked r) -> r.group() == Group.EXCESS)
+                    .thenComparingInt(Ranked::priority)
                     .thenComparing(Ranked::group)
                     .thenComparingLong(Ranked::key)
                     .thenComparing(r -> r.run().job().id());
@@ -34,7 +38,8 @@
         STANDING,
         IN_TIME,
         DEFERRED,
-        LATE
+        LATE,
+        EXCESS
     }
 
     private record Ranked(ActiveRun run, int priority, Group group, long key) {}
@@ -62,6 +67,9 @@
         if (job.definition().isStanding()) {
             return new Ranked(run, priority, Group.STANDING, job.definition().acceptedMs());
         }
+        if (!job.isEntitled()) {
+            return new Ranked(run, priority, Group.EXCESS, run.remainingWork());
+        }
         long slack = slackMs(run, nowWallMs);
         if (inTime.contains(run)) {
             return new Ranked(run, priority, Group.IN_TIME, slack);
@@ -75,7 +83,8 @@
         List<ActiveRun> candidates = new ArrayList<>();
         Map<ActiveRun, Long> workByRun = new HashMap<>();
         for (ActiveRun r : runs) {
-            if (!r.job().definition().isStanding() && slackMs(r, nowWallMs) >= 0) {
+            boolean candidate = r.job().isEntitled() && !r.job().definition().isStanding();
+            if (candidate && slackMs(r, nowWallMs) >= 0) {
                 candidates.add(r);
                 workByRun.put(r, r.remainingWork());
             }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -1,17 +1,18 @@
 package org.foxtailplank.schedule;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.QueuePolicy;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
+import org.foxtailplank.organisation.Organisation;
 import org.foxtailplank.port.VmClient.VmInfo;
 import org.foxtailplank.port.VmClient.VmOutcome;
 import org.foxtailplank.port.VmClient.VmPhase;
@@ -30,29 +31,51 @@
     /** Time from then until the worker may be given tasks, in milliseconds. */
     private static final long JOIN_MS = 300;
 
-    private static final int CORES = 32;
+    /** Factor on the run time of a task outside the rack of its data. */
+    private static final int REMOTE_FACTOR = 3;
+
+    /** Jobs that end within this many times their objective are late and still of some use. */
+    private static final int LATE_FACTOR = 3;
+
+    private static final double MS_PER_S = 1000;
 
     final OwnerHarness mOwner = new OwnerHarness();
     final VmPlanner mPlanner = new VmPlanner(mOwner.mScheduler);
 
+    private final VmSize mSize;
     private final List<Vm> mVms = new ArrayList<>();
-    private final Map<String, JobDefinition> mJobs = new LinkedHashMap<>();
-    private final Map<String, Double> mSlowdowns = new HashMap<>();
-    private final Map<String, Long> mDoneMs = new HashMap<>();
+    private final Map<String, Job> mJobs = new LinkedHashMap<>();
     private final long mStartMs = mOwner.mNowMs;
     private long mClockMs = mStartMs;
     private long mLastSequence;
+    private long mPoolVmMs;
+    private int mMoves;
+
+    /**
+     * Size of all VMs.
+     *
+     * @param vmsPerRack VMs that share a rack
+     */
+    record VmSize(Resources capacity, int vmsPerRack) {
+        static final VmSize CORES_32 = new VmSize(Resources.of(32, 1L << 40, 0), 1 << 20);
+
+        String rack(int vm) {
+            return "r" + vm / vmsPerRack;
+        }
+    }
 
     /** A simulated VM. */
     private static final class Vm {
         final String mId;
+        final String mRack;
         String mPool;
         int mIncarnation;
         long mUpMs;
         boolean mJoined;
 
-        Vm(String id, String pool) {
+        Vm(String id, String rack, String pool) {
             mId = id;
+            mRack = rack;
             mPool = pool;
         }
 
@@ -61,10 +84,45 @@
         }
     }
 
+    /** A simulated job, with the factor of its tasks' run times on their estimates. */
+    private static final class Job {
+        final JobDefinition mDefinition;
+        final double mSlowdown;
+        long mDoneMs = Long.MAX_VALUE;
+
+        Job(JobDefinition definition, double slowdown) {
+            mDefinition = definition;
+            mSlowdown = slowdown;
+        }
+
+        /** Time from its arrival that its objective allows, by the true length of its steps. */
+        double objectiveMs() {
+            QueuePolicy policy = mDefinition.policy();
+            return policy.stretch() * mDefinition.criticalPathMs() * Math.max(1, mSlowdown)
+                    + policy.sloMs();
+        }
+
+        double elapsedMs() {
+            return (double) mDoneMs - mDefinition.acceptedMs();
+        }
+
+        double work() {
+            return mDefinition.estimatedWork() * mSlowdown;
+        }
+    }
+
+    FleetSimulation() {
+        this(VmSize.CORES_32);
+    }
+
+    FleetSimulation(VmSize size) {
+        mSize = size;
+    }
+
     /** Adds VMs to a pool. */
     void addVms(String pool, int count) {
         for (int i = 0; i < count; i++) {
-            Vm vm = new Vm("vm" + mVms.size(), pool);
+            Vm vm = new Vm("vm" + mVms.size(), mSize.rack(mVms.size()), pool);
             mVms.add(vm);
             join(vm);
         }
@@ -73,7 +131,7 @@
     private void join(Vm vm) {
         vm.mJoined = true;
         if (!mOwner.mConfig.isStandby(vm.mPool)) {
-            mOwner.addWorker(vm.worker(), vm.mPool, CORES);
+            mOwner.addWorker(vm.worker(), vm.mPool, mSize.capacity(), vm.mRack);
         }
     }
 
@@ -84,6 +142,10 @@
 
     /** Adds a job whose tasks take a multiple of their estimated time. */
     void addJob(String service, double slowdown, TaskStep... steps) {
+        addJob(service, slowdown, Organisation.NONE, steps);
+    }
+
+    void addJob(String service, double slowdown, String organisation, TaskStep... steps) {
         QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
         String id = "job" + mJobs.size();
         JobDefinition definition =
@@ -97,9 +159,8 @@
                         policy,
                         wallMs(),
                         0,
-                        "");
-        mJobs.put(id, definition);
-        mSlowdowns.put(id, slowdown);
+                        organisation);
+        mJobs.put(id, new Job(definition, slowdown));
         mOwner.accept(definition);
     }
 
@@ -120,8 +181,9 @@
             if (!vm.mJoined && mClockMs >= vm.mUpMs + JOIN_MS) {
                 join(vm);
             }
+            mPoolVmMs += mOwner.mConfig.isStandby(vm.mPool) ? 0 : STEP_MS;
         }
-        endTasks();
+        updateRuns();
         mOwner.placeTasks();
         moveVms();
     }
@@ -133,28 +195,44 @@
         }
     }
 
-    private void endTasks() {
+    private void updateRuns() {
         for (WorkerState worker : List.copyOf(mOwner.mScheduler.workers())) {
+            boolean starting = false;
             for (TaskRun run : List.copyOf(worker.runs())) {
-                double durationMs =
-                        run.task().spec().estimateMs() * mSlowdowns.get(run.task().name().job());
-                if (run.phase() == RunPhase.STOPPING) {
-                    mLastSequence++;
-                    mOwner.endRun(run, RunOutcome.STOPPED, mLastSequence);
-                    continue;
-                }
-                if (run.phase() == RunPhase.RUNNING && mClockMs - run.startedMs() >= durationMs) {
-                    mLastSequence++;
-                    mOwner.endRun(run, RunOutcome.DONE, mLastSequence);
-                    noteDone(run.task().step().job());
-                }
+                starting |= run.task().spec().mode().standing() && !run.isReady();
+                endIfDue(run);
+            }
+            if (starting) {
+                mOwner.poll(worker);
             }
         }
     }
 
+    private void endIfDue(TaskRun run) {
+        if (run.phase() == RunPhase.STOPPING) {
+            mLastSequence++;
+            mOwner.endRun(run, RunOutcome.STOPPED, mLastSequence);
+            return;
+        }
+        boolean standing = run.task().spec().mode().standing();
+        boolean due = mClockMs - run.startedMs() >= durationMs(run);
+        if (!standing && run.phase() == RunPhase.RUNNING && due) {
+            mLastSequence++;
+            mOwner.endRun(run, RunOutcome.DONE, mLastSequence);
+            noteDone(run.task().step().job());
+        }
+    }
+
+    private double durationMs(TaskRun run) {
+        double slowdown = mJobs.get(run.task().name().job()).mSlowdown;
+        boolean remote = WorkerChooser.isRemote(run.task(), run.worker());
+        return run.task().spec().estimateMs() * slowdown * (remote ? REMOTE_FACTOR : 1);
+    }
+
     private void noteDone(ActiveJob job) {
-        if (job.runs().get(0).isDone()) {
-            mDoneMs.putIfAbsent(job.id(), wallMs());
+        Job simulated = mJobs.get(job.id());
+        if (job.runs().get(0).isDone() && simulated.mDoneMs == Long.MAX_VALUE) {
+            simulated.mDoneMs = wallMs();
         }
     }
 
@@ -169,7 +247,7 @@
                             vm.mPool,
                             up ? VmPhase.UP : VmPhase.MOVING,
                             hasWorker ? vm.worker() : "",
-                            Resources.of(CORES, 1L << 40, 0)));
+                            mSize.capacity()));
         }
         mPlanner.applyList(infos, mClockMs);
         VmPlanner.VmDecisions decisions =
@@ -191,31 +269,74 @@
         vm.mIncarnation++;
         vm.mUpMs = mClockMs + MOVE_MS;
         vm.mJoined = false;
+        mMoves++;
     }
 
     /** Number of jobs that met their objectives. */
     long onTimeJobs() {
-        return mJobs.values().stream().filter(this::isOnTime).count();
+        return onTimeJobs(d -> true);
     }
 
     /** Number of a service's jobs that met their objectives. */
     long onTimeJobs(String service) {
+        return onTimeJobs(d -> d.service().equals(service));
+    }
+
+    /** Number of jobs among those selected that met their objectives. */
+    long onTimeJobs(Predicate<JobDefinition> filter) {
         return mJobs.values().stream()
-                .filter(o -> o.service().equals(service))
-                .filter(this::isOnTime)
+                .filter(j -> filter.test(j.mDefinition))
+                .filter(FleetSimulation::isOnTime)
                 .count();
     }
 
-    private boolean isOnTime(JobDefinition definition) {
+    private static boolean isOnTime(Job job) {
+        JobDefinition definition = job.mDefinition;
         long objective = definition.acceptedMs() + UrgencyOrder.objectiveLengthMs(definition);
-        return mDoneMs.getOrDefault(definition.id(), Long.MAX_VALUE) <= objective;
+        return job.mDoneMs <= objective;
     }
 
     int doneJobs() {
-        return mDoneMs.size();
+        return (int) mJobs.values().stream().filter(j -> j.mDoneMs < Long.MAX_VALUE).count();
     }
 
     int totalJobs() {
         return mJobs.size();
     }
+
+    /** Number of jobs among those selected. */
+    long totalJobs(Predicate<JobDefinition> filter) {
+        return mJobs.values().stream().filter(j -> filter.test(j.mDefinition)).count();
+    }
+
+    /**
+     * Share of the benefit of all batch jobs that was earned. A job's benefit grows with its work,
+     * and a job that is late by up to three times its objective earns a fifteenth of it.
+     */
+    double earnedShare() {
+        double earned = 0;
+        double all = 0;
+        for (Job job : mJobs.values()) {
+            if (job.mDefinition.isStanding()) {
+                continue;
+            }
+            double value = job.work();
+            all += value;
+            if (job.mDoneMs < Long.MAX_VALUE) {
+                double lateness = job.elapsedMs() / job.objectiveMs();
+                earned += lateness <= 1 ? value : lateness <= LATE_FACTOR ? value / 15 : 0;
+            }
+        }
+        return earned / all;
+    }
+
+    /** Time that VMs spent in pools, in seconds. */
+    double poolVmSeconds() {
+        return mPoolVmMs / MS_PER_S;
+    }
+
+    /** Number of moves of VMs. */
+    int moves() {
+        return mMoves;
+    }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -81,22 +81,33 @@
     }
 
     static WorkerInfo info(String id, String service, int cores) {
-        Resources room = Resources.of(cores, 1L << 40, 0);
+        return info(id, service, Resources.of(cores, 1L << 40, 0), "r1");
+    }
+
+    private static WorkerInfo info(String id, String service, Resources capacity, String rack) {
         return new WorkerInfo(
                 WorkerIncarnation.ofUnknownStart(id),
                 service,
                 "10.0.0.1:1",
                 "zone",
-                room,
-                Set.of("a", "r1"),
-                "r1",
+                capacity,
+                Set.of("a", rack),
+                rack,
                 false);
     }
 
     /** Adds a worker that answers polls and has no runs. */
     WorkerState addWorker(String id, String service, int cores) {
-        mScheduler.updateWorker(info(id, service, cores), mNowMs);
-        WorkerState worker = mScheduler.worker(id).get();
+        return addWorker(info(id, service, cores));
+    }
+
+    WorkerState addWorker(String id, String service, Resources capacity, String rack) {
+        return addWorker(info(id, service, capacity, rack));
+    }
+
+    private WorkerState addWorker(WorkerInfo info) {
+        mScheduler.updateWorker(info, mNowMs);
+        WorkerState worker = mScheduler.worker(info.id()).get();
         poll(worker);
         return worker;
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Random;
 import org.foxtailplank.job.JobDefinition;
+import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.testng.annotations.Test;
@@ -89,7 +90,8 @@
                             0,
                             "");
             JobRegistry registry = new JobRegistry(1000);
-            runs.add(new ActiveJob(registry.apply(new JobAccepted(timed)).get()).runs().get(0));
+            JobProgress progress = registry.apply(new JobAccepted(timed)).get();
+            runs.add(new ActiveJob(progress, true).runs().get(0));
         }
         return runs;
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -157,6 +157,7 @@
         if (!mTakeover.renewalsFinished()) {
             mScheduler.renewedByOthersUntil(now + RenewalWindow.TAKEOVER_WAIT_MS);
         }
+        mContext.operator().config().ifPresent(c -> mScheduler.setOrganisations(c.organisations()));
         for (JobProgress job : mContext.reader().registry().jobs()) {
             mScheduler.addInheritedJob(job, w -> hasIncarnationEnded(w, incarnations), now);
         }
