Expect run times as the first runs of a step show them

On the shifted deployment estimates of run times are off by a factor of 1.7 (one standard deviation) for quick jobs and 2.4 for large ones. Objectives, slack, the set of jobs in time and the demand for VMs used the estimates.

ActiveStep.expectedMs projects the run time from the progress of its runs and takes the mean of the completed ones once there are any; the remaining path counts what is left of running tasks.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveRun.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.ToLongFunction;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.TaskName;
@@ -85,8 +86,17 @@
         return false;
     }
 
-    /** Estimated duration of the longest chain of unfinished steps, in milliseconds. */
+    /** Expected duration of the longest chain of steps, in milliseconds. */
+    long criticalPathMs() {
+        return criticalPathMs(ActiveStep::expectedMs);
+    }
+
+    /** Expected time until the longest chain of steps is done, in milliseconds. */
     long remainingCriticalPathMs() {
+        return criticalPathMs(ActiveStep::remainingMs);
+    }
+
+    private long criticalPathMs(ToLongFunction<ActiveStep> lengthMs) {
         long[] ends = new long[mSteps.size()];
         long longest = 0;
         for (int i = 0; i < ends.length; i++) {
@@ -95,17 +105,17 @@
             for (int d : step.spec().dependsOn()) {
                 start = Math.max(start, ends[d]);
             }
-            ends[i] = start + (step.remainingTasks() > 0 ? step.spec().estimateMs() : 0);
+            ends[i] = start + lengthMs.applyAsLong(step);
             longest = Math.max(longest, ends[i]);
         }
         return longest;
     }
 
-    /** Estimated work left, in milliseconds times thousandths of a core. */
+    /** Expected work left, in milliseconds times thousandths of a core. */
     long remainingWork() {
         long sum = 0;
         for (ActiveStep s : mSteps) {
-            sum += s.remainingTasks() * s.spec().estimateMs() * s.spec().demand().milliProcessors();
+            sum += s.remainingTasks() * s.expectedMs() * s.spec().demand().milliProcessors();
         }
         return sum;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
@@ -15,6 +15,7 @@
     private final int mNumber;
     private final TaskStep mSpec;
     private final Map<WorkerIncarnation, Ticket> mTickets = new HashMap<>();
+    private final ObservedRunTime mRunTime = new ObservedRunTime();
     private final Set<WorkerIncarnation> mAskedWorkers = new HashSet<>();
 
     private List<ActiveTask> mTasks = List.of();
@@ -54,6 +55,24 @@
         return mTasks;
     }
 
+    ObservedRunTime runTime() {
+        return mRunTime;
+    }
+
+    /** Expected run time of one task, in milliseconds. */
+    long expectedMs() {
+        return mRunTime.expectedMs(mSpec.estimateMs());
+    }
+
+    /** Expected time until all tasks are done if none has to wait, in milliseconds. */
+    long remainingMs() {
+        double longest = 0;
+        for (ActiveTask task : mTasks) {
+            longest = Math.max(longest, task.remainingShare());
+        }
+        return (long) (longest * expectedMs());
+    }
+
     /** Tasks that are not done. */
     int remainingTasks() {
         return mRemainingTasks;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.foxtailplank.job.CrashHistory;
+import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.WorkerIncarnation;
@@ -127,6 +128,15 @@
         return mFailedWorkers;
     }
 
+    /** Share of the task that its runs have not completed, from 0 to 1. */
+    double remainingShare() {
+        double remaining = mDone ? 0 : 1;
+        for (TaskRun r : mRuns) {
+            remaining = Math.min(remaining, 1 - r.progress() / RunStatus.READY_PERCENT);
+        }
+        return remaining;
+    }
+
     /** Whether the task is not done and has no run. */
     boolean isWaiting() {
         return !mDone && mRuns.isEmpty();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -268,6 +268,9 @@
     private void recordRunTime(TaskRun run, long nowMs) {
         double elapsedMs = nowMs - run.firstSeenMs();
         double ratio = elapsedMs / Math.max(1, run.task().spec().estimateMs());
+        if (run.showsRunTime()) {
+            run.task().step().runTime().recordEnd(elapsedMs);
+        }
         mRunTimeRatios.recordRun(run.task().step().job().definition().service(), ratio);
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -19,6 +19,7 @@
     private final int mAttempt;
     private final long mStartedMs;
     private final CrashHistory mEarlierCrashes;
+    private final boolean mResumed;
 
     private RunPhase mPhase = RunPhase.PLANNED;
     private String mStopReason = "";
@@ -43,6 +44,7 @@
         mAttempt = attempt;
         mStartedMs = nowMs;
         mEarlierCrashes = task.accountable().crashes();
+        mResumed = !task.checkpoint().isEmpty();
         mLastCommandMs = nowMs;
         mProgressChangedMs = nowMs;
     }
@@ -111,6 +113,15 @@
         return isReady() && !mWorker.isUnresponsive() && !mayBeStopping;
     }
 
+    /** Whether the run took its whole time on this worker, at full speed and near its data. */
+    boolean showsRunTime() {
+        return !mInherited
+                && !mResumed
+                && !mTask.spec().mode().standing()
+                && !mTask.spec().mode().opportunistic()
+                && !WorkerChooser.isRemote(mTask, mWorker);
+    }
+
     /** Time of the worker's first confirmation, or else of the start. */
     long firstSeenMs() {
         return mConfirmedMs < 0 ? mStartedMs : mConfirmedMs;
@@ -264,6 +275,9 @@
             mProgress = status.percent();
             mProgressChangedMs = nowMs;
         }
+        if (showsRunTime()) {
+            mTask.step().runTime().recordProgress(nowMs - firstSeenMs(), status.percent());
+        }
         if (isReady() && mReadyMs < 0) {
             mReadyMs = nowMs;
         }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.schedule;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.QueuePolicy;
 import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
 import org.foxtailplank.organisation.Organisation;
@@ -31,6 +33,9 @@
     /** Time from then until the worker may be given tasks, in milliseconds. */
     private static final long JOIN_MS = 300;
 
+    /** Time between two polls of a worker, in milliseconds. */
+    private static final long POLL_INTERVAL_MS = 500;
+
     /** Factor on the run time of a task outside the rack of its data. */
     private static final int REMOTE_FACTOR = 3;
 
@@ -84,22 +89,28 @@
         }
     }
 
-    /** A simulated job, with the factor of its tasks' run times on their estimates. */
+    /** A simulated job, with the factors of the tasks' run times on the estimates of each step. */
     private static final class Job {
         final JobDefinition mDefinition;
-        final double mSlowdown;
+        final double[] mSlowdowns;
         long mDoneMs = Long.MAX_VALUE;
 
-        Job(JobDefinition definition, double slowdown) {
+        Job(JobDefinition definition, double[] slowdowns) {
             mDefinition = definition;
-            mSlowdown = slowdown;
+            mSlowdowns = slowdowns;
+        }
+
+        double runTimeMs(int step) {
+            return mDefinition.steps().get(step).estimateMs() * mSlowdowns[step];
         }
 
-        /** Time from its arrival that its objective allows, by the true length of its steps. */
+        /** Time from its arrival that its objective allows, by the true length of its chain. */
         double objectiveMs() {
-            QueuePolicy policy = mDefinition.policy();
-            return policy.stretch() * mDefinition.criticalPathMs() * Math.max(1, mSlowdown)
-                    + policy.sloMs();
+            double chainMs = 0;
+            for (int s = 0; s < mSlowdowns.length; s++) {
+                chainMs += runTimeMs(s);
+            }
+            return mDefinition.policy().stretch() * chainMs + mDefinition.policy().sloMs();
         }
 
         double elapsedMs() {
@@ -107,7 +118,12 @@
         }
 
         double work() {
-            return mDefinition.estimatedWork() * mSlowdown;
+            double work = 0;
+            for (int s = 0; s < mSlowdowns.length; s++) {
+                TaskStep step = mDefinition.steps().get(s);
+                work += step.tasks() * step.demand().milliProcessors() * runTimeMs(s);
+            }
+            return work;
         }
     }
 
@@ -146,6 +162,13 @@
     }
 
     void addJob(String service, double slowdown, String organisation, TaskStep... steps) {
+        double[] slowdowns = new double[steps.length];
+        Arrays.fill(slowdowns, slowdown);
+        addJob(service, slowdowns, organisation, steps);
+    }
+
+    /** Adds a job whose tasks take a multiple of their estimated time that differs by step. */
+    void addJob(String service, double[] slowdowns, String organisation, TaskStep... steps) {
         QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
         String id = "job" + mJobs.size();
         JobDefinition definition =
@@ -160,7 +183,7 @@
                         wallMs(),
                         0,
                         organisation);
-        mJobs.put(id, new Job(definition, slowdown));
+        mJobs.put(id, new Job(definition, slowdowns));
         mOwner.accept(definition);
     }
 
@@ -196,16 +219,31 @@
     }
 
     private void updateRuns() {
+        int number = 0;
         for (WorkerState worker : List.copyOf(mOwner.mScheduler.workers())) {
-            boolean starting = false;
             for (TaskRun run : List.copyOf(worker.runs())) {
-                starting |= run.task().spec().mode().standing() && !run.isReady();
                 endIfDue(run);
             }
-            if (starting) {
-                mOwner.poll(worker);
+            number++;
+            boolean due = (mClockMs / STEP_MS + number) % (POLL_INTERVAL_MS / STEP_MS) == 0;
+            if (due && !worker.runs().isEmpty()) {
+                poll(worker);
+            }
+        }
+    }
+
+    /** Polls a worker, which lists the progress of its runs. */
+    private void poll(WorkerState worker) {
+        List<RunStatus> running = new ArrayList<>();
+        for (TaskRun run : worker.runs()) {
+            if (run.phase() == RunPhase.RUNNING) {
+                boolean standing = run.task().spec().mode().standing();
+                double share = (mClockMs - run.startedMs()) / durationMs(run);
+                double percent = standing ? RunStatus.READY_PERCENT : Math.min(99, 100 * share);
+                running.add(new RunStatus(run.task().name(), run.attempt(), "", percent, 0));
             }
         }
+        mOwner.pollListing(worker, running, List.of());
     }
 
     private void endIfDue(TaskRun run) {
@@ -224,9 +262,9 @@
     }
 
     private double durationMs(TaskRun run) {
-        double slowdown = mJobs.get(run.task().name().job()).mSlowdown;
+        Job job = mJobs.get(run.task().name().job());
         boolean remote = WorkerChooser.isRemote(run.task(), run.worker());
-        return run.task().spec().estimateMs() * slowdown * (remote ? REMOTE_FACTOR : 1);
+        return job.runTimeMs(run.task().name().step()) * (remote ? REMOTE_FACTOR : 1);
     }
 
     private void noteDone(ActiveJob job) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -59,6 +59,17 @@
         mRegistry = registry;
     }
 
+    /** Replaces the services of the configuration. */
+    void setServices(List<ServiceConfig> services) {
+        mConfig =
+                new FleetConfig(
+                        mConfig.version() + 1,
+                        mConfig.routes(),
+                        services,
+                        mConfig.maxBodyBytes(),
+                        mConfig.organisations());
+    }
+
     /** Replaces the organisations of the configuration. */
     void setOrganisations(Organisation... organisations) {
         try {
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
@@ -0,0 +1,154 @@
+package org.foxtailplank.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.PlacementConstraints;
+import org.foxtailplank.job.RunMode;
+import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.organisation.Organisation;
+import org.foxtailplank.port.ServiceConfig;
+
+/**
+ * Load of four queues whose demand rises in turn to several times its mean, on small VMs whose
+ * memory is scarce, with run times that are often far from their estimates.
+ */
+final class TurnLoad {
+    private static final int VMS = 246;
+    private static final int STANDING_TASKS = 20;
+    private static final long GB = 1L << 30;
+    private static final double TURN_SHARE = 5.2;
+    private static final double IDLE_SHARE = 0.05;
+    private static final long STEP_MS = 100;
+    private static final double MS_PER_S = 1000;
+
+    private final Random mRandom;
+    private final FleetSimulation mSimulation;
+    private final long mTurnMs;
+
+    /** Batch jobs of a queue. */
+    enum Queue {
+        QUICK_A("photo", 16.5, 1.6, 1500, 2.8, 1000, 0.5),
+        LARGE_A("levels", 3.98, 2, 3300, 6.2, 1700, 0.88),
+        QUICK_B("soils", 20.7, 1.6, 1500, 2.8, 1000, 0.5),
+        LARGE_B("valuation", 4.86, 2, 3300, 6.2, 1700, 0.88);
+
+        private final String mService;
+        private final double mPerSecond;
+        private final double mSteps;
+        private final double mMilliCores;
+        private final double mMemoryGb;
+        private final double mTaskMs;
+        private final double mEstimateError;
+
+        Queue(
+                String service,
+                double perSecond,
+                double steps,
+                double milliCores,
+                double memoryGb,
+                double taskMs,
+                double estimateError) {
+            mService = service;
+            mPerSecond = perSecond;
+            mSteps = steps;
+            mMilliCores = milliCores;
+            mMemoryGb = memoryGb;
+            mTaskMs = taskMs;
+            mEstimateError = estimateError;
+        }
+    }
+
+    /**
+     * Creates the load.
+     *
+     * @param turnMs length of each queue's turn, in milliseconds
+     */
+    TurnLoad(long seed, long turnMs) {
+        mRandom = new Random(seed);
+        mTurnMs = turnMs;
+        Resources capacity = Resources.of(16, 32 * GB, 0);
+        mSimulation = new FleetSimulation(new FleetSimulation.VmSize(capacity, 8));
+        List<ServiceConfig> services = new ArrayList<>();
+        for (Queue q : Queue.values()) {
+            services.add(new ServiceConfig(q.mService, true, false));
+        }
+        services.add(new ServiceConfig("off", true, true));
+        mSimulation.mOwner.setServices(services);
+        for (Queue q : Queue.values()) {
+            mSimulation.addVms(q.mService, STANDING_TASKS);
+        }
+        mSimulation.addVms("off", VMS - Queue.values().length * STANDING_TASKS);
+    }
+
+    /** Plays one turn of each queue and the time until all jobs are done. */
+    FleetSimulation play() {
+        for (Queue q : Queue.values()) {
+            mSimulation.addJob(q.mService, standing());
+        }
+        mSimulation.advance(3000);
+        long begin = mSimulation.elapsedMs();
+        long end = begin + Queue.values().length * mTurnMs;
+        while (mSimulation.elapsedMs() < end) {
+            for (Queue q : Queue.values()) {
+                addArrivals(q, mSimulation.elapsedMs() - begin);
+            }
+            mSimulation.tick();
+        }
+        mSimulation.advance(14_000);
+        return mSimulation;
+    }
+
+    private TaskStep standing() {
+        return new TaskStep(
+                STANDING_TASKS,
+                new Resources(2200, 6 * GB, 0),
+                900,
+                List.of(),
+                new PlacementConstraints(false, false, "", "", 1),
+                new RunMode(false, true, false, false, 0, 2));
+    }
+
+    private void addArrivals(Queue queue, long elapsedMs) {
+        double position = (double) elapsedMs / mTurnMs - queue.ordinal();
+        boolean turn = position >= 0 && position < 1;
+        double share = turn ? TURN_SHARE * Math.sin(Math.PI * position) : IDLE_SHARE;
+        double expected = queue.mPerSecond * share * STEP_MS / MS_PER_S;
+        for (double left = expected - nextExponential(); left > 0; left -= nextExponential()) {
+            addJob(queue);
+        }
+    }
+
+    private double nextExponential() {
+        return -Math.log(1 - mRandom.nextDouble());
+    }
+
+    private double logNormal(double mean, double spread) {
+        return mean * Math.exp(spread * mRandom.nextGaussian() - spread * spread / 2);
+    }
+
+    private void addJob(Queue queue) {
+        int count = (int) Math.max(1, Math.round(logNormal(queue.mSteps, 0.4)));
+        List<TaskStep> steps = new ArrayList<>();
+        double[] slowdowns = new double[count];
+        for (int s = 0; s < count; s++) {
+            double trueMs = Math.min(2.5 * queue.mTaskMs, logNormal(queue.mTaskMs, 0.5));
+            double slowdown = Math.exp(queue.mEstimateError * mRandom.nextGaussian());
+            int tasks = (int) Math.min(32, Math.max(1, Math.round(logNormal(8, 0.6))));
+            double cores = Math.min(3 * queue.mMilliCores, logNormal(queue.mMilliCores, 0.45));
+            double memory = Math.min(3 * queue.mMemoryGb, logNormal(queue.mMemoryGb, 0.6));
+            slowdowns[s] = slowdown;
+            steps.add(
+                    new TaskStep(
+                            tasks,
+                            new Resources((long) cores, (long) (memory * GB), 0),
+                            Math.max(1, (long) (trueMs / slowdown)),
+                            s == 0 ? List.of() : List.of(s - 1),
+                            PlacementConstraints.ANYWHERE,
+                            RunMode.PLAIN));
+        }
+        mSimulation.addJob(
+                queue.mService, slowdowns, Organisation.NONE, steps.toArray(TaskStep[]::new));
+    }
+}
