Leave the rotation and report open submissions at once when a node is cut off

It isn't ready then, and a record that may be stored is reported as such, so that its caller asks again elsewhere.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -89,6 +89,7 @@
     private final JournalWriter mWriter;
     private final OwnerLink mLink;
     private final ConfigExchange mConfigExchange;
+    private final Connectivity mConnectivity;
     private final OwnerElection mElection;
     private final ResignationPolicy mResignationPolicy;
 
@@ -141,6 +142,10 @@
                         clock,
                         timers,
                         log);
+        mConnectivity =
+                new Connectivity(
+                        clock, mReader::lastReadMs, mOperator::lastReadMs, mLink::lastFrameMs);
+        mWriter.setCutOffCondition(mConnectivity::isCutOff);
         mElection =
                 new OwnerElection(
                         shared,
@@ -344,7 +349,10 @@
         boolean current = mReader.isCaughtUp() && now - mReader.lastReadMs() < MAX_READ_AGE_MS;
         boolean throughOwner =
                 mLink.isAvailable() && now - mOperator.lastReadMs() < MAX_READ_AGE_MS;
-        return !mStopping && mOperator.config().isPresent() && (current || throughOwner);
+        return !mStopping
+                && mOperator.config().isPresent()
+                && (current || throughOwner)
+                && !mConnectivity.isCutOff();
     }
 
     private void readiness(HttpRequest request, Consumer<HttpReply> reply) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.node.Clock;
@@ -48,6 +49,7 @@
     private int mInFlight;
     private int mRetrying;
     private boolean mStoreFailing;
+    private BooleanSupplier mCutOff = () -> false;
 
     private static final class PendingRecord {
         final byte[] mBytes;
@@ -84,6 +86,14 @@
         mNodeLog = nodeLog;
     }
 
+    /**
+     * Sets the condition under which this node reaches neither the store nor the owner. A record
+     * that may be stored is then reported as such at once, so that its caller asks another node.
+     */
+    public void setCutOffCondition(BooleanSupplier condition) {
+        mCutOff = condition;
+    }
+
     /**
      * Stores a record. A rejection by the store is reported immediately; retries end at the
      * deadline. While the store fails, only one record at a time is attempted and all others fail
@@ -186,7 +196,7 @@
             handOver(pending);
             return;
         }
-        if (!expired && pending.mMayBeStored) {
+        if (!expired && pending.mMayBeStored && !mCutOff.getAsBoolean()) {
             mRetrying++;
             mTimers.after(
                     RETRY_MS,
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -127,6 +127,11 @@
         return mClock.nowMs() - mLastFrameMs < SILENCE_TIMEOUT_MS;
     }
 
+    /** Returns when a frame of the owner last arrived. */
+    public long lastFrameMs() {
+        return mLastFrameMs;
+    }
+
     @Override
     public long lastStoredMs() {
         return mLastStoredMs;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalWriterTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalWriterTest.java
@@ -115,6 +115,22 @@
                 mOutcomes, List.of(StoreOutcome.STORED), "exactly once, by the node's own append");
     }
 
+    /** Guards against a caller that waits for its deadline at a node that reaches nobody. */
+    @Test
+    public void aNodeThatIsCutOffReportsARecordThatMayBeStoredAtOnce() {
+        boolean[] cutOff = {false};
+        mWriter.setCutOffCondition(() -> cutOff[0]);
+        mOwner.mAvailable = true;
+        mWriter.store(new JobCancelled("aa", 1), mTime.nowMs() + 3000, mOutcomes::add);
+        mOwner.mAvailable = false;
+        cutOff[0] = true;
+        mLog.scriptAppends(ScriptedOutcome.REFUSED);
+        mTime.advance(300);
+        mLog.deliverAnswers();
+
+        assertEquals(mOutcomes, List.of(StoreOutcome.UNKNOWN));
+    }
+
     private void store() {
         mWriter.store(new JobCancelled("aa", 1), mTime.nowMs() + TIMEOUT_MS, mOutcomes::add);
     }
