Soak and stand-in: organisations whose keys are replaced and whose caps fall

The soak replaces keys, reduces caps and lets one organisation flood the nodes, and checks from outside that no node serves a revoked or unknown key (KEYS) and that no organisation's runs exceed its cap (QUOTA).

--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
@@ -1,7 +1,9 @@
 package org.foxtailplank.soak;
 
+import java.util.EnumSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /** What can strike a run from outside, and what it strikes. */
@@ -35,7 +37,10 @@
     LATE_ORDERS(Target.WORKER),
     WAVE(Target.WORKER),
     WORKER_SHRINK(Target.WORKER),
-    WORKER_RESTART(Target.WORKER);
+    WORKER_RESTART(Target.WORKER),
+    KEY_REPLACED(Target.ORGANISATION),
+    CAP_CUT(Target.ORGANISATION),
+    FLOOD(Target.ORGANISATION);
 
     /** What a fault strikes. */
     enum Target {
@@ -43,9 +48,11 @@
         NODE,
         ZONE,
         WORKER,
-        PARTITION;
+        PARTITION,
+        ORGANISATION;
 
         private static final int PARTITIONS = 3;
+        private static final int ORGANISATIONS = 3;
 
         int draw(SoakSize size, RandomGenerator random) {
             return switch (this) {
@@ -54,6 +61,7 @@
                 case ZONE -> random.nextInt(size.zones());
                 case WORKER -> random.nextInt(size.workers());
                 case PARTITION -> random.nextInt(PARTITIONS);
+                case ORGANISATION -> random.nextInt(ORGANISATIONS);
             };
         }
 
@@ -65,11 +73,16 @@
                         case ZONE -> size.zones();
                         case WORKER -> size.workers();
                         case PARTITION -> PARTITIONS;
+                        case ORGANISATION -> ORGANISATIONS;
                     };
             return target >= 0 && target < most;
         }
     }
 
+    /** Kinds that are drawn with others, so that seeds keep their faults when a kind is added. */
+    private static final Set<FaultKind> DRAWN_APART =
+            EnumSet.of(WORKER_SHRINK, WORKER_RESTART, KEY_REPLACED, CAP_CUT, FLOOD);
+
     private final Target mTarget;
 
     FaultKind(Target target) {
@@ -80,6 +93,10 @@
         return mTarget;
     }
 
+    boolean isDrawnApart() {
+        return DRAWN_APART.contains(this);
+    }
+
     /** The name in a schedule's text. */
     String word() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -32,6 +32,7 @@
     private static final double MS_PER_S = 1000;
 
     private final SoakSystem mSystem;
+    private final SoakCallers mCallers;
     private final Consumer<String> mProgress;
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(4);
     private final List<Strike> mActive = new ArrayList<>();
@@ -50,8 +51,9 @@
         void run(RunningProcess process) throws IOException, InterruptedException;
     }
 
-    FaultPlayer(SoakSystem system, Consumer<String> progress) {
+    FaultPlayer(SoakSystem system, SoakCallers callers, Consumer<String> progress) {
         mSystem = system;
+        mCallers = callers;
         mProgress = progress;
     }
 
@@ -146,6 +148,9 @@
                             .shrinkWorker(f.target(), SHRUNK_SHARE, (long) (f.forS() * MS_PER_S));
             case LATE_ORDERS -> mSystem.platform().delayStartOrders(f.target(), LATE_ORDERS);
             case WAVE -> wave(f.target());
+            case KEY_REPLACED -> mSystem.organisations().replaceKey(f.target());
+            case CAP_CUT -> mSystem.organisations().setCapCut(f.target(), true);
+            case FLOOD -> mCallers.flood(f.target());
             default -> {}
         }
     }
@@ -181,6 +186,8 @@
             case NODE_PAUSE, OWNER_PAUSE -> each(strike, RunningProcess::resume);
             case NODE_ELSEWHERE -> strike.nodes().get(0).moveElsewhere();
             case VMS_SILENT -> mSystem.platform().setVmServiceUnresponsive(false);
+            case CAP_CUT -> mSystem.organisations().setCapCut(f.target(), false);
+            case FLOOD -> mCallers.flood(SoakCallers.NO_FLOOD);
             case WORKERS_CUT, ZONE_CUT ->
                     mSystem.platform().setWorkersUnreachable(mSystem.zone(f.target()), false);
             default -> {}
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -1,10 +1,7 @@
 package org.foxtailplank.soak;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.soak.SoakEvent.Acknowledged;
@@ -302,6 +299,63 @@
         }
     },
 
+    /** A key is accepted soon after it was added, and no more soon after it was revoked. */
+    KEYS {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof SoakEvent.KeyChanged e) {
+                scan.since(e.key() + (e.valid() ? ADDED : REVOKED), e.atMs());
+            } else if (event instanceof SoakEvent.KeyAnswered e) {
+                answered(e, scan);
+            }
+        }
+
+        private void answered(SoakEvent.KeyAnswered e, Scan scan) {
+            Optional<Long> added = scan.since(e.key() + ADDED);
+            Optional<Long> revoked = scan.since(e.key() + REVOKED);
+            boolean served = e.status() / 100 == 2;
+            if (served && added.isEmpty()) {
+                scan.broken(e, "node " + e.node() + " serves a key that never was valid");
+            } else if (served && revoked.isPresent() && e.sentMs() - revoked.get() > REVOKE_MS) {
+                scan.broken(e, "node " + e.node() + " serves " + e.key() + " long after its end");
+            } else if (e.status() == UNAUTHORIZED
+                    && added.isPresent()
+                    && revoked.isEmpty()
+                    && e.sentMs() - added.get() > CONFIG_MS) {
+                scan.broken(e, "node " + e.node() + " doesn't know " + e.key());
+            }
+        }
+    },
+
+    /** No start brings an organisation clearly over its cap, as it was in the last seconds. */
+    QUOTA {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof SoakEvent.CapSet e) {
+                long before = scan.since(e.organisation()).orElse(e.processors());
+                scan.since(e.organisation(), e.processors());
+                if (e.processors() < before) {
+                    scan.since(e.organisation() + BEFORE, before);
+                    scan.since(e.organisation() + UNTIL, e.atMs() + CAP_KNOWN_MS);
+                }
+            } else if (event instanceof Started e) {
+                started(e, scan);
+            }
+        }
+
+        private void started(Started e, Scan scan) {
+            String organisation = SoakOrganisations.of(SoakEvent.jobOf(e.task()));
+            long cap = scan.since(organisation).orElse(0L);
+            if (e.atMs() < scan.since(organisation + UNTIL).orElse(0L)) {
+                cap = Math.max(cap, scan.since(organisation + BEFORE).orElse(0L));
+            }
+            long used = scan.runs().processorsOf(organisation);
+            if (cap > 0 && used > cap * OVERRUN) {
+                scan.broken(e, e.task() + " starts while " + organisation + " uses " + used);
+            }
+        }
+    },
+
     /** After all were lost the system serves again. */
     RECOVER {
         @Override
@@ -335,6 +389,23 @@
     };
 
     private static final int OK = 200;
+    private static final int UNAUTHORIZED = 401;
+    private static final String ADDED = " added";
+    private static final String REVOKED = " revoked";
+    private static final String BEFORE = " before";
+    private static final String UNTIL = " until";
+
+    /** From when on no request with a revoked key is served, in milliseconds. */
+    private static final long REVOKE_MS = 5000;
+
+    /** From when on a configuration is in force, in milliseconds. */
+    private static final long CONFIG_MS = 3000;
+
+    /** Within this time an owner knows that a cap has fallen, in milliseconds. */
+    private static final long CAP_KNOWN_MS = 10_000;
+
+    /** By how much a cap may be exceeded, in addition to one task. */
+    private static final double OVERRUN = 1.1;
 
     /** From when on an accepted job is known everywhere, in milliseconds. */
     private static final long VISIBLE_MS = 3000;
@@ -391,57 +462,4 @@
         end(scan);
         return scan.violations();
     }
-
-    /** What one promise has noted while it goes through a history. */
-    static final class Scan {
-        private final RunsSeen mRuns = new RunsSeen();
-        private final Set<String> mNoted = new HashSet<>();
-        private final Map<String, Long> mSince = new HashMap<>();
-        private final Map<String, Long> mCounts = new HashMap<>();
-        private final List<Violation> mViolations = new ArrayList<>();
-
-        RunsSeen runs() {
-            return mRuns;
-        }
-
-        void note(String name) {
-            mNoted.add(name);
-        }
-
-        boolean isNoted(String name) {
-            return mNoted.contains(name);
-        }
-
-        Set<String> noted() {
-            return mNoted;
-        }
-
-        void since(String name, long value) {
-            mSince.put(name, value);
-        }
-
-        Map<String, Long> sinceAll() {
-            return mSince;
-        }
-
-        Optional<Long> since(String name) {
-            return Optional.ofNullable(mSince.get(name));
-        }
-
-        long count(String name, long more) {
-            return mCounts.merge(name, more, Long::sum);
-        }
-
-        void broken(SoakEvent event, String text) {
-            broken(event.atMs(), text);
-        }
-
-        void broken(long atMs, String text) {
-            mViolations.add(new Violation(atMs, text));
-        }
-
-        List<Violation> violations() {
-            return mViolations;
-        }
-    }
 }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
@@ -67,6 +67,18 @@
         return processorsOn(worker).values().stream().mapToLong(Long::longValue).sum();
     }
 
+    /** Processors that all runs of an organisation use, in thousandths. */
+    long processorsOf(String organisation) {
+        long sum = 0;
+        for (Map<String, Long> runs : mProcessors.values()) {
+            for (Map.Entry<String, Long> run : runs.entrySet()) {
+                String job = SoakEvent.jobOf(run.getKey());
+                sum += SoakOrganisations.of(job).equals(organisation) ? run.getValue() : 0;
+            }
+        }
+        return sum;
+    }
+
     void note(SoakEvent.CapacityChanged change) {
         mCapacities.computeIfAbsent(change.worker(), w -> new ArrayList<>()).add(change);
     }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -50,6 +50,12 @@
     /** Sets the draw of these workers apart in the same way. */
     private static final long RESTART_SEED = 0xb02;
 
+    /** Mean time between two faults that concern organisations, in seconds. */
+    private static final double ORGANISATION_GAP_S = 2;
+
+    /** Sets the draw of these faults apart in the same way. */
+    private static final long ORGANISATION_SEED = 0x0a9;
+
     private static final int RUN_WORDS = 6;
     private static final int FAULT_WORDS = 6;
 
@@ -79,8 +85,7 @@
         List<Fault> faults = new ArrayList<>();
         FaultKind[] kinds =
                 Arrays.stream(FaultKind.values())
-                        .filter(k -> k != FaultKind.WORKER_SHRINK)
-                        .filter(k -> k != FaultKind.WORKER_RESTART)
+                        .filter(k -> !k.isDrawnApart())
                         .toArray(FaultKind[]::new);
         double at = FIRST_S + random.nextDouble() * GAP_S;
         while (at < size.seconds()) {
@@ -91,6 +96,7 @@
         }
         addShrinkingWorkers(seed, size, faults);
         addRestartingWorkers(seed, size, faults);
+        addOrganisationFaults(seed, size, faults);
         RunEnding[] endings = RunEnding.values();
         return new Schedule(seed, size, faults, endings[random.nextInt(endings.length)]);
     }
@@ -116,6 +122,18 @@
         }
     }
 
+    private static void addOrganisationFaults(long seed, SoakSize size, List<Fault> faults) {
+        RandomGenerator random = new Random(seed ^ ORGANISATION_SEED);
+        FaultKind[] kinds = {FaultKind.KEY_REPLACED, FaultKind.CAP_CUT, FaultKind.FLOOD};
+        double at = FIRST_S + random.nextDouble() * ORGANISATION_GAP_S;
+        while (at < size.seconds()) {
+            FaultKind kind = kinds[random.nextInt(kinds.length)];
+            double length = SHORTEST_S + random.nextDouble() * (LONGEST_S - SHORTEST_S);
+            faults.add(new Fault(at, kind, kind.target().draw(size, random), length));
+            at += random.nextDouble() * 2 * ORGANISATION_GAP_S;
+        }
+    }
+
     /** The same without one of its faults. */
     Schedule without(int fault) {
         List<Fault> left = new ArrayList<>(faults);
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
@@ -65,6 +65,15 @@
     /** Sets the draw of crashing jobs apart, so that older seeds keep their other jobs. */
     private static final long CRASH_SEED = 0xc4a5;
 
+    /** No organisation hands in more jobs than usual. */
+    static final int NO_FLOOD = -1;
+
+    private static final long FLOOD_EACH_MS = 10;
+    private static final long INVALID_KEY_MS = 100;
+
+    /** Sets the draw of keys apart in the same way. */
+    private static final long KEY_SEED = 0x3e5;
+
     /** Time between two questions at the end, in milliseconds: a burst would measure itself. */
     private static final long ASK_EACH_MS = 2;
 
@@ -80,10 +89,12 @@
     private final SoakHistory mHistory;
     private final Random mRandom;
     private final Random mCrashRandom;
+    private final Random mKeyRandom;
     private final Map<String, SoakJob> mAccepted = new HashMap<>();
     private boolean mComing;
     private boolean mOver;
     private int mStanding;
+    private int mFlooding = NO_FLOOD;
     private Runnable mWhenAccepted = () -> {};
 
     SoakCallers(SoakSystem system, SoakHistory history, long seed) {
@@ -91,6 +102,7 @@
         mHistory = history;
         mRandom = new Random(seed);
         mCrashRandom = new Random(seed ^ CRASH_SEED);
+        mKeyRandom = new Random(seed ^ KEY_SEED);
     }
 
     /** Jobs come from now on. */
@@ -100,6 +112,7 @@
                     mComing = true;
                     next();
                     askPending();
+                    askWithInvalidKey();
                 });
     }
 
@@ -120,12 +133,45 @@
         }
     }
 
+    /** An organisation hands in many more jobs from now on, or none does. */
+    void flood(int organisation) {
+        mLoop.execute(
+                () -> {
+                    boolean flooded = mFlooding != NO_FLOOD;
+                    mFlooding = organisation;
+                    if (!flooded && organisation != NO_FLOOD) {
+                        addToFlood();
+                    }
+                });
+    }
+
+    private void addToFlood() {
+        if (mComing && mFlooding != NO_FLOOD) {
+            String id = String.format("%016x", mKeyRandom.nextLong());
+            if (SoakOrganisations.of(id).equals(SoakOrganisations.name(mFlooding))) {
+                submit(new SoakJob(id, "quick", List.of(3, 2), 250, 1000, false), 1);
+            }
+            later(FLOOD_EACH_MS, this::addToFlood);
+        }
+    }
+
+    /** Asks with a key that was revoked or never was valid, again and again. */
+    private void askWithInvalidKey() {
+        String pool = SoakSystem.POOLS.get(0);
+        String key = mSystem.organisations().invalidKey(mKeyRandom);
+        int node = mKeyRandom.nextInt(mSystem.nodes().size());
+        send(node, key, HttpCall.get('/' + pool + '/'), r -> {});
+        later(INVALID_KEY_MS, this::askWithInvalidKey);
+    }
+
     /** Asks a node how many jobs of a queue wait, again and again. */
     private void askPending() {
         int node = anyNode();
         String pool = SoakSystem.POOLS.get(mRandom.nextInt(2));
+        String key = mSystem.organisations().validKey(SoakOrganisations.name(0));
         send(
                 node,
+                key,
                 HttpCall.get('/' + pool + '/'),
                 result -> {
                     Matcher pending = PENDING.matcher(body(result));
@@ -184,6 +230,7 @@
         byte[] body = job.body().getBytes(StandardCharsets.UTF_8);
         send(
                 node,
+                job,
                 HttpCall.postJson(job.path(), body),
                 result -> {
                     int status = status(result);
@@ -241,6 +288,7 @@
     private void ask(SoakJob job, int node, Asked then) {
         send(
                 node,
+                job,
                 HttpCall.get(job.path()),
                 result -> {
                     int status = status(result);
@@ -257,6 +305,7 @@
         HttpCall call = new HttpCall("DELETE", job.path(), Map.of(), new byte[0], "");
         send(
                 anyNode(),
+                job,
                 call,
                 result -> {
                     if (status(result) / 100 == 2) {
@@ -267,11 +316,30 @@
                 });
     }
 
-    private void send(int node, HttpCall call, Consumer<HttpResult> callback) {
+    private void send(int node, SoakJob job, HttpCall call, Consumer<HttpResult> callback) {
+        String key = mSystem.organisations().validKey(job.organisation());
+        send(node, key, call, callback);
+    }
+
+    private void send(int node, String key, HttpCall call, Consumer<HttpResult> callback) {
         Map<String, String> headers =
-                Map.of("Host", SoakSystem.HOST, "Deadline-Ms", Long.toString(DEADLINE_MS));
+                Map.of(
+                        "Host",
+                        SoakSystem.HOST,
+                        "Deadline-Ms",
+                        Long.toString(DEADLINE_MS),
+                        "Key",
+                        key);
+        long sentMs = mHistory.nowMs();
         mClient.call(
-                mSystem.nodes().get(node).callers(), call.with(headers), DEADLINE_MS, callback);
+                mSystem.nodes().get(node).callers(),
+                call.with(headers),
+                DEADLINE_MS,
+                result -> {
+                    int status = status(result);
+                    mHistory.add(t -> new SoakEvent.KeyAnswered(t, key, sentMs, node, status));
+                    callback.accept(result);
+                });
     }
 
     private static int status(HttpResult result) {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
@@ -56,6 +56,16 @@
     /** The VM service has carried a call out. */
     record VmCalled(long atMs, String vm, String action, long token) implements SoakEvent {}
 
+    /** The operator's configuration has a key from now on, or no more. */
+    record KeyChanged(long atMs, String key, boolean valid) implements SoakEvent {}
+
+    /** A request with a key that was sent at {@code sentMs} got an answer. */
+    record KeyAnswered(long atMs, String key, long sentMs, int node, int status)
+            implements SoakEvent {}
+
+    /** An organisation's cap on processors, in thousandths, is this from now on; 0 for none. */
+    record CapSet(long atMs, String organisation, long processors) implements SoakEvent {}
+
     /** All faults are over, and all nodes that come back are back. */
     record Calm(long atMs) implements SoakEvent {}
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakJob.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakJob.java
@@ -43,6 +43,11 @@
         return crashDelayMs.isPresent() && task.equals(RunsSeen.task(this, 0, 0));
     }
 
+    /** The organisation that hands it in. */
+    String organisation() {
+        return SoakOrganisations.of(id);
+    }
+
     int tasks() {
         return steps.stream().mapToInt(Integer::intValue).sum();
     }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -22,6 +22,9 @@
     /** Longest time that a worker takes to stop a run, in milliseconds. */
     private static final int STOP_MS = 200;
 
+    /** Time from the revocation of a key until no node accepts it, in milliseconds. */
+    private static final int KEY_REVOCATION_MS = 5000;
+
     private final String mName;
     private final String mZone;
     private final String mIp;
@@ -121,7 +124,7 @@
                         + "\"platform\":{\"store\":\"%s\",\"vms\":\"%s\",\"advice\":\"\","
                         + "\"keepS\":300,\"parts\":8,\"vmTokensChecked\":%b},"
                         + "\"worker\":{\"orders\":\"call\",\"leaseMs\":%d,"
-                        + "\"stopMs\":%d},"
+                        + "\"stopMs\":%d},\"callers\":{\"keyRevocationMs\":%d},"
                         + "\"jobs\":{\"statusS\":120,\"earlyMs\":250}}",
                 mName,
                 mZone,
@@ -135,7 +138,8 @@
                 address(mVms.address()),
                 mTokensChecked,
                 LEASE_MS,
-                STOP_MS);
+                STOP_MS,
+                KEY_REVOCATION_MS);
     }
 
     private String port(int number) {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakRun.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakRun.java
@@ -72,7 +72,7 @@
         Files.writeString(mFolder.resolve("schedule.txt"), mSchedule.text());
         try (SoakSystem system = new SoakSystem(mSchedule, mFolder, mHistory);
                 SoakCallers callers = new SoakCallers(system, mHistory, mSchedule.seed());
-                FaultPlayer player = new FaultPlayer(system, this::tell)) {
+                FaultPlayer player = new FaultPlayer(system, callers, this::tell)) {
             play(system, callers, player);
         }
         List<SoakEvent> events = mHistory.events();
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
@@ -36,6 +36,7 @@
     private static final Pattern OWNS = Pattern.compile("\"ms\":(\\d+),\"kind\":\"owner-start\"");
 
     private final UsersStandin mPlatform;
+    private final SoakOrganisations mOrganisations;
     private final List<SoakNode> mNodes = new ArrayList<>();
     private final int mZones;
     private final int mWorkers;
@@ -65,6 +66,7 @@
                                 UNCHECKED_POOLS),
                         history);
         mPlatform.configure(HOST, POOLS);
+        mOrganisations = new SoakOrganisations(mPlatform, history);
         String network = network();
         for (int n = 0; n < size.nodes(); n++) {
             String name = "node-" + n;
@@ -97,6 +99,10 @@
         return mPlatform;
     }
 
+    SoakOrganisations organisations() {
+        return mOrganisations;
+    }
+
     List<SoakNode> nodes() {
         return mNodes;
     }
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -84,6 +84,66 @@
         onlyBroken();
     }
 
+    private void answered(String key, long sentMs, int status) {
+        mEvents.add(new SoakEvent.KeyAnswered(sentMs + 5, key, sentMs, 0, status));
+    }
+
+    @Test
+    public void aRevokedKeyMayBeServedForFiveSeconds() {
+        whole();
+        mEvents.add(new SoakEvent.KeyChanged(0, "k", true));
+        mEvents.add(new SoakEvent.KeyChanged(1000, "k", false));
+        answered("k", 5900, 200);
+        answered("k", 6100, 401);
+        onlyBroken();
+        answered("k", 6100, 200);
+        onlyBroken(Promise.KEYS);
+    }
+
+    @Test
+    public void aKeyThatNeverWasValidIsNotServed() {
+        whole();
+        answered("k", 10, 401);
+        onlyBroken();
+        answered("k", 10, 200);
+        onlyBroken(Promise.KEYS);
+    }
+
+    @Test
+    public void aValidKeyIsKnownAfterThreeSeconds() {
+        whole();
+        mEvents.add(new SoakEvent.KeyChanged(0, "k", true));
+        answered("k", 2900, 401);
+        answered("k", 3100, 503);
+        onlyBroken();
+        answered("k", 3100, 401);
+        onlyBroken(Promise.KEYS);
+    }
+
+    @Test
+    public void aStartOverTheCapOfAnOrganisationIsOverItsQuota() {
+        whole();
+        mEvents.add(new SoakEvent.CapSet(0, STANDING.organisation(), 1000));
+        accepted(STANDING);
+        started(600, RunsSeen.task(STANDING, 0, 0), 1, "a");
+        started(600, RunsSeen.task(STANDING, 0, 1), 1, "b");
+        onlyBroken();
+        started(600, RunsSeen.task(STANDING, 0, 2), 1, "c");
+        onlyBroken(Promise.QUOTA);
+    }
+
+    @Test
+    public void aCapThatHasJustFallenIsNotInForceYet() {
+        whole();
+        mEvents.add(new SoakEvent.CapSet(0, STANDING.organisation(), 9000));
+        mEvents.add(new SoakEvent.CapSet(500, STANDING.organisation(), 1000));
+        accepted(STANDING);
+        for (int i = 0; i < 3; i++) {
+            started(600, RunsSeen.task(STANDING, 0, i), 1, "w" + i);
+        }
+        onlyBroken();
+    }
+
     @Test
     public void aTaskThatRunsOnTwoWorkersIsTwice() {
         started(10, FIRST, 1, "a");
