--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingFleet.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CrashingFleet.java
@@ -92,6 +92,7 @@
     private final class Vm {
         private final String mId;
         private final Map<TaskName, Run> mRuns = new LinkedHashMap<>();
+        private final Map<TaskName, Long> mBegunMs = new HashMap<>();
         private final List<RunEnd> mEnds = new ArrayList<>();
         private final List<Runnable> mWaitingPolls = new ArrayList<>();
         private String mWorker = "";
@@ -207,6 +208,7 @@
         if (run.equals(vm.mRuns.put(run.task(), run))) {
             return;
         }
+        vm.mBegunMs.put(run.task(), mTime.nowMs());
         mStarts.computeIfAbsent(run.task(), t -> new ArrayList<>()).add(worker);
         mTime.after(TASK_MS, () -> vm.finish(worker, run));
         Long delayMs = mCrashDelayMs.get(run.task());
@@ -291,9 +293,10 @@
                     List.of());
         }
         List<RunStatus> running = new ArrayList<>();
-        vm.mRuns
-                .values()
-                .forEach(r -> running.add(new RunStatus(r.task(), r.attempt(), "", 50, 0)));
+        for (Run r : vm.mRuns.values()) {
+            double percent = 100.0 * (mTime.nowMs() - vm.mBegunMs.get(r.task())) / TASK_MS;
+            running.add(new RunStatus(r.task(), r.attempt(), "", Math.min(99, percent), 0));
+        }
         return new PollResponse(
                 CommandOutcome.DONE,
                 WorkerIncarnation.UNKNOWN_START_MS,
