Apply an owner's records as soon as the store has accepted them

A store that is 60 times as slow answers that after a quarter of a second more, before a job can start.

The append's answer names the offsets, so the owner applies the records at once where nothing precedes them that it lacks, and streams them on; what is read again is skipped. OwnerJournalTest: two tests, the first failed before.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -111,6 +111,16 @@
         }
     }
 
+    /**
+     * Applies records that the store has just accepted from this node, which would otherwise be
+     * known only after a further read. A slow store answers that after a quarter of a second.
+     */
+    public void applyStored(int partition, long firstOffset, List<byte[]> records) {
+        if (partition < mPartitions.size()) {
+            mPartitions.get(partition).applyStored(firstOffset, records);
+        }
+    }
+
     /** Whether a record of a partition was read. */
     public boolean hasRead(int partition, long offset) {
         return partition < mPartitions.size() && mPartitions.get(partition).position() > offset;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -178,6 +178,16 @@
         }
     }
 
+    /** Applies records that the store has just accepted, unless others precede them. */
+    void applyStored(long firstOffset, List<byte[]> records) {
+        for (int i = 0; i < records.size(); i++) {
+            if (firstOffset + i == mPosition) {
+                mPosition++;
+                mSink.accept(firstOffset + i, records.get(i));
+            }
+        }
+    }
+
     /**
      * Reads to the current end or beyond, then reports whether that succeeded.
      *
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
@@ -162,7 +162,9 @@
             batch.markMaybeStored();
             return;
         }
-        if (result instanceof SharedLog.Stored) {
+        if (result instanceof SharedLog.Stored stored) {
+            List<byte[]> records = batch.bytes();
+            mContext.reader().applyStored(mPartition.number(), stored.firstOffset(), records);
             handleStored(batch);
             return;
         }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
@@ -88,6 +88,34 @@
         assertEquals(storedCount(), 1);
     }
 
+    /** Guards against jobs that wait for a further read of a slow store before they start. */
+    @Test
+    public void anOwnersRecordIsAppliedAsSoonAsItIsStored() {
+        OwnerJournal journal = new OwnerJournal(mContext, 1, () -> {});
+        journal.raiseEpoch(() -> {});
+        mLog.deliverAnswers();
+        long[] positionWhenStored = {-1};
+        journal.store(
+                new OwnerHeartbeat(1, "a", 0),
+                () -> positionWhenStored[0] = mContext.reader().position().offsets().get(0));
+        mLog.deliverAnswers();
+
+        assertEquals(positionWhenStored[0], 1, "without a read");
+    }
+
+    /** Guards against a gap in the journal where another node's record precedes the owner's. */
+    @Test
+    public void anOwnersRecordBehindAnotherOneIsLeftToTheNextRead() {
+        OwnerJournal journal = new OwnerJournal(mContext, 1, () -> {});
+        journal.raiseEpoch(() -> {});
+        mLog.deliverAnswers();
+        mLog.records(JournalPartitions.PRIMARY).add(new byte[] {0});
+        journal.store(new OwnerHeartbeat(1, "a", 0), () -> {});
+        mLog.deliverAnswers();
+
+        assertEquals(mContext.reader().position().offsets().get(0), 0L);
+    }
+
     @Test
     public void pendingHandoversAreAnsweredWhenTheJournalIsClosed() {
         // A caller whose record was handed over must get an answer when the owner is replaced:
