Extrapolate arrivals over three seconds

In the first seconds of a burst too few VMs were called, as arrivals were extrapolated over the two seconds until a VM joins at their present rate, which itself rises then.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -28,8 +28,11 @@
     /** Factor on the demand, since tasks don't fill workers completely. */
     private static final double HEADROOM = 1.1;
 
-    /** Time from the decision to move a VM until it can work, in milliseconds. */
-    private static final long JOIN_MS = 2000;
+    /**
+     * Time for which arrivals are extrapolated, in milliseconds. A VM joins two seconds after the
+     * decision to move it, and the rate of arrivals itself rises at the beginning of a burst.
+     */
+    private static final long FORECAST_MS = 3000;
 
     /** Minimum time between two moves of a VM, in milliseconds, since each move has its cost. */
     private static final long MIN_STAY_MS = 2000;
@@ -193,7 +196,7 @@
     /** Capacity that a service needs for its jobs and for those expected before a VM could join. */
     private double forecastMilliCores(
             String service, OrganisationCaps caps, long nowMs, long nowWallMs) {
-        double arriving = mScheduler.arrivals().growthPerMs(service, nowMs) * JOIN_MS;
+        double arriving = mScheduler.arrivals().growthPerMs(service, nowMs) * FORECAST_MS;
         return HEADROOM * (mDemand.onTimeMilliCores(service, caps, nowWallMs) + arriving);
     }
 
