Release spare VMs one after the other, and hand them over directly

A pool now releases as many VMs a second as a third of those that are spare, at least one, from half a second on (SpareRelease), and a pool that lacks VMs gets idle spare ones of other pools before those that are off.

VmPlannerTest expected all spare VMs in one decision. It now plays 60 decisions and demands that they leave one at a time, that none leaves at once, and as before that one stays.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.ServiceConfig;
 import org.foxtailplank.port.VmClient.VmPhase;
@@ -37,9 +38,6 @@
     /** Minimum time between two moves of a VM, in milliseconds, since each move has its cost. */
     private static final long MIN_STAY_MS = 2000;
 
-    /** Delay before a pool's spare VMs move to the standby pool, in milliseconds. */
-    private static final long SPARE_DELAY_MS = 1000;
-
     /** A pool gets a VM if it misses more than this share of one. */
     private static final double MIN_MISSING_SHARE = 0.5;
 
@@ -52,7 +50,7 @@
     private final Scheduler mScheduler;
     private final ManagedVms mVms;
     private final PoolDemand mDemand;
-    private final Map<String, Long> mSpareSinceMs = new HashMap<>();
+    private final Map<String, SpareRelease> mReleases = new HashMap<>();
 
     PoolBalancer(Scheduler scheduler, ManagedVms vms) {
         mScheduler = scheduler;
@@ -86,6 +84,11 @@
             return missingVms() + mLateMilliCores / mVmMilliCores;
         }
 
+        /** VMs that the pool doesn't need, without those that it keeps for new jobs. */
+        double spareVms() {
+            return -missingVmsWithLate() - MIN_SPARE_VMS;
+        }
+
         /** VMs that the pool misses for jobs that aren't late; negative if it has spare ones. */
         double missingVms() {
             double forBatch = mMissingMilliCores / mVmMilliCores;
@@ -209,9 +212,9 @@
         for (Pool pool : byNeed) {
             while (pool.missingVms() > MIN_MISSING_SHARE) {
                 Optional<ManagedVm> vm =
-                        standby.isEmpty()
-                                ? takeSpareVm(pools, pool)
-                                : Optional.of(standby.remove(0));
+                        takeSpareVm(pools, pool, v -> used(v) == 0)
+                                .or(() -> takeFirst(standby))
+                                .or(() -> takeSpareVm(pools, pool, v -> true));
                 if (vm.isEmpty() && pool.needsVmForStanding()) {
                     vm = takeBusyVm(pools, pool);
                 }
@@ -243,12 +246,20 @@
                 .orElse(0L);
     }
 
-    /** Takes the least used VM of the pool with the most spare VMs. */
-    private static Optional<ManagedVm> takeSpareVm(Map<String, Pool> pools, Pool to) {
+    private static Optional<ManagedVm> takeFirst(List<ManagedVm> vms) {
+        return vms.isEmpty() ? Optional.empty() : Optional.of(vms.remove(0));
+    }
+
+    /** Takes the least used VM of the pool with the most spare VMs, if the filter accepts it. */
+    private static Optional<ManagedVm> takeSpareVm(
+            Map<String, Pool> pools, Pool to, Predicate<ManagedVm> filter) {
         Pool from = null;
         for (Pool p : pools.values()) {
             boolean spare =
-                    p != to && p.missingVms() <= -1 - MIN_SPARE_VMS && !p.mMovable.isEmpty();
+                    p != to
+                            && p.missingVms() <= -1 - MIN_SPARE_VMS
+                            && !p.mMovable.isEmpty()
+                            && filter.test(p.mMovable.get(0));
             if (spare && (from == null || p.missingVms() < from.missingVms())) {
                 from = p;
             }
@@ -285,14 +296,13 @@
             return;
         }
         for (Pool pool : pools.values()) {
-            if (pool.missingVmsWithLate() > -1 - MIN_SPARE_VMS) {
-                mSpareSinceMs.remove(pool.mName);
+            SpareRelease release = mReleases.computeIfAbsent(pool.mName, n -> new SpareRelease());
+            if (pool.spareVms() < 1) {
+                release.reset();
                 continue;
             }
-            long since = mSpareSinceMs.computeIfAbsent(pool.mName, n -> nowMs);
-            while (nowMs - since > SPARE_DELAY_MS
-                    && pool.missingVmsWithLate() <= -1 - MIN_SPARE_VMS
-                    && !pool.mMovable.isEmpty()) {
+            int due = Math.min(release.vmsDue(pool.spareVms(), nowMs), pool.mMovable.size());
+            for (int i = 0; i < due && pool.spareVms() >= 1; i++) {
                 ManagedVm vm = removeMovable(pool);
                 vm.plan(
                         new PlannedVmAction.Move(standby.get().name(), "the pool has spare VMs"),
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.schedule;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -185,15 +186,20 @@
         assertTrue(calls.stream().allMatch(c -> c.action() instanceof PlannedVmAction.Move));
     }
 
+    /** Guards against VMs that move to the standby pool and back between two bursts. */
     @Test
-    public void spareVmsGoToTheStandbyPoolAndOneStays() {
+    public void spareVmsGoToTheStandbyPoolOneAfterTheOtherAndOneStays() {
         for (String n : List.of("1", "2", "3", "4")) {
             addServingVm(n, "surveys");
         }
-        decide();
-        mOwner.mNowMs += 3000;
-
-        List<Call> calls = decide().actions();
+        List<Call> calls = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            mOwner.mNowMs += 90;
+            List<Call> now = decide().actions();
+            assertTrue(now.size() <= 1, "in one decision: " + now);
+            assertTrue(i >= 5 || now.isEmpty(), "at once: " + now);
+            calls.addAll(now);
+        }
 
         assertEquals(calls.size(), 3);
         assertTrue(
@@ -201,6 +207,26 @@
                         .allMatch(c -> ((PlannedVmAction.Move) c.action()).pool().equals("off")));
     }
 
+    /** Guards against two moves where one will do. */
+    @Test
+    public void aPoolWithAQueueGetsIdleVmsOfOtherPoolsBeforeThoseThatAreOff() {
+        addServingVm("1", "surveys");
+        for (String n : List.of("2", "3", "4", "5")) {
+            addServingVm(n, "reports");
+        }
+        addVm("vm6", "off", VmPhase.UP, "");
+        mOwner.mNowMs += 3000;
+        mOwner.accept(
+                OwnerHarness.definition(
+                        "aa", "surveys", 0, OwnerHarness.step(12, 1, 1000, List.of())));
+        mOwner.mNowMs += 500;
+
+        List<Call> calls = decide().actions();
+
+        assertFalse(calls.isEmpty());
+        assertTrue(calls.stream().allMatch(c -> c.vm().info().pool().equals("reports")));
+    }
+
     @Test
     public void aVmWithWorkIsMovedOnlyWhenItsTasksAreDone() {
         for (String n : List.of("1", "2", "3")) {
