Keep the batch tasks of a job in one availability zone

A job of ten tasks has some in every zone, so that a zone that is cut off delayed nearly all jobs that were running: their runs go on there, but nobody learns of their ends, and they must not start elsewhere before the leases are over.

WorkerChooser prefers the zones in an order that differs from job to job; a job uses other zones if its own has no room. Standing tasks aren't affected.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
@@ -9,6 +9,9 @@
 
 /** A job that has not ended, with the runs of its steps. */
 public final class ActiveJob {
+    /** Spreads similar hash codes over all integers (Knuth's multiplicative hashing). */
+    private static final int HASH_FACTOR = 0x9E3779B1;
+
     private final JobProgress mProgress;
     private final List<ActiveRun> mRuns = new ArrayList<>();
     private final boolean mEntitled;
@@ -47,6 +50,15 @@
         return Optional.of(step.tasks().get(name.index()));
     }
 
+    /**
+     * How little the job prefers an availability zone, from 0 to 1. Jobs differ in their order of
+     * the zones, so that all zones get about the same load.
+     */
+    double distanceTo(String zone) {
+        int mixed = (id().hashCode() ^ zone.hashCode() * HASH_FACTOR) * HASH_FACTOR;
+        return (mixed >>> 1) / (double) Integer.MAX_VALUE;
+    }
+
     /** Whether the job is within the rate that its organisation is entitled to. */
     boolean isEntitled() {
         return mEntitled;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -10,8 +10,10 @@
  *
  * <p>Prefers workers on which the task has not failed, then workers that are not slow, for a
  * standing task those whose VM need not be rebooted, then those in the rack of the data or, if the
- * step should keep together, of its other tasks. Among equals it selects the fullest worker that
- * fits, which leaves room for large tasks and frees whole VMs.
+ * step should keep together, of its other tasks. Batch tasks of a job go to the same zone if it has
+ * room, so that the loss of a zone delays a part of the jobs and not nearly all of them. Among
+ * equals it selects the fullest worker that fits, which leaves room for large tasks and frees whole
+ * VMs.
  *
  * <p>Tasks that may crash their worker are spread over workers, so that a further crash tells which
  * of them it was. After two crashes such a task gets a worker without another suspect, where little
@@ -25,6 +27,9 @@
     /** A standing task would have to move once more, while its step allows few moves at a time. */
     private static final double REBOOT_DUE_COST = 200;
 
+    /** Keeps the batch tasks of a job in one zone where it has room. */
+    private static final double ZONE_COST = 4;
+
     /** Keeps suspects apart. */
     private static final double SUSPECT_COST = 50;
 
@@ -114,6 +119,9 @@
             cost += STANDING_LOSS_COST * worker.standingRuns();
             cost += RUN_LOSS_COST * worker.runs().size();
         }
+        if (!task.spec().mode().standing()) {
+            cost += ZONE_COST * task.step().job().distanceTo(worker.info().zone());
+        }
         double free = worker.free().milliProcessors();
         return cost + free / Math.max(1, worker.info().capacity().milliProcessors());
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -33,6 +33,8 @@
     /** Time from then until the worker may be given tasks, in milliseconds. */
     private static final long JOIN_MS = 300;
 
+    private static final int ZONES = 3;
+
     /** Time between two polls of a worker, in milliseconds. */
     private static final long POLL_INTERVAL_MS = 500;
 
@@ -54,6 +56,8 @@
     private long mClockMs = mStartMs;
     private long mLastSequence;
     private long mPoolVmMs;
+    private String mCutZone = "";
+    private long mCutUntilMs;
     private int mMoves;
 
     /**
@@ -73,14 +77,16 @@
     private static final class Vm {
         final String mId;
         final String mRack;
+        final String mZone;
         String mPool;
         int mIncarnation;
         long mUpMs;
         boolean mJoined;
 
-        Vm(String id, String rack, String pool) {
+        Vm(String id, String rack, String zone, String pool) {
             mId = id;
             mRack = rack;
+            mZone = zone;
             mPool = pool;
         }
 
@@ -138,7 +144,9 @@
     /** Adds VMs to a pool. */
     void addVms(String pool, int count) {
         for (int i = 0; i < count; i++) {
-            Vm vm = new Vm("vm" + mVms.size(), mSize.rack(mVms.size()), pool);
+            int number = mVms.size();
+            String zone = "z" + number / mSize.vmsPerRack() % ZONES;
+            Vm vm = new Vm("vm" + number, mSize.rack(number), zone, pool);
             mVms.add(vm);
             join(vm);
         }
@@ -147,7 +155,7 @@
     private void join(Vm vm) {
         vm.mJoined = true;
         if (!mOwner.mConfig.isStandby(vm.mPool)) {
-            mOwner.addWorker(vm.worker(), vm.mPool, mSize.capacity(), vm.mRack);
+            mOwner.addWorker(vm.worker(), vm.mPool, mSize.capacity(), vm.mRack, vm.mZone);
         }
     }
 
@@ -196,6 +204,16 @@
         return mClockMs - mStartMs;
     }
 
+    /** Cuts the workers of a zone off; their runs continue, and nobody learns of their ends. */
+    void cutZone(String zone, long ms) {
+        mCutZone = zone;
+        mCutUntilMs = mClockMs + ms;
+    }
+
+    private boolean isCutOff(WorkerState worker) {
+        return mClockMs < mCutUntilMs && worker.info().zone().equals(mCutZone);
+    }
+
     /** Advances the simulation by one step. */
     void tick() {
         mClockMs += STEP_MS;
@@ -221,11 +239,20 @@
     private void updateRuns() {
         int number = 0;
         for (WorkerState worker : List.copyOf(mOwner.mScheduler.workers())) {
+            number++;
+            boolean due = (mClockMs / STEP_MS + number) % (POLL_INTERVAL_MS / STEP_MS) == 0;
+            if (isCutOff(worker)) {
+                if (due) {
+                    mOwner.mScheduler.pollFailed(worker, mClockMs);
+                }
+                continue;
+            }
+            if (worker.isUnresponsive()) {
+                poll(worker);
+            }
             for (TaskRun run : List.copyOf(worker.runs())) {
                 endIfDue(run);
             }
-            number++;
-            boolean due = (mClockMs / STEP_MS + number) % (POLL_INTERVAL_MS / STEP_MS) == 0;
             if (due && !worker.runs().isEmpty()) {
                 poll(worker);
             }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -92,15 +92,16 @@
     }
 
     static WorkerInfo info(String id, String service, int cores) {
-        return info(id, service, Resources.of(cores, 1L << 40, 0), "r1");
+        return info(id, service, Resources.of(cores, 1L << 40, 0), "r1", "zone");
     }
 
-    private static WorkerInfo info(String id, String service, Resources capacity, String rack) {
+    private static WorkerInfo info(
+            String id, String service, Resources capacity, String rack, String zone) {
         return new WorkerInfo(
                 WorkerIncarnation.ofUnknownStart(id),
                 service,
                 "10.0.0.1:1",
-                "zone",
+                zone,
                 capacity,
                 Set.of("a", rack),
                 rack,
@@ -112,8 +113,8 @@
         return addWorker(info(id, service, cores));
     }
 
-    WorkerState addWorker(String id, String service, Resources capacity, String rack) {
-        return addWorker(info(id, service, capacity, rack));
+    WorkerState addWorker(String id, String service, Resources capacity, String rack, String zone) {
+        return addWorker(info(id, service, capacity, rack, zone));
     }
 
     private WorkerState addWorker(WorkerInfo info) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
@@ -26,6 +26,8 @@
     private final Random mRandom;
     private final FleetSimulation mSimulation;
     private final long mTurnMs;
+    private long mZoneCutAtMs = -1;
+    private long mZoneCutMs;
 
     /** Batch jobs of a queue. */
     enum Queue {
@@ -82,6 +84,13 @@
         mSimulation.addVms("off", VMS - Queue.values().length * STANDING_TASKS);
     }
 
+    /** Cuts the workers of a zone off for a time after so long. */
+    TurnLoad withZoneCut(long atMs, long ms) {
+        mZoneCutAtMs = atMs;
+        mZoneCutMs = ms;
+        return this;
+    }
+
     /** Plays one turn of each queue and the time until all jobs are done. */
     FleetSimulation play() {
         for (Queue q : Queue.values()) {
@@ -91,8 +100,12 @@
         long begin = mSimulation.elapsedMs();
         long end = begin + Queue.values().length * mTurnMs;
         while (mSimulation.elapsedMs() < end) {
+            long elapsedMs = mSimulation.elapsedMs() - begin;
             for (Queue q : Queue.values()) {
-                addArrivals(q, mSimulation.elapsedMs() - begin);
+                addArrivals(q, elapsedMs);
+            }
+            if (elapsedMs == mZoneCutAtMs) {
+                mSimulation.cutZone("z1", mZoneCutMs);
             }
             mSimulation.tick();
         }
