Select the jobs of a capped organisation that can be in time within its cap

Jobs were selected as if each organisation could use the whole pool, so that all jobs of an organisation at its cap shared it and were slightly late. The selection moves to a class of its own (OnTimeSelection) and applies the cap as well.

OrganisationCapTest: of six jobs that share a cap for two, two are selected.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OrganisationCaps.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OrganisationCaps.java
@@ -13,6 +13,10 @@
  * those of others. If a cap is reduced below what runs, nothing is stopped.
  */
 final class OrganisationCaps {
+    /** No organisation has a cap. */
+    static final OrganisationCaps NONE =
+            new OrganisationCaps(Organisations.NONE, new OrganisationUsage());
+
     private final Organisations mOrganisations;
     private final OrganisationUsage mUsage;
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -441,7 +441,7 @@
         config.services().forEach(s -> mCrashes.observe(s.name(), workersOf(s.name()), nowMs));
         for (Map.Entry<String, List<ActiveRun>> e : dueRunsByService(nowWallMs).entrySet()) {
             List<ActiveRun> sorted =
-                    UrgencyOrder.sort(e.getValue(), batchCores(e.getKey(), nowMs), nowWallMs);
+                    UrgencyOrder.sort(e.getValue(), batchCores(e.getKey(), nowMs), caps, nowWallMs);
             mPlacer.place(sorted, workersOf(e.getKey()), caps, out, nowMs);
         }
         return out;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
@@ -2,11 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import org.foxtailplank.job.JobDefinition;
 
@@ -14,12 +10,9 @@
  * Orders jobs by urgency when there is too little capacity for all.
  *
  * <p>Lower priority numbers come first, and within a priority standing tasks come before batch
- * tasks. The batch jobs that can meet their objectives together follow. They are found by the
- * Moore-Hodgson algorithm: jobs are taken in the order of their objectives, and whenever the work
- * so far exceeds what the workers can do by then, the largest job is deferred. This maximizes the
- * number of objectives met on a single machine of the pool's size, while plain earliest-deadline
- * order makes all jobs of an overloaded queue slightly late. Deferred jobs follow, the shortest
- * first, and then late jobs, which have little value left.
+ * tasks. The batch jobs that can meet their objectives together follow ({@link OnTimeSelection});
+ * plain earliest-deadline order would make all jobs of an overloaded queue slightly late. Deferred
+ * jobs follow, the shortest first, and then late jobs, which have little value left.
  *
  * <p>Jobs beyond the rate that their organisation is entitled to come after all others, the
  * shortest first, so that they delay no other organisation.
@@ -48,9 +41,11 @@
      * Sorts runs by decreasing urgency.
      *
      * @param milliCores capacity of the workers for batch tasks, in thousandths of a core
+     * @param caps caps of the organisations whose jobs these are
      */
-    static List<ActiveRun> sort(List<ActiveRun> runs, long milliCores, long nowWallMs) {
-        Set<ActiveRun> inTime = inTime(runs, milliCores, nowWallMs);
+    static List<ActiveRun> sort(
+            List<ActiveRun> runs, long milliCores, OrganisationCaps caps, long nowWallMs) {
+        Set<ActiveRun> inTime = new OnTimeSelection(milliCores, caps, nowWallMs).select(runs);
         List<Ranked> ranked = new ArrayList<>(runs.size());
         for (ActiveRun r : runs) {
             ranked.add(rank(r, inTime, nowWallMs));
@@ -78,33 +73,6 @@
         return new Ranked(run, priority, group, run.remainingWork());
     }
 
-    /** Finds the runs that can meet their objectives together. */
-    private static Set<ActiveRun> inTime(List<ActiveRun> runs, long milliCores, long nowWallMs) {
-        List<ActiveRun> candidates = new ArrayList<>();
-        Map<ActiveRun, Long> workByRun = new HashMap<>();
-        for (ActiveRun r : runs) {
-            boolean candidate = r.job().isEntitled() && !r.job().definition().isStanding();
-            if (candidate && slackMs(r, nowWallMs) >= 0) {
-                candidates.add(r);
-                workByRun.put(r, r.remainingWork());
-            }
-        }
-        candidates.sort(Comparator.comparingLong(UrgencyOrder::objectiveMs));
-        PriorityQueue<ActiveRun> largest =
-                new PriorityQueue<>(
-                        Comparator.comparingLong((ActiveRun r) -> workByRun.get(r)).reversed());
-        double work = 0;
-        for (ActiveRun r : candidates) {
-            largest.add(r);
-            work += workByRun.get(r);
-            double capacity = (double) milliCores * (objectiveMs(r) - nowWallMs);
-            while (work > capacity && !largest.isEmpty()) {
-                work -= workByRun.get(largest.poll());
-            }
-        }
-        return new HashSet<>(largest);
-    }
-
     /**
      * Time by which the run can be delayed and still meet its objective; negative if it is late.
      */
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/JobEntitlementsTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/JobEntitlementsTest.java
@@ -78,7 +78,8 @@
         owner.mScheduler.runs().jobs().forEach(j -> runs.add(j.runs().get(0)));
 
         List<ActiveRun> sorted =
-                UrgencyOrder.sort(runs, 100 * OwnerHarness.CORE, OwnerHarness.WALL_MS);
+                UrgencyOrder.sort(
+                        runs, 100 * OwnerHarness.CORE, OrganisationCaps.NONE, OwnerHarness.WALL_MS);
 
         assertEquals(sorted.get(5).job().id(), "b");
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OrganisationCapTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OrganisationCapTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.PlacementConstraints;
@@ -148,6 +149,31 @@
         assertEquals(milliCores, 18_000, 1);
     }
 
+    /** Guards against an organisation at its cap all of whose jobs are slightly late. */
+    @Test
+    public void jobsThatShareACapAreNotAllLate() {
+        List<ActiveRun> runs = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            mOwner.accept(definition("a" + i, "surveys", 0, "a", step(8, 1, 1000, List.of())));
+            mOwner.accept(definition("b" + i, "surveys", 0, "b", step(8, 1, 1000, List.of())));
+        }
+        mOwner.mScheduler.runs().jobs().forEach(j -> runs.add(j.runs().get(0)));
+
+        Set<ActiveRun> inTime =
+                new OnTimeSelection(
+                                1000 * OwnerHarness.CORE,
+                                mOwner.mScheduler.caps(mOwner.mConfig),
+                                OwnerHarness.WALL_MS)
+                        .select(runs);
+
+        long ofCapped =
+                inTime.stream()
+                        .filter(r -> r.job().definition().organisation().equals("a"))
+                        .count();
+        assertEquals(ofCapped, 2, "8 cores can do two of them in 2.2 s");
+        assertEquals(inTime.size(), 8, "all jobs without a cap");
+    }
+
     @Test
     public void noSequenceOfEventsExceedsACap() {
         for (int seed = 1; seed <= 20; seed++) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
@@ -24,11 +24,14 @@
         List<ActiveRun> sort(List<ActiveRun> runs, long nowWallMs);
     }
 
+    private static List<ActiveRun> sort(List<ActiveRun> runs, long nowWallMs) {
+        return UrgencyOrder.sort(runs, CORES * OwnerHarness.CORE, OrganisationCaps.NONE, nowWallMs);
+    }
+
     @Test
     public void urgencyOrderMeetsMoreObjectivesThanArrivalOrder() {
         // In an overload of five times the capacity, arrival order makes every job slightly late.
-        int byUrgency =
-                countOnTime((runs, now) -> UrgencyOrder.sort(runs, CORES * OwnerHarness.CORE, now));
+        int byUrgency = countOnTime((runs, now) -> sort(runs, now));
         int byArrival =
                 countOnTime(
                         (runs, now) -> {
@@ -108,8 +111,7 @@
         owner.mScheduler.runs().jobs().forEach(j -> runs.add(j.runs().get(0)));
 
         List<String> ids = new ArrayList<>();
-        for (ActiveRun r :
-                UrgencyOrder.sort(runs, CORES * OwnerHarness.CORE, OwnerHarness.WALL_MS)) {
+        for (ActiveRun r : sort(runs, OwnerHarness.WALL_MS)) {
             ids.add(r.job().id());
         }
 
