--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
@@ -23,7 +23,17 @@
     private static final long STEP_MS = 100;
     private static final double MS_PER_S = 1000;
 
+    private static final int ORGANISATIONS = 20;
+
+    /** Weights and caps of organisations, as multiples of their mean use. */
+    private static final double LIMIT_FACTOR = 1.9;
+
+    private static final double JOBS_PER_S = 46;
+    private static final double MEAN_CORES = 1300;
+
     private final Random mRandom;
+    private final Random mOrganisationRandom;
+    private final List<Double> mShares = new ArrayList<>();
     private final FleetSimulation mSimulation;
     private final long mTurnMs;
     private long mZoneCutAtMs = -1;
@@ -69,6 +79,7 @@
      */
     TurnLoad(long seed, long turnMs) {
         mRandom = new Random(seed);
+        mOrganisationRandom = new Random(~seed);
         mTurnMs = turnMs;
         Resources capacity = Resources.of(16, 32 * GB, 0);
         mSimulation = new FleetSimulation(new FleetSimulation.VmSize(capacity, 8));
@@ -84,6 +95,36 @@
         mSimulation.addVms("off", VMS - Queue.values().length * STANDING_TASKS);
     }
 
+    /** Lets some large and many small organisations submit the jobs, with caps near their use. */
+    TurnLoad withOrganisations() {
+        double sum = 0;
+        for (int o = 0; o < ORGANISATIONS; o++) {
+            sum += 1.0 / (o + 1);
+            mShares.add(sum);
+        }
+        List<Organisation> all = new ArrayList<>();
+        for (int o = 0; o < ORGANISATIONS; o++) {
+            double share = 1.0 / (o + 1) / sum;
+            double weight = Math.max(1, LIMIT_FACTOR * share * JOBS_PER_S);
+            int cores = (int) (LIMIT_FACTOR * share * MEAN_CORES);
+            all.add(OwnerHarness.organisation("o" + o, weight, cores));
+        }
+        mSimulation.mOwner.setOrganisations(all.toArray(Organisation[]::new));
+        return this;
+    }
+
+    private String drawOrganisation() {
+        if (mShares.isEmpty()) {
+            return Organisation.NONE;
+        }
+        double drawn = mOrganisationRandom.nextDouble() * mShares.get(mShares.size() - 1);
+        int number = 0;
+        while (mShares.get(number) < drawn) {
+            number++;
+        }
+        return "o" + number;
+    }
+
     /** Cuts the workers of a zone off for a time after so long. */
     TurnLoad withZoneCut(long atMs, long ms) {
         mZoneCutAtMs = atMs;
@@ -162,6 +203,6 @@
                             RunMode.PLAIN));
         }
         mSimulation.addJob(
-                queue.mService, slowdowns, Organisation.NONE, steps.toArray(TaskStep[]::new));
+                queue.mService, slowdowns, drawOrganisation(), steps.toArray(TaskStep[]::new));
     }
 }
