--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -68,6 +68,7 @@
     private final Clock mClock;
     private final NodeLog mLog;
     private final NodeMetrics mMetrics;
+    private final OrganisationMetrics mOrganisationMetrics;
     private final RequestRouter mRouter;
     private final Map<String, InFlight> mInFlight = new HashMap<>();
 
@@ -95,6 +96,7 @@
         mClock = clock;
         mLog = log;
         mMetrics = metrics;
+        mOrganisationMetrics = new OrganisationMetrics(metrics);
         mRouter = new RequestRouter(operator, reader, keyLifetime, codec.keyHeader(), log);
     }
 
@@ -113,7 +115,7 @@
                 new RequestRouter.Callback() {
                     @Override
                     public void routed(RoutedRequest routed) {
-                        handleRouted(request, routed, timed);
+                        handleRouted(request, routed, measured(routed, startMs, timed));
                     }
 
                     @Override
@@ -123,6 +125,15 @@
                 });
     }
 
+    private Consumer<HttpReply> measured(
+            RoutedRequest routed, long startMs, Consumer<HttpReply> reply) {
+        return response -> {
+            mOrganisationMetrics.recordAnswer(
+                    routed.organisation(), response.status(), mClock.nowMs() - startMs);
+            reply.accept(response);
+        };
+    }
+
     private void logIfSlow(HttpRequest request, HttpReply response, long tookMs) {
         if (tookMs >= SLOW_REPLY_MS) {
             mLog.line("answer-slow")
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/ApiKeysTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/ApiKeysTest.java
@@ -1,6 +1,8 @@
 package org.foxtailplank.node.caller;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -15,6 +17,7 @@
 import org.foxtailplank.node.FakeJobQueries;
 import org.foxtailplank.node.FakeSharedLog;
 import org.foxtailplank.node.FakeTime;
+import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.organisation.Organisation;
 import org.foxtailplank.organisation.Organisations;
@@ -253,6 +256,27 @@
         assertEquals(status("", "DELETE", "/public/" + JOB), 403);
     }
 
+    /** Guards against keys that operators or other services can read in logs and metrics. */
+    @Test
+    public void noKeyIsPartOfLogsMetricsOrTheJournal() {
+        publish(2, organisation("a", "secret-valid"), organisation("b", "secret-other"));
+        assertEquals(status("secret-valid", "POST", "/q/" + JOB), 200);
+        assertEquals(status("secret-valid", "GET", "/q/" + JOB), 200);
+        assertEquals(status("secret-other", "DELETE", "/q/" + JOB), 403);
+        assertEquals(status("secret-unknown", "GET", "/q/"), 401);
+        mFeed.mUnavailable = true;
+        mClock.advance(REVOCATION_MS);
+        assertEquals(status("secret-valid", "GET", "/q/" + JOB), 503);
+
+        String output = mService.output();
+        assertTrue(output.contains("not-routed"), output);
+        assertTrue(output.contains("organisation_a_answers_2xx 2"), output);
+        assertFalse(output.contains("secret"), output);
+        for (byte[] record : mLog.records(JournalPartitions.PRIMARY)) {
+            assertFalse(new String(record, StandardCharsets.ISO_8859_1).contains("secret"));
+        }
+    }
+
     @Test
     public void aJobBelongsToItsOrganisationAfterItsKeyWasReplaced() {
         assertEquals(status("k1", "POST", "/q/" + JOB), 200);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
@@ -1,6 +1,9 @@
 package org.foxtailplank.node.caller;
 
 import io.netty.channel.EventLoop;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -33,6 +36,8 @@
     private final OwnerLink mLink;
     private final OperatorFollower mOperator;
     private final CallerService mService;
+    private final NodeLog mLog;
+    private final NodeMetrics mMetrics = new NodeMetrics();
 
     /** Creates a service that isn't connected to an owner. */
     CallerServiceFixture(
@@ -72,6 +77,7 @@
             Optional<JobQueries> ownerQueries,
             KeyLifetime keyLifetime) {
         NodeLog out = NodeLog.silent(clock);
+        mLog = out;
         mOperator = new OperatorFollower(operatorChanges, clock, timers, out);
         mReader =
                 new JournalReader(
@@ -105,7 +111,7 @@
                         clock,
                         timers,
                         out,
-                        new NodeMetrics());
+                        mMetrics);
     }
 
     JournalReader reader() {
@@ -121,8 +127,11 @@
         mOperator.refresh(read -> {});
     }
 
-    OperatorFollower operator() {
-        return mOperator;
+    /** Returns the lines logged so far and the metrics. */
+    String output() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        mLog.flush(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+        return bytes.toString(StandardCharsets.UTF_8) + mMetrics.text();
     }
 
     /** Sends a request; the returned list receives the reply. */
