Start tasks that are larger than half of their organisation's cap

A task of 6 cores waited forever in an organisation with a cap of 8 whose standing tasks hold 3: whatever ends, 9 exceed the cap. The users' rules allow a cap to be exceeded by a task, and call a task lost that waits for 3 s while its organisation uses less than half of its cap and there is room.

An organisation below half of its cap may now exceed it by one task.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OrganisationCaps.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OrganisationCaps.java
@@ -10,7 +10,9 @@
  * Caps on what the tasks of each organisation may hold at a time.
  *
  * <p>A task that would exceed its organisation's cap isn't started and waits without holding up
- * those of others. If a cap is reduced below what runs, nothing is stopped.
+ * those of others. If a cap is reduced below what runs, nothing is stopped. An organisation that
+ * uses less than half of its cap may exceed it by one task, since a task that is larger than the
+ * other half could wait for standing tasks forever.
  */
 final class OrganisationCaps {
     /** No organisation has a cap. */
@@ -32,7 +34,9 @@
             return true;
         }
         Resources used = mUsage.used(organisation);
-        return cap(organisation).admits(used.plus(step.spec().demand().times(tasks)));
+        ResourceCap cap = cap(organisation);
+        return cap.admits(used.plus(step.spec().demand().times(tasks)))
+                || tasks == 1 && cap.admits(used.times(2));
     }
 
     private ResourceCap cap(String organisation) {
