--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/RequestRouter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/RequestRouter.java
@@ -7,6 +7,8 @@
 import java.util.function.Consumer;
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
+import org.foxtailplank.lease.ClockReading;
+import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.OperatorFollower;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.LogLine;
@@ -38,10 +40,14 @@
      */
     private static final long OLD_CONFIG_MS = 2000;
 
+    /** Requests that are decided this long after their arrival are logged, in milliseconds. */
+    private static final long SLOW_DECISION_MS = 20;
+
     private final OperatorFollower mOperator;
     private final JournalReader mReader;
     private final KeyLifetime mKeyLifetime;
     private final String mKeyHeader;
+    private final Clock mClock;
     private final NodeLog mLog;
     private final List<Consumer<Boolean>> mAwaitingRefresh = new ArrayList<>();
 
@@ -82,11 +88,13 @@
             JournalReader reader,
             KeyLifetime keyLifetime,
             String keyHeader,
+            Clock clock,
             NodeLog log) {
         mOperator = operator;
         mReader = reader;
         mKeyLifetime = keyLifetime;
         mKeyHeader = keyHeader;
+        mClock = clock;
         mLog = log;
     }
 
@@ -100,20 +108,51 @@
             callback.rejected(unavailableReply());
             return;
         }
+        Callback logged = loggingDelay(request, callback);
         mOperator.awaitVersion(
                 mReader.registry().configVersion(),
                 current -> {
                     if (current) {
-                        routeByOwnConfig(request, callback);
+                        routeByOwnConfig(request, logged);
                     } else {
-                        logRejected("config-behind", request)
+                        logRequest("config-behind", request)
                                 .with("newest", mReader.registry().configVersion())
                                 .write();
-                        callback.rejected(unavailableReply());
+                        logged.rejected(unavailableReply());
                     }
                 });
     }
 
+    /** Returns a callback that logs requests that were decided a while after their arrival. */
+    private Callback loggingDelay(HttpRequest request, Callback callback) {
+        ClockReading arrivedAt = mClock.moment();
+        long arrivalVersion = mOperator.version();
+        return new Callback() {
+            @Override
+            public void routed(RoutedRequest routed) {
+                logDelay("routed");
+                callback.routed(routed);
+            }
+
+            @Override
+            public void rejected(HttpReply reply) {
+                logDelay(String.valueOf(reply.status()));
+                callback.rejected(reply);
+            }
+
+            private void logDelay(String outcome) {
+                long delayMs = mClock.moment().elapsedSince(arrivedAt);
+                if (delayMs >= SLOW_DECISION_MS) {
+                    logRequest("decided-late", request)
+                            .with("outcome", outcome)
+                            .with("arrivalVersion", arrivalVersion)
+                            .with("delayMs", delayMs)
+                            .write();
+                }
+            }
+        };
+    }
+
     private void routeByOwnConfig(HttpRequest request, Callback callback) {
         Result result = find(request);
         switch (result.finding()) {
@@ -136,7 +175,7 @@
             accept(request, result, callback);
             return;
         }
-        logRejected("not-routed", request)
+        logRequest("not-routed", request)
                 .with("why", result.finding())
                 .with("configRead", read)
                 .write();
@@ -169,7 +208,7 @@
 
     private void accept(HttpRequest request, Result result, Callback callback) {
         if (mOperator.confirmedAgeMs() >= OLD_CONFIG_MS) {
-            logRejected("config-old", request).write();
+            logRequest("config-old", request).write();
         }
         callback.routed(result.request().orElseThrow());
     }
@@ -187,7 +226,7 @@
         }
     }
 
-    private LogLine logRejected(String kind, HttpRequest request) {
+    private LogLine logRequest(String kind, HttpRequest request) {
         String key = request.headers().get(mKeyHeader).map(KeyFingerprint::of).orElse("none");
         return mLog.line(kind)
                 .with("method", request.method())
