--- a/foxtail-node/src/test/java/org/foxtailplank/node/HeldFeed.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/HeldFeed.java
@@ -31,6 +31,12 @@
         mReads.remove().accept(new Page<>(List.of(new Item<>(key, Optional.of(value))), 1, true));
     }
 
+    /** Answers the oldest read with several changes, up to the end of the feed. */
+    public void answerAll(String key, List<T> values) {
+        List<Item<T>> items = values.stream().map(v -> new Item<>(key, Optional.of(v))).toList();
+        mReads.remove().accept(new Page<>(items, 1, true));
+    }
+
     /** Answers the oldest read: there are no changes. */
     public void answerEmpty() {
         mReads.remove().accept(new Page<>(List.of(), 1, true));
