Decide waiting requests only once a page of changes is applied as a whole

What callers saw: a request that waited for version 2 was handled by it although the page that brought it contained version 3 too, which had dropped the route. Its configuration was superseded before it was in force.

Cause: OperatorFollower notified the waiting requests after each configuration of a page.

Waiting requests are notified after the last change of a page or after the configuration of a peer, so that they see no version in between.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -164,6 +164,7 @@
         if (config.version() > version()) {
             mLog.line("config-from-peer").with("version", config.version()).write();
             apply(new OperatorChange.NewConfig(config));
+            notifyWaiters();
         }
     }
 
@@ -253,7 +254,6 @@
         if (mConfig.isEmpty() || config.version() > mConfig.get().version()) {
             logNewConfig(config);
             mConfig = Optional.of(config);
-            notifyWaiters();
         }
     }
 
