Reject a request only by a read that was sent after it had arrived

What callers saw: 404 or 401 by an answer that was older than the request, for a route or key that the operator had been confirmed. A node whose read hangs kept the request until the read was given up, up to 10 s.

Cause: requests that arrive while a read is under way shared it, whenever it had been sent, and each page counted as the end of the changes, also one that others follow.

Reads are numbered when they are sent, and a rejection needs the last page of one that was sent after the arrival; else the answer is 503 after 500 ms at most. ConfigWaits holds the requests that wait, in place of the follower of the operator's changes and the router, which each had a list.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.foxtailplank.lease.ClockReading;
 import org.foxtailplank.lease.Confirmation;
@@ -27,29 +26,22 @@
     /** Delay after a failed read, in milliseconds. */
     private static final long RETRY_MS = 150;
 
-    /** How long a request waits for a version or a confirmation, in milliseconds. */
-    private static final long MAX_WAIT_MS = 150;
-
-    /**
-     * Time after which what is waited for is read on another connection, in milliseconds: the long
-     * poll's connection may have failed silently.
-     */
-    private static final long EXTRA_READ_DELAY_MS = 50;
-
     private final ChangeFeed<OperatorChange> mFeed;
     private final Clock mClock;
     private final Timers mTimers;
     private final NodeLog mLog;
     private final Map<Long, DueWave> mWaves = new LinkedHashMap<>();
-    private final List<Waiter> mWaiters = new ArrayList<>();
+    private final List<Runnable> mListeners = new ArrayList<>();
 
     private Optional<FleetConfig> mConfig = Optional.empty();
     private boolean mFirstPageRead;
-    private boolean mExtraReadPending;
     private long mPosition = -1;
     private Confirmation mConfirmation = Confirmation.NONE;
     private ClockReading mLastFailedAt = new ClockReading(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
     private boolean mFailing;
+    private long mReadsSent;
+    private long mLastConfirmedRead;
+    private long mLastFailedRead;
     private long mLastReadMs = Long.MIN_VALUE / 2;
     private long mPreviousReadMs = Long.MIN_VALUE / 2;
 
@@ -94,59 +86,35 @@
     public void confirm(long version, ClockReading confirmedAt) {
         if (version() >= version) {
             mConfirmation = mConfirmation.extendedBy(confirmedAt);
-            notifyWaiters();
+            notifyListeners();
         }
     }
 
-    private record Waiter(BooleanSupplier condition, Consumer<Boolean> callback) {}
+    /** Returns the number of reads sent so far. */
+    public long readsSent() {
+        return mReadsSent;
+    }
 
-    /**
-     * Waits a short time until a configuration of at least this version was read, and reports
-     * whether it was.
-     */
-    public void awaitVersion(long version, Consumer<Boolean> callback) {
-        await(() -> version() >= version, callback);
+    /** Returns whether a read after the given number has confirmed the configuration. */
+    public boolean isConfirmedSince(long readsSent) {
+        return mLastConfirmedRead > readsSent;
     }
 
-    /**
-     * Waits a short time until the configuration was the newest at most this long ago, and reports
-     * whether it was. Reports at once that it wasn't if a read has failed since.
-     */
-    public void awaitConfirmation(long maxAgeMs, Consumer<Boolean> callback) {
-        boolean failed = mConfirmation.ageMs(mLastFailedAt) > maxAgeMs;
-        if (failed && confirmedAgeMs() > maxAgeMs) {
-            callback.accept(false);
-        } else {
-            await(() -> confirmedAgeMs() <= maxAgeMs, callback);
-        }
+    /** Returns whether a read after the given number has failed. */
+    public boolean hasFailedSince(long readsSent) {
+        return mLastFailedRead > readsSent;
     }
 
-    private void await(BooleanSupplier condition, Consumer<Boolean> callback) {
-        if (condition.getAsBoolean()) {
-            callback.accept(true);
-            return;
-        }
-        Waiter waiter = new Waiter(condition, callback);
-        mWaiters.add(waiter);
-        if (!mExtraReadPending) {
-            mExtraReadPending = true;
-            mTimers.after(EXTRA_READ_DELAY_MS, this::readAgain);
-        }
-        mTimers.after(
-                MAX_WAIT_MS,
-                () -> {
-                    if (mWaiters.remove(waiter)) {
-                        callback.accept(false);
-                    }
-                });
+    /**
+     * Returns whether the configuration couldn't be read although its confirmation was this old.
+     */
+    public boolean hasFailedAtAge(long ageMs) {
+        return mConfirmation.ageMs(mLastFailedAt) > ageMs;
     }
 
-    private void readAgain() {
-        if (mWaiters.isEmpty()) {
-            mExtraReadPending = false;
-        } else {
-            refresh(read -> mExtraReadPending = false);
-        }
+    /** Adds a listener that is called after each read and after each message of a peer. */
+    public void addListener(Runnable listener) {
+        mListeners.add(listener);
     }
 
     /** Returns all waves by number. */
@@ -164,45 +132,50 @@
         if (config.version() > version()) {
             mLog.line("config-from-peer").with("version", config.version()).write();
             apply(new OperatorChange.NewConfig(config));
-            notifyWaiters();
+            notifyListeners();
         }
     }
 
     /** Starts polling, which never ends. */
     public void follow() {
-        ClockReading sentAt = mClock.moment();
-        if (mPosition < 0) {
-            mFeed.latest(r -> pollCompleted(r, sentAt));
-        } else {
-            mFeed.changes(mPosition, POLL_WAIT_MS, r -> pollCompleted(r, sentAt));
-        }
+        read(
+                POLL_WAIT_MS,
+                result -> {
+                    if (result instanceof ChangeFeed.Page) {
+                        follow();
+                    } else {
+                        mTimers.after(RETRY_MS, this::follow);
+                    }
+                });
     }
 
-    private void pollCompleted(ChangeFeed.Result<OperatorChange> result, ClockReading sentAt) {
-        apply(result, sentAt);
-        if (result instanceof ChangeFeed.Page) {
-            follow();
-        } else {
-            mTimers.after(RETRY_MS, this::follow);
-        }
+    /** Reads all changes written so far, on another connection than the long poll. */
+    public void refresh() {
+        refresh(() -> {});
+    }
+
+    /** Reads all changes written so far, then runs a callback, whether that succeeded or not. */
+    public void refresh(Runnable callback) {
+        read(0, result -> callback.run());
     }
 
-    /** Reads all changes written so far, then reports whether that succeeded. */
-    public void refresh(Consumer<Boolean> callback) {
-        ClockReading sentAt = mClock.moment();
+    private void read(long waitMs, Consumer<ChangeFeed.Result<OperatorChange>> callback) {
+        SentRead read = new SentRead(++mReadsSent, mClock.moment());
         Consumer<ChangeFeed.Result<OperatorChange>> listener =
-                r -> {
-                    apply(r, sentAt);
-                    callback.accept(r instanceof ChangeFeed.Page);
+                result -> {
+                    apply(result, read);
+                    callback.accept(result);
                 };
         if (mPosition < 0) {
             mFeed.latest(listener);
         } else {
-            mFeed.changes(mPosition, 0, listener);
+            mFeed.changes(mPosition, waitMs, listener);
         }
     }
 
-    private void apply(ChangeFeed.Result<OperatorChange> result, ClockReading sentAt) {
+    private record SentRead(long number, ClockReading sentAt) {}
+
+    private void apply(ChangeFeed.Result<OperatorChange> result, SentRead read) {
         mFailing = result instanceof ChangeFeed.Failed;
         if (result instanceof ChangeFeed.Gap) {
             // The changes are no longer available: the next read fetches the newest values.
@@ -214,12 +187,18 @@
             page.items().forEach(this::apply);
             mFirstPageRead = true;
             if (page.last()) {
-                mConfirmation = mConfirmation.extendedBy(sentAt);
+                mConfirmation = mConfirmation.extendedBy(read.sentAt());
+                mLastConfirmedRead = Math.max(mLastConfirmedRead, read.number());
             }
-            notifyWaiters();
         } else {
-            mLastFailedAt = sentAt;
+            mLastFailedAt = read.sentAt();
+            mLastFailedRead = Math.max(mLastFailedRead, read.number());
         }
+        notifyListeners();
+    }
+
+    private void notifyListeners() {
+        mListeners.forEach(Runnable::run);
     }
 
     /** Ignores unreadable changes, which leave the last readable value in force. */
@@ -257,12 +236,6 @@
         }
     }
 
-    private void notifyWaiters() {
-        List<Waiter> served = mWaiters.stream().filter(w -> w.condition().getAsBoolean()).toList();
-        mWaiters.removeAll(served);
-        served.forEach(w -> w.callback().accept(true));
-    }
-
     private void logNewConfig(FleetConfig config) {
         Map<String, String> servicesBefore =
                 mConfig.map(OperatorFollower::servicesByRoute).orElse(Map.of());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -97,7 +97,9 @@
         mLog = log;
         mMetrics = metrics;
         mOrganisationMetrics = new OrganisationMetrics(metrics);
-        mRouter = new RequestRouter(operator, reader, keyLifetime, codec.keyHeader(), clock, log);
+        mRouter =
+                new RequestRouter(
+                        operator, reader, keyLifetime, codec.keyHeader(), clock, timers, log);
     }
 
     @Override
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/RequestRouter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/RequestRouter.java
@@ -1,15 +1,14 @@
 package org.foxtailplank.node.caller;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.lease.ClockReading;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.OperatorFollower;
+import org.foxtailplank.node.Timers;
+import org.foxtailplank.node.caller.ConfigWaits.Progress;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.LogLine;
 import org.foxtailplank.node.log.NodeLog;
@@ -43,13 +42,22 @@
     /** Requests that are decided this long after their arrival are logged, in milliseconds. */
     private static final long SLOW_DECISION_MS = 20;
 
+    /** How long a request waits for a read that it caused, in milliseconds. */
+    private static final long MAX_READ_WAIT_MS = 500;
+
+    /** How long a request waits for what the long poll should deliver soon, in milliseconds. */
+    private static final long MAX_POLL_WAIT_MS = 150;
+
+    /** Time after which the long poll's connection may have failed silently, in milliseconds. */
+    private static final long POLL_GRACE_MS = 50;
+
     private final OperatorFollower mOperator;
     private final JournalReader mReader;
     private final KeyLifetime mKeyLifetime;
     private final String mKeyHeader;
     private final Clock mClock;
     private final NodeLog mLog;
-    private final List<Consumer<Boolean>> mAwaitingRefresh = new ArrayList<>();
+    private final ConfigWaits mWaits;
 
     /** Receives a routed request, or the reply to a rejected one. */
     interface Callback {
@@ -59,16 +67,30 @@
     }
 
     private enum Finding {
-        ROUTED(0),
-        NO_QUEUE(NOT_FOUND),
-        UNKNOWN_KEY(UNAUTHORIZED),
+        ROUTED(0, 0, 0),
+        NO_QUEUE(NOT_FOUND, MAX_READ_WAIT_MS, 0),
+        UNKNOWN_KEY(UNAUTHORIZED, MAX_READ_WAIT_MS, 0),
         /** The key is known, but may have been revoked. */
-        UNCONFIRMED_KEY(SERVICE_UNAVAILABLE);
+        UNCONFIRMED_KEY(SERVICE_UNAVAILABLE, MAX_POLL_WAIT_MS, POLL_GRACE_MS),
+        /** The node has a job of a newer configuration. */
+        CONFIG_BEHIND(SERVICE_UNAVAILABLE, MAX_POLL_WAIT_MS, POLL_GRACE_MS);
 
         private final int mStatus;
 
-        Finding(int status) {
+        /** How long a request waits for another finding, in milliseconds. */
+        private final long mMaxWaitMs;
+
+        /** Time after which the changes are read for a request that waits, in milliseconds. */
+        private final long mReadDelayMs;
+
+        Finding(int status, long maxWaitMs, long readDelayMs) {
             mStatus = status;
+            mMaxWaitMs = maxWaitMs;
+            mReadDelayMs = readDelayMs;
+        }
+
+        HttpReply reply() {
+            return mStatus == SERVICE_UNAVAILABLE ? unavailableReply() : HttpReply.empty(mStatus);
         }
     }
 
@@ -89,6 +111,7 @@
             KeyLifetime keyLifetime,
             String keyHeader,
             Clock clock,
+            Timers timers,
             NodeLog log) {
         mOperator = operator;
         mReader = reader;
@@ -96,6 +119,7 @@
         mKeyHeader = keyHeader;
         mClock = clock;
         mLog = log;
+        mWaits = new ConfigWaits(operator, clock, timers);
     }
 
     /**
@@ -108,19 +132,34 @@
             callback.rejected(unavailableReply());
             return;
         }
+        Result result = find(request);
+        if (result.finding() == Finding.ROUTED) {
+            accept(request, result, callback);
+            return;
+        }
+        long readsSent = mOperator.readsSent();
         Callback logged = loggingDelay(request, callback);
-        mOperator.awaitVersion(
-                mReader.registry().configVersion(),
-                current -> {
-                    if (current) {
-                        routeByOwnConfig(request, logged);
-                    } else {
-                        logRequest("config-behind", request)
-                                .with("newest", mReader.registry().configVersion())
-                                .write();
-                        logged.rejected(unavailableReply());
-                    }
-                });
+        mWaits.await(
+                () -> progress(find(request).finding(), readsSent),
+                result.finding().mMaxWaitMs,
+                result.finding().mReadDelayMs,
+                () -> decide(request, readsSent, logged));
+    }
+
+    private Progress progress(Finding finding, long readsSent) {
+        return switch (finding) {
+            case ROUTED -> Progress.DONE;
+            case CONFIG_BEHIND -> Progress.PENDING;
+            case UNCONFIRMED_KEY -> failedIf(mOperator.hasFailedAtAge(mKeyLifetime.maxAgeMs()));
+            case NO_QUEUE, UNKNOWN_KEY ->
+                    mOperator.isConfirmedSince(readsSent)
+                            ? Progress.DONE
+                            : failedIf(mOperator.hasFailedSince(readsSent));
+        };
+    }
+
+    private static Progress failedIf(boolean failed) {
+        return failed ? Progress.FAILED : Progress.PENDING;
     }
 
     /** Returns a callback that logs requests that were decided a while after their arrival. */
@@ -153,37 +192,30 @@
         };
     }
 
-    private void routeByOwnConfig(HttpRequest request, Callback callback) {
-        Result result = find(request);
-        switch (result.finding()) {
-            case ROUTED -> accept(request, result, callback);
-            case UNCONFIRMED_KEY ->
-                    mOperator.awaitConfirmation(
-                            mKeyLifetime.maxAgeMs(), c -> complete(request, c, callback));
-            default -> refresh(read -> complete(request, read, callback));
-        }
-    }
-
     /**
-     * Routes a request by the configuration after it was to be read again.
+     * Decides a request that has waited.
      *
-     * @param read whether that succeeded
+     * @param readsSent number of reads sent before it arrived, which prove nothing
      */
-    private void complete(HttpRequest request, boolean read, Callback callback) {
+    private void decide(HttpRequest request, long readsSent, Callback callback) {
         Result result = find(request);
         if (result.finding() == Finding.ROUTED) {
             accept(request, result, callback);
             return;
         }
+        boolean certain = mOperator.isConfirmedSince(readsSent);
         logRequest("not-routed", request)
                 .with("why", result.finding())
-                .with("configRead", read)
+                .with("configRead", certain)
+                .with("newest", mReader.registry().configVersion())
                 .write();
-        boolean certain = read && result.finding() != Finding.UNCONFIRMED_KEY;
-        callback.rejected(certain ? HttpReply.empty(result.finding().mStatus) : unavailableReply());
+        callback.rejected(certain ? result.finding().reply() : unavailableReply());
     }
 
     private Result find(HttpRequest request) {
+        if (mOperator.version() < mReader.registry().configVersion()) {
+            return Result.rejected(Finding.CONFIG_BEHIND);
+        }
         FleetConfig config = mOperator.config().orElseThrow();
         Optional<RouteSettings> route = config.route(request.host(), request.path());
         if (route.isEmpty()) {
@@ -213,19 +245,6 @@
         callback.routed(result.request().orElseThrow());
     }
 
-    /** Reads the newest configuration; requests that arrive meanwhile share the read. */
-    private void refresh(Consumer<Boolean> callback) {
-        mAwaitingRefresh.add(callback);
-        if (mAwaitingRefresh.size() == 1) {
-            mOperator.refresh(
-                    read -> {
-                        List<Consumer<Boolean>> waiting = List.copyOf(mAwaitingRefresh);
-                        mAwaitingRefresh.clear();
-                        waiting.forEach(w -> w.accept(read));
-                    });
-        }
-    }
-
     private LogLine logRequest(String kind, HttpRequest request) {
         String key = request.headers().get(mKeyHeader).map(KeyFingerprint::of).orElse("none");
         return mLog.line(kind)
