Decide requests in the order in which they arrived

What callers saw: CONFIG, "went back from version 50 or newer to 46 or older". A request that waited 334 ms for a read of the operator's changes was answered by the version that the read returned; one that arrived 300 ms after it had been answered by the older version, since it needed no read.

Cause: a request that waits is decided by the configuration in force when the wait ends, however late, while requests that need no wait are decided at once. The class: decisions by versions in another order than that of the requests. Within a node the configuration never goes back.

Why this works: DecisionOrder keeps the arrival of the latest request that was decided by an older version. A waiting request that arrived over 150 ms before it is rejected with 503, whatever it waited for: a read, the version of a job, the confirmation of a key. DecisionOrderTest checks 500 seeded sequences of arrivals, waits, changes and suspensions.

Weighed: a bound of 150 ms on each wait (503 for all added routes on a slow store, also where no other request came); holding back the requests behind one that waits (a 404 would delay all). A waiting request is served by what arrives for up to 500 ms as long as it wasn't overtaken.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/RequestRouter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/RequestRouter.java
@@ -58,6 +58,7 @@
     private final Clock mClock;
     private final NodeLog mLog;
     private final ConfigWaits mWaits;
+    private final DecisionOrder mOrder = new DecisionOrder();
 
     /** Receives a routed request, or the reply to a rejected one. */
     interface Callback {
@@ -89,11 +90,22 @@
             mReadDelayMs = readDelayMs;
         }
 
-        HttpReply reply() {
-            return mStatus == SERVICE_UNAVAILABLE ? unavailableReply() : HttpReply.empty(mStatus);
+        boolean isUnavailable() {
+            return mStatus == SERVICE_UNAVAILABLE;
         }
     }
 
+    /**
+     * A request as it was when it arrived.
+     *
+     * @param at when it arrived
+     * @param version version of the configuration
+     * @param finding what that configuration says of it
+     * @param readsSent number of reads of the changes that were sent before
+     */
+    private record Arrival(
+            HttpRequest request, ClockReading at, long version, Finding finding, long readsSent) {}
+
     private record Result(Finding finding, Optional<RoutedRequest> request) {
         static Result rejected(Finding finding) {
             return new Result(finding, Optional.empty());
@@ -133,17 +145,22 @@
             return;
         }
         Result result = find(request);
+        Arrival arrival =
+                new Arrival(
+                        request,
+                        mClock.moment(),
+                        mOperator.version(),
+                        result.finding(),
+                        mOperator.readsSent());
         if (result.finding() == Finding.ROUTED) {
-            accept(request, result, callback);
+            accept(arrival, result, callback);
             return;
         }
-        long readsSent = mOperator.readsSent();
-        Callback logged = loggingDelay(request, callback);
         mWaits.await(
-                () -> progress(find(request).finding(), readsSent),
+                () -> progress(find(request).finding(), arrival.readsSent()),
                 result.finding().mMaxWaitMs,
                 result.finding().mReadDelayMs,
-                () -> decide(request, readsSent, logged));
+                () -> decide(arrival, callback));
     }
 
     private Progress progress(Finding finding, long readsSent) {
@@ -162,54 +179,42 @@
         return failed ? Progress.FAILED : Progress.PENDING;
     }
 
-    /** Returns a callback that logs requests that were decided a while after their arrival. */
-    private Callback loggingDelay(HttpRequest request, Callback callback) {
-        ClockReading arrivedAt = mClock.moment();
-        long arrivalVersion = mOperator.version();
-        return new Callback() {
-            @Override
-            public void routed(RoutedRequest routed) {
-                logDelay("routed");
-                callback.routed(routed);
-            }
-
-            @Override
-            public void rejected(HttpReply reply) {
-                logDelay(String.valueOf(reply.status()));
-                callback.rejected(reply);
-            }
-
-            private void logDelay(String outcome) {
-                long delayMs = mClock.moment().elapsedSince(arrivedAt);
-                if (delayMs >= SLOW_DECISION_MS) {
-                    logRequest("decided-late", request)
-                            .with("outcome", outcome)
-                            .with("arrivalVersion", arrivalVersion)
-                            .with("delayMs", delayMs)
-                            .write();
-                }
-            }
-        };
-    }
-
-    /**
-     * Decides a request that has waited.
-     *
-     * @param readsSent number of reads sent before it arrived, which prove nothing
-     */
-    private void decide(HttpRequest request, long readsSent, Callback callback) {
-        Result result = find(request);
-        if (result.finding() == Finding.ROUTED) {
-            accept(request, result, callback);
+    /** Decides a request that has waited. */
+    private void decide(Arrival arrival, Callback callback) {
+        Result result = find(arrival.request());
+        logDelay(arrival, result.finding());
+        boolean certain = mOperator.isConfirmedSince(arrival.readsSent());
+        boolean routed = result.finding() == Finding.ROUTED;
+        boolean inOrder =
+                result.finding() == arrival.finding()
+                        || mOrder.permits(arrival.at(), mOperator.version());
+        if (routed && inOrder) {
+            accept(arrival, result, callback);
             return;
         }
-        boolean certain = mOperator.isConfirmedSince(readsSent);
-        logRequest("not-routed", request)
+        logRequest("not-routed", arrival.request())
                 .with("why", result.finding())
                 .with("configRead", certain)
+                .with("inOrder", inOrder)
                 .with("newest", mReader.registry().configVersion())
                 .write();
-        callback.rejected(certain ? result.finding().reply() : unavailableReply());
+        if (routed || !certain || !inOrder || result.finding().isUnavailable()) {
+            callback.rejected(unavailableReply());
+        } else {
+            mOrder.recordDecision(arrival.at(), mOperator.version());
+            callback.rejected(HttpReply.empty(result.finding().mStatus));
+        }
+    }
+
+    private void logDelay(Arrival arrival, Finding finding) {
+        long delayMs = mClock.moment().elapsedSince(arrival.at());
+        if (delayMs >= SLOW_DECISION_MS) {
+            logRequest("decided-late", arrival.request())
+                    .with("finding", finding)
+                    .with("arrivalVersion", arrival.version())
+                    .with("delayMs", delayMs)
+                    .write();
+        }
     }
 
     private Result find(HttpRequest request) {
@@ -238,10 +243,11 @@
         return new Result(Finding.ROUTED, Optional.of(new RoutedRequest(route, organisation)));
     }
 
-    private void accept(HttpRequest request, Result result, Callback callback) {
+    private void accept(Arrival arrival, Result result, Callback callback) {
         if (mOperator.confirmedAgeMs() >= OLD_CONFIG_MS) {
-            logRequest("config-old", request).write();
+            logRequest("config-old", arrival.request()).write();
         }
+        mOrder.recordDecision(arrival.at(), mOperator.version());
         callback.routed(result.request().orElseThrow());
     }
 
