Soak: connections that go silent for good, changes of routes, and CONFIG

Open connections of a node to the store and the VM service go silent while new ones work, and the operator adds and drops routes all the time; both are drawn apart, so that older seeds keep their other faults. CONFIG is checked by what callers saw: routes that are served in time, and no process that goes back.

--- a/foxtail-it/src/main/java/org/foxtailplank/it/proxy/FaultProxy.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/proxy/FaultProxy.java
@@ -96,6 +96,11 @@
         mLinks.forEach(Link::reset);
     }
 
+    /** Lets nothing more through on the connections that are open, for good. */
+    public void silence() {
+        mLinks.forEach(Link::silence);
+    }
+
     /** Ends all faults; what was held back arrives. */
     public void heal() {
         mFaults.heal();
@@ -159,6 +164,15 @@
                             });
         }
 
+        private void silence() {
+            mClient.eventLoop()
+                    .execute(
+                            () -> {
+                                mToTarget.silence();
+                                mToClient.silence();
+                            });
+        }
+
         private void reset() {
             mClient.eventLoop()
                     .execute(
--- a/foxtail-it/src/main/java/org/foxtailplank/it/proxy/Pipe.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/proxy/Pipe.java
@@ -17,6 +17,7 @@
     private long mSent;
     private long mDueNanos;
     private boolean mEnded;
+    private boolean mSilent;
 
     Pipe(FaultState faults, Direction direction, Channel sink) {
         mFaults = faults;
@@ -25,10 +26,20 @@
     }
 
     void take(ByteBuf bytes) {
+        if (mSilent) {
+            bytes.release();
+            return;
+        }
         mHeld.add(bytes);
         pump();
     }
 
+    /** Discards everything from now on. */
+    void silence() {
+        mSilent = true;
+        release();
+    }
+
     /** The source closed; the sink closes once everything is through. */
     void end() {
         mEnded = true;
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
@@ -40,7 +40,9 @@
     WORKER_RESTART(Target.WORKER),
     KEY_REPLACED(Target.ORGANISATION),
     CAP_CUT(Target.ORGANISATION),
-    FLOOD(Target.ORGANISATION);
+    FLOOD(Target.ORGANISATION),
+    CONNECTIONS_SILENT(Target.NODE),
+    ROUTE_CHANGED(Target.NOTHING);
 
     /** What a fault strikes. */
     enum Target {
@@ -81,7 +83,14 @@
 
     /** Kinds that are drawn with others, so that seeds keep their faults when a kind is added. */
     private static final Set<FaultKind> DRAWN_APART =
-            EnumSet.of(WORKER_SHRINK, WORKER_RESTART, KEY_REPLACED, CAP_CUT, FLOOD);
+            EnumSet.of(
+                    WORKER_SHRINK,
+                    WORKER_RESTART,
+                    KEY_REPLACED,
+                    CAP_CUT,
+                    FLOOD,
+                    CONNECTIONS_SILENT,
+                    ROUTE_CHANGED);
 
     private final Target mTarget;
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -151,6 +151,11 @@
             case KEY_REPLACED -> mSystem.organisations().replaceKey(f.target());
             case CAP_CUT -> mSystem.organisations().setCapCut(f.target(), true);
             case FLOOD -> mCallers.flood(f.target());
+            case CONNECTIONS_SILENT -> {
+                strike.nodes().get(0).store().silence();
+                strike.nodes().get(0).vms().silence();
+            }
+            case ROUTE_CHANGED -> mSystem.routes().change();
             default -> {}
         }
     }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -327,6 +327,18 @@
         }
     },
 
+    /** A route is served soon after it was added, and no node goes back to an older version. */
+    CONFIG {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof SoakEvent.RouteChanged e) {
+                scan.routes().changed(e);
+            } else if (event instanceof SoakEvent.RouteAnswered e) {
+                scan.routes().answered(e).ifPresent(problem -> scan.broken(e, problem));
+            }
+        }
+    },
+
     /** No start brings an organisation clearly over its cap, as it was in the last seconds. */
     QUOTA {
         @Override
@@ -399,7 +411,7 @@
     private static final long REVOKE_MS = 5000;
 
     /** From when on a configuration is in force, in milliseconds. */
-    private static final long CONFIG_MS = 3000;
+    static final long CONFIG_MS = 3000;
 
     /** Within this time an owner knows that a cap has fallen, in milliseconds. */
     private static final long CAP_KNOWN_MS = 10_000;
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Scan.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Scan.java
@@ -11,6 +11,7 @@
 /** What one promise has noted while it goes through a history. */
 final class Scan {
     private final RunsSeen mRuns = new RunsSeen();
+    private final RoutesSeen mRoutes = new RoutesSeen();
     private final Set<String> mNoted = new HashSet<>();
     private final Map<String, Long> mSince = new HashMap<>();
     private final Map<String, Long> mCounts = new HashMap<>();
@@ -20,6 +21,10 @@
         return mRuns;
     }
 
+    RoutesSeen routes() {
+        return mRoutes;
+    }
+
     void note(String name) {
         mNoted.add(name);
     }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -56,6 +56,15 @@
     /** Sets the draw of these faults apart in the same way. */
     private static final long ORGANISATION_SEED = 0x0a9;
 
+    /** Mean time between two nodes whose connections to the platform go silent, in seconds. */
+    private static final double SILENCE_GAP_S = 3;
+
+    /** Mean time between two changes of routes, in seconds. */
+    private static final double ROUTE_GAP_S = 0.7;
+
+    /** Sets the draw of both apart in the same way. */
+    private static final long CONFIG_SEED = 0xc0f;
+
     private static final int RUN_WORDS = 6;
     private static final int FAULT_WORDS = 6;
 
@@ -97,6 +106,9 @@
         addShrinkingWorkers(seed, size, faults);
         addRestartingWorkers(seed, size, faults);
         addOrganisationFaults(seed, size, faults);
+        RandomGenerator configRandom = new Random(seed ^ CONFIG_SEED);
+        addOften(FaultKind.CONNECTIONS_SILENT, SILENCE_GAP_S, configRandom, size, faults);
+        addOften(FaultKind.ROUTE_CHANGED, ROUTE_GAP_S, configRandom, size, faults);
         RunEnding[] endings = RunEnding.values();
         return new Schedule(seed, size, faults, endings[random.nextInt(endings.length)]);
     }
@@ -134,6 +146,20 @@
         }
     }
 
+    /** Adds a fault that strikes at once and needs no end. */
+    private static void addOften(
+            FaultKind kind,
+            double gapS,
+            RandomGenerator random,
+            SoakSize size,
+            List<Fault> faults) {
+        double at = FIRST_S + random.nextDouble() * gapS;
+        while (at < size.seconds()) {
+            faults.add(new Fault(at, kind, kind.target().draw(size, random), 0));
+            at += random.nextDouble() * 2 * gapS;
+        }
+    }
+
     /** The same without one of its faults. */
     Schedule without(int fault) {
         List<Fault> left = new ArrayList<>(faults);
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
@@ -70,6 +70,7 @@
 
     private static final long FLOOD_EACH_MS = 10;
     private static final long INVALID_KEY_MS = 100;
+    private static final long ROUTE_MS = 10;
 
     /** Sets the draw of keys apart in the same way. */
     private static final long KEY_SEED = 0x3e5;
@@ -90,6 +91,7 @@
     private final Random mRandom;
     private final Random mCrashRandom;
     private final Random mKeyRandom;
+    private final RouteProbe mRouteProbe;
     private final Map<String, SoakJob> mAccepted = new HashMap<>();
     private boolean mComing;
     private boolean mOver;
@@ -103,6 +105,7 @@
         mRandom = new Random(seed);
         mCrashRandom = new Random(seed ^ CRASH_SEED);
         mKeyRandom = new Random(seed ^ KEY_SEED);
+        mRouteProbe = new RouteProbe(system, history, mClient, seed);
     }
 
     /** Jobs come from now on. */
@@ -113,6 +116,7 @@
                     next();
                     askPending();
                     askWithInvalidKey();
+                    askForRoute();
                 });
     }
 
@@ -164,6 +168,11 @@
         later(INVALID_KEY_MS, this::askWithInvalidKey);
     }
 
+    private void askForRoute() {
+        mRouteProbe.send();
+        later(ROUTE_MS, this::askForRoute);
+    }
+
     /** Asks a node how many jobs of a queue wait, again and again. */
     private void askPending() {
         int node = anyNode();
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
@@ -63,6 +63,16 @@
     record KeyAnswered(long atMs, String key, long sentMs, int node, int status)
             implements SoakEvent {}
 
+    /** The operator's configuration has a route from now on, or no more. */
+    record RouteChanged(long atMs, String route, boolean added) implements SoakEvent {}
+
+    /**
+     * A request for a route that was sent at {@code sentMs} got an answer, in the {@code boot}th
+     * life of the node's process.
+     */
+    record RouteAnswered(long atMs, String route, long sentMs, int node, int boot, int status)
+            implements SoakEvent {}
+
     /** An organisation's cap on processors, in thousandths, is this from now on; 0 for none. */
     record CapSet(long atMs, String organisation, long processors) implements SoakEvent {}
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -35,6 +35,7 @@
     private final FaultProxy mVms;
     private List<Integer> mPorts;
     private Optional<RunningProcess> mProcess = Optional.empty();
+    private int mBoots;
     private boolean mGone;
     private int mGrace = 6;
 
@@ -96,6 +97,7 @@
         }
         Path settings = mFolder.resolve(mName + ".json");
         Files.writeString(settings, settings());
+        mBoots++;
         mProcess =
                 Optional.of(
                         RunningProcess.start(
@@ -154,6 +156,11 @@
         return mProcess.map(RunningProcess::isAlive).orElse(false);
     }
 
+    /** How often its process was started. */
+    synchronized int boots() {
+        return mBoots;
+    }
+
     boolean isGone() {
         return mGone;
     }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
@@ -37,6 +37,7 @@
 
     private final UsersStandin mPlatform;
     private final SoakOrganisations mOrganisations;
+    private final SoakRoutes mRoutes;
     private final List<SoakNode> mNodes = new ArrayList<>();
     private final int mZones;
     private final int mWorkers;
@@ -67,6 +68,7 @@
                         history);
         mPlatform.configure(HOST, POOLS);
         mOrganisations = new SoakOrganisations(mPlatform, history);
+        mRoutes = new SoakRoutes(mPlatform, history);
         String network = network();
         for (int n = 0; n < size.nodes(); n++) {
             String name = "node-" + n;
@@ -103,6 +105,10 @@
         return mOrganisations;
     }
 
+    SoakRoutes routes() {
+        return mRoutes;
+    }
+
     List<SoakNode> nodes() {
         return mNodes;
     }
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -12,6 +12,8 @@
 import org.foxtailplank.soak.SoakEvent.Cancelled;
 import org.foxtailplank.soak.SoakEvent.CapacityChanged;
 import org.foxtailplank.soak.SoakEvent.Ended;
+import org.foxtailplank.soak.SoakEvent.RouteAnswered;
+import org.foxtailplank.soak.SoakEvent.RouteChanged;
 import org.foxtailplank.soak.SoakEvent.Started;
 import org.foxtailplank.soak.SoakEvent.SubmitAnswer;
 import org.foxtailplank.soak.SoakEvent.Submitted;
@@ -403,6 +405,67 @@
         onlyBroken();
     }
 
+    private void routes(int count) {
+        for (int r = 0; r < count; r++) {
+            mEvents.add(new RouteChanged(r * 100, "route-" + r, true));
+        }
+    }
+
+    private void answered(long sentMs, long atMs, String route, int boot, int status) {
+        mEvents.add(new RouteAnswered(atMs, route, sentMs, 0, boot, status));
+    }
+
+    @Test
+    public void aRouteThatIsNotServedLongAfterItWasAddedBreaksTheConfiguration() {
+        routes(1);
+        answered(2900, 2910, "route-0", 1, 404);
+        onlyBroken();
+        answered(3100, 3110, "route-0", 1, 404);
+        onlyBroken(Promise.CONFIG);
+    }
+
+    @Test
+    public void aRouteThatWasNeverAddedIsNotServed() {
+        answered(100, 110, "route-9", 1, 200);
+        onlyBroken(Promise.CONFIG);
+    }
+
+    @Test
+    public void anEarlierRequestMayNotBeHandledByANewerVersion() {
+        routes(2);
+        answered(300, 900, "route-1", 1, 200);
+        answered(540, 550, "route-1", 1, 404);
+        onlyBroken();
+        answered(560, 570, "route-1", 1, 404);
+        onlyBroken(Promise.CONFIG);
+    }
+
+    @Test
+    public void aDroppedRouteIsNotServedAfterANewerVersionWas() {
+        routes(2);
+        mEvents.add(new RouteChanged(300, "route-0", false));
+        mEvents.add(new RouteChanged(301, "route-2", true));
+        answered(400, 410, "route-2", 1, 200);
+        answered(700, 710, "route-0", 1, 200);
+        onlyBroken(Promise.CONFIG);
+    }
+
+    @Test
+    public void aProcessThatStartsAgainMayKnowAnOlderVersionAtFirst() {
+        routes(2);
+        answered(300, 310, "route-1", 1, 200);
+        answered(900, 910, "route-1", 2, 404);
+        onlyBroken();
+    }
+
+    @Test
+    public void aNodeThatWasPausedMayDecideRequestsInAnotherOrder() {
+        routes(2);
+        answered(300, 1500, "route-1", 1, 200);
+        answered(700, 1500, "route-1", 1, 404);
+        onlyBroken();
+    }
+
     @Test
     public void aSystemThatAcceptsNothingAfterTheEndHasNotRecovered() {
         mEvents.add(new Calm(1000));
