Count a run's time without progress from its confirmation by the worker

What callers saw: jobs that took longer while the store was slow, and a task that crashes its workers started once more than allowed.

Cause: a run counted as stalled 1.8 s after its progress last changed, and that time began when the run was planned. Where the record of its start took longer than that to store, the run was stopped by the first poll that listed it and started again, which took as long.

Evidence: aRunWhoseStartWasRecordedLateIsNotStalled ("stalled at 0% after 1 ms" before).

The time begins when the worker first confirms the run.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -132,7 +132,7 @@
         return mProgress;
     }
 
-    /** Time at which the progress last changed. */
+    /** Time at which the progress last changed, or the worker first confirmed the run. */
     long progressChangedMs() {
         return mProgressChangedMs;
     }
@@ -248,6 +248,7 @@
     void confirm(long nowMs) {
         if (mConfirmedMs < 0) {
             mConfirmedMs = nowMs;
+            mProgressChangedMs = nowMs;
         }
         if (mPhase == RunPhase.STARTING || mPhase == RunPhase.PLANNED) {
             mPhase = RunPhase.RUNNING;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
@@ -331,6 +331,33 @@
         assertEquals(owner.placeTasks().get(0).worker().id(), "w2");
     }
 
+    /** Guards against runs that are stopped as stalled since a slow store delayed their start. */
+    @Test
+    public void aRunWhoseStartWasRecordedLateIsNotStalled() {
+        OwnerHarness owner = new OwnerHarness();
+        WorkerState worker = owner.addWorker("w1", "surveys", 1);
+        owner.accept(
+                OwnerHarness.definition(
+                        JOB, "surveys", 0, OwnerHarness.step(1, 1, 1000, List.of())));
+        TaskRun run = owner.decide().planned().get(0);
+        owner.addWorker("w2", "surveys", 1);
+        owner.mNowMs += 2500;
+        owner.recordStarts(List.of(run));
+        owner.decide();
+        run.recordStartSent(owner.mNowMs);
+        owner.mScheduler.startAnswered(run, CommandOutcome.DONE, owner.mNowMs);
+        RunStatus status = new RunStatus(run.task().name(), 1, "", 0, 0);
+
+        owner.pollListing(worker, List.of(status), List.of());
+        assertEquals(run.phase(), RunPhase.RUNNING, run.stopReason());
+        owner.mNowMs += 1700;
+        owner.pollListing(worker, List.of(status), List.of());
+        assertEquals(run.phase(), RunPhase.RUNNING, run.stopReason());
+        owner.mNowMs += 200;
+        owner.pollListing(worker, List.of(status), List.of());
+        assertEquals(run.phase(), RunPhase.STOPPING);
+    }
+
     @Test
     public void aRunMissingOnItsWorkerIsRestarted() {
         OwnerHarness owner = new OwnerHarness();
