--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalPosition.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalPosition.java
@@ -25,7 +25,8 @@
         return true;
     }
 
-    private long offset(int partition) {
+    /** Offset of the next record of a partition to read. */
+    long offset(int partition) {
         return partition < offsets.size() ? offsets.get(partition) : 0;
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -19,6 +19,13 @@
 
 /** Reads the journal continuously and applies its records to the registry of jobs. */
 public final class JournalReader {
+    /**
+     * Age from which a partition is read again by a node that lacks records, in milliseconds, so
+     * that it can count pending jobs by itself.
+     */
+    private static final long MAX_COMPLETE_AGE_MS = 1000;
+
+    private final Clock mClock;
     private final NodeLog mNodeLog;
     private final JobRegistry mRegistry;
     private final BiConsumer<JournalRecord, Optional<JobProgress>> mListener;
@@ -39,6 +46,7 @@
             NodeLog nodeLog,
             JobRegistry registry,
             BiConsumer<JournalRecord, Optional<JobProgress>> listener) {
+        mClock = clock;
         mNodeLog = nodeLog;
         mRegistry = registry;
         mListener = listener;
@@ -148,6 +156,20 @@
         mPartitions.forEach(p -> p.refresh(barrier::partitionDone));
     }
 
+    /**
+     * Reads the partitions that lack records before a position, or were last read to their end a
+     * while ago.
+     */
+    public void catchUpTo(JournalPosition position) {
+        for (int p = 0; p < mPartitions.size(); p++) {
+            PartitionReader partition = mPartitions.get(p);
+            boolean behind = partition.position() < position.offset(p);
+            if (behind || mClock.nowMs() - partition.completeMs() >= MAX_COMPLETE_AGE_MS) {
+                partition.refresh(read -> {});
+            }
+        }
+    }
+
     /** Completes a refresh once all partitions are read. */
     private static final class RefreshBarrier {
         private final Consumer<Boolean> mCallback;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -400,7 +400,7 @@
             mCompleteMs = Math.max(mCompleteMs, frame.completeMs() + mClockOffsetMs);
         } else {
             // Records were dropped, or sent before this node was connected.
-            mReader.refresh(read -> {});
+            mReader.catchUpTo(frame.position());
         }
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
@@ -40,6 +40,7 @@
     private final Map<LogPartition, Writer> mWriters = new HashMap<>();
     private final Set<LogPartition> mUnavailable = new HashSet<>();
     private final List<Integer> mOwnerAppendBytes = new ArrayList<>();
+    private final Map<LogPartition, Integer> mReads = new HashMap<>();
     private int mMaxAnswerBytes = Integer.MAX_VALUE;
 
     /** The store's state of a partition's fenced writer. */
@@ -91,6 +92,11 @@
         return mRecords.computeIfAbsent(partition, p -> new ArrayList<>());
     }
 
+    /** Number of reads of a partition so far. */
+    public int reads(LogPartition partition) {
+        return mReads.getOrDefault(partition, 0);
+    }
+
     @Override
     public void append(LogPartition at, List<byte[]> records, Consumer<AppendResult> callback) {
         answerLater(at, callback, () -> store(at, records));
@@ -183,6 +189,7 @@
     @Override
     public void read(
             LogPartition at, long from, PageRequest request, Consumer<ReadResult> callback) {
+        mReads.merge(at, 1, Integer::sum);
         if (mUnavailable.contains(at)) {
             mPendingAnswers.add(() -> callback.accept(new ReadFailed("down")));
             return;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalReaderTest.java
@@ -82,6 +82,27 @@
         assertEquals(position(), 1);
     }
 
+    /**
+     * Guards against a follower that reads all partitions since the stream lacks a record of one.
+     */
+    @Test
+    public void onlyThePartitionThatLacksRecordsIsReadAtEachHeartbeat() {
+        mReader.refresh(read -> {});
+        pass(10);
+        for (int i = 1; i <= 4; i++) {
+            write(1, RECORD_BYTES);
+            mReader.catchUpTo(new JournalPosition(List.of((long) i, 0L, 0L)));
+            pass(200);
+            assertEquals(position(), i);
+        }
+
+        assertEquals(mLog.reads(JournalPartitions.PRIMARY), 5);
+        assertEquals(mLog.reads(JournalPartitions.all(3).get(1)), 1);
+        pass(200);
+        mReader.catchUpTo(new JournalPosition(List.of(4L, 0L, 0L)));
+        assertEquals(mLog.reads(JournalPartitions.all(3).get(1)), 2, "it was last read 1 s ago");
+    }
+
     @Test
     public void aRefreshCompletesOnlyAtTheEndOfTheJournal() {
         write(RECORDS, RECORD_BYTES);
