Close silent connections before a timeout is reported

What callers saw: while connections had gone silent, a read that was repeated at once cost a second timeout of 0.6 s or more.

Cause: TargetPool reported the timeout before it closed the idle connections, and these stayed in the pool until their channels were inactive. A call made by the callback was sent on one of them, which may be silent in the same way.

Evidence: aCallThatFollowsATimeoutAtOnceIsSentOnANewConnection timed out on the code before and passes now.

Idle connections leave the pool and are closed first; then the timeout is reported.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
@@ -9,8 +9,8 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** Connection pool of one target address. */
@@ -61,8 +61,11 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    /** Closes the idle connections; none of them gets another call. */
     void close() {
-        new ArrayList<>(mIdle).forEach(ClientConnection::close);
+        List<ClientConnection> idle = List.copyOf(mIdle);
+        mIdle.clear();
+        idle.forEach(ClientConnection::close);
     }
 
     private void dispatch() {
@@ -143,6 +146,7 @@
             call.finish(new HttpResult.NotSent("timeout before a connection was available"));
             return;
         }
+        close();
         ClientConnection connection = call.mConnection;
         HttpResult timeout = new HttpResult.Unanswered("timeout");
         if (call.lateMs() > 0) {
@@ -150,10 +154,9 @@
             call.mTimer = mLoop.schedule(connection::close, call.lateMs(), TimeUnit.MILLISECONDS);
             call.expire(timeout);
         } else {
-            call.finish(timeout);
             connection.close();
+            call.finish(timeout);
         }
-        close();
     }
 
     void release(ClientConnection connection) {
--- a/foxtail-http/src/test/java/org/foxtailplank/http/LateResponseTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/LateResponseTest.java
@@ -178,6 +178,27 @@
         assertThrows(SocketException.class, () -> server.getInputStream().readAllBytes());
     }
 
+    /** Guards against connections that are all silent, each of which costs a call its timeout. */
+    @Test
+    public void aCallThatFollowsATimeoutAtOnceIsSentOnANewConnection() throws Exception {
+        List<Socket> servers = connect(new HttpClient(mLoop, CONNECT_MS, 3), 3);
+        BlockingQueue<HttpResult> following = new LinkedBlockingQueue<>();
+        HttpCall silent = HttpCall.get("/silent");
+        HttpCall next = HttpCall.get("/following");
+        Runnable callNext = () -> mClient.call(target(), next, LONG_MS, following::add);
+        mLoop.execute(() -> mClient.call(target(), silent, SHORT_MS, r -> callNext.run()));
+
+        try (Socket fresh = mServer.accept()) {
+            assertEquals(readRequest(fresh), "GET /following HTTP/1.1");
+            respond(fresh, "following");
+            assertAnswered(next(following), "following");
+        }
+        for (Socket s : servers) {
+            String rest = new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(rest.isEmpty() || rest.startsWith("GET /silent"), rest);
+        }
+    }
+
     /** Guards against connections that stay open although no response comes. */
     @Test
     public void anOverdueConnectionIsClosedWhenNoResponseIsAcceptedAnyLonger() throws Exception {
