Keep a worker that a list of VMs lacks while a start to it has no answer

Cause: a worker restarted under its ID while the list of VMs was read. The list lacked it, so that its incarnation was taken for ended and its tasks were started elsewhere at once, among them seven whose start command had been sent 34 to 74 ms before. Commands name the ID only: the next incarnation executed them and answered 64 ms later.

Evidence: the log of the owner, in this order: start sent, list without the worker, runs ended with their worker, start answered, next incarnation seen. aWorkerIsNotEndedByAListWhileAStartIsUnanswered failed before.

A worker is not ended by a list while a start command to it is unanswered, or if one was accepted after the list was requested. A start that times out after the worker was ended is covered by RestartedWorkers as before, without waiting for it.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -181,6 +181,12 @@
         return mInherited || mConfirmedMs >= 0 || mFirstSentMs >= 0 && mFirstSentMs <= ms;
     }
 
+    /** Whether a start command has no answer yet, or the worker accepted it after a time. */
+    boolean isStartAnsweredAfter(long ms) {
+        boolean sent = mPhase == RunPhase.STARTING && mFirstSentMs >= 0;
+        return sent && !mCommandDue && !mUncertain || mConfirmedMs > ms;
+    }
+
     /** The start as it is recorded in the journal. */
     public StartedRun startRecord() {
         return new StartedRun(mTask.name(), mAttempt, mWorker.incarnation(), mEarlierCrashes);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -75,7 +75,10 @@
             boolean listable =
                     mSeenIncarnations.contains(w.id()) || w.firstSeenMs() + JOIN_LEAD_MS < askedMs;
             boolean missing = listed.hasEnded(w.id()) || replaced.contains(w.id());
-            if (listable && missing && !w.hasAnsweredSince(askedMs)) {
+            // The next incarnation accepts commands under the same ID.
+            boolean mayHaveRestarted =
+                    w.runs().stream().anyMatch(r -> r.isStartAnsweredAfter(askedMs));
+            if (listable && missing && !w.hasAnsweredSince(askedMs) && !mayHaveRestarted) {
                 ended.add(w);
             }
         }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
@@ -12,6 +12,7 @@
 import org.foxtailplank.job.RunMode;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.TaskStep;
+import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.MaintenanceWave;
 import org.foxtailplank.port.VmClient.VmInfo;
 import org.foxtailplank.port.VmClient.VmOutcome;
@@ -319,4 +320,47 @@
 
         assertEquals(mPlanner.endedIncarnations(mVms, asked), List.of());
     }
+
+    private TaskRun sendStart() {
+        mOwner.accept(
+                OwnerHarness.definition(
+                        "aa", "surveys", 0, OwnerHarness.step(1, 1, 1000, List.of())));
+        TaskRun run = mOwner.decide().planned().get(0);
+        mOwner.recordStarts(List.of(run));
+        mOwner.decide();
+        run.recordStartSent(mOwner.mNowMs);
+        return run;
+    }
+
+    /**
+     * Guards against a start that the next incarnation executes while its task starts elsewhere.
+     */
+    @Test
+    public void aWorkerIsNotEndedByAListWhileAStartIsUnanswered() {
+        WorkerState worker = addServingVm("1", "surveys");
+        mPlanner.endedIncarnations(mVms, mOwner.mNowMs);
+        TaskRun run = sendStart();
+        mVms.clear();
+        addVm("vm1", "surveys", VmPhase.DOWN, "");
+        mOwner.mNowMs += 10;
+        long asked = mOwner.mNowMs;
+
+        assertEquals(mPlanner.endedIncarnations(mVms, asked), List.of());
+        mOwner.mNowMs += 10;
+        mOwner.mScheduler.startAnswered(run, CommandOutcome.DONE, mOwner.mNowMs);
+        assertEquals(mPlanner.endedIncarnations(mVms, asked), List.of());
+        assertEquals(mPlanner.endedIncarnations(mVms, asked + 20_000), List.of(worker));
+    }
+
+    @Test
+    public void aWorkerIsEndedByAListOnceAStartHasTimedOut() {
+        WorkerState worker = addServingVm("1", "surveys");
+        mPlanner.endedIncarnations(mVms, mOwner.mNowMs);
+        TaskRun run = sendStart();
+        mVms.clear();
+        addVm("vm1", "surveys", VmPhase.DOWN, "");
+        mOwner.mScheduler.startAnswered(run, CommandOutcome.UNANSWERED, mOwner.mNowMs);
+
+        assertEquals(mPlanner.endedIncarnations(mVms, mOwner.mNowMs), List.of(worker));
+    }
 }
