--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
@@ -42,7 +42,8 @@
     CAP_CUT(Target.ORGANISATION),
     FLOOD(Target.ORGANISATION),
     CONNECTIONS_SILENT(Target.NODE),
-    ROUTE_CHANGED(Target.NOTHING);
+    ROUTE_CHANGED(Target.NOTHING),
+    NODE_FAR(Target.NODE);
 
     /** What a fault strikes. */
     enum Target {
@@ -90,7 +91,8 @@
                     CAP_CUT,
                     FLOOD,
                     CONNECTIONS_SILENT,
-                    ROUTE_CHANGED);
+                    ROUTE_CHANGED,
+                    NODE_FAR);
 
     private final Target mTarget;
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -24,6 +24,10 @@
     private static final double NARROW_BYTES_PER_S = 175_000;
 
     private static final Duration DELAY = Duration.ofMillis(150);
+
+    /** Each way, so that a read lasts longer than the order of two requests may differ. */
+    private static final Duration FAR_DELAY = Duration.ofMillis(200);
+
     private static final long WORKER_DRAIN_MS = 4000;
     private static final int LATE_ORDERS = 3;
     private static final double SHRUNK_SHARE = 0.5;
@@ -252,6 +256,7 @@
             case NODE_CUT, OWNER_CUT, ZONE_CUT -> link.cut();
             case NODE_CUT_ONE_WAY -> link.cut(Direction.TO_CLIENT);
             case NODE_DELAY -> link.delay(DELAY);
+            case NODE_FAR -> link.delay(FAR_DELAY);
             case NODE_NARROW -> link.rate(NARROW_BYTES_PER_S);
             default -> {}
         }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -62,7 +62,10 @@
     /** Mean time between two changes of routes, in seconds. */
     private static final double ROUTE_GAP_S = 0.7;
 
-    /** Sets the draw of both apart in the same way. */
+    /** Mean time between two nodes whose reads of the store take long, in seconds. */
+    private static final double FAR_GAP_S = 3;
+
+    /** Sets the draw of these apart in the same way. */
     private static final long CONFIG_SEED = 0xc0f;
 
     private static final int RUN_WORDS = 6;
@@ -107,8 +110,9 @@
         addRestartingWorkers(seed, size, faults);
         addOrganisationFaults(seed, size, faults);
         RandomGenerator configRandom = new Random(seed ^ CONFIG_SEED);
-        addOften(FaultKind.CONNECTIONS_SILENT, SILENCE_GAP_S, configRandom, size, faults);
-        addOften(FaultKind.ROUTE_CHANGED, ROUTE_GAP_S, configRandom, size, faults);
+        addOften(FaultKind.CONNECTIONS_SILENT, SILENCE_GAP_S, 0, configRandom, size, faults);
+        addOften(FaultKind.ROUTE_CHANGED, ROUTE_GAP_S, 0, configRandom, size, faults);
+        addOften(FaultKind.NODE_FAR, FAR_GAP_S, LONGEST_S, configRandom, size, faults);
         RunEnding[] endings = RunEnding.values();
         return new Schedule(seed, size, faults, endings[random.nextInt(endings.length)]);
     }
@@ -146,16 +150,16 @@
         }
     }
 
-    /** Adds a fault that strikes at once and needs no end. */
     private static void addOften(
             FaultKind kind,
             double gapS,
+            double forS,
             RandomGenerator random,
             SoakSize size,
             List<Fault> faults) {
         double at = FIRST_S + random.nextDouble() * gapS;
         while (at < size.seconds()) {
-            faults.add(new Fault(at, kind, kind.target().draw(size, random), 0));
+            faults.add(new Fault(at, kind, kind.target().draw(size, random), forS));
             at += random.nextDouble() * 2 * gapS;
         }
     }
