--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/DecisionOrder.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/DecisionOrder.java
@@ -18,7 +18,7 @@
      * milliseconds. Callers allow 250 ms between the sending of two requests, of which 100 ms are
      * left for the transport of the first one.
      */
-    static final long TOLERANCE_MS = 150;
+    private static final long TOLERANCE_MS = 150;
 
     /** The monotonic clock stands still while the VM is suspended. */
     private static final Comparator<ClockReading> BY_TIME =
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -35,7 +35,7 @@
     private final FaultProxy mVms;
     private List<Integer> mPorts;
     private Optional<RunningProcess> mProcess = Optional.empty();
-    private int mBoots;
+    private volatile int mBoots;
     private boolean mGone;
     private int mGrace = 6;
 
@@ -157,7 +157,7 @@
     }
 
     /** How often its process was started. */
-    synchronized int boots() {
+    int boots() {
         return mBoots;
     }
 
