--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
@@ -321,7 +321,10 @@
         assertEquals(mPlanner.endedIncarnations(mVms, asked), List.of());
     }
 
-    private TaskRun sendStart() {
+    /** Sends a start to a worker that the list lacks from then on. */
+    private TaskRun sendStartBeforeTheWorkerIsDown() {
+        addServingVm("1", "surveys");
+        mPlanner.endedIncarnations(mVms, mOwner.mNowMs);
         mOwner.accept(
                 OwnerHarness.definition(
                         "aa", "surveys", 0, OwnerHarness.step(1, 1, 1000, List.of())));
@@ -329,6 +332,9 @@
         mOwner.recordStarts(List.of(run));
         mOwner.decide();
         run.recordStartSent(mOwner.mNowMs);
+        mVms.clear();
+        addVm("vm1", "surveys", VmPhase.DOWN, "");
+        mOwner.mNowMs += 10;
         return run;
     }
 
@@ -337,30 +343,21 @@
      */
     @Test
     public void aWorkerIsNotEndedByAListWhileAStartIsUnanswered() {
-        WorkerState worker = addServingVm("1", "surveys");
-        mPlanner.endedIncarnations(mVms, mOwner.mNowMs);
-        TaskRun run = sendStart();
-        mVms.clear();
-        addVm("vm1", "surveys", VmPhase.DOWN, "");
-        mOwner.mNowMs += 10;
+        TaskRun run = sendStartBeforeTheWorkerIsDown();
         long asked = mOwner.mNowMs;
 
         assertEquals(mPlanner.endedIncarnations(mVms, asked), List.of());
         mOwner.mNowMs += 10;
         mOwner.mScheduler.startAnswered(run, CommandOutcome.DONE, mOwner.mNowMs);
         assertEquals(mPlanner.endedIncarnations(mVms, asked), List.of());
-        assertEquals(mPlanner.endedIncarnations(mVms, asked + 20_000), List.of(worker));
+        assertEquals(mPlanner.endedIncarnations(mVms, asked + 20_000), List.of(run.worker()));
     }
 
     @Test
     public void aWorkerIsEndedByAListOnceAStartHasTimedOut() {
-        WorkerState worker = addServingVm("1", "surveys");
-        mPlanner.endedIncarnations(mVms, mOwner.mNowMs);
-        TaskRun run = sendStart();
-        mVms.clear();
-        addVm("vm1", "surveys", VmPhase.DOWN, "");
+        TaskRun run = sendStartBeforeTheWorkerIsDown();
         mOwner.mScheduler.startAnswered(run, CommandOutcome.UNANSWERED, mOwner.mNowMs);
 
-        assertEquals(mPlanner.endedIncarnations(mVms, mOwner.mNowMs), List.of(worker));
+        assertEquals(mPlanner.endedIncarnations(mVms, mOwner.mNowMs), List.of(run.worker()));
     }
 }
