Test of repeated submissions while the configuration changes

An open point of the incident before: a submission that repeats one in flight is decided by the configuration of its own arrival, before it joins. Passes without a change.

--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/OvertakenRequestTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/OvertakenRequestTest.java
@@ -165,4 +165,19 @@
 
         assertEquals(statuses(waiting), List.of(503));
     }
+
+    /** Guards against a submission that is accepted by the configuration of one in flight. */
+    @Test
+    public void aRepeatedSubmissionIsDecidedByTheConfigurationOfItsOwnArrival() {
+        String path = "/dropped/00000000000000aa";
+        List<HttpReply> first = mNode.send("POST", path, BODY, Optional.empty());
+        assertEquals(statuses(first), List.of(), "the store hasn't answered");
+        readConfig(mNode, mFeed, config(2, "/kept/"));
+        List<HttpReply> repeated = mNode.send("POST", path, BODY, Optional.empty());
+        answerAllReads(config(2, "/kept/"));
+        assertEquals(statuses(repeated), List.of(404));
+        mLog.deliverAnswers();
+
+        assertEquals(statuses(first), List.of(200));
+    }
 }
