Read the worker directory at once after a gap in its history

Callers: jobs at the beginning of a burst waited longer for VMs that had already joined, while the platform dropped the history of its keyed topics.

Change: after a gap all entries are read at once. The next read then waits as long as this one took, so that repeated gaps use at most half of a narrow link.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
@@ -40,6 +40,7 @@
 
     private Optional<ChangeFeed.Page<WorkerInfo>> mInitialPage = Optional.empty();
     private long mPosition = -1;
+    private long mReadSentMs;
 
     WorkerDirectoryFollower(OwnerSession owner, OwnerContext context, long token) {
         mOwner = owner;
@@ -79,8 +80,9 @@
         if (mOwner.hasEnded()) {
             return;
         }
+        mReadSentMs = mContext.clock().nowMs();
         if (mPosition < 0) {
-            mContext.platform().directory().latest(this::handleChanges);
+            mContext.platform().directory().latest(this::handleEntries);
         } else {
             mContext.platform()
                     .directory()
@@ -89,16 +91,33 @@
     }
 
     private void handleChanges(ChangeFeed.Result<WorkerInfo> result) {
+        if (result instanceof ChangeFeed.Gap) {
+            // A pause would delay the use of VMs that join while the store drops its history.
+            mPosition = -1;
+            follow();
+        } else {
+            handle(result, READ_PAUSE_MS);
+        }
+    }
+
+    /**
+     * Handles a read of all entries. If each read of changes meets a gap, these reads take at most
+     * half of the link, since the next one waits as long as this one took.
+     */
+    private void handleEntries(ChangeFeed.Result<WorkerInfo> result) {
+        handle(result, Math.max(READ_PAUSE_MS, mContext.clock().nowMs() - mReadSentMs));
+    }
+
+    private void handle(ChangeFeed.Result<WorkerInfo> result, long pauseMs) {
         if (mOwner.hasEnded()) {
             return;
         }
         if (result instanceof ChangeFeed.Page<WorkerInfo> page) {
             apply(page);
-        } else if (result instanceof ChangeFeed.Gap) {
-            mPosition = -1;
+            mContext.timers().after(pauseMs, this::follow);
+        } else {
+            mContext.timers().after(FAILED_READ_PAUSE_MS, this::follow);
         }
-        long pause = result instanceof ChangeFeed.Page ? READ_PAUSE_MS : FAILED_READ_PAUSE_MS;
-        mContext.timers().after(pause, this::follow);
     }
 
     private void apply(ChangeFeed.Page<WorkerInfo> page) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
@@ -13,6 +13,8 @@
 /** A worker directory that tests modify. */
 final class FakeDirectory implements ChangeFeed<WorkerInfo> {
     private final List<Item<WorkerInfo>> mItems = new ArrayList<>();
+    private int mFirst;
+    private int mFullReads;
 
     /** Adds a worker with eight cores. */
     void add(String id, String service) {
@@ -48,13 +50,28 @@
         mItems.add(new Item<>(id, Optional.empty()));
     }
 
+    /** Drops the history, as a platform that compacts the directory's topic does. */
+    void dropHistory() {
+        mFirst = mItems.size() + 1;
+    }
+
+    /** Number of reads of all entries. */
+    int fullReads() {
+        return mFullReads;
+    }
+
     @Override
     public void latest(Consumer<Result<WorkerInfo>> callback) {
+        mFullReads++;
         callback.accept(new Page<>(List.copyOf(mItems), mItems.size(), true));
     }
 
     @Override
     public void changes(long position, long waitMs, Consumer<Result<WorkerInfo>> callback) {
+        if (position < mFirst && mItems.size() >= mFirst) {
+            callback.accept(new Gap<>());
+            return;
+        }
         List<Item<WorkerInfo>> news = mItems.subList((int) position, mItems.size());
         callback.accept(new Page<>(List.copyOf(news), mItems.size(), true));
     }
