Count capacity for batch tasks by the scarce resource

Cause: pools, selection and the log line load counted the cores that standing tasks leave. Where these fill the memory, four tasks of 15 GB on 16 cores and 64 GB leave 7 cores and 4 GB: no batch task fits, yet 7 cores counted. Pools requested too few VMs, and more jobs were selected than can be done in time.

Change: BatchCapacity divides what is left of cores, memory and accelerators by the mean demand of the batch tasks that wait or run, or of the last ones, and takes the least. PoolBalancer (present VMs, VMs on their way, the size of an empty VM), Scheduler and PoolLoadCalculator use it. The log line load has a new field batchCapacity. Accelerators count on workers that have some left, or if every task needs them. A pool whose tasks fit on no VM counts cores as before. PoolDemand.vmsForStanding counts memory too: four tasks on a worker are not assumed where its memory admits two.

Where cores are scarce all figures equal the former ones; the minimum is taken in cores, so nothing is rounded.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.ServiceConfig;
 import org.foxtailplank.port.VmClient.VmPhase;
@@ -61,6 +62,7 @@
     private static final class Pool {
         final String mName;
         final List<ManagedVm> mMovable = new ArrayList<>();
+        final BatchCapacity mCapacity;
         final long mVmMilliCores;
         double mMissingMilliCores;
         double mLateMilliCores;
@@ -70,10 +72,12 @@
         /**
          * Creates a pool without VMs.
          *
-         * @param vmMilliCores thousandths of a core of a VM
+         * @param capacity how capacity for the batch tasks of the pool is counted
+         * @param vmMilliCores capacity of an empty VM, in thousandths of a core
          */
-        Pool(String name, long vmMilliCores) {
+        Pool(String name, BatchCapacity capacity, long vmMilliCores) {
             mName = name;
+            mCapacity = capacity;
             mVmMilliCores = vmMilliCores;
         }
 
@@ -103,8 +107,8 @@
         }
 
         /** Counts a VM that is about to join the pool. */
-        void addIncoming(long vmMilliCores) {
-            mMissingMilliCores -= vmMilliCores;
+        void addIncoming(ManagedVm vm) {
+            mMissingMilliCores -= mCapacity.milliCores(vm.info().capacity());
             mIncomingVms++;
         }
     }
@@ -120,9 +124,10 @@
             long nowMs,
             long nowWallMs) {
         Map<String, Pool> pools = new LinkedHashMap<>();
+        BatchCapacities capacities = mScheduler.batchCapacities(nowWallMs);
         for (ServiceConfig s : config.services()) {
             if (!s.standby()) {
-                pools.put(s.name(), new Pool(s.name(), largestVm()));
+                pools.put(s.name(), pool(s.name(), capacities.of(s.name())));
             }
         }
         List<ManagedVm> standby = new ArrayList<>();
@@ -136,11 +141,11 @@
             }
         }
         OrganisationCaps caps = mScheduler.caps(config);
+        Resources largestVm = largestVm();
         for (Pool p : pools.values()) {
             p.mMissingMilliCores += forecastMilliCores(p.mName, caps, nowMs, nowWallMs);
             p.mLateMilliCores = mDemand.lateMilliCores(p.mName, caps, nowWallMs);
-            p.mVmsForStanding =
-                    mDemand.vmsForStanding(p.mName, criticalMoves, p.mVmMilliCores, nowMs);
+            p.mVmsForStanding = mDemand.vmsForStanding(p.mName, criticalMoves, largestVm, nowMs);
         }
         pools.values().forEach(p -> p.mMovable.sort(Comparator.comparingLong(this::used)));
         assignVms(pools, standby, nowMs);
@@ -148,13 +153,30 @@
         releaseSpareVms(config, pools, nowMs);
     }
 
-    /** Capacity of the largest VM, in thousandths of a core. */
-    private long largestVm() {
-        long largest = 1;
-        for (ManagedVm vm : mVms.all()) {
-            largest = Math.max(largest, vm.info().capacity().milliProcessors());
-        }
-        return largest;
+    /** Creates a pool; its capacity counts cores only if its batch tasks fit on no VM. */
+    private Pool pool(String name, BatchCapacity capacity) {
+        long vmMilliCores = largestVm(capacity);
+        return vmMilliCores > 0
+                ? new Pool(name, capacity, vmMilliCores)
+                : new Pool(name, BatchCapacity.CORES, Math.max(1, largestVm(BatchCapacity.CORES)));
+    }
+
+    /** Largest capacity of an empty VM, in thousandths of a core. */
+    private long largestVm(BatchCapacity capacity) {
+        return mVms.all().stream()
+                .mapToLong(vm -> capacity.milliCores(vm.info().capacity()))
+                .max()
+                .orElse(0);
+    }
+
+    /** Capacity of the VM with the most cores. */
+    private Resources largestVm() {
+        return mVms.all().stream()
+                .map(vm -> vm.info().capacity())
+                .max(
+                        Comparator.comparingLong(Resources::milliProcessors)
+                                .thenComparingLong(Resources::memoryBytes))
+                .orElse(Resources.NONE);
     }
 
     /**
@@ -165,19 +187,18 @@
         if (vm.planned().isPresent() && vm.planned().get() instanceof PlannedVmAction.Move move) {
             Pool pool = pools.get(move.pool());
             if (pool != null) {
-                pool.addIncoming(vm.info().capacity().milliProcessors());
+                pool.addIncoming(vm);
             }
         }
     }
 
     /** Counts the VM's batch capacity, and notes whether it can move. */
     private void addVm(Pool pool, ManagedVm vm, long nowMs) {
-        long vmMilliCores = vm.info().capacity().milliProcessors();
         Optional<WorkerState> worker = mScheduler.worker(vm.info().worker());
         boolean moving = vm.info().phase() == VmPhase.MOVING;
         boolean joining = worker.isEmpty() && vm.info().phase() == VmPhase.UP && vm.isFree();
         if (moving || joining) {
-            pool.addIncoming(vmMilliCores);
+            pool.addIncoming(vm);
             return;
         }
         // Workers that a new owner has not polled count too; otherwise each pool would seem empty.
@@ -185,17 +206,25 @@
         if (!serves) {
             return;
         }
-        long standingMilliCores = worker.get().standingMilliCores();
-        pool.mMissingMilliCores -= vmMilliCores - standingMilliCores;
         WorkerState state = worker.get();
-        boolean pinned =
-                standingMilliCores > 0 || state.hasStandingRuns() || state.isReservedForStanding();
-        boolean usable = worker.get().isUsable(nowMs);
+        pool.mMissingMilliCores -= pool.mCapacity.milliCores(leftForBatch(vm, state));
+        boolean pinned = state.hasStandingRuns() || state.isReservedForStanding();
+        boolean usable = state.isUsable(nowMs);
         if (usable && !pinned && nowMs - vm.lastMoveMs() > MIN_STAY_MS) {
             pool.mMovable.add(vm);
         }
     }
 
+    /** What the standing tasks of a VM leave; the worker's memory may be less than the VM's. */
+    private static Resources leftForBatch(ManagedVm vm, WorkerState worker) {
+        long standing = worker.standing().milliProcessors();
+        Resources left = worker.freeWithoutBatch();
+        return new Resources(
+                vm.info().capacity().milliProcessors() - standing,
+                left.memoryBytes(),
+                left.accelerators());
+    }
+
     /** Capacity that a service needs for its jobs and for those expected before a VM could join. */
     private double forecastMilliCores(
             String service, OrganisationCaps caps, long nowMs, long nowWallMs) {
@@ -222,7 +251,7 @@
                     break;
                 }
                 vm.get().plan(new PlannedVmAction.Move(pool.mName, "the pool lacks VMs"), nowMs);
-                pool.addIncoming(vm.get().info().capacity().milliProcessors());
+                pool.addIncoming(vm.get());
             }
         }
     }
@@ -233,7 +262,7 @@
             while (!standby.isEmpty() && pool.missingVmsWithLate() > MIN_MISSING_SHARE) {
                 ManagedVm vm = standby.remove(0);
                 vm.plan(new PlannedVmAction.Move(pool.mName, "late jobs are waiting"), nowMs);
-                pool.addIncoming(vm.info().capacity().milliProcessors());
+                pool.addIncoming(vm);
             }
         }
     }
@@ -285,7 +314,7 @@
 
     private static ManagedVm removeMovable(Pool pool) {
         ManagedVm vm = pool.mMovable.remove(0);
-        pool.mMissingMilliCores += vm.info().capacity().milliProcessors();
+        pool.mMissingMilliCores += pool.mCapacity.milliCores(vm.info().capacity());
         return vm;
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.foxtailplank.fleet.Resources;
 
 /** Computes what the jobs of a service require of its pool. */
 final class PoolDemand {
@@ -64,12 +65,12 @@
      * place although there is capacity.
      *
      * @param criticalMoves number of tasks that have to move, for each step that delays a wave
-     * @param vmSize thousandths of a core of a VM
+     * @param vm capacity of an empty VM
      */
     int vmsForStanding(
-            String service, Map<ActiveStep, Integer> criticalMoves, long vmSize, long nowMs) {
+            String service, Map<ActiveStep, Integer> criticalMoves, Resources vm, long nowMs) {
         int most = 0;
-        long room = 0;
+        Resources room = Resources.NONE;
         for (ActiveJob job : mScheduler.runs().jobs()) {
             boolean matches =
                     job.definition().isStanding() && job.definition().service().equals(service);
@@ -77,34 +78,50 @@
                 continue;
             }
             for (ActiveStep step : job.runs().get(0).steps()) {
-                int vms = vmsFor(step, criticalMoves.getOrDefault(step, 0), nowMs);
+                int vms = vmsFor(step, criticalMoves.getOrDefault(step, 0), vm, nowMs);
                 most = Math.max(most, vms);
-                room +=
-                        Math.min(
-                                        vmSize,
-                                        tasksPerWorker(step)
-                                                * step.spec().reserved().milliProcessors())
-                                * vms;
+                Resources onVm = step.spec().reserved().times(tasksPerWorker(step, vm));
+                room = room.plus(min(onVm, vm).times(vms));
             }
         }
-        return (int) Math.max(most, (room + vmSize - 1) / vmSize);
+        long forCores = divideUp(room.milliProcessors(), vm.milliProcessors());
+        long forMemory = divideUp(room.memoryBytes(), vm.memoryBytes());
+        return (int) Math.max(most, Math.max(forCores, forMemory));
     }
 
-    /** Most tasks of a step on one worker, at least one. */
-    private static int tasksPerWorker(ActiveStep step) {
-        return Math.max(1, step.spec().placement().maxPerWorker());
+    private static Resources min(Resources a, Resources b) {
+        return new Resources(
+                Math.min(a.milliProcessors(), b.milliProcessors()),
+                Math.min(a.memoryBytes(), b.memoryBytes()),
+                Math.min(a.accelerators(), b.accelerators()));
     }
 
-    private int vmsFor(ActiveStep step, int toMove, long nowMs) {
+    private static long divideUp(long amount, long size) {
+        return size <= 0 ? 0 : (amount + size - 1) / size;
+    }
+
+    /**
+     * Most tasks of a step on one worker, at least one. The limit of the step counts, and the
+     * memory of an empty VM if that admits fewer tasks than its cores.
+     */
+    private static int tasksPerWorker(ActiveStep step, Resources vm) {
+        int limit = Math.max(1, step.spec().placement().maxPerWorker());
+        Resources task = step.spec().reserved();
+        long byMemory = vm.memoryBytes() / Math.max(1, task.memoryBytes());
+        long byCores = vm.milliProcessors() / Math.max(1, task.milliProcessors());
+        return byMemory < byCores ? (int) Math.max(1, Math.min(limit, byMemory)) : limit;
+    }
+
+    private int vmsFor(ActiveStep step, int toMove, Resources vm, long nowMs) {
         int waiting = 0;
         int leaving = 0;
         for (ActiveTask s : step.tasks()) {
             waiting += s.isWaiting() && s.lacksRoom() ? 1 : 0;
             leaving += isLeaving(s) ? 1 : 0;
         }
-        int perWorker = tasksPerWorker(step);
+        int perWorker = tasksPerWorker(step, vm);
         return (waiting + perWorker - 1) / perWorker
-                + vmsForMoves(step, Math.max(leaving, toMove), nowMs);
+                + vmsForMoves(step, Math.max(leaving, toMove), perWorker, nowMs);
     }
 
     private static boolean isLeaving(ActiveTask task) {
@@ -112,16 +129,14 @@
     }
 
     /** VMs that the tasks to move need beyond the workers that admit them. */
-    private int vmsForMoves(ActiveStep step, int toMove, long nowMs) {
+    private int vmsForMoves(ActiveStep step, int toMove, int perWorker, long nowMs) {
         if (toMove == 0) {
             return 0;
         }
         int maxConcurrent = Math.max(1, step.spec().mode().maxUnavailable());
         int needed =
-                (Math.min(toMove, PLACES_PER_CONCURRENT_MOVE * maxConcurrent)
-                                + tasksPerWorker(step)
-                                - 1)
-                        / tasksPerWorker(step);
+                (Math.min(toMove, PLACES_PER_CONCURRENT_MOVE * maxConcurrent) + perWorker - 1)
+                        / perWorker;
         ActiveTask task = step.tasks().get(0);
         int admitting = 0;
         for (WorkerState w : mScheduler.workersOf(step.job().definition().service())) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoad.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoad.java
@@ -8,6 +8,8 @@
  * @param cores cores of all workers
  * @param standingCores cores reserved by standing tasks
  * @param batchCores cores reserved by batch tasks
+ * @param batchCapacity cores that standing tasks leave for batch tasks, as far as these can use
+ *     them with the memory and accelerators left
  * @param jobs runs that are due and not done
  * @param waitingTasks tasks that wait for a worker and whose dependencies are done
  * @param waitingStanding standing tasks among them
@@ -18,6 +20,7 @@
         long cores,
         long standingCores,
         long batchCores,
+        long batchCapacity,
         int jobs,
         int waitingTasks,
         int waitingStanding) {}
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
@@ -8,16 +8,24 @@
 
     private PoolLoadCalculator() {}
 
-    static PoolLoad of(String service, List<WorkerState> workers, List<ActiveRun> due, long nowMs) {
+    static PoolLoad of(
+            String service,
+            List<WorkerState> workers,
+            BatchCapacity capacity,
+            List<ActiveRun> due,
+            long nowMs) {
         int usable = 0;
         long cores = 0;
         long standing = 0;
         long batch = 0;
+        long batchCapacity = 0;
         for (WorkerState w : workers) {
             usable += w.isUsable(nowMs) ? 1 : 0;
             cores += w.info().capacity().milliProcessors();
-            standing += w.standingMilliCores();
-            batch += w.used().milliProcessors() - w.standingMilliCores();
+            long standingOfWorker = w.standing().milliProcessors();
+            standing += standingOfWorker;
+            batch += w.used().milliProcessors() - standingOfWorker;
+            batchCapacity += capacity.milliCores(w.freeWithoutBatch());
         }
         int waiting = 0;
         int waitingStanding = 0;
@@ -36,6 +44,7 @@
                 cores / MILLI,
                 standing / MILLI,
                 batch / MILLI,
+                batchCapacity / MILLI,
                 due.size(),
                 waiting,
                 waitingStanding);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -44,6 +44,7 @@
     private final List<Decisions.Pace> mPaceChanges = new ArrayList<>();
     private final ArrivalRate mArrivals = new ArrivalRate();
     private final JobEntitlements mEntitlements = new JobEntitlements();
+    private final BatchCapacities mBatchCapacities = new BatchCapacities();
     private long mOthersRenewedUntilMs = Long.MIN_VALUE / 2;
 
     /**
@@ -421,10 +422,12 @@
     /** Summarizes the load of each service, for the log. */
     public List<PoolLoad> loads(FleetConfig config, long nowMs, long nowWallMs) {
         Map<String, List<ActiveRun>> due = dueRunsByService(nowWallMs);
+        BatchCapacities capacities = batchCapacities(nowWallMs);
         List<PoolLoad> loads = new ArrayList<>();
         for (ServiceConfig s : config.services()) {
             List<ActiveRun> runs = due.getOrDefault(s.name(), List.of());
-            loads.add(PoolLoadCalculator.of(s.name(), workersOf(s.name()), runs, nowMs));
+            BatchCapacity capacity = capacities.of(s.name());
+            loads.add(PoolLoadCalculator.of(s.name(), workersOf(s.name()), capacity, runs, nowMs));
         }
         return loads;
     }
@@ -439,10 +442,12 @@
         DueCommands.collect(mWorkers.all(), mRuns, out, nowMs);
         OrganisationCaps caps = caps(config);
         config.services().forEach(s -> mCrashes.observe(s.name(), workersOf(s.name()), nowMs));
+        BatchCapacities capacities = batchCapacities(nowWallMs);
         for (Map.Entry<String, List<ActiveRun>> e : dueRunsByService(nowWallMs).entrySet()) {
-            List<ActiveRun> sorted =
-                    UrgencyOrder.sort(e.getValue(), batchCores(e.getKey(), nowMs), caps, nowWallMs);
-            mPlacer.place(sorted, workersOf(e.getKey()), caps, out, nowMs);
+            List<WorkerState> workers = workersOf(e.getKey());
+            long milliCores = capacities.usableMilliCores(e.getKey(), workers, nowMs);
+            List<ActiveRun> sorted = UrgencyOrder.sort(e.getValue(), milliCores, caps, nowWallMs);
+            mPlacer.place(sorted, workers, caps, out, nowMs);
         }
         return out;
     }
@@ -451,15 +456,10 @@
         return new OrganisationCaps(config.organisations(), mRuns.usage());
     }
 
-    /** Capacity that a service's workers have for batch tasks, in thousandths of a core. */
-    private long batchCores(String service, long nowMs) {
-        long sum = 0;
-        for (WorkerState w : workersOf(service)) {
-            if (w.isUsable(nowMs)) {
-                sum += w.info().capacity().milliProcessors() - w.standingMilliCores();
-            }
-        }
-        return sum;
+    /** How capacity for batch tasks is counted, by the tasks that wait and run now. */
+    BatchCapacities batchCapacities(long nowWallMs) {
+        mBatchCapacities.update(mRuns.jobs(), nowWallMs);
+        return mBatchCapacities;
     }
 
     private Map<String, List<ActiveRun>> dueRunsByService(long nowWallMs) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -138,12 +138,12 @@
         return mUsed;
     }
 
-    /** Capacity reserved by standing tasks, in thousandths of a core. */
-    long standingMilliCores() {
-        long sum = 0;
+    /** Capacity reserved by standing tasks. */
+    Resources standing() {
+        Resources sum = Resources.NONE;
         for (TaskRun r : mRuns) {
             if (r.task().spec().mode().standing()) {
-                sum += r.task().spec().reserved().milliProcessors();
+                sum = sum.plus(r.task().spec().reserved());
             }
         }
         return sum;
@@ -151,13 +151,7 @@
 
     /** Capacity left if only the standing tasks ran here. */
     Resources freeWithoutBatch() {
-        Resources free = mInfo.capacity();
-        for (TaskRun r : mRuns) {
-            if (r.task().spec().mode().standing()) {
-                free = free.minus(r.task().spec().reserved());
-            }
-        }
-        return free;
+        return mInfo.capacity().minus(standing());
     }
 
     boolean hasStandingRuns() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/LoadLogger.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/LoadLogger.java
@@ -37,6 +37,7 @@
                 .with("cores", load.cores())
                 .with("standingCores", load.standingCores())
                 .with("batchCores", load.batchCores())
+                .with("batchCapacity", load.batchCapacity())
                 .with("jobs", load.jobs())
                 .with("waitingTasks", load.waitingTasks())
                 .with("waitingStanding", load.waitingStanding())
