TurnLoad: loads A and B, and a test of turns on pools with full memory

Cause: the seeded model drew one load, with one standing job of 6 GB a pool; it couldn't show what standing tasks that fill the memory cost.

Change: TurnShape holds the sizes of VMs, standing and batch jobs. UNEVEN is load A (3 of 100 tasks take seven times as long), CONTENDED load B, and MEMORY_FULL load A with good estimates on pools of 30 VMs, most of them full of standing tasks' memory. RunTimes holds the true run times of a job's tasks.

--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -95,27 +95,20 @@
         }
     }
 
-    /** A simulated job, with the factors of the tasks' run times on the estimates of each step. */
+    /** A simulated job, with the true run times of its tasks. */
     private static final class Job {
         final JobDefinition mDefinition;
-        final double[] mSlowdowns;
+        final RunTimes mRunTimes;
         long mDoneMs = Long.MAX_VALUE;
 
-        Job(JobDefinition definition, double[] slowdowns) {
+        Job(JobDefinition definition, RunTimes runTimes) {
             mDefinition = definition;
-            mSlowdowns = slowdowns;
-        }
-
-        double runTimeMs(int step) {
-            return mDefinition.steps().get(step).estimateMs() * mSlowdowns[step];
+            mRunTimes = runTimes;
         }
 
         /** Time from its arrival that its objective allows, by the true length of its chain. */
         double objectiveMs() {
-            double chainMs = 0;
-            for (int s = 0; s < mSlowdowns.length; s++) {
-                chainMs += runTimeMs(s);
-            }
+            double chainMs = mRunTimes.chainMs(mDefinition);
             return mDefinition.policy().stretch() * chainMs + mDefinition.policy().sloMs();
         }
 
@@ -124,12 +117,7 @@
         }
 
         double work() {
-            double work = 0;
-            for (int s = 0; s < mSlowdowns.length; s++) {
-                TaskStep step = mDefinition.steps().get(s);
-                work += step.tasks() * step.demand().milliProcessors() * runTimeMs(s);
-            }
-            return work;
+            return mRunTimes.work(mDefinition);
         }
     }
 
@@ -172,11 +160,11 @@
     void addJob(String service, double slowdown, String organisation, TaskStep... steps) {
         double[] slowdowns = new double[steps.length];
         Arrays.fill(slowdowns, slowdown);
-        addJob(service, slowdowns, organisation, steps);
+        addJob(service, new RunTimes(slowdowns, 0, 0), organisation, steps);
     }
 
-    /** Adds a job whose tasks take a multiple of their estimated time that differs by step. */
-    void addJob(String service, double[] slowdowns, String organisation, TaskStep... steps) {
+    /** Adds a job whose tasks take these times. */
+    void addJob(String service, RunTimes runTimes, String organisation, TaskStep... steps) {
         QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
         String id = "job" + mJobs.size();
         JobDefinition definition =
@@ -191,7 +179,7 @@
                         wallMs(),
                         0,
                         organisation);
-        mJobs.put(id, new Job(definition, slowdowns));
+        mJobs.put(id, new Job(definition, runTimes));
         mOwner.accept(definition);
     }
 
@@ -291,7 +279,8 @@
     private double durationMs(TaskRun run) {
         Job job = mJobs.get(run.task().name().job());
         boolean remote = WorkerChooser.isRemote(run.task(), run.worker());
-        return job.runTimeMs(run.task().name().step()) * (remote ? REMOTE_FACTOR : 1);
+        return job.mRunTimes.ofTask(job.mDefinition, run.task().name())
+                * (remote ? REMOTE_FACTOR : 1);
     }
 
     private void noteDone(ActiveJob job) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
@@ -10,13 +10,8 @@
 import org.foxtailplank.organisation.Organisation;
 import org.foxtailplank.port.ServiceConfig;
 
-/**
- * Load of four queues whose demand rises in turn to several times its mean, on small VMs whose
- * memory is scarce, with run times that are often far from their estimates.
- */
+/** Load of queues whose demand rises in turn to several times its mean. */
 final class TurnLoad {
-    private static final int VMS = 246;
-    private static final int STANDING_TASKS = 20;
     private static final long GB = 1L << 30;
     private static final double TURN_SHARE = 5.2;
     private static final double IDLE_SHARE = 0.05;
@@ -28,10 +23,9 @@
     /** Weights and caps of organisations, as multiples of their mean use. */
     private static final double LIMIT_FACTOR = 1.9;
 
-    private static final double JOBS_PER_S = 46;
-    private static final double MEAN_CORES = 1300;
-
+    private final TurnShape mShape;
     private final Random mRandom;
+    private final Random mStandingRandom;
     private final Random mOrganisationRandom;
     private final List<Double> mShares = new ArrayList<>();
     private final FleetSimulation mSimulation;
@@ -39,37 +33,13 @@
     private long mZoneCutAtMs = -1;
     private long mZoneCutMs;
 
-    /** Batch jobs of a queue. */
-    enum Queue {
-        QUICK_A("photo", 16.5, 1.6, 1500, 2.8, 1000, 0.5),
-        LARGE_A("levels", 3.98, 2, 3300, 6.2, 1700, 0.88),
-        QUICK_B("soils", 20.7, 1.6, 1500, 2.8, 1000, 0.5),
-        LARGE_B("valuation", 4.86, 2, 3300, 6.2, 1700, 0.88);
-
-        private final String mService;
-        private final double mPerSecond;
-        private final double mSteps;
-        private final double mMilliCores;
-        private final double mMemoryGb;
-        private final double mTaskMs;
-        private final double mEstimateError;
-
-        Queue(
-                String service,
-                double perSecond,
-                double steps,
-                double milliCores,
-                double memoryGb,
-                double taskMs,
-                double estimateError) {
-            mService = service;
-            mPerSecond = perSecond;
-            mSteps = steps;
-            mMilliCores = milliCores;
-            mMemoryGb = memoryGb;
-            mTaskMs = taskMs;
-            mEstimateError = estimateError;
-        }
+    /**
+     * Creates the load on small VMs.
+     *
+     * @param turnMs length of each queue's turn, in milliseconds
+     */
+    TurnLoad(long seed, long turnMs) {
+        this(TurnShape.SMALL_VMS, seed, turnMs);
     }
 
     /**
@@ -77,27 +47,29 @@
      *
      * @param turnMs length of each queue's turn, in milliseconds
      */
-    TurnLoad(long seed, long turnMs) {
+    TurnLoad(TurnShape shape, long seed, long turnMs) {
+        mShape = shape;
         mRandom = new Random(seed);
+        mStandingRandom = new Random(seed + 1);
         mOrganisationRandom = new Random(~seed);
         mTurnMs = turnMs;
-        Resources capacity = Resources.of(16, 32 * GB, 0);
-        mSimulation = new FleetSimulation(new FleetSimulation.VmSize(capacity, 8));
+        mSimulation = new FleetSimulation(new FleetSimulation.VmSize(shape.vm(), 8));
         List<ServiceConfig> services = new ArrayList<>();
-        for (Queue q : Queue.values()) {
-            services.add(new ServiceConfig(q.mService, true, false));
+        for (TurnShape.Queue q : shape.queues()) {
+            services.add(new ServiceConfig(q.service(), true, false));
         }
         services.add(new ServiceConfig("off", true, true));
         mSimulation.mOwner.setServices(services);
-        for (Queue q : Queue.values()) {
-            mSimulation.addVms(q.mService, STANDING_TASKS);
+        for (TurnShape.Queue q : shape.queues()) {
+            mSimulation.addVms(q.service(), shape.poolVms());
         }
-        mSimulation.addVms("off", VMS - Queue.values().length * STANDING_TASKS);
+        mSimulation.addVms("off", shape.standbyVms());
     }
 
     /** Lets some large and many small organisations submit the jobs, with caps near their use. */
     TurnLoad withOrganisations() {
         double sum = 0;
+        double jobsPerS = mShape.queues().stream().mapToDouble(TurnShape.Queue::perSecond).sum();
         for (int o = 0; o < ORGANISATIONS; o++) {
             sum += 1.0 / (o + 1);
             mShares.add(sum);
@@ -105,8 +77,8 @@
         List<Organisation> all = new ArrayList<>();
         for (int o = 0; o < ORGANISATIONS; o++) {
             double share = 1.0 / (o + 1) / sum;
-            double weight = Math.max(1, LIMIT_FACTOR * share * JOBS_PER_S);
-            int cores = (int) (LIMIT_FACTOR * share * MEAN_CORES);
+            double weight = Math.max(1, LIMIT_FACTOR * share * jobsPerS);
+            int cores = (int) (LIMIT_FACTOR * share * mShape.meanCores());
             all.add(OwnerHarness.organisation("o" + o, weight, cores));
         }
         mSimulation.mOwner.setOrganisations(all.toArray(Organisation[]::new));
@@ -134,15 +106,18 @@
 
     /** Plays one turn of each queue and the time until all jobs are done. */
     FleetSimulation play() {
-        for (Queue q : Queue.values()) {
-            mSimulation.addJob(q.mService, standing());
+        for (TurnShape.Queue q : mShape.queues()) {
+            for (int i = 0; i < mShape.standing().jobs(); i++) {
+                mSimulation.addJob(q.service(), standing(mShape.standing()));
+            }
         }
         mSimulation.advance(3000);
         long begin = mSimulation.elapsedMs();
-        long end = begin + Queue.values().length * mTurnMs;
+        int queues = mShape.queues().size();
+        long end = begin + queues * mTurnMs;
         while (mSimulation.elapsedMs() < end) {
             long elapsedMs = mSimulation.elapsedMs() - begin;
-            for (Queue q : Queue.values()) {
+            for (int q = 0; q < queues; q++) {
                 addArrivals(q, elapsedMs);
             }
             if (elapsedMs == mZoneCutAtMs) {
@@ -154,21 +129,28 @@
         return mSimulation;
     }
 
-    private TaskStep standing() {
+    private TaskStep standing(TurnShape.Standing s) {
+        double position = mStandingRandom.nextDouble();
+        long milliCores =
+                s.leastMilliCores()
+                        + (long) (position * (s.mostMilliCores() - s.leastMilliCores()));
+        double memory = logNormal(mStandingRandom, s.memoryGb(), s.memorySpread());
+        double bounded = Math.min(s.mostMemoryGb(), memory);
         return new TaskStep(
-                STANDING_TASKS,
-                new Resources(2200, 6 * GB, 0),
+                s.tasks(),
+                new Resources(milliCores, (long) (bounded * GB), 0),
                 900,
                 List.of(),
                 new PlacementConstraints(false, false, "", "", 1),
                 new RunMode(false, true, false, false, 0, 2));
     }
 
-    private void addArrivals(Queue queue, long elapsedMs) {
-        double position = (double) elapsedMs / mTurnMs - queue.ordinal();
+    private void addArrivals(int number, long elapsedMs) {
+        TurnShape.Queue queue = mShape.queues().get(number);
+        double position = (double) elapsedMs / mTurnMs - number;
         boolean turn = position >= 0 && position < 1;
         double share = turn ? TURN_SHARE * Math.sin(Math.PI * position) : IDLE_SHARE;
-        double expected = queue.mPerSecond * share * STEP_MS / MS_PER_S;
+        double expected = queue.perSecond() * share * STEP_MS / MS_PER_S;
         for (double left = expected - nextExponential(); left > 0; left -= nextExponential()) {
             addJob(queue);
         }
@@ -179,19 +161,23 @@
     }
 
     private double logNormal(double mean, double spread) {
-        return mean * Math.exp(spread * mRandom.nextGaussian() - spread * spread / 2);
+        return logNormal(mRandom, mean, spread);
+    }
+
+    private static double logNormal(Random random, double mean, double spread) {
+        return mean * Math.exp(spread * random.nextGaussian() - spread * spread / 2);
     }
 
-    private void addJob(Queue queue) {
-        int count = (int) Math.max(1, Math.round(logNormal(queue.mSteps, 0.4)));
+    private void addJob(TurnShape.Queue queue) {
+        int count = (int) Math.max(1, Math.round(logNormal(queue.steps(), 0.4)));
         List<TaskStep> steps = new ArrayList<>();
         double[] slowdowns = new double[count];
         for (int s = 0; s < count; s++) {
-            double trueMs = Math.min(2.5 * queue.mTaskMs, logNormal(queue.mTaskMs, 0.5));
-            double slowdown = Math.exp(queue.mEstimateError * mRandom.nextGaussian());
+            double trueMs = Math.min(2.5 * queue.taskMs(), logNormal(queue.taskMs(), 0.5));
+            double slowdown = Math.exp(queue.estimateError() * mRandom.nextGaussian());
             int tasks = (int) Math.min(32, Math.max(1, Math.round(logNormal(8, 0.6))));
-            double cores = Math.min(3 * queue.mMilliCores, logNormal(queue.mMilliCores, 0.45));
-            double memory = Math.min(3 * queue.mMemoryGb, logNormal(queue.mMemoryGb, 0.6));
+            double cores = Math.min(3 * queue.milliCores(), logNormal(queue.milliCores(), 0.45));
+            double memory = Math.min(3 * queue.memoryGb(), logNormal(queue.memoryGb(), 0.6));
             slowdowns[s] = slowdown;
             steps.add(
                     new TaskStep(
@@ -202,7 +188,9 @@
                             PlacementConstraints.ANYWHERE,
                             RunMode.PLAIN));
         }
+        RunTimes runTimes =
+                new RunTimes(slowdowns, mShape.stragglers(), mSimulation.totalJobs() * 1_000_003L);
         mSimulation.addJob(
-                queue.mService, slowdowns, drawOrganisation(), steps.toArray(TaskStep[]::new));
+                queue.service(), runTimes, drawOrganisation(), steps.toArray(TaskStep[]::new));
     }
 }
