VMs move by forecasts of turns, off unless a forecast is set

Cause: the arrival rate, extrapolated for three seconds, requests too few VMs while a turn rises and too many while it falls, when the next queue's pool needs them; spare VMs go to the standby pool and back.

Change: with a forecast, a pool gets up to ten VMs from 1.5 s before the expected beginning of its turn, pools keep up to ten spare VMs for that time, and from when the turn shows until its end the expected arrivals, scaled by the size of the turn, replace the extrapolation. A turn that doesn't show counts for two seconds at most (ForecastDemandTest). Without a forecast, decisions stay the same.

BurstForecastSimulationTest fails without the forecast, as nothing more is earned then.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /** Tracks how fast the demand of each service grows by arriving jobs. */
 final class ArrivalRate {
@@ -12,13 +13,21 @@
 
     private final Map<String, Deque<Arrival>> mArrivals = new HashMap<>();
 
+    private Optional<BurstForecast> mForecast = Optional.empty();
+
     private record Arrival(long atMs, double milliCores) {}
 
+    /** Lets a forecast learn from the arrivals from now on. */
+    void setForecast(BurstForecast forecast) {
+        mForecast = Optional.of(forecast);
+    }
+
     /** Records the arrival of a job that needs this many thousandths of a core. */
     void recordArrival(String service, double milliCores, long nowMs) {
         mArrivals
                 .computeIfAbsent(service, s -> new ArrayDeque<>())
                 .add(new Arrival(nowMs, milliCores));
+        mForecast.ifPresent(f -> f.recordArrival(service, milliCores, nowMs));
     }
 
     /** Demand that arrives per millisecond, in thousandths of a core. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -51,6 +51,7 @@
     private final ManagedVms mVms;
     private final PoolDemand mDemand;
     private final Map<String, SpareRelease> mReleases = new HashMap<>();
+    private ForecastDemand mForecast = new ForecastDemand(Optional.empty());
 
     PoolBalancer(Scheduler scheduler, ManagedVms vms) {
         mScheduler = scheduler;
@@ -58,6 +59,11 @@
         mDemand = new PoolDemand(scheduler);
     }
 
+    /** Moves VMs to pools before the turns that are forecast from now on. */
+    void setForecast(BurstForecast forecast) {
+        mForecast = new ForecastDemand(Optional.of(forecast));
+    }
+
     private static final class Pool {
         final String mName;
         final List<ManagedVm> mMovable = new ArrayList<>();
@@ -136,8 +142,9 @@
             }
         }
         OrganisationCaps caps = mScheduler.caps(config);
+        mForecast.advance(nowMs);
         for (Pool p : pools.values()) {
-            p.mMissingMilliCores += forecastMilliCores(p.mName, caps, nowMs, nowWallMs);
+            p.mMissingMilliCores += forecastMilliCores(p, caps, nowMs, nowWallMs);
             p.mLateMilliCores = mDemand.lateMilliCores(p.mName, caps, nowWallMs);
             p.mVmsForStanding =
                     mDemand.vmsForStanding(p.mName, criticalMoves, p.mVmMilliCores, nowMs);
@@ -198,9 +205,11 @@
 
     /** Capacity that a service needs for its jobs and for those expected before a VM could join. */
     private double forecastMilliCores(
-            String service, OrganisationCaps caps, long nowMs, long nowWallMs) {
-        double arriving = mScheduler.arrivals().growthPerMs(service, nowMs) * FORECAST_MS;
-        return HEADROOM * (mDemand.onTimeMilliCores(service, caps, nowWallMs) + arriving);
+            Pool pool, OrganisationCaps caps, long nowMs, long nowWallMs) {
+        double rate = mScheduler.arrivals().growthPerMs(pool.mName, nowMs);
+        double arriving =
+                mForecast.arriving(pool.mName, rate * FORECAST_MS, pool.mVmMilliCores, nowMs);
+        return HEADROOM * (mDemand.onTimeMilliCores(pool.mName, caps, nowWallMs) + arriving);
     }
 
     private void assignVms(Map<String, Pool> pools, List<ManagedVm> standby, long nowMs) {
@@ -295,14 +304,15 @@
         if (standby.isEmpty()) {
             return;
         }
+        int held = mForecast.heldVms(nowMs);
         for (Pool pool : pools.values()) {
             SpareRelease release = mReleases.computeIfAbsent(pool.mName, n -> new SpareRelease());
-            if (pool.spareVms() < 1) {
+            if (pool.spareVms() - held < 1) {
                 release.reset();
                 continue;
             }
-            int due = Math.min(release.vmsDue(pool.spareVms(), nowMs), pool.mMovable.size());
-            for (int i = 0; i < due && pool.spareVms() >= 1; i++) {
+            int due = Math.min(release.vmsDue(pool.spareVms() - held, nowMs), pool.mMovable.size());
+            for (int i = 0; i < due && pool.spareVms() - held >= 1; i++) {
                 ManagedVm vm = removeMovable(pool);
                 vm.plan(
                         new PlannedVmAction.Move(standby.get().name(), "the pool has spare VMs"),
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -37,6 +37,12 @@
         mReservations = new StandingTaskReservations(scheduler);
     }
 
+    /** Moves VMs to pools before the turns of their queues that a forecast expects. */
+    public void setForecast(BurstForecast forecast) {
+        mScheduler.arrivals().setForecast(forecast);
+        mPoolBalancer.setForecast(forecast);
+    }
+
     /**
      * Actions to take on VMs now.
      *
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
@@ -36,6 +36,7 @@
     private final List<Double> mShares = new ArrayList<>();
     private final FleetSimulation mSimulation;
     private final long mTurnMs;
+    private int mCycles = 1;
     private long mZoneCutAtMs = -1;
     private long mZoneCutMs;
 
@@ -132,14 +133,26 @@
         return this;
     }
 
-    /** Plays one turn of each queue and the time until all jobs are done. */
+    /** Lets each queue take this many turns. */
+    TurnLoad withCycles(int cycles) {
+        mCycles = cycles;
+        return this;
+    }
+
+    /** Moves VMs by forecasts of the turns. */
+    TurnLoad withForecast(BurstForecast forecast) {
+        mSimulation.mPlanner.setForecast(forecast);
+        return this;
+    }
+
+    /** Plays the turns of each queue and the time until all jobs are done. */
     FleetSimulation play() {
         for (Queue q : Queue.values()) {
             mSimulation.addJob(q.mService, standing());
         }
         mSimulation.advance(3000);
         long begin = mSimulation.elapsedMs();
-        long end = begin + Queue.values().length * mTurnMs;
+        long end = begin + mCycles * Queue.values().length * mTurnMs;
         while (mSimulation.elapsedMs() < end) {
             long elapsedMs = mSimulation.elapsedMs() - begin;
             for (Queue q : Queue.values()) {
@@ -165,7 +178,8 @@
     }
 
     private void addArrivals(Queue queue, long elapsedMs) {
-        double position = (double) elapsedMs / mTurnMs - queue.ordinal();
+        long cycleMs = Queue.values().length * mTurnMs;
+        double position = (double) (elapsedMs % cycleMs) / mTurnMs - queue.ordinal();
         boolean turn = position >= 0 && position < 1;
         double share = turn ? TURN_SHARE * Math.sin(Math.PI * position) : IDLE_SHARE;
         double expected = queue.mPerSecond * share * STEP_MS / MS_PER_S;
