Setting pools.forecastBursts and log line burst-forecast

Cause: forecasts of turns need a setting, off by default, and their errors must be visible.

Change: NodeSettingsReader reads the optional flag and rejects other values. The owner sets a forecast if it is on, and logs and counts for each expected turn whether it came, with the expected and the actual load.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -25,6 +25,7 @@
  * @param link bandwidth of the node's network link
  * @param graceMs time from the stop signal to the end of the process, in milliseconds
  * @param keyLifetime how long callers' API keys are accepted without confirmation
+ * @param forecastBursts whether VMs are moved by forecasts of the bursts of services
  */
 public record NodeSettings(
         String name,
@@ -39,7 +40,8 @@
         boolean vmTokensChecked,
         LinkRate link,
         long graceMs,
-        KeyLifetime keyLifetime) {
+        KeyLifetime keyLifetime,
+        boolean forecastBursts) {
 
     /**
      * Limits for the journal; times in milliseconds.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -81,7 +81,8 @@
                 flag("/platform/vmTokensChecked"),
                 link("/node/linkMbps"),
                 secondsAsMs("/node/graceS"),
-                keyLifetime("/callers/keyRevocationMs"));
+                keyLifetime("/callers/keyRevocationMs"),
+                optionalFlag("/pools/forecastBursts"));
     }
 
     private String text(String path) {
@@ -100,6 +101,11 @@
         return value.asBoolean(false);
     }
 
+    /** Reads a flag that is false unless it is given. */
+    private boolean optionalFlag(String path) {
+        return !mTree.at(path).isMissingNode() && flag(path);
+    }
+
     /** Rejects order modes other than calls to workers, which is the only and default one. */
     private void checkOrderMode(String path) {
         String value = mTree.at(path).asText("");
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
@@ -16,6 +16,7 @@
 import org.foxtailplank.port.VmClient.Holder;
 import org.foxtailplank.port.VmClient.VmInfo;
 import org.foxtailplank.port.VmClient.VmOutcome;
+import org.foxtailplank.schedule.BurstForecast;
 import org.foxtailplank.schedule.DueWave;
 import org.foxtailplank.schedule.PlannedVmAction;
 import org.foxtailplank.schedule.VmPlanner;
@@ -43,6 +44,7 @@
     private final Set<Long> mReportedRunning = new HashSet<>();
     private final Set<Long> mDeadlinesWritten = new HashSet<>();
     private final WaveDeadlines mDeadlines;
+    private final ForecastLogger mForecastLogger;
     private long mLastAnswerMs;
     private long mAppliedMs = Long.MIN_VALUE;
     private int mListNumber;
@@ -59,6 +61,11 @@
         mDeadlines = new WaveDeadlines(context.reader().registry());
         mPlanner = new VmPlanner(owner.scheduler());
         mLastAnswerMs = mClock.nowMs();
+        BurstForecast forecast = new BurstForecast();
+        mForecastLogger = new ForecastLogger(context, forecast);
+        if (context.settings().forecastBursts()) {
+            mPlanner.setForecast(forecast);
+        }
     }
 
     /** Whether a call to the VM service is in flight. */
@@ -178,6 +185,7 @@
                         areCallsAllowed(),
                         mClock.nowMs(),
                         mClock.wallMs());
+        mForecastLogger.write();
         decisions.actions().forEach(this::call);
         decisions.completed().forEach(this::reportCompleted);
         mOwner.scheduleDecision();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -72,7 +72,8 @@
                         true,
                         LinkRate.UNKNOWN,
                         RUN_MS,
-                        KeyLifetime.UNLIMITED);
+                        KeyLifetime.UNLIMITED,
+                        false);
         Node node = new Node(settings, loop, clock, timers, log);
         node.listen();
         loop.execute(node::start);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -49,6 +49,28 @@
         assertEquals(NodeSettingsReader.parse(GOOD).keyLifetime(), KeyLifetime.UNLIMITED);
     }
 
+    @Test
+    public void forecastsOfBurstsAreOffUnlessSet() throws SettingsException {
+        String on = GOOD.replace("\"jobs\":{", "\"pools\":{\"forecastBursts\":true},\"jobs\":{");
+
+        assertTrue(NodeSettingsReader.parse(on).forecastBursts());
+        assertFalse(NodeSettingsReader.parse(GOOD).forecastBursts());
+    }
+
+    @Test
+    public void forecastsOfBurstsMustBeTrueOrFalse() {
+        // Guards against a value in quotes that would turn them off without a word.
+        String bad =
+                GOOD.replace("\"jobs\":{", "\"pools\":{\"forecastBursts\":\"true\"},\"jobs\":{");
+
+        SettingsException e =
+                expectThrows(SettingsException.class, () -> NodeSettingsReader.parse(bad));
+
+        assertTrue(
+                e.getMessage().contains("/pools/forecastBursts must be true or false"),
+                e.getMessage());
+    }
+
     @Test
     public void anUnsupportedOrderModeIsRejected() {
         // On a platform where workers fetch their orders, calls to workers would never be answered.
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -78,7 +78,8 @@
                         vmTokensChecked,
                         link,
                         1,
-                        KeyLifetime.UNLIMITED);
+                        KeyLifetime.UNLIMITED,
+                        false);
         NodeLog out = NodeLog.silent(time);
         JournalReader reader =
                 new JournalReader(
