--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
@@ -30,6 +30,7 @@
     private final List<Double> mShares = new ArrayList<>();
     private final FleetSimulation mSimulation;
     private final long mTurnMs;
+    private int mCycles = 1;
     private long mZoneCutAtMs = -1;
     private long mZoneCutMs;
 
@@ -104,7 +105,19 @@
         return this;
     }
 
-    /** Plays one turn of each queue and the time until all jobs are done. */
+    /** Lets each queue take this many turns. */
+    TurnLoad withCycles(int cycles) {
+        mCycles = cycles;
+        return this;
+    }
+
+    /** Moves VMs by forecasts of the turns. */
+    TurnLoad withForecast(BurstForecast forecast) {
+        mSimulation.mPlanner.setForecast(forecast);
+        return this;
+    }
+
+    /** Plays the turns of each queue and the time until all jobs are done. */
     FleetSimulation play() {
         for (TurnShape.Queue q : mShape.queues()) {
             for (int i = 0; i < mShape.standing().jobs(); i++) {
@@ -114,7 +127,7 @@
         mSimulation.advance(3000);
         long begin = mSimulation.elapsedMs();
         int queues = mShape.queues().size();
-        long end = begin + queues * mTurnMs;
+        long end = begin + mCycles * queues * mTurnMs;
         while (mSimulation.elapsedMs() < end) {
             long elapsedMs = mSimulation.elapsedMs() - begin;
             for (int q = 0; q < queues; q++) {
@@ -147,7 +160,8 @@
 
     private void addArrivals(int number, long elapsedMs) {
         TurnShape.Queue queue = mShape.queues().get(number);
-        double position = (double) elapsedMs / mTurnMs - number;
+        long cycleMs = mShape.queues().size() * mTurnMs;
+        double position = (double) (elapsedMs % cycleMs) / mTurnMs - number;
         boolean turn = position >= 0 && position < 1;
         double share = turn ? TURN_SHARE * Math.sin(Math.PI * position) : IDLE_SHARE;
         double expected = queue.perSecond() * share * STEP_MS / MS_PER_S;
