Log line load: VM-seconds of each pool and the fewest that would have sufficed

Cause: the log showed the cores in use but not how many VM-seconds a pool pays beyond what its work needs.

Change: vmSeconds sums up the workers of a pool, and leastVmSeconds the VMs that would hold what runs if it filled them, by the scarcest of cores, memory and accelerators. Both are samples every 2 s since the owner began. VMs on their way between pools have no worker and aren't counted.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoad.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoad.java
@@ -11,6 +11,8 @@
  * @param jobs runs that are due and not done
  * @param waitingTasks tasks that wait for a worker and whose dependencies are done
  * @param waitingStanding standing tasks among them
+ * @param vms VMs of all workers
+ * @param usedVms VMs that would hold what runs if it filled them
  */
 public record PoolLoad(
         String service,
@@ -20,4 +22,6 @@
         long batchCores,
         int jobs,
         int waitingTasks,
-        int waitingStanding) {}
+        int waitingStanding,
+        int vms,
+        double usedVms) {}
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
@@ -38,6 +38,8 @@
                 batch / MILLI,
                 due.size(),
                 waiting,
-                waitingStanding);
+                waitingStanding,
+                workers.size(),
+                UsedVms.of(workers));
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/LoadLogger.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/LoadLogger.java
@@ -1,5 +1,7 @@
 package org.foxtailplank.node.owner;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.schedule.PoolLoad;
 
@@ -7,8 +9,21 @@
 final class LoadLogger {
     private static final long LOG_INTERVAL_MS = 2000;
 
+    private static final double MS_PER_S = 1000;
+
     private final OwnerSession mOwner;
     private final OwnerContext mContext;
+    private final Map<String, VmSeconds> mVmSeconds = new HashMap<>();
+
+    /** VM-seconds of a service's pool since the owner began, and the fewest for what ran there. */
+    private record VmSeconds(double paid, double least) {
+        static final VmSeconds NONE = new VmSeconds(0, 0);
+
+        VmSeconds plus(PoolLoad load) {
+            double seconds = LOG_INTERVAL_MS / MS_PER_S;
+            return new VmSeconds(paid + seconds * load.vms(), least + seconds * load.usedVms());
+        }
+    }
 
     LoadLogger(OwnerSession owner, OwnerContext context) {
         mOwner = owner;
@@ -30,6 +45,9 @@
     }
 
     private void write(PoolLoad load) {
+        VmSeconds before = mVmSeconds.getOrDefault(load.service(), VmSeconds.NONE);
+        VmSeconds vms = before.plus(load);
+        mVmSeconds.put(load.service(), vms);
         mContext.log()
                 .line("load")
                 .with("service", load.service())
@@ -40,6 +58,8 @@
                 .with("jobs", load.jobs())
                 .with("waitingTasks", load.waitingTasks())
                 .with("waitingStanding", load.waitingStanding())
+                .with("vmSeconds", Math.round(vms.paid()))
+                .with("leastVmSeconds", Math.round(vms.least()))
                 .write();
     }
 }
