--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoad.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoad.java
@@ -13,6 +13,8 @@
  * @param jobs runs that are due and not done
  * @param waitingTasks tasks that wait for a worker and whose dependencies are done
  * @param waitingStanding standing tasks among them
+ * @param vms VMs of all workers
+ * @param usedVms VMs that would hold what runs if it filled them
  */
 public record PoolLoad(
         String service,
@@ -23,4 +25,6 @@
         long batchCapacity,
         int jobs,
         int waitingTasks,
-        int waitingStanding) {}
+        int waitingStanding,
+        int vms,
+        double usedVms) {}
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
@@ -47,6 +47,8 @@
                 batchCapacity / MILLI,
                 due.size(),
                 waiting,
-                waitingStanding);
+                waitingStanding,
+                workers.size(),
+                UsedVms.of(workers));
     }
 }
