AdmissionDecider: judge a submitted job by the work ahead of it

A queue in its turn requests about five times what its pool holds, and each of its jobs is accepted, although many can only complete when they have no benefit any more.

The decision estimates the completion from the work ahead over the pool's capacity, present and on its way, and by what the organisation's cap leaves. A job is refused as surely late only if it would also complete beyond three times its objective with a quarter of its estimated run times. Jobs on idle pools, standing jobs, those with a timetable and those without a recent report are accepted. The time since a job was first refused counts against its objective.

The length of an objective moves from UrgencyOrder to JobDefinition, as both use it.

--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/AdmissionDecider.java
@@ -0,0 +1,184 @@
+package org.foxtailplank.admission;
+
+import java.util.Optional;
+import org.foxtailplank.admission.QueueCapacity.OrganisationCapacity;
+import org.foxtailplank.job.JobDefinition;
+
+/**
+ * Decides whether a submitted job is accepted.
+ *
+ * <p>Addresses queues that request several times what their pools can hold: a caller whose job
+ * can't be served learns so at once, and the job takes no capacity from others.
+ *
+ * <p>The expected completion follows from the work ahead over the pool's capacity. A job that can't
+ * meet its objective together with those that can is served after the late ones. Estimates of
+ * single jobs are often far off, so a job is refused as surely late only if it would be so with a
+ * fraction of its estimated run times. Errors of the work ahead average out over many jobs.
+ */
+public final class AdmissionDecider {
+    /** Age from which a report of the capacity is ignored, in milliseconds; four reports. */
+    public static final long MAX_AGE_MS = 1000;
+
+    /**
+     * Factor by which run times may be overestimated: the 94th percentile of an error whose
+     * logarithm has a standard deviation of 0.9.
+     */
+    private static final int OVERESTIMATE = 4;
+
+    /** Jobs that complete within this many times their objective are of some benefit. */
+    private static final int BENEFIT_FACTOR = 3;
+
+    private AdmissionDecider() {}
+
+    /** Decides on a job that is submitted for the first time. */
+    public static Verdict decide(
+            JobDefinition job,
+            QueueCapacity capacity,
+            AdmissionMode mode,
+            AdmittedShare share,
+            long nowMs) {
+        return decide(job, capacity, mode, share, nowMs, 0);
+    }
+
+    /**
+     * Decides on a job.
+     *
+     * @param capacity capacity of the job's pool; null if unknown
+     * @param share work that this node may still accept
+     * @param nowMs time on the clock of the capacity's measurement
+     * @param elapsedMs time since the job was first refused, which its objective includes
+     */
+    public static Verdict decide(
+            JobDefinition job,
+            QueueCapacity capacity,
+            AdmissionMode mode,
+            AdmittedShare share,
+            long nowMs,
+            long elapsedMs) {
+        if (mode == AdmissionMode.OFF) {
+            return Verdict.accepted(Verdict.Basis.OFF);
+        }
+        if (job.isStanding() || job.timetable().isTimed()) {
+            return Verdict.accepted(Verdict.Basis.EXEMPT);
+        }
+        // The pool of a queue without accepted jobs may be empty until the first one.
+        boolean known = capacity != null && nowMs - capacity.measuredMs() <= MAX_AGE_MS;
+        if (!known || capacity.milliCores() <= 0 && capacity.joining().isEmpty()) {
+            return Verdict.accepted(Verdict.Basis.NO_CAPACITY);
+        }
+        return estimate(job, capacity, mode, share, nowMs, elapsedMs);
+    }
+
+    private static Verdict estimate(
+            JobDefinition job,
+            QueueCapacity capacity,
+            AdmissionMode mode,
+            AdmittedShare share,
+            long nowMs,
+            long elapsedMs) {
+        long ageMs = Math.max(0, nowMs - capacity.measuredMs());
+        long objectiveMs = job.objectiveLengthMs() - elapsedMs;
+        long benefitMs = BENEFIT_FACTOR * job.objectiveLengthMs() - elapsedMs;
+        Demand demand = Demand.of(job);
+        Optional<OrganisationCapacity> organisation =
+                Optional.ofNullable(capacity.organisations().get(job.organisation()));
+
+        long ahead = capacity.inTimeWork();
+        long expectedMs = completionMs(demand, ahead, capacity, organisation, ageMs);
+        boolean inTime = expectedMs <= objectiveMs && share.work() > 0;
+        if (!inTime) {
+            ahead += capacity.lateWork();
+            expectedMs = completionMs(demand, ahead, capacity, organisation, ageMs);
+        }
+        long earliestMs =
+                earliestMs(demand.dividedBy(OVERESTIMATE), ahead, capacity, organisation, ageMs);
+        Outlook outlook =
+                inTime
+                        ? Outlook.IN_TIME
+                        : earliestMs > benefitMs ? Outlook.SURELY_LATE : Outlook.LATE;
+        // Without work ahead a later return would not help, and a pool gets VMs for accepted jobs
+        // only.
+        boolean waits = ahead > 0 || organisation.isPresent();
+        Verdict.Estimate estimate =
+                new Verdict.Estimate(
+                        expectedMs,
+                        earliestMs,
+                        objectiveMs,
+                        benefitMs,
+                        demand.criticalPathMs(),
+                        demand.work(),
+                        ahead,
+                        ageMs,
+                        capacity);
+        return new Verdict(
+                outlook,
+                waits && mode.refuses(outlook),
+                Verdict.Basis.ESTIMATE,
+                Optional.of(estimate));
+    }
+
+    /** Run time and work of a job, and the capacity that one of its first tasks needs. */
+    private record Demand(long criticalPathMs, long work, long firstTaskMilliCores) {
+        static Demand of(JobDefinition job) {
+            long milliCores = job.steps().get(0).reserved().milliProcessors();
+            return new Demand(job.criticalPathMs(), (long) job.estimatedWork(), milliCores);
+        }
+
+        Demand dividedBy(int factor) {
+            return new Demand(criticalPathMs / factor, work / factor, firstTaskMilliCores);
+        }
+    }
+
+    /**
+     * Expected completion. Work that has been done since the measurement is taken to be replaced by
+     * work that other nodes have accepted.
+     */
+    private static long completionMs(
+            Demand demand,
+            long ahead,
+            QueueCapacity capacity,
+            Optional<OrganisationCapacity> organisation,
+            long ageMs) {
+        long poolMs = poolMs(demand, ahead, capacity, ageMs);
+        return organisation.isEmpty()
+                ? poolMs
+                : Math.max(poolMs, underCapMs(demand, organisation.get()));
+    }
+
+    /** Earliest completion, if no other job was accepted since the measurement. */
+    private static long earliestMs(
+            Demand demand,
+            long ahead,
+            QueueCapacity capacity,
+            Optional<OrganisationCapacity> organisation,
+            long ageMs) {
+        long earliestMs = poolMs(demand, ahead, capacity, 0) - ageMs;
+        // What the organisation's tasks hold on other services may end at any time.
+        if (organisation.isPresent() && organisation.get().milliCores() > 0) {
+            earliestMs = Math.max(earliestMs, underCapMs(demand, organisation.get()) - ageMs);
+        }
+        return Math.max(demand.criticalPathMs(), earliestMs);
+    }
+
+    /** Time in which the pool completes the work ahead and then the job. */
+    private static long poolMs(Demand demand, long ahead, QueueCapacity capacity, long ageMs) {
+        boolean startsNow = capacity.freeMilliCores() >= demand.firstTaskMilliCores();
+        long waitMs = startsNow ? 0 : capacity.timeForMs(ahead, ageMs);
+        return completionMs(waitMs, capacity.timeForMs(ahead + demand.work(), ageMs), demand);
+    }
+
+    private static long underCapMs(Demand demand, OrganisationCapacity organisation) {
+        if (organisation.milliCores() <= 0) {
+            return Long.MAX_VALUE;
+        }
+        long waitMs = organisation.waitingWork() / organisation.milliCores();
+        long allMs = (organisation.waitingWork() + demand.work()) / organisation.milliCores();
+        return completionMs(waitMs, allMs, demand);
+    }
+
+    private static long completionMs(long waitMs, long workMs, Demand demand) {
+        return waitMs == Long.MAX_VALUE
+                ? Long.MAX_VALUE
+                : Math.max(workMs, waitMs + demand.criticalPathMs());
+    }
+}
--- a/foxtail-core/src/main/java/org/foxtailplank/admission/QueueCapacity.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/QueueCapacity.java
@@ -34,6 +34,29 @@
         organisations = Map.copyOf(organisations);
     }
 
+    /**
+     * Time in which the pool can do an amount of work, in milliseconds; {@link Long#MAX_VALUE} if
+     * it has no capacity.
+     *
+     * @param ageMs time since the measurement, by which joining capacity is nearer
+     */
+    long timeForMs(long work, long ageMs) {
+        long left = work;
+        long rate = milliCores;
+        long atMs = 0;
+        for (Joining j : joining) {
+            long joinsMs = Math.max(atMs, j.afterMs() - ageMs);
+            long done = rate * (joinsMs - atMs);
+            if (done >= left) {
+                break;
+            }
+            left -= done;
+            atMs = joinsMs;
+            rate += j.milliCores();
+        }
+        return rate <= 0 ? Long.MAX_VALUE : atMs + left / rate;
+    }
+
     /**
      * Capacity that joins the pool.
      *
@@ -42,10 +65,11 @@
     public record Joining(long afterMs, long milliCores) {}
 
     /**
-     * What an organisation's cap leaves.
+     * What an organisation's cap leaves, or its entitled rate if that delays its jobs more.
      *
-     * @param milliCores capacity that the cap allows its batch tasks
-     * @param waitingWork remaining work of its jobs
+     * @param milliCores capacity that serves its next job and the work before it
+     * @param waitingWork work before its next job: that of its own jobs under its cap, and that of
+     *     all jobs of the queue if its next job exceeds its entitled rate
      */
     public record OrganisationCapacity(long milliCores, long waitingWork) {}
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
@@ -104,4 +104,14 @@
         }
         return longest;
     }
+
+    /** Time that the objective allows for one run of the steps as estimated, in milliseconds. */
+    public long objectiveLengthMs() {
+        return objectiveLengthMs(criticalPathMs());
+    }
+
+    /** Time that the objective allows for one run of the steps with a critical path. */
+    public long objectiveLengthMs(long criticalPathMs) {
+        return (long) (policy.stretch() * criticalPathMs) + policy.sloMs();
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/CoreDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/CoreDemand.java
@@ -37,6 +37,6 @@
 
     /** Capacity that a new job needs if none of its tasks has to wait. */
     static double of(JobDefinition definition) {
-        return definition.estimatedWork() / Math.max(1, UrgencyOrder.objectiveLengthMs(definition));
+        return definition.estimatedWork() / Math.max(1, definition.objectiveLengthMs());
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
@@ -84,16 +84,6 @@
     static long objectiveMs(ActiveRun run) {
         JobDefinition definition = run.job().definition();
         long begin = run.dueWallMs() > 0 ? run.dueWallMs() : definition.acceptedMs();
-        return begin + objectiveLengthMs(definition, run.criticalPathMs());
-    }
-
-    /** Time that the objective allows for one run of the steps as estimated, in milliseconds. */
-    static long objectiveLengthMs(JobDefinition definition) {
-        return objectiveLengthMs(definition, definition.criticalPathMs());
-    }
-
-    private static long objectiveLengthMs(JobDefinition definition, long criticalPathMs) {
-        return (long) (definition.policy().stretch() * criticalPathMs)
-                + definition.policy().sloMs();
+        return begin + definition.objectiveLengthMs(run.criticalPathMs());
     }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/CoreDemandTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/CoreDemandTest.java
@@ -86,7 +86,7 @@
         owner.accept(definition("job"));
         owner.placeTasks();
         ActiveRun run = owner.mScheduler.runs().job("job").orElseThrow().runs().get(0);
-        long objective = UrgencyOrder.objectiveLengthMs(definition("job"));
+        long objective = definition("job").objectiveLengthMs();
 
         assertEquals(
                 CoreDemand.of(run, OwnerHarness.WALL_MS),
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -357,7 +357,7 @@
 
     private static boolean isOnTime(Job job) {
         JobDefinition definition = job.mDefinition;
-        long objective = definition.acceptedMs() + UrgencyOrder.objectiveLengthMs(definition);
+        long objective = definition.acceptedMs() + definition.objectiveLengthMs();
         return job.mDoneMs <= objective;
     }
 
