--- a/foxtail-core/src/main/java/org/foxtailplank/admission/AdmissionDecider.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/AdmissionDecider.java
@@ -23,7 +23,7 @@
      * Factor by which run times may be overestimated: the 94th percentile of an error whose
      * logarithm has a standard deviation of 0.9.
      */
-    private static final int OVERESTIMATE = 4;
+    static final int OVERESTIMATE = 4;
 
     /** Jobs that complete within this many times their objective are of some benefit. */
     private static final int BENEFIT_FACTOR = 3;
@@ -37,7 +37,7 @@
             AdmissionMode mode,
             AdmittedShare share,
             long nowMs) {
-        return decide(job, capacity, mode, share, nowMs, 0);
+        return decide(job, capacity, mode, share, Returning.FIRST_TIME, nowMs);
     }
 
     /**
@@ -45,16 +45,16 @@
      *
      * @param capacity capacity of the job's pool; null if unknown
      * @param share work that this node may still accept
+     * @param returning earlier refusals, whose time the objective includes
      * @param nowMs time on the clock of the capacity's measurement
-     * @param elapsedMs time since the job was first refused, which its objective includes
      */
     public static Verdict decide(
             JobDefinition job,
             QueueCapacity capacity,
             AdmissionMode mode,
             AdmittedShare share,
-            long nowMs,
-            long elapsedMs) {
+            Returning returning,
+            long nowMs) {
         if (mode == AdmissionMode.OFF) {
             return Verdict.accepted(Verdict.Basis.OFF);
         }
@@ -66,7 +66,7 @@
         if (!known || capacity.milliCores() <= 0 && capacity.joining().isEmpty()) {
             return Verdict.accepted(Verdict.Basis.NO_CAPACITY);
         }
-        return estimate(job, capacity, mode, share, nowMs, elapsedMs);
+        return estimate(job, capacity, mode, share, returning, nowMs);
     }
 
     private static Verdict estimate(
@@ -74,11 +74,11 @@
             QueueCapacity capacity,
             AdmissionMode mode,
             AdmittedShare share,
-            long nowMs,
-            long elapsedMs) {
+            Returning returning,
+            long nowMs) {
         long ageMs = Math.max(0, nowMs - capacity.measuredMs());
-        long objectiveMs = job.objectiveLengthMs() - elapsedMs;
-        long benefitMs = BENEFIT_FACTOR * job.objectiveLengthMs() - elapsedMs;
+        long objectiveMs = job.objectiveLengthMs() - returning.elapsedMs();
+        long benefitMs = BENEFIT_FACTOR * job.objectiveLengthMs() - returning.elapsedMs();
         Demand demand = Demand.of(job);
         Optional<OrganisationCapacity> organisation =
                 Optional.ofNullable(capacity.organisations().get(job.organisation()));
@@ -110,9 +110,11 @@
                         ahead,
                         ageMs,
                         capacity);
+        // The place of a job whose time has come was planned for a late completion.
+        boolean planned = returning.due() && share.work() > 0 && expectedMs <= benefitMs;
         return new Verdict(
                 outlook,
-                waits && mode.refuses(outlook),
+                waits && !planned && mode.refuses(outlook),
                 Verdict.Basis.ESTIMATE,
                 Optional.of(estimate));
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/admission/AdmissionDeciderTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/admission/AdmissionDeciderTest.java
@@ -200,15 +200,39 @@
         assertFalse(decide(small, AdmissionMode.BEYOND_OBJECTIVE).refused());
     }
 
+    private static boolean refusesReturning(Returning returning) {
+        return AdmissionDecider.decide(
+                        job(""),
+                        full(2 * SECOND, 0),
+                        AdmissionMode.BEYOND_OBJECTIVE,
+                        AdmittedShare.UNLIMITED,
+                        returning,
+                        NOW_MS)
+                .refused();
+    }
+
     @Test
-    public void timeSinceTheFirstRefusalCounts() {
-        // Guards against a job that is accepted on its return although it has no benefit any more.
-        QueueCapacity capacity = full(2 * SECOND, 0);
-        AdmissionMode mode = AdmissionMode.SURELY_LATE;
-        AdmittedShare share = AdmittedShare.UNLIMITED;
+    public void aJobThatReturnsInItsTimeIsAcceptedWhileItHasABenefit() {
+        // Guards against a job that is refused on each return, since it is late by now, and against
+        // one that is accepted although it has no benefit any more.
+        assertFalse(refusesReturning(new Returning(3600, true)));
+        assertTrue(refusesReturning(new Returning(3601, true)));
+        assertTrue(refusesReturning(new Returning(3600, false)));
+    }
 
-        assertFalse(
-                AdmissionDecider.decide(job(""), capacity, mode, share, NOW_MS, 4000).refused());
-        assertTrue(AdmissionDecider.decide(job(""), capacity, mode, share, NOW_MS, 4400).refused());
+    @Test
+    public void timeSinceTheFirstRefusalCountsForSurelyLateJobs() {
+        QueueCapacity capacity = full(2 * SECOND, 0);
+        for (long elapsedMs : new long[] {4350, 4351}) {
+            Verdict verdict =
+                    AdmissionDecider.decide(
+                            job(""),
+                            capacity,
+                            AdmissionMode.SURELY_LATE,
+                            AdmittedShare.UNLIMITED,
+                            new Returning(elapsedMs, false),
+                            NOW_MS);
+            assertEquals(verdict.refused(), elapsedMs > 4350);
+        }
     }
 }
