--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/JobEntitlements.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/JobEntitlements.java
@@ -44,7 +44,7 @@
         if (organisation.isEmpty()) {
             return true;
         }
-        double rate = organisation.get().weight() / MS_PER_S;
+        double rate = rate(organisation.get());
         double capacity = Math.max(1, rate * BURST_S * MS_PER_S);
         long nowMs = definition.acceptedMs();
         Bucket bucket =
@@ -59,4 +59,20 @@
         bucket.mTokens--;
         return true;
     }
+
+    /** Whether the next job of an organisation would exceed its rate. */
+    boolean isExhausted(String name, long nowMs) {
+        Optional<Organisation> organisation = mOrganisations.byName(name);
+        Bucket bucket = mBuckets.get(name);
+        if (organisation.isEmpty() || bucket == null) {
+            return false;
+        }
+        double refill = rate(organisation.get()) * Math.max(0, nowMs - bucket.mFilledMs);
+        return bucket.mTokens + refill < 1;
+    }
+
+    /** Jobs a millisecond. */
+    private static double rate(Organisation organisation) {
+        return organisation.weight() / MS_PER_S;
+    }
 }
--- /dev/null
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/JoiningCapacity.java
@@ -0,0 +1,75 @@
+package org.foxtailplank.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.foxtailplank.admission.QueueCapacity.Joining;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.VmClient.VmPhase;
+
+/** Computes which VMs join a pool and when. */
+final class JoiningCapacity {
+    /** Time from the decision to move a VM until its worker can be used, in milliseconds. */
+    private static final long MOVE_MS = 2000;
+
+    /** Time from the call for a move until the worker can be used, in milliseconds. */
+    private static final long CALL_MS = 1800;
+
+    /** Time from the end of a move until the worker can be used, in milliseconds. */
+    private static final long JOIN_MS = 500;
+
+    /** VMs that join within this period are reported together, in milliseconds. */
+    private static final long PERIOD_MS = 500;
+
+    private final Scheduler mScheduler;
+    private final ManagedVms mVms;
+
+    JoiningCapacity(Scheduler scheduler, ManagedVms vms) {
+        mScheduler = scheduler;
+        mVms = vms;
+    }
+
+    /**
+     * Capacity that joins a service's pool, in the order of time. Idle VMs of the standby pool
+     * count, as they move as soon as accepted jobs need them; otherwise the first jobs of a burst
+     * would be refused, and no VM would move.
+     */
+    List<Joining> of(String service, FleetConfig config, long nowMs) {
+        Map<Long, Long> milliCores = new TreeMap<>();
+        for (ManagedVm vm : mVms.all()) {
+            joinsAfterMs(vm, service, config, nowMs)
+                    .ifPresent(
+                            ms ->
+                                    milliCores.merge(
+                                            (ms + PERIOD_MS - 1) / PERIOD_MS * PERIOD_MS,
+                                            vm.info().capacity().milliProcessors(),
+                                            Long::sum));
+        }
+        List<Joining> joining = new ArrayList<>();
+        milliCores.forEach((ms, c) -> joining.add(new Joining(ms, c)));
+        return joining;
+    }
+
+    private Optional<Long> joinsAfterMs(
+            ManagedVm vm, String service, FleetConfig config, long nowMs) {
+        boolean inPool = vm.info().pool().equals(service);
+        long sinceMoveMs = nowMs - vm.lastMoveMs();
+        if (vm.planned().isPresent()) {
+            boolean joins =
+                    vm.planned().get() instanceof PlannedVmAction.Move move
+                            && move.pool().equals(service);
+            long afterMs = Math.max(CALL_MS, MOVE_MS - (nowMs - vm.plannedMs()));
+            return joins ? Optional.of(afterMs) : Optional.empty();
+        }
+        if (inPool && vm.info().phase() == VmPhase.MOVING) {
+            return Optional.of(Math.max(JOIN_MS, CALL_MS - sinceMoveMs));
+        }
+        if (inPool && vm.isFree() && mScheduler.worker(vm.info().worker()).isEmpty()) {
+            return Optional.of(Math.max(0, Math.min(JOIN_MS, CALL_MS - sinceMoveMs)));
+        }
+        boolean standby = config.isStandby(vm.info().pool()) && vm.isFree();
+        return standby ? Optional.of(MOVE_MS) : Optional.empty();
+    }
+}
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -159,6 +159,10 @@
         return mArrivals;
     }
 
+    JobEntitlements entitlements() {
+        return mEntitlements;
+    }
+
     /**
      * Adds a job that a previous owner may have worked on. Each recorded start without a recorded
      * end counts as running until its worker has been polled, its incarnation has ended or its
@@ -462,7 +466,7 @@
         return sum;
     }
 
-    private Map<String, List<ActiveRun>> dueRunsByService(long nowWallMs) {
+    Map<String, List<ActiveRun>> dueRunsByService(long nowWallMs) {
         Map<String, List<ActiveRun>> found = new LinkedHashMap<>();
         for (ActiveJob job : mRuns.jobs()) {
             if (job.isEnding()) {
@@ -480,12 +484,6 @@
     }
 
     List<WorkerState> workersOf(String service) {
-        List<WorkerState> found = new ArrayList<>();
-        for (WorkerState w : mWorkers.all()) {
-            if (w.info().service().equals(service)) {
-                found.add(w);
-            }
-        }
-        return found;
+        return mWorkers.ofService(service);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -37,6 +37,10 @@
         mReservations = new StandingTaskReservations(scheduler);
     }
 
+    ManagedVms vms() {
+        return mVms;
+    }
+
     /**
      * Actions to take on VMs now.
      *
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerTable.java
@@ -1,9 +1,11 @@
 package org.foxtailplank.schedule;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -20,6 +22,17 @@
         return Collections.unmodifiableCollection(mStates.values());
     }
 
+    /** Workers that run the tasks of a service. */
+    List<WorkerState> ofService(String service) {
+        List<WorkerState> found = new ArrayList<>();
+        for (WorkerState w : mStates.values()) {
+            if (w.info().service().equals(service)) {
+                found.add(w);
+            }
+        }
+        return found;
+    }
+
     /** Returns the current incarnation of a worker. */
     Optional<WorkerState> current(String id) {
         return Optional.ofNullable(mCurrent.get(id)).map(mStates::get);
