--- a/foxtail-core/src/main/java/org/foxtailplank/admission/QueueCapacity.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/QueueCapacity.java
@@ -57,6 +57,20 @@
         return rate <= 0 ? Long.MAX_VALUE : atMs + left / rate;
     }
 
+    /** Returns this capacity with further work that is expected to be done in time. */
+    public QueueCapacity withAcceptedWork(long work) {
+        return new QueueCapacity(
+                service,
+                measuredMs,
+                milliCores,
+                freeMilliCores,
+                joining,
+                inTimeWork + work,
+                lateWork,
+                excessWork,
+                organisations);
+    }
+
     /**
      * Capacity that joins the pool.
      *
