--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.admission.AdmissionSettings;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.port.LogPartition;
@@ -25,6 +26,7 @@
  * @param link bandwidth of the node's network link
  * @param graceMs time from the stop signal to the end of the process, in milliseconds
  * @param keyLifetime how long callers' API keys are accepted without confirmation
+ * @param admission which submissions each queue refuses
  */
 public record NodeSettings(
         String name,
@@ -39,7 +41,8 @@
         boolean vmTokensChecked,
         LinkRate link,
         long graceMs,
-        KeyLifetime keyLifetime) {
+        KeyLifetime keyLifetime,
+        AdmissionSettings admission) {
 
     /**
      * Limits for the journal; times in milliseconds.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -81,7 +81,8 @@
                 flag("/platform/vmTokensChecked"),
                 link("/node/linkMbps"),
                 secondsAsMs("/node/graceS"),
-                keyLifetime("/callers/keyRevocationMs"));
+                keyLifetime("/callers/keyRevocationMs"),
+                new AdmissionSettingsReader(mTree, mProblems).read());
     }
 
     private String text(String path) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.admission.AdmissionSettings;
 import org.foxtailplank.http.HttpCall;
 import org.foxtailplank.http.HttpClient;
 import org.foxtailplank.http.HttpReply;
@@ -72,7 +73,8 @@
                         true,
                         LinkRate.UNKNOWN,
                         RUN_MS,
-                        KeyLifetime.UNLIMITED);
+                        KeyLifetime.UNLIMITED,
+                        AdmissionSettings.OFF);
         Node node = new Node(settings, loop, clock, timers, log);
         node.listen();
         loop.execute(node::start);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.admission.AdmissionSettings;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
@@ -78,7 +79,8 @@
                         vmTokensChecked,
                         link,
                         1,
-                        KeyLifetime.UNLIMITED);
+                        KeyLifetime.UNLIMITED,
+                        AdmissionSettings.OFF);
         NodeLog out = NodeLog.silent(time);
         JournalReader reader =
                 new JournalReader(
