Nodes refuse jobs by the owner's capacity reports

Cause: a job that can't be served was accepted all the same and took capacity from others; its caller learnt nothing before its deadline.

Change: where admission is on, the owner sends CapacityReport frames with its heartbeats to the followers that ask for them with AcceptedWork. AdmissionGate checks a submission after those of known jobs and submissions in flight, and before anything is stored. A refusal (429) needs the owner's agreement; without it, or without a report of the last second, the job is stored as before. An owner doesn't store a job to whose refusal it has just agreed: the handover has the outcome REFUSED, and its node doesn't append it either. Without admission no frame is sent or decoded in addition.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -92,6 +92,7 @@
     private final Connectivity mConnectivity;
     private final OwnerElection mElection;
     private final ResignationPolicy mResignationPolicy;
+    private final NodeAdmission mAdmission;
 
     private Optional<OwnerSession> mOwner = Optional.empty();
     private HttpServer mCallerServer;
@@ -116,7 +117,6 @@
                         PlatformTimeouts.DEFAULTS,
                         clock::nowMs);
         SharedLog shared = mPlatform.log();
-        JobRegistry registry = new JobRegistry(settings.journal().endedJobRetentionMs());
         mOperator = new OperatorFollower(mPlatform.operatorChanges(), clock, timers, log);
         mReader =
                 new JournalReader(
@@ -125,7 +125,7 @@
                         clock,
                         timers,
                         log,
-                        registry,
+                        new JobRegistry(settings.journal().endedJobRetentionMs()),
                         this::recordApplied);
         mLink = new OwnerLink(loop, clock, timers, log, mReader);
         mReader.setStreaming(mLink::isAlive);
@@ -133,6 +133,7 @@
         mLink.setConfigExchange(mConfigExchange);
         mLink.setStandbyCondition(this::isStandby);
         mLink.setRelayedStartHandler(new RelayedStartHandler(mReader, mPlatform.workerClient()));
+        mAdmission = new NodeAdmission(() -> mSettings.admission(), clock);
         mResignationPolicy = new ResignationPolicy(settings.link());
         mWriter =
                 new JournalWriter(
@@ -179,7 +180,7 @@
 
     /** Hands records over to the current owner, which may be this node. */
     private final class RoutedHandover implements Handover {
-        private final Handover mLocal = new LocalHandover();
+        private final Handover mLocal = mAdmission.guard(new LocalHandover());
 
         private Handover target() {
             return mOwner.isPresent() ? mLocal : mLink;
@@ -198,7 +199,10 @@
 
     private JobQueries localJobQueries() {
         return new LocalJobQueries(
-                mReader, mClock, () -> mOwner.map(OwnerSession::isLoaded).orElse(false));
+                mReader,
+                mClock,
+                () -> mOwner.map(OwnerSession::isLoaded).orElse(false),
+                mAdmission::tryRefuse);
     }
 
     /** Queries the current owner, which may be this node. */
@@ -218,19 +222,26 @@
         public void pending(String queue, Consumer<Optional<Integer>> callback) {
             target().pending(queue, callback);
         }
+
+        @Override
+        public void mayRefuse(String id, Consumer<Boolean> callback) {
+            target().mayRefuse(id, callback);
+        }
     }
 
     /** Binds all servers; must not be called on the event loop thread, which would deadlock. */
     public void listen() throws IOException {
+        JobQueries ownerQueries = new RoutedJobQueries();
         CallerService service =
                 new CallerService(
                         mOperator,
                         mReader,
                         mLink,
-                        new RoutedJobQueries(),
+                        ownerQueries,
                         mWriter,
                         mPlatform.callerCodec(),
                         mSettings.keyLifetime(),
+                        mAdmission.gate(ownerQueries, mLog, mMetrics),
                         mClock,
                         mTimers,
                         mLog,
@@ -243,8 +254,10 @@
                         mClock,
                         mTimers,
                         mSettings.link(),
-                        new LocalHandover(),
+                        mAdmission.guard(new LocalHandover()),
                         localJobQueries());
+        mLink.setCapacityFollower(mAdmission.follower());
+        mStream.setCapacityReporter(mAdmission.reporter());
         mStream.setConfigExchange(mConfigExchange);
         mReader.setRawListener(mStream::recordRead);
         HttpServer.bind(mLoop, mSettings.readiness(), MAX_BODY_BYTES, this::readiness);
@@ -285,6 +298,7 @@
 
     private void recordApplied(JournalRecord record, Optional<JobProgress> job) {
         mElection.applyRecord(record);
+        mAdmission.recordApplied(record);
         mOwner.ifPresent(o -> o.applyRecord(record, job));
     }
 
@@ -330,6 +344,7 @@
         OwnerSession session = new OwnerSession(context, taken, this::fenced);
         mOwner = Optional.of(session);
         mLink.setOwner(Optional.empty());
+        mAdmission.ownershipAcquired(session);
         mStream.ownershipAcquired(taken.token(), session, session::areVmCallsFinished);
         session.start();
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -69,6 +69,7 @@
     private final NodeLog mLog;
     private final NodeMetrics mMetrics;
     private final OrganisationMetrics mOrganisationMetrics;
+    private final AdmissionGate mGate;
     private final RequestRouter mRouter;
     private final Map<String, InFlight> mInFlight = new HashMap<>();
 
@@ -83,6 +84,7 @@
             JournalWriter writer,
             CallerCodec codec,
             KeyLifetime keyLifetime,
+            AdmissionGate gate,
             Clock clock,
             Timers timers,
             NodeLog log,
@@ -97,6 +99,7 @@
         mLog = log;
         mMetrics = metrics;
         mOrganisationMetrics = new OrganisationMetrics(metrics);
+        mGate = gate;
         mRouter =
                 new RequestRouter(
                         operator, reader, keyLifetime, codec.keyHeader(), clock, timers, log);
@@ -211,10 +214,19 @@
         List<Consumer<HttpReply>> replies = new ArrayList<>(List.of(reply));
         mInFlight.put(id, new InFlight(routed.organisation(), replies));
         long deadline = deadlineMs(request);
-        mWriter.store(
-                new JobAccepted(definition),
-                deadline,
-                o -> submissionCompleted(definition, replies, o));
+        mGate.check(
+                definition,
+                refusal -> {
+                    if (refusal.isPresent()) {
+                        mInFlight.remove(id);
+                        replies.forEach(r -> r.accept(refusal.get()));
+                    } else {
+                        mWriter.store(
+                                new JobAccepted(definition),
+                                deadline,
+                                o -> submissionCompleted(definition, replies, o));
+                    }
+                });
     }
 
     private void logRepeated(String job, RouteSettings route) {
@@ -228,6 +240,7 @@
     private void submissionCompleted(
             JobDefinition definition, List<Consumer<HttpReply>> replies, StoreOutcome outcome) {
         mInFlight.remove(definition.id());
+        mGate.completed(definition, outcome);
         mLog.line("job-submitted")
                 .with("job", definition.id())
                 .with("queue", definition.route())
@@ -377,7 +390,7 @@
     private static HttpReply outcomeReply(StoreOutcome outcome) {
         return switch (outcome) {
             case STORED -> HttpReply.empty(OK);
-            case NOT_STORED -> RequestRouter.unavailableReply();
+            case NOT_STORED, REFUSED -> RequestRouter.unavailableReply();
             case UNKNOWN -> HttpReply.empty(GATEWAY_TIMEOUT);
         };
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/LocalJobQueries.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/LocalJobQueries.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobSummary;
 import org.foxtailplank.node.Clock;
@@ -14,16 +15,23 @@
     private final JournalReader mReader;
     private final Clock mClock;
     private final BooleanSupplier mIsOwner;
+    private final Predicate<String> mTryRefuse;
 
     /**
      * Creates the queries on a node's own job state.
      *
      * @param isOwner whether this node owns as far as it knows, and has read the journal since
+     * @param tryRefuse registers the refusal of a job; false if it may be stored
      */
-    public LocalJobQueries(JournalReader reader, Clock clock, BooleanSupplier isOwner) {
+    public LocalJobQueries(
+            JournalReader reader,
+            Clock clock,
+            BooleanSupplier isOwner,
+            Predicate<String> tryRefuse) {
         mReader = reader;
         mClock = clock;
         mIsOwner = isOwner;
+        mTryRefuse = tryRefuse;
     }
 
     @Override
@@ -45,4 +53,10 @@
         callback.accept(
                 isUpToDate ? Optional.of(mReader.registry().pending(queue)) : Optional.empty());
     }
+
+    @Override
+    public void mayRefuse(String id, Consumer<Boolean> callback) {
+        boolean unknown = mIsOwner.getAsBoolean() && mReader.registry().job(id).isEmpty();
+        callback.accept(unknown && mTryRefuse.test(id));
+    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
@@ -139,7 +139,8 @@
         }
         mNodeLog.line("handover").with("outcome", outcome).write();
         pending.mMayBeStored |= outcome == StoreOutcome.UNKNOWN;
-        if (mClock.nowMs() < pending.mDeadlineMs) {
+        // The caller of a refused job was told that it never runs: this node must not append it.
+        if (outcome != StoreOutcome.REFUSED && mClock.nowMs() < pending.mDeadlineMs) {
             enqueue(pending);
         } else {
             complete(pending);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/StoreOutcome.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/StoreOutcome.java
@@ -7,5 +7,7 @@
     /** The record isn't stored and never will be. */
     NOT_STORED,
     /** The record may be stored, or may still be stored later. */
-    UNKNOWN
+    UNKNOWN,
+    /** The owner doesn't store the record, since another node has just refused the job. */
+    REFUSED
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -4,6 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.foxtailplank.admission.AdmissionSettings;
+import org.foxtailplank.admission.TypicalObjectives;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.EndedRun;
@@ -19,6 +22,7 @@
 import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.admission.CapacitySource;
 import org.foxtailplank.node.journal.JournalPosition;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.peer.JournalStatus;
@@ -350,6 +354,13 @@
         scheduleDecision();
     }
 
+    /** Returns the source of capacity reports; admission may be switched while the owner works. */
+    public CapacitySource capacities(
+            Supplier<AdmissionSettings> settings, TypicalObjectives objectives) {
+        return new OwnerCapacity(
+                this, mContext, mVmCoordinator.capacitySnapshots(), settings, objectives);
+    }
+
     OwnerJournal journal() {
         return mJournal;
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
@@ -16,6 +16,7 @@
 import org.foxtailplank.port.VmClient.Holder;
 import org.foxtailplank.port.VmClient.VmInfo;
 import org.foxtailplank.port.VmClient.VmOutcome;
+import org.foxtailplank.schedule.CapacitySnapshots;
 import org.foxtailplank.schedule.DueWave;
 import org.foxtailplank.schedule.PlannedVmAction;
 import org.foxtailplank.schedule.VmPlanner;
@@ -61,6 +62,11 @@
         mLastAnswerMs = mClock.nowMs();
     }
 
+    /** Returns the measurement of pools with the VMs on their way to them. */
+    CapacitySnapshots capacitySnapshots() {
+        return new CapacitySnapshots(mOwner.scheduler(), mPlanner);
+    }
+
     /** Whether a call to the VM service is in flight. */
     boolean hasCallsInFlight() {
         return mCallsInFlight > 0;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JobQueries.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JobQueries.java
@@ -15,4 +15,10 @@
 
     /** Queries the number of pending jobs of a queue in the same way. */
     void pending(String queue, Consumer<Optional<Integer>> callback);
+
+    /**
+     * Queries whether the submission of a job may be refused. {@code callback} runs exactly once,
+     * with false if no owner agrees in time: another node may have stored the job.
+     */
+    void mayRefuse(String id, Consumer<Boolean> callback);
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -49,6 +49,7 @@
     private long mLastStandbyMs = Long.MIN_VALUE / 2;
     private BooleanSupplier mVmCallsFinished = () -> true;
     private Optional<ConfigExchange> mConfigExchange = Optional.empty();
+    private Optional<CapacityReporter> mCapacity = Optional.empty();
 
     private JournalStream(
             Clock clock, Timers timers, LinkRate link, Handover handover, JobQueries jobQueries) {
@@ -109,6 +110,11 @@
         mConfigExchange = Optional.of(exchange);
     }
 
+    /** Sends capacity reports with the heartbeats. */
+    public void setCapacityReporter(CapacityReporter reporter) {
+        mCapacity = Optional.of(reporter);
+    }
+
     /** Returns the relay of an owner's starts through its followers. */
     public StartRelay startRelay() {
         return mRelay;
@@ -156,6 +162,8 @@
                 mRelay.addFollower(context.channel());
             } else if (frame instanceof PeerFrame.RelayResponse response) {
                 mRelay.responded(context.channel(), response.number(), response.outcome());
+            } else if (frame instanceof PeerFrame.AcceptedWork work && mCapacity.isPresent()) {
+                mCapacity.get().received(work, context.channel());
             }
         }
 
@@ -171,6 +179,13 @@
                         mJobQueries.pending(
                                 query.name(),
                                 p -> reply.accept(PeerFrame.QueryResponse.ofCount(number, p)));
+                case REFUSAL ->
+                        mJobQueries.mayRefuse(
+                                query.name(),
+                                ok ->
+                                        reply.accept(
+                                                PeerFrame.QueryResponse.ofCount(
+                                                        number, Optional.of(ok ? 1 : 0))));
                 default ->
                         throw new IllegalStateException(
                                 "unexpected query subject: " + query.subject());
@@ -181,6 +196,7 @@
         public void channelInactive(ChannelHandlerContext context) {
             mFollowers.remove(context.channel());
             mRelay.removeFollower(context.channel());
+            mCapacity.ifPresent(c -> c.removeFollower(context.channel()));
         }
 
         @Override
@@ -246,6 +262,7 @@
         // the store.
         flushOrDrop();
         addToBatch(newHeartbeat());
+        mCapacity.ifPresent(c -> c.report(token, mClock.nowMs()));
         flush();
         mTimers.after(HEARTBEAT_INTERVAL_MS, () -> sendHeartbeat(token));
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -56,6 +56,7 @@
     private BooleanSupplier mStandbyCondition = () -> false;
     private Optional<RelayedStartHandler> mRelayedStarts = Optional.empty();
     private Optional<ConfigExchange> mConfigExchange = Optional.empty();
+    private Optional<CapacityFollower> mCapacity = Optional.empty();
     private boolean mRelayOffered;
     private boolean mConnecting;
     private OwnerState mUnavailableState = OwnerState.SILENT;
@@ -109,6 +110,11 @@
         mConfigExchange = Optional.of(exchange);
     }
 
+    /** Receives the owner's capacity reports. */
+    public void setCapacityFollower(CapacityFollower follower) {
+        mCapacity = Optional.of(follower);
+    }
+
     @Override
     public OwnerState state(long token) {
         if (token == mUnavailableToken) {
@@ -243,6 +249,17 @@
                 response -> callback.accept(response.flatMap(PeerFrame.QueryResponse::value)));
     }
 
+    @Override
+    public void mayRefuse(String id, Consumer<Boolean> callback) {
+        sendQuery(
+                PeerFrame.Subject.REFUSAL,
+                id,
+                response ->
+                        callback.accept(
+                                response.flatMap(PeerFrame.QueryResponse::value)
+                                        .equals(Optional.of(1))));
+    }
+
     private void sendQuery(
             PeerFrame.Subject subject,
             String name,
@@ -326,7 +343,7 @@
         }
     }
 
-    private void handle(PeerFrame frame) {
+    private void handle(PeerFrame frame) throws IOException {
         if (frame instanceof PeerFrame.StreamedRecord record) {
             handle(record);
         } else if (frame instanceof PeerFrame.Heartbeat heartbeat) {
@@ -340,6 +357,8 @@
             mPendingQueries.complete(response.number(), Optional.of(response));
         } else if (frame instanceof PeerFrame.RelayedStart start) {
             relay(start);
+        } else if (frame instanceof PeerFrame.CapacityReport report && mCapacity.isPresent()) {
+            mCapacity.get().received(report, mChannel.orElseThrow(), mClockOffsetMs);
         }
     }
 
@@ -388,6 +407,7 @@
         offerRelay();
         mConfigExchange.ifPresent(
                 e -> mChannel.ifPresent(c -> e.heartbeatReceived(frame.configVersion(), c)));
+        mCapacity.ifPresent(c -> mChannel.ifPresent(c::heartbeatReceived));
         long now = mClock.nowMs();
         mLastStoredMs = now - frame.storedMsAgo();
         // The smallest delay excludes the time that later frames spend queued on a full link.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -9,8 +9,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobSummary;
@@ -121,7 +119,9 @@
         /** The phase of a job. */
         JOB,
         /** The number of pending jobs of a queue. */
-        QUEUE
+        QUEUE,
+        /** Whether the submission of a job may be refused: 1, or 0 if the job may be stored. */
+        REFUSAL
     }
 
     /**
@@ -129,13 +129,13 @@
      *
      * @param number number of the query on this connection
      * @param subject subject of the query
-     * @param name ID of the job or name of the queue
+     * @param name ID of the job, or name of the queue
      */
     record Query(long number, Subject subject, String name) implements PeerFrame {
         @Override
         public void write(CodedOutputStream out) throws IOException {
             out.writeInt64(Field.QUERY, number);
-            out.writeString(subject == Subject.JOB ? Field.JOB : Field.QUEUE, name);
+            out.writeString(QueryFields.field(subject), name);
         }
     }
 
@@ -285,6 +285,32 @@
         }
     }
 
+    /**
+     * From the owner to a follower that sends its accepted work: capacity of the pools.
+     *
+     * @param token fencing token of the owner
+     * @param content changes since the last report on this connection
+     */
+    record CapacityReport(long token, byte[] content) implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeInt64(Field.CAPACITY_TOKEN, token);
+            out.writeByteArray(Field.CAPACITY, content);
+        }
+    }
+
+    /**
+     * From a follower whose admission is on to the owner: asks for capacity reports.
+     *
+     * @param content work of the jobs that it accepted since the last frame, by pool
+     */
+    record AcceptedWork(byte[] content) implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            out.writeByteArray(Field.ACCEPTED_WORK, content);
+        }
+    }
+
     /** Field numbers on the wire. */
     final class Field {
         static final int TOKEN = 1;
@@ -323,6 +349,10 @@
         static final int CONFIRMATION_AGE_MS = 34;
         static final int JOB_QUEUE = 35;
         static final int ORGANISATION = 36;
+        static final int REFUSAL = 37;
+        static final int CAPACITY = 38;
+        static final int CAPACITY_TOKEN = 39;
+        static final int ACCEPTED_WORK = 40;
 
         private Field() {}
     }
@@ -359,6 +389,7 @@
         QueryFields query = new QueryFields();
         boolean standby = false;
         ConfigFields config = new ConfigFields();
+        CapacityFrameFields capacity = new CapacityFrameFields();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case Field.TOKEN -> token = in.readInt64();
@@ -370,14 +401,17 @@
                 case Field.STANDBY -> standby = in.readBool();
                 default -> {
                     boolean read =
-                            relay.read(tag, in) || config.read(tag, in) || query.read(tag, in);
+                            relay.read(tag, in)
+                                    || config.read(tag, in)
+                                    || query.read(tag, in)
+                                    || capacity.read(tag, in);
                     if (!read) {
                         heartbeat.read(tag, in);
                     }
                 }
             }
         }
-        Optional<PeerFrame> grouped = config.toFrame().or(query::toFrame);
+        Optional<PeerFrame> grouped = config.toFrame().or(query::toFrame).or(capacity::toFrame);
         if (grouped.isEmpty()) {
             grouped = relay.toFrame(token);
         }
@@ -401,45 +435,6 @@
                 record.orElseThrow(() -> new IOException("handover frame without a record")));
     }
 
-    /** Collects the fields of a heartbeat while a frame is decoded. */
-    final class HeartbeatFields {
-        private final List<Long> mPosition = new ArrayList<>();
-        private long mNowMs;
-        private long mCompleteMs = JournalStatus.NEVER_MS;
-        private long mStoredMsAgo;
-        private boolean mVmCallsFinished;
-        private boolean mNarrow;
-        private long mConfigVersion = -1;
-
-        private HeartbeatFields() {}
-
-        private void read(int tag, CodedInputStream in) throws IOException {
-            switch (WireFormat.getTagFieldNumber(tag)) {
-                case Field.POSITION -> mPosition.add(in.readInt64());
-                case Field.NOW_MS -> mNowMs = in.readInt64();
-                case Field.COMPLETE_MS -> mCompleteMs = in.readInt64();
-                case Field.STORED_MS_AGO -> mStoredMsAgo = in.readInt64();
-                case Field.CALLS_OVER -> mVmCallsFinished = in.readBool();
-                case Field.NARROW -> mNarrow = in.readBool();
-                case Field.HEARTBEAT_CONFIG -> mConfigVersion = in.readInt64();
-                default -> in.skipField(tag);
-            }
-        }
-
-        private Heartbeat toHeartbeat(long token) {
-            JournalPosition position = new JournalPosition(mPosition);
-            return new Heartbeat(
-                    token,
-                    position,
-                    mNowMs,
-                    mCompleteMs,
-                    mStoredMsAgo,
-                    mVmCallsFinished,
-                    mNarrow,
-                    mConfigVersion);
-        }
-    }
-
     private static int checkedPartition(int number) throws IOException {
         if (number < 0) {
             throw new IOException("invalid journal partition: " + number);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/QueryFields.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/QueryFields.java
@@ -18,12 +18,22 @@
     private String mJobQueue = "";
     private String mOrganisation = "";
 
+    /** Returns the field that contains the name of a subject. */
+    static int field(Subject subject) {
+        return switch (subject) {
+            case JOB -> Field.JOB;
+            case QUEUE -> Field.QUEUE;
+            case REFUSAL -> Field.REFUSAL;
+        };
+    }
+
     /** Reads a field; returns false if it belongs to another kind of frame. */
     boolean read(int tag, CodedInputStream in) throws IOException {
         switch (WireFormat.getTagFieldNumber(tag)) {
             case Field.QUERY -> mNumber = Optional.of(in.readInt64());
             case Field.JOB -> readSubject(Subject.JOB, in);
             case Field.QUEUE -> readSubject(Subject.QUEUE, in);
+            case Field.REFUSAL -> readSubject(Subject.REFUSAL, in);
             case Field.VALUE -> mValue = Optional.of(in.readInt32());
             case Field.JOB_QUEUE -> mJobQueue = in.readString();
             case Field.ORGANISATION -> mOrganisation = in.readString();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeJobQueries.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeJobQueries.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobSummary;
@@ -13,6 +14,10 @@
     public final Map<String, JobPhase> mPhases = new HashMap<>();
     public final Map<String, Integer> mPending = new HashMap<>();
 
+    /** Answers queries about refusals; doesn't agree unless a test replaces it. */
+    public BiConsumer<String, Consumer<Boolean>> mRefusal =
+            (id, callback) -> callback.accept(false);
+
     @Override
     public void job(String id, Consumer<Optional<JobSummary>> callback) {
         callback.accept(Optional.ofNullable(mPhases.get(id)).map(p -> new JobSummary(p, "", "")));
@@ -22,4 +27,9 @@
     public void pending(String queue, Consumer<Optional<Integer>> callback) {
         callback.accept(Optional.ofNullable(mPending.get(queue)));
     }
+
+    @Override
+    public void mayRefuse(String id, Consumer<Boolean> callback) {
+        mRefusal.accept(id, callback);
+    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
@@ -6,10 +6,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.foxtailplank.adapter.PlatformTimeouts;
 import org.foxtailplank.adapter.UsersPlatform;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.admission.AdmissionMode;
+import org.foxtailplank.admission.AdmissionSettings;
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.job.JobRegistry;
@@ -19,6 +22,7 @@
 import org.foxtailplank.node.NodeMetrics;
 import org.foxtailplank.node.OperatorFollower;
 import org.foxtailplank.node.Timers;
+import org.foxtailplank.node.admission.KnownCapacity;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.JournalWriter;
@@ -38,6 +42,8 @@
     private final CallerService mService;
     private final NodeLog mLog;
     private final NodeMetrics mMetrics = new NodeMetrics();
+    private final KnownCapacity mCapacity = new KnownCapacity();
+    private AdmissionSettings mAdmission = AdmissionSettings.OFF;
 
     /** Creates a service that isn't connected to an owner. */
     CallerServiceFixture(
@@ -108,12 +114,27 @@
                                         clock::nowMs)
                                 .callerCodec(),
                         keyLifetime,
+                        new AdmissionGate(
+                                mCapacity,
+                                () -> mAdmission,
+                                ownerQueries.orElse(mLink),
+                                clock,
+                                out,
+                                mMetrics),
                         clock,
                         timers,
                         out,
                         mMetrics);
     }
 
+    void setAdmission(AdmissionMode mode) {
+        mAdmission = new AdmissionSettings(mode, Map.of());
+    }
+
+    KnownCapacity capacity() {
+        return mCapacity;
+    }
+
     JournalReader reader() {
         return mReader;
     }
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/RefusedSubmissionTest.java
@@ -0,0 +1,245 @@
+package org.foxtailplank.node.caller;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.foxtailplank.admission.AdmissionMode;
+import org.foxtailplank.http.HttpReply;
+import org.foxtailplank.job.QueuePolicy;
+import org.foxtailplank.node.FakeJobQueries;
+import org.foxtailplank.node.FakeSharedLog;
+import org.foxtailplank.node.FakeTime;
+import org.foxtailplank.node.admission.TestPools;
+import org.foxtailplank.node.journal.JournalPartitions;
+import org.foxtailplank.port.ChangeFeed;
+import org.foxtailplank.port.FleetConfig;
+import org.foxtailplank.port.OperatorChange;
+import org.foxtailplank.port.RouteSettings;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against refusals without a reason, and against records of refused jobs. */
+public class RefusedSubmissionTest {
+    private static final long TOKEN = 7;
+    private static final String JOB = "00000000000000aa";
+    private static final String BODY =
+            "{\"spec\":\"a\",\"phases\":[{\"count\":1,\"cpu\":1,\"memMb\":1,\"estimateMs\":10}]}";
+
+    private FakeTime mClock;
+    private FakeSharedLog mLog;
+    private FakeJobQueries mOwner;
+    private CallerServiceFixture mService;
+
+    /** A configuration with one queue. */
+    private static final class OneQueue implements ChangeFeed<OperatorChange> {
+        @Override
+        public void latest(Consumer<Result<OperatorChange>> callback) {
+            changes(0, 0, callback);
+        }
+
+        @Override
+        public void changes(long position, long waitMs, Consumer<Result<OperatorChange>> callback) {
+            QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
+            RouteSettings route = new RouteSettings("q", "h", "/q/", "s", policy, false);
+            FleetConfig config = new FleetConfig(1, List.of(route), List.of(), 1000);
+            OperatorChange change = new OperatorChange.NewConfig(config);
+            callback.accept(
+                    new Page<>(List.of(new Item<>("config", Optional.of(change))), 1, true));
+        }
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        mClock = new FakeTime();
+        mLog = new FakeSharedLog();
+        mOwner = new FakeJobQueries();
+        mOwner.mRefusal = (id, callback) -> callback.accept(true);
+        mService = new CallerServiceFixture(mClock, mLog, new OneQueue(), mOwner);
+        mService.readOperatorChanges();
+        mService.setAdmission(AdmissionMode.SURELY_LATE);
+    }
+
+    /** Receives a report of one core with work ahead, in milliseconds of that core. */
+    private void report(long token, long workAheadMs) {
+        mService.capacity()
+                .update(token, List.of(TestPools.pool("s", mClock.nowMs(), 1, workAheadMs, 1000)));
+    }
+
+    private List<HttpReply> submit() {
+        byte[] bytes = BODY.getBytes(StandardCharsets.UTF_8);
+        List<HttpReply> replies = mService.send("POST", "/q/" + JOB, bytes, Optional.empty());
+        mLog.deliverAnswers();
+        return replies;
+    }
+
+    private int submitted() {
+        List<HttpReply> replies = submit();
+        assertEquals(replies.size(), 1);
+        return replies.get(0).status();
+    }
+
+    private int storedRecords() {
+        return mLog.records(JournalPartitions.PRIMARY).size();
+    }
+
+    @Test
+    public void aJobThatIsSurelyLateIsRefusedAndNotStored() {
+        report(TOKEN, 60_000);
+        HttpReply reply = submit().get(0);
+
+        assertEquals(reply.status(), 429);
+        assertEquals(reply.contentType(), "text/plain");
+        assertEquals(reply.headers(), Map.of());
+        assertTrue(
+                new String(reply.body(), StandardCharsets.UTF_8).endsWith("don't submit it again."),
+                "no later return can help");
+        assertEquals(storedRecords(), 0);
+    }
+
+    @Test
+    public void aCallerWhoseJobCanBeDoneLaterIsToldWhenToReturn() {
+        mService.setAdmission(AdmissionMode.BEYOND_OBJECTIVE);
+        report(TOKEN, 800);
+        HttpReply reply = submit().get(0);
+
+        assertEquals(reply.status(), 429);
+        assertEquals(reply.headers(), Map.of("Retry-After", "1"));
+        assertEquals(
+                new String(reply.body(), StandardCharsets.UTF_8),
+                "The job was refused since it can't be completed in time now; submit it again"
+                        + " after 1 s.");
+    }
+
+    @Test
+    public void aRefusalIsLoggedAndCounted() {
+        report(TOKEN, 60_000);
+        mClock.advance(30);
+        submit();
+        String output = mService.output();
+
+        assertTrue(output.contains("\"kind\":\"job-refused\""), output);
+        assertTrue(output.contains("\"verdict\":\"SURELY_LATE\""), output);
+        assertTrue(output.contains("\"capacityAgeMs\":30"), output);
+        assertTrue(output.contains("foxtail_admission_queue_q_refused 1.0"), output);
+    }
+
+    @Test
+    public void aJobWhoseAnswerWasLostIsNotRefusedWhenItIsSentAgain() {
+        report(TOKEN, 0);
+        assertEquals(submitted(), 200);
+        mService.reader().refresh(read -> {});
+        mLog.deliverAnswers();
+        report(TOKEN, 60_000);
+
+        assertEquals(submitted(), 200);
+        assertEquals(storedRecords(), 1);
+    }
+
+    @Test
+    public void aJobThatIsBeingStoredIsNotRefused() {
+        byte[] bytes = BODY.getBytes(StandardCharsets.UTF_8);
+        mService.send("POST", "/q/" + JOB, bytes, Optional.empty());
+        report(TOKEN, 60_000);
+
+        assertEquals(submitted(), 200);
+        assertEquals(storedRecords(), 1);
+    }
+
+    @Test
+    public void aJobThatAnotherNodeMayHaveStoredIsStoredAgain() {
+        // Its first answer was lost, and this node hasn't read its record.
+        mOwner.mRefusal = (id, callback) -> callback.accept(false);
+        report(TOKEN, 60_000);
+
+        assertEquals(submitted(), 200);
+        assertTrue(mService.output().contains("admission_queue_q_accepted_may_be_stored 1.0"));
+    }
+
+    @Test
+    public void concurrentSubmissionsOfAJobGetTheSameAnswer() {
+        List<Consumer<Boolean>> asked = new ArrayList<>();
+        mOwner.mRefusal = (id, callback) -> asked.add(callback);
+        report(TOKEN, 60_000);
+        List<HttpReply> first = submit();
+        List<HttpReply> second = submit();
+        assertEquals(asked.size(), 1);
+        asked.get(0).accept(true);
+
+        assertEquals(first.get(0).status(), 429);
+        assertEquals(second.get(0).status(), 429);
+        assertEquals(storedRecords(), 0);
+    }
+
+    @Test
+    public void aJobIsStoredIfTheOwnerIsLostBeforeItAgrees() {
+        List<Consumer<Boolean>> asked = new ArrayList<>();
+        mOwner.mRefusal = (id, callback) -> asked.add(callback);
+        report(TOKEN, 60_000);
+        List<HttpReply> replies = submit();
+        asked.get(0).accept(false);
+        mLog.deliverAnswers();
+
+        assertEquals(replies.get(0).status(), 200);
+        assertEquals(storedRecords(), 1);
+    }
+
+    @Test
+    public void aRefusedJobThatIsSentAgainCanBeAccepted() {
+        report(TOKEN, 60_000);
+        assertEquals(submitted(), 429);
+        report(TOKEN, 0);
+
+        assertEquals(submitted(), 200);
+        assertEquals(storedRecords(), 1);
+    }
+
+    @Test
+    public void aNodeThatIsCutOffAcceptsOnceItsReportIsTooOld() {
+        report(TOKEN, 60_000);
+        mClock.advance(1001);
+
+        assertEquals(submitted(), 200);
+        String output = mService.output();
+        assertTrue(output.contains("\"kind\":\"admission-unknown\""), output);
+        assertTrue(output.contains("admission_queue_q_accepted_no_capacity 1.0"), output);
+    }
+
+    @Test
+    public void aRestartedNodeAcceptsBeforeItsFirstReport() {
+        assertEquals(submitted(), 200);
+    }
+
+    @Test
+    public void stepsOfTheWallClockChangeNoDecision() {
+        report(TOKEN, 60_000);
+        mClock.stepWallClock(3_600_000);
+        assertEquals(submitted(), 429);
+
+        mClock.stepWallClock(-7_200_000);
+        assertEquals(submitted(), 429);
+    }
+
+    @Test
+    public void theNextOwnersReportDecides() {
+        report(TOKEN, 60_000);
+        report(TOKEN + 1, 0);
+        report(TOKEN, 60_000);
+
+        assertEquals(submitted(), 200);
+    }
+
+    @Test
+    public void admissionCanBeSwitchedWhileTheNodeRuns() {
+        report(TOKEN, 60_000);
+        mService.setAdmission(AdmissionMode.OFF);
+        assertEquals(submitted(), 200);
+        assertFalse(mService.output().contains("admission_"), "nothing is counted when it is off");
+    }
+}
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalWriterTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalWriterTest.java
@@ -102,6 +102,17 @@
         assertEquals(mOutcomes, List.of(StoreOutcome.UNKNOWN));
     }
 
+    @Test
+    public void aRecordOfARefusedJobIsNotAppended() {
+        // The owner has let another node refuse the job, whose caller was told that it never runs.
+        mOwner.mAvailable = true;
+        store();
+        mOwner.answer(StoreOutcome.REFUSED);
+
+        assertEquals(mOutcomes, List.of(StoreOutcome.NOT_STORED));
+        assertTrue(mLog.records(JournalPartitions.PRIMARY).isEmpty());
+    }
+
     @Test
     public void theWriterStopsWaitingForAnUnavailableOwner() {
         mOwner.mAvailable = true;
