--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -43,6 +43,10 @@
         mPoolBalancer.setForecast(forecast);
     }
 
+    ManagedVms vms() {
+        return mVms;
+    }
+
     /**
      * Actions to take on VMs now.
      *
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.admission.AdmissionSettings;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.port.LogPartition;
@@ -26,6 +27,7 @@
  * @param graceMs time from the stop signal to the end of the process, in milliseconds
  * @param keyLifetime how long callers' API keys are accepted without confirmation
  * @param forecastBursts whether VMs are moved by forecasts of the bursts of services
+ * @param admission which submissions each queue refuses
  */
 public record NodeSettings(
         String name,
@@ -41,7 +43,8 @@
         LinkRate link,
         long graceMs,
         KeyLifetime keyLifetime,
-        boolean forecastBursts) {
+        boolean forecastBursts,
+        AdmissionSettings admission) {
 
     /**
      * Limits for the journal; times in milliseconds.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -82,7 +82,8 @@
                 link("/node/linkMbps"),
                 secondsAsMs("/node/graceS"),
                 keyLifetime("/callers/keyRevocationMs"),
-                optionalFlag("/pools/forecastBursts"));
+                optionalFlag("/pools/forecastBursts"),
+                new AdmissionSettingsReader(mTree, mProblems).read());
     }
 
     private String text(String path) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
+import org.foxtailplank.admission.AdmissionSettings;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
@@ -79,7 +80,8 @@
                         link,
                         1,
                         KeyLifetime.UNLIMITED,
-                        false);
+                        false,
+                        AdmissionSettings.OFF);
         NodeLog out = NodeLog.silent(time);
         JournalReader reader =
                 new JournalReader(
