Forecast bursts where the platform names high load among its agreements

The setting pools.forecastBursts had no link to what a deployment asks for. Where it is absent, the agreement decides, as for admission; other deployments keep forecasts off. The agreements are read once, by a class of their own.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/AdmissionSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/AdmissionSettingsReader.java
@@ -1,7 +1,6 @@
 package org.foxtailplank.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -15,41 +14,29 @@
 final class AdmissionSettingsReader {
     private static final String MODE = "/jobs/admission";
     private static final String MODES_BY_QUEUE = "/jobs/admissionByQueue";
-    private static final String AGREEMENTS = "/platform/agreements";
-
     private final JsonNode mTree;
+    private final List<String> mAgreements;
     private final List<String> mProblems;
 
     /**
      * Creates a reader.
      *
+     * @param agreements agreements that the platform names for the deployment
      * @param problems receives a line for each value that is not valid
      */
-    AdmissionSettingsReader(JsonNode tree, List<String> problems) {
+    AdmissionSettingsReader(JsonNode tree, List<String> agreements, List<String> problems) {
         mTree = tree;
+        mAgreements = agreements;
         mProblems = problems;
     }
 
     AdmissionSettings read() {
-        List<String> agreements = new ArrayList<>();
-        readAgreements(mTree.at(AGREEMENTS), agreements);
         JsonNode mode = mTree.at(MODE);
         return new AdmissionSettings(
-                mode.isMissingNode() ? PlatformAgreements.admission(agreements) : mode(MODE, mode),
+                mode.isMissingNode() ? PlatformAgreements.admission(mAgreements) : mode(MODE, mode),
                 modesByQueue());
     }
 
-    /** Reads a list of names, which the platform's template may nest or leave empty. */
-    private void readAgreements(JsonNode node, List<String> agreements) {
-        if (node.isArray()) {
-            node.forEach(n -> readAgreements(n, agreements));
-        } else if (node.isTextual()) {
-            agreements.add(node.asText());
-        } else if (!node.isMissingNode() && !node.isNull()) {
-            mProblems.add(AGREEMENTS + " must be a list of names but contains " + node);
-        }
-    }
-
     private Map<String, AdmissionMode> modesByQueue() {
         JsonNode node = mTree.at(MODES_BY_QUEUE);
         Map<String, AdmissionMode> modes = new HashMap<>();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import org.foxtailplank.adapter.PlatformAgreements;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
 import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.schedule.ScheduleLimits;
@@ -68,6 +69,7 @@
                         secondsAsMs("/platform/keepS"),
                         secondsAsMs("/jobs/statusS"),
                         positiveInt("/platform/parts"));
+        List<String> agreements = AgreementReader.read(mTree, mProblems);
         return new NodeSettings(
                 text("/node/name"),
                 text("/node/zone"),
@@ -82,8 +84,8 @@
                 link("/node/linkMbps"),
                 secondsAsMs("/node/graceS"),
                 keyLifetime("/callers/keyRevocationMs"),
-                optionalFlag("/pools/forecastBursts"),
-                new AdmissionSettingsReader(mTree, mProblems).read());
+                flag("/pools/forecastBursts", PlatformAgreements.forecastsBursts(agreements)),
+                new AdmissionSettingsReader(mTree, agreements, mProblems).read());
     }
 
     private String text(String path) {
@@ -102,9 +104,8 @@
         return value.asBoolean(false);
     }
 
-    /** Reads a flag that is false unless it is given. */
-    private boolean optionalFlag(String path) {
-        return !mTree.at(path).isMissingNode() && flag(path);
+    private boolean flag(String path, boolean ifMissing) {
+        return mTree.at(path).isMissingNode() ? ifMissing : flag(path);
     }
 
     /** Rejects order modes other than calls to workers, which is the only and default one. */
--- a/foxtail-node/src/test/java/org/foxtailplank/node/AdmissionSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/AdmissionSettingsReaderTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -21,9 +22,9 @@
     }
 
     private AdmissionSettings read(String json) throws IOException {
-        return new AdmissionSettingsReader(
-                        new ObjectMapper().readTree(json.replace('\'', '"')), mProblems)
-                .read();
+        JsonNode tree = new ObjectMapper().readTree(json.replace('\'', '"'));
+        List<String> agreements = AgreementReader.read(tree, mProblems);
+        return new AdmissionSettingsReader(tree, agreements, mProblems).read();
     }
 
     @Test
