AdmissionDecider: no work of other organisations makes a job surely late

The scheduler orders jobs by slack and lets new ones overtake late ones, so that no work of others certainly comes first. A job that takes longer than estimated also has a benefit for longer.

A job is now surely late only by the time since its first refusal, by its own work over the pool's capacity or by its organisation's limit, both with a quarter and with four times its estimate.

--- a/foxtail-core/src/main/java/org/foxtailplank/admission/AdmissionDecider.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/AdmissionDecider.java
@@ -12,18 +12,19 @@
  *
  * <p>The expected completion follows from the work ahead over the pool's capacity. A job that can't
  * meet its objective together with those that can is served after the late ones. Estimates of
- * single jobs are often far off, so a job is refused as surely late only if it would be so with a
- * fraction of its estimated run times. Errors of the work ahead average out over many jobs.
+ * single jobs are often far off in either direction, so a job is surely late only if it would be so
+ * with a fraction of its estimated run times, and with a multiple, whose benefit lasts longer.
+ * Errors of the work under an organisation's cap average out over many jobs.
  */
 public final class AdmissionDecider {
     /** Age from which a report of the capacity is ignored, in milliseconds; four reports. */
     public static final long MAX_AGE_MS = 1000;
 
     /**
-     * Factor by which run times may be overestimated: the 94th percentile of an error whose
+     * Factor by which estimates may be too high or too low: the 94th percentile of an error whose
      * logarithm has a standard deviation of 0.9.
      */
-    static final int OVERESTIMATE = 4;
+    static final int ERROR_FACTOR = 4;
 
     /** Jobs that complete within this many times their objective are of some benefit. */
     private static final int BENEFIT_FACTOR = 3;
@@ -90,12 +91,17 @@
             ahead += capacity.lateWork();
             expectedMs = completionMs(demand, ahead, capacity, organisation, ageMs);
         }
-        long earliestMs =
-                earliestMs(demand.dividedBy(OVERESTIMATE), ahead, capacity, organisation, ageMs);
+        long earliestMs = earliestMs(demand.dividedBy(ERROR_FACTOR), capacity, organisation, ageMs);
+        // The benefit of a job that takes longer than estimated ends later.
+        Demand longest = demand.times(ERROR_FACTOR);
+        long longestBenefitMs =
+                BENEFIT_FACTOR * job.objectiveLengthMs(longest.criticalPathMs())
+                        - returning.elapsedMs();
+        boolean surelyLate =
+                earliestMs > benefitMs
+                        && earliestMs(longest, capacity, organisation, ageMs) > longestBenefitMs;
         Outlook outlook =
-                inTime
-                        ? Outlook.IN_TIME
-                        : earliestMs > benefitMs ? Outlook.SURELY_LATE : Outlook.LATE;
+                inTime ? Outlook.IN_TIME : surelyLate ? Outlook.SURELY_LATE : Outlook.LATE;
         // Without work ahead a later return would not help, and a pool gets VMs for accepted jobs
         // only.
         boolean waits = ahead > 0 || organisation.isPresent();
@@ -126,6 +132,10 @@
             return new Demand(job.criticalPathMs(), (long) job.estimatedWork(), milliCores);
         }
 
+        Demand times(int factor) {
+            return new Demand(criticalPathMs * factor, work * factor, firstTaskMilliCores);
+        }
+
         Demand dividedBy(int factor) {
             return new Demand(criticalPathMs / factor, work / factor, firstTaskMilliCores);
         }
@@ -147,15 +157,20 @@
                 : Math.max(poolMs, underCapMs(demand, organisation.get()));
     }
 
-    /** Earliest completion, if no other job was accepted since the measurement. */
+    /**
+     * Earliest completion, if no other job was accepted since the measurement.
+     *
+     * <p>No work of other organisations certainly comes first, as the scheduler orders jobs by
+     * slack and lets new ones overtake late ones: of the jobs that were refused by all work ahead
+     * in a simulation of turns with twice their usual load, 242 of 353 would have had a benefit.
+     */
     private static long earliestMs(
             Demand demand,
-            long ahead,
             QueueCapacity capacity,
             Optional<OrganisationCapacity> organisation,
             long ageMs) {
-        long earliestMs = poolMs(demand, ahead, capacity, 0) - ageMs;
-        // What the organisation's tasks hold on other services may end at any time.
+        long earliestMs = poolMs(demand, 0, capacity, 0) - ageMs;
+        // A cap that leaves nothing now doesn't say when it will.
         if (organisation.isPresent() && organisation.get().milliCores() > 0) {
             earliestMs = Math.max(earliestMs, underCapMs(demand, organisation.get()) - ageMs);
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/admission/ReturnSchedule.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/ReturnSchedule.java
@@ -25,9 +25,6 @@
 
     private static final long MS_PER_S = 1000;
 
-    /** Run times may be overestimated by this factor, as in {@link AdmissionDecider}. */
-    private static final int OVERESTIMATE = AdmissionDecider.OVERESTIMATE;
-
     private final PlaceTable mPlaces = new PlaceTable(MAX_PLACES);
     private final Map<String, Integer> mQueues = new HashMap<>();
     private final List<ReturnPlan> mPlans = new ArrayList<>();
@@ -69,11 +66,10 @@
     public Optional<Integer> refused(
             JobDefinition job, Verdict verdict, double nodeShare, long nowMs) {
         sweep(nowMs);
-        Optional<Verdict.Estimate> estimate = verdict.estimate();
-        if (estimate.isEmpty()) {
+        if (verdict.estimate().isEmpty()) {
             return Optional.empty();
         }
-        Verdict.Estimate e = estimate.get();
+        Verdict.Estimate e = verdict.estimate().get();
         long key = PlaceTable.key(job.id());
         int i = mPlaces.find(key);
         int queue = queue(job.service(), nowMs);
@@ -81,7 +77,7 @@
                 i == PlaceTable.NONE
                         ? new Place(queue, nowMs, nowMs + e.benefitMs(), e.work(), PlaceTable.NONE)
                         : mPlaces.get(i);
-        long second = returnSecond(place, e, nodeShare, nowMs);
+        long second = returnSecond(place, verdict, nodeShare, nowMs);
         move(mPlans.get(queue), place, second);
         if (i != PlaceTable.NONE || !mPlaces.isFull()) {
             mPlaces.put(key, place.withReturn(second));
@@ -111,12 +107,12 @@
     }
 
     /** Second of the next return, or none. */
-    private long returnSecond(
-            Place place, Verdict.Estimate estimate, double nodeShare, long nowMs) {
+    private long returnSecond(Place place, Verdict verdict, double nodeShare, long nowMs) {
+        Verdict.Estimate estimate = verdict.estimate().get();
         QueueCapacity capacity = estimate.capacity();
-        long lastMs = place.endMs() - estimate.criticalPathMs() / OVERESTIMATE;
+        long lastMs = place.endMs() - estimate.criticalPathMs() / AdmissionDecider.ERROR_FACTOR;
         long waitMs = capacity.timeForMs(estimate.workAhead(), estimate.ageMs());
-        if (estimate.earliestMs() > estimate.benefitMs() || waitMs > lastMs - nowMs) {
+        if (verdict.outlook() == Outlook.SURELY_LATE || waitMs > lastMs - nowMs) {
             return PlaceTable.NONE;
         }
         long nextS = second(nowMs) + 1;
