--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/CapacitySnapshots.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/CapacitySnapshots.java
@@ -46,15 +46,22 @@
     public List<QueueCapacity> of(
             Collection<String> services, FleetConfig config, long nowMs, long nowWallMs) {
         Map<String, List<ActiveRun>> due = mScheduler.dueRunsByService(nowWallMs);
+        Map<String, Long> ownWork = workByOrganisation(due.values());
         List<QueueCapacity> capacities = new ArrayList<>();
         for (String s : services) {
-            capacities.add(of(s, due.getOrDefault(s, List.of()), config, nowMs, nowWallMs));
+            List<ActiveRun> runs = due.getOrDefault(s, List.of());
+            capacities.add(of(s, runs, ownWork, config, nowMs, nowWallMs));
         }
         return capacities;
     }
 
     private QueueCapacity of(
-            String service, List<ActiveRun> runs, FleetConfig config, long nowMs, long nowWallMs) {
+            String service,
+            List<ActiveRun> runs,
+            Map<String, Long> ownWork,
+            FleetConfig config,
+            long nowMs,
+            long nowWallMs) {
         long milliCores = 0;
         long freeMilliCores = 0;
         Resources typical = typicalTask(runs);
@@ -87,7 +94,20 @@
                 work.mInTime,
                 work.mLate,
                 work.mExcess,
-                organisations(all, work, caps, nowWallMs));
+                organisations(all, work, ownWork, caps, nowWallMs));
+    }
+
+    /** Work of each organisation's due batch jobs on all services. */
+    private static Map<String, Long> workByOrganisation(Collection<List<ActiveRun>> due) {
+        Map<String, Long> work = new HashMap<>();
+        for (List<ActiveRun> runs : due) {
+            for (ActiveRun r : runs) {
+                if (!r.job().definition().isStanding()) {
+                    work.merge(r.job().definition().organisation(), r.remainingWork(), Long::sum);
+                }
+            }
+        }
+        return work;
     }
 
     private static Work work(
@@ -148,7 +168,11 @@
 
     /** Organisations whose jobs wait longer than others by their caps or entitled rates. */
     private Map<String, OrganisationCapacity> organisations(
-            QueueCapacity all, Work work, OrganisationCaps caps, long nowWallMs) {
+            QueueCapacity all,
+            Work work,
+            Map<String, Long> ownWork,
+            OrganisationCaps caps,
+            long nowWallMs) {
         long totalMilliCores = all.milliCores();
         for (QueueCapacity.Joining j : all.joining()) {
             totalMilliCores += j.milliCores();
@@ -157,11 +181,9 @@
         OrganisationCapacity afterAll =
                 new OrganisationCapacity(totalMilliCores, work.mInTime + work.mLate + work.mExcess);
         Map<String, OrganisationCapacity> delayed = new HashMap<>();
-        for (Map.Entry<String, Long> e : work.mByOrganisation.entrySet()) {
-            String name = e.getKey();
+        for (String name : work.mByOrganisation.keySet()) {
             Optional<OrganisationCapacity> limit =
-                    caps.milliCoresFor(name, all.service())
-                            .map(c -> new OrganisationCapacity(c, e.getValue()));
+                    underCap(name, all.service(), work, ownWork, caps);
             boolean exhausted =
                     !name.equals(Organisation.NONE)
                             && mScheduler.entitlements().isExhausted(name, nowWallMs);
@@ -177,6 +199,23 @@
         return delayed;
     }
 
+    /**
+     * What an organisation's cap leaves on a service: at least the part of the cap that corresponds
+     * to the service's part of its work, since its tasks on other services may end at any time.
+     */
+    private static Optional<OrganisationCapacity> underCap(
+            String name,
+            String service,
+            Work work,
+            Map<String, Long> ownWork,
+            OrganisationCaps caps) {
+        long here = work.mByOrganisation.get(name);
+        double part = (double) here / Math.max(1, ownWork.get(name));
+        long proportional = (long) (part * caps.milliCores(name).orElse(0L));
+        return caps.milliCoresFor(name, service)
+                .map(left -> new OrganisationCapacity(Math.max(left, proportional), here));
+    }
+
     private static double delayMs(OrganisationCapacity capacity) {
         return capacity.milliCores() <= 0
                 ? Double.MAX_VALUE
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OrganisationCaps.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OrganisationCaps.java
@@ -51,11 +51,13 @@
      * others; empty without a limit.
      */
     Optional<Long> milliCoresFor(String organisation, String service) {
-        long limit = cap(organisation).limits().milliProcessors();
-        if (limit == 0) {
-            return Optional.empty();
-        }
         long others = mUsage.usedExcept(organisation, service).milliProcessors();
-        return Optional.of(Math.max(0, limit - others));
+        return milliCores(organisation).map(limit -> Math.max(0, limit - others));
+    }
+
+    /** Thousandths of a core that an organisation may use in all; empty without a limit. */
+    Optional<Long> milliCores(String organisation) {
+        long limit = cap(organisation).limits().milliProcessors();
+        return limit == 0 ? Optional.empty() : Optional.of(limit);
     }
 }
