--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -56,6 +56,7 @@
     private long mClockMs = mStartMs;
     private long mLastSequence;
     private long mPoolVmMs;
+    private Optional<SimulatedAdmission> mAdmission = Optional.empty();
     private String mCutZone = "";
     private long mCutUntilMs;
     private int mMoves;
@@ -192,10 +193,15 @@
                         0,
                         organisation);
         mJobs.put(id, new Job(definition, slowdowns));
-        mOwner.accept(definition);
+        mAdmission.ifPresentOrElse(a -> a.submit(definition), () -> mOwner.accept(definition));
     }
 
-    private long wallMs() {
+    /** Lets submissions of jobs be decided on; without this all are accepted. */
+    void setAdmission(SimulatedAdmission admission) {
+        mAdmission = Optional.of(admission);
+    }
+
+    long wallMs() {
         return OwnerHarness.WALL_MS + mClockMs - mStartMs;
     }
 
@@ -225,6 +231,7 @@
             mPoolVmMs += mOwner.mConfig.isStandby(vm.mPool) ? 0 : STEP_MS;
         }
         updateRuns();
+        mAdmission.ifPresent(SimulatedAdmission::tick);
         mOwner.placeTasks();
         moveVms();
     }
@@ -395,6 +402,18 @@
         return earned / all;
     }
 
+    /** Whether a job met its objective, by the true length of its chain. */
+    boolean isInTime(String id) {
+        Job job = mJobs.get(id);
+        return job.mDoneMs < Long.MAX_VALUE && job.elapsedMs() <= job.objectiveMs();
+    }
+
+    /** Whether a job completed while it had a benefit. */
+    boolean hasBenefit(String id) {
+        Job job = mJobs.get(id);
+        return job.mDoneMs < Long.MAX_VALUE && job.elapsedMs() <= LATE_FACTOR * job.objectiveMs();
+    }
+
     /** Time that VMs spent in pools, in seconds. */
     double poolVmSeconds() {
         return mPoolVmMs / MS_PER_S;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
@@ -25,6 +25,9 @@
 
     private static final int ORGANISATIONS = 20;
 
+    /** Organisation that floods, the second largest. */
+    static final String FLOODING = "o1";
+
     /** Weights and caps of organisations, as multiples of their mean use. */
     private static final double LIMIT_FACTOR = 1.9;
 
@@ -38,6 +41,8 @@
     private final long mTurnMs;
     private long mZoneCutAtMs = -1;
     private long mZoneCutMs;
+    private double mTurnShare = TURN_SHARE;
+    private double mFloodFactor = 1;
 
     /** Batch jobs of a queue. */
     enum Queue {
@@ -125,6 +130,22 @@
         return "o" + number;
     }
 
+    /** Lets a turn request this many times as much. */
+    TurnLoad withTurnFactor(double factor) {
+        mTurnShare = factor * TURN_SHARE;
+        return this;
+    }
+
+    /** Lets one organisation submit this many times its mean number of jobs all the time. */
+    TurnLoad withFlood(double factor) {
+        mFloodFactor = factor;
+        return this;
+    }
+
+    FleetSimulation simulation() {
+        return mSimulation;
+    }
+
     /** Cuts the workers of a zone off for a time after so long. */
     TurnLoad withZoneCut(long atMs, long ms) {
         mZoneCutAtMs = atMs;
@@ -167,11 +188,22 @@
     private void addArrivals(Queue queue, long elapsedMs) {
         double position = (double) elapsedMs / mTurnMs - queue.ordinal();
         boolean turn = position >= 0 && position < 1;
-        double share = turn ? TURN_SHARE * Math.sin(Math.PI * position) : IDLE_SHARE;
+        double share = turn ? mTurnShare * Math.sin(Math.PI * position) : IDLE_SHARE;
         double expected = queue.mPerSecond * share * STEP_MS / MS_PER_S;
         for (double left = expected - nextExponential(); left > 0; left -= nextExponential()) {
-            addJob(queue);
+            addJob(queue, drawOrganisation());
         }
+        if (mFloodFactor > 1) {
+            double flood = (mFloodFactor - 1) * queue.mPerSecond * floodShare();
+            double more = flood * STEP_MS / MS_PER_S;
+            for (double left = more - nextExponential(); left > 0; left -= nextExponential()) {
+                addJob(queue, FLOODING);
+            }
+        }
+    }
+
+    private double floodShare() {
+        return (mShares.get(1) - mShares.get(0)) / mShares.get(mShares.size() - 1);
     }
 
     private double nextExponential() {
@@ -182,7 +214,7 @@
         return mean * Math.exp(spread * mRandom.nextGaussian() - spread * spread / 2);
     }
 
-    private void addJob(Queue queue) {
+    private void addJob(Queue queue, String organisation) {
         int count = (int) Math.max(1, Math.round(logNormal(queue.mSteps, 0.4)));
         List<TaskStep> steps = new ArrayList<>();
         double[] slowdowns = new double[count];
@@ -202,7 +234,6 @@
                             PlacementConstraints.ANYWHERE,
                             RunMode.PLAIN));
         }
-        mSimulation.addJob(
-                queue.mService, slowdowns, drawOrganisation(), steps.toArray(TaskStep[]::new));
+        mSimulation.addJob(queue.mService, slowdowns, organisation, steps.toArray(TaskStep[]::new));
     }
 }
