--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
@@ -20,6 +20,9 @@
 
     private static final int ORGANISATIONS = 20;
 
+    /** Organisation that floods, the second largest. */
+    static final String FLOODING = "o1";
+
     /** Weights and caps of organisations, as multiples of their mean use. */
     private static final double LIMIT_FACTOR = 1.9;
 
@@ -33,6 +36,8 @@
     private int mCycles = 1;
     private long mZoneCutAtMs = -1;
     private long mZoneCutMs;
+    private double mTurnShare = TURN_SHARE;
+    private double mFloodFactor = 1;
 
     /**
      * Creates the load on small VMs.
@@ -98,6 +103,22 @@
         return "o" + number;
     }
 
+    /** Lets a turn request this many times as much. */
+    TurnLoad withTurnFactor(double factor) {
+        mTurnShare = factor * TURN_SHARE;
+        return this;
+    }
+
+    /** Lets one organisation submit this many times its mean number of jobs all the time. */
+    TurnLoad withFlood(double factor) {
+        mFloodFactor = factor;
+        return this;
+    }
+
+    FleetSimulation simulation() {
+        return mSimulation;
+    }
+
     /** Cuts the workers of a zone off for a time after so long. */
     TurnLoad withZoneCut(long atMs, long ms) {
         mZoneCutAtMs = atMs;
@@ -163,11 +184,22 @@
         long cycleMs = mShape.queues().size() * mTurnMs;
         double position = (double) (elapsedMs % cycleMs) / mTurnMs - number;
         boolean turn = position >= 0 && position < 1;
-        double share = turn ? TURN_SHARE * Math.sin(Math.PI * position) : IDLE_SHARE;
+        double share = turn ? mTurnShare * Math.sin(Math.PI * position) : IDLE_SHARE;
         double expected = queue.perSecond() * share * STEP_MS / MS_PER_S;
         for (double left = expected - nextExponential(); left > 0; left -= nextExponential()) {
-            addJob(queue);
+            addJob(queue, drawOrganisation());
         }
+        if (mFloodFactor > 1) {
+            double flood = (mFloodFactor - 1) * queue.perSecond() * floodShare();
+            double more = flood * STEP_MS / MS_PER_S;
+            for (double left = more - nextExponential(); left > 0; left -= nextExponential()) {
+                addJob(queue, FLOODING);
+            }
+        }
+    }
+
+    private double floodShare() {
+        return (mShares.get(1) - mShares.get(0)) / mShares.get(mShares.size() - 1);
     }
 
     private double nextExponential() {
@@ -182,7 +214,7 @@
         return mean * Math.exp(spread * random.nextGaussian() - spread * spread / 2);
     }
 
-    private void addJob(TurnShape.Queue queue) {
+    private void addJob(TurnShape.Queue queue, String organisation) {
         int count = (int) Math.max(1, Math.round(logNormal(queue.steps(), 0.4)));
         List<TaskStep> steps = new ArrayList<>();
         double[] slowdowns = new double[count];
@@ -204,7 +236,6 @@
         }
         RunTimes runTimes =
                 new RunTimes(slowdowns, mShape.stragglers(), mSimulation.totalJobs() * 1_000_003L);
-        mSimulation.addJob(
-                queue.service(), runTimes, drawOrganisation(), steps.toArray(TaskStep[]::new));
+        mSimulation.addJob(queue.service(), runTimes, organisation, steps.toArray(TaskStep[]::new));
     }
 }
