End an active job by whichever record ended it

Cause: selection, placement and demand left out a job only after the owner had processed its cancellation or had given it up.

The arrival of a cancelled job still counts for 0.4 s in the growth of demand.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
@@ -71,8 +71,13 @@
         return isNew;
     }
 
-    /** Whether no further tasks are started because the job was cancelled or has failed. */
+    /** Whether no further tasks are started because the job has ended or is being ended. */
     boolean isEnding() {
+        return mEnding || mProgress.phase().isFinal();
+    }
+
+    /** Whether {@link #markEnding} was called. */
+    boolean isMarkedEnding() {
         return mEnding;
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -132,10 +132,17 @@
         }
     }
 
-    /** Removes ended jobs that have no runs left. */
-    void removeEndedJobs() {
-        mJobs.values()
-                .removeIf(j -> (j.isEnding() || j.progress().phase().isFinal()) && hasNoRuns(j));
+    /**
+     * Removes ended jobs that have no runs left, and stops the runs of jobs that the journal
+     * reports as ended, whichever record ended them.
+     */
+    void removeEndedJobs(long nowMs) {
+        for (ActiveJob job : mJobs.values()) {
+            if (job.isEnding() && !job.isMarkedEnding()) {
+                endJob(job, "job " + job.progress().phase(), nowMs);
+            }
+        }
+        mJobs.values().removeIf(j -> j.isEnding() && hasNoRuns(j));
     }
 
     private static boolean hasNoRuns(ActiveJob job) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -439,7 +439,7 @@
     /** Returns the actions to take now. */
     public Decisions decide(FleetConfig config, long nowMs, long nowWallMs) {
         Decisions out = new Decisions();
-        mRuns.removeEndedJobs();
+        mRuns.removeEndedJobs(nowMs);
         mEntitlements.setOrganisations(config.organisations());
         out.paces().addAll(mPaceChanges);
         mPaceChanges.clear();
