Refuse a job only while the owner can know of every job being stored

Change: a handover protects its job until the outcome, and for 5 s (10 s if unknown) after it. The owner agrees only after 5 s of uninterrupted health, sampled with the heartbeats. Nothing is refused while a handover has no entry and 5 s after. The node sends the planned Retry-After with the question, and the refusal lasts until 0.1 s before it, at most 3 s.

--- a/foxtail-core/src/main/java/org/foxtailplank/admission/ReturnSchedule.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/ReturnSchedule.java
@@ -59,6 +59,19 @@
         return new AdmittedShare(share.work() - plan.due(Math.min(lastS, second(nowMs))));
     }
 
+    /**
+     * Returns what {@link #refused} would return now, without recording a refusal.
+     *
+     * @param nodeShare this node's part of the pool's capacity, above 0 and at most 1
+     */
+    public Optional<Integer> returnAfterS(
+            JobDefinition job, Verdict verdict, double nodeShare, long nowMs) {
+        sweep(nowMs);
+        return verdict.estimate()
+                .map(e -> returnSecond(place(job, e, nowMs), e, nodeShare, nowMs))
+                .flatMap(s -> secondsUntil(s, nowMs));
+    }
+
     /**
      * Records that a job was refused.
      *
@@ -73,19 +86,30 @@
         if (estimate.isEmpty()) {
             return Optional.empty();
         }
-        Verdict.Estimate e = estimate.get();
+        Place place = place(job, estimate.get(), nowMs);
+        long second = returnSecond(place, estimate.get(), nodeShare, nowMs);
+        move(mPlans.get(place.queue()), place, second);
         long key = PlaceTable.key(job.id());
-        int i = mPlaces.find(key);
-        int queue = queue(job.service(), nowMs);
-        Place place =
-                i == PlaceTable.NONE
-                        ? new Place(queue, nowMs, nowMs + e.benefitMs(), e.work(), PlaceTable.NONE)
-                        : mPlaces.get(i);
-        long second = returnSecond(place, e, nodeShare, nowMs);
-        move(mPlans.get(queue), place, second);
-        if (i != PlaceTable.NONE || !mPlaces.isFull()) {
+        if (mPlaces.find(key) != PlaceTable.NONE || !mPlaces.isFull()) {
             mPlaces.put(key, place.withReturn(second));
         }
+        return secondsUntil(second, nowMs);
+    }
+
+    /** The place of a job, or a new one without a return. */
+    private Place place(JobDefinition job, Verdict.Estimate estimate, long nowMs) {
+        int i = mPlaces.find(PlaceTable.key(job.id()));
+        return i != PlaceTable.NONE
+                ? mPlaces.get(i)
+                : new Place(
+                        queue(job.service(), nowMs),
+                        nowMs,
+                        nowMs + estimate.benefitMs(),
+                        estimate.work(),
+                        PlaceTable.NONE);
+    }
+
+    private static Optional<Integer> secondsUntil(long second, long nowMs) {
         return second == PlaceTable.NONE
                 ? Optional.empty()
                 : Optional.of((int) Math.max(1, second - second(nowMs)));
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -133,7 +133,7 @@
         mLink.setConfigExchange(mConfigExchange);
         mLink.setStandbyCondition(this::isStandby);
         mLink.setRelayedStartHandler(new RelayedStartHandler(mReader, mPlatform.workerClient()));
-        mAdmission = new NodeAdmission(() -> mSettings.admission(), clock);
+        mAdmission = new NodeAdmission(() -> mSettings.admission(), mReader, clock);
         mResignationPolicy = new ResignationPolicy(settings.link());
         mWriter =
                 new JournalWriter(
@@ -224,8 +224,8 @@
         }
 
         @Override
-        public void mayRefuse(String id, Consumer<Boolean> callback) {
-            target().mayRefuse(id, callback);
+        public void mayRefuse(String id, int keepMs, Consumer<Boolean> callback) {
+            target().mayRefuse(id, keepMs, callback);
         }
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/admission/GuardedHandover.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/admission/GuardedHandover.java
@@ -4,9 +4,10 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
-import org.foxtailplank.job.JournalRecord;
+import java.util.function.Supplier;
+import org.foxtailplank.admission.RefusalRegister;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
+import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.journal.Handover;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.StoreOutcome;
@@ -14,18 +15,24 @@
 /** An owner's handover that doesn't store jobs that another node has just refused. */
 public final class GuardedHandover implements Handover {
     private final Handover mTarget;
-    private final Predicate<String> mTryStore;
+    private final Supplier<Optional<RefusalRegister>> mRegister;
+    private final Clock mClock;
     private final BooleanSupplier mEnabled;
 
     /**
      * Creates the handover.
      *
-     * @param tryStore registers a job that is to be stored; false if it has just been refused
+     * @param register returns the register of the current ownership
      * @param enabled whether admission is on for any queue; records aren't decoded otherwise
      */
-    public GuardedHandover(Handover target, Predicate<String> tryStore, BooleanSupplier enabled) {
+    public GuardedHandover(
+            Handover target,
+            Supplier<Optional<RefusalRegister>> register,
+            Clock clock,
+            BooleanSupplier enabled) {
         mTarget = target;
-        mTryStore = tryStore;
+        mRegister = register;
+        mClock = clock;
         mEnabled = enabled;
     }
 
@@ -36,21 +43,41 @@
 
     @Override
     public void handOver(byte[] record, Consumer<StoreOutcome> callback) {
-        if (mEnabled.getAsBoolean() && isRefused(record)) {
+        Optional<RefusalRegister> register = mRegister.get();
+        Optional<String> job =
+                register.isPresent() && mEnabled.getAsBoolean()
+                        ? acceptedJob(record)
+                        : Optional.empty();
+        if (job.isEmpty()) {
+            mTarget.handOver(record, callback);
+        } else if (register.get().tryStore(job.get(), mClock.nowMs())) {
+            mTarget.handOver(
+                    record,
+                    outcome -> {
+                        recordOutcome(register.get(), job.get(), outcome);
+                        callback.accept(outcome);
+                    });
+        } else {
             callback.accept(StoreOutcome.REFUSED);
+        }
+    }
+
+    private void recordOutcome(RefusalRegister register, String job, StoreOutcome outcome) {
+        if (outcome == StoreOutcome.UNKNOWN) {
+            register.outcomeUnknown(job, mClock.nowMs());
         } else {
-            mTarget.handOver(record, callback);
+            register.outcomeKnown(job, mClock.nowMs());
         }
     }
 
-    private boolean isRefused(byte[] record) {
+    /** ID of the job that a record accepts; empty for other records. */
+    private static Optional<String> acceptedJob(byte[] record) {
         try {
-            Optional<JournalRecord> decoded = JournalCodec.decode(record);
-            return decoded.isPresent()
-                    && decoded.get() instanceof JobAccepted accepted
-                    && !mTryStore.test(accepted.definition().id());
+            return JournalCodec.decode(record)
+                    .filter(r -> r instanceof JobAccepted)
+                    .map(r -> ((JobAccepted) r).definition().id());
         } catch (IOException e) {
-            return false;
+            return Optional.empty();
         }
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/AdmissionGate.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/AdmissionGate.java
@@ -8,6 +8,7 @@
 import org.foxtailplank.admission.AdmissionMode;
 import org.foxtailplank.admission.AdmissionSettings;
 import org.foxtailplank.admission.AdmittedShare;
+import org.foxtailplank.admission.RefusalRegister;
 import org.foxtailplank.admission.ReturnSchedule;
 import org.foxtailplank.admission.ShareDivision;
 import org.foxtailplank.admission.Verdict;
@@ -29,6 +30,10 @@
  */
 public final class AdmissionGate {
     private static final int TOO_MANY_REQUESTS = 429;
+    private static final long MS_PER_S = 1000;
+
+    /** Time before a caller's return at which its job can be stored again, in milliseconds. */
+    private static final long RETURN_MARGIN_MS = 100;
 
     private final KnownCapacity mKnown;
     private final Supplier<AdmissionSettings> mSettings;
@@ -74,11 +79,14 @@
             accept(job, callback);
             return;
         }
+        double part = part(pool);
+        Optional<Integer> returnS = mReturns.returnAfterS(job, verdict, part, now);
         mOwner.mayRefuse(
                 job.id(),
+                refusalMs(returnS),
                 confirmed -> {
                     if (confirmed) {
-                        callback.accept(Optional.of(refuse(job, verdict, part(pool))));
+                        callback.accept(Optional.of(refuse(job, verdict, part, returnS)));
                     } else {
                         mMetrics.recordMayBeStored(job);
                         accept(job, callback);
@@ -127,9 +135,23 @@
         return Math.max(1, part) / (double) ShareDivision.WHOLE;
     }
 
-    private HttpReply refuse(JobDefinition job, Verdict verdict, double part) {
+    /** Time for which the owner doesn't store a refused job, in milliseconds. */
+    private static int refusalMs(Optional<Integer> returnS) {
+        long ms = returnS.map(s -> s * MS_PER_S - RETURN_MARGIN_MS).orElse(Long.MAX_VALUE);
+        return (int) Math.min(RefusalRegister.MAX_REFUSAL_MS, ms);
+    }
+
+    /**
+     * Refuses a job.
+     *
+     * @param earliestS earliest return that was agreed with the owner, in seconds
+     */
+    private HttpReply refuse(
+            JobDefinition job, Verdict verdict, double part, Optional<Integer> earliestS) {
         Verdict.Estimate estimate = verdict.estimate().orElseThrow();
-        Optional<Integer> retryAfterS = mReturns.refused(job, verdict, part, mClock.nowMs());
+        Optional<Integer> plannedS = mReturns.refused(job, verdict, part, mClock.nowMs());
+        Optional<Integer> retryAfterS =
+                earliestS.flatMap(earliest -> plannedS.map(p -> Math.max(earliest, p)));
         mMetrics.recordRefused(job);
         mLog.line("job-refused")
                 .with("job", job.id())
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -51,7 +51,7 @@
      * Age up to which this node's own count of pending jobs is returned, in milliseconds: the count
      * may be two seconds old when the caller receives it.
      */
-    static final long MAX_PENDING_AGE_MS = 1500;
+    public static final long MAX_PENDING_AGE_MS = 1500;
 
     /** Part of a caller's deadline reserved for sending the reply, in milliseconds. */
     private static final long REPLY_MARGIN_MS = 150;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/LocalJobQueries.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/LocalJobQueries.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobSummary;
 import org.foxtailplank.node.Clock;
@@ -12,10 +11,20 @@
 
 /** Answers from this node's own job state while it owns and has read the journal. */
 public final class LocalJobQueries implements JobQueries {
+    /** Registers refusals at the owner. */
+    public interface RefusalRegistration {
+        /**
+         * Registers the refusal of a job; returns false if the job may be stored.
+         *
+         * @param keepMs time for which the job can't be stored then, in milliseconds
+         */
+        boolean tryRefuse(String job, int keepMs);
+    }
+
     private final JournalReader mReader;
     private final Clock mClock;
     private final BooleanSupplier mIsOwner;
-    private final Predicate<String> mTryRefuse;
+    private final RefusalRegistration mTryRefuse;
 
     /**
      * Creates the queries on a node's own job state.
@@ -27,7 +36,7 @@
             JournalReader reader,
             Clock clock,
             BooleanSupplier isOwner,
-            Predicate<String> tryRefuse) {
+            RefusalRegistration tryRefuse) {
         mReader = reader;
         mClock = clock;
         mIsOwner = isOwner;
@@ -55,8 +64,8 @@
     }
 
     @Override
-    public void mayRefuse(String id, Consumer<Boolean> callback) {
+    public void mayRefuse(String id, int keepMs, Consumer<Boolean> callback) {
         boolean unknown = mIsOwner.getAsBoolean() && mReader.registry().job(id).isEmpty();
-        callback.accept(unknown && mTryRefuse.test(id));
+        callback.accept(unknown && mTryRefuse.tryRefuse(id, keepMs));
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JobQueries.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JobQueries.java
@@ -19,6 +19,9 @@
     /**
      * Queries whether the submission of a job may be refused. {@code callback} runs exactly once,
      * with false if no owner agrees in time: another node may have stored the job.
+     *
+     * @param keepMs time for which the owner then doesn't store the job, in milliseconds; it must
+     *     end before the caller is told to return
      */
-    void mayRefuse(String id, Consumer<Boolean> callback);
+    void mayRefuse(String id, int keepMs, Consumer<Boolean> callback);
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -25,6 +25,12 @@
 public final class JournalStream {
     private static final long HEARTBEAT_INTERVAL_MS = 200;
 
+    /**
+     * Time for which a refused job isn't stored if a follower names none, in milliseconds: callers
+     * are told to return after a second at the earliest.
+     */
+    private static final int DEFAULT_REFUSAL_MS = 900;
+
     /** Longest time a record waits in a batch, in milliseconds. */
     private static final long BATCH_DELAY_MS = 20;
 
@@ -182,6 +188,7 @@
                 case REFUSAL ->
                         mJobQueries.mayRefuse(
                                 query.name(),
+                                query.value().orElse(DEFAULT_REFUSAL_MS),
                                 ok ->
                                         reply.accept(
                                                 PeerFrame.QueryResponse.ofCount(
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -237,6 +237,7 @@
         sendQuery(
                 PeerFrame.Subject.JOB,
                 id,
+                Optional.empty(),
                 response ->
                         callback.accept(response.flatMap(PeerFrame.QueryResponse::toJobSummary)));
     }
@@ -246,14 +247,16 @@
         sendQuery(
                 PeerFrame.Subject.QUEUE,
                 queue,
+                Optional.empty(),
                 response -> callback.accept(response.flatMap(PeerFrame.QueryResponse::value)));
     }
 
     @Override
-    public void mayRefuse(String id, Consumer<Boolean> callback) {
+    public void mayRefuse(String id, int keepMs, Consumer<Boolean> callback) {
         sendQuery(
                 PeerFrame.Subject.REFUSAL,
                 id,
+                Optional.of(keepMs),
                 response ->
                         callback.accept(
                                 response.flatMap(PeerFrame.QueryResponse::value)
@@ -263,12 +266,13 @@
     private void sendQuery(
             PeerFrame.Subject subject,
             String name,
+            Optional<Integer> value,
             Consumer<Optional<PeerFrame.QueryResponse>> callback) {
         if (!isAlive() || !mChannel.map(Channel::isWritable).orElse(false)) {
             callback.accept(Optional.empty());
             return;
         }
-        PeerFrame query = new PeerFrame.Query(mPendingQueries.add(callback), subject, name);
+        PeerFrame query = new PeerFrame.Query(mPendingQueries.add(callback), subject, name, value);
         mChannel.get().writeAndFlush(query.encode());
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -130,12 +130,17 @@
      * @param number number of the query on this connection
      * @param subject subject of the query
      * @param name ID of the job, or name of the queue
+     * @param value time for which a job that is refused isn't stored, in milliseconds
      */
-    record Query(long number, Subject subject, String name) implements PeerFrame {
+    record Query(long number, Subject subject, String name, Optional<Integer> value)
+            implements PeerFrame {
         @Override
         public void write(CodedOutputStream out) throws IOException {
             out.writeInt64(Field.QUERY, number);
             out.writeString(QueryFields.field(subject), name);
+            if (value.isPresent()) {
+                out.writeInt32(Field.VALUE, value.get());
+            }
         }
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/QueryFields.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/QueryFields.java
@@ -54,7 +54,7 @@
         return mNumber.map(
                 n ->
                         mSubject.isPresent()
-                                ? new Query(n, mSubject.get(), mName)
+                                ? new Query(n, mSubject.get(), mName, mValue)
                                 : new QueryResponse(n, mValue, mJobQueue, mOrganisation));
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeJobQueries.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeJobQueries.java
@@ -18,6 +18,9 @@
     public BiConsumer<String, Consumer<Boolean>> mRefusal =
             (id, callback) -> callback.accept(false);
 
+    /** Time of the last query for which the refusal is kept, in milliseconds. */
+    public int mKeepMs;
+
     @Override
     public void job(String id, Consumer<Optional<JobSummary>> callback) {
         callback.accept(Optional.ofNullable(mPhases.get(id)).map(p -> new JobSummary(p, "", "")));
@@ -29,7 +32,8 @@
     }
 
     @Override
-    public void mayRefuse(String id, Consumer<Boolean> callback) {
+    public void mayRefuse(String id, int keepMs, Consumer<Boolean> callback) {
+        mKeepMs = keepMs;
         mRefusal.accept(id, callback);
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/admission/GuardedHandoverTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/admission/GuardedHandoverTest.java
@@ -39,16 +39,24 @@
     private List<byte[]> mStored;
     private List<StoreOutcome> mOutcomes;
     private boolean mEnabled;
+    private boolean mAnswers;
+    private List<Consumer<StoreOutcome>> mUnanswered;
     private JournalWriter mWriter;
 
     @BeforeMethod
     public void setUp() {
         mTime = new FakeTime();
         mLog = new FakeSharedLog();
-        mRegister = new RefusalRegister(mTime.nowMs() - 10_000);
+        mRegister = new RefusalRegister();
+        for (int i = 0; i <= 30; i++) {
+            mRegister.recordHealth(true, mTime.nowMs());
+            mTime.advance(200);
+        }
         mStored = new ArrayList<>();
         mOutcomes = new ArrayList<>();
         mEnabled = true;
+        mAnswers = true;
+        mUnanswered = new ArrayList<>();
         Handover owner =
                 new Handover() {
                     @Override
@@ -59,7 +67,11 @@
                     @Override
                     public void handOver(byte[] record, Consumer<StoreOutcome> callback) {
                         mStored.add(record);
-                        callback.accept(StoreOutcome.STORED);
+                        if (mAnswers) {
+                            callback.accept(StoreOutcome.STORED);
+                        } else {
+                            mUnanswered.add(callback);
+                        }
                     }
                 };
         mWriter =
@@ -67,9 +79,7 @@
                         mLog,
                         JournalPartitions.PRIMARY,
                         new GuardedHandover(
-                                owner,
-                                job -> mRegister.tryStore(job, mTime.nowMs()),
-                                () -> mEnabled),
+                                owner, () -> Optional.of(mRegister), mTime, () -> mEnabled),
                         mTime,
                         mTime,
                         NodeLog.silent(mTime));
@@ -100,7 +110,7 @@
 
     @Test
     public void aJobThatAnotherNodeHasRefusedIsNeitherStoredNorAppended() {
-        assertTrue(mRegister.tryRefuse(JOB, mTime.nowMs()));
+        assertTrue(mRegister.tryRefuse(JOB, 900, mTime.nowMs()));
         store(accepted());
 
         assertEquals(mOutcomes, List.of(StoreOutcome.NOT_STORED));
@@ -113,12 +123,41 @@
         store(accepted());
 
         assertEquals(mOutcomes, List.of(StoreOutcome.STORED));
-        assertFalse(mRegister.tryRefuse(JOB, mTime.nowMs()));
+        assertFalse(mRegister.tryRefuse(JOB, 900, mTime.nowMs()));
+    }
+
+    private boolean isRefusedAfter(long ms) {
+        for (long t = 0; t < ms; t += 200) {
+            mTime.advance(200);
+            mRegister.recordHealth(true, mTime.nowMs());
+        }
+        return mRegister.tryRefuse(JOB, 900, mTime.nowMs());
+    }
+
+    @Test
+    public void aJobThatWaitsAtTheOwnerDuringALostStoreIsNotRefused() {
+        mAnswers = false;
+        store(accepted());
+        assertFalse(isRefusedAfter(20_000));
+
+        mUnanswered.get(0).accept(StoreOutcome.NOT_STORED);
+        assertFalse(isRefusedAfter(4800));
+        assertTrue(isRefusedAfter(200));
+    }
+
+    @Test
+    public void aJobThatMayBeStoredIsNotRefusedForLonger() {
+        mAnswers = false;
+        store(accepted());
+        mUnanswered.get(0).accept(StoreOutcome.UNKNOWN);
+        assertFalse(isRefusedAfter(9800));
+
+        assertTrue(isRefusedAfter(200));
     }
 
     @Test
     public void otherRecordsOfARefusedJobAreStored() {
-        mRegister.tryRefuse(JOB, mTime.nowMs());
+        mRegister.tryRefuse(JOB, 900, mTime.nowMs());
         store(new JobCancelled(JOB, 1));
 
         assertEquals(mOutcomes, List.of(StoreOutcome.STORED));
@@ -127,7 +166,7 @@
     @Test
     public void everythingIsStoredWithoutAdmission() {
         mEnabled = false;
-        mRegister.tryRefuse(JOB, mTime.nowMs());
+        mRegister.tryRefuse(JOB, 900, mTime.nowMs());
         store(accepted());
 
         assertEquals(mOutcomes, List.of(StoreOutcome.STORED));
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/LocalJobQueriesTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/LocalJobQueriesTest.java
@@ -36,7 +36,7 @@
                         NodeLog.silent(mClock),
                         new JobRegistry(120_000),
                         (record, job) -> {});
-        mQueries = new LocalJobQueries(mReader, mClock, () -> true, job -> true);
+        mQueries = new LocalJobQueries(mReader, mClock, () -> true, (job, keepMs) -> true);
     }
 
     private void read() {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/RefusedSubmissionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/RefusedSubmissionTest.java
@@ -115,6 +115,16 @@
                 new String(reply.body(), StandardCharsets.UTF_8),
                 "The job was refused since it can't be completed in time now; submit it again"
                         + " after 1 s.");
+        assertEquals(mOwner.mKeepMs, 900, "the refusal ends before the return");
+    }
+
+    @Test
+    public void aRefusalWithoutAReturnIsKeptForTheLongestTime() {
+        // Guards against another copy of the submission that is stored after the refusal.
+        report(TOKEN, 60_000);
+        submit();
+
+        assertEquals(mOwner.mKeepMs, 3000);
     }
 
     @Test
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/CapacityLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/CapacityLinkTest.java
@@ -179,13 +179,14 @@
 
         assertEquals(mayRefuse("unknown"), Boolean.TRUE);
         assertEquals(mayRefuse("stored"), Boolean.FALSE);
+        assertEquals(mOwnerQueries.mKeepMs, 2900);
     }
 
     private Boolean mayRefuse(String id) throws Exception {
         CompletableFuture<Boolean> answer = new CompletableFuture<>();
         onLoop(
                 () -> {
-                    mLink.mayRefuse(id, answer::complete);
+                    mLink.mayRefuse(id, 2900, answer::complete);
                     return null;
                 });
         return answer.get();
