Check a submission once more before it is refused

Cause: while the owner was asked, this node could read the record that another node had stored, and still refuse the job; a job that this node had just stored but not read was refused when it was sent again; a returning caller lost its place if storing its job failed; and a caller's deadline could exceed the time for which the owner protects the job.

Change: the registry and the recent submissions are checked after the owner's agreement; a job that became known is answered as such. A place is dropped only if the job was stored or its outcome is unknown, and a refused record counts as not stored. Where admission is on, storing ends 5 s after the submission.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/AdmissionGate.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/AdmissionGate.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.foxtailplank.admission.AdmissionDecider;
@@ -42,6 +43,7 @@
     private final NodeLog mLog;
     private final AdmissionMetrics mMetrics;
     private final ReturnSchedule mReturns = new ReturnSchedule();
+    private final RecentSubmissions mRecent = new RecentSubmissions();
 
     /**
      * Creates the gate of a node.
@@ -64,8 +66,13 @@
         mMetrics = new AdmissionMetrics(metrics);
     }
 
-    /** Decides on a job; {@code callback} receives the reply to a refused one, else empty. */
-    void check(JobDefinition job, Consumer<Optional<HttpReply>> callback) {
+    /**
+     * Decides on a job; {@code callback} receives the reply to a refused one, else empty.
+     *
+     * @param isKnown whether this node has read the job's record, which may change while the owner
+     *     is asked
+     */
+    void check(JobDefinition job, BooleanSupplier isKnown, Consumer<Optional<HttpReply>> callback) {
         AdmissionSettings settings = mSettings.get();
         if (!settings.isOn()) {
             callback.accept(Optional.empty());
@@ -85,7 +92,8 @@
                 job.id(),
                 refusalMs(returnS),
                 confirmed -> {
-                    if (confirmed) {
+                    boolean recent = mRecent.mayContain(job.id(), mClock.nowMs());
+                    if (confirmed && !recent && !isKnown.getAsBoolean()) {
                         callback.accept(Optional.of(refuse(job, verdict, part, returnS)));
                     } else {
                         mMetrics.recordMayBeStored(job);
@@ -116,16 +124,36 @@
     }
 
     private void accept(JobDefinition job, Consumer<Optional<HttpReply>> callback) {
-        long now = mClock.nowMs();
-        mReturns.accepted(job.id(), now);
-        mKnown.accepted(job, now);
+        mKnown.accepted(job, mClock.nowMs());
         callback.accept(Optional.empty());
     }
 
-    /** Records the outcome of storing a job that was accepted. */
+    /**
+     * Limits the deadline for storing a job to the time that the owner allows for it.
+     *
+     * @param deadlineMs deadline of the caller
+     */
+    long storeDeadlineMs(long deadlineMs) {
+        return mSettings.get().isOn()
+                ? Math.min(deadlineMs, mClock.nowMs() + RefusalRegister.STORE_PROTECTION_MS)
+                : deadlineMs;
+    }
+
+    /**
+     * Records the outcome of storing a job that was accepted. A refused caller whose job isn't
+     * stored keeps its place for its next attempt.
+     */
     void completed(JobDefinition job, StoreOutcome outcome) {
-        if (outcome == StoreOutcome.NOT_STORED) {
-            mKnown.unstored(job.id());
+        switch (outcome) {
+            case STORED, UNKNOWN -> {
+                long now = mClock.nowMs();
+                mReturns.accepted(job.id(), now);
+                if (mSettings.get().isOn()) {
+                    mRecent.add(job.id(), now);
+                }
+            }
+            case NOT_STORED, REFUSED -> mKnown.unstored(job.id());
+            default -> throw new IllegalStateException("unexpected outcome: " + outcome);
         }
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -177,8 +177,7 @@
         RouteSettings route = routed.route();
         Optional<JobSummary> known = mFinder.localJob(id);
         if (known.isPresent()) {
-            logRepeated(id, route);
-            reply.accept(routed.mayAccess(known.get()) ? HttpReply.empty(OK) : forbiddenReply(id));
+            reply.accept(repeatedReply(routed, id, known.get()));
             return;
         }
         InFlight concurrent = mInFlight.get(id);
@@ -213,22 +212,42 @@
                         routed.organisation());
         List<Consumer<HttpReply>> replies = new ArrayList<>(List.of(reply));
         mInFlight.put(id, new InFlight(routed.organisation(), replies));
-        long deadline = deadlineMs(request);
+        storeOrRefuse(definition, routed, mGate.storeDeadlineMs(deadlineMs(request)), replies);
+    }
+
+    private void storeOrRefuse(
+            JobDefinition definition,
+            RoutedRequest routed,
+            long deadlineMs,
+            List<Consumer<HttpReply>> replies) {
+        String id = definition.id();
         mGate.check(
                 definition,
+                () -> mFinder.localJob(id).isPresent(),
                 refusal -> {
-                    if (refusal.isPresent()) {
+                    // Another node's record may have been read while the owner was asked.
+                    Optional<HttpReply> answer =
+                            refusal.or(
+                                    () ->
+                                            mFinder.localJob(id)
+                                                    .map(j -> repeatedReply(routed, id, j)));
+                    if (answer.isPresent()) {
                         mInFlight.remove(id);
-                        replies.forEach(r -> r.accept(refusal.get()));
+                        replies.forEach(r -> r.accept(answer.get()));
                     } else {
                         mWriter.store(
                                 new JobAccepted(definition),
-                                deadline,
+                                deadlineMs,
                                 o -> submissionCompleted(definition, replies, o));
                     }
                 });
     }
 
+    private HttpReply repeatedReply(RoutedRequest routed, String id, JobSummary job) {
+        logRepeated(id, routed.route());
+        return routed.mayAccess(job) ? HttpReply.empty(OK) : forbiddenReply(id);
+    }
+
     private void logRepeated(String job, RouteSettings route) {
         mLog.line("job-resubmitted")
                 .with("job", job)
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/AdmissionSharesTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/AdmissionSharesTest.java
@@ -85,7 +85,7 @@
                         NodeLog.silent(mTime),
                         new NodeMetrics());
         for (int i = 0; i < JOBS_PER_NODE; i++) {
-            gate.check(job(mTime.nowMs() + "-" + node + "-" + i), refusal -> {});
+            gate.check(job(mTime.nowMs() + "-" + node + "-" + i), () -> false, refusal -> {});
         }
         return known.takeAcceptedWork().getOrDefault("s", 0L);
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/RefusedSubmissionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/RefusedSubmissionTest.java
@@ -6,6 +6,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -172,6 +173,67 @@
         assertTrue(mService.output().contains("admission_queue_q_accepted_may_be_stored 1.0"));
     }
 
+    @Test
+    public void aJobWhoseRecordIsReadWhileTheOwnerIsAskedIsNotRefused() {
+        List<Consumer<Boolean>> asked = new ArrayList<>();
+        mOwner.mRefusal = (id, callback) -> asked.add(callback);
+        report(TOKEN, 60_000);
+        List<HttpReply> replies = submit();
+        CallerServiceFixture other =
+                new CallerServiceFixture(mClock, mLog, new OneQueue(), new FakeJobQueries());
+        other.readOperatorChanges();
+        byte[] bytes = BODY.getBytes(StandardCharsets.UTF_8);
+        other.send("POST", "/q/" + JOB, bytes, Optional.empty());
+        mLog.deliverAnswers();
+        mService.reader().refresh(read -> {});
+        mLog.deliverAnswers();
+        asked.get(0).accept(true);
+
+        assertEquals(replies.get(0).status(), 200);
+        assertEquals(storedRecords(), 1);
+    }
+
+    @Test
+    public void aJobThatThisNodeHasStoredButNotReadIsNotRefused() {
+        report(TOKEN, 0);
+        assertEquals(submitted(), 200);
+        report(TOKEN, 60_000);
+
+        assertEquals(submitted(), 200);
+    }
+
+    @Test
+    public void aReturningCallerKeepsItsPlaceIfItsJobIsNotStored() {
+        mService.setAdmission(AdmissionMode.BEYOND_OBJECTIVE);
+        report(TOKEN, 800);
+        assertEquals(submitted(), 429);
+        mClock.advance(1000);
+        mLog.setUnavailable(JournalPartitions.PRIMARY, true);
+        report(TOKEN, 0);
+        assertEquals(submitted(), 503);
+
+        mLog.setUnavailable(JournalPartitions.PRIMARY, false);
+        report(TOKEN, 800);
+        assertEquals(submitted(), 200, "its time has come");
+    }
+
+    @Test
+    public void storingEndsWhenTheOwnerNoLongerProtectsTheJob() {
+        // Guards against an append after another node was allowed to refuse the job.
+        report(TOKEN, 0);
+        byte[] bytes = BODY.getBytes(StandardCharsets.UTF_8);
+        FakeSharedLog.ScriptedOutcome[] lost = new FakeSharedLog.ScriptedOutcome[60];
+        Arrays.fill(lost, FakeSharedLog.ScriptedOutcome.LOST);
+        mLog.scriptAppends(lost);
+        List<HttpReply> replies = mService.send("POST", "/q/" + JOB, bytes, Optional.of("60000"));
+        for (int i = 0; i < 52; i++) {
+            mLog.deliverAnswers();
+            mClock.advance(100);
+        }
+
+        assertEquals(replies.get(0).status(), 504);
+    }
+
     @Test
     public void concurrentSubmissionsOfAJobGetTheSameAnswer() {
         List<Consumer<Boolean>> asked = new ArrayList<>();
