Keep odd objectives and shrunken workers out of the admission decision

Cause: objectives of 0 or less refused every job, very long ones overflowed, a worker that shrank below its standing tasks reduced the capacity of others, and cores without memory for batch tasks counted as capacity.

Free capacity still counts whole tasks only, since a job counts as started where it suffices.

--- a/foxtail-core/src/main/java/org/foxtailplank/admission/AdmissionDecider.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/AdmissionDecider.java
@@ -25,6 +25,15 @@
      */
     static final int OVERESTIMATE = 4;
 
+    /**
+     * Largest objective that counts, in milliseconds: a day. Products of larger ones with the
+     * capacity of a pool may overflow.
+     */
+    static final long MAX_OBJECTIVE_MS = 24 * 3600 * 1000;
+
+    /** Largest run time and work that count, so that sums of them don't overflow. */
+    private static final long MAX_DEMAND = 1L << 56;
+
     /** Jobs that complete within this many times their objective are of some benefit. */
     private static final int BENEFIT_FACTOR = 3;
 
@@ -58,7 +67,8 @@
         if (mode == AdmissionMode.OFF) {
             return Verdict.accepted(Verdict.Basis.OFF);
         }
-        if (job.isStanding() || job.timetable().isTimed()) {
+        // A job without an objective can't be late.
+        if (job.isStanding() || job.timetable().isTimed() || job.objectiveLengthMs() <= 0) {
             return Verdict.accepted(Verdict.Basis.EXEMPT);
         }
         // The pool of a queue without accepted jobs may be empty until the first one.
@@ -77,8 +87,9 @@
             Returning returning,
             long nowMs) {
         long ageMs = Math.max(0, nowMs - capacity.measuredMs());
-        long objectiveMs = job.objectiveLengthMs() - returning.elapsedMs();
-        long benefitMs = BENEFIT_FACTOR * job.objectiveLengthMs() - returning.elapsedMs();
+        long lengthMs = Math.min(MAX_OBJECTIVE_MS, job.objectiveLengthMs());
+        long objectiveMs = lengthMs - returning.elapsedMs();
+        long benefitMs = BENEFIT_FACTOR * lengthMs - returning.elapsedMs();
         Demand demand = Demand.of(job);
         Optional<OrganisationCapacity> organisation =
                 Optional.ofNullable(capacity.organisations().get(job.organisation()));
@@ -123,7 +134,10 @@
     private record Demand(long criticalPathMs, long work, long firstTaskMilliCores) {
         static Demand of(JobDefinition job) {
             long milliCores = job.steps().get(0).reserved().milliProcessors();
-            return new Demand(job.criticalPathMs(), (long) job.estimatedWork(), milliCores);
+            return new Demand(
+                    Math.min(MAX_DEMAND, job.criticalPathMs()),
+                    (long) Math.min(MAX_DEMAND, job.estimatedWork()),
+                    milliCores);
         }
 
         Demand dividedBy(int factor) {
--- a/foxtail-core/src/main/java/org/foxtailplank/admission/ShareDivision.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/ShareDivision.java
@@ -28,9 +28,10 @@
      * @param objectiveMs objective of a typical job of the pool, from its submission
      */
     public static long room(QueueCapacity capacity, long objectiveMs) {
-        long room = capacity.milliCores() * objectiveMs - capacity.inTimeWork();
+        long limitMs = Math.min(AdmissionDecider.MAX_OBJECTIVE_MS, Math.max(0, objectiveMs));
+        long room = capacity.milliCores() * limitMs - capacity.inTimeWork();
         for (QueueCapacity.Joining j : capacity.joining()) {
-            room += j.milliCores() * Math.max(0, objectiveMs - j.afterMs());
+            room += j.milliCores() * Math.max(0, limitMs - j.afterMs());
         }
         return Math.max(0, room);
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/CapacitySnapshots.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/CapacitySnapshots.java
@@ -17,7 +17,8 @@
 /**
  * Computes the capacity and the waiting work of services, by which jobs are accepted.
  *
- * <p>Capacity for batch tasks is what standing tasks leave. Work is divided as the scheduler orders
+ * <p>Capacity for batch tasks is what standing tasks leave, as the scheduler counts it; what is
+ * free counts only as far as whole tasks fit on a worker. Work is divided as the scheduler orders
  * jobs: those that can meet their objectives together come before late ones, and jobs beyond their
  * organisations' rates come last.
  */
@@ -57,16 +58,18 @@
             String service, List<ActiveRun> runs, FleetConfig config, long nowMs, long nowWallMs) {
         long milliCores = 0;
         long freeMilliCores = 0;
+        BatchCapacity capacity = mScheduler.batchCapacities(nowWallMs).of(service);
         Resources typical = typicalTask(runs);
         for (WorkerState w : mScheduler.workersOf(service)) {
             if (w.countsAsCapacity(nowMs)) {
-                milliCores += w.freeWithoutBatch().milliProcessors();
+                // A worker whose capacity shrank below its standing tasks takes none from others.
+                milliCores += Math.max(0, capacity.milliCores(w.freeWithoutBatch()));
                 freeMilliCores += w.isUsable(nowMs) ? usable(w.free(), typical) : 0;
             }
         }
         OrganisationCaps caps = mScheduler.caps(config);
         Work work = work(runs, milliCores, caps, nowWallMs);
-        List<QueueCapacity.Joining> joining = mJoining.of(service, config, nowMs);
+        List<QueueCapacity.Joining> joining = mJoining.of(service, capacity, config, nowMs);
         QueueCapacity all =
                 new QueueCapacity(
                         service,
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/JoiningCapacity.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/JoiningCapacity.java
@@ -35,8 +35,10 @@
      * Capacity that joins a service's pool, in the order of time. Idle VMs of the standby pool
      * count, as they move as soon as accepted jobs need them; otherwise the first jobs of a burst
      * would be refused, and no VM would move.
+     *
+     * @param capacity how the capacity for the service's batch tasks is counted
      */
-    List<Joining> of(String service, FleetConfig config, long nowMs) {
+    List<Joining> of(String service, BatchCapacity capacity, FleetConfig config, long nowMs) {
         Map<Long, Long> milliCores = new TreeMap<>();
         for (ManagedVm vm : mVms.all()) {
             joinsAfterMs(vm, service, config, nowMs)
@@ -44,7 +46,7 @@
                             ms ->
                                     milliCores.merge(
                                             (ms + PERIOD_MS - 1) / PERIOD_MS * PERIOD_MS,
-                                            vm.info().capacity().milliProcessors(),
+                                            Math.max(0, capacity.milliCores(vm.info().capacity())),
                                             Long::sum));
         }
         List<Joining> joining = new ArrayList<>();
--- a/foxtail-core/src/test/java/org/foxtailplank/admission/AdmissionDeciderTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/admission/AdmissionDeciderTest.java
@@ -30,11 +30,16 @@
     private static final long TASK_MS = 1000;
 
     private static JobDefinition job(String organisation, RunMode mode, Timetable timetable) {
+        return job(organisation, mode, timetable, TASK_MS, 600);
+    }
+
+    private static JobDefinition job(
+            String organisation, RunMode mode, Timetable timetable, long taskMs, long sloMs) {
         TaskStep step =
                 new TaskStep(
                         8,
                         Resources.of(2, 1, 0),
-                        TASK_MS,
+                        taskMs,
                         List.of(),
                         PlacementConstraints.ANYWHERE,
                         mode);
@@ -45,7 +50,7 @@
                 "text",
                 List.of(step),
                 timetable,
-                new QueuePolicy(1, 2, 1.6, 600, Optional.empty()),
+                new QueuePolicy(1, 2, 1.6, sloMs, Optional.empty()),
                 0,
                 0,
                 organisation);
@@ -73,6 +78,27 @@
                 job(""), capacity, mode, AdmittedShare.UNLIMITED, capacity.measuredMs());
     }
 
+    private static Verdict decide(long taskMs, long sloMs) {
+        return AdmissionDecider.decide(
+                job("", RunMode.PLAIN, Timetable.AT_ONCE, taskMs, sloMs),
+                full(2 * SECOND, 45 * SECOND / 10),
+                AdmissionMode.BEYOND_OBJECTIVE,
+                AdmittedShare.UNLIMITED,
+                NOW_MS);
+    }
+
+    @Test
+    public void aJobWithoutAnObjectiveIsExempt() {
+        assertEquals(decide(0, 0).basis(), Verdict.Basis.EXEMPT);
+        assertEquals(decide(TASK_MS, -2000).basis(), Verdict.Basis.EXEMPT);
+    }
+
+    @Test
+    public void aVeryLongObjectiveDoesNotOverflow() {
+        assertFalse(decide(TASK_MS, Long.MAX_VALUE / 2).refused());
+        assertFalse(decide(TASK_MS, Long.MAX_VALUE - 5000).refused());
+    }
+
     @Test
     public void aJobThatCanStartAtOnceIsInTime() {
         Verdict verdict = decide(full(SECOND / 2, 0), AdmissionMode.BEYOND_OBJECTIVE);
--- a/foxtail-core/src/test/java/org/foxtailplank/admission/ShareDivisionTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/admission/ShareDivisionTest.java
@@ -63,4 +63,15 @@
         assertEquals(ShareDivision.room(capacity, 2000), 4000 * 2000 + 1000 * 500 - 3_000_000);
         assertEquals(ShareDivision.room(capacity, 500), 0);
     }
+
+    @Test
+    public void roomDoesNotOverflowWithAnUnlimitedObjective() {
+        QueueCapacity capacity =
+                new QueueCapacity("s", 0, 1_000_000, 0, List.of(), 0, 0, 0, Map.of());
+
+        assertEquals(
+                ShareDivision.room(capacity, Long.MAX_VALUE / 2),
+                1_000_000 * AdmissionDecider.MAX_OBJECTIVE_MS);
+        assertEquals(ShareDivision.room(capacity, -1), 0);
+    }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/CapacitySnapshotsTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/CapacitySnapshotsTest.java
@@ -72,6 +72,31 @@
         assertEquals(surveys().freeMilliCores(), 0);
     }
 
+    @Test
+    public void aWorkerThatShrankBelowItsStandingTasksTakesNoCapacityFromOthers() {
+        addWorkers(2);
+        mOwner.accept(definition("standing", "surveys", 0, standing(1, 8, 1)));
+        mOwner.placeTasks();
+        WorkerState first = mOwner.mScheduler.worker("w0").get();
+        String shrunken = first.hasStandingRuns() ? "w0" : "w1";
+        mOwner.mScheduler.updateWorker(OwnerHarness.info(shrunken, "surveys", 2), mOwner.mNowMs);
+
+        assertEquals(surveys().milliCores(), 10 * CORE);
+    }
+
+    @Test
+    public void coresWithoutTheMemoryForTasksAreNotCapacity() {
+        // Guards against jobs that are accepted for cores that standing tasks leave without memory.
+        mOwner.addWorker("w0", "surveys", Resources.of(10, 2, 0), "r1", "zone");
+        VmInfo vm = new VmInfo("v1", "surveys", VmPhase.MOVING, "", Resources.of(10, 1, 0));
+        mPlanner.applyList(List.of(vm), mOwner.mNowMs);
+        mPlanner.vms().vm("v1").get().recordMove(mOwner.mNowMs);
+        accept("batch", "", 5);
+
+        assertEquals(surveys().milliCores(), 4 * CORE);
+        assertEquals(surveys().joining(), List.of(new Joining(2000, 2 * CORE)));
+    }
+
     @Test
     public void workIsDividedByUrgency() {
         addWorkers(1);
