Keep faults of the capacity report from ending the owner's heartbeats

Cause: a RuntimeException of the report left the heartbeat unsent and the next one unscheduled, so that followers took the owner for lost.

Change: the heartbeat is written and the next one scheduled before the report, and both are flushed together. The reporter logs a fault and sends nothing; a connection whose encoder failed gets no more reports.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -133,7 +133,7 @@
         mLink.setConfigExchange(mConfigExchange);
         mLink.setStandbyCondition(this::isStandby);
         mLink.setRelayedStartHandler(new RelayedStartHandler(mReader, mPlatform.workerClient()));
-        mAdmission = new NodeAdmission(() -> mSettings.admission(), mReader, clock);
+        mAdmission = new NodeAdmission(() -> mSettings.admission(), mReader, clock, log);
         mResignationPolicy = new ResignationPolicy(settings.link());
         mWriter =
                 new JournalWriter(
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeAdmission.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeAdmission.java
@@ -26,7 +26,7 @@
     private final JournalReader mReader;
     private final Clock mClock;
     private final KnownCapacity mKnown = new KnownCapacity();
-    private final CapacityReporter mReporter = new CapacityReporter(mKnown);
+    private final CapacityReporter mReporter;
     private final TypicalObjectives mObjectives = new TypicalObjectives();
     private Optional<RefusalRegister> mRegister = Optional.empty();
     private Optional<OwnerSession> mOwner = Optional.empty();
@@ -36,7 +36,9 @@
      *
      * @param settings returns the settings in force
      */
-    NodeAdmission(Supplier<AdmissionSettings> settings, JournalReader reader, Clock clock) {
+    NodeAdmission(
+            Supplier<AdmissionSettings> settings, JournalReader reader, Clock clock, NodeLog log) {
+        mReporter = new CapacityReporter(mKnown, log);
         mSettings = settings;
         mReader = reader;
         mClock = clock;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/CapacityReporter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/CapacityReporter.java
@@ -15,6 +15,7 @@
 import org.foxtailplank.node.admission.KnownCapacity;
 import org.foxtailplank.node.admission.PoolRoom;
 import org.foxtailplank.node.admission.ReportedPool;
+import org.foxtailplank.node.log.NodeLog;
 
 /**
  * Reports an owner's capacity, with its heartbeats, to the followers that send their accepted work,
@@ -33,10 +34,15 @@
      */
     private static final double DECAY = 0.8;
 
+    /** Shortest time between two log lines about faults, in milliseconds. */
+    private static final long FAULT_LOG_INTERVAL_MS = 1000;
+
     private final KnownCapacity mOwn;
+    private final NodeLog mLog;
     private final Map<Channel, Follower> mFollowers = new LinkedHashMap<>();
     private final Participant mSelf = new Participant();
     private CapacitySource mSource = CapacitySource.NONE;
+    private long mFaultLoggedMs = Long.MIN_VALUE / 2;
 
     /** A node among which room is divided. */
     private static class Participant {
@@ -54,6 +60,9 @@
 
     private static final class Follower extends Participant {
         final CapacityEncoder mEncoder = new CapacityEncoder(MAX_REPORT_BYTES);
+
+        /** Whether the state of the encoder may differ from what was sent. */
+        boolean mFailed;
     }
 
     /**
@@ -61,8 +70,9 @@
      *
      * @param own what the owner's own node knows
      */
-    public CapacityReporter(KnownCapacity own) {
+    public CapacityReporter(KnownCapacity own, NodeLog log) {
         mOwn = own;
+        mLog = log;
     }
 
     /** Sets what measures the pools from now on, while this node owns. */
@@ -85,25 +95,49 @@
         mFollowers.remove(channel);
     }
 
-    /** Writes a report to each follower; the heartbeat that follows flushes it. */
+    /**
+     * Writes a report to each follower, which the caller flushes. A fault is logged, and then
+     * nothing is sent: followers accept all jobs once their reports are too old.
+     */
     void report(long token, long nowMs) {
-        mOwn.takeAcceptedWork().forEach(mSelf::add);
-        List<PoolRoom> rooms = mSource.measure(nowMs);
-        Map<Participant, List<ReportedPool>> reports = divide(rooms);
-        mOwn.update(token, reports.getOrDefault(mSelf, List.of()));
-        mFollowers.forEach(
-                (channel, follower) -> {
-                    if (channel.isWritable()) {
-                        follower.mEncoder
-                                .encode(reports.getOrDefault(follower, List.of()))
-                                .map(c -> new PeerFrame.CapacityReport(token, c).encode())
-                                .ifPresent(channel::write);
-                    }
-                });
+        try {
+            mOwn.takeAcceptedWork().forEach(mSelf::add);
+            Map<Participant, List<ReportedPool>> reports = divide(mSource.measure(nowMs));
+            mOwn.update(token, reports.getOrDefault(mSelf, List.of()));
+            mFollowers.forEach(
+                    (channel, follower) -> {
+                        if (channel.isWritable() && !follower.mFailed) {
+                            List<ReportedPool> report = reports.getOrDefault(follower, List.of());
+                            write(report, token, channel, follower, nowMs);
+                        }
+                    });
+        } catch (RuntimeException e) {
+            logFault(e, nowMs);
+        }
         mSelf.decay();
         mFollowers.values().forEach(Participant::decay);
     }
 
+    private void write(
+            List<ReportedPool> report, long token, Channel channel, Follower follower, long nowMs) {
+        try {
+            follower.mEncoder
+                    .encode(report)
+                    .map(c -> new PeerFrame.CapacityReport(token, c).encode())
+                    .ifPresent(channel::write);
+        } catch (RuntimeException e) {
+            follower.mFailed = true;
+            logFault(e, nowMs);
+        }
+    }
+
+    private void logFault(RuntimeException fault, long nowMs) {
+        if (nowMs - mFaultLoggedMs >= FAULT_LOG_INTERVAL_MS) {
+            mFaultLoggedMs = nowMs;
+            mLog.line("capacity-report-failed").with("cause", fault).write();
+        }
+    }
+
     private Map<Participant, List<ReportedPool>> divide(List<PoolRoom> rooms) {
         Map<Participant, List<ReportedPool>> reports = new HashMap<>();
         for (PoolRoom room : rooms) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -269,9 +269,14 @@
         // the store.
         flushOrDrop();
         addToBatch(newHeartbeat());
-        mCapacity.ifPresent(c -> c.report(token, mClock.nowMs()));
-        flush();
+        writeBatch();
         mTimers.after(HEARTBEAT_INTERVAL_MS, () -> sendHeartbeat(token));
+        // Followers would look for another owner if a fault of the report ended the heartbeats.
+        try {
+            mCapacity.ifPresent(c -> c.report(token, mClock.nowMs()));
+        } finally {
+            mFollowers.forEach(Channel::flush);
+        }
     }
 
     private PeerFrame newHeartbeat() {
@@ -303,13 +308,18 @@
 
     /** Sends the batch to all followers but slow readers, whose frames would fill the memory. */
     private void flush() {
+        writeBatch();
+        mFollowers.forEach(Channel::flush);
+    }
+
+    private void writeBatch() {
         ByteBuf frames = Unpooled.directBuffer(mBatch.readableBytes()).writeBytes(mBatch);
         mBatch.clear();
         mFlushCount++;
         mSentBytes += frames.readableBytes();
         for (Channel c : mFollowers) {
             if (c.isWritable()) {
-                c.writeAndFlush(frames.retainedDuplicate());
+                c.write(frames.retainedDuplicate());
             }
         }
         frames.release();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/CapacityLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/CapacityLinkTest.java
@@ -47,6 +47,7 @@
     private KnownCapacity mKnown;
     private OwnerLink mLink;
     private volatile boolean mSilent;
+    private volatile boolean mFaulty;
 
     private static final class NoHandover implements Handover {
         @Override
@@ -75,6 +76,7 @@
     @BeforeMethod
     public void connect() throws Exception {
         mSilent = false;
+        mFaulty = false;
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         mLoop = (EventLoop) mGroup.next();
         Timers timers = (ms, action) -> mLoop.schedule(action, ms, TimeUnit.MILLISECONDS);
@@ -97,14 +99,9 @@
                         LinkRate.UNKNOWN,
                         new NoHandover(),
                         mOwnerQueries);
-        CapacityReporter reporter = new CapacityReporter(new KnownCapacity());
-        reporter.setSource(
-                nowMs ->
-                        List.of(
-                                new PoolRoom(
-                                        new QueueCapacity(
-                                                "s", nowMs, 4000, 0, List.of(), 0, 0, 0, Map.of()),
-                                        1_000_000)));
+        CapacityReporter reporter =
+                new CapacityReporter(new KnownCapacity(), NodeLog.silent(ownerClock));
+        reporter.setSource(this::measure);
         stream.setCapacityReporter(reporter);
         Clock clock = Clock.system();
         NodeLog out = NodeLog.silent(clock);
@@ -131,6 +128,15 @@
                 });
     }
 
+    private List<PoolRoom> measure(long nowMs) {
+        if (mFaulty) {
+            throw new IllegalStateException("fault of a test");
+        }
+        QueueCapacity capacity =
+                new QueueCapacity("s", nowMs, 4000, 0, List.of(), 0, 0, 0, Map.of());
+        return List.of(new PoolRoom(capacity, 1_000_000));
+    }
+
     @AfterMethod
     public void close() throws Exception {
         onLoop(
@@ -172,6 +178,17 @@
         await(false);
     }
 
+    @Test(timeOut = 60_000)
+    public void aFaultOfTheReportDoesNotEndTheHeartbeats() throws Exception {
+        await(true);
+        mFaulty = true;
+        await(false);
+        assertTrue(onLoop(() -> mLink.isAlive()), "the owner counts as lost");
+
+        mFaulty = false;
+        await(true);
+    }
+
     @Test(timeOut = 60_000)
     public void theOwnerIsAskedBeforeARefusal() throws Exception {
         mOwnerQueries.mRefusal = (id, callback) -> callback.accept(id.equals("unknown"));
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/CapacityReporterTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/CapacityReporterTest.java
@@ -16,10 +16,12 @@
 import org.foxtailplank.admission.QueueCapacity;
 import org.foxtailplank.admission.QueueCapacity.Joining;
 import org.foxtailplank.admission.QueueCapacity.OrganisationCapacity;
+import org.foxtailplank.node.FakeTime;
 import org.foxtailplank.node.admission.CapacitySource;
 import org.foxtailplank.node.admission.KnownCapacity;
 import org.foxtailplank.node.admission.PoolRoom;
 import org.foxtailplank.node.admission.ReportedPool;
+import org.foxtailplank.node.log.NodeLog;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -77,7 +79,7 @@
     @BeforeMethod
     public void setUp() {
         mOwn = new KnownCapacity();
-        mReporter = new CapacityReporter(mOwn);
+        mReporter = new CapacityReporter(mOwn, NodeLog.silent(new FakeTime()));
         mNowMs = 1_000_000_000;
     }
 
