--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/AdmissionGate.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/AdmissionGate.java
@@ -2,12 +2,14 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.foxtailplank.admission.AdmissionDecider;
 import org.foxtailplank.admission.AdmissionMode;
 import org.foxtailplank.admission.AdmissionSettings;
 import org.foxtailplank.admission.AdmittedShare;
+import org.foxtailplank.admission.RefusalRegister;
 import org.foxtailplank.admission.ReturnSchedule;
 import org.foxtailplank.admission.ShareDivision;
 import org.foxtailplank.admission.Verdict;
@@ -29,6 +31,10 @@
  */
 public final class AdmissionGate {
     private static final int TOO_MANY_REQUESTS = 429;
+    private static final long MS_PER_S = 1000;
+
+    /** Time before a caller's return at which its job can be stored again, in milliseconds. */
+    private static final long RETURN_MARGIN_MS = 100;
 
     private final KnownCapacity mKnown;
     private final Supplier<AdmissionSettings> mSettings;
@@ -37,6 +43,7 @@
     private final NodeLog mLog;
     private final AdmissionMetrics mMetrics;
     private final ReturnSchedule mReturns = new ReturnSchedule();
+    private final RecentSubmissions mRecent = new RecentSubmissions();
 
     /**
      * Creates the gate of a node.
@@ -59,8 +66,13 @@
         mMetrics = new AdmissionMetrics(metrics);
     }
 
-    /** Decides on a job; {@code callback} receives the reply to a refused one, else empty. */
-    void check(JobDefinition job, Consumer<Optional<HttpReply>> callback) {
+    /**
+     * Decides on a job; {@code callback} receives the reply to a refused one, else empty.
+     *
+     * @param isKnown whether this node has read the job's record, which may change while the owner
+     *     is asked
+     */
+    void check(JobDefinition job, BooleanSupplier isKnown, Consumer<Optional<HttpReply>> callback) {
         AdmissionSettings settings = mSettings.get();
         if (!settings.isOn()) {
             callback.accept(Optional.empty());
@@ -74,11 +86,15 @@
             accept(job, callback);
             return;
         }
+        double part = part(pool);
+        Optional<Integer> returnS = mReturns.returnAfterS(job, verdict, part, now);
         mOwner.mayRefuse(
                 job.id(),
+                refusalMs(returnS),
                 confirmed -> {
-                    if (confirmed) {
-                        callback.accept(Optional.of(refuse(job, verdict, part(pool))));
+                    boolean recent = mRecent.mayContain(job.id(), mClock.nowMs());
+                    if (confirmed && !recent && !isKnown.getAsBoolean()) {
+                        callback.accept(Optional.of(refuse(job, verdict, part, returnS)));
                     } else {
                         mMetrics.recordMayBeStored(job);
                         accept(job, callback);
@@ -108,16 +124,36 @@
     }
 
     private void accept(JobDefinition job, Consumer<Optional<HttpReply>> callback) {
-        long now = mClock.nowMs();
-        mReturns.accepted(job.id(), now);
-        mKnown.accepted(job, now);
+        mKnown.accepted(job, mClock.nowMs());
         callback.accept(Optional.empty());
     }
 
-    /** Records the outcome of storing a job that was accepted. */
+    /**
+     * Limits the deadline for storing a job to the time that the owner allows for it.
+     *
+     * @param deadlineMs deadline of the caller
+     */
+    long storeDeadlineMs(long deadlineMs) {
+        return mSettings.get().isOn()
+                ? Math.min(deadlineMs, mClock.nowMs() + RefusalRegister.STORE_PROTECTION_MS)
+                : deadlineMs;
+    }
+
+    /**
+     * Records the outcome of storing a job that was accepted. A refused caller whose job isn't
+     * stored keeps its place for its next attempt.
+     */
     void completed(JobDefinition job, StoreOutcome outcome) {
-        if (outcome == StoreOutcome.NOT_STORED) {
-            mKnown.unstored(job.id());
+        switch (outcome) {
+            case STORED, UNKNOWN -> {
+                long now = mClock.nowMs();
+                mReturns.accepted(job.id(), now);
+                if (mSettings.get().isOn()) {
+                    mRecent.add(job.id(), now);
+                }
+            }
+            case NOT_STORED, REFUSED -> mKnown.unstored(job.id());
+            default -> throw new IllegalStateException("unexpected outcome: " + outcome);
         }
     }
 
@@ -127,9 +163,23 @@
         return Math.max(1, part) / (double) ShareDivision.WHOLE;
     }
 
-    private HttpReply refuse(JobDefinition job, Verdict verdict, double part) {
+    /** Time for which the owner doesn't store a refused job, in milliseconds. */
+    private static int refusalMs(Optional<Integer> returnS) {
+        long ms = returnS.map(s -> s * MS_PER_S - RETURN_MARGIN_MS).orElse(Long.MAX_VALUE);
+        return (int) Math.min(RefusalRegister.MAX_REFUSAL_MS, ms);
+    }
+
+    /**
+     * Refuses a job.
+     *
+     * @param earliestS earliest return that was agreed with the owner, in seconds
+     */
+    private HttpReply refuse(
+            JobDefinition job, Verdict verdict, double part, Optional<Integer> earliestS) {
         Verdict.Estimate estimate = verdict.estimate().orElseThrow();
-        Optional<Integer> retryAfterS = mReturns.refused(job, verdict, part, mClock.nowMs());
+        Optional<Integer> plannedS = mReturns.refused(job, verdict, part, mClock.nowMs());
+        Optional<Integer> retryAfterS =
+                earliestS.flatMap(earliest -> plannedS.map(p -> Math.max(earliest, p)));
         mMetrics.recordRefused(job);
         mLog.line("job-refused")
                 .with("job", job.id())
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -25,6 +25,12 @@
 public final class JournalStream {
     private static final long HEARTBEAT_INTERVAL_MS = 200;
 
+    /**
+     * Time for which a refused job isn't stored if a follower names none, in milliseconds: callers
+     * are told to return after a second at the earliest.
+     */
+    private static final int DEFAULT_REFUSAL_MS = 900;
+
     /** Longest time a record waits in a batch, in milliseconds. */
     private static final long BATCH_DELAY_MS = 20;
 
@@ -182,6 +188,7 @@
                 case REFUSAL ->
                         mJobQueries.mayRefuse(
                                 query.name(),
+                                query.value().orElse(DEFAULT_REFUSAL_MS),
                                 ok ->
                                         reply.accept(
                                                 PeerFrame.QueryResponse.ofCount(
@@ -262,9 +269,14 @@
         // the store.
         flushOrDrop();
         addToBatch(newHeartbeat());
-        mCapacity.ifPresent(c -> c.report(token, mClock.nowMs()));
-        flush();
+        writeBatch();
         mTimers.after(HEARTBEAT_INTERVAL_MS, () -> sendHeartbeat(token));
+        // Followers would look for another owner if a fault of the report ended the heartbeats.
+        try {
+            mCapacity.ifPresent(c -> c.report(token, mClock.nowMs()));
+        } finally {
+            mFollowers.forEach(Channel::flush);
+        }
     }
 
     private PeerFrame newHeartbeat() {
@@ -296,13 +308,18 @@
 
     /** Sends the batch to all followers but slow readers, whose frames would fill the memory. */
     private void flush() {
+        writeBatch();
+        mFollowers.forEach(Channel::flush);
+    }
+
+    private void writeBatch() {
         ByteBuf frames = Unpooled.directBuffer(mBatch.readableBytes()).writeBytes(mBatch);
         mBatch.clear();
         mFlushCount++;
         mSentBytes += frames.readableBytes();
         for (Channel c : mFollowers) {
             if (c.isWritable()) {
-                c.writeAndFlush(frames.retainedDuplicate());
+                c.write(frames.retainedDuplicate());
             }
         }
         frames.release();
