Rebuild the arrivals of burst forecasts at a takeover

A new owner began without arrivals, so that it expected no turn until it had seen about two cycles, and moved VMs too late for each turn until then. Acceptance times are converted to the monotonic clock; those in the future count as now. Jobs older than the retention of ended ones are left out, as some are missing.

The takeover is a gap in the observation only if no job is known for more than a second before it. A turn that may lie in such a gap is skipped instead of being counted as missed; this also applies to the gaps of suspensions. Without pools.forecastBursts nothing is replayed.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
@@ -221,6 +221,11 @@
         pending.removeIf(j -> j.phase() != JobPhase.QUEUED);
     }
 
+    /** Wall time since which every accepted job is kept, as ended ones are removed later. */
+    public long completeSinceMs(long nowMs) {
+        return nowMs - mEndedRetentionMs;
+    }
+
     /** Removes ended jobs whose retention period is over. */
     public void removeExpired(long nowMs) {
         mJobs.values().removeIf(j -> j.endedMs() > 0 && j.endedMs() + mEndedRetentionMs < nowMs);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalHistory.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalHistory.java
@@ -8,6 +8,9 @@
     /** Intervals that are kept. A period can be learned if two of its turns are kept. */
     private static final int BINS = 640;
 
+    /** Time for which arrivals are kept, in milliseconds. */
+    static final long LENGTH_MS = BINS * BIN_MS;
+
     private final int[] mJobs = new int[BINS];
     private final double[] mMilliCores = new double[BINS];
     private long mFirst = -1;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.foxtailplank.job.JobDefinition;
+import org.foxtailplank.lease.ClockReading;
 
 /**
  * Tracks how fast the demand of each service grows by arriving jobs.
@@ -25,6 +27,7 @@
 
     private final Map<String, Deque<Arrival>> mArrivals = new HashMap<>();
 
+    private final InheritedArrivals mInherited = new InheritedArrivals();
     private Optional<BurstForecast> mForecast = Optional.empty();
 
     private record Arrival(long atMs, double milliCores) {}
@@ -34,6 +37,29 @@
         mForecast = Optional.of(forecast);
     }
 
+    /** Records the arrival of a job that is within its organisation's rate. */
+    void recordArrival(JobDefinition definition, long nowMs) {
+        if (isBatch(definition)) {
+            recordArrival(definition.service(), CoreDemand.of(definition), nowMs);
+        }
+    }
+
+    private static boolean isBatch(JobDefinition definition) {
+        return !definition.isStanding() && !definition.timetable().isTimed();
+    }
+
+    /** Notes a job that arrived before the takeover, even if it has ended, for the forecast. */
+    void inherit(JobDefinition definition, boolean entitled) {
+        if (mForecast.isPresent()) {
+            mInherited.add(definition, entitled && isBatch(definition));
+        }
+    }
+
+    /** Lets the forecast, if any, learn from the inherited jobs; returns how many have counted. */
+    int learnInherited(ClockReading now, long completeSinceMs) {
+        return mForecast.map(f -> mInherited.replay(f, now, completeSinceMs)).orElse(0);
+    }
+
     /** Records the arrival of a job that needs this many thousandths of a core. */
     void recordArrival(String service, double milliCores, long nowMs) {
         mArrivals
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/BurstForecast.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/BurstForecast.java
@@ -72,6 +72,10 @@
         } else if (mAdvancedMs / ArrivalHistory.BIN_MS == nowMs / ArrivalHistory.BIN_MS) {
             return;
         }
+        learn(nowMs);
+    }
+
+    private void learn(long nowMs) {
         if (mStartMs < 0) {
             mStartMs = nowMs;
         }
@@ -81,10 +85,30 @@
         for (ServiceTurns s : mServices.values()) {
             s.compare(nowMs).ifPresent(mResults::add);
             OptionalLong own = s.periodMs();
-            s.expectNext(own.isPresent() ? common(own.getAsLong()) : cycleMs(), nowMs);
+            s.expectNext(own.isPresent() ? common(own.getAsLong()) : cycleMs(), mGaps, nowMs);
         }
     }
 
+    /**
+     * Ends the replay of arrivals that a previous owner has seen, whose results it has reported.
+     *
+     * <p>If no job is known to have been accepted for longer than a second, the journal may lack
+     * jobs that will follow at once. A turn expected in that time can't be judged and is skipped.
+     * No forecast is dropped, as the clocks went on, unlike in a suspension.
+     *
+     * @param lastKnownMs when the last known job was accepted
+     */
+    void endReplay(long lastKnownMs, long nowMs) {
+        if (nowMs - lastKnownMs > MAX_STEP_MS) {
+            ObservationGap gap = new ObservationGap(lastKnownMs, nowMs);
+            mGaps.add(gap);
+            mIgnoreUntilMs = nowMs + CATCH_UP_MS;
+            mServices.values().forEach(s -> s.skipIfCut(gap));
+        }
+        learn(nowMs);
+        mResults.clear();
+    }
+
     /** Mean of the services' periods that are about the same, which is less noisy than one. */
     private OptionalLong common(long periodMs) {
         long toleranceMs = (long) (periodMs * MAX_DIFFERENCE);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ExpectedTurn.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ExpectedTurn.java
@@ -73,6 +73,10 @@
         return mBeginMs;
     }
 
+    long endMs() {
+        return mEndMs;
+    }
+
     /** Whether the turn has begun as expected. */
     boolean isShown() {
         return mState == State.SHOWN;
@@ -103,6 +107,11 @@
         return nowMs > mEndMs + mToleranceMs + MARGIN_MS;
     }
 
+    /** Whether one of these gaps may hide a part of the turn. */
+    boolean isCutBy(List<ObservationGap> gaps) {
+        return gaps.stream().anyMatch(g -> g.mayCut(this));
+    }
+
     /** Compares the arrivals until now with those expected. */
     void observe(long nowMs) {
         if (mState != State.EXPECTED) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ObservationGap.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ObservationGap.java
@@ -7,6 +7,15 @@
 
     /** Whether a turn may have begun or ended in the gap. */
     boolean mayCut(ArrivalTurn turn) {
-        return turn.beginMs() < toMs + MARGIN_MS && turn.endMs() > fromMs - MARGIN_MS;
+        return mayCut(turn.beginMs(), turn.endMs());
+    }
+
+    /** Whether an expected turn may begin or end in the gap. */
+    boolean mayCut(ExpectedTurn turn) {
+        return mayCut(turn.beginMs(), turn.endMs());
+    }
+
+    private boolean mayCut(long beginMs, long endMs) {
+        return beginMs < toMs + MARGIN_MS && endMs > fromMs - MARGIN_MS;
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -150,9 +150,8 @@
         JobDefinition definition = progress.definition();
         boolean entitled = mEntitlements.take(definition);
         boolean isNew = mRuns.add(progress, entitled);
-        boolean isBatch = !definition.isStanding() && !definition.timetable().isTimed();
-        if (isNew && isBatch && entitled) {
-            mArrivals.recordArrival(definition.service(), CoreDemand.of(definition), nowMs);
+        if (isNew && entitled) {
+            mArrivals.recordArrival(definition, nowMs);
         }
     }
 
@@ -171,7 +170,9 @@
      */
     public void addInheritedJob(
             JobProgress progress, Predicate<WorkerIncarnation> isOver, long nowMs) {
-        if (!mRuns.add(progress, mEntitlements.take(progress.definition()))) {
+        boolean entitled = mEntitlements.take(progress.definition());
+        mArrivals.inherit(progress.definition(), entitled);
+        if (!mRuns.add(progress, entitled)) {
             return;
         }
         Set<ActiveTask> crashed = new LinkedHashSet<>();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ServiceTurns.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ServiceTurns.java
@@ -58,6 +58,11 @@
         mExpected = Optional.empty();
     }
 
+    /** Doesn't expect a turn that a gap may hide, as it would count as missed. */
+    void skipIfCut(ObservationGap gap) {
+        mExpected = mExpected.filter(t -> !gap.mayCut(t));
+    }
+
     /** Time between the turns, if at least two have been seen and their distances agree. */
     OptionalLong periodMs() {
         return new TurnPeriod(mComplete).ms();
@@ -81,14 +86,17 @@
                                                 <= t.lengthMs() / 2);
     }
 
-    /** Begins to expect the next turn after this period, unless one is expected already. */
-    void expectNext(OptionalLong periodMs, long nowMs) {
+    /**
+     * Begins to expect the next turn after this period that no gap may hide, unless one is expected
+     * already.
+     */
+    void expectNext(OptionalLong periodMs, List<ObservationGap> gaps, long nowMs) {
         if (mExpected.isPresent() || mComplete.isEmpty() || periodMs.isEmpty()) {
             return;
         }
         long center = mComplete.get(mComplete.size() - 1).centerMs() + periodMs.getAsLong();
         ExpectedTurn next = new ExpectedTurn(mHistory, mComplete, center);
-        while (next.isOver(nowMs)) {
+        while (next.isOver(nowMs) || next.isCutBy(gaps)) {
             center += periodMs.getAsLong();
             next = new ExpectedTurn(mHistory, mComplete, center);
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.WorkerIncarnation;
+import org.foxtailplank.lease.ClockReading;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.MaintenanceWave;
 import org.foxtailplank.port.VmClient.VmInfo;
@@ -43,6 +44,17 @@
         mPoolBalancer.setForecast(forecast);
     }
 
+    /**
+     * Lets the forecast, if any, learn from the jobs that the scheduler has inherited as of the
+     * times of their acceptance; called once, after all of them have been added.
+     *
+     * @param completeSinceMs wall time since which all accepted jobs are among them
+     * @return number of arrivals that the forecast has learned from
+     */
+    public int learnInheritedArrivals(ClockReading now, long completeSinceMs) {
+        return mScheduler.arrivals().learnInherited(now, completeSinceMs);
+    }
+
     ManagedVms vms() {
         return mVms;
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -165,6 +165,7 @@
         for (JobProgress job : mContext.reader().registry().jobs()) {
             mScheduler.addInheritedJob(job, w -> hasIncarnationEnded(w, incarnations), now);
         }
+        int arrivals = mVmCoordinator.learnInheritedArrivals();
         mContext.log()
                 .line("owner-loaded")
                 .with("token", mToken)
@@ -172,6 +173,7 @@
                 .with(
                         "inheritedRuns",
                         mScheduler.workers().stream().mapToInt(w -> w.runs().size()).sum())
+                .with("inheritedArrivals", arrivals)
                 .with("journal", mContext.reader().position())
                 .write();
         mDirectory.follow();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
@@ -9,6 +9,7 @@
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.job.JournalRecord.WaveDue;
+import org.foxtailplank.lease.ClockReading;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.MaintenanceWave;
@@ -74,6 +75,13 @@
         return new CapacitySnapshots(mOwner.scheduler(), mPlanner);
     }
 
+    /** Lets the forecast learn from the jobs of the journal; returns how many have counted. */
+    int learnInheritedArrivals() {
+        ClockReading now = mClock.moment();
+        long sinceMs = mContext.reader().registry().completeSinceMs(now.wallMs());
+        return mPlanner.learnInheritedArrivals(now, sinceMs);
+    }
+
     /** Whether a call to the VM service is in flight. */
     boolean hasCallsInFlight() {
         return mCallsInFlight > 0;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -110,6 +110,50 @@
                                 result -> {}));
     }
 
+    /** The same context with forecasts of bursts, and a registry that keeps ended jobs. */
+    static OwnerContext withForecast(
+            OwnerContext context, BiConsumer<JournalRecord, Optional<JobProgress>> listener) {
+        NodeSettings s = context.settings();
+        NodeSettings settings =
+                new NodeSettings(
+                        s.name(),
+                        s.zone(),
+                        s.callers(),
+                        s.readiness(),
+                        s.metrics(),
+                        s.peers(),
+                        s.platform(),
+                        s.journal(),
+                        s.schedule(),
+                        s.vmTokensChecked(),
+                        s.link(),
+                        s.graceMs(),
+                        s.keyLifetime(),
+                        true,
+                        s.admission());
+        JournalReader reader =
+                new JournalReader(
+                        context.sharedLog(),
+                        s.journal().partitions(),
+                        context.clock(),
+                        context.timers(),
+                        context.log(),
+                        new JobRegistry(120_000),
+                        listener);
+        return new OwnerContext(
+                settings,
+                context.clock(),
+                context.timers(),
+                context.log(),
+                context.metrics(),
+                context.operator(),
+                reader,
+                context.sharedLog(),
+                context.platform(),
+                context.startRelay(),
+                context.recordForwarder());
+    }
+
     /** The same context with a relay for starts. */
     static OwnerContext withRelay(OwnerContext context, StartRelay relay) {
         return new OwnerContext(
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
@@ -44,6 +44,7 @@
     List<OwnerContext> mContexts;
     List<VmClient.VmInfo> mVms;
     List<RouteSettings> mRoutes = List.of();
+    boolean mForecastBursts;
 
     @BeforeMethod
     public void setUpFleet() {
@@ -52,6 +53,7 @@
         mWorkers = new FakeWorkers(mTime);
         mDirectory = new FakeDirectory();
         mContexts = new ArrayList<>();
+        mForecastBursts = false;
         mVms = List.of(Vms.vm("vm1", "w1"), Vms.vm("vm2", "w2"));
     }
 
@@ -100,6 +102,11 @@
                         operator,
                         platform,
                         (record, job) -> session[0].applyRecord(record, job));
+        if (mForecastBursts) {
+            context =
+                    FakeOwnerContext.withForecast(
+                            context, (record, job) -> session[0].applyRecord(record, job));
+        }
         session[0] = new OwnerSession(context, takeover, () -> {});
         mContexts.add(context);
         session[0].start();
@@ -116,6 +123,10 @@
     }
 
     static byte[] job(String id, RunMode mode) {
+        return job(id, mode, 1);
+    }
+
+    static byte[] job(String id, RunMode mode, long acceptedMs) {
         TaskStep step =
                 new TaskStep(
                         1,
@@ -134,7 +145,7 @@
                         List.of(step),
                         Timetable.AT_ONCE,
                         policy,
-                        1,
+                        acceptedMs,
                         0,
                         "");
         return JournalCodec.encode(new JobAccepted(definition));
