Encode capacity reports with small buffers and one image for each pool

Cause: each report to each follower allocated several buffers of 4 KB, the default of CodedOutputStream, and rounded and sorted each pool again.

Change: the buffers have the size that frames use, and the image of a pool is built once for each measurement; only the share and the part differ by node.

The processor time was not measured.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/admission/CapacityEncoder.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/admission/CapacityEncoder.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.foxtailplank.admission.QueueCapacity.OrganisationCapacity;
+import org.foxtailplank.node.journal.JournalCodec;
 
 /**
  * Encodes the capacity reports of one connection. Each report contains only what changed since the
@@ -62,8 +63,9 @@
      * Encodes a report; empty if there is nothing to report.
      *
      * @param pools pools with one time of measurement on the owner's clock
+     * @param images images of the pools, for the reports of one measurement to all connections
      */
-    public Optional<byte[]> encode(List<ReportedPool> pools) {
+    public Optional<byte[]> encode(List<ReportedPool> pools, ReportImages images) {
         List<ReportedPool> reported =
                 pools.subList(0, Math.min(pools.size(), CapacityFields.MAX_POOLS));
         boolean reset = isResetNeeded(reported);
@@ -75,7 +77,7 @@
         }
         mReports++;
         try {
-            return Optional.of(encode(reported, reset));
+            return Optional.of(encode(reported, images, reset));
         } catch (IOException e) {
             throw new IllegalStateException("cannot write to an in-memory buffer", e);
         }
@@ -101,9 +103,10 @@
                                                         - CapacityFields.MAX_ORGANISATIONS);
     }
 
-    private byte[] encode(List<ReportedPool> pools, boolean reset) throws IOException {
+    private byte[] encode(List<ReportedPool> pools, ReportImages images, boolean reset)
+            throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes, JournalCodec.BUFFER_BYTES);
         if (reset) {
             out.writeBool(CapacityFields.RESET, true);
         }
@@ -116,7 +119,7 @@
         List<Change> changes = new ArrayList<>();
         for (ReportedPool p : byAge) {
             PoolState state = state(p);
-            Change change = new Change(state, PoolImage.of(p), new ByteArrayOutputStream());
+            Change change = new Change(state, images.of(p), new ByteArrayOutputStream());
             writeValues(change);
             int size = change.bytes().size() + POOL_HEADER_BYTES + reservedBytes(change);
             if (size <= left) {
@@ -144,7 +147,8 @@
     /** Writes the changed values of a pool, and its name if it wasn't sent. */
     private void writeValues(Change change) throws IOException {
         PoolState state = change.state();
-        CodedOutputStream out = CodedOutputStream.newInstance(change.bytes());
+        CodedOutputStream out =
+                CodedOutputStream.newInstance(change.bytes(), JournalCodec.BUFFER_BYTES);
         if (!state.mNameSent) {
             out.writeString(CapacityFields.NAME, name(state));
         }
@@ -156,7 +160,8 @@
         }
         if (!image.joining().equals(state.mSent.joining())) {
             ByteArrayOutputStream pairs = new ByteArrayOutputStream();
-            CodedOutputStream pairsOut = CodedOutputStream.newInstance(pairs);
+            CodedOutputStream pairsOut =
+                    CodedOutputStream.newInstance(pairs, JournalCodec.BUFFER_BYTES);
             for (Map.Entry<Long, Long> e : image.joining().entrySet()) {
                 pairsOut.writeUInt64NoTag(e.getKey());
                 pairsOut.writeUInt64NoTag(e.getValue());
@@ -198,7 +203,8 @@
         PoolState state = change.state();
         int left = maxBytes;
         Map<String, OrganisationCapacity> sent = new LinkedHashMap<>();
-        CodedOutputStream out = CodedOutputStream.newInstance(change.bytes());
+        CodedOutputStream out =
+                CodedOutputStream.newInstance(change.bytes(), JournalCodec.BUFFER_BYTES);
         int reserved = reservedBytes(change);
         for (Map.Entry<String, OrganisationCapacity> e :
                 change.image().organisations().entrySet()) {
@@ -231,7 +237,7 @@
     private static byte[] organisationBytes(
             PoolState state, String name, OrganisationCapacity organisation) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes, JournalCodec.BUFFER_BYTES);
         Integer index = state.mOrganisationIndexes.get(name);
         out.writeInt32(
                 CapacityFields.INDEX, index == null ? state.mOrganisationIndexes.size() : index);
@@ -247,7 +253,7 @@
 
     private static byte[] withIndex(Change change) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes, JournalCodec.BUFFER_BYTES);
         out.writeInt32(CapacityFields.INDEX, change.state().mIndex);
         out.flush();
         change.bytes().writeTo(bytes);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/admission/PoolImage.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/admission/PoolImage.java
@@ -28,6 +28,12 @@
     static final PoolImage NONE =
             new PoolImage(List.of(0L, 0L, 0L, 0L, 0L, 0L, 0L), Map.of(), Map.of());
 
+    /** Index of the share among the values. */
+    private static final int SHARE = 5;
+
+    /** Index of the part among the values. */
+    private static final int PART = 6;
+
     /** Significant bits of work: errors below 0.8%. */
     private static final int VALUE_BITS = 8;
 
@@ -40,9 +46,8 @@
     /** Most times at which capacity joins; later ones count as the last. */
     private static final int MAX_JOINING = 6;
 
-    /** Returns the image of a pool, whose measurement is on the owner's clock. */
-    static PoolImage of(ReportedPool pool) {
-        QueueCapacity c = pool.capacity();
+    /** Returns the image of a pool without a share, whose measurement is on the owner's clock. */
+    static PoolImage of(QueueCapacity c) {
         return new PoolImage(
                 List.of(
                         c.milliCores(),
@@ -50,12 +55,20 @@
                         roundedWork(c.inTimeWork(), VALUE_BITS),
                         roundedWork(c.lateWork(), VALUE_BITS),
                         roundedWork(c.excessWork(), VALUE_BITS),
-                        roundedWork(pool.share().work(), VALUE_BITS),
-                        rounded(pool.part(), PART_BITS)),
+                        0L,
+                        0L),
                 joining(c),
                 organisations(c));
     }
 
+    /** Returns this image with the share and the part that a report says. */
+    PoolImage withShare(ReportedPool pool) {
+        List<Long> shared = new ArrayList<>(values);
+        shared.set(SHARE, roundedWork(pool.share().work(), VALUE_BITS));
+        shared.set(PART, rounded(pool.part(), PART_BITS));
+        return new PoolImage(shared, joining, organisations);
+    }
+
     /**
      * Returns the pool with a measurement at a time on the owner's clock, in another one's time.
      */
@@ -80,8 +93,8 @@
                         organisations);
         return new ReportedPool(
                 capacity,
-                new AdmittedShare(values.get(5) * CapacityFields.WORK_UNIT),
-                values.get(6).intValue());
+                new AdmittedShare(values.get(SHARE) * CapacityFields.WORK_UNIT),
+                values.get(PART).intValue());
     }
 
     private static Map<Long, Long> joining(QueueCapacity capacity) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/CapacityReporter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/CapacityReporter.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.node.admission.CapacitySource;
 import org.foxtailplank.node.admission.KnownCapacity;
 import org.foxtailplank.node.admission.PoolRoom;
+import org.foxtailplank.node.admission.ReportImages;
 import org.foxtailplank.node.admission.ReportedPool;
 import org.foxtailplank.node.log.NodeLog;
 
@@ -103,12 +104,13 @@
         try {
             mOwn.takeAcceptedWork().forEach(mSelf::add);
             Map<Participant, List<ReportedPool>> reports = divide(mSource.measure(nowMs));
+            ReportImages images = new ReportImages();
             mOwn.update(token, reports.getOrDefault(mSelf, List.of()));
             mFollowers.forEach(
                     (channel, follower) -> {
                         if (channel.isWritable() && !follower.mFailed) {
                             List<ReportedPool> report = reports.getOrDefault(follower, List.of());
-                            write(report, token, channel, follower, nowMs);
+                            write(report, images, token, channel, follower, nowMs);
                         }
                     });
         } catch (RuntimeException e) {
@@ -119,10 +121,15 @@
     }
 
     private void write(
-            List<ReportedPool> report, long token, Channel channel, Follower follower, long nowMs) {
+            List<ReportedPool> report,
+            ReportImages images,
+            long token,
+            Channel channel,
+            Follower follower,
+            long nowMs) {
         try {
             follower.mEncoder
-                    .encode(report)
+                    .encode(report, images)
                     .map(c -> new PeerFrame.CapacityReport(token, c).encode())
                     .ifPresent(channel::write);
         } catch (RuntimeException e) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/admission/CapacityEncoderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/admission/CapacityEncoderTest.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.node.admission;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -8,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.foxtailplank.admission.AdmittedShare;
 import org.foxtailplank.admission.QueueCapacity;
 import org.foxtailplank.admission.QueueCapacity.Joining;
@@ -45,8 +47,12 @@
         return new ReportedPool(capacity, new AdmittedShare(32_000), 24_576);
     }
 
+    private Optional<byte[]> encode(List<ReportedPool> pools) {
+        return mEncoder.encode(pools, new ReportImages());
+    }
+
     private List<ReportedPool> transfer(ReportedPool... pools) throws IOException {
-        byte[] bytes = mEncoder.encode(List.of(pools)).orElseThrow();
+        byte[] bytes = encode(List.of(pools)).orElseThrow();
         assertTrue(bytes.length <= MAX_BYTES, bytes.length + " bytes");
         return mDecoder.decode(bytes, OFFSET_MS);
     }
@@ -60,10 +66,23 @@
         assertEquals(transfer(sent), List.of(expected));
     }
 
+    @Test
+    public void reportsOfOneMeasurementShareTheImageOfAPool() {
+        // Guards against the sorting and rounding of organisations for each of 40 followers.
+        QueueCapacity capacity = pool("s", 5000, Map.of()).capacity();
+        ReportImages images = new ReportImages();
+        PoolImage first = images.of(new ReportedPool(capacity, new AdmittedShare(1000), 1));
+        PoolImage second = images.of(new ReportedPool(capacity, new AdmittedShare(2000), 2));
+
+        assertSame(first.organisations(), second.organisations());
+        assertSame(first.joining(), second.joining());
+        assertEquals(second.values().subList(5, 7), List.of(2L, 2L));
+    }
+
     @Test
     public void anUnchangedPoolIsReportedAsMeasuredAgain() throws IOException {
         transfer(pool("s", 5000, Map.of()));
-        byte[] bytes = mEncoder.encode(List.of(pool("s", 5000, Map.of()))).orElseThrow();
+        byte[] bytes = encode(List.of(pool("s", 5000, Map.of()))).orElseThrow();
 
         assertTrue(bytes.length <= 4, bytes.length + " bytes");
         assertEquals(mDecoder.decode(bytes, 0), List.of(pool("s", 5000, Map.of())));
@@ -110,7 +129,7 @@
         for (int i = 0; i < 8; i++) {
             pools.add(pool("another-service-" + i, 5200, Map.of()));
         }
-        byte[] bytes = mEncoder.encode(pools).orElseThrow();
+        byte[] bytes = encode(pools).orElseThrow();
         assertTrue(bytes.length <= MAX_BYTES, bytes.length + " bytes");
 
         Map<String, OrganisationCapacity> known =
@@ -126,7 +145,7 @@
         }
         Map<String, ReportedPool> known = new HashMap<>();
         for (int report = 0; report < 25; report++) {
-            byte[] bytes = mEncoder.encode(pools).orElseThrow();
+            byte[] bytes = encode(pools).orElseThrow();
             assertTrue(bytes.length <= MAX_BYTES, bytes.length + " bytes");
             mDecoder.decode(bytes, 0).forEach(p -> known.put(p.capacity().service(), p));
         }
@@ -141,12 +160,12 @@
 
         assertEquals(transfer(pool("t", 5200, Map.of())).size(), 1);
         assertEquals(transfer().size(), 0);
-        assertTrue(mEncoder.encode(List.of()).isEmpty());
+        assertTrue(encode(List.of()).isEmpty());
     }
 
     @Test
     public void nothingIsReportedWhileNoServiceHasAdmission() {
-        assertTrue(mEncoder.encode(List.of()).isEmpty());
+        assertTrue(encode(List.of()).isEmpty());
     }
 
     @Test(expectedExceptions = IOException.class)
