Check the end of the benefit of a job with a very long objective

The test passed without the limit of objectives, since an overflow of the benefit alone refused nothing; it now guards against that overflow.

Result: AdmissionDeciderTest passes.

--- a/foxtail-core/src/test/java/org/foxtailplank/admission/AdmissionDeciderTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/admission/AdmissionDeciderTest.java
@@ -95,8 +95,10 @@
 
     @Test
     public void aVeryLongObjectiveDoesNotOverflow() {
-        assertFalse(decide(TASK_MS, Long.MAX_VALUE / 2).refused());
-        assertFalse(decide(TASK_MS, Long.MAX_VALUE - 5000).refused());
+        Verdict verdict = decide(TASK_MS, Long.MAX_VALUE / 2);
+
+        assertFalse(verdict.refused());
+        assertEquals(verdict.estimate().get().benefitMs(), 3 * AdmissionDecider.MAX_OBJECTIVE_MS);
     }
 
     @Test
