Log unknown capacity at most once a second for each queue

Cause: while the owner is lost, each submission wrote a line.

Result: RefusedSubmissionTest passes.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/admission/CapacityFields.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/admission/CapacityFields.java
@@ -17,7 +17,7 @@
     static final int INDEX = 1;
     static final int NAME = 2;
 
-    /** Number of the first of {@link PoolValues}, in their order. */
+    /** Number of the first of {@link PoolImage#values}, in their order. */
     static final int FIRST_VALUE = 3;
 
     /** Joining capacity: pairs of a time in units of {@link #JOIN_UNIT_MS} and millicores. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/AdmissionGate.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/AdmissionGate.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.node.caller;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -43,6 +44,7 @@
     private final NodeLog mLog;
     private final AdmissionMetrics mMetrics;
     private final ReturnSchedule mReturns = new ReturnSchedule();
+    private final Map<String, Long> mUnknownLoggedMs = new HashMap<>();
     private final RecentSubmissions mRecent = new RecentSubmissions();
 
     /**
@@ -113,7 +115,7 @@
                         mReturns.shareFor(job, share, nowMs),
                         mReturns.returning(job.id(), nowMs),
                         nowMs);
-        if (verdict.basis() == Verdict.Basis.NO_CAPACITY) {
+        if (verdict.basis() == Verdict.Basis.NO_CAPACITY && isUnknownLogged(job.route(), nowMs)) {
             mLog.line("admission-unknown")
                     .with("job", job.id())
                     .with("queue", job.route())
@@ -123,6 +125,16 @@
         return verdict;
     }
 
+    /** Whether unknown capacity of a queue is logged now: at most once a second. */
+    private boolean isUnknownLogged(String queue, long nowMs) {
+        Long lastMs = mUnknownLoggedMs.get(queue);
+        if (lastMs != null && nowMs - lastMs < MS_PER_S) {
+            return false;
+        }
+        mUnknownLoggedMs.put(queue, nowMs);
+        return true;
+    }
+
     private void accept(JobDefinition job, Consumer<Optional<HttpReply>> callback) {
         mKnown.accepted(job, mClock.nowMs());
         callback.accept(Optional.empty());
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/RefusedSubmissionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/RefusedSubmissionTest.java
@@ -283,6 +283,17 @@
         assertTrue(output.contains("admission_queue_q_accepted_no_capacity 1.0"), output);
     }
 
+    @Test
+    public void unknownCapacityIsLoggedOnceASecond() {
+        // Guards against a line for each job while the owner is lost.
+        for (int i = 0; i < 12; i++) {
+            submitted();
+            mClock.advance(100);
+        }
+
+        assertEquals(mService.output().split("admission-unknown", -1).length - 1, 2);
+    }
+
     @Test
     public void aRestartedNodeAcceptsBeforeItsFirstReport() {
         assertEquals(submitted(), 200);
