Use the queue of a returning job's place throughout

Cause: a refusal moved the planned work in the plan of the job's present service also if its place belonged to another one.

--- a/foxtail-core/src/main/java/org/foxtailplank/admission/ReturnSchedule.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/admission/ReturnSchedule.java
@@ -48,12 +48,16 @@
     /** What is left for a job of the node's share after those that were refused before it. */
     public AdmittedShare shareFor(JobDefinition job, AdmittedShare share, long nowMs) {
         sweep(nowMs);
-        Integer queue = mQueues.get(job.service());
+        int i = mPlaces.find(PlaceTable.key(job.id()));
+        // A place keeps its queue if the operator changes the service of the job's route.
+        Integer queue =
+                i != PlaceTable.NONE
+                        ? (Integer) mPlaces.get(i).queue()
+                        : mQueues.get(job.service());
         if (queue == null) {
             return share;
         }
         ReturnPlan plan = mPlans.get(queue);
-        int i = mPlaces.find(PlaceTable.key(job.id()));
         boolean returns = i != PlaceTable.NONE && mPlaces.get(i).returnS() != PlaceTable.NONE;
         long lastS = returns ? mPlaces.get(i).returnS() - 1 : second(nowMs);
         return new AdmittedShare(share.work() - plan.due(Math.min(lastS, second(nowMs))));
--- a/foxtail-core/src/test/java/org/foxtailplank/admission/ReturnScheduleTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/admission/ReturnScheduleTest.java
@@ -38,6 +38,10 @@
 
     /** A job with an objective of 11.6 s, whose benefit ends after 34.8 s. */
     private static JobDefinition job(String id) {
+        return job(id, "surveys");
+    }
+
+    private static JobDefinition job(String id, String service) {
         TaskStep step =
                 new TaskStep(
                         10,
@@ -49,7 +53,7 @@
         return new JobDefinition(
                 id,
                 "queue",
-                "surveys",
+                service,
                 "text",
                 List.of(step),
                 Timetable.AT_ONCE,
@@ -97,6 +101,16 @@
         }
     }
 
+    @Test
+    public void aPlaceStaysInItsQueueIfTheServiceOfItsRouteChanges() {
+        // Guards against work that is due in one pool and removed from the plan of another.
+        assertEquals(refuse("a", 12, NOW_MS), Optional.of(12));
+        long lateMs = NOW_MS + 13_000;
+        mSchedule.refused(job("a", "reports"), verdict("a", 15, lateMs), 1, lateMs);
+
+        assertEquals(shareLeftFor("new", lateMs), SHARE.work());
+    }
+
     @Test
     public void nodesShareTheCapacityForReturns() {
         Map<Integer, Integer> bySecond = new HashMap<>();
