--- a/foxtail-node/src/main/java/org/foxtailplank/node/AdmissionSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/AdmissionSettingsReader.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.foxtailplank.adapter.PlatformAgreements;
 import org.foxtailplank.admission.AdmissionMode;
 import org.foxtailplank.admission.AdmissionSettings;
 
@@ -15,26 +14,22 @@
     private static final String MODE = "/jobs/admission";
     private static final String MODES_BY_QUEUE = "/jobs/admissionByQueue";
     private final JsonNode mTree;
-    private final List<String> mAgreements;
     private final List<String> mProblems;
 
     /**
      * Creates a reader.
      *
-     * @param agreements agreements that the platform names for the deployment
      * @param problems receives a line for each value that is not valid
      */
-    AdmissionSettingsReader(JsonNode tree, List<String> agreements, List<String> problems) {
+    AdmissionSettingsReader(JsonNode tree, List<String> problems) {
         mTree = tree;
-        mAgreements = agreements;
         mProblems = problems;
     }
 
     AdmissionSettings read() {
         JsonNode mode = mTree.at(MODE);
         return new AdmissionSettings(
-                mode.isMissingNode() ? PlatformAgreements.admission(mAgreements) : mode(MODE, mode),
-                modesByQueue());
+                mode.isMissingNode() ? AdmissionMode.OFF : mode(MODE, mode), modesByQueue());
     }
 
     private Map<String, AdmissionMode> modesByQueue() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -85,7 +85,7 @@
                 secondsAsMs("/node/graceS"),
                 keyLifetime("/callers/keyRevocationMs"),
                 flag("/pools/forecastBursts", PlatformAgreements.forecastsBursts(agreements)),
-                new AdmissionSettingsReader(mTree, agreements, mProblems).read());
+                new AdmissionSettingsReader(mTree, mProblems).read());
     }
 
     private String text(String path) {
