Count memory as scarce only if it leaves under half of the cores

Cause: the mean demand of the few tasks that happen to wait varies, so that workers whose memory suffices counted with fewer cores at one decision than at the next.

Change: memory counts only where the cores that it admits are under half of those left, as beside standing tasks that fill it. BatchCapacityTest and TurnStartTest pass unchanged.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/BatchCapacity.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/BatchCapacity.java
@@ -9,22 +9,29 @@
  * Cores alone would count these as capacity, so that pools would request too few VMs and more jobs
  * would be selected than can be done in time. The capacity is the number of typical tasks that the
  * scarcest of cores, memory and accelerators admits, times the cores of such a task. Where cores
- * are scarce, it is the cores.
+ * are scarce, or memory is hardly scarcer, it is the cores.
  *
  * @param demand total demand of the tasks, of which only the proportions count
  * @param needsAccelerators whether each of the tasks needs accelerators
  */
 record BatchCapacity(Resources demand, boolean needsAccelerators) {
+    /**
+     * Share of the cores up to which memory counts as scarce. Smaller differences are within the
+     * variation of the mean demand while few tasks wait.
+     */
+    private static final double SCARCE_SHARE = 0.5;
+
     /** Capacity for tasks of unknown demand: the cores. */
     static final BatchCapacity CORES = new BatchCapacity(Resources.NONE, false);
 
     /** Capacity that these resources have for such tasks, in thousandths of a core. */
     long milliCores(Resources left) {
-        long capacity = left.milliProcessors();
+        long cores = left.milliProcessors();
         if (demand.milliProcessors() == 0) {
-            return capacity;
+            return cores;
         }
-        capacity = Math.min(capacity, limit(left.memoryBytes(), demand.memoryBytes()));
+        long byMemory = limit(left.memoryBytes(), demand.memoryBytes());
+        long capacity = byMemory < SCARCE_SHARE * cores ? byMemory : cores;
         // A worker without accelerators still serves the tasks that do without them.
         boolean acceleratorsCount = needsAccelerators || left.accelerators() > 0;
         return acceleratorsCount
