--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
@@ -12,8 +12,8 @@
  * Tracks how fast the demand of each service grows by arriving jobs.
  *
  * <p>A burst begins within a few arrivals, and each tenth of a second by which VMs are moved later
- * makes the first jobs late. So the rate counts from the first arrival if all of the window's
- * arrivals are more recent than its beginning.
+ * makes the first jobs late. So where bursts are forecast, the rate counts from the first arrival
+ * if all of the window's arrivals are more recent than its beginning.
  */
 final class ArrivalRate {
     /** Length of the sliding window, in milliseconds; short compared with a burst. */
@@ -81,7 +81,7 @@
         for (Arrival a : arrivals) {
             sum += a.milliCores();
         }
-        return sum / windowMs(arrivals, nowMs);
+        return sum / (mForecast.isPresent() ? windowMs(arrivals, nowMs) : WINDOW_MS);
     }
 
     /** Time over which the arrivals came: from one mean interval before the first one. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.Optional;
-import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.CrashHistory;
 import org.foxtailplank.job.PlacementConstraints;
 
@@ -13,8 +12,8 @@
  * standing task those whose VM need not be rebooted, then those in the rack of the data or, if the
  * step should keep together, of its other tasks. Batch tasks of a job go to the same zone if it has
  * room, so that the loss of a zone delays a part of the jobs and not nearly all of them. Among
- * equals it selects the fullest worker that fits, by cores and memory, which leaves room for large
- * tasks and frees whole VMs.
+ * equals it selects the fullest worker that fits, which leaves room for large tasks and frees whole
+ * VMs.
  *
  * <p>Tasks that may crash their worker are spread over workers, so that a further crash tells which
  * of them it was. After two crashes such a task gets a worker without another suspect, where little
@@ -37,9 +36,6 @@
     /** A crash ends the standing tasks of the worker. */
     private static final double STANDING_LOSS_COST = 20;
 
-    /** Orders workers on which a task takes all that is left of one resource. */
-    private static final double TIE_WEIGHT = 0.01;
-
     /** A crash ends the other tasks of the worker. */
     private static final double RUN_LOSS_COST = 1;
 
@@ -126,24 +122,8 @@
         if (!task.spec().mode().standing()) {
             cost += ZONE_COST * task.step().job().distanceTo(worker.info().zone());
         }
-        return cost + shareLeft(task, worker);
-    }
-
-    /**
-     * Product of the shares of the worker's cores and memory that the task leaves. Where tasks
-     * compete for memory too, the free cores alone would put small tasks on workers whose memory a
-     * large task needs.
-     */
-    private static double shareLeft(ActiveTask task, WorkerState worker) {
-        Resources capacity = worker.info().capacity();
-        Resources left = worker.free().minus(task.spec().reserved());
-        double cores = share(left.milliProcessors(), capacity.milliProcessors());
-        double memory = share(left.memoryBytes(), capacity.memoryBytes());
-        return cores * memory + TIE_WEIGHT * (cores + memory);
-    }
-
-    private static double share(long left, long capacity) {
-        return capacity <= 0 ? 1 : (double) left / capacity;
+        double free = worker.free().milliProcessors();
+        return cost + free / Math.max(1, worker.info().capacity().milliProcessors());
     }
 
     static boolean isRemote(ActiveTask task, WorkerState worker) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/ArrivalRateTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/ArrivalRateTest.java
@@ -15,6 +15,7 @@
     @BeforeMethod
     public void setUp() {
         mRate = new ArrivalRate();
+        mRate.setForecast(new BurstForecast());
     }
 
     @Test
@@ -57,4 +58,15 @@
 
         assertEquals(sum / samples, MILLI_CORES / 40, 0.1 * MILLI_CORES / 40);
     }
+
+    @Test
+    public void arrivalsCountOverTheWholeWindowWithoutForecasts() {
+        // Guards against other decisions on deployments that don't ask for forecasts.
+        mRate = new ArrivalRate();
+        for (long t = 1000; t <= 1160; t += 40) {
+            mRate.recordArrival(SERVICE, MILLI_CORES, t);
+        }
+
+        assertEquals(mRate.growthPerMs(SERVICE, 1180), 5 * MILLI_CORES / 400);
+    }
 }
