--- a/review/standin/Day.java
+++ b/review/standin/Day.java
@@ -10,6 +10,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
@@ -22,6 +25,7 @@
     private static final long IDLE_MS = 3_000;
     private static final long ANSWERS_MS = 12_000;
     private static final int TRIES = 5;
+    private static final int CONSUMERS = 50;
     private static final int NODES = 3;
     private static final long RETRY_MS = 300;
     private static final long CPU = 64_000;
@@ -282,23 +286,30 @@
         List<String> unknown = new ArrayList<>();
         Map<String, Integer> states = new TreeMap<>();
         long until = mRecorder.nowMs() + ANSWERS_MS;
-        accepted.parallelStream()
-                .forEach(
-                        j -> {
-                            Nodes.Answer answer = ask(j, until);
-                            synchronized (states) {
-                                states.merge(answer.toString(), 1, Integer::sum);
-                                boolean wrong =
-                                        answer.status() != 200
-                                                || answer.body().contains("failed")
-                                                || answer.body().contains("cancelled")
-                                                || answer.body().contains("completed")
-                                                        && !isDone(j);
-                                if (wrong) {
-                                    unknown.add("job " + j.id() + ": GET answered " + answer);
-                                }
+        ExecutorService consumers = Executors.newFixedThreadPool(CONSUMERS);
+        for (Job j : accepted) {
+            consumers.execute(
+                    () -> {
+                        Nodes.Answer answer = ask(j, until);
+                        boolean wrong =
+                                answer.status() != 200
+                                        || answer.body().contains("failed")
+                                        || answer.body().contains("cancelled")
+                                        || answer.body().contains("completed") && !isDone(j);
+                        synchronized (states) {
+                            states.merge(answer.toString(), 1, Integer::sum);
+                            if (wrong) {
+                                unknown.add("job " + j.id() + ": GET answered " + answer);
                             }
-                        });
+                        }
+                    });
+        }
+        consumers.shutdown();
+        try {
+            consumers.awaitTermination(2 * ANSWERS_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
         mRecorder.line("states at the end " + states);
         return unknown;
     }
--- a/review/standin/Nodes.java
+++ b/review/standin/Nodes.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -10,11 +11,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** The project's nodes as processes of their own, started with the command of the deploy file. */
 final class Nodes implements AutoCloseable {
     static final String HOST = "jobs.example";
     private static final long RESTART_DELAY_MS = 1000;
+    private static final int PORTS = 4;
+    private static final int MIN_PORT = 12_000;
+    private static final int MAX_PORT = 32_000;
 
     static {
         System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
@@ -117,13 +122,21 @@
         }
     }
 
+    /**
+     * Returns ports that are free and that the system doesn't give to outgoing connections, so that
+     * a node that starts again finds its own ports free.
+     */
     private static int[] freePorts() throws IOException {
-        int[] ports = new int[4];
+        int[] ports = new int[PORTS];
         List<ServerSocket> open = new ArrayList<>();
-        for (int i = 0; i < ports.length; i++) {
-            ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-            open.add(s);
-            ports[i] = s.getLocalPort();
+        while (open.size() < PORTS) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try {
+                open.add(new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1")));
+                ports[open.size() - 1] = port;
+            } catch (BindException e) {
+                // Another process has it.
+            }
         }
         for (ServerSocket s : open) {
             s.close();
