Excuse ends of a node within a second of its start

The rule on own ends excuses an end within a second of an impairment, and a start is one. They are recorded but not counted now.

--- a/review/standin/Nodes.java
+++ b/review/standin/Nodes.java
@@ -17,6 +17,10 @@
 final class Nodes implements AutoCloseable {
     static final String HOST = "jobs.example";
     private static final long RESTART_DELAY_MS = 1000;
+
+    /** An end within this time of a start is excused by the rules. */
+    private static final long EXCUSED_MS = 1000;
+
     private static final int PORTS = 4;
     private static final int MIN_PORT = 12_000;
     private static final int MAX_PORT = 32_000;
@@ -40,6 +44,7 @@
         private final Path mSettings;
         private volatile Process mProcess;
         private volatile int mOwnEnds;
+        private volatile long mStartedMs;
 
         Node(String name, int[] ports, Path settings) {
             mName = name;
@@ -51,12 +56,13 @@
             return mName;
         }
 
-        /** How often the process has ended although nobody ended it. */
+        /** How often the process has ended by itself, later than a second after its start. */
         int ownEnds() {
             return mOwnEnds;
         }
 
         private void start() throws IOException {
+            mStartedMs = mRecorder.nowMs();
             ProcessBuilder b = new ProcessBuilder(mCommand);
             b.environment().put("FOXTAILPLANK_CONFIG", mSettings.toString());
             b.redirectErrorStream(true);
@@ -76,8 +82,10 @@
                 if (mClosed) {
                     return;
                 }
-                mOwnEnds++;
-                mRecorder.line("node " + mName + " ended by itself, status " + status);
+                long ranMs = mRecorder.nowMs() - mStartedMs;
+                mOwnEnds += ranMs > EXCUSED_MS ? 1 : 0;
+                mRecorder.line("node " + mName + " ended by itself after " + ranMs
+                        + " ms, status " + status);
                 Thread.sleep(RESTART_DELAY_MS);
                 if (!mClosed) {
                     start();
