Renew expired tickets of recorded starts

Callers saw jobs of a queue with placement advice stop for good between two steps: after the store had been down for 4.5 s, nothing of 3 to 5 accepted jobs ran any more, with the allowed workers idle.

Cause: the starts of the second step were planned with valid tickets, but their record was stored only after the tickets had expired. The starts were sent without a ticket and rejected. The rejected ticket was removed from a map, while the worker stayed in the set of workers that had been asked about, which is how a denied worker looked. So no further ticket was ever requested.

Change: WorkerAdvice, one for each worker of a step, replaces the set and the map, and a rejected ticket leads back to "not asked". A recorded start without a valid ticket is held under its attempt number until it has another one, wherever it waited: for its record, the link, a lease, a relay or an answer. A gang is held as a whole. A ticket isn't used in the last tenth of its validity period.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
@@ -1,29 +1,31 @@
 package org.foxtailplank.schedule;
 
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.WorkerIncarnation;
 
 /** A step in one run of an active job. */
 public final class ActiveStep {
+    /**
+     * A ticket isn't used in this fraction of its validity period before its end, which covers the
+     * way of the advice to the owner and of the start to its worker.
+     */
+    private static final int TRANSIT_SHARE = 10;
+
     private final ActiveRun mRun;
     private final int mNumber;
     private final TaskStep mSpec;
-    private final Map<WorkerIncarnation, Ticket> mTickets = new HashMap<>();
+    private final Map<WorkerIncarnation, WorkerAdvice> mAdvice = new HashMap<>();
     private final ObservedRunTime mRunTime = new ObservedRunTime();
-    private final Set<WorkerIncarnation> mAskedWorkers = new HashSet<>();
 
     private List<ActiveTask> mTasks = List.of();
     private int mRemainingTasks;
     private boolean mAdvicePending;
 
-    private record Ticket(String text, long untilMs) {}
-
     ActiveStep(ActiveRun run, int number, TaskStep spec) {
         mRun = run;
         mNumber = number;
@@ -100,15 +102,40 @@
         return count;
     }
 
+    /** Whether starts of this step need a ticket of the placement advice service. */
+    boolean needsTickets() {
+        return job().definition().policy().advice().isPresent();
+    }
+
+    /** What the advice service has said about this step on a worker. */
+    WorkerAdvice advice(WorkerIncarnation worker) {
+        return mAdvice.getOrDefault(worker, WorkerAdvice.NOT_ASKED);
+    }
+
     Optional<String> ticket(WorkerIncarnation worker, long nowMs) {
-        return Optional.ofNullable(mTickets.get(worker))
-                .filter(t -> t.untilMs() > nowMs)
-                .map(Ticket::text);
+        return Optional.of(advice(worker))
+                .filter(a -> a.hasValidTicket(nowMs))
+                .map(WorkerAdvice::ticket);
     }
 
-    /** Whether the advice service has not been asked about the worker or has allowed it. */
-    boolean mayRequestAdvice(WorkerIncarnation worker) {
-        return !mAskedWorkers.contains(worker) || mTickets.containsKey(worker);
+    /**
+     * Recorded starts that wait for a ticket: theirs expired before they could be sent, or the
+     * worker has rejected it.
+     */
+    List<TaskRun> startsWithoutTicket(long nowMs) {
+        List<TaskRun> starts = new ArrayList<>();
+        if (!needsTickets()) {
+            return starts;
+        }
+        for (ActiveTask t : mTasks) {
+            for (TaskRun r : t.runs()) {
+                boolean due = r.phase() == RunPhase.STARTING && r.isCommandDue();
+                if (due && !advice(r.worker().incarnation()).hasValidTicket(nowMs)) {
+                    starts.add(r);
+                }
+            }
+        }
+        return starts;
     }
 
     boolean isAdvicePending() {
@@ -123,15 +150,17 @@
      * Records the advice on these workers; it stays valid for a worker's incarnation.
      *
      * @param tickets tickets by worker ID
+     * @param validMs validity period of the tickets, in milliseconds
      */
-    void recordAdvice(List<WorkerIncarnation> asked, Map<String, String> tickets, long untilMs) {
+    void recordAdvice(
+            List<WorkerIncarnation> asked, Map<String, String> tickets, long validMs, long nowMs) {
+        long untilMs = nowMs + validMs - validMs / TRANSIT_SHARE;
         mAdvicePending = false;
-        mAskedWorkers.addAll(asked);
         for (WorkerIncarnation worker : asked) {
-            String text = tickets.get(worker.id());
-            if (text != null) {
-                mTickets.put(worker, new Ticket(text, untilMs));
-            }
+            String ticket = tickets.get(worker.id());
+            mAdvice.put(
+                    worker,
+                    ticket == null ? WorkerAdvice.DENIED : WorkerAdvice.allowed(ticket, untilMs));
         }
     }
 
@@ -140,7 +169,8 @@
         mAdvicePending = false;
     }
 
-    void removeTicket(WorkerIncarnation worker) {
-        mTickets.remove(worker);
+    /** Discards the ticket that a worker has rejected, so that another one is requested. */
+    void discardTicket(WorkerIncarnation worker) {
+        mAdvice.remove(worker);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
@@ -16,9 +16,11 @@
             if (w.isOverCapacity()) {
                 withdrawStarts(w, runs, nowMs);
             }
+            withdrawDeniedStarts(w, runs, nowMs);
             boolean full = w.isOverCapacity();
             for (TaskRun r : w.runs()) {
-                boolean held = full && r.phase() == RunPhase.STARTING;
+                boolean starting = r.phase() == RunPhase.STARTING;
+                boolean held = starting && (full || lacksTicket(r, nowMs));
                 if (!held && r.isCommandDue() && nowMs - r.lastCommandMs() >= RESEND_MS) {
                     send(r, out, nowMs);
                 }
@@ -34,15 +36,52 @@
         for (TaskRun r : List.copyOf(worker.runs())) {
             boolean due = r.phase() == RunPhase.STARTING && r.isCommandDue();
             if (due && worker.isOverCapacityAfterStops()) {
-                if (r.isUncertain()) {
-                    r.requestStop("no longer fits its worker", nowMs);
-                } else {
-                    runs.removeRun(r);
-                }
+                withdraw(r, "no longer fits its worker", runs, nowMs);
             }
         }
     }
 
+    private static void withdraw(TaskRun run, String reason, RunTable runs, long nowMs) {
+        if (run.isUncertain()) {
+            run.requestStop(reason, nowMs);
+        } else {
+            runs.removeRun(run);
+        }
+    }
+
+    /** Withdraws starts that waited for another ticket and were denied it. */
+    private static void withdrawDeniedStarts(WorkerState worker, RunTable runs, long nowMs) {
+        for (TaskRun r : List.copyOf(worker.runs())) {
+            boolean due = r.phase() == RunPhase.STARTING && r.isCommandDue();
+            if (due && isDenied(r, nowMs)) {
+                withdraw(r, "denied by the placement advice", runs, nowMs);
+            }
+        }
+    }
+
+    /** Whether a start, or that of another member of its gang, was denied a ticket. */
+    private static boolean isDenied(TaskRun run, long nowMs) {
+        ActiveStep step = run.task().step();
+        boolean gang = step.spec().placement().gang();
+        return step.startsWithoutTicket(nowMs).stream()
+                .filter(r -> gang || r == run)
+                .anyMatch(r -> step.advice(r.worker().incarnation()).isDenied());
+    }
+
+    /**
+     * Whether a start has to wait for a ticket. The members of a gang wait for each other's, since
+     * those that have started give up if the others don't join them in time.
+     */
+    private static boolean lacksTicket(TaskRun run, long nowMs) {
+        ActiveStep step = run.task().step();
+        if (!step.needsTickets()) {
+            return false;
+        }
+        return step.spec().placement().gang()
+                ? !step.startsWithoutTicket(nowMs).isEmpty()
+                : step.ticket(run.worker().incarnation(), nowMs).isEmpty();
+    }
+
     private static void send(TaskRun run, Decisions out, long nowMs) {
         if (run.phase() == RunPhase.STOPPING) {
             out.stops().add(run);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -332,7 +332,7 @@
                 dropRefusedRun(run, nowMs);
             }
             case NO_TICKET -> {
-                run.task().step().removeTicket(worker.incarnation());
+                run.task().step().discardTicket(worker.incarnation());
                 dropRefusedRun(run, nowMs);
             }
             case NOT_SENT -> {
@@ -384,7 +384,7 @@
     public void adviceAnswered(Decisions.AdviceRequest request, Advice advice, long nowMs) {
         if (advice.answered()) {
             request.step()
-                    .recordAdvice(request.workers(), advice.tickets(), nowMs + advice.validMs());
+                    .recordAdvice(request.workers(), advice.tickets(), advice.validMs(), nowMs);
         } else {
             request.step().recordAdviceFailure();
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
@@ -34,7 +34,7 @@
             OrganisationCaps caps,
             Decisions out,
             long nowMs) {
-        if (step.job().definition().policy().advice().isPresent()) {
+        if (step.needsTickets()) {
             AdviceRequests.request(step, workers, out, nowMs);
         }
         if (step.spec().placement().gang()) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -93,7 +93,7 @@
     }
 
     private static boolean hasTicket(ActiveTask task, WorkerState worker, long nowMs) {
-        return task.step().job().definition().policy().advice().isEmpty()
+        return !task.step().needsTickets()
                 || task.step().ticket(worker.incarnation(), nowMs).isPresent();
     }
 
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.AdviceTiming;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
@@ -164,6 +165,30 @@
                 organisation);
     }
 
+    /** The same job on a queue whose starts need tickets of the placement advice service. */
+    static JobDefinition withAdvice(
+            JobDefinition definition, long baseMs, long perWorkerMs, long validMs) {
+        QueuePolicy plain = definition.policy();
+        QueuePolicy policy =
+                new QueuePolicy(
+                        plain.priority(),
+                        plain.maxAttempts(),
+                        plain.stretch(),
+                        plain.sloMs(),
+                        Optional.of(new AdviceTiming(baseMs, perWorkerMs, validMs)));
+        return new JobDefinition(
+                definition.id(),
+                definition.route(),
+                definition.service(),
+                definition.text(),
+                definition.steps(),
+                definition.timetable(),
+                policy,
+                definition.acceptedMs(),
+                definition.configVersion(),
+                definition.organisation());
+    }
+
     JobProgress accept(JobDefinition definition) {
         JobProgress progress = mRegistry.apply(new JobAccepted(definition)).orElseThrow();
         mScheduler.addJob(progress, mNowMs);
