--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
@@ -27,6 +27,9 @@
         long acceptedMs,
         long configVersion,
         String organisation) {
+    /** Most tasks of a job, over all runs of its steps. */
+    public static final int MAX_TASKS = Integer.MAX_VALUE;
+
     public JobDefinition {
         steps = List.copyOf(steps);
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/job/Timetable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/Timetable.java
@@ -15,6 +15,13 @@
         return startMs > 0;
     }
 
+    /** Whether the time of the last run can be represented. */
+    public boolean isInRange() {
+        return startMs >= 0
+                && periodMs >= 0
+                && (runs < 2 || periodMs <= (Long.MAX_VALUE - startMs) / (runs - 1));
+    }
+
     /** When a run is due, in milliseconds since the epoch; 0 for immediately. */
     public long dueMs(int run) {
         return isTimed() ? startMs + run * periodMs : 0;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobDefinitionCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JobDefinitionCodec.java
@@ -99,7 +99,7 @@
                 organisation);
     }
 
-    /** Rejects invalid dependencies, and task counts whose positions would overflow an int. */
+    /** Rejects invalid dependencies, and more tasks than a job may have. */
     private static void validateSteps(List<TaskStep> steps, long runs) throws IOException {
         long tasks = 0;
         for (int s = 0; s < steps.size(); s++) {
@@ -109,8 +109,8 @@
                 require(dependency >= 0 && dependency < s, "dependency of step " + s);
             }
         }
-        require(tasks > 0 && tasks <= Integer.MAX_VALUE, "total task count");
-        require(runs > 0 && runs <= Integer.MAX_VALUE / tasks, "run count");
+        require(tasks > 0 && tasks <= JobDefinition.MAX_TASKS, "total task count");
+        require(runs > 0 && runs <= JobDefinition.MAX_TASKS / tasks, "run count");
     }
 
     private static void require(boolean valid, String subject) throws IOException {
