Hold only the due runs of a recurring job

Callers saw all jobs stop: one accepted job of one task with 525,600 runs (each minute for a year) ended each node that owned it with OutOfMemoryError, again after each restart.

Cause: ActiveJob created all runs with their tasks when the job was added, and each decision went over all of them, done ones included.

Overdue runs are opened oldest first, while fewer than 256 tasks of the job wait. The demand of a pool counts those that aren't open. JobProgress replaces the progress of a done run by its number, kept as ranges. Runs of a timetable without a start time are due by their period. Failed attempts of done tasks are forgotten.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobDefinition.java
@@ -52,15 +52,14 @@
         return sum;
     }
 
-    /** Position of a task among all tasks of the job. */
+    /** Position of a task among those of its run. */
     public int position(TaskName task) {
-        return task.run() * tasksPerRun() + firstPosition(task.step()) + task.index();
+        return firstPosition(task.step()) + task.index();
     }
 
-    /** The task at a position among all tasks of the job. */
-    public TaskName task(int position) {
-        int run = position / tasksPerRun();
-        int rest = position % tasksPerRun();
+    /** The task at a position among those of a run. */
+    public TaskName task(int run, int position) {
+        int rest = position;
         int step = 0;
         while (rest >= steps.get(step).tasks()) {
             rest -= steps.get(step).tasks();
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
@@ -1,23 +1,20 @@
 package org.foxtailplank.job;
 
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** State of one job, replayed from the journal. */
 public final class JobProgress {
     private final JobDefinition mDefinition;
-    private final BitSet mDoneTasks = new BitSet();
-    private final Map<Integer, Set<Integer>> mFailedAttempts = new HashMap<>();
-    private final Map<Integer, JournalRecord.StartedRun> mLastStarts = new HashMap<>();
-    private final Map<Integer, JournalRecord.StartedRun> mEndedWithWorker = new HashMap<>();
-    private final Set<Long> mEndedAttempts = new HashSet<>();
-    private final int mTaskCount;
+    private final RunRanges mDoneRuns = new RunRanges();
+
+    /** Progress of the runs that are not done, by their numbers. */
+    private final Map<Integer, RunProgress> mOpenRuns = new LinkedHashMap<>();
 
     private long mCancelledMs;
     private long mSnapshotMs;
@@ -29,7 +26,6 @@
     JobProgress(JobDefinition definition) {
         mDefinition = definition;
         mSnapshotMs = definition.acceptedMs();
-        mTaskCount = definition.tasksPerRun() * definition.timetable().runs();
     }
 
     public JobDefinition definition() {
@@ -45,23 +41,14 @@
     public JournalRecord.JobSnapshot snapshot(long nowMs) {
         mSnapshotMs = nowMs;
         List<JournalRecord.EndedRun> ends = new ArrayList<>();
-        mDoneTasks.stream()
-                .forEach(p -> ends.add(endedRun(mDefinition.task(p), 0, RunOutcome.DONE)));
-        mFailedAttempts.forEach(
-                (p, attempts) ->
-                        attempts.forEach(
-                                a ->
-                                        ends.add(
-                                                endedRun(
-                                                        mDefinition.task(p),
-                                                        a,
-                                                        RunOutcome.FAILED))));
+        mOpenRuns.values().forEach(r -> r.forEachEnd(mEndedMs, ends::add));
         return new JournalRecord.JobSnapshot(
-                mDefinition, List.copyOf(mLastStarts.values()), ends, mCancelledMs, mGivenUpMs);
-    }
-
-    private JournalRecord.EndedRun endedRun(TaskName task, int attempt, RunOutcome outcome) {
-        return new JournalRecord.EndedRun(task, attempt, outcome, mEndedMs);
+                mDefinition,
+                lastStarts(),
+                ends,
+                new JournalRecord.DoneRuns(mDoneRuns.ranges(), mEndedMs),
+                mCancelledMs,
+                mGivenUpMs);
     }
 
     /** Current phase of the job. */
@@ -72,7 +59,7 @@
         if (mFailed) {
             return JobPhase.FAILED;
         }
-        if (!mDefinition.isStanding() && mDoneTasks.cardinality() == mTaskCount) {
+        if (mDoneRuns.count() == mDefinition.timetable().runs()) {
             return JobPhase.COMPLETED;
         }
         return mStarted ? JobPhase.RUNNING : JobPhase.QUEUED;
@@ -80,12 +67,30 @@
 
     /** Whether a task has ended with {@link RunOutcome#DONE}. */
     public boolean isDone(TaskName task) {
-        return mDoneTasks.get(mDefinition.position(task));
+        return isRunDone(task.run()) || openRun(task).map(r -> r.isDone(task)).orElse(false);
+    }
+
+    /** Whether all tasks of a run of the steps are done. */
+    public boolean isRunDone(int run) {
+        return mDoneRuns.contains(run);
+    }
+
+    /** Number of the first run of the steps from {@code run} on that is not done. */
+    public int firstUndoneRun(int run) {
+        return mDoneRuns.firstMissing(run);
     }
 
-    /** Numbers of the failed attempts of a task. */
+    /** Numbers of the failed attempts of a task; empty once its run of the steps is done. */
     public Set<Integer> failedAttempts(TaskName task) {
-        return Set.copyOf(mFailedAttempts.getOrDefault(mDefinition.position(task), Set.of()));
+        return openRun(task).map(r -> Set.copyOf(r.failedAttempts(task))).orElse(Set.of());
+    }
+
+    private Optional<RunProgress> openRun(TaskName task) {
+        return Optional.ofNullable(mOpenRuns.get(task.run()));
+    }
+
+    private RunProgress openedRun(TaskName task) {
+        return mOpenRuns.computeIfAbsent(task.run(), r -> new RunProgress(mDefinition, r));
     }
 
     /** When the job reached a final phase, in milliseconds since the epoch; 0 before that. */
@@ -114,14 +119,16 @@
      * the start command may never arrive.
      */
     void recordStart(JournalRecord.StartedRun run) {
-        if (mDefinition.contains(run.task())) {
-            mLastStarts.merge(
-                    mDefinition.position(run.task()),
-                    run,
-                    (a, b) -> a.attempt() > b.attempt() ? a : b);
+        if (isOpen(run.task())) {
+            openedRun(run.task()).recordStart(run);
         }
     }
 
+    /** Whether the job contains the task and its run of the steps is not done. */
+    private boolean isOpen(TaskName task) {
+        return mDefinition.contains(task) && !isRunDone(task.run());
+    }
+
     /** Marks the job as started, once a worker has reported the start of a task. */
     void markStarted() {
         mStarted = true;
@@ -134,81 +141,86 @@
 
     /** Records that a run has ended because its worker's incarnation did. */
     void recordEndWithWorker(JournalRecord.StartedRun run) {
-        if (mDefinition.contains(run.task())) {
-            mEndedAttempts.add(attemptKey(run.task(), run.attempt()));
-            mEndedWithWorker.merge(
-                    mDefinition.position(run.task()),
-                    run,
-                    (a, b) -> a.attempt() > b.attempt() ? a : b);
+        if (isOpen(run.task())) {
+            openedRun(run.task()).recordEndWithWorker(run);
         }
     }
 
     /** The last run of each task that ended with its worker. */
     public Collection<JournalRecord.StartedRun> endedWithWorker() {
-        return mEndedWithWorker.values();
+        List<JournalRecord.StartedRun> ended = new ArrayList<>();
+        mOpenRuns.values().forEach(r -> ended.addAll(r.endedWithWorker()));
+        return ended;
     }
 
     /** Crashes of workers that a task may have caused, as recorded up to its last start. */
     public CrashHistory crashes(JournalRecord.StartedRun lastStart) {
-        JournalRecord.StartedRun ended =
-                mEndedWithWorker.get(mDefinition.position(lastStart.task()));
-        if (ended != null && ended.attempt() >= lastStart.attempt()) {
-            return ended.crashes();
-        }
-        return hasEnded(lastStart) ? CrashHistory.NONE : lastStart.crashes();
+        return openRun(lastStart.task()).map(r -> r.crashes(lastStart)).orElse(CrashHistory.NONE);
     }
 
-    /** The last recorded start of each started task; that run may have ended since. */
-    public Collection<JournalRecord.StartedRun> lastStarts() {
-        return mLastStarts.values();
+    /**
+     * The last recorded start of each started task whose run of the steps is not done; that run of
+     * the task may have ended since.
+     */
+    public List<JournalRecord.StartedRun> lastStarts() {
+        List<JournalRecord.StartedRun> starts = new ArrayList<>();
+        mOpenRuns.values().forEach(r -> starts.addAll(r.lastStarts()));
+        return starts;
     }
 
     /** Whether the end of a run is recorded, or its task is done. */
     public boolean hasEnded(JournalRecord.StartedRun run) {
-        return isDone(run.task()) || mEndedAttempts.contains(attemptKey(run.task(), run.attempt()));
+        return isRunDone(run.task().run())
+                || openRun(run.task()).map(r -> r.hasEnded(run)).orElse(false);
     }
 
-    private long attemptKey(TaskName task, int attempt) {
-        return ((long) mDefinition.position(task) << Integer.SIZE) + attempt;
+    /** Records runs of the steps that are done, as a snapshot lists them. */
+    void recordDoneRuns(JournalRecord.DoneRuns done) {
+        if (phase().isFinal()) {
+            return;
+        }
+        int runs = mDefinition.timetable().runs();
+        for (RunRange r : done.ranges()) {
+            if (r.last() < runs) {
+                mStarted = true;
+                mDoneRuns.add(r);
+                mOpenRuns.keySet().removeIf(n -> n >= r.first() && n <= r.last());
+            }
+        }
+        if (phase().isFinal()) {
+            mEndedMs = done.endedMs();
+        }
     }
 
     void recordEnd(JournalRecord.EndedRun run) {
-        if (!mDefinition.contains(run.task()) || phase().isFinal()) {
+        if (!isOpen(run.task()) || phase().isFinal()) {
             return;
         }
         mStarted = true;
-        mEndedAttempts.add(attemptKey(run.task(), run.attempt()));
-        TaskStep step = mDefinition.steps().get(run.task().step());
-        if (step.mode().standing()) {
+        RunProgress progress = openedRun(run.task());
+        progress.recordEnded(run.task(), run.attempt());
+        if (mDefinition.steps().get(run.task().step()).mode().standing()) {
             return;
         }
         if (run.outcome() == RunOutcome.DONE) {
-            markDone(run.task(), step);
+            progress.markDone(run.task());
+            closeIfDone(run.task().run(), progress);
         } else if (run.outcome() == RunOutcome.FAILED) {
-            countFailure(run);
+            // A gang fails as a whole, so its failures are counted for its first task.
+            int failures = progress.recordFailure(failureTask(run.task()), run.attempt());
+            mFailed |= failures >= mDefinition.policy().maxAttempts();
         }
         if (phase().isFinal()) {
             mEndedMs = run.atMs();
         }
     }
 
-    private void markDone(TaskName task, TaskStep step) {
-        if (!step.placement().gang()) {
-            mDoneTasks.set(mDefinition.position(task));
-            return;
+    /** Replaces the progress of a run of the steps by its number once all tasks are done. */
+    private void closeIfDone(int number, RunProgress progress) {
+        if (progress.isDone()) {
+            mOpenRuns.remove(number);
+            mDoneRuns.add(new RunRange(number, number));
         }
-        // The members of a gang end together, so one successful member completes all of them.
-        int first = mDefinition.position(new TaskName(task.job(), task.run(), task.step(), 0));
-        mDoneTasks.set(first, first + step.tasks());
-    }
-
-    private void countFailure(JournalRecord.EndedRun run) {
-        // A gang fails as a whole, so its failures are counted for its first task.
-        TaskName task = failureTask(run.task());
-        Set<Integer> attempts =
-                mFailedAttempts.computeIfAbsent(mDefinition.position(task), p -> new HashSet<>());
-        attempts.add(run.attempt());
-        mFailed |= attempts.size() >= mDefinition.policy().maxAttempts();
     }
 
     /** The task that failures of a task are counted for: the first one of its gang, or itself. */
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
@@ -145,6 +145,7 @@
         Optional<JobProgress> known = job(record.definition().id());
         // After a gap in the journal, a known job may lack records that the snapshot contains.
         JobProgress progress = known.orElseGet(() -> new JobProgress(record.definition()));
+        progress.recordDoneRuns(record.doneRuns());
         record.starts().forEach(progress::recordStart);
         record.ends().forEach(progress::recordEnd);
         if (record.cancelledMs() > 0) {
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -13,8 +13,9 @@
      * records.
      *
      * @param definition the job
-     * @param starts the last start of each started task
-     * @param ends ends of tasks that are done and of failed attempts
+     * @param starts the last start of each started task of runs that are not done
+     * @param ends ends of tasks that are done and of failed attempts, of runs that are not done
+     * @param doneRuns runs of the steps that are done
      * @param cancelledMs when it was cancelled, in milliseconds since the epoch; 0 if it was not
      * @param givenUpMs when it was given up, in milliseconds since the epoch; 0 if it was not
      */
@@ -22,6 +23,7 @@
             JobDefinition definition,
             List<StartedRun> starts,
             List<EndedRun> ends,
+            DoneRuns doneRuns,
             long cancelledMs,
             long givenUpMs)
             implements JournalRecord {
@@ -31,6 +33,20 @@
         }
     }
 
+    /**
+     * Runs of a job's steps that are done.
+     *
+     * @param ranges numbers of the runs
+     * @param endedMs when the job ended, in milliseconds since the epoch; 0 if it has not
+     */
+    record DoneRuns(List<RunRange> ranges, long endedMs) {
+        public static final DoneRuns NONE = new DoneRuns(List.of(), 0);
+
+        public DoneRuns {
+            ranges = List.copyOf(ranges);
+        }
+    }
+
     /** A caller cancelled a job. */
     record JobCancelled(String job, long atMs) implements JournalRecord {}
 
--- a/foxtail-core/src/main/java/org/foxtailplank/job/Timetable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/Timetable.java
@@ -12,7 +12,7 @@
 
     /** Whether the runs start at fixed times. */
     public boolean isTimed() {
-        return startMs > 0;
+        return startMs > 0 || runs > 1;
     }
 
     /** Whether the time of the last run can be represented. */
@@ -24,6 +24,14 @@
 
     /** When a run is due, in milliseconds since the epoch; 0 for immediately. */
     public long dueMs(int run) {
-        return isTimed() ? startMs + run * periodMs : 0;
+        return startMs + run * periodMs;
+    }
+
+    /** Number of runs that are due by a time, in milliseconds since the epoch. */
+    public int dueRuns(long nowMs) {
+        if (nowMs < startMs) {
+            return 0;
+        }
+        return periodMs == 0 ? runs : (int) Math.min(runs, (nowMs - startMs) / periodMs + 1);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveRun.java
@@ -64,6 +64,20 @@
         return true;
     }
 
+    /** Number of tasks that are not done and have no run. */
+    long waitingTasks() {
+        long sum = 0;
+        for (ActiveStep s : mSteps) {
+            sum += s.tasks().stream().filter(ActiveTask::isWaiting).count();
+        }
+        return sum;
+    }
+
+    /** Whether a task has a run on a worker. */
+    boolean hasTaskRuns() {
+        return mSteps.stream().flatMap(s -> s.tasks().stream()).anyMatch(t -> !t.runs().isEmpty());
+    }
+
     /** Whether all steps that a step depends on are done. */
     boolean areDependenciesDone(ActiveStep step) {
         for (int d : step.spec().dependsOn()) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
@@ -44,13 +44,17 @@
             if (!matches || job.isEnding()) {
                 continue;
             }
+            double lastDemand = 0;
             for (ActiveRun run : job.runs()) {
                 boolean due = run.dueWallMs() <= nowWallMs;
-                if (due && !run.isDone() && filter.test(run)) {
-                    double demand = CoreDemand.of(run, nowWallMs);
-                    demands.merge(job.definition().organisation(), demand, Double::sum);
+                if (due && !run.isDone()) {
+                    lastDemand = filter.test(run) ? CoreDemand.of(run, nowWallMs) : 0;
+                    demands.merge(job.definition().organisation(), lastDemand, Double::sum);
                 }
             }
+            // Runs that are not open yet need as much as the youngest open one.
+            double unopened = lastDemand * job.unopenedDueRuns(nowWallMs);
+            demands.merge(job.definition().organisation(), unopened, Double::sum);
         }
         double sum = 0;
         for (Map.Entry<String, Double> e : demands.entrySet()) {
@@ -77,11 +81,13 @@
             if (!matches || job.isEnding()) {
                 continue;
             }
-            for (ActiveStep step : job.runs().get(0).steps()) {
-                int vms = vmsFor(step, criticalMoves.getOrDefault(step, 0), vm, nowMs);
-                most = Math.max(most, vms);
-                Resources onVm = step.spec().reserved().times(tasksPerWorker(step, vm));
-                room = room.plus(min(onVm, vm).times(vms));
+            for (ActiveRun run : job.runs()) {
+                for (ActiveStep step : run.steps()) {
+                    int vms = vmsFor(step, criticalMoves.getOrDefault(step, 0), vm, nowMs);
+                    most = Math.max(most, vms);
+                    Resources onVm = step.spec().reserved().times(tasksPerWorker(step, vm));
+                    room = room.plus(min(onVm, vm).times(vms));
+                }
             }
         }
         long forCores = divideUp(room.milliProcessors(), vm.milliProcessors());
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -146,16 +146,16 @@
     }
 
     private static boolean hasNoRuns(ActiveJob job) {
-        for (ActiveRun run : job.runs()) {
-            for (ActiveStep step : run.steps()) {
-                for (ActiveTask task : step.tasks()) {
-                    if (!task.runs().isEmpty()) {
-                        return false;
-                    }
-                }
+        return job.runs().stream().noneMatch(ActiveRun::hasTaskRuns);
+    }
+
+    /** Opens the runs of jobs that are due by a time, in milliseconds since the epoch. */
+    void openDueRuns(long nowWallMs) {
+        for (ActiveJob job : mJobs.values()) {
+            if (!job.isEnding()) {
+                job.updateOpenRuns(nowWallMs);
             }
         }
-        return true;
     }
 
     /** Applies a worker's answer to a poll that was sent at {@code sentMs}. */
@@ -291,7 +291,7 @@
         markTaskOrGangDone(task, nowMs);
     }
 
-    private static void markTaskOrGangDone(ActiveTask task, long nowMs) {
+    private void markTaskOrGangDone(ActiveTask task, long nowMs) {
         if (task.spec().mode().standing()) {
             return;
         }
@@ -305,11 +305,12 @@
         }
     }
 
-    private static void markDone(ActiveTask task, long nowMs) {
+    private void markDone(ActiveTask task, long nowMs) {
         if (task.isDone()) {
             return;
         }
         task.markDone();
+        mFailures.remove(task.name());
         task.step().recordTaskDone();
         stopRuns(task, "another run completed the task", nowMs);
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -441,6 +441,7 @@
     public Decisions decide(FleetConfig config, long nowMs, long nowWallMs) {
         Decisions out = new Decisions();
         mRuns.removeEndedJobs(nowMs);
+        mRuns.openDueRuns(latestDueMs(nowWallMs));
         mEntitlements.setOrganisations(config.organisations());
         out.paces().addAll(mPaceChanges);
         mPaceChanges.clear();
@@ -474,7 +475,7 @@
                 continue;
             }
             for (ActiveRun run : job.runs()) {
-                boolean due = run.dueWallMs() <= nowWallMs + mLimits.earlyMs() / 2;
+                boolean due = run.dueWallMs() <= latestDueMs(nowWallMs);
                 if (due && !run.isDone()) {
                     found.computeIfAbsent(job.definition().service(), s -> new ArrayList<>())
                             .add(run);
@@ -484,6 +485,11 @@
         return found;
     }
 
+    /** Due time of the last run that may start now. */
+    private long latestDueMs(long nowWallMs) {
+        return nowWallMs + mLimits.earlyMs() / 2;
+    }
+
     List<WorkerState> workersOf(String service) {
         return mWorkers.ofService(service);
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.job;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -11,6 +12,7 @@
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.JobGivenUp;
+import org.foxtailplank.job.JournalRecord.JobSnapshot;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
@@ -343,4 +345,73 @@
 
         assertEquals(List.copyOf(accept(1).lastStarts()), List.of(start));
     }
+
+    private JobProgress acceptRecurring(int tasks, int runs) {
+        JobDefinition plain = definition("aa", tasks, false);
+        JobDefinition recurring =
+                new JobDefinition(
+                        plain.id(),
+                        plain.route(),
+                        plain.service(),
+                        plain.text(),
+                        plain.steps(),
+                        new Timetable(1, 1, runs),
+                        plain.policy(),
+                        plain.acceptedMs(),
+                        plain.configVersion(),
+                        plain.organisation());
+        return mRegistry.apply(new JobAccepted(recurring)).orElseThrow();
+    }
+
+    @Test
+    public void aSnapshotOfARecurringJobDoesNotGrowWithItsDoneRuns() {
+        // Guards against snapshots of a job that the store refuses after some thousand runs.
+        JobProgress progress = acceptRecurring(2, 1_000_000);
+        for (int run = 0; run < 10_000; run++) {
+            for (int index = 0; index < 2; index++) {
+                TaskName task = new TaskName("aa", run, 0, index);
+                mRegistry.apply(
+                        new RunsStarted(
+                                List.of(
+                                        new StartedRun(
+                                                task, 1, WorkerIncarnation.ofUnknownStart("w1")))));
+                if (run != 7 || index != 1) {
+                    mRegistry.apply(
+                            new RunsEnded(List.of(new EndedRun(task, 1, RunOutcome.DONE, NOW_MS))));
+                }
+            }
+        }
+
+        JobSnapshot snapshot = progress.snapshot(NOW_MS);
+        JobRegistry replica = new JobRegistry(RETENTION_MS);
+        JobProgress restored = replica.apply(snapshot).orElseThrow();
+
+        assertEquals(snapshot.starts().size(), 2);
+        assertEquals(snapshot.ends().size(), 1);
+        assertEquals(
+                snapshot.doneRuns().ranges(), List.of(new RunRange(0, 6), new RunRange(8, 9_999)));
+        assertTrue(restored.isDone(new TaskName("aa", 9_999, 0, 1)));
+        assertTrue(restored.isDone(new TaskName("aa", 7, 0, 0)));
+        assertFalse(restored.isDone(new TaskName("aa", 7, 0, 1)));
+        assertEquals(restored.firstUndoneRun(0), 7);
+        assertEquals(restored.firstUndoneRun(8), 10_000);
+    }
+
+    @Test
+    public void aRecurringJobIsCompletedAfterItsLastRun() {
+        // Guards against a snapshot of a completed job that a new node takes for an open one.
+        JobProgress progress = acceptRecurring(1, 3);
+        for (int run : new int[] {2, 0, 1}) {
+            assertFalse(progress.phase().isFinal());
+            TaskName task = new TaskName("aa", run, 0, 0);
+            mRegistry.apply(
+                    new RunsEnded(List.of(new EndedRun(task, 1, RunOutcome.DONE, NOW_MS + run))));
+        }
+        JobProgress restored =
+                new JobRegistry(RETENTION_MS).apply(progress.snapshot(NOW_MS)).orElseThrow();
+
+        assertEquals(progress.phase(), JobPhase.COMPLETED);
+        assertEquals(restored.phase(), JobPhase.COMPLETED);
+        assertEquals(restored.endedMs(), NOW_MS + 1);
+    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -12,6 +12,7 @@
 import org.foxtailplank.job.CrashHistory;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.DoneRuns;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
@@ -28,6 +29,7 @@
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.job.JournalRecord.WaveDue;
 import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.RunRange;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.WorkerIncarnation;
 
@@ -167,12 +169,45 @@
         writeMessage(out, 3, o -> writeEnds(o, record.ends()));
         out.writeInt64(4, record.cancelledMs());
         out.writeInt64(5, record.givenUpMs());
+        writeMessage(out, 6, o -> writeDoneRuns(o, record.doneRuns()));
+    }
+
+    private static void writeDoneRuns(CodedOutputStream out, DoneRuns done) throws IOException {
+        out.writeInt64(1, done.endedMs());
+        for (RunRange r : done.ranges()) {
+            out.writeInt32(2, r.first());
+            out.writeInt32(3, r.last());
+        }
+    }
+
+    private static DoneRuns readDoneRuns(CodedInputStream in) throws IOException {
+        long endedMs = 0;
+        int first = 0;
+        List<RunRange> ranges = new ArrayList<>();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case 1 -> endedMs = in.readInt64();
+                case 2 -> first = in.readInt32();
+                case 3 -> ranges.add(toRunRange(first, in.readInt32()));
+                default -> in.skipField(tag);
+            }
+        }
+        return new DoneRuns(ranges, endedMs);
+    }
+
+    private static RunRange toRunRange(int first, int last) throws IOException {
+        try {
+            return new RunRange(first, last);
+        } catch (IllegalArgumentException e) {
+            throw new IOException(e.getMessage(), e);
+        }
     }
 
     private static JobSnapshot readSnapshot(CodedInputStream in) throws IOException {
         JobDefinition definition = null;
         List<StartedRun> starts = List.of();
         List<EndedRun> ends = List.of();
+        DoneRuns doneRuns = DoneRuns.NONE;
         long cancelledMs = 0;
         long givenUpMs = 0;
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -182,13 +217,14 @@
                 case 3 -> ends = readEnds(in.readBytes().newCodedInput());
                 case 4 -> cancelledMs = in.readInt64();
                 case 5 -> givenUpMs = in.readInt64();
+                case 6 -> doneRuns = readDoneRuns(in.readBytes().newCodedInput());
                 default -> in.skipField(tag);
             }
         }
         if (definition == null) {
             throw new IOException("job snapshot has no job definition");
         }
-        return new JobSnapshot(definition, starts, ends, cancelledMs, givenUpMs);
+        return new JobSnapshot(definition, starts, ends, doneRuns, cancelledMs, givenUpMs);
     }
 
     private static void writeJobs(CodedOutputStream out, List<String> jobs) throws IOException {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -13,6 +13,7 @@
 import org.foxtailplank.job.CrashHistory;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.DoneRuns;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
@@ -32,6 +33,7 @@
 import org.foxtailplank.job.QueuePolicy;
 import org.foxtailplank.job.RunMode;
 import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.RunRange;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
@@ -43,6 +45,8 @@
 public class JournalCodecTest {
     private static final TaskName TASK = new TaskName("aa", 1, 2, 3);
     private static final EndedRun END = new EndedRun(TASK, 4, RunOutcome.FAILED, 5);
+    private static final DoneRuns DONE_RUNS =
+            new DoneRuns(List.of(new RunRange(0, 6), new RunRange(8, 8)), 9);
     private static final StartedRun START =
             new StartedRun(TASK, 4, new WorkerIncarnation("w1", 1_733_270_000_000L));
     private static final StartedRun SUSPECT =
@@ -97,8 +101,8 @@
         return new Object[][] {
             {new JobAccepted(definition())},
             {new JobAccepted(definition("org"))},
-            {new JobSnapshot(definition(), List.of(START), List.of(END), 77, 0)},
-            {new JobSnapshot(definition(), List.of(SUSPECT), List.of(END), 0, 88)},
+            {new JobSnapshot(definition(), List.of(START), List.of(END), DONE_RUNS, 77, 0)},
+            {new JobSnapshot(definition(), List.of(SUSPECT), List.of(END), DoneRuns.NONE, 0, 88)},
             {new JobCancelled("aa", 5)},
             {new JobGivenUp("aa", 5)},
             {new RunsStarted(List.of(SUSPECT))},
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
@@ -18,6 +18,7 @@
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.DoneRuns;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
@@ -33,6 +34,7 @@
 import org.foxtailplank.job.QueuePolicy;
 import org.foxtailplank.job.RunMode;
 import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.RunRange;
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
@@ -51,6 +53,8 @@
     private static final String JOB = "00000000000000aa";
     private static final TaskName TASK = new TaskName(JOB, 0, 0, 1);
     private static final EndedRun END = new EndedRun(TASK, 4, RunOutcome.FAILED, 5);
+    private static final DoneRuns DONE_RUNS =
+            new DoneRuns(List.of(new RunRange(0, 6), new RunRange(8, 8)), 9);
     private static final StartedRun START =
             new StartedRun(TASK, 4, WorkerIncarnation.ofUnknownStart("w1"));
     private static final StartedRun SUSPECT =
@@ -209,7 +213,8 @@
         List<JournalRecord> valid =
                 List.of(
                         new JobAccepted(validDefinition()),
-                        new JobSnapshot(validDefinition(), List.of(START), List.of(END), 0, 0),
+                        new JobSnapshot(
+                                validDefinition(), List.of(START), List.of(END), DONE_RUNS, 0, 0),
                         new JobCancelled(JOB, 5),
                         new JobGivenUp(JOB, 5),
                         new RunsStarted(List.of(START, START)),
