Bound the requests for placement advice

Callers saw a queue with placement advice stop for good: after 6 s of five times the usual jobs none of its waiting jobs, and none accepted later, ran any more, with the workers idle.

Cause: each waiting step asked for itself, and again at once after a 429 or a fixed timeout of 1.5 s. The service handles one request at a time and finishes those whose caller has given up, so that its full queue made each answer late, and the repeated requests kept the queue full.

Change: one request is under way at a time. Its timeout follows from the stated response time and that of the last answer, and failures are followed by a growing pause with jitter. The request goes to the step to which it is worth most: recorded starts without a ticket, then steps that can start now. It names at most 30 workers. Preemption needs a ticket.

The log line and the counters of advice show durations, timeouts and failures.

--- a/foxtail-core/src/main/java/org/foxtailplank/port/PlacementAdvisor.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/PlacementAdvisor.java
@@ -7,8 +7,18 @@
 /** Client of the service that decides which workers may run the steps of some queues. */
 public interface PlacementAdvisor {
 
-    /** Requests tickets for those of the workers that may run a step of one run of a job. */
-    void ask(String job, int run, int step, List<String> workers, Consumer<Advice> callback);
+    /**
+     * Requests tickets for those of the workers that may run a step of one run of a job.
+     *
+     * @param timeoutMs how long to wait for the response, in milliseconds
+     */
+    void ask(
+            String job,
+            int run,
+            int step,
+            List<String> workers,
+            long timeoutMs,
+            Consumer<Advice> callback);
 
     /**
      * Result of a request.
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
@@ -24,7 +24,6 @@
 
     private List<ActiveTask> mTasks = List.of();
     private int mRemainingTasks;
-    private boolean mAdvicePending;
 
     ActiveStep(ActiveRun run, int number, TaskStep spec) {
         mRun = run;
@@ -138,14 +137,6 @@
         return starts;
     }
 
-    boolean isAdvicePending() {
-        return mAdvicePending;
-    }
-
-    void markAdvicePending() {
-        mAdvicePending = true;
-    }
-
     /**
      * Records the advice on these workers; it stays valid for a worker's incarnation.
      *
@@ -155,7 +146,6 @@
     void recordAdvice(
             List<WorkerIncarnation> asked, Map<String, String> tickets, long validMs, long nowMs) {
         long untilMs = nowMs + validMs - validMs / TRANSIT_SHARE;
-        mAdvicePending = false;
         for (WorkerIncarnation worker : asked) {
             String ticket = tickets.get(worker.id());
             mAdvice.put(
@@ -164,11 +154,6 @@
         }
     }
 
-    /** Allows the request to be repeated after it went unanswered. */
-    void recordAdviceFailure() {
-        mAdvicePending = false;
-    }
-
     /** Discards the ticket that a worker has rejected, so that another one is requested. */
     void discardTicket(WorkerIncarnation worker) {
         mAdvice.remove(worker);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Decisions.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Decisions.java
@@ -18,8 +18,12 @@
     /** A run that is to work at a share of its full speed. */
     public record Pace(TaskRun run, int percent) {}
 
-    /** A request for placement advice on a step. */
-    public record AdviceRequest(ActiveStep step, List<WorkerIncarnation> workers) {
+    /**
+     * A request for placement advice on a step.
+     *
+     * @param timeoutMs how long to wait for the answer, in milliseconds
+     */
+    public record AdviceRequest(ActiveStep step, List<WorkerIncarnation> workers, long timeoutMs) {
         public AdviceRequest {
             workers = List.copyOf(workers);
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/GangPlacement.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/GangPlacement.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiPredicate;
 import org.foxtailplank.fleet.Resources;
 
 /**
@@ -19,18 +20,36 @@
     /** Returns a worker for each task; empty if not all fit or a run of the gang still exists. */
     static Map<ActiveTask, WorkerState> place(
             ActiveStep step, List<WorkerState> workers, long nowMs) {
+        return place(step, workers, (t, w) -> WorkerChooser.canRunNow(t, w, nowMs));
+    }
+
+    /** The same as if the step had a ticket for each worker that it was not denied. */
+    static Map<ActiveTask, WorkerState> placeWithTickets(
+            ActiveStep step, List<WorkerState> workers, long nowMs) {
+        return place(
+                step,
+                workers,
+                (t, w) ->
+                        WorkerChooser.canRunWithTicket(t, w, nowMs)
+                                && !step.advice(w.incarnation()).isDenied());
+    }
+
+    private static Map<ActiveTask, WorkerState> place(
+            ActiveStep step,
+            List<WorkerState> workers,
+            BiPredicate<ActiveTask, WorkerState> canRun) {
         if (!step.tasks().stream().allMatch(ActiveTask::isWaiting)) {
             return Map.of();
         }
         if (step.spec().placement().sameRack()) {
             for (List<WorkerState> rack : byRack(workers)) {
-                Map<ActiveTask, WorkerState> placed = fit(step, rack, nowMs);
+                Map<ActiveTask, WorkerState> placed = fit(step, rack, canRun);
                 if (!placed.isEmpty()) {
                     return placed;
                 }
             }
         }
-        return fit(step, workers, nowMs);
+        return fit(step, workers, canRun);
     }
 
     private static List<List<WorkerState>> byRack(List<WorkerState> workers) {
@@ -42,7 +61,9 @@
     }
 
     private static Map<ActiveTask, WorkerState> fit(
-            ActiveStep step, List<WorkerState> workers, long nowMs) {
+            ActiveStep step,
+            List<WorkerState> workers,
+            BiPredicate<ActiveTask, WorkerState> canRun) {
         Map<ActiveTask, WorkerState> placed = new LinkedHashMap<>();
         Map<WorkerState, Integer> counts = new HashMap<>();
         Map<WorkerState, Resources> free = new HashMap<>();
@@ -53,7 +74,7 @@
                 int maxPerWorker = step.spec().placement().maxPerWorker();
                 boolean belowMax = maxPerWorker == 0 || counts.getOrDefault(w, 0) < maxPerWorker;
                 boolean fits = step.spec().reserved().fitsIn(room);
-                if (belowMax && fits && WorkerChooser.canRunNow(task, w, nowMs)) {
+                if (belowMax && fits && canRun.test(task, w)) {
                     found = w;
                     break;
                 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Preemption.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Preemption.java
@@ -27,7 +27,9 @@
         }
         Optional<List<TaskRun>> best = Optional.empty();
         for (WorkerState w : workers) {
-            if (!w.isUsable(nowMs) || !WorkerChooser.mayRun(task, w)) {
+            boolean admitted =
+                    WorkerChooser.mayRun(task, w) && WorkerChooser.hasTicket(task, w, nowMs);
+            if (!w.isUsable(nowMs) || !admitted) {
                 continue;
             }
             Optional<List<TaskRun>> victims = victims(task, w);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.foxtailplank.job.JobDefinition;
@@ -44,6 +45,7 @@
     private final List<Decisions.Pace> mPaceChanges = new ArrayList<>();
     private final ArrivalRate mArrivals = new ArrivalRate();
     private final JobEntitlements mEntitlements = new JobEntitlements();
+    private final AdviceRequests mAdvice = new AdviceRequests(new Random());
     private final BatchCapacities mBatchCapacities = new BatchCapacities();
     private long mOthersRenewedUntilMs = Long.MIN_VALUE / 2;
 
@@ -55,7 +57,7 @@
     public Scheduler(ScheduleLimits limits) {
         mLimits = limits;
         mRuns = new RunTable();
-        mPlacer = new TaskPlacer(mRuns);
+        mPlacer = new TaskPlacer(mRuns, mAdvice);
         mCrashes = new CrashTracker(mRuns);
         mRestarted = new RestartedWorkers(mRuns);
     }
@@ -383,10 +385,11 @@
     /** Applies the answer to an advice request, or its failure. */
     public void adviceAnswered(Decisions.AdviceRequest request, Advice advice, long nowMs) {
         if (advice.answered()) {
+            mAdvice.answered(nowMs);
             request.step()
                     .recordAdvice(request.workers(), advice.tickets(), advice.validMs(), nowMs);
         } else {
-            request.step().recordAdviceFailure();
+            mAdvice.failed(nowMs);
         }
     }
 
@@ -455,6 +458,7 @@
             List<ActiveRun> sorted = UrgencyOrder.sort(e.getValue(), milliCores, caps, nowWallMs);
             mPlacer.place(sorted, workers, caps, out, nowMs);
         }
+        mAdvice.addRequest(out, nowMs);
         return out;
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
@@ -7,9 +7,11 @@
 /** Assigns runnable tasks to workers and preempts others for urgent tasks that don't fit. */
 final class TaskPlacer {
     private final RunTable mRuns;
+    private final AdviceRequests mAdvice;
 
-    TaskPlacer(RunTable runs) {
+    TaskPlacer(RunTable runs, AdviceRequests advice) {
         mRuns = runs;
+        mAdvice = advice;
     }
 
     /** Plans starts of the tasks whose dependencies are done, in the order of the given runs. */
@@ -23,6 +25,9 @@
             for (ActiveStep step : run.steps()) {
                 if (step.remainingTasks() > 0 && run.areDependenciesDone(step)) {
                     placeStep(step, workers, caps, out, nowMs);
+                    if (step.needsTickets()) {
+                        mAdvice.consider(step, workers, caps, nowMs);
+                    }
                 }
             }
         }
@@ -34,9 +39,6 @@
             OrganisationCaps caps,
             Decisions out,
             long nowMs) {
-        if (step.needsTickets()) {
-            AdviceRequests.request(step, workers, out, nowMs);
-        }
         if (step.spec().placement().gang()) {
             boolean admitted = caps.admits(step, step.tasks().size());
             if (step.tasks().get(0).isBackingOff(nowMs) || !admitted) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -60,10 +60,14 @@
 
     /** Whether the worker may run the task and has capacity for it. */
     static boolean canRunNow(ActiveTask task, WorkerState worker, long nowMs) {
+        return canRunWithTicket(task, worker, nowMs) && hasTicket(task, worker, nowMs);
+    }
+
+    /** Whether the worker may run the task and has capacity for it, once it has a ticket. */
+    static boolean canRunWithTicket(ActiveTask task, WorkerState worker, long nowMs) {
         return worker.isUsable(nowMs)
                 && mayRun(task, worker)
-                && task.spec().reserved().fitsIn(worker.free())
-                && hasTicket(task, worker, nowMs);
+                && task.spec().reserved().fitsIn(worker.free());
     }
 
     /** Whether the worker could run the task once its batch tasks have ended. */
@@ -92,7 +96,8 @@
                 || task.step().runsOn(worker) < constraints.maxPerWorker();
     }
 
-    private static boolean hasTicket(ActiveTask task, WorkerState worker, long nowMs) {
+    /** Whether the worker admits the task by its policy, which a valid ticket shows. */
+    static boolean hasTicket(ActiveTask task, WorkerState worker, long nowMs) {
         return !task.step().needsTickets()
                 || task.step().ticket(worker.incarnation(), nowMs).isPresent();
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
@@ -9,6 +9,7 @@
 import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.node.LinkBudget;
 import org.foxtailplank.port.CommandOutcome;
+import org.foxtailplank.port.PlacementAdvisor.Advice;
 import org.foxtailplank.port.WorkerClient.RunCommand;
 import org.foxtailplank.port.WorkerClient.StartCommand;
 import org.foxtailplank.schedule.Decisions;
@@ -246,6 +247,7 @@
     }
 
     private void ask(Decisions.AdviceRequest request) {
+        long sentMs = mContext.clock().nowMs();
         mContext.metrics().counter("asks").inc();
         mContext.platform()
                 .advice()
@@ -254,19 +256,25 @@
                         request.runNumber(),
                         request.step().number(),
                         request.workers().stream().map(WorkerIncarnation::id).toList(),
-                        a -> {
-                            mContext.log()
-                                    .line("advice")
-                                    .with("job", request.job())
-                                    .with("step", request.step().number())
-                                    .with("asked", request.workers().size())
-                                    .with("answered", a.answered())
-                                    .with("allowed", a.tickets().size())
-                                    .write();
-                            long now = mContext.clock().nowMs();
-                            mOwner.scheduler().adviceAnswered(request, a, now);
-                            mOwner.scheduleDecision();
-                        });
+                        request.timeoutMs(),
+                        a -> handleAdvice(request, a, sentMs));
+    }
+
+    private void handleAdvice(Decisions.AdviceRequest request, Advice advice, long sentMs) {
+        long now = mContext.clock().nowMs();
+        mContext.metrics().counter(advice.answered() ? "asksAnswered" : "asksFailed").inc();
+        mContext.log()
+                .line("advice")
+                .with("job", request.job())
+                .with("step", request.step().number())
+                .with("asked", request.workers().size())
+                .with("answered", advice.answered())
+                .with("allowed", advice.tickets().size())
+                .with("tookMs", now - sentMs)
+                .with("timeoutMs", request.timeoutMs())
+                .write();
+        mOwner.scheduler().adviceAnswered(request, advice, now);
+        mOwner.scheduleDecision();
     }
 
     private RunCommand runCommand(TaskRun run) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/LateAnswerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/LateAnswerTest.java
@@ -151,7 +151,7 @@
     private WorkerClient workerClient() {
         HttpClient client = new HttpClient(mLoop, CONNECT_TIMEOUT_MS, CONNECTIONS);
         PlatformTimeouts timeouts =
-                new PlatformTimeouts(1000, 1000, 1000, 1000, WORKER_TIMEOUT_MS, 1000, 1000);
+                new PlatformTimeouts(1000, 1000, 1000, 1000, WORKER_TIMEOUT_MS, 1000);
         return new UsersPlatform(
                         client,
                         client,
