Move standing tasks of queues with advice after their tickets expire

Callers of a standing task on a queue with placement advice would have seen its VM rebooted late, or by force: a wave, or a slow worker, moves a task only where another worker can run it now, which required a valid ticket. A running step requests none, so no worker qualified once its tickets had expired, and never for a new owner.

Change: a task may move to a worker that the service has allowed, whatever the age of the ticket, since it needs one only after it has stopped. If none with room is known, the owner requests advice for the move.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/AdviceNeed.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/AdviceNeed.java
@@ -8,6 +8,9 @@
     /** A task could start at once on a worker with room. */
     START,
 
+    /** A task is to move off a worker, and no worker with room is known to be allowed. */
+    MOVE,
+
     /** The most urgent task waits for room, which may be made for it where it has a ticket. */
     ROOM;
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/AdviceRequests.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/AdviceRequests.java
@@ -70,31 +70,45 @@
                         .filter(t -> t.isWaiting() && !t.isBackingOff(nowMs))
                         .findFirst();
         if (waiting.isEmpty()) {
-            return Optional.empty();
+            return move(step, workers, nowMs);
         }
         boolean first = mServicesWaiting.add(step.job().definition().service());
         ActiveTask task = waiting.get();
         if (step.spec().placement().gang()) {
             boolean fits = !GangPlacement.placeWithTickets(step, workers, nowMs).isEmpty();
-            return fits ? start(task, workers, nowMs) : Optional.empty();
+            return fits ? withRoom(AdviceNeed.START, task, workers, nowMs) : Optional.empty();
         }
         if (WorkerChooser.choose(task, workers, nowMs).isPresent()) {
             return Optional.empty();
         }
-        Optional<Candidate> start = start(task, workers, nowMs);
+        Optional<Candidate> start = withRoom(AdviceNeed.START, task, workers, nowMs);
         return start.isEmpty() && first ? room(task, workers, nowMs) : start;
     }
 
+    /** A request for a task that is to move off its worker and has no place to go. */
+    private static Optional<Candidate> move(
+            ActiveStep step, List<WorkerState> workers, long nowMs) {
+        Optional<ActiveTask> moving =
+                step.tasks().stream()
+                        .filter(t -> t.runs().stream().anyMatch(r -> r.worker().isEvacuating()))
+                        .findFirst();
+        return moving.filter(
+                        t ->
+                                workers.stream()
+                                        .noneMatch(w -> WorkerChooser.canTakeOver(t, w, nowMs)))
+                .flatMap(t -> withRoom(AdviceNeed.MOVE, t, workers, nowMs));
+    }
+
     /** A request about workers that have room for a task. */
-    private static Optional<Candidate> start(
-            ActiveTask task, List<WorkerState> workers, long nowMs) {
+    private static Optional<Candidate> withRoom(
+            AdviceNeed need, ActiveTask task, List<WorkerState> workers, long nowMs) {
         Set<WorkerIncarnation> asked = new LinkedHashSet<>();
         for (WorkerState w : workers) {
             if (WorkerChooser.canRunWithTicket(task, w, nowMs)) {
                 asked.add(w.incarnation());
             }
         }
-        return candidate(AdviceNeed.START, task.step(), asked, nowMs);
+        return candidate(need, task.step(), asked, nowMs);
     }
 
     /** A request about any worker, for a task without a ticket for one that could be emptied. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
@@ -146,7 +146,7 @@
         ActiveTask task = step.tasks().get(0);
         int admitting = 0;
         for (WorkerState w : mScheduler.workersOf(step.job().definition().service())) {
-            admitting += WorkerChooser.canRunAfterBatch(task, w, nowMs) ? 1 : 0;
+            admitting += WorkerChooser.canTakeOverAfterBatch(task, w, nowMs) ? 1 : 0;
         }
         return Math.max(0, needed - admitting);
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -300,7 +300,7 @@
     private boolean hasBetterWorker(TaskRun run, long nowMs) {
         for (WorkerState w : workersOf(run.worker().info().service())) {
             boolean suitable = w != run.worker() && !w.isSlow(nowMs);
-            if (suitable && WorkerChooser.canRunNow(run.task(), w, nowMs)) {
+            if (suitable && WorkerChooser.canTakeOver(run.task(), w, nowMs)) {
                 return true;
             }
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/StandingTaskReservations.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/StandingTaskReservations.java
@@ -69,7 +69,7 @@
                         RESERVED_PER_CONCURRENT_MOVE * maxConcurrent);
         List<WorkerState> places = new ArrayList<>();
         for (WorkerState w : mScheduler.workersOf(task.step().job().definition().service())) {
-            if (!w.isReservedForStanding() && WorkerChooser.canRunAfterBatch(task, w, nowMs)) {
+            if (!w.isReservedForStanding() && WorkerChooser.canTakeOverAfterBatch(task, w, nowMs)) {
                 places.add(w);
             }
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveReport.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveReport.java
@@ -47,7 +47,7 @@
         int withRoom = 0;
         for (WorkerState w : mScheduler.workersOf(run.worker().info().service())) {
             admitting += w.isUsable(mNowMs) && WorkerChooser.mayRun(task, w) ? 1 : 0;
-            withRoom += WorkerChooser.canRunNow(task, w, mNowMs) ? 1 : 0;
+            withRoom += WorkerChooser.canTakeOver(task, w, mNowMs) ? 1 : 0;
         }
         return String.format(
                 "%s %s (%d unavailable of %d allowed, %d workers admit it, %d have room)",
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerAdvice.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerAdvice.java
@@ -45,12 +45,17 @@
         return new WorkerAdvice(Verdict.ALLOWED, ticket, untilMs);
     }
 
+    /** Whether the worker may run the step, with this ticket or another one. */
+    boolean isAllowed() {
+        return verdict == Verdict.ALLOWED;
+    }
+
     boolean isDenied() {
         return verdict == Verdict.DENIED;
     }
 
     boolean hasValidTicket(long nowMs) {
-        return verdict == Verdict.ALLOWED && untilMs > nowMs;
+        return isAllowed() && untilMs > nowMs;
     }
 
     /** Whether a request about the worker may get a ticket that the step lacks. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -70,12 +70,24 @@
                 && task.spec().reserved().fitsIn(worker.free());
     }
 
-    /** Whether the worker could run the task once its batch tasks have ended. */
-    static boolean canRunAfterBatch(ActiveTask task, WorkerState worker, long nowMs) {
+    /**
+     * Whether the worker has capacity for a task that would move there. A task that runs needs no
+     * ticket until it has stopped, so an expired one will do.
+     */
+    static boolean canTakeOver(ActiveTask task, WorkerState worker, long nowMs) {
+        return canRunWithTicket(task, worker, nowMs) && isAllowed(task, worker);
+    }
+
+    /** Whether the worker could take over the task once its batch tasks have ended. */
+    static boolean canTakeOverAfterBatch(ActiveTask task, WorkerState worker, long nowMs) {
         return worker.isUsable(nowMs)
                 && mayRun(task, worker)
                 && task.spec().reserved().fitsIn(worker.freeWithoutBatch())
-                && hasTicket(task, worker, nowMs);
+                && isAllowed(task, worker);
+    }
+
+    private static boolean isAllowed(ActiveTask task, WorkerState worker) {
+        return !task.step().needsTickets() || task.step().advice(worker.incarnation()).isAllowed();
     }
 
     /** Whether the placement rules admit the worker, regardless of its capacity. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerEvacuation.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerEvacuation.java
@@ -76,7 +76,7 @@
     /** Whether a place is left after those that the standing tasks being stopped will take. */
     private static boolean hasPlace(ActiveTask task, List<WorkerState> others, long nowMs) {
         List<WorkerState> places = new ArrayList<>(others);
-        places.removeIf(w -> !WorkerChooser.canRunNow(task, w, nowMs));
+        places.removeIf(w -> !WorkerChooser.canTakeOver(task, w, nowMs));
         for (WorkerState w : others) {
             for (TaskRun r : w.runs()) {
                 boolean stopped = r.phase() == RunPhase.STOPPING && w.isEvacuating();
@@ -90,7 +90,7 @@
 
     private static void removePlace(ActiveTask task, List<WorkerState> places, long nowMs) {
         for (int i = 0; i < places.size(); i++) {
-            if (WorkerChooser.canRunNow(task, places.get(i), nowMs)) {
+            if (WorkerChooser.canTakeOver(task, places.get(i), nowMs)) {
                 places.remove(i);
                 return;
             }
