--- a/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
@@ -77,6 +77,9 @@
     /** Nothing was stored. */
     record NotStored(String reason) implements AppendResult {}
 
+    /** Nothing was stored, and these records never will be in this append. */
+    record Unacceptable(String reason) implements AppendResult {}
+
     /** Unknown: the records may be stored, or may still be stored later. */
     record MaybeStored(String reason) implements AppendResult {}
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -284,6 +284,7 @@
                 .with("zone", mSettings.zone())
                 .with("callers", mCallerServer.address())
                 .write();
+        mWriter.setMaxRecordBytes(mSettings.journal().recordBytes());
         mOperator.follow();
         mReader.follow();
         mElection.start();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -52,8 +52,27 @@
      * @param retentionMs how long the platform retains a record
      * @param endedJobRetentionMs how long an ended job can be queried
      * @param partitionCount number of partitions of a topic on the shared log
+     * @param recordBytes largest record that the store accepts, in bytes
+     * @param appendBytes most bytes of records that it accepts in one append
      */
-    public record JournalLimits(long retentionMs, long endedJobRetentionMs, int partitionCount) {
+    public record JournalLimits(
+            long retentionMs,
+            long endedJobRetentionMs,
+            int partitionCount,
+            int recordBytes,
+            int appendBytes) {
+        public static final int DEFAULT_RECORD_BYTES = 256 << 10;
+        public static final int DEFAULT_APPEND_BYTES = 2 << 20;
+
+        /** Creates limits with the usual sizes of records and appends. */
+        public JournalLimits(long retentionMs, long endedJobRetentionMs, int partitionCount) {
+            this(
+                    retentionMs,
+                    endedJobRetentionMs,
+                    partitionCount,
+                    DEFAULT_RECORD_BYTES,
+                    DEFAULT_APPEND_BYTES);
+        }
 
         /** Returns the journal's partitions in order. */
         public List<LogPartition> partitions() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -68,7 +68,13 @@
                 new NodeSettings.JournalLimits(
                         secondsAsMs("/platform/keepS"),
                         secondsAsMs("/jobs/statusS"),
-                        positiveInt("/platform/parts"));
+                        positiveInt("/platform/parts"),
+                        positiveInt(
+                                "/platform/recordBytes",
+                                NodeSettings.JournalLimits.DEFAULT_RECORD_BYTES),
+                        positiveInt(
+                                "/platform/appendBytes",
+                                NodeSettings.JournalLimits.DEFAULT_APPEND_BYTES));
         List<String> agreements = AgreementReader.read(mTree, mProblems);
         return new NodeSettings(
                 text("/node/name"),
@@ -137,6 +143,10 @@
                 : new KeyLifetime(OptionalLong.of((long) number(path)));
     }
 
+    private int positiveInt(String path, int ifMissing) {
+        return mTree.at(path).isMissingNode() ? ifMissing : positiveInt(path);
+    }
+
     private int positiveInt(String path) {
         int value = (int) number(path);
         if (value < 1) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -32,6 +32,9 @@
 
 /** Handles the HTTP requests of callers on any node, using the state read from the journal. */
 public final class CallerService implements HttpHandler {
+    private static final String TOO_LARGE =
+            "the job's steps take more space than the journal has for one record";
+
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int FORBIDDEN = 403;
@@ -210,6 +213,11 @@
                         mClock.wallMs(),
                         mOperator.version(),
                         routed.organisation());
+        if (!mWriter.isStorable(new JobAccepted(definition))) {
+            mLog.line("bad-submission").with("job", id).with("why", TOO_LARGE).write();
+            reply.accept(HttpReply.text(BAD_REQUEST, TOO_LARGE));
+            return;
+        }
         List<Consumer<HttpReply>> replies = new ArrayList<>(List.of(reply));
         mInFlight.put(id, new InFlight(routed.organisation(), replies));
         storeOrRefuse(definition, routed, mGate.storeDeadlineMs(deadlineMs(request)), replies);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.node.Clock;
+import org.foxtailplank.node.NodeSettings;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.LogPartition;
@@ -50,6 +51,7 @@
     private int mRetrying;
     private boolean mStoreFailing;
     private BooleanSupplier mCutOff = () -> false;
+    private int mMaxRecordBytes = NodeSettings.JournalLimits.DEFAULT_RECORD_BYTES;
 
     private static final class PendingRecord {
         final byte[] mBytes;
@@ -94,6 +96,16 @@
         mCutOff = condition;
     }
 
+    /** Sets the size of the largest record that the store accepts, in bytes. */
+    public void setMaxRecordBytes(int maxRecordBytes) {
+        mMaxRecordBytes = maxRecordBytes;
+    }
+
+    /** Whether the store accepts a record of this size. */
+    public boolean isStorable(JournalRecord record) {
+        return JournalCodec.encode(record).length <= mMaxRecordBytes;
+    }
+
     /**
      * Stores a record. A rejection by the store is reported immediately; retries end at the
      * deadline. While the store fails, only one record at a time is attempted and all others fail
@@ -183,7 +195,9 @@
         }
         mNodeLog.line("append").with("outcome", result).with("records", batch.size()).write();
         mStoreFailing = true;
-        boolean mayBeStored = !(result instanceof SharedLog.NotStored);
+        boolean mayBeStored =
+                !(result instanceof SharedLog.NotStored
+                        || result instanceof SharedLog.Unacceptable);
         for (PendingRecord r : batch) {
             r.mMayBeStored |= mayBeStored;
             retryOrComplete(r);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.lease.ClockReading;
-import org.foxtailplank.node.journal.JournalCodec;
+import org.foxtailplank.node.journal.RecordParts;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.owner.JournalBatch.PendingRecord;
 import org.foxtailplank.port.LogPartition;
@@ -44,19 +44,26 @@
     private final OwnerContext mContext;
     private final Runnable mOnFenced;
     private final long mMaxBatchBytes;
+    private final int mRecordBytes;
     private final Deque<PendingRecord> mQueue = new ArrayDeque<>();
     private final List<PartitionWriter> mWriters = new ArrayList<>();
 
     private long mLastStoredMs;
     private boolean mPaused;
+
+    /** Appends to be sent with a single record, to find the one that the store doesn't accept. */
+    private int mSingleAppends;
+
     private boolean mClosed;
     private Consumer<ClockReading> mStoredListener = sent -> {};
 
     OwnerJournal(OwnerContext context, long token, Runnable onFenced) {
         mContext = context;
         mOnFenced = onFenced;
-        mMaxBatchBytes =
+        long linkBytes =
                 Math.max(MIN_BATCH_BYTES, context.settings().link().bytesIn(MAX_TRANSFER_MS));
+        mMaxBatchBytes = Math.min(linkBytes, context.settings().journal().appendBytes());
+        mRecordBytes = context.settings().journal().recordBytes();
         mLastStoredMs = context.clock().nowMs();
         WriterListener listener = new WriterListener();
         for (LogPartition p : context.settings().journal().partitions()) {
@@ -87,28 +94,47 @@
         }
     }
 
-    /** Stores a record of the owner itself, retrying until it succeeds or the journal is closed. */
+    /**
+     * Stores a record of the owner itself, in parts if it is too large for the store, retrying
+     * until it succeeds or the journal is closed.
+     */
     void store(JournalRecord record, Runnable stored) {
         store(record, stored, () -> {});
     }
 
-    /** The same; {@code closed} runs if the journal is closed before the record is stored. */
+    /**
+     * The same; {@code closed} runs if the journal is closed before the record is stored, or the
+     * store doesn't accept it.
+     */
     void store(JournalRecord record, Runnable stored, Runnable closed) {
-        Consumer<StoreOutcome> callback = o -> (o == StoreOutcome.STORED ? stored : closed).run();
-        enqueue(new PendingRecord(JournalCodec.encode(record), false, callback));
+        List<byte[]> parts = RecordParts.encode(record, mRecordBytes);
+        int[] unstored = {parts.size()};
+        Consumer<StoreOutcome> callback =
+                o -> {
+                    boolean last = o == StoreOutcome.STORED && --unstored[0] == 0;
+                    if (last) {
+                        stored.run();
+                    } else if (o != StoreOutcome.STORED && unstored[0] > 0) {
+                        unstored[0] = 0;
+                        closed.run();
+                    }
+                };
+        List<PendingRecord> records = new ArrayList<>();
+        parts.forEach(p -> records.add(new PendingRecord(p, false, callback)));
+        enqueue(records);
     }
 
     /** Stores a record handed over by another node; fails fast if all partitions reject it. */
     void storeHandedOver(byte[] record, Consumer<StoreOutcome> callback) {
-        enqueue(new PendingRecord(record, true, callback));
+        enqueue(List.of(new PendingRecord(record, true, callback)));
     }
 
-    private void enqueue(PendingRecord record) {
+    private void enqueue(List<PendingRecord> records) {
         if (mClosed) {
-            record.complete(StoreOutcome.NOT_STORED);
+            records.forEach(r -> r.complete(StoreOutcome.NOT_STORED));
             return;
         }
-        mQueue.add(record);
+        mQueue.addAll(records);
         sendPending();
     }
 
@@ -175,6 +201,11 @@
 
     private List<PendingRecord> takeBatch() {
         List<PendingRecord> batch = new ArrayList<>();
+        if (mSingleAppends > 0) {
+            mSingleAppends--;
+            batch.add(mQueue.poll());
+            return batch;
+        }
         long bytes = 0;
         while (!mQueue.isEmpty()) {
             bytes += mQueue.peek().byteCount();
@@ -205,6 +236,25 @@
             sendPending();
         }
 
+        @Override
+        public void unacceptable(List<PendingRecord> records, String reason) {
+            if (records.size() > 1) {
+                requeue(records);
+                mSingleAppends = records.size();
+            } else {
+                for (PendingRecord r : records) {
+                    mContext.log()
+                            .line("record-unacceptable")
+                            .with("bytes", r.byteCount())
+                            .with("handedOver", r.isHandedOver())
+                            .with("why", reason)
+                            .write();
+                    r.complete(StoreOutcome.NOT_STORED);
+                }
+            }
+            sendPending();
+        }
+
         @Override
         public void outcomeUnknown(List<PendingRecord> records) {
             if (!areAllFailing()) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
@@ -62,6 +62,9 @@
         /** The store rejected the append and will not store it; the writer is idle. */
         void rejected(List<PendingRecord> records);
 
+        /** The store will never accept this append; the writer is idle. */
+        void unacceptable(List<PendingRecord> records, String reason);
+
         /** The append may be stored, now or later; the writer keeps repeating it. */
         void outcomeUnknown(List<PendingRecord> records);
 
@@ -180,6 +183,12 @@
         } else if (result instanceof SharedLog.OutOfSequence expected) {
             mSequence = expected.expected();
             sendWithTimeout(batch);
+        } else if (result instanceof SharedLog.Unacceptable refusal
+                && !batch.isMaybeStored()
+                && !batch.isEmpty()) {
+            mInFlight = Optional.empty();
+            batch.release();
+            mListener.unacceptable(batch.records(), refusal.reason());
         } else if (result instanceof SharedLog.NotStored && !batch.isMaybeStored()) {
             handleRejected(batch);
         } else {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
@@ -42,6 +42,7 @@
     private final List<Integer> mOwnerAppendBytes = new ArrayList<>();
     private final Map<LogPartition, Integer> mReads = new HashMap<>();
     private int mMaxAnswerBytes = Integer.MAX_VALUE;
+    private int mMaxRecordBytes = Integer.MAX_VALUE;
 
     /** The store's state of a partition's fenced writer. */
     private static final class Writer {
@@ -69,6 +70,11 @@
         mMaxAnswerBytes = bytes;
     }
 
+    /** Makes the log refuse appends with a record that is larger than this. */
+    public void limitRecordBytes(int bytes) {
+        mMaxRecordBytes = bytes;
+    }
+
     /** Performs the appends with the outcome {@link ScriptedOutcome#LATE}. */
     public void performLateAppends() {
         while (!mLateAppends.isEmpty()) {
@@ -138,6 +144,9 @@
         if (records.isEmpty()) {
             return new Stored(records(at).size(), records(at).size());
         }
+        if (records.stream().anyMatch(r -> r.length > mMaxRecordBytes)) {
+            return new Unacceptable("record too large");
+        }
         if (writer.sequence() == known.mSequence) {
             return known.mLast;
         }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -48,6 +48,7 @@
     private static final class FakeOperator implements ChangeFeed<OperatorChange> {
         private final List<String> mPrefixes = new ArrayList<>();
         private boolean mUnavailable;
+        private int mMaxBodyBytes = 1000;
 
         @Override
         public void latest(Consumer<Result<OperatorChange>> callback) {
@@ -63,7 +64,8 @@
             List<RouteSettings> routes = new ArrayList<>();
             QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
             mPrefixes.forEach(p -> routes.add(new RouteSettings(p, "h", p, "s", policy, false)));
-            FleetConfig config = new FleetConfig(mPrefixes.size(), routes, List.of(), 1000);
+            FleetConfig config =
+                    new FleetConfig(mPrefixes.size(), routes, List.of(), mMaxBodyBytes);
             OperatorChange change = new OperatorChange.NewConfig(config);
             callback.accept(
                     new Page<>(List.of(new Item<>("config", Optional.of(change))), 1, true));
@@ -241,4 +243,23 @@
         assertEquals(reply("PUT", "/q/" + JOB, BODY).status(), 405);
         assertEquals(storedRecords(), 0);
     }
+
+    @Test
+    public void aJobWhoseRecordTheStoreWouldRefuseIsRejectedWithAReason() {
+        // Guards against a job whose record is refused by all partitions, again and again.
+        mOperator.mMaxBodyBytes = 256 << 10;
+        mOperator.mPrefixes.add("/r/");
+        mService.readOperatorChanges();
+        String steps = ",{\"count\":1}".repeat(15_000);
+
+        HttpReply reply =
+                reply(
+                        "POST",
+                        "/q/" + JOB,
+                        "{\"spec\":\"a\",\"phases\":[{\"count\":1}" + steps + "]}");
+
+        assertEquals(reply.status(), 400);
+        assertTrue(text(reply).contains("the job's steps"), text(reply));
+        assertEquals(storedRecords(), 0);
+    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
@@ -4,14 +4,20 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.TaskName;
+import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.node.FakeSharedLog;
 import org.foxtailplank.node.FakeSharedLog.ScriptedOutcome;
 import org.foxtailplank.node.FakeTime;
+import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.port.LogPartition;
@@ -335,4 +341,73 @@
         assertEquals(storedCount(), 5);
         assertFalse(journal.hasPendingRecords());
     }
+
+    private OwnerJournal openJournal() {
+        OwnerJournal journal = new OwnerJournal(mContext, 1, () -> {});
+        journal.raiseEpoch(() -> {});
+        mLog.deliverAnswers();
+        return journal;
+    }
+
+    @Test
+    public void aRecordThatIsTooLargeForTheStoreIsStoredInParts() throws IOException {
+        // Guards against a wide step whose starts are refused and stop those of all other jobs.
+        mLog.limitRecordBytes(256 << 10);
+        OwnerJournal journal = openJournal();
+        List<StartedRun> starts = new ArrayList<>();
+        for (int i = 0; i < 7500; i++) {
+            TaskName task = new TaskName("00000000000000aa", 0, 0, i);
+            starts.add(new StartedRun(task, 1, WorkerIncarnation.ofUnknownStart("worker-1")));
+        }
+        int[] stored = {0};
+        int[] storedLater = {0};
+        journal.store(new RunsStarted(starts), () -> stored[0]++);
+        journal.store(new OwnerHeartbeat(1, "a", 0), () -> storedLater[0]++);
+        pass(1000);
+
+        assertEquals(stored[0], 1);
+        assertEquals(storedLater[0], 1);
+        List<StartedRun> written = new ArrayList<>();
+        for (byte[] record : mLog.records(JournalPartitions.PRIMARY)) {
+            if (JournalCodec.decode(record).orElseThrow() instanceof RunsStarted r) {
+                written.addAll(r.runs());
+            }
+        }
+        assertEquals(written, starts);
+    }
+
+    @Test
+    public void aRecordThatTheStoreNeverAcceptsDoesNotHoldUpTheOthers() {
+        // Guards against an owner that repeats a refused append for good.
+        mLog.limitRecordBytes(1000);
+        OwnerJournal journal = openJournal();
+        List<StoreOutcome> outcomes = new ArrayList<>();
+        int[] stored = {0};
+        int[] refused = {0};
+        journal.store(new OwnerHeartbeat(1, "a", 0), () -> stored[0]++);
+        journal.store(new OwnerHeartbeat(1, "b", 1), () -> stored[0]++);
+        journal.store(new OwnerHeartbeat(1, "x".repeat(2000), 1), () -> {}, () -> refused[0]++);
+        journal.storeHandedOver(new byte[2000], outcomes::add);
+        journal.store(new OwnerHeartbeat(1, "c", 2), () -> stored[0]++);
+        pass(1000);
+
+        assertEquals(refused[0], 1);
+        assertEquals(outcomes, List.of(StoreOutcome.NOT_STORED));
+        assertEquals(stored[0], 3);
+    }
+
+    @Test
+    public void anAppendHoldsNoMoreThanTheStoreAccepts() {
+        // Guards against a backlog whose append the store refuses as a whole.
+        OwnerJournal journal = openJournal();
+        for (int i = 0; i < 300; i++) {
+            journal.storeHandedOver(new byte[64 << 10], o -> {});
+        }
+        pass(1000);
+
+        assertEquals(storedCount(), 300);
+        for (int bytes : mLog.ownerAppendBytes()) {
+            assertTrue(bytes <= 2 << 20, bytes + " bytes in an append");
+        }
+    }
 }
