Request the VMs that a waiting gang needs

Callers saw an accepted gang with a limit of one task per worker never run: its pool had shrunk to fewer workers than it has members.

Cause: the demand for the gang was counted in cores only, which the few workers covered, so that no VM came back from the standby pool.

Change: PoolDemand counts the workers that a waiting gang needs, and the pool gets the missing ones from spare and standby VMs. Nothing is requested for a gang that the whole fleet couldn't hold.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -74,6 +74,7 @@
         double mLateMilliCores;
         int mIncomingVms;
         int mVmsForStanding;
+        int mVmsForGangs;
 
         /**
          * Creates a pool without VMs.
@@ -102,6 +103,10 @@
         /** VMs that the pool misses for jobs that aren't late; negative if it has spare ones. */
         double missingVms() {
             double forBatch = mMissingMilliCores / mVmMilliCores;
+            if (mVmsForGangs > 0) {
+                // VMs that have joined for a gang are kept until the last one has joined.
+                forBatch = Math.max(forBatch, mVmsForGangs - mIncomingVms);
+            }
             return needsVmForStanding()
                     ? Math.max(forBatch, mVmsForStanding - mIncomingVms)
                     : forBatch;
@@ -152,6 +157,7 @@
         for (Pool p : pools.values()) {
             p.mMissingMilliCores += forecastMilliCores(p, caps, nowMs, nowWallMs);
             p.mLateMilliCores = mDemand.lateMilliCores(p.mName, caps, nowWallMs);
+            p.mVmsForGangs = mDemand.vmsForGangs(p.mName, largestVm, mVms.all().size(), nowMs);
             p.mVmsForStanding = mDemand.vmsForStanding(p.mName, criticalMoves, largestVm, nowMs);
         }
         pools.values().forEach(p -> p.mMovable.sort(Comparator.comparingLong(this::used)));
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
@@ -95,6 +95,62 @@
         return (int) Math.max(most, Math.max(forCores, forMemory));
     }
 
+    /**
+     * VMs that gangs wait for. All members of a gang need a place at the same time, so the pool may
+     * have too few workers for it although there is capacity.
+     *
+     * @param vm capacity of an empty VM
+     * @param fleetVms number of all VMs; no VMs are requested for a gang that would need more
+     */
+    int vmsForGangs(String service, Resources vm, int fleetVms, long nowMs) {
+        int most = 0;
+        for (ActiveJob job : mScheduler.runs().jobs()) {
+            if (job.isEnding() || !job.definition().service().equals(service)) {
+                continue;
+            }
+            for (ActiveRun run : job.runs()) {
+                for (ActiveStep step : run.steps()) {
+                    int workers = workersForGang(step, vm);
+                    if (workers > 0 && workers <= fleetVms) {
+                        most = Math.max(most, workers - admittingWorkers(step, nowMs));
+                    }
+                }
+            }
+        }
+        return most;
+    }
+
+    /** Workers that a gang without a place needs; 0 for other steps. */
+    private static int workersForGang(ActiveStep step, Resources vm) {
+        if (!step.spec().placement().gang()
+                || !step.tasks().stream().allMatch(t -> t.isWaiting() && t.lacksRoom())) {
+            return 0;
+        }
+        Resources task = step.spec().reserved();
+        long perWorker =
+                Math.min(
+                        vm.milliProcessors() / Math.max(1, task.milliProcessors()),
+                        vm.memoryBytes() / Math.max(1, task.memoryBytes()));
+        int limit = step.spec().placement().maxPerWorker();
+        perWorker = Math.max(1, limit == 0 ? perWorker : Math.min(limit, perWorker));
+        return (int) ((step.tasks().size() + perWorker - 1) / perWorker);
+    }
+
+    /** Workers that could have a task of a gang once their batch tasks have ended. */
+    private int admittingWorkers(ActiveStep step, long nowMs) {
+        ActiveTask task = step.tasks().get(0);
+        int admitting = 0;
+        for (WorkerState w : mScheduler.workersOf(step.job().definition().service())) {
+            boolean admits =
+                    w.isUsable(nowMs)
+                            && WorkerChooser.mayRun(task, w)
+                            && !step.advice(w.incarnation()).isDenied()
+                            && task.spec().reserved().fitsIn(w.freeWithoutBatch());
+            admitting += admits ? 1 : 0;
+        }
+        return admitting;
+    }
+
     private static Resources min(Resources a, Resources b) {
         return new Resources(
                 Math.min(a.milliProcessors(), b.milliProcessors()),
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
@@ -44,7 +44,13 @@
             if (step.tasks().get(0).isBackingOff(nowMs) || !admitted) {
                 return;
             }
-            startGang(step, GangPlacement.place(step, workers, nowMs), out, nowMs);
+            Map<ActiveTask, WorkerState> placed = GangPlacement.place(step, workers, nowMs);
+            if (placed.isEmpty()) {
+                step.tasks().forEach(t -> t.recordNoRoom(nowMs));
+            } else {
+                step.tasks().forEach(ActiveTask::clearNoRoom);
+                startGang(step, placed, out, nowMs);
+            }
             return;
         }
         for (ActiveTask task : step.tasks()) {
@@ -82,9 +88,6 @@
     /** Starts a gang; all members share one attempt number and checkpoint. */
     private void startGang(
             ActiveStep step, Map<ActiveTask, WorkerState> placed, Decisions out, long nowMs) {
-        if (placed.isEmpty()) {
-            return;
-        }
         int attempt = mRuns.nextAttempt(step);
         String checkpoint = "";
         for (ActiveTask s : step.tasks()) {
