Withdraw starts on workers that drain

Callers saw tasks begin on workers more than two seconds after these had reported that they drain, and end with them.

Cause: a start that went unanswered, or waited for its record or the link, was sent whatever had become of its worker meanwhile.

Change: it is withdrawn. A start that was never sent is dropped and its task placed elsewhere; one that may still begin is stopped.

Evidence: both new tests of SchedulerTest fail without the change, as the starts are sent.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
@@ -16,7 +16,7 @@
             if (w.isOverCapacity()) {
                 withdrawStarts(w, runs, nowMs);
             }
-            withdrawDeniedStarts(w, runs, nowMs);
+            withdrawHopelessStarts(w, runs, nowMs);
             boolean full = w.isOverCapacity();
             for (TaskRun r : w.runs()) {
                 boolean starting = r.phase() == RunPhase.STARTING;
@@ -49,11 +49,16 @@
         }
     }
 
-    /** Withdraws starts that waited for another ticket and were denied it. */
-    private static void withdrawDeniedStarts(WorkerState worker, RunTable runs, long nowMs) {
+    /**
+     * Withdraws starts that waited for another ticket and were denied it, and those on a worker
+     * that is about to leave: a repeated one would begin late, and end with the worker.
+     */
+    private static void withdrawHopelessStarts(WorkerState worker, RunTable runs, long nowMs) {
         for (TaskRun r : List.copyOf(worker.runs())) {
             boolean due = r.phase() == RunPhase.STARTING && r.isCommandDue();
-            if (due && isDenied(r, nowMs)) {
+            if (due && worker.info().draining()) {
+                withdraw(r, "its worker drains", runs, nowMs);
+            } else if (due && isDenied(r, nowMs)) {
                 withdraw(r, "denied by the placement advice", runs, nowMs);
             }
         }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
@@ -428,4 +428,58 @@
         assertEquals(paces.get(0).run(), runs.get(1));
         assertEquals(paces.get(0).percent(), 50);
     }
+
+    private static void drain(OwnerHarness owner, WorkerState worker) {
+        WorkerInfo i = worker.info();
+        owner.mScheduler.updateWorker(
+                new WorkerInfo(
+                        i.incarnation(),
+                        i.service(),
+                        i.address(),
+                        i.zone(),
+                        i.capacity(),
+                        i.labels(),
+                        i.rack(),
+                        true),
+                owner.mNowMs);
+    }
+
+    @Test
+    public void anUnansweredStartIsNotRepeatedOnAWorkerThatDrains() {
+        // Guards against a task that begins on a worker long after the worker began to leave.
+        OwnerHarness owner = new OwnerHarness();
+        WorkerState worker = owner.addWorker("w1", "surveys", 8);
+        owner.accept(
+                OwnerHarness.definition(
+                        JOB, "surveys", 0, OwnerHarness.step(1, 1, 1000, List.of())));
+        owner.recordStarts(owner.decide().planned());
+        TaskRun run = owner.decide().starts().get(0).run();
+        owner.mScheduler.startAnswered(run, CommandOutcome.UNANSWERED, owner.mNowMs);
+        drain(owner, worker);
+        owner.mNowMs += 300;
+
+        Decisions decisions = owner.decide();
+
+        assertTrue(decisions.starts().isEmpty());
+        assertEquals(decisions.stops(), List.of(run), "the run may begin until it is stopped");
+    }
+
+    @Test
+    public void aStartThatWasNotSentMovesToAnotherWorkerWhenItsWorkerDrains() {
+        // Guards against a start on a leaving worker that waited for its record or the link.
+        OwnerHarness owner = new OwnerHarness();
+        WorkerState worker = owner.addWorker("w1", "surveys", 8);
+        owner.accept(
+                OwnerHarness.definition(
+                        JOB, "surveys", 0, OwnerHarness.step(1, 1, 1000, List.of())));
+        List<TaskRun> planned = owner.decide().planned();
+        owner.addWorker("w2", "surveys", 8);
+        drain(owner, worker);
+        owner.recordStarts(planned);
+
+        Decisions decisions = owner.decide();
+
+        assertTrue(decisions.starts().isEmpty());
+        assertEquals(decisions.planned().get(0).worker().id(), "w2");
+    }
 }
