--- a/review/6/run.sh
+++ b/review/7/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# The only machine of a kind crashes four times; a job needs it for a subtask that lasts.
-# Exits with 1 if the job is shown as failed, 0 if not, 2 if the case could not run.
-# TROUBLE=0: the machine does not crash.
+# Consumers cancel jobs while the store loses answers and does writes late.
+# Exits with 1 if subtasks of cancelled jobs stay at work, 0 if not, 2 if the case could not run.
+# TROUBLE=0: the store loses nothing.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/foxtail-node.jar ] && [ -d review/standin-2/target ] || exit 2
 exec java -Xmx1g -Dsun.net.httpserver.nodelay=true -Dsun.net.httpserver.maxIdleConnections=2000 \
-    -cp "review/standin-2/target:target/lib/*" org.foxtailplank.review.FlappingMachineCase review/6
+    -cp "review/standin-2/target:target/lib/*" org.foxtailplank.review.CancelCase review/7
--- a/review/standin-2/src/org/foxtailplank/review/Store.java
+++ b/review/standin-2/src/org/foxtailplank/review/Store.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 
@@ -26,12 +27,16 @@
     private static final int OK = 200;
     private static final int HEADER_BYTES = 16;
     private static final int REPEATS = 5;
+    private static final long MIN_LATE = 1000;
+    private static final long MAX_LATE = 6000;
+    private static final long SILENT_MS = 20_000;
 
     private final long mKeepMs;
     private final long mAppendMs;
     private final Map<String, Partition> mPartitions = new ConcurrentHashMap<>();
     private final HttpServer mServer;
     private volatile long mExtraMs;
+    private volatile double mLostShare;
 
     Store(long keepMs, long appendMs) throws IOException {
         mKeepMs = keepMs;
@@ -48,6 +53,11 @@
         mExtraMs = extraMs;
     }
 
+    /** Loses the answers to a share of the appends, which are done one to six seconds later. */
+    void setLostShare(double lostShare) {
+        mLostShare = lostShare;
+    }
+
     private record Stored(byte[] bytes, long atMs) {}
 
     private record Range(long offset, long end) {}
@@ -117,6 +127,14 @@
 
     private Web.Answer handle(Web.Request request) throws InterruptedException {
         Partition partition = partition(request.text("topic"), request.text("part"));
+        boolean write = request.path().equals("/v1/log-append");
+        if (write && ThreadLocalRandom.current().nextDouble() < mLostShare) {
+            TimeUnit.MILLISECONDS.sleep(ThreadLocalRandom.current().nextLong(MIN_LATE, MAX_LATE));
+            append(partition, request);
+            // The channel carries nothing more.
+            TimeUnit.MILLISECONDS.sleep(SILENT_MS);
+            return Web.Answer.NONE;
+        }
         Web.Answer answer =
                 switch (request.path()) {
                     case "/v1/log-append" -> append(partition, request);
