--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
@@ -1,7 +1,6 @@
 package org.foxtailplank.job;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +16,7 @@
     private final Map<Integer, RunProgress> mOpenRuns = new LinkedHashMap<>();
 
     private long mCancelledMs;
-    private long mSnapshotMs;
+    private JournalCopy mCopy = new JournalCopy(JournalCopy.UNKNOWN_MS, 0);
     private boolean mStarted;
     private boolean mFailed;
     private long mGivenUpMs;
@@ -25,21 +24,23 @@
 
     JobProgress(JobDefinition definition) {
         mDefinition = definition;
-        mSnapshotMs = definition.acceptedMs();
     }
 
     public JobDefinition definition() {
         return mDefinition;
     }
 
-    /** When the last snapshot was taken, in milliseconds since the epoch. */
-    public long snapshotMs() {
-        return mSnapshotMs;
+    /** The newest copy of all facts about the job in the journal. */
+    public JournalCopy copy() {
+        return mCopy;
+    }
+
+    void setCopy(JournalCopy copy) {
+        mCopy = copy;
     }
 
     /** Takes a snapshot of the complete state as one record. */
-    public JournalRecord.JobSnapshot snapshot(long nowMs) {
-        mSnapshotMs = nowMs;
+    public JournalRecord.JobSnapshot snapshot() {
         List<JournalRecord.EndedRun> ends = new ArrayList<>();
         mOpenRuns.values().forEach(r -> r.forEachEnd(mEndedMs, ends::add));
         return new JournalRecord.JobSnapshot(
@@ -48,7 +49,21 @@
                 ends,
                 new JournalRecord.DoneRuns(mDoneRuns.ranges(), mEndedMs),
                 mCancelledMs,
-                mGivenUpMs);
+                mGivenUpMs,
+                mStarted,
+                endedWithWorker(),
+                true);
+    }
+
+    /** Summarizes a job that has ended, for callers who ask for it until it expires. */
+    public JournalRecord.EndedJob summarize() {
+        return new JournalRecord.EndedJob(
+                mDefinition.id(),
+                mDefinition.route(),
+                mDefinition.organisation(),
+                phase(),
+                mDefinition.acceptedMs(),
+                mEndedMs);
     }
 
     /** Current phase of the job. */
@@ -105,6 +120,19 @@
         }
     }
 
+    /** Ends the job in a final phase, unless it has ended. */
+    void end(JobPhase phase, long atMs) {
+        switch (phase) {
+            case CANCELLED -> cancel(atMs);
+            case FAILED -> giveUp(atMs);
+            case COMPLETED -> {
+                RunRange all = new RunRange(0, mDefinition.timetable().runs() - 1);
+                recordDoneRuns(new JournalRecord.DoneRuns(List.of(all), atMs));
+            }
+            default -> throw new IllegalArgumentException(phase + " is not a final phase");
+        }
+    }
+
     /** Marks the job as failed because a task of it crashes its workers. */
     void giveUp(long atMs) {
         if (!phase().isFinal()) {
@@ -147,7 +175,7 @@
     }
 
     /** The last run of each task that ended with its worker. */
-    public Collection<JournalRecord.StartedRun> endedWithWorker() {
+    public List<JournalRecord.StartedRun> endedWithWorker() {
         List<JournalRecord.StartedRun> ended = new ArrayList<>();
         mOpenRuns.values().forEach(r -> ended.addAll(r.endedWithWorker()));
         return ended;
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
@@ -9,11 +9,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.foxtailplank.job.JournalRecord.EndedJob;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.JobGivenUp;
 import org.foxtailplank.job.JournalRecord.JobSnapshot;
+import org.foxtailplank.job.JournalRecord.JobsEnded;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
 import org.foxtailplank.job.JournalRecord.OwnerResigned;
@@ -50,8 +52,16 @@
     private final Set<Long> mCompletedWaves = new HashSet<>();
     private final Map<String, List<JournalRecord>> mBufferedRecords = new LinkedHashMap<>();
     private final long mEndedRetentionMs;
+
+    /** Newest copy of each fact about the waves. */
+    private final Map<JournalRecord, JournalCopy> mWaveCopies = new HashMap<>();
+
+    private long mCopies;
     private long mConfigVersion;
 
+    /** Latest acceptance of a job that is known by its summary only; wall time. */
+    private long mSummarizedUntilMs = Long.MIN_VALUE;
+
     /**
      * Creates an empty registry.
      *
@@ -61,13 +71,28 @@
         mEndedRetentionMs = endedRetentionMs;
     }
 
-    /** Applies one record and returns the job it introduces, if any. */
+    /** Applies a record of unknown age and returns the job it introduces, if any. */
     public Optional<JobProgress> apply(JournalRecord record) {
+        return apply(record, JournalCopy.UNKNOWN_MS);
+    }
+
+    /**
+     * Applies one record and returns the job it introduces, if any.
+     *
+     * @param sinceMs earliest time at which it can have been stored, on this node's monotonic
+     *     clock; {@link JournalCopy#UNKNOWN_MS} if unknown
+     */
+    public Optional<JobProgress> apply(JournalRecord record, long sinceMs) {
         if (record instanceof JobAccepted r) {
-            return applyAccepted(r.definition());
+            return applyAccepted(r.definition(), sinceMs);
         }
         if (record instanceof JobSnapshot r) {
-            return applySnapshot(r);
+            return applySnapshot(r, sinceMs);
+        }
+        if (record instanceof JobsEnded r) {
+            mConfigVersion = Math.max(mConfigVersion, r.configVersion());
+            r.jobs().forEach(j -> applyEnded(j, sinceMs));
+            return Optional.empty();
         }
         if (record instanceof JobCancelled r) {
             job(r.job()).ifPresentOrElse(j -> j.cancel(r.atMs()), () -> buffer(r.job(), r));
@@ -102,24 +127,31 @@
             }
         } else if (record instanceof VmRebooted r) {
             mRebootedVms.computeIfAbsent(r.wave(), w -> new HashSet<>()).add(r.vm());
+            mWaveCopies.put(r, nextCopy(sinceMs));
         } else if (record instanceof WaveDue r) {
             mWaveDueMs.merge(r.wave(), r.dueMs(), Math::min);
+            mWaveCopies.put(r, nextCopy(sinceMs));
         } else if (record instanceof WaveCompleted r) {
             mCompletedWaves.add(r.wave());
+            mWaveCopies.put(r, nextCopy(sinceMs));
         } else if (!(record instanceof OwnerHeartbeat || record instanceof OwnerResigned)) {
             throw new IllegalStateException("unsupported journal record " + record.getClass());
         }
         return Optional.empty();
     }
 
-    private Optional<JobProgress> applyAccepted(JobDefinition definition) {
+    private JournalCopy nextCopy(long sinceMs) {
+        return new JournalCopy(sinceMs, mCopies++);
+    }
+
+    private Optional<JobProgress> applyAccepted(JobDefinition definition, long sinceMs) {
         if (mJobs.containsKey(definition.id())) {
             return Optional.empty();
         }
-        return Optional.of(add(new JobProgress(definition)));
+        return Optional.of(add(new JobProgress(definition), sinceMs));
     }
 
-    private JobProgress add(JobProgress progress) {
+    private JobProgress add(JobProgress progress, long sinceMs) {
         mConfigVersion = Math.max(mConfigVersion, progress.definition().configVersion());
         String id = progress.definition().id();
         mJobs.put(id, progress);
@@ -130,9 +162,32 @@
         if (buffered != null) {
             buffered.forEach(this::apply);
         }
+        // Buffered records are older than the one that introduces the job.
+        progress.setCopy(nextCopy(buffered == null ? sinceMs : JournalCopy.UNKNOWN_MS));
         return progress;
     }
 
+    /** Applies the summary of a job that has ended, of which this node may lack the end. */
+    private void applyEnded(EndedJob ended, long sinceMs) {
+        Optional<JobProgress> known = job(ended.job());
+        JobProgress progress = known.orElseGet(() -> new JobProgress(ended.definition()));
+        progress.end(ended.phase(), ended.endedMs());
+        if (known.isEmpty()) {
+            mSummarizedUntilMs = Math.max(mSummarizedUntilMs, ended.acceptedMs());
+            add(progress, sinceMs);
+        }
+        progress.setCopy(nextCopy(sinceMs));
+    }
+
+    /**
+     * Records that a complete copy of a job's facts is stored.
+     *
+     * @param sinceMs when the copy was taken, on this node's monotonic clock in milliseconds
+     */
+    public void recordCopy(String job, long sinceMs) {
+        job(job).ifPresent(j -> j.setCopy(nextCopy(sinceMs)));
+    }
+
     /** Buffers a record of a job that isn't known yet. */
     private void buffer(String id, JournalRecord record) {
         mBufferedRecords.computeIfAbsent(id, i -> new ArrayList<>()).add(record);
@@ -141,20 +196,31 @@
         }
     }
 
-    private Optional<JobProgress> applySnapshot(JobSnapshot record) {
+    private Optional<JobProgress> applySnapshot(JobSnapshot record, long sinceMs) {
         Optional<JobProgress> known = job(record.definition().id());
         // After a gap in the journal, a known job may lack records that the snapshot contains.
         JobProgress progress = known.orElseGet(() -> new JobProgress(record.definition()));
+        if (record.started()) {
+            progress.markStarted();
+        }
         progress.recordDoneRuns(record.doneRuns());
         record.starts().forEach(progress::recordStart);
         record.ends().forEach(progress::recordEnd);
+        record.endedWithWorker().forEach(progress::recordEndWithWorker);
         if (record.cancelledMs() > 0) {
             progress.cancel(record.cancelledMs());
         }
         if (record.givenUpMs() > 0) {
             progress.giveUp(record.givenUpMs());
         }
-        return known.isPresent() ? Optional.empty() : Optional.of(add(progress));
+        long copySinceMs = record.whole() ? sinceMs : JournalCopy.UNKNOWN_MS;
+        if (known.isEmpty()) {
+            return Optional.of(add(progress, copySinceMs));
+        }
+        if (record.whole()) {
+            progress.setCopy(nextCopy(sinceMs));
+        }
+        return Optional.empty();
     }
 
     /** Takes a snapshot of the state of all waves as records to be written to the journal. */
@@ -176,6 +242,13 @@
         return records;
     }
 
+    /** Facts about the waves of which no copy is certainly more recent than this age. */
+    public List<JournalRecord> waveFactsOlderThan(long ageMs, long nowMs) {
+        return snapshotWaves().stream()
+                .filter(f -> mWaveCopies.get(f).mayBeOlderThan(ageMs, nowMs))
+                .toList();
+    }
+
     /** Deadline of a wave, in milliseconds since the epoch; empty if no owner has recorded it. */
     public Optional<Long> waveDueMs(long wave) {
         return Optional.ofNullable(mWaveDueMs.get(wave));
@@ -222,14 +295,22 @@
         pending.removeIf(j -> j.phase() != JobPhase.QUEUED);
     }
 
-    /** Wall time since which every accepted job is kept, as ended ones are removed later. */
+    /**
+     * Wall time since which every accepted job is kept with its definition. Ended ones are removed
+     * later, and a node that started after them knows only their summaries.
+     */
     public long completeSinceMs(long nowMs) {
-        return nowMs - mEndedRetentionMs;
+        return Math.max(nowMs - mEndedRetentionMs, mSummarizedUntilMs + 1);
+    }
+
+    /** How much longer an ended job must be known, in milliseconds. */
+    public long remainingMs(JobProgress ended, long nowMs) {
+        return ended.endedMs() + mEndedRetentionMs - nowMs;
     }
 
     /** Removes ended jobs whose retention period is over. */
     public void removeExpired(long nowMs) {
-        mJobs.values().removeIf(j -> j.endedMs() > 0 && j.endedMs() + mEndedRetentionMs < nowMs);
+        mJobs.values().removeIf(j -> j.endedMs() > 0 && remainingMs(j, nowMs) < 0);
         mPendingByQueue.values().forEach(JobRegistry::removeStarted);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.job;
 
 import java.util.List;
+import java.util.Optional;
 
 /** A record of the journal, from which each node replays the state of all jobs and waves. */
 public sealed interface JournalRecord {
@@ -18,6 +19,9 @@
      * @param doneRuns runs of the steps that are done
      * @param cancelledMs when it was cancelled, in milliseconds since the epoch; 0 if it was not
      * @param givenUpMs when it was given up, in milliseconds since the epoch; 0 if it was not
+     * @param started whether a worker has reported the start of a task
+     * @param endedWithWorker the last run of each task that ended with its worker
+     * @param whole whether the record contains all facts about the job, and not only a part
      */
     record JobSnapshot(
             JobDefinition definition,
@@ -25,11 +29,69 @@
             List<EndedRun> ends,
             DoneRuns doneRuns,
             long cancelledMs,
-            long givenUpMs)
+            long givenUpMs,
+            boolean started,
+            List<StartedRun> endedWithWorker,
+            boolean whole)
             implements JournalRecord {
         public JobSnapshot {
             starts = List.copyOf(starts);
             ends = List.copyOf(ends);
+            endedWithWorker = List.copyOf(endedWithWorker);
+        }
+    }
+
+    /**
+     * Summaries of jobs that have ended, which replace their snapshots.
+     *
+     * @param jobs the jobs
+     * @param configVersion newest version of the configuration by which a job was accepted; 0 if
+     *     unknown
+     */
+    record JobsEnded(List<EndedJob> jobs, long configVersion) implements JournalRecord {
+        public JobsEnded {
+            jobs = List.copyOf(jobs);
+        }
+    }
+
+    /**
+     * What is kept of a job that has ended.
+     *
+     * @param job ID of the job
+     * @param route name of the queue that it was submitted to
+     * @param organisation name of the organisation that it belongs to; empty for none
+     * @param phase final phase
+     * @param acceptedMs when it was accepted, in milliseconds since the epoch
+     * @param endedMs when it ended, in milliseconds since the epoch
+     */
+    record EndedJob(
+            String job,
+            String route,
+            String organisation,
+            JobPhase phase,
+            long acceptedMs,
+            long endedMs) {
+        private static final QueuePolicy POLICY = new QueuePolicy(0, 1, 1, 0, Optional.empty());
+
+        public EndedJob {
+            if (!phase.isFinal()) {
+                throw new IllegalArgumentException(phase + " is not a final phase");
+            }
+        }
+
+        /** Returns a definition without steps, as none of them will run again. */
+        JobDefinition definition() {
+            return new JobDefinition(
+                    job,
+                    route,
+                    "",
+                    "",
+                    List.of(),
+                    Timetable.AT_ONCE,
+                    POLICY,
+                    acceptedMs,
+                    0,
+                    organisation);
         }
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/job/RunProgress.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/RunProgress.java
@@ -102,7 +102,7 @@
         return isDone(run.task()) || mEndedAttempts.contains(attemptKey(run.task(), run.attempt()));
     }
 
-    /** Passes on the ends of done tasks and of failed attempts. */
+    /** Passes on the ends of done tasks, of failed attempts and of other last runs of tasks. */
     void forEachEnd(long atMs, Consumer<EndedRun> consumer) {
         mDoneTasks.stream()
                 .mapToObj(p -> new EndedRun(task(p), 0, RunOutcome.DONE, atMs))
@@ -112,6 +112,20 @@
                         attempts.stream()
                                 .map(a -> new EndedRun(task(p), a, RunOutcome.FAILED, atMs))
                                 .forEach(consumer));
+        mLastStarts.values().stream()
+                .filter(s -> hasEnded(s) && !isDone(s.task()) && !hasFailed(s))
+                .filter(s -> !hasEndedWithWorker(s))
+                .map(s -> new EndedRun(s.task(), s.attempt(), RunOutcome.STOPPED, atMs))
+                .forEach(consumer);
+    }
+
+    private boolean hasEndedWithWorker(StartedRun run) {
+        StartedRun ended = mEndedWithWorker.get(position(run.task()));
+        return ended != null && ended.attempt() == run.attempt();
+    }
+
+    private boolean hasFailed(StartedRun run) {
+        return failedAttempts(run.task()).contains(run.attempt());
     }
 
     private TaskName task(int position) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
@@ -50,7 +50,8 @@
 
     /** Notes a job that arrived before the takeover, even if it has ended, for the forecast. */
     void inherit(JobDefinition definition, boolean entitled) {
-        if (mForecast.isPresent()) {
+        boolean isSummary = definition.steps().isEmpty();
+        if (mForecast.isPresent() && !isSummary) {
             mInherited.add(definition, entitled && isBatch(definition));
         }
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
@@ -146,13 +146,12 @@
         end(1, 2, RunOutcome.FAILED);
         JobRegistry replica = new JobRegistry(RETENTION_MS);
 
-        JobProgress restored = replica.apply(job.snapshot(NOW_MS)).orElseThrow();
+        JobProgress restored = replica.apply(job.snapshot()).orElseThrow();
 
         assertTrue(restored.isDone(new TaskName("aa", 0, 0, 0)));
         assertEquals(restored.failedAttempts(new TaskName("aa", 0, 0, 1)).size(), 1);
         assertEquals(restored.lastStarts().iterator().next().attempt(), 7);
         assertEquals(restored.phase(), JobPhase.RUNNING);
-        assertEquals(job.snapshotMs(), NOW_MS);
     }
 
     @Test
@@ -244,7 +243,7 @@
         complete.apply(new RunsStarted(List.of(start)));
 
         JobProgress progress = accept(2);
-        mRegistry.apply(known.snapshot(NOW_MS + 100_000));
+        mRegistry.apply(known.snapshot());
 
         assertTrue(progress.isDone(task));
         assertEquals(List.copyOf(progress.lastStarts()), List.of(start));
@@ -256,7 +255,7 @@
         JobProgress givenUp = accept(1);
         mRegistry.apply(new JobGivenUp("aa", NOW_MS));
         JobRegistry later = new JobRegistry(RETENTION_MS);
-        JobProgress restored = later.apply(givenUp.snapshot(NOW_MS + 10)).orElseThrow();
+        JobProgress restored = later.apply(givenUp.snapshot()).orElseThrow();
 
         assertEquals(givenUp.phase(), JobPhase.FAILED);
         assertEquals(restored.phase(), JobPhase.FAILED);
@@ -382,7 +381,7 @@
             }
         }
 
-        JobSnapshot snapshot = progress.snapshot(NOW_MS);
+        JobSnapshot snapshot = progress.snapshot();
         JobRegistry replica = new JobRegistry(RETENTION_MS);
         JobProgress restored = replica.apply(snapshot).orElseThrow();
 
@@ -408,7 +407,7 @@
                     new RunsEnded(List.of(new EndedRun(task, 1, RunOutcome.DONE, NOW_MS + run))));
         }
         JobProgress restored =
-                new JobRegistry(RETENTION_MS).apply(progress.snapshot(NOW_MS)).orElseThrow();
+                new JobRegistry(RETENTION_MS).apply(progress.snapshot()).orElseThrow();
 
         assertEquals(progress.phase(), JobPhase.COMPLETED);
         assertEquals(restored.phase(), JobPhase.COMPLETED);
--- /dev/null
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JournalCopyTest.java
@@ -0,0 +1,232 @@
+package org.foxtailplank.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.JobAccepted;
+import org.foxtailplank.job.JournalRecord.JobSnapshot;
+import org.foxtailplank.job.JournalRecord.JobsEnded;
+import org.foxtailplank.job.JournalRecord.JobsStarted;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.JournalRecord.VmRebooted;
+import org.foxtailplank.job.JournalRecord.WaveDue;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests what copies in the journal contain, and what a node knows about their age. */
+public class JournalCopyTest {
+    private static final long RETENTION_MS = 120_000;
+    private static final long WALL_MS = 5_000_000;
+    private static final String JOB = "aa";
+    private static final TaskName TASK = new TaskName(JOB, 0, 0, 0);
+    private static final StartedRun START =
+            new StartedRun(
+                    TASK, 4, WorkerIncarnation.ofUnknownStart("w1"), new CrashHistory(2, 30, 510));
+
+    private JobRegistry mRegistry;
+    private JobRegistry mReplica;
+
+    @BeforeMethod
+    public void setUp() {
+        mRegistry = new JobRegistry(RETENTION_MS);
+        mReplica = new JobRegistry(RETENTION_MS);
+    }
+
+    private static JobDefinition definition(String id) {
+        TaskStep step =
+                new TaskStep(
+                        2,
+                        Resources.of(1, 1, 0),
+                        100,
+                        List.of(),
+                        PlacementConstraints.ANYWHERE,
+                        RunMode.PLAIN);
+        QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
+        return new JobDefinition(
+                id, "q", "s", "t", List.of(step), Timetable.AT_ONCE, policy, WALL_MS, 7, "org");
+    }
+
+    private JobProgress accept(long sinceMs) {
+        return mRegistry.apply(new JobAccepted(definition(JOB)), sinceMs).orElseThrow();
+    }
+
+    private static void end(JobRegistry registry, int index, RunOutcome outcome) {
+        TaskName task = new TaskName(JOB, 0, 0, index);
+        registry.apply(new RunsEnded(List.of(new EndedRun(task, 1, outcome, WALL_MS + 9))));
+    }
+
+    /** Guards against a copy that counts as written although the store never confirmed it. */
+    @Test
+    public void takingASnapshotDoesNotRenewTheCopy() {
+        JobProgress job = accept(100);
+        job.snapshot();
+
+        assertEquals(job.copy().sinceMs(), 100);
+        assertTrue(job.copy().mayBeOlderThan(50, 151));
+        assertFalse(job.copy().mayBeOlderThan(50, 150));
+        mRegistry.recordCopy(JOB, 140);
+        assertEquals(job.copy().sinceMs(), 140);
+    }
+
+    /** Guards against owners that rewrite what their predecessors have just rewritten. */
+    @Test
+    public void aSnapshotOfAKnownJobRenewsTheCopy() {
+        JobProgress job = accept(100);
+        mRegistry.apply(job.snapshot(), 200);
+
+        assertEquals(job.copy().sinceMs(), 200);
+    }
+
+    /** Guards against facts that expire, as one part of their snapshot counts for all parts. */
+    @Test
+    public void aPartOfASnapshotDoesNotRenewTheCopy() {
+        JobProgress job = accept(100);
+        JobSnapshot s = job.snapshot();
+        JobSnapshot part =
+                new JobSnapshot(
+                        s.definition(),
+                        s.starts(),
+                        s.ends(),
+                        s.doneRuns(),
+                        0,
+                        0,
+                        false,
+                        List.of(),
+                        false);
+        mRegistry.apply(part, 200);
+        JobProgress restored = mReplica.apply(part, 200).orElseThrow();
+
+        assertEquals(job.copy().sinceMs(), 100);
+        assertEquals(restored.copy().sinceMs(), JournalCopy.UNKNOWN_MS);
+    }
+
+    /** Guards against an old start that expires before its job, which another partition had. */
+    @Test
+    public void aJobWithEarlierRecordsHasACopyOfUnknownAge() {
+        mRegistry.apply(new RunsStarted(List.of(START)), 100);
+
+        assertEquals(accept(200).copy().sinceMs(), JournalCopy.UNKNOWN_MS);
+    }
+
+    /** Guards against new owners that each begin again with the copies read first. */
+    @Test
+    public void copiesOfUnknownAgeAreOrderedAsTheyWereRead() {
+        JobProgress first = mRegistry.apply(new JobAccepted(definition("bb"))).orElseThrow();
+        JobProgress second = mRegistry.apply(new JobAccepted(definition("cc"))).orElseThrow();
+        mRegistry.apply(first.snapshot());
+
+        assertTrue(second.copy().compareTo(first.copy()) < 0);
+    }
+
+    /** Guards against a job shown as queued, and crashes forgotten, by a node that starts later. */
+    @Test
+    public void aSnapshotKeepsThatTheJobHasStartedAndWhichRunsEndedWithTheirWorkers() {
+        JobProgress job = accept(100);
+        mRegistry.apply(new RunsStarted(List.of(START)));
+        mRegistry.apply(new JobsStarted(List.of(JOB)));
+        mRegistry.apply(new RunsEndedWithWorker(List.of(START)));
+        JobProgress restored = mReplica.apply(job.snapshot()).orElseThrow();
+
+        assertEquals(restored.phase(), JobPhase.RUNNING);
+        assertEquals(restored.endedWithWorker(), List.of(START));
+        assertEquals(restored.crashes(START), START.crashes());
+        assertTrue(restored.hasEnded(START));
+    }
+
+    /** Guards against a stopped run that the next owner waits for until its lease has expired. */
+    @Test
+    public void aSnapshotKeepsThatTheLastRunOfATaskWasStopped() {
+        JobProgress job = accept(100);
+        mRegistry.apply(new RunsStarted(List.of(START)));
+        mRegistry.apply(new RunsEnded(List.of(new EndedRun(TASK, 4, RunOutcome.STOPPED, WALL_MS))));
+        JobProgress restored = mReplica.apply(job.snapshot()).orElseThrow();
+
+        assertTrue(restored.hasEnded(START));
+        assertFalse(restored.isDone(TASK));
+        assertEquals(restored.failedAttempts(TASK), Set.of());
+    }
+
+    @DataProvider
+    public Object[][] finalPhases() {
+        return new Object[][] {{JobPhase.COMPLETED}, {JobPhase.FAILED}, {JobPhase.CANCELLED}};
+    }
+
+    private JobProgress ended(JobPhase phase) {
+        JobProgress job = accept(100);
+        job.end(phase, WALL_MS + 9);
+        assertEquals(job.phase(), phase);
+        return job;
+    }
+
+    /** Guards against an ended job that a node which starts later answers with 410. */
+    @Test(dataProvider = "finalPhases")
+    public void anEndedJobIsRestoredFromItsSummaryAlone(JobPhase phase) {
+        JobsEnded record = new JobsEnded(List.of(ended(phase).summarize()), 7);
+        mReplica.apply(record, 300);
+        JobProgress restored = mReplica.job(JOB).orElseThrow();
+
+        assertEquals(JobSummary.of(restored), new JobSummary(phase, "q", "org"));
+        assertEquals(restored.endedMs(), WALL_MS + 9);
+        assertEquals(restored.copy().sinceMs(), 300);
+        assertEquals(restored.summarize(), record.jobs().get(0));
+        assertEquals(mReplica.configVersion(), 7);
+        assertEquals(mReplica.pending("q"), 0);
+        mReplica.removeExpired(WALL_MS + 9 + RETENTION_MS + 1);
+        assertTrue(mReplica.job(JOB).isEmpty());
+    }
+
+    /** Guards against a node that missed the end in a gap and runs the job again as the owner. */
+    @Test(dataProvider = "finalPhases")
+    public void aSummaryEndsAKnownJob(JobPhase phase) {
+        JobsEnded record = new JobsEnded(List.of(ended(phase).summarize()), 7);
+        JobProgress known = mReplica.apply(new JobAccepted(definition(JOB)), 100).orElseThrow();
+        mReplica.apply(record, 300);
+
+        assertEquals(known.phase(), phase);
+        assertEquals(known.copy().sinceMs(), 300);
+        assertEquals(known.definition().tasksPerRun(), 2);
+    }
+
+    /** Guards against a completed job that a late record shows as failed. */
+    @Test
+    public void aSummarizedJobIgnoresLateRecords() {
+        mReplica.apply(new JobsEnded(List.of(ended(JobPhase.COMPLETED).summarize()), 7));
+        mReplica.apply(new RunsStarted(List.of(START)));
+        end(mReplica, 0, RunOutcome.FAILED);
+        end(mReplica, 0, RunOutcome.DONE);
+        assertTrue(mReplica.apply(new JobAccepted(definition(JOB))).isEmpty());
+
+        assertEquals(mReplica.job(JOB).orElseThrow().phase(), JobPhase.COMPLETED);
+    }
+
+    /** Guards against a forecast that takes summarized jobs for a time without arrivals. */
+    @Test
+    public void theDefinitionsAreCompleteSinceTheLastJobKnownByItsSummaryOnly() {
+        assertEquals(mReplica.completeSinceMs(WALL_MS + 60_000), WALL_MS + 60_000 - RETENTION_MS);
+        mReplica.apply(new JobsEnded(List.of(ended(JobPhase.COMPLETED).summarize()), 7));
+
+        assertEquals(mReplica.completeSinceMs(WALL_MS + 60_000), WALL_MS + 1);
+    }
+
+    /** Guards against a wave whose records expire, as short-lived owners never rewrite them. */
+    @Test
+    public void factsAboutWavesHaveTheAgeOfTheirNewestCopy() {
+        mRegistry.apply(new VmRebooted(1, "vm1"));
+        mRegistry.apply(new VmRebooted(1, "vm2"), 100);
+        mRegistry.apply(new WaveDue(1, 9), 150);
+
+        assertEquals(mRegistry.waveFactsOlderThan(50, 150), List.of(new VmRebooted(1, "vm1")));
+        mRegistry.apply(new VmRebooted(1, "vm1"), 150);
+        assertEquals(mRegistry.waveFactsOlderThan(50, 160), List.of(new VmRebooted(1, "vm2")));
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -18,6 +18,7 @@
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.JobGivenUp;
 import org.foxtailplank.job.JournalRecord.JobSnapshot;
+import org.foxtailplank.job.JournalRecord.JobsEnded;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
 import org.foxtailplank.job.JournalRecord.OwnerResigned;
@@ -59,6 +60,7 @@
     private static final int WAVE_DUE = 11;
     private static final int GIVEN_UP = 12;
     private static final int ENDED_WITH_WORKER = 13;
+    private static final int JOBS_ENDED = 14;
 
     private JournalCodec() {}
 
@@ -100,6 +102,14 @@
         if (record instanceof JobsStarted r) {
             return encodeMessage(out -> writeMessage(out, BEGUN, o -> writeJobs(o, r.jobs())));
         }
+        if (record instanceof JobsEnded r) {
+            return encodeMessage(
+                    out -> writeMessage(out, JOBS_ENDED, o -> EndedJobsCodec.write(o, r)));
+        }
+        return encodeOwnerOrWave(record);
+    }
+
+    private static byte[] encodeOwnerOrWave(JournalRecord record) {
         if (record instanceof OwnerHeartbeat r) {
             return encodeMessage(
                     out -> writeMessage(out, ALIVE, o -> OwnerRecordCodec.write(o, r)));
@@ -132,7 +142,7 @@
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         int tag = in.readTag();
         int kind = WireFormat.getTagFieldNumber(tag);
-        if (kind < ACCEPTED || kind > ENDED_WITH_WORKER) {
+        if (kind < ACCEPTED || kind > JOBS_ENDED) {
             return Optional.empty();
         }
         CodedInputStream body = in.readBytes().newCodedInput();
@@ -143,6 +153,7 @@
                     case SNAPSHOT -> readSnapshot(body);
                     case STARTED -> new RunsStarted(readStarts(body));
                     case ENDED_WITH_WORKER -> new RunsEndedWithWorker(readStarts(body));
+                    case JOBS_ENDED -> EndedJobsCodec.read(body);
                     case BEGUN -> new JobsStarted(readJobs(body));
                     case WAVE_DUE -> readWaveDue(body);
                     case LEFT -> OwnerRecordCodec.readOwnerResigned(body);
@@ -170,6 +181,9 @@
         out.writeInt64(4, record.cancelledMs());
         out.writeInt64(5, record.givenUpMs());
         writeMessage(out, 6, o -> writeDoneRuns(o, record.doneRuns()));
+        out.writeBool(7, record.started());
+        writeMessage(out, 8, o -> writeStarts(o, record.endedWithWorker()));
+        out.writeBool(9, record.whole());
     }
 
     private static void writeDoneRuns(CodedOutputStream out, DoneRuns done) throws IOException {
@@ -210,6 +224,9 @@
         DoneRuns doneRuns = DoneRuns.NONE;
         long cancelledMs = 0;
         long givenUpMs = 0;
+        boolean started = false;
+        List<StartedRun> endedWithWorker = List.of();
+        boolean whole = false;
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case 1 -> definition = JobDefinitionCodec.read(in.readBytes().newCodedInput());
@@ -218,13 +235,25 @@
                 case 4 -> cancelledMs = in.readInt64();
                 case 5 -> givenUpMs = in.readInt64();
                 case 6 -> doneRuns = readDoneRuns(in.readBytes().newCodedInput());
+                case 7 -> started = in.readBool();
+                case 8 -> endedWithWorker = readStarts(in.readBytes().newCodedInput());
+                case 9 -> whole = in.readBool();
                 default -> in.skipField(tag);
             }
         }
         if (definition == null) {
             throw new IOException("job snapshot has no job definition");
         }
-        return new JobSnapshot(definition, starts, ends, doneRuns, cancelledMs, givenUpMs);
+        return new JobSnapshot(
+                definition,
+                starts,
+                ends,
+                doneRuns,
+                cancelledMs,
+                givenUpMs,
+                started,
+                endedWithWorker,
+                whole);
     }
 
     private static void writeJobs(CodedOutputStream out, List<String> jobs) throws IOException {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -62,7 +62,7 @@
                             clock,
                             timers,
                             nodeLog,
-                            (offset, record) -> apply(number, offset, record)));
+                            (offset, record, sinceMs) -> apply(number, offset, record, sinceMs)));
         }
     }
 
@@ -190,10 +190,11 @@
         }
     }
 
-    private void apply(int partition, long offset, byte[] bytes) {
+    private void apply(int partition, long offset, byte[] bytes, long sinceMs) {
         mRawListener.onRecord(partition, offset, bytes);
         try {
-            JournalCodec.decode(bytes).ifPresent(r -> mListener.accept(r, mRegistry.apply(r)));
+            JournalCodec.decode(bytes)
+                    .ifPresent(r -> mListener.accept(r, mRegistry.apply(r, sinceMs)));
         } catch (IOException e) {
             mNodeLog.line("journal-record")
                     .with("partition", partition)
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.foxtailplank.job.JournalCopy;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.log.NodeLog;
@@ -38,7 +39,7 @@
     private boolean mLongPolling;
     private BooleanSupplier mStreaming = () -> false;
     private long mLastReadMs = Long.MIN_VALUE / 2;
-    private long mCompleteMs = Long.MIN_VALUE / 2;
+    private long mCompleteMs = JournalCopy.UNKNOWN_MS;
     private double mLatencyMs;
 
     /**
@@ -59,7 +60,13 @@
     /** Receives the records in the order of the partition. */
     @FunctionalInterface
     interface RecordSink {
-        void accept(long offset, byte[] record);
+        /**
+         * Receives a record.
+         *
+         * @param sinceMs earliest time at which it can have been stored, by the node's clock: when
+         *     the partition was last read to its end; {@link JournalCopy#UNKNOWN_MS} before that
+         */
+        void accept(long offset, byte[] record, long sinceMs);
     }
 
     PartitionReader(
@@ -172,7 +179,7 @@
     void applyStreamed(long offset, byte[] record) {
         if (offset == mPosition) {
             mPosition++;
-            mSink.accept(offset, record);
+            mSink.accept(offset, record, mCompleteMs);
         } else if (offset > mPosition && !mReading) {
             refresh(succeeded -> {});
         }
@@ -183,7 +190,7 @@
         for (int i = 0; i < records.size(); i++) {
             if (firstOffset + i == mPosition) {
                 mPosition++;
-                mSink.accept(firstOffset + i, records.get(i));
+                mSink.accept(firstOffset + i, records.get(i), mCompleteMs);
             }
         }
     }
@@ -272,7 +279,7 @@
             // Skip records that the owner has streamed in the meantime.
             if (first + i == mPosition) {
                 mPosition++;
-                mSink.accept(first + i, page.records().get(i));
+                mSink.accept(first + i, page.records().get(i), mCompleteMs);
             }
         }
         mCatchUp.pageReceived(bytes(page), mPosition - before);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/RecordParts.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/RecordParts.java
@@ -6,6 +6,7 @@
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.DoneRuns;
 import org.foxtailplank.job.JournalRecord.JobSnapshot;
+import org.foxtailplank.job.JournalRecord.JobsEnded;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
@@ -53,6 +54,9 @@
         if (record instanceof JobsStarted r) {
             return halves(r.jobs(), JobsStarted::new);
         }
+        if (record instanceof JobsEnded r) {
+            return halves(r.jobs(), jobs -> new JobsEnded(jobs, r.configVersion()));
+        }
         return record instanceof JobSnapshot r ? halves(r) : List.of();
     }
 
@@ -67,33 +71,37 @@
     }
 
     private static List<JournalRecord> halves(JobSnapshot snapshot) {
-        DoneRuns done = snapshot.doneRuns();
-        int starts = snapshot.starts().size();
-        int ends = snapshot.ends().size();
-        int ranges = done.ranges().size();
-        if (starts + ends + ranges < 2) {
-            return List.of();
-        }
-        return List.of(
-                part(snapshot, 0, (starts + 1) / 2, 0, ends / 2, 0, (ranges + 1) / 2),
-                part(snapshot, (starts + 1) / 2, starts, ends / 2, ends, (ranges + 1) / 2, ranges));
+        int facts =
+                snapshot.starts().size()
+                        + snapshot.ends().size()
+                        + snapshot.doneRuns().ranges().size()
+                        + snapshot.endedWithWorker().size();
+        return facts < 2
+                ? List.of()
+                : List.of(part(snapshot, 0, facts / 2), part(snapshot, facts / 2, facts));
     }
 
-    private static JobSnapshot part(
-            JobSnapshot snapshot,
-            int firstStart,
-            int startsEnd,
-            int firstEnd,
-            int endsEnd,
-            int firstRange,
-            int rangesEnd) {
+    /** Returns the facts of a snapshot from one position to another, in the order of its lists. */
+    private static JobSnapshot part(JobSnapshot snapshot, int from, int to) {
         DoneRuns done = snapshot.doneRuns();
+        int ends = snapshot.starts().size();
+        int ranges = ends + snapshot.ends().size();
+        int endedWithWorker = ranges + done.ranges().size();
         return new JobSnapshot(
                 snapshot.definition(),
-                snapshot.starts().subList(firstStart, startsEnd),
-                snapshot.ends().subList(firstEnd, endsEnd),
-                new DoneRuns(done.ranges().subList(firstRange, rangesEnd), done.endedMs()),
+                slice(snapshot.starts(), from, to),
+                slice(snapshot.ends(), from - ends, to - ends),
+                new DoneRuns(slice(done.ranges(), from - ranges, to - ranges), done.endedMs()),
                 snapshot.cancelledMs(),
-                snapshot.givenUpMs());
+                snapshot.givenUpMs(),
+                snapshot.started(),
+                slice(snapshot.endedWithWorker(), from - endedWithWorker, to - endedWithWorker),
+                false);
+    }
+
+    /** Returns the part of a list between two positions, which may be outside of it. */
+    private static <T> List<T> slice(List<T> facts, int from, int to) {
+        int first = Math.max(0, Math.min(facts.size(), from));
+        return facts.subList(first, Math.max(first, Math.min(facts.size(), to)));
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -179,7 +179,7 @@
         mDirectory.follow();
         new LoadLogger(this, mContext).start();
         mVmCoordinator.start();
-        new JournalRefresher(this, mContext).start();
+        new JournalRefresher(mContext, mJournal, this::hasEnded).start();
         tick();
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -12,13 +12,16 @@
 import org.foxtailplank.job.AdviceTiming;
 import org.foxtailplank.job.CrashHistory;
 import org.foxtailplank.job.JobDefinition;
+import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.DoneRuns;
+import org.foxtailplank.job.JournalRecord.EndedJob;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.JobGivenUp;
 import org.foxtailplank.job.JournalRecord.JobSnapshot;
+import org.foxtailplank.job.JournalRecord.JobsEnded;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
 import org.foxtailplank.job.JournalRecord.OwnerResigned;
@@ -43,6 +46,8 @@
 
 /** Tests that journal records survive encoding and decoding. */
 public class JournalCodecTest {
+    private static final String JOB_ID = "00000000000000ab";
+    private static final String HIGH_ID = "ffffffffffffffab";
     private static final TaskName TASK = new TaskName("aa", 1, 2, 3);
     private static final EndedRun END = new EndedRun(TASK, 4, RunOutcome.FAILED, 5);
     private static final DoneRuns DONE_RUNS =
@@ -101,8 +106,39 @@
         return new Object[][] {
             {new JobAccepted(definition())},
             {new JobAccepted(definition("org"))},
-            {new JobSnapshot(definition(), List.of(START), List.of(END), DONE_RUNS, 77, 0)},
-            {new JobSnapshot(definition(), List.of(SUSPECT), List.of(END), DoneRuns.NONE, 0, 88)},
+            {
+                new JobSnapshot(
+                        definition(),
+                        List.of(START),
+                        List.of(END),
+                        DONE_RUNS,
+                        77,
+                        0,
+                        true,
+                        List.of(SUSPECT, REPEATED),
+                        false)
+            },
+            {
+                new JobSnapshot(
+                        definition(),
+                        List.of(SUSPECT),
+                        List.of(END),
+                        DoneRuns.NONE,
+                        0,
+                        88,
+                        false,
+                        List.of(),
+                        true)
+            },
+            {new JobsEnded(List.of(), 3)},
+            {
+                new JobsEnded(
+                        List.of(
+                                new EndedJob("aa", "q", "org", JobPhase.FAILED, 90, 120),
+                                new EndedJob(HIGH_ID, "q", "", JobPhase.COMPLETED, 99, 98),
+                                new EndedJob(JOB_ID, "q", "", JobPhase.COMPLETED, 5, 1L << 50)),
+                        7)
+            },
             {new JobCancelled("aa", 5)},
             {new JobGivenUp("aa", 5)},
             {new RunsStarted(List.of(SUSPECT))},
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
@@ -15,15 +15,18 @@
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.CrashHistory;
 import org.foxtailplank.job.JobDefinition;
+import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.DoneRuns;
+import org.foxtailplank.job.JournalRecord.EndedJob;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.JobGivenUp;
 import org.foxtailplank.job.JournalRecord.JobSnapshot;
+import org.foxtailplank.job.JournalRecord.JobsEnded;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
 import org.foxtailplank.job.JournalRecord.OwnerResigned;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
@@ -214,7 +217,17 @@
                 List.of(
                         new JobAccepted(validDefinition()),
                         new JobSnapshot(
-                                validDefinition(), List.of(START), List.of(END), DONE_RUNS, 0, 0),
+                                validDefinition(),
+                                List.of(START),
+                                List.of(END),
+                                DONE_RUNS,
+                                0,
+                                0,
+                                true,
+                                List.of(SUSPECT),
+                                true),
+                        new JobsEnded(
+                                List.of(new EndedJob(JOB, "q", "o", JobPhase.FAILED, 3, 4)), 5),
                         new JobCancelled(JOB, 5),
                         new JobGivenUp(JOB, 5),
                         new RunsStarted(List.of(START, START)),
@@ -245,7 +258,7 @@
         record.ifPresent(registry::apply);
         for (JobProgress job : registry.jobs()) {
             job.definition().criticalPathMs();
-            job.snapshot(7);
+            job.snapshot();
         }
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/RecordPartsTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/RecordPartsTest.java
@@ -86,7 +86,7 @@
         registry.apply(new RunsStarted(starts));
         registry.apply(new RunsEnded(ends));
 
-        List<byte[]> parts = RecordParts.encode(job.snapshot(9), MAX_BYTES);
+        List<byte[]> parts = RecordParts.encode(job.snapshot(), MAX_BYTES);
         Collections.shuffle(parts, new Random(1));
         JobRegistry replica = new JobRegistry(1000);
         for (byte[] part : parts) {
@@ -96,7 +96,7 @@
         JobProgress restored = replica.job(job.definition().id()).orElseThrow();
 
         assertTrue(parts.size() > 10);
-        assertEquals(restored.snapshot(9).doneRuns(), job.snapshot(9).doneRuns());
+        assertEquals(restored.snapshot().doneRuns(), job.snapshot().doneRuns());
         assertEquals(sorted(restored.lastStarts()), sorted(job.lastStarts()));
         for (int index = 0; index < TASKS; index++) {
             assertEquals(restored.isDone(task(1, index)), index % 2 == 0);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -113,6 +113,21 @@
     /** The same context with forecasts of bursts, and a registry that keeps ended jobs. */
     static OwnerContext withForecast(
             OwnerContext context, BiConsumer<JournalRecord, Optional<JobProgress>> listener) {
+        return with(context, context.settings().journal(), true, 120_000, listener);
+    }
+
+    /** The same context with other limits for the journal, and a registry by them. */
+    static OwnerContext withJournal(OwnerContext context, NodeSettings.JournalLimits journal) {
+        long endedRetentionMs = journal.endedJobRetentionMs();
+        return with(context, journal, false, endedRetentionMs, (record, job) -> {});
+    }
+
+    private static OwnerContext with(
+            OwnerContext context,
+            NodeSettings.JournalLimits journal,
+            boolean forecastBursts,
+            long endedRetentionMs,
+            BiConsumer<JournalRecord, Optional<JobProgress>> listener) {
         NodeSettings s = context.settings();
         NodeSettings settings =
                 new NodeSettings(
@@ -123,22 +138,22 @@
                         s.metrics(),
                         s.peers(),
                         s.platform(),
-                        s.journal(),
+                        journal,
                         s.schedule(),
                         s.vmTokensChecked(),
                         s.link(),
                         s.graceMs(),
                         s.keyLifetime(),
-                        true,
+                        forecastBursts,
                         s.admission());
         JournalReader reader =
                 new JournalReader(
                         context.sharedLog(),
-                        s.journal().partitions(),
+                        journal.partitions(),
                         context.clock(),
                         context.timers(),
                         context.log(),
-                        new JobRegistry(120_000),
+                        new JobRegistry(endedRetentionMs),
                         listener);
         return new OwnerContext(
                 settings,
