Store the cancellation of a job that no node knows yet

The job's record was in an append without an answer.

Change: the cancellation is stored before the answer, with the organisation and the queue of the request (UnknownJobsCancelled). Whichever record is read first, the job ends as cancelled, if the caller may cancel it; that is decided when the job is known. Each organisation has a bound of its own, and gets 503 with Retry-After beyond it. The deadline of a DELETE no longer starts anew after the lookup.

Why it works: both records are facts that every node reads, in any order, and the cancellation outlives the appends that may still be performed.

--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.foxtailplank.job.JournalRecord.CancelledId;
 import org.foxtailplank.job.JournalRecord.EndedJob;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
@@ -23,6 +24,7 @@
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.job.JournalRecord.WaveDue;
@@ -51,6 +53,7 @@
     private final Map<Long, Long> mWaveDueMs = new HashMap<>();
     private final Set<Long> mCompletedWaves = new HashSet<>();
     private final Map<String, List<JournalRecord>> mBufferedRecords = new LinkedHashMap<>();
+    private final EarlyCancellations mEarlyCancellations;
     private final long mEndedRetentionMs;
 
     /** Newest copy of each fact about the waves. */
@@ -69,6 +72,7 @@
      */
     public JobRegistry(long endedRetentionMs) {
         mEndedRetentionMs = endedRetentionMs;
+        mEarlyCancellations = new EarlyCancellations(endedRetentionMs);
     }
 
     /** Applies a record of unknown age and returns the job it introduces, if any. */
@@ -94,6 +98,10 @@
             r.jobs().forEach(j -> applyEnded(j, sinceMs));
             return Optional.empty();
         }
+        if (record instanceof UnknownJobsCancelled r) {
+            r.ids().forEach(i -> applyCancelled(i, sinceMs));
+            return Optional.empty();
+        }
         if (record instanceof JobCancelled r) {
             job(r.job()).ifPresentOrElse(j -> j.cancel(r.atMs()), () -> buffer(r.job(), r));
         } else if (record instanceof JobGivenUp r) {
@@ -125,19 +133,25 @@
                                 JobProgress::markStarted,
                                 () -> buffer(id, new JobsStarted(List.of(id))));
             }
-        } else if (record instanceof VmRebooted r) {
+        } else if (record instanceof VmRebooted
+                || record instanceof WaveDue
+                || record instanceof WaveCompleted) {
+            applyWaveFact(record);
+            mWaveCopies.put(record, nextCopy(sinceMs));
+        } else if (!(record instanceof OwnerHeartbeat || record instanceof OwnerResigned)) {
+            throw new IllegalStateException("unsupported journal record " + record.getClass());
+        }
+        return Optional.empty();
+    }
+
+    private void applyWaveFact(JournalRecord record) {
+        if (record instanceof VmRebooted r) {
             mRebootedVms.computeIfAbsent(r.wave(), w -> new HashSet<>()).add(r.vm());
-            mWaveCopies.put(r, nextCopy(sinceMs));
         } else if (record instanceof WaveDue r) {
             mWaveDueMs.merge(r.wave(), r.dueMs(), Math::min);
-            mWaveCopies.put(r, nextCopy(sinceMs));
         } else if (record instanceof WaveCompleted r) {
             mCompletedWaves.add(r.wave());
-            mWaveCopies.put(r, nextCopy(sinceMs));
-        } else if (!(record instanceof OwnerHeartbeat || record instanceof OwnerResigned)) {
-            throw new IllegalStateException("unsupported journal record " + record.getClass());
         }
-        return Optional.empty();
     }
 
     private JournalCopy nextCopy(long sinceMs) {
@@ -162,11 +176,29 @@
         if (buffered != null) {
             buffered.forEach(this::apply);
         }
-        // Buffered records are older than the one that introduces the job.
-        progress.setCopy(nextCopy(buffered == null ? sinceMs : JournalCopy.UNKNOWN_MS));
+        Optional<CancelledId> cancelled = mEarlyCancellations.take(progress.definition());
+        cancelled.ifPresent(c -> progress.cancel(c.atMs()));
+        // Records that were read before the one that introduces the job may be older.
+        boolean oldest = buffered == null && cancelled.isEmpty();
+        progress.setCopy(nextCopy(oldest ? sinceMs : JournalCopy.UNKNOWN_MS));
         return progress;
     }
 
+    /** Cancels a job that its caller's node didn't know, now or once it is introduced. */
+    private void applyCancelled(CancelledId id, long sinceMs) {
+        Optional<JobProgress> known = job(id.job());
+        if (known.isEmpty()) {
+            mEarlyCancellations.add(id, nextCopy(sinceMs));
+        } else if (id.applies(known.get().definition())) {
+            known.get().cancel(id.atMs());
+        }
+    }
+
+    /** Cancellations of jobs that aren't known yet. */
+    public EarlyCancellations earlyCancellations() {
+        return mEarlyCancellations;
+    }
+
     /** Applies the summary of a job that has ended, of which this node may lack the end. */
     private void applyEnded(EndedJob ended, long sinceMs) {
         Optional<JobProgress> known = job(ended.job());
@@ -312,5 +344,6 @@
     public void removeExpired(long nowMs) {
         mJobs.values().removeIf(j -> j.endedMs() > 0 && remainingMs(j, nowMs) < 0);
         mPendingByQueue.values().forEach(JobRegistry::removeStarted);
+        mEarlyCancellations.removeExpired(nowMs);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.foxtailplank.organisation.Organisation;
 
 /** A record of the journal, from which each node replays the state of all jobs and waves. */
 public sealed interface JournalRecord {
@@ -112,6 +113,44 @@
     /** A caller cancelled a job. */
     record JobCancelled(String job, long atMs) implements JournalRecord {}
 
+    /**
+     * Callers cancelled jobs that no node knew. Appends that are under way may still introduce such
+     * a job; it is cancelled then, whichever record is read first.
+     */
+    record UnknownJobsCancelled(List<CancelledId> ids) implements JournalRecord {
+        public UnknownJobsCancelled {
+            ids = List.copyOf(ids);
+        }
+    }
+
+    /**
+     * The cancellation of a job that wasn't known.
+     *
+     * @param job ID of the job
+     * @param organisation name of the organisation whose key the request carried; empty for none
+     * @param route name of the queue that the request named
+     * @param atMs when it was cancelled, in milliseconds since the epoch
+     */
+    record CancelledId(String job, String organisation, String route, long atMs) {
+        /** Whether the caller may cancel the job that turns out to have this ID. */
+        boolean applies(JobDefinition definition) {
+            String owner = definition.organisation();
+            if (owner.equals(Organisation.NONE)) {
+                return true;
+            }
+            return organisation.equals(Organisation.NONE)
+                    ? route.equals(definition.route())
+                    : organisation.equals(owner);
+        }
+
+        /** Whether another cancellation is by a caller with the same rights. */
+        boolean hasSameScope(CancelledId other) {
+            return job.equals(other.job)
+                    && organisation.equals(other.organisation)
+                    && route.equals(other.route);
+        }
+    }
+
     /** An owner gave up a job of which a task crashes each worker that starts it. */
     record JobGivenUp(String job, long atMs) implements JournalRecord {}
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -10,10 +10,14 @@
 import org.foxtailplank.http.HttpHandler;
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
+import org.foxtailplank.job.EarlyCancellations;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JobSummary;
+import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.CancelledId;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
+import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.NodeMetrics;
 import org.foxtailplank.node.OperatorFollower;
@@ -361,42 +365,87 @@
 
     private void cancel(
             HttpRequest request, RoutedRequest routed, String id, Consumer<HttpReply> reply) {
+        long deadlineMs = deadlineMs(request);
         Optional<JobSummary> known = mFinder.localJob(id);
         if (known.isPresent()) {
-            cancelKnown(request, routed, id, known.get(), reply);
+            cancelKnown(routed, id, known.get(), deadlineMs, reply);
             return;
         }
         mFinder.findJob(
                 id,
-                deadlineMs(request),
-                (read, job) ->
-                        job.ifPresentOrElse(
-                                j -> cancelKnown(request, routed, id, j, reply),
-                                () -> reply.accept(notFoundReply(read))));
+                deadlineMs,
+                (read, job) -> {
+                    if (job.isPresent()) {
+                        cancelKnown(routed, id, job.get(), deadlineMs, reply);
+                    } else if (read) {
+                        cancelUnknown(routed, id, deadlineMs, reply);
+                    } else {
+                        reply.accept(RequestRouter.unavailableReply());
+                    }
+                });
     }
 
     private void cancelKnown(
-            HttpRequest request,
             RoutedRequest routed,
             String id,
             JobSummary job,
+            long deadlineMs,
             Consumer<HttpReply> reply) {
         if (!routed.mayAccess(job)) {
             reply.accept(forbiddenReply(id));
         } else if (job.phase().isFinal()) {
             reply.accept(HttpReply.empty(OK));
         } else {
-            storeCancellation(request, id, reply);
+            storeCancellation(new JobCancelled(id, mClock.wallMs()), id, deadlineMs, reply, OK);
+        }
+    }
+
+    /**
+     * Cancels a job that isn't in the journal. An append that is under way may still introduce it,
+     * so the cancellation is stored before the caller is told that there is no such job.
+     */
+    private void cancelUnknown(
+            RoutedRequest routed, String id, long deadlineMs, Consumer<HttpReply> reply) {
+        long now = mClock.wallMs();
+        CancelledId cancelled =
+                new CancelledId(id, routed.organisation(), routed.route().name(), now);
+        EarlyCancellations kept = mReader.registry().earlyCancellations();
+        if (kept.contains(cancelled)) {
+            reply.accept(HttpReply.empty(GONE));
+            return;
+        }
+        long fullForMs = kept.fullForMs(routed.organisation(), now);
+        if (fullForMs > 0) {
+            mLog.line("cancellations-full")
+                    .with("organisation", routed.organisation())
+                    .with("forMs", fullForMs)
+                    .write();
+            reply.accept(RequestRouter.unavailableReply(fullForMs));
+            return;
         }
+        JournalRecord record = new UnknownJobsCancelled(List.of(cancelled));
+        storeCancellation(record, id, deadlineMs, reply, GONE);
     }
 
-    private void storeCancellation(HttpRequest request, String id, Consumer<HttpReply> reply) {
+    private void storeCancellation(
+            JournalRecord record,
+            String id,
+            long deadlineMs,
+            Consumer<HttpReply> reply,
+            int storedStatus) {
         mWriter.store(
-                new JobCancelled(id, mClock.wallMs()),
-                deadlineMs(request),
+                record,
+                deadlineMs,
                 o -> {
-                    mLog.line("job-cancelled").with("job", id).with("outcome", o).write();
-                    reply.accept(outcomeReply(o));
+                    mLog.line("job-cancelled")
+                            .with("job", id)
+                            .with("known", storedStatus == OK)
+                            .with("outcome", o)
+                            .write();
+                    reply.accept(
+                            o == StoreOutcome.STORED
+                                    ? HttpReply.empty(storedStatus)
+                                    : outcomeReply(o));
                 });
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/RequestRouter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/RequestRouter.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.lease.ClockReading;
@@ -264,4 +265,11 @@
     static HttpReply unavailableReply() {
         return HttpReply.empty(SERVICE_UNAVAILABLE).with(Map.of("Retry-After", RETRY_AFTER_S));
     }
+
+    /** The same, for a request that can't be served before a time is over, in milliseconds. */
+    static HttpReply unavailableReply(long forMs) {
+        long seconds = TimeUnit.MILLISECONDS.toSeconds(forMs) + 1;
+        return HttpReply.empty(SERVICE_UNAVAILABLE)
+                .with(Map.of("Retry-After", Long.toString(seconds)));
+    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -26,6 +26,7 @@
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.job.JournalRecord.WaveDue;
@@ -61,6 +62,7 @@
     private static final int GIVEN_UP = 12;
     private static final int ENDED_WITH_WORKER = 13;
     private static final int JOBS_ENDED = 14;
+    private static final int UNKNOWN_CANCELLED = 15;
 
     private JournalCodec() {}
 
@@ -106,6 +108,14 @@
             return encodeMessage(
                     out -> writeMessage(out, JOBS_ENDED, o -> EndedJobsCodec.write(o, r)));
         }
+        if (record instanceof UnknownJobsCancelled r) {
+            return encodeMessage(
+                    out ->
+                            writeMessage(
+                                    out,
+                                    UNKNOWN_CANCELLED,
+                                    o -> CancelledIdsCodec.write(o, r.ids())));
+        }
         return encodeOwnerOrWave(record);
     }
 
@@ -142,7 +152,7 @@
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         int tag = in.readTag();
         int kind = WireFormat.getTagFieldNumber(tag);
-        if (kind < ACCEPTED || kind > JOBS_ENDED) {
+        if (kind < ACCEPTED || kind > UNKNOWN_CANCELLED) {
             return Optional.empty();
         }
         CodedInputStream body = in.readBytes().newCodedInput();
@@ -154,6 +164,7 @@
                     case STARTED -> new RunsStarted(readStarts(body));
                     case ENDED_WITH_WORKER -> new RunsEndedWithWorker(readStarts(body));
                     case JOBS_ENDED -> EndedJobsCodec.read(body);
+                    case UNKNOWN_CANCELLED -> CancelledIdsCodec.read(body);
                     case BEGUN -> new JobsStarted(readJobs(body));
                     case WAVE_DUE -> readWaveDue(body);
                     case LEFT -> OwnerRecordCodec.readOwnerResigned(body);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/RecordParts.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/RecordParts.java
@@ -11,6 +11,7 @@
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 
 /**
  * Encodes records in parts that the store accepts. The parts of a record state the same facts, in
@@ -57,6 +58,9 @@
         if (record instanceof JobsEnded r) {
             return halves(r.jobs(), jobs -> new JobsEnded(jobs, r.configVersion()));
         }
+        if (record instanceof UnknownJobsCancelled r) {
+            return halves(r.ids(), UnknownJobsCancelled::new);
+        }
         return record instanceof JobSnapshot r ? halves(r) : List.of();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalRefresher.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalRefresher.java
@@ -8,11 +8,14 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import org.foxtailplank.job.EarlyCancellations;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.CancelledId;
 import org.foxtailplank.job.JournalRecord.EndedJob;
 import org.foxtailplank.job.JournalRecord.JobsEnded;
+import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.node.Clock;
 
 /**
@@ -44,7 +47,7 @@
     private static final long MAX_CHECK_INTERVAL_MS = 2000;
 
     /** Limits the size of a record, since appends to a slow link are small. */
-    private static final int MAX_SUMMARIES_PER_RECORD = 250;
+    private static final int MAX_IDS_PER_RECORD = 250;
 
     private final OwnerContext mContext;
     private final OwnerJournal mJournal;
@@ -53,7 +56,7 @@
     private final JobRegistry mRegistry;
     private final long mRetentionMs;
 
-    /** Jobs and facts that are being rewritten. */
+    /** Jobs, wave facts and cancellations that are being rewritten. */
     private final Set<Object> mInFlight = new HashSet<>();
 
     /**
@@ -91,6 +94,7 @@
         mRegistry.waveFactsOlderThan(dueAgeMs(), mClock.nowMs()).forEach(this::rewriteWaveFact);
         selectDue(j -> !j.phase().isFinal()).forEach(this::rewriteJob);
         rewriteEndedJobs(selectDue(j -> j.phase().isFinal()));
+        rewriteEarlyCancellations();
     }
 
     /** Selects the due jobs of a kind with the oldest copies. */
@@ -147,8 +151,8 @@
     }
 
     private void rewriteEndedJobs(List<JobProgress> jobs) {
-        for (int from = 0; from < jobs.size(); from += MAX_SUMMARIES_PER_RECORD) {
-            int to = Math.min(jobs.size(), from + MAX_SUMMARIES_PER_RECORD);
+        for (int from = 0; from < jobs.size(); from += MAX_IDS_PER_RECORD) {
+            int to = Math.min(jobs.size(), from + MAX_IDS_PER_RECORD);
             List<EndedJob> summaries =
                     jobs.subList(from, to).stream().map(JobProgress::summarize).toList();
             rewrite(
@@ -158,6 +162,22 @@
         }
     }
 
+    private void rewriteEarlyCancellations() {
+        EarlyCancellations cancellations = mRegistry.earlyCancellations();
+        List<CancelledId> due =
+                cancellations.olderThan(dueAgeMs(), mClock.nowMs()).stream()
+                        .filter(i -> !mInFlight.contains(i))
+                        .limit(maxPerCheck(cancellations.count()))
+                        .toList();
+        for (int from = 0; from < due.size(); from += MAX_IDS_PER_RECORD) {
+            List<CancelledId> ids =
+                    due.subList(from, Math.min(due.size(), from + MAX_IDS_PER_RECORD));
+            mInFlight.addAll(ids);
+            Runnable completed = () -> mInFlight.removeAll(ids);
+            mJournal.store(new UnknownJobsCancelled(ids), completed, completed);
+        }
+    }
+
     /** Stores a copy of jobs, which counts once the store has confirmed all of it. */
     private void rewrite(JournalRecord record, Collection<String> jobs) {
         long takenMs = mClock.nowMs();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.foxtailplank.admission.AdmissionSettings;
 import org.foxtailplank.admission.TypicalObjectives;
+import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.EndedRun;
@@ -18,6 +19,7 @@
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.job.RunEnd;
 import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.lease.RenewalWindow;
@@ -346,6 +348,8 @@
         job.ifPresent(j -> mScheduler.addJob(j, now));
         if (record instanceof JobCancelled cancelled) {
             mScheduler.jobEnded(cancelled.job(), now);
+        } else if (record instanceof UnknownJobsCancelled cancelled) {
+            cancelled.ids().forEach(i -> endIfCancelled(i.job(), now));
         } else if (record instanceof JobGivenUp givenUp) {
             mScheduler.jobEnded(givenUp.job(), now);
         } else if (record instanceof RunsEnded ended) {
@@ -356,6 +360,19 @@
         scheduleDecision();
     }
 
+    /** Ends a job unless the caller that cancelled its ID may not cancel this job. */
+    private void endIfCancelled(String id, long now) {
+        boolean cancelled =
+                mContext.reader()
+                        .registry()
+                        .job(id)
+                        .map(j -> j.phase() == JobPhase.CANCELLED)
+                        .orElse(false);
+        if (cancelled) {
+            mScheduler.jobEnded(id, now);
+        }
+    }
+
     /** Returns the source of capacity reports; admission may be switched while the owner works. */
     public CapacitySource capacities(
             Supplier<AdmissionSettings> settings, TypicalObjectives objectives) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
@@ -56,6 +56,11 @@
         mScriptedOutcomes.addAll(List.of(fates));
     }
 
+    /** Removes the outcomes that are still to come, so that the next appends are stored. */
+    public void clearScript() {
+        mScriptedOutcomes.clear();
+    }
+
     /** Makes a partition reject all calls, or accept them again. */
     public void setUnavailable(LogPartition partition, boolean down) {
         if (down) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.CancelledId;
 import org.foxtailplank.job.JournalRecord.DoneRuns;
 import org.foxtailplank.job.JournalRecord.EndedJob;
 import org.foxtailplank.job.JournalRecord.EndedRun;
@@ -29,6 +30,7 @@
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.job.JournalRecord.WaveDue;
@@ -131,6 +133,12 @@
                         true)
             },
             {new JobsEnded(List.of(), 3)},
+            {
+                new UnknownJobsCancelled(
+                        List.of(
+                                new CancelledId("aa", "", "q", 5),
+                                new CancelledId("bb", "org", "r", 6)))
+            },
             {
                 new JobsEnded(
                         List.of(
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
@@ -19,6 +19,7 @@
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.CancelledId;
 import org.foxtailplank.job.JournalRecord.DoneRuns;
 import org.foxtailplank.job.JournalRecord.EndedJob;
 import org.foxtailplank.job.JournalRecord.EndedRun;
@@ -33,6 +34,7 @@
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
+import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.job.PlacementConstraints;
 import org.foxtailplank.job.QueuePolicy;
 import org.foxtailplank.job.RunMode;
@@ -228,6 +230,7 @@
                                 true),
                         new JobsEnded(
                                 List.of(new EndedJob(JOB, "q", "o", JobPhase.FAILED, 3, 4)), 5),
+                        new UnknownJobsCancelled(List.of(new CancelledId(JOB, "o", "q", 5))),
                         new JobCancelled(JOB, 5),
                         new JobGivenUp(JOB, 5),
                         new RunsStarted(List.of(START, START)),
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
@@ -13,9 +13,11 @@
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.CancelledId;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.job.JournalRecord.WaveDue;
@@ -223,6 +225,23 @@
         assertTrue(node.registry().isCompleted(2));
     }
 
+    /** Guards against a job whose late record runs, as the record of its cancellation expired. */
+    @Test
+    public void anEarlyCancellationIsKnownAfterASeriesOfOwners() {
+        start(20_000);
+        CancelledId id = new CancelledId("aa", "", "queue", mTime.wallMs());
+        mOwner.mJournal.store(new UnknownJobsCancelled(List.of(id)), () -> {});
+        pass(3000, 1);
+        for (int i = 0; i < 30; i++) {
+            replaceOwner();
+            pass(3000, 1);
+        }
+        Node node = new Node();
+        node.read();
+
+        assertTrue(node.registry().earlyCancellations().contains(id));
+    }
+
     @Test
     public void everyJobIsKnownAfterTheStoreWasUnavailableForAThirdOfTheRetention() {
         start(20_000);
