Handle pipelined requests in a loop and limit those that wait

Cause: ServerConnection.respond and handleNext called each other, one level for each waiting request. Waiting requests were limited only by the codec, which closes a connection with more than 128 of them.

Change: waiting requests are handled in a loop. While 16 of them wait, no more are read; a FlowControlHandler holds what one read contained, and the limit of the codec is off.

Before: both cases of PipelinedRequestsTest fail with a closed connection.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
@@ -8,8 +8,10 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -67,12 +69,17 @@
         mListener = bound.channel();
     }
 
+    /**
+     * Sets up a connection. {@link ServerConnection} limits how many pipelined requests wait; the
+     * codec's own limit would close the connection.
+     */
     private void accept(Channel channel) {
         ServerConnection connection = new ServerConnection(this, mHandler);
         mConnections.add(connection);
         mChannels.add(channel);
         channel.pipeline()
-                .addLast(new HttpServerCodec())
+                .addLast(new HttpServerCodec(new HttpDecoderConfig(), Integer.MAX_VALUE))
+                .addLast(new FlowControlHandler())
                 .addLast(new HttpObjectAggregator(mMaxBodyBytes, true))
                 .addLast(connection);
     }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -18,12 +18,22 @@
 import java.util.Deque;
 import java.util.Optional;
 
-/** Server side of a connection; pipelined requests are answered in order. */
+/**
+ * Server side of a connection; pipelined requests are answered in order.
+ *
+ * <p>While {@link #MAX_WAITING} requests wait for an earlier one, no more are read, so that a
+ * caller that doesn't wait for answers can't fill the memory of the node.
+ */
 final class ServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** Requests that may wait; those that were received together with the last one come on top. */
+    private static final int MAX_WAITING = 16;
+
     private final HttpServer mServer;
     private final HttpHandler mHandler;
     private final Deque<ReadRequest> mWaiting = new ArrayDeque<>();
     private boolean mBusy;
+    private boolean mHandlingWaiting;
+    private boolean mClosing;
 
     private record ReadRequest(HttpRequest request, boolean keepAlive) {}
 
@@ -40,8 +50,9 @@
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         ReadRequest decoded = new ReadRequest(decode(request), HttpUtil.isKeepAlive(request));
         mWaiting.add(decoded);
-        if (!mBusy) {
-            handleNext(context);
+        handleWaiting(context);
+        if (mWaiting.size() >= MAX_WAITING) {
+            context.channel().config().setAutoRead(false);
         }
     }
 
@@ -61,11 +72,28 @@
                 ByteBufUtil.getBytes(request.content()));
     }
 
-    private void handleNext(ChannelHandlerContext context) {
-        ReadRequest request = mWaiting.poll();
-        if (request == null) {
+    /**
+     * Handles requests until one isn't answered at once. Answers to requests that are handled here
+     * don't start another loop, whose depth would grow with the number of requests.
+     */
+    private void handleWaiting(ChannelHandlerContext context) {
+        if (mHandlingWaiting) {
             return;
         }
+        mHandlingWaiting = true;
+        try {
+            while (!mBusy && !mClosing && !mWaiting.isEmpty()) {
+                handle(context, mWaiting.poll());
+            }
+        } finally {
+            mHandlingWaiting = false;
+        }
+        if (mWaiting.size() < MAX_WAITING) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    private void handle(ChannelHandlerContext context, ReadRequest request) {
         mBusy = true;
         mHandler.handle(request.request(), reply -> respond(context, reply, request.keepAlive()));
     }
@@ -88,8 +116,9 @@
         var written = context.writeAndFlush(response);
         mBusy = false;
         if (keep) {
-            handleNext(context);
+            handleWaiting(context);
         } else {
+            mClosing = true;
             written.addListener(ChannelFutureListener.CLOSE);
         }
     }
