--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
@@ -149,10 +149,14 @@
         }
     }
 
-    /** Compares what a node knows that starts now with what callers were told. */
+    /** Checks that a node which starts now knows what callers were told. */
     private void assertNothingIsLost(String when) {
         Node node = new Node();
         node.read();
+        assertNothingIsLost(when, node);
+    }
+
+    private void assertNothingIsLost(String when, Node node) {
         List<String> lost = new ArrayList<>();
         int checked = 0;
         for (Map.Entry<String, JobPhase> job : mPhases.entrySet()) {
@@ -225,6 +229,25 @@
         assertTrue(node.registry().isCompleted(2));
     }
 
+    /** Guards against a node that missed expired records, and against what it does as the owner. */
+    @Test
+    public void everyJobIsKnownToANodeThatWasDisconnectedForLongerThanTheRetention() {
+        start(20_000);
+        pass(30_000, 10.5);
+        Node disconnected = new Node();
+        disconnected.read();
+        pass(50_000, 10.5);
+        disconnected.read();
+        assertNothingIsLost("at a node that was disconnected", disconnected);
+        mOwner.mEnded = true;
+        mOwner.mJournal.close();
+        mOwner = disconnected;
+        mOwner.takeOver();
+        pass(30_000, 10.5);
+
+        assertNothingIsLost("after it has owned");
+    }
+
     /** Guards against a job whose late record runs, as the record of its cancellation expired. */
     @Test
     public void anEarlyCancellationIsKnownAfterASeriesOfOwners() {
