--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalRefresher.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalRefresher.java
@@ -1,12 +1,13 @@
 package org.foxtailplank.node.owner;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Predicate;
 import org.foxtailplank.job.EarlyCancellations;
 import org.foxtailplank.job.JobProgress;
@@ -27,15 +28,22 @@
  * rewritten within a sixth of the retention, whatever their number. So half of it remains for a
  * change of owner and a slow or unavailable store.
  *
+ * <p>Facts whose copies may be older than half of the retention are overdue. They are rewritten in
+ * bursts, each as soon as the store has confirmed the one before and the link was idle as long, as
+ * this owner may not last until the next check.
+ *
  * <p>The age of a copy is known from the order of the journal and the monotonic clock of this node,
  * which don't depend on clocks that are stepped. Copies that a node read when it started have an
- * unknown age and are due, in the order in which they were read; successive owners thus continue
- * each other's work.
+ * unknown age and are overdue, in the order in which they were read; successive owners thus
+ * continue each other's work.
  */
 final class JournalRefresher {
     /** Part of the retention after which a copy is due. */
     private static final int DUE_PER_RETENTION = 3;
 
+    /** Part of the retention after which a copy is overdue. */
+    private static final int OVERDUE_PER_RETENTION = 2;
+
     /** Part of the retention within which all facts can be rewritten. */
     private static final int ROUNDS_PER_RETENTION = 6;
 
@@ -49,6 +57,13 @@
     /** Limits the size of a record, since appends to a slow link are small. */
     private static final int MAX_IDS_PER_RECORD = 250;
 
+    /** Limits of a burst: the jobs that are rewritten in full, and the other facts. */
+    private static final int MAX_JOBS_PER_BURST = 100;
+
+    private static final int MAX_IDS_PER_BURST = 1000;
+
+    private static final long MIN_BURST_PAUSE_MS = 20;
+
     private final OwnerContext mContext;
     private final OwnerJournal mJournal;
     private final BooleanSupplier mHasEnded;
@@ -59,6 +74,11 @@
     /** Jobs, wave facts and cancellations that are being rewritten. */
     private final Set<Object> mInFlight = new HashSet<>();
 
+    private int mUnconfirmed;
+    private boolean mBursting;
+    private boolean mPausing;
+    private long mBurstStartMs;
+
     /**
      * Creates a refresher.
      *
@@ -74,7 +94,7 @@
     }
 
     void start() {
-        mContext.timers().after(checkIntervalMs(), this::check);
+        mContext.timers().after(0, this::check);
     }
 
     private long checkIntervalMs() {
@@ -90,104 +110,144 @@
         if (mHasEnded.getAsBoolean()) {
             return;
         }
-        start();
+        mContext.timers().after(checkIntervalMs(), this::check);
         mRegistry.waveFactsOlderThan(dueAgeMs(), mClock.nowMs()).forEach(this::rewriteWaveFact);
-        selectDue(j -> !j.phase().isFinal()).forEach(this::rewriteJob);
-        rewriteEndedJobs(selectDue(j -> j.phase().isFinal()));
-        rewriteEarlyCancellations();
+        rewriteOlderThan(dueAgeMs(), this::maxPerCheck, this::maxPerCheck);
+        if (!mBursting) {
+            burst();
+        }
+    }
+
+    /** Rewrites some of the overdue facts, and others once the store has confirmed them. */
+    private void burst() {
+        mPausing = false;
+        mBurstStartMs = mClock.nowMs();
+        long overdueMs = mRetentionMs / OVERDUE_PER_RETENTION;
+        mBursting =
+                !mHasEnded.getAsBoolean()
+                        && rewriteOlderThan(
+                                overdueMs, t -> MAX_JOBS_PER_BURST, t -> MAX_IDS_PER_BURST);
+    }
+
+    private void continueBurst() {
+        if (mBursting && !mPausing && mUnconfirmed == 0) {
+            mPausing = true;
+            long tookMs = mClock.nowMs() - mBurstStartMs;
+            mContext.timers().after(Math.max(MIN_BURST_PAUSE_MS, tookMs), this::burst);
+        }
+    }
+
+    /**
+     * Rewrites facts with old copies, from the oldest copy on.
+     *
+     * @param maxJobs largest number of jobs that are rewritten in full, by that of all active ones
+     * @param maxIds the same for ended jobs, and for early cancellations
+     * @return whether any fact is rewritten
+     */
+    private boolean rewriteOlderThan(
+            long ageMs, LongUnaryOperator maxJobs, LongUnaryOperator maxIds) {
+        List<JobProgress> active = selectJobs(j -> !j.phase().isFinal(), ageMs, maxJobs);
+        List<JobProgress> ended = selectJobs(j -> j.phase().isFinal(), ageMs, maxIds);
+        List<CancelledId> cancelled = selectEarlyCancellations(ageMs, maxIds);
+        active.forEach(this::rewriteJob);
+        inParts(ended, this::rewriteEndedJobs);
+        inParts(cancelled, ids -> rewrite(new UnknownJobsCancelled(ids), ids, () -> {}));
+        return !active.isEmpty() || !ended.isEmpty() || !cancelled.isEmpty();
     }
 
-    /** Selects the due jobs of a kind with the oldest copies. */
-    private List<JobProgress> selectDue(Predicate<JobProgress> kind) {
+    private List<JobProgress> selectJobs(
+            Predicate<JobProgress> kind, long ageMs, LongUnaryOperator max) {
         long now = mClock.nowMs();
         long total = 0;
-        List<JobProgress> due = new ArrayList<>();
+        List<JobProgress> old = new ArrayList<>();
         for (JobProgress job : mRegistry.jobs()) {
             if (kind.test(job)) {
                 total++;
-                if (isDue(job, now)) {
-                    due.add(job);
+                if (mustRewrite(job, ageMs, now)) {
+                    old.add(job);
                 }
             }
         }
-        due.sort(Comparator.comparing(JobProgress::copy));
-        return due.subList(0, (int) Math.min(due.size(), maxPerCheck(total)));
+        old.sort(Comparator.comparing(JobProgress::copy));
+        return old.subList(0, (int) Math.min(old.size(), max.applyAsLong(total)));
+    }
+
+    private List<CancelledId> selectEarlyCancellations(long ageMs, LongUnaryOperator max) {
+        EarlyCancellations cancellations = mRegistry.earlyCancellations();
+        return cancellations.olderThan(ageMs, mClock.nowMs()).stream()
+                .filter(i -> !mInFlight.contains(i))
+                .limit(max.applyAsLong(cancellations.count()))
+                .toList();
     }
 
+    /** Number of facts out of {@code total} to rewrite in a check, so that a round is in time. */
     private long maxPerCheck(long total) {
         long roundMs = Math.max(1, mRetentionMs / ROUNDS_PER_RETENTION);
         return (total * checkIntervalMs() + roundMs - 1) / roundMs;
     }
 
-    private boolean isDue(JobProgress job, long nowMs) {
-        return job.copy().mayBeOlderThan(dueAgeMs(), nowMs)
+    private boolean mustRewrite(JobProgress job, long ageMs, long nowMs) {
+        return job.copy().mayBeOlderThan(ageMs, nowMs)
                 && !mInFlight.contains(job.definition().id())
                 && !outlastsNeed(job, nowMs);
     }
 
     /** Whether the copy is retained until nobody asks for the job, with a margin. */
     private boolean outlastsNeed(JobProgress job, long nowMs) {
-        long marginMs = dueAgeMs();
-        return job.phase().isFinal()
-                && !job.copy()
-                        .mayBeOlderThan(
-                                mRetentionMs
-                                        - marginMs
-                                        - mRegistry.remainingMs(job, mClock.wallMs()),
-                                nowMs);
+        if (!job.phase().isFinal()) {
+            return false;
+        }
+        long neededMs = mRegistry.remainingMs(job, mClock.wallMs()) + dueAgeMs();
+        return !job.copy().mayBeOlderThan(mRetentionMs - neededMs, nowMs);
     }
 
     private void rewriteWaveFact(JournalRecord fact) {
-        if (mInFlight.add(fact)) {
-            Runnable completed = () -> mInFlight.remove(fact);
-            mJournal.store(fact, completed, completed);
+        if (!mInFlight.contains(fact)) {
+            rewrite(fact, List.of(fact), () -> {});
             mContext.metrics().counter("journal_rewritten_wave_facts").inc();
         }
     }
 
     private void rewriteJob(JobProgress job) {
-        rewrite(job.snapshot(), List.of(job.definition().id()));
+        rewriteJobs(job.snapshot(), List.of(job.definition().id()));
         mContext.metrics().counter("journal_rewritten_jobs").inc();
     }
 
     private void rewriteEndedJobs(List<JobProgress> jobs) {
-        for (int from = 0; from < jobs.size(); from += MAX_IDS_PER_RECORD) {
-            int to = Math.min(jobs.size(), from + MAX_IDS_PER_RECORD);
-            List<EndedJob> summaries =
-                    jobs.subList(from, to).stream().map(JobProgress::summarize).toList();
-            rewrite(
-                    new JobsEnded(summaries, mRegistry.configVersion()),
-                    summaries.stream().map(EndedJob::job).toList());
-            mContext.metrics().counter("journal_rewritten_ended_jobs").inc(summaries.size());
-        }
-    }
-
-    private void rewriteEarlyCancellations() {
-        EarlyCancellations cancellations = mRegistry.earlyCancellations();
-        List<CancelledId> due =
-                cancellations.olderThan(dueAgeMs(), mClock.nowMs()).stream()
-                        .filter(i -> !mInFlight.contains(i))
-                        .limit(maxPerCheck(cancellations.count()))
-                        .toList();
-        for (int from = 0; from < due.size(); from += MAX_IDS_PER_RECORD) {
-            List<CancelledId> ids =
-                    due.subList(from, Math.min(due.size(), from + MAX_IDS_PER_RECORD));
-            mInFlight.addAll(ids);
-            Runnable completed = () -> mInFlight.removeAll(ids);
-            mJournal.store(new UnknownJobsCancelled(ids), completed, completed);
-        }
+        List<EndedJob> summaries = jobs.stream().map(JobProgress::summarize).toList();
+        rewriteJobs(
+                new JobsEnded(summaries, mRegistry.configVersion()),
+                summaries.stream().map(EndedJob::job).toList());
+        mContext.metrics().counter("journal_rewritten_ended_jobs").inc(summaries.size());
     }
 
     /** Stores a copy of jobs, which counts once the store has confirmed all of it. */
-    private void rewrite(JournalRecord record, Collection<String> jobs) {
+    private void rewriteJobs(JournalRecord record, List<String> jobs) {
         long takenMs = mClock.nowMs();
-        mInFlight.addAll(jobs);
+        rewrite(record, jobs, () -> jobs.forEach(j -> mRegistry.recordCopy(j, takenMs)));
+    }
+
+    private void rewrite(JournalRecord record, List<?> facts, Runnable stored) {
+        mInFlight.addAll(facts);
+        mUnconfirmed++;
+        Runnable completed =
+                () -> {
+                    facts.forEach(mInFlight::remove);
+                    mUnconfirmed--;
+                    continueBurst();
+                };
         mJournal.store(
                 record,
                 () -> {
-                    mInFlight.removeAll(jobs);
-                    jobs.forEach(j -> mRegistry.recordCopy(j, takenMs));
+                    stored.run();
+                    completed.run();
                 },
-                () -> mInFlight.removeAll(jobs));
+                completed);
+    }
+
+    private static <T> void inParts(List<T> facts, Consumer<List<T>> rewrite) {
+        for (int from = 0; from < facts.size(); from += MAX_IDS_PER_RECORD) {
+            rewrite.accept(facts.subList(from, Math.min(facts.size(), from + MAX_IDS_PER_RECORD)));
+        }
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
@@ -206,6 +206,21 @@
         }
     }
 
+    /** Guards against owners that end before their first check, while the copies grow old. */
+    @Test
+    public void everyJobIsKnownAfterOwnersThatLastForHalfASecond() {
+        start(20_000);
+        pass(40_000, 10.5);
+        mRunning.clear();
+        for (int i = 1; i <= 6; i++) {
+            mOwner.mEnded = true;
+            pass(6000, 0);
+            replaceOwner();
+            pass(500, 0);
+            assertNothingIsLost("after " + i + " owners");
+        }
+    }
+
     @Test
     public void wavesAreKnownAfterASeriesOfOwnersThatHaveJustStarted() {
         start(20_000);
