--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -128,6 +128,7 @@
     UNASKED {
         @Override
         void see(SoakEvent event, Scan scan) {
+            scan.since(NOW, event.atMs());
             if (event instanceof Cancelled e) {
                 scan.since(e.job(), e.atMs());
             } else if (event instanceof Started e) {
@@ -140,6 +141,17 @@
                 }
             }
         }
+
+        @Override
+        void end(Scan scan) {
+            long now = scan.since(NOW).orElse(0L);
+            for (String task : scan.runs().running()) {
+                String id = SoakEvent.jobOf(task);
+                if (scan.since(id).map(t -> now - t > CANCEL_MS).orElse(false)) {
+                    scan.broken(now, task + " still runs long after its job was cancelled");
+                }
+            }
+        }
     },
 
     /** What callers were told will never run doesn't run. */
@@ -189,7 +201,7 @@
             if (event instanceof SoakEvent.CapacityChanged e) {
                 scan.runs().note(e);
             } else if (event instanceof Started e) {
-                long used = scan.runs().processors(e.worker()) + processors(e.text());
+                long used = scan.runs().processors(e.worker()) + SoakEvent.processorsOf(e.text());
                 long room = scan.runs().capacity(e.worker(), e.atMs() - CAPACITY_KNOWN_MS);
                 if (used > room) {
                     scan.broken(e, e.task() + " brings " + e.worker() + " to " + used);
@@ -416,6 +428,7 @@
 
     private static final int OK = 200;
     private static final int UNAUTHORIZED = 401;
+    private static final String NOW = " now";
     private static final String ADDED = " added";
     private static final String REVOKED = " revoked";
     private static final String BEFORE = " before";
@@ -467,11 +480,6 @@
     /** Within this time an owner knows that a worker's capacity has shrunk, in milliseconds. */
     private static final long CAPACITY_KNOWN_MS = 10_000;
 
-    /** Processors of a task, from the text that it is started with. */
-    static long processors(String text) {
-        return Long.parseLong(text.split(" ")[1]);
-    }
-
     /** Looks at one event, before {@link Scan#runs()} knows it. */
     abstract void see(SoakEvent event, Scan scan);
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
@@ -32,7 +32,7 @@
             mJobs.put(e.job().id(), e.job());
         } else if (event instanceof Started e) {
             running(e.task()).add(e.worker());
-            processorsOn(e.worker()).put(e.task(), Promise.processors(e.text()));
+            processorsOn(e.worker()).put(e.task(), SoakEvent.processorsOf(e.text()));
             mSinceMs.put(e.task(), e.atMs());
         } else if (event instanceof Ended e) {
             running(e.task()).remove(e.worker());
@@ -107,6 +107,15 @@
         return mRunning.getOrDefault(task, Set.of());
     }
 
+    /** Tasks that run. */
+    List<String> running() {
+        return mRunning.entrySet().stream()
+                .filter(r -> !r.getValue().isEmpty())
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+
     /** Whether a task has run for so long; so that it is at work. */
     boolean hasRunFor(String task, long ms, long nowMs) {
         return !workers(task).isEmpty() && nowMs - mSinceMs.getOrDefault(task, nowMs) >= ms;
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -68,6 +68,20 @@
     /** Sets the draw of these apart in the same way. */
     private static final long CONFIG_SEED = 0xc0f;
 
+    /** Retention of the store in runs with rolling restarts, and in others, in seconds. */
+    private static final long SHORT_RETENTION_S = 20;
+
+    private static final long LONG_RETENTION_S = 300;
+
+    /** One of so many seeds has a short retention and rolling restarts. */
+    private static final int ROLLING = 4;
+
+    /** Time between two rolling restarts, and between two nodes of one, in seconds. */
+    private static final double ROLL_GAP_S = 20;
+
+    private static final double ROLL_STEP_S = 1.5;
+    private static final double ROLL_DOWN_S = 0.1;
+
     private static final int RUN_WORDS = 6;
     private static final int FAULT_WORDS = 6;
 
@@ -113,10 +127,33 @@
         addOften(FaultKind.CONNECTIONS_SILENT, SILENCE_GAP_S, 0, configRandom, size, faults);
         addOften(FaultKind.ROUTE_CHANGED, ROUTE_GAP_S, 0, configRandom, size, faults);
         addOften(FaultKind.NODE_FAR, FAR_GAP_S, LONGEST_S, configRandom, size, faults);
+        if (isRolling(seed)) {
+            addRollingRestarts(size, faults);
+        }
         RunEnding[] endings = RunEnding.values();
         return new Schedule(seed, size, faults, endings[random.nextInt(endings.length)]);
     }
 
+    private static boolean isRolling(long seed) {
+        return seed % ROLLING == 0;
+    }
+
+    /** How long the store retains records, in seconds. */
+    long retentionS() {
+        return isRolling(seed) ? SHORT_RETENTION_S : LONG_RETENTION_S;
+    }
+
+    private static void addRollingRestarts(SoakSize size, List<Fault> faults) {
+        for (double at = FIRST_S; at < size.seconds(); at += ROLL_GAP_S) {
+            for (int n = 0; n < size.nodes(); n++) {
+                double nodeAt = at + n * ROLL_STEP_S;
+                if (nodeAt < size.seconds()) {
+                    faults.add(new Fault(nodeAt, FaultKind.NODE_TERM, n, ROLL_DOWN_S));
+                }
+            }
+        }
+    }
+
     private static void addShrinkingWorkers(long seed, SoakSize size, List<Fault> faults) {
         RandomGenerator random = new Random(seed ^ SHRINK_SEED);
         FaultKind kind = FaultKind.WORKER_SHRINK;
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
@@ -72,6 +72,14 @@
     private static final long INVALID_KEY_MS = 100;
     private static final long ROUTE_MS = 10;
 
+    /** Share of the jobs whose callers leave early and cancel until they have an answer. */
+    private static final double LEAVING = 0.08;
+
+    private static final long LEAVE_AFTER_MS = 300;
+
+    /** Sets the draw of callers that leave apart in the same way. */
+    private static final long LEAVE_SEED = 0x1ea;
+
     /** Sets the draw of keys apart in the same way. */
     private static final long KEY_SEED = 0x3e5;
 
@@ -91,6 +99,7 @@
     private final Random mRandom;
     private final Random mCrashRandom;
     private final Random mKeyRandom;
+    private final Random mLeaveRandom;
     private final RouteProbe mRouteProbe;
     private final Map<String, SoakJob> mAccepted = new HashMap<>();
     private boolean mComing;
@@ -105,6 +114,7 @@
         mRandom = new Random(seed);
         mCrashRandom = new Random(seed ^ CRASH_SEED);
         mKeyRandom = new Random(seed ^ KEY_SEED);
+        mLeaveRandom = new Random(seed ^ LEAVE_SEED);
         mRouteProbe = new RouteProbe(system, history, mClient, seed);
     }
 
@@ -133,6 +143,9 @@
     private void next() {
         if (mComing) {
             submit(draw(), mRandom.nextDouble() < ONE_TRY ? 1 : TRIES);
+            if (mLeaveRandom.nextDouble() < LEAVING) {
+                submitAndLeave();
+            }
             later(EACH_MS / 2 + mRandom.nextInt((int) EACH_MS), this::next);
         }
     }
@@ -250,6 +263,25 @@
                 });
     }
 
+    /** Hands a standing job in, waits for a short time only, and cancels the job. */
+    private void submitAndLeave() {
+        String id = String.format("%016x", mLeaveRandom.nextLong());
+        SoakJob job = new SoakJob(id, "quick", List.of(1), 0, 1000, true);
+        int nodes = mSystem.nodes().size();
+        int node = mLeaveRandom.nextInt(nodes);
+        mHistory.add(t -> new Submitted(t, job, node));
+        HttpCall call = HttpCall.postJson(job.path(), job.body().getBytes(StandardCharsets.UTF_8));
+        send(
+                node,
+                mSystem.organisations().validKey(job.organisation()),
+                call,
+                LEAVE_AFTER_MS,
+                result -> {
+                    mHistory.add(t -> new CancelSent(t, id));
+                    cancelUntilTold(job, true);
+                });
+    }
+
     private void answered(SoakJob job, SubmitAnswer answer, int tries) {
         if (answer.isAccepted()) {
             accepted(job);
@@ -307,20 +339,22 @@
 
     private void cancel(SoakJob job) {
         mHistory.add(t -> new CancelSent(t, job.id()));
-        cancelUntilTold(job);
+        cancelUntilTold(job, false);
     }
 
-    private void cancelUntilTold(SoakJob job) {
+    /** Cancels a job until it is acknowledged; an unknown job may be told not to exist. */
+    private void cancelUntilTold(SoakJob job, boolean mayBeUnknown) {
         HttpCall call = new HttpCall("DELETE", job.path(), Map.of(), new byte[0], "");
         send(
                 anyNode(),
                 job,
                 call,
                 result -> {
-                    if (status(result) / 100 == 2) {
+                    int status = status(result);
+                    if (status / 100 == 2 || mayBeUnknown && status == 410) {
                         mHistory.add(t -> new Cancelled(t, job.id()));
                     } else {
-                        later(RETRY_MS, () -> cancelUntilTold(job));
+                        later(RETRY_MS, () -> cancelUntilTold(job, mayBeUnknown));
                     }
                 });
     }
@@ -331,6 +365,11 @@
     }
 
     private void send(int node, String key, HttpCall call, Consumer<HttpResult> callback) {
+        send(node, key, call, DEADLINE_MS, callback);
+    }
+
+    private void send(
+            int node, String key, HttpCall call, long waitMs, Consumer<HttpResult> callback) {
         Map<String, String> headers =
                 Map.of(
                         "Host",
@@ -343,7 +382,7 @@
         mClient.call(
                 mSystem.nodes().get(node).callers(),
                 call.with(headers),
-                DEADLINE_MS,
+                waitMs,
                 result -> {
                     int status = status(result);
                     mHistory.add(t -> new SoakEvent.KeyAnswered(t, key, sentMs, node, status));
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
@@ -79,6 +79,11 @@
     /** All faults are over, and all nodes that come back are back. */
     record Calm(long atMs) implements SoakEvent {}
 
+    /** Processors of a task, from the text that it is started with. */
+    static long processorsOf(String text) {
+        return Long.parseLong(text.split(" ")[1]);
+    }
+
     /** The job that a task belongs to. */
     static String jobOf(String task) {
         return task.substring(0, task.indexOf('.'));
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -31,6 +31,7 @@
     private final Path mFolder;
     private final boolean mTokensChecked;
     private final String mLinkMbps;
+    private final long mRetentionS;
     private final FaultProxy mStore;
     private final FaultProxy mVms;
     private List<Integer> mPorts;
@@ -46,7 +47,8 @@
             Path folder,
             UsersStandin platform,
             boolean tokensChecked,
-            String linkMbps)
+            String linkMbps,
+            long retentionS)
             throws IOException {
         mIp = ip;
         mName = name;
@@ -54,6 +56,7 @@
         mFolder = folder;
         mTokensChecked = tokensChecked;
         mLinkMbps = linkMbps;
+        mRetentionS = retentionS;
         mStore = FaultProxy.before(platform.storeAddress());
         mVms = FaultProxy.before(platform.vmServiceAddress());
         mPorts = freePorts();
@@ -124,7 +127,7 @@
                         + "\"listen\":{\"callers\":\"%s\",\"readiness\":\"%s\","
                         + "\"metrics\":\"%s\",\"peers\":\"%s\"},"
                         + "\"platform\":{\"store\":\"%s\",\"vms\":\"%s\",\"advice\":\"\","
-                        + "\"keepS\":300,\"parts\":8,\"vmTokensChecked\":%b},"
+                        + "\"keepS\":%d,\"parts\":8,\"vmTokensChecked\":%b},"
                         + "\"worker\":{\"orders\":\"call\",\"leaseMs\":%d,"
                         + "\"stopMs\":%d},\"callers\":{\"keyRevocationMs\":%d},"
                         + "\"jobs\":{\"statusS\":120,\"earlyMs\":250}}",
@@ -138,6 +141,7 @@
                 port(3),
                 address(mStore.address()),
                 address(mVms.address()),
+                mRetentionS,
                 mTokensChecked,
                 LEASE_MS,
                 STOP_MS,
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -67,6 +68,8 @@
                                 UNCHECKED_POOLS),
                         history);
         mPlatform.configure(HOST, POOLS);
+        long retentionS = schedule.retentionS();
+        mPlatform.setStoreRetention(TimeUnit.SECONDS.toMillis(retentionS));
         mOrganisations = new SoakOrganisations(mPlatform, history);
         mRoutes = new SoakRoutes(mPlatform, history);
         String network = network();
@@ -74,7 +77,9 @@
             String name = "node-" + n;
             String zone = zones.get(n % size.zones());
             String ip = network + '.' + (n + 1);
-            mNodes.add(new SoakNode(name, zone, ip, folder, mPlatform, tokensChecked, link));
+            mNodes.add(
+                    new SoakNode(
+                            name, zone, ip, folder, mPlatform, tokensChecked, link, retentionS));
         }
         Runtime.getRuntime().addShutdownHook(mAtExit);
     }
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -251,6 +252,16 @@
         onlyBroken(Promise.UNASKED);
     }
 
+    @Test
+    public void aTaskThatStillRunsLongAfterTheCancellingIsUnasked() {
+        started(5, FIRST, 1, "a");
+        mEvents.add(new Cancelled(10, JOB.id()));
+        mEvents.add(new Calm(6000));
+        assertTrue(Promise.UNASKED.check(mEvents).isEmpty());
+        mEvents.add(new Calm(9000));
+        assertEquals(Promise.UNASKED.check(mEvents).size(), 1);
+    }
+
     @Test
     public void aRefusedJobThatRunsIsBroken() {
         mEvents.clear();
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/ScheduleTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/ScheduleTest.java
@@ -46,4 +46,19 @@
 
         assertEquals(drawn.without(0).faults(), drawn.faults().subList(1, drawn.faults().size()));
     }
+
+    @Test
+    public void aRunWithAShortRetentionRestartsEachNodeInTurn() {
+        Schedule rolling = Schedule.draw(8, SIZE);
+        Schedule other = Schedule.draw(9, SIZE);
+
+        assertTrue(rolling.retentionS() < other.retentionS());
+        for (int node = 0; node < SIZE.nodes(); node++) {
+            int target = node;
+            assertTrue(
+                    rolling.faults().stream()
+                            .anyMatch(
+                                    f -> f.kind() == FaultKind.NODE_TERM && f.target() == target));
+        }
+    }
 }
