--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
@@ -178,9 +178,8 @@
         }
         Optional<CancelledId> cancelled = mEarlyCancellations.take(progress.definition());
         cancelled.ifPresent(c -> progress.cancel(c.atMs()));
-        // Records that were read before the one that introduces the job may be older.
-        boolean oldest = buffered == null && cancelled.isEmpty();
-        progress.setCopy(nextCopy(oldest ? sinceMs : JournalCopy.UNKNOWN_MS));
+        boolean hasEarlierFacts = buffered != null || cancelled.isPresent();
+        progress.setCopy(nextCopy(hasEarlierFacts ? JournalCopy.UNKNOWN_MS : sinceMs));
         return progress;
     }
 
