--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/EarlyCancellationTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/EarlyCancellationTest.java
@@ -8,21 +8,15 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.job.JournalRecord.CancelledId;
 import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
-import org.foxtailplank.job.QueuePolicy;
 import org.foxtailplank.node.FakeJobQueries;
 import org.foxtailplank.node.FakeSharedLog;
 import org.foxtailplank.node.FakeSharedLog.ScriptedOutcome;
 import org.foxtailplank.node.FakeTime;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPartitions;
-import org.foxtailplank.port.ChangeFeed;
-import org.foxtailplank.port.FleetConfig;
-import org.foxtailplank.port.OperatorChange;
-import org.foxtailplank.port.RouteSettings;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -40,24 +34,6 @@
     private CallerServiceFixture mNode;
     private CallerServiceFixture mOther;
 
-    /** An operator's configuration with one queue. */
-    private static final class OneQueue implements ChangeFeed<OperatorChange> {
-        @Override
-        public void latest(Consumer<Result<OperatorChange>> callback) {
-            changes(0, 0, callback);
-        }
-
-        @Override
-        public void changes(long position, long waitMs, Consumer<Result<OperatorChange>> callback) {
-            QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
-            RouteSettings route = new RouteSettings("q", "h", "/q/", "s", policy, false);
-            FleetConfig config = new FleetConfig(1, List.of(route), List.of(), 1000);
-            OperatorChange change = new OperatorChange.NewConfig(config);
-            callback.accept(
-                    new Page<>(List.of(new Item<>("config", Optional.of(change))), 1, true));
-        }
-    }
-
     @BeforeMethod
     public void setUp() {
         mClock = new FakeTime();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/RefusedSubmissionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/RefusedSubmissionTest.java
@@ -13,7 +13,6 @@
 import java.util.function.Consumer;
 import org.foxtailplank.admission.AdmissionMode;
 import org.foxtailplank.http.HttpReply;
-import org.foxtailplank.job.QueuePolicy;
 import org.foxtailplank.node.FakeJobQueries;
 import org.foxtailplank.node.FakeSharedLog;
 import org.foxtailplank.node.FakeTime;
@@ -21,10 +20,6 @@
 import org.foxtailplank.node.admission.TestPools;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.organisation.Organisation;
-import org.foxtailplank.port.ChangeFeed;
-import org.foxtailplank.port.FleetConfig;
-import org.foxtailplank.port.OperatorChange;
-import org.foxtailplank.port.RouteSettings;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -40,24 +35,6 @@
     private FakeJobQueries mOwner;
     private CallerServiceFixture mService;
 
-    /** A configuration with one queue. */
-    private static final class OneQueue implements ChangeFeed<OperatorChange> {
-        @Override
-        public void latest(Consumer<Result<OperatorChange>> callback) {
-            changes(0, 0, callback);
-        }
-
-        @Override
-        public void changes(long position, long waitMs, Consumer<Result<OperatorChange>> callback) {
-            QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
-            RouteSettings route = new RouteSettings("q", "h", "/q/", "s", policy, false);
-            FleetConfig config = new FleetConfig(1, List.of(route), List.of(), 1000);
-            OperatorChange change = new OperatorChange.NewConfig(config);
-            callback.accept(
-                    new Page<>(List.of(new Item<>("config", Optional.of(change))), 1, true));
-        }
-    }
-
     @BeforeMethod
     public void setUp() {
         mClock = new FakeTime();
