Soak: start nodes that shut down while the faults of a run end

Cause: a fault that stops a node waits for the end of its process.

Change: the fault starts the node itself once its process has ended, if the faults are over and nothing else keeps it down.

Tests of early cancellations and of copies share their job definitions (TestJobs). Three comments are reworded.

--- a/foxtail-core/src/test/java/org/foxtailplank/job/EarlyCancellationsTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/EarlyCancellationsTest.java
@@ -5,8 +5,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
-import java.util.Optional;
-import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.JournalRecord.CancelledId;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
@@ -28,26 +26,7 @@
     }
 
     private static JobAccepted accepted(String queue, String organisation) {
-        TaskStep step =
-                new TaskStep(
-                        1,
-                        Resources.of(1, 1, 0),
-                        100,
-                        List.of(),
-                        PlacementConstraints.ANYWHERE,
-                        RunMode.PLAIN);
-        return new JobAccepted(
-                new JobDefinition(
-                        JOB,
-                        queue,
-                        "s",
-                        "t",
-                        List.of(step),
-                        Timetable.AT_ONCE,
-                        new QueuePolicy(0, 2, 1.6, 600, Optional.empty()),
-                        NOW_MS,
-                        0,
-                        organisation));
+        return new JobAccepted(TestJobs.definition(JOB, queue, organisation, 1, NOW_MS));
     }
 
     private static CancelledId cancelled(String job, String queue, String organisation) {
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JournalCopyTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JournalCopyTest.java
@@ -5,9 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
-import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobSnapshot;
@@ -43,17 +41,7 @@
     }
 
     private static JobDefinition definition(String id) {
-        TaskStep step =
-                new TaskStep(
-                        2,
-                        Resources.of(1, 1, 0),
-                        100,
-                        List.of(),
-                        PlacementConstraints.ANYWHERE,
-                        RunMode.PLAIN);
-        QueuePolicy policy = new QueuePolicy(0, 2, 1.6, 600, Optional.empty());
-        return new JobDefinition(
-                id, "q", "s", "t", List.of(step), Timetable.AT_ONCE, policy, WALL_MS, 7, "org");
+        return TestJobs.definition(id, "q", "org", 2, WALL_MS);
     }
 
     private JobProgress accept(long sinceMs) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -402,7 +402,7 @@
 
     /**
      * Cancels a job that isn't in the journal. An append that is under way may still introduce it,
-     * so the cancellation is stored before the caller is told that there is no such job.
+     * so the cancellation is stored before the request is answered with 410.
      */
     private void cancelUnknown(
             RoutedRequest routed, String id, long deadlineMs, Consumer<HttpReply> reply) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/RecordPartsTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/RecordPartsTest.java
@@ -119,6 +119,29 @@
         assertEquals(parts.get(0), JournalCodec.encode(record));
     }
 
+    /** Guards against an endless division of a snapshot with one fact of each of two kinds. */
+    @Test
+    public void factsOfSeveralKindsAreDivided() throws IOException {
+        JobRegistry registry = new JobRegistry(1000);
+        JobProgress job = registry.apply(new JobAccepted(definition())).orElseThrow();
+        registry.apply(new RunsStarted(List.of(start(1, 0))));
+        List<EndedRun> ends = new ArrayList<>();
+        for (int index = 0; index < TASKS; index++) {
+            ends.add(new EndedRun(task(0, index), 1, RunOutcome.DONE, 9));
+        }
+        registry.apply(new RunsEnded(ends));
+        List<byte[]> parts = RecordParts.encode(job.snapshot(), 10);
+        JobRegistry replica = new JobRegistry(1000);
+        for (byte[] part : parts) {
+            replica.apply(JournalCodec.decode(part).orElseThrow());
+        }
+        JobProgress restored = replica.job(job.definition().id()).orElseThrow();
+
+        assertEquals(parts.size(), 2);
+        assertEquals(restored.snapshot().doneRuns(), job.snapshot().doneRuns());
+        assertEquals(restored.lastStarts(), job.lastStarts());
+    }
+
     @Test
     public void aSingleFactThatIsTooLargeIsLeftWhole() {
         // Guards against an endless division of a record.
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
@@ -149,7 +149,7 @@
         }
     }
 
-    /** Checks that a node which starts now knows what callers were told. */
+    /** Checks that a node which starts now knows the state of each job that callers may query. */
     private void assertNothingIsLost(String when) {
         Node node = new Node();
         node.read();
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -98,7 +98,29 @@
             }
         }
         begin(strike);
-        mTimer.schedule(() -> guarded(() -> end(strike)), (long) (fault.forS() * MS_PER_S), unit());
+        if (isActive(strike)) {
+            mTimer.schedule(
+                    () -> guarded(() -> end(strike)), (long) (fault.forS() * MS_PER_S), unit());
+        } else if (goesDown(strike)) {
+            startIfUp(strike.nodes());
+        }
+    }
+
+    private synchronized boolean isActive(Strike strike) {
+        return mActive.contains(strike);
+    }
+
+    /** Starts nodes that were still shutting down when the faults of the run ended. */
+    private void startIfUp(List<SoakNode> nodes) throws IOException {
+        for (SoakNode n : nodes) {
+            if (isUp(n)) {
+                n.start();
+            }
+        }
+    }
+
+    private synchronized boolean isUp(SoakNode node) {
+        return mDown.getOrDefault(node, 0) == 0;
     }
 
     private List<SoakNode> nodesOf(Fault fault) throws IOException {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
@@ -342,7 +342,7 @@
         cancelUntilTold(job, false);
     }
 
-    /** Cancels a job until it is acknowledged; an unknown job may be told not to exist. */
+    /** Cancels a job until it is acknowledged; for an unknown job 410 is an acknowledgement. */
     private void cancelUntilTold(SoakJob job, boolean mayBeUnknown) {
         HttpCall call = new HttpCall("DELETE", job.path(), Map.of(), new byte[0], "");
         send(
