Log what planned starts hold and how many workers are being emptied

Cause: the load lines of a store outage show cores in use on workers whose tasks have ended, and can't tell what holds them, nor why a worker isn't usable. Change: plannedCores and evacuating in the load lines. Result: no decision changes.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
@@ -18,6 +18,8 @@
         long cores = 0;
         long standing = 0;
         long batch = 0;
+        long planned = 0;
+        int evacuating = 0;
         long batchCapacity = 0;
         for (WorkerState w : workers) {
             usable += w.isUsable(nowMs) ? 1 : 0;
@@ -25,6 +27,8 @@
             long standingOfWorker = w.standing().milliProcessors();
             standing += standingOfWorker;
             batch += w.used().milliProcessors() - standingOfWorker;
+            planned += plannedMilliCores(w);
+            evacuating += w.isEvacuating() ? 1 : 0;
             batchCapacity += capacity.milliCores(w.freeWithoutBatch());
         }
         int waiting = 0;
@@ -44,11 +48,24 @@
                 cores / MILLI,
                 standing / MILLI,
                 batch / MILLI,
+                planned / MILLI,
                 batchCapacity / MILLI,
                 due.size(),
                 waiting,
                 waitingStanding,
                 workers.size(),
+                evacuating,
                 UsedVms.of(workers));
     }
+
+    /** Capacity reserved by starts whose records are not stored yet. */
+    private static long plannedMilliCores(WorkerState worker) {
+        long sum = 0;
+        for (TaskRun r : worker.runs()) {
+            if (r.phase() == RunPhase.PLANNED) {
+                sum += r.task().spec().reserved().milliProcessors();
+            }
+        }
+        return sum;
+    }
 }
