--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -60,6 +60,7 @@
     private String mCutZone = "";
     private long mCutUntilMs;
     private int mMoves;
+    private SimulatedOutage mOutage = SimulatedOutage.NONE;
 
     /**
      * Size of all VMs.
@@ -100,11 +101,13 @@
     private static final class Job {
         final JobDefinition mDefinition;
         final RunTimes mRunTimes;
+        final long mSubmittedMs;
         long mDoneMs = Long.MAX_VALUE;
 
         Job(JobDefinition definition, RunTimes runTimes) {
             mDefinition = definition;
             mRunTimes = runTimes;
+            mSubmittedMs = definition.acceptedMs();
         }
 
         /** Time from its arrival that its objective allows, by the true length of its chain. */
@@ -114,7 +117,7 @@
         }
 
         double elapsedMs() {
-            return (double) mDoneMs - mDefinition.acceptedMs();
+            return (double) mDoneMs - mSubmittedMs;
         }
 
         double work() {
@@ -180,8 +183,61 @@
                         wallMs(),
                         0,
                         organisation);
-        mJobs.put(id, new Job(definition, runTimes));
-        mAdmission.ifPresentOrElse(a -> a.submit(definition), () -> mOwner.accept(definition));
+        Job job = new Job(definition, runTimes);
+        mJobs.put(id, job);
+        mAdmission.ifPresentOrElse(a -> a.submit(definition), () -> submit(job));
+    }
+
+    private void submit(Job job) {
+        if (isStoreDown()) {
+            mOutage.rejected(job.mDefinition.id(), mClockMs);
+        } else {
+            mOwner.accept(acceptedNow(job.mDefinition));
+        }
+    }
+
+    private JobDefinition acceptedNow(JobDefinition d) {
+        return new JobDefinition(
+                d.id(),
+                d.route(),
+                d.service(),
+                d.text(),
+                d.steps(),
+                d.timetable(),
+                d.policy(),
+                wallMs(),
+                d.configVersion(),
+                d.organisation());
+    }
+
+    /**
+     * Makes the store reject everything from now on: no job is accepted, no start is recorded, no
+     * worker joins, and VMs may be moved only as long as the lease of the last append lasts.
+     */
+    void failStore(long ms) {
+        mOutage = new SimulatedOutage(mClockMs, mClockMs + ms);
+    }
+
+    private boolean isStoreDown() {
+        return mOutage.isDown(mClockMs);
+    }
+
+    /** Decides, and starts what can be recorded. */
+    private void placeTasks() {
+        if (isStoreDown()) {
+            mOutage.unrecorded().addAll(mOwner.decide().planned());
+            return;
+        }
+        if (!mOutage.unrecorded().isEmpty()) {
+            mOwner.recordStarts(mOutage.unrecorded());
+            mOutage.unrecorded().clear();
+            Decisions decisions = mOwner.decide();
+            mOwner.confirmStarts(decisions);
+            mOwner.recordStarts(decisions.planned());
+            mOwner.confirmStarts(mOwner.decide());
+            return;
+        }
+        mOwner.placeTasks();
     }
 
     /** Lets submissions of jobs be decided on; without this all are accepted. */
@@ -213,14 +269,15 @@
         mClockMs += STEP_MS;
         mOwner.mNowMs = mClockMs;
         for (Vm vm : mVms) {
-            if (!vm.mJoined && mClockMs >= vm.mUpMs + JOIN_MS) {
+            if (!vm.mJoined && mClockMs >= vm.mUpMs + JOIN_MS && !isStoreDown()) {
                 join(vm);
             }
             mPoolVmMs += mOwner.mConfig.isStandby(vm.mPool) ? 0 : STEP_MS;
         }
         updateRuns();
         mAdmission.ifPresent(SimulatedAdmission::tick);
-        mOwner.placeTasks();
+        mOutage.returning(mClockMs).forEach(id -> submit(mJobs.get(id)));
+        placeTasks();
         moveVms();
     }
 
@@ -260,7 +317,7 @@
         for (TaskRun run : worker.runs()) {
             if (run.phase() == RunPhase.RUNNING) {
                 boolean standing = run.task().spec().mode().standing();
-                double share = (mClockMs - run.startedMs()) / durationMs(run);
+                double share = (mClockMs - run.firstSeenMs()) / durationMs(run);
                 double percent = standing ? RunStatus.READY_PERCENT : Math.min(99, 100 * share);
                 running.add(new RunStatus(run.task().name(), run.attempt(), "", percent, 0));
             }
@@ -275,7 +332,7 @@
             return;
         }
         boolean standing = run.task().spec().mode().standing();
-        boolean due = mClockMs - run.startedMs() >= durationMs(run);
+        boolean due = mClockMs - run.firstSeenMs() >= durationMs(run);
         if (!standing && run.phase() == RunPhase.RUNNING && due) {
             mLastSequence++;
             mOwner.endRun(run, RunOutcome.DONE, mLastSequence);
@@ -313,7 +370,12 @@
         mPlanner.applyList(infos, mClockMs);
         VmPlanner.VmDecisions decisions =
                 mPlanner.decide(
-                        mOwner.mConfig, List.of(), mOwner.mRegistry, true, mClockMs, wallMs());
+                        mOwner.mConfig,
+                        List.of(),
+                        mOwner.mRegistry,
+                        mOutage.areCallsAllowed(mClockMs),
+                        mClockMs,
+                        wallMs());
         decisions.actions().forEach(this::carryOut);
     }
 
@@ -353,7 +415,7 @@
 
     private static boolean isOnTime(Job job) {
         JobDefinition definition = job.mDefinition;
-        long objective = definition.acceptedMs() + definition.objectiveLengthMs();
+        long objective = job.mSubmittedMs + definition.objectiveLengthMs();
         return job.mDoneMs <= objective;
     }
 
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -203,11 +203,16 @@
     List<TaskRun> placeTasks() {
         List<TaskRun> planned = decide().planned();
         recordStarts(planned);
-        for (Decisions.Start s : decide().starts()) {
+        confirmStarts(decide());
+        return planned;
+    }
+
+    /** Answers the start commands of a decision. */
+    void confirmStarts(Decisions decisions) {
+        for (Decisions.Start s : decisions.starts()) {
             s.run().recordStartSent(mNowMs);
             mScheduler.startAnswered(s.run(), CommandOutcome.DONE, mNowMs);
         }
-        return planned;
     }
 
     void recordStarts(List<TaskRun> planned) {
@@ -231,7 +236,7 @@
         List<RunStatus> views = new ArrayList<>();
         for (TaskRun r : worker.runs()) {
             boolean ended = List.of(ends).stream().anyMatch(e -> e.task().equals(r.task().name()));
-            if (!ended) {
+            if (!ended && r.phase() != RunPhase.PLANNED) {
                 views.add(new RunStatus(r.task().name(), r.attempt(), "", 100, 0));
             }
         }
