Hold no workers by starts that can't be recorded

What callers saw: too little of a quick class was served in time for up to ten seconds after a store outage (SHORT). Cause: a start is recorded before it is sent. During an outage the owner went on planning starts. Change: once the store has taken nothing for about a second, starts that are not recorded are withdrawn and none is planned until it takes records again. No worker has been told of such a start, so that withdrawing it is safe even if its record is stored later. The answers of workers to commands moved to a class of their own.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
@@ -60,6 +60,17 @@
         starts.forEach(r -> withdraw(r, "denied by the placement advice", runs, nowMs));
     }
 
+    /** Removes the runs whose starts aren't recorded yet; no worker has been told of them. */
+    static void withdrawPlanned(Collection<WorkerState> workers, RunTable runs) {
+        for (WorkerState w : workers) {
+            for (TaskRun r : List.copyOf(w.runs())) {
+                if (r.phase() == RunPhase.PLANNED) {
+                    runs.removeRun(r);
+                }
+            }
+        }
+    }
+
     private static List<TaskRun> dueStarts(WorkerState worker) {
         List<TaskRun> starts = new ArrayList<>();
         for (TaskRun r : worker.runs()) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -33,14 +33,12 @@
  * milliseconds of a monotonic clock unless named wall time.
  */
 public final class Scheduler {
-    /** Pause for a worker that refused a start for lack of capacity, in milliseconds. */
-    private static final long NO_ROOM_PAUSE_MS = 150;
-
     private final ScheduleLimits mLimits;
     private final RunTable mRuns;
     private final TaskPlacer mPlacer;
     private final CrashTracker mCrashes;
     private final RestartedWorkers mRestarted;
+    private final CommandAnswers mAnswers;
     private final WorkerTable mWorkers = new WorkerTable();
     private final List<Decisions.Pace> mPaceChanges = new ArrayList<>();
     private final ArrivalRate mArrivals = new ArrivalRate();
@@ -48,6 +46,7 @@
     private final AdviceRequests mAdvice = new AdviceRequests(new Random());
     private final BatchCapacities mBatchCapacities = new BatchCapacities();
     private long mOthersRenewedUntilMs = Long.MIN_VALUE / 2;
+    private boolean mStoreAvailable = true;
 
     /**
      * Creates a scheduler without jobs and workers.
@@ -60,6 +59,7 @@
         mPlacer = new TaskPlacer(mRuns, mAdvice);
         mCrashes = new CrashTracker(mRuns);
         mRestarted = new RestartedWorkers(mRuns);
+        mAnswers = new CommandAnswers(mRuns, mRestarted);
     }
 
     /**
@@ -298,6 +298,9 @@
 
     /** Whether a worker that isn't slow has capacity for the run's task now. */
     private boolean hasBetterWorker(TaskRun run, long nowMs) {
+        if (!mStoreAvailable) {
+            return false;
+        }
         for (WorkerState w : workersOf(run.worker().info().service())) {
             boolean suitable = w != run.worker() && !w.isSlow(nowMs);
             if (suitable && WorkerChooser.canTakeOver(run.task(), w, nowMs)) {
@@ -319,67 +322,12 @@
 
     /** Applies a worker's answer to a start command. */
     public void startAnswered(TaskRun run, CommandOutcome outcome, long nowMs) {
-        WorkerState worker = run.worker();
-        switch (outcome) {
-            case DONE -> {
-                run.confirm(nowMs);
-                mRuns.recordJobStarted(run.task().step().job());
-            }
-            case NO_ROOM -> {
-                worker.markFullUntil(nowMs + NO_ROOM_PAUSE_MS);
-                dropRefusedRun(run, nowMs);
-            }
-            case UNHEALTHY -> {
-                worker.health().recordRefusal(nowMs);
-                dropRefusedRun(run, nowMs);
-            }
-            case NO_TICKET -> {
-                run.task().step().discardTicket(worker.incarnation());
-                dropRefusedRun(run, nowMs);
-            }
-            case NOT_SENT -> {
-                worker.markUnresponsive(nowMs);
-                dropRefusedRun(run, nowMs);
-            }
-            case UNANSWERED -> {
-                run.markUncertain();
-                mRestarted.startUnanswered(run, nowMs);
-                run.setCommandDue(true);
-            }
-            case OUTDATED, LEASE_OVER, INVALID -> dropRefusedRun(run, nowMs);
-            case OTHER_LIFE -> {
-                // The caller removes the worker, whose incarnation never got this command.
-                if (!run.isUncertain()) {
-                    mRuns.removeRun(run);
-                }
-            }
-            case FENCED -> {} // The caller stops owning.
-            default -> throw new IllegalStateException("no rule for " + outcome);
-        }
-    }
-
-    /**
-     * Drops a run that its worker refused. If an earlier start command went unanswered, the run may
-     * still begin, so it is stopped instead: a stop prevents it from starting.
-     */
-    private void dropRefusedRun(TaskRun run, long nowMs) {
-        if (run.phase() != RunPhase.STARTING) {
-            return;
-        }
-        if (run.isUncertain()) {
-            run.requestStop("start refused", nowMs);
-        } else {
-            mRuns.removeRun(run);
-        }
+        mAnswers.startAnswered(run, outcome, nowMs);
     }
 
     /** Applies a worker's answer to a stop command. */
     public void stopAnswered(TaskRun run, CommandOutcome outcome, long nowMs) {
-        if (outcome == CommandOutcome.DONE) {
-            run.recordStopAccepted(nowMs);
-        } else {
-            run.setCommandDue(true);
-        }
+        CommandAnswers.stopAnswered(run, outcome, nowMs);
     }
 
     /** Applies the answer to an advice request, or its failure. */
@@ -440,10 +388,28 @@
         return loads;
     }
 
+    /**
+     * Sets whether the store takes records. While it doesn't, no start is planned, and those that
+     * aren't recorded yet are withdrawn: held back until the store returns, they would keep workers
+     * from other jobs and pools, and be sent although their jobs may be late by then. Nor is a run
+     * stopped to be started elsewhere.
+     */
+    public void setStoreAvailable(boolean available) {
+        mStoreAvailable = available;
+    }
+
+    /** Whether the store takes records, so that tasks can be started. */
+    boolean isStoreAvailable() {
+        return mStoreAvailable;
+    }
+
     /** Returns the actions to take now. */
     public Decisions decide(FleetConfig config, long nowMs, long nowWallMs) {
         Decisions out = new Decisions();
         mRuns.removeEndedJobs(nowMs);
+        if (!mStoreAvailable) {
+            DueCommands.withdrawPlanned(mWorkers.all(), mRuns);
+        }
         mRuns.openDueRuns(latestDueMs(nowWallMs));
         mEntitlements.setOrganisations(config.organisations());
         out.paces().addAll(mPaceChanges);
@@ -456,7 +422,11 @@
             List<WorkerState> workers = workersOf(e.getKey());
             long milliCores = capacities.usableMilliCores(e.getKey(), workers, nowMs);
             List<ActiveRun> sorted = UrgencyOrder.sort(e.getValue(), milliCores, caps, nowWallMs);
-            mPlacer.place(sorted, workers, caps, out, nowMs);
+            if (mStoreAvailable) {
+                mPlacer.place(sorted, workers, caps, out, nowMs);
+            } else {
+                mPlacer.considerAdvice(sorted, workers, caps, nowMs);
+            }
         }
         mAdvice.addRequest(out, nowMs);
         return out;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskPlacer.java
@@ -33,6 +33,19 @@
         }
     }
 
+    /** Requests the advice that the starts of such tasks will need, without planning any. */
+    void considerAdvice(
+            List<ActiveRun> runs, List<WorkerState> workers, OrganisationCaps caps, long nowMs) {
+        for (ActiveRun run : runs) {
+            for (ActiveStep step : run.steps()) {
+                boolean ready = step.remainingTasks() > 0 && run.areDependenciesDone(step);
+                if (ready && step.needsTickets()) {
+                    mAdvice.consider(step, workers, caps, nowMs);
+                }
+            }
+        }
+    }
+
     private void placeStep(
             ActiveStep step,
             List<WorkerState> workers,
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -228,6 +228,9 @@
     private void evacuate(
             ManagedVm vm, WorkerState worker, FleetConfig config, long nowMs, long nowWallMs) {
         worker.setEvacuating(true);
+        if (!mScheduler.isStoreAvailable()) {
+            return;
+        }
         List<WorkerState> others = mScheduler.workersOf(worker.info().service());
         if (vm.planned().get() instanceof PlannedVmAction.Reboot) {
             WorkerEvacuation.stopRuns(worker, others, vm.plannedMs(), nowMs);
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -224,6 +224,7 @@
 
     /** Decides, and starts what can be recorded. */
     private void placeTasks() {
+        mOwner.mScheduler.setStoreAvailable(!isStoreDown());
         if (isStoreDown()) {
             mOutage.unrecorded().addAll(mOwner.decide().planned());
             return;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -25,6 +25,7 @@
 import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.admission.CapacitySource;
+import org.foxtailplank.node.journal.Handover;
 import org.foxtailplank.node.journal.JournalPosition;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.peer.JournalStatus;
@@ -75,6 +76,7 @@
     private boolean mEnded;
     private boolean mDecisionScheduled;
     private boolean mRenewalsAllowed = true;
+    private boolean mStoreAvailable = true;
 
     /** Creates a new owner; {@code onFenced} runs when a later owner has taken over. */
     public OwnerSession(OwnerContext context, Takeover takeover, Runnable onFenced) {
@@ -430,6 +432,7 @@
                     .write();
         }
         mScheduler.removeStaleWorkers().forEach(this::handleWorkerDropped);
+        updateStoreAvailable();
         Optional<FleetConfig> config = mContext.operator().config();
         if (config.isPresent()) {
             Decisions decisions = mScheduler.decide(config.get(), now, mClock.wallMs());
@@ -442,6 +445,16 @@
         }
     }
 
+    private void updateStoreAvailable() {
+        boolean available =
+                Handover.canStore(mJournal.storedMsAgo(), mContext.reader().latencyMs());
+        if (available != mStoreAvailable) {
+            mStoreAvailable = available;
+            mContext.log().line("starts").with("token", mToken).with("held", !available).write();
+        }
+        mScheduler.setStoreAvailable(available);
+    }
+
     private void writeHeartbeat() {
         if (mEnded) {
             return;
