Let the owner know of submissions that can't be stored

What callers saw: after a store outage the jobs of the next queue's turn were late for seconds (SHORT), though enough VMs were there. Cause: nothing of a submission that was answered with 503 or 504 was kept. The owner learned of the demand only when the store was back, VMs take two seconds from then, and jobs that had been submitted for seconds counted as new: taken as able to be in time, they took the workers from those that were. Change: nodes report such submissions to the owner over the peers' connection. They count as demand while their callers are expected back, and their objectives count from the first submission.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
@@ -25,6 +25,7 @@
     private final JobProgress mProgress;
     private final NavigableMap<Integer, ActiveRun> mOpenRuns = new TreeMap<>();
     private final boolean mEntitled;
+    private long mSubmittedMs;
 
     private List<ActiveRun> mRuns = List.of();
 
@@ -37,6 +38,7 @@
     ActiveJob(JobProgress progress, boolean entitled) {
         mProgress = progress;
         mEntitled = entitled;
+        mSubmittedMs = progress.definition().acceptedMs();
         if (runCount() == 1) {
             open(mNextRun++);
             mRuns = List.copyOf(mOpenRuns.values());
@@ -117,6 +119,16 @@
         return (mixed >>> 1) / (double) Integer.MAX_VALUE;
     }
 
+    /** Sets the time of its first submission, which was rejected. */
+    void setSubmittedMs(long submittedMs) {
+        mSubmittedMs = Math.min(mSubmittedMs, submittedMs);
+    }
+
+    /** Time of its first submission as far as known, in milliseconds since 1970. */
+    long submittedMs() {
+        return mSubmittedMs;
+    }
+
     /** Whether the job is within the rate that its organisation is entitled to. */
     boolean isEntitled() {
         return mEntitled;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ArrivalRate.java
@@ -44,7 +44,8 @@
         }
     }
 
-    private static boolean isBatch(JobDefinition definition) {
+    /** Whether the job's tasks are needed as soon as possible. */
+    static boolean isBatch(JobDefinition definition) {
         return !definition.isStanding() && !definition.timetable().isTimed();
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OrganisationCaps.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OrganisationCaps.java
@@ -1,5 +1,6 @@
 package org.foxtailplank.schedule;
 
+import java.util.Map;
 import java.util.Optional;
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.organisation.Organisation;
@@ -55,6 +56,20 @@
         return milliCores(organisation).map(limit -> Math.max(0, limit - others));
     }
 
+    /**
+     * Sums up the demand of organisations on a service, each of which its cap limits.
+     *
+     * @param demands thousandths of a core by name
+     */
+    double limit(Map<String, Double> demands, String service) {
+        double sum = 0;
+        for (Map.Entry<String, Double> e : demands.entrySet()) {
+            Optional<Long> limit = milliCoresFor(e.getKey(), service);
+            sum += limit.isPresent() ? Math.min(e.getValue(), limit.get()) : e.getValue();
+        }
+        return sum;
+    }
+
     /** Thousandths of a core that an organisation may use in all; empty without a limit. */
     Optional<Long> milliCores(String organisation) {
         long limit = cap(organisation).limits().milliProcessors();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -244,7 +244,9 @@
         double rate = mScheduler.arrivals().growthPerMs(pool.mName, nowMs);
         double arriving =
                 mForecast.arriving(pool.mName, rate * FORECAST_MS, pool.mVmMilliCores, nowMs);
-        return HEADROOM * (mDemand.onTimeMilliCores(pool.mName, caps, nowWallMs) + arriving);
+        double unstored = mScheduler.unstored().milliCores(pool.mName, caps, nowMs);
+        double present = mDemand.onTimeMilliCores(pool.mName, caps, nowWallMs) + unstored;
+        return HEADROOM * (present + arriving);
     }
 
     private void assignVms(Map<String, Pool> pools, List<ManagedVm> standby, long nowMs) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolDemand.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Predicate;
 import org.foxtailplank.fleet.Resources;
 
@@ -56,12 +55,7 @@
             double unopened = lastDemand * job.unopenedDueRuns(nowWallMs);
             demands.merge(job.definition().organisation(), unopened, Double::sum);
         }
-        double sum = 0;
-        for (Map.Entry<String, Double> e : demands.entrySet()) {
-            Optional<Long> limit = caps.milliCoresFor(e.getKey(), service);
-            sum += limit.isPresent() ? Math.min(e.getValue(), limit.get()) : e.getValue();
-        }
-        return sum;
+        return caps.limit(demands, service);
     }
 
     /**
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -45,9 +45,13 @@
     private final JobEntitlements mEntitlements = new JobEntitlements();
     private final AdviceRequests mAdvice = new AdviceRequests(new Random());
     private final BatchCapacities mBatchCapacities = new BatchCapacities();
+    private final UnstoredJobs mUnstored = new UnstoredJobs();
     private long mOthersRenewedUntilMs = Long.MIN_VALUE / 2;
     private boolean mStoreAvailable = true;
 
+    /** What the time since 1970 was ahead of the monotonic clock at the last decision. */
+    private long mWallOffsetMs;
+
     /**
      * Creates a scheduler without jobs and workers.
      *
@@ -152,11 +156,25 @@
         JobDefinition definition = progress.definition();
         boolean entitled = mEntitlements.take(definition);
         boolean isNew = mRuns.add(progress, entitled);
-        if (isNew && entitled) {
+        Optional<Long> submittedMs = mUnstored.remove(definition.id());
+        if (isNew && submittedMs.isPresent()) {
+            mRuns.job(definition.id()).get().setSubmittedMs(submittedMs.get() + mWallOffsetMs);
+        } else if (isNew && entitled) {
             mArrivals.recordArrival(definition, nowMs);
         }
     }
 
+    /** Records that the store didn't take a job, whose caller is expected to submit it again. */
+    public void jobUnstored(UnstoredJob job, long nowMs) {
+        if (mUnstored.add(job, nowMs)) {
+            mArrivals.recordArrival(job.service(), job.milliCores(), nowMs);
+        }
+    }
+
+    UnstoredJobs unstored() {
+        return mUnstored;
+    }
+
     ArrivalRate arrivals() {
         return mArrivals;
     }
@@ -406,6 +424,7 @@
     /** Returns the actions to take now. */
     public Decisions decide(FleetConfig config, long nowMs, long nowWallMs) {
         Decisions out = new Decisions();
+        mWallOffsetMs = nowWallMs - nowMs;
         mRuns.removeEndedJobs(nowMs);
         if (!mStoreAvailable) {
             DueCommands.withdrawPlanned(mWorkers.all(), mRuns);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
@@ -83,7 +83,7 @@
     /** Deadline set by the run's objective, in milliseconds since 1970. */
     static long objectiveMs(ActiveRun run) {
         JobDefinition definition = run.job().definition();
-        long begin = run.dueWallMs() > 0 ? run.dueWallMs() : definition.acceptedMs();
+        long begin = run.dueWallMs() > 0 ? run.dueWallMs() : run.job().submittedMs();
         return begin + definition.objectiveLengthMs(run.criticalPathMs());
     }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -191,6 +191,8 @@
     private void submit(Job job) {
         if (isStoreDown()) {
             mOutage.rejected(job.mDefinition.id(), mClockMs);
+            UnstoredJob.of(job.mDefinition, 0)
+                    .ifPresent(u -> mOwner.mScheduler.jobUnstored(u, mClockMs));
         } else {
             mOwner.accept(acceptedNow(job.mDefinition));
         }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/StoreOutageTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/StoreOutageTest.java
@@ -1,10 +1,16 @@
 package org.foxtailplank.schedule;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.foxtailplank.fleet.Resources;
+import org.foxtailplank.job.JobDefinition;
+import org.foxtailplank.job.RunMode;
+import org.foxtailplank.job.Timetable;
 import org.foxtailplank.port.MaintenanceWave;
 import org.foxtailplank.port.VmClient.VmInfo;
 import org.foxtailplank.port.VmClient.VmPhase;
@@ -45,6 +51,27 @@
                 .actions();
     }
 
+    private static JobDefinition job(String id, long acceptedMs) {
+        JobDefinition job =
+                OwnerHarness.definition(
+                        id, "surveys", 0, OwnerHarness.step(1, CORES, 1000, List.of()));
+        return new JobDefinition(
+                job.id(),
+                job.route(),
+                job.service(),
+                job.text(),
+                job.steps(),
+                job.timetable(),
+                job.policy(),
+                acceptedMs,
+                0,
+                "");
+    }
+
+    private static UnstoredJob unstored(JobDefinition job) {
+        return UnstoredJob.of(job, 0).orElseThrow();
+    }
+
     /** Guards against an evacuation whose standing task can't start elsewhere for seconds. */
     @Test
     public void noTaskIsStoppedForARebootWhileItCannotStartElsewhere() {
@@ -65,4 +92,55 @@
         planVms(wave);
         assertEquals(run.phase(), RunPhase.STOPPING, "after the outage");
     }
+
+    /** Guards against late jobs that are taken for new ones and make those late as well. */
+    @Test
+    public void theObjectiveOfAJobThatWasRejectedCountsFromItsFirstSubmission() {
+        mOwner.addWorker("w1", "surveys", CORES);
+        JobDefinition early = job("aa", OwnerHarness.WALL_MS + 4000);
+        mOwner.decide();
+        mOwner.mScheduler.jobUnstored(unstored(early), mOwner.mNowMs);
+        mOwner.mNowMs += 4000;
+        mOwner.accept(early);
+        mOwner.accept(job("bb", OwnerHarness.WALL_MS + 4000));
+
+        List<TaskRun> planned = mOwner.decide().planned();
+
+        assertEquals(planned.get(0).task().name().job(), "bb");
+    }
+
+    /** Guards against a pool that gets no VMs before the jobs of its turn can be accepted. */
+    @Test
+    public void rejectedSubmissionsRequestVmsUntilTheirCallersStayAway() {
+        addServingVm(1, "surveys");
+        for (int i = 2; i < 6; i++) {
+            Resources capacity = Resources.of(CORES, 1L << 40, 0);
+            mVms.add(new VmInfo("vm" + i, "off", VmPhase.UP, "", capacity));
+        }
+        mOwner.mScheduler.setStoreAvailable(false);
+        assertTrue(planVms().isEmpty(), "without demand");
+
+        for (int i = 0; i < 5; i++) {
+            mOwner.mScheduler.jobUnstored(
+                    unstored(job("job" + i, OwnerHarness.WALL_MS)), mOwner.mNowMs);
+        }
+
+        assertFalse(planVms().isEmpty(), "with demand");
+        mOwner.mNowMs += 5000;
+        OrganisationCaps caps = OrganisationCaps.NONE;
+        assertEquals(mOwner.mScheduler.unstored().milliCores("surveys", caps, mOwner.mNowMs), 0.0);
+    }
+
+    /** Guards against demand of jobs whose tasks aren't needed as soon as possible. */
+    @Test
+    public void standingJobsAndTimetablesAreNoUnstoredDemand() {
+        JobDefinition standing =
+                OwnerHarness.definition("aa", "surveys", 0, OwnerHarness.standing(1, 5, 1));
+        JobDefinition plain = job("bb", OwnerHarness.WALL_MS);
+
+        assertEquals(UnstoredJob.of(standing, 0), Optional.empty());
+        assertEquals(UnstoredJob.of(plain, 7).orElseThrow().ageMs(), 7);
+        assertEquals(plain.steps().get(0).mode(), RunMode.PLAIN);
+        assertEquals(plain.timetable(), Timetable.AT_ONCE);
+    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -35,6 +35,7 @@
 import org.foxtailplank.node.peer.OwnerLink;
 import org.foxtailplank.node.peer.RelayedStartHandler;
 import org.foxtailplank.port.SharedLog;
+import org.foxtailplank.schedule.UnstoredJob;
 
 /** Assembles the components of one node; all of them run on one event loop thread. */
 public final class Node {
@@ -176,6 +177,11 @@
                     o -> o.storeHandedOver(record, callback),
                     () -> callback.accept(StoreOutcome.NOT_STORED));
         }
+
+        @Override
+        public void reportUnstored(UnstoredJob job) {
+            mOwner.ifPresent(o -> o.jobUnstored(job));
+        }
     }
 
     /** Hands records over to the current owner, which may be this node. */
@@ -195,6 +201,11 @@
         public void handOver(byte[] record, Consumer<StoreOutcome> callback) {
             target().handOver(record, callback);
         }
+
+        @Override
+        public void reportUnstored(UnstoredJob job) {
+            target().reportUnstored(job);
+        }
     }
 
     private JobQueries localJobQueries() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/admission/GuardedHandover.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/admission/GuardedHandover.java
@@ -11,6 +11,7 @@
 import org.foxtailplank.node.journal.Handover;
 import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.StoreOutcome;
+import org.foxtailplank.schedule.UnstoredJob;
 
 /** An owner's handover that doesn't store jobs that another node has just refused. */
 public final class GuardedHandover implements Handover {
@@ -62,6 +63,11 @@
         }
     }
 
+    @Override
+    public void reportUnstored(UnstoredJob job) {
+        mTarget.reportUnstored(job);
+    }
+
     private void recordOutcome(RefusalRegister register, String job, StoreOutcome outcome) {
         if (outcome == StoreOutcome.UNKNOWN) {
             register.outcomeUnknown(job, mClock.nowMs());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -33,6 +33,7 @@
 import org.foxtailplank.port.CallerCodec.InvalidBodyException;
 import org.foxtailplank.port.CallerCodec.Submission;
 import org.foxtailplank.port.RouteSettings;
+import org.foxtailplank.schedule.UnstoredJob;
 
 /** Handles the HTTP requests of callers on any node, using the state read from the journal. */
 public final class CallerService implements HttpHandler {
@@ -81,7 +82,7 @@
     private final Map<String, InFlight> mInFlight = new HashMap<>();
 
     /** A submission that is being stored, with the replies to all requests that contain it. */
-    private record InFlight(String organisation, List<Consumer<HttpReply>> replies) {}
+    private record InFlight(String organisation, long sinceMs, List<Consumer<HttpReply>> replies) {}
 
     public CallerService(
             OperatorFollower operator,
@@ -223,7 +224,7 @@
             return;
         }
         List<Consumer<HttpReply>> replies = new ArrayList<>(List.of(reply));
-        mInFlight.put(id, new InFlight(routed.organisation(), replies));
+        mInFlight.put(id, new InFlight(routed.organisation(), mClock.nowMs(), replies));
         storeOrRefuse(definition, routed, mGate.storeDeadlineMs(deadlineMs(request)), replies);
     }
 
@@ -270,7 +271,10 @@
 
     private void submissionCompleted(
             JobDefinition definition, List<Consumer<HttpReply>> replies, StoreOutcome outcome) {
-        mInFlight.remove(definition.id());
+        long ageMs = mClock.nowMs() - mInFlight.remove(definition.id()).sinceMs();
+        if (outcome == StoreOutcome.NOT_STORED || outcome == StoreOutcome.UNKNOWN) {
+            UnstoredJob.of(definition, ageMs).ifPresent(mWriter::reportUnstored);
+        }
         mGate.completed(definition, outcome);
         mLog.line("job-submitted")
                 .with("job", definition.id())
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/Handover.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/Handover.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.node.journal;
 
 import java.util.function.Consumer;
+import org.foxtailplank.schedule.UnstoredJob;
 
 /** Hands records over to the owner, which writes them to the journal for all nodes. */
 public interface Handover {
@@ -28,4 +29,10 @@
 
     /** Hands a record over; {@code callback} is always called, exactly once. */
     void handOver(byte[] record, Consumer<StoreOutcome> callback);
+
+    /**
+     * Reports to the owner, if it is reachable, that a submission was rejected whose caller is
+     * expected to come back.
+     */
+    default void reportUnstored(UnstoredJob job) {}
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalWriter.java
@@ -14,6 +14,7 @@
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.SharedLog.AppendResult;
+import org.foxtailplank.schedule.UnstoredJob;
 
 /**
  * Writes records to the journal. Records that arrive while appends are in flight are batched.
@@ -123,6 +124,11 @@
         }
     }
 
+    /** Reports to the owner that a submission was rejected since it couldn't be stored. */
+    public void reportUnstored(UnstoredJob job) {
+        mHandover.reportUnstored(job);
+    }
+
     private void handOver(PendingRecord pending) {
         pending.mHandedOver = true;
         pending.mAwaitingOwner = true;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -39,6 +39,7 @@
 import org.foxtailplank.schedule.OwnerReachability;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.TaskRun;
+import org.foxtailplank.schedule.UnstoredJob;
 import org.foxtailplank.schedule.WorkerEnd;
 import org.foxtailplank.schedule.WorkerEndReason;
 import org.foxtailplank.schedule.WorkerState;
@@ -316,6 +317,13 @@
         mJournal.storeHandedOver(record, callback);
     }
 
+    /** Records that a node rejected a submission whose caller is expected to come back. */
+    public void jobUnstored(UnstoredJob job) {
+        if (isLoaded()) {
+            mScheduler.jobUnstored(job, mClock.nowMs());
+        }
+    }
+
     @Override
     public JournalPosition position() {
         return mContext.reader().position();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/JournalStream.java
@@ -162,6 +162,8 @@
                         });
             } else if (frame instanceof PeerFrame.Query query) {
                 respond(query, context);
+            } else if (frame instanceof PeerFrame.Unstored unstored) {
+                mHandover.reportUnstored(unstored.job());
             } else if (frame instanceof PeerFrame.Standby) {
                 mLastStandbyMs = mClock.nowMs();
             } else if (frame instanceof PeerFrame.RelayOffer) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -25,6 +25,7 @@
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
+import org.foxtailplank.schedule.UnstoredJob;
 
 /**
  * Client side of the peer protocol: a follower's connection to the owner.
@@ -232,6 +233,14 @@
         mChannel.get().writeAndFlush(frame.encode());
     }
 
+    @Override
+    public void reportUnstored(UnstoredJob job) {
+        if (isAlive()) {
+            mChannel.filter(Channel::isWritable)
+                    .ifPresent(c -> c.writeAndFlush(new PeerFrame.Unstored(job).encode()));
+        }
+    }
+
     @Override
     public void job(String id, Consumer<Optional<JobSummary>> callback) {
         sendQuery(
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/PeerFrame.java
@@ -19,6 +19,7 @@
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.WorkerClient.StartCommand;
 import org.foxtailplank.port.WorkerClient.WorkerAddress;
+import org.foxtailplank.schedule.UnstoredJob;
 
 /** A message of the peer protocol between two nodes. */
 sealed interface PeerFrame {
@@ -316,6 +317,17 @@
         }
     }
 
+    /**
+     * From a follower to the owner: a submission that it rejected since the store took no record.
+     * Owners of earlier versions ignore it.
+     */
+    record Unstored(UnstoredJob job) implements PeerFrame {
+        @Override
+        public void write(CodedOutputStream out) throws IOException {
+            UnstoredFields.write(job, out);
+        }
+    }
+
     /** Field numbers on the wire. */
     final class Field {
         static final int TOKEN = 1;
@@ -358,6 +370,11 @@
         static final int CAPACITY = 38;
         static final int CAPACITY_TOKEN = 39;
         static final int ACCEPTED_WORK = 40;
+        static final int UNSTORED_JOB = 41;
+        static final int UNSTORED_SERVICE = 42;
+        static final int UNSTORED_ORGANISATION = 43;
+        static final int UNSTORED_MILLI_CORES = 44;
+        static final int UNSTORED_AGE_MS = 45;
 
         private Field() {}
     }
@@ -395,6 +412,7 @@
         boolean standby = false;
         ConfigFields config = new ConfigFields();
         CapacityFrameFields capacity = new CapacityFrameFields();
+        UnstoredFields unstored = new UnstoredFields();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case Field.TOKEN -> token = in.readInt64();
@@ -409,17 +427,17 @@
                             relay.read(tag, in)
                                     || config.read(tag, in)
                                     || query.read(tag, in)
-                                    || capacity.read(tag, in);
+                                    || capacity.read(tag, in)
+                                    || unstored.read(tag, in);
                     if (!read) {
                         heartbeat.read(tag, in);
                     }
                 }
             }
         }
-        Optional<PeerFrame> grouped = config.toFrame().or(query::toFrame).or(capacity::toFrame);
-        if (grouped.isEmpty()) {
-            grouped = relay.toFrame(token);
-        }
+        Optional<PeerFrame> grouped =
+                config.toFrame().or(query::toFrame).or(capacity::toFrame).or(unstored::toFrame);
+        grouped = grouped.isEmpty() ? relay.toFrame(token) : grouped;
         if (grouped.isPresent()) {
             return grouped.get();
         }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceFixture.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.foxtailplank.adapter.PlatformTimeouts;
 import org.foxtailplank.adapter.UsersPlatform;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
@@ -23,9 +24,11 @@
 import org.foxtailplank.node.OperatorFollower;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.admission.KnownCapacity;
+import org.foxtailplank.node.journal.Handover;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.journal.JournalWriter;
+import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.node.peer.JobQueries;
 import org.foxtailplank.node.peer.OwnerLink;
@@ -33,6 +36,7 @@
 import org.foxtailplank.port.ChangeFeed;
 import org.foxtailplank.port.OperatorChange;
 import org.foxtailplank.port.SharedLog;
+import org.foxtailplank.schedule.UnstoredJob;
 
 /** A caller service with its dependencies, as in a node. */
 final class CallerServiceFixture {
@@ -43,8 +47,27 @@
     private final NodeLog mLog;
     private final NodeMetrics mMetrics = new NodeMetrics();
     private final KnownCapacity mCapacity = new KnownCapacity();
+    private final List<UnstoredJob> mUnstored = new ArrayList<>();
     private AdmissionSettings mAdmission = AdmissionSettings.OFF;
 
+    /** Hands records over through the link, and keeps the rejected submissions that it reports. */
+    private final class RecordingHandover implements Handover {
+        @Override
+        public boolean isAvailable() {
+            return mLink.isAvailable();
+        }
+
+        @Override
+        public void handOver(byte[] record, Consumer<StoreOutcome> callback) {
+            mLink.handOver(record, callback);
+        }
+
+        @Override
+        public void reportUnstored(UnstoredJob job) {
+            mUnstored.add(job);
+        }
+    }
+
     /** Creates a service that isn't connected to an owner. */
     CallerServiceFixture(
             FakeTime clock,
@@ -103,7 +126,12 @@
                         mLink,
                         ownerQueries.orElse(mLink),
                         new JournalWriter(
-                                log, JournalPartitions.PRIMARY, mLink, clock, timers, out),
+                                log,
+                                JournalPartitions.PRIMARY,
+                                new RecordingHandover(),
+                                clock,
+                                timers,
+                                out),
                         new UsersPlatform(
                                         null,
                                         null,
@@ -127,6 +155,11 @@
                         mMetrics);
     }
 
+    /** Rejected submissions that were reported to the owner. */
+    List<UnstoredJob> unstored() {
+        return mUnstored;
+    }
+
     void setAdmission(AdmissionMode mode) {
         mAdmission = new AdmissionSettings(mode, Map.of());
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/caller/CallerServiceTest.java
@@ -126,6 +126,18 @@
         assertEquals(storedRecords(), 1);
     }
 
+    /** Guards against demand that the owner doesn't know of while the store takes no jobs. */
+    @Test
+    public void onlyAJobThatIsNotStoredIsReportedToTheOwner() {
+        mLog.scriptAppends(ScriptedOutcome.REFUSED);
+        reply("POST", "/q/" + JOB, BODY);
+        assertEquals(mService.unstored().size(), 1);
+        assertEquals(mService.unstored().get(0).id(), JOB);
+
+        reply("POST", "/q/" + JOB, BODY);
+        assertEquals(mService.unstored().size(), 1, "the second submission was stored");
+    }
+
     @Test
     public void aRejectedJobIsNotStoredAndTheReplyHasARetryAfterHeader() {
         mLog.scriptAppends(ScriptedOutcome.REFUSED);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -2,7 +2,12 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertThrows;
 
+import com.google.protobuf.CodedOutputStream;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufOutputStream;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -10,6 +15,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -30,6 +37,7 @@
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.node.peer.OwnerMonitor.KnownOwner;
+import org.foxtailplank.schedule.UnstoredJob;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -52,8 +60,15 @@
                         callback.accept(StoreOutcome.STORED);
                     }
                 }
+
+                @Override
+                public void reportUnstored(UnstoredJob job) {
+                    mUnstored.add(job);
+                }
             };
 
+    private final List<UnstoredJob> mUnstored = new ArrayList<>();
+
     private final FakeJobQueries mJobQueries = new FakeJobQueries();
     private volatile long mOffsetMs;
 
@@ -161,6 +176,36 @@
         await(OwnerState.STREAMING);
     }
 
+    /** Guards against an owner that plans pools without the demand that nodes reject. */
+    @Test(timeOut = 60_000)
+    public void aRejectedSubmissionIsReportedToTheOwner() throws Exception {
+        followOwner();
+        await(OwnerState.STREAMING);
+        UnstoredJob job = new UnstoredJob("00000000000000aa", "surveys", "acme", 3500, 40);
+
+        while (onLoop(() -> mUnstored.isEmpty())) {
+            onLoop(
+                    () -> {
+                        mLink.reportUnstored(job);
+                        return null;
+                    });
+        }
+
+        assertEquals(onLoop(() -> mUnstored.get(0)), job);
+    }
+
+    /** Guards against a message of a peer that ends the owner's process. */
+    @Test
+    public void anUnstoredJobWithANegativeDemandIsMalformed() throws Exception {
+        ByteBuf frame = Unpooled.buffer();
+        CodedOutputStream out = CodedOutputStream.newInstance(new ByteBufOutputStream(frame));
+        out.writeString(PeerFrame.Field.UNSTORED_JOB, "00000000000000aa");
+        out.writeInt64(PeerFrame.Field.UNSTORED_MILLI_CORES, -1);
+        out.flush();
+
+        assertThrows(IOException.class, () -> PeerFrame.decode(frame));
+    }
+
     @Test(timeOut = 60_000)
     public void aStandbyFollowerReportsToAnOwnerOnANarrowLink() throws Exception {
         onLoop(
