Keep spare VMs in their pools while the store takes no records

What callers saw: after a store outage the next queue's pool had too few VMs for seconds (SHORT). Cause: without accepted jobs pools seem to have spare VMs. Change: no VM is released while the store takes no records, and the time for which a pool must have spare VMs begins again afterwards.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -341,6 +341,11 @@
         if (standby.isEmpty()) {
             return;
         }
+        if (!mScheduler.isStoreAvailable()) {
+            // The demand isn't known while no job is accepted.
+            mReleases.values().forEach(SpareRelease::reset);
+            return;
+        }
         int held = mForecast.heldVms(nowMs);
         for (Pool pool : pools.values()) {
             SpareRelease release = mReleases.computeIfAbsent(pool.mName, n -> new SpareRelease());
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/StoreOutageTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/StoreOutageTest.java
@@ -51,6 +51,15 @@
                 .actions();
     }
 
+    private List<Call> planVmsFor(long ms) {
+        List<Call> calls = new ArrayList<>();
+        for (long t = 0; t < ms; t += 100) {
+            mOwner.mNowMs += 100;
+            calls.addAll(planVms());
+        }
+        return calls;
+    }
+
     private static JobDefinition job(String id, long acceptedMs) {
         JobDefinition job =
                 OwnerHarness.definition(
@@ -131,6 +140,20 @@
         assertEquals(mOwner.mScheduler.unstored().milliCores("surveys", caps, mOwner.mNowMs), 0.0);
     }
 
+    /** Guards against VMs that are switched off while nobody knows the demand. */
+    @Test
+    public void spareVmsStayInTheirPoolDuringAnOutage() {
+        for (int i = 0; i < 8; i++) {
+            addServingVm(i, "surveys");
+        }
+        mOwner.mScheduler.setStoreAvailable(false);
+        assertTrue(planVmsFor(4000).isEmpty(), "during the outage");
+
+        mOwner.mScheduler.setStoreAvailable(true);
+        assertTrue(planVmsFor(500).isEmpty(), "before the demand shows");
+        assertTrue(planVmsFor(2000).size() > 0, "after the outage");
+    }
+
     /** Guards against demand of jobs whose tasks aren't needed as soon as possible. */
     @Test
     public void standingJobsAndTimetablesAreNoUnstoredDemand() {
