Limit sums of resources instead of letting them wrap around

Cause: sums and multiples of cores and memory wrapped around. Change: Resources stays at the limits of its fields, and the work of a run is summed up as a double.

--- a/foxtail-core/src/main/java/org/foxtailplank/fleet/Resources.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/fleet/Resources.java
@@ -5,6 +5,9 @@
 /**
  * An amount of resources that a worker offers or a task uses.
  *
+ * <p>Sums and multiples beyond the range of the fields are the largest or smallest value: a
+ * negative sum would make a full worker seem free.
+ *
  * @param milliProcessors thousandths of a processor core
  * @param memoryBytes memory
  * @param accelerators accelerators
@@ -27,20 +30,49 @@
 
     public Resources plus(Resources other) {
         return new Resources(
-                milliProcessors + other.milliProcessors,
-                memoryBytes + other.memoryBytes,
-                accelerators + other.accelerators);
+                sum(milliProcessors, other.milliProcessors),
+                sum(memoryBytes, other.memoryBytes),
+                toInt((long) accelerators + other.accelerators));
     }
 
     public Resources minus(Resources other) {
         return new Resources(
-                milliProcessors - other.milliProcessors,
-                memoryBytes - other.memoryBytes,
-                accelerators - other.accelerators);
+                difference(milliProcessors, other.milliProcessors),
+                difference(memoryBytes, other.memoryBytes),
+                toInt((long) accelerators - other.accelerators));
     }
 
     public Resources times(int factor) {
-        return new Resources(milliProcessors * factor, memoryBytes * factor, accelerators * factor);
+        return new Resources(
+                product(milliProcessors, factor),
+                product(memoryBytes, factor),
+                toInt((long) accelerators * factor));
+    }
+
+    private static long sum(long a, long b) {
+        long sum = a + b;
+        boolean overflows = ((a ^ sum) & (b ^ sum)) < 0;
+        return overflows ? limit(a < 0) : sum;
+    }
+
+    private static long difference(long a, long b) {
+        long difference = a - b;
+        boolean overflows = ((a ^ b) & (a ^ difference)) < 0;
+        return overflows ? limit(a < 0) : difference;
+    }
+
+    private static long product(long a, int factor) {
+        long product = a * factor;
+        boolean overflows = Math.multiplyHigh(a, factor) != product >> (Long.SIZE - 1);
+        return overflows ? limit(a < 0 != factor < 0) : product;
+    }
+
+    private static long limit(boolean negative) {
+        return negative ? Long.MIN_VALUE : Long.MAX_VALUE;
+    }
+
+    private static int toInt(long value) {
+        return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, value));
     }
 
     /** Returns whether this amount is within the other one. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveRun.java
@@ -125,12 +125,15 @@
         return longest;
     }
 
-    /** Expected work left, in milliseconds times thousandths of a core. */
+    /**
+     * Expected work left, in milliseconds times thousandths of a core; at most the largest long.
+     */
     long remainingWork() {
-        long sum = 0;
+        double sum = 0;
         for (ActiveStep s : mSteps) {
-            sum += s.remainingTasks() * s.expectedMs() * s.spec().demand().milliProcessors();
+            double taskWork = (double) s.expectedMs() * s.spec().demand().milliProcessors();
+            sum += s.remainingTasks() * taskWork;
         }
-        return sum;
+        return (long) sum;
     }
 }
