Reject directory entries that no worker can have written, and log why

What callers could see: one odd entry of another writer among those of the workers distorts the owner's decisions about all of them. Cause: any whole number passed as capacity or start time, texts of any length as names, ports with signs or digits of other scripts, and the unspecified address, which is the node's own. The log names the field. The owner keeps 10,000 foreign entries at most. Not reproduced: entries with deep nesting or long numbers end no process and stop no read, also on the nodes' stack of 256 KB; a worker is used on after an entry under its ID with a later start time (WorkerRestartTest). Both are guarded by tests now.

--- a/foxtail-core/src/main/java/org/foxtailplank/port/ChangeFeed.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/ChangeFeed.java
@@ -40,24 +40,29 @@
      *
      * @param key the key; empty if it couldn't be parsed
      * @param value the value; empty if it was removed or couldn't be parsed
-     * @param readable whether the record could be parsed; if not, the reader decides whether to
-     *     keep the previous value of the key
+     * @param problem why the record couldn't be parsed; if it couldn't, the reader decides whether
+     *     to keep the previous value of the key
      */
-    record Item<T>(String key, Optional<T> value, boolean readable) {
+    record Item<T>(String key, Optional<T> value, Optional<String> problem) {
         public Item {
-            if (!readable && value.isPresent()) {
+            if (problem.isPresent() && value.isPresent()) {
                 throw new IllegalArgumentException("an unreadable item must not have a value");
             }
         }
 
         /** Creates an item for a changed value, or for a removal if the value is empty. */
         public Item(String key, Optional<T> value) {
-            this(key, value, true);
+            this(key, value, Optional.empty());
         }
 
         /** Creates an item for a record that couldn't be parsed. */
-        public static <T> Item<T> unreadable(String key) {
-            return new Item<>(key, Optional.empty(), false);
+        public static <T> Item<T> unreadable(String key, String problem) {
+            return new Item<>(key, Optional.empty(), Optional.of(problem));
+        }
+
+        /** Whether the record could be parsed. */
+        public boolean readable() {
+            return problem.isEmpty();
         }
     }
 }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/IpPort.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/IpPort.java
@@ -9,6 +9,7 @@
 /** Parses untrusted addresses of the form {@code ip:port}. */
 public final class IpPort {
     private static final int MAX_PORT = 0xffff;
+    private static final int MAX_DIGITS = 5;
 
     private IpPort() {}
 
@@ -36,11 +37,13 @@
 
     /** Returns the parsed port, or 0 if it is not a valid port to connect to. */
     private static int port(String text) {
-        try {
-            int port = Integer.parseInt(text);
-            return port > 0 && port <= MAX_PORT ? port : 0;
-        } catch (NumberFormatException e) {
-            return 0;
-        }
+        // Integer.parseInt also accepts signs and the digits of other scripts.
+        boolean digits = text.length() <= MAX_DIGITS && text.chars().allMatch(IpPort::isDigit);
+        int port = digits && !text.isEmpty() ? Integer.parseInt(text) : 0;
+        return port <= MAX_PORT ? port : 0;
+    }
+
+    private static boolean isDigit(int c) {
+        return c >= '0' && c <= '9';
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/OperatorFollower.java
@@ -203,9 +203,13 @@
 
     /** Ignores unreadable changes, which leave the last readable value in force. */
     private void apply(ChangeFeed.Item<OperatorChange> item) {
-        if (!item.readable()) {
-            mLog.line("order-unreadable").with("key", item.key()).write();
-        }
+        item.problem()
+                .ifPresent(
+                        why ->
+                                mLog.line("order-unreadable")
+                                        .with("key", item.key())
+                                        .with("why", why)
+                                        .write());
         item.value().ifPresent(this::apply);
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
@@ -26,6 +26,9 @@
     /** Delay after a failed read, in milliseconds. */
     private static final long FAILED_READ_PAUSE_MS = 300;
 
+    /** Most unreadable entries, and entries of unknown services, that are kept. */
+    private static final int MAX_FOREIGN_ENTRIES = 10_000;
+
     private final OwnerSession mOwner;
     private final OwnerContext mContext;
     private final Scheduler mScheduler;
@@ -136,14 +139,23 @@
         boolean wasUnreadable = mUnreadable.remove(worker);
         boolean wasUnconfigured = mUnconfigured.remove(worker) != null;
         if (!item.readable()) {
-            mUnreadable.add(worker);
-            unlist("worker-unreadable", worker, !wasUnreadable);
+            boolean kept = mUnreadable.size() < MAX_FOREIGN_ENTRIES && mUnreadable.add(worker);
+            if (kept && !wasUnreadable) {
+                mContext.log()
+                        .line("worker-unreadable")
+                        .with("worker", worker)
+                        .with("why", item.problem().orElse(""))
+                        .write();
+            }
+            mScheduler.unlistWorker(worker);
         } else if (item.value().isEmpty()) {
             unlist("worker-unlisted", worker, true);
         } else if (isConfigured(item.value().get())) {
             addListed(item.value().get());
         } else {
-            mUnconfigured.put(worker, item.value().get());
+            if (mUnconfigured.size() < MAX_FOREIGN_ENTRIES) {
+                mUnconfigured.put(worker, item.value().get());
+            }
             unlist("worker-unnamed", worker, !wasUnconfigured);
         }
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeFeed.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeFeed.java
@@ -23,7 +23,7 @@
 
     /** Adds an unreadable record for a key, as another writer's. */
     public void putUnreadable(String key) {
-        mItems.add(Item.unreadable(key));
+        mItems.add(Item.unreadable(key, "malformed"));
     }
 
     @Override
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/WorkerRestartTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/WorkerRestartTest.java
@@ -13,6 +13,9 @@
     private static final long FIRST_START_MS = 1_700_000_000_000L;
     private static final long SECOND_START_MS = FIRST_START_MS + 60_000;
 
+    /** A start time in the year 9000. */
+    private static final long FUTURE_START_MS = 221_845_392_000_000L;
+
     private static final TaskName OTHER_TASK = new TaskName("00000000000000bb", 0, 0, 0);
 
     private FakeWorkers.Connection mConnection;
@@ -65,6 +68,34 @@
         assertTrue(isDone(OTHER_TASK));
     }
 
+    /** Guards against a foreign entry that makes the worker's own entry count as outdated. */
+    @Test
+    public void aWorkerIsUsedOnAfterAForeignEntryWithALaterStartTime() {
+        OwnerSession owner = startOwner(job(RunMode.PLAIN));
+        mWorkers.finish("w1", TASK);
+        mDirectory.add("w1", FUTURE_START_MS, SERVICE);
+        pass(1500);
+        mDirectory.add("w1", FIRST_START_MS, SERVICE);
+        pass(1500);
+        owner.storeHandedOver(job(OTHER_TASK.job(), RunMode.PLAIN), outcome -> {});
+        pass(1500);
+
+        assertEquals(mWorkers.running(OTHER_TASK), List.of("w1"));
+    }
+
+    /** Guards against the same where the owner reads the foreign entry first. */
+    @Test
+    public void aWorkerIsUsedAlthoughAForeignEntryWithALaterStartTimeWasReadFirst() {
+        mDirectory.add("w1", FUTURE_START_MS, SERVICE);
+        OwnerSession owner = startOwner(job(RunMode.PLAIN));
+        mWorkers.finish("w1", TASK);
+        pass(500);
+        owner.storeHandedOver(job(OTHER_TASK.job(), RunMode.PLAIN), outcome -> {});
+        pass(1500);
+
+        assertEquals(mWorkers.running(OTHER_TASK), List.of("w1"));
+    }
+
     /** Guards against a second start of a task that a restarted worker was told to start. */
     @Test
     public void aTaskThatWasStartedBeforeTheRestartWasNoticedRunsOnce() {
