Soak: odd entries of another writer, and processes that end by themselves

Cause: the soak had no foreign entries in the workers' directory, and a node that ended by itself showed only in what callers missed. Change: an odd entry every second, under a foreign key and under a live worker's; the promises EXIT and POLLED. The bounds of the promises are in a class of their own.

--- a/foxtail-it/src/main/java/org/foxtailplank/it/process/RunningProcess.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/process/RunningProcess.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
 /** A process of the system, with the class path of the tests; its output goes to a file. */
@@ -74,6 +75,11 @@
         return mProcess.isAlive();
     }
 
+    /** Its exit status; empty while it runs. */
+    public OptionalInt exitStatus() {
+        return isAlive() ? OptionalInt.empty() : OptionalInt.of(mProcess.exitValue());
+    }
+
     /** What it has printed. */
     public String output() {
         try {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
@@ -43,7 +43,8 @@
     FLOOD(Target.ORGANISATION),
     CONNECTIONS_SILENT(Target.NODE),
     ROUTE_CHANGED(Target.NOTHING),
-    NODE_FAR(Target.NODE);
+    NODE_FAR(Target.NODE),
+    FOREIGN_ENTRY(Target.WORKER);
 
     /** What a fault strikes. */
     enum Target {
@@ -92,7 +93,8 @@
                     FLOOD,
                     CONNECTIONS_SILENT,
                     ROUTE_CHANGED,
-                    NODE_FAR);
+                    NODE_FAR,
+                    FOREIGN_ENTRY);
 
     private final Target mTarget;
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.foxtailplank.adapter.standin.StoreFault;
@@ -41,6 +42,7 @@
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(4);
     private final List<Strike> mActive = new ArrayList<>();
     private final Map<SoakNode, Integer> mDown = new HashMap<>();
+    private final AtomicInteger mForeignEntries = new AtomicInteger();
     private long mWaves;
 
     /** A fault that has struck, with the nodes that it struck. */
@@ -182,10 +184,18 @@
                 strike.nodes().get(0).vms().silence();
             }
             case ROUTE_CHANGED -> mSystem.routes().change();
+            case FOREIGN_ENTRY -> writeForeignEntry(f.target());
             default -> {}
         }
     }
 
+    /** Another writer leaves an odd entry under a key of its own, and under a worker's. */
+    private void writeForeignEntry(int worker) {
+        String value = ForeignEntry.of(mForeignEntries.getAndIncrement()).value();
+        mSystem.platform().putForeignEntry("foreign-" + worker, value);
+        mSystem.platform().overwriteWorkerEntry(worker, value);
+    }
+
     private void wave(int first) {
         List<Integer> vms =
                 IntStream.range(first, first + WAVE_VMS).map(this::worker).boxed().toList();
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -1,5 +1,28 @@
 package org.foxtailplank.soak;
 
+import static org.foxtailplank.soak.PromiseBounds.ADDED;
+import static org.foxtailplank.soak.PromiseBounds.BEFORE;
+import static org.foxtailplank.soak.PromiseBounds.CANCEL_MS;
+import static org.foxtailplank.soak.PromiseBounds.CAPACITY_KNOWN_MS;
+import static org.foxtailplank.soak.PromiseBounds.CAP_KNOWN_MS;
+import static org.foxtailplank.soak.PromiseBounds.CONFIG_MS;
+import static org.foxtailplank.soak.PromiseBounds.CRASHES_BEFORE_LAST_STARTS;
+import static org.foxtailplank.soak.PromiseBounds.CRASHES_TO_GIVE_UP;
+import static org.foxtailplank.soak.PromiseBounds.LAST_STARTS;
+import static org.foxtailplank.soak.PromiseBounds.NOW;
+import static org.foxtailplank.soak.PromiseBounds.OK;
+import static org.foxtailplank.soak.PromiseBounds.OVERRUN;
+import static org.foxtailplank.soak.PromiseBounds.RECOVERY_MS;
+import static org.foxtailplank.soak.PromiseBounds.RESTART_MS;
+import static org.foxtailplank.soak.PromiseBounds.REVOKED;
+import static org.foxtailplank.soak.PromiseBounds.REVOKE_MS;
+import static org.foxtailplank.soak.PromiseBounds.SERVED_PART;
+import static org.foxtailplank.soak.PromiseBounds.STARTUP_MS;
+import static org.foxtailplank.soak.PromiseBounds.UNAUTHORIZED;
+import static org.foxtailplank.soak.PromiseBounds.UNTIL;
+import static org.foxtailplank.soak.PromiseBounds.VISIBLE_MS;
+import static org.foxtailplank.soak.PromiseBounds.WAITING_MS;
+
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -424,61 +447,27 @@
                                 + " were accepted");
             }
         }
-    };
-
-    private static final int OK = 200;
-    private static final int UNAUTHORIZED = 401;
-    private static final String NOW = " now";
-    private static final String ADDED = " added";
-    private static final String REVOKED = " revoked";
-    private static final String BEFORE = " before";
-    private static final String UNTIL = " until";
-
-    /** From when on no request with a revoked key is served, in milliseconds. */
-    private static final long REVOKE_MS = 5000;
-
-    /** From when on a configuration is in force, in milliseconds. */
-    static final long CONFIG_MS = 3000;
-
-    /** Within this time an owner knows that a cap has fallen, in milliseconds. */
-    private static final long CAP_KNOWN_MS = 10_000;
-
-    /** By how much a cap may be exceeded, in addition to one task. */
-    private static final double OVERRUN = 1.1;
-
-    /** From when on an accepted job is known everywhere, in milliseconds. */
-    private static final long VISIBLE_MS = 3000;
-
-    /** From when on an accepted job that hasn't begun counts as waiting, in milliseconds. */
-    private static final long WAITING_MS = 5000;
-
-    /**
-     * Until when tasks of a cancelled job may start: 4 s, and 3 s that a start command may be late.
-     */
-    private static final long CANCEL_MS = 7000;
-
-    /** Within this time after its last run a standing task is to run again, in milliseconds. */
-    private static final long RESTART_MS = 6000;
-
-    /** Time until a standing task that was started is at work, in milliseconds. */
-    private static final long STARTUP_MS = 200;
-
-    /** From when on after the loss of all nodes jobs are to be accepted, in milliseconds. */
-    private static final long RECOVERY_MS = 12_000;
-
-    /** One of so many at least is accepted then. */
-    private static final long SERVED_PART = 4;
-
-    /** Crashes of workers under a task from which on its job may be shown as failed. */
-    private static final int CRASHES_TO_GIVE_UP = 2;
-
-    /** Crashes of workers under a task after which few starts more are allowed. */
-    private static final int CRASHES_BEFORE_LAST_STARTS = 3;
+    },
 
-    private static final int LAST_STARTS = 2;
+    /** No process of a node ends by itself. */
+    EXIT {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof SoakEvent.EndedByItself e) {
+                scan.broken(e, e.node() + " ended by itself with status " + e.status());
+            }
+        }
+    },
 
-    /** Within this time an owner knows that a worker's capacity has shrunk, in milliseconds. */
-    private static final long CAPACITY_KNOWN_MS = 10_000;
+    /** An owner polls each worker that runs, whatever other writers leave in the directory. */
+    POLLED {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof SoakEvent.NotPolled e) {
+                scan.broken(e, e.worker() + " has not been polled at the end");
+            }
+        }
+    };
 
     /** Looks at one event, before {@link Scan#runs()} knows it. */
     abstract void see(SoakEvent event, Scan scan);
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/RoutesSeen.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/RoutesSeen.java
@@ -66,7 +66,7 @@
         }
         boolean dropped = mDroppedBy.containsKey(event.route());
         long addedMs = mAddedMs.getOrDefault(event.route(), NEVER);
-        boolean late = addedMs != NEVER && event.sentMs() - addedMs > Promise.CONFIG_MS;
+        boolean late = addedMs != NEVER && event.sentMs() - addedMs > PromiseBounds.CONFIG_MS;
         if (event.status() == NOT_FOUND && late && !dropped) {
             return Optional.of(text + " long after it was added");
         }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -68,6 +68,12 @@
     /** Sets the draw of these apart in the same way. */
     private static final long CONFIG_SEED = 0xc0f;
 
+    /** Mean time between two entries of another writer, in seconds. */
+    private static final double FOREIGN_GAP_S = 1;
+
+    /** Sets the draw of these entries apart in the same way. */
+    private static final long FOREIGN_SEED = 0xf0e;
+
     /** Retention of the store in runs with rolling restarts, and in others, in seconds. */
     private static final long SHORT_RETENTION_S = 20;
 
@@ -127,6 +133,8 @@
         addOften(FaultKind.CONNECTIONS_SILENT, SILENCE_GAP_S, 0, configRandom, size, faults);
         addOften(FaultKind.ROUTE_CHANGED, ROUTE_GAP_S, 0, configRandom, size, faults);
         addOften(FaultKind.NODE_FAR, FAR_GAP_S, LONGEST_S, configRandom, size, faults);
+        RandomGenerator foreignRandom = new Random(seed ^ FOREIGN_SEED);
+        addOften(FaultKind.FOREIGN_ENTRY, FOREIGN_GAP_S, 0, foreignRandom, size, faults);
         if (isRolling(seed)) {
             addRollingRestarts(size, faults);
         }
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
@@ -53,6 +53,12 @@
     /** A running worker's capacity has changed; {@code processors} are thousandths. */
     record CapacityChanged(long atMs, String worker, long processors) implements SoakEvent {}
 
+    /** A node's process has ended though nothing had ended it. */
+    record EndedByItself(long atMs, String node, int status) implements SoakEvent {}
+
+    /** A worker that has run for some time has not been polled lately. */
+    record NotPolled(long atMs, String worker) implements SoakEvent {}
+
     /** The VM service has carried a call out. */
     record VmCalled(long atMs, String vm, String action, long token) implements SoakEvent {}
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.foxtailplank.adapter.standin.UsersStandin;
 import org.foxtailplank.it.process.RunningProcess;
 import org.foxtailplank.it.proxy.FaultProxy;
@@ -17,6 +18,10 @@
 /** A real node's process, with a proxy of its own before the store and the VM service. */
 final class SoakNode implements AutoCloseable {
     private static final int PORTS = 4;
+
+    /** Exit statuses after SIGTERM and SIGKILL. */
+    private static final Set<Integer> ORDERED_ENDS = Set.of(0, 128 + 15, 128 + 9);
+
     private static final int LEASE_MS = 6000;
 
     /** Longest time that a worker takes to stop a run, in milliseconds. */
@@ -37,6 +42,7 @@
     private List<Integer> mPorts;
     private Optional<RunningProcess> mProcess = Optional.empty();
     private volatile int mBoots;
+    private final List<Integer> mOwnEnds = new ArrayList<>();
     private boolean mGone;
     private int mGrace = 6;
 
@@ -98,6 +104,7 @@
         if (mGone || isRunning()) {
             return;
         }
+        noteOwnEnd();
         Path settings = mFolder.resolve(mName + ".json");
         Files.writeString(settings, settings());
         mBoots++;
@@ -107,6 +114,18 @@
                                 output(), NodeMain.class, List.of(settings.toString())));
     }
 
+    private void noteOwnEnd() {
+        mProcess.map(RunningProcess::exitStatus)
+                .filter(s -> s.isPresent() && !ORDERED_ENDS.contains(s.getAsInt()))
+                .ifPresent(s -> mOwnEnds.add(s.getAsInt()));
+    }
+
+    /** Exit statuses of its processes that ended by themselves; asked once, at the end. */
+    synchronized List<Integer> ownEnds() {
+        noteOwnEnd();
+        return List.copyOf(mOwnEnds);
+    }
+
     /** Changes its settings file and tells it so. */
     synchronized void reload() throws IOException, InterruptedException {
         mGrace = mGrace == 6 ? 7 : 6;
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakRun.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakRun.java
@@ -32,6 +32,9 @@
     /** How long the questions at the end may take together, in seconds. */
     private static final long ASKING_S = 120;
 
+    /** Within this time before the end each worker is to be polled, in milliseconds. */
+    private static final long MAX_POLL_AGE_MS = 5000;
+
     private static final double MS_PER_S = 1000;
 
     private final Schedule mSchedule;
@@ -108,8 +111,16 @@
         pause(FINISH_MS);
         callers.leave();
         pause(FINISH_MS);
+        for (String worker : system.platform().workersNotPolled(MAX_POLL_AGE_MS)) {
+            mHistory.add(t -> new SoakEvent.NotPolled(t, worker));
+        }
         int asked = await(callers.askAll());
         tell("asked " + asked + " times for all accepted jobs");
+        for (SoakNode n : system.nodes()) {
+            for (int status : n.ownEnds()) {
+                mHistory.add(t -> new SoakEvent.EndedByItself(t, n.name(), status));
+            }
+        }
     }
 
     private static void checkStarted(SoakSystem system) throws IOException {
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -314,6 +314,18 @@
         onlyBroken(Promise.ONE);
     }
 
+    @Test
+    public void aProcessThatEndsByItselfIsExit() {
+        mEvents.add(new SoakEvent.EndedByItself(10, "node-1", 134));
+        onlyBroken(Promise.EXIT);
+    }
+
+    @Test
+    public void aWorkerThatNobodyPollsIsPolled() {
+        mEvents.add(new SoakEvent.NotPolled(10, "i-vm1-1"));
+        onlyBroken(Promise.POLLED);
+    }
+
     @Test
     public void twoStandingTasksThatAreTakenAwayTogetherAreTooMany() {
         accepted(STANDING);
