Check the VM service by one call before a takeover

Cause: before a takeover each node listed all VMs, thirty nodes at the same time, in several pages each, while the service's rate allows some 60 readings a second. Lists that were rejected made nodes with ample links give way, so that one on a link of 10 Mbit/s took over. It relayed its starts, and resigned 2.5 s later because of its link; nothing was started in time for four seconds. Change: one call decides, and a rejection shows as well that the service can be reached.

--- a/foxtail-core/src/main/java/org/foxtailplank/port/VmClient.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/VmClient.java
@@ -21,6 +21,14 @@
         list(callback);
     }
 
+    /**
+     * Checks by a single call whether the VM service can be reached, which a rejection shows too.
+     * {@code callback} runs once.
+     */
+    default void checkReachable(Consumer<Boolean> callback) {
+        list(vms -> callback.accept(vms.isPresent()));
+    }
+
     /**
      * Moves a VM to another pool, which terminates everything that runs on it. The call is sent
      * only while the holder's permit is valid, and aborted when the permit expires.
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
@@ -44,7 +44,7 @@
 
     /**
      * How long a node that cannot reach the VM service yields to other nodes, in milliseconds:
-     * enough for them to list the VMs and append.
+     * enough for them to reach it and append.
      */
     private static final long UNREACHABLE_YIELD_MS = 1200;
 
@@ -96,6 +96,7 @@
     private Optional<OwnerResigned> mLastResigned = Optional.empty();
     private Optional<OwnerHeartbeat> mLastAlive = Optional.empty();
     private boolean mAttemptInProgress;
+    private long mAttemptMs;
     private boolean mIsOwner;
     private boolean mStopped;
 
@@ -264,6 +265,7 @@
      */
     private void refreshAndAttempt() {
         mAttemptInProgress = true;
+        mAttemptMs = mClock.nowMs();
         mReader.refresh(
                 read -> {
                     if (read && isReplaceable() && !mStopped) {
@@ -275,16 +277,25 @@
     }
 
     /**
-     * Lists the VMs first: a node that cannot reach the VM service, perhaps because its zone is cut
-     * off, yields to others and tries only if no other node does.
+     * Checks the VM service first: a node that cannot reach it, perhaps because its zone is cut
+     * off, yields to others and tries only if no other node does. All nodes check at the same time,
+     * for which the service's rate must suffice.
      */
     private void attemptTakeover() {
-        mVmService.list(
-                vms -> {
+        long readMs = mClock.nowMs() - mAttemptMs;
+        mVmService.checkReachable(
+                reachable -> {
                     // The owner may have shown activity in the meantime.
                     boolean yields =
                             mClock.nowMs() - lastActivityMs() < timeoutMs() + UNREACHABLE_YIELD_MS;
-                    if (vms.isEmpty() && yields || mStopped || !isReplaceable()) {
+                    boolean attempts = reachable || !yields;
+                    mNodeLog.line("owner-check")
+                            .with("readMs", readMs)
+                            .with("tookMs", mClock.nowMs() - mAttemptMs)
+                            .with("vmsReachable", reachable)
+                            .with("attempts", attempts)
+                            .write();
+                    if (!attempts || mStopped || !isReplaceable()) {
                         mAttemptInProgress = false;
                         return;
                     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTest.java
@@ -170,4 +170,18 @@
         assertFalse(takenEarly);
         assertEquals(mTokens, List.of(2L), "no other node tried");
     }
+
+    /** Guards against nodes whose lists exceed the service's rate, so that none takes over. */
+    @Test
+    public void nodeWhoseListsAreRejectedTakesOverAtOnce() {
+        addOtherOwner();
+        startNode();
+        mOwnerMonitor.mState = OwnerState.GONE;
+        mListedVms = Optional.empty();
+        mListsRejected = true;
+        pass(MAX_ATTEMPT_MS);
+
+        assertEquals(mTokens, List.of(2L));
+        assertEquals(mListCalls, 0);
+    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTestBase.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTestBase.java
@@ -36,6 +36,11 @@
     FakeSharedLog mLog;
     FakeOwnerMonitor mOwnerMonitor;
     Optional<List<VmClient.VmInfo>> mListedVms;
+
+    /** Whether the VM service answers all lists with a rejection. */
+    boolean mListsRejected;
+
+    int mListCalls;
     List<Long> mTokens;
     List<Boolean> mPredecessorCallsFinished;
     List<Boolean> mRenewalsFinished;
@@ -47,6 +52,8 @@
         mLog = new FakeSharedLog();
         mOwnerMonitor = new FakeOwnerMonitor();
         mListedVms = Optional.of(List.of());
+        mListsRejected = false;
+        mListCalls = 0;
         mTokens = new ArrayList<>();
         mPredecessorCallsFinished = new ArrayList<>();
         mRenewalsFinished = new ArrayList<>();
@@ -55,9 +62,15 @@
     private final class Vms implements VmClient {
         @Override
         public void list(Consumer<Optional<List<VmInfo>>> callback) {
+            mListCalls++;
             callback.accept(mListedVms);
         }
 
+        @Override
+        public void checkReachable(Consumer<Boolean> callback) {
+            callback.accept(mListedVms.isPresent() || mListsRejected);
+        }
+
         @Override
         public void move(String vm, String pool, Holder holder, Consumer<VmOutcome> callback) {
             throw new AssertionError("called before the takeover");
