--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -166,7 +166,8 @@
 
     /** Records that the store didn't take a job, whose caller is expected to submit it again. */
     public void jobUnstored(UnstoredJob job, long nowMs) {
-        if (mUnstored.add(job, nowMs)) {
+        boolean isStored = mRuns.job(job.id()).isPresent();
+        if (!isStored && mUnstored.add(job, nowMs)) {
             mArrivals.recordArrival(job.service(), job.milliCores(), nowMs);
         }
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/StoreOutageTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/StoreOutageTest.java
@@ -140,6 +140,17 @@
         assertEquals(mOwner.mScheduler.unstored().milliCores("surveys", caps, mOwner.mNowMs), 0.0);
     }
 
+    /** Guards against demand that counts twice after an answer of the store was lost. */
+    @Test
+    public void aSubmissionThatWasStoredAfterAllIsNoFurtherDemand() {
+        JobDefinition stored = job("aa", OwnerHarness.WALL_MS);
+        mOwner.accept(stored);
+        mOwner.mScheduler.jobUnstored(unstored(stored), mOwner.mNowMs);
+
+        OrganisationCaps caps = OrganisationCaps.NONE;
+        assertEquals(mOwner.mScheduler.unstored().milliCores("surveys", caps, mOwner.mNowMs), 0.0);
+    }
+
     /** Guards against VMs that are switched off while nobody knows the demand. */
     @Test
     public void spareVmsStayInTheirPoolDuringAnOutage() {
