--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
@@ -293,6 +293,9 @@
                             .with("readMs", readMs)
                             .with("tookMs", mClock.nowMs() - mAttemptMs)
                             .with("vmsReachable", reachable)
+                            .with("activityMsAgo", mClock.nowMs() - mLastActivityMs)
+                            .with("storedMsAgo", mClock.nowMs() - mOwnerMonitor.lastStoredMs())
+                            .with("timeoutMs", timeoutMs())
                             .with("attempts", attempts)
                             .write();
                     if (!attempts || mStopped || !isReplaceable()) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -285,7 +285,14 @@
         mChannel.get().writeAndFlush(query.encode());
     }
 
-    /** Closes a connection on which no frame arrived within the silence timeout. */
+    /**
+     * Closes a connection on which no frame arrived within the silence timeout.
+     *
+     * <p>The journal is read at once: a record that the owner stored before it went silent counts
+     * as its activity when it is read. Read by each node with its next poll, over a second later at
+     * some, it would postpone their attempts to take over by different times, and nodes with narrow
+     * links would go before those with ample ones.
+     */
     @Override
     public void checkSilence() {
         if (mChannel.isPresent() && !isAlive()) {
@@ -295,6 +302,7 @@
                     .write();
             close();
             mTimers.after(RETRY_MS, this::connect);
+            mReader.refresh(read -> {});
         }
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -86,6 +86,7 @@
                 }
             };
 
+    private FakeSharedLog mSharedLog;
     private MultiThreadIoEventLoopGroup mGroup;
     private EventLoop mLoop;
     private Timers mTimers;
@@ -99,9 +100,10 @@
         mLoop = (EventLoop) mGroup.next();
         mTimers = (ms, action) -> mLoop.schedule(action, ms, TimeUnit.MILLISECONDS);
         NodeLog out = NodeLog.silent(mClock);
+        mSharedLog = new FakeSharedLog();
         JournalReader reader =
                 new JournalReader(
-                        new FakeSharedLog(),
+                        mSharedLog,
                         JournalPartitions.all(3),
                         mClock,
                         mTimers,
@@ -194,6 +196,24 @@
         assertEquals(onLoop(() -> mUnstored.get(0)), job);
     }
 
+    /** Guards against nodes with narrow links that take over first, as others read later. */
+    @Test(timeOut = 60_000)
+    public void theJournalIsReadAsSoonAsTheOwnerIsSilent() throws Exception {
+        followOwner();
+        await(OwnerState.STREAMING);
+        int readsBefore = onLoop(() -> mSharedLog.reads(JournalPartitions.PRIMARY));
+        mOffsetMs = 1000;
+        onLoop(
+                () -> {
+                    mLink.checkSilence();
+                    return null;
+                });
+
+        assertEquals(
+                onLoop(() -> mSharedLog.reads(JournalPartitions.PRIMARY)).intValue(),
+                readsBefore + 1);
+    }
+
     /** Guards against a message of a peer that ends the owner's process. */
     @Test
     public void anUnstoredJobWithANegativeDemandIsMalformed() throws Exception {
