Take a worker's own entry after a foreign one with a later start time

What callers could see: a worker that no owner uses. Cause: an entry with an earlier start time than the known one counts as outdated, and is ignored. An owner that has just taken over had the start time from a foreign entry under the worker's ID, in the year 9000 and with another address, and ignored the worker's own entry that came next. It polled the foreign address until a further entry. Change: start times order the entries only once the worker has answered. Test: ForeignWorkerEntryTest, which fails on the code before: the foreign address stays.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerTable.java
@@ -63,7 +63,9 @@
         learnStart(worker, listed.startMs());
         WorkerIncarnation current = worker.incarnation();
         boolean other = listed.hasKnownStart() && !listed.equals(current);
-        if (other && listed.startMs() < current.startMs() && !worker.isUnresponsive()) {
+        // The start time of a worker that has never answered may be that of a foreign entry.
+        boolean isCurrentConfirmed = worker.hasClock() && !worker.isUnresponsive();
+        if (other && listed.startMs() < current.startMs() && isCurrentConfirmed) {
             // An entry of a former incarnation, read late.
             return false;
         }
