--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -453,6 +453,7 @@
         }
     }
 
+    /** Holds starts back while the store takes no records. */
     private void updateStoreAvailable() {
         boolean available =
                 Handover.canStore(mJournal.storedMsAgo(), mContext.reader().latencyMs());
