--- a/foxtail-core/src/test/java/org/foxtailplank/fleet/ResourcesTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/fleet/ResourcesTest.java
@@ -33,7 +33,7 @@
 
     @Test
     public void twoLargeAmountsDoNotFitTogether() {
-        Resources half = new Resources(Long.MAX_VALUE / 2 + 1, 1, 0);
+        Resources half = new Resources(Long.MAX_VALUE / 2 + 1, 0, 0);
 
         assertFalse(half.plus(half).fitsIn(half));
     }
