Log up to 1000 lines a second of the kinds that show where a task may run

Cause: each kind of line is limited to 200 a second. After a takeover or in a burst of starts, the line that tells of a second run may be among those left out.

Change: the kinds that say where a run of a task begins, may still be, or has been taken as over have a limit of 1000. All other limits and the queue stay.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/log/NodeLog.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/log/NodeLog.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import org.foxtailplank.node.Clock;
@@ -17,6 +18,21 @@
     /** Maximum number of lines of one kind per second. */
     private static final int MAX_LINES_PER_S = 200;
 
+    /** The same for each kind that shows where a task may run. */
+    private static final int MAX_RUN_LINES_PER_S = 1000;
+
+    private static final Set<String> RUN_KINDS =
+            Set.of(
+                    "start-order",
+                    "late-start-order",
+                    "relayed-start",
+                    "run-lapsed",
+                    "run-ended-with-worker",
+                    "run-gone",
+                    "run-dropped",
+                    "run-inherited",
+                    "start-not-inherited");
+
     /** Maximum number of queued lines. */
     private static final int QUEUE_CAPACITY = 4000;
 
@@ -28,9 +44,14 @@
     private long mDroppedLines;
 
     private static final class RateLimit {
+        final int mMaxPerS;
         long mSecond;
         int mWritten;
         long mSuppressed;
+
+        RateLimit(String kind) {
+            mMaxPerS = RUN_KINDS.contains(kind) ? MAX_RUN_LINES_PER_S : MAX_LINES_PER_S;
+        }
     }
 
     private NodeLog(Clock clock) {
@@ -53,13 +74,13 @@
 
     /** Starts a line; the caller adds fields and then calls {@link LogLine#write}. */
     public LogLine line(String kind) {
-        RateLimit budget = mRateLimits.computeIfAbsent(kind, k -> new RateLimit());
+        RateLimit budget = mRateLimits.computeIfAbsent(kind, RateLimit::new);
         long second = mClock.nowMs() / MS_PER_S;
         if (second != budget.mSecond) {
             budget.mSecond = second;
             budget.mWritten = 0;
         }
-        if (budget.mWritten >= MAX_LINES_PER_S) {
+        if (budget.mWritten >= budget.mMaxPerS) {
             budget.mSuppressed++;
             return LogLine.SUPPRESSED;
         }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/log/NodeLogTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/log/NodeLogTest.java
@@ -12,6 +12,7 @@
 /** Tests the rate limit, the bounded queue and the escaping of the log. */
 public class NodeLogTest {
     private static final int MAX_LINES_PER_S = 200;
+    private static final int MAX_RUN_LINES_PER_S = 1000;
     private static final int QUEUE_CAPACITY = 4000;
 
     private static String written(NodeLog log) {
@@ -39,6 +40,17 @@
                 "the next line contains the number of suppressed lines");
     }
 
+    /** Guards against a second run whose start is missing from the log of a burst. */
+    @Test
+    public void linesThatShowWhereATaskMayRunHaveAHigherLimit() {
+        NodeLog log = NodeLog.silent(new FakeTime());
+        for (int i = 0; i < MAX_RUN_LINES_PER_S + 50; i++) {
+            log.line("start-order").write();
+        }
+
+        assertEquals(written(log).lines().count(), MAX_RUN_LINES_PER_S);
+    }
+
     @Test
     public void aFullQueueDropsLinesWithoutBlocking() {
         FakeTime time = new FakeTime();
