Log each relayed start on the node that sends it

Cause: a node that sends a start for the owner logs nothing, so that the run has no line at all once the owner has ended.

A start that isn't sent, as the job is unknown or final here, has the outcome NOT_SENT and jobKnown false. What is sent and answered is unchanged.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -129,11 +129,8 @@
                         new JobRegistry(settings.journal().endedJobRetentionMs()),
                         this::recordApplied);
         mLink = new OwnerLink(loop, clock, timers, log, mReader);
-        mReader.setStreaming(mLink::isAlive);
         mConfigExchange = new ConfigExchange(mOperator, clock, settings.link().isAmple());
-        mLink.setConfigExchange(mConfigExchange);
-        mLink.setStandbyCondition(this::isStandby);
-        mLink.setRelayedStartHandler(new RelayedStartHandler(mReader, mPlatform.workerClient()));
+        configureLink();
         mAdmission = new NodeAdmission(() -> mSettings.admission(), mReader, clock, log);
         mResignationPolicy = new ResignationPolicy(settings.link());
         mWriter =
@@ -163,6 +160,14 @@
                         this::ownershipAcquired);
     }
 
+    private void configureLink() {
+        mReader.setStreaming(mLink::isAlive);
+        mLink.setConfigExchange(mConfigExchange);
+        mLink.setStandbyCondition(this::isStandby);
+        mLink.setRelayedStartHandler(
+                new RelayedStartHandler(mReader, mPlatform.workerClient(), mClock, mLog));
+    }
+
     /** Stores records locally while this node owns, and rejects them otherwise. */
     private final class LocalHandover implements Handover {
         @Override
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/RelayedStartHandler.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/RelayedStartHandler.java
@@ -3,7 +3,9 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JobRegistry;
+import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.journal.JournalReader;
+import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.CommandOutcome;
 import org.foxtailplank.port.WorkerClient;
 import org.foxtailplank.port.WorkerClient.StartCommand;
@@ -12,10 +14,15 @@
 public final class RelayedStartHandler {
     private final JournalReader mReader;
     private final WorkerClient mWorkers;
+    private final Clock mClock;
+    private final NodeLog mLog;
 
-    public RelayedStartHandler(JournalReader reader, WorkerClient workers) {
+    public RelayedStartHandler(
+            JournalReader reader, WorkerClient workers, Clock clock, NodeLog log) {
         mReader = reader;
         mWorkers = workers;
+        mClock = clock;
+        mLog = log;
     }
 
     /**
@@ -25,10 +32,11 @@
      * @param callback receives the worker's answer, or empty if the command was not sent
      */
     void handle(PeerFrame.RelayedStart start, Consumer<Optional<CommandOutcome>> callback) {
+        long receivedMs = mClock.nowMs();
         if (text(start).isPresent()) {
-            send(start, callback);
+            send(start, receivedMs, callback);
         } else {
-            mReader.refresh(read -> send(start, callback));
+            mReader.refresh(read -> send(start, receivedMs, callback));
         }
     }
 
@@ -39,9 +47,14 @@
                 .map(j -> j.definition().text());
     }
 
-    private void send(PeerFrame.RelayedStart start, Consumer<Optional<CommandOutcome>> callback) {
+    private void send(
+            PeerFrame.RelayedStart start,
+            long receivedMs,
+            Consumer<Optional<CommandOutcome>> callback) {
+        long waitedMs = mClock.nowMs() - receivedMs;
         Optional<String> text = text(start);
         if (text.isEmpty()) {
+            log(start, false, waitedMs, waitedMs, CommandOutcome.NOT_SENT);
             callback.accept(Optional.empty());
             return;
         }
@@ -57,9 +70,29 @@
         mWorkers.start(
                 start.worker(),
                 complete,
-                a ->
-                        callback.accept(
-                                Optional.of(a.outcome())
-                                        .filter(o -> o != CommandOutcome.NOT_SENT)));
+                a -> {
+                    log(start, true, waitedMs, mClock.nowMs() - receivedMs, a.outcome());
+                    callback.accept(
+                            Optional.of(a.outcome()).filter(o -> o != CommandOutcome.NOT_SENT));
+                });
+    }
+
+    private void log(
+            PeerFrame.RelayedStart start,
+            boolean jobKnown,
+            long waitedMs,
+            long tookMs,
+            CommandOutcome outcome) {
+        WorkerClient.RunCommand run = start.command().run();
+        mLog.line("relayed-start")
+                .with("task", run.task())
+                .with("attempt", run.attempt())
+                .with("worker", start.worker().id())
+                .with("token", run.token())
+                .with("jobKnown", jobKnown)
+                .with("waitedMs", waitedMs)
+                .with("tookMs", tookMs)
+                .with("outcome", outcome)
+                .write();
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/StartRelayTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/StartRelayTest.java
@@ -2,11 +2,15 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -62,6 +66,7 @@
     private JournalStream mStream;
     private OwnerLink mLink;
     private Optional<CommandOutcome> mWorkerAnswer;
+    private NodeLog mOut;
 
     /** Answers starts, or leaves them unanswered. */
     private final class FakeWorkerClient implements WorkerClient {
@@ -125,7 +130,7 @@
                         LinkRate.UNKNOWN,
                         new NoHandover(),
                         new FakeJobQueries());
-        NodeLog out = NodeLog.silent(clock);
+        mOut = NodeLog.silent(clock);
         FakeSharedLog log = new FakeSharedLog();
         mLoop.scheduleAtFixedRate(log::deliverAnswers, 0, 1, TimeUnit.MILLISECONDS);
         JournalReader reader =
@@ -134,11 +139,12 @@
                         JournalPartitions.all(3),
                         clock,
                         timers,
-                        out,
+                        mOut,
                         mRegistry,
                         (record, job) -> {});
-        mLink = new OwnerLink(mLoop, clock, timers, out, reader);
-        mLink.setRelayedStartHandler(new RelayedStartHandler(reader, new FakeWorkerClient()));
+        mLink = new OwnerLink(mLoop, clock, timers, mOut, reader);
+        mLink.setRelayedStartHandler(
+                new RelayedStartHandler(reader, new FakeWorkerClient(), clock, mOut));
         JournalStatus status =
                 new FixedJournalStatus(new JournalPosition(List.of(0L, 0L, 0L)), 0, 0);
         mLoop.submit(
@@ -188,6 +194,36 @@
         return outcome;
     }
 
+    private String logged() throws Exception {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+        mLoop.submit(() -> mOut.flush(out)).get();
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Guards against a run of which no line tells, as its owner has ended meanwhile. */
+    @Test(timeOut = 60_000)
+    public void relayedStartIsLoggedByTheNodeThatSendsIt() throws Exception {
+        acceptJob();
+        relay().get();
+
+        String log = logged();
+        String run = "\"task\":\"%s\",\"attempt\":2,\"worker\":\"w1\",\"token\":%d";
+        assertTrue(log.contains("\"kind\":\"relayed-start\""), log);
+        assertTrue(log.contains(run.formatted(TASK, TOKEN)), log);
+        assertTrue(log.contains("\"jobKnown\":\"true\""), log);
+        assertTrue(log.contains("\"outcome\":\"DONE\""), log);
+    }
+
+    @Test(timeOut = 60_000)
+    public void relayedStartThatIsNotSentIsLogged() throws Exception {
+        relay().get();
+
+        String log = logged();
+        assertTrue(log.contains("\"jobKnown\":\"false\""), log);
+        assertTrue(log.contains("\"outcome\":\"NOT_SENT\""), log);
+    }
+
     @Test(timeOut = 60_000)
     public void relayedStartReachesTheWorkerWithTheJobsText() throws Exception {
         acceptJob();
