Log an append that is answered with the offset of an earlier one

Cause: the store answers a repeated sequence number with the result of the first append. Records that got a used number would count as stored although they aren't, and no line would tell.

Change: the owner's writer notes the reader's position when it first sends an append. An offset before it can't be that of this append: a line append-behind with token, partition, sequence, offset and position. An append that is repeated, or read before its answer arrives, has no such line.

Measured: OwnerJournalTest. With two writers of one token the second one's record isn't stored, and the line is written.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -129,6 +129,11 @@
         }
     }
 
+    /** Offset of the next record of a partition to read; 0 if this node doesn't read it. */
+    public long position(int partition) {
+        return partition < mPartitions.size() ? mPartitions.get(partition).position() : 0;
+    }
+
     /** Whether a record of a partition was read. */
     public boolean hasRead(int partition, long offset) {
         return partition < mPartitions.size() && mPartitions.get(partition).position() > offset;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
@@ -49,6 +49,10 @@
 
     private long mSequence;
     private Optional<JournalBatch> mInFlight = Optional.empty();
+
+    /** Position of this node's reader when the append in flight was first sent. */
+    private long mSentAtPosition;
+
     private boolean mFailing;
     private boolean mClosed;
     private Optional<Runnable> mOnEpochRaised = Optional.empty();
@@ -103,6 +107,7 @@
     void send(List<PendingRecord> records) {
         JournalBatch batch = new JournalBatch(records);
         mInFlight = Optional.of(batch);
+        mSentAtPosition = mContext.reader().position(mPartition.number());
         sendWithTimeout(batch);
     }
 
@@ -166,6 +171,7 @@
             return;
         }
         if (result instanceof SharedLog.Stored stored) {
+            logIfBehind(batch, stored);
             List<byte[]> records = batch.bytes();
             mContext.reader().applyStored(mPartition.number(), stored.firstOffset(), records);
             handleStored(batch);
@@ -197,6 +203,21 @@
         }
     }
 
+    /** Logs an answer that is for an earlier append, as this one was sent after its offset. */
+    private void logIfBehind(JournalBatch batch, SharedLog.Stored stored) {
+        if (batch.isEmpty() || stored.firstOffset() >= mSentAtPosition) {
+            return;
+        }
+        mContext.log()
+                .line("append-behind")
+                .with("token", mToken)
+                .with("partition", mPartition.number())
+                .with("sequence", mSequence)
+                .with("offset", stored.firstOffset())
+                .with("position", mSentAtPosition)
+                .write();
+    }
+
     private void handleStored(JournalBatch batch) {
         mInFlight = Optional.empty();
         setFailing(false);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
@@ -4,7 +4,10 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -94,6 +97,47 @@
         assertEquals(storedCount(), 1);
     }
 
+    private String logged() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        mContext.log().flush(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Guards against a record that counts as stored by the answer to another one, unnoticed. */
+    @Test
+    public void anAnswerThatIsOfAnEarlierAppendIsLogged() {
+        for (int i = 0; i < 2; i++) {
+            OwnerJournal journal = new OwnerJournal(mContext, 1, () -> {});
+            journal.raiseEpoch(() -> {});
+            mLog.deliverAnswers();
+            journal.store(new OwnerHeartbeat(1, "a", i), () -> {});
+            mLog.deliverAnswers();
+        }
+
+        String log = logged();
+        assertEquals(storedCount(), 1);
+        assertTrue(
+                log.contains(
+                        "\"kind\":\"append-behind\",\"token\":1,\"partition\":0,"
+                                + "\"sequence\":0,\"offset\":0,\"position\":1"),
+                log);
+    }
+
+    @Test
+    public void anAppendThatIsReadBeforeItsAnswerIsNotLogged() {
+        OwnerJournal journal = new OwnerJournal(mContext, 1, () -> {});
+        journal.raiseEpoch(() -> {});
+        mLog.deliverAnswers();
+        mLog.scriptAppends(ScriptedOutcome.ANSWER_LOST);
+        boolean[] wasStored = {false};
+        journal.store(new OwnerHeartbeat(1, "a", 0), () -> wasStored[0] = true);
+        mContext.reader().refresh(read -> {});
+        pass(500);
+
+        assertTrue(wasStored[0]);
+        assertFalse(logged().contains("append-behind"));
+    }
+
     /** Guards against jobs that wait for a further read of a slow store before they start. */
     @Test
     public void anOwnersRecordIsAppliedAsSoonAsItIsStored() {
