Log what an owner knows of each start when it takes it as over

Cause: an owner drops runs without a line: starts that are withdrawn, refused, or recorded after their job has ended; the last starts that a new owner doesn't inherit; answers that arrive after the owner has ended. Two runs of one task can't be traced to the owner that was wrong.

Change, without a change of decisions: - run-dropped: a planned or recorded start that was withdrawn or refused, with the reason. The scheduler collects them, as the core does no I/O. - run-inherited and start-not-inherited after owner-loaded. Starts of done tasks are left out. Inheritance moves to a class of its own. - late-start-order: the answer to a start of an owner that has ended.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/CommandAnswers.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/CommandAnswers.java
@@ -25,30 +25,30 @@
             }
             case NO_ROOM -> {
                 worker.markFullUntil(nowMs + NO_ROOM_PAUSE_MS);
-                dropRefusedRun(run, nowMs);
+                dropRefusedRun(run, outcome, nowMs);
             }
             case UNHEALTHY -> {
                 worker.health().recordRefusal(nowMs);
-                dropRefusedRun(run, nowMs);
+                dropRefusedRun(run, outcome, nowMs);
             }
             case NO_TICKET -> {
                 run.task().step().discardTicket(worker.incarnation());
-                dropRefusedRun(run, nowMs);
+                dropRefusedRun(run, outcome, nowMs);
             }
             case NOT_SENT -> {
                 worker.markUnresponsive(nowMs);
-                dropRefusedRun(run, nowMs);
+                dropRefusedRun(run, outcome, nowMs);
             }
             case UNANSWERED -> {
                 run.markUncertain();
                 mRestarted.startUnanswered(run, nowMs);
                 run.setCommandDue(true);
             }
-            case OUTDATED, LEASE_OVER, INVALID -> dropRefusedRun(run, nowMs);
+            case OUTDATED, LEASE_OVER, INVALID -> dropRefusedRun(run, outcome, nowMs);
             case OTHER_LIFE -> {
                 // The caller removes the worker, whose incarnation never got this command.
                 if (!run.isUncertain()) {
-                    mRuns.removeRun(run);
+                    mRuns.dropRun(run, "the start was answered with " + outcome);
                 }
             }
             case FENCED -> {} // The caller stops owning.
@@ -60,14 +60,14 @@
      * Drops a run that its worker refused. If an earlier start command went unanswered, the run may
      * still begin, so it is stopped instead: a stop prevents it from starting.
      */
-    private void dropRefusedRun(TaskRun run, long nowMs) {
+    private void dropRefusedRun(TaskRun run, CommandOutcome outcome, long nowMs) {
         if (run.phase() != RunPhase.STARTING) {
             return;
         }
         if (run.isUncertain()) {
             run.requestStop("start refused", nowMs);
         } else {
-            mRuns.removeRun(run);
+            mRuns.dropRun(run, "the start was answered with " + outcome);
         }
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
@@ -65,7 +65,7 @@
         for (WorkerState w : workers) {
             for (TaskRun r : List.copyOf(w.runs())) {
                 if (r.phase() == RunPhase.PLANNED) {
-                    runs.removeRun(r);
+                    runs.dropRun(r, "the store takes no records");
                 }
             }
         }
@@ -89,7 +89,7 @@
         if (run.isUncertain()) {
             run.requestStop(reason, nowMs);
         } else {
-            runs.removeRun(run);
+            runs.dropRun(run, reason);
         }
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -27,6 +27,7 @@
     private final OrganisationUsage mUsage = new OrganisationUsage();
     private final Map<TaskName, Set<Integer>> mFailures = new HashMap<>();
     private final List<String> mStartedJobs = new ArrayList<>();
+    private final DroppedRuns mDropped = new DroppedRuns();
 
     Optional<ActiveJob> job(String id) {
         return Optional.ofNullable(mJobs.get(id));
@@ -50,14 +51,19 @@
         return isNew;
     }
 
-    /** Adds a run that a previous owner recorded and that may still be running. */
-    void inherit(StartedRun start, WorkerState worker, long nowMs) {
+    /**
+     * Adds a run that a previous owner recorded and that may still be running; returns whether it
+     * was added.
+     */
+    boolean inherit(StartedRun start, WorkerState worker, long nowMs) {
         Optional<ActiveTask> task = job(start.task().job()).flatMap(j -> j.task(start.task()));
-        if (task.isPresent() && worker.run(start.task(), start.attempt()).isEmpty()) {
+        boolean isNew = task.isPresent() && worker.run(start.task(), start.attempt()).isEmpty();
+        if (isNew) {
             TaskRun run = new TaskRun(task.get(), worker, start.attempt(), nowMs);
             run.markInherited(nowMs);
             addRun(run);
         }
+        return isNew;
     }
 
     /** Returns the next attempt number of a task; numbers increase across owners. */
@@ -107,6 +113,19 @@
         run.worker().remove(run);
     }
 
+    /** Removes a run that can't have begun; the reason is kept for the log. */
+    void dropRun(TaskRun run, String why) {
+        if (run.task().runs().contains(run)) {
+            mDropped.add(DroppedRun.of(run, why));
+        }
+        removeRun(run);
+    }
+
+    /** Returns the runs that were dropped since the last call. */
+    List<DroppedRun> takeDropped() {
+        return mDropped.take();
+    }
+
     OrganisationUsage usage() {
         return mUsage;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -3,16 +3,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.function.Predicate;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JobProgress;
-import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.TaskName;
@@ -39,6 +36,7 @@
     private final CrashTracker mCrashes;
     private final RestartedWorkers mRestarted;
     private final CommandAnswers mAnswers;
+    private final InheritedRuns mInherited;
     private final WorkerTable mWorkers = new WorkerTable();
     private final List<Decisions.Pace> mPaceChanges = new ArrayList<>();
     private final ArrivalRate mArrivals = new ArrivalRate();
@@ -64,6 +62,7 @@
         mCrashes = new CrashTracker(mRuns);
         mRestarted = new RestartedWorkers(mRuns);
         mAnswers = new CommandAnswers(mRuns, mRestarted);
+        mInherited = new InheritedRuns(mRuns, mWorkers, mCrashes);
     }
 
     /**
@@ -193,49 +192,22 @@
             JobProgress progress, Predicate<WorkerIncarnation> isOver, long nowMs) {
         boolean entitled = mEntitlements.take(progress.definition());
         mArrivals.inherit(progress.definition(), entitled);
-        if (!mRuns.add(progress, entitled)) {
-            return;
+        if (mRuns.add(progress, entitled)) {
+            mInherited.add(progress, isOver, nowMs);
         }
-        Set<ActiveTask> crashed = new LinkedHashSet<>();
-        for (StartedRun start : progress.lastStarts()) {
-            Optional<ActiveTask> task =
-                    mRuns.job(progress.definition().id()).flatMap(j -> j.task(start.task()));
-            task.ifPresent(t -> t.recordAttempt(start.attempt()));
-            task.ifPresent(t -> t.accountable().inheritCrashes(progress.crashes(start)));
-            if (progress.hasEnded(start)) {
-                continue;
-            }
-            boolean isFormer = isFormerIncarnation(start.worker());
-            if (isFormer || isOver.test(start.worker())) {
-                task.ifPresent(t -> crashed.add(t.accountable()));
-            }
-            // The next incarnation may still execute a start that an earlier owner sent to the
-            // former one, until it has answered this owner.
-            if (isFormer || !isOver.test(start.worker())) {
-                inheritRun(start, progress.definition().service(), nowMs);
-            }
-        }
-        crashed.forEach(t -> mCrashes.inheritedRunEnded(t, nowMs));
     }
 
-    /** Whether a later incarnation of the worker is known. */
-    private boolean isFormerIncarnation(WorkerIncarnation incarnation) {
-        return incarnation.hasKnownStart()
-                && mWorkers.current(incarnation.id())
-                        .filter(w -> w.incarnation().startMs() > incarnation.startMs())
-                        .isPresent();
+    /** Returns the inherited starts of unfinished tasks that don't count as running. */
+    public List<DroppedRun> takeNotInherited() {
+        return mInherited.takeNotInherited();
     }
 
-    private void inheritRun(StartedRun start, String service, long nowMs) {
-        WorkerIncarnation recorded = start.worker();
-        WorkerState worker =
-                mWorkers.current(recorded.id())
-                        .orElseGet(() -> mWorkers.addWithoutInfo(recorded, service, nowMs));
-        if (recorded.startMs() > worker.incarnation().startMs()) {
-            // The directory's entry is of a former incarnation.
-            mWorkers.setStart(worker, recorded.startMs());
-        }
-        mRuns.inherit(start, worker, nowMs);
+    /**
+     * Returns the runs that were dropped since the last call, other than those that ended, lapsed
+     * or were lost.
+     */
+    public List<DroppedRun> takeDropped() {
+        return mRuns.takeDropped();
     }
 
     /** Returns the tasks that crash their workers and whose jobs were given up since last asked. */
@@ -297,8 +269,10 @@
             if (r.phase() != RunPhase.PLANNED || !r.task().runs().contains(r)) {
                 continue;
             }
-            if (r.task().isDone() || r.task().step().job().isEnding()) {
-                mRuns.removeRun(r);
+            if (r.task().isDone()) {
+                mRuns.dropRun(r, "its task is done");
+            } else if (r.task().step().job().isEnding()) {
+                mRuns.dropRun(r, "its job is ending");
             } else {
                 r.markRecorded();
             }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -340,7 +340,8 @@
         return mLateAnswerMs > ms;
     }
 
-    long lastAnswerMs() {
+    /** Time of the last answer to a poll that was in time; of the creation before. */
+    public long lastAnswerMs() {
         return mLastAnswerMs;
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
@@ -164,20 +164,22 @@
 
     private void handleStartAnswer(
             TaskRun run, CommandOutcome outcome, long sentMs, boolean relayed) {
-        if (mOwner.hasEnded()) {
-            return;
-        }
         long now = mContext.clock().nowMs();
-        mContext.metrics().latency("start").update(now - sentMs);
+        boolean ended = mOwner.hasEnded();
         mContext.log()
-                .line("start-order")
+                .line(ended ? "late-start-order" : "start-order")
                 .with("task", run.task().name())
                 .with("attempt", run.attempt())
                 .with("worker", run.worker().id())
                 .with("outcome", outcome)
                 .with("tookMs", now - sentMs)
                 .with("relayed", relayed)
+                .with("token", mToken)
                 .write();
+        if (ended) {
+            return;
+        }
+        mContext.metrics().latency("start").update(now - sentMs);
         mOwner.scheduler().startAnswered(run, outcome, now);
         if (handleTerminalAnswer(run.worker(), outcome)) {
             return;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CrashLogger.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CrashLogger.java
@@ -25,21 +25,28 @@
                 .with("evacuating", worker.isEvacuating())
                 .with("silentMs", nowMs - noticedMs)
                 .write();
-        end.runs().forEach(r -> logRun(r, noticedMs));
+        end.runs().forEach(r -> logRun(r, reason, noticedMs, nowMs));
         if (end.crashed()) {
             mContext.metrics().counter("workerCrashes").inc();
         }
         end.suspects().forEach(this::logSuspect);
     }
 
-    /** Logs a run that ended with its worker; {@code ageMs} is -1 if this owner didn't start it. */
-    private void logRun(TaskRun run, long noticedMs) {
+    /**
+     * Logs a run that ended with its worker; {@code ageMs} is -1 if this owner didn't start it, and
+     * {@code answeredMsAgo} if the worker hasn't answered this owner.
+     */
+    private void logRun(TaskRun run, WorkerEndReason reason, long noticedMs, long nowMs) {
+        WorkerState worker = run.worker();
         long ageMs = run.firstSentMs() < 0 ? -1 : noticedMs - run.firstSentMs();
+        long answeredMsAgo = worker.isPolled() ? nowMs - worker.lastAnswerMs() : -1;
         mContext.log()
                 .line("run-ended-with-worker")
                 .with("task", run.task().name())
                 .with("attempt", run.attempt())
-                .with("worker", run.worker().id())
+                .with("worker", worker.id())
+                .with("why", reason)
+                .with("answeredMsAgo", answeredMsAgo)
                 .with("phase", run.phase())
                 .with("ageMs", ageMs)
                 .with("listed", run.isListed())
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -68,6 +68,7 @@
     private final OwnerJournal mJournal;
     private final CommandSender mSender;
     private final CrashLogger mCrashLogger;
+    private final RunLogger mRunLogger;
     private final VmCoordinator mVmCoordinator;
     private final WorkerDirectoryFollower mDirectory;
 
@@ -91,6 +92,7 @@
         mJournal = new OwnerJournal(context, mToken, () -> handleFenced("the journal"));
         mSender = new CommandSender(this, context, mToken);
         mCrashLogger = new CrashLogger(context);
+        mRunLogger = new RunLogger(context);
         mDirectory = new WorkerDirectoryFollower(this, context, mToken);
         mVmCoordinator =
                 new VmCoordinator(
@@ -181,6 +183,7 @@
                 .with("inheritedArrivals", arrivals)
                 .with("journal", mContext.reader().position())
                 .write();
+        mRunLogger.logInherited(mScheduler.workers(), mScheduler.takeNotInherited());
         mDirectory.follow();
         new LoadLogger(this, mContext).start();
         mVmCoordinator.start();
@@ -309,6 +312,7 @@
     /** Stops deciding and sending commands. */
     public void end() {
         mEnded = true;
+        mRunLogger.logDropped(mScheduler.takeDropped());
         mContext.reader().setLongPolling(false);
     }
 
@@ -429,15 +433,7 @@
         }
         long now = mClock.nowMs();
         for (TaskRun r : mScheduler.removeExpiredRuns(now)) {
-            mContext.log()
-                    .line("run-lapsed")
-                    .with("task", r.task().name())
-                    .with("attempt", r.attempt())
-                    .with("worker", r.worker().id())
-                    .with("listed", r.worker().isListed())
-                    .with("renewedMsAgo", now - r.worker().leaseRenewedMs())
-                    .with("ownedMs", mLease.ownedMs())
-                    .write();
+            mRunLogger.logLapsed(r, mLease.ownedMs(), now);
         }
         mScheduler.removeStaleWorkers().forEach(this::handleWorkerDropped);
         updateStoreAvailable();
@@ -446,6 +442,7 @@
             Decisions decisions = mScheduler.decide(config.get(), now, mClock.wallMs());
             mSender.send(decisions);
         }
+        mRunLogger.logDropped(mScheduler.takeDropped());
         storeGivenUpJobs();
         List<String> begun = mScheduler.takeStartedJobs();
         if (!begun.isEmpty()) {
