Take over once with each token, however often the node's own record is read

What callers saw: two runs of one task, sent by two nodes. Whether this cause made that incident isn't shown; it produces the record's pattern.

A lookup that the store executes late finds the record by which the node itself has become the owner since, and made it take over again with the same token. Two sessions with one token number their appends independently.

Change: a node takes over with a token only if it is higher than that of its last takeover. The answer to an append and a read that overtakes it can't start two sessions either.

Measured: OwnerLookupTest, OwnerElectionTest, ForeignOwnersTest and PredecessorTest pass.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
@@ -83,6 +83,10 @@
     private long mLastActivityMs;
     private long mLastReadMs;
     private long mLatestToken;
+
+    /** Token of this node's last takeover; 0 before the first one. */
+    private long mOwnToken;
+
     private long mLookupOffset;
 
     /**
@@ -393,11 +397,17 @@
         }
     }
 
+    /**
+     * Takes over with a token, unless this node has done so before: its record may be read again by
+     * a delayed lookup. Two sessions with one token would number their appends independently, and
+     * the store would take records of one for repetitions of the other's and drop them.
+     */
     private void becomeOwner(long token) {
         mAttemptInProgress = false;
-        if (mStopped) {
+        if (mStopped || token <= mOwnToken) {
             return;
         }
+        mOwnToken = token;
         mLatestToken = token;
         mIsOwner = true;
         mReplaceableSinceMs = Long.MAX_VALUE;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTestBase.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTestBase.java
@@ -15,6 +15,7 @@
 import org.foxtailplank.node.journal.JournalReader;
 import org.foxtailplank.node.log.NodeLog;
 import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.VmClient;
 import org.testng.annotations.BeforeMethod;
 
@@ -88,10 +89,14 @@
     }
 
     void startNode(LinkRate link) {
+        startNode(link, mLog);
+    }
+
+    void startNode(LinkRate link, SharedLog log) {
         NodeLog out = NodeLog.silent(mTime);
         JournalReader reader =
                 new JournalReader(
-                        mLog,
+                        log,
                         JournalPartitions.all(3),
                         mTime,
                         mTime,
@@ -100,7 +105,7 @@
                         (record, job) -> mElection.applyRecord(record));
         mElection =
                 new OwnerElection(
-                        mLog,
+                        log,
                         reader,
                         mTime,
                         mTime,
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerLookupTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerLookupTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import java.util.Optional;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
 import org.foxtailplank.node.peer.OwnerMonitor.KnownOwner;
@@ -41,4 +42,18 @@
         assertEquals(mOwnerMonitor.mOwner.map(KnownOwner::token), Optional.of(2L));
         assertTrue(mTokens.isEmpty());
     }
+
+    /** Guards against two sessions with one token in a node, which lose each other's records. */
+    @Test
+    public void delayedLookupThatFindsTheNodesOwnRecordDoesNotStartASecondSession() {
+        DelayedReadsLog log = new DelayedReadsLog(mLog, OWNERS);
+        startNode(WIDE, log);
+        pass(2000);
+        assertEquals(mTokens, List.of(1L), "the node owns before its lookup is answered");
+
+        log.executeReads();
+        pass(2000);
+
+        assertEquals(mTokens, List.of(1L));
+    }
 }
