Read the worker directory after earlier owners can't record starts

What callers saw: two runs of one task, sent by two nodes. Whether this cause made that incident isn't shown.

Cause: at a takeover, a worker that neither the directory nor a complete list of VMs names counts as ended, and the starts on it are dropped without asking it. The directory was read while the epoch was still being raised. A worker that joined in between could be given a task by the earlier owner, was missing from the page that had been read, and isn't in the VM list for its first two seconds.

Evidence: TakeoverDirectoryTest failed before: the task ran on both workers 100 ms after the store took the new owner's appends.

An earlier owner knew each worker that it recorded a start on from the directory, so that a later read names it as well unless its entry has expired, which takes longer than its VM needs to be listed.

Measured: the tests of owners, elections, store outages, foreign entries and restarted workers in foxtail-node pass.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Takes over: reads the journal, the worker directory and the VM list concurrently, then polls
-     * every worker.
+     * Takes over: raises the epoch, reads the journal, the worker directory and the VM list
+     * concurrently, then polls every worker.
      *
      * <p>The first heartbeat is written before the reads, which on a slow store take longer than
      * other nodes' timeouts; otherwise owners would replace each other before the first command.
@@ -120,14 +120,14 @@
                     mLease.epochRaised(mTakeover.predecessorCallsFinished());
                     writeHeartbeat();
                     readJournal();
+                    mDirectory.readInitial(this::takeOverIfReady);
                     listVms();
                 });
-        mDirectory.readInitial(this::takeOverIfReady);
     }
 
     /**
-     * Called after the epoch is raised, so that an earlier owner can't record starts on workers
-     * that are missing from the list.
+     * Lists the VMs. Like the worker directory they are read after the epoch is raised, so that an
+     * earlier owner can't record starts on workers that are missing from both.
      */
     private void listVms() {
         mContext.platform()
--- /dev/null
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/TakeoverDirectoryTest.java
@@ -0,0 +1,77 @@
+package org.foxtailplank.node.owner;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
+import org.testng.annotations.Test;
+
+/** Tests what a new owner knows of workers that joined during its takeover. */
+public class TakeoverDirectoryTest extends OwnerFleetTestBase {
+    /** Guards against a second start of a task whose worker joined while the epoch was raised. */
+    @Test
+    public void runOnAWorkerThatJoinedDuringTheTakeoverIsInherited() {
+        mVms = List.of(Vms.vm("vm2", "w2"));
+        mDirectory.add("w2", SERVICE);
+        FakeWorkers.Connection connection = mWorkers.connect();
+        connection.disconnect("w2");
+        OwnerSession first = startOwner(mLog, connection, new Takeover(1, true, true));
+        first.storeHandedOver(standingJob(), outcome -> {});
+        pass(2000);
+
+        RefusableLog log = new RefusableLog();
+        FakeWorkers.Connection disconnected = mWorkers.connect();
+        disconnected.disconnect("w1");
+        OwnerSession second = startOwner(log, disconnected, new Takeover(2, false, false));
+        pass(100);
+        mDirectory.add("w1", SERVICE);
+        pass(600);
+        assertEquals(mWorkers.running(TASK), List.of("w1"), "the first owner starts the task");
+        log.mRefusing = false;
+
+        for (int i = 0; i < 100; i++) {
+            pass(STEP_MS);
+            List<String> workers = mWorkers.running(TASK);
+            assertTrue(workers.size() <= 1, "after " + i * STEP_MS + " ms on " + workers);
+        }
+        assertTrue(second.isLoaded());
+    }
+
+    /** A node's connection to the log, which refuses the node's appends at first. */
+    private final class RefusableLog implements SharedLog {
+        private boolean mRefusing = true;
+
+        @Override
+        public void append(LogPartition at, List<byte[]> records, Consumer<AppendResult> callback) {
+            mLog.append(at, records, callback);
+        }
+
+        @Override
+        public void appendAt(
+                LogPartition at, long expectedEnd, byte[] record, Consumer<AppendResult> callback) {
+            mLog.appendAt(at, expectedEnd, record, callback);
+        }
+
+        @Override
+        public void appendAs(
+                LogPartition at,
+                WriterEpoch writer,
+                List<byte[]> records,
+                Consumer<AppendResult> callback) {
+            if (mRefusing) {
+                mTime.after(STEP_MS, () -> callback.accept(new NotStored("status 503")));
+            } else {
+                mLog.appendAs(at, writer, records, callback);
+            }
+        }
+
+        @Override
+        public void read(
+                LogPartition at, long from, PageRequest page, Consumer<ReadResult> callback) {
+            mLog.read(at, from, page, callback);
+        }
+    }
+}
