Hold a planned start back while another run of its task is listed

What callers would see: two runs of one task at a time, until the listed run has been stopped.

Cause: an owner that reads of a run only after it has planned another start of the task stopped the listed run, but sent the recorded start at once.

Change: a start, and the starts of a gang together, is sent only once no other run of its task is left: its stop has been confirmed, its worker has ended, or its lease has expired. The recorded start stays the last one, so that the next owner inherits what this one will send.

An ordinary task has one run at a time, so that nothing waits there.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
@@ -17,9 +17,9 @@
             withdrawStarts(w, runs, nowMs);
             boolean full = w.isOverCapacity();
             for (TaskRun r : w.runs()) {
+                boolean due = r.isCommandDue() && nowMs - r.lastCommandMs() >= RESEND_MS;
                 boolean starting = r.phase() == RunPhase.STARTING;
-                boolean held = starting && (full || lacksTicket(r, nowMs));
-                if (!held && r.isCommandDue() && nowMs - r.lastCommandMs() >= RESEND_MS) {
+                if (due && !(starting && (full || isHeld(r, nowMs)))) {
                     send(r, out, nowMs);
                 }
             }
@@ -113,6 +113,21 @@
                 : step.ticket(run.worker().incarnation(), nowMs).isEmpty();
     }
 
+    private static boolean isHeld(TaskRun run, long nowMs) {
+        return hasOtherRun(run) || lacksTicket(run, nowMs);
+    }
+
+    /**
+     * Whether a run that a worker has listed after this one was planned is not over yet. The
+     * members of a gang wait together.
+     */
+    private static boolean hasOtherRun(TaskRun run) {
+        ActiveStep step = run.task().step();
+        return step.spec().placement().gang()
+                ? step.tasks().stream().anyMatch(t -> t.runs().size() > 1)
+                : run.task().runs().size() > 1;
+    }
+
     private static void send(TaskRun run, Decisions out, long nowMs) {
         if (run.phase() == RunPhase.STOPPING) {
             out.stops().add(run);
