Take a worker as ended by another one's answer only where it has answered

What callers would see: two runs of one task at a time.

Cause: status 421 says that another incarnation answers at the address that was called. It ended the addressed worker at once, also if that worker had never answered this owner there: its entry may name a wrong address, and the worker goes on elsewhere with a lease of several seconds.

Change: the poller of an incarnation keeps the address of its last answer. 421 ends the incarnation only there. Elsewhere the worker counts as unresponsive: its runs stay until its VM is listed without it or its lease has expired, and it is used on as soon as its entry is right again. A start that was rejected so has never reached the worker and is dropped as before.

Cost: a worker that crashed before a new owner reached it, and whose address another one has taken already, is detected by the list of VMs instead of by the first poll.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/CommandAnswers.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/CommandAnswers.java
@@ -46,8 +46,11 @@
             }
             case OUTDATED, LEASE_OVER, INVALID -> dropRefusedRun(run, outcome, nowMs);
             case OTHER_LIFE -> {
-                // The caller removes the worker, whose incarnation never got this command.
-                if (!run.isUncertain()) {
+                // The worker never got this command. The caller removes it if it has ended.
+                worker.markUnresponsive(nowMs);
+                if (run.isUncertain()) {
+                    run.setCommandDue(true);
+                } else {
                     mRuns.dropRun(run, "the start was answered with " + outcome);
                 }
             }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
@@ -12,10 +12,10 @@
 import org.foxtailplank.port.PlacementAdvisor.Advice;
 import org.foxtailplank.port.WorkerClient.RunCommand;
 import org.foxtailplank.port.WorkerClient.StartCommand;
+import org.foxtailplank.port.WorkerClient.WorkerAddress;
 import org.foxtailplank.schedule.Decisions;
 import org.foxtailplank.schedule.RunPhase;
 import org.foxtailplank.schedule.TaskRun;
-import org.foxtailplank.schedule.WorkerEndReason;
 import org.foxtailplank.schedule.WorkerState;
 
 /** Sends the scheduler's decisions about runs to workers. */
@@ -123,25 +123,27 @@
         mNotRelayed.remove(run);
         run.recordStartSent(now);
         mContext.metrics().counter("starts").inc();
+        WorkerAddress to = run.worker().address();
         mContext.platform()
                 .workerClient()
                 .start(
-                        run.worker().address(),
+                        to,
                         command(start, text, now),
-                        a -> handleStartAnswer(run, a.outcome(), now, false));
+                        a -> handleStartAnswer(run, to, a.outcome(), now, false));
     }
 
     private void relay(Decisions.Start start, long now) {
         TaskRun run = start.run();
         run.recordStartSent(now);
         mContext.metrics().counter("relayedStarts").inc();
+        WorkerAddress to = run.worker().address();
         mContext.startRelay()
                 .start(
-                        run.worker().address(),
+                        to,
                         command(start, "", now),
                         outcome ->
                                 outcome.ifPresentOrElse(
-                                        o -> handleStartAnswer(run, o, now, true),
+                                        o -> handleStartAnswer(run, to, o, now, true),
                                         () -> handleNotRelayed(run)));
     }
 
@@ -163,7 +165,7 @@
     }
 
     private void handleStartAnswer(
-            TaskRun run, CommandOutcome outcome, long sentMs, boolean relayed) {
+            TaskRun run, WorkerAddress to, CommandOutcome outcome, long sentMs, boolean relayed) {
         long now = mContext.clock().nowMs();
         boolean ended = mOwner.hasEnded();
         mContext.log()
@@ -181,7 +183,7 @@
         }
         mContext.metrics().latency("start").update(now - sentMs);
         mOwner.scheduler().startAnswered(run, outcome, now);
-        if (handleTerminalAnswer(run.worker(), outcome)) {
+        if (handleTerminalAnswer(run.worker(), to, outcome)) {
             return;
         }
         if (outcome != CommandOutcome.DONE) {
@@ -193,24 +195,23 @@
      * Handles an answer that ends the owner's work or the worker's incarnation; returns whether it
      * did.
      */
-    private boolean handleTerminalAnswer(WorkerState worker, CommandOutcome outcome) {
+    private boolean handleTerminalAnswer(
+            WorkerState worker, WorkerAddress to, CommandOutcome outcome) {
         if (outcome == CommandOutcome.FENCED) {
             mOwner.handleFenced(worker.id());
             return true;
         }
-        if (outcome == CommandOutcome.OTHER_LIFE) {
-            mOwner.handleWorkerEnded(worker, WorkerEndReason.OTHER_INCARNATION);
-            return true;
-        }
-        return false;
+        return outcome == CommandOutcome.OTHER_LIFE
+                && mOwner.handleOtherIncarnation(worker, to.address());
     }
 
     private void stop(TaskRun run) {
         mContext.metrics().counter("stops").inc();
+        WorkerAddress to = run.worker().address();
         mContext.platform()
                 .workerClient()
                 .stop(
-                        run.worker().address(),
+                        to,
                         runCommand(run),
                         a -> {
                             if (mOwner.hasEnded()) {
@@ -224,7 +225,7 @@
                                     .with("why", run.stopReason())
                                     .with("outcome", a.outcome())
                                     .write();
-                            if (!handleTerminalAnswer(run.worker(), a.outcome())) {
+                            if (!handleTerminalAnswer(run.worker(), to, a.outcome())) {
                                 long now = mContext.clock().nowMs();
                                 mOwner.scheduler().stopAnswered(run, a.outcome(), now);
                             }
@@ -239,13 +240,14 @@
                 .with("task", run.task().name())
                 .with("percent", pace.percent())
                 .write();
+        WorkerAddress to = run.worker().address();
         mContext.platform()
                 .workerClient()
                 .throttle(
-                        run.worker().address(),
+                        to,
                         runCommand(run),
                         pace.percent(),
-                        a -> handleTerminalAnswer(run.worker(), a.outcome()));
+                        a -> handleTerminalAnswer(run.worker(), to, a.outcome()));
     }
 
     private void ask(Decisions.AdviceRequest request) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -236,6 +236,21 @@
         scheduleDecision();
     }
 
+    /**
+     * Handles the answer of another incarnation to a command for a worker. It proves the end of the
+     * worker's incarnation only at an address where that one has answered: entries may name a wrong
+     * address.
+     *
+     * @return whether the worker's incarnation has ended
+     */
+    boolean handleOtherIncarnation(WorkerState worker, String address) {
+        if (!mDirectory.hasAnsweredAt(worker, address)) {
+            return false;
+        }
+        handleWorkerEnded(worker, WorkerEndReason.OTHER_INCARNATION);
+        return true;
+    }
+
     private WorkerEnd endWorker(WorkerState worker, WorkerEndReason reason, long now) {
         mDirectory.stopPolling(worker);
         WorkerEnd end = mScheduler.removeWorker(worker, reason, now);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
@@ -218,6 +218,12 @@
         return poller;
     }
 
+    /** Whether a worker's incarnation has last answered at an address. */
+    boolean hasAnsweredAt(WorkerState worker, String address) {
+        WorkerPoller poller = mPollers.get(worker);
+        return poller != null && poller.hasAnsweredAt(address);
+    }
+
     /** Stops polling a worker whose incarnation has ended or that was dropped. */
     void stopPolling(WorkerState worker) {
         WorkerPoller poller = mPollers.remove(worker);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -8,9 +8,9 @@
 import org.foxtailplank.port.WorkerClient.PollCommand;
 import org.foxtailplank.port.WorkerClient.PollResponse;
 import org.foxtailplank.port.WorkerClient.RunCommand;
+import org.foxtailplank.port.WorkerClient.WorkerAddress;
 import org.foxtailplank.schedule.PollResult;
 import org.foxtailplank.schedule.TaskRun;
-import org.foxtailplank.schedule.WorkerEndReason;
 import org.foxtailplank.schedule.WorkerState;
 
 /** Polls one worker: renews its lease, learns which runs have ended and acknowledges their ends. */
@@ -47,6 +47,9 @@
     private int mPollNumber;
     private int mLastReportedPoll;
 
+    /** Address at which the incarnation has last answered; empty before. */
+    private String mAnsweredAddress = "";
+
     WorkerPoller(OwnerSession owner, OwnerContext context, WorkerState worker, long token) {
         mOwner = owner;
         mContext = context;
@@ -72,9 +75,15 @@
                 new PollCommand(mToken, acknowledged, leaseUntil, canWait ? waitMs : 0);
         mContext.metrics().counter("looks").inc();
         int number = mPollNumber;
+        WorkerAddress to = mWorker.address();
         mContext.platform()
                 .workerClient()
-                .poll(mWorker.address(), command, a -> handleAnswer(a, number, now));
+                .poll(to, command, a -> handleAnswer(a, to.address(), number, now));
+    }
+
+    /** Whether the incarnation itself has last answered at this address. */
+    boolean hasAnsweredAt(String address) {
+        return mAnsweredAddress.equals(address);
     }
 
     /**
@@ -90,7 +99,7 @@
      * Handles the answer to a poll, its timeout, or the answer that arrives after its timeout. The
      * polls that follow a timeout go on independently of a late answer.
      */
-    private void handleAnswer(PollResponse response, int number, long sentMs) {
+    private void handleAnswer(PollResponse response, String address, int number, long sentMs) {
         if (mStopped || mOwner.hasEnded()) {
             storeUnseenEnds(response);
             return;
@@ -98,14 +107,15 @@
         boolean late = number <= mLastReportedPoll;
         mLastReportedPoll = Math.max(mLastReportedPoll, number);
         switch (response.outcome()) {
-            case DONE -> applyAnswer(response, sentMs, late);
-            case FENCED -> mOwner.handleFenced(mWorker.id());
-            case OTHER_LIFE -> {
-                mStopped = true;
-                mOwner.handleWorkerEnded(mWorker, WorkerEndReason.OTHER_INCARNATION);
+            case DONE -> {
+                mAnsweredAddress = address;
+                applyAnswer(response, sentMs, late);
             }
+            case FENCED -> mOwner.handleFenced(mWorker.id());
             default -> {
-                if (!late) {
+                boolean other = response.outcome() == CommandOutcome.OTHER_LIFE;
+                boolean ended = other && mOwner.handleOtherIncarnation(mWorker, address);
+                if (!ended && !late) {
                     handleFailure(response.outcome());
                 }
             }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
@@ -26,6 +26,7 @@
 import org.foxtailplank.port.SharedLog;
 import org.foxtailplank.port.VmClient;
 import org.foxtailplank.port.WavePublisher;
+import org.foxtailplank.port.WorkerClient;
 import org.foxtailplank.schedule.ScheduleLimits;
 import org.testng.annotations.BeforeMethod;
 
@@ -79,7 +80,7 @@
         }
     }
 
-    OwnerSession startOwner(SharedLog log, FakeWorkers.Connection connection, Takeover takeover) {
+    OwnerSession startOwner(SharedLog log, WorkerClient connection, Takeover takeover) {
         ServiceConfig service = new ServiceConfig(SERVICE, true, false);
         OperatorChange config =
                 new OperatorChange.NewConfig(new FleetConfig(1, mRoutes, List.of(service), 1000));
