End no worker whose VM a single list of VMs lacks

What callers would see: two runs of one task at a time.

Cause: a complete list of VMs that didn't name a worker ended it at once. That the worker had not answered since the request proved little, as a poll waits at the worker for up to two seconds and a list takes some ten milliseconds.

Change: the planner keeps the VM with which a list has named each incarnation. A list that names this VM with another incarnation or with none ends it at once, as for an ordinary crash, reboot or move. This replaces ManagedVms.replacedIncarnations, which told the same from the planner's own VMs.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ListedIncarnations.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ListedIncarnations.java
@@ -14,20 +14,18 @@
  */
 public final class ListedIncarnations {
     private final Set<String> mIncarnations = new HashSet<>();
+    private final Set<String> mVms = new HashSet<>();
     private final boolean mComplete;
 
     public ListedIncarnations(List<VmInfo> vms) {
         vms.forEach(v -> mIncarnations.add(v.worker()));
+        vms.stream().filter(VmInfo::isReadable).forEach(v -> mVms.add(v.id()));
         mComplete = !vms.isEmpty() && vms.stream().allMatch(VmInfo::isReadable);
     }
 
-    Set<String> incarnations() {
-        return mIncarnations;
-    }
-
-    /** Whether the list names every incarnation. */
-    boolean isComplete() {
-        return mComplete;
+    /** Whether the list names an incarnation's VM with another incarnation or with none. */
+    boolean isReplaced(String incarnation, String vm) {
+        return mVms.contains(vm) && !mIncarnations.contains(incarnation);
     }
 
     /** Whether an incarnation that existed before the list was requested has certainly ended. */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVms.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVms.java
@@ -42,20 +42,6 @@
         return mComplete;
     }
 
-    /** Incarnations whose VMs a newer list shows with another incarnation or none. */
-    Set<String> replacedIncarnations(List<VmInfo> infos) {
-        Set<String> replaced = new HashSet<>();
-        for (VmInfo info : infos) {
-            ManagedVm known = mVms.get(info.id());
-            boolean changed = known != null && !known.info().worker().equals(info.worker());
-            if (changed && info.isReadable()) {
-                replaced.add(known.info().worker());
-            }
-        }
-        infos.forEach(i -> replaced.remove(i.worker()));
-        return replaced;
-    }
-
     Collection<ManagedVm> all() {
         return mVms.values();
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -29,7 +29,12 @@
     private final Map<String, Long> mLastActionMs = new HashMap<>();
     private final Map<Long, Set<String>> mRebooted = new HashMap<>();
     private final Set<Long> mReportedWaves = new HashSet<>();
-    private final Set<String> mSeenIncarnations = new HashSet<>();
+
+    /** IDs of the VMs with which lists have named incarnations. */
+    private final Map<String, String> mVmsOfIncarnations = new HashMap<>();
+
+    /** When the last list was requested, for the incarnations that it lacked with their VMs. */
+    private Map<WorkerState, Long> mMissingSinceMs = Map.of();
 
     /** Creates a planner for the VMs of a scheduler's workers. */
     public VmPlanner(Scheduler scheduler) {
@@ -81,36 +86,52 @@
     public record Call(ManagedVm vm, PlannedVmAction action, WorkerIncarnation worker) {}
 
     /**
-     * Returns the incarnations of workers that have ended according to a list of VMs: a complete
-     * list that was requested well after a worker was first seen names its incarnation. This
-     * detects crashed workers without waiting for their leases.
+     * Returns the incarnations of workers that have ended according to a list of VMs. This detects
+     * crashed workers without waiting for their leases.
      *
-     * <p>A worker that has answered since the request is alive: the list is read in pages, and a VM
-     * may move between them. If an entry is unreadable, an incarnation has ended only if its VM is
-     * listed with another one or with none.
+     * <p>An incarnation has ended if its VM is listed with another one or with none, or if two
+     * complete lists in a row, requested well after the worker was first seen, don't name it: a
+     * list is read in pages, between which a VM may be missed. A worker that has answered since is
+     * alive.
      */
     public List<WorkerState> endedIncarnations(List<VmInfo> vms, long askedMs) {
         ListedIncarnations listed = new ListedIncarnations(vms);
-        Set<String> replaced = mVms.replacedIncarnations(vms);
+        Map<WorkerState, Long> missing = new HashMap<>();
         List<WorkerState> ended = new ArrayList<>();
         for (WorkerState w : mScheduler.workers()) {
-            boolean listable =
-                    mSeenIncarnations.contains(w.id()) || w.firstSeenMs() + JOIN_LEAD_MS < askedMs;
-            boolean missing = listed.hasEnded(w.id()) || replaced.contains(w.id());
+            Optional<String> vm = Optional.ofNullable(mVmsOfIncarnations.get(w.id()));
+            boolean listable = vm.isPresent() || w.firstSeenMs() + JOIN_LEAD_MS < askedMs;
+            boolean replaced = vm.isPresent() && listed.isReplaced(w.id(), vm.get());
+            long sinceMs = replaced ? askedMs : mMissingSinceMs.getOrDefault(w, askedMs);
             // The next incarnation accepts commands under the same ID.
             boolean mayHaveRestarted =
-                    w.runs().stream().anyMatch(r -> r.isStartAnsweredAfter(askedMs));
-            if (listable && missing && !w.hasAnsweredSince(askedMs) && !mayHaveRestarted) {
+                    w.runs().stream().anyMatch(r -> r.isStartAnsweredAfter(sinceMs));
+            boolean mayLive = w.hasAnsweredSince(sinceMs) || mayHaveRestarted;
+            boolean absent = replaced || listed.hasEnded(w.id());
+            if (!listable || !absent || mayLive) {
+                continue;
+            }
+            if (replaced || sinceMs < askedMs) {
                 ended.add(w);
+            } else {
+                missing.put(w, askedMs);
             }
         }
-        if (listed.isComplete()) {
-            mSeenIncarnations.clear();
-        }
-        mSeenIncarnations.addAll(listed.incarnations());
+        mMissingSinceMs = missing;
+        rememberVms(vms, ended);
         return ended;
     }
 
+    private void rememberVms(List<VmInfo> vms, List<WorkerState> ended) {
+        mVmsOfIncarnations.keySet().removeIf(id -> mScheduler.worker(id).isEmpty());
+        ended.forEach(w -> mVmsOfIncarnations.remove(w.id()));
+        for (VmInfo info : vms) {
+            if (info.isReadable() && !info.worker().isEmpty()) {
+                mVmsOfIncarnations.put(info.worker(), info.id());
+            }
+        }
+    }
+
     /**
      * Returns the calls that the platform has executed without an answer so far, according to a
      * list of VMs. Calling again would end the plan only once the VM has its next worker.
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/VmPlannerTest.java
@@ -306,6 +306,26 @@
         assertEquals(mPlanner.endedIncarnations(down, mOwner.mNowMs), List.of(worker));
     }
 
+    /** Guards against tasks that run twice because a VM was missed between the pages of a list. */
+    @Test
+    public void aWorkerWhoseVmOneListLacksIsEndedByTheNextListOnly() {
+        WorkerState worker = addServingVm("1", "surveys");
+        addServingVm("2", "surveys");
+        List<VmInfo> all = List.copyOf(mVms);
+        List<VmInfo> others = all.stream().filter(v -> !v.id().equals("vm1")).toList();
+
+        assertEquals(endedBy(all), List.of());
+        assertEquals(endedBy(others), List.of());
+        assertEquals(endedBy(all), List.of());
+        assertEquals(endedBy(others), List.of());
+        assertEquals(endedBy(others), List.of(worker));
+    }
+
+    private List<WorkerState> endedBy(List<VmInfo> vms) {
+        mOwner.mNowMs += 400;
+        return mPlanner.endedIncarnations(vms, mOwner.mNowMs);
+    }
+
     @Test
     public void aWorkerThatAnsweredIsNotEndedByAListWithoutIt() {
         // Guards against tasks that run twice because a VM moved between the pages of the list
