Drop inherited starts only if two lists of VMs lack their worker

What callers would see: two runs of one task at a time, right after a change of owner.

Cause: at a takeover, a recorded start without an end is dropped if neither the directory nor one list of VMs names its worker. The directory may lack a worker that lives, since entries also expire while the store is down, and a list read in pages may miss a VM. The drop writes no line and asks no worker.

Change: the takeover reads the list twice, one after the other, and drops a start only if both lack its worker. If a list fails, nothing is dropped and the lease or later lists decide, as before.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -58,6 +58,9 @@
     /** Delay before a failed journal read of the takeover is retried, in milliseconds. */
     private static final long READ_RETRY_DELAY_MS = 150;
 
+    /** Lists of VMs in which a worker must be missing; one may miss a VM between its pages. */
+    private static final int TAKEOVER_LISTS = 2;
+
     private final OwnerContext mContext;
     private final Clock mClock;
     private final long mToken;
@@ -72,7 +75,8 @@
     private final VmCoordinator mVmCoordinator;
     private final WorkerDirectoryFollower mDirectory;
 
-    private Optional<List<VmInfo>> mInitialVms = Optional.empty();
+    private final List<ListedIncarnations> mInitialLists = new ArrayList<>();
+    private boolean mVmsListed;
     private boolean mJournalRead;
     private boolean mLoaded;
     private boolean mEnded;
@@ -134,8 +138,14 @@
                 .vms()
                 .list(
                         vms -> {
-                            mInitialVms = Optional.of(vms.orElse(List.of()));
-                            takeOverIfReady();
+                            List<VmInfo> listed = vms.orElse(List.of());
+                            mInitialLists.add(new ListedIncarnations(listed));
+                            mVmsListed = vms.isEmpty() || mInitialLists.size() == TAKEOVER_LISTS;
+                            if (mVmsListed) {
+                                takeOverIfReady();
+                            } else {
+                                listVms();
+                            }
                         });
     }
 
@@ -153,24 +163,22 @@
     }
 
     private void takeOverIfReady() {
-        boolean ready = mJournalRead && mDirectory.isInitialRead() && mInitialVms.isPresent();
+        boolean ready = mJournalRead && mDirectory.isInitialRead() && mVmsListed;
         if (ready && !mLoaded && !mEnded) {
-            takeOver(mInitialVms.get());
+            takeOver();
         }
     }
 
-    private void takeOver(List<VmInfo> vms) {
+    private void takeOver() {
         mLoaded = true;
         mDirectory.applyInitial();
-        // Without a complete VM list a worker that is not in the directory may still run tasks.
-        ListedIncarnations incarnations = new ListedIncarnations(vms);
         long now = mClock.nowMs();
         if (!mTakeover.renewalsFinished()) {
             mScheduler.renewedByOthersUntil(now + RenewalWindow.TAKEOVER_WAIT_MS);
         }
         mContext.operator().config().ifPresent(c -> mScheduler.setOrganisations(c.organisations()));
         for (JobProgress job : mContext.reader().registry().jobs()) {
-            mScheduler.addInheritedJob(job, w -> hasIncarnationEnded(w, incarnations), now);
+            mScheduler.addInheritedJob(job, this::hasIncarnationEnded, now);
         }
         int arrivals = mVmCoordinator.learnInheritedArrivals();
         mContext.log()
@@ -194,10 +202,11 @@
     /**
      * Whether a worker's incarnation has certainly ended at the takeover. One that is in the
      * directory may have joined before its VM is listed with it, so it is left to later lists.
+     * Without complete VM lists a worker that is not in the directory may still run tasks.
      */
-    private boolean hasIncarnationEnded(WorkerIncarnation worker, ListedIncarnations incarnations) {
+    private boolean hasIncarnationEnded(WorkerIncarnation worker) {
         boolean listed = mScheduler.worker(worker.id()).map(WorkerState::isListed).orElse(false);
-        return !listed && incarnations.hasEnded(worker.id());
+        return !listed && mInitialLists.stream().allMatch(l -> l.hasEnded(worker.id()));
     }
 
     /** Whether this is still the owner and has applied the journal as of its takeover. */
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
@@ -1,6 +1,8 @@
 package org.foxtailplank.node.owner;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -44,6 +46,10 @@
     FakeDirectory mDirectory;
     List<OwnerContext> mContexts;
     List<VmClient.VmInfo> mVms;
+
+    /** Lists that are returned before {@link #mVms}. */
+    Deque<List<VmClient.VmInfo>> mNextLists;
+
     List<RouteSettings> mRoutes = List.of();
     boolean mForecastBursts;
 
@@ -56,13 +62,14 @@
         mContexts = new ArrayList<>();
         mForecastBursts = false;
         mVms = List.of(Vms.vm("vm1", "w1"), Vms.vm("vm2", "w2"));
+        mNextLists = new ArrayDeque<>();
     }
 
-    /** Returns the same VMs in every list. */
+    /** Returns the same VMs in every list but the first ones. */
     final class Vms implements VmClient {
         @Override
         public void list(Consumer<Optional<List<VmInfo>>> callback) {
-            callback.accept(Optional.of(mVms));
+            callback.accept(Optional.of(mNextLists.isEmpty() ? mVms : mNextLists.poll()));
         }
 
         static VmInfo vm(String id, String worker) {
