--- a/foxtail-core/src/main/java/org/foxtailplank/job/RunProgress.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/RunProgress.java
@@ -110,7 +110,13 @@
         mFailedAttempts.forEach(
                 (p, attempts) ->
                         attempts.stream()
-                                .map(a -> new EndedRun(task(p), a, RunOutcome.FAILED, atMs))
+                                .map(
+                                        a ->
+                                                new EndedRun(
+                                                        failedTask(p, a),
+                                                        a,
+                                                        RunOutcome.FAILED,
+                                                        atMs))
                                 .forEach(consumer));
         mLastStarts.values().stream()
                 .filter(s -> hasEnded(s) && !isDone(s.task()) && !hasFailed(s))
@@ -119,6 +125,23 @@
                 .forEach(consumer);
     }
 
+    /**
+     * Returns a task of which the attempt has ended: failures of a gang are counted for its first
+     * task, whose own run may go on.
+     */
+    private TaskName failedTask(int position, int attempt) {
+        TaskName first = task(position);
+        TaskStep step = mDefinition.steps().get(first.step());
+        if (step.placement().gang()) {
+            for (int p = position; p < position + step.tasks(); p++) {
+                if (mEndedAttempts.contains(attemptKey(task(p), attempt))) {
+                    return task(p);
+                }
+            }
+        }
+        return first;
+    }
+
     private boolean hasEndedWithWorker(StartedRun run) {
         StartedRun ended = mEndedWithWorker.get(position(run.task()));
         return ended != null && ended.attempt() == run.attempt();
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
@@ -121,6 +121,28 @@
         assertEquals(job.phase(), JobPhase.COMPLETED);
     }
 
+    /** Guards against a gang member that runs on unknown to a node that read only a snapshot. */
+    @Test
+    public void aSnapshotEndsTheRunOfTheMemberThatFailedOnly() {
+        JobProgress job = mRegistry.apply(new JobAccepted(definition("aa", 2, true))).orElseThrow();
+        List<StartedRun> starts = List.of(memberStart(0), memberStart(1));
+        mRegistry.apply(new RunsStarted(starts));
+        end(1, 1, RunOutcome.FAILED);
+        JobProgress restored = new JobRegistry(RETENTION_MS).apply(job.snapshot()).orElseThrow();
+
+        assertFalse(restored.hasEnded(starts.get(0)));
+        assertTrue(restored.hasEnded(starts.get(1)));
+        assertEquals(restored.failedAttempts(starts.get(0).task()), Set.of(1));
+        JobProgress again = new JobRegistry(RETENTION_MS).apply(restored.snapshot()).orElseThrow();
+        assertFalse(again.hasEnded(starts.get(0)));
+        assertEquals(again.failedAttempts(starts.get(0).task()), Set.of(1));
+    }
+
+    private static StartedRun memberStart(int index) {
+        WorkerIncarnation worker = WorkerIncarnation.ofUnknownStart("w" + index);
+        return new StartedRun(new TaskName("aa", 0, 0, index), 1, worker);
+    }
+
     @Test
     public void aJobThatHasEndedIsNotCancelled() {
         JobProgress job = accept(1);
