Count an owner's report of its end only from the time of its tenure

What callers would see: two runs of one task at a time, after an owner was cut off from the store.

Cause: a process that owns no more says so to each node that connects, and the next owner then needn't wait until its renewals of leases are over. A follower attributes the report to the token by which it knows that address. It may have read that token in the store before the process itself got the answer to its append: the report is then of the time before the takeover. If the follower heard nothing of the process since, it took over later without the wait, although the owner was only cut off and still renewed leases.

A report that follows the last heartbeat always does.

Evidence: aReportFromBeforeTheOwnersTenureProvesNothing failed before: renewals and VM calls counted as finished.

Measured: all tests of org.foxtailplank.node, node.owner and node.peer pass.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
@@ -99,6 +99,7 @@
     private long mReplaceableSinceMs = Long.MAX_VALUE;
     private Optional<OwnerResigned> mLastResigned = Optional.empty();
     private Optional<OwnerHeartbeat> mLastAlive = Optional.empty();
+    private long mLastAliveMs;
     private boolean mAttemptInProgress;
     private long mAttemptMs;
     private boolean mIsOwner;
@@ -187,6 +188,7 @@
         }
         mLatestToken = heartbeat.token();
         mLastAlive = Optional.of(heartbeat);
+        mLastAliveMs = mClock.nowMs();
         mOwnerResigned = false;
         recordActivity();
         mOwnerMonitor.setOwner(mIsOwner ? Optional.empty() : owner);
@@ -430,10 +432,7 @@
                 mLastResigned
                         .map(l -> l.token() == predecessor && l.vmCallsFinished())
                         .orElse(false);
-        boolean ownedLongEnough = hasOwnedFor(predecessor, CallLease.TAKEOVER_WAIT_MS);
-        return isFirst
-                || hasResigned
-                || ownedLongEnough && mOwnerMonitor.areVmCallsFinished(predecessor);
+        return isFirst || hasResigned || hasEndedAfter(predecessor, CallLease.TAKEOVER_WAIT_MS);
     }
 
     /**
@@ -445,8 +444,21 @@
         long predecessor = token - 1;
         boolean isFirst = predecessor == 0;
         boolean hasResigned = mLastResigned.map(l -> l.token() == predecessor).orElse(false);
-        boolean hasEnded = hasResigned || mOwnerMonitor.areVmCallsFinished(predecessor);
-        return isFirst || hasEnded && hasOwnedFor(predecessor, RenewalWindow.TAKEOVER_WAIT_MS);
+        long waitMs = RenewalWindow.TAKEOVER_WAIT_MS;
+        return isFirst
+                || hasResigned && hasOwnedFor(predecessor, waitMs)
+                || hasEndedAfter(predecessor, waitMs);
+    }
+
+    /**
+     * Whether the owner with this token has owned for at least this long, and its process reports
+     * that it owns no more. A report that arrived before it can have owned for so long may be from
+     * before its takeover, which other nodes may learn of first.
+     */
+    private boolean hasEndedAfter(long token, long ms) {
+        return hasOwnedFor(token, ms)
+                && mOwnerMonitor.areVmCallsFinished(
+                        token, mLastAliveMs - mLastAlive.get().ownedMs() + ms);
     }
 
     /** Whether the owner with this token has owned for at least this long. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerLink.java
@@ -63,6 +63,7 @@
     private OwnerState mUnavailableState = OwnerState.SILENT;
     private long mUnavailableToken = -1;
     private long mVmCallsFinishedToken = -1;
+    private long mVmCallsFinishedMs = Long.MIN_VALUE / 2;
     private long mLastFrameMs = Long.MIN_VALUE / 2;
     private long mUpToDateMs = Long.MIN_VALUE / 2;
     private long mCompleteMs = Long.MIN_VALUE / 2;
@@ -125,8 +126,9 @@
     }
 
     @Override
-    public boolean areVmCallsFinished(long token) {
-        return token == mVmCallsFinishedToken && token == mUnavailableToken;
+    public boolean areVmCallsFinished(long token, long sinceMs) {
+        boolean reported = token == mVmCallsFinishedToken && mVmCallsFinishedMs >= sinceMs;
+        return reported && token == mUnavailableToken;
     }
 
     /** Returns whether a frame of the owner arrived within the silence timeout. */
@@ -419,6 +421,7 @@
         if (frame.token() == PeerFrame.NO_OWNER) {
             mVmCallsFinishedToken =
                     frame.vmCallsFinished() ? mOwner.map(KnownOwner::token).orElse(-1L) : -1;
+            mVmCallsFinishedMs = mClock.nowMs();
             ownerUnavailable(OwnerState.GONE);
             close();
             mTimers.after(RETRY_MS, this::connect);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerMonitor.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/peer/OwnerMonitor.java
@@ -23,8 +23,11 @@
      * Returns whether the process at the address of the owner with this token reports that it
      * doesn't own and has no call to the VM service in flight. It may be a new process there: the
      * calls of the previous one were reset with its connections when it ended.
+     *
+     * @param sinceMs when the report must have arrived, or later: a process that is about to own
+     *     reports the same
      */
-    boolean areVmCallsFinished(long token);
+    boolean areVmCallsFinished(long token, long sinceMs);
 
     /** Returns when the store last accepted a record of the owner, according to the owner. */
     long lastStoredMs();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerMonitor.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerMonitor.java
@@ -11,6 +11,7 @@
     long mStoringMs = Long.MIN_VALUE / 2;
     Runnable mOnOwnerUnavailable = () -> {};
     boolean mVmCallsFinished;
+    long mReportedMs = Long.MAX_VALUE;
 
     @Override
     public void setOwner(Optional<KnownOwner> owner) {
@@ -23,8 +24,8 @@
     }
 
     @Override
-    public boolean areVmCallsFinished(long token) {
-        return mVmCallsFinished && mState == OwnerState.GONE;
+    public boolean areVmCallsFinished(long token, long sinceMs) {
+        return mVmCallsFinished && mReportedMs >= sinceMs && mState == OwnerState.GONE;
     }
 
     @Override
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/PredecessorTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/PredecessorTest.java
@@ -85,6 +85,24 @@
         assertEquals(mRenewalsFinished, List.of(expected), description);
     }
 
+    /** Guards against a report of a process that was about to own, taken for that of its end. */
+    @Test
+    public void aReportFromBeforeTheOwnersTenureProvesNothing() {
+        addOtherOwner();
+        startNode();
+        pass(100);
+        mOwnerMonitor.mVmCallsFinished = true;
+        mOwnerMonitor.mReportedMs = mTime.nowMs();
+        passWithHeartbeats(RenewalWindow.TAKEOVER_WAIT_MS);
+        write(new OwnerHeartbeat(1, OTHER_ADDRESS, RenewalWindow.TAKEOVER_WAIT_MS));
+        pass(400);
+        mOwnerMonitor.mState = OwnerState.GONE;
+        pass(OwnerState.SILENT.takeOverTimeoutMs() + MAX_ATTEMPT_MS);
+
+        assertEquals(mRenewalsFinished, List.of(false));
+        assertEquals(mPredecessorCallsFinished, List.of(false));
+    }
+
     @Test
     public void renewalsAreFinishedIfOwnerResignedAfterLongTenure() {
         addOtherOwner();
--- a/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/peer/OwnerLinkTest.java
@@ -1,8 +1,10 @@
 package org.foxtailplank.node.peer;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.CodedOutputStream;
 import io.netty.buffer.ByteBuf;
@@ -178,6 +180,19 @@
         await(OwnerState.STREAMING);
     }
 
+    /** Guards against a report of a process that was about to own, taken for that of its end. */
+    @Test(timeOut = 60_000)
+    public void aReportThatNoOwnerIsThereCountsFromItsArrivalOnly() throws Exception {
+        listen();
+        long before = mClock.nowMs();
+        follow();
+        await(OwnerState.GONE);
+
+        assertTrue(onLoop(() -> mLink.areVmCallsFinished(TOKEN, before)));
+        long later = mClock.nowMs() + 60_000;
+        assertFalse(onLoop(() -> mLink.areVmCallsFinished(TOKEN, later)));
+    }
+
     /** Guards against an owner that plans pools without the demand that nodes reject. */
     @Test(timeOut = 60_000)
     public void aRejectedSubmissionIsReportedToTheOwner() throws Exception {
