Record no end of a run that its worker's next incarnation has taken over

What callers would see: two runs of one task at a time after a change of owner, where a worker has started again under its ID.

Cause: the next incarnation executes commands that were sent to the former one. The owner then goes on with such a run, or stops it, but it had recorded before that all runs of the former incarnation have ended. The next owner doesn't inherit the run and starts the task again without waiting for the worker.

Change: the ends are recorded after the first answer of the next incarnation was applied, and only of runs that it neither runs nor may still start. The others stay the last recorded starts, which the next owner inherits as runs of the present incarnation.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RestartedWorkers.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RestartedWorkers.java
@@ -38,14 +38,20 @@
      *
      * @param endedRuns runs that ended with the former incarnation
      * @param response the first answer of the next one, which was applied before
+     * @return those that the next one neither runs nor may still start
      */
-    void stopFormerRuns(
+    List<TaskRun> stopFormerRuns(
             WorkerState next, List<TaskRun> endedRuns, PollResponse response, long nowMs) {
+        List<TaskRun> over = new ArrayList<>();
         for (TaskRun r : endedRuns) {
             if (mayStart(r) && !isReported(r.task().name(), r.attempt(), next, response)) {
                 mRuns.addStoppingRun(r.task(), next, r.attempt(), nowMs);
             }
+            if (next.run(r.task().name(), r.attempt()).isEmpty()) {
+                over.add(r);
+            }
         }
+        return over;
     }
 
     /**
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -117,10 +117,12 @@
     /**
      * Stops what commands to the former incarnation may still start on the next one; called after
      * its first answer was applied.
+     *
+     * @return the runs that the next one neither runs nor may still start
      */
-    public void stopFormerRuns(
+    public List<TaskRun> stopFormerRuns(
             WorkerState next, List<TaskRun> endedRuns, PollResponse response, long nowMs) {
-        mRestarted.stopFormerRuns(next, endedRuns, response, nowMs);
+        return mRestarted.stopFormerRuns(next, endedRuns, response, nowMs);
     }
 
     /** Returns unanswered starts on former incarnations that a worker must be told to stop. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
@@ -86,7 +86,7 @@
                         new RunsStarted(starts),
                         () -> {
                             mOwner.scheduler().startsRecorded(planned);
-                            mOwner.decideNow();
+                            mOwner.decide();
                         });
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -240,8 +240,7 @@
 
     /** Stops polling a worker whose incarnation has ended, and releases its tasks. */
     void handleWorkerEnded(WorkerState worker, WorkerEndReason reason) {
-        long now = mClock.nowMs();
-        endWorker(worker, reason, now);
+        storeEndsWithWorker(endWorker(worker, reason, mClock.nowMs()).runs());
         scheduleDecision();
     }
 
@@ -264,13 +263,16 @@
         mDirectory.stopPolling(worker);
         WorkerEnd end = mScheduler.removeWorker(worker, reason, now);
         mCrashLogger.logWorkerEnd(worker, reason, end, now);
-        if (!end.runs().isEmpty()) {
-            List<StartedRun> runs = end.runs().stream().map(TaskRun::endRecord).toList();
-            mJournal.store(new RunsEndedWithWorker(runs), () -> {});
-        }
         return end;
     }
 
+    private void storeEndsWithWorker(List<TaskRun> runs) {
+        if (!runs.isEmpty()) {
+            List<StartedRun> records = runs.stream().map(TaskRun::endRecord).toList();
+            mJournal.store(new RunsEndedWithWorker(records), () -> {});
+        }
+    }
+
     /** Replaces a worker's incarnation by the next one, whose first answer this is. */
     void handleWorkerStartedAgain(WorkerState former, PollResponse response, long sentMs) {
         long now = mClock.nowMs();
@@ -278,7 +280,7 @@
         WorkerState next = mScheduler.addNextIncarnation(former, response.startMs(), now);
         WorkerPoller poller = mDirectory.addPoller(next);
         poller.applyAnswer(response, sentMs);
-        mScheduler.stopFormerRuns(next, end.runs(), response, now);
+        storeEndsWithWorker(mScheduler.stopFormerRuns(next, end.runs(), response, now));
         mScheduler.lateStarts(next, now).forEach(poller::stopOrphan);
         scheduleDecision();
     }
@@ -446,11 +448,7 @@
     }
 
     /** Decides at once instead of collecting further events. */
-    void decideNow() {
-        decide();
-    }
-
-    private void decide() {
+    void decide() {
         mDecisionScheduled = false;
         if (mEnded) {
             return;
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/WorkerRestartTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/WorkerRestartTest.java
@@ -118,6 +118,32 @@
         assertEquals(mWorkers.running(OTHER_TASK).size(), 1);
     }
 
+    /** Guards against a successor that doesn't know of a start that the next incarnation runs. */
+    @Test
+    public void aSuccessorInheritsAStartThatTheNextIncarnationHasExecuted() {
+        OwnerSession owner = startOwner(job(RunMode.PLAIN));
+        mWorkers.finish("w1", TASK);
+        pass(2000);
+        mConnection.disconnect("w1");
+        mWorkers.startAt("w1", SECOND_START_MS);
+        owner.storeHandedOver(job(OTHER_TASK.job(), RunMode.PLAIN), outcome -> {});
+        pass(100);
+        mConnection.reconnect("w1");
+        pass(2000);
+        assertEquals(mWorkers.running(OTHER_TASK), List.of("w1"));
+
+        owner.end();
+        mWorkers.startAt("w2", FIRST_START_MS);
+        mDirectory.add("w2", FIRST_START_MS, SERVICE);
+        FakeWorkers.Connection connection = mWorkers.connect();
+        connection.disconnect("w1");
+        startOwner(mLog, connection, new Takeover(2, true, true));
+        for (int i = 0; i < 400; i++) {
+            pass(STEP_MS);
+            assertTrue(mWorkers.running(OTHER_TASK).size() <= 1, "after " + i + " steps");
+        }
+    }
+
     /** Guards against a successor that waits for a run of its worker's former incarnation. */
     @Test
     public void aSuccessorStartsATaskAgainWhoseWorkerRestartedBetweenTheOwners() {
