Inherit the recorded starts of a job that an owner learns of late

What callers would see: two runs of one task at a time.

Cause: starts that are read before their job are kept until the job is known.

Change: a job that is added while the owner works inherits its recorded starts as at a takeover. A job that is new has none, so that nothing changes for it.

Evidence: aJobThatIsLearntLateBringsItsRecordedStarts failed before: the task was planned at once.

Measured: all tests of org.foxtailplank.schedule and org.foxtailplank.job pass.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -163,6 +163,10 @@
         } else if (isNew && entitled) {
             mArrivals.recordArrival(definition, nowMs);
         }
+        if (isNew) {
+            // A job that is learnt late, after a gap in the journal, may have recorded starts.
+            mInherited.add(progress, w -> false, nowMs);
+        }
     }
 
     /** Records that the store didn't take a job, whose caller is expected to submit it again. */
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
@@ -4,8 +4,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobProgress;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.RunEnd;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.RunStatus;
@@ -129,4 +131,26 @@
         assertEquals(second.placeTasks().size(), 1);
         assertEquals(job.phase(), JobPhase.RUNNING);
     }
+
+    /** Guards against a second start of a task whose job is read after its recorded start. */
+    @Test
+    public void aJobThatIsLearntLateBringsItsRecordedStarts() {
+        OwnerHarness first = new OwnerHarness();
+        first.addWorker("w1", "surveys", 8);
+        JobDefinition definition =
+                OwnerHarness.definition(
+                        JOB, "surveys", 0, OwnerHarness.step(1, 1, 1000, List.of()));
+        first.accept(definition);
+        TaskRun run = first.placeTasks().get(0);
+
+        OwnerHarness second = new OwnerHarness();
+        second.addWorker("w2", "surveys", 8);
+        second.mRegistry.apply(new RunsStarted(List.of(run.startRecord())));
+        second.accept(definition);
+
+        assertTrue(second.placeTasks().isEmpty());
+        second.mNowMs += OwnerHarness.LIMITS.leaseExpiryMs() + 1;
+        assertEquals(second.mScheduler.removeExpiredRuns(second.mNowMs).size(), 1);
+        assertEquals(second.placeTasks().get(0).attempt(), 2);
+    }
 }
