Take a VM as gone only if two lists in a row lack it

What callers would see: a wave that is reported as completed although a VM of it has not begun its reboot, or more of its VMs down than the wave allows.

Cause: a single complete list without a VM removed the VM. It lost its planned reboot and counted as done in its wave, and one that was down no longer counted against the wave's limit. A list is read in pages, between which a VM may be missed; the end of a worker needs two such lists for the same reason. A new owner's first list had the same effect.

That the users' platform ever leaves a VM out isn't known.

Change: a VM is removed once two complete lists in a row lack it, and a VM that no list names counts as done in its wave only after two complete lists.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVms.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ManagedVms.java
@@ -14,17 +14,22 @@
 /** All VMs, as listed by the platform and changed by the owner since. */
 public final class ManagedVms {
     private final Map<String, ManagedVm> mVms = new LinkedHashMap<>();
-    private boolean mComplete = true;
+    private boolean mLastComplete;
+    private boolean mComplete;
+
+    /** Known VMs that the last list lacked, if it was complete. */
+    private Set<String> mMissing = Set.of();
 
     /**
      * Applies a list of VMs, which may be outdated for VMs acted on after it was requested.
      *
-     * <p>A list with an unreadable entry removes no VM, since the entry may be that of any VM that
-     * is missing. A removed VM would lose its planned reboot and count as done in its wave.
+     * <p>A VM is removed once two complete lists in a row lack it: a list is read in pages, between
+     * which a VM may be missed, and an unreadable entry may be that of any VM that is missing. A
+     * removed VM would lose its planned reboot and count as done in its wave.
      */
     void update(List<VmInfo> infos, long askedMs, Map<String, Long> lastActionMs) {
         Set<String> names = new HashSet<>();
-        mComplete = infos.stream().allMatch(VmInfo::isReadable);
+        boolean complete = infos.stream().allMatch(VmInfo::isReadable);
         for (VmInfo info : infos) {
             names.add(info.id());
             if (info.isReadable()
@@ -32,12 +37,18 @@
                 mVms.computeIfAbsent(info.id(), id -> new ManagedVm(info)).updateInfo(info);
             }
         }
-        if (mComplete) {
-            mVms.keySet().retainAll(names);
+        Set<String> missing = new HashSet<>();
+        if (complete) {
+            mVms.keySet().removeIf(id -> mMissing.contains(id) && !names.contains(id));
+            missing.addAll(mVms.keySet());
+            missing.removeAll(names);
         }
+        mMissing = missing;
+        mComplete = complete && mLastComplete;
+        mLastComplete = complete;
     }
 
-    /** Whether every entry of the last list was readable, so that no other VMs exist. */
+    /** Whether every entry of the last two lists was readable, so that no other VMs exist. */
     boolean isComplete() {
         return mComplete;
     }
