End no inherited start on a worker that the directory names in any way

What callers would see: two runs of one task at a time, right after a change of owner.

Cause: at a takeover, a worker counted as missing from the directory if its entry was unreadable, as a foreign writer's, or named a service that the new owner's configuration lacks. If its VM was not listed yet, as for a worker that has just joined, its starts were dropped without asking it.

Change: such a worker is left to later lists and its lease, as one with a usable entry is.

Cost: tasks of a worker that has ended wait for these if such an entry is left.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -200,13 +200,14 @@
     }
 
     /**
-     * Whether a worker's incarnation has certainly ended at the takeover. One that is in the
-     * directory may have joined before its VM is listed with it, so it is left to later lists.
-     * Without complete VM lists a worker that is not in the directory may still run tasks.
+     * Whether a worker's incarnation has certainly ended at the takeover. One that the directory
+     * names may have joined before its VM is listed with it, so it is left to later lists. Without
+     * complete VM lists a worker that is not in the directory may still run tasks.
      */
     private boolean hasIncarnationEnded(WorkerIncarnation worker) {
         boolean listed = mScheduler.worker(worker.id()).map(WorkerState::isListed).orElse(false);
-        return !listed && mInitialLists.stream().allMatch(l -> l.hasEnded(worker.id()));
+        boolean named = listed || mDirectory.hasUnusableEntry(worker.id());
+        return !named && mInitialLists.stream().allMatch(l -> l.hasEnded(worker.id()));
     }
 
     /** Whether this is still the owner and has applied the journal as of its takeover. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
@@ -218,6 +218,11 @@
         return poller;
     }
 
+    /** Whether the directory names a worker by an entry that can't be used, or not yet. */
+    boolean hasUnusableEntry(String worker) {
+        return mUnreadable.contains(worker) || mUnconfigured.containsKey(worker);
+    }
+
     /** Whether a worker's incarnation has last answered at an address. */
     boolean hasAnsweredAt(WorkerState worker, String address) {
         WorkerPoller poller = mPollers.get(worker);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
@@ -45,6 +45,11 @@
         mItems.add(new Item<>(incarnation.id(), Optional.of(info)));
     }
 
+    /** Replaces a worker's entry by one that can't be parsed, as a foreign writer does. */
+    void addUnreadable(String id) {
+        mItems.add(Item.unreadable(id, "not an entry"));
+    }
+
     /** Removes a worker, as when its heartbeats stop. */
     void remove(String id) {
         mItems.add(new Item<>(id, Optional.empty()));
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/TakeoverListTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/TakeoverListTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.foxtailplank.port.VmClient;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -43,6 +44,36 @@
         assertEquals(mWorkers.running(TASK), List.of("w1"));
     }
 
+    /** Guards against a second start while a worker runs whose entry is a foreign writer's. */
+    @Test
+    public void aWorkerWithAnUnreadableEntryHasNotEndedBeforeItsVmIsListed() {
+        mDirectory.addUnreadable("w1");
+        takeOverBeforeTheVmIsListed();
+    }
+
+    /** Guards against the same if the entry's service is unknown to the new owner. */
+    @Test
+    public void aWorkerOfAnUnknownServiceHasNotEndedBeforeItsVmIsListed() {
+        mDirectory.add("w1", "reports");
+        takeOverBeforeTheVmIsListed();
+    }
+
+    private void takeOverBeforeTheVmIsListed() {
+        List<VmClient.VmInfo> all = mVms;
+        mVms = List.of(Vms.vm("vm2", "w2"));
+        startOwner(mLog, mConnection, new Takeover(2, true, true));
+        for (int i = 0; i < 100; i++) {
+            pass(STEP_MS);
+            List<String> workers = mWorkers.running(TASK);
+            assertTrue(workers.size() <= 1, "after " + i * STEP_MS + " ms on " + workers);
+        }
+        mVms = all;
+        mDirectory.add("w1", SERVICE);
+        pass(2000);
+
+        assertEquals(mWorkers.running(TASK), List.of("w1"));
+    }
+
     /** Guards against tasks of a worker that is gone which wait for its lease. */
     @Test
     public void tasksOfAWorkerThatBothListsLackStartAtOnce() {
