End a worker that crashed before a takeover by its next life's answer

What callers would see: tasks of a worker that crashed before a new owner reached it, and whose address its next incarnation has taken already, ran nowhere for 2,820 ms after the takeover (a fake clock, found in review).

Cause: status 421 ends a worker only at an address where it has answered this owner. An inherited worker never has, so that its end waited for two VM lists 2 s after the takeover.

Change: 421 also ends a worker that the takeover's two VM lists lack. Both proofs fail together only for a worker that joined within the last two seconds and whose entry names another worker's address.

Evidence: the new test of MisdirectedCommandTest failed before: the task ran nowhere 500 ms after the takeover.

Measured: the tests of takeovers, owners, cut-off owners and misdirected commands in foxtail-node pass.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -207,7 +207,12 @@
     private boolean hasIncarnationEnded(WorkerIncarnation worker) {
         boolean listed = mScheduler.worker(worker.id()).map(WorkerState::isListed).orElse(false);
         boolean named = listed || mDirectory.hasUnusableEntry(worker.id());
-        return !named && mInitialLists.stream().allMatch(l -> l.hasEnded(worker.id()));
+        return !named && isMissingFromVms(worker.id());
+    }
+
+    /** Whether the VM lists of the takeover lack a worker, which may also have joined since. */
+    private boolean isMissingFromVms(String worker) {
+        return mInitialLists.stream().allMatch(l -> l.hasEnded(worker));
     }
 
     /** Whether this is still the owner and has applied the journal as of its takeover. */
@@ -246,14 +251,14 @@
     }
 
     /**
-     * Handles the answer of another incarnation to a command for a worker. It proves the end of the
-     * worker's incarnation only at an address where that one has answered: entries may name a wrong
-     * address.
+     * Handles the answer of another incarnation to a command for a worker. Entries may name a wrong
+     * address, so it proves the end of the worker's incarnation only at an address where that one
+     * has answered, or together with the VM lists of the takeover.
      *
      * @return whether the worker's incarnation has ended
      */
     boolean handleOtherIncarnation(WorkerState worker, String address) {
-        if (!mDirectory.hasAnsweredAt(worker, address)) {
+        if (!mDirectory.hasAnsweredAt(worker, address) && !isMissingFromVms(worker.id())) {
             return false;
         }
         handleWorkerEnded(worker, WorkerEndReason.OTHER_INCARNATION);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/MisdirectedCommandTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/MisdirectedCommandTest.java
@@ -143,4 +143,16 @@
 
         assertEquals(mWorkers.running(TASK), List.of("w2"));
     }
+
+    /** Guards against tasks that wait for their lease after a crash and a change of owner. */
+    @Test
+    public void anInheritedWorkerHasEndedIfAnotherOneAnswersAndItsVmIsListedWithThat() {
+        startOwnerWithTask(mConnection);
+        mWorkers.startAt("w1", 1);
+        mVms = List.of(Vms.vm("vm1", "w3"), Vms.vm("vm2", "w2"));
+        startOwner(mLog, new Misdirected(ADDRESS), new Takeover(2, true, true));
+        pass(500);
+
+        assertEquals(mWorkers.running(TASK), List.of("w2"));
+    }
 }
