Pass the source of random numbers to the owner election

Cause: the delay between attempts to take over came from ThreadLocalRandom, so that a test over the real election can't repeat a run by its seed.

Change: the constructor takes a function that returns a number below its argument; the node passes ThreadLocalRandom as before.

Result: no change of behaviour. OwnerElectionTest, OwnerLookupTest, PredecessorTest, ForeignOwnersTest and TakeoverDirectoryTest pass.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.foxtailplank.adapter.PlatformTimeouts;
 import org.foxtailplank.adapter.UsersPlatform;
@@ -157,7 +158,8 @@
                         settings.link(),
                         mLink,
                         mPlatform.vmActions(),
-                        this::ownershipAcquired);
+                        this::ownershipAcquired,
+                        bound -> ThreadLocalRandom.current().nextLong(bound));
     }
 
     private void configureLink() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
@@ -1,8 +1,8 @@
 package org.foxtailplank.node.owner;
 
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
+import java.util.function.LongUnaryOperator;
 import org.foxtailplank.http.IpPort;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
@@ -77,6 +77,7 @@
     private final OwnerMonitor mOwnerMonitor;
     private final VmClient mVmService;
     private final Consumer<Takeover> mOnTakeover;
+    private final LongUnaryOperator mRandom;
     private final long mTakeOverDelayMs;
 
     private long mJitterMs;
@@ -105,7 +106,12 @@
     private boolean mIsOwner;
     private boolean mStopped;
 
-    /** Creates the election for a node; {@code onTakeover} runs when the node becomes the owner. */
+    /**
+     * Creates the election for a node.
+     *
+     * @param onTakeover runs when the node becomes the owner
+     * @param random returns a random number from 0 to below its argument
+     */
     public OwnerElection(
             SharedLog sharedLog,
             JournalReader reader,
@@ -117,19 +123,21 @@
             LinkRate link,
             OwnerMonitor ownerMonitor,
             VmClient vmService,
-            Consumer<Takeover> onTakeover) {
+            Consumer<Takeover> onTakeover,
+            LongUnaryOperator random) {
         mSharedLog = sharedLog;
         mReader = reader;
         mClock = clock;
         mTimers = timers;
         mNodeLog = nodeLog;
-        String incarnation = Long.toHexString(ThreadLocalRandom.current().nextLong());
+        mRandom = random;
+        String incarnation = Long.toHexString(random.applyAsLong(Long.MAX_VALUE));
         mSelf = new OwnerRecord(node, address, incarnation);
         mOwnerMonitor = ownerMonitor;
         mVmService = vmService;
         mOnTakeover = onTakeover;
         mTakeOverDelayMs = link.takeOverDelayMs();
-        mJitterMs = ThreadLocalRandom.current().nextLong(MAX_JITTER_MS);
+        mJitterMs = mRandom.applyAsLong(MAX_JITTER_MS);
         mLastActivityMs = clock.nowMs() - OwnerState.SILENT.takeOverTimeoutMs();
     }
 
@@ -315,7 +323,7 @@
     }
 
     private void handleAppendResult(AppendResult result, long expectedEnd) {
-        mJitterMs = ThreadLocalRandom.current().nextLong(MAX_JITTER_MS);
+        mJitterMs = mRandom.applyAsLong(MAX_JITTER_MS);
         mNodeLog.line("owner-try")
                 .with("node", mSelf.node())
                 .with("expectedToken", expectedEnd)
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTestBase.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTestBase.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
@@ -115,7 +116,8 @@
                         link,
                         mOwnerMonitor,
                         new Vms(),
-                        this::recordTakeover);
+                        this::recordTakeover,
+                        bound -> ThreadLocalRandom.current().nextLong(bound));
         reader.follow();
         mElection.start();
     }
