Soak: owners that change places twice, replaced workers, and late reads

The soak never paused an owner's successor, refused the appends of one node only, executed reads of the owners' partition late, or served VM lists that lack workers which have just joined.

Change: these faults are drawn apart, so that seeds keep their other faults. Each node reaches the store through an address of its own.

--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
@@ -44,7 +44,16 @@
     CONNECTIONS_SILENT(Target.NODE),
     ROUTE_CHANGED(Target.NOTHING),
     NODE_FAR(Target.NODE),
-    FOREIGN_ENTRY(Target.WORKER);
+    FOREIGN_ENTRY(Target.WORKER),
+    OWNERS_KILL(Target.NOTHING),
+    OWNERS_PAUSE(Target.NOTHING),
+    OWNER_STUTTER(Target.NOTHING),
+    OWNER_APPENDS_REFUSED(Target.NOTHING),
+    SUCCESSOR_APPENDS_REFUSED(Target.NOTHING),
+    OWNERS_READ_LATE(Target.NOTHING),
+    VM_LISTS_BEHIND(Target.NOTHING),
+    WORKERS_REPLACED(Target.WORKER),
+    ORDERS_LATER(Target.WORKER);
 
     /** What a fault strikes. */
     enum Target {
@@ -94,7 +103,16 @@
                     CONNECTIONS_SILENT,
                     ROUTE_CHANGED,
                     NODE_FAR,
-                    FOREIGN_ENTRY);
+                    FOREIGN_ENTRY,
+                    OWNERS_KILL,
+                    OWNERS_PAUSE,
+                    OWNER_STUTTER,
+                    OWNER_APPENDS_REFUSED,
+                    SUCCESSOR_APPENDS_REFUSED,
+                    OWNERS_READ_LATE,
+                    VM_LISTS_BEHIND,
+                    WORKERS_REPLACED,
+                    ORDERS_LATER);
 
     private final Target mTarget;
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,7 @@
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.foxtailplank.adapter.standin.StoreFault;
+import org.foxtailplank.adapter.standin.VmLists;
 import org.foxtailplank.it.process.RunningProcess;
 import org.foxtailplank.it.proxy.Direction;
 import org.foxtailplank.it.proxy.FaultProxy;
@@ -31,6 +33,23 @@
 
     private static final long WORKER_DRAIN_MS = 4000;
     private static final int LATE_ORDERS = 3;
+    private static final long LATE_ORDERS_MS = 3000;
+    private static final String OWNERS_TOPIC = "foxtail-owners";
+    private static final int REPLACED_WORKERS = 8;
+    private static final long REPLACED_DOWN_MS = 100;
+    private static final int LATER_ORDERS = 10;
+
+    /** Interval at which a takeover is looked for, and for how long after the fault's end. */
+    private static final long FOLLOW_INTERVAL_MS = 20;
+
+    private static final long FOLLOW_MS = 3000;
+
+    /** Times from a takeover to the fault of the new owner: before it is loaded, or after. */
+    private static final long[] AFTER_TAKEOVER_MS = {0, 50, 200, 600};
+
+    private static final int MAX_REFUSED_MS = 1000;
+    private static final int STUTTER_MIN_MS = 50;
+    private static final int STUTTER_RANGE_MS = 1200;
     private static final double SHRUNK_SHARE = 0.5;
     private static final int WAVE_VMS = 4;
     private static final long WAVE_S = 20;
@@ -43,6 +62,7 @@
     private final List<Strike> mActive = new ArrayList<>();
     private final Map<SoakNode, Integer> mDown = new HashMap<>();
     private final AtomicInteger mForeignEntries = new AtomicInteger();
+    private volatile boolean mOver;
     private long mWaves;
 
     /** A fault that has struck, with the nodes that it struck. */
@@ -128,7 +148,15 @@
     private List<SoakNode> nodesOf(Fault fault) throws IOException {
         List<SoakNode> nodes = mSystem.nodes();
         return switch (fault.kind()) {
-            case OWNER_KILL, OWNER_PAUSE, OWNER_CUT, OWNER_TERM ->
+            case OWNER_KILL,
+                    OWNER_PAUSE,
+                    OWNER_CUT,
+                    OWNER_TERM,
+                    OWNERS_KILL,
+                    OWNERS_PAUSE,
+                    OWNER_STUTTER,
+                    OWNER_APPENDS_REFUSED,
+                    SUCCESSOR_APPENDS_REFUSED ->
                     mSystem.owner().map(List::of).orElse(List.of());
             case NODES_KILL -> nodes;
             case ZONE_CUT -> inZone(mSystem.zone(fault.target()));
@@ -149,6 +177,7 @@
                 FaultKind.NODE_TERM,
                 FaultKind.NODE_ELSEWHERE,
                 FaultKind.OWNER_KILL,
+                FaultKind.OWNERS_KILL,
                 FaultKind.OWNER_TERM,
                 FaultKind.NODES_KILL);
     }
@@ -158,6 +187,21 @@
         switch (f.kind()) {
             case NODE_KILL, OWNER_KILL, NODES_KILL, NODE_ELSEWHERE ->
                     each(strike, RunningProcess::kill);
+            case OWNERS_KILL -> {
+                each(strike, RunningProcess::kill);
+                strikeSuccessor(strike, FaultKind.OWNER_KILL);
+            }
+            case OWNERS_PAUSE -> {
+                each(strike, RunningProcess::pause);
+                strikeSuccessor(strike, FaultKind.OWNER_PAUSE);
+            }
+            case SUCCESSOR_APPENDS_REFUSED -> refuseSuccessor(strike);
+            case OWNER_STUTTER -> stutter(strike, true, new Random(Double.hashCode(f.atS())));
+            case WORKERS_REPLACED -> replaceWorkers(f);
+            case ORDERS_LATER ->
+                    mSystem.platform()
+                            .delayStartOrders(
+                                    f.target(), LATER_ORDERS, (long) (f.forS() * MS_PER_S));
             case NODE_TERM, OWNER_TERM -> each(strike, RunningProcess::stop);
             case NODE_PAUSE, OWNER_PAUSE -> each(strike, RunningProcess::pause);
             case NODE_RELOAD -> strike.nodes().get(0).reload();
@@ -174,7 +218,8 @@
             case WORKER_SHRINK ->
                     mSystem.platform()
                             .shrinkWorker(f.target(), SHRUNK_SHARE, (long) (f.forS() * MS_PER_S));
-            case LATE_ORDERS -> mSystem.platform().delayStartOrders(f.target(), LATE_ORDERS);
+            case LATE_ORDERS ->
+                    mSystem.platform().delayStartOrders(f.target(), LATE_ORDERS, LATE_ORDERS_MS);
             case WAVE -> wave(f.target());
             case KEY_REPLACED -> mSystem.organisations().replaceKey(f.target());
             case CAP_CUT -> mSystem.organisations().setCapCut(f.target(), true);
@@ -189,6 +234,71 @@
         }
     }
 
+    /** Strikes the node that takes over next, right after it has done so. */
+    private void strikeSuccessor(Strike strike, FaultKind kind) throws IOException {
+        long sinceMs = mSystem.lastTakeoverMs();
+        long forMs = (long) (strike.fault().forS() * MS_PER_S);
+        long afterMs = AFTER_TAKEOVER_MS[(int) (forMs % AFTER_TAKEOVER_MS.length)];
+        awaitTakeover(
+                sinceMs,
+                (forMs + FOLLOW_MS) / FOLLOW_INTERVAL_MS,
+                () -> {
+                    Fault successor =
+                            new Fault(strike.fault().atS(), kind, 0, strike.fault().forS());
+                    mTimer.schedule(() -> guarded(() -> strike(successor)), afterMs, unit());
+                });
+    }
+
+    /** Pauses the owner until another node has taken over whose appends are refused then. */
+    private void refuseSuccessor(Strike strike) throws IOException, InterruptedException {
+        Fault fault = strike.fault();
+        int refusedMs = new Random(Double.hashCode(fault.atS())).nextInt(MAX_REFUSED_MS);
+        mSystem.platform().refuseAfterAppend(Optional.of(OWNERS_TOPIC), refusedMs);
+        long sinceMs = mSystem.lastTakeoverMs();
+        each(strike, RunningProcess::pause);
+        awaitTakeover(
+                sinceMs,
+                (long) (fault.forS() * MS_PER_S) / FOLLOW_INTERVAL_MS,
+                () -> guarded(() -> end(strike)));
+    }
+
+    private void awaitTakeover(long sinceMs, long triesLeft, Runnable then) throws IOException {
+        if (mSystem.lastTakeoverMs() > sinceMs) {
+            then.run();
+        } else if (triesLeft > 0 && !mOver) {
+            mTimer.schedule(
+                    () -> guarded(() -> awaitTakeover(sinceMs, triesLeft - 1, then)),
+                    FOLLOW_INTERVAL_MS,
+                    unit());
+        }
+    }
+
+    /** Pauses and resumes nodes in turn until the fault ends. */
+    private void stutter(Strike strike, boolean pauses, Random random)
+            throws IOException, InterruptedException {
+        synchronized (this) {
+            if (!mActive.contains(strike)) {
+                return;
+            }
+            each(strike, pauses ? RunningProcess::pause : RunningProcess::resume);
+        }
+        mTimer.schedule(
+                () -> guarded(() -> stutter(strike, !pauses, random)),
+                STUTTER_MIN_MS + random.nextInt(STUTTER_RANGE_MS),
+                unit());
+    }
+
+    /** One worker after the other crashes, and another one joins on its VM at once. */
+    private void replaceWorkers(Fault fault) {
+        for (int i = 0; i < REPLACED_WORKERS; i++) {
+            int worker = worker(fault.target() + i);
+            mTimer.schedule(
+                    () -> mSystem.platform().crashWorker(worker, REPLACED_DOWN_MS),
+                    (long) (i * fault.forS() * MS_PER_S / REPLACED_WORKERS),
+                    unit());
+        }
+    }
+
     /** Another writer leaves an odd entry under a key of its own, and under a worker's. */
     private void writeForeignEntry(int worker) {
         String value = ForeignEntry.of(mForeignEntries.getAndIncrement()).value();
@@ -224,7 +334,8 @@
         }
         Fault f = strike.fault();
         switch (f.kind()) {
-            case NODE_PAUSE, OWNER_PAUSE -> each(strike, RunningProcess::resume);
+            case NODE_PAUSE, OWNER_PAUSE, OWNERS_PAUSE, OWNER_STUTTER, SUCCESSOR_APPENDS_REFUSED ->
+                    each(strike, RunningProcess::resume);
             case NODE_ELSEWHERE -> strike.nodes().get(0).moveElsewhere();
             case VMS_SILENT -> mSystem.platform().setVmServiceUnresponsive(false);
             case CAP_CUT -> mSystem.organisations().setCapCut(f.target(), false);
@@ -269,6 +380,20 @@
                 applyLink(s, n.vms());
             }
         }
+        for (SoakNode n : mSystem.nodes()) {
+            boolean refused =
+                    mActive.stream()
+                            .filter(s -> s.is(FaultKind.OWNER_APPENDS_REFUSED))
+                            .anyMatch(s -> s.nodes().contains(n));
+            mSystem.platform().setAppendsRefused(n.name(), refused);
+        }
+        boolean late = mActive.stream().anyMatch(s -> s.is(FaultKind.OWNERS_READ_LATE));
+        mSystem.platform().setLateTopic(late ? Optional.of(OWNERS_TOPIC) : Optional.empty());
+        boolean behind = mActive.stream().anyMatch(s -> s.is(FaultKind.VM_LISTS_BEHIND));
+        mSystem.platform().setVmLists(behind ? VmLists.BEHIND : VmLists.CURRENT);
+        if (mActive.stream().noneMatch(s -> s.is(FaultKind.SUCCESSOR_APPENDS_REFUSED))) {
+            mSystem.platform().refuseAfterAppend(Optional.empty(), 0);
+        }
         mSystem.platform().setStoreFault(store);
         mSystem.platform().setUnavailablePartition(away);
     }
@@ -296,6 +421,7 @@
 
     /** Ends all faults that last, and starts all nodes that are down. */
     void endAll() throws IOException {
+        mOver = true;
         List<Strike> active;
         synchronized (this) {
             active = List.copyOf(mActive);
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -74,6 +74,29 @@
     /** Sets the draw of these entries apart in the same way. */
     private static final long FOREIGN_SEED = 0xf0e;
 
+    /** Mean time between two faults that let owners change places, in seconds. */
+    private static final double OWNERS_GAP_S = 4;
+
+    private static final double LONGEST_OWNERS_S = 2.5;
+    private static final double SHORTEST_REFUSAL_S = 0.3;
+    private static final double LONGEST_REFUSAL_S = 1;
+
+    /** Mean time between two losses of all nodes, and how long they are down, in seconds. */
+    private static final double ALL_LOST_GAP_S = 12;
+
+    private static final double ALL_LOST_S = 0.5;
+
+    /** Mean time between the beginnings of what owners and successors see late, in seconds. */
+    private static final double LATE_GAP_S = 4;
+
+    private static final double LATE_S = 4;
+
+    /** Mean time between two replacements of workers one after the other, in seconds. */
+    private static final double REPLACED_GAP_S = 4;
+
+    /** Sets the draw of all these apart in the same way. */
+    private static final long OWNERS_SEED = 0x0b3;
+
     /** Retention of the store in runs with rolling restarts, and in others, in seconds. */
     private static final long SHORT_RETENTION_S = 20;
 
@@ -135,6 +158,7 @@
         addOften(FaultKind.NODE_FAR, FAR_GAP_S, LONGEST_S, configRandom, size, faults);
         RandomGenerator foreignRandom = new Random(seed ^ FOREIGN_SEED);
         addOften(FaultKind.FOREIGN_ENTRY, FOREIGN_GAP_S, 0, foreignRandom, size, faults);
+        addChangesOfOwners(new Random(seed ^ OWNERS_SEED), size, faults);
         if (isRolling(seed)) {
             addRollingRestarts(size, faults);
         }
@@ -195,6 +219,32 @@
         }
     }
 
+    private static void addChangesOfOwners(
+            RandomGenerator random, SoakSize size, List<Fault> faults) {
+        FaultKind[] kinds = {
+            FaultKind.OWNERS_KILL,
+            FaultKind.OWNERS_PAUSE,
+            FaultKind.OWNER_STUTTER,
+            FaultKind.OWNER_APPENDS_REFUSED,
+            FaultKind.SUCCESSOR_APPENDS_REFUSED
+        };
+        double at = FIRST_S + random.nextDouble() * OWNERS_GAP_S;
+        while (at < size.seconds()) {
+            FaultKind kind = kinds[random.nextInt(kinds.length)];
+            boolean isRefusal = kind == FaultKind.OWNER_APPENDS_REFUSED;
+            double shortest = isRefusal ? SHORTEST_REFUSAL_S : SHORTEST_S;
+            double longest = isRefusal ? LONGEST_REFUSAL_S : LONGEST_OWNERS_S;
+            double length = shortest + random.nextDouble() * (longest - shortest);
+            faults.add(new Fault(at, kind, 0, length));
+            at += random.nextDouble() * 2 * OWNERS_GAP_S;
+        }
+        addOften(FaultKind.NODES_KILL, ALL_LOST_GAP_S, ALL_LOST_S, random, size, faults);
+        addOften(FaultKind.OWNERS_READ_LATE, LATE_GAP_S, LATE_S, random, size, faults);
+        addOften(FaultKind.VM_LISTS_BEHIND, LATE_GAP_S, LATE_S, random, size, faults);
+        addOften(FaultKind.WORKERS_REPLACED, REPLACED_GAP_S, LATE_S, random, size, faults);
+        addOften(FaultKind.ORDERS_LATER, LATE_GAP_S, SHORTEST_S, random, size, faults);
+    }
+
     private static void addOften(
             FaultKind kind,
             double gapS,
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -42,6 +42,7 @@
     private List<Integer> mPorts;
     private Optional<RunningProcess> mProcess = Optional.empty();
     private volatile int mBoots;
+    private final Takeovers mTakeovers = new Takeovers();
     private final List<Integer> mOwnEnds = new ArrayList<>();
     private boolean mGone;
     private int mGrace = 6;
@@ -63,7 +64,7 @@
         mTokensChecked = tokensChecked;
         mLinkMbps = linkMbps;
         mRetentionS = retentionS;
-        mStore = FaultProxy.before(platform.storeAddress());
+        mStore = FaultProxy.before(platform.openStore(name));
         mVms = FaultProxy.before(platform.vmServiceAddress());
         mPorts = freePorts();
     }
@@ -99,6 +100,11 @@
         return mFolder.resolve(mName + ".log");
     }
 
+    /** When it took ownership last, as its log tells; 0 if it never did. */
+    long ownsSinceMs() throws IOException {
+        return Files.exists(output()) ? mTakeovers.latestMs(output()) : 0;
+    }
+
     /** Starts it, unless it runs or never comes back. */
     synchronized void start() throws IOException {
         if (mGone || isRunning()) {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
@@ -1,7 +1,6 @@
 package org.foxtailplank.soak;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -9,8 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.foxtailplank.adapter.standin.UsersStandin;
 
 /** The platform's stand-in and the nodes of a run. */
@@ -34,7 +31,6 @@
 
     private static final int NETWORKS = 250;
     private static final AtomicInteger RUNS = new AtomicInteger();
-    private static final Pattern OWNS = Pattern.compile("\"ms\":(\\d+),\"kind\":\"owner-start\"");
 
     private final UsersStandin mPlatform;
     private final SoakOrganisations mOrganisations;
@@ -130,7 +126,7 @@
         Optional<SoakNode> owner = Optional.empty();
         long latest = 0;
         for (SoakNode n : mNodes) {
-            long since = Files.exists(n.output()) ? ownsSince(Files.readString(n.output())) : 0;
+            long since = n.ownsSinceMs();
             if (since > latest) {
                 latest = since;
                 owner = Optional.of(n);
@@ -139,13 +135,13 @@
         return owner;
     }
 
-    private static long ownsSince(String log) {
-        long since = 0;
-        Matcher lines = OWNS.matcher(log);
-        while (lines.find()) {
-            since = Long.parseLong(lines.group(1));
+    /** When a node took ownership last, as the nodes' logs tell; 0 if none has. */
+    long lastTakeoverMs() throws IOException {
+        long latest = 0;
+        for (SoakNode n : mNodes) {
+            latest = Math.max(latest, n.ownsSinceMs());
         }
-        return since;
+        return latest;
     }
 
     private void closeNodes() {
