Soak: two schedules that showed the faults behind runs that a next owner didn't know of

Cause: the seeded draw meets the moments rarely: a node must read the record of its own takeover late, or a worker must join while a successor's appends are refused and the earlier owner goes on.

Change: both are kept as schedules to be played by hand; a test reads them, and one sees that a long run has each fault that lets owners change places.

--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/ScheduleTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/ScheduleTest.java
@@ -1,9 +1,15 @@
 package org.foxtailplank.soak;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
 /** Schedules and their text. */
@@ -47,6 +53,34 @@
         assertEquals(drawn.without(0).faults(), drawn.faults().subList(1, drawn.faults().size()));
     }
 
+    /** Guards against kept schedules that name faults which are no longer played. */
+    @Test
+    public void keptSchedulesAreRead() throws IOException, ScheduleException {
+        List<Path> kept;
+        try (Stream<Path> files = Files.list(Path.of("schedules"))) {
+            kept = files.toList();
+        }
+        assertFalse(kept.isEmpty());
+        for (Path file : kept) {
+            assertFalse(Schedule.parse(Files.readString(file)).faults().isEmpty(), "" + file);
+        }
+    }
+
+    @Test
+    public void ownersChangePlacesInEachLongRun() {
+        Schedule drawn = Schedule.draw(6, new SoakSize(60, 3, 6, 15));
+
+        for (FaultKind kind :
+                List.of(
+                        FaultKind.OWNERS_KILL,
+                        FaultKind.OWNERS_PAUSE,
+                        FaultKind.OWNER_STUTTER,
+                        FaultKind.OWNER_APPENDS_REFUSED,
+                        FaultKind.SUCCESSOR_APPENDS_REFUSED)) {
+            assertTrue(drawn.faults().stream().anyMatch(f -> f.kind() == kind), "" + kind);
+        }
+    }
+
     @Test
     public void aRunWithAShortRetentionRestartsEachNodeInTurn() {
         Schedule rolling = Schedule.draw(8, SIZE);
