--- a/foxtail-it/src/main/java/org/foxtailplank/it/process/RunningProcess.java
+++ b/foxtail-it/src/main/java/org/foxtailplank/it/process/RunningProcess.java
@@ -12,6 +12,7 @@
 public final class RunningProcess implements AutoCloseable {
 
     private static final long END_SECONDS = 20;
+    private static final int HEAP_MB = 96;
 
     private final Process mProcess;
     private final Path mOutput;
@@ -24,11 +25,18 @@
     /** Starts a main class. */
     public static RunningProcess start(Path output, Class<?> main, List<String> arguments)
             throws IOException {
+        return start(output, HEAP_MB, main, arguments);
+    }
+
+    /** Starts a main class with a heap of at most {@code heapMb}. */
+    public static RunningProcess start(
+            Path output, int heapMb, Class<?> main, List<String> arguments) throws IOException {
         String tests = System.getProperty("java.class.path");
         String classPath = System.getProperty("surefire.test.class.path", tests);
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of("-Xmx" + heapMb + 'm', "-XX:+UseSerialGC"));
+        command.add("-XX:TieredStopAtLevel=1");
         command.addAll(List.of("-cp", classPath, main.getName()));
         command.addAll(arguments);
         Process process =
@@ -70,6 +78,11 @@
         signal("-HUP");
     }
 
+    /** Its process ID. */
+    public long pid() {
+        return mProcess.pid();
+    }
+
     /** Whether it runs. */
     public boolean isAlive() {
         return mProcess.isAlive();
