Limit the connections of a node's servers

A server now has a limit of connections: 1,024 for callers (callers.connections), 64 each for readiness checks and metrics. For one more it closes the connection that has been without an answer for the longest time and whose request isn't being handled, so that a new caller always gets in unless all requests are being handled.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
@@ -15,7 +15,9 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /** HTTP server bound to one address. */
@@ -25,23 +27,30 @@
 
     private final EventLoop mLoop;
     private final HttpHandler mHandler;
-    private final int mMaxBodyBytes;
+    private final ServerLimits mLimits;
     private final Set<ServerConnection> mConnections = new HashSet<>();
     private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel mListener;
     private boolean mStopping;
 
-    private HttpServer(EventLoop loop, int maxBodyBytes, HttpHandler handler) {
+    private HttpServer(EventLoop loop, ServerLimits limits, HttpHandler handler) {
         mLoop = loop;
-        mMaxBodyBytes = maxBodyBytes;
+        mLimits = limits;
         mHandler = handler;
     }
 
-    /** Binds an address; requests with larger bodies are rejected with status 413. */
+    /** Binds an address for known clients, with any number of connections. */
     public static HttpServer bind(
             EventLoop loop, InetSocketAddress address, int maxBodyBytes, HttpHandler handler)
             throws IOException {
-        HttpServer server = new HttpServer(loop, maxBodyBytes, handler);
+        return bind(loop, address, new ServerLimits(maxBodyBytes, Integer.MAX_VALUE), handler);
+    }
+
+    /** Binds an address for any clients. */
+    public static HttpServer bind(
+            EventLoop loop, InetSocketAddress address, ServerLimits limits, HttpHandler handler)
+            throws IOException {
+        HttpServer server = new HttpServer(loop, limits, handler);
         server.listen(address);
         return server;
     }
@@ -74,16 +83,34 @@
      * codec's own limit would close the connection.
      */
     private void accept(Channel channel) {
+        if (mConnections.size() >= mLimits.maxConnections() && !closeOldest()) {
+            channel.close();
+            return;
+        }
         ServerConnection connection = new ServerConnection(this, mHandler);
         mConnections.add(connection);
         mChannels.add(channel);
         channel.pipeline()
                 .addLast(new HttpServerCodec(new HttpDecoderConfig(), Integer.MAX_VALUE))
                 .addLast(new FlowControlHandler())
-                .addLast(new HttpObjectAggregator(mMaxBodyBytes, true))
+                .addLast(new HttpObjectAggregator(mLimits.maxBodyBytes(), true))
                 .addLast(connection);
     }
 
+    /** Makes room for a connection; returns whether there was one to close. */
+    private boolean closeOldest() {
+        Optional<ServerConnection> oldest =
+                mConnections.stream()
+                        .filter(c -> !c.isBusy())
+                        .min(Comparator.comparingLong(ServerConnection::lastAnswerMs));
+        oldest.ifPresent(
+                c -> {
+                    mConnections.remove(c);
+                    c.close();
+                });
+        return oldest.isPresent();
+    }
+
     /** Returns the bound address, with the actual port. */
     public InetSocketAddress address() {
         return (InetSocketAddress) mListener.localAddress();
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -34,6 +34,8 @@
     private boolean mBusy;
     private boolean mHandlingWaiting;
     private boolean mClosing;
+    private ChannelHandlerContext mContext;
+    private long mLastAnswerMs = TargetPool.nowMs();
 
     private record ReadRequest(HttpRequest request, boolean keepAlive) {}
 
@@ -46,6 +48,20 @@
         return mBusy;
     }
 
+    /** Returns when the last request was answered, or the connection opened. */
+    long lastAnswerMs() {
+        return mLastAnswerMs;
+    }
+
+    void close() {
+        mContext.close();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        mContext = context;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         ReadRequest decoded = new ReadRequest(decode(request), HttpUtil.isKeepAlive(request));
@@ -115,6 +131,7 @@
         }
         var written = context.writeAndFlush(response);
         mBusy = false;
+        mLastAnswerMs = TargetPool.nowMs();
         if (keep) {
             handleWaiting(context);
         } else {
--- /dev/null
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerLimits.java
@@ -0,0 +1,19 @@
+package org.foxtailplank.http;
+
+/**
+ * Limits of a server.
+ *
+ * @param maxBodyBytes largest body of a request, in bytes; larger ones are rejected with status 413
+ * @param maxConnections most open connections; for one more, the connection that has been without
+ *     an answer for the longest time and whose request isn't being handled is closed
+ */
+public record ServerLimits(int maxBodyBytes, int maxConnections) {
+    /** Most open connections of a server by default. */
+    public static final int DEFAULT_CONNECTIONS = 1024;
+
+    public ServerLimits {
+        if (maxBodyBytes < 0 || maxConnections < 1) {
+            throw new IllegalArgumentException("limits must be positive");
+        }
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -9,9 +9,11 @@
 import org.foxtailplank.adapter.PlatformTimeouts;
 import org.foxtailplank.adapter.UsersPlatform;
 import org.foxtailplank.http.HttpClient;
+import org.foxtailplank.http.HttpHandler;
 import org.foxtailplank.http.HttpReply;
 import org.foxtailplank.http.HttpRequest;
 import org.foxtailplank.http.HttpServer;
+import org.foxtailplank.http.ServerLimits;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JobSummary;
@@ -46,6 +48,9 @@
     /** Largest body of a caller's request, in bytes: a job's text and hundreds of steps. */
     private static final int MAX_BODY_BYTES = 256 << 10;
 
+    /** Most connections for readiness checks, and for metrics. */
+    private static final int OPERATIONS_CONNECTIONS = 64;
+
     private static final int CONNECT_TIMEOUT_MS = 400;
 
     /** Connections to the store: long polls, appends and refreshes; the same to the VM service. */
@@ -264,7 +269,8 @@
                         mTimers,
                         mLog,
                         mMetrics);
-        mCallerServer = HttpServer.bind(mLoop, mSettings.callers(), MAX_BODY_BYTES, service);
+        int connections = mSettings.callerLimits().connections();
+        mCallerServer = bind(mSettings.callers(), connections, service);
         mStream =
                 JournalStream.listen(
                         mLoop,
@@ -278,8 +284,14 @@
         mStream.setCapacityReporter(mAdmission.reporter());
         mStream.setConfigExchange(mConfigExchange);
         mReader.setRawListener(mStream::recordRead);
-        HttpServer.bind(mLoop, mSettings.readiness(), MAX_BODY_BYTES, this::readiness);
-        HttpServer.bind(mLoop, mSettings.metrics(), MAX_BODY_BYTES, this::metrics);
+        bind(mSettings.readiness(), OPERATIONS_CONNECTIONS, this::readiness);
+        bind(mSettings.metrics(), OPERATIONS_CONNECTIONS, this::metrics);
+    }
+
+    private HttpServer bind(InetSocketAddress address, int connections, HttpHandler handler)
+            throws IOException {
+        ServerLimits limits = new ServerLimits(MAX_BODY_BYTES, connections);
+        return HttpServer.bind(mLoop, address, limits, handler);
     }
 
     /**
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
 import org.foxtailplank.admission.AdmissionSettings;
+import org.foxtailplank.http.ServerLimits;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.organisation.KeyLifetime;
 import org.foxtailplank.port.LogPartition;
@@ -28,6 +29,7 @@
  * @param keyLifetime how long callers' API keys are accepted without confirmation
  * @param forecastBursts whether VMs are moved by forecasts of the bursts of services
  * @param admission which submissions each queue refuses
+ * @param callerLimits limits for callers' requests
  */
 public record NodeSettings(
         String name,
@@ -44,7 +46,8 @@
         long graceMs,
         KeyLifetime keyLifetime,
         boolean forecastBursts,
-        AdmissionSettings admission) {
+        AdmissionSettings admission,
+        CallerLimits callerLimits) {
 
     /**
      * Limits for the journal; times in milliseconds.
@@ -80,6 +83,16 @@
         }
     }
 
+    /**
+     * Limits for callers' requests; they take effect after a restart.
+     *
+     * @param connections most open connections
+     */
+    public record CallerLimits(int connections) {
+        public static final CallerLimits DEFAULTS =
+                new CallerLimits(ServerLimits.DEFAULT_CONNECTIONS);
+    }
+
     /** Returns the address at which other nodes reach this one, as {@code ip:port}. */
     public String peerAddress() {
         return peers.getAddress().getHostAddress() + ':' + peers.getPort();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -91,7 +91,8 @@
                 secondsAsMs("/node/graceS"),
                 keyLifetime("/callers/keyRevocationMs"),
                 flag("/pools/forecastBursts", PlatformAgreements.forecastsBursts(agreements)),
-                new AdmissionSettingsReader(mTree, mProblems).read());
+                new AdmissionSettingsReader(mTree, mProblems).read(),
+                callerLimits());
     }
 
     private String text(String path) {
@@ -143,6 +144,12 @@
                 : new KeyLifetime(OptionalLong.of((long) number(path)));
     }
 
+    private NodeSettings.CallerLimits callerLimits() {
+        NodeSettings.CallerLimits defaults = NodeSettings.CallerLimits.DEFAULTS;
+        return new NodeSettings.CallerLimits(
+                positiveInt("/callers/connections", defaults.connections()));
+    }
+
     private int positiveInt(String path, int ifMissing) {
         return mTree.at(path).isMissingNode() ? ifMissing : positiveInt(path);
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/warmup/WarmUpMain.java
@@ -75,7 +75,8 @@
                         RUN_MS,
                         KeyLifetime.UNLIMITED,
                         false,
-                        AdmissionSettings.OFF);
+                        AdmissionSettings.OFF,
+                        NodeSettings.CallerLimits.DEFAULTS);
         Node node = new Node(settings, loop, clock, timers, log);
         node.listen();
         loop.execute(node::start);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import org.foxtailplank.node.NodeSettings.CallerLimits;
 import org.foxtailplank.organisation.KeyLifetime;
 import org.testng.annotations.Test;
 
@@ -49,6 +50,18 @@
         assertEquals(NodeSettingsReader.parse(GOOD).keyLifetime(), KeyLifetime.UNLIMITED);
     }
 
+    @Test
+    public void limitsForCallersAreOptionalButChecked() throws SettingsException {
+        String limited = GOOD.replace("\"jobs\":{", "\"callers\":{\"connections\":9},\"jobs\":{");
+        String bad = limited.replace("\"connections\":9", "\"connections\":0");
+
+        assertEquals(NodeSettingsReader.parse(limited).callerLimits(), new CallerLimits(9));
+        assertEquals(NodeSettingsReader.parse(GOOD).callerLimits(), CallerLimits.DEFAULTS);
+        SettingsException e =
+                expectThrows(SettingsException.class, () -> NodeSettingsReader.parse(bad));
+        assertTrue(e.getMessage().contains("/callers/connections"), e.getMessage());
+    }
+
     @Test
     public void forecastsOfBurstsAreOffUnlessSet() throws SettingsException {
         String on = GOOD.replace("\"jobs\":{", "\"pools\":{\"forecastBursts\":true},\"jobs\":{");
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeOwnerContext.java
@@ -81,7 +81,8 @@
                         1,
                         KeyLifetime.UNLIMITED,
                         false,
-                        AdmissionSettings.OFF);
+                        AdmissionSettings.OFF,
+                        NodeSettings.CallerLimits.DEFAULTS);
         NodeLog out = NodeLog.silent(time);
         JournalReader reader =
                 new JournalReader(
@@ -145,7 +146,8 @@
                         s.graceMs(),
                         s.keyLifetime(),
                         forecastBursts,
-                        s.admission());
+                        s.admission(),
+                        s.callerLimits());
         JournalReader reader =
                 new JournalReader(
                         context.sharedLog(),
