Bound the memory of request bodies over all connections

What callers saw: a crowd of clients with bodies of legal size that stop short of their end, announced or chunked, ended a node: OutOfMemoryError of direct buffers (CrowdTest, 200 connections, heap of 32 MiB; seven tests).

Cause: each connection collected a body of up to 256 KiB by itself (HttpObjectAggregator) and nothing limited the sum, nor the time that a request may take. A chunk kept the whole buffer that it was read into. While requests waited, all requests and chunks of a read were decoded and queued as objects (FlowControlHandler), at many times their bytes. A connection was read up to 16 x 64 KiB before others had their turn.

Changed: - One memory for all bodies over 16 KiB of a node's three servers (callers.bufferBytes, 16 MiB). A body takes all that it may need before it is read, so that no two wait for each other, and keeps it until its request is answered. Others aren't read until there is room; the smallest need goes first, and small bodies need no room. - While others wait, a body that stands still for 0.5 s, or comes at less than 16 KB/s, gives way. - A request must be complete within 60 s (callers.requestMs); 256 KiB fit at 4.4 KB/s. Its connection is closed without a status: a 503 would promise that no copy of the job ever runs, which the server can't know. - RequestDecoder can be paused between two parts, so that what isn't handled yet stays as received bytes; at most 16 requests or 16 KiB of decoded ones wait. RequestBody copies the bytes into one array, which the handler gets as it is (one copy less). - Reads of at most 16 KiB, two per turn. - A body over the limit is answered with 413 and Connection: close, and up to 1 MiB of the rest is read within 2 s, so that a caller that still sends sees the answer. Malformed requests get 400 or 431 and are closed; they were handled as requests for /bad-request before. 100 Continue is sent once there is room, after earlier answers.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -8,49 +9,74 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.flow.FlowControlHandler;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** HTTP server bound to one address. */
 public final class HttpServer {
     /** Pending connections, enough for all callers connecting at once. */
     private static final int BACKLOG = 512;
 
+    /** Sizes of the buffers that a connection is read into, in bytes. */
+    private static final int MIN_READ = 64;
+
+    private static final int INITIAL_READ = 2 << 10;
+    private static final int MAX_READ = 16 << 10;
+
+    /** Reads of one connection before the others have their turn. */
+    private static final int READS_PER_TURN = 2;
+
+    /** Interval at which connections of unfinished requests are checked, in milliseconds. */
+    private static final long CHECK_INTERVAL_MS = 250;
+
     private final EventLoop mLoop;
     private final HttpHandler mHandler;
     private final ServerLimits mLimits;
+    private final BodyMemory mMemory;
     private final Set<ServerConnection> mConnections = new HashSet<>();
+    private final Set<ServerConnection> mUnfinished = new HashSet<>();
     private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel mListener;
+    private boolean mChecking;
     private boolean mStopping;
 
-    private HttpServer(EventLoop loop, ServerLimits limits, HttpHandler handler) {
+    private HttpServer(
+            EventLoop loop, ServerLimits limits, BodyMemory memory, HttpHandler handler) {
         mLoop = loop;
         mLimits = limits;
+        mMemory = memory;
         mHandler = handler;
     }
 
-    /** Binds an address for known clients, with any number of connections. */
+    /**
+     * Binds an address for known clients, all of whose bodies fit into memory; requests with larger
+     * bodies are rejected with status 413.
+     */
     public static HttpServer bind(
             EventLoop loop, InetSocketAddress address, int maxBodyBytes, HttpHandler handler)
             throws IOException {
-        return bind(loop, address, new ServerLimits(maxBodyBytes, Integer.MAX_VALUE), handler);
+        ServerLimits limits =
+                new ServerLimits(maxBodyBytes, Integer.MAX_VALUE, ServerLimits.DEFAULT_REQUEST_MS);
+        return bind(loop, address, limits, BodyMemory.unlimited(), handler);
     }
 
-    /** Binds an address for any clients. */
+    /** Binds an address for any clients; servers on the same event loop may share the memory. */
     public static HttpServer bind(
-            EventLoop loop, InetSocketAddress address, ServerLimits limits, HttpHandler handler)
+            EventLoop loop,
+            InetSocketAddress address,
+            ServerLimits limits,
+            BodyMemory memory,
+            HttpHandler handler)
             throws IOException {
-        HttpServer server = new HttpServer(loop, limits, handler);
+        HttpServer server = new HttpServer(loop, limits, memory, handler);
         server.listen(address);
         return server;
     }
@@ -63,6 +89,10 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(MIN_READ, INITIAL_READ, MAX_READ)
+                                        .maxMessagesPerRead(READS_PER_TURN))
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
@@ -78,23 +108,16 @@
         mListener = bound.channel();
     }
 
-    /**
-     * Sets up a connection. {@link ServerConnection} limits how many pipelined requests wait; the
-     * codec's own limit would close the connection.
-     */
     private void accept(Channel channel) {
         if (mConnections.size() >= mLimits.maxConnections() && !closeOldest()) {
             channel.close();
             return;
         }
-        ServerConnection connection = new ServerConnection(this, mHandler);
+        RequestDecoder decoder = new RequestDecoder();
+        ServerConnection connection = new ServerConnection(this, mHandler, decoder);
         mConnections.add(connection);
         mChannels.add(channel);
-        channel.pipeline()
-                .addLast(new HttpServerCodec(new HttpDecoderConfig(), Integer.MAX_VALUE))
-                .addLast(new FlowControlHandler())
-                .addLast(new HttpObjectAggregator(mLimits.maxBodyBytes(), true))
-                .addLast(connection);
+        channel.pipeline().addLast(decoder).addLast(new HttpResponseEncoder()).addLast(connection);
     }
 
     /** Makes room for a connection; returns whether there was one to close. */
@@ -140,6 +163,36 @@
         return count;
     }
 
+    ServerLimits limits() {
+        return mLimits;
+    }
+
+    BodyMemory memory() {
+        return mMemory;
+    }
+
+    /** Checks this connection from now on, until it is removed. */
+    void addUnfinished(ServerConnection connection) {
+        mUnfinished.add(connection);
+        if (!mChecking) {
+            mChecking = true;
+            mLoop.schedule(this::checkUnfinished, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    void removeUnfinished(ServerConnection connection) {
+        mUnfinished.remove(connection);
+    }
+
+    private void checkUnfinished() {
+        long nowMs = TargetPool.nowMs();
+        List.copyOf(mUnfinished).forEach(c -> c.checkUnfinished(nowMs));
+        mChecking = !mUnfinished.isEmpty();
+        if (mChecking) {
+            mLoop.schedule(this::checkUnfinished, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     boolean isStopping() {
         return mStopping;
     }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -1,19 +1,23 @@
 package org.foxtailplank.http;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -21,27 +25,74 @@
 /**
  * Server side of a connection; pipelined requests are answered in order.
  *
- * <p>While {@link #MAX_WAITING} requests wait for an earlier one, no more are read, so that a
- * caller that doesn't wait for answers can't fill the memory of the node.
+ * <p>While requests wait for an earlier one, few more are read, and a body over {@link #SMALL_BODY}
+ * is read once there is memory for it, so that callers can't fill the memory of the node. The
+ * connection of a request that isn't finished in time is closed without an answer, as it is unknown
+ * whether another copy of the request was accepted.
  */
-final class ServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
-    /** Requests that may wait; those that were received together with the last one come on top. */
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+    /** Size up to which a body needs no place in {@link BodyMemory}, in bytes. */
+    private static final int SMALL_BODY = 16 << 10;
+
+    /** Requests that may wait for an earlier one, and their bytes. */
     private static final int MAX_WAITING = 16;
 
+    private static final int MAX_WAITING_BYTES = SMALL_BODY;
+
+    /** Estimated overhead of a header in memory, in bytes. */
+    private static final int HEADER_OVERHEAD = 128;
+
+    /** How much of a rejected request is read, so that the caller sees the answer; in bytes. */
+    private static final long MAX_DISCARDED = 1 << 20;
+
+    private static final long MAX_DISCARDING_MS = 2000;
+
+    /** Time without progress after which a large body gives way to one that waits. */
+    private static final long STALLED_MS = 500;
+
+    /** Slowest progress of a large body while another one waits, in bytes per millisecond. */
+    private static final long MIN_BYTES_PER_MS = 16;
+
+    private static final long MIN_RATE_AFTER_MS = 2000;
+
     private final HttpServer mServer;
     private final HttpHandler mHandler;
+    private final RequestDecoder mDecoder;
+    private final BodyMemory mMemory;
     private final Deque<ReadRequest> mWaiting = new ArrayDeque<>();
+    private ChannelHandlerContext mContext;
     private boolean mBusy;
     private boolean mHandlingWaiting;
     private boolean mClosing;
-    private ChannelHandlerContext mContext;
     private long mLastAnswerMs = TargetPool.nowMs();
+    private int mWaitingBytes;
 
-    private record ReadRequest(HttpRequest request, boolean keepAlive) {}
+    private io.netty.handler.codec.http.HttpRequest mHead;
+    private RequestBody mBody;
+    private boolean mContinueExpected;
+    private int mPlace;
+    private BodyMemory.Waiter mPlaceWaiter;
+    private boolean mReading = true;
 
-    ServerConnection(HttpServer server, HttpHandler handler) {
+    private boolean mUnfinished;
+    private long mUnfinishedSinceMs;
+    private long mPlaceSinceMs;
+    private long mReceivedBeforePlace;
+    private long mProgressMs;
+    private long mProgressBytes;
+
+    /**
+     * A request with the size of its place in {@link BodyMemory}, or the status with which it is
+     * rejected.
+     */
+    private record ReadRequest(
+            HttpRequest request, boolean keepAlive, int place, int bytes, int rejection) {}
+
+    ServerConnection(HttpServer server, HttpHandler handler, RequestDecoder decoder) {
         mServer = server;
         mHandler = handler;
+        mDecoder = decoder;
+        mMemory = server.memory();
     }
 
     boolean isBusy() {
@@ -63,85 +114,348 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        ReadRequest decoded = new ReadRequest(decode(request), HttpUtil.isKeepAlive(request));
-        mWaiting.add(decoded);
-        handleWaiting(context);
-        if (mWaiting.size() >= MAX_WAITING) {
-            context.channel().config().setAutoRead(false);
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (message instanceof io.netty.handler.codec.http.HttpRequest head) {
+            begin(head);
+        }
+        if (message instanceof HttpContent part) {
+            try {
+                append(part);
+            } finally {
+                part.release();
+            }
+        }
+    }
+
+    private void begin(io.netty.handler.codec.http.HttpRequest head) throws Exception {
+        long announced = -1;
+        if (head.decoderResult().isSuccess()) {
+            announced = HttpUtil.getContentLength(head, -1L);
+        }
+        mHead = head;
+        mContinueExpected = HttpUtil.is100ContinueExpected(head);
+        int rejection = rejection(head, announced);
+        if (rejection != 0) {
+            reject(rejection);
+            return;
+        }
+        mBody = new RequestBody((int) Math.max(0, announced));
+        if (announced > SMALL_BODY) {
+            takePlace((int) announced);
+        }
+        if (mContinueExpected) {
+            continueBody();
+        }
+    }
+
+    private int rejection(io.netty.handler.codec.http.HttpRequest head, long announced) {
+        if (head.decoderResult().isFailure()) {
+            return malformed(head.decoderResult().cause());
+        }
+        if (announced > mServer.limits().maxBodyBytes()) {
+            return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code();
+        }
+        boolean unknownExpectation =
+                head.headers().contains(HttpHeaderNames.EXPECT) && !mContinueExpected;
+        return unknownExpectation ? HttpResponseStatus.EXPECTATION_FAILED.code() : 0;
+    }
+
+    private static int malformed(Throwable cause) {
+        return cause instanceof TooLongFrameException
+                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code()
+                : HttpResponseStatus.BAD_REQUEST.code();
+    }
+
+    private void append(HttpContent part) throws Exception {
+        if (mHead == null) {
+            return;
+        }
+        if (part.decoderResult().isFailure()) {
+            reject(malformed(part.decoderResult().cause()));
+            return;
+        }
+        int size = mBody.size() + part.content().readableBytes();
+        if (size > mServer.limits().maxBodyBytes()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code());
+            return;
+        }
+        mBody.append(part.content());
+        if (part instanceof LastHttpContent) {
+            complete();
+        } else if (size > SMALL_BODY && mPlace == 0 && mPlaceWaiter == null) {
+            takePlace(mServer.limits().maxBodyBytes());
+        }
+    }
+
+    private void takePlace(int bytes) throws Exception {
+        if (mMemory.take(bytes)) {
+            placeTaken(bytes);
+        } else {
+            mPlaceWaiter = mMemory.takeLater(bytes, () -> placeGranted(bytes));
+            updateReading();
+        }
+    }
+
+    private void placeTaken(int bytes) {
+        mPlace = bytes;
+        mPlaceSinceMs = TargetPool.nowMs();
+        mReceivedBeforePlace = mDecoder.received();
+        mProgressMs = mPlaceSinceMs;
+    }
+
+    /** Reads on later, since a body that is handled at once passes its place on. */
+    private void placeGranted(int bytes) {
+        mPlaceWaiter = null;
+        placeTaken(bytes);
+        mContext.executor()
+                .execute(
+                        () -> {
+                            try {
+                                continueBody();
+                                updateReading();
+                            } catch (Exception e) {
+                                exceptionCaught(mContext, e);
+                            }
+                        });
+    }
+
+    /** Invites a body that the caller holds back, unless another answer comes first. */
+    private void continueBody() {
+        boolean first = !mBusy && mWaiting.isEmpty() && mPlaceWaiter == null;
+        if (mContinueExpected && mHead != null && first) {
+            mContinueExpected = false;
+            mContext.writeAndFlush(
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER));
         }
     }
 
-    private static HttpRequest decode(FullHttpRequest request) {
-        String uri = request.uri();
+    private void complete() throws Exception {
+        byte[] body = mBody.toBytes();
+        HttpRequest request = decode(mHead, body);
+        boolean keepAlive = HttpUtil.isKeepAlive(mHead);
+        int place = mPlace;
+        int bytes = mBusy ? bytes(mHead, body) : 0;
+        mPlace = 0;
+        mHead = null;
+        mBody = null;
+        finished();
+        enqueue(new ReadRequest(request, keepAlive, place, bytes, 0));
+    }
+
+    private static int bytes(io.netty.handler.codec.http.HttpRequest head, byte[] body) {
+        int bytes = head.uri().length() + body.length;
+        for (var i = head.headers().iteratorCharSequence(); i.hasNext(); ) {
+            var header = i.next();
+            bytes += header.getKey().length() + header.getValue().length() + HEADER_OVERHEAD;
+        }
+        return bytes;
+    }
+
+    private void reject(int status) throws Exception {
+        mHead = null;
+        mBody = null;
+        releasePlace();
+        finished();
+        mDecoder.discard();
+        enqueue(new ReadRequest(null, false, 0, 0, status));
+    }
+
+    private void enqueue(ReadRequest request) throws Exception {
+        mWaiting.add(request);
+        mWaitingBytes += request.bytes();
+        handleWaiting();
+    }
+
+    private static HttpRequest decode(io.netty.handler.codec.http.HttpRequest head, byte[] body) {
+        String uri = head.uri();
         int query = uri.indexOf('?');
         String path = query < 0 ? uri : uri.substring(0, query);
-        HttpHeaders headers = request.headers();
+        HttpHeaders headers = head.headers();
         String host = Optional.ofNullable(headers.get(HttpHeaderNames.HOST)).orElse("");
         int port = host.lastIndexOf(':');
         return new HttpRequest(
-                request.method().name(),
+                head.method().name(),
                 path,
                 query < 0 ? "" : uri.substring(query + 1),
                 port < 0 ? host : host.substring(0, port),
                 name -> Optional.ofNullable(headers.get(name)),
-                ByteBufUtil.getBytes(request.content()));
+                body);
     }
 
     /**
      * Handles requests until one isn't answered at once. Answers to requests that are handled here
      * don't start another loop, whose depth would grow with the number of requests.
      */
-    private void handleWaiting(ChannelHandlerContext context) {
+    private void handleWaiting() throws Exception {
         if (mHandlingWaiting) {
             return;
         }
         mHandlingWaiting = true;
         try {
             while (!mBusy && !mClosing && !mWaiting.isEmpty()) {
-                handle(context, mWaiting.poll());
+                handle(mWaiting.poll());
             }
         } finally {
             mHandlingWaiting = false;
         }
-        if (mWaiting.size() < MAX_WAITING) {
-            context.channel().config().setAutoRead(true);
+        if (mContinueExpected) {
+            continueBody();
+        }
+        updateReading();
+    }
+
+    private void updateReading() throws Exception {
+        boolean full = mWaiting.size() >= MAX_WAITING || mWaitingBytes >= MAX_WAITING_BYTES;
+        boolean read = mDecoder.isDiscarding() || !full && mPlaceWaiter == null;
+        if (read == mReading) {
+            return;
+        }
+        mReading = read;
+        mContext.channel().config().setAutoRead(read);
+        if (read) {
+            mDecoder.resume();
+        } else {
+            mDecoder.pause();
         }
+        watch();
     }
 
-    private void handle(ChannelHandlerContext context, ReadRequest request) {
+    private void handle(ReadRequest request) {
+        mWaitingBytes -= request.bytes();
         mBusy = true;
-        mHandler.handle(request.request(), reply -> respond(context, reply, request.keepAlive()));
+        if (request.rejection() != 0) {
+            respond(HttpReply.empty(request.rejection()), request);
+        } else {
+            mHandler.handle(request.request(), reply -> respond(reply, request));
+        }
     }
 
-    private void respond(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+    private void respond(HttpReply reply, ReadRequest request) {
+        boolean head =
+                request.request() != null
+                        && request.request().method().equals(HttpMethod.HEAD.name());
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.valueOf(reply.status()),
-                        Unpooled.wrappedBuffer(reply.body()));
+                        head ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(reply.body()));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
         if (!reply.contentType().isEmpty()) {
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
         }
         reply.headers().forEach((name, value) -> response.headers().set(name, value));
-        boolean keep = keepAlive && !(mServer.isStopping() && mWaiting.isEmpty());
+        boolean keep = request.keepAlive() && !(mServer.isStopping() && mWaiting.isEmpty());
         if (!keep) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        var written = context.writeAndFlush(response);
+        ChannelFuture written = mContext.writeAndFlush(response);
         mBusy = false;
         mLastAnswerMs = TargetPool.nowMs();
-        if (keep) {
-            handleWaiting(context);
-        } else {
+        if (request.place() > 0) {
+            mMemory.release(request.place());
+        }
+        if (!keep) {
             mClosing = true;
-            written.addListener(ChannelFutureListener.CLOSE);
+            mUnfinishedSinceMs = mLastAnswerMs;
+            written.addListener(request.rejection() != 0 ? linger() : ChannelFutureListener.CLOSE);
+            return;
+        }
+        try {
+            handleWaiting();
+        } catch (Exception e) {
+            exceptionCaught(mContext, e);
+        }
+    }
+
+    /** Ends the output only: a reset because of unread bytes would hide the answer. */
+    private ChannelFutureListener linger() {
+        return written -> {
+            if (written.isSuccess() && written.channel() instanceof DuplexChannel channel) {
+                channel.shutdownOutput();
+            } else {
+                written.channel().close();
+            }
+        };
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        watch();
+        if (mDecoder.isDiscarding() && mDecoder.received() - mProgressBytes > MAX_DISCARDED) {
+            context.close();
+        }
+    }
+
+    /** Has the server check this connection while something remains unfinished on it. */
+    private void watch() {
+        boolean unfinished =
+                mDecoder.isDiscarding() || mPlaceWaiter != null || mReading && mDecoder.isStarted();
+        if (unfinished && !mUnfinished) {
+            mUnfinished = true;
+            mUnfinishedSinceMs = TargetPool.nowMs();
+            mProgressMs = mUnfinishedSinceMs;
+            mProgressBytes = mDecoder.received();
+            mServer.addUnfinished(this);
+        } else if (!unfinished) {
+            finished();
+        }
+    }
+
+    private void finished() {
+        if (mUnfinished) {
+            mUnfinished = false;
+            mServer.removeUnfinished(this);
+        }
+    }
+
+    /** Closes the connection if it has been unfinished for too long. */
+    void checkUnfinished(long nowMs) {
+        long limitMs = mClosing ? MAX_DISCARDING_MS : mServer.limits().requestMs();
+        boolean slow = mPlace > 0 && mReading && mMemory.isAwaited() && isSlow(nowMs);
+        if (slow || nowMs - mUnfinishedSinceMs > limitMs) {
+            mContext.close();
+        }
+    }
+
+    private boolean isSlow(long nowMs) {
+        if (mDecoder.received() != mProgressBytes) {
+            mProgressBytes = mDecoder.received();
+            mProgressMs = nowMs;
+        }
+        long heldMs = nowMs - mPlaceSinceMs;
+        long received = mDecoder.received() - mReceivedBeforePlace;
+        return nowMs - mProgressMs > STALLED_MS
+                || heldMs > MIN_RATE_AFTER_MS && received < heldMs * MIN_BYTES_PER_MS;
+    }
+
+    private void releasePlace() {
+        if (mPlaceWaiter != null) {
+            mMemory.giveUp(mPlaceWaiter);
+            mPlaceWaiter = null;
+        }
+        if (mPlace > 0) {
+            int place = mPlace;
+            mPlace = 0;
+            mMemory.release(place);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        finished();
+        mClosing = true;
+        mHead = null;
+        mBody = null;
+        releasePlace();
+        for (ReadRequest r : mWaiting) {
+            if (r.place() > 0) {
+                mMemory.release(r.place());
+            }
+        }
+        mWaiting.clear();
         mServer.onClosed(this);
     }
 
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerLimits.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerLimits.java
@@ -6,13 +6,17 @@
  * @param maxBodyBytes largest body of a request, in bytes; larger ones are rejected with status 413
  * @param maxConnections most open connections; for one more, the connection that has been without
  *     an answer for the longest time and whose request isn't being handled is closed
+ * @param requestMs how long the connection of an unfinished request is kept, in milliseconds
  */
-public record ServerLimits(int maxBodyBytes, int maxConnections) {
+public record ServerLimits(int maxBodyBytes, int maxConnections, long requestMs) {
     /** Most open connections of a server by default. */
     public static final int DEFAULT_CONNECTIONS = 1024;
 
+    /** How long the connection of an unfinished request is kept by default, in milliseconds. */
+    public static final int DEFAULT_REQUEST_MS = 60_000;
+
     public ServerLimits {
-        if (maxBodyBytes < 0 || maxConnections < 1) {
+        if (maxBodyBytes < 0 || maxConnections < 1 || requestMs < 1) {
             throw new IllegalArgumentException("limits must be positive");
         }
     }
--- /dev/null
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -0,0 +1,249 @@
+package org.foxtailplank.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests how bodies of requests are received, and which are rejected. */
+public class RequestBodiesTest {
+    private static final int MAX_BODY = 64 << 10;
+    private static final int REQUEST_MS = 1000;
+    private static final int TIMEOUT_MS = 30_000;
+    private static final String POST = "POST /x HTTP/1.1\r\nHost: h\r\n";
+    private static final String CHUNKED = POST + "Transfer-Encoding: chunked\r\n\r\n";
+
+    private final List<Socket> mSockets = new ArrayList<>();
+    private final BlockingQueue<Consumer<HttpReply>> mHeld = new LinkedBlockingQueue<>();
+    private MultiThreadIoEventLoopGroup mGroup;
+    private EventLoop mLoop;
+    private HttpServer mServer;
+
+    @BeforeMethod
+    public void setUp() throws IOException {
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mLoop = (EventLoop) mGroup.next();
+        mHeld.clear();
+        mServer =
+                HttpServer.bind(
+                        mLoop,
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        new ServerLimits(MAX_BODY, 100, REQUEST_MS),
+                        new BodyMemory(MAX_BODY),
+                        this::handle);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void tearDown() throws IOException {
+        for (Socket s : mSockets) {
+            s.close();
+        }
+        mGroup.shutdownGracefully();
+    }
+
+    /** Answers with the size of the body; holds back the answer to one path. */
+    private void handle(HttpRequest request, Consumer<HttpReply> reply) {
+        if (request.path().equals("/held")) {
+            mHeld.add(reply);
+        } else {
+            reply.accept(HttpReply.text(200, Integer.toString(request.body().length)));
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(mServer.address().getAddress(), mServer.address().getPort());
+        socket.setSoTimeout(TIMEOUT_MS);
+        mSockets.add(socket);
+        return socket;
+    }
+
+    private Socket send(String text) throws IOException {
+        Socket socket = connect();
+        send(socket, text);
+        return socket;
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static BufferedReader reader(Socket socket) throws IOException {
+        return new BufferedReader(
+                new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    }
+
+    /** Reads one answer, and returns its status and body. */
+    private static String answer(BufferedReader in) throws IOException {
+        String line = in.readLine();
+        if (line == null) {
+            return "closed";
+        }
+        StringBuilder text = new StringBuilder(line.substring("HTTP/1.1 ".length(), 12));
+        int length = 0;
+        for (String h = in.readLine(); !h.isEmpty(); h = in.readLine()) {
+            if (h.startsWith("content-length: ")) {
+                length = Integer.parseInt(h.substring("content-length: ".length()));
+            }
+        }
+        text.append(' ');
+        for (int i = 0; i < length; i++) {
+            text.append((char) in.read());
+        }
+        return text.toString().trim();
+    }
+
+    private static String announced(int bytes) {
+        return POST + "Content-Length: " + bytes + "\r\n\r\n";
+    }
+
+    @Test
+    public void chunksOfAnySizeMakeUpABody() throws IOException {
+        String body = "1\r\nx\r\n".repeat(MAX_BODY - 16) + "10\r\n" + "x".repeat(16) + "\r\n";
+
+        Socket socket = send(CHUNKED + body + "0\r\n\r\n" + announced(2) + "xx");
+
+        BufferedReader in = reader(socket);
+        assertEquals(answer(in), "200 " + MAX_BODY);
+        assertEquals(answer(in), "200 2");
+    }
+
+    /** Guards against a caller that is reset, since it still sends, before it sees the answer. */
+    @Test
+    public void callerOfABodyOverTheLimitSeesTheAnswer() throws IOException {
+        Socket socket = send(announced(8 * MAX_BODY) + "x".repeat(4 * MAX_BODY));
+
+        send(socket, "x".repeat(4 * MAX_BODY));
+
+        BufferedReader in = reader(socket);
+        assertEquals(answer(in), "413");
+        assertEquals(answer(in), "closed");
+    }
+
+    @Test
+    public void chunkedBodyOverTheLimitIsRejected() throws IOException {
+        BufferedReader in = reader(send(CHUNKED + "100000\r\n" + "x".repeat(2 * MAX_BODY)));
+
+        assertEquals(answer(in), "413");
+    }
+
+    /** Guards against a connection that stays open while its rejected body is sent for ever. */
+    @Test
+    public void connectionOfARejectedBodyIsClosed() throws IOException {
+        Socket socket = send(announced(1 << 30));
+        boolean open = true;
+        long sent = 0;
+        while (open && sent < 1L << 30) {
+            try {
+                send(socket, "x".repeat(MAX_BODY));
+                sent += MAX_BODY;
+            } catch (IOException e) {
+                open = false;
+            }
+        }
+
+        assertTrue(!open, "the server has read " + sent + " bytes");
+    }
+
+    @Test
+    public void bodyIsInvitedIfTheCallerWaitsForIt() throws IOException {
+        Socket socket = send(POST + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+        BufferedReader in = reader(socket);
+        assertEquals(answer(in), "100");
+
+        send(socket, "xxx");
+
+        assertEquals(answer(in), "200 3");
+    }
+
+    @Test
+    public void bodyOverTheLimitIsNotInvited() throws IOException {
+        Socket socket =
+                send(POST + "Expect: 100-continue\r\nContent-Length: " + 2 * MAX_BODY + "\r\n\r\n");
+
+        assertEquals(answer(reader(socket)), "413");
+    }
+
+    /** Guards against a rejection that is taken for the answer to an earlier request. */
+    @Test
+    public void rejectionWaitsForEarlierAnswers() throws Exception {
+        BufferedReader in =
+                reader(send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + announced(2 * MAX_BODY)));
+        Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+
+        mLoop.execute(() -> reply.accept(HttpReply.empty(204)));
+
+        assertEquals(answer(in), "204");
+        assertEquals(answer(in), "413");
+    }
+
+    @Test
+    public void malformedRequestIsRejected() throws IOException {
+        assertEquals(answer(reader(send("GET\r\n\r\n"))), "400");
+        assertEquals(answer(reader(send(POST + "Content-Length: 1x\r\n\r\n"))), "400");
+        assertEquals(answer(reader(send(CHUNKED + "zz\r\n"))), "400");
+        assertEquals(answer(reader(send("GET /" + "x".repeat(9000)))), "431");
+    }
+
+    @Test
+    public void unfinishedRequestIsClosed() throws IOException {
+        assertEquals(answer(reader(send("GET /"))), "closed");
+        assertEquals(answer(reader(send(announced(10) + "x"))), "closed");
+        assertEquals(answer(reader(send(CHUNKED + "3\r\nx"))), "closed");
+    }
+
+    /** Guards against large bodies that stop and keep all others from being read. */
+    @Test
+    public void largeBodyThatStopsGivesWayToAnother() throws IOException {
+        Socket stopped = send(announced(MAX_BODY) + "x".repeat(MAX_BODY - 1));
+        BufferedReader small = reader(send(announced(9) + "x".repeat(9)));
+        assertEquals(answer(small), "200 9");
+
+        BufferedReader other = reader(send(announced(MAX_BODY) + "x".repeat(MAX_BODY)));
+
+        assertEquals(answer(other), "200 " + MAX_BODY);
+        assertEquals(answer(reader(stopped)), "closed");
+    }
+
+    /** Guards against memory that is lost with requests whose callers are gone. */
+    @Test
+    public void memoryOfAClosedConnectionIsFree() throws IOException {
+        for (int i = 0; i < 20; i++) {
+            send(announced(MAX_BODY) + "x".repeat(MAX_BODY / 2)).close();
+            BufferedReader in =
+                    reader(send(CHUNKED + "8000\r\n" + "x".repeat(1 << 15) + "\r\n0\r\n\r\n"));
+            assertEquals(answer(in), "200 " + (1 << 15));
+        }
+    }
+
+    @Test
+    public void answerToHeadHasNoBody() throws IOException {
+        Socket socket =
+                send("HEAD /x HTTP/1.1\r\nHost: h\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+
+        BufferedReader in = reader(socket);
+        List<String> lines = new ArrayList<>();
+        for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
+            lines.add(line);
+        }
+        assertTrue(lines.contains("content-length: 1"), lines.toString());
+        assertEquals(answer(in), "200 0");
+    }
+}
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.foxtailplank.adapter.PlatformTimeouts;
 import org.foxtailplank.adapter.UsersPlatform;
+import org.foxtailplank.http.BodyMemory;
 import org.foxtailplank.http.HttpClient;
 import org.foxtailplank.http.HttpHandler;
 import org.foxtailplank.http.HttpReply;
@@ -270,7 +271,8 @@
                         mLog,
                         mMetrics);
         int connections = mSettings.callerLimits().connections();
-        mCallerServer = bind(mSettings.callers(), connections, service);
+        BodyMemory memory = new BodyMemory(mSettings.callerLimits().bufferBytes());
+        mCallerServer = bind(mSettings.callers(), connections, memory, service);
         mStream =
                 JournalStream.listen(
                         mLoop,
@@ -284,14 +286,16 @@
         mStream.setCapacityReporter(mAdmission.reporter());
         mStream.setConfigExchange(mConfigExchange);
         mReader.setRawListener(mStream::recordRead);
-        bind(mSettings.readiness(), OPERATIONS_CONNECTIONS, this::readiness);
-        bind(mSettings.metrics(), OPERATIONS_CONNECTIONS, this::metrics);
+        bind(mSettings.readiness(), OPERATIONS_CONNECTIONS, memory, this::readiness);
+        bind(mSettings.metrics(), OPERATIONS_CONNECTIONS, memory, this::metrics);
     }
 
-    private HttpServer bind(InetSocketAddress address, int connections, HttpHandler handler)
+    private HttpServer bind(
+            InetSocketAddress address, int connections, BodyMemory memory, HttpHandler handler)
             throws IOException {
-        ServerLimits limits = new ServerLimits(MAX_BODY_BYTES, connections);
-        return HttpServer.bind(mLoop, address, limits, handler);
+        ServerLimits limits =
+                new ServerLimits(MAX_BODY_BYTES, connections, mSettings.callerLimits().requestMs());
+        return HttpServer.bind(mLoop, address, limits, memory, handler);
     }
 
     /**
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.foxtailplank.adapter.UsersPlatform.PlatformAddresses;
 import org.foxtailplank.admission.AdmissionSettings;
+import org.foxtailplank.http.BodyMemory;
 import org.foxtailplank.http.ServerLimits;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.organisation.KeyLifetime;
@@ -87,10 +88,15 @@
      * Limits for callers' requests; they take effect after a restart.
      *
      * @param connections most open connections
+     * @param bufferBytes memory for all bodies over 16 KiB together, in bytes
+     * @param requestMs time for a whole request to arrive, in milliseconds
      */
-    public record CallerLimits(int connections) {
+    public record CallerLimits(int connections, int bufferBytes, int requestMs) {
         public static final CallerLimits DEFAULTS =
-                new CallerLimits(ServerLimits.DEFAULT_CONNECTIONS);
+                new CallerLimits(
+                        ServerLimits.DEFAULT_CONNECTIONS,
+                        BodyMemory.DEFAULT_BYTES,
+                        ServerLimits.DEFAULT_REQUEST_MS);
     }
 
     /** Returns the address at which other nodes reach this one, as {@code ip:port}. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettingsReader.java
@@ -147,7 +147,9 @@
     private NodeSettings.CallerLimits callerLimits() {
         NodeSettings.CallerLimits defaults = NodeSettings.CallerLimits.DEFAULTS;
         return new NodeSettings.CallerLimits(
-                positiveInt("/callers/connections", defaults.connections()));
+                positiveInt("/callers/connections", defaults.connections()),
+                positiveInt("/callers/bufferBytes", defaults.bufferBytes()),
+                positiveInt("/callers/requestMs", defaults.requestMs()));
     }
 
     private int positiveInt(String path, int ifMissing) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/NodeSettingsReaderTest.java
@@ -52,14 +52,21 @@
 
     @Test
     public void limitsForCallersAreOptionalButChecked() throws SettingsException {
-        String limited = GOOD.replace("\"jobs\":{", "\"callers\":{\"connections\":9},\"jobs\":{");
-        String bad = limited.replace("\"connections\":9", "\"connections\":0");
+        String limits = "\"callers\":{\"connections\":9,\"bufferBytes\":500,\"requestMs\":70},";
+        String limited = GOOD.replace("\"jobs\":{", limits + "\"jobs\":{");
+        String bad =
+                limited.replace("s\":9", "s\":0")
+                        .replace("s\":500", "s\":-1")
+                        .replace("s\":70", "s\":\"a\"");
 
-        assertEquals(NodeSettingsReader.parse(limited).callerLimits(), new CallerLimits(9));
+        assertEquals(
+                NodeSettingsReader.parse(limited).callerLimits(), new CallerLimits(9, 500, 70));
         assertEquals(NodeSettingsReader.parse(GOOD).callerLimits(), CallerLimits.DEFAULTS);
         SettingsException e =
                 expectThrows(SettingsException.class, () -> NodeSettingsReader.parse(bad));
         assertTrue(e.getMessage().contains("/callers/connections"), e.getMessage());
+        assertTrue(e.getMessage().contains("/callers/bufferBytes"), e.getMessage());
+        assertTrue(e.getMessage().contains("/callers/requestMs"), e.getMessage());
     }
 
     @Test
