Limit the number of headers of a request

200 connections with unfinished headers of 8,000 bytes in lines of five bytes ended a node with a heap of 32 MiB: OutOfMemoryError, Java heap space. The limit of 8 KiB allows 1,600 such headers, and each takes some hundred bytes or more in memory.

A request has at most 100 headers, and as many trailers; more get 431 and the connection is closed.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/RequestDecoder.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/RequestDecoder.java
@@ -21,7 +21,10 @@
     private boolean mDiscarding;
 
     RequestDecoder() {
-        super(new HttpDecoderConfig());
+        super(
+                new HttpDecoderConfig()
+                        .setHeadersFactory(LimitedHeaders.FACTORY)
+                        .setTrailersFactory(LimitedHeaders.FACTORY));
     }
 
     @Override
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -202,6 +202,17 @@
         assertEquals(answer(reader(send("GET /" + "x".repeat(9000)))), "431");
     }
 
+    /** Guards against headers that take many times their bytes in memory. */
+    @Test
+    public void tooManyHeadersAreRejected() throws IOException {
+        String hundred = "a: b\r\n".repeat(LimitedHeaders.MAX_HEADERS - 2);
+        String trailers = "0\r\n" + hundred + "a: b\r\n".repeat(3) + "\r\n";
+
+        assertEquals(answer(reader(send(POST + hundred + "a: b\r\n\r\n"))), "200 0");
+        assertEquals(answer(reader(send(POST + hundred + "a: b\r\n".repeat(2) + "\r\n"))), "431");
+        assertEquals(answer(reader(send(CHUNKED + trailers))), "431");
+    }
+
     @Test
     public void unfinishedRequestIsClosed() throws IOException {
         assertEquals(answer(reader(send("GET /"))), "closed");
