Handle no more requests while answers aren't read

Clients that send requests without reading the answers ended a node with a heap of 32 MiB: OutOfMemoryError, Java heap space (200 connections with 2 MiB of requests each; the same with the listener for metrics). Answers were queued in the connection without a limit.

While 16 KiB of answers wait to be sent, no further request of the connection is handled or read, and after 60 s (callers.requestMs) the connection is closed. With this alone the process lived (105 MiB), but an ordinary caller was not let in for 60 s: each of the 128 connections always had a request that was being handled, and none of those was closed for a new one. Connections with requests that wait behind the one being handled are closed now if there is no other.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -34,6 +35,9 @@
     /** Reads of one connection before the others have their turn. */
     private static final int READS_PER_TURN = 2;
 
+    /** No more requests are handled while answers of this size wait to be sent, in bytes. */
+    private static final WriteBufferWaterMark UNSENT = new WriteBufferWaterMark(8 << 10, 16 << 10);
+
     /** Interval at which connections of unfinished requests are checked, in milliseconds. */
     private static final long CHECK_INTERVAL_MS = 250;
 
@@ -93,6 +97,7 @@
                                 ChannelOption.RECVBUF_ALLOCATOR,
                                 new AdaptiveRecvByteBufAllocator(MIN_READ, INITIAL_READ, MAX_READ)
                                         .maxMessagesPerRead(READS_PER_TURN))
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT)
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
@@ -120,12 +125,17 @@
         channel.pipeline().addLast(decoder).addLast(new HttpResponseEncoder()).addLast(connection);
     }
 
-    /** Makes room for a connection; returns whether there was one to close. */
+    /**
+     * Makes room for a connection; returns whether there was one to close. A connection whose
+     * request is being handled is kept, unless more requests wait behind that one.
+     */
     private boolean closeOldest() {
         Optional<ServerConnection> oldest =
                 mConnections.stream()
-                        .filter(c -> !c.isBusy())
-                        .min(Comparator.comparingLong(ServerConnection::lastAnswerMs));
+                        .filter(c -> !c.isBusy() || c.hasWaiting())
+                        .min(
+                                Comparator.comparing(ServerConnection::isBusy)
+                                        .thenComparingLong(ServerConnection::lastAnswerMs));
         oldest.ifPresent(
                 c -> {
                     mConnections.remove(c);
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -26,9 +26,9 @@
  * Server side of a connection; pipelined requests are answered in order.
  *
  * <p>While requests wait for an earlier one, few more are read, and a body over {@link #SMALL_BODY}
- * is read once there is memory for it, so that callers can't fill the memory of the node. The
- * connection of a request that isn't finished in time is closed without an answer, as it is unknown
- * whether another copy of the request was accepted.
+ * is read once there is memory for it, so that callers can't fill the memory of the node. No
+ * request is handled while answers aren't read. The connection of a request that isn't finished in
+ * time is closed without an answer, as it is unknown whether another copy of it was accepted.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     /** Size up to which a body needs no place in {@link BodyMemory}, in bytes. */
@@ -99,6 +99,10 @@
         return mBusy;
     }
 
+    boolean hasWaiting() {
+        return !mWaiting.isEmpty();
+    }
+
     /** Returns when the last request was answered, or the connection opened. */
     long lastAnswerMs() {
         return mLastAnswerMs;
@@ -237,7 +241,7 @@
         HttpRequest request = decode(mHead, body);
         boolean keepAlive = HttpUtil.isKeepAlive(mHead);
         int place = mPlace;
-        int bytes = mBusy ? bytes(mHead, body) : 0;
+        int bytes = mBusy || !isWritable() ? bytes(mHead, body) : 0;
         mPlace = 0;
         mHead = null;
         mBody = null;
@@ -295,7 +299,7 @@
         }
         mHandlingWaiting = true;
         try {
-            while (!mBusy && !mClosing && !mWaiting.isEmpty()) {
+            while (!mBusy && !mClosing && !mWaiting.isEmpty() && isWritable()) {
                 handle(mWaiting.poll());
             }
         } finally {
@@ -309,7 +313,7 @@
 
     private void updateReading() throws Exception {
         boolean full = mWaiting.size() >= MAX_WAITING || mWaitingBytes >= MAX_WAITING_BYTES;
-        boolean read = mDecoder.isDiscarding() || !full && mPlaceWaiter == null;
+        boolean read = mDecoder.isDiscarding() || !full && mPlaceWaiter == null && isWritable();
         if (read == mReading) {
             return;
         }
@@ -323,6 +327,17 @@
         watch();
     }
 
+    private boolean isWritable() {
+        return mContext.channel().isWritable();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
+        finished();
+        handleWaiting();
+        watch();
+    }
+
     private void handle(ReadRequest request) {
         mWaitingBytes -= request.bytes();
         mBusy = true;
@@ -392,7 +407,10 @@
     /** Has the server check this connection while something remains unfinished on it. */
     private void watch() {
         boolean unfinished =
-                mDecoder.isDiscarding() || mPlaceWaiter != null || mReading && mDecoder.isStarted();
+                mDecoder.isDiscarding()
+                        || mPlaceWaiter != null
+                        || !isWritable()
+                        || mReading && mDecoder.isStarted();
         if (unfinished && !mUnfinished) {
             mUnfinished = true;
             mUnfinishedSinceMs = TargetPool.nowMs();
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerLimits.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerLimits.java
@@ -5,7 +5,7 @@
  *
  * @param maxBodyBytes largest body of a request, in bytes; larger ones are rejected with status 413
  * @param maxConnections most open connections; for one more, the connection that has been without
- *     an answer for the longest time and whose request isn't being handled is closed
+ *     an answer for the longest time is closed, unless its only request is being handled
  * @param requestMs how long the connection of an unfinished request is kept, in milliseconds
  */
 public record ServerLimits(int maxBodyBytes, int maxConnections, long requestMs) {
--- a/foxtail-http/src/test/java/org/foxtailplank/http/PipelinedRequestsTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/PipelinedRequestsTest.java
@@ -111,6 +111,31 @@
         }
     }
 
+    /** Guards against answers that fill a node's memory, since the caller doesn't read them. */
+    @Test
+    public void noMoreRequestsAreReadWhileAnswersAreNot() throws Exception {
+        try (SocketChannel channel = SocketChannel.open(mServer.address())) {
+            channel.configureBlocking(false);
+            byte[] request = request("/" + "x".repeat(2000)).getBytes(StandardCharsets.US_ASCII);
+            ByteBuffer next = ByteBuffer.wrap(request);
+            long sent = 0;
+            int stalledMs = 0;
+            while (sent < MAX_BYTES && stalledMs < 500) {
+                int written = channel.write(next);
+                sent += written;
+                if (!next.hasRemaining()) {
+                    next.rewind();
+                }
+                stalledMs = written > 0 ? 0 : stalledMs + 10;
+                if (written == 0) {
+                    TimeUnit.MILLISECONDS.sleep(10);
+                }
+            }
+
+            assertTrue(sent < MAX_BYTES, "the server has read " + sent + " bytes");
+        }
+    }
+
     /** Guards against a caller that fills a node's memory with requests that wait. */
     @Test
     public void noMoreRequestsAreReadWhileManyWait() throws Exception {
