--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -6,13 +6,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -39,9 +37,6 @@
 
     private static final int MAX_WAITING_BYTES = SMALL_BODY;
 
-    /** Estimated overhead of a header in memory, in bytes. */
-    private static final int HEADER_OVERHEAD = 128;
-
     /** How much of a rejected request is read, so that the caller sees the answer; in bytes. */
     private static final long MAX_DISCARDED = 1 << 20;
 
@@ -132,18 +127,16 @@
     }
 
     private void begin(io.netty.handler.codec.http.HttpRequest head) throws Exception {
-        long announced = -1;
-        if (head.decoderResult().isSuccess()) {
-            announced = HttpUtil.getContentLength(head, -1L);
-        }
-        mHead = head;
-        mContinueExpected = HttpUtil.is100ContinueExpected(head);
-        int rejection = rejection(head, announced);
-        if (rejection != 0) {
-            reject(rejection);
+        Optional<HttpResponseStatus> rejection =
+                RequestHeads.rejection(head, mServer.limits().maxBodyBytes());
+        mContinueExpected = rejection.isEmpty() && HttpUtil.is100ContinueExpected(head);
+        if (rejection.isPresent()) {
+            reject(rejection.get());
             return;
         }
-        mBody = new RequestBody((int) Math.max(0, announced));
+        mHead = head;
+        long announced = HttpUtil.getContentLength(head, 0L);
+        mBody = new RequestBody((int) announced);
         if (announced > SMALL_BODY) {
             takePlace((int) announced);
         }
@@ -152,35 +145,17 @@
         }
     }
 
-    private int rejection(io.netty.handler.codec.http.HttpRequest head, long announced) {
-        if (head.decoderResult().isFailure()) {
-            return malformed(head.decoderResult().cause());
-        }
-        if (announced > mServer.limits().maxBodyBytes()) {
-            return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code();
-        }
-        boolean unknownExpectation =
-                head.headers().contains(HttpHeaderNames.EXPECT) && !mContinueExpected;
-        return unknownExpectation ? HttpResponseStatus.EXPECTATION_FAILED.code() : 0;
-    }
-
-    private static int malformed(Throwable cause) {
-        return cause instanceof TooLongFrameException
-                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code()
-                : HttpResponseStatus.BAD_REQUEST.code();
-    }
-
     private void append(HttpContent part) throws Exception {
         if (mHead == null) {
             return;
         }
         if (part.decoderResult().isFailure()) {
-            reject(malformed(part.decoderResult().cause()));
+            reject(RequestHeads.malformed(part.decoderResult().cause()));
             return;
         }
         int size = mBody.size() + part.content().readableBytes();
         if (size > mServer.limits().maxBodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code());
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
         mBody.append(part.content());
@@ -238,10 +213,10 @@
 
     private void complete() throws Exception {
         byte[] body = mBody.toBytes();
-        HttpRequest request = decode(mHead, body);
+        HttpRequest request = RequestHeads.decode(mHead, body);
         boolean keepAlive = HttpUtil.isKeepAlive(mHead);
         int place = mPlace;
-        int bytes = mBusy || !isWritable() ? bytes(mHead, body) : 0;
+        int bytes = mBusy || !isWritable() ? RequestHeads.memory(mHead) + body.length : 0;
         mPlace = 0;
         mHead = null;
         mBody = null;
@@ -249,22 +224,13 @@
         enqueue(new ReadRequest(request, keepAlive, place, bytes, 0));
     }
 
-    private static int bytes(io.netty.handler.codec.http.HttpRequest head, byte[] body) {
-        int bytes = head.uri().length() + body.length;
-        for (var i = head.headers().iteratorCharSequence(); i.hasNext(); ) {
-            var header = i.next();
-            bytes += header.getKey().length() + header.getValue().length() + HEADER_OVERHEAD;
-        }
-        return bytes;
-    }
-
-    private void reject(int status) throws Exception {
+    private void reject(HttpResponseStatus status) throws Exception {
         mHead = null;
         mBody = null;
         releasePlace();
         finished();
         mDecoder.discard();
-        enqueue(new ReadRequest(null, false, 0, 0, status));
+        enqueue(new ReadRequest(null, false, 0, 0, status.code()));
     }
 
     private void enqueue(ReadRequest request) throws Exception {
@@ -273,22 +239,6 @@
         handleWaiting();
     }
 
-    private static HttpRequest decode(io.netty.handler.codec.http.HttpRequest head, byte[] body) {
-        String uri = head.uri();
-        int query = uri.indexOf('?');
-        String path = query < 0 ? uri : uri.substring(0, query);
-        HttpHeaders headers = head.headers();
-        String host = Optional.ofNullable(headers.get(HttpHeaderNames.HOST)).orElse("");
-        int port = host.lastIndexOf(':');
-        return new HttpRequest(
-                head.method().name(),
-                path,
-                query < 0 ? "" : uri.substring(query + 1),
-                port < 0 ? host : host.substring(0, port),
-                name -> Optional.ofNullable(headers.get(name)),
-                body);
-    }
-
     /**
      * Handles requests until one isn't answered at once. Answers to requests that are handled here
      * don't start another loop, whose depth would grow with the number of requests.
@@ -432,13 +382,17 @@
     /** Closes the connection if it has been unfinished for too long. */
     void checkUnfinished(long nowMs) {
         long limitMs = mClosing ? MAX_DISCARDING_MS : mServer.limits().requestMs();
-        boolean slow = mPlace > 0 && mReading && mMemory.isAwaited() && isSlow(nowMs);
+        boolean slow = mMemory.isAwaited() && isSlow(nowMs);
         if (slow || nowMs - mUnfinishedSinceMs > limitMs) {
             mContext.close();
         }
     }
 
+    /** Returns whether a body that is being read makes too little progress. */
     private boolean isSlow(long nowMs) {
+        if (mPlace == 0 || !mReading) {
+            return false;
+        }
         if (mDecoder.received() != mProgressBytes) {
             mProgressBytes = mDecoder.received();
             mProgressMs = nowMs;
