Don't check connections that are closed

An answer that came after its connection had closed added the connection to those that the server checks, since a closed channel isn't writable; it stayed there for good, with a check each 250 ms.

RequestBodiesTest.lateAnswerToAClosedConnectionLeavesNothing failed before and passes now.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
@@ -194,6 +194,10 @@
         mUnfinished.remove(connection);
     }
 
+    boolean hasUnfinished() {
+        return !mUnfinished.isEmpty();
+    }
+
     private void checkUnfinished() {
         long nowMs = TargetPool.nowMs();
         List.copyOf(mUnfinished).forEach(c -> c.checkUnfinished(nowMs));
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -59,6 +59,7 @@
     private boolean mBusy;
     private boolean mHandlingWaiting;
     private boolean mClosing;
+    private boolean mClosed;
     private long mLastAnswerMs = TargetPool.nowMs();
     private int mWaitingBytes;
 
@@ -262,6 +263,9 @@
     }
 
     private void updateReading() throws Exception {
+        if (mClosed) {
+            return;
+        }
         boolean full = mWaiting.size() >= MAX_WAITING || mWaitingBytes >= MAX_WAITING_BYTES;
         boolean read = mDecoder.isDiscarding() || !full && mPlaceWaiter == null && isWritable();
         if (read == mReading) {
@@ -356,6 +360,9 @@
 
     /** Has the server check this connection while something remains unfinished on it. */
     private void watch() {
+        if (mClosed) {
+            return;
+        }
         boolean unfinished =
                 mDecoder.isDiscarding()
                         || mPlaceWaiter != null
@@ -419,6 +426,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         finished();
         mClosing = true;
+        mClosed = true;
         mHead = null;
         mBody = null;
         releasePlace();
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -248,6 +249,22 @@
         }
     }
 
+    /** Guards against connections that are checked for ever, as they are closed already. */
+    @Test
+    public void lateAnswerToAClosedConnectionLeavesNothing() throws Exception {
+        Socket socket = send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+        Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        socket.setSoLinger(true, 0);
+        socket.close();
+        while (mLoop.submit(mServer::inFlight).get() > 0) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+
+        mLoop.submit(() -> reply.accept(HttpReply.empty(200))).get();
+
+        assertFalse(mLoop.submit(mServer::hasUnfinished).get());
+    }
+
     @Test
     public void answerToHeadHasNoBody() throws IOException {
         Socket socket =
