Don't cut off slow readers of a last answer

An answer over 16 KiB on a connection that closes after it had to be read within 2 s, the time for the rest of a rejected body; RequestBodiesTest.longLastAnswerMayBeReadSlowly failed before (3,932,224 of 16,777,216 bytes read) and passes now. The short limit holds for rejected requests only.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -388,7 +388,8 @@
 
     /** Closes the connection if it has been unfinished for too long. */
     void checkUnfinished(long nowMs) {
-        long limitMs = mClosing ? MAX_DISCARDING_MS : mServer.limits().requestMs();
+        boolean lingers = mDecoder.isDiscarding() && mClosing;
+        long limitMs = lingers ? MAX_DISCARDING_MS : mServer.limits().requestMs();
         boolean slow = mMemory.isAwaited() && isSlow(nowMs);
         if (slow || nowMs - mUnfinishedSinceMs > limitMs) {
             mContext.close();
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,12 @@
     private static final int MAX_BODY = 64 << 10;
     private static final int REQUEST_MS = 5000;
 
+    /** More than the socket buffers of both sides hold. */
+    private static final int LONG_ANSWER = 16 << 20;
+
+    /** More than a rejected caller has, and less than any other. */
+    private static final int SLOW_MS = 3000;
+
     private static final int TIMEOUT_MS = 30_000;
     private static final String POST = "POST /x HTTP/1.1\r\nHost: h\r\n";
     private static final String CHUNKED = POST + "Transfer-Encoding: chunked\r\n\r\n";
@@ -265,6 +272,22 @@
         assertFalse(mLoop.submit(mServer::hasUnfinished).get());
     }
 
+    /** Guards against a slow reader of a long answer that is cut off like a rejected caller. */
+    @Test
+    public void longLastAnswerMayBeReadSlowly() throws Exception {
+        Socket socket = send("GET /held HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        mLoop.execute(() -> reply.accept(new HttpReply(200, Map.of(), "", new byte[LONG_ANSWER])));
+        TimeUnit.MILLISECONDS.sleep(SLOW_MS);
+
+        long read = 0;
+        byte[] buffer = new byte[1 << 16];
+        for (int n = 0; n >= 0; n = socket.getInputStream().read(buffer)) {
+            read += n;
+        }
+        assertTrue(read > LONG_ANSWER, "read " + read + " bytes");
+    }
+
     @Test
     public void answerToHeadHasNoBody() throws IOException {
         Socket socket =
