Let large bodies behind unread answers give way

A whole body over 16 KiB that waits behind answers that its caller doesn't read kept its memory for up to 60 s, while other large bodies waited. It gives way after 0.5 s, like a body that stands still.

RequestBodiesTest.largeBodyBehindUnreadAnswersGivesWayToAnother failed before (no answer within 30 s) and passes now.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -390,12 +390,19 @@
     void checkUnfinished(long nowMs) {
         boolean lingers = mDecoder.isDiscarding() && mClosing;
         long limitMs = lingers ? MAX_DISCARDING_MS : mServer.limits().requestMs();
-        boolean slow = mMemory.isAwaited() && isSlow(nowMs);
+        boolean slow = mMemory.isAwaited() && (isSlow(nowMs) || holdsUnanswered(nowMs));
         if (slow || nowMs - mUnfinishedSinceMs > limitMs) {
             mContext.close();
         }
     }
 
+    /** Returns whether a whole body keeps its place, since earlier answers aren't read. */
+    private boolean holdsUnanswered(long nowMs) {
+        return !isWritable()
+                && nowMs - mUnfinishedSinceMs > STALLED_MS
+                && mWaiting.stream().anyMatch(r -> r.place() > 0);
+    }
+
     /** Returns whether a body that is being read makes too little progress. */
     private boolean isSlow(long nowMs) {
         if (mPlace == 0 || !mReading) {
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -51,13 +51,16 @@
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         mLoop = (EventLoop) mGroup.next();
         mHeld.clear();
-        mServer =
-                HttpServer.bind(
-                        mLoop,
-                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                        new ServerLimits(MAX_BODY, 100, REQUEST_MS),
-                        new BodyMemory(MAX_BODY),
-                        this::handle);
+        mServer = bind(REQUEST_MS);
+    }
+
+    private HttpServer bind(long requestMs) throws IOException {
+        return HttpServer.bind(
+                mLoop,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                new ServerLimits(MAX_BODY, 100, requestMs),
+                new BodyMemory(MAX_BODY),
+                this::handle);
     }
 
     @AfterMethod(alwaysRun = true)
@@ -245,6 +248,18 @@
         assertEquals(answer(reader(stopped)), "closed");
     }
 
+    /** Guards against large bodies that wait behind answers that nobody reads. */
+    @Test
+    public void largeBodyBehindUnreadAnswersGivesWayToAnother() throws Exception {
+        mServer = bind(2 * TIMEOUT_MS);
+        send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + announced(MAX_BODY) + "x".repeat(MAX_BODY));
+        Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        BufferedReader other = reader(send(announced(MAX_BODY) + "x".repeat(MAX_BODY)));
+        mLoop.execute(() -> reply.accept(new HttpReply(200, Map.of(), "", new byte[LONG_ANSWER])));
+
+        assertEquals(answer(other), "200 " + MAX_BODY);
+    }
+
     /** Guards against memory that is lost with requests whose callers are gone. */
     @Test
     public void memoryOfAClosedConnectionIsFree() throws IOException {
