--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedNode.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedNode.java
@@ -145,7 +145,8 @@
                 1,
                 KeyLifetime.UNLIMITED,
                 false,
-                AdmissionSettings.OFF);
+                AdmissionSettings.OFF,
+                NodeSettings.CallerLimits.DEFAULTS);
     }
 
     void start() {
