--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/TakeoverDirectoryTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/TakeoverDirectoryTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.foxtailplank.port.LogPartition;
-import org.foxtailplank.port.SharedLog;
 import org.testng.annotations.Test;
 
 /** Tests what a new owner knows of workers that joined during its takeover. */
@@ -41,18 +40,11 @@
     }
 
     /** A node's connection to the log, which refuses the node's appends at first. */
-    private final class RefusableLog implements SharedLog {
+    private final class RefusableLog extends ForwardingLog {
         private boolean mRefusing = true;
 
-        @Override
-        public void append(LogPartition at, List<byte[]> records, Consumer<AppendResult> callback) {
-            mLog.append(at, records, callback);
-        }
-
-        @Override
-        public void appendAt(
-                LogPartition at, long expectedEnd, byte[] record, Consumer<AppendResult> callback) {
-            mLog.appendAt(at, expectedEnd, record, callback);
+        RefusableLog() {
+            super(mLog);
         }
 
         @Override
@@ -64,14 +56,8 @@
             if (mRefusing) {
                 mTime.after(STEP_MS, () -> callback.accept(new NotStored("status 503")));
             } else {
-                mLog.appendAs(at, writer, records, callback);
+                super.appendAs(at, writer, records, callback);
             }
         }
-
-        @Override
-        public void read(
-                LogPartition at, long from, PageRequest page, Consumer<ReadResult> callback) {
-            mLog.read(at, from, page, callback);
-        }
     }
 }
