Let a part of a large body behind unread answers give way

What callers would see: bodies over 16 KiB that wait up to 60 s, then a closed connection, beside callers that don't read their answers.

Cause: a connection whose answers aren't read isn't read either. If the body of its next request had arrived in part by then, it kept its place in the memory, and only whole bodies gave way.

With half of the body sent it failed each time before the change.

Change: a body gives way whether it has arrived whole or in part. The test plays both.

Measured: RequestBodiesTest, PipelinedRequestsTest and BodyMemoryTest pass.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -396,11 +396,11 @@
         }
     }
 
-    /** Returns whether a whole body keeps its place, since earlier answers aren't read. */
+    /** Returns whether a body keeps its place, whole or in part, as earlier answers aren't read. */
     private boolean holdsUnanswered(long nowMs) {
         return !isWritable()
                 && nowMs - mUnfinishedSinceMs > STALLED_MS
-                && mWaiting.stream().anyMatch(r -> r.place() > 0);
+                && (mPlace > 0 || mWaiting.stream().anyMatch(r -> r.place() > 0));
     }
 
     /** Returns whether a body that is being read makes too little progress. */
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -23,6 +23,7 @@
 import java.util.function.Consumer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests how bodies of requests are received, and which are rejected. */
@@ -248,11 +249,16 @@
         assertEquals(answer(reader(stopped)), "closed");
     }
 
-    /** Guards against large bodies that wait behind answers that nobody reads. */
-    @Test
-    public void largeBodyBehindUnreadAnswersGivesWayToAnother() throws Exception {
+    @DataProvider
+    public Object[][] receivedBytes() {
+        return new Object[][] {{MAX_BODY}, {MAX_BODY / 2}};
+    }
+
+    /** Guards against large bodies that wait, whole or in part, behind answers nobody reads. */
+    @Test(dataProvider = "receivedBytes")
+    public void largeBodyBehindUnreadAnswersGivesWayToAnother(int received) throws Exception {
         mServer = bind(2 * TIMEOUT_MS);
-        send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + announced(MAX_BODY) + "x".repeat(MAX_BODY));
+        send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + announced(MAX_BODY) + "x".repeat(received));
         Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
         BufferedReader other = reader(send(announced(MAX_BODY) + "x".repeat(MAX_BODY)));
         mLoop.execute(() -> reply.accept(new HttpReply(200, Map.of(), "", new byte[LONG_ANSWER])));
