Crowd tests: open an address of the store for the node

The stand-in of the platform serves each node's store at an address of its own since the soak refuses appends of single nodes. foxtail-soak's tests did not compile with both changes.

--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/CrowdNode.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/CrowdNode.java
@@ -85,7 +85,7 @@
         return ports;
     }
 
-    private String settings() {
+    private String settings() throws IOException {
         return String.format(
                 "{\"node\":{\"name\":\"node-0\",\"zone\":\"zone-0\",\"linkMbps\":1000,"
                         + "\"graceS\":6},"
@@ -101,7 +101,7 @@
                 address(readiness()),
                 address(metrics()),
                 address(listener(3)),
-                address(mPlatform.storeAddress()),
+                address(mPlatform.openStore("node-0")),
                 address(mPlatform.vmServiceAddress()),
                 LEASE_MS,
                 CONNECTIONS);
