Owner: read the lists of VMs of a takeover in a class of their own

TakeoverVmLists requests the lists and tells whether they lack a worker; nothing else changes. The tests of package owner pass.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -31,11 +31,9 @@
 import org.foxtailplank.node.peer.JournalStatus;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.VmClient.Holder;
-import org.foxtailplank.port.VmClient.VmInfo;
 import org.foxtailplank.port.WorkerClient.PollResponse;
 import org.foxtailplank.schedule.ActiveTask;
 import org.foxtailplank.schedule.Decisions;
-import org.foxtailplank.schedule.ListedIncarnations;
 import org.foxtailplank.schedule.OwnerReachability;
 import org.foxtailplank.schedule.Scheduler;
 import org.foxtailplank.schedule.TaskRun;
@@ -58,9 +56,6 @@
     /** Delay before a failed journal read of the takeover is retried, in milliseconds. */
     private static final long READ_RETRY_DELAY_MS = 150;
 
-    /** Lists of VMs in which a worker must be missing; one may miss a VM between its pages. */
-    private static final int TAKEOVER_LISTS = 2;
-
     private final OwnerContext mContext;
     private final Clock mClock;
     private final long mToken;
@@ -74,9 +69,8 @@
     private final RunLogger mRunLogger;
     private final VmCoordinator mVmCoordinator;
     private final WorkerDirectoryFollower mDirectory;
+    private final TakeoverVmLists mInitialVms;
 
-    private final List<ListedIncarnations> mInitialLists = new ArrayList<>();
-    private boolean mVmsListed;
     private boolean mJournalRead;
     private boolean mLoaded;
     private boolean mEnded;
@@ -98,6 +92,7 @@
         mCrashLogger = new CrashLogger(context);
         mRunLogger = new RunLogger(context);
         mDirectory = new WorkerDirectoryFollower(this, context, mToken);
+        mInitialVms = new TakeoverVmLists(context.platform().vms());
         mVmCoordinator =
                 new VmCoordinator(
                         this, context, new Holder(context.settings().name(), mToken, mLease));
@@ -125,30 +120,10 @@
                     writeHeartbeat();
                     readJournal();
                     mDirectory.readInitial(this::takeOverIfReady);
-                    listVms();
+                    mInitialVms.read(this::takeOverIfReady);
                 });
     }
 
-    /**
-     * Lists the VMs. Like the worker directory they are read after the epoch is raised, so that an
-     * earlier owner can't record starts on workers that are missing from both.
-     */
-    private void listVms() {
-        mContext.platform()
-                .vms()
-                .list(
-                        vms -> {
-                            List<VmInfo> listed = vms.orElse(List.of());
-                            mInitialLists.add(new ListedIncarnations(listed));
-                            mVmsListed = vms.isEmpty() || mInitialLists.size() == TAKEOVER_LISTS;
-                            if (mVmsListed) {
-                                takeOverIfReady();
-                            } else {
-                                listVms();
-                            }
-                        });
-    }
-
     private void readJournal() {
         mContext.reader()
                 .refresh(
@@ -163,7 +138,7 @@
     }
 
     private void takeOverIfReady() {
-        boolean ready = mJournalRead && mDirectory.isInitialRead() && mVmsListed;
+        boolean ready = mJournalRead && mDirectory.isInitialRead() && mInitialVms.isRead();
         if (ready && !mLoaded && !mEnded) {
             takeOver();
         }
@@ -207,12 +182,7 @@
     private boolean hasIncarnationEnded(WorkerIncarnation worker) {
         boolean listed = mScheduler.worker(worker.id()).map(WorkerState::isListed).orElse(false);
         boolean named = listed || mDirectory.hasUnusableEntry(worker.id());
-        return !named && isMissingFromVms(worker.id());
-    }
-
-    /** Whether the VM lists of the takeover lack a worker, which may also have joined since. */
-    private boolean isMissingFromVms(String worker) {
-        return mInitialLists.stream().allMatch(l -> l.hasEnded(worker));
+        return !named && mInitialVms.lack(worker.id());
     }
 
     /** Whether this is still the owner and has applied the journal as of its takeover. */
@@ -258,7 +228,7 @@
      * @return whether the worker's incarnation has ended
      */
     boolean handleOtherIncarnation(WorkerState worker, String address) {
-        if (!mDirectory.hasAnsweredAt(worker, address) && !isMissingFromVms(worker.id())) {
+        if (!mDirectory.hasAnsweredAt(worker, address) && !mInitialVms.lack(worker.id())) {
             return false;
         }
         handleWorkerEnded(worker, WorkerEndReason.OTHER_INCARNATION);
