Inherit the runs of jobs that ended shortly before a takeover

Cause: a new owner inherited no runs of a job that had ended, although they go on until they are stopped. It found them by its first polls, had them stopped as unwanted, and counted their room as free at once. Now it inherits them where the job has ended up to a lease and a stop ago, and stops them like those of a job that ends under it: they count until they are over.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -51,6 +51,11 @@
         return isNew;
     }
 
+    /** Adds a job that has ended, to stop the runs that it may still have. */
+    void addEnded(JobProgress progress) {
+        mJobs.putIfAbsent(progress.definition().id(), new ActiveJob(progress, false));
+    }
+
     /**
      * Adds a run that a previous owner recorded and that may still be running; returns whether it
      * was added.
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
@@ -18,4 +18,12 @@
     public long leaseExpiryMs() {
         return (long) (leaseMs * (1 + 2 * CLOCK_DRIFT)) + CLOCK_READING_MS;
     }
+
+    /**
+     * Longest time that runs usually go on after their job's end: an owner has them stopped at
+     * once, and those on workers that it can't reach end with their leases.
+     */
+    long endedRunMs() {
+        return leaseExpiryMs() + stopMs;
+    }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -203,6 +203,21 @@
         }
     }
 
+    /**
+     * Adds a job that has ended so recently that runs which a previous owner started may go on.
+     * They are stopped, and hold their resources until they are over. Other jobs are ignored.
+     *
+     * @param nowWallMs current time in milliseconds since the epoch
+     */
+    public void addEndedJob(
+            JobProgress progress, Predicate<WorkerIncarnation> isOver, long nowMs, long nowWallMs) {
+        long endedForMs = nowWallMs - progress.endedMs();
+        if (progress.phase().isFinal() && endedForMs <= mLimits.endedRunMs()) {
+            mRuns.addEnded(progress);
+            mInherited.add(progress, isOver, nowMs);
+        }
+    }
+
     /** Returns the inherited starts of unfinished tasks that don't count as running. */
     public List<DroppedRun> takeNotInherited() {
         return mInherited.takeNotInherited();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -154,6 +154,7 @@
         mContext.operator().config().ifPresent(c -> mScheduler.setOrganisations(c.organisations()));
         for (JobProgress job : mContext.reader().registry().jobs()) {
             mScheduler.addInheritedJob(job, this::hasIncarnationEnded, now);
+            mScheduler.addEndedJob(job, this::hasIncarnationEnded, now, mClock.wallMs());
         }
         int arrivals = mVmCoordinator.learnInheritedArrivals();
         mContext.log()
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeWorkers.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeWorkers.java
@@ -29,6 +29,7 @@
 
     private final FakeTime mTime;
     private final Map<String, Worker> mWorkers = new HashMap<>();
+    private long mStopMs;
 
     FakeWorkers(FakeTime time) {
         mTime = time;
@@ -85,6 +86,11 @@
         mWorkers.put(id, new Worker(startMs, mTime.nowMs()));
     }
 
+    /** Sets how long runs go on after a stop, in milliseconds. */
+    void setStopTime(long stopMs) {
+        mStopMs = stopMs;
+    }
+
     /** Returns the workers on which a task is running. */
     List<String> running(TaskName task) {
         List<String> found = new ArrayList<>();
@@ -240,7 +246,12 @@
         if (!worker.accepts(command.token())) {
             return answer(worker, CommandOutcome.FENCED);
         }
-        worker.end(new Run(command.task(), command.attempt()), RunOutcome.STOPPED);
+        Run run = new Run(command.task(), command.attempt());
+        if (mStopMs > 0) {
+            mTime.after(mStopMs, () -> worker.end(run, RunOutcome.STOPPED));
+        } else {
+            worker.end(run, RunOutcome.STOPPED);
+        }
         return answer(worker, CommandOutcome.DONE);
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
@@ -135,10 +135,19 @@
     }
 
     static byte[] job(String id, RunMode mode, long acceptedMs) {
+        return job(id, mode, acceptedMs, 1);
+    }
+
+    /** A job whose task needs all cores of a worker of {@link FakeDirectory}. */
+    static byte[] jobOfAWholeWorker(String id) {
+        return job(id, RunMode.PLAIN, 1, 8);
+    }
+
+    private static byte[] job(String id, RunMode mode, long acceptedMs, int cores) {
         TaskStep step =
                 new TaskStep(
                         1,
-                        Resources.of(1, 1, 0),
+                        Resources.of(cores, 1, 0),
                         500,
                         List.of(),
                         PlacementConstraints.ANYWHERE,
