--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/GuardsOffTest.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/GuardsOffTest.java
@@ -122,6 +122,8 @@
         try (KeyedEntries entries = new KeyedEntries(2, tampering)) {
             entries.awaitTaken(0);
             entries.awaitTaken(1);
+            // Whichever entry claims the others, the one that is replaced owns this key.
+            entries.post(0, "key-0").join();
             sendTwenty(entries);
             entries.replace(0);
             entries.awaitTaken(0);
