Tests with processes: listen on addresses that no connection leaves from

Cause: the ports were found free on 127.0.0.1 in the range from which outgoing connections take theirs, and closed before the process bound them. CrowdNode and EntryProcesses, which restarts processes at their ports too, now listen on addresses of their own in 127.0.0.0/8, as the soak's nodes do.

--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/EntryProcesses.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/EntryProcesses.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.it.history;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -22,9 +23,15 @@
 final class EntryProcesses implements AutoCloseable {
 
     private static final String NODE =
-            "\"e%d\":{\"zone\":\"z\",\"callers\":\"127.0.0.1:%d\",\"peers\":\"127.0.0.1:%d\","
+            "\"e%d\":{\"zone\":\"z\",\"callers\":\"%s:%d\",\"peers\":\"%s:%d\","
                     + "\"admin\":\"127.0.0.1:0\"}";
 
+    /**
+     * An address of this program's own. Connections leave from 127.0.0.1, so that none takes a port
+     * there between the moment it was found free and the start of its process.
+     */
+    private static final String IP = "127." + (ProcessHandle.current().pid() % 250 + 1) + ".0.1";
+
     private static final String SETTINGS =
             """
             {"deployment": "small",
@@ -59,16 +66,18 @@
         int platformPort = ports.get(2 * entries);
         String nodes =
                 IntStream.range(0, entries)
-                        .mapToObj(i -> NODE.formatted(i, ports.get(i), ports.get(entries + i)))
+                        .mapToObj(
+                                i ->
+                                        NODE.formatted(
+                                                i, IP, ports.get(i), IP, ports.get(entries + i)))
                         .collect(Collectors.joining(","));
-        String address = "http://127.0.0.1:" + platformPort;
+        String address = "http://" + IP + ":" + platformPort;
         Files.writeString(mSettings, SETTINGS.formatted(nodes, address));
         Settings settings = SettingsFiles.load(mSettings, Optional.empty());
         mPlatform =
                 PlatformStandin.start(
                         settings,
-                        PlatformOptions.quick()
-                                .at(new InetSocketAddress("127.0.0.1", platformPort)),
+                        PlatformOptions.quick().at(new InetSocketAddress(IP, platformPort)),
                         mSystem);
         mPorts.addAll(ports.subList(0, entries));
         for (int i = 0; i < entries; i++) {
@@ -81,7 +90,7 @@
     }
 
     URI entry(int entry) {
-        return URI.create("http://127.0.0.1:" + mPorts.get(entry));
+        return URI.create("http://" + IP + ":" + mPorts.get(entry));
     }
 
     /** Kills an entry with SIGKILL and starts its replacement, of the same name and addresses. */
@@ -144,7 +153,7 @@
         List<ServerSocket> sockets = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            ServerSocket socket = new ServerSocket(0);
+            ServerSocket socket = new ServerSocket(0, 0, InetAddress.getByName(IP));
             sockets.add(socket);
             ports.add(socket.getLocalPort());
         }
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/CrowdNode.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/CrowdNode.java
@@ -50,12 +50,14 @@
 
     private final UsersStandin mPlatform;
     private final RunningProcess mProcess;
+    private final InetAddress mAddress;
     private final List<Integer> mPorts;
     private int mJobs;
     private int mMostDescriptors;
 
     CrowdNode(Path folder) throws IOException {
         Files.createDirectories(folder);
+        mAddress = InetAddress.getByName(SoakSystem.network() + ".1");
         mPorts = freePorts();
         mPlatform =
                 new UsersStandin(
@@ -71,11 +73,11 @@
                 RunningProcess.start(output, HEAP_MB, NodeMain.class, List.of(settings.toString()));
     }
 
-    private static List<Integer> freePorts() throws IOException {
+    private List<Integer> freePorts() throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < PORTS; i++) {
-            ServerSocket socket = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+            ServerSocket socket = new ServerSocket(0, 0, mAddress);
             sockets.add(socket);
             ports.add(socket.getLocalPort());
         }
@@ -108,11 +110,11 @@
     }
 
     private static String address(InetSocketAddress address) {
-        return "127.0.0.1:" + address.getPort();
+        return address.getAddress().getHostAddress() + ':' + address.getPort();
     }
 
     private InetSocketAddress listener(int number) {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), mPorts.get(number));
+        return new InetSocketAddress(mAddress, mPorts.get(number));
     }
 
     InetSocketAddress callers() {
