Don't end a worker that joined after the takeover by another one's answer

Callers could have seen TWICE: two runs of one task at a time.

Cause: status 421 from an address where the worker had never answered counted as its end if the VM lists of the takeover lacked the worker, for as long as the owner worked. A worker that joined later is in none of them, although it has answered this owner. Where its entry named another worker's address for a moment, its runs were recorded as ended while they went on. Now the lists count only for a worker that has never answered this owner.

MisdirectedCommandTest.aWorkerThatJoinedAfterTheTakeoverHasNotEndedEither failed before (both workers after 210 ms). The tests of package owner pass.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -183,7 +183,7 @@
     private boolean hasIncarnationEnded(WorkerIncarnation worker) {
         boolean listed = mScheduler.worker(worker.id()).map(WorkerState::isListed).orElse(false);
         boolean named = listed || mDirectory.hasUnusableEntry(worker.id());
-        return !named && mInitialVms.lack(worker.id());
+        return !named && mInitialVms.proveEnd(worker.id());
     }
 
     /** Whether this is still the owner and has applied the journal as of its takeover. */
@@ -223,13 +223,16 @@
 
     /**
      * Handles the answer of another incarnation to a command for a worker. Entries may name a wrong
-     * address, so it proves the end of the worker's incarnation only at an address where that one
-     * has answered, or together with the VM lists of the takeover.
+     * address, so it proves the end of the worker's incarnation only at the address where that one
+     * has answered this owner. If it has never answered, the VM lists of the takeover must lack it.
      *
      * @return whether the worker's incarnation has ended
      */
     boolean handleOtherIncarnation(WorkerState worker, String address) {
-        if (!mDirectory.hasAnsweredAt(worker, address) && !mInitialVms.lack(worker.id())) {
+        Optional<String> answeredAt = mDirectory.answeredAt(worker);
+        boolean hasEnded =
+                answeredAt.map(address::equals).orElseGet(() -> mInitialVms.proveEnd(worker.id()));
+        if (!hasEnded) {
             return false;
         }
         handleWorkerEnded(worker, WorkerEndReason.OTHER_INCARNATION);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/TakeoverVmLists.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/TakeoverVmLists.java
@@ -11,7 +11,7 @@
  * raised, so that no earlier owner can record starts on workers that started since.
  */
 final class TakeoverVmLists {
-    /** Lists in which a worker must be missing; one may miss a VM between its pages. */
+    /** Lists in which an incarnation must be missing; one may miss a VM between its pages. */
     private static final int COUNT = 2;
 
     private final VmClient mVms;
@@ -42,8 +42,11 @@
         return mRead;
     }
 
-    /** Whether all lists lack a worker, which may also have joined since. */
-    boolean lack(String worker) {
-        return mLists.stream().allMatch(l -> l.hasEnded(worker));
+    /**
+     * Whether the lists prove the end of an incarnation that existed before the first of them was
+     * requested: they were read, are complete, and all lack it.
+     */
+    boolean proveEnd(String incarnation) {
+        return mRead && mLists.stream().allMatch(l -> l.hasEnded(incarnation));
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
@@ -223,10 +223,9 @@
         return mUnreadable.contains(worker) || mUnconfigured.containsKey(worker);
     }
 
-    /** Whether a worker's incarnation has last answered at an address. */
-    boolean hasAnsweredAt(WorkerState worker, String address) {
-        WorkerPoller poller = mPollers.get(worker);
-        return poller != null && poller.hasAnsweredAt(address);
+    /** Address at which a worker's incarnation has last answered a poll. */
+    Optional<String> answeredAt(WorkerState worker) {
+        return Optional.ofNullable(mPollers.get(worker)).flatMap(WorkerPoller::answeredAt);
     }
 
     /** Stops polling a worker whose incarnation has ended or that was dropped. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.foxtailplank.job.RunEnd;
 import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.port.CommandOutcome;
@@ -47,8 +48,7 @@
     private int mPollNumber;
     private int mLastReportedPoll;
 
-    /** Address at which the incarnation has last answered; empty before. */
-    private String mAnsweredAddress = "";
+    private Optional<String> mAnsweredAt = Optional.empty();
 
     WorkerPoller(OwnerSession owner, OwnerContext context, WorkerState worker, long token) {
         mOwner = owner;
@@ -81,9 +81,9 @@
                 .poll(to, command, a -> handleAnswer(a, to.address(), number, now));
     }
 
-    /** Whether the incarnation itself has last answered at this address. */
-    boolean hasAnsweredAt(String address) {
-        return mAnsweredAddress.equals(address);
+    /** Address at which the incarnation has last answered a poll. */
+    Optional<String> answeredAt() {
+        return mAnsweredAt;
     }
 
     /**
@@ -108,7 +108,7 @@
         mLastReportedPoll = Math.max(mLastReportedPoll, number);
         switch (response.outcome()) {
             case DONE -> {
-                mAnsweredAddress = address;
+                mAnsweredAt = Optional.of(address);
                 applyAnswer(response, sentMs, late);
             }
             case FENCED -> mOwner.handleFenced(mWorker.id());
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/MisdirectedCommandTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/MisdirectedCommandTest.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.CommandOutcome;
+import org.foxtailplank.port.VmClient;
 import org.foxtailplank.port.WorkerClient;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -132,7 +133,31 @@
         assertEquals(mWorkers.running(TASK), List.of("w1"));
     }
 
-    /** Guards against a crashed worker whose tasks wait although its next life has answered. */
+    /** Guards against the same if the worker joined after the lists of the takeover. */
+    @Test
+    public void aWorkerThatJoinedAfterTheTakeoverHasNotEndedEither() {
+        List<VmClient.VmInfo> all = mVms;
+        mVms = List.of(Vms.vm("vm2", "w2"));
+        mDirectory.remove("w1");
+        OwnerSession owner =
+                startOwner(mLog, new Misdirected(OTHER_ADDRESS), new Takeover(1, true, true));
+        pass(500);
+        mVms = all;
+        mDirectory.add("w1", SERVICE, ADDRESS);
+        owner.storeHandedOver(standingJob(), outcome -> {});
+        pass(2000);
+        assertEquals(mWorkers.running(TASK), List.of("w1"));
+        mConnection.reconnect("w2");
+        pass(POLLS_MS);
+        mDirectory.add("w1", SERVICE, OTHER_ADDRESS);
+        passAssertingOneRun(POLLS_MS);
+        mDirectory.add("w1", SERVICE, ADDRESS);
+        passAssertingOneRun(POLLS_MS);
+
+        assertEquals(mWorkers.running(TASK), List.of("w1"));
+    }
+
+    /** Guards against a crashed worker whose tasks wait although its next incarnation answers. */
     @Test
     public void aWorkerHasEndedIfAnotherOneAnswersWhereItDid() {
         Misdirected connection = new Misdirected(OTHER_ADDRESS);
