Note where a worker has answered only for its own answers

Callers could have seen TWICE. Cause: each answer to a poll set the address at which status 421 ends the worker, also one that wasn't the incarnation's (of a former one, or without a start time). Where an entry named the address of a program that answers any poll, the next 421 from there ended the worker, whose runs went on.

MisdirectedCommandTest.anAnswerOfUnknownOriginDoesNotTellTheAddressOfAWorker failed before (both workers after 260 ms); all six tests of the class pass. Found by reading.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -107,10 +107,7 @@
         boolean late = number <= mLastReportedPoll;
         mLastReportedPoll = Math.max(mLastReportedPoll, number);
         switch (response.outcome()) {
-            case DONE -> {
-                mAnsweredAt = Optional.of(address);
-                applyAnswer(response, sentMs, late);
-            }
+            case DONE -> applyAnswer(response, address, sentMs, late);
             case FENCED -> mOwner.handleFenced(mWorker.id());
             default -> {
                 boolean other = response.outcome() == CommandOutcome.OTHER_LIFE;
@@ -158,10 +155,11 @@
         scheduleNextPoll(RETRY_DELAY_MS);
     }
 
-    private void applyAnswer(PollResponse response, long sentMs, boolean late) {
+    private void applyAnswer(PollResponse response, String address, long sentMs, boolean late) {
         switch (mOwner.scheduler().identify(mWorker, response, sentMs)) {
             case NEXT -> mOwner.handleWorkerStartedAgain(mWorker, response, sentMs);
             case CURRENT -> {
+                mAnsweredAt = Optional.of(address);
                 if (late) {
                     applyLateAnswer(response, sentMs);
                 } else {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeDirectory.java
@@ -23,7 +23,11 @@
 
     /** The same for an incarnation whose start time is known, in milliseconds since the epoch. */
     void add(String id, long startMs, String service) {
-        add(new WorkerIncarnation(id, startMs), service, "10.0.0.1:1");
+        add(id, startMs, service, "10.0.0.1:1");
+    }
+
+    void add(String id, long startMs, String service, String address) {
+        add(new WorkerIncarnation(id, startMs), service, address);
     }
 
     /** The same with the address that the worker listens on, as {@code ip:port}. */
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/MisdirectedCommandTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/MisdirectedCommandTest.java
@@ -16,6 +16,7 @@
 public class MisdirectedCommandTest extends OwnerFleetTestBase {
     private static final String ADDRESS = "10.0.0.1:1";
     private static final String OTHER_ADDRESS = "10.0.0.7:1";
+    private static final long START_MS = 1_700_000_000_000L;
     private static final long POLLS_MS = 1500;
 
     private FakeWorkers.Connection mConnection;
@@ -32,6 +33,9 @@
     private final class Misdirected implements WorkerClient {
         private String mForeignAddress;
 
+        /** Whether the foreign worker doesn't check whom a poll is for, nor tell its start time. */
+        private boolean mAnswersAnyPoll;
+
         Misdirected(String foreignAddress) {
             mForeignAddress = foreignAddress;
         }
@@ -79,7 +83,7 @@
             if (isForeign(to)) {
                 PollResponse response =
                         new PollResponse(
-                                CommandOutcome.OTHER_LIFE,
+                                mAnswersAnyPoll ? CommandOutcome.DONE : CommandOutcome.OTHER_LIFE,
                                 WorkerIncarnation.UNKNOWN_START_MS,
                                 -1,
                                 List.of(),
@@ -157,6 +161,24 @@
         assertEquals(mWorkers.running(TASK), List.of("w1"));
     }
 
+    /** Guards against the same after an answer there that wasn't the worker's. */
+    @Test
+    public void anAnswerOfUnknownOriginDoesNotTellTheAddressOfAWorker() {
+        mWorkers.startAt("w1", START_MS);
+        mDirectory.add("w1", START_MS, SERVICE);
+        Misdirected connection = new Misdirected(OTHER_ADDRESS);
+        startOwnerWithTask(connection);
+        connection.mAnswersAnyPoll = true;
+        mDirectory.add("w1", START_MS, SERVICE, OTHER_ADDRESS);
+        passAssertingOneRun(POLLS_MS);
+        connection.mAnswersAnyPoll = false;
+        passAssertingOneRun(POLLS_MS);
+        mDirectory.add("w1", START_MS, SERVICE, ADDRESS);
+        passAssertingOneRun(POLLS_MS);
+
+        assertEquals(mWorkers.running(TASK), List.of("w1"));
+    }
+
     /** Guards against a crashed worker whose tasks wait although its next incarnation answers. */
     @Test
     public void aWorkerHasEndedIfAnotherOneAnswersWhereItDid() {
