Count the runs of ended jobs that workers list until they are over

Callers could still see LIMIT and QUOTA after a takeover.

Now a job that has ended is added when a worker lists a run of it, before that answer is applied: the run is stopped with repeated commands and holds its resources until it is over. Runs inherited at the takeover are only needed for organisations' caps until the workers have answered; their bound includes the leases of an owner that is unaware of its successor.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveJob.java
@@ -9,8 +9,9 @@
 import org.foxtailplank.job.TaskName;
 
 /**
- * A job that has not ended, with the runs of its steps that are open: due and not done, or with
- * tasks on workers. The other runs of a timetable, which may be very many, take no memory.
+ * A job that has not ended or still has tasks on workers, with the runs of its steps that are open:
+ * due and not done, or with tasks on workers. The other runs of a timetable, which may be very
+ * many, take no memory.
  */
 public final class ActiveJob {
     /**
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -51,7 +51,7 @@
         return isNew;
     }
 
-    /** Adds a job that has ended, to stop the runs that it may still have. */
+    /** Adds a job that has ended but may have runs, which are stopped; see {@link #adopt}. */
     void addEnded(JobProgress progress) {
         mJobs.putIfAbsent(progress.definition().id(), new ActiveJob(progress, false));
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ScheduleLimits.java
@@ -1,5 +1,7 @@
 package org.foxtailplank.schedule;
 
+import org.foxtailplank.lease.RenewalWindow;
+
 /**
  * Times bounded by the platform, in milliseconds.
  *
@@ -20,10 +22,10 @@
     }
 
     /**
-     * Longest time that runs usually go on after their job's end: an owner has them stopped at
-     * once, and those on workers that it can't reach end with their leases.
+     * How long after its job's end a run may go on that nobody stops, in milliseconds: an owner
+     * that doesn't know of the end, nor of its successor, renews the worker's lease for a while.
      */
     long endedRunMs() {
-        return leaseExpiryMs() + stopMs;
+        return RenewalWindow.TAKEOVER_WAIT_MS + leaseExpiryMs() + stopMs;
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -209,15 +209,26 @@
      *
      * @param nowWallMs current time in milliseconds since the epoch
      */
-    public void addEndedJob(
+    public void addInheritedEndedJob(
             JobProgress progress, Predicate<WorkerIncarnation> isOver, long nowMs, long nowWallMs) {
         long endedForMs = nowWallMs - progress.endedMs();
-        if (progress.phase().isFinal() && endedForMs <= mLimits.endedRunMs()) {
+        boolean mayRun = endedForMs <= mLimits.endedRunMs() && !progress.lastStarts().isEmpty();
+        if (progress.phase().isFinal() && mayRun) {
             mRuns.addEnded(progress);
             mInherited.add(progress, isOver, nowMs);
         }
     }
 
+    /**
+     * Adds a job that has ended and of which a worker still lists a run, before that answer is
+     * applied: the run is stopped, and holds its resources until it is over.
+     */
+    public void addListedEndedJob(JobProgress progress) {
+        if (progress.phase().isFinal()) {
+            mRuns.addEnded(progress);
+        }
+    }
+
     /** Returns the inherited starts of unfinished tasks that don't count as running. */
     public List<DroppedRun> takeNotInherited() {
         return mInherited.takeNotInherited();
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OrganisationCapTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OrganisationCapTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.JobRegistry;
+import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.PlacementConstraints;
 import org.foxtailplank.job.RunMode;
 import org.foxtailplank.job.RunOutcome;
@@ -118,6 +119,26 @@
         assertEquals(next.placeTasks().size(), 0);
     }
 
+    /** Guards against a new owner that starts tasks beside those of a job that has just ended. */
+    @Test
+    public void runsOfAnEarlierOwnerCountAlthoughTheirJobHasEnded() {
+        addWorkers("surveys", 2);
+        mOwner.accept(definition("j1", "surveys", 0, "a", step(8, 1, 500, List.of())));
+        mOwner.placeTasks();
+        JobRegistry journal = mOwner.mRegistry;
+        journal.apply(new JobCancelled("j1", OwnerHarness.WALL_MS));
+        OwnerHarness next = new OwnerHarness(journal);
+        next.setOrganisations(organisation("a", 1, 8));
+        next.mScheduler.updateWorker(OwnerHarness.info("surveys0", "surveys", 16), 10_000);
+        next.addWorker("surveys2", "surveys", 16);
+        long wallMs = OwnerHarness.WALL_MS + 9000;
+        journal.jobs()
+                .forEach(j -> next.mScheduler.addInheritedEndedJob(j, w -> false, 10_000, wallMs));
+        next.accept(definition("j2", "surveys", 0, "a", step(8, 1, 500, List.of())));
+
+        assertEquals(next.placeTasks().size(), 0);
+    }
+
     /** Guards against work that is thrown away because an operator reduces a cap. */
     @Test
     public void aReducedCapStopsStartsAndNoRuns() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -21,6 +21,7 @@
 import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.job.RunEnd;
+import org.foxtailplank.job.RunStatus;
 import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.lease.RenewalWindow;
 import org.foxtailplank.node.Clock;
@@ -154,7 +155,7 @@
         mContext.operator().config().ifPresent(c -> mScheduler.setOrganisations(c.organisations()));
         for (JobProgress job : mContext.reader().registry().jobs()) {
             mScheduler.addInheritedJob(job, this::hasIncarnationEnded, now);
-            mScheduler.addEndedJob(job, this::hasIncarnationEnded, now, mClock.wallMs());
+            mScheduler.addInheritedEndedJob(job, this::hasIncarnationEnded, now, mClock.wallMs());
         }
         int arrivals = mVmCoordinator.learnInheritedArrivals();
         mContext.log()
@@ -215,6 +216,16 @@
         return leaseMs;
     }
 
+    /** Adds the jobs that have ended of the runs that a worker lists. */
+    void addListedEndedJobs(List<RunStatus> running) {
+        for (RunStatus r : running) {
+            mContext.reader()
+                    .registry()
+                    .job(r.task().job())
+                    .ifPresent(mScheduler::addListedEndedJob);
+        }
+    }
+
     /** Stops polling a worker whose incarnation has ended, and releases its tasks. */
     void handleWorkerEnded(WorkerState worker, WorkerEndReason reason) {
         storeEndsWithWorker(endWorker(worker, reason, mClock.nowMs()).runs());
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -192,6 +192,7 @@
         if (mWorker.isUnresponsive()) {
             mContext.log().line("worker-back").with("worker", mWorker.id()).write();
         }
+        mOwner.addListedEndedJobs(response.running());
         long now = mContext.clock().nowMs();
         PollResult result = mOwner.scheduler().pollAnswered(mWorker, response, sentMs, now);
         handleEffects(result);
@@ -207,6 +208,7 @@
 
     private void applyLateAnswer(PollResponse response, long sentMs) {
         logIfOutdated(response);
+        mOwner.addListedEndedJobs(response.running());
         long now = mContext.clock().nowMs();
         PollResult result = mOwner.scheduler().pollAnsweredLate(mWorker, response, sentMs, now);
         mContext.metrics().latency("latePoll").update(now - sentMs);
