Log the starts that aren't inherited with jobs that are read late

Each decision takes them now. RunLinesTest.anEndedStartOfAJobThatIsLearntLateIsLogged failed before.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -168,7 +168,7 @@
                 .with("inheritedArrivals", arrivals)
                 .with("journal", mContext.reader().position())
                 .write();
-        mRunLogger.logInherited(mScheduler.workers(), mScheduler.takeNotInherited());
+        mRunLogger.logInherited(mScheduler.workers());
         mDirectory.follow();
         new LoadLogger(this, mContext).start();
         mVmCoordinator.start();
@@ -455,6 +455,7 @@
             Decisions decisions = mScheduler.decide(config.get(), now, mClock.wallMs());
             mSender.send(decisions);
         }
+        mRunLogger.logNotInherited(mScheduler.takeNotInherited());
         mRunLogger.logDropped(mScheduler.takeDropped());
         storeGivenUpJobs();
         List<String> begun = mScheduler.takeStartedJobs();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/RunLogger.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/RunLogger.java
@@ -17,12 +17,16 @@
         mContext = context;
     }
 
-    /** Logs the runs that were inherited, and the recorded starts that were not. */
-    void logInherited(Collection<WorkerState> workers, List<DroppedRun> notInherited) {
+    /** Logs the runs that were inherited. */
+    void logInherited(Collection<WorkerState> workers) {
         for (WorkerState w : workers) {
             w.runs().forEach(this::logInherited);
         }
-        notInherited.forEach(r -> line("start-not-inherited", r).write());
+    }
+
+    /** Logs recorded starts that were not inherited. */
+    void logNotInherited(List<DroppedRun> starts) {
+        starts.forEach(r -> line("start-not-inherited", r).write());
     }
 
     private void logInherited(TaskRun run) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/RunLinesTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/RunLinesTest.java
@@ -7,7 +7,14 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.foxtailplank.job.JournalRecord.EndedRun;
+import org.foxtailplank.job.JournalRecord.RunsEnded;
+import org.foxtailplank.job.JournalRecord.RunsStarted;
+import org.foxtailplank.job.JournalRecord.StartedRun;
 import org.foxtailplank.job.RunMode;
+import org.foxtailplank.job.RunOutcome;
+import org.foxtailplank.job.WorkerIncarnation;
+import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.testng.annotations.Test;
 
@@ -60,6 +67,30 @@
         assertFalse(log.contains("\"kind\":\"run-inherited\""), log);
     }
 
+    /** Guards against a start of a job that is read late and leaves no line. */
+    @Test
+    public void anEndedStartOfAJobThatIsLearntLateIsLogged() {
+        mDirectory.add("w1", SERVICE);
+        startOwner(mLog, mWorkers.connect(), new Takeover(1, true, true));
+        pass(500);
+        WorkerIncarnation worker = WorkerIncarnation.ofUnknownStart("w1");
+        append(JournalCodec.encode(new RunsStarted(List.of(new StartedRun(TASK, 1, worker)))));
+        EndedRun end = new EndedRun(TASK, 1, RunOutcome.FAILED, mTime.wallMs());
+        append(JournalCodec.encode(new RunsEnded(List.of(end))));
+        append(job(RunMode.PLAIN));
+        pass(500);
+
+        String log = logged(0);
+        assertTrue(
+                log.contains(
+                        RUN.formatted("start-not-inherited") + ",\"why\":\"its end is recorded\""),
+                log);
+    }
+
+    private void append(byte[] record) {
+        mLog.append(JournalPartitions.PRIMARY, List.of(record), result -> {});
+    }
+
     /** Guards against a start whose answer leaves no line, as its owner has ended meanwhile. */
     @Test
     public void theAnswerToAStartOfAnEndedOwnerIsLogged() {
