Allocate no more for a chunked body than the largest body needs

A crowd of chunked bodies could hold up to twice the memory that BodyMemory counts for them, as the array of a body doubled past the largest size (a first part of 5,000 bytes led to 320,000 for a limit of 262,144). The size of the array ends at the limit now.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/RequestBody.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/RequestBody.java
@@ -12,12 +12,19 @@
     private static final int INITIAL_BYTES = 512;
 
     private final int mExpected;
+    private final int mMax;
     private byte[] mBytes = NONE;
     private int mSize;
 
-    /** Creates an empty body; {@code expected} is its announced size, or 0. */
-    RequestBody(int expected) {
+    /**
+     * Creates an empty body.
+     *
+     * @param expected its announced size in bytes, or 0
+     * @param max largest size in bytes, up to which memory is allocated ahead
+     */
+    RequestBody(int expected, int max) {
         mExpected = expected;
+        mMax = max;
     }
 
     int size() {
@@ -30,7 +37,7 @@
             return;
         }
         if (mSize + added > mBytes.length) {
-            int doubled = Math.max(INITIAL_BYTES, 2 * mBytes.length);
+            int doubled = Math.min(Math.max(INITIAL_BYTES, 2 * mBytes.length), mMax);
             int capacity = Math.max(mSize + added, mExpected > 0 ? mExpected : doubled);
             mBytes = Arrays.copyOf(mBytes, capacity);
         }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -137,7 +137,7 @@
         }
         mHead = head;
         long announced = HttpUtil.getContentLength(head, 0L);
-        mBody = new RequestBody((int) announced);
+        mBody = new RequestBody((int) announced, mServer.limits().maxBodyBytes());
         if (announced > SMALL_BODY) {
             takePlace((int) announced);
         }
