Crowd and body tests: report what goes wrong in the test itself

Crowd marked the client before the one that could not be opened as closed, and left its channel open; a failure to open one ends the test now, a refused connection is still left out. RequestBodiesTest says when no request was held, instead of failing at a null in the event loop, and its loop over requests in flight ends.

--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -81,6 +82,13 @@
         }
     }
 
+    /** Waits for a request whose answer is held back, and returns the callback for its answer. */
+    private Consumer<HttpReply> awaitHeld() throws InterruptedException {
+        Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        assertNotNull(reply, "no request was held within " + TIMEOUT_MS + " ms");
+        return reply;
+    }
+
     private Socket connect() throws IOException {
         Socket socket = new Socket(mServer.address().getAddress(), mServer.address().getPort());
         socket.setSoTimeout(TIMEOUT_MS);
@@ -199,7 +207,7 @@
     public void rejectionWaitsForEarlierAnswers() throws Exception {
         BufferedReader in =
                 reader(send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + announced(2 * MAX_BODY)));
-        Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        Consumer<HttpReply> reply = awaitHeld();
 
         mLoop.execute(() -> reply.accept(HttpReply.empty(204)));
 
@@ -259,7 +267,7 @@
     public void largeBodyBehindUnreadAnswersGivesWayToAnother(int received) throws Exception {
         mServer = bind(2 * TIMEOUT_MS);
         send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + announced(MAX_BODY) + "x".repeat(received));
-        Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        Consumer<HttpReply> reply = awaitHeld();
         BufferedReader other = reader(send(announced(MAX_BODY) + "x".repeat(MAX_BODY)));
         mLoop.execute(() -> reply.accept(new HttpReply(200, Map.of(), "", new byte[LONG_ANSWER])));
 
@@ -278,10 +286,10 @@
     }
 
     /** Guards against connections that are checked for ever, as they are closed already. */
-    @Test
+    @Test(timeOut = 2 * TIMEOUT_MS)
     public void lateAnswerToAClosedConnectionLeavesNothing() throws Exception {
         Socket socket = send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
-        Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        Consumer<HttpReply> reply = awaitHeld();
         socket.setSoLinger(true, 0);
         socket.close();
         while (mLoop.submit(mServer::inFlight).get() > 0) {
@@ -297,7 +305,7 @@
     @Test
     public void longLastAnswerMayBeReadSlowly() throws Exception {
         Socket socket = send("GET /held HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-        Consumer<HttpReply> reply = mHeld.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        Consumer<HttpReply> reply = awaitHeld();
         mLoop.execute(() -> reply.accept(new HttpReply(200, Map.of(), "", new byte[LONG_ANSWER])));
         TimeUnit.MILLISECONDS.sleep(SLOW_MS);
 
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/Crowd.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/Crowd.java
@@ -60,6 +60,13 @@
             mRemaining = script.repeatedBytes();
         }
 
+        void connect(InetSocketAddress listener) throws IOException {
+            mChannel.setOption(StandardSocketOptions.SO_SNDBUF, SOCKET_BUFFER);
+            mChannel.setOption(StandardSocketOptions.SO_RCVBUF, SOCKET_BUFFER);
+            mChannel.connect(listener);
+            mChannel.configureBlocking(false);
+        }
+
         boolean isFinished() {
             return mClosed || !mHead.hasRemaining() && mRemaining == 0;
         }
@@ -89,17 +96,14 @@
     private final List<Client> mClients = new ArrayList<>();
 
     /** Opens connections; those that are refused are left out. */
-    void join(InetSocketAddress listener, int count, Script script) {
+    void join(InetSocketAddress listener, int count, Script script) throws IOException {
         for (int i = 0; i < count; i++) {
+            Client client = new Client(SocketChannel.open(), script);
+            mClients.add(client);
             try {
-                SocketChannel channel = SocketChannel.open();
-                channel.setOption(StandardSocketOptions.SO_SNDBUF, SOCKET_BUFFER);
-                channel.setOption(StandardSocketOptions.SO_RCVBUF, SOCKET_BUFFER);
-                mClients.add(new Client(channel, script));
-                channel.connect(listener);
-                channel.configureBlocking(false);
+                client.connect(listener);
             } catch (IOException e) {
-                mClients.get(mClients.size() - 1).mClosed = true;
+                client.mClosed = true;
             }
         }
     }
