Don't count line breaks after a body as an unfinished request

A caller that sends a line break after a body, as some clients do, had its idle connection closed after the time limit for unfinished requests, perhaps while it sent the next one. Cause: each received byte counted as the begin of a request, also those that the decoder skips. RequestBodiesTest.lineBreaksAfterABodyBeginNoRequest failed before; the tests of package http that concern servers pass.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/RequestDecoder.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/RequestDecoder.java
@@ -80,7 +80,7 @@
         if (mDiscarding) {
             in.skipBytes(in.readableBytes());
         } else if (!mPaused) {
-            mStarted = true;
+            mStarted = mStarted || in.forEachByte(RequestDecoder::isSkipped) >= 0;
             super.decode(context, in, out);
             int size = out.size();
             if (size > 0 && out.get(size - 1) instanceof LastHttpContent) {
@@ -89,6 +89,11 @@
         }
     }
 
+    /** Whether a byte before a request is skipped, such as those of an additional line break. */
+    private static boolean isSkipped(byte value) {
+        return Character.isISOControl(value) || Character.isWhitespace(value);
+    }
+
     /** Drops a request that the end of the connection cuts short. */
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -244,6 +244,19 @@
         }
     }
 
+    /** Guards against a line break after a body that counts as an unfinished request. */
+    @Test
+    public void lineBreaksAfterABodyBeginNoRequest() throws Exception {
+        Socket socket = send(announced(1) + "x\r\n\r\n");
+        BufferedReader in = reader(socket);
+        assertEquals(answer(in), "200 1");
+
+        assertFalse(mLoop.submit(mServer::hasUnfinished).get());
+        send(socket, "GET");
+        send(socket, " /x HTTP/1.1\r\nHost: h\r\n\r\n");
+        assertEquals(answer(in), "200 0");
+    }
+
     /** Guards against large bodies that stop and keep all others from being read. */
     @Test
     public void largeBodyThatStopsGivesWayToAnother() throws IOException {
