Close no more stopped bodies than one that waits needs

Callers whose large bodies stood still for a moment were cut off, all at once, as soon as one other body waited for memory: a closed connection gave its memory back only after the check of all others. It does so at once now, so that the check ends with the one that makes room. RequestBodiesTest.noMoreStoppedBodiesGiveWayThanNeeded failed before (none of the three others was answered).

--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -392,6 +392,7 @@
         long limitMs = lingers ? MAX_DISCARDING_MS : mServer.limits().requestMs();
         boolean slow = mMemory.isAwaited() && (isSlow(nowMs) || holdsUnanswered(nowMs));
         if (slow || nowMs - mUnfinishedSinceMs > limitMs) {
+            abandon();
             mContext.close();
         }
     }
@@ -430,8 +431,8 @@
         }
     }
 
-    @Override
-    public void channelInactive(ChannelHandlerContext context) {
+    /** Gives up the requests that aren't being handled, and their memory. */
+    private void abandon() {
         finished();
         mClosing = true;
         mClosed = true;
@@ -444,6 +445,11 @@
             }
         }
         mWaiting.clear();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        abandon();
         mServer.onClosed(this);
     }
 
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -57,11 +57,15 @@
     }
 
     private HttpServer bind(long requestMs) throws IOException {
+        return bind(requestMs, MAX_BODY);
+    }
+
+    private HttpServer bind(long requestMs, int memoryBytes) throws IOException {
         return HttpServer.bind(
                 mLoop,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 new ServerLimits(MAX_BODY, 100, requestMs),
-                new BodyMemory(MAX_BODY),
+                new BodyMemory(memoryBytes),
                 this::handle);
     }
 
@@ -270,6 +274,34 @@
         assertEquals(answer(reader(stopped)), "closed");
     }
 
+    /** Guards against all stopped bodies being cut off for one that waits. */
+    @Test
+    public void noMoreStoppedBodiesGiveWayThanNeeded() throws IOException {
+        mServer = bind(2 * TIMEOUT_MS, 4 * MAX_BODY);
+        List<Socket> stopped = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            stopped.add(send(announced(MAX_BODY) + "x".repeat(MAX_BODY - 1)));
+        }
+        BufferedReader other = reader(send(announced(MAX_BODY) + "x".repeat(MAX_BODY)));
+        assertEquals(answer(other), "200 " + MAX_BODY);
+
+        int answered = 0;
+        for (Socket s : stopped) {
+            answered += finish(s, "x").equals("200 " + MAX_BODY) ? 1 : 0;
+        }
+        assertEquals(answered, 3);
+    }
+
+    /** Sends the end of a request, and returns the answer. */
+    private static String finish(Socket socket, String end) {
+        try {
+            send(socket, end);
+            return answer(reader(socket));
+        } catch (IOException e) {
+            return "closed";
+        }
+    }
+
     @DataProvider
     public Object[][] receivedBytes() {
         return new Object[][] {{MAX_BODY}, {MAX_BODY / 2}};
