Read on after a rejected body only once its answer is sent

A caller that sent a request and then, on the same connection, a body over the limit got neither answer if the first request took its time: after 1 MiB of the rejected body the connection was closed. Its rest isn't read now while earlier answers are due. RequestBodiesTest.rejectedBodyIsDiscardedAfterEarlierAnswers failed before (connection closed); it, PipelinedRequestsTest, BodyMemoryTest and the other tests of bodies pass.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -267,7 +267,8 @@
             return;
         }
         boolean full = mWaiting.size() >= MAX_WAITING || mWaitingBytes >= MAX_WAITING_BYTES;
-        boolean read = mDecoder.isDiscarding() || !full && mPlaceWaiter == null && isWritable();
+        boolean read =
+                mDecoder.isDiscarding() ? mClosing : !full && mPlaceWaiter == null && isWritable();
         if (read == mReading) {
             return;
         }
@@ -329,11 +330,15 @@
         if (!keep) {
             mClosing = true;
             mUnfinishedSinceMs = mLastAnswerMs;
+            mProgressBytes = mDecoder.received();
             written.addListener(request.rejection() != 0 ? linger() : ChannelFutureListener.CLOSE);
-            return;
         }
         try {
-            handleWaiting();
+            if (keep) {
+                handleWaiting();
+            } else if (mDecoder.isDiscarding()) {
+                updateReading();
+            }
         } catch (Exception e) {
             exceptionCaught(mContext, e);
         }
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -219,6 +219,24 @@
         assertEquals(answer(in), "413");
     }
 
+    /** Guards against a connection that is closed before the answer to its earlier request. */
+    @Test
+    public void rejectedBodyIsDiscardedAfterEarlierAnswers() throws Exception {
+        Socket socket = send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + announced(1 << 30));
+        Consumer<HttpReply> reply = awaitHeld();
+        Thread sender = new Thread(() -> sendUntilClosed(socket, "x".repeat(LONG_ANSWER)));
+        sender.start();
+        TimeUnit.MILLISECONDS.sleep(SLOW_MS);
+
+        mLoop.execute(() -> reply.accept(HttpReply.empty(204)));
+
+        BufferedReader in = reader(socket);
+        assertEquals(answer(in), "204");
+        assertEquals(answer(in), "413");
+        socket.close();
+        sender.join();
+    }
+
     @Test
     public void malformedRequestIsRejected() throws IOException {
         assertEquals(answer(reader(send("GET\r\n\r\n"))), "400");
@@ -292,6 +310,14 @@
         assertEquals(answered, 3);
     }
 
+    private static void sendUntilClosed(Socket socket, String text) {
+        try {
+            send(socket, text);
+        } catch (IOException e) {
+            // The server has closed the connection, as expected.
+        }
+    }
+
     /** Sends the end of a request, and returns the answer. */
     private static String finish(Socket socket, String end) {
         try {
