Split ServerConnection: place of a body, queue, received request, response

BodyPlace, RequestQueue, ReceivedRequest and Responses take these parts; the field whose meaning depended on the state (progress of a body, or bytes before the last answer) is two now. No change in behaviour is meant; RequestBodiesTest, RequestBodyTest, PipelinedRequestsTest and BodyMemoryTest pass.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -1,23 +1,14 @@
 package org.foxtailplank.http;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 
 /**
@@ -32,63 +23,41 @@
     /** Size up to which a body needs no place in {@link BodyMemory}, in bytes. */
     private static final int SMALL_BODY = 16 << 10;
 
-    /** Requests that may wait for an earlier one, and their bytes. */
-    private static final int MAX_WAITING = 16;
-
-    private static final int MAX_WAITING_BYTES = SMALL_BODY;
-
     /** How much of a rejected request is read, so that the caller sees the answer; in bytes. */
     private static final long MAX_DISCARDED = 1 << 20;
 
     private static final long MAX_DISCARDING_MS = 2000;
 
-    /** Time without progress after which a large body gives way to one that waits. */
-    private static final long STALLED_MS = 500;
-
-    /** Slowest progress of a large body while another one waits, in bytes per millisecond. */
-    private static final long MIN_BYTES_PER_MS = 16;
-
-    private static final long MIN_RATE_AFTER_MS = 2000;
-
     private final HttpServer mServer;
     private final HttpHandler mHandler;
     private final RequestDecoder mDecoder;
     private final BodyMemory mMemory;
-    private final Deque<ReadRequest> mWaiting = new ArrayDeque<>();
+    private final RequestQueue mWaiting = new RequestQueue(SMALL_BODY);
+    private final BodyPlace mPlace;
     private ChannelHandlerContext mContext;
     private boolean mBusy;
     private boolean mHandlingWaiting;
     private boolean mClosing;
     private boolean mClosed;
     private long mLastAnswerMs = TargetPool.nowMs();
-    private int mWaitingBytes;
 
     private io.netty.handler.codec.http.HttpRequest mHead;
     private RequestBody mBody;
     private boolean mContinueExpected;
-    private int mPlace;
-    private BodyMemory.Waiter mPlaceWaiter;
     private boolean mReading = true;
 
     private boolean mUnfinished;
     private long mUnfinishedSinceMs;
-    private long mPlaceSinceMs;
-    private long mReceivedBeforePlace;
-    private long mProgressMs;
-    private long mProgressBytes;
 
-    /**
-     * A request with the size of its place in {@link BodyMemory}, or the status with which it is
-     * rejected.
-     */
-    private record ReadRequest(
-            HttpRequest request, boolean keepAlive, int place, int bytes, int rejection) {}
+    /** Bytes received before the last answer, after which the rest of a request is discarded. */
+    private long mReceivedBeforeClosing;
 
     ServerConnection(HttpServer server, HttpHandler handler, RequestDecoder decoder) {
         mServer = server;
         mHandler = handler;
         mDecoder = decoder;
         mMemory = server.memory();
+        mPlace = new BodyPlace(mMemory, decoder::received);
     }
 
     boolean isBusy() {
@@ -162,31 +131,18 @@
         mBody.append(part.content());
         if (part instanceof LastHttpContent) {
             complete();
-        } else if (size > SMALL_BODY && mPlace == 0 && mPlaceWaiter == null) {
+        } else if (size > SMALL_BODY && !mPlace.isTaken() && !mPlace.isAwaited()) {
             takePlace(mServer.limits().maxBodyBytes());
         }
     }
 
     private void takePlace(int bytes) throws Exception {
-        if (mMemory.take(bytes)) {
-            placeTaken(bytes);
-        } else {
-            mPlaceWaiter = mMemory.takeLater(bytes, () -> placeGranted(bytes));
-            updateReading();
-        }
-    }
-
-    private void placeTaken(int bytes) {
-        mPlace = bytes;
-        mPlaceSinceMs = TargetPool.nowMs();
-        mReceivedBeforePlace = mDecoder.received();
-        mProgressMs = mPlaceSinceMs;
+        mPlace.take(bytes, this::placeGranted);
+        updateReading();
     }
 
     /** Reads on later, since a body that is handled at once passes its place on. */
-    private void placeGranted(int bytes) {
-        mPlaceWaiter = null;
-        placeTaken(bytes);
+    private void placeGranted() {
         mContext.executor()
                 .execute(
                         () -> {
@@ -201,14 +157,10 @@
 
     /** Invites a body that the caller holds back, unless another answer comes first. */
     private void continueBody() {
-        boolean first = !mBusy && mWaiting.isEmpty() && mPlaceWaiter == null;
+        boolean first = !mBusy && mWaiting.isEmpty() && !mPlace.isAwaited();
         if (mContinueExpected && mHead != null && first) {
             mContinueExpected = false;
-            mContext.writeAndFlush(
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.CONTINUE,
-                            Unpooled.EMPTY_BUFFER));
+            mContext.writeAndFlush(Responses.invitation());
         }
     }
 
@@ -216,27 +168,24 @@
         byte[] body = mBody.toBytes();
         HttpRequest request = RequestHeads.decode(mHead, body);
         boolean keepAlive = HttpUtil.isKeepAlive(mHead);
-        int place = mPlace;
-        int bytes = mBusy || !isWritable() ? RequestHeads.memory(mHead) + body.length : 0;
-        mPlace = 0;
+        int waitingBytes = mBusy || !isWritable() ? RequestHeads.memory(mHead) + body.length : 0;
         mHead = null;
         mBody = null;
-        finished();
-        enqueue(new ReadRequest(request, keepAlive, place, bytes, 0));
+        stopWatching();
+        enqueue(ReceivedRequest.accepted(request, keepAlive, mPlace.handOver(), waitingBytes));
     }
 
     private void reject(HttpResponseStatus status) throws Exception {
         mHead = null;
         mBody = null;
-        releasePlace();
-        finished();
+        mPlace.release();
+        stopWatching();
         mDecoder.discard();
-        enqueue(new ReadRequest(null, false, 0, 0, status.code()));
+        enqueue(ReceivedRequest.rejected(status));
     }
 
-    private void enqueue(ReadRequest request) throws Exception {
+    private void enqueue(ReceivedRequest request) throws Exception {
         mWaiting.add(request);
-        mWaitingBytes += request.bytes();
         handleWaiting();
     }
 
@@ -251,7 +200,7 @@
         mHandlingWaiting = true;
         try {
             while (!mBusy && !mClosing && !mWaiting.isEmpty() && isWritable()) {
-                handle(mWaiting.poll());
+                handle(mWaiting.remove());
             }
         } finally {
             mHandlingWaiting = false;
@@ -266,9 +215,10 @@
         if (mClosed) {
             return;
         }
-        boolean full = mWaiting.size() >= MAX_WAITING || mWaitingBytes >= MAX_WAITING_BYTES;
         boolean read =
-                mDecoder.isDiscarding() ? mClosing : !full && mPlaceWaiter == null && isWritable();
+                mDecoder.isDiscarding()
+                        ? mClosing
+                        : !mWaiting.isFull() && !mPlace.isAwaited() && isWritable();
         if (read == mReading) {
             return;
         }
@@ -288,40 +238,21 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
-        finished();
+        stopWatching();
         handleWaiting();
         watch();
     }
 
-    private void handle(ReadRequest request) {
-        mWaitingBytes -= request.bytes();
+    private void handle(ReceivedRequest request) {
         mBusy = true;
-        if (request.rejection() != 0) {
-            respond(HttpReply.empty(request.rejection()), request);
-        } else {
-            mHandler.handle(request.request(), reply -> respond(reply, request));
-        }
+        request.rejection().ifPresent(r -> respond(HttpReply.empty(r.code()), request));
+        request.request().ifPresent(r -> mHandler.handle(r, reply -> respond(reply, request)));
     }
 
-    private void respond(HttpReply reply, ReadRequest request) {
-        boolean head =
-                request.request() != null
-                        && request.request().method().equals(HttpMethod.HEAD.name());
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(reply.status()),
-                        head ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(reply.body()));
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
-        if (!reply.contentType().isEmpty()) {
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
-        }
-        reply.headers().forEach((name, value) -> response.headers().set(name, value));
+    private void respond(HttpReply reply, ReceivedRequest request) {
         boolean keep = request.keepAlive() && !(mServer.isStopping() && mWaiting.isEmpty());
-        if (!keep) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
-        ChannelFuture written = mContext.writeAndFlush(response);
+        ChannelFuture written =
+                mContext.writeAndFlush(Responses.of(reply, !request.isHead(), keep));
         mBusy = false;
         mLastAnswerMs = TargetPool.nowMs();
         if (request.place() > 0) {
@@ -330,8 +261,9 @@
         if (!keep) {
             mClosing = true;
             mUnfinishedSinceMs = mLastAnswerMs;
-            mProgressBytes = mDecoder.received();
-            written.addListener(request.rejection() != 0 ? linger() : ChannelFutureListener.CLOSE);
+            mReceivedBeforeClosing = mDecoder.received();
+            written.addListener(
+                    request.rejection().isPresent() ? linger() : ChannelFutureListener.CLOSE);
         }
         try {
             if (keep) {
@@ -358,7 +290,8 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         watch();
-        if (mDecoder.isDiscarding() && mDecoder.received() - mProgressBytes > MAX_DISCARDED) {
+        long discarded = mDecoder.received() - mReceivedBeforeClosing;
+        if (mDecoder.isDiscarding() && mClosing && discarded > MAX_DISCARDED) {
             context.close();
         }
     }
@@ -370,21 +303,20 @@
         }
         boolean unfinished =
                 mDecoder.isDiscarding()
-                        || mPlaceWaiter != null
+                        || mPlace.isAwaited()
                         || !isWritable()
                         || mReading && mDecoder.isStarted();
         if (unfinished && !mUnfinished) {
             mUnfinished = true;
             mUnfinishedSinceMs = TargetPool.nowMs();
-            mProgressMs = mUnfinishedSinceMs;
-            mProgressBytes = mDecoder.received();
+            mPlace.restartProgress(mUnfinishedSinceMs);
             mServer.addUnfinished(this);
         } else if (!unfinished) {
-            finished();
+            stopWatching();
         }
     }
 
-    private void finished() {
+    private void stopWatching() {
         if (mUnfinished) {
             mUnfinished = false;
             mServer.removeUnfinished(this);
@@ -395,8 +327,8 @@
     void checkUnfinished(long nowMs) {
         boolean lingers = mDecoder.isDiscarding() && mClosing;
         long limitMs = lingers ? MAX_DISCARDING_MS : mServer.limits().requestMs();
-        boolean slow = mMemory.isAwaited() && (isSlow(nowMs) || holdsUnanswered(nowMs));
-        if (slow || nowMs - mUnfinishedSinceMs > limitMs) {
+        boolean isSlow = mReading && mPlace.isSlow(nowMs) || holdsUnanswered(nowMs);
+        if (mMemory.isAwaited() && isSlow || nowMs - mUnfinishedSinceMs > limitMs) {
             abandon();
             mContext.close();
         }
@@ -405,51 +337,19 @@
     /** Returns whether a body keeps its place, whole or in part, as earlier answers aren't read. */
     private boolean holdsUnanswered(long nowMs) {
         return !isWritable()
-                && nowMs - mUnfinishedSinceMs > STALLED_MS
-                && (mPlace > 0 || mWaiting.stream().anyMatch(r -> r.place() > 0));
-    }
-
-    /** Returns whether a body that is being read makes too little progress. */
-    private boolean isSlow(long nowMs) {
-        if (mPlace == 0 || !mReading) {
-            return false;
-        }
-        if (mDecoder.received() != mProgressBytes) {
-            mProgressBytes = mDecoder.received();
-            mProgressMs = nowMs;
-        }
-        long heldMs = nowMs - mPlaceSinceMs;
-        long received = mDecoder.received() - mReceivedBeforePlace;
-        return nowMs - mProgressMs > STALLED_MS
-                || heldMs > MIN_RATE_AFTER_MS && received < heldMs * MIN_BYTES_PER_MS;
-    }
-
-    private void releasePlace() {
-        if (mPlaceWaiter != null) {
-            mMemory.giveUp(mPlaceWaiter);
-            mPlaceWaiter = null;
-        }
-        if (mPlace > 0) {
-            int place = mPlace;
-            mPlace = 0;
-            mMemory.release(place);
-        }
+                && BodyPlace.isStalled(nowMs - mUnfinishedSinceMs)
+                && (mPlace.isTaken() || mWaiting.holdsPlace());
     }
 
     /** Gives up the requests that aren't being handled, and their memory. */
     private void abandon() {
-        finished();
+        stopWatching();
         mClosing = true;
         mClosed = true;
         mHead = null;
         mBody = null;
-        releasePlace();
-        for (ReadRequest r : mWaiting) {
-            if (r.place() > 0) {
-                mMemory.release(r.place());
-            }
-        }
-        mWaiting.clear();
+        mPlace.release();
+        mWaiting.clear(mMemory);
     }
 
     @Override
