Correct comments that promised something else; check limits where they are created

Records of limits reject values that would be taken silently. Servers no longer ask the clients' pool for the time.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ListedIncarnations.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ListedIncarnations.java
@@ -9,8 +9,8 @@
  * The incarnations of workers that a list of VMs names.
  *
  * <p>Guards against treating an incarnation as ended because its VM's entry is unreadable, which
- * would start its tasks a second time. A list with such an entry doesn't prove that any incarnation
- * has ended.
+ * would start its tasks a second time. A list with such an entry only proves the end of
+ * incarnations whose own VM it names with another one, or with none.
  */
 public final class ListedIncarnations {
     private final Set<String> mIncarnations = new HashSet<>();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -30,10 +30,10 @@
     private final Map<Long, Set<String>> mRebooted = new HashMap<>();
     private final Set<Long> mReportedWaves = new HashSet<>();
 
-    /** IDs of the VMs with which lists have named incarnations. */
+    /** IDs of the workers' VMs, as last listed, by the IDs of the incarnations. */
     private final Map<String, String> mVmsOfIncarnations = new HashMap<>();
 
-    /** When the last list was requested, for the incarnations that it lacked with their VMs. */
+    /** When the last list was requested, for each worker that it was the first in a row to lack. */
     private Map<WorkerState, Long> mMissingSinceMs = Map.of();
 
     /** Creates a planner for the VMs of a scheduler's workers. */
@@ -90,9 +90,9 @@
      * crashed workers without waiting for their leases.
      *
      * <p>An incarnation has ended if its VM is listed with another one or with none, or if two
-     * complete lists in a row, requested well after the worker was first seen, don't name it: a
-     * list is read in pages, between which a VM may be missed. A worker that has answered since is
-     * alive.
+     * complete lists in a row don't name it: a list is read in pages, between which a VM may be
+     * missed. They must have been requested well after the worker was first seen, or after a list
+     * that named it. A worker that has answered since is alive.
      */
     public List<WorkerState> endedIncarnations(List<VmInfo> vms, long askedMs) {
         ListedIncarnations listed = new ListedIncarnations(vms);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -340,7 +340,7 @@
         return mLateAnswerMs > ms;
     }
 
-    /** Time of the last answer to a poll that was in time; of the creation before. */
+    /** Time of the last answer that arrived before its poll's timeout; of the creation if none. */
     public long lastAnswerMs() {
         return mLastAnswerMs;
     }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/BodyMemory.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/BodyMemory.java
@@ -23,6 +23,9 @@
 
     /** Creates a memory of this many bytes; a larger body gets it if nothing else is in use. */
     public BodyMemory(long capacity) {
+        if (capacity < 0) {
+            throw new IllegalArgumentException("capacity must not be negative");
+        }
         mCapacity = capacity;
     }
 
--- a/foxtail-http/src/main/java/org/foxtailplank/http/BodyPlace.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/BodyPlace.java
@@ -57,7 +57,7 @@
 
     private void markTaken(int bytes) {
         mBytes = bytes;
-        mSinceMs = TargetPool.nowMs();
+        mSinceMs = MonotonicClock.nowMs();
         mReceivedBefore = mReceived.getAsLong();
         restartProgress(mSinceMs);
     }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ClientConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ClientConnection.java
@@ -54,7 +54,7 @@
             @Override
             public void channelRead(ChannelHandlerContext context, Object bytes) {
                 if (mCurrent != null) {
-                    mCurrent.recordProgress(TargetPool.nowMs());
+                    mCurrent.recordProgress(MonotonicClock.nowMs());
                 }
                 context.fireChannelRead(bytes);
             }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/HttpServer.java
@@ -199,7 +199,7 @@
     }
 
     private void checkUnfinished() {
-        long nowMs = TargetPool.nowMs();
+        long nowMs = MonotonicClock.nowMs();
         List.copyOf(mUnfinished).forEach(c -> c.checkUnfinished(nowMs));
         mChecking = !mUnfinished.isEmpty();
         if (mChecking) {
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -17,7 +17,8 @@
  * <p>While requests wait for an earlier one, few more are read, and a body over {@link #SMALL_BODY}
  * is read once there is memory for it, so that callers can't fill the memory of the node. No
  * request is handled while answers aren't read. The connection of a request that isn't finished in
- * time is closed without an answer, as it is unknown whether another copy of it was accepted.
+ * time is closed without an answer: a rejection would tell a caller who has sent the request before
+ * that it was never accepted.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     /** Size up to which a body needs no place in {@link BodyMemory}, in bytes. */
@@ -39,7 +40,7 @@
     private boolean mHandlingWaiting;
     private boolean mClosing;
     private boolean mClosed;
-    private long mLastAnswerMs = TargetPool.nowMs();
+    private long mLastAnswerMs = MonotonicClock.nowMs();
 
     private io.netty.handler.codec.http.HttpRequest mHead;
     private RequestBody mBody;
@@ -254,7 +255,7 @@
         ChannelFuture written =
                 mContext.writeAndFlush(Responses.of(reply, !request.isHead(), keep));
         mBusy = false;
-        mLastAnswerMs = TargetPool.nowMs();
+        mLastAnswerMs = MonotonicClock.nowMs();
         if (request.place() > 0) {
             mMemory.release(request.place());
         }
@@ -308,7 +309,7 @@
                         || mReading && mDecoder.isStarted();
         if (unfinished && !mUnfinished) {
             mUnfinished = true;
-            mUnfinishedSinceMs = TargetPool.nowMs();
+            mUnfinishedSinceMs = MonotonicClock.nowMs();
             mPlace.restartProgress(mUnfinishedSinceMs);
             mServer.addUnfinished(this);
         } else if (!unfinished) {
--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerLimits.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerLimits.java
@@ -4,8 +4,8 @@
  * Limits of a server.
  *
  * @param maxBodyBytes largest body of a request, in bytes; larger ones are rejected with status 413
- * @param maxConnections most open connections; for one more, the connection that has been without
- *     an answer for the longest time is closed, unless its only request is being handled
+ * @param maxConnections most open connections; for one more, the idle connection whose last answer
+ *     is the oldest is closed, or else one on which requests wait behind another
  * @param requestMs how long the connection of an unfinished request is kept, in milliseconds
  */
 public record ServerLimits(int maxBodyBytes, int maxConnections, long requestMs) {
@@ -16,8 +16,11 @@
     public static final int DEFAULT_REQUEST_MS = 60_000;
 
     public ServerLimits {
-        if (maxBodyBytes < 0 || maxConnections < 1 || requestMs < 1) {
-            throw new IllegalArgumentException("limits must be positive");
+        if (maxBodyBytes < 0) {
+            throw new IllegalArgumentException("maxBodyBytes must not be negative");
+        }
+        if (maxConnections < 1 || requestMs < 1) {
+            throw new IllegalArgumentException("maxConnections and requestMs must be positive");
         }
     }
 }
--- a/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/TargetPool.java
@@ -38,7 +38,7 @@
     }
 
     void call(PendingCall pending, long timeoutMs) {
-        pending.start(timeoutMs, nowMs());
+        pending.start(timeoutMs, MonotonicClock.nowMs());
         scheduleTimeout(pending, timeoutMs);
         mWaiting.add(pending);
         dispatch();
@@ -49,7 +49,7 @@
     }
 
     private void onTimer(PendingCall call) {
-        long remainingMs = call.remainingMs(nowMs());
+        long remainingMs = call.remainingMs(MonotonicClock.nowMs());
         if (remainingMs > 0) {
             scheduleTimeout(call, remainingMs);
         } else {
@@ -57,10 +57,6 @@
         }
     }
 
-    static long nowMs() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
-
     /** Closes the idle connections; none of them gets another call. */
     void close() {
         List<ClientConnection> idle = List.copyOf(mIdle);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/NodeSettings.java
@@ -97,6 +97,12 @@
                         ServerLimits.DEFAULT_CONNECTIONS,
                         BodyMemory.DEFAULT_BYTES,
                         ServerLimits.DEFAULT_REQUEST_MS);
+
+        public CallerLimits {
+            if (connections < 1 || bufferBytes < 1 || requestMs < 1) {
+                throw new IllegalArgumentException("limits for callers must be positive");
+            }
+        }
     }
 
     /** Returns the address at which other nodes reach this one, as {@code ip:port}. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/log/NodeLog.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/log/NodeLog.java
@@ -18,7 +18,7 @@
     /** Maximum number of lines of one kind per second. */
     private static final int MAX_LINES_PER_S = 200;
 
-    /** The same for each kind that shows where a task may run. */
+    /** The same for each of {@link #RUN_KINDS}, which tell where a task may run. */
     private static final int MAX_RUN_LINES_PER_S = 1000;
 
     private static final Set<String> RUN_KINDS =
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CrashLogger.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CrashLogger.java
@@ -34,7 +34,7 @@
 
     /**
      * Logs a run that ended with its worker; {@code ageMs} is -1 if this owner didn't start it, and
-     * {@code answeredMsAgo} if the worker hasn't answered this owner.
+     * {@code answeredMsAgo} if the incarnation hasn't answered this owner.
      */
     private void logRun(TaskRun run, WorkerEndReason reason, long noticedMs, long nowMs) {
         WorkerState worker = run.worker();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
@@ -460,8 +460,8 @@
 
     /**
      * Whether the owner with this token has owned for at least this long, and its process reports
-     * that it owns no more. A report that arrived before it can have owned for so long may be from
-     * before its takeover, which other nodes may learn of first.
+     * that it owns no more. Earlier reports don't count, as a process that is about to take over
+     * reports the same.
      */
     private boolean hasEndedAfter(long token, long ms) {
         return hasOwnedFor(token, ms)
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -100,7 +100,7 @@
     }
 
     /**
-     * Takes over: raises the epoch, reads the journal, the worker directory and the VM list
+     * Takes over: raises the epoch, reads the journal, the worker directory and the VM lists
      * concurrently, then polls every worker.
      *
      * <p>The first heartbeat is written before the reads, which on a slow store take longer than
@@ -438,7 +438,7 @@
         scheduleDecision();
     }
 
-    /** Decides at once instead of collecting further events. */
+    /** Makes the decisions that are due and sends the commands. */
     void decide() {
         mDecisionScheduled = false;
         if (mEnded) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/PartitionWriter.java
@@ -203,7 +203,7 @@
         }
     }
 
-    /** Logs an answer that is for an earlier append, as this one was sent after its offset. */
+    /** Logs an answer whose offset had been read before the append was sent: it is for another. */
     private void logIfBehind(JournalBatch batch, SharedLog.Stored stored) {
         if (batch.isEmpty() || stored.firstOffset() >= mSentAtPosition) {
             return;
