Soak: judge RECOVER by the answers to callers that wait for one

The check was wrong: callers that leave after 0.3 s and cancel counted as handed in and, since no answer of theirs is recorded, never as accepted. Now each try with an answer counts, or with none after the caller's time; the bound of a quarter is unchanged. PromiseTest.callersThatLeaveDoNotShowWhetherTheSystemHasRecovered failed before, and a system that doesn't answer at all still breaks it (aSystemThatDoesNotAnswerAfterTheEndHasNotRecovered).

--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -424,9 +424,11 @@
             if (event instanceof SoakEvent.Calm e) {
                 scan.since("calm", e.atMs());
             } else if (event instanceof Submitted e && isLate(e, scan)) {
+                scan.since(e.job().id(), e.atMs());
+            } else if (event instanceof SubmitAnswer e && scan.since(e.job()).isPresent()) {
+                // Callers that leave don't wait for an answer, so that they can't be served.
                 scan.count("sent", 1);
-            } else if (event instanceof SubmitAnswer e && isLate(e, scan) && e.isAccepted()) {
-                scan.count("served", 1);
+                scan.count("served", e.isAccepted() ? 1 : 0);
             }
         }
 
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -468,4 +468,25 @@
         mEvents.add(new SubmitAnswer(20_100, JOB.id(), 0, 503));
         assertFalse(Promise.RECOVER.check(mEvents).isEmpty());
     }
+
+    /** Guards against tries without any answer that don't count. */
+    @Test
+    public void aSystemThatDoesNotAnswerAfterTheEndHasNotRecovered() {
+        mEvents.add(new Calm(1000));
+        mEvents.add(new Submitted(20_000, JOB, 0));
+        mEvents.add(new SubmitAnswer(23_000, JOB.id(), 0, 0));
+        assertFalse(Promise.RECOVER.check(mEvents).isEmpty());
+    }
+
+    /** Guards against callers that leave and count as not served. */
+    @Test
+    public void callersThatLeaveDoNotShowWhetherTheSystemHasRecovered() {
+        mEvents.add(new Calm(1000));
+        for (int i = 0; i < 4; i++) {
+            mEvents.add(new Submitted(20_000, STANDING, 0));
+        }
+        mEvents.add(new Submitted(20_000, JOB, 0));
+        mEvents.add(new SubmitAnswer(20_100, JOB.id(), 0, 202));
+        assertTrue(Promise.RECOVER.check(mEvents).isEmpty());
+    }
 }
