--- a/foxtail-it/src/test/java/org/foxtailplank/it/history/EntryProcesses.java
+++ b/foxtail-it/src/test/java/org/foxtailplank/it/history/EntryProcesses.java
@@ -1,9 +1,7 @@
 package org.foxtailplank.it.history;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,6 +11,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.apache.pekko.actor.ActorSystem;
+import org.foxtailplank.it.process.FreePorts;
 import org.foxtailplank.it.process.ProcessReport;
 import org.foxtailplank.process.SettingsFiles;
 import org.foxtailplank.settings.Settings;
@@ -26,10 +25,7 @@
             "\"e%d\":{\"zone\":\"z\",\"callers\":\"%s:%d\",\"peers\":\"%s:%d\","
                     + "\"admin\":\"127.0.0.1:0\"}";
 
-    /**
-     * An address of this program's own. Connections leave from 127.0.0.1, so that none takes a port
-     * there between the moment it was found free and the start of its process.
-     */
+    /** An address of this program's own; see {@link FreePorts}. */
     private static final String IP = "127." + (ProcessHandle.current().pid() % 250 + 1) + ".0.1";
 
     private static final String SETTINGS =
@@ -62,7 +58,7 @@
     private final List<Process> mProcesses = new ArrayList<>();
 
     EntryProcesses(int entries) throws Exception {
-        List<Integer> ports = freePorts(2 * entries + 1);
+        List<Integer> ports = FreePorts.on(IP, 2 * entries + 1);
         int platformPort = ports.get(2 * entries);
         String nodes =
                 IntStream.range(0, entries)
@@ -148,18 +144,4 @@
         ProcessReport.started(process, output);
         return process;
     }
-
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            ServerSocket socket = new ServerSocket(0, 0, InetAddress.getByName(IP));
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
-    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -37,15 +37,6 @@
         }
     }
 
-    /** Lets time pass and asserts at each step that the task runs at most once. */
-    private void passAssertingAtMostOneRun(long ms) {
-        for (long t = 0; t < ms; t += STEP_MS) {
-            pass(STEP_MS);
-            List<String> workers = mWorkers.running(TASK);
-            assertTrue(workers.size() <= 1, "after " + t + " ms on " + workers);
-        }
-    }
-
     /** Starts the first owner, which reaches only worker w1 and has started the task there. */
     private OwnerSession startOwnerWithFirstWorker(
             SharedLog log, FakeWorkers.Connection connection) {
@@ -76,7 +67,7 @@
         FakeWorkers.Connection connection = mWorkers.connect();
         connection.disconnect("w1");
         startOwner(new DisconnectableLog(mLog), connection, new Takeover(2, false, false));
-        passAssertingAtMostOneRun(30_000);
+        passAssertingAtMostOneRun(TASK, 30_000);
 
         assertEquals(
                 mWorkers.running(TASK), List.of("w2"), "the task finally runs on the other worker");
@@ -309,7 +300,7 @@
         FakeWorkers.Connection connection = mWorkers.connect();
         connection.disconnect("w1");
         startOwner(new DisconnectableLog(mLog), connection, new Takeover(2, true, true));
-        passAssertingAtMostOneRun(1500);
+        passAssertingAtMostOneRun(TASK, 1500);
     }
 
     @Test
@@ -322,7 +313,7 @@
         pass(1000);
 
         connection.disconnect("w1");
-        passAssertingAtMostOneRun(15_000);
+        passAssertingAtMostOneRun(TASK, 15_000);
 
         assertEquals(mWorkers.running(TASK), List.of("w2"));
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/MisdirectedCommandTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/MisdirectedCommandTest.java
@@ -1,7 +1,6 @@
 package org.foxtailplank.node.owner;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import java.util.function.Consumer;
@@ -104,22 +103,14 @@
         pass(POLLS_MS);
     }
 
-    private void passAssertingOneRun(long ms) {
-        for (long t = 0; t < ms; t += STEP_MS) {
-            pass(STEP_MS);
-            List<String> workers = mWorkers.running(TASK);
-            assertTrue(workers.size() <= 1, "after " + t + " ms on " + workers);
-        }
-    }
-
     /** Guards against a second start while a worker runs whose entry has named another address. */
     @Test
     public void aWorkerHasNotEndedIfAnotherOneAnswersWhereItNeverDid() {
         startOwnerWithTask(new Misdirected(OTHER_ADDRESS));
         mDirectory.add("w1", SERVICE, OTHER_ADDRESS);
-        passAssertingOneRun(POLLS_MS);
+        passAssertingAtMostOneRun(TASK, POLLS_MS);
         mDirectory.add("w1", SERVICE, ADDRESS);
-        passAssertingOneRun(POLLS_MS);
+        passAssertingAtMostOneRun(TASK, POLLS_MS);
 
         assertEquals(mWorkers.running(TASK), List.of("w1"));
     }
@@ -130,9 +121,9 @@
         startOwnerWithTask(mConnection);
         mDirectory.add("w1", SERVICE, OTHER_ADDRESS);
         startOwner(mLog, new Misdirected(OTHER_ADDRESS), new Takeover(2, true, true));
-        passAssertingOneRun(POLLS_MS);
+        passAssertingAtMostOneRun(TASK, POLLS_MS);
         mDirectory.add("w1", SERVICE, ADDRESS);
-        passAssertingOneRun(POLLS_MS);
+        passAssertingAtMostOneRun(TASK, POLLS_MS);
 
         assertEquals(mWorkers.running(TASK), List.of("w1"));
     }
@@ -154,9 +145,9 @@
         mConnection.reconnect("w2");
         pass(POLLS_MS);
         mDirectory.add("w1", SERVICE, OTHER_ADDRESS);
-        passAssertingOneRun(POLLS_MS);
+        passAssertingAtMostOneRun(TASK, POLLS_MS);
         mDirectory.add("w1", SERVICE, ADDRESS);
-        passAssertingOneRun(POLLS_MS);
+        passAssertingAtMostOneRun(TASK, POLLS_MS);
 
         assertEquals(mWorkers.running(TASK), List.of("w1"));
     }
@@ -170,11 +161,11 @@
         startOwnerWithTask(connection);
         connection.mAnswersAnyPoll = true;
         mDirectory.add("w1", START_MS, SERVICE, OTHER_ADDRESS);
-        passAssertingOneRun(POLLS_MS);
+        passAssertingAtMostOneRun(TASK, POLLS_MS);
         connection.mAnswersAnyPoll = false;
-        passAssertingOneRun(POLLS_MS);
+        passAssertingAtMostOneRun(TASK, POLLS_MS);
         mDirectory.add("w1", START_MS, SERVICE, ADDRESS);
-        passAssertingOneRun(POLLS_MS);
+        passAssertingAtMostOneRun(TASK, POLLS_MS);
 
         assertEquals(mWorkers.running(TASK), List.of("w1"));
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerFleetTestBase.java
@@ -1,5 +1,7 @@
 package org.foxtailplank.node.owner;
 
+import static org.testng.Assert.assertTrue;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -168,6 +170,15 @@
         return JournalCodec.encode(new JobAccepted(definition));
     }
 
+    /** Lets time pass and asserts at each step that a task runs at most once. */
+    void passAssertingAtMostOneRun(TaskName task, long ms) {
+        for (long t = 0; t < ms; t += STEP_MS) {
+            pass(STEP_MS);
+            List<String> workers = mWorkers.running(task);
+            assertTrue(workers.size() <= 1, "after " + t + " ms on " + workers);
+        }
+    }
+
     void pass(long ms) {
         for (long t = 0; t < ms; t += STEP_MS) {
             mTime.advance(STEP_MS);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedNetwork.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedNetwork.java
@@ -11,7 +11,7 @@
  * connections that are cut for some time.
  */
 final class SimulatedNetwork {
-    /** Longest time after which a call without an answer is still carried out. */
+    /** Calls that would be carried out later than this are lost, in milliseconds. */
     private static final int MAX_LATE_MS = 9000;
 
     private static final int SLOW_MS = 350;
@@ -61,6 +61,12 @@
      */
     record Call<T>(String from, String to, long timeoutMs, long lateMs, T unanswered, T notSent) {}
 
+    /** What the client knows of a call: its result, and whether that was the answer. */
+    private static final class PendingCall {
+        private boolean mCompleted;
+        private boolean mAnswered;
+    }
+
     <T> void send(SimulatedProcess client, Call<T> call, Server<T> server, Consumer<T> callback) {
         client.send(() -> sendNow(client, call, server, callback));
     }
@@ -73,17 +79,17 @@
             client.after(mRandom.nextInt(SLOW_MS), () -> callback.accept(call.notSent()));
             return;
         }
-        boolean[] completed = new boolean[2];
+        PendingCall pending = new PendingCall();
         long sentMs = mTime.nowMs();
         client.after(
                 call.timeoutMs(),
                 () -> {
-                    if (!completed[0]) {
-                        completed[0] = true;
+                    if (!pending.mCompleted) {
+                        pending.mCompleted = true;
                         callback.accept(call.unanswered());
                     }
                 });
-        Consumer<T> reply = answer -> reply(client, call, sentMs, completed, answer, callback);
+        Consumer<T> reply = answer -> reply(client, call, sentMs, pending, answer, callback);
         if (!cut && !lost) {
             mTime.after(delayMs(), () -> server.execute(reply));
         } else if (!cut || mRandom.nextDouble() < LATE_AFTER_CUT_SHARE) {
@@ -103,7 +109,7 @@
             SimulatedProcess client,
             Call<T> call,
             long sentMs,
-            boolean[] completed,
+            PendingCall pending,
             T answer,
             Consumer<T> callback) {
         if (isCut(call.to(), call.from())) {
@@ -114,12 +120,12 @@
                 () ->
                         client.receive(
                                 () -> {
-                                    boolean late = completed[0];
+                                    boolean late = pending.mCompleted;
                                     long tookMs = mTime.nowMs() - sentMs;
                                     boolean accepted = tookMs < call.timeoutMs() + call.lateMs();
-                                    if (!late || accepted && !completed[1]) {
-                                        completed[0] = true;
-                                        completed[1] = true;
+                                    if (!late || accepted && !pending.mAnswered) {
+                                        pending.mCompleted = true;
+                                        pending.mAnswered = true;
                                         callback.accept(answer);
                                     }
                                 }));
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedRuns.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedRuns.java
@@ -52,9 +52,9 @@
         Map<SimulatedWorker, Integer> running =
                 mRunning.computeIfAbsent(task, t -> new LinkedHashMap<>());
         List.copyOf(running.keySet()).forEach(SimulatedWorker::update);
-        Map<SimulatedWorker, Integer> others = new LinkedHashMap<>(running);
-        if (!others.isEmpty()) {
-            violated(task + " attempt " + attempt + " starts on " + worker + ", runs on " + others);
+        if (!running.isEmpty()) {
+            violated(
+                    task + " attempt " + attempt + " starts on " + worker + ", runs on " + running);
         }
         if (mAcknowledgedDoneMs.containsKey(task)) {
             violated(task + " starts on " + worker + " after an acknowledged end");
@@ -76,8 +76,4 @@
             violated(task + " was started after its end on " + worker + ", now acknowledged");
         }
     }
-
-    boolean isDone(TaskName task) {
-        return mAcknowledgedDoneMs.containsKey(task);
-    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedWorker.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedWorker.java
@@ -80,10 +80,6 @@
         return mUp;
     }
 
-    long startMs() {
-        return mStartMs;
-    }
-
     private long clockMs() {
         return mClockZeroMs + (long) ((mTime.nowMs() - mStartMs) * mClockRate);
     }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/TakeoverDirectoryTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/TakeoverDirectoryTest.java
@@ -31,11 +31,7 @@
         assertEquals(mWorkers.running(TASK), List.of("w1"), "the first owner starts the task");
         log.mRefusing = false;
 
-        for (int i = 0; i < 100; i++) {
-            pass(STEP_MS);
-            List<String> workers = mWorkers.running(TASK);
-            assertTrue(workers.size() <= 1, "after " + i * STEP_MS + " ms on " + workers);
-        }
+        passAssertingAtMostOneRun(TASK, 100 * STEP_MS);
         assertTrue(second.isLoaded());
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/TakeoverListTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/TakeoverListTest.java
@@ -1,7 +1,6 @@
 package org.foxtailplank.node.owner;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import org.foxtailplank.port.VmClient;
@@ -33,11 +32,7 @@
     public void aWorkerThatOnlyTheFirstListLacksHasNotEnded() {
         mNextLists.add(List.of(Vms.vm("vm2", "w2")));
         startOwner(mLog, mConnection, new Takeover(2, true, true));
-        for (int i = 0; i < 100; i++) {
-            pass(STEP_MS);
-            List<String> workers = mWorkers.running(TASK);
-            assertTrue(workers.size() <= 1, "after " + i * STEP_MS + " ms on " + workers);
-        }
+        passAssertingAtMostOneRun(TASK, 100 * STEP_MS);
         mDirectory.add("w1", SERVICE);
         pass(2000);
 
@@ -62,11 +57,7 @@
         List<VmClient.VmInfo> all = mVms;
         mVms = List.of(Vms.vm("vm2", "w2"));
         startOwner(mLog, mConnection, new Takeover(2, true, true));
-        for (int i = 0; i < 100; i++) {
-            pass(STEP_MS);
-            List<String> workers = mWorkers.running(TASK);
-            assertTrue(workers.size() <= 1, "after " + i * STEP_MS + " ms on " + workers);
-        }
+        passAssertingAtMostOneRun(TASK, 100 * STEP_MS);
         mVms = all;
         mDirectory.add("w1", SERVICE);
         pass(2000);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/WorkerRestartTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/WorkerRestartTest.java
@@ -110,10 +110,7 @@
         owner.storeHandedOver(job(OTHER_TASK.job(), RunMode.PLAIN), outcome -> {});
         pass(100);
         mConnection.reconnect("w1");
-        for (int i = 0; i < 400; i++) {
-            pass(STEP_MS);
-            assertTrue(mWorkers.running(OTHER_TASK).size() <= 1, "after " + i + " steps");
-        }
+        passAssertingAtMostOneRun(OTHER_TASK, 400 * STEP_MS);
 
         assertEquals(mWorkers.running(OTHER_TASK).size(), 1);
     }
@@ -138,10 +135,7 @@
         FakeWorkers.Connection connection = mWorkers.connect();
         connection.disconnect("w1");
         startOwner(mLog, connection, new Takeover(2, true, true));
-        for (int i = 0; i < 400; i++) {
-            pass(STEP_MS);
-            assertTrue(mWorkers.running(OTHER_TASK).size() <= 1, "after " + i + " steps");
-        }
+        passAssertingAtMostOneRun(OTHER_TASK, 400 * STEP_MS);
     }
 
     /** Guards against a successor that waits for a run of its worker's former incarnation. */
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -86,7 +86,7 @@
 
     private static final double ALL_LOST_S = 0.5;
 
-    /** Mean time between the beginnings of what owners and successors see late, in seconds. */
+    /** Mean time between two faults that delay reads, VM lists or start commands, in seconds. */
     private static final double LATE_GAP_S = 4;
 
     private static final double LATE_S = 4;
@@ -94,7 +94,7 @@
     /** Mean time between two replacements of workers one after the other, in seconds. */
     private static final double REPLACED_GAP_S = 4;
 
-    /** Sets the draw of all these apart in the same way. */
+    /** Seed of the draw of all these, apart so that older seeds keep their other faults. */
     private static final long OWNERS_SEED = 0x0b3;
 
     /** Retention of the store in runs with rolling restarts, and in others, in seconds. */
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakNode.java
@@ -1,9 +1,7 @@
 package org.foxtailplank.soak;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -11,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.adapter.standin.UsersStandin;
+import org.foxtailplank.it.process.FreePorts;
 import org.foxtailplank.it.process.RunningProcess;
 import org.foxtailplank.it.proxy.FaultProxy;
 import org.foxtailplank.node.NodeMain;
@@ -66,22 +65,7 @@
         mRetentionS = retentionS;
         mStore = FaultProxy.before(platform.openStore(name));
         mVms = FaultProxy.before(platform.vmServiceAddress());
-        mPorts = freePorts();
-    }
-
-    /** All are held open until the last is found, so that they differ. */
-    private List<Integer> freePorts() throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < PORTS; i++) {
-            ServerSocket socket = new ServerSocket(0, 0, InetAddress.getByName(mIp));
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket s : sockets) {
-            s.close();
-        }
-        return ports;
+        mPorts = FreePorts.on(mIp, PORTS);
     }
 
     String name() {
@@ -143,7 +127,7 @@
 
     /** Its next start is at other ports. */
     synchronized void moveElsewhere() throws IOException {
-        mPorts = freePorts();
+        mPorts = FreePorts.on(mIp, PORTS);
     }
 
     private String settings() {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakSystem.java
@@ -83,8 +83,7 @@
     /**
      * The first three numbers of a run's loopback addresses. Guards against a node whose port was
      * taken by another run's node between the moment it was found free and its start: callers would
-     * ask the other run's node, which knows none of their jobs. Nor do connections of other
-     * programs take ports there, as they leave from 127.0.0.1.
+     * ask the other run's node, which knows none of their jobs.
      */
     static String network() {
         long process = ProcessHandle.current().pid() % NETWORKS + 1;
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/CrowdNode.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/CrowdNode.java
@@ -4,19 +4,17 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.foxtailplank.adapter.standin.UsersStandin;
+import org.foxtailplank.it.process.FreePorts;
 import org.foxtailplank.it.process.RunningProcess;
 import org.foxtailplank.node.NodeMain;
 
@@ -27,7 +25,7 @@
     /** Largest heap of the process, in MiB. */
     private static final int HEAP_MB = 32;
 
-    /** Memory of the smallest machine beyond the heap of 160 MiB of a node there, in MiB. */
+    /** Memory beside the heap: that of the smallest machine less a node's heap there, in MiB. */
     private static final int BEYOND_HEAP_MB = 170;
 
     private static final int CONNECTIONS = 128;
@@ -50,15 +48,15 @@
 
     private final UsersStandin mPlatform;
     private final RunningProcess mProcess;
-    private final InetAddress mAddress;
+    private final String mIp;
     private final List<Integer> mPorts;
     private int mJobs;
     private int mMostDescriptors;
 
     CrowdNode(Path folder) throws IOException {
         Files.createDirectories(folder);
-        mAddress = InetAddress.getByName(SoakSystem.network() + ".1");
-        mPorts = freePorts();
+        mIp = SoakSystem.network() + ".1";
+        mPorts = FreePorts.on(mIp, PORTS);
         mPlatform =
                 new UsersStandin(
                         new UsersStandin.Topology(
@@ -73,20 +71,6 @@
                 RunningProcess.start(output, HEAP_MB, NodeMain.class, List.of(settings.toString()));
     }
 
-    private List<Integer> freePorts() throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < PORTS; i++) {
-            ServerSocket socket = new ServerSocket(0, 0, mAddress);
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket s : sockets) {
-            s.close();
-        }
-        return ports;
-    }
-
     private String settings() throws IOException {
         return String.format(
                 "{\"node\":{\"name\":\"node-0\",\"zone\":\"zone-0\",\"linkMbps\":1000,"
@@ -114,7 +98,7 @@
     }
 
     private InetSocketAddress listener(int number) {
-        return new InetSocketAddress(mAddress, mPorts.get(number));
+        return new InetSocketAddress(mIp, mPorts.get(number));
     }
 
     InetSocketAddress callers() {
