Stop starts that were given up before a worker's lease is renewed

Callers could see TWICE: a task on two workers at a time, for up to 2 s.

Cause: when the lease of a silent worker had expired, the owner gave up its starts without an answer and started the tasks elsewhere. Calls may be executed seconds later, and a worker judges a start by its lease, which any later call extends. So once the worker was reached again and its lease renewed, it executed a start that had been held up, until a poll listed the run. Now the owner stops such starts on the worker's first answer, renews the lease only once these stops are confirmed (for 15 s at most, after which no start is executed any more), and gives it no tasks before. The same holds for starts to former incarnations.

Found by a review. FakeWorkers and SimulatedWorker judged starts by the time in the command, more strictly than the platform's workers do, so that no test could show it; they follow the workers of the soak's stand-in now, and reject starts that are not higher than a run that was stopped or ended.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RestartedWorkers.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RestartedWorkers.java
@@ -7,7 +7,8 @@
 import org.foxtailplank.port.WorkerClient.PollResponse;
 
 /**
- * Keeps start commands that were sent to a worker's former incarnation from starting a task twice.
+ * Keeps start commands that are executed late from starting a task twice: those that were sent to a
+ * worker's former incarnation, and those whose runs were given up when its lease had expired.
  *
  * <p>Commands name the worker only by its ID, so that the next incarnation executes them as well,
  * also seconds later. A stop prevents that: the worker rejects a start of a run that it was told to
@@ -20,6 +21,9 @@
     private final RunTable mRuns;
     private final List<UnansweredStart> mUnanswered = new ArrayList<>();
 
+    /** Starts whose runs were given up, as the leases of their workers had expired. */
+    private final List<UnansweredStart> mGivenUp = new ArrayList<>();
+
     private record UnansweredStart(WorkerState worker, TaskName task, int attempt, long atMs) {}
 
     RestartedWorkers(RunTable runs) {
@@ -32,6 +36,39 @@
         mUnanswered.add(new UnansweredStart(run.worker(), run.task().name(), run.attempt(), nowMs));
     }
 
+    /** Records that a run was given up, as the lease of its silent worker had expired. */
+    void runExpired(TaskRun run, long nowMs) {
+        mGivenUp.removeIf(s -> nowMs - s.atMs() > MAX_START_DELAY_MS);
+        if (run.isUncertain() && !run.isListed()) {
+            mGivenUp.add(
+                    new UnansweredStart(run.worker(), run.task().name(), run.attempt(), nowMs));
+        }
+    }
+
+    /**
+     * Stops starts on a worker that answers again, whose runs were given up: it may still execute
+     * them once its lease is renewed, so that this waits for the stops.
+     */
+    void stopGivenUpStarts(WorkerState worker, long nowMs) {
+        for (UnansweredStart s : List.copyOf(mGivenUp)) {
+            if (!s.worker().id().equals(worker.id())) {
+                continue;
+            }
+            mGivenUp.remove(s);
+            if (nowMs - s.atMs() <= MAX_START_DELAY_MS
+                    && worker.run(s.task(), s.attempt()).isEmpty()) {
+                mRuns.job(s.task().job())
+                        .flatMap(j -> j.task(s.task()))
+                        .ifPresent(t -> addStoppingRun(t, worker, s.attempt(), nowMs));
+            }
+        }
+    }
+
+    private void addStoppingRun(ActiveTask task, WorkerState worker, int attempt, long nowMs) {
+        mRuns.addStoppingRun(task, worker, attempt, nowMs);
+        worker.leaseHold().begin(nowMs + MAX_START_DELAY_MS);
+    }
+
     /**
      * Stops runs of the former incarnation on the next one, where their starts may still be
      * executed. A task is not started again before its stop has been confirmed.
@@ -45,7 +82,7 @@
         List<TaskRun> over = new ArrayList<>();
         for (TaskRun r : endedRuns) {
             if (mayStart(r) && !isReported(r.task().name(), r.attempt(), next, response)) {
-                mRuns.addStoppingRun(r.task(), next, r.attempt(), nowMs);
+                addStoppingRun(r.task(), next, r.attempt(), nowMs);
             }
             if (next.run(r.task().name(), r.attempt()).isEmpty()) {
                 over.add(r);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -101,7 +101,7 @@
     /** Adds a run that may start on a worker although it isn't wanted there, and stops it. */
     void addStoppingRun(ActiveTask task, WorkerState worker, int attempt, long nowMs) {
         TaskRun run = new TaskRun(task, worker, attempt, nowMs);
-        run.stopOnNextIncarnation(nowMs);
+        run.stopLateStart(nowMs);
         addRun(run);
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -286,6 +286,7 @@
     private PollResult applyLists(
             WorkerState worker, PollResponse response, long sentMs, long nowMs) {
         worker.markPolled();
+        mRestarted.stopGivenUpStarts(worker, nowMs);
         PollResult result = mRuns.applyPoll(worker, response, sentMs, nowMs);
         if (result.toStore().isEmpty()) {
             worker.updateStoredEnds();
@@ -385,6 +386,7 @@
             }
         }
         expiredRuns.forEach(mRuns::removeRun);
+        expiredRuns.forEach(r -> mRestarted.runExpired(r, nowMs));
         return expiredRuns;
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -63,10 +63,16 @@
         mInherited = true;
     }
 
-    /** Stops a run that a worker's former incarnation had, and the next one may still start. */
-    void stopOnNextIncarnation(long nowMs) {
+    /** Stops a run that isn't wanted on its worker, but that the worker may still start. */
+    void stopLateStart(long nowMs) {
         mOnProbation = false;
-        requestStop("its worker has started again", nowMs);
+        mUncertain = true;
+        requestStop("its start may be executed late", nowMs);
+    }
+
+    /** Whether a start may still be executed late, as its stop has not been confirmed. */
+    boolean isLateStart() {
+        return mUncertain && mPhase == RunPhase.STOPPING && mConfirmedMs < 0;
     }
 
     public ActiveTask task() {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -14,6 +14,7 @@
 public final class WorkerState {
     private final long mFirstSeenMs;
     private final Set<TaskRun> mRuns = new LinkedHashSet<>();
+    private final LeaseHold mLeaseHold = new LeaseHold();
     private final WorkerHealthRecord mHealth = new WorkerHealthRecord();
 
     private WorkerInfo mInfo;
@@ -357,13 +358,17 @@
         if (leaseMs <= 0) {
             return 0;
         }
-        boolean renewable = hasAnsweredLastPoll();
+        boolean renewable = hasAnsweredLastPoll() && !mLeaseHold.applies(mRuns, nowMs);
         if (renewable && mHasClock) {
             recordLeaseGrant(nowMs);
         }
         return leaseUntilMs(renewable ? nowMs : mGrantedMs, leaseMs);
     }
 
+    LeaseHold leaseHold() {
+        return mLeaseHold;
+    }
+
     /** Whether the last poll was answered, or an earlier one since, after its timeout. */
     public boolean hasAnsweredLastPoll() {
         return !mUnresponsive || mAnsweredLate;
@@ -487,6 +492,7 @@
 
     /** Whether the worker may be given tasks. */
     boolean isUsable(long nowMs) {
-        return mPolled && mHasClock && nowMs >= mFullUntilMs && countsAsCapacity(nowMs);
+        boolean known = mPolled && mHasClock && !mLeaseHold.applies(mRuns, nowMs);
+        return known && nowMs >= mFullUntilMs && countsAsCapacity(nowMs);
     }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeWorkers.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/FakeWorkers.java
@@ -41,6 +41,7 @@
         private final long mStartMs;
         private final long mClockZeroMs;
         private final Set<Run> mRunning = new HashSet<>();
+        private final Map<TaskName, Integer> mRejectedUpTo = new HashMap<>();
         private final List<RunEnd> mUnacknowledged = new ArrayList<>();
         private long mToken;
         private long mLeaseUntilMs;
@@ -63,6 +64,7 @@
         }
 
         void end(Run run, RunOutcome outcome) {
+            mRejectedUpTo.merge(run.task(), run.attempt(), Math::max);
             if (mRunning.remove(run)) {
                 mLastEnd++;
                 mUnacknowledged.add(new RunEnd(mLastEnd, run.task(), run.attempt(), outcome, ""));
@@ -131,12 +133,19 @@
     /** A node's connection to the workers, which can be broken for single workers. */
     final class Connection implements WorkerClient {
         private final Set<String> mDisconnected = new HashSet<>();
+        private final List<Runnable> mHeldStarts = new ArrayList<>();
         private final List<Runnable> mUndelivered = new ArrayList<>();
 
         void disconnect(String id) {
             mDisconnected.add(id);
         }
 
+        /** Carries out the starts that were sent to disconnected workers, long after they were. */
+        void carryOutHeldStarts() {
+            mHeldStarts.forEach(Runnable::run);
+            mHeldStarts.clear();
+        }
+
         /** Restores the connection and delivers commands that have not timed out yet. */
         void reconnect(String id) {
             mDisconnected.remove(id);
@@ -148,6 +157,9 @@
         @Override
         public void start(
                 WorkerAddress to, StartCommand command, Consumer<CommandResponse> callback) {
+            if (mDisconnected.contains(to.id())) {
+                mHeldStarts.add(() -> handleStart(worker(to.id()), command));
+            }
             call(to.id(), 0, unanswered(), callback, () -> handleStart(worker(to.id()), command));
         }
 
@@ -233,11 +245,16 @@
         if (!worker.accepts(command.run().token())) {
             return answer(worker, CommandOutcome.FENCED);
         }
-        if (command.leaseUntilMs() <= worker.clockMs()) {
+        worker.mLeaseUntilMs = Math.max(worker.mLeaseUntilMs, command.leaseUntilMs());
+        TaskName task = command.run().task();
+        int attempt = command.run().attempt();
+        if (attempt <= worker.mRejectedUpTo.getOrDefault(task, 0)) {
+            return answer(worker, CommandOutcome.OUTDATED);
+        }
+        if (worker.mLeaseUntilMs <= worker.clockMs()) {
             return answer(worker, CommandOutcome.LEASE_OVER);
         }
-        worker.mLeaseUntilMs = Math.max(worker.mLeaseUntilMs, command.leaseUntilMs());
-        worker.mRunning.add(new Run(command.run().task(), command.run().attempt()));
+        worker.mRunning.add(new Run(task, attempt));
         return answer(worker, CommandOutcome.DONE);
     }
 
@@ -247,6 +264,7 @@
             return answer(worker, CommandOutcome.FENCED);
         }
         Run run = new Run(command.task(), command.attempt());
+        worker.mRejectedUpTo.merge(run.task(), run.attempt(), Math::max);
         if (mStopMs > 0) {
             mTime.after(mStopMs, () -> worker.end(run, RunOutcome.STOPPED));
         } else {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedWorker.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedWorker.java
@@ -135,9 +135,6 @@
         if (!accepts(command.run().token())) {
             return answer(CommandOutcome.FENCED);
         }
-        if (command.leaseUntilMs() <= clockMs()) {
-            return answer(CommandOutcome.LEASE_OVER);
-        }
         renew(command.leaseUntilMs());
         TaskName task = command.run().task();
         int attempt = command.run().attempt();
@@ -147,6 +144,9 @@
         if (attempt <= mRejectedUpTo.getOrDefault(task, 0)) {
             return answer(CommandOutcome.OUTDATED);
         }
+        if (mLeaseUntilMs <= clockMs()) {
+            return answer(CommandOutcome.LEASE_OVER);
+        }
         if (mRunning.size() >= MAX_RUNS) {
             return answer(CommandOutcome.NO_ROOM);
         }
