Build an ended job once, whatever its runs' workers list

Since each answer to a poll built the whole job of each listed run that was being stopped, only to drop it: for a cancelled job of 100,000 tasks some hundred megabytes for one answer. The job is built only if it isn't known now. NewOwnerTest.aCancelledJobWhoseRunsAreListedIsBuiltOnce failed before. Found by a review.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/RunTable.java
@@ -53,7 +53,7 @@
 
     /** Adds a job that has ended but may have runs, which are stopped; see {@link #adopt}. */
     void addEnded(JobProgress progress) {
-        mJobs.putIfAbsent(progress.definition().id(), new ActiveJob(progress, false));
+        mJobs.computeIfAbsent(progress.definition().id(), id -> new ActiveJob(progress, false));
     }
 
     /**
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
@@ -3,10 +3,13 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.util.List;
 import org.foxtailplank.job.JobDefinition;
 import org.foxtailplank.job.JobPhase;
 import org.foxtailplank.job.JobProgress;
+import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.RunEnd;
 import org.foxtailplank.job.RunOutcome;
@@ -132,6 +135,25 @@
         assertEquals(job.phase(), JobPhase.RUNNING);
     }
 
+    /** Guards against polls that build a large job anew for each run that is being stopped. */
+    @Test
+    public void aCancelledJobWhoseRunsAreListedIsBuiltOnce() {
+        OwnerHarness owner = new OwnerHarness();
+        JobProgress job =
+                owner.accept(
+                        OwnerHarness.definition(
+                                JOB, "surveys", 0, OwnerHarness.step(10_000, 1, 1000, List.of())));
+        owner.mRegistry.apply(new JobCancelled(JOB, OwnerHarness.WALL_MS));
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = threads.getCurrentThreadAllocatedBytes();
+        for (int i = 0; i < 100; i++) {
+            owner.mScheduler.addListedEndedJob(job);
+        }
+
+        long allocated = threads.getCurrentThreadAllocatedBytes() - before;
+        assertTrue(allocated < 1 << 20, allocated + " bytes");
+    }
+
     /** Guards against a second start of a task whose job is read after its recorded start. */
     @Test
     public void aJobThatIsLearntLateBringsItsRecordedStarts() {
