Tell the answered, the closing and the lingering state of a connection apart

One flag stood for a request that is being rejected, for a connection whose last answer has yet to be sent, and for one that waits for its caller after a rejection. So - a long last answer was cut after 2 s if a rejected request followed it, - an answer and the rejection behind it were lost if the first took longer than the time for a request to arrive, since the rejected one counted as unfinished, and - bodies behind a last answer took memory that they kept while the caller didn't read. After the last answer all that follows is dropped with its memory, and the limits for discarded bytes apply once a rejection has been sent. A body that stands still is again only judged while another one waits, as before.

Found by a review.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -38,7 +38,13 @@
     private ChannelHandlerContext mContext;
     private boolean mBusy;
     private boolean mHandlingWaiting;
+
+    /** Whether the last answer has been written or waits to be sent; the rest is discarded. */
     private boolean mClosing;
+
+    /** Whether a rejection has been sent, and the caller may still be sending. */
+    private boolean mLingering;
+
     private boolean mClosed;
     private long mLastAnswerMs = MonotonicClock.nowMs();
 
@@ -50,8 +56,8 @@
     private boolean mUnfinished;
     private long mUnfinishedSinceMs;
 
-    /** Bytes received before the last answer, after which the rest of a request is discarded. */
-    private long mReceivedBeforeClosing;
+    /** Bytes received before the connection began to linger. */
+    private long mReceivedBeforeLingering;
 
     ServerConnection(HttpServer server, HttpHandler handler, RequestDecoder decoder) {
         mServer = server;
@@ -85,7 +91,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-        if (message instanceof io.netty.handler.codec.http.HttpRequest head) {
+        if (message instanceof io.netty.handler.codec.http.HttpRequest head && !mClosing) {
             begin(head);
         }
         if (message instanceof HttpContent part) {
@@ -259,18 +265,17 @@
         if (request.place() > 0) {
             mMemory.release(request.place());
         }
-        if (!keep) {
-            mClosing = true;
-            mUnfinishedSinceMs = mLastAnswerMs;
-            mReceivedBeforeClosing = mDecoder.received();
-            written.addListener(
-                    request.rejection().isPresent() ? linger() : ChannelFutureListener.CLOSE);
-        }
         try {
             if (keep) {
                 handleWaiting();
-            } else if (mDecoder.isDiscarding()) {
+            } else {
+                mClosing = true;
+                dropUnhandled();
+                mDecoder.discard();
                 updateReading();
+                watch();
+                written.addListener(
+                        request.rejection().isPresent() ? linger() : ChannelFutureListener.CLOSE);
             }
         } catch (Exception e) {
             exceptionCaught(mContext, e);
@@ -281,6 +286,9 @@
     private ChannelFutureListener linger() {
         return written -> {
             if (written.isSuccess() && written.channel() instanceof DuplexChannel channel) {
+                mLingering = true;
+                mUnfinishedSinceMs = MonotonicClock.nowMs();
+                mReceivedBeforeLingering = mDecoder.received();
                 channel.shutdownOutput();
             } else {
                 written.channel().close();
@@ -288,11 +296,20 @@
         };
     }
 
+    /** Gives up the requests that aren't being handled, and their memory. */
+    private void dropUnhandled() {
+        mHead = null;
+        mBody = null;
+        mContinueExpected = false;
+        mPlace.release();
+        mWaiting.clear(mMemory);
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         watch();
-        long discarded = mDecoder.received() - mReceivedBeforeClosing;
-        if (mDecoder.isDiscarding() && mClosing && discarded > MAX_DISCARDED) {
+        long discarded = mDecoder.received() - mReceivedBeforeLingering;
+        if (mLingering && discarded > MAX_DISCARDED) {
             context.close();
         }
     }
@@ -303,10 +320,7 @@
             return;
         }
         boolean unfinished =
-                mDecoder.isDiscarding()
-                        || mPlace.isAwaited()
-                        || !isWritable()
-                        || mReading && mDecoder.isStarted();
+                mClosing || mPlace.isAwaited() || !isWritable() || mReading && mDecoder.isStarted();
         if (unfinished && !mUnfinished) {
             mUnfinished = true;
             mUnfinishedSinceMs = MonotonicClock.nowMs();
@@ -326,10 +340,10 @@
 
     /** Closes the connection if it has been unfinished for too long. */
     void checkUnfinished(long nowMs) {
-        boolean lingers = mDecoder.isDiscarding() && mClosing;
-        long limitMs = lingers ? MAX_DISCARDING_MS : mServer.limits().requestMs();
-        boolean isSlow = mReading && mPlace.isSlow(nowMs) || holdsUnanswered(nowMs);
-        if (mMemory.isAwaited() && isSlow || nowMs - mUnfinishedSinceMs > limitMs) {
+        long limitMs = mLingering ? MAX_DISCARDING_MS : mServer.limits().requestMs();
+        boolean givesWay =
+                mMemory.isAwaited() && (mReading && mPlace.isSlow(nowMs) || holdsUnanswered(nowMs));
+        if (givesWay || nowMs - mUnfinishedSinceMs > limitMs) {
             abandon();
             mContext.close();
         }
@@ -342,15 +356,11 @@
                 && (mPlace.isTaken() || mWaiting.holdsPlace());
     }
 
-    /** Gives up the requests that aren't being handled, and their memory. */
     private void abandon() {
         stopWatching();
         mClosing = true;
         mClosed = true;
-        mHead = null;
-        mBody = null;
-        mPlace.release();
-        mWaiting.clear(mMemory);
+        dropUnhandled();
     }
 
     @Override
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -38,6 +38,7 @@
     /** More than a rejected caller has, and less than any other. */
     private static final int SLOW_MS = 3000;
 
+    private static final int SHORT_REQUEST_MS = 1000;
     private static final int TIMEOUT_MS = 30_000;
     private static final String POST = "POST /x HTTP/1.1\r\nHost: h\r\n";
     private static final String CHUNKED = POST + "Transfer-Encoding: chunked\r\n\r\n";
@@ -139,6 +140,11 @@
         return POST + "Content-Length: " + bytes + "\r\n\r\n";
     }
 
+    /** Head of a request whose caller sends the body once it is invited. */
+    private static String expecting(int bytes) {
+        return POST + "Expect: 100-continue\r\nContent-Length: " + bytes + "\r\n\r\n";
+    }
+
     @Test
     public void chunksOfAnySizeMakeUpABody() throws IOException {
         String body = "1\r\nx\r\n".repeat(MAX_BODY - 16) + "10\r\n" + "x".repeat(16) + "\r\n";
@@ -189,7 +195,7 @@
 
     @Test
     public void bodyIsInvitedIfTheCallerWaitsForIt() throws IOException {
-        Socket socket = send(POST + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+        Socket socket = send(expecting(3));
         BufferedReader in = reader(socket);
         assertEquals(answer(in), "100");
 
@@ -200,10 +206,7 @@
 
     @Test
     public void bodyOverTheLimitIsNotInvited() throws IOException {
-        Socket socket =
-                send(POST + "Expect: 100-continue\r\nContent-Length: " + 2 * MAX_BODY + "\r\n\r\n");
-
-        assertEquals(answer(reader(socket)), "413");
+        assertEquals(answer(reader(send(expecting(2 * MAX_BODY)))), "413");
     }
 
     /** Guards against a rejection that is taken for the answer to an earlier request. */
@@ -237,6 +240,21 @@
         sender.join();
     }
 
+    /** Guards against a rejection that is not told, as an earlier request takes its time. */
+    @Test
+    public void rejectionWaitsForALateAnswer() throws Exception {
+        mServer = bind(SHORT_REQUEST_MS);
+        BufferedReader in =
+                reader(send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + announced(2 * MAX_BODY)));
+        Consumer<HttpReply> reply = awaitHeld();
+        TimeUnit.MILLISECONDS.sleep(SLOW_MS);
+
+        mLoop.execute(() -> reply.accept(HttpReply.empty(204)));
+
+        assertEquals(answer(in), "204");
+        assertEquals(answer(in), "413");
+    }
+
     @Test
     public void malformedRequestIsRejected() throws IOException {
         assertEquals(answer(reader(send("GET\r\n\r\n"))), "400");
@@ -298,7 +316,10 @@
         mServer = bind(2 * TIMEOUT_MS, 4 * MAX_BODY);
         List<Socket> stopped = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            stopped.add(send(announced(MAX_BODY) + "x".repeat(MAX_BODY - 1)));
+            Socket socket = send(expecting(MAX_BODY));
+            assertEquals(answer(reader(socket)), "100");
+            send(socket, "x".repeat(MAX_BODY - 1));
+            stopped.add(socket);
         }
         BufferedReader other = reader(send(announced(MAX_BODY) + "x".repeat(MAX_BODY)));
         assertEquals(answer(other), "200 " + MAX_BODY);
@@ -333,6 +354,20 @@
         return new Object[][] {{MAX_BODY}, {MAX_BODY / 2}};
     }
 
+    /** Guards against bodies that keep their memory behind a last answer that nobody reads. */
+    @Test
+    public void bodiesAfterALastRequestTakeNoMemory() throws Exception {
+        mServer = bind(2 * TIMEOUT_MS);
+        Socket socket = send("GET /held HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        Consumer<HttpReply> reply = awaitHeld();
+        mLoop.submit(() -> reply.accept(new HttpReply(200, Map.of(), "", new byte[LONG_ANSWER])))
+                .get();
+        send(socket, announced(MAX_BODY) + "x".repeat(MAX_BODY));
+        BufferedReader other = reader(send(announced(MAX_BODY) + "x".repeat(MAX_BODY)));
+
+        assertEquals(answer(other), "200 " + MAX_BODY);
+    }
+
     /** Guards against large bodies that wait, whole or in part, behind answers nobody reads. */
     @Test(dataProvider = "receivedBytes")
     public void largeBodyBehindUnreadAnswersGivesWayToAnother(int received) throws Exception {
@@ -372,10 +407,27 @@
         assertFalse(mLoop.submit(mServer::hasUnfinished).get());
     }
 
-    /** Guards against a slow reader of a long answer that is cut off like a rejected caller. */
+    /** Guards against memory that is lost if its request is answered after its caller has gone. */
     @Test
-    public void longLastAnswerMayBeReadSlowly() throws Exception {
-        Socket socket = send("GET /held HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    public void memoryOfALateAnswerIsFree() throws Exception {
+        Socket socket =
+                send("POST /held HTTP/1.1\r\nHost: h\r\nContent-Length: " + MAX_BODY + "\r\n\r\n");
+        send(socket, "x".repeat(MAX_BODY));
+        Consumer<HttpReply> reply = awaitHeld();
+        socket.setSoLinger(true, 0);
+        socket.close();
+        BufferedReader other = reader(send(announced(MAX_BODY) + "x".repeat(MAX_BODY)));
+
+        mLoop.execute(() -> reply.accept(HttpReply.empty(200)));
+
+        assertEquals(answer(other), "200 " + MAX_BODY);
+    }
+
+    /** Guards against a slow reader of a long answer that is cut off like a rejected caller. */
+    @Test(dataProvider = "afterTheLastRequest")
+    public void longLastAnswerMayBeReadSlowly(String following) throws Exception {
+        Socket socket =
+                send("GET /held HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + following);
         Consumer<HttpReply> reply = awaitHeld();
         mLoop.execute(() -> reply.accept(new HttpReply(200, Map.of(), "", new byte[LONG_ANSWER])));
         TimeUnit.MILLISECONDS.sleep(SLOW_MS);
@@ -388,6 +440,11 @@
         assertTrue(read > LONG_ANSWER, "read " + read + " bytes");
     }
 
+    @DataProvider
+    public Object[][] afterTheLastRequest() {
+        return new Object[][] {{""}, {"GET\r\n\r\n"}, {announced(MAX_BODY)}};
+    }
+
     @Test
     public void answerToHeadHasNoBody() throws IOException {
         Socket socket =
