Note where a next incarnation answers with its first answer

Until the second answer of a worker that had started again under its ID, the owner took it for one that has never answered, so that status 421 from another address could end it. Found by a review; by reading only, as it needs reused IDs and a wrong entry. The tests of package owner pass.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -265,12 +265,13 @@
     }
 
     /** Replaces a worker's incarnation by the next one, whose first answer this is. */
-    void handleWorkerStartedAgain(WorkerState former, PollResponse response, long sentMs) {
+    void handleWorkerStartedAgain(
+            WorkerState former, PollResponse response, String address, long sentMs) {
         long now = mClock.nowMs();
         WorkerEnd end = endWorker(former, WorkerEndReason.STARTED_AGAIN, now);
         WorkerState next = mScheduler.addNextIncarnation(former, response.startMs(), now);
         WorkerPoller poller = mDirectory.addPoller(next);
-        poller.applyAnswer(response, sentMs);
+        poller.applyAnswer(response, address, sentMs);
         storeEndsWithWorker(mScheduler.stopFormerRuns(next, end.runs(), response, now));
         mScheduler.lateStarts(next, now).forEach(poller::stopOrphan);
         scheduleDecision();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerPoller.java
@@ -157,13 +157,12 @@
 
     private void applyAnswer(PollResponse response, String address, long sentMs, boolean late) {
         switch (mOwner.scheduler().identify(mWorker, response, sentMs)) {
-            case NEXT -> mOwner.handleWorkerStartedAgain(mWorker, response, sentMs);
+            case NEXT -> mOwner.handleWorkerStartedAgain(mWorker, response, address, sentMs);
             case CURRENT -> {
-                mAnsweredAt = Optional.of(address);
                 if (late) {
-                    applyLateAnswer(response, sentMs);
+                    applyLateAnswer(response, address, sentMs);
                 } else {
-                    applyAnswer(response, sentMs);
+                    applyAnswer(response, address, sentMs);
                 }
             }
             case FORMER, UNKNOWN -> {
@@ -187,7 +186,8 @@
     }
 
     /** Applies an answer of the worker's incarnation. */
-    void applyAnswer(PollResponse response, long sentMs) {
+    void applyAnswer(PollResponse response, String address, long sentMs) {
+        mAnsweredAt = Optional.of(address);
         logIfOutdated(response);
         if (mWorker.isUnresponsive()) {
             mContext.log().line("worker-back").with("worker", mWorker.id()).write();
@@ -206,7 +206,8 @@
         scheduleNextPoll(UNSTORED_POLL_DELAY_MS);
     }
 
-    private void applyLateAnswer(PollResponse response, long sentMs) {
+    private void applyLateAnswer(PollResponse response, String address, long sentMs) {
+        mAnsweredAt = Optional.of(address);
         logIfOutdated(response);
         mOwner.addListedEndedJobs(response.running());
         long now = mContext.clock().nowMs();
