Give a body its memory when it is invited

A caller that waits for the invitation of a large body behind a slow request was cut off once another body waited for memory, or after the time for a request to arrive, and lost the answer to the slow one: the body held its memory and counted as standing still although the server had not invited it. It takes memory with the invitation now, from which its time counts.

RequestBodiesTest.bodyThatIsNotInvitedYetDoesNotGiveWay failed before; lateInvitationIsNotWaitedForForEver guards against the opposite. Found by a review.

--- a/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
+++ b/foxtail-http/src/main/java/org/foxtailplank/http/ServerConnection.java
@@ -50,7 +50,11 @@
 
     private io.netty.handler.codec.http.HttpRequest mHead;
     private RequestBody mBody;
+    private int mAnnounced;
+
+    /** Whether the caller holds the body back until it is invited. */
     private boolean mContinueExpected;
+
     private boolean mReading = true;
 
     private boolean mUnfinished;
@@ -112,13 +116,12 @@
             return;
         }
         mHead = head;
-        long announced = HttpUtil.getContentLength(head, 0L);
-        mBody = new RequestBody((int) announced, mServer.limits().maxBodyBytes());
-        if (announced > SMALL_BODY) {
-            takePlace((int) announced);
-        }
+        mAnnounced = (int) HttpUtil.getContentLength(head, 0L);
+        mBody = new RequestBody(mAnnounced, mServer.limits().maxBodyBytes());
         if (mContinueExpected) {
-            continueBody();
+            inviteBody();
+        } else if (mAnnounced > SMALL_BODY) {
+            takePlace(mAnnounced);
         }
     }
 
@@ -136,6 +139,7 @@
             return;
         }
         mBody.append(part.content());
+        mContinueExpected &= size == 0;
         if (part instanceof LastHttpContent) {
             complete();
         } else if (size > SMALL_BODY && !mPlace.isTaken() && !mPlace.isAwaited()) {
@@ -154,7 +158,7 @@
                 .execute(
                         () -> {
                             try {
-                                continueBody();
+                                inviteBody();
                                 updateReading();
                             } catch (Exception e) {
                                 exceptionCaught(mContext, e);
@@ -162,12 +166,18 @@
                         });
     }
 
-    /** Invites a body that the caller holds back, unless another answer comes first. */
-    private void continueBody() {
-        boolean first = !mBusy && mWaiting.isEmpty() && !mPlace.isAwaited();
-        if (mContinueExpected && mHead != null && first) {
+    /** Invites a body that the caller holds back, once no other answer comes first. */
+    private void inviteBody() throws Exception {
+        if (!mContinueExpected || mBusy || !mWaiting.isEmpty() || mPlace.isAwaited()) {
+            return;
+        }
+        if (mAnnounced > SMALL_BODY && !mPlace.isTaken()) {
+            takePlace(mAnnounced);
+        }
+        if (!mPlace.isAwaited()) {
             mContinueExpected = false;
             mContext.writeAndFlush(Responses.invitation());
+            watch();
         }
     }
 
@@ -176,6 +186,7 @@
         HttpRequest request = RequestHeads.decode(mHead, body);
         boolean keepAlive = HttpUtil.isKeepAlive(mHead);
         int waitingBytes = mBusy || !isWritable() ? RequestHeads.memory(mHead) + body.length : 0;
+        mContinueExpected = false;
         mHead = null;
         mBody = null;
         stopWatching();
@@ -183,6 +194,7 @@
     }
 
     private void reject(HttpResponseStatus status) throws Exception {
+        mContinueExpected = false;
         mHead = null;
         mBody = null;
         mPlace.release();
@@ -212,9 +224,7 @@
         } finally {
             mHandlingWaiting = false;
         }
-        if (mContinueExpected) {
-            continueBody();
-        }
+        inviteBody();
         updateReading();
     }
 
@@ -320,7 +330,10 @@
             return;
         }
         boolean unfinished =
-                mClosing || mPlace.isAwaited() || !isWritable() || mReading && mDecoder.isStarted();
+                mClosing
+                        || mPlace.isAwaited()
+                        || !isWritable()
+                        || mReading && mDecoder.isStarted() && !mContinueExpected;
         if (unfinished && !mUnfinished) {
             mUnfinished = true;
             mUnfinishedSinceMs = MonotonicClock.nowMs();
--- a/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
+++ b/foxtail-http/src/test/java/org/foxtailplank/http/RequestBodiesTest.java
@@ -255,6 +255,40 @@
         assertEquals(answer(in), "413");
     }
 
+    /** Guards against a body that counts as stopped although it isn't invited yet. */
+    @Test
+    public void bodyThatIsNotInvitedYetDoesNotGiveWay() throws Exception {
+        mServer = bind(SHORT_REQUEST_MS);
+        Socket socket = send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + expecting(MAX_BODY));
+        Consumer<HttpReply> reply = awaitHeld();
+        BufferedReader other = reader(send(announced(MAX_BODY) + "x".repeat(MAX_BODY)));
+        assertEquals(answer(other), "200 " + MAX_BODY);
+        TimeUnit.MILLISECONDS.sleep(SLOW_MS);
+
+        mLoop.execute(() -> reply.accept(HttpReply.empty(204)));
+
+        BufferedReader in = reader(socket);
+        assertEquals(answer(in), "204");
+        assertEquals(answer(in), "100");
+        send(socket, "x".repeat(MAX_BODY));
+        assertEquals(answer(in), "200 " + MAX_BODY);
+    }
+
+    /** Guards against a connection that stays open for a body that was invited late. */
+    @Test
+    public void lateInvitationIsNotWaitedForForEver() throws Exception {
+        mServer = bind(SHORT_REQUEST_MS);
+        Socket socket = send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + expecting(MAX_BODY));
+        Consumer<HttpReply> reply = awaitHeld();
+
+        mLoop.execute(() -> reply.accept(HttpReply.empty(204)));
+
+        BufferedReader in = reader(socket);
+        assertEquals(answer(in), "204");
+        assertEquals(answer(in), "100");
+        assertEquals(answer(in), "closed");
+    }
+
     @Test
     public void malformedRequestIsRejected() throws IOException {
         assertEquals(answer(reader(send("GET\r\n\r\n"))), "400");
