--- a/review/standin-3/Machine.java
+++ b/review/standin-3/Machine.java
@@ -3,12 +3,16 @@
     final String mName;
     final String mZone;
     final String mRack;
-    final String mKind;
     final long mCpu;
+    /** Stays across a move or an upkeep; a boot after a crash may be of a different kind. */
+    String mKind;
     String mPool;
     String mState = "up";
     Minion mMinion;
     long mFence;
+
+    /** Whether its minion is partitioned from the store. */
+    boolean mCutFromStore;
     long mUpkeepWave;
 
     Machine(String name, String zone, String rack, String kind, long cpu, String pool) {
--- a/review/standin-3/Minion.java
+++ b/review/standin-3/Minion.java
@@ -19,6 +19,8 @@
     private final World mWorld;
     private HttpServer mServer;
     private final long mStartMs = now();
+    private final long mBorn = System.currentTimeMillis();
+    private final String mKind;
     private long mFence;
     private long mLeaseUntilMs;
     private long mLastEnd;
@@ -42,6 +44,7 @@
         mWorld = world;
         mMachine = machine;
         mId = id;
+        mKind = machine.mKind;
     }
 
     private static long now() {
@@ -56,8 +59,12 @@
         return mServer.getAddress().getPort();
     }
 
-    void start() throws Exception {
-        mServer = Web.serve(0, this::handle);
+    String kind() {
+        return mKind;
+    }
+
+    void start(int port) throws Exception {
+        mServer = Web.serve(port, this::handle);
         mWorld.record("minion " + mId + " of " + mMachine.mName + " starts, kind " + mMachine.mKind);
     }
 
@@ -67,8 +74,11 @@
         entry.put("zone", mMachine.mZone).put("version", "v1").put("slots", 8).put("state", "ready");
         entry.put("coldLeftMs", 0);
         entry.putObject("capacity").put("cpu", mMachine.mCpu).put("memMb", 65536).put("gpu", 0);
-        entry.putArray("labels").add(mMachine.mKind).add(mMachine.mRack);
+        entry.putArray("labels").add(mKind).add(mMachine.mRack);
         entry.put("clockMs", clockMs()).put("seq", ++mSeq);
+        if (mWorld.mBornSent) {
+            entry.put("born", mBorn);
+        }
         return entry.toString();
     }
 
@@ -199,6 +209,9 @@
             return null;
         }
         ObjectNode answer = Web.object().put("clockMs", clockMs());
+        if (mWorld.mBornSent) {
+            answer.put("born", mBorn);
+        }
         ArrayNode running = answer.putArray("running");
         for (Run r : mRuns.values()) {
             running.addArray().add(r.mTask).add(r.mAttempt).add("").add(percent(r)).add(r.mCpu);
--- a/review/standin-3/World.java
+++ b/review/standin-3/World.java
@@ -39,9 +39,13 @@
     final List<NodeProcess> mNodes = new ArrayList<>();
     final Map<String, List<String>> mStarts = new TreeMap<>();
     final Map<String, List<String>> mEnds = new TreeMap<>();
+    private final Map<String, String> mRequired = new HashMap<>();
     private final Map<Long, Integer> mCaps = new HashMap<>();
     final List<String> mBroken = new ArrayList<>();
     private final Map<Long, List<String>> mWaves = new HashMap<>();
+    /** Whether minions say when they were born; they may then start again under the ID they had. */
+    volatile boolean mBornSent;
+
     /** Called for each accepted kind of call for an upkeep before it is carried out. */
     volatile LateCalls mLateCalls = (machine, holder, carryOut) -> false;
     volatile String mLastUpkeepHolder = "";
@@ -152,8 +156,13 @@
 
     /** Starts the next life of a machine, which registers itself at once. */
     synchronized Minion boot(Machine machine) throws Exception {
-        Minion minion = new Minion(this, machine, String.format("i-%06x", 0x7f0000 + 7 * ++mNextId));
-        minion.start();
+        return boot(machine, String.format("i-%06x", 0x7f0000 + 7 * ++mNextId), 0);
+    }
+
+    /** The same under a given ID and at a given port; 0 for any. */
+    synchronized Minion boot(Machine machine, String id, int port) throws Exception {
+        Minion minion = new Minion(this, machine, id);
+        minion.start(port);
         machine.mMinion = minion;
         machine.mState = "up";
         register(minion);
@@ -161,6 +170,9 @@
     }
 
     private void register(Minion minion) {
+        if (minion.mMachine.mCutFromStore) {
+            return;
+        }
         if (!mStore.isDown()) {
             mStore.put("keyed.servers", minion.mId, minion.entry());
         }
@@ -174,6 +186,16 @@
         machine.mState = "down";
     }
 
+    /** Starts a minion again at once under the ID that it had; its machine stays up. */
+    synchronized void startAgain(Machine machine, String kind, long downMs) throws Exception {
+        Minion former = machine.mMinion;
+        int port = former.port();
+        former.crash("it crashes");
+        Thread.sleep(downMs);
+        machine.mKind = kind;
+        boot(machine, former.mId, port);
+    }
+
     private void beat() {
         long lastMs = 0;
         while (!mEnding) {
@@ -207,7 +229,20 @@
         }
     }
 
+    /** Demands that no task of a job starts on a minion without a label. */
+    void requireLabel(String job, String label) {
+        synchronized (mStarts) {
+            mRequired.put(job, label);
+        }
+    }
+
     void started(Minion minion, String task, int attempt) {
+        synchronized (mStarts) {
+            String label = mRequired.get(task.substring(0, task.indexOf('.')));
+            if (label != null && !label.equals(minion.kind())) {
+                broken("ROUTE: " + task + ", which requires the label " + label + ", starts on minion " + minion.mId + " of the kind " + minion.kind());
+            }
+        }
         synchronized (mStarts) {
             mStarts.computeIfAbsent(task, t -> new ArrayList<>()).add(minion.mMachine.mName);
         }
