--- a/review/standin-3/Crashes.java
+++ b/review/standin-3/Crashes.java
@@ -1,7 +1,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
+
 import java.util.List;
 
-/** The only minion that may run a task crashes three times, each time a second after the task has started. */
+/**
+ * The only minion that may run a task crashes three times, each time a second after the task has
+ * started.
+ */
 public final class Crashes {
     private static final int MINIONS = 10;
     private static final long RUNNING_MS = 1000;
@@ -23,12 +27,20 @@
         List<String> zones = List.of("lozenets", "mladost", "lyulin");
         for (int i = 0; i < MINIONS; i++) {
             String kind = i == MINIONS - 1 ? "b" : "a";
-            world.addMachine("m-0a3f" + i, zones.get(i % 3), "r1-" + (i / 4 + 1), kind, 64_000, "photo-desk");
+            world.addMachine(
+                    "m-0a3f" + i,
+                    zones.get(i % 3),
+                    "r1-" + (i / 4 + 1),
+                    kind,
+                    64_000,
+                    "photo-desk");
         }
         world.addNodes(3, zones);
         world.awaitReady(20_000);
         ObjectNode serving = World.job(MINIONS - 1, 0, 20_000, true);
-        ((ObjectNode) serving.path("phases").get(0)).put("requirements", "a").put("antiAffinity", 1);
+        ((ObjectNode) serving.path("phases").get(0))
+                .put("requirements", "a")
+                .put("antiAffinity", 1);
         if (!world.submit("/photo-desk/00000000000000a1", serving, 10)) {
             world.finish(2);
         }
@@ -61,7 +73,10 @@
         }
         long failed = world.endsOf("5c0e7a21d94b36f8", "failed");
         if (state.equals("failed") && failed < 3) {
-            world.broken("LOST: the job is shown as failed; " + failed + " of its runs have ended failed, maxAttempts is 3");
+            world.broken(
+                    "LOST: the job is shown as failed; "
+                            + failed
+                            + " of its runs have ended failed, maxAttempts is 3");
         }
     }
 
--- a/review/standin-3/Expired.java
+++ b/review/standin-3/Expired.java
@@ -1,4 +1,5 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
+
 import java.util.ArrayList;
 import java.util.List;
 
@@ -20,7 +21,8 @@
         world.putConfig(1, List.of("photo-desk"), "", 3);
         List<String> zones = List.of("lozenets", "mladost", "lyulin");
         for (int i = 0; i < 6; i++) {
-            world.addMachine("m-0a3f" + i, zones.get(i % 3), "r1-" + (i / 4 + 1), "a", 64_000, "photo-desk");
+            world.addMachine(
+                    "m-0a3f" + i, zones.get(i % 3), "r1-" + (i / 4 + 1), "a", 64_000, "photo-desk");
         }
         world.addNodes(3, zones);
         world.awaitReady(20_000);
@@ -61,7 +63,12 @@
             if (state.equals("410")) {
                 lost++;
                 state = world.state(world.mNodes.get(1), "/photo-desk/" + job);
-                world.broken("LOST: " + job + " was accepted, nobody has cancelled it, and it is answered 410, then " + state);
+                world.broken(
+                        "LOST: "
+                                + job
+                                + " was accepted, nobody has cancelled it, and it is answered 410,"
+                                + " then "
+                                + state);
             }
         }
         world.record(lost + " of " + accepted.size() + " accepted jobs are unknown");
--- a/review/standin-3/LateUpkeep.java
+++ b/review/standin-3/LateUpkeep.java
@@ -1,4 +1,5 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
+
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
@@ -25,7 +26,13 @@
         List<String> names = new ArrayList<>();
         for (int i = 0; i < MACHINES; i++) {
             names.add("m-0a3f" + i);
-            world.addMachine(names.get(i), zones.get(i % 3), "r1-" + (i / 4 + 1), "k" + i, 64_000, "photo-desk");
+            world.addMachine(
+                    names.get(i),
+                    zones.get(i % 3),
+                    "r1-" + (i / 4 + 1),
+                    "k" + i,
+                    64_000,
+                    "photo-desk");
         }
         world.addNodes(3, zones);
         world.awaitReady(20_000);
@@ -34,7 +41,8 @@
         // One task on each machine; the one on the last machine is the smallest and ends last.
         for (int i = 0; i < MACHINES; i++) {
             boolean last = i == MACHINES - 1;
-            ObjectNode job = World.job(1, last ? WORK_MS : WORK_MS - 1000, last ? 10_000 : 40_000, false);
+            ObjectNode job =
+                    World.job(1, last ? WORK_MS : WORK_MS - 1000, last ? 10_000 : 40_000, false);
             ((ObjectNode) job.path("phases").get(0)).put("requirements", "k" + i);
             if (!world.submit("/photo-desk/5c0e7a21d94b36f" + i, job, 10)) {
                 world.finish(2);
@@ -64,12 +72,16 @@
                             && World.now() - world.mLastUpkeepMs > 500) {
                 Thread.sleep(5);
             }
-            world.record("the call is carried out " + (World.now() - call.atMs()) + " ms after it was sent");
+            world.record(
+                    "the call is carried out "
+                            + (World.now() - call.atMs())
+                            + " ms after it was sent");
             call.carryOut().run();
             world.start(world.node(call.holder()));
         }
         long endMs = World.now() + 40_000;
-        while (World.now() < endMs && !world.mStore.value("keyed.status", "wave/1").contains("completed")) {
+        while (World.now() < endMs
+                && !world.mStore.value("keyed.status", "wave/1").contains("completed")) {
             Thread.sleep(100);
         }
         world.record("status of the wave: " + world.mStore.value("keyed.status", "wave/1"));
--- a/review/standin-3/Machine.java
+++ b/review/standin-3/Machine.java
@@ -4,8 +4,10 @@
     final String mZone;
     final String mRack;
     final long mCpu;
+
     /** Stays across a move or an upkeep; a boot after a crash may be of a different kind. */
     String mKind;
+
     String mPool;
     String mState = "up";
     Minion mMinion;
@@ -13,6 +15,7 @@
 
     /** Whether its minion is partitioned from the store. */
     boolean mCutFromStore;
+
     long mUpkeepWave;
 
     Machine(String name, String zone, String rack, String kind, long cpu, String pool) {
--- a/review/standin-3/Minion.java
+++ b/review/standin-3/Minion.java
@@ -2,6 +2,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpServer;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -65,13 +66,17 @@
 
     void start(int port) throws Exception {
         mServer = Web.serve(port, this::handle);
-        mWorld.record("minion " + mId + " of " + mMachine.mName + " starts, kind " + mMachine.mKind);
+        mWorld.record(
+                "minion " + mId + " of " + mMachine.mName + " starts, kind " + mMachine.mKind);
     }
 
     synchronized String entry() {
         ObjectNode entry = Web.object();
         entry.put("service", mMachine.mPool).put("address", "127.0.0.1:" + port());
-        entry.put("zone", mMachine.mZone).put("version", "v1").put("slots", 8).put("state", "ready");
+        entry.put("zone", mMachine.mZone)
+                .put("version", "v1")
+                .put("slots", 8)
+                .put("state", "ready");
         entry.put("coldLeftMs", 0);
         entry.putObject("capacity").put("cpu", mMachine.mCpu).put("memMb", 65536).put("gpu", 0);
         entry.putArray("labels").add(mKind).add(mMachine.mRack);
@@ -86,7 +91,17 @@
     synchronized void crash(String why) {
         mDead = true;
         for (Run r : mRuns.values()) {
-            mWorld.record(r.mTask + " run " + r.mAttempt + " ends with minion " + mId + " (" + why + ") after " + (now() - r.mStartMs) + " ms");
+            mWorld.record(
+                    r.mTask
+                            + " run "
+                            + r.mAttempt
+                            + " ends with minion "
+                            + mId
+                            + " ("
+                            + why
+                            + ") after "
+                            + (now() - r.mStartMs)
+                            + " ms");
         }
         mWorld.record("minion " + mId + " of " + mMachine.mName + " is gone: " + why);
         mRuns.clear();
@@ -101,7 +116,12 @@
     }
 
     synchronized boolean isReady(String task) {
-        return mRuns.values().stream().anyMatch(r -> r.mTask.equals(task) && percent(r) == 100 && r.mStopAtMs == Long.MAX_VALUE);
+        return mRuns.values().stream()
+                .anyMatch(
+                        r ->
+                                r.mTask.equals(task)
+                                        && percent(r) == 100
+                                        && r.mStopAtMs == Long.MAX_VALUE);
     }
 
     private Web.Reply handle(Web.Call call) throws Exception {
@@ -174,7 +194,17 @@
         run.mStanding = spec.standing();
         mRuns.put(task, run);
         mWorld.started(this, task, attempt);
-        mWorld.record("minion " + mId + " of " + mMachine.mName + " starts " + task + " run " + attempt + " fence " + mFence);
+        mWorld.record(
+                "minion "
+                        + mId
+                        + " of "
+                        + mMachine.mName
+                        + " starts "
+                        + task
+                        + " run "
+                        + attempt
+                        + " fence "
+                        + mFence);
         return ok();
     }
 
@@ -193,7 +223,9 @@
 
     private static int percent(Run run) {
         long ran = now() - run.mStartMs;
-        return run.mStanding ? (ran > 500 ? 100 : 0) : (int) Math.min(99, 100 * ran / Math.max(1, run.mWorkMs));
+        return run.mStanding
+                ? (ran > 500 ? 100 : 0)
+                : (int) Math.min(99, 100 * ran / Math.max(1, run.mWorkMs));
     }
 
     private Web.Reply hold(JsonNode body) throws InterruptedException {
@@ -217,7 +249,14 @@
             running.addArray().add(r.mTask).add(r.mAttempt).add("").add(percent(r)).add(r.mCpu);
         }
         ArrayNode finished = answer.putArray("finished");
-        mFinished.forEach((n, f) -> finished.addArray().add(n).add((String) f[0]).add((Integer) f[1]).add((String) f[2]).add(""));
+        mFinished.forEach(
+                (n, f) ->
+                        finished.addArray()
+                                .add(n)
+                                .add((String) f[0])
+                                .add((Integer) f[1])
+                                .add((String) f[2])
+                                .add(""));
         return Web.Reply.json(200, answer);
     }
 
@@ -242,7 +281,17 @@
                 mEnded.merge(run.mTask, run.mAttempt, Math::max);
                 mFinished.put(++mLastEnd, new Object[] {run.mTask, run.mAttempt, how});
                 mWorld.ended(run.mTask, run.mAttempt, how);
-                mWorld.record("minion " + mId + " of " + mMachine.mName + ": " + run.mTask + " run " + run.mAttempt + " " + how);
+                mWorld.record(
+                        "minion "
+                                + mId
+                                + " of "
+                                + mMachine.mName
+                                + ": "
+                                + run.mTask
+                                + " run "
+                                + run.mAttempt
+                                + " "
+                                + how);
                 notifyAll();
             }
         }
--- a/review/standin-3/PowerCuts.java
+++ b/review/standin-3/PowerCuts.java
@@ -20,7 +20,8 @@
         world.putConfig(1, List.of("photo-desk"), "", 3);
         List<String> zones = List.of("lozenets", "mladost", "lyulin");
         for (int i = 0; i < 6; i++) {
-            world.addMachine("m-0a3f" + i, zones.get(i % 3), "r1-" + (i / 4 + 1), "a", 64_000, "photo-desk");
+            world.addMachine(
+                    "m-0a3f" + i, zones.get(i % 3), "r1-" + (i / 4 + 1), "a", 64_000, "photo-desk");
         }
         world.addNodes(3, zones);
         world.awaitReady(20_000);
@@ -50,12 +51,20 @@
         // The new jobs come more than recoveryS after the machines are back.
         List<String> accepted = submit(world, "00000000000000b");
         if (accepted.isEmpty()) {
-            world.broken("RECOVER: no job is accepted " + RECOVERY_MS + " ms after the machines are back");
+            world.broken(
+                    "RECOVER: no job is accepted "
+                            + RECOVERY_MS
+                            + " ms after the machines are back");
         }
         Thread.sleep(CALM_MS + IDLE_MS);
         for (String job : accepted) {
             if (world.startsOf(job) == 0) {
-                world.broken("LOST: " + job + " was accepted over " + (CALM_MS + IDLE_MS) + " ms ago, all minions are free, and nothing of it runs");
+                world.broken(
+                        "LOST: "
+                                + job
+                                + " was accepted over "
+                                + (CALM_MS + IDLE_MS)
+                                + " ms ago, all minions are free, and nothing of it runs");
             }
         }
         for (String job : accepted) {
--- a/review/standin-3/Reborn.java
+++ b/review/standin-3/Reborn.java
@@ -1,9 +1,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
+
 import java.util.List;
 
 /**
- * A minion that is partitioned from the store crashes, and starts again under the ID that it had, as
- * one of a different kind.
+ * A minion that is partitioned from the store crashes, and starts again under the ID that it had,
+ * as one of a different kind.
  */
 public final class Reborn {
     private static final int MINIONS = 6;
@@ -23,7 +24,13 @@
         List<String> zones = List.of("lozenets", "mladost", "lyulin");
         for (int i = 0; i < MINIONS; i++) {
             String kind = i < 2 ? "b" : "a";
-            world.addMachine("m-0a3f" + i, zones.get(i % 3), "r1-" + (i / 4 + 1), kind, 64_000, "photo-desk");
+            world.addMachine(
+                    "m-0a3f" + i,
+                    zones.get(i % 3),
+                    "r1-" + (i / 4 + 1),
+                    kind,
+                    64_000,
+                    "photo-desk");
         }
         world.addNodes(3, zones);
         world.awaitReady(20_000);
--- a/review/standin-3/Store.java
+++ b/review/standin-3/Store.java
@@ -1,5 +1,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -90,7 +91,9 @@
                 return Web.Reply.json(412, Web.object().put("end", part.end()));
             }
             if (call.query().containsKey("producer")) {
-                Producer producer = part.mProducers.computeIfAbsent(call.query().get("producer"), p -> new Producer());
+                Producer producer =
+                        part.mProducers.computeIfAbsent(
+                                call.query().get("producer"), p -> new Producer());
                 long epoch = Long.parseLong(call.query().get("epoch"));
                 long seq = Long.parseLong(call.query().get("seq"));
                 if (epoch < producer.mEpoch) {
@@ -104,10 +107,15 @@
                 if (!records.isEmpty()) {
                     Long earlier = producer.mRecent.get(seq);
                     if (earlier != null) {
-                        return Web.Reply.json(200, Web.object().put("offset", earlier).put("end", earlier + records.size()));
+                        return Web.Reply.json(
+                                200,
+                                Web.object()
+                                        .put("offset", earlier)
+                                        .put("end", earlier + records.size()));
                     }
                     if (producer.mNext >= 0 && seq != producer.mNext) {
-                        return Web.Reply.json(409, Web.object().put("reason", "seq").put("seq", producer.mNext));
+                        return Web.Reply.json(
+                                409, Web.object().put("reason", "seq").put("seq", producer.mNext));
                     }
                     producer.mNext = seq + 1;
                     producer.mRecent.put(seq, part.end());
@@ -188,7 +196,8 @@
                 return Web.Reply.json(410, Web.object().put("first", part.mFirst));
             }
             ByteArrayOutputStream out = new ByteArrayOutputStream();
-            out.writeBytes(ByteBuffer.allocate(16).putLong(part.end()).putLong(part.mFirst).array());
+            out.writeBytes(
+                    ByteBuffer.allocate(16).putLong(part.end()).putLong(part.mFirst).array());
             for (long o = from; o < part.end(); o++) {
                 byte[] record = part.mEntries.get((int) (o - part.mFirst)).bytes();
                 if (out.size() + record.length + 4 > maxBytes && out.size() > 16) {
@@ -209,7 +218,10 @@
                     (key, offset) ->
                             items.addObject()
                                     .put("key", key)
-                                    .put("value", Base64.getEncoder().encodeToString(part.mValues.get(key)))
+                                    .put(
+                                            "value",
+                                            Base64.getEncoder()
+                                                    .encodeToString(part.mValues.get(key)))
                                     .put("offset", offset));
             body.put("more", false).put("end", part.end());
             return Web.Reply.json(200, body);
--- a/review/standin-3/Web.java
+++ b/review/standin-3/Web.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
+
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -37,7 +38,12 @@
         Reply handle(Call call) throws Exception;
     }
 
-    record Call(String method, String path, Map<String, String> query, HttpExchange exchange, byte[] body) {
+    record Call(
+            String method,
+            String path,
+            Map<String, String> query,
+            HttpExchange exchange,
+            byte[] body) {
         JsonNode json() throws IOException {
             return JSON.readTree(body);
         }
@@ -50,7 +56,8 @@
 
     record Reply(int status, byte[] body, String type) {
         static Reply json(int status, JsonNode body) {
-            return new Reply(status, body.toString().getBytes(StandardCharsets.UTF_8), "application/json");
+            return new Reply(
+                    status, body.toString().getBytes(StandardCharsets.UTF_8), "application/json");
         }
 
         static Reply raw(byte[] body) {
@@ -92,7 +99,8 @@
             return;
         }
         exchange.getResponseHeaders().set("Content-Type", reply.type());
-        exchange.sendResponseHeaders(reply.status(), reply.body().length == 0 ? -1 : reply.body().length);
+        exchange.sendResponseHeaders(
+                reply.status(), reply.body().length == 0 ? -1 : reply.body().length);
         if (reply.body().length > 0) {
             exchange.getResponseBody().write(reply.body());
         }
@@ -104,7 +112,9 @@
         if (raw != null) {
             for (String part : raw.split("&")) {
                 int equals = part.indexOf('=');
-                query.put(part.substring(0, equals), URLDecoder.decode(part.substring(equals + 1), StandardCharsets.UTF_8));
+                query.put(
+                        part.substring(0, equals),
+                        URLDecoder.decode(part.substring(equals + 1), StandardCharsets.UTF_8));
             }
         }
         return query;
@@ -128,15 +138,23 @@
     record Answer(int status, String body) {}
 
     /** Sends one request on a connection of its own. */
-    static Answer send(int port, String method, String host, String path, String body, int timeoutMs) {
+    static Answer send(
+            int port, String method, String host, String path, String body, int timeoutMs) {
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress("127.0.0.1", port), timeoutMs);
             socket.setSoTimeout(timeoutMs);
             byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
             String head =
-                    method + " " + path + " HTTP/1.1\r\nHost: " + host
-                            + "\r\nContent-Type: application/json\r\nDeadline-Ms: " + timeoutMs
-                            + "\r\nConnection: close\r\nContent-Length: " + bytes.length + "\r\n\r\n";
+                    method
+                            + " "
+                            + path
+                            + " HTTP/1.1\r\nHost: "
+                            + host
+                            + "\r\nContent-Type: application/json\r\nDeadline-Ms: "
+                            + timeoutMs
+                            + "\r\nConnection: close\r\nContent-Length: "
+                            + bytes.length
+                            + "\r\n\r\n";
             ByteArrayOutputStream request = new ByteArrayOutputStream();
             request.writeBytes(head.getBytes(StandardCharsets.UTF_8));
             request.writeBytes(bytes);
@@ -147,7 +165,8 @@
             if (end < 0) {
                 return new Answer(0, "");
             }
-            return new Answer(Integer.parseInt(response.split(" ")[1]), response.substring(end + 4));
+            return new Answer(
+                    Integer.parseInt(response.split(" ")[1]), response.substring(end + 4));
         } catch (IOException e) {
             return new Answer(0, "");
         }
--- a/review/standin-3/World.java
+++ b/review/standin-3/World.java
@@ -2,6 +2,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpServer;
+
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -18,8 +19,10 @@
 /** A small deployment: real nodes as processes, and stand-ins of the platform and the minions. */
 final class World {
     static final String HOST = "jobs.example";
+
     /** History of the store in all sheets, in seconds. */
     private static final long KEEP_S = 20;
+
     private static final long MAX_MS = 112_000;
     private static final long CHECK_IN_MS = 1500;
     private static final long ENTRY_TTL_MS = 3 * CHECK_IN_MS;
@@ -43,11 +46,13 @@
     private final Map<Long, Integer> mCaps = new HashMap<>();
     final List<String> mBroken = new ArrayList<>();
     private final Map<Long, List<String>> mWaves = new HashMap<>();
+
     /** Whether minions say when they were born; they may then start again under the ID they had. */
     volatile boolean mBornSent;
 
     /** Called for each accepted kind of call for an upkeep before it is carried out. */
     volatile LateCalls mLateCalls = (machine, holder, carryOut) -> false;
+
     volatile String mLastUpkeepHolder = "";
     volatile long mLastUpkeepMs;
     private int mNextId;
@@ -60,11 +65,15 @@
         boolean takes(Machine machine, String holder, Runnable carryOut);
     }
 
-    /** What a run does, by the text of its job: how long it works, on how much, and whether it lasts. */
+    /**
+     * What a run does, by the text of its job: how long it works, on how much, and whether it
+     * lasts.
+     */
     record Spec(long workMs, long cpu, boolean standing) {
         static Spec parse(String text) {
             String[] parts = text.split(" ");
-            return new Spec(Long.parseLong(parts[0]), Long.parseLong(parts[1]), parts[2].equals("lasts"));
+            return new Spec(
+                    Long.parseLong(parts[0]), Long.parseLong(parts[1]), parts[2].equals("lasts"));
         }
     }
 
@@ -120,7 +129,9 @@
         mStoreServer = Web.serve(0, mStore::handle);
         mCloudServer = Web.serve(0, this::handleCloud);
         mAdviceServer = Web.serve(0, call -> Web.Reply.json(429, Web.object()));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> mNodes.forEach(n -> n.mProcess.destroyForcibly())));
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(() -> mNodes.forEach(n -> n.mProcess.destroyForcibly())));
         Thread beats = new Thread(this::beat, "beats");
         beats.setDaemon(true);
         beats.start();
@@ -146,7 +157,8 @@
 
     // ---- machines and minions
 
-    synchronized Machine addMachine(String name, String zone, String rack, String kind, long cpu, String pool)
+    synchronized Machine addMachine(
+            String name, String zone, String rack, String kind, long cpu, String pool)
             throws Exception {
         Machine machine = new Machine(name, zone, rack, kind, cpu, pool);
         mMachines.put(name, machine);
@@ -240,7 +252,15 @@
         synchronized (mStarts) {
             String label = mRequired.get(task.substring(0, task.indexOf('.')));
             if (label != null && !label.equals(minion.kind())) {
-                broken("ROUTE: " + task + ", which requires the label " + label + ", starts on minion " + minion.mId + " of the kind " + minion.kind());
+                broken(
+                        "ROUTE: "
+                                + task
+                                + ", which requires the label "
+                                + label
+                                + ", starts on minion "
+                                + minion.mId
+                                + " of the kind "
+                                + minion.kind());
             }
         }
         synchronized (mStarts) {
@@ -256,7 +276,10 @@
 
     int startsOf(String job) {
         synchronized (mStarts) {
-            return mStarts.entrySet().stream().filter(e -> e.getKey().startsWith(job)).mapToInt(e -> e.getValue().size()).sum();
+            return mStarts.entrySet().stream()
+                    .filter(e -> e.getKey().startsWith(job))
+                    .mapToInt(e -> e.getValue().size())
+                    .sum();
         }
     }
 
@@ -284,8 +307,18 @@
         String holder = call.header("Duty-Holder");
         long fence = Long.parseLong(call.header("Fencing-Token"));
         if (call.path().equals("/v1/machine-upkeep")
-                && mLateCalls.takes(called, holder, () -> carryOut(call.path(), body, holder, fence))) {
-            record("cloud: " + call.path() + " " + body + " from " + holder + " fence " + fence + " gets no answer");
+                && mLateCalls.takes(
+                        called, holder, () -> carryOut(call.path(), body, holder, fence))) {
+            record(
+                    "cloud: "
+                            + call.path()
+                            + " "
+                            + body
+                            + " from "
+                            + holder
+                            + " fence "
+                            + fence
+                            + " gets no answer");
             Thread.sleep(15_000);
             return null;
         }
@@ -312,7 +345,10 @@
         ArrayNode machines = body.putArray("machines");
         for (Machine m : mMachines.values()) {
             ObjectNode entry = machines.addObject();
-            entry.put("machine", m.mName).put("pool", m.mPool).put("state", m.mState).put("zone", m.mZone);
+            entry.put("machine", m.mName)
+                    .put("pool", m.mPool)
+                    .put("state", m.mState)
+                    .put("zone", m.mZone);
             entry.putArray("labels").add(m.mKind).add(m.mRack);
             entry.putObject("capacity").put("cpu", m.mCpu).put("memMb", 65536).put("gpu", 0);
             if (m.mMinion == null) {
@@ -362,7 +398,13 @@
         }
         record("cloud: " + what + " -> 200, in upkeep of this wave before: " + down);
         if (down.size() >= mCaps.get(wave)) {
-            broken("LIMIT: the upkeep of " + machine.mName + " begins while " + down + " are down for theirs, cap " + mCaps.get(wave));
+            broken(
+                    "LIMIT: the upkeep of "
+                            + machine.mName
+                            + " begins while "
+                            + down
+                            + " are down for theirs, cap "
+                            + mCaps.get(wave));
         }
         machine.mUpkeepWave = wave;
         mLastUpkeepHolder = holder;
@@ -464,7 +506,11 @@
 
     private String settings(NodeProcess n) {
         ObjectNode root = Web.object();
-        root.putObject("node").put("name", n.mName).put("zone", n.mZone).put("linkMbps", 1000.0).put("graceS", 6);
+        root.putObject("node")
+                .put("name", n.mName)
+                .put("zone", n.mZone)
+                .put("linkMbps", 1000.0)
+                .put("graceS", 6);
         root.putObject("listen")
                 .put("callers", "127.0.0.1:" + n.mFront)
                 .put("readiness", "127.0.0.1:" + n.mReady)
@@ -480,7 +526,8 @@
                 .put("appendBytes", 2097152)
                 .put("vmTokensChecked", true);
         ArrayNode agreements = platform.putArray("agreements").addArray();
-        for (String a : "base drain config cost recover sched platform advice upkeep sharing".split(" ")) {
+        for (String a :
+                "base drain config cost recover sched platform advice upkeep sharing".split(" ")) {
             agreements.add(a);
         }
         root.putObject("worker").put("orders", "call").put("leaseMs", 6000).put("stopMs", 200);
@@ -513,7 +560,9 @@
     }
 
     void signal(NodeProcess node, String signal) throws Exception {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(node.mProcess.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + signal, Long.toString(node.mProcess.pid()))
+                .start()
+                .waitFor();
         record("node " + node.mName + " gets SIG" + signal);
     }
 
@@ -561,9 +610,13 @@
 
     /** A body of a job with one step. */
     static ObjectNode job(int count, long workMs, long cpu, boolean lasts) {
-        ObjectNode job = Web.object().put("spec", workMs + " " + cpu + (lasts ? " lasts" : " ends"));
+        ObjectNode job =
+                Web.object().put("spec", workMs + " " + cpu + (lasts ? " lasts" : " ends"));
         ObjectNode phase = job.putArray("phases").addObject();
-        phase.put("count", count).put("cpu", cpu).put("memMb", 256).put("estimateMs", Math.min(workMs, 60_000));
+        phase.put("count", count)
+                .put("cpu", cpu)
+                .put("memMb", 256)
+                .put("estimateMs", Math.min(workMs, 60_000));
         if (lasts) {
             phase.put("longRunning", true);
         }
@@ -572,12 +625,23 @@
 
     Web.Answer call(NodeProcess node, String method, String path, String body) {
         Web.Answer answer = Web.send(node.mFront, method, HOST, path, body, 3000);
-        record("consumer: " + method + " " + path + " at " + node.mName + " -> "
-                + (answer.status() == 0 ? "no answer" : answer.status() + " " + answer.body()));
+        record(
+                "consumer: "
+                        + method
+                        + " "
+                        + path
+                        + " at "
+                        + node.mName
+                        + " -> "
+                        + (answer.status() == 0
+                                ? "no answer"
+                                : answer.status() + " " + answer.body()));
         return answer;
     }
 
-    /** Submits a job, again after no answer and after a refusal; returns whether it was accepted. */
+    /**
+     * Submits a job, again after no answer and after a refusal; returns whether it was accepted.
+     */
     boolean submit(String path, ObjectNode job, int attempts) throws InterruptedException {
         for (int i = 0; i < attempts; i++) {
             Web.Answer answer = call(mNodes.get(i % mNodes.size()), "POST", path, job.toString());
@@ -591,7 +655,9 @@
 
     String state(NodeProcess node, String path) throws IOException {
         Web.Answer answer = call(node, "GET", path, "");
-        return answer.status() == 200 ? Web.JSON.readTree(answer.body()).path("state").asText() : "" + answer.status();
+        return answer.status() == 200
+                ? Web.JSON.readTree(answer.body()).path("state").asText()
+                : "" + answer.status();
     }
 
     // ---- end
@@ -607,7 +673,10 @@
         try (var files = Files.list(mFolder)) {
             for (Path f : files.toList()) {
                 if (keep != null) {
-                    Files.copy(f, Path.of(keep).resolve(f.getFileName()), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+                    Files.copy(
+                            f,
+                            Path.of(keep).resolve(f.getFileName()),
+                            java.nio.file.StandardCopyOption.REPLACE_EXISTING);
                 }
                 Files.delete(f);
             }
