Log the incarnation whose entry a start was planned by

An assignment by the entry of another incarnation couldn't be told from one by the worker's own: log lines named the worker by its ID alone.

start-order now has the start time of the worker's incarnation and that in the entry when the run was planned; worker-registered says when the entry of an incarnation arrives that has answered before, and how long it had none.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -18,6 +18,7 @@
     private final WorkerState mWorker;
     private final int mAttempt;
     private final long mStartedMs;
+    private final long mEntryStartMs;
     private final CrashHistory mEarlierCrashes;
     private final boolean mResumed;
 
@@ -43,6 +44,7 @@
         mWorker = worker;
         mAttempt = attempt;
         mStartedMs = nowMs;
+        mEntryStartMs = worker.entryStartMs();
         mEarlierCrashes = task.accountable().crashes();
         mResumed = !task.checkpoint().isEmpty();
         mLastCommandMs = nowMs;
@@ -83,6 +85,14 @@
         return mWorker;
     }
 
+    /**
+     * Start time in the worker's entry when the run was planned, in milliseconds since the epoch; 0
+     * if unknown.
+     */
+    public long entryStartMs() {
+        return mEntryStartMs;
+    }
+
     public int attempt() {
         return mAttempt;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -18,6 +18,7 @@
     private final WorkerHealthRecord mHealth = new WorkerHealthRecord();
 
     private WorkerInfo mInfo;
+    private long mEntryStartMs;
     private Resources mUsed = Resources.NONE;
     private int mSuspects;
     private int mIsolatedRuns;
@@ -47,6 +48,7 @@
 
     WorkerState(WorkerInfo info, long nowMs) {
         mInfo = info;
+        mEntryStartMs = info.incarnation().startMs();
         mLastAnswerMs = nowMs;
         mGrantedMs = nowMs;
         mFirstSeenMs = nowMs;
@@ -64,6 +66,20 @@
         return mInfo;
     }
 
+    /** Start time of the incarnation that registered the entry; 0 if unknown. */
+    public long entryStartMs() {
+        return mEntryStartMs;
+    }
+
+    void setEntryStartMs(long startMs) {
+        mEntryStartMs = startMs;
+    }
+
+    /** Whether the entry was registered by this incarnation. */
+    public boolean hasOwnEntry() {
+        return mEntryStartMs == incarnation().startMs();
+    }
+
     void setIncarnation(WorkerIncarnation incarnation) {
         mInfo = mInfo.withIncarnation(incarnation);
     }
@@ -197,7 +213,7 @@
     }
 
     /** Time at which this owner first learned of the worker. */
-    long firstSeenMs() {
+    public long firstSeenMs() {
         return mFirstSeenMs;
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerTable.java
@@ -73,6 +73,7 @@
             worker.markUnverified();
         }
         worker.updateInfo(info.withIncarnation(current));
+        worker.setEntryStartMs(listed.startMs());
         return other;
     }
 
@@ -88,6 +89,7 @@
     WorkerState addNext(WorkerState former, long startMs, long nowMs) {
         WorkerIncarnation next = new WorkerIncarnation(former.id(), startMs);
         WorkerState worker = add(former.info().withIncarnation(next), nowMs);
+        worker.setEntryStartMs(former.entryStartMs());
         if (!former.isListed()) {
             worker.markUnlisted();
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CommandSender.java
@@ -177,6 +177,8 @@
                 .with("tookMs", now - sentMs)
                 .with("relayed", relayed)
                 .with("token", mToken)
+                .with("startMs", run.worker().incarnation().startMs())
+                .with("entryStartMs", run.entryStartMs())
                 .write();
         if (ended) {
             return;
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
@@ -189,6 +189,7 @@
         Optional<WorkerState> known = mScheduler.worker(info.id());
         boolean startsDraining =
                 known.map(w -> !w.info().draining()).orElse(true) && info.draining();
+        boolean lackedEntry = known.map(w -> !w.hasOwnEntry()).orElse(false);
         boolean pollNow = mScheduler.updateWorker(info, mContext.clock().nowMs());
         if (known.isEmpty() || startsDraining) {
             mContext.log()
@@ -201,6 +202,14 @@
                     .write();
         }
         WorkerState worker = mScheduler.worker(info.id()).orElseThrow();
+        if (lackedEntry && worker.hasOwnEntry()) {
+            mContext.log()
+                    .line("worker-registered")
+                    .with("worker", info.id())
+                    .with("startMs", info.incarnation().startMs())
+                    .with("withoutEntryMs", mContext.clock().nowMs() - worker.firstSeenMs())
+                    .write();
+        }
         WorkerPoller poller = mPollers.get(worker);
         if (poller == null) {
             poller = addPoller(worker);
