Judge each incarnation of a worker by the entry that it registered itself

A worker that was cut from the store started again under its ID as one of another kind, and was given tasks by the labels, capacity and service of its former incarnation until its own entry arrived.

Change: WorkerInfo.withIncarnation is gone. The attributes of an incarnation are an Optional in Registration, which rejects an entry that names another incarnation; equality of the start times decides, not their order, as clocks may be set back. Until its entry has been read, a worker gets no starts and counts as no capacity; it is polled as before, and its VM counts as one that is about to join. An entry that was read before its incarnation has answered is kept for it. CrashTracker and evacuation use the service of the runs where there is no entry; an unlisted worker is used again only by its own entry.

WorkerRestartTest: two tests had restarted workers that never register run tasks, which no worker of the platform does; they register now, and one also asserts that nothing starts before.

--- a/foxtail-core/src/main/java/org/foxtailplank/port/WorkerInfo.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/WorkerInfo.java
@@ -29,11 +29,6 @@
         labels = Set.copyOf(labels);
     }
 
-    /** The same entry, of another incarnation. */
-    public WorkerInfo withIncarnation(WorkerIncarnation other) {
-        return new WorkerInfo(other, service, address, zone, capacity, labels, rack, draining);
-    }
-
     /** ID of the worker. */
     public String id() {
         return incarnation.id();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveTask.java
@@ -34,6 +34,11 @@
         return mName;
     }
 
+    /** Name of the service whose workers run the task. */
+    String service() {
+        return mStep.job().definition().service();
+    }
+
     public ActiveStep step() {
         return mStep;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/CrashTracker.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/CrashTracker.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.job.CrashHistory;
 
@@ -49,7 +50,11 @@
 
     /** Counts a crash of a worker for the tasks that may have caused it. */
     List<WorkerEnd.Suspect> workerCrashed(WorkerState worker, long nowMs) {
-        CrashRate rate = rate(worker.info().service());
+        Optional<String> service = worker.service();
+        return service.map(s -> workerCrashed(worker, rate(s), nowMs)).orElse(List.of());
+    }
+
+    private List<WorkerEnd.Suspect> workerCrashed(WorkerState worker, CrashRate rate, long nowMs) {
         long noticedMs = worker.noticedGoneMs(nowMs);
         List<TaskRun> started = startedRuns(worker, noticedMs);
         List<TaskRun> suspects = started.stream().filter(TaskRun::isSuspect).toList();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
@@ -39,7 +39,7 @@
             }
             if (worker.isOverCapacity() && worker.isOverCapacityAfterStops()) {
                 withdraw(r, "no longer fits its worker", runs, nowMs);
-            } else if (worker.info().draining()) {
+            } else if (worker.registration().isDraining()) {
                 withdraw(r, "its worker drains", runs, nowMs);
             } else if (isDenied(r)) {
                 withdrawWithGang(r, runs, nowMs);
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/GangPlacement.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/GangPlacement.java
@@ -55,7 +55,9 @@
     private static List<List<WorkerState>> byRack(List<WorkerState> workers) {
         Map<String, List<WorkerState>> racks = new LinkedHashMap<>();
         for (WorkerState w : workers) {
-            racks.computeIfAbsent(w.info().rack(), r -> new ArrayList<>()).add(w);
+            w.registration()
+                    .rack()
+                    .ifPresent(r -> racks.computeIfAbsent(r, k -> new ArrayList<>()).add(w));
         }
         return new ArrayList<>(racks.values());
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/InheritedRuns.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/InheritedRuns.java
@@ -44,7 +44,7 @@
             // The next incarnation may still execute a start that an earlier owner sent to the
             // former one, until it has answered this owner.
             if (isFormer || !hasEnded) {
-                inherit(start, progress.definition().service(), nowMs);
+                inherit(start, nowMs);
             } else {
                 mNotInherited.add(DroppedRun.of(start, "its worker's incarnation has ended"));
             }
@@ -60,11 +60,11 @@
                         .isPresent();
     }
 
-    private void inherit(StartedRun start, String service, long nowMs) {
+    private void inherit(StartedRun start, long nowMs) {
         WorkerIncarnation recorded = start.worker();
         WorkerState worker =
                 mWorkers.current(recorded.id())
-                        .orElseGet(() -> mWorkers.addWithoutInfo(recorded, service, nowMs));
+                        .orElseGet(() -> mWorkers.addWithoutEntry(recorded, nowMs));
         if (recorded.startMs() > worker.incarnation().startMs()) {
             // The directory's entry is of a former incarnation.
             mWorkers.setStart(worker, recorded.startMs());
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/JoiningCapacity.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/JoiningCapacity.java
@@ -54,6 +54,13 @@
         return joining;
     }
 
+    private boolean isAwaitingEntry(ManagedVm vm) {
+        return mScheduler
+                .worker(vm.info().worker())
+                .filter(WorkerState::isAwaitingEntry)
+                .isPresent();
+    }
+
     private Optional<Long> joinsAfterMs(
             ManagedVm vm, String service, FleetConfig config, long nowMs) {
         boolean inPool = vm.info().pool().equals(service);
@@ -71,6 +78,9 @@
         if (inPool && vm.isFree() && mScheduler.worker(vm.info().worker()).isEmpty()) {
             return Optional.of(Math.max(0, Math.min(JOIN_MS, CALL_MS - sinceMoveMs)));
         }
+        if (inPool && vm.isFree() && isAwaitingEntry(vm)) {
+            return Optional.of(JOIN_MS);
+        }
         boolean standby = config.isStandby(vm.info().pool()) && vm.isFree();
         return standby ? Optional.of(MOVE_MS) : Optional.empty();
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OwnerReachability.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OwnerReachability.java
@@ -33,13 +33,13 @@
         if (lastVmAnswerMs > sinceMs) {
             return false;
         }
-        long listed = workers.stream().filter(WorkerState::isListed).count();
+        long listed = workers.stream().filter(w -> w.registration().isListed()).count();
         long unreached = workers.stream().filter(w -> isUnreached(w, sinceMs)).count();
         return unreached > UNREACHED_SHARE * listed;
     }
 
     private static boolean isUnreached(WorkerState worker, long sinceMs) {
-        return worker.isListed()
+        return worker.registration().isListed()
                 && worker.isUnresponsive()
                 && !worker.hasAnsweredLateSince(sinceMs);
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -209,7 +209,8 @@
     private void addVm(Pool pool, ManagedVm vm, long nowMs) {
         Optional<WorkerState> worker = mScheduler.worker(vm.info().worker());
         boolean moving = vm.info().phase() == VmPhase.MOVING;
-        boolean joining = worker.isEmpty() && vm.info().phase() == VmPhase.UP && vm.isFree();
+        boolean registers = worker.map(WorkerState::isAwaitingEntry).orElse(true);
+        boolean joining = registers && vm.info().phase() == VmPhase.UP && vm.isFree();
         if (moving || joining) {
             pool.addIncoming(vm);
             return;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolLoadCalculator.java
@@ -23,7 +23,7 @@
         long batchCapacity = 0;
         for (WorkerState w : workers) {
             usable += w.isUsable(nowMs) ? 1 : 0;
-            cores += w.info().capacity().milliProcessors();
+            cores += w.registration().capacity().milliProcessors();
             long standingOfWorker = w.standing().milliProcessors();
             standing += standingOfWorker;
             batch += w.used().milliProcessors() - standingOfWorker;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -79,7 +79,7 @@
      * lease expires.
      */
     public void unlistWorker(String id) {
-        worker(id).ifPresent(WorkerState::markUnlisted);
+        mWorkers.unlist(id);
     }
 
     /** Removes a worker whose incarnation has ended, with its runs. */
@@ -88,7 +88,7 @@
             return WorkerEnd.NONE;
         }
         List<TaskRun> ended = List.copyOf(worker.runs());
-        boolean crashed = !reason.isOrdered() && !worker.info().draining();
+        boolean crashed = !reason.isOrdered() && !worker.registration().isDraining();
         List<WorkerEnd.Suspect> suspects =
                 crashed ? mCrashes.workerCrashed(worker, nowMs) : List.of();
         ended.forEach(mRuns::removeRun);
@@ -105,8 +105,7 @@
     }
 
     /**
-     * Replaces the incarnation of a worker by its next one, which has the same entry in the
-     * directory until it registers.
+     * Replaces an incarnation by the next one, which gets no tasks until its own entry is read.
      *
      * @param startMs start time of the next incarnation
      */
@@ -261,13 +260,16 @@
         worker.recordAnswer(response.clockMs(), nowMs, mLimits.stopMs());
         PollResult result = applyLists(worker, response, sentMs, nowMs);
         mPaceChanges.addAll(PaceControl.adjust(worker, nowMs));
-        for (TaskRun r :
-                SlowWorkerDetector.find(worker, mRuns.usualRatio(worker.info().service()), nowMs)) {
+        worker.service().ifPresent(s -> stopSlowRuns(worker, s, nowMs));
+        return result;
+    }
+
+    private void stopSlowRuns(WorkerState worker, String service, long nowMs) {
+        for (TaskRun r : SlowWorkerDetector.find(worker, mRuns.usualRatio(service), nowMs)) {
             if (hasBetterWorker(r, nowMs)) {
                 r.requestStop(SlowWorkerDetector.describe(r, nowMs), nowMs);
             }
         }
-        return result;
     }
 
     /**
@@ -327,7 +329,7 @@
         if (!mStoreAvailable) {
             return false;
         }
-        for (WorkerState w : workersOf(run.worker().info().service())) {
+        for (WorkerState w : workersOf(run.task().service())) {
             boolean suitable = w != run.worker() && !w.isSlow(nowMs);
             if (suitable && WorkerChooser.canTakeOver(run.task(), w, nowMs)) {
                 return true;
@@ -394,7 +396,7 @@
     public List<WorkerState> removeStaleWorkers() {
         List<WorkerState> stale = new ArrayList<>();
         for (WorkerState w : mWorkers.all()) {
-            if (!w.isListed() && w.isUnresponsive() && w.runs().isEmpty()) {
+            if (!w.registration().isListed() && w.isUnresponsive() && w.runs().isEmpty()) {
                 stale.add(w);
             }
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/TaskRun.java
@@ -44,7 +44,8 @@
         mWorker = worker;
         mAttempt = attempt;
         mStartedMs = nowMs;
-        mEntryStartMs = worker.entryStartMs();
+        mEntryStartMs =
+                worker.registration().entry().map(e -> e.incarnation().startMs()).orElse(0L);
         mEarlierCrashes = task.accountable().crashes();
         mResumed = !task.checkpoint().isEmpty();
         mLastCommandMs = nowMs;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/UsedVms.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/UsedVms.java
@@ -17,7 +17,7 @@
         double allAccelerators = 0;
         for (WorkerState w : workers) {
             Resources used = w.used();
-            Resources all = w.info().capacity();
+            Resources all = w.registration().capacity();
             cores += used.milliProcessors();
             memory += used.memoryBytes();
             accelerators += used.accelerators();
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -252,7 +252,7 @@
         if (!mScheduler.isStoreAvailable()) {
             return;
         }
-        List<WorkerState> others = mScheduler.workersOf(worker.info().service());
+        List<WorkerState> others = worker.service().map(mScheduler::workersOf).orElse(List.of());
         if (vm.planned().get() instanceof PlannedVmAction.Reboot) {
             WorkerEvacuation.stopRuns(worker, others, vm.plannedMs(), nowMs);
         } else if (!config.isStandby(((PlannedVmAction.Move) vm.planned().get()).pool())) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveRebootSelector.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveRebootSelector.java
@@ -129,9 +129,14 @@
         if (worker.isEmpty()) {
             return 0;
         }
-        int standing = worker.get().standingRuns();
-        long used = worker.get().used().milliProcessors();
-        long capacity = Math.max(1, worker.get().info().capacity().milliProcessors());
-        return standing + (double) used / capacity;
+        return worker.get().standingRuns() + usedShare(worker.get());
+    }
+
+    /** Used share of a worker's cores; 1 if they are unknown and something runs there. */
+    private static double usedShare(WorkerState worker) {
+        double used = worker.used().milliProcessors();
+        boolean isKnown = worker.registration().isKnown();
+        double cores = isKnown ? worker.registration().capacity().milliProcessors() : used;
+        return used / Math.max(1, cores);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveReport.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveReport.java
@@ -45,7 +45,7 @@
         ActiveTask task = run.task();
         int admitting = 0;
         int withRoom = 0;
-        for (WorkerState w : mScheduler.workersOf(run.worker().info().service())) {
+        for (WorkerState w : mScheduler.workersOf(task.service())) {
             admitting += w.isUsable(mNowMs) && WorkerChooser.mayRun(task, w) ? 1 : 0;
             withRoom += WorkerChooser.canTakeOver(task, w, mNowMs) ? 1 : 0;
         }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerChooser.java
@@ -101,7 +101,7 @@
         }
         PlacementConstraints constraints = task.spec().placement();
         if (!constraints.requiredLabel().isEmpty()
-                && !worker.info().labels().contains(constraints.requiredLabel())) {
+                && !worker.registration().hasLabel(constraints.requiredLabel())) {
             return false;
         }
         return constraints.maxPerWorker() == 0
@@ -137,23 +137,28 @@
             cost += RUN_LOSS_COST * worker.runs().size();
         }
         if (!task.spec().mode().standing()) {
-            cost += ZONE_COST * task.step().job().distanceTo(worker.info().zone());
+            cost +=
+                    ZONE_COST
+                            * worker.registration()
+                                    .zone()
+                                    .map(task.step().job()::distanceTo)
+                                    .orElse(0.0);
         }
         double free = worker.free().milliProcessors();
-        return cost + free / Math.max(1, worker.info().capacity().milliProcessors());
+        return cost + free / Math.max(1, worker.registration().capacity().milliProcessors());
     }
 
     static boolean isRemote(ActiveTask task, WorkerState worker) {
         PlacementConstraints constraints = task.spec().placement();
         if (!constraints.dataRack().isEmpty()) {
-            return !constraints.dataRack().equals(worker.info().rack());
+            return !worker.registration().rack().equals(Optional.of(constraints.dataRack()));
         }
         if (!constraints.sameRack()) {
             return false;
         }
         for (ActiveTask other : task.step().tasks()) {
             for (TaskRun r : other.runs()) {
-                return !r.worker().info().rack().equals(worker.info().rack());
+                return !worker.registration().isInRackOf(r.worker().registration());
             }
         }
         return false;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerState.java
@@ -8,22 +8,19 @@
 import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.WorkerIncarnation;
 import org.foxtailplank.port.WorkerClient.WorkerAddress;
-import org.foxtailplank.port.WorkerInfo;
 
 /** One incarnation of a worker, as known to the owner. */
 public final class WorkerState {
+    private final Registration mRegistration;
     private final long mFirstSeenMs;
     private final Set<TaskRun> mRuns = new LinkedHashSet<>();
     private final LeaseHold mLeaseHold = new LeaseHold();
     private final WorkerHealthRecord mHealth = new WorkerHealthRecord();
 
-    private WorkerInfo mInfo;
-    private long mEntryStartMs;
     private Resources mUsed = Resources.NONE;
     private int mSuspects;
     private int mIsolatedRuns;
     private boolean mPolled;
-    private boolean mListed = true;
     private boolean mEvacuating;
     private boolean mReservedForStanding;
     private boolean mRebootDue;
@@ -46,51 +43,36 @@
     private long mFillPaceMs = Long.MIN_VALUE / 2;
     private long mSlowUntilMs = Long.MIN_VALUE / 2;
 
-    WorkerState(WorkerInfo info, long nowMs) {
-        mInfo = info;
-        mEntryStartMs = info.incarnation().startMs();
+    /** Creates an incarnation without an entry; the address may be empty if it is unknown. */
+    WorkerState(WorkerIncarnation incarnation, String address, long nowMs) {
+        mRegistration = new Registration(incarnation, address);
         mLastAnswerMs = nowMs;
         mGrantedMs = nowMs;
         mFirstSeenMs = nowMs;
     }
 
     public String id() {
-        return mInfo.id();
+        return incarnation().id();
     }
 
     public WorkerIncarnation incarnation() {
-        return mInfo.incarnation();
+        return mRegistration.incarnation();
     }
 
-    public WorkerInfo info() {
-        return mInfo;
+    /** What the directory says of the worker. */
+    public Registration registration() {
+        return mRegistration;
     }
 
-    /** Start time of the incarnation that registered the entry; 0 if unknown. */
-    public long entryStartMs() {
-        return mEntryStartMs;
-    }
-
-    void setEntryStartMs(long startMs) {
-        mEntryStartMs = startMs;
-    }
-
-    /** Whether the entry was registered by this incarnation. */
-    public boolean hasOwnEntry() {
-        return mEntryStartMs == incarnation().startMs();
-    }
-
-    void setIncarnation(WorkerIncarnation incarnation) {
-        mInfo = mInfo.withIncarnation(incarnation);
-    }
-
-    void updateInfo(WorkerInfo info) {
-        mInfo = info;
-        mListed = true;
+    public WorkerAddress address() {
+        return new WorkerAddress(id(), mRegistration.address());
     }
 
-    public WorkerAddress address() {
-        return new WorkerAddress(mInfo.id(), mInfo.address());
+    /** Name of the service whose tasks run here, by its entry or else by its runs. */
+    Optional<String> service() {
+        return mRegistration
+                .service()
+                .or(() -> mRuns.stream().findFirst().map(r -> r.task().service()));
     }
 
     public Set<TaskRun> runs() {
@@ -131,11 +113,15 @@
         return mIsolatedRuns > 0;
     }
 
+    /** Capacity that the runs here leave: none until the worker's entry has been read. */
     Resources free() {
-        return mInfo.capacity().minus(mUsed);
+        return mRegistration.capacityLeftBy(mUsed);
     }
 
-    /** Whether the runs here exceed the capacity, which may shrink while they run. */
+    /**
+     * Whether the runs here exceed the capacity, which may shrink while they run; false while the
+     * capacity is unknown.
+     */
     boolean isOverCapacity() {
         return !Resources.NONE.fitsIn(free());
     }
@@ -168,7 +154,7 @@
 
     /** Capacity left if only the standing tasks ran here. */
     Resources freeWithoutBatch() {
-        return mInfo.capacity().minus(standing());
+        return mRegistration.capacityLeftBy(standing());
     }
 
     boolean hasStandingRuns() {
@@ -227,15 +213,6 @@
         return mPolled;
     }
 
-    /** Whether the directory lists the worker. */
-    public boolean isListed() {
-        return mListed;
-    }
-
-    void markUnlisted() {
-        mListed = false;
-    }
-
     /** Whether the worker is being emptied for a move or a reboot of its VM. */
     public boolean isEvacuating() {
         return mEvacuating;
@@ -499,13 +476,21 @@
      * rejects tasks for lack of room.
      */
     boolean countsAsCapacity(long nowMs) {
-        return mListed
+        return mRegistration.isCurrent()
                 && !mUnresponsive
                 && !mEvacuating
-                && !mInfo.draining()
+                && !mRegistration.isDraining()
                 && mHealth.isTrusted(nowMs);
     }
 
+    /**
+     * Whether the worker answers while its entry has not been read, so that it is about to become
+     * capacity of a pool that is not known yet.
+     */
+    boolean isAwaitingEntry() {
+        return !mRegistration.isKnown() && mPolled && !mUnresponsive && !mEvacuating;
+    }
+
     /** Whether the worker may be given tasks. */
     boolean isUsable(long nowMs) {
         boolean known = mPolled && mHasClock && !mLeaseHold.applies(mRuns, nowMs);
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -264,7 +264,8 @@
     }
 
     private boolean isCutOff(WorkerState worker) {
-        return mClockMs < mCutUntilMs && worker.info().zone().equals(mCutZone);
+        return mClockMs < mCutUntilMs
+                && worker.registration().zone().orElseThrow().equals(mCutZone);
     }
 
     /** Advances the simulation by one step. */
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/NewOwnerTest.java
@@ -127,7 +127,7 @@
 
         OwnerHarness second = new OwnerHarness(first.mRegistry);
         second.mScheduler.addInheritedJob(job, w -> false, second.mNowMs);
-        second.mScheduler.updateWorker(worker.info(), second.mNowMs);
+        second.mScheduler.updateWorker(worker.registration().entry().orElseThrow(), second.mNowMs);
         RunEnd listed = new RunEnd(1, run.task().name(), 1, RunOutcome.FAILED, "");
         second.pollListing(second.mScheduler.worker("w1").get(), List.of(), List.of(listed));
 
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -1,6 +1,7 @@
 package org.foxtailplank.schedule;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -96,6 +97,16 @@
         return info(id, service, Resources.of(cores, 1L << 40, 0), "r1", "zone");
     }
 
+    /** Entry of one incarnation, with labels besides its rack. */
+    static WorkerInfo info(
+            WorkerIncarnation incarnation, String service, int cores, String... labels) {
+        Set<String> all = new HashSet<>(Set.of(labels));
+        all.add("r1");
+        Resources capacity = Resources.of(cores, 1L << 40, 0);
+        return new WorkerInfo(
+                incarnation, service, "10.0.0.1:1", "zone", capacity, all, "r1", false);
+    }
+
     private static WorkerInfo info(
             String id, String service, Resources capacity, String rack, String zone) {
         return new WorkerInfo(
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerReachabilityTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerReachabilityTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.foxtailplank.port.WorkerInfo;
 import org.testng.annotations.Test;
 
 /** Tests when an owner resigns because it is cut off. */
@@ -15,7 +16,9 @@
     private static List<WorkerState> workers(int unresponsive, int responsive) {
         List<WorkerState> workers = new ArrayList<>();
         for (int i = 0; i < unresponsive + responsive; i++) {
-            WorkerState w = new WorkerState(OwnerHarness.info("w" + i, "surveys", 1), NOW_MS);
+            WorkerInfo entry = OwnerHarness.info("w" + i, "surveys", 1);
+            WorkerState w = new WorkerState(entry.incarnation(), entry.address(), NOW_MS);
+            w.registration().apply(entry);
             if (i < unresponsive) {
                 w.markUnresponsive(NOW_MS);
             }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/RestartedWorkersTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/RestartedWorkersTest.java
@@ -29,8 +29,7 @@
     }
 
     private static WorkerInfo info(long startMs) {
-        return OwnerHarness.info("w1", "surveys", 8)
-                .withIncarnation(new WorkerIncarnation("w1", startMs));
+        return OwnerHarness.info(new WorkerIncarnation("w1", startMs), "surveys", 8, "a");
     }
 
     private WorkerState register(long startMs) {
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/SchedulerTest.java
@@ -220,7 +220,7 @@
     public void aDrainingWorkerGetsNoTask() {
         OwnerHarness owner = new OwnerHarness();
         WorkerState worker = owner.addWorker("w1", "surveys", 8);
-        WorkerInfo i = worker.info();
+        WorkerInfo i = worker.registration().entry().orElseThrow();
         owner.mScheduler.updateWorker(
                 new WorkerInfo(
                         WorkerIncarnation.ofUnknownStart(i.id()),
@@ -430,7 +430,7 @@
     }
 
     private static void drain(OwnerHarness owner, WorkerState worker) {
-        WorkerInfo i = worker.info();
+        WorkerInfo i = worker.registration().entry().orElseThrow();
         owner.mScheduler.updateWorker(
                 new WorkerInfo(
                         i.incarnation(),
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/StartedJobsTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/StartedJobsTest.java
@@ -51,7 +51,7 @@
         OwnerHarness second = new OwnerHarness(first.mRegistry);
         second.mScheduler.addInheritedJob(job, w -> false, second.mNowMs);
         List<String> inherited = second.mScheduler.takeStartedJobs();
-        second.mScheduler.updateWorker(worker.info(), second.mNowMs);
+        second.mScheduler.updateWorker(worker.registration().entry().orElseThrow(), second.mNowMs);
         second.poll(second.mScheduler.worker("w1").get());
 
         assertEquals(inherited, List.of());
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/ZonePreferenceTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/ZonePreferenceTest.java
@@ -34,7 +34,7 @@
     }
 
     private static String zone(TaskRun run) {
-        return run.worker().info().zone();
+        return run.worker().registration().zone().orElseThrow();
     }
 
     /** Guards against a zone cut that delays nearly all jobs, as each has tasks in every zone. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/CrashLogger.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/CrashLogger.java
@@ -21,7 +21,7 @@
                 .with("worker", worker.id())
                 .with("why", reason)
                 .with("runs", end.runs().size())
-                .with("draining", worker.info().draining())
+                .with("draining", worker.registration().isDraining())
                 .with("evacuating", worker.isEvacuating())
                 .with("silentMs", nowMs - noticedMs)
                 .write();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -182,7 +182,8 @@
      * complete VM lists a worker that is not in the directory may still run tasks.
      */
     private boolean hasIncarnationEnded(WorkerIncarnation worker) {
-        boolean listed = mScheduler.worker(worker.id()).map(WorkerState::isListed).orElse(false);
+        boolean listed =
+                mScheduler.worker(worker.id()).map(w -> w.registration().isListed()).orElse(false);
         boolean named = listed || mDirectory.hasUnusableEntry(worker.id());
         return !named && mInitialVms.proveEnd(worker.id());
     }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/RunLogger.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/RunLogger.java
@@ -35,7 +35,7 @@
                 .with("task", run.task().name())
                 .with("attempt", run.attempt())
                 .with("worker", run.worker().id())
-                .with("listed", run.worker().isListed())
+                .with("listed", run.worker().registration().isListed())
                 .write();
     }
 
@@ -50,7 +50,7 @@
                 .with("task", run.task().name())
                 .with("attempt", run.attempt())
                 .with("worker", run.worker().id())
-                .with("listed", run.worker().isListed())
+                .with("listed", run.worker().registration().isListed())
                 .with("renewedMsAgo", nowMs - run.worker().leaseRenewedMs())
                 .with("ownedMs", ownedMs)
                 .write();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/WorkerDirectoryFollower.java
@@ -188,8 +188,8 @@
     private void addListed(WorkerInfo info) {
         Optional<WorkerState> known = mScheduler.worker(info.id());
         boolean startsDraining =
-                known.map(w -> !w.info().draining()).orElse(true) && info.draining();
-        boolean lackedEntry = known.map(w -> !w.hasOwnEntry()).orElse(false);
+                known.map(w -> !w.registration().isDraining()).orElse(true) && info.draining();
+        boolean lackedEntry = known.map(w -> !w.registration().isKnown()).orElse(false);
         boolean pollNow = mScheduler.updateWorker(info, mContext.clock().nowMs());
         if (known.isEmpty() || startsDraining) {
             mContext.log()
@@ -202,7 +202,7 @@
                     .write();
         }
         WorkerState worker = mScheduler.worker(info.id()).orElseThrow();
-        if (lackedEntry && worker.hasOwnEntry()) {
+        if (lackedEntry && worker.registration().isKnown()) {
             mContext.log()
                     .line("worker-registered")
                     .with("worker", info.id())
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/ForeignWorkersTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/ForeignWorkersTest.java
@@ -153,7 +153,10 @@
     }
 
     private boolean isListed(String worker) {
-        return mOwner.scheduler().worker(worker).map(w -> w.isListed()).orElse(false);
+        return mOwner.scheduler()
+                .worker(worker)
+                .map(w -> w.registration().isListed())
+                .orElse(false);
     }
 
     @Test
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/WorkerRestartTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/WorkerRestartTest.java
@@ -40,7 +40,10 @@
     public void aStandingTaskStartsAgainAfterItsWorkerHasRestartedUnderItsId() {
         startOwner(standingJob());
         mWorkers.startAt("w1", SECOND_START_MS);
+        pass(2000);
+        // Its attributes are unknown until it has registered.
         assertEquals(mWorkers.running(TASK), List.of());
+        mDirectory.add("w1", SECOND_START_MS, SERVICE);
         pass(2000);
 
         assertEquals(mWorkers.running(TASK), List.of("w1"));
@@ -57,6 +60,7 @@
         mConnection.disconnect("w1");
         pass(600);
         mWorkers.startAt("w1", SECOND_START_MS);
+        mDirectory.add("w1", SECOND_START_MS, SERVICE);
         mConnection.reconnect("w1");
         owner.storeHandedOver(job(OTHER_TASK.job(), RunMode.PLAIN), outcome -> {});
         for (int i = 0; i < 200 && mWorkers.running(OTHER_TASK).isEmpty(); i++) {
