Hold starts while another incarnation may have replaced their worker

What callers could see: a task on a worker without the label that it requires, or beyond its capacity, as a start that was planned for one incarnation reached the next one.

Cause: commands name a worker by its ID alone. A start that was recorded but not sent, or sent without an answer, went on being sent while the worker's polls failed, and after an entry of another incarnation had been read. Only new starts were held back then.

Change: a start is sent only to a worker that has answered its last poll, and not between an entry of another incarnation and the next answer. What was sent before is stopped on the next incarnation by its first answer, as before.

Tests: two of OwnEntryTest, aStartWaitsUntilItsWorkerHasAnsweredAfterAnotherEntryWasRead and anUnansweredStartIsNotSentAgainUntilItsWorkerAnswers; both fail on the code before (one start where none is expected).

Left: a start that arrives at the next incarnation before the owner has noticed the change, also by a node that relays it, can't be told apart by the protocol; it is stopped, not prevented.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/DueCommands.java
@@ -114,7 +114,15 @@
     }
 
     private static boolean isHeld(TaskRun run, long nowMs) {
-        return hasOtherRun(run) || lacksTicket(run, nowMs);
+        return isInDoubt(run.worker()) || hasOtherRun(run) || lacksTicket(run, nowMs);
+    }
+
+    /**
+     * Whether another incarnation may have replaced a worker's. Commands name the worker by its ID
+     * alone, so that the next one, which may be of another kind, would execute them.
+     */
+    private static boolean isInDoubt(WorkerState worker) {
+        return !worker.isPolled() || !worker.hasAnsweredLastPoll();
     }
 
     /**
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnEntryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnEntryTest.java
@@ -299,6 +299,37 @@
         return run;
     }
 
+    /** Guards against a start that reaches the next incarnation, whose entry was read already. */
+    @Test
+    public void aStartWaitsUntilItsWorkerHasAnsweredAfterAnotherEntryWasRead() {
+        read(entry(FIRST, "a"));
+        answers(FIRST);
+        accept("00000000000000aa", needing("a", 1, 1, 0));
+        mOwner.recordStarts(mOwner.decide().planned());
+        read(entry(SECOND, "b"));
+        assertEquals(mOwner.decide().starts(), List.of());
+
+        answers(FIRST);
+        assertEquals(mOwner.decide().starts().size(), 1);
+    }
+
+    /** Guards against a start that is sent again to whatever has replaced a silent worker. */
+    @Test
+    public void anUnansweredStartIsNotSentAgainUntilItsWorkerAnswers() {
+        read(entry(FIRST, "a"));
+        WorkerState first = answers(FIRST);
+        accept("00000000000000aa", needing("a", 1, 1, 0));
+        startUnanswered();
+        mScheduler.pollFailed(first, mOwner.mNowMs);
+        mOwner.mNowMs += 300;
+        assertEquals(mOwner.decide().starts(), List.of());
+
+        answers(SECOND);
+        Decisions decisions = mOwner.decide();
+        assertEquals(decisions.starts(), List.of());
+        assertEquals(decisions.stops().size(), 1);
+    }
+
     /** Guards against more tasks of a step than it allows on a worker that may start one late. */
     @Test
     public void aStartThatMayStillArriveCountsForTheTasksAllowedOnTheNextIncarnation() {
