--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerTable.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WorkerTable.java
@@ -46,12 +46,11 @@
         return Optional.ofNullable(mCurrent.get(id)).map(mStates::get);
     }
 
-    /** Adds an incarnation, whose former one must have been removed, with its entry if listed. */
+    /** Adds an incarnation without its entry; the former one must have been removed. */
     private WorkerState add(WorkerIncarnation incarnation, String address, long nowMs) {
         WorkerState worker = new WorkerState(incarnation, address, nowMs);
         mStates.put(incarnation, worker);
         mCurrent.put(worker.id(), incarnation);
-        registerIfListed(worker);
         return worker;
     }
 
@@ -71,7 +70,7 @@
         mEntries.put(info.id(), info);
         Optional<WorkerState> known = current(info.id());
         if (known.isEmpty()) {
-            add(info.incarnation(), info.address(), nowMs);
+            registerIfListed(add(info.incarnation(), info.address(), nowMs));
             return false;
         }
         WorkerState worker = known.get();
@@ -115,6 +114,7 @@
         if (former.registration().isListed()) {
             worker.registration().markListedByOther();
         }
+        registerIfListed(worker);
         return worker;
     }
 
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnEntryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnEntryTest.java
@@ -234,6 +234,25 @@
         assertEquals(planned(), 0);
     }
 
+    /** Guards against an ended worker that counts as listed, although nobody polls it. */
+    @Test
+    public void anEndedIncarnationThatIsKnownAgainFromRecordedStartsIsNotListed() {
+        read(entry(FIRST, "a"));
+        WorkerState first = answers(FIRST);
+        accept("00000000000000cc", needing("", 1, 1, 0));
+        mOwner.placeTasks();
+        OwnerHarness next = new OwnerHarness(mOwner.mRegistry);
+        next.mScheduler.updateWorker(entry(FIRST, "a"), next.mNowMs);
+        next.mScheduler.removeWorker(
+                next.mScheduler.worker(W1).orElseThrow(), WorkerEndReason.NOT_LISTED, next.mNowMs);
+        next.mScheduler.addInheritedJob(
+                mOwner.mRegistry.job("00000000000000cc").orElseThrow(), w -> false, next.mNowMs);
+
+        WorkerState inherited = next.mScheduler.worker(W1).orElseThrow();
+        assertEquals(inherited.incarnation(), first.incarnation());
+        assertFalse(inherited.registration().isListed());
+    }
+
     /** Guards against an unreadable entry whose effect a former incarnation's entry ends. */
     @Test
     public void anEntryOfAFormerIncarnationDoesNotListAnUnlistedWorkerAgain() {
