Soak: VMs of several kinds, workers that come back as another kind

The stand-in's VMs all had the label kind-a, and workers of the soak came back as they were, so that neither could show a task on a worker of another kind.

A new fault lets a worker start again under its ID as one of the other kind, cut from the store for 0.5 to 6 s, sometimes beside a lost owner or a silent store. Three jobs in five require a kind, most of them with a limit per worker. The promise ROUTE judges each start by what the worker is, LIMIT by its capacity since it last started; a start that the worker executed late is left out of ROUTE.

--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultKind.java
@@ -53,7 +53,8 @@
     OWNERS_READ_LATE(Target.NOTHING),
     VM_LISTS_BEHIND(Target.NOTHING),
     WORKERS_REPLACED(Target.WORKER),
-    ORDERS_LATER(Target.WORKER);
+    ORDERS_LATER(Target.WORKER),
+    WORKER_OTHER_KIND(Target.WORKER);
 
     /** What a fault strikes. */
     enum Target {
@@ -112,7 +113,8 @@
                     OWNERS_READ_LATE,
                     VM_LISTS_BEHIND,
                     WORKERS_REPLACED,
-                    ORDERS_LATER);
+                    ORDERS_LATER,
+                    WORKER_OTHER_KIND);
 
     private final Target mTarget;
 
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -212,6 +212,10 @@
                     mSystem.platform().crashWorker(f.target(), (long) (f.forS() * MS_PER_S));
             case WORKER_RESTART ->
                     mSystem.platform().restartWorker(f.target(), (long) (f.forS() * MS_PER_S));
+            case WORKER_OTHER_KIND ->
+                    mSystem.platform()
+                            .restartWorkerAsOtherKind(
+                                    f.target(), REPLACED_DOWN_MS, (long) (f.forS() * MS_PER_S));
             case WORKER_DRAIN -> mSystem.platform().drainWorker(f.target(), WORKER_DRAIN_MS);
             case WORKERS_CUT, ZONE_CUT ->
                     mSystem.platform().setWorkersUnreachable(mSystem.zone(f.target()), true);
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Promise.java
@@ -54,17 +54,15 @@
                 if (scan.runs().isNoted(e.task())) {
                     scan.broken(e, e.task() + " starts again, its end was taken note of");
                 }
-                scan.runs().doneAttempts(e.task()).forEach(a -> scan.note(run(e.task(), a)));
+                scan.runs()
+                        .doneAttempts(e.task())
+                        .forEach(a -> scan.note(RunsSeen.run(e.task(), a)));
             } else if (event instanceof Acknowledged e
                     && e.how().equals("done")
-                    && scan.isNoted(run(e.task(), e.attempt()))) {
+                    && scan.isNoted(RunsSeen.run(e.task(), e.attempt()))) {
                 scan.broken(e, e.task() + " had started again before its end was taken note of");
             }
         }
-
-        private String run(String task, int attempt) {
-            return task + '#' + attempt;
-        }
     },
 
     /** An accepted job is known at every node, told truly, and done in the end. */
@@ -113,6 +111,7 @@
                     !job.standing()
                             && !scan.isNoted(e.job())
                             && !mayStartOn(job, scan)
+                            && scan.runs().hasWorkerFor(job, e.atMs() - RESTART_MS)
                             && !isHeldBackByCap(job, scan);
             String end = job.crashDelayMs().isPresent() ? "failed" : "completed";
             if (ends && !e.state().equals(end)) {
@@ -233,6 +232,16 @@
         }
     },
 
+    /** No task starts on a worker of another pool or kind, or beside too many of its step. */
+    ROUTE {
+        @Override
+        void see(SoakEvent event, Scan scan) {
+            if (event instanceof Started e) {
+                scan.runs().misplacement(e).ifPresent(why -> scan.broken(e, why));
+            }
+        }
+    },
+
     /** No step starts before the one that it waits for is done. */
     ORDER {
         @Override
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/RunsSeen.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.foxtailplank.soak.SoakEvent.Acknowledged;
 import org.foxtailplank.soak.SoakEvent.Ended;
@@ -25,11 +26,18 @@
     private final Map<String, Integer> mCrashes = new HashMap<>();
     private final Map<String, Map<String, Long>> mProcessors = new HashMap<>();
     private final Map<String, List<SoakEvent.CapacityChanged>> mCapacities = new HashMap<>();
+    private final Map<String, SoakEvent.WorkerStarted> mWorkers = new HashMap<>();
+    private final Set<String> mExecutedLate = new HashSet<>();
 
     /** Takes an event in. */
     void take(SoakEvent event) {
         if (event instanceof Submitted e) {
             mJobs.put(e.job().id(), e.job());
+        } else if (event instanceof SoakEvent.WorkerStarted e) {
+            mWorkers.put(e.worker(), e);
+            mCapacities.remove(e.worker());
+        } else if (event instanceof SoakEvent.ExecutedLate e) {
+            mExecutedLate.add(run(e.task(), e.attempt()));
         } else if (event instanceof Started e) {
             running(e.task()).add(e.worker());
             processorsOn(e.worker()).put(e.task(), SoakEvent.processorsOf(e.text()));
@@ -85,7 +93,10 @@
 
     /** The highest capacity that a worker has had since a time, in thousandths. */
     long capacity(String worker, long sinceMs) {
-        long before = SoakSystem.PROCESSORS;
+        long before =
+                worker(worker)
+                        .map(SoakEvent.WorkerStarted::processors)
+                        .orElse(SoakSystem.PROCESSORS);
         long highest = 0;
         for (SoakEvent.CapacityChanged c : mCapacities.getOrDefault(worker, List.of())) {
             if (c.atMs() < sinceMs) {
@@ -97,6 +108,69 @@
         return Math.max(before, highest);
     }
 
+    /** What a worker is, as of its last start. */
+    private Optional<SoakEvent.WorkerStarted> worker(String worker) {
+        return Optional.ofNullable(mWorkers.get(worker));
+    }
+
+    /** Whether a start was executed some time after it had arrived. */
+    private boolean isExecutedLate(String task, int attempt) {
+        return mExecutedLate.contains(run(task, attempt));
+    }
+
+    /** Names a run of a task. */
+    static String run(String task, int attempt) {
+        return task + '#' + attempt;
+    }
+
+    /**
+     * Why a task should not have started on its worker, by what the worker is. A command that the
+     * worker executed late may be meant for the former one under its ID.
+     */
+    Optional<String> misplacement(Started start) {
+        Optional<SoakEvent.WorkerStarted> worker = worker(start.worker());
+        SoakJob job = job(SoakEvent.jobOf(start.task()));
+        if (worker.isEmpty() || job == null || isExecutedLate(start.task(), start.attempt())) {
+            return Optional.empty();
+        }
+        SoakEvent.WorkerStarted w = worker.get();
+        long sinceMs = start.atMs() - w.atMs();
+        String where =
+                String.format(
+                        "%s starts on %s, %s of %s for %d ms",
+                        start.task(), start.worker(), w.kind(), w.pool(), sinceMs);
+        if (!w.pool().equals(job.pool())) {
+            return Optional.of(where + ", and its queue goes to " + job.pool());
+        }
+        if (!job.placement().admits(w.kind())) {
+            return Optional.of(where + ", and requires " + job.placement().kind().get());
+        }
+        int most = job.placement().maxPerWorker();
+        long others = runsOfStep(start.task(), start.worker());
+        return most > 0 && others >= most
+                ? Optional.of(where + ", beside " + others + " of its step")
+                : Optional.empty();
+    }
+
+    /** Number of tasks of the same step that run on a worker. */
+    private long runsOfStep(String task, String worker) {
+        String step = task.substring(0, task.lastIndexOf('.') + 1);
+        return processorsOn(worker).keySet().stream().filter(t -> t.startsWith(step)).count();
+    }
+
+    /**
+     * Whether a worker of the kind that the job requires, if any, has been in its pool since a
+     * time.
+     */
+    boolean hasWorkerFor(SoakJob job, long sinceMs) {
+        if (job.placement().kind().isEmpty()) {
+            return true;
+        }
+        return mWorkers.values().stream()
+                .filter(w -> w.atMs() <= sinceMs)
+                .anyMatch(w -> w.pool().equals(job.pool()) && job.placement().admits(w.kind()));
+    }
+
     /** A job; null if nobody has handed it in. */
     SoakJob job(String id) {
         return mJobs.get(id);
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -97,6 +97,15 @@
     /** Seed of the draw of all these, apart so that older seeds keep their other faults. */
     private static final long OWNERS_SEED = 0x0b3;
 
+    /** Mean time between two workers that start again as another kind, in seconds. */
+    private static final double KIND_GAP_S = 0.7;
+
+    /** One of so many such restarts comes beside a new owner, and one beside a silent store. */
+    private static final int KIND_COMPANIONS = 24;
+
+    /** Sets the draw of these workers apart in the same way. */
+    private static final long KIND_SEED = 0xb1d;
+
     /** Retention of the store in runs with rolling restarts, and in others, in seconds. */
     private static final long SHORT_RETENTION_S = 20;
 
@@ -159,6 +168,7 @@
         RandomGenerator foreignRandom = new Random(seed ^ FOREIGN_SEED);
         addOften(FaultKind.FOREIGN_ENTRY, FOREIGN_GAP_S, 0, foreignRandom, size, faults);
         addChangesOfOwners(new Random(seed ^ OWNERS_SEED), size, faults);
+        addOtherKinds(new Random(seed ^ KIND_SEED), size, faults);
         if (isRolling(seed)) {
             addRollingRestarts(size, faults);
         }
@@ -207,6 +217,22 @@
         }
     }
 
+    /** Workers that start again as another kind and are cut from the store for a time. */
+    private static void addOtherKinds(RandomGenerator random, SoakSize size, List<Fault> faults) {
+        double at = FIRST_S + random.nextDouble() * KIND_GAP_S;
+        while (at < size.seconds()) {
+            FaultKind kind = FaultKind.WORKER_OTHER_KIND;
+            double cutS = SHORTEST_S + random.nextDouble() * (LONGEST_S - SHORTEST_S);
+            faults.add(new Fault(at, kind, kind.target().draw(size, random), cutS));
+            switch (random.nextInt(KIND_COMPANIONS)) {
+                case 0 -> faults.add(new Fault(at, FaultKind.OWNER_KILL, 0, SHORTEST_S));
+                case 1 -> faults.add(new Fault(at, FaultKind.STORE_SILENT, 0, SHORTEST_S));
+                default -> {}
+            }
+            at += random.nextDouble() * 2 * KIND_GAP_S;
+        }
+    }
+
     private static void addOrganisationFaults(long seed, SoakSize size, List<Fault> faults) {
         RandomGenerator random = new Random(seed ^ ORGANISATION_SEED);
         FaultKind[] kinds = {FaultKind.KEY_REPLACED, FaultKind.CAP_CUT, FaultKind.FLOOD};
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakCallers.java
@@ -16,6 +16,7 @@
 import java.util.function.IntConsumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.foxtailplank.adapter.standin.UsersStandin.Kind;
 import org.foxtailplank.http.HttpCall;
 import org.foxtailplank.http.HttpClient;
 import org.foxtailplank.http.HttpResult;
@@ -57,6 +58,15 @@
     /** Share of the jobs of which a task crashes each worker that starts it. */
     private static final double CRASHING = 0.02;
 
+    /** Share of the jobs whose tasks may run on some workers only. */
+    private static final double LIMITED = 0.6;
+
+    /** Most tasks of such a step on one worker; 0 is drawn for no limit as well. */
+    private static final int MOST_PER_WORKER = 3;
+
+    /** Sets the draw of these limits apart, so that older seeds keep their jobs. */
+    private static final long PLACEMENT_SEED = 0x91ace;
+
     private static final long CRASHING_TASK_MS = 800;
 
     /** How long after the start, in milliseconds; negative: before it is answered. */
@@ -98,6 +108,7 @@
     private final SoakHistory mHistory;
     private final Random mRandom;
     private final Random mCrashRandom;
+    private final Random mPlacementRandom;
     private final Random mKeyRandom;
     private final Random mLeaveRandom;
     private final RouteProbe mRouteProbe;
@@ -113,6 +124,7 @@
         mHistory = history;
         mRandom = new Random(seed);
         mCrashRandom = new Random(seed ^ CRASH_SEED);
+        mPlacementRandom = new Random(seed ^ PLACEMENT_SEED);
         mKeyRandom = new Random(seed ^ KEY_SEED);
         mLeaveRandom = new Random(seed ^ LEAVE_SEED);
         mRouteProbe = new RouteProbe(system, history, mClient, seed);
@@ -217,6 +229,18 @@
     }
 
     private SoakJob draw() {
+        SoakJob job = drawAnywhere();
+        boolean limited = mPlacementRandom.nextDouble() < LIMITED;
+        int kind = mPlacementRandom.nextInt(Kind.values().length);
+        int maxPerWorker = mPlacementRandom.nextInt(MOST_PER_WORKER + 1);
+        return limited && !job.standing() && job.crashDelayMs().isEmpty()
+                ? job.with(
+                        new SoakJob.Placement(
+                                Optional.of(Kind.values()[kind].label()), maxPerWorker))
+                : job;
+    }
+
+    private SoakJob drawAnywhere() {
         if (mCrashRandom.nextDouble() < CRASHING) {
             return crashingJob();
         }
@@ -239,7 +263,8 @@
                 CRASHING_TASK_MS,
                 1000,
                 false,
-                Optional.of(delayMs));
+                Optional.of(delayMs),
+                SoakJob.Placement.ANYWHERE);
     }
 
     private int anyNode() {
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakEvent.java
@@ -39,6 +39,15 @@
     record Started(long atMs, String task, int attempt, String worker, long token, String text)
             implements SoakEvent {}
 
+    /** The worker is about to execute a start that has arrived some time before. */
+    record ExecutedLate(long atMs, String task, int attempt) implements SoakEvent {}
+
+    /**
+     * A worker starts, with a new ID or under its former one; {@code processors} in thousandths.
+     */
+    record WorkerStarted(long atMs, String worker, String pool, String kind, long processors)
+            implements SoakEvent {}
+
     /** A run is over. */
     record Ended(long atMs, String task, int attempt, String worker, String how)
             implements SoakEvent {}
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakHistory.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakHistory.java
@@ -26,12 +26,20 @@
 
     @Override
     public void started(RunStart r) {
+        if (r.late()) {
+            add(t -> new SoakEvent.ExecutedLate(t, r.task(), r.attempt()));
+        }
         add(
                 t ->
                         new SoakEvent.Started(
                                 t, r.task(), r.attempt(), r.workerInstance(), r.token(), r.spec()));
     }
 
+    @Override
+    public void workerStarted(String worker, String pool, String kind, long processors) {
+        add(t -> new SoakEvent.WorkerStarted(t, worker, pool, kind, processors));
+    }
+
     @Override
     public void ended(String task, int attempt, String worker, String how) {
         add(t -> new SoakEvent.Ended(t, task, attempt, worker, how));
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakJob.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/SoakJob.java
@@ -14,6 +14,7 @@
  * @param standing whether its tasks run until it is cancelled
  * @param crashDelayMs how long after its start its first task crashes the worker, in milliseconds;
  *     negative: before the start is answered; empty if it crashes none
+ * @param placement which workers its tasks may run on
  */
 record SoakJob(
         String id,
@@ -22,7 +23,8 @@
         long taskMs,
         long processors,
         boolean standing,
-        Optional<Long> crashDelayMs) {
+        Optional<Long> crashDelayMs,
+        Placement placement) {
     SoakJob {
         steps = List.copyOf(steps);
     }
@@ -35,7 +37,26 @@
             long taskMs,
             long processors,
             boolean standing) {
-        this(id, pool, steps, taskMs, processors, standing, Optional.empty());
+        this(id, pool, steps, taskMs, processors, standing, Optional.empty(), Placement.ANYWHERE);
+    }
+
+    /**
+     * Which workers the tasks of a job may run on.
+     *
+     * @param kind kind of the workers; empty for any
+     * @param maxPerWorker most tasks of a step on one worker; 0 for no limit
+     */
+    record Placement(Optional<String> kind, int maxPerWorker) {
+        static final Placement ANYWHERE = new Placement(Optional.empty(), 0);
+
+        boolean admits(String workerKind) {
+            return kind.map(workerKind::equals).orElse(true);
+        }
+    }
+
+    /** The same job with tasks that may run on some workers only. */
+    SoakJob with(Placement other) {
+        return new SoakJob(id, pool, steps, taskMs, processors, standing, crashDelayMs, other);
     }
 
     /** Whether a task crashes each worker that starts it. */
@@ -73,6 +94,12 @@
             if (s > 0) {
                 body.append(",\"dependsOn\":[").append(s - 1).append(']');
             }
+            placement
+                    .kind()
+                    .ifPresent(k -> body.append(",\"requirements\":\"").append(k).append('"'));
+            if (placement.maxPerWorker() > 0) {
+                body.append(",\"antiAffinity\":").append(placement.maxPerWorker());
+            }
             if (standing) {
                 body.append(",\"longRunning\":true,\"mayMiss\":1");
             }
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/PromiseTest.java
@@ -31,7 +31,15 @@
     private static final SoakJob STANDING =
             new SoakJob("00000000000000bb", "quick", List.of(3), 0, 1000, true);
     private static final SoakJob CRASHING =
-            new SoakJob("00000000000000cc", "quick", List.of(1), 800, 1000, false, Optional.of(0L));
+            new SoakJob(
+                    "00000000000000cc",
+                    "quick",
+                    List.of(1),
+                    800,
+                    1000,
+                    false,
+                    Optional.of(0L),
+                    SoakJob.Placement.ANYWHERE);
     private static final String CRASHING_TASK = RunsSeen.task(CRASHING, 0, 0);
     private static final String FIRST = RunsSeen.task(JOB, 0, 0);
     private static final String SECOND = RunsSeen.task(JOB, 1, 0);
