--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Registration.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Registration.java
@@ -57,7 +57,7 @@
         mListed = true;
     }
 
-    /** Records that the directory lists the worker no longer, or by an entry without meaning. */
+    /** Records that the directory no longer lists the worker, or by an entry that can't be read. */
     void markUnlisted() {
         mListed = false;
         mCurrent = false;
