--- a/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/caller/CallerService.java
@@ -348,6 +348,7 @@
                 .with("caughtUp", mReader.isCaughtUp())
                 .with("ownerAlive", mLink.isAlive())
                 .with("journal", mReader.position())
+                .with("expiredTo", mReader.expiredTo())
                 .write();
     }
 
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -75,6 +75,11 @@
         return new JournalPosition(mPartitions.stream().map(PartitionReader::position).toList());
     }
 
+    /** Position up to which records had expired before this node could read them. */
+    public JournalPosition expiredTo() {
+        return new JournalPosition(mPartitions.stream().map(PartitionReader::expiredTo).toList());
+    }
+
     /** Whether the reader has reached the end of every partition at least once. */
     public boolean isCaughtUp() {
         return mPartitions.stream().allMatch(PartitionReader::isCaughtUp);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -34,6 +34,7 @@
     private final List<Consumer<Boolean>> mActiveRefreshes = new ArrayList<>();
 
     private long mPosition;
+    private long mExpiredTo;
     private boolean mCaughtUp;
     private boolean mReading;
     private boolean mLongPolling;
@@ -92,6 +93,11 @@
         return mPosition;
     }
 
+    /** Offset up to which records had expired before they were read; 0 if none had. */
+    long expiredTo() {
+        return mExpiredTo;
+    }
+
     /** Whether the reader has reached the end of the partition at least once. */
     boolean isCaughtUp() {
         return mCaughtUp;
@@ -255,6 +261,7 @@
                     .with("to", gone.firstOffset())
                     .write();
             mPosition = Math.max(mPosition, gone.firstOffset());
+            mExpiredTo = mPosition;
             return false;
         }
         if (result instanceof SharedLog.ReadFailed failed) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalRefresher.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalRefresher.java
@@ -12,6 +12,7 @@
 import org.foxtailplank.job.EarlyCancellations;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
+import org.foxtailplank.job.JournalCopy;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.CancelledId;
 import org.foxtailplank.job.JournalRecord.EndedJob;
@@ -111,6 +112,7 @@
             return;
         }
         mContext.timers().after(checkIntervalMs(), this::check);
+        logOldestCopy();
         mRegistry.waveFactsOlderThan(dueAgeMs(), mClock.nowMs()).forEach(this::rewriteWaveFact);
         rewriteOlderThan(dueAgeMs(), this::maxPerCheck, this::maxPerCheck);
         if (!mBursting) {
@@ -118,6 +120,31 @@
         }
     }
 
+    /** Logs the age of the oldest copy of an active job, and how many have an unknown age. */
+    private void logOldestCopy() {
+        long now = mClock.nowMs();
+        long oldestMs = 0;
+        long unknown = 0;
+        for (JobProgress job : mRegistry.jobs()) {
+            if (job.phase().isFinal()) {
+                continue;
+            }
+            if (job.copy().sinceMs() == JournalCopy.UNKNOWN_MS) {
+                unknown++;
+            } else {
+                oldestMs = Math.max(oldestMs, now - job.copy().sinceMs());
+            }
+        }
+        if (unknown > 0 || oldestMs > dueAgeMs()) {
+            mContext.log()
+                    .line("journal-copies")
+                    .with("oldestMs", oldestMs)
+                    .with("unknownAge", unknown)
+                    .with("retentionMs", mRetentionMs)
+                    .write();
+        }
+    }
+
     /** Rewrites some of the overdue facts, and others once the store has confirmed them. */
     private void burst() {
         mPausing = false;
