Elect an owner after the last owner's record has expired

Cause: a node learns the end of the owners partition from the owner's heartbeats. Where these had expired it appended at 0 and was told the real end, but the record before that end had expired as well. This answer was ignored, so that no node ever took ownership again.

An expired record names no owner, like a foreign one, and the node expects the end after it. An owner that is alive is known by its heartbeats, which a node has read before it tries.

--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerElection.java
@@ -91,10 +91,10 @@
     private long mLookupOffset;
 
     /**
-     * End of the owners partition after its last foreign record; such a record makes no node the
-     * owner.
+     * End of the owners partition after its last foreign or expired record. Neither names an owner;
+     * an owner whose record has expired is known by its heartbeats in the journal.
      */
-    private long mForeignEnd;
+    private long mUnownedEnd;
 
     private boolean mOwnerResigned;
     private long mReplaceableSinceMs = Long.MAX_VALUE;
@@ -344,11 +344,12 @@
     }
 
     /**
-     * Expected end of the owners partition if no node has taken ownership. Includes foreign
-     * records: otherwise the expected end would never match and no node could become the owner.
+     * Expected end of the owners partition if no node has taken ownership. Includes foreign and
+     * expired records: otherwise the expected end would never match and no node could become the
+     * owner.
      */
     private long expectedEnd() {
-        return Math.max(mLatestToken, mForeignEnd);
+        return Math.max(mLatestToken, mUnownedEnd);
     }
 
     /**
@@ -360,7 +361,7 @@
         if (expectedEnd() == token) {
             mNodeLog.line("owner-sign-unreadable").with("token", token).write();
             mLatestToken = end;
-            mForeignEnd = end;
+            mUnownedEnd = end;
             mOwnerResigned = false;
             mLastActivityMs = mClock.nowMs();
         }
@@ -384,6 +385,9 @@
                     if (r instanceof SharedLog.Records page && !page.records().isEmpty()) {
                         int count = page.records().size();
                         applyOwnerRecord(page.records().get(count - 1), page.from() + count);
+                    } else if (r instanceof SharedLog.RecordsGone) {
+                        mNodeLog.line("owner-record-expired").with("offset", end - 1).write();
+                        mUnownedEnd = Math.max(mUnownedEnd, end);
                     }
                 });
     }
@@ -395,7 +399,7 @@
         if (decoded.equals(Optional.of(mSelf))) {
             becomeOwner(token);
         } else if (owner.isEmpty()) {
-            mForeignEnd = Math.max(mForeignEnd, token);
+            mUnownedEnd = Math.max(mUnownedEnd, token);
             mNodeLog.line("owner-record-unreadable").with("offset", token - 1).write();
         } else if (token > mLatestToken) {
             // With a slow store the new owner's first heartbeat is late; its stream is available
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerElectionTest.java
@@ -9,7 +9,11 @@
 import java.util.Optional;
 import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
 import org.foxtailplank.job.JournalRecord.OwnerResigned;
+import org.foxtailplank.node.ExpiringLog;
+import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.node.peer.OwnerState;
+import org.foxtailplank.port.LogPartition;
+import org.foxtailplank.port.SharedLog;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -74,6 +78,37 @@
         assertEquals(mTokens, List.of(2L));
     }
 
+    private ExpiringLog addOtherOwnerWhoseRecordsExpire() {
+        addOtherOwner();
+        ExpiringLog expiring = new ExpiringLog(mLog, mTime, 20_000);
+        for (LogPartition p : List.of(OWNERS, JournalPartitions.PRIMARY)) {
+            expiring.read(p, 0, SharedLog.PageRequest.largest(0), r -> {});
+        }
+        mTime.advance(23_000);
+        return expiring;
+    }
+
+    /** Guards against no owner ever again once the last owner's record has expired. */
+    @Test
+    public void ownerWhoseRecordsHaveExpiredIsReplaced() {
+        ExpiringLog expiring = addOtherOwnerWhoseRecordsExpire();
+        startNode(WIDE, expiring);
+        pass(OwnerState.SILENT.takeOverTimeoutMs() + 2 * MAX_ATTEMPT_MS);
+
+        assertEquals(mTokens, List.of(2L));
+    }
+
+    /** Guards against a second owner beside one whose record has expired. */
+    @Test
+    public void ownerWhoseRecordHasExpiredIsNotReplacedWhileItWritesHeartbeats() {
+        ExpiringLog expiring = addOtherOwnerWhoseRecordsExpire();
+        write(new OwnerHeartbeat(1, OTHER_ADDRESS, 0));
+        startNode(WIDE, expiring);
+        passWithHeartbeats(4000);
+
+        assertTrue(mTokens.isEmpty());
+    }
+
     @Test
     public void ownerThatLosesTheStoreIsReplaced() {
         // An owner that loses only the store still sends stream heartbeats but cannot start
