--- a/foxtail-core/src/main/java/org/foxtailplank/job/EarlyCancellations.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/EarlyCancellations.java
@@ -1,7 +1,6 @@
 package org.foxtailplank.job;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,45 +16,38 @@
     static final int MAX_PER_ORGANISATION = 10_000;
 
     private final long mRetentionMs;
-    private final Map<String, List<Kept>> mByJob = new HashMap<>();
+    private final Map<String, List<CancelledId>> mByJob = new HashMap<>();
     private final Map<String, Integer> mCounts = new HashMap<>();
 
-    private record Kept(CancelledId id, JournalCopy copy) {}
-
     EarlyCancellations(long retentionMs) {
         mRetentionMs = retentionMs;
     }
 
-    void add(CancelledId id, JournalCopy copy) {
-        List<Kept> kept = mByJob.computeIfAbsent(id.job(), j -> new ArrayList<>());
-        Optional<Kept> known = kept.stream().filter(k -> k.id().hasSameScope(id)).findFirst();
-        if (known.isPresent()) {
-            kept.remove(known.get());
-            kept.add(new Kept(known.get().id(), copy));
-        } else {
-            kept.add(new Kept(id, copy));
+    void add(CancelledId id) {
+        List<CancelledId> kept = mByJob.computeIfAbsent(id.job(), j -> new ArrayList<>());
+        if (kept.stream().noneMatch(k -> k.hasSameScope(id))) {
+            kept.add(id);
             mCounts.merge(id.organisation(), 1, Integer::sum);
         }
     }
 
     /** Removes the cancellations of a job and returns the first that applies to it. */
     Optional<CancelledId> take(JobDefinition definition) {
-        List<Kept> kept = mByJob.remove(definition.id());
+        List<CancelledId> kept = mByJob.remove(definition.id());
         if (kept == null) {
             return Optional.empty();
         }
         kept.forEach(this::uncount);
-        return kept.stream().map(Kept::id).filter(i -> i.applies(definition)).findFirst();
+        return kept.stream().filter(i -> i.applies(definition)).findFirst();
     }
 
-    private void uncount(Kept kept) {
-        mCounts.computeIfPresent(kept.id().organisation(), (o, n) -> n > 1 ? n - 1 : null);
+    private void uncount(CancelledId kept) {
+        mCounts.computeIfPresent(kept.organisation(), (o, n) -> n > 1 ? n - 1 : null);
     }
 
     /** Whether a caller with the same rights has cancelled the job. */
     public boolean contains(CancelledId id) {
-        return mByJob.getOrDefault(id.job(), List.of()).stream()
-                .anyMatch(k -> k.id().hasSameScope(id));
+        return mByJob.getOrDefault(id.job(), List.of()).stream().anyMatch(k -> k.hasSameScope(id));
     }
 
     /**
@@ -69,8 +61,8 @@
         long oldestMs =
                 mByJob.values().stream()
                         .flatMap(List::stream)
-                        .filter(k -> k.id().organisation().equals(organisation))
-                        .mapToLong(k -> k.id().atMs())
+                        .filter(k -> k.organisation().equals(organisation))
+                        .mapToLong(k -> k.atMs())
                         .min()
                         .orElse(nowMs);
         return Math.max(1, oldestMs + mRetentionMs - nowMs);
@@ -81,16 +73,6 @@
         return mCounts.values().stream().mapToInt(n -> n).sum();
     }
 
-    /** Cancellations of which no copy is certainly more recent than this age, oldest copy first. */
-    public List<CancelledId> olderThan(long ageMs, long nowMs) {
-        return mByJob.values().stream()
-                .flatMap(List::stream)
-                .filter(k -> k.copy().mayBeOlderThan(ageMs, nowMs))
-                .sorted(Comparator.comparing(Kept::copy))
-                .map(Kept::id)
-                .toList();
-    }
-
     void removeExpired(long nowMs) {
         mByJob.values()
                 .removeIf(
@@ -101,7 +83,7 @@
                         });
     }
 
-    private boolean isExpired(Kept kept, long nowMs) {
-        return kept.id().atMs() + mRetentionMs < nowMs;
+    private boolean isExpired(CancelledId kept, long nowMs) {
+        return kept.atMs() + mRetentionMs < nowMs;
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
@@ -16,7 +16,6 @@
     private final Map<Integer, RunProgress> mOpenRuns = new LinkedHashMap<>();
 
     private long mCancelledMs;
-    private JournalCopy mCopy = new JournalCopy(JournalCopy.UNKNOWN_MS, 0);
     private boolean mStarted;
     private boolean mFailed;
     private long mGivenUpMs;
@@ -30,15 +29,6 @@
         return mDefinition;
     }
 
-    /** The newest copy of all facts about the job in the journal. */
-    public JournalCopy copy() {
-        return mCopy;
-    }
-
-    void setCopy(JournalCopy copy) {
-        mCopy = copy;
-    }
-
     /** Takes a snapshot of the complete state as one record. */
     public JournalRecord.JobSnapshot snapshot() {
         List<JournalRecord.EndedRun> ends = new ArrayList<>();
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobRegistry.java
@@ -56,10 +56,6 @@
     private final EarlyCancellations mEarlyCancellations;
     private final long mEndedRetentionMs;
 
-    /** Newest copy of each fact about the waves. */
-    private final Map<JournalRecord, JournalCopy> mWaveCopies = new HashMap<>();
-
-    private long mCopies;
     private long mConfigVersion;
 
     /** Latest acceptance of a job that is known by its summary only; wall time. */
@@ -75,31 +71,21 @@
         mEarlyCancellations = new EarlyCancellations(endedRetentionMs);
     }
 
-    /** Applies a record of unknown age and returns the job it introduces, if any. */
+    /** Applies one record and returns the job it introduces, if any. */
     public Optional<JobProgress> apply(JournalRecord record) {
-        return apply(record, JournalCopy.UNKNOWN_MS);
-    }
-
-    /**
-     * Applies one record and returns the job it introduces, if any.
-     *
-     * @param sinceMs earliest time at which it can have been stored, on this node's monotonic
-     *     clock; {@link JournalCopy#UNKNOWN_MS} if unknown
-     */
-    public Optional<JobProgress> apply(JournalRecord record, long sinceMs) {
         if (record instanceof JobAccepted r) {
-            return applyAccepted(r.definition(), sinceMs);
+            return applyAccepted(r.definition());
         }
         if (record instanceof JobSnapshot r) {
-            return applySnapshot(r, sinceMs);
+            return applySnapshot(r);
         }
         if (record instanceof JobsEnded r) {
             mConfigVersion = Math.max(mConfigVersion, r.configVersion());
-            r.jobs().forEach(j -> applyEnded(j, sinceMs));
+            r.jobs().forEach(this::applyEnded);
             return Optional.empty();
         }
         if (record instanceof UnknownJobsCancelled r) {
-            r.ids().forEach(i -> applyCancelled(i, sinceMs));
+            r.ids().forEach(this::applyCancelled);
             return Optional.empty();
         }
         if (record instanceof JobCancelled r) {
@@ -137,7 +123,6 @@
                 || record instanceof WaveDue
                 || record instanceof WaveCompleted) {
             applyWaveFact(record);
-            mWaveCopies.put(record, nextCopy(sinceMs));
         } else if (!(record instanceof OwnerHeartbeat || record instanceof OwnerResigned)) {
             throw new IllegalStateException("unsupported journal record " + record.getClass());
         }
@@ -154,18 +139,14 @@
         }
     }
 
-    private JournalCopy nextCopy(long sinceMs) {
-        return new JournalCopy(sinceMs, mCopies++);
-    }
-
-    private Optional<JobProgress> applyAccepted(JobDefinition definition, long sinceMs) {
+    private Optional<JobProgress> applyAccepted(JobDefinition definition) {
         if (mJobs.containsKey(definition.id())) {
             return Optional.empty();
         }
-        return Optional.of(add(new JobProgress(definition), sinceMs));
+        return Optional.of(add(new JobProgress(definition)));
     }
 
-    private JobProgress add(JobProgress progress, long sinceMs) {
+    private JobProgress add(JobProgress progress) {
         mConfigVersion = Math.max(mConfigVersion, progress.definition().configVersion());
         String id = progress.definition().id();
         mJobs.put(id, progress);
@@ -176,18 +157,15 @@
         if (buffered != null) {
             buffered.forEach(this::apply);
         }
-        Optional<CancelledId> cancelled = mEarlyCancellations.take(progress.definition());
-        cancelled.ifPresent(c -> progress.cancel(c.atMs()));
-        boolean hasEarlierFacts = buffered != null || cancelled.isPresent();
-        progress.setCopy(nextCopy(hasEarlierFacts ? JournalCopy.UNKNOWN_MS : sinceMs));
+        mEarlyCancellations.take(progress.definition()).ifPresent(c -> progress.cancel(c.atMs()));
         return progress;
     }
 
     /** Cancels a job that its caller's node didn't know, now or once it is introduced. */
-    private void applyCancelled(CancelledId id, long sinceMs) {
+    private void applyCancelled(CancelledId id) {
         Optional<JobProgress> known = job(id.job());
         if (known.isEmpty()) {
-            mEarlyCancellations.add(id, nextCopy(sinceMs));
+            mEarlyCancellations.add(id);
         } else if (id.applies(known.get().definition())) {
             known.get().cancel(id.atMs());
         }
@@ -199,24 +177,14 @@
     }
 
     /** Applies the summary of a job that has ended, of which this node may lack the end. */
-    private void applyEnded(EndedJob ended, long sinceMs) {
+    private void applyEnded(EndedJob ended) {
         Optional<JobProgress> known = job(ended.job());
         JobProgress progress = known.orElseGet(() -> new JobProgress(ended.definition()));
         progress.end(ended.phase(), ended.endedMs());
         if (known.isEmpty()) {
             mSummarizedUntilMs = Math.max(mSummarizedUntilMs, ended.acceptedMs());
-            add(progress, sinceMs);
+            add(progress);
         }
-        progress.setCopy(nextCopy(sinceMs));
-    }
-
-    /**
-     * Records that a complete copy of a job's facts is stored.
-     *
-     * @param sinceMs when the copy was taken, on this node's monotonic clock in milliseconds
-     */
-    public void recordCopy(String job, long sinceMs) {
-        job(job).ifPresent(j -> j.setCopy(nextCopy(sinceMs)));
     }
 
     /** Buffers a record of a job that isn't known yet. */
@@ -227,7 +195,7 @@
         }
     }
 
-    private Optional<JobProgress> applySnapshot(JobSnapshot record, long sinceMs) {
+    private Optional<JobProgress> applySnapshot(JobSnapshot record) {
         Optional<JobProgress> known = job(record.definition().id());
         // After a gap in the journal, a known job may lack records that the snapshot contains.
         JobProgress progress = known.orElseGet(() -> new JobProgress(record.definition()));
@@ -244,40 +212,7 @@
         if (record.givenUpMs() > 0) {
             progress.giveUp(record.givenUpMs());
         }
-        long copySinceMs = record.whole() ? sinceMs : JournalCopy.UNKNOWN_MS;
-        if (known.isEmpty()) {
-            return Optional.of(add(progress, copySinceMs));
-        }
-        if (record.whole()) {
-            progress.setCopy(nextCopy(sinceMs));
-        }
-        return Optional.empty();
-    }
-
-    /** Takes a snapshot of the state of all waves as records to be written to the journal. */
-    public List<JournalRecord> snapshotWaves() {
-        List<JournalRecord> records = new ArrayList<>();
-        mCompletedWaves.forEach(w -> records.add(new WaveCompleted(w)));
-        mRebootedVms.forEach(
-                (wave, vms) -> {
-                    if (!mCompletedWaves.contains(wave)) {
-                        vms.forEach(v -> records.add(new VmRebooted(wave, v)));
-                    }
-                });
-        mWaveDueMs.forEach(
-                (wave, due) -> {
-                    if (!mCompletedWaves.contains(wave)) {
-                        records.add(new WaveDue(wave, due));
-                    }
-                });
-        return records;
-    }
-
-    /** Facts about the waves of which no copy is certainly more recent than this age. */
-    public List<JournalRecord> waveFactsOlderThan(long ageMs, long nowMs) {
-        return snapshotWaves().stream()
-                .filter(f -> mWaveCopies.get(f).mayBeOlderThan(ageMs, nowMs))
-                .toList();
+        return known.isEmpty() ? Optional.of(add(progress)) : Optional.empty();
     }
 
     /** Deadline of a wave, in milliseconds since the epoch; empty if no owner has recorded it. */
--- a/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/port/SharedLog.java
@@ -1,9 +1,16 @@
 package org.foxtailplank.port;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
-/** The append-only log that all nodes share and that holds all durable state. */
+/**
+ * The append-only log that all nodes share and that holds all durable state.
+ *
+ * <p>Records expire. In a keyed partition, a record consists of one byte with the length of its
+ * key, the key, and a value. The newest record of each key remains available to {@link
+ * #readNewest}, also after it has expired, until a record without a value removes the key.
+ */
 public interface SharedLog {
 
     /** Appends records atomically. */
@@ -46,6 +53,14 @@
      */
     void read(LogPartition partition, long from, PageRequest page, Consumer<ReadResult> callback);
 
+    /**
+     * Reads the newest records of the keys of a keyed partition, page by page. Pages aren't a
+     * snapshot: a record may be missing if its key is written meanwhile.
+     *
+     * @param after last key of the previous page; empty for the first page
+     */
+    void readNewest(LogPartition partition, String after, Consumer<NewestResult> callback);
+
     /**
      * Limits of the response to a read.
      *
@@ -100,4 +115,26 @@
 
     /** The read timed out or was rejected. */
     record ReadFailed(String reason) implements ReadResult {}
+
+    /** Result of a read of the newest records. */
+    sealed interface NewestResult {}
+
+    /**
+     * A page of the newest records, in no particular order.
+     *
+     * @param records the records
+     * @param next key to continue after; empty if this is the last page
+     */
+    record NewestPage(List<OffsetRecord> records, Optional<String> next) implements NewestResult {}
+
+    /** The read of the newest records timed out or was rejected. */
+    record NewestFailed(String reason) implements NewestResult {}
+
+    /**
+     * A record and its offset.
+     *
+     * @param offset offset of the record in its partition
+     * @param record the record, with its key
+     */
+    record OffsetRecord(long offset, byte[] record) {}
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/job/EarlyCancellationsTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/EarlyCancellationsTest.java
@@ -34,7 +34,7 @@
     }
 
     private void cancel(CancelledId id) {
-        mRegistry.apply(new UnknownJobsCancelled(List.of(id)), 100);
+        mRegistry.apply(new UnknownJobsCancelled(List.of(id)));
     }
 
     private JobPhase phase() {
@@ -87,15 +87,6 @@
         assertEquals(mRegistry.earlyCancellations().count(), 0);
     }
 
-    /** Guards against a cancellation that expires, as its job's own record is young. */
-    @Test
-    public void aCancelledJobHasACopyOfUnknownAge() {
-        cancel(cancelled(JOB, "q", ""));
-        mRegistry.apply(accepted("q", ""), 10_000);
-
-        assertEquals(mRegistry.job(JOB).orElseThrow().copy().sinceMs(), JournalCopy.UNKNOWN_MS);
-    }
-
     /** Guards against a caller that pushes out the cancellations of others. */
     @Test
     public void eachOrganisationHasItsOwnBound() {
@@ -133,19 +124,4 @@
         assertEquals(mRegistry.earlyCancellations().count(), 0);
         assertFalse(mRegistry.earlyCancellations().contains(cancelled(JOB, "q", "org")));
     }
-
-    /** Guards against cancellations whose records expire in the journal. */
-    @Test
-    public void cancellationsWithOldCopiesAreListedFromTheOldestOn() {
-        CancelledId first = cancelled("bb", "q", "org");
-        CancelledId second = cancelled("cc", "q", "org");
-        cancel(first);
-        cancel(second);
-        mRegistry.apply(new UnknownJobsCancelled(List.of(cancelled("dd", "q", "org"))), 200);
-        EarlyCancellations kept = mRegistry.earlyCancellations();
-
-        assertEquals(kept.olderThan(50, 201), List.of(first, second));
-        mRegistry.apply(new UnknownJobsCancelled(List.of(first)), 200);
-        assertEquals(kept.olderThan(50, 201), List.of(second));
-    }
 }
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JobRegistryTest.java
@@ -238,15 +238,14 @@
     }
 
     @Test
-    public void wavesAreRestoredFromTheirSnapshot() {
+    public void wavesAreRestoredFromTheirRecords() {
         mRegistry.apply(new VmRebooted(1, "vm1"));
         mRegistry.apply(new VmRebooted(2, "vm2"));
         mRegistry.apply(new WaveCompleted(2));
-        JobRegistry replica = new JobRegistry(RETENTION_MS);
-        mRegistry.snapshotWaves().forEach(replica::apply);
 
-        assertEquals(replica.rebooted(1), Set.of("vm1"));
-        assertTrue(replica.isCompleted(2));
+        assertEquals(mRegistry.rebooted(1), Set.of("vm1"));
+        assertTrue(mRegistry.isCompleted(2));
+        assertFalse(mRegistry.isCompleted(1));
     }
 
     @Test
--- a/foxtail-core/src/test/java/org/foxtailplank/job/JournalCopyTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/job/JournalCopyTest.java
@@ -8,20 +8,17 @@
 import java.util.Set;
 import org.foxtailplank.job.JournalRecord.EndedRun;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
-import org.foxtailplank.job.JournalRecord.JobSnapshot;
 import org.foxtailplank.job.JournalRecord.JobsEnded;
 import org.foxtailplank.job.JournalRecord.JobsStarted;
 import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.JournalRecord.RunsEndedWithWorker;
 import org.foxtailplank.job.JournalRecord.RunsStarted;
 import org.foxtailplank.job.JournalRecord.StartedRun;
-import org.foxtailplank.job.JournalRecord.VmRebooted;
-import org.foxtailplank.job.JournalRecord.WaveDue;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Tests what copies in the journal contain, and what a node knows about their age. */
+/** Tests what copies in the journal contain. */
 public class JournalCopyTest {
     private static final long RETENTION_MS = 120_000;
     private static final long WALL_MS = 5_000_000;
@@ -44,8 +41,8 @@
         return TestJobs.definition(id, "q", "org", 2, WALL_MS);
     }
 
-    private JobProgress accept(long sinceMs) {
-        return mRegistry.apply(new JobAccepted(definition(JOB)), sinceMs).orElseThrow();
+    private JobProgress accept() {
+        return mRegistry.apply(new JobAccepted(definition(JOB))).orElseThrow();
     }
 
     private static void end(JobRegistry registry, int index, RunOutcome outcome) {
@@ -53,73 +50,10 @@
         registry.apply(new RunsEnded(List.of(new EndedRun(task, 1, outcome, WALL_MS + 9))));
     }
 
-    /** Guards against a copy that counts as written although the store never confirmed it. */
-    @Test
-    public void takingASnapshotDoesNotRenewTheCopy() {
-        JobProgress job = accept(100);
-        job.snapshot();
-
-        assertEquals(job.copy().sinceMs(), 100);
-        assertTrue(job.copy().mayBeOlderThan(50, 151));
-        assertFalse(job.copy().mayBeOlderThan(50, 150));
-        mRegistry.recordCopy(JOB, 140);
-        assertEquals(job.copy().sinceMs(), 140);
-    }
-
-    /** Guards against owners that rewrite what their predecessors have just rewritten. */
-    @Test
-    public void aSnapshotOfAKnownJobRenewsTheCopy() {
-        JobProgress job = accept(100);
-        mRegistry.apply(job.snapshot(), 200);
-
-        assertEquals(job.copy().sinceMs(), 200);
-    }
-
-    /** Guards against facts that expire, as one part of their snapshot counts for all parts. */
-    @Test
-    public void aPartOfASnapshotDoesNotRenewTheCopy() {
-        JobProgress job = accept(100);
-        JobSnapshot s = job.snapshot();
-        JobSnapshot part =
-                new JobSnapshot(
-                        s.definition(),
-                        s.starts(),
-                        s.ends(),
-                        s.doneRuns(),
-                        0,
-                        0,
-                        false,
-                        List.of(),
-                        false);
-        mRegistry.apply(part, 200);
-        JobProgress restored = mReplica.apply(part, 200).orElseThrow();
-
-        assertEquals(job.copy().sinceMs(), 100);
-        assertEquals(restored.copy().sinceMs(), JournalCopy.UNKNOWN_MS);
-    }
-
-    /** Guards against an old start that expires before its job, which another partition had. */
-    @Test
-    public void aJobWithEarlierRecordsHasACopyOfUnknownAge() {
-        mRegistry.apply(new RunsStarted(List.of(START)), 100);
-
-        assertEquals(accept(200).copy().sinceMs(), JournalCopy.UNKNOWN_MS);
-    }
-
-    /** Guards against new owners that each begin again with the copies read first. */
-    @Test
-    public void copiesOfUnknownAgeAreOrderedAsTheyWereRead() {
-        JobProgress first = mRegistry.apply(new JobAccepted(definition("bb"))).orElseThrow();
-        JobProgress second = mRegistry.apply(new JobAccepted(definition("cc"))).orElseThrow();
-        mRegistry.apply(first.snapshot());
-
-        assertTrue(second.copy().compareTo(first.copy()) < 0);
-    }
-
     /** Guards against a job shown as queued, and crashes forgotten, by a node that starts later. */
     @Test
     public void aSnapshotKeepsThatTheJobHasStartedAndWhichRunsEndedWithTheirWorkers() {
-        JobProgress job = accept(100);
+        JobProgress job = accept();
         mRegistry.apply(new RunsStarted(List.of(START)));
         mRegistry.apply(new JobsStarted(List.of(JOB)));
         mRegistry.apply(new RunsEndedWithWorker(List.of(START)));
@@ -134,7 +68,7 @@
     /** Guards against a stopped run that the next owner waits for until its lease has expired. */
     @Test
     public void aSnapshotKeepsThatTheLastRunOfATaskWasStopped() {
-        JobProgress job = accept(100);
+        JobProgress job = accept();
         mRegistry.apply(new RunsStarted(List.of(START)));
         mRegistry.apply(new RunsEnded(List.of(new EndedRun(TASK, 4, RunOutcome.STOPPED, WALL_MS))));
         JobProgress restored = mReplica.apply(job.snapshot()).orElseThrow();
@@ -150,7 +84,7 @@
     }
 
     private JobProgress ended(JobPhase phase) {
-        JobProgress job = accept(100);
+        JobProgress job = accept();
         job.end(phase, WALL_MS + 9);
         assertEquals(job.phase(), phase);
         return job;
@@ -160,12 +94,11 @@
     @Test(dataProvider = "finalPhases")
     public void anEndedJobIsRestoredFromItsSummaryAlone(JobPhase phase) {
         JobsEnded record = new JobsEnded(List.of(ended(phase).summarize()), 7);
-        mReplica.apply(record, 300);
+        mReplica.apply(record);
         JobProgress restored = mReplica.job(JOB).orElseThrow();
 
         assertEquals(JobSummary.of(restored), new JobSummary(phase, "q", "org"));
         assertEquals(restored.endedMs(), WALL_MS + 9);
-        assertEquals(restored.copy().sinceMs(), 300);
         assertEquals(restored.summarize(), record.jobs().get(0));
         assertEquals(mReplica.configVersion(), 7);
         assertEquals(mReplica.pending("q"), 0);
@@ -177,11 +110,10 @@
     @Test(dataProvider = "finalPhases")
     public void aSummaryEndsAKnownJob(JobPhase phase) {
         JobsEnded record = new JobsEnded(List.of(ended(phase).summarize()), 7);
-        JobProgress known = mReplica.apply(new JobAccepted(definition(JOB)), 100).orElseThrow();
-        mReplica.apply(record, 300);
+        JobProgress known = mReplica.apply(new JobAccepted(definition(JOB))).orElseThrow();
+        mReplica.apply(record);
 
         assertEquals(known.phase(), phase);
-        assertEquals(known.copy().sinceMs(), 300);
         assertEquals(known.definition().tasksPerRun(), 2);
     }
 
@@ -205,16 +137,4 @@
 
         assertEquals(mReplica.completeSinceMs(WALL_MS + 60_000), WALL_MS + 1);
     }
-
-    /** Guards against a wave whose records expire, as short-lived owners never rewrite them. */
-    @Test
-    public void factsAboutWavesHaveTheAgeOfTheirNewestCopy() {
-        mRegistry.apply(new VmRebooted(1, "vm1"));
-        mRegistry.apply(new VmRebooted(1, "vm2"), 100);
-        mRegistry.apply(new WaveDue(1, 9), 150);
-
-        assertEquals(mRegistry.waveFactsOlderThan(50, 150), List.of(new VmRebooted(1, "vm1")));
-        mRegistry.apply(new VmRebooted(1, "vm1"), 150);
-        assertEquals(mRegistry.waveFactsOlderThan(50, 160), List.of(new VmRebooted(1, "vm2")));
-    }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/Node.java
@@ -135,6 +135,7 @@
                         log,
                         new JobRegistry(settings.journal().endedJobRetentionMs()),
                         this::recordApplied);
+        mReader.readEarlier(JournalPartitions.earlier(settings.journal().partitionCount()));
         mLink = new OwnerLink(loop, clock, timers, log, mReader);
         mConfigExchange = new ConfigExchange(mOperator, clock, settings.link().isAmple());
         configureLink();
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -66,8 +66,19 @@
 
     private JournalCodec() {}
 
-    /** Encodes a record. */
+    /** Encodes a record, with its key. */
     public static byte[] encode(JournalRecord record) {
+        byte[] content = encodeContent(record);
+        boolean isOwners = record instanceof OwnerHeartbeat || record instanceof OwnerResigned;
+        return isOwners ? JournalKey.frameOfOwner(content) : JournalKey.of(content).frame(content);
+    }
+
+    /** Returns a record with its key, which a node of an earlier version may have left out. */
+    public static byte[] withKey(byte[] record) {
+        return JournalKey.hasKey(record) ? record : JournalKey.of(record).frame(record);
+    }
+
+    private static byte[] encodeContent(JournalRecord record) {
         if (record instanceof JobAccepted r) {
             return encodeMessage(
                     out ->
@@ -142,14 +153,16 @@
     }
 
     /**
-     * Decodes a record; returns empty for an unknown kind.
+     * Decodes a record, with or without a key; returns empty for an unknown kind, and for the
+     * removal of a key.
      *
      * @throws IOException if the record is malformed. Every malformed record must be rejected here:
      *     an unchecked exception, now or when the record is applied, would stop the reader of the
      *     journal on every node
      */
     public static Optional<JournalRecord> decode(byte[] bytes) throws IOException {
-        CodedInputStream in = CodedInputStream.newInstance(bytes);
+        int offset = JournalKey.contentOffset(bytes);
+        CodedInputStream in = CodedInputStream.newInstance(bytes, offset, bytes.length - offset);
         int tag = in.readTag();
         int kind = WireFormat.getTagFieldNumber(tag);
         if (kind < ACCEPTED || kind > UNKNOWN_CANCELLED) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -8,9 +8,12 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.foxtailplank.job.JobProgress;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
+import org.foxtailplank.job.JournalRecord.OwnerHeartbeat;
+import org.foxtailplank.job.JournalRecord.OwnerResigned;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.log.NodeLog;
@@ -28,8 +31,15 @@
     private final Clock mClock;
     private final NodeLog mNodeLog;
     private final JobRegistry mRegistry;
+    private final RetainedRecords mRetained;
     private final BiConsumer<JournalRecord, Optional<JobProgress>> mListener;
+    private final SharedLog mLog;
+    private final Timers mTimers;
     private final List<PartitionReader> mPartitions = new ArrayList<>();
+
+    /** Partitions of the journal of earlier versions. */
+    private final List<PartitionReader> mEarlier = new ArrayList<>();
+
     private RawRecordListener mRawListener = (partition, offset, record) -> {};
 
     /**
@@ -46,9 +56,12 @@
             NodeLog nodeLog,
             JobRegistry registry,
             BiConsumer<JournalRecord, Optional<JobProgress>> listener) {
+        mLog = log;
+        mTimers = timers;
         mClock = clock;
         mNodeLog = nodeLog;
         mRegistry = registry;
+        mRetained = new RetainedRecords(registry);
         mListener = listener;
         for (int p = 0; p < partitions.size(); p++) {
             int number = p;
@@ -62,7 +75,7 @@
                             clock,
                             timers,
                             nodeLog,
-                            (offset, record, sinceMs) -> apply(number, offset, record, sinceMs)));
+                            (offset, record, expired) -> apply(number, offset, record, expired)));
         }
     }
 
@@ -70,6 +83,35 @@
         return mRegistry;
     }
 
+    /** Reads the journal of earlier versions as well, if there is one; before {@link #follow}. */
+    public void readEarlier(List<LogPartition> partitions) {
+        for (LogPartition p : partitions) {
+            mEarlier.add(
+                    new PartitionReader(
+                            mLog,
+                            p,
+                            PartitionReader.PollIntervals.EARLIER,
+                            mClock,
+                            mTimers,
+                            mNodeLog,
+                            (offset, record, expired) -> applyEarlier(record)));
+        }
+    }
+
+    /** Whether an earlier version has written a journal. */
+    public boolean hasEarlierJournal() {
+        return mEarlier.stream().anyMatch(p -> p.position() > 0);
+    }
+
+    private Stream<PartitionReader> allPartitions() {
+        return Stream.concat(mPartitions.stream(), mEarlier.stream());
+    }
+
+    /** The records that the log retains. */
+    public RetainedRecords retained() {
+        return mRetained;
+    }
+
     /** Position up to which the journal was read. */
     public JournalPosition position() {
         return new JournalPosition(mPartitions.stream().map(PartitionReader::position).toList());
@@ -82,7 +124,7 @@
 
     /** Whether the reader has reached the end of every partition at least once. */
     public boolean isCaughtUp() {
-        return mPartitions.stream().allMatch(PartitionReader::isCaughtUp);
+        return allPartitions().allMatch(PartitionReader::isCaughtUp);
     }
 
     /** When the store last answered a read, by the node's clock in milliseconds. */
@@ -92,7 +134,11 @@
 
     /** Time up to which the stored records of all partitions have been read. */
     public long completeMs() {
-        return mPartitions.stream().mapToLong(PartitionReader::completeMs).min().orElseThrow();
+        return allPartitions()
+                .filter(p -> !p.isAbandoned())
+                .mapToLong(PartitionReader::completeMs)
+                .min()
+                .orElseThrow();
     }
 
     /** Moving average of the store's latency, in milliseconds. */
@@ -114,12 +160,13 @@
 
     /** Starts to read all partitions, indefinitely. */
     public void follow() {
-        mPartitions.forEach(PartitionReader::follow);
+        allPartitions().forEach(PartitionReader::follow);
     }
 
     /** Applies a record streamed by the owner; if it is beyond a gap, reads the gap first. */
     public void applyStreamed(int partition, long offset, byte[] record) {
-        if (partition < mPartitions.size()) {
+        // An owner of an earlier version streams another journal.
+        if (partition < mPartitions.size() && JournalKey.hasKey(record)) {
             mPartitions.get(partition).applyStreamed(offset, record);
         }
     }
@@ -162,8 +209,9 @@
 
     /** Reads all partitions to their current end or beyond, then reports whether that succeeded. */
     public void refresh(Consumer<Boolean> callback) {
-        RefreshBarrier barrier = new RefreshBarrier(mPartitions.size(), callback);
-        mPartitions.forEach(p -> p.refresh(barrier::partitionDone));
+        List<PartitionReader> read = allPartitions().filter(p -> !p.isAbandoned()).toList();
+        RefreshBarrier barrier = new RefreshBarrier(read.size(), callback);
+        read.forEach(p -> p.refresh(barrier::partitionDone));
     }
 
     /**
@@ -200,11 +248,37 @@
         }
     }
 
-    private void apply(int partition, long offset, byte[] bytes, long sinceMs) {
+    /** Applies a record of an earlier version, whose owners have no part in this journal. */
+    private void applyEarlier(byte[] bytes) {
+        try {
+            Optional<JournalRecord> decoded = JournalCodec.decode(bytes);
+            if (decoded.isPresent()) {
+                mRetained.addEarlier(JournalKey.of(bytes), decoded.get(), mClock.nowMs());
+                if (!isOfOwner(decoded.get())) {
+                    mListener.accept(decoded.get(), mRegistry.apply(decoded.get()));
+                }
+            }
+        } catch (IOException e) {
+            mNodeLog.line("journal-record").with("earlier", true).with("error", e).write();
+        }
+    }
+
+    private static boolean isOfOwner(JournalRecord record) {
+        return record instanceof OwnerHeartbeat || record instanceof OwnerResigned;
+    }
+
+    private void apply(int partition, long offset, byte[] bytes, boolean expired) {
         mRawListener.onRecord(partition, offset, bytes);
+        Optional<JournalKey> key = JournalKey.ofRecord(bytes);
         try {
-            JournalCodec.decode(bytes)
-                    .ifPresent(r -> mListener.accept(r, mRegistry.apply(r, sinceMs)));
+            Optional<JournalRecord> decoded = JournalCodec.decode(bytes);
+            if (decoded.isPresent()) {
+                JournalRecord record = decoded.get();
+                key.ifPresent(k -> mRetained.add(partition, k, record, mClock.nowMs(), expired));
+                mListener.accept(record, mRegistry.apply(record));
+            } else if (JournalKey.isRemoval(bytes)) {
+                key.ifPresent(k -> mRetained.remove(partition, k));
+            }
         } catch (IOException e) {
             mNodeLog.line("journal-record")
                     .with("partition", partition)
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/PartitionReader.java
@@ -1,10 +1,10 @@
 package org.foxtailplank.node.journal;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.foxtailplank.job.JournalCopy;
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.Timers;
 import org.foxtailplank.node.log.NodeLog;
@@ -40,7 +40,7 @@
     private boolean mLongPolling;
     private BooleanSupplier mStreaming = () -> false;
     private long mLastReadMs = Long.MIN_VALUE / 2;
-    private long mCompleteMs = JournalCopy.UNKNOWN_MS;
+    private long mCompleteMs = Long.MIN_VALUE / 2;
     private double mLatencyMs;
 
     /**
@@ -56,6 +56,11 @@
 
         /** Intervals of a spare partition, which is usually empty. */
         static final PollIntervals SPARE = new PollIntervals(800, 3000, 1000);
+
+        /**
+         * Intervals of a partition of an earlier version's journal, which ends when it is empty.
+         */
+        static final PollIntervals EARLIER = new PollIntervals(800, 800, 1000);
     }
 
     /** Receives the records in the order of the partition. */
@@ -64,10 +69,9 @@
         /**
          * Receives a record.
          *
-         * @param sinceMs earliest time at which it can have been stored, by the node's clock: when
-         *     the partition was last read to its end; {@link JournalCopy#UNKNOWN_MS} before that
+         * @param expired whether it had expired in the log, which only retained it under its key
          */
-        void accept(long offset, byte[] record, long sinceMs);
+        void accept(long offset, byte[] record, boolean expired);
     }
 
     PartitionReader(
@@ -128,8 +132,19 @@
         mStreaming = streaming;
     }
 
+    /**
+     * Whether the partition isn't read any more, as an earlier version's journal that was never
+     * written.
+     */
+    boolean isAbandoned() {
+        return mIntervals == PollIntervals.EARLIER && mCaughtUp && mPosition == 0;
+    }
+
     /** Starts to read the partition, indefinitely. */
     void follow() {
+        if (isAbandoned()) {
+            return;
+        }
         if (mLongPolling && mCaughtUp) {
             long sentMs = mClock.nowMs();
             PageRequest page = page(mIntervals.longPollMs());
@@ -144,6 +159,11 @@
     }
 
     private void longPollAnswered(ReadResult result, long sentMs) {
+        if (result instanceof SharedLog.RecordsGone) {
+            // A refresh also reads the records that have expired.
+            refresh(this::refreshed);
+            return;
+        }
         boolean atEnd = handleResult(result);
         if (atEnd) {
             advanceComplete(sentMs + minHeldMs(result));
@@ -185,7 +205,7 @@
     void applyStreamed(long offset, byte[] record) {
         if (offset == mPosition) {
             mPosition++;
-            mSink.accept(offset, record, mCompleteMs);
+            mSink.accept(offset, record, false);
         } else if (offset > mPosition && !mReading) {
             refresh(succeeded -> {});
         }
@@ -196,7 +216,7 @@
         for (int i = 0; i < records.size(); i++) {
             if (firstOffset + i == mPosition) {
                 mPosition++;
-                mSink.accept(firstOffset + i, records.get(i), mCompleteMs);
+                mSink.accept(firstOffset + i, records.get(i), false);
             }
         }
     }
@@ -232,6 +252,15 @@
     }
 
     private void pageAnswered(ReadResult result, long sentMs) {
+        if (result instanceof SharedLog.RecordsGone gone && gone.firstOffset() > mPosition) {
+            if (mPartition.keyed()) {
+                readRetained(gone.firstOffset());
+            } else {
+                mPosition = gone.firstOffset();
+                readNextPage();
+            }
+            return;
+        }
         long before = mPosition;
         boolean atEnd = handleResult(result);
         if (atEnd) {
@@ -243,6 +272,10 @@
             readNextPage();
             return;
         }
+        completeRefreshes(atEnd);
+    }
+
+    private void completeRefreshes(boolean atEnd) {
         List<Consumer<Boolean>> completed = List.copyOf(mActiveRefreshes);
         mActiveRefreshes.clear();
         mReading = false;
@@ -252,16 +285,58 @@
         }
     }
 
-    /** Handles the result of a read; returns whether it reached the end of the partition. */
-    private boolean handleResult(ReadResult result) {
-        if (result instanceof SharedLog.RecordsGone gone) {
-            mNodeLog.line("journal-gap")
+    /**
+     * Reads the expired records that are still retained, then reads on. Those that are missing have
+     * been replaced by records with higher offsets.
+     */
+    private void readRetained(long to) {
+        mReading = true;
+        readRetainedPage(to, "", new ArrayList<>());
+    }
+
+    private void readRetainedPage(long to, String after, List<SharedLog.OffsetRecord> records) {
+        mLog.readNewest(mPartition, after, r -> retainedPageAnswered(to, records, r));
+    }
+
+    private void retainedPageAnswered(
+            long to, List<SharedLog.OffsetRecord> records, SharedLog.NewestResult result) {
+        if (!(result instanceof SharedLog.NewestPage page)) {
+            mNodeLog.line("journal-retained-failed")
                     .with("partition", mPartition.number())
-                    .with("from", mPosition)
-                    .with("to", gone.firstOffset())
+                    .with("why", result)
                     .write();
-            mPosition = Math.max(mPosition, gone.firstOffset());
-            mExpiredTo = mPosition;
+            completeRefreshes(false);
+            return;
+        }
+        page.records().stream()
+                .filter(r -> r.offset() >= mPosition && r.offset() < to)
+                .forEach(records::add);
+        if (page.next().isPresent()) {
+            readRetainedPage(to, page.next().get(), records);
+            return;
+        }
+        applyRetained(to, records);
+        readNextPage();
+    }
+
+    private void applyRetained(long to, List<SharedLog.OffsetRecord> records) {
+        mNodeLog.line("journal-gap")
+                .with("partition", mPartition.number())
+                .with("from", mPosition)
+                .with("to", to)
+                .with("retained", records.size())
+                .write();
+        records.sort(Comparator.comparingLong(SharedLog.OffsetRecord::offset));
+        for (SharedLog.OffsetRecord r : records) {
+            mSink.accept(r.offset(), r.record(), true);
+        }
+        mPosition = Math.max(mPosition, to);
+        mExpiredTo = to;
+    }
+
+    /** Handles the result of a read; returns whether it reached the end of the partition. */
+    private boolean handleResult(ReadResult result) {
+        if (result instanceof SharedLog.RecordsGone) {
             return false;
         }
         if (result instanceof SharedLog.ReadFailed failed) {
@@ -286,7 +361,7 @@
             // Skip records that the owner has streamed in the meantime.
             if (first + i == mPosition) {
                 mPosition++;
-                mSink.accept(first + i, page.records().get(i), mCompleteMs);
+                mSink.accept(first + i, page.records().get(i), false);
             }
         }
         mCatchUp.pageReceived(bytes(page), mPosition - before);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalBatch.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalBatch.java
@@ -26,6 +26,7 @@
         private final byte[] mBytes;
         private final boolean mHandedOver;
         private final Consumer<StoreOutcome> mCallback;
+        private final Optional<PartitionWriter> mWriter;
         private boolean mCompleted;
         private int mAppendCount;
 
@@ -36,9 +37,34 @@
          * @param callback called once with the outcome
          */
         PendingRecord(byte[] bytes, boolean handedOver, Consumer<StoreOutcome> callback) {
+            this(bytes, handedOver, callback, Optional.empty());
+        }
+
+        private PendingRecord(
+                byte[] bytes,
+                boolean handedOver,
+                Consumer<StoreOutcome> callback,
+                Optional<PartitionWriter> writer) {
             mBytes = bytes;
             mHandedOver = handedOver;
             mCallback = callback;
+            mWriter = writer;
+        }
+
+        /** Creates a record that only this partition's writer may append. */
+        static PendingRecord onlyBy(
+                PartitionWriter writer, byte[] bytes, Consumer<StoreOutcome> callback) {
+            return new PendingRecord(bytes, false, callback, Optional.of(writer));
+        }
+
+        /** Whether only one partition may store it. */
+        boolean isBound() {
+            return mWriter.isPresent();
+        }
+
+        /** Whether only this writer may append it. */
+        boolean isBoundTo(PartitionWriter writer) {
+            return mWriter.isPresent() && mWriter.get() == writer;
         }
 
         int byteCount() {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerJournal.java
@@ -3,11 +3,15 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.lease.ClockReading;
+import org.foxtailplank.node.NodeSettings.JournalLimits;
+import org.foxtailplank.node.journal.JournalPartitions;
 import org.foxtailplank.node.journal.RecordParts;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.owner.JournalBatch.PendingRecord;
@@ -41,6 +45,9 @@
     /** Bytes that an append may have on any link. */
     private static final long MIN_BATCH_BYTES = 4 << 10;
 
+    /** An epoch after those of all owners. */
+    private static final long LAST_EPOCH = 1L << 40;
+
     private final OwnerContext mContext;
     private final Runnable mOnFenced;
     private final long mMaxBatchBytes;
@@ -85,15 +92,42 @@
      * then}.
      */
     void raiseEpoch(Runnable callback) {
-        mWriters.forEach(w -> w.raiseEpoch(() -> runIfEpochRaisedEverywhere(callback)));
+        List<PartitionWriter> writers = new ArrayList<>(mWriters);
+        if (mContext.reader().hasEarlierJournal()) {
+            // Owners of earlier versions don't know this journal and must never start again.
+            JournalLimits limits = mContext.settings().journal();
+            for (LogPartition p : JournalPartitions.earlier(limits.partitionCount())) {
+                writers.add(
+                        new PartitionWriter(mContext, p, LAST_EPOCH, new EarlierWriterListener()));
+            }
+        }
+        writers.forEach(w -> w.raiseEpoch(() -> runIfEpochRaised(writers, callback)));
     }
 
-    private void runIfEpochRaisedEverywhere(Runnable callback) {
-        if (mWriters.stream().allMatch(PartitionWriter::isEpochRaised)) {
+    private static void runIfEpochRaised(List<PartitionWriter> writers, Runnable callback) {
+        if (writers.stream().allMatch(PartitionWriter::isEpochRaised)) {
             callback.run();
         }
     }
 
+    /** Listens to a writer that only raises the epoch. */
+    private final class EarlierWriterListener implements PartitionWriter.Listener {
+        @Override
+        public void stored(List<PendingRecord> records, ClockReading firstSent) {}
+
+        @Override
+        public void rejected(List<PendingRecord> records) {}
+
+        @Override
+        public void unacceptable(List<PendingRecord> records, String reason) {}
+
+        @Override
+        public void outcomeUnknown(List<PendingRecord> records) {}
+
+        @Override
+        public void fenced() {}
+    }
+
     /**
      * Stores a record of the owner itself, in parts if it is too large for the store, retrying
      * until it succeeds or the journal is closed.
@@ -124,6 +158,17 @@
         enqueue(records);
     }
 
+    /**
+     * Stores a record in one partition only, which may be unavailable for long.
+     *
+     * @param partition number of the partition
+     * @param completed runs when the record is stored, or the journal is closed
+     */
+    void storeIn(int partition, byte[] record, Runnable completed) {
+        PartitionWriter writer = mWriters.get(partition);
+        enqueue(List.of(PendingRecord.onlyBy(writer, record, o -> completed.run())));
+    }
+
     /** Stores a record handed over by another node; fails fast if all partitions reject it. */
     void storeHandedOver(byte[] record, Consumer<StoreOutcome> callback) {
         enqueue(List.of(new PendingRecord(record, true, callback)));
@@ -193,26 +238,42 @@
         if (mClosed || mPaused || mQueue.isEmpty()) {
             return;
         }
-        Optional<PartitionWriter> writer = selectWriter();
-        if (writer.isPresent()) {
-            writer.get().send(takeBatch());
+        Optional<PartitionWriter> selected = selectWriter();
+        selected.ifPresent(w -> sendBatch(w, r -> !r.isBound() || r.isBoundTo(w)));
+        mWriters.stream()
+                .filter(w -> w.isIdle() && !w.isFailing())
+                .forEach(w -> sendBatch(w, r -> r.isBoundTo(w)));
+    }
+
+    private void sendBatch(PartitionWriter writer, Predicate<PendingRecord> mayAppend) {
+        List<PendingRecord> batch = takeBatch(mayAppend);
+        if (!batch.isEmpty()) {
+            writer.send(batch);
         }
     }
 
-    private List<PendingRecord> takeBatch() {
+    /**
+     * Takes the first records that may be appended from the queue, at least one if there is one.
+     */
+    private List<PendingRecord> takeBatch(Predicate<PendingRecord> mayAppend) {
+        int maxRecords = mSingleAppends > 0 ? 1 : Integer.MAX_VALUE;
         List<PendingRecord> batch = new ArrayList<>();
-        if (mSingleAppends > 0) {
-            mSingleAppends--;
-            batch.add(mQueue.poll());
-            return batch;
-        }
         long bytes = 0;
-        while (!mQueue.isEmpty()) {
-            bytes += mQueue.peek().byteCount();
+        Iterator<PendingRecord> queued = mQueue.iterator();
+        while (queued.hasNext() && batch.size() < maxRecords) {
+            PendingRecord next = queued.next();
+            if (!mayAppend.test(next)) {
+                continue;
+            }
+            bytes += next.byteCount();
             if (bytes > mMaxBatchBytes && !batch.isEmpty()) {
                 break;
             }
-            batch.add(mQueue.poll());
+            queued.remove();
+            batch.add(next);
+        }
+        if (mSingleAppends > 0 && !batch.isEmpty()) {
+            mSingleAppends--;
         }
         return batch;
     }
@@ -258,7 +319,7 @@
         @Override
         public void outcomeUnknown(List<PendingRecord> records) {
             if (!areAllFailing()) {
-                requeue(records);
+                requeue(records.stream().filter(r -> !r.isBound()).toList());
                 sendPending();
             }
         }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerRecord.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerRecord.java
@@ -12,13 +12,24 @@
  *     earlier process
  */
 record OwnerRecord(String node, String address, String incarnation) {
+    /** Ends the records of owners whose journal has keys; part of the incarnation to others. */
+    private static final String KEYED_JOURNAL = "/keyed";
+
     byte[] encode() {
-        return String.join(" ", node, address, incarnation).getBytes(StandardCharsets.UTF_8);
+        return (String.join(" ", node, address, incarnation) + KEYED_JOURNAL)
+                .getBytes(StandardCharsets.UTF_8);
     }
 
-    /** Decodes a record. Only the node's name may contain spaces. */
+    /**
+     * Decodes a record. Only the node's name may contain spaces. Returns empty for an owner of an
+     * earlier version, which uses a journal without keys and has to be replaced.
+     */
     static Optional<OwnerRecord> decode(byte[] bytes) {
-        String text = new String(bytes, StandardCharsets.UTF_8);
+        String record = new String(bytes, StandardCharsets.UTF_8);
+        if (!record.endsWith(KEYED_JOURNAL)) {
+            return Optional.empty();
+        }
+        String text = record.substring(0, record.length() - KEYED_JOURNAL.length());
         int incarnationAt = text.lastIndexOf(' ');
         int addressAt = text.lastIndexOf(' ', incarnationAt - 1);
         return addressAt < 0
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/OwnerSession.java
@@ -27,6 +27,7 @@
 import org.foxtailplank.node.Clock;
 import org.foxtailplank.node.admission.CapacitySource;
 import org.foxtailplank.node.journal.Handover;
+import org.foxtailplank.node.journal.JournalCodec;
 import org.foxtailplank.node.journal.JournalPosition;
 import org.foxtailplank.node.journal.StoreOutcome;
 import org.foxtailplank.node.peer.JournalStatus;
@@ -172,7 +173,7 @@
         mDirectory.follow();
         new LoadLogger(this, mContext).start();
         mVmCoordinator.start();
-        new JournalRefresher(mContext, mJournal, this::hasEnded).start();
+        new JournalCompactor(mContext, mJournal, this::hasEnded).start();
         tick();
     }
 
@@ -335,9 +336,9 @@
         mContext.reader().setLongPolling(false);
     }
 
-    /** Stores a record handed over by another node. */
+    /** Stores a record handed over by another node, which may be of an earlier version. */
     public void storeHandedOver(byte[] record, Consumer<StoreOutcome> callback) {
-        mJournal.storeHandedOver(record, callback);
+        mJournal.storeHandedOver(JournalCodec.withKey(record), callback);
     }
 
     /** Records that a node rejected a submission whose caller is expected to come back. */
--- a/foxtail-node/src/test/java/org/foxtailplank/node/BandwidthLimitedLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/BandwidthLimitedLog.java
@@ -76,4 +76,10 @@
         mLog.appendAs(at, writer, records, callback);
         mLog.deliverAnswers();
     }
+
+    @Override
+    public void readNewest(LogPartition at, String after, Consumer<NewestResult> callback) {
+        mLog.readNewest(at, after, callback);
+        mLog.deliverAnswers();
+    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/ExpiringLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/ExpiringLog.java
@@ -77,4 +77,9 @@
                         callback.accept(
                                 r instanceof Records && from < first ? new RecordsGone(first) : r));
     }
+
+    @Override
+    public void readNewest(LogPartition at, String after, Consumer<NewestResult> callback) {
+        mLog.readNewest(at, after, callback);
+    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/FakeSharedLog.java
@@ -43,6 +43,7 @@
     private final Map<LogPartition, Integer> mReads = new HashMap<>();
     private int mMaxAnswerBytes = Integer.MAX_VALUE;
     private int mMaxRecordBytes = Integer.MAX_VALUE;
+    private boolean mAnswersNewest = true;
 
     /** The store's state of a partition's fenced writer. */
     private static final class Writer {
@@ -80,6 +81,11 @@
         mMaxRecordBytes = bytes;
     }
 
+    /** Makes reads of the newest records fail, or succeed again. */
+    public void setAnswersNewest(boolean answers) {
+        mAnswersNewest = answers;
+    }
+
     /** Performs the appends with the outcome {@link ScriptedOutcome#LATE}. */
     public void performLateAppends() {
         while (!mLateAppends.isEmpty()) {
@@ -200,6 +206,15 @@
         mPendingAnswers.add(() -> callback.accept(result));
     }
 
+    @Override
+    public void readNewest(LogPartition at, String after, Consumer<NewestResult> callback) {
+        NewestResult result =
+                mUnavailable.contains(at) || !mAnswersNewest
+                        ? new NewestFailed("down")
+                        : NewestRecords.page(records(at), after);
+        mPendingAnswers.add(() -> callback.accept(result));
+    }
+
     @Override
     public void read(
             LogPartition at, long from, PageRequest request, Consumer<ReadResult> callback) {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/CutOffOwnerTest.java
@@ -286,6 +286,11 @@
                     LogPartition at, long from, PageRequest page, Consumer<ReadResult> callback) {
                 delegate.read(at, from, page, callback);
             }
+
+            @Override
+            public void readNewest(LogPartition at, String after, Consumer<NewestResult> callback) {
+                delegate.readNewest(at, after, callback);
+            }
         };
     }
 
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/DisconnectableLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/DisconnectableLog.java
@@ -55,6 +55,13 @@
         }
     }
 
+    @Override
+    public void readNewest(LogPartition at, String after, Consumer<NewestResult> callback) {
+        if (!mDisconnected) {
+            mLog.readNewest(at, after, r -> deliver(callback, r));
+        }
+    }
+
     private <T> void deliver(Consumer<T> callback, T result) {
         if (!mDisconnected) {
             callback.accept(result);
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/ForwardingLog.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/ForwardingLog.java
@@ -37,4 +37,9 @@
     public void read(LogPartition at, long from, PageRequest page, Consumer<ReadResult> callback) {
         mLog.read(at, from, page, callback);
     }
+
+    @Override
+    public void readNewest(LogPartition at, String after, Consumer<NewestResult> callback) {
+        mLog.readNewest(at, after, callback);
+    }
 }
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalRetentionTest.java
@@ -3,31 +3,15 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import org.foxtailplank.job.JobPhase;
-import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
 import org.foxtailplank.job.JournalRecord.CancelledId;
-import org.foxtailplank.job.JournalRecord.EndedRun;
-import org.foxtailplank.job.JournalRecord.JobCancelled;
-import org.foxtailplank.job.JournalRecord.RunsEnded;
 import org.foxtailplank.job.JournalRecord.UnknownJobsCancelled;
 import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.JournalRecord.WaveCompleted;
 import org.foxtailplank.job.JournalRecord.WaveDue;
-import org.foxtailplank.job.RunMode;
-import org.foxtailplank.job.RunOutcome;
-import org.foxtailplank.job.TaskName;
-import org.foxtailplank.node.ExpiringLog;
 import org.foxtailplank.node.FakeSharedLog;
-import org.foxtailplank.node.FakeTime;
-import org.foxtailplank.node.NodeSettings.JournalLimits;
 import org.foxtailplank.node.journal.JournalPartitions;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -36,144 +20,7 @@
  * Guards against jobs and waves that no node knows once every node has been restarted, as their
  * records in the journal have expired.
  */
-public class JournalRetentionTest {
-    private static final long STEP_MS = 50;
-    private static final long ENDED_RETENTION_MS = 120_000;
-    private static final long RUN_MS = 5000;
-
-    /** Every so many jobs one is standing. */
-    private static final int STANDING_INTERVAL = 40;
-
-    private FakeTime mTime;
-    private FakeSharedLog mLog;
-    private long mRetentionMs;
-    private ExpiringLog mExpiring;
-    private Node mOwner;
-    private long mToken;
-    private int mJobs;
-    private final Map<String, JobPhase> mPhases = new LinkedHashMap<>();
-    private final Map<String, Long> mEndedMs = new LinkedHashMap<>();
-    private final Deque<RunningJob> mRunning = new ArrayDeque<>();
-
-    private record RunningJob(String id, long endMs) {}
-
-    /** A node that has just started and reads the journal; the owner also writes to it. */
-    private final class Node {
-        final OwnerContext mContext =
-                FakeOwnerContext.withJournal(
-                        FakeOwnerContext.of(mTime, mExpiring),
-                        new JournalLimits(mRetentionMs, ENDED_RETENTION_MS, 3));
-        final OwnerJournal mJournal = new OwnerJournal(mContext, ++mToken, () -> {});
-        boolean mEnded;
-
-        void read() {
-            mContext.reader().refresh(read -> {});
-            mLog.deliverAnswers();
-        }
-
-        void takeOver() {
-            mJournal.raiseEpoch(() -> {});
-            mLog.deliverAnswers();
-            read();
-            new JournalRefresher(mContext, mJournal, () -> mEnded).start();
-        }
-
-        JobRegistry registry() {
-            return mContext.reader().registry();
-        }
-    }
-
-    private void start(long retentionMs) {
-        mTime = new FakeTime();
-        mLog = new FakeSharedLog();
-        mRetentionMs = retentionMs;
-        mExpiring = new ExpiringLog(mLog, mTime, retentionMs);
-        mToken = 0;
-        mJobs = 0;
-        mPhases.clear();
-        mEndedMs.clear();
-        mRunning.clear();
-        mOwner = new Node();
-        mOwner.takeOver();
-    }
-
-    private void replaceOwner() {
-        mOwner.mEnded = true;
-        mOwner.mJournal.close();
-        mOwner = new Node();
-        mOwner.takeOver();
-    }
-
-    private void accept() {
-        mJobs++;
-        String id = String.format("%016x", mJobs);
-        boolean standing = mJobs % STANDING_INTERVAL == 0;
-        byte[] record =
-                standing
-                        ? OwnerFleetTestBase.job(id, new RunMode(false, true, false, false, 0, 0))
-                        : OwnerFleetTestBase.job(id, RunMode.PLAIN, mTime.wallMs());
-        mExpiring.append(JournalPartitions.PRIMARY, List.of(record), r -> {});
-        mPhases.put(id, JobPhase.QUEUED);
-        if (!standing) {
-            mRunning.add(new RunningJob(id, mTime.nowMs() + RUN_MS));
-        }
-    }
-
-    private void endDueJobs() {
-        while (!mRunning.isEmpty() && mRunning.peek().endMs() <= mTime.nowMs()) {
-            String id = mRunning.poll().id();
-            boolean cancelled = id.endsWith("7");
-            EndedRun end =
-                    new EndedRun(new TaskName(id, 0, 0, 0), 1, RunOutcome.DONE, mTime.wallMs());
-            mOwner.mJournal.store(
-                    cancelled ? new JobCancelled(id, mTime.wallMs()) : new RunsEnded(List.of(end)),
-                    () -> {});
-            mPhases.put(id, cancelled ? JobPhase.CANCELLED : JobPhase.COMPLETED);
-            mEndedMs.put(id, mTime.nowMs());
-        }
-    }
-
-    private void pass(long ms, double jobsPerS) {
-        long end = mTime.nowMs() + ms;
-        long first = mTime.nowMs();
-        int accepted = 0;
-        while (mTime.nowMs() < end) {
-            mTime.advance(STEP_MS);
-            for (; accepted < (mTime.nowMs() - first) * jobsPerS / 1000; accepted++) {
-                accept();
-            }
-            endDueJobs();
-            mLog.deliverAnswers();
-            mOwner.read();
-            mOwner.registry().removeExpired(mTime.wallMs());
-        }
-    }
-
-    /** Checks that a node which starts now knows the state of each job that callers may query. */
-    private void assertNothingIsLost(String when) {
-        Node node = new Node();
-        node.read();
-        assertNothingIsLost(when, node);
-    }
-
-    private void assertNothingIsLost(String when, Node node) {
-        List<String> lost = new ArrayList<>();
-        int checked = 0;
-        for (Map.Entry<String, JobPhase> job : mPhases.entrySet()) {
-            Long endedMs = mEndedMs.get(job.getKey());
-            if (endedMs != null && endedMs + ENDED_RETENTION_MS <= mTime.nowMs()) {
-                continue;
-            }
-            checked++;
-            JobPhase known = node.registry().job(job.getKey()).map(j -> j.phase()).orElse(null);
-            if (known != job.getValue()) {
-                lost.add(job.getKey() + " is " + job.getValue() + ", and known as " + known);
-            }
-        }
-        assertEquals(
-                lost.size(), 0, when + ", of " + checked + ": " + lost.stream().limit(3).toList());
-    }
-
+public class JournalRetentionTest extends JournalRetentionTestBase {
     @DataProvider
     public Object[][] loads() {
         return new Object[][] {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/OwnerJournalTest.java
@@ -293,6 +293,27 @@
         assertEquals(storedCount(), 1, "the first partition accepts records again");
     }
 
+    /** Guards against a removal that reaches a partition which doesn't hold the record. */
+    @Test
+    public void aRecordOfOnePartitionWaitsUntilThatPartitionIsAvailable() {
+        OwnerJournal journal = new OwnerJournal(mContext, 1, () -> {});
+        journal.raiseEpoch(() -> {});
+        mLog.deliverAnswers();
+        List<String> stored = new ArrayList<>();
+        mLog.setUnavailable(SPARE, true);
+        journal.storeIn(1, new byte[] {1}, () -> stored.add("spare"));
+        journal.storeIn(0, new byte[] {2}, () -> stored.add("primary"));
+        journal.storeHandedOver(new byte[] {3}, o -> stored.add("any"));
+        pass(1000);
+        assertEquals(stored, List.of("primary", "any"));
+        mLog.setUnavailable(SPARE, false);
+        pass(1000);
+
+        assertEquals(stored, List.of("primary", "any", "spare"));
+        assertEquals(mLog.records(SPARE).get(0), new byte[] {1});
+        assertEquals(storedCount(), 2);
+    }
+
     @Test
     public void recordsGoToTheThirdPartitionWhileTwoAreDown() {
         OwnerJournal journal = new OwnerJournal(mContext, 1, () -> {});
--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedStore.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/SimulatedStore.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.foxtailplank.node.FakeTime;
+import org.foxtailplank.node.NewestRecords;
 import org.foxtailplank.port.LogPartition;
 import org.foxtailplank.port.SharedLog;
 
@@ -186,6 +187,22 @@
             mNetwork.send(mProcess, call, r -> read(at, from, page.waitMs(), r), callback);
         }
 
+        @Override
+        public void readNewest(LogPartition at, String after, Consumer<NewestResult> callback) {
+            NewestResult failed = new NewestFailed("no answer");
+            SimulatedNetwork.Call<NewestResult> call =
+                    new SimulatedNetwork.Call<>(mNode, NAME, TIMEOUT_MS, 0, failed, failed);
+            mNetwork.send(
+                    mProcess,
+                    call,
+                    r ->
+                            r.accept(
+                                    isDown(at)
+                                            ? new NewestFailed("down")
+                                            : NewestRecords.page(partition(at).mRecords, after)),
+                    callback);
+        }
+
         private void read(LogPartition at, long from, long waitMs, Consumer<ReadResult> reply) {
             if (isDown(at)) {
                 reply.accept(new ReadFailed("down"));
--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/FaultPlayer.java
@@ -377,7 +377,7 @@
         for (Strike s : mActive) {
             store = storeFault(s.fault().kind()).orElse(store);
             if (s.is(FaultKind.PARTITION_AWAY)) {
-                away = Optional.of("foxtail-journal/" + s.fault().target());
+                away = Optional.of("keyed.foxtail-journal/" + s.fault().target());
             }
             for (SoakNode n : s.nodes()) {
                 applyLink(s, n.store());
