Soak: the longest outages and losses of all nodes in series

The soak drew losses of all nodes of 0.5 s and outages of the store apart from each other, and its stand-in never let keyed records expire, so that no run showed facts that outlive neither.

Runs of 40 s and longer with odd seeds draw outages of 4.5 s and losses of all nodes of 9.5 s in series, one upon the other, with a retention of 20 s. The first series takes 27 s.

--- a/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
+++ b/foxtail-soak/src/main/java/org/foxtailplank/soak/Schedule.java
@@ -106,6 +106,28 @@
     /** Sets the draw of these workers apart in the same way. */
     private static final long KIND_SEED = 0xb1d;
 
+    /** The longest outage of the store, and the longest loss of all nodes, in seconds. */
+    private static final double LONGEST_OUTAGE_S = 4.5;
+
+    private static final double LONGEST_LOSS_S = 9.5;
+
+    /** How long a fault of a series strikes before the one before it ends, in seconds. */
+    private static final double OUTAGE_OVERLAP_S = 0.2;
+
+    /** Time between two losses of all nodes, and mean time between two series, in seconds. */
+    private static final double LOSS_PAUSE_S = 1.5;
+
+    private static final double OUTAGES_GAP_S = 6;
+
+    /** Runs with series of outages are at least so long, in seconds. */
+    private static final int SHORTEST_OUTAGE_RUN_S = 40;
+
+    /** Time of the callers before the first series, so that there are older jobs, in seconds. */
+    private static final double FIRST_OUTAGE_S = 8;
+
+    /** Sets the draw of outages in series apart in the same way. */
+    private static final long OUTAGES_SEED = 0x0a7;
+
     /** Retention of the store in runs with rolling restarts, and in others, in seconds. */
     private static final long SHORT_RETENTION_S = 20;
 
@@ -172,6 +194,9 @@
         if (isRolling(seed)) {
             addRollingRestarts(size, faults);
         }
+        if (hasOutages(seed, size)) {
+            addOutages(new Random(seed ^ OUTAGES_SEED), size, faults);
+        }
         RunEnding[] endings = RunEnding.values();
         return new Schedule(seed, size, faults, endings[random.nextInt(endings.length)]);
     }
@@ -180,9 +205,73 @@
         return seed % ROLLING == 0;
     }
 
+    private static boolean hasOutages(long seed, SoakSize size) {
+        return seed % 2 != 0 && size.seconds() >= SHORTEST_OUTAGE_RUN_S;
+    }
+
+    /** The longest outages of the store and losses of all nodes, one upon the other. */
+    private enum OutageSeries {
+        STORE_THEN_NODES {
+            @Override
+            double addTo(List<Fault> faults, double atS) {
+                return addLoss(faults, addOutage(faults, atS) - OUTAGE_OVERLAP_S);
+            }
+        },
+        NODES_THEN_STORE {
+            @Override
+            double addTo(List<Fault> faults, double atS) {
+                return addOutage(faults, addLoss(faults, atS) - OUTAGE_OVERLAP_S);
+            }
+        },
+        NODES_TWICE {
+            @Override
+            double addTo(List<Fault> faults, double atS) {
+                return addLoss(faults, addLoss(faults, atS) + LOSS_PAUSE_S);
+            }
+        },
+        /** Longer than the short retention. */
+        BOTH_TWICE {
+            @Override
+            double addTo(List<Fault> faults, double atS) {
+                double firstEndS = STORE_THEN_NODES.addTo(faults, atS);
+                return STORE_THEN_NODES.addTo(faults, firstEndS - OUTAGE_OVERLAP_S);
+            }
+        };
+
+        /** Adds the faults of a series from a time on; returns when they end, in seconds. */
+        abstract double addTo(List<Fault> faults, double atS);
+
+        private static double addOutage(List<Fault> faults, double atS) {
+            faults.add(new Fault(atS, FaultKind.STORE_BUSY, 0, LONGEST_OUTAGE_S));
+            return atS + LONGEST_OUTAGE_S;
+        }
+
+        private static double addLoss(List<Fault> faults, double atS) {
+            faults.add(new Fault(atS, FaultKind.NODES_KILL, 0, LONGEST_LOSS_S));
+            return atS + LONGEST_LOSS_S;
+        }
+    }
+
+    /** Adds series of outages that end with the run; the first is longer than the retention. */
+    private static void addOutages(RandomGenerator random, SoakSize size, List<Fault> faults) {
+        OutageSeries series = OutageSeries.BOTH_TWICE;
+        double at = FIRST_OUTAGE_S + random.nextDouble();
+        while (true) {
+            List<Fault> next = new ArrayList<>();
+            double endS = series.addTo(next, at);
+            if (endS > size.seconds()) {
+                return;
+            }
+            faults.addAll(next);
+            series = OutageSeries.values()[random.nextInt(OutageSeries.values().length)];
+            at = endS + random.nextDouble() * 2 * OUTAGES_GAP_S;
+        }
+    }
+
     /** How long the store retains records, in seconds. */
     long retentionS() {
-        return isRolling(seed) ? SHORT_RETENTION_S : LONG_RETENTION_S;
+        boolean isShort = isRolling(seed) || hasOutages(seed, size);
+        return isShort ? SHORT_RETENTION_S : LONG_RETENTION_S;
     }
 
     private static void addRollingRestarts(SoakSize size, List<Fault> faults) {
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/ScheduleTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/ScheduleTest.java
@@ -53,6 +53,31 @@
         assertEquals(drawn.without(0).faults(), drawn.faults().subList(1, drawn.faults().size()));
     }
 
+    /** Guards against a soak whose outages are all shorter than the history of the store. */
+    @Test
+    public void longRunsHaveOutagesInSeriesThatOutlastTheRetention() {
+        Schedule drawn = Schedule.draw(1, new SoakSize(45, 3, 6, 15));
+        List<Schedule.Fault> series =
+                drawn.faults().stream()
+                        .filter(f -> f.forS() == 4.5 || f.forS() == 9.5)
+                        .limit(4)
+                        .toList();
+
+        assertEquals(
+                series.stream().map(Schedule.Fault::kind).toList(),
+                List.of(
+                        FaultKind.STORE_BUSY,
+                        FaultKind.NODES_KILL,
+                        FaultKind.STORE_BUSY,
+                        FaultKind.NODES_KILL));
+        for (int i = 1; i < series.size(); i++) {
+            Schedule.Fault before = series.get(i - 1);
+            assertTrue(series.get(i).atS() < before.atS() + before.forS());
+        }
+        Schedule.Fault last = series.get(series.size() - 1);
+        assertTrue(last.atS() + last.forS() - series.get(0).atS() > drawn.retentionS());
+    }
+
     /** Guards against kept schedules that name faults which are no longer played. */
     @Test
     public void keptSchedulesAreRead() throws IOException, ScheduleException {
--- a/foxtail-soak/src/test/java/org/foxtailplank/soak/ShortSoakTest.java
+++ b/foxtail-soak/src/test/java/org/foxtailplank/soak/ShortSoakTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertTrue;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import org.foxtailplank.soak.SoakEvent.SubmitAnswer;
 import org.testng.annotations.DataProvider;
@@ -18,8 +19,18 @@
 
     @Test(dataProvider = "seeds", timeOut = 240_000)
     public void noPromiseIsBrokenUnderFaults(long seed) throws Exception {
-        Path folder = Path.of("target", "soak", "seed-" + seed);
-        Schedule schedule = Schedule.draw(seed, SIZE);
+        assertIsKept(Schedule.draw(seed, SIZE), "seed-" + seed);
+    }
+
+    /** Guards against accepted jobs that are lost when outages outlast the store's history. */
+    @Test(timeOut = 240_000)
+    public void noPromiseIsBrokenByOutagesThatOutlastTheRetention() throws Exception {
+        String text = Files.readString(Path.of("schedules", "outages-in-series.txt"));
+        assertIsKept(Schedule.parse(text), "outages-in-series");
+    }
+
+    private static void assertIsKept(Schedule schedule, String name) throws Exception {
+        Path folder = Path.of("target", "soak", name);
         SoakRun.Result result = new SoakRun(schedule, folder, t -> {}).play();
 
         assertTrue(result.isKept(), SoakReport.text(schedule, result, folder));
