--- a/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JobProgress.java
@@ -41,8 +41,7 @@
                 mCancelledMs,
                 mGivenUpMs,
                 mStarted,
-                endedWithWorker(),
-                true);
+                endedWithWorker());
     }
 
     /** Summarizes a job that has ended, for callers who ask for it until it expires. */
--- a/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/job/JournalRecord.java
@@ -11,8 +11,7 @@
     record JobAccepted(JobDefinition definition) implements JournalRecord {}
 
     /**
-     * Snapshot of a job's state, written before the platform's retention drops the original
-     * records.
+     * Snapshot of a job's state, which replaces the original records; in parts if it is large.
      *
      * @param definition the job
      * @param starts the last start of each started task of runs that are not done
@@ -22,7 +21,6 @@
      * @param givenUpMs when it was given up, in milliseconds since the epoch; 0 if it was not
      * @param started whether a worker has reported the start of a task
      * @param endedWithWorker the last run of each task that ended with its worker
-     * @param whole whether the record contains all facts about the job, and not only a part
      */
     record JobSnapshot(
             JobDefinition definition,
@@ -32,8 +30,7 @@
             long cancelledMs,
             long givenUpMs,
             boolean started,
-            List<StartedRun> endedWithWorker,
-            boolean whole)
+            List<StartedRun> endedWithWorker)
             implements JournalRecord {
         public JobSnapshot {
             starts = List.copyOf(starts);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -207,7 +207,6 @@
         writeMessage(out, 6, o -> writeDoneRuns(o, record.doneRuns()));
         out.writeBool(7, record.started());
         writeMessage(out, 8, o -> writeStarts(o, record.endedWithWorker()));
-        out.writeBool(9, record.whole());
     }
 
     private static void writeDoneRuns(CodedOutputStream out, DoneRuns done) throws IOException {
@@ -250,7 +249,6 @@
         long givenUpMs = 0;
         boolean started = false;
         List<StartedRun> endedWithWorker = List.of();
-        boolean whole = false;
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case 1 -> definition = JobDefinitionCodec.read(in.readBytes().newCodedInput());
@@ -261,7 +259,6 @@
                 case 6 -> doneRuns = readDoneRuns(in.readBytes().newCodedInput());
                 case 7 -> started = in.readBool();
                 case 8 -> endedWithWorker = readStarts(in.readBytes().newCodedInput());
-                case 9 -> whole = in.readBool();
                 default -> in.skipField(tag);
             }
         }
@@ -276,8 +273,7 @@
                 cancelledMs,
                 givenUpMs,
                 started,
-                endedWithWorker,
-                whole);
+                endedWithWorker);
     }
 
     private static void writeJobs(CodedOutputStream out, List<String> jobs) throws IOException {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/RecordParts.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/RecordParts.java
@@ -99,8 +99,7 @@
                 snapshot.cancelledMs(),
                 snapshot.givenUpMs(),
                 snapshot.started(),
-                slice(snapshot.endedWithWorker(), from - endedWithWorker, to - endedWithWorker),
-                false);
+                slice(snapshot.endedWithWorker(), from - endedWithWorker, to - endedWithWorker));
     }
 
     /** Returns the part of a list between two positions, which may be outside of it. */
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/JournalCodecTest.java
@@ -117,8 +117,7 @@
                         77,
                         0,
                         true,
-                        List.of(SUSPECT, REPEATED),
-                        false)
+                        List.of(SUSPECT, REPEATED))
             },
             {
                 new JobSnapshot(
@@ -129,8 +128,7 @@
                         0,
                         88,
                         false,
-                        List.of(),
-                        true)
+                        List.of())
             },
             {new JobsEnded(List.of(), 3)},
             {
--- a/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/journal/MalformedRecordsTest.java
@@ -226,8 +226,7 @@
                                 0,
                                 0,
                                 true,
-                                List.of(SUSPECT),
-                                true),
+                                List.of(SUSPECT)),
                         new JobsEnded(
                                 List.of(new EndedJob(JOB, "q", "o", JobPhase.FAILED, 3, 4)), 5),
                         new UnknownJobsCancelled(List.of(new CancelledId(JOB, "o", "q", 5))),
