--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalCodec.java
@@ -70,12 +70,12 @@
     public static byte[] encode(JournalRecord record) {
         byte[] content = encodeContent(record);
         boolean isOwners = record instanceof OwnerHeartbeat || record instanceof OwnerResigned;
-        return isOwners ? JournalKey.frameOfOwner(content) : JournalKey.of(content).frame(content);
+        return isOwners ? JournalKey.frameOfOwner(content) : JournalKey.frame(content);
     }
 
     /** Returns a record with its key, which a node of an earlier version may have left out. */
     public static byte[] withKey(byte[] record) {
-        return JournalKey.hasKey(record) ? record : JournalKey.of(record).frame(record);
+        return JournalKey.hasKey(record) ? record : JournalKey.frame(record);
     }
 
     private static byte[] encodeContent(JournalRecord record) {
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/JournalReader.java
@@ -253,8 +253,8 @@
         try {
             Optional<JournalRecord> decoded = JournalCodec.decode(bytes);
             if (decoded.isPresent()) {
-                mRetained.addEarlier(JournalKey.of(bytes), decoded.get(), mClock.nowMs());
                 if (!isOfOwner(decoded.get())) {
+                    mRetained.addEarlier(decoded.get(), mClock.nowMs());
                     mListener.accept(decoded.get(), mRegistry.apply(decoded.get()));
                 }
             }
@@ -269,15 +269,17 @@
 
     private void apply(int partition, long offset, byte[] bytes, boolean expired) {
         mRawListener.onRecord(partition, offset, bytes);
-        Optional<JournalKey> key = JournalKey.ofRecord(bytes);
+        long key = JournalKey.number(bytes);
         try {
             Optional<JournalRecord> decoded = JournalCodec.decode(bytes);
             if (decoded.isPresent()) {
                 JournalRecord record = decoded.get();
-                key.ifPresent(k -> mRetained.add(partition, k, record, mClock.nowMs(), expired));
+                if (key != JournalKey.NONE) {
+                    mRetained.add(partition, key, record, mClock.nowMs(), expired);
+                }
                 mListener.accept(record, mRegistry.apply(record));
             } else if (JournalKey.isRemoval(bytes)) {
-                key.ifPresent(k -> mRetained.remove(partition, k));
+                mRetained.remove(partition, key);
             }
         } catch (IOException e) {
             mNodeLog.line("journal-record")
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/RetainedRecord.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/RetainedRecord.java
@@ -7,7 +7,7 @@
  * A record of the journal that the log retains under its key.
  *
  * @param partition number of the partition that holds it
- * @param key key by which it is removed
+ * @param key number of the key by which it is removed
  * @param number number in the order in which this node has read the records
  * @param readMs when this node read it, on its monotonic clock in milliseconds
  * @param isExpired whether it had expired in the log before it was read
@@ -18,7 +18,7 @@
  */
 public record RetainedRecord(
         int partition,
-        JournalKey key,
+        long key,
         long number,
         long readMs,
         boolean isExpired,
@@ -41,11 +41,6 @@
         COMPLETED_WAVE
     }
 
-    public RetainedRecord {
-        jobs = List.copyOf(jobs);
-        cancelled = List.copyOf(cancelled);
-    }
-
     /** Whether it was read longer ago than this, in milliseconds, or had expired before. */
     public boolean isOlderThan(long ageMs, long nowMs) {
         return isExpired || wasReadBefore(nowMs - ageMs);
@@ -62,7 +57,7 @@
 
     /** Returns the record that removes this one from its partition. */
     public byte[] removal() {
-        return key.frame(new byte[0]);
+        return JournalKey.removal(key);
     }
 
     /** Retained records of a job. */
--- a/foxtail-node/src/main/java/org/foxtailplank/node/journal/RetainedRecords.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/journal/RetainedRecords.java
@@ -2,19 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.foxtailplank.job.JobRegistry;
 import org.foxtailplank.job.JournalRecord;
-import org.foxtailplank.job.JournalRecord.CancelledId;
-import org.foxtailplank.job.JournalRecord.EndedJob;
 import org.foxtailplank.job.JournalRecord.JobAccepted;
 import org.foxtailplank.job.JournalRecord.JobCancelled;
 import org.foxtailplank.job.JournalRecord.JobGivenUp;
@@ -40,34 +36,26 @@
  * first, as a definition without the job's end would bring the job back.
  */
 public final class RetainedRecords {
-    private final Map<Id, RetainedRecord> mRecords = new LinkedHashMap<>();
+    /** Records by partition and key, in the order in which they were read. */
+    private final Map<Integer, Map<Long, RetainedRecord>> mRecords = new TreeMap<>();
+
     private final Map<String, JobRecords> mJobs = new HashMap<>();
     private final JobRegistry mRegistry;
 
     /** Facts of an earlier version's journal that are about no job, and must be stored again. */
-    private final Map<JournalKey, JournalRecord> mEarlierFacts = new LinkedHashMap<>();
+    private final Map<RetainedRecord, JournalRecord> mEarlierFacts = new LinkedHashMap<>();
 
     private long mLastNumber;
 
-    private record Id(int partition, JournalKey key) {}
-
     RetainedRecords(JobRegistry registry) {
         mRegistry = registry;
     }
 
     /** Adds a record that was read; one that was stored again counts as read now. */
-    void add(int partition, JournalKey key, JournalRecord record, long readMs, boolean isExpired) {
-        Optional<Kind> kind = kind(record);
-        if (kind.isEmpty()) {
-            return;
-        }
-        remove(partition, key);
-        List<JobRecords> jobs = new ArrayList<>();
-        for (String id : jobIds(record)) {
-            jobs.add(mJobs.computeIfAbsent(id, JobRecords::new));
-        }
-        List<CancelledId> cancelled =
-                record instanceof UnknownJobsCancelled r ? r.ids() : List.of();
+    RetainedRecord add(
+            int partition, long key, JournalRecord record, long readMs, boolean isExpired) {
+        List<JobRecords> jobs = new ArrayList<>(1);
+        addJobs(record, jobs);
         RetainedRecord added =
                 new RetainedRecord(
                         partition,
@@ -75,20 +63,22 @@
                         ++mLastNumber,
                         readMs,
                         isExpired,
-                        kind.get(),
+                        kind(record),
                         jobs,
-                        cancelled,
+                        record instanceof UnknownJobsCancelled r ? r.ids() : List.of(),
                         wave(record));
-        mRecords.put(new Id(partition, key), added);
         jobs.forEach(j -> j.added(added));
+        remove(partition, key);
+        mRecords.computeIfAbsent(partition, p -> new LinkedHashMap<>()).put(key, added);
+        return added;
     }
 
     /** Adds a record of an earlier version's journal, which will expire. */
-    void addEarlier(JournalKey key, JournalRecord record, long readMs) {
-        add(JournalPartitions.EARLIER, key, record, readMs, true);
-        boolean isAboutJobs = !jobIds(record).isEmpty();
-        if (kind(record).isPresent() && (!isAboutJobs || record instanceof UnknownJobsCancelled)) {
-            mEarlierFacts.put(key, record);
+    void addEarlier(JournalRecord record, long readMs) {
+        RetainedRecord added =
+                add(JournalPartitions.EARLIER, mLastNumber + 1, record, readMs, true);
+        if (added.jobs().isEmpty() || record instanceof UnknownJobsCancelled) {
+            mEarlierFacts.put(added, record);
         }
     }
 
@@ -108,8 +98,9 @@
     }
 
     /** Removes the record of a key that the log no longer retains. */
-    void remove(int partition, JournalKey key) {
-        RetainedRecord removed = mRecords.remove(new Id(partition, key));
+    void remove(int partition, long key) {
+        Map<Long, RetainedRecord> records = mRecords.get(partition);
+        RetainedRecord removed = records == null ? null : records.remove(key);
         if (removed == null) {
             return;
         }
@@ -121,9 +112,14 @@
         }
     }
 
-    /** All records, in the order in which they were read. */
-    public Collection<RetainedRecord> all() {
-        return Collections.unmodifiableCollection(mRecords.values());
+    /** All records, those of each partition in the order in which they were read. */
+    public Stream<RetainedRecord> all() {
+        return mRecords.values().stream().flatMap(records -> records.values().stream());
+    }
+
+    /** Number of records. */
+    public int count() {
+        return mRecords.values().stream().mapToInt(Map::size).sum();
     }
 
     /** Number of the last record that was read. */
@@ -171,21 +167,18 @@
         };
     }
 
-    /** What a record states; empty if the log needn't retain it under a key of its own. */
-    private static Optional<Kind> kind(JournalRecord record) {
+    private static Kind kind(JournalRecord record) {
         if (record instanceof JobAccepted || record instanceof JobSnapshot) {
-            return Optional.of(Kind.DEFINITION);
+            return Kind.DEFINITION;
         }
         if (record instanceof UnknownJobsCancelled) {
-            return Optional.of(Kind.EARLY_CANCELLATIONS);
+            return Kind.EARLY_CANCELLATIONS;
         }
         if (record instanceof WaveCompleted) {
-            return Optional.of(Kind.COMPLETED_WAVE);
-        }
-        if (record instanceof VmRebooted || record instanceof WaveDue) {
-            return Optional.of(Kind.WAVE);
+            return Kind.COMPLETED_WAVE;
         }
-        return jobIds(record).isEmpty() ? Optional.empty() : Optional.of(Kind.FACTS);
+        boolean isAboutWave = record instanceof VmRebooted || record instanceof WaveDue;
+        return isAboutWave ? Kind.WAVE : Kind.FACTS;
     }
 
     private static long wave(JournalRecord record) {
@@ -198,43 +191,37 @@
         return record instanceof WaveCompleted r ? r.wave() : 0;
     }
 
-    /** IDs of the jobs that a record is about, without duplicates. */
-    private static Set<String> jobIds(JournalRecord record) {
-        Set<String> ids = new LinkedHashSet<>();
-        jobs(record).forEach(ids::add);
-        return ids;
-    }
-
-    private static Stream<String> jobs(JournalRecord record) {
+    /** Adds the jobs that a record is about, without duplicates. */
+    private void addJobs(JournalRecord record, List<JobRecords> jobs) {
         if (record instanceof JobAccepted r) {
-            return Stream.of(r.definition().id());
-        }
-        if (record instanceof JobSnapshot r) {
-            return Stream.of(r.definition().id());
-        }
-        if (record instanceof JobCancelled r) {
-            return Stream.of(r.job());
-        }
-        if (record instanceof JobGivenUp r) {
-            return Stream.of(r.job());
-        }
-        if (record instanceof RunsStarted r) {
-            return r.runs().stream().map(run -> run.task().job());
-        }
-        if (record instanceof RunsEnded r) {
-            return r.runs().stream().map(run -> run.task().job());
-        }
-        if (record instanceof RunsEndedWithWorker r) {
-            return r.runs().stream().map(run -> run.task().job());
-        }
-        if (record instanceof JobsStarted r) {
-            return r.jobs().stream();
-        }
-        if (record instanceof JobsEnded r) {
-            return r.jobs().stream().map(EndedJob::job);
+            addJob(r.definition().id(), jobs);
+        } else if (record instanceof JobSnapshot r) {
+            addJob(r.definition().id(), jobs);
+        } else if (record instanceof RunsStarted r) {
+            r.runs().forEach(run -> addJob(run.task().job(), jobs));
+        } else if (record instanceof RunsEnded r) {
+            r.runs().forEach(run -> addJob(run.task().job(), jobs));
+        } else if (record instanceof JobsStarted r) {
+            r.jobs().forEach(id -> addJob(id, jobs));
+        } else if (record instanceof JobCancelled r) {
+            addJob(r.job(), jobs);
+        } else if (record instanceof JobGivenUp r) {
+            addJob(r.job(), jobs);
+        } else if (record instanceof RunsEndedWithWorker r) {
+            r.runs().forEach(run -> addJob(run.task().job(), jobs));
+        } else if (record instanceof JobsEnded r) {
+            r.jobs().forEach(ended -> addJob(ended.job(), jobs));
+        } else if (record instanceof UnknownJobsCancelled r) {
+            r.ids().forEach(id -> addJob(id.job(), jobs));
+        }
+    }
+
+    private void addJob(String id, List<JobRecords> jobs) {
+        JobRecords job = mJobs.computeIfAbsent(id, JobRecords::new);
+        // The tasks of a job follow each other.
+        boolean isLast = !jobs.isEmpty() && jobs.get(jobs.size() - 1) == job;
+        if (!isLast && !jobs.contains(job)) {
+            jobs.add(job);
         }
-        return record instanceof UnknownJobsCancelled r
-                ? r.ids().stream().map(CancelledId::job)
-                : Stream.empty();
     }
 }
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalCompactor.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/JournalCompactor.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,9 +27,6 @@
  * <p>The log retains each record until it is removed, so nothing is lost if no owner compacts the
  * journal. A job with several records of which one is old gets a copy of all its facts; the records
  * that the copy replaces are then removed, as are those of jobs that have been forgotten.
- *
- * <p>A job isn't copied while one of its records is being removed, and the other way round: a copy
- * that equals a removed record has the same key.
  */
 final class JournalCompactor {
     /** Part of the retention after which a record is old. */
@@ -57,28 +53,15 @@
     private final RetainedRecords mRetained;
     private final JournalLimits mLimits;
 
-    /** Jobs whose copies are being stored, or aren't read yet. */
+    /** Jobs whose copies are being stored. */
     private final Set<String> mCopying = new HashSet<>();
 
-    private final List<StoredCopies> mStoredCopies = new ArrayList<>();
-
     /** Facts of an earlier version's journal that are being stored again. */
     private final Set<JournalRecord> mStoringFacts = new HashSet<>();
 
     /** Numbers of the records that are being removed. */
     private final Set<Long> mRemoving = new HashSet<>();
 
-    /** How many records of a job are being removed. */
-    private final Map<String, Integer> mRemovingByJob = new HashMap<>();
-
-    /**
-     * Copies that are stored.
-     *
-     * @param number number of the last record that had been read when the copies were taken
-     * @param storedMs when the store confirmed them, on this node's monotonic clock in milliseconds
-     */
-    private record StoredCopies(List<String> jobs, long number, long storedMs) {}
-
     /**
      * Creates a compactor.
      *
@@ -112,30 +95,28 @@
             return;
         }
         mContext.timers().after(checkIntervalMs(), this::check);
-        recordReadCopies();
         long now = mClock.nowMs();
         List<RetainedRecord> dispensable = new ArrayList<>();
         Map<String, JobProgress> active = new LinkedHashMap<>();
         Map<String, JobProgress> ended = new LinkedHashMap<>();
-        for (RetainedRecord record : mRetained.all()) {
-            if (!record.isOlderThan(oldAgeMs(), now)) {
-                continue;
-            }
-            if (!mRetained.isNeeded(record, now - mLimits.endedJobRetentionMs())) {
-                dispensable.add(record);
-                continue;
-            }
-            for (JobRecords job : record.jobs()) {
-                selectForCopy(job, record, active, ended);
-            }
-        }
+        mRetained
+                .all()
+                .filter(r -> r.isOlderThan(oldAgeMs(), now))
+                .forEach(
+                        r -> {
+                            if (!mRetained.isNeeded(r, now - mLimits.endedJobRetentionMs())) {
+                                dispensable.add(r);
+                            } else {
+                                r.jobs().forEach(j -> selectForCopy(j, r, active, ended));
+                            }
+                        });
         long jobs = mRegistry.jobs().size();
         limited(active.values(), maxPerCheck(jobs)).forEach(this::copyActive);
         inParts(limited(ended.values(), maxPerCheck(jobs)), this::copyEnded);
         mRetained.earlierFacts().stream()
                 .filter(mStoringFacts::add)
                 .forEach(this::storeEarlierFact);
-        remove(dispensable, maxPerCheck(mRetained.all().size()));
+        remove(dispensable, maxPerCheck(mRetained.count()));
     }
 
     private void storeEarlierFact(JournalRecord fact) {
@@ -149,9 +130,8 @@
             Map<String, JobProgress> active,
             Map<String, JobProgress> ended) {
         String id = job.id();
-        boolean isBusy = mCopying.contains(id) || mRemovingByJob.containsKey(id);
         boolean isOnlyRecord = job.count() < 2 && !record.isEarlier();
-        if (isBusy || isOnlyRecord || job.isCopied(record)) {
+        if (isOnlyRecord || job.isCopied(record) || mCopying.contains(id)) {
             return;
         }
         mRegistry
@@ -188,38 +168,22 @@
         mContext.metrics().counter("journal_rewritten_ended_jobs").inc(summaries.size());
     }
 
-    /** Stores copies of jobs, which count once all of the record is stored and read. */
+    /** Stores copies of jobs, which count once the store has confirmed all of the record. */
     private void storeCopies(JournalRecord record, List<String> jobs) {
         long number = mRetained.lastNumber();
         mCopying.addAll(jobs);
         mJournal.store(
                 record,
-                () -> mStoredCopies.add(new StoredCopies(jobs, number, mClock.nowMs())),
+                () -> {
+                    mRetained.recordCopies(jobs, number);
+                    jobs.forEach(mCopying::remove);
+                },
                 () -> jobs.forEach(mCopying::remove));
     }
 
-    /**
-     * Records the copies that this node has read since they were stored. An unread one may have the
-     * key of an earlier record, which then must not be removed.
-     */
-    private void recordReadCopies() {
-        long completeMs = mContext.reader().completeMs();
-        mStoredCopies.removeIf(
-                c -> {
-                    boolean isRead = c.storedMs() < completeMs;
-                    if (isRead) {
-                        mRetained.recordCopies(c.jobs(), c.number());
-                        c.jobs().forEach(mCopying::remove);
-                    }
-                    return isRead;
-                });
-    }
-
-    /** Removes records of jobs that aren't being copied. */
     private void remove(List<RetainedRecord> records, long max) {
         records.stream()
                 .filter(r -> !mRemoving.contains(r.number()))
-                .filter(r -> r.jobs().stream().noneMatch(j -> mCopying.contains(j.id())))
                 .limit(Math.max(0, max - mRemoving.size()))
                 .forEach(this::remove);
     }
@@ -229,21 +193,12 @@
             mRetained.forgetEarlier(record);
             return;
         }
-        mRemoving.add(record.number());
-        record.jobs().forEach(j -> mRemovingByJob.merge(j.id(), 1, Integer::sum));
-        mJournal.storeIn(record.partition(), record.removal(), () -> removalCompleted(record));
+        long number = record.number();
+        mRemoving.add(number);
+        mJournal.storeIn(record.partition(), record.removal(), () -> mRemoving.remove(number));
         mContext.metrics().counter("journal_removed_records").inc();
     }
 
-    private void removalCompleted(RetainedRecord record) {
-        mRemoving.remove(record.number());
-        record.jobs()
-                .forEach(
-                        j ->
-                                mRemovingByJob.computeIfPresent(
-                                        j.id(), (id, n) -> n > 1 ? n - 1 : null));
-    }
-
     private static <T> void inParts(List<T> items, Consumer<List<T>> action) {
         for (int from = 0; from < items.size(); from += MAX_JOBS_PER_RECORD) {
             action.accept(items.subList(from, Math.min(items.size(), from + MAX_JOBS_PER_RECORD)));
