--- a/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalUpgradeTest.java
+++ b/foxtail-node/src/test/java/org/foxtailplank/node/owner/JournalUpgradeTest.java
@@ -52,6 +52,16 @@
         storeEarlier(new OwnerHeartbeat(1, "10.0.0.9:1", 0));
     }
 
+    private void takeOverFromEarlierVersion() {
+        start(20_000);
+        mOwner.mEnded = true;
+        mOwner.mJournal.close();
+        storeEarlierJournal();
+        mOwner = new Node();
+        mOwner.read();
+        mOwner.takeOver();
+    }
+
     private void assertEarlierJournalIsKnown() {
         assertEquals(mOwner.registry().job("aa").orElseThrow().phase(), JobPhase.QUEUED);
         assertEquals(mOwner.registry().job("bb").orElseThrow().phase(), JobPhase.RUNNING);
@@ -63,13 +73,7 @@
     /** Guards against facts that only a journal which expires contains. */
     @Test
     public void whatAnEarlierVersionStoredIsKnownAfterItsJournalHasExpired() {
-        start(20_000);
-        mOwner.mEnded = true;
-        mOwner.mJournal.close();
-        storeEarlierJournal();
-        mOwner = new Node();
-        mOwner.read();
-        mOwner.takeOver();
+        takeOverFromEarlierVersion();
         assertEarlierJournalIsKnown();
         pass(10_000, 0);
         loseAllNodes(45_000);
@@ -80,13 +84,7 @@
     /** Guards against an owner of an earlier version beside one of this version. */
     @Test
     public void anOwnerOfAnEarlierVersionIsFencedForGood() {
-        start(20_000);
-        mOwner.mEnded = true;
-        mOwner.mJournal.close();
-        storeEarlierJournal();
-        mOwner = new Node();
-        mOwner.read();
-        mOwner.takeOver();
+        takeOverFromEarlierVersion();
         SharedLog.AppendResult[] result = new SharedLog.AppendResult[1];
         mLog.appendAs(
                 EARLIER.get(0), new WriterEpoch("owner", 99, 0), List.of(), r -> result[0] = r);
