--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/AdmissionLoadTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/AdmissionLoadTest.java
@@ -36,7 +36,7 @@
         for (JobDefinition d : admission.mSubmitted.values()) {
             if (filter.test(d) && admission.mAccepted.contains(d.id())) {
                 accepted++;
-                useless += admission.simulation().hasBenefit(d.id()) ? 0 : 1;
+                useless += admission.simulation().job(d.id()).hasBenefit() ? 0 : 1;
             }
         }
         return useless / accepted;
@@ -110,7 +110,7 @@
     private static long usefulOthers(SimulatedAdmission admission) {
         return admission.mSubmitted.values().stream()
                 .filter(d -> !d.organisation().equals(TurnLoad.FLOODING))
-                .filter(d -> admission.simulation().hasBenefit(d.id()))
+                .filter(d -> admission.simulation().job(d.id()).hasBenefit())
                 .count();
     }
 
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/AdmissionMeasurement.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/AdmissionMeasurement.java
@@ -69,8 +69,8 @@
                         n[2 * outlook.ordinal()]++;
                         boolean good =
                                 outlook == Outlook.IN_TIME
-                                        ? simulation.isInTime(e.getKey())
-                                        : simulation.hasBenefit(e.getKey());
+                                        ? simulation.job(e.getKey()).isInTime()
+                                        : simulation.job(e.getKey()).hasBenefit();
                         n[2 * outlook.ordinal() + 1] += good ? 1 : 0;
                     }
                 }
@@ -123,8 +123,8 @@
                 boolean in = a.mAccepted.contains(id);
                 accepted += in ? 1 : 0;
                 refusedForGood += in ? 0 : 1;
-                inTime += a.simulation().isInTime(id) ? 1 : 0;
-                useless += in && !a.simulation().hasBenefit(id) ? 1 : 0;
+                inTime += a.simulation().job(id).isInTime() ? 1 : 0;
+                useless += in && !a.simulation().job(id).hasBenefit() ? 1 : 0;
             }
             peak =
                     Math.max(
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/BurstSimulationTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/BurstSimulationTest.java
@@ -126,7 +126,7 @@
             runBurst(simulation, random, "reports", JobKind.QUICK, QUICK_JOBS_PER_S, 8000);
             simulation.advance(30_000);
             assertEquals(simulation.doneJobs(), simulation.totalJobs(), "late jobs complete too");
-            onTime += simulation.onTimeJobs("reports");
+            onTime += simulation.onTimeJobs(d -> d.service().equals("reports"));
             jobs += simulation.totalJobs() - 90;
         }
 
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/FleetSimulation.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,15 +11,18 @@
 import java.util.function.Predicate;
 import org.foxtailplank.fleet.Resources;
 import org.foxtailplank.job.JobDefinition;
+import org.foxtailplank.job.JournalRecord.VmRebooted;
 import org.foxtailplank.job.QueuePolicy;
 import org.foxtailplank.job.RunOutcome;
 import org.foxtailplank.job.RunStatus;
+import org.foxtailplank.job.TaskName;
 import org.foxtailplank.job.TaskStep;
 import org.foxtailplank.job.Timetable;
+import org.foxtailplank.lease.ClockReading;
 import org.foxtailplank.organisation.Organisation;
+import org.foxtailplank.port.MaintenanceWave;
 import org.foxtailplank.port.VmClient.VmInfo;
 import org.foxtailplank.port.VmClient.VmOutcome;
-import org.foxtailplank.port.VmClient.VmPhase;
 
 /**
  * Simulates a fleet under load with the real decisions: jobs arrive, VMs move, and tasks take time.
@@ -35,23 +40,23 @@
 
     private static final int ZONES = 3;
 
+    /** Time from the request of a reboot until the VM is up, in milliseconds. */
+    private static final long REBOOT_MS = 2000;
+
     /** Time between two polls of a worker, in milliseconds. */
     private static final long POLL_INTERVAL_MS = 500;
 
     /** Factor on the run time of a task outside the rack of its data. */
     private static final int REMOTE_FACTOR = 3;
 
-    /** Jobs that end within this many times their objective are late and still of some use. */
-    private static final int LATE_FACTOR = 3;
-
     private static final double MS_PER_S = 1000;
 
-    final OwnerHarness mOwner = new OwnerHarness();
-    final VmPlanner mPlanner = new VmPlanner(mOwner.mScheduler);
+    OwnerHarness mOwner = new OwnerHarness();
+    VmPlanner mPlanner = new VmPlanner(mOwner.mScheduler);
 
     private final VmSize mSize;
-    private final List<Vm> mVms = new ArrayList<>();
-    private final Map<String, Job> mJobs = new LinkedHashMap<>();
+    private final List<SimulatedVm> mVms = new ArrayList<>();
+    private final Map<String, SimulatedJob> mJobs = new LinkedHashMap<>();
     private final long mStartMs = mOwner.mNowMs;
     private long mClockMs = mStartMs;
     private long mLastSequence;
@@ -61,6 +66,17 @@
     private long mCutUntilMs;
     private int mMoves;
     private SimulatedOutage mOutage = SimulatedOutage.NONE;
+    private final List<DueWave> mWaves = new ArrayList<>();
+    private final Map<RunKey, Long> mBegunMs = new HashMap<>();
+    private final List<SimulatedJob> mWithoutOwner = new ArrayList<>();
+    private long mOwnerFromMs;
+
+    /** One run of a task, whichever owner knows it. */
+    private record RunKey(TaskName task, int attempt) {
+        static RunKey of(TaskRun run) {
+            return new RunKey(run.task().name(), run.attempt());
+        }
+    }
 
     /**
      * Size of all VMs.
@@ -75,56 +91,6 @@
         }
     }
 
-    /** A simulated VM. */
-    private static final class Vm {
-        final String mId;
-        final String mRack;
-        final String mZone;
-        String mPool;
-        int mIncarnation;
-        long mUpMs;
-        boolean mJoined;
-
-        Vm(String id, String rack, String zone, String pool) {
-            mId = id;
-            mRack = rack;
-            mZone = zone;
-            mPool = pool;
-        }
-
-        String worker() {
-            return mId + "-" + mIncarnation;
-        }
-    }
-
-    /** A simulated job, with the true run times of its tasks. */
-    private static final class Job {
-        final JobDefinition mDefinition;
-        final RunTimes mRunTimes;
-        final long mSubmittedMs;
-        long mDoneMs = Long.MAX_VALUE;
-
-        Job(JobDefinition definition, RunTimes runTimes) {
-            mDefinition = definition;
-            mRunTimes = runTimes;
-            mSubmittedMs = definition.acceptedMs();
-        }
-
-        /** Time from its arrival that its objective allows, by the true length of its chain. */
-        double objectiveMs() {
-            double chainMs = mRunTimes.chainMs(mDefinition);
-            return mDefinition.policy().stretch() * chainMs + mDefinition.policy().sloMs();
-        }
-
-        double elapsedMs() {
-            return (double) mDoneMs - mSubmittedMs;
-        }
-
-        double work() {
-            return mRunTimes.work(mDefinition);
-        }
-    }
-
     FleetSimulation() {
         this(VmSize.CORES_32);
     }
@@ -138,13 +104,13 @@
         for (int i = 0; i < count; i++) {
             int number = mVms.size();
             String zone = "z" + number / mSize.vmsPerRack() % ZONES;
-            Vm vm = new Vm("vm" + number, mSize.rack(number), zone, pool);
+            SimulatedVm vm = new SimulatedVm("vm" + number, mSize.rack(number), zone, pool);
             mVms.add(vm);
             join(vm);
         }
     }
 
-    private void join(Vm vm) {
+    private void join(SimulatedVm vm) {
         vm.mJoined = true;
         if (!mOwner.mConfig.isStandby(vm.mPool)) {
             mOwner.addWorker(vm.worker(), vm.mPool, mSize.capacity(), vm.mRack, vm.mZone);
@@ -183,13 +149,15 @@
                         wallMs(),
                         0,
                         organisation);
-        Job job = new Job(definition, runTimes);
+        SimulatedJob job = new SimulatedJob(definition, runTimes);
         mJobs.put(id, job);
         mAdmission.ifPresentOrElse(a -> a.submit(definition), () -> submit(job));
     }
 
-    private void submit(Job job) {
-        if (isStoreDown()) {
+    private void submit(SimulatedJob job) {
+        if (!hasOwner()) {
+            mWithoutOwner.add(job);
+        } else if (isStoreDown()) {
             mOutage.rejected(job.mDefinition.id(), mClockMs);
             UnstoredJob.of(job.mDefinition, 0)
                     .ifPresent(u -> mOwner.mScheduler.jobUnstored(u, mClockMs));
@@ -224,6 +192,53 @@
         return mOutage.isDown(mClockMs);
     }
 
+    /** Adds a wave over VMs of the fleet, which must be done after a time. */
+    void addWave(List<String> vms, int maxConcurrent, long durationMs) {
+        long number = mWaves.size() + 1;
+        MaintenanceWave wave = new MaintenanceWave(number, vms, durationMs, maxConcurrent);
+        mWaves.add(new DueWave(wave, mClockMs + durationMs));
+    }
+
+    /** IDs of the VMs in a pool. */
+    List<String> vmsOf(String pool) {
+        return mVms.stream().filter(v -> v.mPool.equals(pool)).map(v -> v.mId).toList();
+    }
+
+    /**
+     * Ends the owner. Another one takes over after a time, and only then learns of the jobs that
+     * are submitted meanwhile.
+     */
+    void replaceOwner(long ms) {
+        mOwnerFromMs = mClockMs + ms;
+    }
+
+    private boolean hasOwner() {
+        return mClockMs >= mOwnerFromMs;
+    }
+
+    /** Replaces the owner by one that has read the journal and polled no worker yet. */
+    private void takeOver() {
+        OwnerHarness former = mOwner;
+        mOwner = new OwnerHarness(former.mRegistry);
+        mOwner.mConfig = former.mConfig;
+        mOwner.mNowMs = mClockMs;
+        mPlanner = new VmPlanner(mOwner.mScheduler);
+        for (SimulatedVm vm : mVms) {
+            vm.mJoined = mClockMs >= vm.mUpMs + JOIN_MS;
+            if (vm.mJoined && !mOwner.mConfig.isStandby(vm.mPool)) {
+                mOwner.mScheduler.updateWorker(
+                        OwnerHarness.info(
+                                vm.worker(), vm.mPool, mSize.capacity(), vm.mRack, vm.mZone),
+                        mClockMs);
+            }
+        }
+        mOwner.mRegistry
+                .jobs()
+                .forEach(j -> mOwner.mScheduler.addInheritedJob(j, w -> false, mClockMs));
+        mPlanner.learnInheritedArrivals(
+                new ClockReading(mClockMs, wallMs()), mOwner.mRegistry.completeSinceMs(wallMs()));
+    }
+
     /** Decides, and starts what can be recorded. */
     private void placeTasks() {
         mOwner.mScheduler.setStoreAvailable(!isStoreDown());
@@ -270,14 +285,27 @@
 
     /** Advances the simulation by one step. */
     void tick() {
+        boolean hadOwner = hasOwner();
         mClockMs += STEP_MS;
+        for (SimulatedVm vm : mVms) {
+            mPoolVmMs += mOwner.mConfig.isStandby(vm.mPool) ? 0 : STEP_MS;
+        }
+        if (!hasOwner()) {
+            return;
+        }
+        if (!hadOwner) {
+            takeOver();
+            moveVms();
+            return;
+        }
         mOwner.mNowMs = mClockMs;
-        for (Vm vm : mVms) {
+        for (SimulatedVm vm : mVms) {
             if (!vm.mJoined && mClockMs >= vm.mUpMs + JOIN_MS && !isStoreDown()) {
                 join(vm);
             }
-            mPoolVmMs += mOwner.mConfig.isStandby(vm.mPool) ? 0 : STEP_MS;
         }
+        mWithoutOwner.forEach(this::submit);
+        mWithoutOwner.clear();
         updateRuns();
         mAdmission.ifPresent(SimulatedAdmission::tick);
         mOutage.returning(mClockMs).forEach(id -> submit(mJobs.get(id)));
@@ -303,7 +331,7 @@
                 }
                 continue;
             }
-            if (worker.isUnresponsive()) {
+            if (worker.isUnresponsive() || !worker.hasClock()) {
                 poll(worker);
             }
             for (TaskRun run : List.copyOf(worker.runs())) {
@@ -321,7 +349,7 @@
         for (TaskRun run : worker.runs()) {
             if (run.phase() == RunPhase.RUNNING) {
                 boolean standing = run.task().spec().mode().standing();
-                double share = (mClockMs - run.firstSeenMs()) / durationMs(run);
+                double share = (mClockMs - begunMs(run)) / durationMs(run);
                 double percent = standing ? RunStatus.READY_PERCENT : Math.min(99, 100 * share);
                 running.add(new RunStatus(run.task().name(), run.attempt(), "", percent, 0));
             }
@@ -336,7 +364,7 @@
             return;
         }
         boolean standing = run.task().spec().mode().standing();
-        boolean due = mClockMs - run.firstSeenMs() >= durationMs(run);
+        boolean due = mClockMs - begunMs(run) >= durationMs(run);
         if (!standing && run.phase() == RunPhase.RUNNING && due) {
             mLastSequence++;
             mOwner.endRun(run, RunOutcome.DONE, mLastSequence);
@@ -344,38 +372,35 @@
         }
     }
 
+    /** When a run began, also for an owner that has inherited it. */
+    private long begunMs(TaskRun run) {
+        return mBegunMs.computeIfAbsent(RunKey.of(run), k -> run.firstSeenMs());
+    }
+
     private double durationMs(TaskRun run) {
-        Job job = mJobs.get(run.task().name().job());
+        SimulatedJob job = mJobs.get(run.task().name().job());
         boolean remote = WorkerChooser.isRemote(run.task(), run.worker());
         return job.mRunTimes.ofTask(job.mDefinition, run.task().name())
                 * (remote ? REMOTE_FACTOR : 1);
     }
 
     private void noteDone(ActiveJob job) {
-        Job simulated = mJobs.get(job.id());
-        if (job.runs().get(0).isDone() && simulated.mDoneMs == Long.MAX_VALUE) {
-            simulated.mDoneMs = wallMs();
+        if (job.runs().get(0).isDone()) {
+            mJobs.get(job.id()).markDone(wallMs());
         }
     }
 
     private void moveVms() {
         List<VmInfo> infos = new ArrayList<>();
-        for (Vm vm : mVms) {
-            boolean up = mClockMs >= vm.mUpMs;
-            boolean hasWorker = up && !mOwner.mConfig.isStandby(vm.mPool);
-            infos.add(
-                    new VmInfo(
-                            vm.mId,
-                            vm.mPool,
-                            up ? VmPhase.UP : VmPhase.MOVING,
-                            hasWorker ? vm.worker() : "",
-                            mSize.capacity()));
+        for (SimulatedVm vm : mVms) {
+            boolean hasWorker = !mOwner.mConfig.isStandby(vm.mPool);
+            infos.add(vm.info(hasWorker, mSize.capacity(), mClockMs));
         }
         mPlanner.applyList(infos, mClockMs);
         VmPlanner.VmDecisions decisions =
                 mPlanner.decide(
                         mOwner.mConfig,
-                        List.of(),
+                        mWaves,
                         mOwner.mRegistry,
                         mOutage.areCallsAllowed(mClockMs),
                         mClockMs,
@@ -384,7 +409,8 @@
     }
 
     private void carryOut(VmPlanner.Call call) {
-        Vm vm = mVms.stream().filter(v -> v.mId.equals(call.vm().id())).findAny().orElseThrow();
+        SimulatedVm vm =
+                mVms.stream().filter(v -> v.mId.equals(call.vm().id())).findAny().orElseThrow();
         mPlanner.callAnswered(call, VmOutcome.DONE, mClockMs);
         mOwner.mScheduler
                 .worker(vm.worker())
@@ -392,11 +418,17 @@
                         w ->
                                 mOwner.mScheduler.removeWorker(
                                         w, WorkerEndReason.MOVED_OR_REBOOTED, mOwner.mNowMs));
-        vm.mPool = ((PlannedVmAction.Move) call.action()).pool();
         vm.mIncarnation++;
-        vm.mUpMs = mClockMs + MOVE_MS;
         vm.mJoined = false;
-        mMoves++;
+        vm.mRebooting = call.action() instanceof PlannedVmAction.Reboot;
+        if (call.action() instanceof PlannedVmAction.Reboot reboot) {
+            mOwner.mRegistry.apply(new VmRebooted(reboot.wave(), vm.mId));
+            vm.mUpMs = mClockMs + REBOOT_MS;
+        } else {
+            vm.mPool = ((PlannedVmAction.Move) call.action()).pool();
+            vm.mUpMs = mClockMs + MOVE_MS;
+            mMoves++;
+        }
     }
 
     /** Number of jobs that met their objectives. */
@@ -404,27 +436,16 @@
         return onTimeJobs(d -> true);
     }
 
-    /** Number of a service's jobs that met their objectives. */
-    long onTimeJobs(String service) {
-        return onTimeJobs(d -> d.service().equals(service));
-    }
-
     /** Number of jobs among those selected that met their objectives. */
     long onTimeJobs(Predicate<JobDefinition> filter) {
         return mJobs.values().stream()
                 .filter(j -> filter.test(j.mDefinition))
-                .filter(FleetSimulation::isOnTime)
+                .filter(SimulatedJob::isOnTime)
                 .count();
     }
 
-    private static boolean isOnTime(Job job) {
-        JobDefinition definition = job.mDefinition;
-        long objective = job.mSubmittedMs + definition.objectiveLengthMs();
-        return job.mDoneMs <= objective;
-    }
-
     int doneJobs() {
-        return (int) mJobs.values().stream().filter(j -> j.mDoneMs < Long.MAX_VALUE).count();
+        return (int) mJobs.values().stream().filter(SimulatedJob::isDone).count();
     }
 
     int totalJobs() {
@@ -443,30 +464,23 @@
     double earnedShare() {
         double earned = 0;
         double all = 0;
-        for (Job job : mJobs.values()) {
+        for (SimulatedJob job : mJobs.values()) {
             if (job.mDefinition.isStanding()) {
                 continue;
             }
-            double value = job.work();
-            all += value;
-            if (job.mDoneMs < Long.MAX_VALUE) {
-                double lateness = job.elapsedMs() / job.objectiveMs();
-                earned += lateness <= 1 ? value : lateness <= LATE_FACTOR ? value / 15 : 0;
-            }
+            all += job.work();
+            earned += job.earned();
         }
         return earned / all;
     }
 
-    /** Whether a job met its objective, by the true length of its chain. */
-    boolean isInTime(String id) {
-        Job job = mJobs.get(id);
-        return job.mDoneMs < Long.MAX_VALUE && job.elapsedMs() <= job.objectiveMs();
+    /** All jobs so far. */
+    Collection<SimulatedJob> jobs() {
+        return mJobs.values();
     }
 
-    /** Whether a job completed while it had a benefit. */
-    boolean hasBenefit(String id) {
-        Job job = mJobs.get(id);
-        return job.mDoneMs < Long.MAX_VALUE && job.elapsedMs() <= LATE_FACTOR * job.objectiveMs();
+    SimulatedJob job(String id) {
+        return mJobs.get(id);
     }
 
     /** Time that VMs spent in pools, in seconds. */
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OwnerHarness.java
@@ -107,7 +107,7 @@
                 incarnation, service, "10.0.0.1:1", "zone", capacity, all, "r1", false);
     }
 
-    private static WorkerInfo info(
+    static WorkerInfo info(
             String id, String service, Resources capacity, String rack, String zone) {
         return new WorkerInfo(
                 WorkerIncarnation.ofUnknownStart(id),
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/StoreOutageSimulationTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/StoreOutageSimulationTest.java
@@ -52,7 +52,7 @@
             FleetSimulation simulation = new FleetSimulation();
             List<String> counted = simulate(simulation, new Random(seed), outageMs);
             assertEquals(simulation.doneJobs(), simulation.totalJobs(), "late jobs complete too");
-            inTime += counted.stream().filter(simulation::isInTime).count();
+            inTime += counted.stream().filter(id -> simulation.job(id).isInTime()).count();
             jobs += counted.size();
         }
         return inTime / jobs;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/TurnLoad.java
@@ -36,6 +36,10 @@
     private int mCycles = 1;
     private long mZoneCutAtMs = -1;
     private long mZoneCutMs;
+    private long mOwnerEndAtMs = -1;
+    private long mOwnerlessMs;
+    private long mWaveAtMs = -1;
+    private long mWaveMs;
     private double mTurnShare = TURN_SHARE;
     private double mFloodFactor = 1;
 
@@ -126,6 +130,20 @@
         return this;
     }
 
+    /** Ends the owner after so long; another one takes over after a further time. */
+    TurnLoad withNewOwner(long atMs, long ownerlessMs) {
+        mOwnerEndAtMs = atMs;
+        mOwnerlessMs = ownerlessMs;
+        return this;
+    }
+
+    /** Begins a wave after so long that reboots half of the VMs of the standby pool in a time. */
+    TurnLoad withWave(long atMs, long durationMs) {
+        mWaveAtMs = atMs;
+        mWaveMs = durationMs;
+        return this;
+    }
+
     /** Lets each queue take this many turns. */
     TurnLoad withCycles(int cycles) {
         mCycles = cycles;
@@ -157,12 +175,24 @@
             if (elapsedMs == mZoneCutAtMs) {
                 mSimulation.cutZone("z1", mZoneCutMs);
             }
+            if (elapsedMs == mOwnerEndAtMs) {
+                mSimulation.replaceOwner(mOwnerlessMs);
+            }
+            if (elapsedMs == mWaveAtMs) {
+                beginWave();
+            }
             mSimulation.tick();
         }
         mSimulation.advance(14_000);
         return mSimulation;
     }
 
+    private void beginWave() {
+        List<String> vms = mSimulation.vmsOf("off");
+        List<String> half = vms.subList(0, vms.size() / 2);
+        mSimulation.addWave(half, half.size(), mWaveMs);
+    }
+
     private TaskStep standing(TurnShape.Standing s) {
         double position = mStandingRandom.nextDouble();
         long milliCores =
