Select jobs in time by their latest starts

What callers saw: in a turn that asks for more than its pool can do, everything is accepted, all cores are in use, and nearly all jobs end slightly late.

Cause: OnTimeSelection compared a job's work with what the workers can do until its objective. Cores whose tasks are running don't start others before these have ended, and a task that starts after its job's latest start ends too late. So more jobs were selected than could start in time, and as those with the least slack come first, each of them was delayed until it was late. The same held for the jobs of an organisation under its cap, which are compared with it in the same way.

Change: the waiting tasks of the selected jobs must be able to start by the latest start of each. Cores that are free count until the objective, all others until the latest start, less half of the work that runs on them. Nothing depends on a service or a deployment, and an idle pool selects as many as before.

JobEntitlementsTest has a control: without shares a flood makes jobs of others late.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveRun.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveRun.java
@@ -125,6 +125,24 @@
         return longest;
     }
 
+    /** Expected work of the tasks that have runs, in milliseconds times thousandths of a core. */
+    double runningWork() {
+        double sum = 0;
+        for (ActiveStep s : mSteps) {
+            sum += (double) s.expectedMs() * s.spec().demand().milliProcessors() * s.runningTasks();
+        }
+        return sum;
+    }
+
+    /** Demand of the tasks that have runs, in thousandths of a core. */
+    double runningMilliCores() {
+        double sum = 0;
+        for (ActiveStep s : mSteps) {
+            sum += (double) s.spec().demand().milliProcessors() * s.runningTasks();
+        }
+        return sum;
+    }
+
     /**
      * Expected work left, in milliseconds times thousandths of a core; at most the largest long.
      */
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/ActiveStep.java
@@ -79,6 +79,15 @@
         return mRemainingTasks;
     }
 
+    /** Tasks that aren't done and have a run. */
+    int runningTasks() {
+        int running = 0;
+        for (ActiveTask t : mTasks) {
+            running += t.runs().isEmpty() ? 0 : 1;
+        }
+        return running;
+    }
+
     void recordTaskDone() {
         mRemainingTasks--;
     }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OnTimeSelection.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OnTimeSelection.java
@@ -9,25 +9,38 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import org.foxtailplank.job.JobDefinition;
 
 /**
  * Selects the batch jobs that can meet their objectives together.
  *
- * <p>Uses the Moore-Hodgson algorithm: jobs are taken in the order of their objectives, and
- * whenever the work so far exceeds what the workers can do by then, the largest job is left out.
- * This maximizes the number of objectives met on a single machine of the pool's size. The jobs of
- * an organisation with a cap must in addition be possible within that cap; otherwise all of its
- * jobs would share the cap and be late.
+ * <p>Uses the Moore-Hodgson algorithm: jobs are taken in the order of their latest starts, and
+ * whenever the tasks so far are more than the workers can have started by then, the largest job is
+ * left out. This maximizes the number of objectives met on a single machine of the pool's size.
+ *
+ * <p>Only cores that are free now can be used until the objective. The others are free once their
+ * tasks have ended, and a task that starts after its job's latest start ends too late. If all of
+ * the time until the objective counted, all jobs of an overloaded queue would be slightly late.
+ *
+ * <p>The jobs of an organisation with a cap must in addition be possible within that cap; otherwise
+ * all of its jobs would share the cap and be late.
  */
 final class OnTimeSelection {
-    private final long mMilliCores;
+    /** Share of the work of running tasks that is left on average. */
+    private static final double LEFT_SHARE = 0.5;
+
+    private final Selected mAll;
     private final OrganisationCaps mCaps;
     private final long mNowWallMs;
-    private final Selected mAll = new Selected();
     private final Map<String, Selected> mByOrganisation = new HashMap<>();
     private final Set<Candidate> mLeftOut = new HashSet<>();
 
-    private record Candidate(ActiveRun run, long work, long objectiveMs) {
+    private record Candidate(ActiveRun run, long work, long slackMs) {
+        /** Work of the tasks that have no run. */
+        double waitingWork() {
+            return work - run.runningWork();
+        }
+
         String organisation() {
             return run.job().definition().organisation();
         }
@@ -37,15 +50,44 @@
         }
     }
 
-    /** Candidates that are not left out so far. */
+    /** Candidates that share capacity and are not left out so far. */
     private static final class Selected {
         final PriorityQueue<Candidate> mLargestFirst =
                 new PriorityQueue<>(Comparator.comparingLong(Candidate::work).reversed());
-        double mWork;
+        final double mMilliCores;
+        double mRunningMilliCores;
+        double mRunningWork;
+        double mWaitingWork;
+
+        /**
+         * Creates a set without candidates.
+         *
+         * @param milliCores capacity for the batch tasks, in thousandths of a core
+         */
+        Selected(double milliCores) {
+            mMilliCores = milliCores;
+        }
+
+        void countRunning(ActiveRun run) {
+            mRunningMilliCores += run.runningMilliCores();
+            mRunningWork += run.runningWork();
+        }
 
         void add(Candidate candidate) {
             mLargestFirst.add(candidate);
-            mWork += candidate.work();
+            mWaitingWork += candidate.waitingWork();
+        }
+
+        void leaveOut(Candidate candidate) {
+            mWaitingWork -= candidate.waitingWork();
+        }
+
+        /** Work of the waiting tasks that can start by the latest start of a candidate. */
+        double workThatCanStart(Candidate candidate) {
+            double freeMilliCores = Math.max(0, mMilliCores - mRunningMilliCores);
+            return mMilliCores * candidate.slackMs()
+                    - LEFT_SHARE * mRunningWork
+                    + freeMilliCores * candidate.run().remainingCriticalPathMs();
         }
     }
 
@@ -56,24 +98,25 @@
      * @param caps caps of the organisations
      */
     OnTimeSelection(long milliCores, OrganisationCaps caps, long nowWallMs) {
-        mMilliCores = milliCores;
+        mAll = new Selected(milliCores);
         mCaps = caps;
         mNowWallMs = nowWallMs;
     }
 
     /** Returns those of the runs of one service that can meet their objectives together. */
     Set<ActiveRun> select(List<ActiveRun> runs) {
+        runs.forEach(this::countRunning);
         List<Candidate> candidates = candidates(runs);
         for (Candidate c : candidates) {
-            Optional<Long> cap = mCaps.milliCoresFor(c.organisation(), c.service());
             mAll.add(c);
-            if (cap.isPresent()) {
-                Selected ofOrganisation =
-                        mByOrganisation.computeIfAbsent(c.organisation(), o -> new Selected());
-                ofOrganisation.add(c);
-                leaveOutUntilPossible(ofOrganisation, cap.get(), c.objectiveMs());
-            }
-            leaveOutUntilPossible(mAll, mMilliCores, c.objectiveMs());
+            Optional<Selected> ofOrganisation =
+                    Optional.ofNullable(mByOrganisation.get(c.organisation()));
+            ofOrganisation.ifPresent(
+                    s -> {
+                        s.add(c);
+                        leaveOutUntilPossible(s, c);
+                    });
+            leaveOutUntilPossible(mAll, c);
         }
         Set<ActiveRun> selected = new HashSet<>();
         for (Candidate c : candidates) {
@@ -84,28 +127,42 @@
         return selected;
     }
 
+    private void countRunning(ActiveRun run) {
+        JobDefinition job = run.job().definition();
+        if (job.isStanding()) {
+            return;
+        }
+        mAll.countRunning(run);
+        mCaps.milliCoresFor(job.organisation(), job.service())
+                .ifPresent(
+                        cap ->
+                                mByOrganisation
+                                        .computeIfAbsent(job.organisation(), o -> new Selected(cap))
+                                        .countRunning(run));
+    }
+
     private List<Candidate> candidates(List<ActiveRun> runs) {
         List<Candidate> candidates = new ArrayList<>();
         for (ActiveRun r : runs) {
             boolean batch = r.job().isEntitled() && !r.job().definition().isStanding();
-            if (batch && UrgencyOrder.slackMs(r, mNowWallMs) >= 0) {
-                long objectiveMs = UrgencyOrder.objectiveMs(r);
-                candidates.add(new Candidate(r, r.remainingWork(), objectiveMs));
+            long slackMs = UrgencyOrder.slackMs(r, mNowWallMs);
+            if (batch && slackMs >= 0) {
+                candidates.add(new Candidate(r, r.remainingWork(), slackMs));
             }
         }
-        candidates.sort(Comparator.comparingLong(Candidate::objectiveMs));
+        candidates.sort(Comparator.comparingLong(Candidate::slackMs));
         return candidates;
     }
 
-    /** Leaves out the largest candidates until the others can be done by an objective. */
-    private void leaveOutUntilPossible(Selected selected, long milliCores, long objectiveMs) {
-        double capacity = (double) milliCores * (objectiveMs - mNowWallMs);
-        while (selected.mWork > capacity && !selected.mLargestFirst.isEmpty()) {
+    /** Leaves out the largest candidates until the others can start by the last one's latest. */
+    private void leaveOutUntilPossible(Selected selected, Candidate last) {
+        double possible = selected.workThatCanStart(last);
+        while (selected.mWaitingWork > possible && !selected.mLargestFirst.isEmpty()) {
             Candidate largest = selected.mLargestFirst.poll();
             if (mLeftOut.add(largest)) {
-                mAll.mWork -= largest.work();
+                mAll.leaveOut(largest);
                 Optional.ofNullable(mByOrganisation.get(largest.organisation()))
-                        .ifPresent(s -> s.mWork -= largest.work());
+                        .ifPresent(s -> s.leaveOut(largest));
             }
         }
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/JobEntitlementsTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/JobEntitlementsTest.java
@@ -16,6 +16,9 @@
 
 /** Tests that an organisation that submits too many jobs delays no other one. */
 public class JobEntitlementsTest {
+    /** Jobs of the organisation that floods, in a tenth of a second. */
+    private static final double FLOOD_PER_TICK = 8;
+
     private static final int SEEDS = 6;
 
     private static JobDefinition job(String organisation, long acceptedMs) {
@@ -101,7 +104,7 @@
             for (int i = 0; i < 120; i++) {
                 boolean flood = i >= 30 && i < 90;
                 for (int o = 0; o < 10; o++) {
-                    double perTick = o == 0 && flood ? 4 : 0.15;
+                    double perTick = o == 0 && flood ? FLOOD_PER_TICK : 0.15;
                     if (random.nextDouble() < perTick - (int) perTick) {
                         addJob(simulation, random, "o" + o);
                     }
