Waves with time to spare leave idle VMs to pools that lack some

What callers saw: the jobs of a turn's first seconds were late although the fleet had idle VMs.

Cause: waves chose their VMs before the pools did, idle ones first, whether or not a wave was pressed for time.

Change: while a wave has time to spare, its idle VMs are chosen after the pools have got theirs, and only if no pool gets or lacks three VMs or more. A wave without time to spare chooses first, as before, so that none is late for it.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -45,6 +45,12 @@
     /** VMs without standing tasks that a busy pool keeps. */
     private static final int MIN_BUSY_VMS = 3;
 
+    /** A pool that gets fewer VMs may do so for single jobs of an idle queue. */
+    private static final int MIN_GROWING_VMS = 3;
+
+    /** Time after its move for which a VM may be on its way, in milliseconds. */
+    private static final long MAX_MOVE_MS = 4000;
+
     /** Spare VMs that a pool keeps for new jobs. */
     private static final int MIN_SPARE_VMS = 1;
 
@@ -52,6 +58,7 @@
     private final ManagedVms mVms;
     private final PoolDemand mDemand;
     private final Map<String, SpareRelease> mReleases = new HashMap<>();
+    private boolean mGrowing;
     private ForecastDemand mForecast = new ForecastDemand(Optional.empty());
 
     PoolBalancer(Scheduler scheduler, ManagedVms vms) {
@@ -65,6 +72,14 @@
         mForecast = new ForecastDemand(Optional.of(forecast));
     }
 
+    /**
+     * Whether a pool got or lacked VMs at the last plan, so that idle VMs may be needed at any
+     * moment.
+     */
+    boolean isAnyPoolGrowing() {
+        return mGrowing;
+    }
+
     private static final class Pool {
         final String mName;
         final List<ManagedVm> mMovable = new ArrayList<>();
@@ -73,6 +88,7 @@
         double mMissingMilliCores;
         double mLateMilliCores;
         int mIncomingVms;
+        int mRebootedVms;
         int mVmsForStanding;
         int mVmsForGangs;
 
@@ -117,6 +133,12 @@
             return mVmsForStanding > mIncomingVms;
         }
 
+        /** Whether the pool gets or lacks VMs for more than single jobs. */
+        boolean isGrowing() {
+            int moving = mIncomingVms - mRebootedVms;
+            return moving + Math.max(0, missingVms()) >= MIN_GROWING_VMS;
+        }
+
         /** Counts a VM that is about to join the pool. */
         void addIncoming(ManagedVm vm) {
             mMissingMilliCores -= mCapacity.milliCores(vm.info().capacity());
@@ -163,6 +185,7 @@
         pools.values().forEach(p -> p.mMovable.sort(Comparator.comparingLong(this::used)));
         assignVms(pools, standby, nowMs);
         assignVmsForLateJobs(pools.values(), standby, nowMs);
+        mGrowing = pools.values().stream().anyMatch(Pool::isGrowing);
         releaseSpareVms(config, pools, nowMs);
     }
 
@@ -213,6 +236,8 @@
         boolean joining = registers && vm.info().phase() == VmPhase.UP && vm.isFree();
         if (moving || joining) {
             pool.addIncoming(vm);
+            boolean moved = moving || nowMs - vm.lastMoveMs() < MAX_MOVE_MS;
+            pool.mRebootedVms += moved ? 0 : 1;
             return;
         }
         // Workers that a new owner has not polled count too; otherwise each pool would seem empty.
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -194,6 +194,9 @@
         }
         mReservations.reserve(mVms.all(), nowMs);
         mPoolBalancer.plan(config, mWaveSelector.criticalMoves(), nowMs, nowWallMs);
+        if (!mPoolBalancer.isAnyPoolGrowing()) {
+            mWaveSelector.rebootIdleVms(nowMs);
+        }
         return new VmDecisions(executePlans(config, mayCall, nowMs, nowWallMs), completed);
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveRebootSelector.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/WaveRebootSelector.java
@@ -15,10 +15,10 @@
  * Selects the VMs of maintenance waves to reboot next.
  *
  * <p>VMs that are off come first, then idle ones, then those with the fewest standing tasks and the
- * least load; while there is time to spare, only idle VMs are selected. VMs of time-critical steps,
- * whose standing tasks need about all the remaining time to move one after the other, come before
- * all others. No more VMs are selected than the wave allows to be down at a time, so that none is
- * evacuated long before its reboot.
+ * least load. While there is time to spare, only idle VMs are selected, after the pools have got
+ * theirs. VMs of time-critical steps, whose standing tasks need about all the remaining time to
+ * move one after the other, come before all others. No more VMs are selected than the wave allows
+ * to be down at a time, so that none is evacuated long before its reboot.
  */
 final class WaveRebootSelector {
     /** Time to evacuate and reboot one batch of VMs, in milliseconds. */
@@ -34,10 +34,15 @@
     private static final double IDLE_COST = 0.02;
 
     private final Map<ActiveStep, Integer> mCriticalMoves = new LinkedHashMap<>();
+    private final List<IdleCandidates> mIdleCandidates = new ArrayList<>();
+
+    /** VMs of a wave with time to spare, those to reboot first at the beginning. */
+    private record IdleCandidates(List<ManagedVm> vms, PlannedVmAction reboot, int budget) {}
 
     /** Starts a new decision on all waves. */
     void reset(Scheduler scheduler) {
         mCriticalMoves.clear();
+        mIdleCandidates.clear();
         scheduler.workers().forEach(w -> w.setRebootDue(false));
     }
 
@@ -100,13 +105,28 @@
         if (candidates.removeIf(v -> moves.isCritical(v, criticalMs))) {
             budget -= RESERVED_REBOOTS;
         }
-        candidates.stream()
-                .filter(v -> !hasAmpleTime || cost(v, scheduler, config) < IDLE_COST)
-                .limit(Math.max(0, budget))
-                .forEach(v -> v.plan(reboot, nowMs));
+        if (hasAmpleTime) {
+            candidates.removeIf(v -> cost(v, scheduler, config) >= IDLE_COST);
+            mIdleCandidates.add(new IdleCandidates(candidates, reboot, budget));
+        } else {
+            candidates.stream().limit(Math.max(0, budget)).forEach(v -> v.plan(reboot, nowMs));
+        }
         return remaining.isEmpty() && !maybeUnlisted;
     }
 
+    /**
+     * Plans reboots of idle VMs for the waves with time to spare. Before the pools have got the VMs
+     * that they lack, it would take those that a turn needs at once.
+     */
+    void rebootIdleVms(long nowMs) {
+        for (IdleCandidates idle : mIdleCandidates) {
+            idle.vms().stream()
+                    .filter(ManagedVm::isFree)
+                    .limit(Math.max(0, idle.budget()))
+                    .forEach(v -> v.plan(idle.reboot(), nowMs));
+        }
+    }
+
     /** Whether the VM has a worker and half of its pool is being rebooted or evacuated for it. */
     private static boolean isHalfOfPoolDown(ManagedVm vm, ManagedVms vms, Scheduler scheduler) {
         int total = 0;
