A new owner leaves idle VMs alone until it knows the demand

What callers saw: after a takeover of 1.2 s in a turn its jobs were late for six seconds more.

Cause: the callers whose submissions got no answer during the takeover come back within two seconds. Until then the new owner sees little demand, takes the VMs of a turn for spare ones, and lets waves have them.

Change: for two seconds after a takeover idle VMs are neither released nor rebooted by waves with time to spare. Pools get them as soon as jobs need them.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -59,6 +59,7 @@
     private final PoolDemand mDemand;
     private final Map<String, SpareRelease> mReleases = new HashMap<>();
     private boolean mGrowing;
+    private long mDemandKnownMs = Long.MIN_VALUE;
     private ForecastDemand mForecast = new ForecastDemand(Optional.empty());
 
     PoolBalancer(Scheduler scheduler, ManagedVms vms) {
@@ -72,12 +73,14 @@
         mForecast = new ForecastDemand(Optional.of(forecast));
     }
 
-    /**
-     * Whether a pool got or lacked VMs at the last plan, so that idle VMs may be needed at any
-     * moment.
-     */
-    boolean isAnyPoolGrowing() {
-        return mGrowing;
+    /** Releases no VMs before this time, as the demand isn't known. */
+    void waitForDemand(long untilMs) {
+        mDemandKnownMs = untilMs;
+    }
+
+    /** Whether a pool got or lacked VMs at the last plan, or the demand isn't known yet. */
+    boolean mayNeedIdleVms(long nowMs) {
+        return mGrowing || nowMs < mDemandKnownMs;
     }
 
     private static final class Pool {
@@ -367,7 +370,7 @@
         if (standby.isEmpty()) {
             return;
         }
-        if (!mScheduler.isStoreAvailable()) {
+        if (!mScheduler.isStoreAvailable() || nowMs < mDemandKnownMs) {
             // The demand isn't known while no job is accepted.
             mReleases.values().forEach(SpareRelease::reset);
             return;
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -60,6 +60,16 @@
         return mScheduler.arrivals().learnInherited(now, completeSinceMs);
     }
 
+    /**
+     * Leaves idle VMs in their pools until a time, unless a pool lacks them. A new owner doesn't
+     * know the demand of callers that got no answer until they have come back.
+     *
+     * @param untilMs time on the monotonic clock, in milliseconds
+     */
+    public void waitForDemand(long untilMs) {
+        mPoolBalancer.waitForDemand(untilMs);
+    }
+
     ManagedVms vms() {
         return mVms;
     }
@@ -194,7 +204,7 @@
         }
         mReservations.reserve(mVms.all(), nowMs);
         mPoolBalancer.plan(config, mWaveSelector.criticalMoves(), nowMs, nowWallMs);
-        if (!mPoolBalancer.isAnyPoolGrowing()) {
+        if (!mPoolBalancer.mayNeedIdleVms(nowMs)) {
             mWaveSelector.rebootIdleVms(nowMs);
         }
         return new VmDecisions(executePlans(config, mayCall, nowMs, nowWallMs), completed);
--- a/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
+++ b/foxtail-node/src/main/java/org/foxtailplank/node/owner/VmCoordinator.java
@@ -37,6 +37,9 @@
     /** How often to decide, in milliseconds. */
     private static final long DECISION_INTERVAL_MS = 100;
 
+    /** Time after a takeover in which callers that got no answer come back, in milliseconds. */
+    private static final long DEMAND_WAIT_MS = 2000;
+
     private final OwnerSession mOwner;
     private final OwnerContext mContext;
     private final Clock mClock;
@@ -93,6 +96,7 @@
     }
 
     void start() {
+        mPlanner.waitForDemand(mClock.nowMs() + DEMAND_WAIT_MS);
         logWaves();
         list();
         decide();
