Count VMs on their way when jobs are selected

What callers saw: with the selection by latest starts the jobs of a turn's first two seconds were in time less often, as the few workers of an idle pool can't start them, though the VMs that can were on their way.

Change: the selection counts the VMs that join before a job's latest start. The planner reports them with each of its decisions.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/BatchCapacities.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/BatchCapacities.java
@@ -2,16 +2,20 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import org.foxtailplank.admission.QueueCapacity.Joining;
 import org.foxtailplank.fleet.Resources;
 
 /**
- * Tracks the mean demand of each service's batch tasks, by which capacity for them is counted.
+ * Tracks the mean demand of each service's batch tasks, by which capacity for them is counted, and
+ * the VMs that are on their way to its pool.
  *
  * <p>The tasks are those that wait or run. A service without any keeps the mean of the last ones.
  */
 final class BatchCapacities {
     private final Map<String, BatchCapacity> mByService = new HashMap<>();
+    private final Map<String, List<Joining>> mJoining = new HashMap<>();
 
     /** Sum of the demands of a service's tasks. */
     private static final class Total {
@@ -58,13 +62,18 @@
         return mByService.getOrDefault(service, BatchCapacity.CORES);
     }
 
-    /** Capacity that the usable ones of a service's workers have, in thousandths of a core. */
-    long usableMilliCores(String service, Collection<WorkerState> workers, long nowMs) {
+    /** Capacity of the usable ones of a service's workers and of the VMs on their way. */
+    PoolCapacity usable(String service, Collection<WorkerState> workers, long nowMs) {
         BatchCapacity capacity = of(service);
         long sum = 0;
         for (WorkerState w : workers) {
             sum += w.isUsable(nowMs) ? capacity.milliCores(w.freeWithoutBatch()) : 0;
         }
-        return sum;
+        return new PoolCapacity(sum, mJoining.getOrDefault(service, List.of()));
+    }
+
+    /** Sets the capacity of the VMs on their way to a service's pool. */
+    void setJoining(String service, List<Joining> joining) {
+        mJoining.put(service, joining);
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/CapacitySnapshots.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/CapacitySnapshots.java
@@ -115,7 +115,8 @@
 
     private static Work work(
             List<ActiveRun> runs, long milliCores, OrganisationCaps caps, long nowWallMs) {
-        Set<ActiveRun> inTime = new OnTimeSelection(milliCores, caps, nowWallMs).select(runs);
+        Set<ActiveRun> inTime =
+                new OnTimeSelection(PoolCapacity.of(milliCores), caps, nowWallMs).select(runs);
         Work work = new Work();
         for (ActiveRun r : runs) {
             if (r.job().definition().isStanding()) {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/JoiningCapacity.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/JoiningCapacity.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Function;
 import org.foxtailplank.admission.QueueCapacity.Joining;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.VmClient.VmPhase;
@@ -23,6 +24,8 @@
     /** VMs that join within this period are reported together, in milliseconds. */
     private static final long PERIOD_MS = 500;
 
+    private static final Optional<Long> STANDBY = Optional.of(MOVE_MS);
+
     private final Scheduler mScheduler;
     private final ManagedVms mVms;
 
@@ -39,9 +42,32 @@
      * @param capacity how the capacity for the service's batch tasks is counted
      */
     List<Joining> of(String service, BatchCapacity capacity, FleetConfig config, long nowMs) {
+        return sum(
+                capacity,
+                vm ->
+                        joinsAfterMs(vm, service, nowMs)
+                                .or(
+                                        () ->
+                                                isIdleInStandby(vm, config)
+                                                        ? STANDBY
+                                                        : Optional.empty()));
+    }
+
+    /**
+     * Capacity of the VMs on their way to a service's pool, in the order of time.
+     *
+     * @param capacity how the capacity for the service's batch tasks is counted
+     */
+    List<Joining> onTheirWay(String service, BatchCapacity capacity, long nowMs) {
+        return sum(capacity, vm -> joinsAfterMs(vm, service, nowMs));
+    }
+
+    private List<Joining> sum(
+            BatchCapacity capacity, Function<ManagedVm, Optional<Long>> joinsAfterMs) {
         Map<Long, Long> milliCores = new TreeMap<>();
         for (ManagedVm vm : mVms.all()) {
-            joinsAfterMs(vm, service, config, nowMs)
+            joinsAfterMs
+                    .apply(vm)
                     .ifPresent(
                             ms ->
                                     milliCores.merge(
@@ -54,6 +80,10 @@
         return joining;
     }
 
+    private static boolean isIdleInStandby(ManagedVm vm, FleetConfig config) {
+        return config.isStandby(vm.info().pool()) && vm.isFree();
+    }
+
     private boolean isAwaitingEntry(ManagedVm vm) {
         return mScheduler
                 .worker(vm.info().worker())
@@ -61,8 +91,7 @@
                 .isPresent();
     }
 
-    private Optional<Long> joinsAfterMs(
-            ManagedVm vm, String service, FleetConfig config, long nowMs) {
+    private Optional<Long> joinsAfterMs(ManagedVm vm, String service, long nowMs) {
         boolean inPool = vm.info().pool().equals(service);
         long sinceMoveMs = nowMs - vm.lastMoveMs();
         if (vm.planned().isPresent()) {
@@ -81,7 +110,6 @@
         if (inPool && vm.isFree() && isAwaitingEntry(vm)) {
             return Optional.of(JOIN_MS);
         }
-        boolean standby = config.isStandby(vm.info().pool()) && vm.isFree();
-        return standby ? Optional.of(MOVE_MS) : Optional.empty();
+        return Optional.empty();
     }
 }
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OnTimeSelection.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OnTimeSelection.java
@@ -54,18 +54,14 @@
     private static final class Selected {
         final PriorityQueue<Candidate> mLargestFirst =
                 new PriorityQueue<>(Comparator.comparingLong(Candidate::work).reversed());
-        final double mMilliCores;
+        final PoolCapacity mCapacity;
         double mRunningMilliCores;
         double mRunningWork;
         double mWaitingWork;
 
-        /**
-         * Creates a set without candidates.
-         *
-         * @param milliCores capacity for the batch tasks, in thousandths of a core
-         */
-        Selected(double milliCores) {
-            mMilliCores = milliCores;
+        /** Creates a set without candidates that share a capacity. */
+        Selected(PoolCapacity capacity) {
+            mCapacity = capacity;
         }
 
         void countRunning(ActiveRun run) {
@@ -84,21 +80,24 @@
 
         /** Work of the waiting tasks that can start by the latest start of a candidate. */
         double workThatCanStart(Candidate candidate) {
-            double freeMilliCores = Math.max(0, mMilliCores - mRunningMilliCores);
-            return mMilliCores * candidate.slackMs()
+            long lengthMs = candidate.run().remainingCriticalPathMs();
+            double milliCores = mCapacity.milliCores();
+            double freeMilliCores = Math.max(0, milliCores - mRunningMilliCores);
+            return milliCores * candidate.slackMs()
                     - LEFT_SHARE * mRunningWork
-                    + freeMilliCores * candidate.run().remainingCriticalPathMs();
+                    + freeMilliCores * lengthMs
+                    + mCapacity.workOfJoining(candidate.slackMs(), lengthMs);
         }
     }
 
     /**
      * Creates a selection.
      *
-     * @param milliCores capacity of the workers for batch tasks, in thousandths of a core
+     * @param capacity capacity of the pool
      * @param caps caps of the organisations
      */
-    OnTimeSelection(long milliCores, OrganisationCaps caps, long nowWallMs) {
-        mAll = new Selected(milliCores);
+    OnTimeSelection(PoolCapacity capacity, OrganisationCaps caps, long nowWallMs) {
+        mAll = new Selected(capacity);
         mCaps = caps;
         mNowWallMs = nowWallMs;
     }
@@ -137,7 +136,9 @@
                 .ifPresent(
                         cap ->
                                 mByOrganisation
-                                        .computeIfAbsent(job.organisation(), o -> new Selected(cap))
+                                        .computeIfAbsent(
+                                                job.organisation(),
+                                                o -> new Selected(PoolCapacity.of(cap)))
                                         .countRunning(run));
     }
 
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/Scheduler.java
@@ -450,8 +450,8 @@
         BatchCapacities capacities = batchCapacities(nowWallMs);
         for (Map.Entry<String, List<ActiveRun>> e : dueRunsByService(nowWallMs).entrySet()) {
             List<WorkerState> workers = workersOf(e.getKey());
-            long milliCores = capacities.usableMilliCores(e.getKey(), workers, nowMs);
-            List<ActiveRun> sorted = UrgencyOrder.sort(e.getValue(), milliCores, caps, nowWallMs);
+            PoolCapacity pool = capacities.usable(e.getKey(), workers, nowMs);
+            List<ActiveRun> sorted = UrgencyOrder.sort(e.getValue(), pool, caps, nowWallMs);
             if (mStoreAvailable) {
                 mPlacer.place(sorted, workers, caps, out, nowMs);
             } else {
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/UrgencyOrder.java
@@ -40,12 +40,12 @@
     /**
      * Sorts runs by decreasing urgency.
      *
-     * @param milliCores capacity of the workers for batch tasks, in thousandths of a core
+     * @param capacity capacity of the pool
      * @param caps caps of the organisations whose jobs these are
      */
     static List<ActiveRun> sort(
-            List<ActiveRun> runs, long milliCores, OrganisationCaps caps, long nowWallMs) {
-        Set<ActiveRun> inTime = new OnTimeSelection(milliCores, caps, nowWallMs).select(runs);
+            List<ActiveRun> runs, PoolCapacity capacity, OrganisationCaps caps, long nowWallMs) {
+        Set<ActiveRun> inTime = new OnTimeSelection(capacity, caps, nowWallMs).select(runs);
         List<Ranked> ranked = new ArrayList<>(runs.size());
         for (ActiveRun r : runs) {
             ranked.add(rank(r, inTime, nowWallMs));
--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/VmPlanner.java
@@ -13,6 +13,7 @@
 import org.foxtailplank.lease.ClockReading;
 import org.foxtailplank.port.FleetConfig;
 import org.foxtailplank.port.MaintenanceWave;
+import org.foxtailplank.port.ServiceConfig;
 import org.foxtailplank.port.VmClient.VmInfo;
 import org.foxtailplank.port.VmClient.VmOutcome;
 
@@ -26,6 +27,7 @@
     private final WaveRebootSelector mWaveSelector = new WaveRebootSelector();
     private final PoolBalancer mPoolBalancer;
     private final StandingTaskReservations mReservations;
+    private final JoiningCapacity mJoining;
     private final Map<String, Long> mLastActionMs = new HashMap<>();
     private final Map<Long, Set<String>> mRebooted = new HashMap<>();
     private final Set<Long> mReportedWaves = new HashSet<>();
@@ -41,6 +43,7 @@
         mScheduler = scheduler;
         mPoolBalancer = new PoolBalancer(scheduler, mVms);
         mReservations = new StandingTaskReservations(scheduler);
+        mJoining = new JoiningCapacity(scheduler, mVms);
     }
 
     /** Moves VMs to pools before the turns of their queues that a forecast expects. */
@@ -207,7 +210,20 @@
         if (!mPoolBalancer.mayNeedIdleVms(nowMs)) {
             mWaveSelector.rebootIdleVms(nowMs);
         }
-        return new VmDecisions(executePlans(config, mayCall, nowMs, nowWallMs), completed);
+        List<Call> calls = executePlans(config, mayCall, nowMs, nowWallMs);
+        reportJoining(config, nowMs, nowWallMs);
+        return new VmDecisions(calls, completed);
+    }
+
+    /** Lets the scheduler count on the VMs that are on their way to the pools. */
+    private void reportJoining(FleetConfig config, long nowMs, long nowWallMs) {
+        BatchCapacities capacities = mScheduler.batchCapacities(nowWallMs);
+        for (ServiceConfig s : config.services()) {
+            if (!s.standby()) {
+                BatchCapacity capacity = capacities.of(s.name());
+                capacities.setJoining(s.name(), mJoining.onTheirWay(s.name(), capacity, nowMs));
+            }
+        }
     }
 
     /**
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/CompletionList.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/CompletionList.java
@@ -28,7 +28,10 @@
         List<ActiveRun> runs =
                 scheduler.dueRunsByService(nowWallMs).getOrDefault(capacity.service(), List.of());
         Set<ActiveRun> selected =
-                new OnTimeSelection(capacity.milliCores(), scheduler.caps(config), nowWallMs)
+                new OnTimeSelection(
+                                PoolCapacity.of(capacity.milliCores()),
+                                scheduler.caps(config),
+                                nowWallMs)
                         .select(runs);
         for (ActiveRun r : runs) {
             JobDefinition definition = r.job().definition();
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/JobEntitlementsTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/JobEntitlementsTest.java
@@ -82,7 +82,10 @@
 
         List<ActiveRun> sorted =
                 UrgencyOrder.sort(
-                        runs, 100 * OwnerHarness.CORE, OrganisationCaps.NONE, OwnerHarness.WALL_MS);
+                        runs,
+                        PoolCapacity.of(100 * OwnerHarness.CORE),
+                        OrganisationCaps.NONE,
+                        OwnerHarness.WALL_MS);
 
         assertEquals(sorted.get(5).job().id(), "b");
     }
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OrganisationCapTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OrganisationCapTest.java
@@ -194,7 +194,7 @@
 
         Set<ActiveRun> inTime =
                 new OnTimeSelection(
-                                1000 * OwnerHarness.CORE,
+                                PoolCapacity.of(1000 * OwnerHarness.CORE),
                                 mOwner.mScheduler.caps(mOwner.mConfig),
                                 OwnerHarness.WALL_MS)
                         .select(runs);
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/UrgencyTest.java
@@ -25,7 +25,8 @@
     }
 
     private static List<ActiveRun> sort(List<ActiveRun> runs, long nowWallMs) {
-        return UrgencyOrder.sort(runs, CORES * OwnerHarness.CORE, OrganisationCaps.NONE, nowWallMs);
+        return UrgencyOrder.sort(
+                runs, PoolCapacity.of(CORES * OwnerHarness.CORE), OrganisationCaps.NONE, nowWallMs);
     }
 
     @Test
