Leave out jobs by the work that waits

A job whose tasks all run could be left out of the selection as the largest, which makes no room for others: only its waiting tasks count there. Candidates are left out by the work of their waiting tasks now, so that jobs that have begun stay.

Evidence: OnTimeSelectionTest#coresInUseCountFromTheEndsOfTheirTasks failed before, with no job selected in place of the running one.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OnTimeSelection.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OnTimeSelection.java
@@ -53,7 +53,7 @@
     /** Candidates that share capacity and are not left out so far. */
     private static final class Selected {
         final PriorityQueue<Candidate> mLargestFirst =
-                new PriorityQueue<>(Comparator.comparingLong(Candidate::work).reversed());
+                new PriorityQueue<>(Comparator.comparingDouble(Candidate::waitingWork).reversed());
         final PoolCapacity mCapacity;
         double mRunningMilliCores;
         double mRunningWork;
--- a/foxtail-core/src/test/java/org/foxtailplank/schedule/OnTimeSelectionTest.java
+++ b/foxtail-core/src/test/java/org/foxtailplank/schedule/OnTimeSelectionTest.java
@@ -46,6 +46,18 @@
         assertEquals(countInTime(PoolCapacity.of(CORES * CORE)), 2);
     }
 
+    /** Guards against jobs that start in time only on paper, since all cores are in use. */
+    @Test
+    public void coresInUseCountFromTheEndsOfTheirTasks() {
+        mOwner.addWorker("w1", "surveys", CORES);
+        acceptJobs(1);
+        mOwner.placeTasks();
+        acceptJobs(6);
+
+        // The one that runs, and none of the others, half of whose time to start is over then.
+        assertEquals(countInTime(PoolCapacity.of(CORES * CORE)), 1);
+    }
+
     /** Guards against the jobs of a turn's first seconds being left out until its VMs join. */
     @Test
     public void vmsThatJoinInTimeCount() {
