Compute the waiting work of a candidate once

The order of the queue that leaves candidates out computed it at each comparison. AdmissionLoadTest and OverloadedTurnTest come to the same figures as before.

--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/OnTimeSelection.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/OnTimeSelection.java
@@ -15,8 +15,9 @@
  * Selects the batch jobs that can meet their objectives together.
  *
  * <p>Uses the Moore-Hodgson algorithm: jobs are taken in the order of their latest starts, and
- * whenever the tasks so far are more than the workers can have started by then, the largest job is
- * left out. This maximizes the number of objectives met on a single machine of the pool's size.
+ * whenever the tasks so far are more than the workers can have started by then, the job whose
+ * waiting tasks are most work is left out. This maximizes the number of objectives met on a single
+ * machine of the pool's size.
  *
  * <p>Only cores that are free now can be used until the objective. The others are free once their
  * tasks have ended, and a task that starts after its job's latest start ends too late. If all of
@@ -35,10 +36,20 @@
     private final Map<String, Selected> mByOrganisation = new HashMap<>();
     private final Set<Candidate> mLeftOut = new HashSet<>();
 
-    private record Candidate(ActiveRun run, long work, long slackMs) {
-        /** Work of the tasks that have no run. */
-        double waitingWork() {
-            return work - run.runningWork();
+    /**
+     * A job that can meet its objective by itself.
+     *
+     * @param waitingWork work of the tasks that have no run
+     * @param slackMs time until its latest start
+     * @param lengthMs time from then until it ends
+     */
+    private record Candidate(ActiveRun run, double waitingWork, long slackMs, long lengthMs) {
+        static Candidate of(ActiveRun run, long slackMs) {
+            return new Candidate(
+                    run,
+                    run.remainingWork() - run.runningWork(),
+                    slackMs,
+                    run.remainingCriticalPathMs());
         }
 
         String organisation() {
@@ -80,13 +91,12 @@
 
         /** Work of the waiting tasks that can start by the latest start of a candidate. */
         double workThatCanStart(Candidate candidate) {
-            long lengthMs = candidate.run().remainingCriticalPathMs();
             double milliCores = mCapacity.milliCores();
             double freeMilliCores = Math.max(0, milliCores - mRunningMilliCores);
             return milliCores * candidate.slackMs()
                     - LEFT_SHARE * mRunningWork
-                    + freeMilliCores * lengthMs
-                    + mCapacity.workOfJoining(candidate.slackMs(), lengthMs);
+                    + freeMilliCores * candidate.lengthMs()
+                    + mCapacity.workOfJoining(candidate.slackMs(), candidate.lengthMs());
         }
     }
 
@@ -148,7 +158,7 @@
             boolean batch = r.job().isEntitled() && !r.job().definition().isStanding();
             long slackMs = UrgencyOrder.slackMs(r, mNowWallMs);
             if (batch && slackMs >= 0) {
-                candidates.add(new Candidate(r, r.remainingWork(), slackMs));
+                candidates.add(Candidate.of(r, slackMs));
             }
         }
         candidates.sort(Comparator.comparingLong(Candidate::slackMs));
