--- a/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
+++ b/foxtail-core/src/main/java/org/foxtailplank/schedule/PoolBalancer.java
@@ -91,7 +91,10 @@
         double mMissingMilliCores;
         double mLateMilliCores;
         int mIncomingVms;
+
+        /** Those of the incoming VMs that come back from a reboot. */
         int mRebootedVms;
+
         int mVmsForStanding;
         int mVmsForGangs;
 
